--- /dev/null
+++ b/crates/core/src/dispatch/kv_import.rs
@@ -0,0 +1,16 @@
+//! Import of kept KV cache.
+
+use std::net::SocketAddr;
+
+use crate::prompt::BlockHash;
+
+/// Asks the engine to import a prefix from the KV store instead of recomputing it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KvImport {
+    /// The KV store.
+    pub store: SocketAddr,
+    /// The prefix to import.
+    pub prefix: BlockHash,
+    /// Its tokens.
+    pub tokens: u32,
+}
--- /dev/null
+++ b/crates/core/src/dispatch/mod.rs
@@ -0,0 +1,41 @@
+//! The life of a request inside one router process: admission, choice of back end, attempts,
+//! retries and its single outcome.
+//!
+//! [`Dispatcher`] is the only entry. The node and the simulator feed it [`DispatchEvent`]s and
+//! carry out its [`DispatchAction`]s.
+
+mod assignment;
+mod attempt_outcome;
+mod dispatch_action;
+mod dispatch_event;
+mod dispatcher;
+mod engine_observation;
+mod final_outcome;
+mod kv_import;
+mod not_run_reason;
+mod priority;
+mod refusal;
+mod refusal_reason;
+mod repeatability;
+mod request_profile;
+mod resume_point;
+mod routing_snapshot;
+mod run_state;
+
+pub use assignment::Assignment;
+pub use attempt_outcome::AttemptOutcome;
+pub use dispatch_action::DispatchAction;
+pub use dispatch_event::DispatchEvent;
+pub use dispatcher::Dispatcher;
+pub use engine_observation::EngineObservation;
+pub use final_outcome::FinalOutcome;
+pub use kv_import::KvImport;
+pub use not_run_reason::NotRunReason;
+pub use priority::Priority;
+pub use refusal::Refusal;
+pub use refusal_reason::RefusalReason;
+pub use repeatability::Repeatability;
+pub use request_profile::RequestProfile;
+pub use resume_point::ResumePoint;
+pub use routing_snapshot::RoutingSnapshot;
+pub use run_state::RunState;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Every decision of the router.
+//!
+//! Each module is a state machine: it takes its state, an event and the current time, and returns
+//! actions. Nothing here does I/O, reads a clock, draws random numbers of its own or starts a
+//! thread, so the router process and the simulator run exactly the same code.
+
+pub mod catalog;
+pub mod dispatch;
+pub mod identity;
+pub mod prompt;
+mod timestamp;
+
+pub use timestamp::Timestamp;
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
