--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,1 +1,3 @@
+//! Operators' command line.
+
 fn main() {}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,1 +1,3 @@
+//! The router process.
+
 fn main() {}
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,1 +1,3 @@
+//! The test bench.
+
 fn main() {}
--- /dev/null
+++ b/crates/testbed/src/oracle/promises/limit_check.rs
@@ -0,0 +1,94 @@
+//! Tenant limits.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::PromiseCheck;
+use crate::oracle::{Observation, Promise, Violation};
+
+struct TenantSpending {
+    per_second: Option<u64>,
+    /// Limits in force within the last window count too: a lowered limit needs time to spread.
+    recent_most_per_second: u64,
+    changed_at_us: u64,
+    spent: VecDeque<(u64, u64)>,
+}
+
+/// No window holds more spending than the limit and its burst allow.
+pub struct LimitCheck {
+    window_us: u64,
+    burst_windows: u64,
+    tenants: HashMap<String, TenantSpending>,
+}
+
+/// How long a lowered limit may take to spread, in microseconds.
+const LIMIT_SPREAD_US: u64 = 20_000_000;
+
+impl LimitCheck {
+    /// Checks windows of `window_us`; each may hold `burst_windows` windows' worth.
+    pub fn new(window_us: u64, burst_windows: u64) -> Self {
+        Self {
+            window_us,
+            burst_windows,
+            tenants: HashMap::new(),
+        }
+    }
+
+    fn set_limit(&mut self, now_us: u64, tenant: &str, per_second: Option<u64>) {
+        let spending = self
+            .tenants
+            .entry(tenant.to_owned())
+            .or_insert(TenantSpending {
+                per_second,
+                recent_most_per_second: 0,
+                changed_at_us: now_us,
+                spent: VecDeque::new(),
+            });
+        spending.recent_most_per_second = spending.per_second.unwrap_or(u64::MAX);
+        spending.per_second = per_second;
+        spending.changed_at_us = now_us;
+    }
+
+    fn spend(&mut self, now_us: u64, tenant: &str, units: u64, found: &mut Vec<Violation>) {
+        let Some(spending) = self.tenants.get_mut(tenant) else {
+            return;
+        };
+        spending.spent.push_back((now_us, units));
+        while spending
+            .spent
+            .front()
+            .is_some_and(|(at, _)| at + self.window_us < now_us)
+        {
+            spending.spent.pop_front();
+        }
+        let Some(mut allowed_rate) = spending.per_second else {
+            return;
+        };
+        if now_us < spending.changed_at_us + LIMIT_SPREAD_US {
+            allowed_rate = allowed_rate.max(spending.recent_most_per_second);
+        }
+        let total: u64 = spending.spent.iter().map(|(_, units)| units).sum();
+        let allowed = allowed_rate
+            .saturating_mul(self.window_us)
+            .saturating_mul(self.burst_windows)
+            / 1_000_000;
+        if total > allowed {
+            found.push(Violation {
+                promise: Promise::TenantLimits,
+                at_us: now_us,
+                detail: format!("tenant={tenant} spent={total} allowed={allowed}"),
+            });
+        }
+    }
+}
+
+impl PromiseCheck for LimitCheck {
+    fn observe(&mut self, now_us: u64, observation: &Observation, found: &mut Vec<Violation>) {
+        match observation {
+            Observation::LimitSet { tenant, per_second } => {
+                self.set_limit(now_us, tenant, *per_second);
+            }
+            Observation::LimitSpent { tenant, units } => self.spend(now_us, tenant, *units, found),
+            _ => {}
+        }
+    }
+}
