Add the types of the control state: events, actions, peer messages, object API calls

Membership, configuration and lifecycle get their message and record types beside their decisions; ControlState is the single entry that the node and the simulator drive.

--- /dev/null
+++ b/crates/core/src/config/resource.rs
@@ -0,0 +1,33 @@
+//! Resources.
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::{BackEnd, MigrationStage, Pool, Tenant};
+
+use super::ResourceReference;
+
+/// Anything operators create.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Resource {
+    /// A tenant.
+    Tenant(Tenant),
+    /// A pool.
+    Pool(Pool),
+    /// A back end.
+    BackEnd(BackEnd),
+    /// A migration stage.
+    Stage(MigrationStage),
+}
+
+impl Resource {
+    /// Its kind and name.
+    pub fn reference(&self) -> ResourceReference {
+        match self {
+            Self::Tenant(tenant) => ResourceReference::Tenant(tenant.name.clone()),
+            Self::Pool(pool) => ResourceReference::Pool(pool.name.clone()),
+            Self::BackEnd(back_end) => ResourceReference::BackEnd(back_end.name.clone()),
+            Self::Stage(stage) => ResourceReference::Stage(stage.name.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,43 @@
+//! Control state of one router process: membership, configuration, leaving back ends and the
+//! node's own lifecycle, composed behind one entry.
+//!
+//! [`ControlState`] is owned by the control thread. The node and the simulator feed it
+//! [`ControlEvent`]s and carry out its [`ControlAction`]s.
+
+mod control_action;
+mod control_event;
+mod control_settings;
+mod control_state;
+mod machine_entry;
+mod machine_role;
+mod machine_state;
+mod object_key;
+mod operation_id;
+mod peer_message;
+mod precondition;
+mod store_answer;
+mod store_call;
+mod store_failure;
+mod store_request_id;
+mod store_value;
+mod stored_object;
+mod watch_event;
+
+pub use control_action::ControlAction;
+pub use control_event::ControlEvent;
+pub use control_settings::ControlSettings;
+pub use control_state::ControlState;
+pub use machine_entry::MachineEntry;
+pub use machine_role::MachineRole;
+pub use machine_state::MachineState;
+pub use object_key::{ObjectKey, ObjectKeyError, ObjectPrefix};
+pub use operation_id::OperationId;
+pub use peer_message::PeerMessage;
+pub use precondition::Precondition;
+pub use store_answer::StoreAnswer;
+pub use store_call::StoreCall;
+pub use store_failure::StoreFailure;
+pub use store_request_id::StoreRequestId;
+pub use store_value::StoreValue;
+pub use stored_object::{StoreRevision, StoreVersion, StoredObject};
+pub use watch_event::WatchEvent;
--- /dev/null
+++ b/crates/core/src/control/peer_message.rs
@@ -0,0 +1,21 @@
+//! What router processes say to each other.
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::ConfigMessage;
+use crate::membership::{GossipMessage, SyncMessage};
+
+/// One JSON line between router processes. Tags are short because each node may spend only a few
+/// kilobytes a second on control.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Membership probes and what they carry along.
+    #[serde(rename = "g")]
+    Gossip(GossipMessage),
+    /// Exchange of whole membership tables.
+    #[serde(rename = "s")]
+    Sync(SyncMessage),
+    /// Configuration.
+    #[serde(rename = "c")]
+    Config(ConfigMessage),
+}
--- /dev/null
+++ b/crates/core/src/control/store_value.rs
@@ -0,0 +1,18 @@
+//! Values in the object API.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::catalog::Catalog;
+use crate::config::LogEntry;
+
+/// Value of an object that ryerouter keeps in the object API, as JSON with a `kind`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum StoreValue {
+    /// One accepted change.
+    ConfigEntry(Arc<LogEntry>),
+    /// The whole configuration.
+    ConfigSnapshot(Arc<Catalog>),
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,12 @@
 //! thread, so the router process and the simulator run exactly the same code.
 
 pub mod catalog;
+pub mod config;
+pub mod control;
 pub mod dispatch;
 pub mod identity;
+pub mod lifecycle;
+pub mod membership;
 pub mod prompt;
 mod timestamp;
 
