Add clients of the object API and the machine list

Every call has a limit of time and size; an error says whether the call may have taken effect, which compare-and-swap with lost answers needs.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
-//! placeholder
+//! The router process that runs beside each caller.
+
+pub mod platform;
--- /dev/null
+++ b/crates/node/src/platform/http_connection.rs
@@ -0,0 +1,132 @@
+//! HTTP calls with limits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+
+use super::{PlatformError, PlatformLimits};
+
+/// Idle connections kept to one server; the platform bears few readers.
+const IDLE_CONNECTIONS: usize = 2;
+
+/// Calls to one HTTP server of the platform.
+#[derive(Debug, Clone)]
+pub(super) struct HttpConnection {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    limits: PlatformLimits,
+}
+
+impl HttpConnection {
+    pub(super) fn new(address: SocketAddr, limits: PlatformLimits) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(limits.call_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .build(connector);
+        Self {
+            client,
+            address,
+            limits,
+        }
+    }
+
+    pub(super) fn limits(&self) -> &PlatformLimits {
+        &self.limits
+    }
+
+    /// Address of a path of this server.
+    pub(super) fn uri(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let limit = self.limits.call_timeout;
+        let answer = tokio::time::timeout(limit, self.client.request(request))
+            .await
+            .map_err(|_| PlatformError::TimedOut { limit })?;
+        answer.map_err(|error| {
+            let detail = describe(&error);
+            if error.is_connect() {
+                PlatformError::Unreachable { detail }
+            } else {
+                PlatformError::AnswerLost { detail }
+            }
+        })
+    }
+
+    /// Sends a request and reads its whole answer within the limits of time and size.
+    pub(super) async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, PlatformError> {
+        let limit = self.limits.call_timeout;
+        let whole = async {
+            let (head, body) = self.send(request).await?.into_parts();
+            let body = Limited::new(body, self.limits.maximum_answer_bytes)
+                .collect()
+                .await
+                .map_err(|error| PlatformError::AnswerLost {
+                    detail: error.to_string(),
+                })?;
+            Ok(Response::from_parts(head, body.to_bytes()))
+        };
+        tokio::time::timeout(limit, whole)
+            .await
+            .map_err(|_| PlatformError::TimedOut { limit })?
+    }
+}
+
+/// Reads a JSON answer.
+pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed {
+        detail: error.to_string(),
+    })
+}
+
+/// What the `retry-after` header of an answer asks for, in whole seconds.
+pub(super) fn retry_after<B>(answer: &Response<B>) -> Option<Duration> {
+    let value = answer.headers().get(hyper::header::RETRY_AFTER)?;
+    let seconds = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// The error of a status that no call expects.
+pub(super) fn unexpected_status<B>(answer: &Response<B>) -> PlatformError {
+    let status = answer.status();
+    match status.as_u16() {
+        429 => PlatformError::TooManyReaders {
+            retry_after: retry_after(answer),
+        },
+        410 => PlatformError::Compacted,
+        404 => PlatformError::NotFound,
+        code if status.is_client_error() => PlatformError::Refused { status: code },
+        code => PlatformError::Failed { status: code },
+    }
+}
+
+/// The error with its causes, which hyper keeps apart.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        text.push_str(": ");
+        text.push_str(&inner.to_string());
+        cause = inner.source();
+    }
+    text
+}
