Add the schema of the operator RPC and its generated code

Operators drive the router through typed calls. The schema covers tenants, pools, back ends and migration stages with expected versions, change ids and dry runs, and status, overview, explain and reload. The catalog gains the fields the schema needs: weight loads at once, steps, holds and the rollback rule of a stage. A test regenerates the code and compares it with the committed file, so the build needs no generator.

--- a/crates/core/src/catalog/migration_stage.rs
+++ b/crates/core/src/catalog/migration_stage.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::StageState;
+use super::{RollbackRule, StageState};
 use crate::identity::{DataCentreName, PoolName, ResourceVersion, StageName, TenantName};
 
 /// How much of a pool's traffic goes to the data centre it is moved to.
@@ -19,8 +19,17 @@
     pub source: DataCentreName,
     /// The data centre that takes traffic.
     pub target: DataCentreName,
-    /// Share of traffic for the target, in thousandths.
+    /// Share of traffic that the target shall have in the end, in thousandths.
     pub target_share_permille: u16,
+    /// Thousandths by which the share rises at once; 0 sets the whole share in one step.
+    #[serde(default)]
+    pub step_permille: u16,
+    /// Seconds that each step is held before the next.
+    #[serde(default)]
+    pub hold_seconds: u32,
+    /// When the move is taken back without an operator.
+    #[serde(default)]
+    pub rollback_rule: RollbackRule,
     /// Whether it moves, holds or has been taken back.
     #[serde(default)]
     pub state: StageState,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,3 +4,4 @@
 
 pub mod caller_headers;
 pub mod engine_headers;
+pub mod generated;
--- /dev/null
+++ b/crates/wire/tests/generated_code.rs
@@ -0,0 +1,55 @@
+//! Checks that the committed generated code is what the schema generates.
+//!
+//! With `RYEROUTER_REGENERATE=1` in the environment it writes the code instead of comparing it.
+
+use std::error::Error;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use protox::prost_reflect::prost::Message;
+
+const GENERATED_FILE: &str = "ryerouter.v1.rs";
+const REGENERATE_VARIABLE: &str = "RYEROUTER_REGENERATE";
+
+fn crate_directory() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn schema_files(schema: &Path) -> Result<Vec<PathBuf>, Box<dyn Error>> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(schema.join("ryerouter/v1"))? {
+        files.push(entry?.path());
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn generate(output: &Path) -> Result<String, Box<dyn Error>> {
+    let schema = crate_directory().join("../../proto").canonicalize()?;
+    let descriptors = protox::compile(schema_files(&schema)?, [&schema])?;
+    // Encoded and decoded again, so that the generator's own descriptor type is used.
+    let descriptors = Message::decode(descriptors.encode_to_vec().as_slice())?;
+    fs::create_dir_all(output)?;
+    tonic_prost_build::configure()
+        .out_dir(output)
+        .emit_rerun_if_changed(false)
+        .compile_fds(descriptors)?;
+    Ok(fs::read_to_string(output.join(GENERATED_FILE))?)
+}
+
+#[test]
+fn committed_code_matches_the_schema() -> Result<(), Box<dyn Error>> {
+    let committed = crate_directory().join("src/generated").join(GENERATED_FILE);
+    let output = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("generated_code");
+    let generated = generate(&output)?;
+    if std::env::var_os(REGENERATE_VARIABLE).is_some() {
+        fs::write(&committed, &generated)?;
+    }
+    let matches = fs::read_to_string(&committed)? == generated;
+    assert!(
+        matches,
+        "{} does not match proto/; run `{REGENERATE_VARIABLE}=1 cargo test -p ryerouter-wire --test generated_code`",
+        committed.display()
+    );
+    Ok(())
+}
