Dispatch requests by rendezvous hash and settle every attempt

It now places a request by the hash of its prefix chain among the active back ends of its pool, tries elsewhere what certainly did not run, reads a broken stream on from the same incarnation, continues it elsewhere only when the request may be repeated, and ends every request with one outcome whose run state covers all attempts.

PrefixChainBuilder cuts a prompt at message boundaries and every 256 tokens, salted with tenant, model, weights version and adapter.

--- a/crates/core/src/dispatch/attempt_outcome.rs
+++ b/crates/core/src/dispatch/attempt_outcome.rs
@@ -11,7 +11,8 @@
     NotRun(NotRunReason),
     /// It ran and broke off after `chunks` chunks had reached the caller.
     Broken {
-        /// Chunks of the answer that reached the caller.
+        /// Chunks of the answer that reached the caller, over all attempts of the request: the
+        /// index of the next chunk.
         chunks: u64,
     },
     /// It may have run; nothing of the answer reached the caller.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -6,8 +6,10 @@
 
 mod assignment;
 mod attempt_outcome;
+mod attempt_record;
 mod dispatch_action;
 mod dispatch_event;
+mod dispatch_parameters;
 mod dispatcher;
 mod engine_observation;
 mod final_outcome;
@@ -18,6 +20,7 @@
 mod refusal_reason;
 mod repeatability;
 mod request_profile;
+mod request_record;
 mod resume_point;
 mod routing_snapshot;
 mod run_state;
@@ -26,6 +29,7 @@
 pub use attempt_outcome::AttemptOutcome;
 pub use dispatch_action::DispatchAction;
 pub use dispatch_event::DispatchEvent;
+pub use dispatch_parameters::DispatchParameters;
 pub use dispatcher::Dispatcher;
 pub use engine_observation::EngineObservation;
 pub use final_outcome::FinalOutcome;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod identity;
 pub mod lifecycle;
 pub mod membership;
+pub mod placement;
 pub mod prompt;
 mod timestamp;
 
--- a/crates/core/src/prompt/mod.rs
+++ b/crates/core/src/prompt/mod.rs
@@ -3,7 +3,13 @@
 mod block_hash;
 mod prefix_block;
 mod prefix_chain;
+mod prefix_chain_builder;
+mod prefix_salt;
 
 pub use block_hash::BlockHash;
 pub use prefix_block::PrefixBlock;
 pub use prefix_chain::PrefixChain;
+pub use prefix_chain_builder::{
+    BLOCK_TOKENS, BYTES_PER_TOKEN, MESSAGE_OVERHEAD_TOKENS, PrefixChainBuilder,
+};
+pub use prefix_salt::PrefixSalt;
