--- a/crates/core/tests/dispatch_support/mod.rs
+++ b/crates/core/tests/dispatch_support/mod.rs
@@ -47,6 +47,7 @@
                 model: "appraiser-llm".into(),
                 weights_version: WEIGHTS,
                 adapters: Vec::new(),
+                weight_loads_at_once: 3,
             },
         );
         add_pool(&mut catalog, SERVICE_POOL, PoolKind::Service);
