Claim idempotency keys at a majority of keepers before dispatch

A request marked as not to be repeated must run at most once over all router processes, though each keeps everything in memory only and all may restart at once. A claim now needs votes of a majority of the key's keepers. A keeper that restarted votes only on keys whose text shows that they were issued after its start (UUID version 7), or after it has been up for a whole claim lifetime.

The roster of keepers is part of the configuration; keepers answer only asks of the epoch they know, and a keeper that joins votes once the change is settled.

--- /dev/null
+++ b/crates/core/src/claim/claim_message.rs
@@ -0,0 +1,22 @@
+//! Messages between claiming processes and keepers.
+
+use derive_more::From;
+use serde::{Deserialize, Serialize};
+
+use super::{ClaimAsk, ClaimRelease, ClaimVote};
+
+/// A message between a claiming process and a keeper.
+#[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimMessage {
+    /// To a keeper: vote on a claim.
+    Ask(ClaimAsk),
+    /// From a keeper: its vote.
+    Vote(ClaimVote),
+    /// To a keeper: give a key back.
+    #[from(skip)]
+    Release(ClaimRelease),
+    /// From a keeper: the key is given back.
+    #[from(skip)]
+    Released(ClaimRelease),
+}
--- /dev/null
+++ b/crates/core/src/claim/claim_roster.rs
@@ -0,0 +1,52 @@
+//! Who keeps claims.
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::NodeName;
+use crate::timestamp::Timestamp;
+
+use super::{KeeperGroup, KeyDigest};
+
+/// Who keeps the claims of which keys; part of the configuration, so every process that acts on
+/// a version of it sees the same.
+///
+/// The number of groups is set when the roster is founded and never changes: it decides which
+/// group keeps a key.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ClaimRoster {
+    /// When the first roster of the deployment was written: nothing was ever claimed before.
+    /// `None` once the groups had to be founded anew after their keepers were lost.
+    #[serde(default)]
+    pub founded_at: Option<Timestamp>,
+    /// The groups; a key belongs to the group at its digest modulo their number.
+    #[serde(default)]
+    pub groups: Vec<KeeperGroup>,
+}
+
+impl ClaimRoster {
+    /// Epoch of the groups of the first roster.
+    pub const FIRST_EPOCH: u64 = 1;
+
+    /// Position of the group that keeps `digest`; `None` while the roster is empty.
+    pub fn group_index(&self, digest: KeyDigest) -> Option<usize> {
+        let count = self.groups.len() as u128;
+        (count > 0).then(|| (digest.0 % count) as usize)
+    }
+
+    /// The group that keeps `digest`.
+    pub fn group_of(&self, digest: KeyDigest) -> Option<&KeeperGroup> {
+        self.groups.get(self.group_index(digest)?)
+    }
+
+    /// The epoch in which `node` keeps `digest`; `None` when it does not.
+    pub fn epoch_kept_by(&self, node: &NodeName, digest: KeyDigest) -> Option<u64> {
+        let group = self.group_of(digest)?;
+        group.keepers.contains(node).then_some(group.epoch)
+    }
+
+    /// Whether the votes of `node` on `digest` count.
+    pub fn is_settled_keeper(&self, node: &NodeName, digest: KeyDigest) -> bool {
+        self.group_of(digest)
+            .is_some_and(|group| group.has_settled(node))
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim/mod.rs
@@ -0,0 +1,48 @@
+//! At-most-once execution over all router processes.
+//!
+//! A request marked as not to be repeated is dispatched only after its idempotency key was claimed
+//! at a majority of a small group of keepers. [`ClaimClient`] asks, [`ClaimKeeper`] remembers.
+//! `docs/design/at-most-once.md` gives the reasons and the availability cost.
+
+mod claim_ask;
+mod claim_client;
+mod claim_client_action;
+mod claim_client_event;
+mod claim_grant;
+mod claim_id;
+mod claim_keeper;
+mod claim_keeper_event;
+mod claim_message;
+mod claim_outcome;
+mod claim_release;
+mod claim_roster;
+mod claim_send;
+mod claim_settings;
+mod claim_verdict;
+mod claim_vote;
+mod expiry_queue;
+mod keeper_group;
+mod key_digest;
+mod key_time;
+mod pending_claim;
+mod pending_release;
+
+pub use claim_ask::ClaimAsk;
+pub use claim_client::ClaimClient;
+pub use claim_client_action::ClaimClientAction;
+pub use claim_client_event::ClaimClientEvent;
+pub use claim_grant::ClaimGrant;
+pub use claim_id::ClaimId;
+pub use claim_keeper::ClaimKeeper;
+pub use claim_keeper_event::ClaimKeeperEvent;
+pub use claim_message::ClaimMessage;
+pub use claim_outcome::ClaimOutcome;
+pub use claim_release::ClaimRelease;
+pub use claim_roster::ClaimRoster;
+pub use claim_send::ClaimSend;
+pub use claim_settings::ClaimSettings;
+pub use claim_verdict::ClaimVerdict;
+pub use claim_vote::ClaimVote;
+pub use keeper_group::KeeperGroup;
+pub use key_digest::KeyDigest;
+pub use key_time::{issued_at, time_ordered_key};
--- /dev/null
+++ b/crates/core/src/claim/pending_claim.rs
@@ -0,0 +1,65 @@
+//! A claim that waits for votes.
+
+use std::collections::BTreeMap;
+
+use crate::identity::{NodeName, RequestId};
+use crate::timestamp::Timestamp;
+
+use super::{ClaimVerdict, KeeperGroup, KeyDigest};
+
+/// A claim that waits for votes.
+#[derive(Debug, Clone)]
+pub(super) struct PendingClaim {
+    pub request: RequestId,
+    pub digest: KeyDigest,
+    pub group: KeeperGroup,
+    pub asked_at: Timestamp,
+    pub decide_by: Timestamp,
+    pub verdicts: BTreeMap<NodeName, ClaimVerdict>,
+}
+
+impl PendingClaim {
+    /// Takes the first verdict of a keeper of the group; a second one of the same keeper would
+    /// count one memory twice.
+    pub fn record(&mut self, keeper: NodeName, verdict: ClaimVerdict) {
+        if self.group.keepers.contains(&keeper) {
+            self.verdicts.entry(keeper).or_insert(verdict);
+        }
+    }
+
+    pub fn is_granted(&self) -> bool {
+        self.count(ClaimVerdict::Granted) >= self.group.majority()
+    }
+
+    /// Whether no votes still to come can make a majority.
+    pub fn is_lost(&self) -> bool {
+        let outstanding = self.group.keepers.len() - self.verdicts.len();
+        self.count(ClaimVerdict::Granted) + outstanding < self.group.majority()
+    }
+
+    pub fn any(&self, verdict: ClaimVerdict) -> bool {
+        self.count(verdict) > 0
+    }
+
+    /// When enough forgetful keepers will know again for a majority.
+    pub fn known_from(&self) -> Option<Timestamp> {
+        let mut known_from: Vec<Timestamp> = self
+            .verdicts
+            .values()
+            .filter_map(|verdict| match verdict {
+                ClaimVerdict::Granted => Some(Timestamp::ZERO),
+                ClaimVerdict::Forgetful { until } => Some(*until),
+                _ => None,
+            })
+            .collect();
+        known_from.sort_unstable();
+        known_from.get(self.group.majority() - 1).copied()
+    }
+
+    fn count(&self, verdict: ClaimVerdict) -> usize {
+        self.verdicts
+            .values()
+            .filter(|given| **given == verdict)
+            .count()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread, so the router process and the simulator run exactly the same code.
 
 pub mod catalog;
+pub mod claim;
 pub mod config;
 pub mod control;
 pub mod dispatch;
