Add the configuration log: validation, proposals, reader, compactor and spread

A change at version v is a create-only put of slot v; a lost answer is settled by reading that slot, and the same entry is written again while the slot is empty, so a late first write can only show the same change. Readers list and watch the log and ask for the next entry now and then because watches have gaps. Peers announce versions and pull entries.

--- a/crates/core/src/config/config_message.rs
+++ b/crates/core/src/config/config_message.rs
@@ -4,10 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Catalog;
 use crate::identity::ConfigVersion;
 
-use super::LogEntry;
+use super::{Checkpoint, LogEntry};
 
 /// Configuration between nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,5 +25,5 @@
     Entries(Vec<Arc<LogEntry>>),
     /// The whole configuration, for a node too far behind for entries.
     #[serde(rename = "s")]
-    Snapshot(Arc<Catalog>),
+    Snapshot(Arc<Checkpoint>),
 }
--- /dev/null
+++ b/crates/core/src/config/config_spread.rs
@@ -0,0 +1,198 @@
+//! Spreads the configuration between nodes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::control::{Outbox, PeerMessage};
+use crate::identity::ConfigVersion;
+use crate::timestamp::Timestamp;
+
+use super::{Appended, ConfigMessage, ConfigReplica, LogEntry, PendingPull, ReplicaEntry};
+
+/// Spreads the configuration between nodes: a node with news tells a few others its version, and
+/// each that is behind pulls what it lacks from one of them, so each entry crosses to each node
+/// about once. Versions carried by every probe mend what is lost.
+#[derive(Debug, Default)]
+pub struct ConfigSpread {
+    announced: ConfigVersion,
+    announced_at: Timestamp,
+    pull: Option<PendingPull>,
+    newer: BTreeMap<SocketAddr, ConfigVersion>,
+}
+
+impl ConfigSpread {
+    /// Time in which a node announces at most once; a burst of changes shares announcements.
+    const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+    const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+    const MAX_SOURCES: usize = 8;
+    /// Entries that fit in a datagram beside the frame.
+    const DATAGRAM_ENTRIES_LENGTH: usize = 1_200;
+    /// Entries in one message over a stream.
+    const STREAM_ENTRIES_LENGTH: usize = 1_000_000;
+
+    /// Whether there is news that was not announced, and an announcement is due.
+    pub fn should_announce(&self, replica: &ConfigReplica, now: Timestamp) -> bool {
+        let is_due = now.since(self.announced_at) >= Self::ANNOUNCE_EVERY;
+        replica.version() > self.announced && is_due
+    }
+
+    /// Announces the version in force.
+    pub fn announce(
+        &mut self,
+        targets: &[SocketAddr],
+        replica: &ConfigReplica,
+        now: Timestamp,
+        outbox: &mut Outbox,
+    ) {
+        self.announced = replica.version();
+        self.announced_at = now;
+        for target in targets {
+            send(*target, ConfigMessage::Head(replica.version()), outbox);
+        }
+    }
+
+    /// Takes a peer's message.
+    pub fn receive(
+        &mut self,
+        from: SocketAddr,
+        message: ConfigMessage,
+        replica: &mut ConfigReplica,
+        now: Timestamp,
+        outbox: &mut Outbox,
+    ) {
+        match message {
+            ConfigMessage::Head(version) => {
+                self.hear_version(from, version, replica, now, outbox);
+                if version < replica.version() {
+                    send(from, ConfigMessage::Head(replica.version()), outbox);
+                }
+            }
+            ConfigMessage::Ask => {
+                send(from, ConfigMessage::Head(replica.version()), outbox);
+            }
+            ConfigMessage::Pull(after) => serve(from, after, replica, outbox),
+            ConfigMessage::Entries(entries) => {
+                let gap = append_entries(&entries, replica);
+                self.finish_pull(from);
+                if !gap {
+                    self.pull_next(replica, now, outbox);
+                }
+            }
+            ConfigMessage::Snapshot(checkpoint) => {
+                replica.adopt(&checkpoint);
+                self.finish_pull(from);
+                self.pull_next(replica, now, outbox);
+            }
+        }
+    }
+
+    /// Takes a peer's version, as any probe carries it.
+    pub fn hear_version(
+        &mut self,
+        from: SocketAddr,
+        version: ConfigVersion,
+        replica: &ConfigReplica,
+        now: Timestamp,
+        outbox: &mut Outbox,
+    ) {
+        if version <= replica.version() {
+            return;
+        }
+        let has_room = self.newer.len() < Self::MAX_SOURCES || self.newer.contains_key(&from);
+        if has_room {
+            self.newer.insert(from, version);
+        }
+        self.pull_next(replica, now, outbox);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, replica: &ConfigReplica, now: Timestamp, outbox: &mut Outbox) {
+        let Some(pull) = &self.pull else {
+            return;
+        };
+        if now.since(pull.asked_at) >= Self::PULL_TIMEOUT {
+            self.newer.remove(&pull.from);
+            self.pull = None;
+            self.pull_next(replica, now, outbox);
+        }
+    }
+
+    /// A peer could not be reached over a stream.
+    pub fn unreachable(&mut self, peer: SocketAddr) {
+        self.newer.remove(&peer);
+        self.finish_pull(peer);
+    }
+
+    fn finish_pull(&mut self, from: SocketAddr) {
+        if self.pull.as_ref().is_some_and(|pull| pull.from == from) {
+            self.pull = None;
+        }
+    }
+
+    /// Pulls from the peer with the highest version, one pull at a time.
+    fn pull_next(&mut self, replica: &ConfigReplica, now: Timestamp, outbox: &mut Outbox) {
+        self.newer.retain(|_, version| *version > replica.version());
+        if self.pull.is_some() {
+            return;
+        }
+        let highest = self.newer.iter().max_by_key(|(_, version)| **version);
+        let Some((from, _)) = highest else {
+            return;
+        };
+        let from = *from;
+        send(from, ConfigMessage::Pull(replica.version()), outbox);
+        self.pull = Some(PendingPull {
+            from,
+            asked_at: now,
+        });
+    }
+}
+
+fn append_entries(entries: &[Arc<LogEntry>], replica: &mut ConfigReplica) -> bool {
+    entries
+        .iter()
+        .any(|entry| replica.append(entry) == Appended::Gap)
+}
+
+fn serve(to: SocketAddr, after: ConfigVersion, replica: &ConfigReplica, outbox: &mut Outbox) {
+    if after >= replica.version() {
+        return;
+    }
+    let Some(kept) = replica.entries_after(after) else {
+        let checkpoint = Arc::new(replica.checkpoint());
+        stream(to, ConfigMessage::Snapshot(checkpoint), outbox);
+        return;
+    };
+    let total: usize = kept.iter().map(|entry| entry.encoded_length + 1).sum();
+    if total <= ConfigSpread::DATAGRAM_ENTRIES_LENGTH {
+        send(to, entries_message(&kept, total), outbox);
+    } else {
+        let limit = ConfigSpread::STREAM_ENTRIES_LENGTH;
+        stream(to, entries_message(&kept, limit), outbox);
+    }
+}
+
+/// As many entries as `limit` bytes hold, and at least one.
+fn entries_message(kept: &[&ReplicaEntry], limit: usize) -> ConfigMessage {
+    let mut length = 0;
+    let entries = kept
+        .iter()
+        .take_while(|entry| {
+            let is_first = length == 0;
+            length += entry.encoded_length + 1;
+            is_first || length <= limit
+        })
+        .map(|entry| Arc::clone(&entry.entry))
+        .collect();
+    ConfigMessage::Entries(entries)
+}
+
+fn send(to: SocketAddr, message: ConfigMessage, outbox: &mut Outbox) {
+    outbox.datagram(to, PeerMessage::Config(message));
+}
+
+fn stream(to: SocketAddr, message: ConfigMessage, outbox: &mut Outbox) {
+    outbox.stream(to, PeerMessage::Config(message));
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -1,24 +1,56 @@
 //! Accepted configuration: a log of changes in the object API, validated before it is written,
 //! spread to all nodes by gossip.
 
+mod appended;
+mod catalog_rules;
 mod change;
 mod change_accepted;
 mod change_refusal;
+mod checkpoint;
+mod compactor;
+mod compactor_stage;
 mod config_message;
+mod config_replica;
+mod config_spread;
 mod expectation;
 mod log_entry;
+mod log_reader;
 mod mutation;
+mod pending_pull;
+mod proposal;
+mod proposal_stage;
+mod proposals;
+mod reader_stage;
+mod recent_change;
+mod replica_entry;
 mod resource;
 mod resource_reference;
+mod validation;
 mod validation_error;
 
+pub use appended::Appended;
+pub use catalog_rules::catalog_faults;
 pub use change::Change;
 pub use change_accepted::ChangeAccepted;
 pub use change_refusal::ChangeRefusal;
+pub use checkpoint::Checkpoint;
+pub use compactor::Compactor;
+pub(crate) use compactor_stage::CompactorStage;
 pub use config_message::ConfigMessage;
+pub use config_replica::ConfigReplica;
+pub use config_spread::ConfigSpread;
 pub use expectation::Expectation;
 pub use log_entry::LogEntry;
+pub use log_reader::LogReader;
 pub use mutation::Mutation;
+pub(crate) use pending_pull::PendingPull;
+pub(crate) use proposal::Proposal;
+pub(crate) use proposal_stage::ProposalStage;
+pub use proposals::Proposals;
+pub(crate) use reader_stage::ReaderStage;
+pub use recent_change::RecentChange;
+pub use replica_entry::ReplicaEntry;
 pub use resource::Resource;
 pub use resource_reference::ResourceReference;
+pub use validation::{resource_version, validate};
 pub use validation_error::ValidationError;
--- a/crates/core/src/config/validation_error.rs
+++ b/crates/core/src/config/validation_error.rs
@@ -13,3 +13,18 @@
     /// Why that can't be.
     pub reason: String,
 }
+
+impl ValidationError {
+    /// A fault of `field`, which has `value`.
+    pub fn new(
+        field: impl Into<String>,
+        value: impl std::fmt::Display,
+        reason: impl Into<String>,
+    ) -> Self {
+        Self {
+            field: field.into(),
+            value: value.to_string(),
+            reason: reason.into(),
+        }
+    }
+}
--- a/crates/core/src/control/store_value.rs
+++ b/crates/core/src/control/store_value.rs
@@ -4,8 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Catalog;
-use crate::config::LogEntry;
+use crate::config::{Checkpoint, LogEntry};
 
 /// Value of an object that ryerouter keeps in the object API, as JSON with a `kind`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,5 +13,5 @@
     /// One accepted change.
     ConfigEntry(Arc<LogEntry>),
     /// The whole configuration.
-    ConfigSnapshot(Arc<Catalog>),
+    ConfigSnapshot(Arc<Checkpoint>),
 }
