--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,3 +1,6 @@
-//! Stand-ins, load, experiments, fault runs, simulated nodes and reports.
+//! Everything that tries the router out: stand-ins for engines and platform, load, experiments,
+//! fault runs, simulated nodes and reports.
 
+pub mod cli;
 pub mod oracle;
+pub mod standins;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,3 +1,7 @@
-//! The test bench.
+//! `ryebench`: stand-ins, load, experiments and reports for the router.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ryerouter_testbed::cli::run()
+}
--- /dev/null
+++ b/crates/testbed/src/standins/http/mod.rs
@@ -0,0 +1,11 @@
+//! The HTTP server under every stand-in.
+
+mod handler;
+mod http_server;
+mod query;
+mod reply;
+
+pub use handler::Handler;
+pub use http_server::HttpServer;
+pub use query::query_value;
+pub use reply::{Body, Reply, body_from_stream, empty, json, json_text, text};
