Add the control thread, peer links and the JSON-lines codec

One thread with a runtime of its own owns the control state. Calls to the object API, watches, datagrams and streams run as tasks and come back as events, so nothing on the thread waits for the network.

--- /dev/null
+++ b/crates/node/src/control/control_command.rs
@@ -0,0 +1,32 @@
+//! What other threads ask of the control thread.
+
+use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
+use ryerouter_core::membership::ClusterStatus;
+use tokio::sync::oneshot;
+
+use super::BackEndObservation;
+
+/// What other threads ask of the control thread.
+#[derive(Debug)]
+pub enum ControlCommand {
+    /// Make or check a change of configuration.
+    Change {
+        /// The change.
+        change: Change,
+        /// Whether it is only checked.
+        dry_run: bool,
+        /// Where the result goes.
+        reply: oneshot::Sender<Result<ChangeAccepted, ChangeRefusal>>,
+    },
+    /// Tell what is known of all nodes.
+    Status {
+        /// Where the answer goes.
+        reply: oneshot::Sender<ClusterStatus>,
+    },
+    /// A traffic thread saw a back end change.
+    Observed(BackEndObservation),
+    /// Begin a planned stop.
+    Stop,
+    /// The last request in progress has ended.
+    TrafficEnded,
+}
--- /dev/null
+++ b/crates/node/src/control/control_handle.rs
@@ -0,0 +1,88 @@
+//! Access to the control thread.
+
+use std::sync::Arc;
+
+use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
+use ryerouter_core::dispatch::RoutingSnapshot;
+use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_core::membership::ClusterStatus;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::{BackEndObservation, ControlCommand, ControlGone};
+
+/// Access to the control thread from other threads; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    commands: mpsc::Sender<ControlCommand>,
+    snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
+    phases: watch::Receiver<NodePhase>,
+}
+
+impl ControlHandle {
+    pub(super) fn new(
+        commands: mpsc::Sender<ControlCommand>,
+        snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
+        phases: watch::Receiver<NodePhase>,
+    ) -> Self {
+        Self {
+            commands,
+            snapshots,
+            phases,
+        }
+    }
+
+    /// Snapshots as they are published; the first one is empty.
+    pub fn snapshots(&self) -> watch::Receiver<Arc<RoutingSnapshot>> {
+        self.snapshots.clone()
+    }
+
+    /// Phases of the node as they are entered.
+    pub fn phases(&self) -> watch::Receiver<NodePhase> {
+        self.phases.clone()
+    }
+
+    /// Makes a change of configuration, or only checks it.
+    pub async fn change(
+        &self,
+        change: Change,
+        dry_run: bool,
+    ) -> Result<Result<ChangeAccepted, ChangeRefusal>, ControlGone> {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlCommand::Change {
+            change,
+            dry_run,
+            reply,
+        })
+        .await?;
+        answer.await.map_err(|_| ControlGone)
+    }
+
+    /// What this node knows of all nodes.
+    pub async fn status(&self) -> Result<ClusterStatus, ControlGone> {
+        let (reply, answer) = oneshot::channel();
+        self.send(ControlCommand::Status { reply }).await?;
+        answer.await.map_err(|_| ControlGone)
+    }
+
+    /// Tells of a changed back end. Never waits: an observation that finds the queue full is
+    /// dropped and `false` returned, and the next answer of that back end tells the same again.
+    pub fn observe(&self, observation: BackEndObservation) -> bool {
+        let command = ControlCommand::Observed(observation);
+        self.commands.try_send(command).is_ok()
+    }
+
+    /// Begins a planned stop.
+    pub async fn stop(&self) -> Result<(), ControlGone> {
+        self.send(ControlCommand::Stop).await
+    }
+
+    /// Tells that the last request in progress has ended; the control thread then ends.
+    pub async fn traffic_ended(&self) -> Result<(), ControlGone> {
+        self.send(ControlCommand::TrafficEnded).await
+    }
+
+    async fn send(&self, command: ControlCommand) -> Result<(), ControlGone> {
+        let sent = self.commands.send(command).await;
+        sent.map_err(|_| ControlGone)
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/control_loop.rs
@@ -0,0 +1,112 @@
+//! The loop of the control thread.
+
+use std::sync::Arc;
+
+use ryerouter_core::control::{ControlAction, ControlEvent, ControlState};
+use ryerouter_core::dispatch::RoutingSnapshot;
+use ryerouter_core::lifecycle::NodePhase;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, watch};
+use tokio::time::MissedTickBehavior;
+
+use crate::clock::Clock;
+
+use super::{ControlCommand, ControlIo, PendingOperations};
+
+/// The loop of the control thread: the only owner of the control state.
+pub(super) struct ControlLoop {
+    pub(super) state: ControlState,
+    pub(super) clock: Clock,
+    pub(super) logger: Logger,
+    pub(super) io: ControlIo,
+    pub(super) events: mpsc::Receiver<ControlEvent>,
+    pub(super) commands: mpsc::Receiver<ControlCommand>,
+    pub(super) operations: PendingOperations,
+    pub(super) snapshots: watch::Sender<Arc<RoutingSnapshot>>,
+    pub(super) phases: watch::Sender<NodePhase>,
+}
+
+impl ControlLoop {
+    /// Runs until the node has stopped or nobody can ask anything of it any more.
+    pub(super) async fn run(mut self) {
+        let mut tick = tokio::time::interval(ControlState::TICK);
+        // After a pause one tick is enough: the state reads the time, it does not count ticks.
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.handle(ControlEvent::Started);
+        while self.state.phase() != NodePhase::Stopped {
+            let event = tokio::select! {
+                Some(event) = self.events.recv() => event,
+                command = self.commands.recv() => match command {
+                    Some(command) => self.event_of_command(command),
+                    None => break,
+                },
+                _ = tick.tick() => ControlEvent::Tick,
+            };
+            self.handle(event);
+        }
+        info!(self.logger, "control_ended");
+    }
+
+    fn event_of_command(&mut self, command: ControlCommand) -> ControlEvent {
+        match command {
+            ControlCommand::Change {
+                change,
+                dry_run,
+                reply,
+            } => ControlEvent::OperatorChange {
+                operation: self.operations.add_change(reply),
+                change,
+                dry_run,
+            },
+            ControlCommand::Status { reply } => ControlEvent::StatusRequested {
+                operation: self.operations.add_status(reply),
+            },
+            ControlCommand::Observed(observation) => ControlEvent::BackEndObserved {
+                back_end: observation.back_end,
+                incarnation: observation.incarnation,
+                draining: observation.draining,
+            },
+            ControlCommand::Stop => ControlEvent::StopRequested,
+            ControlCommand::TrafficEnded => ControlEvent::TrafficEnded,
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) {
+        let mut actions = Vec::new();
+        self.state.handle(event, self.clock.now(), &mut actions);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::SendDatagram { to, message } => self.io.send_datagram(to, &message),
+            ControlAction::SendStream { to, message } => self.io.send_stream(to, message),
+            ControlAction::StoreRequest { id, call } => self.io.call_store(id, call),
+            ControlAction::StartWatch { prefix, from } => self.io.start_watch(prefix, from),
+            ControlAction::StopWatch { prefix } => self.io.stop_watch(prefix),
+            ControlAction::StartMachineList => self.io.start_machine_list(),
+            ControlAction::StopMachineList => self.io.stop_machine_list(),
+            ControlAction::PublishSnapshot(snapshot) => self.publish(snapshot),
+            ControlAction::AnswerOperator { operation, answer } => {
+                self.operations.answer_change(operation, answer);
+            }
+            ControlAction::AnswerStatus { operation, status } => {
+                self.operations.answer_status(operation, status);
+            }
+            ControlAction::EnterPhase(phase) => self.enter(phase),
+        }
+    }
+
+    fn publish(&self, snapshot: Arc<RoutingSnapshot>) {
+        info!(self.logger, "snapshot_published";
+            "config_version" => snapshot.catalog.version.0, "leaving" => snapshot.leaving.len());
+        self.snapshots.send_replace(snapshot);
+    }
+
+    fn enter(&self, phase: NodePhase) {
+        info!(self.logger, "phase_entered"; "phase" => %phase);
+        self.phases.send_replace(phase);
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/control_thread.rs
@@ -0,0 +1,179 @@
+//! Start of the control thread.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use ryerouter_core::control::{ControlSettings, ControlState};
+use ryerouter_core::dispatch::RoutingSnapshot;
+use ryerouter_core::lifecycle::NodePhase;
+use slog::{Logger, o};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::Clock;
+use crate::peer::{DatagramLink, PeerMetrics, PeerSockets, StreamLinks, StreamServer};
+
+use super::{
+    ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
+    PendingOperations,
+};
+
+/// Events that may wait for the control thread.
+const EVENT_QUEUE: usize = 4_096;
+/// Commands of other threads that may wait for the control thread.
+const COMMAND_QUEUE: usize = 1_024;
+
+/// The control side of a node with its addresses bound but nothing running yet.
+pub struct BoundControl {
+    options: ControlOptions,
+    peers: PeerSockets,
+    metrics: PeerMetrics,
+}
+
+/// A running control thread.
+pub struct ControlThread {
+    handle: ControlHandle,
+    peer_address: SocketAddr,
+    thread: JoinHandle<()>,
+}
+
+impl BoundControl {
+    /// Binds the addresses, so that port 0 becomes a real one before others need to know it.
+    pub fn bind(options: ControlOptions) -> Result<Self, ControlError> {
+        let peers =
+            PeerSockets::bind(options.peer_listen).map_err(|source| ControlError::Listen {
+                address: options.peer_listen,
+                purpose: "peers",
+                source,
+            })?;
+        Ok(Self {
+            options,
+            peers,
+            metrics: PeerMetrics::new(),
+        })
+    }
+
+    /// Where peers reach this node.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Counters of its peer links.
+    pub fn peer_metrics(&self) -> &PeerMetrics {
+        &self.metrics
+    }
+
+    /// Replaces the peers to ask first.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.options.seeds = seeds;
+    }
+
+    /// Starts the control thread.
+    pub fn start(self, clock: Clock, logger: &Logger) -> Result<ControlThread, ControlError> {
+        let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE);
+        let (snapshots, snapshot_feed) = watch::channel(Arc::<RoutingSnapshot>::default());
+        let (phases, phase_feed) = watch::channel(NodePhase::Starting);
+        let handle = ControlHandle::new(command_sender, snapshot_feed, phase_feed);
+        let peer_address = self.peer_address();
+        let logger = logger.new(o!("node" => self.options.name.to_string()));
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|source| ControlError::Thread { source })?;
+        let (datagrams, streams) = self.peers.into_parts();
+        let sockets = {
+            let _entered = runtime.enter();
+            let datagrams = UdpSocket::from_std(datagrams);
+            let streams = TcpListener::from_std(streams);
+            datagrams.and_then(|datagrams| Ok((datagrams, streams?)))
+        };
+        let sockets = sockets.map_err(|source| ControlError::Thread { source })?;
+        let options = self.options;
+        let metrics = self.metrics;
+        let run = move || {
+            runtime.block_on(async move {
+                let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
+                let input = ControlInput::new(event_sender);
+                let state = ControlState::new(control_settings(&options, peer_address));
+                let io = start_io(&options, peer_address, sockets, &input, &metrics, &logger);
+                let control = ControlLoop {
+                    state,
+                    clock,
+                    logger,
+                    io,
+                    events,
+                    commands,
+                    operations: PendingOperations::default(),
+                    snapshots,
+                    phases,
+                };
+                control.run().await;
+            });
+            // Tasks that outlive the loop have nobody left to report to.
+            runtime.shutdown_timeout(Duration::ZERO);
+        };
+        let thread = std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(run)
+            .map_err(|source| ControlError::Thread { source })?;
+        Ok(ControlThread {
+            handle,
+            peer_address,
+            thread,
+        })
+    }
+}
+
+impl ControlThread {
+    /// Access to the thread.
+    pub fn handle(&self) -> &ControlHandle {
+        &self.handle
+    }
+
+    /// Where peers reach this node.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Waits until the thread has ended, which it does after a planned stop, or once every handle
+    /// is gone. Blocks.
+    pub fn join(self) {
+        drop(self.handle);
+        let _ = self.thread.join();
+    }
+}
+
+fn control_settings(options: &ControlOptions, address: SocketAddr) -> ControlSettings {
+    ControlSettings {
+        name: options.name.clone(),
+        incarnation: options.incarnation,
+        address,
+        region: options.region.clone(),
+        data_centre: options.data_centre.clone(),
+        zone: options.zone.clone(),
+        seeds: options.seeds.clone(),
+        seed: options.seed,
+    }
+}
+
+fn start_io(
+    options: &ControlOptions,
+    address: SocketAddr,
+    (datagrams, streams): (UdpSocket, TcpListener),
+    input: &ControlInput,
+    metrics: &PeerMetrics,
+    logger: &Logger,
+) -> ControlIo {
+    let datagrams = DatagramLink::start(datagrams, input.clone(), metrics.clone(), logger.clone());
+    StreamServer::start(streams, input.clone(), metrics.clone(), logger.clone());
+    let links = StreamLinks::new(
+        options.name.clone(),
+        address,
+        input.clone(),
+        metrics.clone(),
+        logger.clone(),
+    );
+    ControlIo::new(options, input, datagrams, links, logger)
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,6 @@
 //! The router process that runs beside each caller.
 
+pub mod clock;
+pub mod control;
+pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/node/src/peer/mod.rs
@@ -0,0 +1,21 @@
+//! Links between router processes: JSON lines in datagrams for gossip, and over TCP streams for
+//! everything that is too large for a datagram or must not be lost silently.
+//!
+//! A stream carries messages one way, from the process that opened it; the answer comes over the
+//! stream that the other process opens. So each process decides alone how many connections it
+//! opens, and a process is only ever addressed where it listens.
+
+mod datagram_link;
+mod peer_metrics;
+mod peer_sockets;
+mod stream_link;
+mod stream_links;
+mod stream_server;
+
+pub use datagram_link::DatagramLink;
+pub use peer_metrics::PeerMetrics;
+pub use peer_sockets::PeerSockets;
+pub use stream_links::StreamLinks;
+pub use stream_server::StreamServer;
+
+use stream_link::StreamLink;
--- /dev/null
+++ b/crates/node/src/peer/stream_link.rs
@@ -0,0 +1,143 @@
+//! A stream to one peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use rand::Rng;
+use ryerouter_core::control::{ControlEvent, PeerMessage};
+use ryerouter_wire::peer::{JsonLineCodec, PeerCodecError, PeerHello, StreamLine};
+use slog::{Logger, debug, info};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::codec::Encoder;
+
+use crate::control::ControlInput;
+
+use super::PeerMetrics;
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time one message may take to be written.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Silence after which a stream is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause after the first failed connection; doubles with each further one.
+const FIRST_BACK_OFF: Duration = Duration::from_millis(100);
+/// Longest pause between failed connections.
+const LONGEST_BACK_OFF: Duration = Duration::from_secs(5);
+
+/// A stream to one peer. Lives while there is something to say.
+pub(super) struct StreamLink {
+    pub(super) to: SocketAddr,
+    pub(super) hello: PeerHello,
+    pub(super) queue: mpsc::Receiver<PeerMessage>,
+    pub(super) input: ControlInput,
+    pub(super) metrics: PeerMetrics,
+    pub(super) logger: Logger,
+}
+
+impl StreamLink {
+    /// Writes messages until there is nothing to say for a while.
+    pub(super) async fn run(mut self) {
+        let mut back_off = FIRST_BACK_OFF;
+        while let Some(message) = self.next_message().await {
+            match self.open().await {
+                Ok(stream) => {
+                    back_off = FIRST_BACK_OFF;
+                    let Err(cause) = self.write_messages(stream, message).await else {
+                        return;
+                    };
+                    info!(self.logger, "peer_stream_broken"; "to" => %self.to, "cause" => %cause);
+                    self.fail().await;
+                }
+                Err(cause) => {
+                    debug!(self.logger, "peer_unreachable"; "to" => %self.to, "cause" => %cause);
+                    self.fail().await;
+                    self.refuse_for(back_off).await;
+                    back_off = (back_off * 2).min(LONGEST_BACK_OFF);
+                }
+            }
+        }
+    }
+
+    /// The next message; `None` after a long silence, when no message can come any more.
+    async fn next_message(&mut self) -> Option<PeerMessage> {
+        match tokio::time::timeout(IDLE_TIMEOUT, self.queue.recv()).await {
+            Ok(message) => message,
+            Err(_) => {
+                // Messages queued before the close are still delivered.
+                self.queue.close();
+                self.queue.recv().await
+            }
+        }
+    }
+
+    async fn open(&self) -> Result<TcpStream, PeerCodecError> {
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.to)).await;
+        let mut stream = connected.map_err(|_| timed_out())??;
+        stream.set_nodelay(true)?;
+        let hello = StreamLine::Hello(self.hello.clone());
+        self.write(&mut stream, &hello).await?;
+        Ok(stream)
+    }
+
+    /// Writes messages to an open stream; ends well only when there is nothing more to say.
+    async fn write_messages(
+        &mut self,
+        mut stream: TcpStream,
+        first: PeerMessage,
+    ) -> Result<(), PeerCodecError> {
+        let mut message = first;
+        loop {
+            self.write(&mut stream, &StreamLine::Message(message))
+                .await?;
+            self.metrics.messages_sent.inc();
+            let mut unexpected = [0; 1];
+            let next = tokio::select! {
+                next = self.next_message() => next,
+                // The peer never writes here, so anything readable is the end of the stream.
+                _ = stream.read(&mut unexpected) => return Err(closed()),
+            };
+            match next {
+                Some(next) => message = next,
+                None => return Ok(()),
+            }
+        }
+    }
+
+    async fn write(&self, stream: &mut TcpStream, line: &StreamLine) -> Result<(), PeerCodecError> {
+        let mut buffer = BytesMut::new();
+        JsonLineCodec::default().encode(line, &mut buffer)?;
+        let written = tokio::time::timeout(WRITE_TIMEOUT, stream.write_all(&buffer)).await;
+        written.map_err(|_| timed_out())??;
+        self.metrics.bytes_sent.inc_by(buffer.len() as u64);
+        Ok(())
+    }
+
+    /// Refuses messages while the peer is left alone. A random part keeps the processes that lost
+    /// the same peer from coming back together.
+    async fn refuse_for(&mut self, pause: Duration) {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        let until = Instant::now() + pause.mul_f64(jitter);
+        while let Ok(Some(_)) = tokio::time::timeout_at(until, self.queue.recv()).await {
+            self.fail().await;
+        }
+    }
+
+    async fn fail(&self) {
+        self.metrics.dropped.inc();
+        let event = ControlEvent::StreamFailed { to: self.to };
+        self.input.deliver(event).await;
+    }
+}
+
+fn timed_out() -> PeerCodecError {
+    std::io::Error::from(std::io::ErrorKind::TimedOut).into()
+}
+
+fn closed() -> PeerCodecError {
+    std::io::Error::from(std::io::ErrorKind::ConnectionAborted).into()
+}
--- a/crates/node/src/platform/machine_client.rs
+++ b/crates/node/src/platform/machine_client.rs
@@ -5,14 +5,15 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use ryerouter_core::control::MachineEntry;
 use serde::Deserialize;
 
 use super::http_connection::{HttpConnection, decode, unexpected_status};
-use super::{Machine, PlatformError, PlatformLimits};
+use super::{PlatformError, PlatformLimits};
 
 #[derive(Debug, Deserialize)]
 struct MachineListAnswer {
-    machines: Vec<Machine>,
+    machines: Vec<MachineEntry>,
 }
 
 /// Client of the machine list.
@@ -30,7 +31,7 @@
     }
 
     /// All machines the platform knows of; the list lags by seconds.
-    pub async fn list(&self) -> Result<Vec<Machine>, PlatformError> {
+    pub async fn list(&self) -> Result<Vec<MachineEntry>, PlatformError> {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.uri_mut() = self
             .connection
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -4,7 +4,6 @@
 //! error says whether the call may have taken effect all the same.
 
 mod http_connection;
-mod machine;
 mod machine_client;
 mod object;
 mod object_change;
@@ -15,7 +14,6 @@
 mod platform_error;
 mod platform_limits;
 
-pub use machine::{Machine, MachineRole, MachineState};
 pub use machine_client::MachineClient;
 pub use object::Object;
 pub use object_change::ObjectChange;
--- a/crates/node/src/platform/object_client.rs
+++ b/crates/node/src/platform/object_client.rs
@@ -79,7 +79,8 @@
         write_answer(answer).map(|_| ())
     }
 
-    /// Watches all objects whose keys start with `prefix` for changes after `revision`.
+    /// Watches all objects whose keys start with `prefix` for changes at
+    /// `revision` or later.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<ObjectWatch, PlatformError> {
         let path = format!("/watch?prefix={prefix}&from={revision}");
         let request = self.request(Method::GET, &path, Bytes::new())?;
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,15 @@
+//! JSON lines between router processes: framing, limits and the first line of a stream.
+//!
+//! The messages themselves are [`ryerouter_core::control::PeerMessage`].
+
+mod datagram;
+mod json_line_codec;
+mod peer_codec_error;
+mod peer_hello;
+mod stream_line;
+
+pub use datagram::{MAXIMUM_DATAGRAM_BYTES, decode_datagram, encode_datagram};
+pub use json_line_codec::{JsonLineCodec, MAXIMUM_LINE_BYTES};
+pub use peer_codec_error::PeerCodecError;
+pub use peer_hello::{PEER_PROTOCOL_VERSION, PeerHello};
+pub use stream_line::StreamLine;
