Convert between the operator RPC and the core, reporting every fault

The generator's test moves to a crate of its own, since it could not run while the conversions did not compile against a changed schema.

--- a/crates/wire/tests/generated_code.rs
+++ b/crates/schema/tests/generated_code.rs
@@ -7,14 +7,11 @@
 use std::path::{Path, PathBuf};
 
 use protox::prost_reflect::prost::Message;
+use ryerouter_schema::{generated_file, schema_directory};
 
-const GENERATED_FILE: &str = "ryerouter.v1.rs";
+const GENERATED_NAME: &str = "ryerouter.v1.rs";
 const REGENERATE_VARIABLE: &str = "RYEROUTER_REGENERATE";
 
-fn crate_directory() -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
-}
-
 fn schema_files(schema: &Path) -> Result<Vec<PathBuf>, Box<dyn Error>> {
     let mut files = Vec::new();
     for entry in fs::read_dir(schema.join("ryerouter/v1"))? {
@@ -25,7 +22,7 @@
 }
 
 fn generate(output: &Path) -> Result<String, Box<dyn Error>> {
-    let schema = crate_directory().join("../../proto").canonicalize()?;
+    let schema = schema_directory();
     let descriptors = protox::compile(schema_files(&schema)?, [&schema])?;
     // Encoded and decoded again, so that the generator's own descriptor type is used.
     let descriptors = Message::decode(descriptors.encode_to_vec().as_slice())?;
@@ -34,12 +31,12 @@
         .out_dir(output)
         .emit_rerun_if_changed(false)
         .compile_fds(descriptors)?;
-    Ok(fs::read_to_string(output.join(GENERATED_FILE))?)
+    Ok(fs::read_to_string(output.join(GENERATED_NAME))?)
 }
 
 #[test]
 fn committed_code_matches_the_schema() -> Result<(), Box<dyn Error>> {
-    let committed = crate_directory().join("src/generated").join(GENERATED_FILE);
+    let committed = generated_file();
     let output = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("generated_code");
     let generated = generate(&output)?;
     if std::env::var_os(REGENERATE_VARIABLE).is_some() {
@@ -48,7 +45,7 @@
     let matches = fs::read_to_string(&committed)? == generated;
     assert!(
         matches,
-        "{} does not match proto/; run `{REGENERATE_VARIABLE}=1 cargo test -p ryerouter-wire --test generated_code`",
+        "{} does not match proto/; run `{REGENERATE_VARIABLE}=1 cargo test -p ryerouter-schema`",
         committed.display()
     );
     Ok(())
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod engine_headers;
 pub mod generated;
 pub mod peer;
+pub mod rpc;
