--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,7 +1,7 @@
 //! Everything that tries the router out: stand-ins for engines and platform, load, experiments,
 //! fault runs, simulated nodes and reports.
 
-pub mod engine_model;
 pub mod cli;
+pub mod engine_model;
 pub mod oracle;
 pub mod standins;
