--- a/crates/testbed/src/engine_model/engine_tests.rs
+++ b/crates/testbed/src/engine_model/engine_tests.rs
@@ -38,6 +38,7 @@
     EngineRequest {
         attempt: AttemptId(attempt),
         prefix: PrefixChain {
+            weights_version: Some(WeightsVersion(7)),
             blocks: blocks.collect(),
         },
         prompt_tokens: hashes.len() as u32 * BLOCK,
