Add the cluster simulation and named fault runs on a virtual clock

Cause: promises must be proved under kills, cuts, freezes, store outages and races, together and twice, with runs that repeat exactly. Ruled out: nexosim, whose models with ports do not fit one state that every event may touch.

--- a/crates/testbed/src/oracle/observation.rs
+++ b/crates/testbed/src/oracle/observation.rs
@@ -33,8 +33,11 @@
         /// Incarnation of the back end.
         incarnation: u64,
     },
-    /// A back end accepted new work (a resumed stream is not new work).
-    WorkAccepted {
+    /// A router offered new work to a back end, whether it took it or not (a resumed stream is
+    /// not new work).
+    WorkOffered {
+        /// The router process.
+        node: String,
         /// The back end.
         back_end: String,
     },
@@ -118,6 +121,8 @@
         node: String,
         /// The version.
         version: u64,
+        /// Digest of the whole configuration at that version.
+        digest: u64,
     },
     /// The process is cut off or paused: it cannot learn anything now.
     NodeUnreachable {
--- a/crates/testbed/src/oracle/promises/configuration_check.rs
+++ b/crates/testbed/src/oracle/promises/configuration_check.rs
@@ -10,6 +10,7 @@
     allowed_us: u64,
     accepted_at: BTreeMap<u64, u64>,
     in_force: HashMap<String, u64>,
+    digests: BTreeMap<u64, u64>,
     reachable_since: BTreeMap<String, u64>,
 }
 
@@ -20,6 +21,7 @@
             allowed_us,
             accepted_at: BTreeMap::new(),
             in_force: HashMap::new(),
+            digests: BTreeMap::new(),
             reachable_since: BTreeMap::new(),
         }
     }
@@ -36,6 +38,18 @@
         *newest = (*newest).max(version);
     }
 
+    /// One version means one configuration, or an accepted change was overwritten.
+    fn take_digest(&mut self, now_us: u64, version: u64, digest: u64, found: &mut Vec<Violation>) {
+        let first = *self.digests.entry(version).or_insert(digest);
+        if first != digest {
+            found.push(Violation {
+                promise: Promise::ConfigurationMonotonicity,
+                at_us: now_us,
+                detail: format!("version={version} digest={digest:x} elsewhere={first:x}"),
+            });
+        }
+    }
+
     /// The newest version that a process reachable since `since` must have by `now_us`.
     fn due_version(&self, since: u64, now_us: u64) -> Option<u64> {
         if now_us < since + self.allowed_us {
@@ -55,8 +69,13 @@
             Observation::ChangeAccepted { version } => {
                 self.accepted_at.entry(*version).or_insert(now_us);
             }
-            Observation::VersionInForce { node, version } => {
+            Observation::VersionInForce {
+                node,
+                version,
+                digest,
+            } => {
                 self.take_version(now_us, node, *version, found);
+                self.take_digest(now_us, *version, *digest, found);
             }
             Observation::NodeReady { node } | Observation::NodeReachable { node } => {
                 self.reachable_since.insert(node.clone(), now_us);
--- /dev/null
+++ b/crates/testbed/src/simulation/cluster_faults.rs
@@ -0,0 +1,216 @@
+//! Faults in the simulation.
+
+use std::time::Duration;
+
+use rand::Rng;
+use ryerouter_core::config::Resource;
+use ryerouter_core::control::ControlEvent;
+
+use super::cluster_layout::put;
+use super::{
+    Cluster, ClusterEvent, ClusterLayout, Endpoint, Fault, Mutation, NetworkConditions, ProcessId,
+    StoreMode,
+};
+use crate::oracle::Observation;
+
+/// Time from an operator's wish to drain a back end to its planned stop.
+const DRAIN_BEFORE_STOP: Duration = Duration::from_secs(6);
+
+impl Cluster {
+    pub(super) fn begin_fault(&mut self, fault: Fault) {
+        self.counters.faults += 1;
+        match fault {
+            Fault::BackEndCrash { back_end, away } => self.crash_back_end(back_end, away),
+            Fault::BackEndFreeze { back_end } => self.back_ends[back_end].frozen = true,
+            Fault::BackEndPlannedStop { back_end } => self.drain_back_end(back_end),
+            Fault::NodeCrash { node, away } => self.crash_node(node, away),
+            Fault::NodeHerd { away } => {
+                for node in 0..self.nodes.len() {
+                    self.crash_node(node, away);
+                }
+            }
+            Fault::NodePlannedStop { node } => self.stop_node(node),
+            Fault::NodePause { node, pause } => self.pause_node(node, pause),
+            Fault::Cut(cut) => {
+                self.network.cut(cut);
+                self.tell_reachability();
+            }
+            Fault::PoorNetwork => self.network.set_conditions(poor_conditions()),
+            Fault::StoreDown => {
+                self.platform.mode = StoreMode::Down;
+                self.end_watches(false);
+            }
+            Fault::StoreSlow(delay) => self.platform.mode = StoreMode::Slow(delay),
+            Fault::StoreAnswersLost => self.platform.mode = StoreMode::AnswersLost,
+            Fault::StoreStaleReads => self.platform.mode = StoreMode::StaleReads,
+            Fault::WatchGap => self.end_watches(true),
+            Fault::OperatorRace => self.race_operators(),
+            Fault::Rollout => self.roll_out(),
+            Fault::HotPrefixShift => self.prefix_epoch += 1,
+        }
+    }
+
+    pub(super) fn end_fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::BackEndFreeze { back_end } => self.back_ends[back_end].frozen = false,
+            Fault::BackEndPlannedStop { back_end } => self.take_back(back_end),
+            Fault::Cut(cut) => {
+                self.network.heal(cut);
+                self.tell_reachability();
+            }
+            Fault::PoorNetwork => self.network.set_conditions(NetworkConditions::default()),
+            Fault::StoreDown
+            | Fault::StoreSlow(_)
+            | Fault::StoreAnswersLost
+            | Fault::StoreStaleReads => self.platform.mode = StoreMode::Healthy,
+            _ => {}
+        }
+    }
+
+    fn crash_node(&mut self, node: usize, away: Duration) {
+        if self.nodes[node].running.is_none() {
+            return;
+        }
+        self.end_process(node);
+        self.schedule(away, ClusterEvent::NodeStarts { node });
+    }
+
+    /// Ends a process; its connections to callers and back ends close.
+    pub(super) fn end_process(&mut self, node: usize) {
+        let Some(ended) = self.nodes[node].running.take() else {
+            return;
+        };
+        self.nodes[node].paused_until_us = 0;
+        self.observe(Observation::NodeGone {
+            node: ClusterLayout::node_name(node),
+        });
+        for (attempt, progress) in ended.attempts {
+            let back_end = progress.back_end;
+            let path = self
+                .network
+                .stream(Endpoint::Node(node), Endpoint::BackEnd(back_end));
+            if let Some(delay) = path {
+                self.schedule(delay, ClusterEvent::ConnectionClosed { back_end, attempt });
+            }
+        }
+        for submission in ended.submissions.into_keys() {
+            self.counters.lost_with_node += 1;
+            self.caller_was_refused(submission);
+        }
+    }
+
+    fn stop_node(&mut self, node: usize) {
+        let process = ProcessId {
+            node,
+            start: self.nodes[node].start,
+        };
+        if self.has_mutation(Mutation::StopCutsStreams) {
+            self.cut_streams(process);
+        }
+        let Some(running) = self.running(process) else {
+            return;
+        };
+        if running.stopping {
+            return;
+        }
+        running.stopping = true;
+        self.control(process, ControlEvent::StopRequested);
+        self.stop_when_idle(process);
+    }
+
+    /// The mistake of a process that ends its streams when it is asked to stop.
+    fn cut_streams(&mut self, process: ProcessId) {
+        let Some(running) = self.running(process) else {
+            return;
+        };
+        let cut: Vec<u64> = running.submissions.keys().copied().collect();
+        for submission in cut {
+            self.observe(Observation::Refused {
+                submission,
+                run_state: crate::oracle::ReportedRunState::Ran,
+                by_planned_stop: true,
+            });
+        }
+    }
+
+    fn pause_node(&mut self, node: usize, pause: Duration) {
+        if self.nodes[node].running.is_none() {
+            return;
+        }
+        self.nodes[node].paused_until_us = self.now_us + pause.as_micros() as u64;
+        self.observe(Observation::NodeUnreachable {
+            node: ClusterLayout::node_name(node),
+        });
+        self.schedule(pause, ClusterEvent::NodeResumes { node });
+    }
+
+    /// Tells the oracle who can learn now.
+    pub(super) fn tell_reachability(&mut self) {
+        for node in 0..self.nodes.len() {
+            let paused = self.nodes[node].paused_until_us > self.now_us;
+            let ready = self.nodes[node]
+                .running
+                .as_ref()
+                .is_some_and(|running| running.ready);
+            if !ready {
+                continue;
+            }
+            let name = ClusterLayout::node_name(node);
+            let observation = if paused || self.network.touches(Endpoint::Node(node)) {
+                Observation::NodeUnreachable { node: name }
+            } else {
+                Observation::NodeReachable { node: name }
+            };
+            self.observe(observation);
+        }
+    }
+
+    fn race_operators(&mut self) {
+        let resource = Resource::Tenant(self.layout.tenant(0, self.random.random_range(1..9)));
+        let first = self.random.random_range(0..self.settings.nodes);
+        let second = (first + 1) % self.settings.nodes;
+        self.send_change(first, vec![put(resource)]);
+        let resource = Resource::Tenant(self.layout.tenant(0, self.random.random_range(1..9)));
+        self.send_change(second, vec![put(resource)]);
+    }
+
+    /// New weights: the configuration asks for them, and engines restart with them one by one.
+    fn roll_out(&mut self) {
+        self.wanted_weights += 1;
+        let node = self.random.random_range(0..self.settings.nodes);
+        let pool = Resource::Pool(ClusterLayout::model_pool(self.wanted_weights));
+        self.send_change(node, vec![put(pool)]);
+        for engine in 0..self.settings.engines {
+            let wait = Duration::from_millis(600 * (engine as u64 / 3 + 1));
+            self.schedule(wait, ClusterEvent::EngineLoads { back_end: engine });
+        }
+    }
+
+    pub(super) fn engine_loads(&mut self, back_end: usize) {
+        let keeps_cache = self.has_mutation(Mutation::CacheUnsalted);
+        let wanted_weights = self.wanted_weights;
+        self.back_ends[back_end].load_weights(wanted_weights, keeps_cache);
+    }
+
+    /// Back ends that operators drain are stopped for good measure once their work is over.
+    pub(super) fn planned_stop_due(&mut self, back_end: usize) {
+        self.back_ends[back_end].draining = true;
+        self.stop_back_end_when_idle(back_end);
+    }
+
+    /// When a drain is accepted, its back end counts as leaving; its stop follows.
+    pub(super) fn drain_accepted(&mut self, back_end: usize) {
+        let name = self.layout.back_end_name(back_end);
+        self.observe(Observation::LeavingStarted { back_end: name });
+        self.schedule(DRAIN_BEFORE_STOP, ClusterEvent::PlannedStopDue { back_end });
+    }
+}
+
+fn poor_conditions() -> NetworkConditions {
+    NetworkConditions {
+        datagram_loss: 0.25,
+        datagram_duplication: 0.1,
+        jitter: Duration::from_millis(40),
+        ..NetworkConditions::default()
+    }
+}
--- a/crates/testbed/tests/oracle.rs
+++ b/crates/testbed/tests/oracle.rs
@@ -65,7 +65,8 @@
 }
 
 fn work() -> Observation {
-    WorkAccepted {
+    WorkOffered {
+        node: "node".into(),
         back_end: "engine".into(),
     }
 }
@@ -74,6 +75,7 @@
     VersionInForce {
         node: "node".into(),
         version,
+        digest: version,
     }
 }
 
@@ -164,6 +166,7 @@
     late_work = { vec![(0, leaving()), (4 * SECOND, work())], Promise::Drain },
     cut_by_stop = { vec![(0, refused(1, ReportedRunState::Ran, true))], Promise::GracefulStop },
     reverted = { vec![(0, in_force(3)), (1, in_force(2))], Promise::ConfigurationMonotonicity },
+    two_meanings = { vec![(0, in_force(3)), (1, VersionInForce { node: "other".into(), version: 3, digest: 9 })], Promise::ConfigurationMonotonicity },
     overdue = { vec![(0, ready()), (1, ChangeAccepted { version: 2 }), (40 * SECOND, work())], Promise::ConfigurationMonotonicity },
     over_limit = { vec![(0, limit()), (30 * SECOND, spent(10)), (31 * SECOND, spent(1))], Promise::TenantLimits },
     older_order = { vec![(0, order(4)), (1, order(3))], Promise::Fencing },
