--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -3,11 +3,15 @@
 use gumdrop::Options;
 
 use super::CommandError;
+use super::faults_command::FaultsCommand;
 use super::standins_command::StandinsCommand;
 
 /// A command of `ryebench`.
 #[derive(Debug, Options)]
 pub enum Command {
+    /// Runs clusters on a virtual clock through named faults.
+    #[options(help = "run simulated clusters through faults and check every promise")]
+    Faults(FaultsCommand),
     /// Starts every stand-in and prints its address.
     #[options(help = "start the stand-ins alone and print their addresses")]
     Standins(StandinsCommand),
@@ -21,6 +25,7 @@
     /// A promise was broken, or the run itself failed.
     pub fn run(self) -> Result<(), CommandError> {
         match self {
+            Self::Faults(command) => command.run(),
             Self::Standins(command) => command.run(),
         }
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,8 +3,7 @@
 
 pub mod cli;
 pub mod engine_model;
-pub mod oracle;
-pub mod standins;
 pub mod faults;
 pub mod oracle;
 pub mod simulation;
+pub mod standins;
