--- /dev/null
+++ b/crates/core/src/admission/fair_queue.rs
@@ -0,0 +1,111 @@
+//! A queue that is fair among tenants.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::QueuedRequest;
+use crate::identity::{RequestId, TenantName};
+
+/// Requests of one tenant in order of arrival.
+#[derive(Debug, Clone, Default)]
+struct TenantQueue {
+    requests: VecDeque<QueuedRequest>,
+    /// Virtual time at which the tenant's next request starts.
+    virtual_start: f64,
+}
+
+/// A queue that is fair among tenants by weight (start-time fair queueing).
+///
+/// Each tenant's requests take turns on a virtual clock that moves on by cost ÷ weight. A tenant
+/// that was idle starts at the current virtual time: it neither saves up turns nor owes any.
+#[derive(Debug, Clone, Default)]
+pub struct FairQueue {
+    /// Tenants with waiting requests, and those whose turns lie ahead of the virtual clock.
+    tenants: BTreeMap<TenantName, TenantQueue>,
+    virtual_now: f64,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a request behind those of its tenant.
+    pub fn push(&mut self, request: QueuedRequest) {
+        let virtual_now = self.virtual_now;
+        let tenant = self.tenants.entry(request.tenant.clone()).or_default();
+        if tenant.requests.is_empty() {
+            tenant.virtual_start = tenant.virtual_start.max(virtual_now);
+        }
+        tenant.requests.push_back(request);
+        self.len += 1;
+    }
+
+    /// The request whose turn it is.
+    pub fn first(&self) -> Option<&QueuedRequest> {
+        let tenant = self.next_tenant()?;
+        self.tenants[tenant].requests.front()
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn take_first(&mut self) -> Option<QueuedRequest> {
+        let name = self.next_tenant()?.clone();
+        let tenant = self.tenants.get_mut(&name)?;
+        let request = tenant.requests.pop_front()?;
+        self.virtual_now = tenant.virtual_start;
+        let weight = f64::from(request.weight.max(1));
+        tenant.virtual_start += f64::from(request.cost.max(1)) / weight;
+        self.len -= 1;
+        self.drop_caught_up();
+        Some(request)
+    }
+
+    /// Takes out the newest request of the tenant with most waiting, to make room.
+    pub fn take_newest_of_longest(&mut self) -> Option<QueuedRequest> {
+        let name = self
+            .tenants
+            .iter()
+            .max_by_key(|(_, tenant)| tenant.requests.len())
+            .map(|(name, _)| name.clone())?;
+        let request = self.tenants.get_mut(&name)?.requests.pop_back()?;
+        self.len -= 1;
+        Some(request)
+    }
+
+    /// Takes one request out, if it waits here.
+    pub fn remove(&mut self, tenant: &TenantName, request: &RequestId) -> Option<QueuedRequest> {
+        let queue = &mut self.tenants.get_mut(tenant)?.requests;
+        let position = queue.iter().position(|queued| queued.request == *request)?;
+        let removed = queue.remove(position)?;
+        self.len -= 1;
+        Some(removed)
+    }
+
+    /// The oldest request of each tenant.
+    pub fn oldest(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.tenants
+            .values()
+            .filter_map(|tenant| tenant.requests.front())
+    }
+
+    fn next_tenant(&self) -> Option<&TenantName> {
+        self.tenants
+            .iter()
+            .filter(|(_, tenant)| !tenant.requests.is_empty())
+            .min_by(|(_, left), (_, right)| left.virtual_start.total_cmp(&right.virtual_start))
+            .map(|(name, _)| name)
+    }
+
+    /// Forgets tenants that have nothing waiting and owe no turns.
+    fn drop_caught_up(&mut self) {
+        let virtual_now = self.virtual_now;
+        self.tenants
+            .retain(|_, tenant| !tenant.requests.is_empty() || tenant.virtual_start > virtual_now);
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/request_queue.rs
@@ -0,0 +1,108 @@
+//! The queue of a pool.
+
+use super::{FairQueue, QueueLimits, QueuedRequest};
+use crate::dispatch::Priority;
+use crate::identity::{RequestId, TenantName};
+use crate::timestamp::Timestamp;
+
+/// The bounded queue of requests of one pool that wait for an engine with room: interactive work
+/// before batch work, each fair among tenants, and batch work that waited long in between.
+#[derive(Debug, Clone)]
+pub struct RequestQueue {
+    limits: QueueLimits,
+    interactive: FairQueue,
+    batch: FairQueue,
+    /// Turns of interactive work since promoted batch work had one.
+    turns_since_batch: u32,
+}
+
+impl RequestQueue {
+    /// An empty queue.
+    pub fn new(limits: QueueLimits) -> Self {
+        Self {
+            limits,
+            interactive: FairQueue::default(),
+            batch: FairQueue::default(),
+            turns_since_batch: 0,
+        }
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.interactive.len() + self.batch.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds a request. Returns the one that does not fit any more: it must be refused at once.
+    ///
+    /// A full queue gives up batch work for interactive work, and otherwise the newest request of
+    /// the tenant that has most waiting, so one tenant cannot keep the others out.
+    pub fn push(&mut self, request: QueuedRequest) -> Option<QueuedRequest> {
+        let priority = request.priority;
+        self.of(priority).push(request);
+        if self.batch.len() > self.limits.batch_capacity {
+            return self.batch.take_newest_of_longest();
+        }
+        if self.len() > self.limits.capacity {
+            let newest_batch = self.batch.take_newest_of_longest();
+            return newest_batch.or_else(|| self.interactive.take_newest_of_longest());
+        }
+        None
+    }
+
+    /// The request whose turn it is.
+    pub fn first(&self, now: Timestamp) -> Option<&QueuedRequest> {
+        if self.batch_goes_first(now) {
+            self.batch.first()
+        } else {
+            self.interactive.first()
+        }
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn take_first(&mut self, now: Timestamp) -> Option<QueuedRequest> {
+        if self.batch_goes_first(now) {
+            self.turns_since_batch = 0;
+            self.batch.take_first()
+        } else {
+            self.turns_since_batch += 1;
+            self.interactive.take_first()
+        }
+    }
+
+    /// Takes one request out, if it waits here.
+    pub fn remove(&mut self, tenant: &TenantName, request: &RequestId) -> Option<QueuedRequest> {
+        self.interactive
+            .remove(tenant, request)
+            .or_else(|| self.batch.remove(tenant, request))
+    }
+
+    /// Whether a request of this priority waits, so that a newer one must not overtake it.
+    pub fn holds_back(&self, priority: Priority) -> bool {
+        match priority {
+            Priority::Interactive => !self.interactive.is_empty(),
+            Priority::Batch => !self.is_empty(),
+        }
+    }
+
+    fn of(&mut self, priority: Priority) -> &mut FairQueue {
+        match priority {
+            Priority::Interactive => &mut self.interactive,
+            Priority::Batch => &mut self.batch,
+        }
+    }
+
+    fn batch_goes_first(&self, now: Timestamp) -> bool {
+        if self.interactive.is_empty() {
+            return true;
+        }
+        let promotion = self.limits.batch_promotion;
+        let has_waited = |request: &QueuedRequest| now.since(request.queued_at) >= promotion;
+        let is_its_turn = self.turns_since_batch + 1 >= self.limits.promoted_turn;
+        is_its_turn && self.batch.oldest().any(has_waited)
+    }
+}
--- a/crates/core/src/dispatch/assignment.rs
+++ b/crates/core/src/dispatch/assignment.rs
@@ -6,7 +6,7 @@
     AttemptId, BackEndName, DataCentreName, Incarnation, WeightsVersion, ZoneName,
 };
 
-use super::{KvImport, ResumePoint};
+use super::{KvExport, KvImport, ResumePoint};
 
 /// An attempt to make, with everything the engine link needs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -31,6 +31,8 @@
     pub expected_cached_tokens: u32,
     /// Kept KV cache to import first.
     pub kv_import: Option<KvImport>,
+    /// KV cache to keep in the KV store afterwards.
+    pub kv_export: Option<KvExport>,
     /// Where a broken stream goes on.
     pub resume: Option<ResumePoint>,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -156,6 +156,7 @@
             weights_version: record.weights_version,
             expected_cached_tokens: 0,
             kv_import: None,
+            kv_export: None,
             resume,
         };
         let resumes = match resume {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! actions. Nothing here does I/O, reads a clock, draws random numbers of its own or starts a
 //! thread, so the router process and the simulator run exactly the same code.
 
+pub mod admission;
 pub mod catalog;
 pub mod claim;
 pub mod config;
@@ -14,6 +15,7 @@
 pub mod membership;
 pub mod placement;
 pub mod prompt;
+pub mod retry;
 mod timestamp;
 
 pub use timestamp::Timestamp;
--- /dev/null
+++ b/crates/core/src/placement/candidate_order.rs
@@ -0,0 +1,80 @@
+//! The deterministic order of candidates.
+
+use super::{PoolMember, PrefixWidth, rendezvous_score};
+
+/// The order in which the members of one data centre are considered for a prompt.
+///
+/// From the outermost prefix inwards, each prefix keeps the members that score highest for it, as
+/// many as its width says, out of those kept before. So a thin prefix stays on one engine together
+/// with all prompts below it, a hot one is spread over several, and prompts below a hot prefix
+/// share it only among its engines. Members dropped on the way follow, the innermost set first:
+/// a request that spills finds the longest outer prefix there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CandidateOrder {
+    positions: Vec<usize>,
+}
+
+impl CandidateOrder {
+    /// Orders the best members for a prompt; at most about `limit` are kept after the first set.
+    pub fn new(members: &[PoolMember], widths: &[PrefixWidth], key: u64, limit: usize) -> Self {
+        let mut kept: Vec<usize> = (0..members.len()).collect();
+        let mut dropped_sets = Vec::new();
+        for width in widths {
+            if width.engines >= kept.len() {
+                continue;
+            }
+            let rest = keep_highest(&mut kept, members, width.prefix.0, width.engines);
+            dropped_sets.push(rest);
+        }
+        sort_highest(&mut kept, members, key, limit);
+        let mut positions = kept;
+        for mut dropped in dropped_sets.into_iter().rev() {
+            if positions.len() >= limit {
+                break;
+            }
+            sort_highest(&mut dropped, members, key, limit - positions.len());
+            positions.extend(dropped);
+        }
+        Self { positions }
+    }
+
+    /// Positions among the members, best first.
+    pub fn positions(&self) -> &[usize] {
+        &self.positions
+    }
+}
+
+/// Keeps the `count` positions that score highest for `key`; returns the others.
+fn keep_highest(
+    kept: &mut Vec<usize>,
+    members: &[PoolMember],
+    key: u64,
+    count: usize,
+) -> Vec<usize> {
+    let mut scored = score(kept, members, key);
+    scored.select_nth_unstable_by(count, |left, right| right.cmp(left));
+    let rest = scored.split_off(count);
+    *kept = scored.into_iter().map(|(_, position)| position).collect();
+    rest.into_iter().map(|(_, position)| position).collect()
+}
+
+/// Sorts by score for `key`, highest first, and cuts after `limit`.
+fn sort_highest(positions: &mut Vec<usize>, members: &[PoolMember], key: u64, limit: usize) {
+    let mut scored = score(positions, members, key);
+    if limit < scored.len() {
+        scored.select_nth_unstable_by(limit, |left, right| right.cmp(left));
+        scored.truncate(limit);
+    }
+    scored.sort_unstable_by(|left, right| right.cmp(left));
+    *positions = scored.into_iter().map(|(_, position)| position).collect();
+}
+
+fn score(positions: &[usize], members: &[PoolMember], key: u64) -> Vec<(u64, usize)> {
+    positions
+        .iter()
+        .map(|position| {
+            let score = rendezvous_score(key, members[*position].name_hash);
+            (score, *position)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/placement/placement_point.rs
@@ -0,0 +1,21 @@
+//! A prefix that placement considers.
+
+use crate::prompt::{BlockHash, PrefixBlock};
+
+/// A prefix that placement considers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementPoint {
+    /// The prefix.
+    pub hash: BlockHash,
+    /// Its tokens (estimate).
+    pub end_tokens: u32,
+}
+
+impl From<&PrefixBlock> for PlacementPoint {
+    fn from(block: &PrefixBlock) -> Self {
+        Self {
+            hash: block.hash,
+            end_tokens: block.end_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/placement_points.rs
@@ -0,0 +1,76 @@
+//! The prefixes of a prompt that placement considers.
+
+use super::PlacementPoint;
+use crate::prompt::{PrefixBlock, PrefixChain};
+
+/// Outermost points kept of a prompt with many levels: they decide where it is placed.
+const OUTER_POINTS: usize = 8;
+
+/// Innermost points kept of a prompt with many levels: they tell how much of it is cached.
+const INNER_POINTS: usize = 16;
+
+/// Blocks after which a long message gets its first point inside; the next follow at double the
+/// distance each.
+const FIRST_INNER_BLOCKS: usize = 4;
+
+/// The few prefixes of a prompt that placement considers, from the shortest: the ends of its
+/// nesting levels, and inside long levels points at doubling distances, for prompts that arrive
+/// as one message.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct PlacementPoints {
+    points: Vec<PlacementPoint>,
+    shared: usize,
+}
+
+impl PlacementPoints {
+    /// The points of a chain.
+    pub fn of(chain: &PrefixChain) -> Self {
+        let mut points = Vec::new();
+        let mut shared = 0;
+        for level in chain
+            .blocks
+            .chunk_by(|left, right| left.level == right.level)
+        {
+            shared = points.len();
+            push_inner_points(level, &mut points);
+            points.extend(level.last().map(PlacementPoint::from));
+        }
+        if shared == 0 {
+            // A single level: all but the whole prompt may be shared.
+            shared = points.len().saturating_sub(1);
+        }
+        let left_out = points.len().saturating_sub(OUTER_POINTS + INNER_POINTS);
+        if left_out > 0 {
+            points.drain(OUTER_POINTS..OUTER_POINTS + left_out);
+        }
+        let shared = shared
+            .saturating_sub(left_out)
+            .max(shared.min(OUTER_POINTS));
+        Self { points, shared }
+    }
+
+    /// All points.
+    pub fn all(&self) -> &[PlacementPoint] {
+        &self.points
+    }
+
+    /// The points that other prompts are likely to share: all before the innermost level, which is
+    /// the question itself.
+    pub fn shared(&self) -> &[PlacementPoint] {
+        &self.points[..self.shared]
+    }
+
+    /// The longest prefix that other prompts are likely to share; the whole prompt when there is
+    /// none; `None` when there is no prompt.
+    pub fn deepest_shared(&self) -> Option<PlacementPoint> {
+        self.shared().last().or(self.points.last()).copied()
+    }
+}
+
+fn push_inner_points(level: &[PrefixBlock], points: &mut Vec<PlacementPoint>) {
+    let mut blocks = FIRST_INNER_BLOCKS;
+    while blocks < level.len() {
+        points.push(PlacementPoint::from(&level[blocks - 1]));
+        blocks *= 2;
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/prefill_speed.rs
@@ -0,0 +1,35 @@
+//! How fast engines prefill.
+
+/// Weight of a sample above the estimate.
+const RISE: f64 = 0.2;
+/// Weight of a sample below the estimate. Most such samples show a busy engine, not a slow one.
+const FALL: f64 = 0.02;
+
+/// Estimates how many prompt tokens an engine of a pool computes a second, from the time to the
+/// first token of requests that found it idle.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PrefillSpeed {
+    tokens_per_second: f64,
+}
+
+impl PrefillSpeed {
+    /// Starts from a guess.
+    pub fn new(tokens_per_second: f64) -> Self {
+        Self { tokens_per_second }
+    }
+
+    /// Tokens a second.
+    pub fn tokens_per_second(self) -> f64 {
+        self.tokens_per_second
+    }
+
+    /// Takes a measurement.
+    pub fn observe(&mut self, tokens_per_second: f64) {
+        let weight = if tokens_per_second > self.tokens_per_second {
+            RISE
+        } else {
+            FALL
+        };
+        self.tokens_per_second += weight * (tokens_per_second - self.tokens_per_second);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/retention.rs
@@ -0,0 +1,42 @@
+//! How long an engine keeps what it cached.
+
+use std::time::Duration;
+
+/// Estimates how long an engine's cache keeps a prefix that nobody uses, from what its answers say
+/// of cached tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Retention {
+    duration: Duration,
+}
+
+const SHORTEST: Duration = Duration::from_millis(500);
+const LONGEST: Duration = Duration::from_secs(600);
+const SHRINK: f64 = 0.8;
+const GROW: f64 = 1.25;
+
+impl Retention {
+    /// Starts from a guess.
+    pub fn new(duration: Duration) -> Self {
+        Self { duration }
+    }
+
+    /// Whether a prefix last used so long ago is expected to be cached.
+    pub fn covers(self, age: Duration) -> bool {
+        age <= self.duration
+    }
+
+    /// A prefix last used so long ago was found.
+    pub fn found(&mut self, age: Duration) {
+        if age.mul_f64(GROW) > self.duration {
+            self.duration = age.mul_f64(GROW).min(LONGEST);
+        }
+    }
+
+    /// A prefix last used so long ago, expected to be cached, was gone.
+    pub fn missed(&mut self, age: Duration) {
+        let shrunk = self.duration.mul_f64(SHRINK);
+        self.duration = shrunk
+            .max(age.min(self.duration).mul_f64(SHRINK))
+            .max(SHORTEST);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/site_preference.rs
@@ -0,0 +1,57 @@
+//! Which data centre a request should be served in.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::catalog::{Catalog, MigrationStage, StageState};
+use crate::identity::{DataCentreName, PoolName, TenantName};
+use crate::prompt::PrefixChain;
+
+/// Thousandths in a whole.
+const PERMILLE: u64 = 1_000;
+
+/// Nesting level that decides the data centre, counted from the outermost. It is fixed, so that
+/// requests with the same prefix go to the same data centre however loads change; it lies inside
+/// the tenant's own prefixes, so that one large tenant can move in steps.
+const SPLIT_LEVEL: usize = 2;
+
+/// The data centre that the migration stages of the pool choose for a request, if there is one.
+///
+/// The choice is a hash of tenant and outer prefix against the share, so that a prefix keeps its
+/// data centre, and a rising share only moves prefixes from the source to the target.
+pub fn preferred_data_centre<'a>(
+    catalog: &'a Catalog,
+    pool: &PoolName,
+    tenant: &TenantName,
+    prefix: &PrefixChain,
+    fallback_key: &str,
+) -> Option<&'a DataCentreName> {
+    let stage = stage_for(catalog, pool, tenant)?;
+    if stage.state == StageState::RolledBack {
+        return Some(&stage.source);
+    }
+    let key = split_key(prefix).unwrap_or_else(|| xxh3_64_with_seed(fallback_key.as_bytes(), 0));
+    let slot = xxh3_64_with_seed(tenant.as_str().as_bytes(), key) % PERMILLE;
+    if slot < u64::from(stage.target_share_permille) {
+        Some(&stage.target)
+    } else {
+        Some(&stage.source)
+    }
+}
+
+/// The stage of this tenant, or else the one of all tenants.
+fn stage_for<'a>(
+    catalog: &'a Catalog,
+    pool: &PoolName,
+    tenant: &TenantName,
+) -> Option<&'a MigrationStage> {
+    let of_pool = || catalog.stages.values().filter(|stage| stage.pool == *pool);
+    of_pool()
+        .find(|stage| stage.tenant.as_ref() == Some(tenant))
+        .or_else(|| of_pool().find(|stage| stage.tenant.is_none()))
+}
+
+fn split_key(prefix: &PrefixChain) -> Option<u64> {
+    let levels = prefix.level_ends().count();
+    let level = SPLIT_LEVEL.min(levels.saturating_sub(2));
+    prefix.level_ends().nth(level).map(|block| block.hash.0)
+}
--- /dev/null
+++ b/crates/core/src/retry/engine_health.rs
@@ -0,0 +1,147 @@
+//! The health of one engine.
+
+use std::fmt;
+use std::time::Duration;
+
+use statig::prelude::*;
+
+use super::health_event::HealthEvent;
+use crate::timestamp::Timestamp;
+
+/// Failures in a row that eject an engine.
+const FAILURES_TO_EJECT: u32 = 2;
+const FIRST_EJECTION: Duration = Duration::from_millis(250);
+const LONGEST_EJECTION: Duration = Duration::from_secs(10);
+/// Doublings of the first ejection until the longest is reached.
+const MOST_DOUBLINGS: u32 = 6;
+
+/// The lifecycle of an engine as one process sees it: serving, ejected after failures, probed with
+/// a single request once the ejection has run out, and serving again after an answer.
+#[derive(Debug, Default)]
+struct Lifecycle {
+    failures_in_a_row: u32,
+    ejections_in_a_row: u32,
+}
+
+#[state_machine(initial = "State::serving()", state(derive(Debug, Clone, PartialEq)))]
+impl Lifecycle {
+    #[state]
+    fn serving(&mut self, event: &HealthEvent) -> Outcome<State> {
+        match event {
+            HealthEvent::Failed { at } => {
+                self.failures_in_a_row += 1;
+                if self.failures_in_a_row < FAILURES_TO_EJECT {
+                    return Handled;
+                }
+                self.eject(*at)
+            }
+            HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
+            HealthEvent::ProbeSent | HealthEvent::ProbeInconclusive { .. } => Handled,
+        }
+    }
+
+    #[state]
+    fn ejected(&mut self, until: &mut Timestamp, event: &HealthEvent) -> Outcome<State> {
+        let _ = until;
+        match event {
+            HealthEvent::ProbeSent => Transition(State::probing()),
+            HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
+            // Attempts from before the ejection end one by one; they tell nothing new.
+            HealthEvent::Failed { .. } | HealthEvent::ProbeInconclusive { .. } => Handled,
+        }
+    }
+
+    #[state]
+    fn probing(&mut self, event: &HealthEvent) -> Outcome<State> {
+        match event {
+            HealthEvent::Failed { at } => self.eject(*at),
+            HealthEvent::ProbeInconclusive { at } => Transition(State::ejected(*at)),
+            HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
+            HealthEvent::ProbeSent => Handled,
+        }
+    }
+}
+
+impl Lifecycle {
+    fn eject(&mut self, at: Timestamp) -> Outcome<State> {
+        let doublings = self.ejections_in_a_row.min(MOST_DOUBLINGS);
+        let ejection = (FIRST_EJECTION * 2_u32.pow(doublings)).min(LONGEST_EJECTION);
+        self.ejections_in_a_row += 1;
+        self.failures_in_a_row = 0;
+        Transition(State::ejected(at.after(ejection)))
+    }
+
+    fn recover(&mut self) -> Outcome<State> {
+        self.failures_in_a_row = 0;
+        self.ejections_in_a_row = 0;
+        Transition(State::serving())
+    }
+}
+
+/// Whether an engine is given work, as one process sees it.
+pub struct EngineHealth {
+    lifecycle: StateMachine<Lifecycle>,
+}
+
+impl fmt::Debug for EngineHealth {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_tuple("EngineHealth")
+            .field(self.lifecycle.state())
+            .finish()
+    }
+}
+
+impl Default for EngineHealth {
+    fn default() -> Self {
+        Self {
+            lifecycle: Lifecycle::default().state_machine(),
+        }
+    }
+}
+
+impl EngineHealth {
+    /// Whether it serves normally.
+    pub fn is_serving(&self) -> bool {
+        matches!(self.lifecycle.state(), State::Serving {})
+    }
+
+    /// Whether its ejection has run out and a single request should find out whether it is back.
+    pub fn is_due_for_probe(&self, now: Timestamp) -> bool {
+        matches!(self.lifecycle.state(), State::Ejected { until } if *until <= now)
+    }
+
+    /// When its ejection runs out, while it is ejected.
+    pub fn ejected_until(&self) -> Option<Timestamp> {
+        match self.lifecycle.state() {
+            State::Ejected { until } => Some(*until),
+            State::Serving {} | State::Probing {} => None,
+        }
+    }
+
+    /// It answered.
+    pub fn answered(&mut self) {
+        self.lifecycle.handle(&HealthEvent::Answered);
+    }
+
+    /// It could not be reached, or broke off.
+    pub fn failed(&mut self, at: Timestamp) {
+        self.lifecycle.handle(&HealthEvent::Failed { at });
+    }
+
+    /// A request was sent to find out whether it is back.
+    pub fn probe_sent(&mut self) {
+        self.lifecycle.handle(&HealthEvent::ProbeSent);
+    }
+
+    /// The probe ended without telling anything, as when its caller left.
+    pub fn probe_inconclusive(&mut self, at: Timestamp) {
+        self.lifecycle
+            .handle(&HealthEvent::ProbeInconclusive { at });
+    }
+
+    /// Another process answered at its address.
+    pub fn restarted(&mut self) {
+        self.lifecycle.handle(&HealthEvent::Restarted);
+    }
+}
