Serve the operator RPC and load TLS certificates that can be replaced

Every node serves tenants, pools, back ends, stages, the whole configuration with a watch that never skips a change, status and reload.

--- a/crates/core/src/control/control_state.rs
+++ b/crates/core/src/control/control_state.rs
@@ -79,6 +79,11 @@
         self.replica.catalog()
     }
 
+    /// Its copy of the configuration, with the latest changes.
+    pub fn replica(&self) -> &ConfigReplica {
+        &self.replica
+    }
+
     fn react(&mut self, event: ControlEvent, now: Timestamp) {
         match event {
             ControlEvent::Started => self.start(),
--- a/crates/node/src/control/control_command.rs
+++ b/crates/node/src/control/control_command.rs
@@ -1,10 +1,9 @@
 //! What other threads ask of the control thread.
 
 use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
-use ryerouter_core::membership::ClusterStatus;
 use tokio::sync::oneshot;
 
-use super::BackEndObservation;
+use super::{BackEndObservation, ControlReport};
 
 /// What other threads ask of the control thread.
 #[derive(Debug)]
@@ -21,7 +20,7 @@
     /// Tell what is known of all nodes.
     Status {
         /// Where the answer goes.
-        reply: oneshot::Sender<ClusterStatus>,
+        reply: oneshot::Sender<ControlReport>,
     },
     /// A traffic thread saw a back end change.
     Observed(BackEndObservation),
--- a/crates/node/src/control/control_handle.rs
+++ b/crates/node/src/control/control_handle.rs
@@ -5,10 +5,9 @@
 use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::lifecycle::NodePhase;
-use ryerouter_core::membership::ClusterStatus;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::{BackEndObservation, ControlCommand, ControlGone};
+use super::{BackEndObservation, ChangeLog, ControlCommand, ControlGone, ControlReport};
 
 /// Access to the control thread from other threads; cheap to clone.
 #[derive(Debug, Clone)]
@@ -16,6 +15,7 @@
     commands: mpsc::Sender<ControlCommand>,
     snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
     phases: watch::Receiver<NodePhase>,
+    changes: ChangeLog,
 }
 
 impl ControlHandle {
@@ -23,11 +23,13 @@
         commands: mpsc::Sender<ControlCommand>,
         snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
         phases: watch::Receiver<NodePhase>,
+        changes: ChangeLog,
     ) -> Self {
         Self {
             commands,
             snapshots,
             phases,
+            changes,
         }
     }
 
@@ -41,6 +43,11 @@
         self.phases.clone()
     }
 
+    /// The latest accepted changes.
+    pub fn changes(&self) -> &ChangeLog {
+        &self.changes
+    }
+
     /// Makes a change of configuration, or only checks it.
     pub async fn change(
         &self,
@@ -58,7 +65,7 @@
     }
 
     /// What this node knows of all nodes.
-    pub async fn status(&self) -> Result<ClusterStatus, ControlGone> {
+    pub async fn status(&self) -> Result<ControlReport, ControlGone> {
         let (reply, answer) = oneshot::channel();
         self.send(ControlCommand::Status { reply }).await?;
         answer.await.map_err(|_| ControlGone)
--- a/crates/node/src/control/control_io.rs
+++ b/crates/node/src/control/control_io.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Whether the object API answered the latest call.
+    pub(super) fn object_api_reachable(&self) -> bool {
+        self.store.is_reachable()
+    }
+
     pub(super) fn send_datagram(&self, to: SocketAddr, message: &PeerMessage) {
         self.datagrams.send(to, message);
     }
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 
-use super::{ControlCommand, ControlIo, PendingOperations};
+use super::{ChangeLog, ControlCommand, ControlIo, ControlReport, PendingOperations};
 
 /// The loop of the control thread: the only owner of the control state.
 pub(super) struct ControlLoop {
@@ -22,6 +22,7 @@
     pub(super) events: mpsc::Receiver<ControlEvent>,
     pub(super) commands: mpsc::Receiver<ControlCommand>,
     pub(super) operations: PendingOperations,
+    pub(super) changes: ChangeLog,
     pub(super) snapshots: watch::Sender<Arc<RoutingSnapshot>>,
     pub(super) phases: watch::Sender<NodePhase>,
 }
@@ -74,6 +75,8 @@
     fn handle(&mut self, event: ControlEvent) {
         let mut actions = Vec::new();
         self.state.handle(event, self.clock.now(), &mut actions);
+        // Before the actions, so that whoever is told of a change also finds it in the log.
+        self.changes.follow(self.state.replica());
         for action in actions {
             self.perform(action);
         }
@@ -93,7 +96,12 @@
                 self.operations.answer_change(operation, answer);
             }
             ControlAction::AnswerStatus { operation, status } => {
-                self.operations.answer_status(operation, status);
+                let report = ControlReport {
+                    cluster: status,
+                    phase: self.state.phase(),
+                    object_api_reachable: self.io.object_api_reachable(),
+                };
+                self.operations.answer_status(operation, report);
             }
             ControlAction::EnterPhase(phase) => self.enter(phase),
         }
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -16,7 +16,7 @@
 use crate::peer::{DatagramLink, PeerMetrics, PeerSockets, StreamLinks, StreamServer};
 
 use super::{
-    ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
+    ChangeLog, ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
     PendingOperations,
 };
 
@@ -75,7 +75,8 @@
         let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE);
         let (snapshots, snapshot_feed) = watch::channel(Arc::<RoutingSnapshot>::default());
         let (phases, phase_feed) = watch::channel(NodePhase::Starting);
-        let handle = ControlHandle::new(command_sender, snapshot_feed, phase_feed);
+        let changes = ChangeLog::new();
+        let handle = ControlHandle::new(command_sender, snapshot_feed, phase_feed, changes.clone());
         let peer_address = self.peer_address();
         let logger = logger.new(o!("node" => self.options.name.to_string()));
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -106,6 +107,7 @@
                     events,
                     commands,
                     operations: PendingOperations::default(),
+                    changes,
                     snapshots,
                     phases,
                 };
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! runtime and comes back as an event.
 
 mod back_end_observation;
+mod change_log;
 mod control_command;
 mod control_error;
 mod control_handle;
@@ -12,6 +13,7 @@
 mod control_io;
 mod control_loop;
 mod control_options;
+mod control_report;
 mod control_thread;
 mod machine_poller;
 mod pending_operations;
@@ -20,10 +22,12 @@
 mod watch_worker;
 
 pub use back_end_observation::BackEndObservation;
+pub use change_log::ChangeLog;
 pub use control_command::ControlCommand;
 pub use control_error::{ControlError, ControlGone};
 pub use control_handle::ControlHandle;
 pub use control_options::ControlOptions;
+pub use control_report::ControlReport;
 pub use control_thread::{BoundControl, ControlThread};
 
 pub(crate) use control_input::ControlInput;
--- a/crates/node/src/control/pending_operations.rs
+++ b/crates/node/src/control/pending_operations.rs
@@ -4,11 +4,12 @@
 
 use ryerouter_core::config::{ChangeAccepted, ChangeRefusal};
 use ryerouter_core::control::OperationId;
-use ryerouter_core::membership::ClusterStatus;
 use tokio::sync::oneshot;
 
+use super::ControlReport;
+
 type ChangeReply = oneshot::Sender<Result<ChangeAccepted, ChangeRefusal>>;
-type StatusReply = oneshot::Sender<ClusterStatus>;
+type StatusReply = oneshot::Sender<ControlReport>;
 
 /// Operators' calls that wait for an answer.
 ///
@@ -44,9 +45,9 @@
         }
     }
 
-    pub(super) fn answer_status(&mut self, operation: OperationId, status: ClusterStatus) {
+    pub(super) fn answer_status(&mut self, operation: OperationId, report: ControlReport) {
         if let Some(reply) = self.statuses.remove(&operation) {
-            let _ = reply.send(status);
+            let _ = reply.send(report);
         }
     }
 
--- a/crates/node/src/control/store_worker.rs
+++ b/crates/node/src/control/store_worker.rs
@@ -1,5 +1,8 @@
 //! Carries out calls to the object API.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use ryerouter_core::control::{
     ControlEvent, StoreAnswer, StoreCall, StoreRequestId, StoreRevision, StoreVersion,
 };
@@ -14,11 +17,21 @@
 pub(super) struct StoreWorker {
     client: ObjectClient,
     input: ControlInput,
+    reachable: Arc<AtomicBool>,
 }
 
 impl StoreWorker {
     pub(super) fn new(client: ObjectClient, input: ControlInput) -> Self {
-        Self { client, input }
+        Self {
+            client,
+            input,
+            reachable: Arc::default(),
+        }
+    }
+
+    /// Whether the object API answered the latest call.
+    pub(super) fn is_reachable(&self) -> bool {
+        self.reachable.load(Ordering::Relaxed)
     }
 
     pub(super) fn start(&self, id: StoreRequestId, call: StoreCall) {
@@ -26,6 +39,8 @@
         tokio::spawn(async move {
             let answer = worker.carry_out(call).await;
             let answer = answer.unwrap_or_else(answer_of_error);
+            let answered = !matches!(answer, StoreAnswer::Failed(_));
+            worker.reachable.store(answered, Ordering::Relaxed);
             let event = ControlEvent::StoreAnswered { id, answer };
             worker.input.deliver(event).await;
         });
--- /dev/null
+++ b/crates/node/src/reload/mod.rs
@@ -0,0 +1,9 @@
+//! Reading settings and keys again without a restart.
+
+mod reload_error;
+mod reload_report;
+mod reloader;
+
+pub use reload_error::ReloadError;
+pub use reload_report::ReloadReport;
+pub use reloader::{NothingToReload, Reloader};
--- /dev/null
+++ b/crates/node/src/tls/client_tls.rs
@@ -0,0 +1,125 @@
+//! TLS of connections to peers.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use derive_more::From;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio_rustls::TlsConnector;
+use tokio_rustls::client::TlsStream;
+use tokio_rustls::rustls::ClientConfig;
+use tokio_rustls::rustls::pki_types::ServerName;
+
+use super::pem_files::{read_authorities, read_certificates, read_key};
+use super::{TlsError, TlsPaths};
+
+/// Longest time for the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// TLS of connections to peers: shows the own certificate and checks the peer's. Both can be
+/// replaced while it runs.
+pub struct ClientTls {
+    paths: TlsPaths,
+    server_name: ServerName<'static>,
+    current: ArcSwap<ClientConfig>,
+}
+
+impl ClientTls {
+    /// Reads the files. Peers must show a certificate for `server_name`: machines are replaced at
+    /// any time, so their addresses are in no certificate.
+    pub fn load(paths: TlsPaths, server_name: ServerName<'static>) -> Result<Self, TlsError> {
+        let config = read_config(&paths)?;
+        Ok(Self {
+            paths,
+            server_name,
+            current: ArcSwap::from_pointee(config),
+        })
+    }
+
+    /// Reads the files again; see [`super::ServerTls::read_again`].
+    pub fn read_again(&self) -> Result<Arc<ClientConfig>, TlsError> {
+        read_config(&self.paths).map(Arc::new)
+    }
+
+    /// Puts a configuration in force for connections opened from now on.
+    pub fn replace(&self, config: Arc<ClientConfig>) {
+        self.current.store(config);
+    }
+
+    /// Makes the handshake on an opened connection.
+    pub async fn connect(&self, stream: TcpStream) -> io::Result<ClientStream> {
+        let connector = TlsConnector::from(self.current.load_full());
+        let connecting = connector.connect(self.server_name.clone(), stream);
+        let connected = tokio::time::timeout(HANDSHAKE_TIMEOUT, connecting).await;
+        let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(ClientStream::Tls(Box::new(stream)))
+    }
+}
+
+fn read_config(paths: &TlsPaths) -> Result<ClientConfig, TlsError> {
+    let authority = paths.authority.as_ref().ok_or(TlsError::AuthorityMissing)?;
+    let authorities = read_authorities(authority)?;
+    let certificates = read_certificates(&paths.certificate)?;
+    let key = read_key(&paths.key)?;
+    ClientConfig::builder()
+        .with_root_certificates(authorities)
+        .with_client_auth_cert(certificates, key)
+        .map_err(|error| TlsError::Pair {
+            path: paths.certificate.clone(),
+            reason: error.to_string(),
+        })
+}
+
+/// An opened connection, with or without TLS.
+#[derive(Debug, From)]
+pub enum ClientStream {
+    /// Without TLS.
+    Plain(TcpStream),
+    /// With TLS.
+    Tls(Box<TlsStream<TcpStream>>),
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_read(context, buffer),
+            Self::Tls(stream) => Pin::new(stream).poll_read(context, buffer),
+        }
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_write(context, bytes),
+            Self::Tls(stream) => Pin::new(stream).poll_write(context, bytes),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_flush(context),
+            Self::Tls(stream) => Pin::new(stream).poll_flush(context),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Self::Plain(stream) => Pin::new(stream).poll_shutdown(context),
+            Self::Tls(stream) => Pin::new(stream).poll_shutdown(context),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/tls/mod.rs
@@ -0,0 +1,18 @@
+//! TLS for callers, peers and operators: certificates and keys from files, replaced without a
+//! restart.
+//!
+//! A connection keeps the certificate it was opened with; connections opened after a reload use the
+//! new one. Key material is held by the library alone and never formatted or logged.
+
+mod client_tls;
+mod pem_files;
+mod server_stream;
+mod server_tls;
+mod tls_error;
+mod tls_paths;
+
+pub use client_tls::{ClientStream, ClientTls};
+pub use server_stream::ServerStream;
+pub use server_tls::{ClientCertificates, ServerTls};
+pub use tls_error::TlsError;
+pub use tls_paths::TlsPaths;
--- /dev/null
+++ b/crates/node/src/tls/server_tls.rs
@@ -0,0 +1,106 @@
+//! TLS of a listener.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::net::TcpStream;
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
+use tokio_rustls::rustls::server::WebPkiClientVerifier;
+
+use super::pem_files::{read_authorities, read_certificates, read_key};
+use super::{ServerStream, TlsError, TlsPaths};
+
+/// Longest time for the handshake.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Whether the other side must show a certificate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientCertificates {
+    /// It need not; who it is shows otherwise.
+    NotAsked,
+    /// It must show one that the authority vouches for.
+    Required,
+}
+
+/// TLS of a listener; its certificate can be replaced while it runs.
+pub struct ServerTls {
+    paths: TlsPaths,
+    clients: ClientCertificates,
+    protocols: Vec<Vec<u8>>,
+    current: ArcSwap<ServerConfig>,
+}
+
+impl ServerTls {
+    /// Reads the files. `protocols` are offered to clients, best first, such as `h2`.
+    pub fn load(
+        paths: TlsPaths,
+        clients: ClientCertificates,
+        protocols: &[&str],
+    ) -> Result<Self, TlsError> {
+        let protocols: Vec<Vec<u8>> = protocols
+            .iter()
+            .map(|protocol| protocol.as_bytes().to_vec())
+            .collect();
+        let config = read_config(&paths, clients, &protocols)?;
+        Ok(Self {
+            paths,
+            clients,
+            protocols,
+            current: ArcSwap::from_pointee(config),
+        })
+    }
+
+    /// Reads the files again. The result is put in force by [`ServerTls::replace`], so that several
+    /// listeners change together or not at all.
+    pub fn read_again(&self) -> Result<Arc<ServerConfig>, TlsError> {
+        read_config(&self.paths, self.clients, &self.protocols).map(Arc::new)
+    }
+
+    /// Puts a configuration in force for connections accepted from now on.
+    pub fn replace(&self, config: Arc<ServerConfig>) {
+        self.current.store(config);
+    }
+
+    /// Makes the handshake on an accepted connection.
+    pub async fn accept(&self, stream: TcpStream) -> io::Result<ServerStream> {
+        let acceptor = TlsAcceptor::from(self.current.load_full());
+        let accepted = tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await;
+        let stream = accepted.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        Ok(ServerStream::Tls(Box::new(stream)))
+    }
+}
+
+fn read_config(
+    paths: &TlsPaths,
+    clients: ClientCertificates,
+    protocols: &[Vec<u8>],
+) -> Result<ServerConfig, TlsError> {
+    let certificates = read_certificates(&paths.certificate)?;
+    let key = read_key(&paths.key)?;
+    let builder = ServerConfig::builder();
+    let builder = match clients {
+        ClientCertificates::NotAsked => builder.with_no_client_auth(),
+        ClientCertificates::Required => {
+            let path = paths.authority.as_ref().ok_or(TlsError::AuthorityMissing)?;
+            let authorities = Arc::new(read_authorities(path)?);
+            let verifier = WebPkiClientVerifier::builder(authorities)
+                .build()
+                .map_err(|error| TlsError::File {
+                    path: path.clone(),
+                    reason: error.to_string(),
+                })?;
+            builder.with_client_cert_verifier(verifier)
+        }
+    };
+    let mut config = builder
+        .with_single_cert(certificates, key)
+        .map_err(|error| TlsError::Pair {
+            path: paths.certificate.clone(),
+            reason: error.to_string(),
+        })?;
+    config.alpn_protocols = protocols.to_vec();
+    Ok(config)
+}
