Serve callers over HTTP: thin traffic path of the router process

The traffic side runs on threads of its own with one current-thread runtime each: an acceptor deals caller connections to them in turn, and a stream never leaves its thread. Requests are authenticated, checked and cut into prefixes, submitted to the shared dispatcher, and attempted over pooled HTTP/1.1 connections that their user drives itself. Streams are relayed as bytes with an index check and go on after a break as the dispatcher commands.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,9 +1,21 @@
 //! The router process that runs beside each caller.
+//!
+//! [`traffic::RunningNode`] serves callers on threads of its own; every decision it carries out is
+//! made by [`ryerouter_core::dispatch::Dispatcher`], and every snapshot it obeys comes from the
+//! control thread.
 
+mod caller;
 pub mod clock;
 pub mod control;
+mod engine;
+pub mod logging;
+pub mod metrics;
 pub mod peer;
 pub mod platform;
 pub mod reload;
 pub mod rpc;
 pub mod tls;
+mod refusal;
+pub mod relay;
+mod service;
+pub mod traffic;
--- /dev/null
+++ b/crates/node/src/relay/mod.rs
@@ -0,0 +1,30 @@
+//! The way of an answer from a back end to its caller.
+//!
+//! A stream's bytes are passed on as they came: events are found and their index checked, but no
+//! chunk is parsed or written anew.
+
+mod attempt_guard;
+mod chunk_order;
+mod delivered_text;
+mod event_buffer;
+mod event_fields;
+mod event_stream;
+mod pass_through_body;
+mod relay_body;
+mod relay_fault;
+mod request_exchange;
+mod usage;
+mod whole_answer;
+
+pub(crate) use attempt_guard::AttemptGuard;
+pub use chunk_order::{ChunkOrder, ChunkPlacement};
+pub use delivered_text::DeliveredText;
+pub use event_buffer::EventBuffer;
+pub use event_fields::EventFields;
+pub use event_stream::{EventStream, StreamProgress};
+pub(crate) use pass_through_body::PassThroughBody;
+pub(crate) use relay_body::RelayBody;
+pub use relay_fault::RelayFault;
+pub(crate) use request_exchange::{NextAnswer, OpenAnswer, RequestExchange};
+pub use usage::Usage;
+pub(crate) use whole_answer::{WholeAnswer, read_whole};
--- /dev/null
+++ b/crates/node/src/relay/usage.rs
@@ -0,0 +1,40 @@
+//! Token counts of an answer.
+
+use serde::Deserialize;
+
+/// Token counts of an answer, as the OpenAI API names them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Details of the prompt's tokens.
+    #[serde(default)]
+    pub prompt_tokens_details: Option<PromptTokensDetails>,
+}
+
+/// Details of the prompt's tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct PromptTokensDetails {
+    /// Those that came from the engine's cache.
+    #[serde(default)]
+    pub cached_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct UsageDocument {
+    usage: Option<Usage>,
+}
+
+impl Usage {
+    /// Reads the counts from a chunk or a whole answer.
+    pub fn parse(json: &[u8]) -> Option<Self> {
+        let document: UsageDocument = serde_json::from_slice(json).ok()?;
+        document.usage
+    }
+
+    /// Tokens of the prompt that came from the engine's cache.
+    pub fn cached_tokens(&self) -> u32 {
+        self.prompt_tokens_details
+            .map_or(0, |details| details.cached_tokens)
+    }
+}
