--- /dev/null
+++ b/crates/settings/src/fields.rs
@@ -0,0 +1,358 @@
+//! Every field of the settings.
+
+use super::FieldDefault::{Absent, Integer, Required, Text};
+use super::{Field, FieldKind, LogLevel};
+
+/// Every field of the settings, in the order of the reference page.
+pub const FIELDS: &[Field] = &[
+    Field {
+        path: "name",
+        kind: FieldKind::Name,
+        default: Required,
+        reloadable: false,
+        purpose: "Name of the node, unique among nodes",
+    },
+    Field {
+        path: "region",
+        kind: FieldKind::Name,
+        default: Required,
+        reloadable: false,
+        purpose: "Region the node stands in",
+    },
+    Field {
+        path: "data_centre",
+        kind: FieldKind::Name,
+        default: Required,
+        reloadable: false,
+        purpose: "Data centre the node stands in",
+    },
+    Field {
+        path: "zone",
+        kind: FieldKind::Name,
+        default: Required,
+        reloadable: false,
+        purpose: "Zone (failure domain) the node stands in",
+    },
+    Field {
+        path: "listen.callers",
+        kind: FieldKind::ListenAddress,
+        default: Text("127.0.0.1:8080"),
+        reloadable: false,
+        purpose: "Address for callers, health, readiness and metrics",
+    },
+    Field {
+        path: "listen.rpc",
+        kind: FieldKind::ListenAddress,
+        default: Text("127.0.0.1:8081"),
+        reloadable: false,
+        purpose: "Address for the operator RPC",
+    },
+    Field {
+        path: "listen.peers",
+        kind: FieldKind::ListenAddress,
+        default: Text("127.0.0.1:7946"),
+        reloadable: false,
+        purpose: "Address for other nodes, TCP and UDP on one port; also told to them, so it must be one they reach",
+    },
+    Field {
+        path: "peers.seeds",
+        kind: FieldKind::Addresses,
+        default: Absent,
+        reloadable: false,
+        purpose: "Nodes to ask first; best several, in different zones",
+    },
+    Field {
+        path: "platform.object_api",
+        kind: FieldKind::Address,
+        default: Required,
+        reloadable: false,
+        purpose: "Address of the object API",
+    },
+    Field {
+        path: "platform.machine_list",
+        kind: FieldKind::Address,
+        default: Required,
+        reloadable: false,
+        purpose: "Address of the machine list",
+    },
+    Field {
+        path: "platform.call_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 60_000,
+        },
+        default: Integer(2_000),
+        reloadable: false,
+        purpose: "Longest wait for an answer of the platform",
+    },
+    Field {
+        path: "platform.watch_idle_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 1_000,
+            max: 3_600_000,
+        },
+        default: Integer(60_000),
+        reloadable: false,
+        purpose: "Longest silence of a watch before it is opened again",
+    },
+    Field {
+        path: "platform.machine_list_interval_ms",
+        kind: FieldKind::Integer {
+            min: 500,
+            max: 600_000,
+        },
+        default: Integer(2_000),
+        reloadable: false,
+        purpose: "Time between two reads of the machine list, on the few nodes that read it",
+    },
+    Field {
+        path: "limits.connections",
+        kind: FieldKind::Integer {
+            min: 1,
+            max: 1_000_000,
+        },
+        default: Integer(16_384),
+        reloadable: false,
+        purpose: "Most caller connections at once; further ones are closed unanswered",
+    },
+    Field {
+        path: "limits.active_requests",
+        kind: FieldKind::Integer {
+            min: 1,
+            max: 1_000_000,
+        },
+        default: Integer(8_192),
+        reloadable: false,
+        purpose: "Most requests at once; further ones are refused",
+    },
+    Field {
+        path: "limits.body_bytes",
+        kind: FieldKind::Integer {
+            min: 1_024,
+            max: 1_073_741_824,
+        },
+        default: Integer(8_388_608),
+        reloadable: false,
+        purpose: "Largest body of one request; a larger one is refused",
+    },
+    Field {
+        path: "limits.held_body_bytes",
+        kind: FieldKind::Integer {
+            min: 1_024,
+            max: 68_719_476_736,
+        },
+        default: Integer(268_435_456),
+        reloadable: false,
+        purpose: "Most bytes of all request bodies held at once",
+    },
+    Field {
+        path: "limits.event_bytes",
+        kind: FieldKind::Integer {
+            min: 1_024,
+            max: 67_108_864,
+        },
+        default: Integer(262_144),
+        reloadable: false,
+        purpose: "Largest server-sent event taken from a back end",
+    },
+    Field {
+        path: "limits.answer_buffer_bytes",
+        kind: FieldKind::Integer {
+            min: 0,
+            max: 1_073_741_824,
+        },
+        default: Integer(1_048_576),
+        reloadable: false,
+        purpose: "Answers up to this size are held until whole, so that a broken one can be tried again",
+    },
+    Field {
+        path: "limits.connection_buffer_bytes",
+        kind: FieldKind::Integer {
+            min: 8_192,
+            max: 16_777_216,
+        },
+        default: Integer(65_536),
+        reloadable: false,
+        purpose: "Buffer of a connection in each direction; also bounds the header section",
+    },
+    Field {
+        path: "limits.header_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(60_000),
+        reloadable: false,
+        purpose: "Longest wait for a header section, and for the next request on a connection",
+    },
+    Field {
+        path: "limits.body_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(30_000),
+        reloadable: false,
+        purpose: "Longest wait for the whole body of a request",
+    },
+    Field {
+        path: "limits.caller_stall_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(30_000),
+        reloadable: false,
+        purpose: "Longest time a caller may leave written bytes untaken",
+    },
+    Field {
+        path: "limits.connect_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 10,
+            max: 60_000,
+        },
+        default: Integer(1_000),
+        reloadable: false,
+        purpose: "Longest wait for a connection to a back end",
+    },
+    Field {
+        path: "limits.answer_head_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(300_000),
+        reloadable: false,
+        purpose: "Longest wait for the head of a back end's answer",
+    },
+    Field {
+        path: "limits.engine_idle_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(30_000),
+        reloadable: false,
+        purpose: "Longest silence within a back end's answer",
+    },
+    Field {
+        path: "limits.idle_connection_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        default: Integer(30_000),
+        reloadable: false,
+        purpose: "Longest time an unused connection to a back end is kept",
+    },
+    Field {
+        path: "limits.idle_connections_per_back_end",
+        kind: FieldKind::Integer {
+            min: 0,
+            max: 65_536,
+        },
+        default: Integer(64),
+        reloadable: false,
+        purpose: "Most unused connections that one traffic thread keeps to one back end",
+    },
+    Field {
+        path: "limits.stop_connections_timeout_ms",
+        kind: FieldKind::Integer {
+            min: 0,
+            max: 600_000,
+        },
+        default: Integer(5_000),
+        reloadable: false,
+        purpose: "Longest wait for caller connections to end after the last request of a planned stop",
+    },
+    Field {
+        path: "limits.stop_retry_after_ms",
+        kind: FieldKind::Integer {
+            min: 0,
+            max: 600_000,
+        },
+        default: Integer(1_000),
+        reloadable: false,
+        purpose: "When callers refused because of a planned stop are told to come back",
+    },
+    Field {
+        path: "limits.explained_requests",
+        kind: FieldKind::Integer {
+            min: 0,
+            max: 1_000_000,
+        },
+        default: Integer(1_024),
+        reloadable: false,
+        purpose: "Ended requests kept for `ryectl explain`",
+    },
+    Field {
+        path: "threads.traffic",
+        kind: FieldKind::Integer { min: 1, max: 256 },
+        default: Integer(2),
+        reloadable: false,
+        purpose: "Traffic threads; one more carries control state",
+    },
+    Field {
+        path: "tls.callers.certificate_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Certificate chain (PEM) shown to callers; without it callers speak plain HTTP",
+    },
+    Field {
+        path: "tls.callers.key_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Private key (PEM) of that certificate",
+    },
+    Field {
+        path: "tls.peers.certificate_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Certificate chain (PEM) shown to other nodes",
+    },
+    Field {
+        path: "tls.peers.key_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Private key (PEM) of that certificate",
+    },
+    Field {
+        path: "tls.peers.authority_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Authority certificates (PEM) that other nodes must be signed by",
+    },
+    Field {
+        path: "tls.rpc.certificate_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Certificate chain (PEM) shown to operators",
+    },
+    Field {
+        path: "tls.rpc.key_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Private key (PEM) of that certificate",
+    },
+    Field {
+        path: "tls.rpc.authority_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "Authority certificates (PEM) that operators must be signed by; without it any operator that connects is served",
+    },
+    Field {
+        path: "log.level",
+        kind: FieldKind::Choice(LogLevel::WORDS),
+        default: Text("info"),
+        reloadable: true,
+        purpose: "Least severe log lines that are written",
+    },
+];
