--- a/crates/testbed/src/simulation/cluster.rs
+++ b/crates/testbed/src/simulation/cluster.rs
@@ -28,6 +28,8 @@
     pub(super) settings: ClusterSettings,
     pub(super) layout: ClusterLayout,
     pub(super) now_us: u64,
+    /// Events from this time on wait for the next step.
+    pub(super) pause_at_us: u64,
     pub(super) random: ChaCha8Rng,
     pub(super) network: Network,
     pub(super) platform: Platform,
@@ -66,6 +68,7 @@
         Self {
             layout,
             now_us: 0,
+            pause_at_us: u64::MAX,
             random,
             network,
             platform: Platform::default(),
@@ -286,7 +289,7 @@
 
 impl SimState<u64> for Cluster {
     fn is_complete(&self, current_time: &u64) -> bool {
-        *current_time >= self.run_ends_us()
+        *current_time >= self.run_ends_us().min(self.pause_at_us)
     }
 }
 
--- a/crates/testbed/src/simulation/cluster_settings.rs
+++ b/crates/testbed/src/simulation/cluster_settings.rs
@@ -33,8 +33,8 @@
     fn default() -> Self {
         Self {
             seed: 1,
-            nodes: 6,
-            zones: 6,
+            nodes: 9,
+            zones: 3,
             engines: 6,
             services: 3,
             tenants: 8,
