Add the engine stand-in: the engine model behind the engine protocol

Streams, resume, continuation, cancel, preconditions, KV import and export, late and gappy cache events, lagging load, fenced orders, weight loads and crashes with a new incarnation, on a hyper server. Output is a function of model, weights version, prompt and chunk index, so every answer can be checked.

--- a/crates/testbed/src/standins/http/reply.rs
+++ b/crates/testbed/src/standins/http/reply.rs
@@ -1,6 +1,6 @@
 //! Answers.
 
-use std::convert::Infallible;
+use std::io;
 
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 /// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// An answer.
 pub type Reply = Response<Body>;
@@ -38,15 +38,21 @@
     with_type(status, "application/json", body.into())
 }
 
-/// A body that is sent piece by piece.
-pub fn body_from_stream(pieces: impl Stream<Item = Bytes> + Send + 'static) -> Body {
-    StreamBody::new(pieces.map(|piece| Ok(Frame::data(piece)))).boxed_unsync()
+/// A body that is sent piece by piece; an error cuts the connection.
+pub fn body_from_stream(
+    pieces: impl Stream<Item = Result<Bytes, io::Error>> + Send + 'static,
+) -> Body {
+    StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
 }
 
 fn with_type(status: StatusCode, content_type: &'static str, body: Bytes) -> Reply {
     Response::builder()
         .status(status)
         .header(CONTENT_TYPE, content_type)
-        .body(Full::new(body).boxed_unsync())
+        .body(
+            Full::new(body)
+                .map_err(|never| match never {})
+                .boxed_unsync(),
+        )
         .expect("status and content type are valid")
 }
--- a/crates/testbed/src/standins/kept_cache/handler.rs
+++ b/crates/testbed/src/standins/kept_cache/handler.rs
@@ -1,8 +1,8 @@
-//! Answers the calls of the KV store: `GET` and `PUT` of `/kv/{hash}`.
+//! Answers the calls of the KV store: `GET` and `PUT` of `/kv/{hash}`. The engine's model charges
+//! the time of a transfer, so the store answers at once.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -14,8 +14,6 @@
 
 /// Prefixes kept; the oldest leaves first.
 const CAPACITY: usize = 100_000;
-/// Time to move the KV cache of one token.
-const TRANSFER_PER_TOKEN: Duration = Duration::from_nanos(2_000);
 
 /// Answers the calls of the KV store.
 #[derive(Debug, Default)]
@@ -61,12 +59,11 @@
         self.down.store(down, Ordering::Relaxed);
     }
 
-    async fn read(&self, hash: &str) -> Reply {
+    fn read(&self, hash: &str) -> Reply {
         let Some(prefix) = self.kept.lock().prefixes.get(hash).cloned() else {
             return empty(StatusCode::NOT_FOUND);
         };
         self.reads.fetch_add(1, Ordering::Relaxed);
-        tokio::time::sleep(TRANSFER_PER_TOKEN * prefix.tokens).await;
         json_reply(StatusCode::OK, &prefix)
     }
 
@@ -75,7 +72,6 @@
         let Ok(prefix) = serde_json::from_slice::<KeptPrefix>(&body) else {
             return Some(empty(StatusCode::BAD_REQUEST));
         };
-        tokio::time::sleep(TRANSFER_PER_TOKEN * prefix.tokens).await;
         self.kept.lock().insert(hash, prefix);
         Some(empty(StatusCode::OK))
     }
@@ -91,7 +87,7 @@
             return Some(empty(StatusCode::NOT_FOUND));
         };
         match *request.method() {
-            Method::GET => Some(self.read(hash).await),
+            Method::GET => Some(self.read(hash)),
             Method::PUT => self.write(hash, request.into_body()).await,
             _ => Some(empty(StatusCode::METHOD_NOT_ALLOWED)),
         }
--- a/crates/testbed/src/standins/mod.rs
+++ b/crates/testbed/src/standins/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod kept_cache;
 pub mod machines;
+pub mod model_engine;
 pub mod objects;
 pub mod service;
 pub mod weights;
--- a/crates/testbed/src/standins/objects/handler.rs
+++ b/crates/testbed/src/standins/objects/handler.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
+use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{IF_MATCH, IF_NONE_MATCH};
@@ -156,7 +157,7 @@
         let Ok(from) = from.parse::<u64>() else {
             return text(StatusCode::BAD_REQUEST, "from: not a revision\n");
         };
-        if self.store().changes_after(from, &prefix).is_none() {
+        if self.store().changes_from(from, &prefix).is_none() {
             return empty(StatusCode::GONE);
         }
         let Some(permit) = self.permit() else {
@@ -165,7 +166,7 @@
         let handler = Arc::new(Self {
             shared: Arc::clone(&self.shared),
         });
-        let body = body_from_stream(watch_stream(handler, permit, prefix, from));
+        let body = body_from_stream(watch_stream(handler, permit, prefix, from).map(Ok));
         Reply::new(body)
     }
 
--- a/crates/testbed/src/standins/objects/object_store.rs
+++ b/crates/testbed/src/standins/objects/object_store.rs
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct ObjectStore {
     revision: u64,
-    /// Watches from an earlier revision than this cannot be served.
+    /// Newest revision whose change is forgotten; 0 while none is.
     compacted: u64,
     objects: BTreeMap<String, Object>,
     history: VecDeque<Change>,
@@ -89,14 +89,15 @@
         Ok(true)
     }
 
-    /// Changes after `revision` of keys that start with `prefix`, or `None` when they are compacted.
-    pub fn changes_after(&self, revision: u64, prefix: &str) -> Option<Vec<Change>> {
-        if revision < self.compacted {
+    /// Changes at `revision` or later of keys that start with `prefix`, or `None` when some of them
+    /// are compacted.
+    pub fn changes_from(&self, revision: u64, prefix: &str) -> Option<Vec<Change>> {
+        if self.compacted > 0 && revision <= self.compacted {
             return None;
         }
         let first = self
             .history
-            .partition_point(|change| change.revision <= revision);
+            .partition_point(|change| change.revision < revision);
         let changes = self.history.range(first..);
         Some(
             changes
--- a/crates/testbed/src/standins/objects/watch_stream.rs
+++ b/crates/testbed/src/standins/objects/watch_stream.rs
@@ -13,24 +13,24 @@
 struct WatchCursor {
     handler: Arc<ObjectApiHandler>,
     prefix: String,
-    revision: u64,
+    next_revision: u64,
     pending: VecDeque<Change>,
     // Held so that the watch counts against the limit until its body is dropped.
     _permit: WatchPermit,
 }
 
-/// Changes after `revision` as JSON lines. It ends when the API goes down or the changes are
+/// Changes at revision `from` or later as JSON lines. It ends when the API goes down or the changes are
 /// compacted, and the watcher must list again.
 pub fn watch_stream(
     handler: Arc<ObjectApiHandler>,
     permit: WatchPermit,
     prefix: String,
-    revision: u64,
+    from: u64,
 ) -> impl Stream<Item = Bytes> + Send {
     let cursor = WatchCursor {
         handler,
         prefix,
-        revision,
+        next_revision: from,
         pending: VecDeque::new(),
         _permit: permit,
     };
@@ -61,10 +61,10 @@
         return Some(());
     }
     let store = cursor.handler.store();
-    let changes = store.changes_after(cursor.revision, &cursor.prefix)?;
+    let changes = store.changes_from(cursor.next_revision, &cursor.prefix)?;
     let revision = store.revision();
     drop(store);
-    cursor.revision = revision;
+    cursor.next_revision = revision + 1;
     cursor.pending = changes.into();
     Some(())
 }
--- a/crates/testbed/tests/object_api.rs
+++ b/crates/testbed/tests/object_api.rs
@@ -101,7 +101,7 @@
         max_watches: Some(0),
         ..ObjectApiFaults::default()
     });
-    let refused = send(api.address(), "GET", "/watch?prefix=&from=2", &[], "")
+    let refused = send(api.address(), "GET", "/watch?prefix=&from=3", &[], "")
         .await
         .unwrap();
     assert_eq!(refused.status.as_u16(), 429);
