Add scenario files and the seeded load they describe

Experiments, the demo and the comparison need the two deployments with their places, sizes, load and faults in one documented form. Scenario is a TOML file whose faults are all told at once; Workload draws every arrival before a run, as real text and as the chain the router cuts from it, so that compared policies meet the same requests.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod engine_model;
 pub mod faults;
 pub mod oracle;
+pub mod scenario;
 pub mod simulation;
 pub mod standins;
+pub mod workload;
