Bound attempts by their claim's grant and tell control what answers say

A granted claim carries the time before which the attempt must be written; the engine link checks it right before writing, on a fresh connection, so that a process that was paused in between does not run a request whose claim may have lapsed. The claim gate learns of the end of requests that keep their claim. Observations of back ends go to the control thread when they change.

--- a/crates/node/src/caller/intake.rs
+++ b/crates/node/src/caller/intake.rs
@@ -63,6 +63,7 @@
         priority: options.priority,
         prefix_chain: chain_header(&parsed.prefix),
         needs_fresh_connection: options.runs_at_most_once(),
+        dispatch_before: None,
     };
     let profile = RequestProfile {
         request: request.clone(),
@@ -98,7 +99,7 @@
 /// Serves a checked request: claims its key where needed, submits it and answers it.
 pub(crate) async fn answer_intake(
     worker: &Arc<Worker>,
-    intake: Intake,
+    mut intake: Intake,
     active: ActiveRequest,
 ) -> Response<AnswerBody> {
     let context = &worker.context;
@@ -112,6 +113,7 @@
             return refusal_answer(&refusal);
         }
     };
+    intake.payload.dispatch_before = claim.as_ref().map(ClaimHold::dispatch_before);
     let payload = Arc::new(intake.payload);
     let session = RequestSession::submit(context.clone(), intake.profile, claim, active);
     let exchange = RequestExchange::new(worker.clone(), session, payload);
@@ -133,18 +135,20 @@
         deadline: intake.profile.deadline,
     };
     let claims = &worker.context.claims;
-    let retry_after = Some(worker.context.settings.stop_retry_after);
     match claims.claim(request.clone()).await {
-        ClaimDecision::Granted => Ok(Some(ClaimHold::new(claims.clone(), request))),
+        ClaimDecision::Granted { dispatch_before } => {
+            let hold = ClaimHold::new(claims.clone(), request, dispatch_before);
+            Ok(Some(hold))
+        }
         ClaimDecision::AlreadyClaimed => Err(Refusal {
             reason: RefusalReason::AlreadyClaimed,
             run_state: RunState::Unknown,
             retry_after: None,
         }),
-        ClaimDecision::Unavailable => Err(Refusal {
+        ClaimDecision::Unavailable { retry_after } => Err(Refusal {
             reason: RefusalReason::ClaimUnavailable,
             run_state: RunState::NotRun,
-            retry_after,
+            retry_after: Some(retry_after),
         }),
     }
 }
--- a/crates/node/src/engine/attempt_failure.rs
+++ b/crates/node/src/engine/attempt_failure.rs
@@ -20,9 +20,10 @@
     /// in an answer that names the attempt.
     pub(crate) fn outcome(&self) -> AttemptOutcome {
         match &self.error {
-            LinkError::Connect { .. } | LinkError::ConnectTimeout | LinkError::NotWritten => {
-                AttemptOutcome::NotRun(NotRunReason::ConnectFailed)
-            }
+            LinkError::Connect { .. }
+            | LinkError::ConnectTimeout
+            | LinkError::NotWritten
+            | LinkError::ClaimLapsed => AttemptOutcome::NotRun(NotRunReason::ConnectFailed),
             LinkError::Unwritable { .. } => AttemptOutcome::NotRun(NotRunReason::Rejected),
             // The attempt ran nothing; it was not even sent.
             LinkError::NotResumable => AttemptOutcome::NotRun(NotRunReason::IncarnationMismatch),
--- a/crates/node/src/engine/engine_link.rs
+++ b/crates/node/src/engine/engine_link.rs
@@ -72,7 +72,7 @@
         }
         let request = attempt_request(payload, assignment, target, delivered_text)
             .map_err(|source| LinkError::Unwritable { source })?;
-        let sent = self.send(target.address, request, payload.needs_fresh_connection);
+        let sent = self.send_attempt(payload, target, request);
         let limit = self.context.settings.answer_head_timeout;
         let sent = timeout(limit, sent).await;
         let (answer, connection) = sent.map_err(|_| LinkError::AnswerTimeout)??;
@@ -98,13 +98,32 @@
 
     async fn send_cancel(&self, target: EngineTarget) -> Result<(), LinkError> {
         let request = cancel_request(target).map_err(|source| LinkError::Unwritable { source })?;
-        let (answer, connection) = self.send(target.address, request, false).await?;
+        let (answer, connection) = self.send(target.address, request).await?;
         let body = EngineBody::new(answer.into_body(), connection, self.pool.clone());
         let mut body = body;
         while let Some(Ok(_)) = std::future::poll_fn(|context| body.poll_data(context)).await {}
         Ok(())
     }
 
+    async fn send_attempt(
+        &self,
+        payload: &RequestPayload,
+        target: EngineTarget,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, EngineConnection), LinkError> {
+        if !payload.needs_fresh_connection {
+            return self.send(target.address, request).await;
+        }
+        let connection = self.connect(target.address).await?;
+        // Right before the request is written: the process may have been paused until now.
+        if let Some(limit) = payload.dispatch_before
+            && self.context.dispatch.now() >= limit
+        {
+            return Err(LinkError::ClaimLapsed);
+        }
+        send_on(connection, request).await
+    }
+
     /// Sends a request over an unused connection or a fresh one.
     ///
     /// An unused connection may just have been closed by its peer; as long as not one byte of the
@@ -113,21 +132,16 @@
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        needs_fresh_connection: bool,
     ) -> Result<(Response<Incoming>, EngineConnection), LinkError> {
-        if !needs_fresh_connection && let Some(mut connection) = self.pool.take(address) {
+        if let Some(mut connection) = self.pool.take(address) {
             match connection.send(request.clone()).await {
                 Ok(answer) => return Ok((answer, connection)),
                 Err(SendFailure::Lost(source)) => return Err(LinkError::Lost { source }),
                 Err(SendFailure::NotWritten) => {}
             }
         }
-        let mut connection = self.connect(address).await?;
-        match connection.send(request).await {
-            Ok(answer) => Ok((answer, connection)),
-            Err(SendFailure::Lost(source)) => Err(LinkError::Lost { source }),
-            Err(SendFailure::NotWritten) => Err(LinkError::NotWritten),
-        }
+        let connection = self.connect(address).await?;
+        send_on(connection, request).await
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<EngineConnection, LinkError> {
@@ -174,6 +188,17 @@
     }
 }
 
+async fn send_on(
+    mut connection: EngineConnection,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, EngineConnection), LinkError> {
+    match connection.send(request).await {
+        Ok(answer) => Ok((answer, connection)),
+        Err(SendFailure::Lost(source)) => Err(LinkError::Lost { source }),
+        Err(SendFailure::NotWritten) => Err(LinkError::NotWritten),
+    }
+}
+
 /// Checks that a model engine's answer is a result from the weights that were asked for.
 fn check_completion(
     kind: PayloadKind,
--- a/crates/node/src/engine/link_error.rs
+++ b/crates/node/src/engine/link_error.rs
@@ -52,6 +52,9 @@
         /// What the answer says.
         found: WeightsVersion,
     },
+    /// The claim may have lapsed before the request was written.
+    #[display("the claim on the idempotency key has lapsed")]
+    ClaimLapsed,
     /// A whole answer cannot be resumed by index.
     #[display("a whole answer cannot be resumed")]
     NotResumable,
--- a/crates/node/src/engine/request_payload.rs
+++ b/crates/node/src/engine/request_payload.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method};
+use ryerouter_core::Timestamp;
 use ryerouter_core::dispatch::Priority;
 use ryerouter_core::identity::{RequestId, TenantName};
 
@@ -25,6 +26,8 @@
     /// It must run at most once, so it never shares a connection with an earlier request: one that
     /// the back end is just closing would leave its outcome unknown.
     pub(crate) needs_fresh_connection: bool,
+    /// No attempt may start at or after this time, because its claim may lapse then.
+    pub(crate) dispatch_before: Option<Timestamp>,
 }
 
 /// What kind of answer a request wants.
--- a/crates/node/src/service/service_intake.rs
+++ b/crates/node/src/service/service_intake.rs
@@ -37,6 +37,7 @@
         priority: options.priority,
         prefix_chain: None,
         needs_fresh_connection: options.runs_at_most_once(),
+        dispatch_before: None,
     };
     let profile = RequestProfile {
         request: request.clone(),
--- a/crates/node/src/traffic/claim_gate.rs
+++ b/crates/node/src/traffic/claim_gate.rs
@@ -14,4 +14,7 @@
 
     /// Gives the key back. Called only when the request certainly did not run and never will.
     fn release(&self, request: ClaimRequest);
+
+    /// The request is over and ran or may have run; its key stays claimed.
+    fn ended(&self, request: ClaimRequest);
 }
--- a/crates/node/src/traffic/request_session.rs
+++ b/crates/node/src/traffic/request_session.rs
@@ -118,6 +118,7 @@
     }
 
     pub(crate) fn answer_started(&mut self, attempt: AttemptId, observation: EngineObservation) {
+        self.observe(attempt, &observation);
         let event = DispatchEvent::AnswerStarted {
             attempt,
             observation,
@@ -154,6 +155,9 @@
         let metrics = &self.context.metrics;
         metrics.attempt_ended(outcome);
         metrics.prompt_tokens(&self.pool, prompt_tokens, cached_tokens);
+        if let Some(observation) = &observation {
+            self.observe(attempt, observation);
+        }
         if let Some(detail) = &detail {
             info!(self.logger, "attempt_failed"; "attempt" => format!("{:x}", attempt.0),
                 "outcome" => format!("{outcome:?}"), "cause" => detail);
@@ -176,6 +180,13 @@
         self.context.dispatch.handle(event);
     }
 
+    fn observe(&self, attempt: AttemptId, observation: &EngineObservation) {
+        let trace = self.attempts.iter().rev().find(|t| t.attempt == attempt);
+        if let Some(trace) = trace {
+            self.context.observations.note(&trace.back_end, observation);
+        }
+    }
+
     /// Ends the request for the dispatcher although it wants to go on.
     pub(crate) fn abandon(&mut self) {
         let event = DispatchEvent::CallerLeft {
@@ -201,6 +212,8 @@
         };
         if not_run {
             claim.release();
+        } else {
+            claim.keep();
         }
     }
 
--- a/crates/node/src/traffic/running_node.rs
+++ b/crates/node/src/traffic/running_node.rs
@@ -19,8 +19,8 @@
 
 use super::worker::{Acceptor, SnapshotFeed, Ticker};
 use super::{
-    ActivityGate, ClaimGate, DispatchHandle, NodeError, RequestTrace, RoutingView, TraceRing,
-    TrafficContext, TrafficSettings, Worker,
+    ActivityGate, ClaimGate, DispatchHandle, NodeError, ObservationSink, RequestTrace, RoutingView,
+    TraceRing, TrafficContext, TrafficSettings, Worker,
 };
 
 /// A running traffic side: its threads serve callers until it is stopped or dropped.
@@ -36,18 +36,20 @@
 impl RunningNode {
     /// Starts serving callers; returns once the listening address is bound.
     ///
-    /// `snapshots` is where the control thread publishes; until it publishes a configuration the
+    /// `snapshots` is where the control thread publishes, `observations` where it learns what answers
+    /// say of back ends; until it publishes a configuration the
     /// process is not ready and refuses all requests.
     pub fn start(
         settings: TrafficSettings,
         snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
         claims: Arc<dyn ClaimGate>,
+        observations: ObservationSink,
         logger: Logger,
     ) -> Result<Self, NodeError> {
         let listener = bind(settings.listen)?;
         let address = local_address(&listener, settings.listen)?;
         let thread_count = settings.threads.max(1);
-        let context = Arc::new(new_context(settings, claims, &logger));
+        let context = Arc::new(new_context(settings, claims, observations, &logger));
         publish(&context, &snapshots.borrow());
         let mut node = Self {
             address,
@@ -198,6 +200,7 @@
 fn new_context(
     settings: TrafficSettings,
     claims: Arc<dyn ClaimGate>,
+    observations: ObservationSink,
     logger: &Logger,
 ) -> TrafficContext {
     let dispatch = DispatchHandle::new(
@@ -212,6 +215,7 @@
         view: ArcSwap::default(),
         gate: Arc::new(ActivityGate::new(settings.max_active_requests)),
         claims,
+        observations,
         bodies: Arc::new(BodyBudget::new(settings.max_held_body_bytes)),
         metrics: TrafficMetrics::new(),
         traces: TraceRing::new(settings.trace_capacity),
@@ -227,4 +231,8 @@
     let event = DispatchEvent::SnapshotPublished(snapshot.clone());
     context.dispatch.handle(event);
     context.view.store(Arc::new(view));
+    let back_ends = &snapshot.catalog.back_ends;
+    context
+        .observations
+        .retain(|name| back_ends.contains_key(name));
 }
--- a/crates/node/src/traffic/traffic_context.rs
+++ b/crates/node/src/traffic/traffic_context.rs
@@ -8,7 +8,10 @@
 use crate::caller::BodyBudget;
 use crate::metrics::TrafficMetrics;
 
-use super::{ActivityGate, ClaimGate, DispatchHandle, RoutingView, TraceRing, TrafficSettings};
+use super::{
+    ActivityGate, ClaimGate, DispatchHandle, ObservationSink, RoutingView, TraceRing,
+    TrafficSettings,
+};
 
 /// What all traffic threads of one process share.
 pub(crate) struct TrafficContext {
@@ -18,6 +21,7 @@
     pub(crate) view: ArcSwap<RoutingView>,
     pub(crate) gate: Arc<ActivityGate>,
     pub(crate) claims: Arc<dyn ClaimGate>,
+    pub(crate) observations: ObservationSink,
     pub(crate) bodies: Arc<BodyBudget>,
     pub(crate) metrics: TrafficMetrics,
     pub(crate) traces: TraceRing,
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -39,8 +39,7 @@
         ScriptedBackEnd::start(4, |r| Script::stream(r, &stream_events(TEXTS, 0))).await;
     let mut settings = support::test_settings();
     settings.threads = 1;
-    let granted = ryerouter_node::traffic::ClaimDecision::Granted;
-    let cluster = Cluster::start_with(settings, granted, &[&engine], &[]);
+    let cluster = Cluster::start_with(settings, support::granted(), &[&engine], &[]);
     let mut caller = cluster.caller().await;
     for _ in 0..3 {
         assert!(caller.chat(&[], &Cluster::stream_body()).await.is_done());
--- a/crates/node/tests/support/claims.rs
+++ b/crates/node/tests/support/claims.rs
@@ -10,6 +10,7 @@
     decision: ClaimDecision,
     pub claimed: Mutex<Vec<ClaimRequest>>,
     pub released: Mutex<Vec<ClaimRequest>>,
+    pub ended: Mutex<Vec<ClaimRequest>>,
 }
 
 impl ScriptedClaims {
@@ -18,6 +19,7 @@
             decision,
             claimed: Mutex::default(),
             released: Mutex::default(),
+            ended: Mutex::default(),
         }
     }
 }
@@ -31,4 +33,8 @@
     fn release(&self, request: ClaimRequest) {
         self.released.lock().unwrap().push(request);
     }
+
+    fn ended(&self, request: ClaimRequest) {
+        self.ended.lock().unwrap().push(request);
+    }
 }
--- a/crates/node/tests/support/cluster.rs
+++ b/crates/node/tests/support/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::catalog::{
     ApiKeyHash, BackEnd, BackEndState, Catalog, Pool, PoolKind, Tenant, TenantLimits,
 };
@@ -11,7 +12,7 @@
     WeightsVersion, ZoneName,
 };
 use ryerouter_node::logging::discarding_logger;
-use ryerouter_node::traffic::{ClaimDecision, RunningNode, TrafficSettings};
+use ryerouter_node::traffic::{ClaimDecision, ObservationSink, RunningNode, TrafficSettings};
 use sha2::{Digest, Sha256};
 use tokio::sync::watch;
 
@@ -37,6 +38,13 @@
     pub const PATH: &'static str = "/services/alerts/send";
 }
 
+/// A grant that does not lapse while a test runs.
+pub fn granted() -> ClaimDecision {
+    ClaimDecision::Granted {
+        dispatch_before: Timestamp::from_micros(u64::MAX),
+    }
+}
+
 pub fn test_settings() -> TrafficSettings {
     TrafficSettings {
         seed: 1,
@@ -47,7 +55,7 @@
 impl Cluster {
     /// A node with the usual settings whose claims are granted.
     pub fn start(engines: &[&ScriptedBackEnd], services: &[&ScriptedBackEnd]) -> Self {
-        Self::start_with(test_settings(), ClaimDecision::Granted, engines, services)
+        Self::start_with(test_settings(), granted(), engines, services)
     }
 
     pub fn start_with(
@@ -59,7 +67,13 @@
         let claims = Arc::new(ScriptedClaims::new(claims));
         let snapshot = Arc::new(snapshot(engines, services));
         let (snapshots, receiver) = watch::channel(snapshot);
-        let node = RunningNode::start(settings, receiver, claims.clone(), discarding_logger());
+        let node = RunningNode::start(
+            settings,
+            receiver,
+            claims.clone(),
+            ObservationSink::discarding(),
+            discarding_logger(),
+        );
         Self {
             node: node.unwrap(),
             claims,
