Choose engines by estimated time to the first token, with windows and queue

The thin dispatcher looked at one hash only: a hot prefix overfilled its engine, a full engine was found out by refusals, and nothing waited in order.

A request is now placed by the least estimated cost (prompt tokens ahead in the engine, tokens its cache lacks, the price of recomputing them, distance) among the first engines in the nested rendezvous order and those this process has given part of the prompt. AIMD windows on what answers tell bound the own requests in each engine; what finds no room waits in a bounded queue, fair by tenant weight, interactive first, and is refused at once with a time to come back when its deadline certainly passes. Everything known of a cache names its epoch, which ends with the incarnation or the weights.

--- a/crates/core/src/dispatch/dispatch_event.rs
+++ b/crates/core/src/dispatch/dispatch_event.rs
@@ -9,7 +9,8 @@
 /// What happens to a dispatcher.
 #[derive(Debug, Clone)]
 pub enum DispatchEvent {
-    /// A request arrived.
+    /// A request arrived. Its id must differ from those of all requests that have not ended; one
+    /// that does not is refused.
     Submitted(Box<RequestProfile>),
     /// The head of an answer arrived.
     AnswerStarted {
--- /dev/null
+++ b/crates/core/src/dispatch/engine_chooser.rs
@@ -0,0 +1,366 @@
+//! Chooses an engine for a request.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::identity::{DataCentreName, ZoneName};
+use crate::placement::{CacheKnowledge, CandidateOrder, EngineKey, PlacementPoint, PoolMember};
+use crate::timestamp::Timestamp;
+
+use super::attempt_record::Expectation;
+use super::candidate::Candidate;
+use super::choice::{Blocked, Choice};
+use super::engine_record::EngineRecord;
+use super::engine_table::EngineTable;
+use super::kept_prefixes::KeptPrefixes;
+use super::known_holder::KnownHolder;
+use super::pool_state::PoolState;
+use super::request_record::RequestRecord;
+use super::{DispatchParameters, KvExport, KvImport, Priority};
+
+/// Most engines with a known part of a prompt that are considered.
+const MOST_HOLDERS: usize = 8;
+
+/// Chooses an engine for a request: the one with the least cost among the first in the
+/// deterministic order and those known to hold part of the prompt.
+///
+/// The cost is the estimated time to the first token, in prompt tokens to compute, plus a price for
+/// recomputation. Work grows with the considered engines, not with all engines, but for one
+/// rendezvous score for each engine of the data centre.
+pub(super) struct EngineChooser<'a> {
+    pub(super) parameters: &'a DispatchParameters,
+    pub(super) engines: &'a EngineTable,
+    pub(super) pool: &'a PoolState,
+    pub(super) knowledge: &'a CacheKnowledge,
+    pub(super) kept: &'a KeptPrefixes,
+    pub(super) kv_store: Option<SocketAddr>,
+    pub(super) data_centre: &'a DataCentreName,
+    pub(super) zone: &'a ZoneName,
+    pub(super) now: Timestamp,
+}
+
+impl EngineChooser<'_> {
+    /// Chooses an engine in the first of these data centres that has one with room.
+    pub(super) fn choose(
+        &self,
+        record: &RequestRecord,
+        priority: Priority,
+        data_centres: &[DataCentreName],
+    ) -> Result<Choice, Blocked> {
+        let mut blocked = Blocked::None;
+        for data_centre in data_centres {
+            match self.choose_in(data_centre, record, priority) {
+                Ok(choice) => return Ok(choice),
+                Err(why) => blocked = blocked.or(why),
+            }
+        }
+        Err(blocked)
+    }
+
+    fn choose_in(
+        &self,
+        data_centre: &DataCentreName,
+        record: &RequestRecord,
+        priority: Priority,
+    ) -> Result<Choice, Blocked> {
+        let members = self.pool.index.members(data_centre);
+        let limit = self.parameters.candidate_limit;
+        let order = CandidateOrder::new(members, &record.widths, placement_key(record), limit);
+        let holders = self.known_holders(record);
+        let is_first = |position: usize| order.positions().first() == Some(&position);
+        let mut seen = BTreeSet::new();
+        let mut candidates = Vec::new();
+        let holder_positions = holders
+            .iter()
+            .filter_map(|holder| self.pool.index.position(data_centre, holder.engine));
+        for position in holder_positions {
+            let member = &members[position];
+            if seen.insert(member.key) && self.is_usable(member, record) {
+                candidates.push(self.candidate(
+                    member,
+                    is_first(position),
+                    &holders,
+                    record,
+                    priority,
+                ));
+            }
+        }
+        let mut rest = order.positions().iter().copied();
+        let mut scored = 0;
+        for position in rest.by_ref() {
+            let member = &members[position];
+            if seen.insert(member.key) && self.is_usable(member, record) {
+                candidates.push(self.candidate(
+                    member,
+                    is_first(position),
+                    &holders,
+                    record,
+                    priority,
+                ));
+            }
+            scored += 1;
+            if scored >= self.parameters.scored_candidates && !candidates.is_empty() {
+                break;
+            }
+        }
+        if let Some(best) = self.best(&candidates, record) {
+            return Ok(self.choice(best, record));
+        }
+        for position in rest {
+            let member = &members[position];
+            if !seen.insert(member.key) || !self.is_usable(member, record) {
+                continue;
+            }
+            let candidate = self.candidate(member, is_first(position), &holders, record, priority);
+            if candidate.has_room {
+                return Ok(self.choice(&candidate, record));
+            }
+            candidates.push(candidate);
+        }
+        Err(self.blocked(members, &candidates, record))
+    }
+
+    /// The cheapest candidate with room; the fastest one where only that meets the deadline.
+    fn best<'b>(
+        &self,
+        candidates: &'b [Candidate<'b>],
+        record: &RequestRecord,
+    ) -> Option<&'b Candidate<'b>> {
+        let with_room = || candidates.iter().filter(|candidate| candidate.has_room);
+        let cheapest = with_room().min_by(|left, right| left.cost.total_cmp(&right.cost))?;
+        let is_late = |candidate: &Candidate| {
+            let first_token_at = self.now.after(candidate.first_token_in);
+            record
+                .profile
+                .deadline
+                .is_some_and(|deadline| first_token_at > deadline)
+        };
+        if is_late(cheapest) {
+            return with_room().min_by_key(|candidate| candidate.first_token_in);
+        }
+        Some(cheapest)
+    }
+
+    fn blocked(
+        &self,
+        members: &[PoolMember],
+        candidates: &[Candidate<'_>],
+        record: &RequestRecord,
+    ) -> Blocked {
+        let fastest = candidates
+            .iter()
+            .map(|candidate| candidate.first_token_in)
+            .min();
+        if let Some(first_token_in) = fastest {
+            return Blocked::NoRoom { first_token_in };
+        }
+        members
+            .iter()
+            .filter(|member| !record.failed.contains(&member.key))
+            .filter_map(|member| self.available_at(member, record))
+            .min()
+            .map_or(Blocked::None, |until| Blocked::Unavailable { until })
+    }
+
+    /// When an engine that does not serve now may be asked again.
+    fn available_at(&self, member: &PoolMember, record: &RequestRecord) -> Option<Timestamp> {
+        let engine = self.engines.get(member.key)?;
+        if let Some(until) = engine.health.ejected_until() {
+            return Some(until.max(self.now));
+        }
+        let has_other_weights =
+            !engine.is_draining(self.now) && !engine.accepts(record.weights_version, self.now);
+        (has_other_weights || !engine.health.is_serving()).then_some(self.now)
+    }
+
+    fn is_usable(&self, member: &PoolMember, record: &RequestRecord) -> bool {
+        if record.failed.contains(&member.key) {
+            return false;
+        }
+        let Some(engine) = self.engines.get(member.key) else {
+            return false;
+        };
+        if !engine.accepts(record.weights_version, self.now) {
+            return false;
+        }
+        if !self.parameters.mechanisms.ejection || engine.health.is_serving() {
+            return true;
+        }
+        // A probe may end as unknown, which only a repeatable request can afford.
+        record.is_repeatable() && engine.health.is_due_for_probe(self.now)
+    }
+
+    fn candidate<'b>(
+        &self,
+        member: &'b PoolMember,
+        is_first: bool,
+        holders: &[KnownHolder],
+        record: &RequestRecord,
+        priority: Priority,
+    ) -> Candidate<'b> {
+        let engine = &self
+            .engines
+            .get(member.key)
+            .expect("usable engines are known");
+        let known = holders.iter().find(|holder| holder.engine == member.key);
+        let shared = record.points.deepest_shared();
+        let known_cached = known.map_or(0, |holder| holder.tokens);
+        let unknown_shared = shared
+            .map(|shared| shared.end_tokens)
+            .filter(|tokens| is_first && *tokens > known_cached);
+        let prior = unknown_shared.map_or(0.0, |tokens| f64::from(tokens) * self.prior());
+        let expected_cached = f64::from(known_cached).max(prior);
+        let prompt = f64::from(record.profile.prompt_tokens);
+        let import = self.import_beyond(expected_cached, record);
+        let (missed, import_cost) = match import {
+            Some(point) => (
+                prompt - f64::from(point.end_tokens),
+                self.import_cost(f64::from(point.end_tokens) - expected_cached),
+            ),
+            None => (prompt - expected_cached, 0.0),
+        };
+        let missed = missed.max(1.0);
+        let tokens_ahead = engine.tokens_ahead(priority, self.pool.mean_missed.value(), self.now);
+        let distance = self.distance(member);
+        let until_first_token = tokens_ahead + missed + import_cost;
+        let crowding = engine.running(self.now) * self.parameters.tokens_per_running_request;
+        let price = missed * self.parameters.recompute_price(priority);
+        Candidate {
+            member,
+            is_probe: !engine.health.is_serving(),
+            has_room: self.has_room(engine, record, priority),
+            cost: until_first_token + self.pool.tokens_in(distance) + crowding + price,
+            first_token_in: self.pool.prefill_time(until_first_token) + distance,
+            import: import.map(|point| (point.hash, point.end_tokens)),
+            expectation: Expectation {
+                known_cached,
+                known_age: known.map(|holder| (holder.age, holder.epoch)),
+                unknown_shared,
+                missed: missed as u32,
+                tokens_ahead,
+                imported: import.map(|point| (point.hash, point.end_tokens)),
+                exported: None,
+            },
+        }
+    }
+
+    fn has_room(&self, engine: &EngineRecord, record: &RequestRecord, priority: Priority) -> bool {
+        // The caller of a broken stream has part of the answer already and must not wait in line.
+        record.delivered_chunks > 0
+            || !self.parameters.mechanisms.engine_windows
+            || engine.window.admits(priority, engine.in_flight)
+    }
+
+    /// Share of an unknown prefix expected in the first engine in order.
+    fn prior(&self) -> f64 {
+        if self.parameters.mechanisms.cache_prior {
+            self.pool.found_unknown.value()
+        } else {
+            0.0
+        }
+    }
+
+    fn distance(&self, member: &PoolMember) -> Duration {
+        if member.back_end.data_centre != *self.data_centre {
+            self.parameters.data_centre_distance
+        } else if member.back_end.zone != *self.zone {
+            self.parameters.zone_distance
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// The kept prefix whose import is faster than computing what the cache lacks of it.
+    fn import_beyond(&self, cached: f64, record: &RequestRecord) -> Option<PlacementPoint> {
+        self.kv_store?;
+        let point = self.kept.longest(record.points.all(), self.now)?;
+        let gained = f64::from(point.end_tokens) - cached;
+        let pays = gained >= f64::from(self.parameters.kv_minimum_tokens)
+            && self.import_cost(gained) < gained;
+        pays.then_some(point)
+    }
+
+    /// Prompt tokens that could be computed while so many are imported.
+    fn import_cost(&self, tokens: f64) -> f64 {
+        let transfer = tokens / self.parameters.kv_import_tokens_per_second;
+        let transfer = Duration::from_secs_f64(transfer.max(0.0));
+        self.pool
+            .tokens_in(self.parameters.kv_import_latency + transfer)
+    }
+
+    /// Engines expected to hold part of the prompt, each with the longest part.
+    fn known_holders(&self, record: &RequestRecord) -> Vec<KnownHolder> {
+        let mut holders: Vec<KnownHolder> = Vec::new();
+        if !self.parameters.mechanisms.cache_knowledge {
+            return holders;
+        }
+        for point in record.points.all().iter().rev() {
+            let epoch_of = |key: EngineKey| self.engines.epoch_of(key);
+            for holder in self.knowledge.holders(point.hash, epoch_of) {
+                let age = self.now.since(holder.used_at);
+                let is_kept = self
+                    .engines
+                    .get(holder.engine)
+                    .is_some_and(|engine| engine.retention.covers(age));
+                let is_new = holders.iter().all(|known| known.engine != holder.engine);
+                if is_kept && is_new {
+                    holders.push(KnownHolder {
+                        engine: holder.engine,
+                        tokens: point.end_tokens,
+                        age,
+                        epoch: holder.epoch,
+                    });
+                }
+            }
+            if holders.len() >= MOST_HOLDERS {
+                break;
+            }
+        }
+        holders
+    }
+
+    fn choice(&self, candidate: &Candidate<'_>, record: &RequestRecord) -> Choice {
+        let kv_export = self.export_after(record);
+        let kv_import = candidate.import.zip(self.kv_store);
+        Choice {
+            engine: candidate.member.key,
+            back_end: candidate.member.back_end.clone(),
+            is_probe: candidate.is_probe,
+            first_token_in: candidate.first_token_in,
+            kv_import: kv_import.map(|((prefix, tokens), store)| KvImport {
+                store,
+                prefix,
+                tokens,
+            }),
+            kv_export,
+            expectation: Expectation {
+                exported: kv_export.map(|export| export.prefix),
+                ..candidate.expectation
+            },
+        }
+    }
+
+    /// A prefix that was asked for before is worth keeping, once.
+    fn export_after(&self, record: &RequestRecord) -> Option<KvExport> {
+        let store = self.kv_store?;
+        let shared = record.points.shared().last()?;
+        let is_worth = record.is_recurring
+            && shared.end_tokens >= self.parameters.kv_minimum_tokens
+            && !self.kept.is_kept(shared.hash, self.now);
+        is_worth.then_some(KvExport {
+            store,
+            prefix: shared.hash,
+            tokens: shared.end_tokens,
+        })
+    }
+}
+
+/// The key that orders engines for a request: its longest shared prefix, or the request itself when
+/// it has no prompt.
+fn placement_key(record: &RequestRecord) -> u64 {
+    record.points.deepest_shared().map_or_else(
+        || xxhash_rust::xxh3::xxh3_64(record.profile.request.as_str().as_bytes()),
+        |point| point.hash.0,
+    )
+}
--- /dev/null
+++ b/crates/core/src/dispatch/engine_record.rs
@@ -0,0 +1,201 @@
+//! What the dispatcher knows of one back end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::admission::EngineWindow;
+use crate::identity::{Incarnation, WeightsVersion};
+use crate::placement::{CacheEpoch, Retention};
+use crate::retry::EngineHealth;
+use crate::timestamp::Timestamp;
+
+use super::observed_load::ObservedLoad;
+use super::{EngineObservation, Priority};
+
+/// Load reports lag: for so long after an answer they are not believed against it.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+/// For so long after an engine said it drains it gets no new work, unless it says otherwise.
+const DRAINING_HOLD: Duration = Duration::from_secs(5);
+/// An engine with other weights is asked at most so often whether it has the right ones now.
+const WEIGHTS_PROBE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What the dispatcher knows of one back end.
+#[derive(Debug)]
+pub(super) struct EngineRecord {
+    pub(super) address: SocketAddr,
+    incarnation: Option<Incarnation>,
+    weights_version: Option<WeightsVersion>,
+    epoch: CacheEpoch,
+    load: Option<ObservedLoad>,
+    draining_at: Option<Timestamp>,
+    weights_probed_at: Option<Timestamp>,
+    pub(super) in_flight: u32,
+    /// Prompt tokens of own requests without a first token yet: interactive, batch.
+    pending: [u64; 2],
+    pub(super) window: EngineWindow,
+    pub(super) health: EngineHealth,
+    pub(super) retention: Retention,
+}
+
+impl EngineRecord {
+    pub(super) fn new(address: SocketAddr, retention: Retention) -> Self {
+        Self {
+            address,
+            incarnation: None,
+            weights_version: None,
+            epoch: CacheEpoch::default(),
+            load: None,
+            draining_at: None,
+            weights_probed_at: None,
+            in_flight: 0,
+            pending: [0; 2],
+            window: EngineWindow::default(),
+            health: EngineHealth::default(),
+            retention,
+        }
+    }
+
+    /// The process last heard of.
+    pub(super) fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
+    }
+
+    /// The current life of its cache.
+    pub(super) fn epoch(&self) -> CacheEpoch {
+        self.epoch
+    }
+
+    /// Takes what an answer told.
+    pub(super) fn observe_answer(&mut self, observation: &EngineObservation, now: Timestamp) {
+        self.observe(observation, true, now);
+    }
+
+    /// Takes what a lagging report told, unless an answer told more since.
+    pub(super) fn observe_report(&mut self, observation: &EngineObservation, now: Timestamp) {
+        let answered = |load: ObservedLoad| load.in_band && now.since(load.at) < REPORT_LAG;
+        if self.load.is_some_and(answered) && self.incarnation >= Some(observation.incarnation) {
+            return;
+        }
+        self.observe(observation, false, now);
+    }
+
+    /// Share of its requests that are this process's own, as last told.
+    pub(super) fn own_share(&self) -> Option<f64> {
+        self.load.and_then(|load| load.own_share())
+    }
+
+    /// Whether it may get new work for these weights, as far as it told.
+    pub(super) fn accepts(&self, weights: Option<WeightsVersion>, now: Timestamp) -> bool {
+        !self.is_draining(now) && self.serves(weights, now)
+    }
+
+    /// Whether it said that it drains.
+    pub(super) fn is_draining(&self, now: Timestamp) -> bool {
+        self.draining_at
+            .is_some_and(|at| now.since(at) < DRAINING_HOLD)
+    }
+
+    /// Notes that a request is sent although it last told of other weights.
+    pub(super) fn note_weights_probe(&mut self, weights: Option<WeightsVersion>, now: Timestamp) {
+        if self.has_other_weights(weights) {
+            self.weights_probed_at = Some(now);
+        }
+    }
+
+    /// Prompt tokens it has to compute before a new request's own (estimate).
+    pub(super) fn tokens_ahead(&self, priority: Priority, mean_missed: f64, now: Timestamp) -> f64 {
+        let own = match priority {
+            Priority::Interactive => self.pending[0],
+            Priority::Batch => self.pending[0] + self.pending[1],
+        };
+        let foreign = self.load.map_or(0.0, |load| load.foreign_waiting(now));
+        own as f64 + foreign * mean_missed
+    }
+
+    /// Requests it runs (estimate).
+    pub(super) fn running(&self, now: Timestamp) -> f64 {
+        let foreign = self.load.map_or(0.0, |load| load.foreign_running(now));
+        f64::from(self.in_flight) + foreign
+    }
+
+    pub(super) fn add_pending(&mut self, priority: Priority, tokens: u32) {
+        self.pending[pending_index(priority)] += u64::from(tokens);
+    }
+
+    pub(super) fn remove_pending(&mut self, priority: Priority, tokens: u32) {
+        let pending = &mut self.pending[pending_index(priority)];
+        *pending = pending.saturating_sub(u64::from(tokens));
+    }
+
+    fn observe(&mut self, observation: &EngineObservation, in_band: bool, now: Timestamp) {
+        // Incarnations only rise: what an older one said is void.
+        if self.incarnation > Some(observation.incarnation) {
+            return;
+        }
+        self.note_incarnation(observation.incarnation);
+        self.note_weights(observation.weights_version);
+        self.note_draining(observation.draining, in_band, now);
+        self.load = Some(ObservedLoad {
+            running: observation.running,
+            waiting: observation.waiting,
+            own_in_flight: self.in_flight,
+            at: now,
+            in_band,
+        });
+    }
+
+    fn note_incarnation(&mut self, incarnation: Incarnation) {
+        if self.incarnation == Some(incarnation) {
+            return;
+        }
+        if self.incarnation.is_some() {
+            self.window = EngineWindow::default();
+            self.health.restarted();
+        }
+        self.incarnation = Some(incarnation);
+        self.epoch = self.epoch.next();
+        self.draining_at = None;
+        self.weights_version = None;
+    }
+
+    fn note_weights(&mut self, weights: WeightsVersion) {
+        if self.weights_version == Some(weights) {
+            return;
+        }
+        if self.weights_version.is_some() {
+            self.epoch = self.epoch.next();
+        }
+        self.weights_version = Some(weights);
+    }
+
+    fn note_draining(&mut self, draining: bool, in_band: bool, now: Timestamp) {
+        if draining {
+            self.draining_at = Some(now);
+            return;
+        }
+        // A report that lags may still tell of the time before draining began.
+        let may_lag = |at: Timestamp| !in_band && now.since(at) < REPORT_LAG;
+        if !self.draining_at.is_some_and(may_lag) {
+            self.draining_at = None;
+        }
+    }
+
+    fn serves(&self, weights: Option<WeightsVersion>, now: Timestamp) -> bool {
+        let asked_lately = |at: Timestamp| now.since(at) < WEIGHTS_PROBE_INTERVAL;
+        !self.has_other_weights(weights) || !self.weights_probed_at.is_some_and(asked_lately)
+    }
+
+    fn has_other_weights(&self, weights: Option<WeightsVersion>) -> bool {
+        match (weights, self.weights_version) {
+            (Some(wanted), Some(served)) => wanted != served,
+            _ => false,
+        }
+    }
+}
+
+fn pending_index(priority: Priority) -> usize {
+    match priority {
+        Priority::Interactive => 0,
+        Priority::Batch => 1,
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/kept_prefixes.rs
@@ -0,0 +1,52 @@
+//! What the KV stores keep.
+
+use std::time::Duration;
+
+use crate::placement::{GenerationalMap, PlacementPoint};
+use crate::prompt::BlockHash;
+use crate::timestamp::Timestamp;
+
+/// Which prefixes this process had exported to the KV store of their pool; bounded.
+///
+/// Only a hint: a prefix that is gone is recomputed. Hashes are salted with the weights version, so
+/// nothing computed by other weights is ever imported.
+#[derive(Debug)]
+pub(super) struct KeptPrefixes {
+    retention: Duration,
+    exported_at: GenerationalMap<Option<Timestamp>>,
+}
+
+impl KeptPrefixes {
+    pub(super) fn new(generation_size: usize, retention: Duration) -> Self {
+        Self {
+            retention,
+            exported_at: GenerationalMap::new(generation_size),
+        }
+    }
+
+    pub(super) fn note_exported(&mut self, prefix: BlockHash, now: Timestamp) {
+        *self.exported_at.get_or_insert_with(prefix, || None) = Some(now);
+    }
+
+    /// An import did not find it.
+    pub(super) fn note_gone(&mut self, prefix: BlockHash) {
+        if let Some(exported_at) = self.exported_at.get_mut(prefix) {
+            *exported_at = None;
+        }
+    }
+
+    pub(super) fn is_kept(&self, prefix: BlockHash, now: Timestamp) -> bool {
+        let exported_at = self.exported_at.get(prefix).copied().flatten();
+        exported_at.is_some_and(|at| now.since(at) < self.retention)
+    }
+
+    /// The longest of these prefixes that is kept.
+    pub(super) fn longest(
+        &self,
+        points: &[PlacementPoint],
+        now: Timestamp,
+    ) -> Option<PlacementPoint> {
+        let is_kept = |point: &&PlacementPoint| self.is_kept(point.hash, now);
+        points.iter().rev().find(is_kept).copied()
+    }
+}
--- a/crates/core/src/dispatch/request_record.rs
+++ b/crates/core/src/dispatch/request_record.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use crate::identity::{AttemptId, BackEndName, WeightsVersion};
+use crate::identity::{AttemptId, WeightsVersion};
+use crate::placement::{EngineKey, PlacementPoints, PrefixWidth};
+use crate::timestamp::Timestamp;
 
-use super::{Repeatability, RequestProfile, ResumePoint, RunState};
+use super::{RefusalReason, Repeatability, RequestProfile, ResumePoint, RunState};
 
 /// A request from its arrival to its final outcome.
 #[derive(Debug)]
@@ -12,36 +14,54 @@
     pub(super) profile: RequestProfile,
     /// The only weights it may run at, fixed at arrival: its prefix hashes hold for no other.
     pub(super) weights_version: Option<WeightsVersion>,
+    /// Its prefixes that placement considers.
+    pub(super) points: PlacementPoints,
+    /// Over how many engines each of its outer prefixes is spread, fixed at arrival.
+    pub(super) widths: Vec<PrefixWidth>,
+    /// Whether its shared prefix was asked for before.
+    pub(super) is_recurring: bool,
     pub(super) attempts_made: u32,
     /// What is known over all attempts that have ended.
     pub(super) run_state: RunState,
-    /// Back ends that failed it; they are asked again only when it is certain that nothing ran
-    /// and no other is left.
-    pub(super) failed: BTreeSet<BackEndName>,
+    /// Back ends that failed it and are not asked again.
+    pub(super) failed: BTreeSet<EngineKey>,
     /// Chunks of the answer that reached the caller, over all attempts.
     pub(super) delivered_chunks: u64,
     pub(super) running: Option<AttemptId>,
+    /// When it came into the queue, while it waits there.
+    pub(super) queued_at: Option<Timestamp>,
+    /// When it is given up, and why, while it waits in the queue.
+    pub(super) give_up_at: Timestamp,
+    pub(super) give_up_reason: RefusalReason,
 }
 
 impl RequestRecord {
     pub(super) fn new(profile: RequestProfile, weights_version: Option<WeightsVersion>) -> Self {
         Self {
+            points: PlacementPoints::of(&profile.prefix),
             profile,
             weights_version,
+            widths: Vec::new(),
+            is_recurring: false,
             attempts_made: 0,
             run_state: RunState::NotRun,
             failed: BTreeSet::new(),
             delivered_chunks: 0,
             running: None,
+            queued_at: None,
+            give_up_at: Timestamp::ZERO,
+            give_up_reason: RefusalReason::QueueFull,
         }
     }
 
+    /// Whether it may run more than once.
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.profile.repeatability == Repeatability::Repeatable
+    }
+
     /// Whether another attempt may run it again from the start or from what the caller has.
     pub(super) fn may_run_again(&self) -> bool {
-        match self.profile.repeatability {
-            Repeatability::Repeatable => true,
-            Repeatability::AtMostOnce(_) => self.run_state == RunState::NotRun,
-        }
+        self.is_repeatable() || self.run_state == RunState::NotRun
     }
 
     /// Takes what an ended attempt says of whether the request ran; knowledge only rises.
--- /dev/null
+++ b/crates/core/src/dispatch/smoothed.rs
@@ -0,0 +1,23 @@
+//! An exponentially smoothed average.
+
+/// An exponentially smoothed average.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Smoothed {
+    value: f64,
+    weight: f64,
+}
+
+impl Smoothed {
+    /// Starts at `value`; each sample counts with `weight`.
+    pub(super) fn new(value: f64, weight: f64) -> Self {
+        Self { value, weight }
+    }
+
+    pub(super) fn add(&mut self, sample: f64) {
+        self.value += self.weight * (sample - self.value);
+    }
+
+    pub(super) fn value(self) -> f64 {
+        self.value
+    }
+}
