Add membership gossip, leaving register, reader election and the node lifecycle

Nodes probe one other node a second (mostly of their own zone), ask three others to probe it too, suspect it for ten seconds and take refutations by incarnation; news rides on probes with bounded retelling, and exchanges of bucket hashes mend what gossip missed. Leaving back ends are told at once to a few nodes of each proximity and keyed by incarnation. Two readers a zone are elected by hash.

--- a/crates/core/src/config/config_spread.rs
+++ b/crates/core/src/config/config_spread.rs
@@ -20,12 +20,22 @@
     announced_at: Timestamp,
     pull: Option<PendingPull>,
     newer: BTreeMap<SocketAddr, ConfigVersion>,
+    first_heard_at: Option<Timestamp>,
+    asked_at: Option<Timestamp>,
 }
 
 impl ConfigSpread {
     /// Time in which a node announces at most once; a burst of changes shares announcements.
     const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
     const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+    /// Time between questions of a node without configuration.
+    const ASK_EVERY: Duration = Duration::from_millis(200);
+    /// How many peers a node without configuration asks at once.
+    pub const ASKED_PEERS: usize = 5;
+    /// A node without configuration takes the highest of so many versions…
+    const ENOUGH_HEADS: usize = 3;
+    /// …or of those that it has heard so long after the first.
+    const HEADS_WINDOW: Duration = Duration::from_millis(150);
     const MAX_SOURCES: usize = 8;
     /// Entries that fit in a datagram beside the frame.
     const DATAGRAM_ENTRIES_LENGTH: usize = 1_200;
@@ -53,6 +63,25 @@
         }
     }
 
+    /// Whether this node, which has no configuration, should ask peers now.
+    pub fn should_ask(&mut self, replica: &ConfigReplica, now: Timestamp) -> bool {
+        let is_due = self
+            .asked_at
+            .is_none_or(|at| now.since(at) >= Self::ASK_EVERY);
+        let should_ask = replica.version() == ConfigVersion::default() && is_due;
+        if should_ask {
+            self.asked_at = Some(now);
+        }
+        should_ask
+    }
+
+    /// Asks peers for their versions.
+    pub fn ask(&self, targets: &[SocketAddr], outbox: &mut Outbox) {
+        for target in targets {
+            send(*target, ConfigMessage::Ask, outbox);
+        }
+    }
+
     /// Takes a peer's message.
     pub fn receive(
         &mut self,
@@ -104,12 +133,14 @@
         if has_room {
             self.newer.insert(from, version);
         }
+        self.first_heard_at.get_or_insert(now);
         self.pull_next(replica, now, outbox);
     }
 
     /// Lets time pass.
     pub fn tick(&mut self, replica: &ConfigReplica, now: Timestamp, outbox: &mut Outbox) {
         let Some(pull) = &self.pull else {
+            self.pull_next(replica, now, outbox);
             return;
         };
         if now.since(pull.asked_at) >= Self::PULL_TIMEOUT {
@@ -131,10 +162,20 @@
         }
     }
 
+    /// A node without configuration hears several peers before it takes the highest version: one
+    /// of them may have been cut off from the others.
+    fn should_hear_more(&self, replica: &ConfigReplica, now: Timestamp) -> bool {
+        let is_new = replica.version() == ConfigVersion::default();
+        let is_early = self
+            .first_heard_at
+            .is_none_or(|at| now.since(at) < Self::HEADS_WINDOW);
+        is_new && is_early && self.newer.len() < Self::ENOUGH_HEADS
+    }
+
     /// Pulls from the peer with the highest version, one pull at a time.
     fn pull_next(&mut self, replica: &ConfigReplica, now: Timestamp, outbox: &mut Outbox) {
         self.newer.retain(|_, version| *version > replica.version());
-        if self.pull.is_some() {
+        if self.pull.is_some() || self.should_hear_more(replica, now) {
             return;
         }
         let highest = self.newer.iter().max_by_key(|(_, version)| **version);
--- a/crates/core/src/control/control_state.rs
+++ b/crates/core/src/control/control_state.rs
@@ -1,33 +1,32 @@
 //! The control state.
 
-use std::collections::BTreeSet;
+use std::fmt::{self, Debug, Formatter};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+
 use crate::catalog::Catalog;
-use crate::config::{
-    Change, ChangeRefusal, Compactor, ConfigReplica, ConfigSpread, LogReader, Proposals,
-};
+use crate::config::{Change, ChangeRefusal, LogEntry};
 use crate::dispatch::RoutingSnapshot;
-use crate::lifecycle::NodePhase;
+use crate::identity::{ConfigVersion, NodeName};
+use crate::lifecycle::{LifecycleEvent, NodeLifecycle, NodePhase};
+use crate::membership::MembershipTable;
 use crate::timestamp::Timestamp;
 
 use super::{
-    ControlAction, ControlEvent, ControlSettings, OperationId, Outbox, PeerMessage, StoreAnswer,
-    StoreOwner, StoreRequestId,
+    Cluster, Configuration, ControlAction, ControlEvent, ControlSettings, OperationId, Outbox,
+    PeerMessage, StatusQuery,
 };
 
 /// All control state of one router process.
-#[derive(Debug)]
 pub struct ControlState {
     settings: ControlSettings,
-    phase: NodePhase,
-    replica: ConfigReplica,
-    spread: ConfigSpread,
-    proposals: Proposals,
-    log_reader: LogReader,
-    compactor: Compactor,
+    lifecycle: StateMachine<NodeLifecycle>,
+    cluster: Cluster,
+    configuration: Configuration,
+    status_queries: Vec<StatusQuery>,
     outbox: Outbox,
 }
 
@@ -38,14 +37,12 @@
     /// State of a process that starts.
     pub fn new(settings: ControlSettings) -> Self {
         Self {
-            settings,
-            phase: NodePhase::Starting,
-            replica: ConfigReplica::default(),
-            spread: ConfigSpread::default(),
-            proposals: Proposals::default(),
-            log_reader: LogReader::default(),
-            compactor: Compactor::default(),
+            lifecycle: NodeLifecycle.state_machine(),
+            cluster: Cluster::new(&settings),
+            configuration: Configuration::default(),
+            status_queries: Vec::new(),
             outbox: Outbox::default(),
+            settings,
         }
     }
 
@@ -56,11 +53,14 @@
         now: Timestamp,
         actions: &mut Vec<ControlAction>,
     ) {
-        let version = self.replica.version();
+        let version = self.config_version();
         self.react(event, now);
-        if self.replica.version() != version {
-            self.configuration_changed(now);
-        }
+        self.follow_configuration(version, now);
+        self.cluster.flush(
+            self.configuration.replica().version(),
+            now,
+            &mut self.outbox,
+        );
         self.outbox.drain_into(actions);
     }
 
@@ -71,12 +71,37 @@
 
     /// Its phase.
     pub fn phase(&self) -> NodePhase {
-        self.phase
+        self.lifecycle.state().into()
     }
 
     /// The configuration in force.
     pub fn catalog(&self) -> &Arc<Catalog> {
-        self.replica.catalog()
+        self.configuration.replica().catalog()
+    }
+
+    /// Version of the configuration in force.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.configuration.replica().version()
+    }
+
+    /// Changes after `version` in order, or `None` when some of them are not kept any more.
+    pub fn entries_after(&self, version: ConfigVersion) -> Option<Vec<Arc<LogEntry>>> {
+        let kept = self.configuration.replica().entries_after(version)?;
+        Some(
+            kept.into_iter()
+                .map(|kept| Arc::clone(&kept.entry))
+                .collect(),
+        )
+    }
+
+    /// All other nodes.
+    pub fn members(&self) -> &MembershipTable {
+        self.cluster.table()
+    }
+
+    /// The address of a node, this one among them.
+    pub fn address_of(&self, name: &NodeName) -> Option<SocketAddr> {
+        self.cluster.address_of(name)
     }
 
     /// Its copy of the configuration, with the latest changes.
@@ -86,71 +111,64 @@
 
     fn react(&mut self, event: ControlEvent, now: Timestamp) {
         match event {
-            ControlEvent::Started => self.start(),
+            ControlEvent::Started => self.start(now),
             ControlEvent::PeerMessageReceived { from, message } => {
                 self.peer_message(from, message, now);
             }
-            ControlEvent::StreamFailed { to } => self.spread.unreachable(to),
-            ControlEvent::StoreAnswered { id, answer } => self.store_answered(id, answer, now),
+            ControlEvent::StreamFailed { to } => self.configuration.unreachable(to),
+            ControlEvent::StoreAnswered { id, answer } => {
+                if let Some(owner) = self.outbox.take_owner(id) {
+                    self.configuration
+                        .store_answered(owner, id, answer, now, &mut self.outbox);
+                }
+            }
             ControlEvent::Watch(event) => {
-                self.log_reader
-                    .watch(event, &mut self.replica, now, &mut self.outbox);
+                self.configuration.watch(event, now, &mut self.outbox);
             }
-            ControlEvent::MachineListRead(_) => {}
+            ControlEvent::MachineListRead(entries) => self.cluster.read_machines(&entries, now),
             ControlEvent::OperatorChange {
                 operation,
                 change,
                 dry_run,
             } => self.operator_change(operation, change, dry_run, now),
-            ControlEvent::StatusRequested { .. } => {}
-            ControlEvent::BackEndObserved { .. } => {}
-            ControlEvent::StopRequested => self.enter(NodePhase::Draining),
-            ControlEvent::TrafficEnded => self.enter(NodePhase::Stopped),
+            ControlEvent::StatusRequested { operation } => self.status_requested(operation, now),
+            ControlEvent::BackEndObserved {
+                back_end,
+                incarnation,
+                draining,
+            } => self.cluster.observe(back_end, incarnation, draining, now),
+            ControlEvent::StopRequested => self.advance(LifecycleEvent::StopRequested),
+            ControlEvent::TrafficEnded => self.advance(LifecycleEvent::TrafficEnded),
             ControlEvent::Tick => self.tick(now),
         }
     }
 
-    fn start(&mut self) {
+    fn start(&mut self, now: Timestamp) {
+        self.cluster.start(now, &mut self.outbox);
+        self.configuration
+            .tick(&mut self.cluster, now, &mut self.outbox);
         self.publish();
-        self.log_reader.set_active(true, &mut self.outbox);
     }
 
     fn tick(&mut self, now: Timestamp) {
-        let outbox = &mut self.outbox;
-        self.proposals.tick(&mut self.replica, now, outbox);
-        self.log_reader.tick(&self.replica, now, outbox);
-        self.compactor.tick(&self.replica, now, outbox);
-        self.spread.tick(&self.replica, now, outbox);
-        self.announce_configuration(now);
+        self.cluster.tick(now, &mut self.outbox);
+        self.configuration
+            .tick(&mut self.cluster, now, &mut self.outbox);
+        self.answer_status(now);
     }
 
     fn peer_message(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
-        if let PeerMessage::Config(message) = message {
-            self.spread
-                .receive(from, message, &mut self.replica, now, &mut self.outbox);
-        }
-    }
-
-    fn store_answered(&mut self, id: StoreRequestId, answer: StoreAnswer, now: Timestamp) {
         let outbox = &mut self.outbox;
-        let replica = &mut self.replica;
-        match outbox.take_owner(id) {
-            Some(StoreOwner::Proposals) => {
-                self.proposals
-                    .store_answered(id, answer, replica, now, outbox);
+        match message {
+            PeerMessage::Gossip(message) => {
+                let version = message.config_version;
+                self.cluster.receive_gossip(from, message, now, outbox);
+                self.configuration.hear_version(from, version, now, outbox);
             }
-            Some(StoreOwner::LogReader) => {
-                self.log_reader
-                    .store_answered(id, answer, replica, now, outbox);
+            PeerMessage::Sync(message) => self.cluster.receive_sync(from, message, now, outbox),
+            PeerMessage::Config(message) => {
+                self.configuration.receive(from, message, now, outbox);
             }
-            Some(StoreOwner::Compactor) => {
-                self.compactor
-                    .store_answered(id, answer, replica, now, outbox);
-            }
-            None => {}
-        }
-        if self.phase == NodePhase::Starting && self.log_reader.has_listed() {
-            self.enter(NodePhase::Serving);
         }
     }
 
@@ -161,50 +179,90 @@
         dry_run: bool,
         now: Timestamp,
     ) {
-        if matches!(self.phase, NodePhase::Draining | NodePhase::Stopped) {
-            let phase = self.phase;
+        let phase = self.phase();
+        if matches!(phase, NodePhase::Draining | NodePhase::Stopped) {
             self.outbox.push(ControlAction::AnswerOperator {
                 operation,
                 answer: Err(ChangeRefusal::NotServing { phase }),
             });
             return;
         }
-        self.proposals.submit(
+        self.configuration
+            .submit(operation, change, dry_run, now, &mut self.outbox);
+    }
+
+    fn status_requested(&mut self, operation: OperationId, now: Timestamp) {
+        self.cluster.ask_all();
+        self.status_queries.push(StatusQuery {
             operation,
-            change,
-            dry_run,
-            &mut self.replica,
-            now,
-            &mut self.outbox,
-        );
+            asked_at: now,
+        });
     }
 
-    fn configuration_changed(&mut self, now: Timestamp) {
-        self.publish();
-        self.proposals
-            .advance(&mut self.replica, now, &mut self.outbox);
-        self.announce_configuration(now);
+    fn answer_status(&mut self, now: Timestamp) {
+        if self.status_queries.is_empty() {
+            return;
+        }
+        let version = self.config_version();
+        for query in std::mem::take(&mut self.status_queries) {
+            if query.is_answered(self.cluster.table(), now) {
+                self.outbox.push(ControlAction::AnswerStatus {
+                    operation: query.operation,
+                    status: self.cluster.status(version, now),
+                });
+            } else {
+                self.status_queries.push(query);
+            }
+        }
     }
 
-    fn announce_configuration(&mut self, now: Timestamp) {
-        if self.spread.should_announce(&self.replica, now) {
-            let targets = self.settings.seeds.clone();
-            self.spread
-                .announce(&targets, &self.replica, now, &mut self.outbox);
+    /// Does what follows from a change of configuration or of leaving back ends.
+    fn follow_configuration(&mut self, before: ConfigVersion, now: Timestamp) {
+        if self.configuration.is_known() {
+            self.advance(LifecycleEvent::ConfigurationKnown);
+        }
+        let changed = self.config_version() != before;
+        let leaving_changed = self.cluster.take_register_changed();
+        if changed {
+            self.configuration
+                .changed(&mut self.cluster, now, &mut self.outbox);
+            let catalog = Arc::clone(self.catalog());
+            self.cluster.register().forget_removed(&catalog);
+        }
+        if changed || leaving_changed {
+            self.publish();
         }
     }
 
-    fn enter(&mut self, phase: NodePhase) {
-        self.phase = phase;
+    fn advance(&mut self, event: LifecycleEvent) {
+        let before = self.phase();
+        self.lifecycle.handle(&event);
+        let phase = self.phase();
+        if phase == before {
+            return;
+        }
+        if phase == NodePhase::Stopped {
+            self.cluster.leave();
+        }
         self.outbox.push(ControlAction::EnterPhase(phase));
     }
 
     fn publish(&mut self) {
-        let snapshot = RoutingSnapshot {
-            catalog: Arc::clone(self.replica.catalog()),
-            leaving: BTreeSet::new(),
-        };
+        let catalog = Arc::clone(self.catalog());
+        let leaving = self.cluster.register().leaving(&catalog);
+        let snapshot = RoutingSnapshot { catalog, leaving };
         self.outbox
             .push(ControlAction::PublishSnapshot(Arc::new(snapshot)));
     }
 }
+
+impl Debug for ControlState {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ControlState")
+            .field("name", &self.settings.name)
+            .field("phase", &self.phase())
+            .field("config_version", &self.config_version())
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -4,6 +4,9 @@
 //! [`ControlState`] is owned by the control thread. The node and the simulator feed it
 //! [`ControlEvent`]s and carry out its [`ControlAction`]s.
 
+mod byte_allowance;
+mod cluster;
+mod configuration;
 mod control_action;
 mod control_event;
 mod control_settings;
@@ -16,6 +19,7 @@
 mod outbox;
 mod peer_message;
 mod precondition;
+mod status_query;
 mod store_answer;
 mod store_call;
 mod store_failure;
@@ -25,6 +29,9 @@
 mod stored_object;
 mod watch_event;
 
+pub(crate) use byte_allowance::ByteAllowance;
+pub use cluster::Cluster;
+pub use configuration::Configuration;
 pub use control_action::ControlAction;
 pub use control_event::ControlEvent;
 pub use control_settings::ControlSettings;
@@ -37,6 +44,7 @@
 pub use outbox::Outbox;
 pub use peer_message::PeerMessage;
 pub use precondition::Precondition;
+pub(crate) use status_query::StatusQuery;
 pub use store_answer::StoreAnswer;
 pub use store_call::StoreCall;
 pub use store_failure::StoreFailure;
--- a/crates/core/src/membership/leaving_record.rs
+++ b/crates/core/src/membership/leaving_record.rs
@@ -20,3 +20,10 @@
     #[serde(rename = "l")]
     pub leaving: bool,
 }
+
+impl LeavingRecord {
+    /// Whether this record replaces `other` of the same back end.
+    pub fn supersedes(&self, other: &Self) -> bool {
+        (self.incarnation, self.leaving) > (other.incarnation, other.leaving)
+    }
+}
--- a/crates/core/src/membership/sync_message.rs
+++ b/crates/core/src/membership/sync_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeavingRecord, MemberRecord};
+use super::{MemberRecord, TableRecords};
 
 /// Exchange of tables over a stream: at join, and now and then between two nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,28 +14,17 @@
         #[serde(rename = "m")]
         member: MemberRecord,
     },
-    /// Hashes of the sender's tables, one a bucket; the receiver answers with records of buckets
-    /// that differ.
+    /// Hashes of the sender's tables; the receiver answers with records where they differ.
     #[serde(rename = "d")]
     Digest {
-        /// Hashes of member buckets.
+        /// Hashes of the buckets of members.
         #[serde(rename = "m")]
         members: Vec<u32>,
-        /// Hash of the table of leaving back ends.
+        /// Hash of the tables of leaving back ends and machines.
         #[serde(rename = "l")]
         leaving: u32,
     },
     /// Records.
     #[serde(rename = "r")]
-    Records {
-        /// Members.
-        #[serde(rename = "m")]
-        members: Vec<MemberRecord>,
-        /// Leaving back ends.
-        #[serde(rename = "l")]
-        leaving: Vec<LeavingRecord>,
-        /// Buckets of members for which the sender wants the receiver's records in turn.
-        #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
-        wanted: Vec<u16>,
-    },
+    Records(TableRecords),
 }
