--- a/crates/core/src/control/control_state.rs
+++ b/crates/core/src/control/control_state.rs
@@ -8,7 +8,7 @@
 use statig::blocking::{IntoStateMachineExt, StateMachine};
 
 use crate::catalog::Catalog;
-use crate::config::{Change, ChangeRefusal, LogEntry};
+use crate::config::{Change, ChangeRefusal, ConfigReplica, LogEntry};
 use crate::dispatch::RoutingSnapshot;
 use crate::identity::{ConfigVersion, NodeName};
 use crate::lifecycle::{LifecycleEvent, NodeLifecycle, NodePhase};
@@ -106,7 +106,7 @@
 
     /// Its copy of the configuration, with the latest changes.
     pub fn replica(&self) -> &ConfigReplica {
-        &self.replica
+        self.configuration.replica()
     }
 
     fn react(&mut self, event: ControlEvent, now: Timestamp) {
