--- /dev/null
+++ b/crates/node/tests/control_support/mod.rs
@@ -0,0 +1,14 @@
+//! Support of the tests of the control side.
+
+#![allow(
+    dead_code,
+    reason = "each test file is a crate of its own and uses its part"
+)]
+
+mod object_api;
+mod requests;
+mod test_node;
+
+pub use object_api::{Fault, ObjectApi};
+pub use requests::{create_tenant, write_options};
+pub use test_node::{TestNode, TestNodeOptions, within_deadline};
