--- a/crates/core/src/catalog/catalog_document.rs
+++ b/crates/core/src/catalog/catalog_document.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{BackEnd, MigrationStage, Pool, Tenant};
+use crate::claim::ClaimRoster;
 use crate::identity::{BackEndName, ConfigVersion, PoolName, StageName, TenantName};
 
 /// The whole configuration at one version.
@@ -24,4 +25,7 @@
     /// Migration stages by name.
     #[serde(default)]
     pub stages: BTreeMap<StageName, MigrationStage>,
+    /// Who keeps the claims of requests that run at most once.
+    #[serde(default)]
+    pub claim_roster: ClaimRoster,
 }
--- a/crates/core/src/claim/claim_client.rs
+++ b/crates/core/src/claim/claim_client.rs
@@ -108,7 +108,7 @@
             digest,
             issued_at,
             epoch: group.epoch,
-            valid_until: decide_by,
+            valid_until: decide_by.after(self.settings.clock_tolerance),
         };
         push_sends(&group.keepers, &ask.into(), actions);
         let pending = PendingClaim {
@@ -142,7 +142,7 @@
         match message {
             ClaimMessage::Vote(vote) => self.receive_vote(from, &vote, now, actions),
             ClaimMessage::Released(release) => self.receive_released(&from, &release),
-            ClaimMessage::Ask(_) | ClaimMessage::Release(_) => {}
+            _ => {}
         }
     }
 
--- a/crates/core/src/claim/claim_keeper.rs
+++ b/crates/core/src/claim/claim_keeper.rs
@@ -1,14 +1,15 @@
 //! Keeper of claims.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::identity::NodeName;
 use crate::timestamp::Timestamp;
 
 use super::expiry_queue::ExpiryQueue;
+use super::keeper_memory::KeeperMemory;
 use super::{
     ClaimAsk, ClaimId, ClaimKeeperEvent, ClaimMessage, ClaimRelease, ClaimRoster, ClaimSend,
-    ClaimSettings, ClaimVerdict, ClaimVote, KeeperGroup, KeyDigest,
+    ClaimSettings, ClaimVerdict, ClaimVote, EpochConfirmation, KeeperGroup, KeyDigest,
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -30,9 +31,8 @@
     name: NodeName,
     settings: ClaimSettings,
     started_at: Timestamp,
-    /// This keeper remembers all that was granted in its name at or after this time; `None` when
-    /// nothing was granted before.
-    remembers_from: Option<Timestamp>,
+    /// By position of the group in the roster; groups in which this process is a settled keeper.
+    memory: BTreeMap<usize, KeeperMemory>,
     roster: ClaimRoster,
     /// Looked up by key only; never iterated, so its order decides nothing.
     records: HashMap<KeyDigest, Record>,
@@ -46,7 +46,7 @@
             name,
             settings,
             started_at,
-            remembers_from: Some(started_at),
+            memory: BTreeMap::new(),
             roster: ClaimRoster::default(),
             records: HashMap::new(),
             expiry: ExpiryQueue::default(),
@@ -70,20 +70,19 @@
     }
 
     fn adopt(&mut self, roster: ClaimRoster, now: Timestamp) {
+        let mut memory = BTreeMap::new();
         for (index, group) in roster.groups.iter().enumerate() {
-            let settled_before = self
-                .roster
-                .groups
-                .get(index)
-                .is_some_and(|old| old.has_settled(&self.name));
-            if group.has_settled(&self.name) && !settled_before {
-                self.remembers_from = self.first_memory(&roster, group, now);
+            if group.has_settled(&self.name) {
+                let first_memory = self.first_memory(&roster, group, now);
+                let reach = self.memory.get(&index).copied().unwrap_or(first_memory);
+                memory.insert(index, reach);
             }
         }
+        self.memory = memory;
         self.roster = roster;
     }
 
-    /// From when a process remembers a group that it sees itself a settled keeper of for the
+    /// How far back a process remembers a group that it sees itself a settled keeper of for the
     /// first time. Claims of earlier epochs, and of an earlier process of its name, lie before
     /// `now`; there are none when it was up before the first roster was written.
     fn first_memory(
@@ -91,11 +90,14 @@
         roster: &ClaimRoster,
         group: &KeeperGroup,
         now: Timestamp,
-    ) -> Option<Timestamp> {
+    ) -> KeeperMemory {
         let up_since = self.started_at.after(self.settings.clock_tolerance);
         let up_at_founding = roster.founded_at.is_some_and(|founded| up_since < founded);
-        let saw_everything = up_at_founding && group.epoch == ClaimRoster::FIRST_EPOCH;
-        (!saw_everything).then_some(now)
+        if up_at_founding && group.epoch == ClaimRoster::FIRST_EPOCH {
+            KeeperMemory::Whole
+        } else {
+            KeeperMemory::Since(now)
+        }
     }
 
     fn receive(
@@ -125,18 +127,33 @@
                     message: ClaimMessage::Released(release),
                 });
             }
-            ClaimMessage::Ask(_) | ClaimMessage::Vote(_) | ClaimMessage::Released(_) => {}
+            ClaimMessage::ConfirmEpoch(asked) => self.confirm(from, asked, sends),
+            _ => {}
+        }
+    }
+
+    fn confirm(&self, from: NodeName, asked: EpochConfirmation, sends: &mut Vec<ClaimSend>) {
+        let group = self.roster.groups.get(asked.group);
+        if group.is_some_and(|group| group.epoch >= asked.epoch) {
+            sends.push(ClaimSend {
+                to: from,
+                message: ClaimMessage::EpochConfirmed(asked),
+            });
         }
     }
 
     fn vote(&mut self, ask: &ClaimAsk, now: Timestamp) -> ClaimVerdict {
-        let epoch = self.roster.epoch_kept_by(&self.name, ask.digest);
-        if epoch != Some(ask.epoch) {
+        let Some(index) = self.roster.group_index(ask.digest) else {
+            return ClaimVerdict::OtherEpoch { epoch: None };
+        };
+        let group = &self.roster.groups[index];
+        if group.epoch != ask.epoch || !group.keepers.contains(&self.name) {
+            let epoch = Some(group.epoch);
             return ClaimVerdict::OtherEpoch { epoch };
         }
-        if !self.roster.is_settled_keeper(&self.name, ask.digest) {
+        let Some(memory) = self.memory.get(&index).copied() else {
             return ClaimVerdict::Forgetful { until: now };
-        }
+        };
         if let Some(record) = self.records.get(&ask.digest) {
             return if record.claim == ask.claim {
                 ClaimVerdict::Granted
@@ -144,14 +161,19 @@
                 ClaimVerdict::Held
             };
         }
-        if let Some(refusal) = self.refusal(ask, now) {
+        if let Some(refusal) = self.refusal(ask, memory, now) {
             return refusal;
         }
         self.remember(ask, now);
         ClaimVerdict::Granted
     }
 
-    fn refusal(&self, ask: &ClaimAsk, now: Timestamp) -> Option<ClaimVerdict> {
+    fn refusal(
+        &self,
+        ask: &ClaimAsk,
+        memory: KeeperMemory,
+        now: Timestamp,
+    ) -> Option<ClaimVerdict> {
         let tolerance = self.settings.clock_tolerance;
         let oldest = now.before(self.settings.lifetime);
         if ask.issued_at.is_some_and(|issued_at| issued_at < oldest) {
@@ -163,17 +185,17 @@
         {
             return Some(ClaimVerdict::Forgetful { until: now });
         }
-        if let Some(from) = self.remembers_from {
-            // An earlier claim on a key without issue time may be as old as the lifetime.
-            let first_seen = ask
-                .issued_at
-                .unwrap_or_else(|| now.before(self.settings.lifetime));
-            let safe_from = from.after(tolerance);
-            if first_seen <= safe_from {
-                let until = match ask.issued_at {
-                    Some(_) => safe_from,
-                    None => safe_from.after(self.settings.lifetime),
-                };
+        if let KeeperMemory::Since(since) = memory {
+            let safe_from = since.after(tolerance);
+            let until = match ask.issued_at {
+                Some(_) => safe_from,
+                None => safe_from.after(self.settings.plain_lifetime),
+            };
+            let knows = match ask.issued_at {
+                Some(issued_at) => issued_at > safe_from,
+                None => now >= until,
+            };
+            if !knows {
                 return Some(ClaimVerdict::Forgetful { until });
             }
         }
--- a/crates/core/src/claim/claim_message.rs
+++ b/crates/core/src/claim/claim_message.rs
@@ -3,7 +3,7 @@
 use derive_more::From;
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimAsk, ClaimRelease, ClaimVote};
+use super::{ClaimAsk, ClaimRelease, ClaimVote, EpochConfirmation};
 
 /// A message between a claiming process and a keeper.
 #[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
@@ -19,4 +19,10 @@
     /// From a keeper: the key is given back.
     #[from(skip)]
     Released(ClaimRelease),
+    /// To a keeper: confirm that no epoch of the group before this one is answered any more.
+    #[from(skip)]
+    ConfirmEpoch(EpochConfirmation),
+    /// From a keeper: it is so.
+    #[from(skip)]
+    EpochConfirmed(EpochConfirmation),
 }
--- a/crates/core/src/claim/claim_roster.rs
+++ b/crates/core/src/claim/claim_roster.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::NodeName;
+use crate::identity::ResourceVersion;
 use crate::timestamp::Timestamp;
 
 use super::{KeeperGroup, KeyDigest};
@@ -21,6 +21,9 @@
     /// The groups; a key belongs to the group at its digest modulo their number.
     #[serde(default)]
     pub groups: Vec<KeeperGroup>,
+    /// Version of the configuration that last changed it.
+    #[serde(default)]
+    pub version: ResourceVersion,
 }
 
 impl ClaimRoster {
@@ -37,16 +40,4 @@
     pub fn group_of(&self, digest: KeyDigest) -> Option<&KeeperGroup> {
         self.groups.get(self.group_index(digest)?)
     }
-
-    /// The epoch in which `node` keeps `digest`; `None` when it does not.
-    pub fn epoch_kept_by(&self, node: &NodeName, digest: KeyDigest) -> Option<u64> {
-        let group = self.group_of(digest)?;
-        group.keepers.contains(node).then_some(group.epoch)
-    }
-
-    /// Whether the votes of `node` on `digest` count.
-    pub fn is_settled_keeper(&self, node: &NodeName, digest: KeyDigest) -> bool {
-        self.group_of(digest)
-            .is_some_and(|group| group.has_settled(node))
-    }
 }
--- a/crates/core/src/claim/claim_settings.rs
+++ b/crates/core/src/claim/claim_settings.rs
@@ -5,8 +5,12 @@
 /// Settings of claims; the same on every router process of a deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClaimSettings {
-    /// How long a claim is remembered: two submissions of one key within it run at most once.
+    /// How long a claim is remembered. A time-ordered key older than this is never granted; of any
+    /// other key two submissions within it run at most once while a majority of its keepers lives.
     pub lifetime: Duration,
+    /// Two submissions within this time of a key that is not time-ordered run at most once whatever
+    /// restarts. For as long such keys are refused when a majority of their keepers restarted.
+    pub plain_lifetime: Duration,
     /// The most that clocks of callers and router processes may differ.
     pub clock_tolerance: Duration,
     /// How long a claiming process waits for votes.
@@ -27,6 +31,7 @@
     fn default() -> Self {
         Self {
             lifetime: Duration::from_secs(24 * 3_600),
+            plain_lifetime: Duration::from_secs(15 * 60),
             clock_tolerance: Duration::from_secs(2),
             vote_timeout: Duration::from_millis(500),
             grant_validity: Duration::from_secs(60),
--- /dev/null
+++ b/crates/core/src/claim/keeper_choice.rs
@@ -0,0 +1,55 @@
+//! Choice of keepers among the nodes that are alive.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::identity::{NodeName, ZoneName};
+
+use super::KeeperGroup;
+
+/// Chooses keepers so that groups spread over zones and nodes serve equally many groups.
+pub(super) struct KeeperChoice<'a> {
+    alive: &'a BTreeMap<NodeName, ZoneName>,
+    groups_served: BTreeMap<NodeName, usize>,
+}
+
+impl<'a> KeeperChoice<'a> {
+    pub fn new(alive: &'a BTreeMap<NodeName, ZoneName>, groups: &[KeeperGroup]) -> Self {
+        let mut groups_served = BTreeMap::new();
+        for keeper in groups.iter().flat_map(|group| &group.keepers) {
+            *groups_served.entry(keeper.clone()).or_default() += 1;
+        }
+        Self {
+            alive,
+            groups_served,
+        }
+    }
+
+    /// Adds keepers to `keepers` until there are `size` or no node is left.
+    pub fn fill(&mut self, group_index: usize, keepers: &mut Vec<NodeName>, size: usize) {
+        while keepers.len() < size {
+            let Some(keeper) = self.best(group_index, keepers) else {
+                return;
+            };
+            *self.groups_served.entry(keeper.clone()).or_default() += 1;
+            keepers.push(keeper);
+        }
+    }
+
+    fn best(&self, group_index: usize, keepers: &[NodeName]) -> Option<NodeName> {
+        self.alive
+            .iter()
+            .filter(|(name, _)| !keepers.contains(name))
+            .min_by_key(|(name, zone)| {
+                let in_zone = keepers
+                    .iter()
+                    .filter(|keeper| self.alive.get(*keeper) == Some(zone))
+                    .count();
+                let served = self.groups_served.get(*name).copied().unwrap_or_default();
+                let tie = xxh3_64_with_seed(name.as_str().as_bytes(), group_index as u64);
+                (in_zone, served, tie)
+            })
+            .map(|(name, _)| name.clone())
+    }
+}
--- /dev/null
+++ b/crates/core/src/claim/keeper_planner_action.rs
@@ -0,0 +1,14 @@
+//! What the choice of keepers wants done.
+
+use derive_more::From;
+
+use super::{ClaimRoster, ClaimSend};
+
+/// What a [`super::KeeperPlanner`] wants done.
+#[derive(Debug, Clone, PartialEq, Eq, From)]
+pub enum KeeperPlannerAction {
+    /// Send a message.
+    Send(ClaimSend),
+    /// Write this roster into the configuration, if its `version` is still the one in force.
+    Propose(ClaimRoster),
+}
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -1,7 +1,8 @@
 //! At-most-once execution over all router processes.
 //!
 //! A request marked as not to be repeated is dispatched only after its idempotency key was claimed
-//! at a majority of a small group of keepers. [`ClaimClient`] asks, [`ClaimKeeper`] remembers.
+//! at a majority of a small group of keepers. [`ClaimClient`] asks, [`ClaimKeeper`] remembers,
+//! [`KeeperPlanner`] chooses who keeps.
 //! `docs/design/at-most-once.md` gives the reasons and the availability cost.
 
 mod claim_ask;
@@ -20,8 +21,15 @@
 mod claim_settings;
 mod claim_verdict;
 mod claim_vote;
+mod epoch_confirmation;
 mod expiry_queue;
+mod keeper_choice;
 mod keeper_group;
+mod keeper_memory;
+mod keeper_planner;
+mod keeper_planner_action;
+mod keeper_planner_event;
+mod keeper_planner_settings;
 mod key_digest;
 mod key_time;
 mod pending_claim;
@@ -43,6 +51,11 @@
 pub use claim_settings::ClaimSettings;
 pub use claim_verdict::ClaimVerdict;
 pub use claim_vote::ClaimVote;
+pub use epoch_confirmation::EpochConfirmation;
 pub use keeper_group::KeeperGroup;
+pub use keeper_planner::KeeperPlanner;
+pub use keeper_planner_action::KeeperPlannerAction;
+pub use keeper_planner_event::KeeperPlannerEvent;
+pub use keeper_planner_settings::KeeperPlannerSettings;
 pub use key_digest::KeyDigest;
 pub use key_time::{issued_at, time_ordered_key};
--- a/crates/core/src/config/log_entry.rs
+++ b/crates/core/src/config/log_entry.rs
@@ -58,6 +58,10 @@
             stage.version = version;
             catalog.stages.insert(stage.name.clone(), stage);
         }
+        Resource::ClaimRoster(mut roster) => {
+            roster.version = version;
+            catalog.claim_roster = roster;
+        }
     }
 }
 
@@ -75,5 +79,7 @@
         ResourceReference::Stage(name) => {
             catalog.stages.remove(name);
         }
+        // Refused by validation: without a roster nothing can be claimed.
+        ResourceReference::ClaimRoster => {}
     }
 }
--- a/crates/core/src/config/resource.rs
+++ b/crates/core/src/config/resource.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::catalog::{BackEnd, MigrationStage, Pool, Tenant};
+use crate::claim::ClaimRoster;
 
 use super::ResourceReference;
 
@@ -18,6 +19,8 @@
     BackEnd(BackEnd),
     /// A migration stage.
     Stage(MigrationStage),
+    /// Who keeps claims; written by router processes, never by operators.
+    ClaimRoster(ClaimRoster),
 }
 
 impl Resource {
@@ -28,6 +31,7 @@
             Self::Pool(pool) => ResourceReference::Pool(pool.name.clone()),
             Self::BackEnd(back_end) => ResourceReference::BackEnd(back_end.name.clone()),
             Self::Stage(stage) => ResourceReference::Stage(stage.name.clone()),
+            Self::ClaimRoster(_) => ResourceReference::ClaimRoster,
         }
     }
 }
--- a/crates/core/src/config/resource_reference.rs
+++ b/crates/core/src/config/resource_reference.rs
@@ -21,4 +21,7 @@
     /// A migration stage.
     #[display("stage {_0}")]
     Stage(StageName),
+    /// Who keeps claims.
+    #[display("claim roster")]
+    ClaimRoster,
 }
--- a/crates/core/src/config/validation.rs
+++ b/crates/core/src/config/validation.rs
@@ -87,6 +87,10 @@
         ResourceReference::Pool(name) => catalog.pools.get(name).map(|pool| pool.version),
         ResourceReference::BackEnd(name) => catalog.back_ends.get(name).map(|found| found.version),
         ResourceReference::Stage(name) => catalog.stages.get(name).map(|stage| stage.version),
+        ResourceReference::ClaimRoster => {
+            let roster = &catalog.claim_roster;
+            (!roster.groups.is_empty()).then_some(roster.version)
+        }
     }
 }
 
@@ -151,7 +155,13 @@
     let Mutation::Delete { reference, .. } = mutation else {
         return;
     };
-    if resource_version(catalog, reference).is_none() {
+    if *reference == ResourceReference::ClaimRoster {
+        faults.push(ValidationError::new(
+            format!("mutations[{index}].delete"),
+            reference,
+            "can't be deleted",
+        ));
+    } else if resource_version(catalog, reference).is_none() {
         faults.push(ValidationError::new(
             format!("mutations[{index}].delete"),
             reference,
--- a/crates/core/tests/claim_basics.rs
+++ b/crates/core/tests/claim_basics.rs
@@ -76,7 +76,7 @@
 }
 
 #[test]
-fn plain_key_is_granted_a_lifetime_after_all_keepers_restarted() {
+fn plain_key_is_granted_a_while_after_all_keepers_restarted() {
     let mut deployment = Deployment::founded(5, START);
     deployment.restart_all();
     let key = IdempotencyKey::new("listing-4711");
--- a/crates/core/tests/claim_support/mod.rs
+++ b/crates/core/tests/claim_support/mod.rs
@@ -9,7 +9,7 @@
     ClaimClient, ClaimClientAction, ClaimClientEvent, ClaimId, ClaimKeeper, ClaimKeeperEvent,
     ClaimMessage, ClaimOutcome, ClaimRoster, ClaimSend, ClaimSettings, KeeperGroup,
 };
-use ryerouter_core::identity::{IdempotencyKey, NodeName, RequestId, TenantName};
+use ryerouter_core::identity::{IdempotencyKey, NodeName, RequestId, ResourceVersion, TenantName};
 
 const UP_BEFORE_FOUNDING: Duration = Duration::from_secs(10);
 
@@ -58,6 +58,7 @@
             roster: ClaimRoster {
                 founded_at: Some(start),
                 groups: vec![group],
+                version: ResourceVersion(1),
             },
             settings: ClaimSettings::default(),
             cut: BTreeSet::new(),
