--- a/crates/wire/src/rpc/catalog.rs
+++ b/crates/wire/src/rpc/catalog.rs
@@ -1,6 +1,7 @@
 //! The whole configuration.
 
 use ryerouter_core::catalog::{BackEnd, Catalog, MigrationStage, Pool, Tenant};
+use ryerouter_core::claim::ClaimRoster;
 use ryerouter_core::identity::ConfigVersion;
 
 use crate::generated::v1;
@@ -34,6 +35,8 @@
             pools: pools.into_iter().map(|p| (p.name.clone(), p)).collect(),
             back_ends: back_ends.into_iter().map(|b| (b.name.clone(), b)).collect(),
             stages: stages.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            // Kept by router processes; operators neither see nor write it.
+            claim_roster: ClaimRoster::default(),
         })
     }
 }
--- a/crates/wire/src/rpc/mutation.rs
+++ b/crates/wire/src/rpc/mutation.rs
@@ -12,12 +12,14 @@
 impl From<&Mutation> for v1::Mutation {
     fn from(mutation: &Mutation) -> Self {
         let change = match mutation {
-            Mutation::Put { resource, .. } => resource.into(),
-            Mutation::Delete { reference, .. } => v1::mutation::Change::Deleted(reference.into()),
+            Mutation::Put { resource, .. } => super::resource::change(resource),
+            Mutation::Delete { reference, .. } => {
+                Some(v1::mutation::Change::Deleted(reference.into()))
+            }
         };
         Self {
             expected_version: expected_version(mutation.expected()),
-            change: Some(change),
+            change,
         }
     }
 }
--- a/crates/wire/src/rpc/resource.rs
+++ b/crates/wire/src/rpc/resource.rs
@@ -4,13 +4,14 @@
 
 use crate::generated::v1;
 
-impl From<&Resource> for v1::mutation::Change {
-    fn from(resource: &Resource) -> Self {
-        match resource {
-            Resource::Tenant(tenant) => Self::Tenant(tenant.into()),
-            Resource::Pool(pool) => Self::Pool(pool.into()),
-            Resource::BackEnd(back_end) => Self::BackEnd(back_end.into()),
-            Resource::Stage(stage) => Self::Stage(stage.into()),
-        }
+/// The resource as operators see it; `None` for what router processes keep for themselves.
+pub(super) fn change(resource: &Resource) -> Option<v1::mutation::Change> {
+    use v1::mutation::Change;
+    match resource {
+        Resource::Tenant(tenant) => Some(Change::Tenant(tenant.into())),
+        Resource::Pool(pool) => Some(Change::Pool(pool.into())),
+        Resource::BackEnd(back_end) => Some(Change::BackEnd(back_end.into())),
+        Resource::Stage(stage) => Some(Change::Stage(stage.into())),
+        Resource::ClaimRoster(_) => None,
     }
 }
--- a/crates/wire/src/rpc/resource_kind.rs
+++ b/crates/wire/src/rpc/resource_kind.rs
@@ -31,6 +31,8 @@
             ResourceReference::Pool(name) => (v1::ResourceKind::Pool, name.to_string()),
             ResourceReference::BackEnd(name) => (v1::ResourceKind::BackEnd, name.to_string()),
             ResourceReference::Stage(name) => (v1::ResourceKind::Stage, name.to_string()),
+            // Kept by router processes; operators have no kind for it.
+            ResourceReference::ClaimRoster => (v1::ResourceKind::Unspecified, String::new()),
         };
         Self {
             kind: kind.into(),
--- a/crates/wire/src/rpc/watch_event.rs
+++ b/crates/wire/src/rpc/watch_event.rs
@@ -10,7 +10,13 @@
             config_version: entry.version.0,
             change_id: entry.change.change_id.to_string(),
             author: entry.change.author.clone(),
-            mutations: entry.change.mutations.iter().map(Into::into).collect(),
+            mutations: entry
+                .change
+                .mutations
+                .iter()
+                .map(v1::Mutation::from)
+                .filter(|mutation| mutation.change.is_some())
+                .collect(),
         }
     }
 }
