--- a/crates/node/src/rpc/rpc_context.rs
+++ b/crates/node/src/rpc/rpc_context.rs
@@ -148,5 +148,6 @@
         Resource::Pool(pool) => pool.version = version,
         Resource::BackEnd(back_end) => back_end.version = version,
         Resource::Stage(stage) => stage.version = version,
+        Resource::ClaimRoster(roster) => roster.version = version,
     }
 }
