Prove the traffic path against broken back ends and callers

Tests over loopback sockets with scripted back ends: broken, garbled, late and lying answers; malformed requests; at-most-once; callers that leave or take nothing; planned stops. They found three faults, mended here: an event over the size limit passed when its end came in the same read; a node without configuration called every key wrong instead of saying that it is not ready; and a lapsed claim was refused as if no back end were left.

--- a/crates/node/src/caller/authentication.rs
+++ b/crates/node/src/caller/authentication.rs
@@ -15,6 +15,10 @@
     headers: &HeaderMap,
     view: &RoutingView,
 ) -> Result<TenantName, CallerError> {
+    // Without configuration no key is known to be wrong.
+    if !view.is_configured() {
+        return Err(CallerError::NotConfigured);
+    }
     let value = headers.get(AUTHORIZATION).ok_or(CallerError::NoApiKey)?;
     let value = value.to_str().map_err(|_| CallerError::WrongApiKey)?;
     let scheme = value.get(..SCHEME.len()).unwrap_or_default();
--- a/crates/node/src/caller/caller_error.rs
+++ b/crates/node/src/caller/caller_error.rs
@@ -10,6 +10,8 @@
     NoApiKey,
     #[display("the API key is not valid")]
     WrongApiKey,
+    #[display("the router has no configuration yet")]
+    NotConfigured,
     #[display("no such path: {path}")]
     UnknownPath { path: String },
     #[display("method {method} is not allowed here")]
@@ -48,7 +50,7 @@
             Self::WrongMethod { .. } => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::BodiesFull => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BodiesFull | Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
             Self::BodyBroken { .. }
             | Self::InvalidJson { .. }
             | Self::InvalidField { .. }
@@ -60,6 +62,7 @@
     pub(crate) fn code(&self) -> &'static str {
         match self {
             Self::NoApiKey | Self::WrongApiKey => "invalid_api_key",
+            Self::NotConfigured => "not_configured",
             Self::UnknownPath { .. } => "not_found",
             Self::UnknownModel { .. } => "model_not_found",
             Self::UnknownService { .. } => "service_not_found",
--- a/crates/node/src/engine/attempt_failure.rs
+++ b/crates/node/src/engine/attempt_failure.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Whether nothing was sent because the claim may have lapsed. The request runs at most once,
+    /// so an attempt before this one certainly did not run either.
+    pub(crate) fn is_lapsed_claim(&self) -> bool {
+        matches!(self.error, LinkError::ClaimLapsed)
+    }
+
     /// Whether the back end may still be running the request.
     pub(crate) fn may_run(&self) -> bool {
         self.outcome() == AttemptOutcome::Unknown
--- a/crates/node/src/engine/engine_link.rs
+++ b/crates/node/src/engine/engine_link.rs
@@ -72,7 +72,7 @@
         }
         let request = attempt_request(payload, assignment, target, delivered_text)
             .map_err(|source| LinkError::Unwritable { source })?;
-        let sent = self.send_attempt(payload, target, request);
+        let sent = self.send_attempt(payload, target, request, resumes);
         let limit = self.context.settings.answer_head_timeout;
         let sent = timeout(limit, sent).await;
         let (answer, connection) = sent.map_err(|_| LinkError::AnswerTimeout)??;
@@ -110,8 +110,10 @@
         payload: &RequestPayload,
         target: EngineTarget,
         request: Request<Full<Bytes>>,
+        resumes: bool,
     ) -> Result<(Response<Incoming>, EngineConnection), LinkError> {
-        if !payload.needs_fresh_connection {
+        // Resuming runs nothing.
+        if resumes || !payload.needs_fresh_connection {
             return self.send(target.address, request).await;
         }
         let connection = self.connect(target.address).await?;
--- a/crates/node/src/relay/event_buffer.rs
+++ b/crates/node/src/relay/event_buffer.rs
@@ -25,6 +25,14 @@
         }
     }
 
+    /// Fails when an event, whole or not, is larger than allowed.
+    pub fn check_size(&self, event: &[u8]) -> Result<(), RelayFault> {
+        if event.len() > self.limit {
+            return Err(RelayFault::EventTooLarge { limit: self.limit });
+        }
+        Ok(())
+    }
+
     /// Puts the partial event before `bytes`; the second value tells from where to search for the
     /// end of the first event. Bytes that follow a whole event are passed on without a copy.
     pub fn join(&mut self, bytes: Bytes) -> (Bytes, usize) {
@@ -38,9 +46,7 @@
 
     /// Keeps the partial event at the end of a block, or fails when it is too large already.
     pub fn keep(&mut self, partial: &[u8]) -> Result<(), RelayFault> {
-        if partial.len() > self.limit {
-            return Err(RelayFault::EventTooLarge { limit: self.limit });
-        }
+        self.check_size(partial)?;
         if partial.is_empty() {
             // The memory goes back with the block it was part of.
             self.partial = BytesMut::new();
--- a/crates/node/src/relay/event_stream.rs
+++ b/crates/node/src/relay/event_stream.rs
@@ -105,6 +105,7 @@
         last_data: &mut Option<Range<usize>>,
     ) -> Result<StreamProgress, RelayFault> {
         let event = &block[range.clone()];
+        self.buffer.check_size(event)?;
         let fields = EventFields::parse(event);
         let Some(data) = fields.data.clone() else {
             // Comments keep connections alive; callers ignore them.
--- a/crates/node/src/relay/request_exchange.rs
+++ b/crates/node/src/relay/request_exchange.rs
@@ -80,7 +80,7 @@
             };
             let continues = matches!(assignment.resume, Some(ResumePoint::Continue { .. }));
             if continues && delivered_text.is_none() {
-                return self.give_up();
+                return self.give_up(RefusalReason::AttemptsExhausted, RunState::Ran);
             }
             let text = delivered_text.unwrap_or_default();
             match self.make_attempt(&assignment, text).await {
@@ -91,6 +91,9 @@
                         guard,
                     }));
                 }
+                AttemptEnd::Failed(failure) if failure.is_lapsed_claim() => {
+                    return self.give_up(RefusalReason::ClaimUnavailable, RunState::NotRun);
+                }
                 AttemptEnd::Failed(failure) => {
                     self.report_failure(assignment.attempt, &failure);
                     rejection = failure.rejection;
@@ -192,12 +195,13 @@
         );
     }
 
-    /// Ends a request whose answer no other engine could continue.
-    fn give_up(&mut self) -> NextAnswer {
+    /// Ends a request that the dispatcher would go on with: its answer cannot be continued by
+    /// another engine, or its claim may have lapsed.
+    fn give_up(&mut self, reason: RefusalReason, run_state: RunState) -> NextAnswer {
         self.session.abandon();
         let outcome = FinalOutcome::Refused(Refusal {
-            reason: RefusalReason::AttemptsExhausted,
-            run_state: RunState::Ran,
+            reason,
+            run_state,
             retry_after: None,
         });
         self.session.set_outcome(outcome);
--- a/crates/node/src/traffic/routing_view.rs
+++ b/crates/node/src/traffic/routing_view.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether any configuration has arrived.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.version.0 > 0
+    }
+
     /// The tenant an API key belongs to.
     ///
     /// The bucket is found by the hash's first bytes, which tell nothing useful of a key; the rest
--- a/crates/node/src/traffic/traffic_context.rs
+++ b/crates/node/src/traffic/traffic_context.rs
@@ -30,7 +30,7 @@
 impl TrafficContext {
     /// Whether callers should send work here: configuration has arrived and no stop has begun.
     pub(crate) fn is_ready(&self) -> bool {
-        let configured = self.view.load().version.0 > 0;
+        let configured = self.view.load().is_configured();
         configured && !self.gate.is_stopping()
     }
 }
--- a/crates/node/tests/support/back_end.rs
+++ b/crates/node/tests/support/back_end.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use super::Script;
+use super::script::{chunk_event, http_chunk, stream_bytes};
 
 type ScriptFunction = dyn Fn(&SeenRequest) -> Script + Send + Sync;
 
@@ -71,6 +72,14 @@
         }
     }
 
+    /// An address where nothing listens.
+    pub async fn dead() -> Self {
+        let mut server = Self::start(0, |_| Script::Hang).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        server.address = listener.local_addr().unwrap();
+        server
+    }
+
     /// The next request it sees.
     pub async fn next_request(&mut self) -> SeenRequest {
         self.seen.recv().await.unwrap()
@@ -127,15 +136,16 @@
             request.connection = connection;
             request.incarnation = self.incarnation;
             let script = (self.script)(&request);
+            let request_copy = request.clone();
             let _ = self.seen.send(request);
-            if !self.play(script, &mut stream).await {
+            if !self.play(script, &request_copy, &mut stream).await {
                 return;
             }
         }
     }
 
     /// Whether the connection goes on.
-    async fn play(&self, script: Script, stream: &mut TcpStream) -> bool {
+    async fn play(&self, script: Script, request: &SeenRequest, stream: &mut TcpStream) -> bool {
         match script {
             Script::Write(bytes) => stream.write_all(&bytes).await.is_ok(),
             Script::WriteAndClose(bytes) => {
@@ -162,6 +172,16 @@
                 }
                 true
             }
+            Script::Endless => {
+                let mut bytes = stream_bytes(request, &[], false);
+                for index in 0.. {
+                    if stream.write_all(&bytes).await.is_err() {
+                        break;
+                    }
+                    bytes = http_chunk(&chunk_event(index, &"x".repeat(1_000)));
+                }
+                false
+            }
             Script::Hang => {
                 wait_for_close(stream).await;
                 false
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -8,7 +8,7 @@
 mod script;
 
 pub use back_end::{ScriptedBackEnd, SeenRequest};
-pub use caller::{Caller, CallerAnswer};
+pub use caller::{Caller, CallerAnswer, read};
 pub use claims::ScriptedClaims;
 pub use cluster::{Cluster, KEY, MODEL, OTHER_KEY, ServiceCluster, granted, test_settings};
 pub use script::{Script, chunk_event, done_event, last_event, stream_events};
--- a/crates/node/tests/support/script.rs
+++ b/crates/node/tests/support/script.rs
@@ -14,6 +14,8 @@
     WriteWaitWrite(Vec<u8>, Vec<u8>),
     /// Writes these bytes one by one, each in a write of its own.
     Trickle(Vec<u8>),
+    /// Writes a stream without an end.
+    Endless,
     /// Writes nothing and keeps the connection.
     Hang,
 }
@@ -63,7 +65,7 @@
     head
 }
 
-fn stream_bytes(request: &SeenRequest, events: &[String], end: bool) -> Vec<u8> {
+pub(super) fn stream_bytes(request: &SeenRequest, events: &[String], end: bool) -> Vec<u8> {
     let engine = format!("x-engine-incarnation: {}", request.incarnation);
     let headers = [
         "content-type: text/event-stream",
@@ -82,7 +84,7 @@
     bytes
 }
 
-fn http_chunk(text: &str) -> Vec<u8> {
+pub(super) fn http_chunk(text: &str) -> Vec<u8> {
     format!("{:x}\r\n{text}\r\n", text.len()).into_bytes()
 }
 
