--- /dev/null
+++ b/crates/ctl/src/output/mod.rs
@@ -0,0 +1,7 @@
+//! Output as tables or JSON.
+
+mod printer;
+mod table;
+
+pub use printer::Printer;
+pub use table::Table;
--- a/crates/schema/tests/generated_code.rs
+++ b/crates/schema/tests/generated_code.rs
@@ -10,6 +10,17 @@
 use ryerouter_schema::{generated_file, schema_directory};
 
 const GENERATED_NAME: &str = "ryerouter.v1.rs";
+const SERIALIZE: &str = "#[derive(serde::Serialize)]";
+/// Messages that `ryectl --json` prints as they are.
+const PRINTED_MESSAGES: [&str; 7] = [
+    "BackEndOverview",
+    "ExplainAttempt",
+    "ExplainCandidate",
+    "ExplainResponse",
+    "PoolOverview",
+    "RefusalCount",
+    "ReloadResponse",
+];
 const REGENERATE_VARIABLE: &str = "RYEROUTER_REGENERATE";
 
 fn schema_files(schema: &Path) -> Result<Vec<PathBuf>, Box<dyn Error>> {
@@ -27,10 +38,14 @@
     // Encoded and decoded again, so that the generator's own descriptor type is used.
     let descriptors = Message::decode(descriptors.encode_to_vec().as_slice())?;
     fs::create_dir_all(output)?;
-    tonic_prost_build::configure()
+    let mut builder = tonic_prost_build::configure()
         .out_dir(output)
-        .emit_rerun_if_changed(false)
-        .compile_fds(descriptors)?;
+        .emit_rerun_if_changed(false);
+    for message in PRINTED_MESSAGES {
+        let path = format!("ryerouter.v1.{message}");
+        builder = builder.message_attribute(path, SERIALIZE);
+    }
+    builder.compile_fds(descriptors)?;
     Ok(fs::read_to_string(output.join(GENERATED_NAME))?)
 }
 
