--- a/crates/core/src/dispatch/attempt_record.rs
+++ b/crates/core/src/dispatch/attempt_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::identity::{AttemptId, BackEndName, Incarnation, RequestId};
+use crate::identity::{AttemptId, BackEndName, DataCentreName, Incarnation, RequestId};
 use crate::placement::{CacheEpoch, EngineKey};
 use crate::prompt::BlockHash;
 use crate::timestamp::Timestamp;
@@ -14,6 +14,7 @@
 pub(super) struct AttemptRecord {
     pub(super) request: RequestId,
     pub(super) back_end: BackEndName,
+    pub(super) data_centre: DataCentreName,
     pub(super) engine: EngineKey,
     pub(super) priority: Priority,
     pub(super) started_at: Timestamp,
--- a/crates/core/src/dispatch/dispatch_parameters.rs
+++ b/crates/core/src/dispatch/dispatch_parameters.rs
@@ -51,8 +51,10 @@
     pub retention: Duration,
     /// Extra time to the first token from another zone.
     pub zone_distance: Duration,
-    /// Extra time to the first token from another data centre.
+    /// The same from another data centre, until it has been measured.
     pub data_centre_distance: Duration,
+    /// Data centres up to this distance count as one where no migration stage decides.
+    pub near_data_centre: Duration,
     /// Time an import takes before its first byte.
     pub kv_import_latency: Duration,
     /// Tokens of KV cache imported a second.
@@ -108,7 +110,8 @@
             waiting_tolerated: 4,
             retention: Duration::from_secs(20),
             zone_distance: Duration::from_millis(2),
-            data_centre_distance: Duration::from_millis(10),
+            data_centre_distance: Duration::from_millis(2),
+            near_data_centre: Duration::from_millis(10),
             kv_import_latency: Duration::from_millis(5),
             kv_import_tokens_per_second: 80_000.0,
             kv_minimum_tokens: 512,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -9,7 +9,7 @@
 use crate::identity::{AttemptId, BackEndName, DataCentreName, PoolName, RequestId, ZoneName};
 use crate::placement::{
     CacheKnowledge, EngineKey, PoolIndex, PoolMember, PrefixHeat, PrefixWidth, Retention,
-    preferred_data_centre,
+    SiteDistance, preferred_data_centre,
 };
 use crate::retry::RetryBudget;
 use crate::timestamp::Timestamp;
@@ -40,7 +40,6 @@
 /// attempt number is never used twice.
 #[derive(Debug)]
 pub struct Dispatcher {
-    data_centre: DataCentreName,
     zone: ZoneName,
     seed: u64,
     parameters: DispatchParameters,
@@ -55,6 +54,7 @@
     heat: PrefixHeat,
     knowledge: CacheKnowledge,
     kept: KeptPrefixes,
+    distances: SiteDistance,
     retry_budget: RetryBudget,
     first_request_at: Option<Timestamp>,
 }
@@ -75,7 +75,7 @@
     ) -> Self {
         let remembered = parameters.remembered_prefixes;
         Self {
-            data_centre,
+            distances: SiteDistance::new(data_centre, parameters.data_centre_distance),
             zone,
             seed,
             attempts_started: 0,
@@ -146,18 +146,20 @@
             .collect();
         self.pools
             .retain(|name, _| catalog.pools.contains_key(name) || in_use.contains(name));
-        for pool in self.pools.values_mut() {
-            pool.index = PoolIndex::default();
-        }
+        let mut members: BTreeMap<&PoolName, Vec<PoolMember>> = BTreeMap::new();
         let retention = Retention::new(self.parameters.retention);
         for back_end in catalog.back_ends.values() {
             let key = self.engines.key_of(back_end, retention);
             let takes_work = back_end.state == BackEndState::Active
                 && !snapshot.leaving.contains(&back_end.name);
-            if let (true, Some(pool)) = (takes_work, self.pools.get_mut(&back_end.pool)) {
-                pool.index.add(PoolMember::new(key, back_end));
+            if takes_work {
+                let of_pool = members.entry(&back_end.pool).or_default();
+                of_pool.push(PoolMember::new(key, back_end));
             }
         }
+        for (name, pool) in &mut self.pools {
+            pool.index = PoolIndex::new(members.remove(name).unwrap_or_default());
+        }
         self.snapshot = snapshot;
     }
 
@@ -286,7 +288,7 @@
             knowledge: &self.knowledge,
             kept: &self.kept,
             kv_store: kv_store.filter(|_| self.parameters.mechanisms.kv_store),
-            data_centre: &self.data_centre,
+            distances: &self.distances,
             zone: &self.zone,
             now,
         };
@@ -305,9 +307,10 @@
         }
     }
 
-    /// The data centres to try, in order: the one the migration stage says, or else the own one;
-    /// the others only when that has no engine with room.
-    fn data_centres(&self, record: &RequestRecord) -> Vec<DataCentreName> {
+    /// Groups of data centres to try, in order. Where a migration stage decides, its choice comes
+    /// first and all others only when that has no engine with room; elsewhere the near ones count
+    /// as one, because a cached prefix is worth more than a short way.
+    fn data_centres(&self, record: &RequestRecord) -> [Vec<DataCentreName>; 2] {
         let profile = &record.profile;
         let staged = preferred_data_centre(
             &self.snapshot.catalog,
@@ -316,10 +319,17 @@
             &profile.prefix,
             profile.request.as_str(),
         );
-        let first = staged.unwrap_or(&self.data_centre);
+        let comes_first = |name: &&DataCentreName| match staged {
+            Some(staged) => *name == staged.first,
+            None => self.distances.to(name) <= self.parameters.near_data_centre,
+        };
         let index = &self.pools[&profile.pool].index;
-        let others = index.data_centres().filter(|name| *name != first);
-        std::iter::once(first).chain(others).cloned().collect()
+        let excluded = staged.and_then(|staged| staged.excluded);
+        let (first, others): (Vec<_>, Vec<_>) = index
+            .data_centres()
+            .filter(|name| Some(*name) != excluded)
+            .partition(comes_first);
+        [first, others].map(|group| group.into_iter().cloned().collect())
     }
 
     fn enqueue(
@@ -471,7 +481,7 @@
             number: record.attempts_made,
             back_end: back_end.name.clone(),
             address: back_end.address,
-            data_centre: back_end.data_centre,
+            data_centre: back_end.data_centre.clone(),
             zone: back_end.zone,
             incarnation: engine.incarnation(),
             weights_version: record.weights_version,
@@ -485,6 +495,7 @@
             AttemptRecord {
                 request: request.clone(),
                 back_end: back_end.name,
+                data_centre: back_end.data_centre.clone(),
                 engine: choice.engine,
                 priority,
                 started_at: now,
@@ -513,6 +524,8 @@
         record.incarnation = Some(observation.incarnation);
         let key = record.engine;
         let request = record.request.clone();
+        self.distances
+            .observe(&record.data_centre, now.since(record.started_at));
         self.observe_answer(key, &request, observation, now);
         let Some(engine) = self.engines.get_mut(key) else {
             return;
--- a/crates/core/src/dispatch/engine_chooser.rs
+++ b/crates/core/src/dispatch/engine_chooser.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use crate::identity::{DataCentreName, ZoneName};
-use crate::placement::{CacheKnowledge, CandidateOrder, EngineKey, PlacementPoint, PoolMember};
+use crate::placement::{
+    CacheKnowledge, CandidateOrder, EngineKey, PlacementPoint, PoolMember, SiteDistance,
+};
 use crate::timestamp::Timestamp;
 
 use super::attempt_record::Expectation;
@@ -35,22 +37,22 @@
     pub(super) knowledge: &'a CacheKnowledge,
     pub(super) kept: &'a KeptPrefixes,
     pub(super) kv_store: Option<SocketAddr>,
-    pub(super) data_centre: &'a DataCentreName,
+    pub(super) distances: &'a SiteDistance,
     pub(super) zone: &'a ZoneName,
     pub(super) now: Timestamp,
 }
 
 impl EngineChooser<'_> {
-    /// Chooses an engine in the first of these data centres that has one with room.
+    /// Chooses an engine in the first of these groups of data centres that has one with room.
     pub(super) fn choose(
         &self,
         record: &RequestRecord,
         priority: Priority,
-        data_centres: &[DataCentreName],
+        groups: &[Vec<DataCentreName>],
     ) -> Result<Choice, Blocked> {
         let mut blocked = Blocked::None;
-        for data_centre in data_centres {
-            match self.choose_in(data_centre, record, priority) {
+        for data_centres in groups {
+            match self.choose_in(data_centres, record, priority) {
                 Ok(choice) => return Ok(choice),
                 Err(why) => blocked = blocked.or(why),
             }
@@ -60,20 +62,24 @@
 
     fn choose_in(
         &self,
-        data_centre: &DataCentreName,
+        data_centres: &[DataCentreName],
         record: &RequestRecord,
         priority: Priority,
     ) -> Result<Choice, Blocked> {
-        let members = self.pool.index.members(data_centre);
+        let index = &self.pool.index;
+        let members = index.members();
+        let positions: Vec<usize> = index.positions_in(data_centres).collect();
         let limit = self.parameters.candidate_limit;
-        let order = CandidateOrder::new(members, &record.widths, placement_key(record), limit);
+        let key = placement_key(record);
+        let order = CandidateOrder::new(members, positions, &record.widths, key, limit);
         let holders = self.known_holders(record);
         let is_first = |position: usize| order.positions().first() == Some(&position);
         let mut seen = BTreeSet::new();
         let mut candidates = Vec::new();
         let holder_positions = holders
             .iter()
-            .filter_map(|holder| self.pool.index.position(data_centre, holder.engine));
+            .filter_map(|holder| index.position(holder.engine))
+            .filter(|position| data_centres.contains(&members[*position].back_end.data_centre));
         for position in holder_positions {
             let member = &members[position];
             if seen.insert(member.key) && self.is_usable(member, record) {
@@ -118,7 +124,10 @@
             }
             candidates.push(candidate);
         }
-        Err(self.blocked(members, &candidates, record))
+        let in_group = index
+            .positions_in(data_centres)
+            .map(|position| &members[position]);
+        Err(self.blocked(in_group, &candidates, record))
     }
 
     /// The cheapest candidate with room; the fastest one where only that meets the deadline.
@@ -142,9 +151,9 @@
         Some(cheapest)
     }
 
-    fn blocked(
+    fn blocked<'b>(
         &self,
-        members: &[PoolMember],
+        members: impl Iterator<Item = &'b PoolMember>,
         candidates: &[Candidate<'_>],
         record: &RequestRecord,
     ) -> Blocked {
@@ -156,7 +165,6 @@
             return Blocked::NoRoom { first_token_in };
         }
         members
-            .iter()
             .filter(|member| !record.failed.contains(&member.key))
             .filter_map(|member| self.available_at(member, record))
             .min()
@@ -262,12 +270,11 @@
     }
 
     fn distance(&self, member: &PoolMember) -> Duration {
-        if member.back_end.data_centre != *self.data_centre {
-            self.parameters.data_centre_distance
-        } else if member.back_end.zone != *self.zone {
-            self.parameters.zone_distance
+        let to_site = self.distances.to(&member.back_end.data_centre);
+        if member.back_end.zone == *self.zone {
+            to_site
         } else {
-            Duration::ZERO
+            to_site.max(self.parameters.zone_distance)
         }
     }
 
--- a/crates/core/src/placement/candidate_order.rs
+++ b/crates/core/src/placement/candidate_order.rs
@@ -2,7 +2,7 @@
 
 use super::{PoolMember, PrefixWidth, rendezvous_score};
 
-/// The order in which the members of one data centre are considered for a prompt.
+/// The order in which members of a pool are considered for a prompt.
 ///
 /// From the outermost prefix inwards, each prefix keeps the members that score highest for it, as
 /// many as its width says, out of those kept before. So a thin prefix stays on one engine together
@@ -15,9 +15,14 @@
 }
 
 impl CandidateOrder {
-    /// Orders the best members for a prompt; at most about `limit` are kept after the first set.
-    pub fn new(members: &[PoolMember], widths: &[PrefixWidth], key: u64, limit: usize) -> Self {
-        let mut kept: Vec<usize> = (0..members.len()).collect();
+    /// Orders the best of the members at `kept` for a prompt; at most `limit` remain.
+    pub fn new(
+        members: &[PoolMember],
+        mut kept: Vec<usize>,
+        widths: &[PrefixWidth],
+        key: u64,
+        limit: usize,
+    ) -> Self {
         let mut dropped_sets = Vec::new();
         for width in widths {
             if width.engines >= kept.len() {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -18,6 +18,7 @@
 mod prefix_width;
 mod rendezvous;
 mod retention;
+mod site_distance;
 mod site_preference;
 
 pub use cache_epoch::CacheEpoch;
@@ -36,4 +37,5 @@
 pub use prefix_width::PrefixWidth;
 pub use rendezvous::{name_hash, rendezvous_score};
 pub use retention::Retention;
-pub use site_preference::preferred_data_centre;
+pub use site_distance::SiteDistance;
+pub use site_preference::{SitePreference, preferred_data_centre};
--- a/crates/core/src/placement/pool_index.rs
+++ b/crates/core/src/placement/pool_index.rs
@@ -1,6 +1,7 @@
 //! The back ends of a pool, ready for placement.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use super::{EngineKey, PoolMember};
 use crate::identity::DataCentreName;
@@ -9,17 +10,30 @@
 /// snapshot, so that placing a request neither searches the catalog nor hashes names.
 #[derive(Debug, Clone, Default)]
 pub struct PoolIndex {
-    sites: BTreeMap<DataCentreName, Vec<PoolMember>>,
-    site_of: BTreeMap<EngineKey, (DataCentreName, usize)>,
+    members: Vec<PoolMember>,
+    sites: BTreeMap<DataCentreName, Range<usize>>,
+    positions: BTreeMap<EngineKey, usize>,
 }
 
 impl PoolIndex {
-    /// Adds a back end.
-    pub fn add(&mut self, member: PoolMember) {
-        let site = member.back_end.data_centre.clone();
-        let members = self.sites.entry(site.clone()).or_default();
-        self.site_of.insert(member.key, (site, members.len()));
-        members.push(member);
+    /// Indexes back ends; their order does not matter.
+    pub fn new(mut members: Vec<PoolMember>) -> Self {
+        members.sort_by(|left, right| {
+            let left = (&left.back_end.data_centre, &left.back_end.name);
+            left.cmp(&(&right.back_end.data_centre, &right.back_end.name))
+        });
+        let mut sites: BTreeMap<DataCentreName, Range<usize>> = BTreeMap::new();
+        let mut positions = BTreeMap::new();
+        for (position, member) in members.iter().enumerate() {
+            let site = member.back_end.data_centre.clone();
+            sites.entry(site).or_insert(position..position).end = position + 1;
+            positions.insert(member.key, position);
+        }
+        Self {
+            members,
+            sites,
+            positions,
+        }
     }
 
     /// Its data centres.
@@ -27,26 +41,24 @@
         self.sites.keys()
     }
 
-    /// Its back ends in one data centre, in order of their names.
-    pub fn members(&self, data_centre: &DataCentreName) -> &[PoolMember] {
-        self.sites.get(data_centre).map_or(&[], Vec::as_slice)
+    /// All its back ends, by data centre and name.
+    pub fn members(&self) -> &[PoolMember] {
+        &self.members
     }
 
-    /// Position of a back end among the members of a data centre, if it is one of them.
-    pub fn position(&self, data_centre: &DataCentreName, key: EngineKey) -> Option<usize> {
-        self.site_of
-            .get(&key)
-            .filter(|(site, _)| site == data_centre)
-            .map(|(_, position)| *position)
+    /// Positions of the back ends in these data centres among all.
+    pub fn positions_in<'a>(
+        &'a self,
+        data_centres: &'a [DataCentreName],
+    ) -> impl Iterator<Item = usize> + 'a {
+        data_centres
+            .iter()
+            .filter_map(|data_centre| self.sites.get(data_centre))
+            .flat_map(Range::clone)
     }
 
-    /// Back ends in all data centres.
-    pub fn len(&self) -> usize {
-        self.site_of.len()
-    }
-
-    /// Whether no back end may take new work.
-    pub fn is_empty(&self) -> bool {
-        self.site_of.is_empty()
+    /// Position of a back end among all.
+    pub fn position(&self, key: EngineKey) -> Option<usize> {
+        self.positions.get(&key).copied()
     }
 }
--- a/crates/core/src/placement/site_preference.rs
+++ b/crates/core/src/placement/site_preference.rs
@@ -14,7 +14,16 @@
 /// the tenant's own prefixes, so that one large tenant can move in steps.
 const SPLIT_LEVEL: usize = 2;
 
-/// The data centre that the migration stages of the pool choose for a request, if there is one.
+/// Which data centre a migration stage chooses for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SitePreference<'a> {
+    /// The data centre to serve it in.
+    pub first: &'a DataCentreName,
+    /// The data centre it must not overflow to: the target of a stage that was rolled back.
+    pub excluded: Option<&'a DataCentreName>,
+}
+
+/// What the migration stages of the pool choose for a request, if there is one.
 ///
 /// The choice is a hash of tenant and outer prefix against the share, so that a prefix keeps its
 /// data centre, and a rising share only moves prefixes from the source to the target.
@@ -24,18 +33,25 @@
     tenant: &TenantName,
     prefix: &PrefixChain,
     fallback_key: &str,
-) -> Option<&'a DataCentreName> {
+) -> Option<SitePreference<'a>> {
     let stage = stage_for(catalog, pool, tenant)?;
     if stage.state == StageState::RolledBack {
-        return Some(&stage.source);
+        return Some(SitePreference {
+            first: &stage.source,
+            excluded: Some(&stage.target),
+        });
     }
     let key = split_key(prefix).unwrap_or_else(|| xxh3_64_with_seed(fallback_key.as_bytes(), 0));
     let slot = xxh3_64_with_seed(tenant.as_str().as_bytes(), key) % PERMILLE;
-    if slot < u64::from(stage.target_share_permille) {
-        Some(&stage.target)
-    } else {
-        Some(&stage.source)
-    }
+    let goes_to_target = slot < u64::from(stage.target_share_permille);
+    Some(SitePreference {
+        first: if goes_to_target {
+            &stage.target
+        } else {
+            &stage.source
+        },
+        excluded: None,
+    })
 }
 
 /// The stage of this tenant, or else the one of all tenants.
