Give peer streams mutual TLS and let a control thread be cut off

All links of a process share one context. Observations of traffic threads come over a queue of their own.

--- a/crates/node/src/control/control_command.rs
+++ b/crates/node/src/control/control_command.rs
@@ -3,7 +3,7 @@
 use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
 use tokio::sync::oneshot;
 
-use super::{BackEndObservation, ControlReport};
+use super::ControlReport;
 
 /// What other threads ask of the control thread.
 #[derive(Debug)]
@@ -22,8 +22,6 @@
         /// Where the answer goes.
         reply: oneshot::Sender<ControlReport>,
     },
-    /// A traffic thread saw a back end change.
-    Observed(BackEndObservation),
     /// Begin a planned stop.
     Stop,
     /// The last request in progress has ended.
--- a/crates/node/src/control/control_handle.rs
+++ b/crates/node/src/control/control_handle.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
     commands: mpsc::Sender<ControlCommand>,
+    observations: mpsc::Sender<BackEndObservation>,
     snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
     phases: watch::Receiver<NodePhase>,
     changes: ChangeLog,
@@ -21,12 +22,14 @@
 impl ControlHandle {
     pub(super) fn new(
         commands: mpsc::Sender<ControlCommand>,
+        observations: mpsc::Sender<BackEndObservation>,
         snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
         phases: watch::Receiver<NodePhase>,
         changes: ChangeLog,
     ) -> Self {
         Self {
             commands,
+            observations,
             snapshots,
             phases,
             changes,
@@ -71,11 +74,10 @@
         answer.await.map_err(|_| ControlGone)
     }
 
-    /// Tells of a changed back end. Never waits: an observation that finds the queue full is
-    /// dropped and `false` returned, and the next answer of that back end tells the same again.
-    pub fn observe(&self, observation: BackEndObservation) -> bool {
-        let command = ControlCommand::Observed(observation);
-        self.commands.try_send(command).is_ok()
+    /// Where traffic threads tell of changed back ends. An observation that finds the queue full
+    /// may be dropped: the next answer of that back end tells the same again.
+    pub fn observations(&self) -> mpsc::Sender<BackEndObservation> {
+        self.observations.clone()
     }
 
     /// Begins a planned stop.
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -11,7 +11,9 @@
 
 use crate::clock::Clock;
 
-use super::{ChangeLog, ControlCommand, ControlIo, ControlReport, PendingOperations};
+use super::{
+    BackEndObservation, ChangeLog, ControlCommand, ControlIo, ControlReport, PendingOperations,
+};
 
 /// The loop of the control thread: the only owner of the control state.
 pub(super) struct ControlLoop {
@@ -21,6 +23,7 @@
     pub(super) io: ControlIo,
     pub(super) events: mpsc::Receiver<ControlEvent>,
     pub(super) commands: mpsc::Receiver<ControlCommand>,
+    pub(super) observations: mpsc::Receiver<BackEndObservation>,
     pub(super) operations: PendingOperations,
     pub(super) changes: ChangeLog,
     pub(super) snapshots: watch::Sender<Arc<RoutingSnapshot>>,
@@ -41,6 +44,7 @@
                     Some(command) => self.event_of_command(command),
                     None => break,
                 },
+                Some(observation) = self.observations.recv() => event_of_observation(observation),
                 _ = tick.tick() => ControlEvent::Tick,
             };
             self.handle(event);
@@ -62,11 +66,6 @@
             ControlCommand::Status { reply } => ControlEvent::StatusRequested {
                 operation: self.operations.add_status(reply),
             },
-            ControlCommand::Observed(observation) => ControlEvent::BackEndObserved {
-                back_end: observation.back_end,
-                incarnation: observation.incarnation,
-                draining: observation.draining,
-            },
             ControlCommand::Stop => ControlEvent::StopRequested,
             ControlCommand::TrafficEnded => ControlEvent::TrafficEnded,
         }
@@ -118,3 +117,11 @@
         self.phases.send_replace(phase);
     }
 }
+
+fn event_of_observation(observation: BackEndObservation) -> ControlEvent {
+    ControlEvent::BackEndObserved {
+        back_end: observation.back_end,
+        incarnation: observation.incarnation,
+        draining: observation.draining,
+    }
+}
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -8,12 +8,16 @@
 use ryerouter_core::control::{ControlSettings, ControlState};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_wire::peer::{PEER_PROTOCOL_VERSION, PeerHello};
 use slog::{Logger, o};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use crate::peer::{DatagramLink, PeerMetrics, PeerSockets, StreamLinks, StreamServer};
+use crate::peer::{
+    DatagramLink, PeerContext, PeerMetrics, PeerSockets, PeerTls, StreamLinks, StreamServer,
+};
 
 use super::{
     ChangeLog, ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
@@ -24,11 +28,14 @@
 const EVENT_QUEUE: usize = 4_096;
 /// Commands of other threads that may wait for the control thread.
 const COMMAND_QUEUE: usize = 1_024;
+/// Observations of traffic threads that may wait for the control thread.
+const OBSERVATION_QUEUE: usize = 4_096;
 
 /// The control side of a node with its addresses bound but nothing running yet.
 pub struct BoundControl {
     options: ControlOptions,
     peers: PeerSockets,
+    peer_tls: Option<PeerTls>,
     metrics: PeerMetrics,
 }
 
@@ -37,6 +44,7 @@
     handle: ControlHandle,
     peer_address: SocketAddr,
     thread: JoinHandle<()>,
+    abort: CancellationToken,
 }
 
 impl BoundControl {
@@ -51,6 +59,7 @@
         Ok(Self {
             options,
             peers,
+            peer_tls: None,
             metrics: PeerMetrics::new(),
         })
     }
@@ -65,6 +74,11 @@
         &self.metrics
     }
 
+    /// Makes streams between peers use TLS.
+    pub fn set_peer_tls(&mut self, tls: PeerTls) {
+        self.peer_tls = Some(tls);
+    }
+
     /// Replaces the peers to ask first.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.options.seeds = seeds;
@@ -74,9 +88,16 @@
     pub fn start(self, clock: Clock, logger: &Logger) -> Result<ControlThread, ControlError> {
         let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE);
         let (snapshots, snapshot_feed) = watch::channel(Arc::<RoutingSnapshot>::default());
+        let (observation_sender, observations) = mpsc::channel(OBSERVATION_QUEUE);
         let (phases, phase_feed) = watch::channel(NodePhase::Starting);
         let changes = ChangeLog::new();
-        let handle = ControlHandle::new(command_sender, snapshot_feed, phase_feed, changes.clone());
+        let handle = ControlHandle::new(
+            command_sender,
+            observation_sender,
+            snapshot_feed,
+            phase_feed,
+            changes.clone(),
+        );
         let peer_address = self.peer_address();
         let logger = logger.new(o!("node" => self.options.name.to_string()));
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -93,12 +114,25 @@
         let sockets = sockets.map_err(|source| ControlError::Thread { source })?;
         let options = self.options;
         let metrics = self.metrics;
+        let tls = self.peer_tls;
+        let abort = CancellationToken::new();
+        let thread_abort = abort.clone();
         let run = move || {
             runtime.block_on(async move {
                 let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
-                let input = ControlInput::new(event_sender);
                 let state = ControlState::new(control_settings(&options, peer_address));
-                let io = start_io(&options, peer_address, sockets, &input, &metrics, &logger);
+                let peers = PeerContext {
+                    hello: PeerHello {
+                        protocol: PEER_PROTOCOL_VERSION,
+                        name: options.name.clone(),
+                        address: peer_address,
+                    },
+                    input: ControlInput::new(event_sender),
+                    metrics,
+                    logger: logger.clone(),
+                    tls,
+                };
+                let io = start_io(&options, sockets, &peers);
                 let control = ControlLoop {
                     state,
                     clock,
@@ -106,12 +140,13 @@
                     io,
                     events,
                     commands,
+                    observations,
                     operations: PendingOperations::default(),
                     changes,
                     snapshots,
                     phases,
                 };
-                control.run().await;
+                thread_abort.run_until_cancelled(control.run()).await;
             });
             // Tasks that outlive the loop have nobody left to report to.
             runtime.shutdown_timeout(Duration::ZERO);
@@ -124,6 +159,7 @@
             handle,
             peer_address,
             thread,
+            abort,
         })
     }
 }
@@ -145,6 +181,12 @@
         drop(self.handle);
         let _ = self.thread.join();
     }
+
+    /// Ends the thread at once, as a crash would. Blocks.
+    pub fn kill(self) {
+        self.abort.cancel();
+        let _ = self.thread.join();
+    }
 }
 
 fn control_settings(options: &ControlOptions, address: SocketAddr) -> ControlSettings {
@@ -162,20 +204,11 @@
 
 fn start_io(
     options: &ControlOptions,
-    address: SocketAddr,
     (datagrams, streams): (UdpSocket, TcpListener),
-    input: &ControlInput,
-    metrics: &PeerMetrics,
-    logger: &Logger,
+    peers: &PeerContext,
 ) -> ControlIo {
-    let datagrams = DatagramLink::start(datagrams, input.clone(), metrics.clone(), logger.clone());
-    StreamServer::start(streams, input.clone(), metrics.clone(), logger.clone());
-    let links = StreamLinks::new(
-        options.name.clone(),
-        address,
-        input.clone(),
-        metrics.clone(),
-        logger.clone(),
-    );
-    ControlIo::new(options, input, datagrams, links, logger)
+    let datagrams = DatagramLink::start(datagrams, peers.clone());
+    StreamServer::start(streams, peers.clone());
+    let links = StreamLinks::new(peers.clone());
+    ControlIo::new(options, &peers.input, datagrams, links, &peers.logger)
 }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,8 +6,10 @@
 //! opens, and a process is only ever addressed where it listens.
 
 mod datagram_link;
+mod peer_context;
 mod peer_metrics;
 mod peer_sockets;
+mod peer_tls;
 mod stream_link;
 mod stream_links;
 mod stream_server;
@@ -15,7 +17,9 @@
 pub use datagram_link::DatagramLink;
 pub use peer_metrics::PeerMetrics;
 pub use peer_sockets::PeerSockets;
+pub use peer_tls::PeerTls;
 pub use stream_links::StreamLinks;
 pub use stream_server::StreamServer;
 
+pub(crate) use peer_context::PeerContext;
 use stream_link::StreamLink;
--- a/crates/node/src/peer/peer_metrics.rs
+++ b/crates/node/src/peer/peer_metrics.rs
@@ -19,6 +19,8 @@
     pub dropped: IntCounter,
     /// Streams refused because too many were open.
     pub streams_refused: IntCounter,
+    /// Streams whose opener or taker showed no acceptable certificate.
+    pub handshakes_failed: IntCounter,
 }
 
 impl PeerMetrics {
@@ -50,6 +52,10 @@
                 "ryerouter_peer_streams_refused_total",
                 "Streams of peers refused because too many were open",
             ),
+            handshakes_failed: counter(
+                "ryerouter_peer_handshakes_failed_total",
+                "Streams to and from peers whose TLS handshake failed",
+            ),
         }
     }
 
@@ -63,6 +69,7 @@
             &self.malformed,
             &self.dropped,
             &self.streams_refused,
+            &self.handshakes_failed,
         ];
         for counter in counters {
             registry.register(Box::new(counter.clone()))?;
--- a/crates/node/src/peer/stream_link.rs
+++ b/crates/node/src/peer/stream_link.rs
@@ -6,17 +6,17 @@
 use bytes::BytesMut;
 use rand::Rng;
 use ryerouter_core::control::{ControlEvent, PeerMessage};
-use ryerouter_wire::peer::{JsonLineCodec, PeerCodecError, PeerHello, StreamLine};
-use slog::{Logger, debug, info};
+use ryerouter_wire::peer::{JsonLineCodec, PeerCodecError, StreamLine};
+use slog::{debug, info};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::codec::Encoder;
 
-use crate::control::ControlInput;
+use crate::tls::ClientStream;
 
-use super::PeerMetrics;
+use super::PeerContext;
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -32,11 +32,8 @@
 /// A stream to one peer. Lives while there is something to say.
 pub(super) struct StreamLink {
     pub(super) to: SocketAddr,
-    pub(super) hello: PeerHello,
     pub(super) queue: mpsc::Receiver<PeerMessage>,
-    pub(super) input: ControlInput,
-    pub(super) metrics: PeerMetrics,
-    pub(super) logger: Logger,
+    pub(super) context: PeerContext,
 }
 
 impl StreamLink {
@@ -50,11 +47,11 @@
                     let Err(cause) = self.write_messages(stream, message).await else {
                         return;
                     };
-                    info!(self.logger, "peer_stream_broken"; "to" => %self.to, "cause" => %cause);
+                    info!(self.context.logger, "peer_stream_broken"; "to" => %self.to, "cause" => %cause);
                     self.fail().await;
                 }
                 Err(cause) => {
-                    debug!(self.logger, "peer_unreachable"; "to" => %self.to, "cause" => %cause);
+                    debug!(self.context.logger, "peer_unreachable"; "to" => %self.to, "cause" => %cause);
                     self.fail().await;
                     self.refuse_for(back_off).await;
                     back_off = (back_off * 2).min(LONGEST_BACK_OFF);
@@ -75,26 +72,35 @@
         }
     }
 
-    async fn open(&self) -> Result<TcpStream, PeerCodecError> {
+    async fn open(&self) -> Result<ClientStream, PeerCodecError> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.to)).await;
-        let mut stream = connected.map_err(|_| timed_out())??;
+        let stream = connected.map_err(|_| timed_out())??;
         stream.set_nodelay(true)?;
-        let hello = StreamLine::Hello(self.hello.clone());
+        let mut stream = self.handshake(stream).await?;
+        let hello = StreamLine::Hello(self.context.hello.clone());
         self.write(&mut stream, &hello).await?;
         Ok(stream)
     }
 
+    async fn handshake(&self, stream: TcpStream) -> Result<ClientStream, PeerCodecError> {
+        let Some(tls) = &self.context.tls else {
+            return Ok(ClientStream::Plain(stream));
+        };
+        let connected = tls.client.connect(stream).await;
+        Ok(connected.inspect_err(|_| self.context.metrics.handshakes_failed.inc())?)
+    }
+
     /// Writes messages to an open stream; ends well only when there is nothing more to say.
     async fn write_messages(
         &mut self,
-        mut stream: TcpStream,
+        mut stream: ClientStream,
         first: PeerMessage,
     ) -> Result<(), PeerCodecError> {
         let mut message = first;
         loop {
             self.write(&mut stream, &StreamLine::Message(message))
                 .await?;
-            self.metrics.messages_sent.inc();
+            self.context.metrics.messages_sent.inc();
             let mut unexpected = [0; 1];
             let next = tokio::select! {
                 next = self.next_message() => next,
@@ -108,12 +114,17 @@
         }
     }
 
-    async fn write(&self, stream: &mut TcpStream, line: &StreamLine) -> Result<(), PeerCodecError> {
+    async fn write(
+        &self,
+        stream: &mut ClientStream,
+        line: &StreamLine,
+    ) -> Result<(), PeerCodecError> {
         let mut buffer = BytesMut::new();
         JsonLineCodec::default().encode(line, &mut buffer)?;
         let written = tokio::time::timeout(WRITE_TIMEOUT, stream.write_all(&buffer)).await;
         written.map_err(|_| timed_out())??;
-        self.metrics.bytes_sent.inc_by(buffer.len() as u64);
+        stream.flush().await?;
+        self.context.metrics.bytes_sent.inc_by(buffer.len() as u64);
         Ok(())
     }
 
@@ -128,9 +139,9 @@
     }
 
     async fn fail(&self) {
-        self.metrics.dropped.inc();
+        self.context.metrics.dropped.inc();
         let event = ControlEvent::StreamFailed { to: self.to };
-        self.input.deliver(event).await;
+        self.context.input.deliver(event).await;
     }
 }
 
--- a/crates/node/src/peer/stream_links.rs
+++ b/crates/node/src/peer/stream_links.rs
@@ -4,15 +4,10 @@
 use std::net::SocketAddr;
 
 use ryerouter_core::control::{ControlEvent, PeerMessage};
-use ryerouter_core::identity::NodeName;
-use ryerouter_wire::peer::{PEER_PROTOCOL_VERSION, PeerHello};
-use slog::Logger;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 
-use crate::control::ControlInput;
-
-use super::{PeerMetrics, StreamLink};
+use super::{PeerContext, StreamLink};
 
 /// Messages that may wait for one peer.
 const QUEUE: usize = 256;
@@ -22,31 +17,14 @@
 /// Streams to peers, opened when there is something to say and closed when there has been nothing
 /// for a while.
 pub struct StreamLinks {
-    hello: PeerHello,
-    input: ControlInput,
-    metrics: PeerMetrics,
-    logger: Logger,
+    context: PeerContext,
     queues: BTreeMap<SocketAddr, mpsc::Sender<PeerMessage>>,
 }
 
 impl StreamLinks {
-    pub(crate) fn new(
-        name: NodeName,
-        address: SocketAddr,
-        input: ControlInput,
-        metrics: PeerMetrics,
-        logger: Logger,
-    ) -> Self {
-        let hello = PeerHello {
-            protocol: PEER_PROTOCOL_VERSION,
-            name,
-            address,
-        };
+    pub(crate) fn new(context: PeerContext) -> Self {
         Self {
-            hello,
-            input,
-            metrics,
-            logger,
+            context,
             queues: BTreeMap::new(),
         }
     }
@@ -80,19 +58,16 @@
         let (sender, queue) = mpsc::channel(QUEUE);
         let link = StreamLink {
             to,
-            hello: self.hello.clone(),
             queue,
-            input: self.input.clone(),
-            metrics: self.metrics.clone(),
-            logger: self.logger.clone(),
+            context: self.context.clone(),
         };
         tokio::spawn(link.run());
         sender
     }
 
     fn fail(&self, to: SocketAddr) {
-        self.metrics.dropped.inc();
-        let input = self.input.clone();
+        self.context.metrics.dropped.inc();
+        let input = self.context.input.clone();
         tokio::spawn(async move { input.deliver(ControlEvent::StreamFailed { to }).await });
     }
 }
--- a/crates/node/src/peer/stream_server.rs
+++ b/crates/node/src/peer/stream_server.rs
@@ -1,5 +1,6 @@
 //! Streams that peers open.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,14 +9,14 @@
 use ryerouter_wire::peer::{
     JsonLineCodec, PEER_PROTOCOL_VERSION, PeerCodecError, PeerHello, StreamLine,
 };
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::codec::FramedRead;
 
-use crate::control::ControlInput;
+use crate::tls::ServerStream;
 
-use super::PeerMetrics;
+use super::PeerContext;
 
 /// Most streams of peers at once.
 const MAXIMUM_STREAMS: usize = 2_048;
@@ -29,26 +30,17 @@
 /// Takes the streams that peers open and passes their messages on.
 #[derive(Clone)]
 pub struct StreamServer {
-    input: ControlInput,
-    metrics: PeerMetrics,
-    logger: Logger,
+    context: PeerContext,
     permits: Arc<Semaphore>,
 }
 
-type Lines = FramedRead<TcpStream, JsonLineCodec<StreamLine>>;
+type Lines = FramedRead<ServerStream, JsonLineCodec<StreamLine>>;
 
 impl StreamServer {
     /// Starts to accept.
-    pub(crate) fn start(
-        listener: TcpListener,
-        input: ControlInput,
-        metrics: PeerMetrics,
-        logger: Logger,
-    ) {
+    pub(crate) fn start(listener: TcpListener, context: PeerContext) {
         let server = Self {
-            input,
-            metrics,
-            logger,
+            context,
             permits: Arc::new(Semaphore::new(MAXIMUM_STREAMS)),
         };
         tokio::spawn(server.accept(listener));
@@ -59,7 +51,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(stream),
                 Err(cause) => {
-                    warn!(self.logger, "peer_accept_failed"; "cause" => %cause);
+                    warn!(self.context.logger, "peer_accept_failed"; "cause" => %cause);
                     tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
                 }
             }
@@ -68,39 +60,56 @@
 
     fn admit(&self, stream: TcpStream) {
         let Ok(permit) = self.permits.clone().try_acquire_owned() else {
-            self.metrics.streams_refused.inc();
+            self.context.metrics.streams_refused.inc();
             return;
         };
         let server = self.clone();
         tokio::spawn(async move {
             let from = stream.peer_addr().ok();
-            if let Err(cause) = server.serve(stream).await {
-                server.metrics.malformed.inc();
-                warn!(server.logger, "peer_stream_closed"; "from" => ?from, "cause" => %cause);
+            match server.handshake(stream).await {
+                Ok(stream) => server.serve_logged(stream, from).await,
+                Err(cause) => {
+                    server.context.metrics.handshakes_failed.inc();
+                    warn!(server.context.logger, "peer_handshake_failed"; "from" => ?from, "cause" => %cause);
+                }
             }
             drop(permit);
         });
     }
 
+    async fn handshake(&self, stream: TcpStream) -> std::io::Result<ServerStream> {
+        match &self.context.tls {
+            Some(tls) => tls.server.accept(stream).await,
+            None => Ok(ServerStream::Plain(stream)),
+        }
+    }
+
+    async fn serve_logged(&self, stream: ServerStream, from: Option<SocketAddr>) {
+        if let Err(cause) = self.serve(stream).await {
+            self.context.metrics.malformed.inc();
+            warn!(self.context.logger, "peer_stream_closed"; "from" => ?from, "cause" => %cause);
+        }
+    }
+
     /// Passes messages on until the stream ends; a stream that breaks off or falls silent has
     /// ended, a line that is no message is an error.
-    async fn serve(&self, stream: TcpStream) -> Result<(), PeerCodecError> {
+    async fn serve(&self, stream: ServerStream) -> Result<(), PeerCodecError> {
         let mut lines = Lines::new(stream, JsonLineCodec::default());
         let Some(line) = next_line(&mut lines, HELLO_TIMEOUT).await? else {
             return Ok(());
         };
         let hello = expect_hello(line)?;
-        info!(self.logger, "peer_stream_opened";
+        info!(self.context.logger, "peer_stream_opened";
             "peer" => hello.name.as_str(), "address" => %hello.address);
         while let Some(line) = next_line(&mut lines, IDLE_TIMEOUT).await? {
             let StreamLine::Message(message) = line else {
                 return Err(malformed("second hello"));
             };
-            self.metrics.messages_received.inc();
+            self.context.metrics.messages_received.inc();
             let from = hello.address;
             let event = ControlEvent::PeerMessageReceived { from, message };
             // Waiting here while the control thread is busy makes the sender wait in turn.
-            self.input.deliver(event).await;
+            self.context.input.deliver(event).await;
         }
         Ok(())
     }
--- a/crates/node/tests/control_support/mod.rs
+++ b/crates/node/tests/control_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each test file is a crate of its own and uses its part"
 )]
 
