Add ryebench demo: a whole deployment over real sockets, every answer checked

Six router nodes (control thread, operator RPC, traffic side) and all stand-ins of a scenario in one process. The configuration is created through the operator RPC and awaited on every node; the scenario's requests go out at their times, streamed and whole, chat, completion and plain, repeatable and at most once, some at-most-once calls to two nodes at once. Every answer is compared with what the back end must have said, and the stand-ins' counts with what callers were told.

--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -3,12 +3,16 @@
 use gumdrop::Options;
 
 use super::CommandError;
+use super::demo_command::DemoCommand;
 use super::faults_command::FaultsCommand;
 use super::standins_command::StandinsCommand;
 
 /// A command of `ryebench`.
 #[derive(Debug, Options)]
 pub enum Command {
+    /// Runs a deployment over real sockets and checks every answer.
+    #[options(help = "serve a scenario's requests over real sockets and check every answer")]
+    Demo(DemoCommand),
     /// Runs clusters on a virtual clock through named faults.
     #[options(help = "run simulated clusters through faults and check every promise")]
     Faults(FaultsCommand),
@@ -25,6 +29,7 @@
     /// A promise was broken, or the run itself failed.
     pub fn run(self) -> Result<(), CommandError> {
         match self {
+            Self::Demo(command) => command.run(),
             Self::Faults(command) => command.run(),
             Self::Standins(command) => command.run(),
         }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,8 @@
 //! fault runs, simulated nodes and reports.
 
 pub mod cli;
+pub mod cluster;
+pub mod demo;
 pub mod engine_model;
 pub mod faults;
 pub mod oracle;
--- a/crates/testbed/src/standins/model_engine/chunk_format.rs
+++ b/crates/testbed/src/standins/model_engine/chunk_format.rs
@@ -64,6 +64,11 @@
     format!("weights-{weights_version}")
 }
 
+/// The weights that a fingerprint names.
+pub fn weights_of_fingerprint(fingerprint: &str) -> Option<u64> {
+    fingerprint.strip_prefix("weights-")?.parse().ok()
+}
+
 fn chunk_head(attempt: &Attempt) -> String {
     let object = if attempt.request.chat {
         "chat.completion.chunk"
--- a/crates/testbed/src/standins/model_engine/mod.rs
+++ b/crates/testbed/src/standins/model_engine/mod.rs
@@ -26,6 +26,7 @@
 mod stream_fault;
 
 pub use answer_text::AnswerText;
+pub use chunk_format::weights_of_fingerprint;
 pub use engine::Engine;
 pub use engine_faults::EngineFaults;
 pub use engine_settings::EngineSettings;
--- a/crates/testbed/src/standins/service/handler.rs
+++ b/crates/testbed/src/standins/service/handler.rs
@@ -45,6 +45,11 @@
         self.executions.lock().clone()
     }
 
+    /// Executions under one key.
+    pub fn executions_of(&self, key: &str) -> u32 {
+        self.executions.lock().get(key).copied().unwrap_or(0)
+    }
+
     fn count(&self, key: String) {
         *self.executions.lock().entry(key).or_default() += 1;
     }
--- a/crates/testbed/src/standins/service/plain_service.rs
+++ b/crates/testbed/src/standins/service/plain_service.rs
@@ -44,6 +44,11 @@
         self.handler.executions()
     }
 
+    /// Executions so far under one key.
+    pub fn executions_of(&self, key: &str) -> u32 {
+        self.handler.executions_of(key)
+    }
+
     /// What it answers to a request with this path and body.
     pub fn expected_answer(path_and_query: &str, body: &[u8]) -> String {
         super::handler::answer_text(path_and_query, body)
