--- a/crates/testbed/src/simulation/cluster_callers.rs
+++ b/crates/testbed/src/simulation/cluster_callers.rs
@@ -10,7 +10,7 @@
 use ryerouter_core::identity::{ChangeId, ModelName, TenantName, WeightsVersion};
 use ryerouter_core::prompt::{PrefixChain, PrefixChainBuilder, PrefixSalt};
 
-use super::cluster_layout::{MODEL_POOL, SERVICE_POOL, put};
+use super::cluster_layout::{LIMITED_REQUESTS_PER_SECOND, MODEL_POOL, SERVICE_POOL, put};
 use super::cluster_traffic::request_id;
 use super::{Cluster, ClusterEvent, ClusterLayout, Mutation, ProcessId, Submission};
 use crate::oracle::Observation;
@@ -27,6 +27,8 @@
 const SERVICE_SHARE: f64 = 0.25;
 /// Share of model requests that are marked to run at most once.
 const MARKED_SHARE: f64 = 0.15;
+/// Share of requests of the tenant that has a limit, beyond its even share.
+const LIMITED_TENANT_SHARE: f64 = 0.35;
 /// Share of requests whose caller leaves early.
 const LEAVING_SHARE: f64 = 0.03;
 
@@ -57,7 +59,7 @@
         let marked = !to_model || self.random.random_bool(MARKED_SHARE);
         let number = self.next_submission;
         Submission {
-            tenant: self.random.random_range(0..self.settings.tenants),
+            tenant: self.draw_tenant(),
             node: self.random.random_range(0..self.settings.nodes),
             to_model,
             at_most_once_key: marked.then(|| format!("key-{number}")),
@@ -74,6 +76,14 @@
         }
     }
 
+    fn draw_tenant(&mut self) -> usize {
+        if self.random.random_bool(LIMITED_TENANT_SHARE) {
+            self.layout.limited_tenant()
+        } else {
+            self.random.random_range(0..self.settings.tenants)
+        }
+    }
+
     fn send_submission(&mut self, submission: Submission, after: Duration) {
         let number = self.next_submission;
         self.next_submission += 1;
@@ -256,6 +266,10 @@
         let number = self.next_change;
         self.next_change += 1;
         let change = self.layout.first_change();
+        self.observe(Observation::LimitSet {
+            tenant: ClusterLayout::tenant_name(self.layout.limited_tenant()),
+            per_second: Some(u64::from(LIMITED_REQUESTS_PER_SECOND)),
+        });
         self.send_whole_change(node, number, change);
     }
 
--- a/crates/testbed/src/simulation/cluster_layout.rs
+++ b/crates/testbed/src/simulation/cluster_layout.rs
@@ -14,7 +14,7 @@
 /// The pool of plain services.
 pub const SERVICE_POOL: &str = "service";
 /// Requests a second of the tenant that has a limit.
-pub const LIMITED_REQUESTS_PER_SECOND: u32 = 4;
+pub const LIMITED_REQUESTS_PER_SECOND: u32 = 2;
 
 const REGIONS: usize = 2;
 const PEER_PORT: u16 = 7_000;
--- a/crates/testbed/src/simulation/cluster_traffic.rs
+++ b/crates/testbed/src/simulation/cluster_traffic.rs
@@ -97,12 +97,25 @@
             next_chunk,
         };
         running.attempts.insert(assignment.attempt, progress);
-        if let Some(submission) = running.submissions.get_mut(&submission) {
-            submission.attempt = Some(assignment.attempt);
-        }
+        self.note_admission(process, submission);
         self.send_attempt(process, call);
     }
 
+    /// The first attempt of a submission spends a unit of its tenant's limit.
+    fn note_admission(&mut self, process: ProcessId, submission: u64) {
+        let Some(running) = self.running(process) else {
+            return;
+        };
+        let Some(progress) = running.submissions.get_mut(&submission) else {
+            return;
+        };
+        if std::mem::replace(&mut progress.admitted, true) {
+            return;
+        }
+        let tenant = ClusterLayout::tenant_name(self.submissions[&submission].tenant);
+        self.observe(Observation::LimitSpent { tenant, units: 1 });
+    }
+
     fn send_attempt(&mut self, process: ProcessId, call: AttemptCall) {
         let attempt = call.attempt;
         let back_end = Endpoint::BackEnd(call.back_end);
--- a/crates/testbed/src/simulation/router_process.rs
+++ b/crates/testbed/src/simulation/router_process.rs
@@ -12,8 +12,8 @@
 pub struct SubmissionProgress {
     /// Chunks that reached the caller.
     pub delivered: u64,
-    /// The attempt in progress.
-    pub attempt: Option<AttemptId>,
+    /// Whether it was admitted, that is, an attempt was made.
+    pub admitted: bool,
 }
 
 /// An attempt that a router process reads.
