--- a/crates/testbed/src/simulation/cluster_control.rs
+++ b/crates/testbed/src/simulation/cluster_control.rs
@@ -48,6 +48,9 @@
 
     /// Whether a process that starts can learn the configuration from a peer or the platform.
     fn someone_can_teach(&self, node: usize) -> bool {
+        if self.counters.changes_accepted == 0 {
+            return false;
+        }
         let own = Endpoint::Node(node);
         let reaches = |other| self.network.passes(own, other) && self.network.passes(other, own);
         let peer_can = self.nodes.iter().enumerate().any(|(peer, process)| {
@@ -58,7 +61,7 @@
             is_ready && reaches(Endpoint::Node(peer)) && process.paused_until_us <= self.now_us
         });
         let healthy = self.platform.mode == super::StoreMode::Healthy;
-        peer_can || (healthy && self.next_change > 1 && reaches(Endpoint::Platform))
+        peer_can || (healthy && reaches(Endpoint::Platform))
     }
 
     fn control_settings(&self, node: usize, seed: u64) -> ControlSettings {
--- a/crates/testbed/src/simulation/cluster_settings.rs
+++ b/crates/testbed/src/simulation/cluster_settings.rs
@@ -13,9 +13,10 @@
     pub nodes: usize,
     /// Zones, spread evenly over two regions with one data centre each.
     pub zones: usize,
-    /// Model engines, spread evenly over zones.
+    /// Model engines, spread over zones.
     pub engines: usize,
-    /// Plain service processes, spread evenly over zones.
+    /// Plain service processes, spread over zones; fewer than zones, so that some calls must leave
+    /// their zone.
     pub services: usize,
     /// Tenants; the last one has a limit on requests a second.
     pub tenants: usize,
@@ -35,8 +36,8 @@
             seed: 1,
             nodes: 9,
             zones: 3,
-            engines: 6,
-            services: 3,
+            engines: 5,
+            services: 2,
             tenants: 8,
             request_interval: Duration::from_millis(150),
             change_interval: Duration::from_secs(25),
--- a/crates/testbed/src/simulation/platform.rs
+++ b/crates/testbed/src/simulation/platform.rs
@@ -25,6 +25,8 @@
 /// The simulated platform.
 pub struct Platform {
     store: Store,
+    /// Answers of writes that were lost.
+    pub answers_lost: u64,
     /// What it does to calls now.
     pub mode: StoreMode,
 }
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             store: Store::default(),
+            answers_lost: 0,
             mode: StoreMode::Healthy,
         }
     }
@@ -59,6 +62,7 @@
         let is_write = matches!(call, StoreCall::Put { .. } | StoreCall::Delete { .. });
         let answer = self.carry_out(call, ignore_precondition);
         let lost = is_write && self.mode == StoreMode::AnswersLost;
+        self.answers_lost += u64::from(lost);
         Some(PlatformReply {
             answer: (!lost).then_some(answer),
             takes,
