Hold tenant limits with tickets from a few banks a tenant

A limit was only a field of the configuration. Now each tenant's limit is split over the keepers of its group; a bank hands out tickets from its part and a process spends only tickets it has, so no partition lets more through. Processes without traffic of a tenant send nothing for it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod identity;
 pub mod lifecycle;
+pub mod limit;
 pub mod membership;
 pub mod placement;
 pub mod prompt;
--- /dev/null
+++ b/crates/core/src/limit/bank_account.rs
@@ -0,0 +1,150 @@
+//! A tenant's account at a bank.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::catalog::TenantLimits;
+use crate::identity::NodeName;
+use crate::timestamp::Timestamp;
+
+use super::{LimitAsk, LimitCost, LimitSettings, TokenBucket};
+
+/// Tickets for a second of traffic may be handed out at once.
+const BURST: Duration = Duration::from_secs(1);
+const MILLI: u64 = 1_000;
+
+/// What a bank knows of one borrower.
+#[derive(Debug, Clone, Default)]
+struct Borrower {
+    serial: u64,
+    streams: u64,
+    heard_at: Timestamp,
+}
+
+/// A tenant's account at a bank: its part of the limits, and who holds streams.
+#[derive(Debug, Clone)]
+pub(super) struct BankAccount {
+    requests: Option<TokenBucket>,
+    tokens: Option<TokenBucket>,
+    streams: Option<u64>,
+    borrowers: BTreeMap<NodeName, Borrower>,
+    opened_at: Timestamp,
+    used_at: Timestamp,
+}
+
+impl BankAccount {
+    /// An account of a bank that has handed out no ticket of it since `opened_at`.
+    pub fn new(opened_at: Timestamp, now: Timestamp) -> Self {
+        Self {
+            requests: None,
+            tokens: None,
+            streams: None,
+            borrowers: BTreeMap::new(),
+            opened_at,
+            used_at: now,
+        }
+    }
+
+    /// Sets this bank's part of the limits; `share` gives the part of a whole.
+    pub fn set_limits(
+        &mut self,
+        limits: &TenantLimits,
+        share: impl Fn(u64) -> u64,
+        now: Timestamp,
+    ) {
+        let rate = |limit: Option<u32>| limit.map(|limit| share(u64::from(limit) * MILLI));
+        let requests = rate(limits.requests_per_second);
+        let tokens = rate(limits.tokens_per_second);
+        set_rate(&mut self.requests, requests, self.opened_at, now);
+        set_rate(&mut self.tokens, tokens, self.opened_at, now);
+        self.streams = limits
+            .concurrent_streams
+            .map(|limit| share(u64::from(limit)));
+    }
+
+    /// When it was last asked of.
+    pub fn used_at(&self) -> Timestamp {
+        self.used_at
+    }
+
+    /// Notes what the ask says of running streams; whether it is newer than all before.
+    pub fn note(&mut self, from: &NodeName, ask: &LimitAsk, now: Timestamp) -> bool {
+        self.used_at = now;
+        let borrower = self.borrowers.entry(from.clone()).or_default();
+        if ask.serial <= borrower.serial {
+            return false;
+        }
+        borrower.serial = ask.serial;
+        borrower.streams = ask.streams_held;
+        borrower.heard_at = now;
+        true
+    }
+
+    /// Grants what there is of what is wanted.
+    pub fn grant(
+        &mut self,
+        from: &NodeName,
+        ask: &LimitAsk,
+        settings: &LimitSettings,
+        now: Timestamp,
+    ) -> LimitCost {
+        self.forget_silent(settings, now);
+        let wanted = &ask.wanted;
+        let streams = self.grant_streams(from, wanted.streams, settings, now);
+        let requests = match &mut self.requests {
+            Some(bucket) => bucket.take(wanted.requests, now),
+            None => wanted.requests,
+        };
+        let tokens = match &mut self.tokens {
+            Some(bucket) => bucket.take_at_least(ask.least_tokens, wanted.tokens, now),
+            None => wanted.tokens,
+        };
+        LimitCost {
+            requests,
+            tokens,
+            streams,
+        }
+    }
+
+    fn grant_streams(
+        &mut self,
+        from: &NodeName,
+        wanted: u64,
+        settings: &LimitSettings,
+        now: Timestamp,
+    ) -> u64 {
+        let Some(limit) = self.streams else {
+            return wanted;
+        };
+        // After a restart the bank first hears, from each borrower, of the streams that run.
+        if now < self.opened_at.after(settings.renew_interval * 2) {
+            return 0;
+        }
+        let out: u64 = self.borrowers.values().map(|known| known.streams).sum();
+        let granted = wanted.min(limit.saturating_sub(out));
+        if let Some(borrower) = self.borrowers.get_mut(from) {
+            borrower.streams += granted;
+        }
+        granted
+    }
+
+    fn forget_silent(&mut self, settings: &LimitSettings, now: Timestamp) {
+        self.borrowers
+            .retain(|_, borrower| now < borrower.heard_at.after(settings.stream_hold));
+    }
+}
+
+fn set_rate(
+    bucket: &mut Option<TokenBucket>,
+    rate_milli: Option<u64>,
+    opened_at: Timestamp,
+    now: Timestamp,
+) {
+    match (bucket.as_mut(), rate_milli) {
+        (Some(bucket), Some(rate_milli)) => bucket.set_rate(rate_milli, now),
+        (None, Some(rate_milli)) => {
+            *bucket = Some(TokenBucket::empty(rate_milli, BURST, opened_at));
+        }
+        (_, None) => *bucket = None,
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/borrower_account.rs
@@ -0,0 +1,168 @@
+//! A tenant's tickets in one router process.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::catalog::TenantLimits;
+use crate::identity::NodeName;
+use crate::timestamp::Timestamp;
+
+use super::{LimitCost, LimitSettings};
+
+/// An ask on its way.
+#[derive(Debug, Clone)]
+pub(super) struct OpenAsk {
+    pub bank: NodeName,
+    pub serial: u64,
+    pub wanted: LimitCost,
+    pub least_tokens: u64,
+    pub asked_at: Timestamp,
+    /// Banks still to be asked when this one has too little.
+    pub next_banks: Vec<NodeName>,
+}
+
+/// A tenant's tickets in one router process.
+#[derive(Debug, Clone, Default)]
+pub(super) struct BorrowerAccount {
+    requests: u64,
+    tokens: u64,
+    tickets_until: Timestamp,
+    /// Streams that may run, by the bank that counts them.
+    pub streams_held: BTreeMap<NodeName, u64>,
+    pub streams_running: u64,
+    pub open: Option<OpenAsk>,
+    pub renew_at: Timestamp,
+    pub denied_until: Timestamp,
+    /// Demand, also refused, of the running second and of the one before.
+    demand: LimitCost,
+    spent: LimitCost,
+    demand_before: LimitCost,
+    demand_since: Timestamp,
+    pub used_at: Timestamp,
+}
+
+impl BorrowerAccount {
+    pub fn note_demand(&mut self, cost: &LimitCost, settings: &LimitSettings, now: Timestamp) {
+        self.used_at = now;
+        let window = settings.prefetch;
+        if now >= self.demand_since.after(window) {
+            let recent = now < self.demand_since.after(window * 2);
+            let ended = std::mem::take(&mut self.demand);
+            self.spent = LimitCost::default();
+            self.demand_before = if recent { ended } else { LimitCost::default() };
+            self.demand_since = now;
+        }
+        self.demand.requests += cost.requests;
+        self.demand.tokens += cost.tokens;
+    }
+
+    /// Drops tickets whose time is over.
+    pub fn drop_lapsed(&mut self, now: Timestamp) {
+        if now >= self.tickets_until {
+            self.requests = 0;
+            self.tokens = 0;
+        }
+    }
+
+    /// Takes tickets for a request, if all are there.
+    pub fn spend(&mut self, limits: &TenantLimits, cost: &LimitCost, now: Timestamp) -> bool {
+        self.drop_lapsed(now);
+        let requests_short = limits.requests_per_second.is_some() && self.requests < cost.requests;
+        let tokens_short = limits.tokens_per_second.is_some() && self.tokens < cost.tokens;
+        let streams_short = limits.concurrent_streams.is_some()
+            && self.held() < self.streams_running + cost.streams;
+        if requests_short || tokens_short || streams_short {
+            return false;
+        }
+        self.requests = self.requests.saturating_sub(cost.requests);
+        self.tokens = self.tokens.saturating_sub(cost.tokens);
+        self.streams_running += cost.streams;
+        self.spent.requests += cost.requests;
+        self.spent.tokens += cost.tokens;
+        true
+    }
+
+    /// What to ask for so that a request of `cost` can run, and traffic like that of late.
+    pub fn wanted(&self, limits: &TenantLimits, cost: &LimitCost) -> LimitCost {
+        let have = LimitCost {
+            requests: self.requests,
+            tokens: self.tokens,
+            streams: self.held().saturating_sub(self.streams_running),
+        };
+        let unmet = self.demand.minus(&self.spent);
+        let ahead = LimitCost {
+            requests: self
+                .demand_before
+                .requests
+                .max(unmet.requests)
+                .max(cost.requests),
+            tokens: self.demand_before.tokens.max(unmet.tokens).max(cost.tokens),
+            streams: unmet.requests.max(cost.streams),
+        };
+        let mut wanted = ahead.minus(&have);
+        if limits.requests_per_second.is_none() {
+            wanted.requests = 0;
+        }
+        if limits.tokens_per_second.is_none() {
+            wanted.tokens = 0;
+        }
+        if limits.concurrent_streams.is_none() {
+            wanted.streams = 0;
+        }
+        wanted
+    }
+
+    /// Adds granted tickets; they lapse `validity` after `asked_at`.
+    pub fn deposit(
+        &mut self,
+        bank: &NodeName,
+        granted: &LimitCost,
+        asked_at: Timestamp,
+        validity: Duration,
+    ) {
+        let until = asked_at.after(validity);
+        let has_tickets = self.requests > 0 || self.tokens > 0;
+        if granted.requests > 0 || granted.tokens > 0 {
+            // Older tickets must not outlive their time by those that come after.
+            self.tickets_until = if has_tickets {
+                self.tickets_until.min(until)
+            } else {
+                until
+            };
+        }
+        self.requests += granted.requests;
+        self.tokens += granted.tokens;
+        if granted.streams > 0 {
+            *self.streams_held.entry(bank.clone()).or_default() += granted.streams;
+        }
+    }
+
+    /// Gives back streams that don't run to the banks; the next ask tells them.
+    pub fn trim_streams(&mut self) {
+        let mut spare = self.held().saturating_sub(self.streams_running);
+        for held in self.streams_held.values_mut() {
+            let given_back = spare.min(*held);
+            *held -= given_back;
+            spare -= given_back;
+        }
+    }
+
+    /// Lets `heir` count the streams of banks that are none any more.
+    pub fn reassign(&mut self, banks: &[NodeName], heir: &NodeName) {
+        let mut orphans = 0;
+        self.streams_held.retain(|bank, held| {
+            let stays = banks.contains(bank);
+            if !stays {
+                orphans += *held;
+            }
+            stays
+        });
+        if orphans > 0 {
+            *self.streams_held.entry(heir.clone()).or_default() += orphans;
+        }
+    }
+
+    pub fn held(&self) -> u64 {
+        self.streams_held.values().sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/limit_grant.rs
@@ -0,0 +1,21 @@
+//! Tickets of a tenant's limit.
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::TenantName;
+
+use super::LimitCost;
+
+/// A bank's answer to a [`super::LimitAsk`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitGrant {
+    /// The tenant.
+    #[serde(rename = "n")]
+    pub tenant: TenantName,
+    /// Serial of the ask; a grant to any but the last ask is void.
+    #[serde(rename = "q")]
+    pub serial: u64,
+    /// What is granted; at most what was wanted.
+    #[serde(flatten)]
+    pub granted: LimitCost,
+}
