Run the router process from a settings file and flags

ryerouter starts control thread, traffic threads and operator RPC as one; SIGTERM stops as planned, SIGHUP reads settings, certificates and keys again and changes all or nothing; ryerouter check FILE. Settings gain operators.keys_file; the log level can change while the process runs.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod caller;
 pub mod clock;
+pub mod command;
 pub mod control;
 mod engine;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod process;
 mod refusal;
 pub mod relay;
 pub mod reload;
--- a/crates/node/src/logging/mod.rs
+++ b/crates/node/src/logging/mod.rs
@@ -1,25 +1,33 @@
 //! Log lines: one event a line, key=value, the event's name first.
 
+mod level_switch;
+
 use std::io;
 
-use slog::{Drain, Level, Logger, Record, o};
+pub use level_switch::LevelSwitch;
+
+use level_switch::SwitchedDrain;
+use slog::{Drain, Logger, Record, o};
 use slog_async::{Async, OverflowStrategy};
 use slog_logfmt::Logfmt;
 
 /// Log lines that may wait to be written.
 const QUEUE_LINES: usize = 8_192;
 
-/// A logger of lines of `level` and above to `output`.
+/// A logger to `output` of the lines that `switch` allows.
 ///
 /// Lines are written by a thread of their own. When it falls behind, lines are dropped and their
 /// number is logged: traffic does not wait for logs.
-pub fn logger<W: io::Write + Send + 'static>(output: W, level: Level) -> Logger {
+pub fn logger<W: io::Write + Send + 'static>(output: W, switch: &LevelSwitch) -> Logger {
     let lines = Logfmt::new(output).set_prefix(write_prefix).build();
     let queue = Async::new(lines.fuse())
         .chan_size(QUEUE_LINES)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build();
-    let filtered = queue.filter_level(level);
+    let filtered = SwitchedDrain {
+        switch: switch.clone(),
+        drain: queue,
+    };
     Logger::root(filtered.fuse(), o!())
 }
 
--- /dev/null
+++ b/crates/node/src/process/bound_node.rs
@@ -0,0 +1,145 @@
+//! A node with its addresses bound.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use ryerouter_core::identity::Incarnation;
+use ryerouter_settings::NodeSettings;
+use slog::{Logger, o, warn};
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::control::BoundControl;
+use crate::logging::LevelSwitch;
+use crate::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
+use crate::traffic::{ObservationSink, RunningNode, UnavailableClaimGate};
+
+use super::settings_conversion::{control_options, traffic_settings};
+use super::settings_reloader::read_access;
+use super::{NodeProcess, ProcessError, SettingsReloader, SettingsSource, TlsSet};
+
+/// A node with its addresses for peers and operators bound, so that port 0 has become a real one
+/// before others need to know it. Nothing runs yet.
+pub struct BoundNode {
+    settings: NodeSettings,
+    source: Option<SettingsSource>,
+    control: BoundControl,
+    rpc: RpcServer,
+    tls: TlsSet,
+    access: OperatorAccess,
+    clock: Clock,
+    logger: Logger,
+    level: LevelSwitch,
+}
+
+impl BoundNode {
+    /// Reads keys and certificates and binds the addresses. Must be called within a runtime, which
+    /// then serves the operator RPC. `source` is read again on a reload.
+    pub fn bind(
+        settings: NodeSettings,
+        source: Option<SettingsSource>,
+        logger: Logger,
+        level: LevelSwitch,
+    ) -> Result<Self, ProcessError> {
+        let logger = logger.new(o!("node" => settings.name.to_string()));
+        let clock = Clock::start();
+        let tls = TlsSet::load(&settings.tls)?;
+        let access = read_access(settings.operators.keys_file.as_deref())?;
+        // A restart gets a higher incarnation, which outdates what peers believe of the former one.
+        let incarnation = Incarnation(clock.now().as_millis());
+        let mut control = BoundControl::bind(control_options(&settings, incarnation))?;
+        if let Some(peers) = &tls.peers {
+            control.set_peer_tls(peers.clone());
+        }
+        let address = settings.listen.rpc;
+        let rpc = RpcServer::bind(address, tls.rpc.clone())
+            .map_err(|source| ProcessError::RpcListen { address, source })?;
+        Ok(Self {
+            settings,
+            source,
+            control,
+            rpc,
+            tls,
+            access,
+            clock,
+            logger,
+            level,
+        })
+    }
+
+    /// Where peers reach this node.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.control.peer_address()
+    }
+
+    /// Where operators reach this node.
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.rpc.address()
+    }
+
+    /// Replaces the peers to ask first.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.control.set_seeds(seeds);
+    }
+
+    /// Starts everything.
+    pub fn start(self) -> Result<NodeProcess, ProcessError> {
+        self.warn_of_open_doors();
+        let peer_metrics = self.control.peer_metrics().clone();
+        let rpc_address = self.rpc.address();
+        let control = self.control.start(self.clock, &self.logger)?;
+        let handle = control.handle();
+        let traffic = RunningNode::start(
+            traffic_settings(&self.settings),
+            handle.snapshots(),
+            Arc::new(UnavailableClaimGate),
+            ObservationSink::new(handle.observations()),
+            self.logger.clone(),
+        )?;
+        if let Err(cause) = peer_metrics.register(traffic.metrics_registry()) {
+            warn!(self.logger, "metrics_not_shown"; "cause" => %cause);
+        }
+        let access = Arc::new(ArcSwap::from_pointee(self.access));
+        let reloader = Arc::new(SettingsReloader {
+            source: self.source,
+            current: Mutex::new(self.settings.clone()),
+            tls: self.tls,
+            access: access.clone(),
+            level: self.level,
+        });
+        let context = RpcContext {
+            node: self.settings.name.clone(),
+            control: handle.clone(),
+            access,
+            traffic: Arc::new(NoTraffic),
+            reloader: reloader.clone(),
+            clock: self.clock,
+            logger: self.logger.clone(),
+        };
+        let rpc_shutdown = CancellationToken::new();
+        let rpc = tokio::spawn(self.rpc.serve(Arc::new(context), rpc_shutdown.clone()));
+        Ok(NodeProcess::new(
+            control,
+            traffic,
+            reloader,
+            rpc_address,
+            rpc,
+            rpc_shutdown,
+            self.logger,
+        ))
+    }
+
+    fn warn_of_open_doors(&self) {
+        let open = matches!(self.access, OperatorAccess::Open);
+        if open && !self.rpc.address().ip().is_loopback() {
+            warn!(self.logger, "operators_unchecked"; "listen" => %self.rpc.address(),
+                "advice" => "set operators.keys_file");
+        }
+        if self.tls.peers.is_none() && !self.peer_address().ip().is_loopback() {
+            warn!(self.logger, "peers_unchecked"; "listen" => %self.peer_address(),
+                "advice" => "set tls.peers.*");
+        }
+    }
+}
--- a/crates/node/src/tls/client_tls.rs
+++ b/crates/node/src/tls/client_tls.rs
@@ -16,7 +16,7 @@
 use tokio_rustls::rustls::pki_types::ServerName;
 
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{TlsError, TlsPaths};
+use super::{LoadedTls, TlsError, TlsPaths};
 
 /// Longest time for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,9 +24,8 @@
 /// TLS of connections to peers: shows the own certificate and checks the peer's. Both can be
 /// replaced while it runs.
 pub struct ClientTls {
-    paths: TlsPaths,
     server_name: ServerName<'static>,
-    current: ArcSwap<ClientConfig>,
+    current: Arc<ArcSwap<ClientConfig>>,
 }
 
 impl ClientTls {
@@ -35,20 +34,15 @@
     pub fn load(paths: TlsPaths, server_name: ServerName<'static>) -> Result<Self, TlsError> {
         let config = read_config(&paths)?;
         Ok(Self {
-            paths,
             server_name,
-            current: ArcSwap::from_pointee(config),
+            current: Arc::new(ArcSwap::from_pointee(config)),
         })
     }
 
-    /// Reads the files again; see [`super::ServerTls::read_again`].
-    pub fn read_again(&self) -> Result<Arc<ClientConfig>, TlsError> {
-        read_config(&self.paths).map(Arc::new)
-    }
-
-    /// Puts a configuration in force for connections opened from now on.
-    pub fn replace(&self, config: Arc<ClientConfig>) {
-        self.current.store(config);
+    /// Reads the files again, which may lie elsewhere now.
+    pub fn read_again(&self, paths: TlsPaths) -> Result<LoadedTls, TlsError> {
+        let config = read_config(&paths)?;
+        Ok(LoadedTls::new(&self.current, config))
     }
 
     /// Makes the handshake on an opened connection.
--- a/crates/node/src/tls/server_tls.rs
+++ b/crates/node/src/tls/server_tls.rs
@@ -11,7 +11,7 @@
 use tokio_rustls::rustls::server::WebPkiClientVerifier;
 
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{ServerStream, TlsError, TlsPaths};
+use super::{LoadedTls, ServerStream, TlsError, TlsPaths};
 
 /// Longest time for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -27,10 +27,9 @@
 
 /// TLS of a listener; its certificate can be replaced while it runs.
 pub struct ServerTls {
-    paths: TlsPaths,
     clients: ClientCertificates,
     protocols: Vec<Vec<u8>>,
-    current: ArcSwap<ServerConfig>,
+    current: Arc<ArcSwap<ServerConfig>>,
 }
 
 impl ServerTls {
@@ -46,22 +45,16 @@
             .collect();
         let config = read_config(&paths, clients, &protocols)?;
         Ok(Self {
-            paths,
             clients,
             protocols,
-            current: ArcSwap::from_pointee(config),
+            current: Arc::new(ArcSwap::from_pointee(config)),
         })
     }
 
-    /// Reads the files again. The result is put in force by [`ServerTls::replace`], so that several
-    /// listeners change together or not at all.
-    pub fn read_again(&self) -> Result<Arc<ServerConfig>, TlsError> {
-        read_config(&self.paths, self.clients, &self.protocols).map(Arc::new)
-    }
-
-    /// Puts a configuration in force for connections accepted from now on.
-    pub fn replace(&self, config: Arc<ServerConfig>) {
-        self.current.store(config);
+    /// Reads the files again, which may lie elsewhere now.
+    pub fn read_again(&self, paths: TlsPaths) -> Result<LoadedTls, TlsError> {
+        let config = read_config(&paths, self.clients, &self.protocols)?;
+        Ok(LoadedTls::new(&self.current, config))
     }
 
     /// Makes the handshake on an accepted connection.
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -348,6 +348,13 @@
         reloadable: true,
         purpose: "Authority certificates (PEM) that operators must be signed by; without it any operator that connects is served",
     },
+    Field {
+        path: "operators.keys_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "File (TOML) of the operators' keys, as hashes, with their names and roles; without it any operator that connects may do everything",
+    },
     Field {
         path: "log.level",
         kind: FieldKind::Choice(LogLevel::WORDS),
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -8,8 +8,8 @@
 
 use super::checked_values::CheckedValues;
 use super::{
-    FIELDS, Field, LimitSettings, ListenSettings, LogLevel, PeerSettings, PlatformSettings,
-    SettingValue, SettingsError, TlsSettings,
+    FIELDS, Field, LimitSettings, ListenSettings, LogLevel, OperatorSettings, PeerSettings,
+    PlatformSettings, SettingValue, SettingsError, TlsSettings,
 };
 
 /// Settings of a node, checked.
@@ -35,6 +35,8 @@
     pub traffic_threads: usize,
     /// Files for TLS.
     pub tls: TlsSettings,
+    /// Operators.
+    pub operators: OperatorSettings,
     /// Least severe log lines that are written.
     pub log_level: LogLevel,
     values: BTreeMap<&'static str, SettingValue>,
@@ -64,6 +66,9 @@
             limits: LimitSettings::read(&values),
             traffic_threads: values.integer("threads.traffic") as usize,
             tls,
+            operators: OperatorSettings {
+                keys_file: values.file("operators.keys_file"),
+            },
             log_level: LogLevel::from_word(values.text("log.level")).unwrap_or(LogLevel::Info),
             values: BTreeMap::new(),
         };
