--- a/crates/node/src/process/bound_node.rs
+++ b/crates/node/src/process/bound_node.rs
@@ -43,7 +43,6 @@
         logger: Logger,
         level: LevelSwitch,
     ) -> Result<Self, ProcessError> {
-        let logger = logger.new(o!("node" => settings.name.to_string()));
         let clock = Clock::start();
         let tls = TlsSet::load(&settings.tls)?;
         let access = read_access(settings.operators.keys_file.as_deref())?;
@@ -86,7 +85,10 @@
 
     /// Starts everything.
     pub fn start(self) -> Result<NodeProcess, ProcessError> {
-        self.warn_of_open_doors();
+        let logger = self
+            .logger
+            .new(o!("node" => self.settings.name.to_string()));
+        self.warn_of_open_doors(&logger);
         let peer_metrics = self.control.peer_metrics().clone();
         let rpc_address = self.rpc.address();
         let control = self.control.start(self.clock, &self.logger)?;
@@ -99,7 +101,7 @@
             self.logger.clone(),
         )?;
         if let Err(cause) = peer_metrics.register(traffic.metrics_registry()) {
-            warn!(self.logger, "metrics_not_shown"; "cause" => %cause);
+            warn!(logger, "metrics_not_shown"; "cause" => %cause);
         }
         let access = Arc::new(ArcSwap::from_pointee(self.access));
         let reloader = Arc::new(SettingsReloader {
@@ -116,7 +118,7 @@
             traffic: Arc::new(NoTraffic),
             reloader: reloader.clone(),
             clock: self.clock,
-            logger: self.logger.clone(),
+            logger: logger.clone(),
         };
         let rpc_shutdown = CancellationToken::new();
         let rpc = tokio::spawn(self.rpc.serve(Arc::new(context), rpc_shutdown.clone()));
@@ -127,18 +129,18 @@
             rpc_address,
             rpc,
             rpc_shutdown,
-            self.logger,
+            logger,
         ))
     }
 
-    fn warn_of_open_doors(&self) {
+    fn warn_of_open_doors(&self, logger: &Logger) {
         let open = matches!(self.access, OperatorAccess::Open);
         if open && !self.rpc.address().ip().is_loopback() {
-            warn!(self.logger, "operators_unchecked"; "listen" => %self.rpc.address(),
+            warn!(logger, "operators_unchecked"; "listen" => %self.rpc.address(),
                 "advice" => "set operators.keys_file");
         }
         if self.tls.peers.is_none() && !self.peer_address().ip().is_loopback() {
-            warn!(self.logger, "peers_unchecked"; "listen" => %self.peer_address(),
+            warn!(logger, "peers_unchecked"; "listen" => %self.peer_address(),
                 "advice" => "set tls.peers.*");
         }
     }
--- a/crates/testbed/src/cli/demo_command.rs
+++ b/crates/testbed/src/cli/demo_command.rs
@@ -1,8 +1,8 @@
 //! `ryebench demo`.
 
 use gumdrop::Options;
-use ryerouter_node::logging;
-use slog::Level;
+use ryerouter_node::logging::{self, LevelSwitch};
+use ryerouter_settings::LogLevel;
 
 use super::CommandError;
 use crate::demo::{DemoOptions, DemoReport, run_demo};
@@ -43,7 +43,7 @@
     pub fn run(self) -> Result<(), CommandError> {
         let scenario = load_scenario(&self.scenario)?;
         let logger = if self.log {
-            logging::logger(std::io::stderr(), Level::Info)
+            logging::logger(std::io::stderr(), &LevelSwitch::new(LogLevel::Info))
         } else {
             logging::discarding_logger()
         };
