--- a/crates/ctl/src/arguments/command.rs
+++ b/crates/ctl/src/arguments/command.rs
@@ -44,7 +44,7 @@
     #[options(help = "have the node read its settings file and TLS files again")]
     Reload(ReloadArguments),
     /// Make an API key.
-    #[options(help = "make an API key, or hash one read from standard input")]
+    #[options(help = "make a key of a tenant or operator, or hash one read from standard input")]
     Key(KeyArguments),
     /// Print completions.
     #[options(help = "print completions for bash, zsh or fish")]
@@ -293,7 +293,8 @@
     pub help: bool,
 }
 
-/// Makes an API key and the hash that a tenant takes, or hashes a key read from standard input.
+/// Makes a key and its SHA-256, or hashes a key read from standard input. The hash goes into
+/// `api_key_hashes` of a tenant or `key_sha256` of an operator; the key itself is stored nowhere.
 #[derive(Debug, Clone, Options)]
 pub struct KeyArguments {
     /// Print help.
--- a/crates/ctl/src/arguments/global_arguments.rs
+++ b/crates/ctl/src/arguments/global_arguments.rs
@@ -28,26 +28,38 @@
     /// Author of changes.
     #[options(no_short, meta = "NAME", help = "who makes the change (USER)")]
     pub author: Option<String>,
+    /// Operator's key.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "file with the operator's key (RYECTL_KEY_FILE)"
+    )]
+    pub key_file: Option<String>,
     /// Authority of the nodes' certificates.
     #[options(
         no_short,
         meta = "FILE",
-        help = "use TLS; authority of the nodes' certificates"
+        help = "use TLS; authority of the nodes' certificates (PEM)"
     )]
-    pub tls_authority: Option<String>,
+    pub authority_file: Option<String>,
     /// Own certificate.
-    #[options(no_short, meta = "FILE", help = "own certificate chain (PEM)")]
-    pub tls_certificate: Option<String>,
-    /// Own key.
-    #[options(no_short, meta = "FILE", help = "own private key (PEM)")]
-    pub tls_key: Option<String>,
+    #[options(no_short, meta = "FILE", help = "own certificate chain for TLS (PEM)")]
+    pub certificate_file: Option<String>,
+    /// Own private key.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "private key of that certificate (PEM)"
+    )]
+    pub private_key_file: Option<String>,
     /// Name in the nodes' certificates.
     #[options(
         no_short,
         meta = "NAME",
-        help = "name in the nodes' certificates (their address)"
+        default = "ryerouter",
+        help = "name in the nodes' certificates"
     )]
-    pub tls_name: Option<String>,
+    pub server_name: String,
     /// What to do.
     #[options(command)]
     pub command: Option<Command>,
--- a/crates/ctl/src/arguments/hoist.rs
+++ b/crates/ctl/src/arguments/hoist.rs
@@ -1,15 +1,16 @@
 //! Global options after the command.
 
 const FLAGS: [&str; 2] = ["--json", "-j"];
-const WITH_VALUE: [&str; 8] = [
+const WITH_VALUE: [&str; 9] = [
     "--server",
     "-s",
     "--timeout-seconds",
     "--author",
-    "--tls-authority",
-    "--tls-certificate",
-    "--tls-key",
-    "--tls-name",
+    "--key-file",
+    "--authority-file",
+    "--certificate-file",
+    "--private-key-file",
+    "--server-name",
 ];
 
 /// Moves global options to the front, so that they may stand after the command too.
--- a/crates/ctl/src/client/rpc_client.rs
+++ b/crates/ctl/src/client/rpc_client.rs
@@ -13,13 +13,14 @@
 use crate::ctl_error::CtlError;
 
 use super::attempt_failure::AttemptFailure;
-use super::{RetryPolicy, TlsFiles};
+use super::{OperatorKey, RetryPolicy, TlsFiles};
 
 /// Client of the operator RPC. Each call tries the servers in turn until one answers.
 #[derive(Debug, Clone)]
 pub struct RpcClient {
     servers: Vec<SocketAddr>,
     tls: Option<TlsFiles>,
+    key: Option<OperatorKey>,
     retry: RetryPolicy,
     timeout: Duration,
     deadline: Instant,
@@ -30,6 +31,7 @@
     pub fn new(
         servers: &str,
         tls: Option<TlsFiles>,
+        key: Option<OperatorKey>,
         retry: RetryPolicy,
         timeout: Duration,
     ) -> Result<Self, CtlError> {
@@ -41,6 +43,7 @@
         Ok(Self {
             servers: servers.split(',').map(parse).collect::<Result<_, _>>()?,
             tls,
+            key,
             retry,
             timeout,
             deadline: Instant::now() + timeout,
@@ -99,6 +102,15 @@
         Err(failures.last.into_error())
     }
 
+    /// A request signed with the operator's key.
+    pub fn request<M>(&self, message: M) -> Request<M> {
+        let mut request = Request::new(message);
+        if let Some(key) = &self.key {
+            key.sign(&mut request);
+        }
+        request
+    }
+
     /// Opens a connection to the first server that answers.
     pub async fn connect(&self) -> Result<Channel, CtlError> {
         let mut reason = String::new();
@@ -146,7 +158,7 @@
         R: Future<Output = Result<Response<T>, Status>>,
     {
         let channel = self.connect().await.map_err(AttemptFailure::NotSent)?;
-        let mut request = Request::new(message);
+        let mut request = self.request(message);
         request.set_timeout(self.attempt_timeout());
         let answer = tokio::time::timeout(self.attempt_timeout(), call(channel, request));
         match answer.await {
--- a/crates/ctl/src/client/tls_files.rs
+++ b/crates/ctl/src/client/tls_files.rs
@@ -5,6 +5,8 @@
 use crate::arguments::GlobalArguments;
 use crate::ctl_error::CtlError;
 
+use super::read_file;
+
 /// TLS of the operator RPC.
 #[derive(Debug, Clone)]
 pub struct TlsFiles {
@@ -14,26 +16,24 @@
 impl TlsFiles {
     /// Reads the files that the command line names; `None` when it names no authority.
     pub fn read(arguments: &GlobalArguments) -> Result<Option<Self>, CtlError> {
-        let certificate = &arguments.tls_certificate;
-        let key = &arguments.tls_key;
-        if certificate.is_some() != key.is_some() {
-            return Err(CtlError::usage(
-                "--tls-certificate and --tls-key go together",
-            ));
+        let certificate = &arguments.certificate_file;
+        let private_key = &arguments.private_key_file;
+        if certificate.is_some() != private_key.is_some() {
+            let message = "--certificate-file and --private-key-file go together";
+            return Err(CtlError::usage(message));
         }
-        let Some(authority) = &arguments.tls_authority else {
-            if certificate.is_some() || arguments.tls_name.is_some() {
-                return Err(CtlError::usage("TLS options need --tls-authority"));
+        let Some(authority) = &arguments.authority_file else {
+            if certificate.is_some() {
+                return Err(CtlError::usage("TLS needs --authority-file"));
             }
             return Ok(None);
         };
-        let mut config =
-            ClientTlsConfig::new().ca_certificate(Certificate::from_pem(read(authority)?));
-        if let (Some(certificate), Some(key)) = (certificate, key) {
-            config = config.identity(Identity::from_pem(read(certificate)?, read(key)?));
-        }
-        if let Some(name) = &arguments.tls_name {
-            config = config.domain_name(name);
+        let mut config = ClientTlsConfig::new()
+            .domain_name(&arguments.server_name)
+            .ca_certificate(Certificate::from_pem(read_file(authority)?));
+        if let (Some(certificate), Some(private_key)) = (certificate, private_key) {
+            let identity = Identity::from_pem(read_file(certificate)?, read_file(private_key)?);
+            config = config.identity(identity);
         }
         Ok(Some(Self { config }))
     }
@@ -43,10 +43,3 @@
         self.config.clone()
     }
 }
-
-fn read(path: &str) -> Result<Vec<u8>, CtlError> {
-    std::fs::read(path).map_err(|source| CtlError::Unreadable {
-        path: path.to_owned(),
-        source,
-    })
-}
--- a/crates/ctl/src/commands/key.rs
+++ b/crates/ctl/src/commands/key.rs
@@ -19,7 +19,7 @@
 struct KeyView {
     #[serde(skip_serializing_if = "Option::is_none")]
     key: Option<String>,
-    api_key_hash: String,
+    sha256: String,
 }
 
 /// Makes an API key, or hashes the one on standard input.
@@ -33,14 +33,14 @@
     if printer.json() {
         printer.value(&KeyView {
             key: shown.then_some(key),
-            api_key_hash: hash,
+            sha256: hash,
         })?;
         return Ok(ExitStatus::Success);
     }
     if shown {
-        printer.line(&format!("key (for the tenant, shown only now): {key}"))?;
+        printer.line(&format!("key (shown only now): {key}"))?;
     }
-    printer.line(&format!("api_key_hashes = [\"{hash}\"]"))?;
+    printer.line(&format!("sha256 (for the configuration): {hash}"))?;
     Ok(ExitStatus::Success)
 }
 
--- a/crates/ctl/src/commands/watch.rs
+++ b/crates/ctl/src/commands/watch.rs
@@ -31,8 +31,8 @@
     };
     let channel = context.client.connect().await?;
     let mut client = ConfigurationServiceClient::new(channel);
-    let message = v1::WatchRequest { after_version };
-    let mut events = client.watch(message).await?.into_inner();
+    let request = context.client.request(v1::WatchRequest { after_version });
+    let mut events = client.watch(request).await?.into_inner();
     let mut shown = 0;
     while let Some(event) = events.message().await? {
         print_event(event, context)?;
--- a/crates/ctl/src/environment.rs
+++ b/crates/ctl/src/environment.rs
@@ -5,6 +5,7 @@
 use super::RetryPolicy;
 
 const SERVER_VARIABLE: &str = "RYECTL_SERVER";
+const KEY_FILE_VARIABLE: &str = "RYECTL_KEY_FILE";
 const DEFAULT_SERVER: &str = "127.0.0.1:8081";
 
 /// What surrounds an invocation: streams, defaults and waits.
@@ -19,6 +20,8 @@
     pub default_server: String,
     /// Author of changes when the command line names none.
     pub default_author: String,
+    /// File with the operator's key when the command line names none.
+    pub default_key_file: Option<String>,
     /// How lost answers are asked for again.
     pub retry: RetryPolicy,
 }
@@ -33,6 +36,7 @@
             terminal: io::stdout().is_terminal(),
             default_server: variable(SERVER_VARIABLE).unwrap_or(DEFAULT_SERVER.to_owned()),
             default_author: variable("USER").unwrap_or("unknown".to_owned()),
+            default_key_file: variable(KEY_FILE_VARIABLE),
             retry: RetryPolicy::default(),
         }
     }
--- a/crates/ctl/src/resource_file/resource_file_reader.rs
+++ b/crates/ctl/src/resource_file/resource_file_reader.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
 
+use crate::client::read_file;
 use crate::ctl_error::CtlError;
 use crate::difference::KnownResource;
 
@@ -27,11 +28,7 @@
 impl ResourceFile {
     /// Reads a file.
     pub fn read(path: &str) -> Result<Self, CtlError> {
-        let text = std::fs::read_to_string(path).map_err(|source| CtlError::Unreadable {
-            path: path.to_owned(),
-            source,
-        })?;
-        Ok(Self::parse(&text)?)
+        Ok(Self::parse(&read_file(path)?)?)
     }
 
     /// Reads a text; every entry with a fault is reported.
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -6,7 +6,7 @@
 use gumdrop::{Options, ParsingStyle};
 
 use super::arguments::{Command, GlobalArguments, command_help, global_help, hoist_global_options};
-use super::client::{RpcClient, TlsFiles};
+use super::client::{OperatorKey, RpcClient, TlsFiles};
 use super::commands::{self, Context};
 use super::ctl_error::CtlError;
 use super::output::Printer;
@@ -84,7 +84,12 @@
         .unwrap_or(&environment.default_server);
     let timeout = Duration::from_secs(arguments.timeout_seconds);
     let tls = TlsFiles::read(arguments)?;
-    let client = RpcClient::new(servers, tls, environment.retry, timeout)?;
+    let key_file = arguments
+        .key_file
+        .as_ref()
+        .or(environment.default_key_file.as_ref());
+    let key = key_file.map(|path| OperatorKey::read(path)).transpose()?;
+    let client = RpcClient::new(servers, tls, key, environment.retry, timeout)?;
     let author = arguments
         .author
         .as_ref()
