--- a/crates/ctl/src/commands/completions.rs
+++ b/crates/ctl/src/commands/completions.rs
@@ -10,6 +10,9 @@
 
 use super::Context;
 
+/// The command that has commands of its own.
+const STAGE: &str = "stage";
+
 /// A word to complete and what it means.
 struct Word {
     name: String,
@@ -56,6 +59,12 @@
 
 fn options_of(command: &str) -> Vec<String> {
     let mut names = option_names(&command_help(command).unwrap_or_default());
+    if command == STAGE {
+        for inner in stage_commands() {
+            let help = command_help(&format!("{STAGE} {}", inner.name));
+            names.extend(option_names(&help.unwrap_or_default()));
+        }
+    }
     names.extend(option_names(GlobalArguments::usage()));
     names.sort();
     names.dedup();
