Let the dispatcher admit requests by their tenants' tickets

Limits were handed out by banks but nothing spent them. A gate in front of placement now holds a request until its ticket comes, a network round trip for the first of a tenant, and refuses it as not run, at once, when the limit is spent or no bank answers. It is off until a process names itself with limit_tenants, which needs the control thread to carry its messages.

--- a/crates/core/src/dispatch/dispatch_action.rs
+++ b/crates/core/src/dispatch/dispatch_action.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher wants done.
 
 use crate::identity::{AttemptId, RequestId};
+use crate::limit::LimitSend;
 
 use super::{Assignment, FinalOutcome};
 
@@ -19,6 +20,8 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Send a message about a tenant's limit to another router process.
+    SendLimit(LimitSend),
     /// The request is over; give the caller its final answer at once.
     Finish {
         /// The request.
--- a/crates/core/src/dispatch/dispatch_event.rs
+++ b/crates/core/src/dispatch/dispatch_event.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::identity::{AttemptId, BackEndName, RequestId};
+use crate::identity::{AttemptId, BackEndName, NodeName, RequestId};
+use crate::limit::LimitGrant;
 
 use super::{AttemptOutcome, EngineObservation, RequestProfile, RoutingSnapshot};
 
@@ -47,6 +48,13 @@
     },
     /// The control thread published a new snapshot.
     SnapshotPublished(Arc<RoutingSnapshot>),
+    /// A bank granted tickets of a tenant's limit.
+    LimitGranted {
+        /// The bank's process.
+        from: NodeName,
+        /// The tickets.
+        grant: LimitGrant,
+    },
     /// Time passed; due about every 10 ms while requests wait.
     Tick,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -6,7 +6,10 @@
 
 use crate::admission::QueuedRequest;
 use crate::catalog::{BackEndState, PoolKind};
-use crate::identity::{AttemptId, BackEndName, DataCentreName, PoolName, RequestId, ZoneName};
+use crate::identity::{
+    AttemptId, BackEndName, DataCentreName, NodeName, PoolName, RequestId, ZoneName,
+};
+use crate::limit::LimitSettings;
 use crate::placement::{
     CacheKnowledge, EngineKey, PoolIndex, PoolMember, PrefixHeat, PrefixWidth, Retention,
     SiteDistance, preferred_data_centre,
@@ -21,6 +24,7 @@
 use super::kept_prefixes::KeptPrefixes;
 use super::pool_state::PoolState;
 use super::request_record::RequestRecord;
+use super::tenant_gate::TenantGate;
 use super::{
     Assignment, AttemptOutcome, DispatchAction, DispatchEvent, DispatchParameters,
     EngineObservation, FinalOutcome, NotRunReason, Priority, Refusal, RefusalReason,
@@ -57,6 +61,8 @@
     distances: SiteDistance,
     retry_budget: RetryBudget,
     first_request_at: Option<Timestamp>,
+    /// `None` while limits of tenants are not enforced.
+    tenant_gate: Option<TenantGate>,
 }
 
 impl Dispatcher {
@@ -90,19 +96,46 @@
             kept: KeptPrefixes::new(remembered, parameters.kv_store_retention),
             retry_budget: RetryBudget::new(Timestamp::ZERO),
             first_request_at: None,
+            tenant_gate: None,
             parameters,
         }
     }
 
+    /// Enforces limits of tenants from now on; `node` is the process, which started at
+    /// `started_at`.
+    pub fn limit_tenants(
+        &mut self,
+        node: NodeName,
+        started_at: Timestamp,
+        settings: LimitSettings,
+    ) {
+        let mut gate = TenantGate::new(node, started_at, settings);
+        gate.adopt(Arc::clone(&self.snapshot.catalog));
+        self.tenant_gate = Some(gate);
+    }
+
     /// Takes an event and appends what must be done to `actions`.
     pub fn handle(
         &mut self,
         event: DispatchEvent,
         now: Timestamp,
         actions: &mut Vec<DispatchAction>,
+    ) {
+        let before = actions.len();
+        self.handle_event(event, now, actions);
+        if let Some(gate) = &mut self.tenant_gate {
+            gate.note_finished(&actions[before..]);
+        }
+    }
+
+    fn handle_event(
+        &mut self,
+        event: DispatchEvent,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
     ) {
         match event {
-            DispatchEvent::Submitted(profile) => self.submit(*profile, now, actions),
+            DispatchEvent::Submitted(profile) => self.admit(*profile, now, actions),
             DispatchEvent::AnswerStarted {
                 attempt,
                 observation,
@@ -122,7 +155,19 @@
                 self.publish(snapshot, now);
                 self.serve_all_queues(now, actions);
             }
+            DispatchEvent::LimitGranted { from, grant } => {
+                let admitted = self
+                    .tenant_gate
+                    .as_mut()
+                    .map(|gate| gate.receive(&from, &grant, now, actions));
+                self.submit_all(admitted.unwrap_or_default(), now, actions);
+            }
             DispatchEvent::Tick => {
+                let admitted = self
+                    .tenant_gate
+                    .as_mut()
+                    .map(|gate| gate.tick(now, actions));
+                self.submit_all(admitted.unwrap_or_default(), now, actions);
                 self.give_up_overdue(now, actions);
                 self.serve_all_queues(now, actions);
             }
@@ -130,6 +175,9 @@
     }
 
     fn publish(&mut self, snapshot: Arc<RoutingSnapshot>, now: Timestamp) {
+        if let Some(gate) = &mut self.tenant_gate {
+            gate.adopt(Arc::clone(&snapshot.catalog));
+        }
         let catalog = &snapshot.catalog;
         self.engines.retain(catalog);
         for name in catalog.pools.keys() {
@@ -163,6 +211,30 @@
         self.snapshot = snapshot;
     }
 
+    fn admit(
+        &mut self,
+        profile: RequestProfile,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let admitted = match &mut self.tenant_gate {
+            Some(gate) => gate.admit(profile, now, actions),
+            None => Some(profile),
+        };
+        self.submit_all(admitted, now, actions);
+    }
+
+    fn submit_all(
+        &mut self,
+        profiles: impl IntoIterator<Item = RequestProfile>,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        for profile in profiles {
+            self.submit(profile, now, actions);
+        }
+    }
+
     fn submit(
         &mut self,
         profile: RequestProfile,
@@ -810,8 +882,21 @@
         }
     }
 
+    /// Cancels a request that waits for tickets of its tenant.
+    fn cancel_waiting(&mut self, request: RequestId, actions: &mut Vec<DispatchAction>) {
+        let waited = self
+            .tenant_gate
+            .as_mut()
+            .is_some_and(|gate| gate.cancel(&request));
+        if waited {
+            let outcome = FinalOutcome::Cancelled;
+            actions.push(DispatchAction::Finish { request, outcome });
+        }
+    }
+
     fn cancel(&mut self, request: RequestId, now: Timestamp, actions: &mut Vec<DispatchAction>) {
         let Some(record) = self.requests.get(&request) else {
+            self.cancel_waiting(request, actions);
             return;
         };
         let pool_name = record.profile.pool.clone();
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 mod routing_snapshot;
 mod run_state;
 mod smoothed;
+mod tenant_gate;
 
 pub use assignment::Assignment;
 pub use attempt_outcome::AttemptOutcome;
--- /dev/null
+++ b/crates/core/src/dispatch/tenant_gate.rs
@@ -0,0 +1,196 @@
+//! Limits of tenants in front of placement.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::catalog::Catalog;
+use crate::identity::{NodeName, RequestId, TenantName};
+use crate::limit::{LimitBorrower, LimitCost, LimitDecision, LimitGrant, LimitSend, LimitSettings};
+use crate::timestamp::Timestamp;
+
+use super::{DispatchAction, FinalOutcome, Refusal, RefusalReason, RequestProfile, RunState};
+
+/// Requests that wait for tickets at most; more are refused at once.
+const MAX_WAITING: usize = 4_096;
+
+/// Lets requests through while their tenants have tickets, and holds those that wait for some.
+#[derive(Debug)]
+pub(super) struct TenantGate {
+    borrower: LimitBorrower,
+    settings: LimitSettings,
+    waiting: BTreeMap<TenantName, VecDeque<RequestProfile>>,
+    waiting_count: usize,
+    /// Requests that were let through and are not over.
+    admitted: BTreeMap<RequestId, TenantName>,
+}
+
+impl TenantGate {
+    pub fn new(node: NodeName, started_at: Timestamp, settings: LimitSettings) -> Self {
+        Self {
+            borrower: LimitBorrower::new(node, started_at, settings),
+            settings,
+            waiting: BTreeMap::new(),
+            waiting_count: 0,
+            admitted: BTreeMap::new(),
+        }
+    }
+
+    pub fn adopt(&mut self, catalog: Arc<Catalog>) {
+        self.borrower.adopt(catalog);
+    }
+
+    /// Gives the request back when it may go on; otherwise it waits or is refused.
+    pub fn admit(
+        &mut self,
+        profile: RequestProfile,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) -> Option<RequestProfile> {
+        let mut sends = Vec::new();
+        let cost = cost_of(&profile);
+        let decision = self
+            .borrower
+            .try_spend(&profile.tenant, &cost, now, &mut sends);
+        push_sends(sends, actions);
+        match decision {
+            LimitDecision::Allowed => {
+                self.note_admitted(&profile);
+                return Some(profile);
+            }
+            LimitDecision::Waiting if self.waiting_count < MAX_WAITING => {
+                self.waiting_count += 1;
+                let queue = self.waiting.entry(profile.tenant.clone()).or_default();
+                queue.push_back(profile);
+            }
+            LimitDecision::Waiting => {
+                let retry_after = self.settings.retry_after;
+                actions.push(refuse(profile.request, retry_after));
+            }
+            LimitDecision::Denied { retry_after } => {
+                actions.push(refuse(profile.request, retry_after));
+            }
+        }
+        None
+    }
+
+    /// Takes a bank's grant and returns the requests that may go on.
+    pub fn receive(
+        &mut self,
+        from: &NodeName,
+        grant: &LimitGrant,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) -> Vec<RequestProfile> {
+        let mut sends = Vec::new();
+        self.borrower.receive(from, grant, now, &mut sends);
+        push_sends(sends, actions);
+        self.retry(&grant.tenant, now, actions)
+    }
+
+    /// Lets time pass and returns the requests that may go on.
+    pub fn tick(
+        &mut self,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) -> Vec<RequestProfile> {
+        let mut sends = Vec::new();
+        self.borrower.tick(now, &mut sends);
+        push_sends(sends, actions);
+        let tenants: Vec<TenantName> = self.waiting.keys().cloned().collect();
+        tenants
+            .iter()
+            .flat_map(|tenant| self.retry(tenant, now, actions))
+            .collect()
+    }
+
+    /// Takes a waiting request out; whether there was one.
+    pub fn cancel(&mut self, request: &RequestId) -> bool {
+        for queue in self.waiting.values_mut() {
+            let before = queue.len();
+            queue.retain(|profile| profile.request != *request);
+            if queue.len() < before {
+                self.waiting_count -= 1;
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Gives back the streams of requests that are over.
+    pub fn note_finished(&mut self, actions: &[DispatchAction]) {
+        for action in actions {
+            if let DispatchAction::Finish { request, .. } = action
+                && let Some(tenant) = self.admitted.remove(request)
+            {
+                self.borrower.stream_ended(&tenant);
+            }
+        }
+    }
+
+    fn note_admitted(&mut self, profile: &RequestProfile) {
+        self.admitted
+            .insert(profile.request.clone(), profile.tenant.clone());
+    }
+
+    /// Requests of a tenant go on in the order in which they came.
+    fn retry(
+        &mut self,
+        tenant: &TenantName,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) -> Vec<RequestProfile> {
+        let mut admitted = Vec::new();
+        let Some(mut queue) = self.waiting.remove(tenant) else {
+            return admitted;
+        };
+        while let Some(profile) = queue.pop_front() {
+            if profile.deadline.is_some_and(|deadline| deadline <= now) {
+                self.waiting_count -= 1;
+                actions.push(refuse(profile.request, self.settings.retry_after));
+                continue;
+            }
+            let mut sends = Vec::new();
+            let cost = cost_of(&profile);
+            let decision = self.borrower.retry(tenant, &cost, now, &mut sends);
+            push_sends(sends, actions);
+            match decision {
+                LimitDecision::Allowed => {
+                    self.waiting_count -= 1;
+                    self.note_admitted(&profile);
+                    admitted.push(profile);
+                }
+                LimitDecision::Waiting => {
+                    queue.push_front(profile);
+                    self.waiting.insert(tenant.clone(), queue);
+                    break;
+                }
+                LimitDecision::Denied { retry_after } => {
+                    self.waiting_count -= 1;
+                    actions.push(refuse(profile.request, retry_after));
+                }
+            }
+        }
+        admitted
+    }
+}
+
+fn cost_of(profile: &RequestProfile) -> LimitCost {
+    let tokens = u64::from(profile.prompt_tokens) + u64::from(profile.expected_output_tokens);
+    LimitCost::of_request(tokens)
+}
+
+fn push_sends(sends: Vec<LimitSend>, actions: &mut Vec<DispatchAction>) {
+    actions.extend(sends.into_iter().map(DispatchAction::SendLimit));
+}
+
+fn refuse(request: RequestId, retry_after: std::time::Duration) -> DispatchAction {
+    let refusal = Refusal {
+        reason: RefusalReason::TenantLimit,
+        run_state: RunState::NotRun,
+        retry_after: Some(retry_after),
+    };
+    DispatchAction::Finish {
+        request,
+        outcome: FinalOutcome::Refused(refusal),
+    }
+}
--- a/crates/node/src/traffic/dispatch_handle.rs
+++ b/crates/node/src/traffic/dispatch_handle.rs
@@ -5,8 +5,9 @@
 use parking_lot::Mutex;
 use ryerouter_core::Timestamp;
 use ryerouter_core::dispatch::{DispatchAction, DispatchEvent, Dispatcher, RequestProfile};
-use ryerouter_core::identity::{AttemptId, DataCentreName, RequestId, ZoneName};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use ryerouter_core::identity::{AttemptId, DataCentreName, NodeName, RequestId, ZoneName};
+use ryerouter_core::limit::{LimitSend, LimitSettings};
+use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::clock::Clock;
 
@@ -28,6 +29,7 @@
     mailboxes: HashMap<RequestId, UnboundedSender<RequestCommand>>,
     attempts: HashMap<AttemptId, RequestId>,
     actions: Vec<DispatchAction>,
+    limit_sends: Option<Sender<LimitSend>>,
 }
 
 impl DispatchHandle {
@@ -38,6 +40,7 @@
             mailboxes: HashMap::new(),
             attempts: HashMap::new(),
             actions: Vec::new(),
+            limit_sends: None,
         };
         Self {
             state: Mutex::new(state),
@@ -45,6 +48,17 @@
         }
     }
 
+    /// Enforces limits of tenants from now on. Messages to the banks of the limits go to `sends`;
+    /// their answers come back as [`DispatchEvent::LimitGranted`].
+    pub fn limit_tenants(&self, node: NodeName, sends: Sender<LimitSend>) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.limit_sends = Some(sends);
+        state
+            .dispatcher
+            .limit_tenants(node, now, LimitSettings::default());
+    }
+
     /// The present time by the process's clock.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
@@ -121,6 +135,12 @@
                     self.post(&request, RequestCommand::Cancel(attempt));
                 }
             }
+            DispatchAction::SendLimit(send) => {
+                // A lost ask is asked again; the control thread may be too busy for this one.
+                if let Some(sends) = &self.limit_sends {
+                    let _ = sends.try_send(send);
+                }
+            }
             DispatchAction::Finish { request, outcome } => {
                 self.post(&request, RequestCommand::Finish(outcome));
             }
--- a/crates/testbed/src/simulation/cluster_traffic.rs
+++ b/crates/testbed/src/simulation/cluster_traffic.rs
@@ -67,6 +67,8 @@
                     self.start_attempt(process, submission_of(&request), &assignment);
                 }
                 DispatchAction::Cancel { attempt } => self.cancel_attempt(process, attempt),
+                // No process of the simulation has limits of tenants switched on.
+                DispatchAction::SendLimit(_) => {}
                 DispatchAction::Finish { request, outcome } => {
                     self.finish_submission(process, submission_of(&request), outcome);
                 }
