--- a/crates/core/tests/dispatch_failures.rs
+++ b/crates/core/tests/dispatch_failures.rs
@@ -46,6 +46,7 @@
                 refused += 1;
             }
             DispatchAction::Finish { .. } | DispatchAction::Cancel { .. } => {}
+            DispatchAction::SendLimit(send) => panic!("no tenant has limits: {send:?}"),
         }
     }
     (failed, refused)
@@ -175,6 +176,7 @@
                     assert_eq!(previous, None, "attempt numbers are unique");
                     self.running.push(*assignment);
                 }
+                DispatchAction::SendLimit(send) => panic!("no tenant has limits: {send:?}"),
                 DispatchAction::Cancel { attempt } => {
                     self.running.retain(|one| one.attempt != attempt);
                 }
