Test membership, configuration and drains under their failures, and mend what failed

The virtual cluster crashes, pauses, cuts one way, partitions for an hour and restarts herds; its object API goes down, loses answers, lets writes land late, lists stale and watches with gaps. Mended by it: nodes that started together could agree and still lack the same others (exchanges are frequent in the first ten seconds now); news of members reached far regions late (told at once to a few nodes of each proximity now); a node that was suspected over bad links told its refutation too rarely; a zone of engines leaving at once took over three seconds (several rounds of datagrams and an exchange of tables now); in a new cluster only the elected readers came to serve (peers now say that there is no configuration yet).

--- a/crates/core/src/config/config_message.rs
+++ b/crates/core/src/config/config_message.rs
@@ -17,6 +17,9 @@
     /// Asks for the receiver's version.
     #[serde(rename = "q")]
     Ask,
+    /// The object API has shown the sender that there is no configuration yet.
+    #[serde(rename = "n")]
+    None,
     /// Asks for what came after this version.
     #[serde(rename = "p")]
     Pull(ConfigVersion),
--- a/crates/core/src/config/config_spread.rs
+++ b/crates/core/src/config/config_spread.rs
@@ -22,6 +22,7 @@
     newer: BTreeMap<SocketAddr, ConfigVersion>,
     first_heard_at: Option<Timestamp>,
     asked_at: Option<Timestamp>,
+    known_empty: bool,
 }
 
 impl ConfigSpread {
@@ -30,6 +31,8 @@
     const PULL_TIMEOUT: Duration = Duration::from_millis(500);
     /// Time between questions of a node without configuration.
     const ASK_EVERY: Duration = Duration::from_millis(200);
+    /// The same once it is known that there is none.
+    const ASK_AGAIN: Duration = Duration::from_secs(10);
     /// How many peers a node without configuration asks at once.
     pub const ASKED_PEERS: usize = 5;
     /// A node without configuration takes the highest of so many versions…
@@ -63,11 +66,24 @@
         }
     }
 
+    /// Whether it is known that there is no configuration yet.
+    pub fn is_known_empty(&self) -> bool {
+        self.known_empty
+    }
+
+    /// The object API has shown that there is no configuration yet.
+    pub fn know_empty(&mut self) {
+        self.known_empty = true;
+    }
+
     /// Whether this node, which has no configuration, should ask peers now.
     pub fn should_ask(&mut self, replica: &ConfigReplica, now: Timestamp) -> bool {
-        let is_due = self
-            .asked_at
-            .is_none_or(|at| now.since(at) >= Self::ASK_EVERY);
+        let pause = if self.known_empty {
+            Self::ASK_AGAIN
+        } else {
+            Self::ASK_EVERY
+        };
+        let is_due = self.asked_at.is_none_or(|at| now.since(at) >= pause);
         let should_ask = replica.version() == ConfigVersion::default() && is_due;
         if should_ask {
             self.asked_at = Some(now);
@@ -98,9 +114,8 @@
                     send(from, ConfigMessage::Head(replica.version()), outbox);
                 }
             }
-            ConfigMessage::Ask => {
-                send(from, ConfigMessage::Head(replica.version()), outbox);
-            }
+            ConfigMessage::Ask => self.answer(from, replica, outbox),
+            ConfigMessage::None => self.known_empty = true,
             ConfigMessage::Pull(after) => serve(from, after, replica, outbox),
             ConfigMessage::Entries(entries) => {
                 let gap = append_entries(&entries, replica);
@@ -156,6 +171,15 @@
         self.finish_pull(peer);
     }
 
+    fn answer(&self, to: SocketAddr, replica: &ConfigReplica, outbox: &mut Outbox) {
+        let version = replica.version();
+        if version > ConfigVersion::default() {
+            send(to, ConfigMessage::Head(version), outbox);
+        } else if self.known_empty {
+            send(to, ConfigMessage::None, outbox);
+        }
+    }
+
     fn finish_pull(&mut self, from: SocketAddr) {
         if self.pull.as_ref().is_some_and(|pull| pull.from == from) {
             self.pull = None;
--- a/crates/core/src/control/cluster.rs
+++ b/crates/core/src/control/cluster.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::identity::{BackEndName, ConfigVersion, Incarnation, NodeName};
 use crate::lifecycle::LeavingRegister;
 use crate::membership::{
-    ClusterStatus, GossipMessage, Gossiper, LeavingRecord, MachineRecord, MemberRecord,
+    ClusterStatus, GossipKind, GossipMessage, Gossiper, LeavingRecord, MachineRecord, MemberRecord,
     MemberState, MembershipTable, NewsQueue, NodeLocation, NodeStatus, OutgoingGossip, SyncMessage,
     TableRecords, TableSync, differing_buckets, is_first, is_reader, telling_limit, urgent_targets,
 };
@@ -41,6 +41,8 @@
     /// Room for news in a datagram of 1,400 bytes beside its frame, which holds at most three names
     /// and the receiver's own record.
     const NEWS_LENGTH: usize = 750;
+    /// The same when the datagram carries nothing but news.
+    const PURE_NEWS_LENGTH: usize = 1_150;
     /// Room for news of members in one datagram.
     const MEMBER_NEWS_LENGTH: usize = 450;
     /// News of members that a node sends a second; urgent news is not held back.
@@ -86,7 +88,9 @@
 
     /// The process started.
     pub fn start(&mut self, now: Timestamp, outbox: &mut Outbox) {
-        self.sync.start(now);
+        // Nodes that start together spread over the seeds.
+        let first_seed = self.table.random().random_range(0..u64::from(u16::MAX));
+        self.sync.start(first_seed, now);
         self.join(now, outbox);
     }
 
@@ -297,7 +301,12 @@
 
     fn add_news(&mut self, message: &mut GossipMessage, now: Timestamp) {
         let limit = telling_limit(self.table.live_count());
-        let mut room = Self::NEWS_LENGTH;
+        let is_pure = message.kind == GossipKind::News && message.members.is_empty();
+        let mut room = if is_pure {
+            Self::PURE_NEWS_LENGTH
+        } else {
+            Self::NEWS_LENGTH
+        };
         if !self.leaving_news.is_empty() {
             message.leaving = self.leaving_news.take(&mut room, limit);
         }
@@ -411,6 +420,9 @@
             .get(&record.name)
             .is_some_and(|member| member.record.state == MemberState::Failed);
         let is_new = self.gossiper.merge(record, &mut self.table, now);
+        if is_new && self.member_allowance.available(now) > Self::MEMBER_NEWS_LENGTH as u64 {
+            self.urge(now);
+        }
         if was_failed && is_new {
             // Likely a partition is over, and there is much more to learn.
             self.sync.hasten(now);
@@ -432,6 +444,7 @@
             return;
         };
         self.leaving_news.insert(record.back_end.clone(), record);
+        self.register_changed = true;
         self.urge(now);
     }
 
@@ -440,11 +453,11 @@
             return;
         };
         self.machine_news.insert(record.address, record);
+        self.register_changed = true;
         self.urge(now);
     }
 
     fn urge(&mut self, now: Timestamp) {
-        self.register_changed = true;
         self.is_urgent = true;
         if now.since(self.urgent_at) >= Self::URGENT_EVERY {
             self.tell_urgent_news(now);
@@ -453,14 +466,22 @@
 
     fn tell_urgent_news(&mut self, now: Timestamp) {
         self.urgent_at = now;
-        self.gossiper.tell_some(&mut self.table);
-        // With more news than one round of datagrams holds, the next round is as urgent.
         let waiting = self.leaving_news.untold() + self.machine_news.untold();
-        self.is_urgent = waiting > Self::URGENT_ROUND;
+        let rounds = waiting.div_ceil(Self::RECORDS_PER_ROUND);
+        for _ in 0..rounds.clamp(1, Self::MAX_ROUNDS) {
+            self.gossiper.tell_some(&mut self.table);
+        }
+        self.is_urgent = waiting > 0 && rounds > 1;
+        if rounds > 1 {
+            // Tables are the cheaper way to tell much.
+            self.sync.hasten(now);
+        }
     }
 
-    /// Records that one round of urgent news carries.
-    const URGENT_ROUND: usize = 40;
+    /// Records that one round of datagrams to a few nodes carries.
+    const RECORDS_PER_ROUND: usize = 60;
+    /// Rounds that go out at once when much leaves together, such as a zone.
+    const MAX_ROUNDS: usize = 4;
 }
 
 fn own_record(settings: &ControlSettings) -> MemberRecord {
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -33,7 +33,7 @@
 
     /// Whether there is a configuration, or there certainly is none yet.
     pub fn is_known(&self) -> bool {
-        self.replica.version() > ConfigVersion::default() || self.log_reader.has_listed()
+        self.replica.version() > ConfigVersion::default() || self.spread.is_known_empty()
     }
 
     /// Lets time pass.
@@ -95,9 +95,13 @@
             StoreOwner::Proposals => self
                 .proposals
                 .store_answered(id, answer, replica, now, outbox),
-            StoreOwner::LogReader => self
-                .log_reader
-                .store_answered(id, answer, replica, now, outbox),
+            StoreOwner::LogReader => {
+                self.log_reader
+                    .store_answered(id, answer, replica, now, outbox);
+                if self.log_reader.has_listed() {
+                    self.spread.know_empty();
+                }
+            }
             StoreOwner::Compactor => self
                 .compactor
                 .store_answered(id, answer, replica, now, outbox),
--- a/crates/core/src/membership/gossiper.rs
+++ b/crates/core/src/membership/gossiper.rs
@@ -331,16 +331,22 @@
     }
 
     fn refute(&mut self, record: &MemberRecord, table: &mut MembershipTable) {
-        let is_leaving = self.own.state == MemberState::Left;
-        if is_leaving || !record.supersedes(&self.own) {
+        if self.own.state == MemberState::Left {
             return;
         }
-        self.own.incarnation = Incarnation(record.incarnation.0 + 1);
-        self.tell_own_record(table);
+        if record.supersedes(&self.own) {
+            self.own.incarnation = Incarnation(record.incarnation.0 + 1);
+            self.tell_own_record(table);
+        } else if record.state != MemberState::Alive {
+            // The sender has not heard the refutation, so others may not have either.
+            self.news.insert(self.own.name.clone(), self.own.clone());
+        }
     }
 
     fn tell_own_record(&mut self, table: &mut MembershipTable) {
         self.news.insert(self.own.name.clone(), self.own.clone());
+        // Twice, because the links of a node that is suspected are likely bad.
+        self.tell_some(table);
         self.tell_some(table);
     }
 
--- a/crates/core/src/membership/news_queue.rs
+++ b/crates/core/src/membership/news_queue.rs
@@ -16,7 +16,7 @@
 }
 
 impl<K: Ord + Clone, V: Clone + Serialize> NewsQueue<K, V> {
-    const FEW_MESSAGES: u32 = 4;
+    const FEW_MESSAGES: u32 = 6;
 
     /// A queue that keeps at most `capacity` items; beyond that the most told one goes, and the
     /// exchange of tables has to bring it.
--- a/crates/core/src/membership/proximity.rs
+++ b/crates/core/src/membership/proximity.rs
@@ -32,9 +32,9 @@
     /// network is fast and cheap; the rest keeps zones and regions in touch.
     pub fn probe_weight(self) -> u32 {
         match self {
-            Self::Zone => 12,
-            Self::Region => 3,
-            Self::Remote => 1,
+            Self::Zone => 10,
+            Self::Region => 4,
+            Self::Remote => 2,
         }
     }
 
--- a/crates/core/src/membership/table_sync.rs
+++ b/crates/core/src/membership/table_sync.rs
@@ -29,7 +29,10 @@
     const JOIN_ALONE: Duration = Duration::from_secs(2);
     const SEED_CHECK: Duration = Duration::from_secs(30);
     const SYNC_EVERY: Duration = Duration::from_secs(60);
-    const SYNC_SOON: Duration = Duration::from_secs(3);
+    /// Time after the start in which exchanges are frequent: two nodes that started together may
+    /// agree and still lack the same others.
+    const SETTLING: Duration = Duration::from_secs(10);
+    const SYNC_SOON: Duration = Duration::from_secs(1);
 
     /// Exchanges of a node that knows `seeds`.
     pub fn new(seeds: Vec<SocketAddr>) -> Self {
@@ -44,8 +47,9 @@
     }
 
     /// The process started.
-    pub fn start(&mut self, now: Timestamp) {
+    pub fn start(&mut self, first_seed: u64, now: Timestamp) {
         self.started_at = Some(now);
+        self.next_seed = first_seed as usize % self.seeds.len().max(1);
         self.next_sync_at = now.after(Self::SYNC_SOON);
     }
 
@@ -103,7 +107,15 @@
     pub fn is_due(&mut self, now: Timestamp) -> bool {
         let is_due = now >= self.next_sync_at;
         if is_due {
-            self.next_sync_at = now.after(Self::SYNC_EVERY);
+            let is_new = self
+                .started_at
+                .is_some_and(|started_at| now.since(started_at) < Self::SETTLING);
+            let pause = if is_new {
+                Self::SYNC_SOON
+            } else {
+                Self::SYNC_EVERY
+            };
+            self.next_sync_at = now.after(pause);
         }
         is_due
     }
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -19,6 +19,7 @@
 use ryerouter_core::membership::{ClusterStatus, Member};
 
 use super::ObjectStore;
+use super::object_store::unavailable;
 
 pub type ChangeResult = Result<ChangeAccepted, ChangeRefusal>;
 
@@ -51,6 +52,8 @@
     pub loss: f64,
     /// Links that carry nothing, from → to.
     pub cut: BTreeSet<(usize, usize)>,
+    /// Nodes that can't reach the object API.
+    pub store_cut: BTreeSet<usize>,
     pub answers: BTreeMap<OperationId, ChangeResult>,
     pub statuses: BTreeMap<OperationId, ClusterStatus>,
     /// Length in bytes of the longest datagram.
@@ -72,6 +75,7 @@
             now: START,
             loss: 0.0,
             cut: BTreeSet::new(),
+            store_cut: BTreeSet::new(),
             answers: BTreeMap::new(),
             statuses: BTreeMap::new(),
             longest_datagram: 0,
@@ -301,8 +305,13 @@
             ControlAction::SendDatagram { to, message } => self.datagram(node, to, message),
             ControlAction::SendStream { to, message } => self.stream(node, to, message),
             ControlAction::StoreRequest { id, call } => {
-                let answer = self.store.call(call);
-                let wait = if self.store.down { 400 } else { 10 };
+                let is_cut = self.store_cut.contains(&node);
+                let answer = if is_cut {
+                    unavailable()
+                } else {
+                    self.store.call(call)
+                };
+                let wait = if is_cut || self.store.down { 400 } else { 10 };
                 self.schedule(
                     node,
                     Duration::from_millis(wait),
--- a/crates/core/tests/support/object_store.rs
+++ b/crates/core/tests/support/object_store.rs
@@ -196,7 +196,7 @@
     }
 }
 
-fn unavailable() -> StoreAnswer {
+pub fn unavailable() -> StoreAnswer {
     StoreAnswer::Failed(StoreFailure::Unavailable {
         detail: "no answer in time".to_owned(),
     })
