--- a/crates/core/tests/control_drain.rs
+++ b/crates/core/tests/control_drain.rs
@@ -17,7 +17,7 @@
 fn formed(seed: u64, loss: f64) -> VirtualCluster {
     let mut cluster = VirtualCluster::started(6, 6, seed);
     cluster.run_seconds(10);
-    let engines = (1..=ENGINES).map(|index| engine(index));
+    let engines = (1..=ENGINES).map(engine);
     let mutations = std::iter::once(pool("pool"))
         .chain(engines)
         .map(|resource| put(resource, Expectation::Absent))
