--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -74,9 +74,13 @@
     fn handle(&mut self, event: ControlEvent) {
         let mut actions = Vec::new();
         self.state.handle(event, self.clock.now(), &mut actions);
-        // Before the actions, so that whoever is told of a change also finds it in the log.
         self.changes.follow(self.state.replica());
-        for action in actions {
+        // What is in force is shown before anybody is told of it, so that an operator who reads
+        // after an accepted change finds it.
+        let (published, others): (Vec<_>, Vec<_>) = actions
+            .into_iter()
+            .partition(|action| matches!(action, ControlAction::PublishSnapshot(_)));
+        for action in published.into_iter().chain(others) {
             self.perform(action);
         }
     }
