Compare dispatch policies on a virtual clock

ryebench compare runs one scenario under the router's dispatcher, four plain policies and an omniscient one, with identical arrivals, engine crashes and hot items that shift. Every node runs its own Dispatcher behind network delays and lagging, lossy load reports. Recomputed tokens are sorted by cause, and placements that went past a better holder by whether it was busy. Refused requests count as having waited for their whole patience, so no policy wins by refusing.

--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -3,6 +3,7 @@
 use gumdrop::Options;
 
 use super::CommandError;
+use super::compare_command::CompareCommand;
 use super::demo_command::DemoCommand;
 use super::faults_command::FaultsCommand;
 use super::standins_command::StandinsCommand;
@@ -13,6 +14,9 @@
     /// Runs a deployment over real sockets and checks every answer.
     #[options(help = "serve a scenario's requests over real sockets and check every answer")]
     Demo(DemoCommand),
+    /// Compares dispatch policies on a virtual clock.
+    #[options(help = "compare dispatch policies on a virtual clock")]
+    Compare(CompareCommand),
     /// Runs clusters on a virtual clock through named faults.
     #[options(help = "run simulated clusters through faults and check every promise")]
     Faults(FaultsCommand),
@@ -30,6 +34,7 @@
     pub fn run(self) -> Result<(), CommandError> {
         match self {
             Self::Demo(command) => command.run(),
+            Self::Compare(command) => command.run(),
             Self::Faults(command) => command.run(),
             Self::Standins(command) => command.run(),
         }
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod arguments;
 mod command;
 mod command_error;
+mod compare_command;
 mod demo_command;
 mod faults_command;
 mod standins_command;
--- a/crates/testbed/src/engine_model/engine.rs
+++ b/crates/testbed/src/engine_model/engine.rs
@@ -122,6 +122,32 @@
         self.cache.total_tokens() + self.reserved_tokens
     }
 
+    /// Prompt tokens that a running attempt has yet to compute; `None` when it does not run.
+    pub fn remaining_prefill(&self, attempt: AttemptId) -> Option<u32> {
+        let index = self.running_index(attempt)?;
+        Some(self.running[index].remaining_prefill())
+    }
+
+    /// Prompt tokens of running and waiting requests that are neither computed nor cached.
+    pub fn queued_prefill_tokens(&self) -> u32 {
+        let running: u32 = self.running.iter().map(Sequence::remaining_prefill).sum();
+        let waiting: u32 = self
+            .waiting
+            .iter()
+            .map(|waiting| self.uncached_tokens(&waiting.request))
+            .sum();
+        running + waiting
+    }
+
+    fn uncached_tokens(&self, request: &EngineRequest) -> u32 {
+        let blocks = &request.prefix.blocks;
+        let matched = self.cache.matching_blocks(blocks);
+        let cached = matched
+            .checked_sub(1)
+            .map_or(0, |last| blocks[last].end_tokens);
+        request.prompt_tokens - cached
+    }
+
     fn refuses_work(&self) -> bool {
         self.draining || self.pending_weights.is_some()
     }
--- a/crates/testbed/src/engine_model/prefix_cache.rs
+++ b/crates/testbed/src/engine_model/prefix_cache.rs
@@ -40,6 +40,11 @@
         self.blocks.contains_key(&hash)
     }
 
+    /// All cached prefixes, in no stated order.
+    pub fn hashes(&self) -> impl Iterator<Item = BlockHash> {
+        self.blocks.keys().copied()
+    }
+
     /// How many of the chain's first blocks are cached.
     pub fn matching_blocks(&self, chain: &[PrefixBlock]) -> usize {
         chain
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod cluster;
+pub mod compare;
 pub mod demo;
 pub mod engine_model;
 pub mod faults;
