--- a/crates/testbed/src/compare/simulated_cluster.rs
+++ b/crates/testbed/src/compare/simulated_cluster.rs
@@ -373,6 +373,8 @@
             } => self.start_attempt(node, &request, &assignment, now),
             DispatchAction::Cancel { attempt } => self.cancel_attempt(attempt, now),
             DispatchAction::Finish { request, outcome } => self.finish(&request, outcome, now),
+            // Tenants have no limits in a comparison.
+            DispatchAction::SendLimit(_) => {}
         }
     }
 
