--- a/crates/testbed/src/compare/comparison_table.rs
+++ b/crates/testbed/src/compare/comparison_table.rs
@@ -9,7 +9,7 @@
 pub fn print_table(comparison: &Comparison) {
     println!("{} seed {}", comparison.scenario, comparison.seed);
     println!(
-        "{:<16} {:>6} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>8} {:>9} {:>9} {:>5} {:>6}  {}",
+        "{:<16} {:>6} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9} {:>8} {:>9} {:>9} {:>5} {:>6}  completed, refused, unfinished",
         "policy",
         "hit %",
         "p50 ms",
@@ -23,7 +23,6 @@
         "miss free",
         "att.",
         "load %",
-        "completed, refused, unfinished",
     );
     for report in &comparison.reports {
         print_line(report);
