Add ryebench up and ryebench overhead

up keeps a scenario's deployment running, prints addresses, keys and first commands, and stops as planned on SIGINT or SIGTERM. overhead sends the same load to back ends directly and through one node, in turn within one run, and tells added latency of first and later chunks, processor time of the node's traffic threads, throughput under saturation and memory of idle streams.

--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -6,7 +6,9 @@
 use super::compare_command::CompareCommand;
 use super::demo_command::DemoCommand;
 use super::faults_command::FaultsCommand;
+use super::overhead_command::OverheadCommand;
 use super::standins_command::StandinsCommand;
+use super::up_command::UpCommand;
 
 /// A command of `ryebench`.
 #[derive(Debug, Options)]
@@ -20,9 +22,15 @@
     /// Runs clusters on a virtual clock through named faults.
     #[options(help = "run simulated clusters through faults and check every promise")]
     Faults(FaultsCommand),
+    /// Measures what one node adds.
+    #[options(help = "measure what one node adds against back ends asked directly")]
+    Overhead(OverheadCommand),
     /// Starts every stand-in and prints its address.
     #[options(help = "start the stand-ins alone and print their addresses")]
     Standins(StandinsCommand),
+    /// Keeps a deployment running.
+    #[options(help = "keep a deployment running and print how to use it")]
+    Up(UpCommand),
 }
 
 impl Command {
@@ -36,7 +44,9 @@
             Self::Demo(command) => command.run(),
             Self::Compare(command) => command.run(),
             Self::Faults(command) => command.run(),
+            Self::Overhead(command) => command.run(),
             Self::Standins(command) => command.run(),
+            Self::Up(command) => command.run(),
         }
     }
 }
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -6,7 +6,9 @@
 mod compare_command;
 mod demo_command;
 mod faults_command;
+mod overhead_command;
 mod standins_command;
+mod up_command;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/testbed/src/cli/up_command.rs
@@ -0,0 +1,71 @@
+//! `ryebench up`.
+
+use gumdrop::Options;
+use ryerouter_node::logging;
+use slog::Level;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::CommandError;
+use super::demo_command::load_scenario;
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::up::directions;
+
+/// Keeps a deployment running over real sockets.
+#[derive(Debug, Options)]
+pub struct UpCommand {
+    /// Whether help was asked for.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Seed of everything random.
+    #[options(help = "seed of everything random (default 1)", default = "1")]
+    pub seed: u64,
+    /// The scenario.
+    #[options(
+        help = "blue-mahoe, callaghan or a scenario file (default blue-mahoe)",
+        default = "blue-mahoe"
+    )]
+    pub scenario: String,
+    /// Whether nodes log.
+    #[options(help = "write the nodes' logs to standard error", no_short)]
+    pub log: bool,
+}
+
+impl UpCommand {
+    /// Runs until SIGINT or SIGTERM, then stops as planned.
+    ///
+    /// # Errors
+    ///
+    /// The deployment cannot start.
+    pub fn run(self) -> Result<(), CommandError> {
+        let runtime = tokio::runtime::Runtime::new()?;
+        runtime.block_on(self.serve())
+    }
+
+    async fn serve(self) -> Result<(), CommandError> {
+        let scenario = load_scenario(&self.scenario)?;
+        let logger = if self.log {
+            logging::logger(std::io::stderr(), Level::Info)
+        } else {
+            logging::discarding_logger()
+        };
+        // Before anything starts, so that an early signal also ends in a planned stop.
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut terminate = signal(SignalKind::terminate())?;
+        let options = ClusterOptions {
+            scenario,
+            seed: self.seed,
+            traffic_threads: 1,
+            logger,
+        };
+        let cluster = Cluster::start(&options).await;
+        let cluster = cluster.map_err(|error| CommandError::Failed(error.to_string()))?;
+        println!("{}", directions(&options.scenario, &cluster));
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        println!("stopping: requests in progress are finished");
+        cluster.stop().await;
+        Ok(())
+    }
+}
