Start demonstration nodes as the whole router process

A cluster's nodes are now what the router's main function starts, from settings checked like a file's, instead of a composition of their own.

--- a/crates/testbed/src/cli/demo_command.rs
+++ b/crates/testbed/src/cli/demo_command.rs
@@ -1,12 +1,10 @@
 //! `ryebench demo`.
 
 use gumdrop::Options;
-use ryerouter_node::logging::{self, LevelSwitch};
-use ryerouter_settings::LogLevel;
 
 use super::CommandError;
+use super::cluster_arguments::cluster_options;
 use crate::demo::{DemoOptions, DemoReport, run_demo};
-use crate::scenario::Scenario;
 
 /// Runs a deployment over real sockets and checks every answer.
 #[derive(Debug, Options)]
@@ -41,17 +39,9 @@
     ///
     /// It cannot run, or a promise was broken.
     pub fn run(self) -> Result<(), CommandError> {
-        let scenario = load_scenario(&self.scenario)?;
-        let logger = if self.log {
-            logging::logger(std::io::stderr(), &LevelSwitch::new(LogLevel::Info))
-        } else {
-            logging::discarding_logger()
-        };
         let options = DemoOptions {
-            scenario,
-            seed: self.seed,
+            cluster: cluster_options(&self.scenario, self.seed, self.log)?,
             requests: self.requests,
-            logger,
         };
         let runtime = tokio::runtime::Runtime::new()?;
         let report = runtime.block_on(run_demo(&options));
@@ -72,12 +62,3 @@
         }
     }
 }
-
-/// Loads the scenario that `--scenario` names.
-pub fn load_scenario(name: &str) -> Result<Scenario, CommandError> {
-    Scenario::load(name).map_err(|error| CommandError::BadOption {
-        option: "scenario",
-        value: name.to_owned(),
-        reason: format!("cannot be used: {error}"),
-    })
-}
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command line of `ryebench`: one file a command.
 
 mod arguments;
+mod cluster_arguments;
 mod command;
 mod command_error;
 mod compare_command;
--- a/crates/testbed/src/cli/up_command.rs
+++ b/crates/testbed/src/cli/up_command.rs
@@ -1,13 +1,11 @@
 //! `ryebench up`.
 
 use gumdrop::Options;
-use ryerouter_node::logging;
-use slog::Level;
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::CommandError;
-use super::demo_command::load_scenario;
-use crate::cluster::{Cluster, ClusterOptions};
+use super::cluster_arguments::cluster_options;
+use crate::cluster::Cluster;
 use crate::up::directions;
 
 /// Keeps a deployment running over real sockets.
@@ -42,21 +40,10 @@
     }
 
     async fn serve(self) -> Result<(), CommandError> {
-        let scenario = load_scenario(&self.scenario)?;
-        let logger = if self.log {
-            logging::logger(std::io::stderr(), Level::Info)
-        } else {
-            logging::discarding_logger()
-        };
         // Before anything starts, so that an early signal also ends in a planned stop.
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut terminate = signal(SignalKind::terminate())?;
-        let options = ClusterOptions {
-            scenario,
-            seed: self.seed,
-            traffic_threads: 1,
-            logger,
-        };
+        let options = cluster_options(&self.scenario, self.seed, self.log)?;
         let cluster = Cluster::start(&options).await;
         let cluster = cluster.map_err(|error| CommandError::Failed(error.to_string()))?;
         println!("{}", directions(&options.scenario, &cluster));
--- a/crates/testbed/src/cluster/cluster_error.rs
+++ b/crates/testbed/src/cluster/cluster_error.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
-use ryerouter_node::control::ControlError;
-use ryerouter_node::traffic::NodeError;
+use ryerouter_node::process::ProcessError;
+use ryerouter_settings::SettingsError;
 use tonic::Status;
 
 /// Why a cluster failed.
@@ -14,12 +14,12 @@
     /// A socket cannot be had.
     #[display("input or output failed: {_0}")]
     Io(io::Error),
-    /// The control side of a node cannot start.
-    #[display("control side of a node: {_0}")]
-    Control(ControlError),
-    /// The traffic side of a node cannot start.
-    #[display("traffic side of a node: {_0}")]
-    Node(NodeError),
+    /// Settings of a node cannot be used.
+    #[display("settings of a node: {_0}")]
+    Settings(SettingsError),
+    /// A node cannot start.
+    #[display("node: {_0}")]
+    Node(ProcessError),
     /// The operator RPC cannot be reached.
     #[display("operator RPC cannot be reached: {_0}")]
     Transport(tonic::transport::Error),
--- a/crates/testbed/src/cluster/cluster_options.rs
+++ b/crates/testbed/src/cluster/cluster_options.rs
@@ -1,5 +1,6 @@
 //! Options of a cluster.
 
+use ryerouter_node::logging::LevelSwitch;
 use slog::Logger;
 
 use crate::scenario::Scenario;
@@ -15,4 +16,6 @@
     pub traffic_threads: usize,
     /// Where nodes log.
     pub logger: Logger,
+    /// What nodes log.
+    pub level: LevelSwitch,
 }
--- a/crates/testbed/src/cluster/deployment.rs
+++ b/crates/testbed/src/cluster/deployment.rs
@@ -121,12 +121,13 @@
             machine_list: stand_ins.machines.address(),
             traffic_threads: options.traffic_threads,
             logger: options.logger.clone(),
+            level: options.level.clone(),
         })?);
     }
     let peers: Vec<SocketAddr> = bound.iter().map(BoundRouter::peer_address).collect();
     let mut routers = Vec::new();
     for (number, router) in bound.into_iter().enumerate() {
-        let router = router.start(seeds(&peers, number)).await?;
+        let router = router.start(seeds(&peers, number))?;
         list_router(stand_ins, &router);
         routers.push(router);
     }
--- a/crates/testbed/src/cluster/router.rs
+++ b/crates/testbed/src/cluster/router.rs
@@ -2,21 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use ryerouter_core::dispatch::RoutingSnapshot;
-use ryerouter_core::identity::{ConfigVersion, Incarnation};
-use ryerouter_node::clock::Clock;
-use ryerouter_node::control::{BoundControl, ControlHandle, ControlThread};
-use ryerouter_node::reload::NothingToReload;
-use ryerouter_node::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
-use ryerouter_node::traffic::{
-    ObservationSink, RunningNode, TrafficSettings, UnavailableClaimGate,
-};
+use ryerouter_core::identity::ConfigVersion;
+use ryerouter_node::process::{BoundNode, NodeProcess};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
-use tokio_util::sync::CancellationToken;
 
 use super::{ClusterError, RouterAddresses, RouterOptions, RouterPlace};
 
@@ -25,36 +16,34 @@
 /// Attempts to bind an address.
 const BIND_ATTEMPTS: u32 = 100;
 
-/// A router node with its peer address bound and nothing running.
+/// A router node with its address for peers bound and nothing running.
 pub struct BoundRouter {
     options: RouterOptions,
-    control: BoundControl,
+    node: BoundNode,
 }
 
-/// A running router node: control thread, operator RPC and traffic side.
+/// A running router node: the whole process but its main function.
 pub struct Router {
     options: RouterOptions,
-    addresses: RouterAddresses,
-    control: ControlThread,
-    rpc: JoinHandle<()>,
-    rpc_stop: CancellationToken,
-    traffic: RunningNode,
+    node: NodeProcess,
 }
 
 impl BoundRouter {
-    /// Binds the address for peers.
+    /// Binds its addresses for peers and operators.
     ///
     /// # Errors
     ///
-    /// It cannot be bound.
+    /// One cannot be bound.
     pub fn bind(options: RouterOptions) -> Result<Self, ClusterError> {
-        let control = BoundControl::bind(options.control_options(new_incarnation()))?;
-        Ok(Self { options, control })
+        let settings = options.settings()?;
+        let logger = options.logger.clone();
+        let node = BoundNode::bind(settings, None, logger, options.level.clone())?;
+        Ok(Self { options, node })
     }
 
     /// Where peers reach it.
     pub fn peer_address(&self) -> SocketAddr {
-        self.control.peer_address()
+        self.node.peer_address()
     }
 
     /// Starts the node, which asks `seeds` first.
@@ -62,36 +51,18 @@
     /// # Errors
     ///
     /// An address cannot be bound, or a thread cannot be started.
-    pub async fn start(mut self, seeds: Vec<SocketAddr>) -> Result<Router, ClusterError> {
-        let peers = self.peer_address();
+    pub fn start(mut self, seeds: Vec<SocketAddr>) -> Result<Router, ClusterError> {
         self.options.seeds = seeds.clone();
-        self.control.set_seeds(seeds);
-        let clock = Clock::start();
-        let control = self.control.start(clock, &self.options.logger)?;
-        let rpc_server = RpcServer::bind(self.options.addresses.operators, None)?;
-        let operators = rpc_server.address();
-        let rpc_stop = CancellationToken::new();
-        let context = rpc_context(&self.options, control.handle().clone(), clock);
-        let rpc = tokio::spawn(rpc_server.serve(context, rpc_stop.clone()));
-        let traffic = RunningNode::start(
-            traffic_settings(&self.options),
-            control.handle().snapshots(),
-            Arc::new(UnavailableClaimGate),
-            ObservationSink::discarding(),
-            self.options.logger.clone(),
-        )?;
-        let addresses = RouterAddresses {
-            callers: traffic.address(),
-            operators,
-            peers,
+        self.node.set_seeds(seeds);
+        let node = self.node.start()?;
+        self.options.addresses = RouterAddresses {
+            callers: node.caller_address(),
+            operators: node.rpc_address(),
+            peers: node.peer_address(),
         };
         Ok(Router {
             options: self.options,
-            addresses,
-            control,
-            rpc,
-            rpc_stop,
-            traffic,
+            node,
         })
     }
 }
@@ -104,7 +75,12 @@
 
     /// Where it listens.
     pub fn addresses(&self) -> RouterAddresses {
-        self.addresses
+        self.options.addresses
+    }
+
+    /// The node itself.
+    pub fn node(&self) -> &NodeProcess {
+        &self.node
     }
 
     /// Version of the configuration in force.
@@ -114,34 +90,20 @@
 
     /// Snapshots as they are published.
     pub fn snapshots(&self) -> watch::Receiver<Arc<RoutingSnapshot>> {
-        self.control.handle().snapshots()
+        self.node.control().snapshots()
     }
 
     /// Stops it as planned: no request is cut.
     pub async fn stop(self) {
-        // The control side hears of the stop first, so that peers learn of it while requests end.
-        let handle = self.control.handle().clone();
-        let _ = handle.stop().await;
-        self.traffic.stop().await;
-        self.rpc_stop.cancel();
-        let _ = self.rpc.await;
-        let _ = handle.traffic_ended().await;
-        drop(handle);
-        let control = self.control;
-        let _ = tokio::task::spawn_blocking(move || control.join()).await;
+        self.node.stop().await;
     }
 
     /// Ends it at once, as a killed process would, and gives back what it takes to start again at
     /// the same addresses.
     pub async fn kill(self) -> RouterOptions {
-        let mut options = self.options;
-        options.addresses = self.addresses;
-        self.traffic.kill();
-        self.rpc.abort();
-        let _ = self.rpc.await;
-        let control = self.control;
-        let _ = tokio::task::spawn_blocking(move || control.join()).await;
-        options
+        let node = self.node;
+        let _ = tokio::task::spawn_blocking(move || node.kill()).await;
+        self.options
     }
 
     /// Starts a killed node again; it knows nothing of its former life but its addresses.
@@ -150,46 +112,18 @@
     ///
     /// An address cannot be bound, or a thread cannot be started.
     pub async fn restart(options: RouterOptions) -> Result<Self, ClusterError> {
-        let seeds = options.seeds.clone();
         for _ in 1..BIND_ATTEMPTS {
-            let started = match BoundRouter::bind(options.clone()) {
-                Ok(bound) => bound.start(seeds.clone()).await,
-                Err(error) => Err(error),
-            };
-            match started {
+            match Self::start_again(options.clone()) {
                 Ok(router) => return Ok(router),
                 // The killed node's threads may hold the address for a moment.
                 Err(_) => tokio::time::sleep(BIND_RETRY).await,
             }
         }
-        BoundRouter::bind(options)?.start(seeds).await
+        Self::start_again(options)
     }
-}
 
-fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    Incarnation(since_epoch.unwrap_or_default().as_millis() as u64)
-}
-
-fn traffic_settings(options: &RouterOptions) -> TrafficSettings {
-    TrafficSettings {
-        listen: options.addresses.callers,
-        node: options.place.name.clone(),
-        data_centre: options.place.data_centre.clone(),
-        zone: options.place.zone.clone(),
-        threads: options.traffic_threads,
-        ..TrafficSettings::default()
+    fn start_again(options: RouterOptions) -> Result<Self, ClusterError> {
+        let seeds = options.seeds.clone();
+        BoundRouter::bind(options)?.start(seeds)
     }
 }
-
-fn rpc_context(options: &RouterOptions, control: ControlHandle, clock: Clock) -> Arc<RpcContext> {
-    Arc::new(RpcContext {
-        node: options.place.name.clone(),
-        control,
-        access: Arc::new(ArcSwap::from_pointee(OperatorAccess::Open)),
-        traffic: Arc::new(NoTraffic),
-        reloader: Arc::new(NothingToReload),
-        clock,
-        logger: options.logger.clone(),
-    })
-}
--- a/crates/testbed/src/cluster/router_options.rs
+++ b/crates/testbed/src/cluster/router_options.rs
@@ -2,9 +2,8 @@
 
 use std::net::SocketAddr;
 
-use ryerouter_core::identity::Incarnation;
-use ryerouter_node::control::ControlOptions;
-use ryerouter_node::platform::PlatformLimits;
+use ryerouter_node::logging::LevelSwitch;
+use ryerouter_settings::{NodeSettings, SettingOverride, SettingsError};
 use slog::Logger;
 
 use super::{RouterAddresses, RouterPlace};
@@ -26,24 +25,35 @@
     pub traffic_threads: usize,
     /// Where it logs.
     pub logger: Logger,
+    /// What it logs.
+    pub level: LevelSwitch,
 }
 
 impl RouterOptions {
-    /// Options of its control side.
-    pub(super) fn control_options(&self, incarnation: Incarnation) -> ControlOptions {
-        ControlOptions {
-            name: self.place.name.clone(),
-            incarnation,
-            region: self.place.region.clone(),
-            data_centre: self.place.data_centre.clone(),
-            zone: self.place.zone.clone(),
-            peer_listen: self.addresses.peers,
-            seeds: self.seeds.clone(),
-            object_api: self.object_api,
-            machine_list: self.machine_list,
-            platform_limits: PlatformLimits::default(),
-            machine_list_interval: ControlOptions::MACHINE_LIST_INTERVAL,
-            seed: rand::random(),
-        }
+    /// Its settings, as a settings file would give them.
+    ///
+    /// # Errors
+    ///
+    /// A name or number cannot be used.
+    pub fn settings(&self) -> Result<NodeSettings, SettingsError> {
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+        let values = [
+            ("name", self.place.name.to_string()),
+            ("region", self.place.region.to_string()),
+            ("data_centre", self.place.data_centre.to_string()),
+            ("zone", self.place.zone.to_string()),
+            ("listen.callers", self.addresses.callers.to_string()),
+            ("listen.rpc", self.addresses.operators.to_string()),
+            ("listen.peers", self.addresses.peers.to_string()),
+            ("peers.seeds", seeds.join(",")),
+            ("platform.object_api", self.object_api.to_string()),
+            ("platform.machine_list", self.machine_list.to_string()),
+            ("threads.traffic", self.traffic_threads.to_string()),
+        ];
+        let given = values.iter().filter(|(_, value)| !value.is_empty());
+        let overrides: Vec<SettingOverride> = given
+            .map(|(path, value)| SettingOverride::new(path, value))
+            .collect();
+        ryerouter_settings::parse("", &overrides)
     }
 }
--- a/crates/testbed/src/demo/call_plan.rs
+++ b/crates/testbed/src/demo/call_plan.rs
@@ -41,9 +41,9 @@
 /// counts once towards the number wanted.
 pub fn plan_calls(options: &DemoOptions, nodes: usize) -> Vec<Call> {
     let mut planner = CallPlanner {
-        scenario: &options.scenario,
+        scenario: &options.cluster.scenario,
         nodes,
-        random: ChaCha8Rng::seed_from_u64(options.seed),
+        random: ChaCha8Rng::seed_from_u64(options.cluster.seed),
         once_count: 0,
     };
     let mut calls = Vec::new();
@@ -55,10 +55,10 @@
 }
 
 fn draw(options: &DemoOptions) -> Vec<GeneratedRequest> {
-    let mut scenario = options.scenario.clone();
+    let mut scenario = options.cluster.scenario.clone();
     scenario.duration_seconds = DRAW_SECONDS;
     loop {
-        let workload = Workload::generate(&scenario, FIRST_WEIGHTS, options.seed);
+        let workload = Workload::generate(&scenario, FIRST_WEIGHTS, options.cluster.seed);
         if workload.requests.len() >= options.requests {
             let mut requests = workload.requests;
             requests.truncate(options.requests);
--- a/crates/testbed/src/demo/demo_run.rs
+++ b/crates/testbed/src/demo/demo_run.rs
@@ -4,7 +4,7 @@
 use tokio::time::Instant;
 
 use super::{Call, CallRecord, Caller, DemoError, DemoOptions, DemoReport, plan_calls};
-use crate::cluster::{Cluster, ClusterOptions};
+use crate::cluster::Cluster;
 
 /// Starts a deployment, sends the calls at their times, and reports how they ended.
 ///
@@ -12,21 +12,15 @@
 ///
 /// The deployment cannot start. Broken promises are no error; the report tells of them.
 pub async fn run_demo(options: &DemoOptions) -> Result<DemoReport, DemoError> {
-    let cluster = Cluster::start(&ClusterOptions {
-        scenario: options.scenario.clone(),
-        seed: options.seed,
-        traffic_threads: 1,
-        logger: options.logger.clone(),
-    })
-    .await?;
+    let cluster = Cluster::start(&options.cluster).await?;
     let nodes = cluster.routers.len();
     let calls = plan_calls(options, nodes);
     let started = Instant::now();
     let records = send_all(&cluster, calls).await;
     let report = DemoReport::new(&records, &cluster.stand_ins);
     let report = report.with_run(
-        &options.scenario.name,
-        options.seed,
+        &options.cluster.scenario.name,
+        options.cluster.seed,
         nodes,
         started.elapsed(),
     );
