--- a/crates/core/src/catalog/catalog_document.rs
+++ b/crates/core/src/catalog/catalog_document.rs
@@ -4,9 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackEnd, MigrationStage, Pool, Tenant};
+use super::{BackEnd, MigrationStage, Pool, PoolKind, Tenant, WeightsRollout};
 use crate::claim::ClaimRoster;
-use crate::identity::{BackEndName, ConfigVersion, PoolName, StageName, TenantName};
+use crate::identity::{
+    BackEndName, ConfigVersion, PoolName, StageName, TenantName, WeightsVersion,
+};
 
 /// The whole configuration at one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -25,7 +27,26 @@
     /// Migration stages by name.
     #[serde(default)]
     pub stages: BTreeMap<StageName, MigrationStage>,
+    /// Changes of weights on their way, by pool.
+    #[serde(default)]
+    pub rollouts: BTreeMap<PoolName, WeightsRollout>,
     /// Who keeps the claims of requests that run at most once.
     #[serde(default)]
     pub claim_roster: ClaimRoster,
 }
+
+impl Catalog {
+    /// The weights that a request of `pool` asks for; `sample` is a hash, the same for prompts
+    /// that share a prefix. `None` for pools without weights.
+    pub fn weights_for(&self, pool: &Pool, sample: u64) -> Option<WeightsVersion> {
+        let PoolKind::Model {
+            weights_version, ..
+        } = &pool.kind
+        else {
+            return None;
+        };
+        let rollout = self.rollouts.get(&pool.name);
+        let stays = rollout.filter(|rollout| !rollout.has_moved(sample));
+        Some(stays.map_or(*weights_version, |rollout| rollout.from))
+    }
+}
--- a/crates/core/src/catalog/mod.rs
+++ b/crates/core/src/catalog/mod.rs
@@ -11,6 +11,7 @@
 mod stage_state;
 mod tenant;
 mod tenant_limits;
+mod weights_rollout;
 
 pub use api_key_hash::ApiKeyHash;
 pub use back_end::BackEnd;
@@ -23,3 +24,4 @@
 pub use stage_state::StageState;
 pub use tenant::Tenant;
 pub use tenant_limits::TenantLimits;
+pub use weights_rollout::WeightsRollout;
--- a/crates/core/src/config/log_entry.rs
+++ b/crates/core/src/config/log_entry.rs
@@ -2,12 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Catalog;
-use crate::identity::{ConfigVersion, ResourceVersion};
+use crate::catalog::{Catalog, Pool, PoolKind, WeightsRollout};
+use crate::identity::{ConfigVersion, ResourceVersion, WeightsVersion};
 use crate::timestamp::Timestamp;
 
 use super::{Change, Mutation, Resource, ResourceReference};
 
+const WHOLE_PERMILLE: u16 = 1_000;
+
 /// One accepted change, as written in the log of the object API.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogEntry {
@@ -48,6 +50,7 @@
         }
         Resource::Pool(mut pool) => {
             pool.version = version;
+            start_rollout(catalog, &pool);
             catalog.pools.insert(pool.name.clone(), pool);
         }
         Resource::BackEnd(mut back_end) => {
@@ -62,6 +65,50 @@
             roster.version = version;
             catalog.claim_roster = roster;
         }
+        Resource::Rollout(mut rollout) => {
+            rollout.version = version;
+            catalog.rollouts.insert(rollout.pool.clone(), rollout);
+        }
+    }
+}
+
+/// A pool that changes its weights moves its requests to them step by step. Of the weights before,
+/// those count that most requests ask for.
+fn start_rollout(catalog: &mut Catalog, pool: &Pool) {
+    let Some(before) = catalog.pools.get(&pool.name) else {
+        return;
+    };
+    let (Some(served), Some(wanted)) = (weights_of(before), weights_of(pool)) else {
+        return;
+    };
+    if served == wanted {
+        return;
+    }
+    let running = catalog.rollouts.get(&pool.name);
+    let from = match running {
+        Some(rollout) if rollout.share_permille < WHOLE_PERMILLE / 2 => rollout.from,
+        _ => served,
+    };
+    let share_permille = match running {
+        Some(rollout) if rollout.from == wanted => WHOLE_PERMILLE - rollout.share_permille,
+        _ => 0,
+    };
+    let from = if from == wanted { served } else { from };
+    let rollout = WeightsRollout {
+        pool: pool.name.clone(),
+        from,
+        share_permille,
+        version: pool.version,
+    };
+    catalog.rollouts.insert(pool.name.clone(), rollout);
+}
+
+fn weights_of(pool: &Pool) -> Option<WeightsVersion> {
+    match pool.kind {
+        PoolKind::Model {
+            weights_version, ..
+        } => Some(weights_version),
+        PoolKind::Service => None,
     }
 }
 
@@ -72,6 +119,7 @@
         }
         ResourceReference::Pool(name) => {
             catalog.pools.remove(name);
+            catalog.rollouts.remove(name);
         }
         ResourceReference::BackEnd(name) => {
             catalog.back_ends.remove(name);
@@ -81,5 +129,8 @@
         }
         // Refused by validation: without a roster nothing can be claimed.
         ResourceReference::ClaimRoster => {}
+        ResourceReference::Rollout(pool) => {
+            catalog.rollouts.remove(pool);
+        }
     }
 }
--- a/crates/core/src/config/resource.rs
+++ b/crates/core/src/config/resource.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{BackEnd, MigrationStage, Pool, Tenant};
+use crate::catalog::{BackEnd, MigrationStage, Pool, Tenant, WeightsRollout};
 use crate::claim::ClaimRoster;
 
 use super::ResourceReference;
@@ -21,6 +21,8 @@
     Stage(MigrationStage),
     /// Who keeps claims; written by router processes, never by operators.
     ClaimRoster(ClaimRoster),
+    /// A change of weights on its way; written by router processes, never by operators.
+    Rollout(WeightsRollout),
 }
 
 impl Resource {
@@ -32,6 +34,7 @@
             Self::BackEnd(back_end) => ResourceReference::BackEnd(back_end.name.clone()),
             Self::Stage(stage) => ResourceReference::Stage(stage.name.clone()),
             Self::ClaimRoster(_) => ResourceReference::ClaimRoster,
+            Self::Rollout(rollout) => ResourceReference::Rollout(rollout.pool.clone()),
         }
     }
 }
--- a/crates/core/src/config/resource_reference.rs
+++ b/crates/core/src/config/resource_reference.rs
@@ -24,4 +24,7 @@
     /// Who keeps claims.
     #[display("claim roster")]
     ClaimRoster,
+    /// A change of weights on its way.
+    #[display("rollout of pool {_0}")]
+    Rollout(PoolName),
 }
--- a/crates/core/src/config/validation.rs
+++ b/crates/core/src/config/validation.rs
@@ -87,6 +87,9 @@
         ResourceReference::Pool(name) => catalog.pools.get(name).map(|pool| pool.version),
         ResourceReference::BackEnd(name) => catalog.back_ends.get(name).map(|found| found.version),
         ResourceReference::Stage(name) => catalog.stages.get(name).map(|stage| stage.version),
+        ResourceReference::Rollout(pool) => {
+            catalog.rollouts.get(pool).map(|rollout| rollout.version)
+        }
         ResourceReference::ClaimRoster => {
             let roster = &catalog.claim_roster;
             (!roster.groups.is_empty()).then_some(roster.version)
--- a/crates/core/src/control/store_value.rs
+++ b/crates/core/src/control/store_value.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Checkpoint, LogEntry};
+use crate::order::LeaseRecord;
 
 /// Value of an object that ryerouter keeps in the object API, as JSON with a `kind`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,4 +15,6 @@
     ConfigEntry(Arc<LogEntry>),
     /// The whole configuration.
     ConfigSnapshot(Arc<Checkpoint>),
+    /// A lease.
+    Lease(LeaseRecord),
 }
--- /dev/null
+++ b/crates/core/src/order/lease_holder.rs
@@ -0,0 +1,284 @@
+//! Holder of a lease.
+
+use crate::control::{
+    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreValue, StoreVersion, StoredObject,
+};
+use crate::identity::{FencingNumber, Incarnation, NodeName};
+use crate::timestamp::Timestamp;
+
+use super::{HeldLease, LeaseAction, LeaseEvent, LeaseRecord, LeaseSettings};
+
+/// The call that is open.
+#[derive(Debug, Clone)]
+enum OpenCall {
+    Look,
+    Write {
+        record: LeaseRecord,
+        sent_at: Timestamp,
+    },
+}
+
+/// The lease as it was last read or written.
+#[derive(Debug, Clone)]
+struct SeenLease {
+    record: LeaseRecord,
+    version: StoreVersion,
+    /// When this version was first seen, by the own clock: other clocks are not trusted.
+    seen_at: Timestamp,
+}
+
+/// Holds, or tries to hold, one lease in the object API.
+///
+/// Invariants: each holder writes a higher fencing number than the one before, by compare-and-swap
+/// on the object's version; the lease counts as held from when the write that took it was sent.
+#[derive(Debug, Clone)]
+pub struct LeaseHolder {
+    key: ObjectKey,
+    name: NodeName,
+    incarnation: Incarnation,
+    settings: LeaseSettings,
+    candidate: bool,
+    open: Option<OpenCall>,
+    seen: Option<SeenLease>,
+    held: Option<HeldLease>,
+    /// A write whose answer was lost; settled by a look.
+    uncertain: Option<(LeaseRecord, Timestamp)>,
+    next_call_at: Timestamp,
+}
+
+impl LeaseHolder {
+    /// Holder of the lease called `lease` in the process `name`.
+    pub fn new(
+        lease: &str,
+        name: NodeName,
+        incarnation: Incarnation,
+        settings: LeaseSettings,
+    ) -> Self {
+        Self {
+            key: ObjectKey::Lease(lease.to_owned()),
+            name,
+            incarnation,
+            settings,
+            candidate: false,
+            open: None,
+            seen: None,
+            held: None,
+            uncertain: None,
+            next_call_at: Timestamp::ZERO,
+        }
+    }
+
+    /// The lease, while it is held.
+    pub fn held(&self, now: Timestamp) -> Option<HeldLease> {
+        self.held.filter(|held| held.is_valid(now))
+    }
+
+    /// Takes an event and appends what must be done to `actions`.
+    pub fn handle(&mut self, event: LeaseEvent, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        match event {
+            LeaseEvent::Candidacy(candidate) => self.candidate = candidate,
+            LeaseEvent::StoreAnswered(answer) => self.answered(answer, now, actions),
+            LeaseEvent::Superseded(newer) => self.superseded(newer, actions),
+            LeaseEvent::Tick => {}
+        }
+        self.lapse(now, actions);
+        self.advance(now, actions);
+    }
+
+    fn superseded(&mut self, newer: FencingNumber, actions: &mut Vec<LeaseAction>) {
+        if self.held.is_some_and(|held| held.fencing_number < newer) {
+            self.lose(actions);
+        }
+    }
+
+    fn lapse(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        if self.held.is_some_and(|held| !held.is_valid(now)) {
+            self.lose(actions);
+        }
+    }
+
+    fn lose(&mut self, actions: &mut Vec<LeaseAction>) {
+        self.held = None;
+        actions.push(LeaseAction::Changed(None));
+    }
+
+    fn advance(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        if self.open.is_some() || now < self.next_call_at {
+            return;
+        }
+        if self.held.is_none() && !self.candidate {
+            return;
+        }
+        if self.uncertain.is_some() {
+            self.look(now, actions);
+        } else if self.held.is_some() {
+            self.renew_or_resign(now, actions);
+        } else if self.is_free(now) {
+            self.take(now, actions);
+        } else {
+            self.look(now, actions);
+        }
+    }
+
+    /// Whether the lease may be taken: nobody holds it, or its holder did not renew it for longer
+    /// than it lasts.
+    fn is_free(&self, now: Timestamp) -> bool {
+        let Some(seen) = &self.seen else {
+            return false;
+        };
+        let patience = self.settings.duration + self.settings.takeover_margin;
+        seen.record.holder.is_none() || now >= seen.seen_at.after(patience)
+    }
+
+    fn look(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        self.next_call_at = now.after(self.settings.look_interval);
+        self.open = Some(OpenCall::Look);
+        let key = self.key.clone();
+        actions.push(LeaseAction::Call(StoreCall::Get { key }));
+    }
+
+    fn take(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        let before = self.seen.as_ref().map(|seen| seen.record.fencing_number);
+        let record = LeaseRecord {
+            holder: Some(self.name.clone()),
+            incarnation: self.incarnation,
+            fencing_number: before.unwrap_or_default().next(),
+            renewal: 0,
+        };
+        self.write(record, now, actions);
+    }
+
+    fn renew_or_resign(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        let Some(seen) = &self.seen else {
+            return;
+        };
+        let mut record = seen.record.clone();
+        record.renewal += 1;
+        if !self.candidate {
+            record.holder = None;
+            self.lose(actions);
+        }
+        self.write(record, now, actions);
+    }
+
+    fn write(&mut self, record: LeaseRecord, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        let precondition = match &self.seen {
+            Some(seen) => Precondition::Version(seen.version),
+            None => Precondition::Absent,
+        };
+        self.next_call_at = now.after(self.settings.renew_interval);
+        self.open = Some(OpenCall::Write {
+            record: record.clone(),
+            sent_at: now,
+        });
+        actions.push(LeaseAction::Call(StoreCall::Put {
+            key: self.key.clone(),
+            value: StoreValue::Lease(record),
+            precondition,
+        }));
+    }
+
+    fn answered(&mut self, answer: StoreAnswer, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        match self.open.take() {
+            Some(OpenCall::Look) => self.looked(answer, now, actions),
+            Some(OpenCall::Write { record, sent_at }) => {
+                self.wrote(record, sent_at, &answer, now, actions);
+            }
+            None => {}
+        }
+    }
+
+    fn looked(&mut self, answer: StoreAnswer, now: Timestamp, actions: &mut Vec<LeaseAction>) {
+        match answer {
+            StoreAnswer::Found(StoredObject {
+                version,
+                value: StoreValue::Lease(record),
+                ..
+            }) => self.note_seen(record, version, now, actions),
+            StoreAnswer::NotFound if self.seen.is_none() => {
+                self.uncertain = None;
+                if self.candidate {
+                    self.take(now, actions);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn note_seen(
+        &mut self,
+        record: LeaseRecord,
+        version: StoreVersion,
+        now: Timestamp,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        let known = self.seen.as_ref().map(|seen| seen.version);
+        // A stale read says nothing new.
+        if known.is_some_and(|known| version < known) {
+            return;
+        }
+        if known != Some(version) {
+            self.seen = Some(SeenLease {
+                record: record.clone(),
+                version,
+                seen_at: now,
+            });
+        }
+        let Some((written, sent_at)) = self.uncertain.take() else {
+            return;
+        };
+        if written == record {
+            self.hold(&written, sent_at, now, actions);
+        } else if known != Some(version) && self.held.is_some() {
+            // Another write won.
+            self.lose(actions);
+        }
+    }
+
+    fn wrote(
+        &mut self,
+        record: LeaseRecord,
+        sent_at: Timestamp,
+        answer: &StoreAnswer,
+        now: Timestamp,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        match answer {
+            StoreAnswer::Written { version } => {
+                self.seen = Some(SeenLease {
+                    record: record.clone(),
+                    version: *version,
+                    seen_at: now,
+                });
+                self.hold(&record, sent_at, now, actions);
+            }
+            // The version that conflicts may be an earlier write of this process whose answer was
+            // lost; a look tells.
+            _ => {
+                self.uncertain = Some((record, sent_at));
+                self.next_call_at = now;
+                if matches!(answer, StoreAnswer::Failed(_)) {
+                    self.next_call_at = now.after(self.settings.look_interval / 4);
+                }
+            }
+        }
+    }
+
+    fn hold(
+        &mut self,
+        record: &LeaseRecord,
+        sent_at: Timestamp,
+        now: Timestamp,
+        actions: &mut Vec<LeaseAction>,
+    ) {
+        let is_own = record.holder.as_ref() == Some(&self.name);
+        let held = HeldLease {
+            fencing_number: record.fencing_number,
+            valid_until: sent_at.after(self.settings.duration),
+        };
+        if is_own && held.is_valid(now) {
+            self.held = Some(held);
+            actions.push(LeaseAction::Changed(Some(held)));
+        }
+    }
+}
--- a/crates/node/src/caller/completion_intake.rs
+++ b/crates/node/src/caller/completion_intake.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use ryerouter_core::identity::TenantName;
-use ryerouter_core::prompt::{PrefixChain, PrefixChainBuilder, PrefixSalt};
+use ryerouter_core::prompt::{PrefixChain, PrefixChainBuilder, PrefixSalt, prefix_sample};
 use serde_json::value::RawValue;
 
 use crate::traffic::{ModelRoute, RoutingView};
@@ -106,10 +106,16 @@
     tenant: &TenantName,
     route: &ModelRoute,
 ) -> Result<PrefixChain, CallerError> {
+    let weights_version = if route.rollout.is_some() {
+        let sample = prefix_sample(tenant, beginning(document, prompt_field)?);
+        route.weights_for(sample)
+    } else {
+        route.weights_version
+    };
     let mut builder = PrefixChainBuilder::new(&PrefixSalt {
         tenant,
         model: &route.model,
-        weights_version: route.weights_version,
+        weights_version,
         adapter: route.adapter.as_ref(),
     });
     // Tool definitions and the like stand before the messages in what the engine reads.
@@ -138,3 +144,17 @@
     }
     Ok(builder.finish())
 }
+
+/// The first message or the prompt, as its caller wrote it.
+fn beginning<'a>(
+    document: &CompletionDocument<'a>,
+    prompt_field: PromptField,
+) -> Result<&'a str, CallerError> {
+    match prompt_field {
+        PromptField::Messages => {
+            let messages: Vec<&RawValue> = document.required("messages")?;
+            Ok(messages.first().map_or("", |message| message.get()))
+        }
+        PromptField::Prompt => Ok(document.required::<&RawValue>("prompt")?.get()),
+    }
+}
--- a/crates/node/src/rpc/rpc_context.rs
+++ b/crates/node/src/rpc/rpc_context.rs
@@ -149,5 +149,6 @@
         Resource::BackEnd(back_end) => back_end.version = version,
         Resource::Stage(stage) => stage.version = version,
         Resource::ClaimRoster(roster) => roster.version = version,
+        Resource::Rollout(rollout) => rollout.version = version,
     }
 }
--- a/crates/node/src/traffic/routing_view.rs
+++ b/crates/node/src/traffic/routing_view.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use ryerouter_core::catalog::{Catalog, PoolKind};
+use ryerouter_core::catalog::{Catalog, PoolKind, WeightsRollout};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::identity::{
     AdapterName, ConfigVersion, ModelName, PoolName, TenantName, WeightsVersion,
@@ -36,6 +36,17 @@
     pub(crate) model: ModelName,
     pub(crate) adapter: Option<AdapterName>,
     pub(crate) weights_version: WeightsVersion,
+    pub(crate) rollout: Option<WeightsRollout>,
+}
+
+impl ModelRoute {
+    /// The weights that a request with this sample of its prompt asks for.
+    pub(crate) fn weights_for(&self, sample: u64) -> WeightsVersion {
+        match &self.rollout {
+            Some(rollout) if !rollout.has_moved(sample) => rollout.from,
+            _ => self.weights_version,
+        }
+    }
 }
 
 impl RoutingView {
@@ -129,6 +140,7 @@
             model: model.clone(),
             adapter: None,
             weights_version: *weights_version,
+            rollout: catalog.rollouts.get(&pool.name).cloned(),
         };
         for adapter in adapters {
             let route = ModelRoute {
--- a/crates/wire/src/rpc/catalog.rs
+++ b/crates/wire/src/rpc/catalog.rs
@@ -1,5 +1,7 @@
 //! The whole configuration.
 
+use std::collections::BTreeMap;
+
 use ryerouter_core::catalog::{BackEnd, Catalog, MigrationStage, Pool, Tenant};
 use ryerouter_core::claim::ClaimRoster;
 use ryerouter_core::identity::ConfigVersion;
@@ -37,6 +39,7 @@
             stages: stages.into_iter().map(|s| (s.name.clone(), s)).collect(),
             // Kept by router processes; operators neither see nor write it.
             claim_roster: ClaimRoster::default(),
+            rollouts: BTreeMap::new(),
         })
     }
 }
--- a/crates/wire/src/rpc/mutation.rs
+++ b/crates/wire/src/rpc/mutation.rs
@@ -1,6 +1,6 @@
 //! Writes of a change.
 
-use ryerouter_core::config::{Expectation, Mutation, Resource};
+use ryerouter_core::config::{Expectation, Mutation, Resource, ResourceReference};
 use ryerouter_core::identity::ResourceVersion;
 
 use crate::generated::v1;
@@ -13,6 +13,7 @@
     fn from(mutation: &Mutation) -> Self {
         let change = match mutation {
             Mutation::Put { resource, .. } => super::resource::change(resource),
+            Mutation::Delete { reference, .. } if is_internal(reference) => None,
             Mutation::Delete { reference, .. } => {
                 Some(v1::mutation::Change::Deleted(reference.into()))
             }
@@ -24,6 +25,14 @@
     }
 }
 
+/// What router processes keep for themselves.
+fn is_internal(reference: &ResourceReference) -> bool {
+    matches!(
+        reference,
+        ResourceReference::ClaimRoster | ResourceReference::Rollout(_)
+    )
+}
+
 fn expected_version(expectation: Expectation) -> Option<u64> {
     match expectation {
         Expectation::Any => None,
