Claim keys and hold tenant limits through the control state of each node

The control state now carries this node's part in claims (client, keeper and, on the first reader, the plan of the keepers' roster) and in limits (bank and messages of the borrower), so that node and simulation run the same. Traffic threads claim by message; a claim whose request has left is given back.

--- a/crates/core/src/control/control_action.rs
+++ b/crates/core/src/control/control_action.rs
@@ -3,9 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::claim::ClaimOutcome;
 use crate::config::{ChangeAccepted, ChangeRefusal};
 use crate::dispatch::RoutingSnapshot;
+use crate::identity::NodeName;
 use crate::lifecycle::NodePhase;
+use crate::limit::LimitGrant;
 use crate::membership::ClusterStatus;
 
 use super::{ObjectPrefix, OperationId, PeerMessage, StoreCall, StoreRequestId, StoreRevision};
@@ -60,6 +63,20 @@
         /// Its result.
         answer: Result<ChangeAccepted, ChangeRefusal>,
     },
+    /// Answer a claim.
+    AnswerClaim {
+        /// The operation.
+        operation: OperationId,
+        /// Its outcome.
+        outcome: ClaimOutcome,
+    },
+    /// Give the borrower among the traffic threads tickets of a tenant's limit.
+    LimitGranted {
+        /// The bank.
+        from: NodeName,
+        /// The tickets.
+        grant: LimitGrant,
+    },
     /// Answer an operator's question for the state of the cluster.
     AnswerStatus {
         /// The operation.
--- a/crates/core/src/control/control_event.rs
+++ b/crates/core/src/control/control_event.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::config::Change;
-use crate::identity::{BackEndName, Incarnation};
+use crate::identity::{BackEndName, IdempotencyKey, Incarnation, TenantName};
+use crate::limit::LimitSend;
 
 use super::{MachineEntry, OperationId, PeerMessage, StoreAnswer, StoreRequestId, WatchEvent};
 
@@ -45,6 +46,31 @@
         /// Whether the change is only checked.
         dry_run: bool,
     },
+    /// A request that must run at most once needs its key claimed.
+    ClaimRequested {
+        /// Identifies the answer.
+        operation: OperationId,
+        /// Whose key it is.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+    },
+    /// The request of a granted claim certainly did not run and never will.
+    ClaimReleased {
+        /// Whose key it is.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+    },
+    /// The request of a granted claim is over and ran or may have run.
+    ClaimEnded {
+        /// Whose key it is.
+        tenant: TenantName,
+        /// The key.
+        key: IdempotencyKey,
+    },
+    /// The borrower among the traffic threads sends a message about a tenant's limit.
+    LimitSent(LimitSend),
     /// An operator asks which nodes are there and which configuration is in force on each.
     StatusRequested {
         /// Identifies the answer.
--- a/crates/core/src/control/control_settings.rs
+++ b/crates/core/src/control/control_settings.rs
@@ -21,6 +21,9 @@
     pub zone: ZoneName,
     /// Peers to ask first; best several, in different zones.
     pub seeds: Vec<SocketAddr>,
+    /// Whether it may take the duties that only one node has at a time, such as planning who
+    /// keeps claims.
+    pub may_direct: bool,
     /// Makes its random choices its own.
     pub seed: u64,
 }
--- a/crates/core/src/control/control_state.rs
+++ b/crates/core/src/control/control_state.rs
@@ -16,8 +16,8 @@
 use crate::timestamp::Timestamp;
 
 use super::{
-    Cluster, Configuration, ControlAction, ControlEvent, ControlSettings, OperationId, Outbox,
-    PeerMessage, StatusQuery,
+    Claims, Cluster, Configuration, ControlAction, ControlEvent, ControlSettings, Limits,
+    OperationId, Outbox, PeerMessage, StatusQuery,
 };
 
 /// All control state of one router process.
@@ -26,6 +26,10 @@
     lifecycle: StateMachine<NodeLifecycle>,
     cluster: Cluster,
     configuration: Configuration,
+    claims: Claims,
+    limits: Limits,
+    /// Number of the latest change that this node itself wants.
+    own_operations: u64,
     status_queries: Vec<StatusQuery>,
     outbox: Outbox,
 }
@@ -40,6 +44,9 @@
             lifecycle: NodeLifecycle.state_machine(),
             cluster: Cluster::new(&settings),
             configuration: Configuration::default(),
+            claims: Claims::new(&settings),
+            limits: Limits::new(&settings),
+            own_operations: 0,
             status_queries: Vec::new(),
             outbox: Outbox::default(),
             settings,
@@ -125,7 +132,31 @@
             ControlEvent::Watch(event) => {
                 self.configuration.watch(event, now, &mut self.outbox);
             }
-            ControlEvent::MachineListRead(entries) => self.cluster.read_machines(&entries, now),
+            ControlEvent::MachineListRead(entries) => {
+                self.cluster.read_machines(&entries, now);
+                self.claims.read_machines(&entries, now);
+            }
+            ControlEvent::ClaimRequested {
+                operation,
+                tenant,
+                key,
+            } => {
+                let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+                self.claims
+                    .request(operation, tenant, key, cluster, now, outbox);
+            }
+            ControlEvent::ClaimReleased { tenant, key } => {
+                let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+                self.claims.release(&tenant, &key, cluster, now, outbox);
+            }
+            ControlEvent::LimitSent(send) => {
+                let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+                self.limits.send(send, cluster, now, outbox);
+            }
+            ControlEvent::ClaimEnded { tenant, key } => {
+                let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+                self.claims.end(&tenant, &key, cluster, now, outbox);
+            }
             ControlEvent::OperatorChange {
                 operation,
                 change,
@@ -144,6 +175,7 @@
     }
 
     fn start(&mut self, now: Timestamp) {
+        self.claims.start(now);
         self.cluster.start(now, &mut self.outbox);
         self.configuration
             .tick(&mut self.cluster, now, &mut self.outbox);
@@ -154,9 +186,23 @@
         self.cluster.tick(now, &mut self.outbox);
         self.configuration
             .tick(&mut self.cluster, now, &mut self.outbox);
+        self.tick_claims(now);
         self.answer_status(now);
     }
 
+    fn tick_claims(&mut self, now: Timestamp) {
+        // Two planners at once do no harm, so the first reader plans without a lease.
+        let plans = self.settings.may_direct
+            && self.phase() == NodePhase::Serving
+            && self.cluster.is_first(now);
+        let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+        if let Some(change) = self.claims.tick(plans, cluster, now, outbox) {
+            self.own_operations += 1;
+            let operation = OperationId::own(self.own_operations);
+            self.operator_change(operation, change, false, now);
+        }
+    }
+
     fn peer_message(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         let outbox = &mut self.outbox;
         match message {
@@ -169,6 +215,14 @@
             PeerMessage::Config(message) => {
                 self.configuration.receive(from, message, now, outbox);
             }
+            PeerMessage::Limit { from, message } => {
+                let cluster = &self.cluster;
+                self.limits.receive(from, message, cluster, now, outbox);
+            }
+            PeerMessage::Claim { from, message } => {
+                let cluster = &self.cluster;
+                self.claims.receive(from, message, cluster, now, outbox);
+            }
         }
     }
 
@@ -227,6 +281,9 @@
             self.configuration
                 .changed(&mut self.cluster, now, &mut self.outbox);
             let catalog = Arc::clone(self.catalog());
+            self.claims.follow_roster(&catalog.claim_roster, now);
+            self.limits
+                .follow_catalog(&catalog, &self.cluster, now, &mut self.outbox);
             self.cluster.register().forget_removed(&catalog);
         }
         if changed || leaving_changed {
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -5,12 +5,14 @@
 //! [`ControlEvent`]s and carry out its [`ControlAction`]s.
 
 mod byte_allowance;
+mod claims;
 mod cluster;
 mod configuration;
 mod control_action;
 mod control_event;
 mod control_settings;
 mod control_state;
+mod limits;
 mod machine_entry;
 mod machine_role;
 mod machine_state;
@@ -30,12 +32,14 @@
 mod watch_event;
 
 pub(crate) use byte_allowance::ByteAllowance;
+pub use claims::Claims;
 pub use cluster::Cluster;
 pub use configuration::Configuration;
 pub use control_action::ControlAction;
 pub use control_event::ControlEvent;
 pub use control_settings::ControlSettings;
 pub use control_state::ControlState;
+pub use limits::Limits;
 pub use machine_entry::MachineEntry;
 pub use machine_role::MachineRole;
 pub use machine_state::MachineState;
--- a/crates/core/src/control/outbox.rs
+++ b/crates/core/src/control/outbox.rs
@@ -44,8 +44,13 @@
         self.owners.remove(&id)
     }
 
-    /// Moves all collected actions to `actions`.
+    /// Moves all collected actions to `actions`. Answers to changes that the control state itself
+    /// wants are for nobody.
     pub fn drain_into(&mut self, actions: &mut Vec<ControlAction>) {
-        actions.append(&mut self.actions);
+        let wanted = |action: &ControlAction| match action {
+            ControlAction::AnswerOperator { operation, .. } => !operation.is_own(),
+            _ => true,
+        };
+        actions.extend(self.actions.drain(..).filter(wanted));
     }
 }
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::claim::ClaimMessage;
 use crate::config::ConfigMessage;
+use crate::identity::NodeName;
+use crate::limit::LimitMessage;
 use crate::membership::{GossipMessage, SyncMessage};
 
 /// One JSON line between router processes. Tags are short because each node may spend only a few
@@ -18,4 +21,24 @@
     /// Configuration.
     #[serde(rename = "c")]
     Config(ConfigMessage),
+    /// Claims on idempotency keys.
+    #[serde(rename = "k")]
+    Claim {
+        /// The sender.
+        #[serde(rename = "f")]
+        from: NodeName,
+        /// The message.
+        #[serde(rename = "m")]
+        message: ClaimMessage,
+    },
+    /// Tenants' limits.
+    #[serde(rename = "l")]
+    Limit {
+        /// The sender.
+        #[serde(rename = "f")]
+        from: NodeName,
+        /// The message.
+        #[serde(rename = "m")]
+        message: LimitMessage,
+    },
 }
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -331,6 +331,7 @@
                 let earlier = self.answers.insert(operation, answer);
                 assert!(earlier.is_none(), "an operation is answered once");
             }
+            ControlAction::AnswerClaim { .. } | ControlAction::LimitGranted { .. } => {}
             ControlAction::AnswerStatus { operation, status } => {
                 self.statuses.insert(operation, status);
             }
@@ -406,6 +407,8 @@
         data_centre: format!("dc-{}", zone / 3).as_str().into(),
         zone: format!("zone-{zone}").as_str().into(),
         seeds: (0..3).map(address).collect(),
+        // These tests count versions; the roster of claim keepers would be one more change.
+        may_direct: false,
         seed: index as u64 + 1,
     }
 }
--- a/crates/node/src/control/control_command.rs
+++ b/crates/node/src/control/control_command.rs
@@ -3,10 +3,9 @@
 use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
 use tokio::sync::oneshot;
 
-use super::ControlReport;
+use super::{ControlReport, GrantSink};
 
 /// What other threads ask of the control thread.
-#[derive(Debug)]
 pub enum ControlCommand {
     /// Make or check a change of configuration.
     Change {
@@ -22,6 +21,8 @@
         /// Where the answer goes.
         reply: oneshot::Sender<ControlReport>,
     },
+    /// Give tickets of tenants' limits to this sink from now on.
+    SetGrantSink(Box<dyn GrantSink>),
     /// Begin a planned stop.
     Stop,
     /// The last request in progress has ended.
--- a/crates/node/src/control/control_handle.rs
+++ b/crates/node/src/control/control_handle.rs
@@ -5,15 +5,21 @@
 use ryerouter_core::config::{Change, ChangeAccepted, ChangeRefusal};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_core::limit::LimitSend;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use super::{BackEndObservation, ChangeLog, ControlCommand, ControlGone, ControlReport};
+use super::{
+    BackEndObservation, ChangeLog, ControlClaimGate, ControlCommand, ControlGone, ControlReport,
+    GrantSink,
+};
 
 /// Access to the control thread from other threads; cheap to clone.
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
     commands: mpsc::Sender<ControlCommand>,
     observations: mpsc::Sender<BackEndObservation>,
+    limit_sends: mpsc::Sender<LimitSend>,
+    claims: ControlClaimGate,
     snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
     phases: watch::Receiver<NodePhase>,
     changes: ChangeLog,
@@ -23,6 +29,8 @@
     pub(super) fn new(
         commands: mpsc::Sender<ControlCommand>,
         observations: mpsc::Sender<BackEndObservation>,
+        limit_sends: mpsc::Sender<LimitSend>,
+        claims: ControlClaimGate,
         snapshots: watch::Receiver<Arc<RoutingSnapshot>>,
         phases: watch::Receiver<NodePhase>,
         changes: ChangeLog,
@@ -30,6 +38,8 @@
         Self {
             commands,
             observations,
+            limit_sends,
+            claims,
             snapshots,
             phases,
             changes,
@@ -80,6 +90,23 @@
         self.observations.clone()
     }
 
+    /// Claims of the traffic threads.
+    pub fn claims(&self) -> ControlClaimGate {
+        self.claims.clone()
+    }
+
+    /// Where the borrower among the traffic threads sends its messages.
+    pub fn limit_sends(&self) -> mpsc::Sender<LimitSend> {
+        self.limit_sends.clone()
+    }
+
+    /// Gives tickets of tenants' limits to this sink from now on. Meant for the start of the
+    /// process, when the queue of the control thread has room.
+    pub fn set_grant_sink(&self, sink: Box<dyn GrantSink>) -> Result<(), ControlGone> {
+        let command = ControlCommand::SetGrantSink(sink);
+        self.commands.try_send(command).map_err(|_| ControlGone)
+    }
+
     /// Begins a planned stop.
     pub async fn stop(&self) -> Result<(), ControlGone> {
         self.send(ControlCommand::Stop).await
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -5,14 +5,18 @@
 use ryerouter_core::control::{ControlAction, ControlEvent, ControlState};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_core::limit::LimitSend;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
 
+use super::claim_command::ClaimCommand;
+use super::pending_claim::PendingClaim;
 use super::{
-    BackEndObservation, ChangeLog, ControlCommand, ControlIo, ControlReport, PendingOperations,
+    BackEndObservation, ChangeLog, ControlCommand, ControlIo, ControlReport, GrantSink,
+    PendingOperations,
 };
 
 /// The loop of the control thread: the only owner of the control state.
@@ -24,6 +28,9 @@
     pub(super) events: mpsc::Receiver<ControlEvent>,
     pub(super) commands: mpsc::Receiver<ControlCommand>,
     pub(super) observations: mpsc::Receiver<BackEndObservation>,
+    pub(super) claims: mpsc::UnboundedReceiver<ClaimCommand>,
+    pub(super) limit_sends: mpsc::Receiver<LimitSend>,
+    pub(super) grants: Option<Box<dyn GrantSink>>,
     pub(super) operations: PendingOperations,
     pub(super) changes: ChangeLog,
     pub(super) snapshots: watch::Sender<Arc<RoutingSnapshot>>,
@@ -41,9 +48,14 @@
             let event = tokio::select! {
                 Some(event) = self.events.recv() => event,
                 command = self.commands.recv() => match command {
-                    Some(command) => self.event_of_command(command),
+                    Some(command) => match self.event_of_command(command) {
+                        Some(event) => event,
+                        None => continue,
+                    },
                     None => break,
                 },
+                Some(claim) = self.claims.recv() => self.event_of_claim(claim),
+                Some(send) = self.limit_sends.recv() => ControlEvent::LimitSent(send),
                 Some(observation) = self.observations.recv() => event_of_observation(observation),
                 _ = tick.tick() => ControlEvent::Tick,
             };
@@ -52,8 +64,8 @@
         info!(self.logger, "control_ended");
     }
 
-    fn event_of_command(&mut self, command: ControlCommand) -> ControlEvent {
-        match command {
+    fn event_of_command(&mut self, command: ControlCommand) -> Option<ControlEvent> {
+        let event = match command {
             ControlCommand::Change {
                 change,
                 dry_run,
@@ -68,6 +80,30 @@
             },
             ControlCommand::Stop => ControlEvent::StopRequested,
             ControlCommand::TrafficEnded => ControlEvent::TrafficEnded,
+            ControlCommand::SetGrantSink(sink) => {
+                self.grants = Some(sink);
+                return None;
+            }
+        };
+        Some(event)
+    }
+
+    fn event_of_claim(&mut self, command: ClaimCommand) -> ControlEvent {
+        match command {
+            ClaimCommand::Claim { tenant, key, reply } => {
+                let pending = PendingClaim {
+                    tenant: tenant.clone(),
+                    key: key.clone(),
+                    reply,
+                };
+                ControlEvent::ClaimRequested {
+                    operation: self.operations.add_claim(pending),
+                    tenant,
+                    key,
+                }
+            }
+            ClaimCommand::Release { tenant, key } => ControlEvent::ClaimReleased { tenant, key },
+            ClaimCommand::End { tenant, key } => ControlEvent::ClaimEnded { tenant, key },
         }
     }
 
@@ -98,6 +134,16 @@
             ControlAction::AnswerOperator { operation, answer } => {
                 self.operations.answer_change(operation, answer);
             }
+            ControlAction::AnswerClaim { operation, outcome } => {
+                if let Some(release) = self.operations.answer_claim(operation, outcome) {
+                    self.handle(release);
+                }
+            }
+            ControlAction::LimitGranted { from, grant } => {
+                if let Some(grants) = &self.grants {
+                    grants.granted(from, grant);
+                }
+            }
             ControlAction::AnswerStatus { operation, status } => {
                 let report = ControlReport {
                     cluster: status,
--- a/crates/node/src/control/control_options.rs
+++ b/crates/node/src/control/control_options.rs
@@ -32,6 +32,8 @@
     pub platform_limits: PlatformLimits,
     /// Time between two reads of the list of machines, on the few nodes that read it.
     pub machine_list_interval: Duration,
+    /// Whether it may take the duties that only one node has at a time.
+    pub may_direct: bool,
     /// Makes the node's random choices its own.
     pub seed: u64,
 }
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -20,14 +20,16 @@
 };
 
 use super::{
-    ChangeLog, ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
-    PendingOperations,
+    ChangeLog, ControlClaimGate, ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop,
+    ControlOptions, PendingOperations,
 };
 
 /// Events that may wait for the control thread.
 const EVENT_QUEUE: usize = 4_096;
 /// Commands of other threads that may wait for the control thread.
 const COMMAND_QUEUE: usize = 1_024;
+/// Messages about tenants' limits that may wait for the control thread; a lost one is repeated.
+const LIMIT_QUEUE: usize = 4_096;
 /// Observations of traffic threads that may wait for the control thread.
 const OBSERVATION_QUEUE: usize = 4_096;
 
@@ -89,11 +91,15 @@
         let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE);
         let (snapshots, snapshot_feed) = watch::channel(Arc::<RoutingSnapshot>::default());
         let (observation_sender, observations) = mpsc::channel(OBSERVATION_QUEUE);
+        let (claim_sender, claims) = mpsc::unbounded_channel();
+        let (limit_sender, limit_sends) = mpsc::channel(LIMIT_QUEUE);
         let (phases, phase_feed) = watch::channel(NodePhase::Starting);
         let changes = ChangeLog::new();
         let handle = ControlHandle::new(
             command_sender,
             observation_sender,
+            limit_sender,
+            ControlClaimGate::new(claim_sender),
             snapshot_feed,
             phase_feed,
             changes.clone(),
@@ -141,6 +147,9 @@
                     events,
                     commands,
                     observations,
+                    claims,
+                    limit_sends,
+                    grants: None,
                     operations: PendingOperations::default(),
                     changes,
                     snapshots,
@@ -198,6 +207,7 @@
         data_centre: options.data_centre.clone(),
         zone: options.zone.clone(),
         seeds: options.seeds.clone(),
+        may_direct: options.may_direct,
         seed: options.seed,
     }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,9 @@
 
 mod back_end_observation;
 mod change_log;
+mod claim_command;
+mod claim_wait;
+mod control_claim_gate;
 mod control_command;
 mod control_error;
 mod control_handle;
@@ -15,7 +18,9 @@
 mod control_options;
 mod control_report;
 mod control_thread;
+mod grant_sink;
 mod machine_poller;
+mod pending_claim;
 mod pending_operations;
 mod store_conversion;
 mod store_worker;
@@ -23,6 +28,7 @@
 
 pub use back_end_observation::BackEndObservation;
 pub use change_log::ChangeLog;
+pub use control_claim_gate::ControlClaimGate;
 pub use control_command::ControlCommand;
 pub use control_error::{ControlError, ControlGone};
 pub use control_handle::ControlHandle;
@@ -33,6 +39,7 @@
 pub(crate) use control_input::ControlInput;
 use control_io::ControlIo;
 use control_loop::ControlLoop;
+pub use grant_sink::GrantSink;
 use machine_poller::MachinePoller;
 use pending_operations::PendingOperations;
 use store_worker::StoreWorker;
--- a/crates/node/src/process/bound_node.rs
+++ b/crates/node/src/process/bound_node.rs
@@ -14,7 +14,7 @@
 use crate::control::BoundControl;
 use crate::logging::LevelSwitch;
 use crate::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
-use crate::traffic::{ObservationSink, RunningNode, UnavailableClaimGate};
+use crate::traffic::{ObservationSink, RunningNode};
 
 use super::settings_conversion::{control_options, traffic_settings};
 use super::settings_reloader::read_access;
@@ -96,10 +96,12 @@
         let traffic = RunningNode::start(
             traffic_settings(&self.settings),
             handle.snapshots(),
-            Arc::new(UnavailableClaimGate),
+            Arc::new(handle.claims()),
             ObservationSink::new(handle.observations()),
             self.logger.clone(),
         )?;
+        let feed = traffic.limit_tenants(handle.limit_sends());
+        handle.set_grant_sink(Box::new(feed))?;
         if let Err(cause) = peer_metrics.register(traffic.metrics_registry()) {
             warn!(logger, "metrics_not_shown"; "cause" => %cause);
         }
--- a/crates/node/src/process/process_error.rs
+++ b/crates/node/src/process/process_error.rs
@@ -5,7 +5,7 @@
 
 use derive_more::{Display, Error, From};
 
-use crate::control::ControlError;
+use crate::control::{ControlError, ControlGone};
 use crate::rpc::OperatorKeysError;
 use crate::tls::TlsError;
 use crate::traffic::NodeError;
@@ -16,6 +16,9 @@
     /// The control thread could not start.
     #[display("{_0}")]
     Control(ControlError),
+    /// The control thread ended while the process was starting.
+    #[display("{_0}")]
+    ControlGone(ControlGone),
     /// The traffic side could not start.
     #[display("{_0}")]
     Traffic(NodeError),
--- a/crates/node/src/process/settings_conversion.rs
+++ b/crates/node/src/process/settings_conversion.rs
@@ -26,6 +26,7 @@
             ..PlatformLimits::default()
         },
         machine_list_interval: platform.machine_list_interval,
+        may_direct: true,
         // Differs between nodes and between starts: claim ids and back-offs follow from it.
         seed: rand::random(),
     }
--- a/crates/node/src/traffic/running_node.rs
+++ b/crates/node/src/traffic/running_node.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use ryerouter_core::dispatch::{DispatchEvent, RoutingSnapshot};
 use ryerouter_core::identity::RequestId;
+use ryerouter_core::limit::LimitSend;
 use slog::{Logger, info, o};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
@@ -19,8 +20,8 @@
 
 use super::worker::{Acceptor, SnapshotFeed, Ticker};
 use super::{
-    ActivityGate, ClaimGate, DispatchHandle, NodeError, ObservationSink, RequestTrace, RoutingView,
-    TraceRing, TrafficContext, TrafficSettings, Worker,
+    ActivityGate, ClaimGate, DispatchFeed, DispatchHandle, NodeError, ObservationSink,
+    RequestTrace, RoutingView, TraceRing, TrafficContext, TrafficSettings, Worker,
 };
 
 /// A running traffic side: its threads serve callers until it is stopped or dropped.
@@ -99,6 +100,14 @@
         self.context.dispatch.handle(event);
     }
 
+    /// Enforces limits of tenants from now on. Messages to the banks of the limits go to `sends`;
+    /// their answers are to be given to the feed returned.
+    pub fn limit_tenants(&self, sends: tokio::sync::mpsc::Sender<LimitSend>) -> DispatchFeed {
+        let node = self.context.settings.node.clone();
+        self.context.dispatch.limit_tenants(node, sends);
+        DispatchFeed::new(self.context.clone())
+    }
+
     /// Refuses new work from now on, as not run; requests in progress go on.
     pub fn begin_stop(&self) {
         self.context.gate.begin_stop();
--- a/crates/node/tests/control_support/test_node.rs
+++ b/crates/node/tests/control_support/test_node.rs
@@ -39,6 +39,8 @@
     pub object_api: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub access: OperatorAccess,
+    /// Off where tests count versions: the roster of claim keepers is one more change.
+    pub may_direct: bool,
 }
 
 impl TestNodeOptions {
@@ -49,6 +51,7 @@
             object_api,
             seeds: Vec::new(),
             access: OperatorAccess::Open,
+            may_direct: false,
         }
     }
 
@@ -57,6 +60,11 @@
         self
     }
 
+    pub fn may_direct(mut self) -> Self {
+        self.may_direct = true;
+        self
+    }
+
     pub fn zone(mut self, zone: &'static str) -> Self {
         self.zone = zone;
         self
@@ -109,6 +117,14 @@
         within_deadline(in_force).await.unwrap();
     }
 
+    /// Waits until a roster of claim keepers is in force.
+    pub async fn until_roster(&self) {
+        let mut snapshots = self.handle().snapshots();
+        let founded =
+            snapshots.wait_for(|snapshot| !snapshot.catalog.claim_roster.groups.is_empty());
+        within_deadline(founded).await.unwrap();
+    }
+
     pub fn version(&self) -> u64 {
         self.handle().snapshots().borrow().catalog.version.0
     }
@@ -148,6 +164,7 @@
         machine_list: options.object_api,
         platform_limits: PlatformLimits::default(),
         machine_list_interval: ControlOptions::MACHINE_LIST_INTERVAL,
+        may_direct: options.may_direct,
         seed: 7,
     }
 }
--- a/crates/testbed/src/simulation/cluster_control.rs
+++ b/crates/testbed/src/simulation/cluster_control.rs
@@ -77,6 +77,7 @@
                 .filter(|peer| *peer != node)
                 .map(ClusterLayout::node_address)
                 .collect(),
+            may_direct: false,
             seed,
         }
     }
@@ -119,7 +120,9 @@
             ControlAction::AnswerOperator { operation, answer } => {
                 self.operator_answered(operation, answer.ok());
             }
-            ControlAction::AnswerStatus { .. } => {}
+            ControlAction::AnswerStatus { .. }
+            | ControlAction::AnswerClaim { .. }
+            | ControlAction::LimitGranted { .. } => {}
             ControlAction::EnterPhase(phase) => self.enter_phase(process, phase),
         }
     }
