--- a/crates/ctl/tests/ryectl.rs
+++ b/crates/ctl/tests/ryectl.rs
@@ -4,6 +4,7 @@
 
 use std::path::PathBuf;
 
+use ryerouter_core::config::catalog_faults;
 use ryerouter_ctl::ExitStatus;
 use serde_json::Value;
 use support::{Outcome, Reaction, ScriptedServer, invoke, invoke_with};
@@ -422,3 +423,20 @@
         format!("ryectl {}\n", env!("CARGO_PKG_VERSION"))
     );
 }
+
+#[parameterized(
+    blue_mahoe = { "examples/blue-mahoe.toml", 21 },
+    callaghan = { "examples/callaghan.toml", 15 },
+)]
+fn an_example_can_be_applied(path: &str, back_ends: usize) {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let server = ScriptedServer::start().await;
+        let path = format!("{}/../../{path}", env!("CARGO_MANIFEST_DIR"));
+        let outcome = invoke(server.address(), &["apply", &path]).await;
+        assert_eq!(outcome.status, ExitStatus::Success, "{outcome:?}");
+        let catalog = server.catalog();
+        assert_eq!(catalog.back_ends.len(), back_ends);
+        assert_eq!(catalog_faults(&catalog), []);
+    });
+}
--- a/crates/ctl/tests/support/scripted_server.rs
+++ b/crates/ctl/tests/support/scripted_server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use parking_lot::Mutex;
+use ryerouter_core::catalog::Catalog;
 use ryerouter_wire::generated::v1::back_end_service_server::BackEndServiceServer;
 use ryerouter_wire::generated::v1::configuration_service_server::ConfigurationServiceServer;
 use ryerouter_wire::generated::v1::operations_service_server::OperationsServiceServer;
@@ -61,6 +62,11 @@
         self.state.lock().lags = lags.iter().copied().collect();
     }
 
+    /// Its configuration.
+    pub fn catalog(&self) -> Catalog {
+        self.state.lock().catalog.clone()
+    }
+
     /// Version of its configuration.
     pub fn version(&self) -> u64 {
         self.state.lock().catalog.version.0
