--- a/crates/core/src/catalog/catalog_document.rs
+++ b/crates/core/src/catalog/catalog_document.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackEnd, MigrationStage, Pool, PoolKind, Tenant, WeightsRollout};
+use super::{BackEnd, MigrationStage, Pool, PoolKind, StageProgress, Tenant, WeightsRollout};
 use crate::claim::ClaimRoster;
 use crate::identity::{
     BackEndName, ConfigVersion, PoolName, StageName, TenantName, WeightsVersion,
@@ -27,6 +27,9 @@
     /// Migration stages by name.
     #[serde(default)]
     pub stages: BTreeMap<StageName, MigrationStage>,
+    /// How far stages have come that move step by step.
+    #[serde(default)]
+    pub stage_progress: BTreeMap<StageName, StageProgress>,
     /// Changes of weights on their way, by pool.
     #[serde(default)]
     pub rollouts: BTreeMap<PoolName, WeightsRollout>,
@@ -36,6 +39,16 @@
 }
 
 impl Catalog {
+    /// Share of traffic that goes to the target of `stage` now, in thousandths.
+    pub fn stage_share(&self, stage: &MigrationStage) -> u16 {
+        let whole = stage.target_share_permille;
+        if stage.step_permille == 0 {
+            return whole;
+        }
+        let progress = self.stage_progress.get(&stage.name);
+        progress.map_or(0, |progress| progress.share_permille.min(whole))
+    }
+
     /// The weights that a request of `pool` asks for; `sample` is a hash, the same for prompts
     /// that share a prefix. `None` for pools without weights.
     pub fn weights_for(&self, pool: &Pool, sample: u64) -> Option<WeightsVersion> {
--- a/crates/core/src/config/log_entry.rs
+++ b/crates/core/src/config/log_entry.rs
@@ -2,7 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{Catalog, Pool, PoolKind, WeightsRollout};
+use crate::catalog::{
+    Catalog, MigrationStage, Pool, PoolKind, StageProgress, StageState, WeightsRollout,
+};
 use crate::identity::{ConfigVersion, ResourceVersion, WeightsVersion};
 use crate::timestamp::Timestamp;
 
@@ -59,12 +61,18 @@
         }
         Resource::Stage(mut stage) => {
             stage.version = version;
+            restart_progress(catalog, &stage);
             catalog.stages.insert(stage.name.clone(), stage);
         }
         Resource::ClaimRoster(mut roster) => {
             roster.version = version;
             catalog.claim_roster = roster;
         }
+        Resource::StageProgress(mut progress) => {
+            progress.version = version;
+            let stage = progress.stage.clone();
+            catalog.stage_progress.insert(stage, progress);
+        }
         Resource::Rollout(mut rollout) => {
             rollout.version = version;
             catalog.rollouts.insert(rollout.pool.clone(), rollout);
@@ -72,6 +80,31 @@
     }
 }
 
+/// A stage goes on from where it is while it moves the same traffic the same way, and from nothing
+/// after it was taken back. In any case its new terms are judged anew.
+fn restart_progress(catalog: &mut Catalog, stage: &MigrationStage) {
+    let moves_the_same = |before: &&MigrationStage| {
+        before.pool == stage.pool
+            && before.tenant == stage.tenant
+            && before.source == stage.source
+            && before.target == stage.target
+    };
+    let before = catalog.stages.get(&stage.name).filter(moves_the_same);
+    let share_before = before.map_or(0, |before| catalog.stage_share(before));
+    let share_permille = match stage.state {
+        StageState::RolledBack => 0,
+        StageState::Running | StageState::Paused => share_before.min(stage.target_share_permille),
+    };
+    let progress = StageProgress {
+        stage: stage.name.clone(),
+        share_permille,
+        finished: false,
+        note: String::new(),
+        version: stage.version,
+    };
+    catalog.stage_progress.insert(stage.name.clone(), progress);
+}
+
 /// A pool that changes its weights moves its requests to them step by step. Of the weights before,
 /// those count that most requests ask for.
 fn start_rollout(catalog: &mut Catalog, pool: &Pool) {
@@ -126,9 +159,13 @@
         }
         ResourceReference::Stage(name) => {
             catalog.stages.remove(name);
+            catalog.stage_progress.remove(name);
         }
         // Refused by validation: without a roster nothing can be claimed.
         ResourceReference::ClaimRoster => {}
+        ResourceReference::StageProgress(stage) => {
+            catalog.stage_progress.remove(stage);
+        }
         ResourceReference::Rollout(pool) => {
             catalog.rollouts.remove(pool);
         }
--- a/crates/core/src/config/resource.rs
+++ b/crates/core/src/config/resource.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::{BackEnd, MigrationStage, Pool, Tenant, WeightsRollout};
+use crate::catalog::{BackEnd, MigrationStage, Pool, StageProgress, Tenant, WeightsRollout};
 use crate::claim::ClaimRoster;
 
 use super::ResourceReference;
@@ -21,6 +21,8 @@
     Stage(MigrationStage),
     /// Who keeps claims; written by router processes, never by operators.
     ClaimRoster(ClaimRoster),
+    /// How far a stage has come; written by router processes, never by operators.
+    StageProgress(StageProgress),
     /// A change of weights on its way; written by router processes, never by operators.
     Rollout(WeightsRollout),
 }
@@ -34,6 +36,9 @@
             Self::BackEnd(back_end) => ResourceReference::BackEnd(back_end.name.clone()),
             Self::Stage(stage) => ResourceReference::Stage(stage.name.clone()),
             Self::ClaimRoster(_) => ResourceReference::ClaimRoster,
+            Self::StageProgress(progress) => {
+                ResourceReference::StageProgress(progress.stage.clone())
+            }
             Self::Rollout(rollout) => ResourceReference::Rollout(rollout.pool.clone()),
         }
     }
--- a/crates/core/src/config/resource_reference.rs
+++ b/crates/core/src/config/resource_reference.rs
@@ -24,6 +24,9 @@
     /// Who keeps claims.
     #[display("claim roster")]
     ClaimRoster,
+    /// How far a stage has come.
+    #[display("progress of stage {_0}")]
+    StageProgress(StageName),
     /// A change of weights on its way.
     #[display("rollout of pool {_0}")]
     Rollout(PoolName),
--- a/crates/core/src/config/validation.rs
+++ b/crates/core/src/config/validation.rs
@@ -87,6 +87,10 @@
         ResourceReference::Pool(name) => catalog.pools.get(name).map(|pool| pool.version),
         ResourceReference::BackEnd(name) => catalog.back_ends.get(name).map(|found| found.version),
         ResourceReference::Stage(name) => catalog.stages.get(name).map(|stage| stage.version),
+        ResourceReference::StageProgress(stage) => {
+            let progress = catalog.stage_progress.get(stage);
+            progress.map(|progress| progress.version)
+        }
         ResourceReference::Rollout(pool) => {
             catalog.rollouts.get(pool).map(|rollout| rollout.version)
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lifecycle;
 pub mod limit;
 pub mod membership;
+pub mod migration;
 pub mod order;
 pub mod placement;
 pub mod prompt;
--- a/crates/core/src/placement/site_preference.rs
+++ b/crates/core/src/placement/site_preference.rs
@@ -43,7 +43,7 @@
     }
     let key = split_key(prefix).unwrap_or_else(|| xxh3_64_with_seed(fallback_key.as_bytes(), 0));
     let slot = xxh3_64_with_seed(tenant.as_str().as_bytes(), key) % PERMILLE;
-    let goes_to_target = slot < u64::from(stage.target_share_permille);
+    let goes_to_target = slot < u64::from(catalog.stage_share(stage));
     Some(SitePreference {
         first: if goes_to_target {
             &stage.target
--- a/crates/node/src/rpc/rpc_context.rs
+++ b/crates/node/src/rpc/rpc_context.rs
@@ -149,6 +149,7 @@
         Resource::BackEnd(back_end) => back_end.version = version,
         Resource::Stage(stage) => stage.version = version,
         Resource::ClaimRoster(roster) => roster.version = version,
+        Resource::StageProgress(progress) => progress.version = version,
         Resource::Rollout(rollout) => rollout.version = version,
     }
 }
--- a/crates/wire/src/rpc/catalog.rs
+++ b/crates/wire/src/rpc/catalog.rs
@@ -40,6 +40,7 @@
             // Kept by router processes; operators neither see nor write it.
             claim_roster: ClaimRoster::default(),
             rollouts: BTreeMap::new(),
+            stage_progress: BTreeMap::new(),
         })
     }
 }
--- a/crates/wire/src/rpc/mutation.rs
+++ b/crates/wire/src/rpc/mutation.rs
@@ -29,7 +29,9 @@
 fn is_internal(reference: &ResourceReference) -> bool {
     matches!(
         reference,
-        ResourceReference::ClaimRoster | ResourceReference::Rollout(_)
+        ResourceReference::StageProgress(_)
+            | ResourceReference::ClaimRoster
+            | ResourceReference::Rollout(_)
     )
 }
 
--- a/crates/wire/src/rpc/resource.rs
+++ b/crates/wire/src/rpc/resource.rs
@@ -12,6 +12,6 @@
         Resource::Pool(pool) => Some(Change::Pool(pool.into())),
         Resource::BackEnd(back_end) => Some(Change::BackEnd(back_end.into())),
         Resource::Stage(stage) => Some(Change::Stage(stage.into())),
-        Resource::ClaimRoster(_) | Resource::Rollout(_) => None,
+        Resource::StageProgress(_) | Resource::ClaimRoster(_) | Resource::Rollout(_) => None,
     }
 }
--- a/crates/wire/src/rpc/resource_kind.rs
+++ b/crates/wire/src/rpc/resource_kind.rs
@@ -32,9 +32,9 @@
             ResourceReference::BackEnd(name) => (v1::ResourceKind::BackEnd, name.to_string()),
             ResourceReference::Stage(name) => (v1::ResourceKind::Stage, name.to_string()),
             // Kept by router processes; operators have no kind for it.
-            ResourceReference::ClaimRoster | ResourceReference::Rollout(_) => {
-                (v1::ResourceKind::Unspecified, String::new())
-            }
+            ResourceReference::StageProgress(_)
+            | ResourceReference::ClaimRoster
+            | ResourceReference::Rollout(_) => (v1::ResourceKind::Unspecified, String::new()),
         };
         Self {
             kind: kind.into(),
