--- a/crates/node/src/relay/event_stream.rs
+++ b/crates/node/src/relay/event_stream.rs
@@ -8,6 +8,9 @@
 use super::{ChunkOrder, ChunkPlacement, DeliveredText, EventBuffer, EventFields};
 use super::{RelayFault, Usage};
 
+/// A comment without words.
+const COMMENT: &[u8] = b":\n\n";
+
 /// Reads the events of one answer, over as many attempts as it takes, and yields the bytes its
 /// caller gets: each chunk once, in order, and the end mark last.
 #[derive(Debug)]
@@ -108,8 +111,7 @@
         self.buffer.check_size(event)?;
         let fields = EventFields::parse(event);
         let Some(data) = fields.data.clone() else {
-            // Comments keep connections alive; callers ignore them.
-            run.extend(range);
+            self.take_comment(event, run);
             return Ok(StreamProgress::Open);
         };
         if fields.is_done(event) {
@@ -138,6 +140,16 @@
         Ok(StreamProgress::Open)
     }
 
+    /// Comments keep connections alive, so the caller gets one too, but not its words; any other
+    /// event without data is dropped.
+    fn take_comment(&self, event: &[u8], run: &mut Run<'_>) {
+        if event.starts_with(b":") {
+            run.insert(Bytes::from_static(COMMENT));
+        } else {
+            run.skip();
+        }
+    }
+
     fn release_held(&mut self, run: &mut Run<'_>, last_data: &mut Option<Range<usize>>) {
         while let Some(event) = self.order.release() {
             if let Some(data) = EventFields::parse(&event).data {
