--- a/crates/node/src/platform/http_connection.rs
+++ b/crates/node/src/platform/http_caller.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -14,19 +14,18 @@
 
 use super::{PlatformError, PlatformLimits};
 
-/// Idle connections kept to one server; the platform bears few readers.
+/// Idle connections kept to one server; the platform bears few of them.
 const IDLE_CONNECTIONS: usize = 2;
 
-/// Calls to one HTTP server of the platform.
+/// Makes HTTP calls with limits of time and size.
 #[derive(Debug, Clone)]
-pub(super) struct HttpConnection {
+pub(crate) struct HttpCaller {
     client: Client<HttpConnector, Full<Bytes>>,
-    address: SocketAddr,
     limits: PlatformLimits,
 }
 
-impl HttpConnection {
-    pub(super) fn new(address: SocketAddr, limits: PlatformLimits) -> Self {
+impl HttpCaller {
+    pub(crate) fn new(limits: PlatformLimits) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(limits.call_timeout));
         connector.set_nodelay(true);
@@ -34,22 +33,13 @@
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .build(connector);
-        Self {
-            client,
-            address,
-            limits,
-        }
+        Self { client, limits }
     }
 
     pub(super) fn limits(&self) -> &PlatformLimits {
         &self.limits
     }
 
-    /// Address of a path of this server.
-    pub(super) fn uri(&self, path: &str) -> String {
-        format!("http://{}{path}", self.address)
-    }
-
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &self,
@@ -70,7 +60,7 @@
     }
 
     /// Sends a request and reads its whole answer within the limits of time and size.
-    pub(super) async fn call(
+    pub(crate) async fn call(
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, PlatformError> {
@@ -91,8 +81,24 @@
     }
 }
 
+/// A request for a path of a server.
+pub(crate) fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, PlatformError> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .body(Full::new(body))
+        .map_err(|error| PlatformError::Unaddressable {
+            detail: format!("{path}: {error}"),
+        })
+}
+
 /// Reads a JSON answer.
-pub(super) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(|error| PlatformError::Malformed {
         detail: error.to_string(),
     })
--- a/crates/node/src/platform/machine_client.rs
+++ b/crates/node/src/platform/machine_client.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::{Method, StatusCode};
 use ryerouter_core::control::MachineEntry;
 use serde::Deserialize;
 
-use super::http_connection::{HttpConnection, decode, unexpected_status};
+use super::http_caller::{HttpCaller, decode, request, unexpected_status};
 use super::{PlatformError, PlatformLimits};
 
 #[derive(Debug, Deserialize)]
@@ -19,26 +18,23 @@
 /// Client of the machine list.
 #[derive(Debug, Clone)]
 pub struct MachineClient {
-    connection: HttpConnection,
+    caller: HttpCaller,
+    address: SocketAddr,
 }
 
 impl MachineClient {
     /// A client of the machine list at `address`.
     pub fn new(address: SocketAddr, limits: PlatformLimits) -> Self {
         Self {
-            connection: HttpConnection::new(address, limits),
+            caller: HttpCaller::new(limits),
+            address,
         }
     }
 
     /// All machines the platform knows of; the list lags by seconds.
     pub async fn list(&self) -> Result<Vec<MachineEntry>, PlatformError> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = self
-            .connection
-            .uri("/machines")
-            .parse()
-            .expect("an address and a fixed path make a valid URI");
-        let answer = self.connection.call(request).await?;
+        let request = request(Method::GET, self.address, "/machines", Bytes::new())?;
+        let answer = self.caller.call(request).await?;
         match answer.status() {
             StatusCode::OK => Ok(decode::<MachineListAnswer>(answer.body())?.machines),
             _ => Err(unexpected_status(&answer)),
--- a/crates/node/src/platform/mod.rs
+++ b/crates/node/src/platform/mod.rs
@@ -3,7 +3,7 @@
 //! See `docs/design/platform-protocol.md`. Every call has a time limit and a size limit, and an
 //! error says whether the call may have taken effect all the same.
 
-mod http_connection;
+mod http_caller;
 mod machine_client;
 mod object;
 mod object_change;
@@ -14,6 +14,7 @@
 mod platform_error;
 mod platform_limits;
 
+pub(crate) use http_caller::{HttpCaller, decode, request};
 pub use machine_client::MachineClient;
 pub use object::Object;
 pub use object_change::ObjectChange;
--- a/crates/node/src/platform/object_client.rs
+++ b/crates/node/src/platform/object_client.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
-use super::http_connection::{HttpConnection, decode, unexpected_status};
+use super::http_caller::{HttpCaller, decode, request, unexpected_status};
 use super::{Object, ObjectCondition, ObjectList, ObjectWatch, PlatformError, PlatformLimits};
 
 /// Answer to a write: the version after it, or the version that stands in its way.
@@ -19,21 +19,23 @@
 /// Client of the object API.
 #[derive(Debug, Clone)]
 pub struct ObjectClient {
-    connection: HttpConnection,
+    caller: HttpCaller,
+    address: SocketAddr,
 }
 
 impl ObjectClient {
     /// A client of the object API at `address`.
     pub fn new(address: SocketAddr, limits: PlatformLimits) -> Self {
         Self {
-            connection: HttpConnection::new(address, limits),
+            caller: HttpCaller::new(limits),
+            address,
         }
     }
 
     /// Reads one object.
     pub async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let request = self.request(Method::GET, &object_path(key), Bytes::new())?;
-        let answer = self.connection.call(request).await?;
+        let answer = self.caller.call(request).await?;
         match answer.status() {
             StatusCode::OK => decode(answer.body()).map(Some),
             StatusCode::NOT_FOUND => Ok(None),
@@ -45,7 +47,7 @@
     pub async fn list(&self, prefix: &str) -> Result<ObjectList, PlatformError> {
         let path = format!("/objects?prefix={prefix}");
         let request = self.request(Method::GET, &path, Bytes::new())?;
-        let answer = self.connection.call(request).await?;
+        let answer = self.caller.call(request).await?;
         match answer.status() {
             StatusCode::OK => decode(answer.body()),
             _ => Err(unexpected_status(&answer)),
@@ -64,7 +66,7 @@
         })?;
         let mut request = self.request(Method::PUT, &object_path(key), Bytes::from(body))?;
         set_condition(&mut request, condition);
-        let answer = self.connection.call(request).await?;
+        let answer = self.caller.call(request).await?;
         write_answer(answer)
     }
 
@@ -72,7 +74,7 @@
     pub async fn delete(&self, key: &str, version: u64) -> Result<(), PlatformError> {
         let mut request = self.request(Method::DELETE, &object_path(key), Bytes::new())?;
         set_condition(&mut request, ObjectCondition::Version(version));
-        let answer = self.connection.call(request).await?;
+        let answer = self.caller.call(request).await?;
         if answer.status().is_success() {
             return Ok(());
         }
@@ -84,12 +86,9 @@
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<ObjectWatch, PlatformError> {
         let path = format!("/watch?prefix={prefix}&from={revision}");
         let request = self.request(Method::GET, &path, Bytes::new())?;
-        let answer = self.connection.send(request).await?;
+        let answer = self.caller.send(request).await?;
         match answer.status() {
-            StatusCode::OK => Ok(ObjectWatch::new(
-                answer.into_body(),
-                self.connection.limits(),
-            )),
+            StatusCode::OK => Ok(ObjectWatch::new(answer.into_body(), self.caller.limits())),
             _ => Err(unexpected_status(&answer)),
         }
     }
@@ -100,13 +99,7 @@
         path: &str,
         body: Bytes,
     ) -> Result<Request<Full<Bytes>>, PlatformError> {
-        Request::builder()
-            .method(method)
-            .uri(self.connection.uri(path))
-            .body(Full::new(body))
-            .map_err(|error| PlatformError::Unaddressable {
-                detail: format!("{path}: {error}"),
-            })
+        request(method, self.address, path, body)
     }
 }
 
--- a/crates/node/src/platform/object_watch.rs
+++ b/crates/node/src/platform/object_watch.rs
@@ -8,7 +8,7 @@
 use tokio_util::codec::{FramedRead, LinesCodec};
 use tokio_util::io::StreamReader;
 
-use super::http_connection::decode;
+use super::http_caller::decode;
 use super::{ObjectChange, PlatformError, PlatformLimits};
 
 type ByteStream = futures_util::stream::BoxStream<'static, std::io::Result<bytes::Bytes>>;
