--- a/crates/node/tests/control_support/mod.rs
+++ b/crates/node/tests/control_support/mod.rs
@@ -6,10 +6,12 @@
     reason = "each test file is a crate of its own and uses its part"
 )]
 
+mod certificates;
 mod object_api;
 mod requests;
 mod test_node;
 
+pub use certificates::{Authority, TestDirectory};
 pub use object_api::{Fault, ObjectApi};
 pub use requests::{create_tenant, write_options};
-pub use test_node::{TestNode, TestNodeOptions, within_deadline};
+pub use test_node::{TestNode, TestNodeOptions, until_counted, within_deadline};
--- a/crates/node/tests/control_support/test_node.rs
+++ b/crates/node/tests/control_support/test_node.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use prometheus::IntCounter;
 use ryerouter_core::identity::{
     ConfigVersion, DataCentreName, Incarnation, NodeName, RegionName, ZoneName,
 };
 use ryerouter_core::lifecycle::NodePhase;
 use ryerouter_node::clock::Clock;
 use ryerouter_node::control::{BoundControl, ControlHandle, ControlOptions, ControlThread};
-use ryerouter_node::peer::PeerMetrics;
+use ryerouter_node::peer::{PeerMetrics, PeerTls};
 use ryerouter_node::platform::PlatformLimits;
 use ryerouter_node::reload::NothingToReload;
 use ryerouter_node::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
@@ -41,6 +42,7 @@
     pub access: OperatorAccess,
     /// Off where tests count versions: the roster of claim keepers is one more change.
     pub may_direct: bool,
+    pub peer_tls: Option<PeerTls>,
 }
 
 impl TestNodeOptions {
@@ -52,6 +54,7 @@
             seeds: Vec::new(),
             access: OperatorAccess::Open,
             may_direct: false,
+            peer_tls: None,
         }
     }
 
@@ -65,6 +68,11 @@
         self
     }
 
+    pub fn peer_tls(mut self, tls: PeerTls) -> Self {
+        self.peer_tls = Some(tls);
+        self
+    }
+
     pub fn zone(mut self, zone: &'static str) -> Self {
         self.zone = zone;
         self
@@ -75,7 +83,10 @@
     pub fn start(options: TestNodeOptions) -> Self {
         let logger = Logger::root(Discard, o!());
         let clock = Clock::start();
-        let bound = BoundControl::bind(control_options(&options)).unwrap();
+        let mut bound = BoundControl::bind(control_options(&options)).unwrap();
+        if let Some(tls) = options.peer_tls.clone() {
+            bound.set_peer_tls(tls);
+        }
         let metrics = bound.peer_metrics().clone();
         let control = bound.start(clock, &logger).unwrap();
         let rpc = RpcServer::bind(loopback(), None).unwrap();
@@ -144,6 +155,13 @@
     }
 }
 
+/// Waits until something was counted, which another thread does a moment after its effect shows.
+pub async fn until_counted(counter: &IntCounter) {
+    while counter.get() == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Waits for something, or fails the test after a generous time.
 pub async fn within_deadline<T>(future: impl Future<Output = T>) -> T {
     tokio::time::timeout(OVERALL_DEADLINE, future)
