Measure the control plane at full size with hollow nodes

ryebench scale runs one real control state for each node in one process on a virtual clock, encodes and decodes every message as on the wire and counts its bytes, headers included.

--- a/crates/core/src/config/config_spread.rs
+++ b/crates/core/src/config/config_spread.rs
@@ -27,7 +27,7 @@
 
 impl ConfigSpread {
     /// Time in which a node announces at most once; a burst of changes shares announcements.
-    const ANNOUNCE_EVERY: Duration = Duration::from_millis(100);
+    const ANNOUNCE_EVERY: Duration = Duration::from_millis(250);
     const PULL_TIMEOUT: Duration = Duration::from_millis(500);
     /// Time between questions of a node without configuration.
     const ASK_EVERY: Duration = Duration::from_millis(200);
--- a/crates/core/src/config/log_reader.rs
+++ b/crates/core/src/config/log_reader.rs
@@ -7,6 +7,7 @@
     ControlAction, ObjectKey, ObjectPrefix, Outbox, StoreAnswer, StoreCall, StoreOwner,
     StoreRequestId, StoreRevision, StoreValue, StoredObject, WatchEvent,
 };
+use crate::identity::ConfigVersion;
 use crate::timestamp::Timestamp;
 
 use super::{Appended, ConfigReplica, LogEntry, ReaderStage};
@@ -21,6 +22,7 @@
     catching_up: Option<StoreRequestId>,
     check_at: Timestamp,
     listed_once: bool,
+    has_no_snapshot: bool,
 }
 
 impl LogReader {
@@ -132,7 +134,9 @@
             self.retry(now.after(retry_after(&answer)));
             return;
         };
-        if append_all(objects, replica) == Appended::Gap {
+        let has_gap = append_all(objects, replica) == Appended::Gap;
+        let is_empty = replica.version() == ConfigVersion::default();
+        if has_gap || (is_empty && !self.has_no_snapshot) {
             self.load(outbox);
             return;
         }
@@ -158,6 +162,11 @@
         now: Timestamp,
         outbox: &mut Outbox,
     ) {
+        if matches!(answer, StoreAnswer::NotFound) && !self.has_no_snapshot {
+            self.has_no_snapshot = true;
+            self.list(outbox);
+            return;
+        }
         if let StoreAnswer::Found(object) = answer
             && let StoreValue::ConfigSnapshot(checkpoint) = object.value
             && replica.adopt(&checkpoint)
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod demo_command;
 mod faults_command;
 mod overhead_command;
+mod scale_command;
 mod standins_command;
 mod up_command;
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod oracle;
 pub mod overhead;
+pub mod scale;
 pub mod scenario;
 pub mod simulation;
 pub mod standins;
--- /dev/null
+++ b/crates/testbed/src/scale/hollow_cluster.rs
@@ -0,0 +1,508 @@
+//! A cluster of hollow nodes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use desque::SimState;
+use rand::seq::IteratorRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ryerouter_core::Timestamp;
+use ryerouter_core::control::{
+    ControlAction, ControlEvent, ControlState, OperationId, PeerMessage, StoreAnswer, StoreCall,
+    StoreRequestId,
+};
+use ryerouter_core::identity::{BackEndName, ConfigVersion, Incarnation};
+use ryerouter_core::lifecycle::NodePhase;
+
+use super::ScaleOptions;
+use super::byte_meter::ByteMeter;
+use super::counted_bytes::{datagram_bytes, stream_bytes};
+use super::event::ScaleEvent;
+use super::hollow_node::HollowNode;
+use super::layout;
+use super::load::{self, LoadEvent};
+use super::object_store::ObjectStore;
+use super::process::Process;
+use super::report::{ScaleReport, Totals};
+use super::resource_use::ResourceUse;
+use super::spread_watch::SpreadWatch;
+
+/// Time in which nodes start one after another.
+const START_SPREAD: Duration = Duration::from_secs(10);
+/// Time before anything is measured.
+const WARM_UP: Duration = Duration::from_secs(60);
+/// Share of datagrams that are lost.
+const LOSS: f64 = 0.01;
+/// Time of one way to or from the object API.
+const STORE_DELAY: Duration = Duration::from_millis(10);
+/// Bytes of HTTP and TCP headers around one call of the object API.
+const STORE_CALL_BYTES: u64 = 1_000;
+
+/// A cluster of hollow nodes.
+pub struct HollowCluster {
+    nodes: Vec<HollowNode>,
+    engines: usize,
+    seed: u64,
+    end_micros: u64,
+    now_micros: u64,
+    scheduled: Vec<(u64, ScaleEvent)>,
+    store: ObjectStore,
+    random: ChaCha8Rng,
+    meter: ByteMeter,
+    changes: SpreadWatch<ConfigVersion>,
+    drains: SpreadWatch<(BackEndName, u64)>,
+    restarts: Vec<f64>,
+    incarnations: BTreeMap<usize, u64>,
+    submitted: u64,
+    refused: u64,
+    warm: Option<ResourceUse>,
+    store_calls_when_warm: u64,
+}
+
+impl HollowCluster {
+    /// A cluster that is about to start.
+    pub fn new(options: &ScaleOptions) -> Self {
+        let nodes = options.nodes as usize;
+        let engines = options.engines as usize;
+        Self {
+            nodes: (0..nodes).map(HollowNode::new).collect(),
+            engines,
+            seed: options.seed,
+            end_micros: micros(WARM_UP) + micros(Duration::from_secs(options.seconds)),
+            now_micros: 0,
+            scheduled: Vec::new(),
+            store: ObjectStore::with(layout::checkpoint(engines)),
+            random: ChaCha8Rng::seed_from_u64(options.seed),
+            meter: ByteMeter::new(nodes),
+            changes: SpreadWatch::new(),
+            drains: SpreadWatch::new(),
+            restarts: Vec::new(),
+            incarnations: BTreeMap::new(),
+            submitted: 0,
+            refused: 0,
+            warm: None,
+            store_calls_when_warm: 0,
+        }
+    }
+
+    /// Events to be scheduled, with their times.
+    pub fn take_scheduled(&mut self) -> Vec<(u64, ScaleEvent)> {
+        std::mem::take(&mut self.scheduled)
+    }
+
+    /// What the process used when the warm-up was over.
+    pub fn resources_after_warm_up(&self) -> Option<ResourceUse> {
+        self.warm
+    }
+
+    /// Takes an event.
+    pub fn take(&mut self, event: ScaleEvent, now_micros: u64) {
+        self.now_micros = now_micros;
+        if now_micros > self.end_micros {
+            return;
+        }
+        match event {
+            ScaleEvent::Begin => self.begin(),
+            ScaleEvent::Starts(node) => self.start(node),
+            ScaleEvent::Tick(process) => self.tick(process),
+            ScaleEvent::Message {
+                to,
+                from,
+                line,
+                wire_bytes,
+            } => self.message(to, from, &line, wire_bytes),
+            ScaleEvent::StreamFailed { process, to } => {
+                self.give(process, ControlEvent::StreamFailed { to });
+            }
+            ScaleEvent::StoreCalled { process, id, call } => self.store_called(process, id, call),
+            ScaleEvent::StoreAnswered {
+                process,
+                id,
+                answer,
+            } => self.give(process, ControlEvent::StoreAnswered { id, answer }),
+            ScaleEvent::Watched { process, event } => {
+                self.meter.count(process.node, STORE_CALL_BYTES);
+                self.give(process, ControlEvent::Watch(event));
+            }
+            ScaleEvent::Load(event) => self.load(event),
+            ScaleEvent::WindowEnds => self.end_window(),
+            ScaleEvent::WarmUpEnds => self.end_warm_up(),
+        }
+    }
+
+    /// The report of the run.
+    pub fn report(
+        &self,
+        before: ResourceUse,
+        warm: ResourceUse,
+        after: ResourceUse,
+    ) -> ScaleReport {
+        let totals = Totals {
+            nodes: self.nodes.len(),
+            engines: self.engines,
+            seconds: self.end_micros / 1_000_000 - WARM_UP.as_secs(),
+            before,
+            warm,
+            after,
+            restarts: &self.restarts,
+            refused: self.refused,
+            store_calls: self.store.calls() - self.store_calls_when_warm,
+            store_watchers: self.store.peak_watchers(),
+        };
+        ScaleReport::new(&totals, &self.meter, &self.changes, &self.drains)
+    }
+
+    fn begin(&mut self) {
+        let count = self.nodes.len() as u32;
+        for node in 0..self.nodes.len() {
+            let at = START_SPREAD * node as u32 / count;
+            self.schedule(at, ScaleEvent::Starts(node));
+        }
+        self.schedule(WARM_UP, ScaleEvent::WarmUpEnds);
+        self.schedule(self.window(), ScaleEvent::WindowEnds);
+    }
+
+    fn end_warm_up(&mut self) {
+        self.warm = ResourceUse::now().ok();
+        self.store_calls_when_warm = self.store.calls();
+        self.meter.begin();
+        for event in [
+            LoadEvent::Change,
+            LoadEvent::EngineLeaves,
+            LoadEvent::NodeRestarts,
+            LoadEvent::NodeFails,
+        ] {
+            self.schedule_next(event);
+        }
+        let middle = load::BURST_EVERY / 5;
+        self.schedule(middle, ScaleEvent::Load(LoadEvent::Burst));
+        self.schedule(middle * 2, ScaleEvent::Load(LoadEvent::RackLeaves));
+    }
+
+    fn end_window(&mut self) {
+        let nodes = &self.nodes;
+        self.meter.end_window(|node| nodes[node].state.is_some());
+        self.schedule(self.window(), ScaleEvent::WindowEnds);
+    }
+
+    fn window(&self) -> Duration {
+        Duration::from_secs(ByteMeter::WINDOW_SECONDS)
+    }
+
+    fn start(&mut self, node: usize) {
+        let now_millis = self.now_micros / 1_000 + 1;
+        let settings = layout::settings(node, self.nodes.len(), now_millis, self.seed);
+        self.nodes[node].start(settings, self.now_micros);
+        let process = self.nodes[node].process;
+        self.give(process, ControlEvent::Started);
+        let offset = self.random.random_range(Duration::ZERO..ControlState::TICK);
+        self.schedule(offset, ScaleEvent::Tick(process));
+    }
+
+    fn stop(&mut self, node: usize) {
+        self.nodes[node].stop();
+        self.store.end_watch(node);
+        self.changes.stopped(node, self.now_micros);
+        self.drains.stopped(node, self.now_micros);
+    }
+
+    fn tick(&mut self, process: Process) {
+        if self.nodes[process.node].runs(process) {
+            self.schedule(ControlState::TICK, ScaleEvent::Tick(process));
+            self.give(process, ControlEvent::Tick);
+        }
+    }
+
+    fn message(&mut self, to: usize, from: SocketAddr, line: &[u8], wire_bytes: u64) {
+        if self.nodes[to].state.is_none() {
+            return;
+        }
+        self.meter.count(to, wire_bytes);
+        let message: PeerMessage =
+            serde_json::from_slice(line).expect("a line that was encoded can be decoded");
+        let process = self.nodes[to].process;
+        self.give(process, ControlEvent::PeerMessageReceived { from, message });
+    }
+
+    fn give(&mut self, process: Process, event: ControlEvent) {
+        if !self.nodes[process.node].runs(process) {
+            return;
+        }
+        let now = Timestamp::from_micros(self.now_micros);
+        let mut actions = Vec::new();
+        if let Some(state) = &mut self.nodes[process.node].state {
+            state.handle(event, now, &mut actions);
+        }
+        for action in actions {
+            self.carry_out(process, action);
+        }
+    }
+
+    fn carry_out(&mut self, process: Process, action: ControlAction) {
+        match action {
+            ControlAction::SendDatagram { to, message } => self.datagram(process, to, &message),
+            ControlAction::SendStream { to, message } => self.stream(process, to, &message),
+            ControlAction::StoreRequest { id, call } => {
+                self.meter.count(process.node, STORE_CALL_BYTES);
+                self.schedule(STORE_DELAY, ScaleEvent::StoreCalled { process, id, call });
+            }
+            ControlAction::StartWatch { .. } => self.store.watch(process),
+            ControlAction::StopWatch { .. } => self.store.end_watch(process.node),
+            ControlAction::PublishSnapshot(snapshot) => {
+                let version = snapshot.catalog.version;
+                self.note_version(process.node, version);
+                for news in self.drains.waiting() {
+                    if snapshot.leaving.contains(&news.0) {
+                        self.drains.in_force(&news, process.node, self.now_micros);
+                    }
+                }
+            }
+            ControlAction::AnswerOperator { answer, .. } => match answer {
+                Ok(accepted) => self.accepted(accepted.version),
+                Err(_) => self.refused += 1,
+            },
+            ControlAction::EnterPhase(phase) => self.enter(process.node, phase),
+            _ => {}
+        }
+    }
+
+    fn note_version(&mut self, node: usize, version: ConfigVersion) {
+        let before = std::mem::replace(&mut self.nodes[node].version, version);
+        assert!(version >= before, "versions only rise on a running node");
+        for news in self.changes.waiting() {
+            if news <= version {
+                self.changes.in_force(&news, node, self.now_micros);
+            }
+        }
+    }
+
+    /// A change was told as accepted; from now on the clock runs until it is in force everywhere.
+    fn accepted(&mut self, version: ConfigVersion) {
+        let without = self
+            .serving()
+            .filter(|node| self.nodes[*node].version < version)
+            .collect();
+        self.changes.begin(version, without, self.now_micros);
+        self.changes.in_force(&version, usize::MAX, self.now_micros);
+    }
+
+    fn enter(&mut self, node: usize, phase: NodePhase) {
+        match phase {
+            NodePhase::Serving => {
+                self.nodes[node].is_serving = true;
+                let elapsed = self.now_micros - self.nodes[node].started_micros;
+                if self.warm.is_some() {
+                    self.restarts.push(elapsed as f64 / 1_000_000.0);
+                }
+            }
+            NodePhase::Stopped => self.stop(node),
+            NodePhase::Starting | NodePhase::Draining => {}
+        }
+    }
+
+    fn datagram(&mut self, process: Process, to: SocketAddr, message: &PeerMessage) {
+        let line = serde_json::to_vec(message).expect("messages can be encoded");
+        let wire_bytes = datagram_bytes(line.len());
+        self.meter.count(process.node, wire_bytes);
+        self.meter.count_datagram();
+        if self.random.random_bool(LOSS) {
+            return;
+        }
+        self.deliver(process, to, line, wire_bytes, 1);
+    }
+
+    fn stream(&mut self, process: Process, to: SocketAddr, message: &PeerMessage) {
+        let is_up = layout::node_at(to)
+            .and_then(|node| self.nodes.get(node))
+            .is_some_and(|node| node.state.is_some());
+        if !is_up {
+            let event = ScaleEvent::StreamFailed { process, to };
+            self.schedule(Duration::from_millis(50), event);
+            return;
+        }
+        let line = serde_json::to_vec(message).expect("messages can be encoded");
+        let wire_bytes = stream_bytes(line.len());
+        self.meter.count(process.node, wire_bytes);
+        // The connection is opened first.
+        self.deliver(process, to, line, wire_bytes, 3);
+    }
+
+    fn deliver(
+        &mut self,
+        process: Process,
+        to: SocketAddr,
+        line: Vec<u8>,
+        wire_bytes: u64,
+        ways: u32,
+    ) {
+        let Some(target) = layout::node_at(to).filter(|node| *node < self.nodes.len()) else {
+            return;
+        };
+        let delay = layout::delay(process.node, target, &mut self.random) * ways;
+        let event = ScaleEvent::Message {
+            to: target,
+            from: layout::address_of(process.node),
+            line,
+            wire_bytes,
+        };
+        self.schedule(delay, event);
+    }
+
+    fn store_called(&mut self, process: Process, id: StoreRequestId, call: StoreCall) {
+        let (answer, seen) = self.store.call(call);
+        self.meter.count(process.node, answer_bytes(&answer));
+        let answered = ScaleEvent::StoreAnswered {
+            process,
+            id,
+            answer,
+        };
+        self.schedule(STORE_DELAY, answered);
+        for (watcher, event) in seen {
+            let watched = ScaleEvent::Watched {
+                process: watcher,
+                event,
+            };
+            self.schedule(STORE_DELAY, watched);
+        }
+    }
+
+    fn load(&mut self, event: LoadEvent) {
+        self.schedule_next(event);
+        match event {
+            LoadEvent::Change | LoadEvent::BurstChange => self.submit_change(),
+            LoadEvent::Burst => {
+                for index in 0..load::BURST_CHANGES as u32 {
+                    let after = load::BURST_LASTS * index / load::BURST_CHANGES as u32;
+                    self.schedule(after, ScaleEvent::Load(LoadEvent::BurstChange));
+                }
+            }
+            LoadEvent::EngineLeaves => self.engine_leaves(),
+            LoadEvent::RackLeaves => {
+                for _ in 0..load::RACK_ENGINES {
+                    self.engine_leaves();
+                }
+            }
+            LoadEvent::EngineReturns {
+                engine,
+                incarnation,
+            } => self.observe(engine, incarnation, false),
+            LoadEvent::NodeRestarts => self.restart_node(),
+            LoadEvent::NodeFails => self.fail_node(),
+        }
+    }
+
+    fn submit_change(&mut self) {
+        let Some(node) = self.random_serving() else {
+            return;
+        };
+        self.submitted += 1;
+        let change = load::nth_change(self.submitted, self.engines, &mut self.random);
+        let event = ControlEvent::OperatorChange {
+            operation: OperationId(self.submitted),
+            change,
+            dry_run: false,
+        };
+        self.give(self.nodes[node].process, event);
+    }
+
+    fn engine_leaves(&mut self) {
+        let engine = self.random.random_range(0..self.engines);
+        if self
+            .incarnations
+            .get(&engine)
+            .is_some_and(|state| state % 2 == 1)
+        {
+            return;
+        }
+        // Odd numbers are processes that have said they leave, even ones that serve.
+        let incarnation = self.incarnations.get(&engine).copied().unwrap_or(0) + 1;
+        self.incarnations.insert(engine, incarnation);
+        let name = layout::engine_name(engine);
+        let everyone = self.serving().collect();
+        self.drains
+            .begin((name, incarnation), everyone, self.now_micros);
+        self.observe(engine, incarnation, true);
+        let back = LoadEvent::EngineReturns {
+            engine,
+            incarnation: incarnation + 1,
+        };
+        self.schedule(load::ENGINE_AWAY, ScaleEvent::Load(back));
+    }
+
+    fn observe(&mut self, engine: usize, incarnation: u64, draining: bool) {
+        self.incarnations.insert(engine, incarnation);
+        let Some(node) = self.random_serving() else {
+            return;
+        };
+        let event = ControlEvent::BackEndObserved {
+            back_end: layout::engine_name(engine),
+            incarnation: Incarnation(incarnation),
+            draining,
+        };
+        self.give(self.nodes[node].process, event);
+    }
+
+    fn restart_node(&mut self) {
+        let Some(node) = self.random_serving() else {
+            return;
+        };
+        let process = self.nodes[node].process;
+        self.give(process, ControlEvent::StopRequested);
+        self.give(process, ControlEvent::TrafficEnded);
+        self.schedule(load::RESTART_AWAY, ScaleEvent::Starts(node));
+    }
+
+    fn fail_node(&mut self) {
+        if let Some(node) = self.random_serving() {
+            self.stop(node);
+            self.schedule(load::FAILURE_AWAY, ScaleEvent::Starts(node));
+        }
+    }
+
+    fn serving(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|node| self.nodes[*node].is_serving)
+    }
+
+    fn random_serving(&mut self) -> Option<usize> {
+        let serving: BTreeSet<usize> = self.serving().collect();
+        serving.into_iter().choose(&mut self.random)
+    }
+
+    fn schedule_next(&mut self, event: LoadEvent) {
+        if let Some(pause) = load::time_to_next(event, &mut self.random) {
+            self.schedule(pause, ScaleEvent::Load(event));
+        }
+    }
+
+    fn schedule(&mut self, after: Duration, event: ScaleEvent) {
+        let at = self.now_micros + micros(after);
+        if at <= self.end_micros {
+            self.scheduled.push((at, event));
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    duration.as_micros() as u64
+}
+
+fn answer_bytes(answer: &StoreAnswer) -> u64 {
+    let length = |value: &ryerouter_core::control::StoreValue| {
+        serde_json::to_vec(value).map_or(0, |text| text.len()) as u64
+    };
+    match answer {
+        StoreAnswer::Found(object) => length(&object.value),
+        StoreAnswer::Listed { objects, .. } => {
+            objects.iter().map(|object| length(&object.value)).sum()
+        }
+        _ => 0,
+    }
+}
+
+impl SimState<u64> for HollowCluster {
+    fn is_complete(&self, current_time: &u64) -> bool {
+        *current_time >= self.end_micros
+    }
+}
