Answer operators within five seconds while the object API is down

Ten seconds were longer than the operators' client waits, so it had to report an unknown outcome for changes that were certainly not written.

--- a/crates/core/src/config/proposals.rs
+++ b/crates/core/src/config/proposals.rs
@@ -30,7 +30,7 @@
 
 impl Proposals {
     /// How long an operator waits at most.
-    pub const DEADLINE: Duration = Duration::from_secs(10);
+    pub const DEADLINE: Duration = Duration::from_secs(5);
     /// How many changes wait at most.
     pub const MAX_QUEUED: usize = 256;
     const BACKOFF: Duration = Duration::from_millis(200);
--- a/crates/testbed/src/scale/layout.rs
+++ b/crates/testbed/src/scale/layout.rs
@@ -56,6 +56,7 @@
         data_centre: format!("dc-{region}").as_str().into(),
         zone: format!("zone-{zone:02}").as_str().into(),
         seeds: (0..SEEDS.min(nodes)).map(address_of).collect(),
+        may_direct: true,
         seed: seed ^ (node as u64) << 32 ^ now_millis,
     }
 }
