Tell operators of traffic, serve callers over TLS, export KV cache

Explain and overview answer from the last ended requests and those under way; candidates stay empty, since the dispatcher does not tell what it weighed. Log lines carry their time, and leave out what a request does not have. A claim that no majority vouches for is refused as unknown, because an earlier submission of the caller's key may have run; the key protects a retry, so the answer still says when to come back.

--- a/crates/node/src/caller/intake.rs
+++ b/crates/node/src/caller/intake.rs
@@ -147,7 +147,8 @@
         }),
         ClaimDecision::Unavailable { retry_after } => Err(Refusal {
             reason: RefusalReason::ClaimUnavailable,
-            run_state: RunState::NotRun,
+            // This submission did not run, but an earlier one with the caller's key may have.
+            run_state: RunState::Unknown,
             retry_after: Some(retry_after),
         }),
     }
--- a/crates/node/src/engine/engine_request.rs
+++ b/crates/node/src/engine/engine_request.rs
@@ -76,6 +76,10 @@
         let value = format!("{}/{}/{}", import.store, import.prefix, import.tokens);
         builder = builder.header(engine_headers::KV_IMPORT, value);
     }
+    if let Some(export) = &assignment.kv_export {
+        let value = format!("{}/{}/{}", export.store, export.prefix, export.tokens);
+        builder = builder.header(engine_headers::KV_EXPORT, value);
+    }
     if let Some(chunks) = continue_from {
         builder = builder.header(engine_headers::CONTINUE_FROM, chunks);
     }
--- a/crates/node/src/metrics/request_end.rs
+++ b/crates/node/src/metrics/request_end.rs
@@ -1,6 +1,7 @@
 //! The end of a request as metrics and logs name it.
 
-use ryerouter_core::dispatch::FinalOutcome;
+use ryerouter_core::dispatch::{FinalOutcome, Refusal};
+use slog::{KV, Record, Serializer};
 
 /// The end of a request as metrics and logs name it.
 #[derive(Debug, Clone, Copy)]
@@ -25,29 +26,22 @@
         }
     }
 
-    /// The reason of a refusal; empty for other ends.
-    pub(crate) fn reason_label(&self) -> String {
+    /// The refusal, where it ended so.
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
         match self.outcome {
-            FinalOutcome::Refused(refusal) => refusal.reason.to_string(),
-            FinalOutcome::Completed | FinalOutcome::Cancelled => String::new(),
-        }
-    }
-
-    /// Whether a refused request ran; empty for other ends.
-    pub(crate) fn run_state_label(&self) -> String {
-        match self.outcome {
-            FinalOutcome::Refused(refusal) => refusal.run_state.to_string(),
-            FinalOutcome::Completed | FinalOutcome::Cancelled => String::new(),
+            FinalOutcome::Refused(refusal) => Some(refusal),
+            FinalOutcome::Completed | FinalOutcome::Cancelled => None,
         }
     }
+}
 
-    /// One line for operators.
-    pub(crate) fn describe(&self) -> String {
-        match self.outcome {
-            FinalOutcome::Refused(refusal) => {
-                format!("refused: {}, {}", refusal.reason, refusal.run_state)
-            }
-            FinalOutcome::Completed | FinalOutcome::Cancelled => self.label().to_owned(),
+impl KV for RequestEnd {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        serializer.emit_str("outcome", self.label())?;
+        if let Some(refusal) = self.refusal() {
+            serializer.emit_str("reason", &refusal.reason.to_string())?;
+            serializer.emit_str("run_state", &refusal.run_state.to_string())?;
         }
+        Ok(())
     }
 }
--- a/crates/node/src/process/bound_node.rs
+++ b/crates/node/src/process/bound_node.rs
@@ -13,8 +13,8 @@
 use crate::clock::Clock;
 use crate::control::BoundControl;
 use crate::logging::LevelSwitch;
-use crate::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
-use crate::traffic::{ObservationSink, RunningNode};
+use crate::rpc::{OperatorAccess, RpcContext, RpcServer};
+use crate::traffic::{ObservationSink, RunningNode, TrafficSettings};
 
 use super::settings_conversion::{control_options, traffic_settings};
 use super::settings_reloader::read_access;
@@ -94,7 +94,10 @@
         let control = self.control.start(self.clock, &self.logger)?;
         let handle = control.handle();
         let traffic = RunningNode::start(
-            traffic_settings(&self.settings),
+            TrafficSettings {
+                tls: self.tls.callers.clone(),
+                ..traffic_settings(&self.settings)
+            },
             handle.snapshots(),
             Arc::new(handle.claims()),
             ObservationSink::new(handle.observations()),
@@ -117,7 +120,7 @@
             node: self.settings.name.clone(),
             control: handle.clone(),
             access,
-            traffic: Arc::new(NoTraffic),
+            traffic: traffic.insight(),
             reloader: reloader.clone(),
             clock: self.clock,
             logger: logger.clone(),
--- a/crates/node/src/process/settings_conversion.rs
+++ b/crates/node/src/process/settings_conversion.rs
@@ -36,6 +36,8 @@
     let limits = &settings.limits;
     TrafficSettings {
         listen: settings.listen.callers,
+        // Set by the caller, which holds the certificates.
+        tls: None,
         node: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
         zone: settings.zone.clone(),
--- a/crates/node/src/refusal/refusal_answer.rs
+++ b/crates/node/src/refusal/refusal_answer.rs
@@ -98,10 +98,12 @@
     }
 }
 
-/// Only a request that did not run is invited back: for others a retry might run them twice, so
-/// client libraries are told not to send them again by themselves.
+/// Only a request that did not run is invited back, or one whose key keeps it from running twice:
+/// for others a retry might run them twice, so client libraries are told not to send them again by
+/// themselves.
 fn add_retry(headers: &mut HeaderMap, refusal: &Refusal) {
-    if refusal.run_state != RunState::NotRun {
+    let protected_by_key = refusal.reason == RefusalReason::ClaimUnavailable;
+    if refusal.run_state != RunState::NotRun && !protected_by_key {
         headers.insert(SHOULD_RETRY, HeaderValue::from_static("false"));
         return;
     }
--- a/crates/node/src/traffic/connection_server.rs
+++ b/crates/node/src/traffic/connection_server.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::caller::CallerService;
+use crate::tls::ServerStream;
 
 use super::Worker;
 use super::stall_guard::StallGuard;
@@ -43,6 +44,29 @@
     /// Serves the connection until either side closes it or a planned stop ends it.
     pub(crate) async fn serve(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        if let Some(stream) = self.secure(stream).await {
+            self.serve_stream(stream).await;
+        }
+        self.worker.context.metrics.caller_connections.dec();
+    }
+
+    /// Makes the TLS handshake where TLS is set; in the connection's own task, so that a slow one
+    /// holds up nobody.
+    async fn secure(&self, stream: TcpStream) -> Option<ServerStream> {
+        let context = &self.worker.context;
+        let Some(tls) = &context.settings.tls else {
+            return Some(stream.into());
+        };
+        match tls.accept(stream).await {
+            Ok(stream) => Some(stream),
+            Err(cause) => {
+                debug!(context.logger, "caller_handshake_failed"; "cause" => cause.to_string());
+                None
+            }
+        }
+    }
+
+    async fn serve_stream(&self, stream: ServerStream) {
         let stall_timeout = self.worker.context.settings.caller_stall_timeout;
         let io = TokioIo::new(StallGuard::new(stream, stall_timeout));
         let worker = self.worker.clone();
@@ -63,7 +87,6 @@
             debug!(self.worker.context.logger, "caller_connection_failed";
                 "cause" => cause.to_string());
         }
-        self.worker.context.metrics.caller_connections.dec();
     }
 }
 
--- a/crates/node/src/traffic/request_session.rs
+++ b/crates/node/src/traffic/request_session.rs
@@ -4,13 +4,14 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::dispatch::{
-    Assignment, AttemptOutcome, DispatchEvent, EngineObservation, FinalOutcome, RequestProfile,
-    RunState,
+    Assignment, AttemptOutcome, DispatchEvent, EngineObservation, FinalOutcome, Repeatability,
+    RequestProfile, RunState,
 };
-use ryerouter_core::identity::{AttemptId, PoolName, RequestId, TenantName};
+use ryerouter_core::identity::{AttemptId, BackEndName, PoolName, RequestId, TenantName};
 use slog::{Logger, info, o};
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::logging::Present;
 use crate::metrics::RequestEnd;
 
 use super::{ActiveRequest, AttemptTrace, ClaimHold, RequestCommand, RequestTrace, TrafficContext};
@@ -27,11 +28,14 @@
     pool: PoolName,
     arrived_at: Timestamp,
     prompt_tokens: u32,
+    repeatable: bool,
     first_token_at: Option<Timestamp>,
     chunks: u64,
     attempts: Vec<AttemptTrace>,
     commands: UnboundedReceiver<RequestCommand>,
     claim: Option<ClaimHold>,
+    /// The back end of the attempt under way.
+    in_flight: Option<BackEndName>,
     outcome: Option<FinalOutcome>,
     _active: ActiveRequest,
 }
@@ -47,9 +51,11 @@
         let pool = profile.pool.clone();
         let arrived_at = profile.arrived_at;
         let prompt_tokens = profile.prompt_tokens;
+        let repeatable = profile.repeatability == Repeatability::Repeatable;
         let (request, commands) = context.dispatch.submit(profile);
         let logger = context.logger.new(o!("request" => request.to_string()));
         context.metrics.active_requests.inc();
+        context.live.request_submitted(&pool);
         Self {
             context,
             logger,
@@ -58,11 +64,13 @@
             pool,
             arrived_at,
             prompt_tokens,
+            repeatable,
             first_token_at: None,
             chunks: 0,
             attempts: Vec::new(),
             commands,
             claim,
+            in_flight: None,
             outcome: None,
             _active: active,
         }
@@ -104,6 +112,12 @@
         if let Some(resume) = &assignment.resume {
             self.context.metrics.count_resumed(resume);
         }
+        if self.attempts.is_empty() {
+            self.context.live.request_started(&self.pool);
+        }
+        self.end_attempt_in_flight();
+        self.context.live.attempt_started(&assignment.back_end);
+        self.in_flight = Some(assignment.back_end.clone());
         self.attempts.push(AttemptTrace {
             attempt: assignment.attempt,
             back_end: assignment.back_end.clone(),
@@ -112,7 +126,8 @@
             started_at: self.context.dispatch.now(),
             expected_cached_tokens: assignment.expected_cached_tokens,
             cached_tokens: None,
-            outcome: String::new(),
+            prompt_tokens: None,
+            outcome: None,
             detail: None,
         });
     }
@@ -169,9 +184,11 @@
             .find(|t| t.attempt == attempt)
         {
             trace.cached_tokens = cached_tokens;
-            trace.outcome = format!("{outcome:?}");
+            trace.prompt_tokens = prompt_tokens;
+            trace.outcome = Some(outcome);
             trace.detail = detail;
         }
+        self.end_attempt_in_flight();
         let event = DispatchEvent::AttemptEnded {
             attempt,
             outcome,
@@ -180,10 +197,17 @@
         self.context.dispatch.handle(event);
     }
 
+    fn end_attempt_in_flight(&mut self) {
+        if let Some(back_end) = self.in_flight.take() {
+            self.context.live.attempt_ended(&back_end);
+        }
+    }
+
     fn observe(&self, attempt: AttemptId, observation: &EngineObservation) {
         let trace = self.attempts.iter().rev().find(|t| t.attempt == attempt);
         if let Some(trace) = trace {
             self.context.observations.note(&trace.back_end, observation);
+            self.context.live.observed(&trace.back_end, *observation);
         }
     }
 
@@ -224,16 +248,19 @@
         let ttft = self.first_token_at.map(|at| at.since(self.arrived_at));
         let metrics = &self.context.metrics;
         metrics.active_requests.dec();
+        self.context
+            .live
+            .request_ended(&self.pool, !self.attempts.is_empty());
         metrics.request_ended(&self.pool, &end, duration);
         let last = self.attempts.last();
         info!(self.logger, "request_finished"; "tenant" => self.tenant.as_str().to_owned(),
-            "pool" => self.pool.as_str().to_owned(), "outcome" => end.label(),
-            "reason" => end.reason_label(), "run_state" => end.run_state_label(),
-            "attempts" => self.attempts.len(),
-            "back_end" => last.map_or(String::new(), |t| t.back_end.to_string()),
+            "pool" => self.pool.as_str().to_owned(), end, "attempts" => self.attempts.len(),
+            Present("back_end", last.map(|trace| trace.back_end.to_string())),
             "duration_us" => duration.as_micros() as u64,
-            "first_token_us" => ttft.map_or(-1, |ttft| ttft.as_micros() as i64),
+            Present("first_token_us", ttft.map(|ttft| ttft.as_micros() as u64)),
             "chunks" => self.chunks);
+        let first_attempt = self.attempts.first();
+        let queued = first_attempt.map(|trace| trace.started_at.since(self.arrived_at));
         self.context.traces.push(RequestTrace {
             request: self.request.clone(),
             tenant: self.tenant.clone(),
@@ -242,7 +269,11 @@
             ended_at,
             prompt_tokens: self.prompt_tokens,
             attempts: std::mem::take(&mut self.attempts),
-            outcome: end.describe(),
+            repeatable: self.repeatable,
+            queued,
+            first_token: ttft,
+            outcome: end.label(),
+            refusal: end.refusal(),
         });
     }
 }
@@ -253,6 +284,7 @@
             self.abandon();
         }
         let outcome = self.outcome.unwrap_or(FinalOutcome::Cancelled);
+        self.end_attempt_in_flight();
         self.context.dispatch.forget(&self.request);
         self.settle_claim(outcome);
         self.record(outcome);
--- a/crates/node/src/traffic/routing_view.rs
+++ b/crates/node/src/traffic/routing_view.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct RoutingView {
     pub(crate) version: ConfigVersion,
+    pub(crate) snapshot: Arc<RoutingSnapshot>,
     keys: HashMap<KeyBucket, Vec<KeyOwner>>,
     models: HashMap<String, ModelRoute>,
     services: HashMap<String, PoolName>,
@@ -54,6 +55,7 @@
         let catalog = &snapshot.catalog;
         Self {
             version: catalog.version,
+            snapshot: snapshot.clone(),
             keys: index_keys(catalog),
             models: index_models(catalog),
             services: index_services(catalog),
--- a/crates/node/src/traffic/running_node.rs
+++ b/crates/node/src/traffic/running_node.rs
@@ -17,11 +17,12 @@
 use crate::caller::BodyBudget;
 use crate::clock::Clock;
 use crate::metrics::TrafficMetrics;
+use crate::rpc::TrafficInsight;
 
 use super::worker::{Acceptor, SnapshotFeed, Ticker};
 use super::{
-    ActivityGate, ClaimGate, DispatchFeed, DispatchHandle, NodeError, ObservationSink,
-    RequestTrace, RoutingView, TraceRing, TrafficContext, TrafficSettings, Worker,
+    ActivityGate, ClaimGate, ContextInsight, DispatchFeed, DispatchHandle, LiveTraffic, NodeError,
+    ObservationSink, RequestTrace, RoutingView, TraceRing, TrafficContext, TrafficSettings, Worker,
 };
 
 /// A running traffic side: its threads serve callers until it is stopped or dropped.
@@ -90,6 +91,11 @@
         self.context.traces.find(request)
     }
 
+    /// What operators may learn of its traffic.
+    pub fn insight(&self) -> Arc<dyn TrafficInsight> {
+        Arc::new(ContextInsight::new(self.context.clone()))
+    }
+
     /// The registry of its metrics, to which the control thread may add its own.
     pub fn metrics_registry(&self) -> &prometheus::Registry {
         self.context.metrics.registry()
@@ -228,6 +234,7 @@
         bodies: Arc::new(BodyBudget::new(settings.max_held_body_bytes)),
         metrics: TrafficMetrics::new(),
         traces: TraceRing::new(settings.trace_capacity),
+        live: LiveTraffic::default(),
         settings,
     }
 }
@@ -244,4 +251,5 @@
     context
         .observations
         .retain(|name| back_ends.contains_key(name));
+    context.live.retain(|name| back_ends.contains_key(name));
 }
--- a/crates/node/src/traffic/trace_ring.rs
+++ b/crates/node/src/traffic/trace_ring.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use parking_lot::Mutex;
+use ryerouter_core::Timestamp;
 use ryerouter_core::identity::RequestId;
 
 use super::RequestTrace;
@@ -35,6 +36,20 @@
         traces.push_back(trace);
     }
 
+    /// The requests that ended at `since` or later, oldest first, as far as they are kept.
+    pub(crate) fn ended_since(&self, since: Timestamp) -> Vec<RequestTrace> {
+        let traces = self.traces.lock();
+        let recent = traces.iter().filter(|trace| trace.ended_at >= since);
+        recent.cloned().collect()
+    }
+
+    /// When the oldest request ended, if the ring is full.
+    pub(crate) fn complete_since(&self) -> Option<Timestamp> {
+        let traces = self.traces.lock();
+        let full = traces.len() >= self.capacity;
+        traces.front().filter(|_| full).map(|trace| trace.ended_at)
+    }
+
     /// The latest ended request with this id.
     pub fn find(&self, request: &RequestId) -> Option<RequestTrace> {
         let traces = self.traces.lock();
--- a/crates/node/src/traffic/traffic_context.rs
+++ b/crates/node/src/traffic/traffic_context.rs
@@ -9,7 +9,7 @@
 use crate::metrics::TrafficMetrics;
 
 use super::{
-    ActivityGate, ClaimGate, DispatchHandle, ObservationSink, RoutingView, TraceRing,
+    ActivityGate, ClaimGate, DispatchHandle, LiveTraffic, ObservationSink, RoutingView, TraceRing,
     TrafficSettings,
 };
 
@@ -25,6 +25,7 @@
     pub(crate) bodies: Arc<BodyBudget>,
     pub(crate) metrics: TrafficMetrics,
     pub(crate) traces: TraceRing,
+    pub(crate) live: LiveTraffic,
 }
 
 impl TrafficContext {
--- a/crates/node/src/traffic/traffic_settings.rs
+++ b/crates/node/src/traffic/traffic_settings.rs
@@ -1,18 +1,24 @@
 //! Settings of the traffic side.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use ryerouter_core::identity::{DataCentreName, NodeName, ZoneName};
 
+use crate::tls::ServerTls;
+
 const KIB: usize = 1024;
 const MIB: usize = 1024 * KIB;
 
 /// Settings of the traffic side of one router process.
-#[derive(Debug, Clone)]
+#[derive(derive_more::Debug, Clone)]
 pub struct TrafficSettings {
     /// Where callers connect; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// TLS of the callers' port; plain text without it.
+    #[debug(skip)]
+    pub tls: Option<Arc<ServerTls>>,
     /// Name of the process.
     pub node: NodeName,
     /// Its data centre.
@@ -67,6 +73,7 @@
     fn default() -> Self {
         Self {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            tls: None,
             node: NodeName::new("node"),
             data_centre: DataCentreName::new("default"),
             zone: ZoneName::new("default"),
