--- a/crates/ctl/src/arguments/command.rs
+++ b/crates/ctl/src/arguments/command.rs
@@ -28,6 +28,9 @@
     /// Move traffic between data centres.
     #[options(help = "start, set, pause, resume or roll back a migration stage")]
     Stage(StageArguments),
+    /// Show what is on its way.
+    #[options(help = "show how far migration stages and changes of weights have come")]
+    Progress(ProgressArguments),
     /// Show nodes.
     #[options(help = "show the nodes and the configuration in force on each")]
     Status(StatusArguments),
@@ -318,3 +321,11 @@
     #[options(free, required, help = "bash, zsh or fish")]
     pub shell: String,
 }
+
+/// Shows how far migration stages and changes of weights have come.
+#[derive(Debug, Clone, Options)]
+pub struct ProgressArguments {
+    /// Print help.
+    #[options(help = "print help")]
+    pub help: bool,
+}
--- a/crates/ctl/src/arguments/help.rs
+++ b/crates/ctl/src/arguments/help.rs
@@ -6,9 +6,9 @@
 
 use super::{
     ApplyArguments, CompletionsArguments, DeleteArguments, DiffArguments, DrainArguments,
-    ExplainArguments, GetArguments, KeyArguments, ListArguments, ReloadArguments,
-    StageNameArguments, StageSetArguments, StageStartArguments, StatusArguments, TopArguments,
-    WatchArguments,
+    ExplainArguments, GetArguments, KeyArguments, ListArguments, ProgressArguments,
+    ReloadArguments, StageNameArguments, StageSetArguments, StageStartArguments, StatusArguments,
+    TopArguments, WatchArguments,
 };
 use super::{Command, GlobalArguments, StageArguments, StageCommand};
 
@@ -33,6 +33,7 @@
     ("stage pause", "ryectl stage pause shelf-east"),
     ("stage resume", "ryectl stage resume shelf-east"),
     ("stage rollback", "ryectl stage rollback shelf-east --wait"),
+    ("progress", "ryectl progress --json"),
     ("status", "ryectl status --wait --config-version 12"),
     ("explain", "ryectl explain 0191c2f0"),
     ("top", "ryectl top --interval-ms 500"),
@@ -98,6 +99,7 @@
         "stage start" => StageStartArguments::usage(),
         "stage set" => StageSetArguments::usage(),
         "stage pause" | "stage resume" | "stage rollback" => StageNameArguments::usage(),
+        "progress" => ProgressArguments::usage(),
         "status" => StatusArguments::usage(),
         "explain" => ExplainArguments::usage(),
         "top" => TopArguments::usage(),
--- a/crates/ctl/src/arguments/mod.rs
+++ b/crates/ctl/src/arguments/mod.rs
@@ -9,8 +9,8 @@
 
 pub use command::{
     ApplyArguments, Command, CompletionsArguments, DeleteArguments, DiffArguments, DrainArguments,
-    ExplainArguments, GetArguments, KeyArguments, ListArguments, ReloadArguments, StatusArguments,
-    TopArguments, WatchArguments,
+    ExplainArguments, GetArguments, KeyArguments, ListArguments, ProgressArguments,
+    ReloadArguments, StatusArguments, TopArguments, WatchArguments,
 };
 pub use global_arguments::GlobalArguments;
 pub use help::{command_help, global_help, option_names};
--- a/crates/ctl/src/commands/list.rs
+++ b/crates/ctl/src/commands/list.rs
@@ -5,7 +5,7 @@
 use ryerouter_wire::generated::v1::pool_service_client::PoolServiceClient;
 use ryerouter_wire::generated::v1::stage_service_client::StageServiceClient;
 use ryerouter_wire::generated::v1::tenant_service_client::TenantServiceClient;
-use ryerouter_wire::rpc::{FaultList, InvalidMessage};
+use ryerouter_wire::rpc::{FaultList, InvalidMessage, convert_all};
 
 use crate::ExitStatus;
 use crate::arguments::ListArguments;
@@ -76,12 +76,6 @@
     R: TryFrom<M, Error = InvalidMessage>,
 {
     let mut faults = FaultList::default();
-    let mut resources = Vec::with_capacity(messages.len());
-    for message in messages {
-        match R::try_from(message) {
-            Ok(resource) => resources.push(resource),
-            Err(invalid) => faults.extend(invalid),
-        }
-    }
+    let resources = convert_all(messages, &mut faults);
     faults.finish(resources)
 }
--- a/crates/ctl/src/commands/watch.rs
+++ b/crates/ctl/src/commands/watch.rs
@@ -56,7 +56,10 @@
             mutations,
         });
     }
-    let words: Vec<String> = mutations.iter().map(describe).collect();
+    let mut words: Vec<String> = mutations.iter().map(describe).collect();
+    if words.is_empty() {
+        words.push("progress kept by nodes".to_owned());
+    }
     context.printer.line(&format!(
         "version {} by {} (change {}): {}",
         event.config_version,
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -108,6 +108,7 @@
         Command::Delete(arguments) => commands::delete(&arguments, &mut context).await,
         Command::Drain(arguments) => commands::drain(&arguments, &mut context).await,
         Command::Stage(arguments) => commands::stage(&arguments, &mut context).await,
+        Command::Progress(_) => commands::progress(&mut context).await,
         Command::Status(arguments) => commands::status(&arguments, &mut context).await,
         Command::Explain(arguments) => commands::explain(&arguments, &mut context).await,
         Command::Top(arguments) => commands::top(&arguments, &mut context).await,
--- a/crates/ctl/tests/ryectl.rs
+++ b/crates/ctl/tests/ryectl.rs
@@ -4,7 +4,9 @@
 
 use std::path::PathBuf;
 
+use ryerouter_core::catalog::{StageProgress, WeightsRollout};
 use ryerouter_core::config::catalog_faults;
+use ryerouter_core::identity::{ResourceVersion, WeightsVersion};
 use ryerouter_ctl::ExitStatus;
 use serde_json::Value;
 use support::{Outcome, Reaction, ScriptedServer, invoke, invoke_with};
@@ -278,6 +280,42 @@
     assert_eq!(again.status, ExitStatus::Conflict, "{again:?}");
 }
 
+#[tokio::test]
+async fn progress_tells_how_far_stages_and_new_weights_have_come() {
+    let server = server_with_shop("progress").await;
+    invoke(
+        server.address(),
+        &["stage", "set", "shelf-east", "--step", "50"],
+    )
+    .await;
+    server.change(|catalog| {
+        let progress = StageProgress {
+            stage: "shelf-east".into(),
+            share_permille: 150,
+            finished: false,
+            note: "held".to_owned(),
+            version: ResourceVersion(3),
+        };
+        let rollout = WeightsRollout {
+            pool: "shelf".into(),
+            from: WeightsVersion(2),
+            share_permille: 300,
+            version: ResourceVersion(3),
+        };
+        catalog
+            .stage_progress
+            .insert(progress.stage.clone(), progress);
+        catalog.rollouts.insert(rollout.pool.clone(), rollout);
+    });
+    let outcome = invoke(server.address(), &["progress", "--json"]).await;
+    let progress = json(&outcome);
+    assert_eq!(progress["stages"][0]["share_permille"], 150);
+    assert_eq!(progress["stages"][0]["target_share_permille"], 500);
+    assert_eq!(progress["rollouts"][0]["to_weights_version"], 3);
+    let shown = invoke(server.address(), &["progress"]).await;
+    assert!(shown.output.contains("held"), "{shown:?}");
+}
+
 #[tokio::test]
 async fn status_waits_until_every_live_node_has_the_version() {
     let server = server_with_shop("status").await;
--- a/crates/ctl/tests/support/scripted_server.rs
+++ b/crates/ctl/tests/support/scripted_server.rs
@@ -67,6 +67,11 @@
         self.state.lock().catalog.clone()
     }
 
+    /// Changes its configuration without a change of an operator.
+    pub fn change(&self, change: impl FnOnce(&mut Catalog)) {
+        change(&mut self.state.lock().catalog);
+    }
+
     /// Version of its configuration.
     pub fn version(&self) -> u64 {
         self.state.lock().catalog.version.0
--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 mod back_end;
 mod catalog;
 mod cluster_status;
+mod convert_all;
 mod error_details;
 mod fault_list;
 mod invalid_message;
@@ -18,11 +19,14 @@
 mod resource;
 mod resource_kind;
 mod stage;
+mod stage_progress;
 mod tenant;
 mod watch_event;
+mod weights_rollout;
 mod write_requests;
 
 pub use cluster_status::node_statuses;
+pub use convert_all::convert_all;
 pub use error_details::{error_details, status_with_details};
 pub use fault_list::FaultList;
 pub use invalid_message::InvalidMessage;
