--- a/crates/testbed/src/simulation/cluster_control.rs
+++ b/crates/testbed/src/simulation/cluster_control.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use ryerouter_core::catalog::BackEndState;
 use ryerouter_core::control::{
     ControlAction, ControlEvent, ControlSettings, ControlState, PeerMessage,
 };
@@ -225,7 +226,7 @@
     fn publish(&mut self, process: ProcessId, snapshot: &RoutingSnapshot) {
         let mut snapshot = snapshot.clone();
         if self.has_mutation(Mutation::DrainNoticeDropped) {
-            snapshot.leaving.clear();
+            forget_leaving(&mut snapshot);
         }
         let version = snapshot.catalog.version.0;
         if version > 0 {
@@ -251,6 +252,7 @@
     fn enter_phase(&mut self, process: ProcessId, phase: NodePhase) {
         let node = ClusterLayout::node_name(process.node);
         match phase {
+            NodePhase::Serving if self.waits_for_platform() => {}
             NodePhase::Serving => {
                 if let Some(running) = self.running(process) {
                     running.ready = true;
@@ -266,6 +268,11 @@
         }
     }
 
+    /// The mistake of a process that serves only once it has heard from the platform.
+    fn waits_for_platform(&self) -> bool {
+        self.has_mutation(Mutation::ReadyNeedsStore) && !self.platform.is_up()
+    }
+
     /// The state of a process, if that start of it still runs.
     pub(super) fn running(&mut self, process: ProcessId) -> Option<&mut RunningProcess> {
         let node = &mut self.nodes[process.node];
@@ -305,3 +312,12 @@
         }
     }
 }
+
+/// Makes a snapshot say that every back end takes new work.
+fn forget_leaving(snapshot: &mut RoutingSnapshot) {
+    snapshot.leaving.clear();
+    let catalog = std::sync::Arc::make_mut(&mut snapshot.catalog);
+    for back_end in catalog.back_ends.values_mut() {
+        back_end.state = BackEndState::Active;
+    }
+}
