Claim keys and spend tenants' limits in the cluster simulation

Change: the simulation asks the control state for claims, gives them back or ends them, checks the grant's deadline before each attempt, and carries limit messages.

--- a/crates/testbed/src/simulation/cluster.rs
+++ b/crates/testbed/src/simulation/cluster.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{IdempotencyKey, TenantName};
 
 use super::{
     BackEndProcess, ClusterEvent, ClusterLayout, ClusterSettings, Endpoint, Mutation, Network,
@@ -38,6 +39,8 @@
     pub(super) submissions: BTreeMap<u64, Submission>,
     pub(super) next_submission: u64,
     pub(super) next_change: u64,
+    /// Keys of submissions whose callers have left, while their claims are open.
+    pub(super) left_keys: BTreeMap<u64, (TenantName, IdempotencyKey)>,
     /// Drains sent to a node and not yet answered, by number of the change.
     pub(super) unanswered_drains: BTreeMap<u64, usize>,
     /// Weights that the newest accepted configuration asks for.
@@ -77,6 +80,7 @@
             submissions: BTreeMap::new(),
             next_submission: 1,
             next_change: 1,
+            left_keys: BTreeMap::new(),
             unanswered_drains: BTreeMap::new(),
             wanted_weights: 1,
             prefix_epoch: 0,
--- a/crates/testbed/src/simulation/cluster_callers.rs
+++ b/crates/testbed/src/simulation/cluster_callers.rs
@@ -130,20 +130,23 @@
             return;
         }
         self.open_at_node(process, submission);
-        match &asked.at_most_once_key {
-            Some(key) => self.claim(process, submission, key),
-            None => self.dispatch_submission(process, submission),
+        if asked.at_most_once_key.is_some() {
+            self.claim(process, submission);
+        } else {
+            self.dispatch_submission(process, submission);
         }
     }
 
     pub(super) fn caller_leaves(&mut self, submission: u64) {
-        let Some(asked) = self.close_submission(submission) else {
+        let Some(asked) = self.submissions.get(&submission).cloned() else {
             return;
         };
         let process = ProcessId {
             node: asked.node,
             start: self.nodes[asked.node].start,
         };
+        self.leave_claim(process, submission);
+        self.close_submission(submission);
         let request = request_id(submission);
         self.dispatch(process, DispatchEvent::CallerLeft { request });
     }
--- a/crates/testbed/src/simulation/cluster_control.rs
+++ b/crates/testbed/src/simulation/cluster_control.rs
@@ -8,8 +8,9 @@
     ControlAction, ControlEvent, ControlSettings, ControlState, PeerMessage,
 };
 use ryerouter_core::dispatch::{DispatchEvent, Dispatcher, RoutingSnapshot};
-use ryerouter_core::identity::Incarnation;
+use ryerouter_core::identity::{Incarnation, NodeName};
 use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_core::limit::LimitSettings;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::cluster::node_endpoint;
@@ -31,7 +32,12 @@
         }
         let seed = self.random.random();
         self.nodes[node].start += 1;
-        let running = RunningProcess::new(self.control_settings(node, seed), seed);
+        let mut running = RunningProcess::new(self.control_settings(node, seed), seed);
+        if !self.has_mutation(Mutation::LimitNotEnforced) {
+            let name = NodeName::new(ClusterLayout::node_name(node));
+            let settings = LimitSettings::default();
+            running.dispatcher.limit_tenants(name, self.now(), settings);
+        }
         self.nodes[node].running = Some(running);
         let process = ProcessId {
             node,
@@ -78,7 +84,7 @@
                 .filter(|peer| *peer != node)
                 .map(ClusterLayout::node_address)
                 .collect(),
-            may_direct: false,
+            may_direct: true,
             seed,
         }
     }
@@ -121,9 +127,13 @@
             ControlAction::AnswerOperator { operation, answer } => {
                 self.operator_answered(operation, answer.ok());
             }
-            ControlAction::AnswerStatus { .. }
-            | ControlAction::AnswerClaim { .. }
-            | ControlAction::LimitGranted { .. } => {}
+            ControlAction::AnswerStatus { .. } => {}
+            ControlAction::AnswerClaim { operation, outcome } => {
+                self.claim_answered(process, operation, outcome);
+            }
+            ControlAction::LimitGranted { from, grant } => {
+                self.dispatch(process, DispatchEvent::LimitGranted { from, grant });
+            }
             ControlAction::EnterPhase(phase) => self.enter_phase(process, phase),
         }
     }
--- a/crates/testbed/src/simulation/cluster_traffic.rs
+++ b/crates/testbed/src/simulation/cluster_traffic.rs
@@ -67,8 +67,9 @@
                     self.start_attempt(process, submission_of(&request), &assignment);
                 }
                 DispatchAction::Cancel { attempt } => self.cancel_attempt(process, attempt),
-                // No process of the simulation has limits of tenants switched on.
-                DispatchAction::SendLimit(_) => {}
+                DispatchAction::SendLimit(send) => {
+                    self.control(process, ControlEvent::LimitSent(send));
+                }
                 DispatchAction::Finish { request, outcome } => {
                     self.finish_submission(process, submission_of(&request), outcome);
                 }
@@ -99,6 +100,11 @@
             next_chunk,
         };
         running.attempts.insert(assignment.attempt, progress);
+        if self.claim_has_lapsed(process, submission) {
+            let reason = NotRunReason::ConnectFailed;
+            self.attempt_not_run(process, call.attempt, reason, None);
+            return;
+        }
         self.note_admission(process, submission);
         self.send_attempt(process, call);
     }
@@ -390,9 +396,10 @@
         let Some(running) = self.running(process) else {
             return;
         };
-        if running.submissions.remove(&submission).is_none() {
+        let Some(progress) = running.submissions.remove(&submission) else {
             return;
-        }
+        };
+        self.settle_claim(process, submission, &progress, &outcome);
         match outcome {
             FinalOutcome::Completed => self.complete(submission),
             FinalOutcome::Refused(refusal) => self.refuse(process, submission, refusal),
--- a/crates/testbed/src/simulation/mutation.rs
+++ b/crates/testbed/src/simulation/mutation.rs
@@ -44,9 +44,9 @@
     /// A process waits for the platform before it serves.
     #[display("ready-needs-store")]
     ReadyNeedsStore,
-    /// Every node grants tenants their whole limit.
-    #[display("limit-per-node")]
-    LimitPerNode,
+    /// Nodes admit requests without tickets of their tenants' limits.
+    #[display("limit-not-enforced")]
+    LimitNotEnforced,
     /// Engines obey orders of older leases.
     #[display("fencing-ignored")]
     FencingIgnored,
@@ -66,7 +66,7 @@
     Mutation::WriteWithoutCompare,
     Mutation::SnapshotReverts,
     Mutation::ConfigurationNotSpread,
-    Mutation::LimitPerNode,
+    Mutation::LimitNotEnforced,
     Mutation::FencingIgnored,
 ];
 
--- a/crates/testbed/src/simulation/router_process.rs
+++ b/crates/testbed/src/simulation/router_process.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use ryerouter_core::claim::ClaimGrant;
 use ryerouter_core::control::{ControlState, ObjectPrefix};
 use ryerouter_core::dispatch::Dispatcher;
 use ryerouter_core::identity::AttemptId;
@@ -12,6 +13,10 @@
 pub struct SubmissionProgress {
     /// Chunks that reached the caller.
     pub delivered: u64,
+    /// Whether it still waits for its key to be claimed.
+    pub claiming: bool,
+    /// The claim under which it may run, if it is marked to run at most once.
+    pub grant: Option<ClaimGrant>,
     /// Whether it was admitted, that is, an attempt was made.
     pub admitted: bool,
 }
--- a/crates/testbed/tests/mutations.rs
+++ b/crates/testbed/tests/mutations.rs
@@ -45,7 +45,7 @@
     compare = { Mutation::WriteWithoutCompare, NamedRun::OperatorRace, Promise::ConfigurationMonotonicity },
     revert = { Mutation::SnapshotReverts, NamedRun::Calm, Promise::ConfigurationMonotonicity },
     spread = { Mutation::ConfigurationNotSpread, NamedRun::Calm, Promise::ConfigurationMonotonicity },
-    limit = { Mutation::LimitPerNode, NamedRun::Calm, Promise::TenantLimits },
+    limit = { Mutation::LimitNotEnforced, NamedRun::Calm, Promise::TenantLimits },
     fencing = { Mutation::FencingIgnored, NamedRun::NodePause, Promise::Fencing },
 )]
 fn is_caught(mutation: Mutation, run: NamedRun, promise: Promise) {
