--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -5,10 +5,11 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use ryerouter_core::control::{ControlSettings, ControlState};
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::lifecycle::NodePhase;
-use ryerouter_wire::peer::{PEER_PROTOCOL_VERSION, PeerHello};
+use ryerouter_wire::peer::{DatagramSeal, PEER_PROTOCOL_VERSION, PeerHello};
 use slog::{Logger, o};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
@@ -38,6 +39,7 @@
     options: ControlOptions,
     peers: PeerSockets,
     peer_tls: Option<PeerTls>,
+    seal: Option<Arc<ArcSwap<DatagramSeal>>>,
     metrics: PeerMetrics,
 }
 
@@ -62,6 +64,7 @@
             options,
             peers,
             peer_tls: None,
+            seal: None,
             metrics: PeerMetrics::new(),
         })
     }
@@ -81,6 +84,11 @@
         self.peer_tls = Some(tls);
     }
 
+    /// Seals datagrams between peers, and drops those without a right seal.
+    pub fn set_datagram_seal(&mut self, seal: Arc<ArcSwap<DatagramSeal>>) {
+        self.seal = Some(seal);
+    }
+
     /// Replaces the peers to ask first.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.options.seeds = seeds;
@@ -121,6 +129,7 @@
         let options = self.options;
         let metrics = self.metrics;
         let tls = self.peer_tls;
+        let seal = self.seal;
         let abort = CancellationToken::new();
         let thread_abort = abort.clone();
         let run = move || {
@@ -137,6 +146,7 @@
                     metrics,
                     logger: logger.clone(),
                     tls,
+                    seal,
                 };
                 let io = start_io(&options, sockets, &peers);
                 let control = ControlLoop {
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -7,6 +7,7 @@
 
 mod datagram_link;
 mod peer_context;
+mod peer_keys_file;
 mod peer_metrics;
 mod peer_sockets;
 mod peer_tls;
@@ -15,6 +16,7 @@
 mod stream_server;
 
 pub use datagram_link::DatagramLink;
+pub use peer_keys_file::{PeerKeysError, read_peer_keys};
 pub use peer_metrics::PeerMetrics;
 pub use peer_sockets::PeerSockets;
 pub use peer_tls::PeerTls;
--- a/crates/node/src/peer/peer_context.rs
+++ b/crates/node/src/peer/peer_context.rs
@@ -1,6 +1,9 @@
 //! What the links of one process share.
 
-use ryerouter_wire::peer::PeerHello;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use ryerouter_wire::peer::{DatagramSeal, PeerHello};
 use slog::Logger;
 
 use crate::control::ControlInput;
@@ -20,4 +23,6 @@
     pub(crate) logger: Logger,
     /// TLS of streams; `None` for plain text.
     pub(crate) tls: Option<PeerTls>,
+    /// Seal of datagrams; `None` for unsealed ones. Replaced when keys are read again.
+    pub(crate) seal: Option<Arc<ArcSwap<DatagramSeal>>>,
 }
--- a/crates/node/src/process/bound_node.rs
+++ b/crates/node/src/process/bound_node.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use ryerouter_core::identity::Incarnation;
 use ryerouter_settings::NodeSettings;
@@ -13,12 +12,11 @@
 use crate::clock::Clock;
 use crate::control::BoundControl;
 use crate::logging::LevelSwitch;
-use crate::rpc::{OperatorAccess, RpcContext, RpcServer};
+use crate::rpc::{RpcContext, RpcServer};
 use crate::traffic::{ObservationSink, RunningNode, TrafficSettings};
 
 use super::settings_conversion::{control_options, traffic_settings};
-use super::settings_reloader::read_access;
-use super::{NodeProcess, ProcessError, SettingsReloader, SettingsSource, TlsSet};
+use super::{KeySet, NodeProcess, ProcessError, SettingsReloader, SettingsSource};
 
 /// A node with its addresses for peers and operators bound, so that port 0 has become a real one
 /// before others need to know it. Nothing runs yet.
@@ -27,8 +25,7 @@
     source: Option<SettingsSource>,
     control: BoundControl,
     rpc: RpcServer,
-    tls: TlsSet,
-    access: OperatorAccess,
+    keys: KeySet,
     clock: Clock,
     logger: Logger,
     level: LevelSwitch,
@@ -44,24 +41,25 @@
         level: LevelSwitch,
     ) -> Result<Self, ProcessError> {
         let clock = Clock::start();
-        let tls = TlsSet::load(&settings.tls)?;
-        let access = read_access(settings.operators.keys_file.as_deref())?;
+        let keys = KeySet::load(&settings)?;
         // A restart gets a higher incarnation, which outdates what peers believe of the former one.
         let incarnation = Incarnation(clock.now().as_millis());
         let mut control = BoundControl::bind(control_options(&settings, incarnation))?;
-        if let Some(peers) = &tls.peers {
+        if let Some(peers) = &keys.peers {
             control.set_peer_tls(peers.clone());
         }
+        if let Some(seal) = &keys.seal {
+            control.set_datagram_seal(seal.clone());
+        }
         let address = settings.listen.rpc;
-        let rpc = RpcServer::bind(address, tls.rpc.clone())
+        let rpc = RpcServer::bind(address, keys.rpc.clone())
             .map_err(|source| ProcessError::RpcListen { address, source })?;
         Ok(Self {
             settings,
             source,
             control,
             rpc,
-            tls,
-            access,
+            keys,
             clock,
             logger,
             level,
@@ -95,7 +93,7 @@
         let handle = control.handle();
         let traffic = RunningNode::start(
             TrafficSettings {
-                tls: self.tls.callers.clone(),
+                tls: self.keys.callers.clone(),
                 ..traffic_settings(&self.settings)
             },
             handle.snapshots(),
@@ -108,12 +106,11 @@
         if let Err(cause) = peer_metrics.register(traffic.metrics_registry()) {
             warn!(logger, "metrics_not_shown"; "cause" => %cause);
         }
-        let access = Arc::new(ArcSwap::from_pointee(self.access));
+        let access = self.keys.access.clone();
         let reloader = Arc::new(SettingsReloader {
             source: self.source,
             current: Mutex::new(self.settings.clone()),
-            tls: self.tls,
-            access: access.clone(),
+            keys: self.keys,
             level: self.level,
         });
         let context = RpcContext {
@@ -139,14 +136,14 @@
     }
 
     fn warn_of_open_doors(&self, logger: &Logger) {
-        let open = matches!(self.access, OperatorAccess::Open);
-        if open && !self.rpc.address().ip().is_loopback() {
+        if self.keys.is_open() && !self.rpc.address().ip().is_loopback() {
             warn!(logger, "operators_unchecked"; "listen" => %self.rpc.address(),
                 "advice" => "set operators.keys_file");
         }
-        if self.tls.peers.is_none() && !self.peer_address().ip().is_loopback() {
+        let peers_checked = self.keys.peers.is_some() && self.keys.seal.is_some();
+        if !peers_checked && !self.peer_address().ip().is_loopback() {
             warn!(logger, "peers_unchecked"; "listen" => %self.peer_address(),
-                "advice" => "set tls.peers.*");
+                "advice" => "set tls.peers.* and peers.key_file");
         }
     }
 }
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -2,12 +2,12 @@
 //! as one.
 
 mod bound_node;
+mod key_set;
 mod node_process;
 mod process_error;
 mod settings_conversion;
 mod settings_reloader;
 mod settings_source;
-mod tls_set;
 
 pub use bound_node::BoundNode;
 pub use node_process::NodeProcess;
@@ -15,5 +15,5 @@
 pub use settings_reloader::check_files;
 pub use settings_source::SettingsSource;
 
+use key_set::KeySet;
 use settings_reloader::SettingsReloader;
-use tls_set::TlsSet;
--- a/crates/node/src/process/process_error.rs
+++ b/crates/node/src/process/process_error.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error, From};
 
 use crate::control::{ControlError, ControlGone};
+use crate::peer::PeerKeysError;
 use crate::rpc::OperatorKeysError;
 use crate::tls::TlsError;
 use crate::traffic::NodeError;
@@ -25,6 +26,9 @@
     /// Certificates or keys cannot be used.
     #[display("{_0}")]
     Tls(TlsError),
+    /// The file of the keys that nodes share cannot be used.
+    #[display("{_0}")]
+    PeerKeys(PeerKeysError),
     /// The file of operators' keys cannot be used.
     #[display("{_0}")]
     OperatorKeys(OperatorKeysError),
--- a/crates/node/src/process/settings_reloader.rs
+++ b/crates/node/src/process/settings_reloader.rs
@@ -1,24 +1,18 @@
 //! Reads the settings of the process again.
 
-use std::path::Path;
-use std::sync::Arc;
-
-use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use ryerouter_settings::NodeSettings;
 
 use crate::logging::LevelSwitch;
-use crate::reload::{ReloadError, ReloadReport, Reloader};
-use crate::rpc::{OperatorAccess, OperatorKeysError, read_operator_keys};
+use crate::reload::{Loaded, ReloadError, ReloadReport, Reloader};
 
-use super::{ProcessError, SettingsSource, TlsSet};
+use super::{KeySet, ProcessError, SettingsSource};
 
 /// Reads the settings of the process, and the files they name, again.
 pub(super) struct SettingsReloader {
     pub(super) source: Option<SettingsSource>,
     pub(super) current: Mutex<NodeSettings>,
-    pub(super) tls: TlsSet,
-    pub(super) access: Arc<ArcSwap<OperatorAccess>>,
+    pub(super) keys: KeySet,
     pub(super) level: LevelSwitch,
 }
 
@@ -30,70 +24,45 @@
             None => current.clone(),
         };
         // Everything is read and checked before anything is put in force.
-        let loaded = self
-            .tls
-            .read_again(&settings.tls)
-            .map_err(ReloadError::of)?;
-        let keys_file = settings.operators.keys_file.as_deref();
-        let access = read_access(keys_file).map_err(ReloadError::of)?;
-        let report = self.report(&current, &settings);
-        for tls in loaded {
-            tls.put_in_force();
-        }
-        self.access.store(Arc::new(access));
+        let loaded = self.keys.read_again(&settings).map_err(ReloadError::of)?;
+        let report = report(&current, &settings);
+        loaded.into_iter().for_each(Loaded::put_in_force);
         self.level.set(settings.log_level);
         *current = settings;
         Ok(report)
     }
 }
 
-impl SettingsReloader {
-    fn report(&self, before: &NodeSettings, after: &NodeSettings) -> ReloadReport {
-        let mut report = ReloadReport::default();
-        for field in after.changed_fields(before) {
-            if field.reloadable && !switches_tls(field.path, before, after) {
-                report.changed.push(field.path.to_owned());
-            } else {
-                report.restart_needed.push(field.path.to_owned());
-            }
+fn report(before: &NodeSettings, after: &NodeSettings) -> ReloadReport {
+    let mut report = ReloadReport::default();
+    for field in after.changed_fields(before) {
+        if field.reloadable && !switches_check(field.path, before, after) {
+            report.changed.push(field.path.to_owned());
+        } else {
+            report.restart_needed.push(field.path.to_owned());
         }
-        report
-    }
-}
-
-/// Who may call the operator RPC: the keys of the file, or everybody when there is none.
-pub(super) fn read_access(keys_file: Option<&Path>) -> Result<OperatorAccess, OperatorKeysError> {
-    match keys_file {
-        Some(path) => read_operator_keys(path).map(OperatorAccess::Keys),
-        None => Ok(OperatorAccess::Open),
     }
+    report
 }
 
 /// Reads all files that settings name, as a start would, without using them.
 pub fn check_files(settings: &NodeSettings) -> Result<(), ProcessError> {
-    TlsSet::load(&settings.tls)?;
-    read_access(settings.operators.keys_file.as_deref())?;
-    Ok(())
+    KeySet::load(settings).map(|_| ())
 }
 
-/// Whether a field turns TLS of its listener on or off, which takes a restart.
-fn switches_tls(path: &str, before: &NodeSettings, after: &NodeSettings) -> bool {
-    let (before, after) = (&before.tls, &after.tls);
-    if path.starts_with("tls.callers.") {
-        before.callers.is_some() != after.callers.is_some()
-    } else if path.starts_with("tls.peers.") {
-        before.peers.is_some() != after.peers.is_some()
-    } else if path.starts_with("tls.rpc.authority_file") {
-        has_authority(&before.rpc) != has_authority(&after.rpc)
-    } else if path.starts_with("tls.rpc.") {
-        before.rpc.is_some() != after.rpc.is_some()
-    } else {
-        false
-    }
-}
-
-fn has_authority(files: &Option<ryerouter_settings::TlsFiles>) -> bool {
-    files
-        .as_ref()
-        .is_some_and(|files| files.authority.is_some())
+/// Whether a field turns a check or the TLS of a listener on or off, which takes a restart.
+fn switches_check(path: &str, before: &NodeSettings, after: &NodeSettings) -> bool {
+    let is_set = |settings: &NodeSettings| match path {
+        "operators.keys_file" => settings.operators.keys_file.is_some(),
+        "peers.key_file" => settings.peers.key_file.is_some(),
+        "tls.rpc.authority_file" => {
+            let files = settings.tls.rpc.as_ref();
+            files.is_some_and(|files| files.authority.is_some())
+        }
+        path if path.starts_with("tls.callers.") => settings.tls.callers.is_some(),
+        path if path.starts_with("tls.peers.") => settings.tls.peers.is_some(),
+        path if path.starts_with("tls.rpc.") => settings.tls.rpc.is_some(),
+        _ => false,
+    };
+    is_set(before) != is_set(after)
 }
--- a/crates/node/src/tls/loaded_tls.rs
+++ b/crates/node/src/reload/loaded.rs
@@ -1,17 +1,17 @@
-//! Certificates and keys that are read but not yet in force.
+//! Keys and certificates that are read but not yet in force.
 
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 
-/// Certificates and keys that are read and checked but not yet in force, so that several listeners
-/// change together or not at all.
-pub struct LoadedTls {
+/// Keys or certificates that are read and checked but not yet in force, so that all that a reload
+/// reads changes together or not at all.
+pub struct Loaded {
     put_in_force: Box<dyn FnOnce() + Send>,
 }
 
-impl LoadedTls {
-    pub(super) fn new<T: Send + Sync + 'static>(place: &Arc<ArcSwap<T>>, config: T) -> Self {
+impl Loaded {
+    pub(crate) fn new<T: Send + Sync + 'static>(place: &Arc<ArcSwap<T>>, config: T) -> Self {
         let place = Arc::clone(place);
         let config = Arc::new(config);
         Self {
@@ -19,7 +19,7 @@
         }
     }
 
-    /// Puts them in force for connections opened from now on.
+    /// Puts them in force from now on.
     pub fn put_in_force(self) {
         (self.put_in_force)();
     }
--- a/crates/node/src/tls/client_tls.rs
+++ b/crates/node/src/tls/client_tls.rs
@@ -15,8 +15,10 @@
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::ServerName;
 
+use crate::reload::Loaded;
+
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{LoadedTls, TlsError, TlsPaths};
+use super::{TlsError, TlsPaths};
 
 /// Longest time for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -40,9 +42,9 @@
     }
 
     /// Reads the files again, which may lie elsewhere now.
-    pub fn read_again(&self, paths: TlsPaths) -> Result<LoadedTls, TlsError> {
+    pub fn read_again(&self, paths: TlsPaths) -> Result<Loaded, TlsError> {
         let config = read_config(&paths)?;
-        Ok(LoadedTls::new(&self.current, config))
+        Ok(Loaded::new(&self.current, config))
     }
 
     /// Makes the handshake on an opened connection.
--- a/crates/node/src/tls/mod.rs
+++ b/crates/node/src/tls/mod.rs
@@ -5,7 +5,6 @@
 //! new one. Key material is held by the library alone and never formatted or logged.
 
 mod client_tls;
-mod loaded_tls;
 mod pem_files;
 mod server_stream;
 mod server_tls;
@@ -13,7 +12,6 @@
 mod tls_paths;
 
 pub use client_tls::{ClientStream, ClientTls};
-pub use loaded_tls::LoadedTls;
 pub use server_stream::ServerStream;
 pub use server_tls::{ClientCertificates, ServerTls};
 pub use tls_error::TlsError;
--- a/crates/node/src/tls/server_tls.rs
+++ b/crates/node/src/tls/server_tls.rs
@@ -10,8 +10,10 @@
 use tokio_rustls::rustls::ServerConfig;
 use tokio_rustls::rustls::server::WebPkiClientVerifier;
 
+use crate::reload::Loaded;
+
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{LoadedTls, ServerStream, TlsError, TlsPaths};
+use super::{ServerStream, TlsError, TlsPaths};
 
 /// Longest time for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -52,9 +54,9 @@
     }
 
     /// Reads the files again, which may lie elsewhere now.
-    pub fn read_again(&self, paths: TlsPaths) -> Result<LoadedTls, TlsError> {
+    pub fn read_again(&self, paths: TlsPaths) -> Result<Loaded, TlsError> {
         let config = read_config(&paths, self.clients, &self.protocols)?;
-        Ok(LoadedTls::new(&self.current, config))
+        Ok(Loaded::new(&self.current, config))
     }
 
     /// Makes the handshake on an accepted connection.
--- a/crates/node/tests/control_peers.rs
+++ b/crates/node/tests/control_peers.rs
@@ -68,6 +68,26 @@
     still_serves(&node).await;
 }
 
+#[tokio::test]
+async fn datagrams_sealed_with_another_key_are_dropped() {
+    let api = ObjectApi::start().await;
+    let key = b"a key of enough bytes";
+    let node = TestNode::start(TestNodeOptions::new("a", api.address).sealed_with(key));
+    let seeds = [node.control.peer_address()];
+    let options = TestNodeOptions::new("b", api.address).seeds(&seeds);
+    let member = TestNode::start(options.zone("zone-b").sealed_with(key));
+    let options = TestNodeOptions::new("c", api.address).seeds(&seeds);
+    let stranger = TestNode::start(options.zone("zone-c").sealed_with(b"some other key there"));
+    node.until_serving().await;
+    member.until_serving().await;
+
+    within_deadline(until_counted(&node.metrics.malformed)).await;
+    within_deadline(until_counted(&stranger.metrics.malformed)).await;
+
+    still_serves(&node).await;
+    member.until_version(1).await;
+}
+
 #[tokio::test]
 async fn malformed_datagrams_are_counted_and_dropped() {
     let node = started_node().await;
--- a/crates/node/tests/control_support/test_node.rs
+++ b/crates/node/tests/control_support/test_node.rs
@@ -18,6 +18,7 @@
 use ryerouter_node::rpc::{NoTraffic, OperatorAccess, RpcContext, RpcServer};
 use ryerouter_wire::generated::v1::configuration_service_client::ConfigurationServiceClient;
 use ryerouter_wire::generated::v1::tenant_service_client::TenantServiceClient;
+use ryerouter_wire::peer::DatagramSeal;
 use slog::{Discard, Logger, o};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tonic::transport::Channel;
@@ -43,6 +44,7 @@
     /// Off where tests count versions: the roster of claim keepers is one more change.
     pub may_direct: bool,
     pub peer_tls: Option<PeerTls>,
+    pub seal: Option<DatagramSeal>,
 }
 
 impl TestNodeOptions {
@@ -55,6 +57,7 @@
             access: OperatorAccess::Open,
             may_direct: false,
             peer_tls: None,
+            seal: None,
         }
     }
 
@@ -73,6 +76,11 @@
         self
     }
 
+    pub fn sealed_with(mut self, key: &[u8]) -> Self {
+        self.seal = DatagramSeal::new(&[key]);
+        self
+    }
+
     pub fn zone(mut self, zone: &'static str) -> Self {
         self.zone = zone;
         self
@@ -87,6 +95,9 @@
         if let Some(tls) = options.peer_tls.clone() {
             bound.set_peer_tls(tls);
         }
+        if let Some(seal) = options.seal.clone() {
+            bound.set_datagram_seal(Arc::new(ArcSwap::from_pointee(seal)));
+        }
         let metrics = bound.peer_metrics().clone();
         let control = bound.start(clock, &logger).unwrap();
         let rpc = RpcServer::bind(loopback(), None).unwrap();
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -61,6 +61,13 @@
         reloadable: false,
         purpose: "Nodes to ask first; best several, in different zones",
     },
+    Field {
+        path: "peers.key_file",
+        kind: FieldKind::File,
+        default: Absent,
+        reloadable: true,
+        purpose: "File of the keys that nodes share, one in hexadecimal a line; the first seals gossip datagrams, all are accepted; without it datagrams are not checked",
+    },
     Field {
         path: "platform.object_api",
         kind: FieldKind::Address,
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -61,6 +61,7 @@
             listen: read_listen(&values),
             peers: PeerSettings {
                 seeds: values.addresses("peers.seeds"),
+                key_file: values.file("peers.key_file"),
             },
             platform: read_platform(&values),
             limits: LimitSettings::read(&values),
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -3,12 +3,14 @@
 //! The messages themselves are [`ryerouter_core::control::PeerMessage`].
 
 mod datagram;
+mod datagram_seal;
 mod json_line_codec;
 mod peer_codec_error;
 mod peer_hello;
 mod stream_line;
 
 pub use datagram::{MAXIMUM_DATAGRAM_BYTES, decode_datagram, encode_datagram};
+pub use datagram_seal::{DatagramSeal, SEAL_BYTES};
 pub use json_line_codec::{JsonLineCodec, MAXIMUM_LINE_BYTES};
 pub use peer_codec_error::PeerCodecError;
 pub use peer_hello::{PEER_PROTOCOL_VERSION, PeerHello};
