Compose lease, orders and migration stages into the control state

The directors decided nothing in a running process. One candidate of three now holds the director lease, polls and orders engines, and moves stages by what a changing sample of nodes measured in passing: each dispatcher meters only the requests of stages that move by themselves.

--- a/crates/core/src/catalog/catalog_document.rs
+++ b/crates/core/src/catalog/catalog_document.rs
@@ -39,6 +39,14 @@
 }
 
 impl Catalog {
+    /// The stage that moves requests of `tenant` to `pool`: its own, or else the one of all tenants.
+    pub fn stage_of(&self, pool: &PoolName, tenant: &TenantName) -> Option<&MigrationStage> {
+        let of_pool = || self.stages.values().filter(|stage| stage.pool == *pool);
+        of_pool()
+            .find(|stage| stage.tenant.as_ref() == Some(tenant))
+            .or_else(|| of_pool().find(|stage| stage.tenant.is_none()))
+    }
+
     /// Share of traffic that goes to the target of `stage` now, in thousandths.
     pub fn stage_share(&self, stage: &MigrationStage) -> u16 {
         let whole = stage.target_share_permille;
--- a/crates/core/src/control/configuration.rs
+++ b/crates/core/src/control/configuration.rs
@@ -105,6 +105,8 @@
             StoreOwner::Compactor => self
                 .compactor
                 .store_answered(id, answer, replica, now, outbox),
+            // The control state gives these to the director.
+            StoreOwner::Lease => {}
         }
     }
 
--- a/crates/core/src/control/control_action.rs
+++ b/crates/core/src/control/control_action.rs
@@ -6,10 +6,12 @@
 use crate::claim::ClaimOutcome;
 use crate::config::{ChangeAccepted, ChangeRefusal};
 use crate::dispatch::RoutingSnapshot;
-use crate::identity::NodeName;
+use crate::identity::{BackEndName, NodeName, StageName};
 use crate::lifecycle::NodePhase;
 use crate::limit::LimitGrant;
 use crate::membership::ClusterStatus;
+use crate::order::FencedOrder;
+use crate::timestamp::Timestamp;
 
 use super::{ObjectPrefix, OperationId, PeerMessage, StoreCall, StoreRequestId, StoreRevision};
 
@@ -84,6 +86,31 @@
         /// What is known.
         status: ClusterStatus,
     },
+    /// Ask an engine for its load report; the answer comes as `EngineReported`, always.
+    PollEngine {
+        /// The engine.
+        back_end: BackEndName,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Give an engine an order; the answer comes as `OrderAnswered`, always.
+    OrderEngine {
+        /// The engine.
+        back_end: BackEndName,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: FencedOrder,
+        /// The order must not be sent at or after this time.
+        valid_until: Timestamp,
+    },
+    /// Take what traffic measured of a stage; if anything, it comes as `StageMeasured`.
+    MeasureStage {
+        /// The stage.
+        stage: StageName,
+        /// The node that wants it.
+        asker: NodeName,
+    },
     /// The node's own lifecycle moved on.
     EnterPhase(NodePhase),
 }
--- a/crates/core/src/control/control_event.rs
+++ b/crates/core/src/control/control_event.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use crate::config::Change;
-use crate::identity::{BackEndName, IdempotencyKey, Incarnation, TenantName};
+use crate::identity::{BackEndName, IdempotencyKey, Incarnation, NodeName, TenantName};
 use crate::limit::LimitSend;
+use crate::migration::StageMeasurement;
+use crate::order::{EngineReport, OrderAnswer};
 
 use super::{MachineEntry, OperationId, PeerMessage, StoreAnswer, StoreRequestId, WatchEvent};
 
@@ -86,6 +88,27 @@
         /// Whether it leaves.
         draining: bool,
     },
+    /// An engine reported its load, or did not answer.
+    EngineReported {
+        /// The engine.
+        back_end: BackEndName,
+        /// What it says; `None` when it did not answer.
+        report: Option<EngineReport>,
+    },
+    /// An engine answered an order, or did not.
+    OrderAnswered {
+        /// The engine.
+        back_end: BackEndName,
+        /// Its answer.
+        answer: OrderAnswer,
+    },
+    /// Traffic gave what it measured of a stage.
+    StageMeasured {
+        /// The node that wants it.
+        asker: NodeName,
+        /// What was measured.
+        measurement: StageMeasurement,
+    },
     /// The process was asked to stop.
     StopRequested,
     /// No request is in progress any more.
--- a/crates/core/src/control/control_state.rs
+++ b/crates/core/src/control/control_state.rs
@@ -13,11 +13,12 @@
 use crate::identity::{ConfigVersion, NodeName};
 use crate::lifecycle::{LifecycleEvent, NodeLifecycle, NodePhase};
 use crate::membership::MembershipTable;
+use crate::order::HeldLease;
 use crate::timestamp::Timestamp;
 
 use super::{
-    Claims, Cluster, Configuration, ControlAction, ControlEvent, ControlSettings, Limits,
-    OperationId, Outbox, PeerMessage, StatusQuery,
+    Claims, Cluster, Configuration, ControlAction, ControlEvent, ControlSettings, Director, Limits,
+    OperationId, Outbox, PeerMessage, StatusQuery, StoreOwner,
 };
 
 /// All control state of one router process.
@@ -28,6 +29,7 @@
     configuration: Configuration,
     claims: Claims,
     limits: Limits,
+    director: Director,
     /// Number of the latest change that this node itself wants.
     own_operations: u64,
     status_queries: Vec<StatusQuery>,
@@ -46,6 +48,7 @@
             configuration: Configuration::default(),
             claims: Claims::new(&settings),
             limits: Limits::new(&settings),
+            director: Director::new(&settings),
             own_operations: 0,
             status_queries: Vec::new(),
             outbox: Outbox::default(),
@@ -116,6 +119,11 @@
         self.configuration.replica()
     }
 
+    /// The director lease, while this node holds it.
+    pub fn director_lease(&self, now: Timestamp) -> Option<HeldLease> {
+        self.director.held(now)
+    }
+
     fn react(&mut self, event: ControlEvent, now: Timestamp) {
         match event {
             ControlEvent::Started => self.start(now),
@@ -123,12 +131,16 @@
                 self.peer_message(from, message, now);
             }
             ControlEvent::StreamFailed { to } => self.configuration.unreachable(to),
-            ControlEvent::StoreAnswered { id, answer } => {
-                if let Some(owner) = self.outbox.take_owner(id) {
+            ControlEvent::StoreAnswered { id, answer } => match self.outbox.take_owner(id) {
+                Some(StoreOwner::Lease) => {
+                    self.director.store_answered(answer, now, &mut self.outbox);
+                }
+                Some(owner) => {
                     self.configuration
                         .store_answered(owner, id, answer, now, &mut self.outbox);
                 }
-            }
+                None => {}
+            },
             ControlEvent::Watch(event) => {
                 self.configuration.watch(event, now, &mut self.outbox);
             }
@@ -167,7 +179,25 @@
                 back_end,
                 incarnation,
                 draining,
-            } => self.cluster.observe(back_end, incarnation, draining, now),
+            } => {
+                let outbox = &mut self.outbox;
+                self.director
+                    .incarnation_seen(back_end.clone(), incarnation, now, outbox);
+                self.cluster.observe(back_end, incarnation, draining, now);
+            }
+            ControlEvent::EngineReported { back_end, report } => {
+                let outbox = &mut self.outbox;
+                self.director.engine_reported(back_end, report, now, outbox);
+            }
+            ControlEvent::OrderAnswered { back_end, answer } => {
+                let outbox = &mut self.outbox;
+                self.director.order_answered(back_end, answer, now, outbox);
+            }
+            ControlEvent::StageMeasured { asker, measurement } => {
+                let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+                self.director
+                    .answer_measurement(&asker, measurement, cluster, now, outbox);
+            }
             ControlEvent::StopRequested => self.advance(LifecycleEvent::StopRequested),
             ControlEvent::TrafficEnded => self.advance(LifecycleEvent::TrafficEnded),
             ControlEvent::Tick => self.tick(now),
@@ -187,6 +217,7 @@
         self.configuration
             .tick(&mut self.cluster, now, &mut self.outbox);
         self.tick_claims(now);
+        self.tick_director(now);
         self.answer_status(now);
     }
 
@@ -203,6 +234,17 @@
         }
     }
 
+    fn tick_director(&mut self, now: Timestamp) {
+        let may_hold = self.settings.may_direct && self.phase() == NodePhase::Serving;
+        let (cluster, outbox) = (&self.cluster, &mut self.outbox);
+        self.director.tick(may_hold, cluster, now, outbox);
+        for change in self.director.take_changes() {
+            self.own_operations += 1;
+            let operation = OperationId::own(self.own_operations);
+            self.operator_change(operation, change, false, now);
+        }
+    }
+
     fn peer_message(&mut self, from: SocketAddr, message: PeerMessage, now: Timestamp) {
         let outbox = &mut self.outbox;
         match message {
@@ -219,6 +261,9 @@
                 let cluster = &self.cluster;
                 self.limits.receive(from, message, cluster, now, outbox);
             }
+            PeerMessage::Stage { from, message } => {
+                self.director.receive(from, message, now, outbox);
+            }
             PeerMessage::Claim { from, message } => {
                 let cluster = &self.cluster;
                 self.claims.receive(from, message, cluster, now, outbox);
@@ -284,6 +329,8 @@
             self.claims.follow_roster(&catalog.claim_roster, now);
             self.limits
                 .follow_catalog(&catalog, &self.cluster, now, &mut self.outbox);
+            self.director
+                .follow_catalog(&catalog, now, &mut self.outbox);
             self.cluster.register().forget_removed(&catalog);
         }
         if changed || leaving_changed {
--- a/crates/core/src/control/peer_message.rs
+++ b/crates/core/src/control/peer_message.rs
@@ -7,6 +7,7 @@
 use crate::identity::NodeName;
 use crate::limit::LimitMessage;
 use crate::membership::{GossipMessage, SyncMessage};
+use crate::migration::StageMessage;
 
 /// One JSON line between router processes. Tags are short because each node may spend only a few
 /// kilobytes a second on control.
@@ -41,4 +42,14 @@
         #[serde(rename = "m")]
         message: LimitMessage,
     },
+    /// Measurements of migration stages.
+    #[serde(rename = "m")]
+    Stage {
+        /// The sender.
+        #[serde(rename = "f")]
+        from: NodeName,
+        /// The message.
+        #[serde(rename = "m")]
+        message: StageMessage,
+    },
 }
--- a/crates/core/src/control/store_owner.rs
+++ b/crates/core/src/control/store_owner.rs
@@ -9,4 +9,6 @@
     LogReader,
     /// The writer of snapshots.
     Compactor,
+    /// The holder of the director lease.
+    Lease,
 }
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -7,9 +7,10 @@
 use crate::admission::QueuedRequest;
 use crate::catalog::{BackEndState, PoolKind};
 use crate::identity::{
-    AttemptId, BackEndName, DataCentreName, NodeName, PoolName, RequestId, ZoneName,
+    AttemptId, BackEndName, DataCentreName, NodeName, PoolName, RequestId, StageName, ZoneName,
 };
 use crate::limit::LimitSettings;
+use crate::migration::{StageMeasurement, StageMeter};
 use crate::placement::{
     CacheKnowledge, EngineKey, PoolIndex, PoolMember, PrefixHeat, PrefixWidth, Retention,
     SiteDistance, preferred_data_centre,
@@ -63,6 +64,7 @@
     first_request_at: Option<Timestamp>,
     /// `None` while limits of tenants are not enforced.
     tenant_gate: Option<TenantGate>,
+    stage_meter: StageMeter,
 }
 
 impl Dispatcher {
@@ -97,6 +99,7 @@
             retry_budget: RetryBudget::new(Timestamp::ZERO),
             first_request_at: None,
             tenant_gate: None,
+            stage_meter: StageMeter::default(),
             parameters,
         }
     }
@@ -122,12 +125,50 @@
         actions: &mut Vec<DispatchAction>,
     ) {
         let before = actions.len();
+        self.measure_event(&event, now);
         self.handle_event(event, now, actions);
+        self.measure_actions(&actions[before..]);
         if let Some(gate) = &mut self.tenant_gate {
             gate.note_finished(&actions[before..]);
         }
     }
 
+    /// Takes what was measured of a migration stage since the last time.
+    pub fn take_measurement(&mut self, stage: &StageName) -> Option<StageMeasurement> {
+        self.stage_meter.take(stage)
+    }
+
+    fn measure_event(&mut self, event: &DispatchEvent, now: Timestamp) {
+        match event {
+            DispatchEvent::Submitted(profile) => self.stage_meter.submitted(profile),
+            DispatchEvent::FirstToken { attempt } => self.stage_meter.first_token(*attempt, now),
+            DispatchEvent::AttemptEnded {
+                attempt,
+                outcome,
+                observation,
+            } => self
+                .stage_meter
+                .ended(*attempt, *outcome, observation.as_ref()),
+            DispatchEvent::SnapshotPublished(snapshot) => {
+                self.stage_meter.adopt(Arc::clone(&snapshot.catalog));
+            }
+            _ => {}
+        }
+    }
+
+    fn measure_actions(&mut self, actions: &[DispatchAction]) {
+        for action in actions {
+            match action {
+                DispatchAction::Start {
+                    request,
+                    assignment,
+                } => self.stage_meter.started(request, assignment),
+                DispatchAction::Finish { request, .. } => self.stage_meter.finished(request),
+                DispatchAction::Cancel { .. } | DispatchAction::SendLimit(_) => {}
+            }
+        }
+    }
+
     fn handle_event(
         &mut self,
         event: DispatchEvent,
--- a/crates/core/src/migration/mod.rs
+++ b/crates/core/src/migration/mod.rs
@@ -12,6 +12,8 @@
 mod side_measurement;
 mod stage_judge;
 mod stage_measurement;
+mod stage_message;
+mod stage_meter;
 mod stage_verdict;
 
 pub use latency_histogram::LatencyHistogram;
@@ -22,4 +24,6 @@
 pub use side_measurement::SideMeasurement;
 pub use stage_judge::judge;
 pub use stage_measurement::StageMeasurement;
+pub use stage_message::StageMessage;
+pub use stage_meter::StageMeter;
 pub use stage_verdict::StageVerdict;
--- a/crates/core/src/placement/site_preference.rs
+++ b/crates/core/src/placement/site_preference.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::catalog::{Catalog, MigrationStage, StageState};
+use crate::catalog::{Catalog, StageState};
 use crate::identity::{DataCentreName, PoolName, TenantName};
 use crate::prompt::PrefixChain;
 
@@ -34,7 +34,7 @@
     prefix: &PrefixChain,
     fallback_key: &str,
 ) -> Option<SitePreference<'a>> {
-    let stage = stage_for(catalog, pool, tenant)?;
+    let stage = catalog.stage_of(pool, tenant)?;
     if stage.state == StageState::RolledBack {
         return Some(SitePreference {
             first: &stage.source,
@@ -54,18 +54,6 @@
     })
 }
 
-/// The stage of this tenant, or else the one of all tenants.
-fn stage_for<'a>(
-    catalog: &'a Catalog,
-    pool: &PoolName,
-    tenant: &TenantName,
-) -> Option<&'a MigrationStage> {
-    let of_pool = || catalog.stages.values().filter(|stage| stage.pool == *pool);
-    of_pool()
-        .find(|stage| stage.tenant.as_ref() == Some(tenant))
-        .or_else(|| of_pool().find(|stage| stage.tenant.is_none()))
-}
-
 fn split_key(prefix: &PrefixChain) -> Option<u64> {
     let levels = prefix.level_ends().count();
     let level = SPLIT_LEVEL.min(levels.saturating_sub(2));
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -332,6 +332,9 @@
                 assert!(earlier.is_none(), "an operation is answered once");
             }
             ControlAction::AnswerClaim { .. } | ControlAction::LimitGranted { .. } => {}
+            ControlAction::PollEngine { .. }
+            | ControlAction::OrderEngine { .. }
+            | ControlAction::MeasureStage { .. } => {}
             ControlAction::AnswerStatus { operation, status } => {
                 self.statuses.insert(operation, status);
             }
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -4,8 +4,10 @@
 
 use ryerouter_core::control::{ControlAction, ControlEvent, ControlState};
 use ryerouter_core::dispatch::RoutingSnapshot;
+use ryerouter_core::identity::{NodeName, StageName};
 use ryerouter_core::lifecycle::NodePhase;
 use ryerouter_core::limit::LimitSend;
+use ryerouter_core::order::OrderAnswer;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
@@ -144,6 +146,16 @@
                     grants.granted(from, grant);
                 }
             }
+            ControlAction::MeasureStage { stage, asker } => self.measure(&stage, asker),
+            // No connection to engines yet: as if they did not answer.
+            ControlAction::PollEngine { back_end, .. } => {
+                let report = None;
+                self.handle(ControlEvent::EngineReported { back_end, report });
+            }
+            ControlAction::OrderEngine { back_end, .. } => {
+                let answer = OrderAnswer::Lost;
+                self.handle(ControlEvent::OrderAnswered { back_end, answer });
+            }
             ControlAction::AnswerStatus { operation, status } => {
                 let report = ControlReport {
                     cluster: status,
@@ -156,6 +168,16 @@
         }
     }
 
+    fn measure(&mut self, stage: &StageName, asker: NodeName) {
+        let measurement = self
+            .grants
+            .as_ref()
+            .and_then(|traffic| traffic.take_measurement(stage));
+        if let Some(measurement) = measurement {
+            self.handle(ControlEvent::StageMeasured { asker, measurement });
+        }
+    }
+
     fn publish(&self, snapshot: Arc<RoutingSnapshot>) {
         info!(self.logger, "snapshot_published";
             "config_version" => snapshot.catalog.version.0, "leaving" => snapshot.leaving.len());
--- a/crates/node/src/traffic/dispatch_feed.rs
+++ b/crates/node/src/traffic/dispatch_feed.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use ryerouter_core::dispatch::DispatchEvent;
-use ryerouter_core::identity::NodeName;
+use ryerouter_core::identity::{NodeName, StageName};
 use ryerouter_core::limit::LimitGrant;
+use ryerouter_core::migration::StageMeasurement;
 
 use crate::control::GrantSink;
 
@@ -26,4 +27,8 @@
         let event = DispatchEvent::LimitGranted { from, grant };
         self.context.dispatch.handle(event);
     }
+
+    fn take_measurement(&self, stage: &StageName) -> Option<StageMeasurement> {
+        self.context.dispatch.take_measurement(stage)
+    }
 }
--- a/crates/node/src/traffic/dispatch_handle.rs
+++ b/crates/node/src/traffic/dispatch_handle.rs
@@ -5,8 +5,11 @@
 use parking_lot::Mutex;
 use ryerouter_core::Timestamp;
 use ryerouter_core::dispatch::{DispatchAction, DispatchEvent, Dispatcher, RequestProfile};
-use ryerouter_core::identity::{AttemptId, DataCentreName, NodeName, RequestId, ZoneName};
+use ryerouter_core::identity::{
+    AttemptId, DataCentreName, NodeName, RequestId, StageName, ZoneName,
+};
 use ryerouter_core::limit::{LimitSend, LimitSettings};
+use ryerouter_core::migration::StageMeasurement;
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::clock::Clock;
@@ -59,6 +62,11 @@
             .limit_tenants(node, now, LimitSettings::default());
     }
 
+    /// Takes what was measured of a migration stage since the last time.
+    pub fn take_measurement(&self, stage: &StageName) -> Option<StageMeasurement> {
+        self.state.lock().dispatcher.take_measurement(stage)
+    }
+
     /// The present time by the process's clock.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
--- a/crates/testbed/src/simulation/cluster_control.rs
+++ b/crates/testbed/src/simulation/cluster_control.rs
@@ -134,6 +134,10 @@
             ControlAction::LimitGranted { from, grant } => {
                 self.dispatch(process, DispatchEvent::LimitGranted { from, grant });
             }
+            // Simulated engines take no orders, and no stage moves by itself.
+            ControlAction::PollEngine { .. }
+            | ControlAction::OrderEngine { .. }
+            | ControlAction::MeasureStage { .. } => {}
             ControlAction::EnterPhase(phase) => self.enter_phase(process, phase),
         }
     }
