--- a/crates/node/src/control/control_io.rs
+++ b/crates/node/src/control/control_io.rs
@@ -10,7 +10,8 @@
 use crate::peer::{DatagramLink, StreamLinks};
 use crate::platform::{MachineClient, ObjectClient};
 
-use super::{ControlInput, ControlOptions, MachinePoller, StoreWorker, WatchWorker};
+use super::engine_worker::EngineWorker;
+use super::{ControlInput, ControlOptions, EngineCaller, MachinePoller, StoreWorker, WatchWorker};
 
 /// Carries out actions of the control state. Nothing here waits: each action starts a task or puts
 /// a message into a bounded queue.
@@ -18,6 +19,7 @@
     store: StoreWorker,
     watches: WatchWorker,
     machines: MachinePoller,
+    engines: EngineWorker,
     datagrams: Arc<DatagramLink>,
     streams: StreamLinks,
 }
@@ -42,11 +44,17 @@
                 input.clone(),
                 logger.clone(),
             ),
+            engines: EngineWorker::new(EngineCaller::new(limits), input.clone()),
             datagrams,
             streams,
         }
     }
 
+    /// Calls to engines.
+    pub(super) fn engines(&self) -> &EngineWorker {
+        &self.engines
+    }
+
     /// Whether the object API answered the latest call.
     pub(super) fn object_api_reachable(&self) -> bool {
         self.store.is_reachable()
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -7,7 +7,6 @@
 use ryerouter_core::identity::{NodeName, StageName};
 use ryerouter_core::lifecycle::NodePhase;
 use ryerouter_core::limit::LimitSend;
-use ryerouter_core::order::OrderAnswer;
 use slog::{Logger, info};
 use tokio::sync::{mpsc, watch};
 use tokio::time::MissedTickBehavior;
@@ -147,14 +146,18 @@
                 }
             }
             ControlAction::MeasureStage { stage, asker } => self.measure(&stage, asker),
-            // No connection to engines yet: as if they did not answer.
-            ControlAction::PollEngine { back_end, .. } => {
-                let report = None;
-                self.handle(ControlEvent::EngineReported { back_end, report });
+            ControlAction::PollEngine { back_end, address } => {
+                self.io.engines().poll(back_end, address);
             }
-            ControlAction::OrderEngine { back_end, .. } => {
-                let answer = OrderAnswer::Lost;
-                self.handle(ControlEvent::OrderAnswered { back_end, answer });
+            ControlAction::OrderEngine {
+                back_end,
+                address,
+                order,
+                valid_until,
+            } => {
+                let clock = self.clock;
+                let engines = self.io.engines();
+                engines.order(back_end, address, order, valid_until, clock);
             }
             ControlAction::AnswerStatus { operation, status } => {
                 let report = ControlReport {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod control_report;
 mod control_thread;
 mod engine_caller;
+mod engine_worker;
 mod grant_sink;
 mod machine_poller;
 mod pending_claim;
