--- a/crates/testbed/src/cli/compare_command.rs
+++ b/crates/testbed/src/cli/compare_command.rs
@@ -5,7 +5,10 @@
 use gumdrop::Options;
 
 use super::CommandError;
-use crate::compare::{ComparisonOptions, ComparisonSummary, Policy, compare, print_table};
+use crate::compare::{
+    ComparisonOptions, ComparisonSummary, Policy, compare, print_ablation, print_ratios,
+    print_table, vary,
+};
 use crate::scenario::Scenario;
 
 /// Compares dispatch policies on a virtual clock.
@@ -27,8 +30,11 @@
     /// Seeds.
     #[options(help = "seeds to run, one after the other", meta = "N", default = "1")]
     pub seeds: u64,
+    /// Measures what each mechanism of the dispatcher is worth instead.
+    #[options(help = "switch each mechanism of the dispatcher off in turn instead")]
+    pub vary: bool,
     /// Prints one flat JSON object for each seed.
-    #[options(help = "print each seed's result as one flat JSON object on a line")]
+    #[options(help = "end with each seed's result as one flat JSON object on a line")]
     pub json: bool,
 }
 
@@ -42,26 +48,41 @@
         let scenario = Scenario::load(&self.scenario)
             .map_err(|error| CommandError::Failed(error.to_string()))?;
         let scenario = Arc::new(scenario);
-        for seed in self.seed..self.seed + self.seeds {
-            self.run_seed(&scenario, seed)?;
+        let seeds: Vec<u64> = (self.seed..).take(self.seeds as usize).collect();
+        if self.vary {
+            print_ablation(&scenario.name, seeds.len(), &vary(&scenario, &seeds));
+            return Ok(());
+        }
+        let mut summaries = Vec::new();
+        for seed in seeds {
+            summaries.push(run_seed(&scenario, seed)?);
+        }
+        if summaries.len() > 1 {
+            print_ratios(&summaries);
         }
-        Ok(())
-    }
-
-    fn run_seed(&self, scenario: &Arc<Scenario>, seed: u64) -> Result<(), CommandError> {
-        let options = ComparisonOptions {
-            seed,
-            ..ComparisonOptions::default()
-        };
-        let comparison = compare(scenario, &Policy::ALL, &options);
-        print_table(&comparison);
         if self.json {
-            let summary = ComparisonSummary::new(&comparison)
-                .ok_or_else(|| CommandError::Failed("a policy is missing".to_owned()))?;
-            let line = serde_json::to_string(&summary)
-                .map_err(|error| CommandError::Failed(error.to_string()))?;
-            println!("{line}");
+            for summary in &summaries {
+                print_json(summary)?;
+            }
         }
         Ok(())
     }
 }
+
+fn run_seed(scenario: &Arc<Scenario>, seed: u64) -> Result<ComparisonSummary, CommandError> {
+    let options = ComparisonOptions {
+        seed,
+        ..ComparisonOptions::default()
+    };
+    let comparison = compare(scenario, &Policy::ALL, &options);
+    print_table(&comparison);
+    ComparisonSummary::new(&comparison)
+        .ok_or_else(|| CommandError::Failed("a policy is missing".to_owned()))
+}
+
+fn print_json(summary: &ComparisonSummary) -> Result<(), CommandError> {
+    let line =
+        serde_json::to_string(summary).map_err(|error| CommandError::Failed(error.to_string()))?;
+    println!("{line}");
+    Ok(())
+}
--- a/crates/testbed/src/compare/comparison.rs
+++ b/crates/testbed/src/compare/comparison.rs
@@ -26,6 +26,8 @@
 /// Weights that every engine serves throughout a run.
 const WEIGHTS_VERSION: WeightsVersion = WeightsVersion(1);
 
+const HUNDREDTHS: f64 = 100.0;
+
 /// What a comparison is run with.
 #[derive(Debug, Clone, Default)]
 pub struct ComparisonOptions {
@@ -115,7 +117,10 @@
             &options.parameters,
             options.seed,
         )),
-        Policy::Oracle => direct(deployment, workload, Omniscient::new(engines), true),
+        Policy::Oracle(hundredths) => {
+            let choice = Omniscient::new(engines, f64::from(hundredths) / HUNDREDTHS);
+            direct(deployment, workload, choice, true)
+        }
         Policy::RoundRobin => direct(deployment, workload, RoundRobin::default(), false),
         Policy::LeastLoaded => direct(deployment, workload, LeastLoaded::default(), false),
         Policy::SessionHash => direct(deployment, workload, SessionHash::new(engines), false),
--- a/crates/testbed/src/compare/mod.rs
+++ b/crates/testbed/src/compare/mod.rs
@@ -4,6 +4,8 @@
 //! dispatcher, four plain policies and an omniscient one that sees every cache and queue at once.
 //! `docs/design/comparison.md` states the model, the definitions and the results.
 
+mod ablation;
+mod ablation_table;
 mod attempt_state;
 mod cluster_event;
 mod cluster_router;
@@ -29,6 +31,7 @@
 mod simulated_cluster;
 mod simulated_engine;
 mod simulated_service;
+mod spread;
 mod waste_ledger;
 
 #[cfg(test)]
@@ -36,8 +39,11 @@
 #[cfg(test)]
 mod waste_ledger_tests;
 
+pub use ablation::{AblationLine, vary};
+pub use ablation_table::{print_ablation, print_ratios};
 pub use comparison::{Comparison, ComparisonOptions, compare, run_policy};
 pub use comparison_summary::ComparisonSummary;
 pub use comparison_table::print_table;
 pub use policy::Policy;
 pub use policy_report::PolicyReport;
+pub use spread::Spread;
--- a/crates/testbed/src/compare/omniscient.rs
+++ b/crates/testbed/src/compare/omniscient.rs
@@ -9,8 +9,6 @@
 use super::simulated_engine::SimulatedEngine;
 use crate::engine_model::EngineModel;
 
-/// How much a second of recomputation counts against a second of waiting.
-const RECOMPUTATION_WEIGHT: f64 = 2.0;
 /// How much a second of waiting counts for batch work.
 const BATCH_WAIT_WEIGHT: f64 = 0.2;
 
@@ -19,14 +17,17 @@
 #[derive(Debug)]
 pub(super) struct Omniscient {
     planned: Vec<PlannedAttempts>,
+    /// How much a second of recomputation counts against a second of waiting.
+    recomputation_weight: f64,
     now: Timestamp,
 }
 
 impl Omniscient {
     /// Over this many engines.
-    pub fn new(engines: usize) -> Self {
+    pub fn new(engines: usize, recomputation_weight: f64) -> Self {
         Self {
             planned: (0..engines).map(|_| PlannedAttempts::default()).collect(),
+            recomputation_weight,
             now: Timestamp::ZERO,
         }
     }
@@ -56,7 +57,7 @@
             Priority::Interactive => 1.0,
             Priority::Batch => BATCH_WAIT_WEIGHT,
         };
-        wait * wait_weight + RECOMPUTATION_WEIGHT * f64::from(missing) * per_token
+        wait * wait_weight + self.recomputation_weight * f64::from(missing) * per_token
     }
 }
 
--- a/crates/testbed/src/compare/policy.rs
+++ b/crates/testbed/src/compare/policy.rs
@@ -10,9 +10,10 @@
     /// The router's own dispatcher, one in each router process.
     #[display("ours")]
     Ours,
-    /// Sees every cache, queue and dispatch of the whole cluster at once.
-    #[display("oracle")]
-    Oracle,
+    /// Sees every cache, queue and dispatch of the whole cluster at once; the number is how many
+    /// hundredths of a second of waiting a second of recomputation counts as.
+    #[display("oracle {}", f64::from(*_0) / 100.0)]
+    Oracle(u16),
     /// Each router process takes the engines in turn.
     #[display("round robin")]
     RoundRobin,
@@ -28,10 +29,12 @@
 }
 
 impl Policy {
-    /// All policies, ours and the oracle first.
-    pub const ALL: [Self; 6] = [
+    /// All policies, ours and the oracles first.
+    pub const ALL: [Self; 8] = [
         Self::Ours,
-        Self::Oracle,
+        Self::Oracle(50),
+        Self::Oracle(100),
+        Self::Oracle(200),
         Self::RoundRobin,
         Self::LeastLoaded,
         Self::SessionHash,
@@ -40,6 +43,11 @@
 
     /// Whether it is one of those that ours must beat.
     pub fn is_baseline(self) -> bool {
-        !matches!(self, Self::Ours | Self::Oracle)
+        !matches!(self, Self::Ours | Self::Oracle(_))
+    }
+
+    /// Whether it is omniscient.
+    pub fn is_oracle(self) -> bool {
+        matches!(self, Self::Oracle(_))
     }
 }
