--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -598,7 +598,11 @@
             zone: back_end.zone,
             incarnation: engine.incarnation(),
             weights_version: record.weights_version,
-            expected_cached_tokens: choice.expectation.known_cached,
+            // Of a process that has not answered yet nothing may be relied on: it may be another
+            // one than the process that earlier attempts went to.
+            expected_cached_tokens: engine
+                .incarnation()
+                .map_or(0, |_| choice.expectation.known_cached),
             kv_import: choice.kv_import,
             kv_export: choice.kv_export,
             resume,
--- a/crates/testbed/src/simulation/cluster_claims.rs
+++ b/crates/testbed/src/simulation/cluster_claims.rs
@@ -116,7 +116,7 @@
 
     /// Whether the leave to run a submission has ended, as it has for a process that was paused.
     pub(super) fn claim_has_lapsed(&mut self, process: ProcessId, submission: u64) -> bool {
-        let now = self.now();
+        let now = self.clock_of(process.node);
         self.progress(process, submission)
             .and_then(|progress| progress.grant)
             .is_some_and(|grant| now >= grant.dispatch_before)
--- a/crates/testbed/src/simulation/cluster_traffic.rs
+++ b/crates/testbed/src/simulation/cluster_traffic.rs
@@ -46,13 +46,13 @@
             priority: Priority::Interactive,
             deadline: None,
             repeatability,
-            arrived_at: self.now(),
+            arrived_at: self.clock_of(process.node),
         }
     }
 
     /// Feeds an event to a dispatcher and carries out what it wants.
     pub(super) fn dispatch(&mut self, process: ProcessId, event: DispatchEvent) {
-        let now = self.now();
+        let now = self.clock_of(process.node);
         let Some(running) = self.running(process) else {
             return;
         };
--- a/crates/testbed/src/simulation/router_process.rs
+++ b/crates/testbed/src/simulation/router_process.rs
@@ -8,6 +8,8 @@
 use ryerouter_core::dispatch::Dispatcher;
 use ryerouter_core::identity::AttemptId;
 
+use super::ClusterEvent;
+
 /// A submission that a router process works on.
 #[derive(Debug, Clone, Default)]
 pub struct SubmissionProgress {
@@ -64,6 +66,10 @@
     pub start: u64,
     /// Its state while it runs.
     pub running: Option<RunningProcess>,
-    /// End of a pause, in microseconds.
-    pub paused_until_us: u64,
+    /// How far its clock is ahead of the cluster's, in microseconds.
+    pub clock_ahead_us: i64,
+    /// End of a pause, in microseconds; `None` while it runs.
+    pub paused_until_us: Option<u64>,
+    /// What arrived during a pause, in order.
+    pub held: Vec<ClusterEvent>,
 }
