--- a/crates/testbed/src/simulation/cluster_back_ends.rs
+++ b/crates/testbed/src/simulation/cluster_back_ends.rs
@@ -18,6 +18,8 @@
 const CACHED_PREFILL: Duration = Duration::from_millis(60);
 /// Time between chunks.
 const CHUNK_INTERVAL: Duration = Duration::from_millis(90);
+/// Time between looks whether a frozen process goes on.
+const THAW_CHECK: Duration = Duration::from_millis(100);
 /// How long an attempt that nobody reads is kept.
 const RESUME_WINDOW: Duration = Duration::from_secs(2);
 
@@ -28,6 +30,12 @@
             self.refuse_attempt(process, &call, NotRunReason::ConnectFailed, false);
             return;
         }
+        if back_end.frozen {
+            // What was written to its socket is read when it goes on, whoever still waits.
+            let call = Box::new(call);
+            self.schedule(THAW_CHECK, ClusterEvent::AttemptArrives { process, call });
+            return;
+        }
         if let AttemptKind::Resume {
             earlier,
             next_chunk,
