--- a/crates/core/tests/support/object_store.rs
+++ b/crates/core/tests/support/object_store.rs
@@ -21,6 +21,8 @@
     /// How many more writes are answered as failed and take effect only with `land_late_writes`.
     pub delay_writes: u32,
     late_writes: Vec<StoreCall>,
+    /// Whether the API goes down together with the next lost or late write.
+    pub fails_with_write: bool,
     /// How many of the latest revisions lists do not show.
     pub stale_by: u64,
     /// Whether watches skip events.
@@ -43,11 +45,13 @@
         if is_write && self.delay_writes > 0 {
             self.delay_writes -= 1;
             self.late_writes.push(call);
+            self.down |= std::mem::take(&mut self.fails_with_write);
             return unavailable();
         }
         let answer = self.apply(call);
         if is_write && self.lose_answers > 0 {
             self.lose_answers -= 1;
+            self.down |= std::mem::take(&mut self.fails_with_write);
             return unavailable();
         }
         answer
@@ -112,6 +116,17 @@
             .count()
     }
 
+    /// Ids of the changes in the log, in order.
+    pub fn logged_changes(&self) -> Vec<String> {
+        self.objects
+            .values()
+            .filter_map(|object| match &object.value {
+                StoreValue::ConfigEntry(entry) => Some(entry.change.change_id.to_string()),
+                _ => None,
+            })
+            .collect()
+    }
+
     pub fn has_snapshot(&self) -> bool {
         self.objects.contains_key("config/snapshot")
     }
