Let a restarted keeper copy the other keepers' claims

Only when a majority lost its memory at once do such keys still wait.

On a scratch copy, copying from one keeper only and copying without the wait are each noticed.

--- a/crates/core/src/claim/claim_keeper.rs
+++ b/crates/core/src/claim/claim_keeper.rs
@@ -1,18 +1,25 @@
 //! Keeper of claims.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use crate::identity::NodeName;
 use crate::timestamp::Timestamp;
 
 use super::expiry_queue::ExpiryQueue;
 use super::keeper_memory::KeeperMemory;
+use super::memory_copy::MemoryCopy;
 use super::{
     ClaimAsk, ClaimId, ClaimKeeperEvent, ClaimMessage, ClaimRelease, ClaimRoster, ClaimSend,
-    ClaimSettings, ClaimVerdict, ClaimVote, EpochConfirmation, KeeperGroup, KeyDigest,
+    ClaimSettings, ClaimVerdict, ClaimVote, EpochConfirmation, KeeperGroup, KeyDigest, MemoryAsk,
+    MemoryPage, RememberedClaim,
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
+/// Time between questions to a keeper that does not answer.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+/// Claims in one part of a copy; about 150 KB.
+const PAGE_CLAIMS: usize = 2_000;
 
 /// What a keeper remembers of a key.
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +43,12 @@
     roster: ClaimRoster,
     /// Looked up by key only; never iterated, so its order decides nothing.
     records: HashMap<KeyDigest, Record>,
+    /// Claims on keys that other keepers had granted to different claims when they were copied:
+    /// any of them may be the one that a majority granted.
+    rivals: BTreeMap<KeyDigest, Vec<Record>>,
+    /// Copies of the other keepers' memory, by position of the group.
+    copies: BTreeMap<usize, MemoryCopy>,
+    copy_rounds: u64,
     expiry: ExpiryQueue,
 }
 
@@ -49,6 +62,9 @@
             memory: BTreeMap::new(),
             roster: ClaimRoster::default(),
             records: HashMap::new(),
+            rivals: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            copy_rounds: 0,
             expiry: ExpiryQueue::default(),
         }
     }
@@ -66,6 +82,7 @@
                 self.receive(from, message, now, sends);
             }
             ClaimKeeperEvent::RosterChanged(roster) => self.adopt(roster, now),
+            ClaimKeeperEvent::Tick => self.copy_memory(now, sends),
         }
     }
 
@@ -74,11 +91,19 @@
         for (index, group) in roster.groups.iter().enumerate() {
             if group.has_settled(&self.name) {
                 let first_memory = self.first_memory(&roster, group, now);
-                let reach = self.memory.get(&index).copied().unwrap_or(first_memory);
-                memory.insert(index, reach);
+                let known = self.memory.get(&index).copied();
+                if known.is_none() && first_memory != KeeperMemory::Whole {
+                    let copy = MemoryCopy::new(group.epoch, now.after(self.asks_lapse_after()));
+                    self.copies.insert(index, copy);
+                }
+                memory.insert(index, known.unwrap_or(first_memory));
             }
         }
         self.memory = memory;
+        self.copies.retain(|index, copy| {
+            let group = roster.groups.get(*index);
+            group.is_some_and(|group| group.epoch == copy.epoch)
+        });
         self.roster = roster;
     }
 
@@ -127,6 +152,8 @@
                     message: ClaimMessage::Released(release),
                 });
             }
+            ClaimMessage::AskMemory(ask) => self.show_memory(from, ask, sends),
+            ClaimMessage::Memory(page) => self.take_memory(from, page, sends),
             ClaimMessage::ConfirmEpoch(asked) => self.confirm(from, asked, sends),
             _ => {}
         }
@@ -142,6 +169,149 @@
         }
     }
 
+    /// Any ask that a keeper may still vote on was sent less than this long ago.
+    fn asks_lapse_after(&self) -> Duration {
+        self.settings.vote_timeout + self.settings.clock_tolerance * 3
+    }
+
+    /// Asks the other keepers for what they remember: with that this keeper can vote again long
+    /// before it has been up for as long as claims must be remembered.
+    fn copy_memory(&mut self, now: Timestamp, sends: &mut Vec<ClaimSend>) {
+        let reach = self.settings.plain_lifetime + self.settings.clock_tolerance * 4;
+        let to_expiry = self.settings.lifetime + self.settings.clock_tolerance * 2;
+        for (index, copy) in &mut self.copies {
+            let group = &self.roster.groups[*index];
+            if now < copy.start_at || now < copy.ask_again_at {
+                continue;
+            }
+            copy.ask_again_at = now.after(COPY_INTERVAL);
+            if copy.round == 0 {
+                self.copy_rounds += 1;
+                copy.round = self.copy_rounds;
+                copy.reaches_to = now.before(reach);
+                let from_second = second_of(copy.reaches_to.after(to_expiry));
+                let others = group.keepers.iter().filter(|name| **name != self.name);
+                copy.cursors = others.map(|name| (name.clone(), from_second)).collect();
+            }
+            for keeper in copy.cursors.keys() {
+                if let Some(ask) = copy.ask_for(*index, keeper) {
+                    sends.push(ClaimSend {
+                        to: keeper.clone(),
+                        message: ClaimMessage::AskMemory(ask),
+                    });
+                }
+            }
+        }
+    }
+
+    fn show_memory(&self, from: NodeName, ask: MemoryAsk, sends: &mut Vec<ClaimSend>) {
+        let group = self.roster.groups.get(ask.group);
+        if group.is_none_or(|group| group.epoch != ask.epoch) {
+            return;
+        }
+        let since = match self.memory.get(&ask.group) {
+            Some(KeeperMemory::Whole) => Timestamp::ZERO,
+            Some(KeeperMemory::Since(since)) => since.after(self.settings.clock_tolerance),
+            None => return,
+        };
+        let (keys, next_second) = self.expiry.from(ask.from_second, PAGE_CLAIMS);
+        let claims = keys
+            .iter()
+            .filter(|(_, digest)| self.roster.group_index(*digest) == Some(ask.group))
+            .flat_map(|(second, digest)| self.remembered_claims(*second, *digest))
+            .collect();
+        let page = MemoryPage {
+            ask,
+            since,
+            claims,
+            next_second,
+        };
+        sends.push(ClaimSend {
+            to: from,
+            message: ClaimMessage::Memory(page),
+        });
+    }
+
+    /// Claims on a key that may be forgotten after `second`.
+    fn remembered_claims(&self, second: u32, digest: KeyDigest) -> Vec<RememberedClaim> {
+        let rivals = self.rivals.get(&digest).map_or(&[][..], Vec::as_slice);
+        self.records
+            .get(&digest)
+            .into_iter()
+            .chain(rivals)
+            .filter(|record| record.forget_after_second == second)
+            .map(|record| RememberedClaim {
+                digest,
+                claim: record.claim,
+                forget_after_second: second,
+            })
+            .collect()
+    }
+
+    fn take_memory(&mut self, from: NodeName, page: MemoryPage, sends: &mut Vec<ClaimSend>) {
+        let index = page.ask.group;
+        let Some(copy) = self.copies.get_mut(&index) else {
+            return;
+        };
+        if copy.ask_for(index, &from).as_ref() != Some(&page.ask) {
+            return;
+        }
+        match page.next_second {
+            Some(next_second) => {
+                copy.cursors.insert(from.clone(), next_second);
+                if let Some(ask) = copy.ask_for(index, &from) {
+                    sends.push(ClaimSend {
+                        to: from,
+                        message: ClaimMessage::AskMemory(ask),
+                    });
+                }
+            }
+            None => {
+                copy.cursors.remove(&from);
+                copy.complete.insert(from, page.since);
+            }
+        }
+        for claim in page.claims {
+            self.note_copied(&claim);
+        }
+        self.end_copy(index);
+    }
+
+    fn note_copied(&mut self, claim: &RememberedClaim) {
+        let record = Record {
+            claim: claim.claim,
+            forget_after_second: claim.forget_after_second,
+        };
+        self.expiry.push(record.forget_after_second, claim.digest);
+        let Some(known) = self.records.get_mut(&claim.digest) else {
+            self.records.insert(claim.digest, record);
+            return;
+        };
+        known.forget_after_second = known.forget_after_second.max(record.forget_after_second);
+        let rivals = self.rivals.get(&claim.digest);
+        let is_known = known.claim == record.claim
+            || rivals.is_some_and(|rivals| rivals.iter().any(|one| one.claim == record.claim));
+        if !is_known {
+            self.rivals.entry(claim.digest).or_default().push(record);
+        }
+    }
+
+    /// Votes on older keys again once enough keepers were copied.
+    fn end_copy(&mut self, index: usize) {
+        let Some(copy) = self.copies.get(&index) else {
+            return;
+        };
+        let Some(known_since) = copy.known_since(&self.roster.groups[index]) else {
+            return;
+        };
+        if let Some(KeeperMemory::Since(since)) = self.memory.get_mut(&index) {
+            *since = known_since.min(*since);
+        }
+        if copy.cursors.is_empty() {
+            self.copies.remove(&index);
+        }
+    }
+
     fn vote(&mut self, ask: &ClaimAsk, now: Timestamp) -> ClaimVerdict {
         let Some(index) = self.roster.group_index(ask.digest) else {
             return ClaimVerdict::OtherEpoch { epoch: None };
@@ -155,7 +325,8 @@
             return ClaimVerdict::Forgetful { until: now };
         };
         if let Some(record) = self.records.get(&ask.digest) {
-            return if record.claim == ask.claim {
+            let contested = self.rivals.contains_key(&ask.digest);
+            return if record.claim == ask.claim && !contested {
                 ClaimVerdict::Granted
             } else {
                 ClaimVerdict::Held
@@ -224,6 +395,15 @@
         if held {
             self.records.remove(&release.digest);
         }
+        if let Some(rivals) = self.rivals.get_mut(&release.digest) {
+            rivals.retain(|rival| rival.claim != release.claim);
+            if held && let Some(rival) = rivals.pop() {
+                self.records.insert(release.digest, rival);
+            }
+            if rivals.is_empty() {
+                self.rivals.remove(&release.digest);
+            }
+        }
     }
 
     fn forget_expired(&mut self, now: Timestamp) {
@@ -243,6 +423,7 @@
             .is_some_and(|record| record.forget_after_second < second);
         if expired {
             self.records.remove(&digest);
+            self.rivals.remove(&digest);
         }
     }
 }
--- a/crates/core/src/claim/claim_keeper_event.rs
+++ b/crates/core/src/claim/claim_keeper_event.rs
@@ -16,4 +16,6 @@
     },
     /// The configuration names these keepers.
     RosterChanged(ClaimRoster),
+    /// Time passed; due about every second.
+    Tick,
 }
--- a/crates/core/src/claim/claim_message.rs
+++ b/crates/core/src/claim/claim_message.rs
@@ -3,7 +3,7 @@
 use derive_more::From;
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimAsk, ClaimRelease, ClaimVote, EpochConfirmation};
+use super::{ClaimAsk, ClaimRelease, ClaimVote, EpochConfirmation, MemoryAsk, MemoryPage};
 
 /// A message between a claiming process and a keeper.
 #[derive(Debug, Clone, PartialEq, Eq, From, Serialize, Deserialize)]
@@ -19,6 +19,12 @@
     /// From a keeper: the key is given back.
     #[from(skip)]
     Released(ClaimRelease),
+    /// To a keeper: a part of its memory is wanted.
+    #[from(skip)]
+    AskMemory(MemoryAsk),
+    /// From a keeper: a part of its memory.
+    #[from(skip)]
+    Memory(MemoryPage),
     /// To a keeper: confirm that no epoch of the group before this one is answered any more.
     #[from(skip)]
     ConfirmEpoch(EpochConfirmation),
--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -32,6 +32,8 @@
 mod keeper_planner_settings;
 mod key_digest;
 mod key_time;
+mod memory_copy;
+mod memory_page;
 mod pending_claim;
 mod pending_release;
 
@@ -59,3 +61,4 @@
 pub use keeper_planner_settings::KeeperPlannerSettings;
 pub use key_digest::KeyDigest;
 pub use key_time::{issued_at, time_ordered_key};
+pub use memory_page::{MemoryAsk, MemoryPage, RememberedClaim};
--- a/crates/core/src/control/claims.rs
+++ b/crates/core/src/control/claims.rs
@@ -36,6 +36,7 @@
     held: BTreeMap<KeyDigest, ClaimId>,
     machines: Option<MachineReading>,
     plan_at: Timestamp,
+    keeper_tick_at: Timestamp,
     proposals: u64,
 }
 
@@ -67,6 +68,7 @@
             held: BTreeMap::new(),
             machines: None,
             plan_at: Timestamp::ZERO,
+            keeper_tick_at: Timestamp::ZERO,
             proposals: 0,
         }
     }
@@ -179,6 +181,12 @@
         if self.client.next_deadline().is_some_and(|due| due <= now) {
             self.ask_client(ClaimClientEvent::Tick, cluster, now, outbox);
         }
+        if now >= self.keeper_tick_at {
+            self.keeper_tick_at = now.after(Self::PLAN_EVERY);
+            let mut sends = Vec::new();
+            self.keeper.handle(ClaimKeeperEvent::Tick, now, &mut sends);
+            self.deliver(sends, cluster, now, outbox);
+        }
         if !plans || now < self.plan_at {
             return None;
         }
@@ -257,7 +265,11 @@
                 let event = ClaimClientEvent::Received { from, message };
                 self.drive_client(event, now, sends, outbox);
             }
-            ClaimMessage::Ask(_) | ClaimMessage::Release(_) | ClaimMessage::ConfirmEpoch(_) => {
+            ClaimMessage::Ask(_)
+            | ClaimMessage::Release(_)
+            | ClaimMessage::ConfirmEpoch(_)
+            | ClaimMessage::AskMemory(_)
+            | ClaimMessage::Memory(_) => {
                 let event = ClaimKeeperEvent::Received { from, message };
                 self.keeper.handle(event, now, sends);
             }
--- a/crates/core/tests/claim_basics.rs
+++ b/crates/core/tests/claim_basics.rs
@@ -87,6 +87,25 @@
     assert!(is_granted(deployment.claim(1, &key)));
 }
 
+/// Keepers restart one after the other until none is left that was there at first.
+#[parameterized(
+    time_ordered = { "time-ordered" },
+    plain = { "plain" },
+)]
+fn keepers_that_restart_one_by_one_forget_nothing_and_serve_on(kind: &str) {
+    let mut deployment = Deployment::founded(5, START);
+    let old_key = key_of(kind, deployment.now());
+    assert!(is_granted(deployment.claim(0, &old_key)));
+    for keeper in 0..5 {
+        deployment.restart(keeper);
+        deployment.let_keepers_copy(Duration::from_secs(10));
+        let new_key = IdempotencyKey::new(format!("listing-{keeper}"));
+        assert!(is_granted(deployment.claim(1, &new_key)));
+        assert_eq!(deployment.claim(2, &new_key), ClaimOutcome::AlreadyClaimed);
+    }
+    assert_eq!(deployment.claim(3, &old_key), ClaimOutcome::AlreadyClaimed);
+}
+
 #[test]
 fn expired_time_ordered_key_is_never_granted() {
     let mut deployment = Deployment::founded(5, START);
--- a/crates/core/tests/claim_model.rs
+++ b/crates/core/tests/claim_model.rs
@@ -119,6 +119,53 @@
     assert_eq!(world.violation().is_some(), violated);
 }
 
+/// A keeper that copied only one that never heard of the key knows too little to vote.
+#[test]
+fn restarted_keeper_copies_enough_others_before_it_votes() {
+    let mut world = World::new(NODES, KEYS, None);
+    let key = KEYS - 1;
+    world.apply(&Operation::Submit { node: 5, key });
+    world.apply(&Operation::Lose { pick: 2 });
+    world.apply(&Operation::DeliverAll);
+    world.apply(&Operation::Dispatch { node: 5 });
+    world.apply(&Operation::Pause { node: 1 });
+    world.apply(&Operation::Restart { node: 0 });
+    world.apply(&Operation::Adopt { node: 0 });
+    for _ in 0..5 {
+        world.apply(&Operation::Advance { millis: 1_500 });
+        world.apply(&Operation::DeliverAll);
+    }
+    world.apply(&Operation::Submit { node: 4, key });
+    world.apply(&Operation::DeliverAll);
+    world.apply(&Operation::Dispatch { node: 4 });
+    assert_eq!(world.executions(), 1);
+}
+
+/// An ask that the keeper voted on before it restarted reaches the others after it copied them.
+#[test]
+fn restarted_keeper_copies_only_after_its_old_votes_lapsed() {
+    let mut world = World::new(NODES, KEYS, None);
+    let key = KEYS - 1;
+    world.apply(&Operation::Submit { node: 5, key });
+    world.apply(&Operation::Deliver { pick: 0 });
+    world.apply(&Operation::Deliver { pick: 2 });
+    world.apply(&Operation::Lose { pick: 1 });
+    world.apply(&Operation::Restart { node: 0 });
+    world.apply(&Operation::Adopt { node: 0 });
+    world.apply(&Operation::Advance { millis: 100 });
+    for _ in 0..4 {
+        world.apply(&Operation::Deliver { pick: 1 });
+    }
+    world.apply(&Operation::DeliverAll);
+    world.apply(&Operation::Dispatch { node: 5 });
+    assert_eq!(world.executions(), 1);
+    world.apply(&Operation::Submit { node: 4, key });
+    world.apply(&Operation::Lose { pick: 1 });
+    world.apply(&Operation::DeliverAll);
+    world.apply(&Operation::Dispatch { node: 4 });
+    assert_eq!(world.executions(), 1);
+}
+
 #[test]
 fn paused_process_does_not_dispatch_after_its_grant_lapsed() {
     let mut world = World::new(NODES, KEYS, None);
--- a/crates/core/tests/claim_support/mod.rs
+++ b/crates/core/tests/claim_support/mod.rs
@@ -93,9 +93,28 @@
     }
 
     pub fn restart_all(&mut self) {
-        for index in 0..self.processes.len() {
-            self.processes[index] = self.start_process(index);
-            self.give_roster(index);
+        (0..self.processes.len()).for_each(|index| self.restart(index));
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        self.processes[index] = self.start_process(index);
+        self.give_roster(index);
+    }
+
+    /// Lets keepers copy each other's memory for a while.
+    pub fn let_keepers_copy(&mut self, duration: Duration) {
+        let end = self.now.after(duration);
+        while self.now < end {
+            self.now = self.now.after(Duration::from_secs(1));
+            for index in 0..self.processes.len() {
+                let mut sends = Vec::new();
+                let keeper = &mut self.processes[index].keeper;
+                keeper.handle(ClaimKeeperEvent::Tick, self.now, &mut sends);
+                let sends = sends.into_iter();
+                let mut envelopes = sends.map(|send| envelope(index, send)).collect();
+                let answer = self.deliver_until_answer(&mut envelopes);
+                assert!(answer.is_none(), "no client asked");
+            }
         }
     }
 
--- a/crates/core/tests/claim_world/mod.rs
+++ b/crates/core/tests/claim_world/mod.rs
@@ -17,6 +17,7 @@
 const KEEPERS: usize = 3;
 /// Sender of the planner's messages: no keeper and no client.
 const PLANNER: usize = usize::MAX;
+const PLANNER_NAME: &str = "planner";
 
 /// One step of a run.
 #[derive(Debug, Clone)]
@@ -90,11 +91,17 @@
 }
 
 fn node_name(index: usize) -> NodeName {
-    NodeName::new(format!("node-{index}"))
+    match index {
+        PLANNER => NodeName::new(PLANNER_NAME),
+        _ => NodeName::new(format!("node-{index}")),
+    }
 }
 
 fn index_of(name: &NodeName) -> usize {
-    name.as_str()["node-".len()..].parse().expect("a node name")
+    match name.as_str() {
+        PLANNER_NAME => PLANNER,
+        name => name["node-".len()..].parse().expect("a node name"),
+    }
 }
 
 impl World {
@@ -390,19 +397,20 @@
     }
 
     fn keeper_message(&mut self, from: usize, to: usize, message: ClaimMessage) {
-        let now = self.clock_of(to);
-        let Some(process) = self.running(to) else {
+        let from = node_name(from);
+        self.keeper_event(to, ClaimKeeperEvent::Received { from, message });
+    }
+
+    fn keeper_event(&mut self, node: usize, event: ClaimKeeperEvent) {
+        let now = self.clock_of(node);
+        let Some(process) = self.running(node) else {
             return;
         };
-        let event = ClaimKeeperEvent::Received {
-            from: node_name(from),
-            message,
-        };
         let mut sends = Vec::new();
         process.keeper.handle(event, now, &mut sends);
         self.network.extend(sends.into_iter().map(|send| Envelope {
-            from: to,
-            to: from,
+            from: node,
+            to: index_of(&send.to),
             message: send.message,
         }));
     }
@@ -443,6 +451,7 @@
         self.now = self.now.after(Duration::from_millis(millis));
         for node in 0..self.processes.len() {
             self.client_event(node, ClaimClientEvent::Tick);
+            self.keeper_event(node, ClaimKeeperEvent::Tick);
         }
     }
 
