--- a/crates/testbed/src/cli/compare_command.rs
+++ b/crates/testbed/src/cli/compare_command.rs
@@ -30,6 +30,9 @@
     /// Seeds.
     #[options(help = "seeds to run, one after the other", meta = "N", default = "1")]
     pub seeds: u64,
+    /// Factor of all rates of arrival.
+    #[options(help = "multiply all rates of arrival", meta = "FACTOR", default = "1")]
+    pub load: f64,
     /// Measures what each mechanism of the dispatcher is worth instead.
     #[options(help = "switch each mechanism of the dispatcher off in turn instead")]
     pub vary: bool,
@@ -45,9 +48,16 @@
     ///
     /// The scenario cannot be read or used.
     pub fn run(self) -> Result<(), CommandError> {
+        if !(self.load > 0.0 && self.load.is_finite()) {
+            return Err(CommandError::BadOption {
+                option: "load",
+                value: self.load.to_string(),
+                reason: "must be above 0".to_owned(),
+            });
+        }
         let scenario = Scenario::load(&self.scenario)
             .map_err(|error| CommandError::Failed(error.to_string()))?;
-        let scenario = Arc::new(scenario);
+        let scenario = Arc::new(scenario.with_load(self.load));
         let seeds: Vec<u64> = (self.seed..).take(self.seeds as usize).collect();
         if self.vary {
             print_ablation(&scenario.name, seeds.len(), &vary(&scenario, &seeds));
--- a/crates/testbed/src/scenario/scenario_document.rs
+++ b/crates/testbed/src/scenario/scenario_document.rs
@@ -81,6 +81,15 @@
         Ok(scenario)
     }
 
+    /// The scenario with all rates of arrival multiplied.
+    #[must_use]
+    pub fn with_load(mut self, factor: f64) -> Self {
+        for class in &mut self.classes {
+            class.requests_per_second *= factor;
+        }
+        self
+    }
+
     /// All zones with the number of their data centre, in the order of the file.
     pub fn zones(&self) -> Vec<(usize, &str)> {
         let mut zones = Vec::new();
