Bound the memory of incomplete peer lines; report reloads against what runs

2,048 streams could each begin a line of 4 MiB; together they now hold 32 MiB at most beyond 8 KiB each. A reload compared what takes a restart with the file read last, so a value set back still asked for a restart. A failed handshake towards a peer is a warning with its cause.

--- a/crates/node/src/peer/stream_link.rs
+++ b/crates/node/src/peer/stream_link.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use ryerouter_core::control::{ControlEvent, PeerMessage};
 use ryerouter_wire::peer::{JsonLineCodec, PeerCodecError, StreamLine};
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -87,7 +87,11 @@
             return Ok(ClientStream::Plain(stream));
         };
         let connected = tls.client.connect(stream).await;
-        Ok(connected.inspect_err(|_| self.context.metrics.handshakes_failed.inc())?)
+        Ok(connected.inspect_err(|cause| {
+            self.context.metrics.handshakes_failed.inc();
+            let logger = &self.context.logger;
+            warn!(logger, "peer_handshake_failed"; "to" => %self.to, "cause" => %cause);
+        })?)
     }
 
     /// Writes messages to an open stream; ends well only when there is nothing more to say.
--- a/crates/node/src/peer/stream_server.rs
+++ b/crates/node/src/peer/stream_server.rs
@@ -7,7 +7,8 @@
 use futures_util::StreamExt;
 use ryerouter_core::control::ControlEvent;
 use ryerouter_wire::peer::{
-    JsonLineCodec, PEER_PROTOCOL_VERSION, PeerCodecError, PeerHello, StreamLine,
+    JsonLineCodec, LineBudget, MAXIMUM_LINE_BYTES, PEER_PROTOCOL_VERSION, PeerCodecError,
+    PeerHello, StreamLine,
 };
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +21,8 @@
 
 /// Most streams of peers at once.
 const MAXIMUM_STREAMS: usize = 2_048;
+/// Most memory for incomplete lines of all streams together.
+const INCOMPLETE_LINES_BYTES: usize = 32 << 20;
 /// Longest wait for the first line of a stream.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest silence of a stream; its opener closes it much earlier when it has nothing to say.
@@ -32,6 +35,7 @@
 pub struct StreamServer {
     context: PeerContext,
     permits: Arc<Semaphore>,
+    incomplete_lines: Arc<LineBudget>,
 }
 
 type Lines = FramedRead<ServerStream, JsonLineCodec<StreamLine>>;
@@ -42,6 +46,7 @@
         let server = Self {
             context,
             permits: Arc::new(Semaphore::new(MAXIMUM_STREAMS)),
+            incomplete_lines: LineBudget::new(INCOMPLETE_LINES_BYTES),
         };
         tokio::spawn(server.accept(listener));
     }
@@ -94,7 +99,9 @@
     /// Passes messages on until the stream ends; a stream that breaks off or falls silent has
     /// ended, a line that is no message is an error.
     async fn serve(&self, stream: ServerStream) -> Result<(), PeerCodecError> {
-        let mut lines = Lines::new(stream, JsonLineCodec::default());
+        let budget = self.incomplete_lines.clone();
+        let codec = JsonLineCodec::with_budget(MAXIMUM_LINE_BYTES, budget);
+        let mut lines = Lines::new(stream, codec);
         let Some(line) = next_line(&mut lines, HELLO_TIMEOUT).await? else {
             return Ok(());
         };
--- a/crates/node/src/process/bound_node.rs
+++ b/crates/node/src/process/bound_node.rs
@@ -109,6 +109,7 @@
         let access = self.keys.access.clone();
         let reloader = Arc::new(SettingsReloader {
             source: self.source,
+            started: self.settings.clone(),
             current: Mutex::new(self.settings.clone()),
             keys: self.keys,
             level: self.level,
--- a/crates/node/src/process/settings_reloader.rs
+++ b/crates/node/src/process/settings_reloader.rs
@@ -11,6 +11,9 @@
 /// Reads the settings of the process, and the files they name, again.
 pub(super) struct SettingsReloader {
     pub(super) source: Option<SettingsSource>,
+    /// The settings the process started with: what takes a restart is still as they say.
+    pub(super) started: NodeSettings,
+    /// The settings read last.
     pub(super) current: Mutex<NodeSettings>,
     pub(super) keys: KeySet,
     pub(super) level: LevelSwitch,
@@ -25,7 +28,7 @@
         };
         // Everything is read and checked before anything is put in force.
         let loaded = self.keys.read_again(&settings).map_err(ReloadError::of)?;
-        let report = report(&current, &settings);
+        let report = self.report(&current, &settings);
         loaded.into_iter().for_each(Loaded::put_in_force);
         self.level.set(settings.log_level);
         *current = settings;
@@ -33,16 +36,22 @@
     }
 }
 
-fn report(before: &NodeSettings, after: &NodeSettings) -> ReloadReport {
-    let mut report = ReloadReport::default();
-    for field in after.changed_fields(before) {
-        if field.reloadable && !switches_check(field.path, before, after) {
-            report.changed.push(field.path.to_owned());
-        } else {
-            report.restart_needed.push(field.path.to_owned());
+impl SettingsReloader {
+    fn report(&self, before: &NodeSettings, after: &NodeSettings) -> ReloadReport {
+        let takes_restart = |path: &str| switches_check(path, &self.started, after);
+        let mut report = ReloadReport::default();
+        for field in after.changed_fields(before) {
+            if field.reloadable && !takes_restart(field.path) {
+                report.changed.push(field.path.to_owned());
+            }
         }
+        for field in after.changed_fields(&self.started) {
+            if !field.reloadable || takes_restart(field.path) {
+                report.restart_needed.push(field.path.to_owned());
+            }
+        }
+        report
     }
-    report
 }
 
 /// Reads all files that settings name, as a start would, without using them.
--- a/crates/node/tests/control_reload.rs
+++ b/crates/node/tests/control_reload.rs
@@ -174,3 +174,25 @@
     drop(operations);
     within_deadline(node.stop()).await;
 }
+
+#[tokio::test]
+async fn a_reload_tells_what_differs_from_what_runs() {
+    let files = Files::new("restart-needed");
+    let api = ObjectApi::start().await;
+    let node = start(files.write_settings(&api, ""));
+    let overridden = |more: &str| files.write_settings(&api, more);
+
+    overridden("[limits]\nconnections = 7\n[log]\nlevel = \"debug\"\n");
+    let first = node.reload().unwrap();
+    let again = node.reload().unwrap();
+    overridden("");
+    let back = node.reload().unwrap();
+
+    assert_eq!(first.changed, ["log.level"]);
+    assert_eq!(first.restart_needed, ["limits.connections"]);
+    assert!(again.changed.is_empty());
+    assert_eq!(again.restart_needed, ["limits.connections"]);
+    assert_eq!(back.changed, ["log.level"]);
+    assert!(back.restart_needed.is_empty());
+    within_deadline(node.stop()).await;
+}
--- a/crates/wire/src/peer/json_line_codec.rs
+++ b/crates/wire/src/peer/json_line_codec.rs
@@ -1,13 +1,15 @@
 //! JSON lines of bounded length.
 
 use std::marker::PhantomData;
+use std::sync::Arc;
 
 use bytes::{BufMut, BytesMut};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio_util::codec::{Decoder, Encoder, LinesCodec, LinesCodecError};
 
-use super::PeerCodecError;
+use super::line_budget::LineShare;
+use super::{LineBudget, PeerCodecError};
 
 /// Most bytes of a line on a stream.
 pub const MAXIMUM_LINE_BYTES: usize = 4 << 20;
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 pub struct JsonLineCodec<T> {
     lines: LinesCodec,
+    share: Option<LineShare>,
     values: PhantomData<fn() -> T>,
 }
 
@@ -24,10 +27,32 @@
     pub fn new(limit: usize) -> Self {
         Self {
             lines: LinesCodec::new_with_max_length(limit),
+            share: None,
             values: PhantomData,
         }
     }
 
+    /// A codec whose incomplete lines count towards a budget.
+    pub fn with_budget(limit: usize, budget: Arc<LineBudget>) -> Self {
+        Self {
+            share: Some(LineShare::new(budget)),
+            ..Self::new(limit)
+        }
+    }
+
+    /// Counts what is left in the buffer after decoding.
+    fn account(&mut self, incomplete: usize) -> Result<(), PeerCodecError> {
+        let Some(share) = &mut self.share else {
+            return Ok(());
+        };
+        if share.hold(incomplete) {
+            return Ok(());
+        }
+        Err(PeerCodecError::NoRoom {
+            limit: share.budget.limit(),
+        })
+    }
+
     fn limit(&self) -> usize {
         self.lines.max_length()
     }
@@ -72,6 +97,7 @@
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<T>, PeerCodecError> {
         let line = self.lines.decode(buffer);
         let line = line.map_err(|error| self.convert_error(error))?;
+        self.account(buffer.len())?;
         self.parse(line)
     }
 
--- a/crates/wire/src/peer/peer_codec_error.rs
+++ b/crates/wire/src/peer/peer_codec_error.rs
@@ -14,6 +14,13 @@
         /// Most bytes a line may have.
         limit: usize,
     },
+    /// The incomplete lines of all streams together take more memory than they may.
+    #[display("incomplete lines of all streams exceed {limit} bytes")]
+    #[from(skip)]
+    NoRoom {
+        /// Most bytes they may take.
+        limit: usize,
+    },
     /// The line is no message.
     #[display("malformed line: {detail}")]
     #[from(skip)]
--- a/crates/wire/tests/peer_codec.rs
+++ b/crates/wire/tests/peer_codec.rs
@@ -12,8 +12,8 @@
 use ryerouter_core::identity::{BackEndName, ConfigVersion, Incarnation, NodeName};
 use ryerouter_core::membership::{GossipKind, GossipMessage, LeavingRecord};
 use ryerouter_wire::peer::{
-    JsonLineCodec, MAXIMUM_DATAGRAM_BYTES, PEER_PROTOCOL_VERSION, PeerCodecError, PeerHello,
-    StreamLine, decode_datagram, encode_datagram,
+    FREE_LINE_BYTES, JsonLineCodec, LineBudget, MAXIMUM_DATAGRAM_BYTES, PEER_PROTOCOL_VERSION,
+    PeerCodecError, PeerHello, StreamLine, decode_datagram, encode_datagram,
 };
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -162,3 +162,34 @@
     let read = codec.decode(&mut endless);
     assert!(matches!(read, Err(PeerCodecError::TooLong { limit: 16 })));
 }
+
+#[test]
+fn incomplete_lines_of_all_streams_share_a_budget() {
+    let budget = LineBudget::new(1_000);
+    let new_codec = || JsonLineCodec::<StreamLine>::with_budget(1 << 20, budget.clone());
+    let (mut first, mut second) = (new_codec(), new_codec());
+    let begun = || BytesMut::from(&vec![b'"'; FREE_LINE_BYTES + 600][..]);
+
+    assert!(matches!(first.decode(&mut begun()), Ok(None)));
+    assert_eq!(budget.used(), 600);
+    let refused = second.decode(&mut begun());
+    assert!(matches!(
+        refused,
+        Err(PeerCodecError::NoRoom { limit: 1_000 })
+    ));
+    drop(second);
+    assert_eq!(budget.used(), 600);
+
+    // A line that is whole gives its memory back.
+    let mut whole = encode(&[hello("a".to_owned(), 1)]);
+    assert!(
+        JsonLineCodec::<StreamLine>::default()
+            .decode(&mut whole.clone())
+            .unwrap()
+            .is_some()
+    );
+    let mut third = new_codec();
+    assert!(third.decode(&mut whole).unwrap().is_some());
+    drop(first);
+    assert_eq!(budget.used(), 0);
+}
