--- a/crates/testbed/src/cli/scale_command.rs
+++ b/crates/testbed/src/cli/scale_command.rs
@@ -23,6 +23,20 @@
     /// Virtual seconds that are measured.
     #[options(help = "virtual seconds to measure", meta = "S", default = "600")]
     pub seconds: u64,
+    /// Requests a second over all nodes.
+    #[options(
+        help = "requests a second over all nodes, for their tickets and claims only",
+        meta = "N",
+        default = "0"
+    )]
+    pub requests_per_second: u64,
+    /// Thousandths of requests that must run at most once.
+    #[options(
+        help = "thousandths of the requests that must run at most once",
+        meta = "N",
+        default = "20"
+    )]
+    pub marked_permille: u64,
     /// Prints one flat JSON object as the last line.
     #[options(help = "print one flat JSON object on the last line")]
     pub json: bool,
@@ -40,6 +54,8 @@
             engines: self.engines,
             seed: self.seed,
             seconds: self.seconds,
+            requests_per_second: self.requests_per_second,
+            marked_permille: self.marked_permille,
         };
         let report =
             scale::run(options).map_err(|error| CommandError::Failed(error.to_string()))?;
--- a/crates/testbed/src/scale/byte_meter.rs
+++ b/crates/testbed/src/scale/byte_meter.rs
@@ -1,13 +1,18 @@
 //! Bytes of each node over time.
 
+use std::collections::BTreeMap;
+
 use hdrhistogram::Histogram;
 
+use super::byte_kind::ByteKind;
+
 /// Bytes that each node sends and receives, by windows.
 #[derive(Debug)]
 pub struct ByteMeter {
     current: Vec<u64>,
     windows: Histogram<u64>,
     total: u64,
+    by_kind: BTreeMap<ByteKind, u64>,
     datagrams: u64,
     is_measuring: bool,
 }
@@ -23,6 +28,7 @@
             current: vec![0; nodes],
             windows: Histogram::new(Self::SIGNIFICANT_DIGITS).expect("three digits are allowed"),
             total: 0,
+            by_kind: BTreeMap::new(),
             datagrams: 0,
             is_measuring: false,
         }
@@ -35,8 +41,16 @@
     }
 
     /// A node sent or received bytes.
-    pub fn count(&mut self, node: usize, bytes: u64) {
+    pub fn count(&mut self, node: usize, kind: ByteKind, bytes: u64) {
         self.current[node] += bytes;
+        if self.is_measuring {
+            *self.by_kind.entry(kind).or_default() += bytes;
+        }
+    }
+
+    /// Bytes of one kind that all nodes sent and received.
+    pub fn total_of(&self, kind: ByteKind) -> u64 {
+        self.by_kind.get(&kind).copied().unwrap_or(0)
     }
 
     /// A node sent a datagram.
@@ -49,7 +63,8 @@
         for (node, bytes) in self.current.iter_mut().enumerate() {
             if self.is_measuring && is_up(node) {
                 self.windows
-                    .saturating_record(*bytes / Self::WINDOW_SECONDS);
+                    .record(*bytes / Self::WINDOW_SECONDS)
+                    .expect("the histogram resizes itself");
                 self.total += *bytes;
             }
             *bytes = 0;
--- a/crates/testbed/src/scale/event.rs
+++ b/crates/testbed/src/scale/event.rs
@@ -4,6 +4,7 @@
 
 use desque::serial::{Event, Simulation};
 use ryerouter_core::control::{StoreAnswer, StoreCall, StoreRequestId, WatchEvent};
+use ryerouter_core::identity::{IdempotencyKey, TenantName};
 
 use super::hollow_cluster::HollowCluster;
 use super::load::LoadEvent;
@@ -61,6 +62,15 @@
         /// The event.
         event: WatchEvent,
     },
+    /// A request ends.
+    RequestEnds {
+        /// The node.
+        process: Process,
+        /// Its tenant.
+        tenant: TenantName,
+        /// Its key, if it was to run at most once.
+        key: Option<IdempotencyKey>,
+    },
     /// Operators, engines or machines do something.
     Load(LoadEvent),
     /// A window of the byte count ends.
--- a/crates/testbed/src/scale/hollow_cluster.rs
+++ b/crates/testbed/src/scale/hollow_cluster.rs
@@ -9,14 +9,19 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
+use ryerouter_core::claim::{ClaimOutcome, time_ordered_key};
 use ryerouter_core::control::{
     ControlAction, ControlEvent, ControlState, OperationId, PeerMessage, StoreAnswer, StoreCall,
     StoreRequestId,
 };
-use ryerouter_core::identity::{BackEndName, ConfigVersion, Incarnation};
+use ryerouter_core::identity::{
+    BackEndName, ConfigVersion, IdempotencyKey, Incarnation, NodeName, TenantName,
+};
 use ryerouter_core::lifecycle::NodePhase;
+use ryerouter_core::limit::{LimitDecision, LimitGrant, LimitSend};
 
 use super::ScaleOptions;
+use super::byte_kind::ByteKind;
 use super::byte_meter::ByteMeter;
 use super::counted_bytes::{datagram_bytes, stream_bytes};
 use super::event::ScaleEvent;
@@ -25,7 +30,7 @@
 use super::load::{self, LoadEvent};
 use super::object_store::ObjectStore;
 use super::process::Process;
-use super::report::{ScaleReport, Totals};
+use super::report::{RequestTotals, ScaleReport, Totals};
 use super::resource_use::ResourceUse;
 use super::spread_watch::SpreadWatch;
 
@@ -37,6 +42,10 @@
 const LOSS: f64 = 0.01;
 /// Time of one way to or from the object API.
 const STORE_DELAY: Duration = Duration::from_millis(10);
+/// How long a request runs.
+const REQUEST_LASTS: Duration = Duration::from_secs(5);
+/// Numbers of claims begin far from those of changes.
+const FIRST_CLAIM: u64 = 1 << 40;
 /// Bytes of HTTP and TCP headers around one call of the object API.
 const STORE_CALL_BYTES: u64 = 1_000;
 
@@ -44,6 +53,11 @@
 pub struct HollowCluster {
     nodes: Vec<HollowNode>,
     engines: usize,
+    requests_per_tick: f64,
+    marked: f64,
+    request_totals: RequestTotals,
+    claims: BTreeMap<OperationId, (TenantName, IdempotencyKey)>,
+    last_operation: u64,
     seed: u64,
     end_micros: u64,
     now_micros: u64,
@@ -69,6 +83,12 @@
         Self {
             nodes: (0..nodes).map(HollowNode::new).collect(),
             engines,
+            requests_per_tick: options.requests_per_second as f64 / nodes as f64
+                * ControlState::TICK.as_secs_f64(),
+            marked: options.marked_permille as f64 / 1_000.0,
+            request_totals: RequestTotals::default(),
+            claims: BTreeMap::new(),
+            last_operation: 0,
             seed: options.seed,
             end_micros: micros(WARM_UP) + micros(Duration::from_secs(options.seconds)),
             now_micros: 0,
@@ -123,9 +143,15 @@
                 answer,
             } => self.give(process, ControlEvent::StoreAnswered { id, answer }),
             ScaleEvent::Watched { process, event } => {
-                self.meter.count(process.node, STORE_CALL_BYTES);
+                self.meter
+                    .count(process.node, ByteKind::ObjectApi, STORE_CALL_BYTES);
                 self.give(process, ControlEvent::Watch(event));
             }
+            ScaleEvent::RequestEnds {
+                process,
+                tenant,
+                key,
+            } => self.request_ends(process, tenant, key),
             ScaleEvent::Load(event) => self.load(event),
             ScaleEvent::WindowEnds => self.end_window(),
             ScaleEvent::WarmUpEnds => self.end_warm_up(),
@@ -148,6 +174,7 @@
             after,
             restarts: &self.restarts,
             refused: self.refused,
+            requests: self.request_totals,
             store_calls: self.store.calls() - self.store_calls_when_warm,
             store_watchers: self.store.peak_watchers(),
         };
@@ -167,6 +194,7 @@
     fn end_warm_up(&mut self) {
         self.warm = ResourceUse::now().ok();
         self.store_calls_when_warm = self.store.calls();
+        self.request_totals = RequestTotals::default();
         self.meter.begin();
         for event in [
             LoadEvent::Change,
@@ -212,16 +240,124 @@
         if self.nodes[process.node].runs(process) {
             self.schedule(ControlState::TICK, ScaleEvent::Tick(process));
             self.give(process, ControlEvent::Tick);
+            self.take_requests(process);
+        }
+    }
+
+    fn take_requests(&mut self, process: Process) {
+        if self.requests_per_tick == 0.0 || !self.nodes[process.node].is_serving {
+            return;
+        }
+        let now = self.now();
+        let mut sends = Vec::new();
+        let mut allowed = Vec::new();
+        let count = self.draw_count(self.requests_per_tick);
+        if let Some(traffic) = &mut self.nodes[process.node].traffic {
+            allowed.extend(traffic.tick(now, &mut sends));
+            for _ in 0..count {
+                let tenant = traffic.pick_tenant(&mut self.random);
+                match traffic.request(tenant.clone(), now, &mut sends) {
+                    LimitDecision::Allowed => allowed.push(tenant),
+                    LimitDecision::Waiting => self.request_totals.waited += 1,
+                    LimitDecision::Denied { .. } => self.request_totals.denied += 1,
+                }
+            }
+        }
+        self.request_totals.requests += count;
+        self.send_limits(process, sends);
+        for tenant in allowed {
+            self.begin_request(process, tenant);
+        }
+    }
+
+    /// A whole number with the mean `mean`.
+    fn draw_count(&mut self, mean: f64) -> u64 {
+        let whole = mean.floor();
+        whole as u64 + u64::from(self.random.random_bool(mean - whole))
+    }
+
+    fn begin_request(&mut self, process: Process, tenant: TenantName) {
+        if !self.random.random_bool(self.marked) {
+            let ends = ScaleEvent::RequestEnds {
+                process,
+                tenant,
+                key: None,
+            };
+            self.schedule(REQUEST_LASTS, ends);
+            return;
+        }
+        let key = time_ordered_key(self.now(), self.random.random());
+        self.last_operation += 1;
+        let operation = OperationId(FIRST_CLAIM + self.last_operation);
+        self.claims.insert(operation, (tenant.clone(), key.clone()));
+        let event = ControlEvent::ClaimRequested {
+            operation,
+            tenant,
+            key,
+        };
+        self.give(process, event);
+    }
+
+    fn claim_answered(&mut self, process: Process, operation: OperationId, outcome: ClaimOutcome) {
+        let Some((tenant, key)) = self.claims.remove(&operation) else {
+            return;
+        };
+        if matches!(outcome, ClaimOutcome::Granted(_)) {
+            self.request_totals.claims_granted += 1;
+            let ends = ScaleEvent::RequestEnds {
+                process,
+                tenant,
+                key: Some(key),
+            };
+            self.schedule(REQUEST_LASTS, ends);
+        } else {
+            self.request_totals.claims_refused += 1;
+            self.end_stream(process, &tenant);
+        }
+    }
+
+    fn request_ends(&mut self, process: Process, tenant: TenantName, key: Option<IdempotencyKey>) {
+        if !self.nodes[process.node].runs(process) {
+            return;
+        }
+        self.end_stream(process, &tenant);
+        if let Some(key) = key {
+            self.give(process, ControlEvent::ClaimEnded { tenant, key });
+        }
+    }
+
+    fn end_stream(&mut self, process: Process, tenant: &TenantName) {
+        if let Some(traffic) = &mut self.nodes[process.node].traffic {
+            traffic.ended(tenant);
         }
     }
 
+    fn send_limits(&mut self, process: Process, sends: Vec<LimitSend>) {
+        for send in sends {
+            self.give(process, ControlEvent::LimitSent(send));
+        }
+    }
+
+    fn limit_granted(&mut self, process: Process, from: &NodeName, grant: &LimitGrant) {
+        let now = self.now();
+        let mut sends = Vec::new();
+        if let Some(traffic) = &mut self.nodes[process.node].traffic {
+            traffic.granted(from, grant, now, &mut sends);
+        }
+        self.send_limits(process, sends);
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_micros(self.now_micros)
+    }
+
     fn message(&mut self, to: usize, from: SocketAddr, line: &[u8], wire_bytes: u64) {
         if self.nodes[to].state.is_none() {
             return;
         }
-        self.meter.count(to, wire_bytes);
         let message: PeerMessage =
             serde_json::from_slice(line).expect("a line that was encoded can be decoded");
+        self.meter.count(to, ByteKind::of(&message), wire_bytes);
         let process = self.nodes[to].process;
         self.give(process, ControlEvent::PeerMessageReceived { from, message });
     }
@@ -245,13 +381,17 @@
             ControlAction::SendDatagram { to, message } => self.datagram(process, to, &message),
             ControlAction::SendStream { to, message } => self.stream(process, to, &message),
             ControlAction::StoreRequest { id, call } => {
-                self.meter.count(process.node, STORE_CALL_BYTES);
+                self.meter
+                    .count(process.node, ByteKind::ObjectApi, STORE_CALL_BYTES);
                 self.schedule(STORE_DELAY, ScaleEvent::StoreCalled { process, id, call });
             }
             ControlAction::StartWatch { .. } => self.store.watch(process),
             ControlAction::StopWatch { .. } => self.store.end_watch(process.node),
             ControlAction::PublishSnapshot(snapshot) => {
                 let version = snapshot.catalog.version;
+                if let Some(traffic) = &mut self.nodes[process.node].traffic {
+                    traffic.adopt(&snapshot.catalog);
+                }
                 self.note_version(process.node, version);
                 for news in self.drains.waiting() {
                     if snapshot.leaving.contains(&news.0) {
@@ -263,6 +403,12 @@
                 Ok(accepted) => self.accepted(accepted.version),
                 Err(_) => self.refused += 1,
             },
+            ControlAction::AnswerClaim { operation, outcome } => {
+                self.claim_answered(process, operation, outcome);
+            }
+            ControlAction::LimitGranted { from, grant } => {
+                self.limit_granted(process, &from, &grant);
+            }
             ControlAction::EnterPhase(phase) => self.enter(process.node, phase),
             _ => {}
         }
@@ -305,7 +451,8 @@
     fn datagram(&mut self, process: Process, to: SocketAddr, message: &PeerMessage) {
         let line = serde_json::to_vec(message).expect("messages can be encoded");
         let wire_bytes = datagram_bytes(line.len());
-        self.meter.count(process.node, wire_bytes);
+        let kind = ByteKind::of(message);
+        self.meter.count(process.node, kind, wire_bytes);
         self.meter.count_datagram();
         if self.random.random_bool(LOSS) {
             return;
@@ -324,7 +471,8 @@
         }
         let line = serde_json::to_vec(message).expect("messages can be encoded");
         let wire_bytes = stream_bytes(line.len());
-        self.meter.count(process.node, wire_bytes);
+        let kind = ByteKind::of(message);
+        self.meter.count(process.node, kind, wire_bytes);
         // The connection is opened first.
         self.deliver(process, to, line, wire_bytes, 3);
     }
@@ -352,7 +500,8 @@
 
     fn store_called(&mut self, process: Process, id: StoreRequestId, call: StoreCall) {
         let (answer, seen) = self.store.call(call);
-        self.meter.count(process.node, answer_bytes(&answer));
+        self.meter
+            .count(process.node, ByteKind::ObjectApi, answer_bytes(&answer));
         let answered = ScaleEvent::StoreAnswered {
             process,
             id,
--- a/crates/testbed/src/scale/hollow_node.rs
+++ b/crates/testbed/src/scale/hollow_node.rs
@@ -1,14 +1,18 @@
 //! A hollow node.
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::control::{ControlSettings, ControlState};
 use ryerouter_core::identity::ConfigVersion;
 
 use super::process::Process;
+use super::traffic::Traffic;
 
 /// A node that has real control state and nothing else.
 pub struct HollowNode {
     /// Its control state; `None` while the process is not running.
     pub state: Option<ControlState>,
+    /// What its requests cause.
+    pub traffic: Option<Traffic>,
     /// Its current or latest start.
     pub process: Process,
     /// When that start began.
@@ -24,6 +28,7 @@
     pub fn new(node: usize) -> Self {
         Self {
             state: None,
+            traffic: None,
             process: Process { node, start: 0 },
             started_micros: 0,
             is_serving: false,
@@ -33,6 +38,9 @@
 
     /// Starts a new, empty process.
     pub fn start(&mut self, settings: ControlSettings, now_micros: u64) {
+        let now = Timestamp::from_micros(now_micros);
+        let name = settings.name.clone();
+        self.traffic = Some(Traffic::new(self.process.node, name, now));
         self.state = Some(ControlState::new(settings));
         self.process.start += 1;
         self.started_micros = now_micros;
@@ -43,6 +51,7 @@
     /// Ends its process.
     pub fn stop(&mut self) {
         self.state = None;
+        self.traffic = None;
         self.is_serving = false;
     }
 
--- a/crates/testbed/src/scale/layout.rs
+++ b/crates/testbed/src/scale/layout.rs
@@ -117,17 +117,21 @@
     }
 }
 
+/// The name of a tenant.
+pub fn tenant_name(index: usize) -> TenantName {
+    format!("tenant-{index:03}").as_str().into()
+}
+
 /// A tenant.
 pub fn tenant(index: usize, weight: u32) -> Tenant {
-    let name: TenantName = format!("tenant-{index:03}").as_str().into();
     Tenant {
-        name,
+        name: tenant_name(index),
         api_key_hashes: vec![ApiKeyHash(format!("{index:064x}"))],
         weight,
         limits: TenantLimits {
-            requests_per_second: Some(100),
-            tokens_per_second: Some(100_000),
-            concurrent_streams: Some(500),
+            requests_per_second: Some(1_000),
+            tokens_per_second: Some(2_000_000),
+            concurrent_streams: Some(10_000),
         },
         version: ResourceVersion(1),
     }
--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! What it leaves out: system calls of sockets, TLS, and everything that is not control state.
 
+mod byte_kind;
 mod byte_meter;
 mod counted_bytes;
 mod event;
@@ -17,6 +18,7 @@
 mod resource_use;
 mod scale_error;
 mod spread_watch;
+mod traffic;
 
 pub use options::ScaleOptions;
 pub use report::ScaleReport;
--- a/crates/testbed/src/scale/options.rs
+++ b/crates/testbed/src/scale/options.rs
@@ -13,6 +13,10 @@
     pub seed: u64,
     /// Virtual seconds that are measured, after the warm-up.
     pub seconds: u64,
+    /// Requests a second over all nodes, for the tickets and claims that they cause; 0 is none.
+    pub requests_per_second: u64,
+    /// Thousandths of the requests that must run at most once.
+    pub marked_permille: u64,
 }
 
 impl ScaleOptions {
@@ -39,6 +43,13 @@
             Self::MAX_NODES,
             "must be 1 to 60000",
         )?;
+        check_range(
+            "marked-permille",
+            self.marked_permille,
+            0,
+            1_000,
+            "must be 0 to 1000",
+        )?;
         check_range("seconds", self.seconds, 60, 86_400, "must be 60 to 86400")
     }
 }
