--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -13,6 +13,8 @@
 mod peer_tls;
 mod stream_link;
 mod stream_links;
+#[cfg(test)]
+mod stream_links_tests;
 mod stream_server;
 
 pub use datagram_link::DatagramLink;
