--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -6,6 +6,7 @@
 use super::compare_command::CompareCommand;
 use super::demo_command::DemoCommand;
 use super::faults_command::FaultsCommand;
+use super::limits_command::LimitsCommand;
 use super::overhead_command::OverheadCommand;
 use super::scale_command::ScaleCommand;
 use super::standins_command::StandinsCommand;
@@ -23,6 +24,9 @@
     /// Runs clusters on a virtual clock through named faults.
     #[options(help = "run simulated clusters through faults and check every promise")]
     Faults(FaultsCommand),
+    /// Compares ways to hold tenants' limits.
+    #[options(help = "compare ways to hold tenants' limits over many nodes")]
+    Limits(LimitsCommand),
     /// Measures what one node adds.
     #[options(help = "measure what one node adds against back ends asked directly")]
     Overhead(OverheadCommand),
@@ -48,6 +52,7 @@
             Self::Demo(command) => command.run(),
             Self::Compare(command) => command.run(),
             Self::Faults(command) => command.run(),
+            Self::Limits(command) => command.run(),
             Self::Overhead(command) => command.run(),
             Self::Scale(command) => command.run(),
             Self::Standins(command) => command.run(),
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod compare_command;
 mod demo_command;
 mod faults_command;
+mod limits_command;
 mod overhead_command;
 mod scale_command;
 mod standins_command;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod engine_model;
 pub mod faults;
+pub mod limits;
 pub mod oracle;
 pub mod overhead;
 pub mod scale;
