--- a/crates/core/src/config/compactor.rs
+++ b/crates/core/src/config/compactor.rs
@@ -19,6 +19,7 @@
 pub struct Compactor {
     stage: CompactorStage,
     due_at: Timestamp,
+    stored: ConfigVersion,
 }
 
 impl Compactor {
@@ -33,7 +34,8 @@
 
     /// Lets time pass on the node whose turn it is.
     pub fn tick(&mut self, replica: &ConfigReplica, now: Timestamp, outbox: &mut Outbox) {
-        if now < self.due_at || replica.version().0 < Self::SNAPSHOT_EVERY {
+        let is_needed = replica.version().0 >= self.stored.0 + Self::SNAPSHOT_EVERY;
+        if now < self.due_at || !is_needed {
             return;
         }
         self.due_at = now.after(Self::CHECK_EVERY);
@@ -75,6 +77,7 @@
             },
             _ => return,
         };
+        self.stored = stored;
         let version = replica.version();
         if version.0 < stored.0 + Self::SNAPSHOT_EVERY {
             return;
@@ -92,6 +95,7 @@
         if !matches!(answer, StoreAnswer::Written { .. }) {
             return;
         }
+        self.stored = version;
         let prefix = ObjectPrefix::ConfigLog;
         let request = outbox.store(StoreOwner::Compactor, StoreCall::List { prefix });
         self.stage = CompactorStage::Listing { request, version };
--- a/crates/core/src/config/proposal_stage.rs
+++ b/crates/core/src/config/proposal_stage.rs
@@ -13,8 +13,10 @@
         /// When to go on.
         until: Timestamp,
     },
-    /// The snapshot in the object API, which shows whether this node is far behind.
+    /// The entry of the version in force, which shows that the log still reaches back so far.
     Refreshing(StoreRequestId),
+    /// The snapshot, because the log does not.
+    Loading(StoreRequestId),
     /// The entry after the version in force, before a refusal is believed.
     CatchingUp(StoreRequestId),
     /// Its own write.
@@ -34,6 +36,7 @@
         match self {
             Self::Queued | Self::Backoff { .. } => None,
             Self::Refreshing(request)
+            | Self::Loading(request)
             | Self::CatchingUp(request)
             | Self::Writing(request)
             | Self::Settling { request, .. } => Some(*request),
--- a/crates/core/src/config/proposals.rs
+++ b/crates/core/src/config/proposals.rs
@@ -34,8 +34,8 @@
     /// How many changes wait at most.
     pub const MAX_QUEUED: usize = 256;
     const BACKOFF: Duration = Duration::from_millis(200);
-    /// Entries of the log stay readable for far longer than this, so a node that has seen the
-    /// snapshot this lately can't write into a slot that was used and deleted.
+    /// Entries of the log stay readable for far longer than this, so a node that has seen
+    /// its own version there this lately can't write into a slot that was used and deleted.
     const REFRESH_AFTER: Duration = Duration::from_secs(30);
 
     /// Takes a change.
@@ -93,7 +93,16 @@
         }
         match proposal.stage {
             ProposalStage::Refreshing(_) => {
-                refreshed(proposal, store_answer, replica);
+                if matches!(store_answer, StoreAnswer::Found(_)) {
+                    proposal.stage = ProposalStage::Queued;
+                    self.refreshed_at = Some(now);
+                } else {
+                    let request = get(ObjectKey::ConfigSnapshot, outbox);
+                    proposal.stage = ProposalStage::Loading(request);
+                }
+            }
+            ProposalStage::Loading(_) => {
+                loaded(proposal, store_answer, replica);
                 self.refreshed_at = Some(now);
             }
             ProposalStage::CatchingUp(_) => caught_up(proposal, store_answer, replica),
@@ -163,7 +172,8 @@
     }
     // Otherwise the slot went to another change: a write of this one had no effect and never will.
     if !refreshed && !proposal.dry_run {
-        let request = get(ObjectKey::ConfigSnapshot, outbox);
+        // Old entries go in order, so while this node's own version is there, so are all after it.
+        let request = get(ObjectKey::ConfigLog(replica.version()), outbox);
         proposal.stage = ProposalStage::Refreshing(request);
         return Step::Wait;
     }
@@ -239,7 +249,7 @@
     };
 }
 
-fn refreshed(proposal: &mut Proposal, store_answer: StoreAnswer, replica: &mut ConfigReplica) {
+fn loaded(proposal: &mut Proposal, store_answer: StoreAnswer, replica: &mut ConfigReplica) {
     proposal.stage = ProposalStage::Queued;
     if let StoreAnswer::Found(object) = store_answer
         && let StoreValue::ConfigSnapshot(checkpoint) = object.value
