--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -6,9 +6,8 @@
 use ryerouter_core::dispatch::RoutingSnapshot;
 use ryerouter_core::identity::{NodeName, StageName};
 use ryerouter_core::lifecycle::NodePhase;
-use ryerouter_core::limit::LimitSend;
 use slog::{Logger, info};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
 use crate::clock::Clock;
@@ -16,7 +15,7 @@
 use super::claim_command::ClaimCommand;
 use super::pending_claim::PendingClaim;
 use super::{
-    BackEndObservation, ChangeLog, ControlCommand, ControlIo, ControlReport, GrantSink,
+    BackEndObservation, ControlCommand, ControlIo, ControlQueues, ControlReport, GrantSink,
     PendingOperations,
 };
 
@@ -27,15 +26,9 @@
     pub(super) logger: Logger,
     pub(super) io: ControlIo,
     pub(super) events: mpsc::Receiver<ControlEvent>,
-    pub(super) commands: mpsc::Receiver<ControlCommand>,
-    pub(super) observations: mpsc::Receiver<BackEndObservation>,
-    pub(super) claims: mpsc::UnboundedReceiver<ClaimCommand>,
-    pub(super) limit_sends: mpsc::Receiver<LimitSend>,
+    pub(super) queues: ControlQueues,
     pub(super) grants: Option<Box<dyn GrantSink>>,
     pub(super) operations: PendingOperations,
-    pub(super) changes: ChangeLog,
-    pub(super) snapshots: watch::Sender<Arc<RoutingSnapshot>>,
-    pub(super) phases: watch::Sender<NodePhase>,
 }
 
 impl ControlLoop {
@@ -48,16 +41,16 @@
         while self.state.phase() != NodePhase::Stopped {
             let event = tokio::select! {
                 Some(event) = self.events.recv() => event,
-                command = self.commands.recv() => match command {
+                command = self.queues.commands.recv() => match command {
                     Some(command) => match self.event_of_command(command) {
                         Some(event) => event,
                         None => continue,
                     },
                     None => break,
                 },
-                Some(claim) = self.claims.recv() => self.event_of_claim(claim),
-                Some(send) = self.limit_sends.recv() => ControlEvent::LimitSent(send),
-                Some(observation) = self.observations.recv() => event_of_observation(observation),
+                Some(claim) = self.queues.claims.recv() => self.event_of_claim(claim),
+                Some(send) = self.queues.limit_sends.recv() => ControlEvent::LimitSent(send),
+                Some(observation) = self.queues.observations.recv() => event_of_observation(observation),
                 _ = tick.tick() => ControlEvent::Tick,
             };
             self.handle(event);
@@ -111,7 +104,7 @@
     fn handle(&mut self, event: ControlEvent) {
         let mut actions = Vec::new();
         self.state.handle(event, self.clock.now(), &mut actions);
-        self.changes.follow(self.state.replica());
+        self.queues.changes.follow(self.state.replica());
         // What is in force is shown before anybody is told of it, so that an operator who reads
         // after an accepted change finds it.
         let (published, others): (Vec<_>, Vec<_>) = actions
@@ -184,12 +177,12 @@
     fn publish(&self, snapshot: Arc<RoutingSnapshot>) {
         info!(self.logger, "snapshot_published";
             "config_version" => snapshot.catalog.version.0, "leaving" => snapshot.leaving.len());
-        self.snapshots.send_replace(snapshot);
+        self.queues.snapshots.send_replace(snapshot);
     }
 
     fn enter(&self, phase: NodePhase) {
         info!(self.logger, "phase_entered"; "phase" => %phase);
-        self.phases.send_replace(phase);
+        self.queues.phases.send_replace(phase);
     }
 }
 
--- a/crates/node/src/control/control_thread.rs
+++ b/crates/node/src/control/control_thread.rs
@@ -7,12 +7,10 @@
 
 use arc_swap::ArcSwap;
 use ryerouter_core::control::{ControlSettings, ControlState};
-use ryerouter_core::dispatch::RoutingSnapshot;
-use ryerouter_core::lifecycle::NodePhase;
 use ryerouter_wire::peer::{DatagramSeal, PEER_PROTOCOL_VERSION, PeerHello};
-use slog::{Logger, o};
+use slog::{Logger, error, o};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
@@ -21,18 +19,12 @@
 };
 
 use super::{
-    ChangeLog, ControlClaimGate, ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop,
-    ControlOptions, PendingOperations,
+    ControlError, ControlHandle, ControlInput, ControlIo, ControlLoop, ControlOptions,
+    ControlQueues, PendingOperations,
 };
 
 /// Events that may wait for the control thread.
 const EVENT_QUEUE: usize = 4_096;
-/// Commands of other threads that may wait for the control thread.
-const COMMAND_QUEUE: usize = 1_024;
-/// Messages about tenants' limits that may wait for the control thread; a lost one is repeated.
-const LIMIT_QUEUE: usize = 4_096;
-/// Observations of traffic threads that may wait for the control thread.
-const OBSERVATION_QUEUE: usize = 4_096;
 
 /// The control side of a node with its addresses bound but nothing running yet.
 pub struct BoundControl {
@@ -96,77 +88,23 @@
 
     /// Starts the control thread.
     pub fn start(self, clock: Clock, logger: &Logger) -> Result<ControlThread, ControlError> {
-        let (command_sender, commands) = mpsc::channel(COMMAND_QUEUE);
-        let (snapshots, snapshot_feed) = watch::channel(Arc::<RoutingSnapshot>::default());
-        let (observation_sender, observations) = mpsc::channel(OBSERVATION_QUEUE);
-        let (claim_sender, claims) = mpsc::unbounded_channel();
-        let (limit_sender, limit_sends) = mpsc::channel(LIMIT_QUEUE);
-        let (phases, phase_feed) = watch::channel(NodePhase::Starting);
-        let changes = ChangeLog::new();
-        let handle = ControlHandle::new(
-            command_sender,
-            observation_sender,
-            limit_sender,
-            ControlClaimGate::new(claim_sender),
-            snapshot_feed,
-            phase_feed,
-            changes.clone(),
-        );
+        let (queues, handle) = ControlQueues::new();
         let peer_address = self.peer_address();
         let logger = logger.new(o!("node" => self.options.name.to_string()));
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(|source| ControlError::Thread { source })?;
-        let (datagrams, streams) = self.peers.into_parts();
-        let sockets = {
-            let _entered = runtime.enter();
-            let datagrams = UdpSocket::from_std(datagrams);
-            let streams = TcpListener::from_std(streams);
-            datagrams.and_then(|datagrams| Ok((datagrams, streams?)))
-        };
-        let sockets = sockets.map_err(|source| ControlError::Thread { source })?;
-        let options = self.options;
-        let metrics = self.metrics;
-        let tls = self.peer_tls;
-        let seal = self.seal;
         let abort = CancellationToken::new();
         let thread_abort = abort.clone();
         let run = move || {
-            runtime.block_on(async move {
-                let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
-                let state = ControlState::new(control_settings(&options, peer_address));
-                let peers = PeerContext {
-                    hello: PeerHello {
-                        protocol: PEER_PROTOCOL_VERSION,
-                        name: options.name.clone(),
-                        address: peer_address,
-                    },
-                    input: ControlInput::new(event_sender),
-                    metrics,
-                    logger: logger.clone(),
-                    tls,
-                    seal,
-                };
-                let io = start_io(&options, sockets, &peers);
-                let control = ControlLoop {
-                    state,
-                    clock,
-                    logger,
-                    io,
-                    events,
-                    commands,
-                    observations,
-                    claims,
-                    limit_sends,
-                    grants: None,
-                    operations: PendingOperations::default(),
-                    changes,
-                    snapshots,
-                    phases,
-                };
-                thread_abort.run_until_cancelled(control.run()).await;
-            });
+            let control = async {
+                match self.new_loop(queues, clock, logger.clone()) {
+                    Ok(control) => control.run().await,
+                    Err(cause) => error!(logger, "control_not_started"; "cause" => %cause),
+                }
+            };
+            runtime.block_on(thread_abort.run_until_cancelled(control));
             // Tasks that outlive the loop have nobody left to report to.
             runtime.shutdown_timeout(Duration::ZERO);
         };
@@ -181,6 +119,45 @@
             abort,
         })
     }
+
+    /// The loop with its links; must be called within the runtime of the control thread.
+    fn new_loop(
+        self,
+        queues: ControlQueues,
+        clock: Clock,
+        logger: Logger,
+    ) -> std::io::Result<ControlLoop> {
+        let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
+        let address = self.peer_address();
+        let state = ControlState::new(control_settings(&self.options, address));
+        let peers = PeerContext {
+            hello: PeerHello {
+                protocol: PEER_PROTOCOL_VERSION,
+                name: self.options.name.clone(),
+                address,
+            },
+            input: ControlInput::new(event_sender),
+            metrics: self.metrics,
+            logger: logger.clone(),
+            tls: self.peer_tls,
+            seal: self.seal,
+        };
+        let (datagrams, streams) = self.peers.into_parts();
+        let datagrams = DatagramLink::start(UdpSocket::from_std(datagrams)?, peers.clone());
+        StreamServer::start(TcpListener::from_std(streams)?, peers.clone());
+        let links = StreamLinks::new(peers.clone());
+        let io = ControlIo::new(&self.options, &peers.input, datagrams, links, &logger);
+        Ok(ControlLoop {
+            state,
+            clock,
+            logger,
+            io,
+            events,
+            queues,
+            grants: None,
+            operations: PendingOperations::default(),
+        })
+    }
 }
 
 impl ControlThread {
@@ -221,14 +198,3 @@
         seed: options.seed,
     }
 }
-
-fn start_io(
-    options: &ControlOptions,
-    (datagrams, streams): (UdpSocket, TcpListener),
-    peers: &PeerContext,
-) -> ControlIo {
-    let datagrams = DatagramLink::start(datagrams, peers.clone());
-    StreamServer::start(streams, peers.clone());
-    let links = StreamLinks::new(peers.clone());
-    ControlIo::new(options, &peers.input, datagrams, links, &peers.logger)
-}
