--- a/crates/node/src/traffic/connection_server.rs
+++ b/crates/node/src/traffic/connection_server.rs
@@ -79,6 +79,8 @@
         let connection = self.builder.serve_connection(io, service);
         tokio::pin!(connection);
         let ended = tokio::select! {
+            // A stop is looked for only when the connection has nothing to do.
+            biased;
             ended = connection.as_mut() => ended,
             () = self.shutdown.cancelled() => {
                 connection.as_mut().graceful_shutdown();
--- a/crates/node/tests/serving.rs
+++ b/crates/node/tests/serving.rs
@@ -106,3 +106,35 @@
     let models = caller.get("/v1/models").await.json();
     assert_eq!(models["data"][0]["id"], MODEL);
 }
+
+#[tokio::test]
+async fn streams_of_one_http2_connection_each_arrive_whole() {
+    let engine = ScriptedBackEnd::start(4, |r| Script::stream(r, &stream_events(TEXTS, 0))).await;
+    let cluster = Cluster::start(&[&engine], &[]);
+    let stream = tokio::net::TcpStream::connect(cluster.node.address())
+        .await
+        .unwrap();
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let executor = hyper_util::rt::TokioExecutor::new();
+    let (sender, connection) = hyper::client::conn::http2::handshake(executor, io)
+        .await
+        .unwrap();
+    tokio::spawn(connection);
+    let calls = (0..8).map(|_| {
+        let mut sender = sender.clone();
+        async move {
+            let request = hyper::Request::post("http://node/v1/chat/completions")
+                .header("authorization", format!("Bearer {}", support::KEY))
+                .body(http_body_util::Full::<bytes::Bytes>::from(
+                    Cluster::stream_body(),
+                ));
+            let answer = sender.send_request(request.unwrap()).await.unwrap();
+            support::read(answer).await
+        }
+    });
+    for answer in futures_util::future::join_all(calls).await {
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(answer.texts(), TEXTS);
+        assert!(answer.is_done());
+    }
+}
