--- a/crates/ctl/src/arguments/global_arguments.rs
+++ b/crates/ctl/src/arguments/global_arguments.rs
@@ -23,7 +23,12 @@
     #[options(help = "print JSON instead of a table")]
     pub json: bool,
     /// Time limit of the whole command.
-    #[options(no_short, meta = "N", default = "30", help = "give up after N seconds; watch and top go on")]
+    #[options(
+        no_short,
+        meta = "N",
+        default = "30",
+        help = "give up after N seconds; watch and top go on"
+    )]
     pub timeout_seconds: u64,
     /// Author of changes.
     #[options(no_short, meta = "NAME", help = "who makes the change (USER)")]
