--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod overhead_command;
 mod scale_command;
 mod standins_command;
+mod stop_signal;
 mod up_command;
 
 use std::process::ExitCode;
--- a/crates/testbed/src/cli/standins_command.rs
+++ b/crates/testbed/src/cli/standins_command.rs
@@ -5,8 +5,10 @@
 use gumdrop::Options;
 
 use super::CommandError;
+use super::stop_signal::StopSignal;
 use crate::standins::kept_cache::KvStore;
 use crate::standins::machines::MachineList;
+use crate::standins::model_engine::{Engine, EngineSettings};
 use crate::standins::objects::ObjectApi;
 use crate::standins::service::PlainService;
 use crate::standins::weights::{WeightLoadProfile, WeightStore};
@@ -28,10 +30,16 @@
     /// Seed of the faults.
     #[options(help = "seed of everything random (default 1)", default = "1")]
     pub seed: u64,
+    /// Engines.
+    #[options(
+        help = "engines of the model named model, weights version 1 (default 2)",
+        default = "2"
+    )]
+    pub engines: usize,
 }
 
 impl StandinsCommand {
-    /// Runs until interrupted.
+    /// Runs until SIGINT or SIGTERM.
     ///
     /// # Errors
     ///
@@ -42,6 +50,7 @@
     }
 
     async fn serve(self) -> Result<(), CommandError> {
+        let mut stop_signal = StopSignal::new()?;
         let objects = ObjectApi::start(self.seed).await?;
         let machines = MachineList::start(MACHINE_LIST_LAG).await?;
         let kept = KvStore::start().await?;
@@ -52,7 +61,17 @@
         println!("KV store      {}", kept.address());
         println!("weight store  {}", weights.address());
         println!("plain service {}", service.address());
-        tokio::signal::ctrl_c().await?;
+        let mut engines = Vec::new();
+        for _ in 0..self.engines {
+            let engine = Engine::start(EngineSettings {
+                weight_store: Some(weights.address()),
+                ..EngineSettings::default()
+            });
+            let engine = engine.await?;
+            println!("model engine  {}", engine.address());
+            engines.push(engine);
+        }
+        stop_signal.wait().await;
         Ok(())
     }
 }
--- a/crates/testbed/src/cli/up_command.rs
+++ b/crates/testbed/src/cli/up_command.rs
@@ -1,10 +1,10 @@
 //! `ryebench up`.
 
 use gumdrop::Options;
-use tokio::signal::unix::{SignalKind, signal};
 
 use super::CommandError;
 use super::cluster_arguments::cluster_options;
+use super::stop_signal::StopSignal;
 use crate::cluster::Cluster;
 use crate::up::directions;
 
@@ -41,16 +41,12 @@
 
     async fn serve(self) -> Result<(), CommandError> {
         // Before anything starts, so that an early signal also ends in a planned stop.
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut terminate = signal(SignalKind::terminate())?;
+        let mut stop_signal = StopSignal::new()?;
         let options = cluster_options(&self.scenario, self.seed, self.log)?;
         let cluster = Cluster::start(&options).await;
         let cluster = cluster.map_err(|error| CommandError::Failed(error.to_string()))?;
         println!("{}", directions(&options.scenario, &cluster));
-        tokio::select! {
-            _ = interrupt.recv() => {}
-            _ = terminate.recv() => {}
-        }
+        stop_signal.wait().await;
         println!("stopping: requests in progress are finished");
         cluster.stop().await;
         Ok(())
