--- a/crates/testbed/src/simulation/attempt_call.rs
+++ b/crates/testbed/src/simulation/attempt_call.rs
@@ -25,6 +25,8 @@
     pub chunks: u64,
     /// How it begins.
     pub kind: AttemptKind,
+    /// Whether it lies in the socket of a frozen back end.
+    pub lies_in_socket: bool,
 }
 
 /// How an attempt begins.
--- a/crates/testbed/src/simulation/cluster_back_ends.rs
+++ b/crates/testbed/src/simulation/cluster_back_ends.rs
@@ -22,18 +22,33 @@
 const RESUME_WINDOW: Duration = Duration::from_secs(2);
 
 impl Cluster {
-    pub(super) fn attempt_arrives(&mut self, process: ProcessId, call: AttemptCall) {
-        let back_end = &self.back_ends[call.back_end];
-        if !back_end.alive {
+    pub(super) fn attempt_arrives(&mut self, process: ProcessId, mut call: AttemptCall) {
+        if !self.back_ends[call.back_end].alive {
             self.refuse_attempt(process, &call, NotRunReason::ConnectFailed, false);
             return;
         }
-        if back_end.frozen {
+        self.note_offer(process, &call);
+        if self.back_ends[call.back_end].frozen {
             // What was written to its socket is read when it goes on, whoever still waits.
+            call.lies_in_socket = true;
             let call = Box::new(call);
             self.schedule(THAW_CHECK, ClusterEvent::AttemptArrives { process, call });
             return;
         }
+        self.take_attempt(process, call);
+    }
+
+    fn note_offer(&mut self, process: ProcessId, call: &AttemptCall) {
+        if call.lies_in_socket || matches!(call.kind, AttemptKind::Resume { .. }) {
+            return;
+        }
+        self.observe(Observation::WorkOffered {
+            node: ClusterLayout::node_name(process.node),
+            back_end: self.back_ends[call.back_end].name.clone(),
+        });
+    }
+
+    fn take_attempt(&mut self, process: ProcessId, call: AttemptCall) {
         if let AttemptKind::Resume {
             earlier,
             next_chunk,
@@ -42,13 +57,9 @@
             self.resume_attempt(process, &call, earlier, next_chunk);
             return;
         }
-        let name = back_end.name.clone();
-        let refusal = back_end.check(call.incarnation, call.weights_version).err();
-        self.observe(Observation::WorkOffered {
-            node: ClusterLayout::node_name(process.node),
-            back_end: name,
-        });
-        match refusal {
+        let back_end = &self.back_ends[call.back_end];
+        let refusal = back_end.check(call.incarnation, call.weights_version);
+        match refusal.err() {
             Some(refusal) => {
                 self.refuse_attempt(process, &call, not_run_reason(refusal), true);
             }
--- a/crates/testbed/src/simulation/cluster_traffic.rs
+++ b/crates/testbed/src/simulation/cluster_traffic.rs
@@ -191,6 +191,7 @@
                 .collect(),
             chunks: asked.chunks,
             kind,
+            lies_in_socket: false,
         }
     }
 
