End operators' watches on a planned stop

A watch outlived the stop of the RPC server, so a node with a watching operator took 15 s longer to stop. Watches now end with UNAVAILABLE, and a stop tells whether it had to cut operators' calls.

--- a/crates/node/src/process/node_process.rs
+++ b/crates/node/src/process/node_process.rs
@@ -13,6 +13,8 @@
 use crate::reload::{ReloadError, ReloadReport, Reloader};
 use crate::traffic::RunningNode;
 
+use super::StopReport;
+
 /// Longest wait for operators' calls under way when the process stops.
 const RPC_STOP_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -94,17 +96,16 @@
     }
 
     /// Stops as planned: refuses new work as not run, finishes every request, then leaves.
-    pub async fn stop(self) {
+    pub async fn stop(self) -> StopReport {
         let handle = self.control.handle().clone();
         // Peers are told first, so that they know before callers do. A control thread that is gone
         // has nothing to tell.
         let _ = handle.stop().await;
         self.traffic.stop().await;
         self.rpc_shutdown.cancel();
-        if tokio::time::timeout(RPC_STOP_TIMEOUT, self.rpc)
-            .await
-            .is_err()
-        {
+        let served = tokio::time::timeout(RPC_STOP_TIMEOUT, self.rpc).await;
+        let operator_calls_cut = served.is_err();
+        if operator_calls_cut {
             warn!(self.logger, "rpc_calls_cut");
         }
         let _ = handle.traffic_ended().await;
@@ -112,6 +113,7 @@
         let control = self.control;
         let _ = tokio::task::spawn_blocking(move || control.join()).await;
         info!(self.logger, "node_stopped");
+        StopReport { operator_calls_cut }
     }
 
     /// Ends everything at once, as a crash would. Blocks.
--- a/crates/node/src/rpc/configuration_service.rs
+++ b/crates/node/src/rpc/configuration_service.rs
@@ -11,6 +11,7 @@
 use ryerouter_wire::generated::v1;
 use ryerouter_wire::generated::v1::configuration_service_server::ConfigurationService;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tonic::{Request, Response, Status};
 
 use crate::control::ChangeLog;
@@ -21,11 +22,13 @@
 #[derive(Clone)]
 pub(super) struct ConfigurationCalls {
     context: Arc<RpcContext>,
+    shutdown: CancellationToken,
 }
 
 impl ConfigurationCalls {
-    pub(super) fn new(context: Arc<RpcContext>) -> Self {
-        Self { context }
+    /// Serves until `shutdown`, which ends watches: they would keep the process from stopping.
+    pub(super) fn new(context: Arc<RpcContext>, shutdown: CancellationToken) -> Self {
+        Self { context, shutdown }
     }
 }
 
@@ -63,6 +66,7 @@
             changes,
             told: ConfigVersion(request.into_inner().after_version),
             pending: VecDeque::new(),
+            shutdown: self.shutdown.clone(),
         };
         let events = stream::try_unfold(watcher, |mut watcher| async move {
             let event = watcher.next().await?;
@@ -78,9 +82,17 @@
     versions: watch::Receiver<ConfigVersion>,
     told: ConfigVersion,
     pending: VecDeque<Arc<LogEntry>>,
+    shutdown: CancellationToken,
 }
 
 impl Watcher {
+    async fn wait_for_change(&mut self) -> Result<(), Status> {
+        tokio::select! {
+            changed = self.versions.changed() => changed.map_err(|_| stopping()),
+            () = self.shutdown.cancelled() => Err(stopping()),
+        }
+    }
+
     async fn next(&mut self) -> Result<v1::WatchEvent, Status> {
         loop {
             if let Some(entry) = self.pending.pop_front() {
@@ -91,13 +103,17 @@
             self.versions.borrow_and_update();
             let newer = self.changes.after(self.told);
             self.pending = newer.ok_or_else(|| too_far_behind(self.told))?.into();
-            if self.pending.is_empty() && self.versions.changed().await.is_err() {
-                return Err(Status::unavailable("node is stopping"));
+            if self.pending.is_empty() {
+                self.wait_for_change().await?;
             }
         }
     }
 }
 
+fn stopping() -> Status {
+    Status::unavailable("node is stopping")
+}
+
 fn too_far_behind(told: ConfigVersion) -> Status {
     Status::out_of_range(format!(
         "changes after version {told} are not kept any more; read the whole configuration"
--- a/crates/node/src/rpc/rpc_server.rs
+++ b/crates/node/src/rpc/rpc_server.rs
@@ -77,8 +77,10 @@
         let pools = PoolServiceServer::new(resources.clone());
         let back_ends = BackEndServiceServer::new(resources.clone());
         let stages = StageServiceServer::new(resources);
-        let configuration =
-            ConfigurationServiceServer::new(ConfigurationCalls::new(context.clone()));
+        let configuration = ConfigurationServiceServer::new(ConfigurationCalls::new(
+            context.clone(),
+            shutdown.clone(),
+        ));
         let operations = OperationsServiceServer::new(OperationsCalls::new(context));
         let served = Server::builder()
             .concurrency_limit_per_connection(MAXIMUM_CALLS)
--- a/crates/node/tests/control_reload.rs
+++ b/crates/node/tests/control_reload.rs
@@ -5,10 +5,12 @@
 use std::path::Path;
 
 use control_support::{Authority, ObjectApi, TestDirectory, create_tenant, within_deadline};
+use ryerouter_core::lifecycle::NodePhase;
 use ryerouter_node::logging::{LevelSwitch, discarding_logger};
 use ryerouter_node::process::{BoundNode, NodeProcess, SettingsSource};
 use ryerouter_settings::LogLevel;
 use ryerouter_wire::generated::v1;
+use ryerouter_wire::generated::v1::configuration_service_client::ConfigurationServiceClient;
 use ryerouter_wire::generated::v1::operations_service_client::OperationsServiceClient;
 use ryerouter_wire::generated::v1::tenant_service_client::TenantServiceClient;
 use sha2::{Digest, Sha256};
@@ -196,3 +198,24 @@
     assert!(back.restart_needed.is_empty());
     within_deadline(node.stop()).await;
 }
+
+#[tokio::test]
+async fn a_planned_stop_ends_watches_and_then_the_node() {
+    let files = Files::new("stop-watch");
+    let api = ObjectApi::start().await;
+    let node = start(files.write_settings(&api, ""));
+    let mut configuration = ConfigurationServiceClient::new(plain_channel(&node).await);
+    let request = v1::WatchRequest { after_version: 0 };
+    let mut watch = configuration.watch(request).await.unwrap().into_inner();
+    let mut phases = node.control().phases();
+
+    let stopping = tokio::spawn(node.stop());
+    let told = within_deadline(watch.message()).await.unwrap_err();
+
+    assert_eq!(told.code(), Code::Unavailable);
+    drop((watch, configuration));
+    let report = within_deadline(stopping).await.unwrap();
+    assert!(!report.operator_calls_cut);
+    let phase = *phases.borrow_and_update();
+    assert_eq!(phase, NodePhase::Stopped);
+}
