--- a/crates/core/src/dispatch/dispatch_parameters.rs
+++ b/crates/core/src/dispatch/dispatch_parameters.rs
@@ -105,7 +105,7 @@
             spread_holders: 4,
             prefill_tokens_per_second: 10_000.0,
             tokens_per_running_request: 10.0,
-            requests_per_engine: 8.0,
+            requests_per_engine: 4.0,
             remembered_prefixes: 8_192,
             heat_time_constant: Duration::from_secs(20),
             warm_up: Duration::from_secs(10),
--- a/crates/core/src/placement/retention.rs
+++ b/crates/core/src/placement/retention.rs
@@ -9,7 +9,9 @@
     duration: Duration,
 }
 
-const SHORTEST: Duration = Duration::from_millis(500);
+/// Engines evict within seconds, but a shorter estimate would forget, while caches are crowded, the
+/// very engines that requests must keep to for caches to recover.
+const SHORTEST: Duration = Duration::from_secs(10);
 const LONGEST: Duration = Duration::from_secs(600);
 const SHRINK: f64 = 0.8;
 const GROW: f64 = 1.25;
