Carry begun streams on: no deadline, no full queue, before new work

Cause: when the engine of a stream broke and the others were ejected, the continuation was handled like a new request: refused inside the stream with `deadline` although its first token had come in time, or with `queue_full`.

Continuations wait in their own part of the queue, before new work and outside its bounds. Where a continuation can't go because the engine failed it, new work still may. One that finds no engine of its weights for 120 s ends with `no_back_end`. Batch work that has begun counts as interactive.

dispatch_begun_streams: 5 of 6 tests failed before, all pass now; the sixth (no engine left at all ends the request at once) passed before as well. All tests of ryerouter-core pass.

--- a/crates/core/src/admission/request_queue.rs
+++ b/crates/core/src/admission/request_queue.rs
@@ -7,9 +7,13 @@
 
 /// The bounded queue of requests of one pool that wait for an engine with room: interactive work
 /// before batch work, each fair among tenants, and batch work that waited long in between.
+///
+/// Continuations of begun streams wait apart: before all others and outside the bounds, because
+/// their callers have part of the answer already. They are at most as many as streams were begun.
 #[derive(Debug, Clone)]
 pub struct RequestQueue {
     limits: QueueLimits,
+    continuations: FairQueue,
     interactive: FairQueue,
     batch: FairQueue,
     /// Turns of interactive work since promoted batch work had one.
@@ -21,6 +25,7 @@
     pub fn new(limits: QueueLimits) -> Self {
         Self {
             limits,
+            continuations: FairQueue::default(),
             interactive: FairQueue::default(),
             batch: FairQueue::default(),
             turns_since_batch: 0,
@@ -29,7 +34,7 @@
 
     /// Requests that wait.
     pub fn len(&self) -> usize {
-        self.interactive.len() + self.batch.len()
+        self.continuations.len() + self.new_len()
     }
 
     /// Whether none waits.
@@ -37,7 +42,22 @@
         self.len() == 0
     }
 
-    /// Adds a request. Returns the one that does not fit any more: it must be refused at once.
+    /// Adds the continuation of a begun stream, for which there is always a place.
+    pub fn push_continuation(&mut self, request: QueuedRequest) {
+        self.continuations.push(request);
+    }
+
+    /// The continuation whose turn it is.
+    pub fn first_continuation(&self) -> Option<&QueuedRequest> {
+        self.continuations.first()
+    }
+
+    /// Takes the continuation whose turn it is.
+    pub fn take_first_continuation(&mut self) -> Option<QueuedRequest> {
+        self.continuations.take_first()
+    }
+
+    /// Adds a new request. Returns the one that does not fit any more: it must be refused at once.
     ///
     /// A full queue gives up batch work for interactive work, and otherwise the newest request of
     /// the tenant that has most waiting, so one tenant cannot keep the others out.
@@ -47,14 +67,14 @@
         if self.batch.len() > self.limits.batch_capacity {
             return self.batch.take_newest_of_longest();
         }
-        if self.len() > self.limits.capacity {
+        if self.new_len() > self.limits.capacity {
             let newest_batch = self.batch.take_newest_of_longest();
             return newest_batch.or_else(|| self.interactive.take_newest_of_longest());
         }
         None
     }
 
-    /// The request whose turn it is.
+    /// The new request whose turn it is.
     pub fn first(&self, now: Timestamp) -> Option<&QueuedRequest> {
         if self.batch_goes_first(now) {
             self.batch.first()
@@ -63,7 +83,7 @@
         }
     }
 
-    /// Takes the request whose turn it is.
+    /// Takes the new request whose turn it is.
     pub fn take_first(&mut self, now: Timestamp) -> Option<QueuedRequest> {
         if self.batch_goes_first(now) {
             self.turns_since_batch = 0;
@@ -76,19 +96,26 @@
 
     /// Takes one request out, if it waits here.
     pub fn remove(&mut self, tenant: &TenantName, request: &RequestId) -> Option<QueuedRequest> {
-        self.interactive
+        self.continuations
             .remove(tenant, request)
+            .or_else(|| self.interactive.remove(tenant, request))
             .or_else(|| self.batch.remove(tenant, request))
     }
 
-    /// Whether a request of this priority waits, so that a newer one must not overtake it.
+    /// Whether a continuation or a request of this priority waits, so that a newer one must not overtake it.
     pub fn holds_back(&self, priority: Priority) -> bool {
         match priority {
-            Priority::Interactive => !self.interactive.is_empty(),
+            Priority::Interactive => {
+                !(self.continuations.is_empty() && self.interactive.is_empty())
+            }
             Priority::Batch => !self.is_empty(),
         }
     }
 
+    fn new_len(&self) -> usize {
+        self.interactive.len() + self.batch.len()
+    }
+
     fn of(&mut self, priority: Priority) -> &mut FairQueue {
         match priority {
             Priority::Interactive => &mut self.interactive,
--- a/crates/core/src/dispatch/dispatcher.rs
+++ b/crates/core/src/dispatch/dispatcher.rs
@@ -38,6 +38,10 @@
 /// Share of the expected tokens that must have been cached for the expectation to hold.
 const FOUND_SHARE: f64 = 0.9;
 
+/// How long a begun stream waits for a back end that can carry it on. It is only reached when
+/// none comes back that serves its weights.
+const CONTINUATION_PATIENCE: Duration = Duration::from_secs(120);
+
 /// Decides for every request of one router process which back end serves it, and when.
 ///
 /// Invariants: every submitted request gets exactly one [`DispatchAction::Finish`]; a request that
@@ -379,7 +383,7 @@
         let certain_wait = choice
             .first_token_in
             .mul_f64(self.parameters.deadline_certainty);
-        let deadline = self.requests[&request].profile.deadline;
+        let deadline = self.requests[&request].first_token_deadline();
         if deadline.is_some_and(|deadline| now.after(certain_wait) > deadline) {
             let retry_after = choice.first_token_in;
             self.refuse(request, RefusalReason::Deadline, retry_after, actions);
@@ -409,8 +413,11 @@
         chooser.choose(record, priority, &self.data_centres(record))
     }
 
-    /// Batch work that has waited long is treated as interactive, so that it never starves.
+    /// Batch work that has begun or waited long is treated as interactive, so that it never starves.
     fn effective_priority(&self, record: &RequestRecord, now: Timestamp) -> Priority {
+        if record.has_begun() {
+            return Priority::Interactive;
+        }
         let promotion = self.parameters.queue.batch_promotion;
         let has_waited = |queued_at: Timestamp| now.since(queued_at) >= promotion;
         if record.queued_at.is_some_and(has_waited) {
@@ -454,20 +461,42 @@
     ) {
         let certain_wait = first_token_in.mul_f64(self.parameters.deadline_certainty);
         let record = self.requests.get_mut(&request).expect("request is known");
-        let profile = &record.profile;
-        let patience = now.after(self.parameters.queue_wait(profile.priority));
-        let last_start = profile
-            .deadline
+        let last_start = record
+            .first_token_deadline()
             .map(|deadline| deadline.before(certain_wait));
         if last_start.is_some_and(|last_start| last_start < now) {
             self.refuse(request, RefusalReason::Deadline, first_token_in, actions);
             return;
         }
-        let queued_at = *record.queued_at.get_or_insert(now);
+        let priority = record.profile.priority;
+        let (patience, given_up_for) = if record.has_begun() {
+            (CONTINUATION_PATIENCE, RefusalReason::NoBackEnd)
+        } else {
+            let patience = self.parameters.queue_wait(priority);
+            (patience, RefusalReason::QueueFull)
+        };
+        let patience_ends = now.after(patience);
+        record.queued_at.get_or_insert(now);
         (record.give_up_at, record.give_up_reason) = match last_start {
-            Some(last_start) if last_start <= patience => (last_start, RefusalReason::Deadline),
-            _ => (patience, RefusalReason::QueueFull),
+            Some(last_start) if last_start <= patience_ends => {
+                (last_start, RefusalReason::Deadline)
+            }
+            _ => (patience_ends, given_up_for),
         };
+        self.give_up_times
+            .insert((record.give_up_at, request.clone()));
+        self.push_queued(&request, now, actions);
+    }
+
+    /// Puts a request into the queue of its pool, and refuses the one that does not fit any more.
+    fn push_queued(
+        &mut self,
+        request: &RequestId,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let record = &self.requests[request];
+        let profile = &record.profile;
         let tenant = self.snapshot.catalog.tenants.get(&profile.tenant);
         let queued = QueuedRequest {
             request: request.clone(),
@@ -477,22 +506,16 @@
             cost: profile
                 .prompt_tokens
                 .saturating_add(profile.expected_output_tokens),
-            queued_at,
+            queued_at: record.queued_at.unwrap_or(now),
         };
-        self.give_up_times.insert((record.give_up_at, request));
-        let pool = profile.pool.clone();
-        let pool_state = self.pools.get_mut(&pool).expect("pool is known");
-        if let Some(given_up) = pool_state.queue.push(queued) {
-            let retry_after = pool_state
-                .service_rate
-                .wait_for(pool_state.queue.len(), now);
-            self.leave_queue(&given_up.request);
-            self.refuse(
-                given_up.request,
-                RefusalReason::QueueFull,
-                retry_after,
-                actions,
-            );
+        let pool = self.pools.get_mut(&profile.pool).expect("pool is known");
+        if record.has_begun() {
+            pool.queue.push_continuation(queued);
+        } else if let Some(given_up) = pool.queue.push(queued) {
+            let retry_after = pool.service_rate.wait_for(pool.queue.len(), now);
+            let request = given_up.request;
+            self.leave_queue(&request);
+            self.refuse(request, RefusalReason::QueueFull, retry_after, actions);
         }
     }
 
@@ -530,29 +553,58 @@
         }
     }
 
-    /// Places queued requests in order until the one whose turn it is finds no room.
+    /// Places queued requests in order until the one whose turn it is finds no room: first those
+    /// of begun streams. Where these can't go, because it failed them, new requests still may.
     fn serve_queue(&mut self, pool: &PoolName, now: Timestamp, actions: &mut Vec<DispatchAction>) {
+        while let Some(first) = self.pools[pool].queue.first_continuation() {
+            let request = first.request.clone();
+            let Some(choice) = self.choose_unless_waiting(&request, now) else {
+                break;
+            };
+            let pool = self.pools.get_mut(pool).expect("pool is known");
+            pool.queue.take_first_continuation();
+            self.leave_queue_for(request, choice, now, actions);
+        }
         while let Some(first) = self.pools[pool].queue.first(now) {
             let request = first.request.clone();
-            let choice = match self.choose(&request, now) {
-                Err(Blocked::NoRoom { .. }) => return,
-                Err(Blocked::Unavailable { until })
-                    if until.since(now) <= self.parameters.unavailable_patience =>
-                {
-                    return;
-                }
-                choice => choice,
+            let Some(choice) = self.choose_unless_waiting(&request, now) else {
+                return;
             };
             let pool = self.pools.get_mut(pool).expect("pool is known");
             pool.queue.take_first(now);
-            self.leave_queue(&request);
-            match choice {
-                Ok(choice) => self.start_unless_late(request, choice, now, actions),
-                Err(Blocked::Unavailable { until }) => {
-                    self.refuse(request, RefusalReason::NoBackEnd, until.since(now), actions);
-                }
-                Err(_) => self.refuse_without_engine(request, actions),
+            self.leave_queue_for(request, choice, now, actions);
+        }
+    }
+
+    /// `None` while a queued request has to go on waiting.
+    fn choose_unless_waiting(
+        &self,
+        request: &RequestId,
+        now: Timestamp,
+    ) -> Option<Result<Choice, Blocked>> {
+        let patience = self.parameters.unavailable_patience;
+        match self.choose(request, now) {
+            Err(Blocked::NoRoom { .. }) => None,
+            Err(Blocked::Unavailable { until }) if until.since(now) <= patience => None,
+            choice => Some(choice),
+        }
+    }
+
+    /// Starts or refuses a request that has just been taken from its queue.
+    fn leave_queue_for(
+        &mut self,
+        request: RequestId,
+        choice: Result<Choice, Blocked>,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        self.leave_queue(&request);
+        match choice {
+            Ok(choice) => self.start_unless_late(request, choice, now, actions),
+            Err(Blocked::Unavailable { until }) => {
+                self.refuse(request, RefusalReason::NoBackEnd, until.since(now), actions);
             }
+            Err(_) => self.refuse_without_engine(request, actions),
         }
     }
 
--- a/crates/core/src/dispatch/request_record.rs
+++ b/crates/core/src/dispatch/request_record.rs
@@ -64,6 +64,16 @@
         self.is_repeatable() || self.run_state == RunState::NotRun
     }
 
+    /// Whether part of the answer has reached the caller.
+    pub(super) fn has_begun(&self) -> bool {
+        self.delivered_chunks > 0
+    }
+
+    /// When its first token must have come; a begun stream has met its deadline.
+    pub(super) fn first_token_deadline(&self) -> Option<Timestamp> {
+        self.profile.deadline.filter(|_| !self.has_begun())
+    }
+
     /// Takes what an ended attempt says of whether the request ran; knowledge only rises.
     pub(super) fn note_run_state(&mut self, state: RunState) {
         self.run_state = match (self.run_state, state) {
@@ -75,7 +85,7 @@
 
     /// Where an attempt on another back end starts.
     pub(super) fn continuation(&self) -> Option<ResumePoint> {
-        (self.delivered_chunks > 0).then_some(ResumePoint::Continue {
+        self.has_begun().then_some(ResumePoint::Continue {
             delivered_chunks: self.delivered_chunks,
         })
     }
