Split the engine model by responsibility

Intake, admission, step planning and step completion have a file each under engine_model/engine; what concerns one request or one sequence is a method there. "Tokens of the first n blocks", which stood four times, is EngineRequest::prefix_tokens. No change in behaviour.

--- a/crates/testbed/src/engine_model/sequence.rs
+++ b/crates/testbed/src/engine_model/sequence.rs
@@ -3,8 +3,8 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::prompt::{BlockHash, PrefixBlock};
 
-use super::EngineRequest;
 use super::promotion::Promotion;
+use super::{EngineOutput, EngineRequest};
 
 /// A request that runs in an engine: it imports, then prefills, then decodes.
 #[derive(Debug, Clone)]
@@ -66,9 +66,43 @@
 
     /// Tokens of the prefix it has pinned.
     pub fn pinned_end(&self) -> u32 {
-        match self.pinned_blocks {
-            0 => 0,
-            count => self.request.prefix.blocks[count - 1].end_tokens,
+        self.request.prefix_tokens(self.pinned_blocks)
+    }
+
+    /// Leaves the last token of a prompt that is cached whole to be computed, which yields the
+    /// first token of the answer.
+    pub fn leave_last_token(&mut self) {
+        if self.prompt_done >= self.request.prompt_tokens {
+            self.prompt_done = self.request.prompt_tokens - 1;
+            self.cached_tokens = self.cached_tokens.min(self.prompt_done);
         }
     }
+
+    /// Emits the next chunk of the answer, unless all are out.
+    pub fn emit_chunk(&mut self, out: &mut Vec<EngineOutput>) {
+        if self.next_chunk >= self.request.output_tokens {
+            return;
+        }
+        out.push(EngineOutput::Chunk {
+            attempt: self.request.attempt,
+            index: self.next_chunk,
+        });
+        self.next_chunk += 1;
+    }
+
+    /// Exports the prefix that the request wants kept, if its prompt has it.
+    pub fn export_prefix(&self, out: &mut Vec<EngineOutput>) {
+        let Some(prefix) = self.request.kv_export else {
+            return;
+        };
+        let blocks = &self.request.prefix.blocks;
+        let Some(block) = blocks.iter().find(|block| block.hash == prefix) else {
+            return;
+        };
+        out.push(EngineOutput::Exported {
+            attempt: self.request.attempt,
+            prefix,
+            tokens: block.end_tokens,
+        });
+    }
 }
