Tell the share of a stage that is in force, and nothing once taken back

Checked first: placement already goes by the share in force (since the stages move by themselves); a test now holds it to that for stages in steps, running, paused, rolled back and without progress. It passed before this change.

Two faults beside it: - The overview for operators told the final share of a stage in steps as the one in force (800 for 100 thousandths in the new test, 2 of its 3 cases failed before). - `Catalog::stage_share` told the final share of a stage that moves in one step even after it was taken back, so that resuming it in steps began with the whole share instead of nothing. Its new test failed before.

All tests of ryerouter-core and the insight tests of ryerouter-node pass.

--- a/crates/core/src/catalog/catalog_document.rs
+++ b/crates/core/src/catalog/catalog_document.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{BackEnd, MigrationStage, Pool, PoolKind, StageProgress, Tenant, WeightsRollout};
+use super::{
+    BackEnd, MigrationStage, Pool, PoolKind, StageProgress, StageState, Tenant, WeightsRollout,
+};
 use crate::claim::ClaimRoster;
 use crate::identity::{
     BackEndName, ConfigVersion, PoolName, StageName, TenantName, WeightsVersion,
@@ -49,6 +51,9 @@
 
     /// Share of traffic that goes to the target of `stage` now, in thousandths.
     pub fn stage_share(&self, stage: &MigrationStage) -> u16 {
+        if stage.state == StageState::RolledBack {
+            return 0;
+        }
         let whole = stage.target_share_permille;
         if stage.step_permille == 0 {
             return whole;
--- a/crates/core/tests/dispatch_placement.rs
+++ b/crates/core/tests/dispatch_placement.rs
@@ -8,7 +8,7 @@
 use dispatch_support::{
     Fixture, MODEL_POOL, WEIGHTS, add_back_end, chain, count_by_back_end, observation, started,
 };
-use ryerouter_core::catalog::{MigrationStage, StageState};
+use ryerouter_core::catalog::{MigrationStage, StageProgress, StageState};
 use ryerouter_core::dispatch::{
     Assignment, AttemptOutcome, DispatchEvent, DispatchMechanisms, DispatchParameters, Dispatcher,
     EngineObservation, NotRunReason, RequestProfile,
@@ -260,7 +260,30 @@
 }
 
 fn lots_at_target(share_permille: u16, state: StageState) -> BTreeSet<usize> {
-    let mut fixture = two_sites(share_permille, state);
+    lots_of(two_sites(share_permille, state))
+}
+
+/// The same of a stage that moves everything in steps and has come so far.
+fn lots_at_step(share_permille: Option<u16>, state: StageState) -> BTreeSet<usize> {
+    let mut fixture = two_sites(1_000, state);
+    let stage = fixture.catalog.stages.values_mut().next().unwrap();
+    stage.step_permille = 100;
+    let progress = share_permille.map(|share_permille| StageProgress {
+        stage: stage.name.clone(),
+        share_permille,
+        finished: false,
+        note: String::new(),
+        version: stage.version,
+    });
+    fixture.catalog.stage_progress = progress
+        .into_iter()
+        .map(|progress| (progress.stage.clone(), progress))
+        .collect();
+    fixture.publish();
+    lots_of(fixture)
+}
+
+fn lots_of(mut fixture: Fixture) -> BTreeSet<usize> {
     let target = DataCentreName::new("portmore");
     (0..400)
         .filter(|lot| {
@@ -281,6 +304,15 @@
     assert_eq!(all.len(), 400);
 }
 
+#[test]
+fn a_stage_in_steps_moves_the_share_in_force_and_not_the_final_one() {
+    assert!(lots_at_step(None, StageState::Running).is_empty());
+    let tenth = lots_at_target(100, StageState::Running);
+    assert_eq!(lots_at_step(Some(100), StageState::Running), tenth);
+    assert_eq!(lots_at_step(Some(100), StageState::Paused), tenth);
+    assert!(lots_at_step(Some(100), StageState::RolledBack).is_empty());
+}
+
 #[test]
 fn a_rolled_back_stage_sends_nothing_to_the_target() {
     assert!(lots_at_target(500, StageState::RolledBack).is_empty());
--- a/crates/core/tests/migration_director.rs
+++ b/crates/core/tests/migration_director.rs
@@ -105,6 +105,21 @@
     assert_eq!(bench.share(), 250);
 }
 
+#[test]
+fn stage_taken_back_in_whole_starts_from_nothing_when_resumed_in_steps() {
+    let mut bench = MigrationBench::new();
+    let mut at_once = stage();
+    at_once.step_permille = 0;
+    bench.operator_puts(at_once);
+    assert_eq!(bench.share(), 1_000);
+    bench.set_state(StageState::RolledBack);
+    assert_eq!(bench.share(), 0);
+    bench.operator_puts(stage());
+    assert_eq!(bench.share(), 0);
+    bench.run(10);
+    assert_eq!(bench.share(), 250);
+}
+
 #[test]
 fn stage_that_moves_other_traffic_starts_from_nothing() {
     let mut bench = MigrationBench::new();
--- a/crates/node/src/traffic/context_insight.rs
+++ b/crates/node/src/traffic/context_insight.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ryerouter_core::catalog::{BackEnd, BackEndState, MigrationStage, StageState};
+use ryerouter_core::catalog::{BackEnd, BackEndState, Catalog, MigrationStage};
 use ryerouter_core::dispatch::{AttemptOutcome, RoutingSnapshot};
 use ryerouter_core::identity::{PoolName, RequestId};
 use ryerouter_wire::generated::v1;
@@ -115,21 +115,21 @@
             back_ends: back_ends
                 .map(|back_end| self.back_end_overview(back_end, &view.snapshot))
                 .collect(),
-            stages: catalog.stages.values().map(stage_overview).collect(),
+            stages: catalog
+                .stages
+                .values()
+                .map(|stage| stage_overview(stage, catalog))
+                .collect(),
             refusals: count_refusals(&traces),
         }
     }
 }
 
-fn stage_overview(stage: &MigrationStage) -> v1::StageOverview {
-    let share = match stage.state {
-        StageState::Running | StageState::Paused => stage.target_share_permille,
-        StageState::RolledBack => 0,
-    };
+fn stage_overview(stage: &MigrationStage, catalog: &Catalog) -> v1::StageOverview {
     v1::StageOverview {
         stage: stage.name.to_string(),
         state: v1::StageState::from(stage.state).into(),
-        share_permille: u32::from(share),
+        share_permille: u32::from(catalog.stage_share(stage)),
         target_share_permille: u32::from(stage.target_share_permille),
         reason: String::new(),
     }
--- a/crates/node/tests/insight.rs
+++ b/crates/node/tests/insight.rs
@@ -2,8 +2,12 @@
 
 mod support;
 
-use ryerouter_core::identity::RequestId;
+use std::sync::Arc;
+
+use ryerouter_core::catalog::{MigrationStage, RollbackRule, StageProgress, StageState};
+use ryerouter_core::identity::{RequestId, ResourceVersion};
 use support::{Cluster, Script, ScriptedBackEnd, SeenRequest, chunk_event, stream_events};
+use yare::parameterized;
 
 const ID: &[(&str, &str)] = &[("x-request-id", "asked")];
 
@@ -65,6 +69,58 @@
     assert_eq!(back_end.in_flight, 0);
 }
 
+#[parameterized(
+    running = { StageState::Running, 100 },
+    paused = { StageState::Paused, 100 },
+    rolled_back = { StageState::RolledBack, 0 },
+)]
+#[test_macro(tokio::test)]
+async fn the_share_of_a_stage_in_force_is_told_beside_the_final_one(
+    state: StageState,
+    in_force: u32,
+) {
+    let cluster = Cluster::start(&[], &[]);
+    let mut snapshot = (**cluster.snapshots.borrow()).clone();
+    let catalog = Arc::make_mut(&mut snapshot.catalog);
+    let stage = stage_in_steps(state);
+    let progress = StageProgress {
+        stage: stage.name.clone(),
+        share_permille: 100,
+        finished: false,
+        note: String::new(),
+        version: stage.version,
+    };
+    catalog.stage_progress.insert(stage.name.clone(), progress);
+    catalog.stages.insert(stage.name.clone(), stage);
+    cluster.snapshots.send(Arc::new(snapshot)).unwrap();
+
+    let insight = cluster.node.insight();
+    let stage = loop {
+        if let Some(stage) = insight.overview().stages.pop() {
+            break stage;
+        }
+        tokio::task::yield_now().await;
+    };
+    let shares = (stage.share_permille, stage.target_share_permille);
+    assert_eq!(shares, (in_force, 800));
+}
+
+fn stage_in_steps(state: StageState) -> MigrationStage {
+    MigrationStage {
+        name: "move".into(),
+        pool: "models".into(),
+        tenant: None,
+        source: "kingston".into(),
+        target: "portmore".into(),
+        target_share_permille: 800,
+        step_permille: 100,
+        hold_seconds: 60,
+        rollback_rule: RollbackRule::default(),
+        state,
+        version: ResourceVersion(1),
+    }
+}
+
 #[tokio::test]
 async fn requests_under_way_and_refusals_are_counted() {
     let engine = ScriptedBackEnd::start(4, |r: &SeenRequest| {
