Split the dispatcher by the steps of a request's life

Submission, placing, queueing, starting, answers, ends of attempts, retries and final outcomes each have a module below it (86 to 178 lines), so that the fields stay private. Code was moved, not changed; methods called from another module became `pub(super)`.

--- /dev/null
+++ b/crates/core/src/dispatch/dispatcher/attempt_ends.rs
@@ -0,0 +1,168 @@
+//! Ends of attempts and what is learnt from them.
+
+use crate::dispatch::attempt_record::AttemptRecord;
+use crate::dispatch::engine_record::EngineRecord;
+use crate::dispatch::pool_state::PoolState;
+use crate::dispatch::{AttemptOutcome, DispatchAction, EngineObservation, NotRunReason};
+use crate::identity::AttemptId;
+use crate::timestamp::Timestamp;
+
+use super::Dispatcher;
+
+/// Fewest prompt tokens that an attempt must have computed to tell the prefill speed.
+const SPEED_SAMPLE_TOKENS: u32 = 1_000;
+
+/// Share of the expected tokens that must have been cached for the expectation to hold.
+const FOUND_SHARE: f64 = 0.9;
+
+impl Dispatcher {
+    pub(super) fn end_attempt(
+        &mut self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        observation: Option<EngineObservation>,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let Some(mut ended) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        self.release(&ended);
+        if let Some(observation) = observation {
+            self.observe_answer(ended.engine, &ended.request, &observation, now);
+            // A refusal for another incarnation says nothing of who ran the attempt.
+            if !matches!(outcome, AttemptOutcome::NotRun(_)) {
+                ended.incarnation = Some(observation.incarnation);
+            }
+        }
+        self.note_health(&ended, outcome, now);
+        self.learn(&ended, outcome, observation, now);
+        let request = ended.request.clone();
+        let Some(record) = self.requests.get_mut(&request) else {
+            return;
+        };
+        record.running = None;
+        let pool = record.profile.pool.clone();
+        self.follow_up(request, attempt, ended, outcome, now, actions);
+        self.serve_queue(&pool, now, actions);
+    }
+
+    pub(super) fn release(&mut self, ended: &AttemptRecord) {
+        let Some(engine) = self.engines.get_mut(ended.engine) else {
+            return;
+        };
+        engine.in_flight = engine.in_flight.saturating_sub(1);
+        if ended.first_token_after.is_none() {
+            engine.remove_pending(ended.priority, ended.expectation.missed);
+        }
+    }
+
+    pub(super) fn note_health(
+        &mut self,
+        ended: &AttemptRecord,
+        outcome: AttemptOutcome,
+        now: Timestamp,
+    ) {
+        let Some(engine) = self.engines.get_mut(ended.engine) else {
+            return;
+        };
+        match outcome {
+            AttemptOutcome::Completed => engine.health.answered(),
+            AttemptOutcome::NotRun(NotRunReason::ConnectFailed) => engine.health.unreachable(now),
+            AttemptOutcome::Broken { .. } | AttemptOutcome::Unknown => engine.health.failed(now),
+            AttemptOutcome::NotRun(NotRunReason::Overloaded) => {
+                engine.health.answered();
+                engine.window.refused(now);
+            }
+            AttemptOutcome::NotRun(_) => engine.health.answered(),
+            AttemptOutcome::Cancelled if ended.is_probe => engine.health.probe_inconclusive(now),
+            AttemptOutcome::Cancelled => {}
+        }
+    }
+
+    /// Learns from how the expectations of an attempt came out.
+    fn learn(
+        &mut self,
+        ended: &AttemptRecord,
+        outcome: AttemptOutcome,
+        observation: Option<EngineObservation>,
+        now: Timestamp,
+    ) {
+        let Some(record) = self.requests.get(&ended.request) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(ended.engine) else {
+            return;
+        };
+        match outcome {
+            AttemptOutcome::NotRun(_) => self.knowledge.forget(&record.points, ended.engine),
+            AttemptOutcome::Completed => {
+                let pool = self
+                    .pools
+                    .get_mut(&record.profile.pool)
+                    .expect("pool is known");
+                pool.count_completion(now.since(ended.started_at), now);
+                self.retry_budget.earn();
+                if observation.is_none() {
+                    engine.window.observe(0, 0, engine.in_flight + 1, now);
+                }
+                if let Some(exported) = ended.expectation.exported {
+                    self.kept.note_exported(exported, now);
+                }
+                if ended.resumes.is_some() {
+                    return;
+                }
+                self.knowledge
+                    .note(&record.points, ended.engine, engine.epoch(), now);
+                let cached = observation.and_then(|observation| observation.cached_tokens);
+                if let Some(cached) = cached {
+                    let prompt = observation
+                        .and_then(|observation| observation.prompt_tokens)
+                        .unwrap_or(record.profile.prompt_tokens);
+                    learn_cached(ended, engine, pool, cached, prompt);
+                    if let Some((prefix, tokens)) = ended.expectation.imported
+                        && cached < tokens
+                    {
+                        self.kept.note_gone(prefix);
+                    }
+                }
+            }
+            AttemptOutcome::Broken { .. } | AttemptOutcome::Unknown | AttemptOutcome::Cancelled => {
+            }
+        }
+    }
+}
+
+fn learn_cached(
+    ended: &AttemptRecord,
+    engine: &mut EngineRecord,
+    pool: &mut PoolState,
+    cached: u32,
+    prompt: u32,
+) {
+    let expectation = &ended.expectation;
+    let missed = prompt.saturating_sub(cached);
+    pool.mean_missed.add(f64::from(missed));
+    if let (Some((age, epoch)), None) = (expectation.known_age, expectation.imported) {
+        let expected = f64::from(expectation.known_cached) * FOUND_SHARE;
+        if f64::from(cached) >= expected {
+            engine.retention.found(age);
+        } else if epoch == engine.epoch() {
+            engine.retention.missed(age);
+        }
+    }
+    if let Some(unknown) = expectation.unknown_shared {
+        let found = unknown.found(cached);
+        pool.found_share
+            .observe(unknown.priority, unknown.tokens(), found);
+    }
+    let was_idle = expectation.tokens_ahead < 1.0 && expectation.imported.is_none();
+    if let Some(first_token_after) = ended.first_token_after
+        && was_idle
+        && missed >= SPEED_SAMPLE_TOKENS
+        && !first_token_after.is_zero()
+    {
+        let speed = f64::from(missed) / first_token_after.as_secs_f64();
+        pool.prefill_speed.observe(speed);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/dispatcher/placing.rs
@@ -0,0 +1,116 @@
+//! Finding an engine for a request.
+
+use crate::dispatch::choice::{Blocked, Choice};
+use crate::dispatch::engine_chooser::EngineChooser;
+use crate::dispatch::request_record::RequestRecord;
+use crate::dispatch::{DispatchAction, Priority, RefusalReason};
+use crate::identity::{DataCentreName, RequestId};
+use crate::placement::preferred_data_centre;
+use crate::timestamp::Timestamp;
+
+use super::Dispatcher;
+
+impl Dispatcher {
+    /// Starts an attempt on the best engine, queues the request, or refuses it.
+    pub(super) fn place(
+        &mut self,
+        request: RequestId,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        match self.choose(&request, now) {
+            Ok(choice) => self.start_unless_late(request, choice, now, actions),
+            Err(Blocked::NoRoom { first_token_in }) => {
+                self.enqueue(request, first_token_in, now, actions);
+            }
+            Err(Blocked::Unavailable { until }) => {
+                let wait = until.since(now);
+                if wait <= self.parameters.unavailable_patience {
+                    self.enqueue(request, wait, now, actions);
+                } else {
+                    self.refuse(request, RefusalReason::NoBackEnd, wait, actions);
+                }
+            }
+            Err(Blocked::None) => self.refuse_without_engine(request, actions),
+        }
+    }
+
+    pub(super) fn start_unless_late(
+        &mut self,
+        request: RequestId,
+        choice: Choice,
+        now: Timestamp,
+        actions: &mut Vec<DispatchAction>,
+    ) {
+        let certain_wait = choice
+            .first_token_in
+            .mul_f64(self.parameters.deadline_certainty);
+        let deadline = self.requests[&request].first_token_deadline();
+        if deadline.is_some_and(|deadline| now.after(certain_wait) > deadline) {
+            let retry_after = choice.first_token_in;
+            self.refuse(request, RefusalReason::Deadline, retry_after, actions);
+            return;
+        }
+        let resume = self.requests[&request].continuation();
+        self.start(request, choice, resume, now, actions);
+    }
+
+    pub(super) fn choose(&self, request: &RequestId, now: Timestamp) -> Result<Choice, Blocked> {
+        let record = &self.requests[request];
+        let pool = &self.pools[&record.profile.pool];
+        let configured = self.snapshot.catalog.pools.get(&record.profile.pool);
+        let kv_store = configured.and_then(|pool| pool.kv_store);
+        let chooser = EngineChooser {
+            parameters: &self.parameters,
+            engines: &self.engines,
+            pool,
+            knowledge: &self.knowledge,
+            kept: &self.kept,
+            kv_store: kv_store.filter(|_| self.parameters.mechanisms.kv_store),
+            distances: &self.distances,
+            zone: &self.zone,
+            now,
+        };
+        let priority = self.effective_priority(record, now);
+        chooser.choose(record, priority, &self.data_centres(record))
+    }
+
+    /// Batch work that has begun or waited long is treated as interactive, so that it never starves.
+    fn effective_priority(&self, record: &RequestRecord, now: Timestamp) -> Priority {
+        if record.has_begun() {
+            return Priority::Interactive;
+        }
+        let promotion = self.parameters.queue.batch_promotion;
+        let has_waited = |queued_at: Timestamp| now.since(queued_at) >= promotion;
+        if record.queued_at.is_some_and(has_waited) {
+            Priority::Interactive
+        } else {
+            record.profile.priority
+        }
+    }
+
+    /// Groups of data centres to try, in order. Where a migration stage decides, its choice comes
+    /// first and all others only when that has no engine with room; elsewhere the near ones count
+    /// as one, because a cached prefix is worth more than a short way.
+    fn data_centres(&self, record: &RequestRecord) -> [Vec<DataCentreName>; 2] {
+        let profile = &record.profile;
+        let staged = preferred_data_centre(
+            &self.snapshot.catalog,
+            &profile.pool,
+            &profile.tenant,
+            &profile.prefix,
+            profile.request.as_str(),
+        );
+        let comes_first = |name: &&DataCentreName| match staged {
+            Some(staged) => *name == staged.first,
+            None => self.distances.to(name) <= self.parameters.near_data_centre,
+        };
+        let index = &self.pools[&profile.pool].index;
+        let excluded = staged.and_then(|staged| staged.excluded);
+        let (first, others): (Vec<_>, Vec<_>) = index
+            .data_centres()
+            .filter(|name| Some(*name) != excluded)
+            .partition(comes_first);
+        [first, others].map(|group| group.into_iter().cloned().collect())
+    }
+}
