Give each public type of core and settings its own file

Four files held two or three public types, so that a type could not be found by its name.

Each has a file named after it; paths of use stay as they were, behaviour too. The dispatch folder is left as it is.

--- a/crates/core/src/claim/memory_page.rs
+++ b/crates/core/src/claim/memory_page.rs
@@ -4,20 +4,7 @@
 
 use crate::timestamp::Timestamp;
 
-use super::{ClaimId, KeyDigest};
-
-/// Asks a keeper for a part of what it remembers of a group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemoryAsk {
-    /// Position of the group in the roster.
-    pub group: usize,
-    /// Epoch of the group.
-    pub epoch: u64,
-    /// Tells the answers to one copy from those to an earlier one.
-    pub round: u64,
-    /// Claims that may be forgotten from this second on are wanted.
-    pub from_second: u32,
-}
+use super::{MemoryAsk, RememberedClaim};
 
 /// A part of what a keeper remembers of a group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -31,17 +18,3 @@
     /// Where the next part begins; `None` after the last.
     pub next_second: Option<u32>,
 }
-
-/// A claim that a keeper remembers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RememberedClaim {
-    /// The key.
-    #[serde(rename = "k")]
-    pub digest: KeyDigest,
-    /// The claim.
-    #[serde(rename = "c")]
-    pub claim: ClaimId,
-    /// The second after which it may be forgotten.
-    #[serde(rename = "t")]
-    pub forget_after_second: u32,
-}
--- a/crates/core/src/control/object_key.rs
+++ b/crates/core/src/control/object_key.rs
@@ -2,14 +2,19 @@
 
 use std::str::FromStr;
 
-use derive_more::{Display, Error};
+use derive_more::Display;
 
+use super::ObjectKeyError;
 use crate::identity::ConfigVersion;
 
-const LOG_PREFIX: &str = "config/log/";
+/// Start of the keys of the change log.
+pub(super) const LOG_PREFIX: &str = "config/log/";
+/// Key of the snapshot.
 const SNAPSHOT_KEY: &str = "config/snapshot";
-const LEASE_PREFIX: &str = "lease/";
-const STATUS_PREFIX: &str = "status/";
+/// Start of the keys of leases.
+pub(super) const LEASE_PREFIX: &str = "lease/";
+/// Start of the keys of progress.
+pub(super) const STATUS_PREFIX: &str = "status/";
 
 /// Key of an object that ryerouter keeps in the object API.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -28,31 +33,6 @@
     Status(String),
 }
 
-/// A set of keys in the object API.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
-pub enum ObjectPrefix {
-    /// The change log and the snapshot.
-    #[display("config/")]
-    Config,
-    /// The change log.
-    #[display("{LOG_PREFIX}")]
-    ConfigLog,
-    /// Leases.
-    #[display("{LEASE_PREFIX}")]
-    Leases,
-    /// Progress of orders and stages.
-    #[display("{STATUS_PREFIX}")]
-    Status,
-}
-
-/// A text is no key that ryerouter keeps.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display("object key {key:?} is not one that ryerouter keeps")]
-pub struct ObjectKeyError {
-    /// The text.
-    pub key: String,
-}
-
 impl FromStr for ObjectKey {
     type Err = ObjectKeyError;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings_error;
 mod settings_fault;
 mod suggestion;
+mod tls_files;
 mod tls_settings;
 
 pub use field::Field;
@@ -40,4 +41,5 @@
 pub use setting_value::SettingValue;
 pub use settings_error::SettingsError;
 pub use settings_fault::SettingsFault;
-pub use tls_settings::{TlsFiles, TlsSettings};
+pub use tls_files::TlsFiles;
+pub use tls_settings::TlsSettings;
--- a/crates/settings/src/tls_settings.rs
+++ b/crates/settings/src/tls_settings.rs
@@ -1,20 +1,8 @@
 //! Files for TLS.
 
-use std::path::PathBuf;
-
+use super::TlsFiles;
 use super::checked_values::CheckedValues;
 
-/// Files for TLS on one listener.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TlsFiles {
-    /// Certificate chain (PEM).
-    pub certificate: PathBuf,
-    /// Private key (PEM).
-    pub key: PathBuf,
-    /// Authority certificates (PEM) that the other side must be signed by.
-    pub authority: Option<PathBuf>,
-}
-
 /// Files for TLS; a listener without any speaks plain text.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct TlsSettings {
