Give the options of each ryectl command their own file

command.rs held fifteen public types and stage_arguments.rs five.

Each has a file named after it; commands, options and help stay as they were.

Run: cargo nextest run over core, settings, ctl and node, with the same split in all four: 491 passed, 0 failed, 0 skipped.

--- a/crates/ctl/src/arguments/mod.rs
+++ b/crates/ctl/src/arguments/mod.rs
@@ -1,21 +1,51 @@
 //! The command line.
 
+mod apply_arguments;
 mod command;
+mod completions_arguments;
+mod delete_arguments;
+mod diff_arguments;
+mod drain_arguments;
+mod explain_arguments;
+mod get_arguments;
 mod global_arguments;
 mod help;
 mod hoist;
+mod key_arguments;
+mod list_arguments;
+mod progress_arguments;
+mod reload_arguments;
 mod stage_arguments;
+mod stage_command;
+mod stage_name_arguments;
+mod stage_set_arguments;
+mod stage_start_arguments;
+mod status_arguments;
+mod top_arguments;
+mod watch_arguments;
 mod write_arguments;
 
-pub use command::{
-    ApplyArguments, Command, CompletionsArguments, DeleteArguments, DiffArguments, DrainArguments,
-    ExplainArguments, GetArguments, KeyArguments, ListArguments, ProgressArguments,
-    ReloadArguments, StatusArguments, TopArguments, WatchArguments,
-};
+pub use apply_arguments::ApplyArguments;
+pub use command::Command;
+pub use completions_arguments::CompletionsArguments;
+pub use delete_arguments::DeleteArguments;
+pub use diff_arguments::DiffArguments;
+pub use drain_arguments::DrainArguments;
+pub use explain_arguments::ExplainArguments;
+pub use get_arguments::GetArguments;
 pub use global_arguments::GlobalArguments;
 pub use help::{command_help, global_help, option_names};
 pub use hoist::hoist_global_options;
-pub use stage_arguments::{
-    StageArguments, StageCommand, StageNameArguments, StageSetArguments, StageStartArguments,
-};
+pub use key_arguments::KeyArguments;
+pub use list_arguments::ListArguments;
+pub use progress_arguments::ProgressArguments;
+pub use reload_arguments::ReloadArguments;
+pub use stage_arguments::StageArguments;
+pub use stage_command::StageCommand;
+pub use stage_name_arguments::StageNameArguments;
+pub use stage_set_arguments::StageSetArguments;
+pub use stage_start_arguments::StageStartArguments;
+pub use status_arguments::StatusArguments;
+pub use top_arguments::TopArguments;
+pub use watch_arguments::WatchArguments;
 pub use write_arguments::WriteArguments;
