Give each public type of the node its own file

Ten files held two or three public types, so that a type could not be found by its name.

Each has a file named after it. ActivityGate::leave keeps the gate's state to itself now that the request in progress stands in another file. No change in behaviour.

--- a/crates/node/src/command/arguments.rs
+++ b/crates/node/src/command/arguments.rs
@@ -3,7 +3,7 @@
 use gumdrop::Options;
 use ryerouter_settings::SettingOverride;
 
-use super::CommandError;
+use super::{CommandError, Subcommand};
 
 /// Flags of `ryerouter`. Those of single settings win over `--set`, which wins over the file.
 #[derive(Debug, Options)]
@@ -38,23 +38,6 @@
     pub(super) subcommand: Option<Subcommand>,
 }
 
-/// What to do instead of running.
-#[derive(Debug, Options)]
-pub enum Subcommand {
-    /// Check a settings file.
-    #[options(help = "check a settings file and the files it names, then exit")]
-    Check(CheckArguments),
-}
-
-/// Flags of `ryerouter check`.
-#[derive(Debug, Options)]
-pub struct CheckArguments {
-    #[options(help = "print this help")]
-    pub(super) help: bool,
-    #[options(free, help = "settings file (TOML)")]
-    pub(super) file: Option<String>,
-}
-
 impl Arguments {
     /// The settings that flags override, in the order in which they are applied.
     pub(super) fn overrides(&self) -> Result<Vec<SettingOverride>, CommandError> {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,12 +5,14 @@
 //! runtime and comes back as an event.
 
 mod back_end_observation;
+mod bound_control;
 mod change_log;
 mod claim_command;
 mod claim_wait;
 mod control_claim_gate;
 mod control_command;
 mod control_error;
+mod control_gone;
 mod control_handle;
 mod control_input;
 mod control_io;
@@ -30,14 +32,16 @@
 mod watch_worker;
 
 pub use back_end_observation::BackEndObservation;
+pub use bound_control::BoundControl;
 pub use change_log::ChangeLog;
 pub use control_claim_gate::ControlClaimGate;
 pub use control_command::ControlCommand;
-pub use control_error::{ControlError, ControlGone};
+pub use control_error::ControlError;
+pub use control_gone::ControlGone;
 pub use control_handle::ControlHandle;
 pub use control_options::ControlOptions;
 pub use control_report::ControlReport;
-pub use control_thread::{BoundControl, ControlThread};
+pub use control_thread::ControlThread;
 
 pub(crate) use control_input::ControlInput;
 use control_io::ControlIo;
--- a/crates/node/src/metrics/metric_description.rs
+++ b/crates/node/src/metrics/metric_description.rs
@@ -1,5 +1,7 @@
 //! Description of one metric.
 
+use super::MetricKind;
+
 /// Description of one metric, from which it is registered and its documentation is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MetricDescription {
@@ -12,25 +14,3 @@
     /// What it tells.
     pub help: &'static str,
 }
-
-/// Kinds of metrics.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MetricKind {
-    /// Only rises.
-    Counter,
-    /// Rises and falls.
-    Gauge,
-    /// Counts observations by size.
-    Histogram,
-}
-
-impl MetricKind {
-    /// Its name in documentation.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Counter => "counter",
-            Self::Gauge => "gauge",
-            Self::Histogram => "histogram",
-        }
-    }
-}
--- a/crates/node/src/relay/chunk_order.rs
+++ b/crates/node/src/relay/chunk_order.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::RelayFault;
+use super::{ChunkPlacement, RelayFault};
 
 /// Most chunks held until an earlier one arrives.
 const HELD_CHUNKS: usize = 64;
@@ -19,17 +19,6 @@
     held_bytes: usize,
 }
 
-/// What to do with a chunk.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ChunkPlacement {
-    /// It is due: deliver it.
-    Due,
-    /// It was delivered or is held: drop it.
-    Duplicate,
-    /// An earlier one is missing: hold it.
-    Early,
-}
-
 impl ChunkOrder {
     /// Index of the next chunk that is due, which is the number of chunks delivered.
     pub fn next(&self) -> u64 {
--- a/crates/node/src/relay/event_stream.rs
+++ b/crates/node/src/relay/event_stream.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use memchr::memmem;
 
-use super::{ChunkOrder, ChunkPlacement, DeliveredText, EventBuffer, EventFields};
-use super::{RelayFault, Usage};
+use super::{
+    ChunkOrder, ChunkPlacement, DeliveredText, EventBuffer, EventFields, RelayFault,
+    StreamProgress, Usage,
+};
 
 /// Field of the usage counts, as it stands in JSON.
 const USAGE_FIELD: &[u8] = b"\"usage\"";
@@ -25,15 +27,6 @@
     duplicates: u64,
 }
 
-/// How far a stream has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamProgress {
-    /// More is to come.
-    Open,
-    /// The end mark arrived after a complete answer.
-    Done(Usage),
-}
-
 impl EventStream {
     /// A stream whose events have at most `max_event_bytes` bytes.
     pub fn new(max_event_bytes: usize) -> Self {
--- a/crates/node/src/relay/usage.rs
+++ b/crates/node/src/relay/usage.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use super::PromptTokensDetails;
+
 /// Token counts of an answer, as the OpenAI API names them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 pub struct Usage {
@@ -12,14 +14,6 @@
     pub prompt_tokens_details: Option<PromptTokensDetails>,
 }
 
-/// Details of the prompt's tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-pub struct PromptTokensDetails {
-    /// Those that came from the engine's cache.
-    #[serde(default)]
-    pub cached_tokens: u32,
-}
-
 #[derive(Deserialize)]
 struct UsageDocument {
     usage: Option<Usage>,
--- a/crates/node/src/tls/mod.rs
+++ b/crates/node/src/tls/mod.rs
@@ -4,6 +4,7 @@
 //! A connection keeps the certificate it was opened with; connections opened after a reload use the
 //! new one. Key material is held by the library alone and never formatted or logged.
 
+mod client_certificates;
 mod client_tls;
 mod pem_files;
 mod server_stream;
@@ -11,8 +12,9 @@
 mod tls_error;
 mod tls_paths;
 
+pub use client_certificates::ClientCertificates;
 pub use client_tls::{ClientStream, ClientTls};
 pub use server_stream::ServerStream;
-pub use server_tls::{ClientCertificates, ServerTls};
+pub use server_tls::ServerTls;
 pub use tls_error::TlsError;
 pub use tls_paths::TlsPaths;
--- a/crates/node/src/tls/server_tls.rs
+++ b/crates/node/src/tls/server_tls.rs
@@ -13,20 +13,11 @@
 use crate::reload::Loaded;
 
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{ServerStream, TlsError, TlsPaths};
+use super::{ClientCertificates, ServerStream, TlsError, TlsPaths};
 
 /// Longest time for the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Whether the other side must show a certificate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClientCertificates {
-    /// It need not; who it is shows otherwise.
-    NotAsked,
-    /// It must show one that the authority vouches for.
-    Required,
-}
-
 /// TLS of a listener; its certificate can be replaced while it runs.
 pub struct ServerTls {
     clients: ClientCertificates,
--- a/crates/node/src/traffic/activity_gate.rs
+++ b/crates/node/src/traffic/activity_gate.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use derive_more::{Display, Error};
+use super::{ActiveRequest, GateClosed};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -20,23 +20,6 @@
     stopping: bool,
 }
 
-/// Why a request may not start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-pub enum GateClosed {
-    /// The process is stopping.
-    #[display("the router is stopping")]
-    Stopping,
-    /// As many requests as allowed are in progress.
-    #[display("the router has too many requests in progress")]
-    Full,
-}
-
-/// One request in progress; ends when dropped.
-#[derive(Debug)]
-pub struct ActiveRequest {
-    gate: Arc<ActivityGate>,
-}
-
 impl ActivityGate {
     /// An open gate that lets `limit` requests in at once.
     pub fn new(limit: usize) -> Self {
@@ -93,18 +76,17 @@
         }
     }
 
-    fn is_stopped(&self) -> bool {
-        let state = self.state.lock();
-        state.stopping && state.active == 0
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        let mut state = self.gate.state.lock();
+    /// Counts a request that has ended.
+    pub(super) fn leave(&self) {
+        let mut state = self.state.lock();
         state.active -= 1;
         if state.stopping && state.active == 0 {
-            self.gate.idle.notify_waiters();
+            self.idle.notify_waiters();
         }
     }
+
+    fn is_stopped(&self) -> bool {
+        let state = self.state.lock();
+        state.stopping && state.active == 0
+    }
 }
