--- a/crates/testbed/src/cli/faults_command.rs
+++ b/crates/testbed/src/cli/faults_command.rs
@@ -10,8 +10,6 @@
 
 /// Violations printed for each run at most; the first ones tell most.
 const PRINTED_VIOLATIONS: usize = 5;
-/// Runs at once, unless asked for otherwise.
-const DEFAULT_THREADS: usize = 4;
 
 /// Runs clusters on a virtual clock through named faults.
 #[derive(Debug, Options)]
@@ -73,9 +71,7 @@
             print_result(result);
         })
         .map_err(bad_option)?;
-        let line = serde_json::to_string(&summary)
-            .map_err(|error| CommandError::Failed(error.to_string()))?;
-        println!("{line}");
+        print_summary(&summary, self.json)?;
         if summary.violations == 0 {
             Ok(())
         } else {
@@ -98,15 +94,25 @@
             seeds: self.seeds,
             hours: self.hours,
             mutation,
-            threads: if self.threads == 0 {
-                DEFAULT_THREADS
-            } else {
-                self.threads
-            },
+            threads: self.threads,
         })
     }
 }
 
+/// Prints the sums: one flat JSON object, or a line for each sum.
+fn print_summary(summary: &FaultSummary, json: bool) -> Result<(), CommandError> {
+    let failed = |error: serde_json::Error| CommandError::Failed(error.to_string());
+    let value = serde_json::to_value(summary).map_err(failed)?;
+    if json {
+        println!("{value}");
+        return Ok(());
+    }
+    for (name, sum) in value.as_object().into_iter().flatten() {
+        println!("{name:>24}  {sum}");
+    }
+    Ok(())
+}
+
 fn bad_option(error: FaultsError) -> CommandError {
     CommandError::Failed(error.to_string())
 }
