Read and write TLS streams of both sides through one type

ClientStream and ServerStream repeated the reading and writing of a connection with or without TLS, and both sides the time limit of the handshake.

Both are MaybeTlsStream of their side's TLS stream now, and finish_handshake holds the limit. Connections to peers can write several buffers at once now, as accepted ones already could; the bytes sent are the same.

--- a/crates/node/src/tls/client_tls.rs
+++ b/crates/node/src/tls/client_tls.rs
@@ -1,27 +1,19 @@
 //! TLS of connections to peers.
 
 use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use derive_more::From;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_rustls::TlsConnector;
-use tokio_rustls::client::TlsStream;
 use tokio_rustls::rustls::ClientConfig;
 use tokio_rustls::rustls::pki_types::ServerName;
 
 use crate::reload::Loaded;
 
+use super::handshake::finish_handshake;
 use super::pem_files::{read_authorities, read_certificates, read_key};
-use super::{TlsError, TlsPaths};
-
-/// Longest time for the handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+use super::{ClientStream, TlsError, TlsPaths};
 
 /// TLS of connections to peers: shows the own certificate and checks the peer's. Both can be
 /// replaced while it runs.
@@ -51,8 +43,7 @@
     pub async fn connect(&self, stream: TcpStream) -> io::Result<ClientStream> {
         let connector = TlsConnector::from(self.current.load_full());
         let connecting = connector.connect(self.server_name.clone(), stream);
-        let connected = tokio::time::timeout(HANDSHAKE_TIMEOUT, connecting).await;
-        let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = finish_handshake(connecting).await?;
         Ok(ClientStream::Tls(Box::new(stream)))
     }
 }
@@ -70,52 +61,3 @@
             reason: error.to_string(),
         })
 }
-
-/// An opened connection, with or without TLS.
-#[derive(Debug, From)]
-pub enum ClientStream {
-    /// Without TLS.
-    Plain(TcpStream),
-    /// With TLS.
-    Tls(Box<TlsStream<TcpStream>>),
-}
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_read(context, buffer),
-            Self::Tls(stream) => Pin::new(stream).poll_read(context, buffer),
-        }
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_write(context, bytes),
-            Self::Tls(stream) => Pin::new(stream).poll_write(context, bytes),
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_flush(context),
-            Self::Tls(stream) => Pin::new(stream).poll_flush(context),
-        }
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_shutdown(context),
-            Self::Tls(stream) => Pin::new(stream).poll_shutdown(context),
-        }
-    }
-}
--- a/crates/node/src/tls/mod.rs
+++ b/crates/node/src/tls/mod.rs
@@ -5,7 +5,10 @@
 //! new one. Key material is held by the library alone and never formatted or logged.
 
 mod client_certificates;
+mod client_stream;
 mod client_tls;
+mod handshake;
+mod maybe_tls_stream;
 mod pem_files;
 mod server_stream;
 mod server_tls;
@@ -13,7 +16,9 @@
 mod tls_paths;
 
 pub use client_certificates::ClientCertificates;
-pub use client_tls::{ClientStream, ClientTls};
+pub use client_stream::ClientStream;
+pub use client_tls::ClientTls;
+pub use maybe_tls_stream::MaybeTlsStream;
 pub use server_stream::ServerStream;
 pub use server_tls::ServerTls;
 pub use tls_error::TlsError;
--- a/crates/node/src/tls/server_stream.rs
+++ b/crates/node/src/tls/server_stream.rs
@@ -2,23 +2,15 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::{Context, Poll};
 
-use derive_more::From;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio_rustls::server::TlsStream;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
+use super::MaybeTlsStream;
+
 /// An accepted connection, with or without TLS.
-#[derive(Debug, From)]
-pub enum ServerStream {
-    /// Without TLS.
-    Plain(TcpStream),
-    /// With TLS.
-    Tls(Box<TlsStream<TcpStream>>),
-}
+pub type ServerStream = MaybeTlsStream<TlsStream<TcpStream>>;
 
 impl ServerStream {
     /// The address of the other side.
@@ -41,61 +33,3 @@
         self.socket().connect_info()
     }
 }
-
-impl AsyncRead for ServerStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_read(context, buffer),
-            Self::Tls(stream) => Pin::new(stream).poll_read(context, buffer),
-        }
-    }
-}
-
-impl AsyncWrite for ServerStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_write(context, bytes),
-            Self::Tls(stream) => Pin::new(stream).poll_write(context, bytes),
-        }
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_write_vectored(context, buffers),
-            Self::Tls(stream) => Pin::new(stream).poll_write_vectored(context, buffers),
-        }
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        match self {
-            Self::Plain(stream) => stream.is_write_vectored(),
-            Self::Tls(stream) => stream.is_write_vectored(),
-        }
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_flush(context),
-            Self::Tls(stream) => Pin::new(stream).poll_flush(context),
-        }
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_shutdown(context),
-            Self::Tls(stream) => Pin::new(stream).poll_shutdown(context),
-        }
-    }
-}
--- a/crates/node/src/tls/server_tls.rs
+++ b/crates/node/src/tls/server_tls.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use tokio::net::TcpStream;
@@ -12,12 +11,10 @@
 
 use crate::reload::Loaded;
 
+use super::handshake::finish_handshake;
 use super::pem_files::{read_authorities, read_certificates, read_key};
 use super::{ClientCertificates, ServerStream, TlsError, TlsPaths};
 
-/// Longest time for the handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// TLS of a listener; its certificate can be replaced while it runs.
 pub struct ServerTls {
     clients: ClientCertificates,
@@ -53,8 +50,7 @@
     /// Makes the handshake on an accepted connection.
     pub async fn accept(&self, stream: TcpStream) -> io::Result<ServerStream> {
         let acceptor = TlsAcceptor::from(self.current.load_full());
-        let accepted = tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await;
-        let stream = accepted.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        let stream = finish_handshake(acceptor.accept(stream)).await?;
         Ok(ServerStream::Tls(Box::new(stream)))
     }
 }
