Price KV memory by running and waiting requests; keep to holders when late

Cause: memory pinned by running sequences holds requests back although few prompt tokens are queued, which the cost did not see; a request whose cheapest engine was late went to the fastest one, also when that was late too, and an overload fed itself by recomputing.

Change: 1,000 tokens a running and 3,000 a waiting request, 16 waiting at most; price of recomputation 60 (was 30); eight candidates (were four); the cheapest engine that meets the deadline, else the cheapest.

--- a/crates/core/src/dispatch/dispatch_parameters.rs
+++ b/crates/core/src/dispatch/dispatch_parameters.rs
@@ -31,8 +31,12 @@
     pub spread_holders: usize,
     /// Prompt tokens an engine computes a second, until it has been measured.
     pub prefill_tokens_per_second: f64,
-    /// Tokens to compute that weigh as much as one request that runs in an engine.
+    /// Tokens to compute that weigh as much as the KV memory of one request that runs in an engine.
     pub tokens_per_running_request: f64,
+    /// The same for one that waits in an engine: it waits for memory, or for its prompt's turn.
+    pub tokens_per_waiting_request: f64,
+    /// Most waiting requests of an engine that are counted so.
+    pub most_waiting_priced: f64,
     /// Requests of one prefix at once that one engine should serve.
     pub requests_per_engine: f64,
     /// Prefixes remembered in each generation of each table.
@@ -104,15 +108,17 @@
             spread_credit: 0.8,
             spread_holders: 4,
             prefill_tokens_per_second: 10_000.0,
-            tokens_per_running_request: 10.0,
+            tokens_per_running_request: 1_000.0,
+            tokens_per_waiting_request: 3_000.0,
+            most_waiting_priced: 16.0,
             requests_per_engine: 4.0,
             remembered_prefixes: 8_192,
             heat_time_constant: Duration::from_secs(20),
             warm_up: Duration::from_secs(10),
-            scored_candidates: 4,
+            scored_candidates: 8,
             candidate_limit: 32,
-            interactive_recompute_price: 30.0,
-            batch_recompute_price: 30.0,
+            interactive_recompute_price: 60.0,
+            batch_recompute_price: 60.0,
             waiting_tolerated: 128,
             retention: Duration::from_secs(20),
             zone_distance: Duration::from_millis(2),
--- a/crates/core/src/dispatch/engine_chooser.rs
+++ b/crates/core/src/dispatch/engine_chooser.rs
@@ -130,14 +130,15 @@
         Err(self.blocked(in_group, &candidates, record))
     }
 
-    /// The cheapest candidate with room; the fastest one where only that meets the deadline.
+    /// The cheapest candidate with room, of those that meet the deadline where any does.
+    ///
+    /// When none does, the fastest would only be an engine that holds nothing of the prompt, and
+    /// computing it there would make the requests behind it late as well.
     fn best<'b>(
         &self,
         candidates: &'b [Candidate<'b>],
         record: &RequestRecord,
     ) -> Option<&'b Candidate<'b>> {
-        let with_room = || candidates.iter().filter(|candidate| candidate.has_room);
-        let cheapest = with_room().min_by(|left, right| left.cost.total_cmp(&right.cost))?;
         let is_late = |candidate: &Candidate| {
             let first_token_at = self.now.after(candidate.first_token_in);
             record
@@ -145,10 +146,13 @@
                 .deadline
                 .is_some_and(|deadline| first_token_at > deadline)
         };
-        if is_late(cheapest) {
-            return with_room().min_by_key(|candidate| candidate.first_token_in);
-        }
-        Some(cheapest)
+        candidates
+            .iter()
+            .filter(|candidate| candidate.has_room)
+            .min_by(|left, right| {
+                let by_cost = left.cost.total_cmp(&right.cost);
+                is_late(left).cmp(&is_late(right)).then(by_cost)
+            })
     }
 
     fn blocked<'b>(
@@ -240,7 +244,7 @@
         );
         let distance = self.distance(member);
         let until_first_token = tokens_ahead + missed + import_cost;
-        let crowding = engine.running(self.now) * self.parameters.tokens_per_running_request;
+        let crowding = self.crowding(engine);
         let price = missed * self.parameters.recompute_price(priority);
         Candidate {
             member,
@@ -261,6 +265,17 @@
         }
     }
 
+    /// Tokens to compute that weigh as much as the KV memory that other requests occupy or wait for.
+    ///
+    /// The part for waiting requests is bounded: with long queues everywhere, their differences
+    /// must not outweigh recomputation, or an overload would feed itself.
+    fn crowding(&self, engine: &EngineRecord) -> f64 {
+        let parameters = self.parameters;
+        let waiting = engine.waiting(self.now).min(parameters.most_waiting_priced);
+        engine.running(self.now) * parameters.tokens_per_running_request
+            + waiting * parameters.tokens_per_waiting_request
+    }
+
     fn has_room(&self, engine: &EngineRecord, record: &RequestRecord, priority: Priority) -> bool {
         // The caller of a broken stream has part of the answer already and must not wait in line.
         record.delivered_chunks > 0
--- a/crates/core/src/dispatch/engine_record.rs
+++ b/crates/core/src/dispatch/engine_record.rs
@@ -135,6 +135,11 @@
         Some((told + sent - computed).max(0.0))
     }
 
+    /// Requests that wait in it, as last told.
+    pub(super) fn waiting(&self, now: Timestamp) -> f64 {
+        self.load.map_or(0.0, |load| load.all_waiting(now))
+    }
+
     /// Requests it runs (estimate).
     pub(super) fn running(&self, now: Timestamp) -> f64 {
         let foreign = self.load.map_or(0.0, |load| load.foreign_running(now));
--- a/crates/core/src/dispatch/observed_load.rs
+++ b/crates/core/src/dispatch/observed_load.rs
@@ -47,6 +47,11 @@
         Some(f64::from(tokens))
     }
 
+    /// Requests that wait now (estimate).
+    pub(super) fn all_waiting(&self, now: Timestamp) -> f64 {
+        f64::from(self.waiting) * self.freshness(now)
+    }
+
     /// Requests of other processes that wait now (estimate).
     pub(super) fn foreign_waiting(&self, now: Timestamp) -> f64 {
         f64::from(self.waiting) * self.foreign_share() * self.freshness(now)
