Order racing drains and returns of a back end by their versions when judging

Two operators had acted on the same back end 2 ms apart: the drain became version 41 and the return 42, but the oracle was told of the return when it was sent and of the drain when it was accepted. Ruled out: late spread; every node published both versions within 0.3 s. Change: a drain counts only if no later version has taken the back end back; an accepted return ends it.

--- a/crates/testbed/src/simulation/cluster.rs
+++ b/crates/testbed/src/simulation/cluster.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
+use ryerouter_core::catalog::BackEndState;
 use ryerouter_core::identity::{IdempotencyKey, TenantName};
 
 use super::{
@@ -43,8 +44,11 @@
     pub(super) next_change: u64,
     /// Keys of submissions whose callers have left, while their claims are open.
     pub(super) left_keys: BTreeMap<u64, (TenantName, IdempotencyKey)>,
-    /// Drains sent to a node and not yet answered, by number of the change.
-    pub(super) unanswered_drains: BTreeMap<u64, usize>,
+    /// Back ends whose drain or return was sent to a node and is not yet answered, by number of the
+    /// change.
+    pub(super) unanswered_states: BTreeMap<u64, (usize, BackEndState)>,
+    /// Version of the newest accepted return of each back end.
+    pub(super) returned_at: BTreeMap<usize, u64>,
     /// Whether a poor network holds orders back.
     pub(super) network_is_poor: bool,
     /// Weights that the newest change of them asks for.
@@ -85,7 +89,8 @@
             next_submission: 1,
             next_change: 1,
             left_keys: BTreeMap::new(),
-            unanswered_drains: BTreeMap::new(),
+            unanswered_states: BTreeMap::new(),
+            returned_at: BTreeMap::new(),
             network_is_poor: false,
             wanted_weights: 1,
             prefix_epoch: 0,
--- a/crates/testbed/src/simulation/cluster_callers.rs
+++ b/crates/testbed/src/simulation/cluster_callers.rs
@@ -292,23 +292,38 @@
         operation: OperationId,
         accepted: Option<ChangeAccepted>,
     ) {
-        let drained = self.unanswered_drains.remove(&operation.0);
+        let state = self.unanswered_states.remove(&operation.0);
         let Some(accepted) = accepted else {
             self.counters.changes_refused += 1;
             return;
         };
+        let version = accepted.version.0;
         self.counters.changes_accepted += 1;
-        self.observe(Observation::ChangeAccepted {
-            version: accepted.version.0,
-        });
-        if let Some(back_end) = drained {
-            self.drain_accepted(back_end);
+        self.observe(Observation::ChangeAccepted { version });
+        match state {
+            Some((back_end, BackEndState::Draining)) => self.drain_accepted(back_end, version),
+            Some((back_end, BackEndState::Active)) => self.return_accepted(back_end, version),
+            None => {}
+        }
+    }
+
+    /// Operators race: a drain counts only if no later change has taken the back end back.
+    fn drain_accepted(&mut self, back_end: usize, version: u64) {
+        let returned_at = self.returned_at.get(&back_end).copied().unwrap_or_default();
+        if version > returned_at {
+            self.leave(back_end);
         }
     }
 
+    fn return_accepted(&mut self, back_end: usize, version: u64) {
+        let returned_at = self.returned_at.entry(back_end).or_default();
+        *returned_at = version.max(*returned_at);
+        let back_end = self.layout.back_end_name(back_end);
+        self.observe(Observation::LeavingEnded { back_end });
+    }
+
     /// Asks for the drain of a back end.
     pub(super) fn drain_back_end(&mut self, back_end: usize) {
-        self.unanswered_drains.insert(self.next_change, back_end);
         self.set_back_end_state(back_end, BackEndState::Draining);
     }
 
@@ -320,6 +335,8 @@
     }
 
     fn set_back_end_state(&mut self, back_end: usize, state: BackEndState) {
+        self.unanswered_states
+            .insert(self.next_change, (back_end, state));
         let node = self.random.random_range(0..self.settings.nodes);
         let resource = Resource::BackEnd(self.layout.back_end(back_end, state));
         self.send_change(node, vec![put(resource)]);
--- a/crates/testbed/src/simulation/cluster_faults.rs
+++ b/crates/testbed/src/simulation/cluster_faults.rs
@@ -235,8 +235,8 @@
         self.stop_back_end_when_idle(back_end);
     }
 
-    /// When a drain is accepted, its back end counts as leaving; its stop follows.
-    pub(super) fn drain_accepted(&mut self, back_end: usize) {
+    /// A drained back end counts as leaving from now on; its planned stop follows.
+    pub(super) fn leave(&mut self, back_end: usize) {
         let name = self.layout.back_end_name(back_end);
         self.observe(Observation::LeavingStarted { back_end: name });
         self.schedule(DRAIN_BEFORE_STOP, ClusterEvent::PlannedStopDue { back_end });
