--- a/crates/core/src/config/config_spread.rs
+++ b/crates/core/src/config/config_spread.rs
@@ -29,6 +29,8 @@
     /// Time in which a node announces at most once; a burst of changes shares announcements.
     const ANNOUNCE_EVERY: Duration = Duration::from_millis(250);
     const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+    /// The same for a node without configuration, which cannot serve until it has one.
+    const FIRST_PULL_TIMEOUT: Duration = Duration::from_millis(200);
     /// Time between questions of a node without configuration.
     const ASK_EVERY: Duration = Duration::from_millis(200);
     /// The same once it is known that there is none.
@@ -158,7 +160,12 @@
             self.pull_next(replica, now, outbox);
             return;
         };
-        if now.since(pull.asked_at) >= Self::PULL_TIMEOUT {
+        let timeout = if replica.version() == ConfigVersion::default() {
+            Self::FIRST_PULL_TIMEOUT
+        } else {
+            Self::PULL_TIMEOUT
+        };
+        if now.since(pull.asked_at) >= timeout {
             self.newer.remove(&pull.from);
             self.pull = None;
             self.pull_next(replica, now, outbox);
--- a/crates/testbed/tests/found_seeds.rs
+++ b/crates/testbed/tests/found_seeds.rs
@@ -12,6 +12,7 @@
     refused_after_its_key_ran = { NamedRun::NodeHerd, 1 },
     lone_node_waits_for_peers = { NamedRun::Everything, 2056 },
     drain_races_return = { NamedRun::Drain, 5075 },
+    lost_first_pull = { NamedRun::PlannedStop, 20_151 },
     herd_then_store_down = { NamedRun::Everything, 2060 },
 )]
 fn keeps_every_promise(run: NamedRun, seed: u64) {
