--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -120,12 +120,20 @@
         }
     }
 
-    /// Whether the lease may be taken: nobody holds it, or its holder did not renew it for longer
-    /// than it lasts.
+    /// Whether the lease may be taken: nobody holds it, this very process held it last, or its
+    /// holder did not renew it for longer than it lasts.
+    ///
+    /// A lease that this process let run out is taken back under the condition that nobody wrote it
+    /// since, so no other process can have held it in between.
     fn is_free(&self, now: Timestamp) -> bool {
         let Some(seen) = &self.seen else {
             return false;
         };
+        let was_own = seen.record.holder.as_ref() == Some(&self.name)
+            && seen.record.incarnation == self.incarnation;
+        if was_own {
+            return true;
+        }
         let patience = self.settings.duration + self.settings.takeover_margin;
         seen.record.holder.is_none() || now >= seen.seen_at.after(patience)
     }
--- /dev/null
+++ b/crates/gateway/src/catalogue/mod.rs
@@ -0,0 +1,21 @@
+//! The accepted configuration as traffic decisions read it.
+
+mod caller_limits;
+mod engine_profile;
+mod kv_store_profile;
+mod pool_profile;
+mod request_kind;
+mod route;
+mod routing_table;
+mod tenant;
+mod weighted_pool;
+
+pub use caller_limits::CallerLimits;
+pub use engine_profile::EngineProfile;
+pub use kv_store_profile::KvStoreProfile;
+pub use pool_profile::PoolProfile;
+pub use request_kind::RequestKind;
+pub use route::Route;
+pub use routing_table::RoutingTable;
+pub use tenant::Tenant;
+pub use weighted_pool::WeightedPool;
--- /dev/null
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -0,0 +1,110 @@
+//! The routing table.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use ryerouter_core::identity::PoolName;
+
+use super::{CallerLimits, KvStoreProfile, PoolProfile, Route, Tenant};
+
+/// One version of the configuration, indexed for look-ups.
+#[derive(Debug, Default)]
+pub struct RoutingTable {
+    version: u64,
+    routes_by_host: HashMap<String, Vec<Rc<Route>>>,
+    pools: HashMap<PoolName, PoolProfile>,
+    kv_store: Option<KvStoreProfile>,
+    has_tenants: bool,
+    tenants_by_key: HashMap<String, Rc<Tenant>>,
+    limits: CallerLimits,
+}
+
+impl RoutingTable {
+    /// Indexes a configuration.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        pools: Vec<PoolProfile>,
+        kv_store: Option<KvStoreProfile>,
+        tenants: Vec<Tenant>,
+        limits: CallerLimits,
+    ) -> Self {
+        let mut table = Self {
+            version,
+            kv_store,
+            has_tenants: !tenants.is_empty(),
+            limits,
+            ..Self::default()
+        };
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            table
+                .routes_by_host
+                .entry(host)
+                .or_default()
+                .push(Rc::new(route));
+        }
+        for routes in table.routes_by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        for pool in pools {
+            table.pools.insert(pool.name.clone(), pool);
+        }
+        for tenant in tenants {
+            let tenant = Rc::new(tenant);
+            for key in &tenant.keys {
+                table.tenants_by_key.insert(key.clone(), Rc::clone(&tenant));
+            }
+        }
+        table
+    }
+
+    /// Version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The route of a request: of the host's routes the one with the longest matching prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.routes_by_host.get(&host.to_ascii_lowercase())?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Whether requests need a key, but on public routes.
+    pub fn has_tenants(&self) -> bool {
+        self.has_tenants
+    }
+
+    /// The tenant that holds a key.
+    pub fn tenant_of(&self, key: &str) -> Option<&Rc<Tenant>> {
+        self.tenants_by_key.get(key)
+    }
+
+    /// Settings of a pool.
+    pub fn pool(&self, name: &PoolName) -> Option<&PoolProfile> {
+        self.pools.get(name)
+    }
+
+    /// The pools whose engines serve `model`.
+    pub fn pools_of_model(&self, model: &str) -> Vec<&PoolProfile> {
+        let serves = |pool: &&PoolProfile| {
+            pool.engine
+                .as_ref()
+                .is_some_and(|engine| engine.models.iter().any(|name| name == model))
+        };
+        self.pools.values().filter(serves).collect()
+    }
+
+    /// The store of kept KV cache, if there is one.
+    pub fn kv_store(&self) -> Option<&KvStoreProfile> {
+        self.kv_store.as_ref()
+    }
+
+    /// Bounds on what callers may send.
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engines/engine_table.rs
@@ -0,0 +1,72 @@
+//! All engines.
+
+use std::collections::{BTreeMap, HashMap};
+
+use ryerouter_core::identity::{BackEndName, PoolName};
+
+use super::{Engine, EngineEntry, EngineLoad};
+
+/// All engines by name; iterates in order of name, so that decisions repeat.
+#[derive(Debug, Default)]
+pub struct EngineTable {
+    engines: BTreeMap<BackEndName, Engine>,
+}
+
+impl EngineTable {
+    /// The engine called `name`.
+    pub fn get(&self, name: &BackEndName) -> Option<&Engine> {
+        self.engines.get(name)
+    }
+
+    /// The engine called `name`, to change it.
+    pub fn get_mut(&mut self, name: &BackEndName) -> Option<&mut Engine> {
+        self.engines.get_mut(name)
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.values()
+    }
+
+    /// All engines, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Engine> {
+        self.engines.values_mut()
+    }
+
+    /// The engines of a pool.
+    pub fn of_pool<'a>(&'a self, pool: &PoolName) -> impl Iterator<Item = &'a Engine> {
+        self.iter().filter(move |engine| engine.entry.pool == *pool)
+    }
+
+    /// Takes an entry of the list; the weights known in-band may be newer.
+    pub fn upsert(&mut self, entry: EngineEntry) {
+        let Some(engine) = self.engines.get_mut(&entry.name) else {
+            self.engines.insert(entry.name.clone(), Engine::new(entry));
+            return;
+        };
+        let known = std::mem::take(&mut engine.entry.weights);
+        engine.entry = entry;
+        engine.is_unlisted = false;
+        for (model, version) in known {
+            engine.note_weights(&model, version);
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn remove(&mut self, name: &BackEndName) -> Option<Engine> {
+        self.engines.remove(name)
+    }
+
+    /// Names of all engines that `keep` does not hold.
+    pub fn names_outside(&self, keep: &[BackEndName]) -> Vec<BackEndName> {
+        let is_outside = |name: &&BackEndName| !keep.contains(name);
+        self.engines.keys().filter(is_outside).cloned().collect()
+    }
+
+    /// Replaces the work of other processes.
+    pub fn set_foreign_loads(&mut self, loads: &HashMap<BackEndName, EngineLoad>) {
+        for (name, engine) in &mut self.engines {
+            engine.foreign_load = loads.get(name).copied().unwrap_or_default();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -0,0 +1,36 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::peers::NodeIdentity;
+use crate::placement::PlacementPrices;
+use crate::retry::RetrySettings;
+use crate::rollout::RolloutSettings;
+use crate::upstream::ConnectSettings;
+
+/// Settings of a gateway.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    /// Who it is.
+    pub identity: NodeIdentity,
+    /// Where other nodes may be.
+    pub seeds: Vec<SocketAddr>,
+    /// Requests with a key are refused when the configuration was not proven current for so long;
+    /// `None` accepts keys of any age.
+    pub most_unproven: Option<Duration>,
+    /// Older weights may be used for so long after newer ones were named.
+    pub weights_grace: Duration,
+    /// An engine whose entry went while the source was in trouble may be used for so long.
+    pub unlisted_grace: Duration,
+    /// The retry budget.
+    pub retry: RetrySettings,
+    /// Connections to engines.
+    pub connect: ConnectSettings,
+    /// Prices of placement.
+    pub prices: PlacementPrices,
+    /// Rollouts of weights.
+    pub rollout: RolloutSettings,
+    /// Prefixes whose holders are remembered.
+    pub remembered_prefixes: usize,
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -0,0 +1,79 @@
+//! What a gateway believes.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+
+use super::{GatewaySettings, ProofOfFreshness};
+use crate::catalogue::RoutingTable;
+use crate::engines::EngineTable;
+use crate::peers::{HolderNews, NodeState, PeerTable, WeightsNews};
+use crate::placement::HolderTable;
+use crate::retry::RetryWindow;
+use crate::rollout::WeightsDeadlines;
+
+/// What a gateway believes; changed between awaits only.
+#[derive(Debug)]
+pub struct GatewayState {
+    /// Whether it serves.
+    pub node_state: NodeState,
+    /// The configuration, once one is known.
+    pub table: Option<Rc<RoutingTable>>,
+    /// When the configuration was last certainly current.
+    pub freshness: ProofOfFreshness,
+    /// Whether the list of engines has been read.
+    pub has_engine_list: bool,
+    /// When a call for the list of engines last failed.
+    pub engine_list_trouble_at: Option<Timestamp>,
+    /// All engines.
+    pub engines: EngineTable,
+    /// Who holds which prefix.
+    pub holders: HolderTable,
+    /// Which weights were named.
+    pub deadlines: WeightsDeadlines,
+    /// Retry budgets.
+    pub retries: HashMap<PoolName, RetryWindow>,
+    /// Other nodes.
+    pub peers: PeerTable,
+    /// Whether this node holds the lease of orders.
+    pub gives_orders: bool,
+    /// Number of the last message to other nodes.
+    pub sequence: u64,
+    /// Prefixes to tell others of.
+    pub holder_news: Vec<HolderNews>,
+    /// Weights to tell others of.
+    pub weights_news: Vec<WeightsNews>,
+    /// Requests in progress.
+    pub active_requests: usize,
+}
+
+impl GatewayState {
+    /// The state at the start of a process.
+    pub fn new(settings: &GatewaySettings) -> Self {
+        let mut peers = PeerTable::default();
+        for seed in &settings.seeds {
+            if *seed != settings.identity.peer_address {
+                peers.suggest(*seed);
+            }
+        }
+        Self {
+            node_state: NodeState::Starting,
+            table: None,
+            freshness: ProofOfFreshness::default(),
+            has_engine_list: false,
+            engine_list_trouble_at: None,
+            engines: EngineTable::default(),
+            holders: HolderTable::new(settings.remembered_prefixes),
+            deadlines: WeightsDeadlines::new(settings.weights_grace),
+            retries: HashMap::new(),
+            peers,
+            gives_orders: false,
+            sequence: 0,
+            holder_news: Vec::new(),
+            weights_news: Vec::new(),
+            active_requests: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/items.rs
@@ -0,0 +1,166 @@
+//! Taking in what the source tells.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
+use slog::{info, warn};
+
+use super::Gateway;
+use crate::catalogue::RoutingTable;
+use crate::engines::{EngineEntry, EngineState};
+use crate::peers::NodeState;
+use crate::source::{Item, ItemChange, ItemKind, NamedWeights};
+
+impl Gateway {
+    /// The source listed all items of a kind, to a question sent at `asked_at`.
+    pub fn replace_items(&self, kind: ItemKind, items: Vec<Item>, asked_at: Timestamp) {
+        if kind == ItemKind::Engines {
+            let is_engine = |item: &Item| match item {
+                Item::Engine(entry) => Some(entry.name.clone()),
+                _ => None,
+            };
+            let listed: Vec<_> = items.iter().filter_map(is_engine).collect();
+            let gone = self.state().engines.names_outside(&listed);
+            for name in gone {
+                self.engine_gone(&name);
+            }
+            self.state_mut().has_engine_list = true;
+        }
+        let changes = items.into_iter().map(ItemChange::Present).collect();
+        self.change_items(kind, changes, asked_at);
+    }
+
+    /// The source told changes, or that there are none, to a question sent at `asked_at`.
+    pub fn change_items(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
+        for change in changes {
+            match change {
+                ItemChange::Present(Item::Configuration(table)) => self.adopt_table(table),
+                ItemChange::Present(Item::Engine(entry)) => self.engine_listed(entry),
+                ItemChange::Present(Item::Weights(named)) => self.weights_named(&named),
+                ItemChange::Gone(name) if kind == ItemKind::Engines => {
+                    self.engine_gone(&BackEndName::new(name));
+                }
+                ItemChange::Gone(_) => {}
+            }
+        }
+        if kind == ItemKind::Configuration {
+            self.state_mut().freshness.prove(asked_at);
+        }
+        self.become_ready();
+    }
+
+    /// A call to the source failed.
+    pub fn note_source_trouble(&self, kind: ItemKind) {
+        if kind == ItemKind::Engines {
+            self.state_mut().engine_list_trouble_at = Some(self.clock().now());
+        }
+    }
+
+    fn adopt_table(&self, table: Rc<RoutingTable>) {
+        let mut state = self.state_mut();
+        let known = state.table.as_ref().map(|table| table.version());
+        if known.is_some_and(|known| known >= table.version()) {
+            return;
+        }
+        info!(self.log(), "configuration_adopted"; "version" => table.version(),
+            "before" => known);
+        self.metrics()
+            .configuration_version
+            .set(table.version() as i64);
+        state.table = Some(table);
+    }
+
+    fn engine_listed(&self, entry: EngineEntry) {
+        let mut state = self.state_mut();
+        let before = state.engines.get(&entry.name).map(|known| known.entry.state);
+        if before != Some(entry.state) {
+            info!(self.log(), "engine_listed"; "engine" => %entry.name, "pool" => %entry.pool,
+                "address" => %entry.address, "zone" => %entry.zone,
+                "draining" => entry.state == EngineState::Draining);
+        }
+        state.engines.upsert(entry);
+        self.metrics().engines.set(state.engines.iter().count() as i64);
+    }
+
+    /// An entry went: at once out of use, but while the source was in trouble, which loses entries
+    /// of engines that still serve.
+    fn engine_gone(&self, name: &BackEndName) {
+        let now = self.clock().now();
+        let grace = self.settings().unlisted_grace;
+        let mut state = self.state_mut();
+        let is_doubtful = state
+            .engine_list_trouble_at
+            .is_some_and(|at| now.since(at) < grace);
+        if is_doubtful
+            && let Some(engine) = state.engines.get_mut(name)
+            && engine.entry.state == EngineState::Ready
+        {
+            engine.is_unlisted = true;
+            warn!(self.log(), "engine_unlisted"; "engine" => %name);
+            return;
+        }
+        if state.engines.remove(name).is_some() {
+            info!(self.log(), "engine_gone"; "engine" => %name);
+        }
+        state.holders.forget_engine(name);
+        drop(state);
+        self.upstream().forget(name);
+    }
+
+    /// Removes engines whose entry went during trouble and did not come back.
+    pub fn remove_unlisted(&self) {
+        let now = self.clock().now();
+        let grace = self.settings().unlisted_grace;
+        let state = self.state();
+        let is_over = state
+            .engine_list_trouble_at
+            .is_none_or(|at| now.since(at) >= grace);
+        if !is_over {
+            return;
+        }
+        let unlisted = state.engines.iter().filter(|engine| engine.is_unlisted);
+        let names: Vec<_> = unlisted.map(|engine| engine.entry.name.clone()).collect();
+        drop(state);
+        for name in names {
+            self.engine_gone(&name);
+        }
+    }
+
+    /// Whether some engine that stays has older weights than named.
+    pub fn has_engines_behind(&self) -> bool {
+        let state = self.state();
+        state.deadlines.newest().any(|(model, newest)| {
+            state.engines.iter().any(|engine| {
+                let is_staying = engine.entry.state == EngineState::Ready;
+                is_staying && engine.weights_of(model).is_some_and(|has| has < newest)
+            })
+        })
+    }
+
+    /// Where an engine listens.
+    pub fn address_of(&self, engine: &BackEndName) -> Option<SocketAddr> {
+        let state = self.state();
+        state.engines.get(engine).map(|known| known.entry.address)
+    }
+
+    fn weights_named(&self, named: &NamedWeights) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if state.deadlines.note(&named.model, named.version, now) {
+            info!(self.log(), "weights_named"; "model" => &named.model,
+                "version" => named.version);
+        }
+    }
+
+    fn become_ready(&self) {
+        let mut state = self.state_mut();
+        let knows_all = state.table.is_some() && state.has_engine_list;
+        if knows_all && state.node_state == NodeState::Starting {
+            state.node_state = NodeState::Ready;
+            info!(self.log(), "ready"; "engines" => state.engines.iter().count());
+            self.urgent_news.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/mod.rs
@@ -0,0 +1,13 @@
+//! The state of a gateway, shared by all its tasks.
+
+mod gateway_settings;
+mod gateway_state;
+mod items;
+mod peer_news;
+mod proof_of_freshness;
+mod shared;
+
+pub use gateway_settings::GatewaySettings;
+pub use gateway_state::GatewayState;
+pub use proof_of_freshness::ProofOfFreshness;
+pub use shared::Gateway;
--- /dev/null
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -0,0 +1,204 @@
+//! What this node tells others, and takes from them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ryerouter_core::identity::BackEndName;
+use slog::info;
+
+use super::{Gateway, GatewayState};
+use crate::engines::EngineLoad;
+use crate::peers::{EngineLoadNews, HolderNews, NodeState, PeerMessage, WeightsNews};
+use crate::placement::PromptKeys;
+
+/// Most prefixes that one message tells of; more wait for the next.
+const MOST_HOLDER_NEWS: usize = 64;
+/// Most prefixes that wait to be told; beyond that the oldest are never told.
+const MOST_WAITING_HOLDER_NEWS: usize = 1_024;
+/// A node that proved its configuration within this time reaches the store.
+const STORE_CONTACT: Duration = Duration::from_millis(5_500);
+
+impl Gateway {
+    /// Resolves when news must not wait for the next tick.
+    pub async fn peer_news_is_urgent(&self) {
+        self.urgent_news.notified().await;
+    }
+
+    /// Whether there is anything new to tell.
+    pub fn has_peer_news(&self) -> bool {
+        let state = self.state();
+        !state.holder_news.is_empty() || !state.weights_news.is_empty()
+    }
+
+    /// The next message to other nodes; takes the news out.
+    pub fn peer_message(&self, is_introduction: bool) -> PeerMessage {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        state.sequence += 1;
+        let told = state.holder_news.len().min(MOST_HOLDER_NEWS);
+        let holders = state.holder_news.drain(..told).collect();
+        let weights = std::mem::take(&mut state.weights_news);
+        let loads = state
+            .engines
+            .iter()
+            .map(|engine| (engine, *engine.own_load.borrow()))
+            .filter(|(_, load)| *load != EngineLoad::default())
+            .map(|(engine, load)| EngineLoadNews(engine.entry.name.clone(), load))
+            .collect();
+        let members = match is_introduction {
+            true => state.peers.members(now),
+            false => Vec::new(),
+        };
+        PeerMessage {
+            from: self.settings().identity.clone(),
+            sequence: state.sequence,
+            state: state.node_state,
+            gives_orders: state.gives_orders,
+            reaches_store: self.reaches_store(&state),
+            members,
+            loads,
+            holders,
+            weights,
+        }
+    }
+
+    /// Whether the source answered lately, so that a lease can be held.
+    fn reaches_store(&self, state: &GatewayState) -> bool {
+        let now = self.clock().now();
+        state.freshness.is_within(STORE_CONTACT, now)
+    }
+
+    /// Whether this node should hold the lease of orders: no other node holds it, and of those that
+    /// reach the store it is the first by name.
+    pub fn should_give_orders(&self) -> bool {
+        let now = self.clock().now();
+        let state = self.state();
+        if state.node_state != NodeState::Ready || !self.reaches_store(&state) {
+            return false;
+        }
+        if state.gives_orders {
+            return true;
+        }
+        let own_name = &self.settings().identity.name;
+        let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
+        able.all(|peer| !peer.gives_orders && peer.identity.name > *own_name)
+    }
+
+    /// Where to send a message.
+    pub fn peer_receivers(&self, is_introduction: bool) -> Vec<SocketAddr> {
+        let state = self.state();
+        let mut receivers = state.peers.known_addresses();
+        if is_introduction {
+            receivers.extend_from_slice(state.peers.unheard_addresses());
+        }
+        receivers
+    }
+
+    /// Takes a message of another node.
+    pub fn hear_peer(&self, message: PeerMessage) {
+        if message.from.name == self.settings().identity.name {
+            return;
+        }
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let alive_before = state.peers.alive(now).count();
+        let is_newest = state.peers.hear(&message, now);
+        for member in &message.members {
+            if member.name != self.settings().identity.name {
+                state.peers.suggest(member.address);
+            }
+        }
+        for HolderNews(key, engine) in &message.holders {
+            state.holders.note(*key, engine, now);
+        }
+        if is_newest {
+            let loads = state.peers.loads(now);
+            state.engines.set_foreign_loads(&loads);
+        }
+        let alive = state.peers.alive(now).count();
+        if alive != alive_before {
+            self.metrics().peers.set(alive as i64);
+            info!(self.log(), "peer_heard"; "peer" => %message.from.name,
+                "state" => %message.state, "alive" => alive);
+        }
+        drop(state);
+        for news in &message.weights {
+            self.note_weights_news(news);
+        }
+    }
+
+    /// An engine has read the prompt of a request: others may fetch its prefixes.
+    pub fn note_prompt_read(&self, engine: &BackEndName, keys: &PromptKeys) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        for (key, _) in &keys.0 {
+            let is_known = state.holders.of(*key).any(|(name, _)| name == engine);
+            state.holders.note(*key, engine, now);
+            let has_room = state.holder_news.len() < MOST_WAITING_HOLDER_NEWS;
+            if !is_known && has_room {
+                state.holder_news.push(HolderNews(*key, engine.clone()));
+            }
+        }
+    }
+
+    /// Weights of an engine became known, by its own word.
+    pub fn note_weights(&self, engine: &BackEndName, model: &str, version: u64) {
+        let mut state = self.state_mut();
+        let Some(known) = state.engines.get_mut(engine) else {
+            return;
+        };
+        let is_expected = known.weights_of(model) == Some(version);
+        if is_expected || !known.note_weights(model, version) {
+            return;
+        }
+        info!(self.log(), "engine_weights"; "engine" => %engine, "model" => model,
+            "version" => version);
+        state.weights_news.push(WeightsNews {
+            engine: engine.clone(),
+            model: model.to_owned(),
+            version,
+            loading_ms: None,
+        });
+        drop(state);
+        self.urgent_news.notify_one();
+    }
+
+    /// This node is about to order an engine to load weights.
+    pub fn note_loading(&self, engine: &BackEndName, model: &str, version: u64, expected: Duration) {
+        let until = self.clock().now().after(expected);
+        let mut state = self.state_mut();
+        if let Some(known) = state.engines.get_mut(engine) {
+            known.loading_until = Some(until);
+        }
+        state.weights_news.push(WeightsNews {
+            engine: engine.clone(),
+            model: model.to_owned(),
+            version,
+            loading_ms: Some(expected.as_millis() as u64),
+        });
+        drop(state);
+        self.urgent_news.notify_one();
+    }
+
+    fn note_weights_news(&self, news: &WeightsNews) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let Some(engine) = state.engines.get_mut(&news.engine) else {
+            return;
+        };
+        match news.loading_ms {
+            Some(millis) => {
+                let is_behind = engine.weights_of(&news.model) < Some(news.version);
+                if is_behind {
+                    engine.loading_until = Some(now.after(Duration::from_millis(millis)));
+                }
+            }
+            None => {
+                if engine.note_weights(&news.model, news.version) {
+                    info!(self.log(), "engine_weights"; "engine" => %news.engine,
+                        "model" => &news.model, "version" => news.version, "by" => "peer");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/shared.rs
@@ -0,0 +1,183 @@
+//! The gateway's shared handle.
+
+use std::cell::{Ref, RefCell, RefMut};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{PoolName, ZoneName};
+use slog::{Logger, info};
+use tokio::sync::Notify;
+
+use super::{GatewaySettings, GatewayState};
+use crate::clock::Clock;
+use crate::peers::NodeState;
+use crate::placement::{Chooser, Placement, PlacementRequest};
+use crate::request::Dialect;
+use crate::telemetry::{LogSampler, Metrics};
+use crate::upstream::Upstream;
+
+/// Callers in a zone get its own nodes only when there are at least so many.
+const LEAST_NEAR_NODES: usize = 2;
+
+/// Everything that the tasks of a gateway share.
+pub struct Gateway {
+    settings: GatewaySettings,
+    clock: Clock,
+    log: Logger,
+    metrics: Rc<Metrics>,
+    sampler: LogSampler,
+    dialect: Rc<dyn Dialect>,
+    upstream: Upstream,
+    state: RefCell<GatewayState>,
+    pub(super) urgent_news: Notify,
+    leaving: Notify,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, dialect: Rc<dyn Dialect>, log: Logger) -> Rc<Self> {
+        let clock = Clock::start();
+        Rc::new(Self {
+            upstream: Upstream::new(settings.connect.clone(), clock),
+            state: RefCell::new(GatewayState::new(&settings)),
+            settings,
+            clock,
+            log,
+            metrics: Rc::new(Metrics::new()),
+            sampler: LogSampler::default(),
+            dialect,
+            urgent_news: Notify::new(),
+            leaving: Notify::new(),
+        })
+    }
+
+    /// Settings.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.settings
+    }
+
+    /// The steady clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    /// Bounds lines that tell of what went well.
+    pub fn sampler(&self) -> &LogSampler {
+        &self.sampler
+    }
+
+    /// Metrics.
+    pub fn metrics(&self) -> &Rc<Metrics> {
+        &self.metrics
+    }
+
+    /// The translation of heads.
+    pub fn dialect(&self) -> &dyn Dialect {
+        self.dialect.as_ref()
+    }
+
+    /// Connections to engines.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// What the gateway believes; never held across an await.
+    pub fn state(&self) -> Ref<'_, GatewayState> {
+        self.state.borrow()
+    }
+
+    /// The same, to change it.
+    pub fn state_mut(&self) -> RefMut<'_, GatewayState> {
+        self.state.borrow_mut()
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        self.state().node_state == NodeState::Ready
+    }
+
+    /// Addresses that a caller in `zone` should use: its own zone's when there are enough.
+    pub fn addresses_near(&self, zone: &ZoneName, most: usize) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let state = self.state();
+        let own = (state.node_state == NodeState::Ready).then_some(&self.settings.identity);
+        let others = state.peers.ready(now).map(|peer| &peer.identity);
+        let nodes: Vec<_> = own.into_iter().chain(others).collect();
+        let near: Vec<_> = nodes
+            .iter()
+            .filter(|node| node.zone == *zone)
+            .map(|node| node.caller_address)
+            .collect();
+        if near.len() >= LEAST_NEAR_NODES {
+            return near.into_iter().take(most).collect();
+        }
+        let all = nodes.iter().map(|node| node.caller_address);
+        all.take(most).collect()
+    }
+
+    /// Chooses an engine.
+    pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
+        let state = self.state();
+        let table = state.table.as_ref()?;
+        let chooser = Chooser {
+            engines: &state.engines,
+            holders: &state.holders,
+            table,
+            deadlines: &state.deadlines,
+            prices: &self.settings.prices,
+            zone: &self.settings.identity.zone,
+            now: self.clock.now(),
+        };
+        chooser.choose(request)
+    }
+
+    /// A request for a pool arrived.
+    pub fn count_request(&self, pool: &PoolName) {
+        let now = self.clock.now();
+        let mut state = self.state_mut();
+        let window = state.retries.entry(pool.clone()).or_default();
+        window.count_request(&self.settings.retry, now);
+    }
+
+    /// Takes a retry from the budget of a pool.
+    pub fn spend_retry(&self, pool: &PoolName) -> bool {
+        let now: Timestamp = self.clock.now();
+        let mut state = self.state_mut();
+        let processes = state.peers.known_count() + 1;
+        let window = state.retries.entry(pool.clone()).or_default();
+        let is_allowed = window.spend(&self.settings.retry, processes, now);
+        match is_allowed {
+            true => self.metrics.retries.inc(),
+            false => self.metrics.retries_denied.inc(),
+        }
+        is_allowed
+    }
+
+    /// Begins to leave: no new callers, what runs is finished.
+    pub fn leave(&self) {
+        self.state_mut().node_state = NodeState::Leaving;
+        info!(self.log, "stopping"; "active_requests" => self.state().active_requests);
+        self.urgent_news.notify_one();
+        self.leaving.notify_waiters();
+    }
+
+    /// Whether the gateway leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state().node_state == NodeState::Leaving
+    }
+
+    /// Resolves once the gateway leaves.
+    pub async fn left(&self) {
+        let notified = self.leaving.notified();
+        if self.is_leaving() {
+            return;
+        }
+        notified.await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/engine_news.rs
@@ -0,0 +1,24 @@
+//! News of engines.
+
+use ryerouter_core::identity::BackEndName;
+use serde::{Deserialize, Serialize};
+
+use crate::engines::EngineLoad;
+
+/// Work of the sender at an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoadNews(pub BackEndName, pub EngineLoad);
+
+/// Weights of an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsNews {
+    /// The engine.
+    pub engine: BackEndName,
+    /// The model.
+    pub model: String,
+    /// The version that it has, or will have.
+    pub version: u64,
+    /// While it loads: how long that may yet take, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loading_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/gateway/src/peers/holder_news.rs
@@ -0,0 +1,10 @@
+//! News of a cached prefix.
+
+use ryerouter_core::identity::BackEndName;
+use serde::{Deserialize, Serialize};
+
+use crate::placement::PartKey;
+
+/// An engine has read a prefix.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HolderNews(pub PartKey, pub BackEndName);
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,21 @@
+//! The other gateways: who they are, and what they tell.
+
+mod engine_news;
+mod holder_news;
+mod member_address;
+mod node_identity;
+mod node_state;
+mod peer;
+mod peer_link;
+mod peer_message;
+mod peer_table;
+
+pub use engine_news::{EngineLoadNews, WeightsNews};
+pub use holder_news::HolderNews;
+pub use member_address::MemberAddress;
+pub use node_identity::{NodeIdentity, new_incarnation};
+pub use node_state::NodeState;
+pub use peer::Peer;
+pub use peer_link::run_peer_link;
+pub use peer_message::PeerMessage;
+pub use peer_table::PeerTable;
--- /dev/null
+++ b/crates/gateway/src/peers/peer.rs
@@ -0,0 +1,24 @@
+//! Another node as this one knows it.
+
+use ryerouter_core::Timestamp;
+
+use super::{EngineLoadNews, NodeIdentity, NodeState};
+
+/// Another node as this one knows it.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Who it is.
+    pub identity: NodeIdentity,
+    /// Whether it serves.
+    pub state: NodeState,
+    /// Whether it gives orders.
+    pub gives_orders: bool,
+    /// Whether it reached the store of leases lately.
+    pub reaches_store: bool,
+    /// Number of its last message.
+    pub sequence: u64,
+    /// When that came.
+    pub heard_at: Timestamp,
+    /// Its work at engines.
+    pub loads: Vec<EngineLoadNews>,
+}
--- /dev/null
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -0,0 +1,76 @@
+//! The datagram link between nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use slog::debug;
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::PeerMessage;
+use crate::gateway::Gateway;
+
+/// News go out this often when there are any.
+const TICK: Duration = Duration::from_millis(50);
+/// Every so many ticks a node says that it is there.
+const TICKS_PER_HEARTBEAT: u64 = 5;
+/// Every so many ticks a node tells whom it knows, also where nobody answered yet.
+const TICKS_PER_INTRODUCTION: u64 = 20;
+/// Most nodes that one message goes to.
+const MOST_RECEIVERS: usize = 32;
+const LONGEST_DATAGRAM: usize = 60_000;
+
+/// Tells other nodes what this one knows and hears what they know, until dropped.
+pub async fn run_peer_link(gateway: Rc<Gateway>, socket: UdpSocket) {
+    let mut buffer = vec![0_u8; 16 * 1_024];
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut tick: u64 = 0;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                if let Ok((length, from)) = received {
+                    receive(&gateway, &buffer[..length], from);
+                }
+            }
+            _ = ticks.tick() => {
+                tick += 1;
+                tell(&gateway, &socket, tick);
+            }
+            () = gateway.peer_news_is_urgent() => tell(&gateway, &socket, TICKS_PER_HEARTBEAT),
+        }
+    }
+}
+
+fn receive(gateway: &Rc<Gateway>, bytes: &[u8], from: SocketAddr) {
+    match serde_json::from_slice::<PeerMessage>(bytes) {
+        Ok(message) => gateway.hear_peer(message),
+        Err(error) => debug!(gateway.log(), "peer_message_unreadable";
+            "from" => %from, "error" => %error),
+    }
+}
+
+fn tell(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
+    let is_heartbeat = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
+    let is_introduction = tick.is_multiple_of(TICKS_PER_INTRODUCTION);
+    if !is_heartbeat && !gateway.has_peer_news() {
+        return;
+    }
+    let Ok(bytes) = serde_json::to_vec(&gateway.peer_message(is_introduction)) else {
+        return;
+    };
+    if bytes.len() > LONGEST_DATAGRAM {
+        return;
+    }
+    let mut receivers = gateway.peer_receivers(is_introduction);
+    if receivers.len() > MOST_RECEIVERS {
+        receivers.shuffle(&mut rand::rng());
+        receivers.truncate(MOST_RECEIVERS);
+    }
+    for receiver in receivers {
+        // A datagram that can't be sent now is lost like any other.
+        let _ = socket.try_send_to(&bytes, receiver);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -0,0 +1,36 @@
+//! What nodes tell each other.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    EngineLoadNews, HolderNews, MemberAddress, NodeIdentity, NodeState, WeightsNews,
+};
+
+/// One datagram between nodes: a JSON line.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// The sender.
+    pub from: NodeIdentity,
+    /// Rises with each message of one life of the sender.
+    pub sequence: u64,
+    /// Whether the sender serves.
+    pub state: NodeState,
+    /// Whether the sender holds the lease of orders.
+    #[serde(default)]
+    pub gives_orders: bool,
+    /// Whether the sender reached the store of leases lately.
+    #[serde(default)]
+    pub reaches_store: bool,
+    /// Other nodes that the sender knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<MemberAddress>,
+    /// All work of the sender at engines.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub loads: Vec<EngineLoadNews>,
+    /// Prefixes that engines have read since the last message.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub holders: Vec<HolderNews>,
+    /// Changes of weights since the last message.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub weights: Vec<WeightsNews>,
+}
--- /dev/null
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -0,0 +1,117 @@
+//! All other nodes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{BackEndName, NodeName};
+
+use super::{MemberAddress, NodeState, Peer, PeerMessage};
+use crate::engines::EngineLoad;
+
+/// A node that was silent for so long is not handed to callers.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
+/// A node that was silent for so long is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Addresses that are tried though nobody answered there yet.
+const MOST_UNHEARD: usize = 64;
+
+/// All other nodes, and addresses where more may be.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<NodeName, Peer>,
+    unheard: Vec<SocketAddr>,
+}
+
+impl PeerTable {
+    /// A node may be at `address`.
+    pub fn suggest(&mut self, address: SocketAddr) {
+        let is_heard = self
+            .peers
+            .values()
+            .any(|peer| peer.identity.peer_address == address);
+        if !is_heard && !self.unheard.contains(&address) && self.unheard.len() < MOST_UNHEARD {
+            self.unheard.push(address);
+        }
+    }
+
+    /// Takes who a message is from; `false` when a newer one came before it.
+    pub fn hear(&mut self, message: &PeerMessage, now: Timestamp) -> bool {
+        let from = &message.from;
+        self.unheard.retain(|address| *address != from.peer_address);
+        if let Some(known) = self.peers.get(&from.name)
+            && known.identity.incarnation == from.incarnation
+            && known.sequence >= message.sequence
+        {
+            return false;
+        }
+        let peer = Peer {
+            identity: from.clone(),
+            state: message.state,
+            gives_orders: message.gives_orders,
+            reaches_store: message.reaches_store,
+            sequence: message.sequence,
+            heard_at: now,
+            loads: message.loads.clone(),
+        };
+        self.peers.insert(from.name.clone(), peer);
+        true
+    }
+
+    /// Forgets nodes that were silent for long.
+    pub fn forget_silent(&mut self, now: Timestamp) {
+        self.peers
+            .retain(|_, peer| now.since(peer.heard_at) < FORGET_AFTER);
+    }
+
+    /// Nodes that told something lately.
+    pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |peer| now.since(peer.heard_at) < SUSPECT_AFTER)
+    }
+
+    /// Nodes that serve, as far as known.
+    pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        self.alive(now)
+            .filter(|peer| peer.state == NodeState::Ready)
+    }
+
+    /// Where to send news: to all nodes that are known.
+    pub fn known_addresses(&self) -> Vec<SocketAddr> {
+        let of = |peer: &Peer| peer.identity.peer_address;
+        self.peers.values().map(of).collect()
+    }
+
+    /// Addresses where nobody answered yet.
+    pub fn unheard_addresses(&self) -> &[SocketAddr] {
+        &self.unheard
+    }
+
+    /// How many nodes are known, silent ones included.
+    pub fn known_count(&self) -> usize {
+        self.peers.len().max(self.unheard.len())
+    }
+
+    /// Nodes to tell others of.
+    pub fn members(&self, now: Timestamp) -> Vec<MemberAddress> {
+        self.alive(now)
+            .map(|peer| MemberAddress {
+                name: peer.identity.name.clone(),
+                address: peer.identity.peer_address,
+            })
+            .collect()
+    }
+
+    /// The work of all other nodes at engines.
+    pub fn loads(&self, now: Timestamp) -> HashMap<BackEndName, EngineLoad> {
+        let mut sums: HashMap<BackEndName, EngineLoad> = HashMap::new();
+        for peer in self.alive(now) {
+            for news in &peer.loads {
+                sums.entry(news.0.clone()).or_default().add(news.1);
+            }
+        }
+        sums
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement/holder_table.rs
@@ -0,0 +1,87 @@
+//! Which engines hold which prefixes.
+
+use std::collections::HashMap;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
+
+use super::PartKey;
+
+/// Most holders that are remembered of one prefix, the latest ones.
+const MOST_HOLDERS: usize = 6;
+
+#[derive(Debug, Clone)]
+struct Holder {
+    engine: BackEndName,
+    used_at: Timestamp,
+}
+
+/// Which engines read or fetched which prefixes lately; bounded, the longest unused go first.
+#[derive(Debug)]
+pub struct HolderTable {
+    capacity: usize,
+    holders: HashMap<PartKey, Vec<Holder>>,
+}
+
+impl HolderTable {
+    /// A table of at most `capacity` prefixes.
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            holders: HashMap::new(),
+        }
+    }
+
+    /// `engine` used the prefix at `at`.
+    pub fn note(&mut self, key: PartKey, engine: &BackEndName, at: Timestamp) {
+        if !self.holders.contains_key(&key) && self.holders.len() >= self.capacity {
+            self.forget_oldest();
+        }
+        let holders = self.holders.entry(key).or_default();
+        if let Some(known) = holders.iter_mut().find(|known| known.engine == *engine) {
+            known.used_at = known.used_at.max(at);
+            return;
+        }
+        if holders.len() >= MOST_HOLDERS {
+            let oldest = (0..holders.len()).min_by_key(|&index| holders[index].used_at);
+            holders.swap_remove(oldest.unwrap_or_default());
+        }
+        holders.push(Holder {
+            engine: engine.clone(),
+            used_at: at,
+        });
+    }
+
+    /// Engines that used the prefix, with the time of the last use.
+    pub fn of(&self, key: PartKey) -> impl Iterator<Item = (&BackEndName, Timestamp)> {
+        let holders = self.holders.get(&key);
+        holders
+            .into_iter()
+            .flatten()
+            .map(|holder| (&holder.engine, holder.used_at))
+    }
+
+    /// An engine holds nothing any more.
+    pub fn forget_engine(&mut self, engine: &BackEndName) {
+        self.holders.retain(|_, holders| {
+            holders.retain(|holder| holder.engine != *engine);
+            !holders.is_empty()
+        });
+    }
+
+    /// One engine does not hold one prefix any more.
+    pub fn forget(&mut self, key: PartKey, engine: &BackEndName) {
+        if let Some(holders) = self.holders.get_mut(&key) {
+            holders.retain(|holder| holder.engine != *engine);
+        }
+    }
+
+    /// Drops the eighth of the prefixes that were unused longest, so that this is done seldom.
+    fn forget_oldest(&mut self) {
+        let last_use = |holders: &[Holder]| holders.iter().map(|holder| holder.used_at).max();
+        let mut times: Vec<_> = self.holders.values().map(|held| last_use(held)).collect();
+        times.sort_unstable();
+        let limit = times[times.len() / 8];
+        self.holders.retain(|_, held| last_use(held) > limit);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement/mod.rs
@@ -0,0 +1,19 @@
+//! Where a request runs: the engine with the least cost.
+
+mod candidate_cost;
+mod chooser;
+mod holder_table;
+mod part_key;
+mod placement;
+mod placement_prices;
+mod placement_request;
+mod prompt;
+
+pub use candidate_cost::CandidateCost;
+pub use chooser::Chooser;
+pub use holder_table::HolderTable;
+pub use part_key::{PartKey, PromptKeys};
+pub use placement::{KvFetch, Placement};
+pub use placement_prices::PlacementPrices;
+pub use placement_request::PlacementRequest;
+pub use prompt::{Prompt, PromptPart};
--- /dev/null
+++ b/crates/gateway/src/placement/placement.rs
@@ -0,0 +1,41 @@
+//! A chosen engine.
+
+use std::net::SocketAddr;
+
+use ryerouter_core::identity::BackEndName;
+
+use super::{CandidateCost, PromptKeys};
+
+/// A prefix to fetch from another engine before the prompt is read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KvFetch {
+    /// The engine that holds it.
+    pub holder: BackEndName,
+    /// Where that listens.
+    pub address: SocketAddr,
+    /// Tokens that it holds beyond those of the chosen engine.
+    pub tokens: u32,
+}
+
+/// A chosen engine.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placement {
+    /// The engine.
+    pub engine: BackEndName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Version of the weights that it is expected to have; `None` for plain services.
+    pub weights: Option<u64>,
+    /// Separates cached prefixes.
+    pub salt: Option<String>,
+    /// Keys of the prompt's prefixes under that salt.
+    pub keys: PromptKeys,
+    /// Tokens expected in its cache.
+    pub cached_tokens: u32,
+    /// Tokens that it has to read (estimate).
+    pub unread_tokens: u32,
+    /// Fetched before.
+    pub fetch: Option<KvFetch>,
+    /// Why it was chosen.
+    pub cost: CandidateCost,
+}
--- /dev/null
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -0,0 +1,40 @@
+//! Prices of placement.
+
+/// Prices in one unit: the worth of a typical request is a few units.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementPrices {
+    /// A request whose first token comes at its target latency; grows with the square.
+    pub at_target: f64,
+    /// A token that is read although some engine holds it.
+    pub reread_token: f64,
+    /// A gigabyte of KV cache moved within a zone.
+    pub moved_gigabyte: f64,
+    /// The same between zones.
+    pub moved_gigabyte_across: f64,
+    /// A kilobyte of a request sent to another zone.
+    pub kilobyte_across: f64,
+    /// Share of an engine's KV memory in use that counts as crowded.
+    pub crowded_share: f64,
+    /// An engine whose KV memory is exceeded by all of its size.
+    pub crowded: f64,
+    /// Each request at an engine, for each of its slots.
+    pub occupied: f64,
+    /// Prompt tokens that an engine reads in a millisecond, until measured.
+    pub read_tokens_per_ms: f64,
+}
+
+impl Default for PlacementPrices {
+    fn default() -> Self {
+        Self {
+            at_target: 1.0,
+            reread_token: 0.001_2,
+            moved_gigabyte: 0.029,
+            moved_gigabyte_across: 0.058,
+            kilobyte_across: 0.004,
+            crowded_share: 0.7,
+            crowded: 3.0,
+            occupied: 0.3,
+            read_tokens_per_ms: 30.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay/mod.rs
@@ -0,0 +1,9 @@
+//! Passing answers on.
+
+mod event_splitter;
+mod relay_fault;
+mod stream_end;
+
+pub use event_splitter::{EventBatch, EventSplitter};
+pub use relay_fault::RelayFault;
+pub use stream_end::StreamEnd;
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,15 @@
+//! Requests of callers, and the two translations that surround the gateway.
+
+mod answer_facts;
+mod attempt_head;
+mod bad_request;
+mod caller_request;
+mod dialect;
+mod refusal;
+
+pub use answer_facts::AnswerFacts;
+pub use attempt_head::AttemptHead;
+pub use bad_request::BadRequest;
+pub use caller_request::CallerRequest;
+pub use dialect::Dialect;
+pub use refusal::{Refusal, RefusalReason};
--- /dev/null
+++ b/crates/gateway/src/retry/retry_window.rs
@@ -0,0 +1,51 @@
+//! The retry budget of one process.
+
+use std::collections::VecDeque;
+
+use ryerouter_core::Timestamp;
+
+use super::RetrySettings;
+
+/// Share of the whole budget that is used: nodes and judges cut windows at other moments.
+const USED_SHARE: f64 = 0.8;
+
+/// Counts requests and retries of one pool in a sliding window.
+///
+/// Invariant: in no window does this process spend more than its share of the floor and the ratio
+/// of the requests it took itself, so the sum over all processes keeps to the whole budget.
+#[derive(Debug, Default)]
+pub struct RetryWindow {
+    requests: VecDeque<Timestamp>,
+    retries: VecDeque<Timestamp>,
+}
+
+impl RetryWindow {
+    /// A request arrived.
+    pub fn count_request(&mut self, settings: &RetrySettings, now: Timestamp) {
+        self.forget(settings, now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one retry; `false` when none is left. `processes` share the floor.
+    #[must_use]
+    pub fn spend(&mut self, settings: &RetrySettings, processes: usize, now: Timestamp) -> bool {
+        self.forget(settings, now);
+        let floor = settings.floor / processes.max(1) as f64;
+        let earned = settings.ratio * self.requests.len() as f64;
+        let allowed = (floor + earned) * USED_SHARE;
+        if self.retries.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    fn forget(&mut self, settings: &RetrySettings, now: Timestamp) {
+        let start = now.before(settings.window);
+        for times in [&mut self.requests, &mut self.retries] {
+            while times.front().is_some_and(|at| *at < start) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/mod.rs
@@ -0,0 +1,20 @@
+//! Bringing engines to the weights that were named.
+
+mod engine_orders;
+mod order_outcome;
+mod rollout_action;
+mod rollout_driver;
+mod rollout_event;
+mod rollout_planner;
+mod rollout_settings;
+mod weights_deadlines;
+mod weights_order;
+
+pub use engine_orders::EngineOrders;
+pub use order_outcome::{EngineReport, OrderOutcome};
+pub use rollout_action::RolloutAction;
+pub use rollout_driver::run_rollouts;
+pub use rollout_planner::RolloutPlanner;
+pub use rollout_settings::RolloutSettings;
+pub use weights_deadlines::WeightsDeadlines;
+pub use weights_order::WeightsOrder;
--- /dev/null
+++ b/crates/gateway/src/rollout/rollout_action.rs
@@ -0,0 +1,23 @@
+//! What a rollout wants done.
+
+use ryerouter_core::identity::BackEndName;
+
+use super::WeightsOrder;
+
+/// What a rollout wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutAction {
+    /// Give an order.
+    Order(WeightsOrder),
+    /// Ask an engine for a report.
+    Ask(BackEndName),
+    /// The engine has these weights.
+    Loaded {
+        /// The engine.
+        engine: BackEndName,
+        /// The model.
+        model: String,
+        /// The version.
+        version: u64,
+    },
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -0,0 +1,208 @@
+//! Runs rollouts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::Incarnation;
+use ryerouter_core::order::{
+    HeldLease, LeaseAction, LeaseEvent, LeaseHolder, LeaseSettings,
+};
+use slog::{info, warn};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::rollout_event::RolloutEvent;
+use super::{EngineOrders, OrderOutcome, RolloutAction, RolloutPlanner, WeightsOrder};
+use crate::gateway::Gateway;
+use crate::source::LeaseStore;
+
+/// Name of the lease of orders.
+const LEASE_NAME: &str = "orders";
+const TICK: Duration = Duration::from_millis(50);
+
+/// Holds the lease of orders while there is work, and brings engines to the named weights.
+pub async fn run_rollouts(
+    gateway: Rc<Gateway>,
+    store: Rc<dyn LeaseStore>,
+    orders: Rc<dyn EngineOrders>,
+    lease: LeaseSettings,
+) {
+    let (sender, events) = unbounded_channel();
+    let identity = &gateway.settings().identity;
+    let incarnation = Incarnation(identity.incarnation);
+    let lease = LeaseHolder::new(LEASE_NAME, identity.name.clone(), incarnation, lease);
+    let planner = RolloutPlanner::new(gateway.settings().rollout.clone());
+    let driver = RolloutDriver {
+        gateway,
+        store,
+        orders,
+        lease,
+        planner,
+        held: None,
+        sender,
+    };
+    driver.run(events).await;
+}
+
+struct RolloutDriver {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn LeaseStore>,
+    orders: Rc<dyn EngineOrders>,
+    lease: LeaseHolder,
+    planner: RolloutPlanner,
+    held: Option<HeldLease>,
+    sender: UnboundedSender<RolloutEvent>,
+}
+
+impl RolloutDriver {
+    async fn run(mut self, mut events: UnboundedReceiver<RolloutEvent>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = events.recv() => {
+                    if let Some(event) = event {
+                        self.handle(event);
+                    }
+                }
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.gateway.remove_unlisted();
+        let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
+        if !is_needed || self.gateway.is_leaving() {
+            self.set_held(self.held);
+            return;
+        }
+        let should = self.gateway.should_give_orders();
+        // An unneeded lease runs out by itself: given up early, two holders could take turns.
+        if should {
+            self.tell_lease(LeaseEvent::Candidacy(true));
+        }
+        self.advance();
+    }
+
+    fn handle(&mut self, event: RolloutEvent) {
+        let now = self.gateway.clock().now();
+        let mut actions = Vec::new();
+        match event {
+            RolloutEvent::StoreAnswered(answer) => {
+                self.tell_lease(LeaseEvent::StoreAnswered(answer));
+            }
+            RolloutEvent::Ordered(engine, outcome) => {
+                let outcomes = &self.gateway.metrics().orders;
+                outcomes.with_label_values(&[&outcome.to_string()]).inc();
+                info!(self.gateway.log(), "order_answered"; "engine" => %engine,
+                    "outcome" => %outcome);
+                self.planner.ordered(&engine, outcome, now, &mut actions);
+            }
+            RolloutEvent::Reported(engine, report) => {
+                self.planner
+                    .reported(&engine, report.as_ref(), now, &mut actions);
+            }
+        }
+        self.carry_out(actions);
+        self.advance();
+    }
+
+    fn tell_lease(&mut self, event: LeaseEvent) {
+        let now = self.gateway.clock().now();
+        let mut actions = Vec::new();
+        self.lease.handle(event, now, &mut actions);
+        for action in actions {
+            match action {
+                LeaseAction::Call(call) => {
+                    let (store, sender) = (Rc::clone(&self.store), self.sender.clone());
+                    spawn_local(async move {
+                        let answer = store.call(call).await;
+                        let _ = sender.send(RolloutEvent::StoreAnswered(answer));
+                    });
+                }
+                LeaseAction::Changed(held) => self.set_held(held),
+            }
+        }
+    }
+
+    fn set_held(&mut self, held: Option<HeldLease>) {
+        let now = self.gateway.clock().now();
+        let valid = held.filter(|held| held.is_valid(now));
+        let fence = |held: Option<HeldLease>| held.map(|held| held.fencing_number.0);
+        if fence(valid) != fence(self.held) {
+            info!(self.gateway.log(), "order_lease"; "fence" => fence(valid),
+                "before" => fence(self.held));
+            self.planner.reset();
+        }
+        self.held = valid;
+        self.gateway.state_mut().gives_orders = valid.is_some();
+    }
+
+    fn advance(&mut self) {
+        let now = self.gateway.clock().now();
+        if self.valid_lease(now).is_none() {
+            return;
+        }
+        let mut actions = Vec::new();
+        let state = self.gateway.state();
+        self.planner
+            .advance(&state.engines, &state.deadlines, now, &mut actions);
+        drop(state);
+        self.carry_out(actions);
+    }
+
+    /// The lease, checked anew before each use: this process may have been paused.
+    fn valid_lease(&self, now: Timestamp) -> Option<HeldLease> {
+        self.held.filter(|held| held.is_valid(now))
+    }
+
+    fn carry_out(&mut self, actions: Vec<RolloutAction>) {
+        for action in actions {
+            match action {
+                RolloutAction::Order(order) => self.give_order(order),
+                RolloutAction::Ask(engine) => {
+                    let Some(address) = self.gateway.address_of(&engine) else {
+                        continue;
+                    };
+                    let (orders, sender) = (Rc::clone(&self.orders), self.sender.clone());
+                    spawn_local(async move {
+                        let report = orders.report(engine.clone(), address).await;
+                        let _ = sender.send(RolloutEvent::Reported(engine, report));
+                    });
+                }
+                RolloutAction::Loaded {
+                    engine,
+                    model,
+                    version,
+                } => self.gateway.note_weights(&engine, &model, version),
+            }
+        }
+    }
+
+    fn give_order(&mut self, order: WeightsOrder) {
+        let now = self.gateway.clock().now();
+        let lease = self.valid_lease(now);
+        let address = self.gateway.address_of(&order.engine);
+        let (Some(lease), Some(address)) = (lease, address) else {
+            warn!(self.gateway.log(), "order_withheld"; "engine" => %order.engine);
+            let outcome = OrderOutcome::Rejected;
+            let _ = self.sender.send(RolloutEvent::Ordered(order.engine, outcome));
+            return;
+        };
+        info!(self.gateway.log(), "order_given"; "engine" => %order.engine,
+            "model" => &order.model, "version" => order.version,
+            "expected_orders" => order.expected_orders, "fence" => lease.fencing_number.0);
+        let expected = self.gateway.settings().rollout.expected_load;
+        self.gateway
+            .note_loading(&order.engine, &order.model, order.version, expected);
+        let (orders, sender) = (Rc::clone(&self.orders), self.sender.clone());
+        spawn_local(async move {
+            let engine = order.engine.clone();
+            let outcome = orders.order(address, order, lease.fencing_number).await;
+            let _ = sender.send(RolloutEvent::Ordered(engine, outcome));
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/rollout/weights_order.rs
@@ -0,0 +1,16 @@
+//! An order to load weights.
+
+use ryerouter_core::identity::BackEndName;
+
+/// An order to an engine to load weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WeightsOrder {
+    /// The engine.
+    pub engine: BackEndName,
+    /// The model.
+    pub model: String,
+    /// The version to load.
+    pub version: u64,
+    /// Orders that the engine must have taken before: two orders never both run.
+    pub expected_orders: Option<u64>,
+}
--- /dev/null
+++ b/crates/gateway/src/serve/attempt.rs
@@ -0,0 +1,194 @@
+//! One attempt at one engine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::header::CONTENT_ENCODING;
+use hyper::{Request, StatusCode};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::accepted_request::AcceptedRequest;
+use super::attempt_end::AttemptEnd;
+use super::live_answer::LiveAnswer;
+use crate::engines::{EngineLoad, InFlight};
+use crate::gateway::Gateway;
+use crate::placement::Placement;
+use crate::request::{AnswerFacts, AttemptHead};
+use crate::upstream::{AttemptFailure, UpstreamAnswer};
+
+/// An engine that had no room is avoided for so long.
+const AVOID_FULL: Duration = Duration::from_millis(150);
+/// An engine with other weights than expected is avoided for so long: it is about to load.
+const AVOID_MISDIRECTED: Duration = Duration::from_millis(300);
+/// Longest time for the rest of a refusal whose connection is to be kept.
+const REFUSAL_REST: Duration = Duration::from_millis(200);
+
+/// Sends a request to the chosen engine and waits for the head of a usable answer.
+pub(super) async fn attempt(
+    gateway: &Rc<Gateway>,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    last_event_id: Option<&str>,
+) -> Result<LiveAnswer, AttemptEnd> {
+    let in_flight = count_in_flight(gateway, request, placement)
+        .ok_or_else(|| AttemptEnd::NotConnected("engine gone".to_owned()))?;
+    let message = build_message(gateway, request, placement, last_event_id);
+    let is_repeatable = request.route.is_idempotent();
+    let sent = gateway
+        .upstream()
+        .send(&placement.engine, placement.address, message, is_repeatable)
+        .await;
+    let answer = sent.map_err(|failure| match failure {
+        AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
+        AttemptFailure::Broken { detail } => AttemptEnd::MayHaveRun(detail),
+    })?;
+    let facts = gateway.dialect().read_answer(&answer.head);
+    match judge_head(request, &answer, &facts) {
+        Ok(()) => {
+            note_answer_weights(gateway, request, placement, &facts);
+            Ok(LiveAnswer::new(answer, facts, placement.clone(), in_flight))
+        }
+        Err(end) => {
+            if !end.may_have_run() {
+                keep_after_refusal(gateway, placement, answer, &facts);
+            }
+            Err(end)
+        }
+    }
+}
+
+fn count_in_flight(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+) -> Option<InFlight> {
+    let prompt = request.caller.prompt.as_ref();
+    let load = EngineLoad {
+        requests: 1,
+        unread_tokens: placement.unread_tokens,
+        kv_tokens: prompt.map_or(0, |prompt| prompt.prompt_tokens + prompt.output_tokens),
+    };
+    let state = gateway.state();
+    let engine = state.engines.get(&placement.engine)?;
+    Some(InFlight::new(Rc::clone(&engine.own_load), load))
+}
+
+fn build_message(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    last_event_id: Option<&str>,
+) -> Request<Full<bytes::Bytes>> {
+    let now = gateway.clock().now();
+    let head = AttemptHead {
+        engine: placement.engine.clone(),
+        remaining: request.deadline.since(now),
+        tenant: request.tenant.as_ref().map(|tenant| tenant.name.clone()),
+        salt: placement.salt.clone(),
+        weights: placement.weights,
+        fetch_from: placement.fetch.as_ref().map(|fetch| fetch.address),
+        save_to: None,
+        priority: placement.weights.map(|_| request.priority()),
+        last_event_id: last_event_id.map(str::to_owned),
+    };
+    let mut message = Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    *message.headers_mut() = request.headers.clone();
+    gateway.dialect().write_attempt(&head, message.headers_mut());
+    message
+}
+
+/// Whether the head is a usable answer to this request.
+fn judge_head(
+    request: &AcceptedRequest,
+    answer: &UpstreamAnswer,
+    facts: &AnswerFacts,
+) -> Result<(), AttemptEnd> {
+    let status = answer.head.status;
+    let is_foreign = facts
+        .request_id
+        .as_ref()
+        .is_some_and(|id| *id != request.caller.id);
+    if is_foreign {
+        return Err(AttemptEnd::MayHaveRun("answer to another request".to_owned()));
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptEnd::Misdirected(format!("{:?}", facts.weights)));
+    }
+    if facts.is_not_executed {
+        return Err(AttemptEnd::NoRoom(status.as_u16()));
+    }
+    // These promise that nothing ran, which nothing but the engine's mark can promise.
+    let is_promise = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    );
+    if is_promise {
+        let detail = format!("status {} without the mark of not run", status.as_u16());
+        return Err(AttemptEnd::MayHaveRun(detail));
+    }
+    let is_encoded = answer.head.headers.contains_key(CONTENT_ENCODING);
+    let is_unsigned = !facts.is_signed || facts.request_id.is_none();
+    if status.is_success() && (is_encoded || is_unsigned) {
+        return Err(AttemptEnd::MayHaveRun("not an engine's answer".to_owned()));
+    }
+    Ok(())
+}
+
+fn note_answer_weights(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    facts: &AnswerFacts,
+) {
+    if let (Some(prompt), Some(weights)) = (&request.caller.prompt, facts.weights) {
+        gateway.note_weights(&placement.engine, &prompt.model, weights);
+    }
+}
+
+/// Reads the short rest of a refusal, so that its connection can be kept.
+fn keep_after_refusal(
+    gateway: &Rc<Gateway>,
+    placement: &Placement,
+    answer: UpstreamAnswer,
+    facts: &AnswerFacts,
+) {
+    let gateway = Rc::clone(gateway);
+    let engine = placement.engine.clone();
+    let idle_timeout = facts.idle_timeout;
+    spawn_local(async move {
+        let rest = timeout(REFUSAL_REST, answer.body.collect()).await;
+        if matches!(rest, Ok(Ok(_))) {
+            gateway
+                .upstream()
+                .keep(&engine, answer.connection, idle_timeout);
+        }
+    });
+}
+
+/// Takes how an attempt ended into what is believed of the engine.
+pub(super) fn learn(gateway: &Gateway, placement: &Placement, end: &AttemptEnd) {
+    let now = gateway.clock().now();
+    let mut state = gateway.state_mut();
+    if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        match end {
+            AttemptEnd::NotConnected(_) => engine.health.unreachable(now),
+            AttemptEnd::NoRoom(_) => {
+                engine.health.answered();
+                engine.full_until = Some(now.after(AVOID_FULL));
+            }
+            AttemptEnd::Misdirected(_) => {
+                engine.loading_until = Some(now.after(AVOID_MISDIRECTED));
+            }
+            AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
+        }
+    }
+    drop(state);
+    let attempts = &gateway.metrics().attempts;
+    attempts.with_label_values(&[end.label()]).inc();
+}
--- /dev/null
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -0,0 +1,42 @@
+//! How an attempt ended without a usable answer.
+
+use derive_more::Display;
+
+/// How an attempt ended without a usable answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(super) enum AttemptEnd {
+    /// Nothing was written.
+    #[display("not_connected: {_0}")]
+    NotConnected(String),
+    /// The engine had no room.
+    #[display("no_room: status {_0}")]
+    NoRoom(u16),
+    /// The engine is another process than expected, or has other weights.
+    #[display("misdirected: {_0}")]
+    Misdirected(String),
+    /// It may have run.
+    #[display("may_have_run: {_0}")]
+    MayHaveRun(String),
+}
+
+impl AttemptEnd {
+    /// Whether the request reached the engine, so that the attempt counts in the retry budget.
+    pub(super) fn has_arrived(&self) -> bool {
+        !matches!(self, Self::NotConnected(_))
+    }
+
+    /// Whether the request may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        matches!(self, Self::MayHaveRun(_))
+    }
+
+    /// A short name for metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Self::NotConnected(_) => "not_connected",
+            Self::NoRoom(_) => "no_room",
+            Self::Misdirected(_) => "misdirected",
+            Self::MayHaveRun(_) => "may_have_run",
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/exchange.rs
@@ -0,0 +1,183 @@
+//! All attempts of one request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::identity::BackEndName;
+use slog::warn;
+
+use super::accepted_request::AcceptedRequest;
+use super::attempt::{attempt, learn};
+use super::attempt_end::AttemptEnd;
+use super::live_answer::{LiveAnswer, WholeAnswer};
+use crate::catalogue::RequestKind;
+use crate::gateway::Gateway;
+use crate::placement::{Placement, PlacementRequest};
+use crate::request::{Refusal, RefusalReason};
+
+/// When to come back when no engine takes work.
+const NO_ENGINE_RETRY: Duration = Duration::from_millis(400);
+/// When to come back when engines had no room.
+const NO_ROOM_RETRY: Duration = Duration::from_millis(250);
+
+/// The answer of an engine as far as it must be known before the caller gets its head.
+pub(super) enum FirstAnswer {
+    Whole(WholeAnswer),
+    Stream(LiveAnswer),
+}
+
+/// All attempts of one request.
+pub(super) struct Exchange {
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) request: AcceptedRequest,
+    /// Back ends that got it, or could not be reached.
+    tried: Vec<BackEndName>,
+    /// How many back ends it arrived at.
+    pub(super) arrivals: u32,
+    pub(super) may_have_run: bool,
+}
+
+impl Exchange {
+    pub(super) fn new(gateway: Rc<Gateway>, request: AcceptedRequest) -> Self {
+        Self {
+            gateway,
+            request,
+            tried: Vec::new(),
+            arrivals: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Makes attempts until there is an answer for the caller.
+    pub(super) async fn first_answer(&mut self) -> Result<FirstAnswer, Refusal> {
+        let last_event_id = self.request.caller.last_event_id.clone();
+        loop {
+            let live = self.next_answer(last_event_id.as_deref()).await?;
+            let is_stream = self.request.route.kind == RequestKind::Streaming;
+            if is_stream && live.status.is_success() {
+                return Ok(FirstAnswer::Stream(live));
+            }
+            let placement = live.placement.clone();
+            let gateway = Rc::clone(&self.gateway);
+            match live.read_whole(&gateway).await {
+                Ok(whole) if whole.status.is_server_error() && self.may_run_again() => {
+                    let detail = format!("status {}", whole.status.as_u16());
+                    self.note_end(&placement, &AttemptEnd::MayHaveRun(detail));
+                }
+                Ok(whole) => {
+                    self.note_success(&placement);
+                    return Ok(FirstAnswer::Whole(whole));
+                }
+                Err(detail) => {
+                    let end = AttemptEnd::MayHaveRun(detail);
+                    self.note_end(&placement, &end);
+                    if !self.may_run_again() {
+                        return Err(self.refusal_after(&end));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Makes attempts until an engine begins a usable answer.
+    pub(super) async fn next_answer(
+        &mut self,
+        last_event_id: Option<&str>,
+    ) -> Result<LiveAnswer, Refusal> {
+        loop {
+            let placement = self.place().ok_or_else(|| self.no_engine())?;
+            if self.arrivals > 0 && !self.gateway.spend_retry(&self.request.pool) {
+                return Err(self.without_budget());
+            }
+            let attempted = attempt(&self.gateway, &self.request, &placement, last_event_id).await;
+            match attempted {
+                Ok(live) => {
+                    self.arrivals += 1;
+                    self.tried.push(placement.engine);
+                    return Ok(live);
+                }
+                Err(end) => {
+                    self.tried.push(placement.engine.clone());
+                    self.arrivals += u32::from(end.has_arrived());
+                    self.note_end(&placement, &end);
+                    let is_last = self.arrivals >= self.request.route.most_attempts;
+                    let is_over = self.may_have_run && !self.request.route.is_idempotent();
+                    if is_last || is_over {
+                        return Err(self.refusal_after(&end));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether a request that may have run may be sent to another back end.
+    pub(super) fn may_run_again(&self) -> bool {
+        let route = &self.request.route;
+        route.is_idempotent() && self.arrivals < route.most_attempts
+    }
+
+    /// The answer when the time has run out.
+    pub(super) fn out_of_time(&self) -> Refusal {
+        match self.arrivals {
+            0 => Refusal::new(RefusalReason::DeadlineNotRun, "no engine in time"),
+            _ => Refusal::new(RefusalReason::DeadlineMayHaveRun, "no answer in time"),
+        }
+    }
+
+    /// An attempt ended badly.
+    pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
+        self.may_have_run |= end.may_have_run();
+        learn(&self.gateway, placement, end);
+        warn!(self.gateway.log(), "attempt_failed"; "request" => &self.request.caller.id,
+            "engine" => %placement.engine, "address" => %placement.address,
+            "end" => %end, "weights" => placement.weights, "cost" => %placement.cost,
+            "configuration" => self.request.configuration_version, "arrivals" => self.arrivals);
+    }
+
+    /// An attempt ended well.
+    pub(super) fn note_success(&self, placement: &Placement) {
+        let mut state = self.gateway.state_mut();
+        if let Some(engine) = state.engines.get_mut(&placement.engine) {
+            engine.health.answered();
+        }
+        drop(state);
+        let attempts = &self.gateway.metrics().attempts;
+        attempts.with_label_values(&["answered"]).inc();
+    }
+
+    fn place(&self) -> Option<Placement> {
+        let request = &self.request;
+        let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
+        self.gateway.choose(&PlacementRequest {
+            id: &request.caller.id,
+            pool: &request.pool,
+            prompt: request.caller.prompt.as_ref(),
+            isolated_tenant: isolated.map(|tenant| &tenant.name),
+            target_latency: request.route.target_latency,
+            body_bytes: request.body.len(),
+            tried: &self.tried,
+        })
+    }
+
+    fn no_engine(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::new(RefusalReason::MayHaveRun, "no other engine");
+        }
+        let detail = format!("pool '{}': no engine takes work", self.request.pool);
+        Refusal::new(RefusalReason::NoEngine, detail).come_back_after(NO_ENGINE_RETRY)
+    }
+
+    fn without_budget(&self) -> Refusal {
+        if self.may_have_run {
+            return Refusal::new(RefusalReason::MayHaveRun, "retry budget spent");
+        }
+        Refusal::new(RefusalReason::NotRun, "retry budget spent").come_back_after(NO_ROOM_RETRY)
+    }
+
+    fn refusal_after(&self, end: &AttemptEnd) -> Refusal {
+        if self.may_have_run {
+            return Refusal::new(RefusalReason::MayHaveRun, end.to_string());
+        }
+        Refusal::new(RefusalReason::NotRun, end.to_string()).come_back_after(NO_ROOM_RETRY)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/intake.rs
@@ -0,0 +1,120 @@
+//! Taking a request in: its head, its body, its route and its key.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::http::request::Parts;
+use ryerouter_core::Timestamp;
+
+use super::accepted_request::AcceptedRequest;
+use super::forwarded_headers::keep_forwarded;
+use crate::catalogue::{Route, RoutingTable, Tenant};
+use crate::gateway::Gateway;
+use crate::request::{CallerRequest, Refusal, RefusalReason};
+
+/// When to come back to a node that has no configuration yet, or an unproven one.
+const COME_BACK_AFTER: Duration = Duration::from_millis(300);
+
+/// Checks a request whose head has been read, and reads its body.
+pub(super) async fn accept(
+    gateway: &Rc<Gateway>,
+    caller: CallerRequest,
+    head: Parts,
+    body: Incoming,
+    arrived_at: Timestamp,
+) -> Result<AcceptedRequest, Refusal> {
+    let limit = body_limit(gateway);
+    let body = read_body(body, limit).await?;
+    let table = gateway.state().table.clone().ok_or_else(|| {
+        Refusal::new(RefusalReason::NoConfiguration, "no configuration yet")
+            .come_back_after(COME_BACK_AFTER)
+    })?;
+    let route = find_route(&table, &head)?;
+    let tenant = find_tenant(gateway, &table, &route, &caller)?;
+    let pool = route.pool_of(&caller.id).cloned().ok_or_else(|| {
+        Refusal::new(RefusalReason::NoEngine, "route without a pool")
+    })?;
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let mut headers = head.headers;
+    keep_forwarded(&mut headers);
+    let uri = head.uri.path_and_query().cloned();
+    Ok(AcceptedRequest {
+        caller,
+        method: head.method,
+        uri: uri.map_or(head.uri, Into::into),
+        headers,
+        body,
+        pool,
+        tenant,
+        route,
+        configuration_version: table.version(),
+        arrived_at,
+        deadline: arrived_at.after(patience),
+    })
+}
+
+fn body_limit(gateway: &Gateway) -> usize {
+    let state = gateway.state();
+    let table = state.table.as_ref();
+    table.map_or_else(
+        || crate::catalogue::CallerLimits::default().body_bytes,
+        |table| table.limits().body_bytes,
+    )
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let detail = format!("body: longer than {limit} bytes");
+            Err(Refusal::new(RefusalReason::BodyTooLarge, detail))
+        }
+        Err(error) => {
+            let detail = format!("body: {error}");
+            Err(Refusal::new(RefusalReason::BodyBroken, detail))
+        }
+    }
+}
+
+fn find_route(table: &RoutingTable, head: &Parts) -> Result<Rc<Route>, Refusal> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let path = head.uri.path();
+    table.route(host, path).cloned().ok_or_else(|| {
+        let detail = format!("host '{host}', path '{path}': no such route");
+        Refusal::new(RefusalReason::NoRoute, detail)
+    })
+}
+
+fn find_tenant(
+    gateway: &Gateway,
+    table: &RoutingTable,
+    route: &Route,
+    caller: &CallerRequest,
+) -> Result<Option<Rc<Tenant>>, Refusal> {
+    if route.is_public || !table.has_tenants() {
+        return Ok(None);
+    }
+    let now = gateway.clock().now();
+    if let Some(limit) = gateway.settings().most_unproven {
+        let freshness = gateway.state().freshness;
+        if !freshness.is_within(limit, now) {
+            let age = freshness.age(now).map_or(0, |age| age.as_millis());
+            let detail = format!("configuration not proven current for {age} ms");
+            let refusal = Refusal::new(RefusalReason::ConfigurationUnproven, detail);
+            return Err(refusal.come_back_after(COME_BACK_AFTER));
+        }
+    }
+    let tenant = caller.key.as_ref().and_then(|key| table.tenant_of(key));
+    tenant.cloned().map(Some).ok_or_else(|| {
+        let detail = match caller.key {
+            Some(_) => "key: unknown",
+            None => "key: missing",
+        };
+        Refusal::new(RefusalReason::UnknownKey, detail)
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/serve/mod.rs
@@ -0,0 +1,18 @@
+//! The life of a request: intake, attempts, answer.
+
+mod accepted_request;
+mod active_request;
+mod answer_body;
+mod attempt;
+mod attempt_end;
+mod connection_server;
+mod exchange;
+mod forwarded_headers;
+mod intake;
+mod live_answer;
+mod respond;
+mod stream_relay;
+
+pub use accepted_request::AcceptedRequest;
+pub use answer_body::AnswerBody;
+pub use connection_server::serve_callers;
--- /dev/null
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -0,0 +1,217 @@
+//! Passing a stream of events on.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream::unfold;
+use http_body_util::BodyExt;
+use hyper::Response;
+use slog::{info, warn};
+use tokio::time::timeout_at;
+
+use super::active_request::ActiveRequest;
+use super::answer_body::AnswerBody;
+use super::attempt_end::AttemptEnd;
+use super::exchange::Exchange;
+use super::live_answer::LiveAnswer;
+use crate::placement::Placement;
+use crate::relay::{EventSplitter, RelayFault, StreamEnd};
+
+/// Passes a stream on, whole event by whole event, and goes on at another engine where it may.
+pub(super) struct StreamRelay {
+    exchange: Exchange,
+    /// `None` after the end.
+    live: Option<LiveAnswer>,
+    splitter: EventSplitter,
+    last_event_id: Option<String>,
+    has_begun: bool,
+    resumed: u32,
+    active: ActiveRequest,
+}
+
+/// What the engine's side of a stream gave.
+enum Received {
+    Bytes(Bytes),
+    End,
+    Broken(String),
+}
+
+impl StreamRelay {
+    pub(super) fn new(exchange: Exchange, live: LiveAnswer, active: ActiveRequest) -> Self {
+        Self {
+            last_event_id: exchange.request.caller.last_event_id.clone(),
+            exchange,
+            live: Some(live),
+            splitter: EventSplitter::default(),
+            has_begun: false,
+            resumed: 0,
+            active,
+        }
+    }
+
+    /// The caller's answer: head of the first engine, events as they come.
+    pub(super) fn into_response(mut self) -> Response<AnswerBody> {
+        let live = self.live.as_mut().expect("begins with an answer");
+        let (status, headers) = (live.status, std::mem::take(&mut live.headers));
+        let events = unfold(self, |mut relay| async move {
+            let next = relay.next().await?;
+            Some((next, relay))
+        });
+        let mut response = Response::new(AnswerBody::Stream(events.boxed_local()));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// The next events; `None` after the last; an error breaks the caller's connection off.
+    async fn next(&mut self) -> Option<Result<Bytes, RelayFault>> {
+        self.live.as_ref()?;
+        let clock = self.exchange.gateway.clock();
+        let deadline = clock.instant(self.exchange.request.deadline);
+        match timeout_at(deadline, self.next_events()).await {
+            Ok(Ok(Some(bytes))) => Some(Ok(bytes)),
+            Ok(Ok(None)) => {
+                self.complete();
+                None
+            }
+            Ok(Err(fault)) => Some(Err(self.fail(StreamEnd::Broken, fault))),
+            Err(_) => {
+                let detail = "deadline reached".to_owned();
+                Some(Err(self.fail(StreamEnd::Deadline, RelayFault { detail })))
+            }
+        }
+    }
+
+    async fn next_events(&mut self) -> Result<Option<Bytes>, RelayFault> {
+        loop {
+            match self.receive().await {
+                Received::Bytes(bytes) => {
+                    if let Some(batch) = self.splitter.push(&bytes)? {
+                        self.note_begun();
+                        self.last_event_id = batch.last_id.or(self.last_event_id.take());
+                        return Ok(Some(batch.bytes));
+                    }
+                }
+                Received::End if self.splitter.held_bytes() == 0 => return Ok(None),
+                Received::End => self.resume("ended within an event".to_owned()).await?,
+                Received::Broken(detail) => self.resume(detail).await?,
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> Received {
+        let Some(live) = &mut self.live else {
+            return Received::Broken("no engine".to_owned());
+        };
+        loop {
+            match live.body.frame().await {
+                None => return Received::End,
+                Some(Err(error)) => return Received::Broken(error.to_string()),
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Received::Bytes(bytes);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on at another engine after the last event that the caller has.
+    async fn resume(&mut self, detail: String) -> Result<(), RelayFault> {
+        let fault = RelayFault {
+            detail: detail.clone(),
+        };
+        // The former run ends, with its connection, before another begins.
+        let former = self.live.take().map(|live| live.placement);
+        if let Some(placement) = former {
+            let end = AttemptEnd::MayHaveRun(detail);
+            self.exchange.note_end(&placement, &end);
+        }
+        if !self.exchange.may_run_again() {
+            return Err(fault);
+        }
+        self.splitter = EventSplitter::default();
+        let last_event_id = self.last_event_id.clone();
+        let next = self.exchange.next_answer(last_event_id.as_deref()).await;
+        match next {
+            Ok(live) if live.status.is_success() => {
+                self.resumed += 1;
+                info!(self.exchange.gateway.log(), "stream_resumed";
+                    "request" => &self.exchange.request.caller.id,
+                    "engine" => %live.placement.engine, "after_event" => last_event_id);
+                self.live = Some(live);
+                Ok(())
+            }
+            Ok(live) => Err(RelayFault {
+                detail: format!("{}; then status {}", fault.detail, live.status.as_u16()),
+            }),
+            Err(refusal) => Err(RelayFault {
+                detail: format!("{}; then {refusal}", fault.detail),
+            }),
+        }
+    }
+
+    fn note_begun(&mut self) {
+        let Some(live) = &mut self.live else {
+            return;
+        };
+        live.in_flight.prompt_read();
+        if !self.has_begun {
+            self.has_begun = true;
+            let gateway = &self.exchange.gateway;
+            let seconds = self.active.elapsed_ms() as f64 / 1e3;
+            gateway.metrics().first_answer_seconds.observe(seconds);
+            gateway.note_prompt_read(&live.placement.engine, &live.placement.keys);
+            count_tokens(&self.exchange, &live.placement);
+        }
+    }
+
+    fn complete(&mut self) {
+        let Some(live) = self.live.take() else {
+            return;
+        };
+        let gateway = Rc::clone(&self.exchange.gateway);
+        let placement = live.release(&gateway);
+        self.exchange.note_success(&placement);
+        self.active.end("answered");
+        let Some(left_out) = gateway.sampler().admit(gateway.clock().now()) else {
+            return;
+        };
+        let request = &self.exchange.request;
+        let fetch = placement.fetch.as_ref();
+        info!(gateway.log(), "stream_answered"; "request" => &request.caller.id,
+            "route" => &request.route.name, "engine" => %placement.engine,
+            "weights" => placement.weights, "cached" => placement.cached_tokens,
+            "fetched" => fetch.map(|fetch| fetch.tokens),
+            "fetched_from" => fetch.map(|fetch| fetch.holder.to_string()),
+            "unread" => placement.unread_tokens, "cost" => %placement.cost,
+            "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
+            "configuration" => request.configuration_version,
+            "after_ms" => self.active.elapsed_ms(), "left_out" => left_out);
+    }
+
+    fn fail(&mut self, end: StreamEnd, fault: RelayFault) -> RelayFault {
+        self.live = None;
+        self.active.end(&format!("stream_{end}"));
+        warn!(self.exchange.gateway.log(), "stream_failed";
+            "request" => &self.exchange.request.caller.id, "end" => %end,
+            "detail" => &fault.detail, "arrivals" => self.exchange.arrivals,
+            "resumed" => self.resumed, "last_event" => self.last_event_id.clone(),
+            "after_ms" => self.active.elapsed_ms());
+        fault
+    }
+}
+
+fn count_tokens(exchange: &Exchange, placement: &Placement) {
+    let tokens = &exchange.gateway.metrics().prompt_tokens;
+    let fetched = placement.fetch.as_ref().map_or(0, |fetch| fetch.tokens);
+    let by_source = [
+        ("cached", placement.cached_tokens),
+        ("fetched", fetched),
+        ("read", placement.unread_tokens),
+    ];
+    for (source, count) in by_source {
+        tokens.with_label_values(&[source]).inc_by(u64::from(count));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/source/catalogue_source.rs
@@ -0,0 +1,25 @@
+//! The port to the source.
+
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+
+use super::{ItemBatch, ItemKind, ItemPage, SourceError};
+
+/// Lists and watches items.
+pub trait CatalogueSource {
+    /// One page of all items of a kind, after the item called `after`.
+    fn list<'a>(
+        &'a self,
+        kind: ItemKind,
+        after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>>;
+
+    /// Changes since `revision`; answers empty when there were none for `wait`.
+    fn watch<'a>(
+        &'a self,
+        kind: ItemKind,
+        revision: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>>;
+}
--- /dev/null
+++ b/crates/gateway/src/source/mod.rs
@@ -0,0 +1,17 @@
+//! Where the configuration, the list of engines and the named weights come from.
+
+mod catalogue_source;
+mod follower;
+mod item;
+mod item_kind;
+mod item_page;
+mod lease_store;
+mod source_error;
+
+pub use catalogue_source::CatalogueSource;
+pub use follower::{FollowSettings, follow};
+pub use item::{Item, ItemChange, NamedWeights};
+pub use item_kind::ItemKind;
+pub use item_page::{ItemBatch, ItemPage};
+pub use lease_store::LeaseStore;
+pub use source_error::SourceError;
--- /dev/null
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -0,0 +1,111 @@
+//! Counters and histograms.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// All metrics of a gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub requests: IntCounterVec,
+    /// Attempts by how they ended.
+    pub attempts: IntCounterVec,
+    /// Attempts after the first of a request.
+    pub retries: IntCounter,
+    /// Retries that the budget did not allow.
+    pub retries_denied: IntCounter,
+    /// Prompt tokens by where they were expected: cached, fetched or read.
+    pub prompt_tokens: IntCounterVec,
+    /// Time from the arrival of a request to the head of its answer or its first event.
+    pub first_answer_seconds: Histogram,
+    /// Orders to engines by outcome.
+    pub orders: IntCounterVec,
+    /// Version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Engines in the list.
+    pub engines: IntGauge,
+    /// Other nodes that are alive.
+    pub peers: IntGauge,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        Self {
+            requests: vector(&registry, "requests_total", "Requests by outcome", "outcome"),
+            attempts: vector(&registry, "attempts_total", "Attempts by outcome", "outcome"),
+            retries: counter(&registry, "retries_total", "Attempts after the first"),
+            retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
+            prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
+            first_answer_seconds: histogram(&registry),
+            orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
+            configuration_version: gauge(
+                &registry,
+                "configuration_version",
+                "Configuration in force",
+            ),
+            engines: gauge(&registry, "engines", "Engines in the list"),
+            peers: gauge(&registry, "peers_alive", "Other nodes that are alive"),
+            registry,
+        }
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        // Writing to memory fails only for metrics without a name.
+        let _ = TextEncoder::new().encode(&families, &mut text);
+        text
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace("ryerouter_gateway")
+}
+
+fn vector(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let metric = IntCounterVec::new(options(name, help), &[label]).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::with_opts(options(name, help)).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::with_opts(options(name, help)).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
+fn histogram(registry: &Registry) -> Histogram {
+    let options = HistogramOpts::new("first_answer_seconds", "Time to the first answer")
+        .namespace("ryerouter_gateway")
+        .buckets(LATENCY_BUCKETS.to_vec());
+    let metric = Histogram::with_opts(options).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
+fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("names differ");
+}
--- /dev/null
+++ b/crates/gateway/src/upstream/connection.rs
@@ -0,0 +1,60 @@
+//! One connection to an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use ryerouter_core::Timestamp;
+
+use super::{AbortOnDrop, AttemptFailure, ConnectSettings, connect};
+
+/// One connection to an engine; dropping it closes the socket at once.
+#[derive(Debug)]
+pub struct Connection {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) address: SocketAddr,
+    pub(super) idle_since: Timestamp,
+    pub(super) idle_timeout: Option<Duration>,
+    _task: AbortOnDrop,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub async fn open(
+        address: SocketAddr,
+        settings: &ConnectSettings,
+    ) -> Result<Self, AttemptFailure> {
+        let not_connected = |error: &dyn std::error::Error| AttemptFailure::NotConnected {
+            detail: error.to_string(),
+        };
+        let stream = connect(address, settings)
+            .await
+            .map_err(|error| not_connected(&error))?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| not_connected(&error))?;
+        let task = tokio::task::spawn_local(async move {
+            // Its end shows in the exchange that runs on it.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            address,
+            idle_since: Timestamp::ZERO,
+            idle_timeout: None,
+            _task: AbortOnDrop::new(task),
+        })
+    }
+
+    /// Whether a request may be sent on it now.
+    pub(super) fn is_usable(&self, now: Timestamp, most_idle: Duration) -> bool {
+        let limit = self.idle_timeout.map_or(most_idle, |told| {
+            most_idle.min(told.mul_f64(0.5))
+        });
+        self.sender.is_ready() && now.since(self.idle_since) < limit
+    }
+}
