Save shared parts to the store of kept cache and fetch them from there

Change: a part whose saving is not known is saved by whoever reads it; an engine that lacks a part fetches it from an engine that used it within 2 s, else from the store; where nothing is known the store is asked; parts are keyed by id, not by chain.

--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -11,7 +11,7 @@
 use crate::peers::{
     EngineLoadNews, HolderNews, NamedNews, NodeState, PeerMessage, WeightsNews,
 };
-use crate::placement::PromptKeys;
+use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
 
 /// Most prefixes that one message tells of; more wait for the next.
@@ -21,6 +21,8 @@
 /// A node that proved its configuration within this time reaches the store.
 const STORE_CONTACT: Duration = Duration::from_millis(5_500);
 
+/// A holder that uses a part again is told anew after so long.
+const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
 /// Named weights are told to other nodes for so long.
 const NAMED_NEWS_AGE: Duration = Duration::from_secs(60);
 
@@ -164,20 +166,29 @@
         }
     }
 
-    /// An engine has read the prompt of a request: others may fetch its prefixes.
-    pub fn note_prompt_read(&self, engine: &BackEndName, keys: &PromptKeys) {
-        let now = self.clock().now();
+    /// An engine has read the prompt of a request: others may fetch its parts.
+    pub fn note_prompt_read(&self, placement: &Placement) {
         let mut state = self.state_mut();
-        for (key, _) in &keys.0 {
-            let is_known = state.holders.of(*key).any(|(name, _)| name == engine);
-            state.holders.note(*key, engine, now);
-            let has_room = state.holder_news.len() < MOST_WAITING_HOLDER_NEWS;
-            if !is_known && has_room {
-                state.holder_news.push(HolderNews(*key, engine.clone()));
+        for (key, _) in &placement.keys.0 {
+            self.note_holder(&mut state, *key, &placement.engine);
+        }
+        if placement.saves {
+            for (key, _) in placement.keys.shared() {
+                self.note_holder(&mut state, *key, &store_holder_name());
             }
         }
     }
 
+    fn note_holder(&self, state: &mut GatewayState, key: PartKey, holder: &BackEndName) {
+        let now = self.clock().now();
+        let known_at = state.holders.of(key).find(|(name, _)| *name == holder);
+        let is_news = known_at.is_none_or(|(_, at)| now.since(at) > HOLDER_NEWS_INTERVAL);
+        state.holders.note(key, holder, now);
+        if is_news && state.holder_news.len() < MOST_WAITING_HOLDER_NEWS {
+            state.holder_news.push(HolderNews(key, holder.clone()));
+        }
+    }
+
     /// Weights of an engine became known, by its own word.
     pub fn note_weights(&self, engine: &BackEndName, model: &str, version: u64) {
         let mut state = self.state_mut();
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -12,12 +12,18 @@
 use crate::rollout::WeightsDeadlines;
 
 use super::{
-    CandidateCost, HolderTable, KvFetch, Placement, PlacementPrices, PlacementRequest, Prompt,
-    PromptKeys,
+    CandidateCost, HolderTable, KvFetch, KvHolder, PartKey, Placement, PlacementPrices,
+    PlacementRequest, Prompt, PromptKeys,
 };
 
 /// Fewest tokens that are worth fetching.
 const LEAST_FETCHED_TOKENS: u32 = 64;
+/// Fewest shared tokens that are worth saving to the store.
+const LEAST_SAVED_TOKENS: u32 = 256;
+/// An engine that used a part within this time has it still.
+const LATELY: Duration = Duration::from_secs(2);
+/// A part that was saved is expected in the store for so long.
+const STORED_FOR: Duration = Duration::from_secs(20);
 const BYTES_PER_GIGABYTE: f64 = 1e9;
 const BYTES_PER_KILOBYTE: f64 = 1e3;
 /// Bits in a megabit, and milliseconds in a second.
@@ -56,6 +62,7 @@
     cached_tokens: u32,
     unread_tokens: u32,
     fetch: Option<KvFetch>,
+    saves: bool,
     cost: CandidateCost,
     order: u64,
 }
@@ -77,6 +84,7 @@
             cached_tokens: best.cached_tokens,
             unread_tokens: best.unread_tokens,
             fetch: best.fetch,
+            saves: best.saves,
             cost: best.cost,
         })
     }
@@ -138,6 +146,7 @@
             cached_tokens: 0,
             unread_tokens: 0,
             fetch: None,
+            saves: false,
             cost,
             order: rendezvous_score(xxh3_64(request.id.as_bytes()), engine.name_hash),
         }
@@ -177,6 +186,7 @@
             engine,
             weights: Some(weights),
             salt: Some(salt),
+            saves: self.should_save(&keys),
             order: rendezvous_score(order_key, engine.name_hash),
             keys,
             cached_tokens,
@@ -196,29 +206,65 @@
         longest.map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// The holder of the longest prefix beyond what the engine has, near and lately used first.
+    /// Where to fetch what the engine lacks of the prompt: the longest prefix first, from an engine
+    /// that used it lately, else from the store, else from any engine that once had it.
     fn best_fetch(&self, engine: &Engine, keys: &PromptKeys, cached: u32) -> Option<KvFetch> {
         for (key, tokens) in keys.0.iter().rev() {
             if tokens.saturating_sub(cached) < LEAST_FETCHED_TOKENS {
                 return None;
             }
-            let holder = self
-                .holders
-                .of(*key)
-                .filter_map(|(name, used_at)| Some((self.engines.get(name)?, used_at)))
-                .filter(|(holder, _)| self.may_lend(holder, engine))
-                .max_by_key(|(holder, used_at)| {
-                    (holder.entry.zone == engine.entry.zone, *used_at)
-                });
-            if let Some((holder, _)) = holder {
-                return Some(KvFetch {
-                    holder: holder.entry.name.clone(),
-                    address: holder.entry.address,
-                    tokens: tokens - cached,
-                });
+            let tokens = tokens - cached;
+            let lender = self.best_lender(engine, *key);
+            if let Some((lender, used_at)) = lender
+                && self.now.since(used_at) < LATELY
+            {
+                return Some(fetch_from(lender, tokens));
+            }
+            if self.is_stored(*key) {
+                return self.fetch_from_store(tokens);
+            }
+            if let Some((lender, _)) = lender {
+                return Some(fetch_from(lender, tokens));
             }
         }
-        None
+        // Nobody is known to hold any of it, but earlier processes may have saved it.
+        let shared = keys.shared().last().map_or(0, |(_, tokens)| *tokens);
+        let is_worth = shared.saturating_sub(cached) >= LEAST_SAVED_TOKENS;
+        is_worth.then(|| self.fetch_from_store(0)).flatten()
+    }
+
+    fn best_lender(&self, engine: &Engine, key: PartKey) -> Option<(&Engine, Timestamp)> {
+        let holders = self.holders.of(key);
+        holders
+            .filter_map(|(name, used_at)| Some((self.engines.get(name)?, used_at)))
+            .filter(|(holder, _)| self.may_lend(holder, engine))
+            .max_by_key(|(holder, used_at)| {
+                let is_late = self.now.since(*used_at) < LATELY;
+                (is_late, holder.entry.zone == engine.entry.zone, *used_at)
+            })
+    }
+
+    fn is_stored(&self, key: PartKey) -> bool {
+        let stored_at = self.holders.stored_at(key);
+        stored_at.is_some_and(|at| self.now.since(at) < STORED_FOR)
+    }
+
+    fn fetch_from_store(&self, tokens: u32) -> Option<KvFetch> {
+        let store = self.table.kv_store()?;
+        Some(KvFetch {
+            holder: KvHolder::Store,
+            address: store.address,
+            tokens,
+        })
+    }
+
+    /// Shared parts that are worth it are saved once, by whoever reads them.
+    fn should_save(&self, keys: &PromptKeys) -> bool {
+        let Some((key, tokens)) = keys.shared().last() else {
+            return false;
+        };
+        let has_store = self.table.kv_store().is_some();
+        has_store && *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key)
     }
 
     fn may_lend(&self, holder: &Engine, borrower: &Engine) -> bool {
@@ -261,10 +307,11 @@
 
     fn move_cost(&self, engine: &Engine, fetch: &KvFetch, profile: &EngineProfile) -> f64 {
         let gigabytes = f64::from(fetch.tokens) * profile.kv_token_bytes / BYTES_PER_GIGABYTE;
-        let is_near = self
-            .engines
-            .get(&fetch.holder)
-            .is_some_and(|holder| holder.entry.zone == engine.entry.zone);
+        let zone = match &fetch.holder {
+            KvHolder::Engine(name) => self.engines.get(name).map(|holder| &holder.entry.zone),
+            KvHolder::Store => self.table.kv_store().map(|store| &store.zone),
+        };
+        let is_near = zone == Some(&engine.entry.zone);
         let price = match is_near {
             true => self.prices.moved_gigabyte,
             false => self.prices.moved_gigabyte_across,
@@ -297,3 +344,11 @@
         cost
     }
 }
+
+fn fetch_from(lender: &Engine, tokens: u32) -> KvFetch {
+    KvFetch {
+        holder: KvHolder::Engine(lender.entry.name.clone()),
+        address: lender.entry.address,
+        tokens,
+    }
+}
--- a/crates/gateway/src/placement/holder_table.rs
+++ b/crates/gateway/src/placement/holder_table.rs
@@ -10,6 +10,14 @@
 /// Most holders that are remembered of one prefix, the latest ones.
 const MOST_HOLDERS: usize = 6;
 
+/// Name under which the store of kept KV cache stands in the table.
+const STORE_NAME: &str = "kv-store";
+
+/// Name under which the store of kept KV cache stands in the table.
+pub fn store_holder_name() -> BackEndName {
+    BackEndName::new(STORE_NAME)
+}
+
 #[derive(Debug, Clone)]
 struct Holder {
     engine: BackEndName,
@@ -61,6 +69,13 @@
             .map(|holder| (&holder.engine, holder.used_at))
     }
 
+    /// When the store of kept KV cache was last known to hold the part.
+    pub fn stored_at(&self, key: PartKey) -> Option<Timestamp> {
+        let mut holders = self.of(key);
+        let in_store = holders.find(|(name, _)| name.as_str() == STORE_NAME);
+        in_store.map(|(_, used_at)| used_at)
+    }
+
     /// An engine holds nothing any more.
     pub fn forget_engine(&mut self, engine: &BackEndName) {
         self.holders.retain(|_, holders| {
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -11,9 +11,9 @@
 
 pub use candidate_cost::CandidateCost;
 pub use chooser::Chooser;
-pub use holder_table::HolderTable;
+pub use holder_table::{HolderTable, store_holder_name};
 pub use part_key::{PartKey, PromptKeys};
-pub use placement::{KvFetch, Placement};
+pub use placement::{KvFetch, KvHolder, Placement};
 pub use placement_prices::PlacementPrices;
 pub use placement_request::PlacementRequest;
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/placement/part_key.rs
+++ b/crates/gateway/src/placement/part_key.rs
@@ -1,18 +1,19 @@
-//! Names of prompt prefixes.
+//! Names of prompt parts.
 
 use serde::{Deserialize, Serialize};
 
-/// Hash of a prefix of a prompt, of its salt (weights, tenant) and its model.
+/// Hash of a part of a prompt, of its salt (weights, tenant) and its model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct PartKey(pub u64);
 
-/// Keys of a prompt's prefixes, the shortest first, each with the tokens to its end.
+/// Keys of a prompt's parts in order, each with the tokens to its end. A part that is held is worth
+/// something only where all parts before it are held as well.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct PromptKeys(pub Vec<(PartKey, u32)>);
 
 impl PromptKeys {
-    /// The prefixes that other requests may share: all but the whole prompt.
+    /// The parts that other requests may share: all but the last.
     pub fn shared(&self) -> &[(PartKey, u32)] {
         &self.0[..self.0.len().saturating_sub(1)]
     }
--- a/crates/gateway/src/placement/placement.rs
+++ b/crates/gateway/src/placement/placement.rs
@@ -2,15 +2,27 @@
 
 use std::net::SocketAddr;
 
+use derive_more::Display;
 use ryerouter_core::identity::BackEndName;
 
 use super::{CandidateCost, PromptKeys};
 
+/// Who holds KV cache that can be fetched.
+#[derive(Debug, Clone, PartialEq, Display)]
+pub enum KvHolder {
+    /// An engine.
+    #[display("{_0}")]
+    Engine(BackEndName),
+    /// The store of kept KV cache, which has it, or may have it.
+    #[display("store")]
+    Store,
+}
+
 /// A prefix to fetch from another engine before the prompt is read.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KvFetch {
-    /// The engine that holds it.
-    pub holder: BackEndName,
+    /// Who holds it.
+    pub holder: KvHolder,
     /// Where that listens.
     pub address: SocketAddr,
     /// Tokens that it holds beyond those of the chosen engine.
@@ -36,6 +48,8 @@
     pub unread_tokens: u32,
     /// Fetched before.
     pub fetch: Option<KvFetch>,
+    /// Whether its shared parts should be saved to the store of kept KV cache.
+    pub saves: bool,
     /// Why it was chosen.
     pub cost: CandidateCost,
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -1,6 +1,6 @@
 //! A prompt as its caller declares it.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{PartKey, PromptKeys};
 
@@ -27,15 +27,14 @@
 }
 
 impl Prompt {
-    /// Keys of its prefixes under `salt`: a part is worth something only after the same parts.
+    /// Keys of its parts under `salt`, each with the tokens to its end.
     pub fn keys(&self, salt: &str) -> PromptKeys {
-        let mut chain = xxh3_64(salt.as_bytes()) ^ xxh3_64(self.model.as_bytes()).rotate_left(1);
+        let base = xxh3_64(salt.as_bytes()) ^ xxh3_64(self.model.as_bytes()).rotate_left(1);
         let mut end_tokens = 0;
         let mut keys = Vec::with_capacity(self.parts.len());
         for part in &self.parts {
-            chain = xxh3_64(&[chain, xxh3_64(part.id.as_bytes())].map(u64::to_le_bytes).concat());
             end_tokens += part.tokens;
-            keys.push((PartKey(chain), end_tokens));
+            keys.push((PartKey(xxh3_64_with_seed(part.id.as_bytes(), base)), end_tokens));
         }
         PromptKeys(keys)
     }
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -27,6 +27,8 @@
     last_event_id: Option<String>,
     has_begun: bool,
     resumed: u32,
+    /// From the arrival of the request to the first event.
+    first_event_ms: Option<u64>,
     active: ActiveRequest,
 }
 
@@ -46,6 +48,7 @@
             splitter: EventSplitter::default(),
             has_begun: false,
             resumed: 0,
+            first_event_ms: None,
             active,
         }
     }
@@ -159,10 +162,11 @@
         live.in_flight.prompt_read();
         if !self.has_begun {
             self.has_begun = true;
+            self.first_event_ms = Some(self.active.elapsed_ms());
             let gateway = &self.exchange.gateway;
             let seconds = self.active.elapsed_ms() as f64 / 1e3;
             gateway.metrics().first_answer_seconds.observe(seconds);
-            gateway.note_prompt_read(&live.placement.engine, &live.placement.keys);
+            gateway.note_prompt_read(&live.placement);
             count_tokens(&self.exchange, &live.placement);
         }
     }
@@ -185,7 +189,8 @@
             "weights" => placement.weights, "cached" => placement.cached_tokens,
             "fetched" => fetch.map(|fetch| fetch.tokens),
             "fetched_from" => fetch.map(|fetch| fetch.holder.to_string()),
-            "unread" => placement.unread_tokens, "cost" => %placement.cost,
+            "prefix" => placement.keys.shared().last().map(|(key, _)| format!("{:016x}", key.0)),
+            "saved" => placement.saves, "unread" => placement.unread_tokens, "first_event_ms" => self.first_event_ms, "cost" => %placement.cost,
             "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
             "configuration" => request.configuration_version,
             "after_ms" => self.active.elapsed_ms(), "left_out" => left_out);
