--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -211,7 +211,7 @@
     fn best_fetch(&self, engine: &Engine, keys: &PromptKeys, cached: u32) -> Option<KvFetch> {
         for (key, tokens) in keys.0.iter().rev() {
             if tokens.saturating_sub(cached) < LEAST_FETCHED_TOKENS {
-                return None;
+                return self.fetch_in_case(*key);
             }
             let tokens = tokens - cached;
             let lender = self.best_lender(engine, *key);
@@ -233,6 +233,12 @@
         is_worth.then(|| self.fetch_from_store(0)).flatten()
     }
 
+    /// An engine that should have a part may have dropped it: then it asks the store, else nothing
+    /// moves.
+    fn fetch_in_case(&self, key: PartKey) -> Option<KvFetch> {
+        self.is_stored(key).then(|| self.fetch_from_store(0)).flatten()
+    }
+
     fn best_lender(&self, engine: &Engine, key: PartKey) -> Option<(&Engine, Timestamp)> {
         let holders = self.holders.of(key);
         holders
--- a/crates/gateway/src/telemetry/log_sampler.rs
+++ b/crates/gateway/src/telemetry/log_sampler.rs
@@ -6,7 +6,7 @@
 use ryerouter_core::Timestamp;
 
 /// Lines a second that tell of what went well.
-const LINES_PER_SECOND: u32 = 100_000;
+const LINES_PER_SECOND: u32 = 10;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Lets so many lines a second through and counts the others.
