--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -120,22 +120,24 @@
         }
     }
 
-    /// Whether the lease may be taken: nobody holds it, this very process held it last, or its
-    /// holder did not renew it for longer than it lasts.
+    /// Whether the lease may be taken: its holder gave it up, this node held it last, or its holder
+    /// did not renew it for longer than it lasts.
     ///
-    /// A lease that this process let run out is taken back under the condition that nobody wrote it
-    /// since, so no other process can have held it in between.
+    /// A lease that this node let run out, in this life of its process or an earlier one, is taken
+    /// back under the condition that nobody wrote it since, so no other node can have held it in
+    /// between. Names of nodes are unique, and a new life begins only after the former has ended.
     fn is_free(&self, now: Timestamp) -> bool {
         let Some(seen) = &self.seen else {
             return false;
         };
-        let was_own = seen.record.holder.as_ref() == Some(&self.name)
-            && seen.record.incarnation == self.incarnation;
-        if was_own {
+        if seen.record.holder.as_ref() == Some(&self.name) {
             return true;
         }
-        let patience = self.settings.duration + self.settings.takeover_margin;
-        seen.record.holder.is_none() || now >= seen.seen_at.after(patience)
+        let patience = match seen.record.holder {
+            Some(_) => self.settings.duration + self.settings.takeover_margin,
+            None => self.settings.release_margin,
+        };
+        now >= seen.seen_at.after(patience)
     }
 
     fn look(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
--- a/crates/core/src/order/lease_settings.rs
+++ b/crates/core/src/order/lease_settings.rs
@@ -13,6 +13,9 @@
     pub look_interval: Duration,
     /// A candidate takes a lease that did not change for the duration and this much longer.
     pub takeover_margin: Duration,
+    /// A lease that its holder gave up is taken this much later: orders that the former holder gave
+    /// last must be this much older than the first ones of the next.
+    pub release_margin: Duration,
 }
 
 impl Default for LeaseSettings {
@@ -22,6 +25,7 @@
             renew_interval: Duration::from_secs(3),
             look_interval: Duration::from_secs(2),
             takeover_margin: Duration::from_secs(2),
+            release_margin: Duration::ZERO,
         }
     }
 }
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -26,6 +26,11 @@
         Timestamp::from_micros(ORIGIN_MICROS + elapsed)
     }
 
+    /// When it started.
+    pub fn start_time(&self) -> Timestamp {
+        Timestamp::from_micros(ORIGIN_MICROS)
+    }
+
     /// The instant of a timestamp, for timers.
     pub fn instant(&self, at: Timestamp) -> Instant {
         let since_origin = at.since(Timestamp::from_micros(ORIGIN_MICROS));
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -25,6 +25,8 @@
     pub freshness: ProofOfFreshness,
     /// Whether the list of engines has been read.
     pub has_engine_list: bool,
+    /// Whether the list of named weights has been read: what comes later is new.
+    pub has_weights_list: bool,
     /// When a call for the list of engines last failed.
     pub engine_list_trouble_at: Option<Timestamp>,
     /// All engines.
@@ -65,6 +67,7 @@
             table: None,
             freshness: ProofOfFreshness::default(),
             has_engine_list: false,
+            has_weights_list: false,
             engine_list_trouble_at: None,
             engines: EngineTable::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -31,6 +31,9 @@
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
         self.change_items(kind, changes, asked_at);
+        if kind == ItemKind::Weights {
+            self.state_mut().has_weights_list = true;
+        }
     }
 
     /// The source told changes, or that there are none, to a question sent at `asked_at`.
@@ -149,10 +152,9 @@
     fn weights_named(&self, named: &NamedWeights) {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        let is_first = !state.deadlines.knows(&named.model);
-        let at = match is_first {
-            true => NamedAt::Assumed(now.before(self.settings().assumed_weights_age)),
-            false => NamedAt::Seen(now),
+        let at = match state.has_weights_list {
+            true => NamedAt::Seen(now),
+            false => NamedAt::Assumed(now.before(self.settings().assumed_weights_age)),
         };
         if state.deadlines.note(&named.model, named.version, at) {
             info!(self.log(), "weights_named"; "model" => &named.model,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -9,7 +9,7 @@
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
 use crate::peers::{
-    EngineLoadNews, HolderNews, NamedNews, NodeState, PeerMessage, WeightsNews,
+    EngineLoadNews, HolderNews, NamedNews, NodeState, Peer, PeerMessage, WeightsNews,
 };
 use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
@@ -23,6 +23,8 @@
 
 /// A holder that uses a part again is told anew after so long.
 const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
+/// Starts that lie closer than this count as one: a whole deployment starting.
+const SAME_START: Duration = Duration::from_secs(1);
 /// Named weights are told to other nodes for so long.
 const NAMED_NEWS_AGE: Duration = Duration::from_secs(60);
 
@@ -70,6 +72,7 @@
         PeerMessage {
             from: self.settings().identity.clone(),
             sequence: state.sequence,
+            uptime_ms: self.uptime().as_millis() as u64,
             state: state.node_state,
             gives_orders: state.gives_orders,
             reaches_store: self.reaches_store(&state),
@@ -98,8 +101,13 @@
         state.freshness.is_within(STORE_CONTACT, now)
     }
 
+    fn uptime(&self) -> Duration {
+        self.clock().now().since(self.clock().start_time())
+    }
+
     /// Whether this node should hold the lease of orders: no other node holds it, and of those that
-    /// reach the store it is the first by name.
+    /// reach the store it is the one that started last: in a rolling restart it stays longest. Nodes
+    /// that started at about the same time go by name.
     pub fn should_give_orders(&self) -> bool {
         let now = self.clock().now();
         let state = self.state();
@@ -110,8 +118,17 @@
             return true;
         }
         let own_name = &self.settings().identity.name;
+        let own_start = self.clock().start_time();
+        let comes_first = |peer: &Peer| {
+            let is_close = own_start.since(peer.started_at) < SAME_START
+                && peer.started_at.since(own_start) < SAME_START;
+            match is_close {
+                true => peer.identity.name < *own_name,
+                false => peer.started_at > own_start,
+            }
+        };
         let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
-        able.all(|peer| !peer.gives_orders && peer.identity.name > *own_name)
+        able.all(|peer| !peer.gives_orders && !comes_first(peer))
     }
 
     /// Where to send a message.
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -9,6 +9,8 @@
 pub struct Peer {
     /// Who it is.
     pub identity: NodeIdentity,
+    /// When its process started.
+    pub started_at: Timestamp,
     /// Whether it serves.
     pub state: NodeState,
     /// Whether it gives orders.
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -13,6 +13,9 @@
     pub from: NodeIdentity,
     /// Rises with each message of one life of the sender.
     pub sequence: u64,
+    /// How long the sender's process has been running, in milliseconds.
+    #[serde(default)]
+    pub uptime_ms: u64,
     /// Whether the sender serves.
     pub state: NodeState,
     /// Whether the sender holds the lease of orders.
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -54,6 +54,7 @@
         }
         let peer = Peer {
             identity: from.clone(),
+            started_at: now.before(Duration::from_millis(message.uptime_ms)),
             state: message.state,
             gives_orders: message.gives_orders,
             reaches_store: message.reaches_store,
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -74,8 +74,13 @@
 
     fn tick(&mut self) {
         self.gateway.remove_unlisted();
+        if self.gateway.is_leaving() {
+            // Given up at once, so that another node can go on soon.
+            self.tell_lease(LeaseEvent::Candidacy(false));
+            return;
+        }
         let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
-        if !is_needed || self.gateway.is_leaving() {
+        if !is_needed {
             self.set_held(self.held);
             return;
         }
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -69,11 +69,6 @@
         version > newest
     }
 
-    /// Whether any version of a model is known.
-    pub fn knows(&self, model: &str) -> bool {
-        self.named.contains_key(model)
-    }
-
     /// The newest version of each model.
     pub fn newest(&self) -> impl Iterator<Item = (&str, u64)> {
         self.named
