Pool proofs of freshness between nodes; hear of the lease from peers; count grace anew after trouble

Change: after a failure the answer is asked at once; nodes pass on proofs, bounded by an echo of the receiver's own message; the lease is heard from its holder; the grace for older weights begins anew after the source failed several times in a row.

--- a/crates/core/src/order/lease_event.rs
+++ b/crates/core/src/order/lease_event.rs
@@ -1,8 +1,10 @@
 //! What happens to a lease holder.
 
-use crate::control::StoreAnswer;
+use crate::control::{StoreAnswer, StoreVersion};
 use crate::identity::FencingNumber;
 
+use super::LeaseRecord;
+
 /// What happens to a [`super::LeaseHolder`].
 #[derive(Debug, Clone)]
 pub enum LeaseEvent {
@@ -10,6 +12,13 @@
     Candidacy(bool),
     /// The object API answered the last call, or failed to.
     StoreAnswered(StoreAnswer),
+    /// Another process told of the lease as the object API keeps it.
+    Heard {
+        /// What is written there.
+        record: LeaseRecord,
+        /// Its version.
+        version: StoreVersion,
+    },
     /// An engine has seen this newer number.
     Superseded(FencingNumber),
     /// Time passed; due about every 100 ms.
--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -78,6 +78,7 @@
         match event {
             LeaseEvent::Candidacy(candidate) => self.candidate = candidate,
             LeaseEvent::StoreAnswered(answer) => self.answered(answer, now, actions),
+            LeaseEvent::Heard { record, version } => self.heard(record, version, now),
             LeaseEvent::Superseded(newer) => self.superseded(newer, actions),
             LeaseEvent::Tick => {}
         }
@@ -85,6 +86,25 @@
         self.advance(now, actions);
     }
 
+    /// The lease as it was last read or written.
+    pub fn last_seen(&self) -> Option<(&LeaseRecord, StoreVersion)> {
+        let seen = self.seen.as_ref()?;
+        Some((&seen.record, seen.version))
+    }
+
+    /// What another process tells counts like a look: a lease may be taken only on the condition
+    /// that it is still at the version that was seen.
+    fn heard(&mut self, record: LeaseRecord, version: StoreVersion, now: Timestamp) {
+        let is_newer = self.seen.as_ref().is_none_or(|seen| version > seen.version);
+        if is_newer && self.open.is_none() && self.uncertain.is_none() && self.held.is_none() {
+            self.seen = Some(SeenLease {
+                record,
+                version,
+                seen_at: now,
+            });
+        }
+    }
+
     fn superseded(&mut self, newer: FencingNumber, actions: &mut Vec<LeaseAction>) {
         if self.held.is_some_and(|held| held.fencing_number < newer) {
             self.lose(actions);
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -9,7 +9,7 @@
 use super::{GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
 use crate::engines::EngineTable;
-use crate::peers::{HolderNews, NodeState, PeerTable, WeightsNews};
+use crate::peers::{HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews};
 use crate::placement::HolderTable;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
@@ -45,6 +45,16 @@
     pub owes_introduction: bool,
     /// Number of the last message to other nodes.
     pub sequence: u64,
+    /// When the last messages were sent.
+    pub sent_times: SentTimes,
+    /// The lease of orders as this node wrote it, while it holds it.
+    pub own_lease: Option<LeaseNews>,
+    /// The lease of orders as another node told last.
+    pub heard_lease: Option<LeaseNews>,
+    /// When the source last answered a call of this node.
+    pub source_answered_at: Option<Timestamp>,
+    /// When calls to the source last failed several times in a row.
+    pub source_trouble_at: Option<Timestamp>,
     /// Prefixes to tell others of.
     pub holder_news: Vec<HolderNews>,
     /// Weights to tell others of.
@@ -77,6 +87,11 @@
             gives_orders: false,
             owes_introduction: false,
             sequence: 0,
+            sent_times: SentTimes::default(),
+            own_lease: None,
+            heard_lease: None,
+            source_answered_at: None,
+            source_trouble_at: None,
             holder_news: Vec::new(),
             weights_news: Vec::new(),
             active_requests: 0,
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -14,6 +14,9 @@
 use crate::rollout::NamedAt;
 use crate::source::{Item, ItemChange, ItemKind, NamedWeights};
 
+/// So many calls that fail in a row are a disruption of the source.
+const FAILURES_OF_TROUBLE: u32 = 2;
+
 impl Gateway {
     /// The source listed all items of a kind, to a question sent at `asked_at`.
     pub fn replace_items(&self, kind: ItemKind, items: Vec<Item>, asked_at: Timestamp) {
@@ -49,16 +52,26 @@
                 ItemChange::Gone(_) => {}
             }
         }
+        let mut state = self.state_mut();
+        state.source_answered_at = Some(self.clock().now());
         if kind == ItemKind::Configuration {
-            self.state_mut().freshness.prove(asked_at);
+            state.freshness.prove(asked_at);
         }
+        drop(state);
         self.become_ready();
     }
 
-    /// A call to the source failed.
-    pub fn note_source_trouble(&self, kind: ItemKind) {
+    /// A call to the source failed; `failures` of this kind in a row. A single one may be a watch
+    /// that was cut in calm times.
+    pub fn note_source_trouble(&self, kind: ItemKind, failures: u32) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
         if kind == ItemKind::Engines {
-            self.state_mut().engine_list_trouble_at = Some(self.clock().now());
+            state.engine_list_trouble_at = Some(now);
+        }
+        if failures >= FAILURES_OF_TROUBLE {
+            state.source_trouble_at = Some(now);
+            state.deadlines.extend_from(now);
         }
     }
 
@@ -78,14 +91,19 @@
 
     fn engine_listed(&self, entry: EngineEntry) {
         let mut state = self.state_mut();
-        let before = state.engines.get(&entry.name).map(|known| known.entry.state);
+        let before = state
+            .engines
+            .get(&entry.name)
+            .map(|known| known.entry.state);
         if before != Some(entry.state) {
             info!(self.log(), "engine_listed"; "engine" => %entry.name, "pool" => %entry.pool,
                 "address" => %entry.address, "zone" => %entry.zone,
                 "draining" => entry.state == EngineState::Draining);
         }
         state.engines.upsert(entry);
-        self.metrics().engines.set(state.engines.iter().count() as i64);
+        self.metrics()
+            .engines
+            .set(state.engines.iter().count() as i64);
     }
 
     /// An entry went: at once out of use, but while the source was in trouble, which loses entries
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -9,7 +9,8 @@
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
 use crate::peers::{
-    EngineLoadNews, HolderNews, NamedNews, NodeState, Peer, PeerMessage, WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, NamedNews, NodeState, Peer, PeerMessage,
+    WeightsNews,
 };
 use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
@@ -18,7 +19,7 @@
 const MOST_HOLDER_NEWS: usize = 64;
 /// Most prefixes that wait to be told; beyond that the oldest are never told.
 const MOST_WAITING_HOLDER_NEWS: usize = 1_024;
-/// A node that proved its configuration within this time reaches the store.
+/// A node to which the source answered within this time reaches the store.
 const STORE_CONTACT: Duration = Duration::from_millis(5_500);
 
 /// A holder that uses a part again is told anew after so long.
@@ -50,6 +51,8 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.sequence += 1;
+        let sequence = state.sequence;
+        state.sent_times.note(sequence, now);
         state.owes_introduction &= !is_introduction;
         let told = state.holder_news.len().min(MOST_HOLDER_NEWS);
         let holders = state.holder_news.drain(..told).collect();
@@ -76,6 +79,9 @@
             state: state.node_state,
             gives_orders: state.gives_orders,
             reaches_store: self.reaches_store(&state),
+            lease: state.own_lease.clone(),
+            proof: self.configuration_proof(&state),
+            echoes: state.peers.echoes(now),
             members,
             named,
             loads,
@@ -84,6 +90,33 @@
         }
     }
 
+    fn configuration_proof(&self, state: &GatewayState) -> Option<ConfigurationProof> {
+        let age = state.freshness.age(self.clock().now())?;
+        Some(ConfigurationProof {
+            version: state.table.as_ref()?.version(),
+            age_ms: age.as_millis() as u64 + 1,
+        })
+    }
+
+    /// Another node proved the same configuration current: counted back from the own message that
+    /// it had when it said so, since the datagram itself may be of any age.
+    fn take_proof(&self, state: &mut GatewayState, message: &PeerMessage) {
+        let own = &self.settings().identity;
+        let echo = message
+            .echoes
+            .iter()
+            .find(|echo| echo.name == own.name && echo.incarnation == own.incarnation);
+        let sent_at = echo.and_then(|echo| state.sent_times.of(echo.sequence));
+        let (Some(proof), Some(sent_at)) = (message.proof, sent_at) else {
+            return;
+        };
+        let own_version = state.table.as_ref().map(|table| table.version());
+        if own_version == Some(proof.version) {
+            let proven_at = sent_at.before(Duration::from_millis(proof.age_ms));
+            state.freshness.prove(proven_at);
+        }
+    }
+
     fn named_news(&self, state: &GatewayState) -> Vec<NamedNews> {
         let now = self.clock().now();
         let seen = state.deadlines.seen_within(NAMED_NEWS_AGE, now);
@@ -98,7 +131,8 @@
     /// Whether the source answered lately, so that a lease can be held.
     fn reaches_store(&self, state: &GatewayState) -> bool {
         let now = self.clock().now();
-        state.freshness.is_within(STORE_CONTACT, now)
+        let answered_at = state.source_answered_at;
+        answered_at.is_some_and(|at| now.since(at) < STORE_CONTACT)
     }
 
     fn uptime(&self) -> Duration {
@@ -168,6 +202,10 @@
             state.holders.note(*key, engine, now);
         }
         if is_newest {
+            self.take_proof(&mut state, &message);
+            if message.lease.is_some() {
+                state.heard_lease = message.lease.clone();
+            }
             let loads = state.peers.loads(now);
             state.engines.set_foreign_loads(&loads);
         }
@@ -229,7 +267,13 @@
     }
 
     /// This node is about to order an engine to load weights.
-    pub fn note_loading(&self, engine: &BackEndName, model: &str, version: u64, expected: Duration) {
+    pub fn note_loading(
+        &self,
+        engine: &BackEndName,
+        model: &str,
+        version: u64,
+        expected: Duration,
+    ) {
         let until = self.clock().now().after(expected);
         let mut state = self.state_mut();
         if let Some(known) = state.engines.get_mut(engine) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,7 +1,9 @@
 //! The other gateways: who they are, and what they tell.
 
+mod configuration_proof;
 mod engine_news;
 mod holder_news;
+mod lease_news;
 mod member_address;
 mod node_identity;
 mod node_state;
@@ -9,9 +11,12 @@
 mod peer_link;
 mod peer_message;
 mod peer_table;
+mod sent_times;
 
+pub use configuration_proof::{ConfigurationProof, MessageEcho};
 pub use engine_news::{EngineLoadNews, NamedNews, WeightsNews};
 pub use holder_news::HolderNews;
+pub use lease_news::LeaseNews;
 pub use member_address::MemberAddress;
 pub use node_identity::{NodeIdentity, new_incarnation};
 pub use node_state::NodeState;
@@ -19,3 +24,4 @@
 pub use peer_link::run_peer_link;
 pub use peer_message::PeerMessage;
 pub use peer_table::PeerTable;
+pub use sent_times::SentTimes;
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    EngineLoadNews, HolderNews, MemberAddress, NamedNews, NodeIdentity, NodeState, WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, MemberAddress, MessageEcho,
+    NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
 
 /// One datagram between nodes: a JSON line.
@@ -24,6 +25,15 @@
     /// Whether the sender reached the store of leases lately.
     #[serde(default)]
     pub reaches_store: bool,
+    /// The lease of orders, while the sender holds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<LeaseNews>,
+    /// When the sender's configuration was current.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub proof: Option<ConfigurationProof>,
+    /// The last messages that the sender has of others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub echoes: Vec<MessageEcho>,
     /// Other nodes that the sender knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<MemberAddress>,
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -7,13 +7,15 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName};
 
-use super::{MemberAddress, NodeIdentity, NodeState, Peer, PeerMessage};
+use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
 
 /// A node that was silent for so long is not handed to callers.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
 /// A node that was silent for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Most nodes whose messages are echoed in one message.
+const MOST_ECHOES: usize = 64;
 /// Addresses that are tried though nobody answered there yet.
 const MOST_UNHEARD: usize = 64;
 
@@ -101,6 +103,18 @@
         self.peers.len().max(self.unheard.len())
     }
 
+    /// The last messages of others, for them to know that they arrived.
+    pub fn echoes(&self, now: Timestamp) -> Vec<MessageEcho> {
+        self.alive(now)
+            .take(MOST_ECHOES)
+            .map(|peer| MessageEcho {
+                name: peer.identity.name.clone(),
+                incarnation: peer.identity.incarnation,
+                sequence: peer.sequence,
+            })
+            .collect()
+    }
+
     /// Nodes to tell others of.
     pub fn members(&self, now: Timestamp) -> Vec<MemberAddress> {
         self.alive(now)
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -118,9 +118,7 @@
         request: &PlacementRequest<'_>,
     ) -> Option<Candidate<'b>> {
         match (request.prompt, profile) {
-            (Some(prompt), Some(profile)) => {
-                self.model_candidate(engine, prompt, profile, request)
-            }
+            (Some(prompt), Some(profile)) => self.model_candidate(engine, prompt, profile, request),
             _ => Some(self.plain_candidate(engine, request)),
         }
     }
@@ -236,7 +234,9 @@
     /// An engine that should have a part may have dropped it: then it asks the store, else nothing
     /// moves.
     fn fetch_in_case(&self, key: PartKey) -> Option<KvFetch> {
-        self.is_stored(key).then(|| self.fetch_from_store(0)).flatten()
+        self.is_stored(key)
+            .then(|| self.fetch_from_store(0))
+            .flatten()
     }
 
     fn best_lender(&self, engine: &Engine, key: PartKey) -> Option<(&Engine, Timestamp)> {
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -34,7 +34,10 @@
         let mut keys = Vec::with_capacity(self.parts.len());
         for part in &self.parts {
             end_tokens += part.tokens;
-            keys.push((PartKey(xxh3_64_with_seed(part.id.as_bytes(), base)), end_tokens));
+            keys.push((
+                PartKey(xxh3_64_with_seed(part.id.as_bytes(), base)),
+                end_tokens,
+            ));
         }
         PromptKeys(keys)
     }
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -5,9 +5,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::Incarnation;
-use ryerouter_core::order::{
-    HeldLease, LeaseAction, LeaseEvent, LeaseHolder, LeaseSettings,
-};
+use ryerouter_core::order::{HeldLease, LeaseAction, LeaseEvent, LeaseHolder, LeaseSettings};
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
@@ -16,6 +14,7 @@
 use super::rollout_event::RolloutEvent;
 use super::{EngineOrders, OrderOutcome, RolloutAction, RolloutPlanner, WeightsOrder};
 use crate::gateway::Gateway;
+use crate::peers::LeaseNews;
 use crate::source::LeaseStore;
 
 /// Name of the lease of orders.
@@ -79,17 +78,21 @@
             self.tell_lease(LeaseEvent::Candidacy(false));
             return;
         }
-        let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
-        if !is_needed {
-            self.set_held(self.held);
-            return;
+        let heard = self.gateway.state_mut().heard_lease.take();
+        if let Some(LeaseNews { record, version }) = heard {
+            self.tell_lease(LeaseEvent::Heard { record, version });
         }
-        let should = self.gateway.should_give_orders();
-        // An unneeded lease runs out by itself: given up early, two holders could take turns.
-        if should {
+        let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
+        self.set_held(self.held);
+        if is_needed && self.gateway.should_give_orders() {
             self.tell_lease(LeaseEvent::Candidacy(true));
+        } else if self.held.is_none() {
+            self.tell_lease(LeaseEvent::Candidacy(false));
+        }
+        // A lease that is held without need runs out by itself.
+        if is_needed {
+            self.advance();
         }
-        self.advance();
     }
 
     fn handle(&mut self, event: RolloutEvent) {
@@ -143,7 +146,13 @@
             self.planner.reset();
         }
         self.held = valid;
-        self.gateway.state_mut().gives_orders = valid.is_some();
+        let own_lease = self.lease.last_seen().filter(|_| valid.is_some());
+        let mut state = self.gateway.state_mut();
+        state.gives_orders = valid.is_some();
+        state.own_lease = own_lease.map(|(record, version)| LeaseNews {
+            record: record.clone(),
+            version,
+        });
     }
 
     fn advance(&mut self) {
@@ -194,7 +203,9 @@
         let (Some(lease), Some(address)) = (lease, address) else {
             warn!(self.gateway.log(), "order_withheld"; "engine" => %order.engine);
             let outcome = OrderOutcome::Rejected;
-            let _ = self.sender.send(RolloutEvent::Ordered(order.engine, outcome));
+            let _ = self
+                .sender
+                .send(RolloutEvent::Ordered(order.engine, outcome));
             return;
         };
         info!(self.gateway.log(), "order_given"; "engine" => %order.engine,
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub struct WeightsDeadlines {
     grace: Duration,
+    /// Orders could not be given or heard of before this time, so every grace begins there again.
+    extended_from: Option<Timestamp>,
     /// By model, the versions in rising order.
     named: HashMap<String, Vec<(u64, NamedAt)>>,
 }
@@ -51,6 +53,7 @@
     pub fn new(grace: Duration) -> Self {
         Self {
             grace,
+            extended_from: None,
             named: HashMap::new(),
         }
     }
@@ -69,6 +72,11 @@
         version > newest
     }
 
+    /// The source was in trouble until now: nobody can be expected to have moved.
+    pub fn extend_from(&mut self, at: Timestamp) {
+        self.extended_from = self.extended_from.max(Some(at));
+    }
+
     /// The newest version of each model.
     pub fn newest(&self) -> impl Iterator<Item = (&str, u64)> {
         self.named
@@ -96,7 +104,8 @@
     pub fn until(&self, model: &str, version: u64) -> Option<Timestamp> {
         let named = self.named.get(model)?;
         let next = named.iter().find(|(known, _)| *known > version)?;
-        Some(next.1.time().after(self.grace))
+        let begin = Some(next.1.time()).max(self.extended_from);
+        begin.map(|begin| begin.after(self.grace))
     }
 
     /// Whether requests may begin on `version` at `at`.
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -98,7 +98,9 @@
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
     *message.headers_mut() = request.headers.clone();
-    gateway.dialect().write_attempt(&head, message.headers_mut());
+    gateway
+        .dialect()
+        .write_attempt(&head, message.headers_mut());
     message
 }
 
@@ -120,7 +122,9 @@
         .as_ref()
         .is_some_and(|id| *id != request.caller.id);
     if is_foreign {
-        return Err(AttemptEnd::MayHaveRun("answer to another request".to_owned()));
+        return Err(AttemptEnd::MayHaveRun(
+            "answer to another request".to_owned(),
+        ));
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptEnd::Misdirected(format!("{:?}", facts.weights)));
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -35,9 +35,10 @@
     })?;
     let route = find_route(&table, &head)?;
     let tenant = find_tenant(gateway, &table, &route, &caller)?;
-    let pool = route.pool_of(&caller.id).cloned().ok_or_else(|| {
-        Refusal::new(RefusalReason::NoEngine, "route without a pool")
-    })?;
+    let pool = route
+        .pool_of(&caller.id)
+        .cloned()
+        .ok_or_else(|| Refusal::new(RefusalReason::NoEngine, "route without a pool"))?;
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let mut headers = head.headers;
     keep_forwarded(&mut headers);
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -94,11 +94,16 @@
     async fn watch_until_history_gone(&mut self) {
         loop {
             let asked_at = self.gateway.clock().now();
-            let call = self
-                .source
-                .watch(self.kind, self.revision, self.settings.watch);
-            let limit = self.settings.watch + self.settings.answer;
-            let answer = timeout(limit, call).await.unwrap_or_else(|_| Err(no_answer()));
+            // After a failure the answer is wanted at once: it tells that nothing was missed.
+            let wait = match self.failures {
+                0 => self.settings.watch,
+                _ => Duration::ZERO,
+            };
+            let call = self.source.watch(self.kind, self.revision, wait);
+            let limit = wait + self.settings.answer;
+            let answer = timeout(limit, call)
+                .await
+                .unwrap_or_else(|_| Err(no_answer()));
             match answer {
                 Ok(batch) if batch.revision >= self.revision => {
                     self.note_answer();
@@ -128,10 +133,10 @@
         if self.failures == 0 {
             warn!(self.gateway.log(), "source_lost"; "kind" => %self.kind, "error" => %error);
         }
-        self.gateway.note_source_trouble(self.kind);
         let doublings = self.failures.min(6);
         let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
         self.failures += 1;
+        self.gateway.note_source_trouble(self.kind, self.failures);
         let jitter = rand::rng().random_range(0.5..1.0);
         sleep(pause.mul_f64(jitter)).await;
     }
--- a/crates/gateway/src/telemetry/logger.rs
+++ b/crates/gateway/src/telemetry/logger.rs
@@ -25,6 +25,10 @@
     let level = record.level().as_str().to_ascii_lowercase();
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let time = since_epoch.unwrap_or_default().as_millis();
-    write!(output, "event={} time_ms={time} level={level} ", record.msg())?;
+    write!(
+        output,
+        "event={} time_ms={time} level={level} ",
+        record.msg()
+    )?;
     Ok(())
 }
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -39,8 +39,18 @@
     pub fn new() -> Self {
         let registry = Registry::new();
         Self {
-            requests: vector(&registry, "requests_total", "Requests by outcome", "outcome"),
-            attempts: vector(&registry, "attempts_total", "Attempts by outcome", "outcome"),
+            requests: vector(
+                &registry,
+                "requests_total",
+                "Requests by outcome",
+                "outcome",
+            ),
+            attempts: vector(
+                &registry,
+                "attempts_total",
+                "Attempts by outcome",
+                "outcome",
+            ),
             retries: counter(&registry, "retries_total", "Attempts after the first"),
             retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -52,9 +52,9 @@
 
     /// Whether a request may be sent on it now.
     pub(super) fn is_usable(&self, now: Timestamp, most_idle: Duration) -> bool {
-        let limit = self.idle_timeout.map_or(most_idle, |told| {
-            most_idle.min(told.mul_f64(0.5))
-        });
+        let limit = self
+            .idle_timeout
+            .map_or(most_idle, |told| most_idle.min(told.mul_f64(0.5)));
         self.sender.is_ready() && now.since(self.idle_since) < limit
     }
 }
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -111,10 +111,7 @@
     }
 }
 
-fn set_headers(
-    address: SocketAddr,
-    request: &mut Request<Full<Bytes>>,
-) -> Result<(), CallError> {
+fn set_headers(address: SocketAddr, request: &mut Request<Full<Bytes>>) -> Result<(), CallError> {
     let host = HeaderValue::from_str(&address.to_string()).map_err(failure)?;
     let headers = request.headers_mut();
     headers.insert(HOST, host);
