Tell the lease of orders on with its age; give it up at once

Change: every node tells the lease as it last saw it, with the age of that sight; a holder that stops gives the lease up without waiting for its next renewal.

--- a/crates/core/src/order/lease_event.rs
+++ b/crates/core/src/order/lease_event.rs
@@ -1,5 +1,7 @@
 //! What happens to a lease holder.
 
+use std::time::Duration;
+
 use crate::control::{StoreAnswer, StoreVersion};
 use crate::identity::FencingNumber;
 
@@ -18,6 +20,8 @@
         record: LeaseRecord,
         /// Its version.
         version: StoreVersion,
+        /// How long ago some process saw it so, at least.
+        age: Duration,
     },
     /// An engine has seen this newer number.
     Superseded(FencingNumber),
--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -78,7 +78,11 @@
         match event {
             LeaseEvent::Candidacy(candidate) => self.candidate = candidate,
             LeaseEvent::StoreAnswered(answer) => self.answered(answer, now, actions),
-            LeaseEvent::Heard { record, version } => self.heard(record, version, now),
+            LeaseEvent::Heard {
+                record,
+                version,
+                age,
+            } => self.heard(record, version, now.before(age)),
             LeaseEvent::Superseded(newer) => self.superseded(newer, actions),
             LeaseEvent::Tick => {}
         }
@@ -86,22 +90,28 @@
         self.advance(now, actions);
     }
 
-    /// The lease as it was last read or written.
-    pub fn last_seen(&self) -> Option<(&LeaseRecord, StoreVersion)> {
+    /// The lease as it was last read or written, and when it was first seen so.
+    pub fn last_seen(&self) -> Option<(&LeaseRecord, StoreVersion, Timestamp)> {
         let seen = self.seen.as_ref()?;
-        Some((&seen.record, seen.version))
+        Some((&seen.record, seen.version, seen.seen_at))
     }
 
     /// What another process tells counts like a look: a lease may be taken only on the condition
     /// that it is still at the version that was seen.
-    fn heard(&mut self, record: LeaseRecord, version: StoreVersion, now: Timestamp) {
-        let is_newer = self.seen.as_ref().is_none_or(|seen| version > seen.version);
-        if is_newer && self.open.is_none() && self.uncertain.is_none() && self.held.is_none() {
-            self.seen = Some(SeenLease {
-                record,
-                version,
-                seen_at: now,
-            });
+    fn heard(&mut self, record: LeaseRecord, version: StoreVersion, seen_at: Timestamp) {
+        if self.open.is_some() || self.uncertain.is_some() || self.held.is_some() {
+            return;
+        }
+        match &mut self.seen {
+            Some(seen) if version < seen.version => {}
+            Some(seen) if version == seen.version => seen.seen_at = seen.seen_at.min(seen_at),
+            _ => {
+                self.seen = Some(SeenLease {
+                    record,
+                    version,
+                    seen_at,
+                });
+            }
         }
     }
 
@@ -123,7 +133,8 @@
     }
 
     fn advance(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
-        if self.open.is_some() || now < self.next_call_at {
+        let must_resign = self.held.is_some() && !self.candidate;
+        if self.open.is_some() || (now < self.next_call_at && !must_resign) {
             return;
         }
         if self.held.is_none() && !self.candidate {
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -47,9 +47,9 @@
     pub sequence: u64,
     /// When the last messages were sent.
     pub sent_times: SentTimes,
-    /// The lease of orders as this node wrote it, while it holds it.
-    pub own_lease: Option<LeaseNews>,
-    /// The lease of orders as another node told last.
+    /// The lease of orders as this node saw it last, and when it first did.
+    pub seen_lease: Option<(LeaseNews, Timestamp)>,
+    /// The lease of orders as another node told last; the age counts from now on.
     pub heard_lease: Option<LeaseNews>,
     /// When the source last answered a call of this node.
     pub source_answered_at: Option<Timestamp>,
@@ -88,7 +88,7 @@
             owes_introduction: false,
             sequence: 0,
             sent_times: SentTimes::default(),
-            own_lease: None,
+            seen_lease: None,
             heard_lease: None,
             source_answered_at: None,
             source_trouble_at: None,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -3,14 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
 use slog::info;
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
 use crate::peers::{
-    ConfigurationProof, EngineLoadNews, HolderNews, NamedNews, NodeState, Peer, PeerMessage,
-    WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, NodeState, Peer,
+    PeerMessage, WeightsNews,
 };
 use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
@@ -79,7 +80,7 @@
             state: state.node_state,
             gives_orders: state.gives_orders,
             reaches_store: self.reaches_store(&state),
-            lease: state.own_lease.clone(),
+            lease: lease_news(&state, now),
             proof: self.configuration_proof(&state),
             echoes: state.peers.echoes(now),
             members,
@@ -311,3 +312,9 @@
         }
     }
 }
+
+fn lease_news(state: &GatewayState, now: Timestamp) -> Option<LeaseNews> {
+    let (news, seen_at) = state.seen_lease.clone()?;
+    let age_ms = now.since(seen_at).as_millis() as u64;
+    Some(LeaseNews { age_ms, ..news })
+}
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -25,7 +25,7 @@
     /// Whether the sender reached the store of leases lately.
     #[serde(default)]
     pub reaches_store: bool,
-    /// The lease of orders, while the sender holds it.
+    /// The lease of orders, once the sender has seen it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease: Option<LeaseNews>,
     /// When the sender's configuration was current.
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -73,17 +73,21 @@
 
     fn tick(&mut self) {
         self.gateway.remove_unlisted();
+        self.set_held(self.held);
         if self.gateway.is_leaving() {
             // Given up at once, so that another node can go on soon.
             self.tell_lease(LeaseEvent::Candidacy(false));
             return;
         }
         let heard = self.gateway.state_mut().heard_lease.take();
-        if let Some(LeaseNews { record, version }) = heard {
-            self.tell_lease(LeaseEvent::Heard { record, version });
+        if let Some(news) = heard {
+            self.tell_lease(LeaseEvent::Heard {
+                record: news.record,
+                version: news.version,
+                age: Duration::from_millis(news.age_ms),
+            });
         }
         let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
-        self.set_held(self.held);
         if is_needed && self.gateway.should_give_orders() {
             self.tell_lease(LeaseEvent::Candidacy(true));
         } else if self.held.is_none() {
@@ -146,12 +150,15 @@
             self.planner.reset();
         }
         self.held = valid;
-        let own_lease = self.lease.last_seen().filter(|_| valid.is_some());
         let mut state = self.gateway.state_mut();
         state.gives_orders = valid.is_some();
-        state.own_lease = own_lease.map(|(record, version)| LeaseNews {
-            record: record.clone(),
-            version,
+        state.seen_lease = self.lease.last_seen().map(|(record, version, seen_at)| {
+            let news = LeaseNews {
+                record: record.clone(),
+                version,
+                age_ms: 0,
+            };
+            (news, seen_at)
         });
     }
 
