Test the gateway: serving, placing, weights, beliefs, budget, events

Among them the faults met so far: a timed-out attempt that may have run, weights assumed old from a watch, a restarted node that must learn when weights were named.

--- /dev/null
+++ b/crates/gateway/tests/placing.rs
@@ -0,0 +1,209 @@
+//! Choosing an engine: cached parts, fetches, weights, walls between tenants.
+
+mod support;
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
+use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
+use ryerouter_gateway::engines::{EngineLoad, EngineTable};
+use ryerouter_gateway::placement::{
+    Chooser, HolderTable, KvHolder, Placement, PlacementPrices, PlacementRequest, Prompt,
+    store_holder_name,
+};
+use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
+use support::records::{POOL, STORE, ZONE, engine, model_table, route};
+use support::test_dialect::{MODEL, PART_TOKENS, prompt};
+
+struct World {
+    engines: EngineTable,
+    holders: HolderTable,
+    table: RoutingTable,
+    deadlines: WeightsDeadlines,
+    isolated: Option<TenantName>,
+    now: Timestamp,
+}
+
+impl World {
+    fn new(names: &[&str]) -> Self {
+        let mut engines = EngineTable::default();
+        for (index, name) in names.iter().enumerate() {
+            let address = format!("127.0.0.1:{}", 1_000 + index).parse().unwrap();
+            engines.upsert(engine(name, address, 1));
+        }
+        Self {
+            engines,
+            holders: HolderTable::new(100),
+            table: model_table(vec![route(RequestKind::Streaming)]),
+            deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
+            isolated: None,
+            now: Timestamp::from_millis(1_000_000),
+        }
+    }
+
+    fn choose(&self, prompt: &Prompt) -> Option<Placement> {
+        let chooser = Chooser {
+            engines: &self.engines,
+            holders: &self.holders,
+            table: &self.table,
+            deadlines: &self.deadlines,
+            prices: &PlacementPrices::default(),
+            zone: &ZoneName::new(ZONE),
+            now: self.now,
+        };
+        chooser.choose(&PlacementRequest {
+            id: "r1",
+            pool: &PoolName::new(POOL),
+            prompt: Some(prompt),
+            isolated_tenant: self.isolated.as_ref(),
+            target_latency: Duration::from_millis(500),
+            body_bytes: 1_000,
+            tried: &[],
+        })
+    }
+
+    /// `holder` read the first `count` parts of a prompt.
+    fn hold(&mut self, holder: &BackEndName, prompt: &Prompt, count: usize) {
+        let placement = self.choose(prompt).expect("engine");
+        for (key, _) in &placement.keys.0[..count] {
+            self.holders.note(*key, holder, self.now);
+        }
+    }
+
+    fn busy(&mut self, name: &str) {
+        let engine = self.engines.get_mut(&BackEndName::new(name)).unwrap();
+        engine.foreign_load = EngineLoad {
+            requests: 30,
+            unread_tokens: 60_000,
+            kv_tokens: 90_000,
+        };
+    }
+}
+
+#[test]
+fn all_nodes_choose_the_same_first_reader_without_a_message() {
+    let world = World::new(&["a", "b", "c", "d"]);
+    let other = World::new(&["d", "c", "b", "a"]);
+    for parts in ["s,x,1", "s,y,2", "t,z,3"] {
+        let prompt = prompt(parts);
+        let chosen = world.choose(&prompt).unwrap().engine;
+        assert_eq!(chosen, other.choose(&prompt).unwrap().engine);
+    }
+}
+
+#[test]
+fn engine_that_holds_the_prefix_is_chosen() {
+    for name in ["a", "b", "c"] {
+        let mut world = World::new(&["a", "b", "c"]);
+        world.hold(&BackEndName::new(name), &prompt("s,x,1"), 2);
+        let placement = world.choose(&prompt("s,x,2")).unwrap();
+        assert_eq!(placement.engine.as_str(), name);
+        assert_eq!(placement.cached_tokens, 2 * PART_TOKENS);
+    }
+}
+
+#[test]
+fn busy_holder_lends_its_cache_to_another_engine() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
+    world.busy("a");
+    let placement = world.choose(&prompt("s,x,2")).unwrap();
+    assert_eq!(placement.engine.as_str(), "b");
+    let fetch = placement.fetch.unwrap();
+    assert_eq!(fetch.holder, KvHolder::Engine(BackEndName::new("a")));
+    assert_eq!(fetch.tokens, 2 * PART_TOKENS);
+}
+
+#[test]
+fn shared_parts_are_saved_once_and_then_fetched_from_the_store() {
+    let mut world = World::new(&["a", "b"]);
+    assert!(world.choose(&prompt("s,x,1")).unwrap().saves);
+    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
+    let placement = world.choose(&prompt("s,x,2")).unwrap();
+    assert!(!placement.saves);
+    let fetch = placement.fetch.unwrap();
+    assert_eq!(fetch.holder, KvHolder::Store);
+    assert_eq!(fetch.address, STORE.parse().unwrap());
+}
+
+#[test]
+fn engine_that_should_hold_a_stored_part_is_given_the_store_as_well() {
+    let mut world = World::new(&["a"]);
+    world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
+    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
+    let placement = world.choose(&prompt("s,x,2")).unwrap();
+    assert_eq!(placement.cached_tokens, 2 * PART_TOKENS);
+    assert_eq!(placement.fetch.unwrap().holder, KvHolder::Store);
+}
+
+#[test]
+fn isolated_tenant_shares_no_part_with_others() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
+    let shared = world.choose(&prompt("s,x,2")).unwrap();
+    world.isolated = Some(TenantName::new("walled"));
+    let isolated = world.choose(&prompt("s,x,2")).unwrap();
+    assert_ne!(shared.salt, isolated.salt);
+    assert_eq!(isolated.cached_tokens, 0);
+    // Only the store is asked, under the tenant's own salt.
+    assert!(
+        isolated
+            .fetch
+            .is_none_or(|fetch| fetch.holder == KvHolder::Store)
+    );
+}
+
+#[test]
+fn cache_of_older_weights_counts_for_nothing() {
+    let mut world = World::new(&["a", "b"]);
+    let holder = BackEndName::new("a");
+    world.hold(&holder, &prompt("s,x,1"), 2);
+    world
+        .engines
+        .get_mut(&holder)
+        .unwrap()
+        .note_weights(MODEL, 2);
+    let placement = world.choose(&prompt("s,x,2")).unwrap();
+    assert!(placement.engine.as_str() == "b" || placement.cached_tokens == 0);
+}
+
+#[test]
+fn engine_whose_weights_have_run_out_gets_no_request() {
+    let mut world = World::new(&["a", "b"]);
+    let now = world.now;
+    world
+        .deadlines
+        .note(MODEL, 2, NamedAt::Seen(now.before(Duration::from_secs(8))));
+    assert!(world.choose(&prompt("s,x,1")).is_none());
+    let newest = BackEndName::new("b");
+    world
+        .engines
+        .get_mut(&newest)
+        .unwrap()
+        .note_weights(MODEL, 2);
+    let placement = world.choose(&prompt("s,x,1")).unwrap();
+    assert_eq!(placement.engine, newest);
+    assert_eq!(placement.weights, Some(2));
+}
+
+#[test]
+fn loading_and_failing_engines_are_passed_over() {
+    let mut world = World::new(&["a", "b", "c"]);
+    let until = world.now.after(Duration::from_secs(1));
+    let loading = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    loading.loading_until = Some(until);
+    let now = world.now;
+    let failing = world.engines.get_mut(&BackEndName::new("b")).unwrap();
+    failing.health.unreachable(now);
+    assert_eq!(world.choose(&prompt("s,x,1")).unwrap().engine.as_str(), "c");
+}
+
+#[test]
+fn failing_engine_is_better_than_none() {
+    let mut world = World::new(&["a"]);
+    let now = world.now;
+    let failing = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    failing.health.unreachable(now);
+    assert!(world.choose(&prompt("s,x,1")).is_some());
+}
--- /dev/null
+++ b/crates/gateway/tests/small_parts.rs
@@ -0,0 +1,77 @@
+//! The event splitter and the retry budget.
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_gateway::relay::EventSplitter;
+use ryerouter_gateway::retry::{RetrySettings, RetryWindow};
+use yare::parameterized;
+
+#[parameterized(
+    whole = { &["id: 1\ndata: a\n\n"], "id: 1\ndata: a\n\n", Some("1"), 0 },
+    cut_within = { &["id: 1\nda", "ta: a\n\nid: 2"], "id: 1\ndata: a\n\n", Some("1"), 5 },
+    two_at_once = { &["id: 1\n\nid: 2\n\n"], "id: 1\n\nid: 2\n\n", Some("2"), 0 },
+    carriage_returns = { &["id: 7\r\ndata: a\r\n\r\n"], "id: 7\r\ndata: a\r\n\r\n", Some("7"), 0 },
+    without_id = { &["data: a\n\n"], "data: a\n\n", None, 0 },
+    nothing_whole = { &["id: 1\n"], "", None, 6 },
+)]
+fn only_whole_events_come_out(chunks: &[&str], out: &str, last_id: Option<&str>, held: usize) {
+    let mut splitter = EventSplitter::default();
+    let mut passed = Vec::new();
+    let mut last = None;
+    for chunk in chunks {
+        if let Some(batch) = splitter.push(chunk.as_bytes()).unwrap() {
+            passed.extend_from_slice(&batch.bytes);
+            last = batch.last_id.or(last);
+        }
+    }
+    assert_eq!(passed, out.as_bytes());
+    assert_eq!(last.as_deref(), last_id);
+    assert_eq!(splitter.held_bytes(), held);
+}
+
+#[test]
+fn endless_event_is_given_up() {
+    let mut splitter = EventSplitter::default();
+    let chunk = vec![b'x'; 700_000];
+    assert!(splitter.push(&chunk).is_ok());
+    assert!(splitter.push(&chunk).is_err());
+}
+
+#[test]
+fn all_processes_together_keep_to_the_budget() {
+    let settings = RetrySettings {
+        ratio: 0.2,
+        floor: 50.0,
+        window: Duration::from_secs(10),
+    };
+    let processes = 5;
+    let mut spent = 0;
+    for process in 0..processes {
+        let mut window = RetryWindow::default();
+        for request in 0..100_u64 {
+            let now = Timestamp::from_millis(10_000 + request * 50 + process);
+            window.count_request(&settings, now);
+            while window.spend(&settings, processes as usize, now) {
+                spent += 1;
+            }
+        }
+    }
+    let allowed = 0.2 * 500.0 + 50.0;
+    assert!(f64::from(spent) <= allowed);
+    assert!(f64::from(spent) >= allowed / 2.0);
+}
+
+#[test]
+fn budget_comes_back_as_the_window_slides() {
+    let settings = RetrySettings {
+        ratio: 0.0,
+        floor: 2.0,
+        window: Duration::from_secs(10),
+    };
+    let mut window = RetryWindow::default();
+    let now = Timestamp::from_millis(20_000);
+    assert!(window.spend(&settings, 1, now));
+    assert!(!window.spend(&settings, 1, now));
+    assert!(window.spend(&settings, 1, now.after(Duration::from_secs(11))));
+}
--- /dev/null
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -0,0 +1,171 @@
+//! A gateway that serves on loopback, and its caller.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HOST, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use ryerouter_core::identity::{NodeName, ZoneName};
+use ryerouter_gateway::catalogue::RoutingTable;
+use ryerouter_gateway::engines::EngineEntry;
+use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
+use ryerouter_gateway::peers::NodeIdentity;
+use ryerouter_gateway::placement::PlacementPrices;
+use ryerouter_gateway::retry::RetrySettings;
+use ryerouter_gateway::rollout::RolloutSettings;
+use ryerouter_gateway::serve::serve_callers;
+use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
+use ryerouter_gateway::upstream::ConnectSettings;
+use slog::{Logger, o};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::records::HOST as TEST_HOST;
+use super::test_dialect::{ID, TestDialect};
+
+/// Runs a test on one thread.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Settings of the node `name`.
+pub fn settings(name: &str) -> GatewaySettings {
+    GatewaySettings {
+        identity: NodeIdentity {
+            name: NodeName::new(name),
+            incarnation: 1,
+            peer_address: "127.0.0.1:1".parse().expect("address"),
+            caller_address: "127.0.0.1:2".parse().expect("address"),
+            zone: ZoneName::new(super::records::ZONE),
+        },
+        seeds: Vec::new(),
+        most_unproven: Some(Duration::from_secs(3600)),
+        weights_grace: Duration::from_secs(7),
+        assumed_weights_age: Duration::from_secs(5),
+        unlisted_grace: Duration::from_secs(3),
+        retry: RetrySettings {
+            floor: 100.0,
+            ..RetrySettings::default()
+        },
+        connect: ConnectSettings::default(),
+        prices: PlacementPrices::default(),
+        rollout: RolloutSettings::default(),
+        remembered_prefixes: 1_000,
+    }
+}
+
+/// A gateway without listeners.
+pub fn gateway(name: &str) -> Rc<Gateway> {
+    gateway_with(settings(name))
+}
+
+/// The same with other settings.
+pub fn gateway_with(settings: GatewaySettings) -> Rc<Gateway> {
+    let log = Logger::root(slog::Discard, o!());
+    Gateway::new(settings, Rc::new(TestDialect), log)
+}
+
+/// Gives a gateway its configuration.
+pub fn configure(gateway: &Gateway, table: RoutingTable) {
+    let change = ItemChange::Present(Item::Configuration(Rc::new(table)));
+    let now = gateway.clock().now();
+    gateway.change_items(ItemKind::Configuration, vec![change], now);
+}
+
+/// Gives a gateway the whole list of engines.
+pub fn list_engines(gateway: &Gateway, entries: Vec<EngineEntry>) {
+    let items = entries.into_iter().map(Item::Engine).collect();
+    gateway.replace_items(ItemKind::Engines, items, gateway.clock().now());
+}
+
+/// A gateway that serves callers.
+pub struct GatewayBench {
+    pub gateway: Rc<Gateway>,
+    pub address: SocketAddr,
+}
+
+/// An answer as its caller got it.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    pub status: StatusCode,
+    pub id: Option<String>,
+    pub retry_after: Option<f64>,
+    /// `Err` when the body broke off.
+    pub body: Result<String, String>,
+}
+
+impl GatewayBench {
+    /// Serves on a free port.
+    pub async fn start(table: Option<RoutingTable>, entries: Vec<EngineEntry>) -> Self {
+        Self::start_with(settings("node-1"), table, entries).await
+    }
+
+    /// The same with other settings.
+    pub async fn start_with(
+        settings: GatewaySettings,
+        table: Option<RoutingTable>,
+        entries: Vec<EngineEntry>,
+    ) -> Self {
+        let gateway = gateway_with(settings);
+        if let Some(table) = table {
+            configure(&gateway, table);
+        }
+        list_engines(&gateway, entries);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        spawn_local(serve_callers(Rc::clone(&gateway), listener));
+        Self { gateway, address }
+    }
+
+    /// Sends a request with these headers and reads the answer.
+    pub async fn call(&self, method: &str, headers: &[(&str, &str)], body: &str) -> CallerAnswer {
+        let response = self.begin(method, headers, body).await;
+        let (head, body) = response.into_parts();
+        let header = |name: &str| head.headers.get(name)?.to_str().ok().map(str::to_owned);
+        let retry_after = header(RETRY_AFTER.as_str()).and_then(|text| text.parse().ok());
+        let body = match body.collect().await {
+            Ok(whole) => Ok(String::from_utf8_lossy(&whole.to_bytes()).into_owned()),
+            Err(error) => Err(error.to_string()),
+        };
+        CallerAnswer {
+            status: head.status,
+            id: header(ID),
+            retry_after,
+            body,
+        }
+    }
+
+    /// Sends a request and returns with the head of the answer.
+    pub async fn begin(
+        &self,
+        method: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Response<hyper::body::Incoming> {
+        let stream = TcpStream::connect(self.address).await.expect("connect");
+        let io = TokioIo::new(stream);
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(io)
+            .await
+            .expect("handshake");
+        spawn_local(async move {
+            let _ = connection.await;
+        });
+        let mut request = Request::builder().method(method).uri("/item/1?x=2");
+        request = request.header(HOST, TEST_HOST);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = Full::new(Bytes::from(body.to_owned()));
+        let request = request.body(body).expect("request");
+        sender.send_request(request).await.expect("answer")
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/records.rs
@@ -0,0 +1,102 @@
+//! Routes, pools, engines as the tests need them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
+use ryerouter_gateway::catalogue::{
+    CallerLimits, EngineProfile, KvStoreProfile, PoolProfile, RequestKind, Route, RoutingTable,
+    Tenant, WeightedPool,
+};
+use ryerouter_gateway::engines::{EngineEntry, EngineState};
+
+use super::test_dialect::MODEL;
+
+pub const HOST: &str = "shop.example";
+pub const POOL: &str = "pool";
+pub const KEY_OF_TENANT: &str = "key-1";
+pub const ZONE: &str = "zone-a";
+pub const STORE: &str = "127.0.0.1:9";
+
+/// A public route below `/`.
+pub fn route(kind: RequestKind) -> Route {
+    Route {
+        name: "route".to_owned(),
+        host: HOST.to_owned(),
+        path_prefix: "/".to_owned(),
+        kind,
+        is_resumable: kind == RequestKind::Streaming,
+        is_public: true,
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_millis(500),
+        most_attempts: 2,
+        priority: 1,
+        pools: vec![WeightedPool {
+            pool: PoolName::new(POOL),
+            weight: 1,
+        }],
+    }
+}
+
+/// A table of these routes with one plain pool and one tenant.
+pub fn table(version: u64, routes: Vec<Route>) -> RoutingTable {
+    let limits = CallerLimits {
+        body_bytes: 1_000,
+        ..CallerLimits::default()
+    };
+    let pools = vec![plain_pool()];
+    RoutingTable::new(version, routes, pools, None, vec![tenant()], limits)
+}
+
+/// A table of these routes with one pool of engines and a store of kept KV cache.
+pub fn model_table(routes: Vec<Route>) -> RoutingTable {
+    let store = KvStoreProfile {
+        address: STORE.parse().expect("address"),
+        zone: ZoneName::new(ZONE),
+        kv_tokens: 100_000,
+    };
+    let pool = PoolProfile {
+        engine: Some(EngineProfile {
+            slots: 32,
+            kv_tokens: 100_000,
+            kv_token_bytes: 100_000.0,
+            link_megabits: 500_000.0,
+            models: vec![MODEL.to_owned()],
+        }),
+        ..plain_pool()
+    };
+    let limits = CallerLimits::default();
+    RoutingTable::new(1, routes, vec![pool], Some(store), vec![tenant()], limits)
+}
+
+fn plain_pool() -> PoolProfile {
+    PoolProfile {
+        name: PoolName::new(POOL),
+        most_connections: 100,
+        engine: None,
+    }
+}
+
+pub fn tenant() -> Tenant {
+    Tenant {
+        name: TenantName::new("tenant-1"),
+        keys: vec![KEY_OF_TENANT.to_owned()],
+        priority: None,
+        is_isolated: false,
+    }
+}
+
+/// An engine with version `weights` of the model.
+pub fn engine(name: &str, address: SocketAddr, weights: u64) -> EngineEntry {
+    EngineEntry {
+        name: BackEndName::new(name),
+        pool: PoolName::new(POOL),
+        address,
+        zone: ZoneName::new(ZONE),
+        slots: 8,
+        state: EngineState::Ready,
+        weights: BTreeMap::from([(MODEL.to_owned(), weights)]),
+        orders_taken: 0,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -0,0 +1,181 @@
+//! An engine that does as it is told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// What the engine does with the next request.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Answers with this status and body, echoing the id.
+    Answer(u16, &'static str),
+    /// Answers that the request has not run.
+    NoRoom,
+    /// Answers another request than the one that was asked.
+    Foreign,
+    /// Says nothing until the connection ends.
+    Silence,
+    /// Closes the connection without a word.
+    Close,
+    /// Sends these events and ends the stream well.
+    Events(&'static [&'static str]),
+    /// Sends these bytes of a stream and breaks off.
+    BrokenEvents(&'static [&'static str]),
+    /// Breaks off after the first bytes, but sends the others to a request that goes on.
+    BreaksOnce(&'static [&'static str], &'static [&'static str]),
+}
+
+/// A request as it arrived.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    pub head: String,
+}
+
+impl Arrival {
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        let prefix = format!("{name}:");
+        let mut lines = self.head.lines();
+        let line = lines.find(|line| line.to_ascii_lowercase().starts_with(&prefix))?;
+        Some(line[prefix.len()..].trim().to_owned())
+    }
+}
+
+/// An engine that takes one step for each request, then answers 200.
+#[derive(Default)]
+pub struct ScriptedEngine {
+    steps: RefCell<VecDeque<Step>>,
+    pub arrivals: RefCell<Vec<Arrival>>,
+    /// Connections that their peer closed while a request was unanswered.
+    pub abandoned: Cell<u32>,
+    changed: Notify,
+}
+
+impl ScriptedEngine {
+    /// Starts an engine on a free port.
+    pub async fn start(steps: impl IntoIterator<Item = Step>) -> (Rc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let engine = Rc::new(Self {
+            steps: RefCell::new(steps.into_iter().collect()),
+            ..Self::default()
+        });
+        let shared = Rc::clone(&engine);
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let engine = Rc::clone(&shared);
+                spawn_local(async move { engine.serve(stream).await });
+            }
+        });
+        (engine, address)
+    }
+
+    /// Waits until a caller has left an unanswered request.
+    pub async fn until_abandoned(&self) {
+        while self.abandoned.get() == 0 {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Waits until so many requests have arrived.
+    pub async fn until_arrived(&self, count: usize) {
+        while self.arrivals.borrow().len() < count {
+            self.changed.notified().await;
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream) {
+        while let Some(head) = read_request(&mut stream).await {
+            let arrival = Arrival { head };
+            let goes_on = arrival.header("x-after").is_some();
+            let id = arrival.header("x-id").unwrap_or_default();
+            self.arrivals.borrow_mut().push(arrival);
+            self.changed.notify_waiters();
+            let step = self.steps.borrow_mut().pop_front();
+            let step = match step.unwrap_or(Step::Answer(200, "ok")) {
+                Step::BreaksOnce(_, rest) if goes_on => Step::Events(rest),
+                Step::BreaksOnce(begin, _) => Step::BrokenEvents(begin),
+                other => other,
+            };
+            match step {
+                Step::Answer(status, body) => {
+                    write(&mut stream, &answer(status, &id, "", body)).await;
+                }
+                Step::NoRoom => {
+                    write(&mut stream, &answer(503, &id, "x-not-executed: 1\r\n", "")).await;
+                }
+                Step::Foreign => write(&mut stream, &answer(200, "another", "", "no")).await,
+                Step::Close => return,
+                Step::Silence => {
+                    let mut rest = [0; 1];
+                    let _ = stream.read(&mut rest).await;
+                    self.abandoned.set(self.abandoned.get() + 1);
+                    self.changed.notify_waiters();
+                    return;
+                }
+                Step::Events(events) => {
+                    write(&mut stream, &stream_head(&id)).await;
+                    for event in events {
+                        write(&mut stream, &chunk(event)).await;
+                    }
+                    write(&mut stream, "0\r\n\r\n").await;
+                }
+                Step::BreaksOnce(events, _) | Step::BrokenEvents(events) => {
+                    write(&mut stream, &stream_head(&id)).await;
+                    for event in events {
+                        write(&mut stream, &chunk(event)).await;
+                    }
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).ok()?;
+    let length = Arrival { head: head.clone() }.header("content-length");
+    let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head)
+}
+
+fn answer(status: u16, id: &str, more: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} Status\r\nx-id: {id}\r\nx-signed: 1\r\n{more}\
+         content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn stream_head(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\
+         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+async fn write(stream: &mut TcpStream, text: &str) {
+    // A caller that has left shows in the next read.
+    let _ = stream.write_all(text.as_bytes()).await;
+    let _ = stream.flush().await;
+}
--- /dev/null
+++ b/crates/gateway/tests/weights.rs
@@ -0,0 +1,191 @@
+//! Named weights: until when older ones may be used, and how engines are brought to the newest.
+
+mod support;
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
+use ryerouter_gateway::engines::EngineTable;
+use ryerouter_gateway::rollout::{
+    EngineReport, NamedAt, OrderOutcome, RolloutAction, RolloutPlanner, RolloutSettings,
+    WeightsDeadlines,
+};
+use support::records::engine;
+use support::test_dialect::MODEL;
+use yare::parameterized;
+
+const GRACE: Duration = Duration::from_secs(7);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+#[parameterized(
+    newest = { 3, 100_000, true },
+    before_the_end_of_grace = { 2, 10_999, true },
+    after_the_end_of_grace = { 2, 11_000, false },
+    judged_by_the_first_newer_one = { 1, 8_500, false },
+)]
+fn older_weights_end_with_the_grace_of_the_first_newer_version(
+    version: u64,
+    millis: u64,
+    allowed: bool,
+) {
+    let mut deadlines = WeightsDeadlines::new(GRACE);
+    deadlines.note(MODEL, 2, NamedAt::Seen(at(1_000)));
+    deadlines.note(MODEL, 3, NamedAt::Seen(at(4_000)));
+    assert_eq!(deadlines.allows(MODEL, version, at(millis)), allowed);
+}
+
+#[test]
+fn what_a_node_saw_replaces_what_another_assumed() {
+    let mut deadlines = WeightsDeadlines::new(GRACE);
+    deadlines.note(MODEL, 2, NamedAt::Assumed(at(0)));
+    deadlines.note(MODEL, 2, NamedAt::Seen(at(3_000)));
+    deadlines.note(MODEL, 2, NamedAt::Assumed(at(1_000)));
+    assert_eq!(deadlines.until(MODEL, 1), Some(at(3_000).after(GRACE)));
+}
+
+#[test]
+fn grace_begins_anew_after_trouble_of_the_source() {
+    let mut deadlines = WeightsDeadlines::new(GRACE);
+    deadlines.note(MODEL, 2, NamedAt::Seen(at(0)));
+    deadlines.extend_from(at(5_000));
+    assert_eq!(deadlines.until(MODEL, 1), Some(at(5_000).after(GRACE)));
+}
+
+struct Rollout {
+    planner: RolloutPlanner,
+    engines: EngineTable,
+    deadlines: WeightsDeadlines,
+}
+
+impl Rollout {
+    fn new(engines: usize) -> Self {
+        let mut table = EngineTable::default();
+        for index in 0..engines {
+            let address = format!("127.0.0.1:{}", 1_000 + index).parse().unwrap();
+            table.upsert(engine(&format!("e{index:02}"), address, 1));
+        }
+        let mut deadlines = WeightsDeadlines::new(GRACE);
+        deadlines.note(MODEL, 2, NamedAt::Seen(at(0)));
+        Self {
+            planner: RolloutPlanner::new(RolloutSettings::default()),
+            engines: table,
+            deadlines,
+        }
+    }
+
+    fn advance(&mut self, millis: u64) -> Vec<RolloutAction> {
+        let mut actions = Vec::new();
+        self.planner
+            .advance(&self.engines, &self.deadlines, at(millis), &mut actions);
+        actions
+    }
+
+    fn report(&mut self, name: &str, taken: u64, weights: u64, millis: u64) -> Vec<RolloutAction> {
+        let report = EngineReport {
+            weights: [(MODEL.to_owned(), weights)].into(),
+            is_busy: false,
+            orders_taken: taken,
+        };
+        let mut actions = Vec::new();
+        let name = BackEndName::new(name);
+        self.planner
+            .reported(&name, Some(&report), at(millis), &mut actions);
+        actions
+    }
+
+    fn ordered(&mut self, name: &str, outcome: OrderOutcome, millis: u64) {
+        let mut actions = Vec::new();
+        let name = BackEndName::new(name);
+        self.planner
+            .ordered(&name, outcome, at(millis), &mut actions);
+    }
+}
+
+fn expected_orders(actions: &[RolloutAction]) -> Option<u64> {
+    actions.iter().find_map(|action| match action {
+        RolloutAction::Order(order) => Some(order.expected_orders),
+        _ => None,
+    })
+}
+
+#[test]
+fn engine_is_asked_before_it_is_ordered_and_the_order_carries_its_count() {
+    let mut rollout = Rollout::new(1);
+    let ask = RolloutAction::Ask(BackEndName::new("e00"));
+    assert_eq!(rollout.advance(0), [ask]);
+    assert_eq!(expected_orders(&rollout.report("e00", 5, 1, 10)), Some(5));
+}
+
+#[test]
+fn conflict_is_settled_by_another_report() {
+    let mut rollout = Rollout::new(1);
+    rollout.advance(0);
+    rollout.report("e00", 5, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Conflict, 20);
+    let asks = rollout.advance(200);
+    assert_eq!(asks.len(), 1);
+    assert_eq!(expected_orders(&rollout.report("e00", 6, 1, 210)), Some(6));
+}
+
+#[test]
+fn order_without_an_answer_is_not_repeated_before_a_report_can_show_it() {
+    let mut rollout = Rollout::new(1);
+    rollout.advance(0);
+    rollout.report("e00", 0, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Unknown, 700);
+    assert_eq!(rollout.advance(700).len(), 1);
+    assert_eq!(expected_orders(&rollout.report("e00", 0, 1, 720)), None);
+    rollout.advance(950);
+    // The same count: if the lost order is carried out late, only one of both runs.
+    assert_eq!(expected_orders(&rollout.report("e00", 0, 1, 960)), Some(0));
+}
+
+#[parameterized(
+    in_good_time = { 0, 2 },
+    when_time_runs_out = { 4_500, 6 },
+)]
+fn no_more_engines_load_at_once_than_needed(millis: u64, expected: usize) {
+    let mut rollout = Rollout::new(12);
+    assert_eq!(rollout.advance(millis).len(), expected);
+}
+
+#[test]
+fn silent_engine_does_not_hold_up_the_others() {
+    let mut rollout = Rollout::new(2);
+    let first = rollout.advance(0);
+    let RolloutAction::Ask(silent) = &first[0] else {
+        panic!("not asked: {first:?}");
+    };
+    let mut actions = Vec::new();
+    rollout
+        .planner
+        .reported(silent, None, at(500), &mut actions);
+    let next = rollout.advance(510);
+    assert_eq!(next.len(), 1);
+    assert_ne!(next[0], RolloutAction::Ask(silent.clone()));
+}
+
+#[test]
+fn rollout_ends_when_all_engines_have_the_weights() {
+    let mut rollout = Rollout::new(1);
+    rollout.advance(0);
+    rollout.report("e00", 0, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Accepted, 20);
+    let done = rollout.report("e00", 1, 2, 900);
+    assert!(matches!(
+        done[..],
+        [RolloutAction::Loaded { version: 2, .. }]
+    ));
+    let name = BackEndName::new("e00");
+    rollout
+        .engines
+        .get_mut(&name)
+        .unwrap()
+        .note_weights(MODEL, 2);
+    assert_eq!(rollout.advance(910), []);
+    assert!(rollout.planner.is_idle());
+}
