--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -2,18 +2,18 @@
 
 mod candidate_cost;
 mod chooser;
+mod chosen_engine;
 mod holder_table;
 mod part_key;
-mod placement;
 mod placement_prices;
 mod placement_request;
 mod prompt;
 
 pub use candidate_cost::CandidateCost;
 pub use chooser::Chooser;
+pub use chosen_engine::{KvFetch, KvHolder, Placement};
 pub use holder_table::{HolderTable, store_holder_name};
 pub use part_key::{PartKey, PromptKeys};
-pub use placement::{KvFetch, KvHolder, Placement};
 pub use placement_prices::PlacementPrices;
 pub use placement_request::PlacementRequest;
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -11,7 +11,9 @@
 use support::scripted_engine::{Arrival, ScriptedEngine, Step};
 use support::test_dialect::{AFTER, ENGINE, ID, KEY, TENANT};
 
-const ONE: &[(&str, &str)] = &[(ID, "r1")];
+type Headers = &'static [(&'static str, &'static str)];
+
+const ONE: Headers = &[(ID, "r1")];
 
 async fn bench(kind: RequestKind, first: &[Step], second: &[Step]) -> (GatewayBench, Engines) {
     bench_with_timeout(kind, first, second, Duration::from_secs(5)).await
@@ -120,7 +122,7 @@
 fn safe_request_is_sent_again_after_a_foreign_answer_or_an_error() {
     run(async {
         for step in [Step::Foreign, Step::Answer(500, "broken"), Step::Close] {
-            let (bench, engines) = bench(RequestKind::Safe, &[step.clone()], &[]).await;
+            let (bench, engines) = bench(RequestKind::Safe, std::slice::from_ref(&step), &[]).await;
             for id in ["r1", "r2", "r3"] {
                 let answer = bench.call("GET", &[(ID, id)], "").await;
                 assert_eq!(answer.status, StatusCode::OK, "{step:?}");
@@ -216,7 +218,7 @@
         let (first, address) = ScriptedEngine::start([]).await;
         let entries = vec![engine("e1", address, 1)];
         let bench = GatewayBench::start(Some(table(1, vec![keyed])), entries).await;
-        let cases: [(&[(&str, &str)], u16, &str); 4] = [
+        let cases: [(Headers, u16, &str); 4] = [
             (&[(ID, "r1")], 401, "missing"),
             (&[(ID, "r2"), (KEY, "wrong")], 401, "unknown"),
             (&[(KEY, KEY_OF_TENANT)], 400, "x-id"),
