Keep requests in their zone; let one engine read first for all; shorten gossip

Change: three times the price of a kilobyte across; a part that nobody holds costs more on any engine but the first in rendezvous order; prompt keys once for each version of the weights; short keys, echoes by incarnation, the lease only when changed, news every 100 ms.

--- a/crates/gateway/src/engines/engine_load.rs
+++ b/crates/gateway/src/engines/engine_load.rs
@@ -6,10 +6,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineLoad {
     /// Requests.
+    #[serde(rename = "r")]
     pub requests: u32,
     /// Prompt tokens that are yet to be read (estimate).
+    #[serde(rename = "u")]
     pub unread_tokens: u32,
     /// Tokens of KV memory that the requests occupy (estimate).
+    #[serde(rename = "k")]
     pub kv_tokens: u32,
 }
 
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::control::StoreVersion;
 use ryerouter_core::identity::PoolName;
 
 use super::{GatewaySettings, ProofOfFreshness};
@@ -49,6 +50,8 @@
     pub sent_times: SentTimes,
     /// The lease of orders as this node saw it last, and when it first did.
     pub seen_lease: Option<(LeaseNews, Timestamp)>,
+    /// Version of the lease that other nodes were told last.
+    pub told_lease: Option<StoreVersion>,
     /// The lease of orders as another node told last; the age counts from now on.
     pub heard_lease: Option<LeaseNews>,
     /// When the source last answered a call of this node.
@@ -89,6 +92,7 @@
             sequence: 0,
             sent_times: SentTimes::default(),
             seen_lease: None,
+            told_lease: None,
             heard_lease: None,
             source_answered_at: None,
             source_trouble_at: None,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -80,7 +80,7 @@
             state: state.node_state,
             gives_orders: state.gives_orders,
             reaches_store: self.reaches_store(&state),
-            lease: lease_news(&state, now),
+            lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
             echoes: state.peers.echoes(now),
             members,
@@ -106,7 +106,7 @@
         let echo = message
             .echoes
             .iter()
-            .find(|echo| echo.name == own.name && echo.incarnation == own.incarnation);
+            .find(|echo| echo.incarnation == own.incarnation);
         let sent_at = echo.and_then(|echo| state.sent_times.of(echo.sequence));
         let (Some(proof), Some(sent_at)) = (message.proof, sent_at) else {
             return;
@@ -313,8 +313,18 @@
     }
 }
 
-fn lease_news(state: &GatewayState, now: Timestamp) -> Option<LeaseNews> {
+/// The lease, when it has changed since it was told last or a node may not know it.
+fn lease_news(
+    state: &mut GatewayState,
+    is_introduction: bool,
+    now: Timestamp,
+) -> Option<LeaseNews> {
     let (news, seen_at) = state.seen_lease.clone()?;
+    let is_news = state.told_lease != Some(news.version);
+    if !is_news && !is_introduction {
+        return None;
+    }
+    state.told_lease = Some(news.version);
     let age_ms = now.since(seen_at).as_millis() as u64;
     Some(LeaseNews { age_ms, ..news })
 }
--- a/crates/gateway/src/peers/configuration_proof.rs
+++ b/crates/gateway/src/peers/configuration_proof.rs
@@ -1,14 +1,15 @@
 //! Proofs that a configuration is current, passed between nodes.
 
-use ryerouter_core::identity::NodeName;
 use serde::{Deserialize, Serialize};
 
 /// The sender knows that this version was current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationProof {
     /// Version of the configuration.
+    #[serde(rename = "v")]
     pub version: u64,
     /// How long before the message it was certainly current, in milliseconds.
+    #[serde(rename = "a")]
     pub age_ms: u64,
 }
 
@@ -18,10 +19,10 @@
 /// may be of any age, as when its receiver was paused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MessageEcho {
-    /// The other node.
-    pub name: NodeName,
-    /// Its life.
+    /// The life of the other node, which names the node as well.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Number of its message.
+    #[serde(rename = "s")]
     pub sequence: u64,
 }
--- a/crates/gateway/src/peers/node_identity.rs
+++ b/crates/gateway/src/peers/node_identity.rs
@@ -9,18 +9,23 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeIdentity {
     /// Its name.
+    #[serde(rename = "n")]
     pub name: NodeName,
-    /// Differs between lives of its process.
+    /// Differs between lives of its process, and between nodes.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Where other nodes reach it.
+    #[serde(rename = "p")]
     pub peer_address: SocketAddr,
     /// Where callers reach it.
+    #[serde(rename = "c")]
     pub caller_address: SocketAddr,
     /// The zone it stands in.
+    #[serde(rename = "z")]
     pub zone: ZoneName,
 }
 
-/// An incarnation that no earlier life of a process has had.
+/// An incarnation that no other life of a process has had: 32 random bits, to keep messages short.
 pub fn new_incarnation() -> u64 {
-    rand::random()
+    u64::from(rand::random::<u32>())
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -13,11 +13,11 @@
 use crate::gateway::Gateway;
 
 /// News go out this often when there are any.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// Every so many ticks a node says that it is there.
-const TICKS_PER_HEARTBEAT: u64 = 5;
+const TICKS_PER_HEARTBEAT: u64 = 3;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
-const TICKS_PER_INTRODUCTION: u64 = 20;
+const TICKS_PER_INTRODUCTION: u64 = 12;
 /// Most nodes that one message goes to.
 const MOST_RECEIVERS: usize = 32;
 const LONGEST_DATAGRAM: usize = 60_000;
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -7,46 +7,60 @@
     NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
 
-/// One datagram between nodes: a JSON line.
+/// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerMessage {
     /// The sender.
+    #[serde(rename = "f")]
     pub from: NodeIdentity,
     /// Rises with each message of one life of the sender.
+    #[serde(rename = "q")]
     pub sequence: u64,
     /// How long the sender's process has been running, in milliseconds.
     #[serde(default)]
+    #[serde(rename = "u")]
     pub uptime_ms: u64,
     /// Whether the sender serves.
+    #[serde(rename = "t")]
     pub state: NodeState,
     /// Whether the sender holds the lease of orders.
     #[serde(default)]
+    #[serde(rename = "g")]
     pub gives_orders: bool,
     /// Whether the sender reached the store of leases lately.
     #[serde(default)]
+    #[serde(rename = "r")]
     pub reaches_store: bool,
     /// The lease of orders, once the sender has seen it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "l")]
     pub lease: Option<LeaseNews>,
     /// When the sender's configuration was current.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "p")]
     pub proof: Option<ConfigurationProof>,
     /// The last messages that the sender has of others.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "e")]
     pub echoes: Vec<MessageEcho>,
     /// Other nodes that the sender knows.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "m")]
     pub members: Vec<MemberAddress>,
     /// Weights that were named lately, told with the introduction.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "n")]
     pub named: Vec<NamedNews>,
     /// All work of the sender at engines.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "o")]
     pub loads: Vec<EngineLoadNews>,
     /// Prefixes that engines have read since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "h")]
     pub holders: Vec<HolderNews>,
     /// Changes of weights since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "w")]
     pub weights: Vec<WeightsNews>,
 }
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -108,7 +108,6 @@
         self.alive(now)
             .take(MOST_ECHOES)
             .map(|peer| MessageEcho {
-                name: peer.identity.name.clone(),
                 incarnation: peer.identity.incarnation,
                 sequence: peer.sequence,
             })
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -13,7 +13,7 @@
 
 use super::{
     CandidateCost, HolderTable, KvFetch, KvHolder, PartKey, Placement, PlacementPrices,
-    PlacementRequest, Prompt, PromptKeys,
+    PlacementRequest, Prompt, PromptKeys, PromptVersion,
 };
 
 /// Fewest tokens that are worth fetching.
@@ -56,9 +56,7 @@
 
 struct Candidate<'a> {
     engine: &'a Engine,
-    weights: Option<u64>,
-    salt: Option<String>,
-    keys: PromptKeys,
+    version: Option<&'a PromptVersion>,
     cached_tokens: u32,
     unread_tokens: u32,
     fetch: Option<KvFetch>,
@@ -71,16 +69,21 @@
     /// The engine with the least cost, or `None` when no engine may take the request.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let profile = self.table.pool(request.pool)?.engine.as_ref();
+        let versions = self.versions(request);
         // When all engines fail requests, any of them is better than none.
         let best = self
-            .best(request, profile, |engine| self.is_healthy(engine))
-            .or_else(|| self.best(request, profile, |_| true))?;
+            .best(request, profile, &versions, |engine| {
+                self.is_healthy(engine)
+            })
+            .or_else(|| self.best(request, profile, &versions, |_| true))?;
         Some(Placement {
             engine: best.engine.entry.name.clone(),
             address: best.engine.entry.address,
-            weights: best.weights,
-            salt: best.salt,
-            keys: best.keys,
+            weights: best.version.map(|version| version.weights),
+            salt: best.version.map(|version| version.salt.clone()),
+            keys: best
+                .version
+                .map_or_else(PromptKeys::default, |version| version.keys.clone()),
             cached_tokens: best.cached_tokens,
             unread_tokens: best.unread_tokens,
             fetch: best.fetch,
@@ -93,6 +96,7 @@
         &'b self,
         request: &PlacementRequest<'_>,
         profile: Option<&EngineProfile>,
+        versions: &'b [PromptVersion],
         is_allowed: impl Fn(&Engine) -> bool,
     ) -> Option<Candidate<'b>> {
         self.engines
@@ -100,7 +104,7 @@
             .filter(|engine| engine.takes_work(self.now))
             .filter(|engine| !request.tried.contains(&engine.entry.name))
             .filter(|engine| is_allowed(engine))
-            .filter_map(|engine| self.candidate(engine, profile, request))
+            .filter_map(|engine| self.candidate(engine, profile, versions, request))
             .min_by(|left, right| {
                 let by_cost = left.cost.total().total_cmp(&right.cost.total());
                 by_cost.then(right.order.cmp(&left.order))
@@ -115,10 +119,13 @@
         &self,
         engine: &'b Engine,
         profile: Option<&EngineProfile>,
+        versions: &'b [PromptVersion],
         request: &PlacementRequest<'_>,
     ) -> Option<Candidate<'b>> {
         match (request.prompt, profile) {
-            (Some(prompt), Some(profile)) => self.model_candidate(engine, prompt, profile, request),
+            (Some(prompt), Some(profile)) => {
+                self.model_candidate(engine, prompt, profile, versions, request)
+            }
             _ => Some(self.plain_candidate(engine, request)),
         }
     }
@@ -138,9 +145,7 @@
         };
         Candidate {
             engine,
-            weights: None,
-            salt: None,
-            keys: PromptKeys::default(),
+            version: None,
             cached_tokens: 0,
             unread_tokens: 0,
             fetch: None,
@@ -155,13 +160,14 @@
         engine: &'b Engine,
         prompt: &Prompt,
         profile: &EngineProfile,
+        versions: &'b [PromptVersion],
         request: &PlacementRequest<'_>,
     ) -> Option<Candidate<'b>> {
         let weights = engine.weights_of(&prompt.model)?;
-        let salt = request.salt(weights);
-        let keys = prompt.keys(&salt);
-        let cached_tokens = self.held_tokens(engine, &keys);
-        let fetch = self.best_fetch(engine, &keys, cached_tokens);
+        let version = versions.iter().find(|known| known.weights == weights)?;
+        let keys = &version.keys;
+        let cached_tokens = self.held_tokens(engine, keys);
+        let fetch = self.best_fetch(engine, keys, cached_tokens);
         let fetched = fetch.as_ref().map_or(0, |fetch| fetch.tokens);
         let known = cached_tokens + fetched;
         let unread_tokens = prompt.prompt_tokens.saturating_sub(known).max(1);
@@ -178,15 +184,12 @@
         if let Some(fetch) = &fetch {
             cost.moved = self.move_cost(engine, fetch, profile);
         }
-        let order_key = keys.shared().last().or(keys.0.last());
-        let order_key = order_key.map_or(0, |(key, _)| key.0);
+        cost.reread = self.read_twice_cost(engine, version, known);
         Some(Candidate {
             engine,
-            weights: Some(weights),
-            salt: Some(salt),
-            saves: self.should_save(&keys),
-            order: rendezvous_score(order_key, engine.name_hash),
-            keys,
+            version: Some(version),
+            saves: self.should_save(keys),
+            order: version.order_of(engine),
             cached_tokens,
             unread_tokens,
             fetch,
@@ -194,6 +197,38 @@
         })
     }
 
+    /// What a prompt is under each version of the weights that candidates have.
+    fn versions(&self, request: &PlacementRequest<'_>) -> Vec<PromptVersion> {
+        let mut versions: Vec<PromptVersion> = Vec::new();
+        let Some(prompt) = request.prompt else {
+            return versions;
+        };
+        for engine in self.engines.of_pool(request.pool) {
+            let Some(weights) = engine.weights_of(&prompt.model) else {
+                continue;
+            };
+            let known = versions.iter().position(|known| known.weights == weights);
+            let index = known.unwrap_or_else(|| {
+                versions.push(PromptVersion::new(prompt, request, weights));
+                versions.len() - 1
+            });
+            if engine.takes_work(self.now) && self.is_healthy(engine) {
+                versions[index].consider_first_reader(engine);
+            }
+        }
+        versions
+    }
+
+    /// Cost of reading shared parts that nobody is known to hold elsewhere than all nodes would.
+    fn read_twice_cost(&self, engine: &Engine, version: &PromptVersion, known: u32) -> f64 {
+        let shared = version.keys.shared().last();
+        let missing = shared.map_or(0, |(_, tokens)| tokens.saturating_sub(known));
+        if missing < LEAST_SAVED_TOKENS || version.is_first_reader(engine) {
+            return 0.0;
+        }
+        f64::from(missing) * self.prices.reread_token * self.prices.read_twice_risk
+    }
+
     /// Tokens of the longest prefix that an engine is known to hold.
     fn held_tokens(&self, engine: &Engine, keys: &PromptKeys) -> u32 {
         let holds = |key| {
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod placement_prices;
 mod placement_request;
 mod prompt;
+mod prompt_version;
 
 pub use candidate_cost::CandidateCost;
 pub use chooser::Chooser;
@@ -17,3 +18,5 @@
 pub use placement_prices::PlacementPrices;
 pub use placement_request::PlacementRequest;
 pub use prompt::{Prompt, PromptPart};
+
+use prompt_version::PromptVersion;
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -11,6 +11,9 @@
     pub moved_gigabyte: f64,
     /// The same between zones.
     pub moved_gigabyte_across: f64,
+    /// Risk that a part that nobody is known to hold is read by another engine at the same time,
+    /// when it is not sent to the engine that all nodes send it to.
+    pub read_twice_risk: f64,
     /// A kilobyte of a request sent to another zone.
     pub kilobyte_across: f64,
     /// Share of an engine's KV memory in use that counts as crowded.
@@ -30,7 +33,8 @@
             reread_token: 0.001_2,
             moved_gigabyte: 0.029,
             moved_gigabyte_across: 0.058,
-            kilobyte_across: 0.004,
+            kilobyte_across: 0.012,
+            read_twice_risk: 0.25,
             crowded_share: 0.7,
             crowded: 3.0,
             occupied: 0.3,
