Let one node at a time prove the configuration current for all

Change: watches are long (15 s); a node asks at once when the pooled proof is older than a fifth to two fifths of what is allowed, drawn at random, and tells the others; it asks as well when another node has a newer configuration.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -24,6 +24,12 @@
     pub table: Option<Rc<RoutingTable>>,
     /// When the configuration was last certainly current.
     pub freshness: ProofOfFreshness,
+    /// Revision of the source up to which changes of the configuration are known.
+    pub configuration_revision: Option<u64>,
+    /// Whether another node has a newer configuration.
+    pub is_configuration_behind: bool,
+    /// Whether the last call to the source was answered.
+    pub is_source_reached: bool,
     /// Whether the list of engines has been read.
     pub has_engine_list: bool,
     /// Whether the list of named weights has been read: what comes later is new.
@@ -54,8 +60,6 @@
     pub told_lease: Option<StoreVersion>,
     /// The lease of orders as another node told last; the age counts from now on.
     pub heard_lease: Option<LeaseNews>,
-    /// When the source last answered a call of this node.
-    pub source_answered_at: Option<Timestamp>,
     /// When calls to the source last failed several times in a row.
     pub source_trouble_at: Option<Timestamp>,
     /// Prefixes to tell others of.
@@ -79,6 +83,9 @@
             node_state: NodeState::Starting,
             table: None,
             freshness: ProofOfFreshness::default(),
+            configuration_revision: None,
+            is_configuration_behind: false,
+            is_source_reached: false,
             has_engine_list: false,
             has_weights_list: false,
             engine_list_trouble_at: None,
@@ -94,7 +101,6 @@
             seen_lease: None,
             told_lease: None,
             heard_lease: None,
-            source_answered_at: None,
             source_trouble_at: None,
             holder_news: Vec::new(),
             weights_news: Vec::new(),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -53,7 +53,7 @@
             }
         }
         let mut state = self.state_mut();
-        state.source_answered_at = Some(self.clock().now());
+        state.is_source_reached = true;
         if kind == ItemKind::Configuration {
             state.freshness.prove(asked_at);
         }
@@ -66,6 +66,7 @@
     pub fn note_source_trouble(&self, kind: ItemKind, failures: u32) {
         let now = self.clock().now();
         let mut state = self.state_mut();
+        state.is_source_reached = false;
         if kind == ItemKind::Engines {
             state.engine_list_trouble_at = Some(now);
         }
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -20,8 +20,6 @@
 const MOST_HOLDER_NEWS: usize = 64;
 /// Most prefixes that wait to be told; beyond that the oldest are never told.
 const MOST_WAITING_HOLDER_NEWS: usize = 1_024;
-/// A node to which the source answered within this time reaches the store.
-const STORE_CONTACT: Duration = Duration::from_millis(5_500);
 
 /// A holder that uses a part again is told anew after so long.
 const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
@@ -36,6 +34,11 @@
         self.urgent_news.notified().await;
     }
 
+    /// Lets the news go out at once.
+    pub fn tell_peers_soon(&self) {
+        self.urgent_news.notify_one();
+    }
+
     /// Whether there is anything new to tell.
     pub fn has_peer_news(&self) -> bool {
         let state = self.state();
@@ -79,7 +82,7 @@
             uptime_ms: self.uptime().as_millis() as u64,
             state: state.node_state,
             gives_orders: state.gives_orders,
-            reaches_store: self.reaches_store(&state),
+            reaches_store: state.is_source_reached,
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
             echoes: state.peers.echoes(now),
@@ -112,6 +115,7 @@
             return;
         };
         let own_version = state.table.as_ref().map(|table| table.version());
+        state.is_configuration_behind |= own_version.is_some_and(|own| own < proof.version);
         if own_version == Some(proof.version) {
             let proven_at = sent_at.before(Duration::from_millis(proof.age_ms));
             state.freshness.prove(proven_at);
@@ -129,13 +133,6 @@
         .collect()
     }
 
-    /// Whether the source answered lately, so that a lease can be held.
-    fn reaches_store(&self, state: &GatewayState) -> bool {
-        let now = self.clock().now();
-        let answered_at = state.source_answered_at;
-        answered_at.is_some_and(|at| now.since(at) < STORE_CONTACT)
-    }
-
     fn uptime(&self) -> Duration {
         self.clock().now().since(self.clock().start_time())
     }
@@ -146,7 +143,7 @@
     pub fn should_give_orders(&self) -> bool {
         let now = self.clock().now();
         let state = self.state();
-        if state.node_state != NodeState::Ready || !self.reaches_store(&state) {
+        if state.node_state != NodeState::Ready || !state.is_source_reached {
             return false;
         }
         if state.gives_orders {
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -62,6 +62,7 @@
                 Ok((items, revision)) if revision >= self.revision => {
                     self.note_answer();
                     self.revision = revision;
+                    self.note_revision();
                     self.gateway.replace_items(self.kind, items, asked_at);
                     return;
                 }
@@ -108,6 +109,7 @@
                 Ok(batch) if batch.revision >= self.revision => {
                     self.note_answer();
                     self.revision = batch.revision;
+                    self.note_revision();
                     self.gateway
                         .change_items(self.kind, batch.changes, asked_at);
                 }
@@ -121,6 +123,13 @@
         }
     }
 
+    fn note_revision(&self) {
+        if self.kind == ItemKind::Configuration {
+            let mut state = self.gateway.state_mut();
+            state.configuration_revision = Some(self.revision);
+        }
+    }
+
     fn note_answer(&mut self) {
         if self.failures > 0 {
             info!(self.gateway.log(), "source_regained"; "kind" => %self.kind,
--- /dev/null
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -0,0 +1,65 @@
+//! Proving that the configuration is current.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::time::{sleep, timeout};
+
+use super::{CatalogueSource, ItemKind};
+use crate::gateway::Gateway;
+
+/// Time between looks at the age of the proof.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+/// Wait after a question that got no answer.
+const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(150);
+
+/// Asks the source whenever no node has proved the configuration current for some time.
+///
+/// Each node draws at random how old a proof may become, between one and two fifths of what is
+/// allowed. The first to find it too old asks, and its proof reaches the others by gossip, so that
+/// all nodes together ask about as often as one would alone.
+pub async fn keep_fresh(gateway: Rc<Gateway>, source: Rc<dyn CatalogueSource>, allowed: Duration) {
+    loop {
+        let patience = allowed.mul_f64(rand::rng().random_range(0.2..0.4));
+        wait_until_older(&gateway, patience).await;
+        if !ask(&gateway, source.as_ref()).await {
+            sleep(PAUSE_AFTER_FAILURE).await;
+        }
+    }
+}
+
+async fn wait_until_older(gateway: &Gateway, patience: Duration) {
+    loop {
+        let now = gateway.clock().now();
+        let state = gateway.state();
+        let is_known = state.configuration_revision.is_some();
+        let is_old = !state.freshness.is_within(patience, now);
+        let is_behind = state.is_configuration_behind;
+        drop(state);
+        if is_known && (is_old || is_behind) {
+            return;
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+/// Whether the source answered.
+async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
+    let Some(revision) = gateway.state().configuration_revision else {
+        return false;
+    };
+    let asked_at = gateway.clock().now();
+    let question = source.watch(ItemKind::Configuration, revision, Duration::ZERO);
+    match timeout(ANSWER_LIMIT, question).await {
+        Ok(Ok(batch)) if batch.revision >= revision => {
+            gateway.state_mut().is_configuration_behind = false;
+            gateway.change_items(ItemKind::Configuration, batch.changes, asked_at);
+            gateway.tell_peers_soon();
+            true
+        }
+        _ => false,
+    }
+}
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue_source;
 mod follower;
+mod freshness_prober;
 mod item;
 mod item_kind;
 mod item_page;
@@ -10,6 +11,7 @@
 
 pub use catalogue_source::CatalogueSource;
 pub use follower::{FollowSettings, follow};
+pub use freshness_prober::keep_fresh;
 pub use item::{Item, ItemChange, NamedWeights};
 pub use item_kind::ItemKind;
 pub use item_page::{ItemBatch, ItemPage};
--- /dev/null
+++ b/crates/gateway/tests/following.rs
@@ -0,0 +1,336 @@
+//! Following the source, and proving that the configuration is current, on a virtual clock.
+
+mod support;
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::{Future, pending};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::source::{
+    CatalogueSource, FollowSettings, Item, ItemBatch, ItemChange, ItemKind, ItemPage, SourceError,
+    follow, keep_fresh,
+};
+use support::gateway_bench::{configure, gateway};
+use support::records::{route, table};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+/// What the source answers next.
+enum Answer {
+    Page { versions: Vec<u64>, revision: u64 },
+    Batch { versions: Vec<u64>, revision: u64 },
+    Fails(SourceError),
+}
+
+/// A question as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Question {
+    List,
+    Watch { revision: u64, wait: Duration },
+}
+
+/// Gives the scripted answers, then is silent.
+#[derive(Default)]
+struct ScriptedSource {
+    answers: RefCell<VecDeque<Answer>>,
+    questions: RefCell<Vec<Question>>,
+}
+
+impl ScriptedSource {
+    fn new(answers: impl IntoIterator<Item = Answer>) -> Rc<Self> {
+        Rc::new(Self {
+            answers: RefCell::new(answers.into_iter().collect()),
+            ..Self::default()
+        })
+    }
+
+    fn next(&self, question: Question) -> Option<Answer> {
+        self.questions.borrow_mut().push(question);
+        self.answers.borrow_mut().pop_front()
+    }
+}
+
+fn configuration(version: u64) -> Item {
+    let routes = vec![route(RequestKind::Safe)];
+    Item::Configuration(Rc::new(table(version, routes)))
+}
+
+impl CatalogueSource for ScriptedSource {
+    fn list<'a>(
+        &'a self,
+        _kind: ItemKind,
+        _after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>> {
+        let answer = self.next(Question::List);
+        async move {
+            match answer {
+                Some(Answer::Page { versions, revision }) => Ok(ItemPage {
+                    items: versions.into_iter().map(configuration).collect(),
+                    next_after: None,
+                    revision,
+                }),
+                Some(Answer::Fails(error)) => Err(error),
+                Some(Answer::Batch { .. }) => panic!("a list was asked"),
+                None => pending().await,
+            }
+        }
+        .boxed_local()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _kind: ItemKind,
+        revision: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
+        let answer = self.next(Question::Watch { revision, wait });
+        async move {
+            match answer {
+                Some(Answer::Batch { versions, revision }) => Ok(ItemBatch {
+                    changes: versions
+                        .into_iter()
+                        .map(|version| ItemChange::Present(configuration(version)))
+                        .collect(),
+                    revision,
+                }),
+                Some(Answer::Fails(error)) => Err(error),
+                Some(Answer::Page { .. }) => panic!("a watch was asked"),
+                None => pending().await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn start_following(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
+    let settings = FollowSettings {
+        watch: Duration::from_secs(15),
+        answer: Duration::from_secs(1),
+        longest_pause: Duration::from_millis(500),
+    };
+    let source: Rc<dyn CatalogueSource> = source.clone();
+    let kind = ItemKind::Configuration;
+    spawn_local(follow(Rc::clone(gateway), source, kind, settings));
+}
+
+fn version(gateway: &Gateway) -> Option<u64> {
+    let state = gateway.state();
+    state.table.as_ref().map(|table| table.version())
+}
+
+fn unavailable() -> Answer {
+    Answer::Fails(SourceError::Unavailable {
+        detail: "scripted".to_owned(),
+    })
+}
+
+#[test]
+fn list_comes_first_then_watches_from_its_revision() {
+    run(async {
+        let source = ScriptedSource::new([
+            Answer::Page {
+                versions: vec![3],
+                revision: 10,
+            },
+            Answer::Batch {
+                versions: vec![5],
+                revision: 12,
+            },
+        ]);
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_millis(10)).await;
+        assert_eq!(version(&gateway), Some(5));
+        let wait = Duration::from_secs(15);
+        let watch = |revision| Question::Watch { revision, wait };
+        let expected = [Question::List, watch(10), watch(12)];
+        assert_eq!(source.questions.borrow()[..], expected);
+    });
+}
+
+#[test]
+fn list_is_read_again_when_the_history_is_gone() {
+    run(async {
+        let source = ScriptedSource::new([
+            Answer::Page {
+                versions: vec![3],
+                revision: 10,
+            },
+            Answer::Fails(SourceError::HistoryGone),
+            Answer::Page {
+                versions: vec![8],
+                revision: 40,
+            },
+        ]);
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_millis(10)).await;
+        assert_eq!(version(&gateway), Some(8));
+    });
+}
+
+#[test]
+fn stale_list_is_not_believed() {
+    run(async {
+        let source = ScriptedSource::new([
+            Answer::Page {
+                versions: vec![3],
+                revision: 10,
+            },
+            Answer::Fails(SourceError::HistoryGone),
+            Answer::Page {
+                versions: vec![2],
+                revision: 9,
+            },
+            Answer::Page {
+                versions: vec![4],
+                revision: 11,
+            },
+        ]);
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(version(&gateway), Some(4));
+    });
+}
+
+#[test]
+fn answer_is_wanted_at_once_after_a_failure() {
+    run(async {
+        let source = ScriptedSource::new([
+            Answer::Page {
+                versions: vec![3],
+                revision: 10,
+            },
+            unavailable(),
+            Answer::Batch {
+                versions: vec![],
+                revision: 10,
+            },
+        ]);
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_secs(2)).await;
+        let questions = source.questions.borrow();
+        let waits: Vec<_> = questions
+            .iter()
+            .filter_map(|question| match question {
+                Question::Watch { wait, .. } => Some(wait.as_secs()),
+                Question::List => None,
+            })
+            .collect();
+        assert_eq!(waits, [15, 0, 15]);
+    });
+}
+
+#[test]
+fn silent_source_is_asked_again() {
+    run(async {
+        let source = ScriptedSource::new([Answer::Page {
+            versions: vec![3],
+            revision: 10,
+        }]);
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_secs(40)).await;
+        assert!(source.questions.borrow().len() >= 4);
+        assert_eq!(version(&gateway), Some(3));
+    });
+}
+
+const ALLOWED: Duration = Duration::from_secs(5);
+
+fn start_proving(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
+    gateway.state_mut().configuration_revision = Some(10);
+    let source: Rc<dyn CatalogueSource> = source.clone();
+    spawn_local(keep_fresh(Rc::clone(gateway), source, ALLOWED));
+}
+
+fn empty() -> Answer {
+    Answer::Batch {
+        versions: vec![],
+        revision: 10,
+    }
+}
+
+#[test]
+fn proof_never_gets_older_than_half_of_what_is_allowed() {
+    run(async {
+        let source = ScriptedSource::new((0..100).map(|_| empty()));
+        let gateway = gateway("node-1");
+        configure(&gateway, table(1, Vec::new()));
+        start_proving(&gateway, &source);
+        for _ in 0..200 {
+            sleep(Duration::from_millis(100)).await;
+            let now = gateway.clock().now();
+            assert!(gateway.state().freshness.is_within(ALLOWED / 2, now));
+        }
+        let asked = source.questions.borrow().len();
+        assert!((8..=20).contains(&asked), "asked {asked} times in 20 s");
+    });
+}
+
+#[test]
+fn node_does_not_ask_while_others_prove() {
+    run(async {
+        let source = ScriptedSource::new([]);
+        let gateway = gateway("node-1");
+        configure(&gateway, table(1, Vec::new()));
+        start_proving(&gateway, &source);
+        for _ in 0..100 {
+            sleep(Duration::from_millis(100)).await;
+            let now = gateway.clock().now();
+            gateway.state_mut().freshness.prove(now);
+        }
+        assert!(source.questions.borrow().is_empty());
+    });
+}
+
+#[test]
+fn node_without_answer_asks_again_and_the_proof_ages() {
+    run(async {
+        let source = ScriptedSource::new((0..20).map(|_| unavailable()));
+        let gateway = gateway("node-1");
+        configure(&gateway, table(1, Vec::new()));
+        start_proving(&gateway, &source);
+        sleep(Duration::from_secs(6)).await;
+        assert!(source.questions.borrow().len() > 3);
+        let now = gateway.clock().now();
+        assert!(!gateway.state().freshness.is_within(ALLOWED, now));
+    });
+}
+
+#[test]
+fn node_asks_at_once_when_another_has_a_newer_configuration() {
+    run(async {
+        let newer = Answer::Batch {
+            versions: vec![2],
+            revision: 12,
+        };
+        let source = ScriptedSource::new([newer]);
+        let first = gateway("node-1");
+        let second = gateway("node-2");
+        configure(&first, table(1, Vec::new()));
+        configure(&second, table(2, Vec::new()));
+        start_proving(&first, &source);
+        second.hear_peer(first.peer_message(true));
+        first.hear_peer(second.peer_message(true));
+        sleep(Duration::from_millis(150)).await;
+        assert_eq!(version(&first), Some(2));
+    });
+}
