Begin rollouts as late as is safe; let waiting requests begin before an order

Change: an engine is announced as loading first and ordered once nothing waits in it, 400 ms later at the latest; a rollout begins 2.5 s earlier than it must. The planner's tests follow the new step; two are added.

--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -8,6 +8,13 @@
 pub(super) enum OrderStep {
     /// What the engine has and has been told is being asked.
     Asking,
+    /// It gets no new requests; those that wait in it are to begin before the order is given.
+    Draining {
+        /// Orders that it has taken.
+        orders_taken: u64,
+        /// When the order is given at the latest.
+        until: Timestamp,
+    },
     /// The order was given; its answer is due.
     Given,
     /// The engine loads.
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -183,6 +183,15 @@
     fn carry_out(&mut self, actions: Vec<RolloutAction>) {
         for action in actions {
             match action {
+                RolloutAction::Announce {
+                    engine,
+                    model,
+                    version,
+                } => {
+                    let expected = self.gateway.settings().rollout.expected_load;
+                    self.gateway
+                        .note_loading(&engine, &model, version, expected);
+                }
                 RolloutAction::Order(order) => self.give_order(order),
                 RolloutAction::Ask(engine) => {
                     let Some(address) = self.gateway.address_of(&engine) else {
@@ -218,9 +227,6 @@
         info!(self.gateway.log(), "order_given"; "engine" => %order.engine,
             "model" => &order.model, "version" => order.version,
             "expected_orders" => order.expected_orders, "fence" => lease.fencing_number.0);
-        let expected = self.gateway.settings().rollout.expected_load;
-        self.gateway
-            .note_loading(&order.engine, &order.model, order.version, expected);
         let (orders, sender) = (Rc::clone(&self.orders), self.sender.clone());
         spawn_local(async move {
             let engine = order.engine.clone();
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -62,6 +62,7 @@
         self.resting.retain(|_, until| now < *until);
         self.close_finished(engines);
         self.ask_due(now, actions);
+        self.order_drained(engines, now, actions);
         for (model, version) in deadlines.newest() {
             self.open_due(model, version, engines, deadlines, now, actions);
         }
@@ -87,6 +88,36 @@
         }
     }
 
+    /// Gives the orders of engines whose waiting requests have begun.
+    fn order_drained(
+        &mut self,
+        engines: &EngineTable,
+        now: Timestamp,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        for (name, open) in &mut self.open {
+            let OrderStep::Draining {
+                orders_taken,
+                until,
+            } = open.step
+            else {
+                continue;
+            };
+            let load = engines.get(name).map(Engine::load).unwrap_or_default();
+            if load.unread_tokens > 0 && now < until {
+                continue;
+            }
+            open.step = OrderStep::Given;
+            open.given_at = now;
+            actions.push(RolloutAction::Order(WeightsOrder {
+                engine: name.clone(),
+                model: open.model.clone(),
+                version: open.version,
+                expected_orders: orders_taken,
+            }));
+        }
+    }
+
     fn open_due(
         &mut self,
         model: &str,
@@ -119,6 +150,9 @@
             });
             let first_until = behind.first().and_then(|engine| until(engine));
             let open = self.open.values().filter(|open| open.pool == *pool).count();
+            if !self.must_begin(members.len(), behind.len(), first_until, now) {
+                continue;
+            }
             let at_once = self.at_once(members.len(), behind.len(), first_until, now);
             for engine in behind.into_iter().take(at_once.saturating_sub(open)) {
                 let order = OpenOrder {
@@ -136,6 +170,28 @@
         }
     }
 
+    /// Whether the engines behind must be brought up from now on to be ready in time. Until then it
+    /// is better to wait: a newer version may be named, and each load empties a cache.
+    fn must_begin(
+        &self,
+        members: usize,
+        behind: usize,
+        until: Option<Timestamp>,
+        now: Timestamp,
+    ) -> bool {
+        let Some(until) = until else {
+            return true;
+        };
+        let rounds = behind.div_ceil(self.usual_at_once(members)) as u32;
+        let needed = self.load_time * rounds + self.settings.spare_time;
+        now.after(needed) >= until
+    }
+
+    fn usual_at_once(&self, members: usize) -> usize {
+        let share = self.settings.share_at_once * members as f64;
+        (share.ceil() as usize).max(1)
+    }
+
     /// How many engines of a pool may be in progress: the usual share, or as many as it takes to
     /// bring those behind up in time.
     fn at_once(
@@ -145,14 +201,15 @@
         until: Option<Timestamp>,
         now: Timestamp,
     ) -> usize {
-        let part = |share: f64| ((share * members as f64).ceil() as usize).max(1);
-        let usual = part(self.settings.share_at_once);
+        let usual = self.usual_at_once(members);
+        let most = self.settings.most_share_at_once * members as f64;
+        let most = (most.ceil() as usize).max(usual);
         let Some(until) = until else {
             return usual;
         };
         let rounds = until.since(now).as_secs_f64() / self.load_time.as_secs_f64().max(0.01);
         let needed = (behind as f64 / rounds.floor().max(1.0)).ceil() as usize;
-        needed.clamp(usual, part(self.settings.most_share_at_once).max(usual))
+        needed.clamp(usual, most)
     }
 
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
@@ -219,22 +276,23 @@
         let may_show_later = now.since(open.given_at) < settings.repeat_after;
         let must_wait = match open.step {
             OrderStep::Asking => report.is_busy,
-            OrderStep::Given => true,
+            OrderStep::Given | OrderStep::Draining { .. } => true,
             OrderStep::Loading => report.is_busy || may_show_later,
         };
         if must_wait {
             open.ask_at = Some(now.after(settings.ask_interval));
             return;
         }
-        open.step = OrderStep::Given;
-        open.given_at = now;
+        open.step = OrderStep::Draining {
+            orders_taken: report.orders_taken,
+            until: now.after(settings.drain),
+        };
         open.ask_at = None;
-        actions.push(RolloutAction::Order(WeightsOrder {
+        actions.push(RolloutAction::Announce {
             engine: engine.clone(),
             model: open.model.clone(),
             version: open.version,
-            expected_orders: report.orders_taken,
-        }));
+        });
     }
 
     /// An engine that is silent must not hold up the others.
@@ -244,7 +302,7 @@
         };
         match open.step {
             OrderStep::Asking => self.rest(engine, now),
-            OrderStep::Given | OrderStep::Loading => {
+            OrderStep::Draining { .. } | OrderStep::Given | OrderStep::Loading => {
                 open.ask_at = Some(now.after(self.settings.ask_interval));
                 if now.since(open.opened_at) > self.settings.expected_load {
                     self.rest(engine, now);
@@ -264,7 +322,7 @@
             return;
         };
         if open.step == OrderStep::Loading {
-            let measured = now.since(open.given_at).as_secs_f64();
+            let measured = now.since(open.opened_at).as_secs_f64();
             let known = self.load_time.as_secs_f64();
             let load_time = known + (measured - known) * NEW_LOAD_WEIGHT;
             self.load_time = Duration::from_secs_f64(load_time);
--- a/crates/gateway/src/rollout/rollout_settings.rs
+++ b/crates/gateway/src/rollout/rollout_settings.rs
@@ -11,6 +11,10 @@
     pub most_share_at_once: f64,
     /// Time between questions to an engine that loads.
     pub ask_interval: Duration,
+    /// Requests that wait in an engine get so long to begin before the order is given.
+    pub drain: Duration,
+    /// A rollout begins this much earlier than it must.
+    pub spare_time: Duration,
     /// An accepted order that shows no effect for so long is given again.
     pub repeat_after: Duration,
     /// An engine that can't be ordered is left alone for so long.
@@ -27,6 +31,8 @@
             share_at_once: 1.0 / 6.0,
             most_share_at_once: 0.5,
             ask_interval: Duration::from_millis(120),
+            drain: Duration::from_millis(400),
+            spare_time: Duration::from_millis(2_500),
             repeat_after: Duration::from_millis(900),
             rest: Duration::from_millis(700),
             usual_load: Duration::from_millis(1_000),
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -62,6 +62,15 @@
 }
 
 impl Rollout {
+    /// Version 2 was named so long ago that its rollout is due at time 0.
+    fn due(engines: usize) -> Self {
+        let mut rollout = Self::new(engines);
+        let named = at(0).before(Duration::from_secs(5));
+        rollout.deadlines = WeightsDeadlines::new(GRACE);
+        rollout.deadlines.note(MODEL, 2, NamedAt::Seen(named));
+        rollout
+    }
+
     fn new(engines: usize) -> Self {
         let mut table = EngineTable::default();
         for index in 0..engines {
@@ -97,6 +106,19 @@
         actions
     }
 
+    /// A report after which the order is due: announced, then given once nothing waits.
+    fn report_and_advance(
+        &mut self,
+        name: &str,
+        taken: u64,
+        weights: u64,
+        millis: u64,
+    ) -> Vec<RolloutAction> {
+        let mut actions = self.report(name, taken, weights, millis);
+        actions.extend(self.advance(millis + 1));
+        actions
+    }
+
     fn ordered(&mut self, name: &str, outcome: OrderOutcome, millis: u64) {
         let mut actions = Vec::new();
         let name = BackEndName::new(name);
@@ -114,34 +136,42 @@
 
 #[test]
 fn engine_is_asked_before_it_is_ordered_and_the_order_carries_its_count() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::due(1);
     let ask = RolloutAction::Ask(BackEndName::new("e00"));
     assert_eq!(rollout.advance(0), [ask]);
-    assert_eq!(expected_orders(&rollout.report("e00", 5, 1, 10)), Some(5));
+    assert_eq!(
+        expected_orders(&rollout.report_and_advance("e00", 5, 1, 10)),
+        Some(5)
+    );
 }
 
 #[test]
 fn conflict_is_settled_by_another_report() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::due(1);
     rollout.advance(0);
-    rollout.report("e00", 5, 1, 10);
+    rollout.report_and_advance("e00", 5, 1, 10);
     rollout.ordered("e00", OrderOutcome::Conflict, 20);
     let asks = rollout.advance(200);
     assert_eq!(asks.len(), 1);
-    assert_eq!(expected_orders(&rollout.report("e00", 6, 1, 210)), Some(6));
+    assert_eq!(
+        expected_orders(&rollout.report_and_advance("e00", 6, 1, 210)),
+        Some(6)
+    );
 }
 
 #[test]
 fn order_without_an_answer_is_not_repeated_before_a_report_can_show_it() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::due(1);
     rollout.advance(0);
-    rollout.report("e00", 0, 1, 10);
+    rollout.report_and_advance("e00", 0, 1, 10);
     rollout.ordered("e00", OrderOutcome::Unknown, 700);
     assert_eq!(rollout.advance(700).len(), 1);
-    assert_eq!(expected_orders(&rollout.report("e00", 0, 1, 720)), None);
+    let early = rollout.report_and_advance("e00", 0, 1, 720);
+    assert_eq!(expected_orders(&early), None);
     rollout.advance(950);
     // The same count: if the lost order is carried out late, only one of both runs.
-    assert_eq!(expected_orders(&rollout.report("e00", 0, 1, 960)), Some(0));
+    let late = rollout.report_and_advance("e00", 0, 1, 960);
+    assert_eq!(expected_orders(&late), Some(0));
 }
 
 #[parameterized(
@@ -154,8 +184,42 @@
 }
 
 #[test]
-fn silent_engine_does_not_hold_up_the_others() {
+fn order_waits_until_waiting_requests_have_begun_but_not_for_long() {
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    let name = BackEndName::new("e00");
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.foreign_load.unread_tokens = 500;
+    let announced = rollout.report("e00", 0, 1, 10);
+    assert!(matches!(
+        announced[..],
+        [RolloutAction::Announce { version: 2, .. }]
+    ));
+    assert_eq!(expected_orders(&rollout.advance(20)), None);
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.foreign_load.unread_tokens = 0;
+    assert_eq!(expected_orders(&rollout.advance(30)), Some(0));
+
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.foreign_load.unread_tokens = 500;
+    rollout.report("e00", 0, 1, 10);
+    assert_eq!(expected_orders(&rollout.advance(400)), None);
+    assert_eq!(expected_orders(&rollout.advance(410)), Some(0));
+}
+
+#[test]
+fn rollout_begins_as_late_as_is_safe() {
     let mut rollout = Rollout::new(2);
+    // Two engines, one at a time, a second each, and two and a half to spare.
+    assert_eq!(rollout.advance(2_400), []);
+    assert_eq!(rollout.advance(2_500).len(), 1);
+}
+
+#[test]
+fn silent_engine_does_not_hold_up_the_others() {
+    let mut rollout = Rollout::due(2);
     let first = rollout.advance(0);
     let RolloutAction::Ask(silent) = &first[0] else {
         panic!("not asked: {first:?}");
@@ -171,9 +235,9 @@
 
 #[test]
 fn rollout_ends_when_all_engines_have_the_weights() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::due(1);
     rollout.advance(0);
-    rollout.report("e00", 0, 1, 10);
+    rollout.report_and_advance("e00", 0, 1, 10);
     rollout.ordered("e00", OrderOutcome::Accepted, 20);
     let done = rollout.report("e00", 1, 2, 900);
     assert!(matches!(
