--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
 use slog::info;
@@ -164,9 +165,10 @@
     }
 
     /// Where to send a message.
-    pub fn peer_receivers(&self, is_introduction: bool) -> Vec<SocketAddr> {
+    pub fn peer_receivers(&self, is_introduction: bool, random: &mut impl Rng) -> Vec<SocketAddr> {
         let state = self.state();
-        let mut receivers = state.peers.known_addresses();
+        let zone = &self.settings().identity.zone;
+        let mut receivers = state.peers.receivers(zone, random);
         if is_introduction {
             receivers.extend_from_slice(state.peers.unheard_addresses());
         }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::seq::SliceRandom;
 use slog::debug;
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
@@ -18,8 +17,6 @@
 const TICKS_PER_HEARTBEAT: u64 = 3;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
 const TICKS_PER_INTRODUCTION: u64 = 12;
-/// Most nodes that one message goes to.
-const MOST_RECEIVERS: usize = 32;
 const LONGEST_DATAGRAM: usize = 60_000;
 
 /// Tells other nodes what this one knows and hears what they know, until dropped.
@@ -65,12 +62,7 @@
     if bytes.len() > LONGEST_DATAGRAM {
         return;
     }
-    let mut receivers = gateway.peer_receivers(is_introduction);
-    if receivers.len() > MOST_RECEIVERS {
-        receivers.shuffle(&mut rand::rng());
-        receivers.truncate(MOST_RECEIVERS);
-    }
-    for receiver in receivers {
+    for receiver in gateway.peer_receivers(is_introduction, &mut rand::rng()) {
         // A datagram that can't be sent now is lost like any other.
         let _ = socket.try_send_to(&bytes, receiver);
     }
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -4,14 +4,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::{BackEndName, NodeName};
+use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
 use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
 
 /// A node that was silent for so long is not handed to callers.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
+/// Most nodes that one message goes to.
+const MOST_RECEIVERS: usize = 9;
+/// Of these, nodes in other zones when there are more nodes.
+const MOST_FAR_RECEIVERS: usize = 3;
 /// A node that was silent for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Most nodes whose messages are echoed in one message.
@@ -76,9 +82,10 @@
 
     /// Nodes that told something lately.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        let limit = self.suspect_after();
         self.peers
             .values()
-            .filter(move |peer| now.since(peer.heard_at) < SUSPECT_AFTER)
+            .filter(move |peer| now.since(peer.heard_at) < limit)
     }
 
     /// Nodes that serve, as far as known.
@@ -87,10 +94,31 @@
             .filter(|peer| peer.state == NodeState::Ready)
     }
 
-    /// Where to send news: to all nodes that are known.
-    pub fn known_addresses(&self) -> Vec<SocketAddr> {
+    /// Where to send a message: to all nodes while they are few; beyond that to some, drawn at
+    /// random, most of them in the own zone, whose engines and callers are the same.
+    pub fn receivers(&self, zone: &ZoneName, random: &mut impl Rng) -> Vec<SocketAddr> {
         let of = |peer: &Peer| peer.identity.peer_address;
-        self.peers.values().map(of).collect()
+        if self.peers.len() <= MOST_RECEIVERS {
+            return self.peers.values().map(of).collect();
+        }
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .peers
+            .values()
+            .partition(|peer| peer.identity.zone == *zone);
+        let far_count = MOST_FAR_RECEIVERS.max(MOST_RECEIVERS.saturating_sub(near.len()));
+        let near = near.choose_multiple(random, MOST_RECEIVERS - MOST_FAR_RECEIVERS);
+        let far = far.choose_multiple(random, far_count);
+        near.chain(far).map(|peer| of(peer)).collect()
+    }
+
+    /// A node that was silent for so long is not handed to callers: some of its messages, at the
+    /// rate at which they come with so many nodes.
+    fn suspect_after(&self) -> Duration {
+        let share = self.peers.len() as f64 / MOST_FAR_RECEIVERS as f64;
+        match self.peers.len() <= MOST_RECEIVERS {
+            true => SUSPECT_AFTER,
+            false => SUSPECT_AFTER.mul_f64(share).min(FORGET_AFTER),
+        }
     }
 
     /// Addresses where nobody answered yet.
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -32,20 +32,19 @@
 }
 
 async fn wait_until_older(gateway: &Gateway, patience: Duration) {
-    loop {
-        let now = gateway.clock().now();
-        let state = gateway.state();
-        let is_known = state.configuration_revision.is_some();
-        let is_old = !state.freshness.is_within(patience, now);
-        let is_behind = state.is_configuration_behind;
-        drop(state);
-        if is_known && (is_old || is_behind) {
-            return;
-        }
+    while !needs_proof(gateway, patience) {
         sleep(LOOK_INTERVAL).await;
     }
 }
 
+fn needs_proof(gateway: &Gateway, patience: Duration) -> bool {
+    let now = gateway.clock().now();
+    let state = gateway.state();
+    let is_old = !state.freshness.is_within(patience, now);
+    let is_known = state.configuration_revision.is_some();
+    is_known && (is_old || state.is_configuration_behind)
+}
+
 /// Whether the source answered.
 async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
     let Some(revision) = gateway.state().configuration_revision else {
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use rand::SeedableRng;
 use ryerouter_core::identity::{BackEndName, ZoneName};
 use ryerouter_gateway::catalogue::{RequestKind, WeightedPool};
 use ryerouter_gateway::engines::EngineState;
@@ -238,3 +239,30 @@
         assert!(until.since(alone.clock().now()) <= Duration::from_secs(2));
     });
 }
+
+#[parameterized(
+    few_nodes_all_hear = { 8, 8 },
+    of_many_nodes_a_bounded_number_hears = { 60, 9 },
+)]
+fn messages_go_to_a_bounded_number_of_nodes(others: usize, expected: usize) {
+    run(async move {
+        let gateway = gateway("node-0");
+        for index in 0..others {
+            let mut other = settings(&format!("node-{}", index + 1));
+            let port = 10_000 + index;
+            other.identity.peer_address = format!("127.0.0.1:{port}").parse().unwrap();
+            other.identity.incarnation = index as u64 + 10;
+            if index % 3 > 0 {
+                other.identity.zone = ZoneName::new("zone-b");
+            }
+            gateway.hear_peer(gateway_with(other).peer_message(true));
+        }
+        let mut random = rand::rngs::StdRng::seed_from_u64(7);
+        for _ in 0..20 {
+            let receivers = gateway.peer_receivers(false, &mut random);
+            assert_eq!(receivers.len(), expected);
+        }
+        let now = gateway.clock().now();
+        assert_eq!(gateway.state().peers.alive(now).count(), others);
+    });
+}
