Keep a lease that is about to be won; move the planned stop into the product

Change: candidacy is not withdrawn while a call for the lease is open, and a holder goes on while its lease is valid. Tests: ordering.rs, the last of which fails without the change. The stop sequence moved from platform/ to the gateway, with a test that a stopping node takes no late caller.

--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -90,6 +90,11 @@
         self.advance(now, actions);
     }
 
+    /// Whether a call is open that may win the lease.
+    pub fn is_asking(&self) -> bool {
+        self.open.is_some() || self.uncertain.is_some()
+    }
+
     /// The lease as it was last read or written, and when it was first seen so.
     pub fn last_seen(&self) -> Option<(&LeaseRecord, StoreVersion, Timestamp)> {
         let seen = self.seen.as_ref()?;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -144,12 +144,12 @@
     pub fn should_give_orders(&self) -> bool {
         let now = self.clock().now();
         let state = self.state();
+        if state.gives_orders {
+            return state.node_state == NodeState::Ready;
+        }
         if state.node_state != NodeState::Ready || !state.is_source_reached {
             return false;
         }
-        if state.gives_orders {
-            return true;
-        }
         let own_name = &self.settings().identity.name;
         let own_start = self.clock().start_time();
         let comes_first = |peer: &Peer| {
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -90,7 +90,8 @@
         let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
         if is_needed && self.gateway.should_give_orders() {
             self.tell_lease(LeaseEvent::Candidacy(true));
-        } else if self.held.is_none() {
+        } else if self.held.is_none() && !self.lease.is_asking() {
+            // A lease that is about to be won is kept: given up, nobody could order for a while.
             self.tell_lease(LeaseEvent::Candidacy(false));
         }
         // A lease that is held without need runs out by itself.
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -10,9 +10,11 @@
 mod forwarded_headers;
 mod intake;
 mod live_answer;
+mod planned_stop;
 mod respond;
 mod stream_relay;
 
 pub use accepted_request::AcceptedRequest;
 pub use answer_body::AnswerBody;
 pub use connection_server::serve_callers;
+pub use planned_stop::{StopSettings, planned_stop};
--- /dev/null
+++ b/crates/gateway/tests/ordering.rs
@@ -0,0 +1,219 @@
+//! Giving orders under the lease, on a virtual clock: a lease store and engines that answer late.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::future::{Future, pending};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ryerouter_core::control::{
+    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreValue, StoreVersion, StoredObject,
+};
+use ryerouter_core::identity::{BackEndName, FencingNumber};
+use ryerouter_core::order::{LeaseRecord, LeaseSettings};
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::rollout::{
+    EngineOrders, EngineReport, NamedAt, OrderOutcome, WeightsOrder, run_rollouts,
+};
+use ryerouter_gateway::source::{ItemKind, LeaseStore};
+use support::gateway_bench::{configure, gateway, list_engines};
+use support::records::{engine, table};
+use support::test_dialect::MODEL;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+const SETTINGS: LeaseSettings = LeaseSettings {
+    duration: Duration::from_millis(1_350),
+    renew_interval: Duration::from_millis(450),
+    look_interval: Duration::from_millis(600),
+    takeover_margin: Duration::from_millis(3_300),
+    release_margin: Duration::from_millis(3_300),
+};
+
+/// A store of one lease.
+#[derive(Default)]
+struct OneLease {
+    held: RefCell<Option<(StoreVersion, LeaseRecord)>>,
+    delay: Cell<Duration>,
+    is_silent: Cell<bool>,
+}
+
+impl OneLease {
+    fn answer(&self, call: StoreCall) -> StoreAnswer {
+        let mut held = self.held.borrow_mut();
+        match call {
+            StoreCall::Put {
+                value: StoreValue::Lease(record),
+                precondition,
+                ..
+            } => {
+                let is_met = match (&*held, precondition) {
+                    (None, Precondition::Absent) => true,
+                    (Some((version, _)), Precondition::Version(asked)) => *version == asked,
+                    _ => false,
+                };
+                if !is_met {
+                    return StoreAnswer::Conflict { version: None };
+                }
+                let before = held.as_ref().map_or(0, |(version, _)| version.0);
+                let version = StoreVersion(before + 1);
+                *held = Some((version, record));
+                StoreAnswer::Written { version }
+            }
+            _ => match &*held {
+                None => StoreAnswer::NotFound,
+                Some((version, record)) => StoreAnswer::Found(StoredObject {
+                    key: ObjectKey::Lease("orders".to_owned()),
+                    version: *version,
+                    value: StoreValue::Lease(record.clone()),
+                }),
+            },
+        }
+    }
+
+    fn has_holder(&self) -> bool {
+        let held = self.held.borrow();
+        held.as_ref()
+            .is_some_and(|(_, record)| record.holder.is_some())
+    }
+}
+
+impl LeaseStore for OneLease {
+    fn call(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
+        async move {
+            if self.is_silent.get() {
+                return pending().await;
+            }
+            sleep(self.delay.get()).await;
+            self.answer(call)
+        }
+        .boxed_local()
+    }
+}
+
+/// Engines that take every order and never finish.
+#[derive(Default)]
+struct TakenOrders {
+    orders: RefCell<Vec<(WeightsOrder, FencingNumber)>>,
+}
+
+impl EngineOrders for TakenOrders {
+    fn order(
+        &self,
+        _address: SocketAddr,
+        order: WeightsOrder,
+        fence: FencingNumber,
+    ) -> LocalBoxFuture<'_, OrderOutcome> {
+        self.orders.borrow_mut().push((order, fence));
+        async { OrderOutcome::Rejected }.boxed_local()
+    }
+
+    fn report(
+        &self,
+        _engine: BackEndName,
+        _address: SocketAddr,
+    ) -> LocalBoxFuture<'_, Option<EngineReport>> {
+        async { Some(EngineReport::default()) }.boxed_local()
+    }
+}
+
+struct Ordering {
+    gateway: Rc<Gateway>,
+    lease: Rc<OneLease>,
+    engines: Rc<TakenOrders>,
+}
+
+impl Ordering {
+    /// A ready node whose one engine is long behind.
+    fn start(delay: Duration) -> Self {
+        let gateway = gateway("node-1");
+        configure(&gateway, table(1, Vec::new()));
+        let entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
+        list_engines(&gateway, vec![entry]);
+        let named = gateway.clock().now().before(Duration::from_secs(6));
+        let mut state = gateway.state_mut();
+        state.deadlines.note(MODEL, 2, NamedAt::Seen(named));
+        drop(state);
+        let lease = Rc::new(OneLease::default());
+        lease.delay.set(delay);
+        let engines = Rc::new(TakenOrders::default());
+        let (store, orders) = (lease.clone(), engines.clone());
+        spawn_local(run_rollouts(Rc::clone(&gateway), store, orders, SETTINGS));
+        Self {
+            gateway,
+            lease,
+            engines,
+        }
+    }
+
+    fn orders(&self) -> usize {
+        self.engines.orders.borrow().len()
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn orders_are_given_under_the_lease_with_its_number() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        sleep(Duration::from_secs(2)).await;
+        let orders = ordering.engines.orders.borrow();
+        assert!(!orders.is_empty());
+        assert!(orders.iter().all(|(_, fence)| *fence == FencingNumber(1)));
+        assert!(ordering.gateway.state().gives_orders);
+    });
+}
+
+#[test]
+fn nothing_is_ordered_once_the_lease_can_not_be_renewed() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        sleep(Duration::from_secs(2)).await;
+        ordering.lease.is_silent.set(true);
+        sleep(SETTINGS.duration).await;
+        let given = ordering.orders();
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!(ordering.orders(), given);
+        assert!(!ordering.gateway.state().gives_orders);
+    });
+}
+
+#[test]
+fn node_that_leaves_gives_the_lease_up_and_orders_nothing_more() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        sleep(Duration::from_secs(2)).await;
+        assert!(ordering.lease.has_holder());
+        ordering.gateway.leave();
+        sleep(Duration::from_millis(100)).await;
+        assert!(!ordering.lease.has_holder());
+        let given = ordering.orders();
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(ordering.orders(), given);
+    });
+}
+
+#[test]
+fn lease_that_is_about_to_be_won_is_not_given_up() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(120));
+        // While the answers are on their way, another call to the store fails.
+        sleep(Duration::from_millis(180)).await;
+        ordering.gateway.note_source_trouble(ItemKind::Weights, 1);
+        sleep(Duration::from_millis(400)).await;
+        assert!(ordering.lease.has_holder());
+        assert!(ordering.gateway.state().gives_orders);
+    });
+}
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -6,6 +6,7 @@
 
 use hyper::StatusCode;
 use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::serve::StopSettings;
 use support::gateway_bench::{GatewayBench, run, settings};
 use support::records::{KEY_OF_TENANT, engine, route, table};
 use support::scripted_engine::{Arrival, ScriptedEngine, Step};
@@ -291,3 +292,28 @@
         assert_eq!(first.arrivals.borrow().len(), 1);
     });
 }
+
+#[test]
+fn stopping_node_takes_no_late_caller_while_requests_still_run() {
+    run(async {
+        let (first, address) = ScriptedEngine::start([Step::Silence]).await;
+        let entries = vec![engine("e1", address, 1)];
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let mut bench = GatewayBench::start(Some(table), entries).await;
+        let running = tokio::net::TcpStream::connect(bench.address).await.unwrap();
+        running.writable().await.unwrap();
+        let text = b"GET /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\r\n";
+        running.try_write(text).unwrap();
+        first.until_arrived(1).await;
+        let stop = bench.stop(StopSettings {
+            late_callers: Duration::from_millis(50),
+            grace: Duration::from_secs(60),
+        });
+        while tokio::net::TcpStream::connect(bench.address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(!stop.is_finished());
+        drop(running);
+        stop.await.unwrap();
+    });
+}
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -18,12 +18,12 @@
 use ryerouter_gateway::placement::PlacementPrices;
 use ryerouter_gateway::retry::RetrySettings;
 use ryerouter_gateway::rollout::RolloutSettings;
-use ryerouter_gateway::serve::serve_callers;
+use ryerouter_gateway::serve::{StopSettings, planned_stop, serve_callers};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use ryerouter_gateway::upstream::ConnectSettings;
 use slog::{Logger, o};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 
 use super::records::HOST as TEST_HOST;
 use super::test_dialect::{ID, TestDialect};
@@ -91,6 +91,7 @@
 pub struct GatewayBench {
     pub gateway: Rc<Gateway>,
     pub address: SocketAddr,
+    accepting: Option<JoinHandle<()>>,
 }
 
 /// An answer as its caller got it.
@@ -122,8 +123,19 @@
         list_engines(&gateway, entries);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
-        spawn_local(serve_callers(Rc::clone(&gateway), listener));
-        Self { gateway, address }
+        let accepting = spawn_local(serve_callers(Rc::clone(&gateway), listener));
+        Self {
+            gateway,
+            address,
+            accepting: Some(accepting),
+        }
+    }
+
+    /// Begins a planned stop; the task returned ends with it.
+    pub fn stop(&mut self, settings: StopSettings) -> JoinHandle<()> {
+        let gateway = Rc::clone(&self.gateway);
+        let accepting = self.accepting.take().expect("stops once");
+        spawn_local(async move { planned_stop(&gateway, accepting, &settings).await })
     }
 
     /// Sends a request with these headers and reads the answer.
