--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -40,6 +40,8 @@
     pub engines: EngineTable,
     /// Who holds which prefix.
     pub holders: HolderTable,
+    /// The life of the store of kept KV cache, as last heard.
+    pub kv_store_epoch: Option<u64>,
     /// Which weights were named.
     pub deadlines: WeightsDeadlines,
     /// Retry budgets.
@@ -91,6 +93,7 @@
             engine_list_trouble_at: None,
             engines: EngineTable::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
+            kv_store_epoch: None,
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             retries: HashMap::new(),
             peers,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -89,6 +89,7 @@
             echoes: state.peers.echoes(now),
             members,
             named,
+            kv_store_epoch: state.kv_store_epoch.filter(|_| self.asks_kv_store(&state)),
             loads,
             holders,
             weights,
@@ -202,6 +203,9 @@
             state.holders.note(*key, engine, now);
         }
         if is_newest {
+            if let Some(epoch) = message.kv_store_epoch {
+                self.adopt_kv_store_epoch(&mut state, epoch);
+            }
             self.take_proof(&mut state, &message);
             if message.lease.is_some() {
                 state.heard_lease = message.lease.clone();
@@ -234,6 +238,35 @@
         }
     }
 
+    /// Where the store of kept KV cache listens, when this node is to ask it.
+    pub fn kv_store_to_ask(&self) -> Option<SocketAddr> {
+        let state = self.state();
+        let store = state.table.as_ref()?.kv_store()?;
+        self.asks_kv_store(&state).then_some(store.address)
+    }
+
+    /// One node asks for all: of those that serve, the first by name.
+    fn asks_kv_store(&self, state: &GatewayState) -> bool {
+        let own_name = &self.settings().identity.name;
+        let mut others = state.peers.ready(self.clock().now());
+        let is_first = others.all(|peer| peer.identity.name > *own_name);
+        is_first && state.node_state == NodeState::Ready
+    }
+
+    /// The store of kept KV cache named its life.
+    pub fn note_kv_store_epoch(&self, epoch: u64) {
+        let mut state = self.state_mut();
+        self.adopt_kv_store_epoch(&mut state, epoch);
+    }
+
+    fn adopt_kv_store_epoch(&self, state: &mut GatewayState, epoch: u64) {
+        let before = state.kv_store_epoch.replace(epoch);
+        if before.is_some_and(|before| before != epoch) {
+            state.holders.forget_engine(&store_holder_name());
+            info!(self.log(), "kv_store_restarted"; "epoch" => epoch, "before" => before);
+        }
+    }
+
     fn note_holder(&self, state: &mut GatewayState, key: PartKey, holder: &BackEndName) {
         let now = self.clock().now();
         let known_at = state.holders.of(key).find(|(name, _)| *name == holder);
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -9,9 +9,10 @@
 use ryerouter_gateway::catalogue::{RequestKind, WeightedPool};
 use ryerouter_gateway::engines::EngineState;
 use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::placement::{PartKey, store_holder_name};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use support::gateway_bench::{configure, gateway, gateway_with, list_engines, run, settings};
-use support::records::{HOST, ZONE, engine, route, table};
+use support::records::{HOST, ZONE, engine, model_table, route, table};
 use yare::parameterized;
 
 const ENGINE: &str = "e1";
@@ -266,3 +267,29 @@
         assert_eq!(gateway.state().peers.alive(now).count(), others);
     });
 }
+
+#[test]
+fn restart_of_the_kv_store_is_told_on_and_what_it_held_is_forgotten() {
+    run(async {
+        let first = gateway("node-1");
+        let second = gateway("node-2");
+        let store = store_holder_name();
+        for node in [&first, &second] {
+            configure(node, model_table(Vec::new()));
+            list_engines(node, Vec::new());
+            let now = node.clock().now();
+            node.state_mut().holders.note(PartKey(7), &store, now);
+        }
+        introduce(&first, &second);
+        let is_stored = |node: &Gateway| node.state().holders.stored_at(PartKey(7)).is_some();
+        // One node asks for all.
+        assert!(first.kv_store_to_ask().is_some());
+        assert!(second.kv_store_to_ask().is_none());
+        first.note_kv_store_epoch(1);
+        second.hear_peer(first.peer_message(false));
+        assert!(is_stored(&first) && is_stored(&second));
+        first.note_kv_store_epoch(2);
+        second.hear_peer(first.peer_message(false));
+        assert!(!is_stored(&first) && !is_stored(&second));
+    });
+}
