Always ask the store of kept cache in case, unless it is down

Change: requests with shared parts worth saving always name the store as a source; the node that asks for the epoch tells when the store does not answer, and then nobody fetches or saves.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -40,6 +40,8 @@
     pub engines: EngineTable,
     /// Who holds which prefix.
     pub holders: HolderTable,
+    /// Whether the store of kept KV cache did not answer when it was last asked.
+    pub is_kv_store_down: bool,
     /// The life of the store of kept KV cache, as last heard.
     pub kv_store_epoch: Option<u64>,
     /// Which weights were named.
@@ -93,6 +95,7 @@
             engine_list_trouble_at: None,
             engines: EngineTable::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
+            is_kv_store_down: false,
             kv_store_epoch: None,
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             retries: HashMap::new(),
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -11,8 +11,8 @@
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
 use crate::peers::{
-    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, NodeState, Peer,
-    PeerMessage, WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, NamedNews, NodeState,
+    Peer, PeerMessage, WeightsNews,
 };
 use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
@@ -89,7 +89,7 @@
             echoes: state.peers.echoes(now),
             members,
             named,
-            kv_store_epoch: state.kv_store_epoch.filter(|_| self.asks_kv_store(&state)),
+            kv_store: self.kv_store_news(&state),
             loads,
             holders,
             weights,
@@ -203,8 +203,8 @@
             state.holders.note(*key, engine, now);
         }
         if is_newest {
-            if let Some(epoch) = message.kv_store_epoch {
-                self.adopt_kv_store_epoch(&mut state, epoch);
+            if let Some(news) = message.kv_store {
+                self.adopt_kv_store_news(&mut state, news);
             }
             self.take_proof(&mut state, &message);
             if message.lease.is_some() {
@@ -253,13 +253,31 @@
         is_first && state.node_state == NodeState::Ready
     }
 
-    /// The store of kept KV cache named its life.
-    pub fn note_kv_store_epoch(&self, epoch: u64) {
+    fn kv_store_news(&self, state: &GatewayState) -> Option<KvStoreNews> {
+        if !self.asks_kv_store(state) {
+            return None;
+        }
+        match state.is_kv_store_down {
+            true => Some(KvStoreNews::Down),
+            false => state.kv_store_epoch.map(KvStoreNews::Up),
+        }
+    }
+
+    /// The store of kept KV cache answered, or did not.
+    pub fn note_kv_store(&self, news: KvStoreNews) {
         let mut state = self.state_mut();
-        self.adopt_kv_store_epoch(&mut state, epoch);
+        self.adopt_kv_store_news(&mut state, news);
     }
 
-    fn adopt_kv_store_epoch(&self, state: &mut GatewayState, epoch: u64) {
+    fn adopt_kv_store_news(&self, state: &mut GatewayState, news: KvStoreNews) {
+        let was_down = state.is_kv_store_down;
+        state.is_kv_store_down = news == KvStoreNews::Down;
+        if was_down != state.is_kv_store_down {
+            info!(self.log(), "kv_store_reached"; "answers" => !state.is_kv_store_down);
+        }
+        let KvStoreNews::Up(epoch) = news else {
+            return;
+        };
         let before = state.kv_store_epoch.replace(epoch);
         if before.is_some_and(|before| before != epoch) {
             state.holders.forget_engine(&store_holder_name());
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -129,6 +129,7 @@
             engines: &state.engines,
             holders: &state.holders,
             table,
+            is_store_up: !state.is_kv_store_down,
             deadlines: &state.deadlines,
             prices: &self.settings.prices,
             zone: &self.settings.identity.zone,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod configuration_proof;
 mod engine_news;
 mod holder_news;
+mod kv_store_news;
 mod lease_news;
 mod member_address;
 mod node_identity;
@@ -16,6 +17,7 @@
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
 pub use engine_news::{EngineLoadNews, NamedNews, WeightsNews};
 pub use holder_news::HolderNews;
+pub use kv_store_news::KvStoreNews;
 pub use lease_news::LeaseNews;
 pub use member_address::MemberAddress;
 pub use node_identity::{NodeIdentity, new_incarnation};
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, MemberAddress, MessageEcho,
-    NamedNews, NodeIdentity, NodeState, WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, MemberAddress,
+    MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
 
 /// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
@@ -55,9 +55,9 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "o")]
     pub loads: Vec<EngineLoadNews>,
-    /// The life of the store of kept KV cache, while the sender asks for it.
+    /// The state of the store of kept KV cache, while the sender asks for it.
     #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
-    pub kv_store_epoch: Option<u64>,
+    pub kv_store: Option<KvStoreNews>,
     /// Prefixes that engines have read since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "h")]
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -44,6 +44,8 @@
     pub holders: &'a HolderTable,
     /// The configuration.
     pub table: &'a RoutingTable,
+    /// Whether the store of kept KV cache answers, as far as known.
+    pub is_store_up: bool,
     /// Until when older weights may be used.
     pub deadlines: &'a WeightsDeadlines,
     /// Prices.
@@ -244,7 +246,7 @@
     fn best_fetch(&self, engine: &Engine, keys: &PromptKeys, cached: u32) -> Option<KvFetch> {
         for (key, tokens) in keys.0.iter().rev() {
             if tokens.saturating_sub(cached) < LEAST_FETCHED_TOKENS {
-                return self.fetch_in_case(*key);
+                return self.fetch_in_case(keys);
             }
             let tokens = tokens - cached;
             let lender = self.best_lender(engine, *key);
@@ -261,17 +263,15 @@
             }
         }
         // Nobody is known to hold any of it, but earlier processes may have saved it.
-        let shared = keys.shared().last().map_or(0, |(_, tokens)| *tokens);
-        let is_worth = shared.saturating_sub(cached) >= LEAST_SAVED_TOKENS;
-        is_worth.then(|| self.fetch_from_store(0)).flatten()
+        self.fetch_in_case(keys)
     }
 
-    /// An engine that should have a part may have dropped it: then it asks the store, else nothing
-    /// moves.
-    fn fetch_in_case(&self, key: PartKey) -> Option<KvFetch> {
-        self.is_stored(key)
-            .then(|| self.fetch_from_store(0))
-            .flatten()
+    /// An engine that should have all shared parts may have dropped some: then it asks the store,
+    /// else nothing moves.
+    fn fetch_in_case(&self, keys: &PromptKeys) -> Option<KvFetch> {
+        let shared = keys.shared().last().map_or(0, |(_, tokens)| *tokens);
+        let is_worth = shared >= LEAST_SAVED_TOKENS;
+        is_worth.then(|| self.fetch_from_store(0)).flatten()
     }
 
     fn best_lender(&self, engine: &Engine, key: PartKey) -> Option<(&Engine, Timestamp)> {
@@ -291,7 +291,7 @@
     }
 
     fn fetch_from_store(&self, tokens: u32) -> Option<KvFetch> {
-        let store = self.table.kv_store()?;
+        let store = self.table.kv_store().filter(|_| self.is_store_up)?;
         Some(KvFetch {
             holder: KvHolder::Store,
             address: store.address,
@@ -304,7 +304,7 @@
         let Some((key, tokens)) = keys.shared().last() else {
             return false;
         };
-        let has_store = self.table.kv_store().is_some();
+        let has_store = self.table.kv_store().is_some() && self.is_store_up;
         has_store && *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key)
     }
 
--- a/crates/gateway/src/placement/kv_store_watch.rs
+++ b/crates/gateway/src/placement/kv_store_watch.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
+use crate::peers::KvStoreNews;
 
 /// Time between questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -26,8 +27,12 @@
         let Some(address) = gateway.kv_store_to_ask() else {
             continue;
         };
-        if let Some(epoch) = probe.epoch(address).await {
-            gateway.note_kv_store_epoch(epoch);
-        }
+        // One lost answer may be the network's; two in a row are the store's.
+        let first = probe.epoch(address).await;
+        let epoch = match first {
+            Some(epoch) => Some(epoch),
+            None => probe.epoch(address).await,
+        };
+        gateway.note_kv_store(epoch.map_or(KvStoreNews::Down, KvStoreNews::Up));
     }
 }
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -9,6 +9,7 @@
 use ryerouter_gateway::catalogue::{RequestKind, WeightedPool};
 use ryerouter_gateway::engines::EngineState;
 use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::peers::KvStoreNews;
 use ryerouter_gateway::placement::{PartKey, store_holder_name};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use support::gateway_bench::{configure, gateway, gateway_with, list_engines, run, settings};
@@ -285,11 +286,14 @@
         // One node asks for all.
         assert!(first.kv_store_to_ask().is_some());
         assert!(second.kv_store_to_ask().is_none());
-        first.note_kv_store_epoch(1);
+        first.note_kv_store(KvStoreNews::Up(1));
         second.hear_peer(first.peer_message(false));
         assert!(is_stored(&first) && is_stored(&second));
-        first.note_kv_store_epoch(2);
+        first.note_kv_store(KvStoreNews::Up(2));
         second.hear_peer(first.peer_message(false));
         assert!(!is_stored(&first) && !is_stored(&second));
+        first.note_kv_store(KvStoreNews::Down);
+        second.hear_peer(first.peer_message(false));
+        assert!(second.state().is_kv_store_down);
     });
 }
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -22,6 +22,7 @@
     table: RoutingTable,
     deadlines: WeightsDeadlines,
     isolated: Option<TenantName>,
+    is_store_up: bool,
     now: Timestamp,
 }
 
@@ -38,6 +39,7 @@
             table: model_table(vec![route(RequestKind::Streaming)]),
             deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
             isolated: None,
+            is_store_up: true,
             now: Timestamp::from_millis(1_000_000),
         }
     }
@@ -47,6 +49,7 @@
             engines: &self.engines,
             holders: &self.holders,
             table: &self.table,
+            is_store_up: self.is_store_up,
             deadlines: &self.deadlines,
             prices: &PlacementPrices::default(),
             zone: &ZoneName::new(ZONE),
@@ -207,3 +210,13 @@
     failing.health.unreachable(now);
     assert!(world.choose(&prompt("s,x,1")).is_some());
 }
+
+#[test]
+fn store_that_does_not_answer_is_neither_asked_nor_saved_to() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
+    world.is_store_up = false;
+    let stored = world.choose(&prompt("s,x,2")).unwrap();
+    assert_eq!(stored.fetch, None);
+    assert!(!world.choose(&prompt("s,y,1")).unwrap().saves);
+}
