--- /dev/null
+++ b/crates/gateway/src/gateway/engine_weights.rs
@@ -0,0 +1,78 @@
+//! News of the weights of engines.
+
+use std::time::Duration;
+
+use ryerouter_core::identity::BackEndName;
+use slog::info;
+
+use super::Gateway;
+use crate::peers::WeightsNews;
+
+impl Gateway {
+    /// Weights of an engine became known, by its own word.
+    pub fn note_weights(&self, engine: &BackEndName, model: &str, version: u64) {
+        let mut state = self.state_mut();
+        let Some(known) = state.engines.get_mut(engine) else {
+            return;
+        };
+        let is_expected = known.weights_of(model) == Some(version);
+        if is_expected || !known.note_weights(model, version) {
+            return;
+        }
+        info!(self.log(), "engine_weights"; "engine" => %engine, "model" => model,
+            "version" => version);
+        state.weights_news.push(WeightsNews {
+            engine: engine.clone(),
+            model: model.to_owned(),
+            version,
+            loading_ms: None,
+        });
+        drop(state);
+        self.urgent_news.notify_one();
+    }
+
+    /// This node is about to order an engine to load weights.
+    pub fn note_loading(
+        &self,
+        engine: &BackEndName,
+        model: &str,
+        version: u64,
+        expected: Duration,
+    ) {
+        let until = self.clock().now().after(expected);
+        let mut state = self.state_mut();
+        if let Some(known) = state.engines.get_mut(engine) {
+            known.loading_until = Some(until);
+        }
+        state.weights_news.push(WeightsNews {
+            engine: engine.clone(),
+            model: model.to_owned(),
+            version,
+            loading_ms: Some(expected.as_millis() as u64),
+        });
+        drop(state);
+        self.urgent_news.notify_one();
+    }
+
+    pub(super) fn note_weights_news(&self, news: &WeightsNews) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let Some(engine) = state.engines.get_mut(&news.engine) else {
+            return;
+        };
+        match news.loading_ms {
+            Some(millis) => {
+                let is_behind = engine.weights_of(&news.model) < Some(news.version);
+                if is_behind {
+                    engine.loading_until = Some(now.after(Duration::from_millis(millis)));
+                }
+            }
+            None => {
+                if engine.note_weights(&news.model, news.version) {
+                    info!(self.log(), "engine_weights"; "engine" => %news.engine,
+                        "model" => &news.model, "version" => news.version, "by" => "peer");
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,8 +1,11 @@
 //! The state of a gateway, shared by all its tasks.
 
+mod cache_knowledge;
+mod engine_weights;
 mod gateway_settings;
 mod gateway_state;
 mod items;
+mod order_candidacy;
 mod peer_news;
 mod proof_of_freshness;
 mod shared;
--- /dev/null
+++ b/crates/gateway/src/gateway/order_candidacy.rs
@@ -0,0 +1,41 @@
+//! Whether this node should give orders.
+
+use std::time::Duration;
+
+use super::Gateway;
+use crate::peers::{NodeState, Peer};
+
+/// Starts that lie closer than this count as one: a whole deployment starting.
+const SAME_START: Duration = Duration::from_secs(1);
+
+impl Gateway {
+    pub(super) fn uptime(&self) -> Duration {
+        self.clock().now().since(self.clock().start_time())
+    }
+
+    /// Whether this node should hold the lease of orders: no other node holds it, and of those that
+    /// reach the store it is the one that started last: in a rolling restart it stays longest. Nodes
+    /// that started at about the same time go by name.
+    pub fn should_give_orders(&self) -> bool {
+        let now = self.clock().now();
+        let state = self.state();
+        if state.gives_orders {
+            return state.node_state == NodeState::Ready;
+        }
+        if state.node_state != NodeState::Ready || !state.is_source_reached {
+            return false;
+        }
+        let own_name = &self.settings().identity.name;
+        let own_start = self.clock().start_time();
+        let comes_first = |peer: &Peer| {
+            let is_close = own_start.since(peer.started_at) < SAME_START
+                && peer.started_at.since(own_start) < SAME_START;
+            match is_close {
+                true => peer.identity.name < *own_name,
+                false => peer.started_at > own_start,
+            }
+        };
+        let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
+        able.all(|peer| !peer.gives_orders && !comes_first(peer))
+    }
+}
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -5,27 +5,17 @@
 
 use rand::Rng;
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::BackEndName;
 use slog::info;
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
 use crate::peers::{
-    ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, NamedNews, NodeState,
-    Peer, PeerMessage, WeightsNews,
+    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, PeerMessage,
 };
-use crate::placement::{PartKey, Placement, store_holder_name};
 use crate::rollout::NamedAt;
 
 /// Most prefixes that one message tells of; more wait for the next.
 const MOST_HOLDER_NEWS: usize = 64;
-/// Most prefixes that wait to be told; beyond that the oldest are never told.
-const MOST_WAITING_HOLDER_NEWS: usize = 1_024;
-
-/// A holder that uses a part again is told anew after so long.
-const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
-/// Starts that lie closer than this count as one: a whole deployment starting.
-const SAME_START: Duration = Duration::from_secs(1);
 /// Named weights are told to other nodes for so long.
 const NAMED_NEWS_AGE: Duration = Duration::from_secs(60);
 
@@ -135,36 +125,6 @@
         .collect()
     }
 
-    fn uptime(&self) -> Duration {
-        self.clock().now().since(self.clock().start_time())
-    }
-
-    /// Whether this node should hold the lease of orders: no other node holds it, and of those that
-    /// reach the store it is the one that started last: in a rolling restart it stays longest. Nodes
-    /// that started at about the same time go by name.
-    pub fn should_give_orders(&self) -> bool {
-        let now = self.clock().now();
-        let state = self.state();
-        if state.gives_orders {
-            return state.node_state == NodeState::Ready;
-        }
-        if state.node_state != NodeState::Ready || !state.is_source_reached {
-            return false;
-        }
-        let own_name = &self.settings().identity.name;
-        let own_start = self.clock().start_time();
-        let comes_first = |peer: &Peer| {
-            let is_close = own_start.since(peer.started_at) < SAME_START
-                && peer.started_at.since(own_start) < SAME_START;
-            match is_close {
-                true => peer.identity.name < *own_name,
-                false => peer.started_at > own_start,
-            }
-        };
-        let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
-        able.all(|peer| !peer.gives_orders && !comes_first(peer))
-    }
-
     /// Where to send a message.
     pub fn peer_receivers(&self, is_introduction: bool, random: &mut impl Rng) -> Vec<SocketAddr> {
         let state = self.state();
@@ -224,143 +184,6 @@
             self.note_weights_news(news);
         }
     }
-
-    /// An engine has read the prompt of a request: others may fetch its parts.
-    pub fn note_prompt_read(&self, placement: &Placement) {
-        let mut state = self.state_mut();
-        for (key, _) in &placement.keys.0 {
-            self.note_holder(&mut state, *key, &placement.engine);
-        }
-        if placement.saves {
-            for (key, _) in placement.keys.shared() {
-                self.note_holder(&mut state, *key, &store_holder_name());
-            }
-        }
-    }
-
-    /// Where the store of kept KV cache listens, when this node is to ask it.
-    pub fn kv_store_to_ask(&self) -> Option<SocketAddr> {
-        let state = self.state();
-        let store = state.table.as_ref()?.kv_store()?;
-        self.asks_kv_store(&state).then_some(store.address)
-    }
-
-    /// One node asks for all: of those that serve, the first by name.
-    fn asks_kv_store(&self, state: &GatewayState) -> bool {
-        let own_name = &self.settings().identity.name;
-        let mut others = state.peers.ready(self.clock().now());
-        let is_first = others.all(|peer| peer.identity.name > *own_name);
-        is_first && state.node_state == NodeState::Ready
-    }
-
-    fn kv_store_news(&self, state: &GatewayState) -> Option<KvStoreNews> {
-        if !self.asks_kv_store(state) {
-            return None;
-        }
-        match state.is_kv_store_down {
-            true => Some(KvStoreNews::Down),
-            false => state.kv_store_epoch.map(KvStoreNews::Up),
-        }
-    }
-
-    /// The store of kept KV cache answered, or did not.
-    pub fn note_kv_store(&self, news: KvStoreNews) {
-        let mut state = self.state_mut();
-        self.adopt_kv_store_news(&mut state, news);
-    }
-
-    fn adopt_kv_store_news(&self, state: &mut GatewayState, news: KvStoreNews) {
-        let was_down = state.is_kv_store_down;
-        state.is_kv_store_down = news == KvStoreNews::Down;
-        if was_down != state.is_kv_store_down {
-            info!(self.log(), "kv_store_reached"; "answers" => !state.is_kv_store_down);
-        }
-        let KvStoreNews::Up(epoch) = news else {
-            return;
-        };
-        let before = state.kv_store_epoch.replace(epoch);
-        if before.is_some_and(|before| before != epoch) {
-            state.holders.forget_engine(&store_holder_name());
-            info!(self.log(), "kv_store_restarted"; "epoch" => epoch, "before" => before);
-        }
-    }
-
-    fn note_holder(&self, state: &mut GatewayState, key: PartKey, holder: &BackEndName) {
-        let now = self.clock().now();
-        let known_at = state.holders.of(key).find(|(name, _)| *name == holder);
-        let is_news = known_at.is_none_or(|(_, at)| now.since(at) > HOLDER_NEWS_INTERVAL);
-        state.holders.note(key, holder, now);
-        if is_news && state.holder_news.len() < MOST_WAITING_HOLDER_NEWS {
-            state.holder_news.push(HolderNews(key, holder.clone()));
-        }
-    }
-
-    /// Weights of an engine became known, by its own word.
-    pub fn note_weights(&self, engine: &BackEndName, model: &str, version: u64) {
-        let mut state = self.state_mut();
-        let Some(known) = state.engines.get_mut(engine) else {
-            return;
-        };
-        let is_expected = known.weights_of(model) == Some(version);
-        if is_expected || !known.note_weights(model, version) {
-            return;
-        }
-        info!(self.log(), "engine_weights"; "engine" => %engine, "model" => model,
-            "version" => version);
-        state.weights_news.push(WeightsNews {
-            engine: engine.clone(),
-            model: model.to_owned(),
-            version,
-            loading_ms: None,
-        });
-        drop(state);
-        self.urgent_news.notify_one();
-    }
-
-    /// This node is about to order an engine to load weights.
-    pub fn note_loading(
-        &self,
-        engine: &BackEndName,
-        model: &str,
-        version: u64,
-        expected: Duration,
-    ) {
-        let until = self.clock().now().after(expected);
-        let mut state = self.state_mut();
-        if let Some(known) = state.engines.get_mut(engine) {
-            known.loading_until = Some(until);
-        }
-        state.weights_news.push(WeightsNews {
-            engine: engine.clone(),
-            model: model.to_owned(),
-            version,
-            loading_ms: Some(expected.as_millis() as u64),
-        });
-        drop(state);
-        self.urgent_news.notify_one();
-    }
-
-    fn note_weights_news(&self, news: &WeightsNews) {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let Some(engine) = state.engines.get_mut(&news.engine) else {
-            return;
-        };
-        match news.loading_ms {
-            Some(millis) => {
-                let is_behind = engine.weights_of(&news.model) < Some(news.version);
-                if is_behind {
-                    engine.loading_until = Some(now.after(Duration::from_millis(millis)));
-                }
-            }
-            None => {
-                if engine.note_weights(&news.model, news.version) {
-                    info!(self.log(), "engine_weights"; "engine" => %news.engine,
-                        "model" => &news.model, "version" => news.version, "by" => "peer");
-                }
-            }
-        }
-    }
 }
 
 /// The lease, when it has changed since it was told last or a node may not know it.
--- /dev/null
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -0,0 +1,117 @@
+//! The terms of a candidate's cost.
+
+use std::time::Duration;
+
+use super::{Chooser, LEAST_SAVED_TOKENS};
+use crate::catalogue::EngineProfile;
+use crate::engines::Engine;
+use crate::placement::{KvFetch, KvHolder, PlacementRequest, Prompt, PromptVersion};
+
+const BYTES_PER_GIGABYTE: f64 = 1e9;
+const BYTES_PER_KILOBYTE: f64 = 1e3;
+/// Bits in a megabit, and milliseconds in a second.
+const BITS_PER_MS_AND_MEGABIT: f64 = 1e3;
+/// Cost of an engine that is tried only to find out whether it serves again.
+const PROBE_COST: f64 = 0.5;
+/// Cost of an engine that is not in the list any more but may still serve.
+const UNLISTED_COST: f64 = 5.0;
+/// Cost of an engine that lately had no room.
+const FULL_COST: f64 = 4.0;
+
+impl Chooser<'_> {
+    /// Cost of reading shared parts that nobody is known to hold elsewhere than all nodes would.
+    pub(super) fn read_twice_cost(
+        &self,
+        engine: &Engine,
+        version: &PromptVersion,
+        known: u32,
+    ) -> f64 {
+        let shared = version.keys.shared().last();
+        let missing = shared.map_or(0, |(_, tokens)| tokens.saturating_sub(known));
+        if missing < LEAST_SAVED_TOKENS || version.is_first_reader(engine) {
+            return 0.0;
+        }
+        f64::from(missing) * self.prices.reread_token * self.prices.read_twice_risk
+    }
+
+    /// Longest time until a request begins there (estimate, on the safe side).
+    pub(super) fn begins_in(&self, engine: &Engine, unread_tokens: u32) -> Duration {
+        let queued = f64::from(engine.load().unread_tokens) + f64::from(unread_tokens);
+        Duration::from_secs_f64(2.0 * queued / self.prices.read_tokens_per_ms / 1e3)
+    }
+
+    pub(super) fn lateness(
+        &self,
+        engine: &Engine,
+        profile: &EngineProfile,
+        unread_tokens: u32,
+        fetched_tokens: u32,
+        request: &PlacementRequest<'_>,
+    ) -> f64 {
+        let queued = f64::from(engine.load().unread_tokens) + f64::from(unread_tokens);
+        let read_ms = queued / self.prices.read_tokens_per_ms;
+        let fetched_bits = f64::from(fetched_tokens) * profile.kv_token_bytes * 8.0;
+        let bits_per_ms = profile.link_megabits.max(1.0) * BITS_PER_MS_AND_MEGABIT;
+        let first_token_ms = read_ms + fetched_bits / bits_per_ms;
+        let target_ms = request.target_latency.as_secs_f64().max(0.001) * 1e3;
+        let share = first_token_ms / target_ms;
+        share * share * self.prices.at_target
+    }
+
+    pub(super) fn zone_cost(&self, engine: &Engine, request: &PlacementRequest<'_>) -> f64 {
+        if engine.entry.zone == *self.zone {
+            return 0.0;
+        }
+        let kilobytes = (request.body_bytes as f64 / BYTES_PER_KILOBYTE).max(1.0);
+        kilobytes * self.prices.kilobyte_across
+    }
+
+    pub(super) fn move_cost(
+        &self,
+        engine: &Engine,
+        fetch: &KvFetch,
+        profile: &EngineProfile,
+    ) -> f64 {
+        let gigabytes = f64::from(fetch.tokens) * profile.kv_token_bytes / BYTES_PER_GIGABYTE;
+        let zone = match &fetch.holder {
+            KvHolder::Engine(name) => self.engines.get(name).map(|holder| &holder.entry.zone),
+            KvHolder::Store => self.table.kv_store().map(|store| &store.zone),
+        };
+        let is_near = zone == Some(&engine.entry.zone);
+        let price = match is_near {
+            true => self.prices.moved_gigabyte,
+            false => self.prices.moved_gigabyte_across,
+        };
+        gigabytes * price
+    }
+
+    /// Slots and KV memory in use; memory counts more the nearer it is to its end.
+    pub(super) fn crowding(
+        &self,
+        engine: &Engine,
+        profile: &EngineProfile,
+        prompt: &Prompt,
+    ) -> f64 {
+        let load = engine.load();
+        let slots = f64::from(profile.slots.max(1));
+        let occupied = f64::from(load.requests) / slots * self.prices.occupied;
+        let needed = load.kv_tokens.saturating_add(prompt.prompt_tokens);
+        let share = f64::from(needed) / f64::from(profile.kv_tokens.max(1));
+        let beyond = (share - self.prices.crowded_share).max(0.0);
+        occupied + beyond * self.prices.crowded
+    }
+
+    pub(super) fn state_cost(&self, engine: &Engine) -> f64 {
+        let mut cost = 0.0;
+        if !engine.health.is_serving() {
+            cost += PROBE_COST;
+        }
+        if engine.is_unlisted {
+            cost += UNLISTED_COST;
+        }
+        if engine.full_until.is_some_and(|until| self.now < until) {
+            cost += FULL_COST;
+        }
+        cost
+    }
+}
