--- a/crates/testbed/src/scale/hollow_cluster.rs
+++ b/crates/testbed/src/scale/hollow_cluster.rs
@@ -1,5 +1,9 @@
 //! A cluster of hollow nodes.
 
+mod load_events;
+mod requests;
+mod wire;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -244,124 +248,10 @@
         }
     }
 
-    fn take_requests(&mut self, process: Process) {
-        if self.requests_per_tick == 0.0 || !self.nodes[process.node].is_serving {
-            return;
-        }
-        let now = self.now();
-        let mut sends = Vec::new();
-        let mut allowed = Vec::new();
-        let count = self.draw_count(self.requests_per_tick);
-        if let Some(traffic) = &mut self.nodes[process.node].traffic {
-            allowed.extend(traffic.tick(now, &mut sends));
-            for _ in 0..count {
-                let tenant = traffic.pick_tenant(&mut self.random);
-                match traffic.request(tenant.clone(), now, &mut sends) {
-                    LimitDecision::Allowed => allowed.push(tenant),
-                    LimitDecision::Waiting => self.request_totals.waited += 1,
-                    LimitDecision::Denied { .. } => self.request_totals.denied += 1,
-                }
-            }
-        }
-        self.request_totals.requests += count;
-        self.send_limits(process, sends);
-        for tenant in allowed {
-            self.begin_request(process, tenant);
-        }
-    }
-
-    /// A whole number with the mean `mean`.
-    fn draw_count(&mut self, mean: f64) -> u64 {
-        let whole = mean.floor();
-        whole as u64 + u64::from(self.random.random_bool(mean - whole))
-    }
-
-    fn begin_request(&mut self, process: Process, tenant: TenantName) {
-        if !self.random.random_bool(self.marked) {
-            let ends = ScaleEvent::RequestEnds {
-                process,
-                tenant,
-                key: None,
-            };
-            self.schedule(REQUEST_LASTS, ends);
-            return;
-        }
-        let key = time_ordered_key(self.now(), self.random.random());
-        self.last_operation += 1;
-        let operation = OperationId(FIRST_CLAIM + self.last_operation);
-        self.claims.insert(operation, (tenant.clone(), key.clone()));
-        let event = ControlEvent::ClaimRequested {
-            operation,
-            tenant,
-            key,
-        };
-        self.give(process, event);
-    }
-
-    fn claim_answered(&mut self, process: Process, operation: OperationId, outcome: ClaimOutcome) {
-        let Some((tenant, key)) = self.claims.remove(&operation) else {
-            return;
-        };
-        if matches!(outcome, ClaimOutcome::Granted(_)) {
-            self.request_totals.claims_granted += 1;
-            let ends = ScaleEvent::RequestEnds {
-                process,
-                tenant,
-                key: Some(key),
-            };
-            self.schedule(REQUEST_LASTS, ends);
-        } else {
-            self.request_totals.claims_refused += 1;
-            self.end_stream(process, &tenant);
-        }
-    }
-
-    fn request_ends(&mut self, process: Process, tenant: TenantName, key: Option<IdempotencyKey>) {
-        if !self.nodes[process.node].runs(process) {
-            return;
-        }
-        self.end_stream(process, &tenant);
-        if let Some(key) = key {
-            self.give(process, ControlEvent::ClaimEnded { tenant, key });
-        }
-    }
-
-    fn end_stream(&mut self, process: Process, tenant: &TenantName) {
-        if let Some(traffic) = &mut self.nodes[process.node].traffic {
-            traffic.ended(tenant);
-        }
-    }
-
-    fn send_limits(&mut self, process: Process, sends: Vec<LimitSend>) {
-        for send in sends {
-            self.give(process, ControlEvent::LimitSent(send));
-        }
-    }
-
-    fn limit_granted(&mut self, process: Process, from: &NodeName, grant: &LimitGrant) {
-        let now = self.now();
-        let mut sends = Vec::new();
-        if let Some(traffic) = &mut self.nodes[process.node].traffic {
-            traffic.granted(from, grant, now, &mut sends);
-        }
-        self.send_limits(process, sends);
-    }
-
     fn now(&self) -> Timestamp {
         Timestamp::from_micros(self.now_micros)
     }
 
-    fn message(&mut self, to: usize, from: SocketAddr, line: &[u8], wire_bytes: u64) {
-        if self.nodes[to].state.is_none() {
-            return;
-        }
-        let message: PeerMessage =
-            serde_json::from_slice(line).expect("a line that was encoded can be decoded");
-        self.meter.count(to, ByteKind::of(&message), wire_bytes);
-        let process = self.nodes[to].process;
-        self.give(process, ControlEvent::PeerMessageReceived { from, message });
-    }
-
     fn give(&mut self, process: Process, event: ControlEvent) {
         if !self.nodes[process.node].runs(process) {
             return;
@@ -448,183 +338,6 @@
         }
     }
 
-    fn datagram(&mut self, process: Process, to: SocketAddr, message: &PeerMessage) {
-        let line = serde_json::to_vec(message).expect("messages can be encoded");
-        let wire_bytes = datagram_bytes(line.len());
-        let kind = ByteKind::of(message);
-        self.meter.count(process.node, kind, wire_bytes);
-        self.meter.count_datagram();
-        if self.random.random_bool(LOSS) {
-            return;
-        }
-        self.deliver(process, to, line, wire_bytes, 1);
-    }
-
-    fn stream(&mut self, process: Process, to: SocketAddr, message: &PeerMessage) {
-        let is_up = layout::node_at(to)
-            .and_then(|node| self.nodes.get(node))
-            .is_some_and(|node| node.state.is_some());
-        if !is_up {
-            let event = ScaleEvent::StreamFailed { process, to };
-            self.schedule(Duration::from_millis(50), event);
-            return;
-        }
-        let line = serde_json::to_vec(message).expect("messages can be encoded");
-        let wire_bytes = stream_bytes(line.len());
-        let kind = ByteKind::of(message);
-        self.meter.count(process.node, kind, wire_bytes);
-        // The connection is opened first.
-        self.deliver(process, to, line, wire_bytes, 3);
-    }
-
-    fn deliver(
-        &mut self,
-        process: Process,
-        to: SocketAddr,
-        line: Vec<u8>,
-        wire_bytes: u64,
-        ways: u32,
-    ) {
-        let Some(target) = layout::node_at(to).filter(|node| *node < self.nodes.len()) else {
-            return;
-        };
-        let delay = layout::delay(process.node, target, &mut self.random) * ways;
-        let event = ScaleEvent::Message {
-            to: target,
-            from: layout::address_of(process.node),
-            line,
-            wire_bytes,
-        };
-        self.schedule(delay, event);
-    }
-
-    fn store_called(&mut self, process: Process, id: StoreRequestId, call: StoreCall) {
-        let (answer, seen) = self.store.call(call);
-        self.meter
-            .count(process.node, ByteKind::ObjectApi, answer_bytes(&answer));
-        let answered = ScaleEvent::StoreAnswered {
-            process,
-            id,
-            answer,
-        };
-        self.schedule(STORE_DELAY, answered);
-        for (watcher, event) in seen {
-            let watched = ScaleEvent::Watched {
-                process: watcher,
-                event,
-            };
-            self.schedule(STORE_DELAY, watched);
-        }
-    }
-
-    fn load(&mut self, event: LoadEvent) {
-        self.schedule_next(event);
-        match event {
-            LoadEvent::Change | LoadEvent::BurstChange => self.submit_change(),
-            LoadEvent::Burst => {
-                for index in 0..load::BURST_CHANGES as u32 {
-                    let after = load::BURST_LASTS * index / load::BURST_CHANGES as u32;
-                    self.schedule(after, ScaleEvent::Load(LoadEvent::BurstChange));
-                }
-            }
-            LoadEvent::EngineLeaves => self.engine_leaves(),
-            LoadEvent::RackLeaves => {
-                for _ in 0..load::RACK_ENGINES {
-                    self.engine_leaves();
-                }
-            }
-            LoadEvent::EngineReturns {
-                engine,
-                incarnation,
-            } => self.observe(engine, incarnation, false),
-            LoadEvent::NodeRestarts => self.restart_node(),
-            LoadEvent::NodeFails => self.fail_node(),
-        }
-    }
-
-    fn submit_change(&mut self) {
-        let Some(node) = self.random_serving() else {
-            return;
-        };
-        self.submitted += 1;
-        let change = load::nth_change(self.submitted, self.engines, &mut self.random);
-        let event = ControlEvent::OperatorChange {
-            operation: OperationId(self.submitted),
-            change,
-            dry_run: false,
-        };
-        self.give(self.nodes[node].process, event);
-    }
-
-    fn engine_leaves(&mut self) {
-        let engine = self.random.random_range(0..self.engines);
-        if self
-            .incarnations
-            .get(&engine)
-            .is_some_and(|state| state % 2 == 1)
-        {
-            return;
-        }
-        // Odd numbers are processes that have said they leave, even ones that serve.
-        let incarnation = self.incarnations.get(&engine).copied().unwrap_or(0) + 1;
-        self.incarnations.insert(engine, incarnation);
-        let name = layout::engine_name(engine);
-        let everyone = self.serving().collect();
-        self.drains
-            .begin((name, incarnation), everyone, self.now_micros);
-        self.observe(engine, incarnation, true);
-        let back = LoadEvent::EngineReturns {
-            engine,
-            incarnation: incarnation + 1,
-        };
-        self.schedule(load::ENGINE_AWAY, ScaleEvent::Load(back));
-    }
-
-    fn observe(&mut self, engine: usize, incarnation: u64, draining: bool) {
-        self.incarnations.insert(engine, incarnation);
-        let Some(node) = self.random_serving() else {
-            return;
-        };
-        let event = ControlEvent::BackEndObserved {
-            back_end: layout::engine_name(engine),
-            incarnation: Incarnation(incarnation),
-            draining,
-        };
-        self.give(self.nodes[node].process, event);
-    }
-
-    fn restart_node(&mut self) {
-        let Some(node) = self.random_serving() else {
-            return;
-        };
-        let process = self.nodes[node].process;
-        self.give(process, ControlEvent::StopRequested);
-        self.give(process, ControlEvent::TrafficEnded);
-        self.schedule(load::RESTART_AWAY, ScaleEvent::Starts(node));
-    }
-
-    fn fail_node(&mut self) {
-        if let Some(node) = self.random_serving() {
-            self.stop(node);
-            self.schedule(load::FAILURE_AWAY, ScaleEvent::Starts(node));
-        }
-    }
-
-    fn serving(&self) -> impl Iterator<Item = usize> {
-        (0..self.nodes.len()).filter(|node| self.nodes[*node].is_serving)
-    }
-
-    fn random_serving(&mut self) -> Option<usize> {
-        let serving: BTreeSet<usize> = self.serving().collect();
-        serving.into_iter().choose(&mut self.random)
-    }
-
-    fn schedule_next(&mut self, event: LoadEvent) {
-        if let Some(pause) = load::time_to_next(event, &mut self.random) {
-            self.schedule(pause, ScaleEvent::Load(event));
-        }
-    }
-
     fn schedule(&mut self, after: Duration, event: ScaleEvent) {
         let at = self.now_micros + micros(after);
         if at <= self.end_micros {
@@ -637,19 +350,6 @@
     duration.as_micros() as u64
 }
 
-fn answer_bytes(answer: &StoreAnswer) -> u64 {
-    let length = |value: &ryerouter_core::control::StoreValue| {
-        serde_json::to_vec(value).map_or(0, |text| text.len()) as u64
-    };
-    match answer {
-        StoreAnswer::Found(object) => length(&object.value),
-        StoreAnswer::Listed { objects, .. } => {
-            objects.iter().map(|object| length(&object.value)).sum()
-        }
-        _ => 0,
-    }
-}
-
 impl SimState<u64> for HollowCluster {
     fn is_complete(&self, current_time: &u64) -> bool {
         *current_time >= self.end_micros
