--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::{Ref, RefCell, RefMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{PoolName, ZoneName};
@@ -17,6 +18,10 @@
 use crate::telemetry::{LogSampler, Metrics};
 use crate::upstream::Upstream;
 
+/// After this time a node knows the others.
+const SETTLING: Duration = Duration::from_secs(3);
+/// Nodes that share the retry budget, as long as a new node does not know better.
+const PROCESSES_WHILE_SETTLING: usize = 16;
 /// Callers in a zone get its own nodes only when there are at least so many.
 const LEAST_NEAR_NODES: usize = 2;
 
@@ -150,7 +155,13 @@
     pub fn spend_retry(&self, pool: &PoolName) -> bool {
         let now: Timestamp = self.clock.now();
         let mut state = self.state_mut();
-        let processes = state.peers.known_count() + 1;
+        let known = state.peers.known_count() + 1;
+        // Nodes that have just started, perhaps all at once, do not know each other yet.
+        let is_new = now.since(self.clock.start_time()) < SETTLING;
+        let processes = match is_new {
+            true => known.max(PROCESSES_WHILE_SETTLING),
+            false => known,
+        };
         let window = state.retries.entry(pool.clone()).or_default();
         let is_allowed = window.spend(&self.settings.retry, processes, now);
         match is_allowed {
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -297,3 +297,18 @@
         assert!(second.state().is_kv_store_down);
     });
 }
+
+#[test]
+fn node_that_has_just_started_takes_only_a_small_share_of_the_retry_budget() {
+    run(async {
+        let gateway = gateway("node-1");
+        let pool = "pool".into();
+        let mut spent = 0;
+        while gateway.spend_retry(&pool) {
+            spent += 1;
+        }
+        // The floor of the tests is 100; sixteen such nodes stay below it together.
+        assert!(spent >= 1);
+        assert!(spent * 16 <= 100, "{spent} retries");
+    });
+}
