--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -29,6 +29,10 @@
     resumed: u32,
     /// From the arrival of the request to the first event.
     first_event_ms: Option<u64>,
+    /// From the arrival of the request to the last event so far.
+    last_event_ms: u64,
+    /// Longest time between events.
+    longest_pause_ms: u64,
     active: ActiveRequest,
 }
 
@@ -49,6 +53,8 @@
             has_begun: false,
             resumed: 0,
             first_event_ms: None,
+            last_event_ms: 0,
+            longest_pause_ms: 0,
             active,
         }
     }
@@ -160,6 +166,12 @@
             return;
         };
         live.in_flight.prompt_read();
+        let elapsed_ms = self.active.elapsed_ms();
+        if self.has_begun {
+            let pause_ms = elapsed_ms - self.last_event_ms;
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.last_event_ms = elapsed_ms;
         if !self.has_begun {
             self.has_begun = true;
             self.first_event_ms = Some(self.active.elapsed_ms());
@@ -190,7 +202,8 @@
             "fetched" => fetch.map(|fetch| fetch.tokens),
             "fetched_from" => fetch.map(|fetch| fetch.holder.to_string()),
             "prefix" => placement.keys.shared().last().map(|(key, _)| format!("{:016x}", key.0)),
-            "saved" => placement.saves, "unread" => placement.unread_tokens, "first_event_ms" => self.first_event_ms, "cost" => %placement.cost,
+            "saved" => placement.saves, "unread" => placement.unread_tokens, "first_event_ms" => self.first_event_ms,
+            "longest_pause_ms" => self.longest_pause_ms, "cost" => %placement.cost,
             "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
             "configuration" => request.configuration_version,
             "after_ms" => self.active.elapsed_ms(), "left_out" => left_out);
