--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use ryerouter_core::Timestamp;
 use slog::info;
 
@@ -16,6 +17,8 @@
 
 /// Most prefixes that one message tells of; more wait for the next.
 const MOST_HOLDER_NEWS: usize = 64;
+/// Addresses where nobody answered yet that one introduction goes to.
+const MOST_UNHEARD_RECEIVERS: usize = 4;
 /// Named weights are told to other nodes for so long.
 const NAMED_NEWS_AGE: Duration = Duration::from_secs(60);
 
@@ -60,7 +63,7 @@
             .map(|(engine, load)| EngineLoadNews(engine.entry.name.clone(), load))
             .collect();
         let members = match is_introduction {
-            true => state.peers.members(now),
+            true => state.peers.members(now, &mut rand::rng()),
             false => Vec::new(),
         };
         let named = match is_introduction {
@@ -76,7 +79,7 @@
             reaches_store: state.is_source_reached,
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
-            echoes: state.peers.echoes(now),
+            echoes: state.peers.echoes(now, &mut rand::rng()),
             members,
             named,
             kv_store: self.kv_store_news(&state),
@@ -131,7 +134,8 @@
         let zone = &self.settings().identity.zone;
         let mut receivers = state.peers.receivers(zone, random);
         if is_introduction {
-            receivers.extend_from_slice(state.peers.unheard_addresses());
+            let unheard = state.peers.unheard_addresses();
+            receivers.extend(unheard.choose_multiple(random, MOST_UNHEARD_RECEIVERS));
         }
         receivers
     }
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
@@ -21,7 +21,9 @@
 /// A node that was silent for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Most nodes whose messages are echoed in one message.
-const MOST_ECHOES: usize = 64;
+const MOST_ECHOES: usize = 16;
+/// Most nodes that one introduction tells of.
+const MOST_MEMBERS: usize = 16;
 /// Addresses that are tried though nobody answered there yet.
 const MOST_UNHEARD: usize = 64;
 
@@ -131,10 +133,11 @@
         self.peers.len().max(self.unheard.len())
     }
 
-    /// The last messages of others, for them to know that they arrived.
-    pub fn echoes(&self, now: Timestamp) -> Vec<MessageEcho> {
+    /// The last messages of others, for them to know that they arrived; of some, when they are many.
+    pub fn echoes(&self, now: Timestamp, random: &mut impl Rng) -> Vec<MessageEcho> {
         self.alive(now)
-            .take(MOST_ECHOES)
+            .choose_multiple(random, MOST_ECHOES)
+            .into_iter()
             .map(|peer| MessageEcho {
                 incarnation: peer.identity.incarnation,
                 sequence: peer.sequence,
@@ -142,9 +145,11 @@
             .collect()
     }
 
-    /// Nodes to tell others of.
-    pub fn members(&self, now: Timestamp) -> Vec<MemberAddress> {
+    /// Nodes to tell others of: some of them, drawn at random.
+    pub fn members(&self, now: Timestamp, random: &mut impl Rng) -> Vec<MemberAddress> {
         self.alive(now)
+            .choose_multiple(random, MOST_MEMBERS)
+            .into_iter()
             .map(|peer| MemberAddress {
                 name: peer.identity.name.clone(),
                 address: peer.identity.peer_address,
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -264,6 +264,15 @@
             let receivers = gateway.peer_receivers(false, &mut random);
             assert_eq!(receivers.len(), expected);
         }
+        for index in 0..60 {
+            let address = format!("127.0.0.1:{}", 20_000 + index).parse().unwrap();
+            gateway.state_mut().peers.suggest(address);
+        }
+        let receivers = gateway.peer_receivers(true, &mut random);
+        assert!(receivers.len() <= expected + 4);
+        let message = gateway.peer_message(true);
+        assert_eq!(message.members.len(), others.min(16));
+        assert_eq!(message.echoes.len(), others.min(16));
         let now = gateway.clock().now();
         assert_eq!(gateway.state().peers.alive(now).count(), others);
     });
