Avoid an engine without room for longer after each refusal in a row

Change: the time doubles with each refusal in a row, up to 1.2 s, and starts anew when it takes work.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::retry::EngineHealth;
@@ -9,6 +10,11 @@
 
 use super::{EngineEntry, EngineLoad, EngineState};
 
+/// An engine that had no room is avoided for so long at first.
+const AVOID_FULL: Duration = Duration::from_millis(150);
+/// This time doubles with each refusal in a row, so often at most.
+const MOST_DOUBLINGS: u32 = 3;
+
 /// One engine or plain back end as this process knows it.
 #[derive(Debug)]
 pub struct Engine {
@@ -26,8 +32,10 @@
     pub loading_until: Option<Timestamp>,
     /// Its entry went without a word while the list was not to be trusted.
     pub is_unlisted: bool,
-    /// It refused work for want of room until this time.
+    /// It refused work for want of room and is avoided until this time.
     pub full_until: Option<Timestamp>,
+    /// How often it refused work since it last took some.
+    refusals_in_a_row: u32,
 }
 
 impl Engine {
@@ -42,6 +50,7 @@
             loading_until: None,
             is_unlisted: false,
             full_until: None,
+            refusals_in_a_row: 0,
         }
     }
 
@@ -61,6 +70,19 @@
         is_news
     }
 
+    /// It refused work for want of room: avoided for longer after each refusal in a row, as when it
+    /// loads weights and nobody could tell.
+    pub fn note_full(&mut self, now: Timestamp) {
+        let doublings = self.refusals_in_a_row.min(MOST_DOUBLINGS);
+        self.refusals_in_a_row += 1;
+        self.full_until = Some(now.after(AVOID_FULL * 2_u32.pow(doublings)));
+    }
+
+    /// It took work.
+    pub fn note_accepted(&mut self) {
+        self.refusals_in_a_row = 0;
+    }
+
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Timestamp) -> bool {
         let is_loading = self.loading_until.is_some_and(|until| now < until);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -19,8 +19,6 @@
 use crate::request::{AnswerFacts, AttemptHead};
 use crate::upstream::{AttemptFailure, UpstreamAnswer};
 
-/// An engine that had no room is avoided for so long.
-const AVOID_FULL: Duration = Duration::from_millis(150);
 /// An engine with other weights than expected is avoided for so long: it is about to load.
 const AVOID_MISDIRECTED: Duration = Duration::from_millis(300);
 /// Longest time for the rest of a refusal whose connection is to be kept.
@@ -48,7 +46,7 @@
     let facts = gateway.dialect().read_answer(&answer.head);
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
-            note_answer_weights(gateway, request, placement, &facts);
+            note_accepted(gateway, request, placement, &facts);
             Ok(LiveAnswer::new(answer, facts, placement.clone(), in_flight))
         }
         Err(end) => {
@@ -151,12 +149,18 @@
     Ok(())
 }
 
-fn note_answer_weights(
+/// The engine took the request; its answer tells its weights.
+fn note_accepted(
     gateway: &Gateway,
     request: &AcceptedRequest,
     placement: &Placement,
     facts: &AnswerFacts,
 ) {
+    let mut state = gateway.state_mut();
+    if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        engine.note_accepted();
+    }
+    drop(state);
     if let (Some(prompt), Some(weights)) = (&request.caller.prompt, facts.weights) {
         gateway.note_weights(&placement.engine, &prompt.model, weights);
     }
@@ -191,7 +195,7 @@
             AttemptEnd::NotConnected(_) => engine.health.unreachable(now),
             AttemptEnd::NoRoom(_) => {
                 engine.health.answered();
-                engine.full_until = Some(now.after(AVOID_FULL));
+                engine.note_full(now);
             }
             AttemptEnd::Misdirected(_) => {
                 engine.loading_until = Some(now.after(AVOID_MISDIRECTED));
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -220,3 +220,23 @@
     assert_eq!(stored.fetch, None);
     assert!(!world.choose(&prompt("s,y,1")).unwrap().saves);
 }
+
+#[test]
+fn engine_is_avoided_for_longer_after_each_refusal_in_a_row() {
+    let mut world = World::new(&["a"]);
+    let now = world.now;
+    let name = BackEndName::new("a");
+    let engine = world.engines.get_mut(&name).unwrap();
+    let mut avoided = Vec::new();
+    for _ in 0..6 {
+        engine.note_full(now);
+        let until = engine.full_until.unwrap();
+        avoided.push(until.since(now).as_millis());
+    }
+    assert_eq!(avoided, [150, 300, 600, 1_200, 1_200, 1_200]);
+    engine.note_accepted();
+    engine.note_full(now);
+    assert_eq!(engine.full_until.unwrap().since(now).as_millis(), 150);
+    // Without another engine it is still asked.
+    assert!(world.choose(&prompt("s,x,1")).is_some());
+}
