Few readers of the source in a large deployment; loads told to every node

Change: beyond nine other nodes, one node of a zone reads the source and the others ask it in one datagram each way; they ask the source themselves when its word is too old. Messages go to the whole own zone, echoes tell who lives elsewhere, loads are announced to every node, again while they last, and told when they end.

--- a/crates/gateway/src/engines/engine_entry.rs
+++ b/crates/gateway/src/engines/engine_entry.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// Whether a back end takes new work, by its own word.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EngineState {
     /// Takes new work.
     Ready,
@@ -15,7 +16,7 @@
 }
 
 /// One back end process in the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineEntry {
     /// Names one process: each start has another.
     pub name: BackEndName,
--- a/crates/gateway/src/gateway/engine_weights.rs
+++ b/crates/gateway/src/gateway/engine_weights.rs
@@ -31,6 +31,27 @@
         self.urgent_news.notify_one();
     }
 
+    /// An engine that this node had ordered to load has the weights; every node is told, so that
+    /// work goes there again.
+    pub fn note_loaded(&self, engine: &BackEndName, model: &str, version: u64, after: Duration) {
+        let mut state = self.state_mut();
+        if let Some(known) = state.engines.get_mut(engine) {
+            known.note_weights(model, version);
+            known.loading_until = None;
+        }
+        info!(self.log(), "engine_loaded"; "engine" => %engine, "model" => model,
+            "version" => version, "after_ms" => after.as_millis() as u64);
+        state.weights_news.push(WeightsNews {
+            engine: engine.clone(),
+            model: model.to_owned(),
+            version,
+            loading_ms: None,
+        });
+        state.news_for_all = true;
+        drop(state);
+        self.urgent_news.notify_one();
+    }
+
     /// This node is about to order an engine to load weights.
     pub fn note_loading(
         &self,
@@ -50,6 +71,7 @@
             version,
             loading_ms: Some(expected.as_millis() as u64),
         });
+        state.news_for_all = true;
         drop(state);
         self.urgent_news.notify_one();
     }
@@ -68,6 +90,9 @@
                 }
             }
             None => {
+                if engine.weights_of(&news.model) >= Some(news.version) {
+                    engine.loading_until = None;
+                }
                 if engine.note_weights(&news.model, news.version) {
                     info!(self.log(), "engine_weights"; "engine" => %news.engine,
                         "model" => &news.model, "version" => news.version, "by" => "peer");
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -26,6 +26,8 @@
     pub assumed_weights_age: Duration,
     /// An engine whose entry went while the source was in trouble may be used for so long.
     pub unlisted_grace: Duration,
+    /// Changes of what the source holds must be in force within this time.
+    pub catalogue_bound: Duration,
     /// The retry budget.
     pub retry: RetrySettings,
     /// Connections to engines.
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -14,6 +14,8 @@
 use crate::placement::HolderTable;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
+use crate::source::{ChangeLog, ItemKind, Replicas};
+use crate::sync::Exchange;
 
 /// What a gateway believes; changed between awaits only.
 #[derive(Debug)]
@@ -22,12 +24,14 @@
     pub node_state: NodeState,
     /// The configuration, once one is known.
     pub table: Option<Rc<RoutingTable>>,
-    /// When the configuration was last certainly current.
-    pub freshness: ProofOfFreshness,
-    /// Revision of the source up to which changes of the configuration are known.
-    pub configuration_revision: Option<u64>,
-    /// Whether another node has a newer configuration.
-    pub is_configuration_behind: bool,
+    /// How far the copies of what the source holds are.
+    pub replicas: Replicas,
+    /// Recent changes of the list of engines, for other nodes.
+    pub engine_log: ChangeLog,
+    /// Revision after which this node saw all weights come that were named.
+    pub weights_seen_after: Option<u64>,
+    /// Questions to and of other nodes about what the source holds.
+    pub sync: Exchange,
     /// Whether the last call to the source was answered.
     pub is_source_reached: bool,
     /// Whether the list of engines has been read.
@@ -62,6 +66,10 @@
     pub seen_lease: Option<(LeaseNews, Timestamp)>,
     /// Version of the lease that other nodes were told last.
     pub told_lease: Option<StoreVersion>,
+    /// Whether this node holds the lease of orders or is to have it.
+    pub is_order_candidate: bool,
+    /// Whether the next message goes to every node, however many there are.
+    pub news_for_all: bool,
     /// The lease of orders as another node told last; the age counts from now on.
     pub heard_lease: Option<LeaseNews>,
     /// When calls to the source last failed several times in a row.
@@ -75,6 +83,11 @@
 }
 
 impl GatewayState {
+    /// When the configuration was last certainly current.
+    pub fn freshness(&self) -> ProofOfFreshness {
+        self.replicas.of(ItemKind::Configuration).freshness
+    }
+
     /// The state at the start of a process.
     pub fn new(settings: &GatewaySettings) -> Self {
         let mut peers = PeerTable::default();
@@ -86,9 +99,10 @@
         Self {
             node_state: NodeState::Starting,
             table: None,
-            freshness: ProofOfFreshness::default(),
-            configuration_revision: None,
-            is_configuration_behind: false,
+            replicas: Replicas::default(),
+            engine_log: ChangeLog::default(),
+            weights_seen_after: None,
+            sync: Exchange::default(),
             is_source_reached: false,
             has_engine_list: false,
             has_weights_list: false,
@@ -106,6 +120,8 @@
             sent_times: SentTimes::default(),
             seen_lease: None,
             told_lease: None,
+            is_order_candidate: false,
+            news_for_all: false,
             heard_lease: None,
             source_trouble_at: None,
             holder_news: Vec::new(),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -9,15 +9,60 @@
 
 use super::Gateway;
 use crate::catalogue::RoutingTable;
-use crate::engines::{EngineEntry, EngineState};
+use crate::engines::{EngineEntry, EngineState, EngineTable};
 use crate::peers::NodeState;
 use crate::rollout::NamedAt;
-use crate::source::{Item, ItemChange, ItemKind, NamedWeights};
+use crate::source::{Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
 
 /// So many calls that fail in a row are a disruption of the source.
 const FAILURES_OF_TROUBLE: u32 = 2;
 
 impl Gateway {
+    /// The source listed all items of a kind at `revision`, to a question sent at `asked_at`.
+    pub fn take_list(
+        &self,
+        kind: ItemKind,
+        items: Vec<Item>,
+        revision: u64,
+        asked_at: Timestamp,
+    ) {
+        let mut state = self.state_mut();
+        if kind == ItemKind::Engines {
+            match state.has_engine_list {
+                true => {
+                    let changes = differences(&state.engines, &items);
+                    state.engine_log.append(changes, revision);
+                }
+                false => state.engine_log.restart(revision),
+            }
+        }
+        if kind == ItemKind::Weights {
+            state.weights_seen_after.get_or_insert(revision);
+        }
+        state.replicas.of_mut(kind).revision = Some(revision);
+        drop(state);
+        self.replace_items(kind, items, asked_at);
+    }
+
+    /// Takes changes up to a revision: from the source, to a question sent at `asked_at`, or from
+    /// another node. What is known already is passed over, since the newest state counts.
+    pub fn take_batch(&self, kind: ItemKind, batch: ItemBatch, asked_at: Option<Timestamp>) {
+        let mut state = self.state_mut();
+        if state.replicas.of(kind).revision > Some(batch.revision) {
+            return;
+        }
+        state.replicas.of_mut(kind).revision = Some(batch.revision);
+        if kind == ItemKind::Engines {
+            let changes = batch.changes.iter().cloned();
+            state.engine_log.append(changes, batch.revision);
+        }
+        drop(state);
+        match asked_at {
+            Some(asked_at) => self.change_items(kind, batch.changes, asked_at),
+            None => self.apply(kind, batch.changes),
+        }
+    }
+
     /// The source listed all items of a kind, to a question sent at `asked_at`.
     pub fn replace_items(&self, kind: ItemKind, items: Vec<Item>, asked_at: Timestamp) {
         if kind == ItemKind::Engines {
@@ -41,6 +86,17 @@
 
     /// The source told changes, or that there are none, to a question sent at `asked_at`.
     pub fn change_items(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
+        self.apply(kind, changes);
+        let mut state = self.state_mut();
+        state.is_source_reached = true;
+        let replica = state.replicas.of_mut(kind);
+        replica.is_behind = false;
+        replica.freshness.prove(asked_at);
+        drop(state);
+        self.become_ready();
+    }
+
+    fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>) {
         for change in changes {
             match change {
                 ItemChange::Present(Item::Configuration(table)) => self.adopt_table(table),
@@ -52,13 +108,6 @@
                 ItemChange::Gone(_) => {}
             }
         }
-        let mut state = self.state_mut();
-        state.is_source_reached = true;
-        if kind == ItemKind::Configuration {
-            state.freshness.prove(asked_at);
-        }
-        drop(state);
-        self.become_ready();
     }
 
     /// A call to the source failed; `failures` of this kind in a row. A single one may be a watch
@@ -191,3 +240,22 @@
         }
     }
 }
+
+/// What a list changes of the engines that are known.
+fn differences(engines: &EngineTable, items: &[Item]) -> Vec<ItemChange> {
+    let listed = items.iter().filter_map(|item| match item {
+        Item::Engine(entry) => Some(entry),
+        _ => None,
+    });
+    let listed: Vec<_> = listed.collect();
+    let names: Vec<_> = listed.iter().map(|entry| entry.name.clone()).collect();
+    let gone = engines.names_outside(&names);
+    let gone = gone.into_iter().map(|name| ItemChange::Gone(name.to_string()));
+    let is_changed = |entry: &&EngineEntry| {
+        let known = engines.get(&entry.name);
+        known.is_none_or(|known| known.entry != **entry)
+    };
+    let changed = listed.into_iter().filter(is_changed);
+    let changed = changed.map(|entry| ItemChange::Present(Item::Engine(entry.clone())));
+    gone.chain(changed).collect()
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -8,9 +8,11 @@
 mod order_candidacy;
 mod peer_news;
 mod proof_of_freshness;
+mod reading;
 mod shared;
 
 pub use gateway_settings::GatewaySettings;
 pub use gateway_state::GatewayState;
 pub use proof_of_freshness::ProofOfFreshness;
+pub use reading::Role;
 pub use shared::Gateway;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -14,12 +14,14 @@
     ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, PeerMessage,
 };
 use crate::rollout::NamedAt;
+use crate::source::ItemKind;
 
 /// Most prefixes that one message tells of; more wait for the next.
 const MOST_HOLDER_NEWS: usize = 64;
 /// Addresses where nobody answered yet that one introduction goes to.
 const MOST_UNHEARD_RECEIVERS: usize = 4;
-/// Named weights are told to other nodes for so long.
+
+/// Named weights are told with an introduction for so long.
 const NAMED_NEWS_AGE: Duration = Duration::from_secs(60);
 
 impl Gateway {
@@ -67,7 +69,7 @@
             false => Vec::new(),
         };
         let named = match is_introduction {
-            true => self.named_news(&state),
+            true => self.named_news(&state, NAMED_NEWS_AGE),
             false => Vec::new(),
         };
         PeerMessage {
@@ -90,7 +92,7 @@
     }
 
     fn configuration_proof(&self, state: &GatewayState) -> Option<ConfigurationProof> {
-        let age = state.freshness.age(self.clock().now())?;
+        let age = state.freshness().age(self.clock().now())?;
         Some(ConfigurationProof {
             version: state.table.as_ref()?.version(),
             age_ms: age.as_millis() as u64 + 1,
@@ -110,16 +112,17 @@
             return;
         };
         let own_version = state.table.as_ref().map(|table| table.version());
-        state.is_configuration_behind |= own_version.is_some_and(|own| own < proof.version);
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        replica.is_behind |= own_version.is_some_and(|own| own < proof.version);
         if own_version == Some(proof.version) {
             let proven_at = sent_at.before(Duration::from_millis(proof.age_ms));
-            state.freshness.prove(proven_at);
+            replica.freshness.prove(proven_at);
         }
     }
 
-    fn named_news(&self, state: &GatewayState) -> Vec<NamedNews> {
+    pub(super) fn named_news(&self, state: &GatewayState, age: Duration) -> Vec<NamedNews> {
         let now = self.clock().now();
-        let seen = state.deadlines.seen_within(NAMED_NEWS_AGE, now);
+        let seen = state.deadlines.seen_within(age, now);
         seen.map(|(model, version, at)| NamedNews {
             model: model.to_owned(),
             version,
@@ -128,11 +131,29 @@
         .collect()
     }
 
+    /// Takes weights that another node saw to be named.
+    pub(super) fn take_named_news(&self, named: &[NamedNews]) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        for news in named {
+            let at = now.before(Duration::from_millis(news.age_ms));
+            let is_newest = state
+                .deadlines
+                .note(&news.model, news.version, NamedAt::Seen(at));
+            if is_newest {
+                info!(self.log(), "weights_named"; "model" => &news.model,
+                    "version" => news.version, "by" => "peer", "age_ms" => news.age_ms);
+            }
+        }
+    }
+
     /// Where to send a message.
     pub fn peer_receivers(&self, is_introduction: bool, random: &mut impl Rng) -> Vec<SocketAddr> {
-        let state = self.state();
-        let zone = &self.settings().identity.zone;
-        let mut receivers = state.peers.receivers(zone, random);
+        let mut state = self.state_mut();
+        let mut receivers = match std::mem::take(&mut state.news_for_all) {
+            true => state.peers.all_addresses(),
+            false => state.peers.receivers(random),
+        };
         if is_introduction {
             let unheard = state.peers.unheard_addresses();
             receivers.extend(unheard.choose_multiple(random, MOST_UNHEARD_RECEIVERS));
@@ -152,12 +173,13 @@
             state.owes_introduction = true;
             self.urgent_news.notify_one();
         }
-        for news in &message.named {
-            let at = now.before(Duration::from_millis(news.age_ms));
-            let at = NamedAt::Seen(at);
-            state.deadlines.note(&news.model, news.version, at);
+        let zone = &self.settings().identity.zone;
+        let is_newest = state.peers.hear(&message, zone, now);
+        if state.peers.is_large() {
+            for echo in &message.echoes {
+                state.peers.hear_echo(echo, now);
+            }
         }
-        let is_newest = state.peers.hear(&message, now);
         for member in &message.members {
             if member.name != self.settings().identity.name {
                 state.peers.suggest(member.address);
@@ -184,6 +206,7 @@
                 "state" => %message.state, "alive" => alive);
         }
         drop(state);
+        self.take_named_news(&message.named);
         for news in &message.weights {
             self.note_weights_news(news);
         }
--- /dev/null
+++ b/crates/gateway/src/gateway/reading.rs
@@ -0,0 +1,226 @@
+//! Who reads the source, and how the other nodes catch up; see docs/design/reading.md.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::NodeName;
+use slog::{debug, info};
+
+use super::{Gateway, GatewayState, ProofOfFreshness};
+use crate::source::{ItemBatch, ItemKind};
+use crate::sync::{Answer, EngineChange, Mark, Question};
+
+/// Most changes of the list of engines in one answer.
+const MOST_CHANGES: usize = 40;
+/// A reader whose copies are older than this share of what is allowed is no good.
+const STALE_SHARE: f64 = 0.5;
+
+/// How a node keeps up with the source.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It watches the source for itself, as every node of a small deployment does.
+    Watches,
+    /// It watches the source for its zone.
+    Reads,
+    /// It asks a reader, and the source only when that does not help.
+    Relies,
+}
+
+impl Gateway {
+    /// How this node keeps up with the source now.
+    pub fn role(&self) -> Role {
+        let now = self.clock().now();
+        let state = self.state();
+        if !state.peers.is_large() {
+            return Role::Watches;
+        }
+        let is_first = self.reader(&state, now).is_none();
+        let is_needed = state.is_order_candidate || state.sync.is_relied_on(now);
+        match is_first || is_needed {
+            true => Role::Reads,
+            false => Role::Relies,
+        }
+    }
+
+    /// The node to ask: of those of the zone that serve, the first by name, unless that is this
+    /// node itself.
+    fn reader(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+        let own = &self.settings().identity;
+        let near = state
+            .peers
+            .ready(now)
+            .filter(|peer| peer.identity.zone == own.zone);
+        let first = near
+            .filter(|peer| state.sync.may_ask(&peer.identity.name, now))
+            .min_by(|left, right| left.identity.name.cmp(&right.identity.name))?;
+        let identity = &first.identity;
+        (identity.name < own.name).then(|| (identity.name.clone(), identity.peer_address))
+    }
+
+    /// The next question, and where to send it; `None` while this node does not rely on another.
+    pub fn next_question(&self) -> Option<(SocketAddr, Question)> {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if !state.peers.is_large() {
+            return None;
+        }
+        if let Some(silent) = state.sync.give_up_open(now) {
+            info!(self.log(), "reader_silent"; "reader" => %silent);
+        }
+        let (reader, address) = self.reader(&state, now)?;
+        let number = state.sync.ask(reader, now);
+        let revision = |kind| state.replicas.of(kind).revision;
+        let question = Question {
+            number,
+            engines: revision(ItemKind::Engines),
+            weights: revision(ItemKind::Weights),
+        };
+        Some((address, question))
+    }
+
+    /// Answers another node's question.
+    pub fn answer_question(&self, question: &Question) -> Answer {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        state.sync.note_asked(now);
+        let version = state.table.as_ref().map(|table| table.version());
+        let catch_up = self.catch_up(&state, question);
+        let revision = catch_up.as_ref().map(|(revision, _)| *revision);
+        let weights = self.knows_weights_after(&state, question.weights);
+        let weights = weights.then(|| replica_mark(&state, ItemKind::Weights, now));
+        let has_news = state.replicas.of(ItemKind::Weights).revision > question.weights;
+        Answer {
+            number: question.number,
+            configuration: mark(version, state.freshness(), now),
+            engines: replica_mark(&state, ItemKind::Engines, now),
+            weights: weights.flatten(),
+            changes: catch_up.map_or_else(Vec::new, |(_, changes)| changes),
+            revision,
+            named: match has_news {
+                true => self.named_news(&state, Duration::MAX),
+                false => Vec::new(),
+            },
+        }
+    }
+
+    /// Whether this node saw every version come that was named after `revision`; what was there
+    /// when it started it can only date by assumption, which must not spread.
+    fn knows_weights_after(&self, state: &GatewayState, revision: Option<u64>) -> bool {
+        let begin = state.weights_seen_after;
+        begin.is_some() && revision >= begin
+    }
+
+    fn catch_up(
+        &self,
+        state: &GatewayState,
+        question: &Question,
+    ) -> Option<(u64, Vec<EngineChange>)> {
+        let newest = state.replicas.of(ItemKind::Engines).revision?;
+        let known = question.engines?;
+        let caught_up = state.engine_log.after(known, newest, MOST_CHANGES)?;
+        let changes = caught_up.changes.into_iter();
+        let changes = changes.filter_map(EngineChange::of).collect();
+        Some((caught_up.revision, changes))
+    }
+
+    /// Takes the answer of a reader.
+    pub fn take_answer(&self, answer: Answer) {
+        let Some((reader, asked_at)) = self.state_mut().sync.close(answer.number) else {
+            return;
+        };
+        self.take_engines(&answer, asked_at);
+        self.take_weights(&answer, asked_at);
+        self.take_configuration(&answer, asked_at);
+        self.judge_reader(&reader);
+    }
+
+    fn take_engines(&self, answer: &Answer, asked_at: Timestamp) {
+        let Some(mark) = answer.engines else {
+            return;
+        };
+        if answer.revision.is_none() {
+            let mut state = self.state_mut();
+            let replica = state.replicas.of_mut(ItemKind::Engines);
+            replica.is_behind |= replica.revision < Some(mark.position);
+        }
+        if let Some(revision) = answer.revision {
+            let changes = answer.changes.iter().cloned().map(Into::into).collect();
+            let batch = ItemBatch { changes, revision };
+            self.take_batch(ItemKind::Engines, batch, None);
+        }
+        self.take_mark(ItemKind::Engines, mark, asked_at);
+    }
+
+    fn take_weights(&self, answer: &Answer, asked_at: Timestamp) {
+        let Some(mark) = answer.weights else {
+            return;
+        };
+        self.take_named_news(&answer.named);
+        let mut state = self.state_mut();
+        let replica = state.replicas.of_mut(ItemKind::Weights);
+        if replica.revision.is_some() {
+            replica.revision = replica.revision.max(Some(mark.position));
+        }
+        drop(state);
+        self.take_mark(ItemKind::Weights, mark, asked_at);
+    }
+
+    fn take_configuration(&self, answer: &Answer, asked_at: Timestamp) {
+        let Some(mark) = answer.configuration else {
+            return;
+        };
+        let mut state = self.state_mut();
+        let own = state.table.as_ref().map(|table| table.version());
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        if own < Some(mark.position) {
+            replica.is_behind = true;
+            return;
+        }
+        replica.freshness.prove(counted_back(asked_at, mark));
+    }
+
+    /// The copy was current when the reader's was, if it has come as far.
+    fn take_mark(&self, kind: ItemKind, mark: Mark, asked_at: Timestamp) {
+        let mut state = self.state_mut();
+        let replica = state.replicas.of_mut(kind);
+        if replica.revision >= Some(mark.position) {
+            replica.freshness.prove(counted_back(asked_at, mark));
+        } else if kind == ItemKind::Engines {
+            debug!(self.log(), "engine_list_behind"; "revision" => replica.revision,
+                "reader" => mark.position);
+        }
+    }
+
+    /// A reader that knows nothing recent itself is not asked again soon.
+    fn judge_reader(&self, reader: &NodeName) {
+        let now = self.clock().now();
+        let limit = self.settings().catalogue_bound.mul_f64(STALE_SHARE);
+        let mut state = self.state_mut();
+        let kinds = [ItemKind::Configuration, ItemKind::Engines];
+        let is_current = |kind: &ItemKind| {
+            let replica = state.replicas.of(*kind);
+            replica.is_behind || replica.freshness.is_within(limit, now)
+        };
+        if !kinds.iter().all(is_current) {
+            state.sync.avoid(reader.clone(), now);
+            info!(self.log(), "reader_stale"; "reader" => %reader);
+        }
+    }
+}
+
+fn counted_back(asked_at: Timestamp, mark: Mark) -> Timestamp {
+    asked_at.before(Duration::from_millis(mark.age_ms))
+}
+
+fn replica_mark(state: &GatewayState, kind: ItemKind, now: Timestamp) -> Option<Mark> {
+    let replica = state.replicas.of(kind);
+    mark(replica.revision, replica.freshness, now)
+}
+
+fn mark(position: Option<u64>, freshness: ProofOfFreshness, now: Timestamp) -> Option<Mark> {
+    Some(Mark {
+        position: position?,
+        age_ms: freshness.age(now)?.as_millis() as u64 + 1,
+    })
+}
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -174,6 +174,7 @@
     /// Begins to leave: no new callers, what runs is finished.
     pub fn leave(&self) {
         self.state_mut().node_state = NodeState::Leaving;
+        self.state_mut().news_for_all = true;
         info!(self.log, "stopping"; "active_requests" => self.state().active_requests);
         self.urgent_news.notify_one();
         self.leaving.notify_waiters();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod rollout;
 pub mod serve;
 pub mod source;
+pub mod sync;
 pub mod telemetry;
 pub mod upstream;
--- /dev/null
+++ b/crates/gateway/src/peers/datagram.rs
@@ -0,0 +1,20 @@
+//! Datagrams between nodes.
+
+use serde::{Deserialize, Serialize};
+
+use super::PeerMessage;
+use crate::sync::{Answer, Question};
+
+/// One datagram between nodes: a JSON line.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// What the sender knows and does.
+    #[serde(rename = "m")]
+    Message(PeerMessage),
+    /// The sender wants to catch up with the source.
+    #[serde(rename = "q")]
+    Question(Question),
+    /// What it lacks.
+    #[serde(rename = "a")]
+    Answer(Answer),
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other gateways: who they are, and what they tell.
 
 mod configuration_proof;
+mod datagram;
 mod engine_news;
 mod holder_news;
 mod kv_store_news;
@@ -15,6 +16,7 @@
 mod sent_times;
 
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
+pub use datagram::Datagram;
 pub use engine_news::{EngineLoadNews, NamedNews, WeightsNews};
 pub use holder_news::HolderNews;
 pub use kv_store_news::KvStoreNews;
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -17,9 +17,13 @@
     pub gives_orders: bool,
     /// Whether it reached the store of leases lately.
     pub reaches_store: bool,
-    /// Number of its last message.
+    /// Whether it stands in the own zone.
+    pub is_near: bool,
+    /// Number of its last message that came.
     pub sequence: u64,
-    /// When that came.
+    /// Number of its newest message that this or another node has.
+    pub newest_sequence: u64,
+    /// When it was last heard, or heard of.
     pub heard_at: Timestamp,
     /// Its work at engines.
     pub loads: Vec<EngineLoadNews>,
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -14,10 +14,14 @@
 
 /// A node that was silent for so long is not handed to callers.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
-/// Most nodes that one message goes to.
-const MOST_RECEIVERS: usize = 9;
-/// Of these, nodes in other zones when there are more nodes.
-const MOST_FAR_RECEIVERS: usize = 3;
+/// Up to so many other nodes, each message goes to all of them.
+const MOST_OF_FEW: usize = 9;
+/// Most nodes of the own zone that one message goes to: its engines and callers are the same.
+const MOST_NEAR_RECEIVERS: usize = 30;
+/// Most nodes of other zones that one message goes to when there are many nodes.
+const MOST_FAR_RECEIVERS: usize = 2;
+/// A node of another zone is mostly heard of through the echoes of others, which takes longer.
+const FAR_SUSPECT_FACTOR: u32 = 3;
 /// A node that was silent for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Most nodes whose messages are echoed in one message.
@@ -53,7 +57,7 @@
     }
 
     /// Takes who a message is from; `false` when a newer one came before it.
-    pub fn hear(&mut self, message: &PeerMessage, now: Timestamp) -> bool {
+    pub fn hear(&mut self, message: &PeerMessage, own_zone: &ZoneName, now: Timestamp) -> bool {
         let from = &message.from;
         self.unheard.retain(|address| *address != from.peer_address);
         if let Some(known) = self.peers.get(&from.name)
@@ -68,7 +72,9 @@
             state: message.state,
             gives_orders: message.gives_orders,
             reaches_store: message.reaches_store,
+            is_near: from.zone == *own_zone,
             sequence: message.sequence,
+            newest_sequence: self.newest_sequence(message),
             heard_at: now,
             loads: message.loads.clone(),
         };
@@ -76,18 +82,44 @@
         true
     }
 
+    /// Number of the newest message that the node is known to have sent in this life.
+    fn newest_sequence(&self, message: &PeerMessage) -> u64 {
+        let known = self.peers.get(&message.from.name);
+        let known = known.filter(|peer| peer.identity.incarnation == message.from.incarnation);
+        known.map_or(message.sequence, |peer| {
+            peer.newest_sequence.max(message.sequence)
+        })
+    }
+
+    /// Whether there are so many nodes that not every node tells every other, and that not every
+    /// node reads the source for itself.
+    pub fn is_large(&self) -> bool {
+        self.peers.len() > MOST_OF_FEW
+    }
+
     /// Forgets nodes that were silent for long.
     pub fn forget_silent(&mut self, now: Timestamp) {
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < FORGET_AFTER);
     }
 
-    /// Nodes that told something lately.
+    /// Nodes that told something lately, or that others have heard of lately.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
-        let limit = self.suspect_after();
-        self.peers
-            .values()
-            .filter(move |peer| now.since(peer.heard_at) < limit)
+        let is_large = self.is_large();
+        let near_limit = SUSPECT_AFTER.mul_f64(self.rarity_of_near_messages());
+        self.peers.values().filter(move |peer| {
+            let limit = match is_large && !peer.is_near {
+                true => near_limit * FAR_SUSPECT_FACTOR,
+                false => near_limit,
+            };
+            now.since(peer.heard_at) < limit
+        })
+    }
+
+    /// How many times as rarely a node of the own zone is heard directly as when all hear all.
+    fn rarity_of_near_messages(&self) -> f64 {
+        let near = self.peers.values().filter(|peer| peer.is_near).count();
+        (near as f64 / MOST_NEAR_RECEIVERS as f64).max(1.0)
     }
 
     /// Nodes that serve, as far as known.
@@ -96,30 +128,34 @@
             .filter(|peer| peer.state == NodeState::Ready)
     }
 
-    /// Where to send a message: to all nodes while they are few; beyond that to some, drawn at
-    /// random, most of them in the own zone, whose engines and callers are the same.
-    pub fn receivers(&self, zone: &ZoneName, random: &mut impl Rng) -> Vec<SocketAddr> {
-        let of = |peer: &Peer| peer.identity.peer_address;
-        if self.peers.len() <= MOST_RECEIVERS {
-            return self.peers.values().map(of).collect();
+    /// Where to send a message: to all nodes while they are few; beyond that to those of the own
+    /// zone, whose engines and callers are the same, and to some others, drawn at random.
+    pub fn receivers(&self, random: &mut impl Rng) -> Vec<SocketAddr> {
+        if !self.is_large() {
+            return self.all_addresses();
         }
-        let (near, far): (Vec<_>, Vec<_>) = self
-            .peers
-            .values()
-            .partition(|peer| peer.identity.zone == *zone);
-        let far_count = MOST_FAR_RECEIVERS.max(MOST_RECEIVERS.saturating_sub(near.len()));
-        let near = near.choose_multiple(random, MOST_RECEIVERS - MOST_FAR_RECEIVERS);
-        let far = far.choose_multiple(random, far_count);
+        let of = |peer: &Peer| peer.identity.peer_address;
+        let (near, far): (Vec<_>, Vec<_>) = self.peers.values().partition(|peer| peer.is_near);
+        let near = near.choose_multiple(random, MOST_NEAR_RECEIVERS);
+        let far = far.choose_multiple(random, MOST_FAR_RECEIVERS);
         near.chain(far).map(|peer| of(peer)).collect()
     }
 
-    /// A node that was silent for so long is not handed to callers: some of its messages, at the
-    /// rate at which they come with so many nodes.
-    fn suspect_after(&self) -> Duration {
-        let share = self.peers.len() as f64 / MOST_FAR_RECEIVERS as f64;
-        match self.peers.len() <= MOST_RECEIVERS {
-            true => SUSPECT_AFTER,
-            false => SUSPECT_AFTER.mul_f64(share).min(FORGET_AFTER),
+    /// All nodes, for news that every one needs at once.
+    pub fn all_addresses(&self) -> Vec<SocketAddr> {
+        let all = self.peers.values();
+        all.map(|peer| peer.identity.peer_address).collect()
+    }
+
+    /// Another node has a message of the node with this life: it was alive when it sent it.
+    pub fn hear_echo(&mut self, echo: &MessageEcho, now: Timestamp) {
+        let mut all = self.peers.values_mut();
+        let known = all.find(|peer| peer.identity.incarnation == echo.incarnation);
+        if let Some(peer) = known
+            && echo.sequence > peer.newest_sequence
+        {
+            peer.newest_sequence = echo.sequence;
+            peer.heard_at = now;
         }
     }
 
@@ -140,7 +176,7 @@
             .into_iter()
             .map(|peer| MessageEcho {
                 incarnation: peer.identity.incarnation,
-                sequence: peer.sequence,
+                sequence: peer.newest_sequence,
             })
             .collect()
     }
--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -32,6 +32,8 @@
     pub(super) opened_at: Timestamp,
     /// When the order was last given.
     pub(super) given_at: Timestamp,
+    /// When other nodes were last told that the engine loads.
+    pub(super) announced_at: Timestamp,
     /// When to ask the engine next; `None` while an answer is due.
     pub(super) ask_at: Option<Timestamp>,
 }
--- a/crates/gateway/src/rollout/rollout_action.rs
+++ b/crates/gateway/src/rollout/rollout_action.rs
@@ -1,5 +1,7 @@
 //! What a rollout wants done.
 
+use std::time::Duration;
+
 use ryerouter_core::identity::BackEndName;
 
 use super::WeightsOrder;
@@ -28,5 +30,7 @@
         model: String,
         /// The version.
         version: u64,
+        /// From the first question until it was known.
+        after: Duration,
     },
 }
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -88,7 +88,9 @@
             });
         }
         let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
-        if is_needed && self.gateway.should_give_orders() {
+        let is_candidate = is_needed && self.gateway.should_give_orders();
+        self.gateway.state_mut().is_order_candidate = is_candidate || self.held.is_some();
+        if is_candidate {
             self.tell_lease(LeaseEvent::Candidacy(true));
         } else if self.held.is_none() && !self.lease.is_asking() {
             // A lease that is about to be won is kept: given up, nobody could order for a while.
@@ -208,7 +210,8 @@
                     engine,
                     model,
                     version,
-                } => self.gateway.note_weights(&engine, &model, version),
+                    after,
+                } => self.gateway.note_loaded(&engine, &model, version, after),
             }
         }
     }
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -60,7 +60,7 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         self.resting.retain(|_, until| now < *until);
-        self.close_finished(engines);
+        self.close_finished(engines, now, actions);
         self.ask_due(now, actions);
         self.order_drained(engines, now, actions);
         for (model, version) in deadlines.newest() {
@@ -69,14 +69,27 @@
     }
 
     /// Ends what other news have settled: the engine is gone, leaves, or has the weights.
-    fn close_finished(&mut self, engines: &EngineTable) {
+    fn close_finished(
+        &mut self,
+        engines: &EngineTable,
+        now: Timestamp,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        let mut loaded = Vec::new();
         self.open.retain(|name, open| {
             let Some(engine) = engines.get(name) else {
                 return false;
             };
             let has = engine.weights_of(&open.model);
-            engine.entry.state == EngineState::Ready && has.is_some_and(|has| has < open.version)
+            if has.is_some_and(|has| has >= open.version) {
+                loaded.push(name.clone());
+                return true;
+            }
+            engine.entry.state == EngineState::Ready && has.is_some()
         });
+        for name in loaded {
+            self.finish(&name, now, actions);
+        }
     }
 
     fn ask_due(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
@@ -162,6 +175,7 @@
                     step: OrderStep::Asking,
                     opened_at: now,
                     given_at: now,
+                    announced_at: now,
                     ask_at: None,
                 };
                 self.open.insert(engine.entry.name.clone(), order);
@@ -281,6 +295,12 @@
         };
         if must_wait {
             open.ask_at = Some(now.after(settings.ask_interval));
+            let is_due = now.since(open.announced_at) > settings.expected_load / 2;
+            if open.step == OrderStep::Loading && is_due {
+                // Other nodes believe it only for so long.
+                open.announced_at = now;
+                actions.push(announcement(engine, open));
+            }
             return;
         }
         open.step = OrderStep::Draining {
@@ -288,11 +308,8 @@
             until: now.after(settings.drain),
         };
         open.ask_at = None;
-        actions.push(RolloutAction::Announce {
-            engine: engine.clone(),
-            model: open.model.clone(),
-            version: open.version,
-        });
+        open.announced_at = now;
+        actions.push(announcement(engine, open));
     }
 
     /// An engine that is silent must not hold up the others.
@@ -331,6 +348,15 @@
             engine: engine.clone(),
             model: open.model,
             version: open.version,
+            after: now.since(open.opened_at),
         });
     }
 }
+
+fn announcement(engine: &BackEndName, open: &OpenOrder) -> RolloutAction {
+    RolloutAction::Announce {
+        engine: engine.clone(),
+        model: open.model.clone(),
+        version: open.version,
+    }
+}
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -102,7 +102,7 @@
     }
     let now = gateway.clock().now();
     if let Some(limit) = gateway.settings().most_unproven {
-        let freshness = gateway.state().freshness;
+        let freshness = gateway.state().freshness();
         if !freshness.is_within(limit, now) {
             let age = freshness.age(now).map_or(0, |age| age.as_millis());
             let detail = format!("configuration not proven current for {age} ms");
--- a/crates/gateway/src/serve/respond.rs
+++ b/crates/gateway/src/serve/respond.rs
@@ -95,7 +95,7 @@
 
 fn log_refusal(gateway: &Gateway, id: &str, refusal: &Refusal, after_ms: u64) {
     let state = gateway.state();
-    let age = state.freshness.age(gateway.clock().now());
+    let age = state.freshness().age(gateway.clock().now());
     warn!(gateway.log(), "request_refused"; "request" => id, "reason" => %refusal.reason,
         "detail" => &refusal.detail, "status" => refusal.status().as_u16(),
         "configuration" => state.table.as_ref().map(|table| table.version()),
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -1,18 +1,31 @@
 //! Following the source.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng;
+use ryerouter_core::Timestamp;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use super::{CatalogueSource, Item, ItemKind, SourceError};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Role};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
+/// A reader of a zone makes its watches at least so far apart, so that many changes in a row cost
+/// few calls.
+const LEAST_SPACING: Duration = Duration::from_millis(250);
+/// Time between looks whether the source must be asked.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// A reader's watches last this share of the time within which changes must be in force.
+const READER_WATCH_SHARE: f64 = 0.15;
+/// A node that relies on a reader asks the source when its copy is older than a share of that time
+/// drawn between these two, so that not all nodes do so at once.
+const PATIENCE_SHARES: Range<f64> = 0.5..0.7;
+
 /// How a kind of item is followed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FollowSettings {
@@ -37,7 +50,7 @@
         kind,
         settings,
         failures: 0,
-        revision: 0,
+        asked_at: None,
     };
     loop {
         follower.list_until_done().await;
@@ -51,7 +64,8 @@
     kind: ItemKind,
     settings: FollowSettings,
     failures: u32,
-    revision: u64,
+    /// When the last watch began.
+    asked_at: Option<Timestamp>,
 }
 
 impl Follower {
@@ -59,11 +73,9 @@
         loop {
             let asked_at = self.gateway.clock().now();
             match self.list_all().await {
-                Ok((items, revision)) if revision >= self.revision => {
+                Ok((items, revision)) if self.revision() <= Some(revision) => {
                     self.note_answer();
-                    self.revision = revision;
-                    self.note_revision();
-                    self.gateway.replace_items(self.kind, items, asked_at);
+                    self.gateway.take_list(self.kind, items, revision, asked_at);
                     return;
                 }
                 // A stale list tells nothing.
@@ -94,28 +106,25 @@
 
     async fn watch_until_history_gone(&mut self) {
         loop {
+            let wait = self.wait_until_needed().await;
             let asked_at = self.gateway.clock().now();
-            // After a failure the answer is wanted at once: it tells that nothing was missed.
-            let wait = match self.failures {
-                0 => self.settings.watch,
-                _ => Duration::ZERO,
-            };
-            let call = self.source.watch(self.kind, self.revision, wait);
+            self.asked_at = Some(asked_at);
+            let revision = self.revision().unwrap_or_default();
+            let call = self.source.watch(self.kind, revision, wait);
             let limit = wait + self.settings.answer;
-            let answer = timeout(limit, call)
-                .await
-                .unwrap_or_else(|_| Err(no_answer()));
+            let answer = tokio::select! {
+                answer = timeout(limit, call) => answer.unwrap_or_else(|_| Err(no_answer())),
+                // Such a watch may stay open for long, and proves nothing before its end.
+                () = self.has_grown_large(), if wait == self.settings.watch => continue,
+            };
             match answer {
-                Ok(batch) if batch.revision >= self.revision => {
+                Ok(batch) if batch.revision >= revision => {
                     self.note_answer();
-                    self.revision = batch.revision;
-                    self.note_revision();
-                    self.gateway
-                        .change_items(self.kind, batch.changes, asked_at);
+                    self.gateway.take_batch(self.kind, batch, Some(asked_at));
                 }
                 Ok(_) | Err(SourceError::HistoryGone) => {
                     info!(self.gateway.log(), "source_history_gone"; "kind" => %self.kind,
-                        "revision" => self.revision);
+                        "revision" => revision);
                     return;
                 }
                 Err(error) => self.pause_after(&error).await,
@@ -123,13 +132,46 @@
         }
     }
 
-    fn note_revision(&self) {
-        if self.kind == ItemKind::Configuration {
-            let mut state = self.gateway.state_mut();
-            state.configuration_revision = Some(self.revision);
+    /// Waits until this node should ask the source; tells how long the watch may then last.
+    async fn wait_until_needed(&self) -> Duration {
+        let bound = self.gateway.settings().catalogue_bound;
+        let patience = bound.mul_f64(rand::rng().random_range(PATIENCE_SHARES));
+        loop {
+            match self.gateway.role() {
+                Role::Relies if self.is_current(patience) => sleep(LOOK_INTERVAL).await,
+                Role::Relies => return Duration::ZERO,
+                // After a failure the answer is wanted at once: it tells that nothing was missed.
+                Role::Watches | Role::Reads if self.failures > 0 => return Duration::ZERO,
+                Role::Watches => return self.settings.watch,
+                Role::Reads if self.asked_within(LEAST_SPACING) => sleep(LOOK_INTERVAL).await,
+                Role::Reads => return bound.mul_f64(READER_WATCH_SHARE),
+            }
         }
     }
 
+    /// Resolves when this node is not to watch the source as one of few nodes any more.
+    async fn has_grown_large(&self) {
+        while self.gateway.role() == Role::Watches {
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    fn is_current(&self, patience: Duration) -> bool {
+        let now = self.gateway.clock().now();
+        let state = self.gateway.state();
+        let replica = state.replicas.of(self.kind);
+        !replica.is_behind && replica.freshness.is_within(patience, now)
+    }
+
+    fn asked_within(&self, span: Duration) -> bool {
+        let now = self.gateway.clock().now();
+        self.asked_at.is_some_and(|at| now.since(at) < span)
+    }
+
+    fn revision(&self) -> Option<u64> {
+        self.gateway.state().replicas.of(self.kind).revision
+    }
+
     fn note_answer(&mut self) {
         if self.failures > 0 {
             info!(self.gateway.log(), "source_regained"; "kind" => %self.kind,
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -40,21 +40,26 @@
 fn needs_proof(gateway: &Gateway, patience: Duration) -> bool {
     let now = gateway.clock().now();
     let state = gateway.state();
-    let is_old = !state.freshness.is_within(patience, now);
-    let is_known = state.configuration_revision.is_some();
-    is_known && (is_old || state.is_configuration_behind)
+    if state.peers.is_large() {
+        // There the node that follows the configuration keeps it current.
+        return false;
+    }
+    let replica = state.replicas.of(ItemKind::Configuration);
+    let is_old = !replica.freshness.is_within(patience, now);
+    replica.revision.is_some() && (is_old || replica.is_behind)
 }
 
 /// Whether the source answered.
 async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
-    let Some(revision) = gateway.state().configuration_revision else {
+    let replica = gateway.state().replicas.of(ItemKind::Configuration).revision;
+    let Some(revision) = replica else {
         return false;
     };
     let asked_at = gateway.clock().now();
     let question = source.watch(ItemKind::Configuration, revision, Duration::ZERO);
     match timeout(ANSWER_LIMIT, question).await {
         Ok(Ok(batch)) if batch.revision >= revision => {
-            gateway.state_mut().is_configuration_behind = false;
+            // The watch that runs beside goes on from its own revision.
             gateway.change_items(ItemKind::Configuration, batch.changes, asked_at);
             gateway.tell_peers_soon();
             true
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -1,19 +1,23 @@
 //! Where the configuration, the list of engines and the named weights come from.
 
 mod catalogue_source;
+mod change_log;
 mod follower;
 mod freshness_prober;
 mod item;
 mod item_kind;
 mod item_page;
 mod lease_store;
+mod replica;
 mod source_error;
 
 pub use catalogue_source::CatalogueSource;
+pub use change_log::{CatchUp, ChangeLog};
 pub use follower::{FollowSettings, follow};
 pub use freshness_prober::keep_fresh;
 pub use item::{Item, ItemChange, NamedWeights};
 pub use item_kind::ItemKind;
 pub use item_page::{ItemBatch, ItemPage};
 pub use lease_store::LeaseStore;
+pub use replica::{Replica, Replicas};
 pub use source_error::SourceError;
--- /dev/null
+++ b/crates/gateway/src/sync/answer.rs
@@ -0,0 +1,46 @@
+//! What a node answers another one of its zone.
+
+use serde::{Deserialize, Serialize};
+
+use super::EngineChange;
+use crate::peers::NamedNews;
+
+/// How far a copy was, and for how long it is known to have been current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Version of the configuration, or revision of other copies.
+    #[serde(rename = "p")]
+    pub position: u64,
+    /// How long before the answer the copy was certainly current, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+}
+
+/// What the asker lacks, and proofs that it has the rest.
+///
+/// The asker counts the age of a proof back from the moment at which it sent its question, since
+/// the datagrams themselves may be of any age.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The number of the question.
+    #[serde(rename = "q")]
+    pub number: u64,
+    /// The configuration; its content comes from the source.
+    #[serde(rename = "c", default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Mark>,
+    /// The list of engines.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub engines: Option<Mark>,
+    /// The named weights.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub weights: Option<Mark>,
+    /// Changes of the list of engines that the asker lacks.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<EngineChange>,
+    /// The revision that the asker has with these changes; `None` when it must read the list.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// Weights that were named lately, when the asker lacks some.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub named: Vec<NamedNews>,
+}
--- /dev/null
+++ b/crates/gateway/src/sync/mod.rs
@@ -0,0 +1,17 @@
+//! Catching up with another node instead of asking the source.
+//!
+//! Calls to the source cost its operator money and are limited in number, so in a large deployment
+//! one node of a zone reads it and the others ask that node: in one datagram each way they learn
+//! what has changed, and until when their copies were certainly current. A node that gets no good
+//! answer asks another node, and in the end the source itself. The ways weighed, and what happens
+//! when the reader is lost, are in docs/design/reading.md.
+
+mod answer;
+mod change;
+mod exchange;
+mod question;
+
+pub use answer::{Answer, Mark};
+pub use change::EngineChange;
+pub use exchange::Exchange;
+pub use question::Question;
--- /dev/null
+++ b/crates/gateway/src/sync/question.rs
@@ -0,0 +1,17 @@
+//! What a node asks another one of its zone.
+
+use serde::{Deserialize, Serialize};
+
+/// How far the sender's copies are, so that the answer holds only what it lacks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Tells questions of one node apart.
+    #[serde(rename = "q")]
+    pub number: u64,
+    /// Revision of the list of engines.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub engines: Option<u64>,
+    /// Revision of the named weights.
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub weights: Option<u64>,
+}
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -152,9 +152,9 @@
             tokio::time::sleep(Duration::from_millis(30)).await;
             second.hear_peer(first.peer_message(false));
             configure(&second, table(version, Vec::new()));
-            let before = first.state().freshness.age(first.clock().now());
+            let before = first.state().freshness().age(first.clock().now());
             first.hear_peer(second.peer_message(false));
-            let after = first.state().freshness.age(first.clock().now());
+            let after = first.state().freshness().age(first.clock().now());
             assert_eq!(after < before, counts);
         }
     });
@@ -175,7 +175,7 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
         first.hear_peer(message);
         let now = first.clock().now();
-        let age = first.state().freshness.age(now).unwrap();
+        let age = first.state().freshness().age(now).unwrap();
         assert!(age >= now.since(asked_at));
     });
 }
--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -256,7 +256,9 @@
 const ALLOWED: Duration = Duration::from_secs(5);
 
 fn start_proving(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
-    gateway.state_mut().configuration_revision = Some(10);
+    let mut state = gateway.state_mut();
+    state.replicas.of_mut(ItemKind::Configuration).revision = Some(10);
+    drop(state);
     let source: Rc<dyn CatalogueSource> = source.clone();
     spawn_local(keep_fresh(Rc::clone(gateway), source, ALLOWED));
 }
@@ -278,7 +280,7 @@
         for _ in 0..200 {
             sleep(Duration::from_millis(100)).await;
             let now = gateway.clock().now();
-            assert!(gateway.state().freshness.is_within(ALLOWED / 2, now));
+            assert!(gateway.state().freshness().is_within(ALLOWED / 2, now));
         }
         let asked = source.questions.borrow().len();
         assert!((8..=20).contains(&asked), "asked {asked} times in 20 s");
@@ -295,7 +297,9 @@
         for _ in 0..100 {
             sleep(Duration::from_millis(100)).await;
             let now = gateway.clock().now();
-            gateway.state_mut().freshness.prove(now);
+            let mut state = gateway.state_mut();
+            let replica = state.replicas.of_mut(ItemKind::Configuration);
+            replica.freshness.prove(now);
         }
         assert!(source.questions.borrow().is_empty());
     });
@@ -311,7 +315,7 @@
         sleep(Duration::from_secs(6)).await;
         assert!(source.questions.borrow().len() > 3);
         let now = gateway.clock().now();
-        assert!(!gateway.state().freshness.is_within(ALLOWED, now));
+        assert!(!gateway.state().freshness().is_within(ALLOWED, now));
     });
 }
 
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -52,6 +52,7 @@
         weights_grace: Duration::from_secs(7),
         assumed_weights_age: Duration::from_secs(5),
         unlisted_grace: Duration::from_secs(3),
+        catalogue_bound: Duration::from_secs(3),
         retry: RetrySettings {
             floor: 100.0,
             ..RetrySettings::default()
