Load weights into at most a fifth of a pool at once

Cause: under time pressure up to half of the engines were ordered at once; loads slow each other down beyond about a sixth to a fifth of a pool, so they took 2.6 s in the median and made the pressure grow (50 of 90 open at 15 s). Change: most_share_at_once 0.5 -> 0.2.

--- a/crates/gateway/src/rollout/rollout_settings.rs
+++ b/crates/gateway/src/rollout/rollout_settings.rs
@@ -29,7 +29,7 @@
     fn default() -> Self {
         Self {
             share_at_once: 1.0 / 6.0,
-            most_share_at_once: 0.5,
+            most_share_at_once: 0.2,
             ask_interval: Duration::from_millis(120),
             drain: Duration::from_millis(400),
             spare_time: Duration::from_millis(2_500),
