Give each shared part one of all stores of kept cache; readers watch less often

Readers asked the store for changes of three kinds every 0.45 s, and seven nodes read instead of three, because one lost datagram made a node ask another reader. Change: the store of a prompt is the first in rendezvous order of its last shared part, of those that answer; each store is watched by a node of its zone. Watches of readers last a quarter of the bound, of weights half of it; a reader counts as silent after two unanswered questions.

--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -13,7 +13,7 @@
     version: u64,
     routes_by_host: HashMap<String, Vec<Rc<Route>>>,
     pools: HashMap<PoolName, PoolProfile>,
-    kv_store: Option<KvStoreProfile>,
+    kv_stores: Vec<KvStoreProfile>,
     has_tenants: bool,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
     limits: CallerLimits,
@@ -25,13 +25,13 @@
         version: u64,
         routes: Vec<Route>,
         pools: Vec<PoolProfile>,
-        kv_store: Option<KvStoreProfile>,
+        kv_stores: Vec<KvStoreProfile>,
         tenants: Vec<Tenant>,
         limits: CallerLimits,
     ) -> Self {
         let mut table = Self {
             version,
-            kv_store,
+            kv_stores,
             has_tenants: !tenants.is_empty(),
             limits,
             ..Self::default()
@@ -98,9 +98,9 @@
         self.pools.values().filter(serves).collect()
     }
 
-    /// The store of kept KV cache, if there is one.
-    pub fn kv_store(&self) -> Option<&KvStoreProfile> {
-        self.kv_store.as_ref()
+    /// The stores of kept KV cache.
+    pub fn kv_stores(&self) -> &[KvStoreProfile] {
+        &self.kv_stores
     }
 
     /// Bounds on what callers may send.
--- a/crates/gateway/src/gateway/cache_knowledge.rs
+++ b/crates/gateway/src/gateway/cache_knowledge.rs
@@ -7,8 +7,9 @@
 use slog::info;
 
 use super::{Gateway, GatewayState};
-use crate::peers::{HolderNews, KvStoreNews, NodeState};
-use crate::placement::{PartKey, Placement, store_holder_name};
+use crate::catalogue::KvStoreProfile;
+use crate::peers::{HolderNews, KvStoreNews, NodeState, Peer};
+use crate::placement::{PartKey, Placement, StoreChange, store_holder_name};
 
 /// Most prefixes that wait to be told; beyond that news are left out.
 const MOST_WAITING_HOLDER_NEWS: usize = 1_024;
@@ -22,58 +23,74 @@
         for (key, _) in &placement.keys.0 {
             self.note_holder(&mut state, *key, &placement.engine);
         }
-        if placement.saves {
+        if let Some(store) = placement.save_to {
             for (key, _) in placement.keys.shared() {
-                self.note_holder(&mut state, *key, &store_holder_name());
+                self.note_holder(&mut state, *key, &store_holder_name(store));
             }
         }
     }
 
-    /// Where the store of kept KV cache listens, when this node is to ask it.
-    pub fn kv_store_to_ask(&self) -> Option<SocketAddr> {
+    /// Where the stores of kept KV cache listen that this node is to ask.
+    pub fn kv_stores_to_ask(&self) -> Vec<SocketAddr> {
         let state = self.state();
-        let store = state.table.as_ref()?.kv_store()?;
-        self.asks_kv_store(&state).then_some(store.address)
+        let stores = state.table.iter().flat_map(|table| table.kv_stores());
+        let own = stores.filter(|store| self.asks_kv_store(&state, store));
+        own.map(|store| store.address).collect()
     }
 
-    /// One node asks for all: of those that serve, the first by name.
-    pub(super) fn asks_kv_store(&self, state: &GatewayState) -> bool {
-        let own_name = &self.settings().identity.name;
-        let mut others = state.peers.ready(self.clock().now());
-        let is_first = others.all(|peer| peer.identity.name > *own_name);
-        is_first && state.node_state == NodeState::Ready
-    }
-
-    pub(super) fn kv_store_news(&self, state: &GatewayState) -> Option<KvStoreNews> {
-        if !self.asks_kv_store(state) {
-            return None;
+    /// One node asks a store for all: of those that serve in its zone the first by name, or of all
+    /// that serve when none stands there.
+    fn asks_kv_store(&self, state: &GatewayState, store: &KvStoreProfile) -> bool {
+        if state.node_state != NodeState::Ready {
+            return false;
         }
-        match state.is_kv_store_down {
-            true => Some(KvStoreNews::Down),
-            false => state.kv_store_epoch.map(KvStoreNews::Up),
+        let own = &self.settings().identity;
+        let now = self.clock().now();
+        let is_in_zone = |peer: &&Peer| peer.identity.zone == store.zone;
+        let first_in_zone = state.peers.ready(now).filter(is_in_zone);
+        let first_in_zone = first_in_zone.map(|peer| &peer.identity.name).min();
+        if own.zone == store.zone {
+            return first_in_zone.is_none_or(|first| *first > own.name);
         }
+        let mut others = state.peers.ready(now);
+        first_in_zone.is_none() && others.all(|peer| peer.identity.name > own.name)
+    }
+
+    pub(super) fn kv_store_news(&self, state: &GatewayState) -> Vec<KvStoreNews> {
+        let stores = state.table.iter().flat_map(|table| table.kv_stores());
+        let own = stores.filter(|store| self.asks_kv_store(state, store));
+        own.filter_map(|store| {
+            let known = state.kv_stores.state(store.address)?;
+            Some(KvStoreNews(store.address, known))
+        })
+        .collect()
     }
 
-    /// The store of kept KV cache answered, or did not.
+    /// A store of kept KV cache answered, or did not.
     pub fn note_kv_store(&self, news: KvStoreNews) {
         let mut state = self.state_mut();
-        self.adopt_kv_store_news(&mut state, news);
+        if self.adopt_kv_store_news(&mut state, news) {
+            state.news_for_all = true;
+            drop(state);
+            self.tell_peers_soon();
+        }
     }
 
-    pub(super) fn adopt_kv_store_news(&self, state: &mut GatewayState, news: KvStoreNews) {
-        let was_down = state.is_kv_store_down;
-        state.is_kv_store_down = news == KvStoreNews::Down;
-        if was_down != state.is_kv_store_down {
-            info!(self.log(), "kv_store_reached"; "answers" => !state.is_kv_store_down);
-        }
-        let KvStoreNews::Up(epoch) = news else {
-            return;
-        };
-        let before = state.kv_store_epoch.replace(epoch);
-        if before.is_some_and(|before| before != epoch) {
-            state.holders.forget_engine(&store_holder_name());
-            info!(self.log(), "kv_store_restarted"; "epoch" => epoch, "before" => before);
+    /// Whether the news changed anything.
+    pub(super) fn adopt_kv_store_news(&self, state: &mut GatewayState, news: KvStoreNews) -> bool {
+        let KvStoreNews(address, told) = news;
+        match state.kv_stores.note(address, told) {
+            StoreChange::None => return false,
+            StoreChange::Reached(answers) => {
+                info!(self.log(), "kv_store_reached"; "store" => %address, "answers" => answers);
+            }
+            StoreChange::Restarted { before, epoch } => {
+                state.holders.forget_engine(&store_holder_name(address));
+                info!(self.log(), "kv_store_restarted"; "store" => %address, "epoch" => epoch,
+                    "before" => before);
+            }
         }
+        true
     }
 
     pub(super) fn note_holder(&self, state: &mut GatewayState, key: PartKey, holder: &BackEndName) {
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -11,7 +11,7 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::EngineTable;
 use crate::peers::{HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews};
-use crate::placement::HolderTable;
+use crate::placement::{HolderTable, KvStores};
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::source::{ChangeLog, ItemKind, Replicas};
@@ -44,10 +44,8 @@
     pub engines: EngineTable,
     /// Who holds which prefix.
     pub holders: HolderTable,
-    /// Whether the store of kept KV cache did not answer when it was last asked.
-    pub is_kv_store_down: bool,
-    /// The life of the store of kept KV cache, as last heard.
-    pub kv_store_epoch: Option<u64>,
+    /// What is believed of the stores of kept KV cache.
+    pub kv_stores: KvStores,
     /// Which weights were named.
     pub deadlines: WeightsDeadlines,
     /// Retry budgets.
@@ -109,8 +107,7 @@
             engine_list_trouble_at: None,
             engines: EngineTable::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
-            is_kv_store_down: false,
-            kv_store_epoch: None,
+            kv_stores: KvStores::default(),
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             retries: HashMap::new(),
             peers,
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -19,13 +19,7 @@
 
 impl Gateway {
     /// The source listed all items of a kind at `revision`, to a question sent at `asked_at`.
-    pub fn take_list(
-        &self,
-        kind: ItemKind,
-        items: Vec<Item>,
-        revision: u64,
-        asked_at: Timestamp,
-    ) {
+    pub fn take_list(&self, kind: ItemKind, items: Vec<Item>, revision: u64, asked_at: Timestamp) {
         let mut state = self.state_mut();
         if kind == ItemKind::Engines {
             match state.has_engine_list {
@@ -250,7 +244,9 @@
     let listed: Vec<_> = listed.collect();
     let names: Vec<_> = listed.iter().map(|entry| entry.name.clone()).collect();
     let gone = engines.names_outside(&names);
-    let gone = gone.into_iter().map(|name| ItemChange::Gone(name.to_string()));
+    let gone = gone
+        .into_iter()
+        .map(|name| ItemChange::Gone(name.to_string()));
     let is_changed = |entry: &&EngineEntry| {
         let known = engines.get(&entry.name);
         known.is_none_or(|known| known.entry != **entry)
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -84,7 +84,7 @@
             echoes: state.peers.echoes(now, &mut rand::rng()),
             members,
             named,
-            kv_store: self.kv_store_news(&state),
+            kv_stores: self.kv_store_news(&state),
             loads,
             holders,
             weights,
@@ -189,8 +189,8 @@
             state.holders.note(*key, engine, now);
         }
         if is_newest {
-            if let Some(news) = message.kv_store {
-                self.adopt_kv_store_news(&mut state, news);
+            for news in &message.kv_stores {
+                self.adopt_kv_store_news(&mut state, *news);
             }
             self.take_proof(&mut state, &message);
             if message.lease.is_some() {
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -14,7 +14,7 @@
 /// Most changes of the list of engines in one answer.
 const MOST_CHANGES: usize = 40;
 /// A reader whose copies are older than this share of what is allowed is no good.
-const STALE_SHARE: f64 = 0.5;
+const STALE_SHARE: f64 = 0.65;
 
 /// How a node keeps up with the source.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -65,7 +65,7 @@
         if !state.peers.is_large() {
             return None;
         }
-        if let Some(silent) = state.sync.give_up_open(now) {
+        if let Some(silent) = state.sync.give_up_silent(now) {
             info!(self.log(), "reader_silent"; "reader" => %silent);
         }
         let (reader, address) = self.reader(&state, now)?;
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -134,7 +134,7 @@
             engines: &state.engines,
             holders: &state.holders,
             table,
-            is_store_up: !state.is_kv_store_down,
+            kv_stores: &state.kv_stores,
             deadlines: &state.deadlines,
             prices: &self.settings.prices,
             zone: &self.settings.identity.zone,
--- a/crates/gateway/src/peers/kv_store_news.rs
+++ b/crates/gateway/src/peers/kv_store_news.rs
@@ -1,10 +1,12 @@
-//! News of the store of kept KV cache.
+//! News of the stores of kept KV cache.
+
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
-/// Whether the store of kept KV cache answers, and in which life.
+/// Whether a store of kept KV cache answers, and in which life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum KvStoreNews {
+pub enum KvStoreState {
     /// It answered and named its life.
     #[serde(rename = "u")]
     Up(u64),
@@ -12,3 +14,7 @@
     #[serde(rename = "d")]
     Down,
 }
+
+/// The state of one store, told by the node that asks it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvStoreNews(pub SocketAddr, pub KvStoreState);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,7 +19,7 @@
 pub use datagram::Datagram;
 pub use engine_news::{EngineLoadNews, NamedNews, WeightsNews};
 pub use holder_news::HolderNews;
-pub use kv_store_news::KvStoreNews;
+pub use kv_store_news::{KvStoreNews, KvStoreState};
 pub use lease_news::LeaseNews;
 pub use member_address::MemberAddress;
 pub use node_identity::{NodeIdentity, new_incarnation};
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -55,9 +55,9 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "o")]
     pub loads: Vec<EngineLoadNews>,
-    /// The state of the store of kept KV cache, while the sender asks for it.
-    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
-    pub kv_store: Option<KvStoreNews>,
+    /// The states of the stores of kept KV cache that the sender asks.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub kv_stores: Vec<KvStoreNews>,
     /// Prefixes that engines have read since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "h")]
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -3,6 +3,8 @@
 mod costs;
 mod sources;
 
+use std::net::SocketAddr;
+
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::ZoneName;
 use ryerouter_core::placement::rendezvous_score;
@@ -13,8 +15,8 @@
 use crate::rollout::WeightsDeadlines;
 
 use super::{
-    CandidateCost, HolderTable, KvFetch, Placement, PlacementPrices, PlacementRequest, Prompt,
-    PromptKeys, PromptVersion,
+    CandidateCost, HolderTable, KvFetch, KvStores, Placement, PlacementPrices, PlacementRequest,
+    Prompt, PromptKeys, PromptVersion,
 };
 
 /// Fewest shared tokens that are worth saving to the store.
@@ -29,8 +31,8 @@
     pub holders: &'a HolderTable,
     /// The configuration.
     pub table: &'a RoutingTable,
-    /// Whether the store of kept KV cache answers, as far as known.
-    pub is_store_up: bool,
+    /// What is believed of the stores of kept KV cache.
+    pub kv_stores: &'a KvStores,
     /// Until when older weights may be used.
     pub deadlines: &'a WeightsDeadlines,
     /// Prices.
@@ -47,7 +49,7 @@
     cached_tokens: u32,
     unread_tokens: u32,
     fetch: Option<KvFetch>,
-    saves: bool,
+    save_to: Option<SocketAddr>,
     cost: CandidateCost,
     order: u64,
 }
@@ -74,7 +76,7 @@
             cached_tokens: best.cached_tokens,
             unread_tokens: best.unread_tokens,
             fetch: best.fetch,
-            saves: best.saves,
+            save_to: best.save_to,
             cost: best.cost,
         })
     }
@@ -136,7 +138,7 @@
             cached_tokens: 0,
             unread_tokens: 0,
             fetch: None,
-            saves: false,
+            save_to: None,
             cost,
             order: rendezvous_score(xxh3_64(request.id.as_bytes()), engine.name_hash),
         }
@@ -175,7 +177,7 @@
         Some(Candidate {
             engine,
             version: Some(version),
-            saves: self.should_save(keys),
+            save_to: self.save_to(keys),
             order: version.order_of(engine),
             cached_tokens,
             unread_tokens,
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -1,7 +1,10 @@
 //! The terms of a candidate's cost.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use ryerouter_core::identity::ZoneName;
+
 use super::{Chooser, LEAST_SAVED_TOKENS};
 use crate::catalogue::EngineProfile;
 use crate::engines::Engine;
@@ -75,7 +78,7 @@
         let gigabytes = f64::from(fetch.tokens) * profile.kv_token_bytes / BYTES_PER_GIGABYTE;
         let zone = match &fetch.holder {
             KvHolder::Engine(name) => self.engines.get(name).map(|holder| &holder.entry.zone),
-            KvHolder::Store => self.table.kv_store().map(|store| &store.zone),
+            KvHolder::Store => self.zone_of_store(fetch.address),
         };
         let is_near = zone == Some(&engine.entry.zone);
         let price = match is_near {
@@ -85,6 +88,12 @@
         gigabytes * price
     }
 
+    fn zone_of_store(&self, address: SocketAddr) -> Option<&ZoneName> {
+        let mut stores = self.table.kv_stores().iter();
+        let store = stores.find(|store| store.address == address)?;
+        Some(&store.zone)
+    }
+
     /// Slots and KV memory in use; memory counts more the nearer it is to its end.
     pub(super) fn crowding(
         &self,
--- a/crates/gateway/src/placement/chooser/sources.rs
+++ b/crates/gateway/src/placement/chooser/sources.rs
@@ -1,10 +1,13 @@
 //! Who holds the parts of a prompt, and where to fetch them from.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::placement::rendezvous_score;
 
 use super::{Chooser, LEAST_SAVED_TOKENS};
+use crate::catalogue::KvStoreProfile;
 use crate::engines::Engine;
 use crate::placement::{KvFetch, KvHolder, PartKey, PromptKeys};
 
@@ -45,8 +48,8 @@
             {
                 return Some(fetch_from(lender, tokens));
             }
-            if self.is_stored(*key) {
-                return self.fetch_from_store(tokens);
+            if self.is_stored(*key, keys) {
+                return self.fetch_from_store(keys, tokens);
             }
             if let Some((lender, _)) = lender {
                 return Some(fetch_from(lender, tokens));
@@ -61,7 +64,7 @@
     pub(super) fn fetch_in_case(&self, keys: &PromptKeys) -> Option<KvFetch> {
         let shared = keys.shared().last().map_or(0, |(_, tokens)| *tokens);
         let is_worth = shared >= LEAST_SAVED_TOKENS;
-        is_worth.then(|| self.fetch_from_store(0)).flatten()
+        is_worth.then(|| self.fetch_from_store(keys, 0)).flatten()
     }
 
     pub(super) fn best_lender(
@@ -79,13 +82,23 @@
             })
     }
 
-    pub(super) fn is_stored(&self, key: PartKey) -> bool {
-        let stored_at = self.holders.stored_at(key);
+    /// The store that keeps the shared parts of a prompt: all nodes take the same one of those that
+    /// answer, so that nobody has to be told where a part is kept, and none is kept twice.
+    fn store_of(&self, keys: &PromptKeys) -> Option<&KvStoreProfile> {
+        let (key, _) = keys.shared().last()?;
+        let stores = self.table.kv_stores().iter();
+        let up = stores.filter(|store| self.kv_stores.is_up(store.address));
+        up.max_by_key(|store| rendezvous_score(key.0, store.hash()))
+    }
+
+    fn is_stored(&self, key: PartKey, keys: &PromptKeys) -> bool {
+        let store = self.store_of(keys);
+        let stored_at = store.and_then(|store| self.holders.stored_at(key, store.address));
         stored_at.is_some_and(|at| self.now.since(at) < STORED_FOR)
     }
 
-    pub(super) fn fetch_from_store(&self, tokens: u32) -> Option<KvFetch> {
-        let store = self.table.kv_store().filter(|_| self.is_store_up)?;
+    fn fetch_from_store(&self, keys: &PromptKeys, tokens: u32) -> Option<KvFetch> {
+        let store = self.store_of(keys)?;
         Some(KvFetch {
             holder: KvHolder::Store,
             address: store.address,
@@ -94,12 +107,11 @@
     }
 
     /// Shared parts that are worth it are saved once, by whoever reads them.
-    pub(super) fn should_save(&self, keys: &PromptKeys) -> bool {
-        let Some((key, tokens)) = keys.shared().last() else {
-            return false;
-        };
-        let has_store = self.table.kv_store().is_some() && self.is_store_up;
-        has_store && *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key)
+    pub(super) fn save_to(&self, keys: &PromptKeys) -> Option<SocketAddr> {
+        let (key, tokens) = keys.shared().last()?;
+        let is_worth = *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key, keys);
+        let store = self.store_of(keys)?;
+        is_worth.then_some(store.address)
     }
 
     pub(super) fn may_lend(&self, holder: &Engine, borrower: &Engine) -> bool {
--- a/crates/gateway/src/placement/chosen_engine.rs
+++ b/crates/gateway/src/placement/chosen_engine.rs
@@ -48,8 +48,8 @@
     pub unread_tokens: u32,
     /// Fetched before.
     pub fetch: Option<KvFetch>,
-    /// Whether its shared parts should be saved to the store of kept KV cache.
-    pub saves: bool,
+    /// The store of kept KV cache that its shared parts should be saved to.
+    pub save_to: Option<SocketAddr>,
     /// Why it was chosen.
     pub cost: CandidateCost,
 }
--- a/crates/gateway/src/placement/holder_table.rs
+++ b/crates/gateway/src/placement/holder_table.rs
@@ -1,6 +1,7 @@
 //! Which engines hold which prefixes.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
@@ -10,12 +11,9 @@
 /// Most holders that are remembered of one prefix, the latest ones.
 const MOST_HOLDERS: usize = 6;
 
-/// Name under which the store of kept KV cache stands in the table.
-const STORE_NAME: &str = "kv-store";
-
-/// Name under which the store of kept KV cache stands in the table.
-pub fn store_holder_name() -> BackEndName {
-    BackEndName::new(STORE_NAME)
+/// Name under which a store of kept KV cache stands in the table.
+pub fn store_holder_name(address: SocketAddr) -> BackEndName {
+    BackEndName::new(format!("kv-store/{address}"))
 }
 
 #[derive(Debug, Clone)]
@@ -69,10 +67,11 @@
             .map(|holder| (&holder.engine, holder.used_at))
     }
 
-    /// When the store of kept KV cache was last known to hold the part.
-    pub fn stored_at(&self, key: PartKey) -> Option<Timestamp> {
+    /// When a store of kept KV cache was last known to hold the part.
+    pub fn stored_at(&self, key: PartKey, store: SocketAddr) -> Option<Timestamp> {
+        let store = store_holder_name(store);
         let mut holders = self.of(key);
-        let in_store = holders.find(|(name, _)| name.as_str() == STORE_NAME);
+        let in_store = holders.find(|(name, _)| **name == store);
         in_store.map(|(_, used_at)| used_at)
     }
 
--- a/crates/gateway/src/placement/kv_store_watch.rs
+++ b/crates/gateway/src/placement/kv_store_watch.rs
@@ -8,7 +8,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::peers::KvStoreNews;
+use crate::peers::{KvStoreNews, KvStoreState};
 
 /// Time between questions.
 const ASK_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -19,20 +19,20 @@
     fn epoch(&self, address: SocketAddr) -> LocalBoxFuture<'_, Option<u64>>;
 }
 
-/// Asks the store for its epoch while this node is the first of all by name, and tells the others:
-/// a store that was restarted is empty, so what it is believed to hold must be saved again.
+/// Asks the stores that fall to this node for their epochs, and tells the other nodes: a store that
+/// was restarted is empty, so what it is believed to hold must be saved again.
 pub async fn watch_kv_store(gateway: Rc<Gateway>, probe: Rc<dyn KvStoreProbe>) {
     loop {
         sleep(ASK_INTERVAL).await;
-        let Some(address) = gateway.kv_store_to_ask() else {
-            continue;
-        };
-        // One lost answer may be the network's; two in a row are the store's.
-        let first = probe.epoch(address).await;
-        let epoch = match first {
-            Some(epoch) => Some(epoch),
-            None => probe.epoch(address).await,
-        };
-        gateway.note_kv_store(epoch.map_or(KvStoreNews::Down, KvStoreNews::Up));
+        for address in gateway.kv_stores_to_ask() {
+            // One lost answer may be the network's; two in a row are the store's.
+            let first = probe.epoch(address).await;
+            let epoch = match first {
+                Some(epoch) => Some(epoch),
+                None => probe.epoch(address).await,
+            };
+            let state = epoch.map_or(KvStoreState::Down, KvStoreState::Up);
+            gateway.note_kv_store(KvStoreNews(address, state));
+        }
     }
 }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt at one engine.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -88,7 +87,7 @@
         salt: placement.salt.clone(),
         weights: placement.weights,
         fetch_from: placement.fetch.as_ref().map(|fetch| fetch.address),
-        save_to: save_to(gateway, placement),
+        save_to: placement.save_to,
         priority: placement.weights.map(|_| request.priority()),
         last_event_id: last_event_id.map(str::to_owned),
     };
@@ -102,12 +101,6 @@
     message
 }
 
-fn save_to(gateway: &Gateway, placement: &Placement) -> Option<SocketAddr> {
-    let state = gateway.state();
-    let store = state.table.as_ref()?.kv_store()?;
-    placement.saves.then_some(store.address)
-}
-
 /// Whether the head is a usable answer to this request.
 fn judge_head(
     request: &AcceptedRequest,
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -20,11 +20,14 @@
 const LEAST_SPACING: Duration = Duration::from_millis(250);
 /// Time between looks whether the source must be asked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// A reader's watches last this share of the time within which changes must be in force.
-const READER_WATCH_SHARE: f64 = 0.15;
+/// A reader's watches last this share of the time within which changes must be in force. Its proof
+/// is up to two watches old, and then that of the others by one question more.
+const READER_WATCH_SHARE: f64 = 0.25;
 /// A node that relies on a reader asks the source when its copy is older than a share of that time
 /// drawn between these two, so that not all nodes do so at once.
-const PATIENCE_SHARES: Range<f64> = 0.5..0.7;
+const PATIENCE_SHARES: Range<f64> = 0.7..0.8;
+/// Named weights may be used much later than that, so they are proven this much less often.
+const WEIGHTS_LENIENCE: f64 = 2.0;
 
 /// How a kind of item is followed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -135,6 +138,10 @@
     /// Waits until this node should ask the source; tells how long the watch may then last.
     async fn wait_until_needed(&self) -> Duration {
         let bound = self.gateway.settings().catalogue_bound;
+        let bound = match self.kind {
+            ItemKind::Weights => bound.mul_f64(WEIGHTS_LENIENCE),
+            ItemKind::Configuration | ItemKind::Engines => bound,
+        };
         let patience = bound.mul_f64(rand::rng().random_range(PATIENCE_SHARES));
         loop {
             match self.gateway.role() {
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -51,7 +51,11 @@
 
 /// Whether the source answered.
 async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
-    let replica = gateway.state().replicas.of(ItemKind::Configuration).revision;
+    let replica = gateway
+        .state()
+        .replicas
+        .of(ItemKind::Configuration)
+        .revision;
     let Some(revision) = replica else {
         return false;
     };
--- a/crates/gateway/src/sync/exchange.rs
+++ b/crates/gateway/src/sync/exchange.rs
@@ -8,6 +8,8 @@
 
 /// A node that did not answer, or knew nothing recent, is not asked again for so long.
 const AVOID: Duration = Duration::from_secs(2);
+/// A single datagram may be lost; so many in a row mean that the node is silent.
+const MOST_UNANSWERED: u32 = 2;
 /// A node that was asked within this time is taken for a reader by others.
 const ASKED_LATELY: Duration = Duration::from_millis(1_200);
 
@@ -24,6 +26,8 @@
 pub struct Exchange {
     number: u64,
     open: Option<Open>,
+    /// Questions in a row without an answer.
+    unanswered: u32,
     avoided: BTreeMap<NodeName, Timestamp>,
     asked_by_others_at: Option<Timestamp>,
 }
@@ -43,12 +47,19 @@
     /// An answer came: when its question was sent, unless it is not the one that is waited for.
     pub fn close(&mut self, number: u64) -> Option<(NodeName, Timestamp)> {
         let open = self.open.take_if(|open| open.number == number)?;
+        self.unanswered = 0;
         Some((open.reader, open.asked_at))
     }
 
-    /// The question before got no answer in time.
-    pub fn give_up_open(&mut self, now: Timestamp) -> Option<NodeName> {
+    /// The question before got no answer in time; tells the node that was silent so often that it
+    /// is avoided from now on.
+    pub fn give_up_silent(&mut self, now: Timestamp) -> Option<NodeName> {
         let open = self.open.take()?;
+        self.unanswered += 1;
+        if self.unanswered < MOST_UNANSWERED {
+            return None;
+        }
+        self.unanswered = 0;
         self.avoid(open.reader.clone(), now);
         Some(open.reader)
     }
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -9,11 +9,11 @@
 use ryerouter_gateway::catalogue::{RequestKind, WeightedPool};
 use ryerouter_gateway::engines::EngineState;
 use ryerouter_gateway::gateway::Gateway;
-use ryerouter_gateway::peers::KvStoreNews;
+use ryerouter_gateway::peers::{KvStoreNews, KvStoreState};
 use ryerouter_gateway::placement::{PartKey, store_holder_name};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use support::gateway_bench::{configure, gateway, gateway_with, list_engines, run, settings};
-use support::records::{HOST, ZONE, engine, model_table, route, table};
+use support::records::{HOST, STORE, ZONE, engine, model_table, route, table};
 use yare::parameterized;
 
 const ENGINE: &str = "e1";
@@ -283,7 +283,8 @@
     run(async {
         let first = gateway("node-1");
         let second = gateway("node-2");
-        let store = store_holder_name();
+        let address = STORE.parse().unwrap();
+        let store = store_holder_name(address);
         for node in [&first, &second] {
             configure(node, model_table(Vec::new()));
             list_engines(node, Vec::new());
@@ -291,19 +292,24 @@
             node.state_mut().holders.note(PartKey(7), &store, now);
         }
         introduce(&first, &second);
-        let is_stored = |node: &Gateway| node.state().holders.stored_at(PartKey(7)).is_some();
+        let is_stored = |node: &Gateway| {
+            node.state()
+                .holders
+                .stored_at(PartKey(7), address)
+                .is_some()
+        };
         // One node asks for all.
-        assert!(first.kv_store_to_ask().is_some());
-        assert!(second.kv_store_to_ask().is_none());
-        first.note_kv_store(KvStoreNews::Up(1));
+        assert!(first.kv_stores_to_ask() == [address]);
+        assert!(second.kv_stores_to_ask().is_empty());
+        first.note_kv_store(KvStoreNews(address, KvStoreState::Up(1)));
         second.hear_peer(first.peer_message(false));
         assert!(is_stored(&first) && is_stored(&second));
-        first.note_kv_store(KvStoreNews::Up(2));
+        first.note_kv_store(KvStoreNews(address, KvStoreState::Up(2)));
         second.hear_peer(first.peer_message(false));
         assert!(!is_stored(&first) && !is_stored(&second));
-        first.note_kv_store(KvStoreNews::Down);
+        first.note_kv_store(KvStoreNews(address, KvStoreState::Down));
         second.hear_peer(first.peer_message(false));
-        assert!(second.state().is_kv_store_down);
+        assert!(!second.state().kv_stores.is_up(address));
     });
 }
 
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -2,27 +2,33 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
 use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
 use ryerouter_gateway::engines::{EngineLoad, EngineTable};
+use ryerouter_gateway::peers::KvStoreState;
 use ryerouter_gateway::placement::{
-    Chooser, HolderTable, KvHolder, Placement, PlacementPrices, PlacementRequest, Prompt,
+    Chooser, HolderTable, KvHolder, KvStores, Placement, PlacementPrices, PlacementRequest, Prompt,
     store_holder_name,
 };
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::records::{POOL, STORE, ZONE, engine, model_table, route};
 use support::test_dialect::{MODEL, PART_TOKENS, prompt};
 
+fn store() -> SocketAddr {
+    STORE.parse().unwrap()
+}
+
 struct World {
     engines: EngineTable,
     holders: HolderTable,
     table: RoutingTable,
     deadlines: WeightsDeadlines,
     isolated: Option<TenantName>,
-    is_store_up: bool,
+    kv_stores: KvStores,
     now: Timestamp,
 }
 
@@ -39,7 +45,7 @@
             table: model_table(vec![route(RequestKind::Streaming)]),
             deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
             isolated: None,
-            is_store_up: true,
+            kv_stores: KvStores::default(),
             now: Timestamp::from_millis(1_000_000),
         }
     }
@@ -49,7 +55,7 @@
             engines: &self.engines,
             holders: &self.holders,
             table: &self.table,
-            is_store_up: self.is_store_up,
+            kv_stores: &self.kv_stores,
             deadlines: &self.deadlines,
             prices: &PlacementPrices::default(),
             zone: &ZoneName::new(ZONE),
@@ -121,20 +127,20 @@
 #[test]
 fn shared_parts_are_saved_once_and_then_fetched_from_the_store() {
     let mut world = World::new(&["a", "b"]);
-    assert!(world.choose(&prompt("s,x,1")).unwrap().saves);
-    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
+    assert!(world.choose(&prompt("s,x,1")).unwrap().save_to.is_some());
+    world.hold(&store_holder_name(store()), &prompt("s,x,1"), 2);
     let placement = world.choose(&prompt("s,x,2")).unwrap();
-    assert!(!placement.saves);
+    assert_eq!(placement.save_to, None);
     let fetch = placement.fetch.unwrap();
     assert_eq!(fetch.holder, KvHolder::Store);
-    assert_eq!(fetch.address, STORE.parse().unwrap());
+    assert_eq!(fetch.address, store());
 }
 
 #[test]
 fn engine_that_should_hold_a_stored_part_is_given_the_store_as_well() {
     let mut world = World::new(&["a"]);
     world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
-    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
+    world.hold(&store_holder_name(store()), &prompt("s,x,1"), 2);
     let placement = world.choose(&prompt("s,x,2")).unwrap();
     assert_eq!(placement.cached_tokens, 2 * PART_TOKENS);
     assert_eq!(placement.fetch.unwrap().holder, KvHolder::Store);
@@ -214,11 +220,11 @@
 #[test]
 fn store_that_does_not_answer_is_neither_asked_nor_saved_to() {
     let mut world = World::new(&["a", "b"]);
-    world.hold(&store_holder_name(), &prompt("s,x,1"), 2);
-    world.is_store_up = false;
+    world.hold(&store_holder_name(store()), &prompt("s,x,1"), 2);
+    world.kv_stores.note(store(), KvStoreState::Down);
     let stored = world.choose(&prompt("s,x,2")).unwrap();
     assert_eq!(stored.fetch, None);
-    assert!(!world.choose(&prompt("s,y,1")).unwrap().saves);
+    assert!(!world.choose(&prompt("s,y,1")).unwrap().save_to.is_some());
 }
 
 #[test]
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -46,7 +46,7 @@
         ..CallerLimits::default()
     };
     let pools = vec![plain_pool()];
-    RoutingTable::new(version, routes, pools, None, vec![tenant()], limits)
+    RoutingTable::new(version, routes, pools, Vec::new(), vec![tenant()], limits)
 }
 
 /// A table of these routes with one pool of engines and a store of kept KV cache.
@@ -67,7 +67,7 @@
         ..plain_pool()
     };
     let limits = CallerLimits::default();
-    RoutingTable::new(1, routes, vec![pool], Some(store), vec![tenant()], limits)
+    RoutingTable::new(1, routes, vec![pool], vec![store], vec![tenant()], limits)
 }
 
 fn plain_pool() -> PoolProfile {
