News between zones, lenders by their weights, unanswered orders block nobody

Change: one node of a zone gathers its news and work for the other zones; an engine lends only what it holds of its present weights; an order without an answer or effect keeps no other engine from loading; the time that requests took to begin lately bounds the estimate.

--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -1,11 +1,13 @@
 //! The engines and plain back ends, as this process knows them.
 
+mod begin_times;
 mod engine;
 mod engine_entry;
 mod engine_load;
 mod engine_table;
 mod in_flight;
 
+pub use begin_times::BeginTimes;
 pub use engine::Engine;
 pub use engine_entry::{EngineEntry, EngineState};
 pub use engine_load::EngineLoad;
--- a/crates/gateway/src/gateway/cache_knowledge.rs
+++ b/crates/gateway/src/gateway/cache_knowledge.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ryerouter_core::identity::BackEndName;
+use ryerouter_core::identity::{BackEndName, PoolName};
 use slog::info;
 
 use super::{Gateway, GatewayState};
@@ -16,12 +16,28 @@
 /// A holder that uses a part again is told anew after so long.
 const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Prefixes shorter than this are read again sooner than told of.
+const LEAST_TOLD_TOKENS: u32 = 256;
+
 impl Gateway {
+    /// A request of a pool began: its prompt was read `after` it had come.
+    pub fn note_begin(&self, pool: &PoolName, after: Duration) {
+        let now = self.clock().now();
+        self.state_mut().begin_times.note(pool, after, now);
+    }
+
     /// An engine has read the prompt of a request: others may fetch its parts.
     pub fn note_prompt_read(&self, placement: &Placement) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
-        for (key, _) in &placement.keys.0 {
-            self.note_holder(&mut state, *key, &placement.engine);
+        let shared = placement.keys.shared();
+        for (key, tokens) in &placement.keys.0 {
+            let is_worth = *tokens >= LEAST_TOLD_TOKENS && shared.iter().any(|part| part.0 == *key);
+            match is_worth {
+                true => self.note_holder(&mut state, *key, &placement.engine),
+                // Only this node may see it again.
+                false => state.holders.note(*key, &placement.engine, now),
+            }
         }
         if let Some(store) = placement.save_to {
             for (key, _) in placement.keys.shared() {
@@ -99,7 +115,9 @@
         let is_news = known_at.is_none_or(|(_, at)| now.since(at) > HOLDER_NEWS_INTERVAL);
         state.holders.note(key, holder, now);
         if is_news && state.holder_news.len() < MOST_WAITING_HOLDER_NEWS {
-            state.holder_news.push(HolderNews(key, holder.clone()));
+            let news = HolderNews(key, holder.clone());
+            state.holder_news.push(news.clone());
+            self.note_zone_news(state, news);
         }
     }
 }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -9,8 +9,10 @@
 
 use super::{GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
-use crate::engines::EngineTable;
-use crate::peers::{HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews};
+use crate::engines::{BeginTimes, EngineTable};
+use crate::peers::{
+    HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneLoads,
+};
 use crate::placement::{HolderTable, KvStores};
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
@@ -42,6 +44,8 @@
     pub engine_list_trouble_at: Option<Timestamp>,
     /// All engines.
     pub engines: EngineTable,
+    /// How long requests take to begin.
+    pub begin_times: BeginTimes,
     /// Who holds which prefix.
     pub holders: HolderTable,
     /// What is believed of the stores of kept KV cache.
@@ -74,6 +78,10 @@
     pub source_trouble_at: Option<Timestamp>,
     /// Prefixes to tell others of.
     pub holder_news: Vec<HolderNews>,
+    /// Prefixes to tell other zones of.
+    pub zone_news: Vec<HolderNews>,
+    /// The work of other zones' nodes at engines.
+    pub zone_loads: ZoneLoads,
     /// Weights to tell others of.
     pub weights_news: Vec<WeightsNews>,
     /// Requests in progress.
@@ -106,6 +114,7 @@
             has_weights_list: false,
             engine_list_trouble_at: None,
             engines: EngineTable::default(),
+            begin_times: BeginTimes::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
             kv_stores: KvStores::default(),
             deadlines: WeightsDeadlines::new(settings.weights_grace),
@@ -122,6 +131,8 @@
             heard_lease: None,
             source_trouble_at: None,
             holder_news: Vec::new(),
+            zone_news: Vec::new(),
+            zone_loads: ZoneLoads::default(),
             weights_news: Vec::new(),
             active_requests: 0,
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod proof_of_freshness;
 mod reading;
 mod shared;
+mod zone_relay;
 
 pub use gateway_settings::GatewaySettings;
 pub use gateway_state::GatewayState;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -10,9 +10,7 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
-use crate::peers::{
-    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, PeerMessage,
-};
+use crate::peers::{ConfigurationProof, EngineLoadNews, LeaseNews, NamedNews, PeerMessage};
 use crate::rollout::NamedAt;
 use crate::source::ItemKind;
 
@@ -185,8 +183,12 @@
                 state.peers.suggest(member.address);
             }
         }
-        for HolderNews(key, engine) in &message.holders {
-            state.holders.note(*key, engine, now);
+        let is_near = message.from.zone == self.settings().identity.zone;
+        for news in &message.holders {
+            state.holders.note(news.0, &news.1, now);
+            if is_near {
+                self.note_zone_news(&mut state, news.clone());
+            }
         }
         if is_newest {
             for news in &message.kv_stores {
@@ -196,8 +198,7 @@
             if message.lease.is_some() {
                 state.heard_lease = message.lease.clone();
             }
-            let loads = state.peers.loads(now);
-            state.engines.set_foreign_loads(&loads);
+            self.refresh_foreign_loads(&mut state, now);
         }
         let alive = state.peers.alive(now).count();
         if alive != alive_before {
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -45,7 +45,11 @@
 
     /// The node to ask: of those of the zone that serve, the first by name, unless that is this
     /// node itself.
-    fn reader(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+    pub(super) fn reader(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
         let own = &self.settings().identity;
         let near = state
             .peers
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -22,6 +22,8 @@
 const SETTLING: Duration = Duration::from_secs(3);
 /// Nodes that share the retry budget, as long as a new node does not know better.
 const PROCESSES_WHILE_SETTLING: usize = 16;
+/// Of the time for older weights at most this share is left unused because requests begin late.
+const MOST_BEGIN_SHARE: f64 = 0.25;
 /// Callers in a zone get its own nodes only when there are at least so many.
 const LEAST_NEAR_NODES: usize = 2;
 
@@ -130,15 +132,18 @@
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let state = self.state();
         let table = state.table.as_ref()?;
+        let now = self.clock.now();
+        let most_begin = self.settings.weights_grace.mul_f64(MOST_BEGIN_SHARE);
         let chooser = Chooser {
             engines: &state.engines,
             holders: &state.holders,
             table,
             kv_stores: &state.kv_stores,
             deadlines: &state.deadlines,
+            slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
             zone: &self.settings.identity.zone,
-            now: self.clock.now(),
+            now,
         };
         chooser.choose(request)
     }
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::PeerMessage;
+use super::{PeerMessage, ZoneNews};
 use crate::sync::{Answer, Question};
 
 /// One datagram between nodes: a JSON line.
@@ -17,4 +17,7 @@
     /// What it lacks.
     #[serde(rename = "a")]
     Answer(Answer),
+    /// What the nodes of another zone know and do.
+    #[serde(rename = "z")]
+    Zone(ZoneNews),
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,6 +14,8 @@
 mod peer_message;
 mod peer_table;
 mod sent_times;
+mod zone_loads;
+mod zone_news;
 
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
 pub use datagram::Datagram;
@@ -29,3 +31,5 @@
 pub use peer_message::PeerMessage;
 pub use peer_table::PeerTable;
 pub use sent_times::SentTimes;
+pub use zone_loads::ZoneLoads;
+pub use zone_news::ZoneNews;
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::Datagram;
+use super::{Datagram, ZoneNews};
 use crate::gateway::Gateway;
 
 /// News go out this often when there are any.
@@ -39,6 +39,7 @@
             _ = ticks.tick() => {
                 tick += 1;
                 tell(&gateway, &socket, tick);
+                tell_zones(&gateway, &socket, tick);
                 if tick % TICKS_PER_QUESTION == phase {
                     ask(&gateway, &socket);
                 }
@@ -56,6 +57,14 @@
             send(socket, &Datagram::Answer(answer), &[from]);
         }
         Ok(Datagram::Answer(answer)) => gateway.take_answer(answer),
+        Ok(Datagram::Zone(news)) => {
+            let receivers = gateway.hear_zone(&news);
+            let news = ZoneNews {
+                is_passed_on: true,
+                ..news
+            };
+            send(socket, &Datagram::Zone(news), &receivers);
+        }
         Err(error) => debug!(gateway.log(), "peer_message_unreadable";
             "from" => %from, "error" => %error),
     }
@@ -73,6 +82,14 @@
     send(socket, &Datagram::Message(message), &receivers);
 }
 
+/// Tells the other zones what the nodes of this one know, when that falls to this node.
+fn tell_zones(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
+    let with_loads = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
+    if let Some((news, relays)) = gateway.next_zone_news(with_loads) {
+        send(socket, &Datagram::Zone(news), &relays);
+    }
+}
+
 /// Asks the node that reads the source for this zone, unless this node reads it itself.
 fn ask(gateway: &Rc<Gateway>, socket: &UdpSocket) {
     if let Some((reader, question)) = gateway.next_question() {
@@ -81,6 +98,9 @@
 }
 
 fn send(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+    if receivers.is_empty() {
+        return;
+    }
     let Ok(bytes) = serde_json::to_vec(datagram) else {
         return;
     };
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -141,6 +141,12 @@
         near.chain(far).map(|peer| of(peer)).collect()
     }
 
+    /// The nodes of the own zone.
+    pub fn near_addresses(&self) -> Vec<SocketAddr> {
+        let near = self.peers.values().filter(|peer| peer.is_near);
+        near.map(|peer| peer.identity.peer_address).collect()
+    }
+
     /// All nodes, for news that every one needs at once.
     pub fn all_addresses(&self) -> Vec<SocketAddr> {
         let all = self.peers.values();
@@ -193,10 +199,11 @@
             .collect()
     }
 
-    /// The work of all other nodes at engines.
+    /// The work of all other nodes at engines; in a large deployment that of the own zone's nodes.
     pub fn loads(&self, now: Timestamp) -> HashMap<BackEndName, EngineLoad> {
         let mut sums: HashMap<BackEndName, EngineLoad> = HashMap::new();
-        for peer in self.alive(now) {
+        let is_large = self.is_large();
+        for peer in self.alive(now).filter(|peer| peer.is_near || !is_large) {
             for news in &peer.loads {
                 sums.entry(news.0.clone()).or_default().add(news.1);
             }
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -4,6 +4,7 @@
 mod sources;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::ZoneName;
@@ -35,6 +36,8 @@
     pub kv_stores: &'a KvStores,
     /// Until when older weights may be used.
     pub deadlines: &'a WeightsDeadlines,
+    /// Longest time that requests of the pool took to begin lately.
+    pub slowest_begin: Duration,
     /// Prices.
     pub prices: &'a PlacementPrices,
     /// The zone of this process.
@@ -156,7 +159,7 @@
         let version = versions.iter().find(|known| known.weights == weights)?;
         let keys = &version.keys;
         let cached_tokens = self.held_tokens(engine, keys);
-        let fetch = self.best_fetch(engine, keys, cached_tokens);
+        let fetch = self.best_fetch(engine, version, cached_tokens);
         let fetched = fetch.as_ref().map_or(0, |fetch| fetch.tokens);
         let known = cached_tokens + fetched;
         let unread_tokens = prompt.prompt_tokens.saturating_sub(known).max(1);
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -40,7 +40,8 @@
     /// Longest time until a request begins there (estimate, on the safe side).
     pub(super) fn begins_in(&self, engine: &Engine, unread_tokens: u32) -> Duration {
         let queued = f64::from(engine.load().unread_tokens) + f64::from(unread_tokens);
-        Duration::from_secs_f64(2.0 * queued / self.prices.read_tokens_per_ms / 1e3)
+        let estimate = Duration::from_secs_f64(2.0 * queued / self.prices.read_tokens_per_ms / 1e3);
+        estimate.max(self.slowest_begin)
     }
 
     pub(super) fn lateness(
--- a/crates/gateway/src/placement/chooser/sources.rs
+++ b/crates/gateway/src/placement/chooser/sources.rs
@@ -9,6 +9,7 @@
 use super::{Chooser, LEAST_SAVED_TOKENS};
 use crate::catalogue::KvStoreProfile;
 use crate::engines::Engine;
+use crate::placement::prompt_version::PromptVersion;
 use crate::placement::{KvFetch, KvHolder, PartKey, PromptKeys};
 
 /// Fewest tokens that are worth fetching.
@@ -34,15 +35,16 @@
     pub(super) fn best_fetch(
         &self,
         engine: &Engine,
-        keys: &PromptKeys,
+        version: &PromptVersion,
         cached: u32,
     ) -> Option<KvFetch> {
+        let keys = &version.keys;
         for (key, tokens) in keys.0.iter().rev() {
             if tokens.saturating_sub(cached) < LEAST_FETCHED_TOKENS {
                 return self.fetch_in_case(keys);
             }
             let tokens = tokens - cached;
-            let lender = self.best_lender(engine, *key);
+            let lender = self.best_lender(engine, *key, version);
             if let Some((lender, used_at)) = lender
                 && self.now.since(used_at) < LATELY
             {
@@ -71,11 +73,14 @@
         &self,
         engine: &Engine,
         key: PartKey,
+        version: &PromptVersion,
     ) -> Option<(&Engine, Timestamp)> {
         let holders = self.holders.of(key);
         holders
             .filter_map(|(name, used_at)| Some((self.engines.get(name)?, used_at)))
             .filter(|(holder, _)| self.may_lend(holder, engine))
+            // An engine that has loaded other weights since has dropped what it held.
+            .filter(|(holder, _)| version.is_of(holder))
             .max_by_key(|(holder, used_at)| {
                 let is_late = self.now.since(*used_at) < LATELY;
                 (is_late, holder.entry.zone == engine.entry.zone, *used_at)
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -8,6 +8,7 @@
 /// A prompt under one version of the weights: its salt and keys, and who reads it first.
 #[derive(Debug)]
 pub(super) struct PromptVersion {
+    model: String,
     pub(super) weights: u64,
     pub(super) salt: String,
     pub(super) keys: PromptKeys,
@@ -22,6 +23,7 @@
         let keys = prompt.keys(&salt);
         let order_key = keys.shared().last().or(keys.0.last());
         Self {
+            model: prompt.model.clone(),
             weights,
             order_key: order_key.map_or(0, |(key, _)| key.0),
             salt,
@@ -30,6 +32,11 @@
         }
     }
 
+    /// Whether an engine has these weights.
+    pub(super) fn is_of(&self, engine: &Engine) -> bool {
+        engine.weights_of(&self.model) == Some(self.weights)
+    }
+
     /// Place of an engine in the order, the highest first.
     pub(super) fn order_of(&self, engine: &Engine) -> u64 {
         rendezvous_score(self.order_key, engine.name_hash)
--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -32,6 +32,8 @@
     pub(super) opened_at: Timestamp,
     /// When the order was last given.
     pub(super) given_at: Timestamp,
+    /// Whether the order got no answer and shows no effect: the engine may not have heard it.
+    pub(super) is_unanswered: bool,
     /// When other nodes were last told that the engine loads.
     pub(super) announced_at: Timestamp,
     /// When to ask the engine next; `None` while an answer is due.
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -162,7 +162,10 @@
                 (until(engine), requests, engine.entry.name.clone())
             });
             let first_until = behind.first().and_then(|engine| until(engine));
-            let open = self.open.values().filter(|open| open.pool == *pool).count();
+            // One that may not have heard its order keeps no other from loading.
+            let in_progress = self.open.values();
+            let in_progress = in_progress.filter(|open| open.pool == *pool && !open.is_unanswered);
+            let open = in_progress.count();
             if !self.must_begin(members.len(), behind.len(), first_until, now) {
                 continue;
             }
@@ -176,6 +179,7 @@
                     opened_at: now,
                     given_at: now,
                     announced_at: now,
+                    is_unanswered: false,
                     ask_at: None,
                 };
                 self.open.insert(engine.entry.name.clone(), order);
@@ -249,6 +253,7 @@
         match outcome {
             OrderOutcome::Accepted => {
                 open.step = OrderStep::Loading;
+                open.is_unanswered = false;
                 open.ask_at = Some(now.after(self.load_time / 2));
             }
             OrderOutcome::AlreadyDone => self.finish(engine, now, actions),
@@ -259,6 +264,7 @@
             // It may be done, now or later; a report tells, and the next order carries its count.
             OrderOutcome::Unknown => {
                 open.step = OrderStep::Loading;
+                open.is_unanswered = true;
                 open.ask_at = Some(now);
             }
             OrderOutcome::Rejected | OrderOutcome::Superseded => self.rest(engine, now),
@@ -286,6 +292,7 @@
             self.finish(engine, now, actions);
             return;
         }
+        open.is_unanswered &= !report.is_busy;
         // Reports lag, so a fresh order may not show yet.
         let may_show_later = now.since(open.given_at) < settings.repeat_after;
         let must_wait = match open.step {
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Passing a stream of events on.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -178,6 +179,8 @@
             let gateway = &self.exchange.gateway;
             let seconds = self.active.elapsed_ms() as f64 / 1e3;
             gateway.metrics().first_answer_seconds.observe(seconds);
+            let pool = &self.exchange.request.pool;
+            gateway.note_begin(pool, Duration::from_millis(elapsed_ms));
             gateway.note_prompt_read(&live.placement);
             count_tokens(&self.exchange, &live.placement);
         }
--- /dev/null
+++ b/crates/gateway/tests/catching_up.rs
@@ -0,0 +1,385 @@
+//! Catching up with a reader of the zone instead of asking the source.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::identity::{BackEndName, ZoneName};
+use ryerouter_gateway::engines::EngineState;
+use ryerouter_gateway::gateway::{Gateway, Role};
+use ryerouter_gateway::peers::Datagram;
+use ryerouter_gateway::source::{ChangeLog, Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
+use ryerouter_gateway::sync::Answer;
+use support::gateway_bench::{configure, gateway_with, run, settings};
+use support::records::{ZONE, engine, table};
+use yare::parameterized;
+
+const FIRST_REVISION: u64 = 100;
+
+/// A node of the zone `zone-a` that has read all lists.
+fn node(index: usize) -> Rc<Gateway> {
+    node_in(index, ZONE)
+}
+
+fn node_in(index: usize, zone: &str) -> Rc<Gateway> {
+    let mut own = settings(&format!("node-{index:02}"));
+    own.identity.incarnation = index as u64 + 10;
+    own.identity.zone = ZoneName::new(zone);
+    let port = 10_000 + index;
+    own.identity.peer_address = format!("127.0.0.1:{port}").parse().unwrap();
+    let gateway = gateway_with(own);
+    let now = gateway.clock().now();
+    configure(&gateway, table(1, Vec::new()));
+    gateway.take_list(ItemKind::Weights, Vec::new(), FIRST_REVISION, now);
+    let entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
+    let list = vec![Item::Engine(entry)];
+    gateway.take_list(ItemKind::Engines, list, FIRST_REVISION, now);
+    gateway
+}
+
+/// Every node has heard of every other.
+fn introduce(nodes: &[Rc<Gateway>]) {
+    for from in nodes {
+        for to in nodes {
+            to.hear_peer(from.peer_message(true));
+        }
+    }
+}
+
+/// A large deployment: twelve nodes of one zone.
+fn zone_of_many() -> Vec<Rc<Gateway>> {
+    let nodes: Vec<_> = (0..12).map(node).collect();
+    introduce(&nodes);
+    nodes
+}
+
+/// Datagrams travel as JSON.
+fn ask(asker: &Gateway, reader: &Gateway) -> Option<Answer> {
+    let (address, question) = asker.next_question()?;
+    assert_eq!(address, reader.settings().identity.peer_address);
+    let answer = Datagram::Answer(reader.answer_question(&question));
+    let bytes = serde_json::to_vec(&answer).unwrap();
+    match serde_json::from_slice(&bytes).unwrap() {
+        Datagram::Answer(answer) => Some(answer),
+        other => panic!("not an answer: {other:?}"),
+    }
+}
+
+fn catch_up(asker: &Gateway, reader: &Gateway) {
+    let answer = ask(asker, reader).expect("relies on the reader");
+    asker.take_answer(answer);
+}
+
+fn engine_change(name: &str, state: EngineState) -> ItemChange {
+    let mut entry = engine(name, "127.0.0.1:1".parse().unwrap(), 1);
+    entry.state = state;
+    ItemChange::Present(Item::Engine(entry))
+}
+
+/// The source tells a reader changes of its list of engines.
+fn source_tells(reader: &Gateway, changes: Vec<ItemChange>, revision: u64) {
+    let batch = ItemBatch { changes, revision };
+    let now = reader.clock().now();
+    reader.take_batch(ItemKind::Engines, batch, Some(now));
+}
+
+fn state_of(gateway: &Gateway, name: &str) -> Option<EngineState> {
+    let state = gateway.state();
+    let known = state.engines.get(&BackEndName::new(name));
+    known.map(|engine| engine.entry.state)
+}
+
+fn age(gateway: &Gateway, kind: ItemKind) -> Duration {
+    let state = gateway.state();
+    let freshness = state.replicas.of(kind).freshness;
+    freshness.age(gateway.clock().now()).unwrap()
+}
+
+#[test]
+fn every_node_of_a_small_deployment_watches_for_itself() {
+    run(async {
+        let nodes: Vec<_> = (0..7).map(node).collect();
+        introduce(&nodes);
+        for node in &nodes {
+            assert_eq!(node.role(), Role::Watches);
+            assert!(node.next_question().is_none());
+        }
+    });
+}
+
+#[test]
+fn one_node_of_each_zone_reads_and_the_others_rely_on_it() {
+    run(async {
+        let zone_of = |index: usize| ["zone-a", "zone-b", "zone-c"][index % 3];
+        let nodes: Vec<_> = (0..15)
+            .map(|index| node_in(index, zone_of(index)))
+            .collect();
+        introduce(&nodes);
+        let mut readers = BTreeMap::new();
+        for node in &nodes {
+            if node.role() == Role::Reads {
+                let identity = &node.settings().identity;
+                readers.insert(identity.zone.to_string(), identity.name.to_string());
+            }
+        }
+        let expected = [
+            ("zone-a", "node-00"),
+            ("zone-b", "node-01"),
+            ("zone-c", "node-02"),
+        ];
+        let expected = expected.map(|(zone, name)| (zone.to_owned(), name.to_owned()));
+        assert_eq!(readers, BTreeMap::from(expected));
+    });
+}
+
+#[test]
+fn changes_of_engines_pass_from_the_reader_to_the_others() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        let drains = vec![engine_change("e1", EngineState::Draining)];
+        source_tells(reader, drains, 101);
+        source_tells(reader, vec![engine_change("e2", EngineState::Ready)], 102);
+        source_tells(reader, vec![ItemChange::Gone("e1".to_owned())], 103);
+        catch_up(other, reader);
+        assert_eq!(state_of(other, "e1"), None);
+        assert_eq!(state_of(other, "e2"), Some(EngineState::Ready));
+        assert_eq!(
+            other.state().replicas.of(ItemKind::Engines).revision,
+            Some(103)
+        );
+    });
+}
+
+#[test]
+fn older_news_of_a_reader_take_nothing_back() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        source_tells(
+            reader,
+            vec![engine_change("e1", EngineState::Draining)],
+            101,
+        );
+        let answer = ask(other, reader).unwrap();
+        // Meanwhile this node asked the source itself.
+        source_tells(other, vec![ItemChange::Gone("e1".to_owned())], 105);
+        other.take_answer(answer);
+        assert_eq!(state_of(other, "e1"), None);
+    });
+}
+
+#[test]
+fn proof_counts_from_the_question_and_by_the_age_that_the_reader_tells() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        source_tells(reader, Vec::new(), 101);
+        let proven_at = reader.clock().now();
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        let answer = ask(other, reader).unwrap();
+        // The answer waits, as when its receiver was paused.
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        other.take_answer(answer);
+        let certain = reader.clock().now().since(proven_at);
+        assert!(age(other, ItemKind::Engines) >= certain);
+        assert!(age(other, ItemKind::Engines) < certain + Duration::from_millis(30));
+        // The configuration was not asked for again.
+        assert!(age(other, ItemKind::Configuration) >= Duration::from_millis(120));
+    });
+}
+
+#[test]
+fn reader_with_a_newer_configuration_proves_nothing_and_makes_the_others_ask() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        configure(reader, table(2, Vec::new()));
+        catch_up(other, reader);
+        let state = other.state();
+        assert!(state.replicas.of(ItemKind::Configuration).is_behind);
+        drop(state);
+        assert!(age(other, ItemKind::Configuration) >= Duration::from_millis(20));
+    });
+}
+
+#[test]
+fn node_that_is_further_behind_than_the_log_reaches_asks_the_source() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        let many = (0..400).map(|index| engine_change(&format!("m{index}"), EngineState::Ready));
+        for (index, change) in many.enumerate() {
+            source_tells(reader, vec![change], 101 + index as u64);
+        }
+        catch_up(other, reader);
+        let state = other.state();
+        assert!(state.replicas.of(ItemKind::Engines).is_behind);
+    });
+}
+
+#[test]
+fn list_that_replaces_lost_history_still_tells_the_others_what_changed() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        let entry = engine("e2", "127.0.0.1:2".parse().unwrap(), 1);
+        let now = reader.clock().now();
+        reader.take_list(ItemKind::Engines, vec![Item::Engine(entry)], 200, now);
+        catch_up(other, reader);
+        assert_eq!(state_of(other, "e1"), None);
+        assert_eq!(state_of(other, "e2"), Some(EngineState::Ready));
+    });
+}
+
+fn name_weights(reader: &Gateway, version: u64, revision: u64) {
+    let named = Item::Weights(NamedWeights {
+        model: "model".to_owned(),
+        version,
+    });
+    let batch = ItemBatch {
+        changes: vec![ItemChange::Present(named)],
+        revision,
+    };
+    let now = reader.clock().now();
+    reader.take_batch(ItemKind::Weights, batch, Some(now));
+}
+
+#[test]
+fn named_weights_pass_on_with_their_age() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        name_weights(reader, 2, 101);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        catch_up(other, reader);
+        let (own, theirs) = (reader.state(), other.state());
+        let left = |gateway: &Gateway, until: Option<ryerouter_core::Timestamp>| {
+            until.unwrap().since(gateway.clock().now()).as_millis() as i64
+        };
+        let own = left(reader, own.deadlines.until("model", 1));
+        let theirs = left(other, theirs.deadlines.until("model", 1));
+        assert!((own - theirs).abs() <= 10, "{own} ms and {theirs} ms");
+    });
+}
+
+#[test]
+fn reader_that_started_after_weights_were_named_does_not_vouch_for_their_age() {
+    run(async {
+        let mut nodes = zone_of_many();
+        let late = gateway_with(nodes[0].settings().clone());
+        let now = late.clock().now();
+        configure(&late, table(1, Vec::new()));
+        let named = Item::Weights(NamedWeights {
+            model: "model".to_owned(),
+            version: 2,
+        });
+        late.take_list(ItemKind::Weights, vec![named], 150, now);
+        late.take_list(ItemKind::Engines, Vec::new(), 150, now);
+        nodes[0] = late;
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        catch_up(other, reader);
+        let state = other.state();
+        // It goes on to ask the source, which it would not do as soon as it took the revision over.
+        let revision = state.replicas.of(ItemKind::Weights).revision;
+        assert_eq!(revision, Some(FIRST_REVISION));
+        assert_eq!(state.deadlines.until("model", 1), None);
+    });
+}
+
+#[test]
+fn silent_reader_is_replaced_by_the_next_node_after_two_questions() {
+    run(async {
+        let nodes = zone_of_many();
+        let asked: Vec<_> = (0..4)
+            .map(|_| nodes[5].next_question().unwrap().0.port())
+            .collect();
+        assert_eq!(asked, [10_000, 10_000, 10_001, 10_001]);
+    });
+}
+
+#[test]
+fn node_that_others_rely_on_reads() {
+    run(async {
+        let nodes = zone_of_many();
+        assert_eq!(nodes[1].role(), Role::Relies);
+        for _ in 0..3 {
+            let (_, question) = nodes[5].next_question().unwrap();
+            nodes[1].answer_question(&question);
+        }
+        assert_eq!(nodes[1].role(), Role::Reads);
+    });
+}
+
+#[test]
+fn reader_that_knows_nothing_recent_is_not_asked_again_soon() {
+    run(async {
+        let mut short = settings("node-05");
+        short.identity.incarnation = 99;
+        short.catalogue_bound = Duration::from_millis(60);
+        let asker = gateway_with(short);
+        let now = asker.clock().now();
+        configure(&asker, table(1, Vec::new()));
+        asker.take_list(ItemKind::Engines, Vec::new(), FIRST_REVISION, now);
+        let mut nodes: Vec<_> = (0..11).filter(|index| *index != 5).map(node).collect();
+        nodes.push(asker);
+        introduce(&nodes);
+        let asker = &nodes[nodes.len() - 1];
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        catch_up(asker, &nodes[0]);
+        let (next, _) = asker.next_question().unwrap();
+        assert_eq!(next.port(), 10_001);
+    });
+}
+
+#[test]
+fn far_node_is_alive_while_others_have_new_messages_of_it() {
+    run(async {
+        let zone_of = |index: usize| if index == 0 { ZONE } else { "zone-b" };
+        let nodes: Vec<_> = (0..12)
+            .map(|index| node_in(index, zone_of(index)))
+            .collect();
+        introduce(&nodes);
+        let (first, between, far) = (&nodes[0], &nodes[1], &nodes[2]);
+        let newest = |gateway: &Gateway| {
+            let state = gateway.state();
+            let now = gateway.clock().now();
+            let mut alive = state.peers.alive(now);
+            let peer = alive.find(|peer| peer.identity.name.as_str() == "node-02");
+            peer.map(|peer| (peer.newest_sequence, peer.heard_at))
+        };
+        let before = newest(first).unwrap();
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        between.hear_peer(far.peer_message(false));
+        // A message echoes up to sixteen of eleven other nodes.
+        first.hear_peer(between.peer_message(false));
+        let after = newest(first).unwrap();
+        assert!(after.0 > before.0 && after.1 > before.1);
+        // Without newer messages the echo of the old one is no news.
+        first.hear_peer(between.peer_message(false));
+        assert_eq!(newest(first).unwrap(), after);
+    });
+}
+
+#[parameterized(
+    nothing_missing = { 103, 40, Some((103, 0)) },
+    two_batches = { 101, 40, Some((103, 2)) },
+    all = { 100, 40, Some((103, 3)) },
+    more_than_fits = { 100, 2, Some((102, 2)) },
+    before_the_begin = { 99, 40, None },
+    batch_that_never_fits = { 100, 0, None },
+)]
+fn log_tells_whole_batches(after: u64, most: usize, expected: Option<(u64, usize)>) {
+    let mut log = ChangeLog::default();
+    log.restart(100);
+    for revision in 101..=103 {
+        log.append([ItemChange::Gone(format!("e{revision}"))], revision);
+    }
+    let told = log.after(after, 103, most);
+    let told = told.map(|told| (told.revision, told.changes.len()));
+    assert_eq!(told, expected);
+}
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -29,6 +29,7 @@
     deadlines: WeightsDeadlines,
     isolated: Option<TenantName>,
     kv_stores: KvStores,
+    slowest_begin: Duration,
     now: Timestamp,
 }
 
@@ -46,6 +47,7 @@
             deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
             isolated: None,
             kv_stores: KvStores::default(),
+            slowest_begin: Duration::ZERO,
             now: Timestamp::from_millis(1_000_000),
         }
     }
@@ -57,6 +59,7 @@
             table: &self.table,
             kv_stores: &self.kv_stores,
             deadlines: &self.deadlines,
+            slowest_begin: self.slowest_begin,
             prices: &PlacementPrices::default(),
             zone: &ZoneName::new(ZONE),
             now: self.now,
