News of the version before do not end a load; a misdirected request shortens none

Any news that an engine has at least the version told ended the belief that it loads, also news of the version before; a 421 replaced three seconds of belief by 0.3. Change: a load ends by news of its own version or a later one; what a 421 tells is kept apart.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -15,6 +15,15 @@
 /// This time doubles with each refusal in a row, so often at most.
 const MOST_DOUBLINGS: u32 = 3;
 
+/// Weights that an engine loads.
+#[derive(Debug)]
+struct Loading {
+    model: String,
+    version: u64,
+    /// Without further news it is believed to be done by then.
+    until: Timestamp,
+}
+
 /// One engine or plain back end as this process knows it.
 #[derive(Debug)]
 pub struct Engine {
@@ -28,8 +37,10 @@
     pub own_load: Rc<RefCell<EngineLoad>>,
     /// Work of all other processes there, as they last told.
     pub foreign_load: EngineLoad,
-    /// While it loads weights: until when this is believed without further news.
-    pub loading_until: Option<Timestamp>,
+    /// The weights that it loads, as long as this is believed.
+    loading: Option<Loading>,
+    /// It had other weights than expected, so it is about to load and is avoided until this time.
+    misdirected_until: Option<Timestamp>,
     /// Its entry went without a word while the list was not to be trusted.
     pub is_unlisted: bool,
     /// It refused work for want of room and is avoided until this time.
@@ -47,7 +58,8 @@
             health: EngineHealth::default(),
             own_load: Rc::default(),
             foreign_load: EngineLoad::default(),
-            loading_until: None,
+            loading: None,
+            misdirected_until: None,
             is_unlisted: false,
             full_until: None,
             refusals_in_a_row: 0,
@@ -61,15 +73,41 @@
 
     /// Takes news of its weights; versions only rise within one life of an engine.
     pub fn note_weights(&mut self, model: &str, version: u64) -> bool {
+        // News of the version before say nothing about the end of a load.
+        self.loading
+            .take_if(|loading| loading.model == model && loading.version <= version);
         let known = self.entry.weights.entry(model.to_owned()).or_default();
         let is_news = version > *known;
         if is_news {
             *known = version;
-            self.loading_until = None;
         }
         is_news
     }
 
+    /// It loads a version of a model's weights, which is believed until `until` at most.
+    pub fn note_loading(&mut self, model: &str, version: u64, until: Timestamp) {
+        let newest = self.loading.as_ref().map(|loading| loading.version);
+        let is_old = self.weights_of(model) >= Some(version) || newest > Some(version);
+        if !is_old {
+            self.loading = Some(Loading {
+                model: model.to_owned(),
+                version,
+                until,
+            });
+        }
+    }
+
+    /// It had other weights than expected.
+    pub fn note_misdirected(&mut self, until: Timestamp) {
+        self.misdirected_until = self.misdirected_until.max(Some(until));
+    }
+
+    /// Whether it is believed to load weights.
+    pub fn is_loading(&self, now: Timestamp) -> bool {
+        let loading = self.loading.as_ref();
+        loading.is_some_and(|loading| now < loading.until)
+    }
+
     /// It refused work for want of room: avoided for longer after each refusal in a row, as when it
     /// loads weights and nobody could tell.
     pub fn note_full(&mut self, now: Timestamp) {
@@ -85,8 +123,8 @@
 
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Timestamp) -> bool {
-        let is_loading = self.loading_until.is_some_and(|until| now < until);
-        self.entry.state == EngineState::Ready && !is_loading
+        let is_misdirected = self.misdirected_until.is_some_and(|until| now < until);
+        self.entry.state == EngineState::Ready && !self.is_loading(now) && !is_misdirected
     }
 
     /// All work there.
--- a/crates/gateway/src/gateway/engine_weights.rs
+++ b/crates/gateway/src/gateway/engine_weights.rs
@@ -37,7 +37,6 @@
         let mut state = self.state_mut();
         if let Some(known) = state.engines.get_mut(engine) {
             known.note_weights(model, version);
-            known.loading_until = None;
         }
         info!(self.log(), "engine_loaded"; "engine" => %engine, "model" => model,
             "version" => version, "after_ms" => after.as_millis() as u64);
@@ -63,7 +62,7 @@
         let until = self.clock().now().after(expected);
         let mut state = self.state_mut();
         if let Some(known) = state.engines.get_mut(engine) {
-            known.loading_until = Some(until);
+            known.note_loading(model, version, until);
         }
         state.weights_news.push(WeightsNews {
             engine: engine.clone(),
@@ -84,15 +83,10 @@
         };
         match news.loading_ms {
             Some(millis) => {
-                let is_behind = engine.weights_of(&news.model) < Some(news.version);
-                if is_behind {
-                    engine.loading_until = Some(now.after(Duration::from_millis(millis)));
-                }
+                let until = now.after(Duration::from_millis(millis));
+                engine.note_loading(&news.model, news.version, until);
             }
             None => {
-                if engine.weights_of(&news.model) >= Some(news.version) {
-                    engine.loading_until = None;
-                }
                 if engine.note_weights(&news.model, news.version) {
                     info!(self.log(), "engine_weights"; "engine" => %news.engine,
                         "model" => &news.model, "version" => news.version, "by" => "peer");
--- a/crates/gateway/src/placement/chooser/sources.rs
+++ b/crates/gateway/src/placement/chooser/sources.rs
@@ -121,8 +121,10 @@
 
     pub(super) fn may_lend(&self, holder: &Engine, borrower: &Engine) -> bool {
         let is_other = holder.entry.name != borrower.entry.name;
-        let is_loading = holder.loading_until.is_some_and(|until| self.now < until);
-        is_other && !is_loading && holder.health.is_serving() && !holder.is_unlisted
+        is_other
+            && !holder.is_loading(self.now)
+            && holder.health.is_serving()
+            && !holder.is_unlisted
     }
 }
 
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -191,7 +191,7 @@
                 engine.note_full(now);
             }
             AttemptEnd::Misdirected(_) => {
-                engine.loading_until = Some(now.after(AVOID_MISDIRECTED));
+                engine.note_misdirected(now.after(AVOID_MISDIRECTED));
             }
             AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -204,7 +204,7 @@
     let mut world = World::new(&["a", "b", "c"]);
     let until = world.now.after(Duration::from_secs(1));
     let loading = world.engines.get_mut(&BackEndName::new("a")).unwrap();
-    loading.loading_until = Some(until);
+    loading.note_loading(MODEL, 2, until);
     let now = world.now;
     let failing = world.engines.get_mut(&BackEndName::new("b")).unwrap();
     failing.health.unreachable(now);
