--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::{BackEndName, ZoneName};
-use ryerouter_gateway::engines::EngineState;
+use ryerouter_gateway::engines::{EngineLoad, EngineState, InFlight};
 use ryerouter_gateway::gateway::{Gateway, Role};
-use ryerouter_gateway::peers::Datagram;
+use ryerouter_gateway::peers::{Datagram, HolderNews, ZoneNews};
+use ryerouter_gateway::placement::{CandidateCost, PartKey, Placement, PromptKeys};
 use ryerouter_gateway::source::{ChangeLog, Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
 use ryerouter_gateway::sync::Answer;
 use support::gateway_bench::{configure, gateway_with, run, settings};
@@ -383,3 +384,127 @@
     let told = told.map(|told| (told.revision, told.changes.len()));
     assert_eq!(told, expected);
 }
+
+/// Twelve nodes in two zones, each of which has heard of all others.
+fn two_zones() -> Vec<Rc<Gateway>> {
+    let zone_of = |index: usize| if index < 6 { ZONE } else { "zone-b" };
+    let nodes: Vec<_> = (0..12)
+        .map(|index| node_in(index, zone_of(index)))
+        .collect();
+    introduce(&nodes);
+    nodes
+}
+
+fn addresses(nodes: &[Rc<Gateway>]) -> Vec<std::net::SocketAddr> {
+    let all = nodes
+        .iter()
+        .map(|node| node.settings().identity.peer_address);
+    all.collect()
+}
+
+#[test]
+fn one_node_of_a_zone_tells_one_of_the_other_which_passes_it_on() {
+    run(async {
+        let nodes = two_zones();
+        let key = PartKey(7);
+        let engine = BackEndName::new("e1");
+        let heard = |node: &Gateway| node.state().holders.of(key).count();
+        // A node that is not the first of its zone tells its own zone, and the first goes on.
+        let now = nodes[3].clock().now();
+        nodes[3]
+            .state_mut()
+            .holder_news
+            .push(HolderNews(key, engine.clone()));
+        nodes[0].hear_peer(nodes[3].peer_message(false));
+        assert!(nodes[3].next_zone_news(true).is_none());
+        let (news, relays) = nodes[0].next_zone_news(false).unwrap();
+        assert_eq!(relays, addresses(&nodes[6..7]));
+        let receivers = nodes[6].hear_zone(&news);
+        assert_eq!(receivers, addresses(&nodes[7..]));
+        let passed_on = ZoneNews {
+            is_passed_on: true,
+            ..news
+        };
+        assert!(nodes[9].hear_zone(&passed_on).is_empty());
+        assert_eq!((heard(&nodes[6]), heard(&nodes[9])), (1, 1));
+        assert!(nodes[0].next_zone_news(false).is_none());
+        assert!(nodes[0].clock().now() >= now);
+    });
+}
+
+#[test]
+fn work_of_another_zone_counts_at_an_engine_until_it_is_old() {
+    run(async {
+        let nodes = two_zones();
+        let engine = BackEndName::new("e1");
+        let load = EngineLoad {
+            requests: 3,
+            unread_tokens: 500,
+            kv_tokens: 900,
+        };
+        let own_load = {
+            let state = nodes[0].state();
+            Rc::clone(&state.engines.get(&engine).unwrap().own_load)
+        };
+        let working = InFlight::new(own_load, load);
+        let (news, _) = nodes[0].next_zone_news(true).unwrap();
+        nodes[6].hear_zone(&news);
+        let seen = |node: &Gateway| node.state().engines.get(&engine).unwrap().load();
+        assert_eq!(seen(&nodes[6]), load);
+        drop(working);
+        let (news, _) = nodes[0].next_zone_news(true).unwrap();
+        nodes[6].hear_zone(&news);
+        assert_eq!(seen(&nodes[6]), EngineLoad::default());
+    });
+}
+
+#[test]
+fn short_and_own_parts_of_prompts_are_not_told() {
+    run(async {
+        let gateway = gateway_with(settings("node-1"));
+        let keys = [(1, 100), (2, 300), (3, 900)];
+        let keys = keys.map(|(key, tokens)| (PartKey(key), tokens));
+        gateway.note_prompt_read(&Placement {
+            engine: BackEndName::new("e1"),
+            address: "127.0.0.1:1".parse().unwrap(),
+            weights: Some(1),
+            salt: None,
+            keys: PromptKeys(keys.to_vec()),
+            cached_tokens: 0,
+            unread_tokens: 900,
+            fetch: None,
+            save_to: None,
+            cost: CandidateCost::default(),
+        });
+        let told = gateway.peer_message(false).holders;
+        let told: Vec<_> = told.iter().map(|news| news.0).collect();
+        assert_eq!(told, [PartKey(2)]);
+        assert_eq!(gateway.state().holders.of(PartKey(3)).count(), 1);
+    });
+}
+
+#[test]
+fn start_and_end_of_a_load_are_told_to_every_node() {
+    run(async {
+        let nodes = two_zones();
+        let engine = BackEndName::new("e1");
+        let mut random = rand::rng();
+        nodes[0].note_loading(&engine, "model", 2, Duration::from_secs(3));
+        let message = nodes[0].peer_message(false);
+        let mut receivers = nodes[0].peer_receivers(false, &mut random);
+        receivers.sort();
+        assert_eq!(receivers, addresses(&nodes[1..]));
+        nodes[9].hear_peer(message);
+        let takes_work = |node: &Gateway| {
+            let now = node.clock().now();
+            node.state().engines.get(&engine).unwrap().takes_work(now)
+        };
+        assert!(!takes_work(&nodes[9]));
+        // Other messages go to the own zone and two others.
+        assert_eq!(nodes[0].peer_receivers(false, &mut random).len(), 5 + 2);
+        nodes[0].note_loaded(&engine, "model", 2, Duration::from_secs(1));
+        nodes[9].hear_peer(nodes[0].peer_message(false));
+        assert_eq!(nodes[0].peer_receivers(false, &mut random).len(), 11);
+        assert!(takes_work(&nodes[9]));
+    });
+}
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
     store_holder_name,
 };
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
-use support::records::{POOL, STORE, ZONE, engine, model_table, route};
+use support::records::{POOL, STORE, ZONE, engine, model_table, model_table_with_stores, route};
 use support::test_dialect::{MODEL, PART_TOKENS, prompt};
 
 fn store() -> SocketAddr {
@@ -249,3 +250,52 @@
     // Without another engine it is still asked.
     assert!(world.choose(&prompt("s,x,1")).is_some());
 }
+
+#[test]
+fn engine_lends_nothing_that_it_held_under_other_weights() {
+    let mut world = World::new(&["a", "b"]);
+    world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
+    world.busy("a");
+    let lender = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    lender.note_weights(MODEL, 2);
+    let placement = world.choose(&prompt("s,x,2")).unwrap();
+    assert_eq!(placement.weights, Some(1));
+    // Only the store is asked, in case.
+    assert_eq!(placement.fetch.unwrap().holder, KvHolder::Store);
+}
+
+#[test]
+fn old_weights_are_left_as_long_before_their_end_as_requests_take_to_begin() {
+    let mut world = World::new(&["a"]);
+    let named = world.now.before(Duration::from_millis(6_000));
+    world.deadlines.note(MODEL, 2, NamedAt::Seen(named));
+    assert!(world.choose(&prompt("s,x,1")).is_some());
+    world.slowest_begin = Duration::from_millis(1_100);
+    assert!(world.choose(&prompt("s,x,1")).is_none());
+}
+
+#[test]
+fn every_node_takes_the_same_of_several_stores_and_another_when_it_is_down() {
+    let mut world = World::new(&["a", "b"]);
+    let addresses = ["127.0.0.1:21", "127.0.0.1:22", "127.0.0.1:23"];
+    world.table = model_table_with_stores(&addresses);
+    let store_of = |world: &World, parts: &str| world.choose(&prompt(parts)).unwrap().save_to;
+    let parts: Vec<_> = (0..60).map(|index| format!("s,x{index},1")).collect();
+    let mut shares = BTreeMap::new();
+    for parts in &parts {
+        *shares.entry(store_of(&world, parts).unwrap()).or_insert(0) += 1;
+    }
+    assert!(
+        shares.len() == 3 && shares.values().all(|share| *share > 8),
+        "{shares:?}"
+    );
+    // Another own part of the prompt makes no difference.
+    assert_eq!(store_of(&world, "s,x1,1"), store_of(&world, "s,x1,2"));
+    let down = store_of(&world, "s,x1,1").unwrap();
+    world.kv_stores.note(down, KvStoreState::Down);
+    let other = store_of(&world, "s,x1,1").unwrap();
+    assert_ne!(other, down);
+    for parts in &parts {
+        assert_ne!(store_of(&world, parts), Some(down));
+    }
+}
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -51,11 +51,21 @@
 
 /// A table of these routes with one pool of engines and a store of kept KV cache.
 pub fn model_table(routes: Vec<Route>) -> RoutingTable {
-    let store = KvStoreProfile {
-        address: STORE.parse().expect("address"),
+    build_model_table(routes, &[STORE])
+}
+
+/// A table of one route with these stores of kept KV cache.
+pub fn model_table_with_stores(addresses: &[&str]) -> RoutingTable {
+    build_model_table(vec![route(RequestKind::Streaming)], addresses)
+}
+
+fn build_model_table(routes: Vec<Route>, stores: &[&str]) -> RoutingTable {
+    let store = |address: &&str| KvStoreProfile {
+        address: address.parse().expect("address"),
         zone: ZoneName::new(ZONE),
         kv_tokens: 100_000,
     };
+    let stores = stores.iter().map(store).collect();
     let pool = PoolProfile {
         engine: Some(EngineProfile {
             slots: 32,
@@ -67,7 +77,7 @@
         ..plain_pool()
     };
     let limits = CallerLimits::default();
-    RoutingTable::new(1, routes, vec![pool], vec![store], vec![tenant()], limits)
+    RoutingTable::new(1, routes, vec![pool], stores, vec![tenant()], limits)
 }
 
 fn plain_pool() -> PoolProfile {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::BackEndName;
-use ryerouter_gateway::engines::EngineTable;
+use ryerouter_core::identity::{BackEndName, PoolName};
+use ryerouter_gateway::engines::{BeginTimes, EngineTable};
 use ryerouter_gateway::rollout::{
     EngineReport, NamedAt, OrderOutcome, RolloutAction, RolloutPlanner, RolloutSettings,
     WeightsDeadlines,
 };
-use support::records::engine;
+use support::records::{POOL, engine};
 use support::test_dialect::MODEL;
 use yare::parameterized;
 
@@ -253,3 +253,106 @@
     assert_eq!(rollout.advance(910), []);
     assert!(rollout.planner.is_idle());
 }
+
+#[test]
+fn load_that_a_list_shows_is_told_to_everybody() {
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    rollout.report_and_advance("e00", 0, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Accepted, 20);
+    let name = BackEndName::new("e00");
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.note_weights(MODEL, 2);
+    assert!(matches!(
+        rollout.advance(900)[..],
+        [RolloutAction::Loaded { version: 2, .. }]
+    ));
+}
+
+#[test]
+fn long_load_is_announced_again_before_others_stop_believing_it() {
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    rollout.report_and_advance("e00", 0, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Accepted, 20);
+    let expected = RolloutSettings::default().expected_load.as_millis() as u64;
+    let mut announced_at = vec![10];
+    for millis in (100..3 * expected).step_by(100) {
+        let report = EngineReport {
+            weights: [(MODEL.to_owned(), 1)].into(),
+            is_busy: true,
+            orders_taken: 1,
+        };
+        let mut actions = Vec::new();
+        let name = BackEndName::new("e00");
+        rollout
+            .planner
+            .reported(&name, Some(&report), at(millis), &mut actions);
+        let is_announcement =
+            |action: &RolloutAction| matches!(action, RolloutAction::Announce { version: 2, .. });
+        if actions.iter().any(is_announcement) {
+            announced_at.push(millis);
+        }
+    }
+    let gaps = announced_at.windows(2).map(|pair| pair[1] - pair[0]);
+    let gaps: Vec<_> = gaps.collect();
+    assert!(
+        gaps.len() >= 4 && gaps.iter().all(|gap| *gap < expected),
+        "{gaps:?}"
+    );
+}
+
+#[test]
+fn order_without_an_answer_or_effect_keeps_no_other_engine_from_loading() {
+    let mut rollout = Rollout::due(5);
+    assert_eq!(rollout.advance(0).len(), 1);
+    rollout.report_and_advance("e00", 0, 1, 10);
+    assert_eq!(rollout.advance(20), []);
+    rollout.ordered("e00", OrderOutcome::Unknown, 700);
+    let next = rollout.advance(700);
+    let ask = RolloutAction::Ask(BackEndName::new("e01"));
+    assert!(next.contains(&ask), "{next:?}");
+    // Once a report shows that the engine loads, it counts again.
+    let report = EngineReport {
+        weights: [(MODEL.to_owned(), 1)].into(),
+        is_busy: true,
+        orders_taken: 1,
+    };
+    let name = BackEndName::new("e00");
+    rollout
+        .planner
+        .reported(&name, Some(&report), at(720), &mut Vec::new());
+    rollout
+        .planner
+        .reported(&BackEndName::new("e01"), None, at(730), &mut Vec::new());
+    assert_eq!(rollout.advance(740), []);
+}
+
+#[test]
+fn news_of_the_version_before_do_not_end_a_load() {
+    let mut rollout = Rollout::new(1);
+    let name = BackEndName::new("e00");
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.note_loading(MODEL, 2, at(3_000));
+    engine.note_weights(MODEL, 1);
+    assert!(engine.is_loading(at(100)) && !engine.takes_work(at(100)));
+    engine.note_misdirected(at(300));
+    assert!(!engine.takes_work(at(1_000)));
+    engine.note_weights(MODEL, 2);
+    assert!(!engine.is_loading(at(1_000)) && engine.takes_work(at(1_000)));
+    // A late announcement of what it has is no load.
+    engine.note_loading(MODEL, 2, at(9_000));
+    assert!(!engine.is_loading(at(1_000)));
+}
+
+#[test]
+fn slowest_begin_lately_fades() {
+    let mut times = BeginTimes::default();
+    let pool = PoolName::new(POOL);
+    times.note(&pool, Duration::from_millis(1_200), at(0));
+    times.note(&pool, Duration::from_millis(300), at(100));
+    assert_eq!(times.slowest(&pool, at(0)).as_millis(), 1_200);
+    assert_eq!(times.slowest(&pool, at(2_000)).as_millis(), 600);
+    times.note(&pool, Duration::from_millis(700), at(2_000));
+    assert_eq!(times.slowest(&pool, at(2_000)).as_millis(), 700);
+}
