Compare few engines for each request in a large deployment

Change: each request compares four engines of the own zone and two others that its name draws, the engine that all nodes agree on, and those known to hold its prefix; all others only when these are poor.

--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -142,6 +142,7 @@
             deadlines: &state.deadlines,
             slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
+            is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
             now,
         };
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -1,6 +1,7 @@
 //! Chooses an engine for a request.
 
 mod costs;
+mod sample;
 mod sources;
 
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use crate::engines::{Engine, EngineTable};
 use crate::rollout::WeightsDeadlines;
 
+use self::sample::Sample;
 use super::{
     CandidateCost, HolderTable, KvFetch, KvStores, Placement, PlacementPrices, PlacementRequest,
     Prompt, PromptKeys, PromptVersion,
@@ -23,6 +25,9 @@
 /// Fewest shared tokens that are worth saving to the store.
 const LEAST_SAVED_TOKENS: u32 = 256;
 
+/// An engine that costs more than this is only taken when no other of all is better.
+const POOR_COST: f64 = 2.0;
+
 /// Chooses the engine with the least cost; ties go to the first in rendezvous order.
 #[derive(Debug)]
 pub struct Chooser<'a> {
@@ -40,6 +45,9 @@
     pub slowest_begin: Duration,
     /// Prices.
     pub prices: &'a PlacementPrices,
+    /// Whether there are so many nodes that what is known of engines is shared by many choices at
+    /// once.
+    pub is_large: bool,
     /// The zone of this process.
     pub zone: &'a ZoneName,
     /// Now.
@@ -62,11 +70,26 @@
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let profile = self.table.pool(request.pool)?.engine.as_ref();
         let versions = self.versions(request);
-        // When all engines fail requests, any of them is better than none.
-        let best = self
-            .best(request, profile, &versions, |engine| {
-                self.is_healthy(engine)
+        let sample = Sample::draw(self, request);
+        let is_sampled = |engine: &Engine| {
+            let is_known = || {
+                versions
+                    .iter()
+                    .any(|version| self.knows_prefix(engine, version))
+            };
+            self.is_healthy(engine) && (sample.holds(engine) || is_known())
+        };
+        let best = sample
+            .is_limited()
+            .then(|| self.best(request, profile, &versions, is_sampled))
+            .flatten()
+            .filter(|best| best.cost.total() < POOR_COST)
+            .or_else(|| {
+                self.best(request, profile, &versions, |engine| {
+                    self.is_healthy(engine)
+                })
             })
+            // When all engines fail requests, any of them is better than none.
             .or_else(|| self.best(request, profile, &versions, |_| true))?;
         Some(Placement {
             engine: best.engine.entry.name.clone(),
@@ -103,6 +126,13 @@
             })
     }
 
+    /// Whether an engine is a place for the prompt that all nodes agree on, or is known to hold
+    /// some of it.
+    fn knows_prefix(&self, engine: &Engine, version: &PromptVersion) -> bool {
+        version.is_of(engine)
+            && (version.is_first_reader(engine) || self.held_tokens(engine, &version.keys) > 0)
+    }
+
     fn is_healthy(&self, engine: &Engine) -> bool {
         engine.health.is_serving() || engine.health.is_due_for_probe(self.now)
     }
--- /dev/null
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -0,0 +1,60 @@
+//! The engines that are compared for one request.
+
+use std::collections::BTreeSet;
+
+use ryerouter_core::identity::BackEndName;
+use ryerouter_core::placement::rendezvous_score;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Chooser;
+use crate::engines::Engine;
+use crate::placement::PlacementRequest;
+
+/// Engines of the own zone that are compared.
+const MOST_NEAR: usize = 4;
+/// Engines of other zones that are compared.
+const MOST_FAR: usize = 2;
+
+/// The engines that are compared for one request.
+///
+/// What a node knows of an engine is some hundred milliseconds old and the same on all nodes. If
+/// each compared all engines, all would send to the one that looked idle last, and fill its queue
+/// before they heard of it. So each request compares a few engines that its name draws, as in the
+/// choice of the better of two at random; see docs/design/placement-of-many-nodes.md.
+pub(super) struct Sample {
+    /// `None` when all engines are compared.
+    engines: Option<BTreeSet<BackEndName>>,
+}
+
+impl Sample {
+    /// Draws the engines for a request.
+    pub(super) fn draw(chooser: &Chooser<'_>, request: &PlacementRequest<'_>) -> Self {
+        if !chooser.is_large {
+            return Self { engines: None };
+        }
+        let key = xxh3_64(request.id.as_bytes());
+        let able = chooser.engines.of_pool(request.pool);
+        let able = able.filter(|engine| engine.takes_work(chooser.now));
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            able.partition(|engine| engine.entry.zone == *chooser.zone);
+        let order = |engine: &&Engine| rendezvous_score(key, engine.name_hash);
+        near.sort_unstable_by_key(order);
+        far.sort_unstable_by_key(order);
+        let drawn = near.iter().take(MOST_NEAR).chain(far.iter().take(MOST_FAR));
+        let names = drawn.map(|engine| engine.entry.name.clone());
+        Self {
+            engines: Some(names.collect()),
+        }
+    }
+
+    /// Whether not all engines are compared.
+    pub(super) fn is_limited(&self) -> bool {
+        self.engines.is_some()
+    }
+
+    /// Whether an engine is compared.
+    pub(super) fn holds(&self, engine: &Engine) -> bool {
+        let engines = self.engines.as_ref();
+        engines.is_none_or(|engines| engines.contains(&engine.entry.name))
+    }
+}
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -31,6 +31,7 @@
     isolated: Option<TenantName>,
     kv_stores: KvStores,
     slowest_begin: Duration,
+    is_large: bool,
     now: Timestamp,
 }
 
@@ -49,6 +50,7 @@
             isolated: None,
             kv_stores: KvStores::default(),
             slowest_begin: Duration::ZERO,
+            is_large: false,
             now: Timestamp::from_millis(1_000_000),
         }
     }
@@ -62,6 +64,7 @@
             deadlines: &self.deadlines,
             slowest_begin: self.slowest_begin,
             prices: &PlacementPrices::default(),
+            is_large: self.is_large,
             zone: &ZoneName::new(ZONE),
             now: self.now,
         };
