--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -10,7 +10,7 @@
 pub enum Datagram {
     /// What the sender knows and does.
     #[serde(rename = "m")]
-    Message(PeerMessage),
+    Message(Box<PeerMessage>),
     /// The sender wants to catch up with the source.
     #[serde(rename = "q")]
     Question(Question),
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -51,7 +51,7 @@
 
 fn receive(gateway: &Rc<Gateway>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     match serde_json::from_slice::<Datagram>(bytes) {
-        Ok(Datagram::Message(message)) => gateway.hear_peer(message),
+        Ok(Datagram::Message(message)) => gateway.hear_peer(*message),
         Ok(Datagram::Question(question)) => {
             let answer = gateway.answer_question(&question);
             send(socket, &Datagram::Answer(answer), &[from]);
@@ -79,7 +79,7 @@
     }
     let message = gateway.peer_message(is_introduction);
     let receivers = gateway.peer_receivers(is_introduction, &mut rand::rng());
-    send(socket, &Datagram::Message(message), &receivers);
+    send(socket, &Datagram::Message(Box::new(message)), &receivers);
 }
 
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -23,6 +23,15 @@
     STORE.parse().unwrap()
 }
 
+/// A prompt without shared parts.
+fn short_prompt() -> Prompt {
+    Prompt {
+        parts: Vec::new(),
+        prompt_tokens: 300,
+        ..prompt("own")
+    }
+}
+
 struct World {
     engines: EngineTable,
     holders: HolderTable,
@@ -56,6 +65,10 @@
     }
 
     fn choose(&self, prompt: &Prompt) -> Option<Placement> {
+        self.choose_as("r1", prompt)
+    }
+
+    fn choose_as(&self, id: &str, prompt: &Prompt) -> Option<Placement> {
         let chooser = Chooser {
             engines: &self.engines,
             holders: &self.holders,
@@ -69,7 +82,7 @@
             now: self.now,
         };
         chooser.choose(&PlacementRequest {
-            id: "r1",
+            id,
             pool: &PoolName::new(POOL),
             prompt: Some(prompt),
             isolated_tenant: self.isolated.as_ref(),
@@ -231,7 +244,7 @@
     world.kv_stores.note(store(), KvStoreState::Down);
     let stored = world.choose(&prompt("s,x,2")).unwrap();
     assert_eq!(stored.fetch, None);
-    assert!(!world.choose(&prompt("s,y,1")).unwrap().save_to.is_some());
+    assert!(world.choose(&prompt("s,y,1")).unwrap().save_to.is_none());
 }
 
 #[test]
@@ -302,3 +315,56 @@
         assert_ne!(store_of(&world, parts), Some(down));
     }
 }
+
+#[test]
+fn many_nodes_with_the_same_old_picture_do_not_all_take_the_idle_engine() {
+    let names: Vec<String> = (0..30).map(|index| format!("e{index:02}")).collect();
+    let mut world = World::new(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    for name in &names[1..] {
+        let engine = world.engines.get_mut(&BackEndName::new(name)).unwrap();
+        engine.foreign_load.requests = 2;
+    }
+    let share = |world: &World| {
+        let ids = (0..300).map(|index| format!("request-{index}"));
+        // Short prompts: no part is worth keeping.
+        let chosen = ids.map(|id| world.choose_as(&id, &short_prompt()).unwrap().engine);
+        chosen.filter(|engine| engine.as_str() == "e00").count()
+    };
+    assert_eq!(share(&world), 300);
+    world.is_large = true;
+    let share = share(&world);
+    assert!((10..=90).contains(&share), "{share} of 300");
+}
+
+#[test]
+fn engine_that_holds_the_prefix_is_compared_whatever_the_draw() {
+    let names: Vec<String> = (0..30).map(|index| format!("e{index:02}")).collect();
+    let mut world = World::new(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    world.is_large = true;
+    world.hold(&BackEndName::new("e17"), &prompt("s,x,1"), 2);
+    for index in 0..40 {
+        let id = format!("request-{index}");
+        let placement = world.choose_as(&id, &prompt("s,x,2")).unwrap();
+        assert_eq!(placement.engine.as_str(), "e17");
+    }
+}
+
+#[test]
+fn all_engines_are_compared_when_the_drawn_ones_are_poor() {
+    let names: Vec<String> = (0..30).map(|index| format!("e{index:02}")).collect();
+    let mut world = World::new(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    world.is_large = true;
+    let now = world.now;
+    for name in &names[1..] {
+        world
+            .engines
+            .get_mut(&BackEndName::new(name))
+            .unwrap()
+            .note_full(now);
+    }
+    for index in 0..40 {
+        let id = format!("request-{index}");
+        let placement = world.choose_as(&id, &short_prompt()).unwrap();
+        assert_eq!(placement.engine.as_str(), "e00");
+    }
+}
