Zone news in two steps, loads by zone news

Cause: the holder of the lease sent every load to every node itself, and the relay of a zone passed news on to all of it. At 300 nodes that is 300 datagrams for each of 600 loads, more than the 10 Mbit/s of a small node bears. Change: news are passed on in a zone in two steps, each to about the square root of its nodes; loads go the same way, gathered for 15 ms, through two nodes of every other zone. Small deployments are as before.

--- a/crates/gateway/src/gateway/engine_weights.rs
+++ b/crates/gateway/src/gateway/engine_weights.rs
@@ -40,15 +40,13 @@
         }
         info!(self.log(), "engine_loaded"; "engine" => %engine, "model" => model,
             "version" => version, "after_ms" => after.as_millis() as u64);
-        state.weights_news.push(WeightsNews {
+        let news = WeightsNews {
             engine: engine.clone(),
             model: model.to_owned(),
             version,
             loading_ms: None,
-        });
-        state.news_for_all = true;
-        drop(state);
-        self.urgent_news.notify_one();
+        };
+        self.tell_load(&mut state, news);
     }
 
     /// This node is about to order an engine to load weights.
@@ -64,15 +62,13 @@
         if let Some(known) = state.engines.get_mut(engine) {
             known.note_loading(model, version, until);
         }
-        state.weights_news.push(WeightsNews {
+        let news = WeightsNews {
             engine: engine.clone(),
             model: model.to_owned(),
             version,
             loading_ms: Some(expected.as_millis() as u64),
-        });
-        state.news_for_all = true;
-        drop(state);
-        self.urgent_news.notify_one();
+        };
+        self.tell_load(&mut state, news);
     }
 
     pub(super) fn note_weights_news(&self, news: &WeightsNews) {
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -82,6 +82,8 @@
     pub zone_news: Vec<HolderNews>,
     /// The work of other zones' nodes at engines.
     pub zone_loads: ZoneLoads,
+    /// Loads to tell every node of, in a large deployment.
+    pub load_news: Vec<WeightsNews>,
     /// Weights to tell others of.
     pub weights_news: Vec<WeightsNews>,
     /// Requests in progress.
@@ -133,6 +135,7 @@
             holder_news: Vec::new(),
             zone_news: Vec::new(),
             zone_loads: ZoneLoads::default(),
+            load_news: Vec::new(),
             weights_news: Vec::new(),
             active_requests: 0,
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -17,3 +17,4 @@
 pub use proof_of_freshness::ProofOfFreshness;
 pub use reading::Role;
 pub use shared::Gateway;
+pub use zone_relay::Parcel;
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -4,19 +4,24 @@
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::{BackEndName, ZoneName};
+use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
-use crate::peers::{EngineLoadNews, HolderNews, ZoneNews};
+use crate::peers::{EngineLoadNews, HolderNews, Pass, WeightsNews, ZoneNews};
 
 /// Most prefixes that one message tells of.
 const MOST_HOLDERS: usize = 128;
+/// Nodes of each other zone that news are sent to which nobody should miss.
+const RELAYS_OF_URGENT_NEWS: usize = 2;
+
+/// News, and the nodes that they are to be sent to.
+pub type Parcel = (ZoneNews, Vec<SocketAddr>);
 
 impl Gateway {
-    /// The news of this node's zone for the other zones, and the nodes that pass them on there;
-    /// `None` while another node of the zone does this, or there is nothing to tell.
-    pub fn next_zone_news(&self, with_loads: bool) -> Option<(ZoneNews, Vec<SocketAddr>)> {
+    /// The news of this node's zone for the other zones; `None` while another node of the zone
+    /// sends them, or there is nothing to tell.
+    pub fn next_zone_news(&self, with_loads: bool) -> Option<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         if !state.peers.is_large() || self.reader(&state, now).is_some() {
@@ -29,28 +34,88 @@
             return None;
         }
         let news = ZoneNews {
-            zone: self.settings().identity.zone.clone(),
-            is_passed_on: false,
             loads: with_loads.then(|| self.loads_of_zone(&state, now)),
             holders,
+            ..self.empty_news()
         };
-        Some((news, self.relays(&state, now)))
+        Some((news, self.relays(&state, 1, now)))
+    }
+
+    /// News of loads that every node needs at once, for the own zone and for all others.
+    pub fn next_load_news(&self) -> Vec<Parcel> {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let weights = std::mem::take(&mut state.load_news);
+        if weights.is_empty() {
+            return Vec::new();
+        }
+        let news = ZoneNews {
+            weights,
+            ..self.empty_news()
+        };
+        let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
+        let mut parcels = self.parcels_of_zone(&state, &news);
+        parcels.push((news, relays));
+        parcels
+    }
+
+    fn empty_news(&self) -> ZoneNews {
+        ZoneNews {
+            zone: self.settings().identity.zone.clone(),
+            pass: Pass::Zone,
+            loads: None,
+            holders: Vec::new(),
+            weights: Vec::new(),
+        }
     }
 
-    /// In each other zone the node that passes news on: the first by name of those that serve.
-    fn relays(&self, state: &GatewayState, now: Timestamp) -> Vec<SocketAddr> {
+    /// In each other zone the nodes that pass news on: the first by name of those that serve.
+    fn relays(&self, state: &GatewayState, most: usize, now: Timestamp) -> Vec<SocketAddr> {
         let own = &self.settings().identity;
-        let mut relays: BTreeMap<&ZoneName, SocketAddr> = BTreeMap::new();
+        let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
         // They come in order of their names.
         for peer in state.peers.ready(now) {
             let identity = &peer.identity;
-            if identity.zone != own.zone {
-                relays
-                    .entry(&identity.zone)
-                    .or_insert(identity.peer_address);
+            let of_zone = relays.entry(&identity.zone).or_default();
+            if identity.zone != own.zone && of_zone.len() < most {
+                of_zone.push(identity.peer_address);
             }
         }
-        relays.into_values().collect()
+        relays.into_values().flatten().collect()
+    }
+
+    /// News for all other nodes of the own zone, in two steps: to about as many nodes as each of
+    /// them then passes them on to, so that no link carries them to all.
+    fn parcels_of_zone(&self, state: &GatewayState, news: &ZoneNews) -> Vec<Parcel> {
+        let near: Vec<_> = state.peers.near().collect();
+        let length = (near.len() as f64).sqrt().ceil().max(1.0) as usize;
+        let groups: Vec<_> = near.chunks(length).collect();
+        let parcels = groups.iter().enumerate().map(|(index, group)| {
+            let next = groups.get(index + 1).map(|next| next[0].name.clone());
+            let news = ZoneNews {
+                pass: Pass::Until(next),
+                ..news.clone()
+            };
+            (news, vec![group[0].peer_address])
+        });
+        parcels.collect()
+    }
+
+    /// News for the nodes of the own zone after this one by name, before `until`.
+    fn parcel_until(
+        &self,
+        state: &GatewayState,
+        news: &ZoneNews,
+        until: Option<&NodeName>,
+    ) -> Parcel {
+        let own = &self.settings().identity.name;
+        let after = state.peers.near().filter(|near| near.name > *own);
+        let before = after.filter(|near| until.is_none_or(|until| near.name < *until));
+        let news = ZoneNews {
+            pass: Pass::End,
+            ..news.clone()
+        };
+        (news, before.map(|near| near.peer_address).collect())
     }
 
     fn loads_of_zone(&self, state: &GatewayState, now: Timestamp) -> Vec<EngineLoadNews> {
@@ -69,25 +134,29 @@
             .collect()
     }
 
-    /// Takes news of another zone; tells to whom they are to be passed on.
-    pub fn hear_zone(&self, news: &ZoneNews) -> Vec<SocketAddr> {
-        if news.zone == self.settings().identity.zone {
-            return Vec::new();
-        }
+    /// Takes zone news; tells to whom they are to be passed on.
+    pub fn hear_zone(&self, news: &ZoneNews) -> Vec<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         for HolderNews(key, engine) in &news.holders {
             state.holders.note(*key, engine, now);
         }
-        if let Some(loads) = &news.loads {
+        let is_other = news.zone != self.settings().identity.zone;
+        if let Some(loads) = news.loads.as_ref().filter(|_| is_other) {
             let zone = news.zone.clone();
             state.zone_loads.note(zone, loads.clone(), now);
             self.refresh_foreign_loads(&mut state, now);
         }
-        match news.is_passed_on {
-            true => Vec::new(),
-            false => state.peers.near_addresses(),
+        let parcels = match &news.pass {
+            Pass::Zone => self.parcels_of_zone(&state, news),
+            Pass::Until(until) => vec![self.parcel_until(&state, news, until.as_ref())],
+            Pass::End => Vec::new(),
+        };
+        drop(state);
+        for weights in &news.weights {
+            self.note_weights_news(weights);
         }
+        parcels
     }
 
     /// Sums up the work of all other nodes at engines.
@@ -105,4 +174,14 @@
             state.zone_news.push(news);
         }
     }
+
+    /// News of a load for every node: through zones in a large deployment, in the next message to
+    /// all in a small one.
+    pub(super) fn tell_load(&self, state: &mut GatewayState, news: WeightsNews) {
+        match state.peers.is_large() {
+            true => state.load_news.push(news),
+            false => state.weights_news.push(news),
+        }
+        self.tell_peers_soon();
+    }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -32,4 +32,4 @@
 pub use peer_table::PeerTable;
 pub use sent_times::SentTimes;
 pub use zone_loads::ZoneLoads;
-pub use zone_news::ZoneNews;
+pub use zone_news::{Pass, ZoneNews};
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -6,13 +6,15 @@
 
 use slog::debug;
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
-use super::{Datagram, ZoneNews};
-use crate::gateway::Gateway;
+use super::Datagram;
+use crate::gateway::{Gateway, Parcel};
 
 /// News go out this often when there are any.
 const TICK: Duration = Duration::from_millis(100);
+/// Urgent news wait so long for others, so that a few messages tell of many engines.
+const GATHER: Duration = Duration::from_millis(15);
 /// Every so many ticks a node says that it is there.
 const TICKS_PER_HEARTBEAT: u64 = 3;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
@@ -27,6 +29,7 @@
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut tick: u64 = 0;
+    let mut urgent_at = None;
     // Not all nodes ask at the same moment.
     let phase = rand::random_range(0..TICKS_PER_QUESTION);
     loop {
@@ -44,7 +47,14 @@
                     ask(&gateway, &socket);
                 }
             }
-            () = gateway.peer_news_is_urgent() => tell(&gateway, &socket, TICKS_PER_HEARTBEAT),
+            () = gateway.peer_news_is_urgent(), if urgent_at.is_none() => {
+                urgent_at = Some(Instant::now() + GATHER);
+            }
+            () = sleep_until(urgent_at.unwrap_or_else(Instant::now)), if urgent_at.is_some() => {
+                urgent_at = None;
+                send_parcels(&socket, gateway.next_load_news());
+                tell(&gateway, &socket, TICKS_PER_HEARTBEAT);
+            }
         }
     }
 }
@@ -58,12 +68,7 @@
         }
         Ok(Datagram::Answer(answer)) => gateway.take_answer(answer),
         Ok(Datagram::Zone(news)) => {
-            let receivers = gateway.hear_zone(&news);
-            let news = ZoneNews {
-                is_passed_on: true,
-                ..news
-            };
-            send(socket, &Datagram::Zone(news), &receivers);
+            send_parcels(socket, gateway.hear_zone(&news));
         }
         Err(error) => debug!(gateway.log(), "peer_message_unreadable";
             "from" => %from, "error" => %error),
@@ -85,8 +90,12 @@
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
 fn tell_zones(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
     let with_loads = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
-    if let Some((news, relays)) = gateway.next_zone_news(with_loads) {
-        send(socket, &Datagram::Zone(news), &relays);
+    send_parcels(socket, gateway.next_zone_news(with_loads));
+}
+
+fn send_parcels(socket: &UdpSocket, parcels: impl IntoIterator<Item = Parcel>) {
+    for (news, receivers) in parcels {
+        send(socket, &Datagram::Zone(news), &receivers);
     }
 }
 
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -141,10 +141,10 @@
         near.chain(far).map(|peer| of(peer)).collect()
     }
 
-    /// The nodes of the own zone.
-    pub fn near_addresses(&self) -> Vec<SocketAddr> {
+    /// The other nodes of the own zone, in order of their names.
+    pub fn near(&self) -> impl Iterator<Item = &NodeIdentity> {
         let near = self.peers.values().filter(|peer| peer.is_near);
-        near.map(|peer| peer.identity.peer_address).collect()
+        near.map(|peer| &peer.identity)
     }
 
     /// All nodes, for news that every one needs at once.
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -1,9 +1,23 @@
 //! What the nodes of one zone tell those of the others, gathered by one of them.
 
-use ryerouter_core::identity::ZoneName;
+use ryerouter_core::identity::{NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use super::{EngineLoadNews, HolderNews};
+use super::{EngineLoadNews, HolderNews, WeightsNews};
+
+/// To whom the receiver of zone news passes them on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Pass {
+    /// To its whole zone, through some of its nodes.
+    #[serde(rename = "z")]
+    Zone,
+    /// To the nodes of its zone that come after it by name, before this one.
+    #[serde(rename = "u")]
+    Until(Option<NodeName>),
+    /// To nobody.
+    #[serde(rename = "e")]
+    End,
+}
 
 /// What the nodes of one zone tell those of the others.
 ///
@@ -14,13 +28,16 @@
     /// The zone that tells.
     #[serde(rename = "z")]
     pub zone: ZoneName,
-    /// Whether a node of the receiver's own zone passes it on.
-    #[serde(rename = "p", default)]
-    pub is_passed_on: bool,
+    /// To whom the receiver passes them on.
+    #[serde(rename = "p")]
+    pub pass: Pass,
     /// All work at engines of the nodes of that zone, now and then.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub loads: Option<Vec<EngineLoadNews>>,
     /// Prefixes that engines have read.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub holders: Vec<HolderNews>,
+    /// Engines that load weights, or have loaded them.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub weights: Vec<WeightsNews>,
 }
