--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -16,7 +16,7 @@
     CatalogueSource, FollowSettings, Item, ItemBatch, ItemChange, ItemKind, ItemPage, SourceError,
     follow, keep_fresh,
 };
-use support::gateway_bench::{configure, gateway};
+use support::gateway_bench::{configure, gateway, gateway_with, list_engines, settings};
 use support::records::{route, table};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -338,3 +338,75 @@
         assert_eq!(version(&first), Some(2));
     });
 }
+
+/// Twelve other nodes of the zone, which make a deployment large.
+fn many_others() -> Vec<Rc<Gateway>> {
+    let others = (0..12).map(|index| {
+        let mut own = settings(&format!("other-{index:02}"));
+        own.identity.incarnation = index + 100;
+        let other = gateway_with(own);
+        configure(&other, table(1, Vec::new()));
+        list_engines(&other, Vec::new());
+        other
+    });
+    others.collect()
+}
+
+fn hear_all(gateway: &Gateway, others: &[Rc<Gateway>]) {
+    for other in others {
+        gateway.hear_peer(other.peer_message(false));
+    }
+}
+
+#[test]
+fn long_watch_is_left_when_the_deployment_has_grown_large() {
+    run(async {
+        let page = Answer::Page {
+            versions: vec![3],
+            revision: 10,
+        };
+        let source = ScriptedSource::new([page]);
+        // By name the first, so it reads for its zone.
+        let gateway = gateway("node-1");
+        start_following(&gateway, &source);
+        sleep(Duration::from_millis(500)).await;
+        hear_all(&gateway, &many_others());
+        sleep(Duration::from_millis(500)).await;
+        let questions = source.questions.borrow();
+        let waits = questions.iter().filter_map(|question| match question {
+            Question::Watch { wait, .. } => Some(wait.as_millis()),
+            Question::List => None,
+        });
+        assert_eq!(waits.collect::<Vec<_>>(), [15_000, 750]);
+    });
+}
+
+#[test]
+fn relying_node_asks_the_source_only_when_its_copy_is_too_old() {
+    run(async {
+        let page = Answer::Page {
+            versions: vec![3],
+            revision: 10,
+        };
+        let source = ScriptedSource::new([page]);
+        let gateway = gateway("zz-last");
+        let others = many_others();
+        start_following(&gateway, &source);
+        sleep(Duration::from_millis(100)).await;
+        // The bound of the tests is 3 s; the proof is from the list.
+        for _ in 0..17 {
+            hear_all(&gateway, &others);
+            sleep(Duration::from_millis(100)).await;
+        }
+        let asked = |source: &ScriptedSource| source.questions.borrow().len();
+        assert_eq!(asked(&source), 2);
+        for _ in 0..8 {
+            hear_all(&gateway, &others);
+            sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(asked(&source), 3);
+        let newest = source.questions.borrow().last().cloned();
+        let wait = Duration::ZERO;
+        assert_eq!(newest, Some(Question::Watch { revision: 10, wait }));
+    });
+}
