Presume that an engine has loaded when it turns its old weights away

Change: an engine that turns away the weights that it was known to have, after a load of newer ones was announced, is presumed to have those until it turns them away as well. Who gives orders goes by what engines say.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -41,6 +41,8 @@
     loading: Option<Loading>,
     /// It had other weights than expected, so it is about to load and is avoided until this time.
     misdirected_until: Option<Timestamp>,
+    /// Weights that it seems to have, though nobody said so: model and version.
+    presumed: Option<(String, u64)>,
     /// Its entry went without a word while the list was not to be trusted.
     pub is_unlisted: bool,
     /// It refused work for want of room and is avoided until this time.
@@ -60,6 +62,7 @@
             foreign_load: EngineLoad::default(),
             loading: None,
             misdirected_until: None,
+            presumed: None,
             is_unlisted: false,
             full_until: None,
             refusals_in_a_row: 0,
@@ -71,6 +74,16 @@
         self.entry.weights.get(model).copied()
     }
 
+    /// Version of its weights that requests should expect: the known one, unless it turned that
+    /// away after a load of another was announced.
+    pub fn serving_weights_of(&self, model: &str) -> Option<u64> {
+        let presumed = self.presumed.as_ref();
+        let presumed = presumed.filter(|(of, _)| of == model);
+        presumed
+            .map(|(_, version)| *version)
+            .max(self.weights_of(model))
+    }
+
     /// Takes news of its weights; versions only rise within one life of an engine.
     pub fn note_weights(&mut self, model: &str, version: u64) -> bool {
         // News of the version before say nothing about the end of a load.
@@ -97,9 +110,27 @@
         }
     }
 
-    /// It had other weights than expected.
-    pub fn note_misdirected(&mut self, until: Timestamp) {
-        self.misdirected_until = self.misdirected_until.max(Some(until));
+    /// It turned a request away that expected this version of a model's weights.
+    ///
+    /// When a load was announced and its end never told, as when the node that ordered it has lost
+    /// its lease, the engine most likely has loaded. That is presumed until it turns those weights
+    /// away as well; else the engine is avoided until `until`.
+    pub fn note_misdirected(&mut self, expected: Option<(&str, u64)>, until: Timestamp) {
+        let expected = expected.map(|(model, version)| (model.to_owned(), version));
+        let loaded = self.loading.as_ref();
+        let loaded = loaded.map(|loading| (loading.model.clone(), loading.version));
+        let was_presumed = expected.is_some() && self.presumed == expected;
+        match (expected, loaded) {
+            (Some(expected), Some(loaded))
+                if !was_presumed && expected.0 == loaded.0 && expected.1 < loaded.1 =>
+            {
+                self.presumed = Some(loaded);
+            }
+            _ => {
+                self.presumed = None;
+                self.misdirected_until = self.misdirected_until.max(Some(until));
+            }
+        }
     }
 
     /// Whether it is believed to load weights.
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -185,7 +185,7 @@
         versions: &'b [PromptVersion],
         request: &PlacementRequest<'_>,
     ) -> Option<Candidate<'b>> {
-        let weights = engine.weights_of(&prompt.model)?;
+        let weights = engine.serving_weights_of(&prompt.model)?;
         let version = versions.iter().find(|known| known.weights == weights)?;
         let keys = &version.keys;
         let cached_tokens = self.held_tokens(engine, keys);
@@ -226,7 +226,7 @@
             return versions;
         };
         for engine in self.engines.of_pool(request.pool) {
-            let Some(weights) = engine.weights_of(&prompt.model) else {
+            let Some(weights) = engine.serving_weights_of(&prompt.model) else {
                 continue;
             };
             let known = versions.iter().position(|known| known.weights == weights);
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -34,7 +34,7 @@
 
     /// Whether an engine has these weights.
     pub(super) fn is_of(&self, engine: &Engine) -> bool {
-        engine.weights_of(&self.model) == Some(self.weights)
+        engine.serving_weights_of(&self.model) == Some(self.weights)
     }
 
     /// Place of an engine in the order, the highest first.
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -180,7 +180,13 @@
 }
 
 /// Takes how an attempt ended into what is believed of the engine.
-pub(super) fn learn(gateway: &Gateway, placement: &Placement, end: &AttemptEnd) {
+pub(super) fn learn(
+    gateway: &Gateway,
+    model: Option<&str>,
+    placement: &Placement,
+    end: &AttemptEnd,
+) {
+    let expected = model.zip(placement.weights);
     let now = gateway.clock().now();
     let mut state = gateway.state_mut();
     if let Some(engine) = state.engines.get_mut(&placement.engine) {
@@ -191,7 +197,8 @@
                 engine.note_full(now);
             }
             AttemptEnd::Misdirected(_) => {
-                engine.note_misdirected(now.after(AVOID_MISDIRECTED));
+                let until = now.after(AVOID_MISDIRECTED);
+                engine.note_misdirected(expected, until);
             }
             AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -139,7 +139,9 @@
     /// An attempt ended badly.
     pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
         self.may_have_run |= end.may_have_run();
-        learn(&self.gateway, placement, end);
+        let prompt = self.request.caller.prompt.as_ref();
+        let model = prompt.map(|prompt| prompt.model.as_str());
+        learn(&self.gateway, model, placement, end);
         warn!(self.gateway.log(), "attempt_failed"; "request" => &self.request.caller.id,
             "engine" => %placement.engine, "address" => %placement.address,
             "end" => %end, "weights" => placement.weights, "cost" => %placement.cost,
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -336,7 +336,7 @@
     engine.note_loading(MODEL, 2, at(3_000));
     engine.note_weights(MODEL, 1);
     assert!(engine.is_loading(at(100)) && !engine.takes_work(at(100)));
-    engine.note_misdirected(at(300));
+    engine.note_misdirected(None, at(300));
     assert!(!engine.takes_work(at(1_000)));
     engine.note_weights(MODEL, 2);
     assert!(!engine.is_loading(at(1_000)) && engine.takes_work(at(1_000)));
@@ -356,3 +356,31 @@
     times.note(&pool, Duration::from_millis(700), at(2_000));
     assert_eq!(times.slowest(&pool, at(2_000)).as_millis(), 700);
 }
+
+#[test]
+fn engine_that_turns_its_weights_away_after_an_announced_load_is_presumed_to_have_loaded() {
+    let mut rollout = Rollout::new(1);
+    let name = BackEndName::new("e00");
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.note_loading(MODEL, 2, at(3_000));
+    // The end of the load is never told.
+    assert_eq!(engine.serving_weights_of(MODEL), Some(1));
+    engine.note_misdirected(Some((MODEL, 1)), at(4_300));
+    assert_eq!(engine.serving_weights_of(MODEL), Some(2));
+    assert!(engine.takes_work(at(4_001)));
+    // Whoever gives orders asks the engine itself.
+    assert_eq!(engine.weights_of(MODEL), Some(1));
+    // It has not loaded after all.
+    engine.note_misdirected(Some((MODEL, 2)), at(5_300));
+    assert_eq!(engine.serving_weights_of(MODEL), Some(1));
+    assert!(!engine.takes_work(at(5_200)));
+}
+
+#[test]
+fn engine_that_turns_its_weights_away_without_a_load_is_avoided() {
+    let mut rollout = Rollout::new(1);
+    let engine = rollout.engines.get_mut(&BackEndName::new("e00")).unwrap();
+    engine.note_misdirected(Some((MODEL, 1)), at(300));
+    assert_eq!(engine.serving_weights_of(MODEL), Some(1));
+    assert!(!engine.takes_work(at(200)) && engine.takes_work(at(400)));
+}
