Observe orders after the lease is lost; sum loads up once a tick

Change 1: orders that were given are still asked about, and their end is told. Change 2: in a large deployment that is done once a tick of 100 ms.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -82,6 +82,8 @@
     pub zone_news: Vec<HolderNews>,
     /// The work of other zones' nodes at engines.
     pub zone_loads: ZoneLoads,
+    /// Whether other nodes have told of work since it was summed up.
+    pub has_new_loads: bool,
     /// Loads to tell every node of, in a large deployment.
     pub load_news: Vec<WeightsNews>,
     /// Weights to tell others of.
@@ -135,6 +137,7 @@
             holder_news: Vec::new(),
             zone_news: Vec::new(),
             zone_loads: ZoneLoads::default(),
+            has_new_loads: false,
             load_news: Vec::new(),
             weights_news: Vec::new(),
             active_requests: 0,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -198,7 +198,7 @@
             if message.lease.is_some() {
                 state.heard_lease = message.lease.clone();
             }
-            self.refresh_foreign_loads(&mut state, now);
+            self.note_foreign_loads(&mut state, now);
         }
         let alive = state.peers.alive(now).count();
         if alive != alive_before {
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -145,7 +145,7 @@
         if let Some(loads) = news.loads.as_ref().filter(|_| is_other) {
             let zone = news.zone.clone();
             state.zone_loads.note(zone, loads.clone(), now);
-            self.refresh_foreign_loads(&mut state, now);
+            self.note_foreign_loads(&mut state, now);
         }
         let parcels = match &news.pass {
             Pass::Zone => self.parcels_of_zone(&state, news),
@@ -159,13 +159,22 @@
         parcels
     }
 
-    /// Sums up the work of all other nodes at engines.
-    pub(super) fn refresh_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
-        let mut loads = state.peers.loads(now);
-        if state.peers.is_large() {
-            state.zone_loads.add_to(&mut loads, now);
+    /// The work of other nodes at engines has changed. With many nodes that happens many times a
+    /// second, and the sums are over all engines, so they then wait for the next tick.
+    pub(super) fn note_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
+        state.has_new_loads = true;
+        if !state.peers.is_large() {
+            sum_foreign_loads(state, now);
+        }
+    }
+
+    /// Sums up the work of all other nodes at engines, if it has changed.
+    pub fn refresh_foreign_loads(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if state.has_new_loads {
+            sum_foreign_loads(&mut state, now);
         }
-        state.engines.set_foreign_loads(&loads);
     }
 
     /// A prefix that a node of this zone tells of goes on to the other zones.
@@ -185,3 +194,12 @@
         self.tell_peers_soon();
     }
 }
+
+fn sum_foreign_loads(state: &mut GatewayState, now: Timestamp) {
+    let mut loads = state.peers.loads(now);
+    if state.peers.is_large() {
+        state.zone_loads.add_to(&mut loads, now);
+    }
+    state.engines.set_foreign_loads(&loads);
+    state.has_new_loads = false;
+}
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -41,6 +41,7 @@
             }
             _ = ticks.tick() => {
                 tick += 1;
+                gateway.refresh_foreign_loads();
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
                 if tick % TICKS_PER_QUESTION == phase {
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -1,6 +1,7 @@
 //! Bringing engines to the weights that were named.
 
 mod engine_orders;
+mod given_order;
 mod open_order;
 mod order_outcome;
 mod rollout_action;
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -74,6 +74,10 @@
     fn tick(&mut self) {
         self.gateway.remove_unlisted();
         self.set_held(self.held);
+        let mut questions = Vec::new();
+        let now = self.gateway.clock().now();
+        self.planner.observe(now, &mut questions);
+        self.carry_out(questions);
         if self.gateway.is_leaving() {
             // Given up at once, so that another node can go on soon.
             self.tell_lease(LeaseEvent::Candidacy(false));
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -6,6 +6,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
 
+use super::given_order::GivenOrder;
 use super::open_order::{OpenOrder, OrderStep};
 use super::{
     EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
@@ -24,6 +25,9 @@
 pub struct RolloutPlanner {
     settings: RolloutSettings,
     open: BTreeMap<BackEndName, OpenOrder>,
+    /// Orders that were given under a lease that is lost: reports are no orders, and all nodes wait
+    /// to hear that the engines have loaded.
+    given: BTreeMap<BackEndName, GivenOrder>,
     /// Engines that can't be ordered now, and until when they are left alone.
     resting: BTreeMap<BackEndName, Timestamp>,
     load_time: Duration,
@@ -36,16 +40,64 @@
             load_time: settings.usual_load,
             settings,
             open: BTreeMap::new(),
+            given: BTreeMap::new(),
             resting: BTreeMap::new(),
         }
     }
 
-    /// Forgets everything: another process gives orders now.
+    /// Another process gives orders now; what was given is only observed.
     pub fn reset(&mut self) {
-        self.open.clear();
+        for (name, open) in std::mem::take(&mut self.open) {
+            if matches!(open.step, OrderStep::Given | OrderStep::Loading) {
+                let given = GivenOrder {
+                    model: open.model,
+                    version: open.version,
+                    given_at: open.given_at,
+                    ask_at: Some(open.given_at),
+                };
+                self.given.insert(name, given);
+            }
+        }
         self.resting.clear();
     }
 
+    /// Appends questions about orders that were given under a lease that is lost.
+    pub fn observe(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
+        let longest = self.settings.expected_load * 2;
+        self.given
+            .retain(|_, given| now.since(given.given_at) < longest);
+        for (name, given) in &mut self.given {
+            if given.ask_at.is_some_and(|at| at <= now) {
+                given.ask_at = None;
+                actions.push(RolloutAction::Ask(name.clone()));
+            }
+        }
+    }
+
+    fn observed(
+        &mut self,
+        engine: &BackEndName,
+        report: Option<&EngineReport>,
+        now: Timestamp,
+        actions: &mut Vec<RolloutAction>,
+    ) {
+        let Some(given) = self.given.get_mut(engine) else {
+            return;
+        };
+        let has = report.and_then(|report| report.weights.get(&given.model));
+        if has.is_none_or(|has| *has < given.version) {
+            given.ask_at = Some(now.after(self.settings.ask_interval));
+            return;
+        }
+        actions.push(RolloutAction::Loaded {
+            engine: engine.clone(),
+            model: given.model.clone(),
+            version: given.version,
+            after: now.since(given.given_at),
+        });
+        self.given.remove(engine);
+    }
+
     /// Whether no order is in progress.
     pub fn is_idle(&self) -> bool {
         self.open.is_empty()
@@ -279,6 +331,7 @@
         now: Timestamp,
         actions: &mut Vec<RolloutAction>,
     ) {
+        self.observed(engine, report, now, actions);
         let settings = &self.settings;
         let Some(open) = self.open.get_mut(engine) else {
             return;
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -460,7 +460,10 @@
         let working = InFlight::new(own_load, load);
         let (news, _) = nodes[0].next_zone_news(true).unwrap();
         nodes[6].hear_zone(&news);
-        let seen = |node: &Gateway| node.state().engines.get(&engine).unwrap().load();
+        let seen = |node: &Gateway| {
+            node.refresh_foreign_loads();
+            node.state().engines.get(&engine).unwrap().load()
+        };
         assert_eq!(seen(&nodes[6]), load);
         drop(working);
         let (news, _) = nodes[0].next_zone_news(true).unwrap();
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -384,3 +384,28 @@
     assert_eq!(engine.serving_weights_of(MODEL), Some(1));
     assert!(!engine.takes_work(at(200)) && engine.takes_work(at(400)));
 }
+
+#[test]
+fn load_that_was_ordered_before_the_lease_was_lost_is_still_told() {
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    rollout.report_and_advance("e00", 0, 1, 10);
+    rollout.ordered("e00", OrderOutcome::Accepted, 20);
+    rollout.planner.reset();
+    let observe = |rollout: &mut Rollout, millis| {
+        let mut actions = Vec::new();
+        rollout.planner.observe(at(millis), &mut actions);
+        actions
+    };
+    let ask = [RolloutAction::Ask(BackEndName::new("e00"))];
+    assert_eq!(observe(&mut rollout, 100), ask);
+    assert_eq!(observe(&mut rollout, 110), []);
+    // Without the lease it is not ordered again, whatever it says.
+    assert_eq!(rollout.report("e00", 0, 1, 120), []);
+    assert_eq!(observe(&mut rollout, 300), ask);
+    assert!(matches!(
+        rollout.report("e00", 1, 2, 310)[..],
+        [RolloutAction::Loaded { version: 2, .. }]
+    ));
+    assert_eq!(observe(&mut rollout, 900), []);
+}
