--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -52,6 +52,8 @@
     pub kv_stores: KvStores,
     /// Which weights were named.
     pub deadlines: WeightsDeadlines,
+    /// Requests that this node has sent to replaced weights since they were last counted up.
+    pub stale_starts: HashMap<PoolName, u32>,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
@@ -122,6 +124,7 @@
             holders: HolderTable::new(settings.remembered_prefixes),
             kv_stores: KvStores::default(),
             deadlines: WeightsDeadlines::new(settings.weights_grace),
+            stale_starts: HashMap::new(),
             retries: HashMap::new(),
             peers,
             gives_orders: false,
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -146,7 +146,23 @@
             zone: &self.settings.identity.zone,
             now,
         };
-        chooser.choose(request)
+        let placement = chooser.choose(request)?;
+        drop(state);
+        if placement.cost.stale > 0.0 {
+            let mut state = self.state_mut();
+            *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
+        }
+        Some(placement)
+    }
+
+    /// Requests of each pool that began on replaced weights since the last call, at all nodes: the
+    /// own ones stand for those of the others.
+    pub fn take_stale_starts(&self) -> Vec<(PoolName, f64)> {
+        let mut state = self.state_mut();
+        let nodes = (state.peers.known_count() + 1) as f64;
+        let own = std::mem::take(&mut state.stale_starts);
+        let all = |(pool, count): (PoolName, u32)| (pool, f64::from(count) * nodes);
+        own.into_iter().map(all).collect()
     }
 
     /// A request for a pool arrived.
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -199,6 +199,7 @@
         }
         let mut cost = CandidateCost {
             late: self.lateness(engine, profile, unread_tokens, fetched, request),
+            stale: self.stale_cost(&prompt.model, weights),
             zone: self.zone_cost(engine, request),
             load: self.state_cost(engine) + self.crowding(engine, profile, prompt),
             ..CandidateCost::default()
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -62,6 +62,14 @@
         share * share * self.prices.at_target
     }
 
+    /// Cost of beginning on weights that newer ones have replaced, so that requests gather at the
+    /// engines that have loaded and the others lose nothing while they wait for their turn.
+    pub(super) fn stale_cost(&self, model: &str, weights: u64) -> f64 {
+        let replaced_at = self.deadlines.replaced_at(model, weights);
+        let is_stale = replaced_at.is_some_and(|at| self.now.since(at) >= self.prices.stale_after);
+        if is_stale { self.prices.stale } else { 0.0 }
+    }
+
     pub(super) fn zone_cost(&self, engine: &Engine, request: &PlacementRequest<'_>) -> f64 {
         if engine.entry.zone == *self.zone {
             return 0.0;
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -1,10 +1,17 @@
 //! Prices of placement.
 
+use std::time::Duration;
+
 /// Prices in one unit: the worth of a typical request is a few units.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlacementPrices {
     /// A request whose first token comes at its target latency; grows with the square.
     pub at_target: f64,
+    /// A request that begins on weights which were replaced longer than `stale_after` ago. Callers
+    /// value its answer less, though not as little as a late one; see docs/design/decisions.md.
+    pub stale: f64,
+    /// Replaced weights cost nothing for so long after the newer ones were named.
+    pub stale_after: Duration,
     /// A token that is read although some engine holds it.
     pub reread_token: f64,
     /// A gigabyte of KV cache moved within a zone.
@@ -30,6 +37,8 @@
     fn default() -> Self {
         Self {
             at_target: 1.0,
+            stale: 0.4,
+            stale_after: Duration::from_millis(1_500),
             reread_token: 0.001_2,
             moved_gigabyte: 0.029,
             moved_gigabyte_across: 0.058,
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -4,11 +4,13 @@
 mod given_order;
 mod open_order;
 mod order_outcome;
+mod pace;
 mod rollout_action;
 mod rollout_driver;
 mod rollout_event;
 mod rollout_planner;
 mod rollout_settings;
+mod stale_work;
 mod weights_deadlines;
 mod weights_order;
 
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -74,6 +74,9 @@
     fn tick(&mut self) {
         self.gateway.remove_unlisted();
         self.set_held(self.held);
+        for (pool, requests) in self.gateway.take_stale_starts() {
+            self.planner.note_stale(&pool, requests);
+        }
         let mut questions = Vec::new();
         let now = self.gateway.clock().now();
         self.planner.observe(now, &mut questions);
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -1,21 +1,19 @@
 //! Plans a rollout.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
 
 use super::given_order::GivenOrder;
 use super::open_order::{OpenOrder, OrderStep};
+use super::pace::{Pace, Progress};
+use super::stale_work::StaleWork;
 use super::{
     EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
 };
 use crate::engines::{Engine, EngineState, EngineTable};
 
-/// Weight of a new measurement of how long a load takes.
-const NEW_LOAD_WEIGHT: f64 = 0.3;
-
 /// Decides which engine loads when, while this process holds the lease.
 ///
 /// Invariants: an order is given only after the engine told how many it has taken, and carries that
@@ -30,14 +28,16 @@
     given: BTreeMap<BackEndName, GivenOrder>,
     /// Engines that can't be ordered now, and until when they are left alone.
     resting: BTreeMap<BackEndName, Timestamp>,
-    load_time: Duration,
+    pace: Pace,
+    stale_work: StaleWork,
 }
 
 impl RolloutPlanner {
     /// A planner without open orders.
     pub fn new(settings: RolloutSettings) -> Self {
         Self {
-            load_time: settings.usual_load,
+            pace: Pace::new(settings.clone()),
+            stale_work: StaleWork::default(),
             settings,
             open: BTreeMap::new(),
             given: BTreeMap::new(),
@@ -59,6 +59,13 @@
             }
         }
         self.resting.clear();
+        self.stale_work.clear();
+    }
+
+    /// So many requests of a pool began on replaced weights, at all nodes.
+    pub fn note_stale(&mut self, pool: &PoolName, requests: f64) {
+        let lost = requests * self.settings.stale_share;
+        self.stale_work.note(pool, lost / self.settings.load_worth);
     }
 
     /// Appends questions about orders that were given under a lease that is lost.
@@ -213,16 +220,14 @@
                 let requests = engine.load().requests;
                 (until(engine), requests, engine.entry.name.clone())
             });
-            let first_until = behind.first().and_then(|engine| until(engine));
-            // One that may not have heard its order keeps no other from loading.
-            let in_progress = self.open.values();
-            let in_progress = in_progress.filter(|open| open.pool == *pool && !open.is_unanswered);
-            let open = in_progress.count();
-            if !self.must_begin(members.len(), behind.len(), first_until, now) {
-                continue;
-            }
-            let at_once = self.at_once(members.len(), behind.len(), first_until, now);
-            for engine in behind.into_iter().take(at_once.saturating_sub(open)) {
+            let progress = Progress {
+                behind: behind.len(),
+                first_until: behind.first().and_then(|engine| until(engine)),
+                ..self.progress(pool, &members, model, version)
+            };
+            let to_begin = self.pace.to_begin(&progress, now);
+            self.stale_work.spend(pool, to_begin.min(behind.len()));
+            for engine in behind.into_iter().take(to_begin) {
                 let order = OpenOrder {
                     pool: pool.clone(),
                     model: model.to_owned(),
@@ -240,46 +245,31 @@
         }
     }
 
-    /// Whether the engines behind must be brought up from now on to be ready in time. Until then it
-    /// is better to wait: a newer version may be named, and each load empties a cache.
-    fn must_begin(
+    /// How far a pool is, but for those that could be ordered now.
+    fn progress(
         &self,
-        members: usize,
-        behind: usize,
-        until: Option<Timestamp>,
-        now: Timestamp,
-    ) -> bool {
-        let Some(until) = until else {
-            return true;
-        };
-        let rounds = behind.div_ceil(self.usual_at_once(members)) as u32;
-        let needed = self.load_time * rounds + self.settings.spare_time;
-        now.after(needed) >= until
-    }
-
-    fn usual_at_once(&self, members: usize) -> usize {
-        let share = self.settings.share_at_once * members as f64;
-        (share.ceil() as usize).max(1)
-    }
-
-    /// How many engines of a pool may be in progress: the usual share, or as many as it takes to
-    /// bring those behind up in time.
-    fn at_once(
-        &self,
-        members: usize,
-        behind: usize,
-        until: Option<Timestamp>,
-        now: Timestamp,
-    ) -> usize {
-        let usual = self.usual_at_once(members);
-        let most = self.settings.most_share_at_once * members as f64;
-        let most = (most.ceil() as usize).max(usual);
-        let Some(until) = until else {
-            return usual;
+        pool: &PoolName,
+        members: &[&Engine],
+        model: &str,
+        version: u64,
+    ) -> Progress {
+        // One that may not have heard its order keeps no other from loading.
+        let in_progress = self.open.values();
+        let in_progress = in_progress.filter(|open| open.pool == *pool && !open.is_unanswered);
+        let is_current = |engine: &&&Engine| {
+            let open = self.open.get(&engine.entry.name);
+            let is_coming = open.is_some_and(|open| open.model == model && open.version >= version);
+            is_coming || engine.weights_of(model) >= Some(version)
         };
-        let rounds = until.since(now).as_secs_f64() / self.load_time.as_secs_f64().max(0.01);
-        let needed = (behind as f64 / rounds.floor().max(1.0)).ceil() as usize;
-        needed.clamp(usual, most)
+        Progress {
+            members: members.len(),
+            behind: 0,
+            current: members.iter().filter(is_current).count(),
+            in_progress: in_progress.count(),
+            is_used: members.iter().any(|engine| engine.load().requests > 0),
+            paid: self.stale_work.paid(pool),
+            first_until: None,
+        }
     }
 
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
@@ -306,7 +296,7 @@
             OrderOutcome::Accepted => {
                 open.step = OrderStep::Loading;
                 open.is_unanswered = false;
-                open.ask_at = Some(now.after(self.load_time / 2));
+                open.ask_at = Some(now.after(self.pace.load_time() / 2));
             }
             OrderOutcome::AlreadyDone => self.finish(engine, now, actions),
             OrderOutcome::Conflict => {
@@ -399,10 +389,7 @@
             return;
         };
         if open.step == OrderStep::Loading {
-            let measured = now.since(open.opened_at).as_secs_f64();
-            let known = self.load_time.as_secs_f64();
-            let load_time = known + (measured - known) * NEW_LOAD_WEIGHT;
-            self.load_time = Duration::from_secs_f64(load_time);
+            self.pace.note_load(now.since(open.opened_at));
         }
         actions.push(RolloutAction::Loaded {
             engine: engine.clone(),
--- a/crates/gateway/src/rollout/rollout_settings.rs
+++ b/crates/gateway/src/rollout/rollout_settings.rs
@@ -13,6 +13,11 @@
     pub ask_interval: Duration,
     /// Requests that wait in an engine get so long to begin before the order is given.
     pub drain: Duration,
+    /// Share of its worth that a request loses when it begins on replaced weights.
+    pub stale_share: f64,
+    /// What a load costs, in requests: the work that the engine turns away meanwhile, and the cache
+    /// that it has to fill again.
+    pub load_worth: f64,
     /// A rollout begins this much earlier than it must.
     pub spare_time: Duration,
     /// An accepted order that shows no effect for so long is given again.
@@ -32,6 +37,8 @@
             most_share_at_once: 0.2,
             ask_interval: Duration::from_millis(120),
             drain: Duration::from_millis(400),
+            stale_share: 0.2,
+            load_worth: 1.5,
             spare_time: Duration::from_millis(2_500),
             repeat_after: Duration::from_millis(900),
             rest: Duration::from_millis(700),
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -100,11 +100,17 @@
         })
     }
 
-    /// When requests may no longer begin on `version`; `None` while it is the newest.
-    pub fn until(&self, model: &str, version: u64) -> Option<Timestamp> {
+    /// When the first version after `version` was named; `None` while it is the newest.
+    pub fn replaced_at(&self, model: &str, version: u64) -> Option<Timestamp> {
         let named = self.named.get(model)?;
         let next = named.iter().find(|(known, _)| *known > version)?;
-        let begin = Some(next.1.time()).max(self.extended_from);
+        Some(next.1.time())
+    }
+
+    /// When requests may no longer begin on `version`; `None` while it is the newest.
+    pub fn until(&self, model: &str, version: u64) -> Option<Timestamp> {
+        let replaced_at = self.replaced_at(model, version)?;
+        let begin = Some(replaced_at).max(self.extended_from);
         begin.map(|begin| begin.after(self.grace))
     }
 
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -368,3 +368,44 @@
         assert_eq!(placement.engine.as_str(), "e00");
     }
 }
+
+/// `a` has version 2, `b` version 1; version 2 was named `ago` before now.
+fn world_with_replaced_weights(ago: Duration) -> World {
+    let mut world = World::new(&["a", "b"]);
+    world
+        .engines
+        .get_mut(&BackEndName::new("a"))
+        .unwrap()
+        .note_weights(MODEL, 2);
+    let named_at = world.now.before(ago);
+    world.deadlines.note(MODEL, 2, NamedAt::Seen(named_at));
+    world
+}
+
+/// Engines that serve the shared parts `s,0` to `s,19`.
+fn engines_of_many_prompts(world: &World) -> Vec<String> {
+    let choose = |index: u32| world.choose(&prompt(&format!("s,{index},1"))).unwrap();
+    (0..20)
+        .map(|index| choose(index).engine.to_string())
+        .collect()
+}
+
+#[test]
+fn requests_gather_at_engines_with_the_newest_weights() {
+    let engines = engines_of_many_prompts(&world_with_replaced_weights(Duration::from_secs(2)));
+    assert!(engines.iter().all(|engine| engine == "a"), "{engines:?}");
+}
+
+#[test]
+fn replaced_weights_cost_nothing_at_first() {
+    let engines = engines_of_many_prompts(&world_with_replaced_weights(Duration::from_secs(1)));
+    assert!(engines.iter().any(|engine| engine == "b"), "{engines:?}");
+}
+
+#[test]
+fn replaced_weights_are_better_than_a_late_answer() {
+    let mut world = world_with_replaced_weights(Duration::from_secs(2));
+    world.busy("a");
+    let engines = engines_of_many_prompts(&world);
+    assert!(engines.iter().all(|engine| engine == "b"), "{engines:?}");
+}
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -409,3 +409,47 @@
     ));
     assert_eq!(observe(&mut rollout, 900), []);
 }
+
+/// Twelve engines with requests, version 2 named at time 0.
+fn used_pool() -> Rollout {
+    let mut rollout = Rollout::new(12);
+    for engine in rollout.engines.iter_mut() {
+        engine.foreign_load.requests = 1;
+    }
+    rollout
+}
+
+#[test]
+fn first_engines_of_a_used_pool_load_at_once_and_the_others_wait() {
+    let mut rollout = used_pool();
+    assert_eq!(rollout.advance(0).len(), 2);
+    for name in ["e00", "e01"] {
+        let engine = rollout.engines.get_mut(&BackEndName::new(name)).unwrap();
+        engine.note_weights(MODEL, 2);
+    }
+    let loaded = |action: &RolloutAction| matches!(action, RolloutAction::Loaded { .. });
+    assert!(rollout.advance(900).iter().all(loaded));
+    assert_eq!(rollout.advance(1_600), []);
+}
+
+#[test]
+fn engines_load_early_as_far_as_requests_begin_on_replaced_weights() {
+    let mut rollout = used_pool();
+    rollout.advance(0);
+    for name in ["e00", "e01"] {
+        let engine = rollout.engines.get_mut(&BackEndName::new(name)).unwrap();
+        engine.note_weights(MODEL, 2);
+    }
+    rollout.advance(900);
+    let settings = RolloutSettings::default();
+    let a_load = settings.load_worth / settings.stale_share;
+    let pool = PoolName::new(POOL);
+    rollout.planner.note_stale(&pool, a_load * 0.9);
+    assert_eq!(rollout.advance(1_700), []);
+    rollout.planner.note_stale(&pool, a_load * 0.2);
+    assert_eq!(rollout.advance(1_800).len(), 1);
+    // That is spent; however much is lost, no more load at once than usual.
+    assert_eq!(rollout.advance(1_900), []);
+    rollout.planner.note_stale(&pool, a_load * 100.0);
+    assert_eq!(rollout.advance(2_000).len(), 1);
+}
