--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -37,7 +37,7 @@
     fn default() -> Self {
         Self {
             at_target: 1.0,
-            stale: 0.4,
+            stale: 0.2,
             stale_after: Duration::from_millis(1_500),
             reread_token: 0.001_2,
             moved_gigabyte: 0.029,
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -410,9 +410,11 @@
     assert_eq!(observe(&mut rollout, 900), []);
 }
 
-/// Twelve engines with requests, version 2 named at time 0.
+/// Twelve engines with requests, version 2 named at time 0, and much time for the rollout.
 fn used_pool() -> Rollout {
     let mut rollout = Rollout::new(12);
+    rollout.deadlines = WeightsDeadlines::new(3 * GRACE);
+    rollout.deadlines.note(MODEL, 2, NamedAt::Seen(at(0)));
     for engine in rollout.engines.iter_mut() {
         engine.foreign_load.requests = 1;
     }
