--- /dev/null
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -0,0 +1,92 @@
+//! What engines tell of their caches; see docs/design/decisions.md.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ryerouter_core::identity::{BackEndName, NodeName};
+use ryerouter_core::placement::rendezvous_score;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::cache_knowledge::LEAST_TOLD_TOKENS;
+use super::{Gateway, GatewayState};
+use crate::engines::{Engine, EngineState};
+use crate::peers::{HolderNews, NodeState};
+use crate::placement::{CacheChange, PartKey};
+
+/// Most dropped prefixes that wait to be told; beyond that news are left out.
+const MOST_WAITING_DROPS: usize = 512;
+
+impl Gateway {
+    /// The engines whose caches this node follows for all: one node of an engine's zone does, since
+    /// bytes between zones are dear, or one of all nodes when none serves in that zone.
+    pub fn caches_to_follow(&self) -> Vec<(BackEndName, SocketAddr)> {
+        let state = self.state();
+        if state.node_state != NodeState::Ready {
+            return Vec::new();
+        }
+        let engines = state.engines.iter();
+        let engines = engines.filter(|engine| !engine.entry.weights.is_empty());
+        let engines = engines.filter(|engine| engine.entry.state == EngineState::Ready);
+        engines
+            .filter(|engine| self.follows_cache(&state, engine))
+            .map(|engine| (engine.entry.name.clone(), engine.entry.address))
+            .collect()
+    }
+
+    fn follows_cache(&self, state: &GatewayState, engine: &Engine) -> bool {
+        let now = self.clock().now();
+        let own = &self.settings().identity;
+        let order = |name: &NodeName| {
+            let node_hash = xxh3_64(name.as_str().as_bytes());
+            rendezvous_score(engine.name_hash, node_hash)
+        };
+        let own_order = order(&own.name);
+        let zone = &engine.entry.zone;
+        let mut near = state
+            .peers
+            .ready(now)
+            .filter(|peer| peer.identity.zone == *zone);
+        if own.zone == *zone {
+            return near.all(|peer| order(&peer.identity.name) <= own_order);
+        }
+        let mut all = state.peers.ready(now);
+        near.next().is_none() && all.all(|peer| order(&peer.identity.name) <= own_order)
+    }
+
+    /// Takes what an engine told of its cache. At first that is all it remembers, which a node that
+    /// was just started knows nothing of; later only parts count that some request has shared.
+    pub fn take_cache_changes(
+        &self,
+        engine: &BackEndName,
+        changes: &[CacheChange],
+        is_first: bool,
+    ) {
+        // The last change of a part counts.
+        let latest: BTreeMap<PartKey, &CacheChange> =
+            changes.iter().map(|change| (change.key, change)).collect();
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if state.engines.get(engine).is_none() {
+            return;
+        }
+        for (key, change) in latest {
+            let is_worth = change.tokens >= LEAST_TOLD_TOKENS;
+            match change.is_held {
+                true if is_worth && is_first => self.note_holder(&mut state, key, engine),
+                // Whoever sent the request that read it tells the others.
+                true if is_worth && state.holders.knows(key) => {
+                    state.holders.note(key, engine, now)
+                }
+                true => {}
+                false => note_dropped(&mut state, key, engine),
+            }
+        }
+    }
+}
+
+fn note_dropped(state: &mut GatewayState, key: PartKey, engine: &BackEndName) {
+    let is_news = state.holders.forget(key, engine);
+    if is_news && state.dropped_news.len() < MOST_WAITING_DROPS {
+        state.dropped_news.push(HolderNews(key, engine.clone()));
+    }
+}
--- a/crates/gateway/src/gateway/cache_knowledge.rs
+++ b/crates/gateway/src/gateway/cache_knowledge.rs
@@ -17,7 +17,7 @@
 const HOLDER_NEWS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Prefixes shorter than this are read again sooner than told of.
-const LEAST_TOLD_TOKENS: u32 = 256;
+pub(super) const LEAST_TOLD_TOKENS: u32 = 256;
 
 impl Gateway {
     /// A request of a pool began: its prompt was read `after` it had come.
@@ -36,7 +36,7 @@
             match is_worth {
                 true => self.note_holder(&mut state, *key, &placement.engine),
                 // Only this node may see it again.
-                false => state.holders.note(*key, &placement.engine, now),
+                false => state.holders.note_untold(*key, &placement.engine, now),
             }
         }
         if let Some(store) = placement.save_to {
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -80,6 +80,8 @@
     pub source_trouble_at: Option<Timestamp>,
     /// Prefixes to tell others of.
     pub holder_news: Vec<HolderNews>,
+    /// Prefixes that engines have dropped, to tell others of.
+    pub dropped_news: Vec<HolderNews>,
     /// Prefixes to tell other zones of.
     pub zone_news: Vec<HolderNews>,
     /// The work of other zones' nodes at engines.
@@ -138,6 +140,7 @@
             heard_lease: None,
             source_trouble_at: None,
             holder_news: Vec::new(),
+            dropped_news: Vec::new(),
             zone_news: Vec::new(),
             zone_loads: ZoneLoads::default(),
             has_new_loads: false,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway, shared by all its tasks.
 
+mod cache_events;
 mod cache_knowledge;
 mod engine_weights;
 mod gateway_settings;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -10,7 +10,9 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
-use crate::peers::{ConfigurationProof, EngineLoadNews, LeaseNews, NamedNews, PeerMessage};
+use crate::peers::{
+    ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, PeerMessage,
+};
 use crate::rollout::NamedAt;
 use crate::source::ItemKind;
 
@@ -36,6 +38,7 @@
     /// Whether there is anything new to tell.
     pub fn has_peer_news(&self) -> bool {
         let state = self.state();
+        // What was dropped goes with the next message: a message of its own costs more than it saves.
         !state.holder_news.is_empty() || !state.weights_news.is_empty()
     }
 
@@ -54,6 +57,8 @@
         state.owes_introduction &= !is_introduction;
         let told = state.holder_news.len().min(MOST_HOLDER_NEWS);
         let holders = state.holder_news.drain(..told).collect();
+        let told = state.dropped_news.len().min(MOST_HOLDER_NEWS);
+        let dropped = state.dropped_news.drain(..told).collect();
         let weights = std::mem::take(&mut state.weights_news);
         let loads = state
             .engines
@@ -85,6 +90,7 @@
             kv_stores: self.kv_store_news(&state),
             loads,
             holders,
+            dropped,
             weights,
         }
     }
@@ -190,6 +196,9 @@
                 self.note_zone_news(&mut state, news.clone());
             }
         }
+        for HolderNews(key, engine) in &message.dropped {
+            state.holders.forget(*key, engine);
+        }
         if is_newest {
             for news in &message.kv_stores {
                 self.adopt_kv_store_news(&mut state, *news);
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -62,6 +62,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "h")]
     pub holders: Vec<HolderNews>,
+    /// Prefixes that engines have dropped since the last message.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "d")]
+    pub dropped: Vec<HolderNews>,
     /// Changes of weights since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "w")]
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -22,9 +22,6 @@
     Prompt, PromptKeys, PromptVersion,
 };
 
-/// Fewest shared tokens that are worth saving to the store.
-const LEAST_SAVED_TOKENS: u32 = 256;
-
 /// An engine that costs more than this is only taken when no other of all is better.
 const POOR_COST: f64 = 2.0;
 
@@ -236,7 +233,7 @@
                 versions.len() - 1
             });
             if engine.takes_work(self.now) && self.is_healthy(engine) {
-                versions[index].consider_first_reader(engine);
+                versions[index].consider_first_reader(engine, self.zone);
             }
         }
         versions
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -5,10 +5,12 @@
 
 use ryerouter_core::identity::ZoneName;
 
-use super::{Chooser, LEAST_SAVED_TOKENS};
+use super::Chooser;
 use crate::catalogue::EngineProfile;
 use crate::engines::Engine;
-use crate::placement::{KvFetch, KvHolder, PlacementRequest, Prompt, PromptVersion};
+use crate::placement::{
+    KvFetch, KvHolder, LEAST_SAVED_TOKENS, PlacementRequest, Prompt, PromptVersion,
+};
 
 const BYTES_PER_GIGABYTE: f64 = 1e9;
 const BYTES_PER_KILOBYTE: f64 = 1e3;
@@ -29,12 +31,17 @@
         version: &PromptVersion,
         known: u32,
     ) -> f64 {
-        let shared = version.keys.shared().last();
-        let missing = shared.map_or(0, |(_, tokens)| tokens.saturating_sub(known));
-        if missing < LEAST_SAVED_TOKENS || version.is_first_reader(engine) {
+        let missing = version.shared_tokens().saturating_sub(known);
+        if version.is_first_reader(engine) {
             return 0.0;
         }
-        f64::from(missing) * self.prices.reread_token * self.prices.read_twice_risk
+        // Nobody tells of small parts, so whoever shares them has sent them to the first reader.
+        let risk = match version.is_small() {
+            true => 1.0,
+            false if missing < LEAST_SAVED_TOKENS => 0.0,
+            false => self.prices.read_twice_risk,
+        };
+        f64::from(missing) * self.prices.reread_token * risk
     }
 
     /// Longest time until a request begins there (estimate, on the safe side).
@@ -94,7 +101,8 @@
             true => self.prices.moved_gigabyte,
             false => self.prices.moved_gigabyte_across,
         };
-        gigabytes * price
+        let displaced = f64::from(fetch.tokens) * self.prices.displaced_share;
+        gigabytes * price + displaced * self.prices.reread_token
     }
 
     fn zone_of_store(&self, address: SocketAddr) -> Option<&ZoneName> {
--- a/crates/gateway/src/placement/chooser/sources.rs
+++ b/crates/gateway/src/placement/chooser/sources.rs
@@ -6,11 +6,11 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::placement::rendezvous_score;
 
-use super::{Chooser, LEAST_SAVED_TOKENS};
+use super::Chooser;
 use crate::catalogue::KvStoreProfile;
 use crate::engines::Engine;
 use crate::placement::prompt_version::PromptVersion;
-use crate::placement::{KvFetch, KvHolder, PartKey, PromptKeys};
+use crate::placement::{KvFetch, KvHolder, LEAST_SAVED_TOKENS, PartKey, PromptKeys};
 
 /// Fewest tokens that are worth fetching.
 const LEAST_FETCHED_TOKENS: u32 = 64;
--- a/crates/gateway/src/placement/holder_table.rs
+++ b/crates/gateway/src/placement/holder_table.rs
@@ -20,6 +20,8 @@
 struct Holder {
     engine: BackEndName,
     used_at: Timestamp,
+    /// Whether other nodes know of it too.
+    is_told: bool,
 }
 
 /// Which engines read or fetched which prefixes lately; bounded, the longest unused go first.
@@ -38,14 +40,24 @@
         }
     }
 
-    /// `engine` used the prefix at `at`.
+    /// `engine` used the prefix at `at`, which other nodes know too.
     pub fn note(&mut self, key: PartKey, engine: &BackEndName, at: Timestamp) {
+        self.insert(key, engine, at, true);
+    }
+
+    /// `engine` used the prefix at `at`, which no other node is told.
+    pub fn note_untold(&mut self, key: PartKey, engine: &BackEndName, at: Timestamp) {
+        self.insert(key, engine, at, false);
+    }
+
+    fn insert(&mut self, key: PartKey, engine: &BackEndName, at: Timestamp, is_told: bool) {
         if !self.holders.contains_key(&key) && self.holders.len() >= self.capacity {
             self.forget_oldest();
         }
         let holders = self.holders.entry(key).or_default();
         if let Some(known) = holders.iter_mut().find(|known| known.engine == *engine) {
             known.used_at = known.used_at.max(at);
+            known.is_told |= is_told;
             return;
         }
         if holders.len() >= MOST_HOLDERS {
@@ -55,9 +67,15 @@
         holders.push(Holder {
             engine: engine.clone(),
             used_at: at,
+            is_told,
         });
     }
 
+    /// Whether anything is known of the prefix.
+    pub fn knows(&self, key: PartKey) -> bool {
+        self.holders.contains_key(&key)
+    }
+
     /// Engines that used the prefix, with the time of the last use.
     pub fn of(&self, key: PartKey) -> impl Iterator<Item = (&BackEndName, Timestamp)> {
         let holders = self.holders.get(&key);
@@ -83,11 +101,13 @@
         });
     }
 
-    /// One engine does not hold one prefix any more.
-    pub fn forget(&mut self, key: PartKey, engine: &BackEndName) {
-        if let Some(holders) = self.holders.get_mut(&key) {
-            holders.retain(|holder| holder.engine != *engine);
-        }
+    /// One engine does not hold one prefix any more; `true` when other nodes believe that it does.
+    pub fn forget(&mut self, key: PartKey, engine: &BackEndName) -> bool {
+        let Some(holders) = self.holders.get_mut(&key) else {
+            return false;
+        };
+        let position = holders.iter().position(|holder| holder.engine == *engine);
+        position.is_some_and(|position| holders.swap_remove(position).is_told)
     }
 
     /// Drops the eighth of the prefixes that were unused longest, so that this is done seldom.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,5 +1,7 @@
 //! Where a request runs: the engine with the least cost.
 
+mod cache_feed;
+mod cache_watch;
 mod candidate_cost;
 mod chooser;
 mod chosen_engine;
@@ -12,6 +14,8 @@
 mod prompt;
 mod prompt_version;
 
+pub use cache_feed::{CacheChange, CacheChanges, CacheFeed, Cursor};
+pub use cache_watch::watch_caches;
 pub use candidate_cost::CandidateCost;
 pub use chooser::Chooser;
 pub use chosen_engine::{KvFetch, KvHolder, Placement};
@@ -24,3 +28,6 @@
 pub use prompt::{Prompt, PromptPart};
 
 use prompt_version::PromptVersion;
+
+/// Fewest shared tokens that are worth saving to the store, and telling other nodes of.
+const LEAST_SAVED_TOKENS: u32 = 256;
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -18,6 +18,9 @@
     pub moved_gigabyte: f64,
     /// The same between zones.
     pub moved_gigabyte_across: f64,
+    /// Cache that is fetched drives out as much of what its engine held, and this share of it has to
+    /// be read again: an engine that is sent the same prefixes all the time keeps more of them.
+    pub displaced_share: f64,
     /// Risk that a part that nobody is known to hold is read by another engine at the same time,
     /// when it is not sent to the engine that all nodes send it to.
     pub read_twice_risk: f64,
@@ -43,6 +46,7 @@
             moved_gigabyte: 0.029,
             moved_gigabyte_across: 0.058,
             kilobyte_across: 0.012,
+            displaced_share: 0.1,
             read_twice_risk: 0.25,
             crowded_share: 0.7,
             crowded: 3.0,
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -1,7 +1,5 @@
 //! A prompt as its caller declares it.
 
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
 use super::{PartKey, PromptKeys};
 
 /// One part of a prompt.
@@ -29,15 +27,11 @@
 impl Prompt {
     /// Keys of its parts under `salt`, each with the tokens to its end.
     pub fn keys(&self, salt: &str) -> PromptKeys {
-        let base = xxh3_64(salt.as_bytes()) ^ xxh3_64(self.model.as_bytes()).rotate_left(1);
         let mut end_tokens = 0;
         let mut keys = Vec::with_capacity(self.parts.len());
         for part in &self.parts {
             end_tokens += part.tokens;
-            keys.push((
-                PartKey(xxh3_64_with_seed(part.id.as_bytes(), base)),
-                end_tokens,
-            ));
+            keys.push((PartKey::new(&self.model, salt, &part.id), end_tokens));
         }
         PromptKeys(keys)
     }
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -1,8 +1,9 @@
 //! A prompt under one version of the weights.
 
+use ryerouter_core::identity::ZoneName;
 use ryerouter_core::placement::rendezvous_score;
 
-use super::{PlacementRequest, Prompt, PromptKeys};
+use super::{LEAST_SAVED_TOKENS, PlacementRequest, Prompt, PromptKeys};
 use crate::engines::Engine;
 
 /// A prompt under one version of the weights: its salt and keys, and who reads it first.
@@ -14,7 +15,10 @@
     pub(super) keys: PromptKeys,
     /// Orders engines the same on every node.
     order_key: u64,
+    /// Place of the first engine in that order.
     first_order: u64,
+    /// The same of the engines in this node's zone.
+    first_near_order: u64,
 }
 
 impl PromptVersion {
@@ -29,6 +33,7 @@
             salt,
             keys,
             first_order: 0,
+            first_near_order: 0,
         }
     }
 
@@ -43,12 +48,32 @@
     }
 
     /// An engine with these weights takes work.
-    pub(super) fn consider_first_reader(&mut self, engine: &Engine) {
-        self.first_order = self.first_order.max(self.order_of(engine));
+    pub(super) fn consider_first_reader(&mut self, engine: &Engine, zone: &ZoneName) {
+        let order = self.order_of(engine);
+        self.first_order = self.first_order.max(order);
+        if engine.entry.zone == *zone {
+            self.first_near_order = self.first_near_order.max(order);
+        }
+    }
+
+    /// Tokens of the parts that other requests may share.
+    pub(super) fn shared_tokens(&self) -> u32 {
+        self.keys.shared().last().map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Whether the shared parts are so few that each zone reads them for itself: sending the request
+    /// to another zone costs more, and nobody is told who holds them.
+    pub(super) fn is_small(&self) -> bool {
+        self.shared_tokens() < LEAST_SAVED_TOKENS
     }
 
-    /// Whether all nodes send parts that nobody holds to this engine.
+    /// Whether all nodes, or for small parts all nodes of the zone, send parts that nobody holds to
+    /// this engine.
     pub(super) fn is_first_reader(&self, engine: &Engine) -> bool {
-        self.order_of(engine) >= self.first_order
+        let first = match self.is_small() && self.first_near_order > 0 {
+            true => self.first_near_order,
+            false => self.first_order,
+        };
+        self.order_of(engine) == first
     }
 }
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -13,7 +13,7 @@
 use ryerouter_gateway::peers::KvStoreState;
 use ryerouter_gateway::placement::{
     Chooser, HolderTable, KvHolder, KvStores, Placement, PlacementPrices, PlacementRequest, Prompt,
-    store_holder_name,
+    PromptPart, store_holder_name,
 };
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::records::{POOL, STORE, ZONE, engine, model_table, model_table_with_stores, route};
@@ -409,3 +409,51 @@
     let engines = engines_of_many_prompts(&world);
     assert!(engines.iter().all(|engine| engine == "b"), "{engines:?}");
 }
+
+/// A prompt whose shared parts are too small to be saved or told of.
+fn small_prompt(part: u32) -> Prompt {
+    let part = PromptPart {
+        id: format!("small-{part}"),
+        tokens: 150,
+    };
+    let own = PromptPart {
+        id: "own".to_owned(),
+        tokens: 300,
+    };
+    Prompt {
+        parts: vec![part, own],
+        prompt_tokens: 450,
+        ..prompt("own")
+    }
+}
+
+#[test]
+fn small_parts_are_read_once_in_each_zone() {
+    let mut world = World::new(&["a", "b", "c", "d"]);
+    for name in ["c", "d"] {
+        let engine = world.engines.get_mut(&BackEndName::new(name)).unwrap();
+        engine.entry.zone = ZoneName::new("zone-b");
+    }
+    for part in 0..20 {
+        let prompt = small_prompt(part);
+        let first = world.choose_as("r1", &prompt).unwrap().engine;
+        assert!(["a", "b"].contains(&first.as_str()), "{first} is far");
+        // Some work there does not send the next request elsewhere.
+        let engine = world.engines.get_mut(&first).unwrap();
+        engine.foreign_load.requests = 4;
+        assert_eq!(world.choose_as("r2", &prompt).unwrap().engine, first);
+        let engine = world.engines.get_mut(&first).unwrap();
+        engine.foreign_load.requests = 0;
+    }
+}
+
+#[test]
+fn cache_is_not_fetched_for_a_little_less_work() {
+    let mut world = World::new(&["a", "b"]);
+    let prompt = prompt("s,x,2");
+    world.hold(&BackEndName::new("a"), &prompt, 2);
+    let holder = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    holder.foreign_load.requests = 6;
+    // What comes in to `b` would drive out as much that is held there.
+    assert_eq!(world.choose(&prompt).unwrap().engine.as_str(), "a");
+}
