Leave orders to others when the store of leases does not answer; follow no caches in large deployments

It told the others that it reached the store, since its watch waits 15 s and its proofs came from other nodes, and it is the first by name, so nobody else stood for the lease.

Change: a failed call to the store of leases counts: for three seconds after it a node says that it does not reach the store. Test: node_that_can_not_renew_the_lease_leaves_the_orders_to_others, failed before. The tests' silent store now gives up after a second as the platform's client does, in place of never.

--- a/crates/gateway/src/gateway/cache_events.rs
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -19,9 +19,12 @@
 impl Gateway {
     /// The engines whose caches this node follows for all: one node of an engine's zone does, since
     /// bytes between zones are dear, or one of all nodes when none serves in that zone.
+    ///
+    /// Not in a large deployment: whoever begins to follow an engine is told all that it remembers,
+    /// which is much for the small links there, and with many nodes the followers change often.
     pub fn caches_to_follow(&self) -> Vec<(BackEndName, SocketAddr)> {
         let state = self.state();
-        if state.node_state != NodeState::Ready {
+        if state.node_state != NodeState::Ready || state.peers.is_large() {
             return Vec::new();
         }
         let engines = state.engines.iter();
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -36,6 +36,9 @@
     pub sync: Exchange,
     /// Whether the last call to the source was answered.
     pub is_source_reached: bool,
+    /// When the store of leases last did not answer, until it does. Other calls to the source may go
+    /// on for a while without a fault: watches wait long, and proofs come from other nodes.
+    pub lease_trouble_at: Option<Timestamp>,
     /// Whether the list of engines has been read.
     pub has_engine_list: bool,
     /// Whether the list of named weights has been read: what comes later is new.
@@ -118,6 +121,7 @@
             weights_seen_after: None,
             sync: Exchange::default(),
             is_source_reached: false,
+            lease_trouble_at: None,
             has_engine_list: false,
             has_weights_list: false,
             engine_list_trouble_at: None,
--- a/crates/gateway/src/gateway/order_candidacy.rs
+++ b/crates/gateway/src/gateway/order_candidacy.rs
@@ -2,17 +2,33 @@
 
 use std::time::Duration;
 
-use super::Gateway;
+use super::{Gateway, GatewayState};
 use crate::peers::{NodeState, Peer};
 
 /// Starts that lie closer than this count as one: a whole deployment starting.
 const SAME_START: Duration = Duration::from_secs(1);
+/// A node that asks for the lease hears of trouble at least so often.
+const LEASE_TROUBLE: Duration = Duration::from_secs(3);
 
 impl Gateway {
     pub(super) fn uptime(&self) -> Duration {
         self.clock().now().since(self.clock().start_time())
     }
 
+    /// A call to the store of leases was answered, or was not.
+    pub fn note_lease_answer(&self, is_answered: bool) {
+        let now = self.clock().now();
+        self.state_mut().lease_trouble_at = (!is_answered).then_some(now);
+    }
+
+    /// Whether other nodes may leave the orders to this one.
+    pub(super) fn reaches_lease_store(&self, state: &GatewayState) -> bool {
+        let now = self.clock().now();
+        let trouble_at = state.lease_trouble_at;
+        let is_in_trouble = trouble_at.is_some_and(|at| now.since(at) < LEASE_TROUBLE);
+        state.is_source_reached && !is_in_trouble
+    }
+
     /// Whether this node should hold the lease of orders: no other node holds it, and of those that
     /// reach the store it is the one that started last: in a rolling restart it stays longest. Nodes
     /// that started at about the same time go by name.
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -81,7 +81,7 @@
             uptime_ms: self.uptime().as_millis() as u64,
             state: state.node_state,
             gives_orders: state.gives_orders,
-            reaches_store: state.is_source_reached,
+            reaches_store: self.reaches_lease_store(&state),
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
             echoes: state.peers.echoes(now, &mut rand::rng()),
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::control::StoreAnswer;
 use ryerouter_core::identity::Incarnation;
 use ryerouter_core::order::{HeldLease, LeaseAction, LeaseEvent, LeaseHolder, LeaseSettings};
 use slog::{info, warn};
@@ -114,6 +115,8 @@
         let mut actions = Vec::new();
         match event {
             RolloutEvent::StoreAnswered(answer) => {
+                let is_answered = !matches!(answer, StoreAnswer::Failed(_));
+                self.gateway.note_lease_answer(is_answered);
                 self.tell_lease(LeaseEvent::StoreAnswered(answer));
             }
             RolloutEvent::Ordered(engine, outcome) => {
--- a/crates/gateway/tests/caches.rs
+++ b/crates/gateway/tests/caches.rs
@@ -102,6 +102,14 @@
     });
 }
 
+#[test]
+fn caches_are_not_followed_in_a_large_deployment() {
+    run(async {
+        let nodes = nodes(11, 0);
+        assert!(nodes.iter().all(|node| node.caches_to_follow().is_empty()));
+    });
+}
+
 #[test]
 fn engine_that_leaves_or_has_no_weights_is_not_followed() {
     run(async {
--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::cell::{Cell, RefCell};
-use std::future::{Future, pending};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +11,8 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use ryerouter_core::control::{
-    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreValue, StoreVersion, StoredObject,
+    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreFailure, StoreValue, StoreVersion,
+    StoredObject,
 };
 use ryerouter_core::identity::{BackEndName, FencingNumber};
 use ryerouter_core::order::{LeaseRecord, LeaseSettings};
@@ -42,6 +43,15 @@
     is_silent: Cell<bool>,
 }
 
+/// A call that gets no answer is given up after this time.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+fn unreachable_store() -> StoreAnswer {
+    StoreAnswer::Failed(StoreFailure::Unavailable {
+        detail: "no answer in time".to_owned(),
+    })
+}
+
 impl OneLease {
     fn answer(&self, call: StoreCall) -> StoreAnswer {
         let mut held = self.held.borrow_mut();
@@ -86,7 +96,8 @@
     fn call(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
         async move {
             if self.is_silent.get() {
-                return pending().await;
+                sleep(CALL_LIMIT).await;
+                return unreachable_store();
             }
             sleep(self.delay.get()).await;
             self.answer(call)
@@ -217,3 +228,29 @@
         assert!(ordering.gateway.state().gives_orders);
     });
 }
+
+#[test]
+fn node_that_can_not_renew_the_lease_leaves_the_orders_to_others() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        let other = gateway("node-2");
+        configure(&other, table(1, Vec::new()));
+        list_engines(&other, Vec::new());
+        let tell = || other.hear_peer(ordering.gateway.peer_message(true));
+        sleep(Duration::from_secs(2)).await;
+        tell();
+        assert!(!other.should_give_orders());
+        // Nothing but the lease tells that the store is out of reach.
+        ordering.lease.is_silent.set(true);
+        sleep(SETTINGS.renew_interval + CALL_LIMIT + Duration::from_millis(100)).await;
+        tell();
+        assert!(other.should_give_orders());
+        sleep(Duration::from_secs(10)).await;
+        tell();
+        assert!(other.should_give_orders());
+        ordering.lease.is_silent.set(false);
+        sleep(Duration::from_secs(2)).await;
+        tell();
+        assert!(!other.should_give_orders());
+    });
+}
