Follow caches only once the other nodes have been heard of

A node that was just started knows no other, so it takes its deployment for a small one and itself for the only follower: 69 nodes at once asked every engine for all that it remembers.

Tests: caches_are_not_followed.

--- a/crates/gateway/src/gateway/cache_events.rs
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -24,7 +24,12 @@
     /// which is much for the small links there, and with many nodes the followers change often.
     pub fn caches_to_follow(&self) -> Vec<(BackEndName, SocketAddr)> {
         let state = self.state();
-        if state.node_state != NodeState::Ready || state.peers.is_large() {
+        let has_settled = |after| self.uptime() >= after;
+        let may_follow = self
+            .settings()
+            .caches_followed_after
+            .is_some_and(has_settled);
+        if !may_follow || state.node_state != NodeState::Ready || state.peers.is_large() {
             return Vec::new();
         }
         let engines = state.engines.iter();
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -36,6 +36,9 @@
     pub prices: PlacementPrices,
     /// Rollouts of weights.
     pub rollout: RolloutSettings,
+    /// A node follows the caches of engines once it has run for so long and has heard of the others:
+    /// before, each would follow them all. `None` follows none.
+    pub caches_followed_after: Option<Duration>,
     /// Prefixes whose holders are remembered.
     pub remembered_prefixes: usize,
 }
--- a/crates/gateway/tests/caches.rs
+++ b/crates/gateway/tests/caches.rs
@@ -19,6 +19,7 @@
 use support::records::{ZONE, engine, table};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
+use yare::parameterized;
 
 const PART: PartKey = PartKey(7);
 
@@ -102,6 +103,22 @@
     });
 }
 
+#[parameterized(
+    before_the_others_are_heard_of = { Some(Duration::from_secs(3_600)) },
+    switched_off = { None },
+)]
+fn caches_are_not_followed(after: Option<Duration>) {
+    run(async {
+        let mut own = settings("node-1");
+        own.caches_followed_after = after;
+        let node = gateway_with(own);
+        configure(&node, table(1, Vec::new()));
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000));
+        list_engines(&node, vec![engine("e0", address, 1)]);
+        assert_eq!(node.caches_to_follow(), []);
+    });
+}
+
 #[test]
 fn caches_are_not_followed_in_a_large_deployment() {
     run(async {
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -60,6 +60,7 @@
         connect: ConnectSettings::default(),
         prices: PlacementPrices::default(),
         rollout: RolloutSettings::default(),
+        caches_followed_after: Some(Duration::ZERO),
         remembered_prefixes: 1_000,
     }
 }
