--- a/crates/gateway/src/gateway/cache_events.rs
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -5,6 +5,7 @@
 
 use ryerouter_core::identity::{BackEndName, NodeName};
 use ryerouter_core::placement::rendezvous_score;
+use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::cache_knowledge::LEAST_TOLD_TOKENS;
@@ -77,6 +78,9 @@
         if state.engines.get(engine).is_none() {
             return;
         }
+        if is_first {
+            info!(self.log(), "cache_followed"; "engine" => %engine, "parts" => latest.len());
+        }
         for (key, change) in latest {
             let is_worth = change.tokens >= LEAST_TOLD_TOKENS;
             match change.is_held {
--- a/crates/gateway/src/gateway/order_candidacy.rs
+++ b/crates/gateway/src/gateway/order_candidacy.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use slog::{info, warn};
+
 use super::{Gateway, GatewayState};
 use crate::peers::{NodeState, Peer};
 
@@ -18,7 +20,16 @@
     /// A call to the store of leases was answered, or was not.
     pub fn note_lease_answer(&self, is_answered: bool) {
         let now = self.clock().now();
-        self.state_mut().lease_trouble_at = (!is_answered).then_some(now);
+        let trouble_at = (!is_answered).then_some(now);
+        let before = std::mem::replace(&mut self.state_mut().lease_trouble_at, trouble_at);
+        match (before, is_answered) {
+            (None, false) => warn!(self.log(), "lease_store_lost"),
+            (Some(since), true) => {
+                let after_ms = now.since(since).as_millis() as u64;
+                info!(self.log(), "lease_store_regained"; "after_ms" => after_ms);
+            }
+            _ => {}
+        }
     }
 
     /// Whether other nodes may leave the orders to this one.
--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -28,6 +28,8 @@
     pub(super) model: String,
     pub(super) version: u64,
     pub(super) step: OrderStep,
+    /// Whether it need not have begun yet.
+    pub(super) is_early: bool,
     /// When this began.
     pub(super) opened_at: Timestamp,
     /// When the order was last given.
--- a/crates/gateway/src/rollout/pace.rs
+++ b/crates/gateway/src/rollout/pace.rs
@@ -82,7 +82,7 @@
     }
 
     /// Whether the engines behind must be brought up from now on to be ready in time.
-    fn is_due(&self, progress: &Progress, now: Timestamp) -> bool {
+    pub(super) fn is_due(&self, progress: &Progress, now: Timestamp) -> bool {
         let Some(until) = progress.first_until else {
             return true;
         };
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -240,7 +240,8 @@
         };
         info!(self.gateway.log(), "order_given"; "engine" => %order.engine,
             "model" => &order.model, "version" => order.version,
-            "expected_orders" => order.expected_orders, "fence" => lease.fencing_number.0);
+            "expected_orders" => order.expected_orders, "early" => order.is_early,
+            "fence" => lease.fencing_number.0);
         let (orders, sender) = (Rc::clone(&self.orders), self.sender.clone());
         spawn_local(async move {
             let engine = order.engine.clone();
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -186,6 +186,7 @@
                 model: open.model.clone(),
                 version: open.version,
                 expected_orders: orders_taken,
+                is_early: open.is_early,
             }));
         }
     }
@@ -226,6 +227,7 @@
                 ..self.progress(pool, &members, model, version)
             };
             let to_begin = self.pace.to_begin(&progress, now);
+            let is_early = !self.pace.is_due(&progress, now);
             self.stale_work.spend(pool, to_begin.min(behind.len()));
             for engine in behind.into_iter().take(to_begin) {
                 let order = OpenOrder {
@@ -233,6 +235,7 @@
                     model: model.to_owned(),
                     version,
                     step: OrderStep::Asking,
+                    is_early,
                     opened_at: now,
                     given_at: now,
                     announced_at: now,
--- a/crates/gateway/src/rollout/weights_order.rs
+++ b/crates/gateway/src/rollout/weights_order.rs
@@ -13,4 +13,6 @@
     pub version: u64,
     /// Orders that the engine must have taken before: two orders never both run.
     pub expected_orders: u64,
+    /// Whether it need not be given yet, but requests begin on replaced weights meanwhile.
+    pub is_early: bool,
 }
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
-use ryerouter_gateway::engines::{BeginTimes, EngineTable};
+use ryerouter_gateway::engines::{BeginTimes, EngineLoad, EngineTable};
 use ryerouter_gateway::rollout::{
     EngineReport, NamedAt, OrderOutcome, RolloutAction, RolloutPlanner, RolloutSettings,
     WeightsDeadlines,
@@ -455,3 +455,21 @@
     rollout.planner.note_stale(&pool, a_load * 100.0);
     assert_eq!(rollout.advance(2_000).len(), 1);
 }
+
+#[test]
+fn order_says_whether_it_is_early() {
+    let is_early = |mut rollout: Rollout| {
+        rollout.advance(0);
+        let actions = rollout.report_and_advance("e00", 0, 1, 10);
+        actions.iter().find_map(|action| match action {
+            RolloutAction::Order(order) => Some(order.is_early),
+            _ => None,
+        })
+    };
+    assert_eq!(is_early(Rollout::due(1)), Some(false));
+    // An engine with requests drains before it is ordered.
+    let mut used = used_pool();
+    let first = used.engines.get_mut(&BackEndName::new("e00")).unwrap();
+    first.foreign_load = EngineLoad::default();
+    assert_eq!(is_early(used), Some(true));
+}
