--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine_orders;
 mod given_order;
+mod given_orders;
 mod open_order;
 mod order_outcome;
 mod pace;
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -5,7 +5,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
 
-use super::given_order::GivenOrder;
+use super::given_orders::GivenOrders;
 use super::open_order::{OpenOrder, OrderStep};
 use super::pace::{Pace, Progress};
 use super::stale_work::StaleWork;
@@ -23,9 +23,7 @@
 pub struct RolloutPlanner {
     settings: RolloutSettings,
     open: BTreeMap<BackEndName, OpenOrder>,
-    /// Orders that were given under a lease that is lost: reports are no orders, and all nodes wait
-    /// to hear that the engines have loaded.
-    given: BTreeMap<BackEndName, GivenOrder>,
+    given: GivenOrders,
     /// Engines that can't be ordered now, and until when they are left alone.
     resting: BTreeMap<BackEndName, Timestamp>,
     pace: Pace,
@@ -40,7 +38,7 @@
             stale_work: StaleWork::default(),
             settings,
             open: BTreeMap::new(),
-            given: BTreeMap::new(),
+            given: GivenOrders::default(),
             resting: BTreeMap::new(),
         }
     }
@@ -48,15 +46,7 @@
     /// Another process gives orders now; what was given is only observed.
     pub fn reset(&mut self) {
         for (name, open) in std::mem::take(&mut self.open) {
-            if matches!(open.step, OrderStep::Given | OrderStep::Loading) {
-                let given = GivenOrder {
-                    model: open.model,
-                    version: open.version,
-                    given_at: open.given_at,
-                    ask_at: Some(open.given_at),
-                };
-                self.given.insert(name, given);
-            }
+            self.given.take_over(name, open);
         }
         self.resting.clear();
         self.stale_work.clear();
@@ -71,38 +61,7 @@
     /// Appends questions about orders that were given under a lease that is lost.
     pub fn observe(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
         let longest = self.settings.expected_load * 2;
-        self.given
-            .retain(|_, given| now.since(given.given_at) < longest);
-        for (name, given) in &mut self.given {
-            if given.ask_at.is_some_and(|at| at <= now) {
-                given.ask_at = None;
-                actions.push(RolloutAction::Ask(name.clone()));
-            }
-        }
-    }
-
-    fn observed(
-        &mut self,
-        engine: &BackEndName,
-        report: Option<&EngineReport>,
-        now: Timestamp,
-        actions: &mut Vec<RolloutAction>,
-    ) {
-        let Some(given) = self.given.get_mut(engine) else {
-            return;
-        };
-        let has = report.and_then(|report| report.weights.get(&given.model));
-        if has.is_none_or(|has| *has < given.version) {
-            given.ask_at = Some(now.after(self.settings.ask_interval));
-            return;
-        }
-        actions.push(RolloutAction::Loaded {
-            engine: engine.clone(),
-            model: given.model.clone(),
-            version: given.version,
-            after: now.since(given.given_at),
-        });
-        self.given.remove(engine);
+        self.given.observe(longest, now, actions);
     }
 
     /// Whether no order is in progress.
@@ -324,7 +283,9 @@
         now: Timestamp,
         actions: &mut Vec<RolloutAction>,
     ) {
-        self.observed(engine, report, now, actions);
+        let again_after = self.settings.ask_interval;
+        self.given
+            .reported(engine, report, again_after, now, actions);
         let settings = &self.settings;
         let Some(open) = self.open.get_mut(engine) else {
             return;
