--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -142,7 +142,6 @@
             deadlines: &state.deadlines,
             slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
-            knows_loads: !self.is_settling(),
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
             now,
@@ -174,18 +173,14 @@
         window.count_request(&self.settings.retry, now);
     }
 
-    /// Whether this node has just started, perhaps at once with all others, so that it does not know
-    /// them nor their work yet.
-    fn is_settling(&self) -> bool {
-        self.uptime() < SETTLING
-    }
-
     /// Takes a retry from the budget of a pool.
     pub fn spend_retry(&self, pool: &PoolName) -> bool {
         let now: Timestamp = self.clock.now();
         let mut state = self.state_mut();
         let known = state.peers.known_count() + 1;
-        let processes = match self.is_settling() {
+        // Nodes that have just started, perhaps all at once, do not know each other yet.
+        let is_new = now.since(self.clock.start_time()) < SETTLING;
+        let processes = match is_new {
             true => known.max(PROCESSES_WHILE_SETTLING),
             false => known,
         };
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -42,8 +42,6 @@
     pub slowest_begin: Duration,
     /// Prices.
     pub prices: &'a PlacementPrices,
-    /// Whether the work of other nodes at engines is known.
-    pub knows_loads: bool,
     /// Whether there are so many nodes that what is known of engines is shared by many choices at
     /// once.
     pub is_large: bool,
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -70,15 +70,11 @@
     }
 
     /// Cost of beginning on weights that newer ones have replaced, so that requests gather at the
-    /// engines that have loaded and the others lose nothing while they wait for their turn. Not while
-    /// loads are unknown: all nodes would send all requests to the few engines that have loaded.
+    /// engines that have loaded and the others lose nothing while they wait for their turn.
     pub(super) fn stale_cost(&self, model: &str, weights: u64) -> f64 {
         let replaced_at = self.deadlines.replaced_at(model, weights);
         let is_stale = replaced_at.is_some_and(|at| self.now.since(at) >= self.prices.stale_after);
-        match is_stale && self.knows_loads {
-            true => self.prices.stale,
-            false => 0.0,
-        }
+        if is_stale { self.prices.stale } else { 0.0 }
     }
 
     pub(super) fn zone_cost(&self, engine: &Engine, request: &PlacementRequest<'_>) -> f64 {
