--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::future::{Future, pending};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,7 +40,10 @@
 struct OneLease {
     held: RefCell<Option<(StoreVersion, LeaseRecord)>>,
     delay: Cell<Duration>,
+    /// Calls never end.
     is_silent: Cell<bool>,
+    /// Calls are given up after a time.
+    is_out_of_reach: Cell<bool>,
 }
 
 /// A call that gets no answer is given up after this time.
@@ -96,6 +99,9 @@
     fn call(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
         async move {
             if self.is_silent.get() {
+                return pending().await;
+            }
+            if self.is_out_of_reach.get() {
                 sleep(CALL_LIMIT).await;
                 return unreachable_store();
             }
@@ -241,14 +247,14 @@
         tell();
         assert!(!other.should_give_orders());
         // Nothing but the lease tells that the store is out of reach.
-        ordering.lease.is_silent.set(true);
+        ordering.lease.is_out_of_reach.set(true);
         sleep(SETTINGS.renew_interval + CALL_LIMIT + Duration::from_millis(100)).await;
         tell();
         assert!(other.should_give_orders());
         sleep(Duration::from_secs(10)).await;
         tell();
         assert!(other.should_give_orders());
-        ordering.lease.is_silent.set(false);
+        ordering.lease.is_out_of_reach.set(false);
         sleep(Duration::from_secs(2)).await;
         tell();
         assert!(!other.should_give_orders());
