Read the source along a tree of nodes; take stale answers where they suffice; share out who asks in an outage

In an outage each node asked for each of three kinds every 0.3 to 0.6 s.

Change: nodes tell how many others they have heard of, introduce themselves at once, and answer one that knows of few, so a started node learns the size of its deployment from the first message. One node reads; the first of each other zone asks it, the others ask the first of their zone. Nodes that serve go before nodes that have only started. Lists of engines and weights at the start are stale reads, which the watch or another node completes; a newer configuration is first read stale. After repeated failures a node waits until another has got an answer, or for a time that grows with the number of nodes.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -1,6 +1,7 @@
 //! What a gateway believes.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use ryerouter_core::Timestamp;
@@ -36,6 +37,8 @@
     pub sync: Exchange,
     /// Whether the last call to the source was answered.
     pub is_source_reached: bool,
+    /// When the source last answered this node, or another one as far as that one told.
+    pub source_answered_at: Option<Timestamp>,
     /// When the store of leases last did not answer, until it does. Other calls to the source may go
     /// on for a while without a fault: watches wait long, and proofs come from other nodes.
     pub lease_trouble_at: Option<Timestamp>,
@@ -65,6 +68,8 @@
     pub gives_orders: bool,
     /// Whether a node has come that was not told whom this one knows.
     pub owes_introduction: bool,
+    /// Nodes that do not know yet how many there are; the next message also goes to them.
+    pub newcomers: Vec<SocketAddr>,
     /// Number of the last message to other nodes.
     pub sequence: u64,
     /// When the last messages were sent.
@@ -121,6 +126,7 @@
             weights_seen_after: None,
             sync: Exchange::default(),
             is_source_reached: false,
+            source_answered_at: None,
             lease_trouble_at: None,
             has_engine_list: false,
             has_weights_list: false,
@@ -135,6 +141,7 @@
             peers,
             gives_orders: false,
             owes_introduction: false,
+            newcomers: Vec::new(),
             sequence: 0,
             sent_times: SentTimes::default(),
             seen_lease: None,
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -20,6 +20,17 @@
 impl Gateway {
     /// The source listed all items of a kind at `revision`, to a question sent at `asked_at`.
     pub fn take_list(&self, kind: ItemKind, items: Vec<Item>, revision: u64, asked_at: Timestamp) {
+        self.take_list_of(kind, items, revision, Some(asked_at));
+    }
+
+    /// The same; a list that may be stale is `proven_at` no time.
+    pub fn take_list_of(
+        &self,
+        kind: ItemKind,
+        items: Vec<Item>,
+        revision: u64,
+        proven_at: Option<Timestamp>,
+    ) {
         let mut state = self.state_mut();
         if kind == ItemKind::Engines {
             match state.has_engine_list {
@@ -35,7 +46,7 @@
         }
         state.replicas.of_mut(kind).revision = Some(revision);
         drop(state);
-        self.replace_items(kind, items, asked_at);
+        self.replace_all(kind, items, proven_at);
     }
 
     /// Takes changes up to a revision: from the source, to a question sent at `asked_at`, or from
@@ -59,6 +70,10 @@
 
     /// The source listed all items of a kind, to a question sent at `asked_at`.
     pub fn replace_items(&self, kind: ItemKind, items: Vec<Item>, asked_at: Timestamp) {
+        self.replace_all(kind, items, Some(asked_at));
+    }
+
+    fn replace_all(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
         if kind == ItemKind::Engines {
             let is_engine = |item: &Item| match item {
                 Item::Engine(entry) => Some(entry.name.clone()),
@@ -72,7 +87,8 @@
             self.state_mut().has_engine_list = true;
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
-        self.change_items(kind, changes, asked_at);
+        self.apply(kind, changes);
+        self.note_source_answer(kind, proven_at);
         if kind == ItemKind::Weights {
             self.state_mut().has_weights_list = true;
         }
@@ -81,15 +97,30 @@
     /// The source told changes, or that there are none, to a question sent at `asked_at`.
     pub fn change_items(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
         self.apply(kind, changes);
+        self.note_source_answer(kind, Some(asked_at));
+    }
+
+    /// The source answered; `proven_at` the copy was certainly current.
+    fn note_source_answer(&self, kind: ItemKind, proven_at: Option<Timestamp>) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         state.is_source_reached = true;
-        let replica = state.replicas.of_mut(kind);
-        replica.is_behind = false;
-        replica.freshness.prove(asked_at);
+        state.source_answered_at = Some(now);
+        if let Some(proven_at) = proven_at {
+            let replica = state.replicas.of_mut(kind);
+            replica.is_behind = false;
+            replica.freshness.prove(proven_at);
+        }
         drop(state);
         self.become_ready();
     }
 
+    /// Whether the source answered this node or another one after `moment`, as far as is known.
+    pub fn source_answered_since(&self, moment: Timestamp) -> bool {
+        let answered_at = self.state().source_answered_at;
+        answered_at.is_some_and(|at| at > moment)
+    }
+
     fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>) {
         for change in changes {
             match change {
@@ -119,6 +150,11 @@
         }
     }
 
+    /// Version of the configuration, once one is known.
+    pub fn configuration_version(&self) -> Option<u64> {
+        self.state().table.as_ref().map(|table| table.version())
+    }
+
     fn adopt_table(&self, table: Rc<RoutingTable>) {
         let mut state = self.state_mut();
         let known = state.table.as_ref().map(|table| table.version());
@@ -131,6 +167,8 @@
             .configuration_version
             .set(table.version() as i64);
         state.table = Some(table);
+        // If another node knows a still newer one, it tells that again.
+        state.replicas.of_mut(ItemKind::Configuration).is_behind = false;
     }
 
     fn engine_listed(&self, entry: EngineEntry) {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -18,4 +18,5 @@
 pub use proof_of_freshness::ProofOfFreshness;
 pub use reading::Role;
 pub use shared::Gateway;
+pub(crate) use shared::SETTLING;
 pub use zone_relay::Parcel;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::Timestamp;
 use slog::info;
 
-use super::{Gateway, GatewayState};
+use super::{Gateway, GatewayState, SETTLING};
 use crate::engines::EngineLoad;
 use crate::peers::{
     ConfigurationProof, EngineLoadNews, HolderNews, LeaseNews, NamedNews, PeerMessage,
@@ -18,7 +18,8 @@
 
 /// Most prefixes that one message tells of; more wait for the next.
 const MOST_HOLDER_NEWS: usize = 64;
-/// Addresses where nobody answered yet that one introduction goes to.
+/// Nodes that do not know the size of the deployment, and addresses where nobody answered yet, that
+/// one introduction goes to.
 const MOST_UNHEARD_RECEIVERS: usize = 4;
 
 /// Named weights are told with an introduction for so long.
@@ -42,9 +43,11 @@
         !state.holder_news.is_empty() || !state.weights_news.is_empty()
     }
 
-    /// Whether a node has come that knows nothing of this one yet.
+    /// Whether a node has come that knows nothing of this one yet, or nobody may know of it.
     pub fn owes_introduction(&self) -> bool {
-        self.state().owes_introduction
+        let state = self.state();
+        let is_alone = state.peers.heard_count() == 0 && self.uptime() < SETTLING;
+        state.owes_introduction || is_alone
     }
 
     /// The next message to other nodes; takes the news out.
@@ -84,6 +87,7 @@
             reaches_store: self.reaches_lease_store(&state),
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
+            known_nodes: state.peers.heard_count(),
             echoes: state.peers.echoes(now, &mut rand::rng()),
             members,
             named,
@@ -106,6 +110,12 @@
     /// Another node proved the same configuration current: counted back from the own message that
     /// it had when it said so, since the datagram itself may be of any age.
     fn take_proof(&self, state: &mut GatewayState, message: &PeerMessage) {
+        if let Some(proof) = message.proof {
+            // The datagram itself may be late; that only makes this node ask the source too early.
+            let age = Duration::from_millis(proof.age_ms);
+            let answered_at = self.clock().now().before(age);
+            state.source_answered_at = state.source_answered_at.max(Some(answered_at));
+        }
         let own = &self.settings().identity;
         let echo = message
             .echoes
@@ -159,8 +169,15 @@
             false => state.peers.receivers(random),
         };
         if is_introduction {
+            let newcomers = state.newcomers.len().min(MOST_UNHEARD_RECEIVERS);
+            receivers.extend(state.newcomers.drain(..newcomers));
             let unheard = state.peers.unheard_addresses();
-            receivers.extend(unheard.choose_multiple(random, MOST_UNHEARD_RECEIVERS));
+            let others = MOST_UNHEARD_RECEIVERS - newcomers;
+            receivers.extend(unheard.choose_multiple(random, others));
+            if !state.newcomers.is_empty() {
+                state.owes_introduction = true;
+                self.urgent_news.notify_one();
+            }
         }
         receivers
     }
@@ -177,6 +194,15 @@
             state.owes_introduction = true;
             self.urgent_news.notify_one();
         }
+        if state.peers.should_be_told_of_size(&message) {
+            // It acts as one of few nodes until then, so this must not wait.
+            let newcomer = message.from.peer_address;
+            if !state.newcomers.contains(&newcomer) {
+                state.newcomers.push(newcomer);
+            }
+            state.owes_introduction = true;
+            self.urgent_news.notify_one();
+        }
         let zone = &self.settings().identity.zone;
         let is_newest = state.peers.hear(&message, zone, now);
         if state.peers.is_large() {
--- a/crates/gateway/src/gateway/proof_of_freshness.rs
+++ b/crates/gateway/src/gateway/proof_of_freshness.rs
@@ -19,6 +19,11 @@
         self.proven_at = self.proven_at.max(Some(asked_at));
     }
 
+    /// When the copy was last certainly current.
+    pub fn proven_at(&self) -> Option<Timestamp> {
+        self.proven_at
+    }
+
     /// How old the proof is.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
         self.proven_at.map(|at| now.since(at))
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -7,7 +7,8 @@
 use ryerouter_core::identity::NodeName;
 use slog::{debug, info};
 
-use super::{Gateway, GatewayState, ProofOfFreshness};
+use super::{Gateway, GatewayState, ProofOfFreshness, SETTLING};
+use crate::peers::{NodeState, Peer};
 use crate::source::{ItemBatch, ItemKind};
 use crate::sync::{Answer, EngineChange, Mark, Question};
 
@@ -21,9 +22,9 @@
 pub enum Role {
     /// It watches the source for itself, as every node of a small deployment does.
     Watches,
-    /// It watches the source for its zone.
+    /// It watches the source for the nodes that rely on it.
     Reads,
-    /// It asks a reader, and the source only when that does not help.
+    /// It asks another node, and the source only when that does not help.
     Relies,
 }
 
@@ -35,31 +36,60 @@
         if !state.peers.is_large() {
             return Role::Watches;
         }
-        let is_first = self.reader(&state, now).is_none();
-        let is_needed = state.is_order_candidate || state.sync.is_relied_on(now);
-        match is_first || is_needed {
-            true => Role::Reads,
-            false => Role::Relies,
+        let is_newcomer = self.uptime() < SETTLING && !state.peers.is_settled();
+        let has_parent = is_newcomer || self.parent(&state, now).is_some();
+        // Nodes that ask this one out of turn could not rely on its parent.
+        let is_stand_in = state.sync.is_relied_on(now) && self.reader(&state, now).is_some();
+        match has_parent && !is_stand_in && !state.is_order_candidate {
+            true => Role::Relies,
+            false => Role::Reads,
         }
     }
 
-    /// The node to ask: of those of the zone that serve, the first by name, unless that is this
-    /// node itself.
+    /// The node that this one catches up with: the reader of its zone, or for that one the first of
+    /// all nodes. It always comes before this one, so no two wait for each other.
+    fn parent(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+        let near = self.reader(state, now);
+        near.or_else(|| self.first_before_own(state, |_| true, now))
+    }
+
+    /// Whether this node reads for its zone what a node of another zone tells it.
+    pub fn is_zone_reader(&self) -> bool {
+        let now = self.clock().now();
+        let state = self.state();
+        state.peers.is_large() && self.reader(&state, now).is_none()
+    }
+
+    /// The node that reads for this zone: the first of its nodes; `None` when that is this node
+    /// itself.
     pub(super) fn reader(
         &self,
         state: &GatewayState,
         now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
+        self.first_before_own(state, |peer| peer.is_near, now)
+    }
+
+    /// The first of the nodes that may be asked, unless this one comes before it. Those that serve
+    /// come before those that have only started, and then the names decide.
+    fn first_before_own(
+        &self,
+        state: &GatewayState,
+        is_eligible: impl Fn(&Peer) -> bool,
+        now: Timestamp,
     ) -> Option<(NodeName, SocketAddr)> {
         let own = &self.settings().identity;
-        let near = state
-            .peers
-            .ready(now)
-            .filter(|peer| peer.identity.zone == own.zone);
-        let first = near
-            .filter(|peer| state.sync.may_ask(&peer.identity.name, now))
-            .min_by(|left, right| left.identity.name.cmp(&right.identity.name))?;
-        let identity = &first.identity;
-        (identity.name < own.name).then(|| (identity.name.clone(), identity.peer_address))
+        let rank = |state, name| (state != NodeState::Ready, name);
+        let may_be_asked = |peer: &&Peer| {
+            let is_staying = peer.state != NodeState::Leaving;
+            is_staying && is_eligible(peer) && state.sync.may_ask(&peer.identity.name, now)
+        };
+        let others = state.peers.alive(now).filter(may_be_asked);
+        let ranked = others.map(|peer| (rank(peer.state, &peer.identity.name), peer));
+        let (first, peer) = ranked.min_by_key(|(rank, _)| *rank)?;
+        let identity = &peer.identity;
+        let comes_before = first < rank(state.node_state, &own.name);
+        comes_before.then(|| (identity.name.clone(), identity.peer_address))
     }
 
     /// The next question, and where to send it; `None` while this node does not rely on another.
@@ -72,7 +102,7 @@
         if let Some(silent) = state.sync.give_up_silent(now) {
             info!(self.log(), "reader_silent"; "reader" => %silent);
         }
-        let (reader, address) = self.reader(&state, now)?;
+        let (reader, address) = self.parent(&state, now)?;
         let number = state.sync.ask(reader, now);
         let revision = |kind| state.replicas.of(kind).revision;
         let question = Question {
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -18,8 +18,9 @@
 use crate::telemetry::{LogSampler, Metrics};
 use crate::upstream::Upstream;
 
-/// After this time a node knows the others.
-const SETTLING: Duration = Duration::from_secs(3);
+/// Within this time a node that was just started comes to know the others, also when all were
+/// started at once.
+pub(crate) const SETTLING: Duration = Duration::from_secs(3);
 /// Nodes that share the retry budget, as long as a new node does not know better.
 const PROCESSES_WHILE_SETTLING: usize = 16;
 /// Of the time for older weights at most this share is left unused because requests begin late.
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -17,6 +17,8 @@
     pub gives_orders: bool,
     /// Whether it reached the store of leases lately.
     pub reaches_store: bool,
+    /// How many other nodes it said that it has heard of.
+    pub known_nodes: usize,
     /// Whether it stands in the own zone.
     pub is_near: bool,
     /// Number of its last message that came.
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -21,6 +21,8 @@
 const TICKS_PER_INTRODUCTION: u64 = 12;
 /// Every so many ticks a node that relies on a reader asks it.
 const TICKS_PER_QUESTION: u64 = 4;
+/// The same for the reader of a zone: what it learns is then passed on once more.
+const TICKS_PER_QUESTION_OF_READER: u64 = 2;
 const LONGEST_DATAGRAM: usize = 60_000;
 
 /// Tells other nodes what this one knows and hears what they know, until dropped.
@@ -44,7 +46,11 @@
                 gateway.refresh_foreign_loads();
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
-                if tick % TICKS_PER_QUESTION == phase {
+                let spacing = match gateway.is_zone_reader() {
+                    true => TICKS_PER_QUESTION_OF_READER,
+                    false => TICKS_PER_QUESTION,
+                };
+                if tick % spacing == phase % spacing {
                     ask(&gateway, &socket);
                 }
             }
@@ -80,7 +86,7 @@
     let is_heartbeat = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
     let is_introduction =
         tick.is_multiple_of(TICKS_PER_INTRODUCTION) || gateway.owes_introduction();
-    if !is_heartbeat && !gateway.has_peer_news() {
+    if !is_heartbeat && !is_introduction && !gateway.has_peer_news() {
         return;
     }
     let message = gateway.peer_message(is_introduction);
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -39,6 +39,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "p")]
     pub proof: Option<ConfigurationProof>,
+    /// How many other nodes the sender has heard of; a node that was just started takes the size of
+    /// its deployment from this.
+    #[serde(rename = "s", default)]
+    pub known_nodes: usize,
     /// The last messages that the sender has of others.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "e")]
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<NodeName, Peer>,
+    /// How many nodes the best informed of the others has heard of.
+    told_count: usize,
     unheard: Vec<SocketAddr>,
 }
 
@@ -72,6 +74,7 @@
             state: message.state,
             gives_orders: message.gives_orders,
             reaches_store: message.reaches_store,
+            known_nodes: message.known_nodes,
             is_near: from.zone == *own_zone,
             sequence: message.sequence,
             newest_sequence: self.newest_sequence(message),
@@ -79,6 +82,7 @@
             loads: message.loads.clone(),
         };
         self.peers.insert(from.name.clone(), peer);
+        self.told_count = self.told_count.max(message.known_nodes);
         true
     }
 
@@ -92,15 +96,33 @@
     }
 
     /// Whether there are so many nodes that not every node tells every other, and that not every
-    /// node reads the source for itself.
+    /// node reads the source for itself. A node that was just started and has heard of few itself
+    /// learns it from the first of them that has heard of many.
     pub fn is_large(&self) -> bool {
-        self.peers.len() > MOST_OF_FEW
+        self.heard_count().max(self.told_count) > MOST_OF_FEW
+    }
+
+    /// Whether this node itself has heard of enough others to know its place among them.
+    pub fn is_settled(&self) -> bool {
+        self.heard_count() > MOST_OF_FEW
+    }
+
+    /// How many nodes this one has heard of itself, silent ones included.
+    pub fn heard_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether the sender of a message does not know yet that there are many nodes.
+    pub fn should_be_told_of_size(&self, message: &PeerMessage) -> bool {
+        self.is_settled() && message.known_nodes <= MOST_OF_FEW
     }
 
     /// Forgets nodes that were silent for long.
     pub fn forget_silent(&mut self, now: Timestamp) {
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < FORGET_AFTER);
+        let told = self.peers.values().map(|peer| peer.known_nodes).max();
+        self.told_count = told.unwrap_or_default();
     }
 
     /// Nodes that told something lately, or that others have heard of lately.
@@ -170,9 +192,11 @@
         &self.unheard
     }
 
-    /// How many nodes are known, silent ones included.
+    /// How many other nodes there may be, as far as this one or the others have heard, silent ones
+    /// included.
     pub fn known_count(&self) -> usize {
-        self.peers.len().max(self.unheard.len())
+        let heard = self.heard_count().max(self.told_count);
+        heard.max(self.unheard.len())
     }
 
     /// The last messages of others, for them to know that they arrived; of some, when they are many.
--- a/crates/gateway/src/source/catalogue_source.rs
+++ b/crates/gateway/src/source/catalogue_source.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 
-use super::{ItemBatch, ItemKind, ItemPage, SourceError};
+use super::{Consistency, ItemBatch, ItemKind, ItemPage, SourceError};
 
 /// Lists and watches items.
 pub trait CatalogueSource {
@@ -12,6 +12,7 @@
     fn list<'a>(
         &'a self,
         kind: ItemKind,
+        consistency: Consistency,
         after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>>;
 
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -6,11 +6,11 @@
 
 use rand::Rng;
 use ryerouter_core::Timestamp;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::{sleep, timeout};
 
-use super::{CatalogueSource, Item, ItemKind, SourceError};
-use crate::gateway::{Gateway, Role};
+use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
+use crate::gateway::{Gateway, Role, SETTLING};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -18,14 +18,26 @@
 /// A reader of a zone makes its watches at least so far apart, so that many changes in a row cost
 /// few calls.
 const LEAST_SPACING: Duration = Duration::from_millis(250);
+/// A node that was just started makes them so far apart while it may not know yet that there are
+/// many others: each change would bring an answer to each of them.
+const SPACING_WHILE_NEW: Duration = Duration::from_secs(1);
+/// A single call may fail while the source is well; so many in a row count as an outage.
+const FAILURES_OF_OUTAGE: u32 = 2;
 /// Time between looks whether the source must be asked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// A reader's watches last this share of the time within which changes must be in force. Its proof
-/// is up to two watches old, and then that of the others by one question more.
-const READER_WATCH_SHARE: f64 = 0.25;
+/// is up to two watches old, that of the other zones' readers by one question more, and that of
+/// their nodes by another one; together that stays under `PATIENCE_SHARES`.
+const READER_WATCH_SHARE: f64 = 0.15;
 /// A node that relies on a reader asks the source when its copy is older than a share of that time
 /// drawn between these two, so that not all nodes do so at once.
 const PATIENCE_SHARES: Range<f64> = 0.7..0.8;
+/// After repeated failures so many nodes together ask the source as often as one alone would, until
+/// one of them has got an answer.
+const NODES_PER_PROBE: usize = 10;
+/// The configuration is asked for first, since callers' keys depend on it; other kinds wait so many
+/// times as long.
+const OTHER_KINDS_PATIENCE: u32 = 2;
 /// Named weights may be used much later than that, so they are proven this much less often.
 const WEIGHTS_LENIENCE: f64 = 2.0;
 
@@ -54,6 +66,7 @@
         settings,
         failures: 0,
         asked_at: None,
+        listed_at: None,
     };
     loop {
         follower.list_until_done().await;
@@ -67,18 +80,25 @@
     kind: ItemKind,
     settings: FollowSettings,
     failures: u32,
-    /// When the last watch began.
+    /// When the last list or watch began.
     asked_at: Option<Timestamp>,
+    /// When the last list was asked for.
+    listed_at: Option<Timestamp>,
 }
 
 impl Follower {
     async fn list_until_done(&mut self) {
         loop {
             let asked_at = self.gateway.clock().now();
-            match self.list_all().await {
+            self.asked_at = Some(asked_at);
+            self.listed_at = Some(asked_at);
+            let consistency = self.consistency();
+            match self.list_all(consistency).await {
                 Ok((items, revision)) if self.revision() <= Some(revision) => {
                     self.note_answer();
-                    self.gateway.take_list(self.kind, items, revision, asked_at);
+                    let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
+                    let gateway = &self.gateway;
+                    gateway.take_list_of(self.kind, items, revision, proven_at);
                     return;
                 }
                 // A stale list tells nothing.
@@ -88,12 +108,22 @@
         }
     }
 
-    async fn list_all(&self) -> Result<(Vec<Item>, u64), SourceError> {
+    /// The first list may be stale: the watch from its revision, or another node, tells the rest. A
+    /// configuration must be proved current before it is used.
+    fn consistency(&self) -> Consistency {
+        match self.kind {
+            ItemKind::Configuration => Consistency::Linearizable,
+            _ if self.revision().is_some() => Consistency::Linearizable,
+            ItemKind::Engines | ItemKind::Weights => Consistency::Stale,
+        }
+    }
+
+    async fn list_all(&self, consistency: Consistency) -> Result<(Vec<Item>, u64), SourceError> {
         let mut items = Vec::new();
         let mut after: Option<String> = None;
         let mut first_revision = None;
         loop {
-            let call = self.source.list(self.kind, after.as_deref());
+            let call = self.source.list(self.kind, consistency, after.as_deref());
             let page = timeout(self.settings.answer, call)
                 .await
                 .map_err(|_| no_answer())??;
@@ -110,6 +140,9 @@
     async fn watch_until_history_gone(&mut self) {
         loop {
             let wait = self.wait_until_needed().await;
+            if self.is_behind_another_node() && self.has_caught_up_by_stale_list().await {
+                continue;
+            }
             let asked_at = self.gateway.clock().now();
             self.asked_at = Some(asked_at);
             let revision = self.revision().unwrap_or_default();
@@ -135,6 +168,37 @@
         }
     }
 
+    /// Whether another node has told of a newer configuration, whose content it does not pass on.
+    fn is_behind_another_node(&self) -> bool {
+        let is_behind = self.gateway.state().replicas.of(self.kind).is_behind;
+        let is_relying = self.gateway.role() == Role::Relies;
+        self.kind == ItemKind::Configuration && is_behind && is_relying && self.failures == 0
+    }
+
+    /// Many nodes want the same configuration at the same time, and a stale list, which costs the
+    /// source little, mostly holds it already. That it is current the other node proves.
+    async fn has_caught_up_by_stale_list(&self) -> bool {
+        let before = self.gateway.configuration_version();
+        match self.list_all(Consistency::Stale).await {
+            Ok((items, revision)) if self.revision() <= Some(revision) => {
+                let gateway = &self.gateway;
+                gateway.take_list_of(self.kind, items, revision, None);
+                let after = gateway.configuration_version();
+                debug!(gateway.log(), "configuration_read_stale"; "before" => before,
+                    "after" => after, "revision" => revision);
+                before < after
+            }
+            Ok((_, revision)) => {
+                debug!(self.gateway.log(), "configuration_read_too_stale"; "revision" => revision);
+                false
+            }
+            Err(error) => {
+                debug!(self.gateway.log(), "configuration_not_read"; "error" => %error);
+                false
+            }
+        }
+    }
+
     /// Waits until this node should ask the source; tells how long the watch may then last.
     async fn wait_until_needed(&self) -> Duration {
         let bound = self.gateway.settings().catalogue_bound;
@@ -149,6 +213,9 @@
                 Role::Relies => return Duration::ZERO,
                 // After a failure the answer is wanted at once: it tells that nothing was missed.
                 Role::Watches | Role::Reads if self.failures > 0 => return Duration::ZERO,
+                Role::Watches if self.is_new() && self.asked_within(SPACING_WHILE_NEW) => {
+                    sleep(LOOK_INTERVAL).await;
+                }
                 Role::Watches => return self.settings.watch,
                 Role::Reads if self.asked_within(LEAST_SPACING) => sleep(LOOK_INTERVAL).await,
                 Role::Reads => return bound.mul_f64(READER_WATCH_SHARE),
@@ -167,7 +234,15 @@
         let now = self.gateway.clock().now();
         let state = self.gateway.state();
         let replica = state.replicas.of(self.kind);
-        !replica.is_behind && replica.freshness.is_within(patience, now)
+        let proven_at = replica.freshness.proven_at();
+        // A stale list proves nothing, but was not much older.
+        let known_at = proven_at.or(self.listed_at);
+        !replica.is_behind && known_at.is_some_and(|at| now.since(at) < patience)
+    }
+
+    fn is_new(&self) -> bool {
+        let clock = self.gateway.clock();
+        clock.now().since(clock.start_time()) < SETTLING
     }
 
     fn asked_within(&self, span: Duration) -> bool {
@@ -196,7 +271,31 @@
         self.failures += 1;
         self.gateway.note_source_trouble(self.kind, self.failures);
         let jitter = rand::rng().random_range(0.5..1.0);
+        let failed_at = self.gateway.clock().now();
         sleep(pause.mul_f64(jitter)).await;
+        if self.failures >= FAILURES_OF_OUTAGE {
+            self.wait_for_others(failed_at, pause.mul_f64(jitter)).await;
+        }
+    }
+
+    /// While the source seems to be down for all, the nodes share out who asks it. One that is cut
+    /// off alone hears of answers that others get, and goes on asking for itself.
+    async fn wait_for_others(&self, failed_at: Timestamp, pause: Duration) {
+        let nodes = self.gateway.state().peers.known_count();
+        let share = (nodes as f64 / NODES_PER_PROBE as f64).max(1.0);
+        let longest = self.gateway.settings().catalogue_bound;
+        let patience = pause.mul_f64(share).min(longest);
+        let patience = match self.kind {
+            ItemKind::Configuration => patience,
+            ItemKind::Engines | ItemKind::Weights => patience * OTHER_KINDS_PATIENCE,
+        };
+        let is_over = || {
+            let waited = self.gateway.clock().now().since(failed_at);
+            waited >= patience || self.gateway.source_answered_since(failed_at)
+        };
+        while !is_over() {
+            sleep(LOOK_INTERVAL).await;
+        }
     }
 }
 
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalogue_source;
 mod change_log;
+mod consistency;
 mod follower;
 mod freshness_prober;
 mod item;
@@ -13,6 +14,7 @@
 
 pub use catalogue_source::CatalogueSource;
 pub use change_log::{CatchUp, ChangeLog};
+pub use consistency::Consistency;
 pub use follower::{FollowSettings, follow};
 pub use freshness_prober::keep_fresh;
 pub use item::{Item, ItemChange, NamedWeights};
