Hand configurations on between nodes; a node that is cut off names no addresses

Change: a node that another one tells of a newer configuration, and that the store does not answer, fetches its text from that node in pieces of 8 KB, each asked for by one datagram. The node keeps the text that its table was read from. Proofs stay as they were: counted from the question, given by a node that has it from the store. Readers are judged by the age of what they tell, not by the asker's own copies. A node that hears no other for 1.5 s and has no proof within half of what is allowed gives callers no addresses, since it takes the others for dead and would send everybody to itself; one whose proof has run out is not ready and names only the others.

--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 pub struct RoutingTable {
     version: u64,
+    document: Option<String>,
     routes_by_host: HashMap<String, Vec<Rc<Route>>>,
     pools: HashMap<PoolName, PoolProfile>,
     kv_stores: Vec<KvStoreProfile>,
@@ -59,6 +60,17 @@
         table
     }
 
+    /// Keeps the text that the table was read from, to hand it on to other nodes.
+    pub fn with_document(mut self, document: impl Into<String>) -> Self {
+        self.document = Some(document.into());
+        self
+    }
+
+    /// The text that the table was read from.
+    pub fn document(&self) -> Option<&str> {
+        self.document.as_deref()
+    }
+
     /// Version of the configuration.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -18,7 +18,7 @@
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::source::{ChangeLog, ItemKind, Replicas};
-use crate::sync::Exchange;
+use crate::sync::{Exchange, Transfer};
 
 /// What a gateway believes; changed between awaits only.
 #[derive(Debug)]
@@ -35,6 +35,8 @@
     pub weights_seen_after: Option<u64>,
     /// Questions to and of other nodes about what the source holds.
     pub sync: Exchange,
+    /// A configuration that another node hands on.
+    pub transfer: Transfer,
     /// Whether the last call to the source was answered.
     pub is_source_reached: bool,
     /// When the source last answered this node, or another one as far as that one told.
@@ -125,6 +127,7 @@
             engine_log: ChangeLog::default(),
             weights_seen_after: None,
             sync: Exchange::default(),
+            transfer: Transfer::default(),
             is_source_reached: false,
             source_answered_at: None,
             lease_trouble_at: None,
--- /dev/null
+++ b/crates/gateway/src/gateway/handover.rs
@@ -0,0 +1,83 @@
+//! Handing the configuration on to nodes that the source does not answer; see
+//! docs/design/large.md.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::identity::NodeName;
+use slog::{info, warn};
+
+use super::{Gateway, GatewayState};
+use crate::source::ItemKind;
+use crate::sync::{Chunk, Fetch, Offer};
+
+/// A piece that has not come after so long is asked for again; nodes answer within milliseconds.
+const ANSWER_LIMIT: Duration = Duration::from_millis(200);
+
+impl Gateway {
+    /// The next piece to ask for, and of whom: while another node has a newer configuration and
+    /// the source does not answer this one.
+    pub fn next_fetch(&self) -> Option<(SocketAddr, Fetch)> {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let is_behind = state.replicas.of(ItemKind::Configuration).is_behind;
+        if !is_behind || state.is_source_reached {
+            return None;
+        }
+        let offer = state.transfer.offer?;
+        let asked_at = state.transfer.asked_at;
+        if asked_at.is_some_and(|at| now.since(at) < ANSWER_LIMIT) {
+            return None;
+        }
+        state.transfer.asked_at = Some(now);
+        Some((offer.address, state.transfer.next()))
+    }
+
+    /// The piece that another node asks for.
+    pub fn answer_fetch(&self, fetch: &Fetch) -> Option<Chunk> {
+        let state = self.state();
+        let table = state.table.as_ref()?;
+        let document = table.document()?;
+        Some(Chunk::of(document, table.version(), fetch))
+    }
+
+    /// Takes a piece; tells what to ask for next.
+    pub fn take_chunk(&self, chunk: Chunk) -> Option<(SocketAddr, Fetch)> {
+        let version = chunk.version;
+        let mut state = self.state_mut();
+        let own = state.table.as_ref().map(|table| table.version());
+        if own >= Some(version) {
+            return None;
+        }
+        let whole = state.transfer.take(chunk);
+        state.transfer.asked_at = None;
+        drop(state);
+        let Some(text) = whole else {
+            return self.next_fetch();
+        };
+        match self.dialect().read_configuration(&text) {
+            Ok(table) => {
+                info!(self.log(), "configuration_handed_over"; "version" => version,
+                    "before" => own, "bytes" => text.len());
+                self.adopt_table(Rc::new(table));
+                self.become_ready();
+            }
+            Err(error) => warn!(self.log(), "configuration_handed_over_unreadable";
+                "version" => version, "error" => %error),
+        }
+        None
+    }
+
+    /// The node that this one relies on has a newer configuration.
+    pub(super) fn note_reader_ahead(
+        &self,
+        state: &mut GatewayState,
+        reader: &NodeName,
+        version: u64,
+    ) {
+        if let Some(address) = state.peers.address_of(reader) {
+            state.transfer.note_offer(Offer { version, address });
+        }
+    }
+}
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -155,7 +155,7 @@
         self.state().table.as_ref().map(|table| table.version())
     }
 
-    fn adopt_table(&self, table: Rc<RoutingTable>) {
+    pub(super) fn adopt_table(&self, table: Rc<RoutingTable>) {
         let mut state = self.state_mut();
         let known = state.table.as_ref().map(|table| table.version());
         if known.is_some_and(|known| known >= table.version()) {
@@ -262,7 +262,7 @@
         }
     }
 
-    fn become_ready(&self) {
+    pub(super) fn become_ready(&self) {
         let mut state = self.state_mut();
         let knows_all = state.table.is_some() && state.has_engine_list;
         if knows_all && state.node_state == NodeState::Starting {
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,9 +2,11 @@
 
 mod cache_events;
 mod cache_knowledge;
+mod callers;
 mod engine_weights;
 mod gateway_settings;
 mod gateway_state;
+mod handover;
 mod items;
 mod order_candidacy;
 mod peer_news;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -15,6 +15,7 @@
 };
 use crate::rollout::NamedAt;
 use crate::source::ItemKind;
+use crate::sync::Offer;
 
 /// Most prefixes that one message tells of; more wait for the next.
 const MOST_HOLDER_NEWS: usize = 64;
@@ -107,33 +108,44 @@
         })
     }
 
-    /// Another node proved the same configuration current: counted back from the own message that
-    /// it had when it said so, since the datagram itself may be of any age.
+    /// What another node says of its configuration.
     fn take_proof(&self, state: &mut GatewayState, message: &PeerMessage) {
-        if let Some(proof) = message.proof {
-            // The datagram itself may be late; that only makes this node ask the source too early.
-            let age = Duration::from_millis(proof.age_ms);
-            let answered_at = self.clock().now().before(age);
-            state.source_answered_at = state.source_answered_at.max(Some(answered_at));
-        }
-        let own = &self.settings().identity;
-        let echo = message
-            .echoes
-            .iter()
-            .find(|echo| echo.incarnation == own.incarnation);
-        let sent_at = echo.and_then(|echo| state.sent_times.of(echo.sequence));
-        let (Some(proof), Some(sent_at)) = (message.proof, sent_at) else {
+        let Some(proof) = message.proof else {
             return;
         };
+        let age = Duration::from_millis(proof.age_ms);
+        // The datagram itself may be late; that only makes this node ask the source too early.
+        let answered_at = self.clock().now().before(age);
+        state.source_answered_at = state.source_answered_at.max(Some(answered_at));
         let own_version = state.table.as_ref().map(|table| table.version());
-        let replica = state.replicas.of_mut(ItemKind::Configuration);
-        replica.is_behind |= own_version.is_some_and(|own| own < proof.version);
-        if own_version == Some(proof.version) {
-            let proven_at = sent_at.before(Duration::from_millis(proof.age_ms));
-            replica.freshness.prove(proven_at);
+        if own_version.is_some_and(|own| own < proof.version) {
+            let replica = state.replicas.of_mut(ItemKind::Configuration);
+            replica.is_behind = true;
+            state.transfer.note_offer(Offer {
+                version: proof.version,
+                address: message.from.peer_address,
+            });
+        }
+        let sent_at = self.echoed_message_sent_at(state, message);
+        if let Some(sent_at) = sent_at.filter(|_| own_version == Some(proof.version)) {
+            let replica = state.replicas.of_mut(ItemKind::Configuration);
+            replica.freshness.prove(sent_at.before(age));
         }
     }
 
+    /// When this node sent the newest of its messages that the other one had: a proof counts from
+    /// then, since the datagram that brings it may be of any age.
+    fn echoed_message_sent_at(
+        &self,
+        state: &GatewayState,
+        message: &PeerMessage,
+    ) -> Option<Timestamp> {
+        let own = self.settings().identity.incarnation;
+        let mut echoes = message.echoes.iter();
+        let echo = echoes.find(|echo| echo.incarnation == own)?;
+        state.sent_times.of(echo.sequence)
+    }
+
     pub(super) fn named_news(&self, state: &GatewayState, age: Duration) -> Vec<NamedNews> {
         let now = self.clock().now();
         let seen = state.deadlines.seen_within(age, now);
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -165,8 +165,8 @@
         };
         self.take_engines(&answer, asked_at);
         self.take_weights(&answer, asked_at);
-        self.take_configuration(&answer, asked_at);
-        self.judge_reader(&reader);
+        self.take_configuration(&answer, &reader, asked_at);
+        self.judge_reader(&reader, &answer);
     }
 
     fn take_engines(&self, answer: &Answer, asked_at: Timestamp) {
@@ -200,7 +200,7 @@
         self.take_mark(ItemKind::Weights, mark, asked_at);
     }
 
-    fn take_configuration(&self, answer: &Answer, asked_at: Timestamp) {
+    fn take_configuration(&self, answer: &Answer, reader: &NodeName, asked_at: Timestamp) {
         let Some(mark) = answer.configuration else {
             return;
         };
@@ -209,6 +209,7 @@
         let replica = state.replicas.of_mut(ItemKind::Configuration);
         if own < Some(mark.position) {
             replica.is_behind = true;
+            self.note_reader_ahead(&mut state, reader, mark.position);
             return;
         }
         replica.freshness.prove(counted_back(asked_at, mark));
@@ -227,17 +228,15 @@
     }
 
     /// A reader that knows nothing recent itself is not asked again soon.
-    fn judge_reader(&self, reader: &NodeName) {
+    fn judge_reader(&self, reader: &NodeName, answer: &Answer) {
         let now = self.clock().now();
         let limit = self.settings().catalogue_bound.mul_f64(STALE_SHARE);
-        let mut state = self.state_mut();
-        let kinds = [ItemKind::Configuration, ItemKind::Engines];
-        let is_current = |kind: &ItemKind| {
-            let replica = state.replicas.of(*kind);
-            replica.is_behind || replica.freshness.is_within(limit, now)
+        let is_recent = |mark: &Option<Mark>| {
+            mark.is_some_and(|mark| Duration::from_millis(mark.age_ms) < limit)
         };
-        if !kinds.iter().all(is_current) {
-            state.sync.avoid(reader.clone(), now);
+        let marks = [answer.configuration, answer.engines];
+        if !marks.iter().all(is_recent) {
+            self.state_mut().sync.avoid(reader.clone(), now);
             info!(self.log(), "reader_stale"; "reader" => %reader);
         }
     }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -1,12 +1,11 @@
 //! The gateway's shared handle.
 
 use std::cell::{Ref, RefCell, RefMut};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::{PoolName, ZoneName};
+use ryerouter_core::identity::PoolName;
 use slog::{Logger, info};
 use tokio::sync::Notify;
 
@@ -25,8 +24,6 @@
 const PROCESSES_WHILE_SETTLING: usize = 16;
 /// Of the time for older weights at most this share is left unused because requests begin late.
 const MOST_BEGIN_SHARE: f64 = 0.25;
-/// Callers in a zone get its own nodes only when there are at least so many.
-const LEAST_NEAR_NODES: usize = 2;
 
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
@@ -105,30 +102,6 @@
         self.state.borrow_mut()
     }
 
-    /// Whether callers should come here.
-    pub fn is_ready(&self) -> bool {
-        self.state().node_state == NodeState::Ready
-    }
-
-    /// Addresses that a caller in `zone` should use: its own zone's when there are enough.
-    pub fn addresses_near(&self, zone: &ZoneName, most: usize) -> Vec<SocketAddr> {
-        let now = self.clock.now();
-        let state = self.state();
-        let own = (state.node_state == NodeState::Ready).then_some(&self.settings.identity);
-        let others = state.peers.ready(now).map(|peer| &peer.identity);
-        let nodes: Vec<_> = own.into_iter().chain(others).collect();
-        let near: Vec<_> = nodes
-            .iter()
-            .filter(|node| node.zone == *zone)
-            .map(|node| node.caller_address)
-            .collect();
-        if near.len() >= LEAST_NEAR_NODES {
-            return near.into_iter().take(most).collect();
-        }
-        let all = nodes.iter().map(|node| node.caller_address);
-        all.take(most).collect()
-    }
-
     /// Chooses an engine.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let state = self.state();
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{PeerMessage, ZoneNews};
-use crate::sync::{Answer, Question};
+use crate::sync::{Answer, Chunk, Fetch, Question};
 
 /// One datagram between nodes: a JSON line.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -17,6 +17,12 @@
     /// What it lacks.
     #[serde(rename = "a")]
     Answer(Answer),
+    /// The sender wants the next piece of a configuration.
+    #[serde(rename = "f")]
+    Fetch(Fetch),
+    /// The piece.
+    #[serde(rename = "c")]
+    Chunk(Chunk),
     /// What the nodes of another zone know and do.
     #[serde(rename = "z")]
     Zone(ZoneNews),
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -10,6 +10,7 @@
 
 use super::Datagram;
 use crate::gateway::{Gateway, Parcel};
+use crate::sync::Fetch;
 
 /// News go out this often when there are any.
 const TICK: Duration = Duration::from_millis(100);
@@ -46,6 +47,7 @@
                 gateway.refresh_foreign_loads();
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
+                send_fetch(&socket, gateway.next_fetch());
                 let spacing = match gateway.is_zone_reader() {
                     true => TICKS_PER_QUESTION_OF_READER,
                     false => TICKS_PER_QUESTION,
@@ -74,6 +76,12 @@
             send(socket, &Datagram::Answer(answer), &[from]);
         }
         Ok(Datagram::Answer(answer)) => gateway.take_answer(answer),
+        Ok(Datagram::Fetch(fetch)) => {
+            if let Some(chunk) = gateway.answer_fetch(&fetch) {
+                send(socket, &Datagram::Chunk(chunk), &[from]);
+            }
+        }
+        Ok(Datagram::Chunk(chunk)) => send_fetch(socket, gateway.take_chunk(chunk)),
         Ok(Datagram::Zone(news)) => {
             send_parcels(socket, gateway.hear_zone(&news));
         }
@@ -113,6 +121,12 @@
     }
 }
 
+fn send_fetch(socket: &UdpSocket, fetch: Option<(SocketAddr, Fetch)>) {
+    if let Some((address, fetch)) = fetch {
+        send(socket, &Datagram::Fetch(fetch), &[address]);
+    }
+}
+
 fn send(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
     if receivers.is_empty() {
         return;
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -38,6 +38,7 @@
     /// How many nodes the best informed of the others has heard of.
     told_count: usize,
     unheard: Vec<SocketAddr>,
+    last_heard_at: Option<Timestamp>,
 }
 
 impl PeerTable {
@@ -52,6 +53,17 @@
         }
     }
 
+    /// When any other node was last heard.
+    pub fn last_heard_at(&self) -> Option<Timestamp> {
+        self.last_heard_at
+    }
+
+    /// Where a node is reached.
+    pub fn address_of(&self, name: &NodeName) -> Option<SocketAddr> {
+        let peer = self.peers.get(name)?;
+        Some(peer.identity.peer_address)
+    }
+
     /// Whether this life of a node has told anything yet.
     pub fn knows(&self, identity: &NodeIdentity) -> bool {
         let known = self.peers.get(&identity.name);
@@ -61,6 +73,7 @@
     /// Takes who a message is from; `false` when a newer one came before it.
     pub fn hear(&mut self, message: &PeerMessage, own_zone: &ZoneName, now: Timestamp) -> bool {
         let from = &message.from;
+        self.last_heard_at = Some(now);
         self.unheard.retain(|address| *address != from.peer_address);
         if let Some(known) = self.peers.get(&from.name)
             && known.identity.incarnation == from.incarnation
--- a/crates/gateway/src/request/dialect.rs
+++ b/crates/gateway/src/request/dialect.rs
@@ -3,7 +3,8 @@
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
 
-use super::{AnswerFacts, AttemptHead, BadRequest, CallerRequest};
+use super::{AnswerFacts, AttemptHead, BadRequest, CallerRequest, UnreadableConfiguration};
+use crate::catalogue::RoutingTable;
 
 /// Reads and writes the heads of the protocol that callers and engines speak.
 pub trait Dialect {
@@ -16,6 +17,9 @@
     /// Reads the head of an engine's answer.
     fn read_answer(&self, head: &response::Parts) -> AnswerFacts;
 
+    /// Reads a configuration that another node hands on in the words of the source.
+    fn read_configuration(&self, text: &str) -> Result<RoutingTable, UnreadableConfiguration>;
+
     /// Writes the head of an answer of the gateway's own to a request with this id.
     fn write_refusal(&self, request_id: Option<&str>, headers: &mut HeaderMap);
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod caller_request;
 mod dialect;
 mod refusal;
+mod unreadable_configuration;
 
 pub use answer_facts::AnswerFacts;
 pub use attempt_head::AttemptHead;
@@ -13,3 +14,4 @@
 pub use caller_request::CallerRequest;
 pub use dialect::Dialect;
 pub use refusal::{Refusal, RefusalReason};
+pub use unreadable_configuration::UnreadableConfiguration;
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -18,6 +18,8 @@
 
 /// When to come back to a node that has no configuration yet, or an unproven one.
 const COME_BACK_AFTER: Duration = Duration::from_millis(300);
+/// The same when this node is cut off: others serve at once, and callers find them.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(50);
 
 /// Checks a request whose head has been read, and reads its body.
 pub(super) async fn accept(
@@ -107,7 +109,11 @@
             let age = freshness.age(now).map_or(0, |age| age.as_millis());
             let detail = format!("configuration not proven current for {age} ms");
             let refusal = Refusal::new(RefusalReason::ConfigurationUnproven, detail);
-            return Err(refusal.come_back_after(COME_BACK_AFTER));
+            let wait = match gateway.is_cut_off() {
+                true => COME_BACK_ELSEWHERE,
+                false => COME_BACK_AFTER,
+            };
+            return Err(refusal.come_back_after(wait));
         }
     }
     let tenant = caller.key.as_ref().and_then(|key| table.tenant_of(key));
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -10,8 +10,10 @@
 mod change;
 mod exchange;
 mod question;
+mod transfer;
 
 pub use answer::{Answer, Mark};
 pub use change::EngineChange;
 pub use exchange::Exchange;
 pub use question::Question;
+pub use transfer::{Chunk, Fetch, Offer, Transfer};
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -12,7 +12,7 @@
 use ryerouter_gateway::placement::{CandidateCost, PartKey, Placement, PromptKeys};
 use ryerouter_gateway::source::{ChangeLog, Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
 use ryerouter_gateway::sync::Answer;
-use support::gateway_bench::{configure, gateway_with, run, settings};
+use support::gateway_bench::{configure, gateway_with, list_engines, run, run_paused, settings};
 use support::records::{ZONE, engine, table};
 use yare::parameterized;
 
@@ -640,3 +640,67 @@
         assert_eq!(receivers, addresses(&nodes[1..]));
     });
 }
+
+/// A node with a short bound of proofs, and another one of its zone.
+fn node_with_short_bound() -> (Rc<Gateway>, Rc<Gateway>) {
+    let mut own = settings("node-00");
+    own.identity.caller_address = "127.0.0.1:9000".parse().unwrap();
+    own.most_unproven = Some(Duration::from_millis(4_000));
+    let gateway = gateway_with(own);
+    configure(&gateway, table(1, Vec::new()));
+    list_engines(&gateway, Vec::new());
+    let other = node(1);
+    gateway.hear_peer(other.peer_message(true));
+    (gateway, other)
+}
+
+fn named_by(gateway: &Gateway) -> usize {
+    gateway.addresses_near(&ZoneName::new(ZONE), 8).len()
+}
+
+#[test]
+fn node_that_is_cut_off_names_no_addresses_to_callers() {
+    run_paused(async {
+        let (gateway, _) = node_with_short_bound();
+        assert_eq!(named_by(&gateway), 2);
+        tokio::time::sleep(Duration::from_millis(1_800)).await;
+        // The other is silent, but the source answered lately: this node may be all that is left.
+        assert!(!gateway.is_cut_off());
+        assert_eq!(named_by(&gateway), 1);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        assert!(gateway.is_cut_off());
+        assert_eq!(named_by(&gateway), 0);
+    });
+}
+
+#[parameterized(
+    another_node_is_heard = { true },
+    the_source_answers = { false },
+)]
+fn node_that_hears_again_names_addresses_again(is_peer: bool) {
+    run_paused(async move {
+        let (gateway, other) = node_with_short_bound();
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        assert_eq!(named_by(&gateway), 0);
+        match is_peer {
+            true => gateway.hear_peer(other.peer_message(true)),
+            false => configure(&gateway, table(2, Vec::new())),
+        }
+        assert!(!gateway.is_cut_off());
+        assert!(named_by(&gateway) > 0);
+    });
+}
+
+#[test]
+fn node_whose_keys_are_not_proven_is_not_ready_and_names_the_others() {
+    run_paused(async {
+        let (gateway, other) = node_with_short_bound();
+        configure(&gateway, table(2, Vec::new()));
+        assert!(gateway.is_ready());
+        tokio::time::sleep(Duration::from_millis(4_100)).await;
+        gateway.hear_peer(other.peer_message(true));
+        assert!(!gateway.is_ready());
+        let named = gateway.addresses_near(&ZoneName::new(ZONE), 8);
+        assert_eq!(named, [other.settings().identity.caller_address]);
+    });
+}
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -37,6 +37,16 @@
     LocalSet::new().block_on(&runtime, test);
 }
 
+/// The same on a virtual clock; for tests without sockets.
+pub fn run_paused(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
 /// Settings of the node `name`.
 pub fn settings(name: &str) -> GatewaySettings {
     GatewaySettings {
--- a/crates/gateway/tests/support/test_dialect.rs
+++ b/crates/gateway/tests/support/test_dialect.rs
@@ -4,8 +4,11 @@
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{request, response};
+use ryerouter_gateway::catalogue::RoutingTable;
 use ryerouter_gateway::placement::{Prompt, PromptPart};
-use ryerouter_gateway::request::{AnswerFacts, AttemptHead, BadRequest, CallerRequest, Dialect};
+use ryerouter_gateway::request::{
+    AnswerFacts, AttemptHead, BadRequest, CallerRequest, Dialect, UnreadableConfiguration,
+};
 
 pub const ID: &str = "x-id";
 pub const KEY: &str = "x-key";
@@ -26,6 +29,14 @@
 pub struct TestDialect;
 
 impl Dialect for TestDialect {
+    /// A text that is nothing but a version, and blanks.
+    fn read_configuration(&self, text: &str) -> Result<RoutingTable, UnreadableConfiguration> {
+        let version = text.trim().parse().map_err(|_| UnreadableConfiguration {
+            detail: format!("'{}' is not a version", text.trim()),
+        })?;
+        Ok(super::records::table(version, Vec::new()).with_document(text))
+    }
+
     fn read_request(&self, head: &request::Parts) -> Result<CallerRequest, BadRequest> {
         let text = |name| text(&head.headers, name);
         let id = text(ID).ok_or_else(|| BadRequest {
