Wait for lapsed entries of engines from the store's return; readers tell of their trouble

Cause: an engine whose entry went in an outage of the store was kept for contactMs (5 s on the large site) after the last failed call, where the users say that one missing two seconds after the return is gone. And a node that relies on another one does not call the store itself, so it took such an entry for gone at once.

Answers between nodes carry how long ago the reader's calls for the list failed.

Tests: beliefs.rs (fails without the change), catching_up.rs.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -48,8 +48,10 @@
     pub has_engine_list: bool,
     /// Whether the list of named weights has been read: what comes later is new.
     pub has_weights_list: bool,
-    /// When a call for the list of engines last failed.
+    /// When a call for the list of engines last failed, or was answered again after that.
     pub engine_list_trouble_at: Option<Timestamp>,
+    /// Whether the last call for the list of engines failed.
+    pub is_engine_list_lost: bool,
     /// All engines.
     pub engines: EngineTable,
     /// How long requests take to begin.
@@ -134,6 +136,7 @@
             has_engine_list: false,
             has_weights_list: false,
             engine_list_trouble_at: None,
+            is_engine_list_lost: false,
             engines: EngineTable::default(),
             begin_times: BeginTimes::default(),
             holders: HolderTable::new(settings.remembered_prefixes),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -74,6 +74,7 @@
     }
 
     fn replace_all(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
+        self.note_engine_list_read(kind);
         if kind == ItemKind::Engines {
             let is_engine = |item: &Item| match item {
                 Item::Engine(entry) => Some(entry.name.clone()),
@@ -96,10 +97,21 @@
 
     /// The source told changes, or that there are none, to a question sent at `asked_at`.
     pub fn change_items(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
+        self.note_engine_list_read(kind);
         self.apply(kind, changes);
         self.note_source_answer(kind, Some(asked_at));
     }
 
+    /// The list of engines can be read again after calls for it had failed: entries that lapsed
+    /// meanwhile may come back from now on.
+    fn note_engine_list_read(&self, kind: ItemKind) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if kind == ItemKind::Engines && std::mem::take(&mut state.is_engine_list_lost) {
+            state.engine_list_trouble_at = Some(now);
+        }
+    }
+
     /// The source answered; `proven_at` the copy was certainly current.
     fn note_source_answer(&self, kind: ItemKind, proven_at: Option<Timestamp>) {
         let now = self.clock().now();
@@ -143,6 +155,7 @@
         state.is_source_reached = false;
         if kind == ItemKind::Engines {
             state.engine_list_trouble_at = Some(now);
+            state.is_engine_list_lost = true;
         }
         if failures >= FAILURES_OF_TROUBLE {
             state.source_trouble_at = Some(now);
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -129,6 +129,9 @@
             configuration: mark(version, state.freshness(), now),
             engines: replica_mark(&state, ItemKind::Engines, now),
             weights: weights.flatten(),
+            trouble_age_ms: state
+                .engine_list_trouble_at
+                .map(|at| now.since(at).as_millis() as u64),
             changes: catch_up.map_or_else(Vec::new, |(_, changes)| changes),
             revision,
             named: match has_news {
@@ -173,6 +176,11 @@
         let Some(mark) = answer.engines else {
             return;
         };
+        if let Some(age_ms) = answer.trouble_age_ms {
+            let at = asked_at.before(Duration::from_millis(age_ms));
+            let mut state = self.state_mut();
+            state.engine_list_trouble_at = state.engine_list_trouble_at.max(Some(at));
+        }
         if answer.revision.is_none() {
             let mut state = self.state_mut();
             let replica = state.replicas.of_mut(ItemKind::Engines);
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -34,6 +34,10 @@
     /// The named weights.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<Mark>,
+    /// How long before the answer a call for the list of engines had failed, or was answered again
+    /// after that, in milliseconds: entries that went then may come back.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub trouble_age_ms: Option<u64>,
     /// Changes of the list of engines that the asker lacks.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<EngineChange>,
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -108,6 +108,29 @@
     });
 }
 
+#[test]
+fn lapsed_entry_is_waited_for_from_the_moment_at_which_the_list_is_read_again() {
+    run(async {
+        let mut short = settings("node-1");
+        short.unlisted_grace = Duration::from_millis(200);
+        let gateway = gateway_with(short);
+        with_engine(&gateway);
+        gateway.note_source_trouble(ItemKind::Engines, 1);
+        // The source was away for longer than its entries take to come back.
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        engine_gone(&gateway);
+        gateway.remove_unlisted();
+        assert!(knows_engine(&gateway));
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        gateway.remove_unlisted();
+        assert!(!knows_engine(&gateway));
+        // That is over: whatever goes now is gone.
+        with_engine(&gateway);
+        engine_gone(&gateway);
+        assert!(!knows_engine(&gateway));
+    });
+}
+
 #[test]
 fn draining_engine_whose_entry_goes_is_never_kept() {
     run(async {
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -704,3 +704,23 @@
         assert_eq!(named, [other.settings().identity.caller_address]);
     });
 }
+
+#[test]
+fn entry_that_lapsed_during_trouble_of_the_reader_stays_at_those_that_rely_on_it() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        reader.note_source_trouble(ItemKind::Engines, 1);
+        source_tells(reader, vec![ItemChange::Gone("e1".to_owned())], 101);
+        assert_eq!(state_of(reader, "e1"), Some(EngineState::Ready));
+        catch_up(other, reader);
+        assert_eq!(state_of(other, "e1"), Some(EngineState::Ready));
+        source_tells(reader, vec![engine_change("e1", EngineState::Ready)], 102);
+        catch_up(other, reader);
+        let is_unlisted = |node: &Gateway| {
+            let name = BackEndName::new("e1");
+            node.state().engines.get(&name).unwrap().is_unlisted
+        };
+        assert!(!is_unlisted(reader) && !is_unlisted(other));
+    });
+}
