--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -15,7 +15,7 @@
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
-/// A reader of a zone makes its watches at least so far apart, so that many changes in a row cost
+/// A node that reads for others makes its watches at least so far apart, so that many changes in a row cost
 /// few calls.
 const LEAST_SPACING: Duration = Duration::from_millis(250);
 /// A node that was just started makes them so far apart while it may not know yet that there are
@@ -101,7 +101,7 @@
                     gateway.take_list_of(self.kind, items, revision, proven_at);
                     return;
                 }
-                // A stale list tells nothing.
+                // Older than the copy: it tells nothing.
                 Ok(_) => self.pause_after(&SourceError::HistoryGone).await,
                 Err(error) => self.pause_after(&error).await,
             }
@@ -168,7 +168,8 @@
         }
     }
 
-    /// Whether another node has told of a newer configuration, whose content it does not pass on.
+    /// Whether another node has told of a newer configuration. Its content comes from the source as
+    /// long as that answers; see [`Gateway::next_fetch`] for when it does not.
     fn is_behind_another_node(&self) -> bool {
         let is_behind = self.gateway.state().replicas.of(self.kind).is_behind;
         let is_relying = self.gateway.role() == Role::Relies;
