Say when to come back where a route has no pool, and when time ran out before a run

Found while writing docs/design/accounting.md: both answered 503 without a time. The test of the first fails without the change; the second can hardly be reached, so it has none.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -131,7 +131,8 @@
         // its head may go on.
         let may_run = self.is_pending || self.has_answer || self.may_have_run;
         match may_run {
-            false => Refusal::new(RefusalReason::DeadlineNotRun, "no engine in time"),
+            false => Refusal::new(RefusalReason::DeadlineNotRun, "no engine in time")
+                .come_back_after(NO_ENGINE_RETRY),
             true => Refusal::new(RefusalReason::DeadlineMayHaveRun, "no answer in time"),
         }
     }
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -16,7 +16,8 @@
 use crate::gateway::Gateway;
 use crate::request::{CallerRequest, Refusal, RefusalReason};
 
-/// When to come back to a node that has no configuration yet, or an unproven one.
+/// When to come back to a node that has no configuration yet, an unproven one, or one that leads
+/// nowhere: the next one takes about this long to arrive.
 const COME_BACK_AFTER: Duration = Duration::from_millis(300);
 /// The same when this node is cut off: others serve at once, and callers find them.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(50);
@@ -37,10 +38,10 @@
     })?;
     let route = find_route(&table, &head)?;
     let tenant = find_tenant(gateway, &table, &route, &caller)?;
-    let pool = route
-        .pool_of(&caller.id)
-        .cloned()
-        .ok_or_else(|| Refusal::new(RefusalReason::NoEngine, "route without a pool"))?;
+    let pool = route.pool_of(&caller.id).cloned().ok_or_else(|| {
+        Refusal::new(RefusalReason::NoEngine, "route without a pool")
+            .come_back_after(COME_BACK_AFTER)
+    })?;
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let mut headers = head.headers;
     keep_forwarded(&mut headers);
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -259,6 +259,18 @@
     });
 }
 
+#[test]
+fn route_without_a_pool_refuses_and_tells_when_to_come_back() {
+    run(async {
+        let mut empty = route(RequestKind::Safe);
+        empty.pools = Vec::new();
+        let bench = GatewayBench::start(Some(table(1, vec![empty])), Vec::new()).await;
+        let answer = bench.call("GET", ONE, "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.retry_after.is_some());
+    });
+}
+
 #[test]
 fn key_is_refused_while_the_configuration_is_not_proven_current() {
     run(async {
