--- a/crates/testbed/src/cli/command.rs
+++ b/crates/testbed/src/cli/command.rs
@@ -8,7 +8,6 @@
 use super::faults_command::FaultsCommand;
 use super::limits_command::LimitsCommand;
 use super::overhead_command::OverheadCommand;
-use super::scale_command::ScaleCommand;
 use super::standins_command::StandinsCommand;
 use super::up_command::UpCommand;
 
@@ -30,9 +29,6 @@
     /// Measures what one node adds.
     #[options(help = "measure what one node adds against back ends asked directly")]
     Overhead(OverheadCommand),
-    /// Runs the control plane at full size.
-    #[options(help = "run the control plane of many nodes on a virtual clock and measure it")]
-    Scale(ScaleCommand),
     /// Starts every stand-in and prints its address.
     #[options(help = "start the stand-ins alone and print their addresses")]
     Standins(StandinsCommand),
@@ -54,7 +50,6 @@
             Self::Faults(command) => command.run(),
             Self::Limits(command) => command.run(),
             Self::Overhead(command) => command.run(),
-            Self::Scale(command) => command.run(),
             Self::Standins(command) => command.run(),
             Self::Up(command) => command.run(),
         }
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -9,7 +9,6 @@
 mod faults_command;
 mod limits_command;
 mod overhead_command;
-mod scale_command;
 mod standins_command;
 mod stop_signal;
 mod up_command;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod limits;
 pub mod oracle;
 pub mod overhead;
-pub mod scale;
 pub mod scenario;
 pub mod simulation;
 pub mod standins;
