--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod order;
 pub mod placement;
 pub mod prompt;
+pub mod quota;
 pub mod retry;
 mod timestamp;
 
--- /dev/null
+++ b/crates/core/src/quota/account.rs
@@ -0,0 +1,156 @@
+//! One tenant at one node.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Ask, Crowd, Limit, Meter, Usage, Verdict};
+use crate::Timestamp;
+
+/// What is told to others is averaged over this time: some requests of a busy tenant, and not
+/// longer than news take, so that a rise is seen soon.
+const TOLD_SPAN: Duration = Duration::from_millis(400);
+/// A node that stands in for all others needs a steadier average than it tells: it sees few
+/// requests itself.
+const BLIND_SPAN: Duration = Duration::from_secs(4);
+/// What all nodes admit is steered to meet the limit after so long. News of other zones take up to
+/// a second; a shorter time would swing.
+const HORIZON: Duration = Duration::from_millis(1_500);
+/// A new account begins with so much of the limit used up: the process may have been restarted and
+/// have forgotten what it admitted.
+const PRESUMED_USE: Duration = Duration::from_secs(1);
+/// Use beyond the limit is made up for over so much time at most.
+const MOST_DEBT: Duration = Duration::from_secs(4);
+/// Of what the limit admits, this part goes to all requests alike, the rest to urgent ones first, so
+/// that no kind of request is shut out.
+const ALIKE_SHARE: f64 = 0.25;
+/// Requests come back spread over as long as the limit needs for what is asked in a second, within
+/// these bounds.
+const LEAST_SPREAD_S: f64 = 0.5;
+const MOST_SPREAD_S: f64 = 4.0;
+
+/// One tenant with a limit, as one node sees it.
+#[derive(Debug)]
+pub struct Account {
+    /// What all nodes together may admit at once; negative after they admitted too much.
+    balance: f64,
+    balanced_at: Timestamp,
+    asked: Meter,
+    admitted: Meter,
+    asked_by_priority: BTreeMap<u8, Meter>,
+}
+
+impl Account {
+    /// An account that begins at `now`.
+    pub fn new(limit: &Limit, now: Timestamp) -> Self {
+        Self {
+            balance: -limit.per_second * PRESUMED_USE.as_secs_f64(),
+            balanced_at: now,
+            asked: Meter::new(TOLD_SPAN, now),
+            admitted: Meter::new(TOLD_SPAN, now),
+            asked_by_priority: BTreeMap::new(),
+        }
+    }
+
+    /// Lets time pass: the limit fills the balance, what the others admit takes from it.
+    pub fn advance(&mut self, limit: &Limit, crowd: &Crowd, now: Timestamp) {
+        let elapsed = now.since(self.balanced_at).as_secs_f64();
+        self.balanced_at = now;
+        let others = match crowd.is_blind {
+            // Taken off as this node admits.
+            true => 0.0,
+            false => f64::from(crowd.others.admitted),
+        };
+        let per_second = limit.per_second * crowd.share_of_heard();
+        let least = -limit.per_second * MOST_DEBT.as_secs_f64();
+        let balance = self.balance + (per_second - others) * elapsed;
+        self.balance = balance.max(least).min(limit.burst);
+    }
+
+    /// Decides on a request.
+    pub fn decide(&mut self, limit: &Limit, crowd: &Crowd, ask: &Ask, now: Timestamp) -> Verdict {
+        self.advance(limit, crowd, now);
+        self.asked.count(ask.amount, now);
+        let by_priority = self.asked_by_priority.entry(ask.priority);
+        let of_priority = by_priority.or_insert_with(|| Meter::new(BLIND_SPAN, now));
+        of_priority.count(ask.amount, now);
+        let asked = self.asked_of_all(crowd, now);
+        let horizon = HORIZON.as_secs_f64();
+        let per_second = limit.per_second * crowd.share_of_heard();
+        let room = (self.balance + per_second * horizon).max(0.0);
+        let share = (room / (asked * horizon).max(f64::MIN_POSITIVE)).min(1.0);
+        let share = self.share_of(ask.priority, share, now);
+        if ask.draw < share {
+            self.charge(crowd, ask.amount, now);
+            return Verdict::Admitted;
+        }
+        Verdict::Refused {
+            come_back_after: self.come_back_after(limit, asked, ask.draw),
+            share,
+            asked,
+        }
+    }
+
+    /// Something that was admitted before runs once more.
+    pub fn charge(&mut self, crowd: &Crowd, amount: f64, now: Timestamp) {
+        self.admitted.count(amount, now);
+        let stands_for = if crowd.is_blind {
+            crowd.nodes.max(1)
+        } else {
+            1
+        };
+        self.balance -= amount * stands_for as f64;
+    }
+
+    /// Something that was admitted has not run.
+    pub fn refund(&mut self, crowd: &Crowd, amount: f64, now: Timestamp) {
+        self.charge(crowd, -amount, now);
+    }
+
+    /// What this node tells the others.
+    pub fn usage(&self, now: Timestamp) -> Usage {
+        Usage {
+            asked: self.asked.per_second(now) as u32,
+            admitted: self.admitted.per_second(now) as u32,
+        }
+    }
+
+    /// What all nodes together may admit at once.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    /// What the tenant asks for a second at all nodes that are heard.
+    fn asked_of_all(&self, crowd: &Crowd, now: Timestamp) -> f64 {
+        match crowd.is_blind {
+            true => self.asked_steadily(now) * crowd.nodes.max(1) as f64,
+            false => self.asked.per_second(now) + f64::from(crowd.others.asked),
+        }
+    }
+
+    fn asked_steadily(&self, now: Timestamp) -> f64 {
+        let meters = self.asked_by_priority.values();
+        meters.map(|meter| meter.per_second(now)).sum()
+    }
+
+    /// The share of requests of a priority that is admitted when `share` of all are: most of the
+    /// room goes to the most urgent ones first. Their shares of what is asked are taken from what
+    /// this node sees.
+    fn share_of(&self, priority: u8, share: f64, now: Timestamp) -> f64 {
+        let all = self.asked_steadily(now).max(f64::MIN_POSITIVE);
+        let ahead = self.asked_by_priority.range(..priority);
+        let ahead: f64 = ahead.map(|(_, meter)| meter.per_second(now)).sum();
+        let own = self.asked_by_priority.get(&priority);
+        let own = own.map_or(0.0, |meter| meter.per_second(now));
+        let urgent_first = (share - ahead / all) / (own / all).max(f64::MIN_POSITIVE);
+        ALIKE_SHARE * share + (1.0 - ALIKE_SHARE) * urgent_first.clamp(0.0, 1.0)
+    }
+
+    /// When the balance is made up for, and then spread by the request's draw, so that those that
+    /// were refused do not come back all at once.
+    fn come_back_after(&self, limit: &Limit, asked: f64, draw: f64) -> Duration {
+        let per_second = limit.per_second.max(f64::MIN_POSITIVE);
+        let made_up_s = (-self.balance / per_second).clamp(0.0, MOST_DEBT.as_secs_f64());
+        let spread_s = (asked / per_second).clamp(LEAST_SPREAD_S, MOST_SPREAD_S);
+        Duration::from_secs_f64(made_up_s + spread_s * draw)
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota/crowd.rs
@@ -0,0 +1,37 @@
+//! The other nodes as limits see them.
+
+use super::Usage;
+
+/// What a node knows of the others when it decides.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Crowd {
+    /// All nodes that there may be, this one included; 1 or more.
+    pub nodes: usize,
+    /// Those of them that are silent and may still admit requests: their even parts of the limit
+    /// are left to them.
+    pub silent: usize,
+    /// Whether this node does not know what the others admit: it hears nobody, or was just
+    /// started. It then takes the others to do as it does itself.
+    pub is_blind: bool,
+    /// What the others told lately, summed up.
+    pub others: Usage,
+}
+
+impl Crowd {
+    /// The crowd of a node that is alone.
+    pub fn alone() -> Self {
+        Self {
+            nodes: 1,
+            silent: 0,
+            is_blind: false,
+            others: Usage::default(),
+        }
+    }
+
+    /// Share of the limit that is left for the nodes that are heard.
+    pub(super) fn share_of_heard(&self) -> f64 {
+        let nodes = self.nodes.max(1);
+        let silent = self.silent.min(nodes - 1);
+        1.0 - silent as f64 / nodes as f64
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota/usage.rs
@@ -0,0 +1,22 @@
+//! What is asked for and admitted.
+
+use serde::{Deserialize, Serialize};
+
+/// What a tenant asked for and what was admitted, both a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Asked for, refused requests included.
+    #[serde(rename = "q")]
+    pub asked: u32,
+    /// Admitted.
+    #[serde(rename = "a")]
+    pub admitted: u32,
+}
+
+impl Usage {
+    /// Adds the usage at other nodes.
+    pub fn add(&mut self, other: Self) {
+        self.asked = self.asked.saturating_add(other.asked);
+        self.admitted = self.admitted.saturating_add(other.admitted);
+    }
+}
--- /dev/null
+++ b/crates/core/src/quota/verdict.rs
@@ -0,0 +1,19 @@
+//! What becomes of a request.
+
+use std::time::Duration;
+
+/// What becomes of a request of a tenant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Verdict {
+    /// It fits into the limit.
+    Admitted,
+    /// It does not.
+    Refused {
+        /// When the tenant's limit is likely to have room for it.
+        come_back_after: Duration,
+        /// Share of such requests that is admitted now, for logs.
+        share: f64,
+        /// What the tenant asks for a second at all nodes, for logs.
+        asked: f64,
+    },
+}
--- a/crates/testbed/src/limits/central_count.rs
+++ b/crates/testbed/src/limits/central_count.rs
@@ -49,7 +49,7 @@
 
     fn advance(&mut self, _now: Timestamp, _decided: &mut Vec<(usize, bool)>) {}
 
-    fn set_cut(&mut self, cut: bool) {
+    fn set_cut(&mut self, cut: bool, _now: Timestamp) {
         self.cut = cut;
     }
 
--- a/crates/testbed/src/limits/mod.rs
+++ b/crates/testbed/src/limits/mod.rs
@@ -1,5 +1,6 @@
 //! Comparison of ways to hold a tenant's limit over many nodes: a static split, a central count,
-//! and the tickets from a few banks that the router uses.
+//! the tickets from a few banks that the router of the own interface uses, and the shared rates that
+//! gateways use.
 
 mod central_count;
 mod load_pattern;
@@ -7,6 +8,7 @@
 mod run;
 mod run_report;
 mod scheme;
+mod shared_rates;
 mod static_split;
 
 pub use load_pattern::LoadPattern;
--- a/crates/testbed/src/limits/moved_tickets.rs
+++ b/crates/testbed/src/limits/moved_tickets.rs
@@ -181,7 +181,7 @@
         }
     }
 
-    fn set_cut(&mut self, cut: bool) {
+    fn set_cut(&mut self, cut: bool, _now: Timestamp) {
         self.cut = cut;
     }
 
--- a/crates/testbed/src/limits/run.rs
+++ b/crates/testbed/src/limits/run.rs
@@ -9,6 +9,7 @@
 
 use super::central_count::CentralCount;
 use super::moved_tickets::MovedTickets;
+use super::shared_rates::SharedRates;
 use super::static_split::StaticSplit;
 use super::{LoadPattern, RunReport, Scheme, Verdict};
 
@@ -59,6 +60,8 @@
         reports.push(measure("central count", load, central, options));
         let moved = MovedTickets::new(nodes, tenants, limit, START);
         reports.push(measure("moved tickets", load, moved, options));
+        let shared = SharedRates::new(nodes, tenants, limit, START);
+        reports.push(measure("shared rates", load, shared, options));
     }
     reports
 }
@@ -78,10 +81,10 @@
     for step in 0..options.seconds * STEPS_PER_SECOND {
         let second = step / STEPS_PER_SECOND;
         now = now.after(STEP);
-        scheme.set_cut(load.is_cut(second));
+        scheme.set_cut(load.is_cut(second), now);
         scheme.advance(now, &mut decided);
         for (tenant, limit_percent) in (0..options.tenants).zip(DEMAND_PERCENT.iter().cycle()) {
-            let per_second = options.limit * limit_percent / 100;
+            let per_second = options.limit * limit_percent * load.surge(second) / 100;
             for _ in 0..arrivals(per_second, &mut random) {
                 requests += 1;
                 let node = load.node(tenant, second, options.nodes, &mut random);
--- a/crates/testbed/src/limits/scheme.rs
+++ b/crates/testbed/src/limits/scheme.rs
@@ -22,7 +22,7 @@
     fn advance(&mut self, now: Timestamp, decided: &mut Vec<(usize, bool)>);
 
     /// Cuts nodes of the upper half from those of the lower, or mends that.
-    fn set_cut(&mut self, cut: bool);
+    fn set_cut(&mut self, cut: bool, now: Timestamp);
 
     /// Messages sent so far.
     fn messages(&self) -> u64;
--- /dev/null
+++ b/crates/testbed/src/limits/shared_rates.rs
@@ -0,0 +1,129 @@
+//! Shared rates.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ryerouter_core::Timestamp;
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Usage, Verdict as Decision};
+
+use super::{Scheme, Verdict};
+
+/// Nodes tell what they see this often; what zones tell each other is as old again.
+const TELL_INTERVAL: Duration = Duration::from_millis(300);
+/// A node that is not heard for so long is silent.
+const SILENT_AFTER: Duration = Duration::from_millis(1_100);
+const ZONES: usize = 3;
+/// Nodes of the own zone that hear each message, at most.
+const MOST_NEAR: usize = 30;
+
+/// Each node admits a share of the requests by what all nodes tell.
+pub struct SharedRates {
+    limit: Limit,
+    accounts: Vec<Vec<Account>>,
+    /// What each node told last, by tenant, and the same as other zones know it.
+    told: Vec<Vec<Usage>>,
+    told_to_zones: Vec<Vec<Usage>>,
+    /// What each node hears of the others, by tenant.
+    crowds: Vec<Vec<Crowd>>,
+    tell_at: Timestamp,
+    cut_at: Option<Timestamp>,
+    random: ChaCha8Rng,
+    messages: u64,
+}
+
+impl SharedRates {
+    /// Accounts on `nodes` for `limit` requests a second of each of `tenants`.
+    pub fn new(nodes: usize, tenants: usize, limit: u64, now: Timestamp) -> Self {
+        let limit = Limit {
+            per_second: limit as f64,
+            burst: limit as f64,
+        };
+        let account = |_| Account::new(&limit, now);
+        Self {
+            limit,
+            accounts: (0..nodes)
+                .map(|_| (0..tenants).map(account).collect())
+                .collect(),
+            told: vec![vec![Usage::default(); tenants]; nodes],
+            told_to_zones: vec![vec![Usage::default(); tenants]; nodes],
+            crowds: vec![vec![Crowd::alone(); tenants]; nodes],
+            tell_at: now,
+            cut_at: None,
+            random: ChaCha8Rng::seed_from_u64(1),
+            messages: 0,
+        }
+    }
+
+    fn is_cut(&self, left: usize, right: usize) -> bool {
+        let half = self.accounts.len() / 2;
+        self.cut_at.is_some() && (left < half) != (right < half)
+    }
+
+    fn tell(&mut self, now: Timestamp) {
+        let nodes = self.accounts.len();
+        self.told_to_zones = self.told.clone();
+        for (told, accounts) in self.told.iter_mut().zip(&self.accounts) {
+            for (told, account) in told.iter_mut().zip(accounts) {
+                *told = account.usage(now);
+            }
+        }
+        for node in 0..nodes {
+            self.messages += (nodes / ZONES).min(MOST_NEAR) as u64;
+            for tenant in 0..self.crowds[node].len() {
+                self.crowds[node][tenant] = self.crowd(node, tenant, now);
+            }
+        }
+    }
+
+    fn crowd(&self, node: usize, tenant: usize, now: Timestamp) -> Crowd {
+        let nodes = self.accounts.len();
+        let is_lost = self.cut_at.is_some_and(|at| now.since(at) >= SILENT_AFTER);
+        let mut crowd = Crowd {
+            nodes,
+            ..Crowd::alone()
+        };
+        for other in (0..nodes).filter(|other| *other != node) {
+            if is_lost && self.is_cut(node, other) {
+                crowd.silent += 1;
+                continue;
+            }
+            let told = match node % ZONES == other % ZONES {
+                true => &self.told,
+                false => &self.told_to_zones,
+            };
+            crowd.others.add(told[other][tenant]);
+        }
+        crowd
+    }
+}
+
+impl Scheme for SharedRates {
+    fn request(&mut self, node: usize, tenant: usize, now: Timestamp) -> Verdict {
+        let ask = Ask {
+            amount: 1.0,
+            priority: 0,
+            draw: self.random.random(),
+        };
+        let crowd = &self.crowds[node][tenant];
+        match self.accounts[node][tenant].decide(&self.limit, crowd, &ask, now) {
+            Decision::Admitted => Verdict::Admitted,
+            Decision::Refused { .. } => Verdict::Refused,
+        }
+    }
+
+    fn advance(&mut self, now: Timestamp, _decided: &mut Vec<(usize, bool)>) {
+        if now >= self.tell_at {
+            self.tell_at = now.after(TELL_INTERVAL);
+            self.tell(now);
+        }
+    }
+
+    fn set_cut(&mut self, cut: bool, now: Timestamp) {
+        self.cut_at = cut.then(|| self.cut_at.unwrap_or(now));
+    }
+
+    fn messages(&self) -> u64 {
+        self.messages
+    }
+}
--- a/crates/testbed/src/limits/static_split.rs
+++ b/crates/testbed/src/limits/static_split.rs
@@ -36,7 +36,7 @@
 
     fn advance(&mut self, _now: Timestamp, _decided: &mut Vec<(usize, bool)>) {}
 
-    fn set_cut(&mut self, _cut: bool) {}
+    fn set_cut(&mut self, _cut: bool, _now: Timestamp) {}
 
     fn messages(&self) -> u64 {
         0
