Hold tenants to their limits over all nodes by what each tells of its traffic

Change: core::quota, an account a tenant and node. Nodes tell what they are asked for and admit (0.3 s, with the work at engines, summed up by zone); each admits a share of the requests such that all together meet the limit. Nodes that are silent keep their even parts; a node that hears nobody stands for all. Refusals are 429 with when to come back.

--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -8,13 +8,13 @@
 
 /// What is told to others is averaged over this time: some requests of a busy tenant, and not
 /// longer than news take, so that a rise is seen soon.
-const TOLD_SPAN: Duration = Duration::from_millis(400);
+const TOLD_SPAN: Duration = Duration::from_millis(200);
 /// A node that stands in for all others needs a steadier average than it tells: it sees few
 /// requests itself.
 const BLIND_SPAN: Duration = Duration::from_secs(4);
 /// What all nodes admit is steered to meet the limit after so long. News of other zones take up to
 /// a second; a shorter time would swing.
-const HORIZON: Duration = Duration::from_millis(1_500);
+const HORIZON: Duration = Duration::from_millis(1_000);
 /// A new account begins with so much of the limit used up: the process may have been restarted and
 /// have forgotten what it admitted.
 const PRESUMED_USE: Duration = Duration::from_secs(1);
@@ -34,6 +34,8 @@
     /// What all nodes together may admit at once; negative after they admitted too much.
     balance: f64,
     balanced_at: Timestamp,
+    /// Share of what was asked for that was admitted at the last decision.
+    share: f64,
     asked: Meter,
     admitted: Meter,
     asked_by_priority: BTreeMap<u8, Meter>,
@@ -45,6 +47,7 @@
         Self {
             balance: -limit.per_second * PRESUMED_USE.as_secs_f64(),
             balanced_at: now,
+            share: 1.0,
             asked: Meter::new(TOLD_SPAN, now),
             admitted: Meter::new(TOLD_SPAN, now),
             asked_by_priority: BTreeMap::new(),
@@ -58,7 +61,9 @@
         let others = match crowd.is_blind {
             // Taken off as this node admits.
             true => 0.0,
-            false => f64::from(crowd.others.admitted),
+            // Those that are not heard are taken to admit the same share as this node: what they
+            // told last may be a moment at which they made up for a surge.
+            false => crowd.others.admitted + crowd.others.unheard * self.share,
         };
         let per_second = limit.per_second * crowd.share_of_heard();
         let least = -limit.per_second * MOST_DEBT.as_secs_f64();
@@ -77,14 +82,15 @@
         let horizon = HORIZON.as_secs_f64();
         let per_second = limit.per_second * crowd.share_of_heard();
         let room = (self.balance + per_second * horizon).max(0.0);
-        let share = (room / (asked * horizon).max(f64::MIN_POSITIVE)).min(1.0);
-        let share = self.share_of(ask.priority, share, now);
+        self.share = (room / (asked * horizon).max(f64::MIN_POSITIVE)).min(1.0);
+        let share = self.share_of(ask.priority, self.share, now);
         if ask.draw < share {
             self.charge(crowd, ask.amount, now);
             return Verdict::Admitted;
         }
         Verdict::Refused {
             come_back_after: self.come_back_after(limit, asked, ask.draw),
+            balance: self.balance,
             share,
             asked,
         }
@@ -109,8 +115,8 @@
     /// What this node tells the others.
     pub fn usage(&self, now: Timestamp) -> Usage {
         Usage {
-            asked: self.asked.per_second(now) as u32,
-            admitted: self.admitted.per_second(now) as u32,
+            asked: self.asked.per_second(now) as f32,
+            admitted: self.admitted.per_second(now) as f32,
         }
     }
 
@@ -123,7 +129,7 @@
     fn asked_of_all(&self, crowd: &Crowd, now: Timestamp) -> f64 {
         match crowd.is_blind {
             true => self.asked_steadily(now) * crowd.nodes.max(1) as f64,
-            false => self.asked.per_second(now) + f64::from(crowd.others.asked),
+            false => self.asked.per_second(now) + crowd.others.asked,
         }
     }
 
--- a/crates/core/src/quota/crowd.rs
+++ b/crates/core/src/quota/crowd.rs
@@ -1,6 +1,10 @@
 //! The other nodes as limits see them.
 
-use super::Usage;
+use super::Others;
+
+/// While some nodes are silent, which of them and since when differs from node to node by up to a
+/// few seconds, so the others use this share of what is left to them.
+const SHARE_IN_DOUBT: f64 = 0.9;
 
 /// What a node knows of the others when it decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -13,8 +17,8 @@
     /// Whether this node does not know what the others admit: it hears nobody, or was just
     /// started. It then takes the others to do as it does itself.
     pub is_blind: bool,
-    /// What the others told lately, summed up.
-    pub others: Usage,
+    /// What the others told, summed up.
+    pub others: Others,
 }
 
 impl Crowd {
@@ -24,7 +28,7 @@
             nodes: 1,
             silent: 0,
             is_blind: false,
-            others: Usage::default(),
+            others: Others::default(),
         }
     }
 
@@ -32,6 +36,9 @@
     pub(super) fn share_of_heard(&self) -> f64 {
         let nodes = self.nodes.max(1);
         let silent = self.silent.min(nodes - 1);
-        1.0 - silent as f64 / nodes as f64
+        if silent == 0 {
+            return 1.0;
+        }
+        (1.0 - silent as f64 / nodes as f64) * SHARE_IN_DOUBT
     }
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -13,6 +13,7 @@
 mod crowd;
 mod limit;
 mod meter;
+mod others;
 mod usage;
 mod verdict;
 
@@ -21,5 +22,6 @@
 pub use crowd::Crowd;
 pub use limit::Limit;
 pub use meter::Meter;
+pub use others::Others;
 pub use usage::Usage;
 pub use verdict::Verdict;
--- a/crates/core/src/quota/usage.rs
+++ b/crates/core/src/quota/usage.rs
@@ -3,20 +3,20 @@
 use serde::{Deserialize, Serialize};
 
 /// What a tenant asked for and what was admitted, both a second.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
     /// Asked for, refused requests included.
     #[serde(rename = "q")]
-    pub asked: u32,
+    pub asked: f32,
     /// Admitted.
     #[serde(rename = "a")]
-    pub admitted: u32,
+    pub admitted: f32,
 }
 
 impl Usage {
     /// Adds the usage at other nodes.
     pub fn add(&mut self, other: Self) {
-        self.asked = self.asked.saturating_add(other.asked);
-        self.admitted = self.admitted.saturating_add(other.admitted);
+        self.asked += other.asked;
+        self.admitted += other.admitted;
     }
 }
--- a/crates/core/src/quota/verdict.rs
+++ b/crates/core/src/quota/verdict.rs
@@ -11,6 +11,8 @@
     Refused {
         /// When the tenant's limit is likely to have room for it.
         come_back_after: Duration,
+        /// What all nodes may admit at once, for logs; negative after they admitted too much.
+        balance: f64,
         /// Share of such requests that is admitted now, for logs.
         share: f64,
         /// What the tenant asks for a second at all nodes, for logs.
--- a/crates/gateway/src/catalogue/tenant.rs
+++ b/crates/gateway/src/catalogue/tenant.rs
@@ -2,8 +2,10 @@
 
 use ryerouter_core::identity::TenantName;
 
+use super::RateLimit;
+
 /// A tenant as the configuration describes it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Tenant {
     /// Its name.
     pub name: TenantName,
@@ -13,4 +15,6 @@
     pub priority: Option<u8>,
     /// Whether it shares no cached prefix with other tenants.
     pub is_isolated: bool,
+    /// What it may use; `None` for as much as it likes.
+    pub rate_limit: Option<RateLimit>,
 }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -12,9 +12,10 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::{BeginTimes, EngineTable};
 use crate::peers::{
-    HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneLoads,
+    HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneTraffic,
 };
 use crate::placement::{HolderTable, KvStores};
+use crate::quotas::Quotas;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::source::{ChangeLog, ItemKind, Replicas};
@@ -64,6 +65,8 @@
     pub deadlines: WeightsDeadlines,
     /// Requests that this node has sent to replaced weights since they were last counted up.
     pub stale_starts: HashMap<PoolName, u32>,
+    /// What tenants with limits use.
+    pub quotas: Quotas,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
@@ -96,8 +99,8 @@
     pub dropped_news: Vec<HolderNews>,
     /// Prefixes to tell other zones of.
     pub zone_news: Vec<HolderNews>,
-    /// The work of other zones' nodes at engines.
-    pub zone_loads: ZoneLoads,
+    /// What other zones' nodes do.
+    pub zone_traffic: ZoneTraffic,
     /// Whether other nodes have told of work since it was summed up.
     pub has_new_loads: bool,
     /// Loads to tell every node of, in a large deployment.
@@ -114,8 +117,8 @@
         self.replicas.of(ItemKind::Configuration).freshness
     }
 
-    /// The state at the start of a process.
-    pub fn new(settings: &GatewaySettings) -> Self {
+    /// The state at the start of a process, which is `now`.
+    pub fn new(settings: &GatewaySettings, now: Timestamp) -> Self {
         let mut peers = PeerTable::default();
         for seed in &settings.seeds {
             if *seed != settings.identity.peer_address {
@@ -143,6 +146,7 @@
             kv_stores: KvStores::default(),
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             stale_starts: HashMap::new(),
+            quotas: Quotas::new(now),
             retries: HashMap::new(),
             peers,
             gives_orders: false,
@@ -159,7 +163,7 @@
             holder_news: Vec::new(),
             dropped_news: Vec::new(),
             zone_news: Vec::new(),
-            zone_loads: ZoneLoads::default(),
+            zone_traffic: ZoneTraffic::default(),
             has_new_loads: false,
             load_news: Vec::new(),
             weights_news: Vec::new(),
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod proof_of_freshness;
 mod reading;
 mod shared;
+mod tenant_limits;
 mod zone_relay;
 
 pub use gateway_settings::GatewaySettings;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -94,6 +94,7 @@
             named,
             kv_stores: self.kv_store_news(&state),
             loads,
+            usages: state.quotas.news(now),
             holders,
             dropped,
             weights,
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -45,7 +45,7 @@
         let clock = Clock::start();
         Rc::new(Self {
             upstream: Upstream::new(settings.connect.clone(), clock),
-            state: RefCell::new(GatewayState::new(&settings)),
+            state: RefCell::new(GatewayState::new(&settings, clock.now())),
             settings,
             clock,
             log,
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -35,6 +35,13 @@
         }
         let news = ZoneNews {
             loads: with_loads.then(|| self.loads_of_zone(&state, now)),
+            usages: match with_loads {
+                true => self.usages_of_zone(&state, now),
+                false => Vec::new(),
+            },
+            silent: state
+                .peers
+                .silent_near_count(self.silent_nodes_admit(), now),
             holders,
             ..self.empty_news()
         };
@@ -64,6 +71,8 @@
             zone: self.settings().identity.zone.clone(),
             pass: Pass::Zone,
             loads: None,
+            usages: Vec::new(),
+            silent: 0,
             holders: Vec::new(),
             weights: Vec::new(),
         }
@@ -143,8 +152,7 @@
         }
         let is_other = news.zone != self.settings().identity.zone;
         if let Some(loads) = news.loads.as_ref().filter(|_| is_other) {
-            let zone = news.zone.clone();
-            state.zone_loads.note(zone, loads.clone(), now);
+            state.zone_traffic.note(news, loads, now);
             self.note_foreign_loads(&mut state, now);
         }
         let parcels = match &news.pass {
@@ -198,7 +206,7 @@
 fn sum_foreign_loads(state: &mut GatewayState, now: Timestamp) {
     let mut loads = state.peers.loads(now);
     if state.peers.is_large() {
-        state.zone_loads.add_to(&mut loads, now);
+        state.zone_traffic.add_loads_to(&mut loads, now);
     }
     state.engines.set_foreign_loads(&loads);
     state.has_new_loads = false;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gateway;
 pub mod peers;
 pub mod placement;
+pub mod quotas;
 pub mod relay;
 pub mod request;
 pub mod retry;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,8 +14,8 @@
 mod peer_message;
 mod peer_table;
 mod sent_times;
-mod zone_loads;
 mod zone_news;
+mod zone_traffic;
 
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
 pub use datagram::Datagram;
@@ -31,5 +31,5 @@
 pub use peer_message::PeerMessage;
 pub use peer_table::PeerTable;
 pub use sent_times::SentTimes;
-pub use zone_loads::ZoneLoads;
 pub use zone_news::{Pass, ZoneNews};
+pub use zone_traffic::ZoneTraffic;
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -1,8 +1,11 @@
 //! Another node as this one knows it.
 
+use std::time::Duration;
+
 use ryerouter_core::Timestamp;
 
 use super::{EngineLoadNews, NodeIdentity, NodeState};
+use crate::quotas::UsageNews;
 
 /// Another node as this one knows it.
 #[derive(Debug, Clone)]
@@ -29,4 +32,13 @@
     pub heard_at: Timestamp,
     /// Its work at engines.
     pub loads: Vec<EngineLoadNews>,
+    /// What tenants use there.
+    pub usages: Vec<UsageNews>,
+}
+
+impl Peer {
+    /// Whether it was heard, or heard of, within this time.
+    pub fn is_heard(&self, within: Duration, now: Timestamp) -> bool {
+        now.since(self.heard_at) < within
+    }
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -20,6 +20,8 @@
 const TICKS_PER_HEARTBEAT: u64 = 3;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
 const TICKS_PER_INTRODUCTION: u64 = 12;
+/// Every so many ticks a node logs which tenants come near their limits.
+const TICKS_PER_TENANT_LOG: u64 = 10;
 /// Every so many ticks a node that relies on a reader asks it.
 const TICKS_PER_QUESTION: u64 = 4;
 /// The same for the reader of a zone: what it learns is then passed on once more.
@@ -45,6 +47,10 @@
             _ = ticks.tick() => {
                 tick += 1;
                 gateway.refresh_foreign_loads();
+                gateway.refresh_quotas();
+                if tick.is_multiple_of(TICKS_PER_TENANT_LOG) {
+                    gateway.log_tenants_near_limits();
+                }
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
                 send_fetch(&socket, gateway.next_fetch());
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -6,6 +6,7 @@
     ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, MemberAddress,
     MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
+use crate::quotas::UsageNews;
 
 /// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -59,6 +60,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "o")]
     pub loads: Vec<EngineLoadNews>,
+    /// What tenants that come near their limits use at the sender.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "x")]
+    pub usages: Vec<UsageNews>,
     /// The states of the stores of kept KV cache that the sender asks.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub kv_stores: Vec<KvStoreNews>,
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -11,6 +11,7 @@
 
 use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
+use crate::quotas::UsageNews;
 
 /// A node that was silent for so long is not handed to callers.
 const SUSPECT_AFTER: Duration = Duration::from_millis(1_100);
@@ -93,6 +94,7 @@
             newest_sequence: self.newest_sequence(message),
             heard_at: now,
             loads: message.loads.clone(),
+            usages: message.usages.clone(),
         };
         self.peers.insert(from.name.clone(), peer);
         self.told_count = self.told_count.max(message.known_nodes);
@@ -157,6 +159,23 @@
         (near as f64 / MOST_NEAR_RECEIVERS as f64).max(1.0)
     }
 
+    /// Nodes that are not alive as far as this one hears, but were heard `within` this time.
+    pub fn silent_count(&self, within: Duration, now: Timestamp) -> usize {
+        let lately = self
+            .peers
+            .values()
+            .filter(|peer| peer.is_heard(within, now));
+        lately.count().saturating_sub(self.alive(now).count())
+    }
+
+    /// The same for the nodes of the own zone, which are missed sooner.
+    pub fn silent_near_count(&self, within: Duration, now: Timestamp) -> usize {
+        let near = self.peers.values().filter(|peer| peer.is_near);
+        let lately = near.filter(|peer| peer.is_heard(within, now));
+        let alive = self.alive(now).filter(|peer| peer.is_near);
+        lately.count().saturating_sub(alive.count())
+    }
+
     /// Nodes that serve, as far as known.
     pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         self.alive(now)
@@ -236,6 +255,15 @@
             .collect()
     }
 
+    /// What tenants use at all other nodes; in a large deployment at those of the own zone.
+    pub fn usages(&self, now: Timestamp) -> impl Iterator<Item = UsageNews> {
+        let is_large = self.is_large();
+        let heard = self
+            .alive(now)
+            .filter(move |peer| peer.is_near || !is_large);
+        heard.flat_map(|peer| peer.usages.iter().copied())
+    }
+
     /// The work of all other nodes at engines; in a large deployment that of the own zone's nodes.
     pub fn loads(&self, now: Timestamp) -> HashMap<BackEndName, EngineLoad> {
         let mut sums: HashMap<BackEndName, EngineLoad> = HashMap::new();
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{EngineLoadNews, HolderNews, WeightsNews};
+use crate::quotas::UsageNews;
 
 /// To whom the receiver of zone news passes them on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,7 +24,7 @@
 ///
 /// Bytes between zones are dear, so each zone sends its news once to one node of every other zone,
 /// which passes them on within its own; see docs/design/reading.md.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZoneNews {
     /// The zone that tells.
     #[serde(rename = "z")]
@@ -34,6 +35,12 @@
     /// All work at engines of the nodes of that zone, now and then.
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub loads: Option<Vec<EngineLoadNews>>,
+    /// What tenants that come near their limits use at the nodes of that zone, with the work.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub usages: Vec<UsageNews>,
+    /// Nodes of that zone that the sender has not heard lately, with the work.
+    #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
+    pub silent: usize,
     /// Prefixes that engines have read.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub holders: Vec<HolderNews>,
@@ -41,3 +48,9 @@
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<WeightsNews>,
 }
+
+// The signature is that of the serializer's condition.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
--- /dev/null
+++ b/crates/gateway/src/peers/zone_traffic.rs
@@ -0,0 +1,82 @@
+//! What the nodes of other zones do.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{BackEndName, ZoneName};
+use ryerouter_core::quota::Others;
+
+use super::{EngineLoadNews, ZoneNews};
+use crate::engines::EngineLoad;
+use crate::quotas::{TenantKey, UsageNews};
+
+/// Work that was told longer ago has ended.
+const MOST_AGE_OF_LOADS: Duration = Duration::from_secs(2);
+/// What tenants use is taken to go on for so long: when the node is lost that passes a zone's news
+/// on, it takes three to four seconds until another one does, and limits must hold meanwhile.
+const MOST_AGE_OF_USAGES: Duration = Duration::from_secs(5);
+
+/// A zone tells three times a second; after so long its last news are only a guess.
+const HEARD_WITHIN: Duration = Duration::from_millis(900);
+
+/// What the nodes of one zone do, all together.
+#[derive(Debug)]
+struct Traffic {
+    told_at: Timestamp,
+    loads: Vec<EngineLoadNews>,
+    usages: Vec<UsageNews>,
+    silent: usize,
+}
+
+/// The work of other zones' nodes at engines, and what tenants use there, as each zone told it last.
+#[derive(Debug, Default)]
+pub struct ZoneTraffic {
+    zones: BTreeMap<ZoneName, Traffic>,
+}
+
+impl ZoneTraffic {
+    /// A zone tells what its nodes do.
+    pub fn note(&mut self, news: &ZoneNews, loads: &[EngineLoadNews], now: Timestamp) {
+        let traffic = Traffic {
+            told_at: now,
+            loads: loads.to_vec(),
+            usages: news.usages.clone(),
+            silent: news.silent,
+        };
+        self.zones.insert(news.zone.clone(), traffic);
+    }
+
+    /// Adds the work that is still valid to `sums`.
+    pub fn add_loads_to(&self, sums: &mut HashMap<BackEndName, EngineLoad>, now: Timestamp) {
+        let loads = self.told_within(MOST_AGE_OF_LOADS, now);
+        for news in loads.flat_map(|traffic| &traffic.loads) {
+            sums.entry(news.0.clone()).or_default().add(news.1);
+        }
+    }
+
+    /// Adds what tenants use, as far as that is still valid, to `sums`.
+    pub fn add_usages_to(&self, sums: &mut HashMap<TenantKey, Others>, now: Timestamp) {
+        for traffic in self.told_within(MOST_AGE_OF_USAGES, now) {
+            let is_heard = now.since(traffic.told_at) < HEARD_WITHIN;
+            for UsageNews(tenant, usage) in &traffic.usages {
+                let sum = sums.entry(*tenant).or_default();
+                match is_heard {
+                    true => sum.add_heard(*usage),
+                    false => sum.add_unheard(*usage),
+                }
+            }
+        }
+    }
+
+    /// Nodes of other zones that these have not heard lately, as far as they have told.
+    pub fn silent_count(&self, now: Timestamp) -> usize {
+        let told = self.told_within(MOST_AGE_OF_USAGES, now);
+        told.map(|traffic| traffic.silent).sum()
+    }
+
+    fn told_within(&self, age: Duration, now: Timestamp) -> impl Iterator<Item = &Traffic> {
+        let told = self.zones.values();
+        told.filter(move |traffic| now.since(traffic.told_at) < age)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quotas/table.rs
@@ -0,0 +1,127 @@
+//! The accounts of a node.
+
+use std::collections::{BTreeMap, HashMap};
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::TenantName;
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Usage, Verdict};
+
+use super::{Standing, TenantKey, UsageNews, tenant_key};
+
+/// A node tells of a tenant when it is asked for this share of its even part of the limit. What is
+/// then told by nobody sums up to at most this share of the limit; as most of it is traffic far from
+/// its limit, and busy tenants come in bursts that are told, the error is much smaller.
+const TOLD_SHARE: f64 = 0.25;
+/// Digits of a rate that are told: more would be noise.
+const TOLD_DIGITS: i32 = 3;
+
+/// The accounts of a node, and what it knows of the others.
+#[derive(Debug)]
+pub struct Quotas {
+    started_at: Timestamp,
+    accounts: BTreeMap<TenantName, (Limit, Account)>,
+    others: HashMap<TenantKey, Others>,
+    /// The other nodes, without what they use.
+    crowd: Crowd,
+}
+
+impl Quotas {
+    /// A node without accounts; `now` is the start of its process.
+    pub fn new(now: Timestamp) -> Self {
+        Self {
+            started_at: now,
+            accounts: BTreeMap::new(),
+            others: HashMap::new(),
+            crowd: Crowd::alone(),
+        }
+    }
+
+    /// Takes what the other nodes use, and how many they are.
+    pub fn set_others(&mut self, crowd: Crowd, usages: HashMap<TenantKey, Others>) {
+        self.crowd = crowd;
+        self.others = usages;
+    }
+
+    /// Decides on a request of a tenant with this limit.
+    pub fn decide(
+        &mut self,
+        tenant: &TenantName,
+        limit: &Limit,
+        ask: &Ask,
+        now: Timestamp,
+    ) -> Verdict {
+        let crowd = self.crowd_of(tenant);
+        self.account(tenant, limit).decide(limit, &crowd, ask, now)
+    }
+
+    /// Something that was admitted runs once more.
+    pub fn charge(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
+        let crowd = self.crowd_of(tenant);
+        self.account(tenant, limit).charge(&crowd, amount, now);
+    }
+
+    /// Something that was admitted has not run.
+    pub fn refund(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
+        let crowd = self.crowd_of(tenant);
+        self.account(tenant, limit).refund(&crowd, amount, now);
+    }
+
+    /// What this node tells of the tenants that come near their limits.
+    pub fn news(&self, now: Timestamp) -> Vec<UsageNews> {
+        let nodes = self.crowd.nodes.max(1) as f64;
+        let accounts = self.accounts.iter();
+        let used = accounts.filter_map(|(tenant, (limit, account))| {
+            let usage = account.usage(now);
+            let least = limit.per_second / nodes * TOLD_SHARE;
+            let is_told = f64::from(usage.asked) >= least;
+            is_told.then(|| UsageNews(tenant_key(tenant), rounded(usage)))
+        });
+        used.collect()
+    }
+
+    /// How the tenants stand that come near their limits.
+    pub fn near_limits(&self, now: Timestamp) -> impl Iterator<Item = Standing<'_>> {
+        let standings = self
+            .accounts
+            .iter()
+            .map(move |(tenant, (limit, account))| Standing {
+                tenant,
+                limit,
+                balance: account.balance(),
+                own: account.usage(now),
+                crowd: self.crowd_of(tenant),
+            });
+        standings.filter(Standing::is_near_limit)
+    }
+
+    fn account(&mut self, tenant: &TenantName, limit: &Limit) -> &mut Account {
+        let begun = || (*limit, Account::new(limit, self.started_at));
+        let entry = self.accounts.entry(tenant.clone()).or_insert_with(begun);
+        entry.0 = *limit;
+        &mut entry.1
+    }
+
+    fn crowd_of(&self, tenant: &TenantName) -> Crowd {
+        let others = self.others.get(&tenant_key(tenant));
+        Crowd {
+            others: others.copied().unwrap_or_default(),
+            ..self.crowd
+        }
+    }
+}
+
+fn rounded(usage: Usage) -> Usage {
+    Usage {
+        asked: to_told_digits(usage.asked),
+        admitted: to_told_digits(usage.admitted),
+    }
+}
+
+fn to_told_digits(value: f32) -> f32 {
+    if value <= 0.0 {
+        return 0.0;
+    }
+    let digits = value.log10().floor() as i32 + 1;
+    let unit = 10_f32.powi(digits - TOLD_DIGITS);
+    (value / unit).round() * unit
+}
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -20,6 +20,9 @@
     /// The key is unknown, or missing.
     #[display("unknown_key")]
     UnknownKey,
+    /// The tenant has used up its limit.
+    #[display("over_limit")]
+    OverLimit,
     /// A header field makes no sense.
     #[display("bad_request")]
     BadRequest,
@@ -74,6 +77,12 @@
         self
     }
 
+    /// Whether the request certainly has not run.
+    pub fn is_not_run(&self) -> bool {
+        let may_run = [RefusalReason::MayHaveRun, RefusalReason::DeadlineMayHaveRun];
+        !may_run.contains(&self.reason)
+    }
+
     /// The status of the answer: 503 promises that the request has not run, 502 and 504 do not.
     pub fn status(&self) -> StatusCode {
         match self.reason {
@@ -81,6 +90,7 @@
             RefusalReason::UnknownKey => StatusCode::UNAUTHORIZED,
             RefusalReason::BadRequest | RefusalReason::BodyBroken => StatusCode::BAD_REQUEST,
             RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             RefusalReason::MayHaveRun => StatusCode::BAD_GATEWAY,
             RefusalReason::DeadlineMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             RefusalReason::NoConfiguration
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -95,6 +95,9 @@
             if self.arrivals > 0 && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
             }
+            if self.may_have_run && !self.has_answer {
+                self.gateway.charge_again(&self.request);
+            }
             self.is_pending = true;
             let attempted = attempt(&self.gateway, &self.request, &placement, last_event_id).await;
             self.is_pending = false;
--- a/crates/gateway/src/serve/respond.rs
+++ b/crates/gateway/src/serve/respond.rs
@@ -49,13 +49,21 @@
         Err(refusal) => return end_refused(&gateway, &active, &id, &refusal),
     };
     gateway.count_request(&accepted.pool);
+    if let Err(refusal) = gateway.admit(&accepted) {
+        return end_refused(&gateway, &active, &id, &refusal);
+    }
     let deadline = gateway.clock().instant(accepted.deadline);
     let mut exchange = Exchange::new(Rc::clone(&gateway), accepted);
     let first = timeout_at(deadline, exchange.first_answer()).await;
     match first.unwrap_or_else(|_| Err(exchange.out_of_time())) {
         Ok(FirstAnswer::Whole(whole)) => end_whole(&exchange, &active, whole),
         Ok(FirstAnswer::Stream(live)) => StreamRelay::new(exchange, live, active).into_response(),
-        Err(refusal) => end_refused(&gateway, &active, &id, &refusal),
+        Err(refusal) => {
+            if refusal.is_not_run() {
+                gateway.refund(&exchange.request);
+            }
+            end_refused(&gateway, &active, &id, &refusal)
+        }
     }
 }
 
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -18,6 +18,8 @@
     pub attempts: IntCounterVec,
     /// Attempts after the first of a request.
     pub retries: IntCounter,
+    /// Requests beyond the limit of their tenant; there are as many labels as tenants.
+    pub over_limit: IntCounterVec,
     /// Retries that the budget did not allow.
     pub retries_denied: IntCounter,
     /// Prompt tokens by where they were expected: cached, fetched or read.
@@ -52,6 +54,12 @@
                 "outcome",
             ),
             retries: counter(&registry, "retries_total", "Attempts after the first"),
+            over_limit: vector(
+                &registry,
+                "over_limit_total",
+                "Requests beyond the limit of their tenant",
+                "tenant",
+            ),
             retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
             first_answer_seconds: histogram(&registry),
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -94,6 +94,7 @@
         keys: vec![KEY_OF_TENANT.to_owned()],
         priority: None,
         is_isolated: false,
+        rate_limit: None,
     }
 }
 
--- a/crates/testbed/src/limits/shared_rates.rs
+++ b/crates/testbed/src/limits/shared_rates.rs
@@ -92,7 +92,7 @@
                 true => &self.told,
                 false => &self.told_to_zones,
             };
-            crowd.others.add(told[other][tenant]);
+            crowd.others.add_heard(told[other][tenant]);
         }
         crowd
     }
