--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -23,6 +23,9 @@
 /// Of what the limit admits, this part goes to all requests alike, the rest to urgent ones first, so
 /// that no kind of request is shut out.
 const ALIKE_SHARE: f64 = 0.25;
+/// A request that uses less than this share of what the tenant's requests use on average goes with
+/// the most urgent ones: to refuse it would save nothing.
+const SMALL_SHARE: f64 = 0.1;
 /// Requests come back spread over as long as the limit needs for what is asked in a second, within
 /// these bounds.
 const LEAST_SPREAD_S: f64 = 0.5;
@@ -39,18 +42,23 @@
     asked: Meter,
     admitted: Meter,
     asked_by_priority: BTreeMap<u8, Meter>,
+    requests: Meter,
 }
 
 impl Account {
-    /// An account that begins at `now`.
-    pub fn new(limit: &Limit, now: Timestamp) -> Self {
+    /// An account that begins at `now`, in a process that has run for `uptime`.
+    pub fn new(limit: &Limit, uptime: Duration, now: Timestamp) -> Self {
+        let forgotten = PRESUMED_USE.saturating_sub(uptime).as_secs_f64();
+        let filled = uptime.saturating_sub(PRESUMED_USE).as_secs_f64();
+        let balance = limit.per_second * (filled - forgotten);
         Self {
-            balance: -limit.per_second * PRESUMED_USE.as_secs_f64(),
+            balance: balance.min(limit.burst),
             balanced_at: now,
             share: 1.0,
             asked: Meter::new(TOLD_SPAN, now),
             admitted: Meter::new(TOLD_SPAN, now),
             asked_by_priority: BTreeMap::new(),
+            requests: Meter::new(BLIND_SPAN, now),
         }
     }
 
@@ -75,7 +83,9 @@
     pub fn decide(&mut self, limit: &Limit, crowd: &Crowd, ask: &Ask, now: Timestamp) -> Verdict {
         self.advance(limit, crowd, now);
         self.asked.count(ask.amount, now);
-        let by_priority = self.asked_by_priority.entry(ask.priority);
+        self.requests.count(1.0, now);
+        let priority = self.rank_of(ask, now);
+        let by_priority = self.asked_by_priority.entry(priority);
         let of_priority = by_priority.or_insert_with(|| Meter::new(BLIND_SPAN, now));
         of_priority.count(ask.amount, now);
         let asked = self.asked_of_all(crowd, now);
@@ -83,7 +93,7 @@
         let per_second = limit.per_second * crowd.share_of_heard();
         let room = (self.balance + per_second * horizon).max(0.0);
         self.share = (room / (asked * horizon).max(f64::MIN_POSITIVE)).min(1.0);
-        let share = self.share_of(ask.priority, self.share, now);
+        let share = self.share_of(priority, self.share, now);
         if ask.draw < share {
             self.charge(crowd, ask.amount, now);
             return Verdict::Admitted;
@@ -138,6 +148,14 @@
         meters.map(|meter| meter.per_second(now)).sum()
     }
 
+    /// The priority that a request is admitted by.
+    fn rank_of(&self, ask: &Ask, now: Timestamp) -> u8 {
+        let requests = self.requests.per_second(now).max(f64::MIN_POSITIVE);
+        let mean = self.asked_steadily(now) / requests;
+        let is_small = ask.amount < mean * SMALL_SHARE;
+        if is_small { 0 } else { ask.priority }
+    }
+
     /// The share of requests of a priority that is admitted when `share` of all are: most of the
     /// room goes to the most urgent ones first. Their shares of what is asked are taken from what
     /// this node sees.
--- a/crates/core/src/quota/crowd.rs
+++ b/crates/core/src/quota/crowd.rs
@@ -4,7 +4,7 @@
 
 /// While some nodes are silent, which of them and since when differs from node to node by up to a
 /// few seconds, so the others use this share of what is left to them.
-const SHARE_IN_DOUBT: f64 = 0.9;
+const SHARE_IN_DOUBT: f64 = 0.8;
 
 /// What a node knows of the others when it decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -14,6 +14,7 @@
 mod limit;
 mod meter;
 mod others;
+mod tolerance;
 mod usage;
 mod verdict;
 
@@ -23,5 +24,6 @@
 pub use limit::Limit;
 pub use meter::Meter;
 pub use others::Others;
+pub use tolerance::Tolerance;
 pub use usage::Usage;
 pub use verdict::Verdict;
--- a/crates/gateway/src/catalogue/route.rs
+++ b/crates/gateway/src/catalogue/route.rs
@@ -26,6 +26,8 @@
     pub timeout: Duration,
     /// Time to the first part of an answer that callers hope for.
     pub target_latency: Duration,
+    /// Longest pause between the events of a stream that callers find no fault with.
+    pub longest_pause: Option<Duration>,
     /// Most back ends that one request is sent to.
     pub most_attempts: u32,
     /// Urgency, 0 first.
--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
 
@@ -14,8 +15,9 @@
     document: Option<String>,
     routes_by_host: HashMap<String, Vec<Rc<Route>>>,
     pools: HashMap<PoolName, PoolProfile>,
+    longest_pauses: HashMap<PoolName, Duration>,
     kv_stores: Vec<KvStoreProfile>,
-    has_tenants: bool,
+    tenants: Vec<Rc<Tenant>>,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
     limits: CallerLimits,
 }
@@ -33,11 +35,11 @@
         let mut table = Self {
             version,
             kv_stores,
-            has_tenants: !tenants.is_empty(),
             limits,
             ..Self::default()
         };
         for route in routes {
+            table.note_pause(&route);
             let host = route.host.to_ascii_lowercase();
             table
                 .routes_by_host
@@ -56,10 +58,22 @@
             for key in &tenant.keys {
                 table.tenants_by_key.insert(key.clone(), Rc::clone(&tenant));
             }
+            table.tenants.push(tenant);
         }
         table
     }
 
+    fn note_pause(&mut self, route: &Route) {
+        let Some(pause) = route.longest_pause else {
+            return;
+        };
+        for part in &route.pools {
+            let known = self.longest_pauses.entry(part.pool.clone());
+            let shortest = known.or_insert(pause);
+            *shortest = pause.min(*shortest);
+        }
+    }
+
     /// Keeps the text that the table was read from, to hand it on to other nodes.
     pub fn with_document(mut self, document: impl Into<String>) -> Self {
         self.document = Some(document.into());
@@ -87,7 +101,12 @@
 
     /// Whether requests need a key, but on public routes.
     pub fn has_tenants(&self) -> bool {
-        self.has_tenants
+        !self.tenants.is_empty()
+    }
+
+    /// All tenants.
+    pub fn tenants(&self) -> impl Iterator<Item = &Tenant> {
+        self.tenants.iter().map(Rc::as_ref)
     }
 
     /// The tenant that holds a key.
@@ -95,11 +114,21 @@
         self.tenants_by_key.get(key)
     }
 
+    /// All pools.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolProfile> {
+        self.pools.values()
+    }
+
     /// Settings of a pool.
     pub fn pool(&self, name: &PoolName) -> Option<&PoolProfile> {
         self.pools.get(name)
     }
 
+    /// Longest pause that no stream of a pool may exceed, where its routes name one.
+    pub fn longest_pause(&self, pool: &PoolName) -> Option<Duration> {
+        self.longest_pauses.get(pool).copied()
+    }
+
     /// The pools whose engines serve `model`.
     pub fn pools_of_model(&self, model: &str) -> Vec<&PoolProfile> {
         let serves = |pool: &&PoolProfile| {
--- /dev/null
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -0,0 +1,78 @@
+//! Dividing engines by what requests mostly do; see docs/design/shifted.md.
+
+use std::collections::{BTreeMap, HashMap};
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use slog::info;
+
+use super::{Gateway, GatewayState};
+use crate::placement::{Division, Placement, PlacementRequest, ReadingNews, mostly_reads};
+
+impl Gateway {
+    /// A request was given an engine.
+    pub(super) fn count_reading(&self, request: &PlacementRequest<'_>, placement: &Placement) {
+        let Some(prompt) = request.prompt else {
+            return;
+        };
+        if mostly_reads(prompt, &self.settings().prices) {
+            let now = self.clock().now();
+            let demand = &mut self.state_mut().reading_demand;
+            demand.count(request.pool, placement.unread_tokens, now);
+        }
+    }
+
+    /// What the nodes of this zone bring pools to read, for the others.
+    pub(super) fn reading_of_zone(&self, state: &GatewayState, now: Timestamp) -> Vec<ReadingNews> {
+        let mut sums: BTreeMap<PoolName, u32> = BTreeMap::new();
+        let own = state.reading_demand.news(now);
+        for ReadingNews(pool, tokens) in state.peers.reading(now).chain(&own) {
+            *sums.entry(pool.clone()).or_default() += tokens;
+        }
+        let told = sums.into_iter();
+        told.map(|(pool, tokens)| ReadingNews(pool, tokens))
+            .collect()
+    }
+
+    /// Divides the engines of each pool anew, by what all nodes bring them.
+    pub(crate) fn refresh_divisions(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let others = reading_of_others(&state, now);
+        state.reading_demand.set_others(others);
+        let Some(table) = state.table.clone() else {
+            return;
+        };
+        // Streams that may pause for any time need no engines of their own.
+        let pools = table
+            .pools()
+            .filter(|pool| pool.engine.is_some() && table.longest_pause(&pool.name).is_some());
+        let mut divisions = HashMap::new();
+        for pool in pools {
+            let tokens = state.reading_demand.per_second(&pool.name, now);
+            let prices = &self.settings().prices;
+            let known = state.divisions.get(&pool.name);
+            let was_divided = known.is_some();
+            let division = Division::new(&state.engines, &pool.name, tokens, prices, was_divided);
+            if known != division.as_ref() {
+                info!(self.log(), "engines_divided"; "pool" => %pool.name,
+                    "reading" => division.as_ref().map(|division| division.count(&state.engines)),
+                    "tokens_per_s" => tokens as u64);
+            }
+            if let Some(division) = division {
+                divisions.insert(pool.name.clone(), division);
+            }
+        }
+        state.divisions = divisions;
+    }
+}
+
+fn reading_of_others(state: &GatewayState, now: Timestamp) -> HashMap<PoolName, f64> {
+    let mut sums: HashMap<PoolName, f64> = HashMap::new();
+    let is_large = state.peers.is_large();
+    let far = state.zone_traffic.reading(now).filter(|_| is_large);
+    for ReadingNews(pool, tokens) in state.peers.reading(now).chain(far) {
+        *sums.entry(pool.clone()).or_default() += f64::from(*tokens);
+    }
+    sums
+}
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use ryerouter_core::quota::Tolerance;
+
 use crate::peers::NodeIdentity;
 use crate::placement::PlacementPrices;
 use crate::retry::RetrySettings;
@@ -28,6 +30,8 @@
     pub unlisted_grace: Duration,
     /// Changes of what the source holds must be in force within this time.
     pub catalogue_bound: Duration,
+    /// How exactly limits of tenants are held.
+    pub limit_tolerance: Tolerance,
     /// The retry budget.
     pub retry: RetrySettings,
     /// Connections to engines.
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -14,7 +14,7 @@
 use crate::peers::{
     HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneTraffic,
 };
-use crate::placement::{HolderTable, KvStores};
+use crate::placement::{Division, HolderTable, KvStores, ReadingDemand};
 use crate::quotas::Quotas;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
@@ -57,6 +57,10 @@
     pub engines: EngineTable,
     /// How long requests take to begin.
     pub begin_times: BeginTimes,
+    /// What is read for requests that mostly read.
+    pub reading_demand: ReadingDemand,
+    /// Which engines are kept for them.
+    pub divisions: HashMap<PoolName, Division>,
     /// Who holds which prefix.
     pub holders: HolderTable,
     /// What is believed of the stores of kept KV cache.
@@ -142,11 +146,13 @@
             is_engine_list_lost: false,
             engines: EngineTable::default(),
             begin_times: BeginTimes::default(),
+            reading_demand: ReadingDemand::default(),
+            divisions: HashMap::new(),
             holders: HolderTable::new(settings.remembered_prefixes),
             kv_stores: KvStores::default(),
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             stale_starts: HashMap::new(),
-            quotas: Quotas::new(now),
+            quotas: Quotas::new(settings.limit_tolerance, now),
             retries: HashMap::new(),
             peers,
             gives_orders: false,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod cache_events;
 mod cache_knowledge;
 mod callers;
+mod dividing;
 mod engine_weights;
 mod gateway_settings;
 mod gateway_state;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -95,6 +95,7 @@
             kv_stores: self.kv_store_news(&state),
             loads,
             usages: state.quotas.news(now),
+            reading: state.reading_demand.news(now),
             holders,
             dropped,
             weights,
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -116,12 +116,14 @@
             deadlines: &state.deadlines,
             slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
+            division: state.divisions.get(request.pool),
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
             now,
         };
         let placement = chooser.choose(request)?;
         drop(state);
+        self.count_reading(request, &placement);
         if placement.cost.stale > 0.0 {
             let mut state = self.state_mut();
             *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -81,7 +81,14 @@
         let mut state = self.state_mut();
         let usages = other_usages(&state, now);
         let crowd = self.crowd(&state, now);
-        state.quotas.set_others(crowd, usages);
+        let Some(table) = state.table.clone() else {
+            return;
+        };
+        let limited = table.tenants().filter_map(|tenant| {
+            let rate_limit = tenant.rate_limit.as_ref()?;
+            Some((&tenant.name, rate_limit.limit))
+        });
+        state.quotas.refresh(crowd, usages, limited, now);
     }
 
     /// Logs the tenants that come near their limits.
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -39,6 +39,10 @@
                 true => self.usages_of_zone(&state, now),
                 false => Vec::new(),
             },
+            reading: match with_loads {
+                true => self.reading_of_zone(&state, now),
+                false => Vec::new(),
+            },
             silent: state
                 .peers
                 .silent_near_count(self.silent_nodes_admit(), now),
@@ -72,6 +76,7 @@
             pass: Pass::Zone,
             loads: None,
             usages: Vec::new(),
+            reading: Vec::new(),
             silent: 0,
             holders: Vec::new(),
             weights: Vec::new(),
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -5,6 +5,7 @@
 use ryerouter_core::Timestamp;
 
 use super::{EngineLoadNews, NodeIdentity, NodeState};
+use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
 
 /// Another node as this one knows it.
@@ -34,6 +35,8 @@
     pub loads: Vec<EngineLoadNews>,
     /// What tenants use there.
     pub usages: Vec<UsageNews>,
+    /// What it brings pools to read.
+    pub reading: Vec<ReadingNews>,
 }
 
 impl Peer {
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -20,6 +20,9 @@
 const TICKS_PER_HEARTBEAT: u64 = 3;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
 const TICKS_PER_INTRODUCTION: u64 = 12;
+/// Every so many ticks engines are divided anew between kinds of requests: what decides that is
+/// averaged over seconds.
+const TICKS_PER_DIVISION: u64 = 5;
 /// Every so many ticks a node logs which tenants come near their limits.
 const TICKS_PER_TENANT_LOG: u64 = 10;
 /// Every so many ticks a node that relies on a reader asks it.
@@ -48,6 +51,9 @@
                 tick += 1;
                 gateway.refresh_foreign_loads();
                 gateway.refresh_quotas();
+                if tick.is_multiple_of(TICKS_PER_DIVISION) {
+                    gateway.refresh_divisions();
+                }
                 if tick.is_multiple_of(TICKS_PER_TENANT_LOG) {
                     gateway.log_tenants_near_limits();
                 }
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -6,6 +6,7 @@
     ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, MemberAddress,
     MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
+use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
 
 /// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
@@ -64,6 +65,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "x")]
     pub usages: Vec<UsageNews>,
+    /// What the sender brings pools to read.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "y")]
+    pub reading: Vec<ReadingNews>,
     /// The states of the stores of kept KV cache that the sender asks.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
     pub kv_stores: Vec<KvStoreNews>,
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -11,6 +11,7 @@
 
 use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
+use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
 
 /// A node that was silent for so long is not handed to callers.
@@ -95,6 +96,7 @@
             heard_at: now,
             loads: message.loads.clone(),
             usages: message.usages.clone(),
+            reading: message.reading.clone(),
         };
         self.peers.insert(from.name.clone(), peer);
         self.told_count = self.told_count.max(message.known_nodes);
@@ -264,6 +266,15 @@
         heard.flat_map(|peer| peer.usages.iter().copied())
     }
 
+    /// What all other nodes bring pools to read; in a large deployment those of the own zone.
+    pub fn reading(&self, now: Timestamp) -> impl Iterator<Item = &ReadingNews> {
+        let is_large = self.is_large();
+        let heard = self
+            .alive(now)
+            .filter(move |peer| peer.is_near || !is_large);
+        heard.flat_map(|peer| peer.reading.iter())
+    }
+
     /// The work of all other nodes at engines; in a large deployment that of the own zone's nodes.
     pub fn loads(&self, now: Timestamp) -> HashMap<BackEndName, EngineLoad> {
         let mut sums: HashMap<BackEndName, EngineLoad> = HashMap::new();
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{EngineLoadNews, HolderNews, WeightsNews};
+use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
 
 /// To whom the receiver of zone news passes them on.
@@ -38,6 +39,9 @@
     /// What tenants that come near their limits use at the nodes of that zone, with the work.
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub usages: Vec<UsageNews>,
+    /// What the nodes of that zone bring pools to read, with the work.
+    #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+    pub reading: Vec<ReadingNews>,
     /// Nodes of that zone that the sender has not heard lately, with the work.
     #[serde(rename = "s", default, skip_serializing_if = "is_zero")]
     pub silent: usize,
--- a/crates/gateway/src/peers/zone_traffic.rs
+++ b/crates/gateway/src/peers/zone_traffic.rs
@@ -9,6 +9,7 @@
 
 use super::{EngineLoadNews, ZoneNews};
 use crate::engines::EngineLoad;
+use crate::placement::ReadingNews;
 use crate::quotas::{TenantKey, UsageNews};
 
 /// Work that was told longer ago has ended.
@@ -26,6 +27,7 @@
     told_at: Timestamp,
     loads: Vec<EngineLoadNews>,
     usages: Vec<UsageNews>,
+    reading: Vec<ReadingNews>,
     silent: usize,
 }
 
@@ -42,6 +44,7 @@
             told_at: now,
             loads: loads.to_vec(),
             usages: news.usages.clone(),
+            reading: news.reading.clone(),
             silent: news.silent,
         };
         self.zones.insert(news.zone.clone(), traffic);
@@ -69,6 +72,12 @@
         }
     }
 
+    /// What nodes of other zones bring pools to read.
+    pub fn reading(&self, now: Timestamp) -> impl Iterator<Item = &ReadingNews> {
+        let told = self.told_within(MOST_AGE_OF_USAGES, now);
+        told.flat_map(|traffic| &traffic.reading)
+    }
+
     /// Nodes of other zones that these have not heard lately, as far as they have told.
     pub fn silent_count(&self, now: Timestamp) -> usize {
         let told = self.told_within(MOST_AGE_OF_USAGES, now);
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -18,8 +18,8 @@
 
 use self::sample::Sample;
 use super::{
-    CandidateCost, HolderTable, KvFetch, KvStores, Placement, PlacementPrices, PlacementRequest,
-    Prompt, PromptKeys, PromptVersion,
+    CandidateCost, Division, HolderTable, KvFetch, KvStores, Placement, PlacementPrices,
+    PlacementRequest, Prompt, PromptKeys, PromptVersion, mostly_reads,
 };
 
 /// An engine that costs more than this is only taken when no other of all is better.
@@ -42,6 +42,8 @@
     pub slowest_begin: Duration,
     /// Prices.
     pub prices: &'a PlacementPrices,
+    /// Which engines of the pool are kept for requests that mostly read; `None` where all take all.
+    pub division: Option<&'a Division>,
     /// Whether there are so many nodes that what is known of engines is shared by many choices at
     /// once.
     pub is_large: bool,
@@ -130,6 +132,16 @@
             && (version.is_first_reader(engine) || self.held_tokens(engine, &version.keys) > 0)
     }
 
+    /// Whether an engine is kept for requests of this kind, or for all.
+    fn is_for(&self, engine: &Engine, request: &PlacementRequest<'_>) -> bool {
+        match (self.division, request.prompt) {
+            (Some(division), Some(prompt)) => {
+                division.reads(engine) == mostly_reads(prompt, self.prices)
+            }
+            _ => true,
+        }
+    }
+
     fn is_healthy(&self, engine: &Engine) -> bool {
         engine.health.is_serving() || engine.health.is_due_for_probe(self.now)
     }
@@ -196,6 +208,7 @@
         }
         let mut cost = CandidateCost {
             late: self.lateness(engine, profile, unread_tokens, fetched, request),
+            pauses: self.pause_cost(engine, unread_tokens, request),
             stale: self.stale_cost(&prompt.model, weights),
             zone: self.zone_cost(engine, request),
             load: self.state_cost(engine) + self.crowding(engine, profile, prompt),
@@ -232,7 +245,8 @@
                 versions.push(PromptVersion::new(prompt, request, weights));
                 versions.len() - 1
             });
-            if engine.takes_work(self.now) && self.is_healthy(engine) {
+            let may_read_first = engine.takes_work(self.now) && self.is_healthy(engine);
+            if may_read_first && self.is_for(engine, request) {
                 versions[index].consider_first_reader(engine, self.zone);
             }
         }
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -20,6 +20,9 @@
 const PROBE_COST: f64 = 0.5;
 /// Cost of an engine that is not in the list any more but may still serve.
 const UNLISTED_COST: f64 = 5.0;
+/// Share of streams that pause for too long when reading takes as long as they may pause. It rises
+/// with about the third power (measured: docs/design/shifted.md).
+const PAUSE_RISK: f64 = 0.18;
 /// Cost of an engine that lately had no room.
 const FULL_COST: f64 = 4.0;
 
@@ -69,6 +72,35 @@
         share * share * self.prices.at_target
     }
 
+    /// Cost of the pauses that reading a prompt brings to the streams that run there: an engine
+    /// reads between two tokens of its streams, so they wait while much is read without a break.
+    /// See docs/design/shifted.md.
+    pub(super) fn pause_cost(
+        &self,
+        engine: &Engine,
+        unread_tokens: u32,
+        request: &PlacementRequest<'_>,
+    ) -> f64 {
+        let Some(longest) = self.table.longest_pause(request.pool) else {
+            return 0.0;
+        };
+        let misplaced = match self.is_for(engine, request) {
+            true => 0.0,
+            false => self.prices.misplaced,
+        };
+        let load = engine.load();
+        let before = self.pause_risk(load.unread_tokens, longest);
+        let after = self.pause_risk(load.unread_tokens.saturating_add(unread_tokens), longest);
+        misplaced + f64::from(load.requests) * (after - before) * self.prices.at_target
+    }
+
+    /// Share of streams that pause for longer than they should while so many tokens are read.
+    fn pause_risk(&self, tokens: u32, longest: Duration) -> f64 {
+        let read_ms = f64::from(tokens) / self.prices.read_tokens_per_ms;
+        let longest_ms = longest.as_secs_f64().max(0.001) * 1e3;
+        (PAUSE_RISK * (read_ms / longest_ms).powi(3)).min(1.0)
+    }
+
     /// Cost of beginning on weights that newer ones have replaced, so that requests gather at the
     /// engines that have loaded and the others lose nothing while they wait for their turn.
     pub(super) fn stale_cost(&self, model: &str, weights: u64) -> f64 {
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -5,6 +5,7 @@
 mod candidate_cost;
 mod chooser;
 mod chosen_engine;
+mod division;
 mod holder_table;
 mod kv_store_watch;
 mod kv_stores;
@@ -13,12 +14,14 @@
 mod placement_request;
 mod prompt;
 mod prompt_version;
+mod reading_demand;
 
 pub use cache_feed::{CacheChange, CacheChanges, CacheFeed, Cursor};
 pub use cache_watch::watch_caches;
 pub use candidate_cost::CandidateCost;
 pub use chooser::Chooser;
 pub use chosen_engine::{KvFetch, KvHolder, Placement};
+pub use division::{Division, mostly_reads};
 pub use holder_table::{HolderTable, store_holder_name};
 pub use kv_store_watch::{KvStoreProbe, watch_kv_store};
 pub use kv_stores::{KvStores, StoreChange};
@@ -26,6 +29,7 @@
 pub use placement_prices::PlacementPrices;
 pub use placement_request::PlacementRequest;
 pub use prompt::{Prompt, PromptPart};
+pub use reading_demand::{ReadingDemand, ReadingNews};
 
 use prompt_version::PromptVersion;
 
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -34,6 +34,10 @@
     pub occupied: f64,
     /// Prompt tokens that an engine reads in a millisecond, until measured.
     pub read_tokens_per_ms: f64,
+    /// Milliseconds that an engine takes for each token of an answer.
+    pub token_ms: f64,
+    /// A request at an engine that is kept for requests of another kind.
+    pub misplaced: f64,
 }
 
 impl Default for PlacementPrices {
@@ -52,6 +56,8 @@
             crowded: 3.0,
             occupied: 0.3,
             read_tokens_per_ms: 30.0,
+            token_ms: 8.0,
+            misplaced: 0.5,
         }
     }
 }
--- a/crates/gateway/src/placement/prompt.rs
+++ b/crates/gateway/src/placement/prompt.rs
@@ -22,6 +22,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub output_tokens: u32,
+    /// Tokens of the answer that the caller expects; it is right in the middle and often far off.
+    pub expected_tokens: Option<u32>,
 }
 
 impl Prompt {
--- /dev/null
+++ b/crates/gateway/src/placement/reading_demand.rs
@@ -0,0 +1,54 @@
+//! How much is read for requests that mostly read.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::quota::Meter;
+use serde::{Deserialize, Serialize};
+
+/// Demand is averaged over this time: long enough that the division of engines does not follow
+/// single prompts, short enough to follow a burst.
+const SPAN: Duration = Duration::from_secs(4);
+
+/// Prompt tokens a second that requests which mostly read bring to a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadingNews(pub PoolName, pub u32);
+
+/// Prompt tokens a second that requests which mostly read bring to each pool, over all nodes.
+#[derive(Debug, Default)]
+pub struct ReadingDemand {
+    own: BTreeMap<PoolName, Meter>,
+    others: HashMap<PoolName, f64>,
+}
+
+impl ReadingDemand {
+    /// A request which mostly reads goes to a pool and brings so many tokens.
+    pub fn count(&mut self, pool: &PoolName, tokens: u32, now: Timestamp) {
+        let fresh = || Meter::new(SPAN, now);
+        let own = self.own.entry(pool.clone()).or_insert_with(fresh);
+        own.count(f64::from(tokens), now);
+    }
+
+    /// What this node tells the others.
+    pub fn news(&self, now: Timestamp) -> Vec<ReadingNews> {
+        let own = self.own.iter();
+        let told = own.map(|(pool, meter)| ReadingNews(pool.clone(), meter.per_second(now) as u32));
+        told.filter(|ReadingNews(_, tokens)| *tokens > 0).collect()
+    }
+
+    /// Takes what the others told, summed up.
+    pub fn set_others(&mut self, others: HashMap<PoolName, f64>) {
+        self.others = others;
+    }
+
+    /// Prompt tokens a second at all nodes.
+    pub fn per_second(&self, pool: &PoolName, now: Timestamp) -> f64 {
+        let own = self
+            .own
+            .get(pool)
+            .map_or(0.0, |meter| meter.per_second(now));
+        own + self.others.get(pool).copied().unwrap_or_default()
+    }
+}
--- a/crates/gateway/src/quotas/table.rs
+++ b/crates/gateway/src/quotas/table.rs
@@ -4,7 +4,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::TenantName;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Usage, Verdict};
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Tolerance, Usage, Verdict};
 
 use super::{Standing, TenantKey, UsageNews, tenant_key};
 
@@ -18,7 +18,9 @@
 /// The accounts of a node, and what it knows of the others.
 #[derive(Debug)]
 pub struct Quotas {
+    tolerance: Tolerance,
     started_at: Timestamp,
+    /// With the limits that they steer by.
     accounts: BTreeMap<TenantName, (Limit, Account)>,
     others: HashMap<TenantKey, Others>,
     /// The other nodes, without what they use.
@@ -27,8 +29,9 @@
 
 impl Quotas {
     /// A node without accounts; `now` is the start of its process.
-    pub fn new(now: Timestamp) -> Self {
+    pub fn new(tolerance: Tolerance, now: Timestamp) -> Self {
         Self {
+            tolerance,
             started_at: now,
             accounts: BTreeMap::new(),
             others: HashMap::new(),
@@ -36,10 +39,25 @@
         }
     }
 
-    /// Takes what the other nodes use, and how many they are.
-    pub fn set_others(&mut self, crowd: Crowd, usages: HashMap<TenantKey, Others>) {
+    /// Takes what the other nodes use, how many they are, and which tenants have which limits; lets
+    /// time pass for all accounts, as what others use counts while it lasts.
+    pub fn refresh<'a>(
+        &mut self,
+        crowd: Crowd,
+        usages: HashMap<TenantKey, Others>,
+        tenants: impl Iterator<Item = (&'a TenantName, Limit)>,
+        now: Timestamp,
+    ) {
         self.crowd = crowd;
         self.others = usages;
+        let mut kept = std::mem::take(&mut self.accounts);
+        for (tenant, limit) in tenants {
+            let limit = limit.steered(&self.tolerance);
+            let known = kept.remove(tenant).map(|(_, account)| account);
+            let mut account = known.unwrap_or_else(|| self.new_account(&limit, now));
+            account.advance(&limit, &self.crowd_of(tenant), now);
+            self.accounts.insert(tenant.clone(), (limit, account));
+        }
     }
 
     /// Decides on a request of a tenant with this limit.
@@ -51,19 +69,22 @@
         now: Timestamp,
     ) -> Verdict {
         let crowd = self.crowd_of(tenant);
-        self.account(tenant, limit).decide(limit, &crowd, ask, now)
+        let (limit, account) = self.account(tenant, limit, now);
+        account.decide(limit, &crowd, ask, now)
     }
 
     /// Something that was admitted runs once more.
     pub fn charge(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
         let crowd = self.crowd_of(tenant);
-        self.account(tenant, limit).charge(&crowd, amount, now);
+        let (_, account) = self.account(tenant, limit, now);
+        account.charge(&crowd, amount, now);
     }
 
     /// Something that was admitted has not run.
     pub fn refund(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
         let crowd = self.crowd_of(tenant);
-        self.account(tenant, limit).refund(&crowd, amount, now);
+        let (_, account) = self.account(tenant, limit, now);
+        account.refund(&crowd, amount, now);
     }
 
     /// What this node tells of the tenants that come near their limits.
@@ -94,11 +115,22 @@
         standings.filter(Standing::is_near_limit)
     }
 
-    fn account(&mut self, tenant: &TenantName, limit: &Limit) -> &mut Account {
-        let begun = || (*limit, Account::new(limit, self.started_at));
-        let entry = self.accounts.entry(tenant.clone()).or_insert_with(begun);
-        entry.0 = *limit;
-        &mut entry.1
+    fn account(
+        &mut self,
+        tenant: &TenantName,
+        limit: &Limit,
+        now: Timestamp,
+    ) -> &mut (Limit, Account) {
+        let limit = limit.steered(&self.tolerance);
+        let fresh = self.new_account(&limit, now);
+        let entry = self.accounts.entry(tenant.clone());
+        let account = entry.or_insert((limit, fresh));
+        account.0 = limit;
+        account
+    }
+
+    fn new_account(&self, limit: &Limit, now: Timestamp) -> Account {
+        Account::new(limit, now.since(self.started_at), now)
     }
 
     fn crowd_of(&self, tenant: &TenantName) -> Crowd {
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -205,7 +205,7 @@
             "fetched" => fetch.map(|fetch| fetch.tokens),
             "fetched_from" => fetch.map(|fetch| fetch.holder.to_string()),
             "prefix" => placement.keys.shared().last().map(|(key, _)| format!("{:016x}", key.0)),
-            "saved" => placement.save_to.is_some(), "unread" => placement.unread_tokens, "first_event_ms" => self.first_event_ms,
+            "saved" => placement.save_to.is_some(), "unread" => placement.unread_tokens, "most_out" => request.caller.prompt.as_ref().map(|p| p.output_tokens), "hint" => request.caller.prompt.as_ref().map(|p| p.expected_tokens.unwrap_or(0)), "first_event_ms" => self.first_event_ms,
             "longest_pause_ms" => self.longest_pause_ms, "cost" => %placement.cost,
             "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
             "configuration" => request.configuration_version,
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -12,8 +12,8 @@
 use ryerouter_gateway::engines::{EngineLoad, EngineTable};
 use ryerouter_gateway::peers::KvStoreState;
 use ryerouter_gateway::placement::{
-    Chooser, HolderTable, KvHolder, KvStores, Placement, PlacementPrices, PlacementRequest, Prompt,
-    PromptPart, store_holder_name,
+    Chooser, Division, HolderTable, KvHolder, KvStores, Placement, PlacementPrices,
+    PlacementRequest, Prompt, PromptPart, store_holder_name,
 };
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::records::{POOL, STORE, ZONE, engine, model_table, model_table_with_stores, route};
@@ -41,6 +41,7 @@
     kv_stores: KvStores,
     slowest_begin: Duration,
     is_large: bool,
+    division: Option<Division>,
     now: Timestamp,
 }
 
@@ -60,6 +61,7 @@
             kv_stores: KvStores::default(),
             slowest_begin: Duration::ZERO,
             is_large: false,
+            division: None,
             now: Timestamp::from_millis(1_000_000),
         }
     }
@@ -77,6 +79,7 @@
             deadlines: &self.deadlines,
             slowest_begin: self.slowest_begin,
             prices: &PlacementPrices::default(),
+            division: self.division.as_ref(),
             is_large: self.is_large,
             zone: &ZoneName::new(ZONE),
             now: self.now,
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ryerouter_core::identity::{NodeName, ZoneName};
+use ryerouter_core::quota::Tolerance;
 use ryerouter_gateway::catalogue::RoutingTable;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
@@ -63,6 +64,7 @@
         assumed_weights_age: Duration::from_secs(5),
         unlisted_grace: Duration::from_secs(3),
         catalogue_bound: Duration::from_secs(3),
+        limit_tolerance: Tolerance::default(),
         retry: RetrySettings {
             floor: 100.0,
             ..RetrySettings::default()
--- a/crates/gateway/tests/support/test_dialect.rs
+++ b/crates/gateway/tests/support/test_dialect.rs
@@ -91,6 +91,7 @@
         prompt_tokens: PART_TOKENS * parts.len() as u32,
         parts,
         output_tokens: 10,
+        expected_tokens: None,
     }
 }
 
--- a/crates/testbed/src/limits/shared_rates.rs
+++ b/crates/testbed/src/limits/shared_rates.rs
@@ -39,7 +39,7 @@
             per_second: limit as f64,
             burst: limit as f64,
         };
-        let account = |_| Account::new(&limit, now);
+        let account = |_| Account::new(&limit, Duration::ZERO, now);
         Self {
             limit,
             accounts: (0..nodes)
