--- /dev/null
+++ b/crates/core/tests/quota.rs
@@ -0,0 +1,151 @@
+//! Limits of tenants over many nodes, against an oracle that sees all of them.
+
+mod quota_world;
+
+use std::time::Duration;
+
+use quota_world::{Cut, Load, World};
+use ryerouter_core::Timestamp;
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Tolerance, Verdict};
+use yare::parameterized;
+
+/// As the operators of the first deployment with limits set it.
+const TOLERANCE: Tolerance = Tolerance {
+    window: Duration::from_secs(8),
+    overage: 0.1,
+    slack: 110_000.0,
+};
+const LIMIT: Limit = Limit {
+    per_second: 200_000.0,
+    burst: 200_000.0,
+};
+
+fn calm(factor: f64) -> Load {
+    Load {
+        factor,
+        ..Load::default()
+    }
+}
+
+#[parameterized(
+    usual = { 0.55, 0.02 },
+    near = { 0.95, 0.06 },
+)]
+fn little_is_refused_below_the_limit(factor: f64, most_refused: f64) {
+    let mut world = World::new(79, LIMIT, TOLERANCE, 1);
+    world.run(Duration::from_secs(30), &calm(factor));
+    let refused = world.refused_share();
+    assert!(refused <= most_refused, "{refused}");
+}
+
+#[parameterized(
+    twice = { 7, 2.0, None },
+    four_times = { 79, 4.2, None },
+    eight_times = { 79, 7.8, None },
+    eight_times_where_a_third_is_cut_off = { 79, 7.8, Some(Cut { share: 0.35, at_s: 14 }) },
+    four_times_where_half_is_cut_off = { 30, 4.2, Some(Cut { share: 0.5, at_s: 12 }) },
+)]
+fn nothing_runs_beyond_the_limit_in_any_window(nodes: usize, factor: f64, cut: Option<Cut>) {
+    for seed in 1..=3 {
+        let mut world = World::new(nodes, LIMIT, TOLERANCE, seed);
+        world.run(Duration::from_secs(12), &calm(0.55));
+        let surge = Load {
+            factor,
+            cut,
+            ..Load::default()
+        };
+        world.run(Duration::from_secs(12), &surge);
+        world.run(Duration::from_secs(6), &calm(0.55));
+        let (most, allowed) = (world.most_in_window(), world.allowed());
+        assert!(most <= allowed, "seed {seed}: {most:.0} of {allowed:.0}");
+    }
+}
+
+#[test]
+fn nodes_that_restart_and_forget_do_not_exceed_the_limit() {
+    for seed in 1..=3 {
+        let mut world = World::new(79, LIMIT, TOLERANCE, seed);
+        world.run(Duration::from_secs(6), &calm(4.0));
+        world.restart(0.6);
+        world.run(Duration::from_secs(4), &calm(4.0));
+        world.restart(0.6);
+        world.run(Duration::from_secs(8), &calm(4.0));
+        let (most, allowed) = (world.most_in_window(), world.allowed());
+        assert!(most <= allowed, "seed {seed}: {most:.0} of {allowed:.0}");
+    }
+}
+
+#[test]
+fn most_of_the_limit_is_used_while_more_is_asked_for() {
+    let mut world = World::new(79, LIMIT, TOLERANCE, 1);
+    world.run(Duration::from_secs(30), &calm(4.0));
+    let admitted = world.admitted() / 30.0;
+    assert!(admitted > 0.9 * LIMIT.per_second, "{admitted}");
+}
+
+fn ask(amount: f64, priority: u8, draw: f64) -> Ask {
+    Ask {
+        amount,
+        priority,
+        draw,
+    }
+}
+
+/// An account that has been asked for four times the limit for a while, by two kinds of requests
+/// alike, and once for a small one.
+fn crowded_account(now: &mut Timestamp) -> Account {
+    let mut account = Account::new(&LIMIT, Duration::from_secs(60), *now);
+    for index in 0..4_000_u32 {
+        *now = now.after(Duration::from_millis(1));
+        let request = ask(800.0, 1 + (index % 2) as u8, f64::from(index % 97) / 97.0);
+        account.decide(&LIMIT, &Crowd::alone(), &request, *now);
+    }
+    account
+}
+
+fn is_admitted(account: &mut Account, request: &Ask, now: Timestamp) -> bool {
+    let verdict = account.decide(&LIMIT, &Crowd::alone(), request, now);
+    verdict == Verdict::Admitted
+}
+
+#[test]
+fn urgent_requests_go_first_and_small_ones_with_them() {
+    let mut now = Timestamp::from_millis(1_000_000);
+    let mut account = crowded_account(&mut now);
+    assert!(is_admitted(&mut account, &ask(800.0, 1, 0.3), now));
+    assert!(!is_admitted(&mut account, &ask(800.0, 2, 0.3), now));
+    assert!(is_admitted(&mut account, &ask(20.0, 9, 0.3), now));
+}
+
+#[test]
+fn no_kind_of_request_is_shut_out() {
+    let mut now = Timestamp::from_millis(1_000_000);
+    let mut account = crowded_account(&mut now);
+    assert!(is_admitted(&mut account, &ask(800.0, 2, 0.01), now));
+}
+
+#[test]
+fn refused_requests_come_back_at_different_times_and_not_at_once() {
+    let mut now = Timestamp::from_millis(1_000_000);
+    let mut account = crowded_account(&mut now);
+    let mut come_back =
+        |draw: f64| match account.decide(&LIMIT, &Crowd::alone(), &ask(800.0, 2, draw), now) {
+            Verdict::Admitted => panic!("admitted"),
+            Verdict::Refused {
+                come_back_after, ..
+            } => come_back_after,
+        };
+    let (early, late) = (come_back(0.6), come_back(0.9));
+    assert!(early > Duration::from_millis(100), "{early:?}");
+    assert!(late > early + Duration::from_millis(100), "{late:?}");
+}
+
+#[test]
+fn what_did_not_run_is_given_back() {
+    let now = Timestamp::from_millis(1_000_000);
+    let mut account = Account::new(&LIMIT, Duration::from_secs(60), now);
+    let before = account.balance();
+    account.charge(&Crowd::alone(), 5_000.0, now);
+    account.refund(&Crowd::alone(), 5_000.0, now);
+    assert!((account.balance() - before).abs() < 1.0);
+}
--- /dev/null
+++ b/crates/core/tests/quota_world/mod.rs
@@ -0,0 +1,228 @@
+//! Nodes that hold one tenant to its limit, and an oracle that counts what they admit together.
+//!
+//! Nodes tell three times a second; what they hear is as old as that, and that of other zones as old
+//! again. A node that is cut off hears nobody, and nobody hears it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ryerouter_core::Timestamp;
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Tolerance, Usage, Verdict};
+
+const STEP: Duration = Duration::from_millis(10);
+const TELL_INTERVAL: Duration = Duration::from_millis(300);
+/// A node that was not heard for so long is missed.
+const SILENT_AFTER: Duration = Duration::from_millis(1_100);
+/// A node that hears nobody for so long stands for all.
+const BLIND_AFTER: Duration = Duration::from_millis(800);
+/// The same after its start.
+const BLIND_AT_START: Duration = Duration::from_millis(1_500);
+const ZONES: usize = 3;
+/// Tokens of requests, the small ones twice as often as the large ones.
+const SIZES: [f64; 3] = [1_000.0, 1_200.0, 9_000.0];
+
+/// Nodes that are cut off from all others from a second of the world on.
+#[derive(Debug, Clone, Copy)]
+pub struct Cut {
+    pub share: f64,
+    pub at_s: u64,
+}
+
+/// What the tenant asks for, as a multiple of its limit, and what fails meanwhile.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Load {
+    pub factor: f64,
+    pub cut: Option<Cut>,
+}
+
+struct Node {
+    account: Account,
+    started_at: Timestamp,
+    told: Usage,
+    told_to_zones: Usage,
+    crowd: Crowd,
+}
+
+pub struct World {
+    limit: Limit,
+    steered: Limit,
+    tolerance: Tolerance,
+    nodes: Vec<Node>,
+    origin: Timestamp,
+    now: Timestamp,
+    tell_at: Timestamp,
+    random: ChaCha8Rng,
+    window: VecDeque<(Timestamp, f64)>,
+    in_window: f64,
+    most_in_window: f64,
+    asked: f64,
+    admitted: f64,
+}
+
+impl World {
+    pub fn new(nodes: usize, limit: Limit, tolerance: Tolerance, seed: u64) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let steered = limit.steered(&tolerance);
+        let node = |_| Node {
+            account: Account::new(&steered, Duration::from_secs(14), now),
+            started_at: now.before(Duration::from_secs(14)),
+            told: Usage::default(),
+            told_to_zones: Usage::default(),
+            crowd: Crowd {
+                nodes,
+                ..Crowd::alone()
+            },
+        };
+        Self {
+            limit,
+            steered,
+            tolerance,
+            nodes: (0..nodes).map(node).collect(),
+            origin: now,
+            now,
+            tell_at: now,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            window: VecDeque::new(),
+            in_window: 0.0,
+            most_in_window: 0.0,
+            asked: 0.0,
+            admitted: 0.0,
+        }
+    }
+
+    pub fn run(&mut self, duration: Duration, load: &Load) {
+        let end = self.now.after(duration);
+        let mean: f64 = SIZES.iter().sum::<f64>() / SIZES.len() as f64;
+        let per_step = load.factor * self.limit.per_second * STEP.as_secs_f64() / mean;
+        while self.now < end {
+            self.now = self.now.after(STEP);
+            if self.now >= self.tell_at {
+                self.tell_at = self.now.after(TELL_INTERVAL);
+                self.tell(load.cut);
+            }
+            let whole = per_step.floor();
+            let extra = self.random.random_bool(per_step - whole);
+            for _ in 0..whole as u32 + u32::from(extra) {
+                self.ask();
+            }
+        }
+    }
+
+    /// A share of the nodes is restarted: they know nothing.
+    pub fn restart(&mut self, share: f64) {
+        let count = (share * self.nodes.len() as f64) as usize;
+        for node in &mut self.nodes[..count] {
+            node.account = Account::new(&self.steered, Duration::ZERO, self.now);
+            node.started_at = self.now;
+            node.told = Usage::default();
+            node.crowd.is_blind = true;
+        }
+    }
+
+    pub fn refused_share(&self) -> f64 {
+        1.0 - self.admitted / self.asked
+    }
+
+    pub fn admitted(&self) -> f64 {
+        self.admitted
+    }
+
+    pub fn most_in_window(&self) -> f64 {
+        self.most_in_window
+    }
+
+    pub fn allowed(&self) -> f64 {
+        let window_s = self.tolerance.window.as_secs_f64();
+        let in_window = self.limit.per_second * window_s + self.limit.burst;
+        in_window * (1.0 + self.tolerance.overage) + self.tolerance.slack
+    }
+
+    fn ask(&mut self) {
+        let size = SIZES[self.random.random_range(0..SIZES.len())];
+        let index = self.random.random_range(0..self.nodes.len());
+        let ask = Ask {
+            amount: size,
+            priority: u8::from(size > 2_000.0),
+            draw: self.random.random(),
+        };
+        self.asked += size;
+        let node = &mut self.nodes[index];
+        let verdict = node
+            .account
+            .decide(&self.steered, &node.crowd, &ask, self.now);
+        if verdict == Verdict::Admitted {
+            self.note_admitted(size);
+        }
+    }
+
+    fn note_admitted(&mut self, size: f64) {
+        self.admitted += size;
+        self.in_window += size;
+        self.window.push_back((self.now, size));
+        while let Some((at, size)) = self.window.front().copied() {
+            if self.now.since(at) < self.tolerance.window {
+                break;
+            }
+            self.in_window -= size;
+            self.window.pop_front();
+        }
+        self.most_in_window = self.most_in_window.max(self.in_window);
+    }
+
+    /// Whether a node is cut off, and for how long.
+    fn cut_for(&self, index: usize, cut: Option<Cut>) -> Option<Duration> {
+        let cut = cut?;
+        let at = self.origin.after(Duration::from_secs(cut.at_s));
+        let is_cut = (index as f64) < cut.share * self.nodes.len() as f64;
+        (is_cut && self.now >= at).then(|| self.now.since(at))
+    }
+
+    fn tell(&mut self, cut: Option<Cut>) {
+        for index in 0..self.nodes.len() {
+            let is_cut = self.cut_for(index, cut).is_some();
+            let node = &mut self.nodes[index];
+            node.told_to_zones = node.told;
+            if !is_cut {
+                node.told = node.account.usage(self.now);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            let crowd = self.crowd(index, cut);
+            let node = &mut self.nodes[index];
+            node.crowd = crowd;
+            node.account.advance(&self.steered, &crowd, self.now);
+        }
+    }
+
+    fn crowd(&self, index: usize, cut: Option<Cut>) -> Crowd {
+        let own_cut = self.cut_for(index, cut);
+        let is_new = self.now.since(self.nodes[index].started_at) < BLIND_AT_START;
+        let mut others = Others::default();
+        let mut silent = 0;
+        for (other, node) in self
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(other, _)| *other != index)
+        {
+            let silent_for = own_cut.max(self.cut_for(other, cut));
+            if silent_for.is_some_and(|silent_for| silent_for >= SILENT_AFTER) {
+                silent += 1;
+                continue;
+            }
+            let told = match other % ZONES == index % ZONES {
+                true => node.told,
+                false => node.told_to_zones,
+            };
+            others.add_heard(told);
+        }
+        Crowd {
+            nodes: self.nodes.len(),
+            silent,
+            is_blind: is_new || own_cut.is_some_and(|silent_for| silent_for >= BLIND_AFTER),
+            others,
+        }
+    }
+}
