--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -21,10 +21,7 @@
 };
 
 fn calm(factor: f64) -> Load {
-    Load {
-        factor,
-        ..Load::default()
-    }
+    Load { factor, cut: None }
 }
 
 #[parameterized(
@@ -49,11 +46,7 @@
     for seed in 1..=3 {
         let mut world = World::new(nodes, LIMIT, TOLERANCE, seed);
         world.run(Duration::from_secs(12), &calm(0.55));
-        let surge = Load {
-            factor,
-            cut,
-            ..Load::default()
-        };
+        let surge = Load { factor, cut };
         world.run(Duration::from_secs(12), &surge);
         world.run(Duration::from_secs(6), &calm(0.55));
         let (most, allowed) = (world.most_in_window(), world.allowed());
--- a/crates/core/tests/quota_world/mod.rs
+++ b/crates/core/tests/quota_world/mod.rs
@@ -31,7 +31,7 @@
 }
 
 /// What the tenant asks for, as a multiple of its limit, and what fails meanwhile.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Load {
     pub factor: f64,
     pub cut: Option<Cut>,
--- a/crates/gateway/src/gateway/dividing.rs
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -35,7 +35,7 @@
     }
 
     /// Divides the engines of each pool anew, by what all nodes bring them.
-    pub(crate) fn refresh_divisions(&self) {
+    pub fn refresh_divisions(&self) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let others = reading_of_others(&state, now);
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -76,7 +76,7 @@
     }
 
     /// Sums up what the other nodes told of tenants.
-    pub(crate) fn refresh_quotas(&self) {
+    pub fn refresh_quotas(&self) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let usages = other_usages(&state, now);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway with scripted engines, over loopback.
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+pub mod fleet;
 pub mod gateway_bench;
 pub mod records;
 pub mod scripted_engine;
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
+use ryerouter_core::quota::Limit;
 use ryerouter_gateway::catalogue::{
-    CallerLimits, EngineProfile, KvStoreProfile, PoolProfile, RequestKind, Route, RoutingTable,
-    Tenant, WeightedPool,
+    CallerLimits, EngineProfile, KvStoreProfile, PoolProfile, RateLimit, RequestKind, Route,
+    RoutingTable, Tenant, Unit, WeightedPool,
 };
 use ryerouter_gateway::engines::{EngineEntry, EngineState};
 
@@ -89,6 +90,32 @@
     }
 }
 
+/// A second table, whose tenant may use so many requests a second.
+pub fn limited_table(per_second: f64) -> RoutingTable {
+    let mut route = route(RequestKind::Safe);
+    route.is_public = false;
+    let limit = Limit {
+        per_second,
+        burst: 0.0,
+    };
+    let tenant = Tenant {
+        rate_limit: Some(RateLimit {
+            limit,
+            unit: Unit::Requests,
+        }),
+        ..tenant()
+    };
+    let limits = CallerLimits::default();
+    RoutingTable::new(
+        2,
+        vec![route],
+        vec![plain_pool()],
+        Vec::new(),
+        vec![tenant],
+        limits,
+    )
+}
+
 pub fn tenant() -> Tenant {
     Tenant {
         name: TenantName::new("tenant-1"),
