--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -133,6 +133,20 @@
     assert!(late > early + Duration::from_millis(100), "{late:?}");
 }
 
+#[test]
+fn what_others_use_now_says_nothing_of_the_time_before_an_account_began() {
+    let now = Timestamp::from_millis(1_000_000);
+    let mut account = Account::new(&LIMIT, Duration::from_secs(60), now);
+    let mut crowd = Crowd {
+        nodes: 2,
+        ..Crowd::alone()
+    };
+    crowd.others.asked = 3.0 * LIMIT.per_second;
+    crowd.others.admitted = 3.0 * LIMIT.per_second;
+    account.advance(&LIMIT, &crowd, now);
+    assert!(account.balance() > 0.0, "{}", account.balance());
+}
+
 #[test]
 fn what_did_not_run_is_given_back() {
     let now = Timestamp::from_millis(1_000_000);
--- a/crates/testbed/src/limits/shared_rates.rs
+++ b/crates/testbed/src/limits/shared_rates.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Usage, Verdict as Decision};
+use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Tolerance, Usage, Verdict as Decision};
 
 use super::{Scheme, Verdict};
 
@@ -39,6 +39,7 @@
             per_second: limit as f64,
             burst: limit as f64,
         };
+        let limit = limit.steered(&Tolerance::default());
         let account = |_| Account::new(&limit, Duration::ZERO, now);
         Self {
             limit,
