While weights are replaced, engines with the newest go before the division

Change: engines with the newest weights are compared whatever their side, and a misplaced request costs less than replaced weights.

--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -69,7 +69,7 @@
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let profile = self.table.pool(request.pool)?.engine.as_ref();
         let versions = self.versions(request);
-        let sample = Sample::draw(self, request);
+        let sample = Sample::draw(self, request, &versions);
         let is_sampled = |engine: &Engine| {
             let is_known = || {
                 versions
@@ -132,6 +132,13 @@
             && (version.is_first_reader(engine) || self.held_tokens(engine, &version.keys) > 0)
     }
 
+    /// The newest weights of a prompt's model, while engines have older ones that count as stale.
+    fn replacing_weights(&self, versions: &[PromptVersion], prompt: &Prompt) -> Option<u64> {
+        let weights = || versions.iter().map(|version| version.weights);
+        let mut stale = weights().filter(|weights| self.stale_cost(&prompt.model, *weights) > 0.0);
+        stale.next().and(weights().max())
+    }
+
     /// Whether an engine is kept for requests of this kind, or for all.
     fn is_for(&self, engine: &Engine, request: &PlacementRequest<'_>) -> bool {
         match (self.division, request.prompt) {
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -9,6 +9,7 @@
 use super::Chooser;
 use crate::engines::Engine;
 use crate::placement::PlacementRequest;
+use crate::placement::prompt_version::PromptVersion;
 
 /// Engines of the own zone that are compared.
 const MOST_NEAR: usize = 4;
@@ -27,15 +28,27 @@
 }
 
 impl Sample {
-    /// Draws the engines for a request.
-    pub(super) fn draw(chooser: &Chooser<'_>, request: &PlacementRequest<'_>) -> Self {
+    /// Draws the engines for a request: those kept for its kind, and while weights are being
+    /// replaced also the others that have the newest, since to begin on replaced ones costs more
+    /// than to be misplaced.
+    pub(super) fn draw(
+        chooser: &Chooser<'_>,
+        request: &PlacementRequest<'_>,
+        versions: &[PromptVersion],
+    ) -> Self {
         if !chooser.is_large {
             return Self { engines: None };
         }
+        let prompt = request.prompt;
+        let newest = prompt.and_then(|prompt| chooser.replacing_weights(versions, prompt));
+        let has_newest = |engine: &Engine| {
+            let weights = prompt.and_then(|prompt| engine.serving_weights_of(&prompt.model));
+            newest.is_some() && weights == newest
+        };
         let key = xxh3_64(request.id.as_bytes());
         let able = chooser.engines.of_pool(request.pool);
         let able = able.filter(|engine| engine.takes_work(chooser.now));
-        let able = able.filter(|engine| chooser.is_for(engine, request));
+        let able = able.filter(|engine| chooser.is_for(engine, request) || has_newest(engine));
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             able.partition(|engine| engine.entry.zone == *chooser.zone);
         let order = |engine: &&Engine| rendezvous_score(key, engine.name_hash);
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -57,7 +57,7 @@
             occupied: 0.3,
             read_tokens_per_ms: 30.0,
             token_ms: 8.0,
-            misplaced: 0.5,
+            misplaced: 0.15,
         }
     }
 }
