--- a/crates/gateway/tests/dividing.rs
+++ b/crates/gateway/tests/dividing.rs
@@ -7,21 +7,22 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
 use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
-use ryerouter_gateway::engines::{EngineLoad, EngineTable};
+use ryerouter_gateway::engines::{Engine, EngineLoad, EngineTable};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::{
     Chooser, Division, HolderTable, KvStores, PlacementPrices, PlacementRequest, Prompt,
     mostly_reads,
 };
-use ryerouter_gateway::rollout::WeightsDeadlines;
+use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::gateway_bench::{configure, gateway, list_engines, run_paused};
 use support::records::{POOL, ZONE, engine, model_table, route};
-use support::test_dialect::prompt;
+use support::test_dialect::{MODEL, prompt};
 use yare::parameterized;
 
 /// Keeps an eighth of the reading time of [`engines`] busy.
 const SOME_TOKENS_PER_SECOND: f64 = 30_000.0;
 const ENGINES: usize = 8;
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
 
 fn engines(count: usize) -> EngineTable {
     let mut engines = EngineTable::default();
@@ -102,6 +103,7 @@
     engines: EngineTable,
     division: Division,
     table: RoutingTable,
+    deadlines: WeightsDeadlines,
 }
 
 impl Side {
@@ -118,23 +120,29 @@
             engines,
             division,
             table: model_table(vec![route]),
+            deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
         }
     }
 
     /// Whether the engine chosen for a prompt is one of those that mostly read.
     fn reads(&self, prompt: &Prompt, id: &str) -> bool {
+        let engine = self.choose(prompt, id);
+        self.division.reads(self.engines.get(&engine).unwrap())
+    }
+
+    fn choose(&self, prompt: &Prompt, id: &str) -> BackEndName {
         let chooser = Chooser {
             engines: &self.engines,
             holders: &HolderTable::new(100),
             table: &self.table,
             kv_stores: &KvStores::default(),
-            deadlines: &WeightsDeadlines::new(Duration::from_secs(7)),
+            deadlines: &self.deadlines,
             slowest_begin: Duration::ZERO,
             prices: &PlacementPrices::default(),
             division: Some(&self.division),
             is_large: true,
             zone: &ZoneName::new(ZONE),
-            now: Timestamp::from_millis(1_000_000),
+            now: NOW,
         };
         let placement = chooser.choose(&PlacementRequest {
             id,
@@ -145,8 +153,7 @@
             body_bytes: 1_000,
             tried: &[],
         });
-        let engine = self.engines.get(&placement.unwrap().engine).unwrap();
-        self.division.reads(engine)
+        placement.unwrap().engine
     }
 
     fn load(&mut self, load: EngineLoad, of_reading: bool) {
@@ -167,6 +174,22 @@
     }
 }
 
+#[test]
+fn newest_weights_go_before_the_division() {
+    let mut side = Side::new();
+    let named_at = NamedAt::Seen(NOW.before(Duration::from_secs(2)));
+    side.deadlines.note(MODEL, 2, named_at);
+    let is_other = |engine: &&Engine| !side.division.reads(engine);
+    let other = side.engines.iter().find(is_other).unwrap();
+    let newest = other.entry.name.clone();
+    let engine = side.engines.get_mut(&newest).unwrap();
+    engine.note_weights(MODEL, 2);
+    let ids = (0..30).map(|id| format!("r{id}"));
+    let prompt = prompt_of(3_000, 9);
+    let chosen = ids.filter(|id| side.choose(&prompt, id) == newest).count();
+    assert!(chosen > 10, "{chosen}");
+}
+
 #[test]
 fn crowded_side_is_left_for_the_other() {
     let mut side = Side::new();
@@ -211,7 +234,7 @@
         division: None,
         is_large: false,
         zone: &ZoneName::new(ZONE),
-        now: Timestamp::from_millis(1_000_000),
+        now: NOW,
     };
     let placement = chooser
         .choose(&PlacementRequest {
