--- a/crates/core/src/quota/account.rs
+++ b/crates/core/src/quota/account.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Ask, Crowd, Limit, Meter, Usage, Verdict};
+use super::{Ask, Limit, Meter, Peers, Usage, Verdict};
 use crate::Timestamp;
 
 /// What is told to others is averaged over this time: some requests of a busy tenant, and not
@@ -11,7 +11,7 @@
 const TOLD_SPAN: Duration = Duration::from_millis(200);
 /// A node that stands in for all others needs a steadier average than it tells: it sees few
 /// requests itself.
-const BLIND_SPAN: Duration = Duration::from_secs(4);
+const STEADY_SPAN: Duration = Duration::from_secs(4);
 /// What all nodes admit is steered to meet the limit after so long. News of other zones take up to
 /// a second; a shorter time would swing.
 const HORIZON: Duration = Duration::from_millis(1_000);
@@ -58,44 +58,39 @@
             asked: Meter::new(TOLD_SPAN, now),
             admitted: Meter::new(TOLD_SPAN, now),
             asked_by_priority: BTreeMap::new(),
-            requests: Meter::new(BLIND_SPAN, now),
+            requests: Meter::new(STEADY_SPAN, now),
         }
     }
 
     /// Lets time pass: the limit fills the balance, what the others admit takes from it.
-    pub fn advance(&mut self, limit: &Limit, crowd: &Crowd, now: Timestamp) {
+    pub fn advance(&mut self, limit: &Limit, peers: &Peers, now: Timestamp) {
         let elapsed = now.since(self.balanced_at).as_secs_f64();
         self.balanced_at = now;
-        let others = match crowd.is_blind {
+        let others = match peers.is_uninformed {
             // Taken off as this node admits.
             true => 0.0,
             // Those that are not heard are taken to admit the same share as this node: what they
             // told last may be a moment at which they made up for a surge.
-            false => crowd.others.admitted + crowd.others.unheard * self.share,
+            false => peers.others.admitted + peers.others.unheard * self.share,
         };
-        let per_second = limit.per_second * crowd.share_of_heard();
+        let per_second = limit.per_second * peers.share_of_heard();
         let least = -limit.per_second * MOST_DEBT.as_secs_f64();
         let balance = self.balance + (per_second - others) * elapsed;
         self.balance = balance.max(least).min(limit.burst);
     }
 
     /// Decides on a request.
-    pub fn decide(&mut self, limit: &Limit, crowd: &Crowd, ask: &Ask, now: Timestamp) -> Verdict {
-        self.advance(limit, crowd, now);
-        self.asked.count(ask.amount, now);
-        self.requests.count(1.0, now);
-        let priority = self.rank_of(ask, now);
-        let by_priority = self.asked_by_priority.entry(priority);
-        let of_priority = by_priority.or_insert_with(|| Meter::new(BLIND_SPAN, now));
-        of_priority.count(ask.amount, now);
-        let asked = self.asked_of_all(crowd, now);
+    pub fn decide(&mut self, limit: &Limit, peers: &Peers, ask: &Ask, now: Timestamp) -> Verdict {
+        self.advance(limit, peers, now);
+        let priority = self.count_asked(ask, now);
+        let asked = self.asked_of_all(peers, now);
         let horizon = HORIZON.as_secs_f64();
-        let per_second = limit.per_second * crowd.share_of_heard();
+        let per_second = limit.per_second * peers.share_of_heard();
         let room = (self.balance + per_second * horizon).max(0.0);
         self.share = (room / (asked * horizon).max(f64::MIN_POSITIVE)).min(1.0);
         let share = self.share_of(priority, self.share, now);
         if ask.draw < share {
-            self.charge(crowd, ask.amount, now);
+            self.charge(peers, ask.amount, now);
             return Verdict::Admitted;
         }
         Verdict::Refused {
@@ -106,11 +101,22 @@
         }
     }
 
+    /// Counts a request; returns the priority that it is admitted by.
+    fn count_asked(&mut self, ask: &Ask, now: Timestamp) -> u8 {
+        self.asked.count(ask.amount, now);
+        self.requests.count(1.0, now);
+        let priority = self.rank_of(ask, now);
+        let by_priority = self.asked_by_priority.entry(priority);
+        let of_priority = by_priority.or_insert_with(|| Meter::new(STEADY_SPAN, now));
+        of_priority.count(ask.amount, now);
+        priority
+    }
+
     /// Something that was admitted before runs once more.
-    pub fn charge(&mut self, crowd: &Crowd, amount: f64, now: Timestamp) {
+    pub fn charge(&mut self, peers: &Peers, amount: f64, now: Timestamp) {
         self.admitted.count(amount, now);
-        let stands_for = if crowd.is_blind {
-            crowd.nodes.max(1)
+        let stands_for = if peers.is_uninformed {
+            peers.nodes.max(1)
         } else {
             1
         };
@@ -118,8 +124,8 @@
     }
 
     /// Something that was admitted has not run.
-    pub fn refund(&mut self, crowd: &Crowd, amount: f64, now: Timestamp) {
-        self.charge(crowd, -amount, now);
+    pub fn refund(&mut self, peers: &Peers, amount: f64, now: Timestamp) {
+        self.charge(peers, -amount, now);
     }
 
     /// What this node tells the others.
@@ -136,10 +142,10 @@
     }
 
     /// What the tenant asks for a second at all nodes that are heard.
-    fn asked_of_all(&self, crowd: &Crowd, now: Timestamp) -> f64 {
-        match crowd.is_blind {
-            true => self.asked_steadily(now) * crowd.nodes.max(1) as f64,
-            false => self.asked.per_second(now) + crowd.others.asked,
+    fn asked_of_all(&self, peers: &Peers, now: Timestamp) -> f64 {
+        match peers.is_uninformed {
+            true => self.asked_steadily(now) * peers.nodes.max(1) as f64,
+            false => self.asked.per_second(now) + peers.others.asked,
         }
     }
 
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -10,20 +10,20 @@
 
 mod account;
 mod ask;
-mod crowd;
 mod limit;
 mod meter;
 mod others;
+mod peers;
 mod tolerance;
 mod usage;
 mod verdict;
 
 pub use account::Account;
 pub use ask::Ask;
-pub use crowd::Crowd;
 pub use limit::Limit;
 pub use meter::Meter;
 pub use others::Others;
+pub use peers::Peers;
 pub use tolerance::Tolerance;
 pub use usage::Usage;
 pub use verdict::Verdict;
--- a/crates/core/src/quota/crowd.rs
+++ b/crates/core/src/quota/peers.rs
@@ -8,7 +8,7 @@
 
 /// What a node knows of the others when it decides.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Crowd {
+pub struct Peers {
     /// All nodes that there may be, this one included; 1 or more.
     pub nodes: usize,
     /// Those of them that are silent and may still admit requests: their even parts of the limit
@@ -16,18 +16,18 @@
     pub silent: usize,
     /// Whether this node does not know what the others admit: it hears nobody, or was just
     /// started. It then takes the others to do as it does itself.
-    pub is_blind: bool,
+    pub is_uninformed: bool,
     /// What the others told, summed up.
     pub others: Others,
 }
 
-impl Crowd {
-    /// The crowd of a node that is alone.
+impl Peers {
+    /// The peers of a node that is alone.
     pub fn alone() -> Self {
         Self {
             nodes: 1,
             silent: 0,
-            is_blind: false,
+            is_uninformed: false,
             others: Others::default(),
         }
     }
--- a/crates/core/tests/quota.rs
+++ b/crates/core/tests/quota.rs
@@ -6,7 +6,7 @@
 
 use quota_world::{Cut, Load, World};
 use ryerouter_core::Timestamp;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Tolerance, Verdict};
+use ryerouter_core::quota::{Account, Ask, Limit, Peers, Tolerance, Verdict};
 use yare::parameterized;
 
 /// As the operators of the first deployment with limits set it.
@@ -91,13 +91,13 @@
     for index in 0..4_000_u32 {
         *now = now.after(Duration::from_millis(1));
         let request = ask(800.0, 1 + (index % 2) as u8, f64::from(index % 97) / 97.0);
-        account.decide(&LIMIT, &Crowd::alone(), &request, *now);
+        account.decide(&LIMIT, &Peers::alone(), &request, *now);
     }
     account
 }
 
 fn is_admitted(account: &mut Account, request: &Ask, now: Timestamp) -> bool {
-    let verdict = account.decide(&LIMIT, &Crowd::alone(), request, now);
+    let verdict = account.decide(&LIMIT, &Peers::alone(), request, now);
     verdict == Verdict::Admitted
 }
 
@@ -122,7 +122,7 @@
     let mut now = Timestamp::from_millis(1_000_000);
     let mut account = crowded_account(&mut now);
     let mut come_back =
-        |draw: f64| match account.decide(&LIMIT, &Crowd::alone(), &ask(800.0, 2, draw), now) {
+        |draw: f64| match account.decide(&LIMIT, &Peers::alone(), &ask(800.0, 2, draw), now) {
             Verdict::Admitted => panic!("admitted"),
             Verdict::Refused {
                 come_back_after, ..
@@ -137,13 +137,13 @@
 fn what_others_use_now_says_nothing_of_the_time_before_an_account_began() {
     let now = Timestamp::from_millis(1_000_000);
     let mut account = Account::new(&LIMIT, Duration::from_secs(60), now);
-    let mut crowd = Crowd {
+    let mut peers = Peers {
         nodes: 2,
-        ..Crowd::alone()
+        ..Peers::alone()
     };
-    crowd.others.asked = 3.0 * LIMIT.per_second;
-    crowd.others.admitted = 3.0 * LIMIT.per_second;
-    account.advance(&LIMIT, &crowd, now);
+    peers.others.asked = 3.0 * LIMIT.per_second;
+    peers.others.admitted = 3.0 * LIMIT.per_second;
+    account.advance(&LIMIT, &peers, now);
     assert!(account.balance() > 0.0, "{}", account.balance());
 }
 
@@ -152,7 +152,7 @@
     let now = Timestamp::from_millis(1_000_000);
     let mut account = Account::new(&LIMIT, Duration::from_secs(60), now);
     let before = account.balance();
-    account.charge(&Crowd::alone(), 5_000.0, now);
-    account.refund(&Crowd::alone(), 5_000.0, now);
+    account.charge(&Peers::alone(), 5_000.0, now);
+    account.refund(&Peers::alone(), 5_000.0, now);
     assert!((account.balance() - before).abs() < 1.0);
 }
--- a/crates/core/tests/quota_world/mod.rs
+++ b/crates/core/tests/quota_world/mod.rs
@@ -9,16 +9,16 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Tolerance, Usage, Verdict};
+use ryerouter_core::quota::{Account, Ask, Limit, Others, Peers, Tolerance, Usage, Verdict};
 
 const STEP: Duration = Duration::from_millis(10);
 const TELL_INTERVAL: Duration = Duration::from_millis(300);
 /// A node that was not heard for so long is missed.
 const SILENT_AFTER: Duration = Duration::from_millis(1_100);
 /// A node that hears nobody for so long stands for all.
-const BLIND_AFTER: Duration = Duration::from_millis(800);
+const UNINFORMED_AFTER: Duration = Duration::from_millis(800);
 /// The same after its start.
-const BLIND_AT_START: Duration = Duration::from_millis(1_500);
+const UNINFORMED_AT_START: Duration = Duration::from_millis(1_500);
 const ZONES: usize = 3;
 /// Tokens of requests, the small ones twice as often as the large ones.
 const SIZES: [f64; 3] = [1_000.0, 1_200.0, 9_000.0];
@@ -42,7 +42,7 @@
     started_at: Timestamp,
     told: Usage,
     told_to_zones: Usage,
-    crowd: Crowd,
+    peers: Peers,
 }
 
 pub struct World {
@@ -70,9 +70,9 @@
             started_at: now.before(Duration::from_secs(14)),
             told: Usage::default(),
             told_to_zones: Usage::default(),
-            crowd: Crowd {
+            peers: Peers {
                 nodes,
-                ..Crowd::alone()
+                ..Peers::alone()
             },
         };
         Self {
@@ -117,7 +117,7 @@
             node.account = Account::new(&self.steered, Duration::ZERO, self.now);
             node.started_at = self.now;
             node.told = Usage::default();
-            node.crowd.is_blind = true;
+            node.peers.is_uninformed = true;
         }
     }
 
@@ -151,7 +151,7 @@
         let node = &mut self.nodes[index];
         let verdict = node
             .account
-            .decide(&self.steered, &node.crowd, &ask, self.now);
+            .decide(&self.steered, &node.peers, &ask, self.now);
         if verdict == Verdict::Admitted {
             self.note_admitted(size);
         }
@@ -189,16 +189,16 @@
             }
         }
         for index in 0..self.nodes.len() {
-            let crowd = self.crowd(index, cut);
+            let peers = self.peers(index, cut);
             let node = &mut self.nodes[index];
-            node.crowd = crowd;
-            node.account.advance(&self.steered, &crowd, self.now);
+            node.peers = peers;
+            node.account.advance(&self.steered, &peers, self.now);
         }
     }
 
-    fn crowd(&self, index: usize, cut: Option<Cut>) -> Crowd {
+    fn peers(&self, index: usize, cut: Option<Cut>) -> Peers {
         let own_cut = self.cut_for(index, cut);
-        let is_new = self.now.since(self.nodes[index].started_at) < BLIND_AT_START;
+        let is_new = self.now.since(self.nodes[index].started_at) < UNINFORMED_AT_START;
         let mut others = Others::default();
         let mut silent = 0;
         for (other, node) in self
@@ -218,10 +218,11 @@
             };
             others.add_heard(told);
         }
-        Crowd {
+        Peers {
             nodes: self.nodes.len(),
             silent,
-            is_blind: is_new || own_cut.is_some_and(|silent_for| silent_for >= BLIND_AFTER),
+            is_uninformed: is_new
+                || own_cut.is_some_and(|silent_for| silent_for >= UNINFORMED_AFTER),
             others,
         }
     }
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::TenantName;
-use ryerouter_core::quota::{Ask, Crowd, Limit, Others, Usage, Verdict};
+use ryerouter_core::quota::{Ask, Limit, Others, Peers, Usage, Verdict};
 use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -16,9 +16,9 @@
 
 /// A node that has heard nobody for so long does not know what the others admit: between two and
 /// three heartbeats.
-const BLIND_AFTER: Duration = Duration::from_millis(800);
+const UNINFORMED_AFTER: Duration = Duration::from_millis(800);
 /// A node that was just started has heard of all zones after so long.
-const BLIND_AT_START: Duration = Duration::from_millis(1_500);
+const UNINFORMED_AT_START: Duration = Duration::from_millis(1_500);
 /// Nodes that a node takes to be there while it has heard of nobody, though there may be others.
 const NODES_WHILE_ALONE: usize = 16;
 /// Silent nodes may admit requests for so long, when no proof that their keys are current ends that.
@@ -80,7 +80,7 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         let usages = other_usages(&state, now);
-        let crowd = self.crowd(&state, now);
+        let peers = self.limit_peers(&state, now);
         let Some(table) = state.table.clone() else {
             return;
         };
@@ -88,7 +88,7 @@
             let rate_limit = tenant.rate_limit.as_ref()?;
             Some((&tenant.name, rate_limit.limit))
         });
-        state.quotas.refresh(crowd, usages, limited, now);
+        state.quotas.refresh(peers, usages, limited, now);
     }
 
     /// Logs the tenants that come near their limits.
@@ -99,23 +99,23 @@
             info!(self.log(), "tenant_near_limit"; "tenant" => %standing.tenant,
                 "limit" => standing.limit.per_second, "balance" => standing.balance as i64,
                 "asked" => standing.asked() as u64, "admitted" => standing.admitted() as u64,
-                "admitted_here" => standing.own.admitted, "nodes" => standing.crowd.nodes,
-                "silent" => standing.crowd.silent, "blind" => standing.crowd.is_blind);
+                "admitted_here" => standing.own.admitted, "nodes" => standing.peers.nodes,
+                "silent" => standing.peers.silent, "uninformed" => standing.peers.is_uninformed);
         }
     }
 
-    fn crowd(&self, state: &GatewayState, now: Timestamp) -> Crowd {
+    fn limit_peers(&self, state: &GatewayState, now: Timestamp) -> Peers {
         let nodes = state.peers.known_count() + 1;
         let last_heard = state.peers.last_heard_at();
-        let is_heard = last_heard.is_some_and(|at| now.since(at) < BLIND_AFTER);
-        let is_new = self.uptime() < BLIND_AT_START;
-        Crowd {
+        let is_heard = last_heard.is_some_and(|at| now.since(at) < UNINFORMED_AFTER);
+        let is_new = self.uptime() < UNINFORMED_AT_START;
+        Peers {
             nodes: match last_heard {
                 None if nodes > 1 => nodes.max(NODES_WHILE_ALONE),
                 _ => nodes,
             },
             silent: self.silent_nodes(state, now),
-            is_blind: nodes > 1 && (is_new || !is_heard),
+            is_uninformed: nodes > 1 && (is_new || !is_heard),
             others: Others::default(),
         }
     }
--- a/crates/gateway/src/quotas/standing.rs
+++ b/crates/gateway/src/quotas/standing.rs
@@ -1,7 +1,7 @@
 //! How a tenant stands against its limit.
 
 use ryerouter_core::identity::TenantName;
-use ryerouter_core::quota::{Crowd, Limit, Usage};
+use ryerouter_core::quota::{Limit, Peers, Usage};
 
 /// From this share of its limit on a tenant counts as near it.
 const NEAR_SHARE: f64 = 0.8;
@@ -18,18 +18,18 @@
     /// What it uses at this node.
     pub own: Usage,
     /// The other nodes.
-    pub crowd: Crowd,
+    pub peers: Peers,
 }
 
 impl Standing<'_> {
     /// What it asks for a second at all nodes.
     pub fn asked(&self) -> f64 {
-        f64::from(self.own.asked) + self.crowd.others.asked
+        f64::from(self.own.asked) + self.peers.others.asked
     }
 
     /// What is admitted of it a second at the nodes that are heard.
     pub fn admitted(&self) -> f64 {
-        f64::from(self.own.admitted) + self.crowd.others.admitted
+        f64::from(self.own.admitted) + self.peers.others.admitted
     }
 
     /// Whether it asks for nearly as much as its limit, or for more.
--- a/crates/gateway/src/quotas/table.rs
+++ b/crates/gateway/src/quotas/table.rs
@@ -4,7 +4,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::TenantName;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Others, Tolerance, Usage, Verdict};
+use ryerouter_core::quota::{Account, Ask, Limit, Others, Peers, Tolerance, Usage, Verdict};
 
 use super::{Standing, TenantKey, UsageNews, tenant_key};
 
@@ -24,7 +24,7 @@
     accounts: BTreeMap<TenantName, (Limit, Account)>,
     others: HashMap<TenantKey, Others>,
     /// The other nodes, without what they use.
-    crowd: Crowd,
+    peers: Peers,
 }
 
 impl Quotas {
@@ -35,7 +35,7 @@
             started_at: now,
             accounts: BTreeMap::new(),
             others: HashMap::new(),
-            crowd: Crowd::alone(),
+            peers: Peers::alone(),
         }
     }
 
@@ -43,19 +43,19 @@
     /// time pass for all accounts, as what others use counts while it lasts.
     pub fn refresh<'a>(
         &mut self,
-        crowd: Crowd,
+        peers: Peers,
         usages: HashMap<TenantKey, Others>,
         tenants: impl Iterator<Item = (&'a TenantName, Limit)>,
         now: Timestamp,
     ) {
-        self.crowd = crowd;
+        self.peers = peers;
         self.others = usages;
         let mut kept = std::mem::take(&mut self.accounts);
         for (tenant, limit) in tenants {
             let limit = limit.steered(&self.tolerance);
             let known = kept.remove(tenant).map(|(_, account)| account);
             let mut account = known.unwrap_or_else(|| self.new_account(&limit, now));
-            account.advance(&limit, &self.crowd_of(tenant), now);
+            account.advance(&limit, &self.peers_of(tenant), now);
             self.accounts.insert(tenant.clone(), (limit, account));
         }
     }
@@ -68,28 +68,28 @@
         ask: &Ask,
         now: Timestamp,
     ) -> Verdict {
-        let crowd = self.crowd_of(tenant);
+        let peers = self.peers_of(tenant);
         let (limit, account) = self.account(tenant, limit, now);
-        account.decide(limit, &crowd, ask, now)
+        account.decide(limit, &peers, ask, now)
     }
 
     /// Something that was admitted runs once more.
     pub fn charge(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
-        let crowd = self.crowd_of(tenant);
+        let peers = self.peers_of(tenant);
         let (_, account) = self.account(tenant, limit, now);
-        account.charge(&crowd, amount, now);
+        account.charge(&peers, amount, now);
     }
 
     /// Something that was admitted has not run.
     pub fn refund(&mut self, tenant: &TenantName, limit: &Limit, amount: f64, now: Timestamp) {
-        let crowd = self.crowd_of(tenant);
+        let peers = self.peers_of(tenant);
         let (_, account) = self.account(tenant, limit, now);
-        account.refund(&crowd, amount, now);
+        account.refund(&peers, amount, now);
     }
 
     /// What this node tells of the tenants that come near their limits.
     pub fn news(&self, now: Timestamp) -> Vec<UsageNews> {
-        let nodes = self.crowd.nodes.max(1) as f64;
+        let nodes = self.peers.nodes.max(1) as f64;
         let accounts = self.accounts.iter();
         let used = accounts.filter_map(|(tenant, (limit, account))| {
             let usage = account.usage(now);
@@ -110,7 +110,7 @@
                 limit,
                 balance: account.balance(),
                 own: account.usage(now),
-                crowd: self.crowd_of(tenant),
+                peers: self.peers_of(tenant),
             });
         standings.filter(Standing::is_near_limit)
     }
@@ -133,11 +133,11 @@
         Account::new(limit, now.since(self.started_at), now)
     }
 
-    fn crowd_of(&self, tenant: &TenantName) -> Crowd {
+    fn peers_of(&self, tenant: &TenantName) -> Peers {
         let others = self.others.get(&tenant_key(tenant));
-        Crowd {
+        Peers {
             others: others.copied().unwrap_or_default(),
-            ..self.crowd
+            ..self.peers
         }
     }
 }
--- a/crates/testbed/src/limits/shared_rates.rs
+++ b/crates/testbed/src/limits/shared_rates.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
-use ryerouter_core::quota::{Account, Ask, Crowd, Limit, Tolerance, Usage, Verdict as Decision};
+use ryerouter_core::quota::{Account, Ask, Limit, Peers, Tolerance, Usage, Verdict as Decision};
 
 use super::{Scheme, Verdict};
 
@@ -25,7 +25,7 @@
     told: Vec<Vec<Usage>>,
     told_to_zones: Vec<Vec<Usage>>,
     /// What each node hears of the others, by tenant.
-    crowds: Vec<Vec<Crowd>>,
+    peers: Vec<Vec<Peers>>,
     tell_at: Timestamp,
     cut_at: Option<Timestamp>,
     random: ChaCha8Rng,
@@ -48,7 +48,7 @@
                 .collect(),
             told: vec![vec![Usage::default(); tenants]; nodes],
             told_to_zones: vec![vec![Usage::default(); tenants]; nodes],
-            crowds: vec![vec![Crowd::alone(); tenants]; nodes],
+            peers: vec![vec![Peers::alone(); tenants]; nodes],
             tell_at: now,
             cut_at: None,
             random: ChaCha8Rng::seed_from_u64(1),
@@ -71,31 +71,31 @@
         }
         for node in 0..nodes {
             self.messages += (nodes / ZONES).min(MOST_NEAR) as u64;
-            for tenant in 0..self.crowds[node].len() {
-                self.crowds[node][tenant] = self.crowd(node, tenant, now);
+            for tenant in 0..self.peers[node].len() {
+                self.peers[node][tenant] = self.peers(node, tenant, now);
             }
         }
     }
 
-    fn crowd(&self, node: usize, tenant: usize, now: Timestamp) -> Crowd {
+    fn peers(&self, node: usize, tenant: usize, now: Timestamp) -> Peers {
         let nodes = self.accounts.len();
         let is_lost = self.cut_at.is_some_and(|at| now.since(at) >= SILENT_AFTER);
-        let mut crowd = Crowd {
+        let mut peers = Peers {
             nodes,
-            ..Crowd::alone()
+            ..Peers::alone()
         };
         for other in (0..nodes).filter(|other| *other != node) {
             if is_lost && self.is_cut(node, other) {
-                crowd.silent += 1;
+                peers.silent += 1;
                 continue;
             }
             let told = match node % ZONES == other % ZONES {
                 true => &self.told,
                 false => &self.told_to_zones,
             };
-            crowd.others.add_heard(told[other][tenant]);
+            peers.others.add_heard(told[other][tenant]);
         }
-        crowd
+        peers
     }
 }
 
@@ -106,8 +106,8 @@
             priority: 0,
             draw: self.random.random(),
         };
-        let crowd = &self.crowds[node][tenant];
-        match self.accounts[node][tenant].decide(&self.limit, crowd, &ask, now) {
+        let peers = &self.peers[node][tenant];
+        match self.accounts[node][tenant].decide(&self.limit, peers, &ask, now) {
             Decision::Admitted => Verdict::Admitted,
             Decision::Refused { .. } => Verdict::Refused,
         }
