--- a/crates/gateway/src/gateway/dividing.rs
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -47,24 +47,27 @@
         let pools = table
             .pools()
             .filter(|pool| pool.engine.is_some() && table.longest_pause(&pool.name).is_some());
-        let mut divisions = HashMap::new();
-        for pool in pools {
-            let tokens = state.reading_demand.per_second(&pool.name, now);
-            let prices = &self.settings().prices;
-            let known = state.divisions.get(&pool.name);
-            let was_divided = known.is_some();
-            let division = Division::new(&state.engines, &pool.name, tokens, prices, was_divided);
-            if known != division.as_ref() {
-                info!(self.log(), "engines_divided"; "pool" => %pool.name,
-                    "reading" => division.as_ref().map(|division| division.count(&state.engines)),
-                    "tokens_per_s" => tokens as u64);
-            }
-            if let Some(division) = division {
-                divisions.insert(pool.name.clone(), division);
-            }
-        }
+        let divided = pools.filter_map(|pool| {
+            let division = self.divide(&state, &pool.name, now)?;
+            Some((pool.name.clone(), division))
+        });
+        let divisions = divided.collect();
         state.divisions = divisions;
     }
+
+    /// Divides the engines of a pool, where that helps.
+    fn divide(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> Option<Division> {
+        let tokens = state.reading_demand.per_second(pool, now);
+        let known = state.divisions.get(pool);
+        let prices = &self.settings().prices;
+        let division = Division::new(&state.engines, pool, tokens, prices, known.is_some());
+        if known != division.as_ref() {
+            info!(self.log(), "engines_divided"; "pool" => %pool,
+                "reading" => division.as_ref().map(|division| division.count(&state.engines)),
+                "tokens_per_s" => tokens as u64);
+        }
+        division
+    }
 }
 
 fn reading_of_others(state: &GatewayState, now: Timestamp) -> HashMap<PoolName, f64> {
