--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,3 +6,4 @@
 pub mod records;
 pub mod scripted_engine;
 pub mod test_dialect;
+pub mod virtual_source;
--- /dev/null
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -0,0 +1,356 @@
+//! A source in memory whose open connections can fall silent for good, and nodes that follow it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ryerouter_core::identity::BackEndName;
+use ryerouter_gateway::engines::{EngineEntry, EngineState};
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::source::{
+    CatalogueSource, Consistency, FollowSettings, Item, ItemBatch, ItemChange, ItemKind, ItemPage,
+    NamedWeights, SourceError, follow, keep_fresh,
+};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, interval, sleep, timeout_at};
+
+use super::gateway_bench::{gateway_with, settings};
+use super::records::{engine, route, table};
+use super::test_dialect::MODEL;
+
+/// Time for an answer of the source.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Time between the messages of the nodes.
+const HEARTBEAT: Duration = Duration::from_millis(300);
+/// Allowed age of the proof that the configuration is current.
+const ALLOWED_AGE: Duration = Duration::from_millis(4_700);
+
+/// What all nodes' calls reach.
+#[derive(Default)]
+pub struct VirtualSource {
+    revision: Cell<u64>,
+    /// Every change: its revision and kind, and the change.
+    changes: RefCell<Vec<(u64, ItemKind, ItemChange)>>,
+    items: RefCell<BTreeMap<(u8, String), Item>>,
+    changed: Notify,
+    /// Calls that were made, by node.
+    calls: RefCell<BTreeMap<usize, usize>>,
+    /// Times at which the connections of a node fell silent, so many of all nodes.
+    silences: RefCell<BTreeMap<usize, u32>>,
+    /// Kept connections of a node that are silent and not yet found out.
+    silent_kept: RefCell<BTreeMap<usize, u32>>,
+}
+
+impl VirtualSource {
+    /// A configuration, one engine, and the first version of its weights.
+    pub fn new(engines: impl IntoIterator<Item = EngineEntry>) -> Rc<Self> {
+        let source = Rc::new(Self::default());
+        source.revision.set(100);
+        let routes = vec![route(ryerouter_gateway::catalogue::RequestKind::Safe)];
+        let configuration = Item::Configuration(Rc::new(table(1, routes)));
+        source.put(ItemKind::Configuration, "main", configuration);
+        for entry in engines {
+            let name = entry.name.to_string();
+            source.put(ItemKind::Engines, &name, Item::Engine(entry));
+        }
+        source.name_weights(1);
+        source
+    }
+
+    fn put(&self, kind: ItemKind, name: &str, item: Item) {
+        let key = (kind as u8, name.to_owned());
+        self.items.borrow_mut().insert(key, item.clone());
+        self.append(kind, ItemChange::Present(item));
+    }
+
+    fn append(&self, kind: ItemKind, change: ItemChange) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        self.changes.borrow_mut().push((revision, kind, change));
+        self.changed.notify_waiters();
+    }
+
+    /// An engine says that it leaves.
+    pub fn drain(&self, mut entry: EngineEntry) {
+        entry.state = EngineState::Draining;
+        let name = entry.name.to_string();
+        self.put(ItemKind::Engines, &name, Item::Engine(entry));
+    }
+
+    /// The entry of an engine goes.
+    pub fn remove(&self, name: &str) {
+        let key = (ItemKind::Engines as u8, name.to_owned());
+        self.items.borrow_mut().remove(&key);
+        self.append(ItemKind::Engines, ItemChange::Gone(name.to_owned()));
+    }
+
+    /// A version of the weights is named.
+    pub fn name_weights(&self, version: u64) {
+        let named = NamedWeights {
+            model: MODEL.to_owned(),
+            version,
+        };
+        self.put(ItemKind::Weights, MODEL, Item::Weights(named));
+    }
+
+    /// Something changes that no kind of item holds, as when a lease is renewed.
+    pub fn change_something_else(&self) {
+        self.revision.set(self.revision.get() + 1);
+    }
+
+    /// The open connections of these nodes fall silent for good: calls in progress are never answered,
+    /// nor is the next call of each, which goes on a kept connection. New connections work.
+    pub fn silence(&self, nodes: impl IntoIterator<Item = usize>) {
+        for node in nodes {
+            *self.silences.borrow_mut().entry(node).or_default() += 1;
+            self.silent_kept.borrow_mut().insert(node, 1);
+        }
+    }
+
+    /// Calls of all nodes until now.
+    pub fn calls(&self) -> usize {
+        self.calls.borrow().values().sum()
+    }
+
+    fn count_call(&self, node: usize) {
+        *self.calls.borrow_mut().entry(node).or_default() += 1;
+    }
+
+    fn is_on_silent_connection(&self, node: usize) -> bool {
+        let mut silent_kept = self.silent_kept.borrow_mut();
+        let left = silent_kept.entry(node).or_default();
+        let is_silent = *left > 0;
+        *left = left.saturating_sub(1);
+        is_silent
+    }
+
+    fn silence_count(&self, node: usize) -> u32 {
+        let silences = self.silences.borrow();
+        silences.get(&node).copied().unwrap_or_default()
+    }
+
+    fn changes_after(&self, kind: ItemKind, revision: u64) -> Vec<ItemChange> {
+        let changes = self.changes.borrow();
+        let after = changes
+            .iter()
+            .filter(|(at, of, _)| *at > revision && *of == kind);
+        after.map(|(_, _, change)| change.clone()).collect()
+    }
+
+    async fn list(&self, kind: ItemKind) -> ItemPage {
+        sleep(ANSWER_TIME).await;
+        let items = self.items.borrow();
+        let of_kind = items.iter().filter(|((of, _), _)| *of == kind as u8);
+        ItemPage {
+            items: of_kind.map(|(_, item)| item.clone()).collect(),
+            next_after: None,
+            revision: self.revision.get(),
+        }
+    }
+
+    async fn watch(&self, kind: ItemKind, revision: u64, wait: Duration) -> ItemBatch {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            let changes = self.changes_after(kind, revision);
+            let is_over = !changes.is_empty() || Instant::now() >= until;
+            if is_over {
+                sleep(ANSWER_TIME).await;
+                return ItemBatch {
+                    changes,
+                    revision: self.revision.get(),
+                };
+            }
+            // Its end is the end of the wait, which the next turn sees.
+            let _ = timeout_at(until, changed).await;
+        }
+    }
+}
+
+/// One node's way to the source.
+struct Way {
+    source: Rc<VirtualSource>,
+    node: usize,
+}
+
+impl Way {
+    /// Answers only while the connection that the call began on has not fallen silent.
+    async fn carry<T>(&self, answer: impl Future<Output = T>) -> Result<T, SourceError> {
+        self.source.count_call(self.node);
+        let silences = self.source.silence_count(self.node);
+        if self.source.is_on_silent_connection(self.node) {
+            return pending().await;
+        }
+        let answer = answer.await;
+        if self.source.silence_count(self.node) > silences {
+            return pending().await;
+        }
+        Ok(answer)
+    }
+}
+
+impl CatalogueSource for Way {
+    fn list<'a>(
+        &'a self,
+        kind: ItemKind,
+        _consistency: Consistency,
+        _after: Option<&'a str>,
+    ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>> {
+        self.carry(self.source.list(kind)).boxed_local()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        kind: ItemKind,
+        revision: u64,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
+        self.carry(self.source.watch(kind, revision, wait))
+            .boxed_local()
+    }
+}
+
+/// Nodes that follow one source and tell each other what they know.
+pub struct Followers {
+    pub source: Rc<VirtualSource>,
+    pub nodes: Vec<Rc<Gateway>>,
+    cut_off: RefCell<BTreeSet<usize>>,
+}
+
+impl Followers {
+    /// So many nodes; a watch lasts `watch` where the deployment is small.
+    pub fn start(count: usize, source: Rc<VirtualSource>, watch: Duration) -> Rc<Self> {
+        let nodes = (0..count).map(|index| {
+            let mut own = settings(&format!("node-{index:02}"));
+            own.identity.incarnation = index as u64 + 10;
+            own.identity.peer_address = peer_address(index);
+            own.catalogue_bound = Duration::from_secs(2);
+            gateway_with(own)
+        });
+        let followers = Rc::new(Self {
+            source,
+            nodes: nodes.collect(),
+            cut_off: RefCell::default(),
+        });
+        for index in 0..count {
+            followers.start_node(index, watch);
+        }
+        followers
+    }
+
+    /// From now on no message reaches this node, and none of its own arrives.
+    pub fn cut_off(&self, node: usize) {
+        self.cut_off.borrow_mut().insert(node);
+    }
+
+    fn start_node(self: &Rc<Self>, index: usize, watch: Duration) {
+        let gateway = &self.nodes[index];
+        let way: Rc<dyn CatalogueSource> = Rc::new(Way {
+            source: Rc::clone(&self.source),
+            node: index,
+        });
+        let how = FollowSettings {
+            watch,
+            answer: Duration::from_millis(1_500),
+            longest_pause: Duration::from_millis(600),
+        };
+        for kind in [
+            ItemKind::Configuration,
+            ItemKind::Engines,
+            ItemKind::Weights,
+        ] {
+            let gateway = Rc::clone(gateway);
+            spawn_local(follow(gateway, Rc::clone(&way), kind, how.clone()));
+        }
+        spawn_local(keep_fresh(Rc::clone(gateway), way, ALLOWED_AGE));
+        spawn_local(Rc::clone(self).tell(index));
+    }
+
+    /// The messages of one node: heartbeats, news that are urgent, questions to a reader.
+    async fn tell(self: Rc<Self>, index: usize) {
+        let gateway = &self.nodes[index];
+        sleep(HEARTBEAT.mul_f64(index as f64 / self.nodes.len() as f64)).await;
+        let mut ticks = interval(HEARTBEAT);
+        let mut beats = 0;
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => beats += 1,
+                () = gateway.peer_news_is_urgent() => {}
+            }
+            let message = gateway.peer_message(beats % 4 == 0);
+            for (other, receiver) in self.nodes.iter().enumerate() {
+                if other != index && self.are_connected(index, other) {
+                    receiver.hear_peer(message.clone());
+                }
+            }
+            self.ask_reader(index);
+        }
+    }
+
+    fn ask_reader(&self, index: usize) {
+        let Some((address, question)) = self.nodes[index].next_question() else {
+            return;
+        };
+        let reader = (0..self.nodes.len()).find(|other| peer_address(*other) == address);
+        let Some(reader) = reader.filter(|reader| self.are_connected(index, *reader)) else {
+            return;
+        };
+        let answer = self.nodes[reader].answer_question(&question);
+        self.nodes[index].take_answer(answer);
+    }
+
+    fn are_connected(&self, one: usize, other: usize) -> bool {
+        let cut_off = self.cut_off.borrow();
+        !cut_off.contains(&one) && !cut_off.contains(&other)
+    }
+
+    /// Waits until `is_known` holds at all nodes, for `longest` at most; tells how long it took.
+    pub async fn until_known(
+        &self,
+        longest: Duration,
+        is_known: impl Fn(&Gateway) -> bool,
+    ) -> Option<Duration> {
+        let begin = Instant::now();
+        while begin.elapsed() < longest {
+            if self.nodes.iter().all(|node| is_known(node)) {
+                return Some(begin.elapsed());
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        None
+    }
+}
+
+fn peer_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16))
+}
+
+/// Three engines on their first weights.
+pub fn three_engines() -> Vec<EngineEntry> {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    (1..=3)
+        .map(|index| engine(&format!("e{index}"), address(index), 1))
+        .collect()
+}
+
+/// Whether a node knows that an engine leaves or is gone.
+pub fn knows_leaving(gateway: &Gateway, name: &str) -> bool {
+    let state = gateway.state();
+    let engine = state.engines.get(&BackEndName::new(name));
+    engine.is_none_or(|engine| engine.entry.state == EngineState::Draining)
+}
+
+/// The newest weights that a node has heard of.
+pub fn newest_weights(gateway: &Gateway) -> Option<u64> {
+    let state = gateway.state();
+    let mut newest = state.deadlines.newest();
+    newest
+        .find(|(model, _)| *model == MODEL)
+        .map(|(_, version)| version)
+}
