--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod proof_of_freshness;
 mod reading;
 mod shared;
+mod source_log;
 mod tenant_limits;
 mod zone_relay;
 
@@ -23,4 +24,5 @@
 pub use reading::Role;
 pub use shared::Gateway;
 pub(crate) use shared::SETTLING;
+pub(crate) use source_log::Way;
 pub use zone_relay::Parcel;
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
-use crate::gateway::{Gateway, Role, SETTLING};
+use crate::gateway::{Gateway, Role, SETTLING, Way};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -93,7 +93,10 @@
             self.asked_at = Some(asked_at);
             self.listed_at = Some(asked_at);
             let consistency = self.consistency();
-            match self.list_all(consistency).await {
+            let listed = self.list_all(consistency).await;
+            self.gateway
+                .count_question(self.kind, Way::List, listed.is_ok());
+            match listed {
                 Ok((items, revision)) if self.revision() <= Some(revision) => {
                     self.note_answer();
                     let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
@@ -153,9 +156,13 @@
                 // Such a watch may stay open for long, and proves nothing before its end.
                 () = self.has_grown_large(), if wait == self.settings.watch => continue,
             };
+            self.gateway
+                .count_question(self.kind, Way::Watch, answer.is_ok());
             match answer {
                 Ok(batch) if batch.revision >= revision => {
                     self.note_answer();
+                    self.gateway
+                        .log_changes(self.kind, Way::Watch, &batch, asked_at);
                     self.gateway.take_batch(self.kind, batch, Some(asked_at));
                 }
                 Ok(_) | Err(SourceError::HistoryGone) => {
@@ -163,7 +170,12 @@
                         "revision" => revision);
                     return;
                 }
-                Err(error) => self.pause_after(&error).await,
+                Err(error) => {
+                    let waited = self.gateway.clock().now().since(asked_at);
+                    info!(self.gateway.log(), "watch_failed"; "kind" => %self.kind,
+                        "waited_ms" => waited.as_millis() as u64, "error" => %error);
+                    self.pause_after(&error).await;
+                }
             }
         }
     }
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::{CatalogueSource, ItemKind};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Way};
 
 /// Time between looks at the age of the proof.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
@@ -61,8 +61,12 @@
     };
     let asked_at = gateway.clock().now();
     let question = source.watch(ItemKind::Configuration, revision, Duration::ZERO);
-    match timeout(ANSWER_LIMIT, question).await {
+    let answer = timeout(ANSWER_LIMIT, question).await;
+    let is_answered = matches!(answer, Ok(Ok(_)));
+    gateway.count_question(ItemKind::Configuration, Way::Probe, is_answered);
+    match answer {
         Ok(Ok(batch)) if batch.revision >= revision => {
+            gateway.log_changes(ItemKind::Configuration, Way::Probe, &batch, asked_at);
             // The watch that runs beside goes on from its own revision.
             gateway.change_items(ItemKind::Configuration, batch.changes, asked_at);
             gateway.tell_peers_soon();
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -28,6 +28,8 @@
     pub first_answer_seconds: Histogram,
     /// Orders to engines by outcome.
     pub orders: IntCounterVec,
+    /// Questions to the source by kind of item, way of asking and how they ended.
+    pub source_questions: IntCounterVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Engines in the list.
@@ -64,6 +66,12 @@
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
             first_answer_seconds: histogram(&registry),
             orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
+            source_questions: vector(
+                &registry,
+                "source_questions_total",
+                "Questions to the source by kind of item, way of asking and how they ended",
+                "question",
+            ),
             configuration_version: gauge(
                 &registry,
                 "configuration_version",
