Prove copies of engines and weights current by short questions that nodes share, and leave silent watches

Cause: each of few nodes believed its watch of up to 15 s (16.5 s with the time for an answer). On a connection that has fallen silent for good it tells nothing, so engines that leave and named weights became known when it ran out. Class: an open connection is believed for longer than the promise that rests on it. Only the configuration had a second way.

Change: of few nodes the first asks for changes since its copy whenever its proof is older than 0.35 of the bound (the others at 0.55, weights twice that) and tells the others with its heartbeats since which revision nothing has changed. A node whose copy is older than that asks at once. A watch that has not brought what another question has is left and asked again; a history that is gone makes the list be read again. Weights count as named from the last proof before, if the answer did not wait for them. One failed call (a watch that was cut) is no disruption of the list any more: it kept entries that went for 2.5 s, longer than the bound of a drain; two tests that used one failed call for a disruption use two, and one more holds the difference.

--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -11,8 +11,7 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineEntry, EngineState, EngineTable};
 use crate::peers::NodeState;
-use crate::rollout::NamedAt;
-use crate::source::{Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
+use crate::source::{Item, ItemBatch, ItemChange, ItemKind};
 
 /// So many calls that fail in a row are a disruption of the source.
 const FAILURES_OF_TROUBLE: u32 = 2;
@@ -44,9 +43,14 @@
         if kind == ItemKind::Weights {
             state.weights_seen_after.get_or_insert(revision);
         }
-        state.replicas.of_mut(kind).revision = Some(revision);
+        let replica = state.replicas.of_mut(kind);
+        replica.revision = Some(revision);
+        replica.changed_until = Some(revision);
+        replica.is_history_lost = false;
         drop(state);
         self.replace_all(kind, items, proven_at);
+        let read_at = proven_at.unwrap_or_else(|| self.clock().now());
+        self.state_mut().replicas.of_mut(kind).read_at = Some(read_at);
     }
 
     /// Takes changes up to a revision: from the source, to a question sent at `asked_at`, or from
@@ -56,7 +60,11 @@
         if state.replicas.of(kind).revision > Some(batch.revision) {
             return;
         }
-        state.replicas.of_mut(kind).revision = Some(batch.revision);
+        let replica = state.replicas.of_mut(kind);
+        replica.revision = Some(batch.revision);
+        if !batch.changes.is_empty() {
+            replica.changed_until = Some(batch.revision);
+        }
         if kind == ItemKind::Engines {
             let changes = batch.changes.iter().cloned();
             state.engine_log.append(changes, batch.revision);
@@ -64,7 +72,7 @@
         drop(state);
         match asked_at {
             Some(asked_at) => self.change_items(kind, batch.changes, asked_at),
-            None => self.apply(kind, batch.changes),
+            None => self.apply(kind, batch.changes, None),
         }
     }
 
@@ -88,7 +96,7 @@
             self.state_mut().has_engine_list = true;
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
-        self.apply(kind, changes);
+        self.apply(kind, changes, proven_at);
         self.note_source_answer(kind, proven_at);
         if kind == ItemKind::Weights {
             self.state_mut().has_weights_list = true;
@@ -98,7 +106,7 @@
     /// The source told changes, or that there are none, to a question sent at `asked_at`.
     pub fn change_items(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
         self.note_engine_list_read(kind);
-        self.apply(kind, changes);
+        self.apply(kind, changes, Some(asked_at));
         self.note_source_answer(kind, Some(asked_at));
     }
 
@@ -133,12 +141,15 @@
         answered_at.is_some_and(|at| at > moment)
     }
 
-    fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>) {
+    /// Takes changes in; those of the source came to a question sent at `asked_at`.
+    fn apply(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Option<Timestamp>) {
         for change in changes {
             match change {
                 ItemChange::Present(Item::Configuration(table)) => self.adopt_table(table),
                 ItemChange::Present(Item::Engine(entry)) => self.engine_listed(entry),
-                ItemChange::Present(Item::Weights(named)) => self.weights_named(&named),
+                ItemChange::Present(Item::Weights(named)) => {
+                    self.weights_named(&named, asked_at);
+                }
                 ItemChange::Gone(name) if kind == ItemKind::Engines => {
                     self.engine_gone(&BackEndName::new(name));
                 }
@@ -153,14 +164,15 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.is_source_reached = false;
+        if failures < FAILURES_OF_TROUBLE {
+            return;
+        }
         if kind == ItemKind::Engines {
             state.engine_list_trouble_at = Some(now);
             state.is_engine_list_lost = true;
         }
-        if failures >= FAILURES_OF_TROUBLE {
-            state.source_trouble_at = Some(now);
-            state.deadlines.extend_from(now);
-        }
+        state.source_trouble_at = Some(now);
+        state.deadlines.extend_from(now);
     }
 
     /// Version of the configuration, once one is known.
@@ -262,19 +274,6 @@
         state.engines.get(engine).map(|known| known.entry.address)
     }
 
-    fn weights_named(&self, named: &NamedWeights) {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let at = match state.has_weights_list {
-            true => NamedAt::Seen(now),
-            false => NamedAt::Assumed(now.before(self.settings().assumed_weights_age)),
-        };
-        if state.deadlines.note(&named.model, named.version, at) {
-            info!(self.log(), "weights_named"; "model" => &named.model,
-                "version" => named.version);
-        }
-    }
-
     pub(super) fn become_ready(&self) {
         let mut state = self.state_mut();
         let knows_all = state.table.is_some() && state.has_engine_list;
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -3,12 +3,14 @@
 mod cache_events;
 mod cache_knowledge;
 mod callers;
+mod copy_proofs;
 mod dividing;
 mod engine_weights;
 mod gateway_settings;
 mod gateway_state;
 mod handover;
 mod items;
+mod named_weights;
 mod order_candidacy;
 mod peer_news;
 mod proof_of_freshness;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -88,6 +88,7 @@
             reaches_store: self.reaches_lease_store(&state),
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
+            copies: self.copy_proofs(&state, now),
             known_nodes: state.peers.heard_count(),
             echoes: state.peers.echoes(now, &mut rand::rng()),
             members,
@@ -137,7 +138,7 @@
 
     /// When this node sent the newest of its messages that the other one had: a proof counts from
     /// then, since the datagram that brings it may be of any age.
-    fn echoed_message_sent_at(
+    pub(super) fn echoed_message_sent_at(
         &self,
         state: &GatewayState,
         message: &PeerMessage,
@@ -244,6 +245,7 @@
                 self.adopt_kv_store_news(&mut state, *news);
             }
             self.take_proof(&mut state, &message);
+            self.take_copy_proofs(&mut state, &message);
             if message.lease.is_some() {
                 state.heard_lease = message.lease.clone();
             }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other gateways: who they are, and what they tell.
 
 mod configuration_proof;
+mod copy_proof;
 mod datagram;
 mod engine_news;
 mod holder_news;
@@ -18,6 +19,7 @@
 mod zone_traffic;
 
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
+pub use copy_proof::CopyProof;
 pub use datagram::Datagram;
 pub use engine_news::{EngineLoadNews, NamedNews, WeightsNews};
 pub use holder_news::HolderNews;
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ConfigurationProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews, MemberAddress,
-    MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
+    ConfigurationProof, CopyProof, EngineLoadNews, HolderNews, KvStoreNews, LeaseNews,
+    MemberAddress, MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
 use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
@@ -41,6 +41,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "p")]
     pub proof: Option<ConfigurationProof>,
+    /// When the sender's copies of other items were current.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "c")]
+    pub copies: Vec<CopyProof>,
     /// How many other nodes the sender has heard of; a node that was just started takes the size of
     /// its deployment from this.
     #[serde(rename = "s", default)]
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -19,7 +19,8 @@
 }
 
 impl NamedAt {
-    fn time(self) -> Timestamp {
+    /// The moment, seen or assumed.
+    pub fn time(self) -> Timestamp {
         match self {
             Self::Assumed(at) | Self::Seen(at) => at,
         }
--- /dev/null
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -0,0 +1,89 @@
+//! Proving that the copies of the list of engines and of the named weights are current.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use ryerouter_core::Timestamp;
+use slog::{debug, info};
+use tokio::time::{sleep, timeout};
+
+use super::{CatalogueSource, ItemBatch, ItemKind, SourceError};
+use crate::gateway::{Gateway, Way};
+
+/// Time between looks at the age of the proof.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time for an answer; the source answers within milliseconds, when it is slow within some
+/// hundred.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+/// Wait after a question that got no answer; doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait after a question that got no answer.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Asks the source whenever neither this node nor another has proved a copy current for some time.
+///
+/// The watch that runs beside brings changes sooner, as long as its connection carries anything; this
+/// question is short and has a short limit, so it finds out when that is no longer so.
+pub(super) async fn keep_copy_fresh(
+    gateway: Rc<Gateway>,
+    source: Rc<dyn CatalogueSource>,
+    kind: ItemKind,
+) {
+    let mut failures = 0;
+    loop {
+        while !gateway.needs_copy_proof(kind) {
+            sleep(LOOK_INTERVAL).await;
+        }
+        match ask(&gateway, source.as_ref(), kind).await {
+            Ok(()) => failures = 0,
+            Err(error) => {
+                failures += 1;
+                gateway.note_unproven(kind, &error, failures);
+                info!(gateway.log(), "copy_unproven"; "kind" => %kind, "failures" => failures,
+                    "error" => %error);
+                sleep(pause_after(failures)).await;
+            }
+        }
+    }
+}
+
+fn pause_after(failures: u32) -> Duration {
+    let doublings = (failures - 1).min(6);
+    let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
+    pause.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+async fn ask(
+    gateway: &Gateway,
+    source: &dyn CatalogueSource,
+    kind: ItemKind,
+) -> Result<(), SourceError> {
+    let revision = gateway.state().replicas.of(kind).revision;
+    let revision = revision.unwrap_or_default();
+    let asked_at = gateway.clock().now();
+    let question = source.watch(kind, revision, Duration::ZERO);
+    let answer = timeout(ANSWER_LIMIT, question).await;
+    let answer = answer.unwrap_or_else(|_| Err(SourceError::no_answer()));
+    gateway.count_question(kind, Way::Probe, answer.is_ok());
+    let batch = answer?;
+    if batch.revision < revision {
+        debug!(gateway.log(), "copy_proof_too_old"; "kind" => %kind,
+            "revision" => batch.revision, "known" => revision);
+        return Err(SourceError::Unreadable {
+            detail: "older than what was asked for".to_owned(),
+        });
+    }
+    take(gateway, kind, batch, asked_at);
+    Ok(())
+}
+
+/// Changes that a watch should have brought are what other nodes may lack as well.
+fn take(gateway: &Gateway, kind: ItemKind, batch: ItemBatch, asked_at: Timestamp) {
+    gateway.log_changes(kind, Way::Probe, &batch, asked_at);
+    let has_changes = !batch.changes.is_empty();
+    gateway.take_batch(kind, batch, Some(asked_at));
+    if has_changes {
+        gateway.tell_peers_soon();
+    }
+}
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -9,6 +9,7 @@
 use slog::{debug, info, warn};
 use tokio::time::{sleep, timeout};
 
+use super::copy_prober::keep_copy_fresh;
 use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
 use crate::gateway::{Gateway, Role, SETTLING, Way};
 
@@ -23,6 +24,9 @@
 const SPACING_WHILE_NEW: Duration = Duration::from_secs(1);
 /// A single call may fail while the source is well; so many in a row count as an outage.
 const FAILURES_OF_OUTAGE: u32 = 2;
+/// A watch brings a change at most this much later than a question asked after it: the source answers
+/// both at once, within some hundred milliseconds when it is slow.
+const WATCH_LAG: Duration = Duration::from_millis(300);
 /// Time between looks whether the source must be asked.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// A reader's watches last this share of the time within which changes must be in force. Its proof
@@ -53,11 +57,28 @@
 }
 
 /// Lists and then watches all items of a kind, and tells the gateway, until dropped.
+///
+/// The configuration is proven current by [`keep_fresh`](super::keep_fresh), the other kinds here.
 pub async fn follow(
     gateway: Rc<Gateway>,
     source: Rc<dyn CatalogueSource>,
     kind: ItemKind,
     settings: FollowSettings,
+) {
+    let watched = watch_forever(Rc::clone(&gateway), Rc::clone(&source), kind, settings);
+    match kind {
+        ItemKind::Configuration => watched.await,
+        ItemKind::Engines | ItemKind::Weights => {
+            tokio::join!(watched, keep_copy_fresh(gateway, source, kind));
+        }
+    }
+}
+
+async fn watch_forever(
+    gateway: Rc<Gateway>,
+    source: Rc<dyn CatalogueSource>,
+    kind: ItemKind,
+    settings: FollowSettings,
 ) {
     let mut follower = Follower {
         gateway,
@@ -129,7 +150,7 @@
             let call = self.source.list(self.kind, consistency, after.as_deref());
             let page = timeout(self.settings.answer, call)
                 .await
-                .map_err(|_| no_answer())??;
+                .map_err(|_| SourceError::no_answer())??;
             items.extend(page.items);
             // Changes after the first page may be missing from it, so the watch begins there.
             let revision = *first_revision.get_or_insert(page.revision);
@@ -143,6 +164,9 @@
     async fn watch_until_history_gone(&mut self) {
         loop {
             let wait = self.wait_until_needed().await;
+            if self.gateway.state().replicas.of(self.kind).is_history_lost {
+                return;
+            }
             if self.is_behind_another_node() && self.has_caught_up_by_stale_list().await {
                 continue;
             }
@@ -152,9 +176,13 @@
             let call = self.source.watch(self.kind, revision, wait);
             let limit = wait + self.settings.answer;
             let answer = tokio::select! {
-                answer = timeout(limit, call) => answer.unwrap_or_else(|_| Err(no_answer())),
+                answer = timeout(limit, call) => answer.unwrap_or_else(|_| Err(SourceError::no_answer())),
                 // Such a watch may stay open for long, and proves nothing before its end.
                 () = self.has_grown_large(), if wait == self.settings.watch => continue,
+                () = self.is_overtaken(revision), if wait == self.settings.watch => {
+                    self.leave_overtaken(asked_at, revision);
+                    continue;
+                }
             };
             self.gateway
                 .count_question(self.kind, Way::Watch, answer.is_ok());
@@ -243,6 +271,31 @@
         }
     }
 
+    /// Resolves when another question has brought a change that the watch from `revision` has not, though it
+    /// has had the time: its connection carries nothing any more. The same when the source has told
+    /// another question that a watch from there can't go on.
+    async fn is_overtaken(&self, revision: u64) {
+        while !self.lacks_changes(revision) {
+            sleep(LOOK_INTERVAL).await;
+        }
+        sleep(WATCH_LAG).await;
+    }
+
+    fn lacks_changes(&self, revision: u64) -> bool {
+        let state = self.gateway.state();
+        let replica = state.replicas.of(self.kind);
+        replica.is_history_lost || replica.changed_until > Some(revision)
+    }
+
+    fn leave_overtaken(&self, asked_at: Timestamp, revision: u64) {
+        let waited = self.gateway.clock().now().since(asked_at);
+        let state = self.gateway.state();
+        let replica = state.replicas.of(self.kind);
+        warn!(self.gateway.log(), "watch_silent"; "kind" => %self.kind, "revision" => revision,
+            "changed_until" => replica.changed_until, "history_lost" => replica.is_history_lost,
+            "waited_ms" => waited.as_millis() as u64);
+    }
+
     fn is_current(&self, patience: Duration) -> bool {
         let now = self.gateway.clock().now();
         let state = self.gateway.state();
@@ -311,9 +364,3 @@
         }
     }
 }
-
-fn no_answer() -> SourceError {
-    SourceError::Unavailable {
-        detail: "no answer in time".to_owned(),
-    }
-}
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -3,6 +3,7 @@
 mod catalogue_source;
 mod change_log;
 mod consistency;
+mod copy_prober;
 mod follower;
 mod freshness_prober;
 mod item;
--- a/crates/gateway/src/source/source_error.rs
+++ b/crates/gateway/src/source/source_error.rs
@@ -24,3 +24,12 @@
         detail: String,
     },
 }
+
+impl SourceError {
+    /// It gave no answer in time.
+    pub(super) fn no_answer() -> Self {
+        Self::Unavailable {
+            detail: "no answer in time".to_owned(),
+        }
+    }
+}
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -13,7 +13,7 @@
 use ryerouter_gateway::placement::{PartKey, store_holder_name};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use support::gateway_bench::{configure, gateway, gateway_with, list_engines, run, settings};
-use support::records::{HOST, STORE, ZONE, engine, model_table, route, table};
+use support::records::{FAILURES_OF_TROUBLE, HOST, STORE, ZONE, engine, model_table, route, table};
 use yare::parameterized;
 
 const ENGINE: &str = "e1";
@@ -92,6 +92,18 @@
     });
 }
 
+/// A watch may be cut in calm times: that says nothing of the entries.
+#[test]
+fn engine_whose_entry_goes_after_a_single_failed_call_is_out_of_use_at_once() {
+    run(async {
+        let gateway = gateway("node-1");
+        with_engine(&gateway);
+        gateway.note_source_trouble(ItemKind::Engines, 1);
+        engine_gone(&gateway);
+        assert!(!knows_engine(&gateway));
+    });
+}
+
 #[test]
 fn engine_whose_entry_goes_during_trouble_of_the_list_stays_for_a_while() {
     run(async {
@@ -99,7 +111,7 @@
         short.unlisted_grace = Duration::from_millis(200);
         let gateway = gateway_with(short);
         with_engine(&gateway);
-        gateway.note_source_trouble(ItemKind::Engines, 1);
+        gateway.note_source_trouble(ItemKind::Engines, FAILURES_OF_TROUBLE);
         engine_gone(&gateway);
         assert!(knows_engine(&gateway));
         tokio::time::sleep(Duration::from_millis(250)).await;
@@ -115,7 +127,7 @@
         short.unlisted_grace = Duration::from_millis(200);
         let gateway = gateway_with(short);
         with_engine(&gateway);
-        gateway.note_source_trouble(ItemKind::Engines, 1);
+        gateway.note_source_trouble(ItemKind::Engines, FAILURES_OF_TROUBLE);
         // The source was away for longer than its entries take to come back.
         tokio::time::sleep(Duration::from_millis(250)).await;
         engine_gone(&gateway);
@@ -138,7 +150,7 @@
         let mut entry = engine(ENGINE, "127.0.0.1:1".parse().unwrap(), 1);
         entry.state = EngineState::Draining;
         list_engines(&gateway, vec![entry]);
-        gateway.note_source_trouble(ItemKind::Engines, 1);
+        gateway.note_source_trouble(ItemKind::Engines, FAILURES_OF_TROUBLE);
         engine_gone(&gateway);
         assert!(!knows_engine(&gateway));
     });
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -13,7 +13,7 @@
 use ryerouter_gateway::sync::Answer;
 use support::fleet::{FIRST_REVISION, introduce, node, node_in, zone_of_many};
 use support::gateway_bench::{configure, gateway_with, run, settings};
-use support::records::{ZONE, engine, table};
+use support::records::{FAILURES_OF_TROUBLE, ZONE, engine, table};
 use yare::parameterized;
 
 /// Datagrams travel as JSON.
@@ -434,7 +434,7 @@
     run(async {
         let nodes = zone_of_many();
         let (reader, other) = (&nodes[0], &nodes[5]);
-        reader.note_source_trouble(ItemKind::Engines, 1);
+        reader.note_source_trouble(ItemKind::Engines, FAILURES_OF_TROUBLE);
         source_tells(reader, vec![ItemChange::Gone("e1".to_owned())], 101);
         assert_eq!(state_of(reader, "e1"), Some(EngineState::Ready));
         catch_up(other, reader);
--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
@@ -13,6 +14,7 @@
     Followers, VirtualSource, knows_leaving, newest_weights, three_engines,
 };
 use tokio::time::sleep;
+use yare::parameterized;
 
 /// How long a watch lasts in a small deployment.
 const LONG_WATCH: Duration = Duration::from_secs(15);
@@ -51,9 +53,14 @@
     gateway.state().deadlines.allows(MODEL, 1, now)
 }
 
-#[test]
-fn leaving_engine_is_known_in_time_after_all_connections_fell_silent() {
-    let count = 7;
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+    ten = { 10 },
+    twelve = { 12 },
+)]
+fn leaving_engine_is_known_in_time_after_all_connections_fell_silent(count: usize) {
     run_paused(async move {
         let followers = settled(count).await;
         followers.source.silence(0..count);
@@ -65,9 +72,14 @@
     });
 }
 
-#[test]
-fn replaced_weights_are_left_in_time_after_all_connections_fell_silent() {
-    let count = 7;
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+    ten = { 10 },
+    twelve = { 12 },
+)]
+fn replaced_weights_are_left_in_time_after_all_connections_fell_silent(count: usize) {
     run_paused(async move {
         let followers = settled(count).await;
         followers.source.silence(0..count);
@@ -82,16 +94,73 @@
     });
 }
 
+/// The change comes at the moment at which the connections fall silent: it must be known once they
+/// count as undisturbed again.
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+    twelve = { 12 },
+)]
+fn change_at_the_moment_of_the_silence_is_known_in_time(count: usize) {
+    run_paused(async move {
+        let followers = settled(count).await;
+        followers.source.silence(0..count);
+        drain_first_engine(&followers);
+        followers.source.name_weights(2);
+        let is_known =
+            |node: &Gateway| knows_leaving(node, "e1") && newest_weights(node) == Some(2);
+        let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+        assert!(delay.is_some_and(|delay| delay < CONTACT), "{delay:?}");
+    });
+}
+
 /// The others have heard of the change; the silent node learns from them that it has missed one.
-#[test]
-fn node_whose_connections_alone_fell_silent_learns_it_from_others() {
+#[parameterized(
+    drained = { false },
+    gone = { true },
+)]
+fn node_whose_connections_alone_fell_silent_learns_it_from_others(is_gone: bool) {
     run_paused(async move {
         let followers = settled(7).await;
         followers.source.silence([3]);
         sleep(CONTACT).await;
+        match is_gone {
+            true => followers.source.remove("e1"),
+            false => drain_first_engine(&followers),
+        }
+        let is_known = |node: &Gateway| knows_leaving(node, "e1");
+        let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+        assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
+    });
+}
+
+#[test]
+fn silent_node_that_hears_no_other_finds_out_by_itself() {
+    run_paused(async {
+        let followers = settled(7).await;
+        followers.cut_off(0);
+        followers.source.silence([0]);
+        sleep(CONTACT).await;
         drain_first_engine(&followers);
         let is_known = |node: &Gateway| knows_leaving(node, "e1");
         let delay = followers.until_known(LONG_ENOUGH, is_known).await;
         assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
     });
 }
+
+/// An entry that goes in calm times is no entry that lapsed with the source: one call that failed says
+/// nothing of the source.
+#[test]
+fn engine_that_goes_after_one_silent_call_is_not_waited_for() {
+    run_paused(async {
+        let followers = settled(3).await;
+        followers.source.silence(0..3);
+        sleep(CONTACT).await;
+        followers.source.remove("e1");
+        let name = BackEndName::new("e1");
+        let is_gone = |node: &Gateway| node.state().engines.get(&name).is_none();
+        let delay = followers.until_known(LONG_ENOUGH, is_gone).await;
+        assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
+    });
+}
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -18,6 +18,8 @@
 pub const POOL: &str = "pool";
 pub const KEY_OF_TENANT: &str = "key-1";
 pub const ZONE: &str = "zone-a";
+/// So many failed calls in a row are a disruption of the source.
+pub const FAILURES_OF_TROUBLE: u32 = 2;
 pub const STORE: &str = "127.0.0.1:9";
 
 /// A public route below `/`.
