Test calls whose kept connections went silent for good (fails)

Each call on a silent kept connection waits its whole limit of 5 s: "no answer in time"; the call after it takes the next silent one.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub mod gateway_bench;
 pub mod records;
 pub mod scripted_engine;
+pub mod silencing_server;
 pub mod test_dialect;
