Let the serve layer tell that an engine's kept connection is silent

Upstream::note_silent(engine, sent_at) closes the engine's idle connections without an answer since.

--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -109,6 +109,15 @@
         self.idle.borrow_mut().remove(engine);
     }
 
+    /// A request that was written to a kept connection of an engine at `sent_at` got no sign of life
+    /// in time. The engine's other idle connections that have had no answer since then may have
+    /// fallen silent with it, so they are closed; returns how many.
+    pub fn note_silent(&self, engine: &BackEndName, sent_at: Timestamp) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(engine);
+        connections.map_or(0, |connections| connections.close_unheard_since(sent_at))
+    }
+
     fn take_idle(
         &self,
         engine: &BackEndName,
--- a/crates/gateway/src/upstream/idle_connections.rs
+++ b/crates/gateway/src/upstream/idle_connections.rs
@@ -43,6 +43,14 @@
             .retain(|connection| connection.is_usable(now, most_idle));
     }
 
+    /// Closes those without an answer since then, and tells how many.
+    pub(super) fn close_unheard_since(&mut self, since: Timestamp) -> usize {
+        let before = self.connections.len();
+        self.connections
+            .retain(|connection| connection.idle_since >= since);
+        before - self.connections.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.connections.is_empty()
     }
