Believe a kept connection only for as long as answers take

A call on a kept connection waited for its whole limit, each of the next four as well, and a watch to its end, although new connections worked. Change: JsonCaller learns how long answers take at an address (RFC 6298: AnswerTimes); on a kept connection an answer overdue makes the connection suspect: idle connections to the address without an answer since are closed, a GET is sent again on a new connection while the first goes on being awaited, whichever answers first; a PUT or POST ends unanswered and its answer is awaited aside. Once a newer connection is answered and the old one still is not 50 ms later, silence is confirmed: calls under way on connections unheard since end, and Silence, shared with Upstream, makes idle connections to all addresses suspect. Calls carry CallTerms (limit, hold, is_repeatable). Upstream tells whether a connection was kept (is_kept, SendProgress). New lines connection_silent, silence_confirmed, silence_withdrawn, call_ended_by_silence, call_unanswered, call_held; counters calls_total{outcome,connection}, connection_silences_total. A server that stood still or is slow is no silence: the first call answers as soon as the second, and its time is learned.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -40,7 +40,7 @@
         .await;
     let answer = sent.map_err(|failure| match failure {
         AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
-        AttemptFailure::Broken { detail } => AttemptEnd::MayHaveRun(detail),
+        AttemptFailure::Broken { detail, .. } => AttemptEnd::MayHaveRun(detail),
     })?;
     let facts = gateway.dialect().read_answer(&answer.head);
     match judge_head(request, &answer, &facts) {
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -26,6 +26,10 @@
     pub prompt_tokens: IntCounterVec,
     /// Time from the arrival of a request to the head of its answer or its first event.
     pub first_answer_seconds: Histogram,
+    /// Calls to the source and to engines by how they ended and on what connection.
+    pub calls: IntCounterVec,
+    /// Connections that seemed silent, by what became of it.
+    pub silences: IntCounterVec,
     /// Orders to engines by outcome.
     pub orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -63,6 +67,18 @@
             retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
             first_answer_seconds: histogram(&registry),
+            calls: vector_of(
+                &registry,
+                "calls_total",
+                "Calls by outcome and connection",
+                &["outcome", "connection"],
+            ),
+            silences: vector(
+                &registry,
+                "connection_silences_total",
+                "Connections that seemed silent: suspected, withdrawn, confirmed",
+                "verdict",
+            ),
             orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
             configuration_version: gauge(
                 &registry,
@@ -96,7 +112,11 @@
 }
 
 fn vector(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let metric = IntCounterVec::new(options(name, help), &[label]).expect("name is valid");
+    vector_of(registry, name, help, &[label])
+}
+
+fn vector_of(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(options(name, help), labels).expect("name is valid");
     register(registry, &metric);
     metric
 }
--- a/crates/gateway/src/upstream/attempt_failure.rs
+++ b/crates/gateway/src/upstream/attempt_failure.rs
@@ -16,6 +16,8 @@
     Broken {
         /// What the transport said.
         detail: String,
+        /// Whether the connection was a kept one.
+        is_kept: bool,
     },
 }
 
--- /dev/null
+++ b/crates/gateway/src/upstream/call_terms.rs
@@ -0,0 +1,40 @@
+//! What a call may take.
+
+use std::time::Duration;
+
+/// How long a call may take, and what may be done when its connection seems silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallTerms {
+    /// Longest time until the whole answer is there.
+    pub limit: Duration,
+    /// Of it, the time that the server may hold the call on purpose: it tells nothing about how
+    /// long answers take.
+    pub hold: Duration,
+    /// Whether it may be sent twice.
+    pub is_repeatable: bool,
+}
+
+impl CallTerms {
+    /// A call that may be sent twice.
+    pub const fn repeatable(limit: Duration) -> Self {
+        Self {
+            limit,
+            hold: Duration::ZERO,
+            is_repeatable: true,
+        }
+    }
+
+    /// A call that must be sent once only.
+    pub const fn once(limit: Duration) -> Self {
+        Self {
+            limit,
+            hold: Duration::ZERO,
+            is_repeatable: false,
+        }
+    }
+
+    /// The same, where the server may hold the call for so long.
+    pub const fn held_for(self, hold: Duration) -> Self {
+        Self { hold, ..self }
+    }
+}
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,6 +1,8 @@
 //! One connection to an engine.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,13 +12,17 @@
 use ryerouter_core::Timestamp;
 
 use super::{AbortOnDrop, AttemptFailure, ConnectSettings, connect};
+use crate::clock::Clock;
 
 /// One connection to an engine; dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) address: SocketAddr,
-    pub(super) idle_since: Timestamp,
+    pub(super) opened_at: Timestamp,
+    /// When the peer last gave a sign of life; an idle one has been idle since. Shared with the calls
+    /// that run on it.
+    pub(super) heard_at: Rc<Cell<Timestamp>>,
     pub(super) idle_timeout: Option<Duration>,
     _task: AbortOnDrop,
 }
@@ -26,6 +32,7 @@
     pub async fn open(
         address: SocketAddr,
         settings: &ConnectSettings,
+        clock: Clock,
     ) -> Result<Self, AttemptFailure> {
         let not_connected = |error: &dyn std::error::Error| AttemptFailure::NotConnected {
             detail: error.to_string(),
@@ -41,10 +48,12 @@
             // Its end shows in the exchange that runs on it.
             let _ = connection.await;
         });
+        let opened_at = clock.now();
         Ok(Self {
             sender,
             address,
-            idle_since: Timestamp::ZERO,
+            opened_at,
+            heard_at: Rc::new(Cell::new(opened_at)),
             idle_timeout: None,
             _task: AbortOnDrop::new(task),
         })
@@ -55,6 +64,6 @@
         let limit = self
             .idle_timeout
             .map_or(most_idle, |told| most_idle.min(told.mul_f64(0.5)));
-        self.sender.is_ready() && now.since(self.idle_since) < limit
+        self.sender.is_ready() && now.since(self.heard_at.get()) < limit
     }
 }
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use ryerouter_core::identity::BackEndName;
 
 use super::idle_connections::IdleConnections;
-use super::{AttemptFailure, ConnectSettings, Connection, UpstreamAnswer};
+use super::{AttemptFailure, ConnectSettings, Connection, SendProgress, Silence, UpstreamAnswer};
 use crate::clock::Clock;
 
 /// Idle connections that a repeatable request may use.
@@ -25,6 +26,7 @@
 pub struct Upstream {
     settings: ConnectSettings,
     clock: Clock,
+    silence: Rc<Silence>,
     idle: RefCell<HashMap<BackEndName, IdleConnections>>,
 }
 
@@ -34,10 +36,16 @@
         Self {
             settings,
             clock,
+            silence: Rc::default(),
             idle: RefCell::default(),
         }
     }
 
+    /// When connections were last shown to have fallen silent; calls to other servers share it.
+    pub fn silence(&self) -> &Rc<Silence> {
+        &self.silence
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub async fn send(
         &self,
@@ -45,6 +53,20 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
+    ) -> Result<UpstreamAnswer, AttemptFailure> {
+        let progress = SendProgress::default();
+        self.send_telling(engine, address, request, is_repeatable, &progress)
+            .await
+    }
+
+    /// The same, telling meanwhile on what connection the request was sent.
+    pub async fn send_telling(
+        &self,
+        engine: &BackEndName,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        is_repeatable: bool,
+        progress: &SendProgress,
     ) -> Result<UpstreamAnswer, AttemptFailure> {
         let most_idle = match is_repeatable {
             true => MOST_IDLE,
@@ -56,8 +78,9 @@
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => Connection::open(address, &self.settings).await?,
+                None => Connection::open(address, &self.settings, self.clock).await?,
             };
+            progress.note_sent(self.clock.now(), is_kept);
             let sent = connection.sender.try_send_request(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
@@ -66,6 +89,7 @@
                         head,
                         body,
                         connection,
+                        is_kept,
                     });
                 }
                 Err(failure) => failure,
@@ -74,7 +98,7 @@
             match failure.take_message() {
                 Some(unsent) if is_kept => request = unsent,
                 Some(_) => return Err(AttemptFailure::NotConnected { detail }),
-                None => return Err(AttemptFailure::Broken { detail }),
+                None => return Err(AttemptFailure::Broken { detail, is_kept }),
             }
         }
     }
@@ -86,7 +110,7 @@
         mut connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
-        connection.idle_since = self.clock.now();
+        connection.heard_at.set(self.clock.now());
         if idle_timeout.is_some() {
             connection.idle_timeout = idle_timeout;
         }
@@ -99,7 +123,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
-            connections.sweep(now, MOST_IDLE);
+            connections.sweep(now, MOST_IDLE, &self.silence);
             !connections.is_empty()
         });
     }
@@ -126,6 +150,7 @@
     ) -> Option<Connection> {
         let now: Timestamp = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        idle.get_mut(engine)?.take(address, now, most_idle)
+        idle.get_mut(engine)?
+            .take(address, now, most_idle, &self.silence)
     }
 }
--- /dev/null
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -0,0 +1,69 @@
+//! One call on one connection.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode};
+
+use super::Connection;
+use crate::clock::Clock;
+
+/// Longest answer.
+const MOST_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// An answer that was read to its end.
+#[derive(Debug)]
+pub(super) struct Exchanged {
+    pub(super) status: StatusCode,
+    pub(super) body: Bytes,
+    /// Time until its head came.
+    pub(super) taken: Duration,
+    pub(super) connection: Connection,
+}
+
+/// Why a call on one connection has no answer.
+#[derive(Debug)]
+pub(super) enum ExchangeFailure {
+    /// Nothing was written; the call may be sent on another connection.
+    Unsent(Request<Full<Bytes>>, String),
+    /// It may have been carried out.
+    Broken(String),
+}
+
+impl ExchangeFailure {
+    pub(super) fn detail(self) -> String {
+        match self {
+            Self::Unsent(_, detail) | Self::Broken(detail) => detail,
+        }
+    }
+}
+
+/// Sends a call and reads its whole answer.
+pub(super) async fn exchange(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+    clock: Clock,
+) -> Result<Exchanged, ExchangeFailure> {
+    let sent_at = clock.now();
+    let sent = connection.sender.try_send_request(request).await;
+    let answer = sent.map_err(|mut error| {
+        let detail = error.error().to_string();
+        match error.take_message() {
+            Some(unsent) => ExchangeFailure::Unsent(unsent, detail),
+            None => ExchangeFailure::Broken(detail),
+        }
+    })?;
+    let heard_at = clock.now();
+    connection.heard_at.set(heard_at);
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MOST_BYTES).collect().await;
+    let body = body.map_err(|error| ExchangeFailure::Broken(error.to_string()))?;
+    connection.heard_at.set(clock.now());
+    Ok(Exchanged {
+        status,
+        body: body.to_bytes(),
+        taken: heard_at.since(sent_at),
+        connection,
+    })
+}
--- a/crates/gateway/src/upstream/idle_connections.rs
+++ b/crates/gateway/src/upstream/idle_connections.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::Timestamp;
 
-use super::Connection;
+use super::{Connection, Silence};
 
 /// Most idle connections that are kept to one engine.
 const MOST_IDLE: usize = 16;
@@ -28,26 +28,31 @@
         address: SocketAddr,
         now: Timestamp,
         most_idle: Duration,
+        silence: &Silence,
     ) -> Option<Connection> {
         while let Some(connection) = self.connections.pop() {
-            if connection.address == address && connection.is_usable(now, most_idle) {
+            let is_suspect = silence.is_suspect(connection.heard_at.get());
+            let is_usable = connection.is_usable(now, most_idle) && !is_suspect;
+            if connection.address == address && is_usable {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Closes those that have been idle for longer than `most_idle`.
-    pub(super) fn sweep(&mut self, now: Timestamp, most_idle: Duration) {
-        self.connections
-            .retain(|connection| connection.is_usable(now, most_idle));
+    /// Closes those that have been idle for longer than `most_idle`, and those that are suspect.
+    pub(super) fn sweep(&mut self, now: Timestamp, most_idle: Duration, silence: &Silence) {
+        self.connections.retain(|connection| {
+            let is_suspect = silence.is_suspect(connection.heard_at.get());
+            connection.is_usable(now, most_idle) && !is_suspect
+        });
     }
 
     /// Closes those without an answer since then, and tells how many.
     pub(super) fn close_unheard_since(&mut self, since: Timestamp) -> usize {
         let before = self.connections.len();
         self.connections
-            .retain(|connection| connection.idle_since >= since);
+            .retain(|connection| connection.heard_at.get() >= since);
         before - self.connections.len()
     }
 
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -1,18 +1,32 @@
 //! Connections to engines.
 
 mod abort_on_drop;
+mod answer_times;
 mod attempt_failure;
+mod call_log;
+mod call_terms;
+mod called_address;
+mod called_addresses;
 mod connection;
 mod connector;
 mod engine_sender;
+mod exchange;
 mod idle_connections;
 mod json_caller;
+mod send_progress;
+mod sent_call;
+mod silence;
+mod unended_call;
 mod upstream_answer;
 
 pub use abort_on_drop::AbortOnDrop;
+pub use answer_times::AnswerTimes;
 pub use attempt_failure::AttemptFailure;
+pub use call_terms::CallTerms;
 pub use connection::Connection;
 pub use connector::{ConnectSettings, connect};
 pub use engine_sender::Upstream;
 pub use json_caller::{CallError, JsonCaller};
+pub use send_progress::SendProgress;
+pub use silence::Silence;
 pub use upstream_answer::UpstreamAnswer;
--- a/crates/gateway/src/upstream/upstream_answer.rs
+++ b/crates/gateway/src/upstream/upstream_answer.rs
@@ -14,4 +14,6 @@
     pub body: Incoming,
     /// The connection that it comes on; dropping it ends the answer.
     pub connection: Connection,
+    /// Whether that was a kept one.
+    pub is_kept: bool,
 }
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -7,12 +7,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::Full;
+use futures_util::future::join_all;
+use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
+use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::clock::Clock;
-use ryerouter_gateway::upstream::{CallError, ConnectSettings, JsonCaller};
+use ryerouter_gateway::telemetry::Metrics;
+use ryerouter_gateway::upstream::{
+    CallError, CallTerms, ConnectSettings, JsonCaller, SendProgress, Upstream, UpstreamAnswer,
+};
+use slog::{Discard, Logger, o};
 use support::silencing_server::{HELD_PATH, SilencingServer};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, timeout};
 
 /// Limit of a call that is to be answered much sooner.
@@ -35,8 +41,80 @@
     });
 }
 
-fn new_caller() -> Rc<JsonCaller> {
-    Rc::new(JsonCaller::new(ConnectSettings::default(), Clock::start()))
+/// A caller with what it shares and counts.
+struct Bench {
+    caller: Rc<JsonCaller>,
+    upstream: Upstream,
+    clock: Clock,
+    metrics: Rc<Metrics>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let clock = Clock::start();
+        let upstream = Upstream::new(ConnectSettings::default(), clock);
+        let metrics = Rc::new(Metrics::new());
+        let caller = JsonCaller::sharing(
+            ConnectSettings::default(),
+            clock,
+            Rc::clone(upstream.silence()),
+            Logger::root(Discard, o!()),
+            Rc::clone(&metrics),
+        );
+        Self {
+            caller: Rc::new(caller),
+            upstream,
+            clock,
+            metrics,
+        }
+    }
+
+    /// Connections that seemed silent, with this verdict.
+    fn silences(&self, verdict: &str) -> u64 {
+        self.metrics.silences.with_label_values(&[verdict]).get()
+    }
+
+    async fn call(&self, address: SocketAddr, method: Method) -> Result<(), CallError> {
+        let terms = match method {
+            Method::GET => CallTerms::repeatable(LIMIT),
+            _ => CallTerms::once(LIMIT),
+        };
+        let path = match method {
+            Method::GET => "/state",
+            _ => "/order",
+        };
+        call(&self.caller, address, method, path, terms).await
+    }
+
+    /// Opens a watch.
+    fn watch(&self, address: SocketAddr) -> JoinHandle<Result<(), CallError>> {
+        let caller = Rc::clone(&self.caller);
+        let terms = CallTerms::repeatable(LIMIT * 2).held_for(LIMIT);
+        spawn_local(async move { call(&caller, address, Method::GET, HELD_PATH, terms).await })
+    }
+
+    /// Leaves so many idle connections.
+    async fn keep_connections(&self, address: SocketAddr, count: usize) {
+        let calls = (0..count).map(|_| self.call(address, Method::GET));
+        for answer in join_all(calls).await {
+            answer.expect("answer");
+        }
+    }
+
+    /// Leaves so many idle connections to an engine.
+    async fn keep_engine_connections(&self, engine: &BackEndName, address: SocketAddr, count: u32) {
+        let requests = (0..count).map(|_| self.request(engine, address));
+        for answer in join_all(requests).await {
+            answer.body.collect().await.expect("body");
+            self.upstream.keep(engine, answer.connection, None);
+        }
+    }
+
+    async fn request(&self, engine: &BackEndName, address: SocketAddr) -> UpstreamAnswer {
+        let request = Request::new(Full::default());
+        let answer = self.upstream.send(engine, address, request, true).await;
+        answer.expect("answer")
+    }
 }
 
 async fn call(
@@ -44,30 +122,23 @@
     address: SocketAddr,
     method: Method,
     path: &str,
+    terms: CallTerms,
 ) -> Result<(), CallError> {
     let request = Request::builder().method(method).uri(path);
     let request = request.body(Full::default()).expect("request");
-    caller.call(address, request, LIMIT).await.map(drop)
-}
-
-/// Leaves so many idle connections.
-async fn keep_connections(caller: &JsonCaller, address: SocketAddr, count: usize) {
-    let calls = (0..count).map(|_| call(caller, address, Method::GET, "/first"));
-    for answer in futures_util::future::join_all(calls).await {
-        answer.expect("answer");
-    }
+    caller.call(address, request, terms).await.map(drop)
 }
 
 #[test]
 fn repeatable_call_is_answered_although_kept_connections_are_silent() {
     run(async {
         let (server, address) = SilencingServer::start().await;
-        let caller = new_caller();
-        keep_connections(&caller, address, KEPT).await;
+        let bench = Bench::new();
+        bench.keep_connections(address, KEPT).await;
         server.silence();
         let began = Instant::now();
         for _ in 0..KEPT + 1 {
-            let answer = call(&caller, address, Method::GET, "/next").await;
+            let answer = bench.call(address, Method::GET).await;
             answer.expect("answer");
         }
         assert!(began.elapsed() < ALLOWED, "{:?}", began.elapsed());
@@ -78,13 +149,13 @@
 fn call_that_must_not_repeat_ends_early_and_its_retry_is_answered() {
     run(async {
         let (server, address) = SilencingServer::start().await;
-        let caller = new_caller();
-        keep_connections(&caller, address, KEPT).await;
+        let bench = Bench::new();
+        bench.keep_connections(address, KEPT).await;
         server.silence();
         let began = Instant::now();
-        let first = call(&caller, address, Method::POST, "/order").await;
+        let first = bench.call(address, Method::POST).await;
         assert!(first.is_err());
-        let second = call(&caller, address, Method::POST, "/order").await;
+        let second = bench.call(address, Method::POST).await;
         second.expect("answer");
         assert!(began.elapsed() < ALLOWED, "{:?}", began.elapsed());
         let arrivals = server.arrivals.borrow();
@@ -97,19 +168,162 @@
 fn held_call_ends_once_another_shows_that_its_connection_is_silent() {
     run(async {
         let (server, address) = SilencingServer::start().await;
-        let caller = new_caller();
-        keep_connections(&caller, address, 2).await;
-        let watching = Rc::clone(&caller);
-        let watch =
-            spawn_local(async move { call(&watching, address, Method::GET, HELD_PATH).await });
+        let bench = Bench::new();
+        bench.keep_connections(address, 2).await;
+        let watch = bench.watch(address);
         server.until_arrived(3).await;
         server.silence();
         let began = Instant::now();
-        call(&caller, address, Method::GET, "/next")
-            .await
-            .expect("answer");
+        bench.call(address, Method::GET).await.expect("answer");
         let ended = watch.await.expect("watch");
         assert!(ended.is_err());
         assert!(began.elapsed() < ALLOWED, "{:?}", began.elapsed());
     });
 }
+
+/// A caller that waits less long than the call's limit.
+#[test]
+fn call_that_its_caller_drops_tells_of_its_connection() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let bench = Bench::new();
+        // So slow that the patience with a kept connection is long.
+        server.delay.set(Duration::from_millis(500));
+        bench.keep_connections(address, KEPT).await;
+        server.silence();
+        let waited = timeout(ALLOWED, bench.call(address, Method::POST)).await;
+        assert!(waited.is_err());
+        server.delay.set(Duration::ZERO);
+        bench.call(address, Method::POST).await.expect("answer");
+        assert_eq!(server.accepted() as usize, KEPT + 1);
+    });
+}
+
+/// A store that becomes much slower is not silent, and is asked little more than once for each call.
+#[test]
+fn slow_server_is_not_asked_twice_over_and_over() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let bench = Bench::new();
+        server.delay.set(Duration::from_millis(8));
+        for _ in 0..10 {
+            bench.call(address, Method::GET).await.expect("answer");
+        }
+        let watch = bench.watch(address);
+        server.until_arrived(11).await;
+        server.delay.set(Duration::from_millis(8 * 50));
+        for _ in 0..8 {
+            bench.call(address, Method::GET).await.expect("answer");
+        }
+        let arrived = server.arrivals.borrow().len();
+        assert!(arrived <= 11 + 8 + 1, "{arrived} calls arrived");
+        assert_eq!(bench.silences("confirmed"), 0);
+        assert!(!watch.is_finished());
+    });
+}
+
+/// The same, so slow that no call is answered within its limit.
+#[test]
+fn server_that_answers_nothing_in_time_is_not_asked_twice_over_and_over() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let bench = Bench::new();
+        bench.keep_connections(address, KEPT).await;
+        server.delay.set(LIMIT);
+        let terms = CallTerms::repeatable(Duration::from_millis(600));
+        for _ in 0..5 {
+            let answer = call(&bench.caller, address, Method::GET, "/state", terms).await;
+            assert!(answer.is_err());
+        }
+        let arrived = server.arrivals.borrow().len();
+        assert!(arrived <= KEPT + 5 + 1, "{arrived} calls arrived");
+        assert_eq!(bench.silences("confirmed"), 0);
+    });
+}
+
+/// It answers everything at once when it goes on, in any order.
+#[test]
+fn server_that_stood_still_does_not_count_as_silent() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let bench = Bench::new();
+        bench.keep_connections(address, KEPT).await;
+        let until = Instant::now() + Duration::from_millis(500);
+        server.stands_still_until.set(Some(until));
+        let calls = [Method::GET, Method::POST, Method::GET];
+        let calls = calls.map(|method| bench.call(address, method));
+        let answers = join_all(calls).await;
+        assert!(answers[0].is_ok() && answers[2].is_ok());
+        // Longer than it takes to confirm a silence.
+        for _ in 0..5 {
+            server.delay.set(Duration::from_millis(20));
+            bench.call(address, Method::GET).await.expect("answer");
+        }
+        assert!(bench.silences("suspected") > 0);
+        assert_eq!(bench.silences("confirmed"), 0);
+    });
+}
+
+#[test]
+fn silence_at_one_address_makes_idle_connections_to_others_suspect() {
+    run(async {
+        let (store, store_address) = SilencingServer::start().await;
+        let (engine, engine_address) = SilencingServer::start().await;
+        let name = BackEndName::new("engine-1");
+        let bench = Bench::new();
+        bench.keep_connections(store_address, 2).await;
+        bench.keep_connections(engine_address, 2).await;
+        bench
+            .keep_engine_connections(&name, engine_address, 2)
+            .await;
+        let watch = bench.watch(store_address);
+        store.until_arrived(3).await;
+        store.silence();
+        engine.silence();
+        bench
+            .call(store_address, Method::GET)
+            .await
+            .expect("answer");
+        // It ends once the silence is confirmed.
+        assert!(watch.await.expect("watch").is_err());
+        let began = Instant::now();
+        bench
+            .call(engine_address, Method::POST)
+            .await
+            .expect("answer");
+        let answer = bench.request(&name, engine_address).await;
+        assert!(!answer.is_kept);
+        assert!(began.elapsed() < ALLOWED / 2, "{:?}", began.elapsed());
+        assert_eq!(engine.accepted(), 4 + 2, "one new connection for each");
+        // Connections that were answered afterwards stay.
+        bench
+            .call(engine_address, Method::POST)
+            .await
+            .expect("answer");
+        assert_eq!(engine.accepted(), 4 + 2);
+    });
+}
+
+#[test]
+fn silent_connection_to_an_engine_closes_those_unheard_since() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let name = BackEndName::new("engine-1");
+        let bench = Bench::new();
+        bench.keep_engine_connections(&name, address, 3).await;
+        server.silence();
+        let sent_at = bench.clock.now();
+        let progress = SendProgress::default();
+        let request = Request::new(Full::default());
+        let sending = bench
+            .upstream
+            .send_telling(&name, address, request, true, &progress);
+        let waiting = timeout(Duration::from_millis(50), sending).await;
+        assert!(waiting.is_err() && progress.is_kept());
+        assert!(progress.sent_at().is_some_and(|at| at >= sent_at));
+        assert_eq!(bench.upstream.note_silent(&name, sent_at), 2);
+        bench.keep_engine_connections(&name, address, 1).await;
+        assert_eq!(bench.upstream.note_silent(&name, sent_at), 0);
+        assert!(bench.request(&name, address).await.is_kept);
+    });
+}
--- a/crates/gateway/tests/support/silencing_server.rs
+++ b/crates/gateway/tests/support/silencing_server.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Calls to paths that begin so are held for good.
 pub const HELD_PATH: &str = "/held";
@@ -31,6 +31,8 @@
     pub body: RefCell<String>,
     /// Time that each answer takes.
     pub delay: Cell<Duration>,
+    /// It answers nothing before.
+    pub stands_still_until: Cell<Option<Instant>>,
     /// Requests in the order of their arrival.
     pub arrivals: RefCell<Vec<ArrivedCall>>,
     accepted: Cell<u32>,
@@ -88,6 +90,9 @@
                 continue;
             }
             sleep(self.delay.get()).await;
+            if let Some(until) = self.stands_still_until.get() {
+                sleep_until(until).await;
+            }
             if connection <= self.silent_up_to.get() {
                 continue;
             }
