Use a kept connection to an engine only when it was heard from lately

Change: 1 s for repeatable requests, 250 ms for the others, after weighing shorter idle ages against the record of confirmed silence. A repeatable one has the serve layer's sign of life beside it.

--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -12,14 +12,19 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
 
+use super::answer_times::LEAST_PATIENCE;
 use super::idle_connections::IdleConnections;
 use super::{AttemptFailure, ConnectSettings, Connection, SendProgress, Silence, UpstreamAnswer};
 use crate::clock::Clock;
 
-/// Idle connections that a repeatable request may use.
-const MOST_IDLE: Duration = Duration::from_secs(4);
-/// The same for a request that must not run twice: a close that crosses it would lose it.
-const MOST_IDLE_UNREPEATABLE: Duration = Duration::from_millis(1_500);
+/// Idle connections that a repeatable request may use. A connection may have fallen silent since it
+/// was last heard from, which [`Silence`] tells only once some call has shown it: until then each
+/// request on such a connection waits in vain, while opening another one costs a round trip. Under
+/// an even load of some requests a second for each engine most requests still find one.
+const MOST_IDLE: Duration = Duration::from_secs(1);
+/// The same for a request that must not run twice: silence would lose it, and so would a close that
+/// crosses it. So the connection must have been heard from within what an answer may take anyway.
+const MOST_IDLE_UNREPEATABLE: Duration = LEAST_PATIENCE;
 
 /// Sends requests to engines, on kept connections where possible.
 #[derive(Debug)]
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(super) enum ExchangeFailure {
     /// Nothing was written; the call may be sent on another connection.
-    Unsent(Request<Full<Bytes>>, String),
+    Unsent(Box<Request<Full<Bytes>>>, String),
     /// It may have been carried out.
     Broken(String),
 }
@@ -50,7 +50,7 @@
     let answer = sent.map_err(|mut error| {
         let detail = error.error().to_string();
         match error.take_message() {
-            Some(unsent) => ExchangeFailure::Unsent(unsent, detail),
+            Some(unsent) => ExchangeFailure::Unsent(Box::new(unsent), detail),
             None => ExchangeFailure::Broken(detail),
         }
     })?;
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -101,7 +101,7 @@
         while let Some(connection) = self.known.take_idle(address) {
             match self.call_on_kept(connection, request, terms, unended).await {
                 Ok(answer) => return answer,
-                Err(unsent) => request = unsent,
+                Err(unsent) => request = *unsent,
             }
         }
         self.call_on_new(address, request, terms, unended).await
@@ -135,7 +135,7 @@
         request: Request<Full<Bytes>>,
         terms: CallTerms,
         unended: &UnendedCall,
-    ) -> Result<Answer, Request<Full<Bytes>>> {
+    ) -> Result<Answer, Box<Request<Full<Bytes>>>> {
         let known = &self.known;
         let call = self.note_sent(&connection, terms, true, unended);
         let spare = terms.is_repeatable.then(|| request.clone());
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -19,7 +19,8 @@
 use slog::{Discard, Logger, o};
 use support::silencing_server::{HELD_PATH, SilencingServer};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, advance, pause, resume, timeout};
+use yare::parameterized;
 
 /// Limit of a call that is to be answered much sooner.
 const LIMIT: Duration = Duration::from_secs(5);
@@ -103,16 +104,24 @@
 
     /// Leaves so many idle connections to an engine.
     async fn keep_engine_connections(&self, engine: &BackEndName, address: SocketAddr, count: u32) {
-        let requests = (0..count).map(|_| self.request(engine, address));
+        let requests = (0..count).map(|_| self.request(engine, address, true));
         for answer in join_all(requests).await {
             answer.body.collect().await.expect("body");
             self.upstream.keep(engine, answer.connection, None);
         }
     }
 
-    async fn request(&self, engine: &BackEndName, address: SocketAddr) -> UpstreamAnswer {
+    async fn request(
+        &self,
+        engine: &BackEndName,
+        address: SocketAddr,
+        is_repeatable: bool,
+    ) -> UpstreamAnswer {
         let request = Request::new(Full::default());
-        let answer = self.upstream.send(engine, address, request, true).await;
+        let answer = self
+            .upstream
+            .send(engine, address, request, is_repeatable)
+            .await;
         answer.expect("answer")
     }
 }
@@ -291,7 +300,7 @@
             .call(engine_address, Method::POST)
             .await
             .expect("answer");
-        let answer = bench.request(&name, engine_address).await;
+        let answer = bench.request(&name, engine_address, true).await;
         assert!(!answer.is_kept);
         assert!(began.elapsed() < ALLOWED / 2, "{:?}", began.elapsed());
         assert_eq!(engine.accepted(), 4 + 2, "one new connection for each");
@@ -324,6 +333,30 @@
         assert_eq!(bench.upstream.note_silent(&name, sent_at), 2);
         bench.keep_engine_connections(&name, address, 1).await;
         assert_eq!(bench.upstream.note_silent(&name, sent_at), 0);
-        assert!(bench.request(&name, address).await.is_kept);
+        assert!(bench.request(&name, address, true).await.is_kept);
+    });
+}
+
+#[parameterized(
+    repeatable = { 900, true, true },
+    repeatable_idle_for_long = { 1_100, true, false },
+    once_only = { 150, false, true },
+    once_only_idle_for_long = { 300, false, false },
+)]
+fn request_uses_a_connection_that_was_heard_from_lately(
+    idle_ms: u64,
+    is_repeatable: bool,
+    is_kept: bool,
+) {
+    run(async {
+        let (_server, address) = SilencingServer::start().await;
+        let name = BackEndName::new("engine-1");
+        let bench = Bench::new();
+        bench.keep_engine_connections(&name, address, 1).await;
+        pause();
+        advance(Duration::from_millis(idle_ms)).await;
+        resume();
+        let answer = bench.request(&name, address, is_repeatable).await;
+        assert_eq!(answer.is_kept, is_kept);
     });
 }
