End a held call on a silent connection when it can't be held again

Change: a call is sent again only when more time is left than it may be held; otherwise it ends, and its owner asks at once.

--- a/crates/gateway/src/upstream/call_log.rs
+++ b/crates/gateway/src/upstream/call_log.rs
@@ -52,7 +52,7 @@
     ) {
         self.count_call("silent", call);
         self.count_silence("suspected");
-        let next = match call.terms.is_repeatable {
+        let next = match call.is_repeated_after(patience) {
             true => "repeat on a new connection",
             false => "end unanswered",
         };
--- a/crates/gateway/src/upstream/call_terms.rs
+++ b/crates/gateway/src/upstream/call_terms.rs
@@ -10,7 +10,7 @@
     /// Of it, the time that the server may hold the call on purpose: it tells nothing about how
     /// long answers take.
     pub hold: Duration,
-    /// Whether it may be sent twice.
+    /// Whether it may be sent twice; see [`super::JsonCaller`] for when it is.
     pub is_repeatable: bool,
 }
 
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -36,7 +36,7 @@
 /// An open connection may fall silent for good without a reset while new ones work. So a call on a
 /// kept connection must be answered within what was observed at its address ([`super::AnswerTimes`]);
 /// otherwise the connection counts as silent, a call that may be repeated is sent again on a new
-/// connection, and another one ends. Once a new connection is answered while the old one is not,
+/// connection as long as it still has time to be held, and another one ends. Once a new connection is answered while the old one is not,
 /// other calls under way on connections that were not heard from since end as well, and connections
 /// to all addresses are distrusted ([`Silence`]). A call on a new connection has its whole limit.
 #[derive(Debug)]
@@ -138,8 +138,8 @@
     ) -> Result<Answer, Box<Request<Full<Bytes>>>> {
         let known = &self.known;
         let call = self.note_sent(&connection, terms, true, unended);
-        let spare = terms.is_repeatable.then(|| request.clone());
         let patience = known.patience(&call);
+        let spare = call.is_repeated_after(patience).then(|| request.clone());
         let mut first = exchange(connection, request, known.clock).boxed_local();
         tokio::select! {
             answer = &mut first => return match answer {
--- a/crates/gateway/src/upstream/sent_call.rs
+++ b/crates/gateway/src/upstream/sent_call.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 
@@ -45,6 +46,13 @@
         self.heard_at.get() > self.heard_before
     }
 
+    /// Whether it is sent again when its answer is overdue by so much. A watch may be held again for
+    /// its whole time: without that time left, its owner had better ask in another way.
+    pub(super) fn is_repeated_after(&self, patience: Duration) -> bool {
+        let rest = self.terms.limit.saturating_sub(self.terms.hold + patience);
+        self.terms.is_repeatable && rest > self.terms.hold
+    }
+
     pub(super) fn connection_kind(&self) -> &'static str {
         match self.is_kept {
             true => "kept",
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -190,6 +190,31 @@
     });
 }
 
+/// Its owner is to ask at once in another way.
+#[test]
+fn held_call_without_time_to_be_held_again_is_not_repeated() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let bench = Bench::new();
+        bench.keep_connections(address, KEPT).await;
+        server.silence();
+        let hold = Duration::from_millis(300);
+        let terms = CallTerms::repeatable(hold + LIMIT / 2).held_for(hold);
+        let short = call(&bench.caller, address, Method::GET, "/state", terms).await;
+        assert!(short.is_ok(), "{short:?}");
+        bench.keep_connections(address, KEPT).await;
+        server.silence();
+        let before = server.arrivals.borrow().len();
+        let terms = CallTerms::repeatable(hold * 2).held_for(hold);
+        let began = Instant::now();
+        let ended = call(&bench.caller, address, Method::GET, "/state", terms).await;
+        assert!(ended.is_err());
+        assert!(began.elapsed() < hold * 2);
+        assert_eq!(server.arrivals.borrow().len(), before + 1);
+        assert_eq!(bench.silences("suspected"), 2);
+    });
+}
+
 /// A caller that waits less long than the call's limit.
 #[test]
 fn call_that_its_caller_drops_tells_of_its_connection() {
