Test what a slow server costs on kept connections

Cause: the test kept one connection only, which its watch took, so no call was overdue on a kept one and it proved less than it said. Change: four kept connections; exactly one call more than asked is allowed, and the suspicion must have been withdrawn.

--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -240,17 +240,17 @@
         let (server, address) = SilencingServer::start().await;
         let bench = Bench::new();
         server.delay.set(Duration::from_millis(8));
-        for _ in 0..10 {
-            bench.call(address, Method::GET).await.expect("answer");
-        }
+        bench.keep_connections(address, KEPT).await;
         let watch = bench.watch(address);
-        server.until_arrived(11).await;
+        server.until_arrived(KEPT + 1).await;
         server.delay.set(Duration::from_millis(8 * 50));
         for _ in 0..8 {
             bench.call(address, Method::GET).await.expect("answer");
         }
         let arrived = server.arrivals.borrow().len();
-        assert!(arrived <= 11 + 8 + 1, "{arrived} calls arrived");
+        assert_eq!(arrived, KEPT + 1 + 8 + 1, "one call more than asked");
+        assert_eq!(bench.silences("suspected"), 1);
+        assert_eq!(bench.silences("withdrawn"), 1);
         assert_eq!(bench.silences("confirmed"), 0);
         assert!(!watch.is_finished());
     });
