--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,20 +12,26 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
 
+use super::answer_times::LEAST_PATIENCE;
 use super::idle_connections::IdleConnections;
-use super::{AttemptFailure, ConnectSettings, Connection, UpstreamAnswer};
+use super::{AttemptFailure, ConnectSettings, Connection, SendProgress, Silence, UpstreamAnswer};
 use crate::clock::Clock;
 
-/// Idle connections that a repeatable request may use.
-const MOST_IDLE: Duration = Duration::from_secs(4);
-/// The same for a request that must not run twice: a close that crosses it would lose it.
-const MOST_IDLE_UNREPEATABLE: Duration = Duration::from_millis(1_500);
+/// Idle connections that a repeatable request may use. A connection may have fallen silent since it
+/// was last heard from, which [`Silence`] tells only once some call has shown it: until then each
+/// request on such a connection waits in vain, while opening another one costs a round trip. Under
+/// an even load of some requests a second for each engine most requests still find one.
+const MOST_IDLE: Duration = Duration::from_secs(1);
+/// The same for a request that must not run twice: silence would lose it, and so would a close that
+/// crosses it. So the connection must have been heard from within what an answer may take anyway.
+const MOST_IDLE_UNREPEATABLE: Duration = LEAST_PATIENCE;
 
 /// Sends requests to engines, on kept connections where possible.
 #[derive(Debug)]
 pub struct Upstream {
     settings: ConnectSettings,
     clock: Clock,
+    silence: Rc<Silence>,
     idle: RefCell<HashMap<BackEndName, IdleConnections>>,
 }
 
@@ -34,10 +41,16 @@
         Self {
             settings,
             clock,
+            silence: Rc::default(),
             idle: RefCell::default(),
         }
     }
 
+    /// When connections were last shown to have fallen silent; calls to other servers share it.
+    pub fn silence(&self) -> &Rc<Silence> {
+        &self.silence
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub async fn send(
         &self,
@@ -45,6 +58,20 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
+    ) -> Result<UpstreamAnswer, AttemptFailure> {
+        let progress = SendProgress::default();
+        self.send_telling(engine, address, request, is_repeatable, &progress)
+            .await
+    }
+
+    /// The same, telling meanwhile on what connection the request was sent.
+    pub async fn send_telling(
+        &self,
+        engine: &BackEndName,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        is_repeatable: bool,
+        progress: &SendProgress,
     ) -> Result<UpstreamAnswer, AttemptFailure> {
         let most_idle = match is_repeatable {
             true => MOST_IDLE,
@@ -56,8 +83,9 @@
             let is_kept = kept.is_some();
             let mut connection = match kept {
                 Some(connection) => connection,
-                None => Connection::open(address, &self.settings).await?,
+                None => Connection::open(address, &self.settings, self.clock).await?,
             };
+            progress.note_sent(self.clock.now(), is_kept);
             let sent = connection.sender.try_send_request(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
@@ -66,6 +94,7 @@
                         head,
                         body,
                         connection,
+                        is_kept,
                     });
                 }
                 Err(failure) => failure,
@@ -74,7 +103,7 @@
             match failure.take_message() {
                 Some(unsent) if is_kept => request = unsent,
                 Some(_) => return Err(AttemptFailure::NotConnected { detail }),
-                None => return Err(AttemptFailure::Broken { detail }),
+                None => return Err(AttemptFailure::Broken { detail, is_kept }),
             }
         }
     }
@@ -86,7 +115,7 @@
         mut connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
-        connection.idle_since = self.clock.now();
+        connection.heard_at.set(self.clock.now());
         if idle_timeout.is_some() {
             connection.idle_timeout = idle_timeout;
         }
@@ -99,7 +128,7 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
-            connections.sweep(now, MOST_IDLE);
+            connections.sweep(now, MOST_IDLE, &self.silence);
             !connections.is_empty()
         });
     }
@@ -109,6 +138,15 @@
         self.idle.borrow_mut().remove(engine);
     }
 
+    /// A request that was written to a kept connection of an engine at `sent_at` got no sign of life
+    /// in time. The engine's other idle connections that have had no answer since then may have
+    /// fallen silent with it, so they are closed; returns how many.
+    pub fn note_silent(&self, engine: &BackEndName, sent_at: Timestamp) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(engine);
+        connections.map_or(0, |connections| connections.close_unheard_since(sent_at))
+    }
+
     fn take_idle(
         &self,
         engine: &BackEndName,
@@ -117,6 +155,7 @@
     ) -> Option<Connection> {
         let now: Timestamp = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        idle.get_mut(engine)?.take(address, now, most_idle)
+        idle.get_mut(engine)?
+            .take(address, now, most_idle, &self.silence)
     }
 }
