Open a watch of the log again that did not tell of a known entry

Cause: a watch that falls silent without breaking was believed for up to watch_idle_timeout (60 s), and a check by key without an answer was made again only ten seconds later; configuration is to be in force within 20 s. Change: the reader keeps what its watch has told. An entry found by key, or known from peers for a whole check interval, that the watch did not tell opens it again from the last revision told. A failed check is made again after RETRY_AFTER. A line watch_started says whether it replaces a running one. Conclusion: a silent watch costs no call while nothing is missed, and one new watch once something is.

--- a/crates/core/src/config/log_reader.rs
+++ b/crates/core/src/config/log_reader.rs
@@ -15,7 +15,9 @@
 /// Reads the change log from the object API while this node is one of the few elected readers.
 ///
 /// The watch may have gaps and a list may be stale, so a reader also asks for the next entry by
-/// its key now and then.
+/// its key now and then. A watch may also fall silent without breaking; one that did not tell of
+/// an entry that is known otherwise is opened again, see
+/// `docs/incidents/silent-connections-node.md`.
 #[derive(Debug, Default)]
 pub struct LogReader {
     stage: ReaderStage,
@@ -23,6 +25,14 @@
     check_at: Timestamp,
     listed_once: bool,
     has_no_snapshot: bool,
+    /// The revision from which a watch would tell what this one has not told yet.
+    untold_from: StoreRevision,
+    /// The newest entry that the watch has told of, or that was known when it was opened.
+    told: ConfigVersion,
+    /// The newest entry that was asked for by its key and found.
+    found: ConfigVersion,
+    /// The version at the last check: the watch has had a whole interval to tell of it.
+    known: ConfigVersion,
 }
 
 impl LogReader {
@@ -65,7 +75,7 @@
         outbox: &mut Outbox,
     ) {
         if self.catching_up == Some(request) {
-            self.caught_up(answer, replica, outbox);
+            self.caught_up(answer, replica, now, outbox);
             return;
         }
         match self.stage {
@@ -91,14 +101,16 @@
             return;
         }
         match event {
-            WatchEvent::Written { object, .. } => {
-                if let StoreValue::ConfigEntry(entry) = object.value
-                    && replica.append(&entry) == Appended::Gap
-                {
-                    self.catch_up(replica, outbox);
+            WatchEvent::Written { revision, object } => {
+                self.untold_from = after(revision);
+                if let StoreValue::ConfigEntry(entry) = object.value {
+                    self.told = self.told.max(entry.version);
+                    if replica.append(&entry) == Appended::Gap {
+                        self.catch_up(replica, outbox);
+                    }
                 }
             }
-            WatchEvent::Deleted { .. } => {}
+            WatchEvent::Deleted { revision, .. } => self.untold_from = after(revision),
             WatchEvent::Compacted { .. } => self.list(outbox),
             WatchEvent::Broken { .. } => self.retry(now.after(Self::RETRY_AFTER)),
             WatchEvent::TooManyReaders { .. } => self.retry(now.after(Self::CROWDED_RETRY_AFTER)),
@@ -111,6 +123,10 @@
             ReaderStage::Retrying { at } if now >= at => self.list(outbox),
             ReaderStage::Watching if now >= self.check_at => {
                 self.check_at = now.after(Self::CHECK_EVERY);
+                if self.told < self.known {
+                    self.open_watch(replica, outbox);
+                }
+                self.known = replica.version();
                 self.catch_up(replica, outbox);
             }
             _ => {}
@@ -143,9 +159,17 @@
         self.listed_once = true;
         self.check_at = now.after(Self::CHECK_EVERY);
         self.stage = ReaderStage::Watching;
+        self.untold_from = after(revision);
+        self.open_watch(replica, outbox);
+    }
+
+    /// Opens the watch, in place of the one before.
+    fn open_watch(&mut self, replica: &ConfigReplica, outbox: &mut Outbox) {
+        self.told = replica.version();
+        self.known = self.told;
         outbox.push(ControlAction::StartWatch {
             prefix: ObjectPrefix::ConfigLog,
-            from: StoreRevision(revision.0 + 1),
+            from: self.untold_from,
         });
     }
 
@@ -182,13 +206,29 @@
         self.catching_up = Some(outbox.store(StoreOwner::LogReader, StoreCall::Get { key }));
     }
 
-    fn caught_up(&mut self, answer: StoreAnswer, replica: &mut ConfigReplica, outbox: &mut Outbox) {
+    fn caught_up(
+        &mut self,
+        answer: StoreAnswer,
+        replica: &mut ConfigReplica,
+        now: Timestamp,
+        outbox: &mut Outbox,
+    ) {
         self.catching_up = None;
-        if let StoreAnswer::Found(object) = answer
-            && let StoreValue::ConfigEntry(entry) = object.value
-        {
-            replica.append(&entry);
-            self.catch_up(replica, outbox);
+        match answer {
+            StoreAnswer::Found(object) => {
+                if let StoreValue::ConfigEntry(entry) = object.value {
+                    replica.append(&entry);
+                    self.found = entry.version;
+                    self.catch_up(replica, outbox);
+                    return;
+                }
+            }
+            // Whether the watch is behind is not known, so the check is still due.
+            StoreAnswer::Failed(_) => self.check_at = now.after(retry_after(&answer)),
+            _ => {}
+        }
+        if self.stage == ReaderStage::Watching && self.told < self.found {
+            self.open_watch(replica, outbox);
         }
     }
 
@@ -197,6 +237,10 @@
     }
 }
 
+fn after(revision: StoreRevision) -> StoreRevision {
+    StoreRevision(revision.0 + 1)
+}
+
 fn retry_after(answer: &StoreAnswer) -> Duration {
     use crate::control::StoreFailure::TooManyReaders;
     match answer {
--- a/crates/node/src/control/watch_worker.rs
+++ b/crates/node/src/control/watch_worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use ryerouter_core::control::{ControlEvent, ObjectPrefix, StoreRevision, WatchEvent};
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::task::AbortHandle;
 
 use crate::platform::{ObjectClient, PlatformError};
@@ -32,6 +32,10 @@
 
     /// Starts a watch in place of any other of the same prefix.
     pub(super) fn start(&mut self, prefix: ObjectPrefix, from: StoreRevision) {
+        let former = self.running.get(&prefix);
+        let replaces = former.is_some_and(|task| !task.is_finished());
+        info!(self.logger, "watch_started";
+            "prefix" => %prefix, "from" => from.0, "replaces" => replaces);
         self.stop(prefix);
         let client = self.client.clone();
         let input = self.input.clone();
