--- a/crates/node/tests/control_support/object_api.rs
+++ b/crates/node/tests/control_support/object_api.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use http_body_util::combinators::BoxBody;
@@ -14,9 +15,13 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use tokio::io::{DuplexStream, copy, copy_bidirectional, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Bytes under way between a connection and the server behind it.
+const PIPE_BYTES: usize = 64 * 1024;
+
 type Body = BoxBody<Bytes, Infallible>;
 
 /// What goes wrong with calls.
@@ -55,6 +60,9 @@
     pub address: SocketAddr,
     store: Arc<Mutex<Store>>,
     revisions: Arc<watch::Sender<u64>>,
+    /// How often the connections open then fell silent.
+    silences: Arc<watch::Sender<u64>>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl ObjectApi {
@@ -64,6 +72,8 @@
             address: listener.local_addr().unwrap(),
             store: Arc::default(),
             revisions: Arc::new(watch::Sender::new(0)),
+            silences: Arc::new(watch::Sender::new(0)),
+            connections: Arc::default(),
         };
         tokio::spawn(api.clone().accept(listener));
         api
@@ -73,6 +83,17 @@
         self.store.lock().fault = fault;
     }
 
+    /// Makes all connections that are open now silent for good: their bytes are taken, nothing comes
+    /// back, and none is closed. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.silences.send_modify(|silences| *silences += 1);
+    }
+
+    /// Connections accepted so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Makes watches skip the next change.
     pub fn hide_next_change(&self) {
         let mut store = self.store.lock();
@@ -100,11 +121,25 @@
     async fn accept(self, listener: TcpListener) {
         loop {
             let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(self.clone().serve(stream));
+            self.connections.fetch_add(1, Ordering::SeqCst);
+            let silences = self.silences.subscribe();
+            tokio::spawn(self.clone().serve(stream, silences));
         }
     }
 
-    async fn serve(self, stream: TcpStream) {
+    async fn serve(self, mut stream: TcpStream, mut silences: watch::Receiver<u64>) {
+        let (inner, mut outer) = tokio::io::duplex(PIPE_BYTES);
+        let passed_on = async move {
+            tokio::select! {
+                _ = copy_bidirectional(&mut stream, &mut outer) => return,
+                _ = silences.changed() => {}
+            }
+            let _ = copy(&mut stream, &mut sink()).await;
+        };
+        tokio::join!(self.serve_stream(inner), passed_on);
+    }
+
+    async fn serve_stream(self, stream: DuplexStream) {
         let service = service_fn(move |request| {
             let api = self.clone();
             async move { api.answer(request).await }
--- /dev/null
+++ b/crates/node/tests/silent_back_ends.rs
@@ -0,0 +1,81 @@
+//! Kept connections to back ends that have fallen silent while new ones work.
+
+mod support;
+
+use std::time::Duration;
+
+use ryerouter_node::traffic::TrafficSettings;
+use support::{
+    Caller, Cluster, Script, ScriptedBackEnd, SeenRequest, ServiceCluster, granted, test_settings,
+};
+
+/// Connections that are kept before the silence.
+const KEPT: usize = 3;
+/// Far beyond what an answer over loopback takes, and short enough to wait for in a test.
+const ANSWER_LIMIT: Duration = Duration::from_secs(2);
+
+/// The first requests are answered once the test lets them, each on a connection of its own; those
+/// connections then never answer again.
+fn silent_afterwards(request: &SeenRequest) -> Script {
+    match Script::whole(request, 200, &[], "done") {
+        Script::Write(answer) if request.number < KEPT => {
+            Script::WriteWaitWrite(Vec::new(), answer)
+        }
+        _ if request.connection < KEPT => Script::Hang,
+        answer => answer,
+    }
+}
+
+fn repeatable() -> [(&'static str, &'static str); 1] {
+    [("x-ryerouter-repeat", "allowed")]
+}
+
+fn settings() -> TrafficSettings {
+    TrafficSettings {
+        threads: 1,
+        answer_head_timeout: ANSWER_LIMIT,
+        ..test_settings()
+    }
+}
+
+async fn keep_connections(cluster: &Cluster, back_end: &mut ScriptedBackEnd) {
+    let mut waiting = Vec::new();
+    for _ in 0..KEPT {
+        let mut caller = cluster.caller().await;
+        waiting.push(tokio::spawn(async move { post(&mut caller).await }));
+        back_end.next_request().await;
+    }
+    for _ in 0..KEPT {
+        back_end.release();
+    }
+    for answer in waiting {
+        assert_eq!(answer.await.unwrap(), 200);
+    }
+}
+
+async fn post(caller: &mut Caller) -> u16 {
+    let path = ServiceCluster::PATH;
+    caller
+        .send("POST", path, &repeatable(), "work")
+        .await
+        .status
+}
+
+#[tokio::test]
+async fn one_silent_connection_closes_the_others_to_its_back_end() {
+    let mut back_end = ScriptedBackEnd::start(0, silent_afterwards).await;
+    let cluster = Cluster::start_with(settings(), granted(), &[], &[&back_end]);
+    keep_connections(&cluster, &mut back_end).await;
+
+    let mut caller = cluster.caller().await;
+    let first = post(&mut caller).await;
+    let second = if first == 200 {
+        first
+    } else {
+        post(&mut caller).await
+    };
+
+    assert_eq!(second, 200);
+    assert!(back_end.next_request().await.connection < KEPT);
+    assert!(back_end.next_request().await.connection >= KEPT);
+}
