Give up kept connections together once one has no answer in time

Cause: each silent kept connection cost a call of the platform (2 s) or an attempt (answer_head_timeout) its whole limit. Change: HttpCaller takes a fresh client after a call that timed out, so no connection kept until then is used again; the pool of a traffic thread closes those to the same back end that brought nothing since the unanswered request or cancel was sent, with a line back_end_silent. Conclusion: one unanswered call a caller and one unanswered attempt a thread and back end, in place of one for each kept connection (2 and up to 64).

--- a/crates/node/src/engine/connection_pool.rs
+++ b/crates/node/src/engine/connection_pool.rs
@@ -50,6 +50,21 @@
         }
     }
 
+    /// Closes the unused connections to a back end that brought no answer since `silent_since`, and
+    /// says how many.
+    ///
+    /// A connection on which a request that was sent then has no answer may have fallen silent, and
+    /// what silenced it, such as a proxy that lost its table, may have silenced them with it.
+    pub(crate) fn close_unheard(&self, address: SocketAddr, silent_since: Instant) -> usize {
+        let mut idle = self.idle.lock();
+        let Some(connections) = idle.get_mut(&address) else {
+            return 0;
+        };
+        let before = connections.len();
+        connections.retain(|connection| connection.idle_since > silent_since);
+        before - connections.len()
+    }
+
     /// Closes connections that were closed by their peer or unused for too long.
     pub(crate) fn sweep(&self) {
         let now = Instant::now();
--- a/crates/node/src/engine/engine_link.rs
+++ b/crates/node/src/engine/engine_link.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +10,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response, StatusCode};
 use ryerouter_core::dispatch::{Assignment, NotRunReason, ResumePoint, RunState};
-use slog::debug;
+use slog::{debug, info};
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::time::timeout;
@@ -74,8 +74,12 @@
             .map_err(|source| LinkError::Unwritable { source })?;
         let sent = self.send_attempt(payload, target, request, resumes);
         let limit = self.context.settings.answer_head_timeout;
-        let sent = timeout(limit, sent).await;
-        let (answer, connection) = sent.map_err(|_| LinkError::AnswerTimeout)??;
+        let sent_at = Instant::now();
+        let Ok(sent) = timeout(limit, sent).await else {
+            self.fell_silent(target.address, sent_at);
+            return Err(LinkError::AnswerTimeout.into());
+        };
+        let (answer, connection) = sent?;
         self.check(payload, assignment, answer, connection).await
     }
 
@@ -88,7 +92,11 @@
         self.context.metrics.cancels.inc();
         let link = self.clone();
         runtime.spawn(async move {
+            let sent_at = Instant::now();
             let sent = timeout(CANCEL_TIMEOUT, link.send_cancel(target)).await;
+            if sent.is_err() {
+                link.fell_silent(target.address, sent_at);
+            }
             if !matches!(sent, Ok(Ok(()))) {
                 debug!(link.context.logger, "cancel_failed";
                     "attempt" => hex_id(target.attempt));
@@ -96,6 +104,15 @@
         });
     }
 
+    /// A back end has not answered what was sent to it at `since`: does not use again the
+    /// connections to it that brought nothing since then.
+    pub(crate) fn fell_silent(&self, address: SocketAddr, since: Instant) {
+        let closed = self.pool.close_unheard(address, since);
+        info!(self.context.logger, "back_end_silent";
+            "address" => %address, "for_ms" => since.elapsed().as_millis() as u64,
+            "unused_connections_closed" => closed);
+    }
+
     async fn send_cancel(&self, target: EngineTarget) -> Result<(), LinkError> {
         let request = cancel_request(target).map_err(|source| LinkError::Unwritable { source })?;
         let (answer, connection) = self
--- a/crates/node/src/platform/http_caller.rs
+++ b/crates/node/src/platform/http_caller.rs
@@ -1,8 +1,10 @@
 //! HTTP calls with limits.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -17,22 +19,22 @@
 /// Idle connections kept to one server; the platform bears few of them.
 const IDLE_CONNECTIONS: usize = 2;
 
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
 /// Makes HTTP calls with limits of time and size.
+///
+/// Kept connections may fall silent together without being closed. So once a call had no answer in
+/// time, no connection kept until then is used again: the next call does not wait in vain on
+/// another of them. See `docs/incidents/silent-connections-node.md`.
 #[derive(Debug, Clone)]
 pub(crate) struct HttpCaller {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Arc<ArcSwap<HttpClient>>,
     limits: PlatformLimits,
 }
 
 impl HttpCaller {
     pub(crate) fn new(limits: PlatformLimits) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(limits.call_timeout));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .build(connector);
+        let client = Arc::new(ArcSwap::from_pointee(new_client(&limits)));
         Self { client, limits }
     }
 
@@ -44,11 +46,20 @@
     pub(super) async fn send(
         &self,
         request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let client = self.client.load_full();
+        self.send_with(&client, request).await
+    }
+
+    async fn send_with(
+        &self,
+        client: &Arc<HttpClient>,
+        request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, PlatformError> {
         let limit = self.limits.call_timeout;
-        let answer = tokio::time::timeout(limit, self.client.request(request))
+        let answer = tokio::time::timeout(limit, client.request(request))
             .await
-            .map_err(|_| PlatformError::TimedOut { limit })?;
+            .map_err(|_| self.timed_out(client))?;
         answer.map_err(|error| {
             let detail = describe(&error);
             if error.is_connect() {
@@ -65,8 +76,9 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, PlatformError> {
         let limit = self.limits.call_timeout;
+        let client = self.client.load_full();
         let whole = async {
-            let (head, body) = self.send(request).await?.into_parts();
+            let (head, body) = self.send_with(&client, request).await?.into_parts();
             let body = Limited::new(body, self.limits.maximum_answer_bytes)
                 .collect()
                 .await
@@ -77,10 +89,30 @@
         };
         tokio::time::timeout(limit, whole)
             .await
-            .map_err(|_| PlatformError::TimedOut { limit })?
+            .map_err(|_| self.timed_out(&client))?
+    }
+
+    /// Gives up the connections that are kept, unless another call has done so already. Calls under
+    /// way and watches keep theirs.
+    fn timed_out(&self, used: &Arc<HttpClient>) -> PlatformError {
+        let fresh = Arc::new(new_client(&self.limits));
+        self.client.compare_and_swap(used, fresh);
+        PlatformError::TimedOut {
+            limit: self.limits.call_timeout,
+        }
     }
 }
 
+fn new_client(limits: &PlatformLimits) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(limits.call_timeout));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .build(connector)
+}
+
 /// A request for a path of a server.
 pub(crate) fn request(
     method: Method,
