Test a service that falls silent in a stream it has begun (fails)

Cause: the setting engine_idle_timeout is the longest silence within a back end's answer, and an answer that is passed on as it arrives knows no such limit: the caller waits without end. Change: test only, the mend follows.

--- a/crates/node/tests/silent_back_ends.rs
+++ b/crates/node/tests/silent_back_ends.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use ryerouter_node::traffic::TrafficSettings;
 use support::{
     Caller, Cluster, Script, ScriptedBackEnd, SeenRequest, ServiceCluster, granted, test_settings,
@@ -14,6 +15,9 @@
 /// Far beyond what an answer over loopback takes, and short enough to wait for in a test.
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
 
+/// Far beyond what a test waits for that passes.
+const OVERALL_DEADLINE: Duration = Duration::from_secs(20);
+
 /// The first requests are answered once the test lets them, each on a connection of its own; those
 /// connections then never answer again.
 fn silent_afterwards(request: &SeenRequest) -> Script {
@@ -79,3 +83,34 @@
     assert!(back_end.next_request().await.connection < KEPT);
     assert!(back_end.next_request().await.connection >= KEPT);
 }
+
+/// Begins a stream and falls silent in it.
+fn silent_in_its_stream(request: &SeenRequest) -> Script {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {}\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n\r\n3\r\none\r\n",
+        request.attempt()
+    );
+    Script::WriteWaitWrite(head.into_bytes(), Vec::new())
+}
+
+#[tokio::test]
+async fn a_service_that_falls_silent_in_its_stream_is_given_up() {
+    let mut back_end = ScriptedBackEnd::start(0, silent_in_its_stream).await;
+    let settings = TrafficSettings {
+        engine_idle_timeout: ANSWER_LIMIT,
+        ..settings()
+    };
+    let cluster = Cluster::start_with(settings, granted(), &[], &[&back_end]);
+    let mut caller = cluster.caller().await;
+    let path = ServiceCluster::PATH;
+    let mut answer = caller.open("POST", path, &repeatable(), "work").await;
+    let first = answer.body_mut().frame().await.unwrap().unwrap();
+    assert_eq!(first.into_data().unwrap(), "one");
+
+    let next = tokio::time::timeout(OVERALL_DEADLINE, answer.body_mut().frame()).await;
+
+    let next = next.expect("the caller waits in vain");
+    assert!(matches!(next, Some(Err(_))), "the answer passes for whole");
+    assert_eq!(back_end.next_closed_connection().await, 0);
+}
