--- a/crates/node/src/caller/intake.rs
+++ b/crates/node/src/caller/intake.rs
@@ -1,6 +1,7 @@
 //! A checked request on its way through the dispatcher to its answer.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use hyper::Response;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
@@ -18,8 +19,8 @@
 use crate::engine::{PayloadKind, RequestPayload};
 use crate::refusal::{refusal_answer, rejected_answer};
 use crate::relay::{
-    NextAnswer, OpenAnswer, PassThroughBody, RelayBody, RequestExchange, Usage, WholeAnswer,
-    read_whole,
+    NextAnswer, OpenAnswer, PassThroughBody, RelayBody, RelayFault, RequestExchange, Usage,
+    WholeAnswer, read_whole,
 };
 use crate::service;
 use crate::traffic::{
@@ -227,6 +228,7 @@
     let (limit, idle) = (settings.answer_buffer_bytes, settings.engine_idle_timeout);
     let passes_at_once = is_service && service::is_event_stream(&answer.headers);
     let first_token_for = guard.target().attempt;
+    let head_arrived_at = Instant::now();
     let read = if passes_at_once {
         Ok(WholeAnswer::Large(bytes::Bytes::new()))
     } else {
@@ -256,6 +258,10 @@
             AnswerBody::PassThrough(Box::new(body))
         }
         Err(fault) => {
+            if matches!(fault, RelayFault::Silent) {
+                let link = &exchange.worker.link;
+                link.fell_silent(guard.target().address, head_arrived_at);
+            }
             // Nothing reached the caller, and a whole answer has no index to resume at.
             let outcome = AttemptOutcome::Unknown;
             let observation = answer.head.observation;
--- a/crates/node/src/relay/relay_body.rs
+++ b/crates/node/src/relay/relay_body.rs
@@ -10,15 +10,14 @@
 use futures_util::future::BoxFuture;
 use hyper::body::{Body, Frame};
 use ryerouter_core::dispatch::{AttemptOutcome, EngineObservation, FinalOutcome};
-use tokio::time::{Instant, Sleep};
 
 use crate::engine::EngineBody;
 use crate::refusal::error_event;
 use crate::traffic::RequestCommand;
 
 use super::{
-    AttemptGuard, EventStream, NextAnswer, OpenAnswer, RelayFault, RequestExchange, StreamProgress,
-    Usage,
+    AttemptGuard, EventStream, NextAnswer, OpenAnswer, RelayFault, RequestExchange, SilenceTimer,
+    StreamProgress, Usage,
 };
 
 /// Longest time to wait for the end of an answer whose end mark has arrived.
@@ -157,6 +156,10 @@
             chunks: self.stream.delivered_chunks(),
         };
         if let Some(guard) = reading.guard.take() {
+            if matches!(fault, RelayFault::Silent) {
+                let link = &reading.exchange.worker.link;
+                link.fell_silent(guard.target().address, self.silence.heard_at());
+            }
             reading
                 .exchange
                 .report_broken(guard, outcome, reading.observation, fault.to_string());
@@ -283,39 +286,3 @@
         let _ = tokio::time::timeout(END_TIMEOUT, end).await;
     });
 }
-
-/// Tells when a stream has been silent for too long, without touching a timer per chunk.
-struct SilenceTimer {
-    limit: Duration,
-    heard_at: Instant,
-    sleep: Option<Pin<Box<Sleep>>>,
-}
-
-impl SilenceTimer {
-    fn new(limit: Duration) -> Self {
-        Self {
-            limit,
-            heard_at: Instant::now(),
-            sleep: None,
-        }
-    }
-
-    fn heard(&mut self) {
-        self.heard_at = Instant::now();
-    }
-
-    fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        loop {
-            let due = self.heard_at + self.limit;
-            let sleep = self
-                .sleep
-                .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
-            std::task::ready!(sleep.as_mut().poll(context));
-            if Instant::now() >= due {
-                return Poll::Ready(());
-            }
-            // Something was heard since the timer was set.
-            sleep.as_mut().reset(due);
-        }
-    }
-}
