Test streams between nodes whose peer takes bytes and says nothing (fails)

Cause: a stream carries messages one way and the peer writes nothing there, so one that has fallen silent is believed for as long as there is a message each minute, without bound, and every message on it is lost unnoticed. Change: tests only, the mend follows.

--- a/crates/node/src/peer/stream_links_tests.rs
+++ b/crates/node/src/peer/stream_links_tests.rs
@@ -129,3 +129,59 @@
     let mut lines = accept(&listener).await;
     assert_eq!(next_message(&mut lines).await, head(2));
 }
+
+#[tokio::test]
+async fn a_stream_whose_peer_says_nothing_is_not_believed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, mut events) = links();
+    links.send(to, head(1));
+    // Takes bytes, closes nothing, and nobody reads them.
+    let _silent = accept(&listener).await;
+
+    let event = within_deadline(events.recv()).await;
+    assert!(matches!(event, Some(ControlEvent::StreamFailed { to: failed }) if failed == to));
+
+    links.send(to, head(2));
+    let mut lines = accept(&listener).await;
+    assert_eq!(next_message(&mut lines).await, head(2));
+}
+
+#[tokio::test]
+async fn a_silent_stream_in_use_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, _events) = links();
+    links.send(to, head(1));
+    let _silent = accept(&listener).await;
+
+    let replaced = async {
+        loop {
+            links.send(to, head(2));
+            tokio::select! {
+                lines = accept(&listener) => return lines,
+                () = tokio::time::sleep(Duration::from_millis(5)) => {}
+            }
+        }
+    };
+    let mut lines = within_deadline(replaced).await;
+
+    links.send(to, head(3));
+    let told = async { while next_message(&mut lines).await != head(3) {} };
+    within_deadline(told).await;
+}
+
+#[tokio::test]
+async fn a_stream_that_its_peer_reads_to_the_end_fails_no_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, mut events) = links();
+    for version in 1..=3 {
+        links.send(to, head(version));
+        let mut lines = accept(&listener).await;
+        assert_eq!(next_message(&mut lines).await, head(version));
+        // The sender ends the stream to learn whether all of it was taken.
+        assert!(within_deadline(lines.next()).await.is_none());
+    }
+    assert!(events.try_recv().is_err());
+}
