Have peers confirm what streams carry, and open streams anew

Cause: written bytes prove nothing, and nothing else was asked for: a stream to a peer that had fallen silent was believed for as long as a message came each minute. Change: ten seconds after its first unconfirmed message a stream is ended. The peer reads it to its end and then ends its side, as it always did: this confirms all of it, without a new message. A stream in use is replaced first, so that no message waits for a connection. Without the peer's end within ten seconds the loss is told (StreamFailed, a line peer_stream_unconfirmed). Conclusion: a silent stream is written to for 10 s and one connect at most; before without bound.

--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -11,6 +11,8 @@
 mod peer_metrics;
 mod peer_sockets;
 mod peer_tls;
+mod stream_end;
+mod stream_limits;
 mod stream_link;
 mod stream_links;
 #[cfg(test)]
@@ -26,4 +28,6 @@
 pub use stream_server::StreamServer;
 
 pub(crate) use peer_context::PeerContext;
+use stream_end::StreamEnd;
+use stream_limits::StreamLimits;
 use stream_link::StreamLink;
--- a/crates/node/src/peer/stream_link.rs
+++ b/crates/node/src/peer/stream_link.rs
@@ -16,7 +16,7 @@
 
 use crate::tls::ClientStream;
 
-use super::PeerContext;
+use super::{PeerContext, StreamEnd, StreamLimits};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -29,11 +29,27 @@
 /// Longest pause between failed connections.
 const LONGEST_BACK_OFF: Duration = Duration::from_secs(5);
 
+/// What is to be done next with a stream.
+enum LinkStep {
+    /// Write a message.
+    Write(Box<PeerMessage>),
+    /// Have the peer confirm what was written.
+    Confirm,
+    /// Nothing, ever.
+    Finish,
+}
+
 /// A stream to one peer. Lives while there is something to say.
+///
+/// The peer writes nothing to it, so a connection that has fallen silent looks like a healthy one.
+/// Some time after its first message a stream is therefore ended, by which the peer confirms what
+/// it has taken ([`StreamEnd`]); where the stream is in use, another one is opened first. See
+/// `docs/incidents/silent-connections-node.md`.
 pub(super) struct StreamLink {
     pub(super) to: SocketAddr,
     pub(super) queue: mpsc::Receiver<PeerMessage>,
     pub(super) context: PeerContext,
+    pub(super) limits: StreamLimits,
 }
 
 impl StreamLink {
@@ -45,7 +61,7 @@
                 Ok(stream) => {
                     back_off = FIRST_BACK_OFF;
                     let Err(cause) = self.write_messages(stream, message).await else {
-                        return;
+                        continue;
                     };
                     info!(self.context.logger, "peer_stream_broken"; "to" => %self.to, "cause" => %cause);
                     self.fail().await;
@@ -94,30 +110,77 @@
         })?)
     }
 
-    /// Writes messages to an open stream; ends well only when there is nothing more to say.
+    /// Writes messages to an open stream; ends well when there is nothing more to say for now.
     async fn write_messages(
         &mut self,
         mut stream: ClientStream,
         first: PeerMessage,
     ) -> Result<(), PeerCodecError> {
         let mut message = first;
+        let mut confirm_at = None;
         loop {
             self.write(&mut stream, &StreamLine::Message(message))
                 .await?;
             self.context.metrics.messages_sent.inc();
-            let mut unexpected = [0; 1];
-            let next = tokio::select! {
-                next = self.next_message() => next,
-                // The peer never writes here, so anything readable is the end of the stream.
-                _ = stream.read(&mut unexpected) => return Err(closed()),
+            let written_at = Instant::now();
+            confirm_at.get_or_insert(written_at + self.limits.confirm_after);
+            message = loop {
+                match self.wait(&mut stream, confirm_at).await? {
+                    LinkStep::Write(message) => break *message,
+                    LinkStep::Confirm if self.is_in_use(written_at) => {
+                        let next = self.open().await?;
+                        self.end(std::mem::replace(&mut stream, next));
+                        confirm_at = None;
+                    }
+                    LinkStep::Confirm => {
+                        self.end(stream);
+                        return Ok(());
+                    }
+                    LinkStep::Finish => {
+                        if confirm_at.is_some() {
+                            self.end(stream);
+                        }
+                        return Ok(());
+                    }
+                }
             };
-            match next {
-                Some(next) => message = next,
-                None => return Ok(()),
-            }
         }
     }
 
+    /// Waits for what is to be done next with a stream.
+    async fn wait(
+        &mut self,
+        stream: &mut ClientStream,
+        confirm_at: Option<Instant>,
+    ) -> Result<LinkStep, PeerCodecError> {
+        let mut unexpected = [0; 1];
+        tokio::select! {
+            next = self.next_message() => Ok(match next {
+                Some(message) => LinkStep::Write(Box::new(message)),
+                None => LinkStep::Finish,
+            }),
+            // The peer never writes here, so anything readable is the end of the stream.
+            _ = stream.read(&mut unexpected) => Err(closed()),
+            () = until(confirm_at) => Ok(LinkStep::Confirm),
+        }
+    }
+
+    /// Whether the next message is likely to come soon, so that it should not wait for a connection.
+    fn is_in_use(&self, written_at: Instant) -> bool {
+        written_at.elapsed() < self.limits.confirm_after / 2
+    }
+
+    /// Ends a stream in the background.
+    fn end(&self, stream: ClientStream) {
+        let end = StreamEnd {
+            to: self.to,
+            stream,
+            context: self.context.clone(),
+            timeout: self.limits.confirm_timeout,
+        };
+        tokio::spawn(end.run());
+    }
+
     async fn write(
         &self,
         stream: &mut ClientStream,
@@ -149,6 +212,13 @@
     }
 }
 
+async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn timed_out() -> PeerCodecError {
     std::io::Error::from(std::io::ErrorKind::TimedOut).into()
 }
--- a/crates/node/src/peer/stream_links.rs
+++ b/crates/node/src/peer/stream_links.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 
-use super::{PeerContext, StreamLink};
+use super::{PeerContext, StreamLimits, StreamLink};
 
 /// Messages that may wait for one peer.
 const QUEUE: usize = 256;
@@ -18,13 +18,19 @@
 /// for a while.
 pub struct StreamLinks {
     context: PeerContext,
+    limits: StreamLimits,
     queues: BTreeMap<SocketAddr, mpsc::Sender<PeerMessage>>,
 }
 
 impl StreamLinks {
     pub(crate) fn new(context: PeerContext) -> Self {
+        Self::with_limits(context, StreamLimits::default())
+    }
+
+    pub(super) fn with_limits(context: PeerContext, limits: StreamLimits) -> Self {
         Self {
             context,
+            limits,
             queues: BTreeMap::new(),
         }
     }
@@ -60,6 +66,7 @@
             to,
             queue,
             context: self.context.clone(),
+            limits: self.limits,
         };
         tokio::spawn(link.run());
         sender
--- a/crates/node/src/peer/stream_links_tests.rs
+++ b/crates/node/src/peer/stream_links_tests.rs
@@ -15,13 +15,20 @@
 use crate::control::ControlInput;
 use crate::logging::discarding_logger;
 
-use super::{PeerContext, PeerMetrics, StreamLinks};
+use super::{PeerContext, PeerMetrics, StreamLimits, StreamLinks};
 
 const OVERALL_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Soon enough for a test to wait for it, and long for a message over loopback.
+const SOON: Duration = Duration::from_millis(200);
+
 type Lines = FramedRead<TcpStream, JsonLineCodec<StreamLine>>;
 
 fn links() -> (StreamLinks, mpsc::Receiver<ControlEvent>) {
+    links_with(StreamLimits::default())
+}
+
+fn links_with(limits: StreamLimits) -> (StreamLinks, mpsc::Receiver<ControlEvent>) {
     let (sender, events) = mpsc::channel(16);
     let context = PeerContext {
         hello: PeerHello {
@@ -35,7 +42,7 @@
         tls: None,
         seal: None,
     };
-    (StreamLinks::new(context), events)
+    (StreamLinks::with_limits(context, limits), events)
 }
 
 fn head(version: u64) -> PeerMessage {
@@ -134,7 +141,10 @@
 async fn a_stream_whose_peer_says_nothing_is_not_believed() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let to = listener.local_addr().unwrap();
-    let (mut links, mut events) = links();
+    let (mut links, mut events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        confirm_timeout: SOON,
+    });
     links.send(to, head(1));
     // Takes bytes, closes nothing, and nobody reads them.
     let _silent = accept(&listener).await;
@@ -151,7 +161,10 @@
 async fn a_silent_stream_in_use_is_replaced() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let to = listener.local_addr().unwrap();
-    let (mut links, _events) = links();
+    let (mut links, _events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        ..StreamLimits::default()
+    });
     links.send(to, head(1));
     let _silent = accept(&listener).await;
 
@@ -175,7 +188,10 @@
 async fn a_stream_that_its_peer_reads_to_the_end_fails_no_message() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let to = listener.local_addr().unwrap();
-    let (mut links, mut events) = links();
+    let (mut links, mut events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        ..StreamLimits::default()
+    });
     for version in 1..=3 {
         links.send(to, head(version));
         let mut lines = accept(&listener).await;
