--- a/crates/node/tests/control_silence.rs
+++ b/crates/node/tests/control_silence.rs
@@ -2,8 +2,10 @@
 
 mod control_support;
 
-use control_support::{ObjectApi, TestNode, TestNodeOptions, create_tenant, within_deadline};
-use ryerouter_node::platform::{ObjectClient, PlatformError, PlatformLimits};
+use control_support::{
+    Fault, ObjectApi, TestNode, TestNodeOptions, create_tenant, within_deadline,
+};
+use ryerouter_node::platform::{ObjectClient, ObjectCondition, PlatformError, PlatformLimits};
 
 #[tokio::test]
 async fn silent_connections_cost_one_call() {
@@ -27,6 +29,25 @@
     client.list("").await.unwrap();
 }
 
+#[tokio::test]
+async fn a_watch_goes_on_when_a_call_beside_it_is_not_answered() {
+    let api = ObjectApi::start().await;
+    let client = ObjectClient::new(api.address, PlatformLimits::default());
+    let mut watch = client.watch("", 1).await.unwrap();
+    api.set_fault(Fault::Unanswered);
+    let unanswered = client.list("").await;
+    assert!(
+        matches!(unanswered, Err(PlatformError::TimedOut { .. })),
+        "{unanswered:?}"
+    );
+    api.set_fault(Fault::None);
+
+    client.put("a", &1, ObjectCondition::Absent).await.unwrap();
+
+    let change = within_deadline(watch.next()).await.unwrap();
+    assert_eq!(change.key, "a");
+}
+
 #[tokio::test]
 async fn a_change_is_accepted_while_kept_connections_are_silent() {
     let api = ObjectApi::start().await;
--- a/crates/node/tests/control_support/object_api.rs
+++ b/crates/node/tests/control_support/object_api.rs
@@ -32,6 +32,8 @@
     None,
     /// Connections are closed unanswered and nothing takes effect.
     Down,
+    /// Calls are taken and never answered; watches go on.
+    Unanswered,
     /// Writes take effect and their connections are closed unanswered.
     WriteAnswersLost,
 }
@@ -156,6 +158,9 @@
         if fault == Fault::Down {
             return Err("down".to_owned());
         }
+        if fault == Fault::Unanswered && request.uri().path() != "/watch" {
+            std::future::pending::<()>().await;
+        }
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
