Test a cancel that goes to a silent kept connection (fails)

Cause: a cancel that has no answer in time is not sent again, so an engine behind a silent kept connection goes on with an attempt that nobody wants. Change: test only; post and keep_connections of this file take the path.

--- a/crates/node/tests/silent_back_ends.rs
+++ b/crates/node/tests/silent_back_ends.rs
@@ -10,6 +10,7 @@
     Caller, Cluster, Script, ScriptedBackEnd, SeenRequest, ServiceCluster, granted, test_settings,
 };
 
+const CHAT: &str = "/v1/chat/completions";
 /// Connections that are kept before the silence.
 const KEPT: usize = 3;
 /// Far beyond what an answer over loopback takes, and short enough to wait for in a test.
@@ -42,11 +43,12 @@
     }
 }
 
-async fn keep_connections(cluster: &Cluster, back_end: &mut ScriptedBackEnd) {
+async fn keep_connections(cluster: &Cluster, back_end: &mut ScriptedBackEnd, path: &'static str) {
     let mut waiting = Vec::new();
     for _ in 0..KEPT {
         let mut caller = cluster.caller().await;
-        waiting.push(tokio::spawn(async move { post(&mut caller).await }));
+        let post = async move { post(&mut caller, path).await };
+        waiting.push(tokio::spawn(post));
         back_end.next_request().await;
     }
     for _ in 0..KEPT {
@@ -57,26 +59,24 @@
     }
 }
 
-async fn post(caller: &mut Caller) -> u16 {
-    let path = ServiceCluster::PATH;
-    caller
-        .send("POST", path, &repeatable(), "work")
-        .await
-        .status
+async fn post(caller: &mut Caller, path: &str) -> u16 {
+    let body = Cluster::chat_body(false);
+    let answer = caller.send("POST", path, &repeatable(), &body).await;
+    answer.status
 }
 
 #[tokio::test]
 async fn one_silent_connection_closes_the_others_to_its_back_end() {
     let mut back_end = ScriptedBackEnd::start(0, silent_afterwards).await;
     let cluster = Cluster::start_with(settings(), granted(), &[], &[&back_end]);
-    keep_connections(&cluster, &mut back_end).await;
+    keep_connections(&cluster, &mut back_end, ServiceCluster::PATH).await;
 
     let mut caller = cluster.caller().await;
-    let first = post(&mut caller).await;
+    let first = post(&mut caller, ServiceCluster::PATH).await;
     let second = if first == 200 {
         first
     } else {
-        post(&mut caller).await
+        post(&mut caller, ServiceCluster::PATH).await
     };
 
     assert_eq!(second, 200);
@@ -84,6 +84,31 @@
     assert!(back_end.next_request().await.connection >= KEPT);
 }
 
+#[tokio::test]
+async fn a_cancel_that_is_not_answered_is_sent_again_on_another_connection() {
+    let mut engine = ScriptedBackEnd::start(0, silent_afterwards).await;
+    let settings = TrafficSettings {
+        threads: 1,
+        ..test_settings()
+    };
+    let cluster = Cluster::start_with(settings, granted(), &[&engine], &[]);
+    keep_connections(&cluster, &mut engine, CHAT).await;
+    let mut caller = cluster.caller().await;
+    let waiting = tokio::spawn(async move { post(&mut caller, CHAT).await });
+    let attempt = engine.next_request().await;
+
+    waiting.abort();
+
+    let path = format!("/v1/attempts/{}", attempt.attempt());
+    let first = engine.next_request().await;
+    assert_eq!((&first.method[..], &first.path), ("DELETE", &path));
+    assert!(first.connection < KEPT);
+    let again = tokio::time::timeout(OVERALL_DEADLINE, engine.next_request()).await;
+    let again = again.expect("the engine never hears of it");
+    assert_eq!((&again.method[..], &again.path), ("DELETE", &path));
+    assert!(again.connection >= KEPT);
+}
+
 /// Begins a stream and falls silent in it.
 fn silent_in_its_stream(request: &SeenRequest) -> Script {
     let head = format!(
