Send an unanswered cancel once more, on another connection

Cause: a cancel written to a silent kept connection was lost, and its engine went on with the attempt. Change: after CANCEL_TIMEOUT the unused connections that brought nothing since are closed and the cancel is sent once more. Its failure is logged with the cause.

--- a/crates/node/src/engine/engine_link.rs
+++ b/crates/node/src/engine/engine_link.rs
@@ -92,18 +92,27 @@
         self.context.metrics.cancels.inc();
         let link = self.clone();
         runtime.spawn(async move {
-            let sent_at = Instant::now();
-            let sent = timeout(CANCEL_TIMEOUT, link.send_cancel(target)).await;
-            if sent.is_err() {
-                link.fell_silent(target.address, sent_at);
-            }
-            if !matches!(sent, Ok(Ok(()))) {
+            let sent = match link.try_cancel(target).await {
+                // Asking again is harmless, and the connection may have fallen silent.
+                Err(LinkError::AnswerTimeout) => link.try_cancel(target).await,
+                sent => sent,
+            };
+            if let Err(cause) = sent {
                 debug!(link.context.logger, "cancel_failed";
-                    "attempt" => hex_id(target.attempt));
+                    "attempt" => hex_id(target.attempt), "cause" => %cause);
             }
         });
     }
 
+    async fn try_cancel(&self, target: EngineTarget) -> Result<(), LinkError> {
+        let sent_at = Instant::now();
+        let sent = timeout(CANCEL_TIMEOUT, self.send_cancel(target)).await;
+        sent.unwrap_or_else(|_| {
+            self.fell_silent(target.address, sent_at);
+            Err(LinkError::AnswerTimeout)
+        })
+    }
+
     /// A back end has not answered what was sent to it at `since`: does not use again the
     /// connections to it that brought nothing since then.
     pub(crate) fn fell_silent(&self, address: SocketAddr, since: Instant) {
