--- a/crates/core/src/claim/claim_settings.rs
+++ b/crates/core/src/claim/claim_settings.rs
@@ -19,7 +19,9 @@
     pub grant_validity: Duration,
     /// Time between sends of a release that is not acknowledged.
     pub release_interval: Duration,
-    /// Sends of a release before it is given up; the key then stays claimed for the lifetime.
+    /// Sends of a release before it is given up; the key then stays claimed for the lifetime. They
+    /// go on for longer than a silent stream to a keeper is believed (10 s and a connect), so that
+    /// some go over the next one.
     pub release_sends: u32,
     /// What a caller is told to wait when nothing better is known.
     pub retry_after: Duration,
@@ -36,7 +38,7 @@
             vote_timeout: Duration::from_millis(500),
             grant_validity: Duration::from_secs(60),
             release_interval: Duration::from_millis(500),
-            release_sends: 10,
+            release_sends: 30,
             retry_after: Duration::from_secs(1),
             keeper_capacity: 500_000,
         }
--- a/crates/node/src/peer/stream_link.rs
+++ b/crates/node/src/peer/stream_link.rs
@@ -19,7 +19,7 @@
 use super::{PeerContext, StreamEnd, StreamLimits};
 
 /// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time one message may take to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Silence after which a stream is closed.
--- a/crates/node/src/peer/stream_links_tests.rs
+++ b/crates/node/src/peer/stream_links_tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use ryerouter_core::claim::ClaimSettings;
 use ryerouter_core::config::ConfigMessage;
 use ryerouter_core::control::{ControlEvent, PeerMessage};
 use ryerouter_core::identity::{ConfigVersion, NodeName};
@@ -15,6 +16,7 @@
 use crate::control::ControlInput;
 use crate::logging::discarding_logger;
 
+use super::stream_link::CONNECT_TIMEOUT;
 use super::{PeerContext, PeerMetrics, StreamLimits, StreamLinks};
 
 const OVERALL_DEADLINE: Duration = Duration::from_secs(60);
@@ -201,3 +203,14 @@
     }
     assert!(events.try_recv().is_err());
 }
+
+#[test]
+fn a_release_is_sent_for_longer_than_a_silent_stream_is_believed() {
+    let claims = ClaimSettings::default();
+    let sent_for = claims.release_interval * claims.release_sends;
+    let believed_for = StreamLimits::default().confirm_after + CONNECT_TIMEOUT;
+    assert!(
+        sent_for > believed_for,
+        "{sent_for:?} against {believed_for:?}"
+    );
+}
