--- a/crates/node/src/peer/stream_links_tests.rs
+++ b/crates/node/src/peer/stream_links_tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use ryerouter_core::claim::ClaimSettings;
 use ryerouter_core::config::ConfigMessage;
 use ryerouter_core::control::{ControlEvent, PeerMessage};
 use ryerouter_core::identity::{ConfigVersion, NodeName};
@@ -15,13 +16,21 @@
 use crate::control::ControlInput;
 use crate::logging::discarding_logger;
 
-use super::{PeerContext, PeerMetrics, StreamLinks};
+use super::stream_link::CONNECT_TIMEOUT;
+use super::{PeerContext, PeerMetrics, StreamLimits, StreamLinks};
 
 const OVERALL_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Soon enough for a test to wait for it, and long for a message over loopback.
+const SOON: Duration = Duration::from_millis(200);
+
 type Lines = FramedRead<TcpStream, JsonLineCodec<StreamLine>>;
 
 fn links() -> (StreamLinks, mpsc::Receiver<ControlEvent>) {
+    links_with(StreamLimits::default())
+}
+
+fn links_with(limits: StreamLimits) -> (StreamLinks, mpsc::Receiver<ControlEvent>) {
     let (sender, events) = mpsc::channel(16);
     let context = PeerContext {
         hello: PeerHello {
@@ -35,7 +44,7 @@
         tls: None,
         seal: None,
     };
-    (StreamLinks::new(context), events)
+    (StreamLinks::with_limits(context, limits), events)
 }
 
 fn head(version: u64) -> PeerMessage {
@@ -129,3 +138,79 @@
     let mut lines = accept(&listener).await;
     assert_eq!(next_message(&mut lines).await, head(2));
 }
+
+#[tokio::test]
+async fn a_stream_whose_peer_says_nothing_is_not_believed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, mut events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        confirm_timeout: SOON,
+    });
+    links.send(to, head(1));
+    // Takes bytes, closes nothing, and nobody reads them.
+    let _silent = accept(&listener).await;
+
+    let event = within_deadline(events.recv()).await;
+    assert!(matches!(event, Some(ControlEvent::StreamFailed { to: failed }) if failed == to));
+
+    links.send(to, head(2));
+    let mut lines = accept(&listener).await;
+    assert_eq!(next_message(&mut lines).await, head(2));
+}
+
+#[tokio::test]
+async fn a_silent_stream_in_use_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, _events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        ..StreamLimits::default()
+    });
+    links.send(to, head(1));
+    let _silent = accept(&listener).await;
+
+    let replaced = async {
+        loop {
+            links.send(to, head(2));
+            tokio::select! {
+                lines = accept(&listener) => return lines,
+                () = tokio::time::sleep(Duration::from_millis(5)) => {}
+            }
+        }
+    };
+    let mut lines = within_deadline(replaced).await;
+
+    links.send(to, head(3));
+    let told = async { while next_message(&mut lines).await != head(3) {} };
+    within_deadline(told).await;
+}
+
+#[tokio::test]
+async fn a_stream_that_its_peer_reads_to_the_end_fails_no_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let (mut links, mut events) = links_with(StreamLimits {
+        confirm_after: SOON,
+        ..StreamLimits::default()
+    });
+    for version in 1..=3 {
+        links.send(to, head(version));
+        let mut lines = accept(&listener).await;
+        assert_eq!(next_message(&mut lines).await, head(version));
+        // The sender ends the stream to learn whether all of it was taken.
+        assert!(within_deadline(lines.next()).await.is_none());
+    }
+    assert!(events.try_recv().is_err());
+}
+
+#[test]
+fn a_release_is_sent_for_longer_than_a_silent_stream_is_believed() {
+    let claims = ClaimSettings::default();
+    let sent_for = claims.release_interval * claims.release_sends;
+    let believed_for = StreamLimits::default().confirm_after + CONNECT_TIMEOUT;
+    assert!(
+        sent_for > believed_for,
+        "{sent_for:?} against {believed_for:?}"
+    );
+}
