Ask for proofs of the configuration as often as changes must be in force, whatever is allowed for keys

The configuration's second way followed the age that is allowed for keys (5 s), and did not run at all where keys may be of any age; after a silence a change could become known later than the 2 s within which it must be in force. Change: the allowed age is at most 1.4 times that bound, and the proofs are always asked for.

--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -11,6 +11,11 @@
 use crate::rollout::RolloutSettings;
 use crate::upstream::ConnectSettings;
 
+/// A proof that the configuration is current is asked for at two fifths of the age that is allowed,
+/// at the latest. With this many bounds as the allowed age that leaves four tenths of the bound to ask
+/// and to tell the others, as it does for other items.
+const BOUNDS_PER_PROOF: f64 = 1.4;
+
 /// Settings of a gateway.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -46,3 +51,13 @@
     /// Prefixes whose holders are remembered.
     pub remembered_prefixes: usize,
 }
+
+impl GatewaySettings {
+    /// How old the proof that the configuration is current may become: keys depend on it, and a watch
+    /// whose connection has fallen silent tells of no change.
+    pub fn most_configuration_age(&self) -> Duration {
+        let for_changes = self.catalogue_bound.mul_f64(BOUNDS_PER_PROOF);
+        let for_keys = self.most_unproven.unwrap_or(Duration::MAX);
+        for_changes.min(for_keys)
+    }
+}
--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -115,6 +115,28 @@
     });
 }
 
+/// Nothing else is wrong for so long that a node asks by chance: each size is tried several times.
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+    ten = { 10 },
+    twelve = { 12 },
+)]
+fn configuration_is_known_in_time_after_all_connections_fell_silent(count: usize) {
+    for _ in 0..6 {
+        run_paused(async move {
+            let followers = settled(count).await;
+            followers.source.silence(0..count);
+            sleep(CONTACT).await;
+            followers.source.configure(2);
+            let is_known = |node: &Gateway| node.configuration_version() == Some(2);
+            let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+            assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
+        });
+    }
+}
+
 /// The others have heard of the change; the silent node learns from them that it has missed one.
 #[parameterized(
     drained = { false },
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -10,6 +10,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use ryerouter_core::identity::BackEndName;
+use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::{EngineEntry, EngineState};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::source::{
@@ -28,8 +29,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(4);
 /// Time between the messages of the nodes.
 const HEARTBEAT: Duration = Duration::from_millis(300);
-/// Allowed age of the proof that the configuration is current.
-const ALLOWED_AGE: Duration = Duration::from_millis(4_700);
+/// Keys are refused when the configuration was not proven current for so long.
+const MOST_UNPROVEN: Duration = Duration::from_millis(4_700);
 
 /// What all nodes' calls reach.
 #[derive(Default)]
@@ -52,9 +53,7 @@
     pub fn new(engines: impl IntoIterator<Item = EngineEntry>) -> Rc<Self> {
         let source = Rc::new(Self::default());
         source.revision.set(100);
-        let routes = vec![route(ryerouter_gateway::catalogue::RequestKind::Safe)];
-        let configuration = Item::Configuration(Rc::new(table(1, routes)));
-        source.put(ItemKind::Configuration, "main", configuration);
+        source.configure(1);
         for entry in engines {
             let name = entry.name.to_string();
             source.put(ItemKind::Engines, &name, Item::Engine(entry));
@@ -99,6 +98,13 @@
         self.put(ItemKind::Weights, MODEL, Item::Weights(named));
     }
 
+    /// A configuration is put in force.
+    pub fn configure(&self, version: u64) {
+        let routes = vec![route(RequestKind::Safe)];
+        let configuration = Item::Configuration(Rc::new(table(version, routes)));
+        self.put(ItemKind::Configuration, "main", configuration);
+    }
+
     /// Something changes that no kind of item holds, as when a lease is renewed.
     pub fn change_something_else(&self) {
         self.revision.set(self.revision.get() + 1);
@@ -231,6 +237,7 @@
             own.identity.incarnation = index as u64 + 10;
             own.identity.peer_address = peer_address(index);
             own.catalogue_bound = Duration::from_secs(2);
+            own.most_unproven = Some(MOST_UNPROVEN);
             gateway_with(own)
         });
         let followers = Rc::new(Self {
@@ -268,7 +275,8 @@
             let gateway = Rc::clone(gateway);
             spawn_local(follow(gateway, Rc::clone(&way), kind, how.clone()));
         }
-        spawn_local(keep_fresh(Rc::clone(gateway), way, ALLOWED_AGE));
+        let allowed = gateway.settings().most_configuration_age();
+        spawn_local(keep_fresh(Rc::clone(gateway), way, allowed));
         spawn_local(Rc::clone(self).tell(index));
     }
 
