Tell of each request that ends unserved how long it was held, and where

Cause: the logs said that a request was refused, not where it had waited. Change: one bounded line (request_unserved) and a histogram by place; a minimal shim in upstream tells whether a request went on a kept connection.

--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -25,6 +25,10 @@
 /// Of the time for older weights at most this share is left unused because requests begin late.
 const MOST_BEGIN_SHARE: f64 = 0.25;
 
+/// Lines a second that tell of requests that ended unserved: more than a node in trouble needs to
+/// show what is wrong, few enough for the log to bear.
+const UNSERVED_LINES_PER_SECOND: u32 = 50;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -32,6 +36,7 @@
     log: Logger,
     metrics: Rc<Metrics>,
     sampler: LogSampler,
+    unserved_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -51,6 +56,7 @@
             log,
             metrics: Rc::new(Metrics::new()),
             sampler: LogSampler::default(),
+            unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -77,6 +83,11 @@
         &self.sampler
     }
 
+    /// Bounds lines that tell of requests that ended unserved.
+    pub fn unserved_sampler(&self) -> &LogSampler {
+        &self.unserved_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
 
-use crate::catalogue::{Route, Tenant};
+use crate::catalogue::{RequestKind, Route, Tenant};
 use crate::request::CallerRequest;
 
 /// A request that may be sent to an engine.
@@ -39,6 +39,16 @@
 }
 
 impl AcceptedRequest {
+    /// Its kind, as logs name it.
+    pub(super) fn kind_label(&self) -> &'static str {
+        match (self.route.kind, self.route.is_idempotent()) {
+            (RequestKind::Safe, _) => "safe",
+            (RequestKind::Unsafe, _) => "unsafe",
+            (RequestKind::Streaming, true) => "resumable_stream",
+            (RequestKind::Streaming, false) => "stream",
+        }
+    }
+
     /// Urgency, 0 first: the tenant's takes precedence over the route's.
     pub fn priority(&self) -> u8 {
         let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
--- a/crates/gateway/src/serve/active_request.rs
+++ b/crates/gateway/src/serve/active_request.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 
 use ryerouter_core::Timestamp;
-use slog::info;
+use slog::{info, warn};
 
+use super::held_request::HeldRequest;
 use crate::gateway::Gateway;
 
 /// Counts a request while it lasts, and logs that its caller left when nothing else ended it.
@@ -14,6 +15,8 @@
     id: String,
     arrived_at: Timestamp,
     is_ended: Cell<bool>,
+    /// Where it is held.
+    pub(super) held: Rc<HeldRequest>,
 }
 
 impl ActiveRequest {
@@ -24,6 +27,7 @@
             id: id.to_owned(),
             arrived_at,
             is_ended: Cell::new(false),
+            held: Rc::default(),
         }
     }
 
@@ -34,6 +38,26 @@
         requests.with_label_values(&[outcome]).inc();
     }
 
+    /// The request ended without a good answer: tells how long it was held, and where.
+    pub(super) fn end_unserved(&self, outcome: &str) {
+        self.end(outcome);
+        let held = &self.held;
+        let at = held.at().to_string();
+        let held_ms = self.elapsed_ms();
+        let seconds = held_ms as f64 / 1e3;
+        let metric = &self.gateway.metrics().held_seconds;
+        metric.with_label_values(&[&at]).observe(seconds);
+        let now = self.gateway.clock().now();
+        let Some(left_out) = self.gateway.unserved_sampler().admit(now) else {
+            return;
+        };
+        warn!(self.gateway.log(), "request_unserved"; "request" => &self.id,
+            "outcome" => outcome, "held_ms" => held_ms, "at" => at,
+            "kind" => held.kind.get(), "route" => held.route.borrow().as_str(),
+            "attempts_left" => held.attempts_left.get(),
+            "may_have_run" => held.may_have_run(), "left_out" => left_out);
+    }
+
     /// Milliseconds since its head arrived.
     pub(super) fn elapsed_ms(&self) -> u64 {
         let now = self.gateway.clock().now();
@@ -45,7 +69,7 @@
     fn drop(&mut self) {
         self.gateway.state_mut().active_requests -= 1;
         if !self.is_ended.get() {
-            self.end("caller_left");
+            self.end_unserved("caller_left");
             info!(self.gateway.log(), "caller_left"; "request" => &self.id,
                 "after_ms" => self.elapsed_ms());
         }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -11,6 +11,7 @@
 
 use super::accepted_request::AcceptedRequest;
 use super::attempt_end::AttemptEnd;
+use super::held_request::HeldRequest;
 use super::live_answer::LiveAnswer;
 use crate::engines::{EngineLoad, InFlight};
 use crate::gateway::Gateway;
@@ -29,24 +30,40 @@
     request: &AcceptedRequest,
     placement: &Placement,
     last_event_id: Option<&str>,
+    held: &HeldRequest,
 ) -> Result<LiveAnswer, AttemptEnd> {
     let in_flight = count_in_flight(gateway, request, placement)
         .ok_or_else(|| AttemptEnd::NotConnected("engine gone".to_owned()))?;
+    let sent_at = gateway.clock().now();
     let message = build_message(gateway, request, placement, last_event_id);
     let is_repeatable = request.route.is_idempotent();
     let sent = gateway
         .upstream()
-        .send(&placement.engine, placement.address, message, is_repeatable)
+        .send(
+            &placement.engine,
+            placement.address,
+            message,
+            is_repeatable,
+            &held.used,
+        )
         .await;
     let answer = sent.map_err(|failure| match failure {
         AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
         AttemptFailure::Broken { detail } => AttemptEnd::MayHaveRun(detail),
     })?;
+    let head_after = gateway.clock().now().since(sent_at);
     let facts = gateway.dialect().read_answer(&answer.head);
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
             note_accepted(gateway, request, placement, &facts);
-            Ok(LiveAnswer::new(answer, facts, placement.clone(), in_flight))
+            Ok(LiveAnswer::new(
+                answer,
+                facts,
+                placement.clone(),
+                in_flight,
+                sent_at,
+                head_after,
+            ))
         }
         Err(end) => {
             if !end.may_have_run() {
@@ -200,7 +217,7 @@
                 let until = now.after(AVOID_MISDIRECTED);
                 engine.note_misdirected(expected, until);
             }
-            AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
+            AttemptEnd::EngineError(_) | AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
     }
     drop(state);
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -14,6 +14,9 @@
     /// The engine is another process than expected, or has other weights.
     #[display("misdirected: {_0}")]
     Misdirected(String),
+    /// The engine answered with an error; it may have run.
+    #[display("may_have_run: status {_0}")]
+    EngineError(u16),
     /// It may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
@@ -27,7 +30,7 @@
 
     /// Whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_))
+        matches!(self, Self::EngineError(_) | Self::MayHaveRun(_))
     }
 
     /// A short name for metrics.
@@ -36,7 +39,7 @@
             Self::NotConnected(_) => "not_connected",
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
-            Self::MayHaveRun(_) => "may_have_run",
+            Self::EngineError(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -9,6 +9,8 @@
 use super::accepted_request::AcceptedRequest;
 use super::attempt::{attempt, learn};
 use super::attempt_end::AttemptEnd;
+use super::held_at::HeldAt;
+use super::held_request::HeldRequest;
 use super::live_answer::{LiveAnswer, WholeAnswer};
 use crate::catalogue::RequestKind;
 use crate::gateway::Gateway;
@@ -30,6 +32,8 @@
 pub(super) struct Exchange {
     pub(super) gateway: Rc<Gateway>,
     pub(super) request: AcceptedRequest,
+    /// What is told if it ends unserved.
+    pub(super) held: Rc<HeldRequest>,
     /// Back ends that got it, or could not be reached.
     tried: Vec<BackEndName>,
     /// How many back ends it arrived at.
@@ -42,8 +46,13 @@
 }
 
 impl Exchange {
-    pub(super) fn new(gateway: Rc<Gateway>, request: AcceptedRequest) -> Self {
+    pub(super) fn new(
+        gateway: Rc<Gateway>,
+        request: AcceptedRequest,
+        held: Rc<HeldRequest>,
+    ) -> Self {
         Self {
+            held,
             gateway,
             request,
             tried: Vec::new(),
@@ -67,8 +76,8 @@
             let gateway = Rc::clone(&self.gateway);
             match live.read_whole(&gateway).await {
                 Ok(whole) if whole.status.is_server_error() && self.may_run_again() => {
-                    let detail = format!("status {}", whole.status.as_u16());
-                    self.note_end(&placement, &AttemptEnd::MayHaveRun(detail));
+                    let end = AttemptEnd::EngineError(whole.status.as_u16());
+                    self.note_end(&placement, &end);
                 }
                 Ok(whole) => {
                     self.note_success(&placement);
@@ -99,7 +108,15 @@
                 self.gateway.charge_again(&self.request);
             }
             self.is_pending = true;
-            let attempted = attempt(&self.gateway, &self.request, &placement, last_event_id).await;
+            self.held.attempt_begins();
+            let attempted = attempt(
+                &self.gateway,
+                &self.request,
+                &placement,
+                last_event_id,
+                &self.held,
+            )
+            .await;
             self.is_pending = false;
             match attempted {
                 Ok(live) => {
@@ -143,6 +160,14 @@
     /// An attempt ended badly.
     pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
         self.may_have_run |= end.may_have_run();
+        self.held.is_at(HeldAt::after(end));
+        self.held.may_have_run.set(self.may_have_run);
+        let left = self
+            .request
+            .route
+            .most_attempts
+            .saturating_sub(self.arrivals);
+        self.held.attempts_left.set(left);
         let prompt = self.request.caller.prompt.as_ref();
         let model = prompt.map(|prompt| prompt.model.as_str());
         learn(&self.gateway, model, placement, end);
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -1,10 +1,13 @@
 //! An answer whose head has been accepted.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
+use ryerouter_core::Timestamp;
 
 use super::forwarded_headers::keep_forwarded;
 use crate::engines::InFlight;
@@ -25,6 +28,10 @@
     pub(super) body: Incoming,
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
+    /// When the attempt began.
+    pub(super) sent_at: Timestamp,
+    /// From there to the head.
+    pub(super) head_after: Duration,
     connection: Connection,
     keeps_connection: bool,
 }
@@ -35,6 +42,8 @@
         facts: AnswerFacts,
         placement: Placement,
         in_flight: InFlight,
+        sent_at: Timestamp,
+        head_after: Duration,
     ) -> Self {
         let mut headers = answer.head.headers;
         let keeps_connection = !closes(&headers);
@@ -46,6 +55,8 @@
             body: answer.body,
             placement,
             in_flight,
+            sent_at,
+            head_after,
             connection: answer.connection,
             keeps_connection,
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -8,6 +8,8 @@
 mod connection_server;
 mod exchange;
 mod forwarded_headers;
+mod held_at;
+mod held_request;
 mod intake;
 mod live_answer;
 mod planned_stop;
--- a/crates/gateway/src/serve/respond.rs
+++ b/crates/gateway/src/serve/respond.rs
@@ -6,13 +6,14 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use slog::{info, warn};
 use tokio::time::timeout_at;
 
 use super::active_request::ActiveRequest;
 use super::answer_body::AnswerBody;
 use super::exchange::{Exchange, FirstAnswer};
+use super::held_at::HeldAt;
 use super::intake::accept;
 use super::live_answer::WholeAnswer;
 use super::stream_relay::StreamRelay;
@@ -48,12 +49,13 @@
         Ok(accepted) => accepted,
         Err(refusal) => return end_refused(&gateway, &active, &id, &refusal),
     };
+    active.held.accepted(&accepted);
     gateway.count_request(&accepted.pool);
     if let Err(refusal) = gateway.admit(&accepted) {
         return end_refused(&gateway, &active, &id, &refusal);
     }
     let deadline = gateway.clock().instant(accepted.deadline);
-    let mut exchange = Exchange::new(Rc::clone(&gateway), accepted);
+    let mut exchange = Exchange::new(Rc::clone(&gateway), accepted, Rc::clone(&active.held));
     let first = timeout_at(deadline, exchange.first_answer()).await;
     match first.unwrap_or_else(|_| Err(exchange.out_of_time())) {
         Ok(FirstAnswer::Whole(whole)) => end_whole(&exchange, &active, whole),
@@ -73,7 +75,7 @@
     whole: WholeAnswer,
 ) -> Response<AnswerBody> {
     let gateway = &exchange.gateway;
-    active.end("answered");
+    end_answered(active, whole.status);
     let seconds = active.elapsed_ms() as f64 / 1e3;
     gateway.metrics().first_answer_seconds.observe(seconds);
     if let Some(left_out) = gateway.sampler().admit(gateway.clock().now()) {
@@ -90,13 +92,29 @@
     response
 }
 
+fn end_answered(active: &ActiveRequest, status: StatusCode) {
+    match status.is_server_error() {
+        false => active.end("answered"),
+        true => {
+            active.held.is_at(HeldAt::EngineFailed);
+            active.end_unserved("engine_error");
+        }
+    }
+}
+
 fn end_refused(
     gateway: &Gateway,
     active: &ActiveRequest,
     id: &str,
     refusal: &Refusal,
 ) -> Response<AnswerBody> {
-    active.end(&refusal.reason.to_string());
+    let reason = refusal.reason.to_string();
+    let is_proper = !refusal.status().is_client_error();
+    match is_proper {
+        true => active.end_unserved(&reason),
+        // The caller's fault, or its limit: no engine was to be asked.
+        false => active.end(&reason),
+    }
     log_refusal(gateway, id, refusal, active.elapsed_ms());
     refuse(gateway, Some(id), refusal)
 }
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt_end::AttemptEnd;
 use super::exchange::Exchange;
+use super::held_at::HeldAt;
 use super::live_answer::LiveAnswer;
 use crate::placement::Placement;
 use crate::relay::{EventSplitter, RelayFault, StreamEnd};
@@ -30,6 +31,8 @@
     resumed: u32,
     /// From the arrival of the request to the first event.
     first_event_ms: Option<u64>,
+    /// From the last attempt's begin to the head of its answer.
+    head_ms: u64,
     /// From the arrival of the request to the last event so far.
     last_event_ms: u64,
     /// Longest time between events.
@@ -47,6 +50,7 @@
 impl StreamRelay {
     pub(super) fn new(exchange: Exchange, live: LiveAnswer, active: ActiveRequest) -> Self {
         Self {
+            head_ms: live.head_after.as_millis() as u64,
             last_event_id: exchange.request.caller.last_event_id.clone(),
             exchange,
             live: Some(live),
@@ -167,6 +171,7 @@
             return;
         };
         live.in_flight.prompt_read();
+        self.exchange.held.is_at(HeldAt::Stream);
         let elapsed_ms = self.active.elapsed_ms();
         if self.has_begun {
             let pause_ms = elapsed_ms - self.last_event_ms;
@@ -207,7 +212,7 @@
             "prefix" => placement.keys.shared().last().map(|(key, _)| format!("{:016x}", key.0)),
             "saved" => placement.save_to.is_some(), "unread" => placement.unread_tokens,
             "expected_tokens" => request.caller.prompt.as_ref().and_then(|prompt| prompt.expected_tokens),
-            "first_event_ms" => self.first_event_ms,
+            "head_ms" => self.head_ms, "first_event_ms" => self.first_event_ms,
             "longest_pause_ms" => self.longest_pause_ms, "cost" => %placement.cost,
             "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
             "configuration" => request.configuration_version,
@@ -216,7 +221,7 @@
 
     fn fail(&mut self, end: StreamEnd, fault: RelayFault) -> RelayFault {
         self.live = None;
-        self.active.end(&format!("stream_{end}"));
+        self.active.end_unserved(&format!("stream_{end}"));
         warn!(self.exchange.gateway.log(), "stream_failed";
             "request" => &self.exchange.request.caller.id, "end" => %end,
             "detail" => &fault.detail, "arrivals" => self.exchange.arrivals,
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -26,6 +26,8 @@
     pub prompt_tokens: IntCounterVec,
     /// Time from the arrival of a request to the head of its answer or its first event.
     pub first_answer_seconds: Histogram,
+    /// How long requests that ended unserved were held, by where.
+    pub held_seconds: HistogramVec,
     /// Orders to engines by outcome.
     pub orders: IntCounterVec,
     /// Version of the configuration in force.
@@ -63,6 +65,7 @@
             retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
             first_answer_seconds: histogram(&registry),
+            held_seconds: held(&registry),
             orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
             configuration_version: gauge(
                 &registry,
@@ -122,6 +125,16 @@
     metric
 }
 
+fn held(registry: &Registry) -> HistogramVec {
+    let help = "Time that requests were held that ended unserved";
+    let options = HistogramOpts::new("held_seconds", help)
+        .namespace("ryerouter_gateway")
+        .buckets(LATENCY_BUCKETS.to_vec());
+    let metric = HistogramVec::new(options, &["at"]).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
 fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
     registry
         .register(Box::new(metric.clone()))
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -1,6 +1,6 @@
 //! Sending requests to engines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 use ryerouter_core::identity::BackEndName;
 
 use super::idle_connections::IdleConnections;
-use super::{AttemptFailure, ConnectSettings, Connection, UpstreamAnswer};
+use super::{AttemptFailure, ConnectSettings, Connection, ConnectionUse, UpstreamAnswer};
 use crate::clock::Clock;
 
 /// Idle connections that a repeatable request may use.
@@ -38,13 +38,15 @@
         }
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. `used` tells meanwhile on what kind of
+    /// connection the request went, once there is one.
     pub async fn send(
         &self,
         engine: &BackEndName,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
+        used: &Cell<Option<ConnectionUse>>,
     ) -> Result<UpstreamAnswer, AttemptFailure> {
         let most_idle = match is_repeatable {
             true => MOST_IDLE,
@@ -58,6 +60,10 @@
                 Some(connection) => connection,
                 None => Connection::open(address, &self.settings).await?,
             };
+            used.set(Some(match is_kept {
+                true => ConnectionUse::Kept,
+                false => ConnectionUse::New,
+            }));
             let sent = connection.sender.try_send_request(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
@@ -104,6 +110,14 @@
         });
     }
 
+    /// A request sent at `sent_at` met silence: idle connections to this engine that carried no
+    /// answer since are believed no longer, and closed.
+    pub fn note_silent(&self, engine: &BackEndName, sent_at: Timestamp) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(engine) {
+            connections.close_unused_since(sent_at);
+        }
+    }
+
     /// Closes all idle connections to an engine.
     pub fn forget(&self, engine: &BackEndName) {
         self.idle.borrow_mut().remove(engine);
--- a/crates/gateway/src/upstream/idle_connections.rs
+++ b/crates/gateway/src/upstream/idle_connections.rs
@@ -43,6 +43,12 @@
             .retain(|connection| connection.is_usable(now, most_idle));
     }
 
+    /// Closes those that carried no answer since `moment`.
+    pub(super) fn close_unused_since(&mut self, moment: Timestamp) {
+        self.connections
+            .retain(|connection| connection.idle_since > moment);
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.connections.is_empty()
     }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod abort_on_drop;
 mod attempt_failure;
 mod connection;
+mod connection_use;
 mod connector;
 mod engine_sender;
 mod idle_connections;
@@ -12,6 +13,7 @@
 pub use abort_on_drop::AbortOnDrop;
 pub use attempt_failure::AttemptFailure;
 pub use connection::Connection;
+pub use connection_use::ConnectionUse;
 pub use connector::{ConnectSettings, connect};
 pub use engine_sender::Upstream;
 pub use json_caller::{CallError, JsonCaller};
