Give up a repeatable request whose connection is silent while its engine answers others

Cause: an open connection was believed until the request's deadline; what stood on a kept connection that had fallen silent waited in vain. Change: mean and deviation of the time to the head, to the first event and of the longest pause, by pool and route (RFC 6298); a repeatable request or a resumable stream that is silent for longer goes elsewhere, or on a new connection to the same engine, if the engine has answered what was sent later, or (a request on a kept connection) if it is silent for far longer. It spends the spare half of the retry budget. Requests that must not repeat are waited for as before.

--- /dev/null
+++ b/crates/gateway/src/engines/answer_times.rs
@@ -0,0 +1,53 @@
+//! How long answers take, by what was seen.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ryerouter_core::identity::PoolName;
+
+use super::TimeEstimate;
+
+/// Most estimates that are kept: routes that were dropped leave theirs behind. Beyond it all are
+/// forgotten and learnt anew.
+const MOST_ESTIMATES: usize = 1_024;
+
+/// What is waited for on a connection to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AwaitedPart {
+    /// From sending a request to the head of its answer.
+    Head,
+    /// From there to the first event of a stream.
+    FirstEvent,
+    /// The longest pause between the events of one stream.
+    Pause,
+}
+
+/// How long answers take: for each pool, route and part by itself, since prompts and plain requests
+/// have little in common. See docs/design/accounting.md.
+#[derive(Debug, Default)]
+pub struct AnswerTimes {
+    estimates: HashMap<(PoolName, String, AwaitedPart), TimeEstimate>,
+}
+
+impl AnswerTimes {
+    /// A part of an answer came after so long, or not until then.
+    pub fn note(&mut self, pool: &PoolName, route: &str, part: AwaitedPart, took: Duration) {
+        let key = (pool.clone(), route.to_owned(), part);
+        if self.estimates.len() >= MOST_ESTIMATES && !self.estimates.contains_key(&key) {
+            self.estimates.clear();
+        }
+        self.estimates.entry(key).or_default().note(took);
+    }
+
+    /// What is known of a part; `None` before enough was seen.
+    pub fn estimate(
+        &self,
+        pool: &PoolName,
+        route: &str,
+        part: AwaitedPart,
+    ) -> Option<TimeEstimate> {
+        let key = (pool.clone(), route.to_owned(), part);
+        let estimate = self.estimates.get(&key)?;
+        estimate.is_settled().then_some(*estimate)
+    }
+}
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -49,6 +49,8 @@
     pub full_until: Option<Timestamp>,
     /// How often it refused work since it last took some.
     refusals_in_a_row: u32,
+    /// When the latest request was sent that it has answered.
+    answered_sent_at: Option<Timestamp>,
 }
 
 impl Engine {
@@ -66,6 +68,7 @@
             is_unlisted: false,
             full_until: None,
             refusals_in_a_row: 0,
+            answered_sent_at: None,
         }
     }
 
@@ -152,6 +155,16 @@
         self.refusals_in_a_row = 0;
     }
 
+    /// It answered a request that was sent then, in whatever way.
+    pub fn note_answer_to(&mut self, sent_at: Timestamp) {
+        self.answered_sent_at = self.answered_sent_at.max(Some(sent_at));
+    }
+
+    /// Whether it has answered a request that was sent after a moment.
+    pub fn has_answered_what_was_sent_after(&self, moment: Timestamp) -> bool {
+        self.answered_sent_at > Some(moment)
+    }
+
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Timestamp) -> bool {
         let is_misdirected = self.misdirected_until.is_some_and(|until| now < until);
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 use crate::peers::NodeState;
 use crate::placement::{Chooser, Placement, PlacementRequest};
 use crate::request::Dialect;
+use crate::retry::{RetrySettings, RetryWindow};
 use crate::telemetry::{LogSampler, Metrics};
 use crate::upstream::Upstream;
 
@@ -162,6 +163,19 @@
 
     /// Takes a retry from the budget of a pool.
     pub fn spend_retry(&self, pool: &PoolName) -> bool {
+        self.spend_retry_of(pool, RetryWindow::spend)
+    }
+
+    /// The same for an attempt that has not failed and may only be slow.
+    pub fn spend_spare_retry(&self, pool: &PoolName) -> bool {
+        self.spend_retry_of(pool, RetryWindow::spend_spare)
+    }
+
+    fn spend_retry_of(
+        &self,
+        pool: &PoolName,
+        spend: impl FnOnce(&mut RetryWindow, &RetrySettings, usize, Timestamp) -> bool,
+    ) -> bool {
         let now: Timestamp = self.clock.now();
         let mut state = self.state_mut();
         let known = state.peers.known_count() + 1;
@@ -172,7 +186,7 @@
             false => known,
         };
         let window = state.retries.entry(pool.clone()).or_default();
-        let is_allowed = window.spend(&self.settings.retry, processes, now);
+        let is_allowed = spend(window, &self.settings.retry, processes, now);
         match is_allowed {
             true => self.metrics.retries.inc(),
             false => self.metrics.retries_denied.inc(),
--- a/crates/gateway/src/retry/retry_window.rs
+++ b/crates/gateway/src/retry/retry_window.rs
@@ -9,6 +9,9 @@
 /// Share of the whole budget that is used: nodes and judges cut windows at other moments.
 const USED_SHARE: f64 = 0.8;
 
+/// Share of that which may go to attempts that have not failed: the rest is left for those that have.
+const SPARE_SHARE: f64 = 0.5;
+
 /// Counts requests and retries of one pool in a sliding window.
 ///
 /// Invariant: in no window does this process spend more than its share of the floor and the ratio
@@ -29,10 +32,31 @@
     /// Takes one retry; `false` when none is left. `processes` share the floor.
     #[must_use]
     pub fn spend(&mut self, settings: &RetrySettings, processes: usize, now: Timestamp) -> bool {
+        self.spend_share(1.0, settings, processes, now)
+    }
+
+    /// The same for an attempt that has not failed and may only be slow: some are left for others.
+    #[must_use]
+    pub fn spend_spare(
+        &mut self,
+        settings: &RetrySettings,
+        processes: usize,
+        now: Timestamp,
+    ) -> bool {
+        self.spend_share(SPARE_SHARE, settings, processes, now)
+    }
+
+    fn spend_share(
+        &mut self,
+        share: f64,
+        settings: &RetrySettings,
+        processes: usize,
+        now: Timestamp,
+    ) -> bool {
         self.forget(settings, now);
         let floor = settings.floor / processes.max(1) as f64;
         let earned = settings.ratio * self.requests.len() as f64;
-        let allowed = (floor + earned) * USED_SHARE;
+        let allowed = (floor + earned) * USED_SHARE * share;
         if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
+use ryerouter_core::Timestamp;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -13,7 +14,7 @@
 use super::attempt_end::AttemptEnd;
 use super::held_request::HeldRequest;
 use super::live_answer::LiveAnswer;
-use crate::engines::{EngineLoad, InFlight};
+use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
 use crate::request::{AnswerFacts, AttemptHead};
@@ -52,6 +53,7 @@
         AttemptFailure::Broken { detail } => AttemptEnd::MayHaveRun(detail),
     })?;
     let head_after = gateway.clock().now().since(sent_at);
+    note_head(gateway, request, placement, sent_at, head_after);
     let facts = gateway.dialect().read_answer(&answer.head);
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
@@ -61,7 +63,6 @@
                 facts,
                 placement.clone(),
                 in_flight,
-                sent_at,
                 head_after,
             ))
         }
@@ -159,6 +160,23 @@
     Ok(())
 }
 
+/// The engine answers, whatever it says.
+fn note_head(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    sent_at: Timestamp,
+    head_after: Duration,
+) {
+    let mut state = gateway.state_mut();
+    if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        engine.note_answer_to(sent_at);
+    }
+    let route = &request.route.name;
+    let times = &mut state.answer_times;
+    times.note(&request.pool, route, AwaitedPart::Head, head_after);
+}
+
 /// The engine took the request; its answer tells its weights.
 fn note_accepted(
     gateway: &Gateway,
@@ -217,6 +235,8 @@
                 let until = now.after(AVOID_MISDIRECTED);
                 engine.note_misdirected(expected, until);
             }
+            // The connection was doubted, not the engine.
+            AttemptEnd::Silent(_) => {}
             AttemptEnd::EngineError(_) | AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
     }
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -17,6 +17,9 @@
     /// The engine answered with an error; it may have run.
     #[display("may_have_run: status {_0}")]
     EngineError(u16),
+    /// Nothing came for longer than answers take; it may have run.
+    #[display("silent: {_0}")]
+    Silent(&'static str),
     /// It may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
@@ -30,7 +33,10 @@
 
     /// Whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
-        matches!(self, Self::EngineError(_) | Self::MayHaveRun(_))
+        matches!(
+            self,
+            Self::EngineError(_) | Self::Silent(_) | Self::MayHaveRun(_)
+        )
     }
 
     /// A short name for metrics.
@@ -39,6 +45,7 @@
             Self::NotConnected(_) => "not_connected",
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
+            Self::Silent(_) => "silent",
             Self::EngineError(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::BackEndName;
-use slog::warn;
+use slog::{info, warn};
+use tokio::time::sleep_until;
 
 use super::accepted_request::AcceptedRequest;
 use super::attempt::{attempt, learn};
@@ -12,7 +13,9 @@
 use super::held_at::HeldAt;
 use super::held_request::HeldRequest;
 use super::live_answer::{LiveAnswer, WholeAnswer};
+use super::silence_limits::SilenceLimits;
 use crate::catalogue::RequestKind;
+use crate::engines::AwaitedPart;
 use crate::gateway::Gateway;
 use crate::placement::{Placement, PlacementRequest};
 use crate::request::{Refusal, RefusalReason};
@@ -41,6 +44,10 @@
     pub(super) may_have_run: bool,
     /// Whether an attempt is under way whose end is not known.
     is_pending: bool,
+    /// Whether the next attempt has been taken from the budget already.
+    is_retry_paid: bool,
+    /// The back end whose connection was given up last: on a new one it may serve.
+    silent_engine: Option<BackEndName>,
     /// Whether an engine began to answer.
     has_answer: bool,
 }
@@ -59,6 +66,8 @@
             arrivals: 0,
             may_have_run: false,
             is_pending: false,
+            is_retry_paid: false,
+            silent_engine: None,
             has_answer: false,
         }
     }
@@ -101,7 +110,8 @@
     ) -> Result<LiveAnswer, Refusal> {
         loop {
             let placement = self.place().ok_or_else(|| self.no_engine())?;
-            if self.arrivals > 0 && !self.gateway.spend_retry(&self.request.pool) {
+            let is_paid = std::mem::take(&mut self.is_retry_paid) || self.arrivals == 0;
+            if !is_paid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
             }
             if self.may_have_run && !self.has_answer {
@@ -109,14 +119,11 @@
             }
             self.is_pending = true;
             self.held.attempt_begins();
-            let attempted = attempt(
-                &self.gateway,
-                &self.request,
-                &placement,
-                last_event_id,
-                &self.held,
-            )
-            .await;
+            let left = self.request.route.most_attempts;
+            self.held
+                .attempts_left
+                .set(left.saturating_sub(self.arrivals + 1));
+            let attempted = self.watched_attempt(&placement, last_event_id).await;
             self.is_pending = false;
             match attempted {
                 Ok(live) => {
@@ -128,6 +135,7 @@
                 Err(end) => {
                     self.tried.push(placement.engine.clone());
                     self.arrivals += u32::from(end.has_arrived());
+                    self.is_retry_paid = matches!(end, AttemptEnd::Silent(_));
                     self.note_end(&placement, &end);
                     let is_last = self.arrivals >= self.request.route.most_attempts;
                     let is_over = self.may_have_run && !self.request.route.is_idempotent();
@@ -139,6 +147,98 @@
         }
     }
 
+    /// Makes an attempt. It is given up when nothing comes for longer than answers take, while the
+    /// request can go elsewhere; otherwise it is waited for, since an answer may still come.
+    async fn watched_attempt(
+        &self,
+        placement: &Placement,
+        last_event_id: Option<&str>,
+    ) -> Result<LiveAnswer, AttemptEnd> {
+        let (gateway, request) = (&self.gateway, &self.request);
+        let since = gateway.clock().now();
+        let attempt = attempt(gateway, request, placement, last_event_id, &self.held);
+        if !request.route.is_idempotent() || self.arrivals + 1 >= request.route.most_attempts {
+            return attempt.await;
+        }
+        let part = AwaitedPart::Head;
+        let limits = SilenceLimits::new(gateway, request, &placement.engine, part, since);
+        let Some(limits) = limits else {
+            return attempt.await;
+        };
+        let attempted = tokio::select! {
+            biased;
+            attempted = attempt => attempted,
+            why = self.until_given_up(&limits) => Err(self.give_up(placement, &limits, part, why)),
+        };
+        if attempted.is_ok() && self.held.is_doubted.get() {
+            info!(gateway.log(), "doubted_attempt_answered"; "request" => &request.caller.id,
+                "engine" => %placement.engine,
+                "after_ms" => gateway.clock().now().since(since).as_millis() as u64);
+        }
+        attempted
+    }
+
+    async fn until_given_up(&self, limits: &SilenceLimits) -> &'static str {
+        let clock = self.gateway.clock();
+        loop {
+            sleep_until(clock.instant(limits.due(clock.now()))).await;
+            if let Some(why) = self.gives_up(limits) {
+                return why;
+            }
+        }
+    }
+
+    /// Why a silent attempt is given up now, and its successor is paid for.
+    pub(super) fn gives_up(&self, limits: &SilenceLimits) -> Option<&'static str> {
+        let why = limits.verdict(&self.gateway, self.held.used.get())?;
+        let has_successor =
+            self.has_other_engine(&limits.engine) || limits.answers_later(&self.gateway);
+        if has_successor && self.gateway.spend_spare_retry(&self.request.pool) {
+            return Some(why);
+        }
+        if !self.held.is_doubted.replace(true) {
+            info!(self.gateway.log(), "silent_attempt_kept"; "request" => &self.request.caller.id,
+                "why" => why, "has_successor" => has_successor,
+                "silent_ms" => self.gateway.clock().now().since(limits.since).as_millis() as u64);
+        }
+        None
+    }
+
+    /// An attempt is given up: neither its connection nor those as old are believed any longer.
+    pub(super) fn give_up(
+        &self,
+        placement: &Placement,
+        limits: &SilenceLimits,
+        part: AwaitedPart,
+        why: &'static str,
+    ) -> AttemptEnd {
+        let gateway = &self.gateway;
+        let silent = gateway.clock().now().since(limits.since);
+        gateway
+            .upstream()
+            .note_silent(&placement.engine, limits.since);
+        let (pool, route) = (&self.request.pool, &self.request.route.name);
+        // It takes at least so long; when all become slow, this raises the limit.
+        let times = &mut gateway.state_mut().answer_times;
+        times.note(pool, route, part, silent);
+        warn!(gateway.log(), "attempt_given_up"; "request" => &self.request.caller.id,
+            "engine" => %placement.engine, "why" => why, "awaited" => ?part,
+            "connection" => self.held.used.get().map(|used| used.to_string()),
+            "silent_ms" => silent.as_millis() as u64);
+        AttemptEnd::Silent(why)
+    }
+
+    fn has_other_engine(&self, than: &BackEndName) -> bool {
+        let now = self.gateway.clock().now();
+        let state = self.gateway.state();
+        let mut engines = state.engines.of_pool(&self.request.pool);
+        engines.any(|engine| {
+            let name = &engine.entry.name;
+            let is_tried = name == than || self.tried.contains(name);
+            !is_tried && engine.takes_work(now) && engine.health.is_serving()
+        })
+    }
+
     /// Whether a request that may have run may be sent to another back end.
     pub(super) fn may_run_again(&self) -> bool {
         let route = &self.request.route;
@@ -160,7 +260,9 @@
     /// An attempt ended badly.
     pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
         self.may_have_run |= end.may_have_run();
-        self.held.is_at(HeldAt::after(end));
+        self.held.is_at(HeldAt::after(end, self.held.used.get()));
+        let is_silent = matches!(end, AttemptEnd::Silent(_));
+        self.silent_engine = is_silent.then(|| placement.engine.clone());
         self.held.may_have_run.set(self.may_have_run);
         let left = self
             .request
@@ -188,7 +290,19 @@
         attempts.with_label_values(&["answered"]).inc();
     }
 
+    /// Chooses an engine that was not tried; if there is none, the one whose connection fell silent
+    /// gets the request on a new one.
     fn place(&self) -> Option<Placement> {
+        let elsewhere = self.place_outside(&self.tried);
+        elsewhere.or_else(|| {
+            let silent = self.silent_engine.as_ref()?;
+            let is_other = |engine: &&BackEndName| *engine != silent;
+            let others: Vec<_> = self.tried.iter().filter(is_other).cloned().collect();
+            self.place_outside(&others)
+        })
+    }
+
+    fn place_outside(&self, tried: &[BackEndName]) -> Option<Placement> {
         let request = &self.request;
         let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
         self.gateway.choose(&PlacementRequest {
@@ -198,7 +312,7 @@
             isolated_tenant: isolated.map(|tenant| &tenant.name),
             target_latency: request.route.target_latency,
             body_bytes: request.body.len(),
-            tried: &self.tried,
+            tried,
         })
     }
 
--- a/crates/gateway/src/serve/held_at.rs
+++ b/crates/gateway/src/serve/held_at.rs
@@ -46,8 +46,9 @@
     }
 
     /// After an attempt that ended without a usable answer.
-    pub(super) fn after(end: &AttemptEnd) -> Self {
+    pub(super) fn after(end: &AttemptEnd, used: Option<ConnectionUse>) -> Self {
         match end {
+            AttemptEnd::Silent(_) => Self::waiting(used),
             AttemptEnd::NotConnected(_) | AttemptEnd::MayHaveRun(_) => Self::EngineGone,
             AttemptEnd::EngineError(_) => Self::EngineFailed,
             AttemptEnd::NoRoom(_) | AttemptEnd::Misdirected(_) => Self::NoRoom,
--- a/crates/gateway/src/serve/held_request.rs
+++ b/crates/gateway/src/serve/held_request.rs
@@ -15,6 +15,8 @@
     is_waiting: Cell<bool>,
     /// The connection that the attempt under way uses, once there is one.
     pub(super) used: Cell<Option<ConnectionUse>>,
+    /// Whether the attempt under way was doubted, but not given up.
+    pub(super) is_doubted: Cell<bool>,
     /// Its kind, once its route is known.
     pub(super) kind: Cell<Option<&'static str>>,
     pub(super) route: RefCell<String>,
@@ -33,6 +35,7 @@
     /// An attempt begins.
     pub(super) fn attempt_begins(&self) {
         self.used.set(None);
+        self.is_doubted.set(false);
         self.is_waiting.set(true);
     }
 
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -7,7 +7,6 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use ryerouter_core::Timestamp;
 
 use super::forwarded_headers::keep_forwarded;
 use crate::engines::InFlight;
@@ -29,8 +28,7 @@
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
     /// When the attempt began.
-    pub(super) sent_at: Timestamp,
-    /// From there to the head.
+    /// From the attempt's begin to the head.
     pub(super) head_after: Duration,
     connection: Connection,
     keeps_connection: bool,
@@ -42,7 +40,6 @@
         facts: AnswerFacts,
         placement: Placement,
         in_flight: InFlight,
-        sent_at: Timestamp,
         head_after: Duration,
     ) -> Self {
         let mut headers = answer.head.headers;
@@ -55,7 +52,6 @@
             body: answer.body,
             placement,
             in_flight,
-            sent_at,
             head_after,
             connection: answer.connection,
             keeps_connection,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod live_answer;
 mod planned_stop;
 mod respond;
+mod silence_limits;
 mod stream_relay;
 
 pub use accepted_request::AcceptedRequest;
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::Response;
+use ryerouter_core::Timestamp;
 use slog::{info, warn};
 use tokio::time::timeout_at;
 
@@ -17,8 +18,11 @@
 use super::exchange::Exchange;
 use super::held_at::HeldAt;
 use super::live_answer::LiveAnswer;
+use super::silence_limits::SilenceLimits;
+use crate::engines::AwaitedPart;
 use crate::placement::Placement;
 use crate::relay::{EventSplitter, RelayFault, StreamEnd};
+use crate::upstream::ConnectionUse;
 
 /// Passes a stream on, whole event by whole event, and goes on at another engine where it may.
 pub(super) struct StreamRelay {
@@ -31,6 +35,10 @@
     resumed: u32,
     /// From the arrival of the request to the first event.
     first_event_ms: Option<u64>,
+    /// How long silence is believed now; `None` before enough was seen.
+    limits: Option<SilenceLimits>,
+    awaited: AwaitedPart,
+    awaited_since: Timestamp,
     /// From the last attempt's begin to the head of its answer.
     head_ms: u64,
     /// From the arrival of the request to the last event so far.
@@ -45,11 +53,16 @@
     Bytes(Bytes),
     End,
     Broken(String),
+    /// Nothing for longer than is usual.
+    Silent(&'static str),
 }
 
 impl StreamRelay {
     pub(super) fn new(exchange: Exchange, live: LiveAnswer, active: ActiveRequest) -> Self {
         Self {
+            limits: None,
+            awaited: AwaitedPart::FirstEvent,
+            awaited_since: Timestamp::ZERO,
             head_ms: live.head_after.as_millis() as u64,
             last_event_id: exchange.request.caller.last_event_id.clone(),
             exchange,
@@ -66,6 +79,7 @@
 
     /// The caller's answer: head of the first engine, events as they come.
     pub(super) fn into_response(mut self) -> Response<AnswerBody> {
+        self.await_part(AwaitedPart::FirstEvent);
         let live = self.live.as_mut().expect("begins with an answer");
         let (status, headers) = (live.status, std::mem::take(&mut live.headers));
         let events = unfold(self, |mut relay| async move {
@@ -108,13 +122,66 @@
                     }
                 }
                 Received::End if self.splitter.held_bytes() == 0 => return Ok(None),
-                Received::End => self.resume("ended within an event".to_owned()).await?,
-                Received::Broken(detail) => self.resume(detail).await?,
+                Received::End => {
+                    let detail = "ended within an event".to_owned();
+                    self.resume(AttemptEnd::MayHaveRun(detail)).await?;
+                }
+                Received::Broken(detail) => self.resume(AttemptEnd::MayHaveRun(detail)).await?,
+                Received::Silent(why) => {
+                    let end = self.give_up(why);
+                    self.resume(end).await?;
+                }
             }
         }
     }
 
+    /// What comes next. A stream that may go on elsewhere is given up when nothing comes for longer
+    /// than is usual while its engine answers what was sent later.
     async fn receive(&mut self) -> Received {
+        let clock = self.exchange.gateway.clock();
+        if let Some(limits) = &mut self.limits {
+            // A caller that took its time is not the engine's silence.
+            limits.since = clock.now();
+        }
+        loop {
+            let limits = self.limits.as_ref();
+            let due = limits.filter(|_| self.exchange.may_run_again());
+            let Some(due) = due.map(|limits| clock.instant(limits.due(clock.now()))) else {
+                return self.receive_frame().await;
+            };
+            if let Ok(received) = timeout_at(due, self.receive_frame()).await {
+                return received;
+            }
+            let limits = self.limits.as_ref();
+            if let Some(why) = limits.and_then(|limits| self.exchange.gives_up(limits)) {
+                return Received::Silent(why);
+            }
+        }
+    }
+
+    /// Another part of the answer is awaited from now on.
+    fn await_part(&mut self, part: AwaitedPart) {
+        self.awaited = part;
+        // Its connection has carried an answer, so that only the engine's news cast doubt on it.
+        self.exchange.held.used.set(Some(ConnectionUse::New));
+        let exchange = &self.exchange;
+        let now = exchange.gateway.clock().now();
+        self.awaited_since = now;
+        let engine = self.live.as_ref().map(|live| &live.placement.engine);
+        self.limits = engine.and_then(|engine| {
+            SilenceLimits::new(&exchange.gateway, &exchange.request, engine, part, now)
+        });
+    }
+
+    fn give_up(&self, why: &'static str) -> AttemptEnd {
+        let part = self.awaited;
+        match (&self.live, &self.limits) {
+            (Some(live), Some(limits)) => self.exchange.give_up(&live.placement, limits, part, why),
+            _ => AttemptEnd::Silent(why),
+        }
+    }
+
+    async fn receive_frame(&mut self) -> Received {
         let Some(live) = &mut self.live else {
             return Received::Broken("no engine".to_owned());
         };
@@ -132,14 +199,14 @@
     }
 
     /// Goes on at another engine after the last event that the caller has.
-    async fn resume(&mut self, detail: String) -> Result<(), RelayFault> {
+    async fn resume(&mut self, end: AttemptEnd) -> Result<(), RelayFault> {
         let fault = RelayFault {
-            detail: detail.clone(),
+            detail: end.to_string(),
         };
+        self.limits = None;
         // The former run ends, with its connection, before another begins.
         let former = self.live.take().map(|live| live.placement);
         if let Some(placement) = former {
-            let end = AttemptEnd::MayHaveRun(detail);
             self.exchange.note_end(&placement, &end);
         }
         if !self.exchange.may_run_again() {
@@ -155,6 +222,7 @@
                     "request" => &self.exchange.request.caller.id,
                     "engine" => %live.placement.engine, "after_event" => last_event_id);
                 self.live = Some(live);
+                self.await_part(AwaitedPart::FirstEvent);
                 Ok(())
             }
             Ok(live) => Err(RelayFault {
@@ -166,7 +234,31 @@
         }
     }
 
+    /// The first event of an answer has come.
+    fn note_first_event(&mut self) {
+        if self.awaited != AwaitedPart::FirstEvent {
+            return;
+        }
+        let gateway = &self.exchange.gateway;
+        let took = gateway.clock().now().since(self.awaited_since);
+        self.note_time(AwaitedPart::FirstEvent, took);
+        self.await_part(AwaitedPart::Pause);
+    }
+
+    fn note_time(&self, part: AwaitedPart, took: Duration) {
+        let Exchange {
+            gateway, request, ..
+        } = &self.exchange;
+        let times = &mut gateway.state_mut().answer_times;
+        times.note(&request.pool, &request.route.name, part, took);
+    }
+
     fn note_begun(&mut self) {
+        self.note_first_event();
+        if self.exchange.held.is_doubted.replace(false) {
+            info!(self.exchange.gateway.log(), "doubted_attempt_answered";
+                "request" => &self.exchange.request.caller.id, "events" => true);
+        }
         let Some(live) = &mut self.live else {
             return;
         };
@@ -199,6 +291,10 @@
         let placement = live.release(&gateway);
         self.exchange.note_success(&placement);
         self.active.end("answered");
+        if self.resumed == 0 {
+            let pause = Duration::from_millis(self.longest_pause_ms);
+            self.note_time(AwaitedPart::Pause, pause);
+        }
         let Some(left_out) = gateway.sampler().admit(gateway.clock().now()) else {
             return;
         };
--- a/crates/gateway/tests/support/scripted_engine.rs
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -4,11 +4,13 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 /// What the engine does with the next request.
 #[derive(Debug, Clone)]
@@ -27,6 +29,10 @@
     Events(&'static [&'static str]),
     /// Sends these bytes of a stream and breaks off.
     BrokenEvents(&'static [&'static str]),
+    /// Sends these events of a stream and then nothing, until the connection ends.
+    StallingEvents(&'static [&'static str]),
+    /// Answers after this time.
+    Late(Duration),
     /// Breaks off after the first bytes, but sends the others to a request that goes on.
     BreaksOnce(&'static [&'static str], &'static [&'static str]),
 }
@@ -76,6 +82,22 @@
         (engine, address)
     }
 
+    /// Takes this step with the next request for which there is no other.
+    pub fn push(&self, step: Step) {
+        self.steps.borrow_mut().push_back(step);
+    }
+
+    /// Takes this step with the next request, and none of those named before.
+    pub fn replace_steps(&self, step: Step) {
+        self.clear_steps();
+        self.push(step);
+    }
+
+    /// Takes none of the steps named before.
+    pub fn clear_steps(&self) {
+        self.steps.borrow_mut().clear();
+    }
+
     /// Waits until a caller has left an unanswered request.
     pub async fn until_abandoned(&self) {
         while self.abandoned.get() == 0 {
@@ -119,6 +141,21 @@
                     self.changed.notify_waiters();
                     return;
                 }
+                Step::StallingEvents(events) => {
+                    write(&mut stream, &stream_head(&id)).await;
+                    for event in events {
+                        write(&mut stream, &chunk(event)).await;
+                    }
+                    let mut rest = [0; 1];
+                    let _ = stream.read(&mut rest).await;
+                    self.abandoned.set(self.abandoned.get() + 1);
+                    self.changed.notify_waiters();
+                    return;
+                }
+                Step::Late(wait) => {
+                    sleep(wait).await;
+                    write(&mut stream, &answer(200, &id, "", "late")).await;
+                }
                 Step::Events(events) => {
                     write(&mut stream, &stream_head(&id)).await;
                     for event in events {
