Doubt the engine when it is silent on a kept connection and nothing is heard of it

Change: giving up without news of the engine counts as a failure of it; giving up while it answers others does not.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::accepted_request::AcceptedRequest;
 use super::attempt_end::AttemptEnd;
+use super::doubt::Doubt;
 use super::held_request::HeldRequest;
 use super::live_answer::LiveAnswer;
 use crate::engines::{AwaitedPart, EngineLoad, InFlight};
@@ -235,8 +236,9 @@
                 let until = now.after(AVOID_MISDIRECTED);
                 engine.note_misdirected(expected, until);
             }
-            // The connection was doubted, not the engine.
-            AttemptEnd::Silent(_) => {}
+            AttemptEnd::Silent(Doubt::Connection) => {}
+            // Its work is no longer counted there, so it would look idle and attract more.
+            AttemptEnd::Silent(Doubt::Engine) => engine.health.failed(now),
             AttemptEnd::EngineError(_) | AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
     }
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -2,6 +2,8 @@
 
 use derive_more::Display;
 
+use super::doubt::Doubt;
+
 /// How an attempt ended without a usable answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(super) enum AttemptEnd {
@@ -19,7 +21,7 @@
     EngineError(u16),
     /// Nothing came for longer than answers take; it may have run.
     #[display("silent: {_0}")]
-    Silent(&'static str),
+    Silent(Doubt),
     /// It may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -10,6 +10,7 @@
 use super::accepted_request::AcceptedRequest;
 use super::attempt::{attempt, learn};
 use super::attempt_end::AttemptEnd;
+use super::doubt::Doubt;
 use super::held_at::HeldAt;
 use super::held_request::HeldRequest;
 use super::live_answer::{LiveAnswer, WholeAnswer};
@@ -178,7 +179,7 @@
         attempted
     }
 
-    async fn until_given_up(&self, limits: &SilenceLimits) -> &'static str {
+    async fn until_given_up(&self, limits: &SilenceLimits) -> Doubt {
         let clock = self.gateway.clock();
         loop {
             sleep_until(clock.instant(limits.due(clock.now()))).await;
@@ -189,7 +190,7 @@
     }
 
     /// Why a silent attempt is given up now, and its successor is paid for.
-    pub(super) fn gives_up(&self, limits: &SilenceLimits) -> Option<&'static str> {
+    pub(super) fn gives_up(&self, limits: &SilenceLimits) -> Option<Doubt> {
         let why = limits.verdict(&self.gateway, self.held.used.get())?;
         let has_successor =
             self.has_other_engine(&limits.engine) || limits.answers_later(&self.gateway);
@@ -198,7 +199,7 @@
         }
         if !self.held.is_doubted.replace(true) {
             info!(self.gateway.log(), "silent_attempt_kept"; "request" => &self.request.caller.id,
-                "why" => why, "has_successor" => has_successor,
+                "why" => %why, "has_successor" => has_successor,
                 "silent_ms" => self.gateway.clock().now().since(limits.since).as_millis() as u64);
         }
         None
@@ -210,7 +211,7 @@
         placement: &Placement,
         limits: &SilenceLimits,
         part: AwaitedPart,
-        why: &'static str,
+        why: Doubt,
     ) -> AttemptEnd {
         let gateway = &self.gateway;
         let silent = gateway.clock().now().since(limits.since);
@@ -222,7 +223,7 @@
         let times = &mut gateway.state_mut().answer_times;
         times.note(pool, route, part, silent);
         warn!(gateway.log(), "attempt_given_up"; "request" => &self.request.caller.id,
-            "engine" => %placement.engine, "why" => why, "awaited" => ?part,
+            "engine" => %placement.engine, "why" => %why, "awaited" => ?part,
             "connection" => self.held.used.get().map(|used| used.to_string()),
             "silent_ms" => silent.as_millis() as u64);
         AttemptEnd::Silent(why)
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod attempt_end;
 mod connection_server;
+mod doubt;
 mod exchange;
 mod forwarded_headers;
 mod held_at;
--- a/crates/gateway/src/serve/silence_limits.rs
+++ b/crates/gateway/src/serve/silence_limits.rs
@@ -6,6 +6,7 @@
 use ryerouter_core::identity::BackEndName;
 
 use super::accepted_request::AcceptedRequest;
+use super::doubt::Doubt;
 use crate::engines::AwaitedPart;
 use crate::gateway::Gateway;
 use crate::upstream::ConnectionUse;
@@ -51,23 +52,19 @@
         first.max(now.after(ASKED_EVERY))
     }
 
-    /// Why the connection is no longer believed to carry an answer, if so.
+    /// What is doubted, when the connection is no longer believed to carry an answer, if so.
     ///
     /// An engine that answers what was sent later is not stuck. Without such news only a kept
     /// connection is doubted, since nothing has proved it since it was idle.
-    pub(super) fn verdict(
-        &self,
-        gateway: &Gateway,
-        used: Option<ConnectionUse>,
-    ) -> Option<&'static str> {
+    pub(super) fn verdict(&self, gateway: &Gateway, used: Option<ConnectionUse>) -> Option<Doubt> {
         let now = gateway.clock().now();
         let silent = now.since(self.since);
         let answers_later = self.answers_later(gateway);
         if answers_later && silent >= self.while_others_are_answered {
-            return Some("engine answers what was sent later");
+            return Some(Doubt::Connection);
         }
         let is_doubted = used == Some(ConnectionUse::Kept) && silent >= self.without_news;
-        is_doubted.then_some("kept connection, no news of the engine")
+        is_doubted.then_some(Doubt::Engine)
     }
 
     /// Whether the engine has answered a request that was sent after this silence began.
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -15,6 +15,7 @@
 use super::active_request::ActiveRequest;
 use super::answer_body::AnswerBody;
 use super::attempt_end::AttemptEnd;
+use super::doubt::Doubt;
 use super::exchange::Exchange;
 use super::held_at::HeldAt;
 use super::live_answer::LiveAnswer;
@@ -54,7 +55,7 @@
     End,
     Broken(String),
     /// Nothing for longer than is usual.
-    Silent(&'static str),
+    Silent(Doubt),
 }
 
 impl StreamRelay {
@@ -173,7 +174,7 @@
         });
     }
 
-    fn give_up(&self, why: &'static str) -> AttemptEnd {
+    fn give_up(&self, why: Doubt) -> AttemptEnd {
         let part = self.awaited;
         match (&self.live, &self.limits) {
             (Some(live), Some(limits)) => self.exchange.give_up(&live.placement, limits, part, why),
