--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 use crate::peers::NodeState;
 use crate::placement::{Chooser, Placement, PlacementRequest};
 use crate::request::Dialect;
+use crate::retry::{RetrySettings, RetryWindow};
 use crate::telemetry::{LogSampler, Metrics};
 use crate::upstream::Upstream;
 
@@ -25,6 +26,10 @@
 /// Of the time for older weights at most this share is left unused because requests begin late.
 const MOST_BEGIN_SHARE: f64 = 0.25;
 
+/// Lines a second that tell of requests that ended unserved: more than a node in trouble needs to
+/// show what is wrong, few enough for the log to bear.
+const UNSERVED_LINES_PER_SECOND: u32 = 50;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -32,6 +37,7 @@
     log: Logger,
     metrics: Rc<Metrics>,
     sampler: LogSampler,
+    unserved_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -51,6 +57,7 @@
             log,
             metrics: Rc::new(Metrics::new()),
             sampler: LogSampler::default(),
+            unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -77,6 +84,11 @@
         &self.sampler
     }
 
+    /// Bounds lines that tell of requests that ended unserved.
+    pub fn unserved_sampler(&self) -> &LogSampler {
+        &self.unserved_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
@@ -151,6 +163,19 @@
 
     /// Takes a retry from the budget of a pool.
     pub fn spend_retry(&self, pool: &PoolName) -> bool {
+        self.spend_retry_of(pool, RetryWindow::spend)
+    }
+
+    /// The same for an attempt that has not failed and may only be slow.
+    pub fn spend_spare_retry(&self, pool: &PoolName) -> bool {
+        self.spend_retry_of(pool, RetryWindow::spend_spare)
+    }
+
+    fn spend_retry_of(
+        &self,
+        pool: &PoolName,
+        spend: impl FnOnce(&mut RetryWindow, &RetrySettings, usize, Timestamp) -> bool,
+    ) -> bool {
         let now: Timestamp = self.clock.now();
         let mut state = self.state_mut();
         let known = state.peers.known_count() + 1;
@@ -161,7 +186,7 @@
             false => known,
         };
         let window = state.retries.entry(pool.clone()).or_default();
-        let is_allowed = window.spend(&self.settings.retry, processes, now);
+        let is_allowed = spend(window, &self.settings.retry, processes, now);
         match is_allowed {
             true => self.metrics.retries.inc(),
             false => self.metrics.retries_denied.inc(),
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -6,13 +6,16 @@
 use http_body_util::{BodyExt, Full};
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
+use ryerouter_core::Timestamp;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::accepted_request::AcceptedRequest;
 use super::attempt_end::AttemptEnd;
+use super::doubt::Doubt;
+use super::held_request::HeldRequest;
 use super::live_answer::LiveAnswer;
-use crate::engines::{EngineLoad, InFlight};
+use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
 use crate::request::{AnswerFacts, AttemptHead};
@@ -29,24 +32,40 @@
     request: &AcceptedRequest,
     placement: &Placement,
     last_event_id: Option<&str>,
+    held: &HeldRequest,
 ) -> Result<LiveAnswer, AttemptEnd> {
     let in_flight = count_in_flight(gateway, request, placement)
         .ok_or_else(|| AttemptEnd::NotConnected("engine gone".to_owned()))?;
+    let sent_at = gateway.clock().now();
     let message = build_message(gateway, request, placement, last_event_id);
     let is_repeatable = request.route.is_idempotent();
     let sent = gateway
         .upstream()
-        .send(&placement.engine, placement.address, message, is_repeatable)
+        .send(
+            &placement.engine,
+            placement.address,
+            message,
+            is_repeatable,
+            &held.used,
+        )
         .await;
     let answer = sent.map_err(|failure| match failure {
         AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
         AttemptFailure::Broken { detail, .. } => AttemptEnd::MayHaveRun(detail),
     })?;
+    let head_after = gateway.clock().now().since(sent_at);
+    note_head(gateway, request, placement, sent_at, head_after);
     let facts = gateway.dialect().read_answer(&answer.head);
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
             note_accepted(gateway, request, placement, &facts);
-            Ok(LiveAnswer::new(answer, facts, placement.clone(), in_flight))
+            Ok(LiveAnswer::new(
+                answer,
+                facts,
+                placement.clone(),
+                in_flight,
+                head_after,
+            ))
         }
         Err(end) => {
             if !end.may_have_run() {
@@ -142,6 +161,23 @@
     Ok(())
 }
 
+/// The engine answers, whatever it says.
+fn note_head(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    sent_at: Timestamp,
+    head_after: Duration,
+) {
+    let mut state = gateway.state_mut();
+    if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        engine.note_answer_to(sent_at);
+    }
+    let route = &request.route.name;
+    let times = &mut state.answer_times;
+    times.note(&request.pool, route, AwaitedPart::Head, head_after);
+}
+
 /// The engine took the request; its answer tells its weights.
 fn note_accepted(
     gateway: &Gateway,
@@ -200,7 +236,10 @@
                 let until = now.after(AVOID_MISDIRECTED);
                 engine.note_misdirected(expected, until);
             }
-            AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
+            AttemptEnd::Silent(Doubt::Connection) => {}
+            // Its work is no longer counted there, so it would look idle and attract more.
+            AttemptEnd::Silent(Doubt::Engine) => engine.health.failed(now),
+            AttemptEnd::EngineError(_) | AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
         }
     }
     drop(state);
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -2,6 +2,8 @@
 
 use derive_more::Display;
 
+use super::doubt::Doubt;
+
 /// How an attempt ended without a usable answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub(super) enum AttemptEnd {
@@ -14,6 +16,12 @@
     /// The engine is another process than expected, or has other weights.
     #[display("misdirected: {_0}")]
     Misdirected(String),
+    /// The engine answered with an error; it may have run.
+    #[display("may_have_run: status {_0}")]
+    EngineError(u16),
+    /// Nothing came for longer than answers take; it may have run.
+    #[display("silent: {_0}")]
+    Silent(Doubt),
     /// It may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
@@ -27,7 +35,10 @@
 
     /// Whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_))
+        matches!(
+            self,
+            Self::EngineError(_) | Self::Silent(_) | Self::MayHaveRun(_)
+        )
     }
 
     /// A short name for metrics.
@@ -36,7 +47,8 @@
             Self::NotConnected(_) => "not_connected",
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
-            Self::MayHaveRun(_) => "may_have_run",
+            Self::Silent(_) => "silent",
+            Self::EngineError(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -4,13 +4,19 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::BackEndName;
-use slog::warn;
+use slog::{info, warn};
+use tokio::time::sleep_until;
 
 use super::accepted_request::AcceptedRequest;
 use super::attempt::{attempt, learn};
 use super::attempt_end::AttemptEnd;
+use super::doubt::Doubt;
+use super::held_at::HeldAt;
+use super::held_request::HeldRequest;
 use super::live_answer::{LiveAnswer, WholeAnswer};
+use super::silence_limits::SilenceLimits;
 use crate::catalogue::RequestKind;
+use crate::engines::AwaitedPart;
 use crate::gateway::Gateway;
 use crate::placement::{Placement, PlacementRequest};
 use crate::request::{Refusal, RefusalReason};
@@ -22,14 +28,16 @@
 
 /// The answer of an engine as far as it must be known before the caller gets its head.
 pub(super) enum FirstAnswer {
-    Whole(WholeAnswer),
-    Stream(LiveAnswer),
+    Whole(Box<WholeAnswer>),
+    Stream(Box<LiveAnswer>),
 }
 
 /// All attempts of one request.
 pub(super) struct Exchange {
     pub(super) gateway: Rc<Gateway>,
     pub(super) request: AcceptedRequest,
+    /// What is told if it ends unserved.
+    pub(super) held: Rc<HeldRequest>,
     /// Back ends that got it, or could not be reached.
     tried: Vec<BackEndName>,
     /// How many back ends it arrived at.
@@ -37,19 +45,30 @@
     pub(super) may_have_run: bool,
     /// Whether an attempt is under way whose end is not known.
     is_pending: bool,
+    /// Whether the next attempt has been taken from the budget already.
+    is_retry_paid: bool,
+    /// The back end whose connection was given up last: on a new one it may serve.
+    silent_engine: Option<BackEndName>,
     /// Whether an engine began to answer.
     has_answer: bool,
 }
 
 impl Exchange {
-    pub(super) fn new(gateway: Rc<Gateway>, request: AcceptedRequest) -> Self {
+    pub(super) fn new(
+        gateway: Rc<Gateway>,
+        request: AcceptedRequest,
+        held: Rc<HeldRequest>,
+    ) -> Self {
         Self {
+            held,
             gateway,
             request,
             tried: Vec::new(),
             arrivals: 0,
             may_have_run: false,
             is_pending: false,
+            is_retry_paid: false,
+            silent_engine: None,
             has_answer: false,
         }
     }
@@ -61,18 +80,18 @@
             let live = self.next_answer(last_event_id.as_deref()).await?;
             let is_stream = self.request.route.kind == RequestKind::Streaming;
             if is_stream && live.status.is_success() {
-                return Ok(FirstAnswer::Stream(live));
+                return Ok(FirstAnswer::Stream(Box::new(live)));
             }
             let placement = live.placement.clone();
             let gateway = Rc::clone(&self.gateway);
             match live.read_whole(&gateway).await {
                 Ok(whole) if whole.status.is_server_error() && self.may_run_again() => {
-                    let detail = format!("status {}", whole.status.as_u16());
-                    self.note_end(&placement, &AttemptEnd::MayHaveRun(detail));
+                    let end = AttemptEnd::EngineError(whole.status.as_u16());
+                    self.note_end(&placement, &end);
                 }
                 Ok(whole) => {
                     self.note_success(&placement);
-                    return Ok(FirstAnswer::Whole(whole));
+                    return Ok(FirstAnswer::Whole(Box::new(whole)));
                 }
                 Err(detail) => {
                     let end = AttemptEnd::MayHaveRun(detail);
@@ -92,14 +111,20 @@
     ) -> Result<LiveAnswer, Refusal> {
         loop {
             let placement = self.place().ok_or_else(|| self.no_engine())?;
-            if self.arrivals > 0 && !self.gateway.spend_retry(&self.request.pool) {
+            let is_paid = std::mem::take(&mut self.is_retry_paid) || self.arrivals == 0;
+            if !is_paid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
             }
             if self.may_have_run && !self.has_answer {
                 self.gateway.charge_again(&self.request);
             }
             self.is_pending = true;
-            let attempted = attempt(&self.gateway, &self.request, &placement, last_event_id).await;
+            self.held.attempt_begins();
+            let left = self.request.route.most_attempts;
+            self.held
+                .attempts_left
+                .set(left.saturating_sub(self.arrivals + 1));
+            let attempted = self.watched_attempt(&placement, last_event_id).await;
             self.is_pending = false;
             match attempted {
                 Ok(live) => {
@@ -111,6 +136,7 @@
                 Err(end) => {
                     self.tried.push(placement.engine.clone());
                     self.arrivals += u32::from(end.has_arrived());
+                    self.is_retry_paid = matches!(end, AttemptEnd::Silent(_));
                     self.note_end(&placement, &end);
                     let is_last = self.arrivals >= self.request.route.most_attempts;
                     let is_over = self.may_have_run && !self.request.route.is_idempotent();
@@ -122,6 +148,98 @@
         }
     }
 
+    /// Makes an attempt. It is given up when nothing comes for longer than answers take, while the
+    /// request can go elsewhere; otherwise it is waited for, since an answer may still come.
+    async fn watched_attempt(
+        &self,
+        placement: &Placement,
+        last_event_id: Option<&str>,
+    ) -> Result<LiveAnswer, AttemptEnd> {
+        let (gateway, request) = (&self.gateway, &self.request);
+        let since = gateway.clock().now();
+        let attempt = attempt(gateway, request, placement, last_event_id, &self.held);
+        if !request.route.is_idempotent() || self.arrivals + 1 >= request.route.most_attempts {
+            return attempt.await;
+        }
+        let part = AwaitedPart::Head;
+        let limits = SilenceLimits::new(gateway, request, &placement.engine, part, since);
+        let Some(limits) = limits else {
+            return attempt.await;
+        };
+        let attempted = tokio::select! {
+            biased;
+            attempted = attempt => attempted,
+            why = self.until_given_up(&limits) => Err(self.give_up(placement, &limits, part, why)),
+        };
+        if attempted.is_ok() && self.held.is_doubted.get() {
+            info!(gateway.log(), "doubted_attempt_answered"; "request" => &request.caller.id,
+                "engine" => %placement.engine,
+                "after_ms" => gateway.clock().now().since(since).as_millis() as u64);
+        }
+        attempted
+    }
+
+    async fn until_given_up(&self, limits: &SilenceLimits) -> Doubt {
+        let clock = self.gateway.clock();
+        loop {
+            sleep_until(clock.instant(limits.due(clock.now()))).await;
+            if let Some(why) = self.gives_up(limits) {
+                return why;
+            }
+        }
+    }
+
+    /// Why a silent attempt is given up now, and its successor is paid for.
+    pub(super) fn gives_up(&self, limits: &SilenceLimits) -> Option<Doubt> {
+        let why = limits.verdict(&self.gateway, self.held.used.get())?;
+        let has_successor =
+            self.has_other_engine(&limits.engine) || limits.answers_later(&self.gateway);
+        if has_successor && self.gateway.spend_spare_retry(&self.request.pool) {
+            return Some(why);
+        }
+        if !self.held.is_doubted.replace(true) {
+            info!(self.gateway.log(), "silent_attempt_kept"; "request" => &self.request.caller.id,
+                "why" => %why, "has_successor" => has_successor,
+                "silent_ms" => self.gateway.clock().now().since(limits.since).as_millis() as u64);
+        }
+        None
+    }
+
+    /// An attempt is given up: neither its connection nor those as old are believed any longer.
+    pub(super) fn give_up(
+        &self,
+        placement: &Placement,
+        limits: &SilenceLimits,
+        part: AwaitedPart,
+        why: Doubt,
+    ) -> AttemptEnd {
+        let gateway = &self.gateway;
+        let silent = gateway.clock().now().since(limits.since);
+        gateway
+            .upstream()
+            .note_silent(&placement.engine, limits.since);
+        let (pool, route) = (&self.request.pool, &self.request.route.name);
+        // It takes at least so long; when all become slow, this raises the limit.
+        let times = &mut gateway.state_mut().answer_times;
+        times.note(pool, route, part, silent);
+        warn!(gateway.log(), "attempt_given_up"; "request" => &self.request.caller.id,
+            "engine" => %placement.engine, "why" => %why, "awaited" => ?part,
+            "connection" => self.held.used.get().map(|used| used.to_string()),
+            "silent_ms" => silent.as_millis() as u64);
+        AttemptEnd::Silent(why)
+    }
+
+    fn has_other_engine(&self, than: &BackEndName) -> bool {
+        let now = self.gateway.clock().now();
+        let state = self.gateway.state();
+        let mut engines = state.engines.of_pool(&self.request.pool);
+        engines.any(|engine| {
+            let name = &engine.entry.name;
+            let is_tried = name == than || self.tried.contains(name);
+            !is_tried && engine.takes_work(now) && engine.health.is_serving()
+        })
+    }
+
     /// Whether a request that may have run may be sent to another back end.
     pub(super) fn may_run_again(&self) -> bool {
         let route = &self.request.route;
@@ -143,6 +261,16 @@
     /// An attempt ended badly.
     pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
         self.may_have_run |= end.may_have_run();
+        self.held.is_at(HeldAt::after(end, self.held.used.get()));
+        let is_silent = matches!(end, AttemptEnd::Silent(_));
+        self.silent_engine = is_silent.then(|| placement.engine.clone());
+        self.held.may_have_run.set(self.may_have_run);
+        let left = self
+            .request
+            .route
+            .most_attempts
+            .saturating_sub(self.arrivals);
+        self.held.attempts_left.set(left);
         let prompt = self.request.caller.prompt.as_ref();
         let model = prompt.map(|prompt| prompt.model.as_str());
         learn(&self.gateway, model, placement, end);
@@ -163,7 +291,19 @@
         attempts.with_label_values(&["answered"]).inc();
     }
 
+    /// Chooses an engine that was not tried; if there is none, the one whose connection fell silent
+    /// gets the request on a new one.
     fn place(&self) -> Option<Placement> {
+        let elsewhere = self.place_outside(&self.tried);
+        elsewhere.or_else(|| {
+            let silent = self.silent_engine.as_ref()?;
+            let is_other = |engine: &&BackEndName| *engine != silent;
+            let others: Vec<_> = self.tried.iter().filter(is_other).cloned().collect();
+            self.place_outside(&others)
+        })
+    }
+
+    fn place_outside(&self, tried: &[BackEndName]) -> Option<Placement> {
         let request = &self.request;
         let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
         self.gateway.choose(&PlacementRequest {
@@ -173,7 +313,7 @@
             isolated_tenant: isolated.map(|tenant| &tenant.name),
             target_latency: request.route.target_latency,
             body_bytes: request.body.len(),
-            tried: &self.tried,
+            tried,
         })
     }
 
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -1,5 +1,7 @@
 //! An answer whose head has been accepted.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
@@ -25,6 +27,9 @@
     pub(super) body: Incoming,
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
+    /// When the attempt began.
+    /// From the attempt's begin to the head.
+    pub(super) head_after: Duration,
     connection: Connection,
     keeps_connection: bool,
 }
@@ -35,6 +40,7 @@
         facts: AnswerFacts,
         placement: Placement,
         in_flight: InFlight,
+        head_after: Duration,
     ) -> Self {
         let mut headers = answer.head.headers;
         let keeps_connection = !closes(&headers);
@@ -46,6 +52,7 @@
             body: answer.body,
             placement,
             in_flight,
+            head_after,
             connection: answer.connection,
             keeps_connection,
         }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,12 +6,16 @@
 mod attempt;
 mod attempt_end;
 mod connection_server;
+mod doubt;
 mod exchange;
 mod forwarded_headers;
+mod held_at;
+mod held_request;
 mod intake;
 mod live_answer;
 mod planned_stop;
 mod respond;
+mod silence_limits;
 mod stream_relay;
 
 pub use accepted_request::AcceptedRequest;
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -30,6 +30,8 @@
     pub calls: IntCounterVec,
     /// Connections that seemed silent, by what became of it.
     pub silences: IntCounterVec,
+    /// How long requests that ended unserved were held, by where.
+    pub held_seconds: HistogramVec,
     /// Orders to engines by outcome.
     pub orders: IntCounterVec,
     /// Questions to the source by kind of item, way of asking and how they ended.
@@ -81,6 +83,7 @@
                 "Connections that seemed silent: suspected, withdrawn, confirmed",
                 "verdict",
             ),
+            held_seconds: held(&registry),
             orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
             source_questions: vector(
                 &registry,
@@ -150,6 +153,16 @@
     metric
 }
 
+fn held(registry: &Registry) -> HistogramVec {
+    let help = "Time that requests were held that ended unserved";
+    let options = HistogramOpts::new("held_seconds", help)
+        .namespace("ryerouter_gateway")
+        .buckets(LATENCY_BUCKETS.to_vec());
+    let metric = HistogramVec::new(options, &["at"]).expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
 fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
     registry
         .register(Box::new(metric.clone()))
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -1,6 +1,6 @@
 //! Sending requests to engines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,7 +14,7 @@
 
 use super::answer_times::LEAST_PATIENCE;
 use super::idle_connections::IdleConnections;
-use super::{AttemptFailure, ConnectSettings, Connection, SendProgress, Silence, UpstreamAnswer};
+use super::{AttemptFailure, ConnectSettings, Connection, ConnectionUse, Silence, UpstreamAnswer};
 use crate::clock::Clock;
 
 /// Idle connections that a repeatable request may use. A connection may have fallen silent since it
@@ -51,27 +51,15 @@
         &self.silence
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. `used` tells meanwhile on what kind of
+    /// connection the request went, once there is one.
     pub async fn send(
         &self,
         engine: &BackEndName,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         is_repeatable: bool,
-    ) -> Result<UpstreamAnswer, AttemptFailure> {
-        let progress = SendProgress::default();
-        self.send_telling(engine, address, request, is_repeatable, &progress)
-            .await
-    }
-
-    /// The same, telling meanwhile on what connection the request was sent.
-    pub async fn send_telling(
-        &self,
-        engine: &BackEndName,
-        address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        is_repeatable: bool,
-        progress: &SendProgress,
+        used: &Cell<Option<ConnectionUse>>,
     ) -> Result<UpstreamAnswer, AttemptFailure> {
         let most_idle = match is_repeatable {
             true => MOST_IDLE,
@@ -85,7 +73,10 @@
                 Some(connection) => connection,
                 None => Connection::open(address, &self.settings, self.clock).await?,
             };
-            progress.note_sent(self.clock.now(), is_kept);
+            used.set(Some(match is_kept {
+                true => ConnectionUse::Kept,
+                false => ConnectionUse::New,
+            }));
             let sent = connection.sender.try_send_request(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,7 +15,7 @@
 use ryerouter_gateway::clock::Clock;
 use ryerouter_gateway::telemetry::Metrics;
 use ryerouter_gateway::upstream::{
-    CallError, CallTerms, ConnectSettings, JsonCaller, SendProgress, Upstream, UpstreamAnswer,
+    CallError, CallTerms, ConnectSettings, ConnectionUse, JsonCaller, Upstream, UpstreamAnswer,
 };
 use slog::{Discard, Logger, o};
 use support::silencing_server::{HELD_PATH, SilencingServer};
@@ -120,7 +121,7 @@
         let request = Request::new(Full::default());
         let answer = self
             .upstream
-            .send(engine, address, request, is_repeatable)
+            .send(engine, address, request, is_repeatable, &Cell::default())
             .await;
         answer.expect("answer")
     }
@@ -347,14 +348,11 @@
         bench.keep_engine_connections(&name, address, 3).await;
         server.silence();
         let sent_at = bench.clock.now();
-        let progress = SendProgress::default();
+        let used = Cell::default();
         let request = Request::new(Full::default());
-        let sending = bench
-            .upstream
-            .send_telling(&name, address, request, true, &progress);
+        let sending = bench.upstream.send(&name, address, request, true, &used);
         let waiting = timeout(Duration::from_millis(50), sending).await;
-        assert!(waiting.is_err() && progress.is_kept());
-        assert!(progress.sent_at().is_some_and(|at| at >= sent_at));
+        assert!(waiting.is_err() && used.get() == Some(ConnectionUse::Kept));
         assert_eq!(bench.upstream.note_silent(&name, sent_at), 2);
         bench.keep_engine_connections(&name, address, 1).await;
         assert_eq!(bench.upstream.note_silent(&name, sent_at), 0);
