--- /dev/null
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -0,0 +1,162 @@
+//! A caller that leaves ends its request, and its engine learns of it within half a second, in every
+//! state that a request may be in.
+
+mod raw_engine;
+mod support;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use raw_engine::{Act, After, FIRST_EVENT, PART, RawEngines, STREAM_HEAD};
+use ryerouter_gateway::catalogue::RequestKind;
+use socket2::{Domain, SockRef, Socket, Type};
+use support::gateway_bench::{GatewayBench, run, settings};
+use support::records::{engine, route, table};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use yare::parameterized;
+
+/// Engines may go on for so long after their caller has left.
+const MOST_AFTER_CLOSE: Duration = Duration::from_millis(500);
+
+const WHOLE_REQUEST: &str = "POST /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\
+     content-length: 2\r\n\r\nab";
+
+async fn bench(kind: RequestKind, addresses: &[SocketAddr]) -> GatewayBench {
+    let mut settings = settings("node-1");
+    // Longer than the bound, so that it can't be what ends an attempt.
+    settings.connect.timeout = 10 * MOST_AFTER_CLOSE;
+    let mut route = route(kind);
+    route.timeout = 20 * MOST_AFTER_CLOSE;
+    let names = ["e1", "e2"];
+    let entries = names.iter().zip(addresses);
+    let entries = entries.map(|(name, address)| engine(name, *address, 1));
+    GatewayBench::start_with(settings, Some(table(1, vec![route])), entries.collect()).await
+}
+
+/// A caller that has sent this text.
+async fn caller(bench: &GatewayBench, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(bench.address).await.expect("connect");
+    stream.write_all(text.as_bytes()).await.expect("write");
+    stream
+}
+
+async fn in_time(what: &str, event: impl Future<Output = ()>) {
+    let outcome = tokio::time::timeout(MOST_AFTER_CLOSE, event).await;
+    assert!(outcome.is_ok(), "{what}: not within half a second");
+}
+
+/// Waits until no request is in progress.
+async fn until_idle(bench: &GatewayBench) {
+    while bench.gateway.state().active_requests > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// How a caller leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Close,
+    Reset,
+}
+
+fn leave(stream: TcpStream, way: Way) {
+    if way == Way::Reset {
+        let linger = Some(Duration::ZERO);
+        SockRef::from(&stream).set_linger(linger).expect("linger");
+    }
+    drop(stream);
+}
+
+/// Plays a script up to its last act, which holds the request; then the caller leaves.
+async fn leave_at_the_end_of(kind: RequestKind, script: &[Act], is_answered: bool, way: Way) {
+    let (engines, addresses) = RawEngines::start::<2>(script).await;
+    let bench = bench(kind, &addresses).await;
+    let mut stream = caller(&bench, WHOLE_REQUEST).await;
+    engines.until_arrived(script.len()).await;
+    if is_answered {
+        stream.read_u8().await.expect("begin of the answer");
+    }
+    leave(stream, way);
+    in_time("engine", engines.until_abandoned(1)).await;
+    in_time("gateway", until_idle(&bench)).await;
+    assert_eq!(engines.arrivals(), script.len());
+}
+
+const SILENCE: Act = ("", After::Silence);
+
+#[parameterized(
+    before_the_head = { &[SILENCE] },
+    within_the_head = { &[("HTTP/1.1 200 OK\r\nx-id: ID\r\n", After::Silence)] },
+    within_the_body = { &[(PART, After::Silence)] },
+    at_the_second_attempt = { &[("", After::Close), SILENCE] },
+    at_the_second_attempt_after_part_of_an_answer = { &[(PART, After::Close), SILENCE] },
+)]
+fn engine_learns_in_time_that_the_caller_of_a_whole_answer_left(script: &[Act]) {
+    run(async {
+        for way in [Way::Close, Way::Reset] {
+            leave_at_the_end_of(RequestKind::Safe, script, false, way).await;
+        }
+    });
+}
+
+#[parameterized(
+    before_the_first_event = { &[(STREAM_HEAD, After::Silence)] },
+    between_events = { &[(FIRST_EVENT, After::Silence)] },
+    while_events_come = { &[(FIRST_EVENT, After::Repeat)] },
+    while_the_stream_goes_on_elsewhere = { &[(FIRST_EVENT, After::Close), SILENCE] },
+)]
+fn engine_learns_in_time_that_the_caller_of_a_stream_left(script: &[Act]) {
+    run(async {
+        for way in [Way::Close, Way::Reset] {
+            leave_at_the_end_of(RequestKind::Streaming, script, true, way).await;
+        }
+    });
+}
+
+/// An address that takes no further connection and refuses none either.
+fn address_without_an_answer() -> (Socket, std::net::TcpStream, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
+    socket.bind(&any.into()).expect("bind");
+    socket.listen(0).expect("listen");
+    let address = socket.local_addr().expect("address");
+    let address = address.as_socket().expect("address");
+    // Fills the backlog, so that further connections stay half open.
+    let filler = std::net::TcpStream::connect(address).expect("connect");
+    (socket, filler, address)
+}
+
+#[test]
+fn caller_that_leaves_while_an_engine_is_being_connected_leaves_nothing_behind() {
+    run(async {
+        let (_listening, _filler, silent) = address_without_an_answer();
+        let bench = bench(RequestKind::Safe, &[silent]).await;
+        let stream = caller(&bench, WHOLE_REQUEST).await;
+        while bench.gateway.peer_message(true).loads.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        leave(stream, Way::Close);
+        in_time("gateway", until_idle(&bench)).await;
+        assert!(bench.gateway.peer_message(true).loads.is_empty());
+    });
+}
+
+#[test]
+fn request_whose_caller_leaves_within_its_body_reaches_no_engine() {
+    run(async {
+        for way in [Way::Close, Way::Reset] {
+            let (engines, addresses) = RawEngines::start::<2>(&[]).await;
+            let bench = bench(RequestKind::Safe, &addresses).await;
+            let text = WHOLE_REQUEST.strip_suffix('b').expect("body");
+            let stream = caller(&bench, text).await;
+            while bench.gateway.state().active_requests == 0 {
+                tokio::task::yield_now().await;
+            }
+            leave(stream, way);
+            in_time("gateway", until_idle(&bench)).await;
+            assert_eq!(engines.arrivals(), 0);
+        }
+    });
+}
