A test that fails: a caller that had sent more leaves unnoticed

Cause: while bytes wait behind the request that is served, the HTTP library does not look for the end of the caller's connection, so neither gateway nor engine learn of it before the answer. Change: the test alone. What has to change is crates/gateway/src/serve/connection_server.rs.

--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -160,3 +160,20 @@
         }
     });
 }
+
+/// A caller may send its next request before the answer to this one: that hides nothing.
+#[parameterized(
+    next_request = { WHOLE_REQUEST },
+    empty_line = { "\r\n" },
+)]
+fn engine_learns_in_time_that_a_caller_that_had_sent_more_left(more: &str) {
+    run(async {
+        let (engines, addresses) = RawEngines::start::<1>(&[SILENCE]).await;
+        let bench = bench(RequestKind::Safe, &addresses).await;
+        let stream = caller(&bench, &format!("{WHOLE_REQUEST}{more}")).await;
+        engines.until_arrived(1).await;
+        leave(stream, Way::Close);
+        in_time("engine", engines.until_abandoned(1)).await;
+        in_time("gateway", until_idle(&bench)).await;
+    });
+}
