--- /dev/null
+++ b/crates/gateway/tests/early_ends.rs
@@ -0,0 +1,108 @@
+//! An engine that is at work is left to it until the caller's deadline or the route's limit; then the
+//! caller gets its final answer at once.
+
+mod raw_engine;
+mod support;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use raw_engine::{Act, After, FIRST_EVENT, PART, RawEngines, STREAM_HEAD};
+use ryerouter_gateway::catalogue::RequestKind;
+use support::gateway_bench::{GatewayBench, run};
+use support::records::{engine, route, table};
+use support::test_dialect::{ID, PATIENCE_MS};
+use tokio::time::Instant;
+use yare::parameterized;
+
+const LONG: Duration = Duration::from_millis(600);
+const SHORT: Duration = Duration::from_millis(300);
+/// Clocks of two tasks and the timer's grain.
+const GRAIN: Duration = Duration::from_millis(20);
+/// A request may get its final answer this much later than its limit.
+const MOST_LATE: Duration = Duration::from_millis(500);
+
+const SILENCE: Act = ("", After::Silence);
+
+async fn bench(kind: RequestKind, timeout: Duration, addresses: [SocketAddr; 2]) -> GatewayBench {
+    let mut route = route(kind);
+    route.timeout = timeout;
+    // An engine is not left for a target that has passed.
+    route.target_latency = timeout / 10;
+    let [first, second] = addresses;
+    let entries = vec![engine("e1", first, 1), engine("e2", second, 1)];
+    GatewayBench::start(Some(table(1, vec![route])), entries).await
+}
+
+/// Plays one request that an engine holds; tells how long it was left to it, and how long the
+/// caller waited.
+async fn play(kind: RequestKind, act: Act, route: Duration, caller: Duration) -> [Duration; 2] {
+    let (engines, addresses) = RawEngines::start(&[act]).await;
+    let bench = bench(kind, route, addresses).await;
+    let began = Instant::now();
+    let watched = Rc::clone(&engines);
+    let abandoned = tokio::task::spawn_local(async move {
+        watched.until_abandoned(1).await;
+        began.elapsed()
+    });
+    let patience = caller.as_millis().to_string();
+    let headers = [(ID, "r1"), (PATIENCE_MS, patience.as_str())];
+    let answer = bench.call("POST", &headers, "x").await;
+    let waited = began.elapsed();
+    assert!(
+        !answer.status.is_success() || answer.body.is_err(),
+        "{answer:?}"
+    );
+    assert_eq!(engines.arrivals(), 1);
+    [abandoned.await.expect("task"), waited]
+}
+
+#[parameterized(
+    safe = { RequestKind::Safe, SILENCE },
+    at_most_once = { RequestKind::Unsafe, SILENCE },
+    within_a_body = { RequestKind::Safe, (PART, After::Silence) },
+    stream_without_an_answer = { RequestKind::Streaming, SILENCE },
+    within_a_stream = { RequestKind::Streaming, (FIRST_EVENT, After::Silence) },
+)]
+fn engine_is_left_to_its_work_until_the_limit_and_no_longer(kind: RequestKind, act: Act) {
+    run(async move {
+        for (route, caller) in [(SHORT, LONG), (LONG, SHORT)] {
+            let [left_alone, waited] = play(kind, act, route, caller).await;
+            assert!(
+                left_alone + GRAIN >= SHORT,
+                "engine left after {left_alone:?}"
+            );
+            assert!(
+                left_alone <= SHORT + MOST_LATE,
+                "engine kept for {left_alone:?}"
+            );
+            assert!(waited <= SHORT + MOST_LATE, "caller waited for {waited:?}");
+        }
+    });
+}
+
+/// The head of a stream has told nothing yet: the caller's connection ends with the limit.
+#[test]
+fn stream_without_an_event_ends_with_its_limit() {
+    run(async {
+        let (engines, addresses) = RawEngines::start(&[(STREAM_HEAD, After::Silence)]).await;
+        let bench = bench(RequestKind::Streaming, SHORT, addresses).await;
+        let began = Instant::now();
+        let mut stream = tokio::net::TcpStream::connect(bench.address)
+            .await
+            .expect("connect");
+        let text =
+            b"POST /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\ncontent-length: 0\r\n\r\n";
+        tokio::io::AsyncWriteExt::write_all(&mut stream, text)
+            .await
+            .expect("write");
+        let mut bytes = Vec::new();
+        // A reset ends it as a close does.
+        let _ = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut bytes).await;
+        let waited = began.elapsed();
+        assert!(waited + GRAIN >= SHORT, "{waited:?}");
+        assert!(waited <= SHORT + MOST_LATE, "{waited:?}");
+        engines.until_abandoned(1).await;
+    });
+}
--- a/crates/gateway/tests/raw_engine/mod.rs
+++ b/crates/gateway/tests/raw_engine/mod.rs
@@ -1,4 +1,5 @@
 //! Engines that share one script and are written byte by byte, so that an answer may stop anywhere.
+#![allow(dead_code, reason = "each test file uses part of it")]
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
