Hold that a body that comes after the limit reaches no engine

Taking the abort out of abort_on_drop.rs is caught by none: in these states the library closes the connection by itself.

--- a/crates/gateway/tests/early_ends.rs
+++ b/crates/gateway/tests/early_ends.rs
@@ -106,3 +106,31 @@
         engines.until_abandoned(1).await;
     });
 }
+
+/// The limit counts from the head, so a body that comes later than it is of no use to an engine.
+#[test]
+fn request_whose_body_comes_after_its_limit_reaches_no_engine() {
+    run(async {
+        let (engines, addresses) = RawEngines::start(&[]).await;
+        let bench = bench(RequestKind::Unsafe, SHORT, addresses).await;
+        let mut stream = tokio::net::TcpStream::connect(bench.address)
+            .await
+            .expect("connect");
+        let text =
+            b"POST /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\ncontent-length: 2\r\n\r\na";
+        tokio::io::AsyncWriteExt::write_all(&mut stream, text)
+            .await
+            .expect("write");
+        tokio::time::sleep(SHORT + GRAIN).await;
+        // The gateway may have answered, or closed the connection, by now.
+        let _ = tokio::io::AsyncWriteExt::write_all(&mut stream, b"b").await;
+        let mut head = [0; 12];
+        let read = tokio::io::AsyncReadExt::read_exact(&mut stream, &mut head).await;
+        let is_success = read.is_ok() && head.ends_with(b"200");
+        assert!(!is_success);
+        // Whatever was still under way would have arrived before this one.
+        let next = bench.call("POST", &[(ID, "r2")], "x").await;
+        assert!(next.status.is_success());
+        assert_eq!(engines.arrivals(), 1);
+    });
+}
