Pause after a failed accept on every listener

Cause: serve_directory and serve_metrics tried to accept again at once after an error, without a pause and without a log line.

Change: one accept loop, serve/accept_loop.rs, for callers, questions of the platform and metrics: it pauses 20 ms after a failure, and writes one line in 5 s for each listener with the count of those left out. Before, the callers' loop wrote fifty lines a second.

--- a/crates/gateway/src/serve/connection_server.rs
+++ b/crates/gateway/src/serve/connection_server.rs
@@ -2,38 +2,28 @@
 
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
+use super::accept_loop::accept_connections;
 use super::respond::respond;
 use crate::catalogue::CallerLimits;
 use crate::gateway::Gateway;
 
-/// Wait after an accept that failed, as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Smallest read buffer that the library allows.
 const LEAST_BUFFER_BYTES: usize = 8_192;
 
 /// Accepts connections of callers and serves their requests, until dropped.
 pub async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(Rc::clone(&gateway), stream));
-            }
-            Err(error) => {
-                warn!(gateway.log(), "accept_failed"; "error" => %error);
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let shared = Rc::clone(&gateway);
+    let serve = move |stream| {
+        spawn_local(serve_connection(Rc::clone(&shared), stream));
+    };
+    accept_connections(gateway, listener, serve).await;
 }
 
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
