Bound callers' connections by the process's descriptors

Cause: idle callers could take all descriptors until idleTimeoutMs. A node that said that it was ready then answered 0 of 7 new callers in 3 s.

Change: each listener has a bound on its open connections, a part of the limit of open files (rustix getrlimit, already in Cargo.lock; asked for at each accept, since it may be changed from outside). The parts are reasoned in connections/descriptor_share.rs. Past the bound the connection that has been idle longest is closed as planned; one with a request in progress never is, and one on which a request came meanwhile stays open. An accept that fails for want of descriptors closes one too. The accept loop moves to the new module connections, which serves the connections of all listeners.

Tests changed (platform/tests/few_descriptors.rs): - idle_callers waited until the node had used all its descriptors, which it no longer does. It now asserts that the newest of 100 idle callers is answered, and that the oldest was closed for it. - node_without_descriptors_that_says_that_it_is_ready_takes_connections was satisfied by one answer, or by a node that doesn't say that it is ready: now the node has to be ready and to answer all 7. - node_without_descriptors_does_not_use_up_its_processor takes the limit below what is open, so that each accept fails. New: room_for_callers.rs (8 cases), idle_callers_leave_descriptors_to_the_node.

The look at bytes that wait in the kernel before a close has no test that fails without it: here the runtime hears of them in the same turn.

--- /dev/null
+++ b/crates/gateway/src/connections/connection_use.rs
@@ -0,0 +1,76 @@
+//! What one connection is used for now.
+
+use std::cell::Cell;
+
+use ryerouter_core::Timestamp;
+use tokio::sync::Notify;
+
+/// What one connection is used for now.
+#[derive(Debug)]
+pub(super) struct ConnectionUse {
+    in_progress: Cell<u32>,
+    begun: Cell<u64>,
+    idle_since: Cell<Timestamp>,
+    is_asked_to_close: Cell<bool>,
+    asked: Notify,
+}
+
+impl ConnectionUse {
+    /// One that was opened now and has served nothing.
+    pub(super) fn new(now: Timestamp) -> Self {
+        Self {
+            in_progress: Cell::new(0),
+            begun: Cell::new(0),
+            idle_since: Cell::new(now),
+            is_asked_to_close: Cell::new(false),
+            asked: Notify::new(),
+        }
+    }
+
+    pub(super) fn begin_request(&self) {
+        self.in_progress.set(self.in_progress.get() + 1);
+        self.begun.set(self.begun.get() + 1);
+    }
+
+    pub(super) fn end_request(&self, now: Timestamp) {
+        self.in_progress.set(self.in_progress.get() - 1);
+        self.idle_since.set(now);
+    }
+
+    /// Since when no request is in progress; `None` while one is, or once it was asked to close.
+    pub(super) fn idle_since(&self) -> Option<Timestamp> {
+        let may_close = !self.has_request() && !self.is_asked_to_close.get();
+        may_close.then(|| self.idle_since.get())
+    }
+
+    /// Whether a request is in progress: its head was read, its answer is not complete.
+    pub(super) fn has_request(&self) -> bool {
+        self.in_progress.get() > 0
+    }
+
+    /// Whether any request was read on it.
+    pub(super) fn has_served(&self) -> bool {
+        self.begun.get() > 0
+    }
+
+    pub(super) fn is_asked_to_close(&self) -> bool {
+        self.is_asked_to_close.get()
+    }
+
+    /// Asks its task to close it.
+    pub(super) fn ask_to_close(&self) {
+        self.is_asked_to_close.set(true);
+        self.asked.notify_one();
+    }
+
+    /// A request came in time: it stays open.
+    pub(super) fn stay_open(&self, now: Timestamp) {
+        self.is_asked_to_close.set(false);
+        self.idle_since.set(now);
+    }
+
+    /// Resolves once it is asked to close.
+    pub(super) async fn asked_to_close(&self) {
+        self.asked.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connections/mod.rs
@@ -0,0 +1,19 @@
+//! Connections of callers, and of those who ask for figures and addresses: accepting them, how many
+//! may be open, serving one until its end.
+
+mod accept_failures;
+mod accept_loop;
+mod connection_use;
+mod counted_body;
+mod descriptor_share;
+mod open_connection;
+mod open_connections;
+mod request_in_progress;
+mod serving;
+mod shared_stream;
+
+pub use accept_loop::accept_connections;
+pub use descriptor_share::DescriptorShare;
+pub use open_connection::OpenConnection;
+pub use open_connections::OpenConnections;
+pub use serving::serve_connection;
--- /dev/null
+++ b/crates/gateway/src/connections/open_connection.rs
@@ -0,0 +1,45 @@
+//! One open connection.
+
+use std::rc::Rc;
+
+use super::OpenConnections;
+use super::connection_use::ConnectionUse;
+use super::request_in_progress::RequestInProgress;
+
+/// One open connection; it counts until this is dropped.
+pub struct OpenConnection {
+    connections: Rc<OpenConnections>,
+    id: u64,
+    usage: Rc<ConnectionUse>,
+}
+
+impl OpenConnection {
+    pub(super) fn new(connections: Rc<OpenConnections>, id: u64, usage: Rc<ConnectionUse>) -> Self {
+        Self {
+            connections,
+            id,
+            usage,
+        }
+    }
+
+    pub(super) fn usage(&self) -> &ConnectionUse {
+        &self.usage
+    }
+
+    /// A request begins; it lasts until the value is dropped.
+    pub(super) fn begin_request(&self) -> RequestInProgress {
+        RequestInProgress::begin(&self.connections, &self.usage)
+    }
+
+    /// A request came before the connection was closed: another makes room.
+    pub(super) fn stay_open(&self) {
+        self.usage.stay_open(self.connections.now());
+        self.connections.note_change();
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.connections.forget(self.id);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connections/serving.rs
@@ -0,0 +1,68 @@
+//! Serving one connection.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::pin::pin;
+use std::rc::Rc;
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::OpenConnection;
+use super::counted_body::CountedBody;
+use super::shared_stream::{SharedStream, StreamView};
+
+/// Answers the requests of one connection until it ends, is closed to make room for another, or the
+/// node leaves, which `left` tells.
+pub async fn serve_connection<A, R, B>(
+    connection: OpenConnection,
+    stream: TcpStream,
+    server: http1::Builder,
+    left: impl Future<Output = ()>,
+    answer: A,
+) where
+    A: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Result<Response<B>, Infallible>>,
+    B: Body + Unpin + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let connection = Rc::new(connection);
+    let (stream, view) = SharedStream::new(stream);
+    let owner = Rc::clone(&connection);
+    let service = service_fn(|request| {
+        let progress = owner.begin_request();
+        let answer = answer(request);
+        async {
+            let response = answer.await?;
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, progress)))
+        }
+    });
+    let mut served = pin!(server.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        // Requests that have come are begun before anything else is decided.
+        biased;
+        // A caller that breaks off has ended its requests itself.
+        _ = served.as_mut() => return,
+        () = left => {}
+        () = until_closed(&connection, &view) => if !connection.usage().has_served() {
+            return;
+        },
+    }
+    served.as_mut().graceful_shutdown();
+    let _ = served.await;
+}
+
+/// Resolves once the connection is to be closed and no request has come meanwhile.
+async fn until_closed(connection: &OpenConnection, view: &StreamView) {
+    loop {
+        connection.usage().asked_to_close().await;
+        if !connection.usage().has_request() && !view.has_unread() {
+            return;
+        }
+        connection.stay_open();
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod catalogue;
 pub mod clock;
+pub mod connections;
 pub mod engines;
 pub mod gateway;
 pub mod peers;
--- a/crates/gateway/src/serve/connection_server.rs
+++ b/crates/gateway/src/serve/connection_server.rs
@@ -1,17 +1,17 @@
 //! Connections of callers.
 
-use std::pin::pin;
 use std::rc::Rc;
 
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use super::accept_loop::accept_connections;
 use super::respond::respond;
 use crate::catalogue::CallerLimits;
+use crate::connections::{
+    DescriptorShare, OpenConnection, OpenConnections, accept_connections, serve_connection,
+};
 use crate::gateway::Gateway;
 
 /// Smallest read buffer that the library allows.
@@ -19,32 +19,33 @@
 
 /// Accepts connections of callers and serves their requests, until dropped.
 pub async fn serve_callers(gateway: Rc<Gateway>, listener: TcpListener) {
-    let shared = Rc::clone(&gateway);
-    let serve = move |stream| {
-        spawn_local(serve_connection(Rc::clone(&shared), stream));
+    let connections = OpenConnections::within(&gateway, DescriptorShare::Callers);
+    serve_callers_on(gateway, listener, connections).await;
+}
+
+/// The same with another bound on how many there may be.
+pub async fn serve_callers_on(
+    gateway: Rc<Gateway>,
+    listener: TcpListener,
+    connections: Rc<OpenConnections>,
+) {
+    let serve = move |stream, connection| {
+        spawn_local(serve_caller(Rc::clone(&gateway), stream, connection));
     };
-    accept_connections(gateway, listener, serve).await;
+    accept_connections(connections, listener, serve).await;
 }
 
-async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, connection: OpenConnection) {
     // Without it answers only come later.
     let _ = stream.set_nodelay(true);
     let limits = caller_limits(&gateway);
-    let shared = Rc::clone(&gateway);
-    let service = service_fn(move |request| respond(Rc::clone(&shared), request));
-    let connection = http1::Builder::new()
+    let mut server = http1::Builder::new();
+    server
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
-        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
-    tokio::select! {
-        // A caller that breaks off has ended its requests itself.
-        _ = connection.as_mut() => return,
-        () = gateway.left() => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES));
+    let answer = |request| respond(Rc::clone(&gateway), request);
+    serve_connection(connection, stream, server, gateway.left(), answer).await;
 }
 
 fn caller_limits(gateway: &Gateway) -> CallerLimits {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -1,7 +1,5 @@
 //! The life of a request: intake, attempts, answer.
 
-mod accept_failures;
-mod accept_loop;
 mod accepted_request;
 mod active_request;
 mod answer_body;
@@ -16,8 +14,7 @@
 mod respond;
 mod stream_relay;
 
-pub use accept_loop::accept_connections;
 pub use accepted_request::AcceptedRequest;
 pub use answer_body::AnswerBody;
-pub use connection_server::serve_callers;
+pub use connection_server::{serve_callers, serve_callers_on};
 pub use planned_stop::{StopSettings, planned_stop};
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -13,13 +13,14 @@
 use ryerouter_core::identity::{NodeName, ZoneName};
 use ryerouter_core::quota::Tolerance;
 use ryerouter_gateway::catalogue::RoutingTable;
+use ryerouter_gateway::connections::OpenConnections;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
 use ryerouter_gateway::peers::NodeIdentity;
 use ryerouter_gateway::placement::PlacementPrices;
 use ryerouter_gateway::retry::RetrySettings;
 use ryerouter_gateway::rollout::RolloutSettings;
-use ryerouter_gateway::serve::{StopSettings, planned_stop, serve_callers};
+use ryerouter_gateway::serve::{StopSettings, planned_stop, serve_callers, serve_callers_on};
 use ryerouter_gateway::source::{Item, ItemChange, ItemKind};
 use ryerouter_gateway::upstream::ConnectSettings;
 use slog::{Logger, o};
@@ -145,6 +146,28 @@
         }
     }
 
+    /// Serves at most so many callers' connections at once.
+    pub async fn start_bounded(
+        most: usize,
+        table: Option<RoutingTable>,
+        entries: Vec<EngineEntry>,
+    ) -> Self {
+        let gateway = gateway("node-1");
+        if let Some(table) = table {
+            configure(&gateway, table);
+        }
+        list_engines(&gateway, entries);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let connections = OpenConnections::at_most(&gateway, move || most);
+        let serving = serve_callers_on(Rc::clone(&gateway), listener, connections);
+        Self {
+            gateway,
+            address,
+            accepting: Some(spawn_local(serving)),
+        }
+    }
+
     /// Begins a planned stop; the task returned ends with it.
     pub fn stop(&mut self, settings: StopSettings) -> JoinHandle<()> {
         let gateway = Rc::clone(&self.gateway);
