See that a caller left also while its next request waits

Cause: while bytes wait behind the request that is being served, the library does not look for the end of the connection (mid_message_detect_eof), so the engine went on until the answer.

Change: the socket is watched beside the library (connections/shared_stream.rs): one registration with the runtime for "read closed", which the system tells once for an end or a reset and for nothing else, so no polling and no wake-up for bytes. With a request in progress the connection is dropped, as the library does when it sees the end itself; without one it is closed as planned. Also during a planned stop.

A caller that closes its side only: left in both cases now. With nothing waiting that was so before; with bytes waiting it was answered before.

Tests: the two failing cases pass, and also with a reset (stricter); new: 60 kB more, streams, during a stop, callers that close their side, and that a caller which sends more and stays gets all its answers.

--- a/crates/gateway/src/connections/serving.rs
+++ b/crates/gateway/src/connections/serving.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::error::Error;
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -51,9 +52,28 @@
         () = until_closed(&connection, &view) => if !connection.usage().has_served() {
             return;
         },
+        () = view.closed_by_peer() => if connection.usage().has_request() {
+            return;
+        },
     }
     served.as_mut().graceful_shutdown();
-    let _ = served.await;
+    tokio::select! {
+        biased;
+        _ = served => {}
+        () = until_abandoned(&connection, &view) => {}
+    }
+}
+
+/// Resolves once the peer has left while a request is in progress.
+///
+/// The library looks for the end of a connection itself, but not while bytes wait behind the
+/// request, which a caller may send before its answer; see docs/design/news-of-the-pages.md.
+async fn until_abandoned(connection: &OpenConnection, view: &StreamView) {
+    view.closed_by_peer().await;
+    if !connection.usage().has_request() {
+        // The library writes what is left of an answer, and begins no other request.
+        pending::<()>().await;
+    }
 }
 
 /// Resolves once the connection is to be closed and no request has come meanwhile.
--- a/crates/gateway/src/connections/shared_stream.rs
+++ b/crates/gateway/src/connections/shared_stream.rs
@@ -7,7 +7,7 @@
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
@@ -59,6 +59,20 @@
         let stream: &TcpStream = self.stream.as_ref().as_ref();
         matches!(SockRef::from(stream).peek(&mut byte), Ok(1..))
     }
+
+    /// Resolves once the peer has closed the connection, its sending side of it, or reset it, also
+    /// while bytes wait that nobody reads. Costs nothing until then: the system tells of it once.
+    pub(super) async fn closed_by_peer(&self) {
+        loop {
+            // The library waits for bytes, which are there; an end of the stream also counts as
+            // news of this kind, bytes do not.
+            match self.stream.ready(Interest::PRIORITY).await {
+                Ok(ready) if !ready.is_read_closed() => {}
+                // Without the socket the library will not get further either.
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
 }
 
 impl AsyncRead for SharedStream {
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -161,19 +161,107 @@
     });
 }
 
+/// The head of a request with a long body.
+const LONG_TEXT: &str = "POST /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r2\r\n\
+     content-length: 60000\r\n\r\n";
+
 /// A caller may send its next request before the answer to this one: that hides nothing.
 #[parameterized(
     next_request = { WHOLE_REQUEST },
     empty_line = { "\r\n" },
 )]
 fn engine_learns_in_time_that_a_caller_that_had_sent_more_left(more: &str) {
+    run(async {
+        for way in [Way::Close, Way::Reset] {
+            leave_after_more(RequestKind::Safe, SILENCE, more.as_bytes(), way).await;
+        }
+    });
+}
+
+/// The library's buffer does not take all of it, so that bytes wait in the kernel too.
+#[test]
+fn engine_learns_in_time_that_a_caller_that_had_sent_much_more_left() {
+    run(async {
+        let more = [LONG_TEXT.as_bytes(), &[b'a'; 60_000]].concat();
+        for way in [Way::Close, Way::Reset] {
+            leave_after_more(RequestKind::Safe, SILENCE, &more, way).await;
+        }
+    });
+}
+
+#[parameterized(
+    before_the_first_event = { (STREAM_HEAD, After::Silence) },
+    between_events = { (FIRST_EVENT, After::Silence) },
+)]
+fn engine_learns_in_time_that_the_caller_of_a_stream_that_had_sent_more_left(act: Act) {
+    run(async {
+        for way in [Way::Close, Way::Reset] {
+            leave_after_more(RequestKind::Streaming, act, WHOLE_REQUEST.as_bytes(), way).await;
+        }
+    });
+}
+
+async fn leave_after_more(kind: RequestKind, act: Act, more: &[u8], way: Way) {
+    let (engines, addresses) = RawEngines::start::<1>(&[act]).await;
+    let bench = bench(kind, &addresses).await;
+    let mut stream = caller(&bench, WHOLE_REQUEST).await;
+    stream.write_all(more).await.expect("write");
+    engines.until_arrived(1).await;
+    leave(stream, way);
+    in_time("engine", engines.until_abandoned(1)).await;
+    in_time("gateway", until_idle(&bench)).await;
+    assert_eq!(engines.arrivals(), 1);
+}
+
+/// A planned stop waits for what runs, but not for one whose caller has left.
+#[test]
+fn engine_learns_in_time_that_a_caller_that_had_sent_more_left_while_the_node_stops() {
     run(async {
         let (engines, addresses) = RawEngines::start::<1>(&[SILENCE]).await;
         let bench = bench(RequestKind::Safe, &addresses).await;
-        let stream = caller(&bench, &format!("{WHOLE_REQUEST}{more}")).await;
+        let stream = caller(&bench, &format!("{WHOLE_REQUEST}{WHOLE_REQUEST}")).await;
         engines.until_arrived(1).await;
+        bench.gateway.leave();
+        tokio::task::yield_now().await;
         leave(stream, Way::Close);
         in_time("engine", engines.until_abandoned(1)).await;
         in_time("gateway", until_idle(&bench)).await;
+        assert_eq!(engines.arrivals(), 1);
+    });
+}
+
+/// A caller that has closed its side of the connection can't be told from one that has closed all of
+/// it, so it has left; whether it had sent more makes no difference.
+#[parameterized(
+    nothing_more = { "" },
+    next_request = { WHOLE_REQUEST },
+)]
+fn caller_that_closes_its_side_has_left(more: &str) {
+    run(async {
+        let (engines, addresses) = RawEngines::start::<1>(&[SILENCE]).await;
+        let bench = bench(RequestKind::Safe, &addresses).await;
+        let mut stream = caller(&bench, &format!("{WHOLE_REQUEST}{more}")).await;
+        engines.until_arrived(1).await;
+        stream.shutdown().await.expect("shutdown");
+        in_time("engine", engines.until_abandoned(1)).await;
+        in_time("gateway", until_idle(&bench)).await;
+        assert_eq!(engines.arrivals(), 1);
+    });
+}
+
+/// What a caller sends before its answer is answered in turn as long as it stays.
+#[test]
+fn caller_that_sends_more_and_stays_gets_all_answers() {
+    run(async {
+        let (engines, addresses) = RawEngines::start::<1>(&[]).await;
+        let bench = bench(RequestKind::Safe, &addresses).await;
+        let mut stream = caller(&bench, &WHOLE_REQUEST.repeat(3)).await;
+        for _ in 0..3 {
+            let mut text = Vec::new();
+            while !text.ends_with(b"\r\n\r\nok") {
+                text.push(stream.read_u8().await.expect("answer"));
+            }
+        }
+        assert_eq!(engines.arrivals(), 3);
     });
 }
