Bound the time in which a caller's body comes

Cause: a body had no limit in time. A caller that stalled in it kept its connection for good, got no answer at its limit, and a planned stop waited for it until the grace period ended.

Change: serve/body_reader.rs. A pause in a body may last as long as a caller may be idle (CallerLimits::idle_timeout; then 408, body_too_slow), and all of it has to come within the request's time, which counts from the head (then 503, deadline_not_run); without a route, within the idle time. Nothing of such a request was sent to an engine, so both say the truth. The limit of heads is not used: it is meant for something short.

--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -32,6 +32,9 @@
     /// The caller's body broke off.
     #[display("body_broken")]
     BodyBroken,
+    /// The caller's body did not come in time.
+    #[display("body_too_slow")]
+    BodyTooSlow,
     /// No engine takes work now.
     #[display("no_engine")]
     NoEngine,
@@ -83,12 +86,13 @@
         !may_run.contains(&self.reason)
     }
 
-    /// The status of the answer: 503 promises that the request has not run, 502 and 504 do not.
+    /// The status of the answer: 408 and 503 promise that the request has not run, 502 and 504 do not.
     pub fn status(&self) -> StatusCode {
         match self.reason {
             RefusalReason::NoRoute => StatusCode::NOT_FOUND,
             RefusalReason::UnknownKey => StatusCode::UNAUTHORIZED,
             RefusalReason::BadRequest | RefusalReason::BodyBroken => StatusCode::BAD_REQUEST,
+            RefusalReason::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             RefusalReason::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RefusalReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             RefusalReason::MayHaveRun => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use ryerouter_core::Timestamp;
 
 use super::accepted_request::AcceptedRequest;
+use super::body_reader::BodyReader;
 use super::forwarded_headers::keep_forwarded;
 use crate::catalogue::{Route, RoutingTable, Tenant};
 use crate::gateway::Gateway;
@@ -30,8 +30,13 @@
     body: Incoming,
     arrived_at: Timestamp,
 ) -> Result<AcceptedRequest, Refusal> {
-    let limit = body_limit(gateway);
-    let body = read_body(body, limit).await?;
+    let body = match body.is_end_stream() {
+        true => Bytes::new(),
+        false => {
+            let reader = body_reader(gateway, &caller, &head, arrived_at);
+            reader.read(body).await?
+        }
+    };
     let table = gateway.state().table.clone().ok_or_else(|| {
         Refusal::new(RefusalReason::NoConfiguration, "no configuration yet")
             .come_back_after(COME_BACK_AFTER)
@@ -42,7 +47,7 @@
         Refusal::new(RefusalReason::NoEngine, "route without a pool")
             .come_back_after(COME_BACK_AFTER)
     })?;
-    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let patience = patience(&caller, &route);
     let mut headers = head.headers;
     keep_forwarded(&mut headers);
     let uri = head.uri.path_and_query().cloned();
@@ -61,27 +66,32 @@
     })
 }
 
-fn body_limit(gateway: &Gateway) -> usize {
-    let state = gateway.state();
-    let table = state.table.as_ref();
-    table.map_or_else(
-        || crate::catalogue::CallerLimits::default().body_bytes,
-        |table| table.limits().body_bytes,
-    )
+/// The bounds of a body. It is of no use after the time that its route gives the request, which
+/// counts from the head; one that leads nowhere has as long as a caller may be idle.
+fn body_reader(
+    gateway: &Gateway,
+    caller: &CallerRequest,
+    head: &Parts,
+    arrived_at: Timestamp,
+) -> BodyReader {
+    let table = gateway.state().table.clone();
+    let limits = table.as_ref().map(|table| table.limits().clone());
+    let limits = limits.unwrap_or_default();
+    let route = table.and_then(|table| find_route(&table, head).ok());
+    let (time, late) = match route {
+        Some(route) => (patience(caller, &route), RefusalReason::DeadlineNotRun),
+        None => (limits.idle_timeout, RefusalReason::BodyTooSlow),
+    };
+    BodyReader {
+        most_bytes: limits.body_bytes,
+        longest_pause: limits.idle_timeout,
+        deadline: gateway.clock().instant(arrived_at.after(time)),
+        late,
+    }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let detail = format!("body: longer than {limit} bytes");
-            Err(Refusal::new(RefusalReason::BodyTooLarge, detail))
-        }
-        Err(error) => {
-            let detail = format!("body: {error}");
-            Err(Refusal::new(RefusalReason::BodyBroken, detail))
-        }
-    }
+fn patience(caller: &CallerRequest, route: &Route) -> Duration {
+    caller.patience.unwrap_or(route.timeout).min(route.timeout)
 }
 
 fn find_route(table: &RoutingTable, head: &Parts) -> Result<Rc<Route>, Refusal> {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod answer_body;
 mod attempt;
 mod attempt_end;
+mod body_reader;
 mod connection_server;
 mod exchange;
 mod forwarded_headers;
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -49,6 +49,11 @@
         body_bytes: 1_000,
         ..CallerLimits::default()
     };
+    table_with_limits(version, routes, limits)
+}
+
+/// The same with these limits of callers.
+pub fn table_with_limits(version: u64, routes: Vec<Route>, limits: CallerLimits) -> RoutingTable {
     let pools = vec![plain_pool()];
     RoutingTable::new(version, routes, pools, Vec::new(), vec![tenant()], limits)
 }
