Hold the state of an answer once for each connection

The service of a connection awaited the answer in an async block, which holds the awaited state twice, and the library keeps room for it as long as the connection lasts.

Change: a mapped future instead of the block.

--- a/crates/gateway/src/connections/serving.rs
+++ b/crates/gateway/src/connections/serving.rs
@@ -4,8 +4,8 @@
 use std::error::Error;
 use std::future::pending;
 use std::pin::pin;
-use std::rc::Rc;
 
+use futures_util::TryFutureExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -31,16 +31,12 @@
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let connection = Rc::new(connection);
     let (stream, view) = SharedStream::new(stream);
-    let owner = Rc::clone(&connection);
     let service = service_fn(|request| {
-        let progress = owner.begin_request();
+        let progress = connection.begin_request();
+        // Not an async block: that would hold the answer's state twice, for each connection.
         let answer = answer(request);
-        async {
-            let response = answer.await?;
-            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, progress)))
-        }
+        answer.map_ok(|response| response.map(|body| CountedBody::new(body, progress)))
     });
     let mut served = pin!(server.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
