--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod answer_body;
 mod attempt;
 mod attempt_end;
+mod body_reader;
 mod connection_server;
 mod doubt;
 mod exchange;
@@ -20,5 +21,5 @@
 
 pub use accepted_request::AcceptedRequest;
 pub use answer_body::AnswerBody;
-pub use connection_server::serve_callers;
+pub use connection_server::{serve_callers, serve_callers_on};
 pub use planned_stop::{StopSettings, planned_stop};
