Believe an idle connection to an engine while one that was open as long is heard from

Change: what silences connections mostly silences all that are open at one moment, so an idle one is used while a connection as old has been heard from within 250 ms (heads, ends and events of answers); one that was opened later says nothing. The ages go back to 4 s and 1.5 s.

--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -27,7 +27,6 @@
     pub(super) body: Incoming,
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
-    /// When the attempt began.
     /// From the attempt's begin to the head.
     pub(super) head_after: Duration,
     connection: Connection,
@@ -73,6 +72,11 @@
         })
     }
 
+    /// A part of the answer has come.
+    pub(super) fn note_heard(&self, gateway: &Gateway) {
+        gateway.upstream().note_heard(&self.connection);
+    }
+
     /// Keeps the connection of an answer that was read to its end.
     pub(super) fn release(self, gateway: &Gateway) -> Placement {
         if self.keeps_connection {
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -191,6 +191,7 @@
                 None => return Received::End,
                 Some(Err(error)) => return Received::Broken(error.to_string()),
                 Some(Ok(frame)) => {
+                    live.note_heard(&self.exchange.gateway);
                     if let Ok(bytes) = frame.into_data() {
                         return Received::Bytes(bytes);
                     }
--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -16,10 +16,11 @@
 /// Longest time for an answer; the source answers within milliseconds, when it is slow within some
 /// hundred.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
-/// Wait after a question that got no answer; doubles up to [`LONGEST_PAUSE`].
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest wait after a question that got no answer.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Wait after a question that got no answer, though it was repeated on a new connection: the source
+/// is in trouble. Doubles up to [`LONGEST_PAUSE`], since each failed question costs its operators.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest wait after a question that got no answer; the watch beside notices the return as well.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
 
 /// Asks the source whenever neither this node nor another has proved a copy current for some time.
 ///
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -13,18 +13,19 @@
 use ryerouter_core::identity::BackEndName;
 
 use super::answer_times::LEAST_PATIENCE;
+use super::hearings::Hearings;
 use super::idle_connections::IdleConnections;
 use super::{AttemptFailure, ConnectSettings, Connection, ConnectionUse, Silence, UpstreamAnswer};
 use crate::clock::Clock;
 
-/// Idle connections that a repeatable request may use. A connection may have fallen silent since it
-/// was last heard from, which [`Silence`] tells only once some call has shown it: until then each
-/// request on such a connection waits in vain, while opening another one costs a round trip. Under
-/// an even load of some requests a second for each engine most requests still find one.
-const MOST_IDLE: Duration = Duration::from_secs(1);
-/// The same for a request that must not run twice: silence would lose it, and so would a close that
-/// crosses it. So the connection must have been heard from within what an answer may take anyway.
-const MOST_IDLE_UNREPEATABLE: Duration = LEAST_PATIENCE;
+/// Idle connections that a repeatable request may use.
+const MOST_IDLE: Duration = Duration::from_secs(4);
+/// The same for a request that must not run twice: a close that crosses it would lose it.
+const MOST_IDLE_UNREPEATABLE: Duration = Duration::from_millis(1_500);
+/// A connection may have fallen silent since it was last heard from, which [`Silence`] tells only once
+/// some call has shown it. So one that was open as long must have been heard from within this time,
+/// which is what an answer may take anyway; opening another connection costs a round trip.
+const MOST_UNHEARD: Duration = LEAST_PATIENCE;
 
 /// Sends requests to engines, on kept connections where possible.
 #[derive(Debug)]
@@ -32,6 +33,7 @@
     settings: ConnectSettings,
     clock: Clock,
     silence: Rc<Silence>,
+    hearings: Hearings,
     idle: RefCell<HashMap<BackEndName, IdleConnections>>,
 }
 
@@ -42,6 +44,7 @@
             settings,
             clock,
             silence: Rc::default(),
+            hearings: Hearings::default(),
             idle: RefCell::default(),
         }
     }
@@ -80,6 +83,7 @@
             let sent = connection.sender.try_send_request(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
+                    self.note_heard(&connection);
                     let (head, body) = answer.into_parts();
                     return Ok(UpstreamAnswer {
                         head,
@@ -106,7 +110,7 @@
         mut connection: Connection,
         idle_timeout: Option<Duration>,
     ) {
-        connection.heard_at.set(self.clock.now());
+        self.note_heard(&connection);
         if idle_timeout.is_some() {
             connection.idle_timeout = idle_timeout;
         }
@@ -114,9 +118,17 @@
         idle.entry(engine.clone()).or_default().put(connection);
     }
 
+    /// A connection has carried a part of an answer.
+    pub fn note_heard(&self, connection: &Connection) {
+        let now = self.clock.now();
+        connection.heard_at.set(now);
+        self.hearings.note(connection.opened_at, now);
+    }
+
     /// Closes connections that were idle for long.
     pub fn sweep(&self) {
         let now = self.clock.now();
+        self.hearings.forget_before(now.before(MOST_IDLE));
         let mut idle = self.idle.borrow_mut();
         idle.retain(|_, connections| {
             connections.sweep(now, MOST_IDLE, &self.silence);
@@ -146,7 +158,11 @@
     ) -> Option<Connection> {
         let now: Timestamp = self.clock.now();
         let mut idle = self.idle.borrow_mut();
+        let is_believed = |heard_at| {
+            let last = self.hearings.last_of_open_at(heard_at);
+            last.is_some_and(|last| now.since(last) < MOST_UNHEARD)
+        };
         idle.get_mut(engine)?
-            .take(address, now, most_idle, &self.silence)
+            .take(address, now, most_idle, &self.silence, is_believed)
     }
 }
--- a/crates/gateway/src/upstream/idle_connections.rs
+++ b/crates/gateway/src/upstream/idle_connections.rs
@@ -29,9 +29,16 @@
         now: Timestamp,
         most_idle: Duration,
         silence: &Silence,
+        is_believed: impl Fn(Timestamp) -> bool,
     ) -> Option<Connection> {
         while let Some(connection) = self.connections.pop() {
-            let is_suspect = silence.is_suspect(connection.heard_at.get());
+            let heard_at = connection.heard_at.get();
+            if !is_believed(heard_at) {
+                // Nor are those that have been idle for longer; news of them may still come.
+                self.connections.push(connection);
+                return None;
+            }
+            let is_suspect = silence.is_suspect(heard_at);
             let is_usable = connection.is_usable(now, most_idle) && !is_suspect;
             if connection.address == address && is_usable {
                 return Some(connection);
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 mod connector;
 mod engine_sender;
 mod exchange;
+mod hearings;
 mod idle_connections;
 mod json_caller;
 mod sent_call;
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -360,26 +360,68 @@
     });
 }
 
+/// What was heard from shortly before a request: nothing, or a connection to another engine that was
+/// opened before the idle one was last used, or after.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Nothing,
+    Older,
+    Younger,
+}
+
 #[parameterized(
-    repeatable = { 900, true, true },
-    repeatable_idle_for_long = { 1_100, true, false },
-    once_only = { 150, false, true },
-    once_only_idle_for_long = { 300, false, false },
+    idle_for_a_moment = { 200, Heard::Nothing, false, true },
+    nothing_heard_since = { 300, Heard::Nothing, true, false },
+    older_heard = { 1_400, Heard::Older, false, true },
+    older_heard_repeatable = { 3_900, Heard::Older, true, true },
+    younger_heard = { 1_400, Heard::Younger, true, false },
+    idle_for_too_long = { 1_600, Heard::Older, false, false },
+    idle_for_too_long_repeatable = { 4_100, Heard::Older, true, false },
 )]
-fn request_uses_a_connection_that_was_heard_from_lately(
+fn request_uses_an_idle_connection_while_one_as_old_is_heard_from(
     idle_ms: u64,
+    heard: Heard,
     is_repeatable: bool,
     is_kept: bool,
 ) {
     run(async {
         let (_server, address) = SilencingServer::start().await;
         let name = BackEndName::new("engine-1");
+        let other = BackEndName::new("engine-2");
         let bench = Bench::new();
+        let older = bench.request(&other, address, true).await;
         bench.keep_engine_connections(&name, address, 1).await;
         pause();
         advance(Duration::from_millis(idle_ms)).await;
         resume();
+        let younger = bench.request(&other, address, true).await;
+        assert!(!younger.is_kept);
+        match heard {
+            Heard::Nothing => {}
+            Heard::Older => bench.upstream.note_heard(&older.connection),
+            Heard::Younger => bench.upstream.note_heard(&younger.connection),
+        }
         let answer = bench.request(&name, address, is_repeatable).await;
         assert_eq!(answer.is_kept, is_kept);
     });
 }
+
+/// As in an incident in which connections to all engines fell silent at one moment: what was heard before it
+/// speaks for no connection a moment later.
+#[test]
+fn once_all_fell_silent_requests_go_on_new_connections_within_a_moment() {
+    run(async {
+        let (server, address) = SilencingServer::start().await;
+        let name = BackEndName::new("engine-1");
+        let bench = Bench::new();
+        bench.keep_engine_connections(&name, address, 4).await;
+        server.silence();
+        pause();
+        advance(Duration::from_millis(300)).await;
+        resume();
+        for _ in 0..4 {
+            let answer = bench.request(&name, address, false).await;
+            assert!(!answer.is_kept);
+        }
+    });
+}
