--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -1,19 +1,19 @@
 //! The engines and plain back ends, as this process knows them.
 
-mod answer_times;
 mod begin_times;
 mod engine;
 mod engine_entry;
 mod engine_load;
 mod engine_table;
 mod in_flight;
+mod part_times;
 mod time_estimate;
 
-pub use answer_times::{AnswerTimes, AwaitedPart};
 pub use begin_times::BeginTimes;
 pub use engine::Engine;
 pub use engine_entry::{EngineEntry, EngineState};
 pub use engine_load::EngineLoad;
 pub use engine_table::EngineTable;
 pub use in_flight::InFlight;
+pub use part_times::{AwaitedPart, PartTimes};
 pub use time_estimate::TimeEstimate;
--- a/crates/gateway/src/engines/answer_times.rs
+++ b/crates/gateway/src/engines/part_times.rs
@@ -1,4 +1,4 @@
-//! How long answers take, by what was seen.
+//! How long parts of engines' answers take, by what was seen.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,21 +22,24 @@
     Pause,
 }
 
-/// How long answers take: for each pool, route and part by itself, since prompts and plain requests
+/// How long parts of answers take: for each pool, route and part by itself, since prompts and plain requests
 /// have little in common. See docs/design/accounting.md.
 #[derive(Debug, Default)]
-pub struct AnswerTimes {
+pub struct PartTimes {
     estimates: HashMap<(PoolName, String, AwaitedPart), TimeEstimate>,
 }
 
-impl AnswerTimes {
+impl PartTimes {
     /// A part of an answer came after so long, or not until then.
     pub fn note(&mut self, pool: &PoolName, route: &str, part: AwaitedPart, took: Duration) {
         let key = (pool.clone(), route.to_owned(), part);
         if self.estimates.len() >= MOST_ESTIMATES && !self.estimates.contains_key(&key) {
             self.estimates.clear();
         }
-        self.estimates.entry(key).or_default().note(took);
+        let known = self.estimates.entry(key);
+        known
+            .and_modify(|estimate| estimate.note(took))
+            .or_insert_with(|| TimeEstimate::first(took));
     }
 
     /// What is known of a part; `None` before enough was seen.
--- a/crates/gateway/src/engines/time_estimate.rs
+++ b/crates/gateway/src/engines/time_estimate.rs
@@ -1,7 +1,9 @@
-//! Mean and deviation of a time.
+//! How long a part of an answer takes at most.
 
 use std::time::Duration;
 
+use crate::smoothed_time::{Gains, SmoothedTime};
+
 /// Weight of a new value in the mean. RFC 6298 takes 1/8 for one value a round trip; here many come
 /// in that time, and heavy tails would make the mean jump.
 const MEAN_GAIN: f64 = 1.0 / 32.0;
@@ -18,30 +20,32 @@
 /// The same while nothing is heard of the engine, so that it may only be slow.
 const DEVIATIONS_WITHOUT_NEWS: f64 = 32.0;
 
-/// Mean and mean deviation of a time, as RFC 6298 estimates round trips.
-#[derive(Debug, Clone, Copy, Default)]
+/// How long a part of an answer takes at most.
+#[derive(Debug, Clone, Copy)]
 pub struct TimeEstimate {
-    mean_s: f64,
-    deviation_s: f64,
+    time: SmoothedTime,
     values: u32,
 }
 
 impl TimeEstimate {
-    /// Takes a value in.
-    pub fn note(&mut self, value: Duration) {
-        let value_s = value.as_secs_f64();
-        if self.values == 0 {
-            self.mean_s = value_s;
-            self.deviation_s = value_s / 2.0;
-            self.values = 1;
-            return;
+    /// After the first value.
+    pub fn first(value: Duration) -> Self {
+        Self {
+            time: SmoothedTime::first(value),
+            values: 1,
         }
+    }
+
+    /// Takes another value in.
+    pub fn note(&mut self, value: Duration) {
         self.values = self.values.saturating_add(1);
         // The first values weigh as in a plain mean, so that the very first is soon outweighed.
         let least_gain = 1.0 / f64::from(self.values);
-        let difference = value_s - self.mean_s;
-        self.deviation_s += DEVIATION_GAIN.max(least_gain) * (difference.abs() - self.deviation_s);
-        self.mean_s += MEAN_GAIN.max(least_gain) * difference;
+        let gains = Gains {
+            mean: MEAN_GAIN.max(least_gain),
+            deviation: DEVIATION_GAIN.max(least_gain),
+        };
+        self.time.note(value, gains);
     }
 
     /// Whether enough was seen.
@@ -60,7 +64,6 @@
     }
 
     fn longest(&self, deviations: f64) -> Duration {
-        let longest_s = self.mean_s + deviations * self.deviation_s;
-        Duration::from_secs_f64(longest_s).max(LEAST_SILENCE)
+        self.time.above_mean(deviations).max(LEAST_SILENCE)
     }
 }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
 
 use super::{GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
-use crate::engines::{AnswerTimes, BeginTimes, EngineTable};
+use crate::engines::{BeginTimes, EngineTable, PartTimes};
 use crate::peers::{
     HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneTraffic,
 };
@@ -58,7 +58,7 @@
     /// How long requests take to begin.
     pub begin_times: BeginTimes,
     /// How long answers take.
-    pub answer_times: AnswerTimes,
+    pub part_times: PartTimes,
     /// What is read for requests that mostly read.
     pub reading_demand: ReadingDemand,
     /// Which engines are kept for them.
@@ -148,7 +148,7 @@
             is_engine_list_lost: false,
             engines: EngineTable::default(),
             begin_times: BeginTimes::default(),
-            answer_times: AnswerTimes::default(),
+            part_times: PartTimes::default(),
             reading_demand: ReadingDemand::default(),
             divisions: HashMap::new(),
             holders: HolderTable::new(settings.remembered_prefixes),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod serve;
+pub mod smoothed_time;
 pub mod source;
 pub mod sync;
 pub mod telemetry;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -174,7 +174,7 @@
         engine.note_answer_to(sent_at);
     }
     let route = &request.route.name;
-    let times = &mut state.answer_times;
+    let times = &mut state.part_times;
     times.note(&request.pool, route, AwaitedPart::Head, head_after);
 }
 
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -220,7 +220,7 @@
             .note_silent(&placement.engine, limits.since);
         let (pool, route) = (&self.request.pool, &self.request.route.name);
         // It takes at least so long; when all become slow, this raises the limit.
-        let times = &mut gateway.state_mut().answer_times;
+        let times = &mut gateway.state_mut().part_times;
         times.note(pool, route, part, silent);
         warn!(gateway.log(), "attempt_given_up"; "request" => &self.request.caller.id,
             "engine" => %placement.engine, "why" => %why, "awaited" => ?part,
--- a/crates/gateway/src/serve/silence_limits.rs
+++ b/crates/gateway/src/serve/silence_limits.rs
@@ -36,7 +36,7 @@
         since: Timestamp,
     ) -> Option<Self> {
         let state = gateway.state();
-        let times = &state.answer_times;
+        let times = &state.part_times;
         let estimate = times.estimate(&request.pool, &request.route.name, part)?;
         Some(Self {
             engine: engine.clone(),
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -251,7 +251,7 @@
         let Exchange {
             gateway, request, ..
         } = &self.exchange;
-        let times = &mut gateway.state_mut().answer_times;
+        let times = &mut gateway.state_mut().part_times;
         times.note(&request.pool, &request.route.name, part, took);
     }
 
--- a/crates/gateway/src/upstream/answer_times.rs
+++ b/crates/gateway/src/upstream/answer_times.rs
@@ -4,10 +4,13 @@
 
 use ryerouter_core::Timestamp;
 
-/// Weight of a new answer in the mean (RFC 6298, 2.3).
-const MEAN_GAIN: f64 = 0.125;
-/// Weight of a new answer in the deviation (RFC 6298, 2.3).
-const DEVIATION_GAIN: f64 = 0.25;
+use crate::smoothed_time::{Gains, SmoothedTime};
+
+/// Weight of a new answer (RFC 6298, 2.3).
+const GAINS: Gains = Gains {
+    mean: 0.125,
+    deviation: 0.25,
+};
 /// So many deviations above the mean an answer counts as overdue (RFC 6298, 2.3).
 const DEVIATIONS: f64 = 4.0;
 /// An answer is not overdue sooner, however quick the others were: a server may pause for so long,
@@ -28,32 +31,19 @@
 /// asked twice over and over.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerTimes {
-    measured: Option<Measured>,
+    measured: Option<SmoothedTime>,
     doublings: u32,
     doubled_at: Timestamp,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Measured {
-    mean: f64,
-    deviation: f64,
-}
-
 impl AnswerTimes {
     /// An answer came after so long.
     pub fn note(&mut self, taken: Duration) {
-        let taken = taken.as_secs_f64();
         self.doublings = 0;
-        self.measured = Some(match self.measured {
-            None => Measured {
-                mean: taken,
-                deviation: taken / 2.0,
-            },
-            Some(Measured { mean, deviation }) => Measured {
-                mean: mean + MEAN_GAIN * (taken - mean),
-                deviation: deviation + DEVIATION_GAIN * ((taken - mean).abs() - deviation),
-            },
-        });
+        match &mut self.measured {
+            None => self.measured = Some(SmoothedTime::first(taken)),
+            Some(measured) => measured.note(taken, GAINS),
+        }
     }
 
     /// A call sent at `sent_at` has no answer now. Calls that were under way together count once.
@@ -70,8 +60,7 @@
     pub fn patience(&self, limit: Duration) -> Duration {
         let first = FIRST_PATIENCE.min(limit.mul_f64(FIRST_LIMIT_SHARE));
         let patience = self.measured.map_or(first, |measured| {
-            let overdue = measured.mean + DEVIATIONS * measured.deviation;
-            Duration::from_secs_f64(overdue).max(LEAST_PATIENCE)
+            measured.above_mean(DEVIATIONS).max(LEAST_PATIENCE)
         });
         (patience * 2_u32.pow(self.doublings)).min(limit)
     }
--- a/crates/gateway/tests/silent_engines.rs
+++ b/crates/gateway/tests/silent_engines.rs
@@ -167,8 +167,9 @@
 
 #[test]
 fn estimate_needs_values_and_keeps_above_what_is_usual() {
-    let mut estimate = TimeEstimate::default();
-    for index in 0..15 {
+    let mut estimate = TimeEstimate::first(Duration::from_millis(100));
+    assert!(!estimate.is_settled());
+    for index in 1..15 {
         estimate.note(Duration::from_millis(100 + 10 * (index % 3)));
         assert!(!estimate.is_settled());
     }
