--- a/crates/gateway/tests/following.rs
+++ b/crates/gateway/tests/following.rs
@@ -1,129 +1,30 @@
-//! Following the source, and proving that the configuration is current, on a virtual clock.
+//! Following the source, on a virtual clock.
 
 mod support;
 
-use std::cell::RefCell;
-use std::collections::VecDeque;
-use std::future::{Future, pending};
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
-use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::gateway::Gateway;
-use ryerouter_gateway::peers::Datagram;
 use ryerouter_gateway::source::{
-    CatalogueSource, Consistency, FollowSettings, Item, ItemBatch, ItemChange, ItemKind, ItemPage,
-    SourceError, follow, keep_fresh,
+    CatalogueSource, Consistency, FollowSettings, ItemKind, SourceError, follow,
 };
-use support::gateway_bench::{configure, gateway, gateway_with, list_engines, settings};
-use support::records::{route, table};
-use tokio::task::{LocalSet, spawn_local};
+use support::gateway_bench::{
+    configure, gateway, gateway_with, list_engines, run_paused, settings,
+};
+use support::records::table;
+use support::scripted_source::{Answer, Question, ScriptedSource, unavailable, version};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 use yare::parameterized;
 
-/// What the source answers next.
-enum Answer {
-    Page { versions: Vec<u64>, revision: u64 },
-    Batch { versions: Vec<u64>, revision: u64 },
-    Fails(SourceError),
-}
-
-/// A question as it came.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Question {
-    List { consistency: Consistency },
-    Watch { revision: u64, wait: Duration },
-}
-
-/// Gives the scripted answers, then is silent.
-#[derive(Default)]
-struct ScriptedSource {
-    answers: RefCell<VecDeque<Answer>>,
-    questions: RefCell<Vec<Question>>,
-}
-
-impl ScriptedSource {
-    fn new(answers: impl IntoIterator<Item = Answer>) -> Rc<Self> {
-        Rc::new(Self {
-            answers: RefCell::new(answers.into_iter().collect()),
-            ..Self::default()
-        })
-    }
-
-    fn next(&self, question: Question) -> Option<Answer> {
-        self.questions.borrow_mut().push(question);
-        self.answers.borrow_mut().pop_front()
-    }
-}
-
-fn configuration(version: u64) -> Item {
-    let routes = vec![route(RequestKind::Safe)];
-    Item::Configuration(Rc::new(table(version, routes)))
-}
-
-impl CatalogueSource for ScriptedSource {
-    fn list<'a>(
-        &'a self,
-        _kind: ItemKind,
-        consistency: Consistency,
-        _after: Option<&'a str>,
-    ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>> {
-        let answer = self.next(Question::List { consistency });
-        async move {
-            match answer {
-                Some(Answer::Page { versions, revision }) => Ok(ItemPage {
-                    items: versions.into_iter().map(configuration).collect(),
-                    next_after: None,
-                    revision,
-                }),
-                Some(Answer::Fails(error)) => Err(error),
-                Some(Answer::Batch { .. }) => panic!("a list was asked"),
-                None => pending().await,
-            }
-        }
-        .boxed_local()
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _kind: ItemKind,
-        revision: u64,
-        wait: Duration,
-    ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
-        let answer = self.next(Question::Watch { revision, wait });
-        async move {
-            match answer {
-                Some(Answer::Batch { versions, revision }) => Ok(ItemBatch {
-                    changes: versions
-                        .into_iter()
-                        .map(|version| ItemChange::Present(configuration(version)))
-                        .collect(),
-                    revision,
-                }),
-                Some(Answer::Fails(error)) => Err(error),
-                Some(Answer::Page { .. }) => panic!("a watch was asked"),
-                None => pending().await,
-            }
-        }
-        .boxed_local()
-    }
-}
+/// Allowed age of a proof.
+const ALLOWED: Duration = Duration::from_secs(5);
 
 /// A node that was just started waits between its first calls, until it knows how many others there
 /// are; then that is over.
 const AFTER_START: Duration = Duration::from_secs(4);
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 fn start_following(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
     start_following_kind(ItemKind::Configuration, gateway, source);
 }
@@ -138,20 +39,9 @@
     spawn_local(follow(Rc::clone(gateway), source, kind, settings));
 }
 
-fn version(gateway: &Gateway) -> Option<u64> {
-    let state = gateway.state();
-    state.table.as_ref().map(|table| table.version())
-}
-
-fn unavailable() -> Answer {
-    Answer::Fails(SourceError::Unavailable {
-        detail: "scripted".to_owned(),
-    })
-}
-
 #[test]
 fn list_comes_first_then_watches_from_its_revision() {
-    run(async {
+    run_paused(async {
         let source = ScriptedSource::new([
             Answer::Page {
                 versions: vec![3],
@@ -176,7 +66,7 @@
 
 #[test]
 fn list_is_read_again_when_the_history_is_gone() {
-    run(async {
+    run_paused(async {
         let source = ScriptedSource::new([
             Answer::Page {
                 versions: vec![3],
@@ -197,7 +87,7 @@
 
 #[test]
 fn stale_list_is_not_believed() {
-    run(async {
+    run_paused(async {
         let source = ScriptedSource::new([
             Answer::Page {
                 versions: vec![3],
@@ -222,7 +112,7 @@
 
 #[test]
 fn answer_is_wanted_at_once_after_a_failure() {
-    run(async {
+    run_paused(async {
         let source = ScriptedSource::new([
             Answer::Page {
                 versions: vec![3],
@@ -251,7 +141,7 @@
 
 #[test]
 fn silent_source_is_asked_again() {
-    run(async {
+    run_paused(async {
         let source = ScriptedSource::new([Answer::Page {
             versions: vec![3],
             revision: 10,
@@ -264,92 +154,6 @@
     });
 }
 
-const ALLOWED: Duration = Duration::from_secs(5);
-
-fn start_proving(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
-    let mut state = gateway.state_mut();
-    state.replicas.of_mut(ItemKind::Configuration).revision = Some(10);
-    drop(state);
-    let source: Rc<dyn CatalogueSource> = source.clone();
-    spawn_local(keep_fresh(Rc::clone(gateway), source, ALLOWED));
-}
-
-fn empty() -> Answer {
-    Answer::Batch {
-        versions: vec![],
-        revision: 10,
-    }
-}
-
-#[test]
-fn proof_never_gets_older_than_half_of_what_is_allowed() {
-    run(async {
-        let source = ScriptedSource::new((0..100).map(|_| empty()));
-        let gateway = gateway("node-1");
-        configure(&gateway, table(1, Vec::new()));
-        start_proving(&gateway, &source);
-        for _ in 0..200 {
-            sleep(Duration::from_millis(100)).await;
-            let now = gateway.clock().now();
-            assert!(gateway.state().freshness().is_within(ALLOWED / 2, now));
-        }
-        let asked = source.questions.borrow().len();
-        assert!((8..=20).contains(&asked), "asked {asked} times in 20 s");
-    });
-}
-
-#[test]
-fn node_does_not_ask_while_others_prove() {
-    run(async {
-        let source = ScriptedSource::new([]);
-        let gateway = gateway("node-1");
-        configure(&gateway, table(1, Vec::new()));
-        start_proving(&gateway, &source);
-        for _ in 0..100 {
-            sleep(Duration::from_millis(100)).await;
-            let now = gateway.clock().now();
-            let mut state = gateway.state_mut();
-            let replica = state.replicas.of_mut(ItemKind::Configuration);
-            replica.freshness.prove(now);
-        }
-        assert!(source.questions.borrow().is_empty());
-    });
-}
-
-#[test]
-fn node_without_answer_asks_again_and_the_proof_ages() {
-    run(async {
-        let source = ScriptedSource::new((0..20).map(|_| unavailable()));
-        let gateway = gateway("node-1");
-        configure(&gateway, table(1, Vec::new()));
-        start_proving(&gateway, &source);
-        sleep(Duration::from_secs(6)).await;
-        assert!(source.questions.borrow().len() > 3);
-        let now = gateway.clock().now();
-        assert!(!gateway.state().freshness().is_within(ALLOWED, now));
-    });
-}
-
-#[test]
-fn node_asks_at_once_when_another_has_a_newer_configuration() {
-    run(async {
-        let newer = Answer::Batch {
-            versions: vec![2],
-            revision: 12,
-        };
-        let source = ScriptedSource::new([newer]);
-        let first = gateway("node-1");
-        let second = gateway("node-2");
-        configure(&first, table(1, Vec::new()));
-        configure(&second, table(2, Vec::new()));
-        start_proving(&first, &source);
-        second.hear_peer(first.peer_message(true));
-        first.hear_peer(second.peer_message(true));
-        sleep(Duration::from_millis(150)).await;
-        assert_eq!(version(&first), Some(2));
-    });
-}
-
 /// Twelve other nodes of the zone, which make a deployment large.
 fn many_others() -> Vec<Rc<Gateway>> {
     let others = (0..12).map(|index| {
@@ -371,7 +175,7 @@
 
 #[test]
 fn long_watch_is_left_when_the_deployment_has_grown_large() {
-    run(async {
+    run_paused(async {
         let page = Answer::Page {
             versions: vec![3],
             revision: 10,
@@ -395,7 +199,7 @@
 
 #[test]
 fn relying_node_asks_the_source_only_when_its_copy_is_too_old() {
-    run(async {
+    run_paused(async {
         let page = Answer::Page {
             versions: vec![3],
             revision: 10,
@@ -429,7 +233,7 @@
     weights = { ItemKind::Weights, Consistency::Stale },
 )]
 fn only_a_configuration_needs_a_current_list_at_the_start(kind: ItemKind, expected: Consistency) {
-    run(async move {
+    run_paused(async move {
         let page = || Answer::Page {
             versions: vec![],
             revision: 10,
@@ -473,7 +277,7 @@
 
 #[test]
 fn configuration_that_another_node_has_is_read_from_a_stale_list() {
-    run(async {
+    run_paused(async {
         let page = |version, revision| Answer::Page {
             versions: vec![version],
             revision,
@@ -493,7 +297,7 @@
     no_newer_than_the_copy = { 3, 10 },
 )]
 fn list_that_is_too_stale_is_followed_by_a_current_answer(listed: u64, revision: u64) {
-    run(async move {
+    run_paused(async move {
         let page = |version, revision| Answer::Page {
             versions: vec![version],
             revision,
@@ -535,7 +339,7 @@
 
 #[test]
 fn nodes_share_out_who_asks_while_the_source_is_down() {
-    run(async {
+    run_paused(async {
         let asked = |source: &ScriptedSource| source.questions.borrow().len();
         let (_, of_few) = questions_in_an_outage(3).await;
         let asked_by_few = asked(&of_few);
@@ -553,114 +357,3 @@
         assert!(asked(&of_many) > before);
     });
 }
-
-/// Two nodes of a large deployment; the second has a newer configuration, and the source does not
-/// answer the first one any more.
-fn behind_and_ahead(document: &str) -> (Rc<Gateway>, Rc<Gateway>) {
-    let first = gateway("node-1");
-    configure(&first, table(1, Vec::new()));
-    list_engines(&first, Vec::new());
-    let mut own = settings("node-0");
-    own.identity.incarnation = 2;
-    own.identity.peer_address = "127.0.0.1:7".parse().unwrap();
-    let second = gateway_with(own);
-    list_engines(&second, Vec::new());
-    configure(&second, table(2, Vec::new()).with_document(document));
-    first.hear_peer(second.peer_message(true));
-    (first, second)
-}
-
-/// Lets the first node fetch what it asks for; tells in how many pieces. Datagrams travel as JSON.
-fn hand_over(first: &Gateway, second: &Gateway) -> usize {
-    let mut pieces = 0;
-    let mut next = first.next_fetch();
-    while let Some((address, fetch)) = next {
-        assert_eq!(address, second.settings().identity.peer_address);
-        let chunk = second.answer_fetch(&fetch).expect("has a document");
-        let bytes = serde_json::to_vec(&Datagram::Chunk(chunk)).unwrap();
-        let Ok(Datagram::Chunk(chunk)) = serde_json::from_slice(&bytes) else {
-            panic!("not a chunk");
-        };
-        pieces += 1;
-        next = first.take_chunk(chunk);
-    }
-    pieces
-}
-
-#[parameterized(
-    short = { 1, 1 },
-    in_three_pieces = { 20_000, 3 },
-    as_long_as_two_pieces = { 16_384, 2 },
-)]
-fn configuration_is_handed_on_to_a_node_that_the_source_does_not_answer(
-    length: usize,
-    pieces: usize,
-) {
-    run(async move {
-        let (first, second) = behind_and_ahead(&format!("{:>length$}", 2));
-        assert!(first.state().replicas.of(ItemKind::Configuration).is_behind);
-        // While the source answers it is asked, since that costs the other node nothing.
-        assert_eq!(first.next_fetch(), None);
-        first.note_source_trouble(ItemKind::Configuration, 1);
-        assert_eq!(hand_over(&first, &second), pieces);
-        assert_eq!(version(&first), Some(2));
-        assert!(!first.state().replicas.of(ItemKind::Configuration).is_behind);
-        assert_eq!(first.next_fetch(), None);
-    });
-}
-
-#[test]
-fn lost_and_repeated_pieces_do_no_harm() {
-    run(async {
-        let (first, second) = behind_and_ahead(&format!("{:>20000}", 2));
-        first.note_source_trouble(ItemKind::Configuration, 1);
-        let (_, fetch) = first.next_fetch().expect("asks");
-        let chunk = second.answer_fetch(&fetch).expect("answers");
-        // The question was lost, and is asked again after a while.
-        assert_eq!(first.next_fetch(), None);
-        sleep(Duration::from_millis(250)).await;
-        assert_eq!(first.next_fetch().expect("asks again").1, fetch);
-        let (_, second_fetch) = first.take_chunk(chunk.clone()).expect("goes on");
-        assert_eq!(second_fetch.offset, chunk.text.len());
-        let middle = second.answer_fetch(&second_fetch).expect("answers");
-        first.take_chunk(middle.clone());
-        // The same piece once more, out of its order.
-        first.take_chunk(middle);
-        sleep(Duration::from_millis(250)).await;
-        assert_eq!(hand_over(&first, &second), 1);
-        assert_eq!(version(&first), Some(2));
-    });
-}
-
-#[test]
-fn newer_configuration_replaces_the_one_that_is_being_handed_on() {
-    run(async {
-        let (first, second) = behind_and_ahead(&format!("{:>20000}", 2));
-        first.note_source_trouble(ItemKind::Configuration, 1);
-        let (_, fetch) = first.next_fetch().expect("asks");
-        let chunk = second.answer_fetch(&fetch).expect("answers");
-        let (_, fetch) = first.take_chunk(chunk).expect("goes on");
-        configure(
-            &second,
-            table(3, Vec::new()).with_document(format!("{:>9000}", 3)),
-        );
-        let chunk = second.answer_fetch(&fetch).expect("answers");
-        assert_eq!((chunk.version, chunk.offset), (3, 0));
-        let (_, fetch) = first.take_chunk(chunk).expect("goes on");
-        let chunk = second.answer_fetch(&fetch).expect("answers");
-        assert_eq!(first.take_chunk(chunk), None);
-        assert_eq!(version(&first), Some(3));
-    });
-}
-
-#[test]
-fn unreadable_configuration_of_another_node_changes_nothing() {
-    run(async {
-        let (first, second) = behind_and_ahead("no version");
-        first.note_source_trouble(ItemKind::Configuration, 1);
-        let (_, fetch) = first.next_fetch().expect("asks");
-        let chunk = second.answer_fetch(&fetch).expect("answers");
-        assert_eq!(first.take_chunk(chunk), None);
-        assert_eq!(version(&first), Some(1));
-    });
-}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod gateway_bench;
 pub mod records;
 pub mod scripted_engine;
+pub mod scripted_source;
 pub mod silencing_server;
 pub mod test_dialect;
 pub mod virtual_source;
