--- a/crates/gateway/src/connections/mod.rs
+++ b/crates/gateway/src/connections/mod.rs
@@ -3,7 +3,6 @@
 
 mod accept_failures;
 mod accept_loop;
-mod connection_use;
 mod counted_body;
 mod descriptor_share;
 mod open_connection;
@@ -11,6 +10,7 @@
 mod request_in_progress;
 mod serving;
 mod shared_stream;
+mod usage;
 
 pub use accept_loop::accept_connections;
 pub use descriptor_share::DescriptorShare;
--- a/crates/gateway/src/connections/open_connection.rs
+++ b/crates/gateway/src/connections/open_connection.rs
@@ -3,18 +3,18 @@
 use std::rc::Rc;
 
 use super::OpenConnections;
-use super::connection_use::ConnectionUse;
 use super::request_in_progress::RequestInProgress;
+use super::usage::Usage;
 
 /// One open connection; it counts until this is dropped.
 pub struct OpenConnection {
     connections: Rc<OpenConnections>,
     id: u64,
-    usage: Rc<ConnectionUse>,
+    usage: Rc<Usage>,
 }
 
 impl OpenConnection {
-    pub(super) fn new(connections: Rc<OpenConnections>, id: u64, usage: Rc<ConnectionUse>) -> Self {
+    pub(super) fn new(connections: Rc<OpenConnections>, id: u64, usage: Rc<Usage>) -> Self {
         Self {
             connections,
             id,
@@ -22,7 +22,7 @@
         }
     }
 
-    pub(super) fn usage(&self) -> &ConnectionUse {
+    pub(super) fn usage(&self) -> &Usage {
         &self.usage
     }
 
--- a/crates/gateway/src/connections/open_connections.rs
+++ b/crates/gateway/src/connections/open_connections.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 use tokio::sync::Notify;
 
-use super::connection_use::ConnectionUse;
+use super::usage::Usage;
 use super::{DescriptorShare, OpenConnection};
 use crate::gateway::Gateway;
 use crate::telemetry::LogSampler;
@@ -17,7 +17,7 @@
 pub struct OpenConnections {
     gateway: Rc<Gateway>,
     most: Box<dyn Fn() -> usize>,
-    entries: RefCell<BTreeMap<u64, Rc<ConnectionUse>>>,
+    entries: RefCell<BTreeMap<u64, Rc<Usage>>>,
     next_id: Cell<u64>,
     changed: Notify,
     sampler: LogSampler,
@@ -53,7 +53,7 @@
     pub(super) fn open(self: &Rc<Self>) -> OpenConnection {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let usage = Rc::new(ConnectionUse::new(self.now()));
+        let usage = Rc::new(Usage::new(self.now()));
         self.entries.borrow_mut().insert(id, Rc::clone(&usage));
         OpenConnection::new(Rc::clone(self), id, usage)
     }
--- a/crates/gateway/src/connections/request_in_progress.rs
+++ b/crates/gateway/src/connections/request_in_progress.rs
@@ -3,16 +3,16 @@
 use std::rc::Rc;
 
 use super::OpenConnections;
-use super::connection_use::ConnectionUse;
+use super::usage::Usage;
 
 /// A request in progress on a connection, until dropped.
 pub(super) struct RequestInProgress {
     connections: Rc<OpenConnections>,
-    usage: Rc<ConnectionUse>,
+    usage: Rc<Usage>,
 }
 
 impl RequestInProgress {
-    pub(super) fn begin(connections: &Rc<OpenConnections>, usage: &Rc<ConnectionUse>) -> Self {
+    pub(super) fn begin(connections: &Rc<OpenConnections>, usage: &Rc<Usage>) -> Self {
         usage.begin_request();
         Self {
             connections: Rc::clone(connections),
--- a/crates/gateway/src/connections/connection_use.rs
+++ b/crates/gateway/src/connections/usage.rs
@@ -7,7 +7,7 @@
 
 /// What one connection is used for now.
 #[derive(Debug)]
-pub(super) struct ConnectionUse {
+pub(super) struct Usage {
     in_progress: Cell<u32>,
     begun: Cell<u64>,
     idle_since: Cell<Timestamp>,
@@ -15,7 +15,7 @@
     asked: Notify,
 }
 
-impl ConnectionUse {
+impl Usage {
     /// One that was opened now and has served nothing.
     pub(super) fn new(now: Timestamp) -> Self {
         Self {
