--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -161,11 +161,10 @@
             let changes = self.changes_after(kind, revision);
             let is_over = !changes.is_empty() || Instant::now() >= until;
             if is_over {
+                // What changes from here on is not in the answer.
+                let revision = self.revision.get();
                 sleep(ANSWER_TIME).await;
-                return ItemBatch {
-                    changes,
-                    revision: self.revision.get(),
-                };
+                return ItemBatch { changes, revision };
             }
             // Its end is the end of the wait, which the next turn sees.
             let _ = timeout_at(until, changed).await;
