--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -385,3 +385,24 @@
         assert_eq!(answer.is_kept, is_kept);
     });
 }
+
+/// An engine that leaves one order without an answer says nothing of other engines' connections.
+#[test]
+fn order_that_one_engine_leaves_unanswered_costs_no_connections_to_others() {
+    run(async {
+        let (_one, one_address) = SilencingServer::start().await;
+        let (other, other_address) = SilencingServer::start().await;
+        let name = BackEndName::new("engine-2");
+        let bench = Bench::new();
+        bench.keep_connections(one_address, 1).await;
+        bench.keep_engine_connections(&name, other_address, 4).await;
+        let terms = CallTerms::once(Duration::from_millis(700));
+        let order = call(&bench.caller, one_address, Method::POST, HELD_PATH, terms).await;
+        assert!(order.is_err());
+        // The report that follows is answered, on a new connection.
+        bench.call(one_address, Method::GET).await.expect("answer");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        bench.keep_engine_connections(&name, other_address, 4).await;
+        assert_eq!(other.accepted(), 4);
+    });
+}
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -18,7 +18,7 @@
 };
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, interval, sleep, timeout_at};
+use tokio::time::{Instant, interval, sleep, sleep_until, timeout_at};
 
 use super::gateway_bench::{gateway_with, settings};
 use super::records::{engine, route, table};
@@ -45,6 +45,12 @@
     silences: RefCell<BTreeMap<usize, u32>>,
     /// Kept connections of a node that are silent and not yet found out.
     silent_kept: RefCell<BTreeMap<usize, u32>>,
+    /// Changes up to this revision are forgotten.
+    forgotten: Cell<u64>,
+    /// Until then nothing is answered.
+    frozen_until: Cell<Option<Instant>>,
+    /// Nodes that have no way to the source.
+    cut_off: RefCell<BTreeSet<usize>>,
 }
 
 impl VirtualSource {
@@ -99,6 +105,37 @@
         self.put(ItemKind::Weights, MODEL, Item::Weights(named));
     }
 
+    /// A configuration is put in force.
+    pub fn configure(&self, version: u64) {
+        let routes = vec![route(ryerouter_gateway::catalogue::RequestKind::Safe)];
+        let configuration = Item::Configuration(Rc::new(table(version, routes)));
+        self.put(ItemKind::Configuration, "main", configuration);
+    }
+
+    /// Changes until now are forgotten; those who wait are not told.
+    pub fn forget_history(&self) {
+        self.forgotten.set(self.revision.get());
+    }
+
+    /// Nothing is answered for a time, and everything afterwards.
+    pub fn freeze(&self, span: Duration) {
+        self.frozen_until.set(Some(Instant::now() + span));
+    }
+
+    async fn thaw(&self) {
+        if let Some(until) = self.frozen_until.get() {
+            sleep_until(until).await;
+        }
+    }
+
+    /// From now on this node has a way to the source or none.
+    pub fn set_reachable(&self, node: usize, is_reachable: bool) {
+        match is_reachable {
+            true => self.cut_off.borrow_mut().remove(&node),
+            false => self.cut_off.borrow_mut().insert(node),
+        };
+    }
+
     /// Something changes that no kind of item holds, as when a lease is renewed.
     pub fn change_something_else(&self) {
         self.revision.set(self.revision.get() + 1);
@@ -144,6 +181,7 @@
     }
 
     async fn list(&self, kind: ItemKind) -> ItemPage {
+        self.thaw().await;
         sleep(ANSWER_TIME).await;
         let items = self.items.borrow();
         let of_kind = items.iter().filter(|((of, _), _)| *of == kind as u8);
@@ -154,9 +192,19 @@
         }
     }
 
-    async fn watch(&self, kind: ItemKind, revision: u64, wait: Duration) -> ItemBatch {
+    async fn watch(
+        &self,
+        kind: ItemKind,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<ItemBatch, SourceError> {
         let until = Instant::now() + wait;
         loop {
+            self.thaw().await;
+            if revision < self.forgotten.get() {
+                sleep(ANSWER_TIME).await;
+                return Err(SourceError::HistoryGone);
+            }
             let changed = self.changed.notified();
             let changes = self.changes_after(kind, revision);
             let is_over = !changes.is_empty() || Instant::now() >= until;
@@ -164,7 +212,7 @@
                 // What changes from here on is not in the answer.
                 let revision = self.revision.get();
                 sleep(ANSWER_TIME).await;
-                return ItemBatch { changes, revision };
+                return Ok(ItemBatch { changes, revision });
             }
             // Its end is the end of the wait, which the next turn sees.
             let _ = timeout_at(until, changed).await;
@@ -182,6 +230,9 @@
     /// Answers only while the connection that the call began on has not fallen silent.
     async fn carry<T>(&self, answer: impl Future<Output = T>) -> Result<T, SourceError> {
         self.source.count_call(self.node);
+        if self.source.cut_off.borrow().contains(&self.node) {
+            return pending().await;
+        }
         let silences = self.source.silence_count(self.node);
         if self.source.is_on_silent_connection(self.node) {
             return pending().await;
@@ -210,8 +261,7 @@
         revision: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
-        self.carry(self.source.watch(kind, revision, wait))
-            .boxed_local()
+        async move { self.carry(self.source.watch(kind, revision, wait)).await? }.boxed_local()
     }
 }
 
@@ -248,6 +298,11 @@
         self.cut_off.borrow_mut().insert(node);
     }
 
+    /// Messages reach this node again.
+    pub fn join(&self, node: usize) {
+        self.cut_off.borrow_mut().remove(&node);
+    }
+
     fn start_node(self: &Rc<Self>, index: usize, watch: Duration) {
         let gateway = &self.nodes[index];
         let way: Rc<dyn CatalogueSource> = Rc::new(Way {
