--- a/crates/gateway/src/gateway/copy_proofs.rs
+++ b/crates/gateway/src/gateway/copy_proofs.rs
@@ -44,18 +44,28 @@
         replica.is_behind || known_at.is_none_or(|at| now.since(at) >= patience)
     }
 
-    /// A question for a proof failed, so many in a row. When the source has forgotten the changes since
-    /// the copy, the watch can't go on either, and the list is read again.
+    /// A question for a proof failed, so many in a row.
     pub(crate) fn note_unproven(&self, kind: ItemKind, error: &SourceError, failures: u32) {
         match error {
-            SourceError::HistoryGone => {
-                let mut state = self.state_mut();
-                state.replicas.of_mut(kind).is_history_lost = true;
-            }
-            _ => self.note_source_trouble(kind, failures),
+            SourceError::HistoryGone => self.note_history_lost(kind),
+            error => self.note_source_failure(kind, error, failures),
+        }
+    }
+
+    /// The same for the configuration, whose watch tells of trouble by itself.
+    pub(crate) fn note_unproven_configuration(&self, error: &SourceError) {
+        if *error == SourceError::HistoryGone {
+            self.note_history_lost(ItemKind::Configuration);
         }
     }
 
+    /// The source has forgotten the changes since the copy: the watch can't go on either, and the list
+    /// is read again.
+    fn note_history_lost(&self, kind: ItemKind) {
+        info!(self.log(), "copy_history_lost"; "kind" => %kind);
+        self.state_mut().replicas.of_mut(kind).is_history_lost = true;
+    }
+
     fn copy_patience(&self, state: &GatewayState, kind: ItemKind, now: Timestamp) -> Duration {
         let share = match self.is_first_of_few(state, now) {
             true => FIRST_PATIENCE,
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -28,6 +28,8 @@
     pub most_unproven: Option<Duration>,
     /// Older weights may be used for so long after newer ones were named.
     pub weights_grace: Duration,
+    /// Of the time that older weights may be used in all, so much was kept for the news to arrive.
+    pub weights_news_time: Duration,
     /// Weights that were named before this process started are taken to be at least so old, until
     /// another node tells.
     pub assumed_weights_age: Duration,
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -11,7 +11,7 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineEntry, EngineState, EngineTable};
 use crate::peers::NodeState;
-use crate::source::{Item, ItemBatch, ItemChange, ItemKind};
+use crate::source::{Item, ItemBatch, ItemChange, ItemKind, SourceError};
 
 /// So many calls that fail in a row are a disruption of the source.
 const FAILURES_OF_TROUBLE: u32 = 2;
@@ -158,19 +158,33 @@
         }
     }
 
-    /// A call to the source failed; `failures` of this kind in a row. A single one may be a watch
-    /// that was cut in calm times.
-    pub fn note_source_trouble(&self, kind: ItemKind, failures: u32) {
+    /// A call to the source failed; `failures` of this kind in a row.
+    pub fn note_source_failure(&self, kind: ItemKind, error: &SourceError, failures: u32) {
+        if kind == ItemKind::Engines && *error == SourceError::NoAnswer {
+            // Entries lapse within three heartbeats: a second such call would come too late.
+            self.note_engine_list_lost();
+        }
+        self.note_source_trouble(kind, failures);
+    }
+
+    fn note_engine_list_lost(&self) {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        state.is_source_reached = false;
+        state.engine_list_trouble_at = Some(now);
+        state.is_engine_list_lost = true;
+    }
+
+    /// The same, whatever the error. A single one may be a watch that was cut in calm times.
+    pub fn note_source_trouble(&self, kind: ItemKind, failures: u32) {
+        self.state_mut().is_source_reached = false;
         if failures < FAILURES_OF_TROUBLE {
             return;
         }
         if kind == ItemKind::Engines {
-            state.engine_list_trouble_at = Some(now);
-            state.is_engine_list_lost = true;
+            self.note_engine_list_lost();
         }
+        let now = self.clock().now();
+        let mut state = self.state_mut();
         state.source_trouble_at = Some(now);
         state.deadlines.extend_from(now);
     }
--- a/crates/gateway/src/gateway/named_weights.rs
+++ b/crates/gateway/src/gateway/named_weights.rs
@@ -17,12 +17,12 @@
 impl Gateway {
     /// The source tells that weights were named, to a question sent at `asked_at`.
     ///
-    /// They count as named from the earliest moment at which that may have happened: a node that
-    /// hears late must not use older weights for as much longer.
+    /// They count as named from the earliest moment at which that may have happened, as far as this node
+    /// and the others know: a node that hears late must not use older weights for as much longer.
     pub(super) fn weights_named(&self, named: &NamedWeights, asked_at: Option<Timestamp>) {
         let now = self.clock().now();
         let at = match self.state().has_weights_list {
-            true => NamedAt::Seen(self.named_after(asked_at, now)),
+            true => NamedAt::Between(self.named_after(asked_at, now), now),
             false => NamedAt::Assumed(now.before(self.settings().assumed_weights_age)),
         };
         let mut state = self.state_mut();
@@ -41,7 +41,12 @@
         let replica = state.replicas.of(ItemKind::Weights);
         let known_at = replica.freshness.proven_at().max(replica.read_at);
         // Whatever is older makes no difference to what must be left at once.
-        let earliest = now.before(self.settings().assumed_weights_age);
-        known_at.map_or(now, |at| at.max(earliest))
+        let settings = self.settings();
+        let earliest = now.before(settings.assumed_weights_age);
+        match known_at {
+            Some(at) if now.since(at) > settings.weights_news_time => at.max(earliest),
+            // The grace has room for that.
+            Some(_) | None => now,
+        }
     }
 }
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -152,10 +152,11 @@
     pub(super) fn named_news(&self, state: &GatewayState, age: Duration) -> Vec<NamedNews> {
         let now = self.clock().now();
         let seen = state.deadlines.seen_within(age, now);
-        seen.map(|(model, version, at)| NamedNews {
+        seen.map(|(model, version, (after, by))| NamedNews {
             model: model.to_owned(),
             version,
-            age_ms: now.since(at).as_millis() as u64,
+            age_ms: now.since(by).as_millis() as u64,
+            doubt_ms: by.since(after).as_millis() as u64,
         })
         .collect()
     }
@@ -165,10 +166,10 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         for news in named {
-            let at = now.before(Duration::from_millis(news.age_ms));
-            let is_newest = state
-                .deadlines
-                .note(&news.model, news.version, NamedAt::Seen(at));
+            let by = now.before(Duration::from_millis(news.age_ms));
+            let after = by.before(Duration::from_millis(news.doubt_ms));
+            let at = NamedAt::Between(after, by);
+            let is_newest = state.deadlines.note(&news.model, news.version, at);
             if is_newest {
                 info!(self.log(), "weights_named"; "model" => &news.model,
                     "version" => news.version, "by" => "peer", "age_ms" => news.age_ms);
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -203,6 +203,8 @@
         let replica = state.replicas.of_mut(ItemKind::Weights);
         if replica.revision.is_some() {
             replica.revision = replica.revision.max(Some(mark.position));
+            // Whether the versions that were told are all that changed is not known here.
+            replica.changed_until = replica.changed_until.max(Some(mark.position));
         }
         drop(state);
         self.take_mark(ItemKind::Weights, mark, asked_at);
--- a/crates/gateway/src/peers/engine_news.rs
+++ b/crates/gateway/src/peers/engine_news.rs
@@ -16,8 +16,15 @@
     pub model: String,
     /// The version.
     pub version: u64,
-    /// How long before the message it was named, in milliseconds.
+    /// How long before the message it had been named, in milliseconds.
     pub age_ms: u64,
+    /// How much earlier than that it may have been named, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub doubt_ms: u64,
+}
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
 }
 
 /// Weights of an engine.
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -16,25 +16,40 @@
     Assumed(Timestamp),
     /// Some process saw it come.
     Seen(Timestamp),
+    /// Some process learned of it late: it had not been named yet at the first moment, and it had been at the
+    /// second.
+    Between(Timestamp, Timestamp),
 }
 
 impl NamedAt {
     /// The moment, seen or assumed.
     pub fn time(self) -> Timestamp {
         match self {
-            Self::Assumed(at) | Self::Seen(at) => at,
+            Self::Assumed(at) | Self::Seen(at) | Self::Between(at, _) => at,
+        }
+    }
+
+    /// When it was not named yet, and when it was; `None` where that is assumed.
+    fn span(self) -> Option<(Timestamp, Timestamp)> {
+        match self {
+            Self::Assumed(_) => None,
+            Self::Seen(at) => Some((at, at)),
+            Self::Between(after, by) => Some((after, by)),
         }
     }
 
     /// The better knowledge of both: what was seen before what is assumed, the earlier before the
     /// later.
     fn better(self, other: Self) -> Self {
-        match (self, other) {
-            (Self::Seen(left), Self::Seen(right)) => Self::Seen(left.min(right)),
-            (Self::Seen(at), Self::Assumed(_)) | (Self::Assumed(_), Self::Seen(at)) => {
-                Self::Seen(at)
+        match (self.span(), other.span()) {
+            (Some(left), Some(right)) => {
+                let by = left.1.min(right.1);
+                // Ages that came from another node may be a little too high.
+                Self::Between(left.0.max(right.0).min(by), by)
             }
-            (Self::Assumed(left), Self::Assumed(right)) => Self::Assumed(left.min(right)),
+            (Some(_), None) => self,
+            (None, Some(_)) => other,
+            (None, None) => Self::Assumed(self.time().min(other.time())),
         }
     }
 }
@@ -85,19 +100,20 @@
             .filter_map(|(model, named)| Some((model.as_str(), named.last()?.0)))
     }
 
-    /// Versions that were seen to come within the last `age`: model, version, time.
+    /// Versions that were seen to come within the last `age`: model, version, and between which
+    /// moments.
     pub fn seen_within(
         &self,
         age: Duration,
         now: Timestamp,
-    ) -> impl Iterator<Item = (&str, u64, Timestamp)> {
+    ) -> impl Iterator<Item = (&str, u64, (Timestamp, Timestamp))> {
         let all = self
             .named
             .iter()
             .flat_map(|(model, named)| named.iter().map(move |entry| (model.as_str(), entry)));
-        all.filter_map(move |(model, (version, at))| match at {
-            NamedAt::Seen(at) if now.since(*at) < age => Some((model, *version, *at)),
-            _ => None,
+        all.filter_map(move |(model, (version, at))| {
+            let span = at.span().filter(|(_, by)| now.since(*by) < age)?;
+            Some((model, *version, span))
         })
     }
 
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -150,7 +150,7 @@
             let call = self.source.list(self.kind, consistency, after.as_deref());
             let page = timeout(self.settings.answer, call)
                 .await
-                .map_err(|_| SourceError::no_answer())??;
+                .map_err(|_| SourceError::NoAnswer)??;
             items.extend(page.items);
             // Changes after the first page may be missing from it, so the watch begins there.
             let revision = *first_revision.get_or_insert(page.revision);
@@ -176,7 +176,7 @@
             let call = self.source.watch(self.kind, revision, wait);
             let limit = wait + self.settings.answer;
             let answer = tokio::select! {
-                answer = timeout(limit, call) => answer.unwrap_or_else(|_| Err(SourceError::no_answer())),
+                answer = timeout(limit, call) => answer.unwrap_or_else(|_| Err(self.unanswered(wait))),
                 // Such a watch may stay open for long, and proves nothing before its end.
                 () = self.has_grown_large(), if wait == self.settings.watch => continue,
                 () = self.is_overtaken(revision), if wait == self.settings.watch => {
@@ -281,6 +281,16 @@
         sleep(WATCH_LAG).await;
     }
 
+    /// A long watch without an answer says nothing of the source: its connection may have gone.
+    fn unanswered(&self, wait: Duration) -> SourceError {
+        match wait == self.settings.watch {
+            true => SourceError::Unavailable {
+                detail: "long watch without an answer".to_owned(),
+            },
+            false => SourceError::NoAnswer,
+        }
+    }
+
     fn lacks_changes(&self, revision: u64) -> bool {
         let state = self.gateway.state();
         let replica = state.replicas.of(self.kind);
@@ -335,7 +345,8 @@
         let doublings = self.failures.min(6);
         let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
         self.failures += 1;
-        self.gateway.note_source_trouble(self.kind, self.failures);
+        self.gateway
+            .note_source_failure(self.kind, error, self.failures);
         let jitter = rand::rng().random_range(0.5..1.0);
         let failed_at = self.gateway.clock().now();
         sleep(pause.mul_f64(jitter)).await;
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -72,6 +72,10 @@
             gateway.tell_peers_soon();
             true
         }
-        _ => false,
+        Ok(Err(error)) => {
+            gateway.note_unproven_configuration(&error);
+            false
+        }
+        Ok(Ok(_)) | Err(_) => false,
     }
 }
--- a/crates/gateway/src/source/source_error.rs
+++ b/crates/gateway/src/source/source_error.rs
@@ -11,7 +11,10 @@
     /// It takes no more calls now; nothing was done.
     #[display("throttled")]
     Throttled,
-    /// It could not be reached, or gave no answer in time; a write may have been done.
+    /// It stood still: a short question had no answer within its whole limit, also on a new connection.
+    #[display("no answer in time")]
+    NoAnswer,
+    /// It could not be reached, or the connection ended; a write may have been done.
     #[display("unavailable: {detail}")]
     Unavailable {
         /// What the transport said.
@@ -24,12 +27,3 @@
         detail: String,
     },
 }
-
-impl SourceError {
-    /// It gave no answer in time.
-    pub(super) fn no_answer() -> Self {
-        Self::Unavailable {
-            detail: "no answer in time".to_owned(),
-        }
-    }
-}
--- a/crates/gateway/src/upstream/called_address.rs
+++ b/crates/gateway/src/upstream/called_address.rs
@@ -8,14 +8,23 @@
 /// Idle connections to one address that are kept.
 const MOST_IDLE: usize = 4;
 
+/// A kept connection has left a call without an answer in time.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Suspicion {
+    /// When the latest such call was sent.
+    pub(super) since: Timestamp,
+    /// Whether the server answers such calls always, so that the connection must be the cause. An order
+    /// may be left without an answer on purpose.
+    pub(super) is_certain: bool,
+}
+
 /// What is known of an address that calls go to.
 #[derive(Debug)]
 pub(super) struct CalledAddress {
     pub(super) idle: Vec<Connection>,
     pub(super) times: AnswerTimes,
-    /// When the latest call was sent that a kept connection left without an answer in time; until
-    /// a newer connection confirms it, or the answer comes after all.
-    pub(super) suspected: Option<Timestamp>,
+    /// Until a newer connection confirms it, or the answer comes after all.
+    pub(super) suspected: Option<Suspicion>,
     /// Connections that were last heard from before this are silent; calls under way look at it.
     pub(super) silent_since: watch::Sender<Timestamp>,
 }
--- a/crates/gateway/src/upstream/called_addresses.rs
+++ b/crates/gateway/src/upstream/called_addresses.rs
@@ -15,7 +15,7 @@
 
 use super::answer_times::LEAST_PATIENCE;
 use super::call_log::CallLog;
-use super::called_address::CalledAddress;
+use super::called_address::{CalledAddress, Suspicion};
 use super::exchange::{ExchangeFailure, Exchanged};
 use super::sent_call::SentCall;
 use super::{Connection, Silence};
@@ -97,7 +97,8 @@
         self.learn(call, answer.taken);
         let is_newer = self.at(call.address, |known| {
             known.keep(answer.connection);
-            known.suspected.is_some_and(|since| since < call.opened_at)
+            let suspected = known.suspected;
+            suspected.is_some_and(|suspicion| suspicion.since < call.opened_at)
         });
         if is_newer {
             spawn_local(Rc::clone(self).confirm(call.clone()));
@@ -163,10 +164,12 @@
         let now = self.clock.now();
         let suspected = self.at(answered.address, |known| known.suspected.take());
         // It may have been withdrawn, or confirmed by another call.
-        let Some(since) = suspected else {
+        let Some(Suspicion { since, is_certain }) = suspected else {
             return;
         };
-        self.silence.confirm(now);
+        if is_certain {
+            self.silence.confirm(now);
+        }
         let closed = self.at(answered.address, |known| {
             known.silent_since.send_replace(since);
             known.close_unheard_since(since)
@@ -180,7 +183,12 @@
             if !call.is_kept {
                 return 0;
             }
-            known.suspected = known.suspected.max(Some(call.sent_at));
+            let before = known.suspected;
+            known.suspected = Some(Suspicion {
+                since: before.map_or(call.sent_at, |before| before.since.max(call.sent_at)),
+                is_certain: call.terms.is_repeatable
+                    || before.is_some_and(|before| before.is_certain),
+            });
             known.close_unheard_since(call.sent_at)
         })
     }
--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -171,14 +171,14 @@
     });
 }
 
-/// An entry that goes in calm times is no entry that lapsed with the source: one call that failed says
+/// An entry that goes in calm times is no entry that lapsed with the source: watches that were cut say
 /// nothing of the source.
 #[test]
-fn engine_that_goes_after_one_silent_call_is_not_waited_for() {
+fn engine_that_goes_after_watches_were_cut_is_not_waited_for() {
     run_paused(async {
         let followers = settled(3).await;
-        followers.source.silence(0..3);
-        sleep(CONTACT).await;
+        followers.source.cut_watches();
+        sleep(Duration::from_millis(200)).await;
         followers.source.remove("e1");
         let name = BackEndName::new("e1");
         let is_gone = |node: &Gateway| node.state().engines.get(&name).is_none();
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -62,6 +62,7 @@
         seeds: Vec::new(),
         most_unproven: Some(Duration::from_secs(3600)),
         weights_grace: Duration::from_secs(7),
+        weights_news_time: Duration::from_secs(1),
         assumed_weights_age: Duration::from_secs(5),
         unlisted_grace: Duration::from_secs(3),
         catalogue_bound: Duration::from_secs(3),
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -19,7 +19,7 @@
 };
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, interval, sleep, timeout_at};
+use tokio::time::{Instant, interval, sleep, sleep_until, timeout_at};
 
 use super::gateway_bench::{gateway_with, settings};
 use super::records::{engine, route, table};
@@ -27,6 +27,11 @@
 
 /// Time for an answer of the source.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// A short call on a kept connection without an answer is repeated after this time
+/// (tests/silent_connections.rs).
+const KEPT_PATIENCE: Duration = Duration::from_millis(250);
+/// Calls that are held for so long are not repeated.
+const LONG_HOLD: Duration = Duration::from_secs(1);
 /// Time between the messages of the nodes.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 /// Keys are refused when the configuration was not proven current for so long.
@@ -40,12 +45,19 @@
     changes: RefCell<Vec<(u64, ItemKind, ItemChange)>>,
     items: RefCell<BTreeMap<(u8, String), Item>>,
     changed: Notify,
+    cuts: Cell<u32>,
     /// Calls that were made, by node.
     calls: RefCell<BTreeMap<usize, usize>>,
     /// Times at which the connections of a node fell silent, so many of all nodes.
     silences: RefCell<BTreeMap<usize, u32>>,
     /// Kept connections of a node that are silent and not yet found out.
     silent_kept: RefCell<BTreeMap<usize, u32>>,
+    /// Changes up to this revision are forgotten.
+    forgotten: Cell<u64>,
+    /// Until then nothing is answered.
+    frozen_until: Cell<Option<Instant>>,
+    /// Nodes that have no way to the source.
+    cut_off: RefCell<BTreeSet<usize>>,
 }
 
 impl VirtualSource {
@@ -105,6 +117,36 @@
         self.put(ItemKind::Configuration, "main", configuration);
     }
 
+    /// Changes until now are forgotten; those who wait are not told.
+    pub fn forget_history(&self) {
+        self.forgotten.set(self.revision.get());
+    }
+
+    /// All watches that are open are cut, as the source may do at any time.
+    pub fn cut_watches(&self) {
+        self.cuts.set(self.cuts.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    /// Nothing is answered for a time, and everything afterwards.
+    pub fn freeze(&self, span: Duration) {
+        self.frozen_until.set(Some(Instant::now() + span));
+    }
+
+    async fn thaw(&self) {
+        if let Some(until) = self.frozen_until.get() {
+            sleep_until(until).await;
+        }
+    }
+
+    /// From now on this node has a way to the source or none.
+    pub fn set_reachable(&self, node: usize, is_reachable: bool) {
+        match is_reachable {
+            true => self.cut_off.borrow_mut().remove(&node),
+            false => self.cut_off.borrow_mut().insert(node),
+        };
+    }
+
     /// Something changes that no kind of item holds, as when a lease is renewed.
     pub fn change_something_else(&self) {
         self.revision.set(self.revision.get() + 1);
@@ -150,6 +192,7 @@
     }
 
     async fn list(&self, kind: ItemKind) -> ItemPage {
+        self.thaw().await;
         sleep(ANSWER_TIME).await;
         let items = self.items.borrow();
         let of_kind = items.iter().filter(|((of, _), _)| *of == kind as u8);
@@ -160,18 +203,32 @@
         }
     }
 
-    async fn watch(&self, kind: ItemKind, revision: u64, wait: Duration) -> ItemBatch {
+    async fn watch(
+        &self,
+        kind: ItemKind,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<ItemBatch, SourceError> {
         let until = Instant::now() + wait;
+        let cuts = self.cuts.get();
         loop {
+            self.thaw().await;
+            if self.cuts.get() > cuts {
+                let detail = "cut".to_owned();
+                return Err(SourceError::Unavailable { detail });
+            }
+            if revision < self.forgotten.get() {
+                sleep(ANSWER_TIME).await;
+                return Err(SourceError::HistoryGone);
+            }
             let changed = self.changed.notified();
             let changes = self.changes_after(kind, revision);
             let is_over = !changes.is_empty() || Instant::now() >= until;
             if is_over {
+                // What changes from here on is not in the answer.
+                let revision = self.revision.get();
                 sleep(ANSWER_TIME).await;
-                return ItemBatch {
-                    changes,
-                    revision: self.revision.get(),
-                };
+                return Ok(ItemBatch { changes, revision });
             }
             // Its end is the end of the wait, which the next turn sees.
             let _ = timeout_at(until, changed).await;
@@ -186,12 +243,24 @@
 }
 
 impl Way {
-    /// Answers only while the connection that the call began on has not fallen silent.
-    async fn carry<T>(&self, answer: impl Future<Output = T>) -> Result<T, SourceError> {
+    /// Answers only while the connection that the call began on has not fallen silent. A call that the
+    /// source does not hold for long is repeated on a new connection, as the client does.
+    async fn carry<T>(
+        &self,
+        hold: Duration,
+        answer: impl Future<Output = T>,
+    ) -> Result<T, SourceError> {
         self.source.count_call(self.node);
+        if self.source.cut_off.borrow().contains(&self.node) {
+            return pending().await;
+        }
         let silences = self.source.silence_count(self.node);
         if self.source.is_on_silent_connection(self.node) {
-            return pending().await;
+            if hold >= LONG_HOLD {
+                return pending().await;
+            }
+            sleep(hold + KEPT_PATIENCE).await;
+            self.source.count_call(self.node);
         }
         let answer = answer.await;
         if self.source.silence_count(self.node) > silences {
@@ -208,7 +277,8 @@
         _consistency: Consistency,
         _after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>> {
-        self.carry(self.source.list(kind)).boxed_local()
+        self.carry(Duration::ZERO, self.source.list(kind))
+            .boxed_local()
     }
 
     fn watch<'a>(
@@ -217,8 +287,8 @@
         revision: u64,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
-        self.carry(self.source.watch(kind, revision, wait))
-            .boxed_local()
+        let answer = self.source.watch(kind, revision, wait);
+        async move { self.carry(wait, answer).await? }.boxed_local()
     }
 }
 
@@ -256,6 +326,11 @@
         self.cut_off.borrow_mut().insert(node);
     }
 
+    /// Messages reach this node again.
+    pub fn join(&self, node: usize) {
+        self.cut_off.borrow_mut().remove(&node);
+    }
+
     fn start_node(self: &Rc<Self>, index: usize, watch: Duration) {
         let gateway = &self.nodes[index];
         let way: Rc<dyn CatalogueSource> = Rc::new(Way {
