--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -65,7 +65,7 @@
     let asked_at = gateway.clock().now();
     let question = source.watch(kind, revision, Duration::ZERO);
     let answer = timeout(ANSWER_LIMIT, question).await;
-    let answer = answer.unwrap_or_else(|_| Err(SourceError::NoAnswer));
+    let answer = answer.unwrap_or(Err(SourceError::NoAnswer));
     gateway.count_question(kind, Way::Probe, answer.is_ok());
     let batch = answer?;
     if batch.revision < revision {
