--- a/crates/gateway/src/engines/part_times.rs
+++ b/crates/gateway/src/engines/part_times.rs
@@ -22,8 +22,8 @@
     Pause,
 }
 
-/// How long parts of answers take: for each pool, route and part by itself, since prompts and plain requests
-/// have little in common. See docs/design/accounting.md.
+/// How long parts of answers take: for each pool, route and part by itself, since prompts and plain
+/// requests have little in common. See docs/design/accounting.md.
 #[derive(Debug, Default)]
 pub struct PartTimes {
     estimates: HashMap<(PoolName, String, AwaitedPart), TimeEstimate>,
--- a/crates/gateway/src/gateway/named_weights.rs
+++ b/crates/gateway/src/gateway/named_weights.rs
@@ -17,8 +17,9 @@
 impl Gateway {
     /// The source tells that weights were named, to a question sent at `asked_at`.
     ///
-    /// They count as named from the earliest moment at which that may have happened, as far as this node
-    /// and the others know: a node that hears late must not use older weights for as much longer.
+    /// They count as named from the earliest moment at which that may have happened, as far as this
+    /// node and the others know: a node that hears late must not use older weights for as much
+    /// longer.
     pub(super) fn weights_named(&self, named: &NamedWeights, asked_at: Option<Timestamp>) {
         let now = self.clock().now();
         let at = match self.state().has_weights_list {
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -16,8 +16,8 @@
     Assumed(Timestamp),
     /// Some process saw it come.
     Seen(Timestamp),
-    /// Some process learned of it late: it had not been named yet at the first moment, and it had been at the
-    /// second.
+    /// Some process learned of it late: it had not been named yet at the first moment, and it had
+    /// been at the second.
     Between(Timestamp, Timestamp),
 }
 
@@ -44,7 +44,8 @@
         match (self.span(), other.span()) {
             (Some(left), Some(right)) => {
                 let by = left.1.min(right.1);
-                // Ages that came from another node may be a little too high.
+                // What another node tells arrives a moment later than it was true, so with each exchange
+                // the first moment moves on a little, but never past the second.
                 Self::Between(left.0.max(right.0).min(by), by)
             }
             (Some(_), None) => self,
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -16,8 +16,8 @@
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
-/// A node that reads for others makes its watches at least so far apart, so that many changes in a row cost
-/// few calls.
+/// A node that reads for others makes its watches at least so far apart, so that many changes in a
+/// row cost few calls.
 const LEAST_SPACING: Duration = Duration::from_millis(250);
 /// A node that was just started makes them so far apart while it may not know yet that there are
 /// many others: each change would bring an answer to each of them.
@@ -271,9 +271,9 @@
         }
     }
 
-    /// Resolves when another question has brought a change that the watch from `revision` has not, though it
-    /// has had the time: its connection carries nothing any more. The same when the source has told
-    /// another question that a watch from there can't go on.
+    /// Resolves when another question has brought a change that the watch from `revision` has not,
+    /// though it has had the time: its connection carries nothing any more. The same when the
+    /// source has told another question that a watch from there can't go on.
     async fn is_overtaken(&self, revision: u64) {
         while !self.lacks_changes(revision) {
             sleep(LOOK_INTERVAL).await;
--- a/crates/gateway/src/source/source_error.rs
+++ b/crates/gateway/src/source/source_error.rs
@@ -11,7 +11,8 @@
     /// It takes no more calls now; nothing was done.
     #[display("throttled")]
     Throttled,
-    /// It stood still: a short question had no answer within its whole limit, also on a new connection.
+    /// It stood still: a short question had no answer within its whole limit, also on a new
+    /// connection.
     #[display("no answer in time")]
     NoAnswer,
     /// It could not be reached, or the connection ended; a write may have been done.
--- a/crates/gateway/src/upstream/called_address.rs
+++ b/crates/gateway/src/upstream/called_address.rs
@@ -13,8 +13,8 @@
 pub(super) struct Suspicion {
     /// When the latest such call was sent.
     pub(super) since: Timestamp,
-    /// Whether the server answers such calls always, so that the connection must be the cause. An order
-    /// may be left without an answer on purpose.
+    /// Whether the server answers such calls always, so that the connection must be the cause. An
+    /// order may be left without an answer on purpose.
     pub(super) is_certain: bool,
 }
 
--- a/crates/gateway/src/upstream/hearings.rs
+++ b/crates/gateway/src/upstream/hearings.rs
@@ -11,8 +11,8 @@
 /// for it. One that was opened later says nothing: new ones work.
 #[derive(Debug, Default)]
 pub(super) struct Hearings {
-    /// When a connection was opened and when it was heard from: of two that were heard from, the one that
-    /// is younger and was heard from earlier tells nothing more, so both rise.
+    /// When a connection was opened and when it was heard from: of two that were heard from, the
+    /// one that is younger and was heard from earlier tells nothing more, so both rise.
     heard: RefCell<Vec<(Timestamp, Timestamp)>>,
 }
 
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -34,11 +34,12 @@
 /// Makes short calls with JSON bodies, on kept connections where possible.
 ///
 /// An open connection may fall silent for good without a reset while new ones work. So a call on a
-/// kept connection must be answered within what was observed at its address ([`super::AnswerTimes`]);
-/// otherwise the connection counts as silent, a call that may be repeated is sent again on a new
-/// connection as long as it still has time to be held, and another one ends. Once a new connection is answered while the old one is not,
-/// other calls under way on connections that were not heard from since end as well, and connections
-/// to all addresses are distrusted ([`Silence`]). A call on a new connection has its whole limit.
+/// kept connection must be answered within what was observed at its address
+/// ([`super::AnswerTimes`]); otherwise the connection counts as silent, a call that may be repeated
+/// is sent again on a new connection as long as it still has time to be held, and another one ends.
+/// Once a new connection is answered while the old one is not, other calls under way on connections
+/// that were not heard from since end as well, and connections to all addresses are distrusted
+/// ([`Silence`]). A call on a new connection has its whole limit.
 #[derive(Debug)]
 pub struct JsonCaller {
     settings: ConnectSettings,
--- a/crates/gateway/tests/final_answers.rs
+++ b/crates/gateway/tests/final_answers.rs
@@ -1,5 +1,5 @@
-//! What the gateway answers of its own never promises "not run" of a request that an engine has run, and
-//! an answer that an engine has made is not replaced by a refusal.
+//! What the gateway answers of its own never promises "not run" of a request that an engine has
+//! run, and an answer that an engine has made is not replaced by a refusal.
 
 mod raw_engine;
 mod support;
--- a/crates/gateway/tests/silent_connections.rs
+++ b/crates/gateway/tests/silent_connections.rs
@@ -406,8 +406,8 @@
     });
 }
 
-/// As in an incident in which connections to all engines fell silent at one moment: what was heard before it
-/// speaks for no connection a moment later.
+/// As in an incident in which connections to all engines fell silent at one moment: what was heard
+/// before it speaks for no connection a moment later.
 #[test]
 fn once_all_fell_silent_requests_go_on_new_connections_within_a_moment() {
     run(async {
@@ -443,7 +443,8 @@
         // The report that follows is answered, on a new connection.
         bench.call(one_address, Method::GET).await.expect("answer");
         tokio::time::sleep(Duration::from_millis(100)).await;
-        // A connection that was open as long is heard from, so that silence alone would speak against them.
+        // A connection that was open as long is heard from, so that silence alone would speak
+        // against them.
         bench.upstream.note_heard(&older.connection);
         bench.keep_engine_connections(&name, other_address, 4).await;
         assert_eq!(other.accepted(), 1 + 4);
