--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -38,8 +38,9 @@
 /// ([`super::AnswerTimes`]); otherwise the connection counts as silent, a call that may be repeated
 /// is sent again on a new connection as long as it still has time to be held, and another one ends.
 /// Once a new connection is answered while the old one is not, other calls under way on connections
-/// that were not heard from since end as well, and connections to all addresses are distrusted
-/// ([`Silence`]). A call on a new connection has its whole limit.
+/// that were not heard from since end as well. If the call was one that is always answered, idle
+/// connections to all addresses are distrusted too ([`Silence`]). A call on a new connection has its
+/// whole limit.
 #[derive(Debug)]
 pub struct JsonCaller {
     settings: ConnectSettings,
