--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -233,15 +233,15 @@
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let mut state = self.state_mut();
-        let is_doubtful = state
-            .engine_list_trouble_at
-            .is_some_and(|at| now.since(at) < grace);
+        let trouble_age = state.engine_list_trouble_at.map(|at| now.since(at));
+        let is_doubtful = trouble_age.is_some_and(|age| age < grace);
         if is_doubtful
             && let Some(engine) = state.engines.get_mut(name)
             && engine.entry.state == EngineState::Ready
         {
             engine.is_unlisted = true;
-            warn!(self.log(), "engine_unlisted"; "engine" => %name);
+            warn!(self.log(), "engine_unlisted"; "engine" => %name,
+                "trouble_age_ms" => trouble_age.map(|age| age.as_millis() as u64));
             return;
         }
         if state.engines.remove(name).is_some() {
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -38,6 +38,7 @@
     metrics: Rc<Metrics>,
     sampler: LogSampler,
     unserved_sampler: LogSampler,
+    old_list_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -58,6 +59,7 @@
             metrics: Rc::new(Metrics::new()),
             sampler: LogSampler::default(),
             unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
+            old_list_sampler: LogSampler::default(),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -89,6 +91,11 @@
         &self.unserved_sampler
     }
 
+    /// Bounds lines that tell of requests sent by a list of engines that was old.
+    pub fn old_list_sampler(&self) -> &LogSampler {
+        &self.old_list_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -14,6 +14,7 @@
 use super::attempt_end::AttemptEnd;
 use super::doubt::Doubt;
 use super::held_request::HeldRequest;
+use super::list_state::ListState;
 use super::live_answer::LiveAnswer;
 use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
@@ -36,6 +37,9 @@
 ) -> Result<LiveAnswer, AttemptEnd> {
     let in_flight = count_in_flight(gateway, request, placement)
         .ok_or_else(|| AttemptEnd::NotConnected("engine gone".to_owned()))?;
+    let list = ListState::now(gateway, placement);
+    list.note(gateway, request, placement);
+    held.list.set(list);
     let sent_at = gateway.clock().now();
     let message = build_message(gateway, request, placement, last_event_id);
     let is_repeatable = request.route.is_idempotent();
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -277,7 +277,8 @@
         warn!(self.gateway.log(), "attempt_failed"; "request" => &self.request.caller.id,
             "engine" => %placement.engine, "address" => %placement.address,
             "end" => %end, "weights" => placement.weights, "cost" => %placement.cost,
-            "configuration" => self.request.configuration_version, "arrivals" => self.arrivals);
+            "configuration" => self.request.configuration_version, "arrivals" => self.arrivals,
+            "list" => %self.held.list.get());
     }
 
     /// An attempt ended well.
--- a/crates/gateway/src/serve/held_request.rs
+++ b/crates/gateway/src/serve/held_request.rs
@@ -4,6 +4,7 @@
 
 use super::accepted_request::AcceptedRequest;
 use super::held_at::HeldAt;
+use super::list_state::ListState;
 use crate::upstream::ConnectionUse;
 
 /// What is known of a request while it is held, for the line that tells of one that ends unserved;
@@ -15,6 +16,8 @@
     is_waiting: Cell<bool>,
     /// The connection that the attempt under way uses, once there is one.
     pub(super) used: Cell<Option<ConnectionUse>>,
+    /// The list of engines when the last attempt began.
+    pub(super) list: Cell<ListState>,
     /// Whether the attempt under way was doubted, but not given up.
     pub(super) is_doubted: Cell<bool>,
     /// Its kind, once its route is known.
--- /dev/null
+++ b/crates/gateway/src/serve/list_state.rs
@@ -0,0 +1,65 @@
+//! How good the list of engines was that an engine was chosen from.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use slog::warn;
+
+use super::accepted_request::AcceptedRequest;
+use crate::gateway::Gateway;
+use crate::placement::Placement;
+use crate::source::ItemKind;
+
+/// How good this node's list of engines was when a request was sent to one of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
+#[display(
+    "revision={},age_ms={},behind={is_behind},unlisted={is_unlisted}",
+    revision.map_or(-1, |revision| revision as i64),
+    age.map_or(-1, |age| age.as_millis() as i64)
+)]
+pub(super) struct ListState {
+    /// Revision of the source that the list has come to.
+    revision: Option<u64>,
+    /// How long ago the list was certainly current.
+    age: Option<Duration>,
+    /// Whether another node is known to have a newer one.
+    is_behind: bool,
+    /// Whether the entry of the chosen engine has gone and is waited for.
+    is_unlisted: bool,
+}
+
+impl ListState {
+    /// The state now.
+    pub(super) fn now(gateway: &Gateway, placement: &Placement) -> Self {
+        let now = gateway.clock().now();
+        let state = gateway.state();
+        let replica = state.replicas.of(ItemKind::Engines);
+        let engine = state.engines.get(&placement.engine);
+        Self {
+            revision: replica.revision,
+            age: replica.freshness.age(now),
+            is_behind: replica.is_behind,
+            is_unlisted: engine.is_some_and(|engine| engine.is_unlisted),
+        }
+    }
+
+    /// Counts the age; a request that is sent by a list which other nodes know to be old, or which is
+    /// older than engines may take to leave, is told whatever becomes of it.
+    pub(super) fn note(&self, gateway: &Gateway, request: &AcceptedRequest, placement: &Placement) {
+        if let Some(age) = self.age {
+            let ages = &gateway.metrics().list_age_seconds;
+            ages.observe(age.as_secs_f64());
+        }
+        let bound = gateway.settings().catalogue_bound;
+        let is_old = self.age.is_some_and(|age| age >= bound);
+        if !is_old && !self.is_behind {
+            return;
+        }
+        gateway.metrics().sent_by_old_list.inc();
+        let now = gateway.clock().now();
+        if let Some(left_out) = gateway.old_list_sampler().admit(now) {
+            warn!(gateway.log(), "sent_by_old_list"; "request" => &request.caller.id,
+                "engine" => %placement.engine, "list" => %self, "left_out" => left_out);
+        }
+    }
+}
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -13,6 +13,7 @@
 mod held_at;
 mod held_request;
 mod intake;
+mod list_state;
 mod live_answer;
 mod planned_stop;
 mod respond;
--- a/crates/gateway/src/serve/respond.rs
+++ b/crates/gateway/src/serve/respond.rs
@@ -84,6 +84,7 @@
             "route" => &request.route.name, "engine" => %whole.placement.engine,
             "status" => whole.status.as_u16(), "arrivals" => exchange.arrivals,
             "cost" => %whole.placement.cost, "configuration" => request.configuration_version,
+            "list" => %exchange.held.list.get(),
             "after_ms" => active.elapsed_ms(), "left_out" => left_out);
     }
     let mut response = Response::new(AnswerBody::whole(whole.bytes));
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -314,6 +314,7 @@
             "longest_pause_ms" => self.longest_pause_ms, "cost" => %placement.cost,
             "arrivals" => self.exchange.arrivals, "resumed" => self.resumed,
             "configuration" => request.configuration_version,
+            "list" => %self.exchange.held.list.get(),
             "after_ms" => self.active.elapsed_ms(), "left_out" => left_out);
     }
 
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -120,6 +120,7 @@
             match listed {
                 Ok((items, revision)) if self.revision() <= Some(revision) => {
                     self.note_answer();
+                    self.log_list(&items, revision, consistency, asked_at);
                     let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
                     let gateway = &self.gateway;
                     gateway.take_list_of(self.kind, items, revision, proven_at);
@@ -142,6 +143,21 @@
         }
     }
 
+    /// A stale list that came late is old when it is taken in, and nothing else tells by how much.
+    fn log_list(
+        &self,
+        items: &[Item],
+        revision: u64,
+        consistency: Consistency,
+        asked_at: Timestamp,
+    ) {
+        let taken = self.gateway.clock().now().since(asked_at);
+        info!(self.gateway.log(), "list_read"; "kind" => %self.kind, "revision" => revision,
+            "before" => self.revision(), "items" => items.len(),
+            "is_stale" => consistency == Consistency::Stale,
+            "taken_ms" => taken.as_millis() as u64);
+    }
+
     async fn list_all(&self, consistency: Consistency) -> Result<(Vec<Item>, u64), SourceError> {
         let mut items = Vec::new();
         let mut after: Option<String> = None;
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -36,6 +36,10 @@
     pub orders: IntCounterVec,
     /// Questions to the source by kind of item, way of asking and how they ended.
     pub source_questions: IntCounterVec,
+    /// Age of the list of engines when a request was sent by it.
+    pub list_age_seconds: Histogram,
+    /// Requests sent by a list of engines that was known to be old.
+    pub sent_by_old_list: IntCounter,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Engines in the list.
@@ -70,7 +74,11 @@
             ),
             retries_denied: counter(&registry, "retries_denied_total", "Retries without budget"),
             prompt_tokens: vector(&registry, "prompt_tokens_total", "Prompt tokens", "source"),
-            first_answer_seconds: histogram(&registry),
+            first_answer_seconds: histogram(
+                &registry,
+                "first_answer_seconds",
+                "Time to the first answer",
+            ),
             calls: vector_of(
                 &registry,
                 "calls_total",
@@ -91,6 +99,16 @@
                 "Questions to the source by kind of item, way of asking and how they ended",
                 "question",
             ),
+            list_age_seconds: histogram(
+                &registry,
+                "list_age_seconds",
+                "Age of the proof of the list of engines by which requests were sent",
+            ),
+            sent_by_old_list: counter(
+                &registry,
+                "sent_by_old_list_total",
+                "Requests sent by a list of engines known to be old",
+            ),
             configuration_version: gauge(
                 &registry,
                 "configuration_version",
@@ -144,8 +162,8 @@
     metric
 }
 
-fn histogram(registry: &Registry) -> Histogram {
-    let options = HistogramOpts::new("first_answer_seconds", "Time to the first answer")
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help)
         .namespace("ryerouter_gateway")
         .buckets(LATENCY_BUCKETS.to_vec());
     let metric = Histogram::with_opts(options).expect("name is valid");
