--- /dev/null
+++ b/crates/gateway/tests/late_source.rs
@@ -0,0 +1,157 @@
+//! A source that answers one node late, while the others hear it at once, on a virtual clock; see
+//! docs/incidents/2026-12-02-late-links.md.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::identity::BackEndName;
+use ryerouter_gateway::gateway::Gateway;
+use support::gateway_bench::run_paused;
+use support::test_dialect::MODEL;
+use support::virtual_source::{
+    Followers, VirtualSource, knows_leaving, newest_weights, three_engines,
+};
+use tokio::time::sleep;
+
+/// How long a watch lasts in a small deployment.
+const LONG_WATCH: Duration = Duration::from_secs(15);
+/// A deployment has settled after this time: all nodes know each other and wait for changes.
+const SETTLED: Duration = Duration::from_secs(8);
+/// The answers are late for so long before anything changes: whatever was on its way has arrived.
+const LATE_BEFORE: Duration = Duration::from_secs(4);
+/// An engine that leaves gets nothing new after this time; configurations are in force by then.
+const BOUND: Duration = Duration::from_secs(2);
+/// Requests begin on replaced weights no longer than this after newer ones were named.
+const VERSION_BOUND: Duration = Duration::from_secs(8);
+/// Times that each case is played.
+const PLAYS: usize = 4;
+/// A wait that is longer than any bound.
+const LONG_ENOUGH: Duration = Duration::from_secs(20);
+
+/// So many nodes, to one of which answers are late for some time.
+async fn late_at(count: usize, late: usize, by: Duration) -> Rc<Followers> {
+    let source = VirtualSource::new(three_engines());
+    let followers = Followers::start(count, source, LONG_WATCH);
+    sleep(SETTLED).await;
+    followers.source.delay_answers(late, by);
+    sleep(LATE_BEFORE).await;
+    followers
+}
+
+fn drain(followers: &Followers, index: usize) {
+    let engine = three_engines().swap_remove(index);
+    followers.source.drain(engine);
+}
+
+fn knows_gone(gateway: &Gateway, name: &str) -> bool {
+    let state = gateway.state();
+    state.engines.get(&BackEndName::new(name)).is_none()
+}
+
+/// Plays a case several times, since nodes draw some of their times; tells the longest delay where that
+/// reaches the bound.
+fn worst<F: Future<Output = Option<Duration>>>(
+    bound: Duration,
+    play: impl Fn() -> F + Clone + 'static,
+) -> Option<Duration> {
+    let delays = (0..PLAYS).map(|_| {
+        let play = play.clone();
+        run_paused(async move { play().await.unwrap_or(LONG_ENOUGH) })
+    });
+    delays.max().filter(|longest| *longest >= bound)
+}
+
+/// A case: so many nodes, which of them is late, and by how many milliseconds.
+type Case = (usize, usize, u64);
+
+/// Plays all cases; none may reach the bound.
+fn assert_in_time<F: Future<Output = Option<Duration>>>(
+    cases: &[Case],
+    bound: Duration,
+    play: impl Fn(Rc<Followers>) -> F + Copy + 'static,
+) {
+    let late = cases.iter().filter_map(|case| {
+        let (count, late, by_ms) = *case;
+        let by = Duration::from_millis(by_ms);
+        let longest = worst(bound, move || async move {
+            play(late_at(count, late, by).await).await
+        });
+        longest.map(|longest| (*case, longest))
+    });
+    let late: Vec<_> = late.collect();
+    assert!(late.is_empty(), "nodes, late node, ms, delay: {late:?}");
+}
+
+#[test]
+fn leaving_engine_is_known_in_time_where_answers_are_late() {
+    let cases = [
+        (2, 1, 1_200),
+        (7, 1, 800),
+        (7, 1, 1_200),
+        (7, 1, 1_600),
+        (7, 1, 2_000),
+        (7, 1, 3_000),
+        (7, 1, 60_000),
+        (7, 0, 2_000),
+        (10, 0, 3_000),
+        (12, 0, 3_000),
+        (12, 5, 3_000),
+    ];
+    assert_in_time(&cases, BOUND, |followers| async move {
+        drain(&followers, 0);
+        // The second change comes while the first is still on its way.
+        sleep(Duration::from_millis(300)).await;
+        drain(&followers, 1);
+        let is_known = |node: &Gateway| knows_leaving(node, "e1") && knows_leaving(node, "e2");
+        followers.until_known(LONG_ENOUGH, is_known).await
+    });
+}
+
+/// Engines may leave without a word. That questions of this node fail is no outage of the source,
+/// which the other nodes reach.
+#[test]
+fn engine_that_goes_is_left_in_time_where_answers_are_late() {
+    let cases = [
+        (2, 1, 1_200),
+        (6, 1, 800),
+        (6, 1, 1_200),
+        (6, 1, 1_600),
+        (6, 1, 2_000),
+        (6, 1, 3_000),
+        (6, 0, 1_600),
+        (12, 0, 3_000),
+        (12, 5, 3_000),
+    ];
+    assert_in_time(&cases, BOUND, |followers| async move {
+        followers.source.remove("e1");
+        let is_known = |node: &Gateway| knows_gone(node, "e1");
+        followers.until_known(LONG_ENOUGH, is_known).await
+    });
+}
+
+#[test]
+fn weights_and_configuration_are_known_in_time_where_answers_are_late() {
+    let cases = [
+        (6, 1, 800),
+        (6, 1, 1_600),
+        (6, 1, 3_000),
+        (6, 1, 60_000),
+        (12, 0, 3_000),
+        (12, 5, 3_000),
+    ];
+    assert_in_time(&cases, BOUND, |followers| async move {
+        followers.source.configure(2);
+        let is_known = |node: &Gateway| node.configuration_version() == Some(2);
+        followers.until_known(LONG_ENOUGH, is_known).await
+    });
+    assert_in_time(&cases, VERSION_BOUND, |followers| async move {
+        followers.source.name_weights(2);
+        let is_left = |node: &Gateway| {
+            let now = node.clock().now();
+            newest_weights(node) == Some(2) && !node.state().deadlines.allows(MODEL, 1, now)
+        };
+        followers.until_known(LONG_ENOUGH, is_left).await
+    });
+}
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -40,13 +40,13 @@
 }
 
 /// The same on a virtual clock; for tests without sockets.
-pub fn run_paused(test: impl Future<Output = ()>) {
+pub fn run_paused<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("runtime");
-    LocalSet::new().block_on(&runtime, test);
+    LocalSet::new().block_on(&runtime, test)
 }
 
 /// Settings of the node `name`.
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -56,6 +56,8 @@
     forgotten: Cell<u64>,
     /// Until then nothing is answered.
     frozen_until: Cell<Option<Instant>>,
+    /// By how much the answers to a node are late.
+    lateness: RefCell<BTreeMap<usize, Duration>>,
     /// Nodes that have no way to the source.
     cut_off: RefCell<BTreeSet<usize>>,
 }
@@ -113,7 +115,8 @@
     /// A configuration is put in force.
     pub fn configure(&self, version: u64) {
         let routes = vec![route(RequestKind::Safe)];
-        let configuration = Item::Configuration(Rc::new(table(version, routes)));
+        let table = table(version, routes).with_document(version.to_string());
+        let configuration = Item::Configuration(Rc::new(table));
         self.put(ItemKind::Configuration, "main", configuration);
     }
 
@@ -139,6 +142,16 @@
         }
     }
 
+    /// From now on answers reach this node so much later; nothing is lost.
+    pub fn delay_answers(&self, node: usize, by: Duration) {
+        self.lateness.borrow_mut().insert(node, by);
+    }
+
+    fn lateness_of(&self, node: usize) -> Duration {
+        let lateness = self.lateness.borrow();
+        lateness.get(&node).copied().unwrap_or_default()
+    }
+
     /// From now on this node has a way to the source or none.
     pub fn set_reachable(&self, node: usize, is_reachable: bool) {
         match is_reachable {
@@ -263,6 +276,7 @@
             self.source.count_call(self.node);
         }
         let answer = answer.await;
+        sleep(self.source.lateness_of(self.node)).await;
         if self.source.silence_count(self.node) > silences {
             return pending().await;
         }
@@ -373,18 +387,34 @@
                 }
             }
             self.ask_reader(index);
+            self.fetch_configuration(index);
         }
     }
 
+    /// Asks for a configuration piece by piece.
+    fn fetch_configuration(&self, index: usize) {
+        let mut next = self.nodes[index].next_fetch();
+        while let Some((address, fetch)) = next {
+            let holder = self.node_at(index, address);
+            let chunk = holder.and_then(|holder| holder.answer_fetch(&fetch));
+            next = chunk.and_then(|chunk| self.nodes[index].take_chunk(chunk));
+        }
+    }
+
+    /// The node at an address, if messages of node `index` reach it.
+    fn node_at(&self, index: usize, address: SocketAddr) -> Option<&Rc<Gateway>> {
+        let other = (0..self.nodes.len()).find(|other| peer_address(*other) == address)?;
+        self.are_connected(index, other).then(|| &self.nodes[other])
+    }
+
     fn ask_reader(&self, index: usize) {
         let Some((address, question)) = self.nodes[index].next_question() else {
             return;
         };
-        let reader = (0..self.nodes.len()).find(|other| peer_address(*other) == address);
-        let Some(reader) = reader.filter(|reader| self.are_connected(index, *reader)) else {
+        let Some(reader) = self.node_at(index, address) else {
             return;
         };
-        let answer = self.nodes[reader].answer_question(&question);
+        let answer = reader.answer_question(&question);
         self.nodes[index].take_answer(answer);
     }
 
