--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -386,6 +386,7 @@
                     receiver.hear_peer(message.clone());
                 }
             }
+            gateway.remove_unlisted();
             self.ask_reader(index);
             self.fetch_configuration(index);
         }
