A node that the source answers late goes by what the others know

Cause: a node that could know better decided by what it had. Nodes of a small deployment told each other that something had changed, never what, so a node with late answers knew its copy to be old and went on by it; a reader of many nodes never asked anybody; a configuration was handed on only where the source did not answer at all. Each failed question of one node counted as an outage of the source and began the grace for lapsed entries anew, though others proved that the source answers. Change: one of few nodes that is behind for 100 ms, and a reader whose copy is older than half of the bound, ask the node that told so, with the questions that nodes of large deployments ask anyway; a configuration is handed on after 500 ms; entries are waited for, and deadlines of weights extended, only where the answers that nodes get show a break of the source in which entries can lapse (Steadiness); a late answer no longer clears what was told after its question; a first list that is known to be old is completed before the node serves, and a late answer to a list is taken whenever it comes.

--- a/crates/gateway/src/gateway/copy_proofs.rs
+++ b/crates/gateway/src/gateway/copy_proofs.rs
@@ -41,7 +41,7 @@
         }
         let patience = self.copy_patience(&state, kind, now);
         let known_at = replica.freshness.proven_at().max(replica.read_at);
-        replica.is_behind || known_at.is_none_or(|at| now.since(at) >= patience)
+        replica.is_behind() || known_at.is_none_or(|at| now.since(at) >= patience)
     }
 
     /// A question for a proof failed, so many in a row.
@@ -107,19 +107,19 @@
     /// What another node says of its copies: it proves this node's as well, or shows that a change is
     /// missing there.
     pub(super) fn take_copy_proofs(&self, state: &mut GatewayState, message: &PeerMessage) {
+        let now = self.clock().now();
         let sent_at = self.echoed_message_sent_at(state, message);
         for proof in &message.copies {
             let replica = state.replicas.of_mut(proof.kind);
-            if replica.revision.is_none() {
-                continue;
-            }
+            let was_behind = replica.is_behind();
+            let is_behind = !replica.note_told(proof.changed_until, now);
             if replica.revision < Some(proof.changed_until) {
-                if !replica.is_behind {
+                if is_behind && !was_behind {
                     info!(self.log(), "copy_behind"; "kind" => %proof.kind,
                         "revision" => replica.revision, "changed_until" => proof.changed_until,
                         "peer" => %message.from.name);
                 }
-                replica.is_behind = true;
+                state.note_ahead(&message.from, now);
             } else if let Some(sent_at) = sent_at {
                 let age = Duration::from_millis(proof.age_ms);
                 replica.freshness.prove(sent_at.before(age));
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -35,6 +35,8 @@
     pub assumed_weights_age: Duration,
     /// An engine whose entry went while the source was in trouble may be used for so long.
     pub unlisted_grace: Duration,
+    /// Entries of engines that live lapse only when the source stands still for so long.
+    pub entry_lapse: Duration,
     /// Changes of what the source holds must be in force within this time.
     pub catalogue_bound: Duration,
     /// How exactly limits of tenants are held.
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
@@ -12,13 +13,14 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::{BeginTimes, EngineTable, PartTimes};
 use crate::peers::{
-    HolderNews, LeaseNews, NodeState, PeerTable, SentTimes, WeightsNews, ZoneTraffic,
+    HolderNews, LeaseNews, MemberAddress, NodeIdentity, NodeState, PeerTable, SentTimes,
+    WeightsNews, ZoneTraffic,
 };
 use crate::placement::{Division, HolderTable, KvStores, ReadingDemand};
 use crate::quotas::Quotas;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
-use crate::source::{ChangeLog, ItemKind, Replicas};
+use crate::source::{ChangeLog, ItemKind, Replicas, Steadiness};
 use crate::sync::{Exchange, Transfer};
 
 /// What a gateway believes; changed between awaits only.
@@ -42,6 +44,10 @@
     pub is_source_reached: bool,
     /// When the source last answered this node, or another one as far as that one told.
     pub source_answered_at: Option<Timestamp>,
+    /// Since when the source has answered this node or others without a break.
+    pub steadiness: Steadiness,
+    /// Another node that knows what this one lacks.
+    pub ahead: Option<MemberAddress>,
     /// When the store of leases last did not answer, until it does. Other calls to the source may go
     /// on for a while without a fault: watches wait long, and proofs come from other nodes.
     pub lease_trouble_at: Option<Timestamp>,
@@ -123,6 +129,24 @@
         self.replicas.of(ItemKind::Configuration).freshness
     }
 
+    /// Another node knows what this one lacks: it is asked, unless it was silent lately.
+    pub fn note_ahead(&mut self, node: &NodeIdentity, now: Timestamp) {
+        if self.sync.may_ask(&node.name, now) {
+            self.ahead = Some(MemberAddress {
+                name: node.name.clone(),
+                address: node.peer_address,
+            });
+        }
+    }
+
+    /// Whether entries of engines that have gone may have lapsed while the source stood still, and come
+    /// back within `grace` of its return. Failed calls of this node alone don't say so.
+    pub fn may_entries_return(&self, grace: Duration, now: Timestamp) -> bool {
+        let trouble_at = self.engine_list_trouble_at;
+        let is_troubled = trouble_at.is_some_and(|at| now.since(at) < grace);
+        is_troubled && !self.steadiness.holds(grace, now)
+    }
+
     /// The state at the start of a process, which is `now`.
     pub fn new(settings: &GatewaySettings, now: Timestamp) -> Self {
         let mut peers = PeerTable::default();
@@ -141,6 +165,8 @@
             transfer: Transfer::default(),
             is_source_reached: false,
             source_answered_at: None,
+            steadiness: Steadiness::new(settings.entry_lapse),
+            ahead: None,
             lease_trouble_at: None,
             has_engine_list: false,
             has_weights_list: false,
--- a/crates/gateway/src/gateway/handover.rs
+++ b/crates/gateway/src/gateway/handover.rs
@@ -15,14 +15,20 @@
 /// A piece that has not come after so long is asked for again; nodes answer within milliseconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(200);
 
+/// The source is asked for a configuration that others have; where it has not brought it in this time
+/// its answers are late, and the others hand it on. It takes milliseconds when all is well, and some
+/// hundred when the source is slow.
+const SOURCE_PATIENCE: Duration = Duration::from_millis(500);
+
 impl Gateway {
     /// The next piece to ask for, and of whom: while another node has a newer configuration and
-    /// the source does not answer this one.
+    /// the source does not answer this one, or late.
     pub fn next_fetch(&self) -> Option<(SocketAddr, Fetch)> {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        let is_behind = state.replicas.of(ItemKind::Configuration).is_behind;
-        if !is_behind || state.is_source_reached {
+        let replica = state.replicas.of(ItemKind::Configuration);
+        let is_source_late = replica.is_behind_for(SOURCE_PATIENCE, now);
+        if !replica.is_behind() || (state.is_source_reached && !is_source_late) {
             return None;
         }
         let offer = state.transfer.offer?;
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
@@ -13,6 +14,9 @@
 use crate::peers::NodeState;
 use crate::source::{Item, ItemBatch, ItemChange, ItemKind, SourceError};
 
+/// An answer that takes no longer shows that the source answered when it was asked: it does so within
+/// milliseconds, and when it is slow within some hundred.
+const PROMPT_ANSWER: Duration = Duration::from_millis(500);
 /// So many calls that fail in a row are a disruption of the source.
 const FAILURES_OF_TROUBLE: u32 = 2;
 
@@ -30,6 +34,7 @@
         revision: u64,
         proven_at: Option<Timestamp>,
     ) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         if kind == ItemKind::Engines {
             match state.has_engine_list {
@@ -44,7 +49,7 @@
             state.weights_seen_after.get_or_insert(revision);
         }
         let replica = state.replicas.of_mut(kind);
-        replica.revision = Some(revision);
+        replica.advance(revision, now);
         replica.changed_until = Some(revision);
         replica.is_history_lost = false;
         drop(state);
@@ -60,8 +65,9 @@
         if state.replicas.of(kind).revision > Some(batch.revision) {
             return;
         }
+        let now = self.clock().now();
         let replica = state.replicas.of_mut(kind);
-        replica.revision = Some(batch.revision);
+        replica.advance(batch.revision, now);
         if !batch.changes.is_empty() {
             replica.changed_until = Some(batch.revision);
         }
@@ -128,13 +134,24 @@
         state.source_answered_at = Some(now);
         if let Some(proven_at) = proven_at {
             let replica = state.replicas.of_mut(kind);
-            replica.is_behind = false;
+            // A late answer may lack what another node has told meanwhile.
+            if replica.behind_since <= Some(proven_at) {
+                replica.note_caught_up();
+            }
             replica.freshness.prove(proven_at);
         }
         drop(state);
         self.become_ready();
     }
 
+    /// The source answered a question that was asked at `asked_at` and might wait for `wait`.
+    pub(crate) fn note_answer_time(&self, asked_at: Timestamp, wait: Duration) {
+        let taken = self.clock().now().since(asked_at);
+        if taken < wait + PROMPT_ANSWER {
+            self.state_mut().steadiness.note(asked_at);
+        }
+    }
+
     /// Whether the source answered this node or another one after `moment`, as far as is known.
     pub fn source_answered_since(&self, moment: Timestamp) -> bool {
         let answered_at = self.state().source_answered_at;
@@ -186,7 +203,10 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.source_trouble_at = Some(now);
-        state.deadlines.extend_from(now);
+        // Where the source answers others, only this node's way to it is harmed.
+        if !state.steadiness.holds(self.settings().entry_lapse, now) {
+            state.deadlines.extend_from(now);
+        }
     }
 
     /// Version of the configuration, once one is known.
@@ -207,7 +227,8 @@
             .set(table.version() as i64);
         state.table = Some(table);
         // If another node knows a still newer one, it tells that again.
-        state.replicas.of_mut(ItemKind::Configuration).is_behind = false;
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        replica.note_caught_up();
     }
 
     fn engine_listed(&self, entry: EngineEntry) {
@@ -234,8 +255,7 @@
         let grace = self.settings().unlisted_grace;
         let mut state = self.state_mut();
         let trouble_age = state.engine_list_trouble_at.map(|at| now.since(at));
-        let is_doubtful = trouble_age.is_some_and(|age| age < grace);
-        if is_doubtful
+        if state.may_entries_return(grace, now)
             && let Some(engine) = state.engines.get_mut(name)
             && engine.entry.state == EngineState::Ready
         {
@@ -257,10 +277,7 @@
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let state = self.state();
-        let is_over = state
-            .engine_list_trouble_at
-            .is_none_or(|at| now.since(at) >= grace);
-        if !is_over {
+        if state.may_entries_return(grace, now) {
             return;
         }
         let unlisted = state.engines.iter().filter(|engine| engine.is_unlisted);
@@ -289,9 +306,13 @@
     }
 
     pub(super) fn become_ready(&self) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         let knows_all = state.table.is_some() && state.has_engine_list;
-        if knows_all && state.node_state == NodeState::Starting {
+        // A list that came late is completed by the node that knows more, if that answers.
+        let list = state.replicas.of(ItemKind::Engines);
+        let is_old = list.is_behind() && !list.is_behind_for(self.settings().catalogue_bound, now);
+        if knows_all && !is_old && state.node_state == NodeState::Starting {
             state.node_state = NodeState::Ready;
             info!(self.log(), "ready"; "engines" => state.engines.iter().count());
             self.urgent_news.notify_one();
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -88,6 +88,7 @@
             reaches_store: self.reaches_lease_store(&state),
             lease: lease_news(&mut state, is_introduction, now),
             proof: self.configuration_proof(&state),
+            steady_age_ms: steady_age(&state, now),
             copies: self.copy_proofs(&state, now),
             known_nodes: state.peers.heard_count(),
             echoes: state.peers.echoes(now, &mut rand::rng()),
@@ -116,14 +117,16 @@
         let Some(proof) = message.proof else {
             return;
         };
+        let now = self.clock().now();
         let age = Duration::from_millis(proof.age_ms);
         // The datagram itself may be late; that only makes this node ask the source too early.
-        let answered_at = self.clock().now().before(age);
+        let answered_at = now.before(age);
+        self.note_better_informed(state, &message.from, answered_at, now);
         state.source_answered_at = state.source_answered_at.max(Some(answered_at));
         let own_version = state.table.as_ref().map(|table| table.version());
         if own_version.is_some_and(|own| own < proof.version) {
             let replica = state.replicas.of_mut(ItemKind::Configuration);
-            replica.is_behind = true;
+            replica.note_behind(now);
             state.transfer.note_offer(Offer {
                 version: proof.version,
                 address: message.from.peer_address,
@@ -245,6 +248,10 @@
             for news in &message.kv_stores {
                 self.adopt_kv_store_news(&mut state, *news);
             }
+            if let Some(age_ms) = message.steady_age_ms {
+                let asked_at = now.before(Duration::from_millis(age_ms));
+                state.steadiness.note(asked_at);
+            }
             self.take_proof(&mut state, &message);
             self.take_copy_proofs(&mut state, &message);
             if message.lease.is_some() {
@@ -266,6 +273,11 @@
     }
 }
 
+fn steady_age(state: &GatewayState, now: Timestamp) -> Option<u64> {
+    let age = now.since(state.steadiness.until()?);
+    Some(age.as_millis() as u64)
+}
+
 /// The lease, when it has changed since it was told last or a node may not know it.
 fn lease_news(
     state: &mut GatewayState,
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -8,12 +8,20 @@
 use slog::{debug, info};
 
 use super::{Gateway, GatewayState, ProofOfFreshness, SETTLING};
-use crate::peers::{NodeState, Peer};
+use crate::peers::{NodeIdentity, NodeState, Peer};
 use crate::source::{ItemBatch, ItemKind};
 use crate::sync::{Answer, EngineChange, Mark, Question};
 
 /// Most changes of the list of engines in one answer.
 const MOST_CHANGES: usize = 40;
+/// Of few nodes each watches the source itself, and changes reach all within milliseconds. So long a
+/// node that hears of a change first waits for its own watch.
+const OWN_WATCH_PATIENCE: Duration = Duration::from_millis(100);
+/// Of many nodes a copy that is older than this share of what is allowed is late: two watches, three
+/// questions and their answers together stay below.
+const OLD_SHARE: f64 = 0.5;
+/// So much newer another node's proof must be to be worth a question.
+const LEAST_LEAD: Duration = Duration::from_millis(200);
 /// A reader whose copies are older than this share of what is allowed is no good.
 const STALE_SHARE: f64 = 0.65;
 
@@ -60,6 +68,12 @@
         state.peers.is_large() && self.reader(&state, now).is_none()
     }
 
+    /// Whether this node asks another one twice as often: it reads for its zone, or is one of few and
+    /// asks only while it is behind.
+    pub fn asks_often(&self) -> bool {
+        !self.state().peers.is_large() || self.is_zone_reader()
+    }
+
     /// The node that reads for this zone: the first of its nodes; `None` when that is this node
     /// itself.
     pub(super) fn reader(
@@ -96,13 +110,10 @@
     pub fn next_question(&self) -> Option<(SocketAddr, Question)> {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        if !state.peers.is_large() {
-            return None;
-        }
         if let Some(silent) = state.sync.give_up_silent(now) {
             info!(self.log(), "reader_silent"; "reader" => %silent);
         }
-        let (reader, address) = self.parent(&state, now)?;
+        let (reader, address) = self.whom_to_ask(&state, now)?;
         let number = state.sync.ask(reader, now);
         let revision = |kind| state.replicas.of(kind).revision;
         let question = Question {
@@ -113,6 +124,50 @@
         Some((address, question))
     }
 
+    /// The node that this one catches up with: in a large deployment its reader; one of few nodes, or a
+    /// reader itself, asks one that knows what it lacks.
+    fn whom_to_ask(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+        let better = match self.lacks_news(state, now) {
+            true => state.ahead.as_ref(),
+            false => None,
+        };
+        let better = better.filter(|node| state.sync.may_ask(&node.name, now));
+        let better = better.map(|node| (node.name.clone(), node.address));
+        match state.peers.is_large() {
+            true => self.parent(state, now).or(better),
+            false => better,
+        }
+    }
+
+    /// Whether the source tells this node later than others: few nodes prove their copies to each other,
+    /// and of many every copy is proven within the time that readers need.
+    fn lacks_news(&self, state: &GatewayState, now: Timestamp) -> bool {
+        if !state.peers.is_large() {
+            let kinds = [ItemKind::Engines, ItemKind::Weights];
+            let mut replicas = kinds.iter().map(|kind| state.replicas.of(*kind));
+            return replicas.any(|replica| replica.is_behind_for(OWN_WATCH_PATIENCE, now));
+        }
+        let proven_at = state.replicas.of(ItemKind::Engines).freshness.proven_at();
+        let limit = self.settings().catalogue_bound.mul_f64(OLD_SHARE);
+        proven_at.is_some_and(|at| now.since(at) >= limit)
+    }
+
+    /// Of many nodes one that tells of a newer proof is asked by a reader that the source tells late; the
+    /// others leave such a reader by themselves.
+    pub(super) fn note_better_informed(
+        &self,
+        state: &mut GatewayState,
+        node: &NodeIdentity,
+        proven_at: Timestamp,
+        now: Timestamp,
+    ) {
+        let own = state.replicas.of(ItemKind::Engines).freshness.proven_at();
+        let is_newer = own.is_some_and(|own| own.after(LEAST_LEAD) < proven_at);
+        if is_newer && state.peers.is_large() && self.lacks_news(state, now) {
+            state.note_ahead(node, now);
+        }
+    }
+
     /// Answers another node's question.
     pub fn answer_question(&self, question: &Question) -> Answer {
         let now = self.clock().now();
@@ -170,6 +225,7 @@
         self.take_weights(&answer, asked_at);
         self.take_configuration(&answer, &reader, asked_at);
         self.judge_reader(&reader, &answer);
+        self.become_ready();
     }
 
     fn take_engines(&self, answer: &Answer, asked_at: Timestamp) {
@@ -182,9 +238,12 @@
             state.engine_list_trouble_at = state.engine_list_trouble_at.max(Some(at));
         }
         if answer.revision.is_none() {
+            let now = self.clock().now();
             let mut state = self.state_mut();
             let replica = state.replicas.of_mut(ItemKind::Engines);
-            replica.is_behind |= replica.revision < Some(mark.position);
+            if replica.revision < Some(mark.position) {
+                replica.note_behind(now);
+            }
         }
         if let Some(revision) = answer.revision {
             let changes = answer.changes.iter().cloned().map(Into::into).collect();
@@ -199,10 +258,12 @@
             return;
         };
         self.take_named_news(&answer.named);
+        let now = self.clock().now();
         let mut state = self.state_mut();
         let replica = state.replicas.of_mut(ItemKind::Weights);
         if replica.revision.is_some() {
-            replica.revision = replica.revision.max(Some(mark.position));
+            let revision = replica.revision.max(Some(mark.position));
+            replica.advance(revision.unwrap_or(mark.position), now);
             // Whether the versions that were told are all that changed is not known here.
             replica.changed_until = replica.changed_until.max(Some(mark.position));
         }
@@ -214,11 +275,12 @@
         let Some(mark) = answer.configuration else {
             return;
         };
+        let now = self.clock().now();
         let mut state = self.state_mut();
         let own = state.table.as_ref().map(|table| table.version());
         let replica = state.replicas.of_mut(ItemKind::Configuration);
         if own < Some(mark.position) {
-            replica.is_behind = true;
+            replica.note_behind(now);
             self.note_reader_ahead(&mut state, reader, mark.position);
             return;
         }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -27,7 +27,8 @@
 const TICKS_PER_TENANT_LOG: u64 = 10;
 /// Every so many ticks a node that relies on a reader asks it.
 const TICKS_PER_QUESTION: u64 = 4;
-/// The same for the reader of a zone: what it learns is then passed on once more.
+/// The same for the reader of a zone, since what it learns is then passed on once more, and for a node
+/// that knows itself to be behind.
 const TICKS_PER_QUESTION_OF_READER: u64 = 2;
 const LONGEST_DATAGRAM: usize = 60_000;
 
@@ -60,7 +61,7 @@
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
                 send_fetch(&socket, gateway.next_fetch());
-                let spacing = match gateway.is_zone_reader() {
+                let spacing = match gateway.asks_often() {
                     true => TICKS_PER_QUESTION_OF_READER,
                     false => TICKS_PER_QUESTION,
                 };
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -41,6 +41,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "p")]
     pub proof: Option<ConfigurationProof>,
+    /// How long ago the newest question to the source was asked that was answered at once, as far as
+    /// the sender knows, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "a")]
+    pub steady_age_ms: Option<u64>,
     /// When the sender's copies of other items were current.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "c")]
--- a/crates/gateway/src/serve/list_state.rs
+++ b/crates/gateway/src/serve/list_state.rs
@@ -38,7 +38,7 @@
         Self {
             revision: replica.revision,
             age: replica.freshness.age(now),
-            is_behind: replica.is_behind,
+            is_behind: replica.is_behind(),
             is_unlisted: engine.is_some_and(|engine| engine.is_unlisted),
         }
     }
--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -68,6 +68,7 @@
     let answer = answer.unwrap_or(Err(SourceError::NoAnswer));
     gateway.count_question(kind, Way::Probe, answer.is_ok());
     let batch = answer?;
+    gateway.note_answer_time(asked_at, Duration::ZERO);
     if batch.revision < revision {
         debug!(gateway.log(), "copy_proof_too_old"; "kind" => %kind,
             "revision" => batch.revision, "known" => revision);
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -10,7 +10,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::copy_prober::keep_copy_fresh;
-use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
+use super::lists::{List, Lists, read_list};
+use super::{CatalogueSource, Consistency, ItemKind, SourceError};
 use crate::gateway::{Gateway, Role, SETTLING, Way};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
@@ -109,21 +110,20 @@
 
 impl Follower {
     async fn list_until_done(&mut self) {
+        let mut lists = Lists::default();
         loop {
             let asked_at = self.gateway.clock().now();
             self.asked_at = Some(asked_at);
             self.listed_at = Some(asked_at);
-            let consistency = self.consistency();
-            let listed = self.list_all(consistency).await;
+            let source = Rc::clone(&self.source);
+            lists.ask(source, self.kind, self.consistency(), asked_at);
+            let listed = lists.next(self.settings.answer).await;
             self.gateway
                 .count_question(self.kind, Way::List, listed.is_ok());
             match listed {
-                Ok((items, revision)) if self.revision() <= Some(revision) => {
+                Ok(list) if self.revision() <= Some(list.revision) => {
                     self.note_answer();
-                    self.log_list(&items, revision, consistency, asked_at);
-                    let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
-                    let gateway = &self.gateway;
-                    gateway.take_list_of(self.kind, items, revision, proven_at);
+                    self.take_list(list);
                     return;
                 }
                 // Older than the copy: it tells nothing.
@@ -133,6 +133,16 @@
         }
     }
 
+    fn take_list(&mut self, list: List) {
+        self.log_list(&list);
+        self.listed_at = Some(list.asked_at);
+        let is_current = list.consistency == Consistency::Linearizable;
+        let proven_at = is_current.then_some(list.asked_at);
+        let gateway = &self.gateway;
+        gateway.note_answer_time(list.asked_at, Duration::ZERO);
+        gateway.take_list_of(self.kind, list.items, list.revision, proven_at);
+    }
+
     /// The first list may be stale: the watch from its revision, or another node, tells the rest. A
     /// configuration must be proved current before it is used.
     fn consistency(&self) -> Consistency {
@@ -144,39 +154,15 @@
     }
 
     /// A stale list that came late is old when it is taken in, and nothing else tells by how much.
-    fn log_list(
-        &self,
-        items: &[Item],
-        revision: u64,
-        consistency: Consistency,
-        asked_at: Timestamp,
-    ) {
-        let taken = self.gateway.clock().now().since(asked_at);
-        info!(self.gateway.log(), "list_read"; "kind" => %self.kind, "revision" => revision,
-            "before" => self.revision(), "items" => items.len(),
-            "is_stale" => consistency == Consistency::Stale,
+    fn log_list(&self, list: &List) {
+        let taken = self.gateway.clock().now().since(list.asked_at);
+        info!(self.gateway.log(), "list_read"; "kind" => %self.kind,
+            "revision" => list.revision, "before" => self.revision(),
+            "items" => list.items.len(),
+            "is_stale" => list.consistency == Consistency::Stale,
             "taken_ms" => taken.as_millis() as u64);
     }
 
-    async fn list_all(&self, consistency: Consistency) -> Result<(Vec<Item>, u64), SourceError> {
-        let mut items = Vec::new();
-        let mut after: Option<String> = None;
-        let mut first_revision = None;
-        loop {
-            let call = self.source.list(self.kind, consistency, after.as_deref());
-            let page = timeout(self.settings.answer, call)
-                .await
-                .map_err(|_| SourceError::NoAnswer)??;
-            items.extend(page.items);
-            // Changes after the first page may be missing from it, so the watch begins there.
-            let revision = *first_revision.get_or_insert(page.revision);
-            match page.next_after {
-                Some(next) => after = Some(next),
-                None => return Ok((items, revision)),
-            }
-        }
-    }
-
     async fn watch_until_history_gone(&mut self) {
         loop {
             let wait = self.wait_until_needed().await;
@@ -205,6 +191,7 @@
             match answer {
                 Ok(batch) if batch.revision >= revision => {
                     self.note_answer();
+                    self.gateway.note_answer_time(asked_at, wait);
                     self.gateway
                         .log_changes(self.kind, Way::Watch, &batch, asked_at);
                     self.gateway.take_batch(self.kind, batch, Some(asked_at));
@@ -227,7 +214,7 @@
     /// Whether another node has told of a newer configuration. Its content comes from the source as
     /// long as that answers; see [`Gateway::next_fetch`] for when it does not.
     fn is_behind_another_node(&self) -> bool {
-        let is_behind = self.gateway.state().replicas.of(self.kind).is_behind;
+        let is_behind = self.gateway.state().replicas.of(self.kind).is_behind();
         let is_relying = self.gateway.role() == Role::Relies;
         self.kind == ItemKind::Configuration && is_behind && is_relying && self.failures == 0
     }
@@ -236,7 +223,9 @@
     /// source little, mostly holds it already. That it is current the other node proves.
     async fn has_caught_up_by_stale_list(&self) -> bool {
         let before = self.gateway.configuration_version();
-        match self.list_all(Consistency::Stale).await {
+        let read = read_list(self.source.as_ref(), self.kind, Consistency::Stale);
+        let read = timeout(self.settings.answer, read).await;
+        match read.unwrap_or(Err(SourceError::NoAnswer)) {
             Ok((items, revision)) if self.revision() <= Some(revision) => {
                 let gateway = &self.gateway;
                 gateway.take_list_of(self.kind, items, revision, None);
@@ -329,7 +318,7 @@
         let proven_at = replica.freshness.proven_at();
         // A stale list proves nothing, but was not much older.
         let known_at = proven_at.or(self.listed_at);
-        !replica.is_behind && known_at.is_some_and(|at| now.since(at) < patience)
+        !replica.is_behind() && known_at.is_some_and(|at| now.since(at) < patience)
     }
 
     fn is_new(&self) -> bool {
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -46,7 +46,7 @@
     }
     let replica = state.replicas.of(ItemKind::Configuration);
     let is_old = !replica.freshness.is_within(patience, now);
-    replica.revision.is_some() && (is_old || replica.is_behind)
+    replica.revision.is_some() && (is_old || replica.is_behind())
 }
 
 /// Whether the source answered.
@@ -66,6 +66,7 @@
     gateway.count_question(ItemKind::Configuration, Way::Probe, is_answered);
     match answer {
         Ok(Ok(batch)) if batch.revision >= revision => {
+            gateway.note_answer_time(asked_at, Duration::ZERO);
             gateway.log_changes(ItemKind::Configuration, Way::Probe, &batch, asked_at);
             // The watch that runs beside goes on from its own revision.
             gateway.change_items(ItemKind::Configuration, batch.changes, asked_at);
--- /dev/null
+++ b/crates/gateway/src/source/lists.rs
@@ -0,0 +1,88 @@
+//! Reading whole lists of the source.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::future::{FutureExt, LocalBoxFuture};
+use futures_util::stream::FuturesUnordered;
+use ryerouter_core::Timestamp;
+use tokio::time::timeout;
+
+use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
+
+/// An answer that is later than this is not waited for any longer: a deployment where the source
+/// takes so long for all is in an outage.
+const LONGEST_WAIT: Duration = Duration::from_secs(6);
+
+/// A whole list, as the source told it.
+#[derive(Debug)]
+pub(super) struct List {
+    pub(super) items: Vec<Item>,
+    pub(super) revision: u64,
+    pub(super) consistency: Consistency,
+    pub(super) asked_at: Timestamp,
+}
+
+/// Questions for a whole list that are under way.
+///
+/// One that is not answered in time may have got lost, so another is asked; its answer may also only
+/// be late, and is taken whenever it comes. Without that, a node that the source answers later than
+/// the limit never serves.
+#[derive(Default)]
+pub(super) struct Lists {
+    asked: FuturesUnordered<LocalBoxFuture<'static, Result<List, SourceError>>>,
+}
+
+impl Lists {
+    /// Asks once more.
+    pub(super) fn ask(
+        &mut self,
+        source: Rc<dyn CatalogueSource>,
+        kind: ItemKind,
+        consistency: Consistency,
+        asked_at: Timestamp,
+    ) {
+        let question = async move {
+            let read = read_list(source.as_ref(), kind, consistency);
+            let read = timeout(LONGEST_WAIT, read).await;
+            let (items, revision) = read.map_err(|_| SourceError::NoAnswer)??;
+            Ok(List {
+                items,
+                revision,
+                consistency,
+                asked_at,
+            })
+        };
+        self.asked.push(question.boxed_local());
+    }
+
+    /// The next answer, to whichever question, within a limit.
+    pub(super) async fn next(&mut self, limit: Duration) -> Result<List, SourceError> {
+        match timeout(limit, self.asked.next()).await {
+            Ok(Some(answer)) => answer,
+            Ok(None) | Err(_) => Err(SourceError::NoAnswer),
+        }
+    }
+}
+
+/// All pages of a list, and the revision from which a watch goes on.
+pub(super) async fn read_list(
+    source: &dyn CatalogueSource,
+    kind: ItemKind,
+    consistency: Consistency,
+) -> Result<(Vec<Item>, u64), SourceError> {
+    let mut items = Vec::new();
+    let mut after: Option<String> = None;
+    let mut first_revision = None;
+    loop {
+        let page = source.list(kind, consistency, after.as_deref()).await?;
+        items.extend(page.items);
+        // Changes after the first page may be missing from it, so the watch begins there.
+        let revision = *first_revision.get_or_insert(page.revision);
+        match page.next_after {
+            Some(next) => after = Some(next),
+            None => return Ok((items, revision)),
+        }
+    }
+}
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -10,8 +10,10 @@
 mod item_kind;
 mod item_page;
 mod lease_store;
+mod lists;
 mod replica;
 mod source_error;
+mod steadiness;
 
 pub use catalogue_source::CatalogueSource;
 pub use change_log::{CatchUp, ChangeLog};
@@ -24,3 +26,4 @@
 pub use lease_store::LeaseStore;
 pub use replica::{Replica, Replicas};
 pub use source_error::SourceError;
+pub use steadiness::Steadiness;
--- a/crates/gateway/src/source/replica.rs
+++ b/crates/gateway/src/source/replica.rs
@@ -1,5 +1,7 @@
 //! This node's copies of what the source holds.
 
+use std::time::Duration;
+
 use ryerouter_core::Timestamp;
 
 use super::ItemKind;
@@ -20,9 +22,57 @@
     /// Whether the source does not hold the changes after `revision` any more, so that the list must
     /// be read again.
     pub is_history_lost: bool,
-    /// Whether another node has a newer copy that this one could not take over, so that the source
-    /// must be asked at once.
-    pub is_behind: bool,
+    /// Since when another node is known to have a newer copy.
+    pub behind_since: Option<Timestamp>,
+    /// The newest revision after which, as another node told, nothing has changed.
+    told_until: Option<u64>,
+}
+
+impl Replica {
+    /// Whether another node is known to have a newer copy.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.is_some()
+    }
+
+    /// Whether that has been so for some time, in which the copy could have caught up by itself.
+    pub fn is_behind_for(&self, span: Duration, now: Timestamp) -> bool {
+        self.behind_since
+            .is_some_and(|since| now.since(since) >= span)
+    }
+
+    /// Another node has a newer copy.
+    pub fn note_behind(&mut self, now: Timestamp) {
+        self.behind_since.get_or_insert(now);
+    }
+
+    /// Nothing newer is known elsewhere.
+    pub fn note_caught_up(&mut self) {
+        self.behind_since = None;
+    }
+
+    /// Another node knows that nothing has changed after `revision`; `false` when this copy lacks that
+    /// change, also if it is yet to be read.
+    pub fn note_told(&mut self, revision: u64, now: Timestamp) -> bool {
+        self.told_until = self.told_until.max(Some(revision));
+        self.compare_with_told(now);
+        !self.is_behind()
+    }
+
+    /// The copy has come to `revision`.
+    pub fn advance(&mut self, revision: u64, now: Timestamp) {
+        self.revision = Some(revision);
+        self.compare_with_told(now);
+    }
+
+    fn compare_with_told(&mut self, now: Timestamp) {
+        if self.revision.is_none() || self.told_until.is_none() {
+            return;
+        }
+        match self.revision < self.told_until {
+            true => self.note_behind(now),
+            false => self.note_caught_up(),
+        }
+    }
 }
 
 /// The copies of all kinds.
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -246,7 +246,7 @@
         configure(reader, table(2, Vec::new()));
         catch_up(other, reader);
         let state = other.state();
-        assert!(state.replicas.of(ItemKind::Configuration).is_behind);
+        assert!(state.replicas.of(ItemKind::Configuration).is_behind());
         drop(state);
         assert!(age(other, ItemKind::Configuration) >= Duration::from_millis(20));
     });
@@ -263,7 +263,7 @@
         }
         catch_up(other, reader);
         let state = other.state();
-        assert!(state.replicas.of(ItemKind::Engines).is_behind);
+        assert!(state.replicas.of(ItemKind::Engines).is_behind());
     });
 }
 
--- a/crates/gateway/tests/handing_on.rs
+++ b/crates/gateway/tests/handing_on.rs
@@ -60,13 +60,25 @@
 ) {
     run_paused(async move {
         let (first, second) = behind_and_ahead(&format!("{:>length$}", 2));
-        assert!(first.state().replicas.of(ItemKind::Configuration).is_behind);
+        assert!(
+            first
+                .state()
+                .replicas
+                .of(ItemKind::Configuration)
+                .is_behind()
+        );
         // While the source answers it is asked, since that costs the other node nothing.
         assert_eq!(first.next_fetch(), None);
         first.note_source_trouble(ItemKind::Configuration, 1);
         assert_eq!(hand_over(&first, &second), pieces);
         assert_eq!(version(&first), Some(2));
-        assert!(!first.state().replicas.of(ItemKind::Configuration).is_behind);
+        assert!(
+            !first
+                .state()
+                .replicas
+                .of(ItemKind::Configuration)
+                .is_behind()
+        );
         assert_eq!(first.next_fetch(), None);
     });
 }
--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -8,12 +8,14 @@
 
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::peers::NodeState;
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
 use support::virtual_source::{
     Followers, VirtualSource, knows_leaving, newest_weights, three_engines,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
+use yare::parameterized;
 
 /// How long a watch lasts in a small deployment.
 const LONG_WATCH: Duration = Duration::from_secs(15);
@@ -21,6 +23,8 @@
 const SETTLED: Duration = Duration::from_secs(8);
 /// The answers are late for so long before anything changes: whatever was on its way has arrived.
 const LATE_BEFORE: Duration = Duration::from_secs(4);
+/// What has been undisturbed for this long keeps its promises again.
+const CONTACT: Duration = Duration::from_secs(3);
 /// An engine that leaves gets nothing new after this time; configurations are in force by then.
 const BOUND: Duration = Duration::from_secs(2);
 /// Requests begin on replaced weights no longer than this after newer ones were named.
@@ -155,3 +159,74 @@
         followers.until_known(LONG_ENOUGH, is_left).await
     });
 }
+
+/// What a node knows that starts while answers to it are late: its first list is old, and was stale
+/// already when it was made.
+#[parameterized(
+    in_time = { 0 },
+    by_700_ms = { 700 },
+    by_1200_ms = { 1_200 },
+    by_3000_ms = { 3_000 },
+    by_4000_ms = { 4_000 },
+)]
+fn node_that_starts_with_late_answers_serves_by_a_list_that_is_not_old(by_ms: u64) {
+    run_paused(async move {
+        let source = VirtualSource::new(three_engines());
+        let followers = Followers::prepare(6, source);
+        let late = 1;
+        followers.cut_off(late);
+        (0..6)
+            .filter(|index| *index != late)
+            .for_each(|index| followers.start_node(index, LONG_WATCH));
+        sleep(SETTLED).await;
+        followers.source.hold_back_stale_lists();
+        drain(&followers, 0);
+        sleep(BOUND).await;
+        let by = Duration::from_millis(by_ms);
+        followers.source.delay_answers(late, by);
+        followers.join(late);
+        followers.start_node(late, LONG_WATCH);
+        let node = &followers.nodes[late];
+        let is_ready = || node.state().node_state == NodeState::Ready;
+        let started_at = Instant::now();
+        while !is_ready() {
+            sleep(Duration::from_millis(1)).await;
+            assert!(started_at.elapsed() < by + BOUND, "not ready");
+        }
+        // Undisturbed only from then on.
+        sleep_until(started_at + CONTACT).await;
+        assert!(knows_leaving(node, "e1"));
+        drain(&followers, 1);
+        let is_known = |node: &Gateway| knows_leaving(node, "e2");
+        let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+        assert!(delay.is_some_and(|delay| delay < BOUND), "{delay:?}");
+    });
+}
+
+/// The source stands still for all, and entries lapse that come back: answers that are late for one
+/// node besides don't hide that from any node.
+#[parameterized(
+    one_of_three_for_3_s = { 3, 1, 3_000 },
+    one_of_six_for_3_s = { 6, 1, 3_000 },
+    one_of_six_for_4_s = { 6, 1, 4_000 },
+    one_of_twelve_for_4_s = { 12, 5, 4_000 },
+    reader_of_twelve_for_4_s = { 12, 0, 4_000 },
+)]
+fn entry_that_lapses_is_waited_for_where_answers_are_late_besides(
+    count: usize,
+    late: usize,
+    millis: u64,
+) {
+    run_paused(async move {
+        let by = Duration::from_millis(700);
+        let followers = late_at(count, late, by).await;
+        followers.source.freeze(Duration::from_millis(millis));
+        sleep(Duration::from_millis(millis - 100)).await;
+        followers.source.remove("e1");
+        sleep(Duration::from_millis(1_100)).await;
+        let others = followers.nodes.iter().enumerate();
+        let gone = others.filter(|(_, node)| knows_gone(node, "e1"));
+        let gone: Vec<_> = gone.map(|(index, _)| index).collect();
+        assert!(gone.is_empty(), "not waited for at {gone:?}");
+    });
+}
--- a/crates/gateway/tests/silent_review.rs
+++ b/crates/gateway/tests/silent_review.rs
@@ -172,7 +172,7 @@
         };
         let before = proven_at(1);
         nodes[1].hear_peer(nodes[0].peer_message(true));
-        assert!(nodes[1].state().replicas.of(ItemKind::Weights).is_behind);
+        assert!(nodes[1].state().replicas.of(ItemKind::Weights).is_behind());
         assert_eq!(proven_at(1), before);
     });
 }
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -65,6 +65,7 @@
         weights_news_time: Duration::from_secs(1),
         assumed_weights_age: Duration::from_secs(5),
         unlisted_grace: Duration::from_secs(3),
+        entry_lapse: Duration::from_millis(2_400),
         catalogue_bound: Duration::from_secs(3),
         limit_tolerance: Tolerance::default(),
         retry: RetrySettings {
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -43,7 +43,6 @@
     revision: Cell<u64>,
     /// Every change: its revision and kind, and the change.
     changes: RefCell<Vec<(u64, ItemKind, ItemChange)>>,
-    items: RefCell<BTreeMap<(u8, String), Item>>,
     changed: Notify,
     cuts: Cell<u32>,
     /// Calls that were made, by node.
@@ -58,6 +57,8 @@
     frozen_until: Cell<Option<Instant>>,
     /// By how much the answers to a node are late.
     lateness: RefCell<BTreeMap<usize, Duration>>,
+    /// Stale lists show what was there at this revision; the newest one without.
+    stale_at: Cell<Option<u64>>,
     /// Nodes that have no way to the source.
     cut_off: RefCell<BTreeSet<usize>>,
 }
@@ -69,16 +70,13 @@
         source.revision.set(100);
         source.configure(1);
         for entry in engines {
-            let name = entry.name.to_string();
-            source.put(ItemKind::Engines, &name, Item::Engine(entry));
+            source.put(ItemKind::Engines, Item::Engine(entry));
         }
         source.name_weights(1);
         source
     }
 
-    fn put(&self, kind: ItemKind, name: &str, item: Item) {
-        let key = (kind as u8, name.to_owned());
-        self.items.borrow_mut().insert(key, item.clone());
+    fn put(&self, kind: ItemKind, item: Item) {
         self.append(kind, ItemChange::Present(item));
     }
 
@@ -92,14 +90,11 @@
     /// An engine says that it leaves.
     pub fn drain(&self, mut entry: EngineEntry) {
         entry.state = EngineState::Draining;
-        let name = entry.name.to_string();
-        self.put(ItemKind::Engines, &name, Item::Engine(entry));
+        self.put(ItemKind::Engines, Item::Engine(entry));
     }
 
     /// The entry of an engine goes.
     pub fn remove(&self, name: &str) {
-        let key = (ItemKind::Engines as u8, name.to_owned());
-        self.items.borrow_mut().remove(&key);
         self.append(ItemKind::Engines, ItemChange::Gone(name.to_owned()));
     }
 
@@ -109,7 +104,7 @@
             model: MODEL.to_owned(),
             version,
         };
-        self.put(ItemKind::Weights, MODEL, Item::Weights(named));
+        self.put(ItemKind::Weights, Item::Weights(named));
     }
 
     /// A configuration is put in force.
@@ -117,7 +112,12 @@
         let routes = vec![route(RequestKind::Safe)];
         let table = table(version, routes).with_document(version.to_string());
         let configuration = Item::Configuration(Rc::new(table));
-        self.put(ItemKind::Configuration, "main", configuration);
+        self.put(ItemKind::Configuration, configuration);
+    }
+
+    /// From now on stale lists show what is there now.
+    pub fn hold_back_stale_lists(&self) {
+        self.stale_at.set(Some(self.revision.get()));
     }
 
     /// Changes until now are forgotten; those who wait are not told.
@@ -204,18 +204,37 @@
         after.map(|(_, _, change)| change.clone()).collect()
     }
 
-    async fn list(&self, kind: ItemKind) -> ItemPage {
+    async fn list(&self, kind: ItemKind, consistency: Consistency) -> ItemPage {
         self.thaw().await;
         sleep(ANSWER_TIME).await;
-        let items = self.items.borrow();
-        let of_kind = items.iter().filter(|((of, _), _)| *of == kind as u8);
+        let newest = self.revision.get();
+        let revision = match consistency {
+            Consistency::Stale => self.stale_at.get().unwrap_or(newest),
+            Consistency::Linearizable => newest,
+        };
         ItemPage {
-            items: of_kind.map(|(_, item)| item.clone()).collect(),
+            items: self.items_at(kind, revision),
             next_after: None,
-            revision: self.revision.get(),
+            revision,
         }
     }
 
+    /// What was there at a revision.
+    fn items_at(&self, kind: ItemKind, revision: u64) -> Vec<Item> {
+        let mut items = BTreeMap::new();
+        let changes = self.changes.borrow();
+        let of_kind = changes
+            .iter()
+            .filter(|(at, of, _)| *at <= revision && *of == kind);
+        for (_, _, change) in of_kind {
+            match change {
+                ItemChange::Present(item) => items.insert(name_of(item), item.clone()),
+                ItemChange::Gone(name) => items.remove(name),
+            };
+        }
+        items.into_values().collect()
+    }
+
     async fn watch(
         &self,
         kind: ItemKind,
@@ -249,6 +268,15 @@
     }
 }
 
+/// The name of an item in the source.
+fn name_of(item: &Item) -> String {
+    match item {
+        Item::Configuration(_) => "main".to_owned(),
+        Item::Engine(entry) => entry.name.to_string(),
+        Item::Weights(named) => named.model.clone(),
+    }
+}
+
 /// One node's way to the source.
 struct Way {
     source: Rc<VirtualSource>,
@@ -288,10 +316,10 @@
     fn list<'a>(
         &'a self,
         kind: ItemKind,
-        _consistency: Consistency,
+        consistency: Consistency,
         _after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>> {
-        self.carry(Duration::ZERO, self.source.list(kind))
+        self.carry(Duration::ZERO, self.source.list(kind, consistency))
             .boxed_local()
     }
 
@@ -316,6 +344,15 @@
 impl Followers {
     /// So many nodes; a watch lasts `watch` where the deployment is small.
     pub fn start(count: usize, source: Rc<VirtualSource>, watch: Duration) -> Rc<Self> {
+        let followers = Self::prepare(count, source);
+        for index in 0..count {
+            followers.start_node(index, watch);
+        }
+        followers
+    }
+
+    /// So many nodes, none of which has started.
+    pub fn prepare(count: usize, source: Rc<VirtualSource>) -> Rc<Self> {
         let nodes = (0..count).map(|index| {
             let mut own = settings(&format!("node-{index:02}"));
             own.identity.incarnation = index as u64 + 10;
@@ -324,15 +361,11 @@
             own.most_unproven = Some(MOST_UNPROVEN);
             gateway_with(own)
         });
-        let followers = Rc::new(Self {
+        Rc::new(Self {
             source,
             nodes: nodes.collect(),
             cut_off: RefCell::default(),
-        });
-        for index in 0..count {
-            followers.start_node(index, watch);
-        }
-        followers
+        })
     }
 
     /// From now on no message reaches this node, and none of its own arrives.
@@ -345,7 +378,8 @@
         self.cut_off.borrow_mut().remove(&node);
     }
 
-    fn start_node(self: &Rc<Self>, index: usize, watch: Duration) {
+    /// Starts a node.
+    pub fn start_node(self: &Rc<Self>, index: usize, watch: Duration) {
         let gateway = &self.nodes[index];
         let way: Rc<dyn CatalogueSource> = Rc::new(Way {
             source: Rc::clone(&self.source),
