--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -9,6 +9,8 @@
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::NodeState;
+use ryerouter_gateway::source::{ItemBatch, ItemChange, ItemKind};
+use support::fleet::{FIRST_REVISION, introduce, node};
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
 use support::virtual_source::{
@@ -230,3 +232,32 @@
         assert!(gone.is_empty(), "not waited for at {gone:?}");
     });
 }
+
+/// An answer to a question that was asked before another node told of a change lacks that change.
+#[parameterized(
+    asked_before = { Duration::ZERO, true },
+    asked_afterwards = { Duration::from_secs(2), false },
+)]
+fn late_answer_does_not_hide_what_another_node_has_told(asked_after: Duration, is_behind: bool) {
+    run_paused(async move {
+        let nodes = [node(0), node(1)];
+        introduce(&nodes);
+        let started_at = nodes[0].clock().now();
+        sleep(Duration::from_secs(1)).await;
+        let change = ItemChange::Gone("e1".to_owned());
+        let batch = |changes, revision| ItemBatch { changes, revision };
+        let now = nodes[1].clock().now();
+        nodes[1].take_batch(
+            ItemKind::Engines,
+            batch(vec![change], FIRST_REVISION + 5),
+            Some(now),
+        );
+        nodes[0].hear_peer(nodes[1].peer_message(true));
+        let is_behind_now = || nodes[0].state().replicas.of(ItemKind::Engines).is_behind();
+        assert!(is_behind_now());
+        sleep(Duration::from_secs(3)).await;
+        let asked_at = started_at.after(asked_after);
+        nodes[0].change_items(ItemKind::Engines, Vec::new(), asked_at);
+        assert_eq!(is_behind_now(), is_behind);
+    });
+}
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -7,10 +7,12 @@
 use hyper::StatusCode;
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::serve::StopSettings;
+use ryerouter_gateway::source::ItemKind;
 use support::gateway_bench::{GatewayBench, run, settings};
 use support::records::{KEY_OF_TENANT, engine, route, table};
 use support::scripted_engine::{Arrival, ScriptedEngine, Step};
 use support::test_dialect::{AFTER, ENGINE, ID, KEY, TENANT};
+use yare::parameterized;
 
 type Headers = &'static [(&'static str, &'static str)];
 
@@ -60,6 +62,29 @@
     });
 }
 
+/// The log and a counter tell of it, so that a late copy can be told from other causes.
+#[parameterized(
+    current = { false, 0 },
+    behind = { true, 1 },
+)]
+fn request_that_is_sent_by_an_old_list_is_counted(is_behind: bool, expected: u64) {
+    run(async move {
+        let step = [Step::Answer(200, "ran")];
+        let (bench, _engines) = bench(RequestKind::Unsafe, &step, &step).await;
+        let now = bench.gateway.clock().now();
+        if is_behind {
+            let mut state = bench.gateway.state_mut();
+            state.replicas.of_mut(ItemKind::Engines).note_behind(now);
+        }
+        bench.call("POST", ONE, "text").await;
+        assert_eq!(bench.gateway.metrics().sent_by_old_list.get(), expected);
+        assert_eq!(
+            bench.gateway.metrics().list_age_seconds.get_sample_count(),
+            1
+        );
+    });
+}
+
 #[test]
 fn engine_gets_method_path_and_expected_name() {
     run(async {
