A node that the source does not answer starts with what the others know

Change: a node that the source has told no list, or no changes, for 500 ms asks for the whole list (128 engines at most, one datagram); one of few nodes without a configuration fetches it after the same time. Measured (virtual clock, 2, 6 and 12 nodes, the source answers all but the node that starts): not ready within 20 s before; ready within 2 s now, and a leaving engine known within 2 s.

--- a/crates/gateway/src/gateway/handover.rs
+++ b/crates/gateway/src/gateway/handover.rs
@@ -8,6 +8,7 @@
 use ryerouter_core::identity::NodeName;
 use slog::{info, warn};
 
+use super::reading::SOURCE_PATIENCE;
 use super::{Gateway, GatewayState};
 use crate::source::ItemKind;
 use crate::sync::{Chunk, Fetch, Offer};
@@ -15,11 +16,6 @@
 /// A piece that has not come after so long is asked for again; nodes answer within milliseconds.
 const ANSWER_LIMIT: Duration = Duration::from_millis(200);
 
-/// The source is asked for a configuration that others have; where it has not brought it in this time
-/// its answers are late, and the others hand it on. It takes milliseconds when all is well, and some
-/// hundred when the source is slow.
-const SOURCE_PATIENCE: Duration = Duration::from_millis(500);
-
 impl Gateway {
     /// The next piece to ask for, and of whom: while another node has a newer configuration and
     /// the source does not answer this one, or late.
@@ -28,7 +24,10 @@
         let mut state = self.state_mut();
         let replica = state.replicas.of(ItemKind::Configuration);
         let is_source_late = replica.is_behind_for(SOURCE_PATIENCE, now);
-        if !replica.is_behind() || (state.is_source_reached && !is_source_late) {
+        // Of few nodes one that has just started asks the source first.
+        let is_starting = state.table.is_none() && !state.peers.is_large();
+        let is_source_asked = state.is_source_reached || is_starting;
+        if !replica.is_behind() || (is_source_asked && !is_source_late) {
             return None;
         }
         let offer = state.transfer.offer?;
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -37,11 +37,33 @@
     ) {
         let now = self.clock().now();
         let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
+        self.note_list(kind, &items, revision);
+        let mut state = self.state_mut();
+        let has_others = state.peers.alive(now).next().is_some();
+        let replica = state.replicas.of_mut(kind);
+        replica.read_at = Some(asked_at);
+        if now.since(asked_at) >= self.late_copy_age() && has_others {
+            replica.note_behind(now);
+        }
+        drop(state);
+        self.replace_all(kind, items, proven_at);
+    }
+
+    /// Another node hands on the list of engines, which the source does not tell this one.
+    pub(super) fn take_handed_list(&self, entries: &[EngineEntry], revision: u64) {
+        let items: Vec<_> = entries.iter().cloned().map(Item::Engine).collect();
+        self.note_list(ItemKind::Engines, &items, revision);
+        self.replace_known(ItemKind::Engines, items, None);
+    }
+
+    /// The copy is about to become this list.
+    fn note_list(&self, kind: ItemKind, items: &[Item], revision: u64) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         if kind == ItemKind::Engines {
             match state.has_engine_list {
                 true => {
-                    let changes = differences(&state.engines, &items);
+                    let changes = differences(&state.engines, items);
                     state.engine_log.append(changes, revision);
                 }
                 false => state.engine_log.restart(revision),
@@ -50,17 +72,10 @@
         if kind == ItemKind::Weights {
             state.weights_seen_after.get_or_insert(revision);
         }
-        let has_others = state.peers.alive(now).next().is_some();
         let replica = state.replicas.of_mut(kind);
         replica.advance(revision, now);
         replica.changed_until = Some(revision);
         replica.is_history_lost = false;
-        if now.since(asked_at) >= self.late_copy_age() && has_others {
-            replica.note_behind(now);
-        }
-        drop(state);
-        self.replace_all(kind, items, proven_at);
-        self.state_mut().replicas.of_mut(kind).read_at = Some(asked_at);
     }
 
     /// Takes changes up to a revision: from the source, to a question sent at `asked_at`, or from
@@ -94,6 +109,11 @@
 
     fn replace_all(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
         self.note_engine_list_read(kind);
+        self.replace_known(kind, items, proven_at);
+        self.note_source_answer(kind, proven_at);
+    }
+
+    fn replace_known(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
         if kind == ItemKind::Engines {
             let is_engine = |item: &Item| match item {
                 Item::Engine(entry) => Some(entry.name.clone()),
@@ -108,7 +128,6 @@
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
         self.apply(kind, changes, proven_at);
-        self.note_source_answer(kind, proven_at);
         if kind == ItemKind::Weights {
             self.state_mut().has_weights_list = true;
         }
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -124,7 +124,7 @@
         self.note_better_informed(state, &message.from, answered_at, now);
         state.source_answered_at = state.source_answered_at.max(Some(answered_at));
         let own_version = state.table.as_ref().map(|table| table.version());
-        if own_version.is_some_and(|own| own < proof.version) {
+        if own_version < Some(proof.version) {
             let replica = state.replicas.of_mut(ItemKind::Configuration);
             replica.note_behind(now);
             state.transfer.note_offer(Offer {
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -8,6 +8,7 @@
 use slog::{debug, info};
 
 use super::{Gateway, GatewayState, ProofOfFreshness, SETTLING};
+use crate::engines::{Engine, EngineEntry};
 use crate::peers::{NodeIdentity, NodeState, Peer};
 use crate::source::{ItemBatch, ItemKind};
 use crate::sync::{Answer, EngineChange, Mark, Question};
@@ -22,6 +23,11 @@
 const OLD_SHARE: f64 = 0.5;
 /// So much newer another node's proof must be to be worth a question.
 const LEAST_LEAD: Duration = Duration::from_millis(200);
+/// The source tells what it is asked within milliseconds, and within some hundred when it is slow. A
+/// node that it has not told in this time takes what other nodes have.
+pub(super) const SOURCE_PATIENCE: Duration = Duration::from_millis(500);
+/// A list of more engines is not handed on: it would fill a datagram.
+const MOST_LISTED: usize = 128;
 /// A reader whose copies are older than this share of what is allowed is no good.
 const STALE_SHARE: f64 = 0.65;
 
@@ -120,6 +126,7 @@
             number,
             engines: revision(ItemKind::Engines),
             weights: revision(ItemKind::Weights),
+            wants_list: self.wants_list(&state, now),
         };
         Some((address, question))
     }
@@ -142,6 +149,9 @@
     /// Whether the source tells this node later than others: few nodes prove their copies to each other,
     /// and of many every copy is proven within the time that readers need.
     fn lacks_news(&self, state: &GatewayState, now: Timestamp) -> bool {
+        if self.wants_list(state, now) {
+            return true;
+        }
         if !state.peers.is_large() {
             let kinds = [ItemKind::Engines, ItemKind::Weights];
             let mut replicas = kinds.iter().map(|kind| state.replicas.of(*kind));
@@ -168,7 +178,7 @@
     ) {
         let replica = state.replicas.of(ItemKind::Engines);
         let own = replica.freshness.proven_at().max(replica.read_at);
-        let is_newer = own.is_some_and(|own| own.after(LEAST_LEAD) < proven_at);
+        let is_newer = own.is_none_or(|own| own.after(LEAST_LEAD) < proven_at);
         if is_newer && state.peers.is_large() && self.lacks_news(state, now) {
             state.note_ahead(node, now);
         }
@@ -182,6 +192,7 @@
         let version = state.table.as_ref().map(|table| table.version());
         let catch_up = self.catch_up(&state, question);
         let revision = catch_up.as_ref().map(|(revision, _)| *revision);
+        let is_list_wanted = question.wants_list && catch_up.is_none();
         let weights = self.knows_weights_after(&state, question.weights);
         let weights = weights.then(|| replica_mark(&state, ItemKind::Weights, now));
         let has_news = state.replicas.of(ItemKind::Weights).revision > question.weights;
@@ -193,6 +204,10 @@
             trouble_age_ms: state
                 .engine_list_trouble_at
                 .map(|at| now.since(at).as_millis() as u64),
+            list: match is_list_wanted {
+                true => whole_list(&state),
+                false => Vec::new(),
+            },
             changes: catch_up.map_or_else(Vec::new, |(_, changes)| changes),
             revision,
             named: match has_news {
@@ -222,6 +237,16 @@
         Some((caught_up.revision, changes))
     }
 
+    /// Whether the source has told this node no list of engines, or no changes of it, for longer than it
+    /// takes.
+    fn wants_list(&self, state: &GatewayState, now: Timestamp) -> bool {
+        let replica = state.replicas.of(ItemKind::Engines);
+        match replica.revision {
+            None => self.uptime() >= SOURCE_PATIENCE,
+            Some(_) => replica.is_behind_for(SOURCE_PATIENCE, now),
+        }
+    }
+
     /// Takes the answer of a reader.
     pub fn take_answer(&self, answer: Answer) {
         let Some((reader, asked_at)) = self.state_mut().sync.close(answer.number) else {
@@ -243,7 +268,12 @@
             let mut state = self.state_mut();
             state.engine_list_trouble_at = state.engine_list_trouble_at.max(Some(at));
         }
-        if answer.revision.is_none() {
+        let is_newer = self.state().replicas.of(ItemKind::Engines).revision < Some(mark.position);
+        if !answer.list.is_empty() && is_newer {
+            info!(self.log(), "engine_list_handed_over"; "revision" => mark.position,
+                "engines" => answer.list.len());
+            self.take_handed_list(&answer.list, mark.position);
+        } else if answer.revision.is_none() {
             let now = self.clock().now();
             let mut state = self.state_mut();
             let replica = state.replicas.of_mut(ItemKind::Engines);
@@ -322,6 +352,17 @@
     }
 }
 
+/// The list of engines, if it is whole and fits a datagram.
+fn whole_list(state: &GatewayState) -> Vec<EngineEntry> {
+    let is_listed = |engine: &&Engine| !engine.is_unlisted;
+    let listed = state.engines.iter().filter(is_listed);
+    let entries: Vec<_> = listed.map(|engine| engine.entry.clone()).collect();
+    match state.has_engine_list && entries.len() <= MOST_LISTED {
+        true => entries,
+        false => Vec::new(),
+    }
+}
+
 fn counted_back(asked_at: Timestamp, mark: Mark) -> Timestamp {
     asked_at.before(Duration::from_millis(mark.age_ms))
 }
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::EngineChange;
+use crate::engines::EngineEntry;
 use crate::peers::NamedNews;
 
 /// How far a copy was, and for how long it is known to have been current.
@@ -41,6 +42,9 @@
     /// Changes of the list of engines that the asker lacks.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<EngineChange>,
+    /// The whole list of engines, for an asker that wants it and can't be told by changes.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub list: Vec<EngineEntry>,
     /// The revision that the asker has with these changes; `None` when it must read the list.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub revision: Option<u64>,
--- a/crates/gateway/src/sync/question.rs
+++ b/crates/gateway/src/sync/question.rs
@@ -14,4 +14,11 @@
     /// Revision of the named weights.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<u64>,
+    /// Whether the asker wants the whole list of engines, since the source does not tell it.
+    #[serde(rename = "l", default, skip_serializing_if = "is_false")]
+    pub wants_list: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -267,3 +267,40 @@
         assert_eq!(is_behind_now(), is_behind);
     });
 }
+
+/// The source answers everybody but the node that starts.
+#[parameterized(
+    one_of_two = { 2, 1 },
+    one_of_six = { 6, 1 },
+    first_of_six = { 6, 0 },
+    one_of_twelve = { 12, 5 },
+    first_of_twelve = { 12, 0 },
+)]
+fn node_that_the_source_does_not_answer_starts_with_what_others_know(count: usize, absent: usize) {
+    run_paused(async move {
+        let source = VirtualSource::new(three_engines());
+        let followers = Followers::prepare(count, source);
+        followers.cut_off(absent);
+        (0..count)
+            .filter(|index| *index != absent)
+            .for_each(|index| followers.start_node(index, LONG_WATCH));
+        sleep(SETTLED).await;
+        followers.source.configure(2);
+        followers.source.remove("e1");
+        sleep(BOUND).await;
+        followers.source.set_reachable(absent, false);
+        followers.join(absent);
+        followers.start_node(absent, LONG_WATCH);
+        let is_ready = |node: &Gateway| node.state().node_state == NodeState::Ready;
+        let delay = followers.until_known(LONG_ENOUGH, is_ready).await;
+        assert!(delay.is_some_and(|delay| delay < BOUND), "{delay:?}");
+        let node = &followers.nodes[absent];
+        assert_eq!(node.configuration_version(), Some(2));
+        assert_eq!(node.state().engines.iter().count(), 2);
+        // It goes on to follow what they know.
+        drain(&followers, 1);
+        let is_known = |node: &Gateway| knows_leaving(node, "e2");
+        let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+        assert!(delay.is_some_and(|delay| delay < BOUND), "{delay:?}");
+    });
+}
