--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -11,11 +11,10 @@
 use ryerouter_gateway::peers::NodeState;
 use ryerouter_gateway::source::{ItemBatch, ItemChange, ItemKind};
 use support::fleet::{FIRST_REVISION, introduce, node};
+use support::followers::{Followers, knows_leaving, newest_weights, three_engines};
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
-use support::virtual_source::{
-    Followers, VirtualSource, knows_leaving, newest_weights, three_engines,
-};
+use support::virtual_source::VirtualSource;
 use tokio::time::{Instant, sleep, sleep_until};
 use yare::parameterized;
 
--- a/crates/gateway/tests/silent_review.rs
+++ b/crates/gateway/tests/silent_review.rs
@@ -10,9 +10,10 @@
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::source::{Item, ItemBatch, ItemChange, ItemKind, NamedWeights};
 use support::fleet::{introduce, node, zone_of_many};
+use support::followers::{Followers, knows_leaving, three_engines};
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
-use support::virtual_source::{Followers, VirtualSource, knows_leaving, three_engines};
+use support::virtual_source::VirtualSource;
 use tokio::time::sleep;
 use yare::parameterized;
 
--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -8,11 +8,10 @@
 
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
+use support::followers::{Followers, knows_leaving, newest_weights, three_engines};
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
-use support::virtual_source::{
-    Followers, VirtualSource, knows_leaving, newest_weights, three_engines,
-};
+use support::virtual_source::VirtualSource;
 use tokio::time::sleep;
 use yare::parameterized;
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses part of it")]
 
 pub mod fleet;
+pub mod followers;
 pub mod gateway_bench;
 pub mod records;
 pub mod scripted_engine;
