--- a/crates/gateway/tests/tenant_limits.rs
+++ b/crates/gateway/tests/tenant_limits.rs
@@ -11,7 +11,7 @@
 use ryerouter_gateway::catalogue::{RateLimit, RequestKind, Unit};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::Prompt;
-use support::fleet::{introduce, two_zones};
+use support::fleet::{introduce, node, two_zones};
 use support::gateway_bench::{GatewayBench, configure, gateway, run, run_paused};
 use support::records::{KEY_OF_TENANT, engine, limited_table, route, table, tenant};
 use support::scripted_engine::ScriptedEngine;
@@ -26,6 +26,12 @@
     burst: 100.0,
 };
 
+/// Tenths of a second between the messages of nodes, in which they hear each other, and in which they
+/// don't.
+const TENTHS_OF_HEARTBEAT: usize = 3;
+const TENTHS_HEARD: usize = 60;
+const TENTHS_CUT_OFF: usize = 200;
+
 async fn limited_bench(per_second: f64) -> (GatewayBench, Rc<ScriptedEngine>) {
     let (engine_process, address) = ScriptedEngine::start([]).await;
     let entries = vec![engine("e1", address, 1)];
@@ -87,19 +93,23 @@
     let mut admitted = 0;
     for index in 0..count {
         tokio::time::sleep(Duration::from_secs(1) / count).await;
-        let ask = Ask {
-            amount: 1.0,
-            priority: 0,
-            draw: f64::from(index % 89) / 89.0,
-        };
-        let now = node.clock().now();
-        let quotas = &mut node.state_mut().quotas;
-        let verdict = quotas.decide(&tenant().name, &LIMIT, &ask, now);
-        admitted += u32::from(verdict == Verdict::Admitted);
+        admitted += u32::from(ask(node, index));
     }
     admitted
 }
 
+/// Whether a node admits one request more of the tenant.
+fn ask(node: &Gateway, index: u32) -> bool {
+    let ask = Ask {
+        amount: 1.0,
+        priority: 0,
+        draw: f64::from(index % 89) / 89.0,
+    };
+    let now = node.clock().now();
+    let quotas = &mut node.state_mut().quotas;
+    quotas.decide(&tenant().name, &LIMIT, &ask, now) == Verdict::Admitted
+}
+
 fn asked_as_seen_by(node: &Gateway) -> f64 {
     node.refresh_quotas();
     let now = node.clock().now();
@@ -165,3 +175,38 @@
         assert_eq!(tenant().name, TenantName::new("tenant-1"));
     });
 }
+
+/// Six nodes hear each other, then nobody any more. A tenant asks all of them for four times its limit
+/// each, all the while.
+#[test]
+fn nodes_that_are_cut_off_from_each_other_keep_to_the_limit_together() {
+    run_paused(async {
+        let nodes: Vec<_> = (0..6).map(node).collect();
+        for node in &nodes {
+            configure(node, limited_table(LIMIT.per_second));
+        }
+        introduce(&nodes);
+        let mut admitted = Vec::new();
+        for tenth in 0..TENTHS_HEARD + TENTHS_CUT_OFF {
+            if tenth < TENTHS_HEARD && tenth % TENTHS_OF_HEARTBEAT == 0 {
+                introduce(&nodes);
+            }
+            nodes.iter().for_each(|node| node.refresh_quotas());
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let of_nodes = nodes
+                .iter()
+                .map(|node| (0..40).filter(|index| ask(node, *index)).count());
+            admitted.push(of_nodes.sum::<usize>());
+        }
+        let window = 8;
+        let most = LIMIT.per_second * f64::from(window) * 1.1 + LIMIT.burst;
+        let windows = admitted.windows(10 * window as usize);
+        let worst = windows.map(|window| window.iter().sum::<usize>()).max();
+        assert!(
+            worst.is_some_and(|worst| worst as f64 <= most),
+            "{worst:?} of {most}"
+        );
+        let when_cut_off: usize = admitted[admitted.len() - 80..].iter().sum();
+        assert!(when_cut_off > 0);
+    });
+}
