--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -12,7 +12,7 @@
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineEntry, EngineState, EngineTable};
 use crate::peers::NodeState;
-use crate::source::{Consistency, Item, ItemBatch, ItemChange, ItemKind, SourceError};
+use crate::source::{Consistency, Item, ItemBatch, ItemChange, ItemKind, List, SourceError};
 
 /// An answer that takes no longer shows that the source answered when it was asked: it does so within
 /// milliseconds, and when it is slow within some hundred.
@@ -23,21 +23,22 @@
 impl Gateway {
     /// The source listed all items of a kind at `revision`, to a question sent at `asked_at`.
     pub fn take_list(&self, kind: ItemKind, items: Vec<Item>, revision: u64, asked_at: Timestamp) {
-        let consistency = Consistency::Linearizable;
-        self.take_list_of(kind, items, revision, (asked_at, consistency));
+        let list = List {
+            items,
+            revision,
+            consistency: Consistency::Linearizable,
+            asked_at,
+        };
+        self.take_list_of(kind, list);
     }
 
     /// The same; a list that may be stale proves nothing.
-    pub fn take_list_of(
-        &self,
-        kind: ItemKind,
-        items: Vec<Item>,
-        revision: u64,
-        (asked_at, consistency): (Timestamp, Consistency),
-    ) {
+    pub fn take_list_of(&self, kind: ItemKind, list: List) {
         let now = self.clock().now();
-        let proven_at = (consistency == Consistency::Linearizable).then_some(asked_at);
-        self.note_list(kind, &items, revision);
+        let asked_at = list.asked_at;
+        let is_current = list.consistency == Consistency::Linearizable;
+        let proven_at = is_current.then_some(asked_at);
+        self.note_list(kind, &list.items, list.revision);
         let mut state = self.state_mut();
         let has_others = state.peers.alive(now).next().is_some();
         let replica = state.replicas.of_mut(kind);
@@ -46,7 +47,7 @@
             replica.note_behind(now);
         }
         drop(state);
-        self.replace_all(kind, items, proven_at);
+        self.replace_all(kind, list.items, proven_at);
     }
 
     /// Another node hands on the list of engines, which the source does not tell this one.
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -10,8 +10,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::copy_prober::keep_copy_fresh;
-use super::lists::{List, Lists, read_list};
-use super::{CatalogueSource, Consistency, ItemKind, SourceError};
+use super::lists::{Lists, read_list};
+use super::{CatalogueSource, Consistency, ItemKind, List, SourceError};
 use crate::gateway::{Gateway, Role, SETTLING, Way};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
@@ -141,8 +141,7 @@
         if list.consistency == Consistency::Linearizable {
             gateway.note_answer_time(list.asked_at, Duration::ZERO);
         }
-        let asked = (list.asked_at, list.consistency);
-        gateway.take_list_of(self.kind, list.items, list.revision, asked);
+        gateway.take_list_of(self.kind, list);
     }
 
     /// The first list may be stale: the watch from its revision, or another node, tells the rest. A
@@ -226,20 +225,22 @@
     async fn has_caught_up_by_stale_list(&self) -> bool {
         let before = self.gateway.configuration_version();
         let asked_at = self.gateway.clock().now();
-        let read = read_list(self.source.as_ref(), self.kind, Consistency::Stale);
+        let source = self.source.as_ref();
+        let read = read_list(source, self.kind, Consistency::Stale, asked_at);
         let read = timeout(self.settings.answer, read).await;
         match read.unwrap_or(Err(SourceError::NoAnswer)) {
-            Ok((items, revision)) if self.revision() <= Some(revision) => {
+            Ok(list) if self.revision() <= Some(list.revision) => {
                 let gateway = &self.gateway;
-                let asked = (asked_at, Consistency::Stale);
-                gateway.take_list_of(self.kind, items, revision, asked);
+                let revision = list.revision;
+                gateway.take_list_of(self.kind, list);
                 let after = gateway.configuration_version();
                 debug!(gateway.log(), "configuration_read_stale"; "before" => before,
                     "after" => after, "revision" => revision);
                 before < after
             }
-            Ok((_, revision)) => {
-                debug!(self.gateway.log(), "configuration_read_too_stale"; "revision" => revision);
+            Ok(list) => {
+                debug!(self.gateway.log(), "configuration_read_too_stale";
+                    "revision" => list.revision);
                 false
             }
             Err(error) => {
--- a/crates/gateway/src/source/lists.rs
+++ b/crates/gateway/src/source/lists.rs
@@ -9,21 +9,12 @@
 use ryerouter_core::Timestamp;
 use tokio::time::timeout;
 
-use super::{CatalogueSource, Consistency, Item, ItemKind, SourceError};
+use super::{CatalogueSource, Consistency, ItemKind, List, SourceError};
 
 /// An answer that is later than this is not waited for any longer: a deployment where the source
 /// takes so long for all is in an outage.
 const LONGEST_WAIT: Duration = Duration::from_secs(6);
 
-/// A whole list, as the source told it.
-#[derive(Debug)]
-pub(super) struct List {
-    pub(super) items: Vec<Item>,
-    pub(super) revision: u64,
-    pub(super) consistency: Consistency,
-    pub(super) asked_at: Timestamp,
-}
-
 /// Questions for a whole list that are under way.
 ///
 /// One that is not answered in time may have got lost, so another is asked; its answer may also only
@@ -44,15 +35,9 @@
         asked_at: Timestamp,
     ) {
         let question = async move {
-            let read = read_list(source.as_ref(), kind, consistency);
+            let read = read_list(source.as_ref(), kind, consistency, asked_at);
             let read = timeout(LONGEST_WAIT, read).await;
-            let (items, revision) = read.map_err(|_| SourceError::NoAnswer)??;
-            Ok(List {
-                items,
-                revision,
-                consistency,
-                asked_at,
-            })
+            read.unwrap_or(Err(SourceError::NoAnswer))
         };
         self.asked.push(question.boxed_local());
     }
@@ -66,12 +51,13 @@
     }
 }
 
-/// All pages of a list, and the revision from which a watch goes on.
+/// All pages of a list.
 pub(super) async fn read_list(
     source: &dyn CatalogueSource,
     kind: ItemKind,
     consistency: Consistency,
-) -> Result<(Vec<Item>, u64), SourceError> {
+    asked_at: Timestamp,
+) -> Result<List, SourceError> {
     let mut items = Vec::new();
     let mut after: Option<String> = None;
     let mut first_revision = None;
@@ -80,9 +66,14 @@
         items.extend(page.items);
         // Changes after the first page may be missing from it, so the watch begins there.
         let revision = *first_revision.get_or_insert(page.revision);
-        match page.next_after {
-            Some(next) => after = Some(next),
-            None => return Ok((items, revision)),
-        }
+        let Some(next) = page.next_after else {
+            return Ok(List {
+                items,
+                revision,
+                consistency,
+                asked_at,
+            });
+        };
+        after = Some(next);
     }
 }
