Releases of engine software: the decisions, what is told between nodes, notes

A pool's requests move to a new version of its engines' software under trial. This adds the pure decisions (core::release), the types that the director and the nodes share, and the notes for releases, regions and engines that begin again. Nothing uses them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod quota;
+pub mod release;
 pub mod retry;
 mod timestamp;
 
--- /dev/null
+++ b/crates/core/src/release/account.rs
@@ -0,0 +1,49 @@
+//! The budget of one node.
+
+use super::Settings;
+
+/// Part of the share that nodes use. The rest covers what they can't count: requests that they forget
+/// with a restart, and engines that count a repeated request once.
+const USED_SHARE: f64 = 0.85;
+/// Part of the slack that nodes use: one that is killed and started again uses its part of it anew.
+const USED_SLACK: f64 = 0.4;
+
+/// What one node has sent to a pool since it heard of a release, and how much of that to the target
+/// version.
+///
+/// The bound holds over all nodes and for the whole release. It is a share of the requests, so it holds
+/// for the sum when each node keeps to it by itself, and no message has to arrive for that.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Account {
+    all: u64,
+    target: u64,
+}
+
+impl Account {
+    /// A request goes to an engine of the pool for the first time.
+    pub fn count(&mut self) {
+        self.all += 1;
+    }
+
+    /// A request goes to the target version, for the first time or again.
+    pub fn count_target(&mut self) {
+        self.target += 1;
+    }
+
+    /// Whether one more may go to the target version, where there are so many nodes.
+    pub fn has_room(&self, settings: &Settings, nodes: usize) -> bool {
+        let slack = settings.exposed_slack * USED_SLACK / nodes.max(1) as f64;
+        let most = self.all as f64 * settings.exposed_share * USED_SHARE + slack;
+        (self.target + 1) as f64 <= most
+    }
+
+    /// Requests that went to the pool.
+    pub fn all(&self) -> u64 {
+        self.all
+    }
+
+    /// Those of them that went to the target version.
+    pub fn target(&self) -> u64 {
+        self.target
+    }
+}
--- /dev/null
+++ b/crates/core/src/release/counts.rs
@@ -0,0 +1,100 @@
+//! Answers of a release, counted.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Cell, EngineKey, Judgement, RouteKey, Tally};
+
+/// Answers of both versions since a release was heard of. They only rise, so a message that is lost
+/// takes nothing away.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(
+    from = "Vec<(RouteKey, EngineKey, Tally)>",
+    into = "Vec<(RouteKey, EngineKey, Tally)>"
+)]
+pub struct Counts(BTreeMap<Cell, Tally>);
+
+impl Counts {
+    /// One more answer.
+    pub fn note(&mut self, cell: Cell, judgement: Judgement) {
+        self.0.entry(cell).or_default().note(judgement);
+    }
+
+    /// Adds answers.
+    pub fn add(&mut self, cell: Cell, tally: Tally) {
+        self.0.entry(cell).or_default().add(tally);
+    }
+
+    /// Adds all of others.
+    pub fn add_all(&mut self, other: &Self) {
+        for (cell, tally) in other.iter() {
+            self.add(cell, tally);
+        }
+    }
+
+    /// Takes a report of whoever reported these before.
+    pub fn raise(&mut self, later: &Self) {
+        for (cell, tally) in later.iter() {
+            self.0.entry(cell).or_default().raise(tally);
+        }
+    }
+
+    /// The answers that are counted together.
+    pub fn of(&self, cell: Cell) -> Tally {
+        self.0.get(&cell).copied().unwrap_or_default()
+    }
+
+    /// All of them, in the order of their cells.
+    pub fn iter(&self) -> impl Iterator<Item = (Cell, Tally)> {
+        self.0.iter().map(|(cell, tally)| (*cell, *tally))
+    }
+
+    /// Whether nothing was counted.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Answers of the present version.
+    pub fn present(&self) -> Tally {
+        self.sum(|cell| cell.is_present())
+    }
+
+    /// Answers of the target version.
+    pub fn target(&self) -> Tally {
+        self.sum(|cell| !cell.is_present())
+    }
+
+    /// Answers of the target version on a route.
+    pub fn target_on(&self, route: RouteKey) -> Tally {
+        self.sum(|cell| cell.route == route && !cell.is_present())
+    }
+
+    fn sum(&self, is_counted: impl Fn(&Cell) -> bool) -> Tally {
+        let mut sum = Tally::default();
+        for (_, tally) in self.iter().filter(|(cell, _)| is_counted(cell)) {
+            sum.add(tally);
+        }
+        sum
+    }
+}
+
+impl From<Vec<(RouteKey, EngineKey, Tally)>> for Counts {
+    fn from(cells: Vec<(RouteKey, EngineKey, Tally)>) -> Self {
+        let cells = cells.into_iter();
+        Self(
+            cells
+                .map(|(route, engine, tally)| (Cell { route, engine }, tally))
+                .collect(),
+        )
+    }
+}
+
+impl From<Counts> for Vec<(RouteKey, EngineKey, Tally)> {
+    fn from(counts: Counts) -> Self {
+        let cells = counts.iter();
+        cells
+            .map(|(cell, tally)| (cell.route, cell.engine, tally))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/release/exposure.rs
@@ -0,0 +1,76 @@
+//! How much the target version gets during the trial, and where.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Fleet;
+
+/// Requests go to a small pool's target version in surges, one in each time of this length. That is long
+/// enough for a surge to fill an engine: its share of three seconds is a quarter of a second and more.
+const SURGE_PERIOD: Duration = Duration::from_secs(3);
+/// With so many engines under trial one that fails by itself stands out; fewer take turns.
+const ENOUGH_ENGINES: usize = 3;
+
+/// Engines of the target version that are under trial: some of them in the order that all nodes know,
+/// beginning anywhere in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// The first of them.
+    #[serde(rename = "f")]
+    pub first: u32,
+    /// How many.
+    #[serde(rename = "c")]
+    pub count: u32,
+}
+
+impl Window {
+    /// Whether the engine at a place of so many is among them.
+    pub fn holds(&self, place: usize, engines: usize) -> bool {
+        if engines == 0 {
+            return false;
+        }
+        let after = (place + engines - self.first as usize % engines) % engines;
+        after < self.count as usize
+    }
+}
+
+/// How much the target version gets now, and which of its engines.
+///
+/// Some versions fail only under load, so its share goes to so few engines that each bears what an
+/// engine of the present version bears. Where the share is less than one engine's part, that part goes
+/// there for a share of the time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Exposure {
+    /// Share of the requests.
+    pub share: f64,
+    /// The engines.
+    pub window: Window,
+}
+
+impl Exposure {
+    /// During the trial, so long after it began; `share` is what the target version may get on average.
+    pub fn during_trial(share: f64, fleet: &Fleet, elapsed: Duration) -> Self {
+        let present = fleet.present.max(1) as f64;
+        let engines = ((share * present) as usize).clamp(1, fleet.target.max(1));
+        let part = engines as f64 / present;
+        let surge_share = (share / part).min(1.0);
+        let periods = elapsed.as_secs_f64() / SURGE_PERIOD.as_secs_f64();
+        let is_surge = periods.fract() < surge_share;
+        let turn = match engines < ENOUGH_ENGINES {
+            true => periods as usize * engines,
+            false => 0,
+        };
+        Self {
+            share: match is_surge {
+                // A larger part than the share is bounded by the nodes' accounts.
+                true => part.min(1.0),
+                false => 0.0,
+            },
+            window: Window {
+                first: (turn % fleet.target.max(1)) as u32,
+                count: engines as u32,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/release/mod.rs
@@ -0,0 +1,48 @@
+//! Releases: moving a pool's engines to a new version of their software.
+//!
+//! An operator orders a release. The engines of the target version start beside those of the present
+//! one, and requests move over to them: a bounded share first, on few engines, whose answers are
+//! compared with those of the present version on the same routes at the same time. A version that
+//! does worse is rolled back; one that does not takes all new requests, and when nothing runs at the
+//! present version's engines any more the release is completed. `docs/design/releases.md` tells who
+//! decides and what each failure leads to.
+//!
+//! A release is not a rollout of weights ([`crate::order`]): weights change within an engine, software
+//! changes with the engine.
+
+mod account;
+mod cell;
+mod counts;
+mod exposure;
+mod fleet;
+mod grant;
+mod judgement;
+mod ledger;
+mod order;
+mod record;
+mod reference;
+mod rollback;
+mod settings;
+mod stage;
+mod suspicion;
+mod tally;
+mod trial;
+mod walk;
+
+pub use account::Account;
+pub use cell::{Cell, EngineKey, PRESENT, RouteKey, key_of};
+pub use counts::Counts;
+pub use exposure::{Exposure, Window};
+pub use fleet::Fleet;
+pub use grant::Grant;
+pub use judgement::Judgement;
+pub use ledger::{Ledger, Reporter};
+pub use order::{Order, SoftwareVersion};
+pub use record::{Outcome, Record};
+pub use reference::Reference;
+pub use rollback::Rollback;
+pub use settings::Settings;
+pub use stage::Stage;
+pub use suspicion::Suspicion;
+pub use tally::Tally;
+pub use trial::Trial;
--- /dev/null
+++ b/crates/core/src/release/trial.rs
@@ -0,0 +1,234 @@
+//! The stages of a release, as its director takes it through them.
+
+use std::time::Duration;
+
+use super::{Cell, Counts, Exposure, Fleet, Grant, Order, Rollback, Settings, Stage, Suspicion};
+use crate::Timestamp;
+
+/// Part of the ramp that the trial takes: a version may fail only after a while, and what is left is
+/// enough for all requests to move and for those that run to end.
+const TRIAL_SHARE: f64 = 0.6;
+/// Part of the share that bounds a version which turns out bad that it gets during the trial.
+const EXPOSED_SHARE: f64 = 0.85;
+/// Shares of new requests, one after the other, before all go to the target version. Few: while they
+/// last, a version that has become bad gets more than in the trial.
+const SHIFTS: [f64; 2] = [0.3, 0.6];
+/// Time at each share: what a grant takes to reach every node, and some answers after that.
+const SHIFT_TIME: Duration = Duration::from_millis(700);
+/// Answers of the target version without which it is not taken to do as well: of a version that fails one
+/// request in ten, four are bad by then.
+const LEAST_ANSWERS: u32 = 40;
+/// On a route with so many answers of the present version ..
+const BUSY_ROUTE: u32 = 100;
+/// .. so many of the target version are needed, or this share of those, if that is less.
+const LEAST_ANSWERS_OF_ROUTE: u32 = 10;
+const LEAST_SHARE_OF_ROUTE: f64 = 0.02;
+/// Engines of the target version, for each of the present one, that can bear its requests.
+const LEAST_ENGINES: f64 = 0.8;
+/// Nothing is seen to run at the present version's engines for so long: news of it are up to a second
+/// old.
+const IDLE_TIME: Duration = Duration::from_millis(1_200);
+/// After so many ramps a version that was not seen to do as well is rolled back: engines that never came,
+/// or that answer nothing.
+const MOST_RAMPS: u32 = 3;
+
+/// The stages of a release, as its director takes it through them.
+#[derive(Debug, Clone)]
+pub struct Trial {
+    order: Order,
+    settings: Settings,
+    begun_at: Timestamp,
+    stage: Stage,
+    stage_since: Timestamp,
+    suspicion: Suspicion,
+    rollback: Option<Rollback>,
+    idle_since: Option<Timestamp>,
+    exposure: Exposure,
+}
+
+impl Trial {
+    /// A release that begins.
+    pub fn new(order: Order, settings: Settings, now: Timestamp) -> Self {
+        Self {
+            order,
+            settings,
+            begun_at: now,
+            stage: Stage::Trial,
+            stage_since: now,
+            suspicion: Suspicion::default(),
+            rollback: None,
+            idle_since: None,
+            exposure: Exposure {
+                share: 0.0,
+                window: super::Window { first: 0, count: 0 },
+            },
+        }
+    }
+
+    /// A release that another director has begun: `grant` was the last heard of it, `age` ago. Requests
+    /// that had begun to move start again from the trial, which costs time and no caller anything.
+    pub fn resume(grant: &Grant, age: Duration, settings: Settings, now: Timestamp) -> Self {
+        let begun_at = now.before(age).before(grant.elapsed);
+        let mut trial = Self::new(grant.order.clone(), settings, now);
+        trial.begun_at = begun_at;
+        if grant.stage.is_final() {
+            trial.stage = grant.stage;
+        }
+        trial
+    }
+
+    /// The order.
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// How far it has come.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Why it was rolled back.
+    pub fn rollback(&self) -> Option<&Rollback> {
+        self.rollback.as_ref()
+    }
+
+    /// How long it has gone on.
+    pub fn elapsed(&self, now: Timestamp) -> Duration {
+        now.since(self.begun_at)
+    }
+
+    /// Takes the release on by what is known now; tells whether its stage has changed.
+    pub fn advance(&mut self, fleet: &Fleet, total: &Counts, now: Timestamp) -> bool {
+        let before = self.stage;
+        if before.is_final() {
+            return false;
+        }
+        self.suspicion.observe(total, now);
+        self.rollback = self.suspicion.verdict(fleet.target);
+        let next = match before {
+            _ if self.rollback.is_some() => Stage::RolledBack,
+            Stage::Trial => self.after_trial(fleet, total, now),
+            Stage::Shifting => self.after_shift(fleet, now),
+            _ => self.after_settling(fleet, now),
+        };
+        if next != before {
+            self.stage = next;
+            self.stage_since = now;
+        }
+        self.exposure = self.exposure_at(fleet, now);
+        next != before
+    }
+
+    /// The operator has taken the order back.
+    pub fn withdraw(&mut self) {
+        if !self.stage.is_final() {
+            self.stage = Stage::Withdrawn;
+        }
+    }
+
+    /// What nodes may do until the next grant.
+    pub fn grant(&self, revision: u64, fence: u64, number: u64, now: Timestamp) -> Grant {
+        let is_trial = self.stage == Stage::Trial;
+        Grant {
+            order: self.order.clone(),
+            revision,
+            stage: self.stage,
+            share: self.exposure.share,
+            window: is_trial.then_some(self.exposure.window),
+            fence,
+            number,
+            elapsed: self.elapsed(now),
+        }
+    }
+
+    fn after_trial(&mut self, fleet: &Fleet, total: &Counts, now: Timestamp) -> Stage {
+        let elapsed = self.elapsed(now);
+        if elapsed >= self.order.ramp * MOST_RAMPS && now.since(self.stage_since) >= self.order.ramp
+        {
+            self.rollback = Some(Rollback::Unproven {
+                target: total.target(),
+                waited: elapsed,
+            });
+            return Stage::RolledBack;
+        }
+        let is_due = elapsed >= self.order.ramp.mul_f64(TRIAL_SHARE);
+        let is_proven = has_enough_answers(total) && !self.suspicion.is_doubtful(fleet.target);
+        match is_due && is_proven && can_bear_all(fleet) {
+            true => Stage::Shifting,
+            false => Stage::Trial,
+        }
+    }
+
+    fn after_shift(&self, fleet: &Fleet, now: Timestamp) -> Stage {
+        if self.suspicion.is_doubtful(fleet.target) || !can_bear_all(fleet) {
+            return Stage::Trial;
+        }
+        let length = SHIFT_TIME * SHIFTS.len() as u32;
+        match now.since(self.stage_since) >= length {
+            true => Stage::Settling,
+            false => Stage::Shifting,
+        }
+    }
+
+    fn after_settling(&mut self, fleet: &Fleet, now: Timestamp) -> Stage {
+        if !can_bear_all(fleet) {
+            self.idle_since = None;
+            return Stage::Trial;
+        }
+        let settled = now.since(self.stage_since);
+        let is_idle = fleet.running_at_present == 0 && !fleet.has_silent_nodes;
+        let idle_since = self.idle_since.get_or_insert(now);
+        if !is_idle {
+            *idle_since = now;
+        }
+        // A node that is not heard may have requests there until they end by themselves.
+        let is_over = settled >= fleet.longest_request + self.settings.grant_life();
+        let is_idle_for_long = now.since(*idle_since) >= IDLE_TIME;
+        // Nodes that have not heard of the last stage send nothing more once their grants have run out.
+        let has_arrived = settled >= IDLE_TIME;
+        match (is_idle_for_long && has_arrived) || is_over {
+            true => Stage::Completed,
+            false => Stage::Settling,
+        }
+    }
+
+    fn exposure_at(&self, fleet: &Fleet, now: Timestamp) -> Exposure {
+        let all = |share| Exposure {
+            share,
+            window: self.exposure.window,
+        };
+        match self.stage {
+            Stage::Trial => {
+                let share = self.settings.exposed_share * EXPOSED_SHARE;
+                Exposure::during_trial(share, fleet, self.elapsed(now))
+            }
+            Stage::Shifting => {
+                let steps = now.since(self.stage_since).as_secs_f64() / SHIFT_TIME.as_secs_f64();
+                all(SHIFTS[(steps as usize).min(SHIFTS.len() - 1)])
+            }
+            Stage::Settling | Stage::Completed => all(1.0),
+            Stage::RolledBack | Stage::Withdrawn => all(0.0),
+        }
+    }
+}
+
+/// Whether the target version has answered enough on every route that is used.
+fn has_enough_answers(total: &Counts) -> bool {
+    let present = total.present();
+    // Where there is hardly any traffic, hardly any can be harmed.
+    let least = LEAST_ANSWERS.min(present.answers / 10);
+    if total.target().answers < least {
+        return false;
+    }
+    let routes = total.iter().filter(|(cell, _)| cell.is_present());
+    let mut busy = routes.filter(|(_, tally)| tally.answers >= BUSY_ROUTE);
+    busy.all(|(Cell { route, .. }, tally)| {
+        let share = f64::from(tally.answers) * LEAST_SHARE_OF_ROUTE;
+        let least = LEAST_ANSWERS_OF_ROUTE.min(share as u32);
+        total.target_on(route).answers >= least
+    })
+}
+
+fn can_bear_all(fleet: &Fleet) -> bool {
+    fleet.target > 0 && fleet.target as f64 >= fleet.present as f64 * LEAST_ENGINES
+}
--- /dev/null
+++ b/crates/core/tests/release_world/mod.rs
@@ -0,0 +1,236 @@
+//! A pool whose software is released, seen by its director without delay.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::{
+    Account, Cell, Fleet, Judgement, Ledger, Order, PRESENT, Settings, Stage, Trial,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+/// Share of answers that are bad whatever the software.
+const USUAL_BAD: f64 = 0.01;
+/// What a grey engine adds to that.
+const GREY_BAD: f64 = 0.4;
+/// Requests that two engines drop when they crash.
+const CRASH_LOSES: usize = 4;
+const ROUTES: u32 = 3;
+
+/// What is wrong with a version.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    None,
+    /// A share of its answers is bad, from so many seconds on.
+    Bad {
+        share: f64,
+        from_s: f64,
+    },
+    /// The same on one route only.
+    BadRoute {
+        share: f64,
+    },
+    /// The same while an engine has at least so many requests a second.
+    BadUnderLoad {
+        share: f64,
+        per_second: f64,
+    },
+}
+
+/// What else happens.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Trouble {
+    None,
+    /// One engine of the target version fails by itself.
+    GreyTarget,
+    /// A tenth of the present version's engines does.
+    GreyPresent,
+    /// Two engines of the target version crash with what they run.
+    Crashes,
+}
+
+pub struct Case {
+    pub engines: usize,
+    pub per_second: f64,
+    pub nodes: usize,
+    pub ramp_s: f64,
+    pub fault: Fault,
+    pub trouble: Trouble,
+}
+
+/// How a release went.
+#[derive(Debug)]
+#[expect(dead_code, reason = "what failed tests print")]
+pub struct End {
+    pub stage: Stage,
+    pub after: Duration,
+    /// Requests that reached the target version, and those that were allowed to.
+    pub exposed: f64,
+    pub allowed: f64,
+    /// From the 50th bad answer to the end of the trial.
+    pub after_fiftieth: Option<Duration>,
+    pub why: Option<String>,
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        exposed_share: 0.1,
+        exposed_slack: 50.0,
+        rollback_within: Duration::from_secs(5),
+    }
+}
+
+pub fn order(ramp_s: f64) -> Order {
+    Order {
+        pool: PoolName::new("pool"),
+        target: "v2".to_owned(),
+        ramp: Duration::from_secs_f64(ramp_s),
+        made: 1,
+    }
+}
+
+struct Answer {
+    at: Timestamp,
+    cell: Cell,
+    judgement: Judgement,
+}
+
+/// Plays a release until it ends, or for ten ramps.
+pub fn play(case: &Case, seed: u64) -> End {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let (mut trial, mut ledger) = (
+        Trial::new(order(case.ramp_s), settings(), Timestamp::ZERO),
+        Ledger::default(),
+    );
+    let mut accounts = vec![Account::default(); case.nodes];
+    let mut pending: VecDeque<Answer> = VecDeque::new();
+    let (mut all, mut exposed, mut bad) = (0_u64, 0_u64, 0_u64);
+    let mut fiftieth_at = None;
+    let mut now = Timestamp::ZERO;
+    let deadline = Duration::from_secs_f64(case.ramp_s);
+    while now.since(Timestamp::ZERO) < deadline * 10 && !trial.stage().is_final() {
+        now = now.after(TICK);
+        while pending.front().is_some_and(|answer| answer.at <= now) {
+            let answer = pending.pop_front().expect("answer");
+            ledger.note(answer.cell, answer.judgement);
+            let is_bad = !answer.cell.is_present() && answer.judgement != Judgement::Good;
+            bad += u64::from(is_bad);
+            if bad == 50 {
+                fiftieth_at.get_or_insert(now);
+            }
+        }
+        let running = pending.iter().filter(|answer| answer.cell.is_present());
+        let fleet = Fleet {
+            present: case.engines,
+            target: case.engines,
+            running_at_present: running.count() as u32,
+            has_silent_nodes: false,
+            longest_request: Duration::from_secs(5),
+        };
+        trial.advance(&fleet, &ledger.total(), now);
+        let grant = trial.grant(1, 1, 1, now);
+        let arrivals = case.per_second * TICK.as_secs_f64();
+        let arrivals = arrivals as u32 + u32::from(random.random_bool(arrivals.fract()));
+        for _ in 0..arrivals {
+            let route = random.random_range(1..=ROUTES);
+            let account = &mut accounts[random.random_range(0..case.nodes)];
+            account.count();
+            all += u64::from(now.since(Timestamp::ZERO) < deadline);
+            let is_bounded = grant.stage == Stage::Trial;
+            let is_drawn = random.random_bool(grant.share);
+            let to_target = is_drawn && (!is_bounded || account.has_room(&settings(), case.nodes));
+            let engine = match to_target {
+                false => PRESENT,
+                true => {
+                    account.count_target();
+                    exposed += 1;
+                    let places: Vec<_> = (0..case.engines)
+                        .filter(|place| {
+                            grant
+                                .window
+                                .is_none_or(|window| window.holds(*place, case.engines))
+                        })
+                        .collect();
+                    places[random.random_range(0..places.len())] as u32 + 1
+                }
+            };
+            let part = match grant.window {
+                Some(window) => grant.share / f64::from(window.count.max(1)),
+                None => grant.share / case.engines as f64,
+            };
+            let rate = bad_rate(
+                case,
+                engine,
+                route,
+                part * case.per_second,
+                now,
+                &mut random,
+            );
+            let judgement = match random.random_bool(rate) {
+                true => Judgement::Failed,
+                false => Judgement::Good,
+            };
+            let at = now.after(Duration::from_millis(random.random_range(20..400)));
+            pending.push_back(Answer {
+                at,
+                cell: Cell { route, engine },
+                judgement,
+            });
+        }
+        pending.make_contiguous().sort_by_key(|answer| answer.at);
+        crash(case, &mut pending, now);
+    }
+    End {
+        stage: trial.stage(),
+        after: trial.elapsed(now),
+        exposed: exposed as f64,
+        allowed: all as f64 * settings().exposed_share + settings().exposed_slack,
+        after_fiftieth: fiftieth_at.map(|at| now.since(at)),
+        why: trial.rollback().map(ToString::to_string),
+    }
+}
+
+fn bad_rate(
+    case: &Case,
+    engine: u32,
+    route: u32,
+    load: f64,
+    now: Timestamp,
+    random: &mut ChaCha8Rng,
+) -> f64 {
+    let is_target = engine != PRESENT;
+    let seconds = now.since(Timestamp::ZERO).as_secs_f64();
+    let by_version = match case.fault {
+        Fault::Bad { share, from_s } if seconds >= from_s => share,
+        Fault::BadRoute { share } if route == 1 => share,
+        Fault::BadUnderLoad { share, per_second } if load >= per_second => share,
+        _ => 0.0,
+    };
+    let grey = match case.trouble {
+        Trouble::GreyTarget if engine == 1 => GREY_BAD,
+        Trouble::GreyPresent if !is_target && random.random_bool(0.1) => GREY_BAD,
+        _ => 0.0,
+    };
+    let version = if is_target { by_version } else { 0.0 };
+    (USUAL_BAD + grey + version).min(1.0)
+}
+
+/// Some requests of two engines are lost at once, a third of the ramp after the begin.
+fn crash(case: &Case, pending: &mut VecDeque<Answer>, now: Timestamp) {
+    let at = Duration::from_secs_f64(case.ramp_s / 3.0);
+    let is_now = now.since(Timestamp::ZERO) >= at && now.before(TICK).since(Timestamp::ZERO) < at;
+    if case.trouble != Trouble::Crashes || !is_now {
+        return;
+    }
+    for crashed in [1, 2] {
+        let theirs = pending
+            .iter_mut()
+            .filter(|answer| answer.cell.engine == crashed);
+        for answer in theirs.take(CRASH_LOSES) {
+            answer.judgement = Judgement::Failed;
+        }
+    }
+}
--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -16,6 +16,7 @@
     routes_by_host: HashMap<String, Vec<Rc<Route>>>,
     pools: HashMap<PoolName, PoolProfile>,
     longest_pauses: HashMap<PoolName, Duration>,
+    longest_timeouts: HashMap<PoolName, Duration>,
     kv_stores: Vec<KvStoreProfile>,
     tenants: Vec<Rc<Tenant>>,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
@@ -40,6 +41,7 @@
         };
         for route in routes {
             table.note_pause(&route);
+            table.note_timeout(&route);
             let host = route.host.to_ascii_lowercase();
             table
                 .routes_by_host
@@ -74,6 +76,14 @@
         }
     }
 
+    fn note_timeout(&mut self, route: &Route) {
+        for part in &route.pools {
+            let known = self.longest_timeouts.entry(part.pool.clone());
+            let longest = known.or_default();
+            *longest = route.timeout.max(*longest);
+        }
+    }
+
     /// Keeps the text that the table was read from, to hand it on to other nodes.
     pub fn with_document(mut self, document: impl Into<String>) -> Self {
         self.document = Some(document.into());
@@ -129,6 +139,11 @@
         self.longest_pauses.get(pool).copied()
     }
 
+    /// No request for a pool lasts longer.
+    pub fn longest_timeout(&self, pool: &PoolName) -> Duration {
+        self.longest_timeouts.get(pool).copied().unwrap_or_default()
+    }
+
     /// The pools whose engines serve `model`.
     pub fn pools_of_model(&self, model: &str) -> Vec<&PoolProfile> {
         let serves = |pool: &&PoolProfile| {
--- a/crates/gateway/src/engines/engine_entry.rs
+++ b/crates/gateway/src/engines/engine_entry.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
+use ryerouter_core::identity::{BackEndName, Incarnation, PoolName, ZoneName};
+use ryerouter_core::release::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
 /// Whether a back end takes new work, by its own word.
@@ -18,7 +20,7 @@
 /// One back end process in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineEntry {
-    /// Names one process: each start has another.
+    /// Its name.
     pub name: BackEndName,
     /// The pool it serves.
     pub pool: PoolName,
@@ -34,4 +36,14 @@
     pub weights: BTreeMap<String, u64>,
     /// Orders that it has taken.
     pub orders_taken: u64,
+    /// Version of its software; empty when it tells none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub software: SoftwareVersion,
+    /// How long after it was listed it stays slow from its start.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub cold_left: Duration,
+    /// Which of its lives this is: it may begin again under the same name, and then holds and knows
+    /// nothing of before. `None` when it does not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
 }
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use ryerouter_core::quota::Tolerance;
+use ryerouter_core::release;
 
 use crate::peers::NodeIdentity;
 use crate::placement::PlacementPrices;
@@ -54,6 +55,9 @@
     pub caches_followed_after: Option<Duration>,
     /// Prefixes whose holders are remembered.
     pub remembered_prefixes: usize,
+    /// How releases of engine software are bounded; `None` where operators order none, and the source is
+    /// then not asked for them.
+    pub releases: Option<release::Settings>,
 }
 
 impl GatewaySettings {
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -18,6 +18,7 @@
 };
 use crate::placement::{Division, HolderTable, KvStores, ReadingDemand};
 use crate::quotas::Quotas;
+use crate::release;
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::source::{ChangeLog, ItemKind, Replicas, Steadiness};
@@ -79,12 +80,16 @@
     pub stale_starts: HashMap<PoolName, u32>,
     /// What tenants with limits use.
     pub quotas: Quotas,
+    /// Releases of engine software.
+    pub releases: release::Table,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
     pub peers: PeerTable,
     /// Whether this node holds the lease of orders.
     pub gives_orders: bool,
+    /// Fencing number of that lease, while this node holds it.
+    pub order_fence: Option<u64>,
     /// Whether a node has come that was not told whom this one knows.
     pub owes_introduction: bool,
     /// Nodes that do not know yet how many there are; the next message also goes to them.
@@ -180,9 +185,11 @@
             deadlines: WeightsDeadlines::new(settings.weights_grace),
             stale_starts: HashMap::new(),
             quotas: Quotas::new(settings.limit_tolerance, now),
+            releases: release::Table::default(),
             retries: HashMap::new(),
             peers,
             gives_orders: false,
+            order_fence: None,
             owes_introduction: false,
             newcomers: Vec::new(),
             sequence: 0,
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -122,7 +122,7 @@
 
     /// Nodes that are not heard and may still admit requests. Those of other zones are missed sooner
     /// by their own.
-    fn silent_nodes(&self, state: &GatewayState, now: Timestamp) -> usize {
+    pub(super) fn silent_nodes(&self, state: &GatewayState, now: Timestamp) -> usize {
         let within = self.silent_nodes_admit();
         let missed = state.peers.silent_count(within, now);
         let near = state.peers.silent_near_count(within, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod quotas;
 pub mod relay;
+pub mod release;
 pub mod request;
 pub mod retry;
 pub mod rollout;
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -165,6 +165,7 @@
         self.held = valid;
         let mut state = self.gateway.state_mut();
         state.gives_orders = valid.is_some();
+        state.order_fence = fence(valid);
         state.seen_lease = self.lease.last_seen().map(|(record, version, seen_at)| {
             let news = LeaseNews {
                 record: record.clone(),
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -12,6 +12,7 @@
 mod lease_store;
 mod list;
 mod lists;
+mod release_store;
 mod replica;
 mod source_error;
 mod steadiness;
@@ -26,6 +27,9 @@
 pub use item_page::{ItemBatch, ItemPage};
 pub use lease_store::LeaseStore;
 pub use list::List;
+pub use release_store::{
+    OrderedRelease, Recorded, ReleaseBatch, ReleaseChange, ReleaseList, ReleaseStore,
+};
 pub use replica::{Replica, Replicas};
 pub use source_error::SourceError;
 pub use steadiness::Steadiness;
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -77,6 +77,7 @@
         rollout: RolloutSettings::default(),
         caches_followed_after: Some(Duration::ZERO),
         remembered_prefixes: 1_000,
+        releases: None,
     }
 }
 
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -144,5 +144,8 @@
         state: EngineState::Ready,
         weights: BTreeMap::from([(MODEL.to_owned(), weights)]),
         orders_taken: 0,
+        software: String::new(),
+        cold_left: Duration::ZERO,
+        incarnation: None,
     }
 }
