Direct releases under the lease of orders

Nothing followed the orders of releases, took them through their stages or recorded how they end.

The candidate for the lease of orders lists and watches them; an order that has not come to its end is a need for the lease. Its holder takes each release through its trial, tells the nodes, and records: running first, completed before it is told, rolled back until it is acknowledged. Trial::withdraw left the share of its last grant: it is none now.

Tests: release_director, release_orders, one in ordering. Each of the conditions below was taken out once and the test named failed: first record of a new director, completed told only when acknowledged, read after a failure, lease checked at each use, changed ramp after the end, late answers, older news, hint by a new version, leaving, need for the lease, reading records. The share after a withdrawal failed before the mend.

--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/trial.rs
@@ -123,6 +123,7 @@
     pub fn withdraw(&mut self) {
         if !self.stage.is_final() {
             self.stage = Stage::Withdrawn;
+            self.exposure.share = 0.0;
         }
     }
 
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -90,6 +90,10 @@
     pub gives_orders: bool,
     /// Fencing number of that lease, while this node holds it.
     pub order_fence: Option<u64>,
+    /// When that lease runs out.
+    pub order_lease_until: Option<Timestamp>,
+    /// Whether this node knows of an order of a release that has not come to its end.
+    pub has_release_work: bool,
     /// Whether a node has come that was not told whom this one knows.
     pub owes_introduction: bool,
     /// Nodes that do not know yet how many there are; the next message also goes to them.
@@ -190,6 +194,8 @@
             peers,
             gives_orders: false,
             order_fence: None,
+            order_lease_until: None,
+            has_release_work: false,
             owes_introduction: false,
             newcomers: Vec::new(),
             sequence: 0,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod peer_news;
 mod proof_of_freshness;
 mod reading;
+mod release_work;
 mod releases;
 mod shared;
 mod source_log;
--- /dev/null
+++ b/crates/gateway/src/gateway/release_work.rs
@@ -0,0 +1,70 @@
+//! What the director of releases needs of the gateway beside the releases themselves.
+
+use ryerouter_core::release::Grant;
+
+use super::{Gateway, SETTLING};
+
+impl Gateway {
+    /// Whether an order of a release has not come to its end, as far as this node follows them: then the
+    /// lease of orders is needed.
+    pub fn has_release_work(&self) -> bool {
+        self.state().has_release_work
+    }
+
+    /// Whether there is such an order.
+    pub fn note_release_work(&self, has_work: bool) {
+        self.state_mut().has_release_work = has_work;
+    }
+
+    /// All orders of releases were read.
+    pub fn note_orders_known(&self) {
+        self.state_mut().releases.knows_orders = true;
+    }
+
+    /// Fencing number of the lease of orders, checked anew before each use: this process may have been
+    /// paused since the lease was last looked at.
+    pub fn valid_order_fence(&self) -> Option<u64> {
+        let now = self.clock().now();
+        let state = self.state();
+        let is_valid = state.order_lease_until.is_some_and(|until| now < until);
+        state.order_fence.filter(|_| is_valid)
+    }
+
+    /// Whether this node is the one that follows the orders of releases.
+    pub fn may_follow_orders(&self) -> bool {
+        !self.is_leaving() && self.should_give_orders()
+    }
+
+    /// Whether this node would know of another one that follows them. Nodes that were all started at once
+    /// would else ask the source, each of them.
+    pub fn knows_candidates(&self) -> bool {
+        let state = self.state();
+        let is_settled = self.uptime() >= SETTLING || state.peers.is_settled();
+        is_settled || state.gives_orders
+    }
+
+    /// The newest grant of each pool.
+    pub fn known_grants(&self) -> Vec<Grant> {
+        let state = self.state();
+        let releases = state.releases.iter();
+        releases.map(|known| known.grant.clone()).collect()
+    }
+
+    /// Grants that have run out without an end: no director was heard for long.
+    pub fn lapsed_grants(&self) -> Vec<Grant> {
+        let Some(settings) = &self.settings().releases else {
+            return Vec::new();
+        };
+        let now = self.clock().now();
+        let state = self.state();
+        let releases = state.releases.iter();
+        let lapsed = releases.filter(|known| !known.is_granted(settings.grant_life(), now));
+        lapsed.map(|known| known.grant.clone()).collect()
+    }
+
+    /// This node goes by what the source holds of a release.
+    pub fn take_recorded_grant(&self, grant: Grant) -> bool {
+        let now = self.clock().now();
+        self.state_mut().releases.take(grant, now)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/release/course.rs
@@ -0,0 +1,96 @@
+//! One release under direction.
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::release::{Grant, Outcome, Stage, Trial};
+
+use super::RecordState;
+
+/// Time between the grants of a release, less one look of the director: a third of a second is short against
+/// the life of a grant, so that nodes which miss two in a row still go by the next.
+const GRANT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// One release under direction: its stages, what nodes were told last, and how its record stands.
+#[derive(Debug, Clone)]
+pub struct Course {
+    /// The stages.
+    pub trial: Trial,
+    /// How its record stands.
+    pub record: RecordState,
+    /// Calls for the record that failed in a row.
+    pub failures: u32,
+    /// Whether this director has recorded anything. A record of the director before may still be carried out
+    /// late, until the order has another revision: this one's first record sees to that.
+    pub has_recorded: bool,
+    told: Option<Told>,
+}
+
+#[derive(Debug, Clone)]
+struct Told {
+    grant: Grant,
+    at: Timestamp,
+}
+
+impl Course {
+    /// A release of which nothing was told yet.
+    pub fn new(trial: Trial) -> Self {
+        Self {
+            trial,
+            record: RecordState::Settled,
+            failures: 0,
+            has_recorded: false,
+            told: None,
+        }
+    }
+
+    /// What the record should be now.
+    fn outcome(&self) -> Outcome {
+        // An order that stands again after it was taken back: its target version gets nothing for good.
+        let outcome = self.trial.stage().outcome();
+        outcome.unwrap_or(Outcome::RolledBack)
+    }
+
+    /// What is to be written, where so much is recorded.
+    pub fn next_record(&self, recorded: Option<Outcome>) -> Option<Outcome> {
+        let outcome = self.outcome();
+        let is_written = self.has_recorded && recorded == Some(outcome);
+        (!is_written).then_some(outcome)
+    }
+
+    /// The next grant, when it is time for one.
+    pub fn next_grant(
+        &mut self,
+        revision: u64,
+        fence: u64,
+        number: u64,
+        now: Timestamp,
+    ) -> Option<Grant> {
+        let mut grant = self.trial.grant(revision, fence, number, now);
+        if grant.stage == Stage::Completed {
+            // The present engines stop once the source holds the record. Until then nodes only know that
+            // all new requests move.
+            grant.stage = Stage::Settling;
+        }
+        if !self.is_due(&grant, now) {
+            return None;
+        }
+        self.told = Some(Told {
+            grant: grant.clone(),
+            at: now,
+        });
+        Some(grant)
+    }
+
+    fn is_due(&self, grant: &Grant, now: Timestamp) -> bool {
+        let Some(told) = &self.told else {
+            return true;
+        };
+        let before = &told.grant;
+        let is_same = before.stage == grant.stage
+            && before.share.total_cmp(&grant.share).is_eq()
+            && before.window == grant.window;
+        let is_kept = before.stage.is_final() || now.since(told.at) < GRANT_INTERVAL;
+        !(is_same && is_kept)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/release/director.rs
@@ -0,0 +1,399 @@
+//! Directing releases; see docs/design/releases.md.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::{self, Counts, Fleet, Order, Outcome, Stage, Trial};
+use slog::{info, warn};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use super::director_event::DirectorEvent;
+use super::order_follower::OrderFollower;
+use super::record_reader::RecordReader;
+use super::recorded_grant::{end_grant, withdrawn_grant};
+use super::{Course, KnownOrder, Orders, RecordState};
+use crate::gateway::Gateway;
+use crate::source::{FollowSettings, OrderedRelease, Recorded, ReleaseStore, SourceError};
+
+/// Time between looks at the evidence: a version whose answers are bad must get nothing more within
+/// seconds, and the verdict is one part of that time among several.
+const TICK: Duration = Duration::from_millis(100);
+/// Wait after a call for a record that failed.
+const RECORD_PAUSE: Duration = Duration::from_millis(300);
+/// After failures the source has up to so many times as long to answer: it may be slow and not away.
+const MOST_PATIENCE: u32 = 4;
+
+/// Directs releases while this node holds the lease of orders; until dropped, and not at all where there are
+/// no bounds of releases.
+pub async fn run_releases(
+    gateway: Rc<Gateway>,
+    store: Rc<dyn ReleaseStore>,
+    settings: FollowSettings,
+) {
+    let Some(bounds) = gateway.settings().releases.clone() else {
+        return;
+    };
+    let orders = Rc::new(RefCell::new(Orders::default()));
+    let follower = OrderFollower::new(
+        Rc::clone(&gateway),
+        Rc::clone(&store),
+        settings.clone(),
+        Rc::clone(&orders),
+    );
+    let reader = RecordReader {
+        gateway: Rc::clone(&gateway),
+        store: Rc::clone(&store),
+        answer: settings.answer,
+        orders: Rc::clone(&orders),
+        next_reads: BTreeMap::new(),
+    };
+    let (sender, events) = unbounded_channel();
+    let director = Director {
+        gateway,
+        store,
+        bounds,
+        answer: settings.answer,
+        orders,
+        courses: BTreeMap::new(),
+        grants: 0,
+        sender,
+    };
+    tokio::join!(follower.run(), reader.run(), director.run(events));
+}
+
+struct Director {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn ReleaseStore>,
+    bounds: release::Settings,
+    /// Time for an answer of the source.
+    answer: Duration,
+    orders: Rc<RefCell<Orders>>,
+    courses: BTreeMap<PoolName, Course>,
+    /// Grants given so far.
+    grants: u64,
+    sender: UnboundedSender<DirectorEvent>,
+}
+
+impl Director {
+    async fn run(mut self, mut events: UnboundedReceiver<DirectorEvent>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = events.recv() => {
+                    if let Some(event) = event {
+                        self.handle(event);
+                        self.tick();
+                    }
+                }
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let is_following = self.orders.borrow().revision().is_some();
+        if !is_following || self.gateway.is_leaving() {
+            self.courses.clear();
+            return;
+        }
+        let orders = self.orders.borrow().clone();
+        self.gateway.note_release_work(orders.has_open());
+        match self.gateway.valid_order_fence() {
+            Some(fence) => self.direct(&orders, fence),
+            // The grants run out by themselves, and whoever holds the lease next goes on with them.
+            None => self.courses.clear(),
+        }
+        self.tell_ends(&orders);
+    }
+
+    fn direct(&mut self, orders: &Orders, fence: u64) {
+        let now = self.gateway.clock().now();
+        self.withdraw(orders, fence, now);
+        self.courses.retain(|pool, course| {
+            let known = orders.of(pool).filter(|known| known.is_open());
+            known.is_some_and(|known| known.release.order == *course.trial.order())
+        });
+        for known in orders.iter().filter(|known| known.is_open()) {
+            let pool = &known.release.order.pool;
+            if !self.courses.contains_key(pool) {
+                let course = self.begin(&known.release, now);
+                self.courses.insert(pool.clone(), course);
+            }
+            self.advance(known, fence, now);
+            self.record(known, now);
+        }
+    }
+
+    /// Releases whose orders the operator has taken back.
+    fn withdraw(&mut self, orders: &Orders, fence: u64, now: Timestamp) {
+        let revision = orders.revision().unwrap_or_default();
+        for (pool, course) in &mut self.courses {
+            if orders.of(pool).is_some() {
+                continue;
+            }
+            let before = course.trial.stage();
+            course.trial.withdraw();
+            info!(self.gateway.log(), "release_stage"; "pool" => %pool,
+                "target" => &course.trial.order().target, "from" => %before,
+                "to" => %course.trial.stage(),
+                "elapsed_ms" => course.trial.elapsed(now).as_millis() as u64);
+            self.grants += 1;
+            if let Some(grant) = course.next_grant(revision, fence, self.grants, now) {
+                self.gateway.publish_grant(grant);
+            }
+        }
+    }
+
+    /// A release that this node has not directed, or not without a break: what nodes still know of it goes
+    /// on.
+    fn begin(&self, release: &OrderedRelease, now: Timestamp) -> Course {
+        let order = &release.order;
+        let known = self.gateway.known_grant(&order.pool);
+        let known = known.filter(|(grant, _)| grant.order == *order);
+        let is_resumed = known.is_some();
+        let bounds = self.bounds.clone();
+        let trial = match known {
+            Some((grant, age)) => Trial::resume(&grant, age, bounds, now),
+            None => Trial::new(order.clone(), bounds, now),
+        };
+        info!(self.gateway.log(), "release_ordered"; "pool" => %order.pool,
+            "target" => &order.target, "ramp_ms" => order.ramp.as_millis() as u64,
+            "made" => order.made, "revision" => release.revision, "is_resumed" => is_resumed,
+            "stage" => %trial.stage(), "elapsed_ms" => trial.elapsed(now).as_millis() as u64);
+        Course::new(trial)
+    }
+
+    fn advance(&mut self, known: &KnownOrder, fence: u64, now: Timestamp) {
+        let release = &known.release;
+        let order = &release.order;
+        let fleet = self.gateway.release_fleet(order);
+        let counts = self.gateway.release_counts(order);
+        let Some(course) = self.courses.get_mut(&order.pool) else {
+            return;
+        };
+        let before = course.trial.stage();
+        let has_changed = course.trial.advance(&fleet, &counts, now);
+        let number = self.grants + 1;
+        let grant = course.next_grant(release.revision, fence, number, now);
+        if has_changed {
+            self.note_stage(order, before, &fleet, &counts, now);
+        }
+        if let Some(grant) = grant {
+            self.grants = number;
+            note_answers(&self.gateway, order, &counts);
+            self.gateway.publish_grant(grant);
+        }
+    }
+
+    fn note_stage(
+        &self,
+        order: &Order,
+        before: Stage,
+        fleet: &Fleet,
+        counts: &Counts,
+        now: Timestamp,
+    ) {
+        let Some(course) = self.courses.get(&order.pool) else {
+            return;
+        };
+        let (log, trial) = (self.gateway.log(), &course.trial);
+        let (target, present) = (counts.target(), counts.present());
+        info!(log, "release_stage"; "pool" => %order.pool, "target" => &order.target,
+            "from" => %before, "to" => %trial.stage(),
+            "elapsed_ms" => trial.elapsed(now).as_millis() as u64,
+            "share" => trial.grant(0, 0, 0, now).share,
+            "target_answers" => target.answers, "target_failed" => target.failed,
+            "target_slow" => target.slow, "present_answers" => present.answers,
+            "present_failed" => present.failed, "present_slow" => present.slow,
+            "target_engines" => fleet.target, "present_engines" => fleet.present,
+            "running_at_present" => fleet.running_at_present);
+        if let Some(rollback) = trial.rollback() {
+            warn!(log, "release_verdict"; "pool" => %order.pool, "target" => &order.target,
+                "verdict" => %trial.stage(), "why" => %rollback);
+        }
+        let stage = trial.stage().to_string();
+        let stages = &self.gateway.metrics().release_stages;
+        stages
+            .with_label_values(&[order.pool.as_str(), &order.target, &stage])
+            .inc();
+    }
+
+    /// Brings the record to what the release has come to.
+    fn record(&mut self, known: &KnownOrder, now: Timestamp) {
+        let order = &known.release.order;
+        let Some(course) = self.courses.get_mut(&order.pool) else {
+            return;
+        };
+        let limit = self.answer * (course.failures + 1).min(MOST_PATIENCE);
+        match course.record {
+            RecordState::Settled => {
+                let Some(outcome) = course.next_record(known.recorded()) else {
+                    return;
+                };
+                course.record = RecordState::Open;
+                self.call_record(known.release.clone(), outcome, limit);
+            }
+            RecordState::Unsure(read_at) if read_at <= now => {
+                course.record = RecordState::Open;
+                self.call_read(&known.release, limit);
+            }
+            RecordState::Open | RecordState::Unsure(_) => {}
+        }
+    }
+
+    fn call_record(&self, release: OrderedRelease, outcome: Outcome, limit: Duration) {
+        let (store, sender) = (Rc::clone(&self.store), self.sender.clone());
+        spawn_local(async move {
+            let recorded = timeout(limit, store.record(&release, outcome)).await;
+            // Without a receiver this node has stopped directing.
+            let _ = sender.send(DirectorEvent::Recorded {
+                order: release.order.clone(),
+                outcome,
+                result: recorded.unwrap_or(Err(SourceError::NoAnswer)),
+            });
+        });
+    }
+
+    fn call_read(&self, release: &OrderedRelease, limit: Duration) {
+        let (store, sender) = (Rc::clone(&self.store), self.sender.clone());
+        let (pool, revision) = (release.order.pool.clone(), release.revision);
+        spawn_local(async move {
+            let read = timeout(limit, store.read(&pool)).await;
+            let result = read.unwrap_or(Err(SourceError::NoAnswer));
+            // Without a receiver this node has stopped directing.
+            let _ = sender.send(DirectorEvent::Read {
+                pool,
+                revision,
+                result,
+            });
+        });
+    }
+
+    fn handle(&mut self, event: DirectorEvent) {
+        match event {
+            DirectorEvent::Recorded {
+                order,
+                outcome,
+                result,
+            } => self.take_recorded(&order, outcome, result),
+            DirectorEvent::Read {
+                pool,
+                revision,
+                result,
+            } => self.take_read(&pool, revision, result),
+        }
+    }
+
+    fn take_recorded(
+        &mut self,
+        order: &Order,
+        outcome: Outcome,
+        result: Result<Recorded, SourceError>,
+    ) {
+        let log = self.gateway.log();
+        let now = self.gateway.clock().now();
+        let course = self.courses.get_mut(&order.pool);
+        let course = course.filter(|course| course.trial.order() == order);
+        let failure = match result {
+            Ok(Recorded::Written(release)) => {
+                info!(log, "release_recorded"; "pool" => %order.pool, "target" => &order.target,
+                    "outcome" => %outcome, "revision" => release.revision);
+                if self.orders.borrow().revision().is_some() {
+                    self.orders.borrow_mut().take_recorded(release);
+                }
+                if let Some(course) = course {
+                    course.record = RecordState::Settled;
+                    course.has_recorded = true;
+                    course.failures = 0;
+                }
+                return;
+            }
+            Ok(Recorded::Conflict) => "changed since it was read".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        warn!(log, "release_record_failed"; "pool" => %order.pool, "target" => &order.target,
+            "outcome" => %outcome, "error" => failure);
+        if let Some(course) = course {
+            course.record = RecordState::Unsure(now.after(RECORD_PAUSE));
+            course.failures += 1;
+        }
+    }
+
+    fn take_read(
+        &mut self,
+        pool: &PoolName,
+        revision: u64,
+        result: Result<Option<OrderedRelease>, SourceError>,
+    ) {
+        let now = self.gateway.clock().now();
+        let course = self.courses.get_mut(pool);
+        match result {
+            Ok(release) => {
+                if self.orders.borrow().revision().is_some() {
+                    let mut orders = self.orders.borrow_mut();
+                    orders.take_read(pool, revision, release);
+                }
+                if let Some(course) = course {
+                    course.record = RecordState::Settled;
+                }
+            }
+            Err(error) => {
+                info!(self.gateway.log(), "release_record_unread"; "pool" => %pool,
+                    "error" => %error);
+                if let Some(course) = course {
+                    course.record = RecordState::Unsure(now.after(RECORD_PAUSE));
+                    course.failures += 1;
+                }
+            }
+        }
+    }
+
+    /// Nodes are told of releases that have come to their end by what the source holds: also nodes that
+    /// were started since.
+    fn tell_ends(&self, orders: &Orders) {
+        let ends = orders.iter().filter_map(end_grant);
+        let known = self.gateway.known_grants();
+        // A grant of a later revision is of an order that this node's copy does not hold yet.
+        let is_gone = |grant: &&release::Grant| {
+            let is_known = Some(grant.revision) <= orders.revision();
+            is_known && orders.of(&grant.order.pool).is_none() && !grant.stage.is_final()
+        };
+        let withdrawn = known.iter().filter(is_gone).map(withdrawn_grant);
+        for grant in ends.chain(withdrawn) {
+            let before = self.gateway.known_grant(&grant.order.pool);
+            let is_told = before.is_some_and(|(before, _)| {
+                let is_same_end = before.order == grant.order && before.stage.is_final();
+                is_same_end || !grant.supersedes(&before)
+            });
+            if !is_told {
+                info!(self.gateway.log(), "release_ended"; "pool" => %grant.order.pool,
+                    "target" => &grant.order.target, "stage" => %grant.stage,
+                    "revision" => grant.revision);
+                self.gateway.publish_grant(grant);
+            }
+        }
+    }
+}
+
+fn note_answers(gateway: &Gateway, order: &Order, counts: &Counts) {
+    let answers = &gateway.metrics().release_answers;
+    for (version, tally) in [("target", counts.target()), ("present", counts.present())] {
+        let good = tally.answers.saturating_sub(tally.bad());
+        let judged = [
+            ("good", good),
+            ("failed", tally.failed),
+            ("slow", tally.slow),
+        ];
+        for (judgement, count) in judged {
+            let labels = [order.pool.as_str(), version, judgement];
+            answers.with_label_values(&labels).set(i64::from(count));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/release/order_follower.rs
@@ -0,0 +1,233 @@
+//! Following the orders of releases.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::SoftwareVersion;
+use slog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::Orders;
+use crate::gateway::Gateway;
+use crate::source::{FollowSettings, ReleaseBatch, ReleaseStore, SourceError};
+
+/// Time between looks whether this node should follow, and at the versions of engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// A node begins when it was the candidate for so long without a break: while nodes come to know each other
+/// several may take themselves for it for a moment.
+const CANDIDATE_FOR: Duration = Duration::from_millis(500);
+/// It stops when it was not for so long: one failed call to the source changes the candidate for a moment.
+const REPLACED_FOR: Duration = Duration::from_secs(1);
+/// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Watches begin at least so far apart: records bring changes in a row, and a watch may be cut at once.
+const LEAST_SPACING: Duration = Duration::from_millis(250);
+/// After failures the source has up to so many times as long to answer: it may be slow and not away.
+const MOST_PATIENCE: u32 = 4;
+
+/// Follows the orders while this node is the candidate for the lease of orders. No other node does, as orders
+/// change a few times a day.
+pub(super) struct OrderFollower {
+    gateway: Rc<Gateway>,
+    store: Rc<dyn ReleaseStore>,
+    settings: FollowSettings,
+    orders: Rc<RefCell<Orders>>,
+    versions: BTreeSet<PoolVersion>,
+    failures: u32,
+}
+
+/// A version of software that engines of a pool run.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct PoolVersion {
+    pool: PoolName,
+    software: SoftwareVersion,
+}
+
+impl OrderFollower {
+    /// Follows nothing yet.
+    pub(super) fn new(
+        gateway: Rc<Gateway>,
+        store: Rc<dyn ReleaseStore>,
+        settings: FollowSettings,
+        orders: Rc<RefCell<Orders>>,
+    ) -> Self {
+        Self {
+            gateway,
+            store,
+            settings,
+            orders,
+            versions: BTreeSet::new(),
+            failures: 0,
+        }
+    }
+
+    /// Follows whenever this node should, until dropped.
+    pub(super) async fn run(mut self) {
+        let gateway = Rc::clone(&self.gateway);
+        loop {
+            until_candidate(&gateway).await;
+            info!(gateway.log(), "release_orders_followed"; "is_followed" => true);
+            tokio::select! {
+                () = self.follow() => {}
+                () = until_replaced(&gateway) => {}
+            }
+            info!(gateway.log(), "release_orders_followed"; "is_followed" => false);
+            self.orders.borrow_mut().forget();
+            self.failures = 0;
+            gateway.note_release_work(false);
+        }
+    }
+
+    async fn follow(&mut self) {
+        loop {
+            self.list_until_done().await;
+            self.watch_until_history_gone().await;
+        }
+    }
+
+    async fn list_until_done(&mut self) {
+        self.versions = self.present_versions();
+        loop {
+            let store = Rc::clone(&self.store);
+            let listed = timeout(self.answer_limit(), store.list()).await;
+            match listed.unwrap_or(Err(SourceError::NoAnswer)) {
+                Ok(list) => {
+                    self.note_answer();
+                    info!(self.gateway.log(), "release_orders_read"; "revision" => list.revision,
+                        "orders" => list.releases.len());
+                    self.orders.borrow_mut().take_list(list);
+                    self.gateway.note_orders_known();
+                    return;
+                }
+                Err(error) => self.pause_after(&error).await,
+            }
+        }
+    }
+
+    async fn watch_until_history_gone(&mut self) {
+        let mut is_short = false;
+        loop {
+            let wait = match is_short || self.failures > 0 {
+                true => Duration::ZERO,
+                false => self.settings.watch,
+            };
+            is_short = false;
+            let revision = self.orders.borrow().revision().unwrap_or_default();
+            let asked_at = self.gateway.clock().now();
+            let limit = wait + self.answer_limit();
+            let store = Rc::clone(&self.store);
+            let answer = tokio::select! {
+                answer = timeout(limit, store.watch(revision, wait)) => answer,
+                // The order came before its engines: a watch that has not told of it may be silent.
+                () = self.until_new_version(), if !wait.is_zero() => {
+                    is_short = true;
+                    continue;
+                }
+            };
+            match answer.unwrap_or(Err(SourceError::NoAnswer)) {
+                Ok(batch) if batch.revision >= revision => {
+                    self.note_answer();
+                    self.take(batch);
+                    self.keep_apart(asked_at).await;
+                }
+                Ok(_) | Err(SourceError::HistoryGone) => {
+                    info!(self.gateway.log(), "release_history_gone"; "revision" => revision);
+                    return;
+                }
+                Err(error) => self.pause_after(&error).await,
+            }
+        }
+    }
+
+    fn take(&self, batch: ReleaseBatch) {
+        self.orders.borrow_mut().take_batch(batch);
+    }
+
+    /// Resolves when engines run a version that is new in their pool and that nobody is known to have
+    /// ordered.
+    async fn until_new_version(&mut self) {
+        loop {
+            sleep(LOOK_INTERVAL).await;
+            let present = self.present_versions();
+            let orders = Rc::clone(&self.orders);
+            let orders = orders.borrow();
+            let is_ordered = |version: &PoolVersion| {
+                let known = orders.of(&version.pool);
+                known.is_some_and(|known| known.release.order.target == version.software)
+            };
+            let mut fresh = present.difference(&self.versions);
+            let is_fresh = fresh.any(|version| !is_ordered(version));
+            let was_empty = self.versions.is_empty();
+            self.versions = present;
+            if is_fresh && !was_empty {
+                return;
+            }
+        }
+    }
+
+    fn present_versions(&self) -> BTreeSet<PoolVersion> {
+        let state = self.gateway.state();
+        let engines = state.engines.iter();
+        let versions = engines.map(|engine| PoolVersion {
+            pool: engine.entry.pool.clone(),
+            software: engine.entry.software.clone(),
+        });
+        versions.collect()
+    }
+
+    async fn keep_apart(&self, asked_at: Timestamp) {
+        let taken = self.gateway.clock().now().since(asked_at);
+        sleep(LEAST_SPACING.saturating_sub(taken)).await;
+    }
+
+    fn answer_limit(&self) -> Duration {
+        self.settings.answer * (self.failures + 1).min(MOST_PATIENCE)
+    }
+
+    fn note_answer(&mut self) {
+        if self.failures > 0 {
+            info!(self.gateway.log(), "release_orders_regained"; "failures" => self.failures);
+        }
+        self.failures = 0;
+    }
+
+    async fn pause_after(&mut self, error: &SourceError) {
+        if self.failures == 0 {
+            warn!(self.gateway.log(), "release_orders_lost"; "error" => %error);
+        }
+        let doublings = self.failures.min(6);
+        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
+        self.failures += 1;
+        let jitter = rand::rng().random_range(0.5..1.0);
+        sleep(pause.mul_f64(jitter)).await;
+    }
+}
+
+async fn until_candidate(gateway: &Gateway) {
+    until(gateway, CANDIDATE_FOR, || {
+        gateway.may_follow_orders() && gateway.knows_candidates()
+    })
+    .await;
+}
+
+async fn until_replaced(gateway: &Gateway) {
+    until(gateway, REPLACED_FOR, || !gateway.may_follow_orders()).await;
+}
+
+/// Resolves when something was so at each look for a time.
+async fn until(gateway: &Gateway, span: Duration, is_so: impl Fn() -> bool) {
+    let mut since = None;
+    loop {
+        let now = gateway.clock().now();
+        since = is_so().then(|| since.unwrap_or(now));
+        if since.is_some_and(|since| now.since(since) >= span) {
+            return;
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/release/orders.rs
@@ -0,0 +1,115 @@
+//! The orders in the source, as the director knows them.
+
+use std::collections::BTreeMap;
+
+use ryerouter_core::identity::PoolName;
+
+use super::KnownOrder;
+use crate::source::{OrderedRelease, ReleaseBatch, ReleaseChange, ReleaseList};
+
+/// The orders in the source, as the director knows them.
+///
+/// Lists, watches, reads and the answers to records arrive in any order: of two that tell of one pool the
+/// one with the higher revision counts.
+#[derive(Debug, Clone, Default)]
+pub struct Orders {
+    known: BTreeMap<PoolName, KnownOrder>,
+    /// All changes up to here are known; `None` before the first list.
+    revision: Option<u64>,
+}
+
+impl Orders {
+    /// All changes up to here are known; `None` before the first list.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// The order of a pool.
+    pub fn of(&self, pool: &PoolName) -> Option<&KnownOrder> {
+        self.known.get(pool)
+    }
+
+    /// All orders, by pool.
+    pub fn iter(&self) -> impl Iterator<Item = &KnownOrder> {
+        self.known.values()
+    }
+
+    /// Whether an order has not come to its end.
+    pub fn has_open(&self) -> bool {
+        self.iter().any(KnownOrder::is_open)
+    }
+
+    /// Takes all orders.
+    pub fn take_list(&mut self, list: ReleaseList) {
+        let pools: Vec<_> = list.releases.iter().map(pool_of).collect();
+        self.known
+            .retain(|pool, known| known.release.revision > list.revision || pools.contains(pool));
+        for release in list.releases {
+            self.take(release);
+        }
+        self.revision = Some(list.revision);
+    }
+
+    /// Takes changes.
+    pub fn take_batch(&mut self, batch: ReleaseBatch) {
+        for change in batch.changes {
+            match change {
+                ReleaseChange::Ordered(release) => self.take(release),
+                ReleaseChange::Gone(pool) => self.remove(&pool, batch.revision),
+            }
+        }
+        self.revision = self.revision.max(Some(batch.revision));
+    }
+
+    /// Takes the order of one pool, which was at `revision` when the question was asked.
+    pub fn take_read(&mut self, pool: &PoolName, revision: u64, release: Option<OrderedRelease>) {
+        match release {
+            Some(release) if self.is_news(&release) => self.take(release),
+            Some(_) => {}
+            None => self.remove(pool, revision),
+        }
+    }
+
+    /// Takes an order as it stood when something was recorded of it.
+    pub fn take_recorded(&mut self, release: OrderedRelease) {
+        if !self.is_news(&release) {
+            return;
+        }
+        match self.known.get_mut(&release.order.pool) {
+            Some(known) => known.take_recorded(release),
+            None => self.take(release),
+        }
+    }
+
+    /// Knows nothing any more.
+    pub fn forget(&mut self) {
+        *self = Self::default();
+    }
+
+    /// An order that has been removed since must not come back with a late answer.
+    fn is_news(&self, release: &OrderedRelease) -> bool {
+        let is_known = self.known.contains_key(&release.order.pool);
+        is_known || Some(release.revision) > self.revision
+    }
+
+    fn take(&mut self, release: OrderedRelease) {
+        match self.known.get_mut(&release.order.pool) {
+            Some(known) => known.take(release),
+            None => {
+                let pool = pool_of(&release);
+                self.known.insert(pool, KnownOrder::new(release));
+            }
+        }
+    }
+
+    fn remove(&mut self, pool: &PoolName, revision: u64) {
+        let known = self.known.get(pool);
+        if known.is_some_and(|known| known.release.revision <= revision) {
+            self.known.remove(pool);
+        }
+    }
+}
+
+fn pool_of(release: &OrderedRelease) -> PoolName {
+    release.order.pool.clone()
+}
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -95,7 +95,9 @@
                 age: Duration::from_millis(news.age_ms),
             });
         }
-        let is_needed = self.gateway.has_engines_behind() || !self.planner.is_idle();
+        let is_needed = self.gateway.has_engines_behind()
+            || self.gateway.has_release_work()
+            || !self.planner.is_idle();
         let is_candidate = is_needed && self.gateway.should_give_orders();
         self.gateway.state_mut().is_order_candidate = is_candidate || self.held.is_some();
         if is_candidate {
@@ -166,6 +168,7 @@
         let mut state = self.gateway.state_mut();
         state.gives_orders = valid.is_some();
         state.order_fence = fence(valid);
+        state.order_lease_until = valid.map(|held| held.valid_until);
         state.seen_lease = self.lease.last_seen().map(|(record, version, seen_at)| {
             let news = LeaseNews {
                 record: record.clone(),
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of latency buckets, in seconds.
@@ -46,6 +46,10 @@
     pub engines: IntGauge,
     /// Other nodes that are alive.
     pub peers: IntGauge,
+    /// Stages that releases entered while this node directed them.
+    pub release_stages: IntCounterVec,
+    /// Answers in the release of each pool, as its director last knew them.
+    pub release_answers: IntGaugeVec,
 }
 
 impl Metrics {
@@ -116,6 +120,13 @@
             ),
             engines: gauge(&registry, "engines", "Engines in the list"),
             peers: gauge(&registry, "peers_alive", "Other nodes that are alive"),
+            release_stages: vector_of(
+                &registry,
+                "release_stages_total",
+                "Stages that releases entered while this node directed them",
+                &["pool", "version", "stage"],
+            ),
+            release_answers: release_answers(&registry),
             registry,
         }
     }
@@ -181,6 +192,15 @@
     metric
 }
 
+fn release_answers(registry: &Registry) -> IntGaugeVec {
+    let help = "Answers of target and present version in a release, as its director last knew";
+    let labels = ["pool", "version", "judgement"];
+    let metric = IntGaugeVec::new(options("release_answers", help), &labels);
+    let metric = metric.expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
 fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
     registry
         .register(Box::new(metric.clone()))
--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -147,14 +147,21 @@
 impl Ordering {
     /// A ready node whose one engine is long behind.
     fn start(delay: Duration) -> Self {
+        let ordering = Self::start_idle(delay);
+        let named = ordering.gateway.clock().now();
+        let named = named.before(Duration::from_secs(6));
+        let mut state = ordering.gateway.state_mut();
+        state.deadlines.note(MODEL, 2, NamedAt::Seen(named));
+        drop(state);
+        ordering
+    }
+
+    /// A ready node whose one engine has the newest weights.
+    fn start_idle(delay: Duration) -> Self {
         let gateway = gateway("node-1");
         configure(&gateway, table(1, Vec::new()));
         let entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
         list_engines(&gateway, vec![entry]);
-        let named = gateway.clock().now().before(Duration::from_secs(6));
-        let mut state = gateway.state_mut();
-        state.deadlines.note(MODEL, 2, NamedAt::Seen(named));
-        drop(state);
         let lease = Rc::new(OneLease::default());
         lease.delay.set(delay);
         let engines = Rc::new(TakenOrders::default());
@@ -260,3 +267,20 @@
         assert!(!other.should_give_orders());
     });
 }
+
+#[test]
+fn release_that_has_not_ended_needs_the_lease() {
+    run(async {
+        let ordering = Ordering::start_idle(Duration::from_millis(5));
+        sleep(Duration::from_secs(2)).await;
+        assert!(!ordering.lease.has_holder());
+        ordering.gateway.note_release_work(true);
+        sleep(Duration::from_secs(2)).await;
+        assert!(ordering.lease.has_holder());
+        assert_eq!(ordering.gateway.valid_order_fence(), Some(1));
+        assert_eq!(ordering.orders(), 0);
+        ordering.lease.is_silent.set(true);
+        sleep(SETTINGS.duration).await;
+        assert_eq!(ordering.gateway.valid_order_fence(), None);
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,8 @@
 pub mod followers;
 pub mod gateway_bench;
 pub mod records;
+pub mod release_node;
+pub mod release_orders;
 pub mod scripted_engine;
 pub mod scripted_source;
 pub mod silencing_server;
