Releases: tests of the lease handed over and of nodes that cease to follow

The store of one lease of the tests of orders moved to the support files for that, unchanged. Taken out once and seen to fail: the need for the lease, the patience before a node ceases to follow, the work that it then forgets.

--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -2,116 +2,27 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
-use std::future::{Future, pending};
+use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ryerouter_core::control::{
-    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreFailure, StoreValue, StoreVersion,
-    StoredObject,
-};
 use ryerouter_core::identity::{BackEndName, FencingNumber};
-use ryerouter_core::order::{LeaseRecord, LeaseSettings};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::rollout::{
     EngineOrders, EngineReport, NamedAt, OrderOutcome, WeightsOrder, run_rollouts,
 };
-use ryerouter_gateway::source::{ItemKind, LeaseStore};
+use ryerouter_gateway::source::ItemKind;
 use support::gateway_bench::{configure, gateway, list_engines};
+use support::one_lease::{CALL_LIMIT, OneLease, SETTINGS};
 use support::records::{engine, table};
 use support::test_dialect::MODEL;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-const SETTINGS: LeaseSettings = LeaseSettings {
-    duration: Duration::from_millis(1_350),
-    renew_interval: Duration::from_millis(450),
-    look_interval: Duration::from_millis(600),
-    takeover_margin: Duration::from_millis(3_300),
-    release_margin: Duration::from_millis(3_300),
-};
-
-/// A store of one lease.
-#[derive(Default)]
-struct OneLease {
-    held: RefCell<Option<(StoreVersion, LeaseRecord)>>,
-    delay: Cell<Duration>,
-    /// Calls never end.
-    is_silent: Cell<bool>,
-    /// Calls are given up after a time.
-    is_out_of_reach: Cell<bool>,
-}
-
-/// A call that gets no answer is given up after this time.
-const CALL_LIMIT: Duration = Duration::from_secs(1);
-
-fn unreachable_store() -> StoreAnswer {
-    StoreAnswer::Failed(StoreFailure::Unavailable {
-        detail: "no answer in time".to_owned(),
-    })
-}
-
-impl OneLease {
-    fn answer(&self, call: StoreCall) -> StoreAnswer {
-        let mut held = self.held.borrow_mut();
-        match call {
-            StoreCall::Put {
-                value: StoreValue::Lease(record),
-                precondition,
-                ..
-            } => {
-                let is_met = match (&*held, precondition) {
-                    (None, Precondition::Absent) => true,
-                    (Some((version, _)), Precondition::Version(asked)) => *version == asked,
-                    _ => false,
-                };
-                if !is_met {
-                    return StoreAnswer::Conflict { version: None };
-                }
-                let before = held.as_ref().map_or(0, |(version, _)| version.0);
-                let version = StoreVersion(before + 1);
-                *held = Some((version, record));
-                StoreAnswer::Written { version }
-            }
-            _ => match &*held {
-                None => StoreAnswer::NotFound,
-                Some((version, record)) => StoreAnswer::Found(StoredObject {
-                    key: ObjectKey::Lease("orders".to_owned()),
-                    version: *version,
-                    value: StoreValue::Lease(record.clone()),
-                }),
-            },
-        }
-    }
-
-    fn has_holder(&self) -> bool {
-        let held = self.held.borrow();
-        held.as_ref()
-            .is_some_and(|(_, record)| record.holder.is_some())
-    }
-}
-
-impl LeaseStore for OneLease {
-    fn call(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
-        async move {
-            if self.is_silent.get() {
-                return pending().await;
-            }
-            if self.is_out_of_reach.get() {
-                sleep(CALL_LIMIT).await;
-                return unreachable_store();
-            }
-            sleep(self.delay.get()).await;
-            self.answer(call)
-        }
-        .boxed_local()
-    }
-}
-
 /// Engines that take every order and never finish.
 #[derive(Default)]
 struct TakenOrders {
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -48,6 +48,9 @@
         assert_eq!(recorded(&orders, "a"), is("v2", Outcome::Completed));
         sleep(millis(200)).await;
         assert!(!node.gateway.has_release_work());
+        let metrics = String::from_utf8(node.gateway.metrics().render()).expect("text");
+        let settled = "release_stages_total{pool=\"a\",stage=\"settling\",version=\"v2\"} 1";
+        assert!(metrics.contains(settled), "{metrics}");
         let history = orders.recorded.borrow();
         let outcomes: Vec<_> = history.iter().map(|(_, outcome)| *outcome).collect();
         assert_eq!(outcomes, [Outcome::Running, Outcome::Completed]);
--- a/crates/gateway/tests/release_orders.rs
+++ b/crates/gateway/tests/release_orders.rs
@@ -97,6 +97,39 @@
     });
 }
 
+#[test]
+fn node_that_is_no_candidate_for_a_moment_goes_on_with_its_watch() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        let node = ReleaseNode::start("node-1", &orders);
+        sleep(SETTLED).await;
+        orders.take_calls();
+        node.gateway.state_mut().is_source_reached = false;
+        sleep(Duration::from_millis(600)).await;
+        node.gateway.state_mut().is_source_reached = true;
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(orders.take_calls().all(), 0);
+    });
+}
+
+#[test]
+fn node_that_is_replaced_follows_no_longer_and_needs_no_lease() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let node = ReleaseNode::start("node-1", &orders);
+        sleep(SETTLED).await;
+        assert!(node.gateway.has_release_work());
+        let holder = ReleaseNode::start_with("node-0", &orders, None);
+        holder.hold(1);
+        hear_holder(&node, &holder, Duration::from_secs(2)).await;
+        assert!(!node.gateway.has_release_work());
+        orders.take_calls();
+        hear_holder(&node, &holder, Duration::from_secs(40)).await;
+        assert_eq!(orders.take_calls().all(), 0);
+    });
+}
+
 #[test]
 fn source_that_is_down_is_asked_at_intervals_and_found_again() {
     run_paused(async {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod followers;
 pub mod gateway_bench;
+pub mod one_lease;
 pub mod records;
 pub mod release_node;
 pub mod release_orders;
