--- a/crates/gateway/src/gateway/release_work.rs
+++ b/crates/gateway/src/gateway/release_work.rs
@@ -1,6 +1,6 @@
 //! What the director of releases needs of the gateway beside the releases themselves.
 
-use ryerouter_core::release::Grant;
+use ryerouter_core::release::{Grant, Order};
 
 use super::{Gateway, SETTLING};
 
@@ -63,8 +63,15 @@
     }
 
     /// This node goes by what the source holds of a release.
-    pub fn take_recorded_grant(&self, grant: Grant) -> bool {
+    pub fn take_recorded_grant(&self, grant: Grant) {
         let now = self.clock().now();
-        self.state_mut().releases.take(grant, now)
+        self.state_mut().releases.take(grant, now);
+    }
+
+    /// Whether engines of the target version are listed.
+    pub fn has_target_engines(&self, order: &Order) -> bool {
+        let state = self.state();
+        let mut engines = state.engines.of_pool(&order.pool);
+        engines.any(|engine| engine.entry.software == order.target)
     }
 }
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -358,7 +358,12 @@
     /// Nodes are told of releases that have come to their end by what the source holds: also nodes that
     /// were started since.
     fn tell_ends(&self, orders: &Orders) {
+        // A completed release whose engines others have replaced since says nothing any more.
+        let says_nothing = |grant: &release::Grant| {
+            grant.stage == Stage::Completed && !self.gateway.has_target_engines(&grant.order)
+        };
         let ends = orders.iter().filter_map(end_grant);
+        let ends = ends.filter(|grant| !says_nothing(grant));
         let known = self.gateway.known_grants();
         // A grant of a later revision is of an order that this node's copy does not hold yet.
         let is_gone = |grant: &&release::Grant| {
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -295,6 +295,19 @@
     });
 }
 
+#[test]
+fn completed_release_whose_engines_were_replaced_is_not_told() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v0", RAMP);
+        orders.write("a", Outcome::Completed);
+        let node = ReleaseNode::start("node-1", &orders);
+        sleep(Duration::from_secs(10)).await;
+        assert!(node.gateway.state().releases.knows_orders);
+        assert_eq!(node.stage("a"), None);
+    });
+}
+
 #[test]
 fn next_holder_goes_on_where_a_killed_one_stood() {
     run_paused(async {
--- a/crates/gateway/tests/release_lease.rs
+++ b/crates/gateway/tests/release_lease.rs
@@ -79,9 +79,7 @@
         let (own, other) = (&self.node.gateway, &other.node.gateway);
         other.hear_peer(own.peer_message(true));
         for grant in own.known_grants() {
-            let (grant, age) = own.known_grant(&grant.order.pool).expect("grant");
-            let given_at = other.clock().now().before(age);
-            other.state_mut().releases.take(grant, given_at);
+            other.take_recorded_grant(grant);
         }
     }
 }
