--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -333,6 +333,33 @@
     });
 }
 
+#[test]
+fn verdict_of_a_killed_holder_is_recorded_by_the_next() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let first = ReleaseNode::start_holding("node-1", &orders, 1);
+        first.until_stage("a", Stage::Trial).await;
+        sleep(millis(500)).await;
+        orders.is_down.set(true);
+        for _ in 0..20 {
+            first.fail_target("a");
+            sleep(millis(100)).await;
+        }
+        let (grant, _) = first.grant("a").expect("grant");
+        assert_eq!(grant.stage, Stage::RolledBack);
+        first.kill();
+        orders.is_down.set(false);
+        let second = ReleaseNode::start("node-2", &orders);
+        second.gateway.take_recorded_grant(grant);
+        second.hold(2);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(recorded(&orders, "a"), is("v2", Outcome::RolledBack));
+        assert_eq!(second.stage("a"), Some(Stage::RolledBack));
+        assert!(!second.gateway.has_release_work());
+    });
+}
+
 #[test]
 fn late_record_of_a_killed_holder_does_not_end_what_the_next_one_tries() {
     run_paused(async {
