--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -7,16 +7,17 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{self, Counts, Fleet, Order, Outcome, Stage, Trial};
+use ryerouter_core::release::{self, Order, Outcome, Trial};
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use super::director_event::DirectorEvent;
+use super::ends::tell_ends;
 use super::order_follower::OrderFollower;
 use super::record_reader::RecordReader;
-use super::recorded_grant::{end_grant, withdrawn_grant};
+use super::stage_log::{note_answers, note_stage};
 use super::{Course, KnownOrder, Orders, RecordState};
 use crate::gateway::Gateway;
 use crate::source::{FollowSettings, OrderedRelease, Recorded, ReleaseStore, SourceError};
@@ -110,7 +111,7 @@
             // The grants run out by themselves, and whoever holds the lease next goes on with them.
             None => self.courses.clear(),
         }
-        self.tell_ends(&orders);
+        tell_ends(&self.gateway, &orders);
     }
 
     fn direct(&mut self, orders: &Orders, fence: u64) {
@@ -183,7 +184,7 @@
         let number = self.grants + 1;
         let grant = course.next_grant(release.revision, fence, number, now);
         if has_changed {
-            self.note_stage(order, before, &fleet, &counts, now);
+            note_stage(&self.gateway, &course.trial, before, &fleet, &counts, now);
         }
         if let Some(grant) = grant {
             self.grants = number;
@@ -192,39 +193,6 @@
         }
     }
 
-    fn note_stage(
-        &self,
-        order: &Order,
-        before: Stage,
-        fleet: &Fleet,
-        counts: &Counts,
-        now: Timestamp,
-    ) {
-        let Some(course) = self.courses.get(&order.pool) else {
-            return;
-        };
-        let (log, trial) = (self.gateway.log(), &course.trial);
-        let (target, present) = (counts.target(), counts.present());
-        info!(log, "release_stage"; "pool" => %order.pool, "target" => &order.target,
-            "from" => %before, "to" => %trial.stage(),
-            "elapsed_ms" => trial.elapsed(now).as_millis() as u64,
-            "share" => trial.grant(0, 0, 0, now).share,
-            "target_answers" => target.answers, "target_failed" => target.failed,
-            "target_slow" => target.slow, "present_answers" => present.answers,
-            "present_failed" => present.failed, "present_slow" => present.slow,
-            "target_engines" => fleet.target, "present_engines" => fleet.present,
-            "running_at_present" => fleet.running_at_present);
-        if let Some(rollback) = trial.rollback() {
-            warn!(log, "release_verdict"; "pool" => %order.pool, "target" => &order.target,
-                "verdict" => %trial.stage(), "why" => %rollback);
-        }
-        let stage = trial.stage().to_string();
-        let stages = &self.gateway.metrics().release_stages;
-        stages
-            .with_label_values(&[order.pool.as_str(), &order.target, &stage])
-            .inc();
-    }
-
     /// Brings the record to what the release has come to.
     fn record(&mut self, known: &KnownOrder, now: Timestamp) {
         let order = &known.release.order;
@@ -354,51 +322,4 @@
             }
         }
     }
-
-    /// Nodes are told of releases that have come to their end by what the source holds: also nodes that
-    /// were started since.
-    fn tell_ends(&self, orders: &Orders) {
-        // A completed release whose engines others have replaced since says nothing any more.
-        let says_nothing = |grant: &release::Grant| {
-            grant.stage == Stage::Completed && !self.gateway.has_target_engines(&grant.order)
-        };
-        let ends = orders.iter().filter_map(end_grant);
-        let ends = ends.filter(|grant| !says_nothing(grant));
-        let known = self.gateway.known_grants();
-        // A grant of a later revision is of an order that this node's copy does not hold yet.
-        let is_gone = |grant: &&release::Grant| {
-            let is_known = Some(grant.revision) <= orders.revision();
-            is_known && orders.of(&grant.order.pool).is_none() && !grant.stage.is_final()
-        };
-        let withdrawn = known.iter().filter(is_gone).map(withdrawn_grant);
-        for grant in ends.chain(withdrawn) {
-            let before = self.gateway.known_grant(&grant.order.pool);
-            let is_told = before.is_some_and(|(before, _)| {
-                let is_same_end = before.order == grant.order && before.stage.is_final();
-                is_same_end || !grant.supersedes(&before)
-            });
-            if !is_told {
-                info!(self.gateway.log(), "release_ended"; "pool" => %grant.order.pool,
-                    "target" => &grant.order.target, "stage" => %grant.stage,
-                    "revision" => grant.revision);
-                self.gateway.publish_grant(grant);
-            }
-        }
-    }
-}
-
-fn note_answers(gateway: &Gateway, order: &Order, counts: &Counts) {
-    let answers = &gateway.metrics().release_answers;
-    for (version, tally) in [("target", counts.target()), ("present", counts.present())] {
-        let good = tally.answers.saturating_sub(tally.bad());
-        let judged = [
-            ("good", good),
-            ("failed", tally.failed),
-            ("slow", tally.slow),
-        ];
-        for (judgement, count) in judged {
-            let labels = [order.pool.as_str(), version, judgement];
-            answers.with_label_values(&labels).set(i64::from(count));
-        }
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/release/ends.rs
@@ -0,0 +1,43 @@
+//! Telling nodes of releases that have come to their end.
+
+use ryerouter_core::release::{Grant, Stage};
+use slog::info;
+
+use super::Orders;
+use super::recorded_grant::{end_grant, withdrawn_grant};
+use crate::gateway::Gateway;
+
+/// Tells nodes of releases that have come to their end by what the source holds, each once: also nodes
+/// that were started since.
+pub(super) fn tell_ends(gateway: &Gateway, orders: &Orders) {
+    let known = gateway.known_grants();
+    // A completed release whose engines others have replaced since says nothing any more.
+    let says_nothing = |grant: &Grant| {
+        grant.stage == Stage::Completed && !gateway.has_target_engines(&grant.order)
+    };
+    let ends = orders.iter().filter_map(end_grant);
+    let ends = ends.filter(|grant| !says_nothing(grant));
+    // A grant of a later revision is of an order that this node's copy does not hold yet.
+    let is_gone = |grant: &&Grant| {
+        let is_known = Some(grant.revision) <= orders.revision();
+        is_known && orders.of(&grant.order.pool).is_none() && !grant.stage.is_final()
+    };
+    let withdrawn = known.iter().filter(is_gone).map(withdrawn_grant);
+    for grant in ends.chain(withdrawn) {
+        if !is_told(gateway, &grant) {
+            info!(gateway.log(), "release_ended"; "pool" => %grant.order.pool,
+                "target" => &grant.order.target, "stage" => %grant.stage,
+                "revision" => grant.revision);
+            gateway.publish_grant(grant);
+        }
+    }
+}
+
+/// Whether this node knows of this end, or of something newer.
+fn is_told(gateway: &Gateway, grant: &Grant) -> bool {
+    let known = gateway.known_grant(&grant.order.pool);
+    known.is_some_and(|(known, _)| {
+        let is_same_end = known.order == grant.order && known.stage.is_final();
+        is_same_end || !grant.supersedes(&known)
+    })
+}
--- a/crates/gateway/src/release/mod.rs
+++ b/crates/gateway/src/release/mod.rs
@@ -4,6 +4,7 @@
 mod course;
 mod director;
 mod director_event;
+mod ends;
 mod evidence_news;
 mod known_order;
 mod known_release;
@@ -13,6 +14,7 @@
 mod record_state;
 mod recorded_grant;
 mod release_news;
+mod stage_log;
 mod table;
 
 pub use course::Course;
