A director that takes a release over looks at fresh answers before requests move

A holder that took over after six tenths of the ramp went to the shift at its first look: the version may have become bad meanwhile, and had no answers of late. The trial now lasts two seconds at least, whoever directs. The test of the next director asserted the immediate shift; it now asserts that the trial goes on and that the shift follows. A test with bad answers after the takeover failed before.

--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/trial.rs
@@ -8,6 +8,10 @@
 /// Part of the ramp that the trial takes: a version may fail only after a while, and what is left is
 /// enough for all requests to move and for those that run to end.
 const TRIAL_SHARE: f64 = 0.6;
+/// The trial goes on for so long after another director has taken it up, or after requests that had begun to
+/// move went back: the target version then answered little or nothing of late, and what is known of it may be
+/// out of date. That is what grants take to arrive, answers to come and news of them to be told.
+const LEAST_TRIAL: Duration = Duration::from_secs(2);
 /// Part of the share that bounds a version which turns out bad that it gets during the trial.
 const EXPOSED_SHARE: f64 = 0.85;
 /// Shares of new requests, one after the other, before all go to the target version. Few: while they
@@ -152,7 +156,8 @@
             });
             return Stage::RolledBack;
         }
-        let is_due = elapsed >= self.order.ramp.mul_f64(TRIAL_SHARE);
+        let is_due = elapsed >= self.order.ramp.mul_f64(TRIAL_SHARE)
+            && now.since(self.stage_since) >= LEAST_TRIAL;
         let is_proven = has_enough_answers(total) && !self.suspicion.is_doubtful(fleet.target);
         match is_due && is_proven && can_bear_all(fleet) {
             true => Stage::Shifting,
--- a/crates/core/tests/release_trial.rs
+++ b/crates/core/tests/release_trial.rs
@@ -175,6 +175,9 @@
     let mut next = Trial::resume(&grant, second, settings(), at(3.0));
     assert_eq!(next.elapsed(at(3.0)), Duration::from_secs(3));
     next.advance(&fleet(90), &good_answers(), at(3.0));
+    // What was seen before may be out of date.
+    assert_eq!(next.stage(), Stage::Trial);
+    next.advance(&fleet(90), &good_answers(), at(5.0));
     assert_eq!(next.stage(), Stage::Shifting);
 }
 
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -360,6 +360,34 @@
     });
 }
 
+#[test]
+fn next_holder_sees_fresh_answers_before_requests_move() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let first = ReleaseNode::start_holding("node-1", &orders, 1);
+        first.until_stage("a", Stage::Trial).await;
+        sleep(millis(5_500)).await;
+        let (grant, _) = first.grant("a").expect("grant");
+        first.kill();
+        let second = ReleaseNode::start("node-2", &orders);
+        second.gateway.take_recorded_grant(grant);
+        // The version got nothing in the meantime. Now its answers are bad, and news of them take a while.
+        sleep(Duration::from_secs(3)).await;
+        second.hold(2);
+        sleep(STARTED).await;
+        for _ in 0..30 {
+            sleep(millis(100)).await;
+            assert!(matches!(
+                second.stage("a"),
+                Some(Stage::Trial | Stage::RolledBack)
+            ));
+            second.fail_target("a");
+        }
+        assert_eq!(second.stage("a"), Some(Stage::RolledBack));
+    });
+}
+
 #[test]
 fn late_record_of_a_killed_holder_does_not_end_what_the_next_one_tries() {
     run_paused(async {
@@ -378,7 +406,7 @@
         second.gateway.take_recorded_grant(grant);
         second.hold(2);
         sleep(STARTED).await;
-        assert_eq!(second.stage("a"), Some(Stage::Shifting));
+        assert_eq!(second.stage("a"), Some(Stage::Trial));
         orders.recorded.borrow_mut().clear();
         sleep(millis(1_200)).await;
         // Only what the second one writes itself, once it has come so far again.
