--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -2,116 +2,27 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
-use std::future::{Future, pending};
+use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ryerouter_core::control::{
-    ObjectKey, Precondition, StoreAnswer, StoreCall, StoreFailure, StoreValue, StoreVersion,
-    StoredObject,
-};
 use ryerouter_core::identity::{BackEndName, FencingNumber};
-use ryerouter_core::order::{LeaseRecord, LeaseSettings};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::rollout::{
     EngineOrders, EngineReport, NamedAt, OrderOutcome, WeightsOrder, run_rollouts,
 };
-use ryerouter_gateway::source::{ItemKind, LeaseStore};
+use ryerouter_gateway::source::ItemKind;
 use support::gateway_bench::{configure, gateway, list_engines};
+use support::one_lease::{CALL_LIMIT, OneLease, SETTINGS};
 use support::records::{engine, table};
 use support::test_dialect::MODEL;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
-const SETTINGS: LeaseSettings = LeaseSettings {
-    duration: Duration::from_millis(1_350),
-    renew_interval: Duration::from_millis(450),
-    look_interval: Duration::from_millis(600),
-    takeover_margin: Duration::from_millis(3_300),
-    release_margin: Duration::from_millis(3_300),
-};
-
-/// A store of one lease.
-#[derive(Default)]
-struct OneLease {
-    held: RefCell<Option<(StoreVersion, LeaseRecord)>>,
-    delay: Cell<Duration>,
-    /// Calls never end.
-    is_silent: Cell<bool>,
-    /// Calls are given up after a time.
-    is_out_of_reach: Cell<bool>,
-}
-
-/// A call that gets no answer is given up after this time.
-const CALL_LIMIT: Duration = Duration::from_secs(1);
-
-fn unreachable_store() -> StoreAnswer {
-    StoreAnswer::Failed(StoreFailure::Unavailable {
-        detail: "no answer in time".to_owned(),
-    })
-}
-
-impl OneLease {
-    fn answer(&self, call: StoreCall) -> StoreAnswer {
-        let mut held = self.held.borrow_mut();
-        match call {
-            StoreCall::Put {
-                value: StoreValue::Lease(record),
-                precondition,
-                ..
-            } => {
-                let is_met = match (&*held, precondition) {
-                    (None, Precondition::Absent) => true,
-                    (Some((version, _)), Precondition::Version(asked)) => *version == asked,
-                    _ => false,
-                };
-                if !is_met {
-                    return StoreAnswer::Conflict { version: None };
-                }
-                let before = held.as_ref().map_or(0, |(version, _)| version.0);
-                let version = StoreVersion(before + 1);
-                *held = Some((version, record));
-                StoreAnswer::Written { version }
-            }
-            _ => match &*held {
-                None => StoreAnswer::NotFound,
-                Some((version, record)) => StoreAnswer::Found(StoredObject {
-                    key: ObjectKey::Lease("orders".to_owned()),
-                    version: *version,
-                    value: StoreValue::Lease(record.clone()),
-                }),
-            },
-        }
-    }
-
-    fn has_holder(&self) -> bool {
-        let held = self.held.borrow();
-        held.as_ref()
-            .is_some_and(|(_, record)| record.holder.is_some())
-    }
-}
-
-impl LeaseStore for OneLease {
-    fn call(&self, call: StoreCall) -> LocalBoxFuture<'_, StoreAnswer> {
-        async move {
-            if self.is_silent.get() {
-                return pending().await;
-            }
-            if self.is_out_of_reach.get() {
-                sleep(CALL_LIMIT).await;
-                return unreachable_store();
-            }
-            sleep(self.delay.get()).await;
-            self.answer(call)
-        }
-        .boxed_local()
-    }
-}
-
 /// Engines that take every order and never finish.
 #[derive(Default)]
 struct TakenOrders {
@@ -147,14 +58,21 @@
 impl Ordering {
     /// A ready node whose one engine is long behind.
     fn start(delay: Duration) -> Self {
+        let ordering = Self::start_idle(delay);
+        let named = ordering.gateway.clock().now();
+        let named = named.before(Duration::from_secs(6));
+        let mut state = ordering.gateway.state_mut();
+        state.deadlines.note(MODEL, 2, NamedAt::Seen(named));
+        drop(state);
+        ordering
+    }
+
+    /// A ready node whose one engine has the newest weights.
+    fn start_idle(delay: Duration) -> Self {
         let gateway = gateway("node-1");
         configure(&gateway, table(1, Vec::new()));
         let entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
         list_engines(&gateway, vec![entry]);
-        let named = gateway.clock().now().before(Duration::from_secs(6));
-        let mut state = gateway.state_mut();
-        state.deadlines.note(MODEL, 2, NamedAt::Seen(named));
-        drop(state);
         let lease = Rc::new(OneLease::default());
         lease.delay.set(delay);
         let engines = Rc::new(TakenOrders::default());
@@ -260,3 +178,20 @@
         assert!(!other.should_give_orders());
     });
 }
+
+#[test]
+fn release_that_has_not_ended_needs_the_lease() {
+    run(async {
+        let ordering = Ordering::start_idle(Duration::from_millis(5));
+        sleep(Duration::from_secs(2)).await;
+        assert!(!ordering.lease.has_holder());
+        ordering.gateway.note_release_work(true);
+        sleep(Duration::from_secs(2)).await;
+        assert!(ordering.lease.has_holder());
+        assert_eq!(ordering.gateway.valid_order_fence(), Some(1));
+        assert_eq!(ordering.orders(), 0);
+        ordering.lease.is_silent.set(true);
+        sleep(SETTINGS.duration).await;
+        assert_eq!(ordering.gateway.valid_order_fence(), None);
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,7 +4,10 @@
 pub mod fleet;
 pub mod followers;
 pub mod gateway_bench;
+pub mod one_lease;
 pub mod records;
+pub mod release_node;
+pub mod release_orders;
 pub mod scripted_engine;
 pub mod scripted_source;
 pub mod silencing_server;
