--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -31,6 +31,8 @@
     pub entry: EngineEntry,
     /// Hash of its name, for deterministic orders of engines.
     pub name_hash: u64,
+    /// When it was first listed in this life.
+    pub listed_at: Timestamp,
     /// Whether it fails requests.
     pub health: EngineHealth,
     /// Work of this process there.
@@ -59,6 +61,7 @@
         Self {
             name_hash: xxh3_64(entry.name.as_str().as_bytes()),
             entry,
+            listed_at: Timestamp::ZERO,
             health: EngineHealth::default(),
             own_load: Rc::default(),
             foreign_load: EngineLoad::default(),
@@ -72,6 +75,11 @@
         }
     }
 
+    /// Whether it is slow from its start.
+    pub fn is_cold(&self, now: Timestamp) -> bool {
+        now.since(self.listed_at) < self.entry.cold_left
+    }
+
     /// Version of its weights of a model, as far as known.
     pub fn weights_of(&self, model: &str) -> Option<u64> {
         self.entry.weights.get(model).copied()
--- a/crates/gateway/src/gateway/dividing.rs
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -60,7 +60,9 @@
         let tokens = state.reading_demand.per_second(pool, now);
         let known = state.divisions.get(pool);
         let prices = &self.settings().prices;
-        let division = Division::new(&state.engines, pool, tokens, prices, known.is_some());
+        let intake = self.intake_of_all(state, pool, now);
+        let was_divided = known.is_some();
+        let division = Division::new(&state.engines, pool, tokens, prices, was_divided, &intake);
         if known != division.as_ref() {
             info!(self.log(), "engines_divided"; "pool" => %pool,
                 "reading" => division.as_ref().map(|division| division.count(&state.engines)),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -266,7 +266,14 @@
                 "address" => %entry.address, "zone" => %entry.zone,
                 "draining" => entry.state == EngineState::Draining);
         }
+        let begun = |entry: &EngineEntry| (entry.incarnation, entry.software.clone());
+        let known = state.engines.get(&entry.name);
+        let is_new = known.is_none_or(|known| begun(&known.entry) != begun(&entry));
+        let name = entry.name.clone();
         state.engines.upsert(entry);
+        if let Some(engine) = state.engines.get_mut(&name).filter(|_| is_new) {
+            engine.listed_at = self.clock().now();
+        }
         self.metrics()
             .engines
             .set(state.engines.iter().count() as i64);
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 mod peer_news;
 mod proof_of_freshness;
 mod reading;
+mod release_intake;
+mod release_news;
 mod releases;
 mod shared;
 mod source_log;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -98,6 +98,9 @@
             loads,
             usages: state.quotas.news(now),
             reading: state.reading_demand.news(now),
+            releases: self.release_news(&state, is_introduction, now),
+            evidence: self.evidence_news(&state),
+            knows_orders: is_introduction && state.releases.knows_orders,
             holders,
             dropped,
             weights,
@@ -253,6 +256,7 @@
                 state.steadiness.note(asked_at);
             }
             self.take_proof(&mut state, &message);
+            self.take_release_news(&mut state, &message);
             self.take_copy_proofs(&mut state, &message);
             if message.lease.is_some() {
                 state.heard_lease = message.lease.clone();
--- /dev/null
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -0,0 +1,257 @@
+//! Which engines take which requests while software moves; see docs/design/releases.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::{Settings, SoftwareVersion, Stage, key_of};
+use slog::{debug, info, warn};
+
+use super::{Gateway, GatewayState};
+use crate::engines::{EngineState, EngineTable};
+use crate::placement::{Placement, PlacementRequest};
+use crate::release::{Admission, AnswerEnd, AnswerWatch, Gate, Intake, KnownRelease};
+use crate::serve::AcceptedRequest;
+
+/// Engines of other versions that are listed by so long after a release was completed were replaced by it:
+/// a node that was just started hears of the release before it has read the list.
+const REPLACED_LISTED_WITHIN: Duration = Duration::from_secs(3);
+/// A release that came to its end is forgotten after so long, when it has nothing to say any more: news of
+/// it may be on the way for some seconds.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+
+impl Gateway {
+    /// Where a request may go.
+    pub(super) fn admission(&self, request: &PlacementRequest<'_>) -> Admission {
+        let Some(settings) = &self.settings().releases else {
+            return Admission::to(Intake::Any);
+        };
+        let state = self.state();
+        let gate = self.gate(&state, settings, self.clock().now());
+        gate.admission(request.pool, request.id, request.tried)
+    }
+
+    /// Which engines a pool's requests go to, all together.
+    pub(super) fn intake_of_all(
+        &self,
+        state: &GatewayState,
+        pool: &PoolName,
+        now: Timestamp,
+    ) -> Intake {
+        let Some(settings) = &self.settings().releases else {
+            return Intake::Any;
+        };
+        Intake::except(self.gate(state, settings, now).idle_versions(pool))
+    }
+
+    fn gate<'a>(
+        &self,
+        state: &'a GatewayState,
+        settings: &'a Settings,
+        now: Timestamp,
+    ) -> Gate<'a> {
+        Gate {
+            settings,
+            table: &state.releases,
+            engines: &state.engines,
+            nodes: state.peers.known_count() + 1,
+            uptime: self.uptime(),
+            now,
+        }
+    }
+
+    /// A request is sent to an engine, for the first time or again.
+    pub(crate) fn note_sent(&self, pool: &PoolName, placement: &Placement, is_first: bool) {
+        if self.settings().releases.is_none() {
+            return;
+        }
+        let mut state = self.state_mut();
+        let state = &mut *state;
+        let known = state.releases.of_mut(pool);
+        let Some(known) = known.filter(|known| !known.is_final()) else {
+            return;
+        };
+        if is_first {
+            known.account.count();
+        }
+        let engine = state.engines.get(&placement.engine);
+        let target = &known.grant.order.target;
+        let is_target = engine.is_some_and(|engine| engine.entry.software == *target);
+        let version = match is_target {
+            true => {
+                known.account.count_target();
+                "target"
+            }
+            false => "present",
+        };
+        let requests = &self.metrics().release_requests;
+        requests.with_label_values(&[pool.as_str(), version]).inc();
+    }
+
+    /// Begins to watch the answer to a request that is sent now.
+    pub(crate) fn watch_answer(
+        &self,
+        request: &AcceptedRequest,
+        placement: &Placement,
+    ) -> Option<AnswerWatch> {
+        self.settings().releases.as_ref()?;
+        let now = self.clock().now();
+        let state = self.state();
+        let engine = state.engines.get(&placement.engine)?;
+        Some(AnswerWatch {
+            pool: request.pool.clone(),
+            route: key_of(&request.route.name),
+            engine: placement.engine.clone(),
+            software: engine.entry.software.clone(),
+            is_cold: engine.is_cold(now),
+            is_stream: request.is_stream(),
+            unread_tokens: placement.unread_tokens,
+            sent_at: now,
+            first_event_at: None,
+            events: 0,
+            waited: Duration::ZERO,
+            waiting_since: None,
+        })
+    }
+
+    /// An answer has ended: it is judged, and a present version's tells how long answers take.
+    pub(crate) fn note_release_answer(&self, watch: &AnswerWatch, end: AnswerEnd) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let releases = &mut state.releases;
+        let judgement = watch.judge(end, &releases.paces, now);
+        if releases.is_present(&watch.pool, &watch.software) {
+            watch.teach(end, &mut releases.paces, now);
+        }
+        let Some(judgement) = judgement else {
+            return;
+        };
+        releases.note(watch, judgement);
+        let known = releases.of(&watch.pool);
+        let is_bad = judgement != ryerouter_core::release::Judgement::Good;
+        if !is_bad || known.is_none_or(KnownRelease::is_final) {
+            return;
+        }
+        if let Some(left_out) = self.release_sampler().admit(now) {
+            info!(self.log(), "release_answer_bad"; "pool" => %watch.pool,
+                "engine" => %watch.engine, "software" => &watch.software,
+                "judgement" => ?judgement, "end" => ?end, "events" => watch.events,
+                "after_ms" => now.since(watch.sent_at).as_millis() as u64,
+                "left_out" => left_out);
+        }
+    }
+
+    /// Judges releases by what all nodes have told, and sees which versions are in use.
+    pub fn refresh_releases(&self) {
+        let Some(settings) = &self.settings().releases else {
+            return;
+        };
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let state = &mut *state;
+        let is_large = state.peers.is_large();
+        for known in state.releases.iter_mut() {
+            note_replaced(known, &state.engines, now);
+            self.judge(known, &state.engines, is_large, now);
+        }
+        let table = state.table.clone();
+        let engines = &state.engines;
+        state.releases.forget(|known| {
+            let pool = &known.grant.order.pool;
+            let has_pool = table
+                .as_ref()
+                .is_none_or(|table| table.pool(pool).is_some());
+            let is_old = now.since(known.staged_at) >= REMEMBERED_FOR;
+            is_old && (!has_pool || has_nothing_to_say(known, engines))
+        });
+        let in_use = self.versions_in_use(state, settings, now);
+        self.note_versions(state, in_use);
+    }
+
+    fn judge(
+        &self,
+        known: &mut KnownRelease,
+        engines: &EngineTable,
+        is_large: bool,
+        now: Timestamp,
+    ) {
+        if known.is_final() {
+            return;
+        }
+        let order = known.grant.order.clone();
+        let of_pool = engines.of_pool(&order.pool);
+        let of_target = of_pool.filter(|engine| engine.entry.software == order.target);
+        let able = of_target.filter(|engine| engine.takes_work(now)).count();
+        let total = known.total(is_large);
+        let sent = known.account;
+        if let Some(why) = known.observe(&total, able, now) {
+            warn!(self.log(), "release_stopped_here"; "pool" => %order.pool,
+                "target" => &order.target, "why" => %why, "sent_here" => sent.target(),
+                "of" => sent.all());
+        }
+    }
+
+    /// Versions that requests of each pool may go to.
+    fn versions_in_use(
+        &self,
+        state: &GatewayState,
+        settings: &Settings,
+        now: Timestamp,
+    ) -> BTreeMap<PoolName, BTreeSet<SoftwareVersion>> {
+        let gate = self.gate(state, settings, now);
+        let mut in_use: BTreeMap<PoolName, BTreeSet<SoftwareVersion>> = BTreeMap::new();
+        let pools: BTreeSet<&PoolName> = state.engines.iter().map(|e| &e.entry.pool).collect();
+        for pool in pools {
+            let open = gate.open_versions(pool);
+            in_use.insert(pool.clone(), open);
+        }
+        in_use
+    }
+
+    /// Tells of versions that nobody ordered and that take requests from now on.
+    fn note_versions(
+        &self,
+        state: &mut GatewayState,
+        in_use: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
+    ) {
+        for (pool, versions) in &in_use {
+            let Some(before) = state.releases.in_use.get(pool) else {
+                continue;
+            };
+            let known = state.releases.of(pool);
+            let target = known.map(|known| &known.grant.order.target);
+            let is_unordered = |version: &&SoftwareVersion| Some(*version) != target;
+            for version in versions.difference(before).filter(is_unordered) {
+                info!(self.log(), "software_unordered"; "pool" => %pool, "software" => version,
+                    "in_use_before" => ?before, "knows_orders" => state.releases.knows_orders);
+            }
+        }
+        if state.releases.in_use != in_use {
+            debug!(self.log(), "software_in_use"; "versions" => ?in_use);
+        }
+        state.releases.in_use = in_use;
+    }
+}
+
+/// Whether a completed release has no engine left: others took their place without an order.
+pub(super) fn has_nothing_to_say(known: &KnownRelease, engines: &EngineTable) -> bool {
+    let order = &known.grant.order;
+    let mut of_pool = engines.of_pool(&order.pool);
+    let has_target = of_pool.any(|engine| engine.entry.software == order.target);
+    known.grant.stage == Stage::Completed && !has_target
+}
+
+/// Remembers which versions a completed release has replaced.
+fn note_replaced(known: &mut KnownRelease, engines: &EngineTable, now: Timestamp) {
+    let grant = &known.grant;
+    let is_fresh = now.since(known.staged_at) < REPLACED_LISTED_WITHIN;
+    if grant.stage != Stage::Completed || !is_fresh {
+        return;
+    }
+    let of_pool = engines.of_pool(&grant.order.pool);
+    let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
+    let versions = ready.map(|engine| &engine.entry.software);
+    let others = versions.filter(|version| **version != grant.order.target);
+    known.superseded.extend(others.cloned());
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/release_news.rs
@@ -0,0 +1,119 @@
+//! What nodes tell each other of releases; see docs/design/releases.md.
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::release::Reporter;
+
+use super::release_intake::has_nothing_to_say;
+use super::{Gateway, GatewayState};
+use crate::peers::{PeerMessage, ZoneNews};
+use crate::release::{EvidenceNews, KnownRelease, Origin, ReleaseNews, order_key, zone_reporter};
+
+/// The end of a release is told with every message for so long, and with introductions after that: by
+/// then it has reached every node that is not cut off.
+const END_TOLD_FOR: Duration = Duration::from_secs(10);
+
+impl Gateway {
+    /// The newest grants, for other nodes; with an introduction also those that ended long ago.
+    pub(super) fn release_news(
+        &self,
+        state: &GatewayState,
+        is_introduction: bool,
+        now: Timestamp,
+    ) -> Vec<ReleaseNews> {
+        let is_due = |known: &&KnownRelease| {
+            let is_news = !known.is_final() || now.since(known.staged_at) < END_TOLD_FOR;
+            is_news || is_introduction
+        };
+        let known = state.releases.iter().filter(is_due);
+        let known = known.filter(|known| !has_nothing_to_say(known, &state.engines));
+        known.map(|known| news_of(known, now)).collect()
+    }
+
+    /// What this node has seen of answers, for other nodes.
+    pub(super) fn evidence_news(&self, state: &GatewayState) -> Vec<EvidenceNews> {
+        let open = state.releases.iter().filter(|known| !known.is_final());
+        let own = open.map(|known| {
+            let counts = known.ledger.own().clone();
+            EvidenceNews(order_key(&known.grant.order), counts)
+        });
+        own.filter(|news| !news.1.is_empty()).collect()
+    }
+
+    /// What the nodes of this zone have seen of answers, for the other zones.
+    pub(super) fn evidence_of_zone(&self, state: &GatewayState) -> Vec<EvidenceNews> {
+        let open = state.releases.iter().filter(|known| !known.is_final());
+        let sums =
+            open.map(|known| EvidenceNews(order_key(&known.grant.order), known.total_of_zone()));
+        sums.filter(|news| !news.1.is_empty()).collect()
+    }
+
+    /// Grants that begin another stage, which every node needs at once.
+    pub(super) fn take_urgent_releases(
+        &self,
+        state: &mut GatewayState,
+        now: Timestamp,
+    ) -> Vec<ReleaseNews> {
+        let pools = std::mem::take(&mut state.releases.urgent);
+        let known = pools.iter().filter_map(|pool| state.releases.of(pool));
+        known.map(|known| news_of(known, now)).collect()
+    }
+
+    /// Takes what another node tells of releases.
+    pub(super) fn take_release_news(&self, state: &mut GatewayState, message: &PeerMessage) {
+        if self.settings().releases.is_none() {
+            return;
+        }
+        self.take_grants(state, &message.releases);
+        // The grants came with it, so that a pool without one has no order.
+        state.releases.knows_orders |= message.knows_orders;
+        let is_near = message.from.zone == self.settings().identity.zone;
+        let origin = match is_near {
+            true => Origin::Near,
+            false => Origin::Far,
+        };
+        take_evidence(state, &message.evidence, message.from.incarnation, origin);
+    }
+
+    /// Takes what another zone tells of releases.
+    pub(super) fn take_zone_release_news(&self, state: &mut GatewayState, news: &ZoneNews) {
+        if self.settings().releases.is_none() {
+            return;
+        }
+        self.take_grants(state, &news.releases);
+        if news.zone != self.settings().identity.zone {
+            let reporter = zone_reporter(&news.zone);
+            take_evidence(state, &news.evidence, reporter, Origin::Zone);
+        }
+    }
+
+    fn take_grants(&self, state: &mut GatewayState, releases: &[ReleaseNews]) {
+        for news in releases {
+            let age = Duration::from_millis(news.age_ms);
+            self.take_grant(state, news.grant.clone(), age);
+        }
+    }
+}
+
+fn news_of(known: &KnownRelease, now: Timestamp) -> ReleaseNews {
+    ReleaseNews {
+        grant: known.grant.clone(),
+        age_ms: now.since(known.granted_at).as_millis() as u64,
+    }
+}
+
+fn take_evidence(
+    state: &mut GatewayState,
+    evidence: &[EvidenceNews],
+    reporter: Reporter,
+    origin: Origin,
+) {
+    for EvidenceNews(order, counts) in evidence {
+        let mut known = state.releases.iter_mut();
+        let known = known.find(|known| order_key(&known.grant.order) == *order);
+        if let Some(known) = known {
+            known.absorb(reporter, origin, counts);
+        }
+    }
+}
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -4,15 +4,44 @@
 
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{Counts, Fleet, Grant, Order};
+use slog::info;
 
-use super::Gateway;
+use super::{Gateway, GatewayState};
 
 impl Gateway {
-    /// The director gives a grant: this node goes by it, and tells the others.
+    /// The director gives a grant: this node goes by it, and tells the others. Another stage every node
+    /// is told at once.
     pub fn publish_grant(&self, grant: Grant) {
+        let mut state = self.state_mut();
+        let pool = grant.order.pool.clone();
+        let is_stage = self.take_grant(&mut state, grant, Duration::ZERO);
+        if is_stage && state.peers.is_large() {
+            state.releases.urgent.insert(pool);
+        }
+        drop(state);
+        if is_stage {
+            self.tell_peers_soon();
+        }
+    }
+
+    /// Takes a grant that the director gave so long ago; tells whether it begins another stage.
+    pub(super) fn take_grant(&self, state: &mut GatewayState, grant: Grant, age: Duration) -> bool {
         let now = self.clock().now();
-        self.state_mut().releases.take(grant, now);
-        self.tell_peers_soon();
+        let pool = grant.order.pool.clone();
+        let before = state.releases.of(&pool);
+        let before = before.map(|known| (known.grant.order.clone(), known.grant.stage));
+        let after = (grant.order.clone(), grant.stage);
+        let (share, fence, elapsed) = (grant.share, grant.fence, grant.elapsed);
+        let is_taken = state.releases.take(grant, now.before(age), now);
+        let is_stage = is_taken && before.as_ref() != Some(&after);
+        if is_stage {
+            let (order, stage) = after;
+            info!(self.log(), "release_stage"; "pool" => %pool, "target" => order.target,
+                "stage" => %stage, "before" => before.map(|(_, stage)| stage.to_string()),
+                "share" => share, "fence" => fence, "age_ms" => age.as_millis() as u64,
+                "elapsed_ms" => elapsed.as_millis() as u64);
+        }
+        is_stage
     }
 
     /// The newest grant of a pool that this node knows, and its age.
@@ -26,9 +55,10 @@
     /// What all nodes have seen of the answers in a release, as far as they have told.
     pub fn release_counts(&self, order: &Order) -> Counts {
         let state = self.state();
+        let is_large = state.peers.is_large();
         let known = state.releases.of(&order.pool);
         let known = known.filter(|known| known.grant.order == *order);
-        known.map(|known| known.ledger.total()).unwrap_or_default()
+        known.map(|known| known.total(is_large)).unwrap_or_default()
     }
 
     /// The engines of a release.
@@ -44,13 +74,18 @@
         };
         let running = present.iter().map(|engine| engine.load().requests);
         let table = state.table.as_ref();
+        let longest_request =
+            table.map_or(Duration::ZERO, |table| table.longest_timeout(&order.pool));
+        // Without news of the director a node sends nothing new there.
+        let life = self.settings().releases.as_ref();
+        let life = life.map_or(Duration::ZERO, |settings| settings.grant_life());
+        let within = longest_request + life;
         Fleet {
             present: able(&present),
             target: able(&target),
             running_at_present: running.sum(),
-            has_silent_nodes: self.silent_nodes(&state, now) > 0,
-            longest_request: table
-                .map_or(Duration::ZERO, |table| table.longest_timeout(&order.pool)),
+            has_silent_nodes: self.silent_nodes_within(&state, within, now) > 0,
+            longest_request,
         }
     }
 
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::peers::NodeState;
 use crate::placement::{Chooser, Placement, PlacementRequest};
+use crate::release::Intake;
 use crate::request::Dialect;
 use crate::retry::{RetrySettings, RetryWindow};
 use crate::telemetry::{LogSampler, Metrics};
@@ -39,6 +40,7 @@
     sampler: LogSampler,
     unserved_sampler: LogSampler,
     old_list_sampler: LogSampler,
+    release_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -60,6 +62,7 @@
             sampler: LogSampler::default(),
             unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             old_list_sampler: LogSampler::default(),
+            release_sampler: LogSampler::default(),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -96,6 +99,11 @@
         &self.old_list_sampler
     }
 
+    /// Bounds lines that tell of bad answers during a release.
+    pub fn release_sampler(&self) -> &LogSampler {
+        &self.release_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
@@ -123,6 +131,27 @@
 
     /// Chooses an engine.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
+        let admission = self.admission(request);
+        let takes_failing = !admission.passes_over_failing;
+        let first = self.choose_among(request, &admission.first, takes_failing);
+        let placement = first.or_else(|| {
+            let fallback = admission.fallback.as_ref()?;
+            self.choose_among(request, fallback, true)
+        })?;
+        self.count_reading(request, &placement);
+        if placement.cost.stale > 0.0 {
+            let mut state = self.state_mut();
+            *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
+        }
+        Some(placement)
+    }
+
+    fn choose_among(
+        &self,
+        request: &PlacementRequest<'_>,
+        intake: &Intake,
+        takes_failing: bool,
+    ) -> Option<Placement> {
         let state = self.state();
         let table = state.table.as_ref()?;
         let now = self.clock.now();
@@ -136,18 +165,13 @@
             slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
             division: state.divisions.get(request.pool),
+            intake,
+            takes_failing,
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
             now,
         };
-        let placement = chooser.choose(request)?;
-        drop(state);
-        self.count_reading(request, &placement);
-        if placement.cost.stale > 0.0 {
-            let mut state = self.state_mut();
-            *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
-        }
-        Some(placement)
+        chooser.choose(request)
     }
 
     /// Requests of each pool that began on replaced weights since the last call, at all nodes: the
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -123,7 +123,16 @@
     /// Nodes that are not heard and may still admit requests. Those of other zones are missed sooner
     /// by their own.
     pub(super) fn silent_nodes(&self, state: &GatewayState, now: Timestamp) -> usize {
-        let within = self.silent_nodes_admit();
+        self.silent_nodes_within(state, self.silent_nodes_admit(), now)
+    }
+
+    /// Nodes that are not heard, but were within this time as far as this zone's are concerned.
+    pub(super) fn silent_nodes_within(
+        &self,
+        state: &GatewayState,
+        within: Duration,
+        now: Timestamp,
+    ) -> usize {
         let missed = state.peers.silent_count(within, now);
         let near = state.peers.silent_near_count(within, now);
         missed.max(near + state.zone_traffic.silent_count(now))
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -43,6 +43,14 @@
                 true => self.reading_of_zone(&state, now),
                 false => Vec::new(),
             },
+            releases: match with_loads {
+                true => self.release_news(&state, false, now),
+                false => Vec::new(),
+            },
+            evidence: match with_loads {
+                true => self.evidence_of_zone(&state),
+                false => Vec::new(),
+            },
             silent: state
                 .peers
                 .silent_near_count(self.silent_nodes_admit(), now),
@@ -52,16 +60,18 @@
         Some((news, self.relays(&state, 1, now)))
     }
 
-    /// News of loads that every node needs at once, for the own zone and for all others.
+    /// News of loads and of stages of releases that every node needs at once, for the own zone and for all others.
     pub fn next_load_news(&self) -> Vec<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let weights = std::mem::take(&mut state.load_news);
-        if weights.is_empty() {
+        let releases = self.take_urgent_releases(&mut state, now);
+        if weights.is_empty() && releases.is_empty() {
             return Vec::new();
         }
         let news = ZoneNews {
             weights,
+            releases,
             ..self.empty_news()
         };
         let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
@@ -79,6 +89,8 @@
             reading: Vec::new(),
             silent: 0,
             holders: Vec::new(),
+            releases: Vec::new(),
+            evidence: Vec::new(),
             weights: Vec::new(),
         }
     }
@@ -160,6 +172,7 @@
             state.zone_traffic.note(news, loads, now);
             self.note_foreign_loads(&mut state, now);
         }
+        self.take_zone_release_news(&mut state, news);
         let parcels = match &news.pass {
             Pass::Zone => self.parcels_of_zone(&state, news),
             Pass::Until(until) => vec![self.parcel_until(&state, news, until.as_ref())],
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -52,6 +52,7 @@
                 tick += 1;
                 gateway.refresh_foreign_loads();
                 gateway.refresh_quotas();
+                gateway.refresh_releases();
                 if tick.is_multiple_of(TICKS_PER_DIVISION) {
                     gateway.refresh_divisions();
                 }
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -8,6 +8,7 @@
 };
 use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
+use crate::release::{EvidenceNews, ReleaseNews};
 
 /// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -89,6 +90,18 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "d")]
     pub dropped: Vec<HolderNews>,
+    /// The newest grants of releases.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "b")]
+    pub releases: Vec<ReleaseNews>,
+    /// Answers that the sender has seen in releases.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "v")]
+    pub evidence: Vec<EvidenceNews>,
+    /// Whether the sender knows all orders of releases, told with the introduction.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(rename = "j")]
+    pub knows_orders: bool,
     /// Changes of weights since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "w")]
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -6,6 +6,7 @@
 use super::{EngineLoadNews, HolderNews, WeightsNews};
 use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
+use crate::release::{EvidenceNews, ReleaseNews};
 
 /// To whom the receiver of zone news passes them on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +49,12 @@
     /// Prefixes that engines have read.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     pub holders: Vec<HolderNews>,
+    /// The newest grants of releases.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub releases: Vec<ReleaseNews>,
+    /// Answers that the nodes of that zone have seen in releases, with the work.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub evidence: Vec<EvidenceNews>,
     /// Engines that load weights, or have loaded them.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<WeightsNews>,
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -14,6 +14,7 @@
 
 use crate::catalogue::{EngineProfile, RoutingTable};
 use crate::engines::{Engine, EngineTable};
+use crate::release::Intake;
 use crate::rollout::WeightsDeadlines;
 
 use self::sample::Sample;
@@ -44,6 +45,10 @@
     pub prices: &'a PlacementPrices,
     /// Which engines of the pool are kept for requests that mostly read; `None` where all take all.
     pub division: Option<&'a Division>,
+    /// Which engines may take the request, as far as releases of their software are concerned.
+    pub intake: &'a Intake,
+    /// Whether engines that fail requests are better than none.
+    pub takes_failing: bool,
     /// Whether there are so many nodes that what is known of engines is shared by many choices at
     /// once.
     pub is_large: bool,
@@ -89,7 +94,10 @@
                 })
             })
             // When all engines fail requests, any of them is better than none.
-            .or_else(|| self.best(request, profile, &versions, |_| true))?;
+            .or_else(|| {
+                let any = self.takes_failing;
+                any.then(|| self.best(request, profile, &versions, |_| true))?
+            })?;
         Some(Placement {
             engine: best.engine.entry.name.clone(),
             address: best.engine.entry.address,
@@ -116,6 +124,7 @@
         self.engines
             .of_pool(request.pool)
             .filter(|engine| engine.takes_work(self.now))
+            .filter(|engine| self.intake.admits(&engine.entry))
             .filter(|engine| !request.tried.contains(&engine.entry.name))
             .filter(|engine| is_allowed(engine))
             .filter_map(|engine| self.candidate(engine, profile, versions, request))
@@ -252,7 +261,9 @@
                 versions.push(PromptVersion::new(prompt, request, weights));
                 versions.len() - 1
             });
-            let may_read_first = engine.takes_work(self.now) && self.is_healthy(engine);
+            let may_read_first = engine.takes_work(self.now)
+                && self.is_healthy(engine)
+                && self.intake.admits(&engine.entry);
             if may_read_first && self.is_for(engine, request) {
                 versions[index].consider_first_reader(engine, self.zone);
             }
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -48,6 +48,7 @@
         let key = xxh3_64(request.id.as_bytes());
         let able = chooser.engines.of_pool(request.pool);
         let able = able.filter(|engine| engine.takes_work(chooser.now));
+        let able = able.filter(|engine| chooser.intake.admits(&engine.entry));
         let able = able.filter(|engine| chooser.is_for(engine, request) || has_newest(engine));
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             able.partition(|engine| engine.entry.zone == *chooser.zone);
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -1,9 +1,14 @@
 //! A release as one node knows it.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::release::{Account, Grant, Ledger};
+use ryerouter_core::release::{
+    Account, Counts, Grant, Ledger, Reporter, Rollback, SoftwareVersion, Stage, Suspicion,
+};
+
+use super::Origin;
 
 /// A release as one node knows it.
 #[derive(Debug, Clone)]
@@ -12,20 +17,38 @@
     pub grant: Grant,
     /// When the director allowed it, at the latest.
     pub granted_at: Timestamp,
+    /// When this node came to know its stage.
+    pub staged_at: Timestamp,
     /// What this node has sent since it heard of the release.
     pub account: Account,
     /// What this node and the others have seen.
     pub ledger: Ledger,
+    /// Other versions that were rolled back or withdrawn before.
+    pub shut: BTreeSet<SoftwareVersion>,
+    /// Versions that the completed release has replaced.
+    pub superseded: BTreeSet<SoftwareVersion>,
+    /// Who the reporters of the ledger are.
+    origins: BTreeMap<Reporter, Origin>,
+    /// What the answers that this node knows of say.
+    suspicion: Suspicion,
+    /// Why this node sends nothing to the target version any more, before the director's verdict.
+    stopped: Option<Rollback>,
 }
 
 impl KnownRelease {
     /// A release that was just heard of.
-    pub fn new(grant: Grant, granted_at: Timestamp) -> Self {
+    pub fn new(grant: Grant, granted_at: Timestamp, now: Timestamp) -> Self {
         Self {
             grant,
             granted_at,
+            staged_at: now,
             account: Account::default(),
             ledger: Ledger::default(),
+            shut: BTreeSet::new(),
+            superseded: BTreeSet::new(),
+            origins: BTreeMap::new(),
+            suspicion: Suspicion::default(),
+            stopped: None,
         }
     }
 
@@ -34,4 +57,57 @@
     pub fn is_granted(&self, life: Duration, now: Timestamp) -> bool {
         self.grant.stage.is_final() || now.since(self.granted_at) < life
     }
+
+    /// Whether this node holds the target version for worse, and the director has not decided.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.is_some() && !self.grant.stage.is_final()
+    }
+
+    /// Whether nothing follows.
+    pub fn is_final(&self) -> bool {
+        self.grant.stage.is_final()
+    }
+
+    /// Whether the target version was taken out of use.
+    pub fn is_rejected(&self) -> bool {
+        matches!(self.grant.stage, Stage::RolledBack | Stage::Withdrawn)
+    }
+
+    /// Takes what a reporter has seen.
+    pub fn absorb(&mut self, reporter: Reporter, origin: Origin, counts: &Counts) {
+        self.origins.insert(reporter, origin);
+        self.ledger.absorb(reporter, counts);
+    }
+
+    /// What all nodes have seen. With many nodes those of other zones count in the sums of their zones,
+    /// and not by themselves.
+    pub fn total(&self, is_large: bool) -> Counts {
+        let counted = match is_large {
+            true => [Origin::Near, Origin::Zone],
+            false => [Origin::Near, Origin::Far],
+        };
+        self.total_of(&counted)
+    }
+
+    /// What the nodes of this zone have seen, for the other zones.
+    pub fn total_of_zone(&self) -> Counts {
+        self.total_of(&[Origin::Near])
+    }
+
+    fn total_of(&self, counted: &[Origin]) -> Counts {
+        let origin = |reporter| self.origins.get(&reporter);
+        let is_counted = |reporter| origin(reporter).is_some_and(|origin| counted.contains(origin));
+        self.ledger.total_of(is_counted)
+    }
+
+    /// Takes all answers so far; tells why this node stops sending to the target version, the moment
+    /// that it does. It does not wait for the director, who may be lost.
+    pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
+        self.suspicion.observe(total, now);
+        if self.stopped.is_some() {
+            return None;
+        }
+        self.stopped = self.suspicion.verdict(engines);
+        self.stopped.as_ref()
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/release/listed_versions.rs
@@ -0,0 +1,105 @@
+//! Versions of software that a pool's engines have.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{Incarnation, PoolName};
+use ryerouter_core::release::SoftwareVersion;
+
+use crate::engines::{Engine, EngineTable};
+
+/// The list of engines may tell of a version before the order for it arrives: the two come by different
+/// questions to the source. Until then a version that has just appeared gets nothing, since an ordered
+/// one must not get more than a share.
+const UNORDERED_HOLD: Duration = Duration::from_secs(2);
+
+/// What the list tells of the engines of one version.
+#[derive(Debug, Clone, Copy)]
+struct Listed {
+    engines: usize,
+    first_at: Timestamp,
+    oldest: Option<Incarnation>,
+}
+
+impl Listed {
+    fn first(engine: &Engine) -> Self {
+        Self {
+            engines: 1,
+            first_at: engine.listed_at,
+            oldest: engine.entry.incarnation,
+        }
+    }
+
+    fn add(&mut self, engine: &Engine) {
+        self.engines += 1;
+        self.first_at = self.first_at.min(engine.listed_at);
+        let begun = [self.oldest, engine.entry.incarnation];
+        self.oldest = begun.into_iter().flatten().min();
+    }
+}
+
+/// Versions of software that a pool's engines have.
+#[derive(Debug, Clone, Default)]
+pub struct ListedVersions(BTreeMap<SoftwareVersion, Listed>);
+
+impl ListedVersions {
+    /// Those of a pool.
+    pub fn of(engines: &EngineTable, pool: &PoolName) -> Self {
+        let mut versions: BTreeMap<SoftwareVersion, Listed> = BTreeMap::new();
+        for engine in engines.of_pool(pool) {
+            match versions.get_mut(&engine.entry.software) {
+                Some(listed) => listed.add(engine),
+                None => {
+                    let version = engine.entry.software.clone();
+                    versions.insert(version, Listed::first(engine));
+                }
+            }
+        }
+        Self(versions)
+    }
+
+    /// Whether engines of a version are listed.
+    pub fn has(&self, version: &str) -> bool {
+        self.0.contains_key(version)
+    }
+
+    /// All of them, in order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &SoftwareVersion> {
+        self.0.keys()
+    }
+
+    /// All but one.
+    pub fn others_than<'a>(
+        &'a self,
+        version: &'a str,
+    ) -> impl Iterator<Item = &'a SoftwareVersion> {
+        self.iter().filter(move |other| *other != version)
+    }
+
+    /// Whether they are of one version.
+    pub fn is_uniform(&self) -> bool {
+        self.0.len() <= 1
+    }
+
+    /// The version of the oldest engine: in a pool that is being moved the present one. Without a word of
+    /// the engines' age the one that most have.
+    pub fn oldest(&self) -> Option<&SoftwareVersion> {
+        let by_age = self.0.iter().filter(|(_, listed)| listed.oldest.is_some());
+        let oldest = by_age.min_by_key(|(_, listed)| listed.oldest);
+        let most = || {
+            // Of several the first by name.
+            let rank =
+                |(_, listed): &(&SoftwareVersion, &Listed)| std::cmp::Reverse(listed.engines);
+            self.0.iter().min_by_key(rank)
+        };
+        oldest.or_else(most).map(|(version, _)| version)
+    }
+
+    /// Versions that appeared so lately that an order for them may yet come.
+    pub fn held(&self, now: Timestamp) -> BTreeSet<SoftwareVersion> {
+        let is_new = |listed: &Listed| now.since(listed.first_at) < UNORDERED_HOLD;
+        let held = self.0.iter().filter(|(_, listed)| is_new(listed));
+        held.map(|(version, _)| version.clone()).collect()
+    }
+}
--- a/crates/gateway/src/release/mod.rs
+++ b/crates/gateway/src/release/mod.rs
@@ -1,12 +1,28 @@
 //! What a node knows and does of releases of engine software; the decisions are in
 //! [`ryerouter_core::release`], the account in docs/design/releases.md.
 
+mod admission;
+mod answer_watch;
 mod evidence_news;
+mod gate;
+mod intake;
 mod known_release;
+mod listed_versions;
+mod log_median;
+mod origin;
+mod paces;
 mod release_news;
 mod table;
 
+pub use admission::Admission;
+pub use answer_watch::{AnswerEnd, AnswerWatch};
 pub use evidence_news::{EvidenceNews, OrderKey, order_key};
+pub use gate::Gate;
+pub use intake::Intake;
 pub use known_release::KnownRelease;
+pub use listed_versions::ListedVersions;
+pub use log_median::LogMedian;
+pub use origin::{Origin, zone_reporter};
+pub use paces::{Paces, TimedPart};
 pub use release_news::ReleaseNews;
 pub use table::Table;
--- /dev/null
+++ b/crates/gateway/src/release/paces.rs
@@ -0,0 +1,81 @@
+//! How long the present versions' answers take.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use ryerouter_core::release::{RouteKey, key_of};
+
+use super::{AnswerWatch, LogMedian};
+
+/// An answer that takes so many times as long as is usual is slow. Bad versions take several times as
+/// long; of the present version's answers few do, and how many is known.
+const SLOW_FACTOR: f64 = 2.5;
+/// Bounds of the classes by which first events are compared, in prompt tokens that the engine has to
+/// read. A version whose engines have empty caches reads more, which is not its fault.
+const UNREAD_CLASSES: [u32; 3] = [512, 2_048, 8_192];
+/// Most estimates that are kept: routes that were dropped leave theirs behind. Beyond it all are
+/// forgotten and learnt anew.
+const MOST_ESTIMATES: usize = 1_024;
+
+/// What part of an answer is timed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum TimedPart {
+    /// All of one that is not a stream.
+    Whole,
+    /// From sending the request to the first event, by the class of what the engine has to read.
+    FirstEvent(usize),
+    /// From event to event.
+    Event,
+}
+
+impl TimedPart {
+    /// The first event after reading so many tokens.
+    pub fn first_event(unread_tokens: u32) -> Self {
+        let smaller = UNREAD_CLASSES.iter().filter(|most| unread_tokens > **most);
+        Self::FirstEvent(smaller.count())
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct PaceKey {
+    pool: u32,
+    route: RouteKey,
+    part: TimedPart,
+}
+
+impl PaceKey {
+    fn new(watch: &AnswerWatch, part: TimedPart) -> Self {
+        Self {
+            pool: key_of(watch.pool.as_str()),
+            route: watch.route,
+            part,
+        }
+    }
+}
+
+/// How long parts of the present versions' answers take on each route, lately.
+#[derive(Debug, Default)]
+pub struct Paces {
+    medians: HashMap<PaceKey, LogMedian>,
+}
+
+impl Paces {
+    /// Whether a part of an answer took several times as long as it usually does.
+    pub fn is_slow(&self, watch: &AnswerWatch, part: TimedPart, took: Duration) -> bool {
+        let median = self.medians.get(&PaceKey::new(watch, part));
+        let usual = median.and_then(LogMedian::get);
+        usual.is_some_and(|usual| took > usual.mul_f64(SLOW_FACTOR))
+    }
+
+    /// A part of an answer of the present version took so long.
+    pub fn note(&mut self, watch: &AnswerWatch, part: TimedPart, took: Duration) {
+        let key = PaceKey::new(watch, part);
+        if self.medians.len() >= MOST_ESTIMATES && !self.medians.contains_key(&key) {
+            self.medians.clear();
+        }
+        let known = self.medians.entry(key);
+        known
+            .and_modify(|median| median.note(took))
+            .or_insert_with(|| LogMedian::first(took));
+    }
+}
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -1,12 +1,14 @@
 //! The releases that a node knows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::Grant;
+use ryerouter_core::release::{
+    Cell, EngineKey, Grant, Judgement, PRESENT, SoftwareVersion, Stage, key_of,
+};
 
-use super::KnownRelease;
+use super::{AnswerWatch, KnownRelease, Paces};
 
 /// The releases that a node knows: the newest of each pool.
 #[derive(Debug, Default)]
@@ -15,26 +17,42 @@
     /// Whether all orders are known, from the source or from a node that knew them: a pool without a
     /// release then has no order.
     pub knows_orders: bool,
+    /// How long the present versions' answers take.
+    pub paces: Paces,
+    /// Pools whose stage every node is to be told of at once.
+    pub urgent: BTreeSet<PoolName>,
+    /// Versions that each pool's requests may go to without a release.
+    pub in_use: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
 }
 
 impl Table {
     /// Takes a grant that the director gave at `granted_at`, at the latest; `false` when a newer one of the
     /// same pool is known.
-    pub fn take(&mut self, grant: Grant, granted_at: Timestamp) -> bool {
+    pub fn take(&mut self, grant: Grant, granted_at: Timestamp, now: Timestamp) -> bool {
         let pool = grant.order.pool.clone();
-        match self.releases.get_mut(&pool) {
-            Some(known) if !grant.supersedes(&known.grant) => {
-                return false;
-            }
-            Some(known) if known.grant.order == grant.order => {
-                known.grant = grant;
-                known.granted_at = granted_at;
-            }
-            _ => {
-                let known = KnownRelease::new(grant, granted_at);
-                self.releases.insert(pool, known);
-            }
+        let Some(known) = self.releases.get_mut(&pool) else {
+            let known = KnownRelease::new(grant, granted_at, now);
+            self.releases.insert(pool, known);
+            return true;
+        };
+        if known.grant == grant {
+            // On the way that took longer less of the time was counted.
+            known.granted_at = known.granted_at.min(granted_at);
         }
+        if !grant.supersedes(&known.grant) {
+            return false;
+        }
+        if known.grant.order != grant.order {
+            let shut = shut_by(known, &grant.order.target);
+            *known = KnownRelease::new(grant, granted_at, now);
+            known.shut = shut;
+            return true;
+        }
+        if known.grant.stage != grant.stage {
+            known.staged_at = now;
+        }
+        known.grant = grant;
+        known.granted_at = granted_at;
         true
     }
 
@@ -52,4 +70,50 @@
     pub fn iter(&self) -> impl Iterator<Item = &KnownRelease> {
         self.releases.values()
     }
+
+    /// The same, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut KnownRelease> {
+        self.releases.values_mut()
+    }
+
+    /// Forgets releases that came to their end and say nothing any more.
+    pub fn forget(&mut self, is_over: impl Fn(&KnownRelease) -> bool) {
+        self.releases
+            .retain(|_, known| !known.is_final() || !is_over(known));
+    }
+
+    /// Counts an answer in the release of its pool, unless that has come to its end.
+    pub fn note(&mut self, watch: &AnswerWatch, judgement: Judgement) {
+        let known = self.releases.get_mut(&watch.pool);
+        let Some(known) = known.filter(|known| !known.is_final()) else {
+            return;
+        };
+        let engine: EngineKey = match watch.software == known.grant.order.target {
+            true => key_of(watch.engine.as_str()),
+            false => PRESENT,
+        };
+        let cell = Cell {
+            route: watch.route,
+            engine,
+        };
+        known.ledger.note(cell, judgement);
+    }
+
+    /// Whether answers of a version tell how long the present version takes.
+    pub fn is_present(&self, pool: &PoolName, software: &str) -> bool {
+        self.releases.get(pool).is_none_or(|known| {
+            let grant = &known.grant;
+            grant.order.target != software || grant.stage == Stage::Completed
+        })
+    }
+}
+
+/// What stays out of use when another order takes the place of one.
+fn shut_by(former: &KnownRelease, target: &str) -> BTreeSet<SoftwareVersion> {
+    let mut shut = former.shut.clone();
+    if former.is_rejected() {
+        shut.insert(former.grant.order.target.clone());
+    }
+    shut.remove(target);
+    shut
 }
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether a good answer is a stream.
+    pub fn is_stream(&self) -> bool {
+        self.route.kind == RequestKind::Streaming
+    }
+
     /// Urgency, 0 first: the tenant's takes precedence over the route's.
     pub fn priority(&self) -> u8 {
         let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -16,6 +16,7 @@
 use super::held_request::HeldRequest;
 use super::list_state::ListState;
 use super::live_answer::LiveAnswer;
+use super::watched_answer::WatchedAnswer;
 use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
@@ -42,6 +43,7 @@
     held.list.set(list);
     let sent_at = gateway.clock().now();
     let message = build_message(gateway, request, placement, last_event_id);
+    let mut watched = WatchedAnswer::begin(gateway, request, placement);
     let is_repeatable = request.route.is_idempotent();
     let sent = gateway
         .upstream()
@@ -53,9 +55,13 @@
             &held.used,
         )
         .await;
-    let answer = sent.map_err(|failure| match failure {
-        AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
-        AttemptFailure::Broken { detail, .. } => AttemptEnd::MayHaveRun(detail),
+    let answer = sent.map_err(|failure| {
+        let end = match failure {
+            AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
+            AttemptFailure::Broken { detail, .. } => AttemptEnd::MayHaveRun(detail),
+        };
+        watched.end(end.of_answer());
+        end
     })?;
     let head_after = gateway.clock().now().since(sent_at);
     note_head(gateway, request, placement, sent_at, head_after);
@@ -68,10 +74,12 @@
                 facts,
                 placement.clone(),
                 in_flight,
+                watched,
                 head_after,
             ))
         }
         Err(end) => {
+            watched.end(end.of_answer());
             if !end.may_have_run() {
                 keep_after_refusal(gateway, placement, answer, &facts);
             }
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use super::doubt::Doubt;
+use crate::release::AnswerEnd;
 
 /// How an attempt ended without a usable answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
@@ -41,6 +42,15 @@
         )
     }
 
+    /// What it says of the answer.
+    pub(super) fn of_answer(&self) -> AnswerEnd {
+        match self {
+            Self::NotConnected(_) | Self::NoRoom(_) | Self::Misdirected(_) => AnswerEnd::NotRun,
+            Self::Silent(_) => AnswerEnd::Left,
+            Self::EngineError(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
+        }
+    }
+
     /// A short name for metrics.
     pub(super) fn label(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -124,6 +124,9 @@
             self.held
                 .attempts_left
                 .set(left.saturating_sub(self.arrivals + 1));
+            let is_first = self.tried.is_empty();
+            let pool = &self.request.pool;
+            self.gateway.note_sent(pool, &placement, is_first);
             let attempted = self.watched_attempt(&placement, last_event_id).await;
             self.is_pending = false;
             match attempted {
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -9,9 +9,11 @@
 use hyper::header::HeaderMap;
 
 use super::forwarded_headers::keep_forwarded;
+use super::watched_answer::WatchedAnswer;
 use crate::engines::InFlight;
 use crate::gateway::Gateway;
 use crate::placement::Placement;
+use crate::release::AnswerEnd;
 use crate::request::AnswerFacts;
 use crate::upstream::Connection;
 
@@ -27,6 +29,8 @@
     pub(super) body: Incoming,
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
+    /// How it ends is told.
+    pub(super) watched: WatchedAnswer,
     /// From the attempt's begin to the head.
     pub(super) head_after: Duration,
     connection: Connection,
@@ -39,6 +43,7 @@
         facts: AnswerFacts,
         placement: Placement,
         in_flight: InFlight,
+        watched: WatchedAnswer,
         head_after: Duration,
     ) -> Self {
         let mut headers = answer.head.headers;
@@ -51,6 +56,7 @@
             body: answer.body,
             placement,
             in_flight,
+            watched,
             head_after,
             connection: answer.connection,
             keeps_connection,
@@ -60,8 +66,14 @@
     /// Reads the rest of an answer that is not a stream, and keeps the connection.
     pub(super) async fn read_whole(mut self, gateway: &Gateway) -> Result<WholeAnswer, String> {
         let body = Limited::new(&mut self.body, MOST_WHOLE_BYTES);
-        let bytes = body.collect().await.map_err(|error| error.to_string())?;
-        let bytes = bytes.to_bytes();
+        let collected = body.collect().await;
+        self.watched.end(match &collected {
+            Ok(_) if !self.status.is_server_error() => AnswerEnd::Whole {
+                is_success: self.status.is_success(),
+            },
+            _ => AnswerEnd::Failed,
+        });
+        let bytes = collected.map_err(|error| error.to_string())?.to_bytes();
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
         Ok(WholeAnswer {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -19,6 +19,7 @@
 mod respond;
 mod silence_limits;
 mod stream_relay;
+mod watched_answer;
 
 pub use accepted_request::AcceptedRequest;
 pub use answer_body::AnswerBody;
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -20,9 +20,11 @@
 use super::held_at::HeldAt;
 use super::live_answer::LiveAnswer;
 use super::silence_limits::SilenceLimits;
+use super::watched_answer::WatchedAnswer;
 use crate::engines::AwaitedPart;
 use crate::placement::Placement;
 use crate::relay::{EventSplitter, RelayFault, StreamEnd};
+use crate::release::AnswerEnd;
 use crate::upstream::ConnectionUse;
 
 /// Passes a stream on, whole event by whole event, and goes on at another engine where it may.
@@ -114,9 +116,10 @@
 
     async fn next_events(&mut self) -> Result<Option<Bytes>, RelayFault> {
         loop {
-            match self.receive().await {
+            match self.receive_watched().await {
                 Received::Bytes(bytes) => {
                     if let Some(batch) = self.splitter.push(&bytes)? {
+                        self.watch(|watched| watched.note_events(&batch.bytes));
                         self.note_begun();
                         self.last_event_id = batch.last_id.or(self.last_event_id.take());
                         return Ok(Some(batch.bytes));
@@ -136,6 +139,20 @@
         }
     }
 
+    /// What comes next, and how long it was waited for.
+    async fn receive_watched(&mut self) -> Received {
+        self.watch(WatchedAnswer::begin_wait);
+        let received = self.receive().await;
+        self.watch(WatchedAnswer::end_wait);
+        received
+    }
+
+    fn watch(&mut self, note: impl FnOnce(&mut WatchedAnswer)) {
+        if let Some(live) = &mut self.live {
+            note(&mut live.watched);
+        }
+    }
+
     /// What comes next. A stream that may go on elsewhere is given up when nothing comes for longer
     /// than is usual while its engine answers what was sent later.
     async fn receive(&mut self) -> Received {
@@ -206,6 +223,7 @@
             detail: end.to_string(),
         };
         self.limits = None;
+        self.watch(|watched| watched.end(end.of_answer()));
         // The former run ends, with its connection, before another begins.
         let former = self.live.take().map(|live| live.placement);
         if let Some(placement) = former {
@@ -227,9 +245,15 @@
                 self.await_part(AwaitedPart::FirstEvent);
                 Ok(())
             }
-            Ok(live) => Err(RelayFault {
-                detail: format!("{}; then status {}", fault.detail, live.status.as_u16()),
-            }),
+            Ok(mut live) => {
+                live.watched.end(match live.status.is_server_error() {
+                    true => AnswerEnd::Failed,
+                    false => AnswerEnd::Whole { is_success: false },
+                });
+                Err(RelayFault {
+                    detail: format!("{}; then status {}", fault.detail, live.status.as_u16()),
+                })
+            }
             Err(refusal) => Err(RelayFault {
                 detail: format!("{}; then {refusal}", fault.detail),
             }),
@@ -286,6 +310,8 @@
     }
 
     fn complete(&mut self) {
+        let whole = AnswerEnd::Whole { is_success: true };
+        self.watch(|watched| watched.end(whole));
         let Some(live) = self.live.take() else {
             return;
         };
@@ -319,6 +345,9 @@
     }
 
     fn fail(&mut self, end: StreamEnd, fault: RelayFault) -> RelayFault {
+        if end == StreamEnd::Broken {
+            self.watch(|watched| watched.end(AnswerEnd::Failed));
+        }
         self.live = None;
         self.active.end_unserved(&format!("stream_{end}"));
         warn!(self.exchange.gateway.log(), "stream_failed";
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -32,6 +32,8 @@
     pub silences: IntCounterVec,
     /// How long requests that ended unserved were held, by where.
     pub held_seconds: HistogramVec,
+    /// Requests of pools while a release goes on, by whether they went to the target version.
+    pub release_requests: IntCounterVec,
     /// Orders to engines by outcome.
     pub orders: IntCounterVec,
     /// Questions to the source by kind of item, way of asking and how they ended.
@@ -92,6 +94,12 @@
                 "verdict",
             ),
             held_seconds: held(&registry),
+            release_requests: vector_of(
+                &registry,
+                "release_requests_total",
+                "Requests during releases by pool and version: target or present",
+                &["pool", "version"],
+            ),
             orders: vector(&registry, "orders_total", "Orders by outcome", "outcome"),
             source_questions: vector(
                 &registry,
