--- a/crates/gateway/src/gateway/dividing.rs
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -62,7 +62,9 @@
         let prices = &self.settings().prices;
         let intake = self.intake_of_all(state, pool, now);
         let was_divided = known.is_some();
-        let division = Division::new(&state.engines, pool, tokens, prices, was_divided, &intake);
+        let of_pool = state.engines.of_pool(pool);
+        let engines = of_pool.filter(|engine| intake.admits(&engine.entry));
+        let division = Division::among(engines, tokens, prices, was_divided);
         if known != division.as_ref() {
             info!(self.log(), "engines_divided"; "pool" => %pool,
                 "reading" => division.as_ref().map(|division| division.count(&state.engines)),
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -12,7 +12,7 @@
 use super::{GatewaySettings, GatewayState};
 use crate::clock::Clock;
 use crate::peers::NodeState;
-use crate::placement::{Chooser, Placement, PlacementRequest};
+use crate::placement::{Chooser, Failing, Placement, PlacementRequest};
 use crate::release::Intake;
 use crate::request::Dialect;
 use crate::retry::{RetrySettings, RetryWindow};
@@ -132,11 +132,10 @@
     /// Chooses an engine.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
         let admission = self.admission(request);
-        let takes_failing = !admission.passes_over_failing;
-        let first = self.choose_among(request, &admission.first, takes_failing);
+        let first = self.choose_among(request, &admission.first, admission.failing);
         let placement = first.or_else(|| {
             let fallback = admission.fallback.as_ref()?;
-            self.choose_among(request, fallback, true)
+            self.choose_among(request, fallback, Failing::BetterThanNone)
         })?;
         self.count_reading(request, &placement);
         if placement.cost.stale > 0.0 {
@@ -150,7 +149,7 @@
         &self,
         request: &PlacementRequest<'_>,
         intake: &Intake,
-        takes_failing: bool,
+        failing: Failing,
     ) -> Option<Placement> {
         let state = self.state();
         let table = state.table.as_ref()?;
@@ -165,13 +164,11 @@
             slowest_begin: state.begin_times.slowest(request.pool, now).min(most_begin),
             prices: &self.settings.prices,
             division: state.divisions.get(request.pool),
-            intake,
-            takes_failing,
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
             now,
         };
-        chooser.choose(request)
+        chooser.choose_among(request, intake, failing)
     }
 
     /// Requests of each pool that began on replaced weights since the last call, at all nodes: the
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -45,10 +45,6 @@
     pub prices: &'a PlacementPrices,
     /// Which engines of the pool are kept for requests that mostly read; `None` where all take all.
     pub division: Option<&'a Division>,
-    /// Which engines may take the request, as far as releases of their software are concerned.
-    pub intake: &'a Intake,
-    /// Whether engines that fail requests are better than none.
-    pub takes_failing: bool,
     /// Whether there are so many nodes that what is known of engines is shared by many choices at
     /// once.
     pub is_large: bool,
@@ -58,6 +54,15 @@
     pub now: Timestamp,
 }
 
+/// What becomes of engines that fail requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failing {
+    /// When no other engine takes the request, any of them does.
+    BetterThanNone,
+    /// They get nothing: there are other engines for the request.
+    PassedOver,
+}
+
 struct Candidate<'a> {
     engine: &'a Engine,
     version: Option<&'a PromptVersion>,
@@ -72,32 +77,38 @@
 impl Chooser<'_> {
     /// The engine with the least cost, or `None` when no engine may take the request.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
+        self.choose_among(request, &Intake::Any, Failing::BetterThanNone)
+    }
+
+    /// The same among the engines that take the request, as far as releases are concerned.
+    pub fn choose_among(
+        &self,
+        request: &PlacementRequest<'_>,
+        intake: &Intake,
+        failing: Failing,
+    ) -> Option<Placement> {
         let profile = self.table.pool(request.pool)?.engine.as_ref();
-        let versions = self.versions(request);
-        let sample = Sample::draw(self, request, &versions);
+        let versions = self.versions(request, intake);
+        let sample = Sample::draw(self, request, &versions, intake);
+        let is_healthy = |engine: &Engine| intake.admits(&engine.entry) && self.is_healthy(engine);
         let is_sampled = |engine: &Engine| {
             let is_known = || {
                 versions
                     .iter()
                     .any(|version| self.knows_prefix(engine, version))
             };
-            self.is_healthy(engine) && (sample.holds(engine) || is_known())
+            is_healthy(engine) && (sample.holds(engine) || is_known())
         };
+        let is_any =
+            |engine: &Engine| failing == Failing::BetterThanNone && intake.admits(&engine.entry);
         let best = sample
             .is_limited()
             .then(|| self.best(request, profile, &versions, is_sampled))
             .flatten()
             .filter(|best| best.cost.total() < POOR_COST)
-            .or_else(|| {
-                self.best(request, profile, &versions, |engine| {
-                    self.is_healthy(engine)
-                })
-            })
+            .or_else(|| self.best(request, profile, &versions, is_healthy))
             // When all engines fail requests, any of them is better than none.
-            .or_else(|| {
-                let any = self.takes_failing;
-                any.then(|| self.best(request, profile, &versions, |_| true))?
-            })?;
+            .or_else(|| self.best(request, profile, &versions, is_any))?;
         Some(Placement {
             engine: best.engine.entry.name.clone(),
             address: best.engine.entry.address,
@@ -124,7 +135,6 @@
         self.engines
             .of_pool(request.pool)
             .filter(|engine| engine.takes_work(self.now))
-            .filter(|engine| self.intake.admits(&engine.entry))
             .filter(|engine| !request.tried.contains(&engine.entry.name))
             .filter(|engine| is_allowed(engine))
             .filter_map(|engine| self.candidate(engine, profile, versions, request))
@@ -247,7 +257,7 @@
     }
 
     /// What a prompt is under each version of the weights that candidates have.
-    fn versions(&self, request: &PlacementRequest<'_>) -> Vec<PromptVersion> {
+    fn versions(&self, request: &PlacementRequest<'_>, intake: &Intake) -> Vec<PromptVersion> {
         let mut versions: Vec<PromptVersion> = Vec::new();
         let Some(prompt) = request.prompt else {
             return versions;
@@ -263,7 +273,7 @@
             });
             let may_read_first = engine.takes_work(self.now)
                 && self.is_healthy(engine)
-                && self.intake.admits(&engine.entry);
+                && intake.admits(&engine.entry);
             if may_read_first && self.is_for(engine, request) {
                 versions[index].consider_first_reader(engine, self.zone);
             }
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -10,6 +10,7 @@
 use crate::engines::Engine;
 use crate::placement::PlacementRequest;
 use crate::placement::prompt_version::PromptVersion;
+use crate::release::Intake;
 
 /// Engines of the own zone that are compared.
 const MOST_NEAR: usize = 4;
@@ -35,6 +36,7 @@
         chooser: &Chooser<'_>,
         request: &PlacementRequest<'_>,
         versions: &[PromptVersion],
+        intake: &Intake,
     ) -> Self {
         if !chooser.is_large {
             return Self { engines: None };
@@ -48,7 +50,7 @@
         let key = xxh3_64(request.id.as_bytes());
         let able = chooser.engines.of_pool(request.pool);
         let able = able.filter(|engine| engine.takes_work(chooser.now));
-        let able = able.filter(|engine| chooser.intake.admits(&engine.entry));
+        let able = able.filter(|engine| intake.admits(&engine.entry));
         let able = able.filter(|engine| chooser.is_for(engine, request) || has_newest(engine));
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             able.partition(|engine| engine.entry.zone == *chooser.zone);
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -6,7 +6,6 @@
 
 use super::{PlacementPrices, Prompt};
 use crate::engines::{Engine, EngineTable};
-use crate::release::Intake;
 
 /// Below this share of the engines' time reading is so rare that keeping engines for it costs more
 /// than it saves.
@@ -38,20 +37,28 @@
 
 impl Division {
     /// Divides the engines of a pool that is asked to read so many tokens a second; `None` when
-    /// nothing is to be gained. `was_divided` tells whether they are divided so far, `intake` which of
-    /// them the pool's requests go to.
+    /// nothing is to be gained. `was_divided` tells whether they are divided so far.
     pub fn new(
         engines: &EngineTable,
         pool: &PoolName,
         tokens_per_second: f64,
         prices: &PlacementPrices,
         was_divided: bool,
-        intake: &Intake,
+    ) -> Option<Self> {
+        let of_pool = engines.of_pool(pool);
+        Self::among(of_pool, tokens_per_second, prices, was_divided)
+    }
+
+    /// The same for some engines of a pool, to which its requests go.
+    pub fn among<'a>(
+        engines: impl Iterator<Item = &'a Engine>,
+        tokens_per_second: f64,
+        prices: &PlacementPrices,
+        was_divided: bool,
     ) -> Option<Self> {
         let mut hashes: BTreeMap<ZoneName, Vec<u64>> = BTreeMap::new();
         let (mut count, mut slots, mut requests) = (0, 0, 0);
-        let of_pool = engines.of_pool(pool);
-        for engine in of_pool.filter(|engine| intake.admits(&engine.entry)) {
+        for engine in engines {
             let of_zone = hashes.entry(engine.entry.zone.clone()).or_default();
             of_zone.push(engine.name_hash);
             count += 1;
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -19,7 +19,7 @@
 pub use cache_feed::{CacheChange, CacheChanges, CacheFeed, Cursor};
 pub use cache_watch::watch_caches;
 pub use candidate_cost::CandidateCost;
-pub use chooser::Chooser;
+pub use chooser::{Chooser, Failing};
 pub use chosen_engine::{KvFetch, KvHolder, Placement};
 pub use division::{Division, mostly_reads};
 pub use holder_table::{HolderTable, store_holder_name};
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,6 +1,7 @@
 //! Where a request may go.
 
 use super::Intake;
+use crate::placement::Failing;
 
 /// Where a request may go: to some engines, and when none of them serves to others.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -9,9 +10,8 @@
     pub first: Intake,
     /// When none of those serves, these; without them the request gets no engine.
     pub fallback: Option<Intake>,
-    /// Whether engines that fail requests are passed over, so that the others get them: a version that
-    /// isn't known to be good fails nobody.
-    pub passes_over_failing: bool,
+    /// Whether it goes to engines that fail requests: a version that isn't known to be good needs none.
+    pub failing: Failing,
 }
 
 impl Admission {
@@ -20,7 +20,7 @@
         Self {
             first,
             fallback: None,
-            passes_over_failing: false,
+            failing: Failing::BetterThanNone,
         }
     }
 
@@ -29,14 +29,14 @@
         Self {
             first,
             fallback: Some(fallback),
-            passes_over_failing: false,
+            failing: Failing::BetterThanNone,
         }
     }
 
     /// The same, but engines that fail requests are passed over.
     pub fn on_trial(first: Intake, fallback: Intake) -> Self {
         Self {
-            passes_over_failing: true,
+            failing: Failing::PassedOver,
             ..Self::with_fallback(first, fallback)
         }
     }
