Releases: tests of which engines take which requests; a completed release replaces at once

Between a grant that completes a release and the next tick, requests would have gone to the present version: seen failing in late_stages_send_all_requests_one_way::completed.

--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -62,7 +62,7 @@
     }
 
     /// A request is sent to an engine, for the first time or again.
-    pub(crate) fn note_sent(&self, pool: &PoolName, placement: &Placement, is_first: bool) {
+    pub fn note_sent(&self, pool: &PoolName, placement: &Placement, is_first: bool) {
         if self.settings().releases.is_none() {
             return;
         }
@@ -243,7 +243,7 @@
 }
 
 /// Remembers which versions a completed release has replaced.
-fn note_replaced(known: &mut KnownRelease, engines: &EngineTable, now: Timestamp) {
+pub(super) fn note_replaced(known: &mut KnownRelease, engines: &EngineTable, now: Timestamp) {
     let grant = &known.grant;
     let is_fresh = now.since(known.staged_at) < REPLACED_LISTED_WITHIN;
     if grant.stage != Stage::Completed || !is_fresh {
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -6,6 +6,7 @@
 use ryerouter_core::release::{Counts, Fleet, Grant, Order};
 use slog::info;
 
+use super::release_intake::note_replaced;
 use super::{Gateway, GatewayState};
 
 impl Gateway {
@@ -33,6 +34,9 @@
         let after = (grant.order.clone(), grant.stage);
         let (share, fence, elapsed) = (grant.share, grant.fence, grant.elapsed);
         let is_taken = state.releases.take(grant, now.before(age), now);
+        if let Some(known) = state.releases.of_mut(&pool) {
+            note_replaced(known, &state.engines, now);
+        }
         let is_stage = is_taken && before.as_ref() != Some(&after);
         if is_stage {
             let (order, stage) = after;
