--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -116,7 +116,7 @@
     }
 
     /// An answer has ended: it is judged, and a present version's tells how long answers take.
-    pub(crate) fn note_release_answer(&self, watch: &AnswerWatch, end: AnswerEnd) {
+    pub fn note_release_answer(&self, watch: &AnswerWatch, end: AnswerEnd) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let releases = &mut state.releases;
