Releases: tell many counts in several messages, compare whole answers by what is read too

A datagram over 60 KB is not sent, and with it nothing else of what it tells: with some hundred engines and several routes the counts would have come near that. Answers that are not streams are compared by the tokens that the engine has to read as well, since the engines of a new version have empty caches.

--- a/crates/gateway/src/gateway/release_news.rs
+++ b/crates/gateway/src/gateway/release_news.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::release::Reporter;
+use ryerouter_core::release::{Counts, Reporter};
 
 use super::release_intake::has_nothing_to_say;
 use super::{Gateway, GatewayState};
@@ -14,6 +14,10 @@
 /// then it has reached every node that is not cut off.
 const END_TOLD_FOR: Duration = Duration::from_secs(10);
 
+/// Most counts of a release that one message tells of: about 10 KB of the 60 KB that a datagram carries,
+/// since one that is longer is not sent at all.
+const MOST_CELLS: usize = 300;
+
 impl Gateway {
     /// The newest grants, for other nodes; with an introduction also those that ended long ago.
     pub(super) fn release_news(
@@ -34,18 +38,14 @@
     /// What this node has seen of answers, for other nodes.
     pub(super) fn evidence_news(&self, state: &GatewayState) -> Vec<EvidenceNews> {
         let open = state.releases.iter().filter(|known| !known.is_final());
-        let own = open.map(|known| {
-            let counts = known.ledger.own().clone();
-            EvidenceNews(order_key(&known.grant.order), counts)
-        });
+        let own = open.map(|known| evidence_of(known, known.ledger.own(), state.sequence));
         own.filter(|news| !news.1.is_empty()).collect()
     }
 
     /// What the nodes of this zone have seen of answers, for the other zones.
     pub(super) fn evidence_of_zone(&self, state: &GatewayState) -> Vec<EvidenceNews> {
         let open = state.releases.iter().filter(|known| !known.is_final());
-        let sums =
-            open.map(|known| EvidenceNews(order_key(&known.grant.order), known.total_of_zone()));
+        let sums = open.map(|known| evidence_of(known, &known.total_of_zone(), state.sequence));
         sums.filter(|news| !news.1.is_empty()).collect()
     }
 
@@ -96,6 +96,19 @@
     }
 }
 
+/// Some of the counts, when there are many: others with each message. They only rise, so what is told
+/// later includes what was left out.
+fn evidence_of(known: &KnownRelease, counts: &Counts, turn: u64) -> EvidenceNews {
+    let cells = counts.iter().count();
+    let parts = cells.div_ceil(MOST_CELLS).max(1);
+    let part = turn as usize % parts;
+    let mut told = Counts::default();
+    for (cell, tally) in counts.iter().skip(part * MOST_CELLS).take(MOST_CELLS) {
+        told.add(cell, tally);
+    }
+    EvidenceNews(order_key(&known.grant.order), told)
+}
+
 fn news_of(known: &KnownRelease, now: Timestamp) -> ReleaseNews {
     ReleaseNews {
         grant: known.grant.clone(),
--- a/crates/gateway/src/release/answer_watch.rs
+++ b/crates/gateway/src/release/answer_watch.rs
@@ -124,7 +124,7 @@
         let until = self.first_event_at.unwrap_or(now);
         let part = match self.is_stream {
             true => TimedPart::first_event(self.unread_tokens),
-            false => TimedPart::Whole,
+            false => TimedPart::whole(self.unread_tokens),
         };
         (part, until.since(self.sent_at))
     }
--- a/crates/gateway/src/release/paces.rs
+++ b/crates/gateway/src/release/paces.rs
@@ -10,7 +10,7 @@
 /// An answer that takes so many times as long as is usual is slow. Bad versions take several times as
 /// long; of the present version's answers few do, and how many is known.
 const SLOW_FACTOR: f64 = 2.5;
-/// Bounds of the classes by which first events are compared, in prompt tokens that the engine has to
+/// Bounds of the classes by which answers are compared, in prompt tokens that the engine has to
 /// read. A version whose engines have empty caches reads more, which is not its fault.
 const UNREAD_CLASSES: [u32; 3] = [512, 2_048, 8_192];
 /// Most estimates that are kept: routes that were dropped leave theirs behind. Beyond it all are
@@ -20,8 +20,8 @@
 /// What part of an answer is timed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum TimedPart {
-    /// All of one that is not a stream.
-    Whole,
+    /// All of one that is not a stream, by the class of what the engine has to read.
+    Whole(usize),
     /// From sending the request to the first event, by the class of what the engine has to read.
     FirstEvent(usize),
     /// From event to event.
@@ -29,13 +29,22 @@
 }
 
 impl TimedPart {
+    /// All of an answer, after reading so many tokens.
+    pub fn whole(unread_tokens: u32) -> Self {
+        Self::Whole(class_of(unread_tokens))
+    }
+
     /// The first event after reading so many tokens.
     pub fn first_event(unread_tokens: u32) -> Self {
-        let smaller = UNREAD_CLASSES.iter().filter(|most| unread_tokens > **most);
-        Self::FirstEvent(smaller.count())
+        Self::FirstEvent(class_of(unread_tokens))
     }
 }
 
+fn class_of(unread_tokens: u32) -> usize {
+    let smaller = UNREAD_CLASSES.iter().filter(|most| unread_tokens > **most);
+    smaller.count()
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PaceKey {
     pool: u32,
--- a/crates/gateway/tests/releases_evidence.rs
+++ b/crates/gateway/tests/releases_evidence.rs
@@ -253,8 +253,12 @@
         let node = node_in_trial().await;
         let mut watch = sent(&node, "new-1", TARGET);
         watch.unread_tokens = 4_000;
-        stream_of(watch, &node, SLOW, USUAL).await;
+        stream_of(watch.clone(), &node, SLOW, USUAL).await;
         assert_eq!(counts(&node).target(), ONE_GOOD);
+        watch.sent_at = node.clock().now();
+        advance(SLOW).await;
+        node.note_release_answer(&watch, GOOD);
+        assert_eq!(counts(&node).target(), tally(2, 0, 0));
     });
 }
 
--- a/crates/gateway/tests/releases_news.rs
+++ b/crates/gateway/tests/releases_news.rs
@@ -202,6 +202,27 @@
     });
 }
 
+/// A datagram that grows too long is not sent, and with it nothing of what it tells.
+#[test]
+fn many_counts_are_told_in_several_messages() {
+    run_paused(async {
+        let (first, second) = (lone_node().await, node_with_orders(1, ZONE).await);
+        first.publish_grant(grant(Stage::Trial, 0.05, 1));
+        let engines = 1_000;
+        for engine in 0..engines {
+            let name = format!("new-{engine}");
+            see_answers(&first, &name, TARGET, AnswerEnd::Failed, 1);
+        }
+        for _ in 0..4 {
+            let message = first.peer_message(false);
+            let bytes = serde_json::to_vec(&message).expect("message");
+            assert!(bytes.len() < 20_000, "{} bytes", bytes.len());
+            second.hear_peer(message);
+        }
+        assert_eq!(counts(&second).target().answers, engines);
+    });
+}
+
 /// While they were few, each told all others by itself.
 #[test]
 fn answers_are_not_counted_twice_when_a_deployment_grows_large() {
