--- a/crates/gateway/src/gateway/dividing.rs
+++ b/crates/gateway/src/gateway/dividing.rs
@@ -60,7 +60,11 @@
         let tokens = state.reading_demand.per_second(pool, now);
         let known = state.divisions.get(pool);
         let prices = &self.settings().prices;
-        let division = Division::new(&state.engines, pool, tokens, prices, known.is_some());
+        let intake = self.intake_of_all(state, pool, now);
+        let was_divided = known.is_some();
+        let of_pool = state.engines.of_pool(pool);
+        let engines = of_pool.filter(|engine| intake.admits(&engine.entry));
+        let division = Division::among(engines, tokens, prices, was_divided);
         if known != division.as_ref() {
             info!(self.log(), "engines_divided"; "pool" => %pool,
                 "reading" => division.as_ref().map(|division| division.count(&state.engines)),
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 mod peer_news;
 mod proof_of_freshness;
 mod reading;
+mod release_intake;
+mod release_news;
 mod release_work;
 mod releases;
 mod shared;
--- a/crates/gateway/src/gateway/release_work.rs
+++ b/crates/gateway/src/gateway/release_work.rs
@@ -1,5 +1,7 @@
 //! What the director of releases needs of the gateway beside the releases themselves.
 
+use std::time::Duration;
+
 use ryerouter_core::release::{Grant, Order};
 
 use super::{Gateway, SETTLING};
@@ -64,8 +66,8 @@
 
     /// This node goes by what the source holds of a release.
     pub fn take_recorded_grant(&self, grant: Grant) {
-        let now = self.clock().now();
-        self.state_mut().releases.take(grant, now);
+        let mut state = self.state_mut();
+        self.take_grant(&mut state, grant, Duration::ZERO);
     }
 
     /// Whether engines of the target version are listed.
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -12,7 +12,8 @@
 use super::{GatewaySettings, GatewayState};
 use crate::clock::Clock;
 use crate::peers::NodeState;
-use crate::placement::{Chooser, Placement, PlacementRequest};
+use crate::placement::{Chooser, Failing, Placement, PlacementRequest};
+use crate::release::Intake;
 use crate::request::Dialect;
 use crate::retry::{RetrySettings, RetryWindow};
 use crate::telemetry::{LogSampler, Metrics};
@@ -39,6 +40,7 @@
     sampler: LogSampler,
     unserved_sampler: LogSampler,
     old_list_sampler: LogSampler,
+    release_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -60,6 +62,7 @@
             sampler: LogSampler::default(),
             unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             old_list_sampler: LogSampler::default(),
+            release_sampler: LogSampler::default(),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -96,6 +99,11 @@
         &self.old_list_sampler
     }
 
+    /// Bounds lines that tell of bad answers during a release.
+    pub fn release_sampler(&self) -> &LogSampler {
+        &self.release_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
@@ -123,6 +131,26 @@
 
     /// Chooses an engine.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
+        let admission = self.admission(request);
+        let first = self.choose_among(request, &admission.first, admission.failing);
+        let placement = first.or_else(|| {
+            let fallback = admission.fallback.as_ref()?;
+            self.choose_among(request, fallback, Failing::BetterThanNone)
+        })?;
+        self.count_reading(request, &placement);
+        if placement.cost.stale > 0.0 {
+            let mut state = self.state_mut();
+            *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
+        }
+        Some(placement)
+    }
+
+    fn choose_among(
+        &self,
+        request: &PlacementRequest<'_>,
+        intake: &Intake,
+        failing: Failing,
+    ) -> Option<Placement> {
         let state = self.state();
         let table = state.table.as_ref()?;
         let now = self.clock.now();
@@ -140,14 +168,7 @@
             zone: &self.settings.identity.zone,
             now,
         };
-        let placement = chooser.choose(request)?;
-        drop(state);
-        self.count_reading(request, &placement);
-        if placement.cost.stale > 0.0 {
-            let mut state = self.state_mut();
-            *state.stale_starts.entry(request.pool.clone()).or_default() += 1;
-        }
-        Some(placement)
+        chooser.choose_among(request, intake, failing)
     }
 
     /// Requests of each pool that began on replaced weights since the last call, at all nodes: the
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -44,10 +44,21 @@
         tokens_per_second: f64,
         prices: &PlacementPrices,
         was_divided: bool,
+    ) -> Option<Self> {
+        let of_pool = engines.of_pool(pool);
+        Self::among(of_pool, tokens_per_second, prices, was_divided)
+    }
+
+    /// The same for some engines of a pool, to which its requests go.
+    pub fn among<'a>(
+        engines: impl Iterator<Item = &'a Engine>,
+        tokens_per_second: f64,
+        prices: &PlacementPrices,
+        was_divided: bool,
     ) -> Option<Self> {
         let mut hashes: BTreeMap<ZoneName, Vec<u64>> = BTreeMap::new();
         let (mut count, mut slots, mut requests) = (0, 0, 0);
-        for engine in engines.of_pool(pool) {
+        for engine in engines {
             let of_zone = hashes.entry(engine.entry.zone.clone()).or_default();
             of_zone.push(engine.name_hash);
             count += 1;
--- /dev/null
+++ b/crates/gateway/src/release/admission.rs
@@ -0,0 +1,43 @@
+//! Where a request may go.
+
+use super::Intake;
+use crate::placement::Failing;
+
+/// Where a request may go: to some engines, and when none of them serves to others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admission {
+    /// The engines that it is for.
+    pub first: Intake,
+    /// When none of those serves, these; without them the request gets no engine.
+    pub fallback: Option<Intake>,
+    /// Whether it goes to engines that fail requests: a version that isn't known to be good needs none.
+    pub failing: Failing,
+}
+
+impl Admission {
+    /// To these engines or to none.
+    pub fn to(first: Intake) -> Self {
+        Self {
+            first,
+            fallback: None,
+            failing: Failing::BetterThanNone,
+        }
+    }
+
+    /// To these engines, else to others.
+    pub fn with_fallback(first: Intake, fallback: Intake) -> Self {
+        Self {
+            first,
+            fallback: Some(fallback),
+            failing: Failing::BetterThanNone,
+        }
+    }
+
+    /// The same, but engines that fail requests are passed over.
+    pub fn on_trial(first: Intake, fallback: Intake) -> Self {
+        Self {
+            failing: Failing::PassedOver,
+            ..Self::with_fallback(first, fallback)
+        }
+    }
+}
--- a/crates/gateway/src/release/mod.rs
+++ b/crates/gateway/src/release/mod.rs
@@ -1,15 +1,23 @@
 //! What a node knows and does of releases of engine software; the decisions are in
 //! [`ryerouter_core::release`], the account in docs/design/releases.md.
 
+mod admission;
+mod answer_watch;
 mod course;
 mod director;
 mod director_event;
 mod ends;
 mod evidence_news;
+mod gate;
+mod intake;
 mod known_order;
 mod known_release;
+mod listed_versions;
+mod log_median;
 mod order_follower;
 mod orders;
+mod origin;
+mod paces;
 mod record_reader;
 mod record_state;
 mod recorded_grant;
@@ -17,12 +25,20 @@
 mod stage_log;
 mod table;
 
+pub use admission::Admission;
+pub use answer_watch::{AnswerEnd, AnswerWatch};
 pub use course::Course;
 pub use director::run_releases;
 pub use evidence_news::{EvidenceNews, OrderKey, order_key};
+pub use gate::Gate;
+pub use intake::Intake;
 pub use known_order::KnownOrder;
 pub use known_release::KnownRelease;
+pub use listed_versions::ListedVersions;
+pub use log_median::LogMedian;
 pub use orders::Orders;
+pub use origin::{Origin, zone_reporter};
+pub use paces::{Paces, TimedPart};
 pub use record_state::RecordState;
 pub use release_news::ReleaseNews;
 pub use table::Table;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod records;
 pub mod release_node;
 pub mod release_orders;
+pub mod releases;
 pub mod scripted_engine;
 pub mod scripted_source;
 pub mod silencing_server;
