Send callers to the nearest ring of nodes that is strong, and to unlike nodes by what they bear

Cause: the directory knew zones only. Two survivors of a zone got all of its callers, the rest went to nodes of every region alike, and a tenth of a core got as much as a half. Change: one type for distance (places/): own zone, own region, remote, from the settings' region and zones; a zone that is not named is remote, without zones all lie in one region. Callers get the nodes of their zone, of their region once less than half of what the zone's nodes bear is left, and all once that holds for the region. A node tells what it bears (cores and link, whichever is used up first), and of unlike nodes each answer names some, drawn by weight: one in four, six at least. Metric and log line by ring. A caller's region counts where its zone is not known. The test scaffold gets the new fields of settings and identity.

--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -1,16 +1,18 @@
 //! Which nodes callers should use; see docs/design/large.md.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::ZoneName;
 
+use slog::info;
+
+use super::caller_ring::{CallerNode, CallerPlace, CallerRing, draw_addresses};
 use super::{Gateway, GatewayState};
 use crate::peers::NodeState;
 
-/// Callers in a zone get its own nodes only when there are at least so many.
-const LEAST_NEAR_NODES: usize = 2;
 /// A node that hears nobody for so long may be cut off: five heartbeats, so that a few lost
 /// datagrams do not count.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -54,27 +56,74 @@
         is_silent && !is_proven
     }
 
-    /// Addresses that a caller in `zone` should use: its own zone's when there are enough. None from
-    /// a node that is cut off: it takes the others for dead, and would send all callers to itself.
+    /// Addresses that a caller in `zone` should use.
     pub fn addresses_near(&self, zone: &ZoneName, most: usize) -> Vec<SocketAddr> {
+        self.addresses_for(CallerPlace { zone, region: None }, most)
+    }
+
+    /// Addresses that a caller should use: of nodes of its zone, of its region when the zone is too
+    /// weak, of all when the region is. None from a node that is cut off: it takes the others for
+    /// dead, and would send all callers to itself.
+    pub fn addresses_for(&self, place: CallerPlace<'_>, most: usize) -> Vec<SocketAddr> {
         let now = self.clock().now();
         let is_ready = self.is_ready();
         let state = self.state();
         if self.is_cut_off_at(&state, now) {
             return Vec::new();
         }
-        let own = is_ready.then_some(&self.settings().identity);
-        let others = state.peers.ready(now).map(|peer| &peer.identity);
-        let nodes: Vec<_> = own.into_iter().chain(others).collect();
-        let near: Vec<_> = nodes
-            .iter()
-            .filter(|node| node.zone == *zone)
-            .map(|node| node.caller_address)
+        let nodes = self.caller_nodes(&state, is_ready, now);
+        let (ring, ready) = CallerRing::of(place, &nodes, &self.settings().places);
+        let addresses = draw_addresses(&ready, most, &mut rand::rng());
+        let is_served_zone = nodes.iter().any(|node| node.zone == place.zone);
+        let (known, serving) = (nodes.len(), ready.len());
+        drop(state);
+        self.metrics()
+            .callers_by_ring
+            .with_label_values(&[&ring.to_string()])
+            .inc();
+        // Only zones that nodes have told of: callers may name any.
+        if is_served_zone && self.note_ring(place.zone, ring) {
+            info!(self.log(), "callers_sent"; "zone" => %place.zone, "ring" => %ring,
+                "serving" => serving, "known" => known, "named" => addresses.len());
+        }
+        addresses
+    }
+
+    /// This node and all others that were heard lately.
+    fn caller_nodes<'a>(
+        &'a self,
+        state: &'a GatewayState,
+        is_ready: bool,
+        now: Timestamp,
+    ) -> Vec<CallerNode<'a>> {
+        let ready: BTreeSet<_> = state
+            .peers
+            .ready(now)
+            .map(|peer| &peer.identity.name)
             .collect();
-        if near.len() >= LEAST_NEAR_NODES {
-            return near.into_iter().take(most).collect();
+        let others = state.peers.all().map(|peer| {
+            let identity = &peer.identity;
+            (identity, ready.contains(&identity.name))
+        });
+        let own = (&self.settings().identity, is_ready);
+        let nodes = std::iter::once(own).chain(others);
+        nodes
+            .map(|(identity, is_ready)| CallerNode {
+                address: identity.caller_address,
+                zone: &identity.zone,
+                capacity: identity.capacity,
+                is_ready,
+            })
+            .collect()
+    }
+
+    /// Whether callers of a zone are sent to another ring than before.
+    fn note_ring(&self, zone: &ZoneName, ring: CallerRing) -> bool {
+        let mut state = self.state_mut();
+        if state.caller_rings.get(zone) == Some(&ring) {
+            return false;
         }
-        let all = nodes.iter().map(|node| node.caller_address);
-        all.take(most).collect()
+        state.caller_rings.insert(zone.clone(), ring);
+        true
     }
 }
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -8,6 +8,7 @@
 
 use crate::peers::NodeIdentity;
 use crate::placement::PlacementPrices;
+use crate::places::Places;
 use crate::retry::RetrySettings;
 use crate::rollout::RolloutSettings;
 use crate::upstream::ConnectSettings;
@@ -22,6 +23,8 @@
 pub struct GatewaySettings {
     /// Who it is.
     pub identity: NodeIdentity,
+    /// Which zone lies in which region.
+    pub places: Places,
     /// Where other nodes may be.
     pub seeds: Vec<SocketAddr>,
     /// Requests with a key are refused when the configuration was not proven current for so long;
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -1,15 +1,15 @@
 //! What a gateway believes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{PoolName, ZoneName};
 
-use super::{GatewaySettings, ProofOfFreshness};
+use super::{CallerRing, GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
 use crate::engines::{BeginTimes, EngineTable, PartTimes};
 use crate::peers::{
@@ -122,6 +122,8 @@
     pub load_news: Vec<WeightsNews>,
     /// Weights to tell others of.
     pub weights_news: Vec<WeightsNews>,
+    /// From how far away callers of each zone were last sent to nodes.
+    pub caller_rings: BTreeMap<ZoneName, CallerRing>,
     /// Requests in progress.
     pub active_requests: usize,
 }
@@ -206,6 +208,7 @@
             has_new_loads: false,
             load_news: Vec::new(),
             weights_news: Vec::new(),
+            caller_rings: BTreeMap::new(),
             active_requests: 0,
         }
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod cache_events;
 mod cache_knowledge;
+mod caller_ring;
 mod callers;
 mod copy_proofs;
 mod dividing;
@@ -21,6 +22,7 @@
 mod tenant_limits;
 mod zone_relay;
 
+pub use caller_ring::{CallerNode, CallerPlace, CallerRing, draw_addresses};
 pub use gateway_settings::GatewaySettings;
 pub use gateway_state::GatewayState;
 pub use proof_of_freshness::ProofOfFreshness;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod gateway;
 pub mod peers;
 pub mod placement;
+pub mod places;
 pub mod quotas;
 pub mod relay;
 pub mod release;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! The other gateways: who they are, and what they tell.
 
+mod capacity;
 mod configuration_proof;
 mod copy_proof;
 mod datagram;
@@ -18,6 +19,7 @@
 mod zone_news;
 mod zone_traffic;
 
+pub use capacity::Capacity;
 pub use configuration_proof::{ConfigurationProof, MessageEcho};
 pub use copy_proof::CopyProof;
 pub use datagram::Datagram;
--- a/crates/gateway/src/peers/node_identity.rs
+++ b/crates/gateway/src/peers/node_identity.rs
@@ -5,6 +5,8 @@
 use ryerouter_core::identity::{NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use super::Capacity;
+
 /// Who a node is and where it is found.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeIdentity {
@@ -23,6 +25,9 @@
     /// The zone it stands in.
     #[serde(rename = "z")]
     pub zone: ZoneName,
+    /// How much it can bear.
+    #[serde(rename = "b", default)]
+    pub capacity: Capacity,
 }
 
 /// An incarnation that no other life of a process has had: 32 random bits, to keep messages short.
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -178,6 +178,11 @@
         lately.count().saturating_sub(alive.count())
     }
 
+    /// All nodes that were heard lately, silent ones included.
+    pub fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
     /// Nodes that serve, as far as known.
     pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
         self.alive(now)
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -40,6 +40,10 @@
     pub list_age_seconds: Histogram,
     /// Requests sent by a list of engines that was known to be old.
     pub sent_by_old_list: IntCounter,
+    /// Answers to callers who asked for nodes, by how far away those are.
+    pub callers_by_ring: IntCounterVec,
+    /// Requests placed, by how far away their engines are.
+    pub placements_by_distance: IntCounterVec,
     /// Version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Engines in the list.
@@ -109,6 +113,18 @@
                 "sent_by_old_list_total",
                 "Requests sent by a list of engines known to be old",
             ),
+            callers_by_ring: vector(
+                &registry,
+                "callers_named_nodes_total",
+                "Answers to callers who asked for nodes, by ring: zone, region, all",
+                "ring",
+            ),
+            placements_by_distance: vector(
+                &registry,
+                "placements_by_distance_total",
+                "Requests placed, by how far away the engine is: zone, region, remote",
+                "distance",
+            ),
             configuration_version: gauge(
                 &registry,
                 "configuration_version",
--- /dev/null
+++ b/crates/gateway/tests/region_callers.rs
@@ -0,0 +1,196 @@
+//! From how far away callers are sent to nodes, and to which of unlike ones.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use ryerouter_core::identity::{RegionName, ZoneName};
+use ryerouter_gateway::gateway::{CallerNode, CallerPlace, CallerRing, Gateway, draw_addresses};
+use ryerouter_gateway::peers::Capacity;
+use ryerouter_gateway::places::{Distance, Places};
+use support::fleet::{ZONES, nodes_in_regions, three_regions};
+use support::gateway_bench::run_paused;
+use yare::parameterized;
+
+const MOST: usize = 64;
+const BIG: Capacity = Capacity(500);
+const SMALL: Capacity = Capacity(120);
+
+#[parameterized(
+    same = { "a1", "a1", Distance::Near },
+    region = { "a1", "a2", Distance::SameRegion },
+    other = { "a1", "b1", Distance::Remote },
+    unnamed = { "a1", "x", Distance::Remote },
+    both_unnamed = { "x", "y", Distance::Remote },
+)]
+fn distance_follows_the_regions(left: &str, right: &str, expected: Distance) {
+    let distance = |places: Places| places.between(&ZoneName::new(left), &ZoneName::new(right));
+    assert_eq!(distance(three_regions()), expected);
+    // Where no region is known all zones lie in one.
+    assert!(distance(Places::default()) <= Distance::SameRegion);
+}
+
+fn address(index: usize) -> SocketAddr {
+    let port = 10_000 + index;
+    format!("127.0.0.1:{port}").parse().unwrap()
+}
+
+/// The ring of a caller, and how many nodes serve in it, with six nodes in each zone of which `lost`
+/// of each do not serve.
+fn ring_of(zone: &str, region: Option<&str>, lost: [usize; 6]) -> (CallerRing, usize) {
+    let zones = ZONES.map(ZoneName::new);
+    let nodes: Vec<_> = (0..36)
+        .map(|index| CallerNode {
+            address: address(index),
+            zone: &zones[index / 6],
+            capacity: Capacity::default(),
+            is_ready: index % 6 >= lost[index / 6],
+        })
+        .collect();
+    let region = region.map(RegionName::new);
+    let place = CallerPlace {
+        zone: &ZoneName::new(zone),
+        region: region.as_ref(),
+    };
+    let (ring, ready) = CallerRing::of(place, &nodes, &three_regions());
+    (ring, ready.len())
+}
+
+#[parameterized(
+    whole = { "a1", None, [0; 6], CallerRing::Zone, 6 },
+    half_left = { "a1", None, [3, 0, 0, 0, 0, 0], CallerRing::Zone, 3 },
+    most_of_a_zone_lost = { "a1", None, [4, 0, 0, 0, 0, 0], CallerRing::Region, 8 },
+    most_of_a_region_lost = { "a1", None, [5, 2, 0, 0, 0, 0], CallerRing::All, 29 },
+    whole_region_lost = { "a1", None, [6, 6, 0, 0, 0, 0], CallerRing::All, 24 },
+    other_region_lost = { "a1", None, [0, 0, 6, 6, 0, 0], CallerRing::Zone, 6 },
+    unknown_zone = { "x", Some("b"), [0; 6], CallerRing::Region, 12 },
+    unknown_place = { "x", Some("y"), [0; 6], CallerRing::All, 36 },
+    no_region_told = { "x", None, [0; 6], CallerRing::All, 36 },
+)]
+fn callers_are_served_from_the_nearest_ring_that_is_strong(
+    zone: &str,
+    region: Option<&str>,
+    lost: [usize; 6],
+    expected: CallerRing,
+    serving: usize,
+) {
+    assert_eq!(ring_of(zone, region, lost), (expected, serving));
+}
+
+#[test]
+fn large_nodes_that_are_left_keep_their_zone_strong() {
+    let zone = ZoneName::new("a1");
+    let node = |index: usize| CallerNode {
+        address: address(index),
+        zone: &zone,
+        capacity: if index < 2 { BIG } else { SMALL },
+        is_ready: index < 2,
+    };
+    let nodes: Vec<_> = (0..8).map(node).collect();
+    let place = CallerPlace {
+        zone: &zone,
+        region: None,
+    };
+    let (ring, ready) = CallerRing::of(place, &nodes, &three_regions());
+    assert_eq!((ring, ready.len()), (CallerRing::Zone, 2));
+}
+
+/// How often callers pick each node, if every answer is used once.
+fn picks(nodes: &[CallerNode<'_>], most: usize) -> BTreeMap<SocketAddr, f64> {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut picks = BTreeMap::new();
+    for _ in 0..4_000 {
+        let named = draw_addresses(nodes, most, &mut random);
+        let distinct: BTreeSet<_> = named.iter().collect();
+        assert_eq!(distinct.len(), named.len());
+        assert!(named.len() >= nodes.len().min(6));
+        for address in &named {
+            *picks.entry(*address).or_default() += 1.0 / named.len() as f64;
+        }
+    }
+    picks
+}
+
+fn nodes_of<'a>(zone: &'a ZoneName, capacities: &[Capacity]) -> Vec<CallerNode<'a>> {
+    let nodes = capacities.iter().enumerate();
+    nodes
+        .map(|(index, capacity)| CallerNode {
+            address: address(index),
+            zone,
+            capacity: *capacity,
+            is_ready: true,
+        })
+        .collect()
+}
+
+#[test]
+fn callers_come_to_unlike_nodes_by_what_those_bear() {
+    let zone = ZoneName::new("a1");
+    let capacities: Vec<_> = (0..40)
+        .map(|index| if index < 8 { BIG } else { SMALL })
+        .collect();
+    let nodes = nodes_of(&zone, &capacities);
+    let picks = picks(&nodes, MOST);
+    assert_eq!(picks.len(), nodes.len());
+    let mean = |range: std::ops::Range<usize>| {
+        let count = range.len() as f64;
+        range.map(|index| picks[&address(index)]).sum::<f64>() / count
+    };
+    // They bear 4.2 times as much; a draw without putting back falls somewhat short of that.
+    let times = mean(0..8) / mean(8..40);
+    assert!((2.5..4.5).contains(&times), "{times}");
+}
+
+#[test]
+fn few_or_like_nodes_are_all_named() {
+    let zone = ZoneName::new("a1");
+    let mut random = StdRng::seed_from_u64(7);
+    let alike = nodes_of(&zone, &[SMALL; 30]);
+    assert_eq!(draw_addresses(&alike, MOST, &mut random).len(), 30);
+    let few = nodes_of(&zone, &[BIG, SMALL, SMALL, SMALL]);
+    assert_eq!(draw_addresses(&few, MOST, &mut random).len(), 4);
+    assert!(draw_addresses(&[], MOST, &mut random).is_empty());
+}
+
+#[test]
+fn each_of_more_nodes_than_an_answer_holds_is_named_at_times() {
+    let zone = ZoneName::new("a1");
+    let nodes = nodes_of(&zone, &[SMALL; 100]);
+    assert_eq!(picks(&nodes, MOST).len(), 100);
+}
+
+fn named(gateway: &Gateway, zone: &str) -> usize {
+    gateway.addresses_near(&ZoneName::new(zone), MOST).len()
+}
+
+#[test]
+fn nodes_that_fall_silent_make_their_zone_and_then_their_region_weak() {
+    run_paused(async {
+        let nodes = nodes_in_regions(4);
+        assert_eq!(named(&nodes[0], "a1"), 4);
+        assert_eq!(named(&nodes[0], "c2"), 4);
+        let hear_but = |silent: std::ops::Range<usize>| {
+            let others = nodes.iter().enumerate().skip(1);
+            for (_, node) in others.filter(|(index, _)| !silent.contains(index)) {
+                nodes[0].hear_peer(node.peer_message(false));
+            }
+        };
+        for _ in 0..4 {
+            tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+            hear_but(20..23);
+        }
+        // Three of the four nodes of `c2` are lost.
+        assert_eq!(named(&nodes[0], "c2"), 5);
+        assert_eq!(named(&nodes[0], "c1"), 4);
+        for _ in 0..4 {
+            tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+            hear_but(17..23);
+        }
+        // So are three of `c1`.
+        assert_eq!(named(&nodes[0], "c2"), 18);
+        assert_eq!(named(&nodes[0], "a1"), 4);
+    });
+}
--- a/crates/gateway/tests/support/fleet.rs
+++ b/crates/gateway/tests/support/fleet.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ryerouter_core::identity::ZoneName;
+use ryerouter_core::identity::{RegionName, ZoneName};
 use ryerouter_gateway::gateway::{Gateway, Parcel};
+use ryerouter_gateway::places::Places;
 use ryerouter_gateway::source::{Item, ItemKind};
 
 use super::gateway_bench::{configure, gateway_with, settings};
@@ -18,11 +19,18 @@
 }
 
 pub fn node_in(index: usize, zone: &str) -> Rc<Gateway> {
+    node_at(index, zone, Places::default())
+}
+
+/// A node that knows which zone lies in which region.
+pub fn node_at(index: usize, zone: &str, places: Places) -> Rc<Gateway> {
     let mut own = settings(&format!("node-{index:02}"));
     own.identity.incarnation = index as u64 + 10;
     own.identity.zone = ZoneName::new(zone);
+    own.places = places;
     let port = 10_000 + index;
     own.identity.peer_address = format!("127.0.0.1:{port}").parse().unwrap();
+    own.identity.caller_address = format!("127.0.0.2:{port}").parse().unwrap();
     let gateway = gateway_with(own);
     let now = gateway.clock().now();
     configure(&gateway, table(1, Vec::new()));
@@ -59,6 +67,23 @@
     nodes
 }
 
+/// Three regions of two zones each: `a1` and `a2`, `b1` and `b2`, `c1` and `c2`.
+pub const ZONES: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
+
+/// The region of each of these zones.
+pub fn three_regions() -> Places {
+    let region_of = |zone: &str| (ZoneName::new(zone), RegionName::new(&zone[..1]));
+    Places::new(ZONES.into_iter().map(region_of).collect())
+}
+
+/// So many nodes in each of these zones, in order of the zones; each has heard of all others.
+pub fn nodes_in_regions(of_zone: usize) -> Vec<Rc<Gateway>> {
+    let node = |index: usize| node_at(index, ZONES[index / of_zone], three_regions());
+    let nodes: Vec<_> = (0..ZONES.len() * of_zone).map(node).collect();
+    introduce(&nodes);
+    nodes
+}
+
 pub fn addresses(nodes: &[Rc<Gateway>]) -> Vec<SocketAddr> {
     let all = nodes
         .iter()
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -16,8 +16,9 @@
 use ryerouter_gateway::connections::OpenConnections;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
-use ryerouter_gateway::peers::NodeIdentity;
+use ryerouter_gateway::peers::{Capacity, NodeIdentity};
 use ryerouter_gateway::placement::PlacementPrices;
+use ryerouter_gateway::places::Places;
 use ryerouter_gateway::retry::RetrySettings;
 use ryerouter_gateway::rollout::RolloutSettings;
 use ryerouter_gateway::serve::{StopSettings, planned_stop, serve_callers, serve_callers_on};
@@ -58,7 +59,9 @@
             peer_address: "127.0.0.1:1".parse().expect("address"),
             caller_address: "127.0.0.1:2".parse().expect("address"),
             zone: ZoneName::new(super::records::ZONE),
+            capacity: Capacity::default(),
         },
+        places: Places::default(),
         seeds: Vec::new(),
         most_unproven: Some(Duration::from_secs(3600)),
         weights_grace: Duration::from_secs(7),
