Place requests by distance: delay, bytes, moves of KV cache, lenders and stores by region

Cause: to a zone every other zone was alike, so requests went to engines 60 ms away for nothing, and cache was fetched over ten times as slow a way. Change: costs by distance (bytes to another region four times, 60 ms more in the lateness, moves twice as long between zones and ten times between regions, priced up to three times); the nearest of the lenders that used a part lately; a store of the engine's own region while one answers; in a large deployment the engines of other regions are compared only where the own one has too few. Constants say within which distance one engine reads a part first (zone for small parts, all for others, as before).

--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -138,9 +138,18 @@
             division: state.divisions.get(request.pool),
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
+            places: &self.settings.places,
             now,
         };
         let placement = chooser.choose(request)?;
+        let engine = state.engines.get(&placement.engine);
+        let zone = engine.map(|engine| &engine.entry.zone);
+        let own_zone = &self.settings.identity.zone;
+        if let Some(zone) = zone {
+            let distance = self.settings.places.between(own_zone, zone);
+            let placements = &self.metrics.placements_by_distance;
+            placements.with_label_values(&[&distance.to_string()]).inc();
+        }
         drop(state);
         self.count_reading(request, &placement);
         if placement.cost.stale > 0.0 {
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -14,6 +14,7 @@
 
 use crate::catalogue::{EngineProfile, RoutingTable};
 use crate::engines::{Engine, EngineTable};
+use crate::places::{Distance, Places};
 use crate::rollout::WeightsDeadlines;
 
 use self::sample::Sample;
@@ -49,6 +50,8 @@
     pub is_large: bool,
     /// The zone of this process.
     pub zone: &'a ZoneName,
+    /// Which zone lies in which region.
+    pub places: &'a Places,
     /// Now.
     pub now: Timestamp,
 }
@@ -149,6 +152,11 @@
         }
     }
 
+    /// How far an engine is from this process.
+    fn distance(&self, engine: &Engine) -> Distance {
+        self.places.between(self.zone, &engine.entry.zone)
+    }
+
     fn is_healthy(&self, engine: &Engine) -> bool {
         engine.health.is_serving() || engine.health.is_due_for_probe(self.now)
     }
@@ -176,7 +184,7 @@
         let slots = f64::from(engine.entry.slots.max(1));
         let occupied = f64::from(engine.load().requests) / slots;
         let cost = CandidateCost {
-            late: occupied * occupied * self.prices.at_target,
+            late: occupied * occupied * self.prices.at_target + self.delay_cost(engine, request),
             zone: self.zone_cost(engine, request),
             load: self.state_cost(engine),
             ..CandidateCost::default()
@@ -214,7 +222,7 @@
             return None;
         }
         let mut cost = CandidateCost {
-            late: self.lateness(engine, profile, unread_tokens, fetched, request),
+            late: self.lateness(engine, profile, unread_tokens, fetch.as_ref(), request),
             pauses: self.pause_cost(engine, unread_tokens, request),
             stale: self.stale_cost(&prompt.model, weights),
             zone: self.zone_cost(engine, request),
@@ -228,7 +236,7 @@
         Some(Candidate {
             engine,
             version: Some(version),
-            save_to: self.save_to(keys),
+            save_to: self.save_to(engine, keys),
             order: version.order_of(engine),
             cached_tokens,
             unread_tokens,
@@ -254,7 +262,7 @@
             });
             let may_read_first = engine.takes_work(self.now) && self.is_healthy(engine);
             if may_read_first && self.is_for(engine, request) {
-                versions[index].consider_first_reader(engine, self.zone);
+                versions[index].consider_first_reader(engine, self.distance(engine));
             }
         }
         versions
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -11,11 +11,16 @@
 use crate::placement::{
     KvFetch, KvHolder, LEAST_SAVED_TOKENS, PlacementRequest, Prompt, PromptVersion,
 };
+use crate::places::Distance;
 
 const BYTES_PER_GIGABYTE: f64 = 1e9;
 const BYTES_PER_KILOBYTE: f64 = 1e3;
 /// Bits in a megabit, and milliseconds in a second.
 const BITS_PER_MS_AND_MEGABIT: f64 = 1e3;
+/// A move of KV cache takes so many times as long between two zones of a region as within one, and
+/// between regions (the engines' operators).
+const MOVE_TIMES_IN_REGION: f64 = 2.0;
+const MOVE_TIMES_REMOTE: f64 = 10.0;
 /// Cost of an engine that is tried only to find out whether it serves again.
 const PROBE_COST: f64 = 0.5;
 /// Cost of an engine that is not in the list any more but may still serve.
@@ -59,19 +64,58 @@
         engine: &Engine,
         profile: &EngineProfile,
         unread_tokens: u32,
-        fetched_tokens: u32,
+        fetch: Option<&KvFetch>,
         request: &PlacementRequest<'_>,
     ) -> f64 {
         let queued = f64::from(engine.load().unread_tokens) + f64::from(unread_tokens);
         let read_ms = queued / self.prices.read_tokens_per_ms;
-        let fetched_bits = f64::from(fetched_tokens) * profile.kv_token_bytes * 8.0;
-        let bits_per_ms = profile.link_megabits.max(1.0) * BITS_PER_MS_AND_MEGABIT;
-        let first_token_ms = read_ms + fetched_bits / bits_per_ms;
+        let fetch_ms = fetch.map_or(0.0, |fetch| self.fetch_ms(engine, fetch, profile));
+        self.late_cost(read_ms + fetch_ms + self.delay_ms(engine), request)
+    }
+
+    /// Cost of the way to an engine that is otherwise idle.
+    pub(super) fn delay_cost(&self, engine: &Engine, request: &PlacementRequest<'_>) -> f64 {
+        self.late_cost(self.delay_ms(engine), request)
+    }
+
+    /// Cost of a first token after so long.
+    fn late_cost(&self, first_token_ms: f64, request: &PlacementRequest<'_>) -> f64 {
         let target_ms = request.target_latency.as_secs_f64().max(0.001) * 1e3;
         let share = first_token_ms / target_ms;
         share * share * self.prices.at_target
     }
 
+    /// Time that a request and its answer are on the way to an engine of another region.
+    fn delay_ms(&self, engine: &Engine) -> f64 {
+        match self.distance(engine) {
+            Distance::Remote => self.prices.remote_delay.as_secs_f64() * 1e3,
+            Distance::Near | Distance::SameRegion => 0.0,
+        }
+    }
+
+    fn fetch_ms(&self, engine: &Engine, fetch: &KvFetch, profile: &EngineProfile) -> f64 {
+        let bits = f64::from(fetch.tokens) * profile.kv_token_bytes * 8.0;
+        let bits_per_ms = profile.link_megabits.max(1.0) * BITS_PER_MS_AND_MEGABIT;
+        let times = match self.fetch_distance(engine, fetch) {
+            Distance::Near => 1.0,
+            Distance::SameRegion => MOVE_TIMES_IN_REGION,
+            Distance::Remote => MOVE_TIMES_REMOTE,
+        };
+        times * bits / bits_per_ms
+    }
+
+    /// How far the holder of what is fetched is from the engine; one that is not known is taken to be
+    /// in another zone.
+    fn fetch_distance(&self, engine: &Engine, fetch: &KvFetch) -> Distance {
+        let zone = match &fetch.holder {
+            KvHolder::Engine(name) => self.engines.get(name).map(|holder| &holder.entry.zone),
+            KvHolder::Store => self.zone_of_store(fetch.address),
+        };
+        zone.map_or(Distance::SameRegion, |zone| {
+            self.places.between(zone, &engine.entry.zone)
+        })
+    }
+
     /// Cost of the pauses that reading a prompt brings to the streams that run there: an engine
     /// reads between two tokens of its streams, so they wait while much is read without a break.
     /// See docs/design/shifted.md.
@@ -110,11 +154,13 @@
     }
 
     pub(super) fn zone_cost(&self, engine: &Engine, request: &PlacementRequest<'_>) -> f64 {
-        if engine.entry.zone == *self.zone {
-            return 0.0;
-        }
+        let price = match self.distance(engine) {
+            Distance::Near => return 0.0,
+            Distance::SameRegion => self.prices.kilobyte_across,
+            Distance::Remote => self.prices.kilobyte_remote,
+        };
         let kilobytes = (request.body_bytes as f64 / BYTES_PER_KILOBYTE).max(1.0);
-        kilobytes * self.prices.kilobyte_across
+        kilobytes * price
     }
 
     pub(super) fn move_cost(
@@ -124,14 +170,10 @@
         profile: &EngineProfile,
     ) -> f64 {
         let gigabytes = f64::from(fetch.tokens) * profile.kv_token_bytes / BYTES_PER_GIGABYTE;
-        let zone = match &fetch.holder {
-            KvHolder::Engine(name) => self.engines.get(name).map(|holder| &holder.entry.zone),
-            KvHolder::Store => self.zone_of_store(fetch.address),
-        };
-        let is_near = zone == Some(&engine.entry.zone);
-        let price = match is_near {
-            true => self.prices.moved_gigabyte,
-            false => self.prices.moved_gigabyte_across,
+        let price = match self.fetch_distance(engine, fetch) {
+            Distance::Near => self.prices.moved_gigabyte,
+            Distance::SameRegion => self.prices.moved_gigabyte_across,
+            Distance::Remote => self.prices.moved_gigabyte_remote,
         };
         let displaced = f64::from(fetch.tokens) * self.prices.displaced_share;
         gigabytes * price + displaced * self.prices.reread_token
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -53,7 +53,8 @@
             able.partition(|engine| engine.entry.zone == *chooser.zone);
         let order = |engine: &&Engine| rendezvous_score(key, engine.name_hash);
         near.sort_unstable_by_key(order);
-        far.sort_unstable_by_key(order);
+        // Those of other regions come last: they are far for every request.
+        far.sort_unstable_by_key(|engine| (chooser.distance(engine), order(engine)));
         let drawn = near.iter().take(MOST_NEAR).chain(far.iter().take(MOST_FAR));
         let names = drawn.map(|engine| engine.entry.name.clone());
         Self {
--- a/crates/gateway/src/placement/chooser/sources.rs
+++ b/crates/gateway/src/placement/chooser/sources.rs
@@ -1,5 +1,6 @@
 //! Who holds the parts of a prompt, and where to fetch them from.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use crate::engines::Engine;
 use crate::placement::prompt_version::PromptVersion;
 use crate::placement::{KvFetch, KvHolder, LEAST_SAVED_TOKENS, PartKey, PromptKeys};
+use crate::places::Distance;
 
 /// Fewest tokens that are worth fetching.
 const LEAST_FETCHED_TOKENS: u32 = 64;
@@ -41,7 +43,7 @@
         let keys = &version.keys;
         for (key, tokens) in keys.0.iter().rev() {
             if tokens.saturating_sub(cached) < LEAST_FETCHED_TOKENS {
-                return self.fetch_in_case(keys);
+                return self.fetch_in_case(engine, keys);
             }
             let tokens = tokens - cached;
             let lender = self.best_lender(engine, *key, version);
@@ -50,23 +52,25 @@
             {
                 return Some(fetch_from(lender, tokens));
             }
-            if self.is_stored(*key, keys) {
-                return self.fetch_from_store(keys, tokens);
+            if self.is_stored(*key, engine, keys) {
+                return self.fetch_from_store(engine, keys, tokens);
             }
             if let Some((lender, _)) = lender {
                 return Some(fetch_from(lender, tokens));
             }
         }
         // Nobody is known to hold any of it, but earlier processes may have saved it.
-        self.fetch_in_case(keys)
+        self.fetch_in_case(engine, keys)
     }
 
     /// An engine that should have all shared parts may have dropped some: then it asks the store,
     /// else nothing moves.
-    pub(super) fn fetch_in_case(&self, keys: &PromptKeys) -> Option<KvFetch> {
+    pub(super) fn fetch_in_case(&self, engine: &Engine, keys: &PromptKeys) -> Option<KvFetch> {
         let shared = keys.shared().last().map_or(0, |(_, tokens)| *tokens);
         let is_worth = shared >= LEAST_SAVED_TOKENS;
-        is_worth.then(|| self.fetch_from_store(keys, 0)).flatten()
+        is_worth
+            .then(|| self.fetch_from_store(engine, keys, 0))
+            .flatten()
     }
 
     pub(super) fn best_lender(
@@ -83,27 +87,34 @@
             .filter(|(holder, _)| version.is_of(holder))
             .max_by_key(|(holder, used_at)| {
                 let is_late = self.now.since(*used_at) < LATELY;
-                (is_late, holder.entry.zone == engine.entry.zone, *used_at)
+                let distance = self.places.between(&holder.entry.zone, &engine.entry.zone);
+                (is_late, Reverse(distance), *used_at)
             })
     }
 
-    /// The store that keeps the shared parts of a prompt: all nodes take the same one of those that
-    /// answer, so that nobody has to be told where a part is kept, and none is kept twice.
-    fn store_of(&self, keys: &PromptKeys) -> Option<&KvStoreProfile> {
+    /// The store that keeps the shared parts of a prompt for an engine: all nodes take the same one of
+    /// those that answer, so that nobody has to be told where a part is kept, and none is kept twice.
+    /// A store of another region takes ten times as long, so only one of the engine's own is asked
+    /// while any answers there.
+    fn store_of(&self, engine: &Engine, keys: &PromptKeys) -> Option<&KvStoreProfile> {
         let (key, _) = keys.shared().last()?;
         let stores = self.table.kv_stores().iter();
         let up = stores.filter(|store| self.kv_stores.is_up(store.address));
-        up.max_by_key(|store| rendezvous_score(key.0, store.hash()))
+        up.max_by_key(|store| {
+            let distance = self.places.between(&engine.entry.zone, &store.zone);
+            let score = rendezvous_score(key.0, store.hash());
+            (distance < Distance::Remote, score)
+        })
     }
 
-    fn is_stored(&self, key: PartKey, keys: &PromptKeys) -> bool {
-        let store = self.store_of(keys);
+    fn is_stored(&self, key: PartKey, engine: &Engine, keys: &PromptKeys) -> bool {
+        let store = self.store_of(engine, keys);
         let stored_at = store.and_then(|store| self.holders.stored_at(key, store.address));
         stored_at.is_some_and(|at| self.now.since(at) < STORED_FOR)
     }
 
-    fn fetch_from_store(&self, keys: &PromptKeys, tokens: u32) -> Option<KvFetch> {
-        let store = self.store_of(keys)?;
+    fn fetch_from_store(&self, engine: &Engine, keys: &PromptKeys, tokens: u32) -> Option<KvFetch> {
+        let store = self.store_of(engine, keys)?;
         Some(KvFetch {
             holder: KvHolder::Store,
             address: store.address,
@@ -112,10 +123,10 @@
     }
 
     /// Shared parts that are worth it are saved once, by whoever reads them.
-    pub(super) fn save_to(&self, keys: &PromptKeys) -> Option<SocketAddr> {
+    pub(super) fn save_to(&self, engine: &Engine, keys: &PromptKeys) -> Option<SocketAddr> {
         let (key, tokens) = keys.shared().last()?;
-        let is_worth = *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key, keys);
-        let store = self.store_of(keys)?;
+        let is_worth = *tokens >= LEAST_SAVED_TOKENS && !self.is_stored(*key, engine, keys);
+        let store = self.store_of(engine, keys)?;
         is_worth.then_some(store.address)
     }
 
--- a/crates/gateway/src/placement/placement_prices.rs
+++ b/crates/gateway/src/placement/placement_prices.rs
@@ -18,6 +18,8 @@
     pub moved_gigabyte: f64,
     /// The same between zones.
     pub moved_gigabyte_across: f64,
+    /// The same between regions.
+    pub moved_gigabyte_remote: f64,
     /// Cache that is fetched drives out as much of what its engine held, and this share of it has to
     /// be read again: an engine that is sent the same prefixes all the time keeps more of them.
     pub displaced_share: f64,
@@ -26,6 +28,10 @@
     pub read_twice_risk: f64,
     /// A kilobyte of a request sent to another zone.
     pub kilobyte_across: f64,
+    /// The same to another region.
+    pub kilobyte_remote: f64,
+    /// A request that goes to another region is answered so much later.
+    pub remote_delay: Duration,
     /// Share of an engine's KV memory in use that counts as crowded.
     pub crowded_share: f64,
     /// An engine whose KV memory is exceeded by all of its size.
@@ -49,7 +55,10 @@
             reread_token: 0.001_2,
             moved_gigabyte: 0.029,
             moved_gigabyte_across: 0.058,
+            moved_gigabyte_remote: 0.087,
             kilobyte_across: 0.012,
+            kilobyte_remote: 0.048,
+            remote_delay: Duration::from_millis(60),
             displaced_share: 0.1,
             read_twice_risk: 0.25,
             crowded_share: 0.7,
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -1,10 +1,15 @@
 //! A prompt under one version of the weights.
 
-use ryerouter_core::identity::ZoneName;
 use ryerouter_core::placement::rendezvous_score;
 
 use super::{LEAST_SAVED_TOKENS, PlacementRequest, Prompt, PromptKeys};
 use crate::engines::Engine;
+use crate::places::Distance;
+
+/// Each zone reads small parts for itself: nobody is told who holds them.
+const SMALL_PARTS_READ_WITHIN: Distance = Distance::Near;
+/// Other parts are read by one engine of all.
+const LARGE_PARTS_READ_WITHIN: Distance = Distance::Remote;
 
 /// A prompt under one version of the weights: its salt and keys, and who reads it first.
 #[derive(Debug)]
@@ -19,6 +24,8 @@
     first_order: u64,
     /// The same of the engines in this node's zone.
     first_near_order: u64,
+    /// The same of those in its region.
+    first_region_order: u64,
 }
 
 impl PromptVersion {
@@ -34,6 +41,7 @@
             keys,
             first_order: 0,
             first_near_order: 0,
+            first_region_order: 0,
         }
     }
 
@@ -48,12 +56,15 @@
     }
 
     /// An engine with these weights takes work.
-    pub(super) fn consider_first_reader(&mut self, engine: &Engine, zone: &ZoneName) {
+    pub(super) fn consider_first_reader(&mut self, engine: &Engine, distance: Distance) {
         let order = self.order_of(engine);
         self.first_order = self.first_order.max(order);
-        if engine.entry.zone == *zone {
+        if distance == Distance::Near {
             self.first_near_order = self.first_near_order.max(order);
         }
+        if distance < Distance::Remote {
+            self.first_region_order = self.first_region_order.max(order);
+        }
     }
 
     /// Tokens of the parts that other requests may share.
@@ -70,10 +81,25 @@
     /// Whether all nodes, or for small parts all nodes of the zone, send parts that nobody holds to
     /// this engine.
     pub(super) fn is_first_reader(&self, engine: &Engine) -> bool {
-        let first = match self.is_small() && self.first_near_order > 0 {
-            true => self.first_near_order,
-            false => self.first_order,
+        self.order_of(engine) == self.first_order_within(self.reading_ring())
+    }
+
+    /// Within which distance of a node all requests go to one first reader.
+    fn reading_ring(&self) -> Distance {
+        match self.is_small() {
+            true => SMALL_PARTS_READ_WITHIN,
+            false => LARGE_PARTS_READ_WITHIN,
+        }
+    }
+
+    /// Place of the first engine within a distance; of all when none is that near.
+    fn first_order_within(&self, distance: Distance) -> u64 {
+        let orders = match distance {
+            Distance::Near => [self.first_near_order, self.first_region_order],
+            Distance::SameRegion => [self.first_region_order, 0],
+            Distance::Remote => [0, 0],
         };
-        self.order_of(engine) == first
+        let first = orders.into_iter().find(|order| *order > 0);
+        first.unwrap_or(self.first_order)
     }
 }
--- a/crates/gateway/tests/dividing.rs
+++ b/crates/gateway/tests/dividing.rs
@@ -13,6 +13,7 @@
     Chooser, Division, HolderTable, KvStores, PlacementPrices, PlacementRequest, Prompt,
     mostly_reads,
 };
+use ryerouter_gateway::places::Places;
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::gateway_bench::{configure, gateway, list_engines, run_paused};
 use support::records::{POOL, ZONE, engine, model_table, route};
@@ -142,6 +143,7 @@
             division: Some(&self.division),
             is_large: true,
             zone: &ZoneName::new(ZONE),
+            places: &Places::default(),
             now: NOW,
         };
         let placement = chooser.choose(&PlacementRequest {
@@ -234,6 +236,7 @@
         division: None,
         is_large: false,
         zone: &ZoneName::new(ZONE),
+        places: &Places::default(),
         now: NOW,
     };
     let placement = chooser
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -15,6 +15,7 @@
     Chooser, Division, HolderTable, KvHolder, KvStores, Placement, PlacementPrices,
     PlacementRequest, Prompt, PromptPart, store_holder_name,
 };
+use ryerouter_gateway::places::Places;
 use ryerouter_gateway::rollout::{NamedAt, WeightsDeadlines};
 use support::records::{POOL, STORE, ZONE, engine, model_table, model_table_with_stores, route};
 use support::test_dialect::{MODEL, PART_TOKENS, prompt};
@@ -82,6 +83,7 @@
             division: self.division.as_ref(),
             is_large: self.is_large,
             zone: &ZoneName::new(ZONE),
+            places: &Places::default(),
             now: self.now,
         };
         chooser.choose(&PlacementRequest {
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -75,6 +75,15 @@
         kv_tokens: 100_000,
     };
     let stores = stores.iter().map(store).collect();
+    table_with(routes, stores)
+}
+
+/// A table of one route with these stores of kept KV cache, which stand in any zone.
+pub fn model_table_in(stores: Vec<KvStoreProfile>) -> RoutingTable {
+    table_with(vec![route(RequestKind::Streaming)], stores)
+}
+
+fn table_with(routes: Vec<Route>, stores: Vec<KvStoreProfile>) -> RoutingTable {
     let pool = PoolProfile {
         engine: Some(EngineProfile {
             slots: 32,
