Send zone news once to another region, whose nodes take turns to pass them on

Cause: each zone sent its news to every zone of every region, and half to two thirds of heartbeats to far nodes crossed regions, the dearest way. Within a zone, a node that was lost kept what stood behind it in its group from hearing anything until it was forgotten, half a minute. Change: news go to one node of each other region (urgent ones to two), which passes them to its zone and to the other zones of its region. The first two by name take turns, so that one which is lost or reaches nobody leaves gaps of 600 ms. One of two far receivers of a heartbeat is of another region. Groups of a zone are headed by a node that is heard, and by two for urgent news.

--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -101,7 +101,7 @@
             .ready(now)
             .map(|peer| &peer.identity.name)
             .collect();
-        let others = state.peers.all().map(|peer| {
+        let others = state.peers.lately_heard(now).map(|peer| {
             let identity = &peer.identity;
             (identity, ready.contains(&identity.name))
         });
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -114,6 +114,8 @@
     pub dropped_news: Vec<HolderNews>,
     /// Prefixes to tell other zones of.
     pub zone_news: Vec<HolderNews>,
+    /// Counts news for other zones: nodes of other regions take turns to pass them on.
+    pub relay_turn: usize,
     /// What other zones' nodes do.
     pub zone_traffic: ZoneTraffic,
     /// Whether other nodes have told of work since it was summed up.
@@ -154,7 +156,7 @@
 
     /// The state at the start of a process, which is `now`.
     pub fn new(settings: &GatewaySettings, now: Timestamp) -> Self {
-        let mut peers = PeerTable::default();
+        let mut peers = PeerTable::new(settings.places.clone());
         for seed in &settings.seeds {
             if *seed != settings.identity.peer_address {
                 peers.suggest(*seed);
@@ -204,6 +206,7 @@
             holder_news: Vec::new(),
             dropped_news: Vec::new(),
             zone_news: Vec::new(),
+            relay_turn: 0,
             zone_traffic: ZoneTraffic::default(),
             has_new_loads: false,
             load_news: Vec::new(),
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -1,6 +1,6 @@
 //! News between zones, in a large deployment; see docs/design/reading.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
@@ -8,13 +8,17 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
-use crate::peers::{EngineLoadNews, HolderNews, Pass, WeightsNews, ZoneNews};
+use crate::peers::{EngineLoadNews, HolderNews, NodeIdentity, Pass, WeightsNews, ZoneNews};
+use crate::places::{Area, Distance};
 
 /// Most prefixes that one message tells of.
 const MOST_HOLDERS: usize = 128;
 /// Nodes of each other zone that news are sent to which nobody should miss.
 const RELAYS_OF_URGENT_NEWS: usize = 2;
 
+/// Nodes of each other region that take turns to pass news on there.
+const REMOTE_RELAYS: usize = 2;
+
 /// News, and the nodes that they are to be sent to.
 pub type Parcel = (ZoneNews, Vec<SocketAddr>);
 
@@ -49,7 +53,9 @@
             holders,
             ..self.empty_news()
         };
-        Some((news, self.relays(&state, 1, now)))
+        let relays = self.relays(&state, 1, now);
+        state.relay_turn = state.relay_turn.wrapping_add(1);
+        Some((news, relays))
     }
 
     /// News of loads that every node needs at once, for the own zone and for all others.
@@ -65,7 +71,7 @@
             ..self.empty_news()
         };
         let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
-        let mut parcels = self.parcels_of_zone(&state, &news);
+        let mut parcels = self.parcels_of_zone(&state, &news, now);
         parcels.push((news, relays));
         parcels
     }
@@ -83,24 +89,80 @@
         }
     }
 
-    /// In each other zone the nodes that pass news on: the first by name of those that serve.
+    /// The nodes that pass news on: in each other zone of the own region, and in each other region,
+    /// the first by name of those that serve.
     fn relays(&self, state: &GatewayState, most: usize, now: Timestamp) -> Vec<SocketAddr> {
-        let own = &self.settings().identity;
-        let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        let own = &self.settings().identity.zone;
+        let places = &self.settings().places;
+        let mut near: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        let mut remote: BTreeMap<Area<'_>, Vec<SocketAddr>> = BTreeMap::new();
         // They come in order of their names.
         for peer in state.peers.ready(now) {
-            let identity = &peer.identity;
-            let of_zone = relays.entry(&identity.zone).or_default();
-            if identity.zone != own.zone && of_zone.len() < most {
-                of_zone.push(identity.peer_address);
+            let NodeIdentity {
+                zone, peer_address, ..
+            } = &peer.identity;
+            let (of_place, most) = match places.between(own, zone) {
+                Distance::Near => continue,
+                Distance::SameRegion => (near.entry(zone).or_default(), most),
+                Distance::Remote => {
+                    let of_region = remote.entry(places.area(zone)).or_default();
+                    (of_region, most.max(REMOTE_RELAYS))
+                }
+            };
+            if of_place.len() < most {
+                of_place.push(*peer_address);
             }
         }
-        relays.into_values().flatten().collect()
+        // They take turns: one that is lost, or can't reach the others of its region, leaves gaps of
+        // two messages until it is missed, which is less than news may be late.
+        for relays in remote.values_mut() {
+            let turn = state.relay_turn % relays.len();
+            relays.rotate_left(turn);
+            relays.truncate(most);
+        }
+        near.into_values()
+            .chain(remote.into_values())
+            .flatten()
+            .collect()
+    }
+
+    /// News of another region for the other zones of the own one.
+    fn parcel_of_region(&self, state: &GatewayState, news: &ZoneNews, now: Timestamp) -> Parcel {
+        let own = &self.settings().identity.zone;
+        let places = &self.settings().places;
+        let most = match news.weights.is_empty() {
+            true => 1,
+            false => RELAYS_OF_URGENT_NEWS,
+        };
+        let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for peer in state.peers.ready(now) {
+            let NodeIdentity {
+                zone, peer_address, ..
+            } = &peer.identity;
+            if places.between(own, zone) == Distance::SameRegion {
+                let of_zone = relays.entry(zone).or_default();
+                if of_zone.len() < most {
+                    of_zone.push(*peer_address);
+                }
+            }
+        }
+        let news = ZoneNews {
+            pass: Pass::OwnZone,
+            ..news.clone()
+        };
+        (news, relays.into_values().flatten().collect())
     }
 
     /// News for all other nodes of the own zone, in two steps: to about as many nodes as each of
     /// them then passes them on to, so that no link carries them to all.
-    fn parcels_of_zone(&self, state: &GatewayState, news: &ZoneNews) -> Vec<Parcel> {
+    fn parcels_of_zone(
+        &self,
+        state: &GatewayState,
+        news: &ZoneNews,
+        now: Timestamp,
+    ) -> Vec<Parcel> {
+        let alive = state.peers.alive(now).filter(|peer| peer.is_near);
+        let alive: BTreeSet<_> = alive.map(|peer| &peer.identity.name).collect();
         let near: Vec<_> = state.peers.near().collect();
         let length = (near.len() as f64).sqrt().ceil().max(1.0) as usize;
         let groups: Vec<_> = near.chunks(length).collect();
@@ -110,7 +172,13 @@
                 pass: Pass::Until(next),
                 ..news.clone()
             };
-            (news, vec![group[0].peer_address])
+            // A silent node may pass nothing on, so the group's next one has to; nor may urgent news
+            // wait until it is known to be silent.
+            let first_alive = group.iter().position(|near| alive.contains(&near.name));
+            let urgent = usize::from(!news.weights.is_empty());
+            let heads = first_alive.unwrap_or_default() + 1 + urgent;
+            let heads = group.iter().take(heads);
+            (news, heads.map(|near| near.peer_address).collect())
         });
         parcels.collect()
     }
@@ -161,7 +229,12 @@
             self.note_foreign_loads(&mut state, now);
         }
         let parcels = match &news.pass {
-            Pass::Zone => self.parcels_of_zone(&state, news),
+            Pass::Zone if self.is_of_other_region(news) => {
+                let mut parcels = self.parcels_of_zone(&state, news, now);
+                parcels.push(self.parcel_of_region(&state, news, now));
+                parcels
+            }
+            Pass::Zone | Pass::OwnZone => self.parcels_of_zone(&state, news, now),
             Pass::Until(until) => vec![self.parcel_until(&state, news, until.as_ref())],
             Pass::End => Vec::new(),
         };
@@ -172,6 +245,11 @@
         parcels
     }
 
+    fn is_of_other_region(&self, news: &ZoneNews) -> bool {
+        let own = &self.settings().identity.zone;
+        self.settings().places.between(own, &news.zone) == Distance::Remote
+    }
+
     /// The work of other nodes at engines has changed. With many nodes that happens many times a
     /// second, and the sums are over all engines, so they then wait for the next tick.
     pub(super) fn note_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -25,6 +25,8 @@
     pub known_nodes: usize,
     /// Whether it stands in the own zone.
     pub is_near: bool,
+    /// Whether it stands in another region.
+    pub is_remote: bool,
     /// Number of its last message that came.
     pub sequence: u64,
     /// Number of its newest message that this or another node has.
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -12,6 +12,7 @@
 use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
 use crate::placement::ReadingNews;
+use crate::places::{Distance, Places};
 use crate::quotas::UsageNews;
 
 /// A node that was silent for so long is not handed to callers.
@@ -20,8 +21,10 @@
 const MOST_OF_FEW: usize = 9;
 /// Most nodes of the own zone that one message goes to: its engines and callers are the same.
 const MOST_NEAR_RECEIVERS: usize = 30;
-/// Most nodes of other zones that one message goes to when there are many nodes.
+/// Most nodes of other zones that one message goes to when there are many nodes: of other regions one,
+/// since bytes there are dear, and the others of the own region where it has other zones.
 const MOST_FAR_RECEIVERS: usize = 2;
+const MOST_REMOTE_RECEIVERS: usize = 1;
 /// A node of another zone is mostly heard of through the echoes of others, which takes longer.
 const FAR_SUSPECT_FACTOR: u32 = 3;
 /// A node that was silent for so long is forgotten.
@@ -36,6 +39,7 @@
 /// All other nodes, and addresses where more may be.
 #[derive(Debug, Default)]
 pub struct PeerTable {
+    places: Places,
     peers: BTreeMap<NodeName, Peer>,
     /// How many nodes the best informed of the others has heard of.
     told_count: usize,
@@ -44,6 +48,14 @@
 }
 
 impl PeerTable {
+    /// A table that knows which zone lies in which region.
+    pub fn new(places: Places) -> Self {
+        Self {
+            places,
+            ..Self::default()
+        }
+    }
+
     /// A node may be at `address`.
     pub fn suggest(&mut self, address: SocketAddr) {
         let is_heard = self
@@ -91,6 +103,7 @@
             reaches_store: message.reaches_store,
             known_nodes: message.known_nodes,
             is_near: from.zone == *own_zone,
+            is_remote: self.places.between(own_zone, &from.zone) == Distance::Remote,
             sequence: message.sequence,
             newest_sequence: self.newest_sequence(message),
             heard_at: now,
@@ -178,9 +191,10 @@
         lately.count().saturating_sub(alive.count())
     }
 
-    /// All nodes that were heard lately, silent ones included.
-    pub fn all(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values()
+    /// All nodes but those that were silent for long.
+    pub fn lately_heard(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
+        let all = self.peers.values();
+        all.filter(move |peer| peer.is_heard(FORGET_AFTER, now))
     }
 
     /// Nodes that serve, as far as known.
@@ -198,8 +212,14 @@
         let of = |peer: &Peer| peer.identity.peer_address;
         let (near, far): (Vec<_>, Vec<_>) = self.peers.values().partition(|peer| peer.is_near);
         let near = near.choose_multiple(random, MOST_NEAR_RECEIVERS);
-        let far = far.choose_multiple(random, MOST_FAR_RECEIVERS);
-        near.chain(far).map(|peer| of(peer)).collect()
+        let (remote, far): (Vec<_>, Vec<_>) = far.into_iter().partition(|peer| peer.is_remote);
+        let most_remote = match far.is_empty() {
+            true => MOST_FAR_RECEIVERS,
+            false => MOST_REMOTE_RECEIVERS.min(remote.len()),
+        };
+        let far = far.choose_multiple(random, MOST_FAR_RECEIVERS - most_remote);
+        let remote = remote.choose_multiple(random, most_remote);
+        near.chain(far).chain(remote).map(|peer| of(peer)).collect()
     }
 
     /// The other nodes of the own zone, in order of their names.
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -10,9 +10,13 @@
 /// To whom the receiver of zone news passes them on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Pass {
-    /// To its whole zone, through some of its nodes.
+    /// To its whole zone, through some of its nodes; when the news come from another region, also to a
+    /// node of each other zone of its own.
     #[serde(rename = "z")]
     Zone,
+    /// To its whole zone only: another zone of its region has passed them on.
+    #[serde(rename = "o")]
+    OwnZone,
     /// To the nodes of its zone that come after it by name, before this one.
     #[serde(rename = "u")]
     Until(Option<NodeName>),
@@ -23,8 +27,9 @@
 
 /// What the nodes of one zone tell those of the others.
 ///
-/// Bytes between zones are dear, so each zone sends its news once to one node of every other zone,
-/// which passes them on within its own; see docs/design/reading.md.
+/// Bytes between zones are dear, so each zone sends its news once to one node of every other zone of
+/// its region, which passes them on within its own; see docs/design/reading.md. Bytes between regions
+/// are dearer still, so to another region they go once, and are passed on from there to its zones.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZoneNews {
     /// The zone that tells.
--- a/crates/gateway/tests/region_callers.rs
+++ b/crates/gateway/tests/region_callers.rs
@@ -178,6 +178,8 @@
                 nodes[0].hear_peer(node.peer_message(false));
             }
         };
+        // The last message of each, so that no echo tells of a later one.
+        hear_but(0..0);
         for _ in 0..4 {
             tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
             hear_but(20..23);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod followers;
 pub mod gateway_bench;
 pub mod records;
+pub mod region_fleet;
 pub mod scripted_engine;
 pub mod scripted_source;
 pub mod silencing_server;
