Read small shared parts once in each region where there are several

Cause: shared parts of under 256 tokens were read once in each zone; with six zones that is six times. Change: where zones lie in several regions each region reads them once; elsewhere each zone, as before. Test: each_region_reads_small_parts_once.

--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -251,13 +251,14 @@
         let Some(prompt) = request.prompt else {
             return versions;
         };
+        let has_regions = self.places.has_regions();
         for engine in self.engines.of_pool(request.pool) {
             let Some(weights) = engine.serving_weights_of(&prompt.model) else {
                 continue;
             };
             let known = versions.iter().position(|known| known.weights == weights);
             let index = known.unwrap_or_else(|| {
-                versions.push(PromptVersion::new(prompt, request, weights));
+                versions.push(PromptVersion::new(prompt, request, weights, has_regions));
                 versions.len() - 1
             });
             let may_read_first = engine.takes_work(self.now) && self.is_healthy(engine);
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -6,9 +6,11 @@
 use crate::engines::Engine;
 use crate::places::Distance;
 
-/// Each zone reads small parts for itself: nobody is told who holds them.
+/// Nobody is told who holds small parts. Each zone reads them for itself, and where there are several
+/// regions, so that zones are many, each region does.
 const SMALL_PARTS_READ_WITHIN: Distance = Distance::Near;
-/// Other parts are read by one engine of all.
+const SMALL_PARTS_READ_WITHIN_OF_REGIONS: Distance = Distance::SameRegion;
+/// Other parts are read by one engine of all: a copy in each region would drive others out.
 const LARGE_PARTS_READ_WITHIN: Distance = Distance::Remote;
 
 /// A prompt under one version of the weights: its salt and keys, and who reads it first.
@@ -26,10 +28,17 @@
     first_near_order: u64,
     /// The same of those in its region.
     first_region_order: u64,
+    /// Whether there are several regions.
+    has_regions: bool,
 }
 
 impl PromptVersion {
-    pub(super) fn new(prompt: &Prompt, request: &PlacementRequest<'_>, weights: u64) -> Self {
+    pub(super) fn new(
+        prompt: &Prompt,
+        request: &PlacementRequest<'_>,
+        weights: u64,
+        has_regions: bool,
+    ) -> Self {
         let salt = request.salt(weights);
         let keys = prompt.keys(&salt);
         let order_key = keys.shared().last().or(keys.0.last());
@@ -42,6 +51,7 @@
             first_order: 0,
             first_near_order: 0,
             first_region_order: 0,
+            has_regions,
         }
     }
 
@@ -72,14 +82,14 @@
         self.keys.shared().last().map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// Whether the shared parts are so few that each zone reads them for itself: sending the request
-    /// to another zone costs more, and nobody is told who holds them.
+    /// Whether the shared parts are so few that each zone or region reads them for itself: sending the
+    /// request further costs more, and nobody is told who holds them.
     pub(super) fn is_small(&self) -> bool {
         self.shared_tokens() < LEAST_SAVED_TOKENS
     }
 
-    /// Whether all nodes, or for small parts all nodes of the zone, send parts that nobody holds to
-    /// this engine.
+    /// Whether all nodes, or for small parts all nodes of the zone or region, send parts that nobody
+    /// holds to this engine.
     pub(super) fn is_first_reader(&self, engine: &Engine) -> bool {
         self.order_of(engine) == self.first_order_within(self.reading_ring())
     }
@@ -87,6 +97,7 @@
     /// Within which distance of a node all requests go to one first reader.
     fn reading_ring(&self) -> Distance {
         match self.is_small() {
+            true if self.has_regions => SMALL_PARTS_READ_WITHIN_OF_REGIONS,
             true => SMALL_PARTS_READ_WITHIN,
             false => LARGE_PARTS_READ_WITHIN,
         }
--- a/crates/gateway/tests/region_placing.rs
+++ b/crates/gateway/tests/region_placing.rs
@@ -24,13 +24,14 @@
 /// Requests of as many names, so that draws by name do not decide.
 const REQUESTS: usize = 100;
 
-/// A node of the zone `a1`, and engines by name: the zone, a slash, a number.
+/// A node, and engines by name: the zone, a slash, a number.
 struct World {
     engines: EngineTable,
     holders: HolderTable,
     table: RoutingTable,
     kv_stores: KvStores,
     places: Places,
+    zone: ZoneName,
     is_large: bool,
     now: Timestamp,
 }
@@ -50,6 +51,7 @@
             table: model_table(vec![route(RequestKind::Streaming)]),
             kv_stores: KvStores::default(),
             places: three_regions(),
+            zone: ZoneName::new("a1"),
             is_large: false,
             now: Timestamp::from_millis(1_000_000),
         }
@@ -66,7 +68,7 @@
             prices: &PlacementPrices::default(),
             division: None,
             is_large: self.is_large,
-            zone: &ZoneName::new("a1"),
+            zone: &self.zone,
             places: &self.places,
             now: self.now,
         };
@@ -176,3 +178,29 @@
     world.kv_stores.note(near, KvStoreState::Down);
     assert!(saved_to(&world).iter().all(|store| *store == Some(far)));
 }
+
+/// A prompt whose shared parts are so few that nobody is told who holds them.
+fn small(part: &str) -> Prompt {
+    let mut small = prompt(part);
+    small.parts.iter_mut().for_each(|part| part.tokens /= 10);
+    small
+}
+
+#[test]
+fn each_region_reads_small_parts_once() {
+    let parts: Vec<_> = (0..REQUESTS)
+        .map(|index| small(&format!("s,{index},1")))
+        .collect();
+    let chosen_from = |zone: &str| -> Vec<_> {
+        let mut world = World::new(&["a1/0", "a1/1", "a2/0", "a2/1", "b1/0", "b2/0"]);
+        world.zone = ZoneName::new(zone);
+        let engines = parts
+            .iter()
+            .map(|part| world.choose("r", Some(part), &[]).engine);
+        engines.collect()
+    };
+    let (first, second) = (chosen_from("a1"), chosen_from("a2"));
+    assert_eq!(first, second);
+    assert!(first.iter().any(|name| name.as_str().starts_with("a2")));
+    assert!(first.iter().all(|name| name.as_str().starts_with('a')));
+}
