Leave out of messages to far nodes what zone news tell them; two ways for urgent news

Cause: nodes of other zones were sent the sender's work and the prefixes its engines read, which they take from its zone's news. Change: far receivers get a message without work, usages, reading and holders. The two nodes that pass urgent news on in a zone shift their groups by half; only the first group, and those of the sender's own zone, have a spare head. Tests: zones.rs passes unchanged; regions.rs has a second relay, a node of the own and of another zone lost, and what far nodes are told.

--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -201,6 +201,28 @@
         receivers
     }
 
+    /// What each of the receivers of a message is sent: all of it, or in a large deployment only what
+    /// nodes of other zones do not hear through the news of this one.
+    pub fn addressed(
+        &self,
+        message: PeerMessage,
+        receivers: Vec<SocketAddr>,
+    ) -> Vec<(PeerMessage, Vec<SocketAddr>)> {
+        let state = self.state();
+        if !state.peers.is_settled() {
+            return vec![(message, receivers)];
+        }
+        let (far, near): (Vec<_>, Vec<_>) = receivers
+            .into_iter()
+            .partition(|address| state.peers.is_far(*address));
+        let mut addressed = Vec::new();
+        if !far.is_empty() {
+            addressed.push((message.clone().without_work(), far));
+        }
+        addressed.push((message, near));
+        addressed
+    }
+
     /// Takes a message of another node.
     pub fn hear_peer(&self, message: PeerMessage) {
         if message.from.name == self.settings().identity.name {
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -161,28 +161,52 @@
         news: &ZoneNews,
         now: Timestamp,
     ) -> Vec<Parcel> {
+        let own = &self.settings().identity;
         let alive = state.peers.alive(now).filter(|peer| peer.is_near);
         let alive: BTreeSet<_> = alive.map(|peer| &peer.identity.name).collect();
         let near: Vec<_> = state.peers.near().collect();
-        let length = (near.len() as f64).sqrt().ceil().max(1.0) as usize;
-        let groups: Vec<_> = near.chunks(length).collect();
+        let is_urgent = !news.weights.is_empty();
+        let is_own = news.zone == own.zone;
+        let groups = match is_urgent && !is_own {
+            true => self.groups_of_urgent_news(&near),
+            false => near.chunks(length_of_groups(&near)).collect(),
+        };
         let parcels = groups.iter().enumerate().map(|(index, group)| {
             let next = groups.get(index + 1).map(|next| next[0].name.clone());
             let news = ZoneNews {
                 pass: Pass::Until(next),
                 ..news.clone()
             };
-            // A silent node may pass nothing on, so the group's next one has to; nor may urgent news
+            // A silent node may pass nothing on, so the group's next one has to. Urgent news can't
             // wait until it is known to be silent.
             let first_alive = group.iter().position(|near| alive.contains(&near.name));
-            let urgent = usize::from(!news.weights.is_empty());
-            let heads = first_alive.unwrap_or_default() + 1 + urgent;
+            let has_spare = is_urgent && (is_own || index == 0);
+            let heads = first_alive.unwrap_or_default() + 1 + usize::from(has_spare);
             let heads = group.iter().take(heads);
             (news, heads.map(|near| near.peer_address).collect())
         });
         parcels.collect()
     }
 
+    /// Two nodes of a zone pass urgent news on. The groups of every other node by name are shifted by
+    /// half a group: whoever has just been lost heads a group of one of the two at most, but for the
+    /// first, where these two are and which therefore has a spare head.
+    fn groups_of_urgent_news<'a>(
+        &self,
+        near: &'a [&'a NodeIdentity],
+    ) -> Vec<&'a [&'a NodeIdentity]> {
+        let own = &self.settings().identity.name;
+        let length = length_of_groups(near);
+        let rank = near.iter().filter(|other| other.name < *own).count();
+        let first = match rank.is_multiple_of(2) {
+            true => length,
+            false => length / 2,
+        };
+        let (first, others) = near.split_at(first.max(1).min(near.len()));
+        let groups = std::iter::once(first).chain(others.chunks(length));
+        groups.filter(|group| !group.is_empty()).collect()
+    }
+
     /// News for the nodes of the own zone after this one by name, before `until`.
     fn parcel_until(
         &self,
@@ -286,6 +310,11 @@
     }
 }
 
+/// So many nodes that there are about as many groups.
+fn length_of_groups(near: &[&NodeIdentity]) -> usize {
+    (near.len() as f64).sqrt().ceil().max(1.0) as usize
+}
+
 fn sum_foreign_loads(state: &mut GatewayState, now: Timestamp) {
     let mut loads = state.peers.loads(now);
     if state.peers.is_large() {
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -112,7 +112,9 @@
     }
     let message = gateway.peer_message(is_introduction);
     let receivers = gateway.peer_receivers(is_introduction, &mut rand::rng());
-    send(socket, &Datagram::Message(Box::new(message)), &receivers);
+    for (message, receivers) in gateway.addressed(message, receivers) {
+        send(socket, &Datagram::Message(Box::new(message)), &receivers);
+    }
 }
 
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -94,3 +94,17 @@
     #[serde(rename = "w")]
     pub weights: Vec<WeightsNews>,
 }
+
+impl PeerMessage {
+    /// The same for nodes of other zones in a large deployment: of the sender's work, and of what its
+    /// engines have read, they hear through the news of its zone.
+    pub fn without_work(self) -> Self {
+        Self {
+            loads: Vec::new(),
+            usages: Vec::new(),
+            reading: Vec::new(),
+            holders: Vec::new(),
+            ..self
+        }
+    }
+}
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -222,6 +222,12 @@
         near.chain(far).chain(remote).map(|peer| of(peer)).collect()
     }
 
+    /// Whether a node of another zone is known at an address.
+    pub fn is_far(&self, address: SocketAddr) -> bool {
+        let mut far = self.peers.values().filter(|peer| !peer.is_near);
+        far.any(|peer| peer.identity.peer_address == address)
+    }
+
     /// The other nodes of the own zone, in order of their names.
     pub fn near(&self) -> impl Iterator<Item = &NodeIdentity> {
         let near = self.peers.values().filter(|peer| peer.is_near);
--- a/crates/gateway/tests/regions.rs
+++ b/crates/gateway/tests/regions.rs
@@ -93,6 +93,9 @@
 #[parameterized(
     nothing_lost = { &[] },
     first_relay = { &[FIRST_OF_B] },
+    second_relay = { &[FIRST_OF_B + 1] },
+    node_of_the_own_zone = { &[1] },
+    node_of_another_zone = { &[OF_ZONE + 2] },
     first_relay_and_first_of_the_other_zone = { &[FIRST_OF_B, FIRST_OF_B + OF_ZONE] },
 )]
 fn load_is_told_to_every_node_at_once_though_a_relay_has_just_been_lost(lost: &'static [usize]) {
@@ -356,3 +359,24 @@
     let (with, without) = (remote_bytes(true), remote_bytes(false));
     assert!(with < without * 2 / 3, "{with} of {without}");
 }
+
+#[test]
+fn far_nodes_are_not_told_directly_what_zone_news_tell() {
+    run(async {
+        let nodes = nodes_in_regions(OF_ZONE);
+        let news = HolderNews(PartKey(7), BackEndName::new("e1"));
+        nodes[0].state_mut().holder_news.push(news);
+        let message = nodes[0].peer_message(false);
+        let receivers = addresses(&nodes[1..]);
+        let addressed = nodes[0].addressed(message, receivers.clone());
+        let with_news = addressed
+            .iter()
+            .filter(|(message, _)| !message.holders.is_empty());
+        let told: Vec<_> = with_news
+            .flat_map(|(_, receivers)| receivers.clone())
+            .collect();
+        assert_eq!(told, addresses(&nodes[1..OF_ZONE]));
+        let all: usize = addressed.iter().map(|(_, receivers)| receivers.len()).sum();
+        assert_eq!(all, receivers.len());
+    });
+}
--- a/crates/gateway/tests/support/region_fleet.rs
+++ b/crates/gateway/tests/support/region_fleet.rs
@@ -146,12 +146,12 @@
             return;
         }
         let message = gateway.peer_message(is_introduction);
-        for receiver in gateway.peer_receivers(is_introduction, &mut rand::rng()) {
-            self.send(
-                index,
-                receiver,
-                Datagram::Message(Box::new(message.clone())),
-            );
+        let receivers = gateway.peer_receivers(is_introduction, &mut rand::rng());
+        for (message, receivers) in gateway.addressed(message, receivers) {
+            for receiver in receivers {
+                let datagram = Datagram::Message(Box::new(message.clone()));
+                self.send(index, receiver, datagram);
+            }
         }
     }
 
