--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -1,15 +1,15 @@
 //! What a gateway believes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{PoolName, ZoneName};
 
-use super::{GatewaySettings, ProofOfFreshness};
+use super::{CallerRing, GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
 use crate::engines::{BeginTimes, EngineTable, PartTimes};
 use crate::peers::{
@@ -118,6 +118,8 @@
     pub dropped_news: Vec<HolderNews>,
     /// Prefixes to tell other zones of.
     pub zone_news: Vec<HolderNews>,
+    /// Counts news for other zones: nodes of other regions take turns to pass them on.
+    pub relay_turn: usize,
     /// What other zones' nodes do.
     pub zone_traffic: ZoneTraffic,
     /// Whether other nodes have told of work since it was summed up.
@@ -126,6 +128,8 @@
     pub load_news: Vec<WeightsNews>,
     /// Weights to tell others of.
     pub weights_news: Vec<WeightsNews>,
+    /// From how far away callers of each zone were last sent to nodes.
+    pub caller_rings: BTreeMap<ZoneName, CallerRing>,
     /// Requests in progress.
     pub active_requests: usize,
 }
@@ -156,7 +160,7 @@
 
     /// The state at the start of a process, which is `now`.
     pub fn new(settings: &GatewaySettings, now: Timestamp) -> Self {
-        let mut peers = PeerTable::default();
+        let mut peers = PeerTable::new(settings.places.clone());
         for seed in &settings.seeds {
             if *seed != settings.identity.peer_address {
                 peers.suggest(*seed);
@@ -208,10 +212,12 @@
             holder_news: Vec::new(),
             dropped_news: Vec::new(),
             zone_news: Vec::new(),
+            relay_turn: 0,
             zone_traffic: ZoneTraffic::default(),
             has_new_loads: false,
             load_news: Vec::new(),
             weights_news: Vec::new(),
+            caller_rings: BTreeMap::new(),
             active_requests: 0,
         }
     }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -137,6 +137,7 @@
             let fallback = admission.fallback.as_ref()?;
             self.choose_among(request, fallback, Failing::BetterThanNone)
         })?;
+        self.count_distance(&placement);
         self.count_reading(request, &placement);
         if placement.cost.stale > 0.0 {
             let mut state = self.state_mut();
@@ -145,6 +146,17 @@
         Some(placement)
     }
 
+    fn count_distance(&self, placement: &Placement) {
+        let state = self.state();
+        let Some(engine) = state.engines.get(&placement.engine) else {
+            return;
+        };
+        let own_zone = &self.settings.identity.zone;
+        let distance = self.settings.places.between(own_zone, &engine.entry.zone);
+        let placements = &self.metrics.placements_by_distance;
+        placements.with_label_values(&[&distance.to_string()]).inc();
+    }
+
     fn choose_among(
         &self,
         request: &PlacementRequest<'_>,
@@ -166,6 +178,7 @@
             division: state.divisions.get(request.pool),
             is_large: state.peers.is_large(),
             zone: &self.settings.identity.zone,
+            places: &self.settings.places,
             now,
         };
         chooser.choose_among(request, intake, failing)
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -1,6 +1,6 @@
 //! News between zones, in a large deployment; see docs/design/reading.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
@@ -8,13 +8,17 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::EngineLoad;
-use crate::peers::{EngineLoadNews, HolderNews, Pass, WeightsNews, ZoneNews};
+use crate::peers::{EngineLoadNews, HolderNews, NodeIdentity, Pass, WeightsNews, ZoneNews};
+use crate::places::{Area, Distance};
 
 /// Most prefixes that one message tells of.
 const MOST_HOLDERS: usize = 128;
 /// Nodes of each other zone that news are sent to which nobody should miss.
 const RELAYS_OF_URGENT_NEWS: usize = 2;
 
+/// Nodes of each other region that take turns to pass news on there.
+const REMOTE_RELAYS: usize = 2;
+
 /// News, and the nodes that they are to be sent to.
 pub type Parcel = (ZoneNews, Vec<SocketAddr>);
 
@@ -57,7 +61,9 @@
             holders,
             ..self.empty_news()
         };
-        Some((news, self.relays(&state, 1, now)))
+        let relays = self.relays(&state, 1, now);
+        state.relay_turn = state.relay_turn.wrapping_add(1);
+        Some((news, relays))
     }
 
     /// News of loads and of stages of releases that every node needs at once, for the own zone and for all others.
@@ -75,7 +81,7 @@
             ..self.empty_news()
         };
         let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
-        let mut parcels = self.parcels_of_zone(&state, &news);
+        let mut parcels = self.parcels_of_zone(&state, &news, now);
         parcels.push((news, relays));
         parcels
     }
@@ -95,38 +101,124 @@
         }
     }
 
-    /// In each other zone the nodes that pass news on: the first by name of those that serve.
+    /// The nodes that pass news on: in each other zone of the own region, and in each other region,
+    /// the first by name of those that serve.
     fn relays(&self, state: &GatewayState, most: usize, now: Timestamp) -> Vec<SocketAddr> {
-        let own = &self.settings().identity;
-        let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        let own = &self.settings().identity.zone;
+        let places = &self.settings().places;
+        let mut near: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        let mut remote: BTreeMap<Area<'_>, Vec<SocketAddr>> = BTreeMap::new();
         // They come in order of their names.
         for peer in state.peers.ready(now) {
-            let identity = &peer.identity;
-            let of_zone = relays.entry(&identity.zone).or_default();
-            if identity.zone != own.zone && of_zone.len() < most {
-                of_zone.push(identity.peer_address);
+            let NodeIdentity {
+                zone, peer_address, ..
+            } = &peer.identity;
+            let (of_place, most) = match places.between(own, zone) {
+                Distance::Near => continue,
+                Distance::SameRegion => (near.entry(zone).or_default(), most),
+                Distance::Remote => {
+                    let of_region = remote.entry(places.area(zone)).or_default();
+                    (of_region, most.max(REMOTE_RELAYS))
+                }
+            };
+            if of_place.len() < most {
+                of_place.push(*peer_address);
+            }
+        }
+        // They take turns: one that is lost, or can't reach the others of its region, leaves gaps of
+        // two messages until it is missed, which is less than news may be late.
+        for relays in remote.values_mut() {
+            let turn = state.relay_turn % relays.len();
+            relays.rotate_left(turn);
+            relays.truncate(most);
+        }
+        near.into_values()
+            .chain(remote.into_values())
+            .flatten()
+            .collect()
+    }
+
+    /// News of another region for the other zones of the own one.
+    fn parcel_of_region(&self, state: &GatewayState, news: &ZoneNews, now: Timestamp) -> Parcel {
+        let own = &self.settings().identity.zone;
+        let places = &self.settings().places;
+        let most = match news.weights.is_empty() {
+            true => 1,
+            false => RELAYS_OF_URGENT_NEWS,
+        };
+        let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
+        for peer in state.peers.ready(now) {
+            let NodeIdentity {
+                zone, peer_address, ..
+            } = &peer.identity;
+            if places.between(own, zone) == Distance::SameRegion {
+                let of_zone = relays.entry(zone).or_default();
+                if of_zone.len() < most {
+                    of_zone.push(*peer_address);
+                }
             }
         }
-        relays.into_values().flatten().collect()
+        let news = ZoneNews {
+            pass: Pass::OwnZone,
+            ..news.clone()
+        };
+        (news, relays.into_values().flatten().collect())
     }
 
     /// News for all other nodes of the own zone, in two steps: to about as many nodes as each of
     /// them then passes them on to, so that no link carries them to all.
-    fn parcels_of_zone(&self, state: &GatewayState, news: &ZoneNews) -> Vec<Parcel> {
+    fn parcels_of_zone(
+        &self,
+        state: &GatewayState,
+        news: &ZoneNews,
+        now: Timestamp,
+    ) -> Vec<Parcel> {
+        let own = &self.settings().identity;
+        let alive = state.peers.alive(now).filter(|peer| peer.is_near);
+        let alive: BTreeSet<_> = alive.map(|peer| &peer.identity.name).collect();
         let near: Vec<_> = state.peers.near().collect();
-        let length = (near.len() as f64).sqrt().ceil().max(1.0) as usize;
-        let groups: Vec<_> = near.chunks(length).collect();
+        let is_urgent = !news.weights.is_empty();
+        let is_own = news.zone == own.zone;
+        let groups = match is_urgent && !is_own {
+            true => self.groups_of_urgent_news(&near),
+            false => near.chunks(length_of_groups(&near)).collect(),
+        };
         let parcels = groups.iter().enumerate().map(|(index, group)| {
             let next = groups.get(index + 1).map(|next| next[0].name.clone());
             let news = ZoneNews {
                 pass: Pass::Until(next),
                 ..news.clone()
             };
-            (news, vec![group[0].peer_address])
+            // A silent node may pass nothing on, so the group's next one has to. Urgent news can't
+            // wait until it is known to be silent.
+            let first_alive = group.iter().position(|near| alive.contains(&near.name));
+            let has_spare = is_urgent && (is_own || index == 0);
+            let heads = first_alive.unwrap_or_default() + 1 + usize::from(has_spare);
+            let heads = group.iter().take(heads);
+            (news, heads.map(|near| near.peer_address).collect())
         });
         parcels.collect()
     }
 
+    /// Two nodes of a zone pass urgent news on. The groups of every other node by name are shifted by
+    /// half a group: whoever has just been lost heads a group of one of the two at most, but for the
+    /// first, where these two are and which therefore has a spare head.
+    fn groups_of_urgent_news<'a>(
+        &self,
+        near: &'a [&'a NodeIdentity],
+    ) -> Vec<&'a [&'a NodeIdentity]> {
+        let own = &self.settings().identity.name;
+        let length = length_of_groups(near);
+        let rank = near.iter().filter(|other| other.name < *own).count();
+        let first = match rank.is_multiple_of(2) {
+            true => length,
+            false => length / 2,
+        };
+        let (first, others) = near.split_at(first.max(1).min(near.len()));
+        let groups = std::iter::once(first).chain(others.chunks(length));
+        groups.filter(|group| !group.is_empty()).collect()
+    }
+
     /// News for the nodes of the own zone after this one by name, before `until`.
     fn parcel_until(
         &self,
@@ -174,7 +266,12 @@
         }
         self.take_zone_release_news(&mut state, news);
         let parcels = match &news.pass {
-            Pass::Zone => self.parcels_of_zone(&state, news),
+            Pass::Zone if self.is_of_other_region(news) => {
+                let mut parcels = self.parcels_of_zone(&state, news, now);
+                parcels.push(self.parcel_of_region(&state, news, now));
+                parcels
+            }
+            Pass::Zone | Pass::OwnZone => self.parcels_of_zone(&state, news, now),
             Pass::Until(until) => vec![self.parcel_until(&state, news, until.as_ref())],
             Pass::End => Vec::new(),
         };
@@ -185,6 +282,11 @@
         parcels
     }
 
+    fn is_of_other_region(&self, news: &ZoneNews) -> bool {
+        let own = &self.settings().identity.zone;
+        self.settings().places.between(own, &news.zone) == Distance::Remote
+    }
+
     /// The work of other nodes at engines has changed. With many nodes that happens many times a
     /// second, and the sums are over all engines, so they then wait for the next tick.
     pub(super) fn note_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
@@ -221,6 +323,11 @@
     }
 }
 
+/// So many nodes that there are about as many groups.
+fn length_of_groups(near: &[&NodeIdentity]) -> usize {
+    (near.len() as f64).sqrt().ceil().max(1.0) as usize
+}
+
 fn sum_foreign_loads(state: &mut GatewayState, now: Timestamp) {
     let mut loads = state.peers.loads(now);
     if state.peers.is_large() {
--- a/crates/gateway/src/placement/prompt_version.rs
+++ b/crates/gateway/src/placement/prompt_version.rs
@@ -1,10 +1,17 @@
 //! A prompt under one version of the weights.
 
-use ryerouter_core::identity::ZoneName;
 use ryerouter_core::placement::rendezvous_score;
 
 use super::{LEAST_SAVED_TOKENS, PlacementRequest, Prompt, PromptKeys};
 use crate::engines::Engine;
+use crate::places::Distance;
+
+/// Nobody is told who holds small parts. Each zone reads them for itself, and where there are several
+/// regions, so that zones are many, each region does.
+const SMALL_PARTS_READ_WITHIN: Distance = Distance::Near;
+const SMALL_PARTS_READ_WITHIN_OF_REGIONS: Distance = Distance::SameRegion;
+/// Each region reads other parts once, or fetches them from another region that has.
+const LARGE_PARTS_READ_WITHIN: Distance = Distance::SameRegion;
 
 /// A prompt under one version of the weights: its salt and keys, and who reads it first.
 #[derive(Debug)]
@@ -19,10 +26,19 @@
     first_order: u64,
     /// The same of the engines in this node's zone.
     first_near_order: u64,
+    /// The same of those in its region.
+    first_region_order: u64,
+    /// Whether there are several regions.
+    has_regions: bool,
 }
 
 impl PromptVersion {
-    pub(super) fn new(prompt: &Prompt, request: &PlacementRequest<'_>, weights: u64) -> Self {
+    pub(super) fn new(
+        prompt: &Prompt,
+        request: &PlacementRequest<'_>,
+        weights: u64,
+        has_regions: bool,
+    ) -> Self {
         let salt = request.salt(weights);
         let keys = prompt.keys(&salt);
         let order_key = keys.shared().last().or(keys.0.last());
@@ -34,6 +50,8 @@
             keys,
             first_order: 0,
             first_near_order: 0,
+            first_region_order: 0,
+            has_regions,
         }
     }
 
@@ -48,12 +66,15 @@
     }
 
     /// An engine with these weights takes work.
-    pub(super) fn consider_first_reader(&mut self, engine: &Engine, zone: &ZoneName) {
+    pub(super) fn consider_first_reader(&mut self, engine: &Engine, distance: Distance) {
         let order = self.order_of(engine);
         self.first_order = self.first_order.max(order);
-        if engine.entry.zone == *zone {
+        if distance == Distance::Near {
             self.first_near_order = self.first_near_order.max(order);
         }
+        if distance < Distance::Remote {
+            self.first_region_order = self.first_region_order.max(order);
+        }
     }
 
     /// Tokens of the parts that other requests may share.
@@ -61,19 +82,35 @@
         self.keys.shared().last().map_or(0, |(_, tokens)| *tokens)
     }
 
-    /// Whether the shared parts are so few that each zone reads them for itself: sending the request
-    /// to another zone costs more, and nobody is told who holds them.
+    /// Whether the shared parts are so few that each zone or region reads them for itself: sending the
+    /// request further costs more, and nobody is told who holds them.
     pub(super) fn is_small(&self) -> bool {
         self.shared_tokens() < LEAST_SAVED_TOKENS
     }
 
-    /// Whether all nodes, or for small parts all nodes of the zone, send parts that nobody holds to
-    /// this engine.
+    /// Whether all nodes, or for small parts all nodes of the zone or region, send parts that nobody
+    /// holds to this engine.
     pub(super) fn is_first_reader(&self, engine: &Engine) -> bool {
-        let first = match self.is_small() && self.first_near_order > 0 {
-            true => self.first_near_order,
-            false => self.first_order,
+        self.order_of(engine) == self.first_order_within(self.reading_ring())
+    }
+
+    /// Within which distance of a node all requests go to one first reader.
+    fn reading_ring(&self) -> Distance {
+        match self.is_small() {
+            true if self.has_regions => SMALL_PARTS_READ_WITHIN_OF_REGIONS,
+            true => SMALL_PARTS_READ_WITHIN,
+            false => LARGE_PARTS_READ_WITHIN,
+        }
+    }
+
+    /// Place of the first engine within a distance; of all when none is that near.
+    fn first_order_within(&self, distance: Distance) -> u64 {
+        let orders = match distance {
+            Distance::Near => [self.first_near_order, self.first_region_order],
+            Distance::SameRegion => [self.first_region_order, 0],
+            Distance::Remote => [0, 0],
         };
-        self.order_of(engine) == first
+        let first = orders.into_iter().find(|order| *order > 0);
+        first.unwrap_or(self.first_order)
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod gateway_bench;
 pub mod one_lease;
 pub mod records;
+pub mod region_fleet;
 pub mod release_node;
 pub mod release_orders;
 pub mod releases;
