Take an engine out of use at once when its entry can't be read

An entry that another writer had changed so that it can't be read was passed over, so the engine that it had named before stayed in use for good; with an unknown state it counted as leaving, and a list or watch with one object without a name, or with bytes that are no text, failed as a whole and again at each try.

Such an entry now names no engine (Item::Unusable): what it named is gone for new requests at once, also while the source is in trouble, and nodes that rely on a reader learn it with the changes and with a list that is handed on.

The arm in virtual_source.rs names the new kind of item; no check is touched.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -1,13 +1,13 @@
 //! What a gateway believes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{BackEndName, PoolName};
 
 use super::{GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
@@ -62,6 +62,8 @@
     pub is_engine_list_lost: bool,
     /// All engines.
     pub engines: EngineTable,
+    /// Entries of the list of engines that can't be read, for a node that the list is handed to.
+    pub unusable_entries: BTreeSet<BackEndName>,
     /// How long requests take to begin.
     pub begin_times: BeginTimes,
     /// How long answers take.
@@ -176,6 +178,7 @@
             engine_list_trouble_at: None,
             is_engine_list_lost: false,
             engines: EngineTable::default(),
+            unusable_entries: BTreeSet::new(),
             begin_times: BeginTimes::default(),
             part_times: PartTimes::default(),
             reading_demand: ReadingDemand::default(),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -51,8 +51,15 @@
     }
 
     /// Another node hands on the list of engines, which the source does not tell this one.
-    pub(super) fn take_handed_list(&self, entries: &[EngineEntry], revision: u64) {
-        let items: Vec<_> = entries.iter().cloned().map(Item::Engine).collect();
+    pub(super) fn take_handed_list(
+        &self,
+        entries: &[EngineEntry],
+        unusable: &[BackEndName],
+        revision: u64,
+    ) {
+        let entries = entries.iter().cloned().map(Item::Engine);
+        let unusable = unusable.iter().cloned().map(Item::Unusable);
+        let items: Vec<_> = entries.chain(unusable).collect();
         self.note_list(ItemKind::Engines, &items, revision);
         self.replace_known(ItemKind::Engines, items, None);
     }
@@ -116,16 +123,14 @@
 
     fn replace_known(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
         if kind == ItemKind::Engines {
-            let is_engine = |item: &Item| match item {
-                Item::Engine(entry) => Some(entry.name.clone()),
-                _ => None,
-            };
-            let listed: Vec<_> = items.iter().filter_map(is_engine).collect();
+            let listed: Vec<_> = items.iter().filter_map(entry_name).cloned().collect();
             let gone = self.state().engines.names_outside(&listed);
             for name in gone {
                 self.engine_gone(&name);
             }
-            self.state_mut().has_engine_list = true;
+            let mut state = self.state_mut();
+            state.unusable_entries.clear();
+            state.has_engine_list = true;
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
         self.apply(kind, changes, proven_at);
@@ -189,6 +194,7 @@
             match change {
                 ItemChange::Present(Item::Configuration(table)) => self.adopt_table(table),
                 ItemChange::Present(Item::Engine(entry)) => self.engine_listed(entry),
+                ItemChange::Present(Item::Unusable(name)) => self.engine_unusable(&name),
                 ItemChange::Present(Item::Weights(named)) => {
                     self.weights_named(&named, asked_at);
                 }
@@ -257,6 +263,7 @@
 
     fn engine_listed(&self, entry: EngineEntry) {
         let mut state = self.state_mut();
+        state.unusable_entries.remove(&entry.name);
         let before = state
             .engines
             .get(&entry.name)
@@ -278,6 +285,7 @@
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let mut state = self.state_mut();
+        state.unusable_entries.remove(name);
         let trouble_age = state.engine_list_trouble_at.map(|at| now.since(at));
         if state.may_entries_return(grace, now)
             && let Some(engine) = state.engines.get_mut(name)
@@ -288,6 +296,22 @@
                 "trouble_age_ms" => trouble_age.map(|age| age.as_millis() as u64));
             return;
         }
+        drop(state);
+        self.remove_engine(name);
+    }
+
+    /// An entry can't be read: another writer has put it in the place of the engine's, which is no lapse,
+    /// so the engine is out of use at once, also while the source is in trouble.
+    fn engine_unusable(&self, name: &BackEndName) {
+        let is_news = self.state_mut().unusable_entries.insert(name.clone());
+        if is_news {
+            warn!(self.log(), "engine_unusable"; "engine" => %name);
+        }
+        self.remove_engine(name);
+    }
+
+    fn remove_engine(&self, name: &BackEndName) {
+        let mut state = self.state_mut();
         if state.engines.remove(name).is_some() {
             info!(self.log(), "engine_gone"; "engine" => %name);
         }
@@ -347,21 +371,29 @@
 
 /// What a list changes of the engines that are known.
 fn differences(engines: &EngineTable, items: &[Item]) -> Vec<ItemChange> {
-    let listed = items.iter().filter_map(|item| match item {
-        Item::Engine(entry) => Some(entry),
-        _ => None,
-    });
-    let listed: Vec<_> = listed.collect();
-    let names: Vec<_> = listed.iter().map(|entry| entry.name.clone()).collect();
+    let names: Vec<_> = items.iter().filter_map(entry_name).cloned().collect();
     let gone = engines.names_outside(&names);
     let gone = gone
         .into_iter()
         .map(|name| ItemChange::Gone(name.to_string()));
-    let is_changed = |entry: &&EngineEntry| {
-        let known = engines.get(&entry.name);
-        known.is_none_or(|known| known.entry != **entry)
+    let is_changed = |item: &&Item| match item {
+        Item::Engine(entry) => {
+            let known = engines.get(&entry.name);
+            known.is_none_or(|known| known.entry != *entry)
+        }
+        Item::Unusable(name) => engines.get(name).is_some(),
+        Item::Configuration(_) | Item::Weights(_) => false,
     };
-    let changed = listed.into_iter().filter(is_changed);
-    let changed = changed.map(|entry| ItemChange::Present(Item::Engine(entry.clone())));
+    let changed = items.iter().filter(is_changed);
+    let changed = changed.cloned().map(ItemChange::Present);
     gone.chain(changed).collect()
 }
+
+/// Name of an entry of the list of engines.
+fn entry_name(item: &Item) -> Option<&BackEndName> {
+    match item {
+        Item::Engine(entry) => Some(&entry.name),
+        Item::Unusable(name) => Some(name),
+        Item::Configuration(_) | Item::Weights(_) => None,
+    }
+}
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -213,6 +213,10 @@
                 true => whole_list(&state),
                 false => Vec::new(),
             },
+            unusable: match is_list_wanted {
+                true => state.unusable_entries.iter().cloned().collect(),
+                false => Vec::new(),
+            },
             changes: catch_up.map_or_else(Vec::new, |(_, changes)| changes),
             revision,
             named: match has_news {
@@ -277,7 +281,7 @@
         if !answer.list.is_empty() && is_newer {
             info!(self.log(), "engine_list_handed_over"; "revision" => mark.position,
                 "engines" => answer.list.len());
-            self.take_handed_list(&answer.list, mark.position);
+            self.take_handed_list(&answer.list, &answer.unusable, mark.position);
         } else if answer.revision.is_none() {
             let now = self.clock().now();
             let mut state = self.state_mut();
--- a/crates/gateway/src/source/item.rs
+++ b/crates/gateway/src/source/item.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use ryerouter_core::identity::BackEndName;
+
 use crate::catalogue::RoutingTable;
 use crate::engines::EngineEntry;
 
@@ -21,6 +23,9 @@
     Configuration(Rc<RoutingTable>),
     /// One engine.
     Engine(EngineEntry),
+    /// An entry of this name that can't be read: it names no engine, so one that it named before must
+    /// get no more requests.
+    Unusable(BackEndName),
     /// Weights that were named.
     Weights(NamedWeights),
 }
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -1,5 +1,6 @@
 //! What a node answers another one of its zone.
 
+use ryerouter_core::identity::BackEndName;
 use serde::{Deserialize, Serialize};
 
 use super::EngineChange;
@@ -45,6 +46,9 @@
     /// The whole list of engines, for an asker that wants it and can't be told by changes.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub list: Vec<EngineEntry>,
+    /// Entries that belong to the list and can't be read: what they named is gone without a delay.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<BackEndName>,
     /// The revision that the asker has with these changes; `None` when it must read the list.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub revision: Option<u64>,
--- a/crates/gateway/src/sync/change.rs
+++ b/crates/gateway/src/sync/change.rs
@@ -15,6 +15,9 @@
     /// The engine is not listed any more.
     #[serde(rename = "g")]
     Gone(BackEndName),
+    /// The entry can't be read any more, so it names no engine.
+    #[serde(rename = "u")]
+    Unusable(BackEndName),
 }
 
 impl EngineChange {
@@ -22,6 +25,7 @@
     pub fn of(change: ItemChange) -> Option<Self> {
         match change {
             ItemChange::Present(Item::Engine(entry)) => Some(Self::Listed(entry)),
+            ItemChange::Present(Item::Unusable(name)) => Some(Self::Unusable(name)),
             ItemChange::Present(_) => None,
             ItemChange::Gone(name) => Some(Self::Gone(BackEndName::new(name))),
         }
@@ -33,6 +37,7 @@
         match change {
             EngineChange::Listed(entry) => Self::Present(Item::Engine(entry)),
             EngineChange::Gone(name) => Self::Gone(name.to_string()),
+            EngineChange::Unusable(name) => Self::Present(Item::Unusable(name)),
         }
     }
 }
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -264,6 +264,7 @@
     match item {
         Item::Configuration(_) => "main".to_owned(),
         Item::Engine(entry) => entry.name.to_string(),
+        Item::Unusable(name) => name.to_string(),
         Item::Weights(named) => named.model.clone(),
     }
 }
