--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -14,7 +14,7 @@
     ObjectKey, Precondition, StoreAnswer, StoreCall, StoreFailure, StoreValue, StoreVersion,
     StoredObject,
 };
-use ryerouter_core::identity::{BackEndName, FencingNumber};
+use ryerouter_core::identity::{BackEndName, FencingNumber, Incarnation};
 use ryerouter_core::order::{LeaseRecord, LeaseSettings};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::rollout::{
@@ -26,6 +26,7 @@
 use support::test_dialect::MODEL;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
+use yare::parameterized;
 
 const SETTINGS: LeaseSettings = LeaseSettings {
     duration: Duration::from_millis(1_350),
@@ -116,6 +117,8 @@
 #[derive(Default)]
 struct TakenOrders {
     orders: RefCell<Vec<(WeightsOrder, FencingNumber)>>,
+    /// What they say to an order, when they don't reject it, and how long that takes.
+    answer: Cell<Option<(OrderOutcome, Duration)>>,
 }
 
 impl EngineOrders for TakenOrders {
@@ -126,7 +129,15 @@
         fence: FencingNumber,
     ) -> LocalBoxFuture<'_, OrderOutcome> {
         self.orders.borrow_mut().push((order, fence));
-        async { OrderOutcome::Rejected }.boxed_local()
+        let answer = self.answer.get();
+        async move {
+            let Some((outcome, after)) = answer else {
+                return OrderOutcome::Rejected;
+            };
+            sleep(after).await;
+            outcome
+        }
+        .boxed_local()
     }
 
     fn report(
@@ -260,3 +271,31 @@
         assert!(!other.should_give_orders());
     });
 }
+
+#[parameterized(
+    begins_again = { 2_000, Some(1) },
+    goes_on = { 1_000, Some(2) },
+)]
+fn answer_to_an_order_counts_in_the_life_that_it_was_given_to(then: u64, expected: Option<u64>) {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        let answered_after = Duration::from_millis(500);
+        let answer = (OrderOutcome::AlreadyDone, answered_after);
+        ordering.engines.answer.set(Some(answer));
+        let list = |life| {
+            let mut entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
+            entry.incarnation = Some(Incarnation(life));
+            list_engines(&ordering.gateway, vec![entry]);
+        };
+        list(1_000);
+        while ordering.orders() == 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(answered_after / 2).await;
+        list(then);
+        sleep(answered_after / 2 + Duration::from_millis(20)).await;
+        let state = ordering.gateway.state();
+        let known = state.engines.get(&BackEndName::new("e1")).unwrap();
+        assert_eq!(known.weights_of(MODEL), expected);
+    });
+}
