Tell a request whose engine is still being connected at its limit that it has not run

Cause: any attempt under way at the limit counted as one that may have run, so a request that reached no engine got 504, which promises nothing and is no refusal. Change: an attempt counts once it has a connection (HeldRequest::may_have_run, which the accounting has used already; Exchange::is_pending goes). A kept connection that closed before it took the request no longer counts for the next one. Measured: four of the five new cases in early_ends.rs fail without it (504); the fifth shows that an earlier attempt that may have run still gets 504. The address that takes no connection moves to tests/support, unchanged.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -43,8 +43,6 @@
     /// How many back ends it arrived at.
     pub(super) arrivals: u32,
     pub(super) may_have_run: bool,
-    /// Whether an attempt is under way whose end is not known.
-    is_pending: bool,
     /// Whether the next attempt has been taken from the budget already.
     is_retry_paid: bool,
     /// The back end whose connection was given up last: on a new one it may serve.
@@ -66,7 +64,6 @@
             tried: Vec::new(),
             arrivals: 0,
             may_have_run: false,
-            is_pending: false,
             is_retry_paid: false,
             silent_engine: None,
             has_answer: false,
@@ -118,14 +115,12 @@
             if self.may_have_run && !self.has_answer {
                 self.gateway.charge_again(&self.request);
             }
-            self.is_pending = true;
             self.held.attempt_begins();
             let left = self.request.route.most_attempts;
             self.held
                 .attempts_left
                 .set(left.saturating_sub(self.arrivals + 1));
             let attempted = self.watched_attempt(&placement, last_event_id).await;
-            self.is_pending = false;
             match attempted {
                 Ok(live) => {
                     self.has_answer = true;
@@ -248,9 +243,9 @@
 
     /// The answer when the time has run out.
     pub(super) fn out_of_time(&self) -> Refusal {
-        // An attempt that was cut short may have written the request, and an engine that answered
-        // its head may go on.
-        let may_run = self.is_pending || self.has_answer || self.may_have_run;
+        // An attempt that was cut short may have written the request once it had a connection, and an
+        // engine that answered its head may go on.
+        let may_run = self.held.may_have_run() || self.has_answer;
         match may_run {
             false => Refusal::new(RefusalReason::DeadlineNotRun, "no engine in time")
                 .come_back_after(NO_ENGINE_RETRY),
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -96,7 +96,11 @@
             };
             let detail = failure.error().to_string();
             match failure.take_message() {
-                Some(unsent) if is_kept => request = unsent,
+                Some(unsent) if is_kept => {
+                    request = unsent;
+                    // The next connection is yet to be opened, and nothing was written so far.
+                    used.set(None);
+                }
                 Some(_) => return Err(AttemptFailure::NotConnected { detail }),
                 None => return Err(AttemptFailure::Broken { detail, is_kept }),
             }
--- a/crates/gateway/tests/early_ends.rs
+++ b/crates/gateway/tests/early_ends.rs
@@ -8,11 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use raw_engine::{Act, After, FIRST_EVENT, PART, RawEngines, STREAM_HEAD};
+use hyper::StatusCode;
+use raw_engine::{Act, After, FIRST_EVENT, NO_ROOM, PART, RawEngines, STREAM_HEAD};
 use ryerouter_gateway::catalogue::RequestKind;
 use support::gateway_bench::{GatewayBench, run};
 use support::records::{engine, route, table};
 use support::test_dialect::{ID, PATIENCE_MS};
+use support::unanswered_address::UnansweredAddress;
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -23,6 +25,9 @@
 /// A request may get its final answer this much later than its limit.
 const MOST_LATE: Duration = Duration::from_millis(500);
 
+/// Each goes to either of two engines first.
+const MOST_REQUESTS: usize = 40;
+
 const SILENCE: Act = ("", After::Silence);
 
 async fn bench(kind: RequestKind, timeout: Duration, addresses: [SocketAddr; 2]) -> GatewayBench {
@@ -134,3 +139,40 @@
         assert_eq!(engines.arrivals(), 1);
     });
 }
+
+/// Nothing was written, so the caller may be told that it has not run.
+#[parameterized(
+    safe = { RequestKind::Safe },
+    at_most_once = { RequestKind::Unsafe },
+    stream = { RequestKind::Streaming },
+)]
+fn request_whose_engine_is_still_being_connected_at_its_limit_has_not_run(kind: RequestKind) {
+    run(async move {
+        let silent = UnansweredAddress::new();
+        let bench = bench(kind, SHORT, [silent.address; 2]).await;
+        let answer = bench.call("POST", &[(ID, "r1")], "x").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.retry_after.is_some_and(|seconds| seconds > 0.0));
+    });
+}
+
+/// The first engine may have run it, or said that it has not; the second is being connected.
+#[parameterized(
+    may_have_run = { ("", After::Close), StatusCode::GATEWAY_TIMEOUT },
+    has_not_run = { NO_ROOM, StatusCode::SERVICE_UNAVAILABLE },
+)]
+fn earlier_attempt_counts_while_the_next_engine_is_being_connected(act: Act, expected: StatusCode) {
+    run(async move {
+        for number in 0..MOST_REQUESTS {
+            let (engines, [first]) = RawEngines::start(&[act]).await;
+            let silent = UnansweredAddress::new();
+            let bench = bench(RequestKind::Safe, SHORT, [first, silent.address]).await;
+            let id = format!("r{number}");
+            let answer = bench.call("POST", &[(ID, id.as_str())], "x").await;
+            if engines.arrivals() > 0 {
+                return assert_eq!(answer.status, expected);
+            }
+        }
+        panic!("the first engine was never asked");
+    });
+}
--- a/crates/gateway/tests/leaving_callers.rs
+++ b/crates/gateway/tests/leaving_callers.rs
@@ -10,9 +10,10 @@
 
 use raw_engine::{Act, After, FIRST_EVENT, PART, RawEngines, STREAM_HEAD};
 use ryerouter_gateway::catalogue::RequestKind;
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use support::gateway_bench::{GatewayBench, run, settings};
 use support::records::{engine, route, table};
+use support::unanswered_address::UnansweredAddress;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use yare::parameterized;
@@ -115,24 +116,11 @@
     });
 }
 
-/// An address that takes no further connection and refuses none either.
-fn address_without_an_answer() -> (Socket, std::net::TcpStream, SocketAddr) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("address");
-    socket.bind(&any.into()).expect("bind");
-    socket.listen(0).expect("listen");
-    let address = socket.local_addr().expect("address");
-    let address = address.as_socket().expect("address");
-    // Fills the backlog, so that further connections stay half open.
-    let filler = std::net::TcpStream::connect(address).expect("connect");
-    (socket, filler, address)
-}
-
 #[test]
 fn caller_that_leaves_while_an_engine_is_being_connected_leaves_nothing_behind() {
     run(async {
-        let (_listening, _filler, silent) = address_without_an_answer();
-        let bench = bench(RequestKind::Safe, &[silent]).await;
+        let silent = UnansweredAddress::new();
+        let bench = bench(RequestKind::Safe, &[silent.address]).await;
         let stream = caller(&bench, WHOLE_REQUEST).await;
         while bench.gateway.peer_message(true).loads.is_empty() {
             tokio::task::yield_now().await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,4 +9,5 @@
 pub mod scripted_source;
 pub mod silencing_server;
 pub mod test_dialect;
+pub mod unanswered_address;
 pub mod virtual_source;
