--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod copy_proofs;
 mod dividing;
+mod engine_lives;
 mod engine_weights;
 mod gateway_settings;
 mod gateway_state;
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -43,8 +43,6 @@
     /// How many back ends it arrived at.
     pub(super) arrivals: u32,
     pub(super) may_have_run: bool,
-    /// Whether an attempt is under way whose end is not known.
-    is_pending: bool,
     /// Whether the next attempt has been taken from the budget already.
     is_retry_paid: bool,
     /// The back end whose connection was given up last: on a new one it may serve.
@@ -66,7 +64,6 @@
             tried: Vec::new(),
             arrivals: 0,
             may_have_run: false,
-            is_pending: false,
             is_retry_paid: false,
             silent_engine: None,
             has_answer: false,
@@ -118,7 +115,6 @@
             if self.may_have_run && !self.has_answer {
                 self.gateway.charge_again(&self.request);
             }
-            self.is_pending = true;
             self.held.attempt_begins();
             let left = self.request.route.most_attempts;
             self.held
@@ -128,7 +124,6 @@
             let pool = &self.request.pool;
             self.gateway.note_sent(pool, &placement, is_first);
             let attempted = self.watched_attempt(&placement, last_event_id).await;
-            self.is_pending = false;
             match attempted {
                 Ok(live) => {
                     self.has_answer = true;
@@ -251,9 +246,9 @@
 
     /// The answer when the time has run out.
     pub(super) fn out_of_time(&self) -> Refusal {
-        // An attempt that was cut short may have written the request, and an engine that answered
-        // its head may go on.
-        let may_run = self.is_pending || self.has_answer || self.may_have_run;
+        // An attempt that was cut short may have written the request once it had a connection, and an
+        // engine that answered its head may go on.
+        let may_run = self.held.may_have_run() || self.has_answer;
         match may_run {
             false => Refusal::new(RefusalReason::DeadlineNotRun, "no engine in time")
                 .come_back_after(NO_ENGINE_RETRY),
@@ -286,8 +281,10 @@
 
     /// An attempt ended well.
     pub(super) fn note_success(&self, placement: &Placement) {
+        let is_in_life = self.gateway.is_in_life_of(placement);
         let mut state = self.gateway.state_mut();
-        if let Some(engine) = state.engines.get_mut(&placement.engine) {
+        let engine = state.engines.get_mut(&placement.engine);
+        if let Some(engine) = engine.filter(|_| is_in_life) {
             engine.health.answered();
         }
         drop(state);
--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ryerouter_core::identity::{BackEndName, FencingNumber};
+use ryerouter_core::identity::{BackEndName, FencingNumber, Incarnation};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::rollout::{
     EngineOrders, EngineReport, NamedAt, OrderOutcome, WeightsOrder, run_rollouts,
@@ -22,11 +22,14 @@
 use support::test_dialect::MODEL;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
+use yare::parameterized;
 
 /// Engines that take every order and never finish.
 #[derive(Default)]
 struct TakenOrders {
     orders: RefCell<Vec<(WeightsOrder, FencingNumber)>>,
+    /// What they say to an order, when they don't reject it, and how long that takes.
+    answer: Cell<Option<(OrderOutcome, Duration)>>,
 }
 
 impl EngineOrders for TakenOrders {
@@ -37,7 +40,15 @@
         fence: FencingNumber,
     ) -> LocalBoxFuture<'_, OrderOutcome> {
         self.orders.borrow_mut().push((order, fence));
-        async { OrderOutcome::Rejected }.boxed_local()
+        let answer = self.answer.get();
+        async move {
+            let Some((outcome, after)) = answer else {
+                return OrderOutcome::Rejected;
+            };
+            sleep(after).await;
+            outcome
+        }
+        .boxed_local()
     }
 
     fn report(
@@ -195,3 +206,31 @@
         assert_eq!(ordering.gateway.valid_order_fence(), None);
     });
 }
+
+#[parameterized(
+    begins_again = { 2_000, Some(1) },
+    goes_on = { 1_000, Some(2) },
+)]
+fn answer_to_an_order_counts_in_the_life_that_it_was_given_to(then: u64, expected: Option<u64>) {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        let answered_after = Duration::from_millis(500);
+        let answer = (OrderOutcome::AlreadyDone, answered_after);
+        ordering.engines.answer.set(Some(answer));
+        let list = |life| {
+            let mut entry = engine("e1", "127.0.0.1:1".parse().unwrap(), 1);
+            entry.incarnation = Some(Incarnation(life));
+            list_engines(&ordering.gateway, vec![entry]);
+        };
+        list(1_000);
+        while ordering.orders() == 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(answered_after / 2).await;
+        list(then);
+        sleep(answered_after / 2 + Duration::from_millis(20)).await;
+        let state = ordering.gateway.state();
+        let known = state.engines.get(&BackEndName::new("e1")).unwrap();
+        assert_eq!(known.weights_of(MODEL), expected);
+    });
+}
