Keep to an engine's lapsed entry and former connections when it begins again

Causes: an engine whose entry had lapsed in trouble counted as listed once it reported a new life, and nothing took it out of use when the entry never came back. A connection whose request was refused in the former life was kept, where that of an answer is not. Change: the report of a new life leaves is_unlisted as it was; keep_after_refusal asks for the life as well. Measured: engine_without_an_entry_that_reports_a_new_life_is_still_waited_for_only and connection_of_a_refusal_is_kept_in_its_life_only (begins_again) fail without it.

--- a/crates/gateway/src/gateway/engine_lives.rs
+++ b/crates/gateway/src/gateway/engine_lives.rs
@@ -76,8 +76,13 @@
             incarnation: report.incarnation,
             ..known.entry.clone()
         };
+        let is_unlisted = known.is_unlisted;
         drop(state);
         self.engine_listed(entry);
+        // A report is no entry: without one the engine is forgotten in the end.
+        if let Some(engine) = self.state_mut().engines.get_mut(engine) {
+            engine.is_unlisted = is_unlisted;
+        }
     }
 }
 
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -212,14 +212,14 @@
     facts: &AnswerFacts,
 ) {
     let gateway = Rc::clone(gateway);
-    let engine = placement.engine.clone();
+    let placement = placement.clone();
     let idle_timeout = facts.idle_timeout;
     spawn_local(async move {
         let rest = timeout(REFUSAL_REST, answer.body.collect()).await;
-        if matches!(rest, Ok(Ok(_))) {
+        if matches!(rest, Ok(Ok(_))) && gateway.is_in_life_of(&placement) {
             gateway
                 .upstream()
-                .keep(&engine, answer.connection, idle_timeout);
+                .keep(&placement.engine, answer.connection, idle_timeout);
         }
     });
 }
--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -29,11 +29,14 @@
 use ryerouter_gateway::source::{Item, ItemBatch, ItemChange, ItemKind};
 use support::fleet::{node, two_zones, zone_of_many};
 use support::gateway_bench::{GatewayBench, gateway, list_engines, run, run_paused};
-use support::records::{engine, route, table};
+use support::records::{FAILURES_OF_TROUBLE, engine, route, table};
 use support::scripted_engine::{ScriptedEngine, Step};
-use support::test_dialect::{ID, MODEL};
+use support::test_dialect::{ID, MODEL, NOT_EXECUTED};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 const ENGINE: &str = "e1";
@@ -42,6 +45,8 @@
 const SECOND: u64 = 2_000;
 /// Longer than news of a life before are expected, and than a life is named.
 const LONG_AFTER: Duration = Duration::from_secs(16);
+/// A connection that is not closed for so long is kept.
+const KEPT: Duration = Duration::from_millis(300);
 
 fn name() -> BackEndName {
     BackEndName::new(ENGINE)
@@ -429,6 +434,50 @@
     });
 }
 
+/// Takes one request, refuses it once it is told to, and tells whether the connection is closed then.
+async fn closes_after_refusal(
+    listener: TcpListener,
+    arrived: Rc<Notify>,
+    told: Rc<Notify>,
+) -> bool {
+    let (mut stream, _) = listener.accept().await.expect("connection");
+    let mut bytes = [0; 4_096];
+    stream.read(&mut bytes).await.expect("request");
+    arrived.notify_one();
+    told.notified().await;
+    let refusal = format!(
+        "HTTP/1.1 503 Full\r\n{ID}: a\r\nx-signed: 1\r\n{NOT_EXECUTED}: 1\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(refusal.as_bytes()).await.expect("write");
+    let closed = timeout(KEPT, stream.read(&mut bytes)).await;
+    matches!(closed, Ok(Ok(0)))
+}
+
+#[parameterized(
+    begins_again = { SECOND, true },
+    goes_on = { FIRST, false },
+)]
+fn connection_of_a_refusal_is_kept_in_its_life_only(then: u64, expected: bool) {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let entries = vec![life_at(address, FIRST)];
+        let routes = vec![route(RequestKind::Unsafe)];
+        let bench = GatewayBench::start(Some(table(1, routes)), entries).await;
+        let gateway = Rc::clone(&bench.gateway);
+        let [arrived, told] = [0; 2].map(|_| Rc::new(Notify::new()));
+        let engine = closes_after_refusal(listener, Rc::clone(&arrived), Rc::clone(&told));
+        let engine = spawn_local(engine);
+        let calling = spawn_local(async move { bench.call("GET", &[(ID, "a")], "").await });
+        arrived.notified().await;
+        // At an address where nothing listens: the refused request goes nowhere else.
+        change(&gateway, ItemChange::Present(Item::Engine(life(then))));
+        told.notify_one();
+        assert_eq!(calling.await.unwrap().status, 503);
+        assert_eq!(engine.await.unwrap(), expected);
+    });
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
 }
@@ -524,6 +573,23 @@
     });
 }
 
+/// It lives, but the source may have lost its entry for good.
+#[test]
+fn engine_without_an_entry_that_reports_a_new_life_is_still_waited_for_only() {
+    run_paused(async {
+        let gateway = gateway("node-1");
+        list_life(&gateway, FIRST);
+        gateway.note_source_trouble(ItemKind::Engines, FAILURES_OF_TROUBLE);
+        change(&gateway, ItemChange::Gone(ENGINE.to_owned()));
+        assert_eq!(known_life(&gateway), Some(FIRST), "it may come back");
+        gateway.take_report_life(&name(), &report(2, 0, SECOND));
+        assert_eq!(known_life(&gateway), Some(SECOND));
+        sleep(LONG_AFTER).await;
+        gateway.remove_unlisted();
+        assert_eq!(known_life(&gateway), None);
+    });
+}
+
 /// Remembers from where it was asked to go on.
 #[derive(Default)]
 struct AskedFeed {
