--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -441,15 +441,17 @@
     told: Rc<Notify>,
 ) -> bool {
     let (mut stream, _) = listener.accept().await.expect("connection");
-    let mut bytes = [0; 4_096];
-    stream.read(&mut bytes).await.expect("request");
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.expect("request"));
+    }
     arrived.notify_one();
     told.notified().await;
     let refusal = format!(
         "HTTP/1.1 503 Full\r\n{ID}: a\r\nx-signed: 1\r\n{NOT_EXECUTED}: 1\r\ncontent-length: 0\r\n\r\n"
     );
     stream.write_all(refusal.as_bytes()).await.expect("write");
-    let closed = timeout(KEPT, stream.read(&mut bytes)).await;
+    let closed = timeout(KEPT, stream.read(&mut [0; 1])).await;
     matches!(closed, Ok(Ok(0)))
 }
 
