Count an attempt that was given up before it had a connection as not run

Cause: giving up an attempt that fell silent counted it as one that may have run, also while its connection was still being opened, so the request ended with 504 or 502 though it reached no engine. Measured: attempt_that_was_given_up_while_its_engine_was_being_connected_has_not_run fails without it (504).

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -255,7 +255,9 @@
 
     /// An attempt ended badly.
     pub(super) fn note_end(&mut self, placement: &Placement, end: &AttemptEnd) {
-        self.may_have_run |= end.may_have_run();
+        // One that was given up before it had a connection has written nothing.
+        let had_connection = self.held.used.get().is_some();
+        self.may_have_run |= had_connection && end.may_have_run();
         self.held.is_at(HeldAt::after(end, self.held.used.get()));
         let is_silent = matches!(end, AttemptEnd::Silent(_));
         self.silent_engine = is_silent.then(|| placement.engine.clone());
--- a/crates/gateway/tests/early_ends.rs
+++ b/crates/gateway/tests/early_ends.rs
@@ -10,11 +10,14 @@
 
 use hyper::StatusCode;
 use raw_engine::{Act, After, FIRST_EVENT, NO_ROOM, PART, RawEngines, STREAM_HEAD};
+use ryerouter_core::identity::PoolName;
 use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::engines::AwaitedPart;
 use support::gateway_bench::{GatewayBench, run};
-use support::records::{engine, route, table};
+use support::records::{POOL, engine, route, table};
 use support::test_dialect::{ID, PATIENCE_MS};
 use support::unanswered_address::UnansweredAddress;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -25,6 +28,8 @@
 /// A request may get its final answer this much later than its limit.
 const MOST_LATE: Duration = Duration::from_millis(500);
 
+/// So many answers tell how long they take.
+const ANSWERS_UNTIL_SETTLED: u32 = 16;
 /// Each goes to either of two engines first.
 const MOST_REQUESTS: usize = 40;
 
@@ -47,7 +52,7 @@
     let bench = bench(kind, route, addresses).await;
     let began = Instant::now();
     let watched = Rc::clone(&engines);
-    let abandoned = tokio::task::spawn_local(async move {
+    let abandoned = spawn_local(async move {
         watched.until_abandoned(1).await;
         began.elapsed()
     });
@@ -176,3 +181,35 @@
         panic!("the first engine was never asked");
     });
 }
+
+/// The engine answers others meanwhile, so the attempt is given up; still nothing was written.
+#[test]
+fn attempt_that_was_given_up_while_its_engine_was_being_connected_has_not_run() {
+    run(async {
+        let silent = UnansweredAddress::new();
+        let bench = bench(RequestKind::Safe, LONG, [silent.address; 2]).await;
+        let gateway = Rc::clone(&bench.gateway);
+        for _ in 0..ANSWERS_UNTIL_SETTLED {
+            let times = &mut gateway.state_mut().part_times;
+            times.note(
+                &PoolName::new(POOL),
+                "route",
+                AwaitedPart::Head,
+                Duration::ZERO,
+            );
+        }
+        let calling =
+            spawn_local(async move { bench.call("POST", &[(ID, "r1")], "x").await.status });
+        while gateway.state().active_requests == 0 {
+            tokio::task::yield_now().await;
+        }
+        let now = gateway.clock().now();
+        for engine in gateway.state_mut().engines.iter_mut() {
+            engine.note_answer_to(now.after(GRAIN));
+        }
+        assert_eq!(
+            calling.await.expect("task"),
+            StatusCode::SERVICE_UNAVAILABLE
+        );
+    });
+}
