--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -278,8 +278,7 @@
             state.engine_list_trouble_at = state.engine_list_trouble_at.max(Some(at));
         }
         let is_newer = self.state().replicas.of(ItemKind::Engines).revision < Some(mark.position);
-        let has_list = !answer.list.is_empty() || !answer.unusable.is_empty();
-        if has_list && is_newer {
+        if !answer.list.is_empty() && is_newer {
             info!(self.log(), "engine_list_handed_over"; "revision" => mark.position,
                 "engines" => answer.list.len());
             self.take_handed_list(&answer.list, &answer.unusable, mark.position);
