--- a/crates/gateway/src/gateway/engine_lives.rs
+++ b/crates/gateway/src/gateway/engine_lives.rs
@@ -76,8 +76,13 @@
             incarnation: report.incarnation,
             ..known.entry.clone()
         };
+        let is_unlisted = known.is_unlisted;
         drop(state);
         self.engine_listed(entry);
+        // A report is no entry: without one the engine is forgotten in the end.
+        if let Some(engine) = self.state_mut().engines.get_mut(engine) {
+            engine.is_unlisted = is_unlisted;
+        }
     }
 }
 
@@ -135,6 +140,10 @@
         weights: &[WeightsNews],
         now: Timestamp,
     ) -> Vec<EngineLifeNews> {
+        // Mostly none has, and messages go out many times a second.
+        if !self.lives.have_begun(now) {
+            return Vec::new();
+        }
         let held = holders.iter().copied().flatten().map(|news| &news.1);
         let loaded = loads.iter().map(|news| &news.0);
         let ordered = weights.iter().map(|news| &news.engine);
