Releases: whoever has nowhere else to go

Two faults, each with a test that was seen to fail first: a node whose grant had run out refused all requests once the present version's engines had said that they leave, though the target version's take work; and a silent attempt was given up because engines of a rejected version counted as a place to go to, so that the request ran at the same engine once more.

--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{BackEndName, PoolName};
 use ryerouter_core::release::{Settings, SoftwareVersion, Stage, key_of};
 use slog::{debug, info, warn};
 
 use super::{Gateway, GatewayState};
 use crate::engines::{EngineState, EngineTable};
-use crate::placement::{Placement, PlacementRequest};
+use crate::placement::Placement;
 use crate::release::{Admission, AnswerEnd, AnswerWatch, Gate, Intake, KnownRelease};
 use crate::serve::AcceptedRequest;
 
@@ -22,14 +22,14 @@
 const REMEMBERED_FOR: Duration = Duration::from_secs(60);
 
 impl Gateway {
-    /// Where a request may go.
-    pub(super) fn admission(&self, request: &PlacementRequest<'_>) -> Admission {
+    /// Where a request may go that was sent to these engines before.
+    pub(crate) fn admission(&self, pool: &PoolName, id: &str, tried: &[BackEndName]) -> Admission {
         let Some(settings) = &self.settings().releases else {
             return Admission::to(Intake::Any);
         };
         let state = self.state();
         let gate = self.gate(&state, settings, self.clock().now());
-        gate.admission(request.pool, request.id, request.tried)
+        gate.admission(pool, id, tried)
     }
 
     /// Which engines a pool's requests go to, all together.
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -131,7 +131,7 @@
 
     /// Chooses an engine.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
-        let admission = self.admission(request);
+        let admission = self.admission(request.pool, request.id, request.tried);
         let first = self.choose_among(request, &admission.first, admission.failing);
         let placement = first.or_else(|| {
             let fallback = admission.fallback.as_ref()?;
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,6 +1,7 @@
 //! Where a request may go.
 
 use super::Intake;
+use crate::engines::EngineEntry;
 use crate::placement::Failing;
 
 /// Where a request may go: to some engines, and when none of them serves to others.
@@ -15,6 +16,12 @@
 }
 
 impl Admission {
+    /// Whether an engine may get the request, first or after others.
+    pub fn admits(&self, entry: &EngineEntry) -> bool {
+        let fallback = self.fallback.as_ref();
+        self.first.admits(entry) || fallback.is_some_and(|fallback| fallback.admits(entry))
+    }
+
     /// To these engines or to none.
     pub fn to(first: Intake) -> Self {
         Self {
--- a/crates/gateway/src/release/gate.rs
+++ b/crates/gateway/src/release/gate.rs
@@ -91,7 +91,7 @@
                 Admission::to(Intake::except(self.all_but_present(known)))
             }
             Stage::Completed => self.after_completion(known, versions),
-            _ if !self.has_present_engines(known, versions) && !known.is_stopped() => {
+            _ if !self.has_present_engines(known) && !known.is_stopped() => {
                 // There is nothing to compare the target version with, and no other engine.
                 Admission::to(Intake::except(known.shut.clone()))
             }
@@ -164,9 +164,13 @@
         }
     }
 
-    fn has_present_engines(&self, known: &KnownRelease, versions: &ListedVersions) -> bool {
-        let mut others = versions.others_than(&known.grant.order.target);
-        others.any(|version| !known.shut.contains(version))
+    /// Whether an engine of another version takes work by its own word.
+    fn has_present_engines(&self, known: &KnownRelease) -> bool {
+        let order = &known.grant.order;
+        let of_pool = self.engines.of_pool(&order.pool);
+        let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
+        let mut versions = ready.map(|engine| &engine.entry.software);
+        versions.any(|version| *version != order.target && !known.shut.contains(version))
     }
 
     fn all_but_present(&self, known: &KnownRelease) -> BTreeSet<SoftwareVersion> {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -234,12 +234,16 @@
 
     fn has_other_engine(&self, than: &BackEndName) -> bool {
         let now = self.gateway.clock().now();
+        let (pool, id) = (&self.request.pool, &self.request.caller.id);
+        let mut tried = self.tried.clone();
+        tried.push(than.clone());
+        let admission = self.gateway.admission(pool, id, &tried);
         let state = self.gateway.state();
-        let mut engines = state.engines.of_pool(&self.request.pool);
+        let mut engines = state.engines.of_pool(pool);
         engines.any(|engine| {
-            let name = &engine.entry.name;
-            let is_tried = name == than || self.tried.contains(name);
-            !is_tried && engine.takes_work(now) && engine.health.is_serving()
+            let is_tried = tried.contains(&engine.entry.name);
+            let is_able = engine.takes_work(now) && engine.health.is_serving();
+            !is_tried && is_able && admission.admits(&engine.entry)
         })
     }
 
--- a/crates/gateway/tests/releases_evidence.rs
+++ b/crates/gateway/tests/releases_evidence.rs
@@ -24,6 +24,8 @@
 const GOOD: AnswerEnd = AnswerEnd::Whole { is_success: true };
 /// Answers after which it is known how long they take.
 const ENOUGH: usize = 8;
+/// Answers after which it is known how long an engine may be silent.
+const MANY: usize = 20;
 const USUAL: Duration = Duration::from_millis(100);
 const A_LITTLE_LATE: Duration = Duration::from_millis(240);
 const SLOW: Duration = Duration::from_millis(260);
@@ -131,6 +133,27 @@
     });
 }
 
+/// It has nowhere else to go: given up, it would be sent to the same engine once more.
+#[test]
+fn late_answer_is_waited_for_while_only_engines_of_a_rejected_version_are_left() {
+    run(async {
+        let bench = bench(RequestKind::Safe, &[], &[]).await;
+        bench
+            .bench
+            .gateway
+            .publish_grant(grant(Stage::RolledBack, 0.0, 2));
+        for number in 0..MANY {
+            let id = format!("r{number}");
+            bench.bench.call("GET", &[(ID, &id)], "").await;
+        }
+        bench.old.push(Step::Late(Duration::from_millis(800)));
+        let answer = bench.bench.call("GET", &[(ID, "late")], "").await;
+        assert_eq!(answer.body.as_deref(), Ok("late"));
+        assert_eq!(bench.old.arrivals.borrow().len(), MANY + 1);
+        assert_eq!(bench.new.arrivals.borrow().len(), 0);
+    });
+}
+
 /// A version that hangs answers nothing that could be judged.
 #[parameterized(
     plain = { RequestKind::Unsafe, Step::Silence, Step::Answer(200, "ok") },
--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -276,6 +276,23 @@
     });
 }
 
+/// The release may have been completed while this node heard nobody.
+#[test]
+fn target_version_serves_when_the_present_engines_leave_though_no_grant_holds() {
+    run_paused(async {
+        let node = lone_node().await;
+        node.publish_grant(grant(Stage::Settling, 1.0, 1));
+        advance(ROLLBACK_WITHIN).await;
+        assert_eq!(versions_of(&node, REQUESTS), all(PRESENT));
+        let mut entries = both_versions();
+        for entry in &mut entries[..3] {
+            entry.state = EngineState::Draining;
+        }
+        list_engines(&node, entries);
+        assert_eq!(versions_of(&node, REQUESTS), all(TARGET));
+    });
+}
+
 /// Without the operator's word there is nothing to compare it with, and nobody else to serve.
 #[test]
 fn pool_of_the_target_version_alone_serves_during_its_trial() {
