Engines under trial take turns of a second where there are few

Where a pool is so small that the trial's share is one or two engines, the next ones came after three seconds. As a verdict needs the answers of several engines, a version that fails always was rolled back after 3 to 6 s in pools of 3 to 30 engines. Turns last a second now; surges stay as they were.

--- a/crates/core/src/release/exposure.rs
+++ b/crates/core/src/release/exposure.rs
@@ -9,8 +9,11 @@
 /// Requests go to a small pool's target version in surges, one in each time of this length. That is long
 /// enough for a surge to fill an engine: its share of three seconds is a quarter of a second and more.
 const SURGE_PERIOD: Duration = Duration::from_secs(3);
-/// With so many engines under trial one that fails by itself stands out; fewer take turns.
+/// With so many engines under trial one that fails by itself stands out; fewer take turns ..
 const ENOUGH_ENGINES: usize = 3;
+/// .. of this length, so that a version which fails always is convicted by several engines within three
+/// turns, and an engine has time to answer some requests.
+const TURN: Duration = Duration::from_secs(1);
 
 /// Engines of the target version that are under trial: some of them in the order that all nodes know,
 /// beginning anywhere in it.
@@ -58,7 +61,7 @@
         let periods = elapsed.as_secs_f64() / SURGE_PERIOD.as_secs_f64();
         let is_surge = periods.fract() < surge_share;
         let turn = match engines < ENOUGH_ENGINES {
-            true => periods as usize * engines,
+            true => turns_until(periods, surge_share) * engines,
             false => 0,
         };
         Self {
@@ -74,3 +77,11 @@
         }
     }
 }
+
+/// Turns that have begun before the present one, after so many periods of which surges take a share.
+fn turns_until(periods: f64, surge_share: f64) -> usize {
+    let turns_of_period = SURGE_PERIOD.as_secs_f64() / TURN.as_secs_f64();
+    let turns_of_surge = (surge_share * turns_of_period).ceil().max(1.0);
+    let turns_of_this = (periods.fract() * turns_of_period).min(turns_of_surge - 1.0);
+    (periods.trunc() * turns_of_surge) as usize + turns_of_this as usize
+}
--- a/crates/core/tests/release_trial.rs
+++ b/crates/core/tests/release_trial.rs
@@ -2,6 +2,7 @@
 
 mod release_world;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use release_world::{Case, End, Fault, Trouble, order, play, settings};
@@ -258,6 +259,24 @@
     assert!(mean < 0.095, "{mean}");
 }
 
+#[parameterized(
+    three_engines = { 3, 3 },
+    eight_engines = { 8, 4 },
+    twenty_engines = { 20, 6 },
+)]
+fn few_engines_under_trial_take_turns(engines: usize, tried: usize) {
+    let fleet = Fleet {
+        present: engines,
+        ..fleet(engines)
+    };
+    let windows = (0..80)
+        .map(|step| Exposure::during_trial(0.085, &fleet, Duration::from_millis(step * 100)))
+        .filter(|exposure| exposure.share > 0.0)
+        .map(|exposure| exposure.window.first);
+    let seen: BTreeSet<_> = windows.collect();
+    assert!(seen.len() >= tried, "{seen:?}");
+}
+
 #[test]
 fn window_goes_round() {
     let window = Window { first: 4, count: 2 };
