Releases: the next version waits for its order also after a release that has ended

After a release was rolled back or withdrawn, engines of yet another version took requests at once, before the order for it could arrive.

--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -209,6 +209,26 @@
     });
 }
 
+/// The usual way on from a version that was bad.
+#[parameterized(
+    rolled_back = { Stage::RolledBack },
+    withdrawn = { Stage::Withdrawn },
+    completed = { Stage::Completed },
+)]
+fn next_version_waits_for_its_order_after_a_release_that_has_ended(stage: Stage) {
+    run_paused(async move {
+        let node = lone_node().await;
+        node.publish_grant(grant(stage, 1.0, 1));
+        advance(Duration::from_secs(10)).await;
+        let mut entries = both_versions();
+        entries.push(engine_of("newest-1", "v3"));
+        list_engines(&node, entries);
+        assert_eq!(count_of(&versions_of(&node, REQUESTS), "v3"), 0);
+        advance(Duration::from_secs(2)).await;
+        assert!(count_of(&versions_of(&node, REQUESTS), "v3") > 0);
+    });
+}
+
 #[test]
 fn new_version_serves_before_its_time_when_no_other_does() {
     run_paused(async {
