--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use slog::debug;
+use slog::{debug, warn};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
@@ -61,7 +61,7 @@
                 }
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
-                send_fetch(&socket, gateway.next_fetch());
+                send_fetch(&gateway, &socket, gateway.next_fetch());
                 let spacing = match gateway.asks_often() {
                     true => TICKS_PER_QUESTION_OF_READER,
                     false => TICKS_PER_QUESTION,
@@ -75,7 +75,7 @@
             }
             () = sleep_until(urgent_at.unwrap_or_else(Instant::now)), if urgent_at.is_some() => {
                 urgent_at = None;
-                send_parcels(&socket, gateway.next_load_news());
+                send_parcels(&gateway, &socket, gateway.next_load_news());
                 tell(&gateway, &socket, TICKS_PER_HEARTBEAT);
             }
         }
@@ -87,17 +87,17 @@
         Ok(Datagram::Message(message)) => gateway.hear_peer(*message),
         Ok(Datagram::Question(question)) => {
             let answer = gateway.answer_question(&question);
-            send(socket, &Datagram::Answer(answer), &[from]);
+            send(gateway, socket, &Datagram::Answer(answer), &[from]);
         }
         Ok(Datagram::Answer(answer)) => gateway.take_answer(answer),
         Ok(Datagram::Fetch(fetch)) => {
             if let Some(chunk) = gateway.answer_fetch(&fetch) {
-                send(socket, &Datagram::Chunk(chunk), &[from]);
+                send(gateway, socket, &Datagram::Chunk(chunk), &[from]);
             }
         }
-        Ok(Datagram::Chunk(chunk)) => send_fetch(socket, gateway.take_chunk(chunk)),
+        Ok(Datagram::Chunk(chunk)) => send_fetch(gateway, socket, gateway.take_chunk(chunk)),
         Ok(Datagram::Zone(news)) => {
-            send_parcels(socket, gateway.hear_zone(&news));
+            send_parcels(gateway, socket, gateway.hear_zone(&news));
         }
         Err(error) => debug!(gateway.log(), "peer_message_unreadable";
             "from" => %from, "error" => %error),
@@ -114,47 +114,59 @@
     let message = gateway.peer_message(is_introduction);
     let receivers = gateway.peer_receivers(is_introduction, &mut rand::rng());
     for (message, receivers) in gateway.addressed(message, receivers) {
-        send(socket, &Datagram::Message(Box::new(message)), &receivers);
+        send(
+            gateway,
+            socket,
+            &Datagram::Message(Box::new(message)),
+            &receivers,
+        );
     }
 }
 
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
 fn tell_zones(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
     let with_loads = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
-    send_parcels(socket, gateway.next_zone_news(with_loads));
+    send_parcels(gateway, socket, gateway.next_zone_news(with_loads));
 }
 
-fn send_parcels(socket: &UdpSocket, parcels: impl IntoIterator<Item = Parcel>) {
+fn send_parcels(gateway: &Gateway, socket: &UdpSocket, parcels: impl IntoIterator<Item = Parcel>) {
     for (news, receivers) in parcels {
-        send(socket, &Datagram::Zone(news), &receivers);
+        send(gateway, socket, &Datagram::Zone(news), &receivers);
     }
 }
 
 /// Asks the node that reads the source for this zone, unless this node reads it itself.
 fn ask(gateway: &Rc<Gateway>, socket: &UdpSocket) {
     if let Some((reader, question)) = gateway.next_question() {
-        send(socket, &Datagram::Question(question), &[reader]);
+        send(gateway, socket, &Datagram::Question(question), &[reader]);
     }
 }
 
-fn send_fetch(socket: &UdpSocket, fetch: Option<(SocketAddr, Fetch)>) {
+fn send_fetch(gateway: &Gateway, socket: &UdpSocket, fetch: Option<(SocketAddr, Fetch)>) {
     if let Some((address, fetch)) = fetch {
-        send(socket, &Datagram::Fetch(fetch), &[address]);
+        send(gateway, socket, &Datagram::Fetch(fetch), &[address]);
     }
 }
 
-fn send(socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
+fn send(gateway: &Gateway, socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
     if receivers.is_empty() {
         return;
     }
-    let Ok(bytes) = serde_json::to_vec(datagram) else {
-        return;
+    let bytes = match serde_json::to_vec(datagram) {
+        Ok(bytes) if bytes.len() <= LONGEST_DATAGRAM => bytes,
+        Ok(bytes) => return note_unsent(gateway, &format!("{} bytes", bytes.len())),
+        Err(error) => return note_unsent(gateway, &error.to_string()),
     };
-    if bytes.len() > LONGEST_DATAGRAM {
-        return;
-    }
     for receiver in receivers {
         // A datagram that can't be sent now is lost like any other.
         let _ = socket.try_send_to(&bytes, *receiver);
     }
 }
+
+/// What the datagram held reaches nobody, which no later message makes up for.
+fn note_unsent(gateway: &Gateway, why: &str) {
+    let now = gateway.clock().now();
+    if let Some(left_out) = gateway.sampler().admit(now) {
+        warn!(gateway.log(), "peer_message_unsent"; "why" => why, "left_out" => left_out);
+    }
+}
