Let a node's own requests stand for those of others by what each bears

Cause: the node that gives orders multiplies its own stale starts by the number of nodes. Change: the number of nodes is weighed by what they bear in the mean and what this one does. Nothing changes where nodes are alike.

--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -160,12 +160,14 @@
     }
 
     /// Requests of each pool that began on replaced weights since the last call, at all nodes: the
-    /// own ones stand for those of the others.
+    /// own ones stand for those of the others, which callers come to by what each bears.
     pub fn take_stale_starts(&self) -> Vec<(PoolName, f64)> {
         let mut state = self.state_mut();
         let nodes = (state.peers.known_count() + 1) as f64;
+        let own_capacity = self.settings.identity.capacity;
+        let times = nodes * state.peers.mean_weight(own_capacity) / own_capacity.weight();
         let own = std::mem::take(&mut state.stale_starts);
-        let all = |(pool, count): (PoolName, u32)| (pool, f64::from(count) * nodes);
+        let all = |(pool, count): (PoolName, u32)| (pool, f64::from(count) * times);
         own.into_iter().map(all).collect()
     }
 
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -9,7 +9,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
-use super::{MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
+use super::{Capacity, MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
 use crate::placement::ReadingNews;
 use crate::places::{Distance, Places};
@@ -222,6 +222,13 @@
         near.chain(far).chain(remote).map(|peer| of(peer)).collect()
     }
 
+    /// What a node bears in the mean, this one included.
+    pub fn mean_weight(&self, own: Capacity) -> f64 {
+        let peers = self.peers.values();
+        let others: f64 = peers.map(|peer| peer.identity.capacity.weight()).sum();
+        (others + own.weight()) / (self.peers.len() + 1) as f64
+    }
+
     /// Whether a node of another zone is known at an address.
     pub fn is_far(&self, address: SocketAddr) -> bool {
         let mut far = self.peers.values().filter(|peer| !peer.is_near);
--- a/crates/gateway/tests/region_callers.rs
+++ b/crates/gateway/tests/region_callers.rs
@@ -7,12 +7,14 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use ryerouter_core::identity::{RegionName, ZoneName};
-use ryerouter_gateway::gateway::{CallerNode, CallerPlace, CallerRing, Gateway, draw_addresses};
+use ryerouter_core::identity::{PoolName, RegionName, ZoneName};
+use ryerouter_gateway::gateway::{
+    CallerNode, CallerPlace, CallerRing, Gateway, GatewaySettings, draw_addresses,
+};
 use ryerouter_gateway::peers::Capacity;
 use ryerouter_gateway::places::{Distance, Places};
 use support::fleet::{ZONES, nodes_in_regions, three_regions};
-use support::gateway_bench::run_paused;
+use support::gateway_bench::{gateway_with, run_paused, settings};
 use yare::parameterized;
 
 const MOST: usize = 64;
@@ -162,6 +164,36 @@
     assert_eq!(picks(&nodes, MOST).len(), 100);
 }
 
+/// The node that gives orders counts its own requests for those of all: on a large one, to which
+/// callers come more often, they stand for fewer others.
+#[parameterized(
+    like = { SMALL, 32.0 },
+    large = { Capacity(360), 16.0 },
+)]
+fn requests_of_a_node_stand_for_others_by_what_each_bears(own: Capacity, expected: f64) {
+    run_paused(async move {
+        let mut settings = settings("node-00");
+        settings.identity.capacity = own;
+        let gateway = gateway_with(settings);
+        for index in 1..4 {
+            let mut other = settings_of(index);
+            other.identity.capacity = SMALL;
+            gateway.hear_peer(gateway_with(other).peer_message(true));
+        }
+        let pool = PoolName::new("pool");
+        gateway.state_mut().stale_starts.insert(pool.clone(), 8);
+        let all = gateway.take_stale_starts();
+        assert_eq!(all.len(), 1);
+        assert!((all[0].1 - expected).abs() < 0.01, "{}", all[0].1);
+    });
+}
+
+fn settings_of(index: u64) -> GatewaySettings {
+    let mut settings = settings(&format!("node-{index:02}"));
+    settings.identity.incarnation = index + 10;
+    settings
+}
+
 fn named(gateway: &Gateway, zone: &str) -> usize {
     gateway.addresses_near(&ZoneName::new(zone), MOST).len()
 }
