Name all nodes to callers until the node that answers gets half of what it bears

Cause: drawn by weight all the time, large nodes got several times as many callers with nothing gained: nodes are busy to some hundredths. Change: a node draws by weight only while more than half of what it bears comes to it (a meter of four seconds), or where an answer can't hold all. Test: pressed_node_names_others_by_what_they_bear.

--- a/crates/gateway/src/gateway/caller_ring.rs
+++ b/crates/gateway/src/gateway/caller_ring.rs
@@ -15,6 +15,10 @@
 /// A ring is too weak once less than this share of what its nodes bear is left: what served all its
 /// callers before would fall on the few that are left.
 const LEAST_SHARE: f64 = 0.5;
+/// A node that gets more than this share of the requests that it bears sends callers to nodes by what
+/// each bears. Below it all are named alike: callers then keep their connections, and every node sees
+/// as much of each tenant and pool as the others, which limits and orders count on.
+pub const PRESSED_SHARE: f64 = 0.5;
 /// Of unlike nodes a caller is named at least so many: with most of a deployment's nodes killed at
 /// once, one of six is alive nearly always.
 const LEAST_DRAWN: usize = 6;
@@ -97,16 +101,17 @@
     }
 }
 
-/// The addresses that one answer names: all where the nodes are alike and not too many, else some,
-/// drawn in proportion to what each can bear.
+/// The addresses that one answer names: all, or when the node that answers is pressed and they are
+/// unlike some, drawn in proportion to what each can bear. Where they are too many, that draw decides.
 pub fn draw_addresses(
     nodes: &[CallerNode<'_>],
     most: usize,
+    is_pressed: bool,
     random: &mut impl Rng,
 ) -> Vec<SocketAddr> {
     let first = nodes.first().map(|node| node.capacity);
     let are_alike = nodes.iter().all(|node| Some(node.capacity) == first);
-    let wanted = match are_alike {
+    let wanted = match are_alike || !is_pressed {
         true => nodes.len(),
         false => (nodes.len() / NODES_PER_DRAWN).max(LEAST_DRAWN),
     };
--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -9,7 +9,7 @@
 
 use slog::info;
 
-use super::caller_ring::{CallerNode, CallerPlace, CallerRing, draw_addresses};
+use super::caller_ring::{CallerNode, CallerPlace, CallerRing, PRESSED_SHARE, draw_addresses};
 use super::{Gateway, GatewayState};
 use crate::peers::NodeState;
 
@@ -71,9 +71,10 @@
         if self.is_cut_off_at(&state, now) {
             return Vec::new();
         }
+        let is_pressed = self.is_pressed(&state, now);
         let nodes = self.caller_nodes(&state, is_ready, now);
         let (ring, ready) = CallerRing::of(place, &nodes, &self.settings().places);
-        let addresses = draw_addresses(&ready, most, &mut rand::rng());
+        let addresses = draw_addresses(&ready, most, is_pressed, &mut rand::rng());
         let is_served_zone = nodes.iter().any(|node| node.zone == place.zone);
         let (known, serving) = (nodes.len(), ready.len());
         drop(state);
@@ -84,11 +85,18 @@
         // Only zones that nodes have told of: callers may name any.
         if is_served_zone && self.note_ring(place.zone, ring) {
             info!(self.log(), "callers_sent"; "zone" => %place.zone, "ring" => %ring,
-                "serving" => serving, "known" => known, "named" => addresses.len());
+                "serving" => serving, "known" => known, "named" => addresses.len(),
+                "pressed" => is_pressed);
         }
         addresses
     }
 
+    /// Whether callers bring this node so much that larger ones should get more.
+    fn is_pressed(&self, state: &GatewayState, now: Timestamp) -> bool {
+        let borne = self.settings().identity.capacity.weight();
+        state.requests.per_second(now) > borne * PRESSED_SHARE
+    }
+
     /// This node and all others that were heard lately.
     fn caller_nodes<'a>(
         &'a self,
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -8,6 +8,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
 use ryerouter_core::identity::{PoolName, ZoneName};
+use ryerouter_core::quota::Meter;
 
 use super::{CallerRing, GatewaySettings, ProofOfFreshness};
 use crate::catalogue::RoutingTable;
@@ -24,6 +25,9 @@
 use crate::source::{ChangeLog, ItemKind, Replicas, Steadiness};
 use crate::sync::{Exchange, Transfer};
 
+/// Requests are averaged over this time: two answers of the directory.
+const REQUESTS_SPAN: Duration = Duration::from_secs(4);
+
 /// What a gateway believes; changed between awaits only.
 #[derive(Debug)]
 pub struct GatewayState {
@@ -126,6 +130,8 @@
     pub weights_news: Vec<WeightsNews>,
     /// From how far away callers of each zone were last sent to nodes.
     pub caller_rings: BTreeMap<ZoneName, CallerRing>,
+    /// Requests that came, a second.
+    pub requests: Meter,
     /// Requests in progress.
     pub active_requests: usize,
 }
@@ -212,6 +218,7 @@
             load_news: Vec::new(),
             weights_news: Vec::new(),
             caller_rings: BTreeMap::new(),
+            requests: Meter::new(REQUESTS_SPAN, now),
             active_requests: 0,
         }
     }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -177,6 +177,7 @@
         let mut state = self.state_mut();
         let window = state.retries.entry(pool.clone()).or_default();
         window.count_request(&self.settings.retry, now);
+        state.requests.count(1.0, now);
     }
 
     /// Takes a retry from the budget of a pool.
--- a/crates/gateway/tests/region_callers.rs
+++ b/crates/gateway/tests/region_callers.rs
@@ -14,10 +14,13 @@
 use ryerouter_gateway::peers::Capacity;
 use ryerouter_gateway::places::{Distance, Places};
 use support::fleet::{ZONES, nodes_in_regions, three_regions};
-use support::gateway_bench::{gateway_with, run_paused, settings};
+use support::gateway_bench::{configure, gateway_with, list_engines, run_paused, settings};
+use support::records::table;
 use yare::parameterized;
 
 const MOST: usize = 64;
+/// So long what comes is the same before it is looked at.
+const SECONDS_OF_LOAD: u32 = 12;
 const BIG: Capacity = Capacity(500);
 const SMALL: Capacity = Capacity(120);
 
@@ -105,7 +108,7 @@
     let mut random = StdRng::seed_from_u64(7);
     let mut picks = BTreeMap::new();
     for _ in 0..4_000 {
-        let named = draw_addresses(nodes, most, &mut random);
+        let named = draw_addresses(nodes, most, true, &mut random);
         let distinct: BTreeSet<_> = named.iter().collect();
         assert_eq!(distinct.len(), named.len());
         assert!(named.len() >= nodes.len().min(6));
@@ -151,10 +154,40 @@
     let zone = ZoneName::new("a1");
     let mut random = StdRng::seed_from_u64(7);
     let alike = nodes_of(&zone, &[SMALL; 30]);
-    assert_eq!(draw_addresses(&alike, MOST, &mut random).len(), 30);
+    assert_eq!(draw_addresses(&alike, MOST, true, &mut random).len(), 30);
     let few = nodes_of(&zone, &[BIG, SMALL, SMALL, SMALL]);
-    assert_eq!(draw_addresses(&few, MOST, &mut random).len(), 4);
-    assert!(draw_addresses(&[], MOST, &mut random).is_empty());
+    assert_eq!(draw_addresses(&few, MOST, true, &mut random).len(), 4);
+    assert!(draw_addresses(&[], MOST, true, &mut random).is_empty());
+}
+
+/// A small node with larger ones beside it: all are named until it gets half of what it bears.
+#[parameterized(
+    little = { 30, 16 },
+    much = { 90, 6 },
+)]
+fn pressed_node_names_others_by_what_they_bear(per_second: u32, expected: usize) {
+    run_paused(async move {
+        let mut own = settings("node-00");
+        own.identity.capacity = SMALL;
+        let gateway = gateway_with(own);
+        configure(&gateway, table(1, Vec::new()));
+        list_engines(&gateway, Vec::new());
+        for _ in 0..per_second * SECONDS_OF_LOAD {
+            gateway.count_request(&PoolName::new("pool"));
+            tokio::time::sleep(std::time::Duration::from_secs(1) / per_second).await;
+        }
+        for index in 1..16 {
+            let mut other = settings_of(index);
+            other.identity.capacity = if index < 3 { BIG } else { SMALL };
+            other.identity.caller_address = address(index as usize);
+            let other = gateway_with(other);
+            configure(&other, table(1, Vec::new()));
+            list_engines(&other, Vec::new());
+            gateway.hear_peer(other.peer_message(true));
+        }
+        let zone = gateway.settings().identity.zone.clone();
+        assert_eq!(gateway.addresses_near(&zone, MOST).len(), expected);
+    });
 }
 
 #[test]
