--- a/crates/gateway/tests/region_callers.rs
+++ b/crates/gateway/tests/region_callers.rs
@@ -7,15 +7,20 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use ryerouter_core::identity::{RegionName, ZoneName};
-use ryerouter_gateway::gateway::{CallerNode, CallerPlace, CallerRing, Gateway, draw_addresses};
+use ryerouter_core::identity::{PoolName, RegionName, ZoneName};
+use ryerouter_gateway::gateway::{
+    CallerNode, CallerPlace, CallerRing, Gateway, GatewaySettings, draw_addresses,
+};
 use ryerouter_gateway::peers::Capacity;
 use ryerouter_gateway::places::{Distance, Places};
 use support::fleet::{ZONES, nodes_in_regions, three_regions};
-use support::gateway_bench::run_paused;
+use support::gateway_bench::{configure, gateway_with, list_engines, run_paused, settings};
+use support::records::table;
 use yare::parameterized;
 
 const MOST: usize = 64;
+/// So long what comes is the same before it is looked at.
+const SECONDS_OF_LOAD: u32 = 12;
 const BIG: Capacity = Capacity(500);
 const SMALL: Capacity = Capacity(120);
 
@@ -103,7 +108,7 @@
     let mut random = StdRng::seed_from_u64(7);
     let mut picks = BTreeMap::new();
     for _ in 0..4_000 {
-        let named = draw_addresses(nodes, most, &mut random);
+        let named = draw_addresses(nodes, most, true, &mut random);
         let distinct: BTreeSet<_> = named.iter().collect();
         assert_eq!(distinct.len(), named.len());
         assert!(named.len() >= nodes.len().min(6));
@@ -149,10 +154,40 @@
     let zone = ZoneName::new("a1");
     let mut random = StdRng::seed_from_u64(7);
     let alike = nodes_of(&zone, &[SMALL; 30]);
-    assert_eq!(draw_addresses(&alike, MOST, &mut random).len(), 30);
+    assert_eq!(draw_addresses(&alike, MOST, true, &mut random).len(), 30);
     let few = nodes_of(&zone, &[BIG, SMALL, SMALL, SMALL]);
-    assert_eq!(draw_addresses(&few, MOST, &mut random).len(), 4);
-    assert!(draw_addresses(&[], MOST, &mut random).is_empty());
+    assert_eq!(draw_addresses(&few, MOST, true, &mut random).len(), 4);
+    assert!(draw_addresses(&[], MOST, true, &mut random).is_empty());
+}
+
+/// A small node with larger ones beside it: all are named until it gets half of what it bears.
+#[parameterized(
+    little = { 30, 16 },
+    much = { 90, 6 },
+)]
+fn pressed_node_names_others_by_what_they_bear(per_second: u32, expected: usize) {
+    run_paused(async move {
+        let mut own = settings("node-00");
+        own.identity.capacity = SMALL;
+        let gateway = gateway_with(own);
+        configure(&gateway, table(1, Vec::new()));
+        list_engines(&gateway, Vec::new());
+        for _ in 0..per_second * SECONDS_OF_LOAD {
+            gateway.count_request(&PoolName::new("pool"));
+            tokio::time::sleep(std::time::Duration::from_secs(1) / per_second).await;
+        }
+        for index in 1..16 {
+            let mut other = settings_of(index);
+            other.identity.capacity = if index < 3 { BIG } else { SMALL };
+            other.identity.caller_address = address(index as usize);
+            let other = gateway_with(other);
+            configure(&other, table(1, Vec::new()));
+            list_engines(&other, Vec::new());
+            gateway.hear_peer(other.peer_message(true));
+        }
+        let zone = gateway.settings().identity.zone.clone();
+        assert_eq!(gateway.addresses_near(&zone, MOST).len(), expected);
+    });
 }
 
 #[test]
@@ -162,6 +197,36 @@
     assert_eq!(picks(&nodes, MOST).len(), 100);
 }
 
+/// The node that gives orders counts its own requests for those of all: on a large one, to which
+/// callers come more often, they stand for fewer others.
+#[parameterized(
+    like = { SMALL, 32.0 },
+    large = { Capacity(360), 16.0 },
+)]
+fn requests_of_a_node_stand_for_others_by_what_each_bears(own: Capacity, expected: f64) {
+    run_paused(async move {
+        let mut settings = settings("node-00");
+        settings.identity.capacity = own;
+        let gateway = gateway_with(settings);
+        for index in 1..4 {
+            let mut other = settings_of(index);
+            other.identity.capacity = SMALL;
+            gateway.hear_peer(gateway_with(other).peer_message(true));
+        }
+        let pool = PoolName::new("pool");
+        gateway.state_mut().stale_starts.insert(pool.clone(), 8);
+        let all = gateway.take_stale_starts();
+        assert_eq!(all.len(), 1);
+        assert!((all[0].1 - expected).abs() < 0.01, "{}", all[0].1);
+    });
+}
+
+fn settings_of(index: u64) -> GatewaySettings {
+    let mut settings = settings(&format!("node-{index:02}"));
+    settings.identity.incarnation = index + 10;
+    settings
+}
+
 fn named(gateway: &Gateway, zone: &str) -> usize {
     gateway.addresses_near(&ZoneName::new(zone), MOST).len()
 }
