A director goes on with what its node held against the version before

A director that took a release over judged all answers so far at once. Of an engine's bad answers within 0.3 s two count, so a version that its node had already stopped at could pass: the nodes that had stopped sent nothing more there, no bad answer followed, and after the trial's time the release moved on and was completed. It begins with the suspicion and the verdict of its own node now. The test failed before (nothing was rolled back).

--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/trial.rs
@@ -81,6 +81,16 @@
         trial
     }
 
+    /// Goes on with what a node held against the target version before it directs the release. Taken anew its
+    /// answers would all be of one moment, like those of crashes, of which few count.
+    pub fn with_suspicion(self, suspicion: Suspicion, rollback: Option<Rollback>) -> Self {
+        Self {
+            suspicion,
+            rollback,
+            ..self
+        }
+    }
+
     /// The order.
     pub fn order(&self) -> &Order {
         &self.order
@@ -108,7 +118,9 @@
             return false;
         }
         self.suspicion.observe(total, now);
-        self.rollback = self.suspicion.verdict(fleet.target);
+        if self.rollback.is_none() {
+            self.rollback = self.suspicion.verdict(fleet.target);
+        }
         let next = match before {
             _ if self.rollback.is_some() => Stage::RolledBack,
             Stage::Trial => self.after_trial(fleet, total, now),
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Counts, Fleet, Grant, Order};
+use ryerouter_core::release::{Counts, Fleet, Grant, Order, Settings, Trial};
 use slog::info;
 
 use super::release_intake::note_replaced;
@@ -56,6 +56,15 @@
         Some((known.grant.clone(), now.since(known.granted_at)))
     }
 
+    /// A release that this node goes on to direct, if it knows of it.
+    pub fn resumed_trial(&self, order: &Order, settings: &Settings) -> Option<Trial> {
+        let now = self.clock().now();
+        let state = self.state();
+        let known = state.releases.of(&order.pool);
+        let known = known.filter(|known| known.grant.order == *order)?;
+        Some(known.resume(settings.clone(), now))
+    }
+
     /// What all nodes have seen of the answers in a release, as far as they have told.
     pub fn release_counts(&self, order: &Order) -> Counts {
         let state = self.state();
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -156,14 +156,10 @@
     /// on.
     fn begin(&self, release: &OrderedRelease, now: Timestamp) -> Course {
         let order = &release.order;
-        let known = self.gateway.known_grant(&order.pool);
-        let known = known.filter(|(grant, _)| grant.order == *order);
-        let is_resumed = known.is_some();
         let bounds = self.bounds.clone();
-        let trial = match known {
-            Some((grant, age)) => Trial::resume(&grant, age, bounds, now),
-            None => Trial::new(order.clone(), bounds, now),
-        };
+        let resumed = self.gateway.resumed_trial(order, &bounds);
+        let is_resumed = resumed.is_some();
+        let trial = resumed.unwrap_or_else(|| Trial::new(order.clone(), bounds, now));
         info!(self.gateway.log(), "release_ordered"; "pool" => %order.pool,
             "target" => &order.target, "ramp_ms" => order.ramp.as_millis() as u64,
             "made" => order.made, "revision" => release.revision, "is_resumed" => is_resumed,
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -5,7 +5,8 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
-    Account, Counts, Grant, Ledger, Reporter, Rollback, SoftwareVersion, Stage, Suspicion,
+    Account, Counts, Grant, Ledger, Reporter, Rollback, Settings, SoftwareVersion, Stage,
+    Suspicion, Trial,
 };
 
 use super::Origin;
@@ -63,6 +64,13 @@
         self.stopped.is_some() && !self.grant.stage.is_final()
     }
 
+    /// The release as this node goes on to direct it.
+    pub fn resume(&self, settings: Settings, now: Timestamp) -> Trial {
+        let age = now.since(self.granted_at);
+        let trial = Trial::resume(&self.grant, age, settings, now);
+        trial.with_suspicion(self.suspicion.clone(), self.stopped.clone())
+    }
+
     /// Whether nothing follows.
     pub fn is_final(&self) -> bool {
         self.grant.stage.is_final()
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -360,6 +360,31 @@
     });
 }
 
+#[test]
+fn next_holder_goes_by_what_it_held_against_the_version_before() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let first = ReleaseNode::start_holding("node-1", &orders, 1);
+        first.until_stage("a", Stage::Trial).await;
+        let (grant, _) = first.grant("a").expect("grant");
+        first.kill();
+        let second = ReleaseNode::start("node-2", &orders);
+        second.gateway.take_recorded_grant(grant);
+        // A quarter of the answers fails, so that the node sends nothing more there and sees nothing new.
+        for _ in 0..25 {
+            second.fail_target("a");
+            second.serve_target("a", 3);
+            second.gateway.refresh_releases();
+            sleep(millis(300)).await;
+        }
+        second.hold(2);
+        sleep(STARTED).await;
+        assert_eq!(second.stage("a"), Some(Stage::RolledBack));
+        assert_eq!(recorded(&orders, "a"), is("v2", Outcome::RolledBack));
+    });
+}
+
 #[test]
 fn next_holder_sees_fresh_answers_before_requests_move() {
     run_paused(async {
--- a/crates/gateway/tests/support/release_node.rs
+++ b/crates/gateway/tests/support/release_node.rs
@@ -116,6 +116,21 @@
             ledger.note(Cell::present(1), Judgement::Good);
         }
     }
+
+    /// Every engine of a pool's target version, and one of the present one for each, answers well so often.
+    pub fn serve_target(&self, pool: &str, times: u32) {
+        let mut state = self.gateway.state_mut();
+        let known = state.releases.of_mut(&PoolName::new(pool));
+        let ledger = &mut known.expect("release").ledger;
+        for number in 1..=u32::from(ENGINES) * times {
+            let cell = Cell {
+                route: 1,
+                engine: 1 + number % u32::from(ENGINES),
+            };
+            ledger.note(cell, Judgement::Good);
+            ledger.note(Cell::present(1), Judgement::Good);
+        }
+    }
 }
 
 /// Bounds of releases: grants last 2 s.
