Releases: news of a stage go to spare heads, a node cleared by later answers follows

News of a stage were passed on like regular ones, to one head of each group, since only those of weights counted as urgent: with a head that was just lost its group heard of a verdict with the next regular message (test: nodes 2 and 3 of 12 did not). And a node that had stopped by itself sent to the present version until the release was completed, though the answers since had cleared the target version: what it had sent there last was broken off. It follows when the last requests move. Both tests failed before.

--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -147,9 +147,9 @@
     fn parcel_of_region(&self, state: &GatewayState, news: &ZoneNews, now: Timestamp) -> Parcel {
         let own = &self.settings().identity.zone;
         let places = &self.settings().places;
-        let most = match news.weights.is_empty() {
-            true => 1,
-            false => RELAYS_OF_URGENT_NEWS,
+        let most = match is_urgent(news) {
+            true => RELAYS_OF_URGENT_NEWS,
+            false => 1,
         };
         let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
         for peer in state.peers.ready(now) {
@@ -182,7 +182,7 @@
         let alive = state.peers.alive(now).filter(|peer| peer.is_near);
         let alive: BTreeSet<_> = alive.map(|peer| &peer.identity.name).collect();
         let near: Vec<_> = state.peers.near().collect();
-        let is_urgent = !news.weights.is_empty();
+        let is_urgent = is_urgent(news);
         let is_own = news.zone == own.zone;
         let groups = match is_urgent && !is_own {
             true => self.groups_of_urgent_news(&near),
@@ -336,6 +336,13 @@
     }
 }
 
+/// Whether news are of those that nobody should miss: they come by themselves, and the regular ones tell of
+/// releases too.
+fn is_urgent(news: &ZoneNews) -> bool {
+    let is_regular = news.loads.is_some();
+    !is_regular && !(news.weights.is_empty() && news.releases.is_empty())
+}
+
 /// So many nodes that there are about as many groups.
 fn length_of_groups(near: &[&NodeIdentity]) -> usize {
     (near.len() as f64).sqrt().ceil().max(1.0) as usize
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -109,10 +109,16 @@
     }
 
     /// Takes all answers so far; tells why this node stops sending to the target version, the moment
-    /// that it does. It does not wait for the director, who may be lost.
+    /// that it does. It does not wait for the director, who may be lost. When the last requests move, and the
+    /// answers since have cleared the version, it follows: present engines stop once the release is completed,
+    /// and would break off what it still sent there.
     pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
         self.suspicion.observe(total, now);
         if self.stopped.is_some() {
+            let is_moving = self.grant.stage == Stage::Settling;
+            if is_moving && !self.suspicion.is_doubtful(engines) {
+                self.stopped = None;
+            }
             return None;
         }
         self.stopped = self.suspicion.verdict(engines);
--- a/crates/gateway/tests/releases_news.rs
+++ b/crates/gateway/tests/releases_news.rs
@@ -118,6 +118,8 @@
 #[parameterized(
     both_relays_live = { &[] },
     first_relay_is_dead = { &[6] },
+    head_of_own_group_is_dead = { &[1] },
+    other_relay_and_its_neighbour_are_dead = { &[7, 8] },
 )]
 fn verdict_reaches_every_node_at_once(dead: &'static [usize]) {
     run_paused(async move {
@@ -367,6 +369,38 @@
     });
 }
 
+/// Else it would send to engines that stop the moment that the release is completed.
+#[test]
+fn node_that_stopped_without_cause_follows_when_the_last_requests_move() {
+    run_paused(async {
+        let node = lone_node().await;
+        let good = AnswerEnd::Whole { is_success: true };
+        let targets = ["new-1", "new-2", "new-3"];
+        node.publish_grant(grant(Stage::Trial, 0.08, 1));
+        for _ in 0..10 {
+            see_answers(&node, "old-1", PRESENT, good, 20);
+            for engine in targets {
+                see_answers(&node, engine, TARGET, AnswerEnd::Failed, 2);
+            }
+            advance(Duration::from_millis(300)).await;
+            node.refresh_releases();
+        }
+        let settle = |number| node.publish_grant(grant(Stage::Settling, 1.0, number));
+        settle(2);
+        node.refresh_releases();
+        assert_eq!(count_of(&versions_of(&node, REQUESTS), TARGET), 0);
+        for engine in targets {
+            see_answers(&node, engine, TARGET, good, 1_000);
+        }
+        settle(3);
+        node.refresh_releases();
+        assert_eq!(
+            count_of(&versions_of(&node, REQUESTS), TARGET),
+            REQUESTS
+        );
+    });
+}
+
 #[test]
 fn node_that_sees_a_version_do_well_goes_on_sending_to_it() {
     run_paused(async {
