Releases: an order closes its version before the lease is taken

The node that follows the orders told nobody of one until it had the lease. Where the source was slow or refused writes, or a lost holder's lease had not run out, the engines of the target version were taken for ones that nobody ordered two seconds after they were listed, and got a full part of the requests. It now tells a grant of nothing, which any grant of a director replaces. A version without an order is held for 3 s in place of 2: a lost follower is missed after 1.1 s, and the next one begins 0.5 to 0.9 s later.

The test failed before (no grant was known).

--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -15,6 +15,7 @@
 
 use super::director_event::DirectorEvent;
 use super::ends::tell_ends;
+use super::heard_orders::tell_heard;
 use super::order_follower::OrderFollower;
 use super::record_reader::RecordReader;
 use super::stage_log::{note_answers, note_stage};
@@ -109,7 +110,10 @@
         match self.gateway.valid_order_fence() {
             Some(fence) => self.direct(&orders, fence),
             // The grants run out by themselves, and whoever holds the lease next goes on with them.
-            None => self.courses.clear(),
+            None => {
+                self.courses.clear();
+                tell_heard(&self.gateway, &orders);
+            }
         }
         tell_ends(&self.gateway, &orders);
     }
--- a/crates/gateway/src/release/listed_versions.rs
+++ b/crates/gateway/src/release/listed_versions.rs
@@ -10,9 +10,10 @@
 use crate::engines::{Engine, EngineTable};
 
 /// The list of engines may tell of a version before the order for it arrives: the two come by different
-/// questions to the source. Until then a version that has just appeared gets nothing, since an ordered
-/// one must not get more than a share.
-const UNORDERED_HOLD: Duration = Duration::from_secs(2);
+/// questions to the source, and when the node that follows the orders is lost it takes two seconds until another
+/// one has read them. Until then a version that has just appeared gets nothing, since an ordered one must not
+/// get more than a share.
+const UNORDERED_HOLD: Duration = Duration::from_secs(3);
 
 /// What the list tells of the engines of one version.
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/release/mod.rs
+++ b/crates/gateway/src/release/mod.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod evidence_news;
 mod gate;
+mod heard_orders;
 mod intake;
 mod known_order;
 mod known_release;
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -457,6 +457,31 @@
     });
 }
 
+/// Until the lease is taken the engines of the target version would else be taken for ones that nobody ordered.
+#[test]
+fn order_closes_its_version_before_the_lease_is_taken() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        let node = ReleaseNode::start("node-1", &orders);
+        node.gateway.state_mut().is_source_reached = true;
+        sleep(Duration::from_secs(5)).await;
+        assert!(node.gateway.state().releases.knows_orders);
+        orders.order("a", "v2", RAMP);
+        sleep(STARTED).await;
+        let (grant, _) = node.grant("a").expect("grant");
+        assert_eq!((grant.stage, grant.fence), (Stage::Trial, 0));
+        assert!(grant.share.abs() < f64::EPSILON);
+        assert_eq!(recorded(&orders, "a"), None);
+        sleep(Duration::from_secs(4)).await;
+        node.hold(1);
+        sleep(STARTED).await;
+        let (grant, age) = node.grant("a").expect("grant");
+        assert_eq!(grant.fence, 1);
+        assert!(age < millis(400), "{age:?}");
+        assert!(grant.elapsed >= Duration::from_secs(5));
+    });
+}
+
 #[test]
 fn nothing_is_granted_by_a_lease_that_has_run_out_unseen() {
     run_paused(async {
