A node that starts after a release does not take newer engines for replaced

Within 3 s of hearing that a release was completed all other ready versions were noted as replaced, also by a node that was started long after: in a later replacement without an order it kept the newer version closed until the last engine of the older one had gone, and sent all its requests to fewer and fewer engines. Versions whose engines all began after the target version's are not noted. The test failed before.

--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -11,7 +11,9 @@
 use super::{Gateway, GatewayState};
 use crate::engines::{EngineState, EngineTable};
 use crate::placement::{Placement, PlacementRequest};
-use crate::release::{Admission, AnswerEnd, AnswerWatch, Gate, Intake, KnownRelease};
+use crate::release::{
+    Admission, AnswerEnd, AnswerWatch, Gate, Intake, KnownRelease, ListedVersions,
+};
 use crate::serve::AcceptedRequest;
 
 /// Engines of other versions that are listed by so long after a release was completed were replaced by it:
@@ -242,16 +244,20 @@
     known.grant.stage == Stage::Completed && !has_target
 }
 
-/// Remembers which versions a completed release has replaced.
+/// Remembers which versions a completed release has replaced: not those whose engines all began after the
+/// target version's, as a node that hears of the release long after it may meet a later replacement.
 pub(super) fn note_replaced(known: &mut KnownRelease, engines: &EngineTable, now: Timestamp) {
     let grant = &known.grant;
     let is_fresh = now.since(known.staged_at) < REPLACED_LISTED_WITHIN;
     if grant.stage != Stage::Completed || !is_fresh {
         return;
     }
+    let versions = ListedVersions::of(engines, &grant.order.pool);
     let of_pool = engines.of_pool(&grant.order.pool);
     let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
-    let versions = ready.map(|engine| &engine.entry.software);
-    let others = versions.filter(|version| **version != grant.order.target);
-    known.superseded.extend(others.cloned());
+    let target = &grant.order.target;
+    let replaced = ready.map(|engine| &engine.entry.software);
+    let replaced = replaced.filter(|version| *version != target);
+    let replaced = replaced.filter(|version| !versions.is_newer(version, target));
+    known.superseded.extend(replaced.cloned());
 }
--- a/crates/gateway/src/release/listed_versions.rs
+++ b/crates/gateway/src/release/listed_versions.rs
@@ -97,6 +97,13 @@
         oldest.or_else(most).map(|(version, _)| version)
     }
 
+    /// Whether all engines of a version began after the oldest one of another; not without a word of their age.
+    pub fn is_newer(&self, version: &str, other: &str) -> bool {
+        let oldest = |version| self.0.get(version).and_then(|listed| listed.oldest);
+        let other = oldest(other);
+        other.is_some_and(|other| oldest(version).is_some_and(|oldest| oldest > other))
+    }
+
     /// Versions that appeared so lately that an order for them may yet come.
     pub fn held(&self, now: Timestamp) -> BTreeSet<SoftwareVersion> {
         let is_new = |listed: &Listed| now.since(listed.first_at) < UNORDERED_HOLD;
--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -311,6 +311,30 @@
 }
 
 /// A node without the bounds of releases takes part in none, whatever it hears.
+/// It hears of the release when the next replacement has begun.
+#[test]
+fn node_that_starts_after_a_release_does_not_take_newer_engines_for_replaced() {
+    run_paused(async {
+        let node = new_node(0, ZONE);
+        node.publish_grant(grant(Stage::Completed, 1.0, 1));
+        let mut entries = both_versions();
+        entries.push(engine_of("newest-1", "v3"));
+        let entries = entries.into_iter().enumerate();
+        let aged = entries.map(|(age, entry)| EngineEntry {
+            incarnation: Some(Incarnation(age as u64)),
+            ..entry
+        });
+        list_engines(&node, aged.collect());
+        node.refresh_releases();
+        advance(Duration::from_secs(4)).await;
+        node.refresh_releases();
+        let versions = versions_of(&node, REQUESTS);
+        assert!(count_of(&versions, "v3") > 0);
+        assert!(count_of(&versions, TARGET) > 0);
+        assert_eq!(count_of(&versions, PRESENT), 0);
+    });
+}
+
 #[test]
 fn without_bounds_nothing_is_told_and_every_engine_is_used() {
     run_paused(async {
