Releases: of two ends of one order the one that the source holds last counts

A late record of completion by a lost director may be carried out before the verdict of the next one is recorded. The operator then stops the present engines, but nodes held on to the verdict and sent nothing to the target version, the only one left.

--- a/crates/core/src/release/grant.rs
+++ b/crates/core/src/release/grant.rs
@@ -37,7 +37,8 @@
 
 impl Grant {
     /// Whether this replaces another one of the same pool, in whatever order they arrive. A release that
-    /// has come to its end stays there, unless there is another order.
+    /// has come to its end stays there, unless there is another order, or the source holds another end: a late
+    /// record of one director may meet the verdict of the next, and the operator goes by the record.
     pub fn supersedes(&self, other: &Self) -> bool {
         if self.order != other.order {
             return self.revision > other.revision;
@@ -45,7 +46,12 @@
         match (self.stage.is_final(), other.stage.is_final()) {
             (true, false) => true,
             (false, true) => false,
-            _ => (self.fence, self.number) > (other.fence, other.number),
+            (true, true) => self.place_among_ends() > other.place_among_ends(),
+            (false, false) => (self.fence, self.number) > (other.fence, other.number),
         }
     }
+
+    fn place_among_ends(&self) -> (u64, u64, u64) {
+        (self.revision, self.fence, self.number)
+    }
 }
--- a/crates/gateway/src/release/ends.rs
+++ b/crates/gateway/src/release/ends.rs
@@ -37,7 +37,7 @@
 fn is_told(gateway: &Gateway, grant: &Grant) -> bool {
     let known = gateway.known_grant(&grant.order.pool);
     known.is_some_and(|(known, _)| {
-        let is_same_end = known.order == grant.order && known.stage.is_final();
+        let is_same_end = known.order == grant.order && known.stage == grant.stage;
         is_same_end || !grant.supersedes(&known)
     })
 }
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -360,6 +360,28 @@
     });
 }
 
+/// The operator has stopped the present engines: nobody else can serve.
+#[test]
+fn late_record_of_completion_wins_over_a_verdict_that_was_not_recorded() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let node = ReleaseNode::start_holding("node-1", &orders, 2);
+        node.until_stage("a", Stage::Trial).await;
+        orders.is_down.set(true);
+        for _ in 0..20 {
+            node.fail_target("a");
+            sleep(millis(100)).await;
+        }
+        assert_eq!(node.stage("a"), Some(Stage::RolledBack));
+        orders.write("a", Outcome::Completed);
+        orders.is_down.set(false);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(recorded(&orders, "a"), is("v2", Outcome::Completed));
+        assert_eq!(node.stage("a"), Some(Stage::Completed));
+    });
+}
+
 #[test]
 fn next_holder_goes_by_what_it_held_against_the_version_before() {
     run_paused(async {
