Releases: a version that comes after a rejected one waits for its order

After a rollback or withdrawal a further version got requests the moment that it was listed, before the order for it could be known, without any bound on its share. It waits like any other new version.

--- a/crates/gateway/src/release/gate.rs
+++ b/crates/gateway/src/release/gate.rs
@@ -88,7 +88,7 @@
     ) -> Admission {
         match known.grant.stage {
             Stage::RolledBack | Stage::Withdrawn => {
-                Admission::to(Intake::except(self.all_but_present(known)))
+                Admission::to(self.present_engines(known, versions))
             }
             Stage::Completed => self.after_completion(known, versions),
             _ if !self.has_present_engines(known, versions) && !known.is_stopped() => {
--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -311,6 +311,26 @@
 }
 
 /// A node without the bounds of releases takes part in none, whatever it hears.
+#[parameterized(
+    rolled_back = { Stage::RolledBack },
+    withdrawn = { Stage::Withdrawn },
+)]
+fn version_that_comes_after_a_rejected_one_waits_for_its_order(stage: Stage) {
+    run_paused(async move {
+        let node = lone_node().await;
+        node.publish_grant(grant(stage, 0.0, 1));
+        advance(Duration::from_secs(20)).await;
+        let mut entries = both_versions();
+        entries.push(engine_of("newest-1", "v3"));
+        list_engines(&node, entries);
+        assert_eq!(versions_of(&node, REQUESTS), all(PRESENT));
+        advance(Duration::from_secs(3)).await;
+        let versions = versions_of(&node, REQUESTS);
+        assert!(count_of(&versions, "v3") > 0);
+        assert_eq!(count_of(&versions, TARGET), 0);
+    });
+}
+
 /// It hears of the release when the next replacement has begun.
 #[test]
 fn node_that_starts_after_a_release_does_not_take_newer_engines_for_replaced() {
