Releases: a version still under trial when the order changes gets nothing more

When another version was ordered in the middle of a trial, the engines of the first one counted as present ones: they got a full part of the requests, unproven, and the next version's engines had to replace them too before it could be completed. They are out of use now, and engines out of use are not counted among those to be replaced (also for versions rolled back before). The test of versions rolled back before covers both, with one assertion more.

--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -8,6 +8,7 @@
 
 use super::release_intake::note_replaced;
 use super::{Gateway, GatewayState};
+use crate::engines::Engine;
 
 impl Gateway {
     /// The director gives a grant: this node goes by it, and tells the others. Another stage every node
@@ -81,11 +82,20 @@
         let engines = state.engines.of_pool(&order.pool);
         let (target, present): (Vec<_>, Vec<_>) =
             engines.partition(|engine| engine.entry.software == order.target);
-        let able = |engines: &[&crate::engines::Engine]| {
+        let able = |engines: &[&Engine]| {
             let able = engines.iter().filter(|engine| engine.takes_work(now));
             able.count()
         };
         let running = present.iter().map(|engine| engine.load().requests);
+        let known = state.releases.of(&order.pool);
+        let is_shut = |engine: &&&Engine| {
+            known.is_some_and(|known| known.shut.contains(&engine.entry.software))
+        };
+        let serving: Vec<_> = present
+            .iter()
+            .filter(|each| !is_shut(each))
+            .copied()
+            .collect();
         let table = state.table.as_ref();
         let longest_request =
             table.map_or(Duration::ZERO, |table| table.longest_timeout(&order.pool));
@@ -94,7 +104,7 @@
         let life = life.map_or(Duration::ZERO, |settings| settings.grant_life());
         let within = longest_request + life;
         Fleet {
-            present: able(&present),
+            present: able(&serving),
             target: able(&target),
             running_at_present: running.sum(),
             has_silent_nodes: self.silent_nodes_within(&state, within, now) > 0,
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -24,7 +24,7 @@
     pub account: Account,
     /// What this node and the others have seen.
     pub ledger: Ledger,
-    /// Other versions that were rolled back or withdrawn before.
+    /// Other versions that were rolled back or withdrawn before, or had not been proven when this was ordered.
     pub shut: BTreeSet<SoftwareVersion>,
     /// Versions that the completed release has replaced.
     pub superseded: BTreeSet<SoftwareVersion>,
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -111,7 +111,9 @@
 /// What stays out of use when another order takes the place of one.
 fn shut_by(former: &KnownRelease, target: &str) -> BTreeSet<SoftwareVersion> {
     let mut shut = former.shut.clone();
-    if former.is_rejected() {
+    // One that was under trial is as unproven as one that was taken back.
+    let is_under_trial = matches!(former.grant.stage, Stage::Trial | Stage::Shifting);
+    if former.is_rejected() || is_under_trial {
         shut.insert(former.grant.order.target.clone());
     }
     shut.remove(target);
--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -155,11 +155,14 @@
 }
 
 /// The second version stays out of use beside a third one.
-#[test]
-fn version_that_was_rolled_back_stays_out_of_use_under_the_next_order() {
-    run_paused(async {
+#[parameterized(
+    rolled_back = { Stage::RolledBack },
+    still_under_trial = { Stage::Trial },
+)]
+fn version_that_was_not_proven_stays_out_of_use_under_the_next_order(stage: Stage) {
+    run_paused(async move {
         let node = lone_node().await;
-        node.publish_grant(grant(Stage::RolledBack, 0.0, 1));
+        node.publish_grant(grant(stage, 0.0, 1));
         let mut entries = both_versions();
         entries.push(engine_of("newest-1", "v3"));
         list_engines(&node, entries);
@@ -173,6 +176,8 @@
         let versions = versions_of(&node, REQUESTS);
         assert_eq!(count_of(&versions, TARGET), 0);
         assert!(count_of(&versions, "v3") > 0);
+        // Its engines bear nothing, so that those of the third one need not replace them.
+        assert_eq!(node.release_fleet(&order("v3", 60)).present, 3);
     });
 }
 
--- a/crates/gateway/tests/releases_news.rs
+++ b/crates/gateway/tests/releases_news.rs
@@ -394,10 +394,7 @@
         }
         settle(3);
         node.refresh_releases();
-        assert_eq!(
-            count_of(&versions_of(&node, REQUESTS), TARGET),
-            REQUESTS
-        );
+        assert_eq!(count_of(&versions_of(&node, REQUESTS), TARGET), REQUESTS);
     });
 }
 
