--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -339,8 +339,8 @@
 /// Whether news are of those that nobody should miss: they come by themselves, and the regular ones tell of
 /// releases too.
 fn is_urgent(news: &ZoneNews) -> bool {
-    let is_regular = news.loads.is_some();
-    !is_regular && !(news.weights.is_empty() && news.releases.is_empty())
+    let is_told_by_itself = !news.weights.is_empty() || !news.releases.is_empty();
+    news.loads.is_none() && is_told_by_itself
 }
 
 /// So many nodes that there are about as many groups.
