--- a/crates/gateway/tests/support/releases.rs
+++ b/crates/gateway/tests/support/releases.rs
@@ -9,6 +9,7 @@
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
 use ryerouter_gateway::placement::{Placement, PlacementRequest};
+use ryerouter_gateway::places::Places;
 
 use super::gateway_bench::{configure, gateway_with, list_engines, settings};
 use super::records::{POOL, ZONE, engine, route, table};
@@ -94,9 +95,15 @@
 
 /// A node that knows its configuration only.
 pub fn new_node(index: usize, zone: &str) -> Rc<Gateway> {
+    new_node_at(index, zone, Places::default())
+}
+
+/// The same, which knows which zone lies in which region.
+pub fn new_node_at(index: usize, zone: &str, places: Places) -> Rc<Gateway> {
     let mut own = release_settings(&format!("node-{index:02}"));
     own.identity.incarnation = index as u64 + 10;
     own.identity.zone = ZoneName::new(zone);
+    own.places = places;
     let port = 10_000 + index;
     own.identity.peer_address = format!("127.0.0.1:{port}").parse().expect("address");
     let gateway = gateway_with(own);
