--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Counts, Fleet, Grant, Order};
+use ryerouter_core::release::{Counts, Fleet, Grant, Order, Settings, Trial};
 use slog::info;
 
 use super::release_intake::note_replaced;
 use super::{Gateway, GatewayState};
+use crate::engines::Engine;
 
 impl Gateway {
     /// The director gives a grant: this node goes by it, and tells the others. Another stage every node
@@ -56,6 +57,15 @@
         Some((known.grant.clone(), now.since(known.granted_at)))
     }
 
+    /// A release that this node goes on to direct, if it knows of it.
+    pub fn resumed_trial(&self, order: &Order, settings: &Settings) -> Option<Trial> {
+        let now = self.clock().now();
+        let state = self.state();
+        let known = state.releases.of(&order.pool);
+        let known = known.filter(|known| known.grant.order == *order)?;
+        Some(known.resume(settings.clone(), now))
+    }
+
     /// What all nodes have seen of the answers in a release, as far as they have told.
     pub fn release_counts(&self, order: &Order) -> Counts {
         let state = self.state();
@@ -72,11 +82,20 @@
         let engines = state.engines.of_pool(&order.pool);
         let (target, present): (Vec<_>, Vec<_>) =
             engines.partition(|engine| engine.entry.software == order.target);
-        let able = |engines: &[&crate::engines::Engine]| {
+        let able = |engines: &[&Engine]| {
             let able = engines.iter().filter(|engine| engine.takes_work(now));
             able.count()
         };
         let running = present.iter().map(|engine| engine.load().requests);
+        let known = state.releases.of(&order.pool);
+        let is_shut = |engine: &&&Engine| {
+            known.is_some_and(|known| known.shut.contains(&engine.entry.software))
+        };
+        let serving: Vec<_> = present
+            .iter()
+            .filter(|each| !is_shut(each))
+            .copied()
+            .collect();
         let table = state.table.as_ref();
         let longest_request =
             table.map_or(Duration::ZERO, |table| table.longest_timeout(&order.pool));
@@ -85,7 +104,7 @@
         let life = life.map_or(Duration::ZERO, |settings| settings.grant_life());
         let within = longest_request + life;
         Fleet {
-            present: able(&present),
+            present: able(&serving),
             target: able(&target),
             running_at_present: running.sum(),
             has_silent_nodes: self.silent_nodes_within(&state, within, now) > 0,
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -5,7 +5,8 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
-    Account, Counts, Grant, Ledger, Reporter, Rollback, SoftwareVersion, Stage, Suspicion,
+    Account, Counts, Grant, Ledger, Reporter, Rollback, Settings, SoftwareVersion, Stage,
+    Suspicion, Trial,
 };
 
 use super::Origin;
@@ -23,7 +24,7 @@
     pub account: Account,
     /// What this node and the others have seen.
     pub ledger: Ledger,
-    /// Other versions that were rolled back or withdrawn before.
+    /// Other versions that were rolled back or withdrawn before, or had not been proven when this was ordered.
     pub shut: BTreeSet<SoftwareVersion>,
     /// Versions that the completed release has replaced.
     pub superseded: BTreeSet<SoftwareVersion>,
@@ -63,6 +64,13 @@
         self.stopped.is_some() && !self.grant.stage.is_final()
     }
 
+    /// The release as this node goes on to direct it.
+    pub fn resume(&self, settings: Settings, now: Timestamp) -> Trial {
+        let age = now.since(self.granted_at);
+        let trial = Trial::resume(&self.grant, age, settings, now);
+        trial.with_suspicion(self.suspicion.clone(), self.stopped.clone())
+    }
+
     /// Whether nothing follows.
     pub fn is_final(&self) -> bool {
         self.grant.stage.is_final()
@@ -101,10 +109,16 @@
     }
 
     /// Takes all answers so far; tells why this node stops sending to the target version, the moment
-    /// that it does. It does not wait for the director, who may be lost.
+    /// that it does. It does not wait for the director, who may be lost. When the last requests move, and the
+    /// answers since have cleared the version, it follows: present engines stop once the release is completed,
+    /// and would break off what it still sent there.
     pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
         self.suspicion.observe(total, now);
         if self.stopped.is_some() {
+            let is_moving = self.grant.stage == Stage::Settling;
+            if is_moving && !self.suspicion.is_doubtful(engines) {
+                self.stopped = None;
+            }
             return None;
         }
         self.stopped = self.suspicion.verdict(engines);
--- a/crates/gateway/src/release/listed_versions.rs
+++ b/crates/gateway/src/release/listed_versions.rs
@@ -10,9 +10,10 @@
 use crate::engines::{Engine, EngineTable};
 
 /// The list of engines may tell of a version before the order for it arrives: the two come by different
-/// questions to the source. Until then a version that has just appeared gets nothing, since an ordered
-/// one must not get more than a share.
-const UNORDERED_HOLD: Duration = Duration::from_secs(2);
+/// questions to the source, and when the node that follows the orders is lost it takes two seconds until another
+/// one has read them. Until then a version that has just appeared gets nothing, since an ordered one must not
+/// get more than a share.
+const UNORDERED_HOLD: Duration = Duration::from_secs(3);
 
 /// What the list tells of the engines of one version.
 #[derive(Debug, Clone, Copy)]
@@ -96,6 +97,13 @@
         oldest.or_else(most).map(|(version, _)| version)
     }
 
+    /// Whether all engines of a version began after the oldest one of another; not without a word of their age.
+    pub fn is_newer(&self, version: &str, other: &str) -> bool {
+        let oldest = |version| self.0.get(version).and_then(|listed| listed.oldest);
+        let other = oldest(other);
+        other.is_some_and(|other| oldest(version).is_some_and(|oldest| oldest > other))
+    }
+
     /// Versions that appeared so lately that an order for them may yet come.
     pub fn held(&self, now: Timestamp) -> BTreeSet<SoftwareVersion> {
         let is_new = |listed: &Listed| now.since(listed.first_at) < UNORDERED_HOLD;
--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -360,6 +360,53 @@
     });
 }
 
+/// The operator has stopped the present engines: nobody else can serve.
+#[test]
+fn late_record_of_completion_wins_over_a_verdict_that_was_not_recorded() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let node = ReleaseNode::start_holding("node-1", &orders, 2);
+        node.until_stage("a", Stage::Trial).await;
+        orders.is_down.set(true);
+        for _ in 0..20 {
+            node.fail_target("a");
+            sleep(millis(100)).await;
+        }
+        assert_eq!(node.stage("a"), Some(Stage::RolledBack));
+        orders.write("a", Outcome::Completed);
+        orders.is_down.set(false);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(recorded(&orders, "a"), is("v2", Outcome::Completed));
+        assert_eq!(node.stage("a"), Some(Stage::Completed));
+    });
+}
+
+#[test]
+fn next_holder_goes_by_what_it_held_against_the_version_before() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let first = ReleaseNode::start_holding("node-1", &orders, 1);
+        first.until_stage("a", Stage::Trial).await;
+        let (grant, _) = first.grant("a").expect("grant");
+        first.kill();
+        let second = ReleaseNode::start("node-2", &orders);
+        second.gateway.take_recorded_grant(grant);
+        // A quarter of the answers fails, so that the node sends nothing more there and sees nothing new.
+        for _ in 0..25 {
+            second.fail_target("a");
+            second.serve_target("a", 3);
+            second.gateway.refresh_releases();
+            sleep(millis(300)).await;
+        }
+        second.hold(2);
+        sleep(STARTED).await;
+        assert_eq!(second.stage("a"), Some(Stage::RolledBack));
+        assert_eq!(recorded(&orders, "a"), is("v2", Outcome::RolledBack));
+    });
+}
+
 #[test]
 fn next_holder_sees_fresh_answers_before_requests_move() {
     run_paused(async {
@@ -432,6 +479,31 @@
     });
 }
 
+/// Until the lease is taken the engines of the target version would else be taken for ones that nobody ordered.
+#[test]
+fn order_closes_its_version_before_the_lease_is_taken() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        let node = ReleaseNode::start("node-1", &orders);
+        node.gateway.state_mut().is_source_reached = true;
+        sleep(Duration::from_secs(5)).await;
+        assert!(node.gateway.state().releases.knows_orders);
+        orders.order("a", "v2", RAMP);
+        sleep(STARTED).await;
+        let (grant, _) = node.grant("a").expect("grant");
+        assert_eq!((grant.stage, grant.fence), (Stage::Trial, 0));
+        assert!(grant.share.abs() < f64::EPSILON);
+        assert_eq!(recorded(&orders, "a"), None);
+        sleep(Duration::from_secs(4)).await;
+        node.hold(1);
+        sleep(STARTED).await;
+        let (grant, age) = node.grant("a").expect("grant");
+        assert_eq!(grant.fence, 1);
+        assert!(age < millis(400), "{age:?}");
+        assert!(grant.elapsed >= Duration::from_secs(5));
+    });
+}
+
 #[test]
 fn nothing_is_granted_by_a_lease_that_has_run_out_unseen() {
     run_paused(async {
