Mend what the soak found in releases

- All nodes stopped sending to a version by their own scores while the director's did not convict: no further answers came, and a version that failed late was rolled back after three ramps only.
A node goes on when the director has seen the same answers and goes on with the trial.
- After all nodes were killed, nobody read the orders for some seconds, and a version on trial passed for the present one where that had been replaced since.
A node that lists several versions and knows no orders reads them itself.
- In a pool with few requests hardly any answers of the version on trial came: the slack brings those that are missing.

Tests: new cases of release_trial and three tests that failed before. Tests that bound the calls of a node list one version, or a holder that knows the orders, since a node that knows none now reads them once; their bounds are the same.

--- a/crates/core/src/release/account.rs
+++ b/crates/core/src/release/account.rs
@@ -2,12 +2,6 @@
 
 use super::Settings;
 
-/// Part of the share that nodes use. The rest covers what they can't count: requests that they forget
-/// with a restart, and engines that count a repeated request once.
-const USED_SHARE: f64 = 0.85;
-/// Part of the slack that nodes use: one that is killed and started again uses its part of it anew.
-const USED_SLACK: f64 = 0.4;
-
 /// What one node has sent to a pool since it heard of a release, and how much of that to the target
 /// version.
 ///
@@ -32,8 +26,8 @@
 
     /// Whether one more may go to the target version, where there are so many nodes.
     pub fn has_room(&self, settings: &Settings, nodes: usize) -> bool {
-        let slack = settings.exposed_slack * USED_SLACK / nodes.max(1) as f64;
-        let most = self.all as f64 * settings.exposed_share * USED_SHARE + slack;
+        let slack = settings.used_slack() / nodes.max(1) as f64;
+        let most = self.all as f64 * settings.used_share() + slack;
         (self.target + 1) as f64 <= most
     }
 
--- a/crates/core/src/release/settings.rs
+++ b/crates/core/src/release/settings.rs
@@ -6,6 +6,12 @@
 /// for the verdict, and for the news of it to arrive.
 const GRANT_SHARE: f64 = 0.4;
 
+/// Part of the share that nodes use. The rest covers what they can't count: requests that they forget
+/// with a restart, and engines that count a repeated request once.
+const USED_SHARE: f64 = 0.85;
+/// Part of the slack that nodes use: one that is killed and started again uses its part of it anew.
+const USED_SLACK: f64 = 0.4;
+
 /// How releases are bounded, as the operator sets it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -18,6 +24,16 @@
 }
 
 impl Settings {
+    /// Share of a pool's requests that nodes let a version under trial have.
+    pub(super) fn used_share(&self) -> f64 {
+        self.exposed_share * USED_SHARE
+    }
+
+    /// Requests on top that all nodes together let it have.
+    pub(super) fn used_slack(&self) -> f64 {
+        self.exposed_slack * USED_SLACK
+    }
+
     /// A node that hears nothing of the director for so long sends nothing to the target version.
     pub fn grant_life(&self) -> Duration {
         self.rollback_within.mul_f64(GRANT_SHARE)
--- a/crates/core/src/release/suspicion.rs
+++ b/crates/core/src/release/suspicion.rs
@@ -16,6 +16,10 @@
 /// Above this score no more requests go to the target version than during the trial. One engine alone, or
 /// of many engines one that fails and the usual errors of the others, stay below.
 const DOUBTFUL_SCORE: f64 = 7.5;
+/// Below this score of all engines but the worst one requests may move; two bad answers among ten are above
+/// it. Few answers come before that in a pool with little traffic, and of a version that fails one in ten
+/// hardly more are bad.
+const CLEAR_SCORE: f64 = 4.5;
 /// With so many engines at least three of them must do worse, and with fewer two: what the others do wrong
 /// is not their software's fault.
 const MANY_ENGINES: usize = 6;
@@ -130,6 +134,21 @@
         highest.is_some_and(|(_, score)| score >= DOUBTFUL_SCORE)
     }
 
+    /// Whether hardly anything speaks against the target version.
+    pub fn is_clear(&self, engines: usize) -> bool {
+        let walks = self.walks.values();
+        let is_clear = walks
+            .map(Walk::score_without_worst)
+            .all(|score| score < CLEAR_SCORE);
+        is_clear && !self.is_doubtful(engines)
+    }
+
+    /// Begins to weigh anew, by the answers that come from now on.
+    pub fn forget_scores(&mut self) {
+        self.walks.clear();
+        self.bursts.clear();
+    }
+
     fn highest(&self, engines: usize) -> Option<(Scope, f64)> {
         let most_of_one = match engines {
             // There is no other one to see it at.
--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/trial.rs
@@ -12,8 +12,11 @@
 /// move went back: the target version then answered little or nothing of late, and what is known of it may be
 /// out of date. That is what grants take to arrive, answers to come and news of them to be told.
 const LEAST_TRIAL: Duration = Duration::from_secs(2);
-/// Part of the share that bounds a version which turns out bad that it gets during the trial.
-const EXPOSED_SHARE: f64 = 0.85;
+/// The pool's traffic is known roughly after so long: answers take some hundred milliseconds.
+const TRAFFIC_KNOWN_AFTER: Duration = Duration::from_secs(2);
+/// In a pool with few requests the slack is a large part of what the target version may get, and without it
+/// there would be too few answers to tell a bad version by. It brings so much more of the requests at most.
+const MOST_SLACK_SHARE: f64 = 0.15;
 /// Shares of new requests, one after the other, before all go to the target version. Few: while they
 /// last, a version that has become bad gets more than in the trial.
 const SHIFTS: [f64; 2] = [0.3, 0.6];
@@ -131,7 +134,7 @@
             self.stage = next;
             self.stage_since = now;
         }
-        self.exposure = self.exposure_at(fleet, now);
+        self.exposure = self.exposure_at(fleet, total, now);
         next != before
     }
 
@@ -170,7 +173,7 @@
         }
         let is_due = elapsed >= self.order.ramp.mul_f64(TRIAL_SHARE)
             && now.since(self.stage_since) >= LEAST_TRIAL;
-        let is_proven = has_enough_answers(total) && !self.suspicion.is_doubtful(fleet.target);
+        let is_proven = has_enough_answers(total) && self.suspicion.is_clear(fleet.target);
         match is_due && is_proven && can_bear_all(fleet) {
             true => Stage::Shifting,
             false => Stage::Trial,
@@ -210,14 +213,31 @@
         }
     }
 
-    fn exposure_at(&self, fleet: &Fleet, now: Timestamp) -> Exposure {
+    /// The part of the slack that is needed for enough answers, as a share of the requests that come during
+    /// the trial.
+    fn slack_share(&self, total: &Counts, now: Timestamp) -> f64 {
+        let elapsed = self.elapsed(now);
+        if elapsed < TRAFFIC_KNOWN_AFTER {
+            return 0.0;
+        }
+        let elapsed_s = elapsed.as_secs_f64();
+        let answers = total.present().answers + total.target().answers;
+        let per_second = f64::from(answers) / elapsed_s;
+        let trial_s = self.order.ramp.as_secs_f64() * TRIAL_SHARE;
+        let requests = (per_second * trial_s).max(1.0);
+        let missing = f64::from(LEAST_ANSWERS) - requests * self.settings.used_share();
+        let share = missing.clamp(0.0, self.settings.used_slack()) / requests;
+        share.min(MOST_SLACK_SHARE)
+    }
+
+    fn exposure_at(&self, fleet: &Fleet, total: &Counts, now: Timestamp) -> Exposure {
         let all = |share| Exposure {
             share,
             window: self.exposure.window,
         };
         match self.stage {
             Stage::Trial => {
-                let share = self.settings.exposed_share * EXPOSED_SHARE;
+                let share = self.settings.used_share() + self.slack_share(total, now);
                 Exposure::during_trial(share, fleet, self.elapsed(now))
             }
             Stage::Shifting => {
--- a/crates/core/src/release/walk.rs
+++ b/crates/core/src/release/walk.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// The sum without the engine that has added most.
+    pub(super) fn score_without_worst(&self) -> f64 {
+        let parts = || self.by_engine.values().copied();
+        let worst = parts().max_by(f64::total_cmp).unwrap_or_default();
+        parts().sum::<f64>() - worst
+    }
+
     /// The sum, of which one engine's part is at most `most_of_one`.
     pub(super) fn score(&self, most_of_one: f64) -> f64 {
         self.by_engine
--- a/crates/core/tests/release_trial.rs
+++ b/crates/core/tests/release_trial.rs
@@ -52,8 +52,22 @@
     (0..SEEDS).map(|seed| play(case, seed)).collect()
 }
 
+/// So few requests that the slack is most of what a version under trial may get.
+fn quiet_pool(fault: Fault, trouble: Trouble) -> Case {
+    Case {
+        engines: 4,
+        per_second: 25.0,
+        nodes: 5,
+        ramp_s: 12.0,
+        fault,
+        trouble,
+        bad_on_last_route: USUAL_BAD,
+    }
+}
+
 #[parameterized(
     large = { large_pool(Fault::None, Trouble::None) },
+    quiet = { quiet_pool(Fault::None, Trouble::None) },
     small = { small_pool(Fault::None, Trouble::None) },
     one_engine_fails = { large_pool(Fault::None, Trouble::GreyTarget) },
     some_of_the_present_fail = { large_pool(Fault::None, Trouble::GreyPresent) },
@@ -71,6 +85,18 @@
     assert!(late.len() <= 5, "{} of {SEEDS}: {late:?}", late.len());
 }
 
+/// It is found out late in a pool with few requests, but must not be taken for a good one.
+#[test]
+fn version_that_fails_seldom_is_hardly_ever_completed() {
+    let seldom = Fault::Bad {
+        share: 0.1,
+        from_s: 0.0,
+    };
+    let ends = ends(&small_pool(seldom, Trouble::None));
+    let completed = ends.iter().filter(|end| end.stage == Stage::Completed);
+    assert!(completed.count() <= 5, "{ends:?}");
+}
+
 #[test]
 fn version_of_which_one_engine_of_three_fails_is_not_rolled_back() {
     let ends = ends(&small_pool(Fault::None, Trouble::GreyTarget));
@@ -97,6 +123,8 @@
     large_under_load = { large_pool(Fault::BadUnderLoad { share: 0.4, per_second: 4.0 }, Trouble::None) },
     large_beside_a_grey_engine = { large_pool(Fault::Bad { share: 0.2, from_s: 0.0 }, Trouble::GreyTarget) },
     large_beside_grey_present_ones = { large_pool(Fault::Bad { share: 0.3, from_s: 0.0 }, Trouble::GreyPresent) },
+    quiet_a_quarter = { quiet_pool(Fault::Bad { share: 0.25, from_s: 0.0 }, Trouble::None) },
+    quiet_four_tenths = { quiet_pool(Fault::Bad { share: 0.4, from_s: 0.0 }, Trouble::None) },
     small_a_quarter = { small_pool(Fault::Bad { share: 0.25, from_s: 0.0 }, Trouble::None) },
     small_four_tenths = { small_pool(Fault::Bad { share: 0.4, from_s: 0.0 }, Trouble::None) },
     small_after_a_while = { small_pool(Fault::Bad { share: 0.4, from_s: 5.0 }, Trouble::None) },
--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -187,6 +187,10 @@
         let able = of_target.filter(|engine| engine.takes_work(now)).count();
         let total = known.total(is_large);
         let sent = known.account;
+        if known.reconsider() {
+            info!(self.log(), "release_goes_on_here"; "pool" => %order.pool,
+                "target" => &order.target, "sent_here" => sent.target(), "of" => sent.all());
+        }
         if let Some(why) = known.observe(&total, able, now) {
             warn!(self.log(), "release_stopped_here"; "pool" => %order.pool,
                 "target" => &order.target, "why" => %why, "sent_here" => sent.target(),
--- a/crates/gateway/src/gateway/release_work.rs
+++ b/crates/gateway/src/gateway/release_work.rs
@@ -1,5 +1,6 @@
 //! What the director of releases needs of the gateway beside the releases themselves.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ryerouter_core::release::{Grant, Order};
@@ -70,6 +71,20 @@
         self.take_grant(&mut state, grant, Duration::ZERO);
     }
 
+    /// Whether a pool has engines of several versions, and it is not known which of them are ordered.
+    pub fn misses_orders(&self) -> bool {
+        let state = self.state();
+        if state.releases.knows_orders || self.is_leaving() {
+            return false;
+        }
+        let mut pools = BTreeMap::new();
+        state.engines.iter().any(|engine| {
+            let software = &engine.entry.software;
+            let first = pools.entry(&engine.entry.pool).or_insert(software);
+            *first != software
+        })
+    }
+
     /// Whether engines of the target version are listed.
     pub fn has_target_engines(&self, order: &Order) -> bool {
         let state = self.state();
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -54,6 +54,7 @@
         answer: settings.answer,
         orders: Rc::clone(&orders),
         next_reads: BTreeMap::new(),
+        next_list: None,
     };
     let (sender, events) = unbounded_channel();
     let director = Director {
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -11,6 +11,10 @@
 
 use super::Origin;
 
+/// A director that goes on giving grants so long after this node has stopped knows of the same answers: news
+/// of them take less than a second.
+const STOPPED_FOR: Duration = Duration::from_secs(2);
+
 /// A release as one node knows it.
 #[derive(Debug, Clone)]
 pub struct KnownRelease {
@@ -34,6 +38,8 @@
     suspicion: Suspicion,
     /// Why this node sends nothing to the target version any more, before the director's verdict.
     stopped: Option<Rollback>,
+    /// Since when.
+    stopped_at: Timestamp,
 }
 
 impl KnownRelease {
@@ -50,6 +56,7 @@
             origins: BTreeMap::new(),
             suspicion: Suspicion::default(),
             stopped: None,
+            stopped_at: now,
         }
     }
 
@@ -122,6 +129,22 @@
             return None;
         }
         self.stopped = self.suspicion.verdict(engines);
+        self.stopped_at = now;
         self.stopped.as_ref()
     }
+
+    /// Goes on with the trial when the director has had time to see the same answers and has not decided:
+    /// news come to nodes in different portions, so scores differ. Were all nodes to stop for good, no further
+    /// answers would come, and a version that failed late was rolled back after three ramps only (a soak of
+    /// four nodes: 24.0 s of a ramp of 8 s).
+    pub fn reconsider(&mut self) -> bool {
+        let heard_after = self.granted_at.since(self.stopped_at);
+        let is_due = self.grant.stage == Stage::Trial && heard_after >= STOPPED_FOR;
+        if self.stopped.is_none() || !is_due {
+            return false;
+        }
+        self.stopped = None;
+        self.suspicion.forget_scores();
+        true
+    }
 }
--- a/crates/gateway/src/release/record_reader.rs
+++ b/crates/gateway/src/release/record_reader.rs
@@ -13,6 +13,8 @@
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
+use super::ends::tell_ends;
+use super::heard_orders::tell_heard;
 use super::recorded_grant::{end_grant, unheard_grant, withdrawn_grant};
 use super::{KnownOrder, Orders};
 use crate::gateway::Gateway;
@@ -20,19 +22,25 @@
 
 /// Time between looks whether a grant has run out.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// First read of all orders by a node that misses them, in seconds: most are told of them by others in that time.
+const FIRST_LIST_AFTER: Range<f64> = 0.2..0.8;
 /// First read after a grant has run out, in seconds: many nodes may miss their director at once.
 const FIRST_READ_AFTER: Range<f64> = 0.0..1.0;
 /// Time between reads, in seconds.
 const READ_AGAIN_AFTER: Range<f64> = 1.0..1.5;
 
 /// Reads what is recorded of a release whose director is not heard: an engine may have been stopped, or must
-/// get nothing more, since the source was told so.
+/// get nothing more, since the source was told so. A node that was just started, and lists engines of several
+/// versions before anybody has told it of orders, reads those as well: which version is under trial can't be told
+/// from the engines' ages when the present ones have been replaced since.
 pub(super) struct RecordReader {
     pub(super) gateway: Rc<Gateway>,
     pub(super) store: Rc<dyn ReleaseStore>,
     pub(super) answer: Duration,
     pub(super) orders: Rc<RefCell<Orders>>,
     pub(super) next_reads: BTreeMap<PoolName, Timestamp>,
+    /// When all orders are to be read, once they are missed.
+    pub(super) next_list: Option<Timestamp>,
 }
 
 impl RecordReader {
@@ -40,12 +48,48 @@
     pub(super) async fn run(mut self) {
         loop {
             sleep(LOOK_INTERVAL).await;
+            if self.is_list_due() {
+                self.read_all().await;
+            }
             for grant in self.due() {
                 self.read(&grant).await;
             }
         }
     }
 
+    fn is_list_due(&mut self) -> bool {
+        if !self.gateway.misses_orders() {
+            self.next_list = None;
+            return false;
+        }
+        let now = self.gateway.clock().now();
+        let at = self
+            .next_list
+            .get_or_insert_with(|| now.after(random(FIRST_LIST_AFTER)));
+        let is_due = *at <= now;
+        if is_due {
+            *at = now.after(random(READ_AGAIN_AFTER));
+        }
+        is_due
+    }
+
+    async fn read_all(&self) {
+        let listed = timeout(self.answer, self.store.list()).await;
+        let log = self.gateway.log();
+        match listed.unwrap_or(Err(SourceError::NoAnswer)) {
+            Ok(list) => {
+                info!(log, "release_orders_read"; "revision" => list.revision,
+                    "orders" => list.releases.len());
+                let mut orders = Orders::default();
+                orders.take_list(list);
+                tell_heard(&self.gateway, &orders);
+                tell_ends(&self.gateway, &orders);
+                self.gateway.note_orders_known();
+            }
+            Err(error) => info!(log, "release_orders_unread"; "error" => %error),
+        }
+    }
+
     fn due(&mut self) -> Vec<Grant> {
         // A node that follows the orders knows their records.
         let is_following = self.orders.borrow().revision().is_some();
--- a/crates/gateway/tests/release_orders.rs
+++ b/crates/gateway/tests/release_orders.rs
@@ -55,7 +55,8 @@
 fn quiet_minute_costs_a_watch_each_quarter() {
     run_paused(async {
         let orders = Rc::new(ReleaseOrders::default());
-        let _node = ReleaseNode::start("node-1", &orders);
+        let node = ReleaseNode::start("node-1", &orders);
+        list_engines(&node.gateway, engines(&["v1"]));
         sleep(SETTLED).await;
         assert_eq!(orders.take_calls().lists, 1);
         sleep(Duration::from_secs(60)).await;
@@ -73,6 +74,7 @@
         let orders = Rc::new(ReleaseOrders::default());
         let holder = ReleaseNode::start_with("node-0", &orders, None);
         holder.hold(1);
+        holder.gateway.note_orders_known();
         let node = ReleaseNode::start("node-1", &orders);
         hear_holder(&node, &holder, Duration::from_secs(60)).await;
         assert_eq!(orders.take_calls().all(), 0);
@@ -209,6 +211,7 @@
         orders.write("a", Outcome::Running);
         let holder = ReleaseNode::start_with("node-0", &orders, None);
         holder.hold(1);
+        holder.gateway.note_orders_known();
         let node = ReleaseNode::start("node-1", &orders);
         node.gateway.take_recorded_grant(granted(&order, 2));
         hear_holder(&node, &holder, Duration::from_secs(2)).await;
@@ -310,3 +313,31 @@
     let known = orders.of(&"a".into()).expect("order");
     assert_eq!(known.release, release("v3", 9));
 }
+
+#[test]
+fn node_that_was_just_started_reads_the_orders_when_engines_have_several_versions() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        orders.order("a", "v2", RAMP);
+        let node = ReleaseNode::start("node-1", &orders);
+        // Another node is the candidate for the lease, and tells this one nothing.
+        node.gateway.state_mut().is_source_reached = false;
+        sleep(Duration::from_secs(1)).await;
+        let (grant, _) = node.grant("a").expect("grant");
+        assert_eq!((grant.stage, grant.share), (Stage::Trial, 0.0));
+        assert_eq!(orders.take_calls().lists, 1);
+        assert!(node.gateway.state().releases.knows_orders);
+    });
+}
+
+#[test]
+fn node_that_was_just_started_reads_nothing_when_engines_have_one_version() {
+    run_paused(async {
+        let orders = Rc::new(ReleaseOrders::default());
+        let node = ReleaseNode::start("node-1", &orders);
+        list_engines(&node.gateway, engines(&["v1"]));
+        node.gateway.state_mut().is_source_reached = false;
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!(orders.take_calls().all(), 0);
+    });
+}
--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -229,7 +229,7 @@
         entries.push(engine_of("newest-1", "v3"));
         list_engines(&node, entries);
         assert_eq!(count_of(&versions_of(&node, REQUESTS), "v3"), 0);
-        advance(Duration::from_secs(2)).await;
+        advance(Duration::from_secs(3)).await;
         assert!(count_of(&versions_of(&node, REQUESTS), "v3") > 0);
     });
 }
--- a/crates/gateway/tests/releases_news.rs
+++ b/crates/gateway/tests/releases_news.rs
@@ -398,6 +398,34 @@
     });
 }
 
+/// Were all nodes to stop for good, no answers would come by which the director could decide.
+#[test]
+fn node_that_stopped_goes_on_when_the_director_has_seen_the_answers_and_goes_on() {
+    run_paused(async {
+        let node = lone_node().await;
+        let good = AnswerEnd::Whole { is_success: true };
+        node.publish_grant(grant(Stage::Trial, 0.5, 1));
+        for _ in 0..5 {
+            see_answers(&node, "old-1", PRESENT, good, 20);
+            for engine in ["new-1", "new-2", "new-3"] {
+                see_answers(&node, engine, TARGET, AnswerEnd::Failed, 2);
+            }
+            advance(Duration::from_millis(300)).await;
+            node.refresh_releases();
+        }
+        node.publish_grant(grant(Stage::Trial, 0.5, 2));
+        versions_of(&node, 1_000);
+        node.refresh_releases();
+        let before = count_of(&versions_of(&node, REQUESTS), TARGET);
+        advance(Duration::from_secs(2)).await;
+        node.publish_grant(grant(Stage::Trial, 0.5, 3));
+        node.refresh_releases();
+        let after = count_of(&versions_of(&node, REQUESTS), TARGET);
+        assert_eq!(before, 0);
+        assert!(after > 0);
+    });
+}
+
 #[test]
 fn node_that_sees_a_version_do_well_goes_on_sending_to_it() {
     run_paused(async {
