--- a/crates/core/src/release/exposure.rs
+++ b/crates/core/src/release/exposure.rs
@@ -6,13 +6,13 @@
 
 use super::Fleet;
 
-/// Requests go to a small pool's target version in surges, one in each time of this length. That is long
-/// enough for a surge to fill an engine: its share of three seconds is a quarter of a second and more.
+/// Requests go to a small pool's target version in surges, one in each period of this length. At a share of
+/// 0.085 a surge then lasts a quarter of a second or more, long enough to load an engine as it is in use.
 const SURGE_PERIOD: Duration = Duration::from_secs(3);
-/// With so many engines under trial one that fails by itself stands out; fewer take turns ..
+/// With so many engines under trial at once, one that fails by itself stands out; fewer take turns ..
 const ENOUGH_ENGINES: usize = 3;
-/// .. of this length, so that a version which fails always is convicted by several engines within three
-/// turns, and an engine has time to answer some requests.
+/// .. of this length: enough for an engine to answer some requests, and short enough for several engines to
+/// have answered after three turns.
 const TURN: Duration = Duration::from_secs(1);
 
 /// Engines of the target version that are under trial: some of them in the order that all nodes know,
@@ -82,7 +82,8 @@
     }
 }
 
-/// Turns that have begun before the present one, after so many periods of which surges take a share.
+/// How many turns have begun before the present one, after so many surge periods of which a surge takes
+/// `surge_share`.
 fn turns_until(periods: f64, surge_share: f64) -> usize {
     let turns_of_period = SURGE_PERIOD.as_secs_f64() / TURN.as_secs_f64();
     let turns_of_surge = (surge_share * turns_of_period).ceil().max(1.0);
--- a/crates/core/src/release/grant.rs
+++ b/crates/core/src/release/grant.rs
@@ -15,7 +15,7 @@
     /// Revision of the source at which the order stood so: the higher one of two orders is in force.
     #[serde(rename = "v")]
     pub revision: u64,
-    /// How far it has come.
+    /// The stage of the release.
     #[serde(rename = "s")]
     pub stage: Stage,
     /// Share of new requests that goes to the target version.
@@ -37,8 +37,8 @@
 
 impl Grant {
     /// Whether this replaces another one of the same pool, in whatever order they arrive. A release that
-    /// has come to its end stays there, unless there is another order, or the source holds another end: a late
-    /// record of one director may meet the verdict of the next, and the operator goes by the record.
+    /// has come to its end stays there, unless there is another order, or the source holds another end: a
+    /// late record of one director may meet the verdict of the next, and the operator goes by the record.
     pub fn supersedes(&self, other: &Self) -> bool {
         if self.order != other.order {
             return self.revision > other.revision;
--- a/crates/core/src/release/reference.rs
+++ b/crates/core/src/release/reference.rs
@@ -8,8 +8,8 @@
 /// Services answer some requests with errors in calm times too; below this rate no version is held
 /// against another.
 const LEAST_BAD_RATE: f64 = 0.01;
-/// A version of which every other answer is bad can't be told from a worse one, and more would leave no
-/// room for alternatives.
+/// Above this rate the present version is taken to fail this often: with the largest excess that a worse
+/// version is tested for, the rate must stay below one.
 const MOST_BAD_RATE: f64 = 0.45;
 /// So many answers later the earlier ones count a half: some seconds of a pool's traffic, so that a
 /// disruption that both versions meet is known from the present one's answers.
--- a/crates/core/src/release/suspicion.rs
+++ b/crates/core/src/release/suspicion.rs
@@ -13,14 +13,15 @@
 /// 160,000 cases at it; what engines do wrong by themselves makes that more. Measured over a hundred seeds a
 /// case: docs/design/releases.md.
 const CONVICTING_SCORE: f64 = 12.0;
-/// Below this score requests may move; two bad answers among ten are above it. Few answers come before that in a pool with little traffic, and of a version that fails one in ten
-/// hardly more are bad.
+/// Requests move only while the score is below this; two bad answers among ten lie above it. In a pool with
+/// little traffic few answers come before requests are due to move, and of a version that fails one request
+/// in ten hardly more than two of those are bad.
 const CLEAR_SCORE: f64 = 4.5;
-/// With so many engines at least three of them must do worse, and with fewer two: what the others do wrong
-/// is not their software's fault.
+/// With so many engines of the target version at least three of them must do worse, and with fewer two: what
+/// one or two engines alone do wrong need not be their software's fault.
 const MANY_ENGINES: usize = 6;
-/// An engine that crashes breaks off all that it runs. Of its bad answers within this time, which is what
-/// news of one moment are apart, ..
+/// An engine that crashes breaks off all that it runs, and nodes tell of that within this time of each other.
+/// Of the bad answers of one engine within it ..
 const CRASH_SPAN: Duration = Duration::from_millis(300);
 /// .. so many count.
 const MOST_OF_A_CRASH: u32 = 2;
@@ -30,7 +31,7 @@
 struct Scope {
     /// One route, or all of them without.
     route: Option<RouteKey>,
-    /// Number of an excess.
+    /// Index into [`EXCESSES`].
     excess: usize,
 }
 
@@ -123,7 +124,7 @@
         })
     }
 
-    /// How many engines must do worse for a version that has so many.
+    /// How many engines must do worse before a version with this many engines is taken to do worse.
     pub fn engines_to_convict(engines: usize) -> usize {
         match engines {
             // There is no other one to see it at.
@@ -143,7 +144,7 @@
         scores.fold(0.0, f64::max) < CLEAR_SCORE
     }
 
-    /// Begins to weigh anew, by the answers that come from now on.
+    /// Sets all scores to zero: from now on only answers that are still to come count.
     pub fn forget_scores(&mut self) {
         self.walks.clear();
         self.bursts.clear();
--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/trial.rs
@@ -15,7 +15,8 @@
 /// The pool's traffic is known roughly after so long: answers take some hundred milliseconds.
 const TRAFFIC_KNOWN_AFTER: Duration = Duration::from_secs(2);
 /// In a pool with few requests the slack is a large part of what the target version may get, and without it
-/// there would be too few answers to tell a bad version by. It brings so much more of the requests at most.
+/// there would be too few answers to tell a bad version by. The slack adds at most this to the share of the
+/// requests that the target version gets, so that it is spread over the trial.
 const MOST_SLACK_SHARE: f64 = 0.15;
 /// Shares of new requests, one after the other, before all go to the target version. Few: while they
 /// last, a version that has become bad gets more than in the trial.
@@ -35,8 +36,8 @@
 const LEAST_SHARE_OF_ROUTE: f64 = 0.02;
 /// Engines of the target version, for each of the present one, that can bear its requests.
 const LEAST_ENGINES: f64 = 0.8;
-/// Nothing is seen to run at the present version's engines for so long: news of it are up to a second
-/// old.
+/// The release is completed once nothing was seen to run at the present version's engines for so long: news
+/// of what runs are up to a second old.
 const IDLE_TIME: Duration = Duration::from_millis(1_200);
 /// After so many ramps a version that was not seen to do as well is rolled back: engines that never came,
 /// or that answer nothing.
@@ -254,10 +255,10 @@
     }
 }
 
-/// Whether the target version has answered enough on every route that is used.
+/// Whether the target version has answered enough: in all, from enough engines, and on every busy route.
 fn has_enough_answers(total: &Counts, engines: usize) -> bool {
     let present = total.present();
-    // Where there is hardly any traffic, hardly any can be harmed.
+    // Where there is hardly any traffic, a bad version can harm hardly any requests.
     let least = LEAST_ANSWERS.min(present.answers / 10);
     if total.target().answers < least {
         return false;
@@ -276,6 +277,7 @@
     })
 }
 
+/// Whether the engines of the target version can take all requests of the pool.
 fn can_bear_all(fleet: &Fleet) -> bool {
     fleet.target > 0 && fleet.target as f64 >= fleet.present as f64 * LEAST_ENGINES
 }
--- a/crates/gateway/src/engines/known_lives.rs
+++ b/crates/gateway/src/engines/known_lives.rs
@@ -12,7 +12,7 @@
 /// News name the life for longer than others need it, since those may have learned of it later.
 const LIFE_TOLD: Duration = Duration::from_secs(15);
 /// The life of an engine that went is remembered for so long: an entry comes back within seconds once its
-/// engine has begun again, and a list that is later than this is none that a node goes by.
+/// engine has begun again, and a node goes by no list that comes later than this.
 const GONE_REMEMBERED: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/gateway/src/gateway/caller_ring.rs
+++ b/crates/gateway/src/gateway/caller_ring.rs
@@ -101,8 +101,8 @@
     }
 }
 
-/// The addresses that one answer names: all, or when the node that answers is pressed and they are
-/// unlike some, drawn in proportion to what each can bear. Where they are too many, that draw decides.
+/// The addresses that one answer names: all; or some, drawn in proportion to what each node can bear, when
+/// the nodes are unlike and the one that answers is pressed, or when there are more than `most`.
 pub fn draw_addresses(
     nodes: &[CallerNode<'_>],
     most: usize,
--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -34,7 +34,7 @@
         gate.admission(pool, id, tried)
     }
 
-    /// Which engines a pool's requests go to, all together.
+    /// The engines that all requests of a pool go to, taken together, but for the share of a trial.
     pub(super) fn intake_of_all(
         &self,
         state: &GatewayState,
@@ -240,7 +240,8 @@
     }
 }
 
-/// Whether a completed release has no engine left: others took their place without an order.
+/// Whether a release was completed and its version has no engine left: others took their place without an
+/// order.
 pub(super) fn has_nothing_to_say(known: &KnownRelease, engines: &EngineTable) -> bool {
     let order = &known.grant.order;
     let mut of_pool = engines.of_pool(&order.pool);
--- a/crates/gateway/src/gateway/release_work.rs
+++ b/crates/gateway/src/gateway/release_work.rs
@@ -1,4 +1,5 @@
-//! What the director of releases needs of the gateway beside the releases themselves.
+//! Who follows the orders of releases and who directs them, and what a node reads from the source; see
+//! docs/design/releases.md.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,7 +15,7 @@
         self.state().has_release_work
     }
 
-    /// Whether there is such an order.
+    /// Notes whether there is such an order.
     pub fn note_release_work(&self, has_work: bool) {
         self.state_mut().has_release_work = has_work;
     }
@@ -38,8 +39,8 @@
         !self.is_leaving() && self.should_give_orders()
     }
 
-    /// Whether this node would know of another one that follows them. Nodes that were all started at once
-    /// would else ask the source, each of them.
+    /// Whether this node would know by now of another one that follows them. Without this, nodes that are
+    /// all started at once would each ask the source.
     pub fn knows_candidates(&self) -> bool {
         let state = self.state();
         let is_settled = self.uptime() >= SETTLING || state.peers.is_settled();
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -1,4 +1,5 @@
-//! Releases of engine software: what the director of one needs of the gateway, and tells it.
+//! Grants, counts and engines of a release, as its director and the other nodes take and give them; see
+//! docs/design/releases.md.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -69,7 +69,8 @@
         Some((news, relays))
     }
 
-    /// News of loads and of stages of releases that every node needs at once, for the own zone and for all others.
+    /// News of loads and of stages of releases that every node needs at once, for the own zone and for all
+    /// others.
     pub fn next_load_news(&self) -> Vec<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
@@ -336,14 +337,14 @@
     }
 }
 
-/// Whether news are of those that nobody should miss: they come by themselves, and the regular ones tell of
-/// releases too.
+/// Whether these are urgent news, which no node should miss. Regular news tell of releases too, but always
+/// with the work at engines; urgent news come without it.
 fn is_urgent(news: &ZoneNews) -> bool {
     let is_told_by_itself = !news.weights.is_empty() || !news.releases.is_empty();
     news.loads.is_none() && is_told_by_itself
 }
 
-/// So many nodes that there are about as many groups.
+/// Nodes of a group, such that there are about as many groups as nodes in each.
 fn length_of_groups(near: &[&NodeIdentity]) -> usize {
     (near.len() as f64).sqrt().ceil().max(1.0) as usize
 }
--- a/crates/gateway/src/peers/capacity.rs
+++ b/crates/gateway/src/peers/capacity.rs
@@ -12,7 +12,8 @@
 /// machine is not sent more than its share.
 const UNTOLD: u32 = 100;
 
-/// How much a node can bear, in requests a second; callers are sent to nodes in proportion.
+/// How much a node can bear, in requests a second. Callers are sent to nodes in proportion while the node
+/// that answers them is pressed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Capacity(pub u32);
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -21,9 +21,10 @@
 const MOST_OF_FEW: usize = 9;
 /// Most nodes of the own zone that one message goes to: its engines and callers are the same.
 const MOST_NEAR_RECEIVERS: usize = 30;
-/// Most nodes of other zones that one message goes to when there are many nodes: of other regions one,
-/// since bytes there are dear, and the others of the own region where it has other zones.
+/// Most nodes of other zones that one message goes to when there are many nodes.
 const MOST_FAR_RECEIVERS: usize = 2;
+/// Most of those that stand in other regions, where the own region has other zones: bytes between regions
+/// are dear.
 const MOST_REMOTE_RECEIVERS: usize = 1;
 /// A node of another zone is mostly heard of through the echoes of others, which takes longer.
 const FAR_SUSPECT_FACTOR: u32 = 3;
--- a/crates/gateway/src/release/answer_watch.rs
+++ b/crates/gateway/src/release/answer_watch.rs
@@ -14,14 +14,14 @@
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerEnd {
-    /// The answer came to its end; a refusal of the request's own fault may come sooner than others.
+    /// The answer came to its end.
     Whole {
-        /// Whether it tells how long answers take.
+        /// Whether it tells how long answers take: a refusal for the request's own fault comes sooner.
         is_success: bool,
     },
     /// It was an error of the engine's own, broke off, or was not an answer.
     Failed,
-    /// Nobody waited for its end.
+    /// Nobody waited for its end: the caller left, or its time ran out.
     Left,
     /// The engine did not run the request.
     NotRun,
--- a/crates/gateway/src/release/course.rs
+++ b/crates/gateway/src/release/course.rs
@@ -7,8 +7,8 @@
 
 use super::RecordState;
 
-/// Time between the grants of a release, less one look of the director: a third of a second is short against
-/// the life of a grant, so that nodes which miss two in a row still go by the next.
+/// Least time between two equal grants. With the director's tick they come every third of a second, which is
+/// short against the life of a grant: nodes that miss two in a row still hear the next in time.
 const GRANT_INTERVAL: Duration = Duration::from_millis(250);
 
 /// One release under direction: its stages, what nodes were told last, and how its record stands.
@@ -51,7 +51,7 @@
         outcome.unwrap_or(Outcome::RolledBack)
     }
 
-    /// What is to be written, where so much is recorded.
+    /// What is to be written when the source holds `recorded`; `None` when nothing is.
     pub fn next_record(&self, recorded: Option<Outcome>) -> Option<Outcome> {
         let outcome = self.outcome();
         let is_written = self.has_recorded && recorded == Some(outcome);
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -23,8 +23,8 @@
 use crate::gateway::Gateway;
 use crate::source::{FollowSettings, OrderedRelease, Recorded, ReleaseStore, SourceError};
 
-/// Time between looks at the evidence: a version whose answers are bad must get nothing more within
-/// seconds, and the verdict is one part of that time among several.
+/// Time between looks at the evidence: a version whose answers are bad must get nothing more after a few
+/// seconds, and this look is one part of that time, beside the way of answers and of grants.
 const TICK: Duration = Duration::from_millis(100);
 /// Wait after a call for a record that failed.
 const RECORD_PAUSE: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/release/gate.rs
+++ b/crates/gateway/src/release/gate.rs
@@ -45,8 +45,8 @@
         }
     }
 
-    /// Versions that a pool's requests don't go to, whichever they are: the capacity that counts is
-    /// that of the others.
+    /// Versions that get none or few of a pool's requests: only the engines of the others count as the
+    /// pool's capacity.
     pub fn idle_versions(&self, pool: &PoolName) -> BTreeSet<SoftwareVersion> {
         let versions = ListedVersions::of(self.engines, pool);
         let Some(known) = self.table.of(pool) else {
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -11,8 +11,8 @@
 
 use super::Origin;
 
-/// A director that goes on giving grants so long after this node has stopped knows of the same answers: news
-/// of them take less than a second.
+/// A director that still gives grants so long after this node has stopped has seen the same answers and not
+/// decided: news of them take less than a second.
 const STOPPED_FOR: Duration = Duration::from_secs(2);
 
 /// A release as one node knows it.
@@ -28,7 +28,8 @@
     pub account: Account,
     /// What this node and the others have seen.
     pub ledger: Ledger,
-    /// Other versions that were rolled back or withdrawn before, or had not been proven when this was ordered.
+    /// Other versions that get nothing: they were rolled back or withdrawn before, or were still under trial
+    /// when this release was ordered.
     pub shut: BTreeSet<SoftwareVersion>,
     /// Versions that the completed release has replaced.
     pub superseded: BTreeSet<SoftwareVersion>,
@@ -38,7 +39,7 @@
     suspicion: Suspicion,
     /// Why this node sends nothing to the target version any more, before the director's verdict.
     stopped: Option<Rollback>,
-    /// Since when.
+    /// When this node stopped last.
     stopped_at: Timestamp,
 }
 
@@ -66,7 +67,7 @@
         self.grant.stage.is_final() || now.since(self.granted_at) < life
     }
 
-    /// Whether this node holds the target version for worse, and the director has not decided.
+    /// Whether this node takes the target version to do worse, and the director has not decided.
     pub fn is_stopped(&self) -> bool {
         self.stopped.is_some() && !self.grant.stage.is_final()
     }
@@ -116,9 +117,9 @@
     }
 
     /// Takes all answers so far; tells why this node stops sending to the target version, the moment
-    /// that it does. It does not wait for the director, who may be lost. When the last requests move, and the
-    /// answers since have cleared the version, it follows: present engines stop once the release is completed,
-    /// and would break off what it still sent there.
+    /// that it does. It does not wait for the director, who may be lost. A node that has stopped goes on in
+    /// the stage settling once the answers since have cleared the version: the present engines stop when
+    /// the release is completed, and would break off what this node still sent there.
     pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
         self.suspicion.observe(total, now);
         if self.stopped.is_some() {
@@ -134,9 +135,9 @@
     }
 
     /// Goes on with the trial when the director has had time to see the same answers and has not decided:
-    /// news come to nodes in different portions, so scores differ. Were all nodes to stop for good, no further
-    /// answers would come, and a version that failed late was rolled back after three ramps only (a soak of
-    /// four nodes: 24.0 s of a ramp of 8 s).
+    /// news come to nodes in different portions, so scores differ. Were all nodes to stop for good, no
+    /// further answers would come, and a version that fails late would be rolled back only after three ramps
+    /// (measured in a soak of four nodes: after 24.0 s, with a ramp of 8 s).
     pub fn reconsider(&mut self) -> bool {
         let heard_after = self.granted_at.since(self.stopped_at);
         let is_due = self.grant.stage == Stage::Trial && heard_after >= STOPPED_FOR;
--- a/crates/gateway/src/release/listed_versions.rs
+++ b/crates/gateway/src/release/listed_versions.rs
@@ -10,9 +10,9 @@
 use crate::engines::{Engine, EngineTable};
 
 /// The list of engines may tell of a version before the order for it arrives: the two come by different
-/// questions to the source, and when the node that follows the orders is lost it takes two seconds until another
-/// one has read them. Until then a version that has just appeared gets nothing, since an ordered one must not
-/// get more than a share.
+/// calls of the source, and when the node that follows the orders is lost it takes two seconds until another
+/// one has read them. For so long a version that has just appeared gets nothing, since one that is ordered
+/// must not get more than a share.
 const UNORDERED_HOLD: Duration = Duration::from_secs(3);
 
 /// What the list tells of the engines of one version.
@@ -83,8 +83,8 @@
         self.0.len() <= 1
     }
 
-    /// The version of the oldest engine: in a pool that is being moved the present one. Without a word of
-    /// the engines' age the one that most have.
+    /// The version of the oldest engine: in a pool that is being moved the present one. Where no engine
+    /// tells its age, the version that most engines have.
     pub fn oldest(&self) -> Option<&SoftwareVersion> {
         let by_age = self.0.iter().filter(|(_, listed)| listed.oldest.is_some());
         let oldest = by_age.min_by_key(|(_, listed)| listed.oldest);
@@ -97,7 +97,8 @@
         oldest.or_else(most).map(|(version, _)| version)
     }
 
-    /// Whether all engines of a version began after the oldest one of another; not without a word of their age.
+    /// Whether all engines of a version began after the oldest one of another; `false` when the age of
+    /// either is not known.
     pub fn is_newer(&self, version: &str, other: &str) -> bool {
         let oldest = |version| self.0.get(version).and_then(|listed| listed.oldest);
         let other = oldest(other);
--- a/crates/gateway/src/release/log_median.rs
+++ b/crates/gateway/src/release/log_median.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-/// Values until the median is used.
+/// Values until the median is used: with fewer a single slow answer could pass for what is usual.
 const LEAST_VALUES: u32 = 8;
 /// Each value moves the median by this much at least, as a share of itself: it follows a change of load
 /// within some tens of answers.
 const LEAST_STEP: f64 = 0.03;
-/// Nothing is measured more exactly.
+/// Shorter times count as this long: they are not measured more exactly, and zero has no logarithm.
 const LEAST_TIME: Duration = Duration::from_micros(100);
 
 /// The median of a time that is measured again and again, tracked by its logarithm: each value moves it
--- a/crates/gateway/src/release/order_follower.rs
+++ b/crates/gateway/src/release/order_follower.rs
@@ -25,7 +25,10 @@
 const REPLACED_FOR: Duration = Duration::from_secs(1);
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Watches begin at least so far apart: records bring changes in a row, and a watch may be cut at once.
+/// Most doublings of that wait, to nearly four seconds: the longest pause is reached before that.
+const MOST_DOUBLINGS: u32 = 6;
+/// Watches begin at least so far apart, to bound the calls: several records may be written in a row, and a
+/// watch may be answered at once.
 const LEAST_SPACING: Duration = Duration::from_millis(250);
 /// After failures the source has up to so many times as long to answer: it may be slow and not away.
 const MOST_PATIENCE: u32 = 4;
@@ -123,7 +126,8 @@
             let store = Rc::clone(&self.store);
             let answer = tokio::select! {
                 answer = timeout(limit, store.watch(revision, wait)) => answer,
-                // The order came before its engines: a watch that has not told of it may be silent.
+                // An operator orders a version before its engines start, so a watch that has not told of
+                // the order may have fallen silent. The next one is answered at once.
                 () = self.until_new_version(), if !wait.is_zero() => {
                     is_short = true;
                     continue;
@@ -200,7 +204,7 @@
         if self.failures == 0 {
             warn!(self.gateway.log(), "release_orders_lost"; "error" => %error);
         }
-        let doublings = self.failures.min(6);
+        let doublings = self.failures.min(MOST_DOUBLINGS);
         let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
         self.failures += 1;
         let jitter = rand::rng().random_range(0.5..1.0);
--- a/crates/gateway/src/release/record_reader.rs
+++ b/crates/gateway/src/release/record_reader.rs
@@ -22,17 +22,19 @@
 
 /// Time between looks whether a grant has run out.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
-/// First read of all orders by a node that misses them, in seconds: most are told of them by others in that time.
+/// First read of all orders by a node that misses them, in seconds: others tell most nodes of them before
+/// that.
 const FIRST_LIST_AFTER: Range<f64> = 0.2..0.8;
 /// First read after a grant has run out, in seconds: many nodes may miss their director at once.
 const FIRST_READ_AFTER: Range<f64> = 0.0..1.0;
 /// Time between reads, in seconds.
 const READ_AGAIN_AFTER: Range<f64> = 1.0..1.5;
 
-/// Reads what is recorded of a release whose director is not heard: an engine may have been stopped, or must
-/// get nothing more, since the source was told so. A node that was just started, and lists engines of several
-/// versions before anybody has told it of orders, reads those as well: which version is under trial can't be told
-/// from the engines' ages when the present ones have been replaced since.
+/// Reads what is recorded of a release whose director is not heard: by what the source holds, the operator
+/// may have stopped the present engines, or the target version must get nothing more. A node that was just
+/// started, and lists engines of several versions before anybody has told it of orders, reads all orders:
+/// which version is under trial can't be told from the engines' ages when the present ones have been
+/// replaced since.
 pub(super) struct RecordReader {
     pub(super) gateway: Rc<Gateway>,
     pub(super) store: Rc<dyn ReleaseStore>,
--- a/crates/gateway/src/release/record_state.rs
+++ b/crates/gateway/src/release/record_state.rs
@@ -5,10 +5,11 @@
 /// How far the record of an order is written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordState {
-    /// What the source told last is what it holds, as far as this node has changed it.
+    /// No call is open, and the outcome of the last one is known.
     Settled,
     /// A call is open.
     Open,
-    /// A call had no answer, or met a change: the order is read from then on, before anything else is written.
+    /// A call had no answer, or met a change: at this time or later the order is read, before anything else
+    /// is written.
     Unsure(Timestamp),
 }
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -21,7 +21,7 @@
     pub paces: Paces,
     /// Pools whose stage every node is to be told of at once.
     pub urgent: BTreeSet<PoolName>,
-    /// Versions that each pool's requests may go to without a release.
+    /// Versions that each pool's requests may go to without a grant, as of the last look.
     pub in_use: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
 }
 
@@ -36,7 +36,8 @@
             return true;
         };
         if known.grant == grant {
-            // On the way that took longer less of the time was counted.
+            // The same grant came by two ways. Time on the way is not counted, so the
+            // earlier of the two times is nearer to the truth.
             known.granted_at = known.granted_at.min(granted_at);
         }
         if !grant.supersedes(&known.grant) {
@@ -111,7 +112,7 @@
 /// What stays out of use when another order takes the place of one.
 fn shut_by(former: &KnownRelease, target: &str) -> BTreeSet<SoftwareVersion> {
     let mut shut = former.shut.clone();
-    // One that was under trial is as unproven as one that was taken back.
+    // A version that was still under trial is as unproven as one whose order was taken back.
     let is_under_trial = matches!(former.grant.stage, Stage::Trial | Stage::Shifting);
     if former.is_rejected() || is_under_trial {
         shut.insert(former.grant.order.target.clone());
