--- a/crates/core/src/release/reference.rs
+++ b/crates/core/src/release/baseline.rs
@@ -17,12 +17,12 @@
 
 /// How often the present version's answers on a route are bad, lately.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Reference {
+pub struct Baseline {
     answers: f64,
     bad: f64,
 }
 
-impl Reference {
+impl Baseline {
     /// More answers.
     pub fn note(&mut self, tally: Tally) {
         let kept = 0.5_f64.powf(f64::from(tally.answers) / HALF_LIFE_ANSWERS);
--- a/crates/core/src/release/suspicion.rs
+++ b/crates/core/src/release/comparison.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::walk::Walk;
-use super::{Cell, Counts, EngineKey, Reference, Rollback, RouteKey};
+use super::cumulative_sum::CumulativeSum;
+use super::{Baseline, CountKey, Counts, EngineKey, Rollback, RouteKey};
 use crate::Timestamp;
 
 /// How much larger the share of bad answers of a worse version may be: some fail seldom, some always.
@@ -38,10 +38,10 @@
 /// Compares the answers of the target version with those of the present one as they come: on each route,
 /// since some versions fail on one only, and on all together.
 #[derive(Debug, Clone, Default)]
-pub struct Suspicion {
+pub struct Comparison {
     seen: Counts,
-    references: BTreeMap<RouteKey, Reference>,
-    walks: BTreeMap<Scope, Walk>,
+    references: BTreeMap<RouteKey, Baseline>,
+    walks: BTreeMap<Scope, CumulativeSum>,
     bursts: BTreeMap<EngineKey, Burst>,
 }
 
@@ -52,7 +52,7 @@
     counted: u32,
 }
 
-impl Suspicion {
+impl Comparison {
     /// Takes all answers so far, of which some were taken before.
     pub fn observe(&mut self, total: &Counts, now: Timestamp) {
         for (cell, tally) in total.iter().filter(|(cell, _)| cell.is_present()) {
@@ -85,7 +85,7 @@
         counted
     }
 
-    fn step(&mut self, cell: Cell, bad: f64, good: f64) {
+    fn step(&mut self, cell: CountKey, bad: f64, good: f64) {
         let reference = self
             .references
             .get(&cell.route)
@@ -113,7 +113,7 @@
             None => (self.seen.target(), self.seen.present()),
             Some(route) => (
                 self.seen.target_on(route),
-                self.seen.of(Cell::present(route)),
+                self.seen.of(CountKey::present(route)),
             ),
         };
         Some(Rollback::Worse {
--- a/crates/core/src/release/cell.rs
+++ b/crates/core/src/release/count_key.rs
@@ -17,14 +17,14 @@
 
 /// Answers on one route, by one engine of the target version or by all of the present one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Cell {
+pub struct CountKey {
     /// The route.
     pub route: RouteKey,
     /// The engine.
     pub engine: EngineKey,
 }
 
-impl Cell {
+impl CountKey {
     /// Answers of the present version on a route.
     pub fn present(route: RouteKey) -> Self {
         Self {
--- a/crates/core/src/release/counts.rs
+++ b/crates/core/src/release/counts.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Cell, EngineKey, Judgement, RouteKey, Tally};
+use super::{CountKey, EngineKey, Judgement, RouteKey, Tally};
 
 /// Answers of both versions since a release was heard of. They only rise, so a message that is lost
 /// takes nothing away.
@@ -13,16 +13,16 @@
     from = "Vec<(RouteKey, EngineKey, Tally)>",
     into = "Vec<(RouteKey, EngineKey, Tally)>"
 )]
-pub struct Counts(BTreeMap<Cell, Tally>);
+pub struct Counts(BTreeMap<CountKey, Tally>);
 
 impl Counts {
     /// One more answer.
-    pub fn note(&mut self, cell: Cell, judgement: Judgement) {
+    pub fn note(&mut self, cell: CountKey, judgement: Judgement) {
         self.0.entry(cell).or_default().note(judgement);
     }
 
     /// Adds answers.
-    pub fn add(&mut self, cell: Cell, tally: Tally) {
+    pub fn add(&mut self, cell: CountKey, tally: Tally) {
         self.0.entry(cell).or_default().add(tally);
     }
 
@@ -41,12 +41,12 @@
     }
 
     /// The answers that are counted together.
-    pub fn of(&self, cell: Cell) -> Tally {
+    pub fn of(&self, cell: CountKey) -> Tally {
         self.0.get(&cell).copied().unwrap_or_default()
     }
 
     /// All of them, in the order of their cells.
-    pub fn iter(&self) -> impl Iterator<Item = (Cell, Tally)> {
+    pub fn iter(&self) -> impl Iterator<Item = (CountKey, Tally)> {
         self.0.iter().map(|(cell, tally)| (*cell, *tally))
     }
 
@@ -79,7 +79,7 @@
         sums.into_values()
     }
 
-    fn sum(&self, is_counted: impl Fn(&Cell) -> bool) -> Tally {
+    fn sum(&self, is_counted: impl Fn(&CountKey) -> bool) -> Tally {
         let mut sum = Tally::default();
         for (_, tally) in self.iter().filter(|(cell, _)| is_counted(cell)) {
             sum.add(tally);
@@ -93,7 +93,7 @@
         let cells = cells.into_iter();
         Self(
             cells
-                .map(|(route, engine, tally)| (Cell { route, engine }, tally))
+                .map(|(route, engine, tally)| (CountKey { route, engine }, tally))
                 .collect(),
         )
     }
--- a/crates/core/src/release/walk.rs
+++ b/crates/core/src/release/cumulative_sum.rs
@@ -10,11 +10,11 @@
 /// It knows what each engine has added since it last was zero: of one engine only so much counts, since
 /// what one engine alone does wrong is not its software's fault.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Walk {
+pub(super) struct CumulativeSum {
     by_engine: BTreeMap<EngineKey, f64>,
 }
 
-impl Walk {
+impl CumulativeSum {
     /// Answers of an engine change the likelihood by so much.
     pub(super) fn step(&mut self, engine: EngineKey, log_ratio: f64) {
         *self.by_engine.entry(engine).or_default() += log_ratio;
--- a/crates/core/src/release/ledger.rs
+++ b/crates/core/src/release/ledger.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Cell, Counts, Judgement};
+use super::{CountKey, Counts, Judgement};
 
 /// Who reports: one life of a node, or one that sums up many.
 pub type Reporter = u64;
@@ -19,7 +19,7 @@
 
 impl Ledger {
     /// This node saw an answer.
-    pub fn note(&mut self, cell: Cell, judgement: Judgement) {
+    pub fn note(&mut self, cell: CountKey, judgement: Judgement) {
         self.own.note(cell, judgement);
     }
 
--- a/crates/core/src/release/mod.rs
+++ b/crates/core/src/release/mod.rs
@@ -11,26 +11,28 @@
 //! changes with the engine.
 
 mod account;
-mod cell;
+mod baseline;
+mod comparison;
+mod count_key;
 mod counts;
+mod cumulative_sum;
 mod exposure;
 mod fleet;
 mod grant;
 mod judgement;
 mod ledger;
 mod order;
+mod progress;
 mod record;
-mod reference;
 mod rollback;
 mod settings;
 mod stage;
-mod suspicion;
 mod tally;
-mod trial;
-mod walk;
 
 pub use account::Account;
-pub use cell::{Cell, EngineKey, PRESENT, RouteKey, key_of};
+pub use baseline::Baseline;
+pub use comparison::Comparison;
+pub use count_key::{CountKey, EngineKey, PRESENT, RouteKey, key_of};
 pub use counts::Counts;
 pub use exposure::{Exposure, Window};
 pub use fleet::Fleet;
@@ -38,11 +40,9 @@
 pub use judgement::Judgement;
 pub use ledger::{Ledger, Reporter};
 pub use order::{Order, SoftwareVersion};
+pub use progress::Progress;
 pub use record::{Outcome, Record};
-pub use reference::Reference;
 pub use rollback::Rollback;
 pub use settings::Settings;
 pub use stage::Stage;
-pub use suspicion::Suspicion;
 pub use tally::Tally;
-pub use trial::Trial;
--- a/crates/core/src/release/trial.rs
+++ b/crates/core/src/release/progress.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{Cell, Counts, Exposure, Fleet, Grant, Order, Rollback, Settings, Stage, Suspicion};
+use super::{
+    Comparison, CountKey, Counts, Exposure, Fleet, Grant, Order, Rollback, Settings, Stage,
+};
 use crate::Timestamp;
 
 /// Part of the ramp that the trial takes: a version may fail only after a while, and what is left is
@@ -45,19 +47,19 @@
 
 /// The stages of a release, as its director takes it through them.
 #[derive(Debug, Clone)]
-pub struct Trial {
+pub struct Progress {
     order: Order,
     settings: Settings,
     begun_at: Timestamp,
     stage: Stage,
     stage_since: Timestamp,
-    suspicion: Suspicion,
+    comparison: Comparison,
     rollback: Option<Rollback>,
     idle_since: Option<Timestamp>,
     exposure: Exposure,
 }
 
-impl Trial {
+impl Progress {
     /// A release that begins.
     pub fn new(order: Order, settings: Settings, now: Timestamp) -> Self {
         Self {
@@ -66,7 +68,7 @@
             begun_at: now,
             stage: Stage::Trial,
             stage_since: now,
-            suspicion: Suspicion::default(),
+            comparison: Comparison::default(),
             rollback: None,
             idle_since: None,
             exposure: Exposure {
@@ -90,9 +92,9 @@
 
     /// Goes on with what a node held against the target version before it directs the release. Taken anew its
     /// answers would all be of one moment, like those of crashes, of which few count.
-    pub fn with_suspicion(self, suspicion: Suspicion, rollback: Option<Rollback>) -> Self {
+    pub fn with_suspicion(self, comparison: Comparison, rollback: Option<Rollback>) -> Self {
         Self {
-            suspicion,
+            comparison,
             rollback,
             ..self
         }
@@ -124,9 +126,9 @@
         if before.is_final() {
             return false;
         }
-        self.suspicion.observe(total, now);
+        self.comparison.observe(total, now);
         if self.rollback.is_none() {
-            self.rollback = self.suspicion.verdict(fleet.target);
+            self.rollback = self.comparison.verdict(fleet.target);
         }
         let next = match before {
             _ if self.rollback.is_some() => Stage::RolledBack,
@@ -178,7 +180,7 @@
         let is_due = elapsed >= self.order.ramp.mul_f64(TRIAL_SHARE)
             && now.since(self.stage_since) >= LEAST_TRIAL;
         let is_proven =
-            has_enough_answers(total, fleet.target) && self.suspicion.is_clear(fleet.target);
+            has_enough_answers(total, fleet.target) && self.comparison.is_clear(fleet.target);
         match is_due && is_proven && can_bear_all(fleet) {
             true => Stage::Shifting,
             false => Stage::Trial,
@@ -186,7 +188,7 @@
     }
 
     fn after_shift(&self, fleet: &Fleet, now: Timestamp) -> Stage {
-        if !self.suspicion.is_clear(fleet.target) || !can_bear_all(fleet) {
+        if !self.comparison.is_clear(fleet.target) || !can_bear_all(fleet) {
             return Stage::Trial;
         }
         let length = SHIFT_TIME * SHIFTS.len() as u32;
@@ -265,12 +267,12 @@
     }
     let answers = total.target_by_engine();
     let seen = answers.filter(|answers| *answers >= LEAST_ANSWERS_OF_ENGINE.min(least));
-    if least > 0 && seen.count() < Suspicion::engines_to_convict(engines) {
+    if least > 0 && seen.count() < Comparison::engines_to_convict(engines) {
         return false;
     }
     let routes = total.iter().filter(|(cell, _)| cell.is_present());
     let mut busy = routes.filter(|(_, tally)| tally.answers >= BUSY_ROUTE);
-    busy.all(|(Cell { route, .. }, tally)| {
+    busy.all(|(CountKey { route, .. }, tally)| {
         let share = f64::from(tally.answers) * LEAST_SHARE_OF_ROUTE;
         let least = LEAST_ANSWERS_OF_ROUTE.min(share as u32);
         total.target_on(route).answers >= least
--- a/crates/core/tests/release_trial.rs
+++ b/crates/core/tests/release_trial.rs
@@ -8,7 +8,7 @@
 use release_world::{Case, End, Fault, Trouble, USUAL_BAD, order, play, settings};
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
-    Cell, Counts, Exposure, Fleet, Grant, Judgement, Ledger, Stage, Trial, Window,
+    CountKey, Counts, Exposure, Fleet, Grant, Judgement, Ledger, Progress, Stage, Window,
 };
 use yare::parameterized;
 
@@ -170,16 +170,16 @@
 fn good_answers() -> Counts {
     let mut counts = Counts::default();
     for index in 0..400 {
-        counts.note(Cell::present(1), Judgement::Good);
+        counts.note(CountKey::present(1), Judgement::Good);
         let engine = 1 + index % 9;
-        counts.note(Cell { route: 1, engine }, Judgement::Good);
+        counts.note(CountKey { route: 1, engine }, Judgement::Good);
     }
     counts
 }
 
 #[test]
 fn version_whose_engines_never_come_is_rolled_back_after_three_ramps() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     trial.advance(&fleet(0), &Counts::default(), at(11.9));
     assert_eq!(trial.stage(), Stage::Trial);
     assert!(trial.advance(&fleet(0), &Counts::default(), at(12.1)));
@@ -188,7 +188,7 @@
 
 #[test]
 fn requests_move_only_to_engines_that_can_bear_them() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     trial.advance(&fleet(60), &good_answers(), at(3.0));
     assert_eq!(trial.stage(), Stage::Trial);
     trial.advance(&fleet(90), &good_answers(), at(3.1));
@@ -200,7 +200,7 @@
 
 #[test]
 fn release_waits_for_what_runs_at_the_present_version_and_for_silent_nodes() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     let busy = Fleet {
         running_at_present: 1,
         ..fleet(90)
@@ -223,11 +223,11 @@
 
 #[test]
 fn next_director_goes_on_with_the_time_and_the_answers_so_far() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     trial.advance(&fleet(90), &good_answers(), at(2.0));
     let grant = trial.grant(7, 1, 5, at(2.0));
     let second = Duration::from_secs(1);
-    let mut next = Trial::resume(&grant, second, settings(), at(3.0));
+    let mut next = Progress::resume(&grant, second, settings(), at(3.0));
     assert_eq!(next.elapsed(at(3.0)), Duration::from_secs(3));
     next.advance(&fleet(90), &good_answers(), at(3.0));
     // What was seen before may be out of date.
@@ -238,7 +238,7 @@
 
 #[test]
 fn verdict_stays_whatever_comes_later() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     let trial_grant = trial.grant(7, 3, 9, at(1.0));
     trial.withdraw();
     let mut verdict = trial.grant(7, 1, 1, at(1.0));
@@ -246,7 +246,7 @@
     // A grant with a newer fence that was on its way.
     assert!(!trial_grant.supersedes(&verdict));
     assert!(verdict.supersedes(&trial_grant));
-    let resumed = Trial::resume(&verdict, Duration::ZERO, settings(), at(2.0));
+    let resumed = Progress::resume(&verdict, Duration::ZERO, settings(), at(2.0));
     assert_eq!(resumed.stage(), Stage::RolledBack);
     // The same version, ordered anew.
     let mut again = trial_grant;
@@ -258,7 +258,7 @@
 
 #[test]
 fn later_grants_of_one_order_win_by_fence_then_number() {
-    let trial = Trial::new(order(4.0), settings(), at(0.0));
+    let trial = Progress::new(order(4.0), settings(), at(0.0));
     let grant = |fence, number| trial.grant(7, fence, number, at(1.0));
     let is_newer = |left: Grant, right: Grant| left.supersedes(&right);
     assert!(is_newer(grant(2, 1), grant(1, 9)));
@@ -268,7 +268,7 @@
 
 #[test]
 fn reports_of_one_node_only_rise_and_those_of_others_add_up() {
-    let cell = Cell {
+    let cell = CountKey {
         route: 1,
         engine: 2,
     };
@@ -355,12 +355,12 @@
 
 #[test]
 fn requests_move_only_when_several_engines_have_answered() {
-    let mut trial = Trial::new(order(4.0), settings(), at(0.0));
+    let mut trial = Progress::new(order(4.0), settings(), at(0.0));
     let mut counts = Counts::default();
     for _ in 0..400 {
-        counts.note(Cell::present(1), Judgement::Good);
+        counts.note(CountKey::present(1), Judgement::Good);
         counts.note(
-            Cell {
+            CountKey {
                 route: 1,
                 engine: 1,
             },
--- a/crates/core/tests/release_world/mod.rs
+++ b/crates/core/tests/release_world/mod.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{
-    Account, Cell, Fleet, Judgement, Ledger, Order, PRESENT, Settings, Stage, Trial,
+    Account, CountKey, Fleet, Judgement, Ledger, Order, PRESENT, Progress, Settings, Stage,
 };
 
 const TICK: Duration = Duration::from_millis(50);
@@ -96,7 +96,7 @@
 
 struct Answer {
     at: Timestamp,
-    cell: Cell,
+    cell: CountKey,
     judgement: Judgement,
 }
 
@@ -104,7 +104,7 @@
 pub fn play(case: &Case, seed: u64) -> End {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let (mut trial, mut ledger) = (
-        Trial::new(order(case.ramp_s), settings(), Timestamp::ZERO),
+        Progress::new(order(case.ramp_s), settings(), Timestamp::ZERO),
         Ledger::default(),
     );
     let mut accounts = vec![Account::default(); case.nodes];
@@ -178,7 +178,7 @@
             let at = now.after(Duration::from_millis(random.random_range(20..400)));
             pending.push_back(Answer {
                 at,
-                cell: Cell { route, engine },
+                cell: CountKey { route, engine },
                 judgement,
             });
         }
--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -12,7 +12,7 @@
 use crate::engines::{EngineState, EngineTable};
 use crate::placement::Placement;
 use crate::release::{
-    Admission, AnswerEnd, AnswerWatch, Gate, Intake, KnownRelease, ListedVersions,
+    Admission, AnswerEnd, AnswerTiming, EngineFilter, Gate, KnownRelease, ListedVersions,
 };
 use crate::serve::AcceptedRequest;
 
@@ -27,7 +27,7 @@
     /// Where a request may go that was sent to these engines before.
     pub(crate) fn admission(&self, pool: &PoolName, id: &str, tried: &[BackEndName]) -> Admission {
         let Some(settings) = &self.settings().releases else {
-            return Admission::to(Intake::Any);
+            return Admission::to(EngineFilter::Any);
         };
         let state = self.state();
         let gate = self.gate(&state, settings, self.clock().now());
@@ -40,11 +40,11 @@
         state: &GatewayState,
         pool: &PoolName,
         now: Timestamp,
-    ) -> Intake {
+    ) -> EngineFilter {
         let Some(settings) = &self.settings().releases else {
-            return Intake::Any;
+            return EngineFilter::Any;
         };
-        Intake::except(self.gate(state, settings, now).idle_versions(pool))
+        EngineFilter::except(self.gate(state, settings, now).idle_versions(pool))
     }
 
     fn gate<'a>(
@@ -96,12 +96,12 @@
         &self,
         request: &AcceptedRequest,
         placement: &Placement,
-    ) -> Option<AnswerWatch> {
+    ) -> Option<AnswerTiming> {
         self.settings().releases.as_ref()?;
         let now = self.clock().now();
         let state = self.state();
         let engine = state.engines.get(&placement.engine)?;
-        Some(AnswerWatch {
+        Some(AnswerTiming {
             pool: request.pool.clone(),
             route: key_of(&request.route.name),
             engine: placement.engine.clone(),
@@ -118,7 +118,7 @@
     }
 
     /// An answer has ended: it is judged, and a present version's tells how long answers take.
-    pub fn note_release_answer(&self, watch: &AnswerWatch, end: AnswerEnd) {
+    pub fn note_release_answer(&self, watch: &AnswerTiming, end: AnswerEnd) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let releases = &mut state.releases;
@@ -264,5 +264,5 @@
     let replaced = ready.map(|engine| &engine.entry.software);
     let replaced = replaced.filter(|version| *version != target);
     let replaced = replaced.filter(|version| !versions.is_newer(version, target));
-    known.superseded.extend(replaced.cloned());
+    known.replaced.extend(replaced.cloned());
 }
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Counts, Fleet, Grant, Order, Settings, Trial};
+use ryerouter_core::release::{Counts, Fleet, Grant, Order, Progress, Settings};
 use slog::info;
 
 use super::release_intake::note_replaced;
@@ -59,7 +59,7 @@
     }
 
     /// A release that this node goes on to direct, if it knows of it.
-    pub fn resumed_trial(&self, order: &Order, settings: &Settings) -> Option<Trial> {
+    pub fn resumed_trial(&self, order: &Order, settings: &Settings) -> Option<Progress> {
         let now = self.clock().now();
         let state = self.state();
         let known = state.releases.of(&order.pool);
@@ -90,7 +90,7 @@
         let running = present.iter().map(|engine| engine.load().requests);
         let known = state.releases.of(&order.pool);
         let is_shut = |engine: &&&Engine| {
-            known.is_some_and(|known| known.shut.contains(&engine.entry.software))
+            known.is_some_and(|known| known.rejected.contains(&engine.entry.software))
         };
         let serving: Vec<_> = present
             .iter()
@@ -112,9 +112,4 @@
             longest_request,
         }
     }
-
-    /// Fencing number of the lease of orders, while this node holds it.
-    pub fn order_fence(&self) -> Option<u64> {
-        self.state().order_fence
-    }
 }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -13,7 +13,7 @@
 use crate::clock::Clock;
 use crate::peers::NodeState;
 use crate::placement::{Chooser, Failing, Placement, PlacementRequest};
-use crate::release::Intake;
+use crate::release::EngineFilter;
 use crate::request::Dialect;
 use crate::retry::{RetrySettings, RetryWindow};
 use crate::telemetry::{LogSampler, Metrics};
@@ -160,7 +160,7 @@
     fn choose_among(
         &self,
         request: &PlacementRequest<'_>,
-        intake: &Intake,
+        intake: &EngineFilter,
         failing: Failing,
     ) -> Option<Placement> {
         let state = self.state();
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -15,7 +15,7 @@
 use crate::catalogue::{EngineProfile, RoutingTable};
 use crate::engines::{Engine, EngineTable};
 use crate::places::{Distance, Places};
-use crate::release::Intake;
+use crate::release::EngineFilter;
 use crate::rollout::WeightsDeadlines;
 
 use self::sample::Sample;
@@ -80,14 +80,14 @@
 impl Chooser<'_> {
     /// The engine with the least cost, or `None` when no engine may take the request.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
-        self.choose_among(request, &Intake::Any, Failing::BetterThanNone)
+        self.choose_among(request, &EngineFilter::Any, Failing::BetterThanNone)
     }
 
     /// The same among the engines that take the request, as far as releases are concerned.
     pub fn choose_among(
         &self,
         request: &PlacementRequest<'_>,
-        intake: &Intake,
+        intake: &EngineFilter,
         failing: Failing,
     ) -> Option<Placement> {
         let profile = self.table.pool(request.pool)?.engine.as_ref();
@@ -266,7 +266,11 @@
     }
 
     /// What a prompt is under each version of the weights that candidates have.
-    fn versions(&self, request: &PlacementRequest<'_>, intake: &Intake) -> Vec<PromptVersion> {
+    fn versions(
+        &self,
+        request: &PlacementRequest<'_>,
+        intake: &EngineFilter,
+    ) -> Vec<PromptVersion> {
         let mut versions: Vec<PromptVersion> = Vec::new();
         let Some(prompt) = request.prompt else {
             return versions;
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -10,7 +10,7 @@
 use crate::engines::Engine;
 use crate::placement::PlacementRequest;
 use crate::placement::prompt_version::PromptVersion;
-use crate::release::Intake;
+use crate::release::EngineFilter;
 
 /// Engines of the own zone that are compared.
 const MOST_NEAR: usize = 4;
@@ -36,7 +36,7 @@
         chooser: &Chooser<'_>,
         request: &PlacementRequest<'_>,
         versions: &[PromptVersion],
-        intake: &Intake,
+        intake: &EngineFilter,
     ) -> Self {
         if !chooser.is_large {
             return Self { engines: None };
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,6 +1,6 @@
 //! Where a request may go.
 
-use super::Intake;
+use super::EngineFilter;
 use crate::engines::EngineEntry;
 use crate::placement::Failing;
 
@@ -8,9 +8,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Admission {
     /// The engines that it is for.
-    pub first: Intake,
+    pub first: EngineFilter,
     /// When none of those serves, these; without them the request gets no engine.
-    pub fallback: Option<Intake>,
+    pub fallback: Option<EngineFilter>,
     /// Whether it goes to engines that fail requests: a version that isn't known to be good needs none.
     pub failing: Failing,
 }
@@ -23,7 +23,7 @@
     }
 
     /// To these engines or to none.
-    pub fn to(first: Intake) -> Self {
+    pub fn to(first: EngineFilter) -> Self {
         Self {
             first,
             fallback: None,
@@ -32,7 +32,7 @@
     }
 
     /// To these engines, else to others.
-    pub fn with_fallback(first: Intake, fallback: Intake) -> Self {
+    pub fn with_fallback(first: EngineFilter, fallback: EngineFilter) -> Self {
         Self {
             first,
             fallback: Some(fallback),
@@ -41,7 +41,7 @@
     }
 
     /// The same, but engines that fail requests are passed over.
-    pub fn on_trial(first: Intake, fallback: Intake) -> Self {
+    pub fn on_trial(first: EngineFilter, fallback: EngineFilter) -> Self {
         Self {
             failing: Failing::PassedOver,
             ..Self::with_fallback(first, fallback)
--- a/crates/gateway/src/release/answer_watch.rs
+++ b/crates/gateway/src/release/answer_timing.rs
@@ -29,7 +29,7 @@
 
 /// What is seen of one answer of an engine, from sending the request on.
 #[derive(Debug, Clone)]
-pub struct AnswerWatch {
+pub struct AnswerTiming {
     /// The pool.
     pub pool: PoolName,
     /// The route.
@@ -56,7 +56,7 @@
     pub waiting_since: Option<Timestamp>,
 }
 
-impl AnswerWatch {
+impl AnswerTiming {
     /// The next bytes of a stream are waited for.
     pub fn begin_wait(&mut self, now: Timestamp) {
         self.waiting_since = Some(now);
--- a/crates/gateway/src/release/course.rs
+++ b/crates/gateway/src/release/course.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::release::{Grant, Outcome, Stage, Trial};
+use ryerouter_core::release::{Grant, Outcome, Progress, Stage};
 
 use super::RecordState;
 
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone)]
 pub struct Course {
     /// The stages.
-    pub trial: Trial,
+    pub trial: Progress,
     /// How its record stands.
     pub record: RecordState,
     /// Calls for the record that failed in a row.
@@ -34,7 +34,7 @@
 
 impl Course {
     /// A release of which nothing was told yet.
-    pub fn new(trial: Trial) -> Self {
+    pub fn new(trial: Progress) -> Self {
         Self {
             trial,
             record: RecordState::Settled,
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -7,7 +7,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{self, Order, Outcome, Trial};
+use ryerouter_core::release::{self, Order, Outcome, Progress};
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
@@ -164,7 +164,7 @@
         let bounds = self.bounds.clone();
         let resumed = self.gateway.resumed_trial(order, &bounds);
         let is_resumed = resumed.is_some();
-        let trial = resumed.unwrap_or_else(|| Trial::new(order.clone(), bounds, now));
+        let trial = resumed.unwrap_or_else(|| Progress::new(order.clone(), bounds, now));
         info!(self.gateway.log(), "release_ordered"; "pool" => %order.pool,
             "target" => &order.target, "ramp_ms" => order.ramp.as_millis() as u64,
             "made" => order.made, "revision" => release.revision, "is_resumed" => is_resumed,
--- a/crates/gateway/src/release/intake.rs
+++ b/crates/gateway/src/release/engine_filter.rs
@@ -9,7 +9,7 @@
 
 /// Which engines of a pool may take a request, as far as releases are concerned.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Intake {
+pub enum EngineFilter {
     /// All of them.
     Any,
     /// These.
@@ -18,7 +18,7 @@
     Except(BTreeSet<SoftwareVersion>),
 }
 
-impl Intake {
+impl EngineFilter {
     /// All but the engines of these versions.
     pub fn except(versions: BTreeSet<SoftwareVersion>) -> Self {
         match versions.is_empty() {
--- a/crates/gateway/src/release/gate.rs
+++ b/crates/gateway/src/release/gate.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::release::{Settings, SoftwareVersion, Stage};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::{Admission, Intake, KnownRelease, ListedVersions, Table};
+use super::{Admission, EngineFilter, KnownRelease, ListedVersions, Table};
 use crate::engines::{Engine, EngineState, EngineTable};
 
 /// A node that was just started takes the version of the oldest engines for the present one until it
@@ -58,7 +58,7 @@
                 let target = &known.grant.order.target;
                 versions.others_than(target).cloned().collect()
             }
-            Stage::Shifting => known.shut.clone(),
+            Stage::Shifting => known.rejected.clone(),
         }
     }
 
@@ -72,8 +72,8 @@
             None => self.without_release(&versions).first,
         };
         let closed = match intake {
-            Intake::Except(closed) => closed,
-            Intake::Any | Intake::Only(_) => BTreeSet::new(),
+            EngineFilter::Except(closed) => closed,
+            EngineFilter::Any | EngineFilter::Only(_) => BTreeSet::new(),
         };
         let open = versions.iter().filter(|version| !closed.contains(*version));
         open.cloned().collect()
@@ -93,7 +93,7 @@
             Stage::Completed => self.after_completion(known, versions),
             _ if !self.has_present_engines(known) && !known.is_stopped() => {
                 // There is nothing to compare the target version with, and no other engine.
-                Admission::to(Intake::except(known.shut.clone()))
+                Admission::to(EngineFilter::except(known.rejected.clone()))
             }
             _ if self.may_go_to_target(known, id, tried) => {
                 Admission::on_trial(self.target_engines(known), self.fallback(known, versions))
@@ -127,7 +127,7 @@
     }
 
     /// The engines of the target version that the grant names.
-    fn target_engines(&self, known: &KnownRelease) -> Intake {
+    fn target_engines(&self, known: &KnownRelease) -> EngineFilter {
         let order = &known.grant.order;
         let of_pool = self.engines.of_pool(&order.pool);
         let of_target = of_pool.filter(|engine| engine.entry.software == order.target);
@@ -140,18 +140,18 @@
         let granted =
             places.filter(|(place, _)| window.is_none_or(|window| window.holds(*place, count)));
         let names = granted.map(|(_, engine)| engine.entry.name.clone());
-        Intake::Only(names.collect())
+        EngineFilter::Only(names.collect())
     }
 
     /// When no engine of the target version serves: in the trial the present version's; later any.
-    fn fallback(&self, known: &KnownRelease, versions: &ListedVersions) -> Intake {
+    fn fallback(&self, known: &KnownRelease, versions: &ListedVersions) -> EngineFilter {
         match known.grant.stage {
-            Stage::Settling => Intake::except(known.shut.clone()),
+            Stage::Settling => EngineFilter::except(known.rejected.clone()),
             _ => self.present_engines(known, versions),
         }
     }
 
-    fn present_engines(&self, known: &KnownRelease, versions: &ListedVersions) -> Intake {
+    fn present_engines(&self, known: &KnownRelease, versions: &ListedVersions) -> EngineFilter {
         let closed = self.all_but_present(known);
         let is_left = |closed: &BTreeSet<SoftwareVersion>| {
             versions.iter().any(|version| !closed.contains(version))
@@ -159,8 +159,8 @@
         let mut with_held = closed.clone();
         with_held.extend(versions.held(self.now));
         match is_left(&with_held) {
-            true => Intake::except(with_held),
-            false => Intake::except(closed),
+            true => EngineFilter::except(with_held),
+            false => EngineFilter::except(closed),
         }
     }
 
@@ -170,11 +170,11 @@
         let of_pool = self.engines.of_pool(&order.pool);
         let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
         let mut versions = ready.map(|engine| &engine.entry.software);
-        versions.any(|version| *version != order.target && !known.shut.contains(version))
+        versions.any(|version| *version != order.target && !known.rejected.contains(version))
     }
 
     fn all_but_present(&self, known: &KnownRelease) -> BTreeSet<SoftwareVersion> {
-        let mut closed = known.shut.clone();
+        let mut closed = known.rejected.clone();
         closed.insert(known.grant.order.target.clone());
         closed
     }
@@ -191,15 +191,15 @@
             return self.without_release(versions);
         }
         let mut closed = versions.held(self.now);
-        closed.extend(known.superseded.iter().cloned());
+        closed.extend(known.replaced.iter().cloned());
         closed.remove(target);
-        Admission::to(Intake::except(closed))
+        Admission::to(EngineFilter::except(closed))
     }
 
     /// No order is known for the pool.
     fn without_release(&self, versions: &ListedVersions) -> Admission {
         if versions.is_uniform() {
-            return Admission::to(Intake::Any);
+            return Admission::to(EngineFilter::Any);
         }
         let held = versions.held(self.now);
         let is_uninformed = !self.table.knows_orders && self.uptime < ORDERS_AWAITED;
@@ -211,8 +211,8 @@
         };
         // No version is known to be bad, and a node always serves.
         match closed.is_empty() {
-            true => Admission::to(Intake::Any),
-            false => Admission::with_fallback(Intake::except(closed), Intake::Any),
+            true => Admission::to(EngineFilter::Any),
+            false => Admission::with_fallback(EngineFilter::except(closed), EngineFilter::Any),
         }
     }
 }
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -5,8 +5,8 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
-    Account, Counts, Grant, Ledger, Reporter, Rollback, Settings, SoftwareVersion, Stage,
-    Suspicion, Trial,
+    Account, Comparison, Counts, Grant, Ledger, Progress, Reporter, Rollback, Settings,
+    SoftwareVersion, Stage,
 };
 
 use super::Origin;
@@ -30,13 +30,13 @@
     pub ledger: Ledger,
     /// Other versions that get nothing: they were rolled back or withdrawn before, or were still under trial
     /// when this release was ordered.
-    pub shut: BTreeSet<SoftwareVersion>,
+    pub rejected: BTreeSet<SoftwareVersion>,
     /// Versions that the completed release has replaced.
-    pub superseded: BTreeSet<SoftwareVersion>,
+    pub replaced: BTreeSet<SoftwareVersion>,
     /// Who the reporters of the ledger are.
     origins: BTreeMap<Reporter, Origin>,
     /// What the answers that this node knows of say.
-    suspicion: Suspicion,
+    comparison: Comparison,
     /// Why this node sends nothing to the target version any more, before the director's verdict.
     stopped: Option<Rollback>,
     /// When this node stopped last.
@@ -52,10 +52,10 @@
             staged_at: now,
             account: Account::default(),
             ledger: Ledger::default(),
-            shut: BTreeSet::new(),
-            superseded: BTreeSet::new(),
+            rejected: BTreeSet::new(),
+            replaced: BTreeSet::new(),
             origins: BTreeMap::new(),
-            suspicion: Suspicion::default(),
+            comparison: Comparison::default(),
             stopped: None,
             stopped_at: now,
         }
@@ -73,10 +73,10 @@
     }
 
     /// The release as this node goes on to direct it.
-    pub fn resume(&self, settings: Settings, now: Timestamp) -> Trial {
+    pub fn resume(&self, settings: Settings, now: Timestamp) -> Progress {
         let age = now.since(self.granted_at);
-        let trial = Trial::resume(&self.grant, age, settings, now);
-        trial.with_suspicion(self.suspicion.clone(), self.stopped.clone())
+        let trial = Progress::resume(&self.grant, age, settings, now);
+        trial.with_suspicion(self.comparison.clone(), self.stopped.clone())
     }
 
     /// Whether nothing follows.
@@ -121,15 +121,15 @@
     /// the stage settling once the answers since have cleared the version: the present engines stop when
     /// the release is completed, and would break off what this node still sent there.
     pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
-        self.suspicion.observe(total, now);
+        self.comparison.observe(total, now);
         if self.stopped.is_some() {
             let is_moving = self.grant.stage == Stage::Settling;
-            if is_moving && self.suspicion.is_clear(engines) {
+            if is_moving && self.comparison.is_clear(engines) {
                 self.stopped = None;
             }
             return None;
         }
-        self.stopped = self.suspicion.verdict(engines);
+        self.stopped = self.comparison.verdict(engines);
         self.stopped_at = now;
         self.stopped.as_ref()
     }
@@ -145,7 +145,7 @@
             return false;
         }
         self.stopped = None;
-        self.suspicion.forget_scores();
+        self.comparison.forget_scores();
         true
     }
 }
--- a/crates/gateway/src/release/mod.rs
+++ b/crates/gateway/src/release/mod.rs
@@ -2,15 +2,15 @@
 //! [`ryerouter_core::release`], the account in docs/design/releases.md.
 
 mod admission;
-mod answer_watch;
+mod answer_timing;
 mod course;
 mod director;
 mod director_event;
 mod ends;
+mod engine_filter;
 mod evidence_news;
 mod gate;
 mod heard_orders;
-mod intake;
 mod known_order;
 mod known_release;
 mod listed_versions;
@@ -27,12 +27,12 @@
 mod table;
 
 pub use admission::Admission;
-pub use answer_watch::{AnswerEnd, AnswerWatch};
+pub use answer_timing::{AnswerEnd, AnswerTiming};
 pub use course::Course;
 pub use director::run_releases;
+pub use engine_filter::EngineFilter;
 pub use evidence_news::{EvidenceNews, OrderKey, order_key};
 pub use gate::Gate;
-pub use intake::Intake;
 pub use known_order::KnownOrder;
 pub use known_release::KnownRelease;
 pub use listed_versions::ListedVersions;
--- a/crates/gateway/src/release/paces.rs
+++ b/crates/gateway/src/release/paces.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::release::{RouteKey, key_of};
 
-use super::{AnswerWatch, LogMedian};
+use super::{AnswerTiming, LogMedian};
 
 /// An answer that takes so many times as long as is usual is slow. Bad versions take several times as
 /// long; of the present version's answers few do, and how many is known.
@@ -53,7 +53,7 @@
 }
 
 impl PaceKey {
-    fn new(watch: &AnswerWatch, part: TimedPart) -> Self {
+    fn new(watch: &AnswerTiming, part: TimedPart) -> Self {
         Self {
             pool: key_of(watch.pool.as_str()),
             route: watch.route,
@@ -70,14 +70,14 @@
 
 impl Paces {
     /// Whether a part of an answer took several times as long as it usually does.
-    pub fn is_slow(&self, watch: &AnswerWatch, part: TimedPart, took: Duration) -> bool {
+    pub fn is_slow(&self, watch: &AnswerTiming, part: TimedPart, took: Duration) -> bool {
         let median = self.medians.get(&PaceKey::new(watch, part));
         let usual = median.and_then(LogMedian::get);
         usual.is_some_and(|usual| took > usual.mul_f64(SLOW_FACTOR))
     }
 
     /// A part of an answer of the present version took so long.
-    pub fn note(&mut self, watch: &AnswerWatch, part: TimedPart, took: Duration) {
+    pub fn note(&mut self, watch: &AnswerTiming, part: TimedPart, took: Duration) {
         let key = PaceKey::new(watch, part);
         if self.medians.len() >= MOST_ESTIMATES && !self.medians.contains_key(&key) {
             self.medians.clear();
--- a/crates/gateway/src/release/stage_log.rs
+++ b/crates/gateway/src/release/stage_log.rs
@@ -1,7 +1,7 @@
 //! What is logged and counted of a release under direction.
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::release::{Counts, Fleet, Order, Stage, Trial};
+use ryerouter_core::release::{Counts, Fleet, Order, Progress, Stage};
 use slog::{info, warn};
 
 use crate::gateway::Gateway;
@@ -9,7 +9,7 @@
 /// A release has come to another stage.
 pub(super) fn note_stage(
     gateway: &Gateway,
-    trial: &Trial,
+    trial: &Progress,
     before: Stage,
     fleet: &Fleet,
     counts: &Counts,
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -5,10 +5,10 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{
-    Cell, EngineKey, Grant, Judgement, PRESENT, SoftwareVersion, Stage, key_of,
+    CountKey, EngineKey, Grant, Judgement, PRESENT, SoftwareVersion, Stage, key_of,
 };
 
-use super::{AnswerWatch, KnownRelease, Paces};
+use super::{AnswerTiming, KnownRelease, Paces};
 
 /// The releases that a node knows: the newest of each pool.
 #[derive(Debug, Default)]
@@ -46,7 +46,7 @@
         if known.grant.order != grant.order {
             let shut = shut_by(known, &grant.order.target);
             *known = KnownRelease::new(grant, granted_at, now);
-            known.shut = shut;
+            known.rejected = shut;
             return true;
         }
         if known.grant.stage != grant.stage {
@@ -84,7 +84,7 @@
     }
 
     /// Counts an answer in the release of its pool, unless that has come to its end.
-    pub fn note(&mut self, watch: &AnswerWatch, judgement: Judgement) {
+    pub fn note(&mut self, watch: &AnswerTiming, judgement: Judgement) {
         let known = self.releases.get_mut(&watch.pool);
         let Some(known) = known.filter(|known| !known.is_final()) else {
             return;
@@ -93,7 +93,7 @@
             true => key_of(watch.engine.as_str()),
             false => PRESENT,
         };
-        let cell = Cell {
+        let cell = CountKey {
             route: watch.route,
             engine,
         };
@@ -111,7 +111,7 @@
 
 /// What stays out of use when another order takes the place of one.
 fn shut_by(former: &KnownRelease, target: &str) -> BTreeSet<SoftwareVersion> {
-    let mut shut = former.shut.clone();
+    let mut shut = former.rejected.clone();
     // A version that was still under trial is as unproven as one whose order was taken back.
     let is_under_trial = matches!(former.grant.stage, Stage::Trial | Stage::Shifting);
     if former.is_rejected() || is_under_trial {
--- a/crates/gateway/src/serve/watched_answer.rs
+++ b/crates/gateway/src/serve/answer_reporter.rs
@@ -8,16 +8,16 @@
 use super::accepted_request::AcceptedRequest;
 use crate::gateway::Gateway;
 use crate::placement::Placement;
-use crate::release::{AnswerEnd, AnswerWatch};
+use crate::release::{AnswerEnd, AnswerTiming};
 
 /// Tells how an answer ended, once; when it is dropped before, that nobody waited for the end.
-pub(super) struct WatchedAnswer {
+pub(super) struct AnswerReporter {
     gateway: Rc<Gateway>,
     /// `None` after the end, and where there are no releases.
-    watch: Option<AnswerWatch>,
+    watch: Option<AnswerTiming>,
 }
 
-impl WatchedAnswer {
+impl AnswerReporter {
     /// A request is sent to an engine.
     pub(super) fn begin(
         gateway: &Rc<Gateway>,
@@ -62,13 +62,13 @@
     }
 }
 
-impl Drop for WatchedAnswer {
+impl Drop for AnswerReporter {
     fn drop(&mut self) {
         self.end(AnswerEnd::Left);
     }
 }
 
-impl fmt::Debug for WatchedAnswer {
+impl fmt::Debug for AnswerReporter {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.watch.fmt(formatter)
     }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -11,12 +11,12 @@
 use tokio::time::timeout;
 
 use super::accepted_request::AcceptedRequest;
+use super::answer_reporter::AnswerReporter;
 use super::attempt_end::AttemptEnd;
 use super::doubt::Doubt;
 use super::held_request::HeldRequest;
 use super::list_state::ListState;
 use super::live_answer::LiveAnswer;
-use super::watched_answer::WatchedAnswer;
 use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
@@ -43,7 +43,7 @@
     held.list.set(list);
     let sent_at = gateway.clock().now();
     let message = build_message(gateway, request, placement, last_event_id);
-    let mut watched = WatchedAnswer::begin(gateway, request, placement);
+    let mut watched = AnswerReporter::begin(gateway, request, placement);
     let is_repeatable = request.route.is_idempotent();
     let sent = gateway
         .upstream()
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -8,8 +8,8 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 
+use super::answer_reporter::AnswerReporter;
 use super::forwarded_headers::keep_forwarded;
-use super::watched_answer::WatchedAnswer;
 use crate::engines::InFlight;
 use crate::gateway::Gateway;
 use crate::placement::Placement;
@@ -30,7 +30,7 @@
     pub(super) placement: Placement,
     pub(super) in_flight: InFlight,
     /// How it ends is told.
-    pub(super) watched: WatchedAnswer,
+    pub(super) watched: AnswerReporter,
     /// From the attempt's begin to the head.
     pub(super) head_after: Duration,
     connection: Connection,
@@ -43,7 +43,7 @@
         facts: AnswerFacts,
         placement: Placement,
         in_flight: InFlight,
-        watched: WatchedAnswer,
+        watched: AnswerReporter,
         head_after: Duration,
     ) -> Self {
         let mut headers = answer.head.headers;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod accepted_request;
 mod active_request;
 mod answer_body;
+mod answer_reporter;
 mod attempt;
 mod attempt_end;
 mod body_reader;
@@ -19,7 +20,6 @@
 mod respond;
 mod silence_limits;
 mod stream_relay;
-mod watched_answer;
 
 pub use accepted_request::AcceptedRequest;
 pub use answer_body::AnswerBody;
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -14,13 +14,13 @@
 
 use super::active_request::ActiveRequest;
 use super::answer_body::AnswerBody;
+use super::answer_reporter::AnswerReporter;
 use super::attempt_end::AttemptEnd;
 use super::doubt::Doubt;
 use super::exchange::Exchange;
 use super::held_at::HeldAt;
 use super::live_answer::LiveAnswer;
 use super::silence_limits::SilenceLimits;
-use super::watched_answer::WatchedAnswer;
 use crate::engines::AwaitedPart;
 use crate::placement::Placement;
 use crate::relay::{EventSplitter, RelayFault, StreamEnd};
@@ -141,13 +141,13 @@
 
     /// What comes next, and how long it was waited for.
     async fn receive_watched(&mut self) -> Received {
-        self.watch(WatchedAnswer::begin_wait);
+        self.watch(AnswerReporter::begin_wait);
         let received = self.receive().await;
-        self.watch(WatchedAnswer::end_wait);
+        self.watch(AnswerReporter::end_wait);
         received
     }
 
-    fn watch(&mut self, note: impl FnOnce(&mut WatchedAnswer)) {
+    fn watch(&mut self, note: impl FnOnce(&mut AnswerReporter)) {
         if let Some(live) = &mut self.live {
             note(&mut live.watched);
         }
--- a/crates/gateway/tests/releases_evidence.rs
+++ b/crates/gateway/tests/releases_evidence.rs
@@ -10,7 +10,7 @@
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::Gateway;
-use ryerouter_gateway::release::{AnswerEnd, AnswerWatch};
+use ryerouter_gateway::release::{AnswerEnd, AnswerTiming};
 use support::gateway_bench::{GatewayBench, list_engines, run, run_paused};
 use support::records::{engine, route, table};
 use support::releases::{
@@ -179,11 +179,11 @@
 const MANY_EVENTS: &[&str] = &["data: 1\n\n"; 10];
 
 /// An answer of an engine that is sent for now.
-fn sent(node: &Gateway, engine: &str, software: &str) -> AnswerWatch {
+fn sent(node: &Gateway, engine: &str, software: &str) -> AnswerTiming {
     let state = node.state();
     let now = node.clock().now();
     let known = state.engines.get(&BackEndName::new(engine));
-    AnswerWatch {
+    AnswerTiming {
         pool: pool(),
         route: key_of("route"),
         engine: BackEndName::new(engine),
@@ -200,7 +200,7 @@
 }
 
 /// A stream whose first event takes so long, and whose others are so far apart.
-async fn stream_of(mut watch: AnswerWatch, node: &Gateway, first: Duration, then: Duration) {
+async fn stream_of(mut watch: AnswerTiming, node: &Gateway, first: Duration, then: Duration) {
     watch.is_stream = true;
     watch.begin_wait(node.clock().now());
     advance(first).await;
--- a/crates/gateway/tests/releases_news.rs
+++ b/crates/gateway/tests/releases_news.rs
@@ -11,7 +11,7 @@
 use ryerouter_core::identity::BackEndName;
 use ryerouter_core::release::{Counts, Stage, key_of};
 use ryerouter_gateway::gateway::{Gateway, Parcel};
-use ryerouter_gateway::release::{AnswerEnd, AnswerWatch};
+use ryerouter_gateway::release::{AnswerEnd, AnswerTiming};
 use support::fleet::{deliver, introduce};
 use support::gateway_bench::{list_engines, run_paused};
 use support::records::ZONE;
@@ -45,8 +45,8 @@
     nodes
 }
 
-fn answer(node: &Gateway, engine: &str, software: &str) -> AnswerWatch {
-    AnswerWatch {
+fn answer(node: &Gateway, engine: &str, software: &str) -> AnswerTiming {
+    AnswerTiming {
         pool: pool(),
         route: key_of("route"),
         engine: BackEndName::new(engine),
--- a/crates/gateway/tests/releases_play.rs
+++ b/crates/gateway/tests/releases_play.rs
@@ -7,9 +7,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use ryerouter_core::release::{Stage, Trial, key_of};
+use ryerouter_core::release::{Progress, Stage, key_of};
 use ryerouter_gateway::gateway::Gateway;
-use ryerouter_gateway::release::{AnswerEnd, AnswerWatch};
+use ryerouter_gateway::release::{AnswerEnd, AnswerTiming};
 use support::fleet::{deliver, introduce};
 use support::gateway_bench::{list_engines, run_paused};
 use support::records::ZONE;
@@ -95,7 +95,7 @@
         };
         // Times vary by a half up and down.
         let took = 0.04 * self.random.random_range(0.67..1.5) * slowness;
-        let watch = AnswerWatch {
+        let watch = AnswerTiming {
             pool: pool(),
             route: key_of("route"),
             engine: placement.engine,
@@ -138,7 +138,7 @@
     let director = Rc::clone(&play.nodes[0]);
     let order = order(TARGET, 50);
     let begun_at = director.clock().now();
-    let mut trial = Trial::new(order.clone(), bounds(), begun_at);
+    let mut trial = Progress::new(order.clone(), bounds(), begun_at);
     let (mut sent, mut all, mut late) = (0, 0, 0);
     let mut ended_after = None;
     for tick in 0..TICKS {
--- a/crates/gateway/tests/releases_regions.rs
+++ b/crates/gateway/tests/releases_regions.rs
@@ -7,7 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use ryerouter_core::release::{Cell, Judgement, Stage};
+use ryerouter_core::release::{CountKey, Judgement, Stage};
 use ryerouter_gateway::gateway::{Gateway, Parcel};
 use support::fleet::{ZONES, addresses, deliver, introduce, three_regions};
 use support::gateway_bench::{list_engines, run_paused};
@@ -78,13 +78,13 @@
         for node in &nodes {
             let mut state = node.state_mut();
             let ledger = &mut state.releases.of_mut(&pool()).expect("release").ledger;
-            let target = Cell {
+            let target = CountKey {
                 route: 1,
                 engine: 1,
             };
             for _ in 0..ANSWERS {
                 ledger.note(target, Judgement::Failed);
-                ledger.note(Cell::present(1), Judgement::Good);
+                ledger.note(CountKey::present(1), Judgement::Good);
             }
         }
         let mut random = StdRng::seed_from_u64(1);
--- a/crates/gateway/tests/support/release_node.rs
+++ b/crates/gateway/tests/support/release_node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Cell, Grant, Judgement, Settings, Stage};
+use ryerouter_core::release::{CountKey, Grant, Judgement, Settings, Stage};
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::release::run_releases;
@@ -108,12 +108,12 @@
         let known = state.releases.of_mut(&PoolName::new(pool));
         let ledger = &mut known.expect("release").ledger;
         for number in 1..=u32::from(ENGINES) {
-            let cell = Cell {
+            let cell = CountKey {
                 route: 1,
                 engine: number,
             };
             ledger.note(cell, Judgement::Failed);
-            ledger.note(Cell::present(1), Judgement::Good);
+            ledger.note(CountKey::present(1), Judgement::Good);
         }
     }
 
@@ -123,12 +123,12 @@
         let known = state.releases.of_mut(&PoolName::new(pool));
         let ledger = &mut known.expect("release").ledger;
         for number in 1..=u32::from(ENGINES) * times {
-            let cell = Cell {
+            let cell = CountKey {
                 route: 1,
                 engine: 1 + number % u32::from(ENGINES),
             };
             ledger.note(cell, Judgement::Good);
-            ledger.note(Cell::present(1), Judgement::Good);
+            ledger.note(CountKey::present(1), Judgement::Good);
         }
     }
 }
