--- a/crates/gateway/tests/release_director.rs
+++ b/crates/gateway/tests/release_director.rs
@@ -9,7 +9,7 @@
 use support::gateway_bench::run_paused;
 use support::release_node::ReleaseNode;
 use support::release_orders::{RecordFault, ReleaseOrders};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 const RAMP: Duration = Duration::from_secs(10);
 /// Bounds of the tests let a grant last so long.
@@ -64,6 +64,12 @@
         orders.order("a", "v2", RAMP);
         let node = ReleaseNode::start_holding("node-1", &orders, 7);
         node.until_stage("a", Stage::Trial).await;
+        // The node has heard of the order before it directs the release.
+        let begin = Instant::now();
+        while node.grant("a").is_some_and(|(grant, _)| grant.fence == 0) {
+            assert!(begin.elapsed() < Duration::from_secs(1));
+            sleep(millis(10)).await;
+        }
         let mut last = 0;
         for _ in 0..500 {
             let (grant, age) = node.grant("a").expect("grant");
