Releases: slow answers are held against a version only beside the present one's of the same moments

Cause: slow answers come in bunches over all engines at once, and were compared with the present version's share of bad answers of the last some hundred answers. In a quiet pool that share follows too late, and in the stage settling nothing follows any more, so that a slowness of all engines (a busy machine, a slow link) convicted the target version alone; what was left made it unproven.

Change: slow answers convict in the trial alone, against the present version's answers half a second before and after; later stages go back to the trial when the version seems slow.

--- a/crates/core/src/release/comparison.rs
+++ b/crates/core/src/release/comparison.rs
@@ -1,10 +1,11 @@
 //! Whether the target version does worse.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::cumulative_sum::CumulativeSum;
-use super::{Baseline, CountKey, Counts, EngineKey, Rollback, RouteKey};
+use super::recent_answers::{Control, REACH, RecentAnswers};
+use super::{Baseline, CountKey, Counts, EngineKey, Rollback, RouteKey, Stage, Tally};
 use crate::Timestamp;
 
 /// How much larger the share of bad answers of a worse version may be: some fail seldom, some always.
@@ -23,6 +24,18 @@
 /// .. of which one answer in so many more is bad: in a pool with little traffic few bad answers come of such a one
 /// during the trial, and without this half of them were completed (25 requests a second, a hundred seeds).
 const ACCEPTED_EXCESS: f64 = 0.09;
+/// Requests do not move while so many answers that came within this time were slow, and so much larger a share
+/// of them than of the present version's: of a version with 7 answers a second of which four in ten have become
+/// slow two seconds ago, most have come by then.
+const LEAST_SLOW: u32 = 2;
+const SLOW_EXCESS: f64 = 0.15;
+const LATELY: Duration = Duration::from_secs(2);
+/// With fewer answers in that time the last so many count: a pool with few engines sends its surges to the
+/// target version with seconds between them.
+const LAST_ANSWERS: u32 = 10;
+/// Answers to requests that were sent before the versions' shares changed have come by then, also slow ones:
+/// they take several times as long as answers usually do, which is some hundred milliseconds.
+const ANSWERS_COME_WITHIN: Duration = Duration::from_millis(1_200);
 /// With so many engines of the target version at least three of them must do worse, and with fewer two: what
 /// one or two engines alone do wrong need not be their software's fault.
 const MANY_ENGINES: usize = 6;
@@ -43,14 +56,34 @@
 
 /// Compares the answers of the target version with those of the present one as they come: on each route,
 /// since some versions fail on one only, and on all together.
+///
+/// Slow answers are compared with those of the same moments, and count for nothing where there are none:
+/// what slows all engines down strikes many answers of both versions at once.
 #[derive(Debug, Clone, Default)]
 pub struct Comparison {
     seen: Counts,
     baselines: BTreeMap<RouteKey, Baseline>,
+    control: RecentAnswers,
+    /// The target version's answers of the last moments.
+    recent: RecentAnswers,
+    /// When the versions last got other shares of the requests than during the trial.
+    shares_changed_at: Option<Timestamp>,
+    /// Answers of the target version, slow ones among them, until those around them have come.
+    held: VecDeque<Held>,
+    /// Answers of the target version that came while all engines were slow: they say nothing of it.
+    left_out: Counts,
     sums: BTreeMap<Scope, CumulativeSum>,
     bursts: BTreeMap<EngineKey, Burst>,
 }
 
+/// Answers that came at one moment.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    at: Timestamp,
+    cell: CountKey,
+    tally: Tally,
+}
+
 /// Bad answers of an engine that lie close together.
 #[derive(Debug, Clone, Copy)]
 struct Burst {
@@ -60,20 +93,73 @@
 
 impl Comparison {
     /// Takes all answers so far, of which some were taken before.
-    pub fn observe(&mut self, total: &Counts, now: Timestamp) {
+    ///
+    /// Slow answers convict during the trial alone. Each later stage changes the share of the requests that
+    /// the present version gets; a slow answer comes late, when the answers around it are to requests of
+    /// another share, and in the end there are none. Slowness then leads back to the trial
+    /// ([`Self::seems_slow`]).
+    pub fn observe(&mut self, total: &Counts, stage: Stage, now: Timestamp) {
+        if stage != Stage::Trial {
+            self.shares_changed_at = Some(now);
+        }
+        let changed_at = *self.shares_changed_at.get_or_insert(now);
+        let has_control = now.since(changed_at) >= ANSWERS_COME_WITHIN;
         for (cell, tally) in total.iter().filter(|(cell, _)| cell.is_present()) {
             let news = tally.since(self.seen.of(cell));
             self.baselines.entry(cell.route).or_default().note(news);
+            self.control.note(news, now);
         }
         for (cell, tally) in total.iter().filter(|(cell, _)| !cell.is_present()) {
-            let news = tally.since(self.seen.of(cell));
-            if news.answers > 0 {
-                let bad = self.counted_bad(cell.engine, news.bad(), now);
-                let good = news.answers.saturating_sub(news.bad());
-                self.step(cell, f64::from(bad), f64::from(good));
+            let tally = tally.since(self.seen.of(cell));
+            if tally.answers == 0 {
+                continue;
+            }
+            self.recent.note(tally, now);
+            match tally.slow {
+                0 => self.take(cell, tally, 0.0, now),
+                _ if !has_control => self.take_without_control(cell, tally, now),
+                _ => self.held.push_back(Held {
+                    at: now,
+                    cell,
+                    tally,
+                }),
             }
         }
         self.seen.raise(total);
+        while let Some(held) = self.held.pop_front_if(|held| now.since(held.at) >= REACH) {
+            self.take_held(&held, now);
+        }
+    }
+
+    /// Takes answers with slow ones among them, now that those around them have come.
+    fn take_held(&mut self, held: &Held, now: Timestamp) {
+        let Held { cell, tally, .. } = *held;
+        match self.control.around(held.at) {
+            Control::SlowShare(share) => {
+                if share > self.bad_rate(cell.route) {
+                    self.left_out.add(cell, tally);
+                }
+                self.take(cell, tally, share, now);
+            }
+            Control::Missing | Control::AllSlow => self.take_without_control(cell, tally, now),
+        }
+    }
+
+    /// Takes answers when there are none to compare slow ones with: only failures speak against the version,
+    /// and none of them shows it to be good.
+    fn take_without_control(&mut self, cell: CountKey, tally: Tally, now: Timestamp) {
+        self.left_out.add(cell, tally);
+        let failures = Tally { slow: 0, ..tally };
+        self.take(cell, failures, 0.0, now);
+    }
+
+    /// Takes answers of the target version that came while so large a share of the present version's was
+    /// slow.
+    fn take(&mut self, cell: CountKey, tally: Tally, slow_share: f64, now: Timestamp) {
+        let bad = self.counted_bad(cell.engine, tally.bad(), now);
+        let good = tally.answers.saturating_sub(tally.bad());
+        let usual = self.bad_rate(cell.route).max(slow_share);
+        self.step(cell, f64::from(bad), f64::from(good), usual);
     }
 
     /// How many bad answers of an engine count.
@@ -91,10 +177,12 @@
         counted
     }
 
-    fn step(&mut self, cell: CountKey, bad: f64, good: f64) {
-        let usual = self.bad_rate(cell.route);
+    fn step(&mut self, cell: CountKey, bad: f64, good: f64, usual: f64) {
         for (excess, by) in EXCESSES.iter().enumerate() {
             let worse = usual + by;
+            if worse >= 1.0 {
+                continue;
+            }
             let log_ratio = log_ratio(bad, good, usual, worse);
             for route in [None, Some(cell.route)] {
                 let sum = self.sums.entry(Scope { route, excess }).or_default();
@@ -140,6 +228,7 @@
         let mut scores: BTreeMap<EngineKey, f64> = BTreeMap::new();
         for (key, tally) in self.seen.iter().filter(|(key, _)| !key.is_present()) {
             let usual = self.bad_rate(key.route);
+            let tally = tally.since(self.left_out.of(key));
             let bad = f64::from(tally.bad());
             let good = f64::from(tally.answers) - bad;
             let score = log_ratio(bad, good, usual, usual + ACCEPTED_EXCESS);
@@ -165,6 +254,14 @@
         scores.fold(0.0, f64::max) < CLEAR_SCORE
     }
 
+    /// Whether more of the target version's last answers were slow than of the present version's in all. They
+    /// may be the first of many, and whether all engines are slow is known only in the trial, and later.
+    pub fn seems_slow(&self, now: Timestamp) -> bool {
+        let lately = self.recent.since(now.before(LATELY), LAST_ANSWERS);
+        let usual = self.seen.present();
+        lately.slow >= LEAST_SLOW && slow_share(lately) >= slow_share(usual) + SLOW_EXCESS
+    }
+
     /// Sets all scores to zero: from now on only answers that are still to come count.
     pub fn forget_scores(&mut self) {
         self.sums.clear();
@@ -182,6 +279,10 @@
     }
 }
 
+fn slow_share(tally: Tally) -> f64 {
+    f64::from(tally.slow) / f64::from(tally.answers.max(1))
+}
+
 /// How much more likely answers are if the share of bad ones is `worse` than if it is `usual`.
 fn log_ratio(bad: f64, good: f64, usual: f64, worse: f64) -> f64 {
     bad * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
--- a/crates/core/src/release/mod.rs
+++ b/crates/core/src/release/mod.rs
@@ -23,6 +23,7 @@
 mod ledger;
 mod order;
 mod progress;
+mod recent_answers;
 mod record;
 mod rollback;
 mod settings;
--- a/crates/core/src/release/progress.rs
+++ b/crates/core/src/release/progress.rs
@@ -128,7 +128,7 @@
         if before.is_final() {
             return false;
         }
-        self.comparison.observe(total, now);
+        self.comparison.observe(total, before, now);
         if self.rollback.is_none() {
             self.rollback = self.comparison.verdict(fleet.target);
         }
@@ -185,14 +185,17 @@
             has_enough_answers(total, fleet.target) && self.comparison.is_clear(fleet.target);
         let is_proven =
             is_proven && (!has_traffic(total) || self.comparison.has_shown_as_good(fleet.target));
-        match is_due && is_proven && can_bear_all(fleet) {
+        let is_decided = is_proven && !self.comparison.seems_slow(now);
+        match is_due && is_decided && can_bear_all(fleet) {
             true => Stage::Shifting,
             false => Stage::Trial,
         }
     }
 
     fn after_shift(&self, fleet: &Fleet, now: Timestamp) -> Stage {
-        if !self.comparison.is_clear(fleet.target) || !can_bear_all(fleet) {
+        let is_doubtful =
+            !self.comparison.is_clear(fleet.target) || self.comparison.seems_slow(now);
+        if is_doubtful || !can_bear_all(fleet) {
             return Stage::Trial;
         }
         let length = SHIFT_TIME * SHIFTS.len() as u32;
@@ -203,7 +206,7 @@
     }
 
     fn after_settling(&mut self, fleet: &Fleet, now: Timestamp) -> Stage {
-        if !can_bear_all(fleet) {
+        if !can_bear_all(fleet) || self.comparison.seems_slow(now) {
             self.idle_since = None;
             return Stage::Trial;
         }
--- a/crates/core/tests/release_trial.rs
+++ b/crates/core/tests/release_trial.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use release_world::{Case, End, Fault, Trouble, USUAL_BAD, order, play, settings};
+use release_world::{Case, End, Fault, Slowness, Trouble, USUAL_BAD, order, play, settings};
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
     CountKey, Counts, Exposure, Fleet, Grant, Judgement, Ledger, Progress, Stage, Window,
@@ -124,6 +124,58 @@
     assert!(bad.count() <= 1, "{ends:?}");
 }
 
+/// Slowness that strikes every engine alike, in each stage of the release.
+#[parameterized(
+    large_in_the_trial = { large_pool(Fault::None, slowness(3.0, 4.0, 0.8)) },
+    large_half_in_the_trial = { large_pool(Fault::None, slowness(3.0, 4.0, 0.4)) },
+    large_before_shifting = { large_pool(Fault::None, slowness(7.0, 1.0, 0.8)) },
+    large_shifting = { large_pool(Fault::None, slowness(7.3, 4.0, 0.8)) },
+    large_settling = { large_pool(Fault::None, slowness(8.7, 4.0, 0.8)) },
+    large_settling_in_part = { large_pool(Fault::None, slowness(9.0, 4.0, 0.25)) },
+    small_in_the_trial = { small_pool(Fault::None, slowness(3.0, 4.0, 0.8)) },
+    small_half_in_the_trial = { small_pool(Fault::None, slowness(3.0, 4.0, 0.4)) },
+    small_shifting = { small_pool(Fault::None, slowness(7.3, 4.0, 0.8)) },
+    small_settling = { small_pool(Fault::None, slowness(8.7, 4.0, 0.8)) },
+    quiet_in_the_trial = { quiet_pool(Fault::None, slowness(3.0, 4.0, 0.8)) },
+    quiet_half_in_the_trial = { quiet_pool(Fault::None, slowness(3.0, 4.0, 0.4)) },
+    quiet_shifting = { quiet_pool(Fault::None, slowness(7.3, 4.0, 0.8)) },
+    quiet_settling = { quiet_pool(Fault::None, slowness(9.0, 4.0, 0.8)) },
+    desk_in_the_trial = { desk(Fault::None, slowness(3.0, 4.0, 0.8)) },
+    desk_settling = { desk(Fault::None, slowness(8.7, 4.0, 0.8)) },
+)]
+fn good_version_is_not_rolled_back_for_a_slowness_of_all_engines(case: Case) {
+    let ends = ends(&case);
+    let bad: Vec<_> = ends
+        .iter()
+        .filter(|end| end.stage != Stage::Completed)
+        .collect();
+    assert!(bad.len() <= 1, "{} of {SEEDS}: {bad:?}", bad.len());
+    let rolled_back = bad.iter().filter(|end| end.stage == Stage::RolledBack);
+    assert_eq!(rolled_back.count(), 0, "{bad:?}");
+}
+
+fn slowness(from_s: f64, for_s: f64, share: f64) -> Trouble {
+    Trouble::Slowness(Slowness {
+        from_s,
+        for_s,
+        share,
+    })
+}
+
+#[parameterized(
+    large_four_tenths = { large_pool(Fault::Slow { share: 0.4, from_s: 0.0 }, Trouble::None) },
+    large_all = { large_pool(Fault::Slow { share: 1.0, from_s: 0.0 }, Trouble::None) },
+    large_after_a_while = { large_pool(Fault::Slow { share: 0.4, from_s: 5.0 }, Trouble::None) },
+    large_beside_a_slowness_of_all = { large_pool(Fault::Slow { share: 0.6, from_s: 0.0 }, slowness(1.0, 3.0, 0.3)) },
+    small_four_tenths = { small_pool(Fault::Slow { share: 0.4, from_s: 0.0 }, Trouble::None) },
+    small_after_a_while = { small_pool(Fault::Slow { share: 0.4, from_s: 5.0 }, Trouble::None) },
+    quiet_four_tenths = { quiet_pool(Fault::Slow { share: 0.4, from_s: 0.0 }, Trouble::None) },
+    desk_four_tenths = { desk(Fault::Slow { share: 0.4, from_s: 0.0 }, Trouble::None) },
+)]
+fn slow_version_is_rolled_back_within_its_bounds(case: Case) {
+    assert_rolled_back_within_bounds(&case);
+}
+
 #[parameterized(
     large_a_tenth = { large_pool(Fault::Bad { share: 0.1, from_s: 0.0 }, Trouble::None) },
     large_four_tenths = { large_pool(Fault::Bad { share: 0.4, from_s: 0.0 }, Trouble::None) },
@@ -146,7 +198,11 @@
     small_under_load = { small_pool(Fault::BadUnderLoad { share: 0.4, per_second: 20.0 }, Trouble::None) },
 )]
 fn bad_version_is_rolled_back_within_its_bounds(case: Case) {
-    let ends = ends(&case);
+    assert_rolled_back_within_bounds(&case);
+}
+
+fn assert_rolled_back_within_bounds(case: &Case) {
+    let ends = ends(case);
     let missed: Vec<_> = ends
         .iter()
         .filter(|end| end.stage != Stage::RolledBack)
--- a/crates/core/tests/release_world/mod.rs
+++ b/crates/core/tests/release_world/mod.rs
@@ -16,6 +16,8 @@
 pub const USUAL_BAD: f64 = 0.01;
 /// What a grey engine adds to that.
 const GREY_BAD: f64 = 0.4;
+/// How many times as long slow answers take.
+const SLOW_FACTOR: u64 = 3;
 /// Requests that two engines drop when they crash.
 const CRASH_LOSES: usize = 4;
 const ROUTES: u32 = 3;
@@ -38,6 +40,11 @@
         share: f64,
         per_second: f64,
     },
+    /// A share of its answers is slow, from so many seconds on.
+    Slow {
+        share: f64,
+        from_s: f64,
+    },
 }
 
 /// What else happens.
@@ -50,6 +57,22 @@
     GreyPresent,
     /// Two engines of the target version crash with what they run.
     Crashes,
+    /// Answers of every engine are slow for a while, as on a busy machine or behind a slow link.
+    Slowness(Slowness),
+}
+
+/// When answers are slow whatever the software, and what share of them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Slowness {
+    pub from_s: f64,
+    pub for_s: f64,
+    pub share: f64,
+}
+
+impl Slowness {
+    fn is_on(&self, seconds: f64) -> bool {
+        (self.from_s..self.from_s + self.for_s).contains(&seconds)
+    }
 }
 
 pub struct Case {
@@ -171,11 +194,14 @@
                 now,
                 &mut random,
             );
+            let is_slow = is_slow(case, engine, now, &mut random);
             let judgement = match random.random_bool(rate) {
                 true => Judgement::Failed,
+                false if is_slow => Judgement::Slow,
                 false => Judgement::Good,
             };
-            let at = now.after(Duration::from_millis(random.random_range(20..400)));
+            let millis = random.random_range(20..400) * if is_slow { SLOW_FACTOR } else { 1 };
+            let at = now.after(Duration::from_millis(millis));
             pending.push_back(Answer {
                 at,
                 cell: CountKey { route, engine },
@@ -195,6 +221,21 @@
     }
 }
 
+fn is_slow(case: &Case, engine: u32, now: Timestamp, random: &mut ChaCha8Rng) -> bool {
+    let seconds = now.since(Timestamp::ZERO).as_secs_f64();
+    let by_version = match case.fault {
+        Fault::Slow { share, from_s } if engine != PRESENT && seconds >= from_s => share,
+        _ => 0.0,
+    };
+    let by_all = match case.trouble {
+        Trouble::Slowness(slowness) if slowness.is_on(seconds) => slowness.share,
+        _ => 0.0,
+    };
+    let share = 1.0 - (1.0 - by_version) * (1.0 - by_all);
+    // Cases without slow answers draw nothing for them.
+    share > 0.0 && random.random_bool(share)
+}
+
 fn bad_rate(
     case: &Case,
     engine: u32,
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -121,7 +121,7 @@
     /// the stage settling once the answers since have cleared the version: the present engines stop when
     /// the release is completed, and would break off what this node still sent there.
     pub fn observe(&mut self, total: &Counts, engines: usize, now: Timestamp) -> Option<&Rollback> {
-        self.comparison.observe(total, now);
+        self.comparison.observe(total, self.grant.stage, now);
         if self.stopped.is_some() {
             let is_moving = self.grant.stage == Stage::Settling;
             if is_moving && self.comparison.is_clear(engines) {
