--- a/crates/gateway/src/engines/engine_load.rs
+++ b/crates/gateway/src/engines/engine_load.rs
@@ -16,7 +16,23 @@
     pub kv_tokens: u32,
 }
 
+/// Share of an engine's slots from which its requests slow each other down noticeably.
+const FELT_SHARE: f64 = 0.125;
+/// A single request leaves an engine with few slots free for others too.
+const LEAST_FELT: f64 = 2.0;
+/// Time of reading that a further request notices: a quarter of the shortest targets, which are a second.
+const FELT_READING_MS: f64 = 250.0;
+
 impl EngineLoad {
+    /// Whether a further request would notice it. A single one elsewhere is mostly over by the time that others hear
+    /// of it, so in a zone of many nodes less than this is told to nobody.
+    pub fn is_felt(self, slots: u32, read_tokens_per_ms: f64) -> bool {
+        let filled = (f64::from(slots) * FELT_SHARE).max(LEAST_FELT);
+        let is_filled = f64::from(self.requests) >= filled;
+        let reading_ms = f64::from(self.unread_tokens) / read_tokens_per_ms;
+        is_filled || reading_ms >= FELT_READING_MS
+    }
+
     /// Adds other work.
     pub fn add(&mut self, other: Self) {
         self.requests += other.requests;
--- a/crates/gateway/src/engines/engine_table.rs
+++ b/crates/gateway/src/engines/engine_table.rs
@@ -1,6 +1,7 @@
 //! All engines.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::ops::Bound;
 
 use ryerouter_core::identity::{BackEndName, PoolName};
 
@@ -10,6 +11,10 @@
 #[derive(Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<BackEndName, Engine>,
+    /// Engines at which other processes have work, as far as they have told.
+    loaded: Vec<BackEndName>,
+    /// Rises whenever an engine may have changed.
+    generation: u64,
 }
 
 impl EngineTable {
@@ -20,16 +25,38 @@
 
     /// The engine called `name`, to change it.
     pub fn get_mut(&mut self, name: &BackEndName) -> Option<&mut Engine> {
+        self.generation += 1;
         self.engines.get_mut(name)
     }
 
+    /// Another figure than before means that what was found out by a look at all engines may not hold any more. The
+    /// work of other processes does not count.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.engines.len()
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
     }
 
+    /// The engines whose names come after `name`; all without.
+    pub fn after(&self, name: Option<&BackEndName>) -> impl Iterator<Item = &Engine> {
+        let begin = name.map_or(Bound::Unbounded, Bound::Excluded);
+        let later = self
+            .engines
+            .range::<BackEndName, _>((begin, Bound::Unbounded));
+        later.map(|(_, engine)| engine)
+    }
+
     /// All engines, to change them.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Engine> {
+        self.generation += 1;
         self.engines.values_mut()
     }
 
@@ -41,6 +68,7 @@
     /// Takes an entry of the list; the weights known in-band may be newer. Of an engine that has begun
     /// again nothing is kept, and work that is still counted in its former life counts there alone.
     pub fn upsert(&mut self, mut entry: EngineEntry) {
+        self.generation += 1;
         let Some(engine) = self.engines.get_mut(&entry.name) else {
             self.engines.insert(entry.name.clone(), Engine::new(entry));
             return;
@@ -64,19 +92,29 @@
 
     /// Forgets an engine.
     pub fn remove(&mut self, name: &BackEndName) -> Option<Engine> {
+        self.generation += 1;
         self.engines.remove(name)
     }
 
     /// Names of all engines that `keep` does not hold.
-    pub fn names_outside(&self, keep: &[BackEndName]) -> Vec<BackEndName> {
+    pub fn names_outside(&self, keep: &HashSet<&BackEndName>) -> Vec<BackEndName> {
         let is_outside = |name: &&BackEndName| !keep.contains(name);
         self.engines.keys().filter(is_outside).cloned().collect()
     }
 
-    /// Replaces the work of other processes.
+    /// Replaces the work of other processes. Only the engines that have some, or had, are touched: of a fleet's these
+    /// are few, and this happens many times a second.
     pub fn set_foreign_loads(&mut self, loads: &HashMap<BackEndName, EngineLoad>) {
-        for (name, engine) in &mut self.engines {
-            engine.foreign_load = loads.get(name).copied().unwrap_or_default();
+        for name in std::mem::take(&mut self.loaded) {
+            if let Some(engine) = self.engines.get_mut(&name) {
+                engine.foreign_load = EngineLoad::default();
+            }
+        }
+        for (name, load) in loads {
+            if let Some(engine) = self.engines.get_mut(name) {
+                engine.foreign_load = *load;
+                self.loaded.push(name.clone());
+            }
         }
     }
 }
--- a/crates/gateway/src/gateway/engine_lives.rs
+++ b/crates/gateway/src/gateway/engine_lives.rs
@@ -80,9 +80,11 @@
         drop(state);
         self.engine_listed(entry);
         // A report is no entry: without one the engine is forgotten in the end.
-        if let Some(engine) = self.state_mut().engines.get_mut(engine) {
+        let mut state = self.state_mut();
+        if let Some(engine) = state.engines.get_mut(engine) {
             engine.is_unlisted = is_unlisted;
         }
+        state.has_unlisted |= is_unlisted;
     }
 }
 
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -23,7 +23,7 @@
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::source::{ChangeLog, ItemKind, Replicas, Steadiness};
-use crate::sync::{Exchange, Transfer};
+use crate::sync::{Exchange, ListTransfer, Transfer};
 
 /// Requests are averaged over this time: two answers of the directory.
 const REQUESTS_SPAN: Duration = Duration::from_secs(4);
@@ -45,6 +45,8 @@
     pub sync: Exchange,
     /// A configuration that another node hands on.
     pub transfer: Transfer,
+    /// A list of engines that another node hands on.
+    pub list_transfer: ListTransfer,
     /// Whether the last call to the source was answered.
     pub is_source_reached: bool,
     /// When the source last answered this node, or another one as far as that one told.
@@ -66,6 +68,10 @@
     pub is_engine_list_lost: bool,
     /// All engines.
     pub engines: EngineTable,
+    /// Whether entries of engines went during trouble of the source, and may come back.
+    pub has_unlisted: bool,
+    /// Whether engines had older weights than named, at this generation of the table and with these names.
+    pub engines_behind: Option<((u64, Vec<(String, u64)>), bool)>,
     /// Which engines have begun again lately.
     pub lives: KnownLives,
     /// Entries of the list of engines that can't be read, for a node that the list is handed to.
@@ -184,6 +190,7 @@
             weights_seen_after: None,
             sync: Exchange::default(),
             transfer: Transfer::default(),
+            list_transfer: ListTransfer::default(),
             is_source_reached: false,
             source_answered_at: None,
             steadiness: Steadiness::new(settings.entry_lapse),
@@ -194,6 +201,8 @@
             engine_list_trouble_at: None,
             is_engine_list_lost: false,
             engines: EngineTable::default(),
+            has_unlisted: false,
+            engines_behind: None,
             lives: KnownLives::default(),
             unusable_entries: BTreeSet::new(),
             begin_times: BeginTimes::default(),
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -72,7 +72,8 @@
             match state.has_engine_list {
                 true => {
                     let changes = differences(&state.engines, items);
-                    state.engine_log.append(changes, revision);
+                    let entries = state.engines.count();
+                    state.engine_log.append(changes, revision, entries);
                 }
                 false => state.engine_log.restart(revision),
             }
@@ -101,7 +102,8 @@
         }
         if kind == ItemKind::Engines {
             let changes = batch.changes.iter().cloned();
-            state.engine_log.append(changes, batch.revision);
+            let entries = state.engines.count();
+            state.engine_log.append(changes, batch.revision, entries);
         }
         drop(state);
         match asked_at {
@@ -123,7 +125,7 @@
 
     fn replace_known(&self, kind: ItemKind, items: Vec<Item>, proven_at: Option<Timestamp>) {
         if kind == ItemKind::Engines {
-            let listed: Vec<_> = items.iter().filter_map(entry_name).cloned().collect();
+            let listed = items.iter().filter_map(entry_name).collect();
             let gone = self.state().engines.names_outside(&listed);
             for name in gone {
                 self.engine_gone(&name);
@@ -271,10 +273,12 @@
             .engines
             .get(&entry.name)
             .map(|known| known.entry.state);
-        if before != Some(entry.state) {
+        let now = self.clock().now();
+        let is_news = before != Some(entry.state);
+        if let Some(left_out) = is_news.then(|| self.engine_sampler().admit(now)).flatten() {
             info!(self.log(), "engine_listed"; "engine" => %entry.name, "pool" => %entry.pool,
                 "address" => %entry.address, "zone" => %entry.zone,
-                "draining" => entry.state == EngineState::Draining);
+                "draining" => entry.state == EngineState::Draining, "left_out" => left_out);
         }
         let begun = |entry: &EngineEntry| (entry.incarnation, entry.software.clone());
         let known = state.engines.get(&entry.name);
@@ -282,11 +286,9 @@
         let name = entry.name.clone();
         state.engines.upsert(entry);
         if let Some(engine) = state.engines.get_mut(&name).filter(|_| is_new) {
-            engine.listed_at = self.clock().now();
+            engine.listed_at = now;
         }
-        self.metrics()
-            .engines
-            .set(state.engines.iter().count() as i64);
+        self.metrics().engines.set(state.engines.count() as i64);
     }
 
     /// An entry went: at once out of use, but while the source was in trouble, which loses entries
@@ -302,6 +304,7 @@
             && engine.entry.state == EngineState::Ready
         {
             engine.is_unlisted = true;
+            state.has_unlisted = true;
             warn!(self.log(), "engine_unlisted"; "engine" => %name,
                 "trouble_age_ms" => trouble_age.map(|age| age.as_millis() as u64));
             return;
@@ -321,11 +324,13 @@
     }
 
     fn remove_engine(&self, name: &BackEndName) {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         if let Some(engine) = state.engines.remove(name) {
-            info!(self.log(), "engine_gone"; "engine" => %name);
+            if let Some(left_out) = self.engine_sampler().admit(now) {
+                info!(self.log(), "engine_gone"; "engine" => %name, "left_out" => left_out);
+            }
             if let Some(incarnation) = engine.entry.incarnation {
-                let now = self.clock().now();
                 state.lives.note_gone(name, incarnation, now);
             }
         }
@@ -339,26 +344,39 @@
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let state = self.state();
-        if state.may_entries_return(grace, now) {
+        if !state.has_unlisted || state.may_entries_return(grace, now) {
             return;
         }
         let unlisted = state.engines.iter().filter(|engine| engine.is_unlisted);
         let names: Vec<_> = unlisted.map(|engine| engine.entry.name.clone()).collect();
         drop(state);
+        self.state_mut().has_unlisted = false;
         for name in names {
             self.engine_gone(&name);
         }
     }
 
-    /// Whether some engine that stays has older weights than named.
+    /// Whether some engine that stays has older weights than named. Asked many times a second, so all engines are looked
+    /// at only when one of them, or what is named, has changed: at each question it took a tenth of a small machine's
+    /// share of a core with ten thousand engines.
     pub fn has_engines_behind(&self) -> bool {
-        let state = self.state();
-        state.deadlines.newest().any(|(model, newest)| {
+        let mut state = self.state_mut();
+        let state = &mut *state;
+        let named = state.deadlines.newest();
+        let named = named.map(|(model, version)| (model.to_owned(), version));
+        let of = (state.engines.generation(), named.collect());
+        let known = state.engines_behind.as_ref();
+        if let Some((_, is_any)) = known.filter(|(known_of, _)| *known_of == of) {
+            return *is_any;
+        }
+        let is_any = state.deadlines.newest().any(|(model, newest)| {
             state.engines.iter().any(|engine| {
                 let is_staying = engine.entry.state == EngineState::Ready;
                 is_staying && engine.weights_of(model).is_some_and(|has| has < newest)
             })
-        })
+        });
+        state.engines_behind = Some((of, is_any));
+        is_any
     }
 
     /// Where an engine listens.
@@ -377,7 +395,7 @@
         let is_old = list.is_behind() && !list.is_behind_for(self.settings().catalogue_bound, now);
         if knows_all && !is_old && state.node_state == NodeState::Starting {
             state.node_state = NodeState::Ready;
-            info!(self.log(), "ready"; "engines" => state.engines.iter().count());
+            info!(self.log(), "ready"; "engines" => state.engines.count());
             self.urgent_news.notify_one();
         }
     }
@@ -385,8 +403,8 @@
 
 /// What a list changes of the engines that are known.
 fn differences(engines: &EngineTable, items: &[Item]) -> Vec<ItemChange> {
-    let names: Vec<_> = items.iter().filter_map(entry_name).cloned().collect();
-    let gone = engines.names_outside(&names);
+    let listed = items.iter().filter_map(entry_name).collect();
+    let gone = engines.names_outside(&listed);
     let gone = gone
         .into_iter()
         .map(|name| ItemChange::Gone(name.to_string()));
--- /dev/null
+++ b/crates/gateway/src/gateway/list_handover.rs
@@ -0,0 +1,94 @@
+//! Handing the list of engines on between nodes; see docs/design/fleet.md.
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use slog::info;
+
+use super::Gateway;
+use crate::engines::Engine;
+use crate::source::ItemKind;
+use crate::sync::{ListFetch, ListPiece};
+
+/// Entries in a piece: with some 200 bytes each it stays below half of a datagram, and a list of ten thousand comes in
+/// eighty pieces.
+const MOST_ENTRIES: usize = 128;
+
+impl Gateway {
+    /// The next piece of the list to ask for, and of whom, while the source does not tell this node.
+    pub fn next_list_fetch(&self, random: &mut impl Rng) -> Option<(SocketAddr, ListFetch)> {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if !self.wants_list(&state, now) {
+            state.list_transfer.stop();
+            return None;
+        }
+        let state = &mut *state;
+        let peers = &state.peers;
+        let draw = || {
+            let near = peers.ready(now).filter(|peer| peer.is_near);
+            let drawn = near.choose(random);
+            let drawn = drawn.or_else(|| peers.ready(now).choose(random))?;
+            Some(drawn.identity.peer_address)
+        };
+        state.list_transfer.next(now, draw)
+    }
+
+    /// The piece that another node asks for; nothing before this node has the list.
+    pub fn answer_list_fetch(&self, fetch: &ListFetch) -> Option<ListPiece> {
+        let state = self.state();
+        if !state.has_engine_list {
+            return None;
+        }
+        let revision = state.replicas.of(ItemKind::Engines).revision?;
+        let is_listed = |engine: &&Engine| !engine.is_unlisted;
+        let later = state.engines.after(fetch.after.as_ref());
+        let mut later = later.filter(is_listed);
+        let entries: Vec<_> = later
+            .by_ref()
+            .take(MOST_ENTRIES)
+            .map(|engine| engine.entry.clone())
+            .collect();
+        let next = later.next().and(entries.last());
+        let next = next.map(|entry| entry.name.clone());
+        Some(ListPiece {
+            after: fetch.after.clone(),
+            revision,
+            unusable: match fetch.after {
+                None => state.unusable_entries.iter().cloned().collect(),
+                Some(_) => Vec::new(),
+            },
+            entries,
+            next,
+        })
+    }
+
+    /// Takes a piece; tells what to ask for next.
+    pub fn take_list_piece(
+        &self,
+        from: SocketAddr,
+        piece: ListPiece,
+        random: &mut impl Rng,
+    ) -> Option<(SocketAddr, ListFetch)> {
+        let whole = self.state_mut().list_transfer.take(from, piece);
+        let Some(whole) = whole else {
+            return self.next_list_fetch(random);
+        };
+        let known = self.state().replicas.of(ItemKind::Engines).revision;
+        if known < Some(whole.revision) {
+            info!(self.log(), "engine_list_handed_over"; "revision" => whole.revision,
+                "before" => known, "engines" => whole.entries.len(), "from" => %from);
+            self.take_handed_list(&whole.entries, &whole.unusable, whole.revision);
+            self.become_ready();
+        }
+        None
+    }
+
+    /// Whether others may hand the list on to this node, so that it need not read all pages of the source.
+    pub fn may_be_handed_list(&self) -> bool {
+        let now = self.clock().now();
+        let state = self.state();
+        state.peers.is_large() && self.parent(&state, now).is_some()
+    }
+}
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod gateway_state;
 mod handover;
 mod items;
+mod list_handover;
 mod named_weights;
 mod order_candidacy;
 mod peer_news;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -37,9 +37,13 @@
         self.urgent_news.notify_one();
     }
 
-    /// Whether there is anything new to tell.
+    /// Whether there is anything new to tell before the next heartbeat. In a wide zone its reader gathers what
+    /// nodes tell, and passes it on with its own heartbeat.
     pub fn has_peer_news(&self) -> bool {
         let state = self.state();
+        if state.peers.is_wide() {
+            return !state.weights_news.is_empty();
+        }
         // What was dropped goes with the next message: a message of its own costs more than it saves.
         !state.holder_news.is_empty() || !state.weights_news.is_empty()
     }
@@ -187,10 +191,11 @@
 
     /// Where to send a message.
     pub fn peer_receivers(&self, is_introduction: bool, random: &mut impl Rng) -> Vec<SocketAddr> {
+        let now = self.clock().now();
         let mut state = self.state_mut();
         let mut receivers = match std::mem::take(&mut state.news_for_all) {
             true => state.peers.all_addresses(),
-            false => state.peers.receivers(random),
+            false => state.peers.receivers(now, random),
         };
         if is_introduction {
             let newcomers = state.newcomers.len().min(MOST_UNHEARD_RECEIVERS);
@@ -228,6 +233,13 @@
         addressed
     }
 
+    /// Counts the other nodes that are alive.
+    pub fn count_peers(&self) {
+        let now = self.clock().now();
+        let alive = self.state().peers.alive(now).count();
+        self.metrics().peers.set(alive as i64);
+    }
+
     /// Takes a message of another node.
     pub fn hear_peer(&self, mut message: PeerMessage) {
         if message.from.name == self.settings().identity.name {
@@ -236,8 +248,10 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.pass_over_other_lives(&mut message, now);
-        let alive_before = state.peers.alive(now).count();
-        if !state.peers.knows(&message.from) {
+        let was_alive = state.peers.is_alive(&message.from.name, now);
+        // Where everybody tells everybody of each node that comes, a start of all nodes costs messages by the
+        // square of their number. A settled node tells only those that know of few, below.
+        if !state.peers.knows(&message.from) && !state.peers.is_settled() {
             state.owes_introduction = true;
             self.urgent_news.notify_one();
         }
@@ -288,9 +302,8 @@
             }
             self.note_foreign_loads(&mut state, now);
         }
-        let alive = state.peers.alive(now).count();
-        if alive != alive_before {
-            self.metrics().peers.set(alive as i64);
+        if !was_alive && state.peers.is_alive(&message.from.name, now) {
+            let alive = state.peers.alive(now).count();
             info!(self.log(), "peer_heard"; "peer" => %message.from.name,
                 "state" => %message.state, "alive" => alive);
         }
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -1,5 +1,6 @@
 //! Who reads the source, and how the other nodes catch up; see docs/design/reading.md.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -9,12 +10,13 @@
 
 use super::{Gateway, GatewayState, ProofOfFreshness, SETTLING};
 use crate::engines::{Engine, EngineEntry};
-use crate::peers::{NodeIdentity, NodeState, Peer};
+use crate::peers::{Capacity, NodeIdentity, NodeState, Peer};
 use crate::source::{ItemBatch, ItemKind};
 use crate::sync::{Answer, EngineChange, Mark, Question};
 
-/// Most changes of the list of engines in one answer.
-const MOST_CHANGES: usize = 40;
+/// Most changes of the list of engines in one answer: with some 200 bytes each they fill five sixths of a datagram.
+/// Where more engines change at once, the list is handed on.
+const MOST_CHANGES: usize = 250;
 /// Of few nodes each watches the source itself, and changes reach all within milliseconds. So long a
 /// node that hears of a change first waits for its own watch, and then asks the node that told: where
 /// the source answers one of seven nodes 1.6 s late, that one knows of a second change in a row in
@@ -67,7 +69,11 @@
 
     /// The node that this one catches up with: the reader of its zone, or for that one the first of
     /// all nodes. It always comes before this one, so no two wait for each other.
-    fn parent(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+    pub(super) fn parent(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
         let near = self.reader(state, now);
         near.or_else(|| self.first_before_own(state, |_| true, now))
     }
@@ -95,8 +101,9 @@
         self.first_before_own(state, |peer| peer.is_near, now)
     }
 
-    /// The first of the nodes that may be asked, unless this one comes before it. Those that serve
-    /// come before those that have only started, and then the names decide.
+    /// The first of the nodes that may be asked, unless this one comes before it. Those that serve come
+    /// before those that have only started, then the larger ones, which read for all others of a zone
+    /// beside their own requests, and then the names decide.
     fn first_before_own(
         &self,
         state: &GatewayState,
@@ -104,16 +111,14 @@
         now: Timestamp,
     ) -> Option<(NodeName, SocketAddr)> {
         let own = &self.settings().identity;
-        let rank = |state, name| (state != NodeState::Ready, name);
         let may_be_asked = |peer: &&Peer| {
             let is_staying = peer.state != NodeState::Leaving;
             is_staying && is_eligible(peer) && state.sync.may_ask(&peer.identity.name, now)
         };
         let others = state.peers.alive(now).filter(may_be_asked);
-        let ranked = others.map(|peer| (rank(peer.state, &peer.identity.name), peer));
-        let (first, peer) = ranked.min_by_key(|(rank, _)| *rank)?;
+        let peer = others.min_by_key(|peer| asking_rank(peer.state, &peer.identity))?;
         let identity = &peer.identity;
-        let comes_before = first < rank(state.node_state, &own.name);
+        let comes_before = asking_rank(peer.state, identity) < asking_rank(state.node_state, own);
         comes_before.then(|| (identity.name.clone(), identity.peer_address))
     }
 
@@ -248,7 +253,7 @@
 
     /// Whether the source has told this node no list of engines, or no changes of it, for longer than it
     /// takes.
-    fn wants_list(&self, state: &GatewayState, now: Timestamp) -> bool {
+    pub(super) fn wants_list(&self, state: &GatewayState, now: Timestamp) -> bool {
         let replica = state.replicas.of(ItemKind::Engines);
         match replica.revision {
             None => self.uptime() >= SOURCE_PATIENCE,
@@ -372,6 +377,14 @@
     }
 }
 
+/// Place of a node among those of which the first is asked.
+fn asking_rank(
+    state: NodeState,
+    identity: &NodeIdentity,
+) -> (bool, (Reverse<Capacity>, &NodeName)) {
+    (state != NodeState::Ready, identity.reading_rank())
+}
+
 fn counted_back(asked_at: Timestamp, mark: Mark) -> Timestamp {
     asked_at.before(Duration::from_millis(mark.age_ms))
 }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -31,6 +31,10 @@
 /// show what is wrong, few enough for the log to bear.
 const UNSERVED_LINES_PER_SECOND: u32 = 50;
 
+/// Lines a second that tell of entries of the list of engines. A list of ten thousand written line by line kept
+/// a tenth of a core busy for some seconds at each start.
+const ENGINE_LINES_PER_SECOND: u32 = 20;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -41,6 +45,7 @@
     unserved_sampler: LogSampler,
     old_list_sampler: LogSampler,
     release_sampler: LogSampler,
+    engine_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -63,6 +68,7 @@
             unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             old_list_sampler: LogSampler::default(),
             release_sampler: LogSampler::default(),
+            engine_sampler: LogSampler::new(ENGINE_LINES_PER_SECOND),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -104,6 +110,11 @@
         &self.release_sampler
     }
 
+    /// Bounds lines that tell of entries of the list of engines.
+    pub fn engine_sampler(&self) -> &LogSampler {
+        &self.engine_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -1,14 +1,14 @@
 //! News between zones, in a large deployment; see docs/design/reading.md.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
 use super::{Gateway, GatewayState};
-use crate::engines::EngineLoad;
-use crate::peers::{EngineLoadNews, HolderNews, NodeIdentity, Pass, WeightsNews, ZoneNews};
+use crate::engines::{EngineLoad, EngineTable};
+use crate::peers::{EngineLoadNews, HolderNews, NodeIdentity, Pass, Peer, WeightsNews, ZoneNews};
 use crate::places::{Area, Distance};
 
 /// Most prefixes that one message tells of.
@@ -32,6 +32,10 @@
             state.zone_news.clear();
             return None;
         }
+        // Each message goes to all nodes of a zone.
+        if state.peers.is_wide() && !with_loads {
+            return None;
+        }
         let told = state.zone_news.len().min(MOST_HOLDERS);
         let holders: Vec<_> = state.zone_news.drain(..told).collect();
         if holders.is_empty() && !with_loads {
@@ -69,6 +73,26 @@
         Some((news, relays))
     }
 
+    /// The work of all nodes of this zone and the prefixes that wait to be told, for the nodes of a wide zone;
+    /// nothing while another node reads for it. The news for other zones follow, and take the prefixes out.
+    pub fn next_news_of_own_zone(&self) -> Vec<Parcel> {
+        let now = self.clock().now();
+        let state = self.state();
+        if !state.peers.is_wide() || self.reader(&state, now).is_some() {
+            return Vec::new();
+        }
+        let holders = state.zone_news.iter().take(MOST_HOLDERS);
+        let holders: Vec<_> = holders.cloned().collect();
+        let loads = self.loads_of_zone(&state, now);
+        let news = ZoneNews {
+            lives: state.lives_to_tell(&[&holders], &loads, &[], now),
+            loads: Some(loads),
+            holders,
+            ..self.empty_news()
+        };
+        self.parcels_of_zone(&state, &news, now)
+    }
+
     /// News of loads and of stages of releases that every node needs at once, for the own zone and for all
     /// others.
     pub fn next_load_news(&self) -> Vec<Parcel> {
@@ -108,14 +132,13 @@
     }
 
     /// The nodes that pass news on: in each other zone of the own region, and in each other region,
-    /// the first by name of those that serve.
+    /// the first of those that serve.
     fn relays(&self, state: &GatewayState, most: usize, now: Timestamp) -> Vec<SocketAddr> {
         let own = &self.settings().identity.zone;
         let places = &self.settings().places;
         let mut near: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
         let mut remote: BTreeMap<Area<'_>, Vec<SocketAddr>> = BTreeMap::new();
-        // They come in order of their names.
-        for peer in state.peers.ready(now) {
+        for peer in largest_first(state, now) {
             let NodeIdentity {
                 zone, peer_address, ..
             } = &peer.identity;
@@ -153,7 +176,7 @@
             false => 1,
         };
         let mut relays: BTreeMap<&ZoneName, Vec<SocketAddr>> = BTreeMap::new();
-        for peer in state.peers.ready(now) {
+        for peer in largest_first(state, now) {
             let NodeIdentity {
                 zone, peer_address, ..
             } = &peer.identity;
@@ -253,7 +276,13 @@
                 sums.entry(engine.entry.name.clone()).or_default().add(load);
             }
         }
-        let told = sums.into_iter();
+        let read_tokens_per_ms = self.settings().prices.read_tokens_per_ms;
+        let is_told = |name: &BackEndName, load: &EngineLoad| {
+            let engine = state.engines.get(name);
+            let slots = engine.map_or(0, |engine| engine.entry.slots);
+            !state.peers.is_wide() || load.is_felt(slots, read_tokens_per_ms)
+        };
+        let told = sums.into_iter().filter(|(name, load)| is_told(name, load));
         told.map(|(name, load)| EngineLoadNews(name, load))
             .collect()
     }
@@ -268,7 +297,8 @@
             }
         }
         let is_other = news.zone != self.settings().identity.zone;
-        if let Some(loads) = news.loads.as_ref().filter(|_| is_other) {
+        let is_told_work = is_other || state.peers.is_wide();
+        if let Some(loads) = news.loads.as_ref().filter(|_| is_told_work) {
             let of_this_life =
                 |load: &&EngineLoadNews| !state.is_of_other_life(&load.0, &news.lives, now);
             let loads: Vec<_> = loads.iter().filter(of_this_life).cloned().collect();
@@ -306,7 +336,7 @@
     pub(super) fn note_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
         state.has_new_loads = true;
         if !state.peers.is_large() {
-            sum_foreign_loads(state, now);
+            self.sum_foreign_loads(state, now);
         }
     }
 
@@ -315,8 +345,31 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         if state.has_new_loads {
-            sum_foreign_loads(&mut state, now);
+            self.sum_foreign_loads(&mut state, now);
+        }
+    }
+
+    /// Sums up the work of all other nodes. In a wide zone that of its nodes comes from the one that reads for it,
+    /// which hears them all.
+    fn sum_foreign_loads(&self, state: &mut GatewayState, now: Timestamp) {
+        let own_zone = &self.settings().identity.zone;
+        let is_told_by_reader = state.peers.is_wide() && self.reader(state, now).is_some();
+        let mut loads = match is_told_by_reader {
+            true => {
+                let mut loads = HashMap::new();
+                state.zone_traffic.add_loads_of(own_zone, &mut loads, now);
+                take_off_own(&mut loads, &state.engines);
+                loads
+            }
+            false => state.peers.loads(now),
+        };
+        if state.peers.is_large() {
+            state
+                .zone_traffic
+                .add_loads_of_others(own_zone, &mut loads, now);
         }
+        state.engines.set_foreign_loads(&loads);
+        state.has_new_loads = false;
     }
 
     /// A prefix that a node of this zone tells of goes on to the other zones.
@@ -337,6 +390,13 @@
     }
 }
 
+/// The nodes that serve, in the order in which they read for a zone.
+fn largest_first(state: &GatewayState, now: Timestamp) -> Vec<&Peer> {
+    let mut ready: Vec<_> = state.peers.ready(now).collect();
+    ready.sort_unstable_by_key(|peer| peer.identity.reading_rank());
+    ready
+}
+
 /// Whether these are urgent news, which no node should miss. Regular news tell of releases too, but always
 /// with the work at engines; urgent news come without it.
 fn is_urgent(news: &ZoneNews) -> bool {
@@ -349,11 +409,11 @@
     (near.len() as f64).sqrt().ceil().max(1.0) as usize
 }
 
-fn sum_foreign_loads(state: &mut GatewayState, now: Timestamp) {
-    let mut loads = state.peers.loads(now);
-    if state.peers.is_large() {
-        state.zone_traffic.add_loads_to(&mut loads, now);
+/// The sums of a zone hold this node's work too.
+fn take_off_own(loads: &mut HashMap<BackEndName, EngineLoad>, engines: &EngineTable) {
+    for (name, load) in loads {
+        if let Some(engine) = engines.get(name) {
+            load.remove(*engine.own_load.borrow());
+        }
     }
-    state.engines.set_foreign_loads(&loads);
-    state.has_new_loads = false;
 }
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{PeerMessage, ZoneNews};
-use crate::sync::{Answer, Chunk, Fetch, Question};
+use crate::sync::{Answer, Chunk, Fetch, ListFetch, ListPiece, Question};
 
 /// One datagram between nodes: a JSON line.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -23,6 +23,12 @@
     /// The piece.
     #[serde(rename = "c")]
     Chunk(Chunk),
+    /// The sender wants the next piece of the list of engines.
+    #[serde(rename = "l")]
+    ListFetch(ListFetch),
+    /// The piece.
+    #[serde(rename = "p")]
+    ListPiece(ListPiece),
     /// What the nodes of another zone know and do.
     #[serde(rename = "z")]
     Zone(ZoneNews),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod peer_link;
 mod peer_message;
 mod peer_table;
+pub(crate) mod readable;
 mod sent_times;
 mod zone_news;
 mod zone_traffic;
--- a/crates/gateway/src/peers/node_identity.rs
+++ b/crates/gateway/src/peers/node_identity.rs
@@ -1,5 +1,6 @@
 //! Who a node is.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 
 use ryerouter_core::identity::{NodeName, ZoneName};
@@ -30,6 +31,14 @@
     pub capacity: Capacity,
 }
 
+impl NodeIdentity {
+    /// Place among nodes of which the first reads for the others: the larger ones first, since that comes beside
+    /// their own requests, and then the names decide.
+    pub fn reading_rank(&self) -> (Reverse<Capacity>, &NodeName) {
+        (Reverse(self.capacity), &self.name)
+    }
+}
+
 /// An incarnation that no other life of a process has had: 32 random bits, to keep messages short.
 pub fn new_incarnation() -> u64 {
     u64::from(rand::random::<u32>())
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -10,7 +10,7 @@
 
 use super::Datagram;
 use crate::gateway::{Gateway, Parcel};
-use crate::sync::Fetch;
+use crate::sync::{Fetch, ListFetch};
 
 /// News go out this often when there are any.
 const TICK: Duration = Duration::from_millis(100);
@@ -23,8 +23,8 @@
 /// Every so many ticks engines are divided anew between kinds of requests: what decides that is
 /// averaged over seconds.
 const TICKS_PER_DIVISION: u64 = 5;
-/// Every so many ticks a node logs which tenants come near their limits.
-const TICKS_PER_TENANT_LOG: u64 = 10;
+/// Every so many ticks a node logs which tenants come near their limits, and counts the nodes that it hears.
+const TICKS_PER_SUMMARY: u64 = 10;
 /// Every so many ticks a node that relies on a reader asks it.
 const TICKS_PER_QUESTION: u64 = 4;
 /// The same for the reader of a zone, since what it learns is then passed on once more, and for a node
@@ -56,12 +56,15 @@
                 if tick.is_multiple_of(TICKS_PER_DIVISION) {
                     gateway.refresh_divisions();
                 }
-                if tick.is_multiple_of(TICKS_PER_TENANT_LOG) {
+                if tick.is_multiple_of(TICKS_PER_SUMMARY) {
                     gateway.log_tenants_near_limits();
+                    gateway.count_peers();
                 }
                 tell(&gateway, &socket, tick);
                 tell_zones(&gateway, &socket, tick);
                 send_fetch(&gateway, &socket, gateway.next_fetch());
+                let list_fetch = gateway.next_list_fetch(&mut rand::rng());
+                send_list_fetch(&gateway, &socket, list_fetch);
                 let spacing = match gateway.asks_often() {
                     true => TICKS_PER_QUESTION_OF_READER,
                     false => TICKS_PER_QUESTION,
@@ -96,6 +99,15 @@
             }
         }
         Ok(Datagram::Chunk(chunk)) => send_fetch(gateway, socket, gateway.take_chunk(chunk)),
+        Ok(Datagram::ListFetch(fetch)) => {
+            if let Some(piece) = gateway.answer_list_fetch(&fetch) {
+                send(gateway, socket, &Datagram::ListPiece(piece), &[from]);
+            }
+        }
+        Ok(Datagram::ListPiece(piece)) => {
+            let next = gateway.take_list_piece(from, piece, &mut rand::rng());
+            send_list_fetch(gateway, socket, next);
+        }
         Ok(Datagram::Zone(news)) => {
             send_parcels(gateway, socket, gateway.hear_zone(&news));
         }
@@ -126,6 +138,9 @@
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
 fn tell_zones(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
     let with_loads = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
+    if with_loads {
+        send_parcels(gateway, socket, gateway.next_news_of_own_zone());
+    }
     send_parcels(gateway, socket, gateway.next_zone_news(with_loads));
 }
 
@@ -148,6 +163,12 @@
     }
 }
 
+fn send_list_fetch(gateway: &Gateway, socket: &UdpSocket, fetch: Option<(SocketAddr, ListFetch)>) {
+    if let Some((address, fetch)) = fetch {
+        send(gateway, socket, &Datagram::ListFetch(fetch), &[address]);
+    }
+}
+
 fn send(gateway: &Gateway, socket: &UdpSocket, datagram: &Datagram, receivers: &[SocketAddr]) {
     if receivers.is_empty() {
         return;
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::readable::{readable, readable_or_default};
 use super::{
     ConfigurationProof, CopyProof, EngineLifeNews, EngineLoadNews, HolderNews, KvStoreNews,
     LeaseNews, MemberAddress, MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
@@ -24,7 +25,7 @@
     #[serde(rename = "u")]
     pub uptime_ms: u64,
     /// Whether the sender serves.
-    #[serde(rename = "t")]
+    #[serde(rename = "t", deserialize_with = "readable_or_default")]
     pub state: NodeState,
     /// Whether the sender holds the lease of orders.
     #[serde(default)]
@@ -49,7 +50,7 @@
     pub steady_age_ms: Option<u64>,
     /// When the sender's copies of other items were current.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    #[serde(rename = "c")]
+    #[serde(rename = "c", deserialize_with = "readable")]
     pub copies: Vec<CopyProof>,
     /// How many other nodes the sender has heard of; a node that was just started takes the size of
     /// its deployment from this.
@@ -86,6 +87,7 @@
     pub reading: Vec<ReadingNews>,
     /// The states of the stores of kept KV cache that the sender asks.
     #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
     pub kv_stores: Vec<KvStoreNews>,
     /// Prefixes that engines have read since the last message.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -97,7 +99,7 @@
     pub dropped: Vec<HolderNews>,
     /// The newest grants of releases.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    #[serde(rename = "b")]
+    #[serde(rename = "b", deserialize_with = "readable")]
     pub releases: Vec<ReleaseNews>,
     /// Answers that the sender has seen in releases.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -21,6 +21,14 @@
 const MOST_OF_FEW: usize = 9;
 /// Most nodes of the own zone that one message goes to: its engines and callers are the same.
 const MOST_NEAR_RECEIVERS: usize = 30;
+/// In a zone of more nodes a node would hear each other one less than once a second, so that what it knows of their
+/// work is mostly over. There the readers of the zone hear all of its nodes and tell the sums.
+const WIDE_ZONE: usize = 3 * MOST_NEAR_RECEIVERS;
+/// Nodes of a wide zone that hear of all others directly: its reader, and the next one, which takes its place.
+const READERS_OF_ZONE: usize = 2;
+/// Other nodes of a wide zone that one message goes to, for all to know who lives: with sixteen echoes in each, news of
+/// a node reach two hundred others in about seven heartbeats.
+const GOSSIP_RECEIVERS: usize = 8;
 /// Most nodes of other zones that one message goes to when there are many nodes.
 const MOST_FAR_RECEIVERS: usize = 2;
 /// Most of those that stand in other regions, where the own region has other zones: bytes between regions
@@ -37,11 +45,18 @@
 /// Addresses that are tried though nobody answered there yet.
 const MOST_UNHEARD: usize = 64;
 
+/// Longest silence of a node of the own zone after which callers are still sent to it.
+const LONGEST_SUSPICION: Duration = Duration::from_secs(5);
+
 /// All other nodes, and addresses where more may be.
 #[derive(Debug, Default)]
 pub struct PeerTable {
     places: Places,
     peers: BTreeMap<NodeName, Peer>,
+    /// Names by the lives that echoes tell of: a message holds many echoes, and comes many times a second.
+    names: HashMap<u64, NodeName>,
+    /// Nodes of the own zone.
+    near_count: usize,
     /// How many nodes the best informed of the others has heard of.
     told_count: usize,
     unheard: Vec<SocketAddr>,
@@ -112,11 +127,25 @@
             usages: message.usages.clone(),
             reading: message.reading.clone(),
         };
-        self.peers.insert(from.name.clone(), peer);
+        self.insert(peer);
         self.told_count = self.told_count.max(message.known_nodes);
         true
     }
 
+    fn insert(&mut self, peer: Peer) {
+        let name = peer.identity.name.clone();
+        let incarnation = peer.identity.incarnation;
+        self.names.insert(incarnation, name.clone());
+        self.near_count += usize::from(peer.is_near);
+        let Some(before) = self.peers.insert(name, peer) else {
+            return;
+        };
+        self.near_count -= usize::from(before.is_near);
+        if before.identity.incarnation != incarnation {
+            self.names.remove(&before.identity.incarnation);
+        }
+    }
+
     /// Number of the newest message that the node is known to have sent in this life.
     fn newest_sequence(&self, message: &PeerMessage) -> u64 {
         let known = self.peers.get(&message.from.name);
@@ -138,6 +167,11 @@
         self.heard_count() > MOST_OF_FEW
     }
 
+    /// Whether the own zone has so many nodes that they hear of each other's work through its reader.
+    pub fn is_wide(&self) -> bool {
+        self.near_count > WIDE_ZONE
+    }
+
     /// How many nodes this one has heard of itself, silent ones included.
     pub fn heard_count(&self) -> usize {
         self.peers.len()
@@ -152,27 +186,44 @@
     pub fn forget_silent(&mut self, now: Timestamp) {
         self.peers
             .retain(|_, peer| now.since(peer.heard_at) < FORGET_AFTER);
+        self.names.retain(|_, name| self.peers.contains_key(name));
+        self.near_count = self.peers.values().filter(|peer| peer.is_near).count();
         let told = self.peers.values().map(|peer| peer.known_nodes).max();
         self.told_count = told.unwrap_or_default();
     }
 
     /// Nodes that told something lately, or that others have heard of lately.
     pub fn alive(&self, now: Timestamp) -> impl Iterator<Item = &Peer> {
-        let is_large = self.is_large();
-        let near_limit = SUSPECT_AFTER.mul_f64(self.rarity_of_near_messages());
+        let (near_limit, far_limit) = self.silence_limits();
         self.peers.values().filter(move |peer| {
-            let limit = match is_large && !peer.is_near {
-                true => near_limit * FAR_SUSPECT_FACTOR,
-                false => near_limit,
-            };
+            let limit = if peer.is_near { near_limit } else { far_limit };
             now.since(peer.heard_at) < limit
         })
     }
 
+    /// Whether a node is among them.
+    pub fn is_alive(&self, name: &NodeName, now: Timestamp) -> bool {
+        let (near_limit, far_limit) = self.silence_limits();
+        self.peers.get(name).is_some_and(|peer| {
+            let limit = if peer.is_near { near_limit } else { far_limit };
+            now.since(peer.heard_at) < limit
+        })
+    }
+
+    /// For how long a node of the own zone, and one of another, may be silent and count as alive.
+    fn silence_limits(&self) -> (Duration, Duration) {
+        let near = SUSPECT_AFTER.mul_f64(self.rarity_of_near_messages());
+        let near = near.min(LONGEST_SUSPICION);
+        let far = match self.is_large() {
+            true => near * FAR_SUSPECT_FACTOR,
+            false => near,
+        };
+        (near, far)
+    }
+
     /// How many times as rarely a node of the own zone is heard directly as when all hear all.
     fn rarity_of_near_messages(&self) -> f64 {
-        let near = self.peers.values().filter(|peer| peer.is_near).count();
-        (near as f64 / MOST_NEAR_RECEIVERS as f64).max(1.0)
+        (self.near_count as f64 / MOST_NEAR_RECEIVERS as f64).max(1.0)
     }
 
     /// Nodes that are not alive as far as this one hears, but were heard `within` this time.
@@ -206,13 +257,22 @@
 
     /// Where to send a message: to all nodes while they are few; beyond that to those of the own
     /// zone, whose engines and callers are the same, and to some others, drawn at random.
-    pub fn receivers(&self, random: &mut impl Rng) -> Vec<SocketAddr> {
+    pub fn receivers(&self, now: Timestamp, random: &mut impl Rng) -> Vec<SocketAddr> {
         if !self.is_large() {
             return self.all_addresses();
         }
         let of = |peer: &Peer| peer.identity.peer_address;
         let (near, far): (Vec<_>, Vec<_>) = self.peers.values().partition(|peer| peer.is_near);
-        let near = near.choose_multiple(random, MOST_NEAR_RECEIVERS);
+        let (readers, most_near) = match self.is_wide() {
+            true => (self.readers_of_zone(now), GOSSIP_RECEIVERS),
+            false => (Vec::new(), MOST_NEAR_RECEIVERS),
+        };
+        let near = near.choose_multiple(random, most_near);
+        let is_reader = |peer: &Peer| {
+            let mut readers = readers.iter();
+            readers.any(|reader| reader.identity.name == peer.identity.name)
+        };
+        let near = near.filter(|peer| !is_reader(peer));
         let (remote, far): (Vec<_>, Vec<_>) = far.into_iter().partition(|peer| peer.is_remote);
         let most_remote = match far.is_empty() {
             true => MOST_FAR_RECEIVERS,
@@ -220,7 +280,17 @@
         };
         let far = far.choose_multiple(random, MOST_FAR_RECEIVERS - most_remote);
         let remote = remote.choose_multiple(random, most_remote);
-        near.chain(far).chain(remote).map(|peer| of(peer)).collect()
+        let all = near.chain(far).chain(remote).chain(&readers);
+        all.map(|peer| of(peer)).collect()
+    }
+
+    /// The first nodes of the own zone in the order in which they read for it.
+    pub fn readers_of_zone(&self, now: Timestamp) -> Vec<&Peer> {
+        let near = self.ready(now).filter(|peer| peer.is_near);
+        let mut near: Vec<_> = near.collect();
+        near.sort_unstable_by_key(|peer| peer.identity.reading_rank());
+        near.truncate(READERS_OF_ZONE);
+        near
     }
 
     /// What a node bears in the mean, this one included.
@@ -250,9 +320,8 @@
 
     /// Another node has a message of the node with this life: it was alive when it sent it.
     pub fn hear_echo(&mut self, echo: &MessageEcho, now: Timestamp) {
-        let mut all = self.peers.values_mut();
-        let known = all.find(|peer| peer.identity.incarnation == echo.incarnation);
-        if let Some(peer) = known
+        let name = self.names.get(&echo.incarnation);
+        if let Some(peer) = name.and_then(|name| self.peers.get_mut(name))
             && echo.sequence > peer.newest_sequence
         {
             peer.newest_sequence = echo.sequence;
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -3,13 +3,14 @@
 use ryerouter_core::identity::{NodeName, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use super::readable::{readable, readable_or_default};
 use super::{EngineLifeNews, EngineLoadNews, HolderNews, WeightsNews};
 use crate::placement::ReadingNews;
 use crate::quotas::UsageNews;
 use crate::release::{EvidenceNews, ReleaseNews};
 
 /// To whom the receiver of zone news passes them on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Pass {
     /// To its whole zone, through some of its nodes; when the news come from another region, also to a
     /// node of each other zone of its own.
@@ -22,6 +23,7 @@
     #[serde(rename = "u")]
     Until(Option<NodeName>),
     /// To nobody.
+    #[default]
     #[serde(rename = "e")]
     End,
 }
@@ -37,7 +39,7 @@
     #[serde(rename = "z")]
     pub zone: ZoneName,
     /// To whom the receiver passes them on.
-    #[serde(rename = "p")]
+    #[serde(rename = "p", deserialize_with = "readable_or_default")]
     pub pass: Pass,
     /// The lives of engines of these news that have begun again lately; news of such an engine without
     /// its life are passed over.
@@ -60,6 +62,7 @@
     pub holders: Vec<HolderNews>,
     /// The newest grants of releases.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
     pub releases: Vec<ReleaseNews>,
     /// Answers that the nodes of that zone have seen in releases, with the work.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/gateway/src/peers/zone_traffic.rs
+++ b/crates/gateway/src/peers/zone_traffic.rs
@@ -57,10 +57,35 @@
         }
     }
 
-    /// Adds the work that is still valid to `sums`.
-    pub fn add_loads_to(&self, sums: &mut HashMap<BackEndName, EngineLoad>, now: Timestamp) {
-        let loads = self.told_within(MOST_AGE_OF_LOADS, now);
-        for news in loads.flat_map(|traffic| &traffic.loads) {
+    /// Adds the work of the nodes of a zone, as far as it is still valid, to `sums`.
+    pub fn add_loads_of(
+        &self,
+        zone: &ZoneName,
+        sums: &mut HashMap<BackEndName, EngineLoad>,
+        now: Timestamp,
+    ) {
+        self.add_loads(|told| told == zone, sums, now);
+    }
+
+    /// The same for all zones but one.
+    pub fn add_loads_of_others(
+        &self,
+        zone: &ZoneName,
+        sums: &mut HashMap<BackEndName, EngineLoad>,
+        now: Timestamp,
+    ) {
+        self.add_loads(|told| told != zone, sums, now);
+    }
+
+    fn add_loads(
+        &self,
+        is_added: impl Fn(&ZoneName) -> bool,
+        sums: &mut HashMap<BackEndName, EngineLoad>,
+        now: Timestamp,
+    ) {
+        let zones = self.zones.iter().filter(|(zone, _)| is_added(zone));
+        let valid = zones.filter(|(_, told)| now.since(told.told_at) < MOST_AGE_OF_LOADS);
+        for news in valid.flat_map(|(_, told)| &told.loads) {
             sums.entry(news.0.clone()).or_default().add(news.1);
         }
     }
--- a/crates/gateway/src/placement/division.rs
+++ b/crates/gateway/src/placement/division.rs
@@ -56,16 +56,10 @@
         prices: &PlacementPrices,
         was_divided: bool,
     ) -> Option<Self> {
-        let mut hashes: BTreeMap<ZoneName, Vec<u64>> = BTreeMap::new();
-        let (mut count, mut slots, mut requests) = (0, 0, 0);
-        for engine in engines {
-            let of_zone = hashes.entry(engine.entry.zone.clone()).or_default();
-            of_zone.push(engine.name_hash);
-            count += 1;
-            slots += engine.entry.slots;
-            requests += engine.load().requests;
-        }
-        let capacity = f64::from(count) * prices.read_tokens_per_ms * 1e3;
+        let engines: Vec<&Engine> = engines.collect();
+        let slots: u32 = engines.iter().map(|engine| engine.entry.slots).sum();
+        let requests: u32 = engines.iter().map(|engine| engine.load().requests).sum();
+        let capacity = engines.len() as f64 * prices.read_tokens_per_ms * 1e3;
         let busy = tokens_per_second / capacity.max(1.0);
         let occupied = f64::from(requests) / f64::from(slots.max(1));
         let for_reading = busy / BUSY_SHARE;
@@ -77,11 +71,16 @@
         if busy < LEAST_BUSY_SHARE || needed > most_needed {
             return None;
         }
+        let mut hashes: BTreeMap<&ZoneName, Vec<u64>> = BTreeMap::new();
+        for engine in engines {
+            let of_zone = hashes.entry(&engine.entry.zone).or_default();
+            of_zone.push(engine.name_hash);
+        }
         // What is to spare goes to both sides alike.
         let share = for_reading / needed;
         let last_reading = hashes
             .into_iter()
-            .filter_map(|(zone, hashes)| Some((zone, last_reading(hashes, share)?)))
+            .filter_map(|(zone, hashes)| Some((zone.clone(), last_reading(hashes, share)?)))
             .collect();
         Some(Self { last_reading })
     }
--- a/crates/gateway/src/source/change_log.rs
+++ b/crates/gateway/src/source/change_log.rs
@@ -4,8 +4,10 @@
 
 use super::ItemChange;
 
-/// Most changes that are kept; a node that lacks older ones reads the whole list itself.
-const MOST_KEPT: usize = 256;
+/// Changes that are kept at least; a node that lacks older ones is handed the whole list.
+const LEAST_KEPT: usize = 256;
+/// Of a longer list so large a share: a node that is that far behind is told as much as by the list itself.
+const KEPT_SHARE: usize = 4;
 
 /// Recent changes of the list of engines, so that another node of the zone can catch up without a
 /// call to the source; see docs/design/reading.md.
@@ -33,15 +35,21 @@
         self.changes.clear();
     }
 
-    /// Changes up to `revision`, which follow those in the log.
-    pub fn append(&mut self, changes: impl IntoIterator<Item = ItemChange>, revision: u64) {
+    /// Changes up to `revision` of a list of so many entries, which follow those in the log.
+    pub fn append(
+        &mut self,
+        changes: impl IntoIterator<Item = ItemChange>,
+        revision: u64,
+        entries: usize,
+    ) {
         if self.complete_after.is_none() {
             return;
         }
         for change in changes {
             self.changes.push_back((revision, change));
         }
-        while self.changes.len() > MOST_KEPT {
+        let most = LEAST_KEPT.max(entries / KEPT_SHARE);
+        while self.changes.len() > most {
             self.forget_oldest_batch();
         }
     }
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -11,7 +11,7 @@
 
 use super::copy_prober::keep_copy_fresh;
 use super::lists::{Lists, read_list};
-use super::{CatalogueSource, Consistency, ItemKind, List, SourceError};
+use super::{CatalogueSource, Consistency, ItemKind, List, Replica, SourceError};
 use crate::gateway::{Gateway, Role, SETTLING, Way};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
@@ -46,6 +46,16 @@
 /// Named weights may be used much later than that, so they are proven this much less often.
 const WEIGHTS_LENIENCE: f64 = 2.0;
 
+/// A node that was just started knows after so long whether there are many others, also where all start at once.
+const SIZE_KNOWN_AFTER: Duration = Duration::from_millis(700);
+/// Seconds for which a node waits for others to hand the list on before it reads all pages itself: each of a
+/// zone's nodes that has the list hands it on to others within about a second, drawn so that not all give up at once.
+const HANDOVER_PATIENCE: Range<f64> = 5.0..8.0;
+
+/// The share of the time within which changes must be in force that a node waits for others to hand on what it lacks:
+/// what is left suffices for a question to the source.
+const HANDOVER_SHARE: f64 = 0.4;
+
 /// How a kind of item is followed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FollowSettings {
@@ -110,6 +120,9 @@
 
 impl Follower {
     async fn list_until_done(&mut self) {
+        if self.is_handed_list().await {
+            return;
+        }
         let mut lists = Lists::default();
         loop {
             let asked_at = self.gateway.clock().now();
@@ -133,6 +146,58 @@
         }
     }
 
+    /// The first list of engines may have many pages: a fleet that starts reads them once for a zone, and the other
+    /// nodes are handed the list by those that have it. Tells whether that has happened, or all came in one page.
+    async fn is_handed_list(&mut self) -> bool {
+        if self.kind != ItemKind::Engines || self.revision().is_some() {
+            return false;
+        }
+        let asked_at = self.gateway.clock().now();
+        self.asked_at = Some(asked_at);
+        self.listed_at = Some(asked_at);
+        let page = self.source.list(self.kind, Consistency::Stale, None);
+        let page = timeout(self.settings.answer, page).await;
+        let page = page.unwrap_or(Err(SourceError::NoAnswer));
+        self.gateway
+            .count_question(self.kind, Way::List, page.is_ok());
+        match page {
+            Ok(page) if page.next_after.is_none() => {
+                self.note_answer();
+                self.take_list(List {
+                    items: page.items,
+                    revision: page.revision,
+                    consistency: Consistency::Stale,
+                    asked_at,
+                });
+                true
+            }
+            Ok(_) => self.waits_for_handed_list().await,
+            Err(error) => {
+                self.pause_after(&error).await;
+                false
+            }
+        }
+    }
+
+    /// Waits until others have handed the list on, unless it falls to this node to read it, or none does.
+    async fn waits_for_handed_list(&self) -> bool {
+        let begun_at = self.gateway.clock().now();
+        let patience = rand::rng().random_range(HANDOVER_PATIENCE);
+        let patience = Duration::from_secs_f64(patience);
+        loop {
+            let waited = self.gateway.clock().now().since(begun_at);
+            let is_known = waited >= SIZE_KNOWN_AFTER;
+            let is_reader = is_known && !self.gateway.may_be_handed_list();
+            if self.revision().is_some() {
+                return true;
+            }
+            if is_reader || waited >= patience {
+                return false;
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+    }
+
     fn take_list(&mut self, list: List) {
         self.log_list(&list);
         self.listed_at = Some(list.asked_at);
@@ -264,6 +329,8 @@
                 Role::Relies => return Duration::ZERO,
                 // After a failure the answer is wanted at once: it tells that nothing was missed.
                 Role::Watches | Role::Reads if self.failures > 0 => return Duration::ZERO,
+                // A long watch of each node of a fleet that starts would be left within moments.
+                Role::Watches if self.uptime() < SIZE_KNOWN_AFTER => sleep(LOOK_INTERVAL).await,
                 Role::Watches if self.is_new() && self.asked_within(SPACING_WHILE_NEW) => {
                     sleep(LOOK_INTERVAL).await;
                 }
@@ -323,12 +390,29 @@
         let proven_at = replica.freshness.proven_at();
         // A stale list proves nothing, but was not much older.
         let known_at = proven_at.or(self.listed_at);
-        !replica.is_behind() && known_at.is_some_and(|at| now.since(at) < patience)
+        let is_known = known_at.is_some_and(|at| now.since(at) < patience);
+        is_known && !self.must_catch_up_alone(replica, now)
+    }
+
+    /// Whether a node that is behind asks the source. The list of engines others hand on first: where many engines
+    /// change at once, every node would ask at the same time.
+    fn must_catch_up_alone(&self, replica: &Replica, now: Timestamp) -> bool {
+        match self.kind {
+            ItemKind::Engines => {
+                let bound = self.gateway.settings().catalogue_bound;
+                replica.is_behind_for(bound.mul_f64(HANDOVER_SHARE), now)
+            }
+            ItemKind::Configuration | ItemKind::Weights => replica.is_behind(),
+        }
     }
 
     fn is_new(&self) -> bool {
+        self.uptime() < SETTLING
+    }
+
+    fn uptime(&self) -> Duration {
         let clock = self.gateway.clock();
-        clock.now().since(clock.start_time()) < SETTLING
+        clock.now().since(clock.start_time())
     }
 
     fn asked_within(&self, span: Duration) -> bool {
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -6,6 +6,7 @@
 use super::EngineChange;
 use crate::engines::EngineEntry;
 use crate::peers::NamedNews;
+use crate::peers::readable::readable;
 
 /// How far a copy was, and for how long it is known to have been current.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,9 +43,11 @@
     pub trouble_age_ms: Option<u64>,
     /// Changes of the list of engines that the asker lacks.
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
     pub changes: Vec<EngineChange>,
     /// The whole list of engines, for an asker that wants it and can't be told by changes.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
     pub list: Vec<EngineEntry>,
     /// Entries that belong to the list and can't be read: what they named is gone without a delay.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
--- /dev/null
+++ b/crates/gateway/src/sync/list_transfer.rs
@@ -0,0 +1,125 @@
+//! The list of engines, handed on by another node in pieces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
+use serde::{Deserialize, Serialize};
+
+use crate::engines::EngineEntry;
+use crate::peers::readable::readable;
+
+/// A piece that has not come after so long is asked for again: nodes answer within milliseconds, and a small one
+/// that many ask within some hundred.
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// After so many pieces in a row that did not come another node is asked.
+const MOST_UNANSWERED: u32 = 2;
+
+/// Asks another node for the next piece of its list of engines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListFetch {
+    /// The piece begins after the entry of this name.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<BackEndName>,
+}
+
+/// A piece of the list of engines, in the order of their names.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListPiece {
+    /// Where it begins, as it was asked for.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<BackEndName>,
+    /// Revision of the sender's list. The list may change between pieces, so the first one's counts for all: what
+    /// changed after it is caught up with.
+    #[serde(rename = "v")]
+    pub revision: u64,
+    /// The entries.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
+    pub entries: Vec<EngineEntry>,
+    /// Entries that can't be read, told with the first piece.
+    #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
+    pub unusable: Vec<BackEndName>,
+    /// Where the next piece begins, if there is one.
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    pub next: Option<BackEndName>,
+}
+
+/// A list that has come as a whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WholeList {
+    /// Its entries.
+    pub entries: Vec<EngineEntry>,
+    /// Entries that can't be read.
+    pub unusable: Vec<BackEndName>,
+    /// Revision that it shows at least.
+    pub revision: u64,
+}
+
+/// The pieces that have come so far.
+#[derive(Debug, Default)]
+pub struct ListTransfer {
+    holder: Option<SocketAddr>,
+    asked_at: Option<Timestamp>,
+    unanswered: u32,
+    after: Option<BackEndName>,
+    revision: Option<u64>,
+    entries: Vec<EngineEntry>,
+    unusable: Vec<BackEndName>,
+}
+
+impl ListTransfer {
+    /// The next question and whom to ask, unless an answer is awaited. `draw` names a node that has the list.
+    pub fn next(
+        &mut self,
+        now: Timestamp,
+        draw: impl FnOnce() -> Option<SocketAddr>,
+    ) -> Option<(SocketAddr, ListFetch)> {
+        if let Some(asked_at) = self.asked_at {
+            if now.since(asked_at) < ANSWER_LIMIT {
+                return None;
+            }
+            self.unanswered += 1;
+        }
+        if self.unanswered >= MOST_UNANSWERED {
+            // The revisions of two nodes' lists differ, so it begins anew.
+            *self = Self::default();
+        }
+        let holder = self.holder.or_else(draw)?;
+        self.holder = Some(holder);
+        self.asked_at = Some(now);
+        let after = self.after.clone();
+        Some((holder, ListFetch { after }))
+    }
+
+    /// Takes a piece; the list once it is whole. Pieces out of their order, or of another node, are passed over.
+    pub fn take(&mut self, from: SocketAddr, piece: ListPiece) -> Option<WholeList> {
+        let is_awaited = self.holder == Some(from) && self.asked_at.is_some();
+        if !is_awaited || piece.after != self.after {
+            return None;
+        }
+        self.asked_at = None;
+        self.unanswered = 0;
+        let revision = *self.revision.get_or_insert(piece.revision);
+        self.entries.extend(piece.entries);
+        self.unusable.extend(piece.unusable);
+        self.after = piece.next;
+        if self.after.is_some() {
+            return None;
+        }
+        let whole = std::mem::take(self);
+        Some(WholeList {
+            entries: whole.entries,
+            unusable: whole.unusable,
+            revision,
+        })
+    }
+
+    /// The list came in another way.
+    pub fn stop(&mut self) {
+        if self.holder.is_some() {
+            *self = Self::default();
+        }
+    }
+}
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -9,11 +9,13 @@
 mod answer;
 mod change;
 mod exchange;
+mod list_transfer;
 mod question;
 mod transfer;
 
 pub use answer::{Answer, Mark};
 pub use change::EngineChange;
 pub use exchange::Exchange;
+pub use list_transfer::{ListFetch, ListPiece, ListTransfer, WholeList};
 pub use question::Question;
 pub use transfer::{Chunk, Fetch, Offer, Transfer};
--- a/crates/gateway/tests/support/region_fleet.rs
+++ b/crates/gateway/tests/support/region_fleet.rs
@@ -117,7 +117,13 @@
                     gateway.remove_unlisted();
                     self.tell(index, tick);
                     let with_loads = tick % TICKS_PER_HEARTBEAT == 0;
+                    if with_loads {
+                        self.send_parcels(index, gateway.next_news_of_own_zone());
+                    }
                     self.send_parcels(index, gateway.next_zone_news(with_loads));
+                    if let Some((address, fetch)) = gateway.next_list_fetch(&mut rand::rng()) {
+                        self.send(index, address, Datagram::ListFetch(fetch));
+                    }
                     if let Some((address, fetch)) = gateway.next_fetch() {
                         self.send(index, address, Datagram::Fetch(fetch));
                     }
@@ -205,6 +211,17 @@
                     self.send(to, address, Datagram::Fetch(fetch));
                 }
             }
+            Datagram::ListFetch(fetch) => {
+                if let Some(piece) = gateway.answer_list_fetch(&fetch) {
+                    self.send(to, back, Datagram::ListPiece(piece));
+                }
+            }
+            Datagram::ListPiece(piece) => {
+                let next = gateway.take_list_piece(back, piece, &mut rand::rng());
+                if let Some((address, fetch)) = next {
+                    self.send(to, address, Datagram::ListFetch(fetch));
+                }
+            }
             Datagram::Zone(news) => self.send_parcels(to, gateway.hear_zone(&news)),
         }
     }
