Fleet: readers that have no configuration yet are kept, changes told in groups, shared wake-ups

Cause, by the log of a node of a fleet that starts (985 nodes): it left its reader after 0.6 s as out of date, since that had no configuration, which nobody had yet; so every node read all changes of the list of engines for itself, 500 a time, while a thousand engines were listed a second.

Changes: a reader is judged by what the asker has itself; changes and lists are told in groups of like entries (50 bytes an engine in place of 200), a thousand in an answer; the log keeps 3 s; tasks that look for something wake together; in a wide zone heartbeats every 600 ms with 32 echoes; a choice looks for holders of a prefix only among the engines that are known to hold some.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,7 +1,9 @@
 //! The steady clock.
 
+use std::time::Duration;
+
 use ryerouter_core::Timestamp;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 /// The steady clock of a process: time of day never decides anything.
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +33,20 @@
         Timestamp::from_micros(ORIGIN_MICROS)
     }
 
+    /// The next moment at which tasks that look for something every `interval` do so: all at the same moments, since
+    /// each wake-up of a process costs more than a look. With a moment for each, ten tasks woke an idle node a hundred
+    /// times a second.
+    pub fn next_look(&self, interval: Duration) -> Instant {
+        let passed = self.origin.elapsed().as_micros() / interval.as_micros();
+        let next = u32::try_from(passed + 1).unwrap_or(u32::MAX);
+        self.origin + interval * next
+    }
+
+    /// Waits for that moment.
+    pub async fn look(&self, interval: Duration) {
+        sleep_until(self.next_look(interval)).await;
+    }
+
     /// The instant of a timestamp, for timers.
     pub fn instant(&self, at: Timestamp) -> Instant {
         let since_origin = at.since(Timestamp::from_micros(ORIGIN_MICROS));
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -72,8 +72,7 @@
             match state.has_engine_list {
                 true => {
                     let changes = differences(&state.engines, items);
-                    let entries = state.engines.count();
-                    state.engine_log.append(changes, revision, entries);
+                    state.engine_log.append(changes, revision, now);
                 }
                 false => state.engine_log.restart(revision),
             }
@@ -102,8 +101,7 @@
         }
         if kind == ItemKind::Engines {
             let changes = batch.changes.iter().cloned();
-            let entries = state.engines.count();
-            state.engine_log.append(changes, batch.revision, entries);
+            state.engine_log.append(changes, batch.revision, now);
         }
         drop(state);
         match asked_at {
--- a/crates/gateway/src/gateway/list_handover.rs
+++ b/crates/gateway/src/gateway/list_handover.rs
@@ -9,11 +9,11 @@
 use super::Gateway;
 use crate::engines::Engine;
 use crate::source::ItemKind;
-use crate::sync::{ListFetch, ListPiece};
+use crate::sync::{EntryGroup, ListFetch, ListPiece};
 
-/// Entries in a piece: with some 200 bytes each it stays below half of a datagram, and a list of ten thousand comes in
-/// eighty pieces.
-const MOST_ENTRIES: usize = 128;
+/// Entries in a piece: with some 50 bytes each it takes half of a datagram, and a list of ten thousand comes in twenty
+/// pieces.
+const MOST_ENTRIES: usize = 512;
 
 impl Gateway {
     /// The next piece of the list to ask for, and of whom, while the source does not tell this node.
@@ -48,7 +48,7 @@
         let entries: Vec<_> = later
             .by_ref()
             .take(MOST_ENTRIES)
-            .map(|engine| engine.entry.clone())
+            .map(|engine| &engine.entry)
             .collect();
         let next = later.next().and(entries.last());
         let next = next.map(|entry| entry.name.clone());
@@ -59,7 +59,7 @@
                 None => state.unusable_entries.iter().cloned().collect(),
                 Some(_) => Vec::new(),
             },
-            entries,
+            groups: EntryGroup::of(entries),
             next,
         })
     }
--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -12,11 +12,13 @@
 use crate::engines::{Engine, EngineEntry};
 use crate::peers::{Capacity, NodeIdentity, NodeState, Peer};
 use crate::source::{ItemBatch, ItemKind};
-use crate::sync::{Answer, EngineChange, Mark, Question};
+use crate::sync::{Answer, Changes, EngineChange, Mark, Question};
 
-/// Most changes of the list of engines in one answer: with some 200 bytes each they fill five sixths of a datagram.
-/// Where more engines change at once, the list is handed on.
-const MOST_CHANGES: usize = 250;
+/// Most changes of the list of engines in one answer, as entries of some 200 bytes each ..
+const MOST_CHANGES: usize = 40;
+/// .. and in groups, with some 50 bytes each, of which they fill a datagram. Where more engines change at once, the list is
+/// handed on.
+const MOST_GROUPED_CHANGES: usize = 1_000;
 /// Of few nodes each watches the source itself, and changes reach all within milliseconds. So long a
 /// node that hears of a change first waits for its own watch, and then asks the node that told: where
 /// the source answers one of seven nodes 1.6 s late, that one knows of a second change in a row in
@@ -137,6 +139,7 @@
             engines: revision(ItemKind::Engines),
             weights: revision(ItemKind::Weights),
             wants_list: self.wants_list(&state, now),
+            reads_groups: true,
         };
         Some((address, question))
     }
@@ -200,7 +203,11 @@
         let mut state = self.state_mut();
         state.sync.note_asked(now);
         let version = state.table.as_ref().map(|table| table.version());
-        let catch_up = self.catch_up(&state, question);
+        let most = match question.reads_groups {
+            true => MOST_GROUPED_CHANGES,
+            false => MOST_CHANGES,
+        };
+        let catch_up = self.catch_up(&state, question, most);
         let revision = catch_up.as_ref().map(|(revision, _)| *revision);
         let is_list_wanted = question.wants_list && catch_up.is_none();
         let weights = self.knows_weights_after(&state, question.weights);
@@ -222,7 +229,14 @@
                 true => state.unusable_entries.iter().cloned().collect(),
                 false => Vec::new(),
             },
-            changes: catch_up.map_or_else(Vec::new, |(_, changes)| changes),
+            groups: match (&catch_up, question.reads_groups) {
+                (Some((_, changes)), true) => Some(Changes::of(changes)),
+                _ => None,
+            },
+            changes: match question.reads_groups {
+                true => Vec::new(),
+                false => catch_up.map_or_else(Vec::new, |(_, changes)| changes),
+            },
             revision,
             named: match has_news {
                 true => self.named_news(&state, Duration::MAX),
@@ -242,10 +256,11 @@
         &self,
         state: &GatewayState,
         question: &Question,
+        most: usize,
     ) -> Option<(u64, Vec<EngineChange>)> {
         let newest = state.replicas.of(ItemKind::Engines).revision?;
         let known = question.engines?;
-        let caught_up = state.engine_log.after(known, newest, MOST_CHANGES)?;
+        let caught_up = state.engine_log.after(known, newest, most)?;
         let changes = caught_up.changes.into_iter();
         let changes = changes.filter_map(EngineChange::of).collect();
         Some((caught_up.revision, changes))
@@ -297,7 +312,9 @@
             }
         }
         if let Some(revision) = answer.revision {
-            let changes = answer.changes.iter().cloned().map(Into::into).collect();
+            let grouped = answer.groups.iter().flat_map(Changes::changes);
+            let changes = answer.changes.iter().cloned().chain(grouped);
+            let changes = changes.map(Into::into).collect();
             let batch = ItemBatch { changes, revision };
             self.take_batch(ItemKind::Engines, batch, None);
         }
@@ -351,16 +368,23 @@
         }
     }
 
-    /// A reader that knows nothing recent itself is not asked again soon.
+    /// A reader that knows nothing recent itself is not asked again soon. One that has nothing yet is no worse than this
+    /// node, as long as it has nothing either: where all start before there is a configuration, each would otherwise
+    /// leave all readers and read for itself.
     fn judge_reader(&self, reader: &NodeName, answer: &Answer) {
         let now = self.clock().now();
         let limit = self.settings().catalogue_bound.mul_f64(STALE_SHARE);
-        let is_recent = |mark: &Option<Mark>| {
-            mark.is_some_and(|mark| Duration::from_millis(mark.age_ms) < limit)
-        };
-        let marks = [answer.configuration, answer.engines];
-        if !marks.iter().all(is_recent) {
-            self.state_mut().sync.avoid(reader.clone(), now);
+        let mut state = self.state_mut();
+        let marks = [
+            (answer.configuration, ItemKind::Configuration),
+            (answer.engines, ItemKind::Engines),
+        ];
+        let is_stale = marks.into_iter().any(|(mark, kind)| match mark {
+            Some(mark) => Duration::from_millis(mark.age_ms) >= limit,
+            None => state.replicas.of(kind).freshness.proven_at().is_some(),
+        });
+        if is_stale {
+            state.sync.avoid(reader.clone(), now);
             info!(self.log(), "reader_stale"; "reader" => %reader);
         }
     }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -6,7 +6,7 @@
 
 use slog::{debug, warn};
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
+use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until};
 
 use super::Datagram;
 use crate::gateway::{Gateway, Parcel};
@@ -18,6 +18,9 @@
 const GATHER: Duration = Duration::from_millis(15);
 /// Every so many ticks a node says that it is there.
 const TICKS_PER_HEARTBEAT: u64 = 3;
+/// The same in a wide zone, where each message goes through its reader to all: what nodes are sent grows with the zones, and
+/// what it tells is gathered over this time.
+const TICKS_PER_HEARTBEAT_OF_MANY: u64 = 6;
 /// Every so many ticks a node tells whom it knows, also where nobody answered yet.
 const TICKS_PER_INTRODUCTION: u64 = 12;
 /// Every so many ticks engines are divided anew between kinds of requests: what decides that is
@@ -35,7 +38,7 @@
 /// Tells other nodes what this one knows and hears what they know, until dropped.
 pub async fn run_peer_link(gateway: Rc<Gateway>, socket: UdpSocket) {
     let mut buffer = vec![0_u8; LONGEST_DATAGRAM];
-    let mut ticks = interval(TICK);
+    let mut ticks = interval_at(gateway.clock().next_look(TICK), TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut tick: u64 = 0;
     let mut urgent_at = None;
@@ -79,7 +82,7 @@
             () = sleep_until(urgent_at.unwrap_or_else(Instant::now)), if urgent_at.is_some() => {
                 urgent_at = None;
                 send_parcels(&gateway, &socket, gateway.next_load_news());
-                tell(&gateway, &socket, TICKS_PER_HEARTBEAT);
+                tell(&gateway, &socket, TICKS_PER_HEARTBEAT_OF_MANY);
             }
         }
     }
@@ -117,7 +120,7 @@
 }
 
 fn tell(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
-    let is_heartbeat = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
+    let is_heartbeat = tick.is_multiple_of(ticks_per_heartbeat(gateway));
     let is_introduction =
         tick.is_multiple_of(TICKS_PER_INTRODUCTION) || gateway.owes_introduction();
     if !is_heartbeat && !is_introduction && !gateway.has_peer_news() {
@@ -135,9 +138,16 @@
     }
 }
 
+fn ticks_per_heartbeat(gateway: &Gateway) -> u64 {
+    match gateway.state().peers.is_wide() {
+        true => TICKS_PER_HEARTBEAT_OF_MANY,
+        false => TICKS_PER_HEARTBEAT,
+    }
+}
+
 /// Tells the other zones what the nodes of this one know, when that falls to this node.
 fn tell_zones(gateway: &Rc<Gateway>, socket: &UdpSocket, tick: u64) {
-    let with_loads = tick.is_multiple_of(TICKS_PER_HEARTBEAT);
+    let with_loads = tick.is_multiple_of(ticks_per_heartbeat(gateway));
     if with_loads {
         send_parcels(gateway, socket, gateway.next_news_of_own_zone());
     }
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -26,8 +26,8 @@
 const WIDE_ZONE: usize = 3 * MOST_NEAR_RECEIVERS;
 /// Nodes of a wide zone that hear of all others directly: its reader, and the next one, which takes its place.
 const READERS_OF_ZONE: usize = 2;
-/// Other nodes of a wide zone that one message goes to, for all to know who lives: with sixteen echoes in each, news of
-/// a node reach two hundred others in about seven heartbeats.
+/// Other nodes of a wide zone that one message goes to, for all to know who lives: with 32 echoes in each, news of
+/// a node reach two hundred others in about four heartbeats.
 const GOSSIP_RECEIVERS: usize = 8;
 /// Most nodes of other zones that one message goes to when there are many nodes.
 const MOST_FAR_RECEIVERS: usize = 2;
@@ -40,6 +40,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Most nodes whose messages are echoed in one message.
 const MOST_ECHOES: usize = 16;
+/// The same in a wide zone, where messages are rarer and go to fewer nodes.
+const MOST_ECHOES_OF_MANY: usize = 32;
 /// Most nodes that one introduction tells of.
 const MOST_MEMBERS: usize = 16;
 /// Addresses that are tried though nobody answered there yet.
@@ -343,8 +345,12 @@
 
     /// The last messages of others, for them to know that they arrived; of some, when they are many.
     pub fn echoes(&self, now: Timestamp, random: &mut impl Rng) -> Vec<MessageEcho> {
+        let most = match self.is_wide() {
+            true => MOST_ECHOES_OF_MANY,
+            false => MOST_ECHOES,
+        };
         self.alive(now)
-            .choose_multiple(random, MOST_ECHOES)
+            .choose_multiple(random, most)
             .into_iter()
             .map(|peer| MessageEcho {
                 incarnation: peer.identity.incarnation,
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -4,11 +4,12 @@
 mod sample;
 mod sources;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::ZoneName;
+use ryerouter_core::identity::{BackEndName, ZoneName};
 use ryerouter_core::placement::rendezvous_score;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -94,13 +95,16 @@
         let versions = self.versions(request, intake);
         let sample = Sample::draw(self, request, &versions, intake);
         let is_healthy = |engine: &Engine| intake.admits(&engine.entry) && self.is_healthy(engine);
+        let known = self.known_holders(&versions);
         let is_sampled = |engine: &Engine| {
             let is_known = || {
-                versions
-                    .iter()
-                    .any(|version| self.knows_prefix(engine, version))
+                versions.iter().any(|version| {
+                    let is_first = version.is_of(engine) && version.is_first_reader(engine);
+                    is_first
+                        || known.contains(&engine.entry.name) && self.holds_prefix(engine, version)
+                })
             };
-            is_healthy(engine) && (sample.holds(engine) || is_known())
+            (sample.holds(engine) || is_known()) && is_healthy(engine)
         };
         let is_any =
             |engine: &Engine| failing == Failing::BetterThanNone && intake.admits(&engine.entry);
@@ -148,11 +152,17 @@
             })
     }
 
-    /// Whether an engine is a place for the prompt that all nodes agree on, or is known to hold
-    /// some of it.
-    fn knows_prefix(&self, engine: &Engine, version: &PromptVersion) -> bool {
-        version.is_of(engine)
-            && (version.is_first_reader(engine) || self.held_tokens(engine, &version.keys) > 0)
+    /// Engines that are known to hold some of a prompt, under whichever weights they had: few, so that not each engine
+    /// of a large pool has to be sought among the holders.
+    fn known_holders(&self, versions: &[PromptVersion]) -> HashSet<&BackEndName> {
+        let keys = versions.iter().flat_map(|version| &version.keys.0);
+        let holders = keys.flat_map(|(key, _)| self.holders.of(*key));
+        holders.map(|(name, _)| name).collect()
+    }
+
+    /// Whether an engine is known to hold some of a prompt.
+    fn holds_prefix(&self, engine: &Engine, version: &PromptVersion) -> bool {
+        version.is_of(engine) && self.held_tokens(engine, &version.keys) > 0
     }
 
     /// The newest weights of a prompt's model, while engines have older ones that count as stale.
--- a/crates/gateway/src/placement/chooser/sample.rs
+++ b/crates/gateway/src/placement/chooser/sample.rs
@@ -55,10 +55,12 @@
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             able.partition(|engine| engine.entry.zone == *chooser.zone);
         let order = |engine: &&Engine| rendezvous_score(key, engine.name_hash);
-        near.sort_unstable_by_key(order);
+        keep_first(&mut near, MOST_NEAR, order);
         // Those of other regions come last: they are far for every request.
-        far.sort_unstable_by_key(|engine| (chooser.distance(engine), order(engine)));
-        let drawn = near.iter().take(MOST_NEAR).chain(far.iter().take(MOST_FAR));
+        keep_first(&mut far, MOST_FAR, |engine| {
+            (chooser.distance(engine), order(engine))
+        });
+        let drawn = near.iter().chain(&far);
         let names = drawn.map(|engine| engine.entry.name.clone());
         Self {
             engines: Some(names.collect()),
@@ -76,3 +78,11 @@
         engines.is_none_or(|engines| engines.contains(&engine.entry.name))
     }
 }
+
+/// Keeps the first `most` by `order`, without putting the others in order: a pool may have ten thousand.
+fn keep_first<K: Ord>(engines: &mut Vec<&Engine>, most: usize, order: impl Fn(&&Engine) -> K) {
+    if engines.len() > most {
+        engines.select_nth_unstable_by_key(most, |engine| order(engine));
+        engines.truncate(most);
+    }
+}
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval_at};
 
 use super::rollout_event::RolloutEvent;
 use super::{
@@ -61,8 +61,10 @@
 
 impl RolloutDriver {
     async fn run(mut self, mut events: UnboundedReceiver<RolloutEvent>) {
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let first = self.gateway.clock().next_look(TICK);
+        let mut ticks = interval_at(first, TICK);
+        // Skipped ones keep the moments that it shares with other tasks.
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
         loop {
             tokio::select! {
                 event = events.recv() => {
--- a/crates/gateway/src/source/change_log.rs
+++ b/crates/gateway/src/source/change_log.rs
@@ -1,13 +1,17 @@
 //! Recent changes of the list of engines.
 
 use std::collections::VecDeque;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
 
 use super::ItemChange;
 
 /// Changes that are kept at least; a node that lacks older ones is handed the whole list.
 const LEAST_KEPT: usize = 256;
-/// Of a longer list so large a share: a node that is that far behind is told as much as by the list itself.
-const KEPT_SHARE: usize = 4;
+/// Changes are kept for so long, however many: nodes ask about twice a second, and again when an answer was lost. Of a fleet
+/// that starts a thousand engines are listed a second.
+const KEPT_FOR: Duration = Duration::from_secs(3);
 
 /// Recent changes of the list of engines, so that another node of the zone can catch up without a
 /// call to the source; see docs/design/reading.md.
@@ -17,6 +21,8 @@
     complete_after: Option<u64>,
     /// Changes, each with the revision of the batch that it came in.
     changes: VecDeque<(u64, ItemChange)>,
+    /// When each batch came, by its revision.
+    came_at: VecDeque<(u64, Timestamp)>,
 }
 
 /// What a node that is behind has to take in.
@@ -33,27 +39,36 @@
     pub fn restart(&mut self, revision: u64) {
         self.complete_after = Some(revision);
         self.changes.clear();
+        self.came_at.clear();
     }
 
-    /// Changes up to `revision` of a list of so many entries, which follow those in the log.
+    /// Changes up to `revision`, which follow those in the log.
     pub fn append(
         &mut self,
         changes: impl IntoIterator<Item = ItemChange>,
         revision: u64,
-        entries: usize,
+        now: Timestamp,
     ) {
         if self.complete_after.is_none() {
             return;
         }
+        let before = self.changes.len();
         for change in changes {
             self.changes.push_back((revision, change));
         }
-        let most = LEAST_KEPT.max(entries / KEPT_SHARE);
-        while self.changes.len() > most {
+        if self.changes.len() > before {
+            self.came_at.push_back((revision, now));
+        }
+        while self.changes.len() > LEAST_KEPT && self.is_oldest_batch_old(now) {
             self.forget_oldest_batch();
         }
     }
 
+    fn is_oldest_batch_old(&self, now: Timestamp) -> bool {
+        let oldest = self.came_at.front();
+        oldest.is_none_or(|(_, came_at)| now.since(*came_at) > KEPT_FOR)
+    }
+
     fn forget_oldest_batch(&mut self) {
         let Some((oldest, _)) = self.changes.front() else {
             return;
@@ -62,6 +77,9 @@
         while self.changes.front().is_some_and(|(at, _)| *at == oldest) {
             self.changes.pop_front();
         }
+        while self.came_at.front().is_some_and(|(at, _)| *at <= oldest) {
+            self.came_at.pop_front();
+        }
         self.complete_after = Some(oldest);
     }
 
--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -34,7 +34,7 @@
     let mut failures = 0;
     loop {
         while !gateway.needs_copy_proof(kind) {
-            sleep(LOOK_INTERVAL).await;
+            gateway.clock().look(LOOK_INTERVAL).await;
         }
         match ask(&gateway, source.as_ref(), kind).await {
             Ok(()) => failures = 0,
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -194,7 +194,7 @@
             if is_reader || waited >= patience {
                 return false;
             }
-            sleep(LOOK_INTERVAL).await;
+            self.gateway.clock().look(LOOK_INTERVAL).await;
         }
     }
 
@@ -325,17 +325,23 @@
         let patience = bound.mul_f64(rand::rng().random_range(PATIENCE_SHARES));
         loop {
             match self.gateway.role() {
-                Role::Relies if self.is_current(patience) => sleep(LOOK_INTERVAL).await,
+                Role::Relies if self.is_current(patience) => {
+                    self.gateway.clock().look(LOOK_INTERVAL).await
+                }
                 Role::Relies => return Duration::ZERO,
                 // After a failure the answer is wanted at once: it tells that nothing was missed.
                 Role::Watches | Role::Reads if self.failures > 0 => return Duration::ZERO,
                 // A long watch of each node of a fleet that starts would be left within moments.
-                Role::Watches if self.uptime() < SIZE_KNOWN_AFTER => sleep(LOOK_INTERVAL).await,
+                Role::Watches if self.uptime() < SIZE_KNOWN_AFTER => {
+                    self.gateway.clock().look(LOOK_INTERVAL).await
+                }
                 Role::Watches if self.is_new() && self.asked_within(SPACING_WHILE_NEW) => {
-                    sleep(LOOK_INTERVAL).await;
+                    self.gateway.clock().look(LOOK_INTERVAL).await;
                 }
                 Role::Watches => return self.settings.watch,
-                Role::Reads if self.asked_within(LEAST_SPACING) => sleep(LOOK_INTERVAL).await,
+                Role::Reads if self.asked_within(LEAST_SPACING) => {
+                    self.gateway.clock().look(LOOK_INTERVAL).await
+                }
                 Role::Reads => return bound.mul_f64(READER_WATCH_SHARE),
             }
         }
@@ -344,7 +350,7 @@
     /// Resolves when this node is not to watch the source as one of few nodes any more.
     async fn has_grown_large(&self) {
         while self.gateway.role() == Role::Watches {
-            sleep(LOOK_INTERVAL).await;
+            self.gateway.clock().look(LOOK_INTERVAL).await;
         }
     }
 
@@ -353,7 +359,7 @@
     /// source has told another question that a watch from there can't go on.
     async fn is_overtaken(&self, revision: u64) {
         while !self.lacks_changes(revision) {
-            sleep(LOOK_INTERVAL).await;
+            self.gateway.clock().look(LOOK_INTERVAL).await;
         }
         sleep(WATCH_LAG).await;
     }
@@ -465,7 +471,7 @@
             waited >= patience || self.gateway.source_answered_since(failed_at)
         };
         while !is_over() {
-            sleep(LOOK_INTERVAL).await;
+            self.gateway.clock().look(LOOK_INTERVAL).await;
         }
     }
 }
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -33,7 +33,7 @@
 
 async fn wait_until_older(gateway: &Gateway, patience: Duration) {
     while !needs_proof(gateway, patience) {
-        sleep(LOOK_INTERVAL).await;
+        gateway.clock().look(LOOK_INTERVAL).await;
     }
 }
 
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -3,7 +3,7 @@
 use ryerouter_core::identity::BackEndName;
 use serde::{Deserialize, Serialize};
 
-use super::EngineChange;
+use super::{Changes, EngineChange};
 use crate::engines::EngineEntry;
 use crate::peers::NamedNews;
 use crate::peers::readable::readable;
@@ -45,6 +45,9 @@
     #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
     #[serde(deserialize_with = "readable")]
     pub changes: Vec<EngineChange>,
+    /// The same in groups, for an asker that reads them.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub groups: Option<Changes>,
     /// The whole list of engines, for an asker that wants it and can't be told by changes.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     #[serde(deserialize_with = "readable")]
--- a/crates/gateway/src/sync/change.rs
+++ b/crates/gateway/src/sync/change.rs
@@ -21,6 +21,14 @@
 }
 
 impl EngineChange {
+    /// The engine that it is about.
+    pub fn engine(&self) -> &BackEndName {
+        match self {
+            Self::Listed(entry) => &entry.name,
+            Self::Gone(name) | Self::Unusable(name) => name,
+        }
+    }
+
     /// The same change, when it is one of engines.
     pub fn of(change: ItemChange) -> Option<Self> {
         match change {
--- a/crates/gateway/src/sync/list_transfer.rs
+++ b/crates/gateway/src/sync/list_transfer.rs
@@ -7,6 +7,7 @@
 use ryerouter_core::identity::BackEndName;
 use serde::{Deserialize, Serialize};
 
+use super::EntryGroup;
 use crate::engines::EngineEntry;
 use crate::peers::readable::readable;
 
@@ -24,7 +25,7 @@
     pub after: Option<BackEndName>,
 }
 
-/// A piece of the list of engines, in the order of their names.
+/// A piece of the list of engines: all whose names lie between two.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListPiece {
     /// Where it begins, as it was asked for.
@@ -37,7 +38,7 @@
     /// The entries.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     #[serde(deserialize_with = "readable")]
-    pub entries: Vec<EngineEntry>,
+    pub groups: Vec<EntryGroup>,
     /// Entries that can't be read, told with the first piece.
     #[serde(rename = "u", default, skip_serializing_if = "Vec::is_empty")]
     pub unusable: Vec<BackEndName>,
@@ -102,7 +103,9 @@
         self.asked_at = None;
         self.unanswered = 0;
         let revision = *self.revision.get_or_insert(piece.revision);
-        self.entries.extend(piece.entries);
+        let entries = piece.groups.into_iter();
+        self.entries
+            .extend(entries.flat_map(EntryGroup::into_entries));
         self.unusable.extend(piece.unusable);
         self.after = piece.next;
         if self.after.is_some() {
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -8,6 +8,8 @@
 
 mod answer;
 mod change;
+mod changes;
+mod entry_group;
 mod exchange;
 mod list_transfer;
 mod question;
@@ -15,6 +17,8 @@
 
 pub use answer::{Answer, Mark};
 pub use change::EngineChange;
+pub use changes::Changes;
+pub use entry_group::EntryGroup;
 pub use exchange::Exchange;
 pub use list_transfer::{ListFetch, ListPiece, ListTransfer, WholeList};
 pub use question::Question;
--- a/crates/gateway/src/sync/question.rs
+++ b/crates/gateway/src/sync/question.rs
@@ -17,6 +17,9 @@
     /// Whether the asker wants the whole list of engines, since the source does not tell it.
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub wants_list: bool,
+    /// Whether the asker reads changes of the list of engines in groups, which former builds do not.
+    #[serde(rename = "g", default, skip_serializing_if = "is_false")]
+    pub reads_groups: bool,
 }
 
 fn is_false(value: &bool) -> bool {
--- a/crates/gateway/tests/unusable_entries.rs
+++ b/crates/gateway/tests/unusable_entries.rs
@@ -102,6 +102,7 @@
             engines: None,
             weights: None,
             wants_list: true,
+            reads_groups: false,
         });
         assert_eq!(told.unusable, [BackEndName::new(ENGINE)]);
         let (_, question) = other.next_question().unwrap();
