Fleet: what one answer does not hold is asked for at once

Cause, by the log of a node of a fleet that starts: it took a thousand changes of the list of engines each 400 ms while as many came, was never complete and so never proven for 3.8 s, and asked the source for them, as all others did.

Change: an answer that brought some of what is lacking is followed by the next question at once.

--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -276,16 +276,22 @@
         }
     }
 
-    /// Takes the answer of a reader.
-    pub fn take_answer(&self, answer: Answer) {
+    /// Takes the answer of a reader; tells whether it brought some of what this node lacks, so that the rest is to be
+    /// asked for at once. While a fleet starts more changes than one answer holds between two questions, and a copy that
+    /// is never complete is never proven: each node then asked the source for them.
+    pub fn take_answer(&self, answer: Answer) -> bool {
         let Some((reader, asked_at)) = self.state_mut().sync.close(answer.number) else {
-            return;
+            return false;
         };
+        let before = self.state().replicas.of(ItemKind::Engines).revision;
         self.take_engines(&answer, asked_at);
         self.take_weights(&answer, asked_at);
         self.take_configuration(&answer, &reader, asked_at);
         self.judge_reader(&reader, &answer);
         self.become_ready();
+        let after = self.state().replicas.of(ItemKind::Engines).revision;
+        let newest = answer.engines.map(|mark| mark.position);
+        before < after && after < newest
     }
 
     fn take_engines(&self, answer: &Answer, asked_at: Timestamp) {
@@ -381,6 +387,7 @@
         ];
         let is_stale = marks.into_iter().any(|(mark, kind)| match mark {
             Some(mark) => Duration::from_millis(mark.age_ms) >= limit,
+            None if kind == ItemKind::Configuration => state.table.is_some(),
             None => state.replicas.of(kind).freshness.proven_at().is_some(),
         });
         if is_stale {
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -95,7 +95,11 @@
             let answer = gateway.answer_question(&question);
             send(gateway, socket, &Datagram::Answer(answer), &[from]);
         }
-        Ok(Datagram::Answer(answer)) => gateway.take_answer(answer),
+        Ok(Datagram::Answer(answer)) => {
+            if gateway.take_answer(answer) {
+                ask(gateway, socket);
+            }
+        }
         Ok(Datagram::Fetch(fetch)) => {
             if let Some(chunk) = gateway.answer_fetch(&fetch) {
                 send(gateway, socket, &Datagram::Chunk(chunk), &[from]);
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -297,6 +297,26 @@
     });
 }
 
+#[test]
+fn changes_that_one_answer_does_not_hold_are_asked_for_at_once() {
+    run(async {
+        let nodes = zone_of_many();
+        let (reader, other) = (&nodes[0], &nodes[5]);
+        for batch in 0..5 {
+            let name = |index| format!("i-{batch}-{index}");
+            let changes = (0..400).map(|index| engine_change(&name(index), EngineState::Ready));
+            source_tells(reader, changes.collect(), 101 + batch);
+        }
+        let mut answers = 0;
+        while other.take_answer(ask(other, reader).expect("relies on the reader")) {
+            answers += 1;
+        }
+        assert_eq!(answers, 2);
+        let state = other.state();
+        assert_eq!(state.replicas.of(ItemKind::Engines).revision, Some(105));
+    });
+}
+
 /// Where a whole deployment starts before there is a configuration, a reader that has none is as good as any.
 #[test]
 fn reader_without_a_configuration_is_not_left_by_a_node_without_one() {
--- a/crates/gateway/tests/support/region_fleet.rs
+++ b/crates/gateway/tests/support/region_fleet.rs
@@ -200,7 +200,12 @@
                 let answer = gateway.answer_question(&question);
                 self.send(to, back, Datagram::Answer(answer));
             }
-            Datagram::Answer(answer) => gateway.take_answer(answer),
+            Datagram::Answer(answer) => {
+                let has_more = gateway.take_answer(answer);
+                if has_more && let Some((reader, question)) = gateway.next_question() {
+                    self.send(to, reader, Datagram::Question(question));
+                }
+            }
             Datagram::Fetch(fetch) => {
                 if let Some(chunk) = gateway.answer_fetch(&fetch) {
                     self.send(to, back, Datagram::Chunk(chunk));
