Fleet: the next nodes of a wide zone answer for its reader

Cause, by the log of a node of a fleet that starts: the reader of a zone of 197 nodes told each of them a thousand changes a second, more than its link carries, fell silent, and all nodes asked the next one, and then the source.

Change: in a zone of more than ninety nodes as many deputies as the square root of its nodes ask the reader, and each of the others asks one of them, by hash; all ask five times a second, so that what passes one node more is as old as before. Not played on the fleet.

--- a/crates/gateway/src/gateway/reading.rs
+++ b/crates/gateway/src/gateway/reading.rs
@@ -7,6 +7,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::NodeName;
 use slog::{debug, info};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState, ProofOfFreshness, SETTLING};
 use crate::engines::{Engine, EngineEntry};
@@ -77,9 +78,39 @@
         now: Timestamp,
     ) -> Option<(NodeName, SocketAddr)> {
         let near = self.reader(state, now);
+        let deputy = near.as_ref().and_then(|_| self.deputy(state, now));
+        let near = deputy.or(near);
         near.or_else(|| self.first_before_own(state, |_| true, now))
     }
 
+    /// In a wide zone the node that this one asks in place of the zone's reader: one of the next nodes in the order in which
+    /// they read, about as many as each of them then answers. `None` for these nodes themselves.
+    ///
+    /// While a fleet starts a thousand engines are listed a second; told to two hundred nodes by one that took all that
+    /// its link of 200 Mbit/s carries.
+    fn deputy(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+        if !state.peers.is_wide() {
+            return None;
+        }
+        let own = &self.settings().identity;
+        let deputies = state.peers.near_count().isqrt();
+        let near = state.peers.ready(now).filter(|peer| peer.is_near);
+        let mut before: Vec<_> = near
+            .map(|peer| &peer.identity)
+            .filter(|other| other.reading_rank() < own.reading_rank())
+            .collect();
+        if before.len() <= deputies {
+            return None;
+        }
+        before.sort_unstable_by_key(|other| other.reading_rank());
+        let first = xxh3_64(own.name.as_str().as_bytes()) as usize % deputies;
+        // The first of all reads for the zone, and is left to the deputies.
+        let turns = (0..deputies).map(|turn| before[1 + (first + turn) % deputies]);
+        let mut able = turns.filter(|other| state.sync.may_ask(&other.name, now));
+        let chosen = able.next()?;
+        Some((chosen.name.clone(), chosen.peer_address))
+    }
+
     /// Whether this node reads for its zone what a node of another zone tells it.
     pub fn is_zone_reader(&self) -> bool {
         let now = self.clock().now();
@@ -87,10 +118,14 @@
         state.peers.is_large() && self.reader(&state, now).is_none()
     }
 
-    /// Whether this node asks another one twice as often: it reads for its zone, or is one of few and
-    /// asks only while it is behind.
+    /// Whether this node asks another one twice as often: it reads for its zone, is one of few and asks only while
+    /// it is behind, or stands in a wide zone, where what it is told has passed through one node more.
     pub fn asks_often(&self) -> bool {
-        !self.state().peers.is_large() || self.is_zone_reader()
+        let is_few_or_many = {
+            let state = self.state();
+            !state.peers.is_large() || state.peers.is_wide()
+        };
+        is_few_or_many || self.is_zone_reader()
     }
 
     /// The node that reads for this zone: the first of its nodes; `None` when that is this node
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -174,6 +174,11 @@
         self.near_count > WIDE_ZONE
     }
 
+    /// How many other nodes of the own zone this one has heard of.
+    pub fn near_count(&self) -> usize {
+        self.near_count
+    }
+
     /// How many nodes this one has heard of itself, silent ones included.
     pub fn heard_count(&self) -> usize {
         self.peers.len()
