--- a/crates/core/src/release/comparison.rs
+++ b/crates/core/src/release/comparison.rs
@@ -63,6 +63,7 @@
 pub struct Comparison {
     seen: Counts,
     baselines: BTreeMap<RouteKey, Baseline>,
+    /// The present version's answers of the last moments, which slow ones are compared with.
     control: RecentAnswers,
     /// The target version's answers of the last moments.
     recent: RecentAnswers,
--- a/crates/core/src/release/recent_answers.rs
+++ b/crates/core/src/release/recent_answers.rs
@@ -64,8 +64,8 @@
         sum
     }
 
-    /// What the answers around a moment, which are the present version's, say of slow ones then. A slowness of all may begin or end then, so of those before
-    /// and those after it the slower ones count.
+    /// What the answers around a moment, which are the present version's, say of slow ones then. A slowness of all
+    /// may begin or end at that moment, so of those before and those after it the slower ones count.
     pub(super) fn around(&self, moment: Timestamp) -> Control {
         let within = |from, to| {
             let answers = self.answers.iter();
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod order_candidacy;
 mod peer_news;
 mod proof_of_freshness;
+mod readers;
 mod reading;
 mod release_intake;
 mod release_news;
--- /dev/null
+++ b/crates/gateway/src/gateway/readers.rs
@@ -0,0 +1,93 @@
+//! Which node another one catches up with; see docs/design/reading.md.
+
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::NodeName;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Gateway, GatewayState};
+use crate::peers::{Capacity, NodeIdentity, NodeState, Peer};
+
+impl Gateway {
+    /// The node that this one catches up with: the reader of its zone, or for that one the first of
+    /// all nodes. It always comes before this one, so no two wait for each other.
+    pub(super) fn parent(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
+        let near = self.reader(state, now);
+        let deputy = near.as_ref().and_then(|_| self.deputy(state, now));
+        let near = deputy.or(near);
+        near.or_else(|| self.first_before_own(state, |_| true, now))
+    }
+
+    /// In a wide zone the node that this one asks in place of the zone's reader: one of the next nodes in the order in which
+    /// they read, about as many as each of them then answers. `None` for these nodes themselves.
+    ///
+    /// While a fleet starts a thousand engines are listed a second; told to two hundred nodes by one that took all that
+    /// its link of 200 Mbit/s carries.
+    fn deputy(&self, state: &GatewayState, now: Timestamp) -> Option<(NodeName, SocketAddr)> {
+        if !state.peers.is_wide() {
+            return None;
+        }
+        let own = &self.settings().identity;
+        let deputies = state.peers.near_count().isqrt();
+        let near = state.peers.ready(now).filter(|peer| peer.is_near);
+        let mut before: Vec<_> = near
+            .map(|peer| &peer.identity)
+            .filter(|other| other.reading_rank() < own.reading_rank())
+            .collect();
+        if before.len() <= deputies {
+            return None;
+        }
+        before.sort_unstable_by_key(|other| other.reading_rank());
+        let first = xxh3_64(own.name.as_str().as_bytes()) as usize % deputies;
+        // The first of all reads for the zone, and is left to the deputies.
+        let turns = (0..deputies).map(|turn| before[1 + (first + turn) % deputies]);
+        let mut able = turns.filter(|other| state.sync.may_ask(&other.name, now));
+        let chosen = able.next()?;
+        Some((chosen.name.clone(), chosen.peer_address))
+    }
+
+    /// The node that reads for this zone: the first of its nodes; `None` when that is this node
+    /// itself.
+    pub(super) fn reader(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
+        self.first_before_own(state, |peer| peer.is_near, now)
+    }
+
+    /// The first of the nodes that may be asked, unless this one comes before it. Those that serve come
+    /// before those that have only started, then the larger ones, which read for all others of a zone
+    /// beside their own requests, and then the names decide.
+    fn first_before_own(
+        &self,
+        state: &GatewayState,
+        is_eligible: impl Fn(&Peer) -> bool,
+        now: Timestamp,
+    ) -> Option<(NodeName, SocketAddr)> {
+        let own = &self.settings().identity;
+        let may_be_asked = |peer: &&Peer| {
+            let is_staying = peer.state != NodeState::Leaving;
+            is_staying && is_eligible(peer) && state.sync.may_ask(&peer.identity.name, now)
+        };
+        let others = state.peers.alive(now).filter(may_be_asked);
+        let peer = others.min_by_key(|peer| asking_rank(peer.state, &peer.identity))?;
+        let identity = &peer.identity;
+        let comes_before = asking_rank(peer.state, identity) < asking_rank(state.node_state, own);
+        comes_before.then(|| (identity.name.clone(), identity.peer_address))
+    }
+}
+
+/// Place of a node among those of which the first is asked.
+fn asking_rank(
+    state: NodeState,
+    identity: &NodeIdentity,
+) -> (bool, (Reverse<Capacity>, &NodeName)) {
+    (state != NodeState::Ready, identity.reading_rank())
+}
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -1,5 +1,7 @@
 //! Following the source.
 
+mod first_list;
+
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,10 +50,6 @@
 
 /// A node that was just started knows after so long whether there are many others, also where all start at once.
 const SIZE_KNOWN_AFTER: Duration = Duration::from_millis(700);
-/// Seconds for which a node waits for others to hand the list on before it reads all pages itself: each of a
-/// zone's nodes that has the list hands it on to others within about a second, drawn so that not all give up at once.
-const HANDOVER_PATIENCE: Range<f64> = 5.0..8.0;
-
 /// The share of the time within which changes must be in force that a node waits for others to hand on what it lacks:
 /// what is left suffices for a question to the source.
 const HANDOVER_SHARE: f64 = 0.4;
@@ -146,58 +144,6 @@
         }
     }
 
-    /// The first list of engines may have many pages: a fleet that starts reads them once for a zone, and the other
-    /// nodes are handed the list by those that have it. Tells whether that has happened, or all came in one page.
-    async fn is_handed_list(&mut self) -> bool {
-        if self.kind != ItemKind::Engines || self.revision().is_some() {
-            return false;
-        }
-        let asked_at = self.gateway.clock().now();
-        self.asked_at = Some(asked_at);
-        self.listed_at = Some(asked_at);
-        let page = self.source.list(self.kind, Consistency::Stale, None);
-        let page = timeout(self.settings.answer, page).await;
-        let page = page.unwrap_or(Err(SourceError::NoAnswer));
-        self.gateway
-            .count_question(self.kind, Way::List, page.is_ok());
-        match page {
-            Ok(page) if page.next_after.is_none() => {
-                self.note_answer();
-                self.take_list(List {
-                    items: page.items,
-                    revision: page.revision,
-                    consistency: Consistency::Stale,
-                    asked_at,
-                });
-                true
-            }
-            Ok(_) => self.waits_for_handed_list().await,
-            Err(error) => {
-                self.pause_after(&error).await;
-                false
-            }
-        }
-    }
-
-    /// Waits until others have handed the list on, unless it falls to this node to read it, or none does.
-    async fn waits_for_handed_list(&self) -> bool {
-        let begun_at = self.gateway.clock().now();
-        let patience = rand::rng().random_range(HANDOVER_PATIENCE);
-        let patience = Duration::from_secs_f64(patience);
-        loop {
-            let waited = self.gateway.clock().now().since(begun_at);
-            let is_known = waited >= SIZE_KNOWN_AFTER;
-            let is_reader = is_known && !self.gateway.may_be_handed_list();
-            if self.revision().is_some() {
-                return true;
-            }
-            if is_reader || waited >= patience {
-                return false;
-            }
-            self.gateway.clock().look(LOOK_INTERVAL).await;
-        }
-    }
-
     fn take_list(&mut self, list: List) {
         self.log_list(&list);
         self.listed_at = Some(list.asked_at);
