Sight: failed attempts name a digest of path, caller and body

Repeats of a request come under new ids, so no line told that the engines which ended one after the other had been sent the same request.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod migration;
 pub mod order;
 pub mod placement;
+pub mod poison;
 pub mod prompt;
 pub mod quota;
 pub mod release;
--- /dev/null
+++ b/crates/core/src/poison/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that end the engines that run them.
+
+mod digest;
+
+pub use digest::{Digest, UnreadableDigest};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod placement;
 pub mod places;
+pub mod poison;
 pub mod quotas;
 pub mod relay;
 pub mod release;
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -1,14 +1,17 @@
 //! A request that may be sent to an engine.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Method, Uri};
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
+use ryerouter_core::poison::Digest;
 
 use crate::catalogue::{RequestKind, Route, Tenant};
+use crate::poison;
 use crate::request::CallerRequest;
 
 /// A request that may be sent to an engine.
@@ -36,6 +39,8 @@
     pub arrived_at: Timestamp,
     /// When its final answer is due.
     pub deadline: Timestamp,
+    /// What stands for it and its repeats, once that was asked for: mostly it never is.
+    pub(super) digest: OnceCell<Digest>,
 }
 
 impl AcceptedRequest {
@@ -49,6 +54,15 @@
         }
     }
 
+    /// What stands for it and its repeats.
+    pub fn digest(&self) -> Digest {
+        *self.digest.get_or_init(|| {
+            let caller = self.tenant.as_ref().map(|tenant| &tenant.name);
+            let host = self.headers.get(HOST).map(|host| host.as_bytes());
+            poison::digest(caller, host.unwrap_or_default(), &self.uri, &self.body)
+        })
+    }
+
     /// Whether a good answer is a stream.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RequestKind::Streaming
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -278,7 +278,11 @@
         let prompt = self.request.caller.prompt.as_ref();
         let model = prompt.map(|prompt| prompt.model.as_str());
         learn(&self.gateway, model, placement, end);
+        let digest = end
+            .may_have_run()
+            .then(|| self.request.digest().to_string());
         warn!(self.gateway.log(), "attempt_failed"; "request" => &self.request.caller.id,
+            "digest" => digest,
             "engine" => %placement.engine, "address" => %placement.address,
             "end" => %end, "weights" => placement.weights, "cost" => %placement.cost,
             "configuration" => self.request.configuration_version, "arrivals" => self.arrivals,
--- a/crates/gateway/src/serve/intake.rs
+++ b/crates/gateway/src/serve/intake.rs
@@ -1,5 +1,6 @@
 //! Taking a request in: its head, its body, its route and its key.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,6 +64,7 @@
         configuration_version: table.version(),
         arrived_at,
         deadline: arrived_at.after(patience),
+        digest: OnceCell::new(),
     })
 }
 
