--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway with scripted engines, over loopback.
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+pub mod crashing_engine;
 pub mod fleet;
 pub mod followers;
 pub mod gateway_bench;
--- a/crates/gateway/tests/support/scripted_engine.rs
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -113,7 +113,7 @@
     }
 
     async fn serve(&self, mut stream: TcpStream) {
-        while let Some(head) = read_request(&mut stream).await {
+        while let Some((head, _)) = read_request(&mut stream).await {
             let arrival = Arrival { head };
             let goes_on = arrival.header("x-after").is_some();
             let id = arrival.header("x-id").unwrap_or_default();
@@ -175,7 +175,8 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Head and body of the next request; `None` when the connection ends before.
+pub async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut bytes = Vec::new();
     let mut byte = [0; 1];
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -189,7 +190,7 @@
     let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
-    Some(head)
+    Some((head, String::from_utf8(body).ok()?))
 }
 
 fn answer(status: u16, id: &str, more: &str, body: &str) -> String {
@@ -200,18 +201,21 @@
     )
 }
 
-fn stream_head(id: &str) -> String {
+/// Head of an answer that is a stream.
+pub fn stream_head(id: &str) -> String {
     format!(
         "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     )
 }
 
-fn chunk(text: &str) -> String {
+/// One chunk of its body.
+pub fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-async fn write(stream: &mut TcpStream, text: &str) {
+/// Writes at once.
+pub async fn write(stream: &mut TcpStream, text: &str) {
     // A caller that has left shows in the next read.
     let _ = stream.write_all(text.as_bytes()).await;
     let _ = stream.flush().await;
