A request that ends its engines is held back by all nodes after three ends in a row

Cause: every limit on repeats counts within one id.

Change: nodes keep a history of each request (keyed hash of path, caller and body) under which an engine ended, tell each other at once, and hold it back after three ends in a row: 503 with the time of its next trial. A good run anywhere clears it, copies that ran at the same time count as one end, an engine that is still listed long after withdraws its end.

Why it holds: the history is merged in any order, told at each change and with introductions, bounded by engines that end; the count does not hang on ids, nodes or attempts.

--- /dev/null
+++ b/crates/core/src/poison/history.rs
@@ -0,0 +1,154 @@
+//! What is known of one request under which engines ended.
+
+use std::time::Duration;
+
+use super::{Crash, Verdict};
+use crate::Timestamp;
+
+/// Runs, one after the other, that each ended their engine: two may be chance where engines fail by themselves.
+const CRASHES_TO_CONVICT: usize = 3;
+/// Runs that began so soon after the last of these were sent by nodes that had not heard of it.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+/// How long a request is held back before each of its trials: engines get other weights and software, so that it
+/// may run one day, but each trial may cost one. These are all the trials of its life.
+const WAITS: [Duration; 3] = [
+    Duration::from_secs(60),
+    Duration::from_secs(600),
+    Duration::from_secs(86_400),
+];
+/// Bounds the ends after the last trial, which only nodes add that were out of touch.
+const MOST_CRASHES: usize = CRASHES_TO_CONVICT + 2 * WAITS.len();
+
+/// What is known of one request under which engines ended.
+///
+/// Nodes tell each other their histories, and each merges what it hears into its own. It does not matter in
+/// which order or how often.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct History {
+    /// Each began after the one before it had ended, but for those after the conviction.
+    pub crashes: Vec<Crash>,
+    /// When it was last seen to run to a good end: what ended before says nothing of it.
+    pub cleared_at: Option<Timestamp>,
+    /// Trials that have begun.
+    pub trials: u32,
+    /// When the last of them did.
+    pub tried_at: Option<Timestamp>,
+}
+
+impl History {
+    /// An engine ended under a run; `false` when this tells nothing new.
+    pub fn note_crash(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
+        if is_known || self.cleared_at >= Some(crash.ended) {
+            return false;
+        }
+        let before = self.crashes.clone();
+        self.crashes.push(crash);
+        self.sort();
+        self.crashes != before
+    }
+
+    /// A run came to a good end; `false` when this tells nothing new.
+    pub fn clear(&mut self, at: Timestamp) -> bool {
+        if self.cleared_at >= Some(at) {
+            return false;
+        }
+        self.cleared_at = Some(at);
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| crash.ended > at);
+        let has_changed = self.crashes.len() < count;
+        if self.crashes.is_empty() {
+            self.trials = 0;
+            self.tried_at = None;
+        }
+        has_changed
+    }
+
+    /// Takes out the ends of engines that were no ends; tells how many.
+    pub fn withdraw(&mut self, is_no_end: impl Fn(&Crash) -> bool) -> usize {
+        let count = self.crashes.len();
+        self.crashes.retain(|crash| !is_no_end(crash));
+        count - self.crashes.len()
+    }
+
+    /// Takes in what another node knows; `false` when that is nothing new.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let mut is_news = other.cleared_at.is_some_and(|at| self.clear(at));
+        if !self.is_convicted()
+            && other.is_convicted()
+            && self.cleared_at < other.crashes.last().map(|crash| crash.ended)
+        {
+            // How the times of its ends lie to each other is known best to the node that told them.
+            self.crashes.clone_from(&other.crashes);
+            is_news = true;
+        }
+        for crash in &other.crashes {
+            is_news |= self.note_crash(crash.clone());
+        }
+        if !self.crashes.is_empty() {
+            is_news |= self.trials < other.trials;
+            self.trials = self.trials.max(other.trials);
+            self.tried_at = self.tried_at.max(other.tried_at);
+        }
+        is_news
+    }
+
+    /// Whether three runs, one after the other, each ended their engine.
+    pub fn is_convicted(&self) -> bool {
+        self.convicted_at().is_some()
+    }
+
+    /// When the last of these ended.
+    pub fn convicted_at(&self) -> Option<Timestamp> {
+        let last = self.crashes.get(CRASHES_TO_CONVICT - 1)?;
+        Some(last.ended)
+    }
+
+    /// Whether the request may be sent to an engine.
+    pub fn verdict(&self, now: Timestamp) -> Verdict {
+        let Some(convicted_at) = self.convicted_at() else {
+            return Verdict::Runs;
+        };
+        let wait = WAITS.get(self.trials_used(convicted_at));
+        let last = self.crashes.iter().map(|crash| crash.ended).max();
+        let since = last.max(self.tried_at).unwrap_or(convicted_at);
+        let Some(due) = wait.map(|wait| since.after(*wait)) else {
+            let come_back_after = WAITS[WAITS.len() - 1];
+            return Verdict::Refused { come_back_after };
+        };
+        match now >= due {
+            true => Verdict::Trial,
+            false => Verdict::Refused {
+                come_back_after: due.since(now),
+            },
+        }
+    }
+
+    /// A trial begins.
+    pub fn begin_trial(&mut self, now: Timestamp) {
+        self.trials += 1;
+        self.tried_at = Some(now);
+    }
+
+    /// Trials that have begun: two nodes that began one at the same moment each know of one, and of both ends.
+    fn trials_used(&self, convicted_at: Timestamp) -> usize {
+        let since = convicted_at.after(NEWS_TIME);
+        let late = self.crashes.iter().filter(|crash| crash.began > since);
+        late.count().max(self.trials as usize)
+    }
+
+    /// Keeps the ends that followed each other, and those that came long after.
+    fn sort(&mut self) {
+        let mut crashes = std::mem::take(&mut self.crashes);
+        crashes.sort_by_key(|crash| crash.ended);
+        for crash in crashes {
+            let is_kept = match self.convicted_at() {
+                Some(at) => crash.began > at.after(NEWS_TIME) && self.crashes.len() < MOST_CRASHES,
+                None => self.crashes.last().is_none_or(|last| crash.follows(last)),
+            };
+            if is_kept {
+                self.crashes.push(crash);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/poison/verdict.rs
@@ -0,0 +1,17 @@
+//! Whether a request may be sent to an engine.
+
+use std::time::Duration;
+
+/// Whether a request may be sent to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// As any other.
+    Runs,
+    /// It is held back, but it is time to see whether it still ends its engine.
+    Trial,
+    /// It is held back.
+    Refused {
+        /// Until the next trial.
+        come_back_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/core/tests/poison.rs
@@ -0,0 +1,242 @@
+//! Requests that end the engines that run them: what convicts one, what clears it, and when it is tried again.
+
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::{BackEndName, Incarnation};
+use ryerouter_core::poison::{Crash, Digest, History, Register, Verdict};
+use yare::parameterized;
+
+const MINUTE: u64 = 60_000;
+const DAY: u64 = 1_440 * MINUTE;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+/// An engine that ended; times in milliseconds.
+fn crash(engine: &str, began: u64, ended: u64) -> Crash {
+    Crash {
+        engine: BackEndName::new(engine),
+        incarnation: None,
+        began: at(began),
+        ended: at(ended),
+    }
+}
+
+/// Runs one after the other, each of which ended its engine; the last ended at 2,100.
+fn in_a_row(count: u64) -> Vec<Crash> {
+    let one = |index: u64| crash(&format!("e{index}"), index * 1_000, index * 1_000 + 100);
+    (0..count).map(one).collect()
+}
+
+fn history(crashes: impl IntoIterator<Item = Crash>) -> History {
+    let mut history = History::default();
+    for crash in crashes {
+        history.note_crash(crash);
+    }
+    history
+}
+
+#[parameterized(
+    none = { 0, false },
+    one = { 1, false },
+    two = { 2, false },
+    three = { 3, true },
+    more = { 6, true },
+)]
+fn three_ends_in_a_row_hold_a_request_back(count: u64, expected: bool) {
+    let history = history(in_a_row(count));
+    assert_eq!(history.is_convicted(), expected);
+    let runs = history.verdict(at(10_000)) == Verdict::Runs;
+    assert_eq!(runs, !expected);
+}
+
+/// All copies of a popular request end with a pool that is lost; what ends later began later.
+#[parameterized(
+    at_the_same_moment = { [1_000, 1_000, 1_000] },
+    within_moments = { [1_000, 1_020, 1_040] },
+    while_the_others_ran = { [1_000, 1_400, 1_800] },
+)]
+fn copies_that_ran_at_the_same_time_are_one_end(ends: [u64; 3]) {
+    let copies = ends.iter().enumerate();
+    let crashes = copies.map(|(index, ended)| crash(&format!("e{index}"), 700, *ended));
+    let history = history(crashes);
+    assert_eq!(history.crashes.len(), 1);
+}
+
+#[test]
+fn two_runs_at_the_same_engine_are_one_end() {
+    let mut crashes = in_a_row(2);
+    crashes.push(crash("e1", 2_000, 2_100));
+    assert!(!history(crashes).is_convicted());
+}
+
+#[test]
+fn another_life_of_an_engine_is_another_engine() {
+    let mut crashes = in_a_row(3);
+    for (life, crash) in crashes.iter_mut().enumerate() {
+        crash.engine = BackEndName::new("e1");
+        crash.incarnation = Some(Incarnation(life as u64));
+    }
+    assert!(history(crashes).is_convicted());
+}
+
+#[parameterized(
+    before_the_first = { 50, true },
+    before_the_last = { 1_500, false },
+    afterwards = { 5_000, false },
+)]
+fn run_to_a_good_end_speaks_for_all_before_it(cleared: u64, expected: bool) {
+    let mut cleared_later = history(in_a_row(3));
+    cleared_later.clear(at(cleared));
+    let mut told_later = History::default();
+    told_later.clear(at(cleared));
+    for crash in in_a_row(3) {
+        told_later.note_crash(crash);
+    }
+    assert_eq!(cleared_later.is_convicted(), expected);
+    assert_eq!(told_later.is_convicted(), expected);
+}
+
+#[test]
+fn engine_that_has_gone_on_speaks_for_the_request() {
+    let mut history = history(in_a_row(3));
+    let withdrawn = history.withdraw(|crash| crash.engine.as_str() == "e1");
+    assert_eq!(withdrawn, 1);
+    assert_eq!(history.verdict(at(10_000)), Verdict::Runs);
+}
+
+/// Plays the life of a request that is sent all the time: tells when it was sent on after its conviction.
+fn trials(until: u64, step: u64) -> Vec<u64> {
+    let mut history = history(in_a_row(3));
+    let mut sent = Vec::new();
+    let mut now = 2_100;
+    while now < until {
+        now += step;
+        match history.verdict(at(now)) {
+            Verdict::Runs => panic!("runs at {now}"),
+            Verdict::Trial => {
+                history.begin_trial(at(now));
+                history.note_crash(crash(&format!("t{now}"), now, now + 100));
+                sent.push(now);
+            }
+            Verdict::Refused { come_back_after } => assert!(come_back_after > Duration::ZERO),
+        }
+    }
+    sent
+}
+
+#[test]
+fn request_that_is_held_back_is_tried_three_times_in_its_life() {
+    assert!(trials(MINUTE, 500).is_empty());
+    assert_eq!(trials(5 * MINUTE, 500).len(), 1);
+    assert_eq!(trials(20 * MINUTE, 500).len(), 2);
+    assert_eq!(trials(30 * DAY, 10 * MINUTE).len(), 3);
+}
+
+/// Two nodes begin one at the same moment: both count.
+#[test]
+fn trials_of_two_nodes_at_the_same_moment_count_twice() {
+    let mut one = history(in_a_row(3));
+    let mut other = one.clone();
+    for (history, engine) in [(&mut one, "t1"), (&mut other, "t2")] {
+        history.begin_trial(at(2 * MINUTE));
+        history.note_crash(crash(engine, 2 * MINUTE, 2 * MINUTE + 100));
+    }
+    one.merge(&other);
+    let refused = one.verdict(at(30 * MINUTE));
+    assert!(matches!(refused, Verdict::Refused { .. }), "{refused:?}");
+    assert_eq!(one.verdict(at(2 * DAY)), Verdict::Trial);
+}
+
+#[test]
+fn trial_that_comes_to_a_good_end_frees_the_request() {
+    let mut history = history(in_a_row(3));
+    history.begin_trial(at(2 * MINUTE));
+    history.clear(at(2 * MINUTE + 100));
+    assert_eq!(history.verdict(at(2 * MINUTE + 200)), Verdict::Runs);
+    assert_eq!(history.trials, 0);
+}
+
+/// Runs that were under way when the third engine ended are no trials.
+#[test]
+fn ends_under_runs_that_had_begun_before_the_news_are_no_trials() {
+    let mut history = history(in_a_row(3));
+    for index in 0..6 {
+        let began = 2_200 + index * 100;
+        history.note_crash(crash(&format!("l{index}"), began, began + 90));
+    }
+    assert_eq!(history.crashes.len(), 3);
+    assert_eq!(history.verdict(at(2 * MINUTE)), Verdict::Trial);
+}
+
+/// Each end is seen by another node, and all tell each other in any order.
+#[test]
+fn nodes_come_to_the_same_verdict_in_whatever_order_they_hear() {
+    let orders = [
+        [0, 1, 2],
+        [0, 2, 1],
+        [1, 0, 2],
+        [1, 2, 0],
+        [2, 0, 1],
+        [2, 1, 0],
+    ];
+    for order in orders {
+        let crashes = in_a_row(3);
+        let mut merged = History::default();
+        for index in order {
+            let told = history([crashes[index].clone()]);
+            assert!(merged.merge(&told), "{order:?}");
+            assert!(!merged.merge(&told), "{order:?}");
+        }
+        assert_eq!(merged, history(crashes), "{order:?}");
+    }
+}
+
+/// A node that had taken two of the ends for one, since they were told late, goes by the verdict of another.
+#[test]
+fn verdict_of_another_node_holds_here_too() {
+    let mut own = history([crash("e0", 0, 100), crash("e1", 20, 120)]);
+    assert!(own.merge(&history(in_a_row(3))));
+    assert!(own.is_convicted());
+}
+
+#[test]
+fn verdict_from_before_a_good_run_does_not_come_back() {
+    let told = history(in_a_row(3));
+    let mut own = History::default();
+    own.clear(at(5_000));
+    assert!(!own.merge(&told));
+    assert!(!own.is_convicted());
+}
+
+/// A caller can send a million bodies, but each entry needs an engine that has ended.
+#[test]
+fn register_is_bounded_and_keeps_what_is_held_back() {
+    let mut register = Register::default();
+    for crash in in_a_row(3) {
+        register.note_crash(Digest(0), crash, at(2_100));
+    }
+    for index in 1..5_000 {
+        let now = at(3_000 + index);
+        let crash = crash("e9", 3_000 + index, 3_000 + index);
+        register.note_crash(Digest(u128::from(index)), crash, now);
+    }
+    assert!(register.count() <= 1_024);
+    assert_eq!(register.convicted().collect::<Vec<_>>(), [Digest(0)]);
+}
+
+#[test]
+fn request_that_nobody_sends_any_more_is_forgotten() {
+    let mut register = Register::default();
+    register.note_crash(Digest(1), crash("e1", 0, 100), at(100));
+    for crash in in_a_row(3) {
+        register.note_crash(Digest(2), crash, at(2_100));
+    }
+    register.note_crash(Digest(3), crash("e3", 0, 100), at(61 * MINUTE));
+    assert!(register.get(Digest(1)).is_none());
+    assert!(register.get(Digest(2)).is_some());
+    register.note_crash(Digest(4), crash("e4", 0, 100), at(3 * DAY));
+    assert!(register.get(Digest(2)).is_none());
+}
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -8,6 +8,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::control::StoreVersion;
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
+use ryerouter_core::poison;
 use ryerouter_core::quota::Meter;
 
 use super::engines_behind::EnginesBehind;
@@ -97,6 +98,10 @@
     pub quotas: Quotas,
     /// Releases of engine software.
     pub releases: release::Table,
+    /// Requests under which engines ended.
+    pub poison: poison::Register,
+    /// Those of them to tell others of, and how often.
+    pub poison_news: BTreeMap<poison::Digest, u32>,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
@@ -216,6 +221,8 @@
             stale_starts: HashMap::new(),
             quotas: Quotas::new(settings.limit_tolerance, now),
             releases: release::Table::default(),
+            poison: poison::Register::default(),
+            poison_news: BTreeMap::new(),
             retries: HashMap::new(),
             peers,
             gives_orders: false,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod named_weights;
 mod order_candidacy;
 mod peer_news;
+mod poison;
 mod proof_of_freshness;
 mod readers;
 mod reading;
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -45,7 +45,8 @@
             return !state.weights_news.is_empty();
         }
         // What was dropped goes with the next message: a message of its own costs more than it saves.
-        !state.holder_news.is_empty() || !state.weights_news.is_empty()
+        let has_poison = !state.poison_news.is_empty() && !state.peers.is_large();
+        !state.holder_news.is_empty() || !state.weights_news.is_empty() || has_poison
     }
 
     /// Whether a node has come that knows nothing of this one yet, or nobody may know of it.
@@ -106,6 +107,7 @@
             reading: state.reading_demand.news(now),
             releases: self.release_news(&state, is_introduction, now),
             evidence: self.evidence_news(&state),
+            poison: self.poison_news(&mut state, is_introduction, now),
             knows_orders: is_introduction && state.releases.knows_orders,
             holders,
             dropped,
@@ -286,6 +288,7 @@
         for HolderNews(key, engine) in &message.dropped {
             state.holders.forget(*key, engine);
         }
+        self.take_poison_news(&mut state, &message.poison, now);
         if is_newest {
             for news in &message.kv_stores {
                 self.adopt_kv_store_news(&mut state, *news);
--- /dev/null
+++ b/crates/gateway/src/gateway/poison.rs
@@ -0,0 +1,233 @@
+//! Holding back requests that end the engines that run them; see docs/design/poison.md.
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::poison::{Crash, Digest, Verdict};
+use slog::{info, warn};
+
+use super::{Gateway, GatewayState};
+use crate::engines::{EngineState, ToldLife};
+use crate::placement::Placement;
+use crate::poison::PoisonNews;
+use crate::serve::AcceptedRequest;
+
+/// Most requests that one message tells of; more wait for the next.
+const MOST_NEWS: usize = 32;
+/// Most requests held back that an introduction tells of: others with the next.
+const MOST_IN_INTRODUCTION: usize = 16;
+/// News are told so often where they go to each node directly: a datagram may be lost. Elsewhere they are passed
+/// on by two nodes of each zone.
+const TELLINGS: u32 = 3;
+/// The entry of an engine that has ended goes after three heartbeats, so one that is listed for three lapses of
+/// two has gone on.
+const LAPSES_UNTIL_GONE: u32 = 3;
+
+impl Gateway {
+    /// Whether a request may be sent to an engine now.
+    pub(crate) fn verdict_on(&self, request: &AcceptedRequest) -> Verdict {
+        let has_none = self.state().poison.is_empty();
+        match has_none {
+            true => Verdict::Runs,
+            false => self.verdict_on_digest(request.digest()),
+        }
+    }
+
+    /// The same for all requests that this stands for.
+    pub fn verdict_on_digest(&self, digest: Digest) -> Verdict {
+        let now = self.clock().now();
+        self.withdraw_ends(digest, now);
+        let mut state = self.state_mut();
+        let history = state.poison.get_mut(digest, now);
+        history.map_or(Verdict::Runs, |history| history.verdict(now))
+    }
+
+    /// A request that is held back is sent once, to see whether it still ends its engine.
+    pub(crate) fn begin_trial(&self, request: &AcceptedRequest) {
+        let digest = request.digest();
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let Some(history) = state.poison.get_mut(digest, now) else {
+            return;
+        };
+        history.begin_trial(now);
+        info!(self.log(), "poison_tried"; "request" => &request.caller.id, "digest" => %digest,
+            "trials" => history.trials);
+        drop(state);
+        // At once: others are not to begin one too.
+        self.tell_of_poison(digest);
+    }
+
+    /// The connection of a run broke off. Its engine has most likely ended, unless it leaves, when its end is planned.
+    pub(crate) fn note_broken_run(
+        &self,
+        request: &AcceptedRequest,
+        placement: &Placement,
+        began: Timestamp,
+    ) {
+        if !self.is_in_life_of(placement) {
+            return;
+        }
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let is_staying = state
+            .engines
+            .get(&placement.engine)
+            .is_some_and(|engine| engine.entry.state == EngineState::Ready);
+        if !is_staying {
+            return;
+        }
+        let digest = request.digest();
+        let crash = Crash {
+            engine: placement.engine.clone(),
+            incarnation: placement.incarnation,
+            began,
+            ended: now,
+        };
+        if !state.poison.note_crash(digest, crash, now) {
+            return;
+        }
+        let known = state.poison.get(digest);
+        let (count, is_convicted) = known.map_or((0, false), |history| {
+            (history.crashes.len(), history.is_convicted())
+        });
+        warn!(self.log(), "engine_ended_under_request"; "request" => &request.caller.id,
+            "digest" => %digest, "engine" => %placement.engine, "route" => &request.route.name,
+            "after_ms" => now.since(began).as_millis() as u64, "in_a_row" => count,
+            "held_back" => is_convicted);
+        drop(state);
+        self.tell_of_poison(digest);
+    }
+
+    /// A run came to a good end: its request is not what ends engines.
+    pub(crate) fn note_good_run(&self, request: &AcceptedRequest) {
+        if self.state().poison.is_empty() {
+            return;
+        }
+        let digest = request.digest();
+        let now = self.clock().now();
+        let has_changed = self.state_mut().poison.clear(digest, now);
+        if has_changed {
+            info!(self.log(), "poison_cleared"; "request" => &request.caller.id,
+                "digest" => %digest);
+            self.tell_of_poison(digest);
+        }
+    }
+
+    /// A broken connection looks like the end of its engine. One that is still listed long after has gone on, as
+    /// when a link was cut.
+    fn withdraw_ends(&self, digest: Digest, now: Timestamp) {
+        let lapse = self.settings().entry_lapse * LAPSES_UNTIL_GONE;
+        let mut state = self.state_mut();
+        let GatewayState {
+            poison,
+            engines,
+            steadiness,
+            ..
+        } = &mut *state;
+        if !steadiness.holds(lapse, now) {
+            return;
+        }
+        let has_gone_on = |crash: &Crash| {
+            let engine = engines.get(&crash.engine);
+            let listed = engine.filter(|engine| !engine.is_unlisted);
+            let is_same = listed.is_some_and(|engine| {
+                ToldLife::new(engine.entry.incarnation, crash.incarnation) == ToldLife::Same
+            });
+            is_same && now.since(crash.ended) > lapse
+        };
+        let Some(history) = poison.get_mut(digest, now) else {
+            return;
+        };
+        let withdrawn = history.withdraw(has_gone_on);
+        if withdrawn > 0 {
+            info!(self.log(), "poison_withdrawn"; "digest" => %digest, "engines" => withdrawn,
+                "held_back" => history.is_convicted());
+        }
+    }
+
+    fn tell_of_poison(&self, digest: Digest) {
+        self.state_mut().poison_news.insert(digest, TELLINGS);
+        self.tell_peers_soon();
+    }
+
+    /// What to tell other nodes with a message; with an introduction also of requests that are held back.
+    pub(super) fn poison_news(
+        &self,
+        state: &mut GatewayState,
+        is_introduction: bool,
+        now: Timestamp,
+    ) -> Vec<PoisonNews> {
+        let mut told = match state.peers.is_large() {
+            true => Vec::new(),
+            false => take_news(state, 1),
+        };
+        if is_introduction {
+            told.extend(convicted_of_turn(state));
+            told.sort_unstable();
+            told.dedup();
+        }
+        news_of(state, &told, now)
+    }
+
+    /// News of requests that every node of a large deployment needs at once.
+    pub(super) fn take_urgent_poison(
+        &self,
+        state: &mut GatewayState,
+        now: Timestamp,
+    ) -> Vec<PoisonNews> {
+        if !state.peers.is_large() {
+            return Vec::new();
+        }
+        let told = take_news(state, TELLINGS);
+        news_of(state, &told, now)
+    }
+
+    /// Takes what another node tells.
+    pub(super) fn take_poison_news(
+        &self,
+        state: &mut GatewayState,
+        news: &[PoisonNews],
+        now: Timestamp,
+    ) {
+        for told in news {
+            let digest = told.digest;
+            let is_convicted = |state: &GatewayState| {
+                let history = state.poison.get(digest);
+                history.is_some_and(|history| history.is_convicted())
+            };
+            let was_convicted = is_convicted(state);
+            let is_news = state.poison.merge(digest, &told.history(now), now);
+            if is_news && is_convicted(state) != was_convicted {
+                info!(self.log(), "poison_heard"; "digest" => %digest, "held_back" => !was_convicted);
+            }
+        }
+    }
+}
+
+/// The requests that are to be told of, each of them `tellings` times less from now on.
+fn take_news(state: &mut GatewayState, tellings: u32) -> Vec<Digest> {
+    let told: Vec<_> = state.poison_news.keys().copied().take(MOST_NEWS).collect();
+    for digest in &told {
+        if let Some(left) = state.poison_news.get_mut(digest) {
+            *left = left.saturating_sub(tellings);
+        }
+    }
+    state.poison_news.retain(|_, left| *left > 0);
+    told
+}
+
+/// Some of the requests that are held back, others with each message.
+fn convicted_of_turn(state: &GatewayState) -> Vec<Digest> {
+    let convicted: Vec<_> = state.poison.convicted().collect();
+    let parts = convicted.len().div_ceil(MOST_IN_INTRODUCTION).max(1);
+    let part = state.sequence as usize % parts;
+    let of_turn = convicted.chunks(MOST_IN_INTRODUCTION).nth(part);
+    of_turn.unwrap_or_default().to_vec()
+}
+
+fn news_of(state: &GatewayState, told: &[Digest], now: Timestamp) -> Vec<PoisonNews> {
+    let known = told.iter().filter_map(|digest| {
+        let history = state.poison.get(*digest)?;
+        Some(PoisonNews::new(*digest, history, now))
+    });
+    known.collect()
+}
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -93,20 +93,22 @@
         self.parcels_of_zone(&state, &news, now)
     }
 
-    /// News of loads and of stages of releases that every node needs at once, for the own zone and for all
+    /// News of loads, of stages of releases and of requests that end engines that every node needs at once, for the own zone and for all
     /// others.
     pub fn next_load_news(&self) -> Vec<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let weights = std::mem::take(&mut state.load_news);
         let releases = self.take_urgent_releases(&mut state, now);
-        if weights.is_empty() && releases.is_empty() {
+        let poison = self.take_urgent_poison(&mut state, now);
+        if weights.is_empty() && releases.is_empty() && poison.is_empty() {
             return Vec::new();
         }
         let news = ZoneNews {
             lives: state.lives_to_tell(&[], &[], &weights, now),
             weights,
             releases,
+            poison,
             ..self.empty_news()
         };
         let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
@@ -127,6 +129,7 @@
             holders: Vec::new(),
             releases: Vec::new(),
             evidence: Vec::new(),
+            poison: Vec::new(),
             weights: Vec::new(),
         }
     }
@@ -306,6 +309,7 @@
             self.note_foreign_loads(&mut state, now);
         }
         self.take_zone_release_news(&mut state, news);
+        self.take_poison_news(&mut state, &news.poison, now);
         let parcels = match &news.pass {
             Pass::Zone if self.is_of_other_region(news) => {
                 let mut parcels = self.parcels_of_zone(&state, news, now);
@@ -400,7 +404,8 @@
 /// Whether these are urgent news, which no node should miss. Regular news tell of releases too, but always
 /// with the work at engines; urgent news come without it.
 fn is_urgent(news: &ZoneNews) -> bool {
-    let is_told_by_itself = !news.weights.is_empty() || !news.releases.is_empty();
+    let is_told_by_itself =
+        !news.weights.is_empty() || !news.releases.is_empty() || !news.poison.is_empty();
     news.loads.is_none() && is_told_by_itself
 }
 
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -8,6 +8,7 @@
     LeaseNews, MemberAddress, MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
 };
 use crate::placement::ReadingNews;
+use crate::poison::PoisonNews;
 use crate::quotas::UsageNews;
 use crate::release::{EvidenceNews, ReleaseNews};
 
@@ -105,6 +106,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "v")]
     pub evidence: Vec<EvidenceNews>,
+    /// Requests under which engines ended, when that is news, and with the introduction those held back.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "z", deserialize_with = "readable")]
+    pub poison: Vec<PoisonNews>,
     /// Whether the sender knows all orders of releases, told with the introduction.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     #[serde(rename = "j")]
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -6,6 +6,7 @@
 use super::readable::{readable, readable_or_default};
 use super::{EngineLifeNews, EngineLoadNews, HolderNews, WeightsNews};
 use crate::placement::ReadingNews;
+use crate::poison::PoisonNews;
 use crate::quotas::UsageNews;
 use crate::release::{EvidenceNews, ReleaseNews};
 
@@ -67,6 +68,10 @@
     /// Answers that the nodes of that zone have seen in releases, with the work.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub evidence: Vec<EvidenceNews>,
+    /// Requests under which engines ended.
+    #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
+    pub poison: Vec<PoisonNews>,
     /// Engines that load weights, or have loaded them.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<WeightsNews>,
--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -1,4 +1,7 @@
-//! Requests that end the engines that run them: what stands for one.
+//! Requests that end the engines that run them: what stands for one, and what nodes tell of it.
+
+mod crash_news;
+mod poison_news;
 
 use bytes::Bytes;
 use hmac::{Hmac, Mac};
@@ -7,6 +10,9 @@
 use ryerouter_core::poison::Digest;
 use sha2::Sha256;
 
+pub use crash_news::CrashNews;
+pub use poison_news::PoisonNews;
+
 /// What stands for a request and its repeats, whose ids all differ.
 ///
 /// A keyed cryptographic hash: no caller can make up a body that another's request is taken for, and nobody
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -41,6 +41,9 @@
     /// Every engine that was asked had no room or could not be reached.
     #[display("not_run")]
     NotRun,
+    /// Engines have ended under this request again and again.
+    #[display("ends_engines")]
+    EndsEngines,
     /// The time ran out before the request ran.
     #[display("deadline_not_run")]
     DeadlineNotRun,
@@ -100,6 +103,7 @@
             RefusalReason::NoConfiguration
             | RefusalReason::ConfigurationUnproven
             | RefusalReason::NoEngine
+            | RefusalReason::EndsEngines
             | RefusalReason::NotRun
             | RefusalReason::DeadlineNotRun => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -58,7 +58,7 @@
     let answer = sent.map_err(|failure| {
         let end = match failure {
             AttemptFailure::NotConnected { detail } => AttemptEnd::NotConnected(detail),
-            AttemptFailure::Broken { detail, .. } => AttemptEnd::MayHaveRun(detail),
+            AttemptFailure::Broken { detail, .. } => AttemptEnd::Broken(detail),
         };
         watched.end(end.of_answer());
         end
@@ -259,7 +259,9 @@
             AttemptEnd::Silent(Doubt::Connection) => {}
             // Its work is no longer counted there, so it would look idle and attract more.
             AttemptEnd::Silent(Doubt::Engine) => engine.health.failed(now),
-            AttemptEnd::EngineError(_) | AttemptEnd::MayHaveRun(_) => engine.health.failed(now),
+            AttemptEnd::EngineError(_) | AttemptEnd::Broken(_) | AttemptEnd::MayHaveRun(_) => {
+                engine.health.failed(now);
+            }
         }
     }
     drop(state);
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -23,7 +23,10 @@
     /// Nothing came for longer than answers take; it may have run.
     #[display("silent: {_0}")]
     Silent(Doubt),
-    /// It may have run.
+    /// The connection ended before the answer did; it may have run, and its engine may have ended.
+    #[display("may_have_run: {_0}")]
+    Broken(String),
+    /// What came is no answer to it; it may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
 }
@@ -38,7 +41,7 @@
     pub(super) fn may_have_run(&self) -> bool {
         matches!(
             self,
-            Self::EngineError(_) | Self::Silent(_) | Self::MayHaveRun(_)
+            Self::EngineError(_) | Self::Silent(_) | Self::Broken(_) | Self::MayHaveRun(_)
         )
     }
 
@@ -47,7 +50,7 @@
         match self {
             Self::NotConnected(_) | Self::NoRoom(_) | Self::Misdirected(_) => AnswerEnd::NotRun,
             Self::Silent(_) => AnswerEnd::Left,
-            Self::EngineError(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
+            Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
         }
     }
 
@@ -58,7 +61,7 @@
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
             Self::Silent(_) => "silent",
-            Self::EngineError(_) | Self::MayHaveRun(_) => "may_have_run",
+            Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
 }
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
+use ryerouter_core::poison::Verdict;
 use slog::{info, warn};
 use tokio::time::sleep_until;
 
@@ -49,6 +51,8 @@
     silent_engine: Option<BackEndName>,
     /// Whether an engine began to answer.
     has_answer: bool,
+    /// When the last attempt began.
+    attempted_at: Timestamp,
 }
 
 impl Exchange {
@@ -67,6 +71,7 @@
             is_retry_paid: false,
             silent_engine: None,
             has_answer: false,
+            attempted_at: Timestamp::ZERO,
         }
     }
 
@@ -88,10 +93,13 @@
                 }
                 Ok(whole) => {
                     self.note_success(&placement);
+                    if !whole.status.is_server_error() {
+                        self.gateway.note_good_run(&self.request);
+                    }
                     return Ok(FirstAnswer::Whole(Box::new(whole)));
                 }
                 Err(detail) => {
-                    let end = AttemptEnd::MayHaveRun(detail);
+                    let end = AttemptEnd::Broken(detail);
                     self.note_end(&placement, &end);
                     if !self.may_run_again() {
                         return Err(self.refusal_after(&end));
@@ -107,11 +115,20 @@
         last_event_id: Option<&str>,
     ) -> Result<LiveAnswer, Refusal> {
         loop {
+            // One that ends its engines comes again under other ids and at other nodes, where neither its attempts nor
+            // the retry budget count: only what all nodes know of it keeps it from the next engine.
+            let verdict = self.gateway.verdict_on(&self.request);
+            if let Verdict::Refused { come_back_after } = verdict {
+                return Err(self.ends_engines(come_back_after));
+            }
             let placement = self.place().ok_or_else(|| self.no_engine())?;
             let is_paid = std::mem::take(&mut self.is_retry_paid) || self.arrivals == 0;
             if !is_paid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
             }
+            if verdict == Verdict::Trial {
+                self.gateway.begin_trial(&self.request);
+            }
             if self.may_have_run && !self.has_answer {
                 self.gateway.charge_again(&self.request);
             }
@@ -123,6 +140,7 @@
             let is_first = self.tried.is_empty();
             let pool = &self.request.pool;
             self.gateway.note_sent(pool, &placement, is_first);
+            self.attempted_at = self.gateway.clock().now();
             let attempted = self.watched_attempt(&placement, last_event_id).await;
             match attempted {
                 Ok(live) => {
@@ -265,6 +283,10 @@
         // One that was given up before it had a connection has written nothing.
         let had_connection = self.held.used.get().is_some();
         self.may_have_run |= had_connection && end.may_have_run();
+        if matches!(end, AttemptEnd::Broken(_)) {
+            let (request, began) = (&self.request, self.attempted_at);
+            self.gateway.note_broken_run(request, placement, began);
+        }
         self.held.is_at(HeldAt::after(end, self.held.used.get()));
         let is_silent = matches!(end, AttemptEnd::Silent(_));
         self.silent_engine = is_silent.then(|| placement.engine.clone());
@@ -336,6 +358,15 @@
         Refusal::new(RefusalReason::NoEngine, detail).come_back_after(NO_ENGINE_RETRY)
     }
 
+    /// It is not sent on, so that callers learn that at once, and when another try may be of use.
+    fn ends_engines(&self, come_back_after: Duration) -> Refusal {
+        let detail = "engines have ended under it";
+        if self.may_have_run {
+            return Refusal::new(RefusalReason::MayHaveRun, detail);
+        }
+        Refusal::new(RefusalReason::EndsEngines, detail).come_back_after(come_back_after)
+    }
+
     fn without_budget(&self) -> Refusal {
         if self.may_have_run {
             return Refusal::new(RefusalReason::MayHaveRun, "retry budget spent");
--- a/crates/gateway/src/serve/held_at.rs
+++ b/crates/gateway/src/serve/held_at.rs
@@ -49,7 +49,9 @@
     pub(super) fn after(end: &AttemptEnd, used: Option<ConnectionUse>) -> Self {
         match end {
             AttemptEnd::Silent(_) => Self::waiting(used),
-            AttemptEnd::NotConnected(_) | AttemptEnd::MayHaveRun(_) => Self::EngineGone,
+            AttemptEnd::NotConnected(_) | AttemptEnd::Broken(_) | AttemptEnd::MayHaveRun(_) => {
+                Self::EngineGone
+            }
             AttemptEnd::EngineError(_) => Self::EngineFailed,
             AttemptEnd::NoRoom(_) | AttemptEnd::Misdirected(_) => Self::NoRoom,
         }
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -128,9 +128,9 @@
                 Received::End if self.splitter.held_bytes() == 0 => return Ok(None),
                 Received::End => {
                     let detail = "ended within an event".to_owned();
-                    self.resume(AttemptEnd::MayHaveRun(detail)).await?;
+                    self.resume(AttemptEnd::Broken(detail)).await?;
                 }
-                Received::Broken(detail) => self.resume(AttemptEnd::MayHaveRun(detail)).await?,
+                Received::Broken(detail) => self.resume(AttemptEnd::Broken(detail)).await?,
                 Received::Silent(why) => {
                     let end = self.give_up(why);
                     self.resume(end).await?;
@@ -318,6 +318,7 @@
         let gateway = Rc::clone(&self.exchange.gateway);
         let placement = live.release(&gateway);
         self.exchange.note_success(&placement);
+        gateway.note_good_run(&self.exchange.request);
         self.active.end("answered");
         if self.resumed == 0 {
             let pause = Duration::from_millis(self.longest_pause_ms);
--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -7,16 +7,18 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use http_body_util::BodyExt;
 use hyper::StatusCode;
 use ryerouter_core::identity::ZoneName;
 use ryerouter_gateway::catalogue::RequestKind;
-use ryerouter_gateway::engines::EngineEntry;
+use ryerouter_gateway::engines::{EngineEntry, EngineState};
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
-use support::crashing_engine::{CrashingPool, FATAL};
+use support::crashing_engine::{CrashingPool, FATAL, LASTING, POPULAR};
 use support::fleet::{deliver, introduce};
 use support::gateway_bench::{CallerAnswer, GatewayBench, list_engines, run, settings};
 use support::records::{ZONE, engine, route, table};
@@ -36,12 +38,20 @@
     benches: Vec<GatewayBench>,
     pool: CrashingPool,
     calls: Cell<usize>,
-    listed: RefCell<Vec<EngineEntry>>,
 }
 
 impl Nodes {
     async fn start(kind: RequestKind, count: usize, is_resumable: bool) -> Self {
-        let pool = CrashingPool::start(ENGINES).await;
+        Self::start_before(ENGINES, kind, count, is_resumable).await
+    }
+
+    async fn start_before(
+        engines: usize,
+        kind: RequestKind,
+        count: usize,
+        is_resumable: bool,
+    ) -> Self {
+        let pool = CrashingPool::start(engines).await;
         let mut route = route(kind);
         route.is_resumable = is_resumable;
         let mut benches = Vec::new();
@@ -54,7 +64,6 @@
             benches,
             pool,
             calls: Cell::new(0),
-            listed: RefCell::default(),
         };
         introduce(&nodes.gateways());
         nodes.list();
@@ -68,13 +77,18 @@
 
     /// Every node reads the list, which names engines that run.
     fn list(&self) {
-        let entries: Vec<_> = self.pool.addresses().into_iter().collect();
-        let entries = entries
-            .iter()
-            .map(|(name, address)| engine(name, *address, 1));
-        self.listed.replace(entries.collect());
+        self.list_as(EngineState::Ready);
+    }
+
+    fn list_as(&self, state: EngineState) {
+        let engines = self.pool.addresses();
+        let entry = |(name, address): (&String, &SocketAddr)| EngineEntry {
+            state,
+            ..engine(name, *address, 1)
+        };
+        let entries: Vec<_> = engines.iter().map(entry).collect();
         for bench in &self.benches {
-            list_engines(&bench.gateway, self.listed.borrow().clone());
+            list_engines(&bench.gateway, entries.clone());
         }
     }
 
@@ -182,3 +196,66 @@
         assert_eq!(nodes.pool.ended(), ended);
     });
 }
+
+/// Copies of one good request run on every engine when the whole pool is lost: none of them is to blame.
+#[test]
+fn popular_request_that_ran_everywhere_when_all_engines_were_lost_is_served() {
+    run(async {
+        let nodes = Nodes::start(RequestKind::Streaming, 3, false).await;
+        let mut streams = Vec::new();
+        for copy in 0..12 {
+            let id = format!("c{copy}");
+            let bench = &nodes.benches[copy % 3];
+            streams.push(bench.begin("POST", &[(ID, &id)], LASTING).await);
+        }
+        assert_eq!(nodes.pool.lasting.get(), streams.len());
+        nodes.pool.kill_all();
+        sleep(PAUSE).await;
+        nodes.tell(false);
+        nodes.pool.restore().await;
+        nodes.list();
+        for bench in &nodes.benches {
+            let next = bench.begin("POST", &[(ID, "next")], LASTING).await;
+            assert!(next.status().is_success());
+        }
+    });
+}
+
+/// An engine that leaves ends when it has said so, whatever it runs.
+#[test]
+fn end_of_an_engine_that_leaves_is_held_against_no_request() {
+    run(async {
+        let nodes = Nodes::start(RequestKind::Streaming, 1, false).await;
+        for _ in 0..REPEATS {
+            let stream = nodes.benches[0].begin("POST", &[(ID, "r")], LASTING).await;
+            assert!(stream.status().is_success());
+            nodes.list_as(EngineState::Draining);
+            nodes.pool.kill_all();
+            sleep(PAUSE).await;
+            nodes.pool.restore().await;
+            nodes.list();
+        }
+        assert!(nodes.benches[0].gateway.state().poison.is_empty());
+    });
+}
+
+/// It stands beside the one that ends the only engine, and is broken off with it again and again, but it also comes to
+/// its end.
+#[test]
+fn popular_request_beside_it_is_served() {
+    run(async {
+        let nodes = Nodes::start_before(1, RequestKind::Streaming, 3, false).await;
+        let mut broken = 0;
+        for index in 0..REPEATS {
+            let bench = &nodes.benches[(index + 1) % 3];
+            let beside = bench.begin("POST", &[(ID, "beside")], POPULAR).await;
+            nodes.call_at(index % 3, FATAL).await;
+            broken += usize::from(beside.into_body().collect().await.is_err());
+            let answer = nodes.call_at(index % 3, POPULAR).await;
+            assert!(answer.status.is_success(), "{answer:?}");
+            assert!(answer.body.is_ok(), "{answer:?}");
+        }
+        assert!(broken >= 3, "{broken}");
+        assert!(nodes.pool.ended() <= MOST_ENDED);
+    });
+}
--- a/crates/gateway/tests/support/crashing_engine.rs
+++ b/crates/gateway/tests/support/crashing_engine.rs
@@ -4,15 +4,21 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
+use tokio::time::sleep;
 
 use super::scripted_engine::{Arrival, chunk, read_request, stream_head, write};
 
 /// The body of the request under which each engine ends.
 pub const FATAL: &str = "fatal";
+/// The body of a request that takes a while.
+pub const POPULAR: &str = "popular";
+/// How long.
+const TIME_OF_POPULAR: Duration = Duration::from_millis(40);
 /// The body of a request that runs until its engine ends.
 pub const LASTING: &str = "lasting";
 
@@ -115,6 +121,11 @@
                 lasting.set(lasting.get() - 1);
                 return false;
             }
+            POPULAR => {
+                write(&mut stream, &chunk("id: 1\ndata: a\n\n")).await;
+                sleep(TIME_OF_POPULAR).await;
+                write(&mut stream, "0\r\n\r\n").await;
+            }
             _ => {
                 write(&mut stream, &chunk("id: 1\ndata: a\n\n")).await;
                 write(&mut stream, "0\r\n\r\n").await;
