--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -154,6 +154,8 @@
     pub requests: Meter,
     /// Requests in progress.
     pub active_requests: usize,
+    /// How long the machine has been suspended, as far as that was logged.
+    pub logged_suspension: Duration,
 }
 
 impl GatewayState {
@@ -249,6 +251,7 @@
             caller_rings: BTreeMap::new(),
             requests: Meter::new(REQUESTS_SPAN, now),
             active_requests: 0,
+            logged_suspension: Duration::ZERO,
         }
     }
 }
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use ryerouter_core::Timestamp;
-use slog::info;
+use slog::{info, warn};
 
 use super::{Gateway, GatewayState, SETTLING};
 use crate::engines::EngineLoad;
@@ -242,6 +242,17 @@
         self.metrics().peers.set(alive as i64);
     }
 
+    /// Logs that the machine has been suspended: what this node believed is older by that time.
+    pub fn log_suspension(&self) {
+        let suspended = self.clock().suspended();
+        let mut state = self.state_mut();
+        let before = std::mem::replace(&mut state.logged_suspension, suspended);
+        if suspended > before {
+            let span = suspended.saturating_sub(before);
+            warn!(self.log(), "machine_suspended"; "for_ms" => span.as_millis() as u64);
+        }
+    }
+
     /// Takes a message of another node.
     pub fn hear_peer(&self, mut message: PeerMessage) {
         if message.from.name == self.settings().identity.name {
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -56,7 +56,16 @@
 impl Gateway {
     /// A gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, dialect: Rc<dyn Dialect>, log: Logger) -> Rc<Self> {
-        let clock = Clock::start();
+        Self::with_clock(settings, dialect, log, Clock::start())
+    }
+
+    /// The same with a clock that has been started.
+    pub fn with_clock(
+        settings: GatewaySettings,
+        dialect: Rc<dyn Dialect>,
+        log: Logger,
+        clock: Clock,
+    ) -> Rc<Self> {
         Rc::new(Self {
             upstream: Upstream::new(settings.connect.clone(), clock),
             state: RefCell::new(GatewayState::new(&settings, clock.now())),
@@ -80,7 +89,7 @@
         &self.settings
     }
 
-    /// The steady clock.
+    /// The clock.
     pub fn clock(&self) -> Clock {
         self.clock
     }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -53,6 +53,7 @@
             }
             _ = ticks.tick() => {
                 tick += 1;
+                gateway.log_suspension();
                 gateway.refresh_foreign_loads();
                 gateway.refresh_quotas();
                 gateway.refresh_releases();
--- a/crates/gateway/src/serve/respond.rs
+++ b/crates/gateway/src/serve/respond.rs
@@ -8,7 +8,6 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
 use slog::{info, warn};
-use tokio::time::timeout_at;
 
 use super::active_request::ActiveRequest;
 use super::answer_body::AnswerBody;
@@ -54,10 +53,13 @@
     if let Err(refusal) = gateway.admit(&accepted) {
         return end_refused(&gateway, &active, &id, &refusal);
     }
-    let deadline = gateway.clock().instant(accepted.deadline);
+    let deadline = accepted.deadline;
     let mut exchange = Exchange::new(Rc::clone(&gateway), accepted, Rc::clone(&active.held));
-    let first = timeout_at(deadline, exchange.first_answer()).await;
-    match first.unwrap_or_else(|_| Err(exchange.out_of_time())) {
+    let first = gateway
+        .clock()
+        .until(deadline, exchange.first_answer())
+        .await;
+    match first.unwrap_or_else(|| Err(exchange.out_of_time())) {
         Ok(FirstAnswer::Whole(whole)) => end_whole(&exchange, &active, *whole),
         Ok(FirstAnswer::Stream(live)) => StreamRelay::new(exchange, *live, active).into_response(),
         Err(refusal) => {
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -99,15 +99,15 @@
     async fn next(&mut self) -> Option<Result<Bytes, RelayFault>> {
         self.live.as_ref()?;
         let clock = self.exchange.gateway.clock();
-        let deadline = clock.instant(self.exchange.request.deadline);
-        match timeout_at(deadline, self.next_events()).await {
-            Ok(Ok(Some(bytes))) => Some(Ok(bytes)),
-            Ok(Ok(None)) => {
+        let deadline = self.exchange.request.deadline;
+        match clock.until(deadline, self.next_events()).await {
+            Some(Ok(Some(bytes))) => Some(Ok(bytes)),
+            Some(Ok(None)) => {
                 self.complete();
                 None
             }
-            Ok(Err(fault)) => Some(Err(self.fail(StreamEnd::Broken, fault))),
-            Err(_) => {
+            Some(Err(fault)) => Some(Err(self.fail(StreamEnd::Broken, fault))),
+            None => {
                 let detail = "deadline reached".to_owned();
                 Some(Err(self.fail(StreamEnd::Deadline, RelayFault { detail })))
             }
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -137,7 +137,15 @@
         table: Option<RoutingTable>,
         entries: Vec<EngineEntry>,
     ) -> Self {
-        let gateway = gateway_with(settings);
+        Self::serve(gateway_with(settings), table, entries).await
+    }
+
+    /// The same with a gateway of the test's own.
+    pub async fn serve(
+        gateway: Rc<Gateway>,
+        table: Option<RoutingTable>,
+        entries: Vec<EngineEntry>,
+    ) -> Self {
         if let Some(table) = table {
             configure(&gateway, table);
         }
