The clock of a gateway counts the time for which its machine was suspended

What callers would have seen: after ten seconds of suspension a key that had been taken away was still trusted, a lease from before gave its fence, and requests whose limit had passed were held for as long again.

Cause: the steady clock stands still meanwhile.

Why it holds: every age, lease and deadline of the gateway is a `Timestamp` of this clock.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -44,7 +44,7 @@
 
     /// Now.
     pub fn now(&self) -> Timestamp {
-        let elapsed = self.origin.elapsed();
+        let elapsed = self.origin.elapsed() + self.suspended();
         Timestamp::from_micros(ORIGIN_MICROS + elapsed.as_micros() as u64)
     }
 
@@ -89,6 +89,6 @@
     /// The instant of a timestamp, for timers; one that was set before a suspension is late by its length.
     pub fn instant(&self, at: Timestamp) -> Instant {
         let since_origin = at.since(self.start_time());
-        self.origin + since_origin
+        self.origin + since_origin.saturating_sub(self.suspended())
     }
 }
