Copies side by side that end their engines one after the other are as many ends

What callers would have seen: a caller that sends six copies of a bad request side by side, on engines so busy that each runs for two seconds, takes three rounds of engines before it is held back, longer than the few seconds that are allowed.

Cause: an end counted only when its run began after the end before it, which treats all copies side by side as one, as if one cause had ended their engines at once. Change: ends at least 0.3 s apart are different ends, whenever their runs began. What is lost at once still counts as one.

--- a/crates/core/src/poison/crash.rs
+++ b/crates/core/src/poison/crash.rs
@@ -8,6 +8,10 @@
 /// Times that other nodes told are off by what their messages took; a caller that repeats at once is not faster.
 const TOLD_LATE: Duration = Duration::from_millis(30);
 
+/// Engines that are lost by one cause end within this time. Ends of copies that ran side by side are further apart
+/// when each copy ended its own.
+const AT_ONCE: Duration = Duration::from_millis(300);
+
 /// An engine that ended while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -22,12 +26,16 @@
 }
 
 impl Crash {
-    /// Whether this run began only after `former` had ended.
+    /// Whether this is another end than `former`: its run began only after that, or it came some time later.
     ///
     /// When a whole pool is lost at once, all copies of a popular request end with it: those are one end, not many.
     pub(super) fn follows(&self, former: &Self) -> bool {
         let began_after = self.began.after(TOLD_LATE) >= former.ended;
-        began_after && self.ended > former.ended.after(TOLD_LATE)
+        let apart = match began_after {
+            true => TOLD_LATE,
+            false => AT_ONCE,
+        };
+        self.ended > former.ended.after(apart)
     }
 
     /// Whether both are the end of the same life of an engine.
--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -5,7 +5,7 @@
 use super::{Crash, Verdict};
 use crate::Timestamp;
 
-/// Runs, one after the other, that each ended their engine: two may be chance where engines fail by themselves.
+/// Engines that ended one after the other under a request: two may be chance where engines fail by themselves.
 const CRASHES_TO_CONVICT: usize = 3;
 /// Runs that began so soon after the last of these were sent by nodes that had not heard of it.
 const NEWS_TIME: Duration = Duration::from_secs(3);
@@ -25,7 +25,7 @@
 /// which order or how often.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct History {
-    /// Each began after the one before it had ended, but for those after the conviction.
+    /// Each another end than the one before it; behind the third only those of much later runs.
     pub crashes: Vec<Crash>,
     /// When it was last seen to run to a good end: what ended before says nothing of it.
     pub cleared_at: Option<Timestamp>,
@@ -93,7 +93,7 @@
         is_news
     }
 
-    /// Whether three runs, one after the other, each ended their engine.
+    /// Whether three engines have ended under it, one after the other.
     pub fn is_convicted(&self) -> bool {
         self.convicted_at().is_some()
     }
@@ -137,7 +137,7 @@
         late.count().max(self.trials as usize)
     }
 
-    /// Keeps the ends that followed each other, and those that came long after.
+    /// Keeps the ends that followed each other, and those of runs that began long after.
     fn sort(&mut self) {
         let mut crashes = std::mem::take(&mut self.crashes);
         crashes.sort_by_key(|crash| crash.ended);
