A good request is not held back for what stood beside it in a small pool

Cause: an end counted against every run whose connection broke off, also against those that were sent to an engine after it had ended, and a request that was there at three ends was held back for a minute even if it had just come to a good end.

Change: an engine remembers when its connections broke off, from its own runs and from what others tell, until it takes something again; what was sent there since is not counted.

Why it holds: what ends engines never comes to a good end, and was there before each end.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -53,6 +53,8 @@
     refusals_in_a_row: u32,
     /// When the latest request was sent that it has answered.
     answered_sent_at: Option<Timestamp>,
+    /// When it seems to have ended: its connections broke off, and it has taken nothing since.
+    ended_at: Option<Timestamp>,
 }
 
 impl Engine {
@@ -72,6 +74,7 @@
             full_until: None,
             refusals_in_a_row: 0,
             answered_sent_at: None,
+            ended_at: None,
         }
     }
 
@@ -161,6 +164,17 @@
     /// It took work.
     pub fn note_accepted(&mut self) {
         self.refusals_in_a_row = 0;
+        self.ended_at = None;
+    }
+
+    /// Its connections broke off.
+    pub fn note_ended(&mut self, at: Timestamp) {
+        self.ended_at = self.ended_at.or(Some(at));
+    }
+
+    /// When it seems to have ended.
+    pub fn ended_at(&self) -> Option<Timestamp> {
+        self.ended_at
     }
 
     /// It answered a request that was sent then, in whatever way.
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -1,5 +1,7 @@
 //! Holding back requests that end the engines that run them; see docs/design/poison.md.
 
+use std::time::Duration;
+
 use ryerouter_core::Timestamp;
 use ryerouter_core::poison::{Crash, Digest, Verdict};
 use slog::{info, warn};
@@ -68,13 +70,17 @@
         }
         let now = self.clock().now();
         let mut state = self.state_mut();
-        let is_staying = state
-            .engines
-            .get(&placement.engine)
-            .is_some_and(|engine| engine.entry.state == EngineState::Ready);
-        if !is_staying {
+        let lapse = self.time_until_gone();
+        let engine = state.engines.get_mut(&placement.engine);
+        let Some(engine) = engine.filter(|engine| engine.entry.state == EngineState::Ready) else {
+            return;
+        };
+        let ended_at = engine.ended_at().filter(|at| now.since(*at) < lapse);
+        if ended_at.is_some_and(|at| at < began) {
+            // It was sent to an engine that had ended before.
             return;
         }
+        engine.note_ended(now);
         let digest = request.digest();
         let crash = Crash {
             engine: placement.engine.clone(),
@@ -115,7 +121,7 @@
     /// A broken connection looks like the end of its engine. One that is still listed long after has gone on, as
     /// when a link was cut.
     fn withdraw_ends(&self, digest: Digest, now: Timestamp) {
-        let lapse = self.settings().entry_lapse * LAPSES_UNTIL_GONE;
+        let lapse = self.time_until_gone();
         let mut state = self.state_mut();
         let GatewayState {
             poison,
@@ -144,6 +150,11 @@
         }
     }
 
+    /// An engine that has ended is listed for no longer.
+    fn time_until_gone(&self) -> Duration {
+        self.settings().entry_lapse * LAPSES_UNTIL_GONE
+    }
+
     fn tell_of_poison(&self, digest: Digest) {
         self.state_mut().poison_news.insert(digest, TELLINGS);
         self.tell_peers_soon();
@@ -189,6 +200,7 @@
         now: Timestamp,
     ) {
         for told in news {
+            note_ended_engines(state, told, now);
             let digest = told.digest;
             let is_convicted = |state: &GatewayState| {
                 let history = state.poison.get(digest);
@@ -203,6 +215,19 @@
     }
 }
 
+/// What others send to an engine from now on is not what ended it.
+fn note_ended_engines(state: &mut GatewayState, told: &PoisonNews, now: Timestamp) {
+    for news in &told.crashes {
+        let crash = news.crash(now);
+        let Some(engine) = state.engines.get_mut(&crash.engine) else {
+            continue;
+        };
+        if ToldLife::new(engine.entry.incarnation, crash.incarnation) == ToldLife::Same {
+            engine.note_ended(crash.ended);
+        }
+    }
+}
+
 /// The requests that are to be told of, each of them `tellings` times less from now on.
 fn take_news(state: &mut GatewayState, tellings: u32) -> Vec<Digest> {
     let told: Vec<_> = state.poison_news.keys().copied().take(MOST_NEWS).collect();
