The end of an engine counts once, however often it is told

An engine whose connection was cut goes on; since others tell of its end again and again, it was taken for ended each time, and a bad request sent there was not held against it. News that are known already change nothing, and a later end replaces an earlier one.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -44,8 +44,7 @@
 impl History {
     /// An engine ended under a run; `false` when this tells nothing new.
     pub fn note_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
-        if is_known || self.cleared_at >= Some(crash.ended) {
+        if self.holds(&crash) || self.cleared_at >= Some(crash.ended) {
             return false;
         }
         let before = self.crashes.clone();
@@ -54,6 +53,11 @@
         self.crashes != before
     }
 
+    /// Whether the end of this life of an engine counts already.
+    pub fn holds(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
+    }
+
     /// A run came to a good end; `false` when this tells nothing new.
     pub fn clear(&mut self, at: Timestamp) -> bool {
         if self.cleared_at >= Some(at) {
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -167,9 +167,12 @@
         self.ended_at = None;
     }
 
-    /// Its connections broke off.
-    pub fn note_ended(&mut self, at: Timestamp) {
-        self.ended_at = self.ended_at.or(Some(at));
+    /// The connection of a run that began then broke off. Runs that end together are one end, that of the first.
+    pub fn note_ended(&mut self, began: Timestamp, ended: Timestamp) {
+        let is_known = self.ended_at.is_some_and(|at| at >= began);
+        if !is_known {
+            self.ended_at = Some(ended);
+        }
     }
 
     /// When it seems to have ended.
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -80,7 +80,7 @@
             // It was sent to an engine that had ended before.
             return;
         }
-        engine.note_ended(now);
+        engine.note_ended(began, now);
         let digest = request.digest();
         let crash = Crash {
             engine: placement.engine.clone(),
@@ -219,11 +219,16 @@
 fn note_ended_engines(state: &mut GatewayState, told: &PoisonNews, now: Timestamp) {
     for news in &told.crashes {
         let crash = news.crash(now);
+        // It is told again and again, and the engine may have taken something since.
+        let known = state.poison.get(told.digest);
+        if known.is_some_and(|known| known.holds(&crash)) {
+            continue;
+        }
         let Some(engine) = state.engines.get_mut(&crash.engine) else {
             continue;
         };
         if ToldLife::new(engine.entry.incarnation, crash.incarnation) == ToldLife::Same {
-            engine.note_ended(crash.ended);
+            engine.note_ended(crash.began, crash.ended);
         }
     }
 }
