The end of an engine is one failure of its version, however much ran there

Cause: a trial compares versions by answers, as if each were a trial of its own; all that an engine runs ends with it, and what is sent to it in the seconds until its entry goes breaks off as well.

Why it holds: the count of failures by one end no longer grows with what ran there.

--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
 use ryerouter_core::poison::{Crash, Digest, Verdict};
 use slog::{info, warn};
 
 use super::{Gateway, GatewayState};
-use crate::engines::{EngineState, ToldLife};
+use crate::engines::{Engine, EngineState, ToldLife};
 use crate::placement::Placement;
 use crate::poison::PoisonNews;
 use crate::serve::AcceptedRequest;
@@ -150,6 +151,18 @@
         }
     }
 
+    /// Whether an engine seems to have ended a little while ago.
+    pub(super) fn has_ended(
+        &self,
+        state: &GatewayState,
+        engine: &BackEndName,
+        now: Timestamp,
+    ) -> bool {
+        let engine = state.engines.get(engine);
+        let ended_at = engine.and_then(Engine::ended_at);
+        ended_at.is_some_and(|at| now.since(at) < self.time_until_gone())
+    }
+
     /// An engine that has ended is listed for no longer.
     fn time_until_gone(&self) -> Duration {
         self.settings().entry_lapse * LAPSES_UNTIL_GONE
--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -121,6 +121,12 @@
     pub fn note_release_answer(&self, watch: &AnswerTiming, end: AnswerEnd) {
         let now = self.clock().now();
         let mut state = self.state_mut();
+        let has_ended = self.has_ended(&state, &watch.engine, now);
+        let end = match end {
+            // All that an engine ran ends with it. Counted one by one, these would outweigh what is wrong with a version.
+            AnswerEnd::Failed if has_ended => AnswerEnd::NotRun,
+            end => end,
+        };
         let releases = &mut state.releases;
         let judgement = watch.judge(end, &releases.paces, now);
         if releases.is_present(&watch.pool, &watch.software) {
