Requests that end engines are forgotten by all nodes at about the same time

Nodes tell each other of what is held back with each introduction, and each telling counted as having been seen, so that it was never forgotten. What decides is now the time of the last end, trial or good end, which all nodes share, and news that are over are not taken in again.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -90,6 +90,8 @@
         {
             // How the times of its ends lie to each other is known best to the node that told them.
             self.crashes.clone_from(&other.crashes);
+            let cleared_at = self.cleared_at;
+            self.crashes.retain(|crash| cleared_at < Some(crash.ended));
             is_news = true;
         }
         for crash in &other.crashes {
@@ -145,6 +147,12 @@
         good.is_some_and(|(at, first)| first.ended.since(at) < GOOD_FOR)
     }
 
+    /// The last end, trial or good end.
+    pub fn last_event(&self) -> Option<Timestamp> {
+        let ended = self.crashes.iter().map(|crash| crash.ended).max();
+        ended.max(self.tried_at).max(self.cleared_at)
+    }
+
     /// A trial begins.
     pub fn begin_trial(&mut self, now: Timestamp) {
         self.trials += 1;
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -9,32 +9,16 @@
 /// Most requests that are remembered: some 400 bytes each. Each needs an engine that has ended, so a caller can't
 /// bring many about.
 const MOST_KNOWN: usize = 1_024;
-/// A request that nobody has sent or told of for so long is forgotten.
+/// A request is forgotten so long after the last end or trial, by all nodes at about the same time: a day after its last
+/// trial its engines are other ones, most likely.
 const FORGET_AFTER: Duration = Duration::from_secs(2 * 86_400);
 /// The same for one that is not held back.
 const FORGET_SUSPECT_AFTER: Duration = Duration::from_secs(3_600);
 
-#[derive(Debug, Default)]
-struct Known {
-    history: History,
-    /// When it was last sent, or told of.
-    seen_at: Timestamp,
-}
-
-impl Known {
-    fn is_due(&self, now: Timestamp) -> bool {
-        let limit = match self.history.is_convicted() {
-            true => FORGET_AFTER,
-            false => FORGET_SUSPECT_AFTER,
-        };
-        now.since(self.seen_at) > limit
-    }
-}
-
 /// The requests under which engines ended, as far as one node knows.
 #[derive(Debug, Default)]
 pub struct Register {
-    known: BTreeMap<Digest, Known>,
+    known: BTreeMap<Digest, History>,
 }
 
 impl Register {
@@ -50,15 +34,12 @@
 
     /// What is known of a request.
     pub fn get(&self, digest: Digest) -> Option<&History> {
-        let known = self.known.get(&digest)?;
-        Some(&known.history)
+        self.known.get(&digest)
     }
 
-    /// The same, to change it: it was sent again.
-    pub fn get_mut(&mut self, digest: Digest, now: Timestamp) -> Option<&mut History> {
-        let known = self.known.get_mut(&digest)?;
-        known.seen_at = now;
-        Some(&mut known.history)
+    /// The same, to change it.
+    pub fn get_mut(&mut self, digest: Digest) -> Option<&mut History> {
+        self.known.get_mut(&digest)
     }
 
     /// An engine ended under a run; `false` when this tells nothing new.
@@ -68,14 +49,14 @@
 
     /// A run came to a good end; `false` when this tells nothing new.
     pub fn clear(&mut self, digest: Digest, now: Timestamp) -> bool {
-        let history = self.get_mut(digest, now);
+        let history = self.get_mut(digest);
         history.is_some_and(|history| history.clear(now))
     }
 
     /// Takes in what another node knows; `false` when that is nothing new.
     pub fn merge(&mut self, digest: Digest, told: &History, now: Timestamp) -> bool {
         let is_known = self.known.contains_key(&digest);
-        if !is_known && told.crashes.is_empty() {
+        if is_due(told, now) || (!is_known && told.crashes.is_empty()) {
             return false;
         }
         self.at(digest, now).merge(told)
@@ -84,25 +65,28 @@
     /// The requests that are held back.
     pub fn convicted(&self) -> impl Iterator<Item = Digest> {
         let known = self.known.iter();
-        let convicted = known.filter(|(_, known)| known.history.is_convicted());
+        let convicted = known.filter(|(_, history)| history.is_convicted());
         convicted.map(|(digest, _)| *digest)
     }
 
+    /// Forgets what is long over.
+    pub fn forget(&mut self, now: Timestamp) {
+        self.known.retain(|_, history| !is_due(history, now));
+    }
+
     fn at(&mut self, digest: Digest, now: Timestamp) -> &mut History {
         if !self.known.contains_key(&digest) {
             self.make_room(now);
         }
-        let known = self.known.entry(digest).or_default();
-        known.seen_at = now;
-        &mut known.history
+        self.known.entry(digest).or_default()
     }
 
-    /// Forgets what nobody asked for lately; when that is not enough, first what is not held back.
+    /// Forgets what is long over; when that is not enough, first what is not held back.
     fn make_room(&mut self, now: Timestamp) {
-        self.known.retain(|_, known| !known.is_due(now));
+        self.forget(now);
         while self.known.len() >= MOST_KNOWN {
-            let rank = |known: &Known| (known.history.is_convicted(), known.seen_at);
-            let least = self.known.iter().min_by_key(|(_, known)| rank(known));
+            let rank = |history: &History| (history.is_convicted(), history.last_event());
+            let least = self.known.iter().min_by_key(|(_, history)| rank(history));
             let Some(digest) = least.map(|(digest, _)| *digest) else {
                 return;
             };
@@ -110,3 +94,13 @@
         }
     }
 }
+
+/// Nodes tell each other the times that this goes by, so that none tells the others again what they have forgotten.
+fn is_due(history: &History, now: Timestamp) -> bool {
+    let limit = match history.is_convicted() {
+        true => FORGET_AFTER,
+        false => FORGET_SUSPECT_AFTER,
+    };
+    let last = history.last_event();
+    last.is_some_and(|at| now.since(at) > limit)
+}
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -260,15 +260,29 @@
 }
 
 #[test]
-fn request_that_nobody_sends_any_more_is_forgotten() {
+fn request_is_forgotten_some_time_after_its_last_end() {
     let mut register = Register::default();
     register.note_crash(Digest(1), crash("e1", 0, 100), at(100));
     for crash in in_a_row(3) {
         register.note_crash(Digest(2), crash, at(2_100));
     }
-    register.note_crash(Digest(3), crash("e3", 0, 100), at(61 * MINUTE));
+    register.forget(at(59 * MINUTE));
+    assert_eq!(register.count(), 2);
+    register.forget(at(61 * MINUTE));
     assert!(register.get(Digest(1)).is_none());
     assert!(register.get(Digest(2)).is_some());
-    register.note_crash(Digest(4), crash("e4", 0, 100), at(3 * DAY));
-    assert!(register.get(Digest(2)).is_none());
+    register.forget(at(3 * DAY));
+    assert!(register.is_empty());
+}
+
+/// Nodes tell each other of what is held back every second or so, and do not forget it within the same one.
+#[test]
+fn what_was_forgotten_does_not_come_back_with_the_news_of_others() {
+    let told = history(in_a_row(3));
+    let mut register = Register::default();
+    assert!(register.merge(Digest(1), &told, at(DAY)));
+    assert!(!register.merge(Digest(1), &told, at(2 * DAY - MINUTE)));
+    register.forget(at(3 * DAY));
+    assert!(!register.merge(Digest(1), &told, at(3 * DAY)));
+    assert!(register.is_empty());
 }
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -38,8 +38,8 @@
     pub fn verdict_on_digest(&self, digest: Digest) -> Verdict {
         let now = self.clock().now();
         self.withdraw_ends(digest, now);
-        let mut state = self.state_mut();
-        let history = state.poison.get_mut(digest, now);
+        let state = self.state();
+        let history = state.poison.get(digest);
         history.map_or(Verdict::Runs, |history| history.verdict(now))
     }
 
@@ -48,7 +48,7 @@
         let digest = request.digest();
         let now = self.clock().now();
         let mut state = self.state_mut();
-        let Some(history) = state.poison.get_mut(digest, now) else {
+        let Some(history) = state.poison.get_mut(digest) else {
             return;
         };
         history.begin_trial(now);
@@ -141,7 +141,7 @@
             });
             is_same && now.since(crash.ended) > lapse
         };
-        let Some(history) = poison.get_mut(digest, now) else {
+        let Some(history) = poison.get_mut(digest) else {
             return;
         };
         let withdrawn = history.withdraw(has_gone_on);
