--- a/crates/gateway/tests/releases_intake.rs
+++ b/crates/gateway/tests/releases_intake.rs
@@ -397,6 +397,29 @@
     });
 }
 
+/// Engines of the present version that ended during the trial have begun again since, all of them after the target
+/// version's. They stop with the end of the release as any others, and requests that went there for seconds broke off:
+/// `request_unserved at=engine_gone held_ms=0`, nine of them in half a second.
+#[test]
+fn present_engines_that_began_after_the_target_ones_get_nothing_once_these_have_taken_over() {
+    run_paused(async {
+        let node = lone_node().await;
+        node.publish_grant(grant(Stage::Trial, 0.05, 1));
+        let mut entries = both_versions();
+        for (index, entry) in entries.iter_mut().enumerate() {
+            // The present ones come first.
+            entry.incarnation = Some(Incarnation(10 - index as u64));
+        }
+        list_engines(&node, entries);
+        advance(Duration::from_secs(3)).await;
+        node.publish_grant(grant(Stage::Settling, 1.0, 2));
+        assert_eq!(versions_of(&node, REQUESTS), all(TARGET));
+        node.publish_grant(grant(Stage::Completed, 1.0, 3));
+        node.refresh_releases();
+        assert_eq!(versions_of(&node, REQUESTS), all(TARGET));
+    });
+}
+
 #[test]
 fn without_bounds_nothing_is_told_and_every_engine_is_used() {
     run_paused(async {
