Engines of a replaced version get nothing, whenever they began

Cause: a node takes a version whose engines all began after the target's for a later replacement. That is right for a node that hears of the release long after it; when the present engines had ended during the trial, their successors looked the same. Change: a node that has followed the release notes all other versions that are listed when it ends as replaced.

--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -255,6 +255,14 @@
     known.grant.stage == Stage::Completed && !has_target
 }
 
+/// Remembers that a release which has just come to its end has replaced all other versions that are listed.
+pub(super) fn note_all_replaced(known: &mut KnownRelease, engines: &EngineTable) {
+    let order = &known.grant.order;
+    let versions = ListedVersions::of(engines, &order.pool);
+    let others = versions.others_than(&order.target).cloned();
+    known.replaced.extend(others.collect::<Vec<_>>());
+}
+
 /// Remembers which versions a completed release has replaced: not those whose engines all began after the
 /// target version's, as a node that hears of the release long after it may meet a later replacement.
 pub(super) fn note_replaced(known: &mut KnownRelease, engines: &EngineTable, now: Timestamp) {
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Counts, Fleet, Grant, Order, Progress, Settings};
+use ryerouter_core::release::{Counts, Fleet, Grant, Order, Progress, Settings, Stage};
 use slog::info;
 
-use super::release_intake::note_replaced;
+use super::release_intake::{note_all_replaced, note_replaced};
 use super::{Gateway, GatewayState};
 use crate::engines::Engine;
 
@@ -36,7 +36,14 @@
         let after = (grant.order.clone(), grant.stage);
         let (share, fence, elapsed) = (grant.share, grant.fence, grant.elapsed);
         let is_taken = state.releases.take(grant, now.before(age), now);
+        // A node that has followed the release knows that all others are replaced, also those that began lately.
+        let has_followed = before
+            .as_ref()
+            .is_some_and(|(order, stage)| *order == after.0 && !stage.is_final());
         if let Some(known) = state.releases.of_mut(&pool) {
+            if has_followed && after.1 == Stage::Completed {
+                note_all_replaced(known, &state.engines);
+            }
             note_replaced(known, &state.engines, now);
         }
         let is_stage = is_taken && before.as_ref() != Some(&after);
