--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -167,6 +167,21 @@
     assert_eq!(trials(30 * DAY, 10 * MINUTE).len(), 3);
 }
 
+/// A trial that met an engine which had just ended, or a caller that left, tells nothing: it is made again soon, but
+/// not again and again, since it may have reached an engine.
+#[test]
+fn trial_that_tells_nothing_is_made_once_more_soon() {
+    let mut history = history(in_a_row(3));
+    let mut sent = Vec::new();
+    for now in (2_500..20 * MINUTE).step_by(500) {
+        if history.verdict(at(now)) == Verdict::Trial {
+            history.begin_trial(at(now));
+            sent.push(now);
+        }
+    }
+    assert_eq!(sent, [7_500, 17_500, 617_500]);
+}
+
 /// Two nodes begin one at the same moment: both count.
 #[test]
 fn trials_of_two_nodes_at_the_same_moment_count_twice() {
