A trial that tells nothing is made once more soon, and not at an engine that has ended

Cause: a trial counted as made whatever it told. Change: while no trial has ended an engine, the second comes ten seconds after the first, later ones every ten minutes; a trial goes to an engine that is not known to have ended. Engines that trials end are counted as before: three in the life of a request.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -14,11 +14,13 @@
 const GOOD_FOR: Duration = Duration::from_secs(600);
 /// Runs that began so soon after the last of these were sent by nodes that had not heard of it.
 const NEWS_TIME: Duration = Duration::from_secs(3);
-/// How long a request is held back before each of its trials, each of which may cost an engine. The first frees one that
-/// only stood beside another; later ones find out whether engines with other weights or software run it. These are all
-/// the trials of its life.
+/// How long a request is held back before its trial while none has ended an engine: that frees one which only stood
+/// beside another. A trial may tell nothing, as when its caller leaves; once more is soon enough.
+const FIRST_WAITS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(10)];
+/// How long before each later one, by the engines that trials have ended: these find out whether engines with other
+/// weights or software run it. Each may cost an engine; after the last of these there is none.
 const WAITS: [Duration; 3] = [
-    Duration::from_secs(5),
+    Duration::from_secs(600),
     Duration::from_secs(600),
     Duration::from_secs(86_400),
 ];
@@ -125,10 +127,10 @@
         let Some(convicted_at) = self.convicted_at() else {
             return Verdict::Runs;
         };
-        let wait = WAITS.get(self.trials_used(convicted_at));
+        let wait = self.wait(convicted_at);
         let last = self.crashes.iter().map(|crash| crash.ended).max();
         let since = last.max(self.tried_at).unwrap_or(convicted_at);
-        let Some(due) = wait.map(|wait| since.after(*wait)) else {
+        let Some(due) = wait.map(|wait| since.after(wait)) else {
             let come_back_after = WAITS[WAITS.len() - 1];
             return Verdict::Refused { come_back_after };
         };
@@ -159,11 +161,15 @@
         self.tried_at = Some(now);
     }
 
-    /// Trials that have begun: two nodes that began one at the same moment each know of one, and of both ends.
-    fn trials_used(&self, convicted_at: Timestamp) -> usize {
+    /// How long before the next trial; `None` when there is none.
+    fn wait(&self, convicted_at: Timestamp) -> Option<Duration> {
         let since = convicted_at.after(NEWS_TIME);
-        let late = self.crashes.iter().filter(|crash| crash.began > since);
-        late.count().max(self.trials as usize)
+        let ended = self.crashes.iter().filter(|crash| crash.began > since);
+        let first = FIRST_WAITS.get(self.trials as usize);
+        match ended.count() {
+            0 => first.or(WAITS.first()).copied(),
+            ended => WAITS.get(ended).copied(),
+        }
     }
 
     /// Keeps the ends that followed each other, and those of runs that began long after.
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::BackEndName;
+use ryerouter_core::identity::{BackEndName, PoolName};
 use ryerouter_core::poison::{Crash, Digest, Verdict};
 use slog::{info, warn};
 
@@ -163,6 +163,15 @@
         ended_at.is_some_and(|at| now.since(at) < self.time_until_gone())
     }
 
+    /// The engines of a pool that seem to have ended a little while ago.
+    pub(crate) fn ended_engines(&self, pool: &PoolName) -> Vec<BackEndName> {
+        let now = self.clock().now();
+        let state = self.state();
+        let names = state.engines.of_pool(pool).map(|engine| &engine.entry.name);
+        let ended = names.filter(|name| self.has_ended(&state, name, now));
+        ended.cloned().collect()
+    }
+
     /// An engine that has ended is listed for no longer.
     fn time_until_gone(&self) -> Duration {
         self.settings().entry_lapse * LAPSES_UNTIL_GONE
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -121,7 +121,7 @@
             if let Verdict::Refused { come_back_after } = verdict {
                 return Err(self.ends_engines(come_back_after));
             }
-            let placement = self.place().ok_or_else(|| self.no_engine())?;
+            let placement = self.place(verdict).ok_or_else(|| self.no_engine())?;
             let is_paid = std::mem::take(&mut self.is_retry_paid) || self.arrivals == 0;
             if !is_paid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
@@ -326,8 +326,11 @@
 
     /// Chooses an engine that was not tried; if there is none, the one whose connection fell silent
     /// gets the request on a new one.
-    fn place(&self) -> Option<Placement> {
-        let elsewhere = self.place_outside(&self.tried);
+    fn place(&self, verdict: Verdict) -> Option<Placement> {
+        let elsewhere = match verdict {
+            Verdict::Trial => self.place_trial(),
+            _ => self.place_outside(&self.tried),
+        };
         elsewhere.or_else(|| {
             let silent = self.silent_engine.as_ref()?;
             let is_other = |engine: &&BackEndName| *engine != silent;
@@ -336,6 +339,14 @@
         })
     }
 
+    /// At an engine that has ended a trial tells nothing.
+    fn place_trial(&self) -> Option<Placement> {
+        let mut avoided = self.gateway.ended_engines(&self.request.pool);
+        avoided.extend(self.tried.iter().cloned());
+        let placement = self.place_outside(&avoided);
+        placement.or_else(|| self.place_outside(&self.tried))
+    }
+
     fn place_outside(&self, tried: &[BackEndName]) -> Option<Placement> {
         let request = &self.request;
         let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
