Test: all that is held back is told, at once and by turns (fails)

Read from the code: turns went by the number of a message, of which four lie between two introductions, and what one message did not hold waited for the next end.

--- a/crates/gateway/tests/poison_news.rs
+++ b/crates/gateway/tests/poison_news.rs
@@ -11,10 +11,10 @@
 use ryerouter_gateway::peers::Datagram;
 use ryerouter_gateway::poison::{CrashNews, PoisonNews};
 use serde_json::Value;
-use support::fleet::{deliver, introduce, node, node_in};
+use support::fleet::{deliver, introduce, node, node_in, zone_of_many};
 use support::gateway_bench::run_paused;
 use support::records::ZONE;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 const DIGEST: Digest = Digest(7);
@@ -204,3 +204,53 @@
         assert!(ended_at().is_none());
     });
 }
+
+/// Messages between two introductions are of any number, so it is not theirs that says whose turn it is.
+#[test]
+fn all_that_are_held_back_are_told_however_many_messages_lie_between() {
+    run_paused(async {
+        for between in 1..6 {
+            let nodes: Vec<_> = (0..2).map(node).collect();
+            for number in 0..40 {
+                let news = PoisonNews {
+                    digest: Digest(number),
+                    ..three_ends(["a", "b", "c"])
+                };
+                tell(&nodes[0], &nodes[1], vec![news]);
+            }
+            let newcomer = node(5);
+            for _ in 0..4 {
+                newcomer.hear_peer(nodes[0].peer_message(true));
+                (0..between).for_each(|_| drop(nodes[0].peer_message(false)));
+            }
+            let heard = newcomer.state().poison.convicted().count();
+            assert_eq!(heard, 40, "{between}");
+        }
+    });
+}
+
+/// More than one message holds are told at once all the same.
+#[test]
+fn many_ends_at_one_moment_are_all_told_at_once() {
+    run_paused(async {
+        let nodes = zone_of_many();
+        for number in 0..70 {
+            let news = PoisonNews {
+                digest: Digest(number),
+                ..three_ends(["a", "b", "c"])
+            };
+            tell(&nodes[3], &nodes[4], vec![news]);
+            nodes[3].state_mut().poison_news.insert(Digest(number), 1);
+        }
+        nodes[3].tell_peers_soon();
+        let is_urgent = || async {
+            let urgent = nodes[3].peer_news_is_urgent();
+            timeout(Duration::from_millis(1), urgent).await.is_ok()
+        };
+        while is_urgent().await {
+            deliver(&nodes, nodes[3].next_load_news());
+        }
+        let heard = nodes[9].state().poison.convicted().count();
+        assert_eq!(heard, 70);
+    });
+}
