All that is held back is told, at once and by turns

Cause and change: turns of introductions have a counter of their own, and what one urgent message does not hold follows with the next.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -102,6 +102,8 @@
     pub poison: poison::Register,
     /// Those of them to tell others of, and how often.
     pub poison_news: BTreeMap<poison::Digest, u32>,
+    /// Counts introductions: those that are held back are told by turns.
+    pub poison_turn: usize,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
@@ -225,6 +227,7 @@
             releases: release::Table::default(),
             poison: poison::Register::default(),
             poison_news: BTreeMap::new(),
+            poison_turn: 0,
             retries: HashMap::new(),
             peers,
             gives_orders: false,
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -195,6 +195,7 @@
         };
         if is_introduction {
             told.extend(convicted_of_turn(state));
+            state.poison_turn = state.poison_turn.wrapping_add(1);
             told.sort_unstable();
             told.dedup();
         }
@@ -211,6 +212,10 @@
             return Vec::new();
         }
         let told = take_news(state, TELLINGS);
+        if !state.poison_news.is_empty() {
+            // What this message does not hold is as urgent.
+            self.tell_peers_soon();
+        }
         news_of(state, &told, now)
     }
 
@@ -271,7 +276,7 @@
 fn convicted_of_turn(state: &GatewayState) -> Vec<Digest> {
     let convicted: Vec<_> = state.poison.convicted().collect();
     let parts = convicted.len().div_ceil(MOST_IN_INTRODUCTION).max(1);
-    let part = state.sequence as usize % parts;
+    let part = state.poison_turn % parts;
     let of_turn = convicted.chunks(MOST_IN_INTRODUCTION).nth(part);
     of_turn.unwrap_or_default().to_vec()
 }
