A request that alone ended its engines is tried again after ten minutes only

The first trial after five seconds frees a good request that only stood beside a bad one. It is now given only where another request ran at two of the same ends; one that alone ended its engines is tried after ten minutes. So the runs that are allowed later are left for what can't be helped: nodes that start and know nothing.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -14,16 +14,18 @@
 const GOOD_FOR: Duration = Duration::from_secs(600);
 /// Runs that began so soon after the last of these were sent by nodes that had not heard of it.
 const NEWS_TIME: Duration = Duration::from_secs(3);
-/// How long a request is held back before its trial while none has ended an engine: that frees one which only stood
-/// beside another. A trial may tell nothing, as when its caller leaves; once more is soon enough.
+/// How long a request is held back before its trial while it is in doubt and no trial has ended an engine: that frees one
+/// which only stood beside another. A trial may tell nothing, as when its caller leaves; once more is soon enough.
 const FIRST_WAITS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(10)];
-/// How long before each later one, by the engines that trials have ended: these find out whether engines with other
+/// How long before each other one, by the engines that trials have ended: these find out whether engines with other
 /// weights or software run it. Each may cost an engine; after the last of these there is none.
 const WAITS: [Duration; 3] = [
     Duration::from_secs(600),
     Duration::from_secs(600),
     Duration::from_secs(86_400),
 ];
+/// Two requests that ran at so many of the same ends can't be told apart by them.
+const SHARED_ENDS: usize = 2;
 /// Bounds the ends after the last trial, which only nodes add that were out of touch.
 const MOST_CRASHES: usize = CRASHES_TO_CONVICT_GOOD + 2 * WAITS.len();
 
@@ -122,12 +124,12 @@
         Some(last.ended)
     }
 
-    /// Whether the request may be sent to an engine.
-    pub fn verdict(&self, now: Timestamp) -> Verdict {
+    /// Whether the request may be sent to an engine; it is in doubt when another one ran at the same ends.
+    pub fn verdict(&self, is_in_doubt: bool, now: Timestamp) -> Verdict {
         let Some(convicted_at) = self.convicted_at() else {
             return Verdict::Runs;
         };
-        let wait = self.wait(convicted_at);
+        let wait = self.wait(convicted_at, is_in_doubt);
         let last = self.crashes.iter().map(|crash| crash.ended).max();
         let since = last.max(self.tried_at).unwrap_or(convicted_at);
         let Some(due) = wait.map(|wait| since.after(wait)) else {
@@ -149,6 +151,12 @@
         good.is_some_and(|(at, first)| first.ended.since(at) < GOOD_FOR)
     }
 
+    /// Whether another request ran at some of the same ends.
+    pub fn shares_ends(&self, other: &Self) -> bool {
+        let shared = self.crashes.iter().filter(|crash| other.holds(crash));
+        shared.count() >= SHARED_ENDS
+    }
+
     /// The last end, trial or good end.
     pub fn last_event(&self) -> Option<Timestamp> {
         let ended = self.crashes.iter().map(|crash| crash.ended).max();
@@ -162,10 +170,11 @@
     }
 
     /// How long before the next trial; `None` when there is none.
-    fn wait(&self, convicted_at: Timestamp) -> Option<Duration> {
+    fn wait(&self, convicted_at: Timestamp, is_in_doubt: bool) -> Option<Duration> {
         let since = convicted_at.after(NEWS_TIME);
         let ended = self.crashes.iter().filter(|crash| crash.began > since);
         let first = FIRST_WAITS.get(self.trials as usize);
+        let first = first.filter(|_| is_in_doubt);
         match ended.count() {
             0 => first.or(WAITS.first()).copied(),
             ended => WAITS.get(ended).copied(),
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Crash, Digest, History};
+use super::{Crash, Digest, History, Verdict};
 use crate::Timestamp;
 
 /// Most requests that are remembered: some 400 bytes each. Each needs an engine that has ended, so a caller can't
@@ -42,6 +42,17 @@
         self.known.get_mut(&digest)
     }
 
+    /// Whether a request may be sent to an engine.
+    pub fn verdict(&self, digest: Digest, now: Timestamp) -> Verdict {
+        let Some(history) = self.get(digest) else {
+            return Verdict::Runs;
+        };
+        let others = self.known.iter().filter(|(other, _)| **other != digest);
+        let mut others = others.map(|(_, other)| other);
+        let is_in_doubt = history.is_convicted() && others.any(|other| history.shares_ends(other));
+        history.verdict(is_in_doubt, now)
+    }
+
     /// An engine ended under a run; `false` when this tells nothing new.
     pub fn note_crash(&mut self, digest: Digest, crash: Crash, now: Timestamp) -> bool {
         self.at(digest, now).note_crash(crash)
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -48,7 +48,7 @@
 fn three_ends_in_a_row_hold_a_request_back(count: u64, expected: bool) {
     let history = history(in_a_row(count));
     assert_eq!(history.is_convicted(), expected);
-    let runs = history.verdict(at(10_000)) == Verdict::Runs;
+    let runs = history.verdict(false, at(10_000)) == Verdict::Runs;
     assert_eq!(runs, !expected);
 }
 
@@ -136,17 +136,17 @@
     let mut history = history(in_a_row(3));
     let withdrawn = history.withdraw(|crash| crash.engine.as_str() == "e1");
     assert_eq!(withdrawn, 1);
-    assert_eq!(history.verdict(at(10_000)), Verdict::Runs);
+    assert_eq!(history.verdict(false, at(10_000)), Verdict::Runs);
 }
 
 /// Plays the life of a request that is sent all the time: tells when it was sent on after its conviction.
-fn trials(until: u64, step: u64) -> Vec<u64> {
+fn trials(until: u64, step: u64, is_in_doubt: bool) -> Vec<u64> {
     let mut history = history(in_a_row(3));
     let mut sent = Vec::new();
     let mut now = 2_100;
     while now < until {
         now += step;
-        match history.verdict(at(now)) {
+        match history.verdict(is_in_doubt, at(now)) {
             Verdict::Runs => panic!("runs at {now}"),
             Verdict::Trial => {
                 history.begin_trial(at(now));
@@ -161,10 +161,36 @@
 
 #[test]
 fn request_that_is_held_back_is_tried_three_times_in_its_life() {
-    assert!(trials(6_600, 500).is_empty());
-    assert_eq!(trials(5 * MINUTE, 500), [7_100]);
-    assert_eq!(trials(20 * MINUTE, 500).len(), 2);
-    assert_eq!(trials(30 * DAY, 10 * MINUTE).len(), 3);
+    assert!(trials(9 * MINUTE, 500, false).is_empty());
+    assert_eq!(trials(15 * MINUTE, 500, false).len(), 1);
+    assert_eq!(trials(25 * MINUTE, 500, false).len(), 2);
+    assert_eq!(trials(30 * DAY, 10 * MINUTE, false).len(), 3);
+}
+
+/// It may only have stood beside the other.
+#[test]
+fn request_that_ran_at_the_same_ends_as_another_is_tried_soon() {
+    assert!(trials(6_600, 500, true).is_empty());
+    assert_eq!(trials(5 * MINUTE, 500, true), [7_100]);
+    assert_eq!(trials(20 * MINUTE, 500, true).len(), 2);
+    assert_eq!(trials(30 * DAY, 10 * MINUTE, true).len(), 3);
+}
+
+#[parameterized(
+    alone = { 0, Verdict::Refused { come_back_after: Duration::from_millis(592_100) } },
+    beside_at_one = { 1, Verdict::Refused { come_back_after: Duration::from_millis(592_100) } },
+    beside_at_two = { 2, Verdict::Trial },
+)]
+fn requests_that_share_ends_are_in_doubt(shared: usize, expected: Verdict) {
+    let mut register = Register::default();
+    for crash in in_a_row(3) {
+        register.note_crash(Digest(1), crash, at(2_100));
+    }
+    for crash in in_a_row(3).into_iter().take(shared) {
+        register.note_crash(Digest(2), crash, at(2_100));
+    }
+    assert_eq!(register.verdict(Digest(1), at(10_000)), expected);
+    assert_eq!(register.verdict(Digest(2), at(10_000)), Verdict::Runs);
 }
 
 /// A trial that met an engine which had just ended, or a caller that left, tells nothing: it is made again soon, but
@@ -174,7 +200,7 @@
     let mut history = history(in_a_row(3));
     let mut sent = Vec::new();
     for now in (2_500..20 * MINUTE).step_by(500) {
-        if history.verdict(at(now)) == Verdict::Trial {
+        if history.verdict(true, at(now)) == Verdict::Trial {
             history.begin_trial(at(now));
             sent.push(now);
         }
@@ -192,9 +218,9 @@
         history.note_crash(crash(engine, 2 * MINUTE, 2 * MINUTE + 100));
     }
     one.merge(&other);
-    let refused = one.verdict(at(30 * MINUTE));
+    let refused = one.verdict(false, at(30 * MINUTE));
     assert!(matches!(refused, Verdict::Refused { .. }), "{refused:?}");
-    assert_eq!(one.verdict(at(2 * DAY)), Verdict::Trial);
+    assert_eq!(one.verdict(false, at(2 * DAY)), Verdict::Trial);
 }
 
 #[test]
@@ -202,7 +228,7 @@
     let mut history = history(in_a_row(3));
     history.begin_trial(at(2 * MINUTE));
     history.clear(at(2 * MINUTE + 100));
-    assert_eq!(history.verdict(at(2 * MINUTE + 200)), Verdict::Runs);
+    assert_eq!(history.verdict(false, at(2 * MINUTE + 200)), Verdict::Runs);
     assert_eq!(history.trials, 0);
 }
 
@@ -215,7 +241,7 @@
         history.note_crash(crash(&format!("l{index}"), began, began + 90));
     }
     assert_eq!(history.crashes.len(), 3);
-    assert_eq!(history.verdict(at(2 * MINUTE)), Verdict::Trial);
+    assert_eq!(history.verdict(false, at(11 * MINUTE)), Verdict::Trial);
 }
 
 /// Each end is seen by another node, and all tell each other in any order.
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -38,9 +38,7 @@
     pub fn verdict_on_digest(&self, digest: Digest) -> Verdict {
         let now = self.clock().now();
         self.withdraw_ends(digest, now);
-        let state = self.state();
-        let history = state.poison.get(digest);
-        history.map_or(Verdict::Runs, |history| history.verdict(now))
+        self.state().poison.verdict(digest, now)
     }
 
     /// A request that is held back is sent once, to see whether it still ends its engine.
--- a/crates/gateway/tests/poison_news.rs
+++ b/crates/gateway/tests/poison_news.rs
@@ -171,7 +171,7 @@
     run_paused(async {
         let nodes: Vec<Rc<Gateway>> = (0..2).map(node).collect();
         tell(&nodes[0], &nodes[1], vec![three_ends(["a", "b", "c"])]);
-        sleep(Duration::from_secs(61)).await;
+        sleep(Duration::from_secs(601)).await;
         assert_eq!(nodes[0].verdict_on_digest(DIGEST), Verdict::Trial);
         let news = PoisonNews {
             trials: 1,
