--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -176,6 +176,19 @@
     assert_eq!(trials(30 * DAY, 10 * MINUTE, true).len(), 3);
 }
 
+/// Engines that have ended are listed for some seconds more, and a node that has just started does not know it: what it
+/// sends there breaks off at once.
+#[test]
+fn request_whose_run_broke_off_at_once_is_in_doubt() {
+    let mut register = Register::default();
+    let mut crashes = in_a_row(3);
+    crashes[1].began = at(1_099);
+    for crash in crashes {
+        register.note_crash(Digest(1), crash, at(2_100));
+    }
+    assert_eq!(register.verdict(Digest(1), at(10_000)), Verdict::Trial);
+}
+
 #[parameterized(
     alone = { 0, Verdict::Refused { come_back_after: Duration::from_millis(592_100) } },
     beside_at_one = { 1, Verdict::Refused { come_back_after: Duration::from_millis(592_100) } },
