A request whose run broke off at once is in doubt, and tried again soon

Cause: nothing tells a node that has just started that a listed engine has ended, and no other request had run at these ends.

--- a/crates/core/src/poison/crash.rs
+++ b/crates/core/src/poison/crash.rs
@@ -12,6 +12,9 @@
 /// when each copy ended its own.
 const AT_ONCE: Duration = Duration::from_millis(300);
 
+/// A run that broke off sooner may have met an engine that had ended before.
+const SHORTEST_RUN: Duration = Duration::from_millis(5);
+
 /// An engine that ended while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -38,6 +41,11 @@
         self.ended > former.ended.after(apart)
     }
 
+    /// Whether the engine may have ended before it was sent the request.
+    pub(super) fn is_doubtful(&self) -> bool {
+        self.ended.since(self.began) < SHORTEST_RUN
+    }
+
     /// Whether both are the end of the same life of an engine.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         self.engine == other.engine && self.incarnation == other.incarnation
--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -124,7 +124,12 @@
         Some(last.ended)
     }
 
-    /// Whether the request may be sent to an engine; it is in doubt when another one ran at the same ends.
+    /// Whether one of its runs may have met an engine that had ended before.
+    pub fn has_doubtful_end(&self) -> bool {
+        self.crashes.iter().any(Crash::is_doubtful)
+    }
+
+    /// Whether the request may be sent to an engine; it is in doubt when it may only have stood beside another.
     pub fn verdict(&self, is_in_doubt: bool, now: Timestamp) -> Verdict {
         let Some(convicted_at) = self.convicted_at() else {
             return Verdict::Runs;
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -49,7 +49,8 @@
         };
         let others = self.known.iter().filter(|(other, _)| **other != digest);
         let mut others = others.map(|(_, other)| other);
-        let is_in_doubt = history.is_convicted() && others.any(|other| history.shares_ends(other));
+        let mut is_beside = || others.any(|other| history.shares_ends(other));
+        let is_in_doubt = history.is_convicted() && (history.has_doubtful_end() || is_beside());
         history.verdict(is_in_doubt, now)
     }
 
