Read what engines say of themselves in their answers, and log it

No line told when a node learned that an engine names a limit, leaves or wants rest, so a request that was under way could not be told from one that was sent in spite of it. Nothing is decided by it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread, so the router process and the simulator run exactly the same code.
 
 pub mod admission;
+pub mod backpressure;
 pub mod catalog;
 pub mod claim;
 pub mod config;
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a gateway, shared by all its tasks.
 
+mod backpressure;
 mod cache_events;
 mod cache_knowledge;
 mod caller_ring;
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -46,6 +46,7 @@
     old_list_sampler: LogSampler,
     release_sampler: LogSampler,
     engine_sampler: LogSampler,
+    signal_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -78,6 +79,7 @@
             old_list_sampler: LogSampler::default(),
             release_sampler: LogSampler::default(),
             engine_sampler: LogSampler::new(ENGINE_LINES_PER_SECOND),
+            signal_sampler: LogSampler::default(),
             dialect,
             urgent_news: Notify::new(),
             leaving: Notify::new(),
@@ -124,6 +126,11 @@
         &self.engine_sampler
     }
 
+    /// Bounds lines that tell what engines say of themselves.
+    pub fn signal_sampler(&self) -> &LogSampler {
+        &self.signal_sampler
+    }
+
     /// Metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
--- a/crates/gateway/src/request/answer_facts.rs
+++ b/crates/gateway/src/request/answer_facts.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use ryerouter_core::backpressure::Signal;
+
+use super::InvalidField;
+
 /// What the head of an engine's answer says, besides its status.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
     /// The request that it answers.
     pub request_id: Option<String>,
@@ -15,4 +19,8 @@
     pub weights: Option<u64>,
     /// How long the engine keeps the connection idle.
     pub idle_timeout: Option<Duration>,
+    /// What the engine says of itself.
+    pub signal: Signal,
+    /// Fields of that which make no sense.
+    pub invalid_fields: Vec<InvalidField>,
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod bad_request;
 mod caller_request;
 mod dialect;
+mod invalid_field;
 mod refusal;
 mod unreadable_configuration;
 
@@ -13,5 +14,6 @@
 pub use bad_request::BadRequest;
 pub use caller_request::CallerRequest;
 pub use dialect::Dialect;
+pub use invalid_field::InvalidField;
 pub use refusal::{Refusal, RefusalReason};
 pub use unreadable_configuration::UnreadableConfiguration;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -66,6 +66,9 @@
     let head_after = gateway.clock().now().since(sent_at);
     note_head(gateway, request, placement, sent_at, head_after);
     let facts = gateway.dialect().read_answer(&answer.head);
+    if speaks_of_its_engine(request, &answer, &facts) && gateway.is_in_life_of(placement) {
+        gateway.note_signal(&request.caller.id, placement, &facts);
+    }
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
             note_accepted(gateway, request, placement, &facts);
@@ -132,6 +135,19 @@
     message
 }
 
+/// Whether what the head says of its engine is to be believed: the answer is to this request, and by the engine that
+/// it was sent to, not by another process at the same address.
+fn speaks_of_its_engine(
+    request: &AcceptedRequest,
+    answer: &UpstreamAnswer,
+    facts: &AnswerFacts,
+) -> bool {
+    let status = answer.head.status;
+    let is_own = facts.request_id.as_ref() == Some(&request.caller.id);
+    let is_genuine = facts.is_signed || !status.is_success();
+    is_own && is_genuine && status != StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Whether the head is a usable answer to this request.
 fn judge_head(
     request: &AcceptedRequest,
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -32,6 +32,8 @@
     pub silences: IntCounterVec,
     /// How long requests that ended unserved were held, by where.
     pub held_seconds: HistogramVec,
+    /// What engines said of themselves in answers, by kind.
+    pub engine_signals: IntCounterVec,
     /// Requests of pools while a release goes on, by whether they went to the target version.
     pub release_requests: IntCounterVec,
     /// Orders to engines by outcome.
@@ -102,6 +104,12 @@
                 "verdict",
             ),
             held_seconds: held(&registry),
+            engine_signals: vector(
+                &registry,
+                "engine_signals_total",
+                "What engines said of themselves in answers",
+                "kind",
+            ),
             release_requests: vector_of(
                 &registry,
                 "release_requests_total",
--- a/crates/gateway/tests/support/test_dialect.rs
+++ b/crates/gateway/tests/support/test_dialect.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::{request, response};
+use ryerouter_core::backpressure::Signal;
 use ryerouter_gateway::catalogue::RoutingTable;
 use ryerouter_gateway::placement::{Prompt, PromptPart};
 use ryerouter_gateway::request::{
@@ -19,6 +20,8 @@
 pub const ENGINE: &str = "x-engine";
 pub const TENANT: &str = "x-tenant";
 pub const AFTER: &str = "x-after";
+pub const LEAVING: &str = "x-leaving";
+pub const LIMIT: &str = "x-limit";
 
 /// The model of every prompt.
 pub const MODEL: &str = "model";
@@ -69,6 +72,8 @@
             is_signed: head.headers.contains_key(SIGNED),
             weights: None,
             idle_timeout: None,
+            signal: signal(head),
+            invalid_fields: Vec::new(),
         }
     }
 
@@ -77,6 +82,15 @@
     }
 }
 
+fn signal(head: &response::Parts) -> Signal {
+    let number = |name| text(&head.headers, name).and_then(|text| text.parse().ok());
+    Signal {
+        is_leaving: head.headers.contains_key(LEAVING),
+        rest: number(RETRY_AFTER.as_str()).map(Duration::from_secs_f64),
+        rate_limit: number(LIMIT),
+    }
+}
+
 /// A prompt of parts that are named with commas between them.
 pub fn prompt(parts: &str) -> Prompt {
     let parts: Vec<_> = parts
