--- a/crates/gateway/tests/support/crashing_engine.rs
+++ b/crates/gateway/tests/support/crashing_engine.rs
@@ -107,7 +107,7 @@
 /// Answers what comes on a connection; `true` when it is the end of the engine.
 async fn serve(mut stream: TcpStream, lasting: Rc<Cell<usize>>) -> bool {
     while let Some((head, body)) = read_request(&mut stream).await {
-        let id = Arrival { head }.header("x-id").unwrap_or_default();
+        let id = Arrival::now(head).header("x-id").unwrap_or_default();
         write(&mut stream, &stream_head(&id)).await;
         match body.as_str() {
             FATAL => {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 pub mod releases;
 pub mod scripted_engine;
 pub mod scripted_source;
+pub mod signalling;
 pub mod silencing_server;
 pub mod test_dialect;
 pub mod unanswered_address;
--- a/crates/gateway/tests/support/scripted_engine.rs
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// What the engine does with the next request.
 #[derive(Debug, Clone)]
@@ -41,9 +41,15 @@
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub head: String,
+    pub at: Instant,
 }
 
 impl Arrival {
+    pub fn now(head: String) -> Self {
+        let at = Instant::now();
+        Self { head, at }
+    }
+
     /// Value of a header.
     pub fn header(&self, name: &str) -> Option<String> {
         let prefix = format!("{name}:");
@@ -60,6 +66,10 @@
     pub arrivals: RefCell<Vec<Arrival>>,
     /// Connections that their peer closed while a request was unanswered.
     pub abandoned: Cell<u32>,
+    /// Header lines that it puts in each answer.
+    pub says: RefCell<String>,
+    /// Whether it turns requests away for which there is no step.
+    pub turns_away: Cell<bool>,
     changed: Notify,
 }
 
@@ -114,23 +124,29 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         while let Some((head, _)) = read_request(&mut stream).await {
-            let arrival = Arrival { head };
+            let arrival = Arrival::now(head);
             let goes_on = arrival.header("x-after").is_some();
             let id = arrival.header("x-id").unwrap_or_default();
             self.arrivals.borrow_mut().push(arrival);
             self.changed.notify_waiters();
             let step = self.steps.borrow_mut().pop_front();
-            let step = match step.unwrap_or(Step::Answer(200, "ok")) {
+            let default = match self.turns_away.get() {
+                true => Step::NoRoom,
+                false => Step::Answer(200, "ok"),
+            };
+            let says = self.says.borrow().clone();
+            let step = match step.unwrap_or(default) {
                 Step::BreaksOnce(_, rest) if goes_on => Step::Events(rest),
                 Step::BreaksOnce(begin, _) => Step::BrokenEvents(begin),
                 other => other,
             };
             match step {
                 Step::Answer(status, body) => {
-                    write(&mut stream, &answer(status, &id, "", body)).await;
+                    write(&mut stream, &answer(status, &id, &says, body)).await;
                 }
                 Step::NoRoom => {
-                    write(&mut stream, &answer(503, &id, "x-not-executed: 1\r\n", "")).await;
+                    let says = format!("x-not-executed: 1\r\n{says}");
+                    write(&mut stream, &answer(503, &id, &says, "")).await;
                 }
                 Step::Foreign => write(&mut stream, &answer(200, "another", "", "no")).await,
                 Step::Close => return,
@@ -186,7 +202,7 @@
         bytes.push(byte[0]);
     }
     let head = String::from_utf8(bytes).ok()?;
-    let length = Arrival { head: head.clone() }.header("content-length");
+    let length = Arrival::now(head.clone()).header("content-length");
     let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
