A limit that an engine names is divided between nodes

Callers of engines in need saw nothing yet; the engine got 43 to 66 requests in 4 s where 5 to 20 are allowed, as often as before it named its limit. Cause: the answer's head was decoded into a type without the field, so that no node knew, and no two nodes counted together.

Now what an engine says of itself bars it before costs are summed, and a limit is divided by rendezvous hashing between as many nodes as can each save up a request within the bound: it holds without a message, from the first answer on, and while nodes are cut off.

--- /dev/null
+++ b/crates/core/src/backpressure/bar.rs
@@ -0,0 +1,22 @@
+//! Why an engine gets nothing now.
+
+use derive_more::Display;
+
+use crate::Timestamp;
+
+/// What bars an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum BarReason {
+    /// This node's share of its limit is used up.
+    #[display("limited")]
+    Limited,
+}
+
+/// Why an engine gets nothing now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bar {
+    /// What bars it.
+    pub reason: BarReason,
+    /// When it may be sent something again; `None` when that is not known.
+    pub until: Option<Timestamp>,
+}
--- a/crates/core/src/backpressure/mod.rs
+++ b/crates/core/src/backpressure/mod.rs
@@ -1,5 +1,19 @@
 //! What engines say of themselves in their answers, and how much they may be sent by that.
+//!
+//! An engine in need names how many requests a second it takes from all nodes together. That is a promise to the engine
+//! and no price: what it bars is never sent, however good the engine looks. A [`Condition`] holds what is known of one
+//! engine; `docs/design/backpressure.md` has the reasons.
 
+mod bar;
+mod condition;
+mod limit;
+mod report;
+mod share;
 mod signal;
 
+pub use bar::{Bar, BarReason};
+pub use condition::{Change, Condition};
+pub use limit::Limit;
+pub use report::Report;
+pub use share::{Place, share_of};
 pub use signal::Signal;
--- /dev/null
+++ b/crates/core/src/backpressure/share.rs
@@ -0,0 +1,54 @@
+//! How a limit is divided between nodes.
+
+/// Nodes that share a limit beyond one for each request a second. With a part of more than one request in a few
+/// seconds each, what all of them save up stays below the half of the limit that may be exceeded for a moment.
+const SENDERS_BESIDE_RATE: usize = 3;
+/// A node that has heard of this share of all nodes knows its place among them.
+const NEARLY_ALL: f64 = 0.8;
+/// Where nodes do not know their places, twice as many as planned may send.
+const MOST_SENDERS_BY_CHANCE: f64 = 2.0;
+/// An engine that takes next to nothing is asked so often by one node whether it takes more, in requests a second.
+const PROBE_RATE: f64 = 0.1;
+
+/// The place of a node among all that may send to an engine, by rendezvous hashing.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Place {
+    /// How many nodes there may be, this one included.
+    pub nodes: usize,
+    /// How many of them this node has heard of, itself included.
+    pub known: usize,
+    /// How many of those come before it.
+    pub rank: usize,
+    /// Its score as a share of the highest there is.
+    pub score: f64,
+}
+
+/// The part of an engine's limit that a node may send, in requests a second.
+///
+/// Nodes agree on it without a word: a limit may be less than one request a second for each node, and nodes that are cut off
+/// or have just been told can't ask the others. So it is divided between some of them only, as many as can each save up a whole
+/// request without all of them together exceeding the limit, and the others send nothing.
+pub fn share_of(per_second: f64, place: &Place) -> f64 {
+    let senders = senders(per_second, place.nodes);
+    let fair = per_second / senders as f64;
+    let knows_place = place.known as f64 >= place.nodes as f64 * NEARLY_ALL;
+    if !knows_place {
+        let is_drawn = place.score * (place.nodes as f64) < senders as f64;
+        return if is_drawn {
+            fair / MOST_SENDERS_BY_CHANCE
+        } else {
+            0.0
+        };
+    }
+    match place.rank {
+        0 => fair.max(PROBE_RATE),
+        rank if rank < senders => fair,
+        _ => 0.0,
+    }
+}
+
+/// How many nodes share a limit.
+fn senders(per_second: f64, nodes: usize) -> usize {
+    let by_rate = per_second.min(nodes as f64) as usize + SENDERS_BESIDE_RATE;
+    by_rate.min(nodes).max(1)
+}
--- a/crates/core/src/limit/token_bucket.rs
+++ b/crates/core/src/limit/token_bucket.rs
@@ -46,6 +46,18 @@
         taken
     }
 
+    /// When the bucket holds a whole token, `now` at the earliest; `None` when it never will.
+    pub fn next_at(&self, now: Timestamp) -> Option<Timestamp> {
+        let missing = MICROS - self.level;
+        let wait_micros = match self.rate_milli {
+            _ if missing <= 0 => 0,
+            0 => return None,
+            rate_milli => 1 + (missing * 1_000 - 1) / i128::from(rate_milli),
+        };
+        let wait = Duration::from_micros(u64::try_from(wait_micros).unwrap_or(u64::MAX));
+        Some(self.filled_at.after(wait).max(now))
+    }
+
     /// Takes up to `wanted` whole tokens, but none if that is fewer than `least`; a full bucket
     /// gives `least` even if it does not hold as many, and owes the rest.
     pub fn take_at_least(&mut self, least: u64, wanted: u64, now: Timestamp) -> u64 {
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::backpressure::Condition;
 use ryerouter_core::retry::EngineHealth;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -33,6 +34,8 @@
     pub name_hash: u64,
     /// When it was first listed in this life.
     pub listed_at: Timestamp,
+    /// What it has said of itself.
+    pub condition: Condition,
     /// Whether it fails requests.
     pub health: EngineHealth,
     /// Work of this process there.
@@ -64,6 +67,7 @@
             name_hash: xxh3_64(entry.name.as_str().as_bytes()),
             entry,
             listed_at: Timestamp::ZERO,
+            condition: Condition::default(),
             health: EngineHealth::default(),
             own_load: Rc::default(),
             foreign_load: EngineLoad::default(),
@@ -193,7 +197,8 @@
     /// Whether new work may be sent.
     pub fn takes_work(&self, now: Timestamp) -> bool {
         let is_misdirected = self.misdirected_until.is_some_and(|until| now < until);
-        self.entry.state == EngineState::Ready && !self.is_loading(now) && !is_misdirected
+        let is_willing = self.entry.state == EngineState::Ready && !self.is_loading(now);
+        is_willing && !is_misdirected && self.condition.bar(now).is_none()
     }
 
     /// All work there.
--- a/crates/gateway/src/engines/engine_table.rs
+++ b/crates/gateway/src/engines/engine_table.rs
@@ -5,12 +5,14 @@
 
 use ryerouter_core::identity::{BackEndName, PoolName};
 
+use super::gone_conditions::GoneConditions;
 use super::{Engine, EngineEntry, EngineLoad, ToldLife};
 
 /// All engines by name; iterates in order of name, so that decisions repeat.
 #[derive(Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<BackEndName, Engine>,
+    gone: GoneConditions,
     /// Engines at which other processes have work, as far as they have told.
     loaded: Vec<BackEndName>,
     /// Rises whenever an engine may have changed.
@@ -70,7 +72,11 @@
     pub fn upsert(&mut self, mut entry: EngineEntry) {
         self.generation += 1;
         let Some(engine) = self.engines.get_mut(&entry.name) else {
-            self.engines.insert(entry.name.clone(), Engine::new(entry));
+            let name = entry.name.clone();
+            let former = self.gone.take(&name, entry.incarnation);
+            let mut engine = Engine::new(entry);
+            engine.condition = former.unwrap_or_default();
+            self.engines.insert(name, engine);
             return;
         };
         match ToldLife::new(engine.entry.incarnation, entry.incarnation) {
@@ -90,10 +96,13 @@
         }
     }
 
-    /// Forgets an engine.
+    /// Forgets an engine, but for what it said of itself.
     pub fn remove(&mut self, name: &BackEndName) -> Option<Engine> {
         self.generation += 1;
-        self.engines.remove(name)
+        let engine = self.engines.remove(name)?;
+        let condition = engine.condition.clone();
+        self.gone.keep(name, engine.entry.incarnation, condition);
+        Some(engine)
     }
 
     /// Names of all engines that `keep` does not hold.
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -5,6 +5,7 @@
 mod engine_entry;
 mod engine_load;
 mod engine_table;
+mod gone_conditions;
 mod in_flight;
 mod known_lives;
 mod life;
--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -1,19 +1,67 @@
 //! What engines say of themselves in their answers; see docs/design/backpressure.md.
 
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::backpressure::{Bar, BarReason, Change, Condition, Place};
+use ryerouter_core::identity::{BackEndName, NodeName, PoolName};
+use ryerouter_core::placement::rendezvous_score;
 use slog::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
-use super::Gateway;
-use crate::placement::Placement;
+use super::{Gateway, GatewayState};
+use crate::engines::{Engine, ToldLife};
+use crate::peers::SignalNews;
 use crate::request::AnswerFacts;
 
+/// Most engines that one message tells of; more wait for the next.
+const MOST_NEWS: usize = 32;
+/// Most engines that an introduction tells of: others with the next.
+const MOST_IN_INTRODUCTION: usize = 16;
+/// News are told so often where they go to each node directly: a datagram may be lost. Elsewhere they are passed
+/// on by two nodes of each zone.
+const TELLINGS: u32 = 3;
+/// Most limits whose shares are computed anew at once; the others follow by turns.
+const MOST_REFRESHED: usize = 32;
+
 impl Gateway {
-    /// Takes what an engine's answer to a request says of the engine.
-    pub(crate) fn note_signal(&self, request: &str, placement: &Placement, facts: &AnswerFacts) {
+    /// Takes what the answer to a request that was sent at `sent_at` says of its engine.
+    pub fn note_signal(
+        &self,
+        request: &str,
+        name: &BackEndName,
+        facts: &AnswerFacts,
+        sent_at: Timestamp,
+    ) {
+        self.log_signal(request, name, facts);
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let Some(engine) = state.engines.get(name) else {
+            return;
+        };
+        // Nearly all answers of nearly all engines say nothing.
+        if facts.signal.is_empty() && engine.condition.limit().is_none() {
+            return;
+        }
+        let Some(engine) = state.engines.get_mut(name) else {
+            return;
+        };
+        let change = engine.condition.hear(&facts.signal, sent_at, now);
+        self.refresh_engine(&mut state, name, now);
+        if change.is_news() {
+            self.log_change(&state, name, change, now);
+            state.signal_news.insert(name.clone(), TELLINGS);
+            drop(state);
+            self.tell_peers_soon();
+        }
+    }
+
+    fn log_signal(&self, request: &str, engine: &BackEndName, facts: &AnswerFacts) {
         for field in &facts.invalid_fields {
             self.count_signal("invalid");
             if let Some(left_out) = self.signal_sampler().admit(self.clock().now()) {
                 warn!(self.log(), "engine_signal_invalid"; "request" => request,
-                    "engine" => %placement.engine, "field" => %field, "left_out" => left_out);
+                    "engine" => %engine, "field" => %field, "left_out" => left_out);
             }
         }
         let signal = &facts.signal;
@@ -30,7 +78,7 @@
         }
         if let Some(left_out) = self.signal_sampler().admit(self.clock().now()) {
             info!(self.log(), "engine_signal"; "request" => request,
-                "engine" => %placement.engine, "leaving" => signal.is_leaving,
+                "engine" => %engine, "leaving" => signal.is_leaving,
                 "rest_ms" => signal.rest.map(|rest| rest.as_millis() as u64),
                 "limit" => signal.rate_limit, "left_out" => left_out);
         }
@@ -40,4 +88,269 @@
         let signals = &self.metrics().engine_signals;
         signals.with_label_values(&[kind]).inc();
     }
+
+    fn log_change(&self, state: &GatewayState, name: &BackEndName, change: Change, now: Timestamp) {
+        let Some(left_out) = self.signal_sampler().admit(now) else {
+            return;
+        };
+        let limit = state
+            .engines
+            .get(name)
+            .and_then(|engine| engine.condition.limit());
+        info!(self.log(), "engine_condition_changed"; "engine" => %name,
+            "limit_over" => change.is_limit_over,
+            "limit" => limit.map(|limit| limit.per_second()),
+            "share" => limit.map(|limit| limit.share()), "left_out" => left_out);
+    }
+
+    /// A request is sent to an engine.
+    pub(crate) fn note_request_sent(&self, name: &BackEndName) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let engine = state.engines.get(name);
+        if engine.is_some_and(|engine| engine.condition.limit().is_some())
+            && let Some(engine) = state.engines.get_mut(name)
+        {
+            engine.condition.note_sent(now);
+        }
+    }
+
+    /// How long until one of the barred engines of a pool may be sent something again; `None` while one takes work, or
+    /// when nothing is known.
+    pub fn next_opening(&self, pool: &PoolName) -> Option<Duration> {
+        let now = self.clock().now();
+        let state = self.state();
+        if state
+            .engines
+            .of_pool(pool)
+            .any(|engine| engine.takes_work(now))
+        {
+            return None;
+        }
+        let bars = bars_of(&state, pool, now);
+        let openings = bars.filter_map(|bar| bar.until);
+        Some(openings.min()?.since(now))
+    }
+
+    /// How many engines of a pool are barred, and by what.
+    pub(crate) fn barred_engines(&self, pool: &PoolName) -> String {
+        let now = self.clock().now();
+        let state = self.state();
+        let counts = [BarReason::Limited].map(|reason| {
+            let bars = bars_of(&state, pool, now).filter(|bar| bar.reason == reason);
+            (reason, bars.count())
+        });
+        let told = counts.iter().filter(|(_, count)| *count > 0);
+        let told: Vec<_> = told
+            .map(|(reason, count)| format!("{count} {reason}"))
+            .collect();
+        told.join(", ")
+    }
+
+    /// Divides the limits of engines anew, since nodes come and go, and forgets those that must be over.
+    pub fn refresh_limits(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if state.limited_engines.is_empty() {
+            return;
+        }
+        let last = state.last_refreshed.take();
+        let later = state
+            .limited_engines
+            .iter()
+            .filter(|name| Some(*name) > last.as_ref());
+        let turn: Vec<_> = later.take(MOST_REFRESHED).cloned().collect();
+        for name in &turn {
+            self.refresh_engine(&mut state, name, now);
+        }
+        state.last_refreshed = (turn.len() == MOST_REFRESHED)
+            .then(|| turn.last().cloned())
+            .flatten();
+    }
+
+    /// An engine whose entry had gone may have named a limit before.
+    pub(super) fn note_listed_again(
+        &self,
+        state: &mut GatewayState,
+        name: &BackEndName,
+        now: Timestamp,
+    ) {
+        let engine = state.engines.get(name);
+        if engine.is_some_and(|engine| engine.condition.limit().is_some()) {
+            self.refresh_engine(state, name, now);
+        }
+    }
+
+    /// Logs the limits of engines and what this node has sent.
+    pub(crate) fn log_limited_engines(&self) {
+        let now = self.clock().now();
+        let state = self.state();
+        for name in &state.limited_engines {
+            let limit = state
+                .engines
+                .get(name)
+                .and_then(|engine| engine.condition.limit());
+            let Some(limit) = limit else {
+                continue;
+            };
+            let Some(left_out) = self.signal_sampler().admit(now) else {
+                return;
+            };
+            info!(self.log(), "engine_limited"; "engine" => %name,
+                "limit" => limit.per_second(), "share" => limit.share(), "sent" => limit.sent(),
+                "named_age_ms" => now.since(limit.named_at()).as_millis() as u64,
+                "left_out" => left_out);
+        }
+    }
+
+    fn refresh_engine(&self, state: &mut GatewayState, name: &BackEndName, now: Timestamp) {
+        let place = self.place_before(state, name, now);
+        let is_limited = state.engines.get_mut(name).is_some_and(|engine| {
+            engine.condition.refresh(&place, now);
+            engine.condition.limit().is_some()
+        });
+        match is_limited {
+            true => state.limited_engines.insert(name.clone()),
+            false => state.limited_engines.remove(name),
+        };
+    }
+
+    /// The place of this node among all that may send to an engine. Silent nodes keep theirs until they are forgotten: they may
+    /// only be cut off from this one.
+    fn place_before(&self, state: &GatewayState, engine: &BackEndName, now: Timestamp) -> Place {
+        let engine = xxh3_64(engine.as_str().as_bytes());
+        let score = |node: &NodeName| rendezvous_score(xxh3_64(node.as_str().as_bytes()), engine);
+        let own = &self.settings().identity.name;
+        let own_score = score(own);
+        let others = state.peers.lately_heard(now);
+        let others = others.map(|peer| &peer.identity.name);
+        let mut known = 1;
+        let mut rank = 0;
+        for other in others.filter(|other| *other != own) {
+            known += 1;
+            rank += usize::from((score(other), other) > (own_score, own));
+        }
+        Place {
+            nodes: self.limit_peers(state, now).nodes.max(known),
+            known,
+            rank,
+            score: own_score as f64 / u64::MAX as f64,
+        }
+    }
+
+    /// What to tell other nodes with a message; with an introduction also what is known for longer.
+    pub(super) fn signal_news(
+        &self,
+        state: &mut GatewayState,
+        is_introduction: bool,
+        now: Timestamp,
+    ) -> Vec<SignalNews> {
+        let mut told = match state.peers.is_large() {
+            true => Vec::new(),
+            false => take_news(state, 1),
+        };
+        if is_introduction {
+            told.extend(signalled_of_turn(state));
+            told.sort_unstable();
+            told.dedup();
+        }
+        news_of(state, &told, now)
+    }
+
+    /// News that every node of a large deployment needs soon.
+    pub(super) fn take_urgent_signals(
+        &self,
+        state: &mut GatewayState,
+        now: Timestamp,
+    ) -> Vec<SignalNews> {
+        if !state.peers.is_large() {
+            return Vec::new();
+        }
+        let told = take_news(state, TELLINGS);
+        if !state.signal_news.is_empty() {
+            // What this message does not hold is as urgent.
+            self.tell_peers_soon();
+        }
+        news_of(state, &told, now)
+    }
+
+    /// Takes what another node tells.
+    pub(super) fn take_signal_news(
+        &self,
+        state: &mut GatewayState,
+        news: &[SignalNews],
+        now: Timestamp,
+    ) {
+        for told in news {
+            let is_same_life = |engine: &&Engine| {
+                ToldLife::new(engine.entry.incarnation, told.incarnation) == ToldLife::Same
+            };
+            if state
+                .engines
+                .get(&told.engine)
+                .filter(is_same_life)
+                .is_none()
+            {
+                continue;
+            }
+            let Some(engine) = state.engines.get_mut(&told.engine) else {
+                continue;
+            };
+            let is_news = engine.condition.merge(&told.report(now));
+            self.refresh_engine(state, &told.engine, now);
+            if is_news && let Some(left_out) = self.signal_sampler().admit(now) {
+                info!(self.log(), "engine_condition_heard"; "engine" => %told.engine,
+                    "limit" => told.limit,
+                    "age_ms" => told.limit_age_ms, "left_out" => left_out);
+            }
+        }
+    }
+}
+
+fn bars_of<'a>(
+    state: &'a GatewayState,
+    pool: &PoolName,
+    now: Timestamp,
+) -> impl Iterator<Item = Bar> + use<'a> {
+    let engines = state.engines.of_pool(pool).collect::<Vec<_>>();
+    let bars = engines.into_iter();
+    bars.filter_map(move |engine| engine.condition.bar(now))
+}
+
+/// The engines that are to be told of, each of them `tellings` times less from now on.
+fn take_news(state: &mut GatewayState, tellings: u32) -> Vec<BackEndName> {
+    let told: Vec<_> = state.signal_news.keys().take(MOST_NEWS).cloned().collect();
+    for name in &told {
+        if let Some(left) = state.signal_news.get_mut(name) {
+            *left = left.saturating_sub(tellings);
+        }
+    }
+    state.signal_news.retain(|_, left| *left > 0);
+    told
+}
+
+/// Some of the engines that this node has heard something of, others with each message.
+fn signalled_of_turn(state: &mut GatewayState) -> Vec<BackEndName> {
+    let has_seen = |engine: &&Engine| engine.condition.report().is_some();
+    let signalled = state.engines.iter().filter(has_seen);
+    let names: Vec<_> = signalled.map(|engine| engine.entry.name.clone()).collect();
+    let parts = names.len().div_ceil(MOST_IN_INTRODUCTION).max(1);
+    let part = state.signal_turn % parts;
+    state.signal_turn = state.signal_turn.wrapping_add(1);
+    let of_turn = names.chunks(MOST_IN_INTRODUCTION).nth(part);
+    of_turn.unwrap_or_default().to_vec()
+}
+
+fn news_of(state: &GatewayState, told: &[BackEndName], now: Timestamp) -> Vec<SignalNews> {
+    let known = told.iter().filter_map(|name| {
+        let engine = state.engines.get(name)?;
+        let report = Condition::report(&engine.condition)?;
+        Some(SignalNews::new(
+            name,
+            engine.entry.incarnation,
+            &report,
+            now,
+        ))
+    });
+    known.collect()
 }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -104,6 +104,14 @@
     pub poison_news: BTreeMap<poison::Digest, u32>,
     /// Counts introductions: those that are held back are told by turns.
     pub poison_turn: usize,
+    /// Engines that have named a limit.
+    pub limited_engines: BTreeSet<BackEndName>,
+    /// The last of them whose share was computed anew, when others are still to come.
+    pub last_refreshed: Option<BackEndName>,
+    /// Engines that have said something new, and how often others are to be told.
+    pub signal_news: BTreeMap<BackEndName, u32>,
+    /// Counts introductions: what engines have said is told by turns.
+    pub signal_turn: usize,
     /// Retry budgets.
     pub retries: HashMap<PoolName, RetryWindow>,
     /// Other nodes.
@@ -228,6 +236,10 @@
             poison: poison::Register::default(),
             poison_news: BTreeMap::new(),
             poison_turn: 0,
+            limited_engines: BTreeSet::new(),
+            last_refreshed: None,
+            signal_news: BTreeMap::new(),
+            signal_turn: 0,
             retries: HashMap::new(),
             peers,
             gives_orders: false,
--- a/crates/gateway/src/gateway/peer_news.rs
+++ b/crates/gateway/src/gateway/peer_news.rs
@@ -45,8 +45,9 @@
             return !state.weights_news.is_empty();
         }
         // What was dropped goes with the next message: a message of its own costs more than it saves.
-        let has_poison = !state.poison_news.is_empty() && !state.peers.is_large();
-        !state.holder_news.is_empty() || !state.weights_news.is_empty() || has_poison
+        let has_urgent = !state.poison_news.is_empty() || !state.signal_news.is_empty();
+        let is_told_here = has_urgent && !state.peers.is_large();
+        !state.holder_news.is_empty() || !state.weights_news.is_empty() || is_told_here
     }
 
     /// Whether a node has come that knows nothing of this one yet, or nobody may know of it.
@@ -108,6 +109,7 @@
             releases: self.release_news(&state, is_introduction, now),
             evidence: self.evidence_news(&state),
             poison: self.poison_news(&mut state, is_introduction, now),
+            signals: self.signal_news(&mut state, is_introduction, now),
             knows_orders: is_introduction && state.releases.knows_orders,
             holders,
             dropped,
@@ -300,6 +302,7 @@
             state.holders.forget(*key, engine);
         }
         self.take_poison_news(&mut state, &message.poison, now);
+        self.take_signal_news(&mut state, &message.signals, now);
         if is_newest {
             for news in &message.kv_stores {
                 self.adopt_kv_store_news(&mut state, *news);
--- a/crates/gateway/src/gateway/tenant_limits.rs
+++ b/crates/gateway/src/gateway/tenant_limits.rs
@@ -104,7 +104,8 @@
         }
     }
 
-    fn limit_peers(&self, state: &GatewayState, now: Timestamp) -> Peers {
+    /// The nodes that a limit over all of them is held with.
+    pub(super) fn limit_peers(&self, state: &GatewayState, now: Timestamp) -> Peers {
         let nodes = state.peers.known_count() + 1;
         let last_heard = state.peers.last_heard_at();
         let is_heard = last_heard.is_some_and(|at| now.since(at) < UNINFORMED_AFTER);
--- a/crates/gateway/src/gateway/zone_relay.rs
+++ b/crates/gateway/src/gateway/zone_relay.rs
@@ -93,15 +93,16 @@
         self.parcels_of_zone(&state, &news, now)
     }
 
-    /// News of loads, of stages of releases and of requests that end engines that every node needs at once, for the own zone and for all
-    /// others.
+    /// News of loads, of stages of releases, of requests that end engines and of what engines say of themselves that every
+    /// node needs at once, for the own zone and for all others.
     pub fn next_load_news(&self) -> Vec<Parcel> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let weights = std::mem::take(&mut state.load_news);
         let releases = self.take_urgent_releases(&mut state, now);
         let poison = self.take_urgent_poison(&mut state, now);
-        if weights.is_empty() && releases.is_empty() && poison.is_empty() {
+        let signals = self.take_urgent_signals(&mut state, now);
+        if weights.is_empty() && releases.is_empty() && poison.is_empty() && signals.is_empty() {
             return Vec::new();
         }
         let news = ZoneNews {
@@ -109,6 +110,7 @@
             weights,
             releases,
             poison,
+            signals,
             ..self.empty_news()
         };
         let relays = self.relays(&state, RELAYS_OF_URGENT_NEWS, now);
@@ -130,6 +132,7 @@
             releases: Vec::new(),
             evidence: Vec::new(),
             poison: Vec::new(),
+            signals: Vec::new(),
             weights: Vec::new(),
         }
     }
@@ -310,6 +313,7 @@
         }
         self.take_zone_release_news(&mut state, news);
         self.take_poison_news(&mut state, &news.poison, now);
+        self.take_signal_news(&mut state, &news.signals, now);
         let parcels = match &news.pass {
             Pass::Zone if self.is_of_other_region(news) => {
                 let mut parcels = self.parcels_of_zone(&state, news, now);
@@ -404,8 +408,10 @@
 /// Whether these are urgent news, which no node should miss. Regular news tell of releases too, but always
 /// with the work at engines; urgent news come without it.
 fn is_urgent(news: &ZoneNews) -> bool {
-    let is_told_by_itself =
-        !news.weights.is_empty() || !news.releases.is_empty() || !news.poison.is_empty();
+    let is_told_by_itself = !news.weights.is_empty()
+        || !news.releases.is_empty()
+        || !news.poison.is_empty()
+        || !news.signals.is_empty();
     news.loads.is_none() && is_told_by_itself
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod peer_table;
 pub(crate) mod readable;
 mod sent_times;
+mod signal_news;
 mod zone_news;
 mod zone_traffic;
 
@@ -36,5 +37,6 @@
 pub use peer_message::PeerMessage;
 pub use peer_table::PeerTable;
 pub use sent_times::SentTimes;
+pub use signal_news::SignalNews;
 pub use zone_news::{Pass, ZoneNews};
 pub use zone_traffic::ZoneTraffic;
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -56,12 +56,14 @@
                 gateway.log_suspension();
                 gateway.refresh_foreign_loads();
                 gateway.refresh_quotas();
+                gateway.refresh_limits();
                 gateway.refresh_releases();
                 if tick.is_multiple_of(TICKS_PER_DIVISION) {
                     gateway.refresh_divisions();
                 }
                 if tick.is_multiple_of(TICKS_PER_SUMMARY) {
                     gateway.log_tenants_near_limits();
+                    gateway.log_limited_engines();
                     gateway.count_peers();
                 }
                 tell(&gateway, &socket, tick);
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -5,7 +5,8 @@
 use super::readable::{readable, readable_or_default};
 use super::{
     ConfigurationProof, CopyProof, EngineLifeNews, EngineLoadNews, HolderNews, KvStoreNews,
-    LeaseNews, MemberAddress, MessageEcho, NamedNews, NodeIdentity, NodeState, WeightsNews,
+    LeaseNews, MemberAddress, MessageEcho, NamedNews, NodeIdentity, NodeState, SignalNews,
+    WeightsNews,
 };
 use crate::placement::ReadingNews;
 use crate::poison::PoisonNews;
@@ -110,6 +111,10 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "z", deserialize_with = "readable")]
     pub poison: Vec<PoisonNews>,
+    /// What engines have said of themselves in answers, when that is news, and with the introduction all of it by turns.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "S", deserialize_with = "readable")]
+    pub signals: Vec<SignalNews>,
     /// Whether the sender knows all orders of releases, told with the introduction.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     #[serde(rename = "j")]
--- a/crates/gateway/src/peers/zone_news.rs
+++ b/crates/gateway/src/peers/zone_news.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::readable::{readable, readable_or_default};
-use super::{EngineLifeNews, EngineLoadNews, HolderNews, WeightsNews};
+use super::{EngineLifeNews, EngineLoadNews, HolderNews, SignalNews, WeightsNews};
 use crate::placement::ReadingNews;
 use crate::poison::PoisonNews;
 use crate::quotas::UsageNews;
@@ -72,6 +72,10 @@
     #[serde(rename = "q", default, skip_serializing_if = "Vec::is_empty")]
     #[serde(deserialize_with = "readable")]
     pub poison: Vec<PoisonNews>,
+    /// What engines have said of themselves in answers.
+    #[serde(rename = "S", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(deserialize_with = "readable")]
+    pub signals: Vec<SignalNews>,
     /// Engines that load weights, or have loaded them.
     #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub weights: Vec<WeightsNews>,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -42,6 +42,7 @@
     list.note(gateway, request, placement);
     held.list.set(list);
     let sent_at = gateway.clock().now();
+    gateway.note_request_sent(&placement.engine);
     let message = build_message(gateway, request, placement, last_event_id);
     let mut watched = AnswerReporter::begin(gateway, request, placement);
     let is_repeatable = request.route.is_idempotent();
@@ -67,7 +68,7 @@
     note_head(gateway, request, placement, sent_at, head_after);
     let facts = gateway.dialect().read_answer(&answer.head);
     if speaks_of_its_engine(request, &answer, &facts) && gateway.is_in_life_of(placement) {
-        gateway.note_signal(&request.caller.id, placement, &facts);
+        gateway.note_signal(&request.caller.id, &placement.engine, &facts, sent_at);
     }
     match judge_head(request, &answer, &facts) {
         Ok(()) => {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -365,8 +365,10 @@
         if self.may_have_run {
             return Refusal::new(RefusalReason::MayHaveRun, "no other engine");
         }
-        let detail = format!("pool '{}': no engine takes work", self.request.pool);
-        Refusal::new(RefusalReason::NoEngine, detail).come_back_after(NO_ENGINE_RETRY)
+        let pool = &self.request.pool;
+        let barred = self.gateway.barred_engines(pool);
+        let detail = format!("pool '{pool}': no engine takes work ({barred})");
+        Refusal::new(RefusalReason::NoEngine, detail).come_back_after(self.wait(NO_ENGINE_RETRY))
     }
 
     /// It is not sent on, so that callers learn that at once, and when another try may be of use.
@@ -378,6 +380,12 @@
         Refusal::new(RefusalReason::EndsEngines, detail).come_back_after(come_back_after)
     }
 
+    /// When to come back: once an engine may be sent something again, where all of them say when.
+    fn wait(&self, otherwise: Duration) -> Duration {
+        let opening = self.gateway.next_opening(&self.request.pool);
+        opening.map_or(otherwise, |opening| opening.max(otherwise))
+    }
+
     fn without_budget(&self) -> Refusal {
         if self.may_have_run {
             return Refusal::new(RefusalReason::MayHaveRun, "retry budget spent");
@@ -389,6 +397,7 @@
         if self.may_have_run {
             return Refusal::new(RefusalReason::MayHaveRun, end.to_string());
         }
-        Refusal::new(RefusalReason::NotRun, end.to_string()).come_back_after(NO_ROOM_RETRY)
+        Refusal::new(RefusalReason::NotRun, end.to_string())
+            .come_back_after(self.wait(NO_ROOM_RETRY))
     }
 }
