An engine that says in an answer that it leaves gets nothing new

Callers saw nothing yet; the engine got requests 2.05 s after it had said so, while the list, which could not be written, called it ready. Cause: as with the limit, the answer's word about its engine was dropped, and only the list was believed. Evidence: three answers of the engine between the first that said so and the late request, by a list that the node itself calls 3.9 s old.

It now counts as its own word, for its life, also when its entry lapses or is read again as ready; other nodes are told. Wherever the list's word that an engine leaves was asked (orders, releases, caches to follow, ends that are held against requests), its own counts too.

--- a/crates/core/src/backpressure/bar.rs
+++ b/crates/core/src/backpressure/bar.rs
@@ -7,6 +7,9 @@
 /// What bars an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 pub enum BarReason {
+    /// It leaves.
+    #[display("leaving")]
+    Leaving,
     /// This node's share of its limit is used up.
     #[display("limited")]
     Limited,
--- a/crates/core/src/backpressure/condition.rs
+++ b/crates/core/src/backpressure/condition.rs
@@ -9,6 +9,8 @@
 /// What an answer has changed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Change {
+    /// The engine was not known to leave.
+    pub is_leaving: bool,
     /// It names a limit, or one that differs much from that of before.
     pub is_limited: bool,
     /// It names no limit any more.
@@ -25,6 +27,7 @@
 /// What is known of one engine by its own word, as long as it lives.
 #[derive(Debug, Clone, Default)]
 pub struct Condition {
+    is_leaving: bool,
     limit: Option<Limit>,
     /// When a limit was last seen to be named or to be over, by whichever node.
     limit_at: Option<Timestamp>,
@@ -35,7 +38,12 @@
 impl Condition {
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
-        self.limit_at.is_none()
+        !self.is_leaving && self.limit_at.is_none()
+    }
+
+    /// Whether the engine has said that it leaves. It does not come back in this life.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
     }
 
     /// Its limit.
@@ -45,9 +53,16 @@
 
     /// Takes what an answer to a request says that was sent at `sent_at`.
     pub fn hear(&mut self, signal: &Signal, sent_at: Timestamp, now: Timestamp) -> Change {
-        match signal.rate_limit {
+        let is_leaving = signal.is_leaving && !self.seen.is_leaving;
+        self.is_leaving |= signal.is_leaving;
+        self.seen.is_leaving |= signal.is_leaving;
+        let change = match signal.rate_limit {
             Some(per_second) => self.hear_limit(per_second, now),
             None => self.hear_no_limit(sent_at, now),
+        };
+        Change {
+            is_leaving,
+            ..change
         }
     }
 
@@ -90,19 +105,21 @@
 
     /// What this node has seen itself; `None` when that is nothing.
     pub fn report(&self) -> Option<Report> {
-        self.seen.limit_at.is_some().then_some(self.seen)
+        let has_seen = self.seen.is_leaving || self.seen.limit_at.is_some();
+        has_seen.then_some(self.seen)
     }
 
     /// Takes what another node has seen, as far as that is newer; tells whether that changes anything.
     pub fn merge(&mut self, told: &Report) -> bool {
-        let knew = self.limit.is_some();
+        let knew = (self.is_leaving, self.limit.is_some());
+        self.is_leaving |= told.is_leaving;
         if let Some(at) = told.limit_at.filter(|at| self.limit_at < Some(*at)) {
             match told.limit {
                 Some(per_second) => self.name_limit(per_second, at),
                 None => self.end_limit(at),
             }
         }
-        knew != self.limit.is_some()
+        knew != (self.is_leaving, self.limit.is_some())
     }
 
     /// Takes the place of this node among those that may send to the engine, and forgets a limit that must be over.
@@ -117,6 +134,12 @@
 
     /// Why the engine gets nothing now.
     pub fn bar(&self, now: Timestamp) -> Option<Bar> {
+        if self.is_leaving {
+            return Some(Bar {
+                reason: BarReason::Leaving,
+                until: None,
+            });
+        }
         let next_at = self.limit.as_ref()?.next_at(now);
         let is_open = next_at.is_some_and(|at| at <= now);
         (!is_open).then_some(Bar {
--- a/crates/core/tests/backpressure.rs
+++ b/crates/core/tests/backpressure.rs
@@ -6,7 +6,7 @@
 
 use backpressure_world::{Knowledge, World};
 use ryerouter_core::Timestamp;
-use ryerouter_core::backpressure::{Condition, Place, Report, Signal, share_of};
+use ryerouter_core::backpressure::{BarReason, Condition, Place, Report, Signal, share_of};
 use yare::parameterized;
 
 const SEEDS: u64 = 10;
@@ -186,10 +186,12 @@
 fn later_news_of_a_limit_count() {
     let mut condition = Condition::default();
     let named = Report {
+        is_leaving: false,
         limit: Some(2.0),
         limit_at: Some(at(1_000)),
     };
     let over = Report {
+        is_leaving: false,
         limit: None,
         limit_at: Some(at(2_000)),
     };
@@ -216,3 +218,30 @@
     let sum: f64 = shares.sum();
     assert!((sum - per_second).abs() < 1e-6, "{sum}");
 }
+
+fn leaving() -> Signal {
+    Signal {
+        is_leaving: true,
+        ..Signal::default()
+    }
+}
+
+#[test]
+fn engine_that_leaves_does_not_come_back() {
+    let mut condition = Condition::default();
+    assert!(condition.hear(&leaving(), at(0), at(0)).is_leaving);
+    let again = condition.hear(&leaving(), at(10), at(20));
+    assert!(!again.is_news(), "others know");
+    condition.hear(&Signal::default(), at(1_000), at(1_000));
+    let bar = condition.bar(at(3_600_000)).expect("barred");
+    assert_eq!((bar.reason, bar.until), (BarReason::Leaving, None));
+}
+
+#[test]
+fn node_that_is_told_that_an_engine_leaves_believes_it() {
+    let mut seen = Condition::default();
+    seen.hear(&leaving(), at(0), at(0));
+    let mut told = Condition::default();
+    assert!(told.merge(&seen.report().expect("seen")));
+    assert!(told.is_leaving() && told.report().is_none());
+}
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -194,10 +194,16 @@
         self.answered_sent_at > Some(moment)
     }
 
-    /// Whether new work may be sent.
+    /// Whether it stays, by the list and by its own word, which may be newer.
+    pub fn is_staying(&self) -> bool {
+        self.entry.state == EngineState::Ready && !self.condition.is_leaving()
+    }
+
+    /// Whether new work may be sent. What the engine says of itself is a promise to it: as a cost, like other refusals, it
+    /// would be outweighed when all other engines cost more.
     pub fn takes_work(&self, now: Timestamp) -> bool {
         let is_misdirected = self.misdirected_until.is_some_and(|until| now < until);
-        let is_willing = self.entry.state == EngineState::Ready && !self.is_loading(now);
+        let is_willing = self.is_staying() && !self.is_loading(now);
         is_willing && !is_misdirected && self.condition.bar(now).is_none()
     }
 
--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -98,7 +98,7 @@
             .get(name)
             .and_then(|engine| engine.condition.limit());
         info!(self.log(), "engine_condition_changed"; "engine" => %name,
-            "limit_over" => change.is_limit_over,
+            "leaves" => change.is_leaving, "limit_over" => change.is_limit_over,
             "limit" => limit.map(|limit| limit.per_second()),
             "share" => limit.map(|limit| limit.share()), "left_out" => left_out);
     }
@@ -136,7 +136,7 @@
     pub(crate) fn barred_engines(&self, pool: &PoolName) -> String {
         let now = self.clock().now();
         let state = self.state();
-        let counts = [BarReason::Limited].map(|reason| {
+        let counts = [BarReason::Leaving, BarReason::Limited].map(|reason| {
             let bars = bars_of(&state, pool, now).filter(|bar| bar.reason == reason);
             (reason, bars.count())
         });
@@ -300,7 +300,7 @@
             self.refresh_engine(state, &told.engine, now);
             if is_news && let Some(left_out) = self.signal_sampler().admit(now) {
                 info!(self.log(), "engine_condition_heard"; "engine" => %told.engine,
-                    "limit" => told.limit,
+                    "leaving" => told.is_leaving, "limit" => told.limit,
                     "age_ms" => told.limit_age_ms, "left_out" => left_out);
             }
         }
--- a/crates/gateway/src/gateway/cache_events.rs
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -10,7 +10,7 @@
 
 use super::cache_knowledge::LEAST_TOLD_TOKENS;
 use super::{Gateway, GatewayState};
-use crate::engines::{Engine, EngineState};
+use crate::engines::Engine;
 use crate::peers::{HolderNews, NodeState};
 use crate::placement::{CacheChange, PartKey};
 
@@ -35,7 +35,7 @@
         }
         let engines = state.engines.iter();
         let engines = engines.filter(|engine| !engine.entry.weights.is_empty());
-        let engines = engines.filter(|engine| engine.entry.state == EngineState::Ready);
+        let engines = engines.filter(|engine| engine.is_staying());
         engines
             .filter(|engine| self.follows_cache(&state, engine))
             .map(|engine| (engine.entry.name.clone(), engine.entry.address))
--- a/crates/gateway/src/gateway/engines_behind.rs
+++ b/crates/gateway/src/gateway/engines_behind.rs
@@ -1,6 +1,6 @@
 //! Whether engines have older weights than named.
 
-use crate::engines::{EngineState, EngineTable};
+use crate::engines::EngineTable;
 use crate::rollout::WeightsDeadlines;
 
 /// Whether some engine that stays has older weights than named, as it was last looked up.
@@ -39,7 +39,7 @@
 
 fn has_older(engines: &EngineTable, model: &str, newest: u64) -> bool {
     engines.iter().any(|engine| {
-        let is_staying = engine.entry.state == EngineState::Ready;
+        let is_staying = engine.is_staying();
         is_staying && engine.weights_of(model).is_some_and(|has| has < newest)
     })
 }
--- a/crates/gateway/src/gateway/items.rs
+++ b/crates/gateway/src/gateway/items.rs
@@ -300,7 +300,7 @@
         let trouble_age = state.engine_list_trouble_at.map(|at| now.since(at));
         if state.may_entries_return(grace, now)
             && let Some(engine) = state.engines.get_mut(name)
-            && engine.entry.state == EngineState::Ready
+            && engine.is_staying()
         {
             engine.is_unlisted = true;
             state.has_unlisted = true;
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -8,7 +8,7 @@
 use slog::{info, warn};
 
 use super::{Gateway, GatewayState};
-use crate::engines::{Engine, EngineState, ToldLife};
+use crate::engines::{Engine, ToldLife};
 use crate::placement::Placement;
 use crate::poison::PoisonNews;
 use crate::serve::AcceptedRequest;
@@ -71,7 +71,7 @@
         let mut state = self.state_mut();
         let lapse = self.time_until_gone();
         let engine = state.engines.get_mut(&placement.engine);
-        let Some(engine) = engine.filter(|engine| engine.entry.state == EngineState::Ready) else {
+        let Some(engine) = engine.filter(|engine| engine.is_staying()) else {
             return;
         };
         let ended_at = engine.ended_at().filter(|at| now.since(*at) < lapse);
--- a/crates/gateway/src/gateway/release_intake.rs
+++ b/crates/gateway/src/gateway/release_intake.rs
@@ -9,7 +9,7 @@
 use slog::{debug, info, warn};
 
 use super::{Gateway, GatewayState};
-use crate::engines::{EngineState, EngineTable};
+use crate::engines::EngineTable;
 use crate::placement::Placement;
 use crate::release::{
     Admission, AnswerEnd, AnswerTiming, EngineFilter, Gate, KnownRelease, ListedVersions,
@@ -273,7 +273,7 @@
     }
     let versions = ListedVersions::of(engines, &grant.order.pool);
     let of_pool = engines.of_pool(&grant.order.pool);
-    let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
+    let ready = of_pool.filter(|engine| engine.is_staying());
     let target = &grant.order.target;
     let replaced = ready.map(|engine| &engine.entry.software);
     let replaced = replaced.filter(|version| *version != target);
--- a/crates/gateway/src/peers/signal_news.rs
+++ b/crates/gateway/src/peers/signal_news.rs
@@ -16,6 +16,9 @@
     /// Its life.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     pub incarnation: Option<Incarnation>,
+    /// Whether it leaves.
+    #[serde(rename = "d", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_leaving: bool,
     /// Requests a second that it takes from all nodes together; none when it names no limit any more.
     #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<f64>,
@@ -35,6 +38,7 @@
         Self {
             engine: engine.clone(),
             incarnation,
+            is_leaving: report.is_leaving,
             limit: report.limit,
             limit_age_ms: report.limit_at.map(|at| now.since(at).as_millis() as u64),
         }
@@ -45,6 +49,7 @@
         let at = |age_ms| now.before(Duration::from_millis(age_ms));
         let is_rate = |limit: &f64| limit.is_finite() && *limit >= 0.0;
         Report {
+            is_leaving: self.is_leaving,
             limit: self.limit.filter(is_rate),
             limit_at: self.limit_age_ms.map(at),
         }
--- a/crates/gateway/src/release/gate.rs
+++ b/crates/gateway/src/release/gate.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Admission, EngineFilter, KnownRelease, ListedVersions, Table};
-use crate::engines::{Engine, EngineState, EngineTable};
+use crate::engines::{Engine, EngineTable};
 
 /// A node that was just started takes the version of the oldest engines for the present one until it
 /// knows the orders, so long at most: by then a director has been found and has read them. A source that
@@ -168,7 +168,7 @@
     fn has_present_engines(&self, known: &KnownRelease) -> bool {
         let order = &known.grant.order;
         let of_pool = self.engines.of_pool(&order.pool);
-        let ready = of_pool.filter(|engine| engine.entry.state == EngineState::Ready);
+        let ready = of_pool.filter(|engine| engine.is_staying());
         let mut versions = ready.map(|engine| &engine.entry.software);
         versions.any(|version| *version != order.target && !known.rejected.contains(version))
     }
@@ -184,9 +184,8 @@
     fn after_completion(&self, known: &KnownRelease, versions: &ListedVersions) -> Admission {
         let target = &known.grant.order.target;
         let mut of_pool = self.engines.of_pool(&known.grant.order.pool);
-        let has_target = of_pool.any(|engine| {
-            engine.entry.software == *target && engine.entry.state == EngineState::Ready
-        });
+        let has_target =
+            of_pool.any(|engine| engine.entry.software == *target && engine.is_staying());
         if !has_target {
             return self.without_release(versions);
         }
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -12,7 +12,7 @@
 use super::{
     EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
 };
-use crate::engines::{Engine, EngineState, EngineTable, ToldLife};
+use crate::engines::{Engine, EngineTable, ToldLife};
 
 /// Decides which engine loads when, while this process holds the lease.
 ///
@@ -118,7 +118,7 @@
                 loaded.push(name.clone());
                 return true;
             }
-            engine.entry.state == EngineState::Ready && has.is_some()
+            engine.is_staying() && has.is_some()
         });
         for name in loaded {
             self.finish(&name, now, actions);
@@ -253,7 +253,7 @@
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
         let name = &engine.entry.name;
         let is_behind = engine.weights_of(model).is_some_and(|has| has < version);
-        let is_staying = engine.entry.state == EngineState::Ready && !engine.is_unlisted;
+        let is_staying = engine.is_staying() && !engine.is_unlisted;
         let is_reachable = engine.health.ejected_until().is_none();
         let is_free = !self.open.contains_key(name) && !self.resting.contains_key(name);
         is_behind && is_staying && is_reachable && is_free
