An engine that asks for rest gets it

Callers got 503 from nodes that had two attempts each and made both at engines that had turned them away before; an engine in need got 72 requests within three seconds of rest. Cause: Retry-After was not read, and a refusal for want of room is a cost of 4 for 150 ms, doubled with each, which is outweighed where all other engines cost more, as when all of a pool refuse.

Now the rest is a bar for the node that was asked, an hour at most. When all engines of a pool rest, requests are refused at once with the time until the first of them may be asked.

--- a/crates/core/src/backpressure/bar.rs
+++ b/crates/core/src/backpressure/bar.rs
@@ -10,6 +10,9 @@
     /// It leaves.
     #[display("leaving")]
     Leaving,
+    /// It has asked this node for rest.
+    #[display("resting")]
+    Resting,
     /// This node's share of its limit is used up.
     #[display("limited")]
     Limited,
--- a/crates/core/src/backpressure/condition.rs
+++ b/crates/core/src/backpressure/condition.rs
@@ -1,8 +1,12 @@
 //! What is known of one engine by its own word.
 
+use std::time::Duration;
+
 use super::{Bar, BarReason, Limit, Place, Report, Signal};
 use crate::Timestamp;
 
+/// Longest rest that is kept to: an engine that asks for more most likely does not mean it.
+const LONGEST_REST: Duration = Duration::from_secs(3_600);
 /// Others are told of a limit again when it has changed by this share.
 const TOLD_CHANGE: f64 = 0.2;
 
@@ -28,6 +32,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Condition {
     is_leaving: bool,
+    rest_until: Option<Timestamp>,
     limit: Option<Limit>,
     /// When a limit was last seen to be named or to be over, by whichever node.
     limit_at: Option<Timestamp>,
@@ -38,7 +43,7 @@
 impl Condition {
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
-        !self.is_leaving && self.limit_at.is_none()
+        !self.is_leaving && self.rest_until.is_none() && self.limit_at.is_none()
     }
 
     /// Whether the engine has said that it leaves. It does not come back in this life.
@@ -53,6 +58,10 @@
 
     /// Takes what an answer to a request says that was sent at `sent_at`.
     pub fn hear(&mut self, signal: &Signal, sent_at: Timestamp, now: Timestamp) -> Change {
+        if let Some(rest) = signal.rest {
+            let until = now.after(rest.min(LONGEST_REST));
+            self.rest_until = self.rest_until.max(Some(until));
+        }
         let is_leaving = signal.is_leaving && !self.seen.is_leaving;
         self.is_leaving |= signal.is_leaving;
         self.seen.is_leaving |= signal.is_leaving;
@@ -140,11 +149,20 @@
                 until: None,
             });
         }
-        let next_at = self.limit.as_ref()?.next_at(now);
-        let is_open = next_at.is_some_and(|at| at <= now);
-        (!is_open).then_some(Bar {
-            reason: BarReason::Limited,
-            until: next_at,
+        let resting = self
+            .rest_until
+            .filter(|until| now < *until)
+            .map(|until| Bar {
+                reason: BarReason::Resting,
+                until: Some(until),
+            });
+        resting.or_else(|| {
+            let next_at = self.limit.as_ref()?.next_at(now);
+            let is_open = next_at.is_some_and(|at| at <= now);
+            (!is_open).then_some(Bar {
+                reason: BarReason::Limited,
+                until: next_at,
+            })
         })
     }
 
--- a/crates/core/tests/backpressure.rs
+++ b/crates/core/tests/backpressure.rs
@@ -226,6 +226,13 @@
     }
 }
 
+fn rest(rest: Duration) -> Signal {
+    Signal {
+        rest: Some(rest),
+        ..Signal::default()
+    }
+}
+
 #[test]
 fn engine_that_leaves_does_not_come_back() {
     let mut condition = Condition::default();
@@ -245,3 +252,28 @@
     assert!(told.merge(&seen.report().expect("seen")));
     assert!(told.is_leaving() && told.report().is_none());
 }
+
+/// An answer that was under way may ask for less.
+#[test]
+fn rest_lasts_as_long_as_any_answer_asked() {
+    let mut condition = Condition::default();
+    condition.hear(&rest(Duration::from_secs(3)), at(0), at(0));
+    condition.hear(&rest(Duration::from_millis(500)), at(0), at(100));
+    condition.hear(&Signal::default(), at(0), at(200));
+    let bar = condition.bar(at(2_999)).expect("barred");
+    assert_eq!(
+        (bar.reason, bar.until),
+        (BarReason::Resting, Some(at(3_000)))
+    );
+    assert_eq!(condition.bar(at(3_000)), None);
+    assert_eq!(condition.report(), None, "it was asked of this node alone");
+}
+
+#[test]
+fn rest_of_years_is_one_of_an_hour() {
+    let mut condition = Condition::default();
+    condition.hear(&rest(Duration::from_secs(400_000_000)), at(0), at(0));
+    assert_eq!(condition.bar(at(3_600_000)), None);
+    let bar = condition.bar(at(3_599_999)).expect("barred");
+    assert_eq!(bar.until, Some(at(3_600_000)));
+}
--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -136,7 +136,7 @@
     pub(crate) fn barred_engines(&self, pool: &PoolName) -> String {
         let now = self.clock().now();
         let state = self.state();
-        let counts = [BarReason::Leaving, BarReason::Limited].map(|reason| {
+        let counts = [BarReason::Leaving, BarReason::Resting, BarReason::Limited].map(|reason| {
             let bars = bars_of(&state, pool, now).filter(|bar| bar.reason == reason);
             (reason, bars.count())
         });
