Limits are divided between the nodes of the engine's zone, and end within two seconds

Cause: where half of the engines name a limit and others follow after 20 s, limits that were over held for 6 s more, so that for that long nearly all were limited; and of a limit about half was used, as nodes of other zones had shares that they had no use for. Change: the nodes of the engine's zone come first; a limit that was named in every answer ends 2 s after its answers come without it, one that was left out at times later, by how long it was left out before.

--- a/crates/core/src/backpressure/limit.rs
+++ b/crates/core/src/backpressure/limit.rs
@@ -8,10 +8,15 @@
 
 /// What a node may save up of its share, where that is more than a request: requests do not come evenly.
 const BURST: Duration = Duration::from_secs(1);
-/// A limit holds for so long after answers began to come without it: an engine may name it in some of them only.
-const UNNAMED_FOR: Duration = Duration::from_secs(3);
-/// After that the engine is sent twice as much with each second for so long, since it has just been in need.
-const RECOVERY: Duration = Duration::from_secs(3);
+/// A limit holds for so long after answers began to come without it: those may be left over from before.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+/// An engine may name its limit in some of its answers only. Then the limit holds for so many times as long as it was left out
+/// before, within a bound.
+const TIMES_LEFT_OUT: u32 = 4;
+const MOST_PATIENCE: Duration = Duration::from_secs(10);
+/// After that the engine, which has just been in need, is sent twice as much with each step for so long.
+const RECOVERY: Duration = Duration::from_millis(1_500);
+const RECOVERY_STEP: Duration = Duration::from_millis(500);
 /// A limit that nobody has seen named for so long is over: those who were to tell so may have gone.
 const LEAST_HOLD: Duration = Duration::from_secs(60);
 const LONGEST_HOLD: Duration = Duration::from_secs(600);
@@ -31,6 +36,8 @@
     unnamed_since: Option<Timestamp>,
     /// For how long they had done so with the last of them.
     unnamed_for: Duration,
+    /// For how long it may be left out.
+    patience: Duration,
     share: f64,
     bucket: TokenBucket,
     sent: u64,
@@ -44,6 +51,7 @@
             named_at,
             unnamed_since: None,
             unnamed_for: Duration::ZERO,
+            patience: LEAST_PATIENCE,
             share: 0.0,
             bucket: TokenBucket::empty(0, BURST, named_at),
             sent: 0,
@@ -74,7 +82,10 @@
     pub(super) fn name(&mut self, per_second: f64, at: Timestamp) {
         self.per_second = per_second;
         self.named_at = self.named_at.max(at);
-        self.unnamed_since = None;
+        if let Some(since) = self.unnamed_since.take() {
+            let left_out = at.since(since) * TIMES_LEFT_OUT;
+            self.patience = self.patience.max(left_out).min(MOST_PATIENCE);
+        }
         self.unnamed_for = Duration::ZERO;
     }
 
@@ -85,13 +96,14 @@
         }
         let since = *self.unnamed_since.get_or_insert(now);
         self.unnamed_for = now.since(since);
-        self.unnamed_for >= UNNAMED_FOR + RECOVERY
+        self.unnamed_for >= self.patience + RECOVERY
     }
 
     /// Takes the place of this node among those that may send.
     pub(super) fn set_place(&mut self, place: &Place, now: Timestamp) {
-        let recovering = self.unnamed_for.saturating_sub(UNNAMED_FOR);
-        let grown = self.per_second * recovering.as_secs_f64().exp2();
+        let recovering = self.unnamed_for.saturating_sub(self.patience);
+        let steps = recovering.as_secs_f64() / RECOVERY_STEP.as_secs_f64();
+        let grown = self.per_second * steps.exp2();
         self.share = share_of(grown, place);
         let rate_milli = self.share.min(HIGHEST_RATE) * MILLI;
         self.bucket.set_rate(rate_milli as u64, now);
--- a/crates/core/src/backpressure/share.rs
+++ b/crates/core/src/backpressure/share.rs
@@ -10,30 +10,37 @@
 /// An engine that takes next to nothing is asked so often by one node whether it takes more, in requests a second.
 const PROBE_RATE: f64 = 0.1;
 
-/// The place of a node among all that may send to an engine, by rendezvous hashing.
+/// The place of a node among those that may send to an engine: the nodes of its zone, whose callers it mostly serves, or
+/// all where there are none. The order is that of rendezvous hashing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Place {
-    /// How many nodes there may be, this one included.
+    /// How many nodes there may be in all, this one included.
     pub nodes: usize,
-    /// How many of them this node has heard of, itself included.
+    /// How many of them may send.
+    pub senders: usize,
+    /// How many of those this node has heard of, itself included.
     pub known: usize,
-    /// How many of those come before it.
+    /// How many of those come before it; all, when it is none of them.
     pub rank: usize,
     /// Its score as a share of the highest there is.
     pub score: f64,
 }
 
-/// The part of an engine's limit that a node may send, in requests a second.
+/// The part of an engine's limit that falls to a node, in requests a second.
 ///
 /// Nodes agree on it without a word: a limit may be less than one request a second for each node, and nodes that are cut off
 /// or have just been told can't ask the others. So it is divided between some of them only, as many as can each save up a whole
 /// request without all of them together exceeding the limit, and the others send nothing.
 pub fn share_of(per_second: f64, place: &Place) -> f64 {
-    let senders = senders(per_second, place.nodes);
+    let by_rate = per_second.min(place.senders as f64) as usize + SENDERS_BESIDE_RATE;
+    let senders = by_rate.min(place.senders).max(1);
     let fair = per_second / senders as f64;
-    let knows_place = place.known as f64 >= place.nodes as f64 * NEARLY_ALL;
+    if place.rank >= place.senders {
+        return 0.0;
+    }
+    let knows_place = place.known as f64 >= place.senders as f64 * NEARLY_ALL;
     if !knows_place {
-        let is_drawn = place.score * (place.nodes as f64) < senders as f64;
+        let is_drawn = place.score * (place.senders as f64) < senders as f64;
         return if is_drawn {
             fair / MOST_SENDERS_BY_CHANCE
         } else {
@@ -46,9 +53,3 @@
         _ => 0.0,
     }
 }
-
-/// How many nodes share a limit.
-fn senders(per_second: f64, nodes: usize) -> usize {
-    let by_rate = per_second.min(nodes as f64) as usize + SENDERS_BESIDE_RATE;
-    by_rate.min(nodes).max(1)
-}
--- a/crates/core/tests/backpressure.rs
+++ b/crates/core/tests/backpressure.rs
@@ -27,6 +27,7 @@
 /// The only node.
 const ALONE: Place = Place {
     nodes: 1,
+    senders: 1,
     known: 1,
     rank: 0,
     score: 0.5,
@@ -173,6 +174,7 @@
         }
         let place = Place {
             nodes: 2,
+            senders: 2,
             known: 2,
             ..ALONE
         };
@@ -210,6 +212,7 @@
 fn shares_add_up_to_the_limit(nodes: usize, per_second: f64) {
     let place = |rank| Place {
         nodes,
+        senders: nodes,
         known: nodes,
         rank,
         score: 0.5,
--- a/crates/core/tests/backpressure_world/mod.rs
+++ b/crates/core/tests/backpressure_world/mod.rs
@@ -193,6 +193,7 @@
     }
     Place {
         nodes: scores.len(),
+        senders: scores.len(),
         known,
         rank,
         score: scores[own],
--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -11,7 +11,7 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, ToldLife};
-use crate::peers::SignalNews;
+use crate::peers::{NodeIdentity, SignalNews};
 use crate::request::AnswerFacts;
 
 /// Most engines that one message tells of; more wait for the next.
@@ -215,25 +215,35 @@
         };
     }
 
-    /// The place of this node among all that may send to an engine. Silent nodes keep theirs until they are forgotten: they may
-    /// only be cut off from this one.
+    /// The place of this node among those that may send to an engine. Silent nodes keep theirs until they are forgotten:
+    /// they may only be cut off from this one.
     fn place_before(&self, state: &GatewayState, engine: &BackEndName, now: Timestamp) -> Place {
+        let own = &self.settings().identity;
+        let zone = state.engines.get(engine).map(|engine| &engine.entry.zone);
+        let heard = state.peers.lately_heard(now);
+        let heard = heard.map(|peer| &peer.identity);
+        let all: Vec<_> = heard.filter(|peer| peer.name != own.name).collect();
+        let nodes = self.limit_peers(state, now).nodes.max(all.len() + 1);
+        let is_near = |node: &NodeIdentity| Some(&node.zone) == zone;
+        let is_anyone_near = is_near(own) || all.iter().any(|peer| is_near(peer));
+        let may_send = |node: &NodeIdentity| is_near(node) || !is_anyone_near;
+        let others = all.iter().filter(|peer| may_send(peer));
         let engine = xxh3_64(engine.as_str().as_bytes());
         let score = |node: &NodeName| rendezvous_score(xxh3_64(node.as_str().as_bytes()), engine);
-        let own = &self.settings().identity.name;
-        let own_score = score(own);
-        let others = state.peers.lately_heard(now);
-        let others = others.map(|peer| &peer.identity.name);
-        let mut known = 1;
+        let own_score = score(&own.name);
+        let mut known = usize::from(may_send(own));
         let mut rank = 0;
-        for other in others.filter(|other| *other != own) {
+        for other in others {
             known += 1;
-            rank += usize::from((score(other), other) > (own_score, own));
+            rank += usize::from((score(&other.name), &other.name) > (own_score, &own.name));
         }
+        let heard_share = (all.len() + 1) as f64 / nodes as f64;
+        let senders = (known as f64 / heard_share).round() as usize;
         Place {
-            nodes: self.limit_peers(state, now).nodes.max(known),
+            nodes,
+            senders,
             known,
-            rank,
+            rank: if may_send(own) { rank } else { senders },
             score: own_score as f64 / u64::MAX as f64,
         }
     }
