While engines are limited or rest, those without room are passed over

Cause: what limited engines do not take goes to the others; with half of twelve limited and others after 20 s, one was left that got 9 streams a second, half of which failed. Change: while an engine of the pool is limited or rests, an engine whose slots or KV memory are full is passed over, and the request is refused at once when there is no other.

--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::identity::{BackEndName, ZoneName};
+use ryerouter_core::backpressure::BarReason;
+use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
 use ryerouter_core::placement::rendezvous_score;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -140,9 +141,12 @@
         versions: &'b [PromptVersion],
         is_allowed: impl Fn(&Engine) -> bool,
     ) -> Option<Candidate<'b>> {
+        // What barred engines don't take would push the others beyond their room, and fail there for all.
+        let is_pressed = self.has_barred_engines(request.pool);
         self.engines
             .of_pool(request.pool)
             .filter(|engine| engine.takes_work(self.now))
+            .filter(|engine| !is_pressed || !is_full(engine, profile))
             .filter(|engine| !request.tried.contains(&engine.entry.name))
             .filter(|engine| is_allowed(engine))
             .filter_map(|engine| self.candidate(engine, profile, versions, request))
@@ -152,6 +156,15 @@
             })
     }
 
+    /// Whether some engines of a pool want less than they are asked for, so that the others are asked for more.
+    fn has_barred_engines(&self, pool: &PoolName) -> bool {
+        let mut engines = self.engines.of_pool(pool);
+        engines.any(|engine| {
+            let bar = engine.condition.bar(self.now);
+            bar.is_some_and(|bar| bar.reason != BarReason::Leaving)
+        })
+    }
+
     /// Engines that are known to hold some of a prompt, under whichever weights they had: few, so that not each engine
     /// of a large pool has to be sought among the holders.
     fn known_holders(&self, versions: &[PromptVersion]) -> HashSet<&BackEndName> {
@@ -305,3 +318,11 @@
         versions
     }
 }
+
+/// Whether an engine has as much work as it has room for.
+fn is_full(engine: &Engine, profile: Option<&EngineProfile>) -> bool {
+    let load = engine.load();
+    profile.is_some_and(|profile| {
+        load.requests >= profile.slots || load.kv_tokens >= profile.kv_tokens
+    })
+}
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::backpressure::Signal;
 use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
 use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
 use ryerouter_gateway::engines::{EngineLoad, EngineTable};
@@ -462,3 +463,28 @@
     // What comes in to `b` would drive out as much that is held there.
     assert_eq!(world.choose(&prompt).unwrap().engine.as_str(), "a");
 }
+
+/// What a limited engine does not take would fill the queues of the others.
+#[test]
+fn engine_without_room_is_passed_over_while_another_is_limited() {
+    let mut world = World::new(&["a", "b"]);
+    let full = EngineLoad {
+        requests: 32,
+        ..EngineLoad::default()
+    };
+    let now = world.now;
+    let free = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    free.foreign_load = full;
+    assert!(world.choose(&short_prompt()).is_some());
+    let limited = world.engines.get_mut(&BackEndName::new("b")).unwrap();
+    let signal = Signal {
+        rate_limit: Some(1.0),
+        ..Signal::default()
+    };
+    limited.condition.hear(&signal, now, now);
+    assert_eq!(world.choose(&short_prompt()), None);
+    let free = world.engines.get_mut(&BackEndName::new("a")).unwrap();
+    free.foreign_load = EngineLoad::default();
+    let placement = world.choose(&short_prompt()).expect("there is room");
+    assert_eq!(placement.engine, BackEndName::new("a"));
+}
