--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -144,7 +144,8 @@
     facts: &AnswerFacts,
 ) -> bool {
     let status = answer.head.status;
-    let is_own = facts.request_id.as_ref() == Some(&request.caller.id);
+    let id = facts.request_id.as_ref();
+    let is_own = id.is_none_or(|id| *id == request.caller.id);
     let is_genuine = facts.is_signed || !status.is_success();
     is_own && is_genuine && status != StatusCode::MISDIRECTED_REQUEST
 }
