--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -18,7 +18,7 @@
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::{EngineEntry, EngineState};
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
-use support::crashing_engine::{CrashingPool, FATAL, LASTING, POPULAR};
+use support::crashing_engine::{CrashingPool, FATAL, FATAL_AND_SPOILED, LASTING, POPULAR};
 use support::fleet::{deliver, introduce};
 use support::gateway_bench::{CallerAnswer, GatewayBench, list_engines, run, settings};
 use support::records::{ZONE, engine, route, table};
@@ -175,6 +175,22 @@
     });
 }
 
+/// A head that names no request is taken for nobody's answer, and the attempt ends there. What ran goes on until its engine
+/// ends, which was then held against nothing: `57 engines end under one bad request, 46 late`.
+#[test]
+fn request_whose_head_was_not_taken_is_held_back_when_its_engine_ends() {
+    run(async {
+        let nodes = Nodes::start(RequestKind::Streaming, 3, false).await;
+        for index in 0..REPEATS {
+            nodes.call_at(index % 3, FATAL_AND_SPOILED).await;
+        }
+        let ended = nodes.pool.ended();
+        assert!(ended <= MOST_ENDED, "{ended} engines ended");
+        let good = nodes.call_at(0, "good").await;
+        assert!(good.status.is_success(), "{good:?}");
+    });
+}
+
 #[test]
 fn request_that_ends_its_engines_is_held_back_in_a_large_deployment() {
     run(async {
--- a/crates/gateway/tests/support/crashing_engine.rs
+++ b/crates/gateway/tests/support/crashing_engine.rs
@@ -15,6 +15,10 @@
 
 /// The body of the request under which each engine ends.
 pub const FATAL: &str = "fatal";
+/// The same, and the head of its answer names no request.
+pub const FATAL_AND_SPOILED: &str = "fatal and spoiled";
+/// How long its engine goes on after that.
+const TIME_AFTER_SPOILED: Duration = Duration::from_millis(30);
 /// The body of a request that takes a while.
 pub const POPULAR: &str = "popular";
 /// How long.
@@ -108,12 +112,25 @@
 async fn serve(mut stream: TcpStream, lasting: Rc<Cell<usize>>) -> bool {
     while let Some((head, body)) = read_request(&mut stream).await {
         let id = Arrival::now(head).header("x-id").unwrap_or_default();
-        write(&mut stream, &stream_head(&id)).await;
+        let named = match body.as_str() {
+            FATAL_AND_SPOILED => "",
+            _ => &id,
+        };
+        let head = stream_head(named);
+        let head = match named.is_empty() {
+            true => head.replace("x-id: \r\n", ""),
+            false => head,
+        };
+        write(&mut stream, &head).await;
         match body.as_str() {
             FATAL => {
                 write(&mut stream, "8\r\nid: 1\nda").await;
                 return true;
             }
+            FATAL_AND_SPOILED => {
+                sleep(TIME_AFTER_SPOILED).await;
+                return true;
+            }
             LASTING => {
                 write(&mut stream, &chunk("id: 1\ndata: a\n\n")).await;
                 lasting.set(lasting.get() + 1);
