What runs on after its answer was not taken is watched until its engine ends

Cause: a head that names no request ends the attempt as "not an engine's answer", so that the end of the engine a moment later belonged to nobody. It holds since what is counted is what ran there, for 0.2 s; a request that goes elsewhere meanwhile is not waited for. The same gap where a node gives up a silent attempt or its caller leaves is open: there the connection is closed so that the engine stops.

--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -9,8 +9,7 @@
 
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, ToldLife};
-use crate::placement::Placement;
-use crate::poison::PoisonNews;
+use crate::poison::{PoisonNews, Run};
 use crate::serve::AcceptedRequest;
 
 /// Most requests that one message tells of; more wait for the next.
@@ -58,12 +57,14 @@
     }
 
     /// The connection of a run broke off. Its engine has most likely ended, unless it leaves, when its end is planned.
-    pub(crate) fn note_broken_run(
-        &self,
-        request: &AcceptedRequest,
-        placement: &Placement,
-        began: Timestamp,
-    ) {
+    pub(crate) fn note_broken_run(&self, run: &Run) {
+        let Run {
+            digest,
+            placement,
+            began,
+            ..
+        } = run;
+        let (digest, began) = (*digest, *began);
         if !self.is_in_life_of(placement) {
             return;
         }
@@ -80,7 +81,6 @@
             return;
         }
         engine.note_ended(began, now);
-        let digest = request.digest();
         let crash = Crash {
             engine: placement.engine.clone(),
             incarnation: placement.incarnation,
@@ -94,8 +94,8 @@
         let (count, is_convicted) = known.map_or((0, false), |history| {
             (history.crashes.len(), history.is_convicted())
         });
-        warn!(self.log(), "engine_ended_under_request"; "request" => &request.caller.id,
-            "digest" => %digest, "engine" => %placement.engine, "route" => &request.route.name,
+        warn!(self.log(), "engine_ended_under_request"; "request" => &run.request,
+            "digest" => %digest, "engine" => %placement.engine, "route" => &run.route,
             "after_ms" => now.since(began).as_millis() as u64, "in_a_row" => count,
             "held_back" => is_convicted);
         drop(state);
--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash_news;
 mod poison_news;
+mod run;
 
 use bytes::Bytes;
 use hmac::{Hmac, Mac};
@@ -12,6 +13,7 @@
 
 pub use crash_news::CrashNews;
 pub use poison_news::PoisonNews;
+pub use run::Run;
 
 /// What stands for a request and its repeats, whose ids all differ.
 ///
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
 use ryerouter_core::Timestamp;
@@ -20,11 +21,15 @@
 use crate::engines::{AwaitedPart, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
+use crate::poison::Run;
 use crate::request::{AnswerFacts, AttemptHead};
 use crate::upstream::{AttemptFailure, UpstreamAnswer};
 
 /// An engine with other weights than expected is avoided for so long: it is about to load.
 const AVOID_MISDIRECTED: Duration = Duration::from_millis(300);
+/// An engine that ends under a run does so within some tens of milliseconds. Longer would keep one at work on a request
+/// that has gone elsewhere.
+const WATCHED_FOR: Duration = Duration::from_millis(200);
 /// Longest time for the rest of a refusal whose connection is to be kept.
 const REFUSAL_REST: Duration = Duration::from_millis(200);
 
@@ -84,8 +89,9 @@
         }
         Err(end) => {
             watched.end(end.of_answer());
-            if !end.may_have_run() {
-                keep_after_refusal(gateway, placement, answer, &facts);
+            match end.may_have_run() {
+                true => watch_run(gateway, Run::new(request, placement, sent_at), answer),
+                false => keep_after_refusal(gateway, placement, answer, &facts),
             }
             Err(end)
         }
@@ -250,6 +256,29 @@
     });
 }
 
+/// Waits for a moment whether the engine ends under a run whose answer was not taken: the request comes again, and
+/// would end the next one.
+fn watch_run(gateway: &Rc<Gateway>, run: Run, answer: UpstreamAnswer) {
+    let gateway = Rc::clone(gateway);
+    spawn_local(async move {
+        let breaks_off = timeout(WATCHED_FOR, breaks_off(answer.body));
+        if breaks_off.await == Ok(true) {
+            gateway.note_broken_run(&run);
+        }
+    });
+}
+
+/// Reads an answer to its end; whether it broke off.
+async fn breaks_off(mut body: Incoming) -> bool {
+    loop {
+        match body.frame().await {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => return true,
+            None => return false,
+        }
+    }
+}
+
 /// Takes how an attempt ended into what is believed of the engine.
 pub(super) fn learn(
     gateway: &Gateway,
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -21,6 +21,7 @@
 use crate::engines::AwaitedPart;
 use crate::gateway::Gateway;
 use crate::placement::{Placement, PlacementRequest};
+use crate::poison::Run;
 use crate::request::{Refusal, RefusalReason};
 
 /// When to come back when no engine takes work.
@@ -284,8 +285,8 @@
         let had_connection = self.held.used.get().is_some();
         self.may_have_run |= had_connection && end.may_have_run();
         if matches!(end, AttemptEnd::Broken(_)) {
-            let (request, began) = (&self.request, self.attempted_at);
-            self.gateway.note_broken_run(request, placement, began);
+            let run = Run::new(&self.request, placement, self.attempted_at);
+            self.gateway.note_broken_run(&run);
         }
         self.held.is_at(HeldAt::after(end, self.held.used.get()));
         let is_silent = matches!(end, AttemptEnd::Silent(_));
