--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::backpressure::{Bar, BarReason, Change, Condition, Place};
+use ryerouter_core::backpressure::{Bar, BarReason, Change, Place};
 use ryerouter_core::identity::{BackEndName, NodeName, PoolName};
 use ryerouter_core::placement::rendezvous_score;
 use slog::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::news_queue::{part_of_turn, take_news};
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, ToldLife};
 use crate::peers::{NodeIdentity, SignalNews};
@@ -257,7 +258,7 @@
     ) -> Vec<SignalNews> {
         let mut told = match state.peers.is_large() {
             true => Vec::new(),
-            false => take_news(state, 1),
+            false => take_news(&mut state.signal_news, MOST_NEWS, 1),
         };
         if is_introduction {
             told.extend(signalled_of_turn(state));
@@ -276,7 +277,7 @@
         if !state.peers.is_large() {
             return Vec::new();
         }
-        let told = take_news(state, TELLINGS);
+        let told = take_news(&mut state.signal_news, MOST_NEWS, TELLINGS);
         if !state.signal_news.is_empty() {
             // What this message does not hold is as urgent.
             self.tell_peers_soon();
@@ -322,39 +323,24 @@
     pool: &PoolName,
     now: Timestamp,
 ) -> impl Iterator<Item = Bar> + use<'a> {
-    let engines = state.engines.of_pool(pool).collect::<Vec<_>>();
+    let engines: Vec<_> = state.engines.of_pool(pool).collect();
     let bars = engines.into_iter();
     bars.filter_map(move |engine| engine.condition.bar(now))
 }
 
-/// The engines that are to be told of, each of them `tellings` times less from now on.
-fn take_news(state: &mut GatewayState, tellings: u32) -> Vec<BackEndName> {
-    let told: Vec<_> = state.signal_news.keys().take(MOST_NEWS).cloned().collect();
-    for name in &told {
-        if let Some(left) = state.signal_news.get_mut(name) {
-            *left = left.saturating_sub(tellings);
-        }
-    }
-    state.signal_news.retain(|_, left| *left > 0);
-    told
-}
-
 /// Some of the engines that this node has heard something of, others with each message.
 fn signalled_of_turn(state: &mut GatewayState) -> Vec<BackEndName> {
     let has_seen = |engine: &&Engine| engine.condition.report().is_some();
     let signalled = state.engines.iter().filter(has_seen);
     let names: Vec<_> = signalled.map(|engine| engine.entry.name.clone()).collect();
-    let parts = names.len().div_ceil(MOST_IN_INTRODUCTION).max(1);
-    let part = state.signal_turn % parts;
     state.signal_turn = state.signal_turn.wrapping_add(1);
-    let of_turn = names.chunks(MOST_IN_INTRODUCTION).nth(part);
-    of_turn.unwrap_or_default().to_vec()
+    part_of_turn(&names, MOST_IN_INTRODUCTION, state.signal_turn)
 }
 
 fn news_of(state: &GatewayState, told: &[BackEndName], now: Timestamp) -> Vec<SignalNews> {
     let known = told.iter().filter_map(|name| {
         let engine = state.engines.get(name)?;
-        let report = Condition::report(&engine.condition)?;
+        let report = engine.condition.report()?;
         Some(SignalNews::new(
             name,
             engine.entry.incarnation,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod items;
 mod list_handover;
 mod named_weights;
+mod news_queue;
 mod order_candidacy;
 mod peer_news;
 mod poison;
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -7,6 +7,7 @@
 use ryerouter_core::poison::{Crash, Digest, Verdict};
 use slog::{info, warn};
 
+use super::news_queue::{part_of_turn, take_news};
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, ToldLife};
 use crate::poison::{PoisonNews, Run};
@@ -189,7 +190,7 @@
     ) -> Vec<PoisonNews> {
         let mut told = match state.peers.is_large() {
             true => Vec::new(),
-            false => take_news(state, 1),
+            false => take_news(&mut state.poison_news, MOST_NEWS, 1),
         };
         if is_introduction {
             told.extend(convicted_of_turn(state));
@@ -209,7 +210,7 @@
         if !state.peers.is_large() {
             return Vec::new();
         }
-        let told = take_news(state, TELLINGS);
+        let told = take_news(&mut state.poison_news, MOST_NEWS, TELLINGS);
         if !state.poison_news.is_empty() {
             // What this message does not hold is as urgent.
             self.tell_peers_soon();
@@ -258,25 +259,10 @@
     }
 }
 
-/// The requests that are to be told of, each of them `tellings` times less from now on.
-fn take_news(state: &mut GatewayState, tellings: u32) -> Vec<Digest> {
-    let told: Vec<_> = state.poison_news.keys().copied().take(MOST_NEWS).collect();
-    for digest in &told {
-        if let Some(left) = state.poison_news.get_mut(digest) {
-            *left = left.saturating_sub(tellings);
-        }
-    }
-    state.poison_news.retain(|_, left| *left > 0);
-    told
-}
-
 /// Some of the requests that are held back, others with each message.
 fn convicted_of_turn(state: &GatewayState) -> Vec<Digest> {
     let convicted: Vec<_> = state.poison.convicted().collect();
-    let parts = convicted.len().div_ceil(MOST_IN_INTRODUCTION).max(1);
-    let part = state.poison_turn % parts;
-    let of_turn = convicted.chunks(MOST_IN_INTRODUCTION).nth(part);
-    of_turn.unwrap_or_default().to_vec()
+    part_of_turn(&convicted, MOST_IN_INTRODUCTION, state.poison_turn)
 }
 
 fn news_of(state: &GatewayState, told: &[Digest], now: Timestamp) -> Vec<PoisonNews> {
--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -14,15 +14,15 @@
 
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use ryerouter_core::identity::ZoneName;
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::{EngineEntry, EngineState};
-use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
+use ryerouter_gateway::gateway::Gateway;
 use support::crashing_engine::{CrashingPool, FATAL, FATAL_AND_SPOILED, LASTING, POPULAR};
 use support::fleet::{deliver, introduce};
-use support::gateway_bench::{CallerAnswer, GatewayBench, list_engines, run, settings};
-use support::records::{ZONE, engine, route, table};
+use support::gateway_bench::{CallerAnswer, GatewayBench, list_engines, run};
+use support::records::{engine, route, table};
 use support::scripted_engine::{ScriptedEngine, Step};
+use support::signalling::settings_of;
 use support::test_dialect::ID;
 use tokio::time::{Instant, sleep};
 
@@ -126,20 +126,6 @@
     }
 }
 
-fn settings_of(index: usize) -> GatewaySettings {
-    let mut own = settings(&format!("node-{index:02}"));
-    own.identity.incarnation = index as u64 + 10;
-    own.identity.zone = ZoneName::new(if index.is_multiple_of(2) {
-        ZONE
-    } else {
-        "zone-b"
-    });
-    let port = 10_000 + index;
-    own.identity.peer_address = format!("127.0.0.1:{port}").parse().expect("address");
-    own.identity.caller_address = format!("127.0.0.2:{port}").parse().expect("address");
-    own
-}
-
 fn is_held_back(answer: &CallerAnswer) -> bool {
     let waits = answer.retry_after.is_some_and(|seconds| seconds > 1.0);
     answer.status == StatusCode::SERVICE_UNAVAILABLE && waits
--- a/crates/gateway/tests/support/signalling.rs
+++ b/crates/gateway/tests/support/signalling.rs
@@ -125,7 +125,8 @@
     table(1, vec![route(RequestKind::Safe)])
 }
 
-fn settings_of(index: usize) -> GatewaySettings {
+/// Settings of the node of a number; every other one stands in another zone.
+pub fn settings_of(index: usize) -> GatewaySettings {
     let mut own = settings(&format!("node-{index:02}"));
     own.identity.incarnation = index as u64 + 10;
     own.identity.zone = ZoneName::new(if index.is_multiple_of(2) {
