--- a/crates/gateway/src/gateway/backpressure.rs
+++ b/crates/gateway/src/gateway/backpressure.rs
@@ -133,8 +133,8 @@
         Some(openings.min()?.since(now))
     }
 
-    /// How many engines of a pool are barred, and by what.
-    pub(crate) fn barred_engines(&self, pool: &PoolName) -> String {
+    /// How many engines of a pool are barred, and by what, in words; `None` when none is.
+    pub(crate) fn barred_engines(&self, pool: &PoolName) -> Option<String> {
         let now = self.clock().now();
         let state = self.state();
         let counts = [BarReason::Leaving, BarReason::Resting, BarReason::Limited].map(|reason| {
@@ -145,7 +145,7 @@
         let told: Vec<_> = told
             .map(|(reason, count)| format!("{count} {reason}"))
             .collect();
-        told.join(", ")
+        (!told.is_empty()).then(|| told.join(", "))
     }
 
     /// Divides the limits of engines anew, since nodes come and go, and forgets those that must be over.
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -367,8 +367,10 @@
             return Refusal::new(RefusalReason::MayHaveRun, "no other engine");
         }
         let pool = &self.request.pool;
-        let barred = self.gateway.barred_engines(pool);
-        let detail = format!("pool '{pool}': no engine takes work ({barred})");
+        let detail = match self.gateway.barred_engines(pool) {
+            Some(barred) => format!("pool '{pool}': no engine takes work ({barred})"),
+            None => format!("pool '{pool}': no engine takes work"),
+        };
         Refusal::new(RefusalReason::NoEngine, detail).come_back_after(self.wait(NO_ENGINE_RETRY))
     }
 
