--- a/crates/core/tests/backpressure.rs
+++ b/crates/core/tests/backpressure.rs
@@ -280,3 +280,17 @@
     let bar = condition.bar(at(3_599_999)).expect("barred");
     assert_eq!(bar.until, Some(at(3_600_000)));
 }
+
+/// While limits that are over hold on, an engine is missing that others are in need of.
+#[test]
+fn limit_that_was_in_every_answer_is_over_within_two_seconds() {
+    let mut condition = Condition::default();
+    condition.hear(&limit(1.0), at(0), at(0));
+    condition.hear(&limit(1.0), at(0), at(900));
+    for answered in [1_000, 1_500, 2_000, 2_500] {
+        condition.hear(&Signal::default(), at(950), at(answered));
+        assert!(condition.limit().is_some(), "{answered}");
+    }
+    let change = condition.hear(&Signal::default(), at(950), at(3_000));
+    assert!(change.is_limit_over && condition.limit().is_none());
+}
--- a/crates/gateway/tests/signal_news.rs
+++ b/crates/gateway/tests/signal_news.rs
@@ -12,7 +12,7 @@
 use ryerouter_gateway::request::AnswerFacts;
 use support::fleet::{deliver, introduce, node, two_zones, zone_of_many};
 use support::gateway_bench::{list_engines, run_paused};
-use support::records::engine;
+use support::records::{ZONE, engine};
 use tokio::time::sleep;
 use yare::parameterized;
 
@@ -167,3 +167,26 @@
         }
     });
 }
+
+/// Its callers are those that the engine mostly serves; shares elsewhere would be left unused.
+#[test]
+fn nodes_of_the_engines_zone_share_its_limit() {
+    run_paused(async {
+        const LIMIT: f64 = 2.5;
+        let nodes = two_zones();
+        hear(&nodes[0], ENGINE, &facts(LIMIT));
+        tell(&nodes);
+        let share = |node: &Rc<Gateway>| {
+            let state = node.state();
+            let engine = state.engines.get(&BackEndName::new(ENGINE));
+            let limit = engine.and_then(|engine| engine.condition.limit());
+            limit.map_or(0.0, |limit| limit.share())
+        };
+        let (near, far): (Vec<_>, Vec<_>) = nodes
+            .iter()
+            .partition(|node| node.settings().identity.zone.as_str() == ZONE);
+        assert_eq!(far.into_iter().map(share).sum::<f64>(), 0.0);
+        let sum: f64 = near.into_iter().map(share).sum();
+        assert!((sum - LIMIT).abs() < 1e-6, "{sum}");
+    });
+}
