What is proven of a request outlives all nodes

Cause: what nodes know of such a request was in their memory alone. Evidence: request_stays_held_back_when_all_nodes_were_killed fails 3 of 3 plays on, six engines later each time.

Now the node that sees the third end, a trial, or the good end that clears the request writes a record into the store; a node that starts reads them (one stale list), and reads anew when an engine ends before the first request is sent on. Requests wait half a second at most until the records are read. It holds since a write names the revision that it replaces, others write what a killed node has not, and a cleared request keeps its record, so that a late write brings no old verdict back.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -24,6 +24,11 @@
     Duration::from_secs(600),
     Duration::from_secs(86_400),
 ];
+/// A request is forgotten so long after the last end or trial, by all nodes at about the same time: a day after its last
+/// trial its engines are other ones, most likely.
+const FORGET_AFTER: Duration = Duration::from_secs(2 * 86_400);
+/// The same for one that is not held back.
+const FORGET_SUSPECT_AFTER: Duration = Duration::from_secs(3_600);
 /// Two requests that ran at so many of the same ends can't be told apart by them.
 const SHARED_ENDS: usize = 2;
 /// Bounds the ends after the last trial, which only nodes add that were out of touch.
@@ -168,6 +173,23 @@
         ended.max(self.tried_at).max(self.cleared_at)
     }
 
+    /// Whether what happened is so long ago that it is forgotten.
+    ///
+    /// Nodes tell each other the times that this goes by, so that none tells the others again what they have forgotten.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        let limit = match self.is_convicted() {
+            true => FORGET_AFTER,
+            false => FORGET_SUSPECT_AFTER,
+        };
+        let last = self.last_event();
+        last.is_some_and(|at| now.since(at) > limit)
+    }
+
+    /// Whether it knows what `other` does not.
+    pub fn exceeds(&self, other: &Self) -> bool {
+        other.clone().merge(self)
+    }
+
     /// A trial begins.
     pub fn begin_trial(&mut self, now: Timestamp) {
         self.trials += 1;
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -1,7 +1,6 @@
 //! The requests under which engines ended.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use super::{Crash, Digest, History, Verdict};
 use crate::Timestamp;
@@ -9,11 +8,6 @@
 /// Most requests that are remembered: some 400 bytes each. Each needs an engine that has ended, so a caller can't
 /// bring many about.
 const MOST_KNOWN: usize = 1_024;
-/// A request is forgotten so long after the last end or trial, by all nodes at about the same time: a day after its last
-/// trial its engines are other ones, most likely.
-const FORGET_AFTER: Duration = Duration::from_secs(2 * 86_400);
-/// The same for one that is not held back.
-const FORGET_SUSPECT_AFTER: Duration = Duration::from_secs(3_600);
 
 /// The requests under which engines ended, as far as one node knows.
 #[derive(Debug, Default)]
@@ -37,7 +31,12 @@
         self.known.get(&digest)
     }
 
-    /// The same, to change it.
+    /// Whether a request is held back.
+    pub fn is_convicted(&self, digest: Digest) -> bool {
+        self.get(digest).is_some_and(History::is_convicted)
+    }
+
+    /// What is known of a request, to change it.
     pub fn get_mut(&mut self, digest: Digest) -> Option<&mut History> {
         self.known.get_mut(&digest)
     }
@@ -68,7 +67,7 @@
     /// Takes in what another node knows; `false` when that is nothing new.
     pub fn merge(&mut self, digest: Digest, told: &History, now: Timestamp) -> bool {
         let is_known = self.known.contains_key(&digest);
-        if is_due(told, now) || (!is_known && told.crashes.is_empty()) {
+        if told.is_over(now) || (!is_known && told.crashes.is_empty()) {
             return false;
         }
         self.at(digest, now).merge(told)
@@ -81,9 +80,10 @@
         convicted.map(|(digest, _)| *digest)
     }
 
-    /// Forgets what is long over.
-    pub fn forget(&mut self, now: Timestamp) {
-        self.known.retain(|_, history| !is_due(history, now));
+    /// Forgets what is long over; tells what it was.
+    pub fn forget(&mut self, now: Timestamp) -> Vec<Digest> {
+        let over = self.known.extract_if(.., |_, history| history.is_over(now));
+        over.map(|(digest, _)| digest).collect()
     }
 
     fn at(&mut self, digest: Digest, now: Timestamp) -> &mut History {
@@ -106,13 +106,3 @@
         }
     }
 }
-
-/// Nodes tell each other the times that this goes by, so that none tells the others again what they have forgotten.
-fn is_due(history: &History, now: Timestamp) -> bool {
-    let limit = match history.is_convicted() {
-        true => FORGET_AFTER,
-        false => FORGET_SUSPECT_AFTER,
-    };
-    let last = history.last_event();
-    last.is_some_and(|at| now.since(at) > limit)
-}
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -14,7 +14,7 @@
 /// The clock of a process: the steady one and the time for which its machine was suspended, when that stands still.
 ///
 /// What is believed for a time (a lease, a proof, the age of a list) would look younger otherwise than it is to all
-/// others. Time of day never decides anything.
+/// others. Time of day never decides anything but how old a record is that another process has written.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     origin: Instant,
@@ -25,8 +25,9 @@
 /// still with the steady clock.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
-/// Timestamps begin this far from zero, so that times before the start can be told.
-const ORIGIN_MICROS: u64 = 3_600_000_000;
+/// Timestamps begin three days from zero, so that times before the start can be told: nothing that nodes tell each other or
+/// keep records of is remembered for longer.
+const ORIGIN_MICROS: u64 = 3 * 86_400 * 1_000_000;
 
 impl Clock {
     /// A clock that starts now.
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -20,6 +20,7 @@
     WeightsNews, ZoneTraffic,
 };
 use crate::placement::{Division, HolderTable, KvStores, ReadingDemand};
+use crate::poison::Records;
 use crate::quotas::Quotas;
 use crate::release;
 use crate::retry::RetryWindow;
@@ -102,6 +103,8 @@
     pub poison: poison::Register,
     /// Those of them to tell others of, and how often.
     pub poison_news: BTreeMap<poison::Digest, u32>,
+    /// What is known of the records of those that are held back.
+    pub poison_records: Records,
     /// Counts introductions: those that are held back are told by turns.
     pub poison_turn: usize,
     /// Engines that have named a limit.
@@ -235,6 +238,7 @@
             releases: release::Table::default(),
             poison: poison::Register::default(),
             poison_news: BTreeMap::new(),
+            poison_records: Records::default(),
             poison_turn: 0,
             limited_engines: BTreeSet::new(),
             last_refreshed: None,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod order_candidacy;
 mod peer_news;
 mod poison;
+mod poison_records;
 mod proof_of_freshness;
 mod readers;
 mod reading;
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 
 use super::news_queue::{part_of_turn, take_news};
+use super::poison_records::settle_unless_newer;
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, ToldLife};
 use crate::poison::{PoisonNews, Run};
@@ -42,19 +43,18 @@
     }
 
     /// A request that is held back is sent once, to see whether it still ends its engine.
-    pub(crate) fn begin_trial(&self, request: &AcceptedRequest) {
+    pub(crate) async fn begin_trial(&self, request: &AcceptedRequest) {
         let digest = request.digest();
         let now = self.clock().now();
-        let mut state = self.state_mut();
-        let Some(history) = state.poison.get_mut(digest) else {
-            return;
-        };
-        history.begin_trial(now);
-        info!(self.log(), "poison_tried"; "request" => &request.caller.id, "digest" => %digest,
-            "trials" => history.trials);
-        drop(state);
+        if let Some(history) = self.state_mut().poison.get_mut(digest) {
+            history.begin_trial(now);
+            info!(self.log(), "poison_tried"; "request" => &request.caller.id,
+                "digest" => %digest, "trials" => history.trials);
+        }
         // At once: others are not to begin one too.
         self.tell_of_poison(digest);
+        self.write_poison_record(digest);
+        self.until_poison_written(digest).await;
     }
 
     /// The connection of a run broke off. Its engine has most likely ended, unless it leaves, when its end is planned.
@@ -88,34 +88,54 @@
             began,
             ended: now,
         };
-        if !state.poison.note_crash(digest, crash, now) {
+        drop(state);
+        let Some(count) = self.note_poison_crash(digest, crash) else {
             return;
-        }
-        let known = state.poison.get(digest);
-        let (count, is_convicted) = known.map_or((0, false), |history| {
-            (history.crashes.len(), history.is_convicted())
-        });
+        };
         warn!(self.log(), "engine_ended_under_request"; "request" => &run.request,
             "digest" => %digest, "engine" => %placement.engine, "route" => &run.route,
             "after_ms" => now.since(began).as_millis() as u64, "in_a_row" => count,
-            "held_back" => is_convicted);
+            "held_back" => self.state().poison.is_convicted(digest));
+    }
+
+    /// An engine ended under a request. How many have now, one after the other; `None` when this tells nothing new.
+    pub fn note_poison_crash(&self, digest: Digest, crash: Crash) -> Option<usize> {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if !state.poison.note_crash(digest, crash, now) {
+            return None;
+        }
+        let history = state.poison.get(digest)?;
+        let (count, is_convicted) = (history.crashes.len(), history.is_convicted());
         drop(state);
         self.tell_of_poison(digest);
+        if is_convicted {
+            self.write_poison_record(digest);
+        }
+        Some(count)
     }
 
     /// A run came to a good end: its request is not what ends engines.
     pub(crate) fn note_good_run(&self, request: &AcceptedRequest) {
-        if self.state().poison.is_empty() {
-            return;
+        let has_none = self.state().poison.is_empty();
+        if !has_none && self.clear_poison(request.digest()) {
+            info!(self.log(), "poison_cleared"; "request" => &request.caller.id,
+                "digest" => %request.digest());
         }
-        let digest = request.digest();
+    }
+
+    /// A run of a request came to a good end; `false` when this tells nothing new.
+    pub fn clear_poison(&self, digest: Digest) -> bool {
         let now = self.clock().now();
-        let has_changed = self.state_mut().poison.clear(digest, now);
-        if has_changed {
-            info!(self.log(), "poison_cleared"; "request" => &request.caller.id,
-                "digest" => %digest);
+        let was_held_back = self.state().poison.is_convicted(digest);
+        let is_news = self.state_mut().poison.clear(digest, now);
+        if is_news {
             self.tell_of_poison(digest);
         }
+        if is_news && was_held_back {
+            self.write_poison_record(digest);
+        }
+        is_news
     }
 
     /// A broken connection looks like the end of its engine. One that is still listed long after has gone on, as
@@ -127,6 +147,7 @@
             poison,
             engines,
             steadiness,
+            poison_records,
             ..
         } = &mut *state;
         if !steadiness.holds(lapse, now) {
@@ -148,6 +169,13 @@
             info!(self.log(), "poison_withdrawn"; "digest" => %digest, "engines" => withdrawn,
                 "held_back" => history.is_convicted());
         }
+        if withdrawn > 0
+            && !history.is_convicted()
+            && let Some(revision) = poison_records.forget(digest)
+        {
+            poison_records.remove_later(digest, revision);
+            self.poison_records_due.notify_one();
+        }
     }
 
     /// Whether an engine seems to have ended a little while ago.
@@ -176,7 +204,7 @@
         self.settings().entry_lapse * LAPSES_UNTIL_GONE
     }
 
-    fn tell_of_poison(&self, digest: Digest) {
+    pub(super) fn tell_of_poison(&self, digest: Digest) {
         self.state_mut().poison_news.insert(digest, TELLINGS);
         self.tell_peers_soon();
     }
@@ -228,14 +256,19 @@
         for told in news {
             note_ended_engines(state, told, now);
             let digest = told.digest;
-            let is_convicted = |state: &GatewayState| {
-                let history = state.poison.get(digest);
-                history.is_some_and(|history| history.is_convicted())
-            };
-            let was_convicted = is_convicted(state);
-            let is_news = state.poison.merge(digest, &told.history(now), now);
-            if is_news && is_convicted(state) != was_convicted {
-                info!(self.log(), "poison_heard"; "digest" => %digest, "held_back" => !was_convicted);
+            let history = told.history(now);
+            let was_convicted = state.poison.is_convicted(digest);
+            let is_news = state.poison.merge(digest, &history, now);
+            let is_convicted = state.poison.is_convicted(digest);
+            if is_news && is_convicted != was_convicted {
+                info!(self.log(), "poison_heard"; "digest" => %digest, "held_back" => is_convicted,
+                    "is_recorded" => told.is_recorded);
+            }
+            if is_news && (is_convicted || was_convicted) {
+                self.write_poison_record_later(state, digest, now);
+            }
+            if told.is_recorded {
+                settle_unless_newer(state, digest, &history);
             }
         }
     }
@@ -268,7 +301,12 @@
 fn news_of(state: &GatewayState, told: &[Digest], now: Timestamp) -> Vec<PoisonNews> {
     let known = told.iter().filter_map(|digest| {
         let history = state.poison.get(*digest)?;
-        Some(PoisonNews::new(*digest, history, now))
+        let records = &state.poison_records;
+        let is_recorded = records.revision(*digest).is_some() && !records.is_unsettled(*digest);
+        Some(PoisonNews {
+            is_recorded,
+            ..PoisonNews::new(*digest, history, now)
+        })
     });
     known.collect()
 }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -51,6 +51,12 @@
     upstream: Upstream,
     state: RefCell<GatewayState>,
     pub(super) urgent_news: Notify,
+    /// A request waits for the records of those that are held back.
+    pub(crate) poison_records_wanted: Notify,
+    /// A record is to be written or removed.
+    pub(crate) poison_records_due: Notify,
+    /// Records have been read or written.
+    pub(super) poison_records_changed: Notify,
     leaving: Notify,
 }
 
@@ -82,6 +88,9 @@
             signal_sampler: LogSampler::default(),
             dialect,
             urgent_news: Notify::new(),
+            poison_records_wanted: Notify::new(),
+            poison_records_due: Notify::new(),
+            poison_records_changed: Notify::new(),
             leaving: Notify::new(),
         })
     }
--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -1,7 +1,10 @@
 //! Requests that end the engines that run them: what stands for one, and what nodes tell of it.
 
 mod crash_news;
+mod keeper;
 mod poison_news;
+mod record;
+mod records;
 mod run;
 
 use bytes::Bytes;
@@ -12,7 +15,10 @@
 use sha2::Sha256;
 
 pub use crash_news::CrashNews;
+pub use keeper::keep_records;
 pub use poison_news::PoisonNews;
+pub use record::Record;
+pub use records::{Reading, Records};
 pub use run::Run;
 
 /// What stands for a request and its repeats, whose ids all differ.
--- a/crates/gateway/src/poison/poison_news.rs
+++ b/crates/gateway/src/poison/poison_news.rs
@@ -26,6 +26,9 @@
     /// How long ago the last of them began, in milliseconds.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub tried_age_ms: Option<u64>,
+    /// Whether the sender knows that the store holds this.
+    #[serde(rename = "r", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_recorded: bool,
 }
 
 impl PoisonNews {
@@ -39,6 +42,7 @@
             cleared_age_ms: history.cleared_at.map(age_ms),
             trials: history.trials,
             tried_age_ms: history.tried_at.map(age_ms),
+            is_recorded: false,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/poison/records.rs
@@ -0,0 +1,114 @@
+//! What a node knows of the records of requests that are held back.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::poison::Digest;
+
+/// How far a node has read the records.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reading {
+    /// Not at all yet.
+    Unread,
+    /// As they were some seconds before.
+    Stale,
+    /// All that was recorded when the node asked; what comes later the others tell. Also where there is no store.
+    #[default]
+    Current,
+}
+
+/// The record of one request.
+#[derive(Debug, Default)]
+struct Entry {
+    /// Its revision in the store, as far as this node knows.
+    revision: Option<u64>,
+    /// When this node writes what it knows.
+    due_at: Option<Timestamp>,
+    /// Whether it is being written; what is found out meanwhile is due again.
+    is_being_written: bool,
+}
+
+/// What a node knows of the records of requests that are held back.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Whether there is a store that keeps them.
+    pub are_kept: bool,
+    /// How far they have been read.
+    pub reading: Reading,
+    /// When a request first had to wait for the reading.
+    pub wanted_at: Option<Timestamp>,
+    entries: BTreeMap<Digest, Entry>,
+    /// Records of requests that are forgotten, and their revisions.
+    outdated: VecDeque<(Digest, u64)>,
+}
+
+impl Records {
+    /// Revision of a record in the store, as far as this node knows.
+    pub fn revision(&self, digest: Digest) -> Option<u64> {
+        self.entries.get(&digest)?.revision
+    }
+
+    /// What is known of a request is to be written, at this time at the latest.
+    pub fn write_by(&mut self, digest: Digest, at: Timestamp) {
+        if !self.are_kept {
+            return;
+        }
+        let due_at = &mut self.entries.entry(digest).or_default().due_at;
+        *due_at = Some(due_at.map_or(at, |due_at| due_at.min(at)));
+    }
+
+    /// What is known of a request is written now.
+    pub fn begin_write(&mut self, digest: Digest) {
+        let entry = self.entries.entry(digest).or_default();
+        entry.due_at = None;
+        entry.is_being_written = true;
+    }
+
+    /// The store has answered, or will not; it holds this revision now, as far as this node knows.
+    pub fn end_write(&mut self, digest: Digest, revision: Option<u64>) {
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            entry.revision = revision;
+            entry.is_being_written = false;
+        }
+    }
+
+    /// The store holds what this node knows.
+    pub fn settle(&mut self, digest: Digest) {
+        if let Some(entry) = self.entries.get_mut(&digest) {
+            entry.due_at = None;
+        }
+    }
+
+    /// Whether this node has something to write of a request.
+    pub fn is_unsettled(&self, digest: Digest) -> bool {
+        let entry = self.entries.get(&digest);
+        entry.is_some_and(|entry| entry.due_at.is_some() || entry.is_being_written)
+    }
+
+    /// The store holds a record at this revision.
+    pub fn note_revision(&mut self, digest: Digest, revision: u64) {
+        self.entries.entry(digest).or_default().revision = Some(revision);
+    }
+
+    /// Nothing is known of a request any more; tells the revision of its record.
+    pub fn forget(&mut self, digest: Digest) -> Option<u64> {
+        self.entries.remove(&digest)?.revision
+    }
+
+    /// A record is to be removed.
+    pub fn remove_later(&mut self, digest: Digest, revision: u64) {
+        self.outdated.push_back((digest, revision));
+    }
+
+    /// A record that is to be removed.
+    pub fn take_outdated(&mut self) -> Option<(Digest, u64)> {
+        self.outdated.pop_front()
+    }
+
+    /// What is to be written first, and when.
+    pub fn next(&self) -> Option<(Digest, Timestamp)> {
+        let due = self.entries.iter();
+        let due = due.filter_map(|(digest, entry)| Some((*digest, entry.due_at?)));
+        due.min_by_key(|(_, at)| *at)
+    }
+}
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -118,6 +118,11 @@
         loop {
             // One that ends its engines comes again under other ids and at other nodes, where neither its attempts nor
             // the retry budget count: only what all nodes know of it keeps it from the next engine.
+            let is_known = self.gateway.knows_poison(&self.request).await;
+            if !is_known && self.may_have_run && self.gateway.is_suspect(&self.request) {
+                // It may be held back for what ended under it before this node started.
+                return Err(self.ends_engines(NO_ENGINE_RETRY));
+            }
             let verdict = self.gateway.verdict_on(&self.request);
             if let Verdict::Refused { come_back_after } = verdict {
                 return Err(self.ends_engines(come_back_after));
@@ -128,7 +133,7 @@
                 return Err(self.without_budget());
             }
             if verdict == Verdict::Trial {
-                self.gateway.begin_trial(&self.request);
+                self.gateway.begin_trial(&self.request).await;
             }
             if self.may_have_run && !self.has_answer {
                 self.gateway.charge_again(&self.request);
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -12,6 +12,7 @@
 mod lease_store;
 mod list;
 mod lists;
+mod poison_store;
 mod release_store;
 mod replica;
 mod source_error;
@@ -27,6 +28,7 @@
 pub use item_page::{ItemBatch, ItemPage};
 pub use lease_store::LeaseStore;
 pub use list::List;
+pub use poison_store::{PoisonStore, RecordWrite, StoredRecord};
 pub use release_store::{
     OrderedRelease, Recorded, ReleaseBatch, ReleaseChange, ReleaseList, ReleaseStore,
 };
--- a/crates/gateway/tests/poison_news.rs
+++ b/crates/gateway/tests/poison_news.rs
@@ -35,6 +35,7 @@
         cleared_age_ms: None,
         trials: 0,
         tried_age_ms: None,
+        is_recorded: false,
     }
 }
 
--- a/crates/gateway/tests/poison_requests.rs
+++ b/crates/gateway/tests/poison_requests.rs
@@ -7,19 +7,15 @@
 
 mod support;
 
-use std::cell::Cell;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
-use hyper::StatusCode;
 use ryerouter_gateway::catalogue::RequestKind;
-use ryerouter_gateway::engines::{EngineEntry, EngineState};
-use ryerouter_gateway::gateway::Gateway;
-use support::crashing_engine::{CrashingPool, FATAL, FATAL_AND_SPOILED, LASTING, POPULAR};
-use support::fleet::{deliver, introduce};
-use support::gateway_bench::{CallerAnswer, GatewayBench, list_engines, run};
+use ryerouter_gateway::engines::EngineState;
+use support::crashing_engine::{FATAL, FATAL_AND_SPOILED, LASTING, POPULAR};
+use support::crashing_nodes::{Nodes, PAUSE, is_held_back};
+use support::fleet::introduce;
+use support::gateway_bench::{GatewayBench, run};
 use support::records::{engine, route, table};
 use support::scripted_engine::{ScriptedEngine, Step};
 use support::signalling::settings_of;
@@ -34,102 +30,6 @@
 const PAST_THE_FIRST_TRIAL: Duration = Duration::from_secs(7);
 /// Far more than that.
 const REPEATS: usize = 16;
-/// A caller comes back so soon.
-const PAUSE: Duration = Duration::from_millis(60);
-const ENGINES: usize = 4;
-
-/// Nodes that know each other, before the same engines.
-struct Nodes {
-    benches: Vec<GatewayBench>,
-    pool: CrashingPool,
-    calls: Cell<usize>,
-}
-
-impl Nodes {
-    async fn start(kind: RequestKind, count: usize, is_resumable: bool) -> Self {
-        Self::start_before(ENGINES, kind, count, is_resumable).await
-    }
-
-    async fn start_before(
-        engines: usize,
-        kind: RequestKind,
-        count: usize,
-        is_resumable: bool,
-    ) -> Self {
-        let pool = CrashingPool::start(engines).await;
-        let mut route = route(kind);
-        route.is_resumable = is_resumable;
-        let mut benches = Vec::new();
-        for index in 0..count {
-            let table = table(1, vec![route.clone()]);
-            let own = settings_of(index);
-            benches.push(GatewayBench::start_with(own, Some(table), Vec::new()).await);
-        }
-        let nodes = Self {
-            benches,
-            pool,
-            calls: Cell::new(0),
-        };
-        introduce(&nodes.gateways());
-        nodes.list();
-        nodes
-    }
-
-    fn gateways(&self) -> Vec<Rc<Gateway>> {
-        let all = self.benches.iter();
-        all.map(|bench| Rc::clone(&bench.gateway)).collect()
-    }
-
-    /// Every node reads the list, which names engines that run.
-    fn list(&self) {
-        self.list_as(EngineState::Ready);
-    }
-
-    fn list_as(&self, state: EngineState) {
-        let engines = self.pool.addresses();
-        let entry = |(name, address): (&String, &SocketAddr)| EngineEntry {
-            state,
-            ..engine(name, *address, 1)
-        };
-        let entries: Vec<_> = engines.iter().map(entry).collect();
-        for bench in &self.benches {
-            list_engines(&bench.gateway, entries.clone());
-        }
-    }
-
-    /// A caller asks a node; then engines that have ended are back, under other names, and the nodes have told
-    /// each other what is new.
-    async fn call_at(&self, index: usize, body: &str) -> CallerAnswer {
-        self.calls.set(self.calls.get() + 1);
-        let id = format!("r{}", self.calls.get());
-        let answer = self.benches[index].call("POST", &[(ID, &id)], body).await;
-        self.tell(false);
-        sleep(PAUSE).await;
-        self.pool.restore().await;
-        self.list();
-        answer
-    }
-
-    /// Each node tells what it has to tell.
-    fn tell(&self, is_introduction: bool) {
-        let gateways = self.gateways();
-        for from in &gateways {
-            deliver(&gateways, from.next_load_news());
-            if !is_introduction && gateways.len() > 10 {
-                continue;
-            }
-            let message = from.peer_message(is_introduction);
-            for to in &gateways {
-                to.hear_peer(message.clone());
-            }
-        }
-    }
-}
-
-fn is_held_back(answer: &CallerAnswer) -> bool {
-    let waits = answer.retry_after.is_some_and(|seconds| seconds > 1.0);
-    answer.status == StatusCode::SERVICE_UNAVAILABLE && waits
-}
 
 /// The request comes to the nodes in turn.
 async fn repeat(nodes: &Nodes, kind: RequestKind) {
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -26,8 +26,9 @@
 use ryerouter_gateway::upstream::ConnectSettings;
 use slog::{Logger, o};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
 
+use super::poison_records::{self, RECORDS};
 use super::records::HOST as TEST_HOST;
 use super::test_dialect::{ID, TestDialect};
 
@@ -37,6 +38,7 @@
         .enable_all()
         .build()
         .expect("runtime");
+    let test = RECORDS.scope(Rc::default(), test);
     LocalSet::new().block_on(&runtime, test);
 }
 
@@ -113,6 +115,8 @@
     pub gateway: Rc<Gateway>,
     pub address: SocketAddr,
     accepting: Option<JoinHandle<()>>,
+    /// Keeps records of requests that are held back as long as the node is there.
+    _keeping: JoinSet<()>,
 }
 
 /// An answer as its caller got it.
@@ -152,8 +156,10 @@
         list_engines(&gateway, entries);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
+        let keeping = poison_records::keep(&gateway);
         let accepting = spawn_local(serve_callers(Rc::clone(&gateway), listener));
         Self {
+            _keeping: keeping,
             gateway,
             address,
             accepting: Some(accepting),
@@ -176,6 +182,7 @@
         let connections = OpenConnections::at_most(&gateway, move || most);
         let serving = serve_callers_on(Rc::clone(&gateway), listener, connections);
         Self {
+            _keeping: poison_records::keep(&gateway),
             gateway,
             address,
             accepting: Some(spawn_local(serving)),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,10 +2,12 @@
 #![allow(dead_code, reason = "each test file uses part of it")]
 
 pub mod crashing_engine;
+pub mod crashing_nodes;
 pub mod fleet;
 pub mod followers;
 pub mod gateway_bench;
 pub mod one_lease;
+pub mod poison_records;
 pub mod records;
 pub mod region_fleet;
 pub mod release_node;
