Requests that ran at the same ends are tried one at a time

Callers saw: in a pool of two engines two requests that end their engines are each blamed for the ends of both, so both are in doubt, and both get their early trial at the same moment. Each trial ends an engine, and where both are at the same one it tells nothing of either. Cause: the wait before a trial goes by the request's own ends alone. Now the next waits for two seconds after the trial of a request that shares ends with it, within which the end of that one is known to all nodes.

--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -1,6 +1,7 @@
 //! The requests under which engines ended.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::{Crash, Digest, History, Verdict};
 use crate::Timestamp;
@@ -9,6 +10,10 @@
 /// bring many about.
 const MOST_KNOWN: usize = 1_024;
 
+/// Two requests that ran at the same ends are tried so far apart that only one of them is at the engine which ends, and the
+/// end is known to all nodes before the next trial.
+const TRIAL_TIME: Duration = Duration::from_secs(2);
+
 /// The requests under which engines ended, as far as one node knows.
 #[derive(Debug, Default)]
 pub struct Register {
@@ -46,11 +51,22 @@
         let Some(history) = self.get(digest) else {
             return Verdict::Runs;
         };
+        if !history.is_convicted() {
+            return Verdict::Runs;
+        }
         let others = self.known.iter().filter(|(other, _)| **other != digest);
-        let mut others = others.map(|(_, other)| other);
-        let mut is_beside = || others.any(|other| history.shares_ends(other));
-        let is_in_doubt = history.is_convicted() && (history.has_doubtful_end() || is_beside());
-        history.verdict(is_in_doubt, now)
+        let others = others.map(|(_, other)| other);
+        let beside: Vec<_> = others.filter(|other| history.shares_ends(other)).collect();
+        let is_in_doubt = history.has_doubtful_end() || !beside.is_empty();
+        let verdict = history.verdict(is_in_doubt, now);
+        let tried_at = beside.iter().filter_map(|other| other.tried_at).max();
+        let left = tried_at.map(|at| at.after(TRIAL_TIME).since(now));
+        match left.filter(|left| !left.is_zero()) {
+            Some(come_back_after) if verdict == Verdict::Trial => {
+                Verdict::Refused { come_back_after }
+            }
+            _ => verdict,
+        }
     }
 
     /// An engine ended under a run; `false` when this tells nothing new.
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -340,3 +340,24 @@
     assert!(!register.merge(Digest(1), &told, at(3 * DAY)));
     assert!(register.is_empty());
 }
+
+/// Guards against trials that end each other: two requests stood at the same ends, and what tells them apart is which of
+/// them is alone at the next one.
+#[test]
+fn requests_that_share_ends_are_not_tried_at_the_same_moment() {
+    let mut register = Register::default();
+    for digest in [Digest(1), Digest(2)] {
+        for crash in in_a_row(3) {
+            register.note_crash(digest, crash, at(2_100));
+        }
+    }
+    let now = 2_100 + 5_000;
+    assert_eq!(register.verdict(Digest(1), at(now)), Verdict::Trial);
+    assert_eq!(register.verdict(Digest(2), at(now)), Verdict::Trial);
+    let history = register.get_mut(Digest(1)).expect("known");
+    history.begin_trial(at(now));
+    let refused = register.verdict(Digest(2), at(now + 500));
+    let come_back_after = Duration::from_millis(1_500);
+    assert_eq!(refused, Verdict::Refused { come_back_after });
+    assert_eq!(register.verdict(Digest(2), at(now + 2_000)), Verdict::Trial);
+}
