A trial that ran at no engine is made at the next one

Its trial met an engine that had just ended, told nothing, and the next was due in ten seconds, then in ten minutes. Cause: a trial counted before it was known whether an engine would run it, and went to an engine known to have ended when there was no other. Now a trial that ran nowhere goes on to the next engine within the same request, and begins only when there is one that has not ended; until then it stays due, and the caller is told to come back within a second.

--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -48,6 +48,8 @@
     pub(super) may_have_run: bool,
     /// Whether the next attempt has been taken from the budget already.
     is_retry_paid: bool,
+    /// Whether it is tried while it is held back.
+    is_trial: bool,
     /// The back end whose connection was given up last: on a new one it may serve.
     silent_engine: Option<BackEndName>,
     /// Whether an engine began to answer.
@@ -70,6 +72,7 @@
             arrivals: 0,
             may_have_run: false,
             is_retry_paid: false,
+            is_trial: false,
             silent_engine: None,
             has_answer: false,
             attempted_at: Timestamp::ZERO,
@@ -123,7 +126,7 @@
                 // It may be held back for what ended under it before this node started.
                 return Err(self.ends_engines(NO_ENGINE_RETRY));
             }
-            let verdict = self.gateway.verdict_on(&self.request);
+            let verdict = self.verdict();
             if let Verdict::Refused { come_back_after } = verdict {
                 return Err(self.ends_engines(come_back_after));
             }
@@ -132,7 +135,8 @@
             if !is_paid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.without_budget());
             }
-            if verdict == Verdict::Trial {
+            let is_trial = verdict == Verdict::Trial;
+            if is_trial && !std::mem::replace(&mut self.is_trial, true) {
                 self.gateway.begin_trial(&self.request).await;
             }
             if self.may_have_run && !self.has_answer {
@@ -170,6 +174,14 @@
         }
     }
 
+    /// Whether the request may be sent to an engine now. A trial that has run at none is still to be made.
+    fn verdict(&self) -> Verdict {
+        match self.is_trial && !self.may_have_run {
+            true => Verdict::Trial,
+            false => self.gateway.verdict_on(&self.request),
+        }
+    }
+
     /// Makes an attempt. It is given up when nothing comes for longer than answers take, while the
     /// request can go elsewhere; otherwise it is waited for, since an answer may still come.
     async fn watched_attempt(
@@ -345,12 +357,11 @@
         })
     }
 
-    /// At an engine that has ended a trial tells nothing.
+    /// At an engine that has ended a trial tells nothing, and how often it may be made is bounded: it waits for another one.
     fn place_trial(&self) -> Option<Placement> {
         let mut avoided = self.gateway.ended_engines(&self.request.pool);
         avoided.extend(self.tried.iter().cloned());
-        let placement = self.place_outside(&avoided);
-        placement.or_else(|| self.place_outside(&self.tried))
+        self.place_outside(&avoided)
     }
 
     fn place_outside(&self, tried: &[BackEndName]) -> Option<Placement> {
