Engines that had ended before a node's start convict no request

Cause: which engines have ended a node knows from memory alone. All nodes had just started; three engines that had ended seconds before were still listed and closed what was sent to them. Evidence, one digest at three nodes within 0.2 s: engine_ended_under_request node=node-0 engine=i-9 after_ms=0 in_a_row=1 held_back=false engine_ended_under_request node=node-0 engine=i-12 after_ms=0 in_a_row=2 held_back=false engine_ended_under_request node=node-3 engine=i-13 after_ms=1 in_a_row=3 held_back=true poison_tried node=node-1 (5.1 s later; it told nothing) Now such an end (no head, within 5 ms, at a node up for less than the entries of ended engines stay, and without an answer of that engine) is kept but proves nothing, unless another node saw the same end and knew the engine to be alive. The line tells is_unproven. request_that_a_new_node_sends_to_engines_that_had_ended_is_not_held_back fails without the rule.

--- a/crates/core/src/poison/crash.rs
+++ b/crates/core/src/poison/crash.rs
@@ -26,6 +26,8 @@
     pub began: Timestamp,
     /// When its connection broke off.
     pub ended: Timestamp,
+    /// Whether it may have ended before: the node that saw this had just started, and had no answer of this engine yet.
+    pub is_unproven: bool,
 }
 
 impl Crash {
@@ -42,7 +44,7 @@
     }
 
     /// Whether the engine may have ended before it was sent the request.
-    pub(super) fn is_doubtful(&self) -> bool {
+    pub fn is_doubtful(&self) -> bool {
         self.ended.since(self.began) < SHORTEST_RUN
     }
 
--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -31,7 +31,7 @@
 const FORGET_SUSPECT_AFTER: Duration = Duration::from_secs(3_600);
 /// Two requests that ran at so many of the same ends can't be told apart by them.
 const SHARED_ENDS: usize = 2;
-/// Bounds the ends after the last trial, which only nodes add that were out of touch.
+/// Bounds the ends after the last trial, which only nodes add that were out of touch, and those that prove nothing.
 const MOST_CRASHES: usize = CRASHES_TO_CONVICT_GOOD + 2 * WAITS.len();
 
 /// What is known of one request under which engines ended.
@@ -53,10 +53,18 @@
 impl History {
     /// An engine ended under a run; `false` when this tells nothing new.
     pub fn note_crash(&mut self, crash: Crash) -> bool {
-        if self.holds(&crash) || self.cleared_at >= Some(crash.ended) {
+        if self.cleared_at >= Some(crash.ended) {
             return false;
         }
         let before = self.crashes.clone();
+        let known = self.crashes.iter().position(|known| known.is_same(&crash));
+        if let Some(index) = known {
+            if crash.is_unproven || !self.crashes[index].is_unproven {
+                return false;
+            }
+            // Another node knows that the engine had not ended before.
+            self.crashes.remove(index);
+        }
         self.crashes.push(crash);
         self.sort();
         self.crashes != before
@@ -125,10 +133,15 @@
             true => CRASHES_TO_CONVICT_GOOD,
             false => CRASHES_TO_CONVICT,
         };
-        let last = self.crashes.get(needed - 1)?;
+        let last = self.proven().nth(needed - 1)?;
         Some(last.ended)
     }
 
+    /// Ends of engines that were there when the run began.
+    fn proven(&self) -> impl DoubleEndedIterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.is_unproven)
+    }
+
     /// Whether one of its runs may have met an engine that had ended before.
     pub fn has_doubtful_end(&self) -> bool {
         self.crashes.iter().any(Crash::is_doubtful)
@@ -215,7 +228,14 @@
         for crash in crashes {
             let is_kept = match self.convicted_at() {
                 Some(at) => crash.began > at.after(NEWS_TIME) && self.crashes.len() < MOST_CRASHES,
-                None => self.crashes.last().is_none_or(|last| crash.follows(last)),
+                None if crash.is_unproven => {
+                    let follows = self.crashes.last().is_none_or(|last| crash.follows(last));
+                    follows && self.crashes.len() < MOST_CRASHES
+                }
+                None => self
+                    .proven()
+                    .next_back()
+                    .is_none_or(|last| crash.follows(last)),
             };
             if is_kept {
                 self.crashes.push(crash);
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -21,6 +21,7 @@
         incarnation: None,
         began: at(began),
         ended: at(ended),
+        is_unproven: false,
     }
 }
 
@@ -361,3 +362,33 @@
     assert_eq!(refused, Verdict::Refused { come_back_after });
     assert_eq!(register.verdict(Digest(2), at(now + 2_000)), Verdict::Trial);
 }
+
+/// Guards against a good request that is held back since a node which has just started sent it to engines that had ended.
+#[test]
+fn ends_of_engines_that_may_have_ended_before_prove_nothing() {
+    let unproven = in_a_row(8).into_iter().map(|crash| Crash {
+        is_unproven: true,
+        ..crash
+    });
+    let mut own = history(unproven);
+    assert!(!own.is_convicted());
+    // Another node knows of three of them that they had not.
+    for crash in in_a_row(3) {
+        assert!(own.note_crash(crash));
+    }
+    assert!(own.is_convicted());
+}
+
+/// Guards against a bad request that runs on, since what proves nothing stands between its ends.
+#[test]
+fn ends_that_prove_nothing_do_not_stand_in_the_way_of_others() {
+    let unproven = |crash: Crash| Crash {
+        engine: BackEndName::new(format!("before-{}", crash.engine)),
+        ended: crash.ended.before(Duration::from_millis(50)),
+        is_unproven: true,
+        ..crash
+    };
+    let before = in_a_row(3).into_iter().map(unproven);
+    let all: Vec<_> = before.chain(in_a_row(3)).collect();
+    assert_eq!(history(all).convicted_at(), Some(at(2_100)));
+}
--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -189,6 +189,11 @@
         self.answered_sent_at = self.answered_sent_at.max(Some(sent_at));
     }
 
+    /// Whether it has answered anything since this process knows it.
+    pub fn has_answered(&self) -> bool {
+        self.answered_sent_at.is_some()
+    }
+
     /// Whether it has answered a request that was sent after a moment.
     pub fn has_answered_what_was_sent_after(&self, moment: Timestamp) -> bool {
         self.answered_sent_at > Some(moment)
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -82,12 +82,17 @@
             return;
         }
         engine.note_ended(began, now);
-        let crash = Crash {
+        let mut crash = Crash {
             engine: placement.engine.clone(),
             incarnation: placement.incarnation,
             began,
             ended: now,
+            is_unproven: false,
         };
+        // What had ended before this node started is listed for as long, and the node could not see it end.
+        let may_have_ended_before = self.uptime() < lapse && !engine.has_answered();
+        crash.is_unproven = may_have_ended_before && crash.is_doubtful();
+        let is_unproven = crash.is_unproven;
         drop(state);
         let Some(count) = self.note_poison_crash(digest, crash) else {
             return;
@@ -95,7 +100,7 @@
         warn!(self.log(), "engine_ended_under_request"; "request" => &run.request,
             "digest" => %digest, "engine" => %placement.engine, "route" => &run.route,
             "after_ms" => now.since(began).as_millis() as u64, "in_a_row" => count,
-            "held_back" => self.state().poison.is_convicted(digest));
+            "is_unproven" => is_unproven, "held_back" => self.state().poison.is_convicted(digest));
     }
 
     /// An engine ended under a request. How many have now, one after the other; `None` when this tells nothing new.
--- a/crates/gateway/src/poison/crash_news.rs
+++ b/crates/gateway/src/poison/crash_news.rs
@@ -22,6 +22,9 @@
     /// How long before that the request was sent to it, in milliseconds.
     #[serde(rename = "t")]
     pub took_ms: u64,
+    /// Whether the engine may have ended before.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_unproven: bool,
 }
 
 impl CrashNews {
@@ -32,6 +35,7 @@
             incarnation: crash.incarnation,
             age_ms: now.since(crash.ended).as_millis() as u64,
             took_ms: crash.ended.since(crash.began).as_millis() as u64,
+            is_unproven: crash.is_unproven,
         }
     }
 
@@ -43,6 +47,7 @@
             incarnation: self.incarnation,
             began: ended.before(Duration::from_millis(self.took_ms)),
             ended,
+            is_unproven: self.is_unproven,
         }
     }
 }
--- a/crates/gateway/tests/poison_news.rs
+++ b/crates/gateway/tests/poison_news.rs
@@ -28,6 +28,7 @@
         incarnation: None,
         age_ms: 2_000 - index as u64 * 1_000,
         took_ms: 100,
+        is_unproven: false,
     };
     PoisonNews {
         digest: DIGEST,
--- a/crates/gateway/tests/poison_records.rs
+++ b/crates/gateway/tests/poison_records.rs
@@ -185,6 +185,7 @@
             incarnation: None,
             began: now.before(Duration::from_secs(10 * number)),
             ended: now.before(Duration::from_secs(10 * number - 1)),
+            is_unproven: false,
         });
         let mut history = History::default();
         crashes.for_each(|crash| {
@@ -218,6 +219,7 @@
                 incarnation: None,
                 began: now.before(PAUSE),
                 ended: now,
+                is_unproven: false,
             };
             bench.gateway.note_poison_crash(digest, crash);
         }
--- a/crates/gateway/tests/poison_trials.rs
+++ b/crates/gateway/tests/poison_trials.rs
@@ -19,12 +19,17 @@
 use support::crashing_engine::CrashingPool;
 use support::gateway_bench::{GatewayBench, list_engines, run};
 use support::records::{HOST, engine, route, table};
+use support::scripted_engine::{ScriptedEngine, Step};
 use support::test_dialect::ID;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 /// A request in doubt is tried so long after the last end.
 const UNTIL_TRIAL: Duration = Duration::from_secs(6);
 
+/// Ends that lie so far apart are not one.
+const APART: Duration = Duration::from_millis(60);
+
 fn digest_of(body: &'static str) -> Digest {
     let uri = "/item/1?x=2".parse().expect("path");
     poison::digest(None, HOST.as_bytes(), &uri, &Bytes::from(body))
@@ -40,6 +45,7 @@
             incarnation: None,
             began: ended.before(Duration::from_millis(1)),
             ended,
+            is_unproven: false,
         };
         gateway.note_poison_crash(digest_of(body), crash);
     }
@@ -109,3 +115,26 @@
     let address = pool.addresses().into_values().next();
     engine(name, address.expect("engine"), 1)
 }
+
+/// Guards against a good request that is held back after all nodes were killed: engines that had ended a moment before were
+/// still listed, and closed what was sent to them within a millisecond (`after_ms=0`, `in_a_row=3`, `held_back=true`).
+#[test]
+fn request_that_a_new_node_sends_to_engines_that_had_ended_is_not_held_back() {
+    run(async {
+        let mut addresses = Vec::new();
+        for _ in 0..6 {
+            addresses.push(ScriptedEngine::start(vec![Step::Close; 8]).await.1);
+        }
+        let pool = CrashingPool::start(1).await;
+        let bench = start(entries(addresses)).await;
+        for number in 0..6 {
+            bench
+                .call("POST", &[(ID, &format!("r{number}"))], "good")
+                .await;
+            sleep(APART).await;
+        }
+        list_engines(&bench.gateway, vec![engine_named("e9", &pool)]);
+        let answer = bench.call("POST", &[(ID, "last")], "good").await;
+        assert!(answer.status.is_success(), "{answer:?}");
+    });
+}
