Requests keep their second attempt while the store is away

Callers would see: safe requests whose engine ends by itself fail with 502 while the store is away, since the node can't read whether they are held back. Now it holds for the first three seconds of a node only: after that the other nodes have told it what they hold back. Outdated records that a reading finds are removed at once.

--- a/crates/gateway/src/gateway/poison_records.rs
+++ b/crates/gateway/src/gateway/poison_records.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::poison::{Digest, History};
 use slog::{info, warn};
 
-use super::{Gateway, GatewayState};
+use super::{Gateway, GatewayState, SETTLING};
 use crate::poison::{Reading, Record};
 use crate::serve::AcceptedRequest;
 use crate::source::{Consistency, StoredRecord};
@@ -61,12 +61,18 @@
     }
 
     /// Whether engines have ended under a request, and no run of it has come to a good end since.
-    pub(crate) fn is_suspect(&self, request: &AcceptedRequest) -> bool {
+    fn is_suspect(&self, request: &AcceptedRequest) -> bool {
         let state = self.state();
         let has_ends = |history: &History| !history.crashes.is_empty();
         !state.poison.is_empty() && state.poison.get(request.digest()).is_some_and(has_ends)
     }
 
+    /// Whether a request may have been held back before this node started, by what it has seen since. What it can't read by
+    /// the time at which it knows the others, these have told it.
+    pub(crate) fn may_be_held_back(&self, request: &AcceptedRequest) -> bool {
+        self.uptime() < SETTLING && self.is_suspect(request)
+    }
+
     /// Whether what was recorded in the last seconds is to be read.
     pub(crate) fn wants_current_records(&self) -> bool {
         let records = &self.state().poison_records;
@@ -92,6 +98,8 @@
             "is_stale" => consistency == Consistency::Stale,
             "uptime_ms" => self.uptime().as_millis() as u64);
         self.poison_records_changed.notify_waiters();
+        // Some of them may be outdated.
+        self.poison_records_due.notify_one();
     }
 
     fn take_poison_record(&self, stored: StoredRecord, now: Timestamp, time: SystemTime) {
--- a/crates/gateway/src/serve/exchange.rs
+++ b/crates/gateway/src/serve/exchange.rs
@@ -122,8 +122,7 @@
             // One that ends its engines comes again under other ids and at other nodes, where neither its attempts nor
             // the retry budget count: only what all nodes know of it keeps it from the next engine.
             let is_known = self.gateway.knows_poison(&self.request).await;
-            if !is_known && self.may_have_run && self.gateway.is_suspect(&self.request) {
-                // It may be held back for what ended under it before this node started.
+            if !is_known && self.may_have_run && self.gateway.may_be_held_back(&self.request) {
                 return Err(self.ends_engines(NO_ENGINE_RETRY));
             }
             let verdict = self.verdict();
--- a/crates/gateway/tests/poison_records.rs
+++ b/crates/gateway/tests/poison_records.rs
@@ -26,6 +26,8 @@
 const WRITTEN_BY_OTHERS: Duration = Duration::from_secs(3);
 /// Runs that begin sooner after the third end were sent by nodes that had not heard of it.
 const UNTIL_ENDS_COUNT_AS_LATER: Duration = Duration::from_millis(3_300);
+/// A node knows the others by then.
+const UNTIL_SETTLED: Duration = Duration::from_millis(3_100);
 
 async fn repeat(nodes: &Nodes, times: usize) {
     for index in 0..times {
@@ -252,3 +254,15 @@
         assert_eq!(nodes.pool.ended(), proven);
     });
 }
+
+/// Guards against requests that lose their second attempt for an engine that ended by itself while the store is away.
+#[test]
+fn safe_request_is_sent_on_while_the_store_is_away() {
+    run(async {
+        let nodes = Nodes::start(RequestKind::Safe, 1, false).await;
+        PoisonRecords::of_test().is_away.set(true);
+        sleep(UNTIL_SETTLED).await;
+        nodes.call_at(0, FATAL).await;
+        assert_eq!(nodes.pool.ended(), 2);
+    });
+}
