Ends before the third outlive all nodes

Cause: only what is held back was recorded. Engines were back after three seconds, so each life of the nodes saw one or two ends of each (engine_ended_under_request in_a_row=2, then poison_records_read records=2, which are the two others).

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -127,14 +127,22 @@
         self.convicted_at().is_some()
     }
 
+    /// Whether one more end is enough.
+    pub fn is_nearly_convicted(&self) -> bool {
+        self.proven().count() + 1 >= self.crashes_to_convict()
+    }
+
     /// When the last of these ended.
     pub fn convicted_at(&self) -> Option<Timestamp> {
-        let needed = match self.was_good() {
+        let last = self.proven().nth(self.crashes_to_convict() - 1)?;
+        Some(last.ended)
+    }
+
+    fn crashes_to_convict(&self) -> usize {
+        match self.was_good() {
             true => CRASHES_TO_CONVICT_GOOD,
             false => CRASHES_TO_CONVICT,
-        };
-        let last = self.proven().nth(needed - 1)?;
-        Some(last.ended)
+        }
     }
 
     /// Ends of engines that were there when the run began.
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -89,6 +89,11 @@
         self.at(digest, now).merge(told)
     }
 
+    /// The requests under which engines ended.
+    pub fn digests(&self) -> impl Iterator<Item = Digest> {
+        self.known.keys().copied()
+    }
+
     /// The requests that are held back.
     pub fn convicted(&self) -> impl Iterator<Item = Digest> {
         let known = self.known.iter();
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -111,11 +111,14 @@
             return None;
         }
         let history = state.poison.get(digest)?;
-        let (count, is_convicted) = (history.crashes.len(), history.is_convicted());
+        let count = history.crashes.len();
+        let (is_convicted, is_near) = (history.is_convicted(), history.is_nearly_convicted());
         drop(state);
         self.tell_of_poison(digest);
-        if is_convicted {
-            self.write_poison_record(digest);
+        match is_convicted {
+            true => self.write_poison_record(digest),
+            false if is_near => self.write_suspect_record(digest),
+            false => {}
         }
         Some(count)
     }
@@ -132,12 +135,17 @@
     /// A run of a request came to a good end; `false` when this tells nothing new.
     pub fn clear_poison(&self, digest: Digest) -> bool {
         let now = self.clock().now();
-        let was_held_back = self.state().poison.is_convicted(digest);
-        let is_news = self.state_mut().poison.clear(digest, now);
+        let mut state = self.state_mut();
+        if state.poison.is_convicted(digest) {
+            state.poison_records.note_held(digest);
+        }
+        let is_news = state.poison.clear(digest, now);
+        let is_held = state.poison_records.is_held(digest);
+        drop(state);
         if is_news {
             self.tell_of_poison(digest);
         }
-        if is_news && was_held_back {
+        if is_news && is_held {
             self.write_poison_record(digest);
         }
         is_news
@@ -269,6 +277,9 @@
                 info!(self.log(), "poison_heard"; "digest" => %digest, "held_back" => is_convicted,
                     "is_recorded" => told.is_recorded);
             }
+            if was_convicted || told.is_recorded {
+                state.poison_records.note_held(digest);
+            }
             if is_news && (is_convicted || was_convicted) {
                 self.write_poison_record_later(state, digest, now);
             }
--- a/crates/gateway/src/gateway/poison_records.rs
+++ b/crates/gateway/src/gateway/poison_records.rs
@@ -22,6 +22,8 @@
 const WRITTEN_BY_OTHERS_AFTER: Duration = Duration::from_secs(2);
 /// They spread over so long for each node that they know, since all of them miss the same one.
 const SPREAD_FOR_EACH_NODE: Duration = Duration::from_millis(50);
+/// A request that is not held back yet is written when no good end has cleared it for so long.
+const SUSPECT_WRITTEN_AFTER: Duration = Duration::from_secs(1);
 /// So many nodes at about the same time try to remove a record that all have forgotten, however many there are.
 const NODES_THAT_REMOVE: f64 = 3.0;
 
@@ -125,6 +127,13 @@
         self.poison_records_due.notify_one();
     }
 
+    /// The same for a request that one more end would hold back. Most are popular ones beside another, and are cleared before.
+    pub(super) fn write_suspect_record(&self, digest: Digest) {
+        let at = self.clock().now().after(SUSPECT_WRITTEN_AFTER);
+        self.state_mut().poison_records.write_by(digest, at);
+        self.poison_records_due.notify_one();
+    }
+
     /// The same when another node has seen it, which writes it first.
     pub(super) fn write_poison_record_later(
         &self,
@@ -151,6 +160,11 @@
                 state.poison_records.forget(digest);
                 continue;
             };
+            if !history.is_nearly_convicted() && !state.poison_records.is_held(digest) {
+                // A good end has cleared it before it was written.
+                state.poison_records.settle(digest);
+                continue;
+            }
             let record = Record::new(digest, history, now, SystemTime::now());
             let revision = state.poison_records.revision(digest);
             state.poison_records.begin_write(digest);
--- a/crates/gateway/src/poison/records.rs
+++ b/crates/gateway/src/poison/records.rs
@@ -22,6 +22,8 @@
 struct Entry {
     /// Its revision in the store, as far as this node knows.
     revision: Option<u64>,
+    /// Whether the store holds one, at whatever revision.
+    is_held: bool,
     /// When this node writes what it knows.
     due_at: Option<Timestamp>,
     /// Whether it is being written; what is found out meanwhile is due again.
@@ -48,6 +50,19 @@
         self.entries.get(&digest)?.revision
     }
 
+    /// Whether the store holds a record, as far as this node knows.
+    pub fn is_held(&self, digest: Digest) -> bool {
+        let entry = self.entries.get(&digest);
+        entry.is_some_and(|entry| entry.is_held || entry.revision.is_some())
+    }
+
+    /// Another node has written a record, or is about to.
+    pub fn note_held(&mut self, digest: Digest) {
+        if self.are_kept {
+            self.entries.entry(digest).or_default().is_held = true;
+        }
+    }
+
     /// What is known of a request is to be written, at this time at the latest.
     pub fn write_by(&mut self, digest: Digest, at: Timestamp) {
         if !self.are_kept {
--- a/crates/gateway/tests/poison_records.rs
+++ b/crates/gateway/tests/poison_records.rs
@@ -26,6 +26,8 @@
 const WRITTEN_BY_OTHERS: Duration = Duration::from_secs(3);
 /// Runs that begin sooner after the third end were sent by nodes that had not heard of it.
 const UNTIL_ENDS_COUNT_AS_LATER: Duration = Duration::from_millis(3_300);
+/// What is not held back yet is written after a second.
+const UNTIL_SUSPECTS_ARE_WRITTEN: Duration = Duration::from_millis(1_200);
 /// A node knows the others by then.
 const UNTIL_SETTLED: Duration = Duration::from_millis(3_100);
 
@@ -63,6 +65,39 @@
     });
 }
 
+/// Guards against ends that count for nothing since all nodes are killed before the third: engines were back three seconds after
+/// each end, the nodes were killed every 4.5 s, and 24 engines ended.
+#[test]
+fn ends_before_the_third_outlive_all_nodes() {
+    run(async {
+        let mut nodes = Nodes::start(RequestKind::Unsafe, NODES, false).await;
+        // Not so long that its first trial is due.
+        for _ in 0..4 {
+            repeat(&nodes, 2).await;
+            sleep(UNTIL_SUSPECTS_ARE_WRITTEN).await;
+            PoisonRecords::of_test().refresh_stale();
+            nodes.kill_all().await;
+        }
+        assert_eq!(nodes.pool.ended(), 3);
+    });
+}
+
+/// Guards against calls for each good request that two ends in a row met: a good end clears it before it is written.
+#[test]
+fn request_that_is_cleared_soon_is_not_written() {
+    run(async {
+        let nodes = Nodes::start(RequestKind::Unsafe, NODES, false).await;
+        repeat(&nodes, 2).await;
+        let state = nodes.benches[0].gateway.state();
+        let digest = state.poison.digests().next().expect("a suspect");
+        drop(state);
+        assert!(nodes.benches[0].gateway.clear_poison(digest));
+        nodes.tell(false);
+        sleep(UNTIL_SUSPECTS_ARE_WRITTEN).await;
+        assert_eq!(PoisonRecords::of_test().changes.get(), 0);
+    });
+}
+
 /// Guards against a verdict of the last seconds that a stale reading does not hold: the first end makes nodes ask anew.
 #[test]
 fn verdict_that_a_stale_reading_lacks_is_known_after_one_end() {
