--- a/crates/gateway/src/poison/keeper.rs
+++ b/crates/gateway/src/poison/keeper.rs
@@ -3,19 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::Rng;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::gateway::Gateway;
-use crate::source::{Consistency, PoisonStore, RecordWrite, SourceError};
+use crate::source::{Backoff, Consistency, PoisonStore, RecordWrite, SourceError};
 
 /// Longest time for an answer; the store answers within milliseconds, when it is slow within some hundred.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
-/// Wait after a call that failed; doubles up to [`LONGEST_PAUSE`], since each failed call costs the store's operators.
-const FIRST_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait after a call that failed.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
+/// Waits after a call that failed.
+const BACKOFF: Backoff = Backoff {
+    first: Duration::from_millis(200),
+    longest: Duration::from_millis(2_400),
+};
 
 /// Reads the records at the start, and writes what this node finds out, until dropped.
 ///
@@ -51,7 +51,7 @@
                 failures += 1;
                 info!(gateway.log(), "poison_records_unread"; "failures" => failures,
                     "is_stale" => consistency == Consistency::Stale, "error" => %error);
-                sleep(pause_after(failures)).await;
+                sleep(BACKOFF.pause_after(failures)).await;
             }
         }
     }
@@ -90,7 +90,7 @@
                 failures += 1;
                 warn!(gateway.log(), "poison_unrecorded"; "digest" => %digest,
                     "revision" => revision, "failures" => failures, "error" => %error);
-                let pause = pause_after(failures);
+                let pause = BACKOFF.pause_after(failures);
                 let again_at = gateway.clock().now().after(pause);
                 gateway.note_poison_unwritten(digest, revision, Some(again_at));
                 sleep(pause).await;
@@ -112,9 +112,3 @@
             "error" => removed.err().map(|error| error.to_string()));
     }
 }
-
-fn pause_after(failures: u32) -> Duration {
-    let doublings = (failures - 1).min(6);
-    let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
-    pause.mul_f64(rand::rng().random_range(0.5..1.0))
-}
--- a/crates/gateway/src/release/order_follower.rs
+++ b/crates/gateway/src/release/order_follower.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::Rng;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::SoftwareVersion;
@@ -14,7 +13,7 @@
 
 use super::Orders;
 use crate::gateway::Gateway;
-use crate::source::{FollowSettings, ReleaseBatch, ReleaseStore, SourceError};
+use crate::source::{Backoff, FollowSettings, ReleaseBatch, ReleaseStore, SourceError};
 
 /// Time between looks whether this node should follow, and at the versions of engines.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
@@ -25,8 +24,6 @@
 const REPLACED_FOR: Duration = Duration::from_secs(1);
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Most doublings of that wait, to nearly four seconds: the longest pause is reached before that.
-const MOST_DOUBLINGS: u32 = 6;
 /// Watches begin at least so far apart, to bound the calls: several records may be written in a row, and a
 /// watch may be answered at once.
 const LEAST_SPACING: Duration = Duration::from_millis(250);
@@ -204,11 +201,12 @@
         if self.failures == 0 {
             warn!(self.gateway.log(), "release_orders_lost"; "error" => %error);
         }
-        let doublings = self.failures.min(MOST_DOUBLINGS);
-        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
         self.failures += 1;
-        let jitter = rand::rng().random_range(0.5..1.0);
-        sleep(pause.mul_f64(jitter)).await;
+        let backoff = Backoff {
+            first: FIRST_PAUSE,
+            longest: self.settings.longest_pause,
+        };
+        sleep(backoff.pause_after(self.failures)).await;
     }
 }
 
--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -3,12 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::Rng;
 use ryerouter_core::Timestamp;
 use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
-use super::{CatalogueSource, ItemBatch, ItemKind, SourceError};
+use super::{Backoff, CatalogueSource, ItemBatch, ItemKind, SourceError};
 use crate::gateway::{Gateway, Way};
 
 /// Time between looks at the age of the proof.
@@ -16,11 +15,12 @@
 /// Longest time for an answer; the source answers within milliseconds, when it is slow within some
 /// hundred.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
-/// Wait after a question that got no answer, though it was repeated on a new connection: the source
-/// is in trouble. Doubles up to [`LONGEST_PAUSE`], since each failed question costs its operators.
-const FIRST_PAUSE: Duration = Duration::from_millis(300);
-/// Longest wait after a question that got no answer; the watch beside notices the return as well.
-const LONGEST_PAUSE: Duration = Duration::from_millis(2_400);
+/// Waits after a question that got no answer, though it was repeated on a new connection: the source is in trouble. The
+/// watch beside notices its return as well.
+const BACKOFF: Backoff = Backoff {
+    first: Duration::from_millis(300),
+    longest: Duration::from_millis(2_400),
+};
 
 /// Asks the source whenever neither this node nor another has proved a copy current for some time.
 ///
@@ -43,18 +43,12 @@
                 gateway.note_unproven(kind, &error, failures);
                 info!(gateway.log(), "copy_unproven"; "kind" => %kind, "failures" => failures,
                     "error" => %error);
-                sleep(pause_after(failures)).await;
+                sleep(BACKOFF.pause_after(failures)).await;
             }
         }
     }
 }
 
-fn pause_after(failures: u32) -> Duration {
-    let doublings = (failures - 1).min(6);
-    let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE);
-    pause.mul_f64(rand::rng().random_range(0.5..1.0))
-}
-
 async fn ask(
     gateway: &Gateway,
     source: &dyn CatalogueSource,
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -13,7 +13,7 @@
 
 use super::copy_prober::keep_copy_fresh;
 use super::lists::{Lists, read_list};
-use super::{CatalogueSource, Consistency, ItemKind, List, Replica, SourceError};
+use super::{Backoff, CatalogueSource, Consistency, ItemKind, List, Replica, SourceError};
 use crate::gateway::{Gateway, Role, SETTLING, Way};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
@@ -388,16 +388,18 @@
         if self.failures == 0 {
             warn!(self.gateway.log(), "source_lost"; "kind" => %self.kind, "error" => %error);
         }
-        let doublings = self.failures.min(6);
-        let pause = (FIRST_PAUSE * 2_u32.pow(doublings)).min(self.settings.longest_pause);
         self.failures += 1;
         self.gateway
             .note_source_failure(self.kind, error, self.failures);
-        let jitter = rand::rng().random_range(0.5..1.0);
+        let backoff = Backoff {
+            first: FIRST_PAUSE,
+            longest: self.settings.longest_pause,
+        };
+        let pause = backoff.pause_after(self.failures);
         let failed_at = self.gateway.clock().now();
-        sleep(pause.mul_f64(jitter)).await;
+        sleep(pause).await;
         if self.failures >= FAILURES_OF_OUTAGE {
-            self.wait_for_others(failed_at, pause.mul_f64(jitter)).await;
+            self.wait_for_others(failed_at, pause).await;
         }
     }
 
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -1,5 +1,6 @@
 //! Where the configuration, the list of engines and the named weights come from.
 
+mod backoff;
 mod catalogue_source;
 mod change_log;
 mod consistency;
@@ -18,6 +19,7 @@
 mod source_error;
 mod steadiness;
 
+pub use backoff::Backoff;
 pub use catalogue_source::CatalogueSource;
 pub use change_log::{CatchUp, ChangeLog};
 pub use consistency::Consistency;
--- a/crates/gateway/tests/poison_records.rs
+++ b/crates/gateway/tests/poison_records.rs
@@ -88,9 +88,8 @@
     run(async {
         let nodes = Nodes::start(RequestKind::Unsafe, NODES, false).await;
         repeat(&nodes, 2).await;
-        let state = nodes.benches[0].gateway.state();
-        let digest = state.poison.digests().next().expect("a suspect");
-        drop(state);
+        let suspects: Vec<_> = nodes.benches[0].gateway.state().poison.digests().collect();
+        let digest = suspects[0];
         assert!(nodes.benches[0].gateway.clear_poison(digest));
         nodes.tell(false);
         sleep(UNTIL_SUSPECTS_ARE_WRITTEN).await;
--- a/crates/gateway/tests/poison_trials.rs
+++ b/crates/gateway/tests/poison_trials.rs
@@ -95,11 +95,7 @@
         let ended = entries([closed_address().await]);
         let bench = start(ended.clone()).await;
         hold_back(&bench.gateway, "good");
-        let now = bench.gateway.clock().now();
-        let mut state = bench.gateway.state_mut();
-        let engine = state.engines.get_mut(&ended[0].name).expect("engine");
-        engine.note_ended(now, now);
-        drop(state);
+        note_ended(&bench.gateway, &ended[0].name);
         let answer = bench.call("POST", &[(ID, "r1")], "good").await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         let seconds = answer.retry_after.expect("time to come back");
@@ -111,6 +107,13 @@
     });
 }
 
+fn note_ended(gateway: &Gateway, name: &BackEndName) {
+    let now = gateway.clock().now();
+    let mut state = gateway.state_mut();
+    let engine = state.engines.get_mut(name);
+    engine.expect("engine").note_ended(now, now);
+}
+
 fn engine_named(name: &str, pool: &CrashingPool) -> EngineEntry {
     let address = pool.addresses().into_values().next();
     engine(name, address.expect("engine"), 1)
