--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -3,6 +3,7 @@
 mod crash_news;
 mod keeper;
 mod poison_news;
+mod reading;
 mod record;
 mod records;
 mod run;
@@ -17,8 +18,9 @@
 pub use crash_news::CrashNews;
 pub use keeper::keep_records;
 pub use poison_news::PoisonNews;
+pub use reading::Reading;
 pub use record::Record;
-pub use records::{Reading, Records};
+pub use records::Records;
 pub use run::Run;
 
 /// What stands for a request and its repeats, whose ids all differ.
--- a/crates/gateway/src/poison/records.rs
+++ b/crates/gateway/src/poison/records.rs
@@ -5,17 +5,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::poison::Digest;
 
-/// How far a node has read the records.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reading {
-    /// Not at all yet.
-    Unread,
-    /// As they were some seconds before.
-    Stale,
-    /// All that was recorded when the node asked; what comes later the others tell. Also where there is no store.
-    #[default]
-    Current,
-}
+use super::Reading;
 
 /// The record of one request.
 #[derive(Debug, Default)]
