Log engines that a gateway ejects and engines that serve again

Cause: the log of a node named failed attempts alone. Whether an engine was ejected after them, for how long, and whether it ever came back had to be guessed, although an ejected engine gets no order of weights and no request but a probe.

engine_ejected and engine_back now name the engine, what the change followed from (the end of the attempt, an answer, a restart), the time, and the request. They share a LogSampler of their own, 20 lines a second, with the number left out in left_out. EngineHealth remembers since when an engine is ejected; nothing decides by it.

apply_attempt_error takes the request instead of its model, since the line names the request.

Seen while writing: the gateway calls EngineHealth::probe_sent nowhere, so an ejection there lasts until an answer or a restart and is never lengthened; for_ms is always that of the first ejection.

--- a/crates/core/src/retry/engine_health.rs
+++ b/crates/core/src/retry/engine_health.rs
@@ -21,6 +21,8 @@
 struct Lifecycle {
     failures_in_a_row: u32,
     ejections_in_a_row: u32,
+    /// When the first of these ejections began.
+    ejected_since: Option<Timestamp>,
 }
 
 #[state_machine(initial = "State::serving()", state(derive(Debug, Clone, PartialEq)))]
@@ -72,12 +74,14 @@
         let ejection = (FIRST_EJECTION * 2_u32.pow(doublings)).min(MAX_EJECTION);
         self.ejections_in_a_row += 1;
         self.failures_in_a_row = 0;
+        self.ejected_since.get_or_insert(at);
         Transition(State::ejected(at.after(ejection)))
     }
 
     fn recover(&mut self) -> Outcome<State> {
         self.failures_in_a_row = 0;
         self.ejections_in_a_row = 0;
+        self.ejected_since = None;
         Transition(State::serving())
     }
 }
@@ -123,6 +127,12 @@
         }
     }
 
+    /// When the engine was ejected; repeated ejections without a response in between count as one.
+    /// `None` while the engine serves.
+    pub fn ejected_since(&self) -> Option<Timestamp> {
+        self.lifecycle.ejected_since
+    }
+
     /// Records a response of the engine.
     pub fn answered(&mut self) {
         self.lifecycle.handle(&HealthEvent::Answered);
--- a/crates/gateway/src/gateway/engine_incarnations.rs
+++ b/crates/gateway/src/gateway/engine_incarnations.rs
@@ -46,6 +46,10 @@
             (IncarnationOrder::Newer, Some(incarnation)) => {
                 info!(self.log(), "engine_began_again"; "engine" => %name,
                     "incarnation" => incarnation.0, "before" => known.map(|known| known.0));
+                let former = state.engines.get(name);
+                if let Some(since) = former.and_then(|former| former.health.ejected_since()) {
+                    self.log_engine_back(name, since, &"restart", None);
+                }
                 state.incarnations.note_restarted(name, incarnation, now);
                 state.forget_incarnation(name);
                 self.upstream().forget(name);
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod caller_ring;
 mod callers;
 mod configuration_transfer;
+mod ejections;
 mod engine_incarnations;
 mod engine_weights;
 mod freshness;
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -35,6 +35,9 @@
 /// engines, while a list of ten thousand is logged by its length.
 const ENGINE_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum number of log lines a second about ejected engines.
+const EJECTION_LINES_PER_SECOND: u32 = 20;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -46,6 +49,7 @@
     old_list_sampler: LogSampler,
     release_sampler: LogSampler,
     engine_sampler: LogSampler,
+    ejection_sampler: LogSampler,
     signal_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
@@ -85,6 +89,7 @@
             old_list_sampler: LogSampler::default(),
             release_sampler: LogSampler::default(),
             engine_sampler: LogSampler::new(ENGINE_LINES_PER_SECOND),
+            ejection_sampler: LogSampler::new(EJECTION_LINES_PER_SECOND),
             signal_sampler: LogSampler::default(),
             dialect,
             send_requested: Notify::new(),
@@ -135,6 +140,11 @@
         &self.engine_sampler
     }
 
+    /// Limits log lines about ejected engines.
+    pub fn ejection_sampler(&self) -> &LogSampler {
+        &self.ejection_sampler
+    }
+
     /// Limits log lines about signals of engines.
     pub fn signal_sampler(&self) -> &LogSampler {
         &self.signal_sampler
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -18,7 +18,7 @@
 use super::live_answer::LiveAnswer;
 use super::request_progress::RequestProgress;
 use super::silence_cause::SilenceCause;
-use crate::engines::{AnswerPhase, EngineLoad, InFlight};
+use crate::engines::{AnswerPhase, Engine, EngineLoad, InFlight};
 use crate::gateway::Gateway;
 use crate::placement::Placement;
 use crate::poison::Run;
@@ -287,10 +287,12 @@
 /// Updates the engine's health and availability after a failed attempt, and counts the attempt.
 pub(super) fn apply_attempt_error(
     gateway: &Gateway,
-    model: Option<&str>,
+    request: &AcceptedRequest,
     placement: &Placement,
     error: &AttemptError,
 ) {
+    let prompt = request.caller.prompt.as_ref();
+    let model = prompt.map(|prompt| prompt.model.as_str());
     let expected = model.zip(placement.weights);
     let now = gateway.clock().now();
     // A failure of an earlier incarnation says nothing about an engine that has restarted since.
@@ -298,7 +300,7 @@
     let mut state = gateway.state_mut();
     let engine = state.engines.get_mut(&placement.engine);
     if let Some(engine) = engine.filter(|_| is_same_incarnation) {
-        match error {
+        let update = |engine: &mut Engine| match error {
             AttemptError::NotConnected(_) => engine.health.unreachable(now),
             AttemptError::NoRoom(_) => {
                 engine.health.answered();
@@ -317,7 +319,8 @@
             | AttemptError::MayHaveRun(_) => {
                 engine.health.failed(now);
             }
-        }
+        };
+        gateway.update_health(engine, error, Some(&request.caller.id), update);
     }
     drop(state);
     let attempts = &gateway.metrics().attempts;
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -18,7 +18,7 @@
 use super::silence_cause::SilenceCause;
 use super::silence_detector::SilenceDetector;
 use crate::catalogue::RequestKind;
-use crate::engines::AnswerPhase;
+use crate::engines::{AnswerPhase, Engine};
 use crate::gateway::Gateway;
 use crate::placement::{Placement, PlacementRequest};
 use crate::poison::Run;
@@ -334,9 +334,7 @@
             .max_attempts
             .saturating_sub(self.arrivals);
         self.progress.attempts_left.set(left);
-        let prompt = self.request.caller.prompt.as_ref();
-        let model = prompt.map(|prompt| prompt.model.as_str());
-        apply_attempt_error(&self.gateway, model, placement, error);
+        apply_attempt_error(&self.gateway, &self.request, placement, error);
         let digest = error
             .may_have_run()
             .then(|| self.request.digest().to_string());
@@ -354,7 +352,10 @@
         let mut state = self.gateway.state_mut();
         let engine = state.engines.get_mut(&placement.engine);
         if let Some(engine) = engine.filter(|_| is_same_incarnation) {
-            engine.health.answered();
+            let id = &self.request.caller.id;
+            let update = |engine: &mut Engine| engine.health.answered();
+            self.gateway
+                .update_health(engine, &"answer", Some(id), update);
         }
         drop(state);
         let attempts = &self.gateway.metrics().attempts;
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -30,6 +30,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet, LocalSet, spawn_local};
 
+use super::log_lines::LogLines;
 use super::poison_records::{self, RECORDS};
 use super::records::HOST as TEST_HOST;
 use super::test_dialect::{ID, TestDialect};
@@ -99,6 +100,11 @@
     Gateway::new(settings, Rc::new(TestDialect), log)
 }
 
+/// A gateway that writes its log to `lines`.
+pub fn gateway_logging_to(lines: &LogLines) -> Rc<Gateway> {
+    Gateway::new(settings("node-1"), Rc::new(TestDialect), lines.logger())
+}
+
 /// Gives a gateway its configuration.
 pub fn configure(gateway: &Gateway, table: RoutingTable) {
     let change = ItemChange::Present(Item::Configuration(Rc::new(table)));
