Probe engines that may be unreachable before they load, and go on doing so

What callers saw: a new version of weights was named while most engines could not be reached.

Cause: the planner left out an engine that requests of its node had ejected. Only an answered request ends an ejection, and past the deadline no request may go to the engine. A decision waited for evidence that another decision had stopped. Beside it, engines that could not be reached but were not ejected yet came first in the order of loads, since they have no requests, and each took a place until its question timed out: with half of a pool out of reach, 6 of 30 others loaded in 7 s.

Change: an engine in doubt (ejected, or silent to the last question) is probed with a question that takes no place among the engines that load, a bounded number at once and more rarely after each silence. Once it answers it takes its place. The health known from requests is left as it is, since an engine that fails requests may answer questions.

--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -6,6 +6,7 @@
 mod open_order;
 mod order_outcome;
 mod pace;
+mod reach;
 mod rollout_action;
 mod rollout_driver;
 mod rollout_event;
--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -6,6 +6,8 @@
 /// How far an order has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderStep {
+    /// Whether the engine can be reached is being asked.
+    Probing,
     /// What the engine has and has been told is being asked.
     Asking,
     /// It gets no new requests; those that wait in it are to begin before the order is given.
@@ -43,3 +45,11 @@
     /// When to ask the engine next; `None` while an answer is due.
     pub(super) ask_at: Option<Timestamp>,
 }
+
+impl OpenOrder {
+    /// Whether the engine takes one of the places of engines that load. One that is only probed, or
+    /// that may not have heard its order, keeps no other from loading.
+    pub(super) fn takes_place(&self) -> bool {
+        self.step != OrderStep::Probing && !self.is_unanswered
+    }
+}
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -1,6 +1,7 @@
 //! Plans a rollout.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, Incarnation, PoolName};
@@ -8,17 +9,26 @@
 use super::given_orders::GivenOrders;
 use super::open_order::{OpenOrder, OrderStep};
 use super::pace::{Pace, Progress};
+use super::reach::Reach;
 use super::stale_work::StaleWork;
 use super::{
     EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
 };
 use crate::engines::{Engine, EngineTable, IncarnationOrder};
 
+/// Engines of a pool of the usual size that are probed at once.
+const MIN_PROBES: usize = 16;
+/// Engines of a large pool for each one that is probed at once.
+const ENGINES_PER_PROBE: usize = 100;
+/// Number of times the rest of an engine that does not answer is doubled.
+const MAX_REST_DOUBLINGS: u32 = 2;
+
 /// Decides which engine loads when, while this process holds the lease.
 ///
 /// Invariants: an order is given only after the engine told how many it has taken, and carries that
 /// number, so an order that comes late never runs beside a newer one; of a pool no more engines are
-/// in progress than the settings allow.
+/// in progress than the settings allow. An engine that may be unreachable takes none of these places
+/// before it has answered a probe.
 #[derive(Debug)]
 pub struct RolloutPlanner {
     settings: RolloutSettings,
@@ -26,6 +36,7 @@
     given: GivenOrders,
     /// Engines that can't be ordered now, and until when they are left alone.
     resting: BTreeMap<BackEndName, Timestamp>,
+    reach: Reach,
     pace: Pace,
     stale_work: StaleWork,
 }
@@ -40,6 +51,7 @@
             open: BTreeMap::new(),
             given: GivenOrders::default(),
             resting: BTreeMap::new(),
+            reach: Reach::default(),
         }
     }
 
@@ -49,6 +61,7 @@
             self.given.take_over(name, open);
         }
         self.resting.clear();
+        self.reach.clear();
         self.stale_work.clear();
     }
 
@@ -74,6 +87,7 @@
             self.open.remove(engine);
             self.resting.remove(engine);
         }
+        self.reach.forget(engine);
         self.given.forget_other_lives(engine, life);
     }
 
@@ -91,6 +105,7 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         self.resting.retain(|_, until| now < *until);
+        self.reach.retain(|name| engines.get(name).is_some());
         self.close_finished(engines, now, actions);
         self.ask_due(now, actions);
         self.order_drained(engines, now, actions);
@@ -189,16 +204,16 @@
                 let weights = engine.weights_of(model).unwrap_or_default();
                 deadlines.until(model, weights)
             };
-            let mut behind: Vec<&Engine> = members
-                .iter()
-                .copied()
-                .filter(|engine| self.is_due(engine, model, version))
-                .collect();
-            // The oldest weights run out first; among equals the least busy engine goes first.
-            behind.sort_by_key(|engine| {
+            let order = |engine: &&Engine| {
                 let requests = engine.load().requests;
                 (until(engine), requests, engine.entry.name.clone())
-            });
+            };
+            let due = members.iter().copied();
+            let due = due.filter(|engine| self.is_due(engine, model, version));
+            let (mut doubtful, mut behind): (Vec<_>, Vec<_>) =
+                due.partition(|engine| self.reach.is_doubtful(engine));
+            // The oldest weights run out first; among equals the least busy engine goes first.
+            behind.sort_by_key(order);
             let progress = Progress {
                 behind: behind.len(),
                 first_until: behind.first().and_then(|engine| until(engine)),
@@ -207,13 +222,35 @@
             let to_begin = self.pace.to_begin(&progress, now);
             let is_early = !self.pace.is_due(&progress, now);
             self.stale_work.spend(pool, to_begin.min(behind.len()));
-            for engine in behind.into_iter().take(to_begin) {
+            let with_doubtful = Progress {
+                behind: behind.len() + doubtful.len(),
+                first_until: doubtful.iter().filter_map(|engine| until(engine)).min(),
+                ..progress
+            };
+            let to_probe = match self.pace.is_due(&with_doubtful, now) {
+                true => self.free_probes(pool, members.len()),
+                false => 0,
+            };
+            doubtful.sort_by_key(|engine| (self.reach.silences(&engine.entry.name), order(engine)));
+            let opened = behind
+                .into_iter()
+                .take(to_begin)
+                .map(|engine| (engine, false));
+            let probed = doubtful
+                .into_iter()
+                .take(to_probe)
+                .map(|engine| (engine, true));
+            for (engine, is_probe) in opened.chain(probed) {
                 let order = OpenOrder {
                     pool: pool.clone(),
                     incarnation: engine.entry.incarnation,
                     model: model.to_owned(),
                     version,
-                    step: OrderStep::Asking,
+                    step: if is_probe {
+                        OrderStep::Probing
+                    } else {
+                        OrderStep::Asking
+                    },
                     is_early,
                     opened_at: now,
                     given_at: now,
@@ -227,6 +264,13 @@
         }
     }
 
+    /// How many more engines of a pool may be probed now.
+    fn free_probes(&self, pool: &PoolName, members: usize) -> usize {
+        let most = (members / ENGINES_PER_PROBE).max(MIN_PROBES);
+        let is_probe = |open: &&OpenOrder| open.pool == *pool && open.step == OrderStep::Probing;
+        most.saturating_sub(self.open.values().filter(is_probe).count())
+    }
+
     /// How far a pool is, but for those that could be ordered now.
     fn progress(
         &self,
@@ -235,11 +279,11 @@
         model: &str,
         version: u64,
     ) -> Progress {
-        // One that may not have heard its order keeps no other from loading.
         let in_progress = self.open.values();
-        let in_progress = in_progress.filter(|open| open.pool == *pool && !open.is_unanswered);
+        let in_progress = in_progress.filter(|open| open.pool == *pool && open.takes_place());
         let is_current = |engine: &&&Engine| {
             let open = self.open.get(&engine.entry.name);
+            let open = open.filter(|open| open.step != OrderStep::Probing);
             let is_coming = open.is_some_and(|open| open.model == model && open.version >= version);
             is_coming || engine.weights_of(model) >= Some(version)
         };
@@ -258,9 +302,8 @@
         let name = &engine.entry.name;
         let is_behind = engine.weights_of(model).is_some_and(|has| has < version);
         let is_in_service = engine.is_in_service() && !engine.is_unlisted;
-        let is_reachable = engine.health.ejected_until().is_none();
         let is_free = !self.open.contains_key(name) && !self.resting.contains_key(name);
-        is_behind && is_in_service && is_reachable && is_free
+        is_behind && is_in_service && is_free
     }
 
     /// An engine answered an order, or did not.
@@ -291,7 +334,9 @@
                 open.is_unanswered = true;
                 open.ask_at = Some(now);
             }
-            OrderOutcome::Rejected | OrderOutcome::Superseded => self.rest(engine, now),
+            OrderOutcome::Rejected | OrderOutcome::Superseded => {
+                self.rest(engine, self.settings.rest, now);
+            }
         }
     }
 
@@ -314,17 +359,26 @@
             self.not_reported(engine, now);
             return;
         };
+        let is_probe = open.step == OrderStep::Probing;
+        if is_probe {
+            self.reach.note_answer(engine);
+        }
         let has = report.weights.get(&open.model).copied();
         if has.is_some_and(|has| has >= open.version) {
             self.finish(engine, now, actions);
             return;
         }
+        if is_probe {
+            // It takes its place among the engines that load once one is free.
+            self.open.remove(engine);
+            return;
+        }
         open.is_unanswered &= !report.is_busy;
         // Reports lag, so a fresh order may not show yet.
         let may_show_later = now.since(open.given_at) < settings.repeat_after;
         let must_wait = match open.step {
             OrderStep::Asking => report.is_busy,
-            OrderStep::Given | OrderStep::Draining { .. } => true,
+            OrderStep::Probing | OrderStep::Given | OrderStep::Draining { .. } => true,
             OrderStep::Loading => report.is_busy || may_show_later,
         };
         if must_wait {
@@ -352,26 +406,38 @@
             return;
         };
         match open.step {
-            OrderStep::Asking => self.rest(engine, now),
+            OrderStep::Probing | OrderStep::Asking => self.give_up(engine, now),
             OrderStep::Draining { .. } | OrderStep::Given | OrderStep::Loading => {
                 open.ask_at = Some(now.after(self.settings.ask_interval));
                 if now.since(open.opened_at) > self.settings.expected_load {
-                    self.rest(engine, now);
+                    self.give_up(engine, now);
                 }
             }
         }
     }
 
-    fn rest(&mut self, engine: &BackEndName, now: Timestamp) {
+    /// Leaves an engine that does not answer alone, for longer after each question in a row.
+    fn give_up(&mut self, engine: &BackEndName, now: Timestamp) {
+        let silences = self.reach.note_silence(engine);
+        let doublings = (silences - 1).min(MAX_REST_DOUBLINGS);
+        self.rest(engine, self.settings.rest * 2_u32.pow(doublings), now);
+    }
+
+    fn rest(&mut self, engine: &BackEndName, rest: Duration, now: Timestamp) {
         self.open.remove(engine);
-        let until = now.after(self.settings.rest);
-        self.resting.insert(engine.clone(), until);
+        self.resting.insert(engine.clone(), now.after(rest));
+    }
+
+    /// The engines that did not answer their last question.
+    pub fn silent_engines(&self) -> impl Iterator<Item = &BackEndName> {
+        self.reach.silent()
     }
 
     fn finish(&mut self, engine: &BackEndName, now: Timestamp, actions: &mut Vec<RolloutAction>) {
         let Some(open) = self.open.remove(engine) else {
             return;
         };
+        self.reach.forget(engine);
         if open.step == OrderStep::Loading {
             self.pace.note_load(now.since(open.opened_at));
         }
