Disruptions of the source don't put off a rollout without a bound

What callers saw: engines stay on weights that were replaced long ago while the source is disrupted again and again, and their requests run on them or find no engine.

Cause: `RolloutPlanner` asked `WeightsDeadlines::until` when a rollout is due. That deadline is one for requests: after each disruption the whole grace begins again. `Pace::is_due` begins when the rounds still needed plus 2.5 s no longer fit before it, so disruptions that follow each other more closely than the rest of the grace moved it on for ever; the last round of a large pool needs 3.2 s of the 7 s.

Change: loads get a deadline of their own, `load_deadline`: the grace after the version was named, which no disruption moves. Requests keep theirs.

Why this and not the time without disruption, added up: that needs a record of disruptions, which differs from node to node, so a node that takes the lease could begin later than its predecessor would have. When a version was named all nodes tell each other. Time in disruption is also no reason to wait for a load: work on replaced weights loses its worth then too. The deadline lies before any sum of undisturbed stretches can reach the same length, so no second bound has to be read from the platform's settings.

What is given up: after a disruption that outlasts the deadline, loads begin as soon as the lease allows, a fifth of the pool at once, where they began 0.7 s later, a sixth at once. A version named during the disruption and not yet known then costs a second load.

Evidence, virtual clock: with a disruption each 0.05 to 3 s, pools of 2, 12 and 60 engines were not loaded 70 s after a version was named; now they are within the 7 s of the grace. A planner that saw a disruption 0.1 s before the moment at which a rollout is due did not begin; now it begins with the others. A node that holds the lease gave no order in 4 s of a disruption each second. Without disruptions rollouts of 1, 2, 4, 6 and 60 engines begin at 3.5, 2.5, 0.5, 0 and 0 s before and after it.

What bounds requests on replaced weights while disruptions repeat is now the rollout itself, as long as some node holds the lease.

--- a/crates/gateway/src/rollout/pace.rs
+++ b/crates/gateway/src/rollout/pace.rs
@@ -24,8 +24,8 @@
     pub(super) is_used: bool,
     /// Loads that work on replaced weights has paid for.
     pub(super) paid: usize,
-    /// When the oldest weights run out.
-    pub(super) first_until: Option<Timestamp>,
+    /// When the engines with the oldest weights must have loaded.
+    pub(super) first_deadline: Option<Timestamp>,
 }
 
 /// Decides how many engines of a pool load at once, and when; see docs/design/decisions.md.
@@ -83,14 +83,14 @@
 
     /// Whether the engines behind must be brought up from now on to be ready in time.
     pub(super) fn is_due(&self, progress: &Progress, now: Timestamp) -> bool {
-        let Some(until) = progress.first_until else {
+        let Some(deadline) = progress.first_deadline else {
             return true;
         };
         let rounds = progress
             .behind
             .div_ceil(self.usual_at_once(progress.members)) as u32;
         let needed = self.load_time * rounds + self.settings.spare_time;
-        now.after(needed) >= until
+        now.after(needed) >= deadline
     }
 
     fn usual_at_once(&self, members: usize) -> usize {
@@ -103,10 +103,10 @@
         let usual = self.usual_at_once(progress.members);
         let most = self.settings.most_share_at_once * progress.members as f64;
         let most = (most.ceil() as usize).max(usual);
-        let Some(until) = progress.first_until else {
+        let Some(deadline) = progress.first_deadline else {
             return usual;
         };
-        let rounds = until.since(now).as_secs_f64() / self.load_time.as_secs_f64().max(0.01);
+        let rounds = deadline.since(now).as_secs_f64() / self.load_time.as_secs_f64().max(0.01);
         let needed = (progress.behind as f64 / rounds.floor().max(1.0)).ceil() as usize;
         needed.clamp(usual, most)
     }
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -199,9 +199,13 @@
                 let requests = engine.load().requests;
                 (until(engine), requests, engine.entry.name.clone())
             });
+            let load_deadline = |engine: &&Engine| {
+                let weights = engine.weights_of(model).unwrap_or_default();
+                deadlines.load_deadline(model, weights)
+            };
             let progress = Progress {
                 behind: behind.len(),
-                first_until: behind.first().and_then(|engine| until(engine)),
+                first_deadline: behind.iter().filter_map(load_deadline).min(),
                 ..self.progress(pool, &members, model, version)
             };
             let to_begin = self.pace.to_begin(&progress, now);
@@ -250,7 +254,7 @@
             in_progress: in_progress.count(),
             is_used: members.iter().any(|engine| engine.load().requests > 0),
             paid: self.stale_work.paid(pool),
-            first_until: None,
+            first_deadline: None,
         }
     }
 
--- a/crates/gateway/src/rollout/weights_deadlines.rs
+++ b/crates/gateway/src/rollout/weights_deadlines.rs
@@ -59,7 +59,8 @@
 #[derive(Debug)]
 pub struct WeightsDeadlines {
     grace: Duration,
-    /// Orders could not be given or heard of before this time, so every grace begins there again.
+    /// Orders could not be given or heard of before this time, so for requests every grace begins
+    /// there again.
     extended_from: Option<Timestamp>,
     /// By model, the versions in rising order.
     named: HashMap<String, Vec<(u64, PublicationTime)>>,
@@ -89,7 +90,8 @@
         version > newest
     }
 
-    /// The source was in trouble until now: nobody can be expected to have moved.
+    /// The source was in trouble until now: nobody can be expected to have moved. Requests may begin
+    /// on older weights for longer, but engines must load as soon as before.
     pub fn extend_from(&mut self, at: Timestamp) {
         self.extended_from = self.extended_from.max(Some(at));
     }
@@ -125,6 +127,15 @@
         Some(next.1.time())
     }
 
+    /// When engines must have loaded a newer version than `version`; `None` while it is the newest.
+    ///
+    /// Troubles of the source don't move this time. They may repeat without end, and nodes see
+    /// different ones, while all nodes agree on when a version was named.
+    pub fn load_deadline(&self, model: &str, version: u64) -> Option<Timestamp> {
+        let replaced_at = self.replaced_at(model, version)?;
+        Some(replaced_at.after(self.grace))
+    }
+
     /// When requests may no longer begin on `version`; `None` while it is the newest.
     pub fn until(&self, model: &str, version: u64) -> Option<Timestamp> {
         let replaced_at = self.replaced_at(model, version)?;
--- a/crates/gateway/tests/ordering.rs
+++ b/crates/gateway/tests/ordering.rs
@@ -18,7 +18,7 @@
 use ryerouter_gateway::source::ItemKind;
 use support::gateway_bench::{configure, gateway, list_engines};
 use support::one_lease::{CALL_LIMIT, OneLease, SETTINGS};
-use support::records::{engine, table};
+use support::records::{FAILURES_OF_TROUBLE, engine, table};
 use support::test_dialect::MODEL;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -166,6 +166,24 @@
     });
 }
 
+/// Calls to the source fail every second, though the lease can be renewed between.
+#[test]
+fn troubles_of_the_source_one_after_another_do_not_put_off_an_order_that_is_due() {
+    run(async {
+        let ordering = Ordering::start(Duration::from_millis(5));
+        for _ in 0..4 {
+            let gateway = &ordering.gateway;
+            gateway.note_source_disruption(ItemKind::Weights, FAILURES_OF_TROUBLE);
+            sleep(Duration::from_millis(500)).await;
+            let now = gateway.clock().now();
+            gateway.apply_changes(ItemKind::Weights, Vec::new(), now);
+            assert!(gateway.state().deadlines.allows(MODEL, 1, now));
+            sleep(Duration::from_millis(500)).await;
+        }
+        assert!(ordering.orders() > 0);
+    });
+}
+
 #[test]
 fn node_that_can_not_renew_the_lease_leaves_the_orders_to_others() {
     run(async {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
-use ryerouter_gateway::engines::{EngineLoad, EngineTable, StartDelays};
+use ryerouter_gateway::engines::{Engine, EngineLoad, EngineTable, StartDelays};
 use ryerouter_gateway::rollout::{
     EngineReport, OrderOutcome, PublicationTime, RolloutAction, RolloutPlanner, RolloutSettings,
     WeightsDeadlines,
@@ -16,6 +16,10 @@
 use yare::parameterized;
 
 const GRACE: Duration = Duration::from_secs(7);
+/// How long an engine loads.
+const LOAD_MILLIS: u64 = 650;
+/// How often the planner is run.
+const STEP_MILLIS: u64 = 50;
 
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(1_000_000 + millis)
@@ -55,6 +59,46 @@
     assert_eq!(deadlines.until(MODEL, 1), Some(at(5_000).after(GRACE)));
 }
 
+#[test]
+fn troubles_of_the_source_put_off_the_end_for_requests_but_not_for_orders() {
+    let mut deadlines = WeightsDeadlines::new(GRACE);
+    deadlines.note(MODEL, 2, PublicationTime::Seen(at(0)));
+    for millis in (500..20_000).step_by(500) {
+        deadlines.extend_from(at(millis));
+    }
+    assert!(deadlines.allows(MODEL, 1, at(26_400)));
+    let load_deadline = deadlines.load_deadline(MODEL, 1);
+    assert_eq!(load_deadline, Some(at(0).after(GRACE)));
+    assert_eq!(deadlines.load_deadline(MODEL, 2), None);
+}
+
+#[parameterized(
+    seen = { &[PublicationTime::Seen(at(1_000))], 1_000 },
+    assumed = { &[PublicationTime::Assumed(at(1_000))], 1_000 },
+    learned_late = { &[PublicationTime::Between(at(1_000), at(4_000))], 1_000 },
+    seen_by_another_after_a_suspension_here = {
+        &[PublicationTime::Seen(at(5_000)), PublicationTime::Seen(at(1_000))],
+        1_000,
+    },
+    seen_by_another_after_it_was_assumed_here = {
+        &[PublicationTime::Assumed(at(1_000)), PublicationTime::Seen(at(3_000))],
+        3_000,
+    },
+)]
+fn load_deadline_counts_from_the_first_moment_that_the_version_may_have_been_named(
+    known: &[PublicationTime],
+    named: u64,
+) {
+    let mut deadlines = WeightsDeadlines::new(GRACE);
+    deadlines.extend_from(at(500));
+    for time in known {
+        deadlines.note(MODEL, 2, *time);
+    }
+    deadlines.extend_from(at(6_000));
+    let expected = Some(at(named).after(GRACE));
+    assert_eq!(deadlines.load_deadline(MODEL, 1), expected);
+}
+
 struct Rollout {
     planner: RolloutPlanner,
     engines: EngineTable,
@@ -122,6 +166,42 @@
         actions
     }
 
+    /// Loads engines as ordered, while the source is in trouble every `interval`; returns when the
+    /// last of them has loaded, if all do.
+    fn loaded_at(&mut self, interval: Duration, limit: Duration) -> Option<Duration> {
+        let mut loading: Vec<(BackEndName, u64)> = Vec::new();
+        for millis in (0..limit.as_millis() as u64).step_by(STEP_MILLIS as usize) {
+            if millis.is_multiple_of(interval.as_millis() as u64) {
+                self.deadlines.extend_from(at(millis));
+            }
+            loading.retain(|(name, done)| {
+                let is_done = *done <= millis;
+                if is_done {
+                    self.engines.get_mut(name).unwrap().note_weights(MODEL, 2);
+                }
+                !is_done
+            });
+            let has_loaded = |engine: &Engine| engine.weights_of(MODEL) == Some(2);
+            if self.engines.iter().all(has_loaded) {
+                return Some(Duration::from_millis(millis));
+            }
+            for action in self.advance(millis) {
+                match action {
+                    RolloutAction::Ask(name) => {
+                        self.report(name.as_str(), 0, 1, millis);
+                    }
+                    RolloutAction::Order(order) => {
+                        let name = order.engine.as_str();
+                        self.ordered(name, OrderOutcome::Accepted, millis);
+                        loading.push((order.engine, millis + LOAD_MILLIS));
+                    }
+                    RolloutAction::Announce { .. } | RolloutAction::Loaded { .. } => {}
+                }
+            }
+        }
+        None
+    }
+
     fn ordered(&mut self, name: &str, outcome: OrderOutcome, millis: u64) {
         let mut actions = Vec::new();
         let name = BackEndName::new(name);
@@ -220,6 +300,56 @@
     assert_eq!(rollout.advance(2_500).len(), 1);
 }
 
+/// A pool without requests, where no engine loads before it must.
+#[parameterized(
+    one_engine = { 1, 3_500 },
+    two = { 2, 2_500 },
+    four = { 4, 500 },
+    six = { 6, 0 },
+    sixty = { 60, 0 },
+)]
+fn rollout_without_troubles_begins_no_earlier_than_it_must(engines: usize, begin: u64) {
+    let mut rollout = Rollout::new(engines);
+    let mut steps = (0..10_000).step_by(STEP_MILLIS as usize);
+    let begun = steps.find(|millis| !rollout.advance(*millis).is_empty());
+    assert_eq!(begun, Some(begin));
+}
+
+/// A newer version moves the deadline of older weights neither back nor forth.
+#[test]
+fn rollout_to_a_newer_version_begins_when_the_first_one_is_due() {
+    let mut rollout = Rollout::new(2);
+    let third = PublicationTime::Seen(at(1_000));
+    rollout.deadlines.note(MODEL, 3, third);
+    assert_eq!(rollout.advance(2_450), []);
+    assert_eq!(rollout.advance(2_500).len(), 1);
+}
+
+#[parameterized(
+    two_engines_every_half_second = { 2, 500 },
+    two_engines_every_2_seconds = { 2, 2_000 },
+    twelve_engines_every_half_second = { 12, 500 },
+    twelve_engines_every_2_seconds = { 12, 2_000 },
+    twelve_engines_every_3_seconds = { 12, 3_000 },
+    twelve_engines_all_the_time = { 12, STEP_MILLIS },
+    sixty_engines_every_3_seconds = { 60, 3_000 },
+)]
+fn rollout_is_not_put_off_for_ever_by_troubles_of_the_source(engines: usize, millis: u64) {
+    let mut rollout = Rollout::new(engines);
+    let interval = Duration::from_millis(millis);
+    let loaded_at = rollout.loaded_at(interval, 10 * GRACE);
+    assert!(loaded_at.is_some_and(|at| at <= GRACE), "{loaded_at:?}");
+}
+
+/// The node that takes the lease may have seen troubles that the former holder has not.
+#[test]
+fn new_holder_of_the_lease_orders_no_later_than_the_former_one_would_have() {
+    let mut former = Rollout::new(2);
+    let mut successor = Rollout::new(2);
+    successor.deadlines.extend_from(at(2_400));
+    assert_eq!(former.advance(2_500), successor.advance(2_500));
+}
+
 #[test]
 fn silent_engine_does_not_hold_up_the_others() {
     let mut rollout = Rollout::due(2);
