--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -208,6 +208,10 @@
                 let requests = engine.load().requests;
                 (until(engine), requests, engine.entry.name.clone())
             };
+            let load_deadline = |engine: &&Engine| {
+                let weights = engine.weights_of(model).unwrap_or_default();
+                deadlines.load_deadline(model, weights)
+            };
             let due = members.iter().copied();
             let due = due.filter(|engine| self.is_due(engine, model, version));
             let (mut doubtful, mut behind): (Vec<_>, Vec<_>) =
@@ -216,7 +220,7 @@
             behind.sort_by_key(order);
             let progress = Progress {
                 behind: behind.len(),
-                first_until: behind.first().and_then(|engine| until(engine)),
+                first_deadline: behind.iter().filter_map(load_deadline).min(),
                 ..self.progress(pool, &members, model, version)
             };
             let to_begin = self.pace.to_begin(&progress, now);
@@ -224,7 +228,7 @@
             self.stale_work.spend(pool, to_begin.min(behind.len()));
             let with_doubtful = Progress {
                 behind: behind.len() + doubtful.len(),
-                first_until: doubtful.iter().filter_map(|engine| until(engine)).min(),
+                first_deadline: doubtful.iter().filter_map(load_deadline).min(),
                 ..progress
             };
             let to_probe = match self.pace.is_due(&with_doubtful, now) {
@@ -294,7 +298,7 @@
             in_progress: in_progress.count(),
             is_used: members.iter().any(|engine| engine.load().requests > 0),
             paid: self.stale_work.paid(pool),
-            first_until: None,
+            first_deadline: None,
         }
     }
 
