Let an engine that never loads hold up no other engine

What callers saw: of a pool of up to six engines one loads at a time. An engine that takes each order and never has the new weights (its load fails each time, never ends, or it answers every order with a conflict) kept that one place for as long as it lived, so no other engine was ordered. When the deadline of the older weights passed, no engine of the pool took a request any more. Of a larger pool a sixth of the engines in that state has the same effect.

Cause: an open order counted as a load in progress until a report showed the new weights. Nothing else ended it: a report that says busy, a repeated order and a conflict all keep the order open.

Change: an order that is open for twice as long as a load is expected to take, or as loads have been measured to take, no longer counts among the engines in progress. It stays open: the engine goes on being asked and ordered.

Evidence: `engine_that_never_loads_does_not_hold_up_the_others`, three cases on a virtual clock, fails in each before the change (no other engine is asked 7 s after the first) and passes with it. It also checks that the others do wait until the time is over.

What it costs: where a first load takes longer than 6 s although loads are expected to take 3 s, further engines begin beside it until one load has been measured.

--- a/crates/gateway/src/rollout/pace.rs
+++ b/crates/gateway/src/rollout/pace.rs
@@ -18,7 +18,7 @@
     pub(super) behind: usize,
     /// Those that have the newest weights or are on their way to them.
     pub(super) current: usize,
-    /// Those with an order in progress, for whatever version.
+    /// Those with an order in progress that may still be carried out, for whatever version.
     pub(super) in_progress: usize,
     /// Whether requests run in the pool.
     pub(super) is_used: bool,
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -1,6 +1,7 @@
 //! Plans a rollout.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, Incarnation, PoolName};
@@ -18,7 +19,7 @@
 ///
 /// Invariants: an order is given only after the engine told how many it has taken, and carries that
 /// number, so an order that comes late never runs beside a newer one; of a pool no more engines are
-/// in progress than the settings allow.
+/// in progress than the settings allow, apart from those whose orders have no effect in time.
 #[derive(Debug)]
 pub struct RolloutPlanner {
     settings: RolloutSettings,
@@ -202,7 +203,7 @@
             let progress = Progress {
                 behind: behind.len(),
                 first_until: behind.first().and_then(|engine| until(engine)),
-                ..self.progress(pool, &members, model, version)
+                ..self.progress(pool, &members, model, version, now)
             };
             let to_begin = self.pace.to_begin(&progress, now);
             let is_early = !self.pace.is_due(&progress, now);
@@ -234,10 +235,15 @@
         members: &[&Engine],
         model: &str,
         version: u64,
+        now: Timestamp,
     ) -> Progress {
-        // One that may not have heard its order keeps no other from loading.
+        let longest = self.longest_load();
         let in_progress = self.open.values();
-        let in_progress = in_progress.filter(|open| open.pool == *pool && !open.is_unanswered);
+        let in_progress = in_progress.filter(|open| {
+            // One that may not have heard its order, or whose loads fail, keeps no other from loading.
+            let is_held_up = open.is_unanswered || now.since(open.opened_at) >= longest;
+            open.pool == *pool && !is_held_up
+        });
         let is_current = |engine: &&&Engine| {
             let open = self.open.get(&engine.entry.name);
             let is_coming = open.is_some_and(|open| open.model == model && open.version >= version);
@@ -254,6 +260,13 @@
         }
     }
 
+    /// An order that is open for longer will hardly be carried out: most likely the engine can't read
+    /// the weights, or is stuck while it loads them.
+    fn longest_load(&self) -> Duration {
+        let usual = self.settings.expected_load.max(self.pace.load_time());
+        usual * 2
+    }
+
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
         let name = &engine.entry.name;
         let is_behind = engine.weights_of(model).is_some_and(|has| has < version);
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -333,6 +333,56 @@
     assert_eq!(rollout.advance(740), []);
 }
 
+/// Three engines of which one loads at a time. The first is asked at 0 and never has the new weights.
+fn play_failing_first_engine(millis: u64, outcome: OrderOutcome, is_busy: bool) -> Vec<String> {
+    let mut rollout = Rollout::due(3);
+    let failing = BackEndName::new("e00");
+    let mut asked = Vec::new();
+    let mut actions = rollout.advance(0);
+    for now in (0..millis).step_by(50) {
+        for action in std::mem::take(&mut actions) {
+            match action {
+                RolloutAction::Ask(name) if name == failing => {
+                    let report = EngineReport {
+                        weights: [(MODEL.to_owned(), 1)].into(),
+                        is_busy,
+                        orders_taken: 1,
+                        incarnation: None,
+                    };
+                    rollout
+                        .planner
+                        .reported(&failing, Some(&report), at(now), &mut actions);
+                }
+                RolloutAction::Ask(name) => {
+                    asked.push(name.to_string());
+                    actions.extend(rollout.report(name.as_str(), 0, 2, now));
+                    let engine = rollout.engines.get_mut(&name).unwrap();
+                    engine.note_weights(MODEL, 2);
+                }
+                RolloutAction::Order(order) => {
+                    rollout.ordered(order.engine.as_str(), outcome, now);
+                }
+                RolloutAction::Announce { .. } | RolloutAction::Loaded { .. } => {}
+            }
+        }
+        actions.extend(rollout.advance(now + 50));
+    }
+    asked
+}
+
+#[parameterized(
+    load_that_fails_each_time = { OrderOutcome::Accepted, false },
+    load_that_never_ends = { OrderOutcome::Accepted, true },
+    order_that_is_never_taken = { OrderOutcome::Conflict, false },
+)]
+fn engine_that_never_loads_does_not_hold_up_the_others(outcome: OrderOutcome, is_busy: bool) {
+    let longest = 2 * RolloutSettings::default().expected_load.as_millis() as u64;
+    let in_time = play_failing_first_engine(longest - 100, outcome, is_busy);
+    assert!(in_time.is_empty(), "{in_time:?} beside a load");
+    let later = play_failing_first_engine(longest + 1_000, outcome, is_busy);
+    assert_eq!(later, ["e01", "e02"]);
+}
+
 #[test]
 fn news_of_the_version_before_do_not_end_a_load() {
     let mut rollout = Rollout::new(1);
