Order the newest weights of an engine that can't load the version before

What callers saw: an engine whose loads of a version failed was ordered that same version again and again, also after the operator had named another one in its place. It never got the new one, and past the deadline no request. A version that no engine can load thus takes each engine that was ordered out of service until it begins again.

Cause: an open order keeps the version it was opened with; an engine with an open order is not due for another; and the order ends only when a report shows that version.

Change: an order that is yet to be given, or to be given again, names the newest version of its model.

Evidence: `engine_that_can_not_load_one_version_is_ordered_the_next`, three cases on a virtual clock: before the change the next order names version 2 though 3 was named meanwhile, with it version 3.

--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -21,6 +21,13 @@
     Loading,
 }
 
+impl OrderStep {
+    /// Whether the order is yet to be given, for the first time or again.
+    pub(super) fn is_pending(self) -> bool {
+        matches!(self, Self::Asking | Self::Draining { .. })
+    }
+}
+
 /// An order in progress at one engine.
 #[derive(Debug, Clone)]
 pub(super) struct OpenOrder {
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -93,6 +93,7 @@
     ) {
         self.resting.retain(|_, until| now < *until);
         self.close_finished(engines, now, actions);
+        self.aim_at_newest(deadlines);
         self.ask_due(now, actions);
         self.order_drained(engines, now, actions);
         for (model, version) in deadlines.newest() {
@@ -130,6 +131,18 @@
         }
     }
 
+    /// Lets orders that are yet to be given, or given again, name the newest version: an engine may be
+    /// unable to load the one before.
+    fn aim_at_newest(&mut self, deadlines: &WeightsDeadlines) {
+        for (model, version) in deadlines.newest() {
+            let open = self.open.values_mut();
+            let pending = open.filter(|open| open.model == model && open.step.is_pending());
+            for open in pending {
+                open.version = version;
+            }
+        }
+    }
+
     fn ask_due(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
         for (name, open) in &mut self.open {
             if open.ask_at.is_some_and(|at| at <= now) {
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -383,6 +383,37 @@
     assert_eq!(later, ["e01", "e02"]);
 }
 
+/// The version that the first order names after a newer one was named while an order was open.
+fn next_version_after_a_failed_load(outcome: OrderOutcome) -> Option<u64> {
+    let mut rollout = Rollout::due(1);
+    rollout.advance(0);
+    rollout.report_and_advance("e00", 0, 1, 10);
+    rollout.ordered("e00", outcome, 20);
+    let named = PublicationTime::Seen(at(100));
+    rollout.deadlines.note(MODEL, 3, named);
+    for millis in (100..20_000).step_by(100) {
+        rollout.advance(millis);
+        let actions = rollout.report_and_advance("e00", 1, 1, millis);
+        let ordered = actions.iter().find_map(|action| match action {
+            RolloutAction::Order(order) => Some(order.version),
+            _ => None,
+        });
+        if ordered.is_some() {
+            return ordered;
+        }
+    }
+    None
+}
+
+#[parameterized(
+    load_that_fails = { OrderOutcome::Accepted },
+    order_that_is_not_taken = { OrderOutcome::Conflict },
+    order_without_an_answer = { OrderOutcome::Unknown },
+)]
+fn engine_that_can_not_load_one_version_is_ordered_the_next(outcome: OrderOutcome) {
+    assert_eq!(next_version_after_a_failed_load(outcome), Some(3));
+}
+
 #[test]
 fn news_of_the_version_before_do_not_end_a_load() {
     let mut rollout = Rollout::new(1);
