Follow a probe without a result by another

An engine under probe was neither serving nor due for a probe until the result came. Where the result gets lost, or the probe lasts as long as a stream does, the engine stayed out for that time: what ends the state is a request, and no request is sent while it lasts. In the core's dispatcher each end of an attempt reports a result, so there it lasted as long as the attempt; the gateway, which sent no probes so far, has ends that report none (the caller leaves, the engine has other weights, a connection falls silent).

Change: the state probing ends by time. After 2 s, longer than connecting may take, the engine is due for another probe. The bound of an ejection is an argument, since the gateway needs another one.

Evidence: `a_probe_whose_result_never_comes_is_followed_by_another` (with `probe_sent` as it was the engine is never due again) and `an_ejection_is_no_longer_than_its_bound`. The two tests that call `probe_sent` now say when; what they check is unchanged.

--- a/crates/core/src/dispatch/dispatcher/starting.rs
+++ b/crates/core/src/dispatch/dispatcher/starting.rs
@@ -35,7 +35,7 @@
         engine.add_pending(priority, choice.expectation.uncached_tokens, now);
         engine.record_weights_probe(record.weights_version, now);
         if choice.is_probe {
-            engine.health.probe_sent();
+            engine.health.probe_sent(now);
         }
         if resumes.is_none() {
             self.cache_directory
--- a/crates/core/src/retry/engine_health.rs
+++ b/crates/core/src/retry/engine_health.rs
@@ -12,15 +12,19 @@
 const FAILURES_TO_EJECT: u32 = 2;
 const FIRST_EJECTION: Duration = Duration::from_millis(250);
 const MAX_EJECTION: Duration = Duration::from_secs(10);
+/// A probe without a result after this time is followed by another. It is longer than connecting may
+/// take.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Number of times the first ejection is doubled before the maximum is reached.
 const MAX_DOUBLINGS: u32 = 6;
 
 /// The lifecycle of an engine as one process sees it: serving, ejected after failures, probed with
 /// a single request once the ejection has expired, and serving again after a response.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Lifecycle {
     failures_in_a_row: u32,
     ejections_in_a_row: u32,
+    max_ejection: Duration,
 }
 
 #[state_machine(initial = "State::serving()", state(derive(Debug, Clone, PartialEq)))]
@@ -38,7 +42,7 @@
             // Nothing listens at the address, so a second attempt would fail as well.
             HealthEvent::Unreachable { at } => self.eject(*at),
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
-            HealthEvent::ProbeSent | HealthEvent::ProbeInconclusive { .. } => Handled,
+            HealthEvent::ProbeSent { .. } | HealthEvent::ProbeInconclusive { .. } => Handled,
         }
     }
 
@@ -46,7 +50,7 @@
     fn ejected(&mut self, until: &mut Timestamp, event: &HealthEvent) -> Outcome<State> {
         let _ = until;
         match event {
-            HealthEvent::ProbeSent => Transition(State::probing()),
+            HealthEvent::ProbeSent { at } => Transition(State::probing(at.after(PROBE_TIMEOUT))),
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
             // Attempts from before the ejection fail one by one; they carry no new information.
             HealthEvent::Failed { .. }
@@ -56,12 +60,15 @@
     }
 
     #[state]
-    fn probing(&mut self, event: &HealthEvent) -> Outcome<State> {
+    fn probing(&mut self, until: &mut Timestamp, event: &HealthEvent) -> Outcome<State> {
         match event {
             HealthEvent::Failed { at } | HealthEvent::Unreachable { at } => self.eject(*at),
             HealthEvent::ProbeInconclusive { at } => Transition(State::ejected(*at)),
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
-            HealthEvent::ProbeSent => Handled,
+            HealthEvent::ProbeSent { at } => {
+                *until = at.after(PROBE_TIMEOUT);
+                Handled
+            }
         }
     }
 }
@@ -69,7 +76,7 @@
 impl Lifecycle {
     fn eject(&mut self, at: Timestamp) -> Outcome<State> {
         let doublings = self.ejections_in_a_row.min(MAX_DOUBLINGS);
-        let ejection = (FIRST_EJECTION * 2_u32.pow(doublings)).min(MAX_EJECTION);
+        let ejection = (FIRST_EJECTION * 2_u32.pow(doublings)).min(self.max_ejection);
         self.ejections_in_a_row += 1;
         self.failures_in_a_row = 0;
         Transition(State::ejected(at.after(ejection)))
@@ -98,28 +105,42 @@
 
 impl Default for EngineHealth {
     fn default() -> Self {
-        Self {
-            lifecycle: Lifecycle::default().state_machine(),
-        }
+        Self::with_max_ejection(MAX_EJECTION)
     }
 }
 
 impl EngineHealth {
+    /// Health of an engine that is ejected for at most `max_ejection` at a time.
+    pub fn with_max_ejection(max_ejection: Duration) -> Self {
+        let lifecycle = Lifecycle {
+            failures_in_a_row: 0,
+            ejections_in_a_row: 0,
+            max_ejection,
+        };
+        Self {
+            lifecycle: lifecycle.state_machine(),
+        }
+    }
+
     /// Whether the engine serves normally.
     pub fn is_serving(&self) -> bool {
         matches!(self.lifecycle.state(), State::Serving {})
     }
 
-    /// Whether the ejection has expired, so that a single request should probe the engine.
+    /// Whether the ejection has expired, so that a single request should probe the engine. This is
+    /// so again when a probe has had no result for long.
     pub fn is_due_for_probe(&self, now: Timestamp) -> bool {
-        matches!(self.lifecycle.state(), State::Ejected { until } if *until <= now)
+        match self.lifecycle.state() {
+            State::Ejected { until } | State::Probing { until } => *until <= now,
+            State::Serving {} => false,
+        }
     }
 
     /// When the ejection expires; `None` while the engine is not ejected.
     pub fn ejected_until(&self) -> Option<Timestamp> {
         match self.lifecycle.state() {
             State::Ejected { until } => Some(*until),
-            State::Serving {} | State::Probing {} => None,
+            State::Serving {} | State::Probing { .. } => None,
         }
     }
 
@@ -139,8 +160,8 @@
     }
 
     /// Records that a request was sent as a probe.
-    pub fn probe_sent(&mut self) {
-        self.lifecycle.handle(&HealthEvent::ProbeSent);
+    pub fn probe_sent(&mut self, at: Timestamp) {
+        self.lifecycle.handle(&HealthEvent::ProbeSent { at });
     }
 
     /// Records that the probe ended without a result, for example because its caller disconnected.
--- a/crates/core/src/retry/health_event.rs
+++ b/crates/core/src/retry/health_event.rs
@@ -18,7 +18,10 @@
         at: Timestamp,
     },
     /// An attempt was sent to probe the engine.
-    ProbeSent,
+    ProbeSent {
+        /// When it was sent.
+        at: Timestamp,
+    },
     /// The probe ended without a result.
     ProbeInconclusive {
         /// When the probe ended.
--- a/crates/core/tests/retry_health.rs
+++ b/crates/core/tests/retry_health.rs
@@ -35,7 +35,7 @@
     let until = eject(&mut health, START);
     assert!(!health.is_due_for_probe(until.before(Duration::from_micros(1))));
     assert!(health.is_due_for_probe(until));
-    health.probe_sent();
+    health.probe_sent(until);
     assert!(!health.is_due_for_probe(until) && !health.is_serving());
     health.answered();
     assert!(health.is_serving());
@@ -47,7 +47,7 @@
     let mut until = eject(&mut health, START);
     let mut waits = Vec::new();
     for _ in 0..12 {
-        health.probe_sent();
+        health.probe_sent(until);
         health.failed(until);
         let next = health.ejected_until().unwrap();
         waits.push(next.since(until));
@@ -58,6 +58,35 @@
     assert_eq!(waits[11], Duration::from_secs(10));
 }
 
+#[test]
+fn a_probe_whose_result_never_comes_is_followed_by_another() {
+    let mut health = EngineHealth::default();
+    let until = eject(&mut health, START);
+    health.probe_sent(until);
+    assert!(!health.is_due_for_probe(until.after(Duration::from_millis(1_999))));
+    assert!(health.is_due_for_probe(until.after(Duration::from_secs(2))));
+    health.probe_sent(until.after(Duration::from_secs(2)));
+    assert!(!health.is_due_for_probe(until.after(Duration::from_millis(3_999))));
+    // The result of the first may still come, and lengthens the ejection.
+    health.unreachable(until.after(Duration::from_secs(3)));
+    let next = health.ejected_until().expect("ejected again");
+    assert_eq!(next.since(until), Duration::from_millis(3_500));
+}
+
+#[test]
+fn an_ejection_is_no_longer_than_its_bound() {
+    let bound = Duration::from_secs(2);
+    let mut health = EngineHealth::with_max_ejection(bound);
+    let mut until = eject(&mut health, START);
+    for _ in 0..12 {
+        health.probe_sent(until);
+        health.failed(until);
+        let next = health.ejected_until().unwrap();
+        assert!(next.since(until) <= bound);
+        until = next;
+    }
+}
+
 #[test]
 fn late_failures_do_not_prolong_an_ejection() {
     let mut health = EngineHealth::default();
