Probe an ejected engine of the gateway by one request, and less often each time

What callers saw: with one engine at work and six that could not be reached and had been ejected a second before, one request tried all six, 0.4 s each, before it went to the engine at work. Of ten requests made side by side beside one unreachable engine all ten tried it. So while a cut link keeps many engines out of reach, requests go from one to the next until their deadline.

Cause: the gateway never told the health of an engine that a request probes it. An engine that had been ejected once was "due for a probe" from 250 ms on for every request, failures did not count any more, and its ejection neither began again nor doubled. An engine out of reach looks idle, so it is the cheapest one once the others are busy.

Change: a request that is sent to an engine due for a probe is recorded as that probe; others go elsewhere until it has a result, or for 2 s. The head of an answer ends the ejection, since the rest of a stream may take long. A request that has failed at an engine probes no other while any engine serves. An ejection lasts 2 s at most, as the engines behind a cut link must be found again soon; 2 s is chosen, not measured.

All tests of the gateway pass.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -16,6 +16,9 @@
 const FULL_BACKOFF: Duration = Duration::from_millis(150);
 /// Maximum number of doublings of [`FULL_BACKOFF`].
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
+/// Maximum time between two probes of an engine that fails requests. While a cut link keeps many
+/// engines out of reach, the others carry their load, so they must be found again soon.
+const MAX_EJECTION: Duration = Duration::from_secs(2);
 
 /// Weights that an engine is loading.
 #[derive(Debug)]
@@ -72,7 +75,7 @@
             entry,
             listed_at: Timestamp::ZERO,
             condition: Condition::default(),
-            health: EngineHealth::default(),
+            health: EngineHealth::with_max_ejection(MAX_EJECTION),
             own_load: Rc::default(),
             foreign_load: EngineLoad::default(),
             loading: None,
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -102,7 +102,12 @@
         let profile = self.table.pool(request.pool)?.engine.as_ref();
         let versions = self.versions(request, filter);
         let sample = Sample::draw(self, request, &versions, filter);
-        let is_healthy = |engine: &Engine| filter.admits(&engine.entry) && self.is_healthy(engine);
+        // A request that has failed elsewhere probes no engine: it would fail at one after the other.
+        let may_probe = request.tried.is_empty();
+        let is_healthy = |engine: &Engine| {
+            let is_usable = engine.health.is_serving() || may_probe && self.is_healthy(engine);
+            filter.admits(&engine.entry) && is_usable
+        };
         let known = self.all_holders(&versions);
         let is_sampled = |engine: &Engine| {
             let is_known = || {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -48,6 +48,7 @@
     progress.engine_list.set(engine_list);
     let sent_at = gateway.clock().now();
     gateway.note_request_sent(&placement.engine);
+    note_probe(gateway, placement);
     let message = build_message(gateway, request, placement, last_event_id);
     let mut reporter = AnswerReporter::begin(gateway, request, placement);
     let is_repeatable = request.route.is_idempotent();
@@ -78,6 +79,9 @@
     match check_head(request, &answer, &facts) {
         Ok(()) => {
             note_accepted(gateway, request, placement, &facts);
+            if !answer.head.status.is_server_error() {
+                note_probe_answered(gateway, placement);
+            }
             Ok(LiveAnswer::new(
                 answer,
                 facts,
@@ -142,6 +146,33 @@
     message
 }
 
+/// Records that the request probes the engine, if it is due for a probe. Until the outcome is known, other requests go
+/// elsewhere.
+fn note_probe(gateway: &Gateway, placement: &Placement) {
+    let now = gateway.clock().now();
+    let mut state = gateway.state_mut();
+    let engine = state.engines.get(&placement.engine);
+    if engine.is_some_and(|engine| engine.health.is_due_for_probe(now))
+        && let Some(engine) = state.engines.get_mut(&placement.engine)
+    {
+        engine.health.probe_sent(now);
+    }
+}
+
+/// Records that an engine which has failed requests answers again. The rest of its answer may take long.
+fn note_probe_answered(gateway: &Gateway, placement: &Placement) {
+    let is_same_incarnation = gateway.is_same_incarnation(placement);
+    let mut state = gateway.state_mut();
+    let engine = state.engines.get(&placement.engine);
+    let has_failed = engine.is_some_and(|engine| !engine.health.is_serving());
+    if has_failed
+        && is_same_incarnation
+        && let Some(engine) = state.engines.get_mut(&placement.engine)
+    {
+        engine.health.answered();
+    }
+}
+
 /// Whether the engine state in the head can be trusted: the answer belongs to this request and comes from the intended
 /// engine, not from another process at the same address.
 fn is_from_intended_engine(
