Give a silent attempt up for an engine whose ejection is over

What callers saw: a repeatable request on a connection that had fallen silent waited until its deadline although another engine could take it. That engine had failed one request earlier, minutes or hours before.

Cause: whether a silent attempt has a successor was judged by engines that serve. An ejected engine serves again only after a request, and while the pool has little to do no request goes there, since it costs more than the one that has not failed. So the engine that could not be reached once stayed no successor for as long as the load was low.

Change: an engine whose ejection has expired counts as a successor, as it does where an engine is chosen.

Evidence: `silent_request_goes_to_an_engine_whose_ejection_is_over` fails before the change (no answer within 3 s of a limit of 6 s) and passes with it.

--- a/crates/gateway/src/engines/engine.rs
+++ b/crates/gateway/src/engines/engine.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Whether the engine serves requests, or is due to be tried again after failures.
+    pub fn is_healthy(&self, now: Timestamp) -> bool {
+        self.health.is_serving() || self.health.is_due_for_probe(now)
+    }
+
     /// Whether the engine is believed to be loading weights.
     pub fn is_loading(&self, now: Timestamp) -> bool {
         let loading = self.loading.as_ref();
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -223,9 +223,8 @@
         self.topology.distance(self.zone, &engine.entry.zone)
     }
 
-    /// Whether the engine serves requests, or is due to be tried again after failures.
     fn is_healthy(&self, engine: &Engine) -> bool {
-        engine.health.is_serving() || engine.health.is_due_for_probe(self.now)
+        engine.is_healthy(self.now)
     }
 
     fn candidate<'b>(
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -283,7 +283,7 @@
         let mut engines = state.engines.of_pool(pool);
         engines.any(|engine| {
             let is_tried = tried.contains(&engine.entry.name);
-            let can_serve = engine.takes_work(now) && engine.health.is_serving();
+            let can_serve = engine.takes_work(now) && engine.is_healthy(now);
             !is_tried && can_serve && admission.admits(&engine.entry)
         })
     }
--- a/crates/gateway/tests/silent_engines.rs
+++ b/crates/gateway/tests/silent_engines.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Collected};
 use hyper::StatusCode;
 use ryerouter_core::Timestamp;
+use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::TimeEstimate;
 use ryerouter_gateway::retry::{RetrySettings, RetryWindow};
@@ -99,6 +100,25 @@
     });
 }
 
+/// While there is little to do an engine that has failed is not tried, since the other one costs less.
+#[test]
+fn silent_request_goes_to_an_engine_whose_ejection_is_over() {
+    run(async {
+        let ok = Step::Answer(200, "ok");
+        let fixture = Fixture::start(RequestKind::Safe, 2, 2, &ok).await;
+        let now = fixture.bench.gateway.clock().now();
+        let mut state = fixture.bench.gateway.state_mut();
+        let ejected = state.engines.get_mut(&BackEndName::new("e2"));
+        let health = &mut ejected.expect("engine").health;
+        health.unreachable(now.before(Duration::from_secs(1)));
+        drop(state);
+        fixture.engines[0].push(Step::Silence);
+        let call = tokio::time::timeout(SOON, fixture.call("r")).await;
+        assert_eq!(call.expect("soon").status, StatusCode::OK);
+        assert_eq!(fixture.engines[0].abandoned.get(), 1);
+    });
+}
+
 #[test]
 fn repeatable_request_goes_to_the_only_engine_on_a_new_connection_when_that_answers_others() {
     run(async {
