Go on trying nodes that were silent for so long that they were forgotten

What was seen: nodes that are cut from each other for more than 30 s stay apart for good when the link is back. Each half then has tenants use their whole limits, sends an engine the whole rate that it takes, and knows neither the load nor the caches that the other half brings about; a release directed by one half has no answers of the other. Regions are expected to be cut from each other for an hour now and then.

Cause: a node that was silent for 30 s is forgotten, and messages go only to nodes that are known and to addresses where nobody has ever answered. A seed that has answered once is none of these any more. Both sides forget, so neither speaks first.

Change: the addresses of forgotten nodes are kept, 64 at most, and one of them is sent the introduction every 5 s. They do not count among the nodes that may run.

Evidence: `nodes_that_were_cut_from_each_other_for_long_find_each_other_again` with 1, 3 and 12 nodes a side on a virtual clock fails in each case before the change (no node knows any of the other side 60 s after the link is back) and passes with it. The other tests of the file hold the count of nodes and what the tries cost: one message in 5 s, also for nodes that have stopped for good.

--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -209,6 +209,7 @@
             let unanswered = state.peers.unanswered_addresses();
             let others = MAX_EXTRA_RECEIVERS - new_peers;
             receivers.extend(unanswered.choose_multiple(random, others));
+            receivers.extend(state.peers.next_forgotten(now));
             if !state.new_peers.is_empty() {
                 state.owes_full_update = true;
                 self.send_requested.notify_one();
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod copy_proof;
 mod datagram;
 mod engine_news;
+mod forgotten_addresses;
 mod holder_news;
 mod kv_store_news;
 mod lease_news;
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -9,6 +9,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName, ZoneName};
 
+use super::forgotten_addresses::ForgottenAddresses;
 use super::{Capacity, MemberAddress, MessageEcho, NodeIdentity, NodeState, Peer, PeerMessage};
 use crate::engines::EngineLoad;
 use crate::placement::PrefillDemandUpdate;
@@ -62,6 +63,7 @@
     /// How many nodes the best informed of the others has heard of.
     told_count: usize,
     unheard: Vec<SocketAddr>,
+    forgotten: ForgottenAddresses,
     last_heard_at: Option<Timestamp>,
 }
 
@@ -107,6 +109,7 @@
         let from = &message.from;
         self.last_heard_at = Some(now);
         self.unheard.retain(|address| *address != from.peer_address);
+        self.forgotten.remove(from.peer_address);
         if let Some(known) = self.peers.get(&from.name)
             && known.identity.incarnation == from.incarnation
             && known.sequence >= message.sequence
@@ -189,10 +192,15 @@
         self.is_settled() && message.known_nodes <= MOST_OF_FEW
     }
 
-    /// Forgets nodes that were silent for long.
+    /// Forgets nodes that were silent for long. Their addresses are tried from time to time.
     pub fn forget_silent(&mut self, now: Timestamp) {
-        self.peers
-            .retain(|_, peer| now.since(peer.heard_at) < FORGET_AFTER);
+        let silent = self
+            .peers
+            .extract_if(.., |_, peer| now.since(peer.heard_at) >= FORGET_AFTER);
+        let silent: Vec<_> = silent.map(|(_, peer)| peer.identity.peer_address).collect();
+        for address in silent {
+            self.forgotten.add(address);
+        }
         self.names.retain(|_, name| self.peers.contains_key(name));
         self.near_count = self.peers.values().filter(|peer| peer.is_near).count();
         let told = self.peers.values().map(|peer| peer.known_nodes).max();
@@ -336,6 +344,11 @@
         }
     }
 
+    /// Address of a forgotten node that is to be told now that this one is there.
+    pub fn next_forgotten(&mut self, now: Timestamp) -> Option<SocketAddr> {
+        self.forgotten.next(now)
+    }
+
     /// Addresses where nobody answered yet.
     pub fn unanswered_addresses(&self) -> &[SocketAddr] {
         &self.unheard
