Refuse a request soon when no engine can be reached

What callers saw: where a node could reach no engine of a pool, a request was sent to each of them in turn, 0.4 s each, until all had been tried or its deadline had passed. Then it was refused as not run, too late for another try elsewhere.

Cause: engines that failed are a last resort where none serves, and failed connections count neither as attempts nor against the retry budget. So the number of engines was the only bound.

Change: a request that has been tried at three engines goes to no unhealthy one any more. It is refused as "no engine accepts work", with the time to come back.

Evidence: `request_is_refused_soon_when_no_engine_can_be_reached` with six engines: before the change all six are tried, with it three.

What it costs: a request whose first three engines all fail is refused even if a fourth that failed lately could be reached again. Other requests find that one, as each of them begins with an engine that is due for a probe.

--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -29,6 +29,9 @@
 /// The best engine of a sample is accepted only below this cost. Otherwise all engines are
 /// compared.
 const MAX_SAMPLED_COST: f64 = 2.0;
+/// A request that has been tried at more engines than this goes to no unhealthy one any more. Where no
+/// engine can be reached, its caller learns so long before the deadline.
+const MAX_TRIED_BEFORE_LAST_RESORT: usize = 2;
 
 /// Chooses the engine with the lowest cost. Ties go to the engine that comes first in rendezvous
 /// order.
@@ -119,9 +122,9 @@
             };
             (sample.includes(engine) || is_known()) && is_healthy(engine)
         };
-        let is_last_resort = |engine: &Engine| {
-            unhealthy == UnhealthyEngines::LastResort && filter.admits(&engine.entry)
-        };
+        let may_use_unhealthy = unhealthy == UnhealthyEngines::LastResort
+            && request.tried.len() <= MAX_TRIED_BEFORE_LAST_RESORT;
+        let is_last_resort = |engine: &Engine| may_use_unhealthy && filter.admits(&engine.entry);
         let best = sample
             .is_limited()
             .then(|| self.best(request, profile, &versions, is_sampled))
--- a/crates/gateway/tests/unreachable_engines.rs
+++ b/crates/gateway/tests/unreachable_engines.rs
@@ -8,8 +8,8 @@
 use hyper::StatusCode;
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::catalogue::RequestKind;
-use ryerouter_gateway::engines::Engine;
-use support::gateway_bench::{GatewayBench, run};
+use ryerouter_gateway::engines::{Engine, EngineEntry};
+use support::gateway_bench::{GatewayBench, list_engines, run};
 use support::records::{engine, route, table};
 use support::scripted_engine::{ScriptedEngine, Step};
 use support::test_dialect::ID;
@@ -84,6 +84,14 @@
         engine.expect("engine").health.is_due_for_probe(now)
     }
 
+    /// Entries of all engines but the one that serves.
+    fn unreachable(&self) -> Vec<EngineEntry> {
+        let state = self.bench.gateway.state();
+        let engines = state.engines.iter();
+        let unreachable = engines.filter(|engine| engine.entry.name.as_str() != "serving");
+        unreachable.map(|engine| engine.entry.clone()).collect()
+    }
+
     fn unreached(&self) -> u64 {
         let attempts = &self.bench.gateway.metrics().attempts;
         attempts.with_label_values(&["not_connected"]).get()
@@ -120,6 +128,19 @@
     });
 }
 
+/// The caller can try another node, or come back; nothing is gained by trying all engines until its deadline.
+#[test]
+fn request_is_refused_soon_when_no_engine_can_be_reached() {
+    run(async {
+        let fixture = Fixture::start(RequestKind::Safe, 6).await;
+        list_engines(&fixture.bench.gateway, fixture.unreachable());
+        let answer = fixture.bench.call("GET", &[(ID, "r")], "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.retry_after.is_some());
+        assert_eq!(fixture.unreached(), 3);
+    });
+}
+
 #[test]
 fn one_request_finds_out_whether_an_ejected_engine_can_be_reached() {
     run(async {
