Let a pool start a request when its estimates are old

What callers saw (the core's dispatcher): after engines had been slow for some time, each request whose deadline seemed out of reach was refused at once, also when the engines had their usual speed again, for as long as the process ran. A pool whose requests are of about one length and have deadlines served none any more.

Cause: whether a deadline can be met is judged by the prefill speed that requests have shown. The refusals stop the requests, so no new speed is ever measured.

Change: the estimates refuse requests only while attempts have started in the pool within the last 5 s. Otherwise one request is started, and what it shows counts.

Evidence: `requests_are_served_again_after_engines_were_too_slow_for_their_deadlines`, on a virtual clock: before the change none of 100 requests is started, one a second at the usual speed; with it at least 80. The tests of the dispatcher pass, among them that a deadline that can't be met is refused at once.

What it costs: where a deadline really can't be met, one request in 5 s runs in vain while the pool does nothing else.

--- a/crates/core/src/dispatch/dispatcher/placing.rs
+++ b/crates/core/src/dispatch/dispatcher/placing.rs
@@ -36,7 +36,7 @@
     }
 
     /// Starts an attempt on the chosen engine, or refuses the request if even an optimistic estimate
-    /// of the time to first token exceeds its deadline.
+    /// of the time to first token, from recent requests, exceeds its deadline.
     pub(super) fn start_unless_late(
         &mut self,
         request: RequestId,
@@ -47,8 +47,10 @@
         let optimistic_wait = choice
             .first_token_in
             .mul_f64(self.parameters.optimistic_wait_share);
-        let deadline = self.requests[&request].first_token_deadline();
-        if deadline.is_some_and(|deadline| now.after(optimistic_wait) > deadline) {
+        let record = &self.requests[&request];
+        let deadline = record.first_token_deadline();
+        let is_late = deadline.is_some_and(|deadline| now.after(optimistic_wait) > deadline);
+        if is_late && self.pools[&record.profile.pool].has_valid_estimates(now) {
             let retry_after = choice.first_token_in;
             self.refuse(request, RefusalReason::Deadline, retry_after, actions);
             return;
--- a/crates/core/src/dispatch/dispatcher/starting.rs
+++ b/crates/core/src/dispatch/dispatcher/starting.rs
@@ -23,6 +23,9 @@
         record.running_attempt = Some(attempt);
         record.queued_at = None;
         let priority = record.profile.priority;
+        if let Some(pool) = self.pools.get_mut(&record.profile.pool) {
+            pool.note_start(now);
+        }
         let resumes = match resume {
             Some(ResumePoint::SameEngine { attempt, .. }) => Some(attempt),
             Some(ResumePoint::Continue { .. }) | None => None,
--- a/crates/core/src/dispatch/pool_state.rs
+++ b/crates/core/src/dispatch/pool_state.rs
@@ -18,6 +18,9 @@
 /// Share of an [`UncertainRange`](super::attempt_record::UncertainRange) expected in the cache of
 /// the first engine in candidate order, until measured.
 const INITIAL_HIT_SHARE: f64 = 0.9;
+/// A pool in which nothing has started for this time starts a request although its deadline seems out
+/// of reach. The estimates come from earlier requests, and without new ones they would never change.
+const ESTIMATES_VALID_FOR: Duration = Duration::from_secs(5);
 /// Lower bound of this process's share of an engine's load, by which [`PoolState::concurrency`]
 /// divides.
 const MIN_OWN_SHARE: f64 = 0.001;
@@ -35,6 +38,7 @@
     pub(super) cache_hit_estimate: CacheHitEstimate,
     residence_seconds: MovingAverage,
     own_share: MovingAverage,
+    last_start: Timestamp,
 }
 
 impl PoolState {
@@ -49,9 +53,20 @@
             cache_hit_estimate: CacheHitEstimate::new(INITIAL_HIT_SHARE),
             residence_seconds: MovingAverage::new(INITIAL_RESIDENCE_SECONDS, SAMPLE_WEIGHT),
             own_share: MovingAverage::new(1.0, SAMPLE_WEIGHT),
+            last_start: now,
         }
     }
 
+    /// Records that an attempt starts.
+    pub(super) fn note_start(&mut self, now: Timestamp) {
+        self.last_start = now;
+    }
+
+    /// Whether requests have started recently enough to refuse others by the estimates.
+    pub(super) fn has_valid_estimates(&self, now: Timestamp) -> bool {
+        now.since(self.last_start) < ESTIMATES_VALID_FOR
+    }
+
     /// Counts a completed request that spent `residence` in its engine.
     pub(super) fn count_completion(&mut self, residence: Duration, now: Timestamp) {
         self.service_rate.count(now);
--- a/crates/core/tests/dispatch_admission.rs
+++ b/crates/core/tests/dispatch_admission.rs
@@ -126,6 +126,54 @@
     assert!(refusal.retry_after.unwrap() > Duration::from_millis(100));
 }
 
+/// Submits a request that must have its first token within a second, after it took `first_token_after`
+/// so far; `false` when it is refused.
+fn serve_within_a_second(fixture: &mut Fixture, name: &str, first_token_after: Duration) -> bool {
+    let letters = format!("{name} {}", "x".repeat(16_000));
+    let mut profile = fixture.profile(name, "t", &[&letters]);
+    profile.deadline = Some(fixture.now.after(Duration::from_secs(1)));
+    let prompt_tokens = profile.prompt_tokens;
+    let actions = fixture.submit(profile);
+    if all_started(&actions).is_empty() {
+        assert_eq!(refused(&actions).reason, RefusalReason::Deadline);
+        return false;
+    }
+    let attempt = started(&actions).attempt;
+    fixture.answer(attempt, 1);
+    fixture.advance(first_token_after);
+    fixture.handle(DispatchEvent::FirstToken { attempt });
+    let end = EngineObservation {
+        cached_tokens: Some(0),
+        prompt_tokens: Some(prompt_tokens),
+        ..observation(1)
+    };
+    fixture.end_with(attempt, AttemptOutcome::Completed, end);
+    true
+}
+
+#[test]
+fn requests_are_served_again_after_engines_were_too_slow_for_their_deadlines() {
+    let slow = Duration::from_secs(4);
+    let usual = Duration::from_millis(300);
+    let mut fixture = Fixture::new(1);
+    let mut index = 0;
+    while serve_within_a_second(&mut fixture, &format!("slow{index}"), slow) {
+        index += 1;
+        assert!(index < 1_000, "the estimate never refuses");
+    }
+    // The engines have their usual speed again.
+    let mut served = 0;
+    for index in 0..100 {
+        fixture.advance(Duration::from_secs(1));
+        served += u32::from(serve_within_a_second(
+            &mut fixture,
+            &format!("r{index}"),
+            usual,
+        ));
+    }
+    assert!(served >= 80, "{served} of 100");
+}
+
 #[test]
 fn a_waiting_request_is_refused_when_its_deadline_can_no_longer_be_met() {
     let mut fixture = Fixture::new(1);
