Let a node with a late list become ready by time and by news

What was seen: a node whose first list of engines came late waits for another node to have nothing newer, 3 s at most. Where the source fell silent after that list, it stayed in the state starting until the source answered again, although the 3 s were over and other nodes had told that the list is current. It knew all that is needed to serve.

Cause: whether the wait is over was looked at only when the source, or a question to another node, was answered.

Change: it is looked at with each tick of the rollouts, beside the entries whose return is waited for.

The test's engines without orders are now shared with `release_lease.rs`.

--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -383,7 +383,9 @@
         state.engines.get(engine).map(|known| known.entry.address)
     }
 
-    pub(super) fn update_readiness(&self) {
+    /// Lets a node that has started serve once it knows all that it needs. What it lacks may also come
+    /// from other nodes, or is given up after some time.
+    pub(crate) fn update_readiness(&self) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let knows_all = state.table.is_some() && state.has_engine_list;
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -79,6 +79,7 @@
 
     fn tick(&mut self) {
         self.gateway.remove_unlisted();
+        self.gateway.update_readiness();
         self.set_held(self.held);
         for (pool, requests) in self.gateway.take_stale_weight_starts() {
             self.planner.note_stale(&pool, requests);
--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -9,12 +9,17 @@
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::NodeState;
+use ryerouter_gateway::rollout::run_rollouts;
 use ryerouter_gateway::source::{ItemBatch, ItemChange, ItemKind};
 use support::fleet::{FIRST_REVISION, introduce, node};
 use support::followers::{Followers, knows_leaving, newest_weights, three_engines};
-use support::gateway_bench::run_paused;
+use support::gateway_bench::{configure, gateway, run_paused};
+use support::no_orders::NoOrders;
+use support::one_lease::{OneLease, SETTINGS};
+use support::records::table;
 use support::test_dialect::MODEL;
 use support::virtual_source::VirtualSource;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 use yare::parameterized;
 
@@ -303,3 +308,31 @@
         assert!(delay.is_some_and(|delay| delay < BOUND), "{delay:?}");
     });
 }
+
+/// What ends the wait may be told by another node, or be time alone.
+#[parameterized(
+    others_tell_that_it_is_current = { true },
+    nothing_is_heard = { false },
+)]
+fn node_with_a_late_list_becomes_ready_without_another_answer_of_the_source(is_told: bool) {
+    run_paused(async move {
+        let nodes = [node(1), gateway("node-02")];
+        let (known, starting) = (&nodes[0], &nodes[1]);
+        let store = Rc::new(OneLease::default());
+        let rollouts = run_rollouts(Rc::clone(starting), store, Rc::new(NoOrders), SETTINGS);
+        spawn_local(rollouts);
+        sleep(LATE_BEFORE).await;
+        starting.receive_peer_message(known.peer_message(true));
+        configure(starting, table(1, Vec::new()));
+        let asked_at = starting.clock().now().before(Duration::from_secs(2));
+        starting.apply_list(ItemKind::Engines, Vec::new(), FIRST_REVISION, asked_at);
+        assert_eq!(starting.state().node_state, NodeState::Starting);
+        for _ in 0..50 {
+            sleep(Duration::from_millis(200)).await;
+            if is_told {
+                introduce(&nodes);
+            }
+        }
+        assert_eq!(starting.state().node_state, NodeState::Ready);
+    });
+}
--- a/crates/gateway/tests/release_lease.rs
+++ b/crates/gateway/tests/release_lease.rs
@@ -3,18 +3,13 @@
 mod support;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
-use ryerouter_core::identity::{BackEndName, FencingNumber};
 use ryerouter_core::release::{Outcome, Stage};
-use ryerouter_gateway::rollout::{
-    EngineOrders, EngineReport, OrderOutcome, WeightsOrder, run_rollouts,
-};
+use ryerouter_gateway::rollout::run_rollouts;
 use support::gateway_bench::run_paused;
+use support::no_orders::NoOrders;
 use support::one_lease::{OneLease, SETTINGS};
 use support::release_node::ReleaseNode;
 use support::release_orders::ReleaseOrders;
@@ -25,28 +20,6 @@
 /// Time between the messages of the nodes.
 const HEARTBEAT: Duration = Duration::from_millis(300);
 
-/// Engines whose weights are never ordered.
-struct NoOrders;
-
-impl EngineOrders for NoOrders {
-    fn order(
-        &self,
-        _address: SocketAddr,
-        _order: WeightsOrder,
-        _fence: FencingNumber,
-    ) -> LocalBoxFuture<'_, OrderOutcome> {
-        async { OrderOutcome::Rejected }.boxed_local()
-    }
-
-    fn report(
-        &self,
-        _engine: BackEndName,
-        _address: SocketAddr,
-    ) -> LocalBoxFuture<'_, Option<EngineReport>> {
-        async { None }.boxed_local()
-    }
-}
-
 /// A node that asks for the lease when it is needed.
 struct LeasedNode {
     node: ReleaseNode,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod followers;
 pub mod gateway_bench;
+pub mod no_orders;
 pub mod one_lease;
 pub mod poison_records;
 pub mod records;
