--- a/crates/core/src/dispatch/dispatcher/starting.rs
+++ b/crates/core/src/dispatch/dispatcher/starting.rs
@@ -23,6 +23,9 @@
         record.running_attempt = Some(attempt);
         record.queued_at = None;
         let priority = record.profile.priority;
+        if let Some(pool) = self.pools.get_mut(&record.profile.pool) {
+            pool.note_start(now);
+        }
         let resumes = match resume {
             Some(ResumePoint::SameEngine { attempt, .. }) => Some(attempt),
             Some(ResumePoint::Continue { .. }) | None => None,
@@ -35,7 +38,7 @@
         engine.add_pending(priority, choice.expectation.uncached_tokens, now);
         engine.record_weights_probe(record.weights_version, now);
         if choice.is_probe {
-            engine.health.probe_sent();
+            engine.health.probe_sent(now);
         }
         if resumes.is_none() {
             self.cache_directory
--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -29,6 +29,9 @@
 /// The best engine of a sample is accepted only below this cost. Otherwise all engines are
 /// compared.
 const MAX_SAMPLED_COST: f64 = 2.0;
+/// A request that has been tried at more engines than this goes to no unhealthy one any more. Where no
+/// engine can be reached, its caller learns so long before the deadline.
+const MAX_TRIED_BEFORE_LAST_RESORT: usize = 2;
 
 /// Chooses the engine with the lowest cost. Ties go to the engine that comes first in rendezvous
 /// order.
@@ -102,7 +105,12 @@
         let profile = self.table.pool(request.pool)?.engine.as_ref();
         let versions = self.versions(request, filter);
         let sample = Sample::draw(self, request, &versions, filter);
-        let is_healthy = |engine: &Engine| filter.admits(&engine.entry) && self.is_healthy(engine);
+        // A request that has failed elsewhere probes no engine: it would fail at one after the other.
+        let may_probe = request.tried.is_empty();
+        let is_healthy = |engine: &Engine| {
+            let is_usable = engine.health.is_serving() || may_probe && self.is_healthy(engine);
+            filter.admits(&engine.entry) && is_usable
+        };
         let known = self.all_holders(&versions);
         let is_sampled = |engine: &Engine| {
             let is_known = || {
@@ -114,9 +122,9 @@
             };
             (sample.includes(engine) || is_known()) && is_healthy(engine)
         };
-        let is_last_resort = |engine: &Engine| {
-            unhealthy == UnhealthyEngines::LastResort && filter.admits(&engine.entry)
-        };
+        let may_use_unhealthy = unhealthy == UnhealthyEngines::LastResort
+            && request.tried.len() <= MAX_TRIED_BEFORE_LAST_RESORT;
+        let is_last_resort = |engine: &Engine| may_use_unhealthy && filter.admits(&engine.entry);
         let best = sample
             .is_limited()
             .then(|| self.best(request, profile, &versions, is_sampled))
@@ -218,9 +226,8 @@
         self.topology.distance(self.zone, &engine.entry.zone)
     }
 
-    /// Whether the engine serves requests, or is due to be tried again after failures.
     fn is_healthy(&self, engine: &Engine) -> bool {
-        engine.health.is_serving() || engine.health.is_due_for_probe(self.now)
+        engine.is_healthy(self.now)
     }
 
     fn candidate<'b>(
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -27,8 +27,8 @@
 ///
 /// Invariants: an order is given only after the engine told how many it has taken, and carries that
 /// number, so an order that comes late never runs beside a newer one; of a pool no more engines are
-/// in progress than the settings allow. An engine that may be unreachable takes none of these places
-/// before it has answered a probe.
+/// in progress than the settings allow, apart from those whose orders have no effect in time. An
+/// engine that may be unreachable takes none of these places before it has answered a probe.
 #[derive(Debug)]
 pub struct RolloutPlanner {
     settings: RolloutSettings,
@@ -107,6 +107,7 @@
         self.resting.retain(|_, until| now < *until);
         self.reach.retain(|name| engines.get(name).is_some());
         self.close_finished(engines, now, actions);
+        self.aim_at_newest(deadlines);
         self.ask_due(now, actions);
         self.order_drained(engines, now, actions);
         for (model, version) in deadlines.newest() {
@@ -144,6 +145,18 @@
         }
     }
 
+    /// Lets orders that are yet to be given, or given again, name the newest version: an engine may be
+    /// unable to load the one before.
+    fn aim_at_newest(&mut self, deadlines: &WeightsDeadlines) {
+        for (model, version) in deadlines.newest() {
+            let open = self.open.values_mut();
+            let pending = open.filter(|open| open.model == model && open.step.is_pending());
+            for open in pending {
+                open.version = version;
+            }
+        }
+    }
+
     fn ask_due(&mut self, now: Timestamp, actions: &mut Vec<RolloutAction>) {
         for (name, open) in &mut self.open {
             if open.ask_at.is_some_and(|at| at <= now) {
@@ -221,7 +234,7 @@
             let progress = Progress {
                 behind: behind.len(),
                 first_deadline: behind.iter().filter_map(load_deadline).min(),
-                ..self.progress(pool, &members, model, version)
+                ..self.progress(pool, &members, model, version, now)
             };
             let to_begin = self.pace.to_begin(&progress, now);
             let is_early = !self.pace.is_due(&progress, now);
@@ -282,9 +295,14 @@
         members: &[&Engine],
         model: &str,
         version: u64,
+        now: Timestamp,
     ) -> Progress {
+        let longest = self.longest_load();
         let in_progress = self.open.values();
-        let in_progress = in_progress.filter(|open| open.pool == *pool && open.takes_place());
+        let in_progress = in_progress.filter(|open| {
+            let is_held_up = now.since(open.opened_at) >= longest;
+            open.pool == *pool && open.takes_place() && !is_held_up
+        });
         let is_current = |engine: &&&Engine| {
             let open = self.open.get(&engine.entry.name);
             let open = open.filter(|open| open.step != OrderStep::Probing);
@@ -302,6 +320,13 @@
         }
     }
 
+    /// An order that is open for longer will hardly be carried out: most likely the engine can't read
+    /// the weights, or is stuck while it loads them.
+    fn longest_load(&self) -> Duration {
+        let usual = self.settings.expected_load.max(self.pace.load_time());
+        usual * 2
+    }
+
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
         let name = &engine.entry.name;
         let is_behind = engine.weights_of(model).is_some_and(|has| has < version);
--- a/crates/gateway/tests/ejections.rs
+++ b/crates/gateway/tests/ejections.rs
@@ -77,7 +77,10 @@
         let gateway = start(&lines);
         eject(&gateway, "e1");
         advance(Duration::from_millis(300)).await;
-        update(&gateway, "e1", "probe", |engine| engine.health.probe_sent());
+        let now = gateway.clock().now();
+        update(&gateway, "e1", "probe", |engine| {
+            engine.health.probe_sent(now);
+        });
         eject(&gateway, "e1");
         let ejected = lines.of("engine_ejected");
         let expiries: Vec<_> = ejected.iter().map(|line| value(line, "for_ms")).collect();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod followers;
 pub mod gateway_bench;
 pub mod log_lines;
+pub mod no_orders;
 pub mod one_lease;
 pub mod poison_records;
 pub mod records;
