--- a/crates/gateway/tests/silent_engines.rs
+++ b/crates/gateway/tests/silent_engines.rs
@@ -78,6 +78,15 @@
         spawn_local(async move { bench.call("GET", &[(ID, id)], "").await })
     }
 
+    /// An engine failed a request, and its ejection has expired since.
+    fn eject_long_ago(&self, name: &str) {
+        let now = self.bench.gateway.clock().now();
+        let mut state = self.bench.gateway.state_mut();
+        let engine = state.engines.get_mut(&BackEndName::new(name));
+        let health = &mut engine.expect("engine").health;
+        health.unreachable(now.before(Duration::from_secs(1)));
+    }
+
     fn arrivals(&self) -> usize {
         let arrived = |engine: &Rc<ScriptedEngine>| engine.arrivals.borrow().len();
         self.engines.iter().map(arrived).sum()
@@ -106,12 +115,7 @@
     run(async {
         let ok = Step::Answer(200, "ok");
         let fixture = Fixture::start(RequestKind::Safe, 2, 2, &ok).await;
-        let now = fixture.bench.gateway.clock().now();
-        let mut state = fixture.bench.gateway.state_mut();
-        let ejected = state.engines.get_mut(&BackEndName::new("e2"));
-        let health = &mut ejected.expect("engine").health;
-        health.unreachable(now.before(Duration::from_secs(1)));
-        drop(state);
+        fixture.eject_long_ago("e2");
         fixture.engines[0].push(Step::Silence);
         let call = tokio::time::timeout(SOON, fixture.call("r")).await;
         assert_eq!(call.expect("soon").status, StatusCode::OK);
