Tell that a rollout of weights stands still, and why

Cause: the holder of the lease of orders passed over engines that it could not order without a word. has_outdated_engines said that engines were behind, but neither the log nor a metric told how many, or what kept them from loading, so a rollout that stood looked like an idle one.

RolloutPlanner::standing counts the engines with older weights by reason: ordered, waiting, ejected, resting, unlisted, leaving. It asks is_due for what can be ordered and changes no decision. RolloutMonitor scans at most once a second, only at the holder and while engines are behind. It shows the counts in the gauge engines_behind{reason}, which is 0 again when none is behind or the lease is lost, and logs rollout_stalled (counts and fence, once in 5 s) when the rollout is late and no order was given for 4 s, and rollout_resumed with the next order. Late is the moment from which less than spare_time is left to the first deadline of the engines behind.

Not shown: a rollout that never becomes late because troubles of the store extend its deadline again and again is only in the gauge. A node without the lease says nothing.

--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -13,6 +13,7 @@
 use tokio::time::{MissedTickBehavior, interval_at};
 
 use super::rollout_event::RolloutEvent;
+use super::rollout_monitor::RolloutMonitor;
 use super::{
     EngineOrders, EngineReport, OrderOutcome, RolloutAction, RolloutPlanner, WeightsOrder,
 };
@@ -38,6 +39,7 @@
     let lease = LeaseHolder::new(LEASE_NAME, identity.name.clone(), incarnation, lease);
     let planner = RolloutPlanner::new(gateway.settings().rollout.clone());
     let driver = RolloutDriver {
+        monitor: RolloutMonitor::new(Rc::clone(&gateway)),
         gateway,
         store,
         orders,
@@ -55,6 +57,7 @@
     orders: Rc<dyn EngineOrders>,
     lease: LeaseHolder,
     planner: RolloutPlanner,
+    monitor: RolloutMonitor,
     held: Option<HeldLease>,
     sender: UnboundedSender<RolloutEvent>,
 }
@@ -100,9 +103,8 @@
                 age: Duration::from_millis(news.age_ms),
             });
         }
-        let is_needed = self.gateway.has_outdated_engines()
-            || self.gateway.has_release_work()
-            || !self.planner.is_idle();
+        let has_outdated = self.gateway.has_outdated_engines();
+        let is_needed = has_outdated || self.gateway.has_release_work() || !self.planner.is_idle();
         let is_candidate = is_needed && self.gateway.should_give_orders();
         self.gateway.state_mut().is_order_candidate = is_candidate || self.held.is_some();
         if is_candidate {
@@ -115,6 +117,12 @@
         if is_needed {
             self.advance();
         }
+        match self.valid_lease(now).filter(|_| has_outdated) {
+            Some(lease) => self
+                .monitor
+                .observe(&self.planner, lease.fencing_number.0, now),
+            None => self.monitor.clear(),
+        }
     }
 
     fn handle(&mut self, event: RolloutEvent) {
@@ -195,6 +203,7 @@
             info!(self.gateway.log(), "order_lease"; "fence" => fence(valid),
                 "before" => fence(self.held));
             self.planner.reset();
+            self.monitor.clear();
         }
         self.held = valid;
         let mut state = self.gateway.state_mut();
@@ -280,6 +289,7 @@
             "model" => &order.model, "version" => order.version,
             "expected_orders" => order.expected_orders, "early" => order.is_early,
             "fence" => lease.fencing_number.0);
+        self.monitor.note_order(lease.fencing_number.0, now);
         let (orders, sender) = (Rc::clone(&self.orders), self.sender.clone());
         spawn_local(async move {
             let engine = order.engine.clone();
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -10,7 +10,8 @@
 use super::pace::{Pace, Progress};
 use super::stale_work::StaleWork;
 use super::{
-    EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
+    BehindReason, EngineReport, OrderOutcome, RolloutAction, RolloutSettings, RolloutStanding,
+    WeightsDeadlines, WeightsOrder,
 };
 use crate::engines::{Engine, EngineTable, IncarnationOrder};
 
@@ -263,6 +264,42 @@
         is_behind && is_in_service && is_reachable && is_free
     }
 
+    /// Engines with older weights than published, by reason.
+    pub fn standing(
+        &self,
+        engines: &EngineTable,
+        deadlines: &WeightsDeadlines,
+        now: Timestamp,
+    ) -> RolloutStanding {
+        RolloutStanding::new(engines, deadlines, |engine, model, version| {
+            self.reason_behind(engine, model, version, now)
+        })
+    }
+
+    fn reason_behind(
+        &self,
+        engine: &Engine,
+        model: &str,
+        version: u64,
+        now: Timestamp,
+    ) -> BehindReason {
+        let name = &engine.entry.name;
+        let is_resting = self.resting.get(name).is_some_and(|until| now < *until);
+        if !engine.is_in_service() {
+            BehindReason::Leaving
+        } else if self.open.contains_key(name) {
+            BehindReason::Ordered
+        } else if engine.is_unlisted {
+            BehindReason::Unlisted
+        } else if is_resting {
+            BehindReason::Resting
+        } else if self.is_due(engine, model, version) {
+            BehindReason::Waiting
+        } else {
+            BehindReason::Ejected
+        }
+    }
+
     /// An engine answered an order, or did not.
     pub fn ordered(
         &mut self,
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -52,6 +52,8 @@
     pub configuration_version: IntGauge,
     /// Engines in the list.
     pub engines: IntGauge,
+    /// Engines with older weights than published, by reason, while this node holds the lease of orders.
+    pub engines_behind: IntGaugeVec,
     /// Other nodes that are alive.
     pub peers: IntGauge,
     /// Stages that releases entered while this node directed them.
@@ -151,6 +153,7 @@
                 "Configuration in force",
             ),
             engines: gauge(&registry, "engines", "Engines in the list"),
+            engines_behind: engines_behind(&registry),
             peers: gauge(&registry, "peers_alive", "Other nodes that are alive"),
             release_stages: vector_of(
                 &registry,
@@ -233,6 +236,14 @@
     metric
 }
 
+fn engines_behind(registry: &Registry) -> IntGaugeVec {
+    let help = "Engines with older weights than published by reason, at the node that gives orders";
+    let metric = IntGaugeVec::new(options("engines_behind", help), &["reason"]);
+    let metric = metric.expect("name is valid");
+    register(registry, &metric);
+    metric
+}
+
 fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
     registry
         .register(Box::new(metric.clone()))
