Tell that a node gives orders only while its lease is valid

Cause: whether a node gives orders is set by its rollout task alone. If that task ends or stands still, the node goes on telling the others that it gives orders, long after its lease has expired, and they leave the orders to it.

Change: the flag is told only while the lease is valid at the moment of the message, as the fence is checked before each use. The format of messages is unchanged.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -183,6 +183,12 @@
 }
 
 impl GatewayState {
+    /// Whether this node holds the order lease, which may have expired since it was last checked.
+    pub fn holds_order_lease(&self, now: Timestamp) -> bool {
+        let is_valid = self.order_lease_until.is_some_and(|until| now < until);
+        self.gives_orders && is_valid
+    }
+
     /// When the configuration was last confirmed current.
     pub fn freshness(&self) -> Freshness {
         self.replicas.of(ItemKind::Configuration).freshness
--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -92,7 +92,7 @@
             sequence: state.sequence,
             uptime_ms: self.uptime().as_millis() as u64,
             state: state.node_state,
-            gives_orders: state.gives_orders,
+            gives_orders: state.holds_order_lease(now),
             reaches_store: self.reaches_lease_store(&state),
             lease: lease_update(&mut state, is_full_update, now),
             proof: self.configuration_freshness(&state),
