Stand for the order lease when the nodes before take no notice

What callers saw: in the incident of 2026-12-03 no engine was ordered for 23 s after a version was named. Whether this fault was its cause isn't known; it brings about the same picture.

Cause: a node leaves the orders to any other that is ready, reaches the store and comes first by start and name, or says that it gives orders. Nothing asks whether that node sees the need. If it lacks the version or the engine, believes the engine to be up to date, its task has ended, or it claims the lease for ever, it bars all others for good.

Change: a node that sees a need while for 6 s nobody renewed the lease and no engine was reported to load stands for the lease whatever comes before it. The renewals are evidence from the store, heard from node to node, not a claim of one of them. Nodes stand by turns of 8 s, 2 s after one another in the order in which they leave the lease to each other, so that at most four do at a time besides the first. The lease is taken on the same conditions as before, so holders keep their distance. A node that was paused counts from when it wakes. Messages are unchanged, so nodes of a former build are passed over just so.

--- a/crates/gateway/src/gateway/engine_weights.rs
+++ b/crates/gateway/src/gateway/engine_weights.rs
@@ -59,6 +59,7 @@
     ) {
         let until = self.clock().now().after(expected);
         let mut state = self.state_mut();
+        state.order_need.note_effect(self.clock().now());
         if let Some(known) = state.engines.get_mut(engine) {
             known.note_loading(model, version, until);
         }
@@ -74,6 +75,9 @@
     pub(super) fn apply_weights_update(&self, update: &WeightsUpdate) {
         let now = self.clock().now();
         let mut state = self.state_mut();
+        if update.loading_ms.is_some() {
+            state.order_need.note_effect(now);
+        }
         let Some(engine) = state.engines.get_mut(&update.engine) else {
             return;
         };
--- a/crates/gateway/src/gateway/order_candidacy.rs
+++ b/crates/gateway/src/gateway/order_candidacy.rs
@@ -45,6 +45,7 @@
     /// Whether this node should hold the order lease: no other node holds it, and of the nodes that
     /// reach the store this one started last, so that it stays longest in a rolling restart. Among
     /// nodes that started at about the same time, names decide.
+    /// When none of the nodes before this one takes the lease, it stands in for them.
     pub fn should_give_orders(&self) -> bool {
         let now = self.clock().now();
         let state = self.state();
@@ -64,7 +65,9 @@
                 false => peer.started_at > own_start,
             }
         };
-        let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
-        able.all(|peer| !peer.gives_orders && !comes_first(peer))
+        let able = state.peers.ready(now).filter(|peer| peer.reaches_store);
+        let before = able.filter(|peer| peer.gives_orders || comes_first(peer));
+        let before: Vec<_> = before.collect();
+        before.is_empty() || self.should_stand_in(&state, &before)
     }
 }
--- a/crates/gateway/src/gateway/outdated_engines.rs
+++ b/crates/gateway/src/gateway/outdated_engines.rs
@@ -1,6 +1,6 @@
 //! Whether engines have older weights than published.
 
-use crate::engines::EngineTable;
+use crate::engines::{Engine, EngineTable};
 use crate::rollout::WeightsDeadlines;
 
 /// Whether any engine that is not leaving has older weights than published, cached from the last
@@ -39,9 +39,21 @@
     }
 }
 
+/// Number of engines that are not leaving and have older weights than published.
+pub(super) fn outdated_count(engines: &EngineTable, deadlines: &WeightsDeadlines) -> usize {
+    let newest: Vec<_> = deadlines.newest().collect();
+    let is_outdated = |engine: &&Engine| {
+        let mut newest = newest.iter();
+        newest.any(|(model, version)| is_older(engine, model, *version))
+    };
+    engines.iter().filter(is_outdated).count()
+}
+
 fn has_older(engines: &EngineTable, model: &str, newest: u64) -> bool {
-    engines.iter().any(|engine| {
-        let is_in_service = engine.is_in_service();
-        is_in_service && engine.weights_of(model).is_some_and(|has| has < newest)
-    })
+    engines.iter().any(|engine| is_older(engine, model, newest))
+}
+
+fn is_older(engine: &Engine, model: &str, newest: u64) -> bool {
+    let is_in_service = engine.is_in_service();
+    is_in_service && engine.weights_of(model).is_some_and(|has| has < newest)
 }
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -103,6 +103,7 @@
         let is_needed = self.gateway.has_outdated_engines()
             || self.gateway.has_release_work()
             || !self.planner.is_idle();
+        self.gateway.note_order_need(is_needed);
         let is_candidate = is_needed && self.gateway.should_give_orders();
         self.gateway.state_mut().is_order_candidate = is_candidate || self.held.is_some();
         if is_candidate {
