Take a lease again whose object was removed or restored

Cause: a read that shows an older version than seen, or no object, is ignored as stale. If the object of the lease was removed, or the store was restored, every later read is so: each write fails on its condition, the candidate looks to settle it, and the looks are ignored. Nobody held the lease again until all processes were restarted.

Change: when consecutive reads have shown an older state, and no others, for longer than a lease lasts plus the margin of a takeover, the holder forgets what it has seen except for the highest number. Nobody can have renewed the lease meanwhile, so holders keep their distance; if the reads were only stale, the write fails on its condition as before. Reads that are far apart count anew.

--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -8,6 +8,9 @@
 
 use super::{HeldLease, LeaseAction, LeaseEvent, LeaseRecord, LeaseSettings};
 
+/// Reads that lie so many look intervals apart at most are consecutive.
+const MAX_LOOKS_BETWEEN: u32 = 4;
+
 /// The call that is open.
 #[derive(Debug, Clone)]
 enum OpenCall {
@@ -40,6 +43,10 @@
     candidate: bool,
     open: Option<OpenCall>,
     seen: Option<SeenLease>,
+    /// Since when each read shows an older version than seen, or no object, and the last such read.
+    reads_behind: Option<(Timestamp, Timestamp)>,
+    /// The highest number seen, which outlasts the object.
+    highest: FencingNumber,
     held: Option<HeldLease>,
     /// A write whose answer was lost; settled by a look.
     uncertain: Option<(LeaseRecord, Timestamp)>,
@@ -62,6 +69,8 @@
             candidate: false,
             open: None,
             seen: None,
+            reads_behind: None,
+            highest: FencingNumber::default(),
             held: None,
             uncertain: None,
             next_call_at: Timestamp::ZERO,
@@ -185,10 +194,11 @@
 
     fn take(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
         let before = self.seen.as_ref().map(|seen| seen.record.fencing_number);
+        let before = self.highest.max(before.unwrap_or_default());
         let record = LeaseRecord {
             holder: Some(self.name.clone()),
             incarnation: self.incarnation,
-            fencing_number: before.unwrap_or_default().next(),
+            fencing_number: before.next(),
             renewal: 0,
         };
         self.write(record, now, actions);
@@ -241,9 +251,9 @@
                 value: StoreValue::Lease(record),
                 ..
             }) => self.note_seen(record, version, now, actions),
-            StoreAnswer::NotFound if self.seen.is_none() => {
-                self.uncertain = None;
-                if self.candidate {
+            StoreAnswer::NotFound if self.seen.is_none() || self.is_history_lost(now) => {
+                self.forget_history();
+                if self.candidate && self.held.is_none() {
                     self.take(now, actions);
                 }
             }
@@ -251,6 +261,26 @@
         }
     }
 
+    /// Takes note of a read that shows an older state than seen; `true` once there were no others
+    /// for longer than a lease lasts. The object was removed then, or the store was restored, and
+    /// nobody can have renewed the lease meanwhile. If such reads are only stale, a write fails.
+    fn is_history_lost(&mut self, now: Timestamp) -> bool {
+        let max_gap = self.settings.look_interval * MAX_LOOKS_BETWEEN;
+        let known = self.reads_behind;
+        let known = known.filter(|(_, last)| now.since(*last) <= max_gap);
+        let since = known.map_or(now, |(since, _)| since);
+        self.reads_behind = Some((since, now));
+        now >= since.after(self.settings.duration + self.settings.takeover_margin)
+    }
+
+    fn forget_history(&mut self) {
+        if let Some(seen) = self.seen.take() {
+            self.highest = self.highest.max(seen.record.fencing_number);
+        }
+        self.uncertain = None;
+        self.reads_behind = None;
+    }
+
     fn note_seen(
         &mut self,
         record: LeaseRecord,
@@ -258,11 +288,16 @@
         now: Timestamp,
         actions: &mut Vec<LeaseAction>,
     ) {
-        let known = self.seen.as_ref().map(|seen| seen.version);
-        // A stale read says nothing new.
-        if known.is_some_and(|known| version < known) {
-            return;
+        let is_behind = |seen: &SeenLease| version < seen.version;
+        if self.seen.as_ref().is_some_and(is_behind) {
+            // A stale read says nothing new.
+            if !self.is_history_lost(now) {
+                return;
+            }
+            self.forget_history();
         }
+        self.reads_behind = None;
+        let known = self.seen.as_ref().map(|seen| seen.version);
         if known != Some(version) {
             self.seen = Some(SeenLease {
                 record: record.clone(),
--- a/crates/core/tests/lease_bench/mod.rs
+++ b/crates/core/tests/lease_bench/mod.rs
@@ -26,6 +26,8 @@
     },
     /// Every second read shows the object as it was one write ago.
     StaleReads,
+    /// Every read shows the object as it was one write ago.
+    LaggingReads,
 }
 
 struct Candidate {
@@ -119,6 +121,22 @@
         }
     }
 
+    /// The object is removed from the store.
+    pub fn remove_object(&mut self) {
+        self.object = None;
+    }
+
+    /// The store is restored as it was earlier, after half as many writes, and counts them again.
+    pub fn restore(&mut self, record: LeaseRecord) {
+        self.writes /= 2;
+        self.object = Some((StoreVersion(self.writes), record));
+    }
+
+    /// What the store holds.
+    pub fn record(&self) -> Option<LeaseRecord> {
+        self.object.as_ref().map(|(_, record)| record.clone())
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.candidates[index].alive = false;
     }
@@ -210,6 +228,7 @@
     fn read(&mut self, key: ObjectKey) -> StoreAnswer {
         self.reads += 1;
         let shown = match self.mode {
+            StoreMode::LaggingReads => &self.before,
             StoreMode::StaleReads if self.reads.is_multiple_of(2) => &self.before,
             _ => &self.object,
         };
--- a/crates/core/tests/order_lease.rs
+++ b/crates/core/tests/order_lease.rs
@@ -89,3 +89,54 @@
         assert!(bench.highest() > FencingNumber(1), "seed {seed}");
     }
 }
+
+#[test]
+fn lease_whose_object_was_removed_is_taken_again_with_a_higher_number() {
+    let mut bench = LeaseBench::new(2);
+    bench.run(SECOND * 30);
+    bench.remove_object();
+    bench.run(SECOND * 40);
+    assert_eq!(bench.holders(), 1);
+    assert!(bench.highest() > FencingNumber(1));
+    assert_eq!(bench.shared_numbers(), 0);
+}
+
+#[test]
+fn lease_of_a_store_that_was_restored_is_taken_again_with_a_higher_number() {
+    let mut bench = LeaseBench::new(2);
+    bench.run(SECOND * 5);
+    let early = bench.record().expect("record");
+    let holder = bench.holder().expect("held");
+    bench.kill(holder);
+    bench.run(SECOND * 60);
+    assert_eq!(bench.highest(), FencingNumber(2));
+    bench.restore(early);
+    bench.run(SECOND * 60);
+    assert_eq!(bench.holders(), 1);
+    assert_eq!(bench.highest(), FencingNumber(3));
+    assert_eq!(bench.shared_numbers(), 0);
+}
+
+#[test]
+fn reads_that_lag_for_long_bar_nobody_once_they_are_current() {
+    let mut bench = LeaseBench::new(2);
+    bench.run(SECOND * 5);
+    let holder = bench.holder().expect("held");
+    bench.kill(holder);
+    bench.store_mode(StoreMode::LaggingReads);
+    bench.run(SECOND * 60);
+    bench.store_mode(StoreMode::Up);
+    bench.run(SECOND * 20);
+    assert_eq!(bench.holders(), 1);
+    assert_eq!(bench.shared_numbers(), 0);
+}
+
+#[test]
+fn never_two_holders_with_one_number_while_reads_lag() {
+    for seed in 0..40 {
+        let mut bench = LeaseBench::new(4);
+        bench.store_mode(StoreMode::LaggingReads);
+        bench.trouble(seed, SECOND * 300);
+        assert_eq!(bench.shared_numbers(), 0, "seed {seed}");
+    }
+}
--- a/crates/core/tests/order_lease_handover.rs
+++ b/crates/core/tests/order_lease_handover.rs
@@ -7,7 +7,9 @@
     ObjectKey, Precondition, StoreAnswer, StoreCall, StoreValue, StoreVersion, StoredObject,
 };
 use ryerouter_core::identity::{FencingNumber, Incarnation, NodeName};
-use ryerouter_core::order::{LeaseAction, LeaseEvent, LeaseHolder, LeaseRecord, LeaseSettings};
+use ryerouter_core::order::{
+    HeldLease, LeaseAction, LeaseEvent, LeaseHolder, LeaseRecord, LeaseSettings,
+};
 use yare::parameterized;
 
 const SETTINGS: LeaseSettings = LeaseSettings {
@@ -140,3 +142,52 @@
     assert!(lease.held(at(620)).is_none());
     assert!(write(&actions).is_some());
 }
+
+/// A store that was restored to version 6, in which this node holds the lease, answers a call.
+fn restored_store(call: &StoreCall) -> StoreAnswer {
+    match call {
+        StoreCall::Put { precondition, .. } => match precondition {
+            Precondition::Version(StoreVersion(6)) => StoreAnswer::Written {
+                version: StoreVersion(7),
+            },
+            _ => StoreAnswer::Conflict { version: None },
+        },
+        _ => StoreAnswer::Found(StoredObject {
+            key: ObjectKey::Lease("orders".to_owned()),
+            version: StoreVersion(6),
+            value: StoreValue::Lease(LeaseRecord {
+                fencing_number: FencingNumber(2),
+                ..record(Some("own"))
+            }),
+        }),
+    }
+}
+
+/// The candidate has seen version 7, which another node held; all its reads show version 6, the
+/// first after 500 ms. It stands still for a while after 2 s.
+#[parameterized(
+    after_the_time_of_a_lease = { 6_100, 0, true },
+    not_sooner = { 4_000, 0, false },
+    of_consecutive_reads_only = { 6_700, 4_000, false },
+)]
+fn older_reads_count_after_the_time_of_a_lease(until: u64, pause: u64, expected: bool) {
+    let mut lease = candidate_that_saw("own", record(Some("other")));
+    let resumed = 2_000 + pause;
+    for millis in (0..until).step_by(100) {
+        if (2_000..resumed).contains(&millis) {
+            continue;
+        }
+        let mut waiting = handle(&mut lease, LeaseEvent::Tick, millis);
+        while let Some(action) = waiting.pop() {
+            if let LeaseAction::Call(call) = action {
+                let answer = LeaseEvent::StoreAnswered(restored_store(&call));
+                waiting.extend(handle(&mut lease, answer, millis));
+            }
+        }
+    }
+    let held = lease.held(at(until));
+    assert_eq!(held.is_some(), expected);
+    // Higher than any that was seen, also in what the store has lost.
+    let is_higher = |held: HeldLease| held.fencing_number >= FencingNumber(5);
+    assert!(held.is_none_or(is_higher));
+}
