Ask engines that do not answer after all others, and by turns

What callers saw: with four fifths of the engines out of reach of the node that gives orders, engines that it reaches kept older weights, too.

Cause: a silent engine is left alone for 0.7 s and then is first again in the order by deadline and name. With as many silent engines as may be asked at once and some more, those that come later in this order are never asked.

The new test engines_that_do_not_answer_take_turns_after_all_others fails with the former sort key.

RolloutPlanner counts unanswered questions in a row. Engines with any go last, the one that was asked longest ago first. The earliest deadline of a pool still counts over all of its engines: with the first of the new order alone a rollout was taken for early while only silent engines were late (rollout_stays_due_when_only_engines_that_do_not_answer_are_late failed). RolloutPlanner::unanswered names the engines that did not answer twice in a row.

--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -12,6 +12,7 @@
 mod rollout_planner;
 mod rollout_settings;
 mod stale_work;
+mod unanswered_questions;
 mod weights_deadlines;
 mod weights_order;
 
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -9,6 +9,7 @@
 use super::open_order::{OpenOrder, OrderStep};
 use super::pace::{Pace, Progress};
 use super::stale_work::StaleWork;
+use super::unanswered_questions::UnansweredQuestions;
 use super::{
     EngineReport, OrderOutcome, RolloutAction, RolloutSettings, WeightsDeadlines, WeightsOrder,
 };
@@ -26,6 +27,8 @@
     given: GivenOrders,
     /// Engines that can't be ordered now, and until when they are left alone.
     resting: BTreeMap<BackEndName, Timestamp>,
+    /// Engines with older weights that did not answer their last questions.
+    unanswered: BTreeMap<BackEndName, UnansweredQuestions>,
     pace: Pace,
     stale_work: StaleWork,
 }
@@ -40,6 +43,7 @@
             open: BTreeMap::new(),
             given: GivenOrders::default(),
             resting: BTreeMap::new(),
+            unanswered: BTreeMap::new(),
         }
     }
 
@@ -49,6 +53,7 @@
             self.given.take_over(name, open);
         }
         self.resting.clear();
+        self.unanswered.clear();
         self.stale_work.clear();
     }
 
@@ -82,6 +87,13 @@
         self.open.is_empty()
     }
 
+    /// Engines with older weights that did not answer their last questions.
+    pub fn unanswered(&self) -> impl Iterator<Item = &BackEndName> {
+        let unanswered = self.unanswered.iter();
+        let unreached = unanswered.filter(|(_, questions)| questions.is_unreached());
+        unreached.map(|(name, _)| name)
+    }
+
     /// Appends what is due to `actions`.
     pub fn advance(
         &mut self,
@@ -91,6 +103,10 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         self.resting.retain(|_, until| now < *until);
+        self.unanswered.retain(|name, _| {
+            let engine = engines.get(name);
+            engine.is_some_and(|engine| is_outdated(engine, deadlines))
+        });
         self.close_finished(engines, now, actions);
         self.ask_due(now, actions);
         self.order_drained(engines, now, actions);
@@ -194,14 +210,19 @@
                 .copied()
                 .filter(|engine| self.is_due(engine, model, version))
                 .collect();
-            // The oldest weights run out first; among equals the least busy engine goes first.
+            // Engines that do not answer go last and take turns, since their questions take the time
+            // of others. Of the rest the oldest weights run out first; among equals the least busy
+            // engine goes first.
             behind.sort_by_key(|engine| {
+                let name = &engine.entry.name;
+                let unanswered = self.unanswered.get(name);
+                let unanswered_at = unanswered.map(UnansweredQuestions::last_at);
                 let requests = engine.load().requests;
-                (until(engine), requests, engine.entry.name.clone())
+                (unanswered_at, until(engine), requests, name.clone())
             });
             let progress = Progress {
                 behind: behind.len(),
-                first_until: behind.first().and_then(|engine| until(engine)),
+                first_until: behind.iter().copied().map(until).min().flatten(),
                 ..self.progress(pool, &members, model, version)
             };
             let to_begin = self.pace.to_begin(&progress, now);
@@ -314,6 +335,7 @@
             self.not_reported(engine, now);
             return;
         };
+        self.unanswered.remove(engine);
         let has = report.weights.get(&open.model).copied();
         if has.is_some_and(|has| has >= open.version) {
             self.finish(engine, now, actions);
@@ -351,6 +373,7 @@
         let Some(open) = self.open.get_mut(engine) else {
             return;
         };
+        self.unanswered.entry(engine.clone()).or_default().note(now);
         match open.step {
             OrderStep::Asking => self.rest(engine, now),
             OrderStep::Draining { .. } | OrderStep::Given | OrderStep::Loading => {
@@ -384,6 +407,14 @@
     }
 }
 
+/// Whether an engine in service has older weights than published.
+fn is_outdated(engine: &Engine, deadlines: &WeightsDeadlines) -> bool {
+    let is_in_service = engine.is_in_service() && !engine.is_unlisted;
+    let mut newest = deadlines.newest();
+    is_in_service
+        && newest.any(|(model, version)| engine.weights_of(model).is_some_and(|has| has < version))
+}
+
 fn announcement(engine: &BackEndName, open: &OpenOrder) -> RolloutAction {
     RolloutAction::Announce {
         engine: engine.clone(),
--- a/crates/gateway/tests/weights.rs
+++ b/crates/gateway/tests/weights.rs
@@ -236,6 +236,86 @@
     assert_ne!(next[0], RolloutAction::Ask(silent.clone()));
 }
 
+#[test]
+fn engines_that_do_not_answer_take_turns_after_all_others() {
+    let mut rollout = Rollout::due(20);
+    let is_silent = |name: &BackEndName| name.as_str() < "e16";
+    let mut asked = Vec::new();
+    for millis in (0..6_000).step_by(500) {
+        for action in rollout.advance(millis) {
+            let RolloutAction::Ask(name) = action else {
+                continue;
+            };
+            let report = EngineReport {
+                is_busy: true,
+                ..EngineReport::default()
+            };
+            let report = Some(&report).filter(|_| !is_silent(&name));
+            let at = at(millis + 499);
+            rollout.planner.reported(&name, report, at, &mut Vec::new());
+            asked.push(name);
+        }
+    }
+    let times = |name: usize| {
+        let name = BackEndName::new(format!("e{name:02}"));
+        asked.iter().filter(|asked| **asked == name).count()
+    };
+    assert!((0..20).all(|engine| times(engine) > 0), "{asked:?}");
+}
+
+#[test]
+fn rollout_stays_due_when_only_engines_that_do_not_answer_are_late() {
+    let mut rollout = Rollout::new(2);
+    rollout
+        .deadlines
+        .note(MODEL, 3, PublicationTime::Seen(at(4_000)));
+    let newer = BackEndName::new("e01");
+    let engine = rollout.engines.get_mut(&newer).unwrap();
+    engine.note_weights(MODEL, 2);
+    let late = BackEndName::new("e00");
+    assert_eq!(rollout.advance(5_000), [RolloutAction::Ask(late.clone())]);
+    rollout
+        .planner
+        .reported(&late, None, at(5_500), &mut Vec::new());
+    assert_eq!(rollout.advance(6_300), [RolloutAction::Ask(newer)]);
+}
+
+#[test]
+fn engine_is_out_of_reach_once_it_has_not_answered_twice_and_until_it_answers() {
+    let mut rollout = Rollout::due(1);
+    let name = BackEndName::new("e00");
+    let unanswered = |rollout: &Rollout| rollout.planner.unanswered().cloned().collect::<Vec<_>>();
+    let silence = |rollout: &mut Rollout, millis| {
+        assert_eq!(rollout.advance(millis), [RolloutAction::Ask(name.clone())]);
+        let at = at(millis + 500);
+        rollout.planner.reported(&name, None, at, &mut Vec::new());
+    };
+    silence(&mut rollout, 0);
+    assert_eq!(unanswered(&rollout), []);
+    silence(&mut rollout, 1_300);
+    assert_eq!(unanswered(&rollout), std::slice::from_ref(&name));
+    rollout.advance(2_600);
+    assert_eq!(unanswered(&rollout), std::slice::from_ref(&name));
+    rollout.report("e00", 0, 1, 2_610);
+    assert_eq!(unanswered(&rollout), []);
+}
+
+#[test]
+fn engine_that_has_its_weights_is_not_missed() {
+    let mut rollout = Rollout::due(1);
+    let name = BackEndName::new("e00");
+    for millis in [0, 1_300] {
+        rollout.advance(millis);
+        let at = at(millis + 500);
+        rollout.planner.reported(&name, None, at, &mut Vec::new());
+    }
+    assert_eq!(rollout.planner.unanswered().count(), 1);
+    let engine = rollout.engines.get_mut(&name).unwrap();
+    engine.note_weights(MODEL, 2);
+    rollout.advance(2_000);
+    assert_eq!(rollout.planner.unanswered().count(), 0);
+}
+
 #[test]
 fn rollout_ends_when_all_engines_have_the_weights() {
     let mut rollout = Rollout::due(1);
