Hand the lease of orders to a node that reaches the engines

What callers saw: a version of weights was named while most engines had lost their path to some of the nodes. They kept older weights although other nodes reached them, so they got no requests past the deadline.

Cause: should_give_orders asks who reaches the store, not who reaches engines. The holder of the lease keeps it while it orders nothing, and all others wait.

Evidence: the new test rollout_goes_on_when_the_holder_can_not_reach_engines_that_others_reach (four nodes, twenty engines, virtual clock; the holder reaches a fifth, the others all) failed on the code before: 3 of 20 engines had loaded after 20 s. Now all 20 have after 12.7 s, the successor's first order at 9.9 s.

When silent engines are all that a rollout waits for, the holder names three nodes and up to 16 of these engines in its message. The nodes ask each engine for a report, once, and tell which answered. At the end of the round of 2 s the holder gives the lease up in favour of the one that reached most. That node comes first and the former holder does not take it back until the succession ends; the next handover is looked for 5 s later at the earliest. LeaseHolder is unchanged, so compare-and-swap, rising numbers and release_margin keep two holders apart as before; the tests check the gap between the orders of two holders. Nodes of the former build pass the three new fields over and take no part.

The tests of order_handover passed 40 of 40 times in a row.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -12,7 +12,7 @@
 use ryerouter_core::quota::Meter;
 
 use super::outdated_engines::OutdatedEngines;
-use super::{CallerRing, Freshness, GatewaySettings};
+use super::{CallerRing, Freshness, GatewaySettings, HandoverState};
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineTable, KnownIncarnations, PhaseTimes, StartDelays};
 use crate::peers::{
@@ -134,6 +134,8 @@
     pub order_fence: Option<u64>,
     /// When the order lease held by this node expires.
     pub order_lease_until: Option<Timestamp>,
+    /// Handovers of the order lease.
+    pub handover: HandoverState,
     /// Whether this node knows of a release order that is not finished.
     pub has_release_work: bool,
     /// Whether a node has joined that has not yet received a full update from this one.
@@ -262,6 +264,7 @@
             gives_orders: false,
             order_fence: None,
             order_lease_until: None,
+            handover: HandoverState::default(),
             has_release_work: false,
             owes_full_update: false,
             new_peers: Vec::new(),
--- a/crates/gateway/src/gateway/order_candidacy.rs
+++ b/crates/gateway/src/gateway/order_candidacy.rs
@@ -1,7 +1,10 @@
 //! Determines whether this node should give orders to engines.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::NodeName;
 use slog::{info, warn};
 
 use super::{Gateway, GatewayState};
@@ -43,28 +46,65 @@
     }
 
     /// Whether this node should hold the order lease: no other node holds it, and of the nodes that
-    /// reach the store this one started last, so that it stays longest in a rolling restart. Among
-    /// nodes that started at about the same time, names decide.
+    /// reach the store this one was named by a holder that gave the lease up or, if none was, comes
+    /// first by [`Self::order_candidates`]. The node that gave it up does not take it back soon.
     pub fn should_give_orders(&self) -> bool {
         let now = self.clock().now();
         let state = self.state();
+        if self.own_handover(&state, now).is_some() {
+            return false;
+        }
         if state.gives_orders {
             return state.node_state == NodeState::Ready;
         }
         if state.node_state != NodeState::Ready || !state.is_source_reachable {
             return false;
         }
-        let own_name = &self.settings().identity.name;
-        let own_start = self.clock().start_time();
-        let comes_first = |peer: &Peer| {
-            let is_close = own_start.since(peer.started_at) < SIMULTANEOUS_START_WINDOW
-                && peer.started_at.since(own_start) < SIMULTANEOUS_START_WINDOW;
-            match is_close {
-                true => peer.identity.name < *own_name,
-                false => peer.started_at > own_start,
-            }
-        };
         let mut able = state.peers.ready(now).filter(|peer| peer.reaches_store);
-        able.all(|peer| !peer.gives_orders && !comes_first(peer))
+        able.all(|peer| !peer.gives_orders && !self.comes_before(peer, &state, now))
+    }
+
+    /// Whether another node takes the order lease before this one.
+    fn comes_before(&self, peer: &Peer, state: &GatewayState, now: Timestamp) -> bool {
+        let own_name = &self.settings().identity.name;
+        let name = &peer.identity.name;
+        if let Some(successor) = self.successor(state, now) {
+            return successor != own_name;
+        }
+        let own = (self.clock().start_time(), own_name);
+        let has_given_up = state.handover.valid_by(name, now).is_some();
+        !has_given_up && is_before((peer.started_at, name), own)
+    }
+
+    /// The other nodes that reach the store, in the order in which they take the order lease: the
+    /// one that started last comes first, so that it stays longest in a rolling restart. Among
+    /// nodes that started at about the same time, names decide.
+    pub fn order_candidates(&self) -> Vec<NodeName> {
+        let now = self.clock().now();
+        let state = self.state();
+        let able = state.peers.ready(now).filter(|peer| peer.reaches_store);
+        let mut able: Vec<_> = able
+            .map(|peer| (peer.started_at, &peer.identity.name))
+            .collect();
+        able.sort_by_key(|(started_at, name)| (Reverse(*started_at), *name));
+        // Starts that lie close together form no total order, so each run of them is sorted alone.
+        let together = able.chunk_by_mut(|one, next| is_close(one.0, next.0));
+        for run in together {
+            run.sort_by_key(|(_, name)| *name);
+        }
+        able.into_iter().map(|(_, name)| name.clone()).collect()
+    }
+}
+
+fn is_close(one: Timestamp, other: Timestamp) -> bool {
+    let window = SIMULTANEOUS_START_WINDOW;
+    one.since(other) < window && other.since(one) < window
+}
+
+/// Whether one node takes the order lease before another, by their starts and names.
+fn is_before(one: (Timestamp, &NodeName), other: (Timestamp, &NodeName)) -> bool {
+    match is_close(one.0, other.0) {
+        true => one.1 < other.1,
+        false => one.0 > other.0,
     }
 }
--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -115,6 +115,9 @@
             holders,
             dropped,
             weights,
+            reach_question: state.handover.question.clone(),
+            reach_answer: state.handover.current_answer(now).map(|(a, _)| a.clone()),
+            handover: self.handover_update(&state, now),
         }
     }
 
@@ -203,6 +206,11 @@
             true => state.peers.all_addresses(),
             false => state.peers.receivers(now, random),
         };
+        for address in self.handover_receivers(&state, now) {
+            if !receivers.contains(&address) {
+                receivers.push(address);
+            }
+        }
         if is_full_update {
             let new_peers = state.new_peers.len().min(MAX_EXTRA_RECEIVERS);
             receivers.extend(state.new_peers.drain(..new_peers));
@@ -228,10 +236,19 @@
         if !state.peers.is_settled() {
             return vec![(message, receivers)];
         }
-        let (far, near): (Vec<_>, Vec<_>) = receivers
+        let now = self.clock().now();
+        let concerned = self.handover_receivers(&state, now);
+        let (concerned, others): (Vec<_>, Vec<_>) = receivers
+            .into_iter()
+            .partition(|address| concerned.contains(address));
+        let (far, near): (Vec<_>, Vec<_>) = others
             .into_iter()
             .partition(|address| state.peers.is_far(*address));
         let mut messages = Vec::new();
+        if !concerned.is_empty() {
+            messages.push((message.clone(), concerned));
+        }
+        let message = message.without_reach();
         if !far.is_empty() {
             messages.push((message.clone().without_zone_update(), far));
         }
@@ -317,6 +334,7 @@
             }
             self.apply_configuration_freshness(&mut state, &message);
             self.apply_release_updates(&mut state, &message);
+            self.apply_handover_news(&mut state, &message);
             self.apply_replica_freshness(&mut state, &message);
             if message.lease.is_some() {
                 state.received_lease = message.lease.clone();
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -4,7 +4,7 @@
 
 use ryerouter_core::Timestamp;
 
-use super::{EngineLoadUpdate, NodeIdentity, NodeState};
+use super::{EngineLoadUpdate, NodeIdentity, NodeState, ReachAnswer};
 use crate::placement::PrefillDemandUpdate;
 use crate::quotas::UsageUpdate;
 
@@ -21,6 +21,8 @@
     pub gives_orders: bool,
     /// Whether it reached the store of leases lately.
     pub reaches_store: bool,
+    /// Which engines it reached when it was last asked by the holder of the order lease.
+    pub reach_answer: Option<ReachAnswer>,
     /// How many other nodes it said that it has heard of.
     pub known_nodes: usize,
     /// Whether it stands in the own zone.
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -4,9 +4,9 @@
 
 use super::readable::{readable, readable_or_default};
 use super::{
-    ConfigurationFreshness, EngineIncarnationUpdate, EngineLoadUpdate, HolderUpdate, KvStoreUpdate,
-    LeaseUpdate, MemberAddress, MessageEcho, NodeIdentity, NodeState, Publication,
-    ReplicaFreshness, SignalUpdate, WeightsUpdate,
+    ConfigurationFreshness, EngineIncarnationUpdate, EngineLoadUpdate, HandoverUpdate,
+    HolderUpdate, KvStoreUpdate, LeaseUpdate, MemberAddress, MessageEcho, NodeIdentity, NodeState,
+    Publication, ReachAnswer, ReachQuestion, ReplicaFreshness, SignalUpdate, WeightsUpdate,
 };
 use crate::placement::PrefillDemandUpdate;
 use crate::poison::PoisonUpdate;
@@ -123,6 +123,18 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "w")]
     pub weights: Vec<WeightsUpdate>,
+    /// Engines that the sender, which holds the order lease, can't reach.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "Q", deserialize_with = "readable_or_default")]
+    pub reach_question: Option<ReachQuestion>,
+    /// Which of the engines that the holder of the order lease can't reach the sender reaches.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "A", deserialize_with = "readable_or_default")]
+    pub reach_answer: Option<ReachAnswer>,
+    /// To whom the sender has handed over the order lease.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "H", deserialize_with = "readable_or_default")]
+    pub handover: Option<HandoverUpdate>,
 }
 
 impl PeerMessage {
@@ -137,4 +149,12 @@
             ..self
         }
     }
+    /// The same for nodes that take no part in finding a node that reaches more engines.
+    pub fn without_reach(self) -> Self {
+        Self {
+            reach_question: None,
+            reach_answer: None,
+            ..self
+        }
+    }
 }
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -4,8 +4,10 @@
 mod given_order;
 mod given_orders;
 mod open_order;
+mod order_handover;
 mod order_outcome;
 mod pace;
+mod reach_survey;
 mod rollout_action;
 mod rollout_driver;
 mod rollout_event;
@@ -13,6 +15,7 @@
 mod rollout_settings;
 mod stale_work;
 mod unanswered_questions;
+mod unreached_engines;
 mod weights_deadlines;
 mod weights_order;
 
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -12,6 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval_at};
 
+use super::order_handover::OrderHandover;
 use super::rollout_event::RolloutEvent;
 use super::{
     EngineOrders, EngineReport, OrderOutcome, RolloutAction, RolloutPlanner, WeightsOrder,
@@ -35,6 +36,7 @@
     let (sender, events) = unbounded_channel();
     let identity = &gateway.settings().identity;
     let incarnation = Incarnation(identity.incarnation);
+    let handover = OrderHandover::new(Rc::clone(&gateway), Rc::clone(&orders), &lease);
     let lease = LeaseHolder::new(LEASE_NAME, identity.name.clone(), incarnation, lease);
     let planner = RolloutPlanner::new(gateway.settings().rollout.clone());
     let driver = RolloutDriver {
@@ -43,6 +45,7 @@
         orders,
         lease,
         planner,
+        handover,
         held: None,
         sender,
     };
@@ -55,6 +58,7 @@
     orders: Rc<dyn EngineOrders>,
     lease: LeaseHolder,
     planner: RolloutPlanner,
+    handover: OrderHandover,
     held: Option<HeldLease>,
     sender: UnboundedSender<RolloutEvent>,
 }
@@ -87,7 +91,9 @@
         let now = self.gateway.clock().now();
         self.planner.observe(now, &mut questions);
         self.carry_out(questions);
-        if self.gateway.is_leaving() {
+        let fence = self.held.map(|held| held.fencing_number.0);
+        self.handover.advance(&self.planner, fence);
+        if self.gateway.is_leaving() || self.gateway.is_handing_over() {
             // Given up at once, so that another node can go on soon.
             self.tell_lease(LeaseEvent::Candidacy(false));
             return;
@@ -213,7 +219,7 @@
 
     fn advance(&mut self) {
         let now = self.gateway.clock().now();
-        if self.valid_lease(now).is_none() {
+        if self.valid_lease(now).is_none() || self.gateway.is_handing_over() {
             return;
         }
         let mut actions = Vec::new();
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -94,6 +94,15 @@
         unreached.map(|(name, _)| name)
     }
 
+    /// Whether an engine that answers is about to have its weights: its order has begun lately.
+    pub fn is_progressing(&self, now: Timestamp) -> bool {
+        self.open.iter().any(|(name, open)| {
+            let is_answered = !open.is_unanswered && !self.unanswered.contains_key(name);
+            let is_recent = now.since(open.opened_at) < self.settings.expected_load;
+            open.step != OrderStep::Asking && is_answered && is_recent
+        })
+    }
+
     /// Appends what is due to `actions`.
     pub fn advance(
         &mut self,
--- a/crates/gateway/tests/former_build.rs
+++ b/crates/gateway/tests/former_build.rs
@@ -2,7 +2,8 @@
 //! it must be able to read of this one's: nodes of both run side by side while one replaces the other.
 
 use ryerouter_gateway::peers::{Datagram, NodeState, Pass};
-use serde_json::Value;
+use serde_json::{Value, json};
+use yare::parameterized;
 
 const SAMPLES: &str = include_str!("samples/datagrams.jsonl");
 
@@ -78,6 +79,34 @@
     assert_eq!(read(&later), read(&message()));
 }
 
+#[parameterized(
+    question = { "Q" },
+    answer = { "A" },
+    handover = { "H" },
+)]
+fn unknown_form_of_an_optional_field_is_passed_over_by_itself(field: &str) {
+    for unknown in [Value::from("another form"), Value::from(vec![1, 2])] {
+        let mut later = message();
+        later["m"][field] = unknown;
+        assert_eq!(read(&later), read(&message()));
+    }
+}
+
+#[test]
+fn what_a_later_build_adds_to_a_handover_is_passed_over() {
+    let mut later = message();
+    later["m"]["Q"] = json!({"f": 3, "n": 4, "e": ["e1", 7], "c": ["node-2", null]});
+    later["m"]["A"] = json!({"f": 3, "n": 4, "e": ["e1", {}]});
+    later["m"]["H"] = json!({"s": "node-2", "f": 3, "a": 5, "d": 6});
+    let told = serde_json::to_value(read(&later)).expect("datagram");
+    later["m"]["Q"]["e"] = json!(["e1"]);
+    later["m"]["Q"]["c"] = json!(["node-2"]);
+    later["m"]["A"]["e"] = json!(["e1"]);
+    assert!(holds(&told, &later), "{told}");
+    with_unknown_fields(&mut later);
+    assert_eq!(serde_json::to_value(read(&later)).expect("datagram"), told);
+}
+
 #[test]
 fn changes_of_another_kind_are_passed_over_one_by_one() {
     let sample = samples().nth(2).expect("answer");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,8 @@
 pub mod followers;
 pub mod gateway_bench;
 pub mod one_lease;
+pub mod ordering_nodes;
+pub mod partly_reached_engines;
 pub mod poison_records;
 pub mod records;
 pub mod region_fleet;
