--- a/crates/gateway/src/rollout/reach.rs
+++ b/crates/gateway/src/rollout/reach.rs
@@ -6,6 +6,9 @@
 
 use crate::engines::Engine;
 
+/// Fewer questions in a row without an answer may be due to a lost packet or a restart of the engine.
+const MIN_SILENCES: u32 = 2;
+
 /// Which engines answer the planner's questions.
 ///
 /// The health of an engine is known from requests alone, and an engine whose weights are past their
@@ -33,9 +36,11 @@
         self.silent.get(engine).copied().unwrap_or_default()
     }
 
-    /// The engines that did not answer the last question.
-    pub(super) fn silent(&self) -> impl Iterator<Item = &BackEndName> {
-        self.silent.keys()
+    /// The engines that are out of reach, as far as their silence tells.
+    pub(super) fn unreached(&self) -> impl Iterator<Item = &BackEndName> {
+        let silent = self.silent.iter();
+        let unreached = silent.filter(|(_, silences)| **silences >= MIN_SILENCES);
+        unreached.map(|(name, _)| name)
     }
 
     /// An engine answered a question.
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -97,6 +97,21 @@
         self.open.is_empty()
     }
 
+    /// Engines with older weights that did not answer their last questions.
+    pub fn unanswered(&self) -> impl Iterator<Item = &BackEndName> {
+        self.reach.unreached()
+    }
+
+    /// Whether an engine that answers is about to have its weights: its order has begun lately.
+    pub fn is_progressing(&self, now: Timestamp) -> bool {
+        self.open.iter().any(|(name, open)| {
+            let is_answered = !open.is_unanswered && self.reach.silences(name) == 0;
+            let is_recent = now.since(open.opened_at) < self.settings.expected_load;
+            let is_asked = matches!(open.step, OrderStep::Probing | OrderStep::Asking);
+            !is_asked && is_answered && is_recent
+        })
+    }
+
     /// Appends what is due to `actions`.
     pub fn advance(
         &mut self,
@@ -106,7 +121,10 @@
         actions: &mut Vec<RolloutAction>,
     ) {
         self.resting.retain(|_, until| now < *until);
-        self.reach.retain(|name| engines.get(name).is_some());
+        self.reach.retain(|name| {
+            let engine = engines.get(name);
+            engine.is_some_and(|engine| is_outdated(engine, deadlines))
+        });
         self.close_finished(engines, now, actions);
         self.aim_at_newest(deadlines);
         self.ask_due(now, actions);
@@ -487,11 +505,6 @@
         self.resting.insert(engine.clone(), now.after(rest));
     }
 
-    /// The engines that did not answer their last question.
-    pub fn silent_engines(&self) -> impl Iterator<Item = &BackEndName> {
-        self.reach.silent()
-    }
-
     fn finish(&mut self, engine: &BackEndName, now: Timestamp, actions: &mut Vec<RolloutAction>) {
         let Some(open) = self.open.remove(engine) else {
             return;
@@ -509,6 +522,14 @@
     }
 }
 
+/// Whether an engine in service has older weights than published.
+fn is_outdated(engine: &Engine, deadlines: &WeightsDeadlines) -> bool {
+    let is_in_service = engine.is_in_service() && !engine.is_unlisted;
+    let mut newest = deadlines.newest();
+    is_in_service
+        && newest.any(|(model, version)| engine.weights_of(model).is_some_and(|has| has < version))
+}
+
 fn announcement(engine: &BackEndName, open: &OpenOrder) -> RolloutAction {
     RolloutAction::Announce {
         engine: engine.clone(),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -11,6 +11,8 @@
 pub mod no_orders;
 pub mod one_lease;
 pub mod ordering_fleet;
+pub mod ordering_nodes;
+pub mod partly_reached_engines;
 pub mod poison_records;
 pub mod records;
 pub mod region_fleet;
