Revert "Try an engine that failed long ago while the others have little to do"

A review with scratch tests found that probes of dead engines become the cheapest choice and have no bound on their share of a pool's requests: with 12 serving and 48 dead engines 48 of 100 first attempts of a second went to dead ones, every 9 s; with 200 and 800, 23 to 90 of 100 in every second (0 to 4 before).

--- a/crates/core/src/retry/engine_health.rs
+++ b/crates/core/src/retry/engine_health.rs
@@ -135,14 +135,9 @@
     /// Whether the ejection has expired, so that a single request should probe the engine. This is
     /// so again when a probe has had no result for long.
     pub fn is_due_for_probe(&self, now: Timestamp) -> bool {
-        self.probe_due_at().is_some_and(|at| at <= now)
-    }
-
-    /// When a request should probe the engine; `None` while it serves.
-    pub fn probe_due_at(&self) -> Option<Timestamp> {
         match self.lifecycle.state() {
-            State::Ejected { until } | State::Probing { until } => Some(*until),
-            State::Serving {} => None,
+            State::Ejected { until } | State::Probing { until } => *until <= now,
+            State::Serving {} => false,
         }
     }
 
--- a/crates/gateway/src/placement/chooser/costs.rs
+++ b/crates/gateway/src/placement/chooser/costs.rs
@@ -23,13 +23,8 @@
 /// Factor by which a KV cache transfer takes longer between regions than within a zone, also from
 /// the operators of the engines.
 const MOVE_FACTOR_REMOTE: f64 = 10.0;
-/// Cost of an unhealthy engine that is tried to find out whether it serves requests again, when its
-/// ejection has just expired. It falls to zero, or else the engine would not be tried at all while
-/// the others have little to do.
+/// Cost of an unhealthy engine that is tried to find out whether it serves requests again.
 const PROBE_COST: f64 = 0.5;
-/// Time in which [`PROBE_COST`] falls to zero. An engine that can't be reached costs a request of a
-/// pool with little to do its time to connect this often at most.
-const PROBE_COST_DURATION: Duration = Duration::from_secs(10);
 /// Cost of an engine that is no longer in the engine list but may still serve requests.
 const UNLISTED_COST: f64 = 5.0;
 /// Share of streams that pause for too long when prefill takes exactly as long as the longest permitted pause.
@@ -220,18 +215,12 @@
         occupied + excess * self.prices.kv_overuse
     }
 
-    /// Cost of trying an engine that has failed requests.
-    fn probe_cost(&self, engine: &Engine) -> f64 {
-        let Some(due_at) = engine.health.probe_due_at() else {
-            return 0.0;
-        };
-        let waited = self.now.since(due_at).div_duration_f64(PROBE_COST_DURATION);
-        PROBE_COST * (1.0 - waited).max(0.0)
-    }
-
     /// Surcharges for an engine that is unhealthy, unlisted or recently refused a request.
     pub(super) fn state_cost(&self, engine: &Engine) -> f64 {
-        let mut cost = self.probe_cost(engine);
+        let mut cost = 0.0;
+        if !engine.health.is_serving() {
+            cost += PROBE_COST;
+        }
         if engine.is_unlisted {
             cost += UNLISTED_COST;
         }
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -236,35 +236,6 @@
     assert_eq!(world.choose(&prompt("s,x,1")).unwrap().engine.as_str(), "c");
 }
 
-/// The others cost less than a probe as long as they have little to do.
-#[test]
-fn engine_that_failed_long_ago_is_tried_while_the_others_have_little_to_do() {
-    let mut world = World::new(&["busier", "failed"]);
-    let now = world.now;
-    let busier = BackEndName::new("busier");
-    let failed = BackEndName::new("failed");
-    let load = &mut world.engines.get_mut(&busier).unwrap().foreign_load;
-    load.requests = 1;
-    load.unread_tokens = 500;
-    let health = &mut world.engines.get_mut(&failed).unwrap().health;
-    health.unreachable(now.before(Duration::from_secs(1)));
-    assert_eq!(world.choose(&short_prompt()).unwrap().engine, busier);
-    world.now = now.after(Duration::from_secs(10));
-    assert_eq!(world.choose(&short_prompt()).unwrap().engine, failed);
-    // A probe without a result is followed by another.
-    let health = &mut world.engines.get_mut(&failed).unwrap().health;
-    health.probe_sent(world.now);
-    assert_eq!(world.choose(&short_prompt()).unwrap().engine, busier);
-    world.now = world.now.after(Duration::from_secs(12));
-    assert_eq!(world.choose(&short_prompt()).unwrap().engine, failed);
-    // It fails again.
-    let health = &mut world.engines.get_mut(&failed).unwrap().health;
-    health.probe_sent(world.now);
-    health.unreachable(world.now);
-    world.now = world.now.after(Duration::from_secs(1));
-    assert_eq!(world.choose(&short_prompt()).unwrap().engine, busier);
-}
-
 #[test]
 fn failing_engine_is_better_than_none() {
     let mut world = World::new(&["a"]);
