Measure how long a load takes only where the order was given once

Cause: the time from the first question to the end counted as one load, however often the order was repeated, and the pace waits for half of a load before it asks again, so that every load was noticed as late.

Change: a repeated order is no measurement, and the first question after an order waits for half of the expected load at most.

engine_that_loads_late_does_not_slow_the_next_rollout_down fails without the change and passes with it.

--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -45,6 +45,8 @@
     pub(super) opened_at: Timestamp,
     /// When the order was last given.
     pub(super) given_at: Timestamp,
+    /// How often the order was given.
+    pub(super) times_given: u32,
     /// Whether the order got no answer and shows no effect: the engine may not have heard it.
     pub(super) is_unanswered: bool,
     /// When other nodes were last told that the engine loads.
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -206,6 +206,7 @@
             }
             open.step = OrderStep::Given;
             open.given_at = now;
+            open.times_given += 1;
             actions.push(RolloutAction::Order(WeightsOrder {
                 engine: name.clone(),
                 model: open.model.clone(),
@@ -232,24 +233,14 @@
             }
         }
         for (pool, members) in by_pool {
-            let until = |engine: &Engine| {
-                let weights = engine.weights_of(model).unwrap_or_default();
-                deadlines.until(model, weights)
-            };
-            let order = |engine: &&Engine| {
-                let requests = engine.load().requests;
-                (until(engine), requests, engine.entry.name.clone())
-            };
             let load_deadline = |engine: &&Engine| {
                 let weights = engine.weights_of(model).unwrap_or_default();
                 deadlines.load_deadline(model, weights)
             };
             let due = members.iter().copied();
             let due = due.filter(|engine| self.is_due(engine, model, version));
-            let (mut suspects, mut behind): (Vec<_>, Vec<_>) =
+            let (suspects, mut behind): (Vec<_>, Vec<_>) =
                 due.partition(|engine| self.reach.is_suspect(engine));
-            // The oldest weights run out first; among equals the least busy engine goes first.
-            behind.sort_by_key(order);
             let progress = Progress {
                 behind: behind.len(),
                 first_deadline: behind.iter().filter_map(load_deadline).min(),
@@ -267,29 +258,28 @@
                 true => self.free_probes(pool, members.len()),
                 false => 0,
             };
-            suspects.sort_by_key(|engine| (self.reach.silences(&engine.entry.name), order(engine)));
-            let opened = behind
-                .into_iter()
-                .take(to_begin)
-                .map(|engine| (engine, false));
-            let probed = suspects
-                .into_iter()
-                .take(to_probe)
-                .map(|engine| (engine, true));
-            for (engine, is_probe) in opened.chain(probed) {
+            let to_probe = self.first_suspects(suspects, to_probe);
+            // The oldest weights run out first; among equals the least busy engine goes first.
+            behind.sort_by_cached_key(|engine| {
+                let weights = engine.weights_of(model).unwrap_or_default();
+                let until = deadlines.until(model, weights);
+                (until, engine.load().requests, &engine.entry.name)
+            });
+            let opened = behind.into_iter().take(to_begin);
+            let opened = opened.map(|engine| (engine, OrderStep::Asking));
+            let probed = to_probe.into_iter();
+            let probed = probed.map(|engine| (engine, OrderStep::Probing));
+            for (engine, step) in opened.chain(probed) {
                 let order = OpenOrder {
                     pool: pool.clone(),
                     incarnation: engine.entry.incarnation,
                     model: model.to_owned(),
                     version,
-                    step: if is_probe {
-                        OrderStep::Probing
-                    } else {
-                        OrderStep::Asking
-                    },
+                    step,
                     is_early,
                     opened_at: now,
                     given_at: now,
+                    times_given: 0,
                     announced_at: now,
                     is_unanswered: false,
                     ask_at: None,
@@ -300,6 +290,21 @@
         }
     }
 
+    /// The suspects to probe next: those that were silent to the fewest questions. They are not
+    /// sorted, because in a large pool thousands may wait for a few probes at a time.
+    fn first_suspects<'a>(&self, mut suspects: Vec<&'a Engine>, count: usize) -> Vec<&'a Engine> {
+        if count == 0 {
+            return Vec::new();
+        }
+        if suspects.len() > count {
+            suspects.select_nth_unstable_by_key(count, |engine| {
+                (self.reach.silences(&engine.entry.name), engine.name_hash)
+            });
+            suspects.truncate(count);
+        }
+        suspects
+    }
+
     /// How many more engines of a pool may be probed now.
     fn free_probes(&self, pool: &PoolName, members: usize) -> usize {
         let most = (members / ENGINES_PER_PROBE).max(MIN_PROBES);
@@ -319,8 +324,8 @@
         let longest = self.longest_load();
         let in_progress = self.open.values();
         let in_progress = in_progress.filter(|open| {
-            let is_held_up = now.since(open.opened_at) >= longest;
-            open.pool == *pool && open.takes_place() && !is_held_up
+            let is_overdue = now.since(open.opened_at) >= longest;
+            open.pool == *pool && open.takes_place() && !is_overdue
         });
         let is_current = |engine: &&&Engine| {
             let open = self.open.get(&engine.entry.name);
@@ -398,7 +403,8 @@
             OrderOutcome::Accepted => {
                 open.step = OrderStep::Loading;
                 open.is_unanswered = false;
-                open.ask_at = Some(now.after(self.pace.load_time() / 2));
+                let first_question = self.pace.load_time().min(self.settings.expected_load) / 2;
+                open.ask_at = Some(now.after(first_question));
             }
             OrderOutcome::AlreadyDone => self.finish(engine, now, actions),
             OrderOutcome::Conflict => {
@@ -510,7 +516,8 @@
             return;
         };
         self.reach.forget(engine);
-        if open.step == OrderStep::Loading {
+        // After a repeated order it is not known how long the load itself took.
+        if open.step == OrderStep::Loading && open.times_given == 1 {
             self.pace.note_load(now.since(open.opened_at));
         }
         actions.push(RolloutAction::Loaded {
--- a/crates/gateway/tests/stalled_rollouts.rs
+++ b/crates/gateway/tests/stalled_rollouts.rs
@@ -37,6 +37,9 @@
     deadlines: WeightsDeadlines,
     now: Timestamp,
     unreachable: BTreeSet<BackEndName>,
+    newest: u64,
+    /// Engines that take orders and don't load.
+    broken: BTreeSet<BackEndName>,
     /// Loads in progress: when they end.
     loading: BTreeMap<BackEndName, Timestamp>,
     orders_taken: BTreeMap<BackEndName, u64>,
@@ -62,6 +65,8 @@
             deadlines,
             now,
             unreachable: BTreeSet::new(),
+            broken: BTreeSet::new(),
+            newest: 2,
             loading: BTreeMap::new(),
             orders_taken: BTreeMap::new(),
             answers: Vec::new(),
@@ -129,7 +134,7 @@
             let has_ended = *end <= now;
             if has_ended {
                 let engine = self.engines.get_mut(name).unwrap();
-                engine.note_weights(MODEL, 2);
+                engine.note_weights(MODEL, self.newest);
             }
             !has_ended
         });
@@ -171,12 +176,15 @@
             return OrderOutcome::Unknown;
         }
         *self.orders_taken.entry(name.clone()).or_default() += 1;
+        if self.broken.contains(name) {
+            return OrderOutcome::Accepted;
+        }
         self.loading.insert(name.clone(), self.now.after(LOAD));
         OrderOutcome::Accepted
     }
 
     fn loaded(&self) -> usize {
-        let has_newest = |engine: &&Engine| engine.weights_of(MODEL) == Some(2);
+        let has_newest = |engine: &&Engine| engine.weights_of(MODEL) == Some(self.newest);
         self.engines.iter().filter(has_newest).count()
     }
 }
@@ -238,3 +246,20 @@
     let calls = rollout.calls_to_unreachable - before;
     assert!((48..=5 * 48).contains(&calls), "{calls}");
 }
+
+#[test]
+fn engine_that_loads_late_does_not_slow_the_next_rollout_down() {
+    let mut rollout = Rollout::new(60);
+    let late = rollout.engines.iter().next().unwrap().entry.name.clone();
+    rollout.broken.insert(late);
+    rollout.run_for(Duration::from_secs(60));
+    assert_eq!(rollout.loaded(), 59);
+    rollout.broken.clear();
+    rollout.run_for(Duration::from_secs(5));
+    assert_eq!(rollout.loaded(), 60);
+    rollout.newest = 3;
+    let named = PublicationTime::Seen(rollout.now);
+    rollout.deadlines.note(MODEL, 3, named);
+    rollout.run_for(GRACE);
+    assert_eq!(rollout.loaded(), 60);
+}
