--- a/crates/gateway/tests/stalled_rollouts.rs
+++ b/crates/gateway/tests/stalled_rollouts.rs
@@ -40,6 +40,8 @@
     newest: u64,
     /// Engines that take orders and don't load.
     broken: BTreeSet<BackEndName>,
+    /// Weights of the engines; the planner learns of them from reports only.
+    weights: BTreeMap<BackEndName, u64>,
     /// Loads in progress: when they end.
     loading: BTreeMap<BackEndName, Timestamp>,
     orders_taken: BTreeMap<BackEndName, u64>,
@@ -67,6 +69,7 @@
             unreachable: BTreeSet::new(),
             broken: BTreeSet::new(),
             newest: 2,
+            weights: BTreeMap::new(),
             loading: BTreeMap::new(),
             orders_taken: BTreeMap::new(),
             answers: Vec::new(),
@@ -133,8 +136,7 @@
         self.loading.retain(|name, end| {
             let has_ended = *end <= now;
             if has_ended {
-                let engine = self.engines.get_mut(name).unwrap();
-                engine.note_weights(MODEL, self.newest);
+                self.weights.insert(name.clone(), self.newest);
             }
             !has_ended
         });
@@ -151,7 +153,14 @@
                     let outcome = self.order(&order.engine);
                     (order.engine, Answer::Order(outcome))
                 }
-                RolloutAction::Announce { .. } | RolloutAction::Loaded { .. } => continue,
+                RolloutAction::Loaded {
+                    engine, version, ..
+                } => {
+                    let engine = self.engines.get_mut(&engine).unwrap();
+                    engine.note_weights(MODEL, version);
+                    continue;
+                }
+                RolloutAction::Announce { .. } => continue,
             };
             let is_unreachable = self.unreachable.contains(&name);
             self.calls_to_unreachable += usize::from(is_unreachable);
@@ -162,7 +171,7 @@
 
     fn report_of(&self, name: &BackEndName) -> Option<EngineReport> {
         let is_reachable = !self.unreachable.contains(name);
-        let weights = self.engines.get(name)?.weights_of(MODEL)?;
+        let weights = self.weights.get(name).copied().unwrap_or(1);
         is_reachable.then(|| EngineReport {
             weights: [(MODEL.to_owned(), weights)].into(),
             is_busy: self.loading.contains_key(name),
