Give up attempts that wait in an engine past the deadline of its weights

Cause: the deadline of the weights was applied only when a request was placed, with an estimate of its start delay. The estimate knows the delays of requests that have started, so it is too low while a queue grows: the requests that wait longest have not started.

A node now watches each attempt that has had no answer. When the deadline of the engine's weights passes, it closes the connection, which takes the request out of the engine's queue. The request goes the way of any attempt that may have run: to another engine if it may be repeated and the retry budget allows, else it is refused as one that may have run. `attempt_failed` shows it as `end="outdated: ..."`, and `attempts_total` as `outdated`.

--- a/crates/gateway/src/serve/attempt_error.rs
+++ b/crates/gateway/src/serve/attempt_error.rs
@@ -23,6 +23,9 @@
     /// No answer came for longer than answers usually take; the request may have run.
     #[display("silent: {_0}")]
     Silent(SilenceCause),
+    /// No answer came before the deadline of the engine's weights, which it holds; the request may have run.
+    #[display("outdated: no answer before the deadline of weights {_0}")]
+    Outdated(u64),
     /// The connection was closed before the answer was complete; the request may have run, and the engine may have
     /// crashed.
     #[display("may_have_run: {_0}")]
@@ -42,7 +45,11 @@
     pub(super) fn may_have_run(&self) -> bool {
         matches!(
             self,
-            Self::EngineError(_) | Self::Silent(_) | Self::Broken(_) | Self::MayHaveRun(_)
+            Self::EngineError(_)
+                | Self::Silent(_)
+                | Self::Outdated(_)
+                | Self::Broken(_)
+                | Self::MayHaveRun(_)
         )
     }
 
@@ -50,7 +57,7 @@
     pub(super) fn answer_end(&self) -> AnswerEnd {
         match self {
             Self::NotConnected(_) | Self::NoRoom(_) | Self::Misdirected(_) => AnswerEnd::NotRun,
-            Self::Silent(_) => AnswerEnd::Left,
+            Self::Silent(_) | Self::Outdated(_) => AnswerEnd::Left,
             Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
         }
     }
@@ -62,6 +69,7 @@
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
             Self::Silent(_) => "silent",
+            Self::Outdated(_) => "outdated",
             Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -19,6 +19,7 @@
 mod respond;
 mod silence_cause;
 mod silence_detector;
+mod start_deadline;
 mod stream_relay;
 
 pub use accepted_request::AcceptedRequest;
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -17,6 +17,7 @@
 use super::request_progress::RequestProgress;
 use super::silence_cause::SilenceCause;
 use super::silence_detector::SilenceDetector;
+use super::start_deadline::StartDeadline;
 use crate::catalogue::RequestKind;
 use crate::engines::{AnswerPhase, Engine};
 use crate::gateway::Gateway;
@@ -156,7 +157,7 @@
             let pool = &self.request.pool;
             self.gateway.note_sent(pool, &placement, is_first);
             self.attempt_started_at = self.gateway.clock().now();
-            let attempted = self.attempt_until_silent(&placement, last_event_id).await;
+            let attempted = self.attempt_until_outdated(&placement, last_event_id).await;
             match attempted {
                 Ok(live) => {
                     self.has_answer_begun = true;
@@ -188,6 +189,24 @@
         }
     }
 
+    /// Makes an attempt, and gives it up when no answer has come before the deadline of the engine's weights. Closing
+    /// the connection takes the request out of the engine's queue.
+    async fn attempt_until_outdated(
+        &self,
+        placement: &Placement,
+        last_event_id: Option<&str>,
+    ) -> Result<LiveAnswer, AttemptError> {
+        let attempt = self.attempt_until_silent(placement, last_event_id);
+        let Some(deadline) = StartDeadline::new(&self.request, placement) else {
+            return attempt.await;
+        };
+        tokio::select! {
+            biased;
+            attempted = attempt => attempted,
+            weights = deadline.passed(&self.gateway) => Err(AttemptError::Outdated(weights)),
+        }
+    }
+
     /// Makes an attempt, and gives it up when no answer comes for longer than usual and the request can be sent again.
     /// If the request can't be sent again, keeps waiting, since an answer may still come.
     async fn attempt_until_silent(
--- a/crates/gateway/src/serve/request_phase.rs
+++ b/crates/gateway/src/serve/request_phase.rs
@@ -48,7 +48,7 @@
     /// The phase after an attempt without a usable answer.
     pub(super) fn after(error: &AttemptError, connection_use: Option<ConnectionUse>) -> Self {
         match error {
-            AttemptError::Silent(_) => Self::waiting(connection_use),
+            AttemptError::Silent(_) | AttemptError::Outdated(_) => Self::waiting(connection_use),
             AttemptError::NotConnected(_)
             | AttemptError::Broken(_)
             | AttemptError::MayHaveRun(_) => Self::EngineGone,
