Give attempts up at the deadline of weights only where the answer is a stream

What callers would have seen: a request whose answer is no stream, and that had been running for seconds, cut off when the deadline of its engine's weights passed. Of such an answer no part arrives before its end, so one that runs can't be told from one that waits.

--- a/crates/gateway/src/serve/start_deadline.rs
+++ b/crates/gateway/src/serve/start_deadline.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::accepted_request::AcceptedRequest;
+use crate::catalogue::RequestKind;
 use crate::gateway::Gateway;
 use crate::placement::Placement;
 
@@ -15,7 +16,8 @@
 /// Until when an attempt may start on the weights that it was placed for.
 ///
 /// An engine may hold a request in its queue until the deadline for its weights has passed. As long as no part of the
-/// answer has arrived, the request may still start.
+/// answer has arrived, the request may still start. That holds for streams only: of another answer no
+/// part arrives before its end, so a request that has started can't be told from one that waits.
 #[derive(Debug)]
 pub(super) struct StartDeadline {
     engine: BackEndName,
@@ -24,8 +26,12 @@
 }
 
 impl StartDeadline {
-    /// The deadline of an attempt; `None` if its request has no prompt, or its pool no models.
+    /// The deadline of an attempt; `None` if its answer is no stream, its request has no prompt, or its
+    /// pool no models.
     pub(super) fn new(request: &AcceptedRequest, placement: &Placement) -> Option<Self> {
+        if request.route.kind != RequestKind::Streaming {
+            return None;
+        }
         Some(Self {
             engine: placement.engine.clone(),
             model: request.caller.prompt.as_ref()?.model.clone(),
