Show by failing tests that engines out of reach stop the director's rollout

Of 18 engines with 3 loads at once none loads in 300 s when three or more are out of reach, and after a change of holder one is enough for the rollout's share to stay. The director serves the product's own node.

--- a/crates/core/tests/director_bench/mod.rs
+++ b/crates/core/tests/director_bench/mod.rs
@@ -40,6 +40,8 @@
     renewing: bool,
     load_time: Duration,
     lose_every: usize,
+    /// Engines that neither polls nor orders reach.
+    unreachable: BTreeSet<usize>,
     orders: usize,
     most_loads: usize,
     fewest_of_use: usize,
@@ -66,6 +68,7 @@
             renewing: true,
             load_time: LOAD_TIME,
             lose_every: 0,
+            unreachable: BTreeSet::new(),
             orders: 0,
             most_loads: 0,
             fewest_of_use: engines,
@@ -153,6 +156,11 @@
         self.lose_every = every;
     }
 
+    /// The first engines can't be reached from now on; with 0 all can again.
+    pub fn cut(&mut self, count: usize) {
+        self.unreachable = (0..count).collect();
+    }
+
     pub fn lose_lease(&mut self) {
         self.renewing = false;
         self.event(DirectorEvent::LeaseChanged(None));
@@ -259,7 +267,9 @@
         for action in actions {
             match action {
                 DirectorAction::Poll { back_end, .. } => {
-                    let report = Some(self.engines[index_of(&back_end)].report());
+                    let index = index_of(&back_end);
+                    let is_reachable = !self.unreachable.contains(&index);
+                    let report = is_reachable.then(|| self.engines[index].report());
                     self.event(DirectorEvent::Reported { back_end, report });
                 }
                 DirectorAction::Order {
@@ -276,7 +286,13 @@
 
     fn carry_out(&mut self, back_end: BackEndName, order: FencedOrder) {
         self.orders += 1;
-        let answer = self.engines[index_of(&back_end)].take(order, self.now.after(self.load_time));
+        let index = index_of(&back_end);
+        if self.unreachable.contains(&index) {
+            let answer = OrderAnswer::Lost;
+            self.event(DirectorEvent::OrderAnswered { back_end, answer });
+            return;
+        }
+        let answer = self.engines[index].take(order, self.now.after(self.load_time));
         let lost = self.lose_every > 0 && self.orders.is_multiple_of(self.lose_every);
         let answer = if lost { OrderAnswer::Lost } else { answer };
         self.event(DirectorEvent::OrderAnswered { back_end, answer });
--- a/crates/core/tests/order_director.rs
+++ b/crates/core/tests/order_director.rs
@@ -135,3 +135,32 @@
     assert!(bench.rollout_share().is_none());
     assert!(bench.most_loads() <= 2);
 }
+
+/// The other engines load and take all requests; those that were out of reach follow.
+#[parameterized(
+    fewer_than_load_at_once = { 2, false },
+    as_many = { 3, false },
+    more = { 6, false },
+    one_and_a_new_holder = { 1, true },
+    more_and_a_new_holder = { 6, true },
+)]
+fn rollout_does_not_wait_for_engines_out_of_reach(cut: usize, is_new_holder: bool) {
+    let mut bench = DirectorBench::new(18, 3, OLD);
+    bench.run(SECOND * 20);
+    bench.cut(cut);
+    if is_new_holder {
+        bench.change_holder();
+    }
+    bench.set_weights(NEW);
+    bench.run(SECOND * 300);
+    assert_eq!(bench.serving(NEW), 18 - cut);
+    assert!(
+        bench.rollout_share().is_none(),
+        "{:?}",
+        bench.rollout_share()
+    );
+    bench.cut(0);
+    bench.run(SECOND * 60);
+    assert_eq!(bench.serving(NEW), 18);
+    assert!(bench.most_loads() <= 3, "{}", bench.most_loads());
+}
