Let the director's rollout go on without engines that are out of reach

What callers saw in the product's own node: when as many engines of a pool were out of reach as may load at once, no engine got the new weights while the cut lasted, and after a change of holder one such engine was enough to keep requests on the old weights, which no engine within reach had any more.

Cause: lost orders held all places for 60 s and went to the same first engines again; an engine without a report counted as out of service, so that no other could be spared, and kept the share of the rollout from being written.

Change: an engine that two polls in a row did not reach, and where no load may be running, is left out until it reports, unless its last report shows the wanted weights. It is polled each second as before. Places of lost orders are still held for 60 s, since these may be carried out.

--- a/crates/core/src/order/engine_control.rs
+++ b/crates/core/src/order/engine_control.rs
@@ -7,6 +7,9 @@
 
 use super::{DirectorSettings, EngineOrder, EngineReport};
 
+/// Fewer polls in a row without a report may be due to a lost packet or a restart of the engine.
+const MIN_SILENT_POLLS: u32 = 2;
+
 /// A weight load that may be running.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RunningLoad {
@@ -25,10 +28,13 @@
     pub order_again_at: Timestamp,
     pub poll_open: bool,
     pub poll_at: Timestamp,
+    /// Polls in a row without a report.
+    silent_polls: u32,
 }
 
 impl EngineControl {
     pub fn note_report(&mut self, report: EngineReport) {
+        self.silent_polls = 0;
         self.note_incarnation(report.incarnation);
         if self
             .load
@@ -39,6 +45,17 @@
         self.report = Some(report);
     }
 
+    /// A poll ended without a report.
+    pub fn note_silent_poll(&mut self) {
+        self.silent_polls += 1;
+    }
+
+    /// Whether the engine is out of reach and no load may be running there. Until it reports again it
+    /// is polled, but keeps no other engine from loading.
+    pub fn is_out_of_reach(&self) -> bool {
+        self.silent_polls >= MIN_SILENT_POLLS && self.load.is_none()
+    }
+
     /// A new process has lost what the one before had loaded or was loading.
     pub fn note_incarnation(&mut self, incarnation: Incarnation) {
         let known = self.report.map(|report| report.incarnation);
--- a/crates/core/src/order/order_director.rs
+++ b/crates/core/src/order/order_director.rs
@@ -22,7 +22,8 @@
 ///
 /// Invariants: nothing is ordered but under a valid lease, whose number every order carries; of a
 /// pool no more engines load weights at once than it allows, loads whose answer was lost counted;
-/// while a pool changes its weights, no more of its engines are out of service than load at once.
+/// while a pool changes its weights, no more of its engines are out of service than load at once,
+/// apart from those that are out of reach.
 #[derive(Debug, Clone)]
 pub struct OrderDirector {
     settings: DirectorSettings,
@@ -61,8 +62,9 @@
             DirectorEvent::Reported { back_end, report } => {
                 if let Some(engine) = self.engines.get_mut(&back_end) {
                     engine.poll_open = false;
-                    if let Some(report) = report {
-                        engine.note_report(report);
+                    match report {
+                        Some(report) => engine.note_report(report),
+                        None => engine.note_silent_poll(),
                     }
                 }
             }
@@ -227,6 +229,7 @@
             .iter()
             .filter(|back_end| !is_draining(back_end))
             .filter_map(|back_end| self.engines.get_key_value(&back_end.name))
+            .filter(|(_, engine)| !engine.is_out_of_reach() || engine.serves(*weights_version))
             .collect();
         let rollout = catalog.rollouts.get(&pool.name);
         let plan = RolloutPlan {
@@ -241,7 +244,8 @@
         } else {
             Vec::new()
         };
-        let knows_all = engines.values().all(|engine| engine.report.is_some());
+        let knows_all =
+            !engines.is_empty() && engines.values().all(|engine| engine.report.is_some());
         for name in loads {
             let order = EngineOrder::LoadWeights {
                 weights_version: *weights_version,
--- a/crates/core/tests/order_director.rs
+++ b/crates/core/tests/order_director.rs
@@ -164,3 +164,22 @@
     assert_eq!(bench.serving(NEW), 18);
     assert!(bench.most_loads() <= 3, "{}", bench.most_loads());
 }
+
+#[parameterized(
+    engines_that_loaded_first = { 6 },
+    all_engines = { 18 },
+)]
+fn share_of_a_rollout_is_not_taken_back_when_engines_are_out_of_reach(cut: usize) {
+    let mut bench = DirectorBench::new(18, 3, OLD);
+    bench.run(SECOND * 20);
+    bench.set_weights(NEW);
+    while bench.serving(NEW) < 6 {
+        bench.run(SECOND);
+    }
+    let before = bench.rollout_share().expect("rollout");
+    assert!(before > 0);
+    bench.cut(cut);
+    bench.run(SECOND * 100);
+    let after = bench.rollout_share().unwrap_or(1_000);
+    assert!(after >= before, "{before} to {after}");
+}
