Let no more than one further wave of engines load beside slow loads

What callers would have seen: where loads take longer than expected, more and more engines load at once, each wave out of service: of 60 engines, 12 allowed, 46 loaded at once with loads of 20 s.

Change: an engine that reports that it loads keeps its place for 60 s, and once more as many as usual may begin beside such engines, so that a few that are stuck still hold up no other. The settings' share is the bound as before where loads take the expected time.

slow_loads_do_not_make_ever_more_engines_load_at_once failed before with loads of 20 s (46) and passes; engine_that_never_loads_does_not_hold_up_ the_others is unchanged and passes.

--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -49,6 +49,8 @@
     pub(super) times_given: u32,
     /// Whether the order got no answer and shows no effect: the engine may not have heard it.
     pub(super) is_unanswered: bool,
+    /// Whether the engine's last report says that it carries out an order.
+    pub(super) is_busy: bool,
     /// When other nodes were last told that the engine loads.
     pub(super) announced_at: Timestamp,
     /// When to ask the engine next; `None` while an answer is due.
--- a/crates/gateway/src/rollout/pace.rs
+++ b/crates/gateway/src/rollout/pace.rs
@@ -93,7 +93,8 @@
         now.after(needed) >= deadline
     }
 
-    fn usual_at_once(&self, members: usize) -> usize {
+    /// How many engines of a pool usually load at once.
+    pub(super) fn usual_at_once(&self, members: usize) -> usize {
         let share = self.settings.share_at_once * members as f64;
         (share.ceil() as usize).max(1)
     }
--- a/crates/gateway/src/rollout/rollout_planner.rs
+++ b/crates/gateway/src/rollout/rollout_planner.rs
@@ -21,6 +21,8 @@
 const MIN_PROBES: usize = 16;
 /// Engines of a large pool for each one that is probed at once.
 const ENGINES_PER_PROBE: usize = 100;
+/// A load that takes longer must have failed.
+const MAX_LOAD: Duration = Duration::from_secs(60);
 /// Number of times the rest of an engine that does not answer is doubled.
 const MAX_REST_DOUBLINGS: u32 = 2;
 
@@ -28,7 +30,7 @@
 ///
 /// Invariants: an order is given only after the engine told how many it has taken, and carries that
 /// number, so an order that comes late never runs beside a newer one; of a pool no more engines are
-/// in progress than the settings allow, apart from those whose orders have no effect in time. An
+/// in progress than the settings allow, and once more as many beside engines whose loads are slow. An
 /// engine that may be unreachable takes none of these places before it has answered a probe.
 #[derive(Debug)]
 pub struct RolloutPlanner {
@@ -282,6 +284,7 @@
                     times_given: 0,
                     announced_at: now,
                     is_unanswered: false,
+                    is_busy: false,
                     ask_at: None,
                 };
                 self.open.insert(engine.entry.name.clone(), order);
@@ -321,12 +324,6 @@
         version: u64,
         now: Timestamp,
     ) -> Progress {
-        let longest = self.longest_load();
-        let in_progress = self.open.values();
-        let in_progress = in_progress.filter(|open| {
-            let is_overdue = now.since(open.opened_at) >= longest;
-            open.pool == *pool && open.takes_place() && !is_overdue
-        });
         let is_current = |engine: &&&Engine| {
             let open = self.open.get(&engine.entry.name);
             let open = open.filter(|open| open.step != OrderStep::Probing);
@@ -337,18 +334,28 @@
             members: members.len(),
             behind: 0,
             current: members.iter().filter(is_current).count(),
-            in_progress: in_progress.count(),
+            in_progress: self.in_progress(pool, members.len(), now),
             is_used: members.iter().any(|engine| engine.load().requests > 0),
             paid: self.stale_work.paid(pool),
             first_deadline: None,
         }
     }
 
-    /// An order that is open for longer will hardly be carried out: most likely the engine can't read
-    /// the weights, or is stuck while it loads them.
-    fn longest_load(&self) -> Duration {
+    /// Number of places of a pool that are taken.
+    ///
+    /// An order that is open for long will hardly be carried out: the engine can't read the weights, or
+    /// is stuck while it loads them. It takes no place then, unless the engine reports that it loads:
+    /// all loads may be slow, so only as many more as usual may begin beside such engines.
+    fn in_progress(&self, pool: &PoolName, members: usize, now: Timestamp) -> usize {
         let usual = self.settings.expected_load.max(self.pace.load_time());
-        usual * 2
+        let (mut in_time, mut slow) = (0, 0);
+        let open = self.open.values();
+        for open in open.filter(|open| open.pool == *pool && open.takes_place()) {
+            let age = now.since(open.opened_at);
+            in_time += usize::from(age < usual * 2);
+            slow += usize::from(age >= usual * 2 && age < MAX_LOAD && open.is_busy);
+        }
+        in_time + slow.saturating_sub(self.pace.usual_at_once(members))
     }
 
     fn is_due(&self, engine: &Engine, model: &str, version: u64) -> bool {
@@ -457,6 +464,7 @@
             return;
         }
         open.is_unanswered &= !report.is_busy;
+        open.is_busy = report.is_busy;
         // Reports lag, so a fresh order may not show yet.
         let may_show_later = now.since(open.given_at) < settings.repeat_after;
         let must_wait = match open.step {
--- a/crates/gateway/tests/stalled_rollouts.rs
+++ b/crates/gateway/tests/stalled_rollouts.rs
@@ -17,7 +17,6 @@
 use yare::parameterized;
 
 const GRACE: Duration = Duration::from_secs(7);
-/// How long a load takes.
 const LOAD: Duration = Duration::from_millis(630);
 /// A call to an engine that can't be reached fails after this time.
 const CALL_LIMIT: Duration = Duration::from_millis(500);
@@ -38,6 +37,8 @@
     now: Timestamp,
     unreachable: BTreeSet<BackEndName>,
     newest: u64,
+    /// How long a load takes.
+    load: Duration,
     /// Engines that take orders and don't load.
     broken: BTreeSet<BackEndName>,
     /// Weights of the engines; the planner learns of them from reports only.
@@ -69,6 +70,7 @@
             unreachable: BTreeSet::new(),
             broken: BTreeSet::new(),
             newest: 2,
+            load: LOAD,
             weights: BTreeMap::new(),
             loading: BTreeMap::new(),
             orders_taken: BTreeMap::new(),
@@ -188,7 +190,7 @@
         if self.broken.contains(name) {
             return OrderOutcome::Accepted;
         }
-        self.loading.insert(name.clone(), self.now.after(LOAD));
+        self.loading.insert(name.clone(), self.now.after(self.load));
         OrderOutcome::Accepted
     }
 
@@ -272,3 +274,21 @@
     rollout.run_for(GRACE);
     assert_eq!(rollout.loaded(), 60);
 }
+
+/// Twice as many as usual may load where loads take longer than expected, since an engine that is
+/// stuck in its load must not hold up the others.
+#[parameterized(
+    slow = { 8 },
+    slower = { 12 },
+    very_slow = { 20 },
+    slowest = { 40 },
+)]
+fn slow_loads_do_not_make_ever_more_engines_load_at_once(seconds: u64) {
+    let mut rollout = Rollout::new(60);
+    rollout.load = Duration::from_secs(seconds);
+    rollout.run_for(Duration::from_secs(300));
+    assert_eq!(rollout.loaded(), 60);
+    let settings = RolloutSettings::default();
+    let most = (settings.most_share_at_once * 60.0).ceil() as usize;
+    assert!(rollout.most_at_once <= 2 * most, "{}", rollout.most_at_once);
+}
