Split the rollout planner and its tests by job

Which engines are asked next, the answers of engines and how far rollouts are stand in files of their own now, as do tests of planning and of timing, with one fixture.

--- a/crates/gateway/src/rollout/open_order.rs
+++ b/crates/gateway/src/rollout/open_order.rs
@@ -3,6 +3,8 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{Incarnation, PoolName};
 
+use crate::engines::Engine;
+
 /// How far an order has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum OrderStep {
@@ -58,6 +60,25 @@
 }
 
 impl OpenOrder {
+    /// An order that begins with a question to the engine.
+    pub(super) fn new(engine: &Engine, model: &str, version: u64, now: Timestamp) -> Self {
+        Self {
+            pool: engine.entry.pool.clone(),
+            incarnation: engine.entry.incarnation,
+            model: model.to_owned(),
+            version,
+            step: OrderStep::Asking,
+            is_early: false,
+            opened_at: now,
+            given_at: now,
+            times_given: 0,
+            announced_at: now,
+            is_unanswered: false,
+            is_busy: false,
+            ask_at: None,
+        }
+    }
+
     /// Whether the engine takes one of the places of engines that load. One that is only probed, or
     /// that may not have heard its order, keeps no other from loading.
     pub(super) fn takes_place(&self) -> bool {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,6 +13,7 @@
 pub mod ordering_fleet;
 pub mod ordering_nodes;
 pub mod partly_reached_engines;
+pub mod planned_rollout;
 pub mod poison_records;
 pub mod records;
 pub mod region_fleet;
