Log a node's part of a pool's load and its failed connects

An incident could not be read from the lines: a cut node ejects engine after engine as if each had failed, and pool_load shows only sums over all nodes, so that one can't see whose work waits without beginning.

--- a/crates/gateway/src/gateway/admission.rs
+++ b/crates/gateway/src/gateway/admission.rs
@@ -228,6 +228,8 @@
                     "asked" => report.total.asked as u64, "begun" => report.total.begun as u64,
                     "waiting" => report.total.waiting as u64, "capacity" => report.capacity as u64,
                     "wait_ms" => report.wait().as_millis() as u64,
+                    "begun_here" => report.own.begun as u64,
+                    "waiting_here" => report.own.waiting as u64,
                     "decided_here" => report.decided, "refused_here" => report.refused,
                     "nodes" => report.nodes, "uninformed" => report.is_uninformed);
             }
--- a/crates/gateway/src/gateway/silent_engines.rs
+++ b/crates/gateway/src/gateway/silent_engines.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// Logs how many connections to engines failed, if any did since the last call.
+    pub(crate) fn log_failed_connects(&self) {
+        let connects = self.upstream().take_connects();
+        if connects.has_failures() {
+            warn!(self.log(), "engine_connects_failed"; "opened" => connects.opened,
+                "refused" => connects.refused, "timed_out" => connects.timed_out,
+                "engines" => self.state().engines.count());
+        }
+    }
+
     /// Lets doubts lapse for which no new evidence came.
     pub fn refresh_reach(&self) {
         if self.state().reach.is_idle() {
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -72,6 +72,7 @@
                 if tick.is_multiple_of(TICKS_PER_SUMMARY) {
                     gateway.log_tenants_near_limits();
                     gateway.report_pool_loads();
+                    gateway.log_failed_connects();
                     gateway.log_limited_engines();
                     gateway.update_peer_count();
                 }
--- a/crates/gateway/src/shedding/pool_report.rs
+++ b/crates/gateway/src/shedding/pool_report.rs
@@ -9,6 +9,8 @@
 pub struct PoolReport {
     /// Load of all urgencies at all nodes.
     pub total: Usage,
+    /// Load of all urgencies at this node.
+    pub own: Usage,
     /// Work per second that the engines can begin.
     pub capacity: f64,
     /// Requests decided on at this node.
--- a/crates/gateway/src/shedding/table.rs
+++ b/crates/gateway/src/shedding/table.rs
@@ -57,6 +57,7 @@
         let mut shedder = self.shedder.borrow_mut();
         PoolReport {
             total: shedder.load(&self.peers, now).total(),
+            own: shedder.own_load(now).total(),
             capacity: shedder.capacity(&self.pool),
             decided: self.decided.take(),
             refused: self.refused.take(),
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -16,7 +16,10 @@
 use super::hearings::Hearings;
 use super::idle_connections::IdleConnections;
 use super::opening_connections::OpeningConnections;
-use super::{AttemptFailure, ConnectSettings, Connection, ConnectionUse, Silence, UpstreamAnswer};
+use super::{
+    AttemptFailure, ConnectCounts, ConnectSettings, Connection, ConnectionUse, Silence,
+    UpstreamAnswer,
+};
 use crate::clock::Clock;
 
 /// Idle connections that a repeatable request may use.
@@ -40,6 +43,7 @@
     hearings: Hearings,
     idle: RefCell<HashMap<BackEndName, IdleConnections>>,
     opening: OpeningConnections,
+    connects: Cell<ConnectCounts>,
 }
 
 impl Upstream {
@@ -52,6 +56,7 @@
             hearings: Hearings::default(),
             idle: RefCell::default(),
             opening: OpeningConnections::default(),
+            connects: Cell::default(),
         }
     }
 
@@ -82,7 +87,7 @@
                 Some(connection) => connection,
                 None => {
                     let _opening = self.opening.begin(engine, self.clock.now());
-                    Connection::open(address, &self.settings, self.clock).await?
+                    self.open(address).await?
                 }
             };
             used.set(Some(match is_kept {
@@ -119,6 +124,14 @@
         }
     }
 
+    async fn open(&self, address: SocketAddr) -> Result<Connection, AttemptFailure> {
+        let opened = Connection::open(address, &self.settings, self.clock).await;
+        let mut connects = self.connects.get();
+        connects.count(opened.as_ref().err());
+        self.connects.set(connects);
+        opened
+    }
+
     /// Keeps a connection whose answer was read to its end.
     pub fn keep(
         &self,
@@ -141,6 +154,11 @@
         self.hearings.note(connection.opened_at, now);
     }
 
+    /// Outcomes of opening connections since the last call.
+    pub fn take_connects(&self) -> ConnectCounts {
+        self.connects.take()
+    }
+
     /// Number of engines to which a connection has been opening for longer than that takes.
     pub fn late_engines(&self, now: Timestamp) -> usize {
         self.opening.engines_before(now.before(LATE_CONNECTION))
