Add failing tests: nodes that reach no engine, and what they do to the others

Callers of nodes without a way to engines got 503; nodes that reach all engines refused most requests as overloaded while the engines were half idle.

--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -390,3 +390,62 @@
     }
     assert!(refused <= 1, "{refused} of 50");
 }
+
+/// Work that waits at nodes which reach no engine must not count as a queue at the engines.
+#[parameterized(
+    one = { 0.012, 0.6 },
+    third = { 0.34, 0.6 },
+    most = { 0.58, 0.6 },
+    all_but_one = { 0.985, 0.6 },
+    third_at_a_high_load = { 0.34, 0.9 },
+)]
+fn nodes_that_reach_engines_are_not_throttled_by_nodes_that_reach_none(stalled: f64, demand: f64) {
+    let mut world = World::new(&EVEN, NOMINAL, 11);
+    world.run(seconds(6), demand * NOMINAL);
+    world.stalled_share = stalled;
+    world.unstalled = Outcomes::default();
+    world.run(seconds(10), demand * NOMINAL);
+    let refused = share(world.unstalled.refused, world.unstalled.asked);
+    assert!(refused < 0.01, "{refused}: {:?}", world.unstalled);
+}
+
+#[test]
+fn engines_are_kept_busy_in_a_surge_while_a_third_of_the_nodes_reach_none() {
+    let mut world = World::new(&EVEN, NOMINAL, 12);
+    world.run(seconds(6), 0.6 * NOMINAL);
+    world.stalled_share = 0.34;
+    world.run(seconds(4), 3.0 * NOMINAL);
+    world.unstalled = Outcomes::default();
+    world.run(seconds(6), 3.0 * NOMINAL);
+    let in_time = goodput(&world.unstalled, seconds(6)) / NOMINAL;
+    assert!(in_time >= 0.95, "{in_time}: {:?}", world.unstalled);
+}
+
+/// Requests that hang at some engines must not shut out those that the others would begin.
+#[parameterized(
+    a_quarter = { 0.25 },
+    most = { 0.6 },
+)]
+fn engines_that_begin_work_are_not_shut_off_by_engines_that_hang(hanging: f64) {
+    let mut world = World::new(&EVEN, NOMINAL, 13);
+    world.run(seconds(6), 0.5 * NOMINAL);
+    world.hanging_share = hanging;
+    let outcomes = world.run(seconds(10), 0.5 * NOMINAL);
+    let refused = share(outcomes.refused, outcomes.asked);
+    assert!(refused < 0.01, "{refused}: {outcomes:?}");
+}
+
+/// After all engines have hung for some seconds, requests must not go on being refused while engines idle.
+#[test]
+fn requests_are_admitted_again_as_soon_as_engines_begin_work_again() {
+    let mut world = World::new(&EVEN, NOMINAL, 14);
+    world.run(seconds(6), 0.6 * NOMINAL);
+    world.stalled_share = 1.0;
+    world.run(seconds(6), 0.6 * NOMINAL);
+    world.stalled_share = 0.0;
+    world.release_held();
+    world.run(seconds(1), 0.6 * NOMINAL);
+    let outcomes = world.run(seconds(4), 0.6 * NOMINAL);
+    let refused = share(outcomes.refused, outcomes.asked);
+    assert!(refused < 0.01, "{refused}: {outcomes:?}");
+}
--- a/crates/core/tests/shedding_world/mod.rs
+++ b/crates/core/tests/shedding_world/mod.rs
@@ -104,6 +104,14 @@
     pub is_open: bool,
     /// Share of the nodes that are cut off from all others.
     pub cut_share: f64,
+    /// Share of the nodes whose requests reach no engine and wait until their deadline.
+    pub stalled_share: f64,
+    /// Outcomes of requests at the other nodes.
+    pub unstalled: Outcomes,
+    /// Share of all requests that wait until their deadline, as at an engine that hangs.
+    pub hanging_share: f64,
+    /// Requests that wait until their deadline.
+    held: Vec<Sent>,
     /// Requests that wait, by urgency and order.
     queue: BTreeMap<(u8, u64), Sent>,
     next_number: u64,
@@ -139,6 +147,10 @@
             demand_factors: vec![1.0; weights.len()],
             is_open: false,
             cut_share: 0.0,
+            stalled_share: 0.0,
+            unstalled: Outcomes::default(),
+            hanging_share: 0.0,
+            held: Vec::new(),
             queue: BTreeMap::new(),
             next_number: 0,
             credit: 0.0,
@@ -206,6 +218,7 @@
         let size = self.random.random_range(0.3..1.7);
         let work = properties.mean_work * size;
         let index = self.random.random_range(0..NODES);
+        let is_stalled = self.is_stalled(index);
         let request = Request {
             work,
             urgency: properties.urgency(),
@@ -220,9 +233,11 @@
         let verdict = node.shedder.decide(&request, &POOL, &node.peers, self.now);
         self.by_kind[kind].asked += 1;
         self.by_tenant[tenant].asked += 1;
+        self.unstalled.asked += u32::from(!is_stalled);
         if verdict != Verdict::Admitted && !self.is_open {
             self.by_kind[kind].refused += 1;
             self.by_tenant[tenant].refused += 1;
+            self.unstalled.refused += u32::from(!is_stalled);
             return;
         }
         let shedder = &mut node.shedder;
@@ -237,7 +252,32 @@
             tenant,
             at: self.now,
         };
-        self.queue.insert(key, sent);
+        let hangs = self.hanging_share > 0.0 && self.random.random_bool(self.hanging_share);
+        match is_stalled || hangs {
+            true => self.held.push(sent),
+            false => {
+                self.queue.insert(key, sent);
+            }
+        }
+    }
+
+    fn is_stalled(&self, index: usize) -> bool {
+        (index as f64) < self.stalled_share * NODES as f64
+    }
+
+    /// All requests that wait until their deadline are given up, as their connections end.
+    pub fn release_held(&mut self) {
+        for sent in std::mem::take(&mut self.held) {
+            self.give_up(&sent);
+        }
+    }
+
+    fn give_up(&mut self, sent: &Sent) {
+        let urgency = KINDS[sent.kind].urgency();
+        let shedder = &mut self.nodes[sent.node].shedder;
+        shedder.note_given_up(urgency, sent.ticket);
+        self.by_kind[sent.kind].expired += 1;
+        self.by_tenant[sent.tenant].expired += 1;
     }
 
     fn begin_work(&mut self) {
@@ -264,6 +304,8 @@
                     false => outcomes.late += 1,
                 }
             }
+            self.unstalled.in_time += u32::from(is_in_time);
+            self.unstalled.work_in_time += if is_in_time { sent.work } else { 0.0 };
         }
         // Idle engines do not save up work.
         self.credit = 0.0;
@@ -275,14 +317,15 @@
         let over = self.queue.iter().filter(|(_, sent)| is_over(sent));
         let over: Vec<_> = over.map(|(key, _)| *key).collect();
         for key in over {
-            let Some(sent) = self.queue.remove(&key) else {
-                continue;
-            };
-            let urgency = KINDS[sent.kind].urgency();
-            let shedder = &mut self.nodes[sent.node].shedder;
-            shedder.note_given_up(urgency, sent.ticket);
-            self.by_kind[sent.kind].expired += 1;
-            self.by_tenant[sent.tenant].expired += 1;
+            if let Some(sent) = self.queue.remove(&key) {
+                self.give_up(&sent);
+            }
+        }
+        let held = std::mem::take(&mut self.held);
+        let (over, held): (Vec<_>, Vec<_>) = held.into_iter().partition(is_over);
+        self.held = held;
+        for sent in &over {
+            self.give_up(sent);
         }
     }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,11 +3,13 @@
 
 pub mod crashing_engine;
 pub mod crashing_nodes;
+pub mod engine_proxy;
 pub mod fleet;
 pub mod followers;
 pub mod freezer;
 pub mod gateway_bench;
 pub mod handing_on;
+pub mod linked_nodes;
 pub mod log_lines;
 pub mod no_orders;
 pub mod one_lease;
