Don't count work that can't begin as a queue at the engines

Cause: what hung at the cut nodes was in the pool's totals, and the capacity was learned from the little that began, which admitted less, so that less began. The same loop starts with engines that hang.

A node none of whose work begins reports no load and learns no capacity; work counts as waiting only for twice the longest recent wait of work that began; of a report counts what can begin there within 10 s, also from earlier builds.

--- a/crates/core/src/admission/shedding/backlog.rs
+++ b/crates/core/src/admission/shedding/backlog.rs
@@ -10,6 +10,14 @@
 pub struct Ticket {
     until: Timestamp,
     number: u64,
+    since: Timestamp,
+}
+
+impl Ticket {
+    /// When the work was sent.
+    pub(super) fn since(&self) -> Timestamp {
+        self.since
+    }
 }
 
 /// Work that was sent to engines and has not begun.
@@ -29,6 +37,7 @@
         let ticket = Ticket {
             until: now.after(time),
             number: self.next_number,
+            since: now,
         };
         self.next_number += 1;
         self.waiting.insert(ticket, work);
@@ -55,6 +64,20 @@
         self.total
     }
 
+    /// The work that waits and was sent at `moment` or later.
+    pub fn total_since(&mut self, moment: Timestamp, now: Timestamp) -> f64 {
+        let total = self.total(now);
+        let waiting = self.waiting.iter();
+        let earlier = waiting.filter(|(ticket, _)| ticket.since < moment);
+        let earlier: f64 = earlier.map(|(_, work)| work).sum();
+        (total - earlier).max(0.0)
+    }
+
+    /// When the oldest of the work that waits was sent.
+    pub fn oldest(&self) -> Option<Timestamp> {
+        self.waiting.keys().map(Ticket::since).min()
+    }
+
     fn subtract(&mut self, work: f64) {
         // An empty backlog is exactly zero, whatever the rounding errors of the sum.
         self.total = match self.waiting.is_empty() {
--- a/crates/core/src/admission/shedding/capacity.rs
+++ b/crates/core/src/admission/shedding/capacity.rs
@@ -69,6 +69,11 @@
         self.refused_at = Some(now);
     }
 
+    /// Leaves the estimate as it is, since nothing can be learned now.
+    pub fn pause(&mut self, now: Timestamp) {
+        self.updated_at = Some(now);
+    }
+
     /// Updates the estimate from the load at all nodes; called some times a second. Engines are saturated when as much
     /// work waits, besides the work `in_service` that they are about to begin, as they can begin in `saturated_wait`.
     pub fn update(
--- a/crates/core/src/admission/shedding/class.rs
+++ b/crates/core/src/admission/shedding/class.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Backlog, TenantMix, Usage};
+use super::{Backlog, TenantMix, Ticket, Usage};
 use crate::Timestamp;
 use crate::quota::Meter;
 
@@ -13,6 +13,12 @@
 /// Averaging time of the work begun. Engines begin requests in bursts, whenever others end.
 const BEGUN_WINDOW: Duration = Duration::from_millis(600);
 
+/// Time in which the longest wait that was seen loses half of its weight.
+const WAIT_HALF_LIFE: Duration = Duration::from_secs(8);
+/// Work counts as waiting for this multiple of the longest recent wait, and for this multiple of the target latency at least.
+const COUNTED_WAITS: f64 = 2.0;
+const MIN_COUNTED_WAIT_SHARE: f64 = 0.25;
+
 /// Weight that the work of recent requests loses with each further one.
 const RECENT_GAIN: f64 = 1.0 / 64.0;
 
@@ -29,6 +35,12 @@
     pub(super) tenants: TenantMix,
     /// Sums of the work of recent requests and of its square.
     recent_work: (f64, f64),
+    /// Target latency of the last request that was sent.
+    pub(super) target: Duration,
+    /// Longest wait of work that has begun, and when that was seen.
+    longest_wait: (Duration, Timestamp),
+    /// When engines last began work.
+    pub(super) begun_at: Timestamp,
 }
 
 impl Class {
@@ -41,7 +53,44 @@
             backlog: Backlog::default(),
             tenants: TenantMix::default(),
             recent_work: (0.0, 0.0),
+            target: Duration::ZERO,
+            longest_wait: (Duration::ZERO, now),
+            begun_at: now,
+        }
+    }
+
+    /// Records that engines have begun work.
+    pub(super) fn note_begun(&mut self, ticket: Ticket, work: f64, now: Timestamp) {
+        let wait = now.since(ticket.since());
+        if wait >= self.longest_wait(now) {
+            self.longest_wait = (wait, now);
         }
+        self.begun.count(work, now);
+        self.begun_at = now;
+    }
+
+    /// Longest recent wait of work that has begun.
+    fn longest_wait(&self, now: Timestamp) -> Duration {
+        let (wait, seen_at) = self.longest_wait;
+        let half_lives = now.since(seen_at).as_secs_f64() / WAIT_HALF_LIFE.as_secs_f64();
+        wait.mul_f64((-half_lives).exp2())
+    }
+
+    /// Work that waits for longer is held where it can't begin, since other work begins much sooner.
+    fn counted_wait(&self, now: Timestamp) -> Duration {
+        let usual = self.longest_wait(now).mul_f64(COUNTED_WAITS);
+        usual.max(self.target.mul_f64(MIN_COUNTED_WAIT_SHARE))
+    }
+
+    /// Requests per second.
+    pub(super) fn requests_per_second(&self, now: Timestamp) -> f64 {
+        self.requests.per_second(now)
+    }
+
+    /// Whether some work has waited for this time.
+    pub(super) fn has_waited(&self, time: Duration, now: Timestamp) -> bool {
+        let oldest = self.backlog.oldest();
+        oldest.is_some_and(|since| now.since(since) >= time)
     }
 
     /// Records a request.
@@ -67,10 +116,11 @@
     }
 
     pub(super) fn usage(&mut self, now: Timestamp) -> Usage {
+        let queued_since = now.before(self.counted_wait(now));
         Usage {
             asked: self.asked.per_second(now),
             begun: self.begun.per_second(now),
-            waiting: self.backlog.total(now),
+            waiting: self.backlog.total_since(queued_since, now),
         }
     }
 }
--- a/crates/core/src/admission/shedding/load.rs
+++ b/crates/core/src/admission/shedding/load.rs
@@ -9,6 +9,10 @@
 /// Part of its proportional share of the engines that each urgency keeps, however much is asked for more urgently.
 const RESERVED_SHARE: f64 = 0.1;
 
+/// Longest time for which work may wait at the rate at which a node's work begins, in seconds. What waits beyond that is held
+/// where it can't begin.
+const MAX_DRAIN_S: f64 = 10.0;
+
 /// Load of a pool by urgency.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Load {
@@ -33,6 +37,22 @@
         }
     }
 
+    /// The part of the load of one node that takes up capacity of the engines. Work that a node can't begin, since it reaches
+    /// no engine or since its engines hang, is no queue that the work of other nodes would meet.
+    pub fn effective(&self) -> Self {
+        let total = self.total();
+        let drained = total.begun * MAX_DRAIN_S;
+        let share = match total.waiting > drained {
+            true => drained / total.waiting,
+            false => 1.0,
+        };
+        let usages = self.iter();
+        let usages = usages.map(|(urgency, usage)| (urgency, usage.held_back(share)));
+        Self {
+            usages: usages.collect(),
+        }
+    }
+
     /// The load of this many nodes like the ones summed up here.
     pub fn times(&self, nodes: usize) -> Self {
         let usages = self.iter();
--- a/crates/core/src/admission/shedding/shedder.rs
+++ b/crates/core/src/admission/shedding/shedder.rs
@@ -9,8 +9,11 @@
 
 /// Share of the target latency for which a request may queue; the rest is needed to read its prompt.
 const MAX_WAIT_SHARE: f64 = 0.12;
-/// Work counts as waiting for this multiple of the target latency.
+/// Work counts as waiting for this multiple of the target latency at most.
 const MAX_COUNTED_WAIT_SHARE: f64 = 4.0;
+/// A node is stalled when none of its work has begun for this time, in which this many requests have come at least.
+const STALL_TIME: Duration = Duration::from_millis(300);
+const STALLED_REQUESTS: f64 = 3.0;
 /// Bounds of the period over which the returns of refused callers are spread. The period is the time in which engines
 /// begin what is asked for in one second.
 const MIN_SPREAD_S: f64 = 0.5;
@@ -75,6 +78,10 @@
 
     /// Learns the capacity of the pool from the load at all nodes; called some times a second.
     pub fn update_capacity(&mut self, pool: &Pool, peers: &Peers, now: Timestamp) {
+        if self.is_stalled(now) {
+            self.capacity.pause(now);
+            return;
+        }
         let load = self.load(peers, now);
         let saturated_wait = pool.saturated_wait();
         let in_service = self.in_service(&load, Urgency::LEAST, pool);
@@ -101,14 +108,16 @@
         now: Timestamp,
     ) -> Ticket {
         let time = target.mul_f64(MAX_COUNTED_WAIT_SHARE);
-        self.class(urgency, now).backlog.add(work, time, now)
+        let class = self.class(urgency, now);
+        class.target = target;
+        class.backlog.add(work, time, now)
     }
 
     /// Records that an engine has begun to answer.
     pub fn note_begun(&mut self, urgency: Urgency, ticket: Ticket, work: f64, now: Timestamp) {
         let class = self.class(urgency, now);
         class.backlog.remove(ticket);
-        class.begun.count(work, now);
+        class.note_begun(ticket, work, now);
     }
 
     /// Records that work was given up before an engine began to answer.
@@ -118,7 +127,31 @@
         }
     }
 
-    /// The load at this node, which it reports to the others.
+    /// The load that this node reports to the others: none while it can't begin any work, since its work then takes up no
+    /// capacity of the engines.
+    pub fn reported_load(&mut self, now: Timestamp) -> Load {
+        match self.is_stalled(now) {
+            true => Load::default(),
+            false => self.own_load(now),
+        }
+    }
+
+    /// Whether work waits at this node but none begins, for longer than can be chance.
+    fn is_stalled(&self, now: Timestamp) -> bool {
+        let classes = self.classes.values();
+        let begun_at = classes.clone().map(|class| class.begun_at).max();
+        let silence = now.since(begun_at.unwrap_or(now));
+        let rate: f64 = classes
+            .clone()
+            .map(|class| class.requests_per_second(now))
+            .sum();
+        let has_waited = classes
+            .clone()
+            .any(|class| class.has_waited(STALL_TIME, now));
+        has_waited && silence >= STALL_TIME && silence.as_secs_f64() * rate >= STALLED_REQUESTS
+    }
+
+    /// The load at this node.
     pub fn own_load(&mut self, now: Timestamp) -> Load {
         let mut load = Load::default();
         for (urgency, class) in &mut self.classes {
--- a/crates/core/src/admission/shedding/usage.rs
+++ b/crates/core/src/admission/shedding/usage.rs
@@ -19,6 +19,15 @@
         self.waiting += other.waiting;
     }
 
+    /// The usage when only this share of the work that waits and is asked for can begin. Work that begins has been asked for.
+    pub(super) fn held_back(self, share: f64) -> Self {
+        Self {
+            asked: (self.asked * share).max(self.begun.min(self.asked)),
+            begun: self.begun,
+            waiting: self.waiting * share,
+        }
+    }
+
     /// The usage of this many nodes like this one.
     pub fn times(self, nodes: usize) -> Self {
         let factor = nodes as f64;
--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -449,3 +449,27 @@
     let refused = share(outcomes.refused, outcomes.asked);
     assert!(refused < 0.01, "{refused}: {outcomes:?}");
 }
+
+/// Nodes of earlier builds go on reporting work that they can't begin.
+#[test]
+fn reports_of_work_that_never_begins_stop_counting() {
+    let mut world = World::new(&EVEN, NOMINAL, 15);
+    world.run(seconds(6), 0.6 * NOMINAL);
+    world.stalled_share = 0.34;
+    world.stalled_report = true;
+    world.run(seconds(8), 0.6 * NOMINAL);
+    world.unstalled = Outcomes::default();
+    world.run(seconds(6), 0.6 * NOMINAL);
+    let refused = share(world.unstalled.refused, world.unstalled.asked);
+    assert!(refused < 0.01, "{refused}: {:?}", world.unstalled);
+}
+
+#[test]
+fn one_node_that_reports_far_too_much_does_not_stop_the_others() {
+    let mut world = World::new(&EVEN, NOMINAL, 16);
+    world.run(seconds(6), 0.6 * NOMINAL);
+    world.wrong_share = 1.0 / 89.0;
+    let outcomes = world.run(seconds(10), 0.6 * NOMINAL);
+    let refused = share(outcomes.refused, outcomes.asked);
+    assert!(refused < 0.01, "{refused}: {outcomes:?}");
+}
--- a/crates/core/tests/shedding_world/mod.rs
+++ b/crates/core/tests/shedding_world/mod.rs
@@ -10,7 +10,7 @@
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::Timestamp;
 use ryerouter_core::admission::shedding::{
-    Load, Peers, Pool, Request, Shedder, Ticket, Urgency, Verdict,
+    Load, Peers, Pool, Request, Shedder, Ticket, Urgency, Usage, Verdict,
 };
 use ryerouter_core::identity::TenantName;
 
@@ -106,6 +106,10 @@
     pub cut_share: f64,
     /// Share of the nodes whose requests reach no engine and wait until their deadline.
     pub stalled_share: f64,
+    /// Whether these report their load all the same, as earlier builds do.
+    pub stalled_report: bool,
+    /// Share of the nodes that report many times as much waiting work as they have.
+    pub wrong_share: f64,
     /// Outcomes of requests at the other nodes.
     pub unstalled: Outcomes,
     /// Share of all requests that wait until their deadline, as at an engine that hangs.
@@ -148,6 +152,8 @@
             is_open: false,
             cut_share: 0.0,
             stalled_share: 0.0,
+            stalled_report: false,
+            wrong_share: 0.0,
             unstalled: Outcomes::default(),
             hanging_share: 0.0,
             held: Vec::new(),
@@ -337,7 +343,23 @@
         for index in 0..NODES {
             let is_cut = self.is_cut(index);
             let node = &mut self.nodes[index];
-            let own = node.shedder.own_load(self.now);
+            let mut own = match self.stalled_report {
+                true => node.shedder.own_load(self.now),
+                false => node.shedder.reported_load(self.now),
+            };
+            if index as f64 >= (1.0 - self.wrong_share) * NODES as f64 {
+                let more = own.times(1_000).iter().collect::<Vec<_>>();
+                for (urgency, usage) in more {
+                    let waiting = usage.waiting;
+                    own.add(
+                        urgency,
+                        Usage {
+                            waiting,
+                            ..Usage::default()
+                        },
+                    );
+                }
+            }
             node.reported_to_zones = std::mem::take(&mut node.reported);
             if !is_cut {
                 node.reported = own;
@@ -350,10 +372,11 @@
                 if other == index {
                     continue;
                 }
-                others.add_all(match other % ZONES == index % ZONES {
+                let reported = match other % ZONES == index % ZONES {
                     true => &node.reported,
                     false => &node.reported_to_zones,
-                });
+                };
+                others.add_all(&reported.effective());
             }
             let is_cut = self.is_cut(index);
             let node = &mut self.nodes[index];
--- a/crates/gateway/src/shedding/pool_load_update.rs
+++ b/crates/gateway/src/shedding/pool_load_update.rs
@@ -36,8 +36,9 @@
         Self(pool.clone(), classes.collect())
     }
 
-    /// Adds the reported load to `load`. Figures that make no sense are left out.
+    /// Adds the reported load to `load`, as far as it takes up capacity of the engines. Figures that make no sense are left out.
     pub fn add_to(&self, load: &mut Load) {
+        let mut reported = Load::default();
         for ClassUpdate(tenant, route, asked, begun, waiting) in &self.1 {
             let urgency = Urgency {
                 tenant: *tenant,
@@ -48,8 +49,9 @@
                 begun: sensible(*begun),
                 waiting: sensible(*waiting),
             };
-            load.add(urgency, usage);
+            reported.add(urgency, usage);
         }
+        load.add_all(&reported.effective());
     }
 }
 
--- a/crates/gateway/src/shedding/table.rs
+++ b/crates/gateway/src/shedding/table.rs
@@ -130,7 +130,7 @@
     pub fn updates(&self, now: Timestamp) -> Vec<PoolLoadUpdate> {
         let updates = self.pools.iter().filter_map(|(pool, known)| {
             let mut shedder = known.shedder.borrow_mut();
-            let load = shedder.own_load(now);
+            let load = shedder.reported_load(now);
             let even_part = shedder.capacity(&known.pool) / known.peers.nodes.max(1) as f64;
             let total = load.total();
             let is_reported = total.asked.max(total.begun) >= even_part * MIN_REPORTED_SHARE
