Reach engines through other nodes when the own links are lost

Cause: a node had one path to an engine, and a path that failed was taken for an engine that failed. Callers keep addresses and connections for seconds, so that the node itself has to get the requests served.

A connection that is late or fails is opened through another node, which passes the bytes on; the path then counts as blocked and tunnels come first, until a probe that needs no request comes through. The node that has the request keeps all decisions, so that at most once, limits, budgets and cancellation are what they were. A tunnel that is lost is told apart from an engine that breaks off. An engine that no node reaches is not waited for again by each request.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod migration;
 pub mod order;
+pub mod path;
 pub mod placement;
 pub mod poison;
 pub mod prompt;
--- /dev/null
+++ b/crates/core/src/path/tunnel_peers.rs
@@ -0,0 +1,93 @@
+//! The nodes through which engines can be reached.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{PeerDistance, TunnelPeer};
+use crate::identity::{BackEndName, NodeName};
+use crate::placement::{name_hash, rendezvous_score};
+use crate::timestamp::Timestamp;
+
+/// How many times as many tunnels a node of the own zone gets as one of another zone. Bytes between zones are dear, but
+/// the few nodes of a zone that are not cut off must not bear the work of all others.
+const ZONE_PREFERENCE: f64 = 3.0;
+/// A node that refused a tunnel is not asked again for this time.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of nodes that are known at a time.
+pub(super) const MAX_PEERS: usize = 32;
+
+/// The nodes through which engines can be reached.
+#[derive(Debug, Default)]
+pub struct TunnelPeers {
+    own_id: u64,
+    peers: Vec<TunnelPeer>,
+    refused_at: BTreeMap<NodeName, Timestamp>,
+}
+
+impl TunnelPeers {
+    /// None yet, for the node `own_id`.
+    pub fn new(own_id: u64) -> Self {
+        Self {
+            own_id,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the known nodes. Of many, those are kept that this node prefers.
+    pub fn set(&mut self, mut peers: Vec<TunnelPeer>, now: Timestamp) {
+        let rank = |peer: &TunnelPeer| self.rank(peer, 0);
+        peers.sort_by(|left, right| rank(left).partial_cmp(&rank(right)).expect("finite ranks"));
+        peers.truncate(MAX_PEERS);
+        self.peers = peers;
+        self.refused_at
+            .retain(|_, refused_at| now.since(*refused_at) < REFUSAL_TIME);
+    }
+
+    /// Whether a node can still be used.
+    pub fn contains(&self, name: &NodeName) -> bool {
+        self.peers.iter().any(|peer| peer.name == *name)
+    }
+
+    /// Records that a node refused a tunnel, or could not be reached.
+    pub fn note_refused(&mut self, name: &NodeName, now: Timestamp) {
+        if self.contains(name) {
+            self.refused_at.insert(name.clone(), now);
+        }
+    }
+
+    /// The nodes to ask for a tunnel to an engine, the preferred one first, and then one of another zone: what cuts off a
+    /// node often cuts off its zone. Nodes of other regions come after all others, and nodes
+    /// that are cut off themselves last.
+    pub fn candidates(&self, engine: &BackEndName, now: Timestamp) -> Vec<TunnelPeer> {
+        let key = name_hash(engine);
+        let usable = self.peers.iter().filter(|peer| {
+            let refused_at = self.refused_at.get(&peer.name);
+            refused_at.is_none_or(|at| now.since(*at) >= REFUSAL_TIME)
+        });
+        let mut ranked: Vec<_> = usable.map(|peer| (self.rank(peer, key), peer)).collect();
+        ranked.sort_by(|(left, _), (right, _)| left.partial_cmp(right).expect("finite ranks"));
+        let mut ordered: Vec<_> = ranked.into_iter().map(|(_, peer)| peer.clone()).collect();
+        let first_zone = ordered.first().map(|peer| peer.zone.clone());
+        let elsewhere = ordered
+            .iter()
+            .position(|peer| first_zone.as_ref() != Some(&peer.zone));
+        if let Some(elsewhere) = elsewhere {
+            ordered[1..=elsewhere].rotate_right(1);
+        }
+        ordered
+    }
+
+    /// Place among the nodes for a key, the preferred one least: weighted rendezvous hashing, so that the engines and the
+    /// nodes that ask spread over all.
+    fn rank(&self, peer: &TunnelPeer, key: u64) -> (bool, bool, f64) {
+        let hash = rendezvous_score(self.own_id ^ key, peer.id);
+        let draw = (hash as f64 / u64::MAX as f64).clamp(f64::MIN_POSITIVE, 1.0 - f64::EPSILON);
+        let preference = match peer.distance {
+            PeerDistance::Zone => ZONE_PREFERENCE,
+            PeerDistance::Region | PeerDistance::Remote => 1.0,
+        };
+        let weight = (peer.weight * preference).max(f64::MIN_POSITIVE);
+        let is_remote = peer.distance == PeerDistance::Remote;
+        (peer.is_cut_off, is_remote, -draw.ln() / weight)
+    }
+}
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -193,6 +193,10 @@
     pub requests: Meter,
     /// Number of requests in progress.
     pub active_requests: usize,
+    /// Number of tunnels of other nodes.
+    pub open_tunnels: usize,
+    /// Whether this node has lost its links to most engines, as last told.
+    pub is_cut_off: bool,
     /// Total time that the machine has been suspended, as far as it has been logged.
     pub logged_suspension: Duration,
 }
@@ -310,6 +314,8 @@
             caller_rings: BTreeMap::new(),
             requests: Meter::new(REQUEST_RATE_WINDOW, now),
             active_requests: 0,
+            open_tunnels: 0,
+            is_cut_off: false,
             logged_suspension: Duration::ZERO,
         }
     }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -56,6 +56,7 @@
 mod source_sync;
 mod stalled_orders;
 mod tenant_limits;
+mod tunnels;
 mod unmet_need;
 mod update_queue;
 mod zone_relay;
--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -122,6 +122,7 @@
             weights,
             reach_question: state.handover.question.clone(),
             reach_answer: state.handover.current_answer(now).map(|(a, _)| a.clone()),
+            tunnels: Some(self.tunnel_service()),
             handover: self.handover_update(&state, now),
         }
     }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -43,6 +43,9 @@
 /// Maximum number of log lines a second about doubted engines.
 const DOUBT_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum number of log lines a second about paths to engines.
+const PATH_LINES_PER_SECOND: u32 = 20;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -57,6 +60,7 @@
     ejection_sampler: LogSampler,
     signal_sampler: LogSampler,
     doubt_sampler: LogSampler,
+    path_sampler: LogSampler,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -86,7 +90,8 @@
         clock: Clock,
     ) -> Rc<Self> {
         Rc::new(Self {
-            upstream: Upstream::new(settings.connect.clone(), clock),
+            upstream: Upstream::new(settings.connect.clone(), clock)
+                .with_identity(&settings.identity),
             state: RefCell::new(GatewayState::new(&settings, clock.now())),
             settings,
             clock,
@@ -100,6 +105,7 @@
             ejection_sampler: LogSampler::new(EJECTION_LINES_PER_SECOND),
             signal_sampler: LogSampler::default(),
             doubt_sampler: LogSampler::new(DOUBT_LINES_PER_SECOND),
+            path_sampler: LogSampler::new(PATH_LINES_PER_SECOND),
             dialect,
             send_requested: Notify::new(),
             poison_records_requested: Notify::new(),
@@ -165,6 +171,11 @@
         &self.doubt_sampler
     }
 
+    /// Limits log lines about paths to engines.
+    pub fn path_sampler(&self) -> &LogSampler {
+        &self.path_sampler
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
--- a/crates/gateway/src/gateway/silent_engines.rs
+++ b/crates/gateway/src/gateway/silent_engines.rs
@@ -92,7 +92,7 @@
 
     /// Logs how many connections to engines failed, if any did since the last call.
     pub(crate) fn log_failed_connects(&self) {
-        let connects = self.upstream().take_connects();
+        let connects = self.upstream().dialer().take_connects();
         if connects.has_failures() {
             warn!(self.log(), "engine_connects_failed"; "opened" => connects.opened,
                 "refused" => connects.refused, "timed_out" => connects.timed_out,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod sync;
 pub mod telemetry;
 pub mod topology;
+pub mod tunnel;
 pub mod upstream;
--- a/crates/gateway/src/peers/peer.rs
+++ b/crates/gateway/src/peers/peer.rs
@@ -10,6 +10,7 @@
 use crate::placement::{PrefillDemandUpdate, SourceDelayUpdate};
 use crate::quotas::UsageUpdate;
 use crate::shedding::PoolLoadUpdate;
+use crate::tunnel::TunnelService;
 
 /// Another node as this one knows it.
 #[derive(Debug, Clone)]
@@ -26,6 +27,8 @@
     pub reaches_store: bool,
     /// Which engines it reached when it was last asked by the holder of the order lease.
     pub reach_answer: Option<ReachAnswer>,
+    /// Whether it passes on connections to engines.
+    pub tunnels: Option<TunnelService>,
     /// How many other nodes it said that it has heard of.
     pub known_nodes: usize,
     /// Whether it stands in the own zone.
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -14,6 +14,7 @@
 use crate::quotas::UsageUpdate;
 use crate::release::{EvidenceUpdate, ReleaseUpdate};
 use crate::shedding::PoolLoadUpdate;
+use crate::tunnel::TunnelService;
 
 /// One datagram between nodes: a JSON line, with short keys, since bytes between zones are dear.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -145,6 +146,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "A", deserialize_with = "readable_or_default")]
     pub reach_answer: Option<ReachAnswer>,
+    /// Whether the sender passes on connections to engines.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "V", deserialize_with = "readable_or_default")]
+    pub tunnels: Option<TunnelService>,
     /// To whom the sender has handed over the order lease.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "H", deserialize_with = "readable_or_default")]
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -130,6 +130,7 @@
             gives_orders: message.gives_orders,
             reaches_store: message.reaches_store,
             reach_answer: message.reach_answer.clone(),
+            tunnels: message.tunnels,
             known_nodes: message.known_nodes,
             is_near: from.zone == *own_zone,
             is_remote: self.topology.distance(own_zone, &from.zone) == Distance::Remote,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -71,6 +71,12 @@
                 }
                 AttemptError::NotConnected(detail)
             }
+            AttemptFailure::OutOfReach => AttemptError::OutOfReach,
+            AttemptFailure::Broken {
+                detail,
+                is_tunnel_lost: true,
+                ..
+            } => AttemptError::TunnelLost(detail),
             AttemptFailure::Broken { detail, .. } => AttemptError::Broken(detail),
         };
         reporter.end(error.answer_end());
@@ -320,7 +326,7 @@
     let gateway = Rc::clone(gateway);
     spawn_local(async move {
         let ends_in_error = timeout(CRASH_WATCH_TIMEOUT, ends_in_error(answer.body));
-        if ends_in_error.await == Ok(true) {
+        if ends_in_error.await == Ok(true) && !answer.connection.is_tunnel_lost() {
             gateway.note_broken_run(&run);
         }
     });
@@ -363,8 +369,11 @@
                 let until = now.after(MISDIRECTED_BACKOFF);
                 engine.note_misdirected(expected, until);
             }
-            AttemptError::Silent(SilenceCause::Connection | SilenceCause::Doubted)
-            | AttemptError::Outdated(_) => {}
+            // What showed this has been counted.
+            AttemptError::OutOfReach
+            | AttemptError::Silent(SilenceCause::Connection | SilenceCause::Doubted)
+            | AttemptError::Outdated(_)
+            | AttemptError::TunnelLost(_) => {}
             // The abandoned request no longer counts as load of the engine. Without a recorded failure, the engine would
             // look idle and attract more requests.
             AttemptError::Silent(SilenceCause::Engine) => engine.health.failed(now),
--- a/crates/gateway/src/serve/attempt_error.rs
+++ b/crates/gateway/src/serve/attempt_error.rs
@@ -11,6 +11,9 @@
     /// No connection was established, so nothing was sent.
     #[display("not_connected: {_0}")]
     NotConnected(String),
+    /// No connection was tried, since no node reached the engine just before.
+    #[display("not_connected: out of reach of all nodes that were asked")]
+    OutOfReach,
     /// The engine refused the request without running it; holds the status.
     #[display("no_room: status {_0}")]
     NoRoom(u16),
@@ -30,6 +33,9 @@
     /// crashed.
     #[display("may_have_run: {_0}")]
     Broken(String),
+    /// The node is gone through which the engine was reached; the request may have run.
+    #[display("may_have_run: tunnel lost: {_0}")]
+    TunnelLost(String),
     /// The received answer is not one to this request; the request may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
@@ -38,7 +44,7 @@
 impl AttemptError {
     /// Whether the request reached the engine, so that the attempt counts against the retry budget.
     pub(super) fn reached_engine(&self) -> bool {
-        !matches!(self, Self::NotConnected(_))
+        !matches!(self, Self::NotConnected(_) | Self::OutOfReach)
     }
 
     /// Whether the request may have run.
@@ -49,6 +55,7 @@
                 | Self::Silent(_)
                 | Self::Outdated(_)
                 | Self::Broken(_)
+                | Self::TunnelLost(_)
                 | Self::MayHaveRun(_)
         )
     }
@@ -56,8 +63,10 @@
     /// How the answer ended, as reported for the evaluation of releases.
     pub(super) fn answer_end(&self) -> AnswerEnd {
         match self {
-            Self::NotConnected(_) | Self::NoRoom(_) | Self::Misdirected(_) => AnswerEnd::NotRun,
-            Self::Silent(_) | Self::Outdated(_) => AnswerEnd::Left,
+            Self::NotConnected(_) | Self::OutOfReach | Self::NoRoom(_) | Self::Misdirected(_) => {
+                AnswerEnd::NotRun
+            }
+            Self::Silent(_) | Self::Outdated(_) | Self::TunnelLost(_) => AnswerEnd::Left,
             Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
         }
     }
@@ -65,11 +74,12 @@
     /// Label of the error in metrics.
     pub(super) fn label(&self) -> &'static str {
         match self {
-            Self::NotConnected(_) => "not_connected",
+            Self::NotConnected(_) | Self::OutOfReach => "not_connected",
             Self::NoRoom(_) => "no_room",
             Self::Misdirected(_) => "misdirected",
             Self::Silent(_) => "silent",
             Self::Outdated(_) => "outdated",
+            Self::TunnelLost(_) => "tunnel_lost",
             Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => "may_have_run",
         }
     }
--- a/crates/gateway/src/serve/graceful_shutdown.rs
+++ b/crates/gateway/src/serve/graceful_shutdown.rs
@@ -34,7 +34,7 @@
     while Instant::now() < end {
         if began.elapsed() >= settings.accept_grace {
             accepting.abort();
-            if gateway.state().active_requests == 0 {
+            if !gateway.has_active_work() {
                 break;
             }
         }
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -12,6 +12,7 @@
 use ryerouter_core::Timestamp;
 
 use super::answer_reporter::AnswerReporter;
+use super::attempt_error::AttemptError;
 use super::hop_by_hop_headers::remove_hop_by_hop;
 use super::sent_request::SentRequest;
 use crate::engines::InFlight;
@@ -74,7 +75,10 @@
     }
 
     /// Reads the body of an answer that is not a stream, and keeps the connection for reuse.
-    pub(super) async fn read_whole(mut self, gateway: &Gateway) -> Result<WholeAnswer, String> {
+    pub(super) async fn read_whole(
+        mut self,
+        gateway: &Gateway,
+    ) -> Result<WholeAnswer, AttemptError> {
         let body = Limited::new(&mut self.body, MAX_WHOLE_BYTES);
         let collected = body.collect().await;
         self.reporter.end(match &collected {
@@ -83,7 +87,8 @@
             },
             _ => AnswerEnd::Failed,
         });
-        let bytes = collected.map_err(|error| error.to_string())?.to_bytes();
+        let bytes = collected.map_err(|error| self.broken(error.to_string()))?;
+        let bytes = bytes.to_bytes();
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
         Ok(WholeAnswer {
@@ -94,6 +99,14 @@
         })
     }
 
+    /// The error when the answer has broken off.
+    pub(super) fn broken(&self, detail: String) -> AttemptError {
+        match self.connection.is_tunnel_lost() {
+            true => AttemptError::TunnelLost(detail),
+            false => AttemptError::Broken(detail),
+        }
+    }
+
     /// Records on the connection that a part of the answer has arrived.
     pub(super) fn note_received(&self, gateway: &Gateway) {
         gateway.upstream().note_received(&self.connection);
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -110,8 +110,7 @@
                     }
                     return Ok(FirstAnswer::Whole(Box::new(whole)));
                 }
-                Err(detail) => {
-                    let error = AttemptError::Broken(detail);
+                Err(error) => {
                     self.note_failure(&placement, &error);
                     if !self.may_retry() {
                         return Err(self.failure_refusal(&error));
--- a/crates/gateway/src/serve/request_phase.rs
+++ b/crates/gateway/src/serve/request_phase.rs
@@ -50,7 +50,9 @@
         match error {
             AttemptError::Silent(_) | AttemptError::Outdated(_) => Self::waiting(connection_use),
             AttemptError::NotConnected(_)
+            | AttemptError::OutOfReach
             | AttemptError::Broken(_)
+            | AttemptError::TunnelLost(_)
             | AttemptError::MayHaveRun(_) => Self::EngineGone,
             AttemptError::EngineError(_) => Self::EngineFailed,
             AttemptError::NoRoom(_) | AttemptError::Misdirected(_) => Self::NoRoom,
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -60,7 +60,7 @@
 enum Received {
     Bytes(Bytes),
     End,
-    Broken(String),
+    Broken(AttemptError),
     /// Nothing came for longer than usual, and the attempt is given up.
     Silent(SilenceCause),
 }
@@ -139,7 +139,7 @@
                     let detail = "stream ended within an event".to_owned();
                     self.resume(AttemptError::Broken(detail)).await?;
                 }
-                Received::Broken(detail) => self.resume(AttemptError::Broken(detail)).await?,
+                Received::Broken(error) => self.resume(error).await?,
                 Received::Silent(why) => {
                     let error = self.give_up(why);
                     self.resume(error).await?;
@@ -238,12 +238,13 @@
 
     async fn receive_frame(&mut self) -> Received {
         let Some(live) = &mut self.live else {
-            return Received::Broken("no engine is answering".to_owned());
+            let detail = "no engine is answering".to_owned();
+            return Received::Broken(AttemptError::Broken(detail));
         };
         loop {
             match live.body.frame().await {
                 None => return Received::End,
-                Some(Err(error)) => return Received::Broken(error.to_string()),
+                Some(Err(error)) => return Received::Broken(live.broken(error.to_string())),
                 Some(Ok(frame)) => {
                     live.note_received(&self.forwarder.gateway);
                     if let Ok(bytes) = frame.into_data() {
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -64,6 +64,10 @@
     pub engines_behind: IntGaugeVec,
     /// Other nodes that are alive.
     pub peers: IntGauge,
+    /// Engines that are reached only through other nodes.
+    pub blocked_paths: IntGauge,
+    /// Tunnels that other nodes have asked for, by answer.
+    pub tunnels_served: IntCounterVec,
     /// Delay of each KV store that is slow, in milliseconds; zero while it is quick.
     pub kv_store_delay_ms: IntGaugeVec,
     /// Stages that releases entered while this node directed them.
@@ -174,6 +178,17 @@
             engines: gauge(&registry, "engines", "Engines in the list"),
             engines_behind: engines_behind(&registry),
             peers: gauge(&registry, "peers_alive", "Other nodes that are alive"),
+            blocked_paths: gauge(
+                &registry,
+                "blocked_paths",
+                "Engines that are reached only through other nodes",
+            ),
+            tunnels_served: vector(
+                &registry,
+                "tunnels_served_total",
+                "Tunnels that other nodes have asked for, by answer",
+                "answer",
+            ),
             kv_store_delay_ms: kv_store_delay_ms(&registry),
             release_stages: vector_of(
                 &registry,
--- a/crates/gateway/src/upstream/attempt_failure.rs
+++ b/crates/gateway/src/upstream/attempt_failure.rs
@@ -1,5 +1,7 @@
 //! How an attempt fails without an answer.
 
+use std::io;
+
 use derive_more::{Display, Error};
 
 /// How an attempt fails without an answer.
@@ -13,6 +15,9 @@
         /// Whether the engine's host did not respond.
         is_timeout: bool,
     },
+    /// No connection was tried, since one has just shown that no node reaches the engine.
+    #[display("out of reach of all nodes that were asked")]
+    OutOfReach,
     /// The connection broke after the request may have been written.
     #[display("broken: {detail}")]
     Broken {
@@ -20,12 +25,32 @@
         detail: String,
         /// Whether the connection was a kept one.
         is_kept: bool,
+        /// Whether the node is gone through which it went, which says nothing about the engine.
+        is_tunnel_lost: bool,
     },
 }
 
 impl AttemptFailure {
     /// Whether the request certainly has not run and will not.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotConnected { .. })
+        matches!(self, Self::NotConnected { .. } | Self::OutOfReach)
+    }
+}
+
+impl From<io::Error> for AttemptFailure {
+    fn from(error: io::Error) -> Self {
+        Self::NotConnected {
+            detail: error.to_string(),
+            is_timeout: error.kind() == io::ErrorKind::TimedOut,
+        }
+    }
+}
+
+impl From<hyper::Error> for AttemptFailure {
+    fn from(error: hyper::Error) -> Self {
+        Self::NotConnected {
+            detail: error.to_string(),
+            is_timeout: false,
+        }
     }
 }
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -1,7 +1,6 @@
 //! One connection to an engine.
 
 use std::cell::Cell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,9 +10,11 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use ryerouter_core::Timestamp;
+use ryerouter_core::identity::NodeName;
 
 use super::{AbortOnDrop, AttemptFailure, ConnectSettings, connect};
 use crate::clock::Clock;
+use crate::tunnel::{EngineStream, TunnelLoss};
 
 /// One connection to an engine; dropping it closes the socket at once.
 #[derive(Debug)]
@@ -25,26 +26,30 @@
     /// that run on it.
     pub(super) heard_at: Rc<Cell<Timestamp>>,
     pub(super) idle_timeout: Option<Duration>,
+    /// The node through which it goes, if it is a tunnel.
+    pub(super) tunnel: Option<(NodeName, TunnelLoss)>,
     _task: AbortOnDrop,
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a direct connection.
     pub async fn open(
         address: SocketAddr,
         settings: &ConnectSettings,
         clock: Clock,
     ) -> Result<Self, AttemptFailure> {
-        let stream = connect(address, settings).await;
-        let stream = stream.map_err(|error| AttemptFailure::NotConnected {
-            detail: error.to_string(),
-            is_timeout: error.kind() == io::ErrorKind::TimedOut,
-        })?;
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| AttemptFailure::NotConnected {
-            detail: error.to_string(),
-            is_timeout: false,
-        })?;
+        let stream = connect(address, settings).await?;
+        Ok(Self::new(EngineStream::Left(stream), address, clock).await?)
+    }
+
+    /// Sets up HTTP on an open stream.
+    pub(super) async fn new(
+        stream: EngineStream,
+        address: SocketAddr,
+        clock: Clock,
+    ) -> Result<Self, hyper::Error> {
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let (sender, connection) = handshake.await?;
         let task = tokio::task::spawn_local(async move {
             // Its end shows in the exchange that runs on it.
             let _ = connection.await;
@@ -56,10 +61,17 @@
             opened_at,
             heard_at: Rc::new(Cell::new(opened_at)),
             idle_timeout: None,
+            tunnel: None,
             _task: AbortOnDrop::new(task),
         })
     }
 
+    /// Whether it is a tunnel and the node is gone through which it goes.
+    pub fn is_tunnel_lost(&self) -> bool {
+        let tunnel = self.tunnel.as_ref();
+        tunnel.is_some_and(|(_, loss)| loss.is_lost())
+    }
+
     /// Whether a request may be sent on it now.
     pub(super) fn is_usable(&self, now: Timestamp, most_idle: Duration) -> bool {
         let limit = self
--- a/crates/gateway/src/upstream/connector.rs
+++ b/crates/gateway/src/upstream/connector.rs
@@ -33,12 +33,17 @@
     let stream = tokio::time::timeout(settings.timeout, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    watch_for_silence(&stream, settings)?;
+    Ok(stream)
+}
+
+/// Sets the options by which a connection notices a silent peer.
+pub fn watch_for_silence(stream: &TcpStream, settings: &ConnectSettings) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
+    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(settings.probe_interval)
         .with_interval(settings.probe_interval);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(settings.silence_limit))?;
-    Ok(stream)
+    socket.set_tcp_user_timeout(Some(settings.silence_limit))
 }
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -11,16 +11,17 @@
 use hyper::Request;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
+use ryerouter_core::path::TunnelPeer;
 
 use super::answer_times::LEAST_PATIENCE;
 use super::hearings::Hearings;
 use super::idle_connections::IdleConnections;
 use super::opening_connections::OpeningConnections;
 use super::{
-    AttemptFailure, ConnectCounts, ConnectSettings, Connection, ConnectionUse, Silence,
-    UpstreamAnswer,
+    AttemptFailure, ConnectSettings, Connection, ConnectionUse, Dialer, Silence, UpstreamAnswer,
 };
 use crate::clock::Clock;
+use crate::peers::NodeIdentity;
 
 /// Idle connections that a repeatable request may use.
 const MOST_IDLE: Duration = Duration::from_secs(4);
@@ -37,26 +38,64 @@
 /// Sends requests to engines, on kept connections where possible.
 #[derive(Debug)]
 pub struct Upstream {
-    settings: ConnectSettings,
     clock: Clock,
+    dialer: Dialer,
     silence: Rc<Silence>,
     hearings: Hearings,
     idle: RefCell<HashMap<BackEndName, IdleConnections>>,
     opening: OpeningConnections,
-    connects: Cell<ConnectCounts>,
 }
 
 impl Upstream {
     /// Has no connections yet.
     pub fn new(settings: ConnectSettings, clock: Clock) -> Self {
         Self {
-            settings,
             clock,
+            dialer: Dialer::new(settings, clock),
             silence: Rc::default(),
             hearings: Hearings::default(),
             idle: RefCell::default(),
             opening: OpeningConnections::default(),
-            connects: Cell::default(),
+        }
+    }
+
+    /// Asks other nodes for tunnels as the node `identity`.
+    pub fn with_identity(mut self, identity: &NodeIdentity) -> Self {
+        self.dialer.set_identity(identity);
+        self
+    }
+
+    /// Opens the connections.
+    pub fn dialer(&self) -> &Dialer {
+        &self.dialer
+    }
+
+    /// Replaces the nodes that may be asked for tunnels. Idle connections through others are closed.
+    pub fn set_tunnel_peers(&self, peers: Vec<TunnelPeer>) {
+        self.dialer.set_peers(peers);
+        let is_kept = |connection: &Connection| {
+            let tunnel = connection.tunnel.as_ref();
+            tunnel.is_none_or(|(peer, _)| self.dialer.has_peer(peer))
+        };
+        self.retain_idle(is_kept);
+    }
+
+    /// Probes an engine; returns whether it was reached. Idle tunnels are closed once its direct path works again.
+    pub async fn probe(&self, engine: &BackEndName, address: SocketAddr) -> bool {
+        let Some(connection) = self.dialer.probe(engine, address).await else {
+            return false;
+        };
+        if connection.tunnel.is_none() {
+            self.retain_idle(|connection| connection.tunnel.is_none());
+        }
+        self.keep(engine, connection, None);
+        true
+    }
+
+    fn retain_idle(&self, is_kept: impl Fn(&Connection) -> bool) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(&is_kept);
         }
     }
 
@@ -87,7 +126,7 @@
                 Some(connection) => connection,
                 None => {
                     let _opening = self.opening.begin(engine, self.clock.now());
-                    self.open(address).await?
+                    self.dialer.open(engine, address).await?
                 }
             };
             used.set(Some(match is_kept {
@@ -119,19 +158,21 @@
                     let is_timeout = false;
                     return Err(AttemptFailure::NotConnected { detail, is_timeout });
                 }
-                None => return Err(AttemptFailure::Broken { detail, is_kept }),
+                None => {
+                    let is_tunnel_lost = connection.is_tunnel_lost();
+                    if !is_kept && connection.tunnel.is_none() {
+                        self.dialer.note_broken(engine);
+                    }
+                    return Err(AttemptFailure::Broken {
+                        detail,
+                        is_kept,
+                        is_tunnel_lost,
+                    });
+                }
             }
         }
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Connection, AttemptFailure> {
-        let opened = Connection::open(address, &self.settings, self.clock).await;
-        let mut connects = self.connects.get();
-        connects.count(opened.as_ref().err());
-        self.connects.set(connects);
-        opened
-    }
-
     /// Keeps a connection whose answer was read to its end.
     pub fn keep(
         &self,
@@ -140,6 +181,9 @@
         idle_timeout: Option<Duration>,
     ) {
         self.note_received(&connection);
+        if connection.tunnel.is_none() {
+            self.dialer.note_answered(engine);
+        }
         if idle_timeout.is_some() {
             connection.idle_timeout = idle_timeout;
         }
@@ -154,11 +198,6 @@
         self.hearings.note(connection.opened_at, now);
     }
 
-    /// Outcomes of opening connections since the last call.
-    pub fn take_connects(&self) -> ConnectCounts {
-        self.connects.take()
-    }
-
     /// Number of engines to which a connection has been opening for longer than that takes.
     pub fn late_engines(&self, now: Timestamp) -> usize {
         self.opening.engines_before(now.before(LATE_CONNECTION))
--- a/crates/gateway/src/upstream/idle_connections.rs
+++ b/crates/gateway/src/upstream/idle_connections.rs
@@ -47,6 +47,11 @@
         None
     }
 
+    /// Closes those for which this does not hold.
+    pub(super) fn retain(&mut self, is_kept: impl Fn(&Connection) -> bool) {
+        self.connections.retain(is_kept);
+    }
+
     /// Closes those that have been idle for longer than `most_idle`, and those that are suspect.
     pub(super) fn sweep(&mut self, now: Timestamp, most_idle: Duration, silence: &Silence) {
         self.connections.retain(|connection| {
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -336,7 +336,7 @@
         let (first, address) = ScriptedEngine::start([Step::Silence]).await;
         let entries = vec![engine("e1", address, 1)];
         let table = table(1, vec![route(RequestKind::Safe)]);
-        let mut bench = GatewayBench::start(Some(table), entries).await;
+        let bench = GatewayBench::start(Some(table), entries).await;
         let running = tokio::net::TcpStream::connect(bench.address).await.unwrap();
         running.writable().await.unwrap();
         let text = b"GET /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\r\n";
--- a/crates/gateway/tests/slow_bodies.rs
+++ b/crates/gateway/tests/slow_bodies.rs
@@ -132,7 +132,7 @@
 #[test]
 fn planned_stop_does_not_wait_for_a_stalled_body() {
     run(async {
-        let (_engines, mut bench) = bench(LONG).await;
+        let (_engines, bench) = bench(LONG).await;
         let mut stream = caller(&bench, "/x").await;
         while bench.gateway.state().active_requests == 0 {
             tokio::task::yield_now().await;
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -1,5 +1,6 @@
 //! A gateway that serves on loopback, and its caller.
 
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -123,7 +124,7 @@
 pub struct GatewayBench {
     pub gateway: Rc<Gateway>,
     pub address: SocketAddr,
-    accepting: Option<JoinHandle<()>>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
     /// Keeps records of requests that are held back as long as the node is there.
     _keeping: JoinSet<()>,
 }
@@ -171,7 +172,7 @@
             _keeping: keeping,
             gateway,
             address,
-            accepting: Some(accepting),
+            accepting: RefCell::new(Some(accepting)),
         }
     }
 
@@ -194,14 +195,14 @@
             _keeping: poison_records::keep(&gateway),
             gateway,
             address,
-            accepting: Some(spawn_local(serving)),
+            accepting: RefCell::new(Some(spawn_local(serving))),
         }
     }
 
     /// Begins a planned stop; the task returned ends with it.
-    pub fn stop(&mut self, settings: ShutdownSettings) -> JoinHandle<()> {
+    pub fn stop(&self, settings: ShutdownSettings) -> JoinHandle<()> {
         let gateway = Rc::clone(&self.gateway);
-        let accepting = self.accepting.take().expect("stops once");
+        let accepting = self.accepting.borrow_mut().take().expect("stops once");
         spawn_local(async move { graceful_shutdown(&gateway, accepting, &settings).await })
     }
 
--- a/crates/gateway/tests/support/linked_nodes.rs
+++ b/crates/gateway/tests/support/linked_nodes.rs
@@ -10,6 +10,7 @@
 use ryerouter_gateway::catalogue::RoutingTable;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::run_peer_link;
+use ryerouter_gateway::tunnel::{probe_paths, serve_tunnels};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{Instant, sleep};
@@ -30,6 +31,8 @@
     pub bench: Rc<GatewayBench>,
     /// Its links to the engines.
     pub links: Vec<Rc<EngineProxy>>,
+    /// The link over which other nodes ask it for tunnels.
+    pub tunnels: Rc<EngineProxy>,
     calls: Cell<u32>,
     /// Tasks that end with the node.
     _tasks: JoinSet<()>,
@@ -45,7 +48,9 @@
             engine(&format!("e{index}"), link.address, 1)
         };
         let entries = links.iter().enumerate().map(entry).collect();
-        let (datagrams, listener) = bind_both().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let tunnels = listener.local_addr().expect("address");
+        let (datagrams, tunnels) = bind_both(tunnels).await;
         let mut own = settings_of(index);
         own.identity.zone = ZoneName::new(super::records::ZONE);
         own.identity.peer_address = datagrams.local_addr().expect("address");
@@ -53,10 +58,12 @@
         let gateway = Rc::clone(&bench.gateway);
         let mut tasks = JoinSet::new();
         tasks.spawn_local(run_peer_link(Rc::clone(&gateway), datagrams));
-        drop(listener);
+        tasks.spawn_local(serve_tunnels(Rc::clone(&gateway), listener));
+        tasks.spawn_local(probe_paths(gateway));
         Self {
             bench: Rc::new(bench),
             links,
+            tunnels,
             calls: Cell::new(0),
             _tasks: tasks,
         }
@@ -94,13 +101,12 @@
     }
 }
 
-/// A datagram socket and a listener on the same port.
-async fn bind_both() -> (UdpSocket, TcpListener) {
+/// A datagram socket, and the link to a listener on the same port.
+async fn bind_both(listener: SocketAddr) -> (UdpSocket, Rc<EngineProxy>) {
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-        let address = listener.local_addr().expect("address");
-        if let Ok(datagrams) = UdpSocket::bind(address).await {
-            return (datagrams, listener);
+        let link = EngineProxy::start(listener);
+        if let Ok(datagrams) = UdpSocket::bind(link.address).await {
+            return (datagrams, link);
         }
     }
 }
