Let a capacity that was learned too low grow while hardly anything waits

Callers were refused as overloaded for up to 15 s after links or engines had come back (soak nodes-lose-engines: capacity=10706 at asked=4164 to 31819 while nothing waited, 53 refusals). Cause: the estimate grew by 0.2 a second whether or not anything waited.

--- a/crates/core/src/admission/shedding/capacity.rs
+++ b/crates/core/src/admission/shedding/capacity.rs
@@ -11,6 +11,9 @@
 const SHEDDING_TIME: Duration = Duration::from_secs(1);
 /// Growth per second while requests are refused although little waits.
 const PROBING_GROWTH: f64 = 0.2;
+/// The same while hardly anything waits, and below which saturation that is so.
+const IDLE_GROWTH: f64 = 1.0;
+const IDLE_SATURATION: f64 = 0.1;
 /// Time in which the estimate returns to its initial value while nothing is refused.
 const FORGETTING_TIME: Duration = Duration::from_secs(15);
 /// Estimate relative to the nominal capacity before engines have been saturated. One that is too high is corrected as soon as
@@ -109,7 +112,11 @@
         if saturation >= limit {
             self.approach(begun, elapsed_s / LEARNING_TIME.as_secs_f64());
         } else if is_shedding {
-            let growth = PROBING_GROWTH * (1.0 - saturation).max(0.0);
+            let growth = match saturation < IDLE_SATURATION {
+                true => IDLE_GROWTH,
+                false => PROBING_GROWTH,
+            };
+            let growth = growth * (1.0 - saturation).max(0.0);
             self.factor *= 1.0 + growth * elapsed_s;
         } else {
             self.approach(INITIAL_FACTOR, elapsed_s / FORGETTING_TIME.as_secs_f64());
