Take a blocked path for open only when a probe has come through

Cause: where no tunnel opened, the direct connection that was tried last came up for a moment and counted as proof. Now only a probe counts, whose connection has to hold. blocked_paths_are_probed_and_come_back_without_requests asserts it.

--- a/crates/core/src/path/path_table.rs
+++ b/crates/core/src/path/path_table.rs
@@ -131,13 +131,18 @@
         self.blocked.len() > lately.count()
     }
 
-    /// Records that a direct connection to an engine came up. Whether it shows that blocked paths are open again is
-    /// returned: then each is tried directly.
-    pub fn note_reached(&mut self, engine: &BackEndName, now: Timestamp) -> bool {
+    /// Records that a direct connection to an engine came up. That does not open a blocked path: what resets connections lets
+    /// some of them come up first.
+    pub fn note_connected(&mut self, engine: &BackEndName, now: Timestamp) {
+        self.out_of_reach.remove(engine);
+        self.note_answered(engine, now);
+    }
+
+    /// Records that a probe of an engine came through. Then each blocked path is tried directly again.
+    pub fn note_probed(&mut self, engine: &BackEndName, now: Timestamp) {
         self.out_of_reach.remove(engine);
         let Some(path) = self.blocked.get(engine).copied() else {
-            self.note_answered(engine, now);
-            return false;
+            return;
         };
         self.note_change(PathChange::Restored {
             engine: engine.clone(),
@@ -148,7 +153,6 @@
         self.reached.clear();
         self.broken.clear();
         self.restored_at = Some(now);
-        true
     }
 
     /// Records that an engine answered on a direct connection that was open already.
--- a/crates/core/tests/path.rs
+++ b/crates/core/tests/path.rs
@@ -86,7 +86,7 @@
 fn one_blocked_path_does_not_make_a_node_cut_off() {
     let mut paths = PathTable::default();
     paths.note_blocked(&engine(0), START);
-    paths.note_reached(&engine(1), START);
+    paths.note_connected(&engine(1), START);
     paths.note_answered(&engine(2), START);
     assert!(!paths.is_cut_off(START));
     assert_eq!(paths.blocked_count(), 1);
@@ -104,7 +104,9 @@
     let due = START.after(PROBE_INTERVAL);
     let probed: Vec<_> = (0..4).filter_map(|_| paths.take_probe(due)).collect();
     assert_eq!(probed.len(), 3, "{probed:?}");
-    assert!(paths.note_reached(&probed[0], due));
+    paths.note_connected(&probed[0], due);
+    assert_eq!(paths.blocked_count(), 3, "no probe has come through");
+    paths.note_probed(&probed[0], due);
     assert_eq!(paths.blocked_count(), 0);
     assert!(!paths.is_cut_off(due));
     let last = paths.take_changes().pop();
@@ -125,7 +127,7 @@
             now = now.after(Duration::from_millis(50));
         }
         waits.push(now.since(blocked_at));
-        paths.note_reached(&engine(0), now);
+        paths.note_probed(&engine(0), now);
     }
     assert!(waits[3] >= waits[0] * 4, "{waits:?}");
     assert!(waits[5] <= Duration::from_secs(5), "{waits:?}");
@@ -237,7 +239,7 @@
     assert_ne!(paths.plan(&engine(1), after(10)), ConnectPlan::OutOfReach);
     let due = START.after(PROBE_INTERVAL);
     assert_eq!(paths.take_probe(due), Some(engine(0)));
-    paths.note_reached(&engine(0), due);
+    paths.note_probed(&engine(0), due);
     assert_ne!(paths.plan(&engine(0), due), ConnectPlan::OutOfReach);
 }
 
--- a/crates/gateway/src/upstream/dialer.rs
+++ b/crates/gateway/src/upstream/dialer.rs
@@ -141,7 +141,7 @@
             return None;
         }
         let now = self.clock.now();
-        self.paths.borrow_mut().note_reached(engine, now);
+        self.paths.borrow_mut().note_probed(engine, now);
         Some(connection)
     }
 
@@ -267,7 +267,7 @@
         let connection = Connection::new(stream, address, self.clock).await?;
         self.paths
             .borrow_mut()
-            .note_reached(engine, self.clock.now());
+            .note_connected(engine, self.clock.now());
         Ok(connection)
     }
 
