--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -101,7 +101,8 @@
             return;
         };
         warn!(self.log(), "engine_ended_under_request"; "request" => &run.request,
-            "digest" => %digest, "engine" => %placement.engine, "route" => &run.route,
+            "digest" => %digest, "parts" => listed(&run.parts), "engine" => %placement.engine,
+            "route" => &run.route,
             "after_ms" => now.since(began).as_millis() as u64, "in_a_row" => count,
             "is_unproven" => is_unproven, "held_back" => self.state().poison.is_blocked(digest));
     }
@@ -302,6 +303,11 @@
     }
 }
 
+fn listed(digests: &[Digest]) -> String {
+    let texts: Vec<_> = digests.iter().map(Digest::to_string).collect();
+    texts.join(",")
+}
+
 /// Marks the engines of the reported crashes as crashed, so that other requests sent to them later
 /// are not taken for the cause.
 fn note_crashed_engines(state: &mut GatewayState, update: &PoisonUpdate, now: Timestamp) {
--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -24,19 +24,34 @@
 pub use record_table::RecordTable;
 pub use run::Run;
 
+/// Key of the digests of parts. The zero byte keeps them apart from those of requests, whose key is a tenant's name.
+const PART_KEY: &[u8] = b"\0part";
+
+/// Computes the digest that identifies a part of prompts for a model. `wall` is the tenant, if it shares no parts with
+/// others.
+pub fn part_digest(model: &str, wall: Option<&TenantName>, part: &str) -> Digest {
+    let wall = wall.map_or("", TenantName::as_str);
+    let fields = [model, wall, part];
+    digest_of(PART_KEY, &fields.map(str::as_bytes), &[])
+}
+
 /// Computes the digest that identifies a request and its retries by the caller, whose ids all differ.
 ///
 /// The digest is a keyed cryptographic hash, so that no caller can craft a request with the digest of another's, and
 /// nobody who reads the messages between nodes learns the content of a request.
 pub fn digest(caller: Option<&TenantName>, host: &[u8], uri: &Uri, body: &Bytes) -> Digest {
     let key = caller.map_or("", TenantName::as_str);
-    let mut hash =
-        Hmac::<Sha256>::new_from_slice(key.as_bytes()).expect("HMAC accepts keys of any length");
-    for part in [host, uri.to_string().as_bytes()] {
-        hash.update(&(part.len() as u64).to_be_bytes());
-        hash.update(part);
+    let uri = uri.to_string();
+    digest_of(key.as_bytes(), &[host, uri.as_bytes()], body)
+}
+
+fn digest_of(key: &[u8], fields: &[&[u8]], rest: &[u8]) -> Digest {
+    let mut hash = Hmac::<Sha256>::new_from_slice(key).expect("HMAC accepts keys of any length");
+    for field in fields {
+        hash.update(&(field.len() as u64).to_be_bytes());
+        hash.update(field);
     }
-    hash.update(body);
+    hash.update(rest);
     let hash = hash.finalize().into_bytes();
     let first = hash.first_chunk().expect("a SHA-256 hash has 32 bytes");
     Digest(u128::from_be_bytes(*first))
--- a/crates/gateway/src/poison/run.rs
+++ b/crates/gateway/src/poison/run.rs
@@ -14,6 +14,8 @@
     pub request: String,
     /// Digest of the request.
     pub digest: Digest,
+    /// Digests of the shared parts of its prompt.
+    pub parts: Vec<Digest>,
     /// Name of its route.
     pub route: String,
     /// The engine, in the incarnation for which it was chosen.
@@ -28,6 +30,7 @@
         Self {
             request: request.caller.id.clone(),
             digest: request.digest(),
+            parts: request.part_digests().to_vec(),
             route: request.route.name.clone(),
             placement: placement.clone(),
             began,
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -69,6 +69,7 @@
         arrived_at,
         deadline: arrived_at.after(timeout),
         digest: OnceCell::new(),
+        part_digests: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -42,8 +42,13 @@
     pub deadline: Timestamp,
     /// The digest, computed on first use because most requests never need it.
     pub(super) digest: OnceCell<Digest>,
+    /// The digests of its shared parts, likewise.
+    pub(super) part_digests: OnceCell<Vec<Digest>>,
 }
 
+/// Maximum number of parts of a prompt whose crashes are counted.
+const MAX_COUNTED_PARTS: usize = 16;
+
 impl AcceptedRequest {
     /// Name of the request's kind in logs.
     pub(super) fn kind_label(&self) -> &'static str {
@@ -64,6 +69,21 @@
         })
     }
 
+    /// Digests of the parts of its prompt that other requests may share: all but the last.
+    pub fn part_digests(&self) -> &[Digest] {
+        self.part_digests.get_or_init(|| {
+            let Some(prompt) = &self.caller.prompt else {
+                return Vec::new();
+            };
+            let isolated = self.tenant.as_ref().filter(|tenant| tenant.is_isolated);
+            let wall = isolated.map(|tenant| &tenant.name);
+            let shared = prompt.parts.len().saturating_sub(1);
+            let counted = prompt.parts[..shared].iter().take(MAX_COUNTED_PARTS);
+            let digests = counted.map(|part| poison::part_digest(&prompt.model, wall, &part.id));
+            digests.collect()
+        })
+    }
+
     /// Whether a successful answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RequestKind::Streaming
