--- a/crates/gateway/tests/support/crashing_engine.rs
+++ b/crates/gateway/tests/support/crashing_engine.rs
@@ -12,11 +12,14 @@
 use tokio::time::sleep;
 
 use super::scripted_engine::{Arrival, chunk, read_request, stream_head, write};
+use super::test_dialect::PARTS;
 
 /// The body of the request under which each engine ends.
 pub const FATAL: &str = "fatal";
 /// The same, and the head of its answer names no request.
 pub const FATAL_AND_SPOILED: &str = "fatal and spoiled";
+/// The part of a prompt under which each engine ends, whatever the body.
+pub const FATAL_PART: &str = "fatal-part";
 /// How long its engine goes on after that.
 const TIME_AFTER_SPOILED: Duration = Duration::from_millis(30);
 /// The body of a request that takes a while.
@@ -111,7 +114,13 @@
 /// Answers what comes on a connection; `true` when it is the end of the engine.
 async fn serve(mut stream: TcpStream, lasting: Rc<Cell<usize>>) -> bool {
     while let Some((head, body)) = read_request(&mut stream).await {
-        let id = Arrival::now(head).header("x-id").unwrap_or_default();
+        let arrival = Arrival::now(head);
+        let id = arrival.header("x-id").unwrap_or_default();
+        let parts = arrival.header(PARTS).unwrap_or_default();
+        let body = match parts.split(',').any(|part| part == FATAL_PART) {
+            true => FATAL.to_owned(),
+            false => body,
+        };
         let named = match body.as_str() {
             FATAL_AND_SPOILED => "",
             _ => &id,
--- a/crates/gateway/tests/support/crashing_nodes.rs
+++ b/crates/gateway/tests/support/crashing_nodes.rs
@@ -18,7 +18,7 @@
 use super::poison_records::PoisonRecords;
 use super::records::{engine, route, table};
 use super::signalling::settings_of;
-use super::test_dialect::ID;
+use super::test_dialect::{ID, PARTS};
 
 /// A caller comes back so soon.
 pub const PAUSE: Duration = Duration::from_millis(60);
@@ -108,6 +108,20 @@
         }
     }
 
+    /// A caller asks a node with a prompt of these parts and one of its own; then the same.
+    pub async fn call_with_parts(&self, index: usize, parts: &str) -> CallerAnswer {
+        self.calls.set(self.calls.get() + 1);
+        let id = format!("r{}", self.calls.get());
+        let parts = format!("{parts},own-{id}");
+        let headers = [(ID, id.as_str()), (PARTS, parts.as_str())];
+        let answer = self.benches[index].call("POST", &headers, &id).await;
+        self.tell(false);
+        sleep(PAUSE).await;
+        self.pool.restore().await;
+        self.list();
+        answer
+    }
+
     /// A caller asks a node; then engines that have ended are back, under other names, and the nodes have told
     /// each other what is new.
     pub async fn call_at(&self, index: usize, body: &str) -> CallerAnswer {
