Count crashes of engines by the shared parts of prompts

Cause: what was counted, a digest of path, caller and body, is finer than the cause.

A crash now also counts against each part of the prompt but the last. A good end of any run with a part clears it, so that parts of sound requests stay free; three crashes without one hold it back at all nodes, through the news and records that requests have. What ran beside is not held back for crashes that another suspect explains.

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -35,6 +35,8 @@
 const SUSPECT_RETENTION: Duration = Duration::from_secs(3_600);
 /// When two requests were both running at this many or more of the same crashes, either may have caused them.
 const MIN_SHARED_CRASHES: usize = 2;
+/// Maximum number of crashes that do not count.
+const MAX_UNCOUNTED: usize = 16;
 /// Maximum number of crashes kept per request. It bounds unproven crashes and those after the last trial, which only
 /// isolated nodes add.
 const MAX_CRASHES: usize = CRASHES_TO_BLOCK_AFTER_SUCCESS + 2 * TRIAL_DELAYS.len();
@@ -48,6 +50,9 @@
     /// Crashes in order of time, each separate from the one before. After the crash that blocked the request, only
     /// crashes of runs that began more than `PROPAGATION_TIME` later are kept.
     pub crashes: Vec<Crash>,
+    /// Crashes that do not count, since their runs began before all nodes knew that the request is blocked. They explain the
+    /// crashes of what ran beside them.
+    pub uncounted: Vec<Crash>,
     /// When a run last succeeded. Earlier crashes are not evidence against the request.
     pub last_success_at: Option<Timestamp>,
     /// Number of trials started.
@@ -74,16 +79,25 @@
             // Another node knows that the engine had not crashed before the run.
             self.crashes.remove(index);
         }
-        self.crashes.push(crash);
+        self.crashes.push(crash.clone());
         self.normalize();
-        self.crashes != before
+        self.crashes != before || self.record_uncounted(crash)
+    }
+
+    /// Keeps a crash that does not count although the request is blocked; returns `false` when it is known.
+    fn record_uncounted(&mut self, crash: Crash) -> bool {
+        let is_new = self.is_blocked() && !self.holds(&crash);
+        let has_room = self.uncounted.len() < MAX_UNCOUNTED;
+        if is_new && has_room {
+            self.uncounted.push(crash);
+        }
+        is_new && has_room
     }
 
     /// Whether the crash of this incarnation of an engine is already recorded.
     pub fn holds(&self, crash: &Crash) -> bool {
-        self.crashes
-            .iter()
-            .any(|known| known.is_same_incarnation(crash))
+        let mut known = self.crashes.iter().chain(&self.uncounted);
+        known.any(|known| known.is_same_incarnation(crash))
     }
 
     /// Records a successful run; returns `false` when this removes no crash.
@@ -96,6 +110,7 @@
         self.crashes.retain(|crash| crash.ended > at);
         let has_changed = self.crashes.len() < count;
         if self.crashes.is_empty() {
+            self.uncounted.clear();
             self.trials = 0;
             self.last_trial_at = None;
         }
@@ -126,7 +141,7 @@
                 .retain(|crash| last_success_at < Some(crash.ended));
             has_changed = true;
         }
-        for crash in &other.crashes {
+        for crash in other.crashes.iter().chain(&other.uncounted) {
             has_changed |= self.record_crash(crash.clone());
         }
         if !self.crashes.is_empty() {
@@ -142,6 +157,17 @@
         self.blocked_at().is_some()
     }
 
+    /// Number of known crashes, whether they count or not.
+    pub fn crash_count(&self) -> usize {
+        self.crashes.len() + self.uncounted.len()
+    }
+
+    /// Whether the crashes that are not explained otherwise suffice to block the request.
+    pub fn is_blocked_without(&self, is_explained: impl Fn(&Crash) -> bool) -> bool {
+        let unexplained = self.proven().filter(|crash| !is_explained(crash));
+        unexplained.count() >= self.crashes_to_block()
+    }
+
     /// Whether one more crash would block the request.
     pub fn is_nearly_blocked(&self) -> bool {
         self.proven().count() + 1 >= self.crashes_to_block()
--- a/crates/core/src/poison/register.rs
+++ b/crates/core/src/poison/register.rs
@@ -69,6 +69,32 @@
         }
     }
 
+    /// Whether a request may be sent to an engine, whose digest and those of its parts are given.
+    ///
+    /// What ran beside the cause of crashes has a part of its crashes. It is not blocked for those.
+    pub fn verdict_of_all(&self, digests: &[Digest], now: Timestamp) -> Verdict {
+        let blamed = digests
+            .iter()
+            .filter(|digest| self.is_blamed(**digest, digests));
+        let verdicts = blamed.map(|digest| self.verdict(*digest, now));
+        verdicts.fold(Verdict::Allowed, Verdict::stricter)
+    }
+
+    /// Whether a digest is blocked for crashes of which no other one is the more likely cause. `own` are all digests of the
+    /// request.
+    pub fn is_blamed(&self, digest: Digest, own: &[Digest]) -> bool {
+        let Some(history) = self.get(digest).filter(|history| history.is_blocked()) else {
+            return false;
+        };
+        let others = self.histories.iter();
+        let others = others.filter(|(other, _)| !own.contains(other));
+        let causes = others
+            .map(|(_, other)| other)
+            .filter(|other| other.is_blocked() && other.crash_count() > history.crash_count());
+        let causes: Vec<_> = causes.collect();
+        history.is_blocked_without(|crash| causes.iter().any(|cause| cause.holds(crash)))
+    }
+
     /// Adds a crash; returns `false` when the history does not change.
     pub fn record_crash(&mut self, digest: Digest, crash: Crash, now: Timestamp) -> bool {
         self.get_or_insert(digest, now).record_crash(crash)
--- a/crates/core/src/poison/verdict.rs
+++ b/crates/core/src/poison/verdict.rs
@@ -15,3 +15,22 @@
         retry_after: Duration,
     },
 }
+
+impl Verdict {
+    /// The stricter of two verdicts.
+    pub(super) fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (
+                Self::Refused { retry_after },
+                Self::Refused {
+                    retry_after: of_other,
+                },
+            ) => Self::Refused {
+                retry_after: retry_after.max(of_other),
+            },
+            (refused @ Self::Refused { .. }, _) | (_, refused @ Self::Refused { .. }) => refused,
+            (Self::Trial, _) | (_, Self::Trial) => Self::Trial,
+            (Self::Allowed, Self::Allowed) => Self::Allowed,
+        }
+    }
+}
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -31,21 +31,42 @@
         let has_no_histories = self.state().poison.is_empty();
         match has_no_histories {
             true => Verdict::Allowed,
-            false => self.poison_verdict_of(request.digest()),
+            false => self.poison_verdict_of(&request.suspects()),
         }
     }
 
-    /// Whether requests with this digest may be sent to an engine now.
-    pub fn poison_verdict_of(&self, digest: Digest) -> Verdict {
+    /// Whether requests with these digests, of themselves and of the parts of their prompts, may be sent to an engine now.
+    pub fn poison_verdict_of(&self, digests: &[Digest]) -> Verdict {
         let now = self.clock().now();
-        self.withdraw_refuted_crashes(digest, now);
-        self.state().poison.verdict(digest, now)
+        for digest in digests {
+            self.withdraw_refuted_crashes(*digest, now);
+        }
+        self.state().poison.verdict_of_all(digests, now)
     }
 
     /// Records that a blocked request is now sent once, to check whether it still crashes its
     /// engine.
     pub(crate) async fn begin_trial(&self, request: &AcceptedRequest) {
-        let digest = request.digest();
+        let blamed = self.blamed(request);
+        for digest in &blamed {
+            self.note_trial(request, *digest);
+        }
+        for digest in &blamed {
+            self.wait_for_poison_write(*digest).await;
+        }
+    }
+
+    /// Of a request and the parts of its prompt, those that are blocked.
+    fn blamed(&self, request: &AcceptedRequest) -> Vec<Digest> {
+        let suspects = request.suspects();
+        let state = self.state();
+        let blamed = suspects.iter().copied();
+        blamed
+            .filter(|digest| state.poison.is_blamed(*digest, &suspects))
+            .collect()
+    }
+
+    fn note_trial(&self, request: &AcceptedRequest, digest: Digest) {
         let now = self.clock().now();
         if let Some(history) = self.state_mut().poison.get_mut(digest) {
             history.begin_trial(now);
@@ -55,7 +76,6 @@
         // Announced at once, so that other nodes do not start a trial as well.
         self.announce_poison(digest);
         self.schedule_poison_write(digest);
-        self.wait_for_poison_write(digest).await;
     }
 
     /// Handles a run whose connection broke. Its engine has most likely crashed, unless it is
@@ -97,6 +117,11 @@
         crash.is_unproven = may_have_crashed_before && crash.is_doubtful();
         let is_unproven = crash.is_unproven;
         drop(state);
+        for part in self.parts_to_count(run) {
+            if let Some(count) = self.note_poison_crash(part, crash.clone()) {
+                self.log_part_crash(run, part, count);
+            }
+        }
         let Some(count) = self.note_poison_crash(digest, crash) else {
             return;
         };
@@ -107,6 +132,29 @@
             "is_unproven" => is_unproven, "held_back" => self.state().poison.is_blocked(digest));
     }
 
+    /// The parts of a run's prompt that its crash counts against: those that are blocked, if any, since these explain it.
+    fn parts_to_count(&self, run: &Run) -> Vec<Digest> {
+        let state = self.state();
+        let parts = run.parts.iter().copied();
+        let blocked = parts.clone().filter(|part| state.poison.is_blocked(*part));
+        let blocked: Vec<_> = blocked.collect();
+        match blocked.is_empty() {
+            true => parts.collect(),
+            false => blocked,
+        }
+    }
+
+    fn log_part_crash(&self, run: &Run, part: Digest, count: usize) {
+        let is_blocked = self.state().poison.is_blocked(part);
+        if count > 1
+            && let Some(left_out) = self.unserved_sampler().admit(self.clock().now())
+        {
+            warn!(self.log(), "engine_ended_under_part"; "request" => &run.request, "part" => %part,
+                "engine" => %run.placement.engine, "in_a_row" => count, "held_back" => is_blocked,
+                "left_out" => left_out);
+        }
+    }
+
     /// Records that an engine crashed while it ran a request. Returns the number of consecutive
     /// crashes of the request, or `None` when this crash adds nothing new.
     pub fn note_poison_crash(&self, digest: Digest, crash: Crash) -> Option<usize> {
@@ -130,10 +178,14 @@
 
     /// Records a successful run, which shows that the request does not crash engines.
     pub(crate) fn note_successful_run(&self, request: &AcceptedRequest) {
-        let has_no_histories = self.state().poison.is_empty();
-        if !has_no_histories && self.clear_poison(request.digest()) {
-            info!(self.log(), "poison_cleared"; "request" => &request.caller.id,
-                "digest" => %request.digest());
+        if self.state().poison.is_empty() {
+            return;
+        }
+        for digest in request.suspects() {
+            if self.clear_poison(digest) {
+                info!(self.log(), "poison_cleared"; "request" => &request.caller.id,
+                    "digest" => %digest);
+            }
         }
     }
 
--- a/crates/gateway/src/gateway/poison_records.rs
+++ b/crates/gateway/src/gateway/poison_records.rs
@@ -75,7 +75,8 @@
     fn is_suspect(&self, request: &AcceptedRequest) -> bool {
         let state = self.state();
         let has_crashes = |history: &History| !history.crashes.is_empty();
-        !state.poison.is_empty() && state.poison.get(request.digest()).is_some_and(has_crashes)
+        let is_known = |digest| state.poison.get(digest).is_some_and(has_crashes);
+        !state.poison.is_empty() && request.suspects().into_iter().any(is_known)
     }
 
     /// Whether a request may have been blocked before this node started, judged by the crashes
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -84,6 +84,13 @@
         })
     }
 
+    /// All that crashes are counted by: the request and the parts of its prompt.
+    pub fn suspects(&self) -> Vec<Digest> {
+        let mut suspects = vec![self.digest()];
+        suspects.extend(self.part_digests());
+        suspects
+    }
+
     /// Whether a successful answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RequestKind::Streaming
--- a/crates/gateway/tests/poison_news.rs
+++ b/crates/gateway/tests/poison_news.rs
@@ -33,6 +33,7 @@
     PoisonUpdate {
         digest: DIGEST,
         crashes: of.into_iter().enumerate().map(end).collect(),
+        uncounted: Vec::new(),
         cleared_age_ms: None,
         trials: 0,
         tried_age_ms: None,
@@ -47,7 +48,7 @@
 }
 
 fn is_held_back(node: &Gateway) -> bool {
-    node.poison_verdict_of(DIGEST) != Verdict::Allowed
+    node.poison_verdict_of(&[DIGEST]) != Verdict::Allowed
 }
 
 /// The engine that both nodes list is still there; the ends of the others are not in doubt.
@@ -174,14 +175,14 @@
         let nodes: Vec<Rc<Gateway>> = (0..2).map(node).collect();
         tell(&nodes[0], &nodes[1], vec![three_ends(["a", "b", "c"])]);
         sleep(Duration::from_secs(601)).await;
-        assert_eq!(nodes[0].poison_verdict_of(DIGEST), Verdict::Trial);
+        assert_eq!(nodes[0].poison_verdict_of(&[DIGEST]), Verdict::Trial);
         let news = PoisonUpdate {
             trials: 1,
             tried_age_ms: Some(5),
             ..three_ends(["a", "b", "c"])
         };
         tell(&nodes[0], &nodes[1], vec![news]);
-        let verdict = nodes[0].poison_verdict_of(DIGEST);
+        let verdict = nodes[0].poison_verdict_of(&[DIGEST]);
         assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
     });
 }
--- a/crates/gateway/tests/poison_parts.rs
+++ b/crates/gateway/tests/poison_parts.rs
@@ -6,6 +6,7 @@
 use ryerouter_gateway::catalogue::RequestKind;
 use support::crashing_nodes::{Nodes, is_held_back};
 use support::gateway_bench::run;
+use support::poison_records::PoisonRecords;
 use yare::parameterized;
 
 /// Engines that may end in all before the part is held back.
@@ -70,6 +71,8 @@
             nodes.call_with_parts(index % 4, FATAL_SECOND).await;
         }
         let crashes = nodes.pool.ended();
+        // Stale readings of the store have caught up.
+        PoisonRecords::of_test().refresh_stale();
         nodes.kill_all().await;
         for index in 0..8 {
             nodes.call_with_parts(index % 4, FATAL_SECOND).await;
--- a/crates/gateway/tests/poison_trials.rs
+++ b/crates/gateway/tests/poison_trials.rs
@@ -49,7 +49,7 @@
         };
         gateway.note_poison_crash(digest_of(body), crash);
     }
-    let verdict = gateway.poison_verdict_of(digest_of(body));
+    let verdict = gateway.poison_verdict_of(&[digest_of(body)]);
     assert_eq!(verdict, Verdict::Trial);
 }
 
