Bring the nodes for tunnels up to date once a second in large deployments

Each node went through all ready nodes ten times a second, copied them and computed their ranks for each comparison: work that grows with the fleet. Now once a second beyond nine other nodes, and each rank once. Not measured on the fleet's site.

--- a/crates/core/src/path/tunnel_peers.rs
+++ b/crates/core/src/path/tunnel_peers.rs
@@ -34,11 +34,12 @@
     }
 
     /// Replaces the known nodes. Of many, those are kept that this node prefers.
-    pub fn set(&mut self, mut peers: Vec<TunnelPeer>, now: Timestamp) {
-        let rank = |peer: &TunnelPeer| self.rank(peer, 0);
-        peers.sort_by(|left, right| rank(left).partial_cmp(&rank(right)).expect("finite ranks"));
-        peers.truncate(MAX_PEERS);
-        self.peers = peers;
+    pub fn set(&mut self, peers: Vec<TunnelPeer>, now: Timestamp) {
+        let ranked = peers.into_iter().map(|peer| (self.rank(&peer, 0), peer));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_by(|(left, _), (right, _)| left.partial_cmp(right).expect("finite ranks"));
+        ranked.truncate(MAX_PEERS);
+        self.peers = ranked.into_iter().map(|(_, peer)| peer).collect();
         self.refused_at
             .retain(|_, refused_at| now.since(*refused_at) < REFUSAL_TIME);
     }
--- a/crates/gateway/src/gateway/tunnels.rs
+++ b/crates/gateway/src/gateway/tunnels.rs
@@ -6,7 +6,7 @@
 use ryerouter_core::path::{PathChange, PeerDistance, TunnelPeer};
 use slog::{info, warn};
 
-use super::{Gateway, GatewayState};
+use super::Gateway;
 use crate::peers::Peer;
 use crate::topology::Distance;
 use crate::tunnel::TunnelService;
@@ -41,13 +41,22 @@
         }
     }
 
-    /// Brings up to date which nodes may be asked for tunnels and which paths matter, and logs changes of paths.
-    pub(crate) fn refresh_paths(&self) {
-        let now = self.clock().now();
+    /// Whether there are so many nodes that it costs something to go through all of them.
+    pub(crate) fn has_many_peers(&self) -> bool {
+        self.state().peers.is_large()
+    }
+
+    /// Brings up to date which nodes may be asked for tunnels.
+    pub(crate) fn refresh_tunnel_peers(&self) {
         let state = self.state();
-        let ready = state.peers.ready(now);
+        let ready = state.peers.ready(self.clock().now());
         let peers = ready.filter_map(|peer| self.tunnel_peer(peer));
         self.upstream().set_tunnel_peers(peers.collect());
+    }
+
+    /// Forgets paths to engines that are gone, and logs changes of paths.
+    pub(crate) fn refresh_paths(&self) {
+        let state = self.state();
         let dialer = self.upstream().dialer();
         dialer.retain_engines(|engine| state.engines.get(engine).is_some());
         let blocked = &self.metrics().blocked_paths;
@@ -101,7 +110,7 @@
         let is_cut_off = self.upstream().dialer().is_cut_off();
         let was_cut_off = std::mem::replace(&mut self.state_mut().is_cut_off, is_cut_off);
         if is_cut_off != was_cut_off {
-            let state: std::cell::Ref<'_, GatewayState> = self.state();
+            let state = self.state();
             warn!(self.log(), "engine_links"; "are_cut" => is_cut_off,
                 "blocked" => self.upstream().dialer().blocked_count(),
                 "engines" => state.engines.count(),
