Log the software version of a stream's engines, and which stream a request takes up

No line told at which version a stream began or went on: a mixed stream looked like any other. The head field Resumes is read; a value that is not text is no reason to refuse the request.

--- a/crates/gateway/src/placement/chooser.rs
+++ b/crates/gateway/src/placement/chooser.rs
@@ -144,6 +144,7 @@
         Some(Placement {
             engine: best.engine.entry.name.clone(),
             incarnation: best.engine.entry.incarnation,
+            software: best.engine.entry.software.clone(),
             address: best.engine.entry.address,
             weights: best.version.map(|version| version.weights),
             salt: best.version.map(|version| version.salt.clone()),
--- a/crates/gateway/src/placement/chosen_engine.rs
+++ b/crates/gateway/src/placement/chosen_engine.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use ryerouter_core::identity::{BackEndName, Incarnation};
+use ryerouter_core::release::SoftwareVersion;
 
 use super::{CandidateCost, PromptKeys};
 
@@ -37,6 +38,8 @@
     pub engine: BackEndName,
     /// Incarnation of the engine at the time of the choice.
     pub incarnation: Option<Incarnation>,
+    /// Version of the engine's software; it never changes within an incarnation.
+    pub software: SoftwareVersion,
     /// Address of the engine.
     pub address: SocketAddr,
     /// Version of the weights that the engine is expected to have; `None` for plain services.
--- a/crates/gateway/src/request/caller_request.rs
+++ b/crates/gateway/src/request/caller_request.rs
@@ -17,4 +17,6 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of an earlier answer that broke off.
     pub last_event_id: Option<String>,
+    /// Id of the request that brought the first event of that answer.
+    pub resumes: Option<String>,
 }
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -264,8 +264,8 @@
         self.report(|reporter| reporter.end(error.answer_end()));
         // Dropping the answer closes its connection and ends the former run before another one starts.
         let former = self.live.take().map(|live| live.placement);
-        if let Some(placement) = former {
-            self.forwarder.note_failure(&placement, &error);
+        if let Some(placement) = &former {
+            self.forwarder.note_failure(placement, &error);
         }
         if !self.forwarder.may_retry() {
             return Err(fault);
@@ -278,7 +278,9 @@
                 self.resume_count += 1;
                 info!(self.forwarder.gateway.log(), "stream_resumed";
                     "request" => &self.forwarder.request.caller.id,
-                    "engine" => %live.placement.engine, "after_event" => last_event_id);
+                    "engine" => %live.placement.engine, "software" => &live.placement.software,
+                    "former_software" => former.map(|former| former.software),
+                    "after_event" => last_event_id);
                 self.live = Some(live);
                 self.await_phase(AnswerPhase::FirstEvent);
                 Ok(())
@@ -388,6 +390,7 @@
         let fetch = placement.fetch.as_ref();
         info!(gateway.log(), "stream_answered"; "request" => &request.caller.id,
             "route" => &request.route.name, "engine" => %placement.engine,
+            "software" => &placement.software, "resumes" => request.caller.resumes.as_deref(),
             "weights" => placement.weights, "cached" => placement.cached_tokens,
             "fetched" => fetch.map(|fetch| fetch.tokens),
             "fetched_from" => fetch.map(|fetch| fetch.holder.to_string()),
@@ -412,6 +415,7 @@
             "request" => &self.forwarder.request.caller.id, "end" => %end,
             "detail" => &fault.detail, "arrivals" => self.forwarder.arrivals,
             "resumed" => self.resume_count, "last_event" => self.last_event_id.clone(),
+            "resumes" => self.forwarder.request.caller.resumes.clone(),
             "after_ms" => self.active.elapsed_ms());
         fault
     }
--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -383,6 +383,7 @@
     Placement {
         engine: name(),
         incarnation: Some(Incarnation(incarnation)),
+        software: String::new(),
         address: "127.0.0.1:1".parse().unwrap(),
         weights: Some(1),
         salt: None,
--- a/crates/gateway/tests/support/test_dialect.rs
+++ b/crates/gateway/tests/support/test_dialect.rs
@@ -20,6 +20,7 @@
 pub const ENGINE: &str = "x-engine";
 pub const TENANT: &str = "x-tenant";
 pub const AFTER: &str = "x-after";
+pub const RESUMES: &str = "x-resumes";
 pub const LEAVING: &str = "x-leaving";
 pub const LIMIT: &str = "x-limit";
 
@@ -54,6 +55,7 @@
             key: text(KEY),
             prompt: text(PARTS).map(|parts| prompt(&parts)),
             last_event_id: text(AFTER),
+            resumes: text(RESUMES),
         })
     }
 
--- a/crates/gateway/tests/zones.rs
+++ b/crates/gateway/tests/zones.rs
@@ -77,6 +77,7 @@
         gateway.note_prefill_done(&Placement {
             engine: BackEndName::new("e1"),
             incarnation: None,
+            software: String::new(),
             address: "127.0.0.1:1".parse().unwrap(),
             weights: Some(1),
             salt: None,
