--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -31,5 +31,7 @@
 pub mod starting_fleet;
 pub mod test_dialect;
 pub mod unanswered_address;
+pub mod versioned_engines;
+pub mod versioned_nodes;
 pub mod virtual_network;
 pub mod virtual_source;
--- /dev/null
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -0,0 +1,270 @@
+//! Nodes before engines of several software versions, and callers that take up streams again.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use ryerouter_core::identity::ZoneName;
+use ryerouter_gateway::catalogue::{RequestKind, Route, RoutingTable};
+use ryerouter_gateway::engines::EngineEntry;
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::peers::run_peer_link;
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use super::fleet::introduce;
+use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
+use super::records::{route, table};
+use super::signalling::settings_of;
+use super::test_dialect::{AFTER, ID, KEY, RESUMES};
+use super::versioned_engines::{EVENTS, VersionedEngine};
+
+/// How often each node reads the list of engines.
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+/// Attempts of one request: enough for engines that break off every answer.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// One node.
+pub struct VersionedNode {
+    pub bench: GatewayBench,
+    /// The list of engines that it reads.
+    pub list: Rc<RefCell<Vec<EngineEntry>>>,
+    /// Tasks that end with the node.
+    _tasks: JoinSet<()>,
+}
+
+impl VersionedNode {
+    async fn start(
+        index: usize,
+        incarnation: u64,
+        table: RoutingTable,
+        entries: Vec<EngineEntry>,
+    ) -> Self {
+        let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
+        let mut own = settings_of(index);
+        own.identity.incarnation = incarnation;
+        own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
+        own.identity.peer_address = datagrams.local_addr().expect("address");
+        let bench = GatewayBench::serve(gateway_with(own), Some(table), entries.clone()).await;
+        let gateway = Rc::clone(&bench.gateway);
+        let list = Rc::new(RefCell::new(entries));
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(run_peer_link(Rc::clone(&gateway), datagrams));
+        let listed = Rc::clone(&list);
+        tasks.spawn_local(async move {
+            loop {
+                sleep(LIST_INTERVAL).await;
+                list_engines(&gateway, listed.borrow().clone());
+            }
+        });
+        Self {
+            bench,
+            list,
+            _tasks: tasks,
+        }
+    }
+}
+
+/// Nodes that know each other, before the same engines.
+pub struct VersionedNodes {
+    pub nodes: RefCell<Vec<Rc<VersionedNode>>>,
+    pub engines: RefCell<Vec<VersionedEngine>>,
+    route: Route,
+    started: Cell<u64>,
+    streams: Cell<u64>,
+}
+
+impl VersionedNodes {
+    /// So many nodes before two engines of each version.
+    pub async fn start(nodes: usize, versions: &[&str]) -> Self {
+        let mut route = route(RequestKind::Streaming);
+        route.max_attempts = MAX_ATTEMPTS;
+        Self::start_with(nodes, versions, route).await
+    }
+
+    /// The same with another route.
+    pub async fn start_with(nodes: usize, versions: &[&str], route: Route) -> Self {
+        let all = Self {
+            nodes: RefCell::default(),
+            engines: RefCell::default(),
+            route,
+            started: Cell::new(0),
+            streams: Cell::new(0),
+        };
+        for version in versions {
+            all.start_engine(version).await;
+            all.start_engine(version).await;
+        }
+        for index in 0..nodes {
+            let node = all.start_node(index).await;
+            all.nodes.borrow_mut().push(node);
+        }
+        introduce(&all.gateways());
+        all
+    }
+
+    /// Starts an engine of a version; nodes learn of it from the list, see [`Self::list`].
+    pub async fn start_engine(&self, version: &str) {
+        let name = format!("e{}", self.engines.borrow().len());
+        let engine = VersionedEngine::start(&name, version).await;
+        self.engines.borrow_mut().push(engine);
+    }
+
+    async fn start_node(&self, index: usize) -> Rc<VersionedNode> {
+        self.started.set(self.started.get() + 1);
+        let incarnation = 1_000 + self.started.get();
+        let table = table(1, vec![self.route.clone()]);
+        let entries = self.entries();
+        Rc::new(VersionedNode::start(index, incarnation, table, entries).await)
+    }
+
+    /// The entries of all engines.
+    pub fn entries(&self) -> Vec<EngineEntry> {
+        let engines = self.engines.borrow();
+        engines.iter().map(VersionedEngine::entry).collect()
+    }
+
+    /// Every node reads the list of all engines from now on.
+    pub fn list(&self) {
+        for node in self.nodes.borrow().iter() {
+            self.list_at(node, self.entries());
+        }
+    }
+
+    /// One node reads this list from now on.
+    pub fn list_at(&self, node: &VersionedNode, entries: Vec<EngineEntry>) {
+        *node.list.borrow_mut() = entries.clone();
+        list_engines(&node.bench.gateway, entries);
+    }
+
+    /// Kills some nodes at once and starts them again.
+    pub async fn restart(&self, indexes: &[usize]) {
+        let mut started = Vec::new();
+        for index in indexes {
+            started.push((*index, self.start_node(*index).await));
+        }
+        for (index, node) in started {
+            self.nodes.borrow_mut()[index] = node;
+        }
+        introduce(&self.gateways());
+    }
+
+    pub fn gateways(&self) -> Vec<Rc<Gateway>> {
+        let nodes = self.nodes.borrow();
+        let all = nodes.iter();
+        all.map(|node| Rc::clone(&node.bench.gateway)).collect()
+    }
+
+    /// The node of a number.
+    pub fn node(&self, index: usize) -> Rc<VersionedNode> {
+        let nodes = self.nodes.borrow();
+        Rc::clone(&nodes[index % nodes.len()])
+    }
+
+    /// A stream that nobody has asked for yet.
+    pub fn new_stream(&self) -> Stream {
+        self.streams.set(self.streams.get() + 1);
+        Stream {
+            name: format!("s{}", self.streams.get()),
+            ..Stream::default()
+        }
+    }
+}
+
+/// How a caller's attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Attempt {
+    /// The caller lost its connection, as it meant to.
+    Cut,
+    /// The stream ended well.
+    Whole,
+    /// The answer broke off.
+    Broken,
+    /// The request was refused.
+    Refused {
+        status: StatusCode,
+        retry_after: Option<f64>,
+    },
+}
+
+/// A stream as its caller sees it, over all of its attempts.
+#[derive(Debug, Clone, Default)]
+pub struct Stream {
+    name: String,
+    attempts: u32,
+    /// The attempt that brought the first event.
+    pub first: Option<String>,
+    /// Number of the last event.
+    pub last: u32,
+    /// Versions that wrote its events.
+    pub versions: BTreeSet<String>,
+    /// Key of the caller.
+    pub key: Option<&'static str>,
+}
+
+impl Stream {
+    /// Whether two versions have written it.
+    pub fn is_mixed(&self) -> bool {
+        self.versions.len() > 1
+    }
+
+    /// Whether all events have come.
+    pub fn is_whole(&self) -> bool {
+        self.last == EVENTS
+    }
+
+    /// Asks a node for the rest, and loses the connection after so many events.
+    pub async fn read(&mut self, node: &VersionedNode, most: u32) -> Attempt {
+        self.attempts += 1;
+        let id = format!("{}-{}", self.name, self.attempts);
+        let last = self.last.to_string();
+        let mut headers = vec![(ID, id.as_str())];
+        if let Some(first) = &self.first {
+            headers.extend([(AFTER, last.as_str()), (RESUMES, first.as_str())]);
+        }
+        headers.extend(self.key.map(|key| (KEY, key)));
+        let response = node.bench.begin("POST", &headers, "").await;
+        let status = response.status();
+        if status != StatusCode::OK {
+            let retry_after = response.headers().get(RETRY_AFTER);
+            let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+            return Attempt::Refused {
+                status,
+                retry_after,
+            };
+        }
+        let mut body = response.into_body();
+        let mut text = String::new();
+        let mut events = 0;
+        while events < most {
+            match body.frame().await {
+                None => return Attempt::Whole,
+                Some(Err(_)) => return Attempt::Broken,
+                Some(Ok(frame)) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    text.push_str(&String::from_utf8_lossy(&bytes));
+                }
+            }
+            while let Some((event, rest)) = text.split_once("\n\n") {
+                events += 1;
+                self.take(&id, event);
+                text = rest.to_owned();
+            }
+        }
+        Attempt::Cut
+    }
+
+    fn take(&mut self, attempt: &str, event: &str) {
+        let (number, version) = event.split_once('\n').expect("two lines");
+        let number: u32 = number["id: ".len()..].parse().expect("number");
+        assert_eq!(number, self.last + 1, "events come in order, once");
+        self.last = number;
+        self.first.get_or_insert_with(|| attempt.to_owned());
+        self.versions.insert(version["data: ".len()..].to_owned());
+    }
+}
