Go on with a stream only at the software version that began it

Cause: a request that continues was placed like one that begins. Inside one answer the gateway knew the version and did not use it; over a caller's tries nobody knew it, and with several pools the draw by the request's id could even change the pool.

Now the version is fixed once an event has gone on to the caller. Its record is sent to three gateways that follow from the stream's id, before that event, while several versions serve; a gateway that takes the stream up asks them, for 300 ms at most, and refuses what nobody knows (503 unknown_version) or no engine runs any more (503 version_gone, no Retry-After). With one version nothing is sent or asked. The pool of a continuation is drawn by the id of the first request.

--- /dev/null
+++ b/crates/core/src/continuation/mod.rs
@@ -0,0 +1,19 @@
+//! Continuations: at which software version a stream that was interrupted may go on.
+//!
+//! Engines of several software versions may serve one pool, and what two versions write does not fit together. A stream
+//! therefore goes on only at the version that began it. Nodes keep a [`Record`](Register) of each stream while several
+//! versions serve, at a few of them that follow from the stream's id; see `docs/design/continuations.md`.
+
+mod decision;
+mod holders;
+mod knowledge;
+mod register;
+mod stream_id;
+mod version_history;
+
+pub use decision::{Answers, Decision, Outlook, Unresolved, decide, decide_with_answers};
+pub use holders::{HOLDERS, Node, holders_of};
+pub use knowledge::Knowledge;
+pub use register::{Register, Source};
+pub use stream_id::StreamId;
+pub use version_history::{SETTLING_TIME, VersionHistory};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod config;
+pub mod continuation;
 pub mod control;
 pub mod dispatch;
 pub mod identity;
--- /dev/null
+++ b/crates/gateway/src/continuation/mod.rs
@@ -0,0 +1,19 @@
+//! Streams that were interrupted go on at the software version that began them; see docs/design/continuations.md.
+//!
+//! [`ryerouter_core::continuation`] decides. Here stands what nodes tell each other for it, and what a node remembers.
+
+mod answer;
+mod lookup;
+mod question;
+mod records;
+mod served_versions;
+mod software_constraint;
+mod state;
+
+pub use answer::Answer;
+pub use lookup::Lookup;
+pub use question::Question;
+pub use records::Records;
+pub use served_versions::ServedVersions;
+pub use software_constraint::SoftwareConstraint;
+pub use state::Continuations;
--- /dev/null
+++ b/crates/gateway/src/continuation/records.rs
@@ -0,0 +1,20 @@
+//! Tells other nodes at which version streams began.
+
+use ryerouter_core::continuation::StreamId;
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::SoftwareVersion;
+use serde::{Deserialize, Serialize};
+
+/// Streams of a pool that engines of one version began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Records {
+    /// The pool.
+    #[serde(rename = "p")]
+    pub pool: PoolName,
+    /// The version.
+    #[serde(rename = "v")]
+    pub software: SoftwareVersion,
+    /// The streams.
+    #[serde(rename = "i")]
+    pub streams: Vec<StreamId>,
+}
--- /dev/null
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -0,0 +1,365 @@
+//! Finds out at which software version a stream goes on, and tells other nodes; see docs/design/continuations.md.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::Timestamp;
+use ryerouter_core::continuation::{
+    Answers, Decision, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Source, StreamId,
+    Unresolved, decide, decide_with_answers, holders_of,
+};
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::SoftwareVersion;
+use slog::info;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
+use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
+use crate::peers::{Datagram, PeerMessage};
+use crate::serve::AcceptedRequest;
+use crate::source::ItemKind;
+
+/// Maximum time that a stream waits for other nodes to answer. Its caller gives up after two seconds, and a node that has
+/// used up its share of a core answers within a tenth of a second.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which nodes that have not answered are asked again, since datagrams may be lost.
+const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(60);
+/// When a pool gets a second version, the streams of this time are announced. Streams that began earlier and go on later
+/// are known to this node only.
+const ANNOUNCED_AGE: Duration = Duration::from_secs(30);
+/// Maximum number of streams in one datagram.
+const MAX_RECORDS_PER_DATAGRAM: usize = 256;
+
+impl Gateway {
+    /// The version at which a request goes on with the stream that it names.
+    pub(crate) async fn continuation_version(
+        self: &Rc<Self>,
+        request: &AcceptedRequest,
+    ) -> Result<SoftwareVersion, Unresolved> {
+        let asked_at = self.clock().now();
+        let stream = request.stream_id();
+        let pool = &request.pool;
+        let outlook = self.version_outlook(pool);
+        let known = self
+            .state()
+            .continuations
+            .register
+            .get(stream, self.clock().now());
+        let mut known_by = match known {
+            Knowledge::Unknown => "list",
+            Knowledge::Began(_) | Knowledge::Ambiguous => "own",
+        };
+        let mut answers = Answers::default();
+        let decision = match decide(known, &outlook) {
+            Decision::Ask => {
+                answers = self.ask_holders(stream, pool).await;
+                if answers.knowledge != Knowledge::Unknown {
+                    known_by = "peer";
+                }
+                decide_with_answers(&outlook, &answers)
+            }
+            decision => decision,
+        };
+        let decided = match decision {
+            Decision::Continue(software) => Ok(software),
+            Decision::Refuse(why) => Err(why),
+            Decision::Ask => Err(Unresolved::NoRecord),
+        };
+        let label = if decided.is_ok() { known_by } else { "refused" };
+        let continuations = &self.metrics().continuations;
+        continuations.with_label_values(&[label]).inc();
+        if let Some(left_out) = self.continuation_sampler().admit(self.clock().now()) {
+            let waited = self.clock().now().since(asked_at);
+            info!(self.log(), "stream_taken_up"; "request" => &request.caller.id,
+                "resumes" => request.caller.resumes.as_deref(), "stream" => %stream,
+                "after_event" => request.caller.last_event_id.as_deref(),
+                "software" => decided.as_ref().ok(), "known_by" => label,
+                "why" => decided.as_ref().err().map(ToString::to_string),
+                "versions" => outlook.versions.join(","), "is_certain" => outlook.is_certain,
+                "answers" => answers.count, "waited_ms" => waited.as_millis() as u64,
+                "left_out" => left_out);
+        }
+        decided
+    }
+
+    /// Whether engines of a version serve a pool, as far as the list tells; `None` while the list may be outdated.
+    pub(crate) fn is_version_in_service(&self, pool: &PoolName, software: &str) -> Option<bool> {
+        let outlook = self.version_outlook(pool);
+        let state = self.state();
+        let mut engines = state.engines.of_pool(pool);
+        let is_listed =
+            engines.any(|engine| engine.is_in_service() && engine.entry.software == software);
+        (is_listed || outlook.is_certain).then_some(is_listed)
+    }
+
+    /// Records that the caller of a request gets events of this version now, and tells the nodes that hold the record.
+    pub(crate) fn note_stream_version(&self, request: &AcceptedRequest, software: &str) {
+        if request.caller.first_request_id().is_empty() {
+            // The caller takes up a stream without naming it, so nobody can ask for it.
+            return;
+        }
+        let now = self.clock().now();
+        let (stream, pool) = (request.stream_id(), &request.pool);
+        let mut state = self.state_mut();
+        let continuations = &mut state.continuations;
+        let register = &mut continuations.register;
+        register.note(stream, pool, software, Source::Own, now);
+        if !continuations.history.is_mixed(pool, now) {
+            return;
+        }
+        let holders = self.holders(&state, stream, now);
+        drop(state);
+        let records = Records {
+            pool: pool.clone(),
+            software: software.to_owned(),
+            streams: vec![stream],
+        };
+        let holders: Vec<_> = holders.into_iter().flatten().collect();
+        self.send_datagram(&Datagram::StreamRecords(records), &holders);
+    }
+
+    /// Applies records of another node.
+    pub fn apply_stream_records(&self, records: &Records) {
+        let now = self.clock().now();
+        let register = &mut self.state_mut().continuations.register;
+        for stream in &records.streams {
+            register.note(*stream, &records.pool, &records.software, Source::Peer, now);
+        }
+    }
+
+    /// Answers another node's question, or passes it on to the nodes that hold the record.
+    pub fn answer_stream_question(&self, question: &Question, from: SocketAddr) {
+        let now = self.clock().now();
+        let state = self.state();
+        let continuations = &state.continuations;
+        let knowledge = continuations.register.get(question.stream, now);
+        let holders = self.holders(&state, question.stream, now);
+        let is_holder = holders.contains(&None);
+        let answer = Answer {
+            number: question.number,
+            is_ambiguous: knowledge == Knowledge::Ambiguous,
+            is_holder: is_holder || knowledge != Knowledge::Unknown || question.asker.is_some(),
+            versions: continuations.history.versions(&question.pool, now),
+            software: match knowledge {
+                Knowledge::Began(software) => Some(software),
+                Knowledge::Unknown | Knowledge::Ambiguous => None,
+            },
+        };
+        drop(state);
+        let asker = question.asker.unwrap_or(from);
+        if !answer.is_holder {
+            let passed_on = Question {
+                asker: Some(asker),
+                ..question.clone()
+            };
+            let holders = holders.into_iter().flatten();
+            let holders: Vec<_> = holders.filter(|holder| *holder != asker).collect();
+            self.send_datagram(&Datagram::StreamQuestion(passed_on), &holders);
+        }
+        self.send_datagram(&Datagram::StreamAnswer(answer), &[asker]);
+    }
+
+    /// Applies an answer to a question of this node.
+    pub fn apply_stream_answer(&self, answer: &Answer, from: SocketAddr) {
+        let lookup = self
+            .state()
+            .continuations
+            .lookups
+            .get(&answer.number)
+            .cloned();
+        if let Some(lookup) = lookup {
+            lookup.receive(from, answer);
+        }
+    }
+
+    /// Records that the list holds an engine of this version.
+    pub(super) fn note_version_listed(
+        &self,
+        state: &mut GatewayState,
+        pool: &PoolName,
+        software: &str,
+        now: Timestamp,
+    ) {
+        let history = &mut state.continuations.history;
+        if history.note_listed(pool, software, now) {
+            self.announce_streams(state, pool, now);
+        }
+    }
+
+    /// Keeps the versions of all listed engines up to date, and forgets those of long ago.
+    pub fn refresh_versions(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let state = &mut *state;
+        let history = &mut state.continuations.history;
+        for engine in state.engines.iter() {
+            history.note_listed(&engine.entry.pool, &engine.entry.software, now);
+        }
+        history.expire(now);
+        state.continuations.register.expire(now);
+    }
+
+    /// The versions of pools that several versions serve, for other nodes.
+    pub(super) fn served_versions(
+        &self,
+        state: &GatewayState,
+        now: Timestamp,
+    ) -> Vec<ServedVersions> {
+        let mixed = state.continuations.history.listed_in_mixed_pools(now);
+        mixed
+            .map(|(pool, versions)| ServedVersions {
+                pool: pool.clone(),
+                versions: versions
+                    .into_iter()
+                    .map(|(software, age)| (software.clone(), age.as_millis() as u64))
+                    .collect(),
+            })
+            .collect()
+    }
+
+    /// Applies the versions that another node has seen.
+    pub(super) fn apply_served_versions(&self, state: &mut GatewayState, message: &PeerMessage) {
+        let now = self.clock().now();
+        for served in &message.served {
+            let mut is_new = false;
+            for (software, age_ms) in &served.versions {
+                let at = now.before(Duration::from_millis(*age_ms));
+                let history = &mut state.continuations.history;
+                is_new |= history.note_told(&served.pool, software, at, now);
+            }
+            if is_new {
+                self.announce_streams(state, &served.pool, now);
+            }
+        }
+    }
+
+    /// Tells the nodes that hold records of the streams which this node relayed lately: until now, with one version,
+    /// there was no need to.
+    fn announce_streams(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) {
+        let register = &state.continuations.register;
+        let mut batches: BTreeMap<(SocketAddr, &SoftwareVersion), Vec<StreamId>> = BTreeMap::new();
+        let mut count = 0;
+        for (stream, software) in register.own_since(pool, ANNOUNCED_AGE, now) {
+            count += 1;
+            for holder in self.holders(state, stream, now).into_iter().flatten() {
+                batches.entry((holder, software)).or_default().push(stream);
+            }
+        }
+        for ((holder, software), streams) in batches {
+            for streams in streams.chunks(MAX_RECORDS_PER_DATAGRAM) {
+                let records = Records {
+                    pool: pool.clone(),
+                    software: software.clone(),
+                    streams: streams.to_vec(),
+                };
+                self.send_datagram(&Datagram::StreamRecords(records), &[holder]);
+            }
+        }
+        info!(self.log(), "versions_mixed"; "pool" => %pool, "streams_announced" => count,
+            "versions" => state.continuations.history.versions(pool, now).join(","));
+    }
+
+    async fn ask_holders(self: &Rc<Self>, stream: StreamId, pool: &PoolName) -> Answers {
+        let asked = self.nodes_to_ask(stream);
+        let lookup = Rc::new(Lookup::new(asked));
+        let open = OpenLookup::begin(self, &lookup);
+        let question = Question {
+            number: open.number,
+            stream,
+            pool: pool.clone(),
+            asker: None,
+        };
+        let limit = self.clock().now().after(LOOKUP_TIMEOUT);
+        let ask_until_settled = async {
+            loop {
+                let datagram = Datagram::StreamQuestion(question.clone());
+                self.send_datagram(&datagram, &lookup.unanswered());
+                tokio::select! {
+                    () = lookup.until_settled() => return,
+                    () = sleep(ASK_AGAIN_INTERVAL) => {}
+                }
+            }
+        };
+        // Without answers in time, what came until then decides.
+        let _ = self.clock().until(limit, ask_until_settled).await;
+        lookup.answers()
+    }
+
+    /// The other nodes that hold a stream's record. A node that has just started may not know them, and also asks nodes
+    /// that it has not heard from.
+    fn nodes_to_ask(&self, stream: StreamId) -> Vec<SocketAddr> {
+        let now = self.clock().now();
+        let state = self.state();
+        let holders = self.holders(&state, stream, now);
+        let mut asked: Vec<_> = holders.into_iter().flatten().collect();
+        if self.uptime() < PEER_DISCOVERY_TIME {
+            let unheard = state.peers.unanswered_addresses().iter().take(HOLDERS);
+            asked.extend(unheard);
+        }
+        asked
+    }
+
+    /// The nodes that hold a stream's record; `None` stands for this node.
+    fn holders(
+        &self,
+        state: &GatewayState,
+        stream: StreamId,
+        now: Timestamp,
+    ) -> Vec<Option<SocketAddr>> {
+        let identity = &self.settings().identity;
+        let own = Node {
+            key: None,
+            name_hash: xxh3_64(identity.name.as_str().as_bytes()),
+            zone: &identity.zone,
+        };
+        let peers = state.peers.alive(now).map(|peer| Node {
+            key: Some(peer.identity.peer_address),
+            name_hash: xxh3_64(peer.identity.name.as_str().as_bytes()),
+            zone: &peer.identity.zone,
+        });
+        holders_of(stream, peers.chain([own]))
+    }
+
+    fn version_outlook(&self, pool: &PoolName) -> Outlook {
+        let now = self.clock().now();
+        let state = self.state();
+        let replica = state.replicas.of(ItemKind::Engines);
+        let is_list_current =
+            replica.freshness.is_within(SETTLING_TIME, now) && !replica.is_behind();
+        let knows_history = self.uptime() >= PEER_DISCOVERY_TIME;
+        Outlook {
+            versions: state.continuations.history.versions(pool, now),
+            is_certain: state.has_engine_list && is_list_current && knows_history,
+        }
+    }
+}
+
+/// Keeps a question open until dropped.
+struct OpenLookup {
+    gateway: Rc<Gateway>,
+    number: u64,
+}
+
+impl OpenLookup {
+    fn begin(gateway: &Rc<Gateway>, lookup: &Rc<Lookup>) -> Self {
+        let mut state = gateway.state_mut();
+        // An answer may come late, to a question of this node's former life.
+        let number = u64::from(rand::random::<u32>());
+        let lookups = &mut state.continuations.lookups;
+        lookups.insert(number, Rc::clone(lookup));
+        Self {
+            gateway: Rc::clone(gateway),
+            number,
+        }
+    }
+}
+
+impl Drop for OpenLookup {
+    fn drop(&mut self) {
+        let mut state = self.gateway.state_mut();
+        state.continuations.lookups.remove(&self.number);
+    }
+}
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -16,6 +16,7 @@
 use super::silent_engines::own_reporter;
 use super::{CallerRing, Freshness, GatewaySettings, HandoverState, OrderNeed, UnmetNeed};
 use crate::catalogue::RoutingTable;
+use crate::continuation::Continuations;
 use crate::engines::{EngineTable, KnownIncarnations, PhaseTimes, StartDelays};
 use crate::peers::{
     HolderUpdate, LeaseUpdate, MemberAddress, NodeIdentity, NodeState, PeerTable, SentTimes,
@@ -191,6 +192,8 @@
     pub caller_rings: BTreeMap<ZoneName, CallerRing>,
     /// Rate of incoming requests.
     pub requests: Meter,
+    /// Versions of interrupted streams.
+    pub continuations: Continuations,
     /// Number of requests in progress.
     pub active_requests: usize,
     /// Number of tunnels of other nodes.
@@ -313,6 +316,7 @@
             weights_updates: Vec::new(),
             caller_rings: BTreeMap::new(),
             requests: Meter::new(REQUEST_RATE_WINDOW, now),
+            continuations: Continuations::default(),
             active_requests: 0,
             open_tunnels: 0,
             is_cut_off: false,
--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -116,6 +116,7 @@
             poison: self.poison_updates(&mut state, is_full_update, now),
             signals: self.signal_updates(&mut state, is_full_update, now),
             reach: self.reach_update(&mut state, now),
+            served: self.served_versions(&state, now),
             knows_orders: is_full_update && state.releases.knows_orders,
             holders,
             dropped,
@@ -337,6 +338,7 @@
         }
         self.apply_poison_updates(&mut state, &message.poison, now);
         self.apply_signal_updates(&mut state, &message.signals, now);
+        self.apply_served_versions(&mut state, &message);
         if let Some(update) = &message.reach {
             self.apply_reach_update(&mut state, update, &message.from.zone, now);
         }
--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -10,6 +10,7 @@
 use slog::{debug, info, warn};
 
 use super::{Gateway, GatewayState};
+use crate::continuation::SoftwareConstraint;
 use crate::engines::EngineTable;
 use crate::placement::Placement;
 use crate::release::{
@@ -27,13 +28,35 @@
 
 impl Gateway {
     /// The engines that may take a request which has already been sent to those in `tried`.
-    pub(crate) fn admission(&self, pool: &PoolName, id: &str, tried: &[BackEndName]) -> Admission {
+    pub(crate) fn admission(
+        &self,
+        pool: &PoolName,
+        id: &str,
+        tried: &[BackEndName],
+        software: &SoftwareConstraint,
+    ) -> Admission {
+        let now = self.clock().now();
+        let state = self.state();
         let Some(settings) = &self.settings().releases else {
-            return Admission::to(EngineFilter::Any);
+            let history = &state.continuations.history;
+            return match software {
+                SoftwareConstraint::Any => Admission::to(EngineFilter::Any),
+                SoftwareConstraint::Settled => {
+                    Admission::preferring_except(history.unsettled(pool, now))
+                }
+                SoftwareConstraint::Only(software) => {
+                    Admission::to(EngineFilter::Version(software.clone()))
+                }
+            };
         };
-        let state = self.state();
-        let gate = self.gate(&state, settings, self.clock().now());
-        gate.admission(pool, id, tried)
+        let gate = self.gate(&state, settings, now);
+        match software {
+            // Versions that appeared lately are on hold for longer than they need to settle.
+            SoftwareConstraint::Any | SoftwareConstraint::Settled => {
+                gate.admission(pool, id, tried)
+            }
+            SoftwareConstraint::Only(software) => gate.admission_to_version(pool, software),
+        }
     }
 
     /// The engines that make up a pool's capacity: all but those of versions that get none or few of
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! The handle that the tasks of a gateway share.
 
 use std::cell::{Ref, RefCell, RefMut};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
 
 use super::{GatewaySettings, GatewayState};
 use crate::clock::Clock;
-use crate::peers::NodeState;
+use crate::continuation::SoftwareConstraint;
+use crate::peers::{Datagram, NodeState};
 use crate::placement::{Chooser, Placement, PlacementRequest, UnhealthyEngines};
 use crate::release::EngineFilter;
 use crate::request::Dialect;
@@ -46,6 +48,12 @@
 /// Maximum number of log lines a second about paths to engines.
 const PATH_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum number of log lines a second about streams that callers take up again.
+const CONTINUATION_LINES_PER_SECOND: u32 = 20;
+
+/// Sends a datagram to other nodes at once; it is lost while no link to them runs.
+pub type DatagramSender = Box<dyn Fn(&Gateway, &Datagram, &[SocketAddr])>;
+
 /// Everything that the tasks of a gateway share.
 pub struct Gateway {
     settings: GatewaySettings,
@@ -61,6 +69,8 @@
     signal_sampler: LogSampler,
     doubt_sampler: LogSampler,
     path_sampler: LogSampler,
+    continuation_sampler: LogSampler,
+    datagram_sender: RefCell<Option<DatagramSender>>,
     dialect: Rc<dyn Dialect>,
     upstream: Upstream,
     state: RefCell<GatewayState>,
@@ -106,6 +116,8 @@
             signal_sampler: LogSampler::default(),
             doubt_sampler: LogSampler::new(DOUBT_LINES_PER_SECOND),
             path_sampler: LogSampler::new(PATH_LINES_PER_SECOND),
+            continuation_sampler: LogSampler::new(CONTINUATION_LINES_PER_SECOND),
+            datagram_sender: RefCell::new(None),
             dialect,
             send_requested: Notify::new(),
             poison_records_requested: Notify::new(),
@@ -176,6 +188,23 @@
         &self.path_sampler
     }
 
+    /// Limits log lines about streams that callers take up again.
+    pub fn continuation_sampler(&self) -> &LogSampler {
+        &self.continuation_sampler
+    }
+
+    /// Sets how datagrams are sent outside of the regular messages.
+    pub fn attach_peer_link(&self, sender: DatagramSender) {
+        self.datagram_sender.replace(Some(sender));
+    }
+
+    /// Sends a datagram to other nodes at once, before the caller of this function goes on.
+    pub(super) fn send_datagram(&self, datagram: &Datagram, receivers: &[SocketAddr]) {
+        if let Some(send) = self.datagram_sender.borrow().as_ref() {
+            send(self, datagram, receivers);
+        }
+    }
+
     /// The metrics.
     pub fn metrics(&self) -> &Rc<Metrics> {
         &self.metrics
@@ -201,9 +230,18 @@
         self.state.borrow_mut()
     }
 
-    /// Chooses an engine for a request.
+    /// Chooses an engine for a request, of any software version.
     pub fn choose(&self, request: &PlacementRequest<'_>) -> Option<Placement> {
-        let admission = self.admission(request.pool, request.id, request.tried);
+        self.choose_version(request, &SoftwareConstraint::Any)
+    }
+
+    /// Chooses an engine for a request among those of the software versions that may take it.
+    pub fn choose_version(
+        &self,
+        request: &PlacementRequest<'_>,
+        software: &SoftwareConstraint,
+    ) -> Option<Placement> {
+        let admission = self.admission(request.pool, request.id, request.tried, software);
         let first = self.choose_among(request, &admission.first, admission.unhealthy);
         let placement = first.or_else(|| {
             let fallback = admission.fallback.as_ref()?;
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -313,6 +313,7 @@
         let known = state.engines.get(&entry.name);
         let is_new = known.is_none_or(|known| identity(&known.entry) != identity(&entry));
         let name = entry.name.clone();
+        self.note_version_listed(&mut state, &entry.pool, &entry.software, now);
         state.engines.upsert(entry);
         if let Some(engine) = state.engines.get_mut(&name).filter(|_| is_new) {
             engine.listed_at = now;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalogue;
 pub mod clock;
 pub mod connections;
+pub mod continuation;
 pub mod engines;
 pub mod gateway;
 pub mod peers;
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{PeerMessage, ZoneUpdate};
+use crate::continuation;
 use crate::sync::{Answer, Chunk, Fetch, ListFetch, ListPiece, Question};
 
 /// One datagram between nodes: a JSON line.
@@ -32,4 +33,13 @@
     /// What the nodes of another zone know and do.
     #[serde(rename = "z")]
     Zone(ZoneUpdate),
+    /// The versions of streams, for nodes that hold these records.
+    #[serde(rename = "s")]
+    StreamRecords(continuation::Records),
+    /// The sender wants to know at which version a stream began.
+    #[serde(rename = "t")]
+    StreamQuestion(continuation::Question),
+    /// What is known about it.
+    #[serde(rename = "u")]
+    StreamAnswer(continuation::Answer),
 }
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval_at, sleep_until};
 
 use super::{Datagram, PeerSocket};
-use crate::gateway::{Envelope, Gateway};
+use crate::gateway::{DatagramSender, Envelope, Gateway};
 use crate::sync::{Fetch, ListFetch};
 
 /// News go out this often when there are any.
@@ -29,6 +29,8 @@
 const TICKS_PER_SOURCE_DELAYS: u64 = 2;
 /// Every so many ticks a node logs which tenants come near their limits, and counts the nodes that it hears.
 const TICKS_PER_SUMMARY: u64 = 10;
+/// Every so many ticks the software versions of all engines are gone through.
+const TICKS_PER_VERSIONS: u64 = 20;
 /// Every so many ticks a node that relies on a reader asks it.
 const TICKS_PER_QUESTION: u64 = 4;
 /// The same for the reader of a zone, since what it learns is then passed on once more, and for a node
@@ -37,7 +39,10 @@
 const LONGEST_DATAGRAM: usize = 60_000;
 
 /// Tells other nodes what this one knows and hears what they know, until dropped.
-pub async fn run_peer_link(gateway: Rc<Gateway>, socket: impl PeerSocket) {
+pub async fn run_peer_link(gateway: Rc<Gateway>, socket: impl PeerSocket + 'static) {
+    let socket = Rc::new(socket);
+    gateway.attach_peer_link(sender_to(&socket));
+    let socket = socket.as_ref();
     let mut buffer = vec![0_u8; LONGEST_DATAGRAM];
     let mut ticks = interval_at(gateway.clock().next_look(TICK), TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
@@ -49,7 +54,7 @@
         tokio::select! {
             received = socket.receive(&mut buffer) => {
                 if let Ok((length, from)) = received {
-                    receive(&gateway, &socket, &buffer[..length], from);
+                    receive(&gateway, socket, &buffer[..length], from);
                 }
             }
             _ = ticks.tick() => {
@@ -69,6 +74,9 @@
                 if tick.is_multiple_of(TICKS_PER_SOURCE_DELAYS) {
                     gateway.refresh_source_delays();
                 }
+                if tick.is_multiple_of(TICKS_PER_VERSIONS) {
+                    gateway.refresh_versions();
+                }
                 if tick.is_multiple_of(TICKS_PER_SUMMARY) {
                     gateway.log_tenants_near_limits();
                     gateway.report_pool_loads();
@@ -76,17 +84,17 @@
                     gateway.log_limited_engines();
                     gateway.update_peer_count();
                 }
-                tell(&gateway, &socket, tick);
-                tell_zones(&gateway, &socket, tick);
-                send_fetch(&gateway, &socket, gateway.next_configuration_fetch());
+                tell(&gateway, socket, tick);
+                tell_zones(&gateway, socket, tick);
+                send_fetch(&gateway, socket, gateway.next_configuration_fetch());
                 let list_fetch = gateway.next_list_fetch(&mut rand::rng());
-                send_list_fetch(&gateway, &socket, list_fetch);
+                send_list_fetch(&gateway, socket, list_fetch);
                 let spacing = match gateway.asks_often() {
                     true => TICKS_PER_QUESTION_OF_READER,
                     false => TICKS_PER_QUESTION,
                 };
                 if tick % spacing == phase % spacing {
-                    ask(&gateway, &socket);
+                    ask(&gateway, socket);
                 }
             }
             () = gateway.peer_send_requested(), if urgent_at.is_none() => {
@@ -94,8 +102,8 @@
             }
             () = sleep_until(urgent_at.unwrap_or_else(Instant::now)), if urgent_at.is_some() => {
                 urgent_at = None;
-                send_envelopes(&gateway, &socket, gateway.next_urgent_updates());
-                tell(&gateway, &socket, TICKS_PER_HEARTBEAT_OF_MANY);
+                send_envelopes(&gateway, socket, gateway.next_urgent_updates());
+                tell(&gateway, socket, TICKS_PER_HEARTBEAT_OF_MANY);
             }
         }
     }
@@ -133,11 +141,24 @@
         Ok(Datagram::Zone(news)) => {
             send_envelopes(gateway, socket, gateway.receive_zone_update(&news));
         }
+        Ok(Datagram::StreamRecords(records)) => gateway.apply_stream_records(&records),
+        Ok(Datagram::StreamQuestion(question)) => gateway.answer_stream_question(&question, from),
+        Ok(Datagram::StreamAnswer(answer)) => gateway.apply_stream_answer(&answer, from),
         Err(error) => debug!(gateway.log(), "peer_message_unreadable";
             "from" => %from, "error" => %error),
     }
 }
 
+/// Sends datagrams as long as the link runs.
+fn sender_to(socket: &Rc<impl PeerSocket + 'static>) -> DatagramSender {
+    let socket = Rc::downgrade(socket);
+    Box::new(move |gateway, datagram, receivers| {
+        if let Some(socket) = socket.upgrade() {
+            send(gateway, socket.as_ref(), datagram, receivers);
+        }
+    })
+}
+
 fn tell(gateway: &Rc<Gateway>, socket: &impl PeerSocket, tick: u64) {
     let is_heartbeat = tick.is_multiple_of(ticks_per_heartbeat(gateway));
     let is_full_update = tick.is_multiple_of(TICKS_PER_INTRODUCTION) || gateway.owes_full_update();
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -9,6 +9,7 @@
     Publication, ReachAnswer, ReachQuestion, ReachUpdate, ReplicaFreshness, SignalUpdate,
     WeightsUpdate,
 };
+use crate::continuation::ServedVersions;
 use crate::placement::{PrefillDemandUpdate, SourceDelayUpdate};
 use crate::poison::PoisonUpdate;
 use crate::quotas::UsageUpdate;
@@ -130,6 +131,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde(rename = "D", deserialize_with = "readable_or_default")]
     pub reach: Option<ReachUpdate>,
+    /// Software versions of pools that several of them serve.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "X", deserialize_with = "readable")]
+    pub served: Vec<ServedVersions>,
     /// Whether the sender knows all orders of releases, told with the introduction.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     #[serde(rename = "j")]
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,5 +1,7 @@
 //! The engines that a request may be sent to, first and as a fallback.
 
+use ryerouter_core::release::SoftwareVersion;
+
 use super::EngineFilter;
 use crate::engines::EngineEntry;
 use crate::placement::UnhealthyEngines;
@@ -41,6 +43,17 @@
         }
     }
 
+    /// Admits the request to all engines, but first to those of other versions than `avoided`.
+    pub fn preferring_except(avoided: Vec<SoftwareVersion>) -> Self {
+        match avoided.is_empty() {
+            true => Self::to(EngineFilter::Any),
+            false => {
+                let first = EngineFilter::except(avoided.into_iter().collect());
+                Self::with_fallback(first, EngineFilter::Any)
+            }
+        }
+    }
+
     /// Like [`Self::with_fallback`], but excludes engines that fail requests.
     pub fn on_trial(first: EngineFilter, fallback: EngineFilter) -> Self {
         Self {
--- a/crates/gateway/src/release/admission_policy.rs
+++ b/crates/gateway/src/release/admission_policy.rs
@@ -44,6 +44,36 @@
         }
     }
 
+    /// Returns the engines that may go on with a stream which engines of `version` began. A version that was replaced
+    /// goes on with its own streams; one that was rejected gets nothing more, and one under trial no more than its
+    /// budget.
+    pub fn admission_to_version(&self, pool: &PoolName, version: &SoftwareVersion) -> Admission {
+        let of_version = Admission::to(EngineFilter::Version(version.clone()));
+        let none = Admission::to(EngineFilter::Only(BTreeSet::new()));
+        let Some(known) = self.table.of(pool) else {
+            return of_version;
+        };
+        let is_target = known.grant.order.target == *version;
+        match known.grant.stage {
+            _ if known.rejected.contains(version) => none,
+            Stage::RolledBack | Stage::Withdrawn if is_target => none,
+            Stage::Trial | Stage::Shifting if is_target && !self.has_present_engines(known) => {
+                of_version
+            }
+            Stage::Trial | Stage::Shifting if is_target && !self.is_target_open(known) => none,
+            Stage::Trial if is_target => Admission::to(self.target_engines(known)),
+            _ => of_version,
+        }
+    }
+
+    /// Whether engines of the target version get any requests now.
+    fn is_target_open(&self, known: &KnownRelease) -> bool {
+        let lifetime = self.settings.grant_lifetime();
+        let is_granted = !known.is_stopped() && known.is_grant_valid(lifetime, self.now);
+        let is_trial = known.grant.stage == Stage::Trial;
+        is_granted && (!is_trial || known.budget.allows_request(self.settings, self.nodes))
+    }
+
     /// Versions that get few or none of a pool's requests. Their engines do not count towards the capacity of the
     /// pool.
     pub fn idle_versions(&self, pool: &PoolName) -> BTreeSet<SoftwareVersion> {
@@ -72,7 +102,7 @@
         };
         let closed = match filter {
             EngineFilter::Except(closed) => closed,
-            EngineFilter::Any | EngineFilter::Only(_) => BTreeSet::new(),
+            EngineFilter::Any | EngineFilter::Only(_) | EngineFilter::Version(_) => BTreeSet::new(),
         };
         let open = versions.iter().filter(|version| !closed.contains(*version));
         open.cloned().collect()
--- a/crates/gateway/src/release/engine_filter.rs
+++ b/crates/gateway/src/release/engine_filter.rs
@@ -14,6 +14,8 @@
     Any,
     /// Only these engines.
     Only(BTreeSet<BackEndName>),
+    /// All engines of this version.
+    Version(SoftwareVersion),
     /// All engines except those of these versions.
     Except(BTreeSet<SoftwareVersion>),
 }
@@ -32,6 +34,7 @@
         match self {
             Self::Any => true,
             Self::Only(engines) => engines.contains(&entry.name),
+            Self::Version(version) => entry.software == *version,
             Self::Except(versions) => !versions.contains(&entry.software),
         }
     }
--- a/crates/gateway/src/request/caller_request.rs
+++ b/crates/gateway/src/request/caller_request.rs
@@ -20,3 +20,20 @@
     /// Id of the request that brought the first event of that answer.
     pub resumes: Option<String>,
 }
+
+impl CallerRequest {
+    /// Whether the request takes up a stream after an event that its caller has received.
+    pub fn is_continuation(&self) -> bool {
+        let last = self.last_event_id.as_ref();
+        last.is_some_and(|id| !id.is_empty())
+    }
+
+    /// Id of the request that brings, or brought, the first event of the stream; empty if a request takes up a stream
+    /// without naming it.
+    pub fn first_request_id(&self) -> &str {
+        match self.is_continuation() {
+            true => self.resumes.as_deref().unwrap_or_default(),
+            false => &self.id,
+        }
+    }
+}
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -44,6 +44,12 @@
     /// Engines refused the request or could not be reached, and no further attempt is allowed.
     #[display("not_run")]
     NotRun,
+    /// The software version that began the stream is not known.
+    #[display("unknown_version")]
+    UnknownVersion,
+    /// No engine runs the software version that began the stream any more.
+    #[display("version_gone")]
+    VersionGone,
     /// Engines have crashed repeatedly while running this request.
     #[display("ends_engines")]
     CrashesEngines,
@@ -108,6 +114,8 @@
             | RefusalReason::NoEngine
             | RefusalReason::Overloaded
             | RefusalReason::CrashesEngines
+            | RefusalReason::UnknownVersion
+            | RefusalReason::VersionGone
             | RefusalReason::NotRun
             | RefusalReason::DeadlineNotRun => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -48,7 +48,12 @@
     })?;
     let route = find_route(&table, &head)?;
     let tenant = find_tenant(gateway, &table, &route, &caller)?;
-    let pool = route.pool_of(&caller.id).cloned().ok_or_else(|| {
+    // A stream goes on in the pool that began it.
+    let drawn_by = match caller.first_request_id() {
+        "" => &caller.id,
+        first => first,
+    };
+    let pool = route.pool_of(drawn_by).cloned().ok_or_else(|| {
         Refusal::new(RefusalReason::NoEngine, "route has no pool")
             .with_retry_after(CONFIGURATION_RETRY)
     })?;
--- a/crates/gateway/src/serve/accepted_request.rs
+++ b/crates/gateway/src/serve/accepted_request.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Uri};
 use ryerouter_core::Timestamp;
 use ryerouter_core::admission::shedding::Urgency;
+use ryerouter_core::continuation::StreamId;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::poison::Digest;
 
@@ -91,6 +92,17 @@
         suspects
     }
 
+    /// The stream that it begins or takes up.
+    pub fn stream_id(&self) -> StreamId {
+        let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
+        StreamId::new(tenant, &self.pool, self.caller.first_request_id())
+    }
+
+    /// Whether its stream may go on at another engine.
+    pub fn is_resumable_stream(&self) -> bool {
+        self.is_stream() && self.route.is_idempotent()
+    }
+
     /// Whether a successful answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route.kind == RequestKind::Streaming
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
+use ryerouter_core::continuation::Unresolved;
 use ryerouter_core::identity::BackEndName;
 use ryerouter_core::poison::Verdict;
 use slog::{info, warn};
@@ -20,6 +21,7 @@
 use super::silence_detector::SilenceDetector;
 use super::start_deadline::StartDeadline;
 use crate::catalogue::RequestKind;
+use crate::continuation::SoftwareConstraint;
 use crate::engines::{AnswerPhase, Engine};
 use crate::gateway::Gateway;
 use crate::placement::{Placement, PlacementRequest};
@@ -31,6 +33,9 @@
 /// Retry-after time when engines refused the request or could not be reached, or the retry budget is spent.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(250);
 
+/// Retry-after time when the version of a stream is not known here; callers find other nodes, which may know it.
+const UNKNOWN_VERSION_RETRY: Duration = Duration::from_millis(100);
+
 /// Interval between checks whether a request that waits at a doubted engine may move.
 pub(super) const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -64,6 +69,8 @@
     has_answer_begun: bool,
     /// When the last attempt started.
     attempt_started_at: Timestamp,
+    /// Software versions that may take the request.
+    software: SoftwareConstraint,
 }
 
 impl RequestForwarder {
@@ -72,7 +79,12 @@
         request: AcceptedRequest,
         progress: Rc<RequestProgress>,
     ) -> Self {
+        let software = match request.is_resumable_stream() {
+            true => SoftwareConstraint::Settled,
+            false => SoftwareConstraint::Any,
+        };
         Self {
+            software,
             progress,
             gateway,
             request,
@@ -89,6 +101,11 @@
 
     /// Makes attempts until an answer can be sent to the caller: a complete one, or the head of a stream.
     pub(super) async fn first_answer(&mut self) -> Result<FirstAnswer, Refusal> {
+        if self.request.is_resumable_stream() && self.request.caller.is_continuation() {
+            let version = self.gateway.continuation_version(&self.request).await;
+            let version = version.map_err(|why| self.unknown_version_refusal(why))?;
+            self.software = SoftwareConstraint::Only(version);
+        }
         let last_event_id = self.request.caller.last_event_id.clone();
         loop {
             let live = self.next_answer(last_event_id.as_deref()).await?;
@@ -323,7 +340,8 @@
         let (pool, id) = (&self.request.pool, &self.request.caller.id);
         let mut tried = self.tried.clone();
         tried.push(current.clone());
-        let admission = self.gateway.admission(pool, id, &tried);
+        let software = &self.software;
+        let admission = self.gateway.admission(pool, id, &tried, software);
         let state = self.gateway.state();
         let mut engines = state.engines.of_pool(pool);
         engines.any(|engine| {
@@ -438,7 +456,7 @@
     fn place_avoiding(&self, tried: &[BackEndName]) -> Option<Placement> {
         let request = &self.request;
         let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
-        self.gateway.choose(&PlacementRequest {
+        let placed = PlacementRequest {
             id: &request.caller.id,
             pool: &request.pool,
             prompt: request.caller.prompt.as_ref(),
@@ -446,7 +464,8 @@
             target_latency: request.route.target_latency,
             body_bytes: request.body.len(),
             tried,
-        })
+        };
+        self.gateway.choose_version(&placed, &self.software)
     }
 
     /// The refusal when no engine can be chosen.
@@ -455,6 +474,12 @@
             return Refusal::new(RefusalReason::MayHaveRun, "no other engine for a retry");
         }
         let pool = &self.request.pool;
+        if let SoftwareConstraint::Only(software) = &self.software
+            && self.gateway.is_version_in_service(pool, software) == Some(false)
+        {
+            let detail = format!("pool '{pool}' has no engine of version '{software}' any more");
+            return Refusal::new(RefusalReason::VersionGone, detail);
+        }
         let detail = match self.gateway.excluded_engines(pool) {
             Some(exclusions) => format!("no engine of pool '{pool}' accepts work ({exclusions})"),
             None => format!("no engine of pool '{pool}' accepts work"),
@@ -463,6 +488,26 @@
             .with_retry_after(self.retry_after(NO_ENGINE_RETRY))
     }
 
+    /// The refusal of a request that takes up a stream whose version is not known. Another node may know it.
+    fn unknown_version_refusal(&self, why: Unresolved) -> Refusal {
+        let caller = &self.request.caller;
+        let resumes = caller.resumes.as_deref().unwrap_or_default();
+        let detail = format!("version of the stream that request '{resumes}' began: {why}");
+        Refusal::new(RefusalReason::UnknownVersion, detail)
+            .with_retry_after(self.retry_after(UNKNOWN_VERSION_RETRY))
+    }
+
+    /// Records that the caller gets events of the engine of `placement` now, so that the stream goes on only at engines
+    /// of the same software version.
+    pub(super) fn note_stream_begun(&mut self, placement: &Placement) {
+        if !self.request.is_resumable_stream() {
+            return;
+        }
+        let software = &placement.software;
+        self.gateway.note_stream_version(&self.request, software);
+        self.software = SoftwareConstraint::Only(software.clone());
+    }
+
     /// The refusal of a request that is sent to no further engine because engines have crashed under it. Unless an
     /// attempt of this request may have run, the refusal states when a retry may help.
     fn poison_refusal(&self, retry_after: Duration) -> Refusal {
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -356,6 +356,7 @@
         }
         self.last_event_ms = elapsed_ms;
         if !self.has_begun {
+            self.forwarder.note_stream_begun(&live.placement);
             self.has_begun = true;
             self.first_event_ms = Some(self.active.elapsed_ms());
             let gateway = &self.forwarder.gateway;
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -16,6 +16,8 @@
     pub requests: IntCounterVec,
     /// Attempts by how they ended.
     pub attempts: IntCounterVec,
+    /// Streams that callers took up again, by who knew their software version; `refused` if nobody did.
+    pub continuations: IntCounterVec,
     /// Attempts after the first of a request.
     pub retries: IntCounter,
     /// Requests beyond the limit of their tenant; there are as many labels as tenants.
@@ -93,6 +95,12 @@
                 "Attempts by outcome",
                 "outcome",
             ),
+            continuations: vector(
+                &registry,
+                "streams_taken_up_total",
+                "Streams taken up again by who knew their software version: list, own, peer, refused",
+                "known_by",
+            ),
             retries: counter(&registry, "retries_total", "Attempts after the first"),
             over_limit: vector(
                 &registry,
--- a/crates/gateway/tests/support/region_fleet.rs
+++ b/crates/gateway/tests/support/region_fleet.rs
@@ -228,6 +228,9 @@
                 }
             }
             Datagram::Zone(news) => self.send_envelopes(to, gateway.receive_zone_update(&news)),
+            Datagram::StreamRecords(records) => gateway.apply_stream_records(&records),
+            Datagram::StreamQuestion(question) => gateway.answer_stream_question(&question, back),
+            Datagram::StreamAnswer(answer) => gateway.apply_stream_answer(&answer, back),
         }
     }
 
