--- a/crates/gateway/src/upstream/called_addresses.rs
+++ b/crates/gateway/src/upstream/called_addresses.rs
@@ -7,12 +7,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::StatusCode;
 use ryerouter_core::Timestamp;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
 
+use super::CallAnswer;
 use super::answer_times::LEAST_PATIENCE;
 use super::call_log::CallLog;
 use super::called_address::{CalledAddress, Suspicion};
@@ -88,11 +87,7 @@
     }
 
     /// An answer came: its connection is kept, its time learned.
-    pub(super) fn answered(
-        self: &Rc<Self>,
-        call: &SentCall,
-        answer: Exchanged,
-    ) -> (StatusCode, Bytes) {
+    pub(super) fn answered(self: &Rc<Self>, call: &SentCall, answer: Exchanged) -> CallAnswer {
         self.log.answered(call);
         self.learn(call, answer.taken);
         let is_newer = self.at(call.address, |known| {
@@ -103,7 +98,7 @@
         if is_newer {
             spawn_local(Rc::clone(self).confirm(call.clone()));
         }
-        (answer.status, answer.body)
+        answer.answer
     }
 
     /// A kept connection gave no answer in time.
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
+use hyper::Request;
 
-use super::Connection;
+use super::{CallAnswer, Connection};
 use crate::clock::Clock;
 
 /// Longest answer.
@@ -15,8 +15,7 @@
 /// An answer that was read to its end.
 #[derive(Debug)]
 pub(super) struct Exchanged {
-    pub(super) status: StatusCode,
-    pub(super) body: Bytes,
+    pub(super) answer: CallAnswer,
     /// Time until its head came.
     pub(super) taken: Duration,
     pub(super) connection: Connection,
@@ -56,13 +55,16 @@
     })?;
     let heard_at = clock.now();
     connection.heard_at.set(heard_at);
-    let status = answer.status();
-    let body = Limited::new(answer.into_body(), MOST_BYTES).collect().await;
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, MOST_BYTES).collect().await;
     let body = body.map_err(|error| ExchangeFailure::Broken(error.to_string()))?;
     connection.heard_at.set(clock.now());
     Ok(Exchanged {
-        status,
-        body: body.to_bytes(),
+        answer: CallAnswer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        },
         taken: heard_at.since(sent_at),
         connection,
     })
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -8,8 +8,8 @@
 use derive_more::{Display, Error};
 use futures_util::FutureExt;
 use http_body_util::Full;
+use hyper::Request;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Request, StatusCode};
 use slog::Logger;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -19,7 +19,7 @@
 use super::exchange::{ExchangeFailure, exchange};
 use super::sent_call::SentCall;
 use super::unended_call::UnendedCall;
-use super::{CallTerms, ConnectSettings, Connection, Silence};
+use super::{CallAnswer, CallTerms, ConnectSettings, Connection, Silence};
 use crate::clock::Clock;
 use crate::telemetry::Metrics;
 
@@ -47,7 +47,7 @@
     known: Rc<CalledAddresses>,
 }
 
-type Answer = Result<(StatusCode, Bytes), CallError>;
+type Answer = Result<CallAnswer, CallError>;
 
 impl JsonCaller {
     /// Has no connections yet, shares nothing and tells nobody.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod abort_on_drop;
 mod answer_times;
 mod attempt_failure;
+mod call_answer;
 mod call_log;
 mod call_terms;
 mod called_address;
@@ -26,6 +27,7 @@
 pub use abort_on_drop::AbortOnDrop;
 pub use answer_times::AnswerTimes;
 pub use attempt_failure::AttemptFailure;
+pub use call_answer::CallAnswer;
 pub use call_terms::CallTerms;
 pub use connect_counts::ConnectCounts;
 pub use connection::Connection;
