Give fencing numbers out once over all eras of the store, and wait for the last holder

A holder whom the copy names, though another one held the lease since, could take it while that one still held it.

Versions of leases have the era in their upper bits, so a later era's are the higher ones. Who held the lease when it saw the new era takes it anew; the others wait until it would have run out. Numbers of an era begin above all of former eras.

--- a/crates/core/src/order/lease_event.rs
+++ b/crates/core/src/order/lease_event.rs
@@ -25,6 +25,8 @@
     },
     /// An engine has seen this newer number.
     Superseded(FencingNumber),
+    /// The store answers in this era.
+    Era(u64),
     /// Time passed; due about every 100 ms.
     Tick,
 }
--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -11,6 +11,9 @@
 /// Reads that lie so many look intervals apart at most are consecutive.
 const MAX_LOOKS_BETWEEN: u32 = 4;
 
+/// Bits of a fencing number that count within an era of the store.
+const ERA_SHIFT: u32 = 32;
+
 /// The call that is open.
 #[derive(Debug, Clone)]
 enum OpenCall {
@@ -51,6 +54,13 @@
     /// A write whose answer was lost; settled by a look.
     uncertain: Option<(LeaseRecord, Timestamp)>,
     next_call_at: Timestamp,
+    /// Era of the store.
+    era: u64,
+    /// Whether this process held the lease when it saw the store come back from a copy. The copy may name an earlier
+    /// holder, or an earlier fencing number of this one, so the lease is taken anew rather than renewed.
+    must_retake: bool,
+    /// When this process saw the store come back from a copy.
+    restored_at: Option<Timestamp>,
 }
 
 impl LeaseHolder {
@@ -74,6 +84,9 @@
             held: None,
             uncertain: None,
             next_call_at: Timestamp::ZERO,
+            era: 0,
+            must_retake: false,
+            restored_at: None,
         }
     }
 
@@ -93,6 +106,7 @@
                 age,
             } => self.heard(record, version, now.before(age)),
             LeaseEvent::Superseded(newer) => self.superseded(newer, actions),
+            LeaseEvent::Era(era) => self.note_era(era, now),
             LeaseEvent::Tick => {}
         }
         self.lapse(now, actions);
@@ -110,12 +124,38 @@
         Some((&seen.record, seen.version, seen.seen_at))
     }
 
+    /// Notes the era of the store. In a new one it may lack the last writes of the lease.
+    fn note_era(&mut self, era: u64, now: Timestamp) {
+        if era <= self.era {
+            return;
+        }
+        let is_first = self.era == 0;
+        self.era = era;
+        if is_first {
+            return;
+        }
+        if let Some(held) = self.held {
+            self.highest = self.highest.max(held.fencing_number);
+        }
+        self.must_retake = self.held.is_some();
+        self.restored_at = Some(now);
+        self.forget_history();
+    }
+
+    /// The lowest fencing number of the era. Numbers of former eras may have been given out and be lost.
+    fn lowest_of_era(&self) -> FencingNumber {
+        FencingNumber(self.era << ERA_SHIFT)
+    }
+
     /// What another process tells counts like a look: a lease may be taken only on the condition
     /// that it is still at the version that was seen.
     fn heard(&mut self, record: LeaseRecord, version: StoreVersion, seen_at: Timestamp) {
         if self.open.is_some() || self.uncertain.is_some() || self.held.is_some() {
             return;
         }
+        if version.era() != self.era {
+            return;
+        }
         match &mut self.seen {
             Some(seen) if version < seen.version => {}
             Some(seen) if version == seen.version => seen.seen_at = seen.seen_at.min(seen_at),
@@ -143,11 +183,15 @@
 
     fn lose(&mut self, actions: &mut Vec<LeaseAction>) {
         self.held = None;
+        self.must_retake = false;
         actions.push(LeaseAction::Changed(None));
     }
 
     fn advance(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
         let must_resign = self.held.is_some() && !self.candidate;
+        if must_resign && self.must_retake {
+            self.lose(actions);
+        }
         if self.open.is_some() || (now < self.next_call_at && !must_resign) {
             return;
         }
@@ -156,7 +200,7 @@
         }
         if self.uncertain.is_some() {
             self.look(now, actions);
-        } else if self.held.is_some() {
+        } else if self.held.is_some() && !self.must_retake {
             self.renew_or_resign(now, actions);
         } else if self.is_free(now) {
             self.take(now, actions);
@@ -175,6 +219,12 @@
         let Some(seen) = &self.seen else {
             return false;
         };
+        if self.must_retake && self.held.is_some() {
+            return true;
+        }
+        if self.is_restored_lately(now) {
+            return false;
+        }
         if seen.record.holder.as_ref() == Some(&self.name) {
             return true;
         }
@@ -185,6 +235,12 @@
         now >= seen.seen_at.after(patience)
     }
 
+    /// Whether somebody may hold the lease by a write that the store has lost.
+    fn is_restored_lately(&self, now: Timestamp) -> bool {
+        let span = self.settings.duration + self.settings.takeover_margin;
+        self.restored_at.is_some_and(|at| now < at.after(span))
+    }
+
     fn look(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
         self.next_call_at = now.after(self.settings.look_interval);
         self.open = Some(OpenCall::Look);
@@ -195,6 +251,7 @@
     fn take(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
         let before = self.seen.as_ref().map(|seen| seen.record.fencing_number);
         let before = self.highest.max(before.unwrap_or_default());
+        let before = before.max(self.lowest_of_era());
         let record = LeaseRecord {
             holder: Some(self.name.clone()),
             incarnation: self.incarnation,
@@ -253,7 +310,8 @@
             }) => self.note_seen(record, version, now, actions),
             StoreAnswer::NotFound if self.seen.is_none() || self.is_history_lost(now) => {
                 self.forget_history();
-                if self.candidate && self.held.is_none() {
+                let is_vacant = self.held.is_none() && !self.is_restored_lately(now);
+                if self.candidate && (is_vacant || self.must_retake) {
                     self.take(now, actions);
                 }
             }
@@ -288,6 +346,7 @@
         now: Timestamp,
         actions: &mut Vec<LeaseAction>,
     ) {
+        self.note_era(version.era(), now);
         let is_behind = |seen: &SeenLease| version < seen.version;
         if self.seen.as_ref().is_some_and(is_behind) {
             // A stale read says nothing new.
@@ -326,12 +385,16 @@
     ) {
         match answer {
             StoreAnswer::Written { version } => {
+                self.note_era(version.era(), now);
                 self.seen = Some(SeenLease {
                     record: record.clone(),
                     version: *version,
                     seen_at: now,
                 });
-                self.hold(&record, sent_at, now, actions);
+                // Otherwise it was sent before the store came back, and its number may be given out again.
+                if self.restored_at.is_none() || record.fencing_number > self.lowest_of_era() {
+                    self.hold(&record, sent_at, now, actions);
+                }
             }
             // The version that conflicts may be an earlier write of this process whose answer was
             // lost; a look tells.
@@ -358,6 +421,7 @@
             valid_until: sent_at.after(self.settings.duration),
         };
         if is_own && held.is_valid(now) {
+            self.must_retake = false;
             self.held = Some(held);
             actions.push(LeaseAction::Changed(Some(held)));
         }
--- a/crates/core/tests/lease_bench/mod.rs
+++ b/crates/core/tests/lease_bench/mod.rs
@@ -41,6 +41,9 @@
 pub struct LeaseBench {
     candidates: Vec<Candidate>,
     object: Option<(StoreVersion, LeaseRecord)>,
+    /// What the store held after each write, with the number of writes of its era by then.
+    past: Vec<(u64, Option<(StoreVersion, LeaseRecord)>)>,
+    era: u64,
     before: Option<(StoreVersion, LeaseRecord)>,
     mode: StoreMode,
     writes: u64,
@@ -48,6 +51,7 @@
     incarnations: u64,
     /// Who held the lease under each number.
     held_by: BTreeMap<FencingNumber, BTreeSet<(usize, u64)>>,
+    overlaps: usize,
     now: Timestamp,
 }
 
@@ -56,12 +60,15 @@
         let mut bench = Self {
             candidates: Vec::new(),
             object: None,
+            past: vec![(0, None)],
+            era: 0,
             before: None,
             mode: StoreMode::Up,
             writes: 0,
             reads: 0,
             incarnations: 0,
             held_by: BTreeMap::new(),
+            overlaps: 0,
             now: START,
         };
         for index in 0..candidates {
@@ -101,8 +108,10 @@
             self.now = self.now.after(STEP);
             for index in 0..self.candidates.len() {
                 self.answer(index);
+                self.event(index, LeaseEvent::Era(self.era));
                 self.event(index, LeaseEvent::Tick);
             }
+            self.overlaps += usize::from(self.holders() > 1);
         }
     }
 
@@ -132,6 +141,29 @@
         self.object = Some((StoreVersion(self.writes), record));
     }
 
+    /// The store tells eras.
+    pub fn begin_eras(&mut self) {
+        self.era = 1;
+    }
+
+    /// The store is back from a copy that lacks the last writes, in another era.
+    pub fn return_without_last_writes(&mut self, lost: usize) {
+        self.era += 1;
+        let kept = self.past.len().saturating_sub(lost).max(1);
+        self.past.truncate(kept);
+        let (writes, object) = self.past.last().cloned().expect("a first state");
+        self.writes = writes;
+        // Revisions stay, and belong to the new era.
+        self.object = object
+            .map(|(version, record)| (StoreVersion::in_era(self.era, version.revision()), record));
+        self.before = None;
+    }
+
+    /// How often two processes that run held the lease at the same time.
+    pub fn overlaps(&self) -> usize {
+        self.overlaps
+    }
+
     /// What the store holds.
     pub fn record(&self) -> Option<LeaseRecord> {
         self.object.as_ref().map(|(_, record)| record.clone())
@@ -252,8 +284,9 @@
             return StoreAnswer::Conflict { version: current };
         }
         self.writes += 1;
-        let version = StoreVersion(self.writes);
+        let version = StoreVersion::in_era(self.era, self.writes);
         self.before = self.object.replace((version, record));
+        self.past.push((self.writes, self.object.clone()));
         match self.mode {
             StoreMode::AnswersLost { every } if self.writes.is_multiple_of(every) => failed(),
             _ => StoreAnswer::Written { version },
