--- a/crates/gateway/src/engines/engine_table.rs
+++ b/crates/gateway/src/engines/engine_table.rs
@@ -6,7 +6,7 @@
 use ryerouter_core::identity::{BackEndName, PoolName};
 
 use super::removed_conditions::RemovedConditions;
-use super::{Engine, EngineEntry, EngineLoad, IncarnationOrder};
+use super::{Engine, EngineEntry, EngineLoad, EngineState, IncarnationOrder};
 
 /// All known engines. Iterates in order of name, so that decisions are reproducible.
 #[derive(Debug, Default)]
@@ -89,6 +89,10 @@
             }
             IncarnationOrder::Older => return,
         }
+        if engine.entry.state == EngineState::Draining {
+            // A process that leaves does not come back, whatever a copy of the source says.
+            entry.state = EngineState::Draining;
+        }
         entry.incarnation = entry.incarnation.or(engine.entry.incarnation);
         let known = std::mem::take(&mut engine.entry.weights);
         engine.entry = entry;
--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -1,5 +1,6 @@
 //! State of the engines and plain back ends, as known to this process.
 
+mod departures;
 mod engine;
 mod engine_entry;
 mod engine_load;
@@ -12,6 +13,7 @@
 mod start_delays;
 mod time_estimate;
 
+pub use departures::Departures;
 pub use engine::Engine;
 pub use engine_entry::{EngineEntry, EngineState};
 pub use engine_load::EngineLoad;
--- a/crates/gateway/src/gateway/configuration_transfer.rs
+++ b/crates/gateway/src/gateway/configuration_transfer.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::identity::NodeName;
 use slog::{info, warn};
 
+use super::restored_source::RESTORED_TIME;
 use super::source_sync::SOURCE_TIMEOUT;
-use super::{Gateway, GatewayState};
+use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::source::ItemKind;
 use crate::sync::{Chunk, Fetch, Offer};
 
@@ -27,7 +29,9 @@
         // In a small deployment a node that has just started asks the source first.
         let is_starting = state.table.is_none() && !state.peers.is_large();
         let is_source_asked = state.is_source_reachable || is_starting;
-        if !replica.is_behind() || (is_source_asked && !is_source_late) {
+        let may_ask_source = is_source_asked && !is_source_late;
+        let is_wanted = replica.is_behind() && !may_ask_source;
+        if !is_wanted && !self.has_newer_offer(&state, now) {
             return None;
         }
         let offer = state.transfer.offer?;
@@ -39,6 +43,23 @@
         Some((offer.address, state.transfer.next()))
     }
 
+    /// Whether another node has a newer configuration than this one, which the source may lack: it has come back from a
+    /// copy, perhaps before this node started.
+    pub(super) fn has_newer_offer(&self, state: &GatewayState, now: Timestamp) -> bool {
+        let is_new = state.source_era > 0 && self.uptime() < PEER_DISCOVERY_TIME;
+        let may_be_restored = is_new || state.is_restored_within(RESTORED_TIME, now);
+        let own = state.table.as_ref().map(|table| table.version());
+        let offered = state.transfer.offer.map(|offer| offer.version);
+        may_be_restored && own.is_some() && own < offered
+    }
+
+    /// Whether this node has just started with a configuration that is older than another node's. Callers' keys may have
+    /// been taken away since.
+    pub(crate) fn starts_with_old_configuration(&self) -> bool {
+        let now = self.clock().now();
+        self.uptime() < PEER_DISCOVERY_TIME && self.has_newer_offer(&self.state(), now)
+    }
+
     /// Answers another node's request for a chunk.
     pub fn answer_configuration_fetch(&self, fetch: &Fetch) -> Option<Chunk> {
         let state = self.state();
--- a/crates/gateway/src/gateway/fill_exchange.rs
+++ b/crates/gateway/src/gateway/fill_exchange.rs
@@ -113,9 +113,11 @@
             |engine: &&Engine| known_until.is_some_and(|last| engine.entry.name <= *last);
         let is_ahead = known_until > fetch.after.as_ref();
         let revision = state.replicas.of(ItemKind::Engines).revision;
+        let revision = revision.unwrap_or_default();
         let mut piece = ListPiece {
             after: fetch.after.clone(),
-            revision: revision.unwrap_or_default(),
+            revision: revision.number,
+            era: (revision.era > 0).then_some(revision.era),
             groups: Vec::new(),
             unusable: Vec::new(),
             next: fetch.after.clone(),
@@ -157,12 +159,13 @@
         let entries = piece.groups.into_iter().flat_map(EntryGroup::into_entries);
         let mut items: Vec<_> = entries.map(Item::Engine).collect();
         let is_full = items.len() >= MAX_ENTRIES_PER_PIECE;
+        let revision = state.told_revision(piece.revision, piece.era)?;
         state.list_fill.note_handed(is_full, now);
         drop(state);
         items.extend(piece.unusable.into_iter().map(Item::Unusable));
         self.apply_slice(Slice {
             items,
-            revision: piece.revision,
+            revision,
             next: piece.next,
         });
         self.update_readiness();
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -17,7 +17,7 @@
 use super::{CallerRing, Freshness, GatewaySettings, HandoverState, OrderNeed, UnmetNeed};
 use crate::catalogue::RoutingTable;
 use crate::continuation::Continuations;
-use crate::engines::{EngineTable, KnownIncarnations, PhaseTimes, StartDelays};
+use crate::engines::{Departures, EngineTable, KnownIncarnations, PhaseTimes, StartDelays};
 use crate::peers::{
     HolderUpdate, LeaseUpdate, MemberAddress, NodeIdentity, NodeState, PeerTable, SentTimes,
     WeightsUpdate, ZoneTraffic,
@@ -29,7 +29,7 @@
 use crate::retry::RetryWindow;
 use crate::rollout::WeightsDeadlines;
 use crate::shedding::Shedders;
-use crate::source::{ChangeLog, ItemKind, Replicas, Steadiness};
+use crate::source::{ChangeLog, ItemKind, Replicas, Revision, Steadiness};
 use crate::sync::{Exchange, ListFill, ListTransfer, Transfer};
 
 /// Window over which the request rate is averaged: twice the interval at which the directory
@@ -50,7 +50,7 @@
     /// Recent changes of the engine list, from which questions of other nodes are answered.
     pub engine_log: ChangeLog,
     /// Revision from which on this node has seen every published version of weights.
-    pub weights_seen_after: Option<u64>,
+    pub weights_seen_after: Option<Revision>,
     /// Questions about the source's items, sent to and received from other nodes.
     pub sync: Exchange,
     /// Transfer of a configuration from another node.
@@ -59,6 +59,10 @@
     pub list_fill: ListFill,
     /// Transfer of a newer engine list from another node.
     pub list_transfer: ListTransfer,
+    /// Era of the source, as far as this node has seen; zero while the source tells none.
+    pub source_era: u64,
+    /// When this node saw the source come back from a copy.
+    pub restored_at: Option<Timestamp>,
     /// Whether the last request to the source was answered.
     pub is_source_reachable: bool,
     /// When the source last answered this node, or another node according to its messages.
@@ -88,6 +92,8 @@
     pub outdated_engines: OutdatedEngines,
     /// Incarnations of engines that restarted or were removed recently.
     pub incarnations: KnownIncarnations,
+    /// Engines that have left, which a copy of the source may list again.
+    pub departures: Departures,
     /// Engines whose entries in the engine list can't be parsed; sent along when another node
     /// fetches the list.
     pub unusable_entries: BTreeSet<BackEndName>,
@@ -255,6 +261,8 @@
             transfer: Transfer::default(),
             list_fill: ListFill::default(),
             list_transfer: ListTransfer::default(),
+            source_era: 0,
+            restored_at: None,
             is_source_reachable: false,
             source_answered_at: None,
             steadiness: Steadiness::new(settings.entry_ttl),
@@ -268,6 +276,7 @@
             has_unlisted_engines: false,
             outdated_engines: OutdatedEngines::default(),
             incarnations: KnownIncarnations::default(),
+            departures: Departures::default(),
             unusable_entries: BTreeSet::new(),
             start_delays: StartDelays::default(),
             phase_times: PhaseTimes::default(),
--- a/crates/gateway/src/gateway/list_fill.rs
+++ b/crates/gateway/src/gateway/list_fill.rs
@@ -10,7 +10,7 @@
 
 use super::source_items::entry_name;
 use super::{Gateway, GatewayState, Need, SIZE_DISCOVERY_TIME};
-use crate::source::{Item, ItemBatch, ItemChange, ItemKind, ItemPage};
+use crate::source::{Item, ItemBatch, ItemChange, ItemKind, ItemPage, Revision};
 
 /// Maximum number of pages that a node reads because a pool has no known engine.
 const MAX_PAGES_FOR_POOLS: usize = 4;
@@ -29,7 +29,7 @@
 pub(super) struct Slice {
     pub(super) items: Vec<Item>,
     /// Revision of the source at which they were current.
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     /// Where the next slice begins; `None` at the end of the list.
     pub(super) next: Option<BackEndName>,
 }
@@ -141,13 +141,14 @@
         }
         let mut state = self.state_mut();
         state.unusable_entries.clear();
+        self.note_era(&mut state, ItemKind::Engines, slice.revision.era);
         state.list_fill.begin(slice.revision, now);
         state.engine_log.restart(slice.revision);
         let replica = state.replicas.of_mut(ItemKind::Engines);
         replica.advance(slice.revision, now);
         replica.changed_until = Some(slice.revision);
         replica.is_history_lost = false;
-        info!(self.log(), "engine_list_begun"; "revision" => slice.revision,
+        info!(self.log(), "engine_list_begun"; "revision" => %slice.revision,
             "items" => slice.items.len(), "pages" => state.list_fill.pages(),
             "pieces" => state.list_fill.pieces(), "uptime_ms" => self.uptime().as_millis() as u64);
     }
@@ -222,7 +223,7 @@
 
     /// Lets this node follow the changes of engines from an earlier revision on, that of entries
     /// which another node has handed on.
-    fn step_list_back(&mut self, revision: u64, now: Timestamp) {
+    fn step_list_back(&mut self, revision: Revision, now: Timestamp) {
         self.list_fill.begin(revision, now);
         self.engine_log.restart(revision);
         let replica = self.replicas.of_mut(ItemKind::Engines);
--- a/crates/gateway/src/gateway/list_transfer.rs
+++ b/crates/gateway/src/gateway/list_transfer.rs
@@ -59,7 +59,8 @@
         let next = next.map(|entry| entry.name.clone());
         Some(ListPiece {
             after: fetch.after.clone(),
-            revision,
+            revision: revision.number,
+            era: (revision.era > 0).then_some(revision.era),
             unusable: match fetch.after {
                 None => state.unusable_entries.iter().cloned().collect(),
                 Some(_) => Vec::new(),
@@ -80,14 +81,15 @@
         if !self.has_engine_list() {
             return self.apply_fill_piece(from, piece, random);
         }
-        let whole = self.state_mut().list_transfer.take(from, piece);
+        let revision = self.state().told_revision(piece.revision, piece.era)?;
+        let whole = self.state_mut().list_transfer.take(from, piece, revision);
         let Some(whole) = whole else {
             return self.next_list_fetch(random);
         };
         let known = self.state().replicas.of(ItemKind::Engines).revision;
         if known < Some(whole.revision) {
-            info!(self.log(), "engine_list_handed_over"; "revision" => whole.revision,
-                "before" => known, "engines" => whole.entries.len(), "from" => %from);
+            info!(self.log(), "engine_list_handed_over"; "revision" => %whole.revision,
+                "before" => known.map(|known| known.to_string()), "engines" => whole.entries.len(), "from" => %from);
             self.apply_peer_list(&whole.entries, &whole.unusable, whole.revision);
             self.update_readiness();
         }
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -49,6 +49,7 @@
 mod release_updates;
 mod releases;
 mod replica_freshness;
+mod restored_source;
 mod shared;
 mod silent_engines;
 mod source_delays;
--- a/crates/gateway/src/gateway/need.rs
+++ b/crates/gateway/src/gateway/need.rs
@@ -15,6 +15,12 @@
     /// An engine of this pool, which a route names.
     #[display("engine_of_pool")]
     Pool(PoolName),
+    /// News of another node, which may know what a copy of the source lacks.
+    #[display("peers")]
+    Peers,
+    /// A configuration as new as another node's.
+    #[display("newer_configuration")]
+    NewerConfiguration,
     /// The changes that another node's list of engines has.
     #[display("newer_list")]
     NewerList,
--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -6,8 +6,10 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use ryerouter_core::Timestamp;
+use ryerouter_core::control::StoreVersion;
 use slog::{info, warn};
 
+use super::restored_source::departure_updates;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::engines::EngineLoad;
 use crate::peers::{
@@ -100,6 +102,8 @@
             proof: self.configuration_freshness(&state),
             steady_age_ms: steady_age(&state, now),
             copies: self.replica_freshness(&state, now),
+            era: state.era_to_tell(),
+            departures: departure_updates(&state, is_full_update, now),
             known_nodes: state.peers.heard_count(),
             echoes: state.peers.echoes(now, &mut rand::rng()),
             members,
@@ -339,6 +343,7 @@
         self.apply_poison_updates(&mut state, &message.poison, now);
         self.apply_signal_updates(&mut state, &message.signals, now);
         self.apply_served_versions(&mut state, &message);
+        self.apply_departures(&mut state, &message, now);
         if let Some(update) = &message.reach {
             self.apply_reach_update(&mut state, update, &message.from.zone, now);
         }
@@ -354,8 +359,14 @@
             self.apply_release_updates(&mut state, &message);
             self.apply_handover_news(&mut state, &message);
             self.apply_replica_freshness(&mut state, &message);
-            if message.lease.is_some() {
-                state.received_lease = message.lease.clone();
+            if let Some(lease) = &message.lease
+                && let Some(revision) = state.told_revision(lease.version.0, message.era)
+            {
+                let version = StoreVersion::in_era(revision.era, revision.number);
+                state.received_lease = Some(LeaseUpdate {
+                    version,
+                    ..lease.clone()
+                });
             }
             self.note_foreign_loads(&mut state, now);
         }
@@ -384,11 +395,18 @@
     now: Timestamp,
 ) -> Option<LeaseUpdate> {
     let (update, seen_at) = state.observed_lease.clone()?;
+    if update.version.era() != state.source_era {
+        return None;
+    }
     let is_new = state.announced_lease != Some(update.version);
     if !is_new && !is_full_update {
         return None;
     }
     state.announced_lease = Some(update.version);
     let age_ms = now.since(seen_at).as_millis() as u64;
-    Some(LeaseUpdate { age_ms, ..update })
+    Some(LeaseUpdate {
+        age_ms,
+        version: StoreVersion(update.version.revision()),
+        ..update
+    })
 }
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -271,7 +271,7 @@
     }
 
     /// Maximum time for which a crashed engine remains listed.
-    fn crashed_entry_lifetime(&self) -> Duration {
+    pub(super) fn crashed_entry_lifetime(&self) -> Duration {
         self.settings().entry_ttl * TTLS_UNTIL_ENTRY_REMOVED
     }
 
--- a/crates/gateway/src/gateway/poison_records.rs
+++ b/crates/gateway/src/gateway/poison_records.rs
@@ -141,6 +141,19 @@
         self.poison_records_due.notify_one();
     }
 
+    /// Writes all records again, after the source has come back from a copy that may lack them or hold older ones. A few
+    /// nodes do so at once, the others unless they hear that it is done.
+    pub(super) fn rewrite_poison_records(&self, state: &mut GatewayState, now: Timestamp) {
+        let is_first = self.is_drawn_among(state);
+        for digest in state.poison_records.forget_revisions() {
+            match is_first {
+                true => state.poison_records.schedule_write(digest, now),
+                false => self.schedule_delayed_poison_write(state, digest, now),
+            }
+        }
+        self.poison_records_due.notify_one();
+    }
+
     /// Schedules writing the record of a request that one more crash would block. The write is
     /// delayed because most of these are popular requests that ran beside the cause, and are
     /// cleared soon.
@@ -278,7 +291,11 @@
     /// expire at about the same time and each removal is a request to the store, so only a few
     /// nodes, chosen at random, do so.
     fn removes_expired_records(&self) -> bool {
-        let nodes = self.state().peers.known_count() + 1;
+        self.is_drawn_among(&self.state())
+    }
+
+    fn is_drawn_among(&self, state: &GatewayState) -> bool {
+        let nodes = state.peers.known_count() + 1;
         rand::rng().random_bool((EXPECTED_REMOVING_NODES / nodes as f64).min(1.0))
     }
 }
--- a/crates/gateway/src/gateway/readiness.rs
+++ b/crates/gateway/src/gateway/readiness.rs
@@ -2,7 +2,7 @@
 
 use slog::info;
 
-use super::{Gateway, GatewayState, Need, PEER_DISCOVERY_TIME, UnmetNeed};
+use super::{Gateway, GatewayState, Need, PEER_DISCOVERY_TIME, SIZE_DISCOVERY_TIME, UnmetNeed};
 use crate::peers::NodeState;
 use crate::source::ItemKind;
 
@@ -25,10 +25,25 @@
         if state.table.is_none() {
             return Some(Need::Configuration);
         }
+        if self.lacks_peers(state) {
+            return Some(Need::Peers);
+        }
+        if self.has_newer_offer(state, self.clock().now()) && self.uptime() < PEER_DISCOVERY_TIME {
+            return Some(Need::NewerConfiguration);
+        }
         self.needed_engines(state)
             .or_else(|| self.needs_newer_list(state).then_some(Need::NewerList))
     }
 
+    /// Whether this node has heard none of the nodes that it was told of. Where the source may come back from a copy, only
+    /// they know what that lacks.
+    fn lacks_peers(&self, state: &GatewayState) -> bool {
+        let has_eras = state.source_era > 0;
+        let is_unheard = state.peers.last_heard_at().is_none();
+        let knows_others = !state.peers.unanswered_addresses().is_empty();
+        has_eras && is_unheard && knows_others && self.uptime() < SIZE_DISCOVERY_TIME
+    }
+
     /// A list that arrived late is first updated from a node with a newer one, if that node
     /// answers. Without this, a node that starts while the source answers 3 s late sends
     /// requests to engines that left 5 s before. Nodes that start together have read the list at the
@@ -76,10 +91,14 @@
         let now = self.clock().now();
         let pool = match unmet.need() {
             Need::Pool(pool) => Some(pool.as_str()),
-            Need::Configuration | Need::FirstEngines | Need::NewerList => None,
+            Need::Configuration
+            | Need::FirstEngines
+            | Need::NewerList
+            | Need::Peers
+            | Need::NewerConfiguration => None,
         };
         let kind = match unmet.need() {
-            Need::Configuration => ItemKind::Configuration,
+            Need::Configuration | Need::Peers | Need::NewerConfiguration => ItemKind::Configuration,
             Need::FirstEngines | Need::Pool(_) | Need::NewerList => ItemKind::Engines,
         };
         let source_asked_at = state.replicas.of(kind).asked_at;
--- a/crates/gateway/src/gateway/replica_freshness.rs
+++ b/crates/gateway/src/gateway/replica_freshness.rs
@@ -108,7 +108,7 @@
             let replica = state.replicas.of(kind);
             Some(ReplicaFreshness {
                 kind,
-                changed_until: replica.changed_until?,
+                changed_until: state.revision_to_tell(replica.changed_until)?,
                 age_ms: replica.freshness.age(now)?.as_millis() as u64 + 1,
             })
         };
@@ -121,13 +121,18 @@
         let now = self.clock().now();
         let sent_at = self.echoed_message_sent_at(state, message);
         for reported in &message.copies {
+            let Some(changed_until) = state.told_revision(reported.changed_until, message.era)
+            else {
+                continue;
+            };
             let replica = state.replicas.of_mut(reported.kind);
             let was_behind = replica.is_behind();
-            let is_behind = !replica.note_reported_change(reported.changed_until, now);
-            if replica.revision < Some(reported.changed_until) {
+            let is_behind = !replica.note_reported_change(changed_until, now);
+            if replica.revision < Some(changed_until) {
                 if is_behind && !was_behind {
+                    let known = replica.revision.map(|revision| revision.to_string());
                     info!(self.log(), "copy_behind"; "kind" => %reported.kind,
-                        "revision" => replica.revision, "changed_until" => reported.changed_until,
+                        "revision" => known, "changed_until" => %changed_until,
                         "peer" => %message.from.name);
                 }
                 state.note_peer_ahead(&message.from, now);
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -11,7 +11,9 @@
 use super::Gateway;
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineEntry, EngineState, EngineTable, IncarnationOrder};
-use crate::source::{Consistency, Item, ItemBatch, ItemChange, ItemKind, List, SourceError};
+use crate::source::{
+    Consistency, Item, ItemBatch, ItemChange, ItemKind, List, Revision, SourceError,
+};
 use crate::sync::ListFill;
 
 /// A response that takes no longer than this shows that the source was available when the request
@@ -22,10 +24,16 @@
 
 impl Gateway {
     /// Applies the list of all items of a kind at `revision`, read by a request sent at `asked_at`.
-    pub fn apply_list(&self, kind: ItemKind, items: Vec<Item>, revision: u64, asked_at: Timestamp) {
+    pub fn apply_list(
+        &self,
+        kind: ItemKind,
+        items: Vec<Item>,
+        revision: impl Into<Revision>,
+        asked_at: Timestamp,
+    ) {
         let list = List {
             items,
-            revision,
+            revision: revision.into(),
             consistency: Consistency::Linearizable,
             asked_at,
         };
@@ -55,7 +63,7 @@
         &self,
         entries: &[EngineEntry],
         unusable: &[BackEndName],
-        revision: u64,
+        revision: Revision,
     ) {
         let entries = entries.iter().cloned().map(Item::Engine);
         let unusable = unusable.iter().cloned().map(Item::Unusable);
@@ -66,11 +74,14 @@
 
     /// Appends the changes that a list is about to make to the change log, and advances the replica
     /// to the revision of the list.
-    fn record_list(&self, kind: ItemKind, items: &[Item], revision: u64) {
+    fn record_list(&self, kind: ItemKind, items: &[Item], revision: Revision) {
         let now = self.clock().now();
         let mut state = self.state_mut();
+        let known_era = state.replicas.of(kind).revision.map(|known| known.era);
+        self.note_era(&mut state, kind, revision.era);
         if kind == ItemKind::Engines {
-            match state.has_engine_list {
+            // Changes from the copy of one node lead to that of another only within an era.
+            match state.has_engine_list && known_era == Some(revision.era) {
                 true => {
                     let changes = list_changes(&state.engines, items);
                     state.engine_log.append(changes, revision, now);
@@ -79,7 +90,10 @@
             }
         }
         if kind == ItemKind::Weights {
-            state.weights_seen_after.get_or_insert(revision);
+            let seen_after = state.weights_seen_after.get_or_insert(revision);
+            if seen_after.era < revision.era {
+                *seen_after = revision;
+            }
         }
         let replica = state.replicas.of_mut(kind);
         replica.advance(revision, now);
@@ -104,6 +118,13 @@
             replica.changed_until = Some(batch.revision);
         }
         if kind == ItemKind::Engines {
+            for change in &batch.changes {
+                if let ItemChange::Present(item) = change
+                    && let Some(name) = entry_name(item)
+                {
+                    state.departures.note_written(name);
+                }
+            }
             let changes = batch.changes.iter().cloned();
             state.engine_log.append(changes, batch.revision, now);
             state.note_changes_during_fill(&batch);
@@ -135,6 +156,7 @@
                 self.handle_entry_removed(&name);
             }
             let mut state = self.state_mut();
+            state.departures.forget_entries();
             state.unusable_entries.clear();
             state.has_engine_list = true;
             state.list_fill = ListFill::default();
@@ -291,6 +313,12 @@
 
     pub(super) fn apply_engine_entry(&self, entry: EngineEntry) {
         let mut state = self.state_mut();
+        let Some(mut entry) = state.departures.hold_back(entry) else {
+            return;
+        };
+        if state.departures.is_leaving(&entry) {
+            entry.state = EngineState::Draining;
+        }
         if self.apply_incarnation(&mut state, &entry) == IncarnationOrder::Older {
             return;
         }
@@ -313,6 +341,7 @@
         let known = state.engines.get(&entry.name);
         let is_new = known.is_none_or(|known| identity(&known.entry) != identity(&entry));
         let name = entry.name.clone();
+        state.departures.note_listed(&name);
         self.note_version_listed(&mut state, &entry.pool, &entry.software, now);
         state.engines.upsert(entry);
         if let Some(engine) = state.engines.get_mut(&name).filter(|_| is_new) {
@@ -328,6 +357,7 @@
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let mut state = self.state_mut();
+        state.departures.note_unlisted(name);
         state.unusable_entries.remove(name);
         let disruption_age = state.engine_list_disrupted_at.map(|at| now.since(at));
         if state.may_entries_return(grace, now)
@@ -361,6 +391,11 @@
             if let Some(left_out) = self.engine_sampler().admit(now) {
                 info!(self.log(), "engine_gone"; "engine" => %name, "left_out" => left_out);
             }
+            let was_draining = engine.entry.state == EngineState::Draining;
+            if !engine.is_unlisted {
+                // An engine that the source lacked after it had come back may still be listed again.
+                state.departures.note_gone(&engine.entry, was_draining, now);
+            }
             if let Some(incarnation) = engine.entry.incarnation {
                 state.incarnations.note_unlisted(name, incarnation, now);
             }
@@ -373,6 +408,7 @@
 
     /// Drops engines whose entries were removed during a disruption and have not returned.
     pub fn remove_unlisted(&self) {
+        self.admit_barred_engines();
         let now = self.clock().now();
         let grace = self.settings().unlisted_grace;
         let state = self.state();
--- a/crates/gateway/src/gateway/source_log.rs
+++ b/crates/gateway/src/gateway/source_log.rs
@@ -53,8 +53,8 @@
         let replica = state.replicas.of(kind);
         let replica_age = replica.freshness.age(now);
         info!(self.log(), "source_changes"; "kind" => %kind, "by" => %query,
-            "changes" => batch.changes.len(), "revision" => batch.revision,
-            "before" => replica.revision, "waited_ms" => now.since(asked_at).as_millis() as u64,
+            "changes" => batch.changes.len(), "revision" => %batch.revision,
+            "before" => replica.revision.map(|revision| revision.to_string()), "waited_ms" => now.since(asked_at).as_millis() as u64,
             "copy_age_ms" => replica_age.map(|age| age.as_millis() as u64));
     }
 }
--- a/crates/gateway/src/gateway/source_sync.rs
+++ b/crates/gateway/src/gateway/source_sync.rs
@@ -11,7 +11,7 @@
 use super::{Freshness, Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::engines::{Engine, EngineEntry};
 use crate::peers::NodeIdentity;
-use crate::source::{ItemBatch, ItemKind};
+use crate::source::{ItemBatch, ItemKind, Revision};
 use crate::sync::{Answer, Changes, EngineChange, Mark, Question};
 
 /// Maximum number of changes of the engine list in one answer, as entries of some 200 bytes each.
@@ -102,11 +102,12 @@
         }
         let (reader, address) = self.sync_target(&state, now)?;
         let number = state.sync.ask(reader, now);
-        let revision = |kind| state.replicas.of(kind).revision;
+        let revision = |kind| state.revision_to_tell(state.replicas.of(kind).revision);
         let question = Question {
             number,
             engines: revision(ItemKind::Engines),
             weights: revision(ItemKind::Weights),
+            era: state.era_to_tell(),
             wants_list: self.wants_list(&state, now),
             reads_groups: true,
         };
@@ -180,12 +181,14 @@
             true => MAX_GROUPED_CHANGES,
             false => MAX_CHANGES,
         };
-        let catch_up = self.catch_up(&state, question, max);
-        let revision = catch_up.as_ref().map(|(revision, _)| *revision);
+        let told = |number: Option<u64>| state.told_revision(number?, question.era);
+        let (engines, weights) = (told(question.engines), told(question.weights));
+        let catch_up = engines.and_then(|engines| self.catch_up(&state, engines, max));
+        let revision = catch_up.as_ref().map(|(revision, _)| revision.number);
         let is_list_wanted = question.wants_list && catch_up.is_none();
-        let weights = self.knows_weights_after(&state, question.weights);
+        let has_new_weights = state.replicas.of(ItemKind::Weights).revision > weights;
+        let weights = self.knows_weights_after(&state, weights);
         let weights = weights.then(|| replica_mark(&state, ItemKind::Weights, now));
-        let has_new_weights = state.replicas.of(ItemKind::Weights).revision > question.weights;
         Answer {
             number: question.number,
             configuration: mark(version, state.freshness(), now),
@@ -211,6 +214,7 @@
                 false => catch_up.map_or_else(Vec::new, |(_, changes)| changes),
             },
             revision,
+            era: state.era_to_tell(),
             named: match has_new_weights {
                 true => self.publications(&state, Duration::MAX),
                 false => Vec::new(),
@@ -221,7 +225,7 @@
     /// Whether this node has seen the publication of every version after `revision`. It can only
     /// assume the age of versions that were published before it started, and must not report
     /// assumed ages to other nodes.
-    fn knows_weights_after(&self, state: &GatewayState, revision: Option<u64>) -> bool {
+    fn knows_weights_after(&self, state: &GatewayState, revision: Option<Revision>) -> bool {
         let seen_after = state.weights_seen_after;
         seen_after.is_some() && revision >= seen_after
     }
@@ -232,11 +236,10 @@
     fn catch_up(
         &self,
         state: &GatewayState,
-        question: &Question,
+        known: Revision,
         max: usize,
-    ) -> Option<(u64, Vec<EngineChange>)> {
+    ) -> Option<(Revision, Vec<EngineChange>)> {
         let newest = state.replicas.of(ItemKind::Engines).revision?;
-        let known = question.engines?;
         let caught_up = state.engine_log.after(known, newest, max)?;
         let changes = caught_up.changes.into_iter();
         let changes = changes.filter_map(EngineChange::of).collect();
@@ -262,65 +265,66 @@
             return false;
         };
         let before = self.state().replicas.of(ItemKind::Engines).revision;
-        self.apply_engines(&answer, asked_at);
-        self.apply_weights(&answer, asked_at);
+        let told = |mark: Mark| self.state().told_revision(mark.position, answer.era);
+        let (engines, weights) = (answer.engines.and_then(told), answer.weights.and_then(told));
+        if let Some((mark, revision)) = answer.engines.zip(engines) {
+            self.apply_engines(&answer, mark, revision, asked_at);
+        }
+        if let Some((mark, revision)) = answer.weights.zip(weights) {
+            self.apply_weights(&answer, mark, revision, asked_at);
+        }
         self.apply_configuration(&answer, &reader, asked_at);
         self.avoid_stale_reader(&reader, &answer);
         self.update_readiness();
         let after = self.state().replicas.of(ItemKind::Engines).revision;
-        let newest = answer.engines.map(|mark| mark.position);
-        before < after && after < newest
+        before < after && after < engines
     }
 
-    fn apply_engines(&self, answer: &Answer, asked_at: Timestamp) {
-        let Some(mark) = answer.engines else {
-            return;
-        };
+    /// Applies what the answer tells of the engines. `told` is the revision of the other node's list.
+    fn apply_engines(&self, answer: &Answer, mark: Mark, told: Revision, asked_at: Timestamp) {
         if let Some(age_ms) = answer.trouble_age_ms {
             let at = asked_at.before(Duration::from_millis(age_ms));
             let mut state = self.state_mut();
             state.engine_list_disrupted_at = state.engine_list_disrupted_at.max(Some(at));
         }
-        let is_newer = self.state().replicas.of(ItemKind::Engines).revision < Some(mark.position);
+        let is_newer = self.state().replicas.of(ItemKind::Engines).revision < Some(told);
         if !answer.list.is_empty() && is_newer {
-            info!(self.log(), "engine_list_handed_over"; "revision" => mark.position,
+            info!(self.log(), "engine_list_handed_over"; "revision" => %told,
                 "engines" => answer.list.len());
-            self.apply_peer_list(&answer.list, &answer.unusable, mark.position);
+            self.apply_peer_list(&answer.list, &answer.unusable, told);
         } else if answer.revision.is_none() {
             let now = self.clock().now();
             let mut state = self.state_mut();
             let replica = state.replicas.of_mut(ItemKind::Engines);
             // A node without a list has nothing yet that could be behind.
-            if replica.revision.is_some() && replica.revision < Some(mark.position) {
+            if replica.revision.is_some() && replica.revision < Some(told) {
                 replica.note_behind(now);
             }
         }
-        if let Some(revision) = answer.revision {
+        if let Some(number) = answer.revision {
+            let revision = Revision::new(told.era, number);
             let grouped = answer.groups.iter().flat_map(Changes::changes);
             let changes = answer.changes.iter().cloned().chain(grouped);
             let changes = changes.map(Into::into).collect();
             let batch = ItemBatch { changes, revision };
             self.apply_batch(ItemKind::Engines, batch, None);
         }
-        self.apply_mark(ItemKind::Engines, mark, asked_at);
+        self.apply_mark(ItemKind::Engines, mark, told, asked_at);
     }
 
-    fn apply_weights(&self, answer: &Answer, asked_at: Timestamp) {
-        let Some(mark) = answer.weights else {
-            return;
-        };
+    fn apply_weights(&self, answer: &Answer, mark: Mark, told: Revision, asked_at: Timestamp) {
         self.apply_publications(&answer.named);
         let now = self.clock().now();
         let mut state = self.state_mut();
         let replica = state.replicas.of_mut(ItemKind::Weights);
         if replica.revision.is_some() {
-            let revision = replica.revision.max(Some(mark.position));
-            replica.advance(revision.unwrap_or(mark.position), now);
+            let revision = replica.revision.max(Some(told));
+            replica.advance(revision.unwrap_or(told), now);
             // It is not known whether the reported versions are the only changes.
-            replica.changed_until = replica.changed_until.max(Some(mark.position));
+            replica.changed_until = replica.changed_until.max(Some(told));
         }
         drop(state);
-        self.apply_mark(ItemKind::Weights, mark, asked_at);
+        self.apply_mark(ItemKind::Weights, mark, told, asked_at);
     }
 
     fn apply_configuration(&self, answer: &Answer, reader: &NodeName, asked_at: Timestamp) {
@@ -341,15 +345,15 @@
 
     /// Confirms the replica as of the time when the reader's was confirmed, provided it has the
     /// same changes.
-    fn apply_mark(&self, kind: ItemKind, mark: Mark, asked_at: Timestamp) {
+    fn apply_mark(&self, kind: ItemKind, mark: Mark, told: Revision, asked_at: Timestamp) {
         let mut state = self.state_mut();
         let replica = state.replicas.of_mut(kind);
-        if replica.revision >= Some(mark.position) {
+        if replica.revision >= Some(told) {
             replica.freshness.confirm(confirmed_time(asked_at, mark));
             replica.note_current();
         } else if kind == ItemKind::Engines {
-            debug!(self.log(), "engine_list_behind"; "revision" => replica.revision,
-                "reader" => mark.position);
+            let known = replica.revision.map(|revision| revision.to_string());
+            debug!(self.log(), "engine_list_behind"; "revision" => known, "reader" => %told);
         }
     }
 
@@ -396,7 +400,11 @@
 
 fn replica_mark(state: &GatewayState, kind: ItemKind, now: Timestamp) -> Option<Mark> {
     let replica = state.replicas.of(kind);
-    mark(replica.revision, replica.freshness, now)
+    mark(
+        state.revision_to_tell(replica.revision),
+        replica.freshness,
+        now,
+    )
 }
 
 fn mark(position: Option<u64>, freshness: Freshness, now: Timestamp) -> Option<Mark> {
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -4,10 +4,10 @@
 
 use super::readable::{readable, readable_or_default};
 use super::{
-    ConfigurationFreshness, EngineIncarnationUpdate, EngineLoadUpdate, HandoverUpdate,
-    HolderUpdate, KvStoreUpdate, LeaseUpdate, MemberAddress, MessageEcho, NodeIdentity, NodeState,
-    Publication, ReachAnswer, ReachQuestion, ReachUpdate, ReplicaFreshness, SignalUpdate,
-    WeightsUpdate,
+    ConfigurationFreshness, DepartureUpdate, EngineIncarnationUpdate, EngineLoadUpdate,
+    HandoverUpdate, HolderUpdate, KvStoreUpdate, LeaseUpdate, MemberAddress, MessageEcho,
+    NodeIdentity, NodeState, Publication, ReachAnswer, ReachQuestion, ReachUpdate,
+    ReplicaFreshness, SignalUpdate, WeightsUpdate,
 };
 use crate::continuation::ServedVersions;
 use crate::placement::{PrefillDemandUpdate, SourceDelayUpdate};
@@ -58,6 +58,14 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[serde(rename = "c", deserialize_with = "readable")]
     pub copies: Vec<ReplicaFreshness>,
+    /// Era of the source that the revisions of this message belong to; `None` from builds that know no eras.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "E")]
+    pub era: Option<u64>,
+    /// Engines that have left, while a copy of the source may say otherwise.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "G", deserialize_with = "readable")]
+    pub departures: Vec<DepartureUpdate>,
     /// How many other nodes the sender has heard of; a node that was just started takes the size of
     /// its deployment from this.
     #[serde(rename = "s", default)]
--- a/crates/gateway/src/poison/record_table.rs
+++ b/crates/gateway/src/poison/record_table.rs
@@ -46,6 +46,18 @@
         entry.is_some_and(|entry| entry.is_stored || entry.revision.is_some())
     }
 
+    /// Forgets the revisions of all records; returns the requests that have one, as far as known.
+    pub fn forget_revisions(&mut self) -> Vec<Digest> {
+        let stored = |entry: &Entry| entry.is_stored || entry.revision.is_some();
+        let entries = self.entries.iter_mut().filter(|(_, entry)| stored(entry));
+        let forgotten = entries.map(|(digest, entry)| {
+            entry.revision = None;
+            entry.is_stored = true;
+            *digest
+        });
+        forgotten.collect()
+    }
+
     /// Notes that another node has written a record of a request, or is about to.
     pub fn note_stored(&mut self, digest: Digest) {
         if self.has_store {
--- a/crates/gateway/src/rollout/rollout_driver.rs
+++ b/crates/gateway/src/rollout/rollout_driver.rs
@@ -49,6 +49,7 @@
         planner,
         handover,
         held: None,
+        era: 0,
         sender,
     };
     driver.run(events).await;
@@ -63,6 +64,8 @@
     monitor: RolloutMonitor,
     handover: OrderHandover,
     held: Option<HeldLease>,
+    /// Era of the store that the lease was told last.
+    era: u64,
     sender: UnboundedSender<RolloutEvent>,
 }
 
@@ -102,6 +105,10 @@
             self.tell_lease(LeaseEvent::Candidacy(false));
             return;
         }
+        let era = self.gateway.state().source_era;
+        if std::mem::replace(&mut self.era, era) != era {
+            self.tell_lease(LeaseEvent::Era(era));
+        }
         let heard = self.gateway.state_mut().received_lease.take();
         if let Some(news) = heard {
             self.tell_lease(LeaseEvent::Heard {
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -144,6 +144,11 @@
             return Err(refusal.with_retry_after(wait));
         }
     }
+    if gateway.starts_with_old_configuration() {
+        let detail = "another node has a newer configuration";
+        let refusal = Refusal::new(RefusalReason::ConfigurationUnproven, detail);
+        return Err(refusal.with_retry_after(OTHER_NODE_RETRY));
+    }
     let tenant = caller.key.as_ref().and_then(|key| table.tenant_of(key));
     tenant.cloned().map(Some).ok_or_else(|| {
         let detail = match caller.key {
--- a/crates/gateway/src/serve/engine_list_state.rs
+++ b/crates/gateway/src/serve/engine_list_state.rs
@@ -8,18 +8,18 @@
 use super::accepted_request::AcceptedRequest;
 use crate::gateway::Gateway;
 use crate::placement::Placement;
-use crate::source::ItemKind;
+use crate::source::{ItemKind, Revision};
 
 /// How current this node's engine list was when a request was sent to one of the engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
 #[display(
     "revision={},age_ms={},behind={is_behind},unlisted={is_unlisted}",
-    revision.map_or(-1, |revision| revision as i64),
+    revision.unwrap_or_default(),
     age.map_or(-1, |age| age.as_millis() as i64)
 )]
 pub(super) struct EngineListState {
     /// Revision of the source that the list reflects.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Time since the list was last confirmed current.
     age: Option<Duration>,
     /// Whether another node is known to have a newer list.
--- a/crates/gateway/src/source/catalogue_source.rs
+++ b/crates/gateway/src/source/catalogue_source.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 
-use super::{Consistency, ItemBatch, ItemKind, ItemPage, SourceError};
+use super::{Consistency, ItemBatch, ItemKind, ItemPage, Revision, SourceError};
 
 /// Lists and watches items.
 pub trait CatalogueSource {
@@ -16,11 +16,12 @@
         after: Option<&'a str>,
     ) -> LocalBoxFuture<'a, Result<ItemPage, SourceError>>;
 
-    /// Changes since `revision`; answers empty when there were none for `wait`.
+    /// Changes since `revision`; answers empty when there were none for `wait`. Fails with
+    /// [`SourceError::HistoryGone`] if the source is not in the era of `revision`.
     fn watch<'a>(
         &'a self,
         kind: ItemKind,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>>;
 }
--- a/crates/gateway/src/source/change_log.rs
+++ b/crates/gateway/src/source/change_log.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::Timestamp;
 
-use super::ItemChange;
+use super::{ItemChange, Revision};
 
 /// Changes that are kept at least; a node that lacks older ones is handed the whole list.
 const LEAST_KEPT: usize = 256;
@@ -18,11 +18,11 @@
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     /// Every change after this revision is in the log.
-    complete_after: Option<u64>,
+    complete_after: Option<Revision>,
     /// Changes, each with the revision of the batch that it came in.
-    changes: VecDeque<(u64, ItemChange)>,
+    changes: VecDeque<(Revision, ItemChange)>,
     /// When each batch came, by its revision.
-    came_at: VecDeque<(u64, Timestamp)>,
+    came_at: VecDeque<(Revision, Timestamp)>,
 }
 
 /// What a node that is behind has to take in.
@@ -31,12 +31,12 @@
     /// Changes in order.
     pub changes: Vec<ItemChange>,
     /// The revision that the node has with them.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 impl ChangeLog {
     /// A list was read at `revision`: what changed before is unknown.
-    pub fn restart(&mut self, revision: u64) {
+    pub fn restart(&mut self, revision: Revision) {
         self.complete_after = Some(revision);
         self.changes.clear();
         self.came_at.clear();
@@ -46,7 +46,7 @@
     pub fn append(
         &mut self,
         changes: impl IntoIterator<Item = ItemChange>,
-        revision: u64,
+        revision: Revision,
         now: Timestamp,
     ) {
         if self.complete_after.is_none() {
@@ -85,7 +85,7 @@
 
     /// About `most` changes after `revision`, whole batches of them; `None` when the log does not
     /// reach back that far, or the next batch alone is too long for one message.
-    pub fn after(&self, revision: u64, newest: u64, most: usize) -> Option<CatchUp> {
+    pub fn after(&self, revision: Revision, newest: Revision, most: usize) -> Option<CatchUp> {
         if self.complete_after.is_none_or(|begin| revision < begin) {
             return None;
         }
--- a/crates/gateway/src/source/copy_prober.rs
+++ b/crates/gateway/src/source/copy_prober.rs
@@ -65,7 +65,7 @@
     gateway.note_response_time(asked_at, Duration::ZERO);
     if batch.revision < revision {
         debug!(gateway.log(), "copy_proof_too_old"; "kind" => %kind,
-            "revision" => batch.revision, "known" => revision);
+            "revision" => %batch.revision, "known" => %revision);
         return Err(SourceError::Unreadable {
             detail: "older than what was asked for".to_owned(),
         });
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -17,7 +17,9 @@
 use super::lists::read_list;
 use super::progress::Progress;
 use super::questions::Questions;
-use super::{Backoff, CatalogueSource, Consistency, ItemKind, List, Replica, SourceError};
+use super::{
+    Backoff, CatalogueSource, Consistency, ItemKind, List, Replica, Revision, SourceError,
+};
 use crate::gateway::{Gateway, PEER_DISCOVERY_TIME, Query, Role, SIZE_DISCOVERY_TIME};
 
 /// First wait after a failure; doubles up to [`FollowSettings::longest_pause`].
@@ -189,7 +191,7 @@
     fn log_list(&self, list: &List) {
         let taken = self.gateway.clock().now().since(list.asked_at);
         info!(self.gateway.log(), "list_read"; "kind" => %self.kind,
-            "revision" => list.revision, "before" => self.revision(),
+            "revision" => %list.revision, "before" => shown(self.revision()),
             "items" => list.items.len(),
             "is_stale" => list.consistency == Consistency::Stale,
             "taken_ms" => taken.as_millis() as u64);
@@ -229,7 +231,7 @@
                 }
                 Ok(_) | Err(SourceError::HistoryGone) => {
                     info!(self.gateway.log(), "source_history_gone"; "kind" => %self.kind,
-                        "revision" => revision);
+                        "revision" => %revision);
                     return;
                 }
                 Err(error) => {
@@ -266,12 +268,12 @@
                 gateway.apply_list_of(self.kind, list);
                 let after = gateway.configuration_version();
                 debug!(gateway.log(), "configuration_read_stale"; "before" => before,
-                    "after" => after, "revision" => revision);
+                    "after" => after, "revision" => %revision);
                 before < after
             }
             Ok(list) => {
                 debug!(self.gateway.log(), "configuration_read_too_stale";
-                    "revision" => list.revision);
+                    "revision" => %list.revision);
                 false
             }
             Err(error) => {
@@ -323,7 +325,7 @@
     /// Resolves when another question has brought a change that the watch from `revision` has not,
     /// though it has had the time: its connection carries nothing any more. The same when the
     /// source has told another question that a watch from there can't go on.
-    async fn is_overtaken(&self, revision: u64) {
+    async fn is_overtaken(&self, revision: Revision) {
         while !self.lacks_changes(revision) {
             self.gateway.clock().look(LOOK_INTERVAL).await;
         }
@@ -340,18 +342,18 @@
         }
     }
 
-    fn lacks_changes(&self, revision: u64) -> bool {
+    fn lacks_changes(&self, revision: Revision) -> bool {
         let state = self.gateway.state();
         let replica = state.replicas.of(self.kind);
         replica.is_history_lost || replica.changed_until > Some(revision)
     }
 
-    fn leave_overtaken(&self, asked_at: Timestamp, revision: u64) {
+    fn leave_overtaken(&self, asked_at: Timestamp, revision: Revision) {
         let waited = self.gateway.clock().now().since(asked_at);
         let state = self.gateway.state();
         let replica = state.replicas.of(self.kind);
-        warn!(self.gateway.log(), "watch_silent"; "kind" => %self.kind, "revision" => revision,
-            "changed_until" => replica.changed_until, "history_lost" => replica.is_history_lost,
+        warn!(self.gateway.log(), "watch_silent"; "kind" => %self.kind, "revision" => %revision,
+            "changed_until" => shown(replica.changed_until), "history_lost" => replica.is_history_lost,
             "waited_ms" => waited.as_millis() as u64);
     }
 
@@ -398,7 +400,7 @@
         asked_at
     }
 
-    fn revision(&self) -> Option<u64> {
+    fn revision(&self) -> Option<Revision> {
         self.gateway.state().replicas.of(self.kind).revision
     }
 
@@ -449,3 +451,7 @@
         }
     }
 }
+
+fn shown(revision: Option<Revision>) -> Option<String> {
+    revision.map(|revision| revision.to_string())
+}
--- a/crates/gateway/src/source/follower/first_list.rs
+++ b/crates/gateway/src/source/follower/first_list.rs
@@ -54,7 +54,7 @@
         self.note_answer();
         let taken = self.gateway.clock().now().since(asked_at);
         info!(self.gateway.log(), "first_page_read"; "items" => page.items.len(),
-            "revision" => page.revision, "taken_ms" => taken.as_millis() as u64,
+            "revision" => %page.revision, "taken_ms" => taken.as_millis() as u64,
             "is_whole" => page.next_after.is_none());
         match page.next_after {
             Some(_) => self.gateway.apply_list_page(None, page, asked_at),
--- a/crates/gateway/src/source/item_page.rs
+++ b/crates/gateway/src/source/item_page.rs
@@ -1,6 +1,6 @@
 //! Answers of the source.
 
-use super::{Item, ItemChange};
+use super::{Item, ItemChange, Revision};
 
 /// A page of a list.
 #[derive(Debug, Clone)]
@@ -10,7 +10,7 @@
     /// The name after which the next page begins, if there is one.
     pub next_after: Option<String>,
     /// Revision of the source that the list shows.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// What a watch tells.
@@ -19,5 +19,5 @@
     /// Changes in order.
     pub changes: Vec<ItemChange>,
     /// The next watch goes on from this revision.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/gateway/src/source/lists.rs
+++ b/crates/gateway/src/source/lists.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::progress::Progress;
-use super::{CatalogueSource, Consistency, ItemKind, ItemPage, List, SourceError};
+use super::{CatalogueSource, Consistency, ItemKind, ItemPage, List, Revision, SourceError};
 
 /// A page that is later than this is not waited for any longer: a deployment where the source takes
 /// so long for all is in an outage.
@@ -29,7 +29,10 @@
         progress.note();
         items.extend(page.items);
         // Changes after the first page may be missing from it, so the watch begins there.
-        let revision = *first_revision.get_or_insert(page.revision);
+        let revision: Revision = *first_revision.get_or_insert(page.revision);
+        if page.revision.era != revision.era {
+            return Err(SourceError::HistoryGone);
+        }
         let Some(next) = page.next_after else {
             return Ok(List {
                 items,
--- a/crates/gateway/src/source/mod.rs
+++ b/crates/gateway/src/source/mod.rs
@@ -18,6 +18,7 @@
 mod questions;
 mod release_store;
 mod replica;
+mod revision;
 mod source_error;
 mod steadiness;
 
@@ -37,5 +38,6 @@
     OrderedRelease, Recorded, ReleaseBatch, ReleaseChange, ReleaseList, ReleaseStore,
 };
 pub use replica::{Replica, Replicas};
+pub use revision::Revision;
 pub use source_error::SourceError;
 pub use steadiness::Steadiness;
--- a/crates/gateway/src/source/replica.rs
+++ b/crates/gateway/src/source/replica.rs
@@ -4,16 +4,16 @@
 
 use ryerouter_core::Timestamp;
 
-use super::ItemKind;
+use super::{ItemKind, Revision};
 use crate::gateway::Freshness;
 
 /// This node's copy of one kind of item.
 #[derive(Debug, Default)]
 pub struct Replica {
     /// Revision of the source up to which changes are in the copy.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
     /// Nothing changed after this revision until the copy was last proven current.
-    pub changed_until: Option<u64>,
+    pub changed_until: Option<Revision>,
     /// When the copy was last certainly current.
     pub freshness: Freshness,
     /// When the source was last asked for changes or the list.
@@ -29,7 +29,7 @@
     /// When this copy last returned to an earlier revision.
     stepped_back_at: Option<Timestamp>,
     /// The newest revision after which, as another node told, nothing has changed.
-    told_until: Option<u64>,
+    told_until: Option<Revision>,
 }
 
 impl Replica {
@@ -56,7 +56,7 @@
 
     /// Another node knows that nothing has changed after `revision`; `false` when this copy lacks that
     /// change, also if it is yet to be read.
-    pub fn note_reported_change(&mut self, revision: u64, now: Timestamp) -> bool {
+    pub fn note_reported_change(&mut self, revision: Revision, now: Timestamp) -> bool {
         self.told_until = self.told_until.max(Some(revision));
         self.compare_with_told(now);
         !self.is_behind()
@@ -70,14 +70,14 @@
     }
 
     /// The copy has come to `revision`.
-    pub fn advance(&mut self, revision: u64, now: Timestamp) {
+    pub fn advance(&mut self, revision: Revision, now: Timestamp) {
         self.revision = Some(revision);
         self.compare_with_told(now);
     }
 
     /// The copy holds entries that were current at an earlier `revision`, so changes must be followed
     /// from there.
-    pub fn step_back(&mut self, revision: u64, now: Timestamp) {
+    pub fn step_back(&mut self, revision: Revision, now: Timestamp) {
         self.revision = Some(revision);
         self.freshness = Freshness::default();
         self.stepped_back_at = Some(now);
--- a/crates/gateway/src/sync/answer.rs
+++ b/crates/gateway/src/sync/answer.rs
@@ -58,6 +58,9 @@
     /// The revision that the asker has with these changes; `None` when it must read the list.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub revision: Option<u64>,
+    /// Era of the source that the revisions of this answer belong to; `None` from builds that know no eras.
+    #[serde(rename = "E", default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Weights that were named lately, when the asker lacks some.
     #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
     pub named: Vec<Publication>,
--- a/crates/gateway/src/sync/list_fill.rs
+++ b/crates/gateway/src/sync/list_fill.rs
@@ -9,6 +9,7 @@
 
 use super::{HolderPreference, ListFetch};
 use crate::peers::NodeIdentity;
+use crate::source::Revision;
 
 /// Time for another node's answer: some milliseconds, or some hundred from a small node that many
 /// ask.
@@ -28,8 +29,8 @@
 #[derive(Debug, Default)]
 pub struct ListFill {
     after: Option<BackEndName>,
-    base: Option<u64>,
-    changed: HashMap<BackEndName, u64>,
+    base: Option<Revision>,
+    changed: HashMap<BackEndName, Revision>,
     begun_at: Option<Timestamp>,
     handed_at: Option<Timestamp>,
     holder: Option<SocketAddr>,
@@ -51,7 +52,7 @@
 
     /// The revision after which every change of the list has been followed; `None` until the first
     /// entries have been taken in.
-    pub fn base(&self) -> Option<u64> {
+    pub fn base(&self) -> Option<Revision> {
         self.base
     }
 
@@ -91,18 +92,18 @@
     }
 
     /// Starts to follow changes at `revision`.
-    pub fn begin(&mut self, revision: u64, now: Timestamp) {
+    pub fn begin(&mut self, revision: Revision, now: Timestamp) {
         self.base = Some(revision);
         self.begun_at.get_or_insert(now);
     }
 
     /// Records a followed change of an entry.
-    pub fn note_change(&mut self, name: BackEndName, revision: u64) {
+    pub fn note_change(&mut self, name: BackEndName, revision: Revision) {
         self.changed.insert(name, revision);
     }
 
     /// Whether a followed change is newer than the entry in a slice of this revision.
-    pub fn is_superseded(&self, name: &BackEndName, revision: u64) -> bool {
+    pub fn is_superseded(&self, name: &BackEndName, revision: Revision) -> bool {
         self.changed.get(name).is_some_and(|at| *at > revision)
     }
 
--- a/crates/gateway/src/sync/list_transfer.rs
+++ b/crates/gateway/src/sync/list_transfer.rs
@@ -11,6 +11,7 @@
 use crate::engines::EngineEntry;
 use crate::peers::NodeIdentity;
 use crate::peers::readable::{readable, readable_or_default};
+use crate::source::Revision;
 
 /// A piece that has not come after so long is asked for again: nodes answer within milliseconds, and a small one
 /// that many ask within some hundred.
@@ -44,6 +45,9 @@
     /// changed after it is caught up with.
     #[serde(rename = "v")]
     pub revision: u64,
+    /// Era of the source that it belongs to; `None` from builds that know no eras.
+    #[serde(rename = "E", default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// The entries.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     #[serde(deserialize_with = "readable")]
@@ -67,7 +71,7 @@
     /// Entries that can't be read.
     pub unusable: Vec<BackEndName>,
     /// Revision that it shows at least.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The pieces that have come so far.
@@ -77,7 +81,7 @@
     asked_at: Option<Timestamp>,
     unanswered: u32,
     after: Option<BackEndName>,
-    revision: Option<u64>,
+    revision: Option<Revision>,
     entries: Vec<EngineEntry>,
     unusable: Vec<BackEndName>,
 }
@@ -112,7 +116,13 @@
     }
 
     /// Takes a piece; the list once it is whole. Pieces out of their order, or of another node, are passed over.
-    pub fn take(&mut self, from: SocketAddr, piece: ListPiece) -> Option<WholeList> {
+    /// `revision` is the piece's, with its era.
+    pub fn take(
+        &mut self,
+        from: SocketAddr,
+        piece: ListPiece,
+        revision: Revision,
+    ) -> Option<WholeList> {
         let is_awaited = self.holder == Some(from) && self.asked_at.is_some();
         if !is_awaited || piece.after != self.after {
             return None;
@@ -121,9 +131,7 @@
         self.unanswered = 0;
         // The lists of two nodes, and of one at different times, differ; changes after the oldest
         // revision are caught up with.
-        let revision = self
-            .revision
-            .map_or(piece.revision, |known| known.min(piece.revision));
+        let revision = self.revision.map_or(revision, |known| known.min(revision));
         self.revision = Some(revision);
         let entries = piece.groups.into_iter();
         self.entries
--- a/crates/gateway/src/sync/question.rs
+++ b/crates/gateway/src/sync/question.rs
@@ -14,6 +14,9 @@
     /// Revision of the named weights.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub weights: Option<u64>,
+    /// Era of the source that these revisions belong to; `None` from builds that know no eras.
+    #[serde(rename = "E", default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Whether the asker wants the whole list of engines, since the source does not tell it.
     #[serde(rename = "l", default, skip_serializing_if = "is_false")]
     pub wants_list: bool,
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -43,6 +43,7 @@
 
 /// The source tells a reader changes of its list of engines.
 fn source_tells(reader: &Gateway, changes: Vec<ItemChange>, revision: u64) {
+    let revision = revision.into();
     let batch = ItemBatch { changes, revision };
     let now = reader.clock().now();
     reader.apply_batch(ItemKind::Engines, batch, Some(now));
@@ -195,7 +196,7 @@
         assert_eq!(state_of(other, "e2"), Some(EngineState::Ready));
         assert_eq!(
             other.state().replicas.of(ItemKind::Engines).revision,
-            Some(103)
+            Some(103.into())
         );
     });
 }
@@ -293,7 +294,10 @@
         assert_eq!(state_of(other, "i-0000000007"), Some(EngineState::Draining));
         assert_eq!(state_of(other, "i-0000000499"), None);
         let state = other.state();
-        assert_eq!(state.replicas.of(ItemKind::Engines).revision, Some(102));
+        assert_eq!(
+            state.replicas.of(ItemKind::Engines).revision,
+            Some(102.into())
+        );
     });
 }
 
@@ -313,7 +317,10 @@
         }
         assert_eq!(answers, 2);
         let state = other.state();
-        assert_eq!(state.replicas.of(ItemKind::Engines).revision, Some(105));
+        assert_eq!(
+            state.replicas.of(ItemKind::Engines).revision,
+            Some(105.into())
+        );
     });
 }
 
@@ -359,7 +366,7 @@
     });
     let batch = ItemBatch {
         changes: vec![ItemChange::Present(named)],
-        revision,
+        revision: revision.into(),
     };
     let now = reader.clock().now();
     reader.apply_batch(ItemKind::Weights, batch, Some(now));
@@ -402,7 +409,7 @@
         let state = other.state();
         // It goes on to ask the source, which it would not do as soon as it took the revision over.
         let revision = state.replicas.of(ItemKind::Weights).revision;
-        assert_eq!(revision, Some(FIRST_REVISION));
+        assert_eq!(revision, Some(FIRST_REVISION.into()));
         assert_eq!(state.deadlines.until("model", 1), None);
     });
 }
@@ -491,16 +498,16 @@
 )]
 fn log_tells_whole_batches(after: u64, most: usize, expected: Option<(u64, usize)>) {
     let mut log = ChangeLog::default();
-    log.restart(100);
+    log.restart(100.into());
     for revision in 101..=103 {
         log.append(
             [ItemChange::Gone(format!("e{revision}"))],
-            revision,
+            revision.into(),
             Timestamp::ZERO,
         );
     }
-    let told = log.after(after, 103, most);
-    let told = told.map(|told| (told.revision, told.changes.len()));
+    let told = log.after(after.into(), 103.into(), most);
+    let told = told.map(|told| (told.revision.number, told.changes.len()));
     assert_eq!(told, expected);
 }
 
--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -369,7 +369,7 @@
         let (reader, other) = (&nodes[0], &nodes[5]);
         let batch = ItemBatch {
             changes: vec![ItemChange::Present(Item::Engine(life(FIRST)))],
-            revision: 101,
+            revision: 101.into(),
         };
         reader.apply_batch(ItemKind::Engines, batch, Some(reader.clock().now()));
         list_life(other, SECOND);
--- a/crates/gateway/tests/first_list.rs
+++ b/crates/gateway/tests/first_list.rs
@@ -34,12 +34,14 @@
 }
 
 fn revision(node: &Gateway) -> Option<u64> {
-    node.state().replicas.of(ItemKind::Engines).revision
+    let revision = node.state().replicas.of(ItemKind::Engines).revision;
+    revision.map(|revision| revision.number)
 }
 
 /// Applies a change that `node` has followed.
 fn follow(node: &Gateway, change: ItemChange, revision: u64) {
     let changes = vec![change];
+    let revision = revision.into();
     let batch = ItemBatch { changes, revision };
     node.apply_batch(ItemKind::Engines, batch, Some(node.clock().now()));
 }
@@ -139,7 +141,7 @@
         assert_eq!(revision(&node), Some(FIRST_REVISION - 7));
         let watched = ItemBatch {
             changes: Vec::new(),
-            revision: FIRST_REVISION + 9,
+            revision: (FIRST_REVISION + 9).into(),
         };
         node.apply_batch(ItemKind::Engines, watched, Some(asked_at));
         assert_eq!(revision(&node), Some(FIRST_REVISION - 7));
--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -255,7 +255,10 @@
         let started_at = nodes[0].clock().now();
         sleep(Duration::from_secs(1)).await;
         let change = ItemChange::Gone("e1".to_owned());
-        let batch = |changes, revision| ItemBatch { changes, revision };
+        let batch = |changes, revision: u64| ItemBatch {
+            changes,
+            revision: revision.into(),
+        };
         let now = nodes[1].clock().now();
         nodes[1].apply_batch(
             ItemKind::Engines,
--- a/crates/gateway/tests/list_handover.rs
+++ b/crates/gateway/tests/list_handover.rs
@@ -106,7 +106,7 @@
         // An engine of the first piece goes meanwhile.
         let gone = ItemBatch {
             changes: vec![ItemChange::Gone("e00003".to_owned())],
-            revision: FIRST_REVISION + 5,
+            revision: (FIRST_REVISION + 5).into(),
         };
         holder.apply_batch(ItemKind::Engines, gone, Some(holder.clock().now()));
         while let Some((_, fetch)) = next {
@@ -114,7 +114,7 @@
             next = node.apply_list_piece(address, piece, &mut random);
         }
         let revision = node.state().replicas.of(ItemKind::Engines).revision;
-        assert_eq!(revision, Some(FIRST_REVISION + 1));
+        assert_eq!(revision, Some((FIRST_REVISION + 1).into()));
         let (_, question) = node.next_question().unwrap();
         node.apply_answer(holder.answer_question(&question));
         let gone = BackEndName::new("e00003");
@@ -134,7 +134,11 @@
         let mut now = node.clock().now();
         let (address, asked) = transfer.next(now, || Some(first)).unwrap();
         let piece = others[0].answer_list_fetch(&asked).unwrap();
-        assert!(transfer.take(address, piece).is_none());
+        assert!(
+            transfer
+                .take(address, piece.clone(), piece.revision.into())
+                .is_none()
+        );
         for _ in 0..2 {
             assert_eq!(transfer.next(now, || Some(second)).unwrap().0, first);
             now = now.after(Duration::from_millis(450));
@@ -144,13 +148,19 @@
         assert_eq!(asked.after, Some(BackEndName::new("e00511")));
         let mut piece = others[1].answer_list_fetch(&asked).unwrap();
         piece.revision = FIRST_REVISION;
-        assert!(transfer.take(address, piece).is_none());
+        assert!(
+            transfer
+                .take(address, piece.clone(), piece.revision.into())
+                .is_none()
+        );
         let (address, asked) = transfer.next(now, || None).unwrap();
         let piece = others[1].answer_list_fetch(&asked).unwrap();
-        let whole = transfer.take(address, piece).unwrap();
+        let whole = transfer
+            .take(address, piece.clone(), piece.revision.into())
+            .unwrap();
         assert_eq!(
             (whole.entries.len(), whole.revision),
-            (1_300, FIRST_REVISION)
+            (1_300, FIRST_REVISION.into())
         );
     });
 }
--- a/crates/gateway/tests/proving.rs
+++ b/crates/gateway/tests/proving.rs
@@ -18,7 +18,7 @@
 
 fn start_proving(gateway: &Rc<Gateway>, source: &Rc<ScriptedSource>) {
     let mut state = gateway.state_mut();
-    state.replicas.of_mut(ItemKind::Configuration).revision = Some(10);
+    state.replicas.of_mut(ItemKind::Configuration).revision = Some(10.into());
     drop(state);
     let source: Rc<dyn CatalogueSource> = source.clone();
     spawn_local(keep_fresh(Rc::clone(gateway), source, ALLOWED));
--- a/crates/gateway/tests/silent_review.rs
+++ b/crates/gateway/tests/silent_review.rs
@@ -164,7 +164,7 @@
         let now = nodes[0].clock().now();
         let batch = ItemBatch {
             changes,
-            revision: 101,
+            revision: 101.into(),
         };
         nodes[0].apply_batch(ItemKind::Weights, batch, Some(now));
         let proven_at = |index: usize| {
@@ -190,14 +190,14 @@
         let (reader, relying) = (&nodes[0], &nodes[4]);
         let batch = ItemBatch {
             changes: names_second_weights(),
-            revision: 101,
+            revision: 101.into(),
         };
         let now = reader.clock().now();
         reader.apply_batch(ItemKind::Weights, batch, Some(now));
         let (_, question) = relying.next_question().expect("relies on the reader");
         relying.apply_answer(reader.answer_question(&question));
         let revision = relying.state().replicas.of(ItemKind::Weights).revision;
-        assert_eq!(revision, Some(101));
+        assert_eq!(revision, Some(101.into()));
         // The others leave, until two are left.
         sleep(Duration::from_secs(31)).await;
         for _ in 0..2 {
--- a/crates/gateway/tests/support/paged_source.rs
+++ b/crates/gateway/tests/support/paged_source.rs
@@ -11,7 +11,8 @@
 use futures_util::future::LocalBoxFuture;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::source::{
-    CatalogueSource, Consistency, Item, ItemBatch, ItemChange, ItemKind, ItemPage, SourceError,
+    CatalogueSource, Consistency, Item, ItemBatch, ItemChange, ItemKind, ItemPage, Revision,
+    SourceError,
 };
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -171,7 +172,7 @@
         let whole = |items| ItemPage {
             items,
             next_after: None,
-            revision,
+            revision: revision.into(),
         };
         match kind {
             ItemKind::Configuration => {
@@ -191,7 +192,7 @@
                         .map(|(_, entry)| Item::Engine(entry.clone()))
                         .collect(),
                     next_after: last.filter(|_| later.next().is_some()),
-                    revision,
+                    revision: revision.into(),
                 }
             }
         }
@@ -212,7 +213,7 @@
             let changed = self.changed.notified();
             let changes = self.changes_after(kind, revision);
             if !changes.is_empty() || Instant::now() >= until {
-                let revision = self.revision.get();
+                let revision = self.revision.get().into();
                 self.answer((changes.len() + 1) as f64 * ENTRY_BYTES).await;
                 return Ok(ItemBatch { changes, revision });
             }
@@ -275,12 +276,12 @@
     fn watch<'a>(
         &'a self,
         kind: ItemKind,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
         async move {
             self.enter().await?;
-            self.source.watch(kind, revision, wait).await
+            self.source.watch(kind, revision.number, wait).await
         }
         .boxed_local()
     }
--- a/crates/gateway/tests/support/scripted_source.rs
+++ b/crates/gateway/tests/support/scripted_source.rs
@@ -11,7 +11,8 @@
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::source::{
-    CatalogueSource, Consistency, Item, ItemBatch, ItemChange, ItemKind, ItemPage, SourceError,
+    CatalogueSource, Consistency, Item, ItemBatch, ItemChange, ItemKind, ItemPage, Revision,
+    SourceError,
 };
 
 use super::records::{route, table};
@@ -69,7 +70,7 @@
                 Some(Answer::Page { versions, revision }) => Ok(ItemPage {
                     items: versions.into_iter().map(configuration).collect(),
                     next_after: None,
-                    revision,
+                    revision: revision.into(),
                 }),
                 Some(Answer::Fails(error)) => Err(error),
                 Some(Answer::Batch { .. }) => panic!("a list was asked"),
@@ -82,9 +83,10 @@
     fn watch<'a>(
         &'a self,
         _kind: ItemKind,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
+        let revision = revision.number;
         let answer = self.next(Question::Watch { revision, wait });
         async move {
             match answer {
@@ -93,7 +95,7 @@
                         .into_iter()
                         .map(|version| ItemChange::Present(configuration(version)))
                         .collect(),
-                    revision,
+                    revision: revision.into(),
                 }),
                 Some(Answer::Fails(error)) => Err(error),
                 Some(Answer::Page { .. }) => panic!("a watch was asked"),
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -12,7 +12,7 @@
 use ryerouter_gateway::engines::{EngineEntry, EngineState};
 use ryerouter_gateway::source::{
     CatalogueSource, Consistency, Item, ItemBatch, ItemChange, ItemKind, ItemPage, NamedWeights,
-    SourceError,
+    Revision, SourceError,
 };
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -206,7 +206,7 @@
         ItemPage {
             items: self.items_at(kind, revision),
             next_after: None,
-            revision,
+            revision: revision.into(),
         }
     }
 
@@ -249,7 +249,7 @@
             let is_over = !changes.is_empty() || Instant::now() >= until;
             if is_over {
                 // What changes from here on is not in the answer.
-                let revision = self.revision.get();
+                let revision = self.revision.get().into();
                 sleep(ANSWER_TIME).await;
                 return Ok(ItemBatch { changes, revision });
             }
@@ -320,10 +320,10 @@
     fn watch<'a>(
         &'a self,
         kind: ItemKind,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> LocalBoxFuture<'a, Result<ItemBatch, SourceError>> {
-        let answer = self.source.watch(kind, revision, wait);
+        let answer = self.source.watch(kind, revision.number, wait);
         async move { self.carry(wait, answer).await? }.boxed_local()
     }
 }
--- a/crates/gateway/tests/unusable_entries.rs
+++ b/crates/gateway/tests/unusable_entries.rs
@@ -30,6 +30,7 @@
 
 fn source_tells(gateway: &Gateway, change: Item, revision: u64) {
     let changes = vec![ItemChange::Present(change)];
+    let revision = revision.into();
     let batch = ItemBatch { changes, revision };
     let now = gateway.clock().now();
     gateway.apply_batch(ItemKind::Engines, batch, Some(now));
@@ -101,6 +102,7 @@
             number: 1,
             engines: None,
             weights: None,
+            era: None,
             wants_list: true,
             reads_groups: false,
         });
