--- a/crates/core/tests/lease_bench/mod.rs
+++ b/crates/core/tests/lease_bench/mod.rs
@@ -1,4 +1,5 @@
 //! Candidates for a lease before a store that misbehaves.
+#![allow(dead_code)] // Each test file uses its own part.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/gateway/tests/restored_source.rs
+++ b/crates/gateway/tests/restored_source.rs
@@ -41,7 +41,7 @@
 }
 
 fn configure(node: &Gateway, revision: Revision, version: u64) {
-    let table = table(version, vec![route(RequestKind::Safe)]).with_document(&version.to_string());
+    let table = table(version, vec![route(RequestKind::Safe)]).with_document(version.to_string());
     let items = vec![Item::Configuration(Rc::new(table))];
     let now = node.clock().now();
     node.apply_list(ItemKind::Configuration, items, revision, now);
