Failing tests: prompts that share a sound part while engines crash or break answers off by themselves

Four gateways, eight engines, 25 streams a second that begin with the same part; callers read to the end, close after the last event, give up midway, or lose their connection and come back.

--- a/crates/gateway/tests/support/versioned_engines.rs
+++ b/crates/gateway/tests/support/versioned_engines.rs
@@ -32,6 +32,10 @@
 pub struct Behaviour {
     /// Breaks off each answer after so many events.
     pub breaks_after: Cell<Option<u32>>,
+    /// Breaks off one in so many answers in the middle, and lives on.
+    pub breaks_one_in: Cell<Option<u32>>,
+    /// Time between events.
+    pub event_pause: Cell<Option<Duration>>,
     /// Turns every request away for want of room.
     pub is_full: Cell<bool>,
     /// Heads of the requests that it ran.
@@ -99,14 +103,22 @@
         behaviour.runs.borrow_mut().push(arrival);
         write(&mut stream, &stream_head(&id)).await;
         let first = after.unwrap_or(0) + 1;
+        let runs = behaviour.runs.borrow().len() as u32;
+        let one_in = behaviour.breaks_one_in.get();
+        let breaks = one_in.is_some_and(|one_in| runs.is_multiple_of(one_in));
+        let pause = behaviour.event_pause.get().unwrap_or(EVENT_PAUSE);
         for (written, number) in (first..=EVENTS).enumerate() {
             if behaviour.breaks_after.get() == Some(written as u32) {
                 return;
             }
-            sleep(EVENT_PAUSE).await;
+            if breaks && number > EVENTS / 2 {
+                return;
+            }
+            sleep(pause).await;
             let event = format!("id: {number}\ndata: {software}\n\n");
             write(&mut stream, &chunk(&event)).await;
         }
+        sleep(pause).await;
         write(&mut stream, "0\r\n\r\n").await;
     }
 }
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -23,7 +23,7 @@
 use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
 use super::records::{POOL, route, tenant};
 use super::signalling::settings_of;
-use super::test_dialect::{AFTER, ID, KEY, RESUMES};
+use super::test_dialect::{AFTER, ID, KEY, PARTS, RESUMES};
 use super::versioned_engines::{EVENTS, VersionedEngine};
 
 /// How often each node reads the list of engines.
@@ -56,6 +56,8 @@
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
         let mut own = settings_of(index);
         own.identity.incarnation = incarnation;
+        // How much work the engines do is not known here, so nothing can be said of their load.
+        own.sheds_load = false;
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
         let bench = GatewayBench::serve(gateway_with(own), Some(table), entries.clone()).await;
@@ -92,6 +94,7 @@
     route: Route,
     tenants: Vec<Tenant>,
     started: Cell<u64>,
+    engines_started: Cell<u64>,
     streams: Cell<u64>,
 }
 
@@ -127,6 +130,7 @@
             route,
             tenants,
             started: Cell::new(0),
+            engines_started: Cell::new(0),
             streams: Cell::new(0),
         };
         for version in versions {
@@ -143,11 +147,30 @@
 
     /// Starts an engine of a version; nodes learn of it from the list, see [`Self::list`].
     pub async fn start_engine(&self, version: &str) {
-        let name = format!("e{}", self.engines.borrow().len());
+        self.engines_started.set(self.engines_started.get() + 1);
+        let name = format!("e{}", self.engines_started.get());
         let engine = VersionedEngine::start(&name, version).await;
         self.engines.borrow_mut().push(engine);
     }
 
+    /// An engine crashes, and its entry stays for a time; another one of a new name takes its place after that.
+    pub async fn crash_engine(self: &Rc<Self>, number: usize, back_after: Duration) {
+        let count = self.engines.borrow().len();
+        let crashed = self.engines.borrow_mut().remove(number % count);
+        crashed.crash();
+        let software = crashed.software.clone();
+        let nodes = Rc::clone(self);
+        spawn_local(async move {
+            sleep(back_after).await;
+            let pause = crashed.behaviour().event_pause.get();
+            nodes.start_engine(&software).await;
+            if let Some(engine) = nodes.engines.borrow().last() {
+                engine.behaviour().event_pause.set(pause);
+            }
+            nodes.list();
+        });
+    }
+
     async fn start_node(&self, index: usize) -> Rc<VersionedNode> {
         self.started.set(self.started.get() + 1);
         let incarnation = 1_000 + self.started.get();
@@ -255,6 +278,10 @@
     pub versions: BTreeSet<String>,
     /// Key of the caller.
     pub key: Option<&'static str>,
+    /// Parts of its prompt, before one of its own.
+    pub parts: Option<&'static str>,
+    /// What the last refusal said.
+    pub refusal: Option<String>,
     /// What the caller names instead of the first attempt, or that it names none.
     pub resumes: Option<Option<String>>,
 }
@@ -291,11 +318,16 @@
             headers.extend(first.as_ref().map(|first| (RESUMES, first.as_str())));
         }
         headers.extend(self.key.map(|key| (KEY, key)));
+        let parts = self.parts.map(|parts| format!("{parts},own-{}", self.name));
+        headers.extend(parts.as_ref().map(|parts| (PARTS, parts.as_str())));
         let response = node.bench.begin("POST", &headers, "").await;
         let status = response.status();
         if status != StatusCode::OK {
             let retry_after = response.headers().get(RETRY_AFTER);
             let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+            let body = response.into_body().collect().await;
+            let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+            self.refusal = Some(String::from_utf8_lossy(&body).into_owned());
             return Attempt::Refused {
                 status,
                 retry_after,
