Clear requests and parts whose engines outlive the beginning of a run

Cause: a part that most prompts share is under nearly every crash, and only an answer that came to its end cleared it; callers that close after the last event, or give up, or have streams that outlast engines bring none. Engines that break an answer off and live on counted as crashed until the list had been read three TTLs later.

Evidence for a request or part is now an engine that has outlived the beginning of a run with it, whoever hangs up: where crashes are known under one of a run's suspects, and the run has gone on for 60 ms after its first event, the engine is watched, and what it sends to anybody 0.3 s after that event (or three times the shortest run that ended in a crash) clears them. An engine that sends anything 0.2 s after its connection broke has not crashed. It works since an engine that a request crashes sends nothing after; no caller takes part.

There is still no bound on the share of requests that a wrong verdict refuses (docs/design/poison.md).

--- a/crates/core/src/poison/history.rs
+++ b/crates/core/src/poison/history.rs
@@ -230,6 +230,12 @@
         shared.count() >= MIN_SHARED_CRASHES
     }
 
+    /// Time from the start of a run to the crash of its engine, the shortest one.
+    pub fn shortest_run(&self) -> Option<Duration> {
+        let runs = self.crashes.iter();
+        runs.map(|crash| crash.ended.since(crash.began)).min()
+    }
+
     /// Time of the last crash, trial or success.
     pub fn last_event(&self) -> Option<Timestamp> {
         let ended = self.crashes.iter().map(|crash| crash.ended).max();
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -23,7 +23,7 @@
     WeightsUpdate, ZoneTraffic,
 };
 use crate::placement::{HolderTable, KvStores, PrefillDemand, PrefillSplit};
-use crate::poison::RecordTable;
+use crate::poison::{RecordTable, WatchedRuns};
 use crate::quotas::Quotas;
 use crate::release;
 use crate::retry::RetryWindow;
@@ -125,6 +125,8 @@
     /// Requests with new crashes or successes to report to other nodes, and how many transmissions
     /// remain.
     pub poison_updates: BTreeMap<poison::Digest, u32>,
+    /// Runs whose engines are watched, since engines have crashed under the same request or parts.
+    pub watched_runs: WatchedRuns,
     /// State of the stored records of blocked requests.
     pub poison_records: RecordTable,
     /// Number of full updates built so far; selects the part of the blocked requests that the next
@@ -291,6 +293,7 @@
             releases: release::Table::default(),
             poison: poison::Register::default(),
             poison_updates: BTreeMap::new(),
+            watched_runs: WatchedRuns::default(),
             poison_records: RecordTable::default(),
             poison_rotation: 0,
             limited_engines: BTreeSet::new(),
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -71,6 +71,7 @@
 pub use handover_state::HandoverState;
 pub use need::Need;
 pub use order_need::OrderNeed;
+pub(crate) use poison::LEAST_RUN_TIME;
 pub use shared::{DatagramSender, Gateway};
 pub(crate) use shared::{PEER_DISCOVERY_TIME, SIZE_DISCOVERY_TIME};
 pub(crate) use source_log::Query;
--- a/crates/gateway/src/gateway/poison.rs
+++ b/crates/gateway/src/gateway/poison.rs
@@ -4,14 +4,15 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName};
-use ryerouter_core::poison::{Crash, Digest, Verdict};
+use ryerouter_core::poison::{Crash, Digest, History, Verdict};
 use slog::{info, warn};
 
 use super::poison_records::cancel_write_unless_newer;
 use super::update_queue::{rotating_part, take_pending};
 use super::{Gateway, GatewayState};
 use crate::engines::{Engine, IncarnationOrder};
-use crate::poison::{PoisonUpdate, Run};
+use crate::placement::Placement;
+use crate::poison::{PoisonUpdate, Run, Watch, WatchedRun};
 use crate::serve::AcceptedRequest;
 
 /// Maximum number of requests that one message reports; more wait for the next.
@@ -21,6 +22,15 @@
 /// Transmissions of an update where messages go to each node directly, since a datagram may be
 /// lost. In larger deployments two nodes of each zone forward updates instead.
 const TRANSMISSIONS: u32 = 3;
+/// A run that is watched has gone on for this time after its first event: engines that a request crashes do so within some
+/// tens of milliseconds after they have begun it.
+pub(crate) const LEAST_RUN_TIME: Duration = Duration::from_millis(60);
+/// An engine has outlived the beginning of a run after this time at least, and after so many times the shortest run that
+/// an engine crashed under: a request that crashes engines does so after about the same time.
+const MIN_OUTLIVED_TIME: Duration = Duration::from_millis(300);
+const OUTLIVED_FACTOR: u32 = 3;
+/// Bytes that an engine sent before it crashed arrive within this time after the first of its connections broke.
+const LAST_BYTES_TIME: Duration = Duration::from_millis(200);
 /// The entry of a crashed engine expires after three heartbeats. An engine that is still listed
 /// after three entry TTLs of two heartbeats each has therefore not crashed.
 const TTLS_UNTIL_ENTRY_REMOVED: u32 = 3;
@@ -189,6 +199,70 @@
         }
     }
 
+    /// Watches the engine of a run that has gone on for `LEAST_RUN_TIME` after its first event. An engine that a request
+    /// crashes does not outlive the beginning of its run, whatever its caller does then.
+    pub(crate) fn watch_run(
+        &self,
+        request: &AcceptedRequest,
+        placement: &Placement,
+        begun_at: Timestamp,
+    ) {
+        if self.state().poison.is_empty() {
+            return;
+        }
+        let suspects = request.suspects();
+        let mut state = self.state_mut();
+        let known = suspects
+            .iter()
+            .filter_map(|digest| state.poison.get(*digest));
+        let run_times = known.filter_map(History::shortest_run);
+        let Some(shortest) = run_times.min() else {
+            return;
+        };
+        let outlives_after = (shortest * OUTLIVED_FACTOR).max(MIN_OUTLIVED_TIME);
+        state.watched_runs.add(WatchedRun {
+            engine: placement.engine.clone(),
+            incarnation: placement.incarnation,
+            begun_at,
+            outlives_after,
+            suspects,
+        });
+    }
+
+    /// Clears the crashes of requests whose engines have outlived the beginning of another run of them.
+    pub fn clear_outlived_runs(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        if state.watched_runs.is_empty() {
+            return;
+        }
+        let GatewayState {
+            watched_runs,
+            engines,
+            ..
+        } = &mut *state;
+        let outlived = watched_runs.take_outlived(now, |run| {
+            let engine = engines.get(&run.engine);
+            let engine = engine.filter(|engine| engine.entry.incarnation == run.incarnation);
+            match engine {
+                None => Watch::Crashed,
+                Some(engine) if engine.heard_at.get() >= Some(run.due_at()) => Watch::Outlived,
+                Some(engine) if engine.crashed_at() >= Some(run.begun_at) => Watch::Crashed,
+                Some(_) => Watch::Unheard,
+            }
+        });
+        drop(state);
+        for run in outlived {
+            for digest in run.suspects {
+                if self.clear_poison(digest) {
+                    info!(self.log(), "poison_cleared"; "digest" => %digest,
+                        "outlived_by" => %run.engine,
+                        "outlived_ms" => run.outlives_after.as_millis() as u64);
+                }
+            }
+        }
+    }
+
     /// Clears the crashes of a request after a successful run; `false` when this changes nothing.
     pub fn clear_poison(&self, digest: Digest) -> bool {
         let now = self.clock().now();
@@ -220,17 +294,19 @@
             poison_records,
             ..
         } = &mut *state;
-        if !steadiness.has_lasted(lifetime, now) {
-            return;
-        }
+        let is_list_steady = steadiness.has_lasted(lifetime, now);
         let has_survived = |crash: &Crash| {
             let engine = engines.get(&crash.engine);
-            let listed = engine.filter(|engine| !engine.is_unlisted);
-            let is_same = listed.is_some_and(|engine| {
+            let same = engine.filter(|engine| {
                 IncarnationOrder::new(engine.entry.incarnation, crash.incarnation)
                     == IncarnationOrder::Same
             });
-            is_same && now.since(crash.ended) > lifetime
+            same.is_some_and(|engine| {
+                let heard_at = engine.heard_at.get();
+                let is_heard = heard_at > Some(crash.ended.after(LAST_BYTES_TIME));
+                let is_listed = !engine.is_unlisted && now.since(crash.ended) > lifetime;
+                is_heard || is_list_steady && is_listed
+            })
         };
         let Some(history) = poison.get_mut(digest) else {
             return;
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -67,6 +67,7 @@
                 gateway.refresh_limits();
                 gateway.refresh_reach();
                 gateway.refresh_releases();
+                gateway.clear_outlived_runs();
                 if tick.is_multiple_of(TICKS_PER_DIVISION) {
                     gateway.refresh_prefill_splits();
                     gateway.refresh_pool_capacities();
--- a/crates/gateway/src/poison/mod.rs
+++ b/crates/gateway/src/poison/mod.rs
@@ -8,6 +8,7 @@
 mod record_sync;
 mod record_table;
 mod run;
+mod watched_runs;
 
 use bytes::Bytes;
 use hmac::{Hmac, Mac};
@@ -23,6 +24,7 @@
 pub use record_sync::sync_records;
 pub use record_table::RecordTable;
 pub use run::Run;
+pub use watched_runs::{Watch, WatchedRun, WatchedRuns};
 
 /// Key of the digests of parts. The zero byte keeps them apart from those of requests, whose key is a tenant's name.
 const PART_KEY: &[u8] = b"\0part";
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -23,6 +23,7 @@
 use super::silence_cause::SilenceCause;
 use super::silence_detector::SilenceDetector;
 use crate::engines::AnswerPhase;
+use crate::gateway::LEAST_RUN_TIME;
 use crate::placement::Placement;
 use crate::relay::{EventSplitter, RelayFault, StreamEnd};
 use crate::release::AnswerEnd;
@@ -38,6 +39,10 @@
     last_event_id: Option<String>,
     /// Whether an event has been received from an engine.
     has_begun: bool,
+    /// When the first event of the current engine came.
+    run_begun_at: Option<Timestamp>,
+    /// Whether that engine is watched, see [`Gateway::watch_run`](crate::gateway::Gateway::watch_run).
+    is_watched: bool,
     /// How often the stream has been resumed on another engine.
     resume_count: u32,
     /// Milliseconds from the arrival of the request to the first event.
@@ -81,6 +86,8 @@
             live: Some(live),
             splitter: EventSplitter::default(),
             has_begun: false,
+            run_begun_at: None,
+            is_watched: false,
             resume_count: 0,
             first_event_ms: None,
             last_event_ms: 0,
@@ -276,6 +283,8 @@
         match next {
             Ok(live) if live.status.is_success() => {
                 self.resume_count += 1;
+                self.run_begun_at = None;
+                self.is_watched = false;
                 info!(self.forwarder.gateway.log(), "stream_resumed";
                     "request" => &self.forwarder.request.caller.id,
                     "engine" => %live.placement.engine, "software" => &live.placement.software,
@@ -367,6 +376,21 @@
             gateway.note_prefill_done(&live.placement);
             count_tokens(&self.forwarder, &live.placement);
         }
+        self.watch_run();
+    }
+
+    /// Has the engine watched once the run has gone on for a while.
+    fn watch_run(&mut self) {
+        let gateway = &self.forwarder.gateway;
+        let now = gateway.clock().now();
+        let begun_at = *self.run_begun_at.get_or_insert(now);
+        if self.is_watched || now.since(begun_at) < LEAST_RUN_TIME {
+            return;
+        }
+        if let Some(live) = &self.live {
+            self.is_watched = true;
+            gateway.watch_run(&self.forwarder.request, &live.placement, begun_at);
+        }
     }
 
     fn complete(&mut self) {
