Remember that an engine has gone beyond the end of its bar

The first copy didn't list the engine, its bar ended 7.2 s later and the departure was forgotten with it; a second copy, 0.6 s after that, listed the engine as ready, and nodes used it (log of node-3: engine_gone at 600.4 s, engine_listed draining=false at 609.2 s).

A departure is forgotten only when the engine is used again.

--- a/crates/gateway/src/engines/departures.rs
+++ b/crates/gateway/src/engines/departures.rs
@@ -160,10 +160,11 @@
         let due: Vec<_> = due.collect();
         let mut entries = Vec::new();
         for (name, barred) in due {
-            self.gone.remove(&name);
+            if let Some(entry) = barred.entry {
+                self.gone.remove(&name);
+                entries.push((entry, barred.departure.was_draining));
+            }
             self.cleared.insert(name);
-            let was_draining = barred.departure.was_draining;
-            entries.extend(barred.entry.map(|entry| (entry, was_draining)));
         }
         entries
     }
--- a/crates/gateway/tests/restored_source.rs
+++ b/crates/gateway/tests/restored_source.rs
@@ -176,6 +176,21 @@
     });
 }
 
+/// Its entry lapses after the first return, and the copy of the second one lists it again.
+#[test]
+fn engine_that_has_gone_stays_out_of_a_second_return_long_after_the_first() {
+    run_paused(async {
+        let node = node(0);
+        change(&node, at(1, 91), ItemChange::Gone("e1".to_owned()));
+        list(&node, at(2, 60), ["e1", "e2", "e3"].map(entry));
+        change(&node, at(2, 61), ItemChange::Gone("e1".to_owned()));
+        sleep(LAPSE).await;
+        node.remove_unlisted();
+        list(&node, at(3, 60), ["e1", "e2", "e3"].map(entry));
+        assert_eq!(state_of(&node, "e1"), None);
+    });
+}
+
 /// The store returns twice: what was barred after the first return is barred again.
 #[test]
 fn engine_that_has_gone_stays_out_over_two_returns() {
