Review, case 1: nodes believe an old configuration to be current

CONFIG: while the watch of the configuration is silent, the questions beside it read the same first changes again and again and count as proof, so that keys which were taken away go on working and new ones are refused for up to 15 s.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# LOST: a node is stopped as planned while callers read answers slowly. See claim.txt; status as in ../play.sh.
+# CONFIG: a key is taken away while open connections to the store are silent. See claim.txt; status as in ../play.sh.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 source "$here/../play.sh"
-play lost "$here"
+play revoke "$here"
--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -58,12 +58,16 @@
     for number in 1..=3 {
         runners.push(start_runner(number, &record, &runs)?);
     }
-    write_configuration(&store);
+    write_configuration(&store, TIMEOUT);
     let beats = store.clone();
     thread::spawn(move || {
         loop {
             for (index, address) in runners.iter().enumerate() {
-                beats.put_if_new("servers", &format!("i-{}", index + 1), &entry(index, *address));
+                beats.put_if_new(
+                    "servers",
+                    &format!("i-{}", index + 1),
+                    &entry(index, *address),
+                );
             }
             thread::sleep(Duration::from_millis(1_200));
         }
@@ -76,7 +80,7 @@
         store: store.address,
         zones: &["cr-central-a", "cr-central-b", "cr-central-c"],
         ports,
-        contracts: r#"contracts = ["base","drain","config","cost","retry","recover","health","pool","kvcache","stream","engine","tenants","quota","pressure","platform"]"#,
+        contracts: CONTRACTS,
         limits: "cpuShare = 0.5\ncores = 1\nmemoryMb = 512\nmaxFds = 8192\nlinkMbps = 200.0\ndiskMb = 0\n",
         bounds: BOUNDS,
     };
@@ -147,7 +151,9 @@
     runs: &HashMap<String, Duration>,
     signalled_at: Duration,
 ) -> Verdict {
-    let whole = requests.iter().filter(|request| request.came == request.announced);
+    let whole = requests
+        .iter()
+        .filter(|request| request.came == request.announced);
     let whole = whole.filter(|request| request.status == "200").count();
     let window = signalled_at..signalled_at + GRACE + AFTER_GRACE;
     let lost: Vec<_> = requests
@@ -172,7 +178,11 @@
             (request.ended_at - signalled_at).as_secs_f64(),
         ));
     }
-    let summary = format!("{} requests, {whole} whole answers, {} lost", requests.len(), lost.len());
+    let summary = format!(
+        "{} requests, {whole} whole answers, {} lost",
+        requests.len(),
+        lost.len()
+    );
     record.line(&summary);
     println!("{summary}");
     match (lost.is_empty(), whole) {
@@ -198,7 +208,10 @@
         let mut turn = self.number;
         while !is_over.load(Ordering::Relaxed) {
             // An answer of the directory is kept for its time, by some callers three times as long.
-            if known.as_ref().is_none_or(|(_, until)| Instant::now() > *until) {
+            if known
+                .as_ref()
+                .is_none_or(|(_, until)| Instant::now() > *until)
+            {
                 known = self.resolve(turn).or(known);
             }
             turn += 1;
@@ -224,7 +237,9 @@
         let answer = http::ask(directory, path).ok()?;
         let body = String::from_utf8(answer.body).ok()?;
         let addresses = member(&body, "addresses")?.trim_matches(['[', ']']);
-        let addresses = addresses.split(',').filter_map(|text| text.trim_matches('"').parse().ok());
+        let addresses = addresses
+            .split(',')
+            .filter_map(|text| text.trim_matches('"').parse().ok());
         let ttl: f64 = member(&body, "ttlS")?.parse().ok()?;
         let times = if self.number % 3 == 0 { 3.0 } else { 1.0 };
         let kept = Duration::from_secs_f64(ttl.min(5.0) * times);
@@ -256,12 +271,19 @@
             announced: 0,
             is_sent: stream.write_all(head.as_bytes()).is_ok(),
         };
-        self.record.line(format!("caller {} sends {method} {} to front-{}", self.number, request.id, node + 1));
+        self.record.line(format!(
+            "caller {} sends {method} {} to front-{}",
+            self.number,
+            request.id,
+            node + 1
+        ));
         let _ = stream.set_read_timeout(Some(DEADLINE));
         let mut reader = BufReader::with_capacity(READ_BYTES, stream);
         if let Ok(Some(head)) = http::read_head(&mut reader) {
             request.status = head.second().to_owned();
-            let length = head.field("content-length").and_then(|length| length.parse().ok());
+            let length = head
+                .field("content-length")
+                .and_then(|length| length.parse().ok());
             request.announced = length.unwrap_or_default();
             while request.came < request.announced {
                 match http::read_some(&mut reader, READ_BYTES) {
@@ -307,7 +329,11 @@
     http::serve(listener, move |message: Message| {
         let expected = message.field("ryerouter-expect-instance");
         if expected.is_some_and(|expected| expected != name) {
-            return http::answer("421 Misdirected Request", &[("Ryerouter-Instance-Id", &name)], b"");
+            return http::answer(
+                "421 Misdirected Request",
+                &[("Ryerouter-Instance-Id", &name)],
+                b"",
+            );
         }
         let Some(id) = message.field("ryerouter-request-id") else {
             return http::answer("200 OK", &[("Ryerouter-Instance-Id", &name)], b"{}");
@@ -316,24 +342,28 @@
         runs.lock().unwrap().insert(id.to_owned(), record.now());
         thread::sleep(WORK);
         let stamp = format!("{name}.{id}");
-        let fields = [("Ryerouter-Request-Id", id), ("Ryerouter-Server-Stamp", &stamp)];
+        let fields = [
+            ("Ryerouter-Request-Id", id),
+            ("Ryerouter-Server-Stamp", &stamp),
+        ];
         http::answer("200 OK", &fields, &body)
     });
     Ok(address)
 }
 
-fn entry(index: usize, address: SocketAddr) -> String {
+pub fn entry(index: usize, address: SocketAddr) -> String {
     let zone = ["cr-central-a", "cr-central-b", "cr-central-c"][index];
     format!(
         r#"{{"service":"docs-app","address":"{address}","zone":"{zone}","version":"v1","slots":64,"state":"ready","coldLeftMs":0,"callSeq":0}}"#
     )
 }
 
-fn write_configuration(store: &Store) {
+/// Two routes to the plain service, and one tenant.
+pub fn write_configuration(store: &Store, timeout: Duration) {
     let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
         format!(
             r#"{{"name":"{name}","host":"docs.example","pathPrefix":"{prefix}","kind":"{kind}","timeoutMs":{},"targetLatencyMs":150,"priority":2,"service":"docs-app","maxAttempts":{attempts},"public":false,"sticky":false,"resumable":false}}"#,
-            TIMEOUT.as_millis()
+            timeout.as_millis()
         )
     };
     let configuration = format!(
@@ -344,8 +374,9 @@
     store.put("config", "main", &configuration);
 }
 
+pub const CONTRACTS: &str = r#"contracts = ["base","drain","config","cost","retry","recover","health","pool","kvcache","stream","engine","tenants","quota","pressure","platform"]"#;
 /// The site's bounds.
-const BOUNDS: &str = "seedLagS = 3\naddrReuseS = 2\ncontactMs = 4000\nackMs = 6000\ncatchUpS = 6\n\
+pub const BOUNDS: &str = "seedLagS = 3\naddrReuseS = 2\ncontactMs = 4000\nackMs = 6000\ncatchUpS = 6\n\
     drainMs = 3000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 3000\ndowngradeSlackMs = 250\n\
     outerMs = 6000\nrevokeFailClosed = true\nrevokeMs = 5000\nretryBudgetRatio = 0.2\n\
     budgetWindowS = 10\nretryFloor = 218\nquotaWindowS = 8\nquotaOverage = 0.1\n\
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,8 +6,11 @@
 mod http;
 mod json;
 mod lost;
+mod memory;
 mod process;
+mod proxy;
 mod record;
+mod revoke;
 mod store;
 
 use std::net::TcpListener;
@@ -31,6 +34,8 @@
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let played = match case.as_str() {
         "lost" => lost::play(&root, &folder, has_trouble),
+        "memory" => memory::play(&root, &folder, has_trouble),
+        "revoke" => revoke::play(&root, &folder, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match played {
--- a/review/standin/process.rs
+++ b/review/standin/process.rs
@@ -44,14 +44,20 @@
     /// Starts a node at each address, in the zones in turn.
     pub fn start(&self, ips: &[String]) -> io::Result<Vec<Node>> {
         let nodes = ips.iter().enumerate();
-        nodes.map(|(index, ip)| self.start_one(index, ip, ips)).collect()
+        nodes
+            .map(|(index, ip)| self.start_one(index, ip, ips))
+            .collect()
     }
 
-    fn start_one(&self, index: usize, ip: &str, ips: &[String]) -> io::Result<Node> {
+    /// The node at the address with this index.
+    pub fn start_one(&self, index: usize, ip: &str, ips: &[String]) -> io::Result<Node> {
         let [front, ready, control, directory] = self.ports;
         let name = format!("front-{}", index + 1);
         let zone = self.zones[index % self.zones.len()];
-        let zones = self.zones.iter().map(|zone| format!("{zone} = \"region-1\"\n"));
+        let zones = self
+            .zones
+            .iter()
+            .map(|zone| format!("{zone} = \"region-1\"\n"));
         let seeds = ips.iter().take(3).map(|ip| format!("\"{ip}:{control}\""));
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\n\
@@ -109,7 +115,10 @@
     let Some(folder) = settings.parent() else {
         return;
     };
-    let list = File::options().create(true).append(true).open(folder.join("processes"));
+    let list = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join("processes"));
     if let Ok(mut list) = list {
         let _ = writeln!(list, "{}", child.id());
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -9,6 +9,8 @@
 use crate::json::{member, unquoted};
 
 const PATH: &str = "/api/objects/";
+/// An answer holds about so much; the next watch continues from its `at`.
+const MOST_BYTES: usize = 1_000_000;
 
 #[derive(Default)]
 struct Objects {
@@ -96,7 +98,10 @@
     fn answer(&self, message: &Message) -> Vec<u8> {
         let delay = *self.delay.lock().unwrap();
         std::thread::sleep(delay);
-        let (path, query) = message.second().split_once('?').unwrap_or((message.second(), ""));
+        let (path, query) = message
+            .second()
+            .split_once('?')
+            .unwrap_or((message.second(), ""));
         let Some(path) = path.strip_prefix(PATH) else {
             return http::answer("404 Not Found", &[], b"{}");
         };
@@ -136,7 +141,10 @@
             .map(|((_, name), (revision, spec))| text(name, *revision, spec))
             .collect();
         let at = objects.revision;
-        format!(r#"{{"items":[{}],"more":false,"at":{at}}}"#, items.join(","))
+        format!(
+            r#"{{"items":[{}],"more":false,"at":{at}}}"#,
+            items.join(",")
+        )
     }
 
     fn watch(&self, kind: &str, query: &str) -> String {
@@ -148,12 +156,21 @@
         loop {
             let news = objects.history.iter();
             let news = news.filter(|(revision, of, _, _)| *revision > since && of == kind);
-            let events: Vec<_> = news
-                .map(|(_, _, object, gone)| format!(r#"{{"gone":{gone},"object":{object}}}"#))
-                .collect();
+            let mut events: Vec<String> = Vec::new();
+            let mut at = objects.revision;
+            let mut bytes = 0;
+            for (revision, _, object, gone) in news {
+                bytes += object.len();
+                if !events.is_empty() && bytes > MOST_BYTES {
+                    break;
+                }
+                at = *revision;
+                events.push(format!(r#"{{"gone":{gone},"object":{object}}}"#));
+            }
+            let is_whole = bytes <= MOST_BYTES;
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let at = objects.revision;
+                let at = if is_whole { objects.revision } else { at };
                 return format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(","));
             }
             objects = changed.wait_timeout(objects, left).unwrap().0;
@@ -202,5 +219,7 @@
 
 fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-    fields.find(|(known, _)| *known == name).map(|(_, value)| value)
+    fields
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
 }
