Keep versions and streams in the store, so that a restart of all nodes forgets neither

What callers saw: after all nodes were killed at once, streams that they took up again ran to their end joined from two versions of the engines' software (ORDER) where the older version had just left, and were all refused (LOST) where both versions served.

Cause: what served before, and at which version each stream began, was known to nodes' memory alone. With all nodes new, every answer named the one version that is listed, and that nobody remembered another one was taken for proof that there was none.

Why this works: the versions of a pool are recorded before a further one gets its first stream, and read by each node at its start; until that is read, and where the store may have lost it in a return from a copy, a single listed version proves nothing. The versions of streams are written in batches by one node for each of sixteen shards while several versions serve, and read where a stream is asked for that nobody knows.

--- a/crates/core/src/continuation/decision.rs
+++ b/crates/core/src/continuation/decision.rs
@@ -13,6 +13,9 @@
     /// Whether there is certainly no other one: the list of engines is whole and was confirmed lately, and the node has
     /// heard what served before it started.
     pub is_certain: bool,
+    /// Whether the node knows which versions served before it started. A version that has left since may have streams
+    /// under way, and where all nodes were killed nobody remembers it.
+    pub knows_past: bool,
 }
 
 /// What other nodes answered.
@@ -24,6 +27,8 @@
     pub versions: Vec<SoftwareVersion>,
     /// Number of nodes that answered.
     pub count: usize,
+    /// Whether one of them knows which versions served before it started.
+    pub know_past: bool,
     /// Whether there is any other node that could answer.
     pub has_peers: bool,
 }
@@ -45,6 +50,9 @@
     /// No node that answered has a record.
     #[display("no record")]
     NoRecord,
+    /// There is one version, but another one may have served before all nodes that answered were started.
+    #[display("former versions not known")]
+    PastUnknown,
     /// Streams of different versions were begun under the same id.
     #[display("several streams with this id")]
     Ambiguous,
@@ -63,18 +71,21 @@
 
 /// Decides once other nodes have answered, or have had the time to.
 ///
-/// Without any record the stream goes on only if no node has seen a second version: while the store is away no list is
-/// confirmed, which alone is no reason to refuse.
+/// Without any record the stream goes on only if no node has seen a second version, and one of them knows what served
+/// before it started: while the store is away no list is confirmed, which alone is no reason to refuse.
 pub fn decide_with_answers(outlook: &Outlook, answers: &Answers) -> Decision {
     let mut versions = outlook.versions.clone();
     versions.extend(answers.versions.iter().cloned());
     versions.sort_unstable();
     versions.dedup();
     let is_agreed = answers.count > 0 || !answers.has_peers;
+    let knows_past = outlook.knows_past || answers.know_past;
     let only = only(&versions).filter(|_| is_agreed);
     match (&answers.knowledge, only) {
         (Knowledge::Began(software), _) => Decision::Continue(software.clone()),
-        (_, Some(only)) => Decision::Continue(only.clone()),
+        (_, Some(only)) if knows_past => Decision::Continue(only.clone()),
+        (Knowledge::Unknown, Some(_)) => Decision::Refuse(Unresolved::PastUnknown),
+        (Knowledge::Ambiguous, Some(_)) => Decision::Refuse(Unresolved::Ambiguous),
         (Knowledge::Ambiguous, None) => Decision::Refuse(Unresolved::Ambiguous),
         (Knowledge::Unknown, None) => Decision::Refuse(Unresolved::NoRecord),
     }
--- a/crates/core/src/continuation/mod.rs
+++ b/crates/core/src/continuation/mod.rs
@@ -6,14 +6,20 @@
 
 mod decision;
 mod holders;
+mod journal;
 mod knowledge;
 mod register;
+mod shard;
 mod stream_id;
 mod version_history;
 
 pub use decision::{Answers, Decision, Outlook, Unresolved, decide, decide_with_answers};
 pub use holders::{HOLDERS, Node, holders_of};
+pub use journal::{
+    Entry, Journal, MAX_SEGMENT_STREAMS, SEGMENTS, STORED_RETENTION, Segment, StoredSegment,
+};
 pub use knowledge::Knowledge;
-pub use register::{Register, Source};
+pub use register::{RETENTION, Register, Source};
+pub use shard::Shard;
 pub use stream_id::StreamId;
 pub use version_history::{SETTLING_TIME, VersionHistory};
--- a/crates/core/src/continuation/stream_id.rs
+++ b/crates/core/src/continuation/stream_id.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::Shard;
 use crate::identity::{PoolName, TenantName};
 
 /// Separates the hashed fields; none of them can contain it.
@@ -27,4 +28,9 @@
         let bytes = fields.map(str::as_bytes).join(&SEPARATOR);
         Self(xxh3_64(&bytes))
     }
+
+    /// The shard of the stored records that this stream belongs to.
+    pub fn shard(self) -> Shard {
+        Shard((self.0 % u64::from(Shard::COUNT)) as u8)
+    }
 }
--- a/crates/core/tests/continuation.rs
+++ b/crates/core/tests/continuation.rs
@@ -47,6 +47,7 @@
     let outlook = Outlook {
         versions: versions(served),
         is_certain,
+        knows_past: is_certain,
     };
     assert_eq!(decide(knowledge, &outlook), expected);
 }
@@ -71,16 +72,42 @@
     let outlook = Outlook {
         versions: versions(own),
         is_certain: false,
+        knows_past: true,
     };
     let answers = Answers {
         knowledge,
         versions: versions(told),
         count,
         has_peers,
+        know_past: false,
     };
     assert_eq!(decide_with_answers(&outlook, &answers), expected);
 }
 
+/// That no node remembers a second version proves nothing while all of them are new.
+#[parameterized(
+    by_none = { false, false, Decision::Refuse(Unresolved::PastUnknown) },
+    by_this_node = { true, false, Decision::Continue("v1".to_owned()) },
+    by_another_node = { false, true, Decision::Continue("v1".to_owned()) },
+)]
+fn one_version_counts_only_where_the_past_is_known(own: bool, peers: bool, expected: Decision) {
+    for (count, has_peers) in [(3, true), (0, false)] {
+        let outlook = Outlook {
+            versions: versions(&["v1"]),
+            is_certain: false,
+            knows_past: own,
+        };
+        let answers = Answers {
+            versions: versions(&["v1"]),
+            count,
+            has_peers,
+            know_past: peers,
+            ..Answers::default()
+        };
+        assert_eq!(decide_with_answers(&outlook, &answers), expected);
+    }
+}
+
 #[test]
 fn id_of_another_tenant_or_pool_names_another_stream() {
     let tenant = |name| TenantName::new(name);
--- a/crates/gateway/src/continuation/answer.rs
+++ b/crates/gateway/src/continuation/answer.rs
@@ -23,6 +23,9 @@
     /// Versions of the pool that the sender has seen lately.
     #[serde(rename = "s", default)]
     pub versions: Vec<SoftwareVersion>,
+    /// Whether the sender knows which versions served before it was started.
+    #[serde(rename = "k", default, skip_serializing_if = "std::ops::Not::not")]
+    pub knows_past: bool,
 }
 
 impl Answer {
--- a/crates/gateway/src/continuation/lookup.rs
+++ b/crates/gateway/src/continuation/lookup.rs
@@ -51,6 +51,7 @@
         progress.is_passed_on |= !answer.is_holder;
         let answers = &mut progress.answers;
         answers.count += usize::from(is_first);
+        answers.know_past |= answer.knows_past;
         answers.versions.extend(answer.versions.iter().cloned());
         answers.knowledge = merge(std::mem::take(&mut answers.knowledge), answer.knowledge());
         drop(progress);
--- a/crates/gateway/src/continuation/records.rs
+++ b/crates/gateway/src/continuation/records.rs
@@ -17,4 +17,7 @@
     /// The streams.
     #[serde(rename = "i")]
     pub streams: Vec<StreamId>,
+    /// Whether the receiver writes them to the store.
+    #[serde(rename = "j", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_to_be_stored: bool,
 }
--- a/crates/gateway/src/continuation/state.rs
+++ b/crates/gateway/src/continuation/state.rs
@@ -1,11 +1,11 @@
 //! What a node remembers of streams and their versions.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
-use ryerouter_core::continuation::{Register, VersionHistory};
+use ryerouter_core::continuation::{Journal, Register, Shard, VersionHistory};
 
-use super::Lookup;
+use super::{Lookup, ShardReading, VersionTable};
 
 /// What a node remembers of streams and their versions.
 #[derive(Debug, Default)]
@@ -16,4 +16,10 @@
     pub history: VersionHistory,
     /// Questions that wait for answers, by number.
     pub lookups: HashMap<u64, Rc<Lookup>>,
+    /// The versions that the store holds.
+    pub versions: VersionTable,
+    /// Records that this node writes to the store.
+    pub journals: BTreeMap<Shard, Journal>,
+    /// Readings of the store's records.
+    pub readings: BTreeMap<Shard, ShardReading>,
 }
--- /dev/null
+++ b/crates/gateway/src/continuation/version_record.rs
@@ -0,0 +1,21 @@
+//! The versions of a pool as nodes record them in the store.
+
+use std::collections::BTreeSet;
+
+use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::SoftwareVersion;
+use serde::{Deserialize, Serialize};
+
+/// The versions of a pool that may have streams under way, as nodes record them in the store.
+///
+/// It holds no times: a node that reads it takes each version for one that has served until now.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// The pool.
+    pub pool: PoolName,
+    /// The versions.
+    pub versions: BTreeSet<SoftwareVersion>,
+    /// Era of the store in which it was written. In a later one the store may have lost a newer record.
+    #[serde(default)]
+    pub era: u64,
+}
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -7,7 +7,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Answers, Decision, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Source, StreamId,
+    Answers, Decision, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Shard, Source, StreamId,
     Unresolved, decide, decide_with_answers, holders_of,
 };
 use ryerouter_core::identity::PoolName;
@@ -20,11 +20,14 @@
 use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
 use crate::peers::{Datagram, PeerMessage};
 use crate::serve::AcceptedRequest;
-use crate::source::ItemKind;
 
 /// Maximum time that a stream waits for other nodes to answer. Its caller gives up after two seconds, and a node that has
 /// used up its share of a core answers within a tenth of a second.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same while this node has just started: with all others it may have to read the stored records first.
+const LOOKUP_TIMEOUT_AT_START: Duration = Duration::from_millis(1_000);
+/// How long a node counts as just started.
+const START_TIME: Duration = Duration::from_secs(10);
 /// Interval at which nodes that have not answered are asked again, since datagrams may be lost.
 const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(60);
 /// When a pool gets a second version, the streams of this time are announced. Streams that began earlier and go on later
@@ -42,7 +45,7 @@
         let asked_at = self.clock().now();
         let stream = request.stream_id();
         let pool = &request.pool;
-        let outlook = self.version_outlook(pool);
+        let mut outlook = self.version_outlook(pool);
         let known = self
             .state()
             .continuations
@@ -59,6 +62,8 @@
                 if answers.knowledge != Knowledge::Unknown {
                     known_by = "peer";
                 }
+                // This node may have read the store, or heard of versions, meanwhile.
+                outlook = self.version_outlook(pool);
                 decide_with_answers(&outlook, &answers)
             }
             decision => decision,
@@ -79,6 +84,7 @@
                 "software" => decided.as_ref().ok(), "known_by" => label,
                 "why" => decided.as_ref().err().map(ToString::to_string),
                 "versions" => outlook.versions.join(","), "is_certain" => outlook.is_certain,
+                "knows_past" => outlook.knows_past, "peers_know_past" => answers.know_past,
                 "answers" => answers.count, "waited_ms" => waited.as_millis() as u64,
                 "left_out" => left_out);
         }
@@ -110,32 +116,70 @@
         if !continuations.history.is_mixed(pool, now) {
             return;
         }
-        let holders = self.holders(&state, stream, now);
+        let writer = self.shard_writer(&state, stream.shard(), now);
+        let (writers, holders): (Vec<_>, Vec<_>) = self
+            .holders(&state, stream, now)
+            .into_iter()
+            .partition(|holder| writer == Some(*holder));
+        let software = software.to_owned();
+        if writer == Some(None) {
+            self.journal_streams(&mut state, &[stream], pool, &software, now);
+        }
         drop(state);
-        let records = Records {
-            pool: pool.clone(),
-            software: software.to_owned(),
-            streams: vec![stream],
-        };
-        let holders: Vec<_> = holders.into_iter().flatten().collect();
-        self.send_datagram(&Datagram::StreamRecords(records), &holders);
+        for (receivers, is_to_be_stored) in [(writers, true), (holders, false)] {
+            let records = Records {
+                pool: pool.clone(),
+                software: software.clone(),
+                streams: vec![stream],
+                is_to_be_stored,
+            };
+            let receivers: Vec<_> = receivers.into_iter().flatten().collect();
+            self.send_datagram(&Datagram::StreamRecords(records), &receivers);
+        }
+    }
+
+    /// The node that writes a shard's records to the store, if there is a store; `Some(None)` stands for this node.
+    fn shard_writer(
+        &self,
+        state: &GatewayState,
+        shard: Shard,
+        now: Timestamp,
+    ) -> Option<Option<SocketAddr>> {
+        if !state.continuations.versions.has_store {
+            return None;
+        }
+        self.shard_readers(state, shard, now).first().copied()
     }
 
     /// Applies records of another node.
     pub fn apply_stream_records(&self, records: &Records) {
         let now = self.clock().now();
-        let register = &mut self.state_mut().continuations.register;
+        let (pool, software) = (&records.pool, &records.software);
+        let mut state = self.state_mut();
         for stream in &records.streams {
-            register.note(*stream, &records.pool, &records.software, Source::Peer, now);
+            let register = &mut state.continuations.register;
+            register.note(*stream, pool, software, Source::Peer, now);
+        }
+        if records.is_to_be_stored {
+            self.journal_streams(&mut state, &records.streams, pool, software, now);
         }
     }
 
     /// Answers another node's question, or passes it on to the nodes that hold the record.
     pub fn answer_stream_question(&self, question: &Question, from: SocketAddr) {
         let now = self.clock().now();
+        let shard = question.stream.shard();
+        let knowledge = self
+            .state()
+            .continuations
+            .register
+            .get(question.stream, now);
+        if knowledge == Knowledge::Unknown && !self.has_read_shard(shard, &question.pool) {
+            // The question comes again, and the stored records have been read by then.
+            return;
+        }
         let state = self.state();
         let continuations = &state.continuations;
-        let knowledge = continuations.register.get(question.stream, now);
         let holders = self.holders(&state, question.stream, now);
         let is_holder = holders.contains(&None);
         let answer = Answer {
@@ -143,6 +187,8 @@
             is_ambiguous: knowledge == Knowledge::Ambiguous,
             is_holder: is_holder || knowledge != Knowledge::Unknown || question.asker.is_some(),
             versions: continuations.history.versions(&question.pool, now),
+            knows_past: continuations.versions.knows_past()
+                && !continuations.history.is_incomplete(&question.pool, now),
             software: match knowledge {
                 Knowledge::Began(software) => Some(software),
                 Knowledge::Unknown | Knowledge::Ambiguous => None,
@@ -238,26 +284,42 @@
 
     /// Tells the nodes that hold records of the streams which this node relayed lately: until now, with one version,
     /// there was no need to.
-    fn announce_streams(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) {
+    pub(super) fn announce_streams(
+        &self,
+        state: &mut GatewayState,
+        pool: &PoolName,
+        now: Timestamp,
+    ) {
         let register = &state.continuations.register;
-        let mut batches: BTreeMap<(SocketAddr, &SoftwareVersion), Vec<StreamId>> = BTreeMap::new();
+        let mut batches: BTreeMap<(SocketAddr, &SoftwareVersion, bool), Vec<StreamId>> =
+            BTreeMap::new();
+        let mut journaled: BTreeMap<SoftwareVersion, Vec<StreamId>> = BTreeMap::new();
         let mut count = 0;
         for (stream, software) in register.own_since(pool, ANNOUNCED_AGE, now) {
             count += 1;
+            let writer = self.shard_writer(state, stream.shard(), now);
+            if writer == Some(None) {
+                journaled.entry(software.clone()).or_default().push(stream);
+            }
             for holder in self.holders(state, stream, now).into_iter().flatten() {
-                batches.entry((holder, software)).or_default().push(stream);
+                let batch = batches.entry((holder, software, writer == Some(Some(holder))));
+                batch.or_default().push(stream);
             }
         }
-        for ((holder, software), streams) in batches {
+        for ((receiver, software, is_to_be_stored), streams) in batches {
             for streams in streams.chunks(MAX_RECORDS_PER_DATAGRAM) {
                 let records = Records {
                     pool: pool.clone(),
                     software: software.clone(),
                     streams: streams.to_vec(),
+                    is_to_be_stored,
                 };
-                self.send_datagram(&Datagram::StreamRecords(records), &[holder]);
+                self.send_datagram(&Datagram::StreamRecords(records), &[receiver]);
             }
         }
+        for (software, streams) in &journaled {
+            self.journal_streams(state, streams, pool, software, now);
+        }
         info!(self.log(), "versions_mixed"; "pool" => %pool, "streams_announced" => count,
             "versions" => state.continuations.history.versions(pool, now).join(","));
     }
@@ -272,7 +334,11 @@
             pool: pool.clone(),
             asker: None,
         };
-        let limit = self.clock().now().after(LOOKUP_TIMEOUT);
+        let wait = match self.uptime() < START_TIME {
+            true => LOOKUP_TIMEOUT_AT_START,
+            false => LOOKUP_TIMEOUT,
+        };
+        let limit = self.clock().now().after(wait);
         let ask_until_settled = async {
             loop {
                 let datagram = Datagram::StreamQuestion(question.clone());
@@ -285,16 +351,27 @@
         };
         // Without answers in time, what came until then decides.
         let _ = self.clock().until(limit, ask_until_settled).await;
-        lookup.answers()
+        let mut answers = lookup.answers();
+        if answers.knowledge == Knowledge::Unknown {
+            let read = self.until_shard_read(stream.shard(), pool);
+            let _ = self.clock().until(limit, read).await;
+            let register = &self.state().continuations.register;
+            answers.knowledge = register.get(stream, self.clock().now());
+        }
+        answers
     }
 
-    /// The other nodes that hold a stream's record. A node that has just started may not know them, and also asks nodes
-    /// that it has not heard from.
+    /// The other nodes that hold a stream's record or read it from the store. A node that has just started may not know
+    /// them, and also asks nodes that it has not heard from.
     fn nodes_to_ask(&self, stream: StreamId) -> Vec<SocketAddr> {
         let now = self.clock().now();
         let state = self.state();
         let holders = self.holders(&state, stream, now);
         let mut asked: Vec<_> = holders.into_iter().flatten().collect();
+        if state.continuations.versions.has_store {
+            let readers = self.shard_readers(&state, stream.shard(), now);
+            asked.extend(readers.into_iter().flatten());
+        }
         if self.uptime() < PEER_DISCOVERY_TIME {
             let unheard = state.peers.unanswered_addresses().iter().take(HOLDERS);
             asked.extend(unheard);
@@ -302,7 +379,7 @@
         asked
     }
 
-    /// The nodes that hold a stream's record; `None` stands for this node.
+    /// The nodes that hold a stream's record, among them the one that writes it to the store; `None` stands for this node.
     fn holders(
         &self,
         state: &GatewayState,
@@ -320,19 +397,26 @@
             name_hash: xxh3_64(peer.identity.name.as_str().as_bytes()),
             zone: &peer.identity.zone,
         });
-        holders_of(stream, peers.chain([own]))
+        let holders = holders_of(stream, peers.chain([own]));
+        let Some(writer) = self.shard_writer(state, stream.shard(), now) else {
+            return holders;
+        };
+        let others = holders.into_iter().filter(|holder| *holder != writer);
+        [writer].into_iter().chain(others).take(HOLDERS).collect()
     }
 
     fn version_outlook(&self, pool: &PoolName) -> Outlook {
         let now = self.clock().now();
         let state = self.state();
-        let replica = state.replicas.of(ItemKind::Engines);
-        let is_list_current =
-            replica.freshness.is_within(SETTLING_TIME, now) && !replica.is_behind();
-        let knows_history = self.uptime() >= PEER_DISCOVERY_TIME;
+        let has_heard_others = self.uptime() >= PEER_DISCOVERY_TIME;
+        let continuations = &state.continuations;
+        let knows_past =
+            continuations.versions.knows_past() && !continuations.history.is_incomplete(pool, now);
+        let is_list_current = state.is_engine_list_current(SETTLING_TIME, now);
         Outlook {
-            versions: state.continuations.history.versions(pool, now),
-            is_certain: state.has_engine_list && is_list_current && knows_history,
+            versions: continuations.history.versions(pool, now),
+            is_certain: is_list_current && has_heard_others && knows_past,
+            knows_past,
         }
     }
 }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -216,6 +216,12 @@
 }
 
 impl GatewayState {
+    /// Whether the engine list has been read and was confirmed within `limit`.
+    pub fn is_engine_list_current(&self, limit: Duration, now: Timestamp) -> bool {
+        let replica = self.replicas.of(ItemKind::Engines);
+        self.has_engine_list && replica.freshness.is_within(limit, now) && !replica.is_behind()
+    }
+
     /// Whether this node holds the order lease, which may have expired since it was last checked.
     pub fn holds_order_lease(&self, now: Timestamp) -> bool {
         let is_valid = self.order_lease_until.is_some_and(|until| now < until);
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod caller_ring;
 mod callers;
 mod configuration_transfer;
+mod continuation_records;
 mod continuations;
 mod ejections;
 mod engine_incarnations;
--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -42,7 +42,9 @@
             return match software {
                 SoftwareConstraint::Any => Admission::to(EngineFilter::Any),
                 SoftwareConstraint::Settled => {
-                    Admission::preferring_except(history.unsettled(pool, now))
+                    let mut avoided = history.unsettled(pool, now);
+                    avoided.extend(self.unrecorded_versions(&state, pool, now));
+                    Admission::preferring_except(avoided)
                 }
                 SoftwareConstraint::Only(software) => {
                     Admission::to(EngineFilter::Version(software.clone()))
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -87,6 +87,10 @@
     pub(crate) poison_records_due: Notify,
     /// Notified when records have been read or written.
     pub(super) poison_records_changed: Notify,
+    /// Notified when a shard's records are to be read from the store or written to it.
+    pub(crate) stream_records_due: Notify,
+    /// Notified when a shard's records have been read, or could not be.
+    pub(super) shard_read: Notify,
     /// Notified when an engine is doubted.
     pub(super) engine_doubted: Notify,
     leaving: Notify,
@@ -131,6 +135,8 @@
             poison_records_requested: Notify::new(),
             poison_records_due: Notify::new(),
             poison_records_changed: Notify::new(),
+            stream_records_due: Notify::new(),
+            shard_read: Notify::new(),
             engine_doubted: Notify::new(),
             leaving: Notify::new(),
         })
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use ryerouter_core::identity::PoolName;
 use support::gateway_bench::run;
+use support::records::POOL;
 use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Attempt, Stream, VersionedNodes};
 use tokio::time::sleep;
@@ -136,3 +138,112 @@
         );
     });
 }
+
+fn count_mixed(streams: &[Stream]) -> usize {
+    streams.iter().filter(|stream| stream.is_mixed()).count()
+}
+
+/// One version serves, and another one has taken its place when the nodes are back.
+#[test]
+fn streams_go_on_at_a_version_that_replaced_theirs_meanwhile() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        nodes.start_engine("v1.2").await;
+        take_away_v1(&nodes);
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
+/// What befalls the store while the nodes are killed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Trouble {
+    /// The store answers nobody from before the nodes are killed.
+    Away,
+    /// It has come back from a copy that knows the older version alone, and lists it alone.
+    OlderCopy,
+    /// It takes long for each call.
+    Slow,
+}
+
+#[parameterized(
+    away = { Trouble::Away },
+    back_from_a_copy = { Trouble::OlderCopy },
+    slow = { Trouble::Slow },
+)]
+fn streams_are_joined_from_two_versions_after_an_outage(trouble: Trouble) {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        nodes.store.make_copy();
+        nodes.start_engine("v1.2").await;
+        nodes.start_engine("v1.2").await;
+        nodes.list();
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        sleep(Duration::from_millis(400)).await;
+        match trouble {
+            Trouble::Away => {
+                nodes.store.is_away.set(true);
+                take_away_v1(&nodes);
+            }
+            Trouble::OlderCopy => {
+                nodes.store.restore_copy();
+                let mut engines = nodes.engines.borrow_mut();
+                engines.retain(|engine| engine.software == "v1");
+            }
+            Trouble::Slow => {
+                nodes.store.delay.set(Duration::from_millis(400));
+                take_away_v1(&nodes);
+            }
+        }
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+        let whole = streams.iter().filter(|stream| stream.is_whole()).count();
+        if trouble == Trouble::Slow {
+            let serving = streams
+                .iter()
+                .filter(|stream| stream.versions.contains("v1.2"));
+            let serving = serving.count();
+            assert!(
+                whole as f64 >= MIN_CONTINUED * serving as f64,
+                "{whole} of {serving}"
+            );
+        }
+    });
+}
+
+/// A single version needs no record of a stream, only one of the version.
+#[test]
+fn streams_of_the_only_version_are_refused() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let whole = streams.iter().filter(|stream| stream.is_whole()).count();
+        assert_eq!(whole, STREAMS);
+        assert_eq!(nodes.store.streams(), 0, "streams in the store");
+    });
+}
+
+/// A version that has left is taken off its record once its streams can't be under way, and no earlier.
+#[test]
+fn versions_are_recorded_while_their_streams_may_be_under_way() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let pool = PoolName::new(POOL);
+        assert_eq!(nodes.store.versions_of(&pool), ["v1", "v1.2"]);
+        take_away_v1(&nodes);
+        nodes.list();
+        kill_all(&nodes).await;
+        sleep(SETTLED).await;
+        assert_eq!(nodes.store.versions_of(&pool), ["v1", "v1.2"]);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -0,0 +1,148 @@
+//! The records of versions and streams, as a store that all nodes of a test share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use ryerouter_core::continuation::{Segment, Shard, StoredSegment};
+use ryerouter_core::identity::PoolName;
+use ryerouter_gateway::continuation::VersionRecord;
+use ryerouter_gateway::source::{
+    ContinuationStore, SourceError, StoreWrite, StoredVersions, VersionList,
+};
+use tokio::time::sleep;
+
+/// A store of records, with revisions.
+#[derive(Default)]
+pub struct ContinuationRecords {
+    versions: RefCell<BTreeMap<PoolName, StoredVersions>>,
+    segments: RefCell<BTreeMap<(Shard, u8), StoredSegment>>,
+    copy: RefCell<BTreeMap<PoolName, StoredVersions>>,
+    revision: Cell<u64>,
+    pub era: Cell<u64>,
+    /// Whether it answers nobody.
+    pub is_away: Cell<bool>,
+    /// How long each call takes.
+    pub delay: Cell<Duration>,
+    /// Calls that it was asked for.
+    pub calls: Cell<usize>,
+}
+
+impl ContinuationRecords {
+    /// The versions that it holds of a pool.
+    pub fn versions_of(&self, pool: &PoolName) -> Vec<String> {
+        let held = self.versions.borrow();
+        let record = held.get(pool).map(|stored| &stored.record);
+        record.map_or(Vec::new(), |record| {
+            record.versions.iter().cloned().collect()
+        })
+    }
+
+    /// Number of streams that it holds.
+    pub fn streams(&self) -> usize {
+        let segments = self.segments.borrow();
+        let segments = segments.values();
+        segments.map(|stored| stored.segment.streams.len()).sum()
+    }
+
+    /// Keeps a copy of the versions for [`Self::restore_copy`].
+    pub fn make_copy(&self) {
+        *self.copy.borrow_mut() = self.versions.borrow().clone();
+    }
+
+    /// Comes back from the copy, without the streams.
+    pub fn restore_copy(&self) {
+        *self.versions.borrow_mut() = self.copy.borrow().clone();
+        self.segments.borrow_mut().clear();
+        self.era.set(self.era.get() + 1);
+    }
+
+    async fn answer(&self) -> Result<(), SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        sleep(self.delay.get()).await;
+        match self.is_away.get() {
+            true => Err(SourceError::Unavailable {
+                detail: "away".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+
+    fn next_revision(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+}
+
+impl ContinuationStore for ContinuationRecords {
+    fn list_versions(&self) -> LocalBoxFuture<'_, Result<VersionList, SourceError>> {
+        async move {
+            self.answer().await?;
+            Ok(VersionList {
+                records: self.versions.borrow().values().cloned().collect(),
+                has_unreadable: false,
+                era: self.era.get(),
+            })
+        }
+        .boxed_local()
+    }
+
+    fn write_versions<'a>(
+        &'a self,
+        record: &'a VersionRecord,
+        revision: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredVersions>, SourceError>> {
+        async move {
+            self.answer().await?;
+            let mut held = self.versions.borrow_mut();
+            let found = held.get(&record.pool);
+            if found.map(|found| found.revision) != revision {
+                return Ok(StoreWrite::Conflict(found.cloned()));
+            }
+            let revision = self.next_revision();
+            let record = record.clone();
+            held.insert(record.pool.clone(), StoredVersions { record, revision });
+            Ok(StoreWrite::Written(revision))
+        }
+        .boxed_local()
+    }
+
+    fn list_segments(
+        &self,
+        shard: Shard,
+    ) -> LocalBoxFuture<'_, Result<Vec<StoredSegment>, SourceError>> {
+        async move {
+            self.answer().await?;
+            let held = self.segments.borrow();
+            let of_shard = held.iter().filter(|((of, _), _)| *of == shard);
+            Ok(of_shard.map(|(_, stored)| stored.clone()).collect())
+        }
+        .boxed_local()
+    }
+
+    fn write_segment<'a>(
+        &'a self,
+        shard: Shard,
+        segment: &'a Segment,
+        revision: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredSegment>, SourceError>> {
+        async move {
+            self.answer().await?;
+            let mut held = self.segments.borrow_mut();
+            let found = held.get(&(shard, segment.index));
+            if found.map(|found| found.revision) != revision {
+                return Ok(StoreWrite::Conflict(found.cloned()));
+            }
+            let stored = StoredSegment {
+                segment: segment.clone(),
+                revision: self.next_revision(),
+            };
+            let revision = stored.revision;
+            held.insert((shard, segment.index), stored);
+            Ok(StoreWrite::Written(revision))
+        }
+        .boxed_local()
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway with scripted engines, over loopback.
 #![allow(dead_code, reason = "each test file uses part of it")]
 
+pub mod continuation_records;
 pub mod crashing_engine;
 pub mod crashing_nodes;
 pub mod engine_proxy;
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -12,6 +12,7 @@
 use ryerouter_gateway::catalogue::{
     CallerLimits, PoolProfile, RequestKind, Route, RoutingTable, Tenant,
 };
+use ryerouter_gateway::continuation::{StoreSettings, sync_continuations};
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::run_peer_link;
@@ -19,6 +20,7 @@
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::sleep;
 
+use super::continuation_records::ContinuationRecords;
 use super::fleet::introduce;
 use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
 use super::records::{POOL, route, tenant};
@@ -28,6 +30,8 @@
 
 /// How often each node reads the list of engines.
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a node writes the records of a shard.
+const STORE_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Attempts of one request: enough for engines that break off every answer.
 const MAX_ATTEMPTS: u32 = 8;
 
@@ -52,6 +56,7 @@
         incarnation: u64,
         table: RoutingTable,
         entries: Vec<EngineEntry>,
+        store: Rc<ContinuationRecords>,
     ) -> Self {
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
         let mut own = settings_of(index);
@@ -65,6 +70,10 @@
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
         tasks.spawn_local(run_peer_link(Rc::clone(&gateway), datagrams));
+        let how = StoreSettings {
+            write_interval: STORE_WRITE_INTERVAL,
+        };
+        tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, how));
         let listed = Rc::clone(&list);
         let listing = spawn_local(async move {
             loop {
@@ -91,6 +100,8 @@
 pub struct VersionedNodes {
     pub nodes: RefCell<Vec<Rc<VersionedNode>>>,
     pub engines: RefCell<Vec<VersionedEngine>>,
+    /// What they keep of versions and streams.
+    pub store: Rc<ContinuationRecords>,
     route: Route,
     tenants: Vec<Tenant>,
     started: Cell<u64>,
@@ -127,6 +138,7 @@
         let all = Self {
             nodes: RefCell::default(),
             engines: RefCell::default(),
+            store: Rc::default(),
             route,
             tenants,
             started: Cell::new(0),
@@ -183,7 +195,8 @@
         let (tenants, limits) = (self.tenants.clone(), CallerLimits::default());
         let table = RoutingTable::new(1, routes, vec![pool], Vec::new(), tenants, limits);
         let entries = self.entries();
-        Rc::new(VersionedNode::start(index, incarnation, table, entries).await)
+        let store = Rc::clone(&self.store);
+        Rc::new(VersionedNode::start(index, incarnation, table, entries, store).await)
     }
 
     /// Starts a node that no other one knows, and that can't hear them.
