--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -57,6 +57,8 @@
     in_writing: usize,
     /// Revisions of the segments, as far as known.
     revisions: BTreeMap<u8, u64>,
+    /// Whether it is known which segments the store holds.
+    has_position: bool,
 }
 
 impl Journal {
@@ -80,8 +82,16 @@
         self.unwritten.len()
     }
 
+    /// Whether records wait to be written, but it is not known yet in which segment.
+    pub fn needs_position(&self) -> bool {
+        !self.has_position && !self.unwritten.is_empty()
+    }
+
     /// The segment that is to be written now, and the revision that it replaces; `None` if there is nothing to write.
     pub fn begin_write(&mut self, now: Timestamp) -> Option<(Segment, Option<u64>)> {
+        if !self.has_position {
+            return None;
+        }
         if self.unwritten.is_empty() {
             return None;
         }
@@ -91,7 +101,7 @@
         }
         if self.stored.len() + self.unwritten.len() > MAX_SEGMENT_STREAMS && !self.stored.is_empty()
         {
-            self.index = (self.index + 1) % SEGMENTS;
+            self.index = self.next_index();
             self.stored.clear();
         }
         self.in_writing = self.unwritten.len().min(MAX_SEGMENT_STREAMS);
@@ -116,35 +126,45 @@
         self.in_writing = 0;
     }
 
-    /// Handles a segment that another node has written since, or that is gone: what it holds is kept.
-    pub fn resolve_conflict(&mut self, found: Option<StoredSegment>, now: Timestamp) {
+    /// Handles a segment that another node has written since, or that is gone. Another writer keeps its segment; where the
+    /// store does not tell what it holds, it has to be read first.
+    pub fn resolve_conflict(&mut self, found: Option<StoredSegment>) {
         self.in_writing = 0;
         match found {
-            None => drop(self.revisions.remove(&self.index)),
-            Some(found) => self.adopt(found, now),
+            None => {
+                self.revisions.remove(&self.index);
+                self.has_position = false;
+            }
+            Some(found) => {
+                self.revisions.insert(self.index, found.revision);
+                self.index = self.next_index();
+            }
         }
     }
 
-    /// Goes on after the segments that the store holds, as a node does that has just become the shard's writer.
-    pub fn resume_after(&mut self, found: Vec<StoredSegment>, now: Timestamp) {
-        if !self.revisions.is_empty() || self.in_writing > 0 {
+    /// Begins after the segments that the store holds, as a node does that has just become a writer of the shard.
+    pub fn begin_after(&mut self, found: &[StoredSegment]) {
+        if self.has_position {
             return;
         }
-        let revisions = found
-            .iter()
-            .map(|found| (found.segment.index, found.revision));
+        self.has_position = true;
+        let revisions = found.iter();
+        let revisions = revisions.map(|found| (found.segment.index, found.revision));
         self.revisions = revisions.collect();
-        if let Some(last) = found.into_iter().max_by_key(|found| found.revision) {
-            self.index = last.segment.index;
-            self.adopt(last, now);
+        let newest = self.revisions.iter().max_by_key(|(_, revision)| **revision);
+        if let Some((newest, _)) = newest {
+            self.index = *newest;
+            self.index = self.next_index();
         }
     }
 
-    fn adopt(&mut self, found: StoredSegment, now: Timestamp) {
-        self.revisions.insert(found.segment.index, found.revision);
-        let known: Vec<_> = self.stored.iter().map(|(_, id, _)| *id).collect();
-        let streams = found.segment.streams.into_iter();
-        let new = streams.filter(|(id, _)| !known.contains(id));
-        self.stored.extend(new.map(|(id, entry)| (now, id, entry)));
+    /// The next segment that is not known to hold anything, else the one that was written the longest ago.
+    fn next_index(&self) -> u8 {
+        let mut following = (1..=SEGMENTS).map(|step| (self.index + step) % SEGMENTS);
+        let oldest = self.revisions.iter().min_by_key(|(_, revision)| **revision);
+        following
+            .find(|index| !self.revisions.contains_key(index))
+            .or(oldest.map(|(index, _)| *index))
+            .unwrap_or_default()
     }
 }
--- a/crates/core/src/continuation/shard.rs
+++ b/crates/core/src/continuation/shard.rs
@@ -10,7 +10,7 @@
 
 impl Shard {
     /// Number of shards, whatever the number of nodes.
-    pub const COUNT: u8 = 16;
+    pub const COUNT: u8 = 8;
 
     /// All shards.
     pub fn all() -> impl Iterator<Item = Self> {
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -26,6 +26,8 @@
 pub struct StoreSettings {
     /// Minimum time between two writes of a shard's records.
     pub write_interval: Duration,
+    /// Whether the deployment is started for the first time, so that nothing served before.
+    pub is_first_start: bool,
 }
 
 /// Reads the recorded versions at startup, and writes what serves and what began, until dropped.
@@ -34,11 +36,17 @@
     store: Rc<dyn ContinuationStore>,
     settings: StoreSettings,
 ) -> impl Future<Output = ()> {
-    gateway.expect_version_records();
+    gateway.expect_version_records(settings.is_first_start);
     async move {
-        let shards =
-            Shard::all().map(|shard| sync_shard(&gateway, store.as_ref(), shard, settings));
-        tokio::join!(sync_versions(&gateway, store.as_ref()), join_all(shards));
+        let interval = settings.write_interval;
+        let reads = Shard::all().map(|shard| read_when_wanted(&gateway, store.as_ref(), shard));
+        let writes =
+            Shard::all().map(|shard| write_streams(&gateway, store.as_ref(), shard, interval));
+        tokio::join!(
+            sync_versions(&gateway, store.as_ref()),
+            join_all(reads),
+            join_all(writes)
+        );
     }
 }
 
@@ -78,38 +86,61 @@
     Ok(())
 }
 
-/// Writes the versions that are due and that no other node has written until now.
+/// Writes the versions that are due and that no other node has written until now. A pool whose record can't be written
+/// does not hold up the others.
 async fn write_due_versions(
     gateway: &Gateway,
     store: &dyn ContinuationStore,
 ) -> Result<(), SourceError> {
     read_versions(gateway, store).await?;
     gateway.schedule_version_records();
+    let mut failed = Ok(());
     for pool in gateway.due_version_records() {
         let (record, revision) = gateway.version_record(&pool);
         let written = timeout(STORE_TIMEOUT, store.write_versions(&record, revision)).await;
-        match written.unwrap_or(Err(SourceError::NoAnswer))? {
-            StoreWrite::Written(revision) => gateway.note_versions_written(record, revision),
-            StoreWrite::Conflict(found) => gateway.note_version_conflict(&pool, found),
+        match written.unwrap_or(Err(SourceError::NoAnswer)) {
+            Ok(StoreWrite::Written(revision)) => gateway.note_versions_written(record, revision),
+            Ok(StoreWrite::Conflict(found)) => gateway.note_version_conflict(&pool, found),
+            Err(error) => failed = Err(error),
+        }
+    }
+    failed
+}
+
+/// Reads the stored records of a shard each time that a stream of it is not known, or that this node begins to write.
+async fn read_when_wanted(gateway: &Gateway, store: &dyn ContinuationStore, shard: Shard) {
+    let mut failures = 0;
+    loop {
+        let changed = gateway.stream_records_due.notified();
+        if !gateway.wants_shard(shard) {
+            changed.await;
+            continue;
+        }
+        let listed = timeout(STORE_TIMEOUT, store.list_segments(shard)).await;
+        match listed.unwrap_or(Err(SourceError::NoAnswer)) {
+            Ok(segments) => {
+                failures = 0;
+                gateway.apply_segments(shard, segments);
+            }
+            Err(error) => {
+                failures += 1;
+                gateway.note_shard_unread(shard, &error);
+                sleep(BACKOFF.pause_after(failures)).await;
+            }
         }
     }
-    Ok(())
 }
 
-/// Writes the records of a shard's streams while this node is asked to, and reads what is stored when a stream of it
-/// is not known.
-async fn sync_shard(
+/// Writes the records of a shard's streams while this node is asked to.
+async fn write_streams(
     gateway: &Gateway,
     store: &dyn ContinuationStore,
     shard: Shard,
-    settings: StoreSettings,
+    interval: Duration,
 ) {
     let mut failures = 0;
     loop {
         let changed = gateway.stream_records_due.notified();
-        if gateway.wants_shard(shard) {
-            read_shard(gateway, store, shard).await;
-        }
         let Some((segment, revision)) = gateway.next_segment(shard) else {
             changed.await;
             continue;
@@ -121,9 +152,12 @@
             Ok(StoreWrite::Written(revision)) => {
                 failures = 0;
                 gateway.note_segment_written(shard, streams, revision);
-                sleep(settings.write_interval).await;
+                sleep(interval).await;
+            }
+            Ok(StoreWrite::Conflict(found)) => {
+                gateway.note_segment_conflict(shard, found);
+                sleep(interval).await;
             }
-            Ok(StoreWrite::Conflict(found)) => gateway.note_segment_conflict(shard, found),
             Err(error) => {
                 failures += 1;
                 gateway.note_segment_unwritten(shard);
@@ -134,11 +168,3 @@
         }
     }
 }
-
-async fn read_shard(gateway: &Gateway, store: &dyn ContinuationStore, shard: Shard) {
-    let listed = timeout(STORE_TIMEOUT, store.list_segments(shard)).await;
-    match listed.unwrap_or(Err(SourceError::NoAnswer)) {
-        Ok(segments) => gateway.apply_segments(shard, segments),
-        Err(error) => gateway.note_shard_unread(shard, &error),
-    }
-}
--- a/crates/gateway/src/continuation/version_record.rs
+++ b/crates/gateway/src/continuation/version_record.rs
@@ -18,4 +18,7 @@
     /// Era of the store in which it was written. In a later one the store may have lost a newer record.
     #[serde(default)]
     pub era: u64,
+    /// Whether another version may have served whose name is lost.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_incomplete: bool,
 }
--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -1,20 +1,28 @@
 //! What a node knows of the recorded versions.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::SoftwareVersion;
 
+use super::VersionRecord;
 use crate::source::StoredVersions;
 
+/// Time after reading the records in which a pool that is listed for the first time counts as one that was there before.
+const START_TIME: Duration = Duration::from_secs(10);
+
 /// What a node knows of the versions that the store holds, and what it has to write.
 #[derive(Debug, Default)]
 pub struct VersionTable {
     /// Whether there is a store.
     pub has_store: bool,
-    /// Whether the records have been read since this node was started.
-    pub is_read: bool,
+    /// When the records were first read since this node was started.
+    pub read_at: Option<Timestamp>,
+    /// Whether the deployment is started for the first time, so that pools without a record have had no streams.
+    pub is_first_start: bool,
+    /// Pools that had no record when this node read them.
+    pub unrecorded_at_start: BTreeSet<PoolName>,
     /// Era of the store, as far as known.
     era: u64,
     recorded: BTreeMap<PoolName, StoredVersions>,
@@ -23,9 +31,29 @@
 }
 
 impl VersionTable {
-    /// Whether this node knows which versions served before it was started.
-    pub fn knows_past(&self) -> bool {
-        self.is_read || !self.has_store
+    /// Whether this node knows which versions served a pool before it was started.
+    pub fn knows_past(&self, pool: &PoolName) -> bool {
+        let is_recorded = self.is_first_start || !self.unrecorded_at_start.contains(pool);
+        !self.has_store || self.read_at.is_some() && is_recorded
+    }
+
+    /// Whether the store has not been read yet.
+    pub fn awaits_reading(&self) -> bool {
+        self.has_store && self.read_at.is_none()
+    }
+
+    /// Records that a pool was listed for the first time. If that is at the start of this node, it may have served before.
+    pub fn note_first_listed(&mut self, pool: &PoolName, now: Timestamp) {
+        let is_at_start = self.read_at.is_some_and(|at| now.since(at) < START_TIME);
+        if is_at_start && !self.recorded.contains_key(pool) {
+            self.unrecorded_at_start.insert(pool.clone());
+        }
+    }
+
+    /// Whether the store names several versions of a pool.
+    pub fn is_mixed(&self, pool: &PoolName) -> bool {
+        let recorded = self.recorded.get(pool);
+        recorded.is_some_and(|stored| stored.record.versions.len() > 1)
     }
 
     /// What the store holds of a pool.
@@ -43,10 +71,10 @@
         self.recorded.remove(pool);
     }
 
-    /// Whether the store holds other versions of a pool, or holds them as of an earlier era.
-    pub fn is_outdated(&self, pool: &PoolName, versions: &BTreeSet<SoftwareVersion>) -> bool {
-        let recorded = self.recorded.get(pool).map(|stored| &stored.record);
-        recorded.is_none_or(|record| record.versions != *versions || record.era < self.era)
+    /// Whether the store holds another record of a pool, or holds it as of an earlier era.
+    pub fn is_outdated(&self, record: &VersionRecord) -> bool {
+        let recorded = self.recorded.get(&record.pool);
+        recorded.is_none_or(|stored| stored.record != *record)
     }
 
     /// Records the era of the store.
--- a/crates/gateway/src/gateway/continuation_records.rs
+++ b/crates/gateway/src/gateway/continuation_records.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, SETTLING_TIME, Segment, Shard, Source, StoredSegment, StreamId,
+    Entry, Journal, Knowledge, SETTLING_TIME, Segment, Shard, Source, StoredSegment, StreamId,
 };
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::placement::rendezvous_score;
@@ -24,50 +24,100 @@
 const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time by which the second node, the third one and so on write the versions of a pool later than the first one.
 const WRITER_STAGGER: Duration = Duration::from_secs(1);
-/// Nodes of this rank and all later ones write at the same time.
-const MAX_WRITER_RANK: usize = 4;
+/// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
+const WRITERS: usize = 4;
 
 impl Gateway {
     /// Makes streams without a record wait from now on until the recorded versions have been read.
-    pub(crate) fn expect_version_records(&self) {
-        self.state_mut().continuations.versions.has_store = true;
+    pub(crate) fn expect_version_records(&self, is_first_start: bool) {
+        let versions = &mut self.state_mut().continuations.versions;
+        versions.has_store = true;
+        versions.is_first_start = is_first_start;
     }
 
-    /// Applies the recorded versions. Each may have streams under way.
+    /// Applies the recorded versions, as they are read at the start and again before any are written.
     pub(crate) fn apply_version_records(&self, listed: VersionList) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.continuations.versions.note_era(listed.era);
-        let is_first = !state.continuations.versions.is_read;
-        let mut announced = Vec::new();
+        let is_first = state.continuations.versions.read_at.is_none();
+        let pools: Vec<_> = listed
+            .records
+            .iter()
+            .map(|stored| stored.record.pool.clone())
+            .collect();
         for stored in listed.records {
-            let record = &stored.record;
-            let history = &mut state.continuations.history;
-            let mut is_new = false;
-            for software in &record.versions {
-                // This node may not have heard yet of a version that another one has recorded.
-                if is_first || !history.is_known(&record.pool, software) {
-                    is_new |= history.note_told(&record.pool, software, now, now);
-                }
-            }
-            // A copy of the store may lack what was recorded last.
-            if is_first && (record.era < listed.era || listed.has_unreadable) {
-                is_new |= history.note_incomplete(&record.pool, now);
-            }
-            if is_first {
-                info!(self.log(), "versions_read"; "pool" => %record.pool,
-                    "versions" => joined(&record.versions), "era" => record.era,
-                    "source_era" => listed.era,
-                    "is_incomplete" => history.is_incomplete(&record.pool, now));
-            }
+            let is_new = match is_first {
+                true => self.apply_first_record(&mut state, &stored.record, listed.era, now),
+                false => note_unheard_versions(&mut state, &stored.record, now),
+            };
             if is_new {
-                announced.push(record.pool.clone());
+                self.announce_streams(&mut state, &stored.record.pool, now);
             }
             state.continuations.versions.note_recorded(stored);
         }
-        state.continuations.versions.is_read = true;
-        for pool in announced {
-            self.announce_streams(&mut state, &pool, now);
+        state.continuations.versions.read_at.get_or_insert(now);
+        if is_first {
+            let continuations = &mut state.continuations;
+            let listed_pools = continuations.history.pools();
+            let unrecorded = listed_pools.filter(|pool| !pools.contains(pool)).cloned();
+            continuations.versions.unrecorded_at_start = unrecorded.collect();
+            // One of them may be that of any pool without a record.
+            continuations.versions.is_first_start &= !listed.has_unreadable;
+            self.versions_read.notify_waiters();
+        }
+    }
+
+    /// Waits until the recorded versions have been read.
+    pub(super) async fn until_versions_read(&self) {
+        loop {
+            let read = self.versions_read.notified();
+            if !self.state().continuations.versions.awaits_reading() {
+                return;
+            }
+            read.await;
+        }
+    }
+
+    /// Applies a record as this node finds it at its start: each of its versions may have streams under way. Returns
+    /// whether that makes the pool one of several versions.
+    fn apply_first_record(
+        &self,
+        state: &mut GatewayState,
+        record: &VersionRecord,
+        era: u64,
+        now: Timestamp,
+    ) -> bool {
+        let history = &mut state.continuations.history;
+        let mut is_new = false;
+        for software in &record.versions {
+            is_new |= history.note_told(&record.pool, software, now, now);
+        }
+        // A copy of the store may lack what was recorded last.
+        if record.era < era || record.is_incomplete {
+            is_new |= history.note_incomplete(&record.pool, now);
+        }
+        info!(self.log(), "versions_read"; "pool" => %record.pool,
+            "versions" => joined(&record.versions), "era" => record.era, "source_era" => era,
+            "is_incomplete" => history.is_incomplete(&record.pool, now));
+        is_new
+    }
+
+    /// Settles what the pools mean that had no record when this node was started. At the first start of the deployment,
+    /// or where another node has been running since well before, nothing can have served unnoticed; otherwise the
+    /// record may be lost.
+    fn settle_unrecorded_pools(&self, state: &mut GatewayState, now: Timestamp) {
+        let is_noticed =
+            state.continuations.versions.is_first_start || self.hears_older_node(state);
+        if !is_noticed && self.uptime() < WRITER_DISCOVERY_TIME {
+            return;
+        }
+        let versions = &mut state.continuations.versions;
+        for pool in std::mem::take(&mut versions.unrecorded_at_start) {
+            if !is_noticed && state.continuations.history.note_incomplete(&pool, now) {
+                info!(self.log(), "versions_unknown"; "pool" => %pool);
+                self.announce_streams(state, &pool, now);
+            }
         }
     }
 
@@ -76,16 +126,18 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         let state = &mut *state;
+        let era = state.source_era;
+        state.continuations.versions.note_era(era);
+        self.settle_unrecorded_pools(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
         for pool in pools {
-            let versions = self.recordable_versions(state, &pool, now);
-            state.continuations.versions.note_era(state.source_era);
-            let is_outdated = state.continuations.versions.is_outdated(&pool, &versions);
-            if versions.is_empty() || !is_outdated {
+            let record = self.record_of(state, &pool, now);
+            let is_outdated = state.continuations.versions.is_outdated(&record);
+            let rank = self.writer_rank(state, &pool, now);
+            if record.versions.is_empty() || !is_outdated || rank >= WRITERS {
                 state.continuations.versions.cancel(&pool);
                 continue;
             }
-            let rank = self.writer_rank(state, &pool, now);
             let discovery = WRITER_DISCOVERY_TIME.saturating_sub(self.uptime());
             let at = now.after(discovery + WRITER_STAGGER * rank as u32);
             state.continuations.versions.schedule(&pool, at);
@@ -98,17 +150,23 @@
         self.state().continuations.versions.due(now)
     }
 
-    /// The versions of a pool that may have streams under way, and the revision that a record of them replaces.
+    /// The record that a pool should have, and the revision that it replaces.
     pub(crate) fn version_record(&self, pool: &PoolName) -> (VersionRecord, Option<u64>) {
         let now = self.clock().now();
         let state = self.state();
-        let record = VersionRecord {
-            pool: pool.clone(),
-            versions: self.recordable_versions(&state, pool, now),
-            era: state.continuations.versions.era(),
-        };
         let recorded = state.continuations.versions.recorded(pool);
-        (record, recorded.map(|stored| stored.revision))
+        let revision = recorded.map(|stored| stored.revision);
+        (self.record_of(&state, pool, now), revision)
+    }
+
+    fn record_of(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> VersionRecord {
+        let continuations = &state.continuations;
+        VersionRecord {
+            pool: pool.clone(),
+            versions: self.recordable_versions(state, pool, now),
+            era: continuations.versions.era(),
+            is_incomplete: continuations.history.is_incomplete(pool, now),
+        }
     }
 
     /// The versions of a pool that may have streams under way. While the list may be behind, none that is recorded counts
@@ -144,14 +202,11 @@
     pub(crate) fn note_version_conflict(&self, pool: &PoolName, found: Option<StoredVersions>) {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        let continuations = &mut state.continuations;
         match found {
-            None => continuations.versions.note_missing(pool),
+            None => state.continuations.versions.note_missing(pool),
             Some(stored) => {
-                for software in &stored.record.versions {
-                    continuations.history.note_told(pool, software, now, now);
-                }
-                continuations.versions.note_recorded(stored);
+                note_unheard_versions(&mut state, &stored.record, now);
+                state.continuations.versions.note_recorded(stored);
             }
         }
     }
@@ -175,8 +230,11 @@
     /// Whether the stored records of a shard are to be read.
     pub(crate) fn wants_shard(&self, shard: Shard) -> bool {
         let state = self.state();
-        let reading = state.continuations.readings.get(&shard);
+        let continuations = &state.continuations;
+        let reading = continuations.readings.get(&shard);
+        let journal = continuations.journals.get(&shard);
         reading.is_some_and(|reading| reading.is_wanted)
+            || journal.is_some_and(Journal::needs_position)
     }
 
     /// Applies the stored records of a shard.
@@ -189,18 +247,23 @@
             for (stream, entry) in &stored.segment.streams {
                 let (pool, software) = (&entry.pool, &entry.software);
                 let register = &mut continuations.register;
-                register.note(*stream, pool, software, Source::Peer, now);
                 streams += 1;
+                // What is known is not renewed, or it would push out what this node alone knows.
+                if register.get(*stream, now) == Knowledge::Unknown {
+                    register.note(*stream, pool, software, Source::Peer, now);
+                }
             }
         }
         info!(self.log(), "streams_read"; "shard" => %shard, "segments" => segments.len(),
             "streams" => streams);
         let journal = continuations.journals.entry(shard).or_default();
-        journal.resume_after(segments, now);
+        journal.begin_after(&segments);
         let reading = continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
         reading.ended_at = Some(now);
         self.shard_read.notify_waiters();
+        // Records may have waited for the position of the journal.
+        self.stream_records_due.notify_waiters();
     }
 
     /// Handles a failed reading of a shard's records.
@@ -219,7 +282,7 @@
     pub(super) fn has_read_shard(&self, shard: Shard, pool: &PoolName) -> bool {
         let now = self.clock().now();
         let mut state = self.state_mut();
-        if !state.continuations.history.is_mixed(pool, now) {
+        if !needs_stream_records(&state, pool, now) {
             return true;
         }
         let readers = self.shard_readers(&state, shard, now);
@@ -270,12 +333,11 @@
 
     /// Handles a segment that another node has written since.
     pub(crate) fn note_segment_conflict(&self, shard: Shard, found: Option<StoredSegment>) {
-        let now = self.clock().now();
         info!(self.log(), "stream_record_conflict"; "shard" => %shard,
             "streams" => found.as_ref().map(|found| found.segment.streams.len()));
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.resolve_conflict(found, now);
+        journal.resolve_conflict(found);
     }
 
     /// Handles a segment that the store has not acknowledged.
@@ -348,8 +410,28 @@
             let hash = xxh3_64(peer.identity.name.as_str().as_bytes());
             rendezvous_score(key, hash) > own
         });
-        before.take(MAX_WRITER_RANK).count()
+        before.take(WRITERS).count()
+    }
+}
+
+/// Whether the versions of a pool's streams are kept: several versions may have streams under way, or would be taken for
+/// it after a restart.
+pub(super) fn needs_stream_records(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
+    let continuations = &state.continuations;
+    continuations.history.is_mixed(pool, now) || continuations.versions.is_mixed(pool)
+}
+
+/// Applies versions that another node has recorded before this one has heard of them. Returns whether that makes the
+/// pool one of several versions.
+fn note_unheard_versions(state: &mut GatewayState, record: &VersionRecord, now: Timestamp) -> bool {
+    let history = &mut state.continuations.history;
+    let mut is_new = false;
+    for software in &record.versions {
+        if !history.is_known(&record.pool, software) {
+            is_new |= history.note_told(&record.pool, software, now, now);
+        }
     }
+    is_new
 }
 
 fn joined(versions: &BTreeSet<SoftwareVersion>) -> String {
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::continuation_records::needs_stream_records;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
 use crate::peers::{Datagram, PeerMessage};
@@ -113,7 +114,7 @@
         let continuations = &mut state.continuations;
         let register = &mut continuations.register;
         register.note(stream, pool, software, Source::Own, now);
-        if !continuations.history.is_mixed(pool, now) {
+        if !needs_stream_records(&state, pool, now) {
             return;
         }
         let writer = self.shard_writer(&state, stream.shard(), now);
@@ -181,13 +182,14 @@
         let state = self.state();
         let continuations = &state.continuations;
         let holders = self.holders(&state, question.stream, now);
-        let is_holder = holders.contains(&None);
+        let readers = self.shard_readers(&state, shard, now);
+        let is_holder = holders.contains(&None) || readers.contains(&None);
         let answer = Answer {
             number: question.number,
             is_ambiguous: knowledge == Knowledge::Ambiguous,
             is_holder: is_holder || knowledge != Knowledge::Unknown || question.asker.is_some(),
             versions: continuations.history.versions(&question.pool, now),
-            knows_past: continuations.versions.knows_past()
+            knows_past: continuations.versions.knows_past(&question.pool)
                 && !continuations.history.is_incomplete(&question.pool, now),
             software: match knowledge {
                 Knowledge::Began(software) => Some(software),
@@ -229,8 +231,11 @@
         software: &str,
         now: Timestamp,
     ) {
-        let history = &mut state.continuations.history;
-        if history.note_listed(pool, software, now) {
+        let continuations = &mut state.continuations;
+        if !continuations.history.pools().any(|known| known == pool) {
+            continuations.versions.note_first_listed(pool, now);
+        }
+        if continuations.history.note_listed(pool, software, now) {
             self.announce_streams(state, pool, now);
         }
     }
@@ -349,13 +354,16 @@
                 }
             }
         };
+        let read = self.until_shard_read(stream.shard(), pool);
+        let ask_and_read =
+            async { tokio::join!(ask_until_settled, read, self.until_versions_read()) };
         // Without answers in time, what came until then decides.
-        let _ = self.clock().until(limit, ask_until_settled).await;
+        let _ = self.clock().until(limit, ask_and_read).await;
         let mut answers = lookup.answers();
+        let state = self.state();
+        answers.has_peers |= state.peers.known_count() > 0;
         if answers.knowledge == Knowledge::Unknown {
-            let read = self.until_shard_read(stream.shard(), pool);
-            let _ = self.clock().until(limit, read).await;
-            let register = &self.state().continuations.register;
+            let register = &state.continuations.register;
             answers.knowledge = register.get(stream, self.clock().now());
         }
         answers
@@ -410,8 +418,8 @@
         let state = self.state();
         let has_heard_others = self.uptime() >= PEER_DISCOVERY_TIME;
         let continuations = &state.continuations;
-        let knows_past =
-            continuations.versions.knows_past() && !continuations.history.is_incomplete(pool, now);
+        let knows_past = continuations.versions.knows_past(pool)
+            && !continuations.history.is_incomplete(pool, now);
         let is_list_current = state.is_engine_list_current(SETTLING_TIME, now);
         Outlook {
             versions: continuations.history.versions(pool, now),
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -89,6 +89,8 @@
     pub(super) poison_records_changed: Notify,
     /// Notified when a shard's records are to be read from the store or written to it.
     pub(crate) stream_records_due: Notify,
+    /// Notified when the recorded versions have been read.
+    pub(super) versions_read: Notify,
     /// Notified when a shard's records have been read, or could not be.
     pub(super) shard_read: Notify,
     /// Notified when an engine is doubted.
@@ -136,6 +138,7 @@
             poison_records_due: Notify::new(),
             poison_records_changed: Notify::new(),
             stream_records_due: Notify::new(),
+            versions_read: Notify::new(),
             shard_read: Notify::new(),
             engine_doubted: Notify::new(),
             leaving: Notify::new(),
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -217,6 +217,61 @@
     });
 }
 
+/// What a store holds that has come back from a copy, or holds what nobody can read.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Lost {
+    /// The record of the second version.
+    SecondVersion,
+    /// The record of the pool.
+    Pool,
+    /// Nobody can read the record.
+    Unreadable,
+}
+
+/// What the store has lost stays unknown, also for nodes that start later.
+#[parameterized(
+    second_version = { Lost::SecondVersion, Duration::ZERO },
+    second_version_and_killed_again = { Lost::SecondVersion, Duration::from_millis(3_500) },
+    pool = { Lost::Pool, Duration::ZERO },
+    pool_and_killed_again = { Lost::Pool, Duration::from_millis(3_500) },
+    unreadable = { Lost::Unreadable, Duration::ZERO },
+)]
+fn streams_are_joined_where_the_store_lost_a_record(lost: Lost, killed_again_after: Duration) {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        if lost == Lost::SecondVersion {
+            nodes.store.make_copy();
+        }
+        nodes.start_engine("v1.2").await;
+        nodes.start_engine("v1.2").await;
+        nodes.list();
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        assert!(
+            streams
+                .iter()
+                .any(|stream| stream.versions.contains("v1.2"))
+        );
+        match lost {
+            Lost::Unreadable => nodes.store.is_unreadable.set(true),
+            Lost::SecondVersion | Lost::Pool => nodes.store.restore_copy(),
+        }
+        let keep_first = |nodes: &VersionedNodes| {
+            let mut engines = nodes.engines.borrow_mut();
+            engines.retain(|engine| engine.software == "v1");
+        };
+        keep_first(&nodes);
+        kill_all(&nodes).await;
+        if !killed_again_after.is_zero() {
+            sleep(killed_again_after).await;
+            kill_all(&nodes).await;
+        }
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
 /// A single version needs no record of a stream, only one of the version.
 #[test]
 fn streams_of_the_only_version_are_refused() {
