Prove the configuration by whole answers only

What callers saw: for up to 15 s after the open connections to the source had fallen silent, nodes ran requests with API keys that had been taken away and answered 401 to new ones, while each of them believed its configuration to be current (age 0.1 to 0.3 s in the logs).

Cause: while a watch is silent, the prober of the configuration asks for the changes since the replica's revision and took any answer as proof that the node had what was current. An answer of limited size holds only the first changes; what follows them is unknown. It also applied them without moving the replica's revision, so each probe read the same first changes again and the follower never learned that its watch had been overtaken. The false proof went to other nodes in heartbeats as well.

The change: a batch says whether it is whole (`ItemBatch::is_whole`), and only a whole one confirms a replica, whoever asked for it (`Gateway::apply_batch`). `copy_not_confirmed` and `configuration_unproven` tell of refused proofs.

Why it works: a proof now rests on an answer that shows that nothing followed the replica's revision when the source answered; each question begins where the one before it ended, so the chain ends there.

--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -103,7 +103,8 @@
 
     /// Applies changes up to a revision, from the source in response to a request sent at
     /// `asked_at`, or from another node. A batch older than the replica is ignored, since the
-    /// newest state counts; so is one that begins after the replica.
+    /// newest state counts; so is one that begins after the replica. Only a whole batch confirms
+    /// that the replica is current.
     pub fn apply_batch(&self, kind: ItemKind, batch: ItemBatch, asked_at: Option<Timestamp>) {
         let mut state = self.state_mut();
         let replica = state.replicas.of(kind);
@@ -131,7 +132,8 @@
         }
         drop(state);
         match asked_at {
-            Some(asked_at) => self.apply_changes(kind, batch.changes, asked_at),
+            Some(asked_at) if batch.is_whole => self.apply_changes(kind, batch.changes, asked_at),
+            Some(asked_at) => self.apply_first_changes(kind, batch, asked_at),
             None => self.apply(kind, batch.changes, None),
         }
     }
@@ -176,6 +178,16 @@
         self.note_source_answer(kind, Some(asked_at));
     }
 
+    /// Applies the first of the changes that the source has. What follows them is unknown, so they
+    /// confirm nothing.
+    fn apply_first_changes(&self, kind: ItemKind, batch: ItemBatch, asked_at: Timestamp) {
+        info!(self.log(), "copy_not_confirmed"; "kind" => %kind, "reason" => "answer may not be whole",
+            "changes" => batch.changes.len(), "revision" => %batch.revision);
+        self.note_engine_list_read(kind);
+        self.apply(kind, batch.changes, Some(asked_at));
+        self.note_source_answer(kind, None);
+    }
+
     /// Records that the engine list can be read again after failed requests: entries that expired
     /// meanwhile may return from now on.
     pub(super) fn note_engine_list_read(&self, kind: ItemKind) {
--- a/crates/gateway/src/gateway/source_sync.rs
+++ b/crates/gateway/src/gateway/source_sync.rs
@@ -306,7 +306,12 @@
             let grouped = answer.groups.iter().flat_map(Changes::changes);
             let changes = answer.changes.iter().cloned().chain(grouped);
             let changes = changes.map(Into::into).collect();
-            let batch = ItemBatch { changes, revision };
+            // What it confirms is in the mark.
+            let batch = ItemBatch {
+                changes,
+                revision,
+                is_whole: false,
+            };
             self.apply_batch(ItemKind::Engines, batch, None);
         }
         self.apply_mark(ItemKind::Engines, mark, told, asked_at);
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use rand::Rng;
+use ryerouter_core::Timestamp;
+use slog::{debug, info};
 use tokio::time::{sleep, timeout};
 
-use super::{CatalogueSource, ItemKind};
+use super::{CatalogueSource, ItemBatch, ItemKind, SourceError};
 use crate::gateway::{Gateway, Query};
 
 /// Time between looks at the age of the proof.
@@ -15,6 +17,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
 /// Wait after a question that got no answer.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(150);
+/// Most answers that are asked for in a row, each for what the one before it may have left out.
+const MAX_ANSWERS: usize = 16;
 
 /// Asks the source whenever no node has proved the configuration current for some time.
 ///
@@ -25,7 +29,7 @@
     loop {
         let patience = allowed.mul_f64(rand::rng().random_range(0.2..0.4));
         wait_until_older(&gateway, patience).await;
-        if !ask(&gateway, source.as_ref()).await {
+        if !prove(&gateway, source.as_ref()).await {
             sleep(PAUSE_AFTER_FAILURE).await;
         }
     }
@@ -49,34 +53,54 @@
     replica.revision.is_some() && (is_old || replica.is_behind())
 }
 
-/// Whether the source answered.
-async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
-    let replica = gateway
+/// Whether the source has proved the configuration current.
+async fn prove(gateway: &Gateway, source: &dyn CatalogueSource) -> bool {
+    for _ in 0..MAX_ANSWERS {
+        match ask(gateway, source).await {
+            Some(batch) if batch.is_whole => return true,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+    info!(gateway.log(), "configuration_unproven"; "reason" => "changes go on",
+        "answers" => MAX_ANSWERS);
+    false
+}
+
+/// Asks for what has changed since the copy, and takes it in.
+async fn ask(gateway: &Gateway, source: &dyn CatalogueSource) -> Option<ItemBatch> {
+    let revision = gateway
         .state()
         .replicas
         .of(ItemKind::Configuration)
-        .revision;
-    let Some(revision) = replica else {
-        return false;
-    };
+        .revision?;
     let asked_at = gateway.clock().now();
     let question = source.watch(ItemKind::Configuration, revision, Duration::ZERO);
     let answer = timeout(ANSWER_LIMIT, question).await;
-    let is_answered = matches!(answer, Ok(Ok(_)));
-    gateway.count_source_request(ItemKind::Configuration, Query::Probe, is_answered);
+    let answer = answer.unwrap_or(Err(SourceError::NoAnswer));
+    gateway.count_source_request(ItemKind::Configuration, Query::Probe, answer.is_ok());
     match answer {
-        Ok(Ok(batch)) if batch.revision >= revision => {
-            gateway.note_response_time(asked_at, Duration::ZERO);
-            gateway.log_source_changes(ItemKind::Configuration, Query::Probe, &batch, asked_at);
-            // The watch that runs beside goes on from its own revision.
-            gateway.apply_changes(ItemKind::Configuration, batch.changes, asked_at);
-            gateway.request_peer_send();
-            true
+        Ok(batch) if batch.revision >= revision => {
+            take(gateway, &batch, asked_at);
+            Some(batch)
+        }
+        Ok(batch) => {
+            info!(gateway.log(), "configuration_unproven"; "reason" => "older than asked for",
+                "revision" => %batch.revision, "known" => %revision);
+            None
         }
-        Ok(Err(error)) => {
+        Err(error) => {
+            debug!(gateway.log(), "configuration_unproven"; "error" => %error);
             gateway.note_configuration_check_failed(&error);
-            false
+            None
         }
-        Ok(Ok(_)) | Err(_) => false,
     }
 }
+
+/// The watch that runs beside is left once it is seen to lack these changes.
+fn take(gateway: &Gateway, batch: &ItemBatch, asked_at: Timestamp) {
+    gateway.note_response_time(asked_at, Duration::ZERO);
+    gateway.log_source_changes(ItemKind::Configuration, Query::Probe, batch, asked_at);
+    gateway.apply_batch(ItemKind::Configuration, batch.clone(), Some(asked_at));
+    gateway.request_peer_send();
+}
--- a/crates/gateway/src/source/item_page.rs
+++ b/crates/gateway/src/source/item_page.rs
@@ -20,4 +20,7 @@
     pub changes: Vec<ItemChange>,
     /// The next watch goes on from this revision.
     pub revision: Revision,
+    /// Whether nothing followed `revision` when the source answered. An answer of limited size may hold only
+    /// the first changes, and then shows nothing of what is current.
+    pub is_whole: bool,
 }
--- a/crates/gateway/tests/catching_up.rs
+++ b/crates/gateway/tests/catching_up.rs
@@ -44,7 +44,11 @@
 /// The source tells a reader changes of its list of engines.
 fn source_tells(reader: &Gateway, changes: Vec<ItemChange>, revision: u64) {
     let revision = revision.into();
-    let batch = ItemBatch { changes, revision };
+    let batch = ItemBatch {
+        changes,
+        revision,
+        is_whole: true,
+    };
     let now = reader.clock().now();
     reader.apply_batch(ItemKind::Engines, batch, Some(now));
 }
@@ -367,6 +371,7 @@
     let batch = ItemBatch {
         changes: vec![ItemChange::Present(named)],
         revision: revision.into(),
+        is_whole: true,
     };
     let now = reader.clock().now();
     reader.apply_batch(ItemKind::Weights, batch, Some(now));
--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -370,6 +370,7 @@
         let batch = ItemBatch {
             changes: vec![ItemChange::Present(Item::Engine(life(FIRST)))],
             revision: 101.into(),
+            is_whole: true,
         };
         reader.apply_batch(ItemKind::Engines, batch, Some(reader.clock().now()));
         list_life(other, SECOND);
--- a/crates/gateway/tests/first_list.rs
+++ b/crates/gateway/tests/first_list.rs
@@ -42,7 +42,11 @@
 fn follow(node: &Gateway, change: ItemChange, revision: u64) {
     let changes = vec![change];
     let revision = revision.into();
-    let batch = ItemBatch { changes, revision };
+    let batch = ItemBatch {
+        changes,
+        revision,
+        is_whole: true,
+    };
     node.apply_batch(ItemKind::Engines, batch, Some(node.clock().now()));
 }
 
@@ -142,6 +146,7 @@
         let watched = ItemBatch {
             changes: Vec::new(),
             revision: (FIRST_REVISION + 9).into(),
+            is_whole: true,
         };
         node.apply_batch(ItemKind::Engines, watched, Some(asked_at));
         assert_eq!(revision(&node), Some(FIRST_REVISION - 7));
--- a/crates/gateway/tests/late_source.rs
+++ b/crates/gateway/tests/late_source.rs
@@ -258,6 +258,7 @@
         let batch = |changes, revision: u64| ItemBatch {
             changes,
             revision: revision.into(),
+            is_whole: true,
         };
         let now = nodes[1].clock().now();
         nodes[1].apply_batch(
--- a/crates/gateway/tests/list_handover.rs
+++ b/crates/gateway/tests/list_handover.rs
@@ -107,6 +107,7 @@
         let gone = ItemBatch {
             changes: vec![ItemChange::Gone("e00003".to_owned())],
             revision: (FIRST_REVISION + 5).into(),
+            is_whole: true,
         };
         holder.apply_batch(ItemKind::Engines, gone, Some(holder.clock().now()));
         while let Some((_, fetch)) = next {
--- a/crates/gateway/tests/restored_source.rs
+++ b/crates/gateway/tests/restored_source.rs
@@ -51,6 +51,7 @@
     let batch = ItemBatch {
         changes: vec![change],
         revision,
+        is_whole: true,
     };
     node.apply_batch(ItemKind::Engines, batch, Some(node.clock().now()));
 }
--- a/crates/gateway/tests/silent_review.rs
+++ b/crates/gateway/tests/silent_review.rs
@@ -165,6 +165,7 @@
         let batch = ItemBatch {
             changes,
             revision: 101.into(),
+            is_whole: true,
         };
         nodes[0].apply_batch(ItemKind::Weights, batch, Some(now));
         let proven_at = |index: usize| {
@@ -191,6 +192,7 @@
         let batch = ItemBatch {
             changes: names_second_weights(),
             revision: 101.into(),
+            is_whole: true,
         };
         let now = reader.clock().now();
         reader.apply_batch(ItemKind::Weights, batch, Some(now));
--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -136,6 +136,88 @@
     }
 }
 
+/// The time for a watch that a node leaves when another question has overtaken it, and for the next one.
+const REPLACEMENT: Duration = Duration::from_millis(500);
+
+/// Each answer holds one configuration, as where they are long: the first one shows nothing of the others, and must
+/// neither prove that a node is current nor keep it from asking on.
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+    twelve = { 12 },
+)]
+fn configuration_that_an_answer_lacks_is_known_in_time_after_all_connections_fell_silent(
+    count: usize,
+) {
+    for _ in 0..6 {
+        run_paused(async move {
+            let followers = settled(count).await;
+            followers.source.limit_answers(1);
+            followers.source.silence(0..count);
+            sleep(CONTACT).await;
+            (2..=4).for_each(|version| followers.source.configure(version));
+            let is_known = |node: &Gateway| node.configuration_version() == Some(4);
+            let delay = followers.until_known(LONG_ENOUGH, is_known).await;
+            assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
+        });
+    }
+}
+
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+)]
+fn old_configuration_is_not_believed_to_be_current_by_an_answer_that_lacks_the_newest(
+    count: usize,
+) {
+    run_paused(async move {
+        let followers = settled(count).await;
+        followers.source.limit_answers(1);
+        followers.source.silence(0..count);
+        sleep(CONTACT).await;
+        (2..=4).for_each(|version| followers.source.configure(version));
+        let configured_at: Vec<_> = followers
+            .nodes
+            .iter()
+            .map(|node| node.clock().now())
+            .collect();
+        let is_misled = |node: &Gateway, at| {
+            let proven_at = node.state().freshness().confirmed_at();
+            node.configuration_version() != Some(4) && proven_at > Some(at)
+        };
+        for _ in 0..300 {
+            sleep(Duration::from_millis(10)).await;
+            for (node, at) in followers.nodes.iter().zip(&configured_at) {
+                let version = node.configuration_version();
+                assert!(!is_misled(node, *at), "believes {version:?} to be current");
+            }
+        }
+    });
+}
+
+/// A watch that is known to be silent is asked again, so that the next change is there at once.
+#[test]
+fn watch_that_a_probe_of_the_configuration_has_overtaken_is_replaced() {
+    run_paused(async {
+        let followers = settled(1).await;
+        followers.source.silence([0]);
+        sleep(CONTACT).await;
+        followers.source.configure(2);
+        let has = |version| move |node: &Gateway| node.configuration_version() == Some(version);
+        let delay = followers.until_known(LONG_ENOUGH, has(2)).await;
+        assert!(delay.is_some_and(|delay| delay < DRAIN_BOUND), "{delay:?}");
+        sleep(REPLACEMENT).await;
+        followers.source.configure(3);
+        let delay = followers.until_known(LONG_ENOUGH, has(3)).await;
+        assert!(
+            delay.is_some_and(|delay| delay < Duration::from_millis(50)),
+            "{delay:?}"
+        );
+    });
+}
+
 /// The others have heard of the change; the silent node learns from them that it has missed one.
 #[parameterized(
     drained = { false },
--- a/crates/gateway/tests/support/paged_source.rs
+++ b/crates/gateway/tests/support/paged_source.rs
@@ -215,7 +215,11 @@
             if !changes.is_empty() || Instant::now() >= until {
                 let revision = self.revision.get().into();
                 self.answer((changes.len() + 1) as f64 * ENTRY_BYTES).await;
-                return Ok(ItemBatch { changes, revision });
+                return Ok(ItemBatch {
+                    changes,
+                    revision,
+                    is_whole: true,
+                });
             }
             // Its end is the end of the wait, which the next turn sees.
             let _ = timeout_at(until, changed).await;
--- a/crates/gateway/tests/support/scripted_source.rs
+++ b/crates/gateway/tests/support/scripted_source.rs
@@ -91,6 +91,7 @@
         async move {
             match answer {
                 Some(Answer::Batch { versions, revision }) => Ok(ItemBatch {
+                    is_whole: versions.is_empty(),
                     changes: versions
                         .into_iter()
                         .map(|version| ItemChange::Present(configuration(version)))
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -52,6 +52,8 @@
     stale_at: Cell<Option<u64>>,
     /// Nodes that have no way to the source.
     cut_off: RefCell<BTreeSet<usize>>,
+    /// An answer to a watch holds so many changes at most; any number without.
+    answer_length: Cell<Option<usize>>,
 }
 
 impl VirtualSource {
@@ -116,6 +118,11 @@
         self.forgotten.set(self.revision.get());
     }
 
+    /// From now on an answer to a watch holds so many changes at most, as where each is long.
+    pub fn limit_answers(&self, changes: usize) {
+        self.answer_length.set(Some(changes));
+    }
+
     /// All watches that are open are cut, as the source may do at any time.
     pub fn cut_watches(&self) {
         self.cuts.set(self.cuts.get() + 1);
@@ -187,12 +194,24 @@
         silences.get(&node).copied().unwrap_or_default()
     }
 
-    fn changes_after(&self, kind: ItemKind, revision: u64) -> Vec<ItemChange> {
+    /// The answer to a watch from `revision`, for now.
+    fn batch_after(&self, kind: ItemKind, revision: u64) -> ItemBatch {
         let changes = self.changes.borrow();
-        let after = changes
+        let is_after = |at: u64, of: ItemKind| at > revision && of == kind;
+        let after: Vec<_> = changes
             .iter()
-            .filter(|(at, of, _)| *at > revision && *of == kind);
-        after.map(|(_, _, change)| change.clone()).collect()
+            .filter(|(at, of, _)| is_after(*at, *of))
+            .collect();
+        let length = self.answer_length.get().unwrap_or(usize::MAX);
+        let first = &after[..after.len().min(length)];
+        let is_cut = first.len() < after.len();
+        let last = first.last().filter(|_| is_cut);
+        ItemBatch {
+            // One configuration may fill an answer, so the next one would not be in it.
+            is_whole: first.is_empty() || kind != ItemKind::Configuration && !is_cut,
+            changes: first.iter().map(|(_, _, change)| change.clone()).collect(),
+            revision: last.map_or(self.revision.get(), |(at, ..)| *at).into(),
+        }
     }
 
     async fn list(&self, kind: ItemKind, consistency: Consistency) -> ItemPage {
@@ -245,13 +264,12 @@
                 return Err(SourceError::HistoryGone);
             }
             let changed = self.changed.notified();
-            let changes = self.changes_after(kind, revision);
-            let is_over = !changes.is_empty() || Instant::now() >= until;
+            let batch = self.batch_after(kind, revision);
+            let is_over = !batch.changes.is_empty() || Instant::now() >= until;
             if is_over {
                 // What changes from here on is not in the answer.
-                let revision = self.revision.get().into();
                 sleep(ANSWER_TIME).await;
-                return Ok(ItemBatch { changes, revision });
+                return Ok(batch);
             }
             // Its end is the end of the wait, which the next turn sees.
             let _ = timeout_at(until, changed).await;
--- a/crates/gateway/tests/unusable_entries.rs
+++ b/crates/gateway/tests/unusable_entries.rs
@@ -31,7 +31,11 @@
 fn source_tells(gateway: &Gateway, change: Item, revision: u64) {
     let changes = vec![ItemChange::Present(change)];
     let revision = revision.into();
-    let batch = ItemBatch { changes, revision };
+    let batch = ItemBatch {
+        changes,
+        revision,
+        is_whole: true,
+    };
     let now = gateway.clock().now();
     gateway.apply_batch(ItemKind::Engines, batch, Some(now));
 }
