Test that an answer that lacks changes proves no list of engines

The prober of engines and weights took any answer as proof too: where the source has more changes than one answer holds, a node believed the list to be current without the last ones until its next question, and told other nodes so.

The prober asks on by itself, since the replica moves and its proof is still too old.

--- a/crates/gateway/tests/silent_source.rs
+++ b/crates/gateway/tests/silent_source.rs
@@ -8,6 +8,7 @@
 
 use ryerouter_core::identity::BackEndName;
 use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::source::ItemKind;
 use support::followers::{Followers, knows_leaving, newest_weights, three_engines};
 use support::gateway_bench::run_paused;
 use support::test_dialect::MODEL;
@@ -197,6 +198,44 @@
     });
 }
 
+/// The first answer holds one engine that leaves of three.
+#[parameterized(
+    one_node = { 1 },
+    three = { 3 },
+    seven = { 7 },
+)]
+fn old_list_of_engines_is_not_believed_to_be_current_by_an_answer_that_lacks_changes(count: usize) {
+    run_paused(async move {
+        let followers = settled(count).await;
+        followers.source.limit_answers(1);
+        followers.source.silence(0..count);
+        sleep(CONTACT).await;
+        for entry in three_engines() {
+            followers.source.drain(entry);
+        }
+        let drained_at: Vec<_> = followers
+            .nodes
+            .iter()
+            .map(|node| node.clock().now())
+            .collect();
+        let is_misled = |node: &Gateway, at| {
+            let state = node.state();
+            let proven_at = state
+                .replicas
+                .of(ItemKind::Engines)
+                .freshness
+                .confirmed_at();
+            proven_at > Some(at) && !knows_leaving(node, "e3")
+        };
+        for _ in 0..3_000 {
+            sleep(Duration::from_millis(1)).await;
+            for (node, at) in followers.nodes.iter().zip(&drained_at) {
+                assert!(!is_misled(node, *at), "believes an old list to be current");
+            }
+        }
+    });
+}
+
 /// A watch that is known to be silent is asked again, so that the next change is there at once.
 #[test]
 fn watch_that_a_probe_of_the_configuration_has_overtaken_is_replaced() {
