Ask on after an answer to a reader that may not be whole

What callers would see: in a deployment of many nodes, where configurations follow each other, nodes' proofs grow older than what they rely on a reader for; each then asks the source for itself, and where the source is slow keys would be refused.

Cause: a reader's watch that brings a change confirmed its copy though what followed was unknown. Since such answers are no proofs any more, a reader whose watches all bring changes had no proof at all until the next one without.

The change: after an answer that may not be whole a reader asks at once for what follows, without waiting, sixteen times in a row at most; then its usual spacing holds. The rest is mostly nothing, and proves the copy.

Evidence (tests/proving.rs, four cases, virtual clock, 60 configurations): with the follower as it was the oldest proof of any node was 1.627 and 1.626 s (12 and 30 nodes, one each 330 ms) and 1.942 and 1.918 s (one each 100 ms) where 1.4 s is the limit; 4 of 4 failed, and all pass now. Without changes nothing more is asked.

--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -54,6 +54,9 @@
 /// Named weights may be used much later than that, so they are proven this much less often.
 const WEIGHTS_LENIENCE: f64 = 2.0;
 
+/// Most questions in a row of a reader for what the answer before may have left out; after that its usual spacing holds.
+const MAX_PARTIAL_ANSWERS: u32 = 16;
+
 /// The share of the time within which changes must be in force that a node waits for others to hand on what it lacks:
 /// what is left suffices for a question to the source.
 const HANDOVER_SHARE: f64 = 0.4;
@@ -110,6 +113,7 @@
         failures: 0,
         asked_at: None,
         listed_at: None,
+        partial_answers: 0,
     };
     loop {
         follower.list_until_done().await;
@@ -127,6 +131,8 @@
     asked_at: Option<Timestamp>,
     /// When the last list was asked for.
     listed_at: Option<Timestamp>,
+    /// Answers to watches in a row that may have left out later changes.
+    partial_answers: u32,
 }
 
 impl Follower {
@@ -224,6 +230,7 @@
             match answer {
                 Ok(batch) if batch.revision >= revision => {
                     self.note_answer();
+                    self.note_wholeness(batch.is_whole);
                     self.gateway.note_response_time(asked_at, wait);
                     self.gateway
                         .log_source_changes(self.kind, Query::Watch, &batch, asked_at);
@@ -307,6 +314,8 @@
                     self.gateway.clock().look(LOOK_INTERVAL).await;
                 }
                 Role::Watcher => return self.settings.watch,
+                // Others rely on its proof, and an answer that may not be whole proves nothing.
+                Role::Reader if self.must_ask_on() => return Duration::ZERO,
                 Role::Reader if self.asked_within(LEAST_SPACING) => {
                     self.gateway.clock().look(LOOK_INTERVAL).await
                 }
@@ -404,6 +413,18 @@
         self.gateway.state().replicas.of(self.kind).revision
     }
 
+    fn note_wholeness(&mut self, is_whole: bool) {
+        self.partial_answers = match is_whole {
+            true => 0,
+            false => self.partial_answers + 1,
+        };
+    }
+
+    /// Whether the rest of the last answer is asked for at once.
+    fn must_ask_on(&self) -> bool {
+        (1..=MAX_PARTIAL_ANSWERS).contains(&self.partial_answers)
+    }
+
     fn note_answer(&mut self) {
         if self.failures > 0 {
             info!(self.gateway.log(), "source_regained"; "kind" => %self.kind,
--- a/crates/gateway/tests/proving.rs
+++ b/crates/gateway/tests/proving.rs
@@ -7,11 +7,14 @@
 
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::source::{CatalogueSource, ItemKind, keep_fresh};
+use support::followers::{Followers, three_engines};
 use support::gateway_bench::{configure, gateway, run_paused};
 use support::records::table;
 use support::scripted_source::{Answer, ScriptedSource, unavailable, version};
+use support::virtual_source::VirtualSource;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
+use yare::parameterized;
 
 /// Allowed age of a proof.
 const ALLOWED: Duration = Duration::from_secs(5);
@@ -99,3 +102,46 @@
         assert_eq!(version(&first), Some(2));
     });
 }
+
+/// Nodes of a large deployment rely on the proofs of a reader; with older ones than this they ask the source themselves.
+const OLDEST_PROOF: Duration = Duration::from_millis(1_400);
+/// How long a watch lasts in a small deployment.
+const LONG_WATCH: Duration = Duration::from_secs(15);
+/// A deployment has settled after this time.
+const SETTLED: Duration = Duration::from_secs(8);
+/// Time between two looks at the proofs.
+const LOOK: Duration = Duration::from_millis(10);
+/// Number of configurations that follow each other.
+const CONFIGURATIONS: u64 = 60;
+
+/// Each answer to the reader's watch holds a change, and so proves nothing by itself.
+#[parameterized(
+    twelve_nodes_slowly = { 12, 330 },
+    twelve_nodes_fast = { 12, 100 },
+    thirty_nodes_slowly = { 30, 330 },
+    thirty_nodes_fast = { 30, 100 },
+)]
+fn proofs_of_a_large_deployment_do_not_age_while_the_configuration_keeps_changing(
+    count: usize,
+    every_ms: u64,
+) {
+    run_paused(async move {
+        let source = VirtualSource::new(three_engines());
+        let followers = Followers::start(count, source, LONG_WATCH);
+        sleep(SETTLED).await;
+        let mut oldest = Duration::ZERO;
+        for version in 2..2 + CONFIGURATIONS {
+            followers.source.configure(version);
+            for _ in 0..every_ms / LOOK.as_millis() as u64 {
+                sleep(LOOK).await;
+                let age = |node: &Rc<Gateway>| node.state().freshness().age(node.clock().now());
+                let ages = followers
+                    .nodes
+                    .iter()
+                    .map(|node| age(node).expect("proven"));
+                oldest = ages.fold(oldest, Duration::max);
+            }
+        }
+        assert!(oldest < OLDEST_PROOF, "{oldest:?}");
+    });
+}
