A planned stop waits until answers are written, not only built

Cause: a request counted as active until `respond` returned the answer. From then on its bytes lie in the HTTP library's write buffer, up to 8 MiB of a plain answer and the last part of a stream, and nothing counted them: the node left 2.5 s after SIGTERM with `active_requests=0`, and the connections ended with the process.

A connection now holds a counted `UnwrittenAnswer` from the head of a request until the library flushes with no request in progress. The library flushes the stream below it only once all that it has buffered is written, and does so after every write, so this is when the system has taken the last byte; from then on the system delivers it also after the end of the process. The planned stop goes on while one is counted, within the grace period as before. Connections without a request hold none, so a kept connection does not delay the stop, and a caller that reads nothing holds it no longer than the grace. The last log line (`stop`) now counts unwritten answers and tunnels too.

--- a/crates/gateway/src/connections/open_connection.rs
+++ b/crates/gateway/src/connections/open_connection.rs
@@ -31,6 +31,11 @@
         RequestInProgress::begin(&self.connections, &self.usage)
     }
 
+    /// The system has taken all bytes that were written.
+    pub(super) fn note_written(&self) {
+        self.usage.note_written();
+    }
+
     /// A request came before the connection was closed: another makes room.
     pub(super) fn stay_open(&self) {
         self.usage.stay_open(self.connections.now());
--- a/crates/gateway/src/connections/open_connections.rs
+++ b/crates/gateway/src/connections/open_connections.rs
@@ -41,7 +41,7 @@
         })
     }
 
-    pub(super) fn gateway(&self) -> &Gateway {
+    pub(super) fn gateway(&self) -> &Rc<Gateway> {
         &self.gateway
     }
 
--- a/crates/gateway/src/connections/request_in_progress.rs
+++ b/crates/gateway/src/connections/request_in_progress.rs
@@ -13,7 +13,7 @@
 
 impl RequestInProgress {
     pub(super) fn begin(connections: &Rc<OpenConnections>, usage: &Rc<Usage>) -> Self {
-        usage.begin_request();
+        usage.begin_request(|| connections.gateway().count_unwritten_answer());
         Self {
             connections: Rc::clone(connections),
             usage: Rc::clone(usage),
--- a/crates/gateway/src/connections/serving.rs
+++ b/crates/gateway/src/connections/serving.rs
@@ -4,6 +4,7 @@
 use std::error::Error;
 use std::future::pending;
 use std::pin::pin;
+use std::rc::Rc;
 
 use futures_util::TryFutureExt;
 use hyper::body::{Body, Incoming};
@@ -31,7 +32,8 @@
     B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let (stream, view) = SharedStream::new(stream);
+    let connection = Rc::new(connection);
+    let (stream, view) = SharedStream::new(stream, Rc::clone(&connection));
     let service = service_fn(|request| {
         let progress = connection.begin_request();
         // Not an async block: that would hold the answer's state twice, for each connection.
--- a/crates/gateway/src/connections/shared_stream.rs
+++ b/crates/gateway/src/connections/shared_stream.rs
@@ -11,10 +11,13 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
+use super::OpenConnection;
+
 /// A stream that the library serves while its owner looks at the socket beside it.
 pub(super) struct SharedStream {
     read: OwnedReadHalf,
     write: Rc<OwnedWriteHalf>,
+    connection: Rc<OpenConnection>,
 }
 
 /// The look from beside.
@@ -23,13 +26,18 @@
 }
 
 impl SharedStream {
-    pub(super) fn new(stream: TcpStream) -> (Self, StreamView) {
+    pub(super) fn new(stream: TcpStream, connection: Rc<OpenConnection>) -> (Self, StreamView) {
         let (read, write) = stream.into_split();
         let write = Rc::new(write);
         let view = StreamView {
             stream: Rc::clone(&write),
         };
-        (Self { read, write }, view)
+        let shared = Self {
+            read,
+            write,
+            connection,
+        };
+        (shared, view)
     }
 
     fn stream(&self) -> &TcpStream {
@@ -107,7 +115,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // Nothing is kept here.
+        // Nothing is kept here, and the library flushes once it has written all that it kept.
+        self.connection.note_written();
         Poll::Ready(Ok(()))
     }
 
--- a/crates/gateway/src/connections/usage.rs
+++ b/crates/gateway/src/connections/usage.rs
@@ -1,14 +1,16 @@
 //! What one connection is used for now.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
 use ryerouter_core::Timestamp;
 use tokio::sync::Notify;
 
+use crate::gateway::UnwrittenAnswer;
+
 /// What one connection is used for now.
-#[derive(Debug)]
 pub(super) struct Usage {
     in_progress: Cell<u32>,
+    unwritten: RefCell<Option<UnwrittenAnswer>>,
     begun: Cell<u64>,
     idle_since: Cell<Timestamp>,
     is_asked_to_close: Cell<bool>,
@@ -20,6 +22,7 @@
     pub(super) fn new(now: Timestamp) -> Self {
         Self {
             in_progress: Cell::new(0),
+            unwritten: RefCell::default(),
             begun: Cell::new(0),
             idle_since: Cell::new(now),
             is_asked_to_close: Cell::new(false),
@@ -27,7 +30,9 @@
         }
     }
 
-    pub(super) fn begin_request(&self) {
+    /// A request begins; `count` counts its answer as unwritten.
+    pub(super) fn begin_request(&self, count: impl FnOnce() -> UnwrittenAnswer) {
+        self.unwritten.borrow_mut().get_or_insert_with(count);
         self.in_progress.set(self.in_progress.get() + 1);
         self.begun.set(self.begun.get() + 1);
     }
@@ -37,6 +42,13 @@
         self.idle_since.set(now);
     }
 
+    /// The system has taken all bytes of the answers so far.
+    pub(super) fn note_written(&self) {
+        if !self.has_request() {
+            self.unwritten.take();
+        }
+    }
+
     /// Since when no request is in progress; `None` while one is, or once it was asked to close.
     pub(super) fn idle_since(&self) -> Option<Timestamp> {
         let may_close = !self.has_request() && !self.is_asked_to_close.get();
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -207,6 +207,8 @@
     pub continuations: Continuations,
     /// Number of requests in progress.
     pub active_requests: usize,
+    /// Number of connections whose answers the system has not taken entirely.
+    pub unwritten_answers: usize,
     /// Number of tunnels of other nodes.
     pub open_tunnels: usize,
     /// Whether this node has lost its links to most engines, as last told.
@@ -334,6 +336,7 @@
             requests: Meter::new(REQUEST_RATE_WINDOW, now),
             continuations: Continuations::default(),
             active_requests: 0,
+            unwritten_answers: 0,
             open_tunnels: 0,
             is_cut_off: false,
             logged_suspension: Duration::ZERO,
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -62,6 +62,7 @@
 mod tenant_limits;
 mod tunnels;
 mod unmet_need;
+mod unwritten_answers;
 mod update_queue;
 mod zone_relay;
 
@@ -79,4 +80,5 @@
 pub(crate) use source_log::Query;
 pub use source_sync::Role;
 pub use unmet_need::UnmetNeed;
+pub(crate) use unwritten_answers::UnwrittenAnswer;
 pub use zone_relay::Envelope;
--- a/crates/gateway/src/gateway/tunnels.rs
+++ b/crates/gateway/src/gateway/tunnels.rs
@@ -27,10 +27,10 @@
         OpenTunnel(Rc::clone(self))
     }
 
-    /// Whether requests are in progress, or tunnels of other nodes are open.
+    /// Whether requests are in progress, answers are not written entirely, or tunnels of other nodes are open.
     pub(crate) fn has_active_work(&self) -> bool {
         let state = self.state();
-        state.active_requests > 0 || state.open_tunnels > 0
+        state.active_requests > 0 || state.unwritten_answers > 0 || state.open_tunnels > 0
     }
 
     /// What this node tells others about tunnels.
--- a/crates/gateway/src/serve/graceful_shutdown.rs
+++ b/crates/gateway/src/serve/graceful_shutdown.rs
@@ -15,11 +15,12 @@
 pub struct ShutdownSettings {
     /// Callers that still know this node as available are accepted for this time; then the listener is closed.
     pub accept_grace: Duration,
-    /// The shutdown ends after this time, even if requests are still active.
+    /// The shutdown ends after this time, even if requests are still active or answers are still being written.
     pub grace: Duration,
 }
 
-/// Stops serving: tells callers at once to use other nodes, and waits until active requests have been answered.
+/// Stops serving: tells callers at once to use other nodes, and waits until active requests have been answered
+/// and their answers written.
 ///
 /// `accepting` is the task that accepts callers' connections. It is aborted, which closes its listener, even while
 /// requests are active, because requests accepted later might be cut off at the end of the grace period.
@@ -41,6 +42,8 @@
         sleep(POLL_INTERVAL).await;
     }
     accepting.abort();
-    info!(gateway.log(), "stop"; "active_requests" => gateway.state().active_requests,
+    let state = gateway.state();
+    info!(gateway.log(), "stop"; "active_requests" => state.active_requests,
+        "unwritten_answers" => state.unwritten_answers, "open_tunnels" => state.open_tunnels,
         "after_ms" => began.elapsed().as_millis() as u64);
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -31,6 +31,7 @@
 pub mod signalling;
 pub mod silencing_server;
 pub mod starting_fleet;
+pub mod stopping_node;
 pub mod test_dialect;
 pub mod unanswered_address;
 pub mod versioned_engines;
