A connection whose answer is still being written does not count as idle

Callers that came while as many connections were open as may be were kept waiting although idle connections could have made room.

A connection became idle once the library had the whole answer, so one whose caller reads slowly could be the "longest idle" one. It was asked to close, went on writing, and counted as closing meanwhile, so no other was asked and nobody was accepted until that caller had read its answer or left.

A connection is now idle from when its last answer was written, and is chosen, and counted as idle since then, only after that.

Test: connection_that_still_takes_its_answer_does_not_keep_idle_ones_from_making_room.

--- a/crates/gateway/src/connections/open_connection.rs
+++ b/crates/gateway/src/connections/open_connection.rs
@@ -33,7 +33,9 @@
 
     /// The system has taken all bytes that were written.
     pub(super) fn note_written(&self) {
-        self.usage.note_written();
+        if self.usage.note_written(self.connections.now()) {
+            self.connections.note_change();
+        }
     }
 
     /// A request came before the connection was closed: another makes room.
--- a/crates/gateway/src/connections/request_in_progress.rs
+++ b/crates/gateway/src/connections/request_in_progress.rs
@@ -7,7 +7,6 @@
 
 /// A request in progress on a connection, until dropped.
 pub(super) struct RequestInProgress {
-    connections: Rc<OpenConnections>,
     usage: Rc<Usage>,
 }
 
@@ -15,7 +14,6 @@
     pub(super) fn begin(connections: &Rc<OpenConnections>, usage: &Rc<Usage>) -> Self {
         usage.begin_request(|| connections.gateway().count_unwritten_answer());
         Self {
-            connections: Rc::clone(connections),
             usage: Rc::clone(usage),
         }
     }
@@ -23,7 +21,6 @@
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        self.usage.end_request(self.connections.now());
-        self.connections.note_change();
+        self.usage.end_request();
     }
 }
--- a/crates/gateway/src/connections/serving.rs
+++ b/crates/gateway/src/connections/serving.rs
@@ -78,7 +78,7 @@
 async fn until_closed(connection: &OpenConnection, view: &StreamView) {
     loop {
         connection.usage().asked_to_close().await;
-        if !connection.usage().has_request() && !view.has_unread() {
+        if connection.usage().is_idle() && !view.has_unread() {
             return;
         }
         connection.stay_open();
--- a/crates/gateway/src/connections/usage.rs
+++ b/crates/gateway/src/connections/usage.rs
@@ -37,24 +37,30 @@
         self.begun.set(self.begun.get() + 1);
     }
 
-    pub(super) fn end_request(&self, now: Timestamp) {
+    pub(super) fn end_request(&self) {
         self.in_progress.set(self.in_progress.get() - 1);
-        self.idle_since.set(now);
     }
 
-    /// The system has taken all bytes of the answers so far.
-    pub(super) fn note_written(&self) {
-        if !self.has_request() {
-            self.unwritten.take();
+    /// The system has taken all bytes of the answers so far; `true` if the connection becomes idle.
+    pub(super) fn note_written(&self, now: Timestamp) -> bool {
+        let becomes_idle = !self.has_request() && self.unwritten.take().is_some();
+        if becomes_idle {
+            self.idle_since.set(now);
         }
+        becomes_idle
     }
 
-    /// Since when no request is in progress; `None` while one is, or once it was asked to close.
+    /// Since when it is idle; `None` while it is not, or once it was asked to close.
     pub(super) fn idle_since(&self) -> Option<Timestamp> {
-        let may_close = !self.has_request() && !self.is_asked_to_close.get();
+        let may_close = self.is_idle() && !self.is_asked_to_close.get();
         may_close.then(|| self.idle_since.get())
     }
 
+    /// Whether no request is in progress and no part of an answer is still to be written.
+    pub(super) fn is_idle(&self) -> bool {
+        self.unwritten.borrow().is_none()
+    }
+
     /// Whether a request is in progress: its head was read, its answer is not complete.
     pub(super) fn has_request(&self) -> bool {
         self.in_progress.get() > 0
--- a/crates/gateway/tests/room_for_callers.rs
+++ b/crates/gateway/tests/room_for_callers.rs
@@ -23,6 +23,9 @@
 /// Long beside what the gateway would need to close a connection.
 const A_WHILE: Duration = Duration::from_millis(100);
 
+/// More than the system takes of one connection for a caller that reads nothing.
+const LONG_ANSWER_BYTES: usize = 7 * 1_024 * 1_024;
+
 const REQUEST: &str = "POST /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\
      content-length: 2\r\n\r\nab";
 const SILENCE: Act = ("", After::Silence);
@@ -136,6 +139,31 @@
     });
 }
 
+/// The caller that takes its answer slowly is the one whose request came first.
+#[test]
+fn connection_that_still_takes_its_answer_does_not_keep_idle_ones_from_making_room() {
+    run(async {
+        let body = "x".repeat(LONG_ANSWER_BYTES);
+        let head = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length:";
+        let answer = format!("{head} {LONG_ANSWER_BYTES}\r\n\r\n{body}").leak();
+        let (engines, bench) = bench(&[(answer, After::Next)]).await;
+        let mut slow = connect(&bench).await;
+        send(&mut slow).await;
+        engines.until_arrived(1).await;
+        while bench.gateway.state().active_requests > 0 {
+            tokio::task::yield_now().await;
+        }
+        let _idle = idle_callers(&bench, MOST - 1).await;
+        let mut newcomers = Vec::new();
+        for _ in 0..MOST - 1 {
+            let mut newcomer = connect(&bench).await;
+            send(&mut newcomer).await;
+            assert!(is_answered(&mut newcomer).await);
+            newcomers.push(newcomer);
+        }
+    });
+}
+
 /// The request is on its way when the node chooses the connection to close.
 #[test]
 fn request_that_crosses_the_close_is_answered() {
