A stopping node waits for the first request of a connection it accepted

For 2.5 s after SIGTERM a node still accepts callers that were sent to it before. One whose request was not there when the node first looked at its connection found that closed without an answer.

Cause: each connection is told to close as soon as the node leaves, and the library closes one on which nothing has been read at once.

A connection without a request now waits for the first one until the listener is closed, answers it with `connection: close`, and is closed with the listener otherwise, so that no request comes late in the grace period. It does not count as work, so it does not delay the stop. The end of accepting is logged (`accepting_stopped`).

--- a/crates/gateway/src/connections/serving.rs
+++ b/crates/gateway/src/connections/serving.rs
@@ -19,12 +19,14 @@
 use super::shared_stream::{SharedStream, StreamView};
 
 /// Answers the requests of one connection until it ends, is closed to make room for another, or the
-/// node leaves, which `left` tells.
+/// node leaves, which `left` tells. Then a connection without a request yet waits for the first one
+/// until `accepts_no_more` resolves.
 pub async fn serve_connection<A, R, B>(
     connection: OpenConnection,
     stream: TcpStream,
     server: http1::Builder,
     left: impl Future<Output = ()>,
+    accepts_no_more: impl Future<Output = ()>,
     answer: A,
 ) where
     A: Fn(Request<Incoming>) -> R,
@@ -46,7 +48,7 @@
         biased;
         // A caller that breaks off has ended its requests itself.
         _ = served.as_mut() => return,
-        () = left => {}
+        () = until_to_end(&connection, left, accepts_no_more) => {}
         () = until_closed(&connection, &view) => if !connection.usage().has_served() {
             return;
         },
@@ -62,6 +64,20 @@
     }
 }
 
+/// Resolves once the node has left and no first request is awaited.
+async fn until_to_end(
+    connection: &OpenConnection,
+    left: impl Future<Output = ()>,
+    accepts_no_more: impl Future<Output = ()>,
+) {
+    left.await;
+    // The caller chose this node before it left, and its request may be on its way.
+    tokio::select! {
+        () = connection.usage().until_served() => {}
+        () = accepts_no_more => {}
+    }
+}
+
 /// Resolves once the peer has left while a request is in progress.
 ///
 /// The library looks for the end of a connection itself, but not while bytes wait behind the
--- a/crates/gateway/src/connections/usage.rs
+++ b/crates/gateway/src/connections/usage.rs
@@ -15,6 +15,7 @@
     idle_since: Cell<Timestamp>,
     is_asked_to_close: Cell<bool>,
     asked: Notify,
+    first_begun: Notify,
 }
 
 impl Usage {
@@ -27,6 +28,7 @@
             idle_since: Cell::new(now),
             is_asked_to_close: Cell::new(false),
             asked: Notify::new(),
+            first_begun: Notify::new(),
         }
     }
 
@@ -35,6 +37,7 @@
         self.unwritten.borrow_mut().get_or_insert_with(count);
         self.in_progress.set(self.in_progress.get() + 1);
         self.begun.set(self.begun.get() + 1);
+        self.first_begun.notify_waiters();
     }
 
     pub(super) fn end_request(&self) {
@@ -71,6 +74,15 @@
         self.begun.get() > 0
     }
 
+    /// Resolves once any request was read on it.
+    pub(super) async fn until_served(&self) {
+        let first_begun = self.first_begun.notified();
+        if self.has_served() {
+            return;
+        }
+        first_begun.await;
+    }
+
     pub(super) fn is_asked_to_close(&self) -> bool {
         self.is_asked_to_close.get()
     }
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -209,6 +209,8 @@
     pub active_requests: usize,
     /// Number of connections whose answers the system has not taken entirely.
     pub unwritten_answers: usize,
+    /// Whether callers' connections are no longer accepted.
+    pub has_stopped_accepting: bool,
     /// Number of tunnels of other nodes.
     pub open_tunnels: usize,
     /// Whether this node has lost its links to most engines, as last told.
@@ -337,6 +339,7 @@
             continuations: Continuations::default(),
             active_requests: 0,
             unwritten_answers: 0,
+            has_stopped_accepting: false,
             open_tunnels: 0,
             is_cut_off: false,
             logged_suspension: Duration::ZERO,
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -90,6 +90,7 @@
     /// Notified when an engine is doubted.
     pub(super) engine_doubted: Notify,
     leaving: Notify,
+    accepting_stopped: Notify,
 }
 
 impl Gateway {
@@ -133,6 +134,7 @@
             poison_records_changed: Notify::new(),
             engine_doubted: Notify::new(),
             leaving: Notify::new(),
+            accepting_stopped: Notify::new(),
         })
     }
 
@@ -381,6 +383,25 @@
         self.leaving.notify_waiters();
     }
 
+    /// Records that callers' connections are no longer accepted.
+    pub(crate) fn note_stopped_accepting(&self) {
+        let had_stopped = std::mem::replace(&mut self.state_mut().has_stopped_accepting, true);
+        if had_stopped {
+            return;
+        }
+        info!(self.log, "accepting_stopped"; "active_requests" => self.state().active_requests);
+        self.accepting_stopped.notify_waiters();
+    }
+
+    /// Resolves once callers' connections are no longer accepted.
+    pub(crate) async fn until_stopped_accepting(&self) {
+        let notified = self.accepting_stopped.notified();
+        if self.state().has_stopped_accepting {
+            return;
+        }
+        notified.await;
+    }
+
     /// Whether the gateway is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.state().node_state == NodeState::Leaving
--- a/crates/gateway/src/serve/connection_server.rs
+++ b/crates/gateway/src/serve/connection_server.rs
@@ -46,7 +46,9 @@
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let answer = |request| respond(Rc::clone(&gateway), request);
-    serve_connection(connection, stream, server, gateway.until_leaving(), answer).await;
+    let left = gateway.until_leaving();
+    let accepts_no_more = gateway.until_stopped_accepting();
+    serve_connection(connection, stream, server, left, accepts_no_more, answer).await;
 }
 
 fn caller_limits(gateway: &Gateway) -> CallerLimits {
--- a/crates/gateway/src/serve/graceful_shutdown.rs
+++ b/crates/gateway/src/serve/graceful_shutdown.rs
@@ -34,16 +34,21 @@
     let end = began + settings.grace;
     while Instant::now() < end {
         if began.elapsed() >= settings.accept_grace {
-            accepting.abort();
+            stop_accepting(gateway, &accepting);
             if !gateway.has_active_work() {
                 break;
             }
         }
         sleep(POLL_INTERVAL).await;
     }
-    accepting.abort();
+    stop_accepting(gateway, &accepting);
     let state = gateway.state();
     info!(gateway.log(), "stop"; "active_requests" => state.active_requests,
         "unwritten_answers" => state.unwritten_answers, "open_tunnels" => state.open_tunnels,
         "after_ms" => began.elapsed().as_millis() as u64);
 }
+
+fn stop_accepting(gateway: &Gateway, accepting: &JoinHandle<()>) {
+    accepting.abort();
+    gateway.note_stopped_accepting();
+}
--- a/crates/gateway/src/telemetry/metrics_server.rs
+++ b/crates/gateway/src/telemetry/metrics_server.rs
@@ -24,7 +24,7 @@
             let answer = |request| ready(Ok(answer(&request, &path, gateway.metrics())));
             let mut server = http1::Builder::new();
             server.keep_alive(false);
-            serve_connection(connection, stream, server, pending(), answer).await;
+            serve_connection(connection, stream, server, pending(), pending(), answer).await;
         });
     };
     accept_connections(connections, listener, serve).await;
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -12,11 +12,17 @@
 use support::records::{KEY_OF_TENANT, engine, route, table};
 use support::scripted_engine::{Arrival, ScriptedEngine, Step};
 use support::test_dialect::{AFTER, ENGINE, ID, KEY, TENANT};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 use yare::parameterized;
 
 type Headers = &'static [(&'static str, &'static str)];
 
 const ONE: Headers = &[(ID, "r1")];
+const PLAIN_REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\r\n";
+/// Long beside what the gateway needs to accept a connection and look at it.
+const A_WHILE: Duration = Duration::from_millis(50);
 
 async fn bench(kind: RequestKind, first: &[Step], second: &[Step]) -> (GatewayBench, Engines) {
     bench_with_timeout(kind, first, second, Duration::from_secs(5)).await
@@ -354,3 +360,49 @@
         stop.await.unwrap();
     });
 }
+
+/// A caller that was sent here before the stop may need a while for its request.
+#[test]
+fn request_that_follows_its_connection_later_is_answered_while_a_stopping_node_accepts() {
+    run(async {
+        let (_engine, address) = ScriptedEngine::start([]).await;
+        let entries = vec![engine("e1", address, 1)];
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let bench = GatewayBench::start(Some(table), entries).await;
+        let _stop = bench.stop(ShutdownSettings {
+            accept_grace: Duration::from_secs(60),
+            grace: Duration::from_secs(60),
+        });
+        let mut caller = TcpStream::connect(bench.address).await.unwrap();
+        // The node has looked at the connection meanwhile.
+        sleep(A_WHILE).await;
+        caller.write_all(PLAIN_REQUEST).await.expect("write");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.expect("answer");
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+        assert!(answer.contains("connection: close"), "{answer:?}");
+    });
+}
+
+/// A request that comes later could be cut at the end of the grace period.
+#[test]
+fn connection_without_a_request_is_closed_once_a_stopping_node_accepts_no_more() {
+    run(async {
+        let (first, address) = ScriptedEngine::start([Step::Silence]).await;
+        let entries = vec![engine("e1", address, 1)];
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let bench = GatewayBench::start(Some(table), entries).await;
+        let mut running = TcpStream::connect(bench.address).await.unwrap();
+        running.write_all(PLAIN_REQUEST).await.expect("write");
+        first.until_arrived(1).await;
+        let mut unused = TcpStream::connect(bench.address).await.unwrap();
+        let stop = bench.stop(ShutdownSettings {
+            accept_grace: A_WHILE,
+            grace: Duration::from_secs(60),
+        });
+        assert_eq!(unused.read(&mut [0; 1]).await.expect("end"), 0);
+        assert!(!stop.is_finished());
+        drop(running);
+        stop.await.unwrap();
+    });
+}
