A connection takes its limits from a configuration, not from the built-in ones

After a restart callers with heads longer than 16 KiB, allowed by `maxHeaderBytes`, got 431 on connections that they had opened before the node had its configuration, as long as they kept them.

Cause: the greatest head and the idle time are given to the library when a connection is accepted, and are the built-in ones until the first configuration.

The limits are now given when the first bytes come or the configuration is there, whichever is first, and a connection that was used before the configuration is closed with its answer (`connection: close`). Until then it can be closed to make room, and goes on to the usual end when the node stops.

Open: a kept connection keeps its limits when a later configuration raises them, and more than 100 header fields still get 431.

--- a/crates/gateway/src/connections/mod.rs
+++ b/crates/gateway/src/connections/mod.rs
@@ -3,6 +3,7 @@
 
 mod accept_failures;
 mod accept_loop;
+mod awaited_bytes;
 mod counted_body;
 mod descriptor_share;
 mod open_connection;
@@ -13,6 +14,7 @@
 mod usage;
 
 pub use accept_loop::accept_connections;
+pub use awaited_bytes::await_bytes;
 pub use descriptor_share::DescriptorShare;
 pub use open_connection::OpenConnection;
 pub use open_connections::OpenConnections;
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -89,6 +89,8 @@
     pub(super) poison_records_changed: Notify,
     /// Notified when an engine is doubted.
     pub(super) engine_doubted: Notify,
+    /// Notified of each configuration.
+    pub(super) configured: Notify,
     leaving: Notify,
     accepting_stopped: Notify,
 }
@@ -133,6 +135,7 @@
             poison_records_due: Notify::new(),
             poison_records_changed: Notify::new(),
             engine_doubted: Notify::new(),
+            configured: Notify::new(),
             leaving: Notify::new(),
             accepting_stopped: Notify::new(),
         })
@@ -383,6 +386,20 @@
         self.leaving.notify_waiters();
     }
 
+    /// Whether a configuration has been received.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.state().table.is_some()
+    }
+
+    /// Resolves once a configuration has been received.
+    pub(crate) async fn until_configured(&self) {
+        let notified = self.configured.notified();
+        if self.is_configured() {
+            return;
+        }
+        notified.await;
+    }
+
     /// Records that callers' connections are no longer accepted.
     pub(crate) fn note_stopped_accepting(&self) {
         let had_stopped = std::mem::replace(&mut self.state_mut().has_stopped_accepting, true);
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -306,6 +306,7 @@
             .configuration_version
             .set(table.version() as i64);
         state.table = Some(table);
+        self.configured.notify_waiters();
         // If another node has a still newer configuration, it reports that again.
         let replica = state.replicas.of_mut(ItemKind::Configuration);
         replica.note_caught_up();
--- a/crates/gateway/src/serve/connection_server.rs
+++ b/crates/gateway/src/serve/connection_server.rs
@@ -10,7 +10,8 @@
 use super::respond::respond;
 use crate::catalogue::CallerLimits;
 use crate::connections::{
-    DescriptorShare, OpenConnection, OpenConnections, accept_connections, serve_connection,
+    DescriptorShare, OpenConnection, OpenConnections, accept_connections, await_bytes,
+    serve_connection,
 };
 use crate::gateway::Gateway;
 
@@ -39,10 +40,15 @@
 async fn serve_caller(gateway: Rc<Gateway>, stream: TcpStream, connection: OpenConnection) {
     // An error is ignored: without this option answers are delayed but correct.
     let _ = stream.set_nodelay(true);
+    if !await_bytes(&connection, &stream, until_limits_apply(&gateway)).await {
+        return;
+    }
     let limits = caller_limits(&gateway);
     let mut server = http1::Builder::new();
     server
         .timer(TokioTimer::new())
+        // A connection keeps the limits that it begins with, and these are only the built-in ones.
+        .keep_alive(gateway.is_configured())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES));
     let answer = |request| respond(Rc::clone(&gateway), request);
@@ -51,6 +57,14 @@
     serve_connection(connection, stream, server, left, accepts_no_more, answer).await;
 }
 
+/// Resolves once the limits for callers are known, or no others will come.
+async fn until_limits_apply(gateway: &Gateway) {
+    tokio::select! {
+        () = gateway.until_configured() => {}
+        () = gateway.until_leaving() => {}
+    }
+}
+
 fn caller_limits(gateway: &Gateway) -> CallerLimits {
     let state = gateway.state();
     let table = state.table.as_ref();
--- /dev/null
+++ b/crates/gateway/tests/long_heads.rs
@@ -0,0 +1,89 @@
+//! Heads of requests that are longer than the built-in limit, but within the configured one.
+
+mod support;
+
+use std::time::Duration;
+
+use ryerouter_gateway::catalogue::{CallerLimits, RequestKind, RoutingTable};
+use support::gateway_bench::{GatewayBench, configure, run};
+use support::records::{engine, route, table_with_limits};
+use support::scripted_engine::ScriptedEngine;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const HEAD_BYTES: usize = 64 * 1_024;
+const LONG_VALUE_BYTES: usize = 32 * 1_024;
+/// Long beside what the gateway needs to accept a connection.
+const A_WHILE: Duration = Duration::from_millis(50);
+/// Longest wait for an answer.
+const LONG: Duration = Duration::from_secs(10);
+
+fn configuration() -> RoutingTable {
+    let limits = CallerLimits {
+        head_bytes: HEAD_BYTES,
+        ..CallerLimits::default()
+    };
+    table_with_limits(1, vec![route(RequestKind::Safe)], limits)
+}
+
+async fn unconfigured() -> GatewayBench {
+    let (_engine, address) = ScriptedEngine::start([]).await;
+    GatewayBench::start(None, vec![engine("e1", address, 1)]).await
+}
+
+/// Sends a request with this value of a header, and reads what comes until the end.
+async fn ask(caller: &mut TcpStream, value: &str) -> String {
+    let request = format!(
+        "GET /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\nconnection: close\r\nx-more: {value}\r\n\r\n"
+    );
+    caller.write_all(request.as_bytes()).await.expect("write");
+    let mut answer = String::new();
+    let read = timeout(LONG, caller.read_to_string(&mut answer)).await;
+    read.expect("in time").expect("answer");
+    answer
+}
+
+#[test]
+fn long_head_is_read_on_a_connection_that_is_older_than_the_configuration() {
+    run(async {
+        let bench = unconfigured().await;
+        let mut caller = TcpStream::connect(bench.address).await.expect("connect");
+        sleep(A_WHILE).await;
+        configure(&bench.gateway, configuration());
+        let answer = ask(&mut caller, &"x".repeat(LONG_VALUE_BYTES)).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    });
+}
+
+/// It would keep the built-in limits.
+#[test]
+fn connection_that_was_used_before_the_configuration_came_is_not_kept() {
+    run(async {
+        let bench = unconfigured().await;
+        let mut caller = TcpStream::connect(bench.address).await.expect("connect");
+        let request = b"GET /x HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\n\r\n";
+        caller.write_all(request).await.expect("write");
+        let mut answer = String::new();
+        let read = timeout(LONG, caller.read_to_string(&mut answer)).await;
+        read.expect("closed in time").expect("answer");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("connection: close"), "{answer}");
+    });
+}
+
+#[test]
+fn connection_without_a_request_is_closed_when_a_node_without_configuration_stops() {
+    run(async {
+        let bench = unconfigured().await;
+        let mut caller = TcpStream::connect(bench.address).await.expect("connect");
+        sleep(A_WHILE).await;
+        let stop = bench.stop(ryerouter_gateway::serve::ShutdownSettings {
+            accept_grace: Duration::ZERO,
+            grace: LONG,
+        });
+        let end = timeout(LONG, caller.read(&mut [0; 1])).await;
+        assert_eq!(end.expect("in time").expect("clean end"), 0);
+        stop.await.expect("stop");
+    });
+}
