--- a/crates/gateway/src/connections/request_in_progress.rs
+++ b/crates/gateway/src/connections/request_in_progress.rs
@@ -7,15 +7,13 @@
 
 /// A request in progress on a connection, until dropped.
 pub(super) struct RequestInProgress {
-    connections: Rc<OpenConnections>,
     usage: Rc<Usage>,
 }
 
 impl RequestInProgress {
     pub(super) fn begin(connections: &Rc<OpenConnections>, usage: &Rc<Usage>) -> Self {
-        usage.begin_request();
+        usage.begin_request(|| connections.gateway().count_unwritten_answer());
         Self {
-            connections: Rc::clone(connections),
             usage: Rc::clone(usage),
         }
     }
@@ -23,7 +21,6 @@
 
 impl Drop for RequestInProgress {
     fn drop(&mut self) {
-        self.usage.end_request(self.connections.now());
-        self.connections.note_change();
+        self.usage.end_request();
     }
 }
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -95,7 +95,10 @@
     pub(super) shard_read: Notify,
     /// Notified when an engine is doubted.
     pub(super) engine_doubted: Notify,
+    /// Notified of each configuration.
+    pub(super) configured: Notify,
     leaving: Notify,
+    accepting_stopped: Notify,
 }
 
 impl Gateway {
@@ -141,7 +144,9 @@
             versions_read: Notify::new(),
             shard_read: Notify::new(),
             engine_doubted: Notify::new(),
+            configured: Notify::new(),
             leaving: Notify::new(),
+            accepting_stopped: Notify::new(),
         })
     }
 
@@ -390,6 +395,39 @@
         self.leaving.notify_waiters();
     }
 
+    /// Whether a configuration has been received.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.state().table.is_some()
+    }
+
+    /// Resolves once a configuration has been received.
+    pub(crate) async fn until_configured(&self) {
+        let notified = self.configured.notified();
+        if self.is_configured() {
+            return;
+        }
+        notified.await;
+    }
+
+    /// Records that callers' connections are no longer accepted.
+    pub(crate) fn note_stopped_accepting(&self) {
+        let had_stopped = std::mem::replace(&mut self.state_mut().has_stopped_accepting, true);
+        if had_stopped {
+            return;
+        }
+        info!(self.log, "accepting_stopped"; "active_requests" => self.state().active_requests);
+        self.accepting_stopped.notify_waiters();
+    }
+
+    /// Resolves once callers' connections are no longer accepted.
+    pub(crate) async fn until_stopped_accepting(&self) {
+        let notified = self.accepting_stopped.notified();
+        if self.state().has_stopped_accepting {
+            return;
+        }
+        notified.await;
+    }
+
     /// Whether the gateway is shutting down.
     pub fn is_leaving(&self) -> bool {
         self.state().node_state == NodeState::Leaving
