Bound the bytes held for callers by the machine's memory

What callers saw: bursts of bodies within maxBodyBytes, read slowly by engines, ended nodes by their memory. Callers in progress there got no answer, and requests that must not run twice may have run.

Cause: each body was read whole before route, key or load were looked at, and held until the last attempt had ended; each answer that is not a stream was held until its caller had taken it. Nothing counted these bytes. The only bound was that of connections, and a node may have some 1,500 of them, with up to 4 MiB in and 8 MiB out each.

Change: one budget for bodies being read, held bodies, whole answers and events of streams (gateway::memory), derived from limits.memoryMb less what the process needs (24 MiB, or a quarter of a larger machine) and one longest answer. - A body reserves its announced length before it is read; a chunked one reserves as it grows. While there is no room it is left unread for up to 1 s, long ones in their order; then the request is refused as no_memory (503 with Retry-After, not run), at once if it can never fit or as many wait as the kernel's buffers allow. The rest is discarded behind the answer, so that closing the connection does not lose it. - Bodies without a route or a known key are discarded and not kept; the answers and their order are as before. - Long bodies leave a part to short ones, all bodies a part to answers. Answers are never dropped: while there is no room the engine is not read. Bytes set aside for a single long answer let those that hold memory and wait for more end one after the other; short answers and streams use the same bytes and so do not wait behind long ones. - The reservation belongs to the bytes themselves (Bytes::from_owner), so it lasts until the last copy is gone, also in the write buffer of a slow reader's connection. Buffers grow to what is reserved, not to twice as much.

Why this works: what may be held at once is decided before a byte is read, and it is less than the machine has.

--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -6,6 +6,7 @@
 use ryerouter_core::quota::Tolerance;
 use ryerouter_core::release;
 
+use crate::memory::MemoryLimits;
 use crate::peers::NodeIdentity;
 use crate::placement::PlacementPrices;
 use crate::retry::RetrySettings;
@@ -49,6 +50,8 @@
     pub propagation_limit: Duration,
     /// How precisely limits of tenants are enforced.
     pub limit_tolerance: Tolerance,
+    /// How many bytes this node may hold for its callers.
+    pub memory: MemoryLimits,
     /// Whether requests that a pool can't begin in time are refused.
     pub sheds_load: bool,
     /// Settings of the retry budget.
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -3,6 +3,7 @@
 use std::cell::{Ref, RefCell, RefMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
@@ -13,6 +14,7 @@
 use super::{GatewaySettings, GatewayState};
 use crate::clock::Clock;
 use crate::continuation::SoftwareConstraint;
+use crate::memory::HeldMemory;
 use crate::peers::{Datagram, NodeState};
 use crate::permits::Returns;
 use crate::placement::{Chooser, Placement, PlacementRequest, UnhealthyEngines};
@@ -64,6 +66,7 @@
     clock: Clock,
     log: Logger,
     metrics: Rc<Metrics>,
+    memory: Arc<HeldMemory>,
     sampler: LogSampler,
     unserved_sampler: LogSampler,
     old_list_sampler: LogSampler,
@@ -74,6 +77,7 @@
     full_sampler: LogSampler,
     doubt_sampler: LogSampler,
     path_sampler: LogSampler,
+    memory_sampler: LogSampler,
     continuation_sampler: LogSampler,
     datagram_sender: RefCell<Option<DatagramSender>>,
     dialect: Rc<dyn Dialect>,
@@ -105,15 +109,17 @@
         log: Logger,
         clock: Clock,
     ) -> Rc<Self> {
+        let metrics = Rc::new(Metrics::new());
         Rc::new(Self {
             upstream: Upstream::new(settings.connect.clone(), clock)
                 .with_identity(&settings.identity),
             returns: Rc::default(),
             state: RefCell::new(GatewayState::new(&settings, clock.now())),
+            memory: HeldMemory::new(settings.memory, metrics.held_bytes.clone()),
             settings,
             clock,
             log,
-            metrics: Rc::new(Metrics::new()),
+            metrics,
             sampler: LogSampler::default(),
             unserved_sampler: LogSampler::new(UNSERVED_LINES_PER_SECOND),
             old_list_sampler: LogSampler::default(),
@@ -124,6 +130,7 @@
             full_sampler: LogSampler::new(FULL_LINES_PER_SECOND),
             doubt_sampler: LogSampler::new(DOUBT_LINES_PER_SECOND),
             path_sampler: LogSampler::new(PATH_LINES_PER_SECOND),
+            memory_sampler: LogSampler::default(),
             continuation_sampler: LogSampler::new(CONTINUATION_LINES_PER_SECOND),
             datagram_sender: RefCell::new(None),
             dialect,
@@ -201,6 +208,11 @@
         &self.path_sampler
     }
 
+    /// Limits log lines about bodies for which there is no memory.
+    pub fn memory_sampler(&self) -> &LogSampler {
+        &self.memory_sampler
+    }
+
     /// Limits log lines about streams that callers take up again.
     pub fn continuation_sampler(&self) -> &LogSampler {
         &self.continuation_sampler
@@ -223,6 +235,11 @@
         &self.metrics
     }
 
+    /// The memory that is held for callers.
+    pub fn memory(&self) -> &Arc<HeldMemory> {
+        &self.memory
+    }
+
     /// Translates request and response heads.
     pub fn dialect(&self) -> &dyn Dialect {
         self.dialect.as_ref()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod continuation;
 pub mod engines;
 pub mod gateway;
+pub mod memory;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -35,6 +35,9 @@
     /// The caller's body did not arrive in time.
     #[display("body_too_slow")]
     BodyTooSlow,
+    /// This node has no memory for the body.
+    #[display("no_memory")]
+    NoMemory,
     /// No engine accepts requests now.
     #[display("no_engine")]
     NoEngine,
@@ -111,6 +114,7 @@
             RefusalReason::DeadlineMayHaveRun => StatusCode::GATEWAY_TIMEOUT,
             RefusalReason::NoConfiguration
             | RefusalReason::ConfigurationUnproven
+            | RefusalReason::NoMemory
             | RefusalReason::NoEngine
             | RefusalReason::Overloaded
             | RefusalReason::CrashesEngines
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -1,4 +1,5 @@
-//! Accepts a request: reads its body, finds its route and checks the caller's key.
+//! Accepts a request: reads its body, finds its route and checks the caller's key. The body of a request without a route
+//! or a known key is not kept.
 
 use std::cell::OnceCell;
 use std::rc::Rc;
@@ -9,12 +10,16 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use ryerouter_core::Timestamp;
+use slog::warn;
+use tokio::task::spawn_local;
 
 use super::accepted_request::AcceptedRequest;
+use super::body_error::BodyError;
 use super::body_reader::BodyReader;
 use super::hop_by_hop_headers::remove_hop_by_hop;
 use crate::catalogue::{Route, RoutingTable, Tenant};
 use crate::gateway::Gateway;
+use crate::memory::{BodyShortage, Purpose};
 use crate::request::{CallerRequest, Refusal, RefusalReason};
 
 /// Retry-after time while this node has no configuration, an unconfirmed one, or one whose route has no pool: the next
@@ -23,6 +28,8 @@
 /// Retry-after time when the configuration is unconfirmed because this node is isolated: callers find other nodes,
 /// which can serve at once.
 const OTHER_NODE_RETRY: Duration = Duration::from_millis(50);
+/// Retry-after time when there is no memory for a body; other nodes may have some.
+const MEMORY_RETRY: Duration = Duration::from_millis(500);
 
 /// Reads the body of a request whose head has been parsed, and finds its route, tenant and pool.
 pub(super) async fn accept(
@@ -36,7 +43,7 @@
         true => Bytes::new(),
         false => {
             let reader = body_reader(gateway, &caller, &head, arrived_at);
-            reader.read(body).await?
+            read_body(gateway, &caller, &head, body, reader).await?
         }
     };
     let table = gateway.state().table.clone().ok_or_else(|| {
@@ -78,6 +85,68 @@
     })
 }
 
+/// Reads the body of a request that its head does not rule out. A refusal that comes before the end of the body is
+/// given at once, and the rest is discarded behind it.
+async fn read_body(
+    gateway: &Gateway,
+    caller: &CallerRequest,
+    head: &Parts,
+    mut body: Incoming,
+    reader: BodyReader,
+) -> Result<Bytes, Refusal> {
+    if let Some(refusal) = refusal_by_head(gateway, caller, head) {
+        reader.discard(&mut body).await?;
+        return Err(refusal);
+    }
+    let announced = body.size_hint().exact();
+    let refusal = match reader.read(&mut body, gateway.memory()).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(BodyError::Refused(refusal)) => return Err(refusal),
+        Err(BodyError::Announced(refusal)) => refusal,
+        Err(BodyError::Shortage(shortage)) => no_memory(gateway, caller, announced, shortage),
+    };
+    // The request has been refused, whatever becomes of the rest.
+    spawn_local(async move { drop(reader.discard(&mut body).await) });
+    Err(refusal)
+}
+
+/// The refusal of a request that has no route, or whose caller has no valid key.
+fn refusal_by_head(gateway: &Gateway, caller: &CallerRequest, head: &Parts) -> Option<Refusal> {
+    let table = gateway.state().table.clone()?;
+    let tenant =
+        find_route(&table, head).and_then(|route| find_tenant(gateway, &table, &route, caller));
+    let by_head = [RefusalReason::NoRoute, RefusalReason::UnknownKey];
+    // Other reasons may have passed once the body is there.
+    tenant
+        .err()
+        .filter(|refusal| by_head.contains(&refusal.reason))
+}
+
+fn no_memory(
+    gateway: &Gateway,
+    caller: &CallerRequest,
+    announced: Option<u64>,
+    shortage: BodyShortage,
+) -> Refusal {
+    let is_short = announced.is_some_and(|bytes| {
+        usize::try_from(bytes).is_ok_and(|bytes| Purpose::body(bytes) == Purpose::ShortBody)
+    });
+    let length = if is_short { "short" } else { "long" };
+    let refused = &gateway.metrics().bodies_refused;
+    refused.with_label_values(&[length]).inc();
+    if let Some(left_out) = gateway.memory_sampler().admit(gateway.clock().now()) {
+        let memory = gateway.memory();
+        warn!(gateway.log(), "body_not_admitted"; "request" => &caller.id, "why" => %shortage,
+            "bytes" => announced, "held" => memory.held(), "waiting" => memory.waiting(),
+            "left_out" => left_out);
+    }
+    let refusal = Refusal::new(
+        RefusalReason::NoMemory,
+        format!("body not read: {shortage}"),
+    );
+    refusal.with_retry_after(MEMORY_RETRY)
+}
+
 /// Returns a reader with the limits for this body. The body must be complete before the request times out, since it is
 /// of no use later. Without a route the limit is the time for which a caller may be idle. Both times count from the
 /// head.
--- a/crates/gateway/src/serve/body_reader.rs
+++ b/crates/gateway/src/serve/body_reader.rs
@@ -1,14 +1,20 @@
 //! Reads the bodies of callers' requests.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
+use super::body_error::BodyError;
+use crate::memory::{CollectedBytes, HeldMemory};
 use crate::request::{Refusal, RefusalReason};
 
+/// Longest time for which a body is left unread until there is memory for it.
+const MAX_MEMORY_WAIT: Duration = Duration::from_secs(1);
+
 /// Reads the body of a caller's request within limits of size and time.
 #[derive(Debug)]
 pub(super) struct BodyReader {
@@ -23,24 +29,50 @@
 }
 
 impl BodyReader {
-    /// Reads the complete body. Data that has already arrived is taken even when the deadline has passed.
-    pub(super) async fn read(&self, body: Incoming) -> Result<Bytes, Refusal> {
+    /// Reads the complete body into memory. Data that has already arrived is taken even when the deadline has passed.
+    /// While there is no memory it is left unread, so that its caller sends no more of it.
+    pub(super) async fn read(
+        &self,
+        body: &mut Incoming,
+        memory: &Arc<HeldMemory>,
+    ) -> Result<Bytes, BodyError> {
+        let announced = body.size_hint().exact().unwrap_or_default();
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        if announced > self.max_bytes {
+            return Err(BodyError::Announced(self.too_large()));
+        }
+        let reservation = memory.admit_body(announced, self.memory_deadline()).await;
+        let mut whole = CollectedBytes::new(reservation?);
         let mut body = Limited::new(body, self.max_bytes);
-        let Some(first) = self.next_chunk(&mut body).await? else {
-            return Ok(Bytes::new());
-        };
-        let Some(second) = self.next_chunk(&mut body).await? else {
-            return Ok(first);
-        };
-        let mut whole = BytesMut::from(first.as_ref());
-        whole.extend_from_slice(&second);
         while let Some(chunk) = self.next_chunk(&mut body).await? {
-            whole.extend_from_slice(&chunk);
+            let end = self.memory_deadline();
+            whole.admit_piece(chunk.len(), end).await?;
+            whole.push(&chunk);
         }
-        Ok(whole.freeze())
+        Ok(whole.finish())
+    }
+
+    /// Reads the body and keeps nothing of it: its caller may send all of it before reading the answer, which a
+    /// connection that is closed with unread data may lose.
+    pub(super) async fn discard(&self, body: &mut Incoming) -> Result<(), Refusal> {
+        let mut body = Limited::new(body, self.max_bytes);
+        while self.next_chunk(&mut body).await?.is_some() {}
+        Ok(())
     }
 
-    async fn next_chunk(&self, body: &mut Limited<Incoming>) -> Result<Option<Bytes>, Refusal> {
+    fn memory_deadline(&self) -> Instant {
+        self.deadline.min(Instant::now() + MAX_MEMORY_WAIT)
+    }
+
+    fn too_large(&self) -> Refusal {
+        let detail = format!("body is longer than {} bytes", self.max_bytes);
+        Refusal::new(RefusalReason::BodyTooLarge, detail)
+    }
+
+    async fn next_chunk(
+        &self,
+        body: &mut Limited<&mut Incoming>,
+    ) -> Result<Option<Bytes>, Refusal> {
         let pause_end = Instant::now() + self.idle_timeout;
         let end = pause_end.min(self.deadline);
         let frame = timeout_at(end, body.frame()).await;
@@ -48,10 +80,7 @@
             None => Ok(None),
             // Trailers are not forwarded.
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
-            Some(Err(error)) if error.is::<LengthLimitError>() => {
-                let detail = format!("body is longer than {} bytes", self.max_bytes);
-                Err(Refusal::new(RefusalReason::BodyTooLarge, detail))
-            }
+            Some(Err(error)) if error.is::<LengthLimitError>() => Err(self.too_large()),
             Some(Err(error)) => {
                 let detail = format!("body could not be read: {error}");
                 Err(Refusal::new(RefusalReason::BodyBroken, detail))
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -1,13 +1,14 @@
 //! An engine's answer whose head has been accepted.
 
 use std::cell::Cell;
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderMap;
 use ryerouter_core::Timestamp;
 
@@ -17,15 +18,13 @@
 use super::sent_request::SentRequest;
 use crate::engines::InFlight;
 use crate::gateway::Gateway;
+use crate::memory::{CollectedBytes, MAX_WHOLE_ANSWER};
 use crate::permits::{Outcome, Permit};
 use crate::placement::Placement;
 use crate::release::AnswerEnd;
 use crate::request::AnswerFacts;
 use crate::upstream::Connection;
 
-/// Maximum size of an answer that is not a stream.
-const MAX_WHOLE_BYTES: usize = 8 * 1_024 * 1_024;
-
 /// An engine's answer whose head has been accepted, and whose body is still to be read.
 #[derive(Debug)]
 pub(super) struct LiveAnswer {
@@ -82,8 +81,7 @@
         mut self,
         gateway: &Gateway,
     ) -> Result<WholeAnswer, AttemptError> {
-        let body = Limited::new(&mut self.body, MAX_WHOLE_BYTES);
-        let collected = body.collect().await;
+        let collected = collect(&mut self.body, gateway).await;
         self.reporter.end(match &collected {
             Ok(_) if !self.status.is_server_error() => AnswerEnd::Whole {
                 is_success: self.status.is_success(),
@@ -91,7 +89,6 @@
             _ => AnswerEnd::Failed,
         });
         let bytes = collected.map_err(|error| self.broken(error.to_string()))?;
-        let bytes = bytes.to_bytes();
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
         Ok(WholeAnswer {
@@ -130,6 +127,29 @@
     }
 }
 
+/// Collects a body within the memory held for callers. While there is no room, it is not read.
+async fn collect(
+    body: &mut Incoming,
+    gateway: &Gateway,
+) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let announced = body.size_hint().exact().unwrap_or_default();
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if announced > MAX_WHOLE_ANSWER {
+        return Err(format!("answer is longer than {MAX_WHOLE_ANSWER} bytes").into());
+    }
+    let mut body = Limited::new(body, MAX_WHOLE_ANSWER);
+    let reservation = gateway.memory().reserve_whole_answer(announced).await;
+    let mut collected = CollectedBytes::new(reservation);
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        if let Ok(piece) = frame?.into_data() {
+            collected.reserve_piece(piece.len()).await;
+            collected.push(&piece);
+        }
+    }
+    Ok(collected.finish())
+}
+
 /// An answer that has been read to its end.
 #[derive(Debug)]
 pub(super) struct WholeAnswer {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod answer_reporter;
 mod attempt;
 mod attempt_error;
+mod body_error;
 mod body_reader;
 mod connection_server;
 mod engine_list_state;
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -141,7 +141,8 @@
                         self.report(|reporter| reporter.note_events(&batch.bytes));
                         self.note_events();
                         self.last_event_id = batch.last_id.or(self.last_event_id.take());
-                        return Ok(Some(batch.bytes));
+                        let memory = self.forwarder.gateway.memory();
+                        return Ok(Some(memory.hold_events(batch.bytes).await));
                     }
                 }
                 Received::End if self.splitter.buffered_bytes() == 0 => return Ok(None),
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -60,6 +60,10 @@
     pub configuration_version: IntGauge,
     /// How long this node has not served yet, in milliseconds, by what it lacks.
     pub not_ready_ms: IntGaugeVec,
+    /// Bytes held for callers: bodies, and answers that they have not taken yet.
+    pub held_bytes: IntGauge,
+    /// Requests refused because there was no memory for their body, by its length: long or short.
+    pub bodies_refused: IntCounterVec,
     /// Engines in the list.
     pub engines: IntGauge,
     /// Engines with older weights than published, by reason, while this node holds the lease of orders.
@@ -187,6 +191,17 @@
                 "Configuration in force",
             ),
             not_ready_ms: not_ready_ms(&registry),
+            held_bytes: gauge(
+                &registry,
+                "held_bytes",
+                "Bytes held for callers: bodies, and answers that they have not taken yet",
+            ),
+            bodies_refused: vector(
+                &registry,
+                "bodies_refused_total",
+                "Requests refused for want of memory for their body, by its length: long, short",
+                "length",
+            ),
             engines: gauge(&registry, "engines", "Engines in the list"),
             engines_behind: engines_behind(&registry),
             peers: gauge(&registry, "peers_alive", "Other nodes that are alive"),
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -17,6 +17,7 @@
 use ryerouter_gateway::connections::OpenConnections;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
+use ryerouter_gateway::memory::MemoryLimits;
 use ryerouter_gateway::peers::{Capacity, NodeIdentity};
 use ryerouter_gateway::placement::PlacementPrices;
 use ryerouter_gateway::retry::RetrySettings;
@@ -77,6 +78,7 @@
         entry_ttl: Duration::from_millis(2_400),
         propagation_limit: Duration::from_secs(3),
         limit_tolerance: Tolerance::default(),
+        memory: MemoryLimits::default(),
         sheds_load: true,
         retry: RetrySettings {
             floor: 100.0,
