Bound what is read ahead of engines' answers

What callers saw: as with long bodies, a node ends by its memory and all its requests with it, here when many callers read their streams slowly and the engines send quickly.

Cause: the HTTP client of a connection to an engine reads up to its default of 408 KiB ahead, one buffer while another waits for the relay, whatever the caller takes. Nothing counted that, nor does the budget of bytes held for callers, which begins with the events that are handed to the caller's connection.

Change: connections that carry callers' requests read at most 16 KiB ahead, which is also the longest head of an engine's answer. Calls of the node itself, whose answers are read whole, keep the default.

Why this works: what is read ahead for a stalled caller is two buffers, so the sum falls by their size.

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -16,6 +16,10 @@
 use crate::clock::Clock;
 use crate::tunnel::{EngineStream, TunnelLoss};
 
+/// Maximum size of the head of an engine's answer, and of what is read ahead of the answer's body: a caller that reads
+/// slowly makes the node hold that much, whatever the engine sends.
+const MAX_READ_AHEAD: usize = 16 * 1_024;
+
 /// One connection to an engine; dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct Connection {
@@ -32,23 +36,35 @@
 }
 
 impl Connection {
-    /// Opens a direct connection.
+    /// Opens a direct connection for calls whose answers are read whole.
     pub async fn open(
         address: SocketAddr,
         settings: &ConnectSettings,
         clock: Clock,
     ) -> Result<Self, AttemptFailure> {
         let stream = connect(address, settings).await?;
-        Ok(Self::new(EngineStream::Left(stream), address, clock).await?)
+        let stream = EngineStream::Left(stream);
+        Ok(Self::set_up(&http1::Builder::new(), stream, address, clock).await?)
     }
 
-    /// Sets up HTTP on an open stream.
+    /// Sets up HTTP for requests of callers on an open stream.
     pub(super) async fn new(
         stream: EngineStream,
         address: SocketAddr,
         clock: Clock,
     ) -> Result<Self, hyper::Error> {
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let mut client = http1::Builder::new();
+        client.max_buf_size(MAX_READ_AHEAD);
+        Self::set_up(&client, stream, address, clock).await
+    }
+
+    async fn set_up(
+        client: &http1::Builder,
+        stream: EngineStream,
+        address: SocketAddr,
+        clock: Clock,
+    ) -> Result<Self, hyper::Error> {
+        let handshake = client.handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await?;
         let task = tokio::task::spawn_local(async move {
             // Its end shows in the exchange that runs on it.
