Bound what is read of an answer before its head

Callers waited for engines that answered with interim heads (1xx) without end until they left, and a node took all the bytes that the engines sent: hyper skips interim heads unseen, and its bound is for one head. The engines stayed in service.

Cause: nothing counted what a connection receives until the head of the answer is there. A single head was bounded by hyper's largest buffer, 0.4 MB.

Each connection now counts what it receives from sending a request to the head of its answer, interim heads included, and ends beyond 256 KiB; one head, and what is read at a time, is at most 64 KiB. It is the same connection for direct paths, tunnels and calls to stores, reports and nodes, so all of them are bounded. The attempt fails as for noise, which ejects the engine. A new connection on which the engine has sent something no longer counts as one on which it sent nothing (`Dialer::note_broken`).

--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -7,19 +7,28 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::NodeName;
 
+use super::head_limit::HeadLimit;
+use super::limited_stream::LimitedStream;
 use super::{AbortOnDrop, AttemptFailure, ConnectSettings, connect};
 use crate::clock::Clock;
 use crate::tunnel::{EngineStream, TunnelLoss};
 
+/// Maximum size of one head, and of what is read at a time.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
+
 /// One connection to an engine; dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct Connection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     pub(super) address: SocketAddr,
     pub(super) opened_at: Timestamp,
     /// When the peer last gave a sign of life; an idle one has been idle since. Shared with the calls
@@ -48,8 +57,11 @@
         address: SocketAddr,
         clock: Clock,
     ) -> Result<Self, hyper::Error> {
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await?;
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // Its end shows in the exchange that runs on it.
             let _ = connection.await;
@@ -57,6 +69,7 @@
         let opened_at = clock.now();
         Ok(Self {
             sender,
+            head_limit,
             address,
             opened_at,
             heard_at: Rc::new(Cell::new(opened_at)),
@@ -66,6 +79,33 @@
         })
     }
 
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.begin();
+        let answer = self.sender.try_send_request(request).await?;
+        self.head_limit.end();
+        Ok(answer)
+    }
+
+    /// Why no head came, where hyper's error tells less.
+    pub(super) fn failure_detail(&self, error: &hyper::Error) -> String {
+        let fault = self.head_limit.fault();
+        fault.unwrap_or_else(|| error.to_string())
+    }
+
+    /// Whether the peer has sent anything since a request was sent.
+    pub(super) fn has_received(&self) -> bool {
+        self.head_limit.has_received()
+    }
+
+    /// Whether it has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Whether it is a tunnel and the node is gone through which it goes.
     pub fn is_tunnel_lost(&self) -> bool {
         let tunnel = self.tunnel.as_ref();
--- a/crates/gateway/src/upstream/dialer.rs
+++ b/crates/gateway/src/upstream/dialer.rs
@@ -137,7 +137,7 @@
         let connection = Connection::new(stream, address, self.clock).await.ok()?;
         // What resets connections lets some of them come up first.
         sleep(PROBE_HOLD).await;
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             return None;
         }
         let now = self.clock.now();
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -133,7 +133,7 @@
                 true => ConnectionUse::Reused,
                 false => ConnectionUse::New,
             }));
-            let sent = connection.sender.try_send_request(request).await;
+            let sent = connection.send(request).await;
             let mut failure = match sent {
                 Ok(answer) => {
                     self.note_received(&connection);
@@ -147,7 +147,7 @@
                 }
                 Err(failure) => failure,
             };
-            let detail = failure.error().to_string();
+            let detail = connection.failure_detail(failure.error());
             match failure.take_message() {
                 Some(unsent) if is_kept => {
                     request = unsent;
@@ -160,7 +160,7 @@
                 }
                 None => {
                     let is_tunnel_lost = connection.is_tunnel_lost();
-                    if !is_kept && connection.tunnel.is_none() {
+                    if !is_kept && connection.tunnel.is_none() && !connection.has_received() {
                         self.dialer.note_broken(engine);
                     }
                     return Err(AttemptFailure::Broken {
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -45,9 +45,9 @@
     clock: Clock,
 ) -> Result<Exchanged, ExchangeFailure> {
     let sent_at = clock.now();
-    let sent = connection.sender.try_send_request(request).await;
+    let sent = connection.send(request).await;
     let answer = sent.map_err(|mut error| {
-        let detail = error.error().to_string();
+        let detail = connection.failure_detail(error.error());
         match error.take_message() {
             Some(unsent) => ExchangeFailure::Unsent(Box::new(unsent), detail),
             None => ExchangeFailure::Broken(detail),
