Eject engines whose streams hold no events

Callers were sent to engines that answer streams with bytes without end that make no event: an event without end, comments, blank lines, fields without data, lines until the connection closes, or nothing at all. Such engines stayed in service, so streams failed for as long as they answered so.

Causes: - An event beyond the limit ended the caller's stream at once, without another attempt, and was not counted as a failure. - A stream that ended by a close without an event counted as a whole answer, a success of the engine. - Comments and fields without data between blank lines were taken for events, so they were forwarded without a bound; each also began the measurement of silence anew. - The head of an answer ended an ejection, and heads are the sound part of these answers.

What exceeds a bound is a failed attempt like others, `NoAnswer`: the stream goes on at another engine where it may, and the engine is ejected, but it does not count as crashed, so the request is not suspected either. After such a failure a head is no sign of health; the first event or a whole answer is. Only parts of events end a silence. An engine that sends nothing before a late first event is judged as before.

--- a/crates/core/src/retry/engine_health.rs
+++ b/crates/core/src/retry/engine_health.rs
@@ -26,6 +26,8 @@
     ejections_in_a_row: u32,
     /// When the first of these ejections began.
     ejected_since: Option<Timestamp>,
+    /// Whether a head was followed by bytes that are no response, so that a head alone tells nothing.
+    is_malformed: bool,
     /// Whether the engine is ejected although no attempt of this process has failed.
     is_ejected_by_others: bool,
     max_ejection: Duration,
@@ -33,15 +35,21 @@
 
 #[state_machine(initial = "State::serving()", state(derive(Debug, Clone, PartialEq)))]
 impl Lifecycle {
+    fn count_failure(&mut self, at: Timestamp) -> Outcome<State> {
+        self.failures_in_a_row += 1;
+        if self.failures_in_a_row < FAILURES_TO_EJECT {
+            return Handled;
+        }
+        self.eject(at)
+    }
+
     #[state]
     fn serving(&mut self, event: &HealthEvent) -> Outcome<State> {
         match event {
-            HealthEvent::Failed { at } => {
-                self.failures_in_a_row += 1;
-                if self.failures_in_a_row < FAILURES_TO_EJECT {
-                    return Handled;
-                }
-                self.eject(*at)
+            HealthEvent::Failed { at } => self.count_failure(*at),
+            HealthEvent::Malformed { at } => {
+                self.is_malformed = true;
+                self.count_failure(*at)
             }
             // Nothing listens at the address, so a second attempt would fail as well.
             HealthEvent::Unreachable { at } => self.eject(*at),
@@ -51,7 +59,8 @@
                 Transition(State::ejected(*probe_at))
             }
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
-            HealthEvent::ProbeSent { .. }
+            HealthEvent::HeadReceived
+            | HealthEvent::ProbeSent { .. }
             | HealthEvent::ProbeInconclusive { .. }
             | HealthEvent::Trusted { .. } => Handled,
         }
@@ -71,8 +80,14 @@
                 Handled
             }
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
+            HealthEvent::HeadReceived if !self.is_malformed => self.recover(),
+            HealthEvent::Malformed { .. } => {
+                self.is_malformed = true;
+                Handled
+            }
             // Attempts from before the ejection fail one by one; they carry no new information.
-            HealthEvent::Failed { .. }
+            HealthEvent::HeadReceived
+            | HealthEvent::Failed { .. }
             | HealthEvent::Unreachable { .. }
             | HealthEvent::ProbeInconclusive { .. } => Handled,
         }
@@ -82,8 +97,14 @@
     fn probing(&mut self, until: &mut Timestamp, event: &HealthEvent) -> Outcome<State> {
         match event {
             HealthEvent::Failed { at } | HealthEvent::Unreachable { at } => self.eject(*at),
+            HealthEvent::Malformed { at } => {
+                self.is_malformed = true;
+                self.eject(*at)
+            }
             HealthEvent::ProbeInconclusive { at } => Transition(State::ejected(*at)),
             HealthEvent::Answered | HealthEvent::Restarted => self.recover(),
+            HealthEvent::HeadReceived if !self.is_malformed => self.recover(),
+            HealthEvent::HeadReceived => Handled,
             HealthEvent::ProbeSent { at } => {
                 *until = at.after(PROBE_TIMEOUT);
                 Handled
@@ -111,6 +132,7 @@
         self.failures_in_a_row = 0;
         self.ejections_in_a_row = 0;
         self.ejected_since = None;
+        self.is_malformed = false;
         self.is_ejected_by_others = false;
         Transition(State::serving())
     }
@@ -143,6 +165,7 @@
             failures_in_a_row: 0,
             ejections_in_a_row: 0,
             ejected_since: None,
+            is_malformed: false,
             is_ejected_by_others: false,
             max_ejection,
         };
@@ -184,6 +207,11 @@
         self.lifecycle.handle(&HealthEvent::Answered);
     }
 
+    /// Records the head of a response. An ejected engine serves again, unless its heads were followed by no response.
+    pub fn head_received(&mut self) {
+        self.lifecycle.handle(&HealthEvent::HeadReceived);
+    }
+
     /// Records that the engine could not be reached.
     pub fn unreachable(&mut self, at: Timestamp) {
         self.lifecycle.handle(&HealthEvent::Unreachable { at });
@@ -194,6 +222,12 @@
         self.lifecycle.handle(&HealthEvent::Failed { at });
     }
 
+    /// Records that the engine sent a head, and then bytes that are no response. Until a response has come, heads are
+    /// no sign of health.
+    pub fn malformed(&mut self, at: Timestamp) {
+        self.lifecycle.handle(&HealthEvent::Malformed { at });
+    }
+
     /// Records that a request was sent as a probe.
     pub fn probe_sent(&mut self, at: Timestamp) {
         self.lifecycle.handle(&HealthEvent::ProbeSent { at });
--- a/crates/core/src/retry/health_event.rs
+++ b/crates/core/src/retry/health_event.rs
@@ -7,6 +7,8 @@
 pub enum HealthEvent {
     /// The engine sent a response.
     Answered,
+    /// The engine sent the head of a response.
+    HeadReceived,
     /// The engine could not be reached.
     Unreachable {
         /// When the attempt failed.
@@ -17,6 +19,11 @@
         /// When the attempt failed.
         at: Timestamp,
     },
+    /// The engine sent the head of a response, and then bytes that are no response.
+    Malformed {
+        /// When the attempt failed.
+        at: Timestamp,
+    },
     /// An attempt was sent to probe the engine.
     ProbeSent {
         /// When it was sent.
--- a/crates/core/tests/retry_health.rs
+++ b/crates/core/tests/retry_health.rs
@@ -130,3 +130,30 @@
     assert!(budget.spend(START.after(wait + Duration::from_millis(1))));
     assert!(!budget.spend(START.after(wait + Duration::from_millis(2))));
 }
+
+#[test]
+fn head_is_no_sign_of_health_after_a_malformed_response() {
+    let mut health = EngineHealth::default();
+    health.malformed(START);
+    health.malformed(START);
+    let until = health.ejected_until().expect("two failures eject");
+    health.head_received();
+    assert!(!health.is_serving());
+    health.probe_sent(until);
+    health.head_received();
+    assert!(!health.is_serving());
+    health.malformed(until);
+    let second = health.ejected_until().expect("the probe has failed");
+    assert!(second.since(until) > until.since(START));
+    health.answered();
+    assert!(health.is_serving());
+}
+
+#[test]
+fn head_is_a_sign_of_health_after_other_failures() {
+    let mut health = EngineHealth::default();
+    let until = eject(&mut health, START);
+    health.probe_sent(until);
+    health.head_received();
+    assert!(health.is_serving());
+}
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
 use ryerouter_core::Timestamp;
+use ryerouter_core::retry::EngineHealth;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -101,7 +102,7 @@
                 sent_request.in_flight.note_begun();
             }
             if !answer.head.status.is_server_error() {
-                note_probe_answered(gateway, request, placement);
+                note_probe_answered(gateway, request, placement, EngineHealth::head_received);
             }
             Ok(LiveAnswer::new(
                 answer,
@@ -194,8 +195,13 @@
     }
 }
 
-/// Records that an engine which has failed requests answers again. The rest of its answer may take long.
-fn note_probe_answered(gateway: &Gateway, request: &AcceptedRequest, placement: &Placement) {
+/// Records that an engine which has failed requests answers again, with `update`. The rest of its answer may take long.
+pub(super) fn note_probe_answered(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    update: fn(&mut EngineHealth),
+) {
     let is_same_incarnation = gateway.is_same_incarnation(placement);
     let mut state = gateway.state_mut();
     let engine = state.engines.get(&placement.engine);
@@ -204,7 +210,7 @@
         && is_same_incarnation
         && let Some(engine) = state.engines.get_mut(&placement.engine)
     {
-        let update = |engine: &mut Engine| engine.health.answered();
+        let update = |engine: &mut Engine| update(&mut engine.health);
         gateway.update_health(engine, &"answer", Some(&request.caller.id), update);
     }
 }
@@ -394,6 +400,7 @@
             // The abandoned request no longer counts as load of the engine. Without a recorded failure, the engine would
             // look idle and attract more requests.
             AttemptError::Silent(SilenceCause::Engine) => engine.health.failed(now),
+            AttemptError::NoAnswer(_) => engine.health.malformed(now),
             AttemptError::EngineError(_)
             | AttemptError::Broken(_)
             | AttemptError::MayHaveRun(_) => {
--- a/crates/gateway/src/serve/attempt_error.rs
+++ b/crates/gateway/src/serve/attempt_error.rs
@@ -36,6 +36,9 @@
     /// The node is gone through which the engine was reached; the request may have run.
     #[display("may_have_run: tunnel lost: {_0}")]
     TunnelLost(String),
+    /// The bytes after the head of the answer are no answer; the request may have run.
+    #[display("may_have_run: no answer: {_0}")]
+    NoAnswer(String),
     /// The received answer is not one to this request; the request may have run.
     #[display("may_have_run: {_0}")]
     MayHaveRun(String),
@@ -56,6 +59,7 @@
                 | Self::Outdated(_)
                 | Self::Broken(_)
                 | Self::TunnelLost(_)
+                | Self::NoAnswer(_)
                 | Self::MayHaveRun(_)
         )
     }
@@ -67,7 +71,9 @@
                 AnswerEnd::NotRun
             }
             Self::Silent(_) | Self::Outdated(_) | Self::TunnelLost(_) => AnswerEnd::Left,
-            Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => AnswerEnd::Failed,
+            Self::EngineError(_) | Self::Broken(_) | Self::NoAnswer(_) | Self::MayHaveRun(_) => {
+                AnswerEnd::Failed
+            }
         }
     }
 
@@ -80,7 +86,9 @@
             Self::Silent(_) => "silent",
             Self::Outdated(_) => "outdated",
             Self::TunnelLost(_) => "tunnel_lost",
-            Self::EngineError(_) | Self::Broken(_) | Self::MayHaveRun(_) => "may_have_run",
+            Self::EngineError(_) | Self::Broken(_) | Self::NoAnswer(_) | Self::MayHaveRun(_) => {
+                "may_have_run"
+            }
         }
     }
 }
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use ryerouter_core::Timestamp;
 
 use super::answer_reporter::AnswerReporter;
@@ -45,6 +45,8 @@
     heard_at: Rc<Cell<Option<Timestamp>>>,
     connection: Connection,
     is_connection_reusable: bool,
+    /// Whether only the end of the connection tells the end of the answer.
+    pub(super) ends_by_close: bool,
     permit: Permit,
 }
 
@@ -59,6 +61,9 @@
     ) -> Self {
         let mut headers = answer.head.headers;
         let is_connection_reusable = !closes_connection(&headers);
+        let ends_by_close = ![CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| headers.contains_key(name));
         remove_hop_by_hop(&mut headers);
         Self {
             status: answer.head.status,
@@ -73,6 +78,7 @@
             heard_at: sent_request.heard_at,
             connection: answer.connection,
             is_connection_reusable,
+            ends_by_close,
             permit: sent_request.permit,
         }
     }
--- a/crates/gateway/src/serve/request_phase.rs
+++ b/crates/gateway/src/serve/request_phase.rs
@@ -52,6 +52,7 @@
             AttemptError::NotConnected(_)
             | AttemptError::OutOfReach
             | AttemptError::Broken(_)
+            | AttemptError::NoAnswer(_)
             | AttemptError::TunnelLost(_)
             | AttemptError::MayHaveRun(_) => Self::EngineGone,
             AttemptError::EngineError(_) => Self::EngineFailed,
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -10,12 +10,14 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use ryerouter_core::Timestamp;
+use ryerouter_core::retry::EngineHealth;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::active_request::ActiveRequest;
 use super::answer_body::AnswerBody;
 use super::answer_reporter::AnswerReporter;
+use super::attempt::note_probe_answered;
 use super::attempt_error::AttemptError;
 use super::live_answer::LiveAnswer;
 use super::request_forwarder::{DOUBT_CHECK_INTERVAL, RequestForwarder};
@@ -25,7 +27,7 @@
 use crate::engines::AnswerPhase;
 use crate::gateway::LEAST_RUN_TIME;
 use crate::placement::Placement;
-use crate::relay::{EventSplitter, RelayFault, StreamEnd};
+use crate::relay::{EventBatch, EventMeter, EventSplitter, RelayFault, StreamEnd};
 use crate::release::AnswerEnd;
 use crate::upstream::ConnectionUse;
 
@@ -35,6 +37,10 @@
     /// The engine's answer; `None` after the end of the stream.
     live: Option<LiveAnswer>,
     splitter: EventSplitter,
+    /// Bounds what the current engine sends besides events.
+    meter: EventMeter,
+    /// Whether a part of an event has come since silence was last measured from anew.
+    has_data_come: bool,
     /// Id of the last event that was forwarded to the caller.
     last_event_id: Option<String>,
     /// Whether an event has been received from an engine.
@@ -87,6 +93,8 @@
             forwarder,
             live: Some(live),
             splitter: EventSplitter::default(),
+            meter: EventMeter::new(Timestamp::ZERO),
+            has_data_come: true,
             has_begun: false,
             run_begun_at: None,
             is_watched: false,
@@ -136,19 +144,15 @@
     async fn next_events(&mut self) -> Result<Option<Bytes>, RelayFault> {
         loop {
             match self.receive_timed().await {
-                Received::Bytes(bytes) => {
-                    if let Some(batch) = self.splitter.push(&bytes)? {
-                        self.report(|reporter| reporter.note_events(&batch.bytes));
-                        self.note_events();
-                        self.last_event_id = batch.last_id.or(self.last_event_id.take());
-                        return Ok(Some(batch.bytes));
-                    }
-                }
-                Received::End if self.splitter.buffered_bytes() == 0 => return Ok(None),
-                Received::End => {
-                    let detail = "stream ended within an event".to_owned();
-                    self.resume(AttemptError::Broken(detail)).await?;
-                }
+                Received::Bytes(bytes) => match self.split(&bytes) {
+                    Ok(Some(batch)) => return Ok(Some(batch.bytes)),
+                    Ok(None) => {}
+                    Err(fault) => self.resume(AttemptError::NoAnswer(fault.detail)).await?,
+                },
+                Received::End => match self.fault_of_end() {
+                    None => return Ok(None),
+                    Some(error) => self.resume(error).await?,
+                },
                 Received::Broken(error) => self.resume(error).await?,
                 Received::Silent(why) => {
                     let error = self.give_up(why);
@@ -158,6 +162,35 @@
         }
     }
 
+    /// Takes received bytes, and returns what can be forwarded to the caller: events, or comments.
+    fn split(&mut self, bytes: &Bytes) -> Result<Option<EventBatch>, RelayFault> {
+        let now = self.forwarder.gateway.clock().now();
+        let metered = self.meter.push(bytes, now)?;
+        self.has_data_come |= metered.has_data;
+        let batch = self.splitter.push(bytes)?;
+        if let Some(batch) = &batch {
+            if metered.events > 0 {
+                self.report(|reporter| reporter.note_events(&batch.bytes));
+                self.note_events();
+            }
+            self.last_event_id = batch.last_id.clone().or(self.last_event_id.take());
+        }
+        Ok(batch)
+    }
+
+    /// Why the end of the stream is not the end of an answer, if it is not.
+    fn fault_of_end(&self) -> Option<AttemptError> {
+        if self.splitter.buffered_bytes() > 0 {
+            let detail = "stream ended within an event".to_owned();
+            return Some(AttemptError::Broken(detail));
+        }
+        // A stream that is taken up after its last event has no others.
+        let may_be_empty = self.run_begun_at.is_some() || self.last_event_id.is_some();
+        let ends_by_close = self.live.as_ref().is_some_and(|live| live.ends_by_close);
+        let is_fault = ends_by_close && !may_be_empty;
+        is_fault.then(|| AttemptError::NoAnswer("connection closed without an event".to_owned()))
+    }
+
     /// Receives the next bytes, and reports the time spent waiting for them.
     async fn receive_timed(&mut self) -> Received {
         self.report(AnswerReporter::begin_wait);
@@ -177,7 +210,9 @@
     /// longer than usual, see [`SilenceDetector::detect`], or once it is doubted.
     async fn receive(&mut self) -> Received {
         let clock = self.forwarder.gateway.clock();
-        if let Some(detector) = &mut self.detector {
+        if let Some(detector) = &mut self.detector
+            && std::mem::take(&mut self.has_data_come)
+        {
             // The time that the caller took to accept the previous events is not silence of the engine.
             detector.since = clock.now();
         }
@@ -229,6 +264,10 @@
         let forwarder = &self.forwarder;
         let now = forwarder.gateway.clock().now();
         self.awaited_since = now;
+        self.has_data_come = true;
+        if phase == AnswerPhase::FirstEvent {
+            self.meter = EventMeter::new(now);
+        }
         let engine = self.live.as_ref().map(|live| &live.placement.engine);
         self.detector = engine.and_then(|engine| {
             SilenceDetector::new(&forwarder.gateway, &forwarder.request, engine, phase, now)
@@ -321,6 +360,11 @@
         let took = gateway.clock().now().since(self.awaited_since);
         self.note_time(AnswerPhase::FirstEvent, took);
         self.note_first_token(took);
+        if let Some(live) = &self.live {
+            let (gateway, request) = (&self.forwarder.gateway, &self.forwarder.request);
+            let answered = EngineHealth::answered;
+            note_probe_answered(gateway, request, &live.placement, answered);
+        }
         self.await_phase(AnswerPhase::Pause);
     }
 
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -45,6 +45,11 @@
 const MORE_THAN_ITS_LENGTH: Script = Script::endless(WHOLE, "more");
 const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
+     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const STREAM_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
+     content-type: text/event-stream\r\n\r\n";
+const ONE_EVENT: &str = "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 const WHOLE_STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
      f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
@@ -55,6 +60,11 @@
 const HEADER_FIELDS: Script = Script::endless("HTTP/1.1 200 OK\r\n", "x-a: a\r\n");
 const NOISE: Script = Script::endless("", "\u{7f}~\u{1}");
 const CHUNK_EXTENSION: Script = Script::endless(CHUNKED, "1;a=aaaaaaaa");
+const LINES_UNTIL_CLOSE: Script = Script::endless(STREAM_UNTIL_CLOSE, "aaaaaaa\n");
+const NOTHING_UNTIL_CLOSE: Script = Script::closed(STREAM_UNTIL_CLOSE);
+const COMMENTS_UNTIL_CLOSE: Script = Script::closed(
+    "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-type: text/event-stream\r\n\r\n: a\n\n",
+);
 
 /// A chunk that holds the text many times.
 fn chunk(text: &str) -> &'static str {
@@ -62,6 +72,11 @@
     format!("{:x}\r\n{text}\r\n", text.len()).leak()
 }
 
+/// A stream of such chunks without end.
+fn chunks(text: &str) -> Script {
+    Script::endless(STREAM, chunk(text))
+}
+
 /// A gateway with some sound engines and some others.
 struct Site {
     bench: GatewayBench,
@@ -139,6 +154,10 @@
         self.bad_count(|engine| engine.health.is_serving())
     }
 
+    fn crashed_count(&self) -> usize {
+        self.bad_count(|engine| engine.crashed_at().is_some())
+    }
+
     /// Number of the bad engines of which this is true.
     fn bad_count(&self, is_counted: fn(&Engine) -> bool) -> usize {
         let state = self.bench.gateway.state();
@@ -159,6 +178,14 @@
     header_fields = { RequestKind::Streaming, HEADER_FIELDS, 320 * KIB },
     noise = { RequestKind::Streaming, NOISE, 320 * KIB },
     chunk_extension = { RequestKind::Streaming, CHUNK_EXTENSION, 320 * KIB },
+    event = { RequestKind::Streaming, chunks("data: aa"), 1_600 * KIB },
+    comments = { RequestKind::Streaming, chunks(": aaaaa\n"), 64 * KIB },
+    comment_blocks = { RequestKind::Streaming, chunks(": aaaa\n\n"), 64 * KIB },
+    blank_lines = { RequestKind::Streaming, chunks("\n"), 64 * KIB },
+    events_without_data = { RequestKind::Streaming, chunks("retry: 1\n\n"), 64 * KIB },
+    lines_until_close = { RequestKind::Streaming, LINES_UNTIL_CLOSE, 1_600 * KIB },
+    nothing_until_close = { RequestKind::Streaming, NOTHING_UNTIL_CLOSE, KIB },
+    comments_until_close = { RequestKind::Streaming, COMMENTS_UNTIL_CLOSE, KIB },
     plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, chunk("aaaaaaaa")).fast(), 16_384 * KIB },
 )]
 fn engines_are_ejected_and_others_serve(kind: RequestKind, script: Script, most: usize) {
@@ -181,6 +208,19 @@
     });
 }
 
+/// The answer says nothing about a crash, so the requests are not suspected of causing one.
+#[parameterized(
+    stream = { RequestKind::Streaming, chunks(": aaaaa\n") },
+)]
+fn engines_do_not_count_as_crashed(kind: RequestKind, script: Script) {
+    run(async move {
+        let site = Rc::new(Site::start(kind, script, BAD_ENGINES).await);
+        site.served_share(kind, PATIENCE).await;
+        assert_eq!(site.serving_count(), 0);
+        assert_eq!(site.crashed_count(), 0);
+    });
+}
+
 /// Stores, reports of engines and other nodes are called this way.
 #[parameterized(
     interim_heads = { INTERIM_HEADS, 320 * KIB },
@@ -239,10 +279,13 @@
 }
 
 const SLOW: Duration = Duration::from_millis(100);
+/// A tenth of a kibibyte, about.
+const COMMENT: &str = "64\r\n: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n\r\n";
 const FIELD: &str = "x-a: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
 
 /// A kibibyte a second.
 #[parameterized(
+    comments = { Script::endless(STREAM, COMMENT) },
     head = { Script::endless("HTTP/1.1 200 OK\r\n", FIELD) },
 )]
 fn callers_of_slow_ones_are_served_by_others(script: Script) {
@@ -257,3 +300,27 @@
     });
 }
 
+const LATE: Duration = Duration::from_secs(1);
+/// Time for two attempts: an answer that is later than the others may be given up once.
+const LONG_PATIENCE: Duration = Duration::from_secs(4);
+
+/// Comments may keep the connection open until the first event.
+#[parameterized(
+    silent = { "" },
+    with_a_comment = { "3\r\n:a\n\r\n" },
+    with_a_comment_block = { "4\r\n:a\n\n\r\n" },
+)]
+fn engine_whose_first_event_is_late_serves_on(comment: &'static str) {
+    run(async move {
+        let mut script = Script::whole(STREAM);
+        script.pause = LATE;
+        script.rest = ONE_EVENT;
+        let start = format!("{STREAM}{comment}");
+        script.start = start.leak();
+        let kind = RequestKind::Streaming;
+        let site = Rc::new(Site::start(kind, script, ENGINES).await);
+        let share = site.served_share(kind, LONG_PATIENCE).await;
+        assert!(share >= LEAST_SERVED, "served {share:.3}");
+        assert_eq!(site.serving_count(), ENGINES);
+    });
+}
