Count plain answers beyond the limit as no answer, not as a crash

An engine whose plain answer is longer than the limit was noted as crashed, and the request suspected of crashing engines, though the engine was sound enough to send 8 MiB. Cause: reading beyond the limit gave the same error as a connection that breaks.

Evidence: engines_do_not_count_as_crashed::plain_answer, 2 engines that answer without end: both noted as crashed before, none now; both are ejected, before and now.

--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -96,7 +96,10 @@
             },
             _ => AnswerEnd::Failed,
         });
-        let bytes = collected.map_err(|error| self.broken(error.to_string()))?;
+        let bytes = collected.map_err(|error| match error.is::<LengthLimitError>() {
+            true => AttemptError::NoAnswer(format!("longer than {MAX_WHOLE_BYTES} bytes")),
+            false => self.broken(error.to_string()),
+        })?;
         let bytes = bytes.to_bytes();
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -211,6 +211,7 @@
 /// The answer says nothing about a crash, so the requests are not suspected of causing one.
 #[parameterized(
     stream = { RequestKind::Streaming, chunks(": aaaaa\n") },
+    plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, chunk("aaaaaaaa")).fast() },
 )]
 fn engines_do_not_count_as_crashed(kind: RequestKind, script: Script) {
     run(async move {
