Bound the rest that is read of a rejected answer

A node read what followed the head of a refusal for 200 ms, however much that was, and kept all of it in memory where the refusal said that the request had not run. It is 64 KiB at most now; beyond that the connection is closed. A rejected answer that goes on for longer is no crash.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
@@ -35,6 +35,8 @@
 const CRASH_WATCH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time for reading the rest of a refusal. The connection is kept for reuse if the rest arrives in this time.
 const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum size of the rest of an answer that was rejected.
+const MAX_REST_BYTES: usize = 64 * 1_024;
 
 /// Sends a request to the engine of `placement` and waits for the head of a usable answer.
 pub(super) async fn attempt(
@@ -330,7 +332,8 @@
     let placement = placement.clone();
     let idle_timeout = facts.idle_timeout;
     spawn_local(async move {
-        let rest = timeout(REFUSAL_DRAIN_TIMEOUT, answer.body.collect()).await;
+        let rest = Limited::new(answer.body, MAX_REST_BYTES).collect();
+        let rest = timeout(REFUSAL_DRAIN_TIMEOUT, rest).await;
         if matches!(rest, Ok(Ok(_))) && gateway.is_same_incarnation(&placement) {
             gateway
                 .upstream()
@@ -351,12 +354,13 @@
     });
 }
 
-/// Reads an answer to its end, and returns whether it broke off.
-async fn ends_in_error(mut body: Incoming) -> bool {
+/// Reads an answer to its end, and returns whether it broke off. One that goes on for long is left.
+async fn ends_in_error(body: Incoming) -> bool {
+    let mut body = Limited::new(body, MAX_REST_BYTES);
     loop {
         match body.frame().await {
             Some(Ok(_)) => {}
-            Some(Err(_)) => return true,
+            Some(Err(error)) => return !error.is::<LengthLimitError>(),
             None => return false,
         }
     }
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -54,6 +54,10 @@
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n\
      f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
 
+const REFUSED: &str = "HTTP/1.1 503 Full\r\nx-id: ID\r\nx-signed: 1\r\nx-not-executed: 1\r\n\
+     transfer-encoding: chunked\r\n\r\n";
+const UNMARKED: &str = "HTTP/1.1 503 Full\r\nx-id: ID\r\nx-signed: 1\r\n\
+     transfer-encoding: chunked\r\n\r\n";
 
 const INTERIM_HEADS: Script = Script::endless("", "HTTP/1.1 100 Continue\r\n\r\n");
 const HEADER_FIELD: Script = Script::endless("HTTP/1.1 200 OK\r\nx-a: ", "a");
@@ -222,6 +226,25 @@
     });
 }
 
+/// Requests are sent to other engines, so the rest is read only to learn whether the connection can be used again, or
+/// whether the engine crashes.
+#[parameterized(
+    that_has_not_run = { REFUSED },
+    that_may_have_run = { UNMARKED },
+)]
+fn little_is_read_of_the_rest_of_a_refusal(start: &'static str) {
+    run(async move {
+        let kind = RequestKind::Safe;
+        let script = Script::endless(start, chunk("aaaaaaaa"));
+        let site = Rc::new(Site::start(kind, script, BAD_ENGINES).await);
+        let share = site.served_share(kind, PATIENCE).await;
+        let taken = site.bad.iter().map(|engine| engine.most_taken()).max();
+        println!("served {share:.3}, most taken {taken:?}");
+        assert!(share >= LEAST_SERVED, "served {share:.3}");
+        assert!(taken <= Some(64 * KIB + BUFFERED), "taken {taken:?}");
+    });
+}
+
 /// Stores, reports of engines and other nodes are called this way.
 #[parameterized(
     interim_heads = { INTERIM_HEADS, 320 * KIB },
