--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_ENCODING;
 use hyper::{Request, StatusCode};
 use ryerouter_core::Timestamp;
+use ryerouter_core::retry::EngineHealth;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -34,6 +35,8 @@
 const CRASH_WATCH_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum time for reading the rest of a refusal. The connection is kept for reuse if the rest arrives in this time.
 const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
+/// Maximum size of the rest of an answer that was rejected.
+const MAX_REST_BYTES: usize = 64 * 1_024;
 
 /// Sends a request to the engine of `placement` and waits for the head of a usable answer.
 pub(super) async fn attempt(
@@ -101,7 +104,7 @@
                 sent_request.in_flight.note_begun();
             }
             if !answer.head.status.is_server_error() {
-                note_probe_answered(gateway, request, placement);
+                note_probe_answered(gateway, request, placement, EngineHealth::head_received);
             }
             Ok(LiveAnswer::new(
                 answer,
@@ -194,8 +197,13 @@
     }
 }
 
-/// Records that an engine which has failed requests answers again. The rest of its answer may take long.
-fn note_probe_answered(gateway: &Gateway, request: &AcceptedRequest, placement: &Placement) {
+/// Records that an engine which has failed requests answers again, with `update`. The rest of its answer may take long.
+pub(super) fn note_probe_answered(
+    gateway: &Gateway,
+    request: &AcceptedRequest,
+    placement: &Placement,
+    update: fn(&mut EngineHealth),
+) {
     let is_same_incarnation = gateway.is_same_incarnation(placement);
     let mut state = gateway.state_mut();
     let engine = state.engines.get(&placement.engine);
@@ -204,7 +212,7 @@
         && is_same_incarnation
         && let Some(engine) = state.engines.get_mut(&placement.engine)
     {
-        let update = |engine: &mut Engine| engine.health.answered();
+        let update = |engine: &mut Engine| update(&mut engine.health);
         gateway.update_health(engine, &"answer", Some(&request.caller.id), update);
     }
 }
@@ -324,7 +332,8 @@
     let placement = placement.clone();
     let idle_timeout = facts.idle_timeout;
     spawn_local(async move {
-        let rest = timeout(REFUSAL_DRAIN_TIMEOUT, answer.body.collect()).await;
+        let rest = Limited::new(answer.body, MAX_REST_BYTES).collect();
+        let rest = timeout(REFUSAL_DRAIN_TIMEOUT, rest).await;
         if matches!(rest, Ok(Ok(_))) && gateway.is_same_incarnation(&placement) {
             gateway
                 .upstream()
@@ -345,12 +354,13 @@
     });
 }
 
-/// Reads an answer to its end, and returns whether it broke off.
-async fn ends_in_error(mut body: Incoming) -> bool {
+/// Reads an answer to its end, and returns whether it broke off. One that goes on for long is left.
+async fn ends_in_error(body: Incoming) -> bool {
+    let mut body = Limited::new(body, MAX_REST_BYTES);
     loop {
         match body.frame().await {
             Some(Ok(_)) => {}
-            Some(Err(_)) => return true,
+            Some(Err(error)) => return !error.is::<LengthLimitError>(),
             None => return false,
         }
     }
@@ -394,6 +404,7 @@
             // The abandoned request no longer counts as load of the engine. Without a recorded failure, the engine would
             // look idle and attract more requests.
             AttemptError::Silent(SilenceCause::Engine) => engine.health.failed(now),
+            AttemptError::NoAnswer(_) => engine.health.malformed(now),
             AttemptError::EngineError(_)
             | AttemptError::Broken(_)
             | AttemptError::MayHaveRun(_) => {
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -1,15 +1,16 @@
 //! An engine's answer whose head has been accepted.
 
 use std::cell::Cell;
-use std::error::Error;
+use std::error::Error as StdError;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
-use hyper::header::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use ryerouter_core::Timestamp;
 
 use super::answer_reporter::AnswerReporter;
@@ -44,6 +45,8 @@
     heard_at: Rc<Cell<Option<Timestamp>>>,
     connection: Connection,
     is_connection_reusable: bool,
+    /// Whether only the end of the connection tells the end of the answer.
+    pub(super) ends_by_close: bool,
     permit: Permit,
 }
 
@@ -58,6 +61,9 @@
     ) -> Self {
         let mut headers = answer.head.headers;
         let is_connection_reusable = !closes_connection(&headers);
+        let ends_by_close = ![CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| headers.contains_key(name));
         remove_hop_by_hop(&mut headers);
         Self {
             status: answer.head.status,
@@ -72,6 +78,7 @@
             heard_at: sent_request.heard_at,
             connection: answer.connection,
             is_connection_reusable,
+            ends_by_close,
             permit: sent_request.permit,
         }
     }
@@ -88,7 +95,10 @@
             },
             _ => AnswerEnd::Failed,
         });
-        let bytes = collected.map_err(|error| self.broken(error.to_string()))?;
+        let bytes = collected.map_err(|error| match is_too_long(error.as_ref()) {
+            true => AttemptError::NoAnswer(format!("longer than {MAX_WHOLE_ANSWER} bytes")),
+            false => self.broken(error.to_string()),
+        })?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
         Ok(WholeAnswer {
@@ -127,15 +137,24 @@
     }
 }
 
+/// An answer announces more bytes than are read of it.
+#[derive(Debug, Display, Error)]
+#[display("announced as too long")]
+struct AnnouncedTooLong;
+
+fn is_too_long(error: &(dyn StdError + Send + Sync + 'static)) -> bool {
+    error.is::<LengthLimitError>() || error.is::<AnnouncedTooLong>()
+}
+
 /// Collects a body within the memory held for callers. While there is no room, it is not read.
 async fn collect(
     body: &mut Incoming,
     gateway: &Gateway,
-) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+) -> Result<Bytes, Box<dyn StdError + Send + Sync>> {
     let announced = body.size_hint().exact().unwrap_or_default();
     let announced = usize::try_from(announced).unwrap_or(usize::MAX);
     if announced > MAX_WHOLE_ANSWER {
-        return Err(format!("answer is longer than {MAX_WHOLE_ANSWER} bytes").into());
+        return Err(AnnouncedTooLong.into());
     }
     let mut body = Limited::new(body, MAX_WHOLE_ANSWER);
     let reservation = gateway.memory().reserve_whole_answer(announced).await;
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -7,11 +7,16 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::NodeName;
 
+use super::head_limit::HeadLimit;
+use super::limited_stream::LimitedStream;
 use super::{AbortOnDrop, AttemptFailure, ConnectSettings, connect};
 use crate::clock::Clock;
 use crate::tunnel::{EngineStream, TunnelLoss};
@@ -19,11 +24,14 @@
 /// Maximum size of the head of an engine's answer, and of what is read ahead of the answer's body: a caller that reads
 /// slowly makes the node hold that much, whatever the engine sends.
 const MAX_READ_AHEAD: usize = 16 * 1_024;
+/// The same for calls whose answers are read whole.
+const READ_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// One connection to an engine; dropping it closes the socket at once.
 #[derive(Debug)]
 pub struct Connection {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     pub(super) address: SocketAddr,
     pub(super) opened_at: Timestamp,
     /// When the peer last gave a sign of life; an idle one has been idle since. Shared with the calls
@@ -44,7 +52,7 @@
     ) -> Result<Self, AttemptFailure> {
         let stream = connect(address, settings).await?;
         let stream = EngineStream::Left(stream);
-        Ok(Self::set_up(&http1::Builder::new(), stream, address, clock).await?)
+        Ok(Self::set_up(READ_BUFFER_BYTES, stream, address, clock).await?)
     }
 
     /// Sets up HTTP for requests of callers on an open stream.
@@ -53,19 +61,20 @@
         address: SocketAddr,
         clock: Clock,
     ) -> Result<Self, hyper::Error> {
-        let mut client = http1::Builder::new();
-        client.max_buf_size(MAX_READ_AHEAD);
-        Self::set_up(&client, stream, address, clock).await
+        Self::set_up(MAX_READ_AHEAD, stream, address, clock).await
     }
 
     async fn set_up(
-        client: &http1::Builder,
+        max_buf_size: usize,
         stream: EngineStream,
         address: SocketAddr,
         clock: Clock,
     ) -> Result<Self, hyper::Error> {
-        let handshake = client.handshake(TokioIo::new(stream));
-        let (sender, connection) = handshake.await?;
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(max_buf_size);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         let task = tokio::task::spawn_local(async move {
             // Its end shows in the exchange that runs on it.
             let _ = connection.await;
@@ -73,6 +82,7 @@
         let opened_at = clock.now();
         Ok(Self {
             sender,
+            head_limit,
             address,
             opened_at,
             heard_at: Rc::new(Cell::new(opened_at)),
@@ -82,6 +92,33 @@
         })
     }
 
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head_limit.begin();
+        let answer = self.sender.try_send_request(request).await?;
+        self.head_limit.end();
+        Ok(answer)
+    }
+
+    /// Why no head came, where hyper's error tells less.
+    pub(super) fn failure_detail(&self, error: &hyper::Error) -> String {
+        let fault = self.head_limit.fault();
+        fault.unwrap_or_else(|| error.to_string())
+    }
+
+    /// Whether the peer has sent anything since a request was sent.
+    pub(super) fn has_received(&self) -> bool {
+        self.head_limit.has_received()
+    }
+
+    /// Whether it has ended.
+    pub(super) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Whether it is a tunnel and the node is gone through which it goes.
     pub fn is_tunnel_lost(&self) -> bool {
         let tunnel = self.tunnel.as_ref();
