--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use ryerouter_core::continuation::Shard;
+use ryerouter_core::continuation::{Shard, WritePace};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -24,7 +24,7 @@
 /// How often a node writes to the store.
 #[derive(Debug, Clone, Copy)]
 pub struct StoreSettings {
-    /// Minimum time between two writes of a shard's records.
+    /// Mean time between two writes of a shard's records, at least; a few may follow each other at once.
     pub write_interval: Duration,
     /// Whether the deployment is started for the first time, so that nothing served before.
     pub is_first_start: bool,
@@ -138,6 +138,7 @@
     shard: Shard,
     interval: Duration,
 ) {
+    let mut pace = WritePace::new(interval);
     let mut failures = 0;
     loop {
         let changed = gateway.stream_records_due.notified();
@@ -152,11 +153,11 @@
             Ok(StoreWrite::Written(revision)) => {
                 failures = 0;
                 gateway.note_segment_written(shard, streams, revision);
-                sleep(interval).await;
+                sleep(pace.pause_after_write(gateway.clock().now())).await;
             }
             Ok(StoreWrite::Conflict(found)) => {
                 gateway.note_segment_conflict(shard, found);
-                sleep(interval).await;
+                sleep(pace.pause_after_write(gateway.clock().now())).await;
             }
             Err(error) => {
                 failures += 1;
