--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::continuation_records::needs_stream_records;
+use super::stream_records::needs_stream_records;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
 use crate::peers::{Datagram, PeerMessage};
--- a/crates/gateway/src/gateway/continuation_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -1,25 +1,20 @@
-//! Records of versions and streams in the store; see docs/design/continuations.md.
+//! Which versions of engines' software the store holds; see docs/design/continuations.md.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_core::continuation::{
-    Entry, Journal, Knowledge, SETTLING_TIME, Segment, Shard, Source, StoredSegment, StreamId,
-};
+use ryerouter_core::continuation::SETTLING_TIME;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::placement::rendezvous_score;
 use ryerouter_core::release::SoftwareVersion;
-use slog::{info, warn};
+use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
-use crate::source::{SourceError, StoredVersions, VersionList};
+use crate::source::{StoredVersions, VersionList};
 
-/// Number of nodes that read a shard's stored records for others. The first one also writes them.
-const SHARD_READERS: usize = 2;
 /// A node that has just started doesn't know the others, and would take itself for the one that writes.
 const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time by which the second node, the third one and so on write the versions of a pool later than the first one.
@@ -227,180 +222,6 @@
             .collect()
     }
 
-    /// Whether the stored records of a shard are to be read.
-    pub(crate) fn wants_shard(&self, shard: Shard) -> bool {
-        let state = self.state();
-        let continuations = &state.continuations;
-        let reading = continuations.readings.get(&shard);
-        let journal = continuations.journals.get(&shard);
-        reading.is_some_and(|reading| reading.is_wanted)
-            || journal.is_some_and(Journal::needs_position)
-    }
-
-    /// Applies the stored records of a shard.
-    pub(crate) fn apply_segments(&self, shard: Shard, segments: Vec<StoredSegment>) {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let continuations = &mut state.continuations;
-        let mut streams = 0;
-        for stored in &segments {
-            for (stream, entry) in &stored.segment.streams {
-                let (pool, software) = (&entry.pool, &entry.software);
-                let register = &mut continuations.register;
-                streams += 1;
-                // What is known is not renewed, or it would push out what this node alone knows.
-                if register.get(*stream, now) == Knowledge::Unknown {
-                    register.note(*stream, pool, software, Source::Peer, now);
-                }
-            }
-        }
-        info!(self.log(), "streams_read"; "shard" => %shard, "segments" => segments.len(),
-            "streams" => streams);
-        let journal = continuations.journals.entry(shard).or_default();
-        journal.begin_after(&segments);
-        let reading = continuations.readings.entry(shard).or_default();
-        reading.is_wanted = false;
-        reading.ended_at = Some(now);
-        self.shard_read.notify_waiters();
-        // Records may have waited for the position of the journal.
-        self.stream_records_due.notify_waiters();
-    }
-
-    /// Handles a failed reading of a shard's records.
-    pub(crate) fn note_shard_unread(&self, shard: Shard, error: &SourceError) {
-        warn!(self.log(), "streams_unread"; "shard" => %shard, "error" => %error);
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let reading = state.continuations.readings.entry(shard).or_default();
-        reading.is_wanted = false;
-        reading.ended_at = Some(now);
-        self.shard_read.notify_waiters();
-    }
-
-    /// Whether the stored records of a shard have been read lately, as far as this node reads them and the pool needs
-    /// records; otherwise they will be.
-    pub(super) fn has_read_shard(&self, shard: Shard, pool: &PoolName) -> bool {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        if !needs_stream_records(&state, pool, now) {
-            return true;
-        }
-        let readers = self.shard_readers(&state, shard, now);
-        if !state.continuations.versions.has_store || !readers.contains(&None) {
-            return true;
-        }
-        let reading = state.continuations.readings.entry(shard).or_default();
-        if reading.is_recent(now) && !reading.is_wanted {
-            return true;
-        }
-        reading.is_wanted = true;
-        self.stream_records_due.notify_waiters();
-        false
-    }
-
-    /// Waits until the stored records of a shard have been read, if this node reads them.
-    pub(super) async fn until_shard_read(&self, shard: Shard, pool: &PoolName) {
-        loop {
-            let read = self.shard_read.notified();
-            if self.has_read_shard(shard, pool) {
-                return;
-            }
-            read.await;
-        }
-    }
-
-    /// The next segment of a shard to be written, and the revision that it replaces.
-    pub(crate) fn next_segment(&self, shard: Shard) -> Option<(Segment, Option<u64>)> {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let journal = state.continuations.journals.get_mut(&shard)?;
-        journal.begin_write(now)
-    }
-
-    /// Handles a segment that the store has taken.
-    pub(crate) fn note_segment_written(&self, shard: Shard, streams: usize, revision: u64) {
-        let now = self.clock().now();
-        let mut state = self.state_mut();
-        let journal = state.continuations.journals.entry(shard).or_default();
-        journal.end_write(revision);
-        let unwritten = journal.unwritten();
-        drop(state);
-        if let Some(left_out) = self.continuation_sampler().admit(now) {
-            info!(self.log(), "streams_recorded"; "shard" => %shard, "streams" => streams,
-                "unwritten" => unwritten, "revision" => revision, "left_out" => left_out);
-        }
-    }
-
-    /// Handles a segment that another node has written since.
-    pub(crate) fn note_segment_conflict(&self, shard: Shard, found: Option<StoredSegment>) {
-        info!(self.log(), "stream_record_conflict"; "shard" => %shard,
-            "streams" => found.as_ref().map(|found| found.segment.streams.len()));
-        let mut state = self.state_mut();
-        let journal = state.continuations.journals.entry(shard).or_default();
-        journal.resolve_conflict(found);
-    }
-
-    /// Handles a segment that the store has not acknowledged.
-    pub(crate) fn note_segment_unwritten(&self, shard: Shard) {
-        let mut state = self.state_mut();
-        let journal = state.continuations.journals.entry(shard).or_default();
-        journal.fail_write();
-    }
-
-    /// Schedules streams to be written to the store by this node.
-    pub(super) fn journal_streams(
-        &self,
-        state: &mut GatewayState,
-        streams: &[StreamId],
-        pool: &PoolName,
-        software: &SoftwareVersion,
-        now: Timestamp,
-    ) {
-        if !state.continuations.versions.has_store {
-            return;
-        }
-        for stream in streams {
-            let journals = &mut state.continuations.journals;
-            let entry = Entry {
-                pool: pool.clone(),
-                software: software.clone(),
-            };
-            let journal = journals.entry(stream.shard()).or_default();
-            journal.note(*stream, entry, now);
-        }
-        self.stream_records_due.notify_waiters();
-    }
-
-    /// The node that writes a shard's records, and those that read them for others, by rendezvous hashing; `None`
-    /// stands for this node.
-    pub(super) fn shard_readers(
-        &self,
-        state: &GatewayState,
-        shard: Shard,
-        now: Timestamp,
-    ) -> Vec<Option<SocketAddr>> {
-        let key = shard.rendezvous_key();
-        let own = (rendezvous_score(key, self.own_name_hash()), None);
-        let peers = state.peers.alive(now).map(|peer| {
-            let hash = xxh3_64(peer.identity.name.as_str().as_bytes());
-            (
-                rendezvous_score(key, hash),
-                Some(peer.identity.peer_address),
-            )
-        });
-        let mut first: Vec<(u64, Option<SocketAddr>)> = Vec::with_capacity(SHARD_READERS + 1);
-        for node in peers.chain([own]) {
-            let at = first.partition_point(|(score, _)| *score > node.0);
-            first.insert(at, node);
-            first.truncate(SHARD_READERS);
-        }
-        first.into_iter().map(|(_, address)| address).collect()
-    }
-
-    fn own_name_hash(&self) -> u64 {
-        xxh3_64(self.settings().identity.name.as_str().as_bytes())
-    }
-
     /// Position of this node among those that may write a pool's versions.
     fn writer_rank(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> usize {
         let key = xxh3_64(pool.as_str().as_bytes());
@@ -414,13 +235,6 @@
     }
 }
 
-/// Whether the versions of a pool's streams are kept: several versions may have streams under way, or would be taken for
-/// it after a restart.
-pub(super) fn needs_stream_records(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
-    let continuations = &state.continuations;
-    continuations.history.is_mixed(pool, now) || continuations.versions.is_mixed(pool)
-}
-
 /// Applies versions that another node has recorded before this one has heard of them. Returns whether that makes the
 /// pool one of several versions.
 fn note_unheard_versions(state: &mut GatewayState, record: &VersionRecord, now: Timestamp) -> bool {
