Read a shard's records again at once after a failed reading

Callers whose stream nobody remembers were refused with "unknown_version" for a second and more after the store was back, although it held their records.

Cause: a reading that failed was noted like one that succeeded. For the second in which readings are not repeated (READING_INTERVAL) every question was answered as if the store held nothing, and the pauses between failed readings grew to 1.6 s beside it.

A failed reading now tells nothing: streams that wait go on waiting, up to the limit of their lookup, and ask for another reading, after a pause of 0.1 to 0.4 s. A node that reads and can't answers no question until then, so a lookup ends at its limit (0.3 s, 1 s at the start) in place of a refusal at once.

--- a/crates/gateway/src/continuation/shard_reading.rs
+++ b/crates/gateway/src/continuation/shard_reading.rs
@@ -12,14 +12,14 @@
 pub struct ShardReading {
     /// Whether the shard is to be read.
     pub is_wanted: bool,
-    /// When the last reading ended, whether it succeeded or not.
-    pub ended_at: Option<Timestamp>,
+    /// When the last reading succeeded. A failed one tells nothing about what the store holds.
+    pub read_at: Option<Timestamp>,
 }
 
 impl ShardReading {
     /// Whether the shard has been read so lately that another reading is not due.
     pub fn is_recent(&self, now: Timestamp) -> bool {
-        self.ended_at
+        self.read_at
             .is_some_and(|at| now.since(at) < READING_INTERVAL)
     }
 }
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -20,6 +20,11 @@
     first: Duration::from_millis(100),
     longest: Duration::from_millis(1_600),
 };
+/// Pauses after failed readings of records, for which callers wait.
+const READING_BACKOFF: Backoff = Backoff {
+    first: Duration::from_millis(100),
+    longest: Duration::from_millis(400),
+};
 
 /// How often a node writes to the store.
 #[derive(Debug, Clone, Copy)]
@@ -124,8 +129,8 @@
             }
             Err(error) => {
                 failures += 1;
-                gateway.note_shard_unread(shard, &error);
-                sleep(BACKOFF.pause_after(failures)).await;
+                gateway.note_shard_unread(shard, failures, &error);
+                sleep(READING_BACKOFF.pause_after(failures)).await;
             }
         }
     }
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -52,20 +52,19 @@
         journal.begin_after(&segments);
         let reading = continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
-        reading.ended_at = Some(now);
+        reading.read_at = Some(now);
         self.shard_read.notify_waiters();
         // Records may have waited for the position of the journal.
         self.stream_records_due.notify_waiters();
     }
 
-    /// Handles a failed reading of a shard's records.
-    pub(crate) fn note_shard_unread(&self, shard: Shard, error: &SourceError) {
-        warn!(self.log(), "streams_unread"; "shard" => %shard, "error" => %error);
-        let now = self.clock().now();
+    /// Handles a failed reading of a shard's records. Streams that still wait for it ask for another one.
+    pub(crate) fn note_shard_unread(&self, shard: Shard, failures: u32, error: &SourceError) {
+        warn!(self.log(), "streams_unread"; "shard" => %shard, "failures" => failures,
+            "error" => %error);
         let mut state = self.state_mut();
         let reading = state.continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
-        reading.ended_at = Some(now);
         self.shard_read.notify_waiters();
     }
 
--- /dev/null
+++ b/crates/gateway/tests/stored_streams.rs
@@ -0,0 +1,120 @@
+//! Records of streams in a store that is away, slow, loses answers or comes back from a copy.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ryerouter_core::continuation::{Knowledge, StreamId};
+use ryerouter_core::identity::PoolName;
+use ryerouter_gateway::continuation::{Question, Records, StoreSettings, sync_continuations};
+use ryerouter_gateway::engines::EngineEntry;
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::source::{Item, ItemKind, Revision};
+use support::continuation_records::ContinuationRecords;
+use support::gateway_bench::{configure, gateway_with, run_paused};
+use support::records::{POOL, engine, table};
+use support::signalling::settings_of;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// How often a node writes the records of a shard.
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// What the store has taken after its return is there so soon.
+const PROMPT: Duration = Duration::from_millis(500);
+const VERSIONS: [&str; 2] = ["v1", "v1.2"];
+
+/// One node, alone, before engines of two versions.
+struct Node {
+    gateway: Rc<Gateway>,
+    _tasks: JoinSet<()>,
+}
+
+impl Node {
+    fn start(store: &Rc<ContinuationRecords>) -> Self {
+        let gateway = gateway_with(settings_of(0));
+        configure(&gateway, table(1, Vec::new()));
+        let mut tasks = JoinSet::new();
+        let how = StoreSettings {
+            write_interval: WRITE_INTERVAL,
+            is_first_start: true,
+        };
+        let shared = Rc::clone(store);
+        tasks.spawn_local(sync_continuations(Rc::clone(&gateway), shared, how));
+        let node = Self {
+            gateway,
+            _tasks: tasks,
+        };
+        node.list(1);
+        node
+    }
+
+    /// Reads the list of engines in an era of the source.
+    fn list(&self, era: u64) {
+        let entries = VERSIONS.map(|software| EngineEntry {
+            software: software.to_owned(),
+            ..engine(software, "127.0.0.1:1".parse().expect("address"), 1)
+        });
+        let items = entries.into_iter().map(Item::Engine).collect();
+        let now = self.gateway.clock().now();
+        let revision = Revision::new(era, 10);
+        self.gateway
+            .apply_list(ItemKind::Engines, items, revision, now);
+    }
+
+    /// Another node tells of streams that this one writes.
+    fn tell(&self, ids: std::ops::Range<u64>) {
+        self.gateway.apply_stream_records(&Records {
+            pool: PoolName::new(POOL),
+            software: VERSIONS[0].to_owned(),
+            streams: ids.map(StreamId).collect(),
+            is_to_be_stored: true,
+        });
+    }
+
+    /// Another node asks for a stream.
+    fn ask(&self, stream: StreamId) {
+        let question = Question {
+            number: 1,
+            stream,
+            pool: PoolName::new(POOL),
+            asker: None,
+        };
+        let from = "127.0.0.1:2".parse().expect("address");
+        self.gateway.answer_stream_question(&question, from);
+    }
+
+    fn knows(&self, stream: StreamId) -> bool {
+        let now = self.gateway.clock().now();
+        let state = self.gateway.state();
+        state.continuations.register.get(stream, now) != Knowledge::Unknown
+    }
+}
+
+/// A stream that begins while the store is away has its record as soon as it is back, and so has a caller its answer.
+#[test]
+fn failed_reading_counts_as_done() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let before = Node::start(&store);
+        before.tell(0..64);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(store.stream_ids().len(), 64);
+        drop(before);
+        let node = Node::start(&store);
+        sleep(Duration::from_millis(100)).await;
+        store.is_away.set(true);
+        let asked = || (0..64).map(StreamId);
+        let ask_for = async |time: Duration| {
+            for _ in 0..time.as_millis() / 60 {
+                asked().for_each(|stream| node.ask(stream));
+                sleep(Duration::from_millis(60)).await;
+            }
+        };
+        ask_for(Duration::from_millis(300)).await;
+        store.is_away.set(false);
+        ask_for(PROMPT).await;
+        let known = asked().filter(|stream| node.knows(*stream)).count();
+        assert_eq!(known, 64);
+    });
+}
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -1,12 +1,13 @@
 //! The records of versions and streams, as a store that all nodes of a test share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::pending;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ryerouter_core::continuation::{Segment, Shard, StoredSegment};
+use ryerouter_core::continuation::{Segment, Shard, StoredSegment, StreamId};
 use ryerouter_core::identity::PoolName;
 use ryerouter_gateway::continuation::VersionRecord;
 use ryerouter_gateway::source::{
@@ -20,10 +21,15 @@
     versions: RefCell<BTreeMap<PoolName, StoredVersions>>,
     segments: RefCell<BTreeMap<(Shard, u8), StoredSegment>>,
     copy: RefCell<BTreeMap<PoolName, StoredVersions>>,
+    copy_of_segments: RefCell<BTreeMap<(Shard, u8), StoredSegment>>,
     revision: Cell<u64>,
     pub era: Cell<u64>,
     /// Whether it answers nobody.
     pub is_away: Cell<bool>,
+    /// Whether writes get no answer and are not carried out.
+    pub is_hanging: Cell<bool>,
+    /// Whether writes are carried out and get no answer.
+    pub loses_answers: Cell<bool>,
     /// Whether it holds records of versions that nobody can read.
     pub is_unreadable: Cell<bool>,
     /// How long each call takes.
@@ -49,8 +55,17 @@
         segments.map(|stored| stored.segment.streams.len()).sum()
     }
 
-    /// Keeps a copy of the versions for [`Self::restore_copy`].
+    /// The streams that it holds.
+    pub fn stream_ids(&self) -> BTreeSet<StreamId> {
+        let segments = self.segments.borrow();
+        let held = segments.values();
+        let held = held.flat_map(|stored| stored.segment.streams.keys().copied());
+        held.collect()
+    }
+
+    /// Keeps a copy for [`Self::restore_copy`] and [`Self::restore_copy_with_streams`].
     pub fn make_copy(&self) {
+        *self.copy_of_segments.borrow_mut() = self.segments.borrow().clone();
         *self.copy.borrow_mut() = self.versions.borrow().clone();
     }
 
@@ -61,6 +76,18 @@
         self.era.set(self.era.get() + 1);
     }
 
+    /// Comes back from the copy, whose revisions are given out again.
+    pub fn restore_copy_with_streams(&self) {
+        self.restore_copy();
+        *self.segments.borrow_mut() = self.copy_of_segments.borrow().clone();
+        let segments = self.segments.borrow();
+        let versions = self.versions.borrow();
+        let of_segments = segments.values().map(|stored| stored.revision);
+        let of_versions = versions.values().map(|stored| stored.revision);
+        let newest = of_segments.chain(of_versions).max();
+        self.revision.set(newest.unwrap_or_default());
+    }
+
     async fn answer(&self) -> Result<(), SourceError> {
         self.calls.set(self.calls.get() + 1);
         sleep(self.delay.get()).await;
@@ -72,6 +99,26 @@
         }
     }
 
+    fn take_segment(
+        &self,
+        shard: Shard,
+        segment: &Segment,
+        revision: Option<u64>,
+    ) -> StoreWrite<StoredSegment> {
+        let mut held = self.segments.borrow_mut();
+        let found = held.get(&(shard, segment.index));
+        if found.map(|found| found.revision) != revision {
+            return StoreWrite::Conflict(found.cloned());
+        }
+        let stored = StoredSegment {
+            segment: segment.clone(),
+            revision: self.next_revision(),
+        };
+        let revision = stored.revision;
+        held.insert((shard, segment.index), stored);
+        StoreWrite::Written(revision)
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -135,18 +182,14 @@
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredSegment>, SourceError>> {
         async move {
             self.answer().await?;
-            let mut held = self.segments.borrow_mut();
-            let found = held.get(&(shard, segment.index));
-            if found.map(|found| found.revision) != revision {
-                return Ok(StoreWrite::Conflict(found.cloned()));
+            if self.is_hanging.get() {
+                return pending().await;
             }
-            let stored = StoredSegment {
-                segment: segment.clone(),
-                revision: self.next_revision(),
-            };
-            let revision = stored.revision;
-            held.insert((shard, segment.index), stored);
-            Ok(StoreWrite::Written(revision))
+            let written = self.take_segment(shard, segment, revision);
+            if self.loses_answers.get() {
+                return pending().await;
+            }
+            Ok(written)
         }
         .boxed_local()
     }
