Write records of streams again when the store came back from a copy

A store that came back from a copy lacked records that nodes still knew. When all nodes were killed after that, the streams were refused although they could have gone on.

Only the segment that is written next is compared with the store, by its revision, and only when another stream begins in its shard; the segments before were gone for good.

When a node learns of a new era of the store, it writes again what its journals hold and, for the shards that it writes, what it knows of the last 30 s (STORED_RETENTION). Positions and revisions are read anew, since the copy gives out revisions a second time, and a write that was under way tells nothing.

streams_are_lost_with_a_copy_of_the_store fails on the code before (0, 1,000 and 9,000 of 16,000 streams in the store 0.5 s after the node read the new era; 16,000 now).

--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -77,6 +77,17 @@
         }
     }
 
+    /// Handles a return of the store from a copy, which may lack what it had taken: the streams are written again, in
+    /// segments that are found anew.
+    pub fn rewrite(&mut self, now: Timestamp) {
+        let stored = std::mem::take(&mut self.stored).into_iter();
+        let recent = stored.filter(|(at, ..)| now.since(*at) < STORED_RETENTION);
+        self.unwritten = recent.chain(self.unwritten.drain(..)).collect();
+        self.in_writing = 0;
+        self.revisions.clear();
+        self.has_position = false;
+    }
+
     /// Number of streams that wait to be written.
     pub fn unwritten(&self) -> usize {
         self.unwritten.len()
--- a/crates/core/src/continuation/register.rs
+++ b/crates/core/src/continuation/register.rs
@@ -121,6 +121,20 @@
         })
     }
 
+    /// Streams that this node relayed or heard of within this time, with their pools and versions.
+    pub fn since(
+        &self,
+        age: Duration,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (StreamId, &PoolName, &SoftwareVersion)> {
+        let records = self.records.iter();
+        let recent = records.filter(move |(_, record)| now.since(record.noted_at) < age);
+        recent.filter_map(|(id, record)| {
+            let (pool, software) = &self.versions[record.version? as usize];
+            Some((*id, pool, software))
+        })
+    }
+
     fn index_of(&mut self, pool: &PoolName, software: &str) -> VersionIndex {
         let mut known = self.versions.iter();
         let position = known.position(|(of, version)| of == pool && version == software);
--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -119,6 +119,26 @@
     assert_eq!((segment.streams.len(), revision), (3, None));
 }
 
+/// A store that came back from a copy may lack every segment, whatever revisions it gives out.
+#[test]
+fn written_records_are_not_believed_to_be_in_a_copy() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..2, at(0));
+    journal.begin_write(at(0));
+    journal.end_write(4);
+    note_all(&mut journal, 2..3, at(29_000));
+    journal.begin_write(at(29_000));
+    journal.rewrite(at(30_500));
+    // The write that was under way tells nothing about the copy.
+    journal.end_write(5);
+    assert!(journal.needs_position());
+    journal.begin_after(&[stored(0, 10..12, 3)]);
+    let (segment, revision) = journal.begin_write(at(30_500)).expect("segment");
+    assert_eq!((segment.index, revision), (1, None));
+    let streams: Vec<_> = segment.streams.into_keys().collect();
+    assert_eq!(streams, [StreamId(2)], "the others are too old");
+}
+
 /// A node that takes a shard over begins after the segment that was written last, once it knows which that is.
 #[test]
 fn shard_is_taken_over_after_its_last_segment() {
--- a/crates/gateway/src/gateway/restored_source.rs
+++ b/crates/gateway/src/gateway/restored_source.rs
@@ -41,6 +41,7 @@
             warn!(self.log(), "source_restored"; "kind" => %kind, "era" => era, "before" => before);
             state.restored_at = Some(now);
             self.rewrite_poison_records(state, now);
+            self.rewrite_stream_records(state, now);
         }
     }
 }
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -1,10 +1,11 @@
 //! Which streams the store holds, and who writes and reads them; see docs/design/continuations.md.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, Journal, Knowledge, Segment, Shard, Source, StoredSegment, StreamId,
+    Entry, Journal, Knowledge, STORED_RETENTION, Segment, Shard, Source, StoredSegment, StreamId,
 };
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::placement::rendezvous_score;
@@ -138,6 +139,30 @@
         journal.fail_write();
     }
 
+    /// Schedules what a store that came back from a copy may lack: the streams that this node has written lately, and those
+    /// that it knows of the shards that it writes.
+    pub(super) fn rewrite_stream_records(&self, state: &mut GatewayState, now: Timestamp) {
+        for journal in state.continuations.journals.values_mut() {
+            journal.rewrite(now);
+        }
+        let written: Vec<_> = Shard::all()
+            .filter(|shard| self.shard_readers(state, *shard, now).first() == Some(&None))
+            .collect();
+        let mut versions: BTreeMap<(PoolName, SoftwareVersion), Vec<StreamId>> = BTreeMap::new();
+        for (stream, pool, software) in state.continuations.register.since(STORED_RETENTION, now) {
+            if written.contains(&stream.shard()) && needs_stream_records(state, pool, now) {
+                let version = (pool.clone(), software.clone());
+                versions.entry(version).or_default().push(stream);
+            }
+        }
+        for ((pool, software), streams) in &versions {
+            self.journal_streams(state, streams, pool, software, now);
+        }
+        let streams: usize = versions.values().map(Vec::len).sum();
+        info!(self.log(), "streams_written_again"; "shards" => written.len(), "streams" => streams);
+        self.stream_records_due.notify_waiters();
+    }
+
     /// Schedules streams to be written to the store by this node.
     pub(super) fn journal_streams(
         &self,
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -17,6 +17,7 @@
 use support::signalling::settings_of;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use yare::parameterized;
 
 /// How often a node writes the records of a shard.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
@@ -118,3 +119,27 @@
         assert_eq!(known, 64);
     });
 }
+
+/// What a copy held when the store came back from it.
+#[parameterized(
+    nothing = { 0 },
+    some_streams = { 1_000 },
+    whole_segments = { 9_000 },
+)]
+fn streams_are_lost_with_a_copy_of_the_store(of_copy: u64) {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..of_copy);
+        sleep(Duration::from_secs(1)).await;
+        store.make_copy();
+        node.tell(of_copy..16_000);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(store.stream_ids().len(), 16_000);
+        store.restore_copy_with_streams();
+        assert_eq!(store.stream_ids().len() as u64, of_copy);
+        node.list(2);
+        sleep(PROMPT).await;
+        assert_eq!(store.stream_ids().len(), 16_000);
+    });
+}
