Write what began during an outage of the store as soon as it is back

Streams that began while the store took no writes stayed unrecorded for up to 1.6 s after it took them again, and were refused if all nodes were killed in that time.

Cause: pauses after failed writes doubled up to 1.6 s for each shard.

A shard whose write fails pauses between one half and two write intervals (0.1 s, or more where the store takes few writes). The calls stay bounded by those of a sound store in the long run: 8 shards with a pause of 0.1 to 0.2 s each make 53 writes a second on average for each set of writers, where a store that answers gets up to 80. Throttled writers keep the pauses of up to 1.6 s. Failures are logged at powers of two in a row.

pauses_lengthen_an_outage fails on the code before (80 of 128 streams in the store 0.5 s after its return; 128 now).

--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -144,7 +144,7 @@
     interval: Duration,
 ) {
     let mut pace = WritePace::new(interval);
-    let mut failures = 0;
+    let mut failures = 0_u32;
     loop {
         let changed = gateway.stream_records_due.notified();
         let Some((segment, revision)) = gateway.next_segment(shard) else {
@@ -167,10 +167,25 @@
             Err(error) => {
                 failures += 1;
                 gateway.note_segment_unwritten(shard);
-                warn!(gateway.log(), "streams_unrecorded"; "shard" => %shard,
-                    "streams" => streams, "failures" => failures, "error" => %error);
-                sleep(BACKOFF.pause_after(failures)).await;
+                if failures.is_power_of_two() {
+                    warn!(gateway.log(), "streams_unrecorded"; "shard" => %shard,
+                        "streams" => streams, "failures" => failures, "error" => %error);
+                }
+                sleep(pause_after_write(&error, failures, interval)).await;
             }
         }
     }
 }
+
+/// The pause after a failed write. A store that fails is asked no more often than one that answers, and no less, since
+/// what begins until the next write is lost if all nodes are killed; one that has too much to do is spared.
+fn pause_after_write(error: &SourceError, failures: u32, interval: Duration) -> Duration {
+    let backoff = match error {
+        SourceError::Throttled => BACKOFF,
+        _ => Backoff {
+            first: interval,
+            longest: interval * 2,
+        },
+    };
+    backoff.pause_after(failures)
+}
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -61,8 +61,10 @@
 
     /// Handles a failed reading of a shard's records. Streams that still wait for it ask for another one.
     pub(crate) fn note_shard_unread(&self, shard: Shard, failures: u32, error: &SourceError) {
-        warn!(self.log(), "streams_unread"; "shard" => %shard, "failures" => failures,
-            "error" => %error);
+        if failures.is_power_of_two() {
+            warn!(self.log(), "streams_unread"; "shard" => %shard, "failures" => failures,
+                "error" => %error);
+        }
         let mut state = self.state_mut();
         let reading = state.continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -143,3 +143,20 @@
         assert_eq!(store.stream_ids().len(), 16_000);
     });
 }
+
+/// What began while the store was away is written as soon as it is back.
+#[test]
+fn pauses_lengthen_an_outage() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..64);
+        sleep(Duration::from_secs(1)).await;
+        store.is_away.set(true);
+        node.tell(64..128);
+        sleep(Duration::from_secs(4)).await;
+        store.is_away.set(false);
+        sleep(PROMPT).await;
+        assert_eq!(store.stream_ids().len(), 128);
+    });
+}
