Write records of streams beside a write that is slow or hangs

Where the store took 0.8 s for an answer, a stream's record was in the store up to 1.6 s after it began, and where a write hung, 1 s and a pause after the store took writes again. All nodes killed in that time, the stream was refused.

Cause: each shard had one write under way, whatever it waited for.

A shard has up to four writes under way (MAX_WRITES), each of another segment. A write holds everything that the store has not acknowledged, also what earlier writes hold, so that none depends on another; what does not fit into one segment is divided. Streams whose write takes longer than 0.25 s (REWRITE_DELAY) are written once more beside it. All writes keep to the pace of their shard: 8 shards at one write in 0.1 s, 80 a second at most for each set of writers, as before, and four under way for each shard. While a store answers promptly one segment is written, as before.

records_wait_behind_a_slow_write and records_wait_for_a_write_that_hangs fail on the code before (128 of 320 and 64 of 128 streams in the store in time; all now).

--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -1,9 +1,10 @@
 //! The records of a shard's streams that a node writes to the store.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::StreamId;
+use super::open_segment::{OpenSegment, WriteUnderWay};
 use crate::Timestamp;
 use crate::identity::PoolName;
 use crate::release::SoftwareVersion;
@@ -14,6 +15,10 @@
 pub const SEGMENTS: u8 = 32;
 /// Maximum number of streams in a segment, which is written as a whole.
 pub const MAX_SEGMENT_STREAMS: usize = 1_024;
+/// Maximum number of writes that are under way, each of another segment.
+pub const MAX_WRITES: usize = 4;
+/// Time after which streams whose write has not ended are written once more, in another segment.
+pub const REWRITE_DELAY: Duration = Duration::from_millis(250);
 /// Maximum number of streams that wait to be written, while the store takes none; beyond it the oldest are dropped.
 const MAX_UNWRITTEN: usize = 8_192;
 
@@ -44,17 +49,36 @@
     pub revision: u64,
 }
 
-/// The records of a shard's streams that a node writes to the store, one segment after the other.
+/// A write of a segment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SegmentWrite {
+    /// Tells it apart from other writes of its journal.
+    pub number: u64,
+    /// What is written.
+    pub segment: Segment,
+    /// The revision that it replaces, if the store holds the segment.
+    pub replaces: Option<u64>,
+}
+
+/// When a stream was noted, and its version.
+pub(super) type Noted = (Timestamp, StreamId, Entry);
+
+/// The records of a shard's streams that a node writes to the store, a few segments at a time.
+///
+/// A write holds all streams that the store has not acknowledged, also those of writes that are under way, as far as a
+/// segment has room for them. So none waits for an earlier write, which may be slow or hang.
 #[derive(Debug, Default)]
 pub struct Journal {
-    /// Position of the segment that is written.
-    index: u8,
-    /// Streams that the store holds in this segment, in order of time.
-    stored: VecDeque<(Timestamp, StreamId, Entry)>,
-    /// Streams that it does not hold yet.
-    unwritten: VecDeque<(Timestamp, StreamId, Entry)>,
-    /// How many of these are being written.
-    in_writing: usize,
+    /// Segments that this node writes.
+    open: Vec<OpenSegment>,
+    /// Position after which the next segment is opened.
+    last_index: u8,
+    /// Streams that the store has not acknowledged, by the order in which they were noted.
+    unwritten: BTreeMap<u64, Noted>,
+    /// Number of streams noted so far.
+    noted: u64,
+    /// Number of writes begun so far.
+    writes: u64,
     /// Revisions of the segments, as far as known.
     revisions: BTreeMap<u8, u64>,
     /// Whether it is known which segments the store holds.
@@ -64,26 +88,44 @@
 impl Journal {
     /// Schedules the version of a stream to be written.
     pub fn note(&mut self, stream: StreamId, entry: Entry, now: Timestamp) {
-        let waiting = self.stored.iter().chain(&self.unwritten).rev();
-        if waiting
-            .take(MAX_SEGMENT_STREAMS)
-            .any(|(_, known, _)| *known == stream)
-        {
+        if self.has_noted_lately(stream) {
             return;
         }
-        self.unwritten.push_back((now, stream, entry));
-        if self.unwritten.len() - self.in_writing > MAX_UNWRITTEN {
-            self.unwritten.remove(self.in_writing);
+        self.insert(now, stream, entry);
+        if self.unwritten.len() > MAX_UNWRITTEN {
+            self.unwritten.pop_first();
         }
     }
 
+    fn has_noted_lately(&self, stream: StreamId) -> bool {
+        let unwritten = self.unwritten.values().rev();
+        let stored = self.open.iter().flat_map(|open| {
+            let stored = open.stored.iter().rev();
+            stored.take(MAX_SEGMENT_STREAMS)
+        });
+        let mut noted = unwritten.take(MAX_SEGMENT_STREAMS).chain(stored);
+        noted.any(|(_, known, _)| *known == stream)
+    }
+
+    fn insert(&mut self, at: Timestamp, stream: StreamId, entry: Entry) {
+        self.noted += 1;
+        self.unwritten.insert(self.noted, (at, stream, entry));
+    }
+
     /// Handles a return of the store from a copy, which may lack what it had taken: the streams are written again, in
     /// segments that are found anew.
     pub fn rewrite(&mut self, now: Timestamp) {
-        let stored = std::mem::take(&mut self.stored).into_iter();
-        let recent = stored.filter(|(at, ..)| now.since(*at) < STORED_RETENTION);
-        self.unwritten = recent.chain(self.unwritten.drain(..)).collect();
-        self.in_writing = 0;
+        let unwritten = std::mem::take(&mut self.unwritten);
+        for open in std::mem::take(&mut self.open) {
+            for (at, stream, entry) in open.stored {
+                if now.since(at) < STORED_RETENTION {
+                    self.insert(at, stream, entry);
+                }
+            }
+        }
+        for (at, stream, entry) in unwritten.into_values() {
+            self.insert(at, stream, entry);
+        }
         self.revisions.clear();
         self.has_position = false;
     }
@@ -98,61 +140,131 @@
         !self.has_position && !self.unwritten.is_empty()
     }
 
-    /// The segment that is to be written now, and the revision that it replaces; `None` if there is nothing to write.
-    pub fn begin_write(&mut self, now: Timestamp) -> Option<(Segment, Option<u64>)> {
-        if !self.has_position {
+    /// The segment that is to be written now; `None` if there is nothing to write, or too many writes are under way.
+    pub fn begin_write(&mut self, now: Timestamp) -> Option<SegmentWrite> {
+        if !self.has_position || self.unwritten.is_empty() || !self.has_free_segment() {
             return None;
         }
-        if self.unwritten.is_empty() {
+        let added = self.due_streams(now)?;
+        let position = self.free_segment();
+        self.make_room(position, added.len(), now);
+        self.writes += 1;
+        let open = &mut self.open[position];
+        let stored = open.stored.iter();
+        let streams = stored.chain(added.iter().map(|(_, noted)| noted));
+        let segment = Segment {
+            index: open.index,
+            streams: streams.map(|(_, id, entry)| (*id, entry.clone())).collect(),
+        };
+        open.write = Some(WriteUnderWay {
+            number: self.writes,
+            begun_at: now,
+            added,
+        });
+        Some(SegmentWrite {
+            number: self.writes,
+            replaces: self.revisions.get(&segment.index).copied(),
+            segment,
+        })
+    }
+
+    /// The streams that the next write adds: all that the store has not acknowledged, or if these are too many, those
+    /// that no write holds. `None` while writes that began lately hold all of them.
+    fn due_streams(&self, now: Timestamp) -> Option<Vec<(u64, Noted)>> {
+        let under_way = || self.open.iter().filter_map(|open| open.write.as_ref());
+        let added = under_way().flat_map(|write| &write.added);
+        let held: BTreeSet<u64> = added.map(|(number, _)| *number).collect();
+        let last_begun_at = under_way().map(|write| write.begun_at).max();
+        let is_late = last_begun_at.is_none_or(|at| now.since(at) >= REWRITE_DELAY);
+        let is_held = self.unwritten.keys().all(|number| held.contains(number));
+        if is_held && !is_late {
             return None;
         }
+        let is_too_many = !is_held && self.unwritten.len() > MAX_SEGMENT_STREAMS;
+        let due = self.unwritten.iter();
+        let due = due.filter(|(number, _)| !is_too_many || !held.contains(number));
+        let due = due.take(MAX_SEGMENT_STREAMS);
+        Some(
+            due.map(|(number, noted)| (*number, noted.clone()))
+                .collect(),
+        )
+    }
+
+    fn has_free_segment(&self) -> bool {
+        self.open.len() < MAX_WRITES || self.open.iter().any(|open| open.write.is_none())
+    }
+
+    /// Position in `open` of a segment without a write under way.
+    fn free_segment(&mut self) -> usize {
+        let free = self.open.iter().position(|open| open.write.is_none());
+        free.unwrap_or_else(|| {
+            self.last_index = self.next_index(self.last_index);
+            self.open.push(OpenSegment::new(self.last_index));
+            self.open.len() - 1
+        })
+    }
+
+    /// Drops old streams of an open segment, or goes on to another one, so that it has room for more.
+    fn make_room(&mut self, position: usize, added: usize, now: Timestamp) {
+        let open = &mut self.open[position];
         let is_old = |at: Timestamp| now.since(at) >= STORED_RETENTION;
-        while self.stored.front().is_some_and(|(at, ..)| is_old(*at)) {
-            self.stored.pop_front();
+        while open.stored.front().is_some_and(|(at, ..)| is_old(*at)) {
+            open.stored.pop_front();
         }
-        if self.stored.len() + self.unwritten.len() > MAX_SEGMENT_STREAMS && !self.stored.is_empty()
-        {
-            self.index = self.next_index();
-            self.stored.clear();
+        if open.stored.len() + added > MAX_SEGMENT_STREAMS && !open.stored.is_empty() {
+            open.stored.clear();
+            self.move_on(position);
         }
-        self.in_writing = self.unwritten.len().min(MAX_SEGMENT_STREAMS);
-        let written = self.unwritten.iter().take(self.in_writing);
-        let streams = self.stored.iter().chain(written);
-        let segment = Segment {
-            index: self.index,
-            streams: streams.map(|(_, id, entry)| (*id, entry.clone())).collect(),
-        };
-        Some((segment, self.revisions.get(&self.index).copied()))
+    }
+
+    /// Goes on with another segment in place of an open one.
+    fn move_on(&mut self, position: usize) {
+        let index = self.next_index(self.open[position].index);
+        self.open[position].index = index;
+        self.last_index = index;
     }
 
     /// Handles a segment that the store took.
-    pub fn end_write(&mut self, revision: u64) {
-        self.revisions.insert(self.index, revision);
-        let in_writing = std::mem::take(&mut self.in_writing);
-        self.stored.extend(self.unwritten.drain(..in_writing));
+    pub fn end_write(&mut self, number: u64, revision: u64) {
+        let Some((position, write)) = self.take_write(number) else {
+            return;
+        };
+        self.revisions.insert(self.open[position].index, revision);
+        for (number, noted) in write.added {
+            self.unwritten.remove(&number);
+            self.open[position].stored.push_back(noted);
+        }
     }
 
     /// Handles a write that was not acknowledged; the same streams are written again.
-    pub fn fail_write(&mut self) {
-        self.in_writing = 0;
+    pub fn fail_write(&mut self, number: u64) {
+        self.take_write(number);
     }
 
     /// Handles a segment that another node has written since, or that is gone. Another writer keeps its segment; where the
     /// store does not tell what it holds, it has to be read first.
-    pub fn resolve_conflict(&mut self, found: Option<StoredSegment>) {
-        self.in_writing = 0;
+    pub fn resolve_conflict(&mut self, number: u64, found: Option<StoredSegment>) {
+        let Some((position, _)) = self.take_write(number) else {
+            return;
+        };
+        let index = self.open[position].index;
         match found {
             None => {
-                self.revisions.remove(&self.index);
+                self.revisions.remove(&index);
                 self.has_position = false;
             }
             Some(found) => {
-                self.revisions.insert(self.index, found.revision);
-                self.index = self.next_index();
+                self.revisions.insert(index, found.revision);
+                self.move_on(position);
             }
         }
     }
 
+    fn take_write(&mut self, number: u64) -> Option<(usize, WriteUnderWay)> {
+        let mut open = self.open.iter_mut().enumerate();
+        open.find_map(|(position, open)| Some((position, open.take_write(number)?)))
+    }
+
     /// Begins after the segments that the store holds, as a node does that has just become a writer of the shard.
     pub fn begin_after(&mut self, found: &[StoredSegment]) {
         if self.has_position {
@@ -161,20 +273,28 @@
         self.has_position = true;
         let revisions = found.iter();
         let revisions = revisions.map(|found| (found.segment.index, found.revision));
-        self.revisions = revisions.collect();
+        let before = std::mem::replace(&mut self.revisions, revisions.collect());
         let newest = self.revisions.iter().max_by_key(|(_, revision)| **revision);
-        if let Some((newest, _)) = newest {
-            self.index = *newest;
-            self.index = self.next_index();
+        self.last_index = newest.map_or(SEGMENTS - 1, |(index, _)| *index);
+        for position in 0..self.open.len() {
+            let open = &self.open[position];
+            let is_changed = before.get(&open.index) != self.revisions.get(&open.index);
+            // Another writer may have written it since.
+            if is_changed && open.write.is_none() {
+                self.move_on(position);
+            }
         }
     }
 
-    /// The next segment that is not known to hold anything, else the one that was written the longest ago.
-    fn next_index(&self) -> u8 {
-        let mut following = (1..=SEGMENTS).map(|step| (self.index + step) % SEGMENTS);
-        let oldest = self.revisions.iter().min_by_key(|(_, revision)| **revision);
+    /// The next segment after one that is not open and not known to hold anything, else the one that was written the
+    /// longest ago.
+    fn next_index(&self, after: u8) -> u8 {
+        let is_open = |index: u8| self.open.iter().any(|open| open.index == index);
+        let mut following = (1..=SEGMENTS).map(|step| (after + step) % SEGMENTS);
+        let closed = self.revisions.iter().filter(|(index, _)| !is_open(**index));
+        let oldest = closed.min_by_key(|(_, revision)| **revision);
         following
-            .find(|index| !self.revisions.contains_key(index))
+            .find(|index| !is_open(*index) && !self.revisions.contains_key(index))
             .or(oldest.map(|(index, _)| *index))
             .unwrap_or_default()
     }
--- a/crates/core/src/continuation/mod.rs
+++ b/crates/core/src/continuation/mod.rs
@@ -8,6 +8,7 @@
 mod holders;
 mod journal;
 mod knowledge;
+mod open_segment;
 mod register;
 mod shard;
 mod stream_id;
@@ -17,7 +18,8 @@
 pub use decision::{Answers, Decision, Outlook, Unresolved, decide, decide_with_answers};
 pub use holders::{HOLDERS, Node, holders_of};
 pub use journal::{
-    Entry, Journal, MAX_SEGMENT_STREAMS, SEGMENTS, STORED_RETENTION, Segment, StoredSegment,
+    Entry, Journal, MAX_SEGMENT_STREAMS, MAX_WRITES, REWRITE_DELAY, SEGMENTS, STORED_RETENTION,
+    Segment, SegmentWrite, StoredSegment,
 };
 pub use knowledge::Knowledge;
 pub use register::{RETENTION, Register, Source};
--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -1,12 +1,12 @@
 //! Which records of streams a node writes to the store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, Journal, MAX_SEGMENT_STREAMS, SEGMENTS, STORED_RETENTION, Segment, Shard, StoredSegment,
-    StreamId,
+    Entry, Journal, MAX_SEGMENT_STREAMS, MAX_WRITES, SEGMENTS, STORED_RETENTION, Segment, Shard,
+    StoredSegment, StreamId,
 };
 use ryerouter_core::identity::PoolName;
 
@@ -27,6 +27,12 @@
     }
 }
 
+/// Begins a write: its number, what is written, and the revision that it replaces.
+fn begin(journal: &mut Journal, now: Timestamp) -> Option<(u64, Segment, Option<u64>)> {
+    let write = journal.begin_write(now)?;
+    Some((write.number, write.segment, write.replaces))
+}
+
 /// A journal in a store that holds nothing.
 fn journal() -> Journal {
     let mut journal = Journal::default();
@@ -50,16 +56,16 @@
     let mut journal = journal();
     assert_eq!(journal.begin_write(at(0)), None);
     note_all(&mut journal, 0..2, at(0));
-    let (first, revision) = journal.begin_write(at(0)).expect("segment");
+    let (number, first, revision) = begin(&mut journal, at(0)).expect("segment");
     assert_eq!((first.streams.len(), revision), (2, None));
-    journal.fail_write();
+    journal.fail_write(number);
     note_all(&mut journal, 0..3, at(10));
-    let (second, _) = journal.begin_write(at(10)).expect("segment");
+    let (number, second, _) = begin(&mut journal, at(10)).expect("segment");
     assert_eq!(second.streams.len(), 3);
-    journal.end_write(7);
+    journal.end_write(number, 7);
     assert_eq!(journal.begin_write(at(20)), None);
     note_all(&mut journal, 0..4, at(20));
-    let (third, revision) = journal.begin_write(at(20)).expect("segment");
+    let (_, third, revision) = begin(&mut journal, at(20)).expect("segment");
     assert_eq!((third.streams.len(), revision), (4, Some(7)));
 }
 
@@ -67,11 +73,11 @@
 fn old_records_are_dropped() {
     let mut journal = journal();
     note_all(&mut journal, 0..2, at(0));
-    journal.begin_write(at(0));
-    journal.end_write(1);
+    let (number, ..) = begin(&mut journal, at(0)).expect("segment");
+    journal.end_write(number, 1);
     let later = at(0).after(STORED_RETENTION);
     note_all(&mut journal, 2..3, later);
-    let (segment, _) = journal.begin_write(later).expect("segment");
+    let (_, segment, _) = begin(&mut journal, later).expect("segment");
     assert_eq!(
         segment.streams.keys().copied().collect::<Vec<_>>(),
         [StreamId(2)]
@@ -83,12 +89,12 @@
 fn segment_of_another_writer_is_left_alone() {
     let mut journal = journal();
     note_all(&mut journal, 0..2, at(0));
-    journal.begin_write(at(0));
-    journal.end_write(4);
+    let (number, ..) = begin(&mut journal, at(0)).expect("segment");
+    journal.end_write(number, 4);
     note_all(&mut journal, 2..3, at(1));
-    journal.begin_write(at(1));
-    journal.resolve_conflict(Some(stored(0, 10..12, 5)));
-    let (segment, revision) = journal.begin_write(at(2)).expect("segment");
+    let (number, ..) = begin(&mut journal, at(1)).expect("segment");
+    journal.resolve_conflict(number, Some(stored(0, 10..12, 5)));
+    let (_, segment, revision) = begin(&mut journal, at(2)).expect("segment");
     assert_eq!((segment.index, revision), (1, None));
     let versions: Vec<_> = segment
         .streams
@@ -103,11 +109,12 @@
 fn lost_segment_is_written_again() {
     let mut journal = journal();
     note_all(&mut journal, 0..2, at(0));
-    journal.begin_write(at(0));
-    journal.end_write(4);
+    let (number, ..) = begin(&mut journal, at(0)).expect("segment");
+    journal.end_write(number, 4);
     note_all(&mut journal, 2..3, at(1));
-    assert_eq!(journal.begin_write(at(1)).expect("segment").1, Some(4));
-    journal.resolve_conflict(None);
+    let (number, _, revision) = begin(&mut journal, at(1)).expect("segment");
+    assert_eq!(revision, Some(4));
+    journal.resolve_conflict(number, None);
     assert!(journal.needs_position());
     assert_eq!(
         journal.begin_write(at(2)),
@@ -115,7 +122,7 @@
         "what the store holds is not known"
     );
     journal.begin_after(&[]);
-    let (segment, revision) = journal.begin_write(at(2)).expect("segment");
+    let (_, segment, revision) = begin(&mut journal, at(2)).expect("segment");
     assert_eq!((segment.streams.len(), revision), (3, None));
 }
 
@@ -124,16 +131,16 @@
 fn written_records_are_not_believed_to_be_in_a_copy() {
     let mut journal = journal();
     note_all(&mut journal, 0..2, at(0));
-    journal.begin_write(at(0));
-    journal.end_write(4);
+    let (number, ..) = begin(&mut journal, at(0)).expect("segment");
+    journal.end_write(number, 4);
     note_all(&mut journal, 2..3, at(29_000));
-    journal.begin_write(at(29_000));
+    let (number, ..) = begin(&mut journal, at(29_000)).expect("segment");
     journal.rewrite(at(30_500));
     // The write that was under way tells nothing about the copy.
-    journal.end_write(5);
+    journal.end_write(number, 5);
     assert!(journal.needs_position());
     journal.begin_after(&[stored(0, 10..12, 3)]);
-    let (segment, revision) = journal.begin_write(at(30_500)).expect("segment");
+    let (_, segment, revision) = begin(&mut journal, at(30_500)).expect("segment");
     assert_eq!((segment.index, revision), (1, None));
     let streams: Vec<_> = segment.streams.into_keys().collect();
     assert_eq!(streams, [StreamId(2)], "the others are too old");
@@ -149,7 +156,7 @@
     let found = [stored(3, 0..2, 40), stored(4, 2..3, 50), stored(5, 3..4, 9)];
     journal.begin_after(&found);
     assert!(!journal.needs_position());
-    let (segment, revision) = journal.begin_write(at(0)).expect("segment");
+    let (_, segment, revision) = begin(&mut journal, at(0)).expect("segment");
     assert_eq!(
         (segment.index, revision, segment.streams.len()),
         (6, None, 1)
@@ -164,7 +171,7 @@
         (0..SEGMENTS).map(|index| stored(index, 0..1, 100 + u64::from((index + 7) % SEGMENTS)));
     journal.begin_after(&found.collect::<Vec<_>>());
     note_all(&mut journal, 7..8, at(0));
-    let (segment, revision) = journal.begin_write(at(0)).expect("segment");
+    let (_, segment, revision) = begin(&mut journal, at(0)).expect("segment");
     assert_eq!((segment.index, revision), (SEGMENTS - 7, Some(100)));
 }
 
@@ -180,14 +187,14 @@
             round * 500..(round + 1) * 500,
             at(round * 100),
         );
-        while let Some((segment, expected)) = journal.begin_write(at(round * 100)) {
+        while let Some((number, segment, expected)) = begin(&mut journal, at(round * 100)) {
             writes += 1;
             assert!(writes < 2_000, "writes without end");
             assert!(segment.streams.len() <= MAX_SEGMENT_STREAMS);
             assert_eq!(held.get(&segment.index).map(|held| held.1), expected);
             revision += 1;
             held.insert(segment.index, (segment.streams.len(), revision));
-            journal.end_write(revision);
+            journal.end_write(number, revision);
         }
     }
     assert!(held.len() <= usize::from(SEGMENTS));
@@ -204,13 +211,13 @@
     let mut journal = journal();
     note_all(&mut journal, 0..10, at(0));
     let mut conflicts = 0;
-    while let Some((segment, revision)) = journal.begin_write(at(0)) {
+    while let Some((number, segment, revision)) = begin(&mut journal, at(0)) {
         match revision {
-            Some(revision) => journal.end_write(revision + 1_000),
+            Some(revision) => journal.end_write(number, revision + 1_000),
             None => {
                 conflicts += 1;
                 assert!(conflicts <= u64::from(SEGMENTS));
-                journal.resolve_conflict(Some(stored(segment.index, 0..1, conflicts)));
+                journal.resolve_conflict(number, Some(stored(segment.index, 0..1, conflicts)));
             }
         }
     }
@@ -223,7 +230,7 @@
     let mut journal = journal();
     note_all(&mut journal, 0..100_000, at(0));
     assert!(journal.unwritten() <= 8_192, "{}", journal.unwritten());
-    let (segment, _) = journal.begin_write(at(0)).expect("segment");
+    let (_, segment, _) = begin(&mut journal, at(0)).expect("segment");
     assert!(segment.streams.len() <= MAX_SEGMENT_STREAMS);
 }
 
@@ -241,3 +248,51 @@
             .all(|count| (1_800..2_200).contains(count))
     );
 }
+
+/// A write that hangs does not hold up the streams that begin meanwhile, and neither of the two is lost with it.
+#[test]
+fn write_under_way_holds_up_others() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..2, at(0));
+    let (hanging, first, _) = begin(&mut journal, at(0)).expect("segment");
+    assert_eq!(begin(&mut journal, at(10)), None, "nothing new");
+    note_all(&mut journal, 2..3, at(20));
+    let (number, second, revision) = begin(&mut journal, at(20)).expect("segment");
+    assert_ne!(first.index, second.index);
+    assert_eq!((second.streams.len(), revision), (3, None));
+    journal.end_write(number, 7);
+    assert_eq!(journal.unwritten(), 0);
+    journal.fail_write(hanging);
+    assert_eq!(begin(&mut journal, at(2_000)), None, "all are written");
+}
+
+#[test]
+fn writes_under_way_are_bounded() {
+    let mut journal = journal();
+    let mut begun = Vec::new();
+    for round in 0..100 {
+        note_all(&mut journal, round * 50..(round + 1) * 50, at(round * 300));
+        begun.extend(begin(&mut journal, at(round * 300)));
+    }
+    assert_eq!(begun.len(), MAX_WRITES);
+    let indexes: BTreeSet<_> = begun.iter().map(|(_, segment, _)| segment.index).collect();
+    assert_eq!(indexes.len(), MAX_WRITES);
+}
+
+/// Streams that a segment has no room for are written beside it, each once while the writes are prompt.
+#[test]
+fn backlog_waits_for_the_first_of_its_segments() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..3_000, at(0));
+    let mut written = BTreeSet::new();
+    let mut numbers = Vec::new();
+    while let Some((number, segment, _)) = begin(&mut journal, at(0)) {
+        numbers.push(number);
+        written.extend(segment.streams.into_keys());
+    }
+    assert_eq!((numbers.len(), written.len()), (3, 3_000));
+    for number in numbers.into_iter().rev() {
+        journal.end_write(number, 10 + number);
+    }
+    assert_eq!(journal.unwritten(), 0);
+}
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -3,8 +3,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use futures_util::future::join_all;
-use ryerouter_core::continuation::{Shard, WritePace};
+use futures_util::stream::FuturesUnordered;
+use ryerouter_core::continuation::{REWRITE_DELAY, SegmentWrite, Shard, WritePace};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -136,7 +138,7 @@
     }
 }
 
-/// Writes the records of a shard's streams while this node is asked to.
+/// Writes the records of a shard's streams while this node is asked to. Several writes may be under way.
 async fn write_streams(
     gateway: &Gateway,
     store: &dyn ContinuationStore,
@@ -144,37 +146,66 @@
     interval: Duration,
 ) {
     let mut pace = WritePace::new(interval);
-    let mut failures = 0_u32;
+    let mut under_way = FuturesUnordered::new();
+    let mut failures = 0;
+    let mut due_at = gateway.clock().now();
     loop {
         let changed = gateway.stream_records_due.notified();
-        let Some((segment, revision)) = gateway.next_segment(shard) else {
-            changed.await;
+        let now = gateway.clock().now();
+        let is_due = now >= due_at;
+        let next = is_due.then(|| gateway.next_segment(shard)).flatten();
+        if let Some(write) = next {
+            due_at = now.after(pace.pause_after_write(now));
+            under_way.push(write_segment(gateway, store, shard, write));
             continue;
+        }
+        let wait = if is_due {
+            REWRITE_DELAY
+        } else {
+            due_at.since(now)
         };
-        let streams = segment.streams.len();
-        let written = store.write_segment(shard, &segment, revision);
-        let written = timeout(STORE_TIMEOUT, written).await;
-        match written.unwrap_or(Err(SourceError::NoAnswer)) {
-            Ok(StoreWrite::Written(revision)) => {
-                failures = 0;
-                gateway.note_segment_written(shard, streams, revision);
-                sleep(pace.pause_after_write(gateway.clock().now())).await;
-            }
-            Ok(StoreWrite::Conflict(found)) => {
-                gateway.note_segment_conflict(shard, found);
-                sleep(pace.pause_after_write(gateway.clock().now())).await;
-            }
-            Err(error) => {
+        tokio::select! {
+            Some(error) = under_way.next() => {
+                let Some(error) = error else {
+                    failures = 0;
+                    continue;
+                };
                 failures += 1;
-                gateway.note_segment_unwritten(shard);
-                if failures.is_power_of_two() {
-                    warn!(gateway.log(), "streams_unrecorded"; "shard" => %shard,
-                        "streams" => streams, "failures" => failures, "error" => %error);
-                }
-                sleep(pause_after_write(&error, failures, interval)).await;
+                log_unrecorded(gateway, shard, failures, &error);
+                let pause = pause_after_write(&error, failures, interval);
+                due_at = due_at.max(gateway.clock().now().after(pause));
             }
+            () = changed, if is_due => {}
+            () = sleep(wait), if !is_due || !under_way.is_empty() => {}
+        }
+    }
+}
+
+/// Writes one segment; returns why the store has not acknowledged it.
+async fn write_segment(
+    gateway: &Gateway,
+    store: &dyn ContinuationStore,
+    shard: Shard,
+    write: SegmentWrite,
+) -> Option<SourceError> {
+    let written = store.write_segment(shard, &write.segment, write.replaces);
+    let written = timeout(STORE_TIMEOUT, written).await;
+    match written.unwrap_or(Err(SourceError::NoAnswer)) {
+        Ok(StoreWrite::Written(revision)) => gateway.note_segment_written(shard, &write, revision),
+        Ok(StoreWrite::Conflict(found)) => gateway.note_segment_conflict(shard, &write, found),
+        Err(error) => {
+            gateway.note_segment_unwritten(shard, &write);
+            return Some(error);
         }
     }
+    None
+}
+
+fn log_unrecorded(gateway: &Gateway, shard: Shard, failures: u32, error: &SourceError) {
+    if failures.is_power_of_two() {
+        warn!(gateway.log(), "streams_unrecorded"; "shard" => %shard, "failures" => failures,
+            "error" => %error);
+    }
 }
 
 /// The pause after a failed write. A store that fails is asked no more often than one that answers, and no less, since
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -5,7 +5,8 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, Journal, Knowledge, STORED_RETENTION, Segment, Shard, Source, StoredSegment, StreamId,
+    Entry, Journal, Knowledge, STORED_RETENTION, SegmentWrite, Shard, Source, StoredSegment,
+    StreamId,
 };
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::placement::rendezvous_score;
@@ -104,7 +105,7 @@
     }
 
     /// The next segment of a shard to be written, and the revision that it replaces.
-    pub(crate) fn next_segment(&self, shard: Shard) -> Option<(Segment, Option<u64>)> {
+    pub(crate) fn next_segment(&self, shard: Shard) -> Option<SegmentWrite> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let journal = state.continuations.journals.get_mut(&shard)?;
@@ -112,33 +113,39 @@
     }
 
     /// Handles a segment that the store has taken.
-    pub(crate) fn note_segment_written(&self, shard: Shard, streams: usize, revision: u64) {
+    pub(crate) fn note_segment_written(&self, shard: Shard, write: &SegmentWrite, revision: u64) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.end_write(revision);
+        journal.end_write(write.number, revision);
         let unwritten = journal.unwritten();
         drop(state);
         if let Some(left_out) = self.continuation_sampler().admit(now) {
-            info!(self.log(), "streams_recorded"; "shard" => %shard, "streams" => streams,
-                "unwritten" => unwritten, "revision" => revision, "left_out" => left_out);
+            info!(self.log(), "streams_recorded"; "shard" => %shard, "segment" => write.segment.index,
+                "streams" => write.segment.streams.len(), "unwritten" => unwritten,
+                "revision" => revision, "left_out" => left_out);
         }
     }
 
     /// Handles a segment that another node has written since.
-    pub(crate) fn note_segment_conflict(&self, shard: Shard, found: Option<StoredSegment>) {
+    pub(crate) fn note_segment_conflict(
+        &self,
+        shard: Shard,
+        write: &SegmentWrite,
+        found: Option<StoredSegment>,
+    ) {
         info!(self.log(), "stream_record_conflict"; "shard" => %shard,
             "streams" => found.as_ref().map(|found| found.segment.streams.len()));
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.resolve_conflict(found);
+        journal.resolve_conflict(write.number, found);
     }
 
     /// Handles a segment that the store has not acknowledged.
-    pub(crate) fn note_segment_unwritten(&self, shard: Shard) {
+    pub(crate) fn note_segment_unwritten(&self, shard: Shard, write: &SegmentWrite) {
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.fail_write();
+        journal.fail_write(write.number);
     }
 
     /// Schedules what a store that came back from a copy may lack: the streams that this node has written lately, and those
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -160,3 +160,37 @@
         assert_eq!(store.stream_ids().len(), 128);
     });
 }
+
+#[test]
+fn records_wait_behind_a_slow_write() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..64);
+        sleep(Duration::from_secs(1)).await;
+        let delay = Duration::from_millis(800);
+        store.delay.set(delay);
+        for round in 1..5 {
+            node.tell(round * 64..(round + 1) * 64);
+            sleep(WRITE_INTERVAL).await;
+        }
+        sleep(delay).await;
+        assert_eq!(store.stream_ids().len(), 320);
+    });
+}
+
+#[test]
+fn records_wait_for_a_write_that_hangs() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..64);
+        sleep(Duration::from_secs(1)).await;
+        store.is_hanging.set(true);
+        node.tell(64..128);
+        sleep(Duration::from_millis(200)).await;
+        store.is_hanging.set(false);
+        sleep(PROMPT).await;
+        assert_eq!(store.stream_ids().len(), 128);
+    });
+}
