--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -1,10 +1,12 @@
 //! Which streams the store holds, and who writes and reads them; see docs/design/continuations.md.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, Journal, Knowledge, Segment, Shard, Source, StoredSegment, StreamId,
+    Entry, Journal, Knowledge, STORED_RETENTION, SegmentWrite, Shard, Source, StoredSegment,
+    StreamId,
 };
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::placement::rendezvous_score;
@@ -52,20 +54,21 @@
         journal.begin_after(&segments);
         let reading = continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
-        reading.ended_at = Some(now);
+        reading.read_at = Some(now);
         self.shard_read.notify_waiters();
         // Records may have waited for the position of the journal.
         self.stream_records_due.notify_waiters();
     }
 
-    /// Handles a failed reading of a shard's records.
-    pub(crate) fn note_shard_unread(&self, shard: Shard, error: &SourceError) {
-        warn!(self.log(), "streams_unread"; "shard" => %shard, "error" => %error);
-        let now = self.clock().now();
+    /// Handles a failed reading of a shard's records. Streams that still wait for it ask for another one.
+    pub(crate) fn note_shard_unread(&self, shard: Shard, failures: u32, error: &SourceError) {
+        if failures.is_power_of_two() {
+            warn!(self.log(), "streams_unread"; "shard" => %shard, "failures" => failures,
+                "error" => %error);
+        }
         let mut state = self.state_mut();
         let reading = state.continuations.readings.entry(shard).or_default();
         reading.is_wanted = false;
-        reading.ended_at = Some(now);
         self.shard_read.notify_waiters();
     }
 
@@ -102,7 +105,7 @@
     }
 
     /// The next segment of a shard to be written, and the revision that it replaces.
-    pub(crate) fn next_segment(&self, shard: Shard) -> Option<(Segment, Option<u64>)> {
+    pub(crate) fn next_segment(&self, shard: Shard) -> Option<SegmentWrite> {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let journal = state.continuations.journals.get_mut(&shard)?;
@@ -110,33 +113,63 @@
     }
 
     /// Handles a segment that the store has taken.
-    pub(crate) fn note_segment_written(&self, shard: Shard, streams: usize, revision: u64) {
+    pub(crate) fn note_segment_written(&self, shard: Shard, write: &SegmentWrite, revision: u64) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.end_write(revision);
+        journal.end_write(write.number, revision);
         let unwritten = journal.unwritten();
         drop(state);
         if let Some(left_out) = self.continuation_sampler().admit(now) {
-            info!(self.log(), "streams_recorded"; "shard" => %shard, "streams" => streams,
-                "unwritten" => unwritten, "revision" => revision, "left_out" => left_out);
+            info!(self.log(), "streams_recorded"; "shard" => %shard, "segment" => write.segment.index,
+                "streams" => write.segment.streams.len(), "unwritten" => unwritten,
+                "revision" => revision, "left_out" => left_out);
         }
     }
 
     /// Handles a segment that another node has written since.
-    pub(crate) fn note_segment_conflict(&self, shard: Shard, found: Option<StoredSegment>) {
+    pub(crate) fn note_segment_conflict(
+        &self,
+        shard: Shard,
+        write: &SegmentWrite,
+        found: Option<StoredSegment>,
+    ) {
         info!(self.log(), "stream_record_conflict"; "shard" => %shard,
             "streams" => found.as_ref().map(|found| found.segment.streams.len()));
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.resolve_conflict(found);
+        journal.resolve_conflict(write.number, found);
     }
 
     /// Handles a segment that the store has not acknowledged.
-    pub(crate) fn note_segment_unwritten(&self, shard: Shard) {
+    pub(crate) fn note_segment_unwritten(&self, shard: Shard, write: &SegmentWrite) {
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
-        journal.fail_write();
+        journal.fail_write(write.number);
+    }
+
+    /// Schedules what a store that came back from a copy may lack: the streams that this node has written lately, and those
+    /// that it knows of the shards that it writes.
+    pub(super) fn rewrite_stream_records(&self, state: &mut GatewayState, now: Timestamp) {
+        for journal in state.continuations.journals.values_mut() {
+            journal.rewrite(now);
+        }
+        let written: Vec<_> = Shard::all()
+            .filter(|shard| self.shard_readers(state, *shard, now).first() == Some(&None))
+            .collect();
+        let mut versions: BTreeMap<(PoolName, SoftwareVersion), Vec<StreamId>> = BTreeMap::new();
+        for (stream, pool, software) in state.continuations.register.since(STORED_RETENTION, now) {
+            if written.contains(&stream.shard()) && needs_stream_records(state, pool, now) {
+                let version = (pool.clone(), software.clone());
+                versions.entry(version).or_default().push(stream);
+            }
+        }
+        for ((pool, software), streams) in &versions {
+            self.journal_streams(state, streams, pool, software, now);
+        }
+        let streams: usize = versions.values().map(Vec::len).sum();
+        info!(self.log(), "streams_written_again"; "shards" => written.len(), "streams" => streams);
+        self.stream_records_due.notify_waiters();
     }
 
     /// Schedules streams to be written to the store by this node.
