Find writes without an answer in the store

Where the store carried out what it was asked and its answers were lost, only the first write of a shard came into the store, and all streams that began after it were refused when all nodes were killed.

Cause: a write that is not acknowledged was repeated on the revision that it replaced. If it had been carried out, each repetition was in conflict with it, unnoticed since its answer was lost too. Where it is carried out seconds later, the two exclude each other.

A write without an answer leaves its segment unsettled: the same streams are written in another segment, and the shard is read. What the store holds is then acknowledged at its revision; what it does not hold may come yet, so its segment is left. A segment that holds streams which this node has not written is left to its writer.

--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -135,9 +135,14 @@
         self.unwritten.len()
     }
 
-    /// Whether records wait to be written, but it is not known yet in which segment.
+    /// Whether records wait to be written, but it is not known yet in which segment, or whether they have been.
     pub fn needs_position(&self) -> bool {
-        !self.has_position && !self.unwritten.is_empty()
+        let is_known = self.has_position && !self.has_unsettled();
+        !is_known && !self.unwritten.is_empty()
+    }
+
+    fn has_unsettled(&self) -> bool {
+        self.open.iter().any(|open| open.unsettled.is_some())
     }
 
     /// The segment that is to be written now; `None` if there is nothing to write, or too many writes are under way.
@@ -194,14 +199,22 @@
         self.open.len() < MAX_WRITES || self.open.iter().any(|open| open.write.is_none())
     }
 
-    /// Position in `open` of a segment without a write under way.
+    /// Position in `open` of a segment without a write under way; one without an answer to its last write is left for
+    /// another one.
     fn free_segment(&mut self) -> usize {
-        let free = self.open.iter().position(|open| open.write.is_none());
-        free.unwrap_or_else(|| {
+        if let Some(free) = self.open.iter().position(OpenSegment::is_free) {
+            return free;
+        }
+        if self.open.len() < MAX_WRITES {
             self.last_index = self.next_index(self.last_index);
             self.open.push(OpenSegment::new(self.last_index));
-            self.open.len() - 1
-        })
+            return self.open.len() - 1;
+        }
+        let unsettled = self.open.iter().position(|open| open.write.is_none());
+        let unsettled = unsettled.unwrap_or_default();
+        self.open[unsettled].unsettled = None;
+        self.move_on(unsettled);
+        unsettled
     }
 
     /// Drops old streams of an open segment, or goes on to another one, so that it has room for more.
@@ -230,15 +243,22 @@
             return;
         };
         self.revisions.insert(self.open[position].index, revision);
+        self.acknowledge(position, write);
+    }
+
+    fn acknowledge(&mut self, position: usize, write: WriteUnderWay) {
         for (number, noted) in write.added {
             self.unwritten.remove(&number);
             self.open[position].stored.push_back(noted);
         }
     }
 
-    /// Handles a write that was not acknowledged; the same streams are written again.
+    /// Handles a write that was not acknowledged; the same streams are written again, in another segment until it is known
+    /// whether this one was carried out.
     pub fn fail_write(&mut self, number: u64) {
-        self.take_write(number);
+        if let Some((position, write)) = self.take_write(number) {
+            self.open[position].unsettled = Some(write);
+        }
     }
 
     /// Handles a segment that another node has written since, or that is gone. Another writer keeps its segment; where the
@@ -265,9 +285,10 @@
         open.find_map(|(position, open)| Some((position, open.take_write(number)?)))
     }
 
-    /// Begins after the segments that the store holds, as a node does that has just become a writer of the shard.
+    /// Applies the segments that the store holds. A node that has just become a writer of the shard begins after them, and
+    /// writes without an answer are settled.
     pub fn begin_after(&mut self, found: &[StoredSegment]) {
-        if self.has_position {
+        if self.has_position && !self.has_unsettled() {
             return;
         }
         self.has_position = true;
@@ -277,12 +298,31 @@
         let newest = self.revisions.iter().max_by_key(|(_, revision)| **revision);
         self.last_index = newest.map_or(SEGMENTS - 1, |(index, _)| *index);
         for position in 0..self.open.len() {
-            let open = &self.open[position];
-            let is_changed = before.get(&open.index) != self.revisions.get(&open.index);
-            // Another writer may have written it since.
-            if is_changed && open.write.is_none() {
-                self.move_on(position);
+            self.settle(position, found, &before);
+        }
+    }
+
+    /// Keeps an open segment if the store holds it as this node has written it, else goes on with another one.
+    fn settle(&mut self, position: usize, found: &[StoredSegment], before: &BTreeMap<u8, u64>) {
+        let open = &mut self.open[position];
+        if open.write.is_some() {
+            return;
+        }
+        let index = open.index;
+        let unsettled = open.unsettled.take();
+        let held = found.iter().find(|found| found.segment.index == index);
+        match (unsettled, held) {
+            (Some(write), Some(held)) if write.is_held_by(&held.segment) => {
+                self.acknowledge(position, write);
+                if !self.open[position].holds_all_of(&held.segment) {
+                    self.move_on(position);
+                }
             }
+            // It may be carried out yet.
+            (Some(_), _) => self.move_on(position),
+            // Another writer may have written it since.
+            (None, _) if before.get(&index) != self.revisions.get(&index) => self.move_on(position),
+            (None, _) => {}
         }
     }
 
--- a/crates/core/src/continuation/open_segment.rs
+++ b/crates/core/src/continuation/open_segment.rs
@@ -1,8 +1,8 @@
 //! A segment that a node writes.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
-use super::journal::Noted;
+use super::journal::{Noted, Segment};
 use crate::Timestamp;
 
 /// A segment that a node writes, and the write of it that is under way.
@@ -14,6 +14,8 @@
     pub(super) stored: VecDeque<Noted>,
     /// The write that is under way.
     pub(super) write: Option<WriteUnderWay>,
+    /// A write without an answer, which may have been carried out.
+    pub(super) unsettled: Option<WriteUnderWay>,
 }
 
 /// A write that is under way.
@@ -33,11 +35,31 @@
             index,
             stored: VecDeque::new(),
             write: None,
+            unsettled: None,
         }
     }
 
+    /// Whether it can be written now: its revision is known, as far as the store holds it.
+    pub(super) fn is_free(&self) -> bool {
+        self.write.is_none() && self.unsettled.is_none()
+    }
+
+    /// Whether a segment holds nothing but what this node has written to it.
+    pub(super) fn holds_all_of(&self, segment: &Segment) -> bool {
+        let stored: BTreeSet<_> = self.stored.iter().map(|(_, stream, _)| *stream).collect();
+        segment.streams.keys().all(|stream| stored.contains(stream))
+    }
+
     /// Ends the write of this number, if it is under way.
     pub(super) fn take_write(&mut self, number: u64) -> Option<WriteUnderWay> {
         self.write.take_if(|write| write.number == number)
     }
 }
+
+impl WriteUnderWay {
+    /// Whether a segment holds the streams that this write adds.
+    pub(super) fn is_held_by(&self, segment: &Segment) -> bool {
+        let mut added = self.added.iter();
+        added.all(|(_, (_, stream, entry))| segment.streams.get(stream) == Some(entry))
+    }
+}
--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -296,3 +296,58 @@
     }
     assert_eq!(journal.unwritten(), 0);
 }
+
+/// A write whose answer was lost is found in the store, and its segment is written on at the revision that it has there.
+#[test]
+fn write_without_an_answer_is_in_conflict_with_the_next_one() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..2, at(0));
+    let (number, carried_out, _) = begin(&mut journal, at(0)).expect("segment");
+    journal.fail_write(number);
+    assert!(journal.needs_position());
+    journal.begin_after(&[StoredSegment {
+        segment: carried_out.clone(),
+        revision: 5,
+    }]);
+    assert_eq!(journal.unwritten(), 0);
+    note_all(&mut journal, 2..3, at(10));
+    let (_, segment, revision) = begin(&mut journal, at(10)).expect("segment");
+    assert_eq!((segment.index, revision), (carried_out.index, Some(5)));
+    assert_eq!(segment.streams.len(), 3);
+}
+
+/// A write that was not carried out until now may be later, so the next one is not on the same revision.
+#[test]
+fn late_write_is_in_conflict_with_the_next_one() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..2, at(0));
+    let (number, late, _) = begin(&mut journal, at(0)).expect("segment");
+    journal.fail_write(number);
+    let (number, second, _) = begin(&mut journal, at(0)).expect("segment");
+    assert_ne!(late.index, second.index);
+    journal.fail_write(number);
+    journal.begin_after(&[]);
+    let (_, third, _) = begin(&mut journal, at(0)).expect("segment");
+    assert!(![late.index, second.index].contains(&third.index));
+    assert_eq!(third.streams.len(), 2);
+}
+
+/// Another writer may have been told of the same streams, and of others.
+#[test]
+fn segment_of_another_writer_is_taken_for_a_write_without_an_answer() {
+    let mut journal = journal();
+    note_all(&mut journal, 0..2, at(0));
+    let (number, mut held, _) = begin(&mut journal, at(0)).expect("segment");
+    journal.fail_write(number);
+    held.streams.insert(StreamId(9), entry("v1"));
+    let index = held.index;
+    journal.begin_after(&[StoredSegment {
+        segment: held,
+        revision: 5,
+    }]);
+    assert_eq!(journal.unwritten(), 0);
+    note_all(&mut journal, 2..3, at(10));
+    let (_, segment, revision) = begin(&mut journal, at(10)).expect("segment");
+    assert_ne!(segment.index, index);
+    assert_eq!(revision, None);
+}
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -146,6 +146,8 @@
         let mut state = self.state_mut();
         let journal = state.continuations.journals.entry(shard).or_default();
         journal.fail_write(write.number);
+        // What the store holds is read.
+        self.stream_records_due.notify_waiters();
     }
 
     /// Schedules what a store that came back from a copy may lack: the streams that this node has written lately, and those
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -194,3 +194,21 @@
         assert_eq!(store.stream_ids().len(), 128);
     });
 }
+
+/// A write without an answer may have been carried out, and another one on its revision is in conflict with it.
+#[test]
+fn records_are_lost_with_answers() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..64);
+        sleep(Duration::from_secs(1)).await;
+        store.loses_answers.set(true);
+        for round in 1..11 {
+            node.tell(round * 64..(round + 1) * 64);
+            sleep(Duration::from_millis(300)).await;
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        assert_eq!(store.stream_ids().len(), 704);
+    });
+}
