Write records of streams before the store has been read

Where the store took 0.9 s for an answer, the streams that began in the first 1.8 s after all nodes were started were not in the store yet, and were refused when all nodes were killed again.

Cause: a node that becomes a writer of a shard read what the store holds before its first write, to begin after the segments of others.

Until it has read them a writer makes new segments, at a position drawn by a stream's id. The store refuses to make one that it holds, so nothing is overwritten; a conflict costs one write, at the usual pace.

--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -65,6 +65,9 @@
 
 /// The records of a shard's streams that a node writes to the store, a few segments at a time.
 ///
+/// Until it has read which segments there are it makes new ones, at positions that are likely free; the store refuses to
+/// make one that it holds.
+///
 /// A write holds all streams that the store has not acknowledged, also those of writes that are under way, as far as a
 /// segment has room for them. So none waits for an earlier write, which may be slow or hang.
 #[derive(Debug, Default)]
@@ -147,10 +150,13 @@
 
     /// The segment that is to be written now; `None` if there is nothing to write, or too many writes are under way.
     pub fn begin_write(&mut self, now: Timestamp) -> Option<SegmentWrite> {
-        if !self.has_position || self.unwritten.is_empty() || !self.has_free_segment() {
+        if self.unwritten.is_empty() || !self.has_free_segment() {
             return None;
         }
         let added = self.due_streams(now)?;
+        if !self.has_position && self.open.is_empty() {
+            self.last_index = added.first().map_or(0, |(_, noted)| guessed_index(noted));
+        }
         let position = self.free_segment();
         self.make_room(position, added.len(), now);
         self.writes += 1;
@@ -339,3 +345,8 @@
             .unwrap_or_default()
     }
 }
+
+/// A position drawn by a stream's id, so that nodes seldom choose the same one.
+fn guessed_index((_, stream, _): &Noted) -> u8 {
+    (stream.0 >> 32) as u8 % SEGMENTS
+}
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -212,3 +212,21 @@
         assert_eq!(store.stream_ids().len(), 704);
     });
 }
+
+/// A node that has just started writes what it relays before it has read what the store holds.
+#[test]
+fn first_records_wait_for_a_reading() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let before = Node::start(&store);
+        before.tell(0..64);
+        sleep(Duration::from_secs(1)).await;
+        drop(before);
+        let delay = Duration::from_millis(900);
+        store.delay.set(delay);
+        let node = Node::start(&store);
+        node.tell(64..128);
+        sleep(delay + WRITE_INTERVAL).await;
+        assert_eq!(store.stream_ids().len(), 128);
+    });
+}
