Records of streams: one writer for each shard, whatever nodes know of each other

While several versions serve, a node sent the record of each stream to the node that it took for the writer of the shard, and that one wrote it, whoever it took for the writer itself. Nodes know different others, so a shard had as many writers as there were first choices, and after a start of all nodes each node was its own. They also shared the 32 segments of the shard, and found them taken one conflict at a time. What a node sent to a writer that had just been killed, or that it could not reach, was in no store.

A node that gets a record to store, or begins a stream, now writes it only if it knows no node that ranks before it for the shard; otherwise it hands the record on to that one, and keeps it until it is confirmed (datagram `w`). Ranks rise with each hand-over, so there are no circles, and a further writer is only a node that knows none of those before it. Without a confirmation within 0.4 s the next node gets the record. A node that has just started and has not heard all others holds what it would write for 1.5 s. Former builds write what they are sent and skip the new datagram; since they confirm nothing, a second node writes it too while builds differ.

stream_writers.rs, real nodes on loopback: of 48 streams begun right after the kill of one of four nodes 37 were stored on the code before, of 48 of a node whose records don't arrive 28; now 48 and 48.

--- a/crates/gateway/src/continuation/mod.rs
+++ b/crates/gateway/src/continuation/mod.rs
@@ -5,23 +5,27 @@
 mod answer;
 mod lookup;
 mod question;
+mod record_batches;
 mod records;
 mod served_versions;
 mod shard_reading;
 mod software_constraint;
 mod state;
 mod store_sync;
+mod taken;
 mod version_record;
 mod version_table;
 
 pub use answer::Answer;
 pub use lookup::Lookup;
 pub use question::Question;
+pub use record_batches::RecordBatches;
 pub use records::Records;
 pub use served_versions::ServedVersions;
 pub use shard_reading::ShardReading;
 pub use software_constraint::SoftwareConstraint;
 pub use state::Continuations;
 pub use store_sync::{StoreSettings, sync_continuations};
+pub use taken::Taken;
 pub use version_record::VersionRecord;
 pub use version_table::VersionTable;
--- a/crates/gateway/src/continuation/state.rs
+++ b/crates/gateway/src/continuation/state.rs
@@ -1,9 +1,10 @@
 //! What a node remembers of streams and their versions.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use ryerouter_core::continuation::{Journal, Register, Shard, VersionHistory};
+use ryerouter_core::continuation::{Handovers, Journal, Register, Shard, VersionHistory};
 
 use super::{Lookup, ShardReading, VersionTable};
 
@@ -18,6 +19,8 @@
     pub lookups: HashMap<u64, Rc<Lookup>>,
     /// The versions that the store holds.
     pub versions: VersionTable,
+    /// Records that other nodes write to the store, until they have confirmed them.
+    pub handovers: Handovers<SocketAddr>,
     /// Records that this node writes to the store.
     pub journals: BTreeMap<Shard, Journal>,
     /// Readings of the store's records.
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -15,6 +15,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval at which a node compares the versions that serve with those recorded.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a node looks for records that no other node has confirmed.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(100);
 /// Pauses after failed calls.
 const BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(100),
@@ -45,11 +47,20 @@
         tokio::join!(
             sync_versions(&gateway, store.as_ref()),
             join_all(reads),
-            join_all(writes)
+            join_all(writes),
+            hand_over_again(&gateway)
         );
     }
 }
 
+/// Keeps up the records that other nodes are to write.
+async fn hand_over_again(gateway: &Gateway) {
+    loop {
+        sleep(HANDOVER_INTERVAL).await;
+        gateway.hand_over_again();
+    }
+}
+
 async fn sync_versions(gateway: &Gateway, store: &dyn ContinuationStore) {
     let mut failures = 0;
     while let Err(error) = read_versions(gateway, store).await {
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -1,13 +1,12 @@
 //! Finds out at which software version a stream goes on, and tells other nodes; see docs/design/continuations.md.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Answers, Decision, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Shard, Source, StreamId,
+    Answers, Decision, Entry, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Source, StreamId,
     Unresolved, decide, decide_with_answers, holders_of,
 };
 use ryerouter_core::identity::PoolName;
@@ -18,7 +17,7 @@
 
 use super::stream_records::needs_stream_records;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
-use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
+use crate::continuation::{Answer, Lookup, Question, RecordBatches, Records, ServedVersions};
 use crate::peers::{Datagram, PeerMessage};
 use crate::serve::AcceptedRequest;
 
@@ -34,8 +33,6 @@
 /// When a pool gets a second version, the streams of this time are announced. Streams that began earlier and go on later
 /// are known to this node only.
 const ANNOUNCED_AGE: Duration = Duration::from_secs(30);
-/// Maximum number of streams in one datagram.
-const MAX_RECORDS_PER_DATAGRAM: usize = 256;
 
 impl Gateway {
     /// The version at which a request goes on with the stream that it names.
@@ -117,20 +114,18 @@
         if !needs_stream_records(&state, pool, now) {
             return;
         }
-        let writer = self.shard_writer(&state, stream.shard(), now);
-        let (writers, holders): (Vec<_>, Vec<_>) = self
-            .holders(&state, stream, now)
-            .into_iter()
-            .partition(|holder| writer == Some(*holder));
-        let software = software.to_owned();
-        if writer == Some(None) {
-            self.journal_streams(&mut state, &[stream], pool, &software, now);
-        }
+        let entry = Entry {
+            pool: pool.clone(),
+            software: software.to_owned(),
+        };
+        let writer = self.store_stream(&mut state, stream, &entry, now);
+        let mut holders = self.holders(&state, stream, now);
         drop(state);
-        for (receivers, is_to_be_stored) in [(writers, true), (holders, false)] {
+        holders.retain(|holder| holder.is_some() && *holder != writer);
+        for (receivers, is_to_be_stored) in [(vec![writer], true), (holders, false)] {
             let records = Records {
                 pool: pool.clone(),
-                software: software.clone(),
+                software: entry.software.clone(),
                 streams: vec![stream],
                 is_to_be_stored,
             };
@@ -139,21 +134,8 @@
         }
     }
 
-    /// The node that writes a shard's records to the store, if there is a store; `Some(None)` stands for this node.
-    fn shard_writer(
-        &self,
-        state: &GatewayState,
-        shard: Shard,
-        now: Timestamp,
-    ) -> Option<Option<SocketAddr>> {
-        if !state.continuations.versions.has_store {
-            return None;
-        }
-        self.shard_readers(state, shard, now).first().copied()
-    }
-
-    /// Applies records of another node.
-    pub fn apply_stream_records(&self, records: &Records) {
+    /// Applies records of the node at `from`.
+    pub fn apply_stream_records(&self, records: &Records, from: SocketAddr) {
         let now = self.clock().now();
         let (pool, software) = (&records.pool, &records.software);
         let mut state = self.state_mut();
@@ -161,8 +143,9 @@
             let register = &mut state.continuations.register;
             register.note(*stream, pool, software, Source::Peer, now);
         }
+        drop(state);
         if records.is_to_be_stored {
-            self.journal_streams(&mut state, &records.streams, pool, software, now);
+            self.take_streams(records, from);
         }
     }
 
@@ -296,36 +279,27 @@
         now: Timestamp,
     ) {
         let register = &state.continuations.register;
-        let mut batches: BTreeMap<(SocketAddr, &SoftwareVersion, bool), Vec<StreamId>> =
-            BTreeMap::new();
-        let mut journaled: BTreeMap<SoftwareVersion, Vec<StreamId>> = BTreeMap::new();
-        let mut count = 0;
-        for (stream, software) in register.own_since(pool, ANNOUNCED_AGE, now) {
-            count += 1;
-            let writer = self.shard_writer(state, stream.shard(), now);
-            if writer == Some(None) {
-                journaled.entry(software.clone()).or_default().push(stream);
-            }
-            for holder in self.holders(state, stream, now).into_iter().flatten() {
-                let batch = batches.entry((holder, software, writer == Some(Some(holder))));
-                batch.or_default().push(stream);
+        let own = register.own_since(pool, ANNOUNCED_AGE, now);
+        let own: Vec<_> = own
+            .map(|(stream, software)| {
+                let (pool, software) = (pool.clone(), software.clone());
+                (stream, Entry { pool, software })
+            })
+            .collect();
+        let mut batches = RecordBatches::default();
+        for (stream, entry) in &own {
+            let writer = self.store_stream(state, *stream, entry, now);
+            let holders = self.holders(state, *stream, now);
+            let holders = holders.into_iter().flatten();
+            for holder in holders.filter(|holder| Some(*holder) != writer) {
+                batches.add(holder, *stream, entry, false);
             }
-        }
-        for ((receiver, software, is_to_be_stored), streams) in batches {
-            for streams in streams.chunks(MAX_RECORDS_PER_DATAGRAM) {
-                let records = Records {
-                    pool: pool.clone(),
-                    software: software.clone(),
-                    streams: streams.to_vec(),
-                    is_to_be_stored,
-                };
-                self.send_datagram(&Datagram::StreamRecords(records), &[receiver]);
+            if let Some(writer) = writer {
+                batches.add(writer, *stream, entry, true);
             }
         }
-        for (software, streams) in &journaled {
-            self.journal_streams(state, streams, pool, software, now);
-        }
-        info!(self.log(), "versions_mixed"; "pool" => %pool, "streams_announced" => count,
+        self.send_records(batches);
+        info!(self.log(), "versions_mixed"; "pool" => %pool, "streams_announced" => own.len(),
             "versions" => state.continuations.history.versions(pool, now).join(","));
     }
 
@@ -406,7 +380,11 @@
             zone: &peer.identity.zone,
         });
         let holders = holders_of(stream, peers.chain([own]));
-        let Some(writer) = self.shard_writer(state, stream.shard(), now) else {
+        if !state.continuations.versions.has_store {
+            return holders;
+        }
+        let readers = self.shard_readers(state, stream.shard(), now);
+        let Some(writer) = readers.first().copied() else {
             return holders;
         };
         let others = holders.into_iter().filter(|holder| *holder != writer);
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 mod source_log;
 mod source_sync;
 mod stalled_orders;
+mod stream_handovers;
 mod stream_records;
 mod tenant_limits;
 mod tunnels;
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -4,15 +4,14 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
-    Entry, Journal, Knowledge, Segment, Shard, Source, StoredSegment, StreamId,
+    Journal, Knowledge, Segment, Shard, Source, StoredSegment, first_of_shard,
 };
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::placement::rendezvous_score;
-use ryerouter_core::release::SoftwareVersion;
 use slog::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
+use crate::peers::Peer;
 use crate::source::SourceError;
 
 /// Number of nodes that read a shard's stored records for others. The first one also writes them.
@@ -139,30 +138,6 @@
         journal.fail_write();
     }
 
-    /// Schedules streams to be written to the store by this node.
-    pub(super) fn journal_streams(
-        &self,
-        state: &mut GatewayState,
-        streams: &[StreamId],
-        pool: &PoolName,
-        software: &SoftwareVersion,
-        now: Timestamp,
-    ) {
-        if !state.continuations.versions.has_store {
-            return;
-        }
-        for stream in streams {
-            let journals = &mut state.continuations.journals;
-            let entry = Entry {
-                pool: pool.clone(),
-                software: software.clone(),
-            };
-            let journal = journals.entry(stream.shard()).or_default();
-            journal.note(*stream, entry, now);
-        }
-        self.stream_records_due.notify_waiters();
-    }
-
     /// The node that writes a shard's records, and those that read them for others, by rendezvous hashing; `None`
     /// stands for this node.
     pub(super) fn shard_readers(
@@ -171,22 +146,10 @@
         shard: Shard,
         now: Timestamp,
     ) -> Vec<Option<SocketAddr>> {
-        let key = shard.rendezvous_key();
-        let own = (rendezvous_score(key, self.own_name_hash()), None);
-        let peers = state.peers.alive(now).map(|peer| {
-            let hash = xxh3_64(peer.identity.name.as_str().as_bytes());
-            (
-                rendezvous_score(key, hash),
-                Some(peer.identity.peer_address),
-            )
-        });
-        let mut first: Vec<(u64, Option<SocketAddr>)> = Vec::with_capacity(SHARD_READERS + 1);
-        for node in peers.chain([own]) {
-            let at = first.partition_point(|(score, _)| *score > node.0);
-            first.insert(at, node);
-            first.truncate(SHARD_READERS);
-        }
-        first.into_iter().map(|(_, address)| address).collect()
+        let own = (self.own_name_hash(), None);
+        let peers = state.peers.alive(now);
+        let peers = peers.map(|peer| (name_hash(peer), Some(peer.identity.peer_address)));
+        first_of_shard(shard, peers.chain([own]), SHARD_READERS)
     }
 
     pub(super) fn own_name_hash(&self) -> u64 {
@@ -194,6 +157,11 @@
     }
 }
 
+/// Hash of a node's name, by which it is ranked.
+pub(super) fn name_hash(peer: &Peer) -> u64 {
+    xxh3_64(peer.identity.name.as_str().as_bytes())
+}
+
 /// Whether the versions of a pool's streams are kept: several versions may have streams under way, or would be taken for
 /// it after a restart.
 pub(super) fn needs_stream_records(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -16,7 +16,7 @@
 use crate::source::{StoredVersions, VersionList};
 
 /// A node that has just started doesn't know the others, and would take itself for the one that writes.
-const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
+pub(super) const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time by which the second node, the third one and so on write the versions of a pool later than the first one.
 const WRITER_STAGGER: Duration = Duration::from_secs(1);
 /// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -37,6 +37,9 @@
     /// The versions of streams, for nodes that hold these records.
     #[serde(rename = "s")]
     StreamRecords(continuation::Records),
+    /// The sender has taken records that are to be stored.
+    #[serde(rename = "w")]
+    StreamsTaken(continuation::Taken),
     /// The sender wants to know at which version a stream began.
     #[serde(rename = "t")]
     StreamQuestion(continuation::Question),
--- a/crates/gateway/src/peers/peer_link.rs
+++ b/crates/gateway/src/peers/peer_link.rs
@@ -149,7 +149,8 @@
         Ok(Datagram::Zone(news)) => {
             send_envelopes(gateway, socket, gateway.receive_zone_update(&news));
         }
-        Ok(Datagram::StreamRecords(records)) => gateway.apply_stream_records(&records),
+        Ok(Datagram::StreamRecords(records)) => gateway.apply_stream_records(&records, from),
+        Ok(Datagram::StreamsTaken(taken)) => gateway.apply_streams_taken(&taken, from),
         Ok(Datagram::StreamQuestion(question)) => gateway.answer_stream_question(&question, from),
         Ok(Datagram::StreamAnswer(answer)) => gateway.apply_stream_answer(&answer, from),
         Ok(Datagram::PermitAsk(ask)) => gateway.answer_permit_ask(&ask, from),
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -389,6 +389,11 @@
         heard.max(self.unheard.len())
     }
 
+    /// Whether this node has heard of all others that it knows to be there.
+    pub fn has_heard_all(&self) -> bool {
+        self.heard_count() >= self.known_count()
+    }
+
     /// The last messages of others, for them to know that they arrived; of some, when they are many.
     pub fn echoes(&self, now: Timestamp, random: &mut impl Rng) -> Vec<MessageEcho> {
         let most = match self.is_wide() {
--- /dev/null
+++ b/crates/gateway/tests/stream_writers.rs
@@ -0,0 +1,88 @@
+//! Which nodes write the records of streams to the store.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use ryerouter_gateway::gateway::Gateway;
+use ryerouter_gateway::peers::Datagram;
+use support::gateway_bench::run;
+use support::versioned_nodes::{Stream, VersionedNodes};
+use tokio::time::sleep;
+
+/// Streams of each case.
+const STREAMS: usize = 48;
+/// Nodes that have run so long take both versions for settled, and have told each other of them.
+const SETTLED: Duration = Duration::from_millis(2_500);
+/// Time within which another node takes the place of one writer that has gone.
+const TAKEOVER_TIME: Duration = Duration::from_millis(1_000);
+
+/// Each node but those from `count` on begins its part of the streams.
+async fn begin(nodes: &VersionedNodes, count: usize) {
+    let mut streams: Vec<Stream> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+    let reads = streams.iter_mut().enumerate().map(|(index, stream)| {
+        let node = nodes.node(index % count);
+        async move { stream.read(&node, 2).await }
+    });
+    join_all(reads).await;
+}
+
+/// What begins after the kill of a writer is stored before others miss it.
+#[test]
+fn streams_begun_after_the_kill_of_their_writer_are_not_stored() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let killed = nodes.nodes.borrow_mut().remove(3);
+        drop(killed);
+        begin(&nodes, 3).await;
+        sleep(TAKEOVER_TIME).await;
+        assert_eq!(nodes.store.stream_ids().len(), STREAMS);
+    });
+}
+
+/// Records of a node are lost, while the others still count it as alive.
+#[test]
+fn streams_of_a_node_that_reaches_no_writer_are_not_stored() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let cut = nodes.node(0);
+        let gateway = &cut.bench.gateway;
+        gateway.attach_peer_link(Box::new(|_, _, _| {}));
+        begin(&nodes, 1).await;
+        sleep(TAKEOVER_TIME * 3).await;
+        assert_eq!(nodes.store.stream_ids().len(), STREAMS);
+    });
+}
+
+/// A node of a former build confirms nothing.
+#[test]
+fn streams_are_not_stored_where_no_node_confirms_them() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        for node in nodes.nodes.borrow().iter() {
+            let others = nodes.gateways();
+            let own = node.bench.gateway.settings().identity.peer_address;
+            let link = move |_: &Gateway, datagram: &Datagram, receivers: &[SocketAddr]| {
+                let Datagram::StreamRecords(records) = datagram else {
+                    return;
+                };
+                let is_receiver = |other: &&Rc<Gateway>| {
+                    receivers.contains(&other.settings().identity.peer_address)
+                };
+                for other in others.iter().filter(is_receiver) {
+                    other.apply_stream_records(records, own);
+                }
+            };
+            node.bench.gateway.attach_peer_link(Box::new(link));
+        }
+        begin(&nodes, 4).await;
+        sleep(TAKEOVER_TIME * 3).await;
+        assert_eq!(nodes.store.stream_ids().len(), STREAMS);
+    });
+}
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -1,12 +1,12 @@
 //! The records of versions and streams, as a store that all nodes of a test share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use ryerouter_core::continuation::{Segment, Shard, StoredSegment};
+use ryerouter_core::continuation::{Segment, Shard, StoredSegment, StreamId};
 use ryerouter_core::identity::PoolName;
 use ryerouter_gateway::continuation::VersionRecord;
 use ryerouter_gateway::source::{
@@ -49,6 +49,15 @@
         segments.map(|stored| stored.segment.streams.len()).sum()
     }
 
+    /// The streams that it holds.
+    pub fn stream_ids(&self) -> BTreeSet<StreamId> {
+        let segments = self.segments.borrow();
+        let segments = segments.values();
+        segments
+            .flat_map(|stored| stored.segment.streams.keys().copied())
+            .collect()
+    }
+
     /// Keeps a copy of the versions for [`Self::restore_copy`].
     pub fn make_copy(&self) {
         *self.copy.borrow_mut() = self.versions.borrow().clone();
--- a/crates/gateway/tests/support/region_fleet.rs
+++ b/crates/gateway/tests/support/region_fleet.rs
@@ -228,7 +228,8 @@
                 }
             }
             Datagram::Zone(news) => self.send_envelopes(to, gateway.receive_zone_update(&news)),
-            Datagram::StreamRecords(records) => gateway.apply_stream_records(&records),
+            Datagram::StreamRecords(records) => gateway.apply_stream_records(&records, back),
+            Datagram::StreamsTaken(taken) => gateway.apply_streams_taken(&taken, back),
             Datagram::StreamQuestion(question) => gateway.answer_stream_question(&question, back),
             Datagram::StreamAnswer(answer) => gateway.apply_stream_answer(&answer, back),
             Datagram::PermitAsk(ask) => gateway.answer_permit_ask(&ask, back),
