--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -65,12 +65,14 @@
 
     /// Another node tells of streams that this one writes.
     fn tell(&self, ids: std::ops::Range<u64>) {
-        self.gateway.apply_stream_records(&Records {
+        let records = Records {
             pool: PoolName::new(POOL),
             software: VERSIONS[0].to_owned(),
             streams: ids.map(StreamId).collect(),
             is_to_be_stored: true,
-        });
+        };
+        let from = "127.0.0.1:2".parse().expect("address");
+        self.gateway.apply_stream_records(&records, from);
     }
 
     /// Another node asks for a stream.
