Eject engines that send a plain answer slowly without end

An engine whose plain answers began and then went on at a kibibyte a second (chunked, until the close, or within a length of a million bytes) stayed in service, and callers waited until they left: such a body was bounded by 8 MiB alone, over two hours.

A body that has begun is now bounded in time as an event is (`TransferMeter`): 1 s and its bytes at 64 KiB a second, counting only the time spent waiting for its pieces, of each pause 0.25 s at most. Time in which the node has no memory for the answer, or before its first byte, does not count. It is a failed attempt, `NoAnswer`, and no crash.

--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
@@ -15,6 +14,7 @@
 
 use super::answer_reporter::AnswerReporter;
 use super::attempt_error::AttemptError;
+use super::collect_error::CollectError;
 use super::hop_by_hop_headers::remove_hop_by_hop;
 use super::sent_request::SentRequest;
 use crate::engines::InFlight;
@@ -22,6 +22,7 @@
 use crate::memory::{CollectedBytes, MAX_WHOLE_ANSWER};
 use crate::permits::{Outcome, Permit};
 use crate::placement::Placement;
+use crate::relay::TransferMeter;
 use crate::release::AnswerEnd;
 use crate::request::AnswerFacts;
 use crate::upstream::Connection;
@@ -95,9 +96,9 @@
             },
             _ => AnswerEnd::Failed,
         });
-        let bytes = collected.map_err(|error| match is_too_long(error.as_ref()) {
-            true => AttemptError::NoAnswer(format!("longer than {MAX_WHOLE_ANSWER} bytes")),
-            false => self.broken(error.to_string()),
+        let bytes = collected.map_err(|error| match error {
+            CollectError::NoAnswer(detail) => AttemptError::NoAnswer(detail),
+            CollectError::Broken(detail) => self.broken(detail),
         })?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
@@ -137,36 +138,46 @@
     }
 }
 
-/// An answer announces more bytes than are read of it.
-#[derive(Debug, Display, Error)]
-#[display("announced as too long")]
-struct AnnouncedTooLong;
-
-fn is_too_long(error: &(dyn StdError + Send + Sync + 'static)) -> bool {
-    error.is::<LengthLimitError>() || error.is::<AnnouncedTooLong>()
-}
-
 /// Collects a body within the memory held for callers. While there is no room, it is not read.
-async fn collect(
-    body: &mut Incoming,
-    gateway: &Gateway,
-) -> Result<Bytes, Box<dyn StdError + Send + Sync>> {
+async fn collect(body: &mut Incoming, gateway: &Gateway) -> Result<Bytes, CollectError> {
     let announced = body.size_hint().exact().unwrap_or_default();
     let announced = usize::try_from(announced).unwrap_or(usize::MAX);
     if announced > MAX_WHOLE_ANSWER {
-        return Err(AnnouncedTooLong.into());
+        return Err(too_long());
     }
+    let clock = gateway.clock();
     let mut body = Limited::new(body, MAX_WHOLE_ANSWER);
     let reservation = gateway.memory().reserve_whole_answer(announced).await;
     let mut collected = CollectedBytes::new(reservation);
-    while let Some(frame) = body.frame().await {
+    let mut meter = TransferMeter::default();
+    loop {
+        let since = clock.now();
+        let Some(frame) = body.frame().await else {
+            return Ok(collected.finish());
+        };
         // Trailers are not forwarded.
-        if let Ok(piece) = frame?.into_data() {
-            collected.reserve_piece(piece.len()).await;
-            collected.push(&piece);
+        let Ok(piece) = frame.map_err(collect_error)?.into_data() else {
+            continue;
+        };
+        meter.push(piece.len(), clock.now().since(since));
+        if meter.is_overdue() {
+            let detail = "body without an end".to_owned();
+            return Err(CollectError::NoAnswer(detail));
         }
+        collected.reserve_piece(piece.len()).await;
+        collected.push(&piece);
+    }
+}
+
+fn collect_error(error: Box<dyn StdError + Send + Sync>) -> CollectError {
+    match error.is::<LengthLimitError>() {
+        true => too_long(),
+        false => CollectError::Broken(error.to_string()),
     }
-    Ok(collected.finish())
+}
+
+fn too_long() -> CollectError {
+    CollectError::NoAnswer(format!("longer than {MAX_WHOLE_ANSWER} bytes"))
 }
 
 /// An answer that has been read to its end.
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod attempt_error;
 mod body_error;
 mod body_reader;
+mod collect_error;
 mod connection_server;
 mod engine_list_state;
 mod graceful_shutdown;
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -45,6 +45,8 @@
 const MORE_THAN_ITS_LENGTH: Script = Script::endless(WHOLE, "more");
 const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\r\n";
+const LONG: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 1000000\r\n\r\n";
 const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 const STREAM_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
@@ -324,6 +326,9 @@
     header_field = { RequestKind::Streaming, Script::endless("HTTP/1.1 200 OK\r\nx-a: ", PART_OF_FIELD) },
     interim_heads = { RequestKind::Streaming, Script::endless("", INTERIM_HEAD) },
     interim_heads_of_a_plain_answer = { RequestKind::Safe, Script::endless("", INTERIM_HEAD) },
+    plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, DATA) },
+    plain_answer_until_close = { RequestKind::Safe, Script::endless(UNTIL_CLOSE, PART_OF_FIELD) },
+    plain_answer_of_known_length = { RequestKind::Safe, Script::endless(LONG, PART_OF_FIELD) },
 )]
 fn slow_ones_are_ejected_and_others_serve(kind: RequestKind, script: Script) {
     run(async move {
