Don't count noise and heads that are too long as crashes

An engine that sent bytes that are no HTTP, a head that is too long, or a body whose chunks are no chunks was noted as crashed, and the request suspected of ending engines: two such answers may hold back a sound request as poison, or an engine for crashed.

Cause: all errors of a connection were one kind of failure, so what a peer had sent was taken for a peer that has gone.

`is_malformed` tells them apart: errors of parsing, and those of the data of a body or of our bounds on a head. Such an attempt is `NoAnswer`, before the head too: it ejects the engine as malformed (a head is no sign of health then) and counts no crash. The rest of a rejected answer is judged in the same way. Connections that break, and answers that end too early, are crashes as before; a tunnel that is lost is told first.

Engines are ejected as before (engines_are_ejected_and_others_serve, all cases).

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -26,7 +26,7 @@
 use crate::placement::Placement;
 use crate::poison::Run;
 use crate::request::{AnswerFacts, AttemptHead};
-use crate::upstream::{AttemptFailure, UpstreamAnswer};
+use crate::upstream::{AttemptFailure, UpstreamAnswer, is_malformed};
 
 /// How long an engine that has other weights than expected is avoided: it is about to load the expected ones.
 const MISDIRECTED_BACKOFF: Duration = Duration::from_millis(300);
@@ -78,6 +78,7 @@
                 AttemptError::NotConnected(detail)
             }
             AttemptFailure::OutOfReach => AttemptError::OutOfReach,
+            AttemptFailure::NoAnswer { detail } => AttemptError::NoAnswer(detail),
             AttemptFailure::Broken {
                 detail,
                 is_tunnel_lost: true,
@@ -360,7 +361,10 @@
     loop {
         match body.frame().await {
             Some(Ok(_)) => {}
-            Some(Err(error)) => return !error.is::<LengthLimitError>(),
+            Some(Err(error)) => {
+                let malformed = error.downcast_ref().is_some_and(is_malformed);
+                return !malformed && !error.is::<LengthLimitError>();
+            }
             None => return false,
         }
     }
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -25,7 +25,7 @@
 use crate::relay::TransferMeter;
 use crate::release::AnswerEnd;
 use crate::request::AnswerFacts;
-use crate::upstream::Connection;
+use crate::upstream::{Connection, is_malformed};
 
 /// An engine's answer whose head has been accepted, and whose body is still to be read.
 #[derive(Debug)]
@@ -98,7 +98,7 @@
         });
         let bytes = collected.map_err(|error| match error {
             CollectError::NoAnswer(detail) => AttemptError::NoAnswer(detail),
-            CollectError::Broken(detail) => self.broken(detail),
+            CollectError::Transport(error) => self.transport_error(&error),
         })?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
@@ -110,10 +110,14 @@
         })
     }
 
-    /// The error when the answer has broken off.
-    pub(super) fn broken(&self, detail: String) -> AttemptError {
-        match self.connection.is_tunnel_lost() {
-            true => AttemptError::TunnelLost(detail),
+    /// The error when the answer could not be read to its end.
+    pub(super) fn transport_error(&self, error: &hyper::Error) -> AttemptError {
+        let detail = error.to_string();
+        if self.connection.is_tunnel_lost() {
+            return AttemptError::TunnelLost(detail);
+        }
+        match is_malformed(error) {
+            true => AttemptError::NoAnswer(detail),
             false => AttemptError::Broken(detail),
         }
     }
@@ -169,10 +173,11 @@
     }
 }
 
+/// The body is limited, so that another error than one of the transport is that it is too long.
 fn collect_error(error: Box<dyn StdError + Send + Sync>) -> CollectError {
-    match error.is::<LengthLimitError>() {
-        true => too_long(),
-        false => CollectError::Broken(error.to_string()),
+    match error.downcast() {
+        Ok(error) => CollectError::Transport(*error),
+        Err(_) => too_long(),
     }
 }
 
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -300,7 +300,7 @@
         loop {
             match live.body.frame().await {
                 None => return Received::End,
-                Some(Err(error)) => return Received::Broken(live.broken(error.to_string())),
+                Some(Err(error)) => return Received::Broken(live.transport_error(&error)),
                 Some(Ok(frame)) => {
                     live.note_received(&self.forwarder.gateway);
                     if let Ok(bytes) = frame.into_data() {
--- a/crates/gateway/src/upstream/attempt_failure.rs
+++ b/crates/gateway/src/upstream/attempt_failure.rs
@@ -18,6 +18,12 @@
     /// No connection was tried, since one has just shown that no node reaches the engine.
     #[display("out of reach of all nodes that were asked")]
     OutOfReach,
+    /// What came is no answer; the request may have run.
+    #[display("no answer: {detail}")]
+    NoAnswer {
+        /// What is wrong with it.
+        detail: String,
+    },
     /// The connection broke after the request may have been written.
     #[display("broken: {detail}")]
     Broken {
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -16,6 +16,7 @@
 use super::answer_times::LEAST_PATIENCE;
 use super::hearings::Hearings;
 use super::idle_connections::IdleConnections;
+use super::malformed::is_malformed;
 use super::opening_connections::OpeningConnections;
 use super::{
     AttemptFailure, ConnectSettings, Connection, ConnectionUse, Dialer, Silence, UpstreamAnswer,
@@ -163,6 +164,9 @@
                     if !is_kept && connection.tunnel.is_none() && !connection.has_received() {
                         self.dialer.note_broken(engine);
                     }
+                    if is_malformed(failure.error()) && !is_tunnel_lost {
+                        return Err(AttemptFailure::NoAnswer { detail });
+                    }
                     return Err(AttemptFailure::Broken {
                         detail,
                         is_kept,
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -218,6 +218,15 @@
 #[parameterized(
     stream = { RequestKind::Streaming, chunks(": aaaaa\n") },
     plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, chunk("aaaaaaaa")).fast() },
+    noise = { RequestKind::Streaming, NOISE },
+    noise_as_a_plain_answer = { RequestKind::Safe, NOISE },
+    header_field = { RequestKind::Streaming, HEADER_FIELD },
+    header_fields = { RequestKind::Safe, HEADER_FIELDS },
+    interim_heads = { RequestKind::Streaming, INTERIM_HEADS },
+    slow_head = { RequestKind::Streaming, Script::endless("HTTP/1.1 200 OK\r\n", FIELD).slow(SLOW) },
+    chunk_extension = { RequestKind::Streaming, CHUNK_EXTENSION },
+    chunk_extension_of_a_plain_answer = { RequestKind::Safe, CHUNK_EXTENSION },
+    noise_after_a_refusal = { RequestKind::Safe, Script::endless(UNMARKED, "noise\r\n") },
 )]
 fn engines_do_not_count_as_crashed(kind: RequestKind, script: Script) {
     run(async move {
