Bound answers to short calls by what they may hold

An engine's report, what follows an order, cache events and answers of the store were each read up to 16 MiB, or for as long as the call may take, when they had no end: at 16 MB a second, 3.3 MB of each report twice a second.

The time limits of the calls are as they were (0.5 to 1 s at engines, 5 s and the time of a watch at the store), and slow answers end with them. What is longer is no answer: a report or events that have no end are held as ones that failed, an order as one whose outcome is unknown, a page as unavailable. Answers to health checks are not concerned: nodes make none.

--- a/crates/gateway/src/upstream/call_terms.rs
+++ b/crates/gateway/src/upstream/call_terms.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Maximum size of an answer unless its terms say otherwise. Pages of a store hold 1 MiB, escaped.
+const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// How long a call may take, and what may be done when its connection seems silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallTerms {
@@ -12,6 +15,8 @@
     pub hold: Duration,
     /// Whether it may be sent twice; see [`super::JsonCaller`] for when it is.
     pub is_repeatable: bool,
+    /// Maximum size of the body of its answer in bytes.
+    pub max_bytes: usize,
 }
 
 impl CallTerms {
@@ -21,6 +26,7 @@
             limit,
             hold: Duration::ZERO,
             is_repeatable: true,
+            max_bytes: MAX_ANSWER_BYTES,
         }
     }
 
@@ -30,6 +36,7 @@
             limit,
             hold: Duration::ZERO,
             is_repeatable: false,
+            max_bytes: MAX_ANSWER_BYTES,
         }
     }
 
@@ -37,4 +44,8 @@
     pub const fn held_for(self, hold: Duration) -> Self {
         Self { hold, ..self }
     }
+    /// The same, where the body of the answer has at most so many bytes.
+    pub const fn at_most(self, max_bytes: usize) -> Self {
+        Self { max_bytes, ..self }
+    }
 }
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -9,9 +9,6 @@
 use super::{CallAnswer, Connection};
 use crate::clock::Clock;
 
-/// Longest answer.
-const MOST_BYTES: usize = 16 * 1_024 * 1_024;
-
 /// An answer that was read to its end.
 #[derive(Debug)]
 pub(super) struct Exchanged {
@@ -38,10 +35,11 @@
     }
 }
 
-/// Sends a call and reads its whole answer.
+/// Sends a call and reads its whole answer, whose body has at most `max_bytes`.
 pub(super) async fn exchange(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
+    max_bytes: usize,
     clock: Clock,
 ) -> Result<Exchanged, ExchangeFailure> {
     let sent_at = clock.now();
@@ -56,7 +54,7 @@
     let heard_at = clock.now();
     connection.heard_at.set(heard_at);
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MOST_BYTES).collect().await;
+    let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|error| ExchangeFailure::Broken(error.to_string()))?;
     connection.heard_at.set(clock.now());
     Ok(Exchanged {
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -122,7 +122,7 @@
         let call = self.note_sent(&connection, terms, false, unended);
         let shown_silent = self.known.shown_silent(&call);
         tokio::select! {
-            answer = exchange(connection, request, clock) => match answer {
+            answer = exchange(connection, request, terms.max_bytes, clock) => match answer {
                 Ok(answer) => Ok(self.known.answered(&call, answer)),
                 Err(error) => Err(failure(error.detail())),
             },
@@ -142,7 +142,7 @@
         let call = self.note_sent(&connection, terms, true, unended);
         let patience = known.patience(&call);
         let spare = call.is_repeated_after(patience).then(|| request.clone());
-        let mut first = exchange(connection, request, known.clock).boxed_local();
+        let mut first = exchange(connection, request, terms.max_bytes, known.clock).boxed_local();
         tokio::select! {
             answer = &mut first => return match answer {
                 Ok(answer) => Ok(Ok(known.answered(&call, answer))),
