Search each part of an event once for its end

A node that relays an event in small parts searched all that it had of the event with each part: processor time grew with the square of the event's length, up to the bound of 1 MiB. An engine that sends an event without end in chunks of a few bytes took the node's thread for so long that callers of others went unserved.

The splitter now begins behind what was searched before, less the three bytes that an end may have come with.

--- a/crates/gateway/src/relay/event_splitter.rs
+++ b/crates/gateway/src/relay/event_splitter.rs
@@ -7,6 +7,8 @@
 
 /// Maximum size of an event, which is buffered until its end has been received.
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+/// Number of bytes of the end of an event that may have been received before its last byte.
+const PART_OF_END_BYTES: usize = 3;
 /// Start of the line that holds the id of an event.
 const ID_FIELD: &str = "id:";
 
@@ -23,13 +25,17 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Number of buffered bytes that hold no end of an event.
+    searched: usize,
 }
 
 impl EventSplitter {
     /// Appends bytes, and returns the events that are now complete, if any.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, RelayFault> {
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        let unsearched = &self.buffer[self.searched..];
+        let Some(end) = last_event_end(unsearched).map(|end| self.searched + end) else {
+            self.searched = self.buffer.len().saturating_sub(PART_OF_END_BYTES);
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(RelayFault {
                     detail: format!("event is longer than {MAX_EVENT_BYTES} bytes"),
@@ -38,6 +44,7 @@
             return Ok(None);
         };
         let whole = self.buffer.split_to(end).freeze();
+        self.searched = 0;
         let last_id = last_id(&whole);
         Ok(Some(EventBatch {
             bytes: whole,
@@ -52,6 +59,7 @@
 
     /// Takes the buffered bytes after the end of the stream.
     pub fn finish(&mut self) -> Bytes {
+        self.searched = 0;
         self.buffer.split().freeze()
     }
 }
--- a/crates/gateway/tests/small_parts.rs
+++ b/crates/gateway/tests/small_parts.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use rustix::time::{ClockId, clock_gettime};
 use ryerouter_core::Timestamp;
 use ryerouter_gateway::relay::EventSplitter;
 use ryerouter_gateway::retry::{RetrySettings, RetryWindow};
 use yare::parameterized;
 
+/// Time within which an engine that sends an event without end is known.
+const MAX_EVENT_TIME: Duration = Duration::from_secs(2);
+
 #[parameterized(
     whole = { &["id: 1\ndata: a\n\n"], "id: 1\ndata: a\n\n", Some("1"), 0 },
     cut_within = { &["id: 1\nda", "ta: a\n\nid: 2"], "id: 1\ndata: a\n\n", Some("1"), 5 },
@@ -75,3 +79,24 @@
     assert!(!window.spend(&settings, 1, now));
     assert!(window.spend(&settings, 1, now.after(Duration::from_secs(11))));
 }
+
+fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// The time for an event in the smallest parts must not grow with the square of its length.
+#[test]
+fn each_part_of_an_event_is_searched_once() {
+    let mut splitter = EventSplitter::default();
+    let began = processor_time();
+    for _ in 0..100_000 {
+        let batch = splitter.push(b"data: aaaa").expect("part");
+        assert_eq!(batch, None);
+    }
+    let elapsed = processor_time() - began;
+    assert!(elapsed < MAX_EVENT_TIME, "{elapsed:?}");
+    let end = splitter.push(b"\n").and_then(|_| splitter.push(b"\n"));
+    let batch = end.expect("end").expect("event");
+    assert_eq!(batch.bytes.len(), 1_000_002);
+}
