Blame nodes, not engines, for bytes that are no tunnel

A node without links to its engines sends requests through other nodes. Where such a node sent bytes without end that are no frames of a tunnel, the engines behind it were ejected; where it sent a frame that did not come to its end, callers waited until they left, again and again.

Causes: - A tunnel that was lost before the request was written counted as an engine that can't be reached, which ejects it at once. - Zeros and ones read as the end of the engine's connection, or its reset, whatever came behind them. - A frame that had begun was awaited for any time. - Nothing was held against a node whose tunnels are lost, so it stayed the first that is asked for its engines.

A request that was not written goes on through another node now, twice at most, and then the engine is out of reach, not ejected. A node through which a tunnel was lost is asked after all others for 1 s, doubling to 16 s until a tunnel through it has carried an answer; it is never left out, since it may be the only one.

--- a/crates/core/src/path/mod.rs
+++ b/crates/core/src/path/mod.rs
@@ -6,6 +6,7 @@
 mod connect_plan;
 mod path_change;
 mod path_table;
+mod tunnel_losses;
 mod tunnel_peer;
 mod tunnel_peers;
 
--- a/crates/core/tests/path.rs
+++ b/crates/core/tests/path.rs
@@ -218,6 +218,30 @@
     assert_eq!(known.candidates(&engine(0), after(2_000)).len(), 2);
 }
 
+/// The milliseconds for which a node comes last after a loss of its tunnels at `at`.
+fn avoided_ms(known: &mut TunnelPeers, lost: &TunnelPeer, at: u64) -> u64 {
+    // Several are lost together.
+    (0..5).for_each(|_| known.note_lost(&lost.name, after(at)));
+    let is_last = |ms: u64| {
+        let candidates = known.candidates(&engine(0), after(at + ms));
+        candidates.last().is_some_and(|peer| peer.name == lost.name)
+    };
+    (0..).step_by(100).find(|ms| !is_last(*ms)).expect("an end")
+}
+
+/// It may be the only one left, so it is still asked.
+#[test]
+fn node_whose_tunnels_are_lost_is_asked_last_for_ever_longer() {
+    let all = [peer(0, PeerDistance::Zone), peer(1, PeerDistance::Zone)];
+    let mut known = peers(7, &all);
+    let preferred = known.candidates(&engine(0), START)[0].clone();
+    assert_eq!(avoided_ms(&mut known, &preferred, 0), 1_000);
+    assert_eq!(avoided_ms(&mut known, &preferred, 1_000), 2_000);
+    assert_eq!(avoided_ms(&mut known, &preferred, 5_000), 4_000);
+    known.note_answered(&preferred.name);
+    assert_eq!(avoided_ms(&mut known, &preferred, 20_000), 1_000);
+}
+
 /// Knowledge of a large fleet stays bounded.
 #[parameterized(
     small = { 5, 5 },
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -98,7 +98,7 @@
         });
         let bytes = collected.map_err(|error| match error {
             CollectError::NoAnswer(detail) => AttemptError::NoAnswer(detail),
-            CollectError::Transport(error) => self.transport_error(&error),
+            CollectError::Transport(error) => self.transport_error(gateway, &error),
         })?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
@@ -111,8 +111,9 @@
     }
 
     /// The error when the answer could not be read to its end.
-    pub(super) fn transport_error(&self, error: &hyper::Error) -> AttemptError {
+    pub(super) fn transport_error(&self, gateway: &Gateway, error: &hyper::Error) -> AttemptError {
         let detail = error.to_string();
+        gateway.upstream().note_ended(&self.connection);
         if self.connection.is_tunnel_lost() {
             return AttemptError::TunnelLost(detail);
         }
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -300,7 +300,9 @@
         loop {
             match live.body.frame().await {
                 None => return Received::End,
-                Some(Err(error)) => return Received::Broken(live.transport_error(&error)),
+                Some(Err(error)) => {
+                    return Received::Broken(live.transport_error(&self.forwarder.gateway, &error));
+                }
                 Some(Ok(frame)) => {
                     live.note_received(&self.forwarder.gateway);
                     if let Ok(bytes) = frame.into_data() {
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -121,8 +121,13 @@
 
     /// Whether it is a tunnel and the node is gone through which it goes.
     pub fn is_tunnel_lost(&self) -> bool {
-        let tunnel = self.tunnel.as_ref();
-        tunnel.is_some_and(|(_, loss)| loss.is_lost())
+        self.lost_through().is_some()
+    }
+
+    /// The node through which it went, if it is a lost tunnel.
+    pub(super) fn lost_through(&self) -> Option<&NodeName> {
+        let (node, loss) = self.tunnel.as_ref()?;
+        loss.is_lost().then_some(node)
     }
 
     /// Whether a request may be sent on it now.
--- a/crates/gateway/src/upstream/dialer.rs
+++ b/crates/gateway/src/upstream/dialer.rs
@@ -116,6 +116,16 @@
             .note_broken(engine, self.clock.now());
     }
 
+    /// Records that a tunnel through a node was lost.
+    pub(super) fn note_tunnel_lost(&self, node: &NodeName) {
+        self.peers.borrow_mut().note_lost(node, self.clock.now());
+    }
+
+    /// Records that a tunnel through a node has carried an answer.
+    pub(super) fn note_tunnel_answered(&self, node: &NodeName) {
+        self.peers.borrow_mut().note_answered(node);
+    }
+
     /// Tries the direct path to an engine, and other nodes as well if none has reached it.
     pub(super) async fn probe(
         &self,
--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -33,6 +33,9 @@
 /// which is what an answer may take anyway; opening another connection costs a round trip.
 const MOST_UNHEARD: Duration = LEAST_PATIENCE;
 
+/// Tunnels that may be lost before a request is sent on one.
+const MAX_LOST_TUNNELS: usize = 2;
+
 /// Opening a connection within a region takes a few milliseconds.
 const LATE_CONNECTION: Duration = Duration::from_millis(100);
 
@@ -120,6 +123,7 @@
             false => MOST_IDLE_UNREPEATABLE,
         };
         let mut request = request;
+        let mut lost_tunnels = 0;
         loop {
             let kept = self.take_idle(engine, address, most_idle);
             let is_kept = kept.is_some();
@@ -149,18 +153,25 @@
                 Err(failure) => failure,
             };
             let detail = connection.failure_detail(failure.error());
+            let is_tunnel_lost = connection.is_tunnel_lost();
+            if is_tunnel_lost {
+                lost_tunnels += 1;
+                self.note_ended(&connection);
+            }
+            let is_tried_again = is_kept || is_tunnel_lost && lost_tunnels <= MAX_LOST_TUNNELS;
             match failure.take_message() {
-                Some(unsent) if is_kept => {
+                Some(unsent) if is_tried_again => {
                     request = unsent;
                     // The next connection is yet to be opened, and nothing was written so far.
                     used.set(None);
                 }
+                // It is the nodes that are out of reach, not the engine.
+                Some(_) if is_tunnel_lost => return Err(AttemptFailure::OutOfReach),
                 Some(_) => {
                     let is_timeout = false;
                     return Err(AttemptFailure::NotConnected { detail, is_timeout });
                 }
                 None => {
-                    let is_tunnel_lost = connection.is_tunnel_lost();
                     if !is_kept && connection.tunnel.is_none() && !connection.has_received() {
                         self.dialer.note_broken(engine);
                     }
@@ -185,8 +196,9 @@
         idle_timeout: Option<Duration>,
     ) {
         self.note_received(&connection);
-        if connection.tunnel.is_none() {
-            self.dialer.note_answered(engine);
+        match &connection.tunnel {
+            None => self.dialer.note_answered(engine),
+            Some((node, _)) => self.dialer.note_tunnel_answered(node),
         }
         if idle_timeout.is_some() {
             connection.idle_timeout = idle_timeout;
@@ -202,6 +214,13 @@
         self.hearings.note(connection.opened_at, now);
     }
 
+    /// A connection has ended before its answer. If it was a tunnel that was lost, other nodes are preferred for a time.
+    pub fn note_ended(&self, connection: &Connection) {
+        if let Some(node) = connection.lost_through() {
+            self.dialer.note_tunnel_lost(node);
+        }
+    }
+
     /// Number of engines to which a connection has been opening for longer than that takes.
     pub fn late_engines(&self, now: Timestamp) -> usize {
         self.opening.engines_before(now.before(LATE_CONNECTION))
--- a/crates/gateway/tests/support/engine_proxy.rs
+++ b/crates/gateway/tests/support/engine_proxy.rs
@@ -28,7 +28,7 @@
 /// A proxy on loopback that stands for the link between one node and one engine.
 pub struct EngineProxy {
     pub address: SocketAddr,
-    engine: SocketAddr,
+    engine: Cell<SocketAddr>,
     link: Cell<Link>,
     changed: Notify,
     /// Fills the backlog while the link is silent.
@@ -47,7 +47,7 @@
         let listener = TcpListener::from_std(socket.into()).expect("listener");
         let proxy = Rc::new(Self {
             address: listener.local_addr().expect("address"),
-            engine,
+            engine: Cell::new(engine),
             link: Cell::new(Link::Open),
             changed: Notify::new(),
             filler: RefCell::default(),
@@ -66,6 +66,11 @@
             .then(|| std::net::TcpStream::connect(self.address).expect("room for the filler"));
     }
 
+    /// Connections that are accepted from now on go to another address.
+    pub fn redirect(&self, engine: SocketAddr) {
+        self.engine.set(engine);
+    }
+
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
             let changed = self.changed.notified();
@@ -90,7 +95,7 @@
             return;
         }
         self.accepted.set(self.accepted.get() + 1);
-        let Ok(engine) = TcpStream::connect(self.engine).await else {
+        let Ok(engine) = TcpStream::connect(self.engine.get()).await else {
             reset(&node);
             return;
         };
--- a/crates/gateway/tests/support/linked_nodes.rs
+++ b/crates/gateway/tests/support/linked_nodes.rs
@@ -127,13 +127,26 @@
             started.push(scripted);
             addresses.push(address);
         }
+        let nodes = Self::start_before(nodes, &addresses, table).await.nodes;
+        Self {
+            nodes,
+            engines: started,
+        }
+    }
+
+    /// Nodes before engines of the test's own.
+    pub async fn start_before(
+        nodes: usize,
+        engines: &[SocketAddr],
+        table: impl Fn() -> RoutingTable,
+    ) -> Self {
         let mut linked = Vec::new();
         for index in 0..nodes {
-            linked.push(Rc::new(LinkedNode::start(index, table(), &addresses).await));
+            linked.push(Rc::new(LinkedNode::start(index, table(), engines).await));
         }
         let all = Self {
             nodes: linked,
-            engines: started,
+            engines: Vec::new(),
         };
         introduce(&all.gateways());
         all
