--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, Error};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
@@ -15,6 +14,7 @@
 
 use super::answer_reporter::AnswerReporter;
 use super::attempt_error::AttemptError;
+use super::collect_error::CollectError;
 use super::hop_by_hop_headers::remove_hop_by_hop;
 use super::sent_request::SentRequest;
 use crate::engines::InFlight;
@@ -22,9 +22,10 @@
 use crate::memory::{CollectedBytes, MAX_WHOLE_ANSWER};
 use crate::permits::{Outcome, Permit};
 use crate::placement::Placement;
+use crate::relay::TransferMeter;
 use crate::release::AnswerEnd;
 use crate::request::AnswerFacts;
-use crate::upstream::Connection;
+use crate::upstream::{Connection, is_malformed};
 
 /// An engine's answer whose head has been accepted, and whose body is still to be read.
 #[derive(Debug)]
@@ -95,9 +96,9 @@
             },
             _ => AnswerEnd::Failed,
         });
-        let bytes = collected.map_err(|error| match is_too_long(error.as_ref()) {
-            true => AttemptError::NoAnswer(format!("longer than {MAX_WHOLE_ANSWER} bytes")),
-            false => self.broken(error.to_string()),
+        let bytes = collected.map_err(|error| match error {
+            CollectError::NoAnswer(detail) => AttemptError::NoAnswer(detail),
+            CollectError::Transport(error) => self.transport_error(gateway, &error),
         })?;
         let (status, headers) = (self.status, std::mem::take(&mut self.headers));
         let placement = self.release(gateway);
@@ -109,10 +110,15 @@
         })
     }
 
-    /// The error when the answer has broken off.
-    pub(super) fn broken(&self, detail: String) -> AttemptError {
-        match self.connection.is_tunnel_lost() {
-            true => AttemptError::TunnelLost(detail),
+    /// The error when the answer could not be read to its end.
+    pub(super) fn transport_error(&self, gateway: &Gateway, error: &hyper::Error) -> AttemptError {
+        let detail = error.to_string();
+        gateway.upstream().note_ended(&self.connection);
+        if self.connection.is_tunnel_lost() {
+            return AttemptError::TunnelLost(detail);
+        }
+        match is_malformed(error) {
+            true => AttemptError::NoAnswer(detail),
             false => AttemptError::Broken(detail),
         }
     }
@@ -137,36 +143,47 @@
     }
 }
 
-/// An answer announces more bytes than are read of it.
-#[derive(Debug, Display, Error)]
-#[display("announced as too long")]
-struct AnnouncedTooLong;
-
-fn is_too_long(error: &(dyn StdError + Send + Sync + 'static)) -> bool {
-    error.is::<LengthLimitError>() || error.is::<AnnouncedTooLong>()
-}
-
 /// Collects a body within the memory held for callers. While there is no room, it is not read.
-async fn collect(
-    body: &mut Incoming,
-    gateway: &Gateway,
-) -> Result<Bytes, Box<dyn StdError + Send + Sync>> {
+async fn collect(body: &mut Incoming, gateway: &Gateway) -> Result<Bytes, CollectError> {
     let announced = body.size_hint().exact().unwrap_or_default();
     let announced = usize::try_from(announced).unwrap_or(usize::MAX);
     if announced > MAX_WHOLE_ANSWER {
-        return Err(AnnouncedTooLong.into());
+        return Err(too_long());
     }
+    let clock = gateway.clock();
     let mut body = Limited::new(body, MAX_WHOLE_ANSWER);
     let reservation = gateway.memory().reserve_whole_answer(announced).await;
     let mut collected = CollectedBytes::new(reservation);
-    while let Some(frame) = body.frame().await {
+    let mut meter = TransferMeter::default();
+    loop {
+        let since = clock.now();
+        let Some(frame) = body.frame().await else {
+            return Ok(collected.finish());
+        };
         // Trailers are not forwarded.
-        if let Ok(piece) = frame?.into_data() {
-            collected.reserve_piece(piece.len()).await;
-            collected.push(&piece);
+        let Ok(piece) = frame.map_err(collect_error)?.into_data() else {
+            continue;
+        };
+        meter.push(piece.len(), clock.now().since(since));
+        if meter.is_overdue() {
+            let detail = "body without an end".to_owned();
+            return Err(CollectError::NoAnswer(detail));
         }
+        collected.reserve_piece(piece.len()).await;
+        collected.push(&piece);
     }
-    Ok(collected.finish())
+}
+
+/// The body is limited, so that another error than one of the transport is that it is too long.
+fn collect_error(error: Box<dyn StdError + Send + Sync>) -> CollectError {
+    match error.downcast() {
+        Ok(error) => CollectError::Transport(*error),
+        Err(_) => too_long(),
+    }
+}
+
+fn too_long() -> CollectError {
+    CollectError::NoAnswer(format!("longer than {MAX_WHOLE_ANSWER} bytes"))
 }
 
 /// An answer that has been read to its end.
--- a/crates/gateway/src/upstream/connection.rs
+++ b/crates/gateway/src/upstream/connection.rs
@@ -70,7 +70,7 @@
         address: SocketAddr,
         clock: Clock,
     ) -> Result<Self, hyper::Error> {
-        let head_limit = HeadLimit::default();
+        let head_limit = HeadLimit::new(clock);
         let stream = LimitedStream::new(stream, head_limit.clone());
         let mut builder = http1::Builder::new();
         builder.max_buf_size(max_buf_size);
@@ -106,7 +106,7 @@
     /// Why no head came, where hyper's error tells less.
     pub(super) fn failure_detail(&self, error: &hyper::Error) -> String {
         let fault = self.head_limit.fault();
-        fault.unwrap_or_else(|| error.to_string())
+        fault.map_or_else(|| error.to_string(), |fault| fault.to_string())
     }
 
     /// Whether the peer has sent anything since a request was sent.
@@ -121,8 +121,13 @@
 
     /// Whether it is a tunnel and the node is gone through which it goes.
     pub fn is_tunnel_lost(&self) -> bool {
-        let tunnel = self.tunnel.as_ref();
-        tunnel.is_some_and(|(_, loss)| loss.is_lost())
+        self.lost_through().is_some()
+    }
+
+    /// The node through which it went, if it is a lost tunnel.
+    pub(super) fn lost_through(&self) -> Option<&NodeName> {
+        let (node, loss) = self.tunnel.as_ref()?;
+        loss.is_lost().then_some(node)
     }
 
     /// Whether a request may be sent on it now.
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -45,6 +45,8 @@
 const MORE_THAN_ITS_LENGTH: Script = Script::endless(WHOLE, "more");
 const CHUNKED: &str =
     "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\r\n";
+const LONG: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 1000000\r\n\r\n";
 const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
      content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 const STREAM_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\n\
@@ -216,6 +218,15 @@
 #[parameterized(
     stream = { RequestKind::Streaming, chunks(": aaaaa\n") },
     plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, chunk("aaaaaaaa")).fast() },
+    noise = { RequestKind::Streaming, NOISE },
+    noise_as_a_plain_answer = { RequestKind::Safe, NOISE },
+    header_field = { RequestKind::Streaming, HEADER_FIELD },
+    header_fields = { RequestKind::Safe, HEADER_FIELDS },
+    interim_heads = { RequestKind::Streaming, INTERIM_HEADS },
+    slow_head = { RequestKind::Streaming, Script::endless("HTTP/1.1 200 OK\r\n", FIELD).slow(SLOW) },
+    chunk_extension = { RequestKind::Streaming, CHUNK_EXTENSION },
+    chunk_extension_of_a_plain_answer = { RequestKind::Safe, CHUNK_EXTENSION },
+    noise_after_a_refusal = { RequestKind::Safe, Script::endless(UNMARKED, "noise\r\n") },
 )]
 fn engines_do_not_count_as_crashed(kind: RequestKind, script: Script) {
     run(async move {
@@ -307,20 +318,51 @@
 const COMMENT: &str = "64\r\n: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n\r\n";
 const FIELD: &str = "x-a: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
 
+const DATA: &str = "64\r\ndata: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n\r\n";
+const PART_OF_DATA: &str = "64\r\ndata: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+const RETRY: &str = "64\r\nretry: 1                                                                                          \n\n\r\n";
+
+const PART_OF_FIELD: &str = "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa";
+const INTERIM_HEAD: &str = "HTTP/1.1 102 Processing\r\nx-a: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n";
+
 /// A kibibyte a second.
 #[parameterized(
-    comments = { Script::endless(STREAM, COMMENT) },
-    head = { Script::endless("HTTP/1.1 200 OK\r\n", FIELD) },
+    comments = { RequestKind::Streaming, Script::endless(STREAM, COMMENT) },
+    events_without_data = { RequestKind::Streaming, Script::endless(STREAM, RETRY) },
+    lines_of_an_event = { RequestKind::Streaming, Script::endless(STREAM, DATA) },
+    line_of_an_event = { RequestKind::Streaming, Script::endless(STREAM, PART_OF_DATA) },
+    head = { RequestKind::Streaming, Script::endless("HTTP/1.1 200 OK\r\n", FIELD) },
+    header_field = { RequestKind::Streaming, Script::endless("HTTP/1.1 200 OK\r\nx-a: ", PART_OF_FIELD) },
+    interim_heads = { RequestKind::Streaming, Script::endless("", INTERIM_HEAD) },
+    interim_heads_of_a_plain_answer = { RequestKind::Safe, Script::endless("", INTERIM_HEAD) },
+    plain_answer = { RequestKind::Safe, Script::endless(CHUNKED, DATA) },
+    plain_answer_until_close = { RequestKind::Safe, Script::endless(UNTIL_CLOSE, PART_OF_FIELD) },
+    plain_answer_of_known_length = { RequestKind::Safe, Script::endless(LONG, PART_OF_FIELD) },
 )]
-fn callers_of_slow_ones_are_served_by_others(script: Script) {
+fn slow_ones_are_ejected_and_others_serve(kind: RequestKind, script: Script) {
     run(async move {
-        let kind = RequestKind::Streaming;
         let site = Rc::new(Site::start(kind, script.slow(SLOW), BAD_ENGINES).await);
         let share = site.served_share(kind, PATIENCE).await;
         let tries: usize = site.bad.iter().map(|engine| engine.tries()).sum();
-        let seen = format!("served {share:.3}, tries {tries}");
+        let serving = site.serving_count();
+        let seen = format!("served {share:.3}, tries {tries}, serving {serving}");
         println!("{seen}");
         assert!(share >= LEAST_SERVED, "{seen}");
+        assert_eq!(serving, 0, "{seen}");
+    });
+}
+
+/// Less than a hundred bytes a second.
+const SMALL_COMMENT: Script = Script::endless(STREAM, "4\r\n:a\n\n\r\n");
+
+#[test]
+fn small_comments_do_not_keep_callers_waiting() {
+    run(async {
+        let kind = RequestKind::Streaming;
+        let script = SMALL_COMMENT.slow(SLOW / 2);
+        let site = Rc::new(Site::start(kind, script, BAD_ENGINES).await);
+        let share = site.served_share(kind, LONG_PATIENCE).await;
+        assert!(share >= LEAST_SERVED, "served {share:.3}");
     });
 }
 
@@ -348,3 +390,29 @@
         assert_eq!(site.serving_count(), ENGINES);
     });
 }
+
+/// Its head comes with the start of its body.
+#[test]
+fn engine_with_an_interim_head_before_a_late_answer_serves_on() {
+    run(async {
+        let body = "a".repeat(40 * KIB);
+        let length = body.len();
+        let head = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length:";
+        let mut script = Script::whole(INTERIM_HEAD);
+        script.pause = LATE;
+        script.rest = format!("{head} {length}\r\n\r\n{body}").leak();
+        let site = Rc::new(Site::start(RequestKind::Unsafe, script, ENGINES).await);
+        let calls = (0..40).map(|number| {
+            let site = Rc::clone(&site);
+            spawn_local(async move {
+                let id = format!("r{number}");
+                site.bench.call("POST", &[(ID, id.as_str())], "x").await
+            })
+        });
+        for call in calls.collect::<Vec<_>>() {
+            let answer = call.await.expect("call");
+            assert_eq!(answer.body.map(|body| body.len()), Ok(length));
+        }
+        assert_eq!(site.serving_count(), ENGINES);
+    });
+}
