Let requests wait for the orders of releases after a start of all nodes

Callers saw, after all nodes had been killed, streams that went on at a version which had been rolled back, and new streams that began there, until the nodes had read the orders again.

Cause: a node that has just started knows no verdict. It took that for "there is none": a stream went on at its version whatever that was (`admission_to_version`), and new requests went to the version with the oldest or the most engines, which is the rejected one if the present engines were restarted since. The node that follows the orders also told that it knows them up to 0.1 s before their grants were in force.

A pool with engines of several versions holds its requests until this node has read the orders or heard of them, 1.5 s at most after the first one that waited. A pool of which only the rejected version is listed doesn't wait, and settings without bounds for releases change nothing.

--- a/crates/gateway/src/gateway/release_orders.rs
+++ b/crates/gateway/src/gateway/release_orders.rs
@@ -4,9 +4,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use ryerouter_core::Timestamp;
+use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{Grant, Order};
+use slog::{info, warn};
 
 use super::{Gateway, PEER_DISCOVERY_TIME};
+use crate::release::ListedVersions;
+
+/// Maximum time for which a node that has just started holds requests until it knows the orders. Most nodes have read
+/// them, or heard of them, within a second.
+const MAX_ORDERS_WAIT: Duration = Duration::from_millis(1_500);
 
 impl Gateway {
     /// Whether this node follows a release order that is not finished, for which the order lease is
@@ -23,6 +31,62 @@
     /// Records that all release orders have been read.
     pub fn note_orders_known(&self) {
         self.state_mut().releases.knows_orders = true;
+        self.orders_known.notify_waiters();
+    }
+
+    /// Waits until this node knows whether a pool has an order, if it has just started and the pool has engines of
+    /// several versions: one of them may be rejected. Once this has taken too long the source may be away for long, and
+    /// requests go on.
+    pub(crate) async fn until_orders_known(&self, pool: &PoolName) {
+        if !self.lacks_order_of(pool) {
+            return;
+        }
+        let now = self.clock().now();
+        let awaited_since = self.orders_awaited_since(pool);
+        let limit = awaited_since.after(MAX_ORDERS_WAIT);
+        if now >= limit {
+            return;
+        }
+        let known = async {
+            loop {
+                let changed = self.orders_known.notified();
+                if !self.lacks_order_of(pool) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        if self.clock().until(limit, known).await.is_none() {
+            self.log_orders_given_up(pool);
+        }
+    }
+
+    /// When a request first waited for the orders.
+    fn orders_awaited_since(&self, pool: &PoolName) -> Timestamp {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        *state.releases.awaited_since.get_or_insert_with(|| {
+            info!(self.log(), "release_orders_awaited"; "pool" => %pool);
+            now
+        })
+    }
+
+    fn log_orders_given_up(&self, pool: &PoolName) {
+        let is_first = !std::mem::replace(&mut self.state_mut().releases.is_given_up, true);
+        if is_first {
+            warn!(self.log(), "release_orders_unknown"; "pool" => %pool,
+                "waited_ms" => MAX_ORDERS_WAIT.as_millis() as u64);
+        }
+    }
+
+    /// Whether a pool has engines of several versions while it is not known whether one of them was ordered.
+    fn lacks_order_of(&self, pool: &PoolName) -> bool {
+        let state = self.state();
+        let releases = &state.releases;
+        if self.settings().releases.is_none() || releases.knows_orders {
+            return false;
+        }
+        releases.of(pool).is_none() && !ListedVersions::of(&state.engines, pool).is_uniform()
     }
 
     /// Fencing number of the order lease, checked before each use: this process may have been
--- a/crates/gateway/src/gateway/release_updates.rs
+++ b/crates/gateway/src/gateway/release_updates.rs
@@ -71,7 +71,10 @@
         }
         self.apply_grants(state, &message.releases);
         // The same message carried all grants, so a pool without one has no order.
-        state.releases.knows_orders |= message.knows_orders;
+        if message.knows_orders && !state.releases.knows_orders {
+            state.releases.knows_orders = true;
+            self.orders_known.notify_waiters();
+        }
         let is_near = message.from.zone == self.settings().identity.zone;
         let origin = match is_near {
             true => Origin::SameZone,
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -54,6 +54,7 @@
         }
         let is_new_stage = is_accepted && before.as_ref() != Some(&after);
         if is_new_stage {
+            self.orders_known.notify_waiters();
             let (order, stage) = after;
             info!(self.log(), "release_known"; "pool" => %pool, "target" => order.target,
                 "stage" => %stage, "before" => before.map(|(_, stage)| stage.to_string()),
--- a/crates/gateway/src/release/order_follower.rs
+++ b/crates/gateway/src/release/order_follower.rs
@@ -12,6 +12,8 @@
 use tokio::time::{sleep, timeout};
 
 use super::Orders;
+use super::end_announcement::announce_ends;
+use super::order_announcement::announce_orders;
 use crate::gateway::Gateway;
 use crate::source::{Backoff, FollowSettings, ReleaseBatch, ReleaseStore, SourceError};
 
@@ -105,6 +107,9 @@
                     info!(self.gateway.log(), "release_orders_read"; "revision" => list.revision,
                         "orders" => list.releases.len());
                     self.orders.borrow_mut().apply_list(list);
+                    let orders = self.orders.borrow();
+                    announce_orders(&self.gateway, &orders);
+                    announce_ends(&self.gateway, &orders);
                     self.gateway.note_orders_known();
                     return;
                 }
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -17,6 +17,10 @@
     /// Whether all orders are known, from the source or from a node that knew them. If so, a pool without a release
     /// has no order.
     pub knows_orders: bool,
+    /// When a request first waited for the orders; `None` if none has.
+    pub awaited_since: Option<Timestamp>,
+    /// Whether requests go on without the orders, after they have waited for too long.
+    pub is_given_up: bool,
     /// Typical durations of the present versions' answers.
     pub typical_times: TypicalTimes,
     /// Pools whose grant starts another stage, so that it is to be sent to every node at once.
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -102,10 +102,14 @@
 
     /// Makes attempts until an answer can be sent to the caller: a complete one, or the head of a stream.
     pub(super) async fn first_answer(&mut self) -> Result<FirstAnswer, Refusal> {
+        let orders = self.gateway.until_orders_known(&self.request.pool);
         if self.request.is_resumable_stream() && self.request.caller.is_continuation() {
-            let version = self.gateway.continuation_version(&self.request).await;
+            let version = self.gateway.continuation_version(&self.request);
+            let (version, ()) = tokio::join!(version, orders);
             let version = version.map_err(|why| self.unknown_version_refusal(why))?;
             self.software = SoftwareConstraint::Only(version);
+        } else {
+            orders.await;
         }
         let last_event_id = self.request.caller.last_event_id.clone();
         loop {
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -16,6 +16,8 @@
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::run_peer_link;
+use ryerouter_gateway::release::run_releases;
+use ryerouter_gateway::source::FollowSettings;
 use tokio::net::UdpSocket;
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::sleep;
@@ -24,6 +26,8 @@
 use super::fleet::introduce;
 use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
 use super::records::{POOL, route, tenant};
+use super::release_node::bounds;
+use super::release_orders::{OrdersWay, ReleaseOrders};
 use super::signalling::settings_of;
 use super::test_dialect::{AFTER, ID, KEY, PARTS, RESUMES};
 use super::versioned_engines::{EVENTS, VersionedEngine};
@@ -34,6 +38,12 @@
 const STORE_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Attempts of one request: enough for engines that break off every answer.
 const MAX_ATTEMPTS: u32 = 8;
+/// How nodes follow orders of releases.
+const FOLLOWING: FollowSettings = FollowSettings {
+    watch: Duration::from_secs(15),
+    answer: Duration::from_millis(1_500),
+    longest_pause: Duration::from_millis(600),
+};
 
 /// One node.
 pub struct VersionedNode {
@@ -57,6 +67,7 @@
         table: RoutingTable,
         entries: Vec<EngineEntry>,
         store: Rc<ContinuationRecords>,
+        orders: Option<Rc<ReleaseOrders>>,
         is_first_start: bool,
     ) -> Self {
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
@@ -64,6 +75,7 @@
         own.identity.incarnation = incarnation;
         // How much work the engines do is not known here, so nothing can be said of their load.
         own.sheds_load = false;
+        own.releases = orders.is_some().then(bounds);
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
         let bench = GatewayBench::serve(gateway_with(own), Some(table), entries.clone()).await;
@@ -76,6 +88,10 @@
             is_first_start,
         };
         tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, how));
+        if let Some(orders) = orders {
+            let way = Rc::new(OrdersWay(orders));
+            tasks.spawn_local(run_releases(Rc::clone(&gateway), way, FOLLOWING));
+        }
         let listed = Rc::clone(&list);
         let listing = spawn_local(async move {
             loop {
@@ -104,6 +120,8 @@
     pub engines: RefCell<Vec<VersionedEngine>>,
     /// What they keep of versions and streams.
     pub store: Rc<ContinuationRecords>,
+    /// Orders of releases that nodes follow which are started from now on.
+    pub orders: RefCell<Option<Rc<ReleaseOrders>>>,
     route: Route,
     tenants: Vec<Tenant>,
     started: Cell<u64>,
@@ -143,6 +161,7 @@
             nodes: RefCell::default(),
             engines: RefCell::default(),
             store: Rc::default(),
+            orders: RefCell::default(),
             route,
             tenants,
             started: Cell::new(0),
@@ -202,9 +221,10 @@
         let table = RoutingTable::new(1, routes, vec![pool], Vec::new(), tenants, limits);
         let entries = self.entries();
         let store = Rc::clone(&self.store);
-        let is_first_start = self.is_first_start.get();
+        let orders = self.orders.borrow().clone();
+        let is_first = self.is_first_start.get();
         let node =
-            VersionedNode::start(index, incarnation, table, entries, store, is_first_start).await;
+            VersionedNode::start(index, incarnation, table, entries, store, orders, is_first).await;
         Rc::new(node)
     }
 
