Keep the versions that former orders rejected in the record of the order

Callers got answers of a version that had been rolled back, after the operator had ordered another one and all nodes had been killed.

Cause: which versions were rejected under former orders of a pool was carried from order to order in the memory of the nodes alone, and the record names the last target only. That nobody remembered a verdict was taken for there being none. A record of the former target was not used either when an order was given while all nodes were down.

A record of another target counts: rolled back rejects it, and so does running for a node that does not know that release, since it may have been under trial. A version that is ordered again is rejected no more. What is stored and sent is only added to: the field is left out while it is empty, and an entry of another form is skipped by itself.

--- a/crates/core/src/release/grant.rs
+++ b/crates/core/src/release/grant.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Order, Stage, Window};
+use super::{Order, RejectedVersions, Stage, Window};
 
 /// Permission that the director of a release gives to the nodes. It is valid for a short time, or
 /// without limit if the stage is final.
@@ -35,6 +35,13 @@
     /// Time since the release began.
     #[serde(rename = "e")]
     pub elapsed: Duration,
+    /// Other versions that were rejected, under earlier orders of the pool.
+    #[serde(
+        rename = "j",
+        default,
+        skip_serializing_if = "RejectedVersions::is_empty"
+    )]
+    pub rejected: RejectedVersions,
 }
 
 impl Grant {
--- a/crates/core/src/release/progress.rs
+++ b/crates/core/src/release/progress.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Comparison, CountKey, Counts, Exposure, Fleet, Grant, Order, Rollback, Settings, Stage,
+    Comparison, CountKey, Counts, Exposure, Fleet, Grant, Order, RejectedVersions, Rollback,
+    Settings, Stage,
 };
 use crate::Timestamp;
 
@@ -174,6 +175,7 @@
             fence,
             number,
             elapsed: self.elapsed(now),
+            rejected: RejectedVersions::default(),
         }
     }
 
--- a/crates/core/src/release/record.rs
+++ b/crates/core/src/release/record.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 
-use super::SoftwareVersion;
+use super::{RejectedVersions, SoftwareVersion};
 
 /// Outcome of a release, as shown to the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -25,4 +25,6 @@
     pub target: SoftwareVersion,
     /// Outcome of the release.
     pub outcome: Outcome,
+    /// Other versions that were rejected, under earlier orders of the pool.
+    pub rejected: RejectedVersions,
 }
--- a/crates/gateway/src/gateway/releases.rs
+++ b/crates/gateway/src/gateway/releases.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Counts, Fleet, Grant, Order, Progress, Settings, Stage};
+use ryerouter_core::release::{
+    Counts, Fleet, Grant, Order, Progress, RejectedVersions, Settings, Stage,
+};
 use slog::info;
 
 use super::release_traffic::{note_all_replaced, note_replaced};
@@ -72,6 +74,14 @@
         Some((known.grant.clone(), now.since(known.granted_at)))
     }
 
+    /// The other versions of an order's pool that are rejected; `None` if this node does not know the order.
+    pub fn rejected_versions(&self, order: &Order) -> Option<RejectedVersions> {
+        let state = self.state();
+        let known = state.releases.of(&order.pool);
+        let known = known.filter(|known| known.grant.order == *order)?;
+        Some(known.rejected.clone())
+    }
+
     /// The progress of a release that this node takes over as director, if it knows of the release.
     pub fn resumed_release(&self, order: &Order, settings: &Settings) -> Option<Progress> {
         let now = self.clock().now();
--- a/crates/gateway/src/release/admission_policy.rs
+++ b/crates/gateway/src/release/admission_policy.rs
@@ -87,7 +87,7 @@
                 let target = &known.grant.order.target;
                 versions.all_except(target).cloned().collect()
             }
-            Stage::Shifting => known.rejected.clone(),
+            Stage::Shifting => known.rejected.to_set(),
         }
     }
 
@@ -122,7 +122,7 @@
             Stage::Completed => self.after_completion(known, versions),
             _ if !self.has_present_engines(known) && !known.is_stopped() => {
                 // There is no other engine, and thus nothing to compare the target version with.
-                Admission::to(EngineFilter::except(known.rejected.clone()))
+                Admission::to(EngineFilter::except(known.rejected.to_set()))
             }
             _ if self.may_go_to_target(known, id, tried) => {
                 Admission::on_trial(self.target_engines(known), self.fallback(known, versions))
@@ -177,7 +177,7 @@
     /// versions that are not rejected, in earlier stages those of the present versions.
     fn fallback(&self, known: &KnownRelease, versions: &ListedVersions) -> EngineFilter {
         match known.grant.stage {
-            Stage::Settling => EngineFilter::except(known.rejected.clone()),
+            Stage::Settling => EngineFilter::except(known.rejected.to_set()),
             _ => self.present_engines(known, versions),
         }
     }
@@ -207,7 +207,7 @@
 
     /// The target version and the rejected versions.
     fn closed_versions(&self, known: &KnownRelease) -> BTreeSet<SoftwareVersion> {
-        let mut closed = known.rejected.clone();
+        let mut closed = known.rejected.to_set();
         closed.insert(known.grant.order.target.clone());
         closed
     }
--- a/crates/gateway/src/release/director.rs
+++ b/crates/gateway/src/release/director.rs
@@ -7,7 +7,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{self, Order, Outcome, Progress};
+use ryerouter_core::release::{self, Grant, Order, Outcome, Progress, Record, RejectedVersions};
 use slog::{info, warn};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
@@ -18,6 +18,7 @@
 use super::order_announcement::announce_orders;
 use super::order_follower::OrderFollower;
 use super::record_reader::RecordReader;
+use super::recorded_grant::recorded_rejections;
 use super::stage_log::{log_stage, record_answers};
 use super::{DirectedRelease, KnownOrder, Orders, RecordState};
 use crate::gateway::Gateway;
@@ -201,10 +202,18 @@
         if let Some(grant) = grant {
             self.grants = number;
             record_answers(&self.gateway, order, &counts);
-            self.gateway.publish_grant(grant);
+            let rejected = self.rejected_versions(release);
+            self.gateway.publish_grant(Grant { rejected, ..grant });
         }
     }
 
+    /// The other versions of an order's pool that are rejected, as far as this node or the record tells.
+    fn rejected_versions(&self, release: &OrderedRelease) -> RejectedVersions {
+        let known = self.gateway.rejected_versions(&release.order);
+        let knows_former = self.gateway.known_grant(&release.order.pool).is_some();
+        known.unwrap_or_else(|| recorded_rejections(release, knows_former))
+    }
+
     /// Updates the record in the source to the outcome of the release.
     fn record(&mut self, known: &KnownOrder, now: Timestamp) {
         let order = &known.release.order;
@@ -218,7 +227,12 @@
                     return;
                 };
                 directed.record = RecordState::Pending;
-                self.call_record(known.release.clone(), outcome, call_timeout);
+                let record = Record {
+                    target: order.target.clone(),
+                    outcome,
+                    rejected: self.rejected_versions(&known.release),
+                };
+                self.call_record(known.release.clone(), record, call_timeout);
             }
             RecordState::Uncertain(read_at) if read_at <= now => {
                 directed.record = RecordState::Pending;
@@ -228,14 +242,14 @@
         }
     }
 
-    fn call_record(&self, release: OrderedRelease, outcome: Outcome, call_timeout: Duration) {
+    fn call_record(&self, release: OrderedRelease, record: Record, call_timeout: Duration) {
         let (store, sender) = (Rc::clone(&self.store), self.sender.clone());
         spawn_local(async move {
-            let recorded = timeout(call_timeout, store.record(&release, outcome)).await;
+            let recorded = timeout(call_timeout, store.record(&release, &record)).await;
             // Without a receiver this node has stopped directing.
             let _ = sender.send(DirectorEvent::Recorded {
                 order: release.order.clone(),
-                outcome,
+                outcome: record.outcome,
                 result: recorded.unwrap_or(Err(SourceError::NoAnswer)),
             });
         });
--- a/crates/gateway/src/release/known_release.rs
+++ b/crates/gateway/src/release/known_release.rs
@@ -5,8 +5,8 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::release::{
-    Budget, Comparison, Counts, Evidence, Grant, Progress, Reporter, Rollback, Settings,
-    SoftwareVersion, Stage,
+    Budget, Comparison, Counts, Evidence, Grant, Progress, RejectedVersions, Reporter, Rollback,
+    Settings, SoftwareVersion, Stage,
 };
 
 use super::Origin;
@@ -31,7 +31,7 @@
     pub evidence: Evidence,
     /// Other versions that get no requests: they were rolled back or withdrawn earlier, or were still under trial
     /// when this release was ordered.
-    pub rejected: BTreeSet<SoftwareVersion>,
+    pub rejected: RejectedVersions,
     /// Versions that the completed release has replaced.
     pub replaced: BTreeSet<SoftwareVersion>,
     /// Origin of each reporter in the evidence.
@@ -48,13 +48,14 @@
 impl KnownRelease {
     /// A release that this node has just learned of.
     pub fn new(grant: Grant, granted_at: Timestamp, now: Timestamp) -> Self {
+        let rejected = grant.rejected.clone();
         Self {
             grant,
             granted_at,
             stage_since: now,
             budget: Budget::default(),
             evidence: Evidence::default(),
-            rejected: BTreeSet::new(),
+            rejected,
             replaced: BTreeSet::new(),
             origins: BTreeMap::new(),
             comparison: Comparison::default(),
--- a/crates/gateway/src/release/order_announcement.rs
+++ b/crates/gateway/src/release/order_announcement.rs
@@ -12,8 +12,9 @@
 /// order, and send them a full share of the requests.
 pub(super) fn announce_orders(gateway: &Gateway, orders: &Orders) {
     let open = orders.iter().filter(|known| KnownOrder::is_open(known));
-    for grant in open.map(|known| initial_grant(&known.release)) {
-        let known = gateway.known_grant(&grant.order.pool);
+    for release in open.map(|known| &known.release) {
+        let known = gateway.known_grant(&release.order.pool);
+        let grant = initial_grant(release, known.is_some());
         if known.is_none_or(|(known, _)| grant.supersedes(&known)) {
             info!(gateway.log(), "release_heard"; "pool" => %grant.order.pool,
                 "target" => &grant.order.target, "revision" => grant.revision);
--- a/crates/gateway/src/release/record_reader.rs
+++ b/crates/gateway/src/release/record_reader.rs
@@ -144,7 +144,7 @@
     };
     let is_other = release.order != grant.order;
     let known = KnownOrder::new(release);
-    let other = is_other.then(|| initial_grant(&known.release));
+    let other = is_other.then(|| initial_grant(&known.release, true));
     final_grant(&known).or(other)
 }
 
--- a/crates/gateway/src/release/table.rs
+++ b/crates/gateway/src/release/table.rs
@@ -5,7 +5,8 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{
-    CountKey, EngineKey, Grant, Judgement, PRESENT, SoftwareVersion, Stage, key_of,
+    CountKey, EngineKey, Grant, Judgement, PRESENT, RejectedVersions, SoftwareVersion, Stage,
+    key_of,
 };
 
 use super::{AnswerTiming, KnownRelease, TypicalTimes};
@@ -44,11 +45,14 @@
             // earlier of the two times is more accurate.
             known.granted_at = known.granted_at.min(granted_at);
         }
+        if known.grant.order == grant.order {
+            known.rejected.merge(&grant.rejected);
+        }
         if !grant.supersedes(&known.grant) {
             return false;
         }
         if known.grant.order != grant.order {
-            let rejected = rejected_versions(known, &grant.order.target);
+            let rejected = rejected_versions(known, &grant);
             *known = KnownRelease::new(grant, granted_at, now);
             known.rejected = rejected;
             return true;
@@ -114,15 +118,16 @@
     }
 }
 
-/// The versions that stay rejected when an order for `target` replaces the `former` one.
-fn rejected_versions(former: &KnownRelease, target: &str) -> BTreeSet<SoftwareVersion> {
+/// The versions that stay rejected when the order of `grant` replaces the `former` one.
+fn rejected_versions(former: &KnownRelease, grant: &Grant) -> RejectedVersions {
     let mut rejected = former.rejected.clone();
+    rejected.merge(&grant.rejected);
     // A version that was still under trial is not known to be good, so it is rejected like one whose order was
     // withdrawn.
     let is_under_trial = matches!(former.grant.stage, Stage::Trial | Stage::Shifting);
     if former.is_rejected() || is_under_trial {
         rejected.insert(former.grant.order.target.clone());
     }
-    rejected.remove(target);
+    rejected.remove(&grant.order.target);
     rejected
 }
--- a/crates/gateway/src/source/release_store.rs
+++ b/crates/gateway/src/source/release_store.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Order, Outcome, Record};
+use ryerouter_core::release::{Order, Record};
 
 use super::SourceError;
 
@@ -73,11 +73,11 @@
         pool: &'a PoolName,
     ) -> LocalBoxFuture<'a, Result<Option<OrderedRelease>, SourceError>>;
 
-    /// Records the outcome of an order, if neither it nor its record has changed since it was read: a call
+    /// Records what has become of an order, if neither it nor its record has changed since it was read: a call
     /// that is carried out late then changes nothing newer.
     fn record<'a>(
         &'a self,
         release: &'a OrderedRelease,
-        outcome: Outcome,
+        record: &'a Record,
     ) -> LocalBoxFuture<'a, Result<Recorded, SourceError>>;
 }
--- a/crates/gateway/tests/release_orders.rs
+++ b/crates/gateway/tests/release_orders.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ryerouter_core::release::{Grant, Outcome, Stage};
+use ryerouter_core::release::{Grant, Outcome, RejectedVersions, Stage};
 use ryerouter_gateway::release::Orders;
 use ryerouter_gateway::source::{OrderedRelease, ReleaseBatch, ReleaseChange, ReleaseList};
 use support::gateway_bench::{list_engines, run_paused};
@@ -36,6 +36,7 @@
         fence: 1,
         number: 1,
         elapsed: Duration::ZERO,
+        rejected: RejectedVersions::default(),
     }
 }
 
--- a/crates/gateway/tests/support/release_orders.rs
+++ b/crates/gateway/tests/support/release_orders.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use ryerouter_core::identity::PoolName;
-use ryerouter_core::release::{Order, Outcome, Record};
+use ryerouter_core::release::{Order, Outcome, Record, RejectedVersions};
 use ryerouter_gateway::source::{
     OrderedRelease, Recorded, ReleaseBatch, ReleaseChange, ReleaseList, ReleaseStore, SourceError,
 };
@@ -103,13 +103,21 @@
     /// An outcome is recorded, by whomever.
     pub fn write(&self, pool: &str, outcome: Outcome) {
         let held = self.held.borrow().get(&PoolName::new(pool)).cloned();
-        let mut release = held.expect("order");
-        release.revision = self.next_revision();
-        release.record = Some(Record {
+        let release = held.expect("order");
+        let record = Record {
             target: release.order.target.clone(),
             outcome,
+            rejected: RejectedVersions::default(),
+        };
+        self.put_record(release, record);
+    }
+
+    fn put_record(&self, release: OrderedRelease, record: Record) {
+        self.put(OrderedRelease {
+            revision: self.next_revision(),
+            record: Some(record),
+            ..release
         });
-        self.put(release);
     }
 
     /// Calls since the last question.
@@ -171,14 +179,15 @@
         }
     }
 
-    fn write_once(&self, release: &OrderedRelease, outcome: Outcome) -> Recorded {
+    fn write_once(&self, release: &OrderedRelease, record: &Record) -> Recorded {
         let held = self.held.borrow().get(&release.order.pool).cloned();
-        if held.as_ref().map(|held| held.revision) != Some(release.revision) {
+        let held = held.filter(|held| held.revision == release.revision);
+        let Some(held) = held else {
             return Recorded::Conflict;
-        }
-        let target = release.order.target.clone();
-        self.recorded.borrow_mut().push((target, outcome));
-        self.write(release.order.pool.as_str(), outcome);
+        };
+        let written = (record.target.clone(), record.outcome);
+        self.recorded.borrow_mut().push(written);
+        self.put_record(held, record.clone());
         let held = self.held.borrow().get(&release.order.pool).cloned();
         Recorded::Written(held.expect("was written"))
     }
@@ -218,27 +227,28 @@
     fn record<'a>(
         &'a self,
         release: &'a OrderedRelease,
-        outcome: Outcome,
+        record: &'a Record,
     ) -> LocalBoxFuture<'a, Result<Recorded, SourceError>> {
         self.0.count(|calls| calls.records += 1);
         async move {
             let source = &self.0;
             match source.fault.get() {
-                RecordFault::None => source.answer(|| source.write_once(release, outcome)).await,
+                RecordFault::None => source.answer(|| source.write_once(release, record)).await,
                 RecordFault::LateAnswer(late) => {
-                    let written = source.answer(|| source.write_once(release, outcome)).await;
+                    let written = source.answer(|| source.write_once(release, record)).await;
                     sleep(late).await;
                     written
                 }
                 RecordFault::LostAnswer => {
-                    source.write_once(release, outcome);
+                    source.write_once(release, record);
                     pending().await
                 }
                 RecordFault::LateWrite(late) => {
                     let (source, release) = (Rc::clone(source), release.clone());
+                    let record = record.clone();
                     spawn_local(async move {
                         sleep(late).await;
-                        source.write_once(&release, outcome);
+                        source.write_once(&release, &record);
                     });
                     pending().await
                 }
--- a/crates/gateway/tests/support/releases.rs
+++ b/crates/gateway/tests/support/releases.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
-use ryerouter_core::release::{Grant, Order, Settings, Stage, Window};
+use ryerouter_core::release::{Grant, Order, RejectedVersions, Settings, Stage, Window};
 use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
@@ -52,6 +52,7 @@
         fence: 1,
         number,
         elapsed: Duration::ZERO,
+        rejected: RejectedVersions::default(),
     }
 }
 
