Send nothing to a rejected version after a later release was completed

Callers got answers of a version that had been rolled back, once its engines were listed again after another version had been ordered and completed.

Cause: after a completion only the versions that it replaced were left out, which are those listed at that moment; the versions rejected before were not looked at. It needs no kill of nodes, but after one the same happens.

While engines of the completed version serve, rejected versions get nothing. Without them requests go to all others as before, so no request fails for it.

--- a/crates/gateway/src/release/admission_policy.rs
+++ b/crates/gateway/src/release/admission_policy.rs
@@ -212,8 +212,8 @@
         closed
     }
 
-    /// Admission after a release is completed. Engines of the replaced versions get no more requests. Engines of
-    /// versions that appear later get requests without an order.
+    /// Admission after a release is completed. Engines of the replaced versions get no more requests, and neither do those
+    /// of versions that were rejected before. Engines of other versions that appear later get requests without an order.
     fn after_completion(&self, known: &KnownRelease, versions: &ListedVersions) -> Admission {
         let target = &known.grant.order.target;
         let mut of_pool = self.engines.of_pool(&known.grant.order.pool);
@@ -224,6 +224,7 @@
         }
         let mut closed = versions.on_hold(self.now);
         closed.extend(known.replaced.iter().cloned());
+        closed.extend(known.rejected.iter().cloned());
         closed.remove(target);
         Admission::to(EngineFilter::except(closed))
     }
--- a/crates/gateway/tests/rejected_versions_of_former_orders.rs
+++ b/crates/gateway/tests/rejected_versions_of_former_orders.rs
@@ -191,3 +191,32 @@
         assert_eq!(requests_at(&second, "v3"), 0);
     });
 }
+
+/// Its engines come back long after another version has been completed.
+#[parameterized(
+    nodes_live_on = { false },
+    all_nodes_were_killed = { true },
+)]
+fn version_rejected_before_a_completed_release_is_taken_for_new(are_killed: bool) {
+    run_paused(async move {
+        let orders = Rc::new(ReleaseOrders::default());
+        let mut node = roll_back(&orders).await;
+        orders.order(POOL, "v3", RAMP);
+        list_engines(&node.gateway, engines(&["v1", "v3"]));
+        for _ in 0..REQUESTS {
+            sleep(Duration::from_millis(50)).await;
+            node.serve_target(POOL, 1);
+        }
+        until_recorded(&orders, "v3", Outcome::Completed).await;
+        if are_killed {
+            node.kill();
+            node = ReleaseNode::start_holding("node-2", &orders, 2);
+        }
+        list_engines(&node.gateway, engines(&["v3"]));
+        sleep(SETTLED).await;
+        list_engines(&node.gateway, engines(&["v2", "v3"]));
+        sleep(SETTLED).await;
+        assert_eq!(requests_at(&node, "v2"), 0);
+        assert!(requests_at(&node, "v3") > 0);
+    });
+}
