Wait for a lost lease where its record is of a former era of the store

A process that started after the store had come back from a copy took the lease of orders at once if the copy named it, or lacked the lease, while another node may have given orders until just before. Two holders' orders then lie closer together than a lease.

Cause: which era came before was known to memory alone, and a process that has just started took not knowing of another era for there having been none.

Now none of the 19 cases takes it within a lease, and a process that starts again in the same era still takes its own lease back within 3 s.

The record itself tells: its fencing number has the era in the upper bits. If the first record that a process reads or hears of is of a former era, or there is none in a store that has come back before, it waits until a lost lease would have run out. For keys and engines there is no such mark; the limit stands in the design.

--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -1,5 +1,7 @@
 //! Holder of a lease.
 
+use std::time::Duration;
+
 use crate::control::{
     ObjectKey, Precondition, StoreAnswer, StoreCall, StoreValue, StoreVersion, StoredObject,
 };
@@ -11,6 +13,9 @@
 /// Reads that lie so many look intervals apart at most are consecutive.
 const MAX_LOOKS_BETWEEN: u32 = 4;
 
+/// Era of a store that has never come back from a copy.
+const FIRST_ERA: u64 = 1;
+
 /// Bits of a fencing number that count within an era of the store.
 const ERA_SHIFT: u32 = 32;
 
@@ -104,7 +109,7 @@
                 record,
                 version,
                 age,
-            } => self.heard(record, version, now.before(age)),
+            } => self.heard(record, version, age, now),
             LeaseEvent::Superseded(newer) => self.superseded(newer, actions),
             LeaseEvent::Era(era) => self.note_era(era, now),
             LeaseEvent::Tick => {}
@@ -142,6 +147,20 @@
         self.forget_history();
     }
 
+    /// Notes in which era the first record was written that this process has read or heard of; `None` if there is no
+    /// record. If it was a former one, the store came back from a copy before this process started, and the last writes
+    /// before that are lost.
+    fn note_first_record(&mut self, record: Option<&LeaseRecord>, now: Timestamp) {
+        let is_first = self.seen.is_none() && self.held.is_none() && self.restored_at.is_none();
+        let is_of_former_era = match record {
+            Some(record) => record.fencing_number < self.lowest_of_era(),
+            None => self.era > FIRST_ERA,
+        };
+        if is_first && is_of_former_era {
+            self.restored_at = Some(now);
+        }
+    }
+
     /// The lowest fencing number of the era. Numbers of former eras may have been given out and be lost.
     fn lowest_of_era(&self) -> FencingNumber {
         FencingNumber(self.era << ERA_SHIFT)
@@ -149,13 +168,15 @@
 
     /// What another process tells counts like a look: a lease may be taken only on the condition
     /// that it is still at the version that was seen.
-    fn heard(&mut self, record: LeaseRecord, version: StoreVersion, seen_at: Timestamp) {
+    fn heard(&mut self, record: LeaseRecord, version: StoreVersion, age: Duration, now: Timestamp) {
+        let seen_at = now.before(age);
         if self.open.is_some() || self.uncertain.is_some() || self.held.is_some() {
             return;
         }
         if version.era() != self.era {
             return;
         }
+        self.note_first_record(Some(&record), now);
         match &mut self.seen {
             Some(seen) if version < seen.version => {}
             Some(seen) if version == seen.version => seen.seen_at = seen.seen_at.min(seen_at),
@@ -309,6 +330,7 @@
                 ..
             }) => self.note_seen(record, version, now, actions),
             StoreAnswer::NotFound if self.seen.is_none() || self.is_history_lost(now) => {
+                self.note_first_record(None, now);
                 self.forget_history();
                 let is_vacant = self.held.is_none() && !self.is_restored_lately(now);
                 if self.candidate && (is_vacant || self.must_retake) {
@@ -347,6 +369,7 @@
         actions: &mut Vec<LeaseAction>,
     ) {
         self.note_era(version.era(), now);
+        self.note_first_record(Some(&record), now);
         let is_behind = |seen: &SeenLease| version < seen.version;
         if self.seen.as_ref().is_some_and(is_behind) {
             // A stale read says nothing new.
--- a/crates/core/tests/lease_bench/mod.rs
+++ b/crates/core/tests/lease_bench/mod.rs
@@ -116,6 +116,18 @@
         }
     }
 
+    /// Runs until somebody holds the lease, and tells how long that took; `None` beyond `most`.
+    pub fn until_held(&mut self, most: Duration) -> Option<Duration> {
+        let begin = self.now;
+        while self.now.since(begin) < most {
+            self.run(STEP);
+            if self.holders() > 0 {
+                return Some(self.now.since(begin));
+            }
+        }
+        None
+    }
+
     /// Random pauses, deaths and restarts.
     pub fn trouble(&mut self, seed: u64, duration: Duration) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -174,6 +186,13 @@
         self.candidates[index].alive = false;
     }
 
+    /// All processes end and start again at once.
+    pub fn restart_all(&mut self) {
+        for index in 0..self.candidates.len() {
+            self.candidates[index] = self.started(index);
+        }
+    }
+
     pub fn pause(&mut self, index: usize) {
         self.candidates[index].paused = true;
     }
--- a/crates/core/tests/order_lease_eras.rs
+++ b/crates/core/tests/order_lease_eras.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use ryerouter_core::control::StoreVersion;
 use ryerouter_core::identity::FencingNumber;
+use ryerouter_core::order::LeaseSettings;
 use yare::parameterized;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -49,6 +50,42 @@
     }
 }
 
+/// All processes were killed while the store was away, and the copy names a holder before the last one.
+#[test]
+fn process_that_has_just_started_gives_orders_within_a_lease_of_the_last_holder() {
+    for lost in 1..20 {
+        let mut bench = LeaseBench::new(2);
+        bench.begin_eras();
+        bench.run(SECOND * 5);
+        let first = bench.holder().expect("held");
+        bench.pause(first);
+        bench.run(SECOND * 40);
+        let second = bench.holder().expect("held");
+        assert_ne!(first, second);
+        bench.return_without_last_writes(lost);
+        bench.restart_all();
+        let free = bench.until_held(SECOND * 60).expect("held in the end");
+        let is_same = bench.holder() == Some(second);
+        let lease = LeaseSettings::default().duration;
+        assert!(is_same || free >= lease, "{free:?} with {lost} writes lost");
+        assert_eq!(bench.shared_numbers(), 0);
+    }
+}
+
+/// A holder that starts again in the same era takes its lease back at once.
+#[test]
+fn process_that_starts_again_in_the_same_era_waits_for_nobody() {
+    let mut bench = LeaseBench::new(1);
+    bench.begin_eras();
+    bench.run(SECOND * 5);
+    bench.return_without_last_writes(1);
+    bench.run(SECOND * 30);
+    assert_eq!(bench.holder(), Some(0));
+    bench.restart_all();
+    let free = bench.until_held(SECOND * 60).expect("held in the end");
+    assert!(free <= SECOND * 3, "{free:?}");
+}
+
 /// Without the object, or with an older one, numbers would be given out again.
 #[test]
 fn fencing_number_is_given_out_once_over_all_eras() {
