Bound the retries of all nodes of a large deployment that have just started

Engines got more retries than the floor of the budget allows, summed over nodes that had all just started.

Cause: a node that knows no others yet counted as one of 16, which is enough for deployments of 16 nodes only, and one that has run for three seconds took the number of nodes that it knows for the number there is.

A node counts as one of 1,000 where there may be many: for 0.7 s after its start unless it has heard each node that it knows of, for three seconds if it has heard of more than nine, and always if it knows 64 or more, since then its number is no bound. Few nodes may retry as before once they know each other (`few_nodes_that_have_just_started_may_retry`).

--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -28,8 +28,11 @@
 pub(crate) const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(3);
 /// Within this time a node that has just started learns whether there are many others, also where all start at once.
 pub(crate) const SIZE_DISCOVERY_TIME: Duration = Duration::from_millis(700);
-/// Minimum number of nodes assumed to share the retry budget while a new node discovers its peers.
+/// Minimum number of nodes assumed to share the retry budget while a new node discovers its peers, unless there may be
+/// many of them.
 const MIN_PROCESSES_DURING_DISCOVERY: usize = 16;
+/// The same where there may be many.
+const MIN_PROCESSES_OF_LARGE_DEPLOYMENT: usize = 1_000;
 /// Engines with older weights are avoided earlier by the longest recent start delay of requests,
 /// but by no more than this share of the grace for older weights.
 const MAX_START_DELAY_SHARE: f64 = 0.25;
@@ -390,13 +393,7 @@
     ) -> bool {
         let now: Timestamp = self.clock.now();
         let mut state = self.state_mut();
-        let known = state.peers.known_count() + 1;
-        // Nodes that have just started, perhaps all at once, do not know each other yet.
-        let is_new = now.since(self.clock.start_time()) < PEER_DISCOVERY_TIME;
-        let processes = match is_new {
-            true => known.max(MIN_PROCESSES_DURING_DISCOVERY),
-            false => known,
-        };
+        let processes = self.retrying_processes(&state);
         let window = state.retries.entry(pool.clone()).or_default();
         let is_allowed = spend(window, &self.settings.retry, processes, now);
         match is_allowed {
@@ -406,6 +403,23 @@
         is_allowed
     }
 
+    /// Number of nodes that are assumed to share the retry budget. Those that have just started, perhaps all at once, do
+    /// not know each other yet, and not knowing of others is no proof that there are few.
+    fn retrying_processes(&self, state: &GatewayState) -> usize {
+        let known = state.peers.known_count() + 1;
+        let is_new = self.uptime() < PEER_DISCOVERY_TIME;
+        let is_size_unknown =
+            !state.peers.has_heard_all_known() && self.uptime() < SIZE_DISCOVERY_TIME;
+        let may_be_large = is_size_unknown || is_new && state.peers.is_large();
+        if may_be_large || state.peers.may_know_few_of_many() {
+            return known.max(MIN_PROCESSES_OF_LARGE_DEPLOYMENT);
+        }
+        match is_new {
+            true => known.max(MIN_PROCESSES_DURING_DISCOVERY),
+            false => known,
+        }
+    }
+
     /// Starts the shutdown: new callers are no longer accepted, requests in progress are finished.
     pub fn leave(&self) {
         self.state_mut().node_state = NodeState::Leaving;
--- a/crates/gateway/src/peers/peer_table.rs
+++ b/crates/gateway/src/peers/peer_table.rs
@@ -389,6 +389,18 @@
         heard.max(self.unheard.len())
     }
 
+    /// Whether this node has heard every node that it knows of, and no other one has heard more.
+    pub fn has_heard_all_known(&self) -> bool {
+        self.unheard.is_empty() && self.told_count <= self.heard_count()
+    }
+
+    /// Whether there may be many more nodes than [`Self::known_count`] tells: addresses beyond a maximum number are not
+    /// kept, and of many nodes each hears of the others slowly.
+    pub fn may_know_few_of_many(&self) -> bool {
+        let known = self.heard_count() + self.unheard.len();
+        known.max(self.told_count) >= MOST_UNHEARD
+    }
+
     /// The last messages of others, for them to know that they arrived; of some, when they are many.
     pub fn echoes(&self, now: Timestamp, random: &mut impl Rng) -> Vec<MessageEcho> {
         let most = match self.is_wide() {
