Take no late answer for a watch that waited for new weights

Requests began on older weights for longer than the grace allows when the answer that named newer ones came late.

Cause: any answer that took 0.5 s or more was taken for a watch that the source held open until the change, so the weights counted as published when it came. But lists and probes are never held open: what they report may have been published at any time since the copy was last proven. A list besides counted its own question as such a proof.

Only a watch that the source may hold open counts as one that waited. Not told apart is such a watch whose answer is late by 0.5 s or more.

--- a/crates/gateway/src/gateway/published_weights.rs
+++ b/crates/gateway/src/gateway/published_weights.rs
@@ -9,14 +9,15 @@
 use crate::rollout::PublicationTime;
 use crate::source::{ItemKind, NamedWeights};
 
-/// A watch that was open for this long was waiting for the change that it reports, and reports it
-/// as it happens. A response that came sooner contains what had happened before the request: the
-/// source answers within milliseconds, or some hundred when it is slow.
+/// A watch that was held open for this long was waiting for the change that it reports, and reports
+/// it as it happens. A response that came sooner contains what had happened before the request: the
+/// source answers within milliseconds, or some hundred when it is slow. The response to a question
+/// that the source does not hold open contains that however late it comes.
 const MIN_WAITING_WATCH: Duration = Duration::from_millis(500);
 
 impl Gateway {
-    /// Applies the publication of weights, reported by the source in response to a request sent at
-    /// `asked_at`.
+    /// Applies the publication of weights, reported by the source. `held_since` is the send time of
+    /// the watch that reported it, if the source was allowed to hold it open.
     ///
     /// The weights count as published from the earliest moment at which that may have happened, as
     /// far as this node and the others know: a node that learns of them late must not use older
@@ -24,11 +25,11 @@
     pub(super) fn apply_published_weights(
         &self,
         named: &NamedWeights,
-        asked_at: Option<Timestamp>,
+        held_since: Option<Timestamp>,
     ) {
         let now = self.clock().now();
         let at = match self.state().has_weights_list {
-            true => PublicationTime::Between(self.earliest_publication(asked_at, now), now),
+            true => PublicationTime::Between(self.earliest_publication(held_since, now), now),
             false => PublicationTime::Assumed(now.before(self.settings().assumed_weights_age)),
         };
         let mut state = self.state_mut();
@@ -38,8 +39,8 @@
         }
     }
 
-    fn earliest_publication(&self, asked_at: Option<Timestamp>, now: Timestamp) -> Timestamp {
-        let waited = asked_at.map(|at| now.since(at)).unwrap_or_default();
+    fn earliest_publication(&self, held_since: Option<Timestamp>, now: Timestamp) -> Timestamp {
+        let waited = held_since.map(|at| now.since(at)).unwrap_or_default();
         if waited >= MIN_WAITING_WATCH {
             return now;
         }
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -50,12 +50,12 @@
         let mut state = self.state_mut();
         let has_others = state.peers.alive(now).next().is_some();
         let replica = state.replicas.of_mut(kind);
-        replica.read_at = Some(asked_at);
         if now.since(asked_at) >= self.late_replica_age() && has_others {
             replica.note_behind(now);
         }
         drop(state);
         self.replace_all(kind, list.items, confirmed_at);
+        self.state_mut().replicas.of_mut(kind).read_at = Some(asked_at);
     }
 
     /// Applies an engine list from another node, used while the source does not answer this one.
@@ -69,7 +69,7 @@
         let unusable = unusable.iter().cloned().map(Item::Unusable);
         let items: Vec<_> = entries.chain(unusable).collect();
         self.record_list(ItemKind::Engines, &items, revision);
-        self.replace_known(ItemKind::Engines, items, None);
+        self.replace_known(ItemKind::Engines, items);
     }
 
     /// Appends the changes that a list is about to make to the change log, and advances the replica
@@ -106,6 +106,28 @@
     /// newest state counts; so is one that begins after the replica. Only a whole batch confirms
     /// that the replica is current.
     pub fn apply_batch(&self, kind: ItemKind, batch: ItemBatch, asked_at: Option<Timestamp>) {
+        self.apply_batch_of(kind, batch, asked_at, None);
+    }
+
+    /// The same for the answer to a watch sent at `asked_at`, which the source was allowed to hold open for `wait`.
+    pub fn apply_watched_batch(
+        &self,
+        kind: ItemKind,
+        batch: ItemBatch,
+        asked_at: Timestamp,
+        wait: Duration,
+    ) {
+        let held_since = (!wait.is_zero()).then_some(asked_at);
+        self.apply_batch_of(kind, batch, Some(asked_at), held_since);
+    }
+
+    fn apply_batch_of(
+        &self,
+        kind: ItemKind,
+        batch: ItemBatch,
+        asked_at: Option<Timestamp>,
+        held_since: Option<Timestamp>,
+    ) {
         let mut state = self.state_mut();
         let replica = state.replicas.of(kind);
         let begins_later = asked_at.is_some_and(|at| replica.is_asked_before_step_back(at));
@@ -132,8 +154,12 @@
         }
         drop(state);
         match asked_at {
-            Some(asked_at) if batch.is_whole => self.apply_changes(kind, batch.changes, asked_at),
-            Some(asked_at) => self.apply_first_changes(kind, batch, asked_at),
+            Some(asked_at) if batch.is_whole => {
+                self.note_engine_list_read(kind);
+                self.apply(kind, batch.changes, held_since);
+                self.note_source_answer(kind, Some(asked_at));
+            }
+            Some(_) => self.apply_first_changes(kind, batch, held_since),
             None => self.apply(kind, batch.changes, None),
         }
     }
@@ -146,11 +172,11 @@
 
     fn replace_all(&self, kind: ItemKind, items: Vec<Item>, confirmed_at: Option<Timestamp>) {
         self.note_engine_list_read(kind);
-        self.replace_known(kind, items, confirmed_at);
+        self.replace_known(kind, items);
         self.note_source_answer(kind, confirmed_at);
     }
 
-    fn replace_known(&self, kind: ItemKind, items: Vec<Item>, confirmed_at: Option<Timestamp>) {
+    fn replace_known(&self, kind: ItemKind, items: Vec<Item>) {
         if kind == ItemKind::Engines {
             let listed = items.iter().filter_map(entry_name).collect();
             let gone = self.state().engines.names_outside(&listed);
@@ -164,7 +190,7 @@
             state.list_fill = ListFill::default();
         }
         let changes = items.into_iter().map(ItemChange::Present).collect();
-        self.apply(kind, changes, confirmed_at);
+        self.apply(kind, changes, None);
         if kind == ItemKind::Weights {
             self.state_mut().has_weights_list = true;
         }
@@ -174,17 +200,17 @@
     /// `asked_at`.
     pub fn apply_changes(&self, kind: ItemKind, changes: Vec<ItemChange>, asked_at: Timestamp) {
         self.note_engine_list_read(kind);
-        self.apply(kind, changes, Some(asked_at));
+        self.apply(kind, changes, None);
         self.note_source_answer(kind, Some(asked_at));
     }
 
     /// Applies the first of the changes that the source has. What follows them is unknown, so they
     /// confirm nothing.
-    fn apply_first_changes(&self, kind: ItemKind, batch: ItemBatch, asked_at: Timestamp) {
+    fn apply_first_changes(&self, kind: ItemKind, batch: ItemBatch, held_since: Option<Timestamp>) {
         info!(self.log(), "copy_not_confirmed"; "kind" => %kind, "reason" => "answer may not be whole",
             "changes" => batch.changes.len(), "revision" => %batch.revision);
         self.note_engine_list_read(kind);
-        self.apply(kind, batch.changes, Some(asked_at));
+        self.apply(kind, batch.changes, held_since);
         self.note_source_answer(kind, None);
     }
 
@@ -232,13 +258,13 @@
         answered_at.is_some_and(|at| at > moment)
     }
 
-    /// Applies changes. `asked_at` is the send time of the request to the source that returned
-    /// them, if any.
+    /// Applies changes. `held_since` is the send time of the watch that returned them, if the source
+    /// was allowed to hold it open until there were changes.
     pub(super) fn apply(
         &self,
         kind: ItemKind,
         changes: Vec<ItemChange>,
-        asked_at: Option<Timestamp>,
+        held_since: Option<Timestamp>,
     ) {
         for change in changes {
             match change {
@@ -246,7 +272,7 @@
                 ItemChange::Present(Item::Engine(entry)) => self.apply_engine_entry(entry),
                 ItemChange::Present(Item::Unusable(name)) => self.handle_entry_unusable(&name),
                 ItemChange::Present(Item::Weights(named)) => {
-                    self.apply_published_weights(&named, asked_at);
+                    self.apply_published_weights(&named, held_since);
                 }
                 ItemChange::Gone(name) if kind == ItemKind::Engines => {
                     self.handle_entry_removed(&BackEndName::new(name));
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -234,7 +234,8 @@
                     self.gateway.note_response_time(asked_at, wait);
                     self.gateway
                         .log_source_changes(self.kind, Query::Watch, &batch, asked_at);
-                    self.gateway.apply_batch(self.kind, batch, Some(asked_at));
+                    self.gateway
+                        .apply_watched_batch(self.kind, batch, asked_at, wait);
                 }
                 Ok(_) | Err(SourceError::HistoryGone) => {
                     info!(self.gateway.log(), "source_history_gone"; "kind" => %self.kind,
