--- a/crates/gateway/src/gateway/stream_handovers.rs
+++ b/crates/gateway/src/gateway/stream_handovers.rs
@@ -116,7 +116,8 @@
     ) -> Writer<SocketAddr> {
         let peers = state.peers.alive(now);
         let peers = peers.map(|peer| (name_hash(peer), peer.identity.peer_address));
-        let is_starting = self.uptime() < WRITER_DISCOVERY_TIME && !state.peers.has_heard_all();
+        let is_starting =
+            self.uptime() < WRITER_DISCOVERY_TIME && !state.peers.has_heard_all_known();
         let handovers = &state.continuations.handovers;
         handovers.writer(shard, self.own_name_hash(), peers, is_starting, now)
     }
