--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -246,6 +246,10 @@
                     return received;
                 }
             }
+            // A connection that carries comments is not silent; whether the engine sends too many shows soon.
+            if self.meter.is_undecided(clock.now()) {
+                continue;
+            }
             let detector = self.detector.as_ref();
             if let Some(why) =
                 detector.and_then(|detector| self.forwarder.reason_to_give_up(detector))
@@ -296,7 +300,9 @@
         loop {
             match live.body.frame().await {
                 None => return Received::End,
-                Some(Err(error)) => return Received::Broken(live.broken(error.to_string())),
+                Some(Err(error)) => {
+                    return Received::Broken(live.transport_error(&self.forwarder.gateway, &error));
+                }
                 Some(Ok(frame)) => {
                     live.note_received(&self.forwarder.gateway);
                     if let Ok(bytes) = frame.into_data() {
