Tell who knew a stream's version, and why a pool without a record was taken for whole

What operators saw: `stream_taken_up` said `known_by=peer` also where the node itself had read the stored records, and not how old its list of engines was; no line told why a pool without a record counted as one whose listed versions are all that served.

Change: the register keeps the store as a source of its own, so the line and the metric say `store`; `list_age_ms`; one line `unrecorded_pool_complete` a pool and start, with `first_start` or `older_node`.

Four tests of the lines in streams_after_all_killed.rs, which fail on: {"peer"} where "store" is asked for, no age, no line in both cases. They pass with this change.

--- a/crates/core/src/continuation/register.rs
+++ b/crates/core/src/continuation/register.rs
@@ -13,13 +13,15 @@
 /// Maximum number of records; beyond it the oldest ones are dropped.
 const MAX_RECORDS: usize = 65_536;
 
-/// Who reported a record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Who reported a record; of several, the greatest counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Source {
-    /// This node relayed the stream.
-    Own,
-    /// Another node did.
+    /// The store held it.
+    Store,
+    /// Another node relayed the stream.
     Peer,
+    /// This node did.
+    Own,
 }
 
 /// Position of a pool and version in [`Register::versions`].
@@ -73,9 +75,7 @@
             known.version = None;
         }
         known.noted_at = now;
-        if source == Source::Own {
-            known.source = Source::Own;
-        }
+        known.source = known.source.max(source);
         self.order.push_back((now, id));
         self.expire(now);
     }
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Who reported the record of a stream.
+    pub fn source(&self, id: StreamId, now: Timestamp) -> Option<Source> {
+        let record = self.records.get(&id)?;
+        (now.since(record.noted_at) < RETENTION).then_some(record.source)
+    }
+
     /// Streams of a pool that this node relayed within this time, with their versions.
     pub fn own_since<'a>(
         &'a self,
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -21,6 +21,7 @@
 use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
 use crate::peers::{Datagram, PeerMessage};
 use crate::serve::AcceptedRequest;
+use crate::source::ItemKind;
 
 /// Maximum time that a stream waits for other nodes to answer. Its caller gives up after two seconds, and a node that has
 /// used up its share of a core answers within a tenth of a second.
@@ -47,21 +48,21 @@
         let stream = request.stream_id();
         let pool = &request.pool;
         let mut outlook = self.version_outlook(pool);
-        let known = self
-            .state()
-            .continuations
-            .register
-            .get(stream, self.clock().now());
-        let mut known_by = match known {
-            Knowledge::Unknown => "list",
-            Knowledge::Began(_) | Knowledge::Ambiguous => "own",
+        let (known, source) = self.own_record(stream);
+        let mut known_by = match source {
+            None => "list",
+            Some(Source::Store) => "store",
+            Some(Source::Own | Source::Peer) => "own",
         };
         let mut answers = Answers::default();
         let decision = match decide(known, &outlook) {
             Decision::Ask => {
                 answers = self.ask_holders(stream, pool).await;
                 if answers.knowledge != Knowledge::Unknown {
-                    known_by = "peer";
+                    known_by = match self.own_record(stream).1 {
+                        Some(Source::Store) => "store",
+                        _ => "peer",
+                    };
                 }
                 // This node may have read the store, or heard of versions, meanwhile.
                 outlook = self.version_outlook(pool);
@@ -85,6 +86,7 @@
                 "software" => decided.as_ref().ok(), "known_by" => label,
                 "why" => decided.as_ref().err().map(ToString::to_string),
                 "versions" => outlook.versions.join(","), "is_certain" => outlook.is_certain,
+                "list_age_ms" => self.engine_list_age().map(|age| age.as_millis() as u64),
                 "knows_past" => outlook.knows_past, "peers_know_past" => answers.know_past,
                 "answers" => answers.count, "waited_ms" => waited.as_millis() as u64,
                 "left_out" => left_out);
@@ -92,6 +94,22 @@
         decided
     }
 
+    /// What this node's register holds of a stream, and who reported it.
+    fn own_record(&self, stream: StreamId) -> (Knowledge, Option<Source>) {
+        let now = self.clock().now();
+        let state = self.state();
+        let register = &state.continuations.register;
+        (register.get(stream, now), register.source(stream, now))
+    }
+
+    /// Time since the list of engines was confirmed.
+    fn engine_list_age(&self) -> Option<Duration> {
+        let now = self.clock().now();
+        let state = self.state();
+        let replica = state.replicas.of(ItemKind::Engines);
+        replica.freshness.age(now)
+    }
+
     /// Whether engines of a version serve a pool, as far as the list tells; `None` while the list may be outdated.
     pub(crate) fn is_version_in_service(&self, pool: &PoolName, software: &str) -> Option<bool> {
         let outlook = self.version_outlook(pool);
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -42,7 +42,7 @@
                 streams += 1;
                 // What is known is not renewed, or it would push out what this node alone knows.
                 if register.get(*stream, now) == Knowledge::Unknown {
-                    register.note(*stream, pool, software, Source::Peer, now);
+                    register.note(*stream, pool, software, Source::Store, now);
                 }
             }
         }
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -102,20 +102,29 @@
     /// or where another node has been running since well before, nothing can have served unnoticed; otherwise the
     /// record may be lost.
     fn settle_unrecorded_pools(&self, state: &mut GatewayState, now: Timestamp) {
-        let is_noticed =
-            state.continuations.versions.is_first_start || self.hears_older_node(state);
-        if !is_noticed && self.uptime() < WRITER_DISCOVERY_TIME {
+        let why_complete = self.why_unrecorded_is_complete(state);
+        if why_complete.is_none() && self.uptime() < WRITER_DISCOVERY_TIME {
             return;
         }
         let versions = &mut state.continuations.versions;
         for pool in std::mem::take(&mut versions.unrecorded_at_start) {
-            if !is_noticed && state.continuations.history.note_incomplete(&pool, now) {
+            if let Some(why) = why_complete {
+                info!(self.log(), "unrecorded_pool_complete"; "pool" => %pool, "why" => why);
+            } else if state.continuations.history.note_incomplete(&pool, now) {
                 info!(self.log(), "versions_unknown"; "pool" => %pool);
                 self.announce_streams(state, &pool, now);
             }
         }
     }
 
+    /// Why a pool without a record has had no version that this node does not know; `None` if it may have had one.
+    fn why_unrecorded_is_complete(&self, state: &GatewayState) -> Option<&'static str> {
+        if state.continuations.versions.is_first_start {
+            return Some("first_start");
+        }
+        self.hears_older_node(state).then_some("older_node")
+    }
+
     /// Schedules a record for each pool whose versions the store does not hold as they are.
     pub(crate) fn schedule_version_records(&self) {
         let now = self.clock().now();
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use ryerouter_core::identity::PoolName;
 use support::gateway_bench::run;
+use support::log_lines::value;
 use support::records::POOL;
 use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Attempt, Stream, VersionedNodes};
@@ -19,6 +21,8 @@
 const MIN_CONTINUED: f64 = 0.95;
 /// Nodes that have run so long take both versions for settled, and have told each other of them.
 const SETTLED: Duration = Duration::from_millis(2_500);
+/// A node that starts so long after the others takes them for older.
+const LATE: Duration = Duration::from_millis(4_000);
 /// A caller that is refused comes back so many times.
 const ATTEMPTS: u32 = 4;
 
@@ -302,3 +306,56 @@
         assert_eq!(nodes.store.versions_of(&pool), ["v1", "v1.2"]);
     });
 }
+
+fn values(nodes: &VersionedNodes, event: &str, key: &str) -> BTreeSet<String> {
+    let lines = nodes.lines.of(event);
+    let known = lines.iter().filter_map(|line| value(line, key));
+    known.map(str::to_owned).collect()
+}
+
+#[test]
+fn stream_that_the_store_knows_is_logged_as_known_by_a_peer() {
+    run(async {
+        let nodes = VersionedNodes::start(1, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        sleep(Duration::from_millis(400)).await;
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let known_by = values(&nodes, "stream_taken_up", "known_by");
+        assert!(known_by.contains("store"), "{known_by:?}");
+        assert!(!known_by.contains("peer"), "{known_by:?}");
+    });
+}
+
+#[test]
+fn age_of_the_list_by_which_a_stream_is_taken_up_is_not_logged() {
+    run(async {
+        let nodes = VersionedNodes::start(1, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let ages = values(&nodes, "stream_taken_up", "list_age_ms");
+        let ages: Vec<u64> = ages.iter().filter_map(|age| age.parse().ok()).collect();
+        assert!(!ages.is_empty());
+        assert!(ages.iter().all(|age| *age < 10_000), "{ages:?}");
+    });
+}
+
+#[parameterized(
+    first_start = { false, "first_start" },
+    older_node = { true, "older_node" },
+)]
+fn pool_without_a_record_is_taken_for_whole_without_a_word(is_late: bool, why: &str) {
+    run(async {
+        let nodes = VersionedNodes::start(2, &["v1"]).await;
+        if is_late {
+            sleep(LATE).await;
+            nodes.store.lose_versions();
+            nodes.restart(&[1]).await;
+        }
+        sleep(SETTLED).await;
+        let known = values(&nodes, "unrecorded_pool_complete", "why");
+        assert!(known.contains(why), "{known:?}");
+    });
+}
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -61,6 +61,11 @@
         self.era.set(self.era.get() + 1);
     }
 
+    /// Loses the versions, and nobody notices.
+    pub fn lose_versions(&self) {
+        self.versions.borrow_mut().clear();
+    }
+
     async fn answer(&self) -> Result<(), SourceError> {
         self.calls.set(self.calls.get() + 1);
         sleep(self.delay.get()).await;
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -106,7 +106,12 @@
 
 /// A gateway that writes its log to `lines`.
 pub fn gateway_logging_to(lines: &LogLines) -> Rc<Gateway> {
-    Gateway::new(settings("node-1"), Rc::new(TestDialect), lines.logger())
+    gateway_with_log(settings("node-1"), lines)
+}
+
+/// The same with other settings.
+pub fn gateway_with_log(settings: GatewaySettings, lines: &LogLines) -> Rc<Gateway> {
+    Gateway::new(settings, Rc::new(TestDialect), lines.logger())
 }
 
 /// Gives a gateway its configuration.
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -22,7 +22,8 @@
 
 use super::continuation_records::ContinuationRecords;
 use super::fleet::introduce;
-use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
+use super::gateway_bench::{GatewayBench, gateway_with, gateway_with_log, list_engines};
+use super::log_lines::LogLines;
 use super::records::{POOL, route, tenant};
 use super::signalling::settings_of;
 use super::test_dialect::{AFTER, ID, KEY, PARTS, RESUMES};
@@ -58,6 +59,7 @@
         entries: Vec<EngineEntry>,
         store: Rc<ContinuationRecords>,
         is_first_start: bool,
+        lines: &LogLines,
     ) -> Self {
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
         let mut own = settings_of(index);
@@ -66,7 +68,8 @@
         own.sheds_load = false;
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
-        let bench = GatewayBench::serve(gateway_with(own), Some(table), entries.clone()).await;
+        let bench =
+            GatewayBench::serve(gateway_with_log(own, lines), Some(table), entries.clone()).await;
         let gateway = Rc::clone(&bench.gateway);
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
@@ -104,6 +107,8 @@
     pub engines: RefCell<Vec<VersionedEngine>>,
     /// What they keep of versions and streams.
     pub store: Rc<ContinuationRecords>,
+    /// What all of them write to their logs.
+    pub lines: LogLines,
     route: Route,
     tenants: Vec<Tenant>,
     started: Cell<u64>,
@@ -143,6 +148,7 @@
             nodes: RefCell::default(),
             engines: RefCell::default(),
             store: Rc::default(),
+            lines: LogLines::default(),
             route,
             tenants,
             started: Cell::new(0),
@@ -203,9 +209,17 @@
         let entries = self.entries();
         let store = Rc::clone(&self.store);
         let is_first_start = self.is_first_start.get();
-        let node =
-            VersionedNode::start(index, incarnation, table, entries, store, is_first_start).await;
-        Rc::new(node)
+        let lines = &self.lines;
+        let node = VersionedNode::start(
+            index,
+            incarnation,
+            table,
+            entries,
+            store,
+            is_first_start,
+            lines,
+        );
+        Rc::new(node.await)
     }
 
     /// Starts a node that no other one knows, and that can't hear them.
