Let nodes that don't record a new version learn that it is recorded

What callers saw: a version that appears beside another one got no new streams at most nodes of a deployment, as long as the older one had room, so its engines stayed idle there.

Cause: new streams prefer versions that the store holds, but only four nodes a pool write its record and read it again; the others kept what they had read at their start.

Change: a node that lacks a version of its list among the recorded ones reads the records again 0.8 s later, when the first writer has written, spread by 1 ms a node, and after up to 16 times as long while it still lacks one. That is one call a node for each new version.

--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -61,7 +61,7 @@
     loop {
         sleep(COMPARE_INTERVAL).await;
         gateway.schedule_version_records();
-        if gateway.due_version_records().is_empty() {
+        if gateway.due_version_records().is_empty() && !gateway.is_version_reading_due() {
             continue;
         }
         match write_due_versions(gateway, store).await {
--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -12,6 +12,9 @@
 /// Time after reading the records in which a pool that is listed for the first time counts as one that was there before.
 const START_TIME: Duration = Duration::from_secs(10);
 
+/// How many times the delay of a reading is doubled while readings are of no use.
+const MAX_READING_DOUBLINGS: u32 = 4;
+
 /// What a node knows of the versions that the store holds, and what it has to write.
 #[derive(Debug, Default)]
 pub struct VersionTable {
@@ -28,6 +31,10 @@
     recorded: BTreeMap<PoolName, StoredVersions>,
     /// When this node writes the versions of a pool, unless another one has until then.
     due: BTreeMap<PoolName, Timestamp>,
+    /// When this node reads the records again, to learn which versions others have written.
+    reading_due: Option<Timestamp>,
+    /// Readings in a row after which versions were still missing.
+    fruitless_readings: u32,
 }
 
 impl VersionTable {
@@ -87,6 +94,11 @@
         self.era
     }
 
+    /// Whether the store is not known to hold this version of a pool.
+    pub fn lacks(&self, pool: &PoolName, software: &str) -> bool {
+        !self.recorded.contains_key(pool) || self.is_unrecorded(pool, software)
+    }
+
     /// Whether the store holds versions of a pool, but not this one.
     pub fn is_unrecorded(&self, pool: &PoolName, software: &str) -> bool {
         let recorded = self.recorded.get(pool).map(|stored| &stored.record);
@@ -103,6 +115,31 @@
         self.due.remove(pool);
     }
 
+    /// Schedules a reading of the records after `delay`, unless one is scheduled already; later each time that the last
+    /// one was of no use.
+    pub fn schedule_reading(&mut self, delay: Duration, now: Timestamp) {
+        let factor = 1 << self.fruitless_readings.min(MAX_READING_DOUBLINGS);
+        self.reading_due.get_or_insert(now.after(delay * factor));
+    }
+
+    /// Nothing is to be read.
+    pub fn cancel_reading(&mut self) {
+        self.reading_due = None;
+        self.fruitless_readings = 0;
+    }
+
+    /// Whether the records are to be read now.
+    pub fn is_reading_due(&self, now: Timestamp) -> bool {
+        self.reading_due.is_some_and(|at| now >= at)
+    }
+
+    /// Records that the records were read.
+    pub fn note_read(&mut self) {
+        if self.reading_due.take().is_some() {
+            self.fruitless_readings += 1;
+        }
+    }
+
     /// The pools whose versions are to be written now.
     pub fn due(&self, now: Timestamp) -> Vec<PoolName> {
         let due = self.due.iter().filter(|(_, at)| now >= **at);
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -19,6 +19,10 @@
 const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time by which the second node, the third one and so on write the versions of a pool later than the first one.
 const WRITER_STAGGER: Duration = Duration::from_secs(1);
+/// Time after which nodes read what the first writer has written.
+const READING_DELAY: Duration = Duration::from_millis(800);
+/// Mean time between the readings of two nodes.
+const READING_SPREAD: Duration = Duration::from_millis(1);
 /// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
 const WRITERS: usize = 4;
 
@@ -52,6 +56,7 @@
             state.continuations.versions.note_recorded(stored);
         }
         state.continuations.versions.read_at.get_or_insert(now);
+        state.continuations.versions.note_read();
         if is_first {
             let continuations = &mut state.continuations;
             let listed_pools = continuations.history.pools();
@@ -134,6 +139,7 @@
         state.continuations.versions.note_era(era);
         self.settle_unrecorded_pools(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
+        self.schedule_version_reading(state, &pools, now);
         for pool in pools {
             let record = self.record_of(state, &pool, now);
             let is_outdated = state.continuations.versions.is_outdated(&record);
@@ -148,6 +154,42 @@
         }
     }
 
+    /// Schedules a reading of the records if other nodes write a version that this one does not know to be recorded.
+    fn schedule_version_reading(
+        &self,
+        state: &mut GatewayState,
+        pools: &[PoolName],
+        now: Timestamp,
+    ) {
+        let continuations = &state.continuations;
+        let is_lacking = pools.iter().any(|pool| {
+            let versions = continuations.history.versions(pool, now);
+            let mut lacking = versions.iter();
+            lacking.any(|software| continuations.versions.lacks(pool, software))
+                && self.writer_rank(state, pool, now) > 0
+        });
+        let delay = self.version_reading_delay(state);
+        let versions = &mut state.continuations.versions;
+        match is_lacking {
+            true => versions.schedule_reading(delay, now),
+            false => versions.cancel_reading(),
+        }
+    }
+
+    /// The first writer has written by then; many nodes don't read at the same time.
+    fn version_reading_delay(&self, state: &GatewayState) -> Duration {
+        let discovery = WRITER_DISCOVERY_TIME.saturating_sub(self.uptime());
+        let spread = READING_SPREAD * state.peers.known_count() as u32;
+        let share = self.own_name_hash() as f64 / u64::MAX as f64;
+        discovery + READING_DELAY + spread.mul_f64(share)
+    }
+
+    /// Whether this node reads the records again now.
+    pub(crate) fn is_version_reading_due(&self) -> bool {
+        let now = self.clock().now();
+        self.state().continuations.versions.is_reading_due(now)
+    }
+
     /// The pools whose versions this node writes now.
     pub(crate) fn due_version_records(&self) -> Vec<PoolName> {
         let now = self.clock().now();
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -359,3 +359,35 @@
         assert!(known.contains(why), "{known:?}");
     });
 }
+
+async fn add_v1_2(nodes: &VersionedNodes) {
+    nodes.start_engine("v1.2").await;
+    nodes.start_engine("v1.2").await;
+    nodes.list();
+}
+
+/// Nodes that don't write the versions of a pool themselves have to learn that others have.
+#[test]
+fn version_that_appears_later_gets_no_streams_at_nodes_that_do_not_record_it() {
+    run(async {
+        let nodes = VersionedNodes::start(12, &["v1"]).await;
+        sleep(SETTLED).await;
+        kill_all(&nodes).await;
+        sleep(SETTLED).await;
+        add_v1_2(&nodes).await;
+        sleep(LATE).await;
+        let mut unused = Vec::new();
+        for index in 0..nodes.gateways().len() {
+            let node = nodes.node(index);
+            let mut streams: Vec<_> = (0..STREAMS / 2).map(|_| nodes.new_stream()).collect();
+            join_all(streams.iter_mut().map(|stream| stream.read(&node, 2))).await;
+            if !streams
+                .iter()
+                .any(|stream| stream.versions.contains("v1.2"))
+            {
+                unused.push(index);
+            }
+        }
+        assert!(unused.is_empty(), "nodes {unused:?} avoid v1.2");
+    });
+}
