Keep new streams from a version that the store does not hold, also while the others have no room

What callers saw: streams joined from two versions. The store takes no writes, a new version appears, the older one has no room, so streams begin at the new one; it leaves, all nodes are killed, and the older one, which alone is recorded, goes on with them.

Cause: the recorded versions were only preferred. The record is the proof that nothing else served, so nothing else may serve.

Change: versions that are not recorded are taken off the admission of resumable streams, fallback included, while an engine in service is left.

--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -9,6 +9,7 @@
 use ryerouter_core::release::{Settings, SoftwareVersion, Stage, key_of};
 use slog::{debug, info, warn};
 
+use super::version_records::without_unrecorded;
 use super::{Gateway, GatewayState};
 use crate::continuation::SoftwareConstraint;
 use crate::engines::EngineTable;
@@ -38,13 +39,12 @@
         let now = self.clock().now();
         let state = self.state();
         let Some(settings) = &self.settings().releases else {
-            let history = &state.continuations.history;
             return match software {
                 SoftwareConstraint::Any => Admission::to(EngineFilter::Any),
                 SoftwareConstraint::Settled => {
-                    let mut avoided = history.unsettled(pool, now);
-                    avoided.extend(self.unrecorded_versions(&state, pool, now));
-                    Admission::preferring_except(avoided)
+                    let unsettled = state.continuations.history.unsettled(pool, now);
+                    let settled_first = Admission::preferring_except(unsettled);
+                    without_unrecorded(&state, pool, settled_first, now)
                 }
                 SoftwareConstraint::Only(software) => {
                     Admission::to(EngineFilter::Version(software.clone()))
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -13,6 +13,7 @@
 
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
+use crate::release::Admission;
 use crate::source::{StoredVersions, VersionList};
 
 /// A node that has just started doesn't know the others, and would take itself for the one that writes.
@@ -257,22 +258,6 @@
         }
     }
 
-    /// Versions of a pool that new streams avoid while there are others: the store does not hold them yet, so after a
-    /// restart of all nodes nobody would know that they served.
-    pub(super) fn unrecorded_versions(
-        &self,
-        state: &GatewayState,
-        pool: &PoolName,
-        now: Timestamp,
-    ) -> Vec<SoftwareVersion> {
-        let known = state.continuations.history.versions(pool, now);
-        let versions = &state.continuations.versions;
-        let unrecorded = known.into_iter();
-        unrecorded
-            .filter(|software| versions.is_unrecorded(pool, software))
-            .collect()
-    }
-
     /// Position of this node among those that may write a pool's versions.
     fn writer_rank(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> usize {
         let key = xxh3_64(pool.as_str().as_bytes());
@@ -286,6 +271,41 @@
     }
 }
 
+/// Takes the versions off an admission that the store does not hold yet: after a restart of all nodes nobody would know
+/// that they served. They stay if no other engine in service is admitted.
+pub(super) fn without_unrecorded(
+    state: &GatewayState,
+    pool: &PoolName,
+    admission: Admission,
+    now: Timestamp,
+) -> Admission {
+    let unrecorded = unrecorded_versions(state, pool, now);
+    if unrecorded.is_empty() {
+        return admission;
+    }
+    let in_service = state.engines.of_pool(pool);
+    let in_service = in_service.filter(|engine| engine.is_in_service());
+    let in_service: Vec<_> = in_service.map(|engine| &engine.entry).collect();
+    let recorded = admission.clone().without(&unrecorded, &in_service);
+    match in_service.iter().any(|entry| recorded.admits(entry)) {
+        true => recorded,
+        false => admission,
+    }
+}
+
+fn unrecorded_versions(
+    state: &GatewayState,
+    pool: &PoolName,
+    now: Timestamp,
+) -> BTreeSet<SoftwareVersion> {
+    let known = state.continuations.history.versions(pool, now);
+    let versions = &state.continuations.versions;
+    let unrecorded = known.into_iter();
+    unrecorded
+        .filter(|software| versions.is_unrecorded(pool, software))
+        .collect()
+}
+
 /// Applies versions that another node has recorded before this one has heard of them. Returns whether that makes the
 /// pool one of several versions.
 fn note_unheard_versions(state: &mut GatewayState, record: &VersionRecord, now: Timestamp) -> bool {
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,5 +1,7 @@
 //! The engines that a request may be sent to, first and as a fallback.
 
+use std::collections::BTreeSet;
+
 use ryerouter_core::release::SoftwareVersion;
 
 use super::EngineFilter;
@@ -54,6 +56,16 @@
         }
     }
 
+    /// Admits the request to the same engines except those of `versions`; `engines` are all of the pool.
+    pub fn without(self, versions: &BTreeSet<SoftwareVersion>, engines: &[&EngineEntry]) -> Self {
+        let fallback = self.fallback;
+        Self {
+            first: self.first.without(versions, engines),
+            fallback: fallback.map(|fallback| fallback.without(versions, engines)),
+            unhealthy: self.unhealthy,
+        }
+    }
+
     /// Like [`Self::with_fallback`], but excludes engines that fail requests.
     pub fn on_trial(first: EngineFilter, fallback: EngineFilter) -> Self {
         Self {
--- a/crates/gateway/src/release/engine_filter.rs
+++ b/crates/gateway/src/release/engine_filter.rs
@@ -29,6 +29,23 @@
         }
     }
 
+    /// Selects the same engines except those of `versions`; `engines` are all of the pool.
+    pub fn without(self, versions: &BTreeSet<SoftwareVersion>, engines: &[&EngineEntry]) -> Self {
+        match self {
+            Self::Any => Self::except(versions.clone()),
+            Self::Except(excluded) => Self::Except(excluded.union(versions).cloned().collect()),
+            Self::Version(version) if versions.contains(&version) => Self::Only(BTreeSet::new()),
+            Self::Version(version) => Self::Version(version),
+            Self::Only(mut names) => {
+                let excluded = engines.iter();
+                for engine in excluded.filter(|engine| versions.contains(&engine.software)) {
+                    names.remove(&engine.name);
+                }
+                Self::Only(names)
+            }
+        }
+    }
+
     /// Whether an engine may get the request.
     pub fn admits(&self, entry: &EngineEntry) -> bool {
         match self {
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -360,6 +360,13 @@
     });
 }
 
+fn set_full(nodes: &VersionedNodes, software: &str, is_full: bool) {
+    let engines = nodes.engines.borrow();
+    for engine in engines.iter().filter(|engine| engine.software == software) {
+        engine.behaviour().is_full.set(is_full);
+    }
+}
+
 async fn add_v1_2(nodes: &VersionedNodes) {
     nodes.start_engine("v1.2").await;
     nodes.start_engine("v1.2").await;
@@ -391,3 +398,42 @@
         assert!(unused.is_empty(), "nodes {unused:?} avoid v1.2");
     });
 }
+
+/// The store takes no writes. Streams of a version that it does not hold would be taken for streams of the one that it
+/// does, once all nodes were killed and the new version has left.
+#[test]
+fn streams_are_joined_from_a_version_that_nobody_could_record() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        nodes.store.takes_no_writes.set(true);
+        add_v1_2(&nodes).await;
+        sleep(SETTLED).await;
+        set_full(&nodes, "v1", true);
+        let mut streams = begin(&nodes).await;
+        set_full(&nodes, "v1", false);
+        {
+            let mut engines = nodes.engines.borrow_mut();
+            engines.retain(|engine| engine.software == "v1");
+        }
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
+/// Where no recorded version serves any more, another one takes its streams at once.
+#[test]
+fn streams_are_refused_where_only_a_version_serves_that_nobody_could_record() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        nodes.store.takes_no_writes.set(true);
+        nodes.start_engine("v1.2").await;
+        take_away_v1(&nodes);
+        nodes.list();
+        let streams = begin(&nodes).await;
+        let begun = streams.iter().filter(|stream| stream.last > 0).count();
+        assert_eq!(begun, STREAMS);
+    });
+}
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -24,6 +24,8 @@
     pub era: Cell<u64>,
     /// Whether it answers nobody.
     pub is_away: Cell<bool>,
+    /// Whether it takes no writes.
+    pub takes_no_writes: Cell<bool>,
     /// Whether it holds records of versions that nobody can read.
     pub is_unreadable: Cell<bool>,
     /// How long each call takes.
@@ -77,6 +79,14 @@
         }
     }
 
+    async fn answer_write(&self) -> Result<(), SourceError> {
+        self.answer().await?;
+        match self.takes_no_writes.get() {
+            true => Err(SourceError::Throttled),
+            false => Ok(()),
+        }
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -105,7 +115,7 @@
         revision: Option<u64>,
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredVersions>, SourceError>> {
         async move {
-            self.answer().await?;
+            self.answer_write().await?;
             let mut held = self.versions.borrow_mut();
             let found = held.get(&record.pool);
             if found.map(|found| found.revision) != revision {
@@ -139,7 +149,7 @@
         revision: Option<u64>,
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredSegment>, SourceError>> {
         async move {
-            self.answer().await?;
+            self.answer_write().await?;
             let mut held = self.segments.borrow_mut();
             let found = held.get(&(shard, segment.index));
             if found.map(|found| found.revision) != revision {
