Store both versions of an id that was used for two streams

What callers saw: two streams begun under one id by different versions were told apart while nodes remembered both, and refused. After a kill of all nodes, one of the two went on at the version of the other, if that was the one stored.

Change: a segment is a set of ids with versions. The object lists ids by version as before, so nothing of its form changes; a former build reads one of the two, as it did.

--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -1,6 +1,6 @@
 //! The records of a shard's streams that a node writes to the store.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::StreamId;
@@ -31,8 +31,8 @@
 pub struct Segment {
     /// Its position in the shard.
     pub index: u8,
-    /// Streams and their versions.
-    pub streams: BTreeMap<StreamId, Entry>,
+    /// Streams and their versions. An id that was used for streams of several versions stands here with each of them.
+    pub streams: BTreeSet<(StreamId, Entry)>,
 }
 
 /// A segment as the store holds it.
@@ -67,7 +67,7 @@
         let waiting = self.stored.iter().chain(&self.unwritten).rev();
         if waiting
             .take(MAX_SEGMENT_STREAMS)
-            .any(|(_, known, _)| *known == stream)
+            .any(|(_, known, began)| *known == stream && *began == entry)
         {
             return;
         }
--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -73,7 +73,11 @@
     note_all(&mut journal, 2..3, later);
     let (segment, _) = journal.begin_write(later).expect("segment");
     assert_eq!(
-        segment.streams.keys().copied().collect::<Vec<_>>(),
+        segment
+            .streams
+            .iter()
+            .map(|(id, _)| *id)
+            .collect::<Vec<_>>(),
         [StreamId(2)]
     );
 }
@@ -92,8 +96,8 @@
     assert_eq!((segment.index, revision), (1, None));
     let versions: Vec<_> = segment
         .streams
-        .values()
-        .map(|entry| &entry.software)
+        .iter()
+        .map(|(_, entry)| &entry.software)
         .collect();
     assert_eq!(versions, ["v1"; 3], "what was overwritten is written again");
 }
@@ -221,3 +225,18 @@
             .all(|count| (1_800..2_200).contains(count))
     );
 }
+
+/// An id that was used for streams of two versions is stored with both, so that it can't be taken for one of them.
+#[test]
+fn second_version_of_an_id_is_not_stored() {
+    let mut journal = journal();
+    let id = StreamId(1);
+    journal.note(id, entry("v1"), at(0));
+    journal.begin_write(at(0));
+    journal.end_write(1);
+    journal.note(id, entry("v2"), at(1));
+    journal.note(id, entry("v1"), at(2));
+    let (segment, _) = journal.begin_write(at(2)).expect("segment");
+    let expected = [(id, entry("v1")), (id, entry("v2"))];
+    assert_eq!(segment.streams.into_iter().collect::<Vec<_>>(), expected);
+}
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -41,7 +41,12 @@
                 let register = &mut continuations.register;
                 streams += 1;
                 // What is known is not renewed, or it would push out what this node alone knows.
-                if register.get(*stream, now) == Knowledge::Unknown {
+                let is_news = match register.get(*stream, now) {
+                    Knowledge::Unknown => true,
+                    Knowledge::Began(known) => known != *software,
+                    Knowledge::Ambiguous => false,
+                };
+                if is_news {
                     register.note(*stream, pool, software, Source::Store, now);
                 }
             }
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -437,3 +437,26 @@
         assert_eq!(begun, STREAMS);
     });
 }
+
+/// Two streams begun under the same id by different versions can't be told apart by what is stored either.
+#[test]
+fn streams_of_an_id_that_was_used_for_two_versions_are_joined() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        streams.retain(|stream| stream.versions.contains("v1"));
+        set_full(&nodes, "v1", true);
+        for stream in &streams {
+            let mut second = stream.begun_again();
+            second.read(&nodes.node(0), 2).await;
+            assert!(second.versions.contains("v1.2"));
+        }
+        set_full(&nodes, "v1", false);
+        sleep(Duration::from_millis(400)).await;
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let went_on = streams.iter().filter(|stream| stream.last > 2).count();
+        assert_eq!(went_on, 0, "of {} whose ids were used twice", streams.len());
+    });
+}
