Count the agreement of nodes only where no zone has fallen silent

What callers saw: streams joined from two versions, at the nodes of a zone that is cut off from the store and the other zones while a new version begins to serve there.

Cause: while a list is not confirmed, a node goes on if all that answer know one version. Those of its own zone have lists as old as its own; that nobody who is heard knows a second version is no proof.

Change: a node is whole if its list is current, or if it still hears each zone that it heard when the list was. Agreement counts if the node or one that answers is whole. Answers tell so in a field of their own, which a former build skips and does not send; a node that is whole itself needs none. Cost: with the store away for all, and all nodes of a zone killed as well, such streams are refused until one of that zone is back.

In the tests of decide_with_answers only the new fields are added, as whole.

--- a/crates/core/src/continuation/decision.rs
+++ b/crates/core/src/continuation/decision.rs
@@ -16,6 +16,9 @@
     /// Whether the node knows which versions served before it started. A version that has left since may have streams
     /// under way, and where all nodes were killed nobody remembers it.
     pub knows_past: bool,
+    /// Whether no node that this one can't hear may serve other versions: its list is current, or it still hears every
+    /// zone that it heard when the list was.
+    pub is_whole: bool,
 }
 
 /// What other nodes answered.
@@ -29,6 +32,8 @@
     pub count: usize,
     /// Whether one of them knows which versions served before it started.
     pub know_past: bool,
+    /// Whether no node that one of them can't hear may serve other versions.
+    pub are_whole: bool,
     /// Whether there is any other node that could answer.
     pub has_peers: bool,
 }
@@ -53,6 +58,9 @@
     /// There is one version, but another one may have served before all nodes that answered were started.
     #[display("former versions not known")]
     PastUnknown,
+    /// There is one version, but nodes that are not heard may serve another one.
+    #[display("cut off from other nodes")]
+    CutOff,
     /// Streams of different versions were begun under the same id.
     #[display("several streams with this id")]
     Ambiguous,
@@ -71,8 +79,9 @@
 
 /// Decides once other nodes have answered, or have had the time to.
 ///
-/// Without any record the stream goes on only if no node has seen a second version, and one of them knows what served
-/// before it started: while the store is away no list is confirmed, which alone is no reason to refuse.
+/// Without any record the stream goes on only if no node has seen a second version, one of them knows what served
+/// before it started, and one can tell that nobody else serves: while the store is away no list is confirmed, which alone
+/// is no reason to refuse, but a zone that is cut off agrees as well.
 pub fn decide_with_answers(outlook: &Outlook, answers: &Answers) -> Decision {
     let mut versions = outlook.versions.clone();
     versions.extend(answers.versions.iter().cloned());
@@ -80,10 +89,12 @@
     versions.dedup();
     let is_agreed = answers.count > 0 || !answers.has_peers;
     let knows_past = outlook.knows_past || answers.know_past;
+    let is_whole = outlook.is_whole || answers.are_whole;
     let only = only(&versions).filter(|_| is_agreed);
     match (&answers.knowledge, only) {
         (Knowledge::Began(software), _) => Decision::Continue(software.clone()),
-        (_, Some(only)) if knows_past => Decision::Continue(only.clone()),
+        (_, Some(only)) if knows_past && is_whole => Decision::Continue(only.clone()),
+        (Knowledge::Unknown, Some(_)) if knows_past => Decision::Refuse(Unresolved::CutOff),
         (Knowledge::Unknown, Some(_)) => Decision::Refuse(Unresolved::PastUnknown),
         (Knowledge::Ambiguous, Some(_)) => Decision::Refuse(Unresolved::Ambiguous),
         (Knowledge::Ambiguous, None) => Decision::Refuse(Unresolved::Ambiguous),
--- a/crates/core/tests/continuation.rs
+++ b/crates/core/tests/continuation.rs
@@ -48,6 +48,7 @@
         versions: versions(served),
         is_certain,
         knows_past: is_certain,
+        is_whole: is_certain,
     };
     assert_eq!(decide(knowledge, &outlook), expected);
 }
@@ -73,6 +74,7 @@
         versions: versions(own),
         is_certain: false,
         knows_past: true,
+        is_whole: true,
     };
     let answers = Answers {
         knowledge,
@@ -80,6 +82,7 @@
         count,
         has_peers,
         know_past: false,
+        are_whole: false,
     };
     assert_eq!(decide_with_answers(&outlook, &answers), expected);
 }
@@ -96,6 +99,7 @@
             versions: versions(&["v1"]),
             is_certain: false,
             knows_past: own,
+            is_whole: true,
         };
         let answers = Answers {
             versions: versions(&["v1"]),
@@ -108,6 +112,29 @@
     }
 }
 
+/// Nodes of a zone that is cut off agree as well as those that can't reach the store.
+#[parameterized(
+    none = { false, false, Decision::Refuse(Unresolved::CutOff) },
+    this_node = { true, false, Decision::Continue("v1".to_owned()) },
+    another_node = { false, true, Decision::Continue("v1".to_owned()) },
+)]
+fn agreement_counts_only_where_no_other_node_may_serve(own: bool, peers: bool, expected: Decision) {
+    let outlook = Outlook {
+        versions: versions(&["v1"]),
+        is_certain: false,
+        knows_past: true,
+        is_whole: own,
+    };
+    let answers = Answers {
+        versions: versions(&["v1"]),
+        count: 3,
+        has_peers: true,
+        are_whole: peers,
+        ..Answers::default()
+    };
+    assert_eq!(decide_with_answers(&outlook, &answers), expected);
+}
+
 #[test]
 fn id_of_another_tenant_or_pool_names_another_stream() {
     let tenant = |name| TenantName::new(name);
--- a/crates/gateway/src/continuation/answer.rs
+++ b/crates/gateway/src/continuation/answer.rs
@@ -26,6 +26,9 @@
     /// Whether the sender knows which versions served before it was started.
     #[serde(rename = "k", default, skip_serializing_if = "std::ops::Not::not")]
     pub knows_past: bool,
+    /// Whether no node that the sender can't hear may serve other versions.
+    #[serde(rename = "w", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_whole: bool,
 }
 
 impl Answer {
--- a/crates/gateway/src/continuation/lookup.rs
+++ b/crates/gateway/src/continuation/lookup.rs
@@ -52,6 +52,7 @@
         let answers = &mut progress.answers;
         answers.count += usize::from(is_first);
         answers.know_past |= answer.knows_past;
+        answers.are_whole |= answer.is_whole;
         answers.versions.extend(answer.versions.iter().cloned());
         answers.knowledge = merge(std::mem::take(&mut answers.knowledge), answer.knowledge());
         drop(progress);
--- a/crates/gateway/src/continuation/mod.rs
+++ b/crates/gateway/src/continuation/mod.rs
@@ -3,6 +3,7 @@
 //! [`ryerouter_core::continuation`] decides. Here stands what nodes tell each other for it, and what a node remembers.
 
 mod answer;
+mod heard_zones;
 mod lookup;
 mod question;
 mod records;
@@ -15,6 +16,7 @@
 mod version_table;
 
 pub use answer::Answer;
+pub use heard_zones::HeardZones;
 pub use lookup::Lookup;
 pub use question::Question;
 pub use records::Records;
--- a/crates/gateway/src/continuation/state.rs
+++ b/crates/gateway/src/continuation/state.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::continuation::{Journal, Register, Shard, VersionHistory};
 
-use super::{Lookup, ShardReading, VersionTable};
+use super::{HeardZones, Lookup, ShardReading, VersionTable};
 
 /// What a node remembers of streams and their versions.
 #[derive(Debug, Default)]
@@ -16,6 +16,8 @@
     pub history: VersionHistory,
     /// Questions that wait for answers, by number.
     pub lookups: HashMap<u64, Rc<Lookup>>,
+    /// Zones that this node has to hear.
+    pub zones: HeardZones,
     /// The versions that the store holds.
     pub versions: VersionTable,
     /// Records that this node writes to the store.
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -1,6 +1,6 @@
 //! Finds out at which software version a stream goes on, and tells other nodes; see docs/design/continuations.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
     Answers, Decision, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Shard, Source, StreamId,
     Unresolved, decide, decide_with_answers, holders_of,
 };
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{PoolName, ZoneName};
 use ryerouter_core::release::SoftwareVersion;
 use slog::info;
 use tokio::time::sleep;
@@ -19,7 +19,7 @@
 use super::stream_records::needs_stream_records;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, Records, ServedVersions};
-use crate::peers::{Datagram, PeerMessage};
+use crate::peers::{Datagram, Peer, PeerMessage};
 use crate::serve::AcceptedRequest;
 use crate::source::ItemKind;
 
@@ -88,6 +88,7 @@
                 "versions" => outlook.versions.join(","), "is_certain" => outlook.is_certain,
                 "list_age_ms" => self.engine_list_age().map(|age| age.as_millis() as u64),
                 "knows_past" => outlook.knows_past, "peers_know_past" => answers.know_past,
+                "is_whole" => outlook.is_whole, "peers_are_whole" => answers.are_whole,
                 "answers" => answers.count, "waited_ms" => waited.as_millis() as u64,
                 "left_out" => left_out);
         }
@@ -209,6 +210,7 @@
             versions: continuations.history.versions(&question.pool, now),
             knows_past: continuations.versions.knows_past(&question.pool)
                 && !continuations.history.is_incomplete(&question.pool, now),
+            is_whole: is_whole(&state, now),
             software: match knowledge {
                 Knowledge::Began(software) => Some(software),
                 Knowledge::Unknown | Knowledge::Ambiguous => None,
@@ -269,6 +271,10 @@
         }
         history.expire(now);
         state.continuations.register.expire(now);
+        if state.is_engine_list_current(SETTLING_TIME, now) {
+            let zones = zones_of(state.peers.recently_heard(now));
+            state.continuations.zones.note_current(zones);
+        }
     }
 
     /// The versions of pools that several versions serve, for other nodes.
@@ -443,10 +449,23 @@
             versions: continuations.history.versions(pool, now),
             is_certain: is_list_current && has_heard_others && knows_past,
             knows_past,
+            is_whole: is_whole(&state, now),
         }
     }
 }
 
+/// Whether no node that this one can't hear may serve versions of which it has not heard.
+fn is_whole(state: &GatewayState, now: Timestamp) -> bool {
+    let peers = state.peers.recently_heard(now);
+    let heard = zones_of(peers.filter(|peer| peer.is_heard(SETTLING_TIME, now)));
+    let is_list_current = state.is_engine_list_current(SETTLING_TIME, now);
+    is_list_current || state.continuations.zones.are_all_in(&heard)
+}
+
+fn zones_of<'a>(peers: impl Iterator<Item = &'a Peer>) -> BTreeSet<ZoneName> {
+    peers.map(|peer| peer.identity.zone.clone()).collect()
+}
+
 /// Keeps a question open until dropped.
 struct OpenLookup {
     gateway: Rc<Gateway>,
--- a/crates/gateway/tests/mixed_versions.rs
+++ b/crates/gateway/tests/mixed_versions.rs
@@ -299,3 +299,46 @@
         assert_eq!(told.get() == 0, most == 0);
     });
 }
+
+/// The nodes of a zone that is cut off agree on the only version that they know.
+#[test]
+fn zone_that_was_cut_off_joins_streams_of_a_later_version() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(DISCOVERY_TIME).await;
+        // These two share a zone.
+        nodes.cut_off(&[0, 3]);
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        for index in [1, 2] {
+            nodes.list_at(&nodes.node(index), nodes.entries());
+        }
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        read_all(&nodes, &mut streams, 1, 2).await;
+        let is_second = |stream: &Stream| stream.versions.contains("v1.2");
+        assert!(streams.iter().any(is_second));
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
+        assert_eq!(mixed, 0, "mixed streams of {STREAMS}");
+    });
+}
+
+/// While the store is away for all nodes, each hears the others, and none can have heard of another version.
+#[test]
+fn streams_of_the_only_version_are_refused_while_the_store_is_away() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        for node in nodes.nodes.borrow().iter() {
+            node.stop_listing();
+        }
+        nodes.store.is_away.set(true);
+        sleep(DISCOVERY_TIME).await;
+        read_all(&nodes, &mut streams, 1, 2).await;
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        check(&streams);
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod continuation_records;
 pub mod crashing_engine;
 pub mod crashing_nodes;
+pub mod cut_socket;
 pub mod engine_proxy;
 pub mod fleet;
 pub mod followers;
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use tokio::time::sleep;
 
 use super::continuation_records::ContinuationRecords;
+use super::cut_socket::CutSocket;
 use super::fleet::introduce;
 use super::gateway_bench::{GatewayBench, gateway_with, gateway_with_log, list_engines};
 use super::log_lines::LogLines;
@@ -41,6 +43,8 @@
     pub bench: GatewayBench,
     /// The list of engines that it reads.
     pub list: Rc<RefCell<Vec<EngineEntry>>>,
+    /// Where its datagrams are lost.
+    unreachable: Rc<RefCell<BTreeSet<SocketAddr>>>,
     listing: JoinHandle<()>,
     /// Tasks that end with the node.
     _tasks: JoinSet<()>,
@@ -73,7 +77,12 @@
         let gateway = Rc::clone(&bench.gateway);
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(run_peer_link(Rc::clone(&gateway), datagrams));
+        let unreachable: Rc<RefCell<BTreeSet<SocketAddr>>> = Rc::default();
+        let socket = CutSocket {
+            socket: datagrams,
+            unreachable: Rc::clone(&unreachable),
+        };
+        tasks.spawn_local(run_peer_link(Rc::clone(&gateway), socket));
         let how = StoreSettings {
             write_interval: STORE_WRITE_INTERVAL,
             is_first_start,
@@ -89,6 +98,7 @@
         Self {
             bench,
             list,
+            unreachable,
             listing,
             _tasks: tasks,
         }
@@ -263,6 +273,20 @@
         introduce(&self.gateways());
     }
 
+    /// Cuts some nodes off from the others, and from the list of engines.
+    pub fn cut_off(&self, indexes: &[usize]) {
+        let nodes = self.nodes.borrow();
+        let address = |index: usize| nodes[index].bench.gateway.settings().identity.peer_address;
+        for (index, node) in nodes.iter().enumerate() {
+            let is_cut = indexes.contains(&index);
+            let beyond = (0..nodes.len()).filter(|other| indexes.contains(other) != is_cut);
+            node.unreachable.borrow_mut().extend(beyond.map(address));
+            if is_cut {
+                node.stop_listing();
+            }
+        }
+    }
+
     pub fn gateways(&self) -> Vec<Rc<Gateway>> {
         let nodes = self.nodes.borrow();
         let all = nodes.iter();
