Keep new streams from versions that the store does not hold where releases are ordered, too

Cause: the admission by releases knew nothing of what is recorded.

Evidence: streams_begin_at_an_unrecorded_version_where_releases_are_ordered (three cases): on streams begin at v2 though only v1 is recorded, without an order and while shifting at both, while settling at v2 alone; with this change at v1 alone, at v2 once it is recorded, and at v2 where no engine of v1 is listed any more.

Change: whatever the admission says first and as a fallback, unrecorded versions are taken off it, as without releases.

--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -38,26 +38,25 @@
     ) -> Admission {
         let now = self.clock().now();
         let state = self.state();
-        let Some(settings) = &self.settings().releases else {
-            return match software {
-                SoftwareConstraint::Any => Admission::to(EngineFilter::Any),
-                SoftwareConstraint::Settled => {
-                    let unsettled = state.continuations.history.unsettled(pool, now);
-                    let settled_first = Admission::preferring_except(unsettled);
-                    without_unrecorded(&state, pool, settled_first, now)
-                }
-                SoftwareConstraint::Only(software) => {
-                    Admission::to(EngineFilter::Version(software.clone()))
-                }
-            };
+        let admission = match (&self.settings().releases, software) {
+            (None, SoftwareConstraint::Any) => Admission::to(EngineFilter::Any),
+            (None, SoftwareConstraint::Settled) => {
+                Admission::preferring_except(state.continuations.history.unsettled(pool, now))
+            }
+            (None, SoftwareConstraint::Only(software)) => {
+                Admission::to(EngineFilter::Version(software.clone()))
+            }
+            (Some(settings), SoftwareConstraint::Any | SoftwareConstraint::Settled) => {
+                self.gate(&state, settings, now).admission(pool, id, tried)
+            }
+            (Some(settings), SoftwareConstraint::Only(software)) => {
+                let gate = self.gate(&state, settings, now);
+                gate.admission_to_version(pool, software)
+            }
         };
-        let gate = self.gate(&state, settings, now);
         match software {
-            // Versions that appeared lately are on hold for longer than they need to settle.
-            SoftwareConstraint::Any | SoftwareConstraint::Settled => {
-                gate.admission(pool, id, tried)
-            }
-            SoftwareConstraint::Only(software) => gate.admission_to_version(pool, software),
+            SoftwareConstraint::Settled => without_unrecorded(&state, pool, admission, now),
+            SoftwareConstraint::Any | SoftwareConstraint::Only(_) => admission,
         }
     }
 
