Keep new streams from a version that other nodes may not know, also while the others have no room

What callers would see: streams joined from two versions. A version has just been listed and the older one has no room, so streams begin at the new one; a node whose list was confirmed less than 1.5 s ago but does not hold it, and that hears no other node, goes on with them at the older one.

Cause: for the 1.5 s for which such a list counts as certain, the other versions were only preferred.

Evidence: streams_begin_at_a_version_that_other_nodes_may_not_know: with all engines of the older version tried, a stream begins at the new one on, and at none with this change until 1.5 s have passed. No joined stream was shown: nodes that hear each other learn of the version within some ten milliseconds.

Change: such versions are taken off the admission of resumable streams, as those that are not recorded, while an engine in service is left. Cost: where the older version has no room, a new one takes such streams up to 1.5 s later.

--- a/crates/gateway/src/continuation/software_constraint.rs
+++ b/crates/gateway/src/continuation/software_constraint.rs
@@ -8,8 +8,8 @@
     /// All of them.
     #[default]
     Any,
-    /// All of them, but first those that every node knows by now: the request begins a stream that another node may
-    /// have to continue.
+    /// Those that every node knows by now and that the store holds, while one of them serves: the request begins a stream
+    /// that another node may have to continue, also after a restart of all nodes.
     Settled,
     /// Only this one, which has written events of the stream.
     Only(SoftwareVersion),
--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -9,7 +9,7 @@
 use ryerouter_core::release::{Settings, SoftwareVersion, Stage, key_of};
 use slog::{debug, info, warn};
 
-use super::version_records::without_unrecorded;
+use super::version_records::without_unsettled;
 use super::{Gateway, GatewayState};
 use crate::continuation::SoftwareConstraint;
 use crate::engines::EngineTable;
@@ -39,9 +39,8 @@
         let now = self.clock().now();
         let state = self.state();
         let admission = match (&self.settings().releases, software) {
-            (None, SoftwareConstraint::Any) => Admission::to(EngineFilter::Any),
-            (None, SoftwareConstraint::Settled) => {
-                Admission::preferring_except(state.continuations.history.unsettled(pool, now))
+            (None, SoftwareConstraint::Any | SoftwareConstraint::Settled) => {
+                Admission::to(EngineFilter::Any)
             }
             (None, SoftwareConstraint::Only(software)) => {
                 Admission::to(EngineFilter::Version(software.clone()))
@@ -55,7 +54,7 @@
             }
         };
         match software {
-            SoftwareConstraint::Settled => without_unrecorded(&state, pool, admission, now),
+            SoftwareConstraint::Settled => without_unsettled(&state, pool, admission, now),
             SoftwareConstraint::Any | SoftwareConstraint::Only(_) => admission,
         }
     }
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -271,24 +271,25 @@
     }
 }
 
-/// Takes the versions off an admission that the store does not hold yet: after a restart of all nodes nobody would know
-/// that they served. They stay if no other engine in service is admitted.
-pub(super) fn without_unrecorded(
+/// Takes the versions off an admission that other nodes may not know yet, and those that the store does not hold yet:
+/// after a restart of all nodes nobody would know that they served. They stay if no other engine in service is admitted.
+pub(super) fn without_unsettled(
     state: &GatewayState,
     pool: &PoolName,
     admission: Admission,
     now: Timestamp,
 ) -> Admission {
-    let unrecorded = unrecorded_versions(state, pool, now);
-    if unrecorded.is_empty() {
+    let mut unsettled = unrecorded_versions(state, pool, now);
+    unsettled.extend(state.continuations.history.unsettled(pool, now));
+    if unsettled.is_empty() {
         return admission;
     }
     let in_service = state.engines.of_pool(pool);
     let in_service = in_service.filter(|engine| engine.is_in_service());
     let in_service: Vec<_> = in_service.map(|engine| &engine.entry).collect();
-    let recorded = admission.clone().without(&unrecorded, &in_service);
-    match in_service.iter().any(|entry| recorded.admits(entry)) {
-        true => recorded,
+    let settled = admission.clone().without(&unsettled, &in_service);
+    match in_service.iter().any(|entry| settled.admits(entry)) {
+        true => settled,
         false => admission,
     }
 }
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -45,17 +45,6 @@
         }
     }
 
-    /// Admits the request to all engines, but first to those of other versions than `avoided`.
-    pub fn preferring_except(avoided: Vec<SoftwareVersion>) -> Self {
-        match avoided.is_empty() {
-            true => Self::to(EngineFilter::Any),
-            false => {
-                let first = EngineFilter::except(avoided.into_iter().collect());
-                Self::with_fallback(first, EngineFilter::Any)
-            }
-        }
-    }
-
     /// Admits the request to the same engines except those of `versions`; `engines` are all of the pool.
     pub fn without(self, versions: &BTreeSet<SoftwareVersion>, engines: &[&EngineEntry]) -> Self {
         let fallback = self.fallback;
--- a/crates/gateway/tests/unrecorded_versions.rs
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -5,14 +5,18 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use ryerouter_core::continuation::SETTLING_TIME;
 use ryerouter_core::identity::BackEndName;
 use ryerouter_core::release::Stage;
+use ryerouter_gateway::catalogue::RequestKind;
 use ryerouter_gateway::continuation::{SoftwareConstraint, VersionRecord};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::PlacementRequest;
 use ryerouter_gateway::source::StoredVersions;
-use support::gateway_bench::{list_engines, run_paused};
+use support::gateway_bench::{configure, gateway, list_engines, run_paused};
+use support::records::{route, table};
 use support::releases::{PRESENT, TARGET, engine_of, grant, lone_node, pool, version_of};
+use tokio::time::advance;
 use yare::parameterized;
 
 const REQUESTS: usize = 100;
@@ -74,3 +78,21 @@
         assert_eq!(versions_of_streams(&node, &[]), [TARGET.to_owned()].into());
     });
 }
+
+/// A node that has not heard of the new version yet would go on with its streams at the other one.
+#[test]
+fn streams_begin_at_a_version_that_other_nodes_may_not_know() {
+    run_paused(async {
+        let node = gateway("node-1");
+        configure(&node, table(1, vec![route(RequestKind::Streaming)]));
+        let present = engine_of("old-1", PRESENT);
+        list_engines(&node, vec![present.clone()]);
+        advance(SETTLING_TIME).await;
+        record(&node, &[PRESENT, TARGET]);
+        list_engines(&node, vec![present, engine_of("new-1", TARGET)]);
+        assert!(versions_of_streams(&node, &["old-1"]).is_empty());
+        advance(SETTLING_TIME).await;
+        let later = versions_of_streams(&node, &["old-1"]);
+        assert_eq!(later, [TARGET.to_owned()].into());
+    });
+}
