Go on with streams at the only version that the store holds, where a newer one has appeared beside it

What callers saw: while all nodes were down a newer version appeared beside the one that served. Streams under way had no record, as there was one version, and were refused: two versions serve now.

Cause: a listed version counted as one that may have begun any stream. It can't have: it gets no stream before it is recorded.

Change: a node that takes up a stream without a record reads the recorded versions by a call that begins after its caller came back. If they are complete, of this era, and name one version, no other one has had a stream until then, whatever time has passed, so it goes on there. Readings are shared by all that wait and at least 0.25 s apart, 1 ms more for each known node.

--- a/crates/core/src/continuation/decision.rs
+++ b/crates/core/src/continuation/decision.rs
@@ -19,6 +19,9 @@
     /// Whether no node that this one can't hear may serve other versions: its list is current, or it still hears every
     /// zone that it heard when the list was.
     pub is_whole: bool,
+    /// The only version that can have begun the stream, as the store has confirmed since the caller came back: it holds
+    /// this one alone, and no other one gets streams before the store holds it.
+    pub only_recorded: Option<SoftwareVersion>,
 }
 
 /// What other nodes answered.
@@ -81,7 +84,7 @@
 ///
 /// Without any record the stream goes on only if no node has seen a second version, one of them knows what served
 /// before it started, and one can tell that nobody else serves: while the store is away no list is confirmed, which alone
-/// is no reason to refuse, but a zone that is cut off agrees as well.
+/// is no reason to refuse, but a zone that is cut off agrees as well. What the store has just confirmed is proof alone.
 pub fn decide_with_answers(outlook: &Outlook, answers: &Answers) -> Decision {
     let mut versions = outlook.versions.clone();
     versions.extend(answers.versions.iter().cloned());
@@ -91,6 +94,11 @@
     let knows_past = outlook.knows_past || answers.know_past;
     let is_whole = outlook.is_whole || answers.are_whole;
     let only = only(&versions).filter(|_| is_agreed);
+    if answers.knowledge == Knowledge::Unknown
+        && let Some(software) = &outlook.only_recorded
+    {
+        return Decision::Continue(software.clone());
+    }
     match (&answers.knowledge, only) {
         (Knowledge::Began(software), _) => Decision::Continue(software.clone()),
         (_, Some(only)) if knows_past && is_whole => Decision::Continue(only.clone()),
--- a/crates/core/tests/continuation.rs
+++ b/crates/core/tests/continuation.rs
@@ -49,6 +49,7 @@
         is_certain,
         knows_past: is_certain,
         is_whole: is_certain,
+        only_recorded: None,
     };
     assert_eq!(decide(knowledge, &outlook), expected);
 }
@@ -75,6 +76,7 @@
         is_certain: false,
         knows_past: true,
         is_whole: true,
+        only_recorded: None,
     };
     let answers = Answers {
         knowledge,
@@ -100,6 +102,7 @@
             is_certain: false,
             knows_past: own,
             is_whole: true,
+            only_recorded: None,
         };
         let answers = Answers {
             versions: versions(&["v1"]),
@@ -124,6 +127,7 @@
         is_certain: false,
         knows_past: true,
         is_whole: own,
+        only_recorded: None,
     };
     let answers = Answers {
         versions: versions(&["v1"]),
@@ -135,6 +139,25 @@
     assert_eq!(decide_with_answers(&outlook, &answers), expected);
 }
 
+/// The store holds one version of two that serve.
+#[parameterized(
+    without_a_record = { Knowledge::Unknown, Decision::Continue("v1".to_owned()) },
+    with_a_record = { began("v2"), Decision::Continue("v2".to_owned()) },
+    with_records_of_two = { Knowledge::Ambiguous, Decision::Refuse(Unresolved::Ambiguous) },
+)]
+fn stream_goes_on_at_the_only_recorded_version(knowledge: Knowledge, expected: Decision) {
+    let outlook = Outlook {
+        versions: versions(&["v1", "v2"]),
+        only_recorded: Some("v1".to_owned()),
+        ..Outlook::default()
+    };
+    let answers = Answers {
+        knowledge,
+        ..Answers::default()
+    };
+    assert_eq!(decide_with_answers(&outlook, &answers), expected);
+}
+
 #[test]
 fn id_of_another_tenant_or_pool_names_another_stream() {
     let tenant = |name| TenantName::new(name);
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -59,7 +59,8 @@
     }
     failures = 0;
     loop {
-        sleep(COMPARE_INTERVAL).await;
+        let wanted = gateway.until_version_reading_wanted();
+        let _ = timeout(COMPARE_INTERVAL, wanted).await;
         gateway.schedule_version_records();
         if gateway.due_version_records().is_empty() && !gateway.is_version_reading_due() {
             continue;
@@ -80,9 +81,10 @@
     gateway: &Gateway,
     store: &dyn ContinuationStore,
 ) -> Result<(), SourceError> {
+    let asked_at = gateway.clock().now();
     let listed = timeout(STORE_TIMEOUT, store.list_versions()).await;
     let listed = listed.unwrap_or(Err(SourceError::NoAnswer))?;
-    gateway.apply_version_records(listed);
+    gateway.apply_version_records(listed, asked_at);
     Ok(())
 }
 
--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -5,6 +5,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::PoolName;
+use ryerouter_core::release::SoftwareVersion;
 
 use super::VersionRecord;
 use crate::source::StoredVersions;
@@ -24,6 +25,10 @@
     pub read_at: Option<Timestamp>,
     /// Whether the deployment is started for the first time, so that pools without a record have had no streams.
     pub is_first_start: bool,
+    /// When the last reading that succeeded was begun.
+    pub read_asked_at: Option<Timestamp>,
+    /// Whether a stream waits for a reading that begins after its caller came back.
+    pub is_reading_wanted: bool,
     /// Pools that had no record when this node read them.
     pub unrecorded_at_start: BTreeSet<PoolName>,
     /// Era of the store, as far as known.
@@ -133,8 +138,26 @@
         self.reading_due.is_some_and(|at| now >= at)
     }
 
+    /// The only version that served a pool until `at`, if the store has confirmed that since.
+    pub fn only_recorded_since(&self, pool: &PoolName, at: Timestamp) -> Option<&SoftwareVersion> {
+        self.only_recorded(pool)
+            .filter(|_| self.read_asked_at >= Some(at))
+    }
+
+    /// The version of a pool that the store holds alone, if nothing that it held may be lost.
+    pub fn only_recorded(&self, pool: &PoolName) -> Option<&SoftwareVersion> {
+        let record = &self.recorded.get(pool)?.record;
+        let is_complete = record.era == self.era && !record.is_incomplete;
+        let mut versions = record.versions.iter();
+        versions
+            .next()
+            .filter(|_| is_complete && versions.next().is_none())
+    }
+
     /// Records that the records were read.
-    pub fn note_read(&mut self) {
+    pub fn note_read(&mut self, asked_at: Timestamp) {
+        self.read_asked_at = Some(asked_at);
+        self.is_reading_wanted = false;
         if self.reading_due.take().is_some() {
             self.fruitless_readings += 1;
         }
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -57,7 +57,7 @@
         let mut answers = Answers::default();
         let decision = match decide(known, &outlook) {
             Decision::Ask => {
-                answers = self.ask_holders(stream, pool).await;
+                answers = self.ask_holders(stream, pool, asked_at).await;
                 if answers.knowledge != Knowledge::Unknown {
                     known_by = match self.own_record(stream).1 {
                         Some(Source::Store) => "store",
@@ -65,7 +65,14 @@
                     };
                 }
                 // This node may have read the store, or heard of versions, meanwhile.
-                outlook = self.version_outlook(pool);
+                let only_recorded = self.only_recorded_since(pool, asked_at);
+                if answers.knowledge == Knowledge::Unknown && only_recorded.is_some() {
+                    known_by = "record";
+                }
+                outlook = Outlook {
+                    only_recorded,
+                    ..self.version_outlook(pool)
+                };
                 decide_with_answers(&outlook, &answers)
             }
             decision => decision,
@@ -353,7 +360,12 @@
             "versions" => state.continuations.history.versions(pool, now).join(","));
     }
 
-    async fn ask_holders(self: &Rc<Self>, stream: StreamId, pool: &PoolName) -> Answers {
+    async fn ask_holders(
+        self: &Rc<Self>,
+        stream: StreamId,
+        pool: &PoolName,
+        asked_at: Timestamp,
+    ) -> Answers {
         let asked = self.nodes_to_ask(stream);
         let lookup = Rc::new(Lookup::new(asked));
         let open = OpenLookup::begin(self, &lookup);
@@ -379,8 +391,8 @@
             }
         };
         let read = self.until_shard_read(stream.shard(), pool);
-        let ask_and_read =
-            async { tokio::join!(ask_until_settled, read, self.until_versions_read()) };
+        let confirmed = self.until_only_version_confirmed(pool, asked_at);
+        let ask_and_read = async { tokio::join!(ask_until_settled, read, confirmed) };
         // Without answers in time, what came until then decides.
         let _ = self.clock().until(limit, ask_and_read).await;
         let mut answers = lookup.answers();
@@ -450,8 +462,19 @@
             is_certain: is_list_current && has_heard_others && knows_past,
             knows_past,
             is_whole: is_whole(&state, now),
+            only_recorded: None,
         }
     }
+
+    fn only_recorded_since(&self, pool: &PoolName, at: Timestamp) -> Option<SoftwareVersion> {
+        let state = self.state();
+        let continuations = &state.continuations;
+        let only = continuations.versions.only_recorded_since(pool, at);
+        let is_incomplete = continuations
+            .history
+            .is_incomplete(pool, self.clock().now());
+        only.filter(|_| !is_incomplete).cloned()
+    }
 }
 
 /// Whether no node that this one can't hear may serve versions of which it has not heard.
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -95,6 +95,8 @@
     pub(crate) stream_records_due: Notify,
     /// Notified when the recorded versions have been read.
     pub(super) versions_read: Notify,
+    /// Notified when they are to be read.
+    pub(super) version_reading_wanted: Notify,
     /// Notified when a shard's records have been read, or could not be.
     pub(super) shard_read: Notify,
     /// Notified when an engine is doubted.
@@ -149,6 +151,7 @@
             poison_records_changed: Notify::new(),
             stream_records_due: Notify::new(),
             versions_read: Notify::new(),
+            version_reading_wanted: Notify::new(),
             shard_read: Notify::new(),
             engine_doubted: Notify::new(),
             configured: Notify::new(),
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -9,6 +9,7 @@
 use ryerouter_core::placement::rendezvous_score;
 use ryerouter_core::release::SoftwareVersion;
 use slog::info;
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
@@ -22,6 +23,8 @@
 const WRITER_STAGGER: Duration = Duration::from_secs(1);
 /// Time after which nodes read what the first writer has written.
 const READING_DELAY: Duration = Duration::from_millis(800);
+/// Time between two readings for streams that wait for them, at one node alone.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Mean time between the readings of two nodes.
 const READING_SPREAD: Duration = Duration::from_millis(1);
 /// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
@@ -36,7 +39,7 @@
     }
 
     /// Applies the recorded versions, as they are read at the start and again before any are written.
-    pub(crate) fn apply_version_records(&self, listed: VersionList) {
+    pub(crate) fn apply_version_records(&self, listed: VersionList, asked_at: Timestamp) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.continuations.versions.note_era(listed.era);
@@ -57,7 +60,7 @@
             state.continuations.versions.note_recorded(stored);
         }
         state.continuations.versions.read_at.get_or_insert(now);
-        state.continuations.versions.note_read();
+        state.continuations.versions.note_read(asked_at);
         if is_first {
             let continuations = &mut state.continuations;
             let listed_pools = continuations.history.pools();
@@ -65,8 +68,8 @@
             continuations.versions.unrecorded_at_start = unrecorded.collect();
             // One of them may be that of any pool without a record.
             continuations.versions.is_first_start &= !listed.has_unreadable;
-            self.versions_read.notify_waiters();
         }
+        self.versions_read.notify_waiters();
     }
 
     /// Waits until the recorded versions have been read.
@@ -80,6 +83,56 @@
         }
     }
 
+    /// Waits until the recorded versions have been read by a call that began after `at`, if that may show that one version
+    /// alone served the pool until then, although several are known.
+    pub(super) async fn until_only_version_confirmed(&self, pool: &PoolName, at: Timestamp) {
+        self.until_versions_read().await;
+        loop {
+            let read = self.versions_read.notified();
+            if !self.wants_confirmation(pool, at) {
+                return;
+            }
+            self.version_reading_wanted.notify_one();
+            read.await;
+        }
+    }
+
+    fn wants_confirmation(&self, pool: &PoolName, at: Timestamp) -> bool {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let continuations = &mut state.continuations;
+        let is_mixed = continuations.history.is_mixed(pool, now);
+        let versions = &mut continuations.versions;
+        let may_confirm = is_mixed && versions.only_recorded(pool).is_some();
+        let is_wanted = may_confirm && versions.only_recorded_since(pool, at).is_none();
+        versions.is_reading_wanted |= is_wanted;
+        is_wanted
+    }
+
+    /// Resolves once the recorded versions are to be read for a stream that waits for it.
+    pub(crate) async fn until_version_reading_wanted(&self) {
+        loop {
+            let wanted = self.version_reading_wanted.notified();
+            match self.pause_before_wanted_reading() {
+                None => wanted.await,
+                Some(Duration::ZERO) => return,
+                Some(pause) => sleep(pause).await,
+            }
+        }
+    }
+
+    /// Time until the recorded versions are read for streams that wait for it; `None` if there are none.
+    fn pause_before_wanted_reading(&self) -> Option<Duration> {
+        let now = self.clock().now();
+        let state = self.state();
+        let versions = &state.continuations.versions;
+        let interval = CONFIRMATION_INTERVAL + READING_SPREAD * state.peers.known_count() as u32;
+        let since = versions.read_asked_at.map(|at| now.since(at));
+        versions
+            .is_reading_wanted
+            .then(|| interval.saturating_sub(since.unwrap_or(interval)))
+    }
+
     /// Applies a record as this node finds it at its start: each of its versions may have streams under way. Returns
     /// whether that makes the pool one of several versions.
     fn apply_first_record(
@@ -188,7 +241,8 @@
     /// Whether this node reads the records again now.
     pub(crate) fn is_version_reading_due(&self) -> bool {
         let now = self.clock().now();
-        self.state().continuations.versions.is_reading_due(now)
+        let is_due = self.state().continuations.versions.is_reading_due(now);
+        is_due || self.pause_before_wanted_reading() == Some(Duration::ZERO)
     }
 
     /// The pools whose versions this node writes now.
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -106,7 +106,7 @@
             continuations: vector(
                 &registry,
                 "streams_taken_up_total",
-                "Streams taken up again by who knew their software version: list, own, peer, store, refused",
+                "Streams taken up again by who knew their software version: list, own, peer, store, record, refused",
                 "known_by",
             ),
             retries: counter(&registry, "retries_total", "Attempts after the first"),
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -460,3 +460,27 @@
         assert_eq!(went_on, 0, "of {} whose ids were used twice", streams.len());
     });
 }
+
+/// A newer version appears beside one that stays, while all nodes are down. Nothing but the older one can have served
+/// before, as the store knows.
+#[parameterized(
+    four_nodes = { 4 },
+    many_nodes = { 12 },
+    one_node_alone = { 1 },
+)]
+fn streams_are_refused_where_a_newer_version_appears_meanwhile(count: usize) {
+    run(async {
+        let nodes = VersionedNodes::start(count, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+        let whole = streams.iter().filter(|stream| stream.is_whole()).count();
+        let share = whole as f64 / STREAMS as f64;
+        assert!(share >= MIN_CONTINUED, "{whole} of {STREAMS} went on");
+    });
+}
