--- a/crates/gateway/tests/mixed_versions.rs
+++ b/crates/gateway/tests/mixed_versions.rs
@@ -11,6 +11,7 @@
 use ryerouter_core::continuation::{HOLDERS, SETTLING_TIME};
 use ryerouter_gateway::peers::Datagram;
 use support::gateway_bench::run;
+use support::log_lines::value;
 use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Attempt, Stream, VersionedNodes};
 use tokio::time::sleep;
@@ -20,6 +21,8 @@
 const STREAMS: usize = 24;
 /// Share of streams that go on, of those whose callers take them up again.
 const MIN_CONTINUED: f64 = 0.95;
+/// Longest wait for answers at a node that has just started, in milliseconds.
+const LOOKUP_LIMIT_MS: u64 = 1_000;
 /// A node that has run so long has heard of the others.
 const DISCOVERY_TIME: Duration = Duration::from_millis(3_100);
 
@@ -342,3 +345,24 @@
         check(&streams);
     });
 }
+
+/// A node that has asked all who may know a stream does not wait for more answers.
+#[test]
+fn lookup_of_an_unknown_stream_runs_to_its_limit() {
+    run(async {
+        let nodes = VersionedNodes::start(12, &["v1", "v1.2"]).await;
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        for (index, stream) in streams.iter_mut().enumerate() {
+            stream.last = 2;
+            stream.resumes = Some(Some(format!("never-used-{index}")));
+        }
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        let lines = nodes.lines.of("stream_taken_up");
+        let waits = lines.iter().filter_map(|line| value(line, "waited_ms"));
+        let waits: Vec<u64> = waits.filter_map(|wait| wait.parse().ok()).collect();
+        assert!(!waits.is_empty());
+        let short = waits.iter().filter(|wait| **wait < LOOKUP_LIMIT_MS / 2);
+        assert!(short.count() * 2 > waits.len(), "waited for {waits:?} ms");
+    });
+}
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -276,6 +276,25 @@
     });
 }
 
+/// That a store which holds what nobody can read is taken for a new one, joins streams.
+#[test]
+fn streams_are_joined_where_an_unreadable_record_counts_as_none() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        {
+            let mut engines = nodes.engines.borrow_mut();
+            engines.retain(|engine| engine.software == "v1");
+        }
+        nodes.store.is_unreadable.set(true);
+        nodes.is_first_start.set(true);
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
 /// A single version needs no record of a stream, only one of the version.
 #[test]
 fn streams_of_the_only_version_are_refused() {
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -26,6 +26,10 @@
     pub is_away: Cell<bool>,
     /// Whether it takes no writes.
     pub takes_no_writes: Cell<bool>,
+    /// A pool whose versions it does not take.
+    pub refused_pool: RefCell<Option<PoolName>>,
+    /// Whether another node writes each segment first.
+    pub is_contended: Cell<bool>,
     /// Whether it holds records of versions that nobody can read.
     pub is_unreadable: Cell<bool>,
     /// How long each call takes.
@@ -116,6 +120,9 @@
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredVersions>, SourceError>> {
         async move {
             self.answer_write().await?;
+            if self.refused_pool.borrow().as_ref() == Some(&record.pool) {
+                return Err(SourceError::Throttled);
+            }
             let mut held = self.versions.borrow_mut();
             let found = held.get(&record.pool);
             if found.map(|found| found.revision) != revision {
@@ -152,6 +159,17 @@
             self.answer_write().await?;
             let mut held = self.segments.borrow_mut();
             let found = held.get(&(shard, segment.index));
+            if self.is_contended.get() {
+                let segment = Segment {
+                    index: segment.index,
+                    streams: Default::default(),
+                };
+                let revision = self.next_revision();
+                return Ok(StoreWrite::Conflict(Some(StoredSegment {
+                    segment,
+                    revision,
+                })));
+            }
             if found.map(|found| found.revision) != revision {
                 return Ok(StoreWrite::Conflict(found.cloned()));
             }
