Test streams beside a former build, which keeps nothing in the store

Nodes of a former build, which neither read nor write records of versions and streams and whose answers lack the later fields, run beside nodes of this one; all are killed. Callers come back to nodes of this build: nothing is mixed, in four cases with one or two former nodes of four, the older version leaving before or while they are down, or staying. The former nodes are nodes of this build without a store whose answers are stripped; the former program itself was not run.

--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -503,3 +503,38 @@
         assert!(share >= MIN_CONTINUED, "{whole} of {STREAMS} went on");
     });
 }
+
+/// Nodes of a former build neither write records of versions and streams nor read them. What they answer is no proof.
+#[parameterized(
+    one_and_the_older_version_left_before = { &[3], Left::Before(Duration::from_millis(400)) },
+    two_and_the_older_version_left_before = { &[2, 3], Left::Before(Duration::from_millis(400)) },
+    two_and_the_older_version_left_while_they_were_down = { &[2, 3], Left::WhileDown },
+    two_and_both_versions_stay = { &[2, 3], Left::Never },
+)]
+fn streams_are_joined_beside_a_former_build(former: &[usize], left: Left) {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        nodes.former.borrow_mut().extend(former);
+        nodes.restart(former).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        if let Left::Before(time) = left {
+            take_away_v1(&nodes);
+            nodes.list();
+            sleep(time).await;
+        }
+        sleep(Duration::from_millis(400)).await;
+        if left == Left::WhileDown {
+            take_away_v1(&nodes);
+        }
+        kill_all(&nodes).await;
+        for _ in 0..ATTEMPTS {
+            let reads = streams.iter_mut().enumerate().map(|(index, stream)| {
+                let node = nodes.node(index % 2);
+                async move { stream.read(&node, EVENTS).await }
+            });
+            join_all(reads).await;
+        }
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -38,6 +38,14 @@
 /// Attempts of one request: enough for engines that break off every answer.
 const MAX_ATTEMPTS: u32 = 8;
 
+/// How a node is started.
+struct Start<'a> {
+    is_first_start: bool,
+    /// Whether it is of a build that knows nothing of stored records.
+    is_former: bool,
+    lines: &'a LogLines,
+}
+
 /// One node.
 pub struct VersionedNode {
     pub bench: GatewayBench,
@@ -62,8 +70,7 @@
         table: RoutingTable,
         entries: Vec<EngineEntry>,
         store: Rc<ContinuationRecords>,
-        is_first_start: bool,
-        lines: &LogLines,
+        how: Start<'_>,
     ) -> Self {
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
         let mut own = settings_of(index);
@@ -72,8 +79,12 @@
         own.sheds_load = false;
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
-        let bench =
-            GatewayBench::serve(gateway_with_log(own, lines), Some(table), entries.clone()).await;
+        let bench = GatewayBench::serve(
+            gateway_with_log(own, how.lines),
+            Some(table),
+            entries.clone(),
+        )
+        .await;
         let gateway = Rc::clone(&bench.gateway);
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
@@ -81,13 +92,16 @@
         let socket = CutSocket {
             socket: datagrams,
             unreachable: Rc::clone(&unreachable),
+            is_former: how.is_former,
         };
         tasks.spawn_local(run_peer_link(Rc::clone(&gateway), socket));
-        let how = StoreSettings {
+        let settings = StoreSettings {
             write_interval: STORE_WRITE_INTERVAL,
-            is_first_start,
+            is_first_start: how.is_first_start,
         };
-        tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, how));
+        if !how.is_former {
+            tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, settings));
+        }
         let listed = Rc::clone(&list);
         let listing = spawn_local(async move {
             loop {
@@ -126,6 +140,8 @@
     streams: Cell<u64>,
     /// Whether the nodes are started for the first time.
     pub is_first_start: Cell<bool>,
+    /// Nodes that are of a former build from their next start on, which knows nothing of stored records.
+    pub former: RefCell<BTreeSet<usize>>,
 }
 
 impl VersionedNodes {
@@ -165,6 +181,7 @@
             engines_started: Cell::new(0),
             streams: Cell::new(0),
             is_first_start: Cell::new(true),
+            former: RefCell::default(),
         };
         for version in versions {
             all.start_engine(version).await;
@@ -218,17 +235,12 @@
         let table = RoutingTable::new(1, routes, vec![pool], Vec::new(), tenants, limits);
         let entries = self.entries();
         let store = Rc::clone(&self.store);
-        let is_first_start = self.is_first_start.get();
-        let lines = &self.lines;
-        let node = VersionedNode::start(
-            index,
-            incarnation,
-            table,
-            entries,
-            store,
-            is_first_start,
-            lines,
-        );
+        let how = Start {
+            is_first_start: self.is_first_start.get(),
+            is_former: self.former.borrow().contains(&index),
+            lines: &self.lines,
+        };
+        let node = VersionedNode::start(index, incarnation, table, entries, store, how);
         Rc::new(node.await)
     }
 
