--- a/crates/core/src/continuation/journal.rs
+++ b/crates/core/src/continuation/journal.rs
@@ -36,8 +36,8 @@
 pub struct Segment {
     /// Its position in the shard.
     pub index: u8,
-    /// Streams and their versions.
-    pub streams: BTreeMap<StreamId, Entry>,
+    /// Streams and their versions. An id that was used for streams of several versions stands here with each of them.
+    pub streams: BTreeSet<(StreamId, Entry)>,
 }
 
 /// A segment as the store holds it.
@@ -91,7 +91,7 @@
 impl Journal {
     /// Schedules the version of a stream to be written.
     pub fn note(&mut self, stream: StreamId, entry: Entry, now: Timestamp) {
-        if self.has_noted_lately(stream) {
+        if self.has_noted_lately(stream, &entry) {
             return;
         }
         self.insert(now, stream, entry);
@@ -100,14 +100,14 @@
         }
     }
 
-    fn has_noted_lately(&self, stream: StreamId) -> bool {
+    fn has_noted_lately(&self, stream: StreamId, entry: &Entry) -> bool {
         let unwritten = self.unwritten.values().rev();
         let stored = self.open.iter().flat_map(|open| {
             let stored = open.stored.iter().rev();
             stored.take(MAX_SEGMENT_STREAMS)
         });
         let mut noted = unwritten.take(MAX_SEGMENT_STREAMS).chain(stored);
-        noted.any(|(_, known, _)| *known == stream)
+        noted.any(|(_, known, began)| *known == stream && began == entry)
     }
 
     fn insert(&mut self, at: Timestamp, stream: StreamId, entry: Entry) {
--- a/crates/core/src/continuation/open_segment.rs
+++ b/crates/core/src/continuation/open_segment.rs
@@ -46,8 +46,10 @@
 
     /// Whether a segment holds nothing but what this node has written to it.
     pub(super) fn holds_all_of(&self, segment: &Segment) -> bool {
-        let stored: BTreeSet<_> = self.stored.iter().map(|(_, stream, _)| *stream).collect();
-        segment.streams.keys().all(|stream| stored.contains(stream))
+        let stored = self.stored.iter();
+        let stored: BTreeSet<_> = stored.map(|(_, stream, entry)| (stream, entry)).collect();
+        let mut held = segment.streams.iter();
+        held.all(|(stream, entry)| stored.contains(&(stream, entry)))
     }
 
     /// Ends the write of this number, if it is under way.
@@ -60,6 +62,6 @@
     /// Whether a segment holds the streams that this write adds.
     pub(super) fn is_held_by(&self, segment: &Segment) -> bool {
         let mut added = self.added.iter();
-        added.all(|(_, (_, stream, entry))| segment.streams.get(stream) == Some(entry))
+        added.all(|(_, (_, stream, entry))| segment.streams.contains(&(*stream, entry.clone())))
     }
 }
--- a/crates/core/tests/writers_world/mod.rs
+++ b/crates/core/tests/writers_world/mod.rs
@@ -436,7 +436,8 @@
         if is_conflict {
             self.calls.conflicts += 1;
         } else {
-            self.recorded.extend(segment.streams.keys());
+            self.recorded
+                .extend(segment.streams.iter().map(|(id, _)| *id));
             let key = (shard, segment.index);
             self.segments
                 .insert(key, StoredSegment { segment, revision });
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -1,5 +1,6 @@
 //! Finds out at which software version a stream goes on, and tells other nodes; see docs/design/continuations.md.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
     Answers, Decision, Entry, HOLDERS, Knowledge, Node, Outlook, SETTLING_TIME, Source, StreamId,
     Unresolved, decide, decide_with_answers, holders_of,
 };
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{PoolName, ZoneName};
 use ryerouter_core::release::SoftwareVersion;
 use slog::info;
 use tokio::time::sleep;
@@ -18,8 +19,9 @@
 use super::stream_records::needs_stream_records;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, RecordBatches, Records, ServedVersions};
-use crate::peers::{Datagram, PeerMessage};
+use crate::peers::{Datagram, Peer, PeerMessage};
 use crate::serve::AcceptedRequest;
+use crate::source::ItemKind;
 
 /// Maximum time that a stream waits for other nodes to answer. Its caller gives up after two seconds, and a node that has
 /// used up its share of a core answers within a tenth of a second.
@@ -44,24 +46,31 @@
         let stream = request.stream_id();
         let pool = &request.pool;
         let mut outlook = self.version_outlook(pool);
-        let known = self
-            .state()
-            .continuations
-            .register
-            .get(stream, self.clock().now());
-        let mut known_by = match known {
-            Knowledge::Unknown => "list",
-            Knowledge::Began(_) | Knowledge::Ambiguous => "own",
+        let (known, source) = self.own_record(stream);
+        let mut known_by = match source {
+            None => "list",
+            Some(Source::Store) => "store",
+            Some(Source::Own | Source::Peer) => "own",
         };
         let mut answers = Answers::default();
         let decision = match decide(known, &outlook) {
             Decision::Ask => {
-                answers = self.ask_holders(stream, pool).await;
+                answers = self.ask_holders(stream, pool, asked_at).await;
                 if answers.knowledge != Knowledge::Unknown {
-                    known_by = "peer";
+                    known_by = match self.own_record(stream).1 {
+                        Some(Source::Store) => "store",
+                        _ => "peer",
+                    };
                 }
                 // This node may have read the store, or heard of versions, meanwhile.
-                outlook = self.version_outlook(pool);
+                let only_recorded = self.only_recorded_since(pool, asked_at);
+                if answers.knowledge == Knowledge::Unknown && only_recorded.is_some() {
+                    known_by = "record";
+                }
+                outlook = Outlook {
+                    only_recorded,
+                    ..self.version_outlook(pool)
+                };
                 decide_with_answers(&outlook, &answers)
             }
             decision => decision,
@@ -82,13 +91,31 @@
                 "software" => decided.as_ref().ok(), "known_by" => label,
                 "why" => decided.as_ref().err().map(ToString::to_string),
                 "versions" => outlook.versions.join(","), "is_certain" => outlook.is_certain,
+                "list_age_ms" => self.engine_list_age().map(|age| age.as_millis() as u64),
                 "knows_past" => outlook.knows_past, "peers_know_past" => answers.know_past,
+                "is_whole" => outlook.is_whole, "peers_are_whole" => answers.are_whole,
                 "answers" => answers.count, "waited_ms" => waited.as_millis() as u64,
                 "left_out" => left_out);
         }
         decided
     }
 
+    /// What this node's register holds of a stream, and who reported it.
+    fn own_record(&self, stream: StreamId) -> (Knowledge, Option<Source>) {
+        let now = self.clock().now();
+        let state = self.state();
+        let register = &state.continuations.register;
+        (register.get(stream, now), register.source(stream, now))
+    }
+
+    /// Time since the list of engines was confirmed.
+    fn engine_list_age(&self) -> Option<Duration> {
+        let now = self.clock().now();
+        let state = self.state();
+        let replica = state.replicas.of(ItemKind::Engines);
+        replica.freshness.age(now)
+    }
+
     /// Whether engines of a version serve a pool, as far as the list tells; `None` while the list may be outdated.
     pub(crate) fn is_version_in_service(&self, pool: &PoolName, software: &str) -> Option<bool> {
         let outlook = self.version_outlook(pool);
@@ -174,6 +201,7 @@
             versions: continuations.history.versions(&question.pool, now),
             knows_past: continuations.versions.knows_past(&question.pool)
                 && !continuations.history.is_incomplete(&question.pool, now),
+            is_whole: is_whole(&state, now),
             software: match knowledge {
                 Knowledge::Began(software) => Some(software),
                 Knowledge::Unknown | Knowledge::Ambiguous => None,
@@ -234,6 +262,10 @@
         }
         history.expire(now);
         state.continuations.register.expire(now);
+        if state.is_engine_list_current(SETTLING_TIME, now) {
+            let zones = zones_of(state.peers.recently_heard(now));
+            state.continuations.zones.note_current(zones);
+        }
     }
 
     /// The versions of pools that several versions serve, for other nodes.
@@ -303,7 +335,12 @@
             "versions" => state.continuations.history.versions(pool, now).join(","));
     }
 
-    async fn ask_holders(self: &Rc<Self>, stream: StreamId, pool: &PoolName) -> Answers {
+    async fn ask_holders(
+        self: &Rc<Self>,
+        stream: StreamId,
+        pool: &PoolName,
+        asked_at: Timestamp,
+    ) -> Answers {
         let asked = self.nodes_to_ask(stream);
         let lookup = Rc::new(Lookup::new(asked));
         let open = OpenLookup::begin(self, &lookup);
@@ -329,8 +366,8 @@
             }
         };
         let read = self.until_shard_read(stream.shard(), pool);
-        let ask_and_read =
-            async { tokio::join!(ask_until_settled, read, self.until_versions_read()) };
+        let confirmed = self.until_only_version_confirmed(pool, asked_at);
+        let ask_and_read = async { tokio::join!(ask_until_settled, read, confirmed) };
         // Without answers in time, what came until then decides.
         let _ = self.clock().until(limit, ask_and_read).await;
         let mut answers = lookup.answers();
@@ -403,8 +440,32 @@
             versions: continuations.history.versions(pool, now),
             is_certain: is_list_current && has_heard_others && knows_past,
             knows_past,
+            is_whole: is_whole(&state, now),
+            only_recorded: None,
         }
     }
+
+    fn only_recorded_since(&self, pool: &PoolName, at: Timestamp) -> Option<SoftwareVersion> {
+        let state = self.state();
+        let continuations = &state.continuations;
+        let only = continuations.versions.only_recorded_since(pool, at);
+        let is_incomplete = continuations
+            .history
+            .is_incomplete(pool, self.clock().now());
+        only.filter(|_| !is_incomplete).cloned()
+    }
+}
+
+/// Whether no node that this one can't hear may serve versions of which it has not heard.
+fn is_whole(state: &GatewayState, now: Timestamp) -> bool {
+    let peers = state.peers.recently_heard(now);
+    let heard = zones_of(peers.filter(|peer| peer.is_heard(SETTLING_TIME, now)));
+    let is_list_current = state.is_engine_list_current(SETTLING_TIME, now);
+    is_list_current || state.continuations.zones.are_all_in(&heard)
+}
+
+fn zones_of<'a>(peers: impl Iterator<Item = &'a Peer>) -> BTreeSet<ZoneName> {
+    peers.map(|peer| peer.identity.zone.clone()).collect()
 }
 
 /// Keeps a question open until dropped.
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -98,6 +98,8 @@
     pub(crate) stream_records_due: Notify,
     /// Notified when the recorded versions have been read.
     pub(super) versions_read: Notify,
+    /// Notified when they are to be read.
+    pub(super) version_reading_wanted: Notify,
     /// Notified when the orders of releases, or the order of a pool, become known.
     pub(super) orders_known: Notify,
     /// Notified when a shard's records have been read, or could not be.
@@ -155,6 +157,7 @@
             stream_records_due: Notify::new(),
             versions_read: Notify::new(),
             orders_known: Notify::new(),
+            version_reading_wanted: Notify::new(),
             shard_read: Notify::new(),
             engine_doubted: Notify::new(),
             configured: Notify::new(),
--- a/crates/gateway/src/release/admission.rs
+++ b/crates/gateway/src/release/admission.rs
@@ -1,5 +1,7 @@
 //! The engines that a request may be sent to, first and as a fallback.
 
+use std::collections::BTreeSet;
+
 use ryerouter_core::release::SoftwareVersion;
 
 use super::EngineFilter;
@@ -43,14 +45,13 @@
         }
     }
 
-    /// Admits the request to all engines, but first to those of other versions than `avoided`.
-    pub fn preferring_except(avoided: Vec<SoftwareVersion>) -> Self {
-        match avoided.is_empty() {
-            true => Self::to(EngineFilter::Any),
-            false => {
-                let first = EngineFilter::except(avoided.into_iter().collect());
-                Self::with_fallback(first, EngineFilter::Any)
-            }
+    /// Admits the request to the same engines except those of `versions`; `engines` are all of the pool.
+    pub fn without(self, versions: &BTreeSet<SoftwareVersion>, engines: &[&EngineEntry]) -> Self {
+        let fallback = self.fallback;
+        Self {
+            first: self.first.without(versions, engines),
+            fallback: fallback.map(|fallback| fallback.without(versions, engines)),
+            unhealthy: self.unhealthy,
         }
     }
 
--- a/crates/gateway/tests/mixed_versions.rs
+++ b/crates/gateway/tests/mixed_versions.rs
@@ -11,6 +11,7 @@
 use ryerouter_core::continuation::{HOLDERS, SETTLING_TIME};
 use ryerouter_gateway::peers::Datagram;
 use support::gateway_bench::run;
+use support::log_lines::value;
 use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Attempt, Stream, VersionedNodes};
 use tokio::time::sleep;
@@ -20,6 +21,8 @@
 const STREAMS: usize = 24;
 /// Share of streams that go on, of those whose callers take them up again.
 const MIN_CONTINUED: f64 = 0.95;
+/// Longest wait for answers at a node that has just started, in milliseconds.
+const LOOKUP_LIMIT_MS: u64 = 1_000;
 /// A node that has run so long has heard of the others.
 const DISCOVERY_TIME: Duration = Duration::from_millis(3_100);
 
@@ -299,3 +302,67 @@
         assert_eq!(told.get() == 0, most == 0);
     });
 }
+
+/// The nodes of a zone that is cut off agree on the only version that they know.
+#[test]
+fn zone_that_was_cut_off_joins_streams_of_a_later_version() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(DISCOVERY_TIME).await;
+        // These two share a zone.
+        nodes.cut_off(&[0, 3]);
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        for index in [1, 2] {
+            nodes.list_at(&nodes.node(index), nodes.entries());
+        }
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        read_all(&nodes, &mut streams, 1, 2).await;
+        let is_second = |stream: &Stream| stream.versions.contains("v1.2");
+        assert!(streams.iter().any(is_second));
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
+        assert_eq!(mixed, 0, "mixed streams of {STREAMS}");
+    });
+}
+
+/// While the store is away for all nodes, each hears the others, and none can have heard of another version.
+#[test]
+fn streams_of_the_only_version_are_refused_while_the_store_is_away() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        for node in nodes.nodes.borrow().iter() {
+            node.stop_listing();
+        }
+        nodes.store.is_away.set(true);
+        sleep(DISCOVERY_TIME).await;
+        read_all(&nodes, &mut streams, 1, 2).await;
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        check(&streams);
+    });
+}
+
+/// A node that has asked all who may know a stream does not wait for more answers.
+#[test]
+fn lookup_of_an_unknown_stream_runs_to_its_limit() {
+    run(async {
+        let nodes = VersionedNodes::start(12, &["v1", "v1.2"]).await;
+        sleep(DISCOVERY_TIME).await;
+        let mut streams: Vec<_> = (0..STREAMS).map(|_| nodes.new_stream()).collect();
+        for (index, stream) in streams.iter_mut().enumerate() {
+            stream.last = 2;
+            stream.resumes = Some(Some(format!("never-used-{index}")));
+        }
+        read_all(&nodes, &mut streams, 0, EVENTS).await;
+        let lines = nodes.lines.of("stream_taken_up");
+        let waits = lines.iter().filter_map(|line| value(line, "waited_ms"));
+        let waits: Vec<u64> = waits.filter_map(|wait| wait.parse().ok()).collect();
+        assert!(!waits.is_empty());
+        let short = waits.iter().filter(|wait| **wait < LOOKUP_LIMIT_MS / 2);
+        assert!(short.count() * 2 > waits.len(), "waited for {waits:?} ms");
+    });
+}
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -2,11 +2,13 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use ryerouter_core::identity::PoolName;
 use support::gateway_bench::run;
+use support::log_lines::value;
 use support::records::POOL;
 use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Attempt, Stream, VersionedNodes};
@@ -19,6 +21,8 @@
 const MIN_CONTINUED: f64 = 0.95;
 /// Nodes that have run so long take both versions for settled, and have told each other of them.
 const SETTLED: Duration = Duration::from_millis(2_500);
+/// A node that starts so long after the others takes them for older.
+const LATE: Duration = Duration::from_millis(4_000);
 /// A caller that is refused comes back so many times.
 const ATTEMPTS: u32 = 4;
 
@@ -272,6 +276,25 @@
     });
 }
 
+/// That a store which holds what nobody can read is taken for a new one, joins streams.
+#[test]
+fn streams_are_joined_where_an_unreadable_record_counts_as_none() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        {
+            let mut engines = nodes.engines.borrow_mut();
+            engines.retain(|engine| engine.software == "v1");
+        }
+        nodes.store.is_unreadable.set(true);
+        nodes.is_first_start.set(true);
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
 /// A single version needs no record of a stream, only one of the version.
 #[test]
 fn streams_of_the_only_version_are_refused() {
@@ -302,3 +325,216 @@
         assert_eq!(nodes.store.versions_of(&pool), ["v1", "v1.2"]);
     });
 }
+
+fn values(nodes: &VersionedNodes, event: &str, key: &str) -> BTreeSet<String> {
+    let lines = nodes.lines.of(event);
+    let known = lines.iter().filter_map(|line| value(line, key));
+    known.map(str::to_owned).collect()
+}
+
+#[test]
+fn stream_that_the_store_knows_is_logged_as_known_by_a_peer() {
+    run(async {
+        let nodes = VersionedNodes::start(1, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        sleep(Duration::from_millis(400)).await;
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let known_by = values(&nodes, "stream_taken_up", "known_by");
+        assert!(known_by.contains("store"), "{known_by:?}");
+        assert!(!known_by.contains("peer"), "{known_by:?}");
+    });
+}
+
+#[test]
+fn age_of_the_list_by_which_a_stream_is_taken_up_is_not_logged() {
+    run(async {
+        let nodes = VersionedNodes::start(1, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let ages = values(&nodes, "stream_taken_up", "list_age_ms");
+        let ages: Vec<u64> = ages.iter().filter_map(|age| age.parse().ok()).collect();
+        assert!(!ages.is_empty());
+        assert!(ages.iter().all(|age| *age < 10_000), "{ages:?}");
+    });
+}
+
+#[parameterized(
+    first_start = { false, "first_start" },
+    older_node = { true, "older_node" },
+)]
+fn pool_without_a_record_is_taken_for_whole_without_a_word(is_late: bool, why: &str) {
+    run(async {
+        let nodes = VersionedNodes::start(2, &["v1"]).await;
+        if is_late {
+            sleep(LATE).await;
+            nodes.store.lose_versions();
+            nodes.restart(&[1]).await;
+        }
+        sleep(SETTLED).await;
+        let known = values(&nodes, "unrecorded_pool_complete", "why");
+        assert!(known.contains(why), "{known:?}");
+    });
+}
+
+fn set_full(nodes: &VersionedNodes, software: &str, is_full: bool) {
+    let engines = nodes.engines.borrow();
+    for engine in engines.iter().filter(|engine| engine.software == software) {
+        engine.behaviour().is_full.set(is_full);
+    }
+}
+
+async fn add_v1_2(nodes: &VersionedNodes) {
+    nodes.start_engine("v1.2").await;
+    nodes.start_engine("v1.2").await;
+    nodes.list();
+}
+
+/// Nodes that don't write the versions of a pool themselves have to learn that others have.
+#[test]
+fn version_that_appears_later_gets_no_streams_at_nodes_that_do_not_record_it() {
+    run(async {
+        let nodes = VersionedNodes::start(12, &["v1"]).await;
+        sleep(SETTLED).await;
+        kill_all(&nodes).await;
+        sleep(SETTLED).await;
+        add_v1_2(&nodes).await;
+        sleep(LATE).await;
+        let mut unused = Vec::new();
+        for index in 0..nodes.gateways().len() {
+            let node = nodes.node(index);
+            let mut streams: Vec<_> = (0..STREAMS / 2).map(|_| nodes.new_stream()).collect();
+            join_all(streams.iter_mut().map(|stream| stream.read(&node, 2))).await;
+            if !streams
+                .iter()
+                .any(|stream| stream.versions.contains("v1.2"))
+            {
+                unused.push(index);
+            }
+        }
+        assert!(unused.is_empty(), "nodes {unused:?} avoid v1.2");
+    });
+}
+
+/// The store takes no writes. Streams of a version that it does not hold would be taken for streams of the one that it
+/// does, once all nodes were killed and the new version has left.
+#[test]
+fn streams_are_joined_from_a_version_that_nobody_could_record() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        nodes.store.takes_no_writes.set(true);
+        add_v1_2(&nodes).await;
+        sleep(SETTLED).await;
+        set_full(&nodes, "v1", true);
+        let mut streams = begin(&nodes).await;
+        set_full(&nodes, "v1", false);
+        {
+            let mut engines = nodes.engines.borrow_mut();
+            engines.retain(|engine| engine.software == "v1");
+        }
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
+
+/// Where no recorded version serves any more, another one takes its streams at once.
+#[test]
+fn streams_are_refused_where_only_a_version_serves_that_nobody_could_record() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        nodes.store.takes_no_writes.set(true);
+        nodes.start_engine("v1.2").await;
+        take_away_v1(&nodes);
+        nodes.list();
+        let streams = begin(&nodes).await;
+        let begun = streams.iter().filter(|stream| stream.last > 0).count();
+        assert_eq!(begun, STREAMS);
+    });
+}
+
+/// Two streams begun under the same id by different versions can't be told apart by what is stored either.
+#[test]
+fn streams_of_an_id_that_was_used_for_two_versions_are_joined() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        streams.retain(|stream| stream.versions.contains("v1"));
+        set_full(&nodes, "v1", true);
+        for stream in &streams {
+            let mut second = stream.begun_again();
+            second.read(&nodes.node(0), 2).await;
+            assert!(second.versions.contains("v1.2"));
+        }
+        set_full(&nodes, "v1", false);
+        sleep(Duration::from_millis(400)).await;
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        let went_on = streams.iter().filter(|stream| stream.last > 2).count();
+        assert_eq!(went_on, 0, "of {} whose ids were used twice", streams.len());
+    });
+}
+
+/// A newer version appears beside one that stays, while all nodes are down. Nothing but the older one can have served
+/// before, as the store knows.
+#[parameterized(
+    four_nodes = { 4 },
+    many_nodes = { 12 },
+    one_node_alone = { 1 },
+)]
+fn streams_are_refused_where_a_newer_version_appears_meanwhile(count: usize) {
+    run(async {
+        let nodes = VersionedNodes::start(count, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+        let whole = streams.iter().filter(|stream| stream.is_whole()).count();
+        let share = whole as f64 / STREAMS as f64;
+        assert!(share >= MIN_CONTINUED, "{whole} of {STREAMS} went on");
+    });
+}
+
+/// Nodes of a former build neither write records of versions and streams nor read them. What they answer is no proof.
+#[parameterized(
+    one_and_the_older_version_left_before = { &[3], Left::Before(Duration::from_millis(400)) },
+    two_and_the_older_version_left_before = { &[2, 3], Left::Before(Duration::from_millis(400)) },
+    two_and_the_older_version_left_while_they_were_down = { &[2, 3], Left::WhileDown },
+    two_and_both_versions_stay = { &[2, 3], Left::Never },
+)]
+fn streams_are_joined_beside_a_former_build(former: &[usize], left: Left) {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        nodes.former.borrow_mut().extend(former);
+        nodes.restart(former).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        if let Left::Before(time) = left {
+            take_away_v1(&nodes);
+            nodes.list();
+            sleep(time).await;
+        }
+        sleep(Duration::from_millis(400)).await;
+        if left == Left::WhileDown {
+            take_away_v1(&nodes);
+        }
+        kill_all(&nodes).await;
+        for _ in 0..ATTEMPTS {
+            let reads = streams.iter_mut().enumerate().map(|(index, stream)| {
+                let node = nodes.node(index % 2);
+                async move { stream.read(&node, EVENTS).await }
+            });
+            join_all(reads).await;
+        }
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+    });
+}
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -30,6 +30,12 @@
     pub is_hanging: Cell<bool>,
     /// Whether writes are carried out and get no answer.
     pub loses_answers: Cell<bool>,
+    /// Whether it takes no writes.
+    pub takes_no_writes: Cell<bool>,
+    /// A pool whose versions it does not take.
+    pub refused_pool: RefCell<Option<PoolName>>,
+    /// Whether another node writes each segment first.
+    pub is_contended: Cell<bool>,
     /// Whether it holds records of versions that nobody can read.
     pub is_unreadable: Cell<bool>,
     /// How long each call takes.
@@ -59,7 +65,7 @@
     pub fn stream_ids(&self) -> BTreeSet<StreamId> {
         let segments = self.segments.borrow();
         let held = segments.values();
-        let held = held.flat_map(|stored| stored.segment.streams.keys().copied());
+        let held = held.flat_map(|stored| stored.segment.streams.iter().map(|(id, _)| *id));
         held.collect()
     }
 
@@ -88,6 +94,11 @@
         self.revision.set(newest.unwrap_or_default());
     }
 
+    /// Loses the versions, and nobody notices.
+    pub fn lose_versions(&self) {
+        self.versions.borrow_mut().clear();
+    }
+
     async fn answer(&self) -> Result<(), SourceError> {
         self.calls.set(self.calls.get() + 1);
         sleep(self.delay.get()).await;
@@ -119,6 +130,25 @@
         StoreWrite::Written(revision)
     }
 
+    /// Another node writes a segment.
+    fn write_first(&self, index: u8) -> StoreWrite<StoredSegment> {
+        StoreWrite::Conflict(Some(StoredSegment {
+            segment: Segment {
+                index,
+                streams: BTreeSet::new(),
+            },
+            revision: self.next_revision(),
+        }))
+    }
+
+    async fn answer_write(&self) -> Result<(), SourceError> {
+        self.answer().await?;
+        match self.takes_no_writes.get() {
+            true => Err(SourceError::Throttled),
+            false => Ok(()),
+        }
+    }
+
     fn next_revision(&self) -> u64 {
         self.revision.set(self.revision.get() + 1);
         self.revision.get()
@@ -147,7 +177,10 @@
         revision: Option<u64>,
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredVersions>, SourceError>> {
         async move {
-            self.answer().await?;
+            self.answer_write().await?;
+            if self.refused_pool.borrow().as_ref() == Some(&record.pool) {
+                return Err(SourceError::Throttled);
+            }
             let mut held = self.versions.borrow_mut();
             let found = held.get(&record.pool);
             if found.map(|found| found.revision) != revision {
@@ -181,10 +214,13 @@
         revision: Option<u64>,
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredSegment>, SourceError>> {
         async move {
-            self.answer().await?;
+            self.answer_write().await?;
             if self.is_hanging.get() {
                 return pending().await;
             }
+            if self.is_contended.get() {
+                return Ok(self.write_first(segment.index));
+            }
             let written = self.take_segment(shard, segment, revision);
             if self.loses_answers.get() {
                 return pending().await;
