Records of streams: nodes that have just started don't all read the store

A node that has just started knows no other one, takes itself for a reader of each shard, and read all that callers asked it for. After a start of all nodes the reads grew with the nodes. A node that has run for less than half a second and has not heard all others that it knows of now leaves reading to those that have; a stream waits at such a node for a second, so it is still read in time.

--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -1,6 +1,7 @@
 //! Which streams the store holds, and who writes and reads them; see docs/design/continuations.md.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::{
@@ -8,6 +9,7 @@
 };
 use ryerouter_core::identity::PoolName;
 use slog::{info, warn};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
@@ -16,6 +18,11 @@
 
 /// Number of nodes that read a shard's stored records for others. The first one also writes them.
 const SHARD_READERS: usize = 2;
+/// A node that has just started doesn't know the others, and would take itself for a reader of each shard. It is shorter
+/// than a stream waits at such a node.
+const READER_DISCOVERY_TIME: Duration = Duration::from_millis(500);
+/// Interval at which a stream that waits for a reader looks whether it is known.
+const READER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Gateway {
     /// Whether the stored records of a shard are to be read.
@@ -76,6 +83,7 @@
         if !needs_stream_records(&state, pool, now) {
             return true;
         }
+        let is_finding_readers = self.is_finding_readers(&state);
         let readers = self.shard_readers(&state, shard, now);
         if !state.continuations.versions.has_store || !readers.contains(&None) {
             return true;
@@ -84,6 +92,9 @@
         if reading.is_recent(now) && !reading.is_wanted {
             return true;
         }
+        if is_finding_readers {
+            return false;
+        }
         reading.is_wanted = true;
         self.stream_records_due.notify_waiters();
         false
@@ -96,10 +107,18 @@
             if self.has_read_shard(shard, pool) {
                 return;
             }
+            if self.is_finding_readers(&self.state()) {
+                sleep(READER_CHECK_INTERVAL).await;
+                continue;
+            }
             read.await;
         }
     }
 
+    fn is_finding_readers(&self, state: &GatewayState) -> bool {
+        self.uptime() < READER_DISCOVERY_TIME && !state.peers.has_heard_all()
+    }
+
     /// The next segment of a shard to be written, and the revision that it replaces.
     pub(crate) fn next_segment(&self, shard: Shard) -> Option<(Segment, Option<u64>)> {
         let now = self.clock().now();
--- a/crates/gateway/tests/stream_writers.rs
+++ b/crates/gateway/tests/stream_writers.rs
@@ -7,11 +7,14 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use ryerouter_core::identity::NodeName;
 use ryerouter_gateway::gateway::Gateway;
-use ryerouter_gateway::peers::Datagram;
-use support::gateway_bench::run;
+use ryerouter_gateway::peers::{Datagram, MemberAddress};
+use support::gateway_bench::{gateway_with, run};
+use support::signalling::settings_of;
+use support::versioned_engines::EVENTS;
 use support::versioned_nodes::{Stream, VersionedNodes};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Streams of each case.
 const STREAMS: usize = 48;
@@ -30,6 +33,38 @@
     join_all(reads).await;
 }
 
+/// The node hears another one that knows of three more.
+fn hear_of_others(gateway: &Gateway) {
+    let mut message = gateway_with(settings_of(1)).peer_message(true);
+    message.members = (1..=3)
+        .map(|number| MemberAddress {
+            name: NodeName::new(format!("other-{number}")),
+            address: SocketAddr::from(([127, 1, 0, number], 9)),
+        })
+        .collect();
+    gateway.receive_peer_message(message);
+}
+
+/// All nodes may start at once, and would all take themselves for the first of each shard.
+#[test]
+fn node_that_has_just_started_reads_and_writes_for_all_others() {
+    run(async {
+        let nodes = VersionedNodes::start(1, &["v1", "v1.2"]).await;
+        let node = nodes.node(0);
+        hear_of_others(&node.bench.gateway);
+        begin(&nodes, 1).await;
+        let mut unknown = nodes.new_stream();
+        unknown.last = 2;
+        unknown.resumes = Some(Some("nobody".to_owned()));
+        let limit = Duration::from_millis(150);
+        assert!(timeout(limit, unknown.read(&node, EVENTS)).await.is_err());
+        // It has listed the versions.
+        assert_eq!(nodes.store.calls.get(), 1, "calls to the store");
+        sleep(SETTLED).await;
+        assert_eq!(nodes.store.stream_ids().len(), STREAMS);
+    });
+}
+
 /// What begins after the kill of a writer is stored before others miss it.
 #[test]
 fn streams_begun_after_the_kill_of_their_writer_are_not_stored() {
