Wait for prompt writes, so that the few at once hold more than a stream each

Cause: since writes go on beside each other, the four that may follow each other at once were begun for the first four streams, within some milliseconds, and all others waited for the next one, 0.1 s later.

A write begins beside another one once that has taken a write interval. Until then the next one waits for its end, as it did before, and holds what began meanwhile.

writes_of_single_streams_use_up_the_burst fails on the code before (5 of 31 streams in the store 20 ms after the last began, 31 now).

--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -149,20 +149,26 @@
     let mut under_way = FuturesUnordered::new();
     let mut failures = 0;
     let mut due_at = gateway.clock().now();
+    let mut begun_at = due_at;
     loop {
         let changed = gateway.stream_records_due.notified();
         let now = gateway.clock().now();
-        let is_due = now >= due_at;
+        // A prompt write is waited for: the next one holds all that began meanwhile.
+        let next_at = match under_way.is_empty() {
+            true => due_at,
+            false => due_at.max(begun_at.after(interval)),
+        };
+        let is_due = now >= next_at;
         let next = is_due.then(|| gateway.next_segment(shard)).flatten();
         if let Some(write) = next {
-            due_at = now.after(pace.pause_after_write(now));
+            (begun_at, due_at) = (now, now.after(pace.pause_after_write(now)));
             under_way.push(write_segment(gateway, store, shard, write));
             continue;
         }
         let wait = if is_due {
             REWRITE_DELAY
         } else {
-            due_at.since(now)
+            next_at.since(now)
         };
         tokio::select! {
             Some(error) = under_way.next() => {
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -230,3 +230,21 @@
         assert_eq!(store.stream_ids().len(), 128);
     });
 }
+
+/// The few writes that may follow each other at once hold what began until then, and not one stream each.
+#[test]
+fn writes_of_single_streams_use_up_the_burst() {
+    run_paused(async {
+        let store = Rc::<ContinuationRecords>::default();
+        let node = Node::start(&store);
+        node.tell(0..1);
+        sleep(Duration::from_secs(2)).await;
+        store.delay.set(Duration::from_millis(10));
+        for number in 1..31 {
+            node.tell(number * 8..number * 8 + 1);
+            sleep(Duration::from_millis(1)).await;
+        }
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(store.stream_ids().len(), 31);
+    });
+}
