--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -123,7 +123,7 @@
     }
 
     fn is_finding_readers(&self, state: &GatewayState) -> bool {
-        self.uptime() < READER_DISCOVERY_TIME && !state.peers.has_heard_all()
+        self.uptime() < READER_DISCOVERY_TIME && !state.peers.has_heard_all_known()
     }
 
     /// The next segment of a shard to be written, and the revision that it replaces.
