--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -79,7 +79,11 @@
     note_all(&mut journal, 2..3, later);
     let (_, segment, _) = begin(&mut journal, later).expect("segment");
     assert_eq!(
-        segment.streams.keys().copied().collect::<Vec<_>>(),
+        segment
+            .streams
+            .iter()
+            .map(|(id, _)| *id)
+            .collect::<Vec<_>>(),
         [StreamId(2)]
     );
 }
@@ -98,8 +102,8 @@
     assert_eq!((segment.index, revision), (1, None));
     let versions: Vec<_> = segment
         .streams
-        .values()
-        .map(|entry| &entry.software)
+        .iter()
+        .map(|(_, entry)| &entry.software)
         .collect();
     assert_eq!(versions, ["v1"; 3], "what was overwritten is written again");
 }
@@ -137,7 +141,7 @@
     journal.begin_after(&[stored(0, 10..12, 3)]);
     let (_, segment, revision) = begin(&mut journal, at(30_500)).expect("segment");
     assert_eq!((segment.index, revision), (1, None));
-    let streams: Vec<_> = segment.streams.into_keys().collect();
+    let streams: Vec<_> = segment.streams.into_iter().map(|(id, _)| id).collect();
     assert_eq!(streams, [StreamId(2)], "the others are too old");
 }
 
@@ -282,7 +286,7 @@
     let mut numbers = Vec::new();
     while let Some((number, segment, _)) = begin(&mut journal, at(0)) {
         numbers.push(number);
-        written.extend(segment.streams.into_keys());
+        written.extend(segment.streams.into_iter().map(|(id, _)| id));
     }
     assert_eq!((numbers.len(), written.len()), (3, 3_000));
     for number in numbers.into_iter().rev() {
@@ -333,7 +337,7 @@
     note_all(&mut journal, 0..2, at(0));
     let (number, mut held, _) = begin(&mut journal, at(0)).expect("segment");
     journal.fail_write(number);
-    held.streams.insert(StreamId(9), entry("v1"));
+    held.streams.insert((StreamId(9), entry("v1")));
     let index = held.index;
     journal.begin_after(&[StoredSegment {
         segment: held,
@@ -380,3 +384,18 @@
     let (_, segment, revision) = begin(&mut journal, at(2)).expect("segment");
     assert_eq!((segment.streams.len(), revision), (3, None));
 }
+
+/// An id that was used for streams of two versions is stored with both, so that it can't be taken for one of them.
+#[test]
+fn second_version_of_an_id_is_not_stored() {
+    let mut journal = journal();
+    let id = StreamId(1);
+    journal.note(id, entry("v1"), at(0));
+    let (number, ..) = begin(&mut journal, at(0)).expect("segment");
+    journal.end_write(number, 1);
+    journal.note(id, entry("v2"), at(1));
+    journal.note(id, entry("v1"), at(2));
+    let (_, segment, _) = begin(&mut journal, at(2)).expect("segment");
+    let expected = [(id, entry("v1")), (id, entry("v2"))];
+    assert_eq!(segment.streams.into_iter().collect::<Vec<_>>(), expected);
+}
--- a/crates/gateway/src/continuation/state.rs
+++ b/crates/gateway/src/continuation/state.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::continuation::{Handovers, Journal, Register, Shard, VersionHistory};
 
-use super::{Lookup, ShardReading, VersionTable};
+use super::{HeardZones, Lookup, ShardReading, VersionTable};
 
 /// What a node remembers of streams and their versions.
 #[derive(Debug, Default)]
@@ -17,6 +17,8 @@
     pub history: VersionHistory,
     /// Questions that wait for answers, by number.
     pub lookups: HashMap<u64, Rc<Lookup>>,
+    /// Zones that this node has to hear.
+    pub zones: HeardZones,
     /// The versions that the store holds.
     pub versions: VersionTable,
     /// Records that other nodes write to the store, until they have confirmed them.
--- a/crates/gateway/src/gateway/release_traffic.rs
+++ b/crates/gateway/src/gateway/release_traffic.rs
@@ -9,6 +9,7 @@
 use ryerouter_core::release::{Settings, SoftwareVersion, Stage, key_of};
 use slog::{debug, info, warn};
 
+use super::version_records::without_unsettled;
 use super::{Gateway, GatewayState};
 use crate::continuation::SoftwareConstraint;
 use crate::engines::EngineTable;
@@ -37,27 +38,24 @@
     ) -> Admission {
         let now = self.clock().now();
         let state = self.state();
-        let Some(settings) = &self.settings().releases else {
-            let history = &state.continuations.history;
-            return match software {
-                SoftwareConstraint::Any => Admission::to(EngineFilter::Any),
-                SoftwareConstraint::Settled => {
-                    let mut avoided = history.unsettled(pool, now);
-                    avoided.extend(self.unrecorded_versions(&state, pool, now));
-                    Admission::preferring_except(avoided)
-                }
-                SoftwareConstraint::Only(software) => {
-                    Admission::to(EngineFilter::Version(software.clone()))
-                }
-            };
+        let admission = match (&self.settings().releases, software) {
+            (None, SoftwareConstraint::Any | SoftwareConstraint::Settled) => {
+                Admission::to(EngineFilter::Any)
+            }
+            (None, SoftwareConstraint::Only(software)) => {
+                Admission::to(EngineFilter::Version(software.clone()))
+            }
+            (Some(settings), SoftwareConstraint::Any | SoftwareConstraint::Settled) => {
+                self.gate(&state, settings, now).admission(pool, id, tried)
+            }
+            (Some(settings), SoftwareConstraint::Only(software)) => {
+                let gate = self.gate(&state, settings, now);
+                gate.admission_to_version(pool, software)
+            }
         };
-        let gate = self.gate(&state, settings, now);
         match software {
-            // Versions that appeared lately are on hold for longer than they need to settle.
-            SoftwareConstraint::Any | SoftwareConstraint::Settled => {
-                gate.admission(pool, id, tried)
-            }
-            SoftwareConstraint::Only(software) => gate.admission_to_version(pool, software),
+            SoftwareConstraint::Settled => without_unsettled(&state, pool, admission, now),
+            SoftwareConstraint::Any | SoftwareConstraint::Only(_) => admission,
         }
     }
 
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -9,16 +9,24 @@
 use ryerouter_core::placement::rendezvous_score;
 use ryerouter_core::release::SoftwareVersion;
 use slog::info;
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
+use crate::release::Admission;
 use crate::source::{StoredVersions, VersionList};
 
 /// A node that has just started doesn't know the others, and would take itself for the one that writes.
 pub(super) const WRITER_DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Time by which the second node, the third one and so on write the versions of a pool later than the first one.
 const WRITER_STAGGER: Duration = Duration::from_secs(1);
+/// Time after which nodes read what the first writer has written.
+const READING_DELAY: Duration = Duration::from_millis(800);
+/// Time between two readings for streams that wait for them, at one node alone.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
+/// Mean time between the readings of two nodes.
+const READING_SPREAD: Duration = Duration::from_millis(1);
 /// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
 const WRITERS: usize = 4;
 
@@ -31,7 +39,7 @@
     }
 
     /// Applies the recorded versions, as they are read at the start and again before any are written.
-    pub(crate) fn apply_version_records(&self, listed: VersionList) {
+    pub(crate) fn apply_version_records(&self, listed: VersionList, asked_at: Timestamp) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         state.continuations.versions.note_era(listed.era);
@@ -52,6 +60,7 @@
             state.continuations.versions.note_recorded(stored);
         }
         state.continuations.versions.read_at.get_or_insert(now);
+        state.continuations.versions.note_read(asked_at);
         if is_first {
             let continuations = &mut state.continuations;
             let listed_pools = continuations.history.pools();
@@ -59,8 +68,8 @@
             continuations.versions.unrecorded_at_start = unrecorded.collect();
             // One of them may be that of any pool without a record.
             continuations.versions.is_first_start &= !listed.has_unreadable;
-            self.versions_read.notify_waiters();
         }
+        self.versions_read.notify_waiters();
     }
 
     /// Waits until the recorded versions have been read.
@@ -74,6 +83,56 @@
         }
     }
 
+    /// Waits until the recorded versions have been read by a call that began after `at`, if that may show that one version
+    /// alone served the pool until then, although several are known.
+    pub(super) async fn until_only_version_confirmed(&self, pool: &PoolName, at: Timestamp) {
+        self.until_versions_read().await;
+        loop {
+            let read = self.versions_read.notified();
+            if !self.wants_confirmation(pool, at) {
+                return;
+            }
+            self.version_reading_wanted.notify_one();
+            read.await;
+        }
+    }
+
+    fn wants_confirmation(&self, pool: &PoolName, at: Timestamp) -> bool {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let continuations = &mut state.continuations;
+        let is_mixed = continuations.history.is_mixed(pool, now);
+        let versions = &mut continuations.versions;
+        let may_confirm = is_mixed && versions.only_recorded(pool).is_some();
+        let is_wanted = may_confirm && versions.only_recorded_since(pool, at).is_none();
+        versions.is_reading_wanted |= is_wanted;
+        is_wanted
+    }
+
+    /// Resolves once the recorded versions are to be read for a stream that waits for it.
+    pub(crate) async fn until_version_reading_wanted(&self) {
+        loop {
+            let wanted = self.version_reading_wanted.notified();
+            match self.pause_before_wanted_reading() {
+                None => wanted.await,
+                Some(Duration::ZERO) => return,
+                Some(pause) => sleep(pause).await,
+            }
+        }
+    }
+
+    /// Time until the recorded versions are read for streams that wait for it; `None` if there are none.
+    fn pause_before_wanted_reading(&self) -> Option<Duration> {
+        let now = self.clock().now();
+        let state = self.state();
+        let versions = &state.continuations.versions;
+        let interval = CONFIRMATION_INTERVAL + READING_SPREAD * state.peers.known_count() as u32;
+        let since = versions.read_asked_at.map(|at| now.since(at));
+        versions
+            .is_reading_wanted
+            .then(|| interval.saturating_sub(since.unwrap_or(interval)))
+    }
+
     /// Applies a record as this node finds it at its start: each of its versions may have streams under way. Returns
     /// whether that makes the pool one of several versions.
     fn apply_first_record(
@@ -102,20 +161,29 @@
     /// or where another node has been running since well before, nothing can have served unnoticed; otherwise the
     /// record may be lost.
     fn settle_unrecorded_pools(&self, state: &mut GatewayState, now: Timestamp) {
-        let is_noticed =
-            state.continuations.versions.is_first_start || self.hears_older_node(state);
-        if !is_noticed && self.uptime() < WRITER_DISCOVERY_TIME {
+        let why_complete = self.why_unrecorded_is_complete(state);
+        if why_complete.is_none() && self.uptime() < WRITER_DISCOVERY_TIME {
             return;
         }
         let versions = &mut state.continuations.versions;
         for pool in std::mem::take(&mut versions.unrecorded_at_start) {
-            if !is_noticed && state.continuations.history.note_incomplete(&pool, now) {
+            if let Some(why) = why_complete {
+                info!(self.log(), "unrecorded_pool_complete"; "pool" => %pool, "why" => why);
+            } else if state.continuations.history.note_incomplete(&pool, now) {
                 info!(self.log(), "versions_unknown"; "pool" => %pool);
                 self.announce_streams(state, &pool, now);
             }
         }
     }
 
+    /// Why a pool without a record has had no version that this node does not know; `None` if it may have had one.
+    fn why_unrecorded_is_complete(&self, state: &GatewayState) -> Option<&'static str> {
+        if state.continuations.versions.is_first_start {
+            return Some("first_start");
+        }
+        self.hears_older_node(state).then_some("older_node")
+    }
+
     /// Schedules a record for each pool whose versions the store does not hold as they are.
     pub(crate) fn schedule_version_records(&self) {
         let now = self.clock().now();
@@ -125,6 +193,7 @@
         state.continuations.versions.note_era(era);
         self.settle_unrecorded_pools(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
+        self.schedule_version_reading(state, &pools, now);
         for pool in pools {
             let record = self.record_of(state, &pool, now);
             let is_outdated = state.continuations.versions.is_outdated(&record);
@@ -139,6 +208,43 @@
         }
     }
 
+    /// Schedules a reading of the records if other nodes write a version that this one does not know to be recorded.
+    fn schedule_version_reading(
+        &self,
+        state: &mut GatewayState,
+        pools: &[PoolName],
+        now: Timestamp,
+    ) {
+        let continuations = &state.continuations;
+        let is_lacking = pools.iter().any(|pool| {
+            let versions = continuations.history.versions(pool, now);
+            let mut lacking = versions.iter();
+            lacking.any(|software| continuations.versions.lacks(pool, software))
+                && self.writer_rank(state, pool, now) > 0
+        });
+        let delay = self.version_reading_delay(state);
+        let versions = &mut state.continuations.versions;
+        match is_lacking {
+            true => versions.schedule_reading(delay, now),
+            false => versions.cancel_reading(),
+        }
+    }
+
+    /// The first writer has written by then; many nodes don't read at the same time.
+    fn version_reading_delay(&self, state: &GatewayState) -> Duration {
+        let discovery = WRITER_DISCOVERY_TIME.saturating_sub(self.uptime());
+        let spread = READING_SPREAD * state.peers.known_count() as u32;
+        let share = self.own_name_hash() as f64 / u64::MAX as f64;
+        discovery + READING_DELAY + spread.mul_f64(share)
+    }
+
+    /// Whether this node reads the records again now.
+    pub(crate) fn is_version_reading_due(&self) -> bool {
+        let now = self.clock().now();
+        let is_due = self.state().continuations.versions.is_reading_due(now);
+        is_due || self.pause_before_wanted_reading() == Some(Duration::ZERO)
+    }
+
     /// The pools whose versions this node writes now.
     pub(crate) fn due_version_records(&self) -> Vec<PoolName> {
         let now = self.clock().now();
@@ -206,22 +312,6 @@
         }
     }
 
-    /// Versions of a pool that new streams avoid while there are others: the store does not hold them yet, so after a
-    /// restart of all nodes nobody would know that they served.
-    pub(super) fn unrecorded_versions(
-        &self,
-        state: &GatewayState,
-        pool: &PoolName,
-        now: Timestamp,
-    ) -> Vec<SoftwareVersion> {
-        let known = state.continuations.history.versions(pool, now);
-        let versions = &state.continuations.versions;
-        let unrecorded = known.into_iter();
-        unrecorded
-            .filter(|software| versions.is_unrecorded(pool, software))
-            .collect()
-    }
-
     /// Position of this node among those that may write a pool's versions.
     fn writer_rank(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> usize {
         let key = xxh3_64(pool.as_str().as_bytes());
@@ -235,6 +325,42 @@
     }
 }
 
+/// Takes the versions off an admission that other nodes may not know yet, and those that the store does not hold yet:
+/// after a restart of all nodes nobody would know that they served. They stay if no other engine in service is admitted.
+pub(super) fn without_unsettled(
+    state: &GatewayState,
+    pool: &PoolName,
+    admission: Admission,
+    now: Timestamp,
+) -> Admission {
+    let mut unsettled = unrecorded_versions(state, pool, now);
+    unsettled.extend(state.continuations.history.unsettled(pool, now));
+    if unsettled.is_empty() {
+        return admission;
+    }
+    let in_service = state.engines.of_pool(pool);
+    let in_service = in_service.filter(|engine| engine.is_in_service());
+    let in_service: Vec<_> = in_service.map(|engine| &engine.entry).collect();
+    let settled = admission.clone().without(&unsettled, &in_service);
+    match in_service.iter().any(|entry| settled.admits(entry)) {
+        true => settled,
+        false => admission,
+    }
+}
+
+fn unrecorded_versions(
+    state: &GatewayState,
+    pool: &PoolName,
+    now: Timestamp,
+) -> BTreeSet<SoftwareVersion> {
+    let known = state.continuations.history.versions(pool, now);
+    let versions = &state.continuations.versions;
+    let unrecorded = known.into_iter();
+    unrecorded
+        .filter(|software| versions.is_unrecorded(pool, software))
+        .collect()
+}
+
 /// Applies versions that another node has recorded before this one has heard of them. Returns whether that makes the
 /// pool one of several versions.
 fn note_unheard_versions(state: &mut GatewayState, record: &VersionRecord, now: Timestamp) -> bool {
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,8 +24,10 @@
 use tokio::time::sleep;
 
 use super::continuation_records::ContinuationRecords;
+use super::cut_socket::CutSocket;
 use super::fleet::introduce;
-use super::gateway_bench::{GatewayBench, gateway_with, list_engines};
+use super::gateway_bench::{GatewayBench, gateway_with, gateway_with_log, list_engines};
+use super::log_lines::LogLines;
 use super::records::{POOL, route, tenant};
 use super::release_node::bounds;
 use super::release_orders::{OrdersWay, ReleaseOrders};
@@ -45,11 +48,21 @@
     longest_pause: Duration::from_millis(600),
 };
 
+/// How a node is started.
+struct Start<'a> {
+    is_first_start: bool,
+    /// Whether it is of a build that knows nothing of stored records.
+    is_former: bool,
+    lines: &'a LogLines,
+}
+
 /// One node.
 pub struct VersionedNode {
     pub bench: GatewayBench,
     /// The list of engines that it reads.
     pub list: Rc<RefCell<Vec<EngineEntry>>>,
+    /// Where its datagrams are lost.
+    unreachable: Rc<RefCell<BTreeSet<SocketAddr>>>,
     listing: JoinHandle<()>,
     /// Tasks that end with the node.
     _tasks: JoinSet<()>,
@@ -68,7 +81,7 @@
         entries: Vec<EngineEntry>,
         store: Rc<ContinuationRecords>,
         orders: Option<Rc<ReleaseOrders>>,
-        is_first_start: bool,
+        how: Start<'_>,
     ) -> Self {
         let datagrams = UdpSocket::bind("127.0.0.1:0").await.expect("bind");
         let mut own = settings_of(index);
@@ -78,16 +91,29 @@
         own.releases = orders.is_some().then(bounds);
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
-        let bench = GatewayBench::serve(gateway_with(own), Some(table), entries.clone()).await;
+        let bench = GatewayBench::serve(
+            gateway_with_log(own, how.lines),
+            Some(table),
+            entries.clone(),
+        )
+        .await;
         let gateway = Rc::clone(&bench.gateway);
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
-        tasks.spawn_local(run_peer_link(Rc::clone(&gateway), datagrams));
-        let how = StoreSettings {
+        let unreachable: Rc<RefCell<BTreeSet<SocketAddr>>> = Rc::default();
+        let socket = CutSocket {
+            socket: datagrams,
+            unreachable: Rc::clone(&unreachable),
+            is_former: how.is_former,
+        };
+        tasks.spawn_local(run_peer_link(Rc::clone(&gateway), socket));
+        let settings = StoreSettings {
             write_interval: STORE_WRITE_INTERVAL,
-            is_first_start,
+            is_first_start: how.is_first_start,
         };
-        tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, how));
+        if !how.is_former {
+            tasks.spawn_local(sync_continuations(Rc::clone(&gateway), store, settings));
+        }
         if let Some(orders) = orders {
             let way = Rc::new(OrdersWay(orders));
             tasks.spawn_local(run_releases(Rc::clone(&gateway), way, FOLLOWING));
@@ -102,6 +128,7 @@
         Self {
             bench,
             list,
+            unreachable,
             listing,
             _tasks: tasks,
         }
@@ -122,6 +149,8 @@
     pub store: Rc<ContinuationRecords>,
     /// Orders of releases that nodes follow which are started from now on.
     pub orders: RefCell<Option<Rc<ReleaseOrders>>>,
+    /// What all of them write to their logs.
+    pub lines: LogLines,
     route: Route,
     tenants: Vec<Tenant>,
     started: Cell<u64>,
@@ -129,6 +158,8 @@
     streams: Cell<u64>,
     /// Whether the nodes are started for the first time.
     pub is_first_start: Cell<bool>,
+    /// Nodes that are of a former build from their next start on, which knows nothing of stored records.
+    pub former: RefCell<BTreeSet<usize>>,
 }
 
 impl VersionedNodes {
@@ -162,12 +193,14 @@
             engines: RefCell::default(),
             store: Rc::default(),
             orders: RefCell::default(),
+            lines: LogLines::default(),
             route,
             tenants,
             started: Cell::new(0),
             engines_started: Cell::new(0),
             streams: Cell::new(0),
             is_first_start: Cell::new(true),
+            former: RefCell::default(),
         };
         for version in versions {
             all.start_engine(version).await;
@@ -222,10 +255,13 @@
         let entries = self.entries();
         let store = Rc::clone(&self.store);
         let orders = self.orders.borrow().clone();
-        let is_first = self.is_first_start.get();
-        let node =
-            VersionedNode::start(index, incarnation, table, entries, store, orders, is_first).await;
-        Rc::new(node)
+        let how = Start {
+            is_first_start: self.is_first_start.get(),
+            is_former: self.former.borrow().contains(&index),
+            lines: &self.lines,
+        };
+        let node = VersionedNode::start(index, incarnation, table, entries, store, orders, how);
+        Rc::new(node.await)
     }
 
     /// Starts a node that no other one knows, and that can't hear them.
@@ -269,6 +305,20 @@
         introduce(&self.gateways());
     }
 
+    /// Cuts some nodes off from the others, and from the list of engines.
+    pub fn cut_off(&self, indexes: &[usize]) {
+        let nodes = self.nodes.borrow();
+        let address = |index: usize| nodes[index].bench.gateway.settings().identity.peer_address;
+        for (index, node) in nodes.iter().enumerate() {
+            let is_cut = indexes.contains(&index);
+            let beyond = (0..nodes.len()).filter(|other| indexes.contains(other) != is_cut);
+            node.unreachable.borrow_mut().extend(beyond.map(address));
+            if is_cut {
+                node.stop_listing();
+            }
+        }
+    }
+
     pub fn gateways(&self) -> Vec<Rc<Gateway>> {
         let nodes = self.nodes.borrow();
         let all = nodes.iter();
