Bound events without end in time where many of them come at once

Callers of streams were lost while an engine sent events without end fast: many of them shared the processor, so none reached the bound of 1 MiB while its caller waited, and the bound of time let an event take 17 s at 64 KiB a second. The attempt ended with its caller, which is no failure of the engine, so the engine stayed in service; where the others had been ejected before, all streams were sent to it.

An event that has begun now has to come at 1 MiB a second, after its first second, so that the longest one takes 2 s, which is the time after which callers give up. Plain bodies keep 64 KiB a second.

The soak was not played again with it.

--- a/crates/gateway/src/relay/event_meter.rs
+++ b/crates/gateway/src/relay/event_meter.rs
@@ -50,7 +50,7 @@
             since,
             filler_bytes: 0,
             filler: FillerMeter::default(),
-            event: TransferMeter::default(),
+            event: TransferMeter::of_event(),
             received_at: since,
             line_start: Vec::with_capacity(DATA_FIELD.len()),
             has_data: false,
@@ -117,7 +117,7 @@
             self.since = now;
             self.filler_bytes = 0;
             self.filler = FillerMeter::default();
-            self.event = TransferMeter::default();
+            self.event = TransferMeter::of_event();
         }
     }
 }
--- a/crates/gateway/src/serve/live_answer.rs
+++ b/crates/gateway/src/serve/live_answer.rs
@@ -154,7 +154,7 @@
     let mut body = Limited::new(body, MAX_WHOLE_ANSWER);
     let reservation = gateway.memory().reserve_whole_answer(announced).await;
     let mut collected = CollectedBytes::new(reservation);
-    let mut meter = TransferMeter::default();
+    let mut meter = TransferMeter::of_body();
     loop {
         let since = clock.now();
         let Some(frame) = body.frame().await else {
