Give sound bodies the time that a narrow link takes for them

A plain body in several pieces that came at less than 64 KiB a second, over a link that carries others beside it, was cut off and held against its engine; one that may run once was lost for its caller. Found by a review of the bound for bodies without end; no test had a narrow link.

body_on_a_narrow_link_is_given_up: 60 KB at 20 KB a second in 3 s, where 1.9 s were allowed before and 8.3 s are now (computed from the bound; not run on the code before); the trickle of 1 KB a second is still given up. answers_without_end (49) passes.

--- a/crates/gateway/src/relay/transfer_meter.rs
+++ b/crates/gateway/src/relay/transfer_meter.rs
@@ -8,8 +8,8 @@
 const MAX_DELAY: Duration = Duration::from_secs(1);
 /// Rate at which an event comes at least, so that the longest one takes two seconds.
 const MIN_EVENT_BYTES_PER_SECOND: f64 = 1_048_576.0;
-/// The same of a plain body.
-const MIN_BODY_BYTES_PER_SECOND: f64 = 65_536.0;
+/// The same of a plain body, which a narrow link may carry beside others.
+const MIN_BODY_BYTES_PER_SECOND: f64 = 8_192.0;
 
 /// Tells a part of a response that is sent at once, an event or a plain body, from one that goes on and on in small
 /// pieces.
--- a/crates/gateway/tests/event_meter.rs
+++ b/crates/gateway/tests/event_meter.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_gateway::relay::{EventMeter, MeteredBytes};
+use ryerouter_gateway::relay::{EventMeter, MeteredBytes, TransferMeter};
 use yare::parameterized;
 
 const START: Timestamp = Timestamp::from_millis(1_000);
@@ -149,3 +149,16 @@
     let end = meter.push(b"\n", at(50));
     assert_eq!(end.map(|it| it.events), Ok(1));
 }
+
+/// A sound body on a narrow link that it shares is not one without end.
+#[parameterized(
+    narrow_link = { 2_000, false },
+    trickle = { 100, true },
+)]
+fn body_on_a_narrow_link_is_given_up(bytes_of_piece: usize, is_overdue: bool) {
+    let mut meter = TransferMeter::of_body();
+    for _ in 0..30 {
+        meter.push(bytes_of_piece, Duration::from_millis(100));
+    }
+    assert_eq!(meter.is_overdue(), is_overdue);
+}
