End a lookup as soon as a node has answered what began the stream

Where the store was slow or away while it held one of several versions, callers that took a stream up waited for a reading of it, up to 0.3 s, or 1 s at the start, also if another node had answered at once what began the stream. Found by a review; read, not shown by a test of its own. mixed_versions (25) and streams_after_all_killed (41) pass, lookup_of_an_unknown_stream_runs_to_its_limit among them.

--- a/crates/gateway/src/continuation/lookup.rs
+++ b/crates/gateway/src/continuation/lookup.rs
@@ -72,20 +72,33 @@
 
     /// Resolves once no further answer would change the outcome.
     pub async fn until_settled(&self) {
+        self.until(|progress| progress.is_known() || progress.is_complete(&self.asked))
+            .await;
+    }
+
+    /// Resolves once a node has answered what began the stream.
+    pub async fn until_known(&self) {
+        self.until(Progress::is_known).await;
+    }
+
+    async fn until(&self, is_reached: impl Fn(&Progress) -> bool) {
         loop {
             let changed = self.changed.notified();
-            if self.is_settled() {
+            if is_reached(&self.progress.borrow()) {
                 return;
             }
             changed.await;
         }
     }
+}
 
-    fn is_settled(&self) -> bool {
-        let progress = self.progress.borrow();
-        let is_known = progress.answers.knowledge != Knowledge::Unknown;
-        let have_all = self.asked.is_subset(&progress.answered);
-        is_known || have_all && !progress.is_passed_on
+impl Progress {
+    fn is_known(&self) -> bool {
+        self.answers.knowledge != Knowledge::Unknown
+    }
+
+    fn is_complete(&self, asked: &BTreeSet<SocketAddr>) -> bool {
+        asked.is_subset(&self.answered) && !self.is_passed_on
     }
 }
 
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -367,7 +367,13 @@
         };
         let read = self.until_shard_read(stream.shard(), pool);
         let confirmed = self.until_only_version_confirmed(pool, asked_at);
-        let ask_and_read = async { tokio::join!(ask_until_settled, read, confirmed) };
+        let ask_and_read = async {
+            tokio::select! {
+                // What is known needs no proof that nothing else served.
+                () = lookup.until_known() => {}
+                _ = async { tokio::join!(ask_until_settled, read, confirmed) } => {}
+            }
+        };
         // Without answers in time, what came until then decides.
         let _ = self.clock().until(limit, ask_and_read).await;
         let mut answers = lookup.answers();
