Let new streams wait for the recorded versions after a start

What callers saw: a newer version appeared while all nodes were down, and the store was slow when they were back. Streams began at the newer version before the nodes had read that the store holds the older one alone. All nodes were killed again before it was recorded, and these streams went on at the older version: joined, with nothing to show it.

Cause: while the records have not been read, no version counts as unrecorded. Since a recorded version that is alone proves what began a stream, that silence is no longer harmless. Found by a review of the change.

Change: a new stream that may be resumed waits for the reading while several versions are known, until the node is 1.5 s old.

--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -27,6 +27,9 @@
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Mean time between the readings of two nodes.
 const READING_SPREAD: Duration = Duration::from_millis(1);
+/// Uptime until which new streams wait for the recorded versions, so that they don't begin at one that the store does not
+/// hold. Beyond it the store may be away for long.
+const MAX_RECORDS_WAIT: Duration = Duration::from_millis(1_500);
 /// Number of nodes that write the versions of a pool. One that fails is not counted any more by the others.
 const WRITERS: usize = 4;
 
@@ -83,6 +86,19 @@
         }
     }
 
+    /// Waits until the recorded versions have been read, if this node has just started and knows several versions of a pool.
+    pub(crate) async fn until_versions_settled(&self, pool: &PoolName) {
+        let now = self.clock().now();
+        let is_mixed = self.state().continuations.history.is_mixed(pool, now);
+        let left = MAX_RECORDS_WAIT.saturating_sub(self.uptime());
+        if is_mixed && !left.is_zero() {
+            let read = self.until_versions_read();
+            if self.clock().until(now.after(left), read).await.is_none() {
+                info!(self.log(), "streams_begin_without_version_records"; "pool" => %pool);
+            }
+        }
+    }
+
     /// Waits until the recorded versions have been read by a call that began after `at`, if that may show that one version
     /// alone served the pool until then, although several are known.
     pub(super) async fn until_only_version_confirmed(&self, pool: &PoolName, at: Timestamp) {
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -108,6 +108,9 @@
             let (version, ()) = tokio::join!(version, orders);
             let version = version.map_err(|why| self.unknown_version_refusal(why))?;
             self.software = SoftwareConstraint::Only(version);
+        } else if self.request.is_resumable_stream() {
+            let versions = self.gateway.until_versions_settled(&self.request.pool);
+            tokio::join!(versions, orders);
         } else {
             orders.await;
         }
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -23,6 +23,8 @@
 const SETTLED: Duration = Duration::from_millis(2_500);
 /// A node that starts so long after the others takes them for older.
 const LATE: Duration = Duration::from_millis(4_000);
+/// How long a slow store takes for a call.
+const SLOW_STORE: Duration = Duration::from_millis(600);
 /// A caller that is refused comes back so many times.
 const ATTEMPTS: u32 = 4;
 
@@ -504,6 +506,28 @@
     });
 }
 
+/// A newer version appears while all nodes are down, the store is slow when they are back, and all are killed once more
+/// before it holds the newer version.
+#[test]
+fn streams_that_begin_before_the_records_are_read_are_joined() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        nodes.store.delay.set(SLOW_STORE);
+        kill_all(&nodes).await;
+        let mut streams = begin(&nodes).await;
+        nodes.store.delay.set(Duration::ZERO);
+        kill_all(&nodes).await;
+        take_up(&nodes, &mut streams).await;
+        assert_eq!(count_mixed(&streams), 0, "mixed streams of {STREAMS}");
+        let begun = streams.iter().filter(|stream| stream.last > 0).count();
+        assert_eq!(begun, STREAMS);
+    });
+}
+
 /// Nodes of a former build neither write records of versions and streams nor read them. What they answer is no proof.
 #[parameterized(
     one_and_the_older_version_left_before = { &[3], Left::Before(Duration::from_millis(400)) },
