Ask nodes that are cut off themselves after one whose tunnel was lost

Where all nodes but one are cut off from the engines, one lost tunnel through that one put it behind all others for a second and more, so requests of the cut-off nodes went to nodes that reach no engine either.

--- a/crates/core/src/path/tunnel_peers.rs
+++ b/crates/core/src/path/tunnel_peers.rs
@@ -85,8 +85,8 @@
     }
 
     /// The nodes to ask for a tunnel to an engine, the preferred one first, and then one of another zone: what cuts off a
-    /// node often cuts off its zone. Nodes of other regions come after all others, then nodes
-    /// that are cut off themselves, and those last through which tunnels were lost.
+    /// node often cuts off its zone. Nodes of other regions come after all others, then nodes through which tunnels were
+    /// lost, and those last that are cut off themselves.
     pub fn candidates(&self, engine: &BackEndName, now: Timestamp) -> Vec<TunnelPeer> {
         let key = name_hash(engine);
         let usable = self.peers.iter().filter(|peer| {
@@ -121,6 +121,6 @@
         let is_remote = peer.distance == PeerDistance::Remote;
         let losses = self.losses.get(&peer.name);
         let was_lost = losses.is_some_and(|losses| losses.until > now);
-        (was_lost, peer.is_cut_off, is_remote, -draw.ln() / weight)
+        (peer.is_cut_off, was_lost, is_remote, -draw.ln() / weight)
     }
 }
--- a/crates/core/tests/path.rs
+++ b/crates/core/tests/path.rs
@@ -242,6 +242,20 @@
     assert_eq!(avoided_ms(&mut known, &preferred, 20_000), 1_000);
 }
 
+/// One lost tunnel says less than that a node reaches no engine itself.
+#[test]
+fn node_whose_tunnels_are_lost_is_asked_after_those_that_are_cut_off() {
+    let mut all: Vec<_> = (0..4)
+        .map(|index| peer(index, PeerDistance::Zone))
+        .collect();
+    for cut_off in &mut all[1..] {
+        cut_off.is_cut_off = true;
+    }
+    let mut known = peers(7, &all);
+    known.note_lost(&all[0].name, START);
+    assert_eq!(known.candidates(&engine(0), after(10))[0].name, all[0].name);
+}
+
 /// Knowledge of a large fleet stays bounded.
 #[parameterized(
     small = { 5, 5 },
