Take a reading of the versions for proof of the pools alone that it showed

What callers would see: streams joined from two versions, or gone on without proof, where the record of their pool was gone from the store, or could not be read, when a node read the versions again to prove that one alone had served. Found by a review.

Cause: the node kept the pool's former record, and took any later reading for its confirmation. The class of the incident: an answer that is not whole is taken for proof.

--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -27,6 +27,8 @@
     pub is_first_start: bool,
     /// When the last reading that succeeded was begun.
     pub read_asked_at: Option<Timestamp>,
+    /// Pools whose records it showed.
+    read_pools: BTreeSet<PoolName>,
     /// Whether a stream waits for a reading that begins after its caller came back.
     pub is_reading_wanted: bool,
     /// Pools that had no record when this node read them.
@@ -141,7 +143,7 @@
     /// The only version that served a pool until `at`, if the store has confirmed that since.
     pub fn only_recorded_since(&self, pool: &PoolName, at: Timestamp) -> Option<&SoftwareVersion> {
         self.only_recorded(pool)
-            .filter(|_| self.read_asked_at >= Some(at))
+            .filter(|_| self.read_asked_at >= Some(at) && self.read_pools.contains(pool))
     }
 
     /// The version of a pool that the store holds alone, if nothing that it held may be lost.
@@ -154,9 +156,10 @@
             .filter(|_| is_complete && versions.next().is_none())
     }
 
-    /// Records that the records were read.
-    pub fn note_read(&mut self, asked_at: Timestamp) {
+    /// Records that the records of these pools were read.
+    pub fn note_read(&mut self, pools: BTreeSet<PoolName>, asked_at: Timestamp) {
         self.read_asked_at = Some(asked_at);
+        self.read_pools = pools;
         self.is_reading_wanted = false;
         if self.reading_due.take().is_some() {
             self.fruitless_readings += 1;
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -47,7 +47,7 @@
         let mut state = self.state_mut();
         state.continuations.versions.note_era(listed.era);
         let is_first = state.continuations.versions.read_at.is_none();
-        let pools: Vec<_> = listed
+        let pools: BTreeSet<_> = listed
             .records
             .iter()
             .map(|stored| stored.record.pool.clone())
@@ -63,7 +63,6 @@
             state.continuations.versions.note_recorded(stored);
         }
         state.continuations.versions.read_at.get_or_insert(now);
-        state.continuations.versions.note_read(asked_at);
         if is_first {
             let continuations = &mut state.continuations;
             let listed_pools = continuations.history.pools();
@@ -72,6 +71,7 @@
             // One of them may be that of any pool without a record.
             continuations.versions.is_first_start &= !listed.has_unreadable;
         }
+        state.continuations.versions.note_read(pools, asked_at);
         self.versions_read.notify_waiters();
     }
 
--- a/crates/gateway/tests/streams_after_all_killed.rs
+++ b/crates/gateway/tests/streams_after_all_killed.rs
@@ -23,6 +23,8 @@
 const SETTLED: Duration = Duration::from_millis(2_500);
 /// A node that starts so long after the others takes them for older.
 const LATE: Duration = Duration::from_millis(4_000);
+/// Nodes that are back have read the records of versions by then.
+const RECORDS_READ: Duration = Duration::from_millis(300);
 /// How long a slow store takes for a call.
 const SLOW_STORE: Duration = Duration::from_millis(600);
 /// A caller that is refused comes back so many times.
@@ -506,6 +508,25 @@
     });
 }
 
+/// The store has lost the record that nodes read at their start. What they read again shows nothing of the pool.
+#[test]
+fn streams_go_on_by_a_record_that_is_gone() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED).await;
+        let mut streams = begin(&nodes).await;
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        kill_all(&nodes).await;
+        sleep(RECORDS_READ).await;
+        nodes.store.lose_versions();
+        take_up(&nodes, &mut streams).await;
+        let went_on = streams.iter().filter(|stream| stream.last > 2).count();
+        assert_eq!(went_on, 0, "of {STREAMS}");
+    });
+}
+
 /// A newer version appears while all nodes are down, the store is slow when they are back, and all are killed once more
 /// before it holds the newer version.
 #[test]
