--- a/crates/gateway/tests/event_meter.rs
+++ b/crates/gateway/tests/event_meter.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ryerouter_core::Timestamp;
-use ryerouter_gateway::relay::{EventMeter, MeteredBytes};
+use ryerouter_gateway::relay::{EventMeter, MeteredBytes, TransferMeter};
 use yare::parameterized;
 
 const START: Timestamp = Timestamp::from_millis(1_000);
@@ -127,15 +127,38 @@
     assert_eq!(end.map(|it| it.events), Ok(1));
 }
 
+/// Many of them share the link and the processor, so that none reaches the bound on its bytes while its caller waits.
+#[test]
+fn events_that_go_on_side_by_side_are_a_fault() {
+    let mut meter = EventMeter::new(START);
+    let piece = format!("data: {}\n", "a".repeat(3_000));
+    let at = |number: u64| START.after(Duration::from_millis(10 * number));
+    let pieces = (0..1_000).position(|number| meter.push(piece.as_bytes(), at(number)).is_err());
+    assert!(pieces.is_some_and(|pieces| pieces <= 200), "{pieces:?}");
+}
+
 /// An event of many pieces may take the time of its bytes.
 #[test]
 fn long_event_may_take_its_time() {
     let mut meter = EventMeter::new(START);
     let piece = format!("data: {}\n", "a".repeat(16_384));
-    let at = |number: u64| START.after(Duration::from_millis(200 * number));
+    let at = |number: u64| START.after(Duration::from_millis(30 * number));
     for number in 0..50 {
         meter.push(piece.as_bytes(), at(number)).expect("piece");
     }
     let end = meter.push(b"\n", at(50));
     assert_eq!(end.map(|it| it.events), Ok(1));
 }
+
+/// A sound body on a narrow link that it shares is not one without end.
+#[parameterized(
+    narrow_link = { 2_000, false },
+    trickle = { 100, true },
+)]
+fn body_on_a_narrow_link_is_given_up(bytes_of_piece: usize, is_overdue: bool) {
+    let mut meter = TransferMeter::of_body();
+    for _ in 0..30 {
+        meter.push(bytes_of_piece, Duration::from_millis(100));
+    }
+    assert_eq!(meter.is_overdue(), is_overdue);
+}
