--- a/crates/core/src/continuation/shard.rs
+++ b/crates/core/src/continuation/shard.rs
@@ -2,8 +2,8 @@
 
 use derive_more::Display;
 
-/// Part of the stored records of streams, selected by their ids. One node at a time writes a shard, and reads it for
-/// others.
+/// Part of the stored records of streams, selected by their ids. Nodes agree on one that writes a shard as far as they know
+/// each other; two read it for the others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display)]
 #[display("{_0:02x}")]
 pub struct Shard(pub u8);
--- a/crates/core/tests/continuation_journal.rs
+++ b/crates/core/tests/continuation_journal.rs
@@ -352,7 +352,7 @@
 
 /// What the store holds is not known at the start: until it is, nothing is overwritten.
 #[test]
-fn first_write_waits_for_a_reading() {
+fn write_before_a_reading_replaces_a_segment() {
     let mut journal = Journal::default();
     note_all(&mut journal, 0..2, at(0));
     let (number, first, revision) = begin(&mut journal, at(0)).expect("segment");
@@ -373,7 +373,7 @@
 
 /// A segment that is gone from the store is made anew at once, without a revision.
 #[test]
-fn lost_segment_waits_for_a_reading() {
+fn segment_that_is_gone_waits_for_a_reading() {
     let mut journal = journal();
     note_all(&mut journal, 0..2, at(0));
     let (number, ..) = begin(&mut journal, at(0)).expect("segment");
--- a/crates/gateway/src/continuation/software_constraint.rs
+++ b/crates/gateway/src/continuation/software_constraint.rs
@@ -8,7 +8,7 @@
     /// All of them.
     #[default]
     Any,
-    /// Those that every node knows by now and that the store holds, while one of them serves: the request begins a stream
+    /// Those that every node knows by now and that the store holds, while one of them is admitted and in service: the request begins a stream
     /// that another node may have to continue, also after a restart of all nodes.
     Settled,
     /// Only this one, which has written events of the stream.
--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -11,7 +11,7 @@
 use crate::source::StoredVersions;
 
 /// Time after reading the records in which a pool that is listed for the first time counts as one that was there before.
-const START_TIME: Duration = Duration::from_secs(10);
+const FIRST_LIST_TIME: Duration = Duration::from_secs(10);
 
 /// How many times the delay of a reading is doubled while readings are of no use.
 const MAX_READING_DOUBLINGS: u32 = 4;
@@ -58,7 +58,9 @@
 
     /// Records that a pool was listed for the first time. If that is at the start of this node, it may have served before.
     pub fn note_first_listed(&mut self, pool: &PoolName, now: Timestamp) {
-        let is_at_start = self.read_at.is_some_and(|at| now.since(at) < START_TIME);
+        let is_at_start = self
+            .read_at
+            .is_some_and(|at| now.since(at) < FIRST_LIST_TIME);
         if is_at_start && !self.recorded.contains_key(pool) {
             self.unrecorded_at_start.insert(pool.clone());
         }
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -29,7 +29,7 @@
 /// The same while this node has just started: with all others it may have to read the stored records first.
 const LOOKUP_TIMEOUT_AT_START: Duration = Duration::from_millis(1_000);
 /// How long a node counts as just started.
-const START_TIME: Duration = Duration::from_secs(10);
+const STARTING_TIME: Duration = Duration::from_secs(10);
 /// Interval at which nodes that have not answered are asked again, since datagrams may be lost.
 const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(60);
 /// When a pool gets a second version, the streams of this time are announced. Streams that began earlier and go on later
@@ -350,7 +350,7 @@
             pool: pool.clone(),
             asker: None,
         };
-        let wait = match self.uptime() < START_TIME {
+        let wait = match self.uptime() < STARTING_TIME {
             true => LOOKUP_TIMEOUT_AT_START,
             false => LOOKUP_TIMEOUT,
         };
--- a/crates/gateway/src/upstream/call_terms.rs
+++ b/crates/gateway/src/upstream/call_terms.rs
@@ -44,6 +44,7 @@
     pub const fn held_for(self, hold: Duration) -> Self {
         Self { hold, ..self }
     }
+
     /// The same, where the body of the answer has at most so many bytes.
     pub const fn at_most(self, max_bytes: usize) -> Self {
         Self { max_bytes, ..self }
