Test tenants that lose requests to the backlog of a greedy one

Cause: the share that is admitted is what engines can begin less what waits, and tenants divide what is left. A second after the greedy tenant begins 0.95 s of its work wait, so that all divide 3% of what is asked for, and those below their fair share wait with it until the backlog has drained.

--- a/crates/core/tests/shedding.rs
+++ b/crates/core/tests/shedding.rs
@@ -129,6 +129,27 @@
     assert!(refused(0) > 0.15, "{}", refused(0));
 }
 
+/// All of the pool's usual demand at `load` of what its engines begin, until one tenant asks for much more.
+#[parameterized(
+    engines_are_as_quick_as_configured = { 1.0, 0.5 },
+    engines_are_slower_than_configured = { 0.5, 0.5 },
+    engines_are_much_slower_than_configured = { 0.25, 0.5 },
+    small_usual_demand = { 0.5, 0.25 },
+)]
+fn tenants_lose_requests_to_the_backlog_of_a_greedy_one(capacity: f64, load: f64) {
+    let mut world = World::new(&EVEN, capacity * NOMINAL, 11);
+    let usual = load * capacity * NOMINAL;
+    world.run(seconds(6), usual);
+    let before = world.by_tenant.clone();
+    world.demand_factors[0] = 12.0;
+    world.run(seconds(4), usual);
+    let of_tenants = world.by_tenant.iter().zip(&before);
+    for (now, then) in of_tenants.skip(1) {
+        let (asked, refused) = (now.asked - then.asked, now.refused - then.refused);
+        assert!(share(refused, asked) < 0.02, "{refused} of {asked}");
+    }
+}
+
 #[test]
 fn nodes_that_hear_nobody_shed_by_their_own_load() {
     let mut world = World::new(&EVEN, NOMINAL, 7);
