Take a record of versions for proof only while an engine on which it rests is in service

Callers got streams that two versions had written: while no recorded version of a pool is in service, a version that the store does not hold gets streams, for as long as the store takes no writes, or for the half second and more until the first writer has written. If all nodes were killed then and engines of the recorded version came back, the record {v1} was taken for the whole past, by knows_past or, with v1.2 still listed, by only_recorded.

A record now names up to eight engines of its versions that were in service when it was written. As long as one of them is, no node whose list is current has begun a stream at another version, and an engine that has left doesn't come back under its name and incarnation. A node that reads the record at its start believes it once its list holds one of them; once its list is complete and holds none, the pool counts as incomplete, as where the store came from a copy. The same goes for only_recorded, by the list as it is then. The record is written again when fewer than half of the witnesses are left, so engines that are replaced one by one cost few writes.

A record of a former build names no engines and proves nothing where all nodes are started at once.

--- a/crates/gateway/src/continuation/mod.rs
+++ b/crates/gateway/src/continuation/mod.rs
@@ -16,6 +16,7 @@
 mod taken;
 mod version_record;
 mod version_table;
+mod witness;
 
 pub use answer::Answer;
 pub use heard_zones::HeardZones;
@@ -31,3 +32,4 @@
 pub use taken::Taken;
 pub use version_record::VersionRecord;
 pub use version_table::VersionTable;
+pub use witness::Witness;
--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -33,6 +33,8 @@
     pub is_reading_wanted: bool,
     /// Pools that had no record when this node read them.
     pub unrecorded_at_start: BTreeSet<PoolName>,
+    /// Records of which this node has not seen a witness in service yet, as it read them first.
+    pub unproven_at_start: BTreeMap<PoolName, VersionRecord>,
     /// Era of the store, as far as known.
     era: u64,
     recorded: BTreeMap<PoolName, StoredVersions>,
@@ -48,6 +50,7 @@
     /// Whether this node knows which versions served a pool before it was started.
     pub fn knows_past(&self, pool: &PoolName) -> bool {
         let is_recorded = self.is_first_start || !self.unrecorded_at_start.contains(pool);
+        let is_recorded = is_recorded && !self.unproven_at_start.contains_key(pool);
         !self.has_store || self.read_at.is_some() && is_recorded
     }
 
@@ -87,10 +90,14 @@
         self.recorded.remove(pool);
     }
 
-    /// Whether the store holds another record of a pool, or holds it as of an earlier era.
+    /// Whether the store holds another record of a pool, or holds it as of an earlier era. Other witnesses alone don't count.
     pub fn is_outdated(&self, record: &VersionRecord) -> bool {
         let recorded = self.recorded.get(&record.pool);
-        recorded.is_none_or(|stored| stored.record != *record)
+        recorded.is_none_or(|stored| {
+            let stored = &stored.record;
+            let is_same = stored.versions == record.versions && stored.era == record.era;
+            !is_same || stored.is_incomplete != record.is_incomplete
+        })
     }
 
     /// Records the era of the store.
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -17,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::stream_records::needs_stream_records;
+use super::version_witnesses::has_witness;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, RecordBatches, Records, ServedVersions};
 use crate::peers::{Datagram, Peer, PeerMessage};
@@ -455,6 +456,10 @@
         let state = self.state();
         let continuations = &state.continuations;
         let only = continuations.versions.only_recorded_since(pool, at);
+        // Without one, streams may have begun at a version before that was recorded.
+        let stored = continuations.versions.recorded(pool);
+        let only =
+            only.filter(|_| stored.is_some_and(|stored| has_witness(&state, &stored.record)));
         let is_incomplete = continuations
             .history
             .is_incomplete(pool, self.clock().now());
--- a/crates/gateway/src/gateway/mod.rs
+++ b/crates/gateway/src/gateway/mod.rs
@@ -67,6 +67,7 @@
 mod unwritten_answers;
 mod update_queue;
 mod version_records;
+mod version_witnesses;
 mod zone_relay;
 
 pub use caller_ring::{CallerLocation, CallerNode, CallerRing, draw_addresses};
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::version_witnesses::has_witness;
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
 use crate::release::Admission;
@@ -166,10 +167,16 @@
         // A copy of the store may lack what was recorded last.
         if record.era < era || record.is_incomplete {
             is_new |= history.note_incomplete(&record.pool, now);
+        } else if !has_witness(state, record) {
+            let unproven = &mut state.continuations.versions.unproven_at_start;
+            unproven.insert(record.pool.clone(), record.clone());
         }
+        let history = &state.continuations.history;
         info!(self.log(), "versions_read"; "pool" => %record.pool,
             "versions" => joined(&record.versions), "era" => record.era, "source_era" => era,
-            "is_incomplete" => history.is_incomplete(&record.pool, now));
+            "is_incomplete" => history.is_incomplete(&record.pool, now),
+            "witnesses" => record.witnesses.len(),
+            "is_proven" => state.continuations.versions.knows_past(&record.pool));
         is_new
     }
 
@@ -208,11 +215,13 @@
         let era = state.source_era;
         state.continuations.versions.note_era(era);
         self.settle_unrecorded_pools(state, now);
+        self.settle_unproven_records(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
         self.schedule_version_reading(state, &pools, now);
         for pool in pools {
             let record = self.record_of(state, &pool, now);
-            let is_outdated = state.continuations.versions.is_outdated(&record);
+            let is_outdated = state.continuations.versions.is_outdated(&record)
+                || self.lacks_witnesses(state, &pool, now);
             let rank = self.writer_rank(state, &pool, now);
             if record.versions.is_empty() || !is_outdated || rank >= WRITERS {
                 state.continuations.versions.cancel(&pool);
@@ -278,9 +287,11 @@
 
     fn record_of(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> VersionRecord {
         let continuations = &state.continuations;
+        let versions = self.recordable_versions(state, pool, now);
         VersionRecord {
             pool: pool.clone(),
-            versions: self.recordable_versions(state, pool, now),
+            witnesses: self.witnesses_of(state, pool, &versions, now),
+            versions,
             era: continuations.versions.era(),
             is_incomplete: continuations.history.is_incomplete(pool, now),
         }
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -42,6 +42,8 @@
     pub delay: Cell<Duration>,
     /// Calls that it was asked for.
     pub calls: Cell<usize>,
+    /// Records of versions that it was asked to write.
+    pub version_writes: Cell<usize>,
 }
 
 impl ContinuationRecords {
@@ -54,6 +56,23 @@
         })
     }
 
+    /// Engines on which its record of a pool rests.
+    pub fn witnesses_of(&self, pool: &PoolName) -> BTreeSet<String> {
+        let held = self.versions.borrow();
+        let record = held.get(pool).map(|stored| &stored.record);
+        let witnesses = record.into_iter().flat_map(|record| &record.witnesses);
+        witnesses
+            .map(|witness| witness.engine.as_str().to_owned())
+            .collect()
+    }
+
+    /// Its records are those that a former build wrote.
+    pub fn forget_witnesses(&self) {
+        for stored in self.versions.borrow_mut().values_mut() {
+            stored.record.witnesses.clear();
+        }
+    }
+
     /// Number of streams that it holds.
     pub fn streams(&self) -> usize {
         let segments = self.segments.borrow();
@@ -177,6 +196,7 @@
         revision: Option<u64>,
     ) -> LocalBoxFuture<'a, Result<StoreWrite<StoredVersions>, SourceError>> {
         async move {
+            self.version_writes.set(self.version_writes.get() + 1);
             self.answer_write().await?;
             if self.refused_pool.borrow().as_ref() == Some(&record.pool) {
                 return Err(SourceError::Throttled);
--- a/crates/gateway/tests/unrecorded_versions.rs
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -29,6 +29,7 @@
         versions: versions.collect(),
         era: 0,
         is_incomplete: false,
+        witnesses: BTreeSet::new(),
     };
     let stored = StoredVersions {
         record,
