Count a recorded version that has left as unrecorded until the record is read again

Nodes of rank 4 and beyond don't write the versions of a pool, and read them only while they lack one. So they never learned that a version was taken off the record: deployments of more than four nodes went on storing streams after an upgrade, and if the version came back, these nodes gave it new streams at once although the store didn't hold it any more, which a kill of all nodes joins.

A node knows by itself when a version's streams can't be under way any more. From then on the recorded version counts neither for the storing of streams nor as recorded, until the record was read or written again; none of this costs a call.

--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -38,6 +38,9 @@
     /// Era of the store, as far as known.
     era: u64,
     recorded: BTreeMap<PoolName, StoredVersions>,
+    /// Recorded versions whose streams can't be under way any more, since the record was last read or written. Another
+    /// node may have taken them off.
+    left: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
     /// When this node writes the versions of a pool, unless another one has until then.
     due: BTreeMap<PoolName, Timestamp>,
     /// When this node reads the records again, to learn which versions others have written.
@@ -72,7 +75,31 @@
     /// Whether the store names several versions of a pool.
     pub fn is_mixed(&self, pool: &PoolName) -> bool {
         let recorded = self.recorded.get(pool);
-        recorded.is_some_and(|stored| stored.record.versions.len() > 1)
+        let recorded = recorded
+            .into_iter()
+            .flat_map(|stored| &stored.record.versions);
+        let mut remaining = recorded.filter(|software| !self.has_left(pool, software));
+        remaining.nth(1).is_some()
+    }
+
+    /// Records which versions of a pool may have streams under way.
+    pub fn note_serving(&mut self, pool: &PoolName, serving: &[SoftwareVersion]) {
+        let Some(stored) = self.recorded.get(pool) else {
+            return;
+        };
+        let versions = stored.record.versions.iter();
+        let mut left = versions
+            .filter(|software| !serving.contains(software))
+            .cloned()
+            .peekable();
+        if left.peek().is_some() {
+            self.left.entry(pool.clone()).or_default().extend(left);
+        }
+    }
+
+    fn has_left(&self, pool: &PoolName, software: &str) -> bool {
+        let left = self.left.get(pool);
+        left.is_some_and(|left| left.contains(software))
     }
 
     /// What the store holds of a pool.
@@ -82,6 +109,7 @@
 
     /// Records what the store holds of a pool.
     pub fn note_recorded(&mut self, stored: StoredVersions) {
+        self.left.remove(&stored.record.pool);
         self.recorded.insert(stored.record.pool.clone(), stored);
     }
 
@@ -90,8 +118,13 @@
         self.recorded.remove(pool);
     }
 
-    /// Whether the store holds another record of a pool, or holds it as of an earlier era. Other witnesses alone don't count.
+    /// Whether the store holds another record of a pool, or may do so, or holds it as of an earlier era. Other witnesses
+    /// alone don't count.
     pub fn is_outdated(&self, record: &VersionRecord) -> bool {
+        let mut versions = record.versions.iter();
+        if versions.any(|software| self.has_left(&record.pool, software)) {
+            return true;
+        }
         let recorded = self.recorded.get(&record.pool);
         recorded.is_none_or(|stored| {
             let stored = &stored.record;
@@ -115,10 +148,11 @@
         !self.recorded.contains_key(pool) || self.is_unrecorded(pool, software)
     }
 
-    /// Whether the store holds versions of a pool, but not this one.
+    /// Whether the store holds versions of a pool, but not this one, or no longer for certain.
     pub fn is_unrecorded(&self, pool: &PoolName, software: &str) -> bool {
         let recorded = self.recorded.get(pool).map(|stored| &stored.record);
-        recorded.is_some_and(|record| !record.versions.contains(software))
+        let has_left = self.has_left(pool, software);
+        recorded.is_some_and(|record| has_left || !record.versions.contains(software))
     }
 
     /// Schedules the versions of a pool to be written at `at`, unless they are scheduled already.
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -217,6 +217,10 @@
         self.settle_unrecorded_pools(state, now);
         self.settle_unproven_records(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
+        for pool in &pools {
+            let serving = state.continuations.history.versions(pool, now);
+            state.continuations.versions.note_serving(pool, &serving);
+        }
         self.schedule_version_reading(state, &pools, now);
         for pool in pools {
             let record = self.record_of(state, &pool, now);
--- a/crates/gateway/tests/support/continuation_records.rs
+++ b/crates/gateway/tests/support/continuation_records.rs
@@ -32,6 +32,9 @@
     pub loses_answers: Cell<bool>,
     /// Whether it takes no writes.
     pub takes_no_writes: Cell<bool>,
+    /// Whether writes of versions get no answer and are carried out later, see [`Self::carry_out_held_back`].
+    pub holds_back_versions: Cell<bool>,
+    held_back: RefCell<Vec<(VersionRecord, Option<u64>)>>,
     /// A pool whose versions it does not take.
     pub refused_pool: RefCell<Option<PoolName>>,
     /// Whether another node writes each segment first.
@@ -73,6 +76,18 @@
         }
     }
 
+    /// Whether it has writes of versions that it may carry out later.
+    pub fn has_held_back(&self) -> bool {
+        !self.held_back.borrow().is_empty()
+    }
+
+    /// Carries out the writes of versions that it has held back, where their revisions still hold.
+    pub fn carry_out_held_back(&self) {
+        for (record, revision) in self.held_back.take() {
+            self.take_versions(&record, revision);
+        }
+    }
+
     /// Number of streams that it holds.
     pub fn streams(&self) -> usize {
         let segments = self.segments.borrow();
@@ -129,6 +144,22 @@
         }
     }
 
+    fn take_versions(
+        &self,
+        record: &VersionRecord,
+        revision: Option<u64>,
+    ) -> StoreWrite<StoredVersions> {
+        let mut held = self.versions.borrow_mut();
+        let found = held.get(&record.pool);
+        if found.map(|found| found.revision) != revision {
+            return StoreWrite::Conflict(found.cloned());
+        }
+        let revision = self.next_revision();
+        let record = record.clone();
+        held.insert(record.pool.clone(), StoredVersions { record, revision });
+        StoreWrite::Written(revision)
+    }
+
     fn take_segment(
         &self,
         shard: Shard,
@@ -201,15 +232,11 @@
             if self.refused_pool.borrow().as_ref() == Some(&record.pool) {
                 return Err(SourceError::Throttled);
             }
-            let mut held = self.versions.borrow_mut();
-            let found = held.get(&record.pool);
-            if found.map(|found| found.revision) != revision {
-                return Ok(StoreWrite::Conflict(found.cloned()));
+            if self.holds_back_versions.get() {
+                self.held_back.borrow_mut().push((record.clone(), revision));
+                return pending().await;
             }
-            let revision = self.next_revision();
-            let record = record.clone();
-            held.insert(record.pool.clone(), StoredVersions { record, revision });
-            Ok(StoreWrite::Written(revision))
+            Ok(self.take_versions(record, revision))
         }
         .boxed_local()
     }
