Count a version as unrecorded while its removal may still be carried out

The store may carry a write out seconds after its answer was lost, if the revision still holds. A removal from the record of versions that was carried out after the version had come back left it off the record while nodes took it for recorded, so new streams began there that a kill of all nodes joins.

A node that writes a record without a version remembers the revision that it meant to replace. While the record has that revision, the version counts as unrecorded, and if the version is back the record is written again, after which the removal can't be done.

versions_taken_off.rs, version_is_taken_off_after_it_came_back fails with one node and with seven on the code without this fix: the store holds one version while nodes take both for recorded.

Nodes that haven't tried the removal themselves count the version as recorded once they read the record after its return, 0.8 s later or more, when the node that tried has written; if it was killed meanwhile, they are wrong as long as the removal is under way.

--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -41,6 +41,9 @@
     /// Recorded versions whose streams can't be under way any more, since the record was last read or written. Another
     /// node may have taken them off.
     left: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
+    /// Versions that this node has tried to take off a record, and the revision that it meant to replace. The store may
+    /// still do so as long as it holds that revision.
+    removals: BTreeMap<PoolName, (u64, BTreeSet<SoftwareVersion>)>,
     /// When this node writes the versions of a pool, unless another one has until then.
     due: BTreeMap<PoolName, Timestamp>,
     /// When this node reads the records again, to learn which versions others have written.
@@ -97,9 +100,27 @@
         }
     }
 
+    /// Whether a recorded version may be off the record now, or may still be taken off.
     fn has_left(&self, pool: &PoolName, software: &str) -> bool {
         let left = self.left.get(pool);
-        left.is_some_and(|left| left.contains(software))
+        let removal = self.removals.get(pool).map(|(_, removed)| removed);
+        let mut gone = left.into_iter().chain(removal);
+        gone.any(|versions| versions.contains(software))
+    }
+
+    /// Records that a record is about to be written, which may take versions off.
+    pub fn note_writing(&mut self, record: &VersionRecord) {
+        let Some(stored) = self.recorded.get(&record.pool) else {
+            return;
+        };
+        let removed = stored.record.versions.difference(&record.versions);
+        let mut removed = removed.cloned().peekable();
+        if removed.peek().is_some() {
+            let removals = self.removals.entry(record.pool.clone());
+            let (revision, versions) = removals.or_default();
+            *revision = stored.revision;
+            versions.extend(removed);
+        }
     }
 
     /// What the store holds of a pool.
@@ -110,12 +131,17 @@
     /// Records what the store holds of a pool.
     pub fn note_recorded(&mut self, stored: StoredVersions) {
         self.left.remove(&stored.record.pool);
+        let removal = self.removals.get(&stored.record.pool);
+        if removal.is_some_and(|(revision, _)| *revision != stored.revision) {
+            self.removals.remove(&stored.record.pool);
+        }
         self.recorded.insert(stored.record.pool.clone(), stored);
     }
 
     /// Records that the store holds nothing of a pool.
     pub fn note_missing(&mut self, pool: &PoolName) {
         self.recorded.remove(pool);
+        self.removals.remove(pool);
     }
 
     /// Whether the store holds another record of a pool, or may do so, or holds it as of an earlier era. Other witnesses
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -280,13 +280,15 @@
         self.state().continuations.versions.due(now)
     }
 
-    /// The record that a pool should have, and the revision that it replaces.
+    /// The record that a pool should have, to be written now, and the revision that it replaces.
     pub(crate) fn version_record(&self, pool: &PoolName) -> (VersionRecord, Option<u64>) {
         let now = self.clock().now();
-        let state = self.state();
-        let recorded = state.continuations.versions.recorded(pool);
-        let revision = recorded.map(|stored| stored.revision);
-        (self.record_of(&state, pool, now), revision)
+        let mut state = self.state_mut();
+        let record = self.record_of(&state, pool, now);
+        let versions = &mut state.continuations.versions;
+        versions.note_writing(&record);
+        let revision = versions.recorded(pool).map(|stored| stored.revision);
+        (record, revision)
     }
 
     fn record_of(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> VersionRecord {
--- a/crates/gateway/tests/versions_taken_off.rs
+++ b/crates/gateway/tests/versions_taken_off.rs
@@ -121,3 +121,24 @@
         assert_eq!(nodes.believing(PRESENT), count);
     });
 }
+
+/// The store carries the removal out, whose answer was lost, once the version is back.
+#[parameterized(
+    one_node = { 1 },
+    many = { 7 },
+)]
+fn version_is_taken_off_after_it_came_back(count: usize) {
+    run_paused(async {
+        let nodes = Nodes::start(count);
+        nodes.serve(&[PRESENT, TARGET], SETTLED).await;
+        nodes.store.holds_back_versions.set(true);
+        nodes.serve(&[TARGET], TAKEN_OFF).await;
+        assert!(nodes.store.has_held_back());
+        assert_eq!(nodes.store.versions_of(&pool()).len(), 2);
+        nodes.store.holds_back_versions.set(false);
+        nodes.serve(&[PRESENT, TARGET], SETTLED).await;
+        nodes.store.carry_out_held_back();
+        let is_recorded = nodes.store.versions_of(&pool()).len() == 2;
+        assert!(is_recorded || nodes.believing(PRESENT) == 0);
+    });
+}
