Believe witnesses of a record only by a list that was confirmed lately

Callers could still get streams of two versions: the first list of engines that a node reads after its start may be some seconds old. It then shows a witness that has left before the kill, the record counted as proven, and the proof stayed when the watch took the engine away a moment later.

--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -53,10 +53,9 @@
 }
 
 impl VersionTable {
-    /// Whether this node knows which versions served a pool before it was started.
-    pub fn knows_past(&self, pool: &PoolName) -> bool {
+    /// Whether this node has read which versions served a pool before it was started.
+    pub fn has_read_past(&self, pool: &PoolName) -> bool {
         let is_recorded = self.is_first_start || !self.unrecorded_at_start.contains(pool);
-        let is_recorded = is_recorded && !self.unproven_at_start.contains_key(pool);
         !self.has_store || self.read_at.is_some() && is_recorded
     }
 
--- a/crates/gateway/src/continuation/witness.rs
+++ b/crates/gateway/src/continuation/witness.rs
@@ -5,8 +5,8 @@
 
 /// An engine of a recorded version that was in service when the record was written.
 ///
-/// As long as it is, no stream begins at a version that is not recorded. An engine that has left never comes back: one
-/// that starts again does so under another name, or as another incarnation.
+/// As long as it is, streams that may be resumed begin at recorded versions. An engine that starts again does so under
+/// another name, or as another incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Witness {
     /// Name of the engine.
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::stream_records::needs_stream_records;
-use super::version_witnesses::has_witness;
+use super::version_witnesses::{has_witness, knows_past};
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, RecordBatches, Records, ServedVersions};
 use crate::peers::{Datagram, Peer, PeerMessage};
@@ -200,8 +200,7 @@
             is_ambiguous: knowledge == Knowledge::Ambiguous,
             is_holder: is_holder || knowledge != Knowledge::Unknown || question.asker.is_some(),
             versions: continuations.history.versions(&question.pool, now),
-            knows_past: continuations.versions.knows_past(&question.pool)
-                && !continuations.history.is_incomplete(&question.pool, now),
+            knows_past: knows_past(&state, &question.pool, now),
             is_whole: is_whole(&state, now),
             software: match knowledge {
                 Knowledge::Began(software) => Some(software),
@@ -440,8 +439,7 @@
         let state = self.state();
         let has_heard_others = self.uptime() >= PEER_DISCOVERY_TIME;
         let continuations = &state.continuations;
-        let knows_past = continuations.versions.knows_past(pool)
-            && !continuations.history.is_incomplete(pool, now);
+        let knows_past = knows_past(&state, pool, now);
         let is_list_current = state.is_engine_list_current(SETTLING_TIME, now);
         Outlook {
             versions: continuations.history.versions(pool, now),
@@ -453,16 +451,15 @@
     }
 
     fn only_recorded_since(&self, pool: &PoolName, at: Timestamp) -> Option<SoftwareVersion> {
+        let now = self.clock().now();
         let state = self.state();
         let continuations = &state.continuations;
         let only = continuations.versions.only_recorded_since(pool, at);
-        // Without one, streams may have begun at a version before that was recorded.
+        // Without a witness, streams may have begun at a version before that was recorded.
         let stored = continuations.versions.recorded(pool);
         let only =
-            only.filter(|_| stored.is_some_and(|stored| has_witness(&state, &stored.record)));
-        let is_incomplete = continuations
-            .history
-            .is_incomplete(pool, self.clock().now());
+            only.filter(|_| stored.is_some_and(|stored| has_witness(&state, &stored.record, now)));
+        let is_incomplete = continuations.history.is_incomplete(pool, now);
         only.filter(|_| !is_incomplete).cloned()
     }
 }
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -386,7 +386,6 @@
         if let Some(engine) = state.engines.get_mut(&name).filter(|_| is_new) {
             engine.listed_at = now;
         }
-        self.note_witness(&mut state, &name);
         self.note_listed_again(&mut state, &name, now);
         self.metrics().engines.set(state.engines.count() as i64);
     }
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::version_witnesses::has_witness;
+use super::version_witnesses::knows_past;
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
 use crate::release::Admission;
@@ -167,7 +167,7 @@
         // A copy of the store may lack what was recorded last.
         if record.era < era || record.is_incomplete {
             is_new |= history.note_incomplete(&record.pool, now);
-        } else if !has_witness(state, record) {
+        } else {
             let unproven = &mut state.continuations.versions.unproven_at_start;
             unproven.insert(record.pool.clone(), record.clone());
         }
@@ -176,7 +176,7 @@
             "versions" => joined(&record.versions), "era" => record.era, "source_era" => era,
             "is_incomplete" => history.is_incomplete(&record.pool, now),
             "witnesses" => record.witnesses.len(),
-            "is_proven" => state.continuations.versions.knows_past(&record.pool));
+            "is_proven" => knows_past(state, &record.pool, now));
         is_new
     }
 
--- a/crates/gateway/src/gateway/version_witnesses.rs
+++ b/crates/gateway/src/gateway/version_witnesses.rs
@@ -4,7 +4,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::SETTLING_TIME;
-use ryerouter_core::identity::{BackEndName, PoolName};
+use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::SoftwareVersion;
 use slog::info;
 use xxhash_rust::xxh3::xxh3_64;
@@ -26,13 +26,15 @@
         let is_older_node_heard = self.hears_older_node(state);
         let is_complete = state.is_engine_list_current(SETTLING_TIME, now)
             && self.uptime() >= WRITER_DISCOVERY_TIME;
-        if !is_older_node_heard && !is_complete {
-            return;
-        }
-        let versions = &mut state.continuations.versions;
-        for pool in std::mem::take(&mut versions.unproven_at_start).into_keys() {
+        let unproven = std::mem::take(&mut state.continuations.versions.unproven_at_start);
+        for (pool, record) in unproven {
             if is_older_node_heard {
                 info!(self.log(), "version_record_proven"; "pool" => %pool, "by" => "older_node");
+            } else if has_witness(state, &record, now) {
+                info!(self.log(), "version_record_proven"; "pool" => %pool, "by" => "witness");
+            } else if !is_complete {
+                let versions = &mut state.continuations.versions;
+                versions.unproven_at_start.insert(pool, record);
             } else if state.continuations.history.note_incomplete(&pool, now) {
                 info!(self.log(), "version_record_unproven"; "pool" => %pool);
                 self.announce_streams(state, &pool, now);
@@ -40,20 +42,6 @@
         }
     }
 
-    /// Takes an entry of the list for proof of the record that names it as a witness.
-    pub(super) fn note_witness(&self, state: &mut GatewayState, name: &BackEndName) {
-        let Some(engine) = state.engines.get(name) else {
-            return;
-        };
-        let pool = &engine.entry.pool;
-        let unproven = &mut state.continuations.versions.unproven_at_start;
-        let record = unproven.get(pool);
-        if record.is_some_and(|record| witnesses(record, engine)) {
-            unproven.remove(pool);
-            info!(self.log(), "version_record_proven"; "pool" => %pool, "by" => %name);
-        }
-    }
-
     /// Whether so few witnesses of a pool's record are in service that it is to be written with others.
     pub(super) fn lacks_witnesses(
         &self,
@@ -98,10 +86,21 @@
     }
 }
 
-/// Whether an engine that witnesses a record is in service.
-pub(super) fn has_witness(state: &GatewayState, record: &VersionRecord) -> bool {
+/// Whether this node knows which versions served a pool before it was started.
+pub(super) fn knows_past(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
+    let versions = &state.continuations.versions;
+    let unproven = versions.unproven_at_start.get(pool);
+    let is_proven = unproven.is_none_or(|record| has_witness(state, record, now));
+    let is_incomplete = state.continuations.history.is_incomplete(pool, now);
+    is_proven && versions.has_read_past(pool) && !is_incomplete
+}
+
+/// Whether an engine that witnesses a record is in service now. The first list after a start may be some seconds old, and
+/// an engine that it holds may have left since.
+pub(super) fn has_witness(state: &GatewayState, record: &VersionRecord, now: Timestamp) -> bool {
     let mut engines = state.engines.of_pool(&record.pool);
-    engines.any(|engine| witnesses(record, engine))
+    state.is_engine_list_current(SETTLING_TIME, now)
+        && engines.any(|engine| witnesses(record, engine))
 }
 
 fn may_name_witnesses(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -167,10 +167,15 @@
         table: Option<RoutingTable>,
         entries: Vec<EngineEntry>,
     ) -> Self {
+        list_engines(&gateway, entries);
+        Self::serve_unlisted(gateway, table).await
+    }
+
+    /// The same with a gateway that has read a list of engines already, or none.
+    pub async fn serve_unlisted(gateway: Rc<Gateway>, table: Option<RoutingTable>) -> Self {
         if let Some(table) = table {
             configure(&gateway, table);
         }
-        list_engines(&gateway, entries);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
         let keeping = poison_records::keep(&gateway);
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -18,7 +18,7 @@
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::run_peer_link;
 use ryerouter_gateway::release::run_releases;
-use ryerouter_gateway::source::FollowSettings;
+use ryerouter_gateway::source::{FollowSettings, Item, ItemKind};
 use tokio::net::UdpSocket;
 use tokio::task::{JoinHandle, JoinSet, spawn_local};
 use tokio::time::sleep;
@@ -35,6 +35,8 @@
 use super::test_dialect::{AFTER, ID, KEY, PARTS, RESUMES};
 use super::versioned_engines::{EVENTS, VersionedEngine};
 
+/// Age of the list that a node reads first, if that is an old one.
+const AGE_OF_OLD_LIST: Duration = Duration::from_secs(3);
 /// How often each node reads the list of engines.
 const LIST_INTERVAL: Duration = Duration::from_millis(100);
 /// How often a node writes the records of a shard.
@@ -53,6 +55,8 @@
     is_first_start: bool,
     /// Whether it is of a build that knows nothing of stored records.
     is_former: bool,
+    /// The list that it reads first, if that is an old one.
+    old_list: Option<Vec<EngineEntry>>,
     lines: &'a LogLines,
 }
 
@@ -91,12 +95,16 @@
         own.releases = orders.is_some().then(bounds);
         own.identity.zone = ZoneName::new(format!("zone-{}", index % 3));
         own.identity.peer_address = datagrams.local_addr().expect("address");
-        let bench = GatewayBench::serve(
-            gateway_with_log(own, how.lines),
-            Some(table),
-            entries.clone(),
-        )
-        .await;
+        let gateway = gateway_with_log(own, how.lines);
+        let bench = match how.old_list {
+            None => GatewayBench::serve(gateway, Some(table), entries.clone()).await,
+            Some(old_list) => {
+                let items = old_list.into_iter().map(Item::Engine).collect();
+                let read_at = gateway.clock().now().before(AGE_OF_OLD_LIST);
+                gateway.replace_items(ItemKind::Engines, items, read_at);
+                GatewayBench::serve_unlisted(gateway, Some(table)).await
+            }
+        };
         let gateway = Rc::clone(&bench.gateway);
         let list = Rc::new(RefCell::new(entries));
         let mut tasks = JoinSet::new();
@@ -160,6 +168,8 @@
     pub is_first_start: Cell<bool>,
     /// Nodes that are of a former build from their next start on, which knows nothing of stored records.
     pub former: RefCell<BTreeSet<usize>>,
+    /// The list that nodes read first from their next start on, if that is an old one.
+    pub old_list: RefCell<Option<Vec<EngineEntry>>>,
 }
 
 impl VersionedNodes {
@@ -201,6 +211,7 @@
             streams: Cell::new(0),
             is_first_start: Cell::new(true),
             former: RefCell::default(),
+            old_list: RefCell::default(),
         };
         for version in versions {
             all.start_engine(version).await;
@@ -258,6 +269,7 @@
         let how = Start {
             is_first_start: self.is_first_start.get(),
             is_former: self.former.borrow().contains(&index),
+            old_list: self.old_list.borrow().clone(),
             lines: &self.lines,
         };
         let node = VersionedNode::start(index, incarnation, table, entries, store, orders, how);
--- a/crates/gateway/tests/versions_never_recorded.rs
+++ b/crates/gateway/tests/versions_never_recorded.rs
@@ -268,3 +268,31 @@
         assert_eq!(mixed, 0, "mixed streams of {STREAMS}");
     });
 }
+
+/// The first list that nodes read after their start may be some seconds old, and then shows engines that have left.
+#[parameterized(
+    newer_gone = { Newer::Gone },
+    newer_stays = { Newer::Stays },
+)]
+fn streams_are_joined_where_the_first_list_after_the_start_is_old(newer: Newer) {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"]).await;
+        sleep(SETTLED + BETWEEN_COMPARISONS).await;
+        nodes.store.takes_no_writes.set(true);
+        let old_list = nodes.entries();
+        nodes.start_engine("v1.2").await;
+        take_away(&nodes, "v1");
+        nodes.list();
+        let mut streams = begin(&nodes).await;
+        if newer == Newer::Gone {
+            take_away(&nodes, "v1.2");
+        }
+        nodes.start_engine("v1").await;
+        nodes.old_list.replace(Some(old_list));
+        kill_all(&nodes).await;
+        sleep(LIST_IN_PARTS).await;
+        take_up(&nodes, &mut streams).await;
+        let mixed = streams.iter().filter(|stream| stream.is_mixed()).count();
+        assert_eq!(mixed, 0, "mixed streams of {STREAMS}");
+    });
+}
