--- a/crates/gateway/src/continuation/version_table.rs
+++ b/crates/gateway/src/continuation/version_table.rs
@@ -33,9 +33,17 @@
     pub is_reading_wanted: bool,
     /// Pools that had no record when this node read them.
     pub unrecorded_at_start: BTreeSet<PoolName>,
+    /// Records of which this node has not seen a witness in service yet, as it read them first.
+    pub unproven_at_start: BTreeMap<PoolName, VersionRecord>,
     /// Era of the store, as far as known.
     era: u64,
     recorded: BTreeMap<PoolName, StoredVersions>,
+    /// Recorded versions whose streams can't be under way any more, since the record was last read or written. Another
+    /// node may have taken them off.
+    left: BTreeMap<PoolName, BTreeSet<SoftwareVersion>>,
+    /// Versions that this node has tried to take off a record, and the revision that it meant to replace. The store may
+    /// still do so as long as it holds that revision.
+    removals: BTreeMap<PoolName, (u64, BTreeSet<SoftwareVersion>)>,
     /// When this node writes the versions of a pool, unless another one has until then.
     due: BTreeMap<PoolName, Timestamp>,
     /// When this node reads the records again, to learn which versions others have written.
@@ -45,8 +53,8 @@
 }
 
 impl VersionTable {
-    /// Whether this node knows which versions served a pool before it was started.
-    pub fn knows_past(&self, pool: &PoolName) -> bool {
+    /// Whether this node has read which versions served a pool before it was started.
+    pub fn has_read_past(&self, pool: &PoolName) -> bool {
         let is_recorded = self.is_first_start || !self.unrecorded_at_start.contains(pool);
         !self.has_store || self.read_at.is_some() && is_recorded
     }
@@ -69,7 +77,49 @@
     /// Whether the store names several versions of a pool.
     pub fn is_mixed(&self, pool: &PoolName) -> bool {
         let recorded = self.recorded.get(pool);
-        recorded.is_some_and(|stored| stored.record.versions.len() > 1)
+        let recorded = recorded
+            .into_iter()
+            .flat_map(|stored| &stored.record.versions);
+        let mut remaining = recorded.filter(|software| !self.has_left(pool, software));
+        remaining.nth(1).is_some()
+    }
+
+    /// Records which versions of a pool may have streams under way.
+    pub fn note_serving(&mut self, pool: &PoolName, serving: &[SoftwareVersion]) {
+        let Some(stored) = self.recorded.get(pool) else {
+            return;
+        };
+        let versions = stored.record.versions.iter();
+        let mut left = versions
+            .filter(|software| !serving.contains(software))
+            .cloned()
+            .peekable();
+        if left.peek().is_some() {
+            self.left.entry(pool.clone()).or_default().extend(left);
+        }
+    }
+
+    /// Whether a recorded version may be off the record now, or may still be taken off.
+    fn has_left(&self, pool: &PoolName, software: &str) -> bool {
+        let left = self.left.get(pool);
+        let removal = self.removals.get(pool).map(|(_, removed)| removed);
+        let mut gone = left.into_iter().chain(removal);
+        gone.any(|versions| versions.contains(software))
+    }
+
+    /// Records that a record is about to be written, which may take versions off.
+    pub fn note_writing(&mut self, record: &VersionRecord) {
+        let Some(stored) = self.recorded.get(&record.pool) else {
+            return;
+        };
+        let removed = stored.record.versions.difference(&record.versions);
+        let mut removed = removed.cloned().peekable();
+        if removed.peek().is_some() {
+            let removals = self.removals.entry(record.pool.clone());
+            let (revision, versions) = removals.or_default();
+            *revision = stored.revision;
+            versions.extend(removed);
+        }
     }
 
     /// What the store holds of a pool.
@@ -79,18 +129,33 @@
 
     /// Records what the store holds of a pool.
     pub fn note_recorded(&mut self, stored: StoredVersions) {
+        self.left.remove(&stored.record.pool);
+        let removal = self.removals.get(&stored.record.pool);
+        if removal.is_some_and(|(revision, _)| *revision != stored.revision) {
+            self.removals.remove(&stored.record.pool);
+        }
         self.recorded.insert(stored.record.pool.clone(), stored);
     }
 
     /// Records that the store holds nothing of a pool.
     pub fn note_missing(&mut self, pool: &PoolName) {
         self.recorded.remove(pool);
+        self.removals.remove(pool);
     }
 
-    /// Whether the store holds another record of a pool, or holds it as of an earlier era.
+    /// Whether the store holds another record of a pool, or may do so, or holds it as of an earlier era. Other witnesses
+    /// alone don't count.
     pub fn is_outdated(&self, record: &VersionRecord) -> bool {
+        let mut versions = record.versions.iter();
+        if versions.any(|software| self.has_left(&record.pool, software)) {
+            return true;
+        }
         let recorded = self.recorded.get(&record.pool);
-        recorded.is_none_or(|stored| stored.record != *record)
+        recorded.is_none_or(|stored| {
+            let stored = &stored.record;
+            let is_same = stored.versions == record.versions && stored.era == record.era;
+            !is_same || stored.is_incomplete != record.is_incomplete
+        })
     }
 
     /// Records the era of the store.
@@ -108,10 +173,11 @@
         !self.recorded.contains_key(pool) || self.is_unrecorded(pool, software)
     }
 
-    /// Whether the store holds versions of a pool, but not this one.
+    /// Whether the store holds versions of a pool, but not this one, or no longer for certain.
     pub fn is_unrecorded(&self, pool: &PoolName, software: &str) -> bool {
         let recorded = self.recorded.get(pool).map(|stored| &stored.record);
-        recorded.is_some_and(|record| !record.versions.contains(software))
+        let has_left = self.has_left(pool, software);
+        recorded.is_some_and(|record| has_left || !record.versions.contains(software))
     }
 
     /// Schedules the versions of a pool to be written at `at`, unless they are scheduled already.
--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::version_witnesses::knows_past;
 use super::{Gateway, GatewayState};
 use crate::continuation::VersionRecord;
 use crate::release::Admission;
@@ -166,10 +167,16 @@
         // A copy of the store may lack what was recorded last.
         if record.era < era || record.is_incomplete {
             is_new |= history.note_incomplete(&record.pool, now);
+        } else {
+            let unproven = &mut state.continuations.versions.unproven_at_start;
+            unproven.insert(record.pool.clone(), record.clone());
         }
+        let history = &state.continuations.history;
         info!(self.log(), "versions_read"; "pool" => %record.pool,
             "versions" => joined(&record.versions), "era" => record.era, "source_era" => era,
-            "is_incomplete" => history.is_incomplete(&record.pool, now));
+            "is_incomplete" => history.is_incomplete(&record.pool, now),
+            "witnesses" => record.witnesses.len(),
+            "is_proven" => knows_past(state, &record.pool, now));
         is_new
     }
 
@@ -208,11 +215,17 @@
         let era = state.source_era;
         state.continuations.versions.note_era(era);
         self.settle_unrecorded_pools(state, now);
+        self.settle_unproven_records(state, now);
         let pools: Vec<_> = state.continuations.history.pools().cloned().collect();
+        for pool in &pools {
+            let serving = state.continuations.history.versions(pool, now);
+            state.continuations.versions.note_serving(pool, &serving);
+        }
         self.schedule_version_reading(state, &pools, now);
         for pool in pools {
             let record = self.record_of(state, &pool, now);
-            let is_outdated = state.continuations.versions.is_outdated(&record);
+            let is_outdated = state.continuations.versions.is_outdated(&record)
+                || self.lacks_witnesses(state, &pool, now);
             let rank = self.writer_rank(state, &pool, now);
             if record.versions.is_empty() || !is_outdated || rank >= WRITERS {
                 state.continuations.versions.cancel(&pool);
@@ -267,20 +280,24 @@
         self.state().continuations.versions.due(now)
     }
 
-    /// The record that a pool should have, and the revision that it replaces.
+    /// The record that a pool should have, to be written now, and the revision that it replaces.
     pub(crate) fn version_record(&self, pool: &PoolName) -> (VersionRecord, Option<u64>) {
         let now = self.clock().now();
-        let state = self.state();
-        let recorded = state.continuations.versions.recorded(pool);
-        let revision = recorded.map(|stored| stored.revision);
-        (self.record_of(&state, pool, now), revision)
+        let mut state = self.state_mut();
+        let record = self.record_of(&state, pool, now);
+        let versions = &mut state.continuations.versions;
+        versions.note_writing(&record);
+        let revision = versions.recorded(pool).map(|stored| stored.revision);
+        (record, revision)
     }
 
     fn record_of(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> VersionRecord {
         let continuations = &state.continuations;
+        let versions = self.recordable_versions(state, pool, now);
         VersionRecord {
             pool: pool.clone(),
-            versions: self.recordable_versions(state, pool, now),
+            witnesses: self.witnesses_of(state, pool, &versions, now),
+            versions,
             era: continuations.versions.era(),
             is_incomplete: continuations.history.is_incomplete(pool, now),
         }
