Read a cache anew whose events were lost

An engine keeps its newest cache events only and says `lost` when the events since the asked place are not all kept. That was not read: parts that were dropped among the lost events stayed believed to be held, and requests went on being placed by them.

An answer to the first question is taken as before, since nothing was known that could be gone.

--- a/crates/gateway/src/gateway/cache_events.rs
+++ b/crates/gateway/src/gateway/cache_events.rs
@@ -1,8 +1,10 @@
 //! Follows the events of engines' caches; see docs/design/decisions.md.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, NodeName};
 use ryerouter_core::placement::rendezvous_score;
 use slog::info;
@@ -16,6 +18,8 @@
 
 /// Maximum number of queued evictions; further ones are not reported.
 const MAX_QUEUED_DROPS: usize = 512;
+/// Time within which an engine has computed the parts of a request that was sent to it.
+const COMPUTATION_TIME: Duration = Duration::from_secs(5);
 
 impl Gateway {
     /// The engines whose caches this node follows on behalf of all nodes. One ready node of an
@@ -97,6 +101,26 @@
             }
         }
     }
+
+    /// Forgets the parts that an engine is believed to hold, and that its whole content, asked for at `asked_at`, lacks.
+    /// Parts used shortly before may not have been computed by then.
+    pub fn forget_uncached_parts(
+        &self,
+        engine: &BackEndName,
+        content: &[CacheChange],
+        asked_at: Timestamp,
+    ) {
+        let held: BTreeSet<PartKey> = content.iter().map(|change| change.key).collect();
+        let mut state = self.state_mut();
+        let used_by = asked_at.before(COMPUTATION_TIME);
+        let believed = state.holders.held_by(engine, used_by);
+        let gone: Vec<_> = believed.filter(|key| !held.contains(key)).collect();
+        info!(self.log(), "cache_read_anew"; "engine" => %engine, "parts" => held.len(),
+            "gone" => gone.len());
+        for key in gone {
+            note_dropped(&mut state, key, engine);
+        }
+    }
 }
 
 fn note_dropped(state: &mut GatewayState, key: PartKey, engine: &BackEndName) {
--- a/crates/gateway/src/placement/cache_feed.rs
+++ b/crates/gateway/src/placement/cache_feed.rs
@@ -28,6 +28,8 @@
     pub next: Cursor,
     /// The changes. The list may be incomplete: some changes are never reported.
     pub changes: Vec<CacheChange>,
+    /// Whether the changes are the whole content instead: the engine does not keep all changes since the earlier poll.
+    pub is_content: bool,
 }
 
 /// Client that polls engines for changes of their caches.
--- a/crates/gateway/src/placement/cache_watch.rs
+++ b/crates/gateway/src/placement/cache_watch.rs
@@ -76,6 +76,7 @@
     let known = polls.borrow().cursors.get(&engine).copied();
     let known = known.filter(|(_, valid_in)| *valid_in == incarnation);
     let since = known.map(|(cursor, _)| cursor);
+    let asked_at = gateway.clock().now();
     let response = feed.changes(engine.clone(), address, since).await;
     let mut polls = polls.borrow_mut();
     polls.in_flight.remove(&engine);
@@ -91,5 +92,9 @@
     polls
         .cursors
         .insert(engine.clone(), (response.next, incarnation));
-    gateway.apply_cache_changes(&engine, &response.changes, since.is_none());
+    if response.is_content {
+        gateway.forget_uncached_parts(&engine, &response.changes, asked_at);
+    }
+    let is_first = since.is_none() || response.is_content;
+    gateway.apply_cache_changes(&engine, &response.changes, is_first);
 }
--- a/crates/gateway/src/placement/holder_table.rs
+++ b/crates/gateway/src/placement/holder_table.rs
@@ -86,6 +86,21 @@
             .map(|holder| (&holder.engine, holder.used_at))
     }
 
+    /// The prefixes that `engine` holds and has not used after `used_by`.
+    pub fn held_by(
+        &self,
+        engine: &BackEndName,
+        used_by: Timestamp,
+    ) -> impl Iterator<Item = PartKey> {
+        let is_held = move |holders: &[Holder]| {
+            let mut holders = holders.iter();
+            holders.any(|holder| holder.engine == *engine && holder.used_at <= used_by)
+        };
+        let held = self.holders.iter();
+        held.filter(move |(_, holders)| is_held(holders))
+            .map(|(key, _)| *key)
+    }
+
     /// Time at which the KV store was last known to hold the prefix.
     pub fn stored_at(&self, key: PartKey, store: SocketAddr) -> Option<Timestamp> {
         let store = store_holder_name(store);
--- a/crates/gateway/tests/caches.rs
+++ b/crates/gateway/tests/caches.rs
@@ -218,7 +218,7 @@
         self.asked.borrow_mut().push((engine, since));
         let told = (!self.is_silent).then(|| CacheChanges {
             next: since.unwrap_or_default() + 10,
-            changes: Vec::new(),
+            ..CacheChanges::default()
         });
         async move {
             sleep(Duration::from_millis(500)).await;
--- a/crates/gateway/tests/engine_lives.rs
+++ b/crates/gateway/tests/engine_lives.rs
@@ -610,7 +610,7 @@
         self.asked.borrow_mut().push(since);
         let told = CacheChanges {
             next: since.unwrap_or_default() + 10,
-            changes: Vec::new(),
+            ..CacheChanges::default()
         };
         async move { Some(told) }.boxed_local()
     }
