Take no watch of a late source for one that waited

Weights that a watch reports count as published when it reports them if it had been waiting for half a second. Where the source answers late, a watch that it answered at once takes as long, so weights that had been published right after the last proof counted as new, and older ones were used for longer than they may be.

How late the source answered the last question that it didn't hold open, or a watch that ran its whole time, is now remembered, and a watch has waited only if it took half a second on top of that. A node whose own questions are all held open, since others ask in its place, knows no such delay and judges as before.

--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -70,6 +70,8 @@
     pub source_answered_at: Option<Timestamp>,
     /// Since when the source has answered this node or others without interruption.
     pub steadiness: Steadiness,
+    /// How late the source answered the last question that it did not hold open for a change.
+    pub source_delay: Duration,
     /// Another node whose replica is newer than this node's.
     pub peer_ahead: Option<MemberAddress>,
     /// When a request to the lease store last failed; `None` once one succeeds. Other requests to
@@ -281,6 +283,7 @@
             is_source_reachable: false,
             source_answered_at: None,
             steadiness: Steadiness::new(settings.entry_ttl),
+            source_delay: Duration::ZERO,
             peer_ahead: None,
             lease_store_failed_at: None,
             has_engine_list: false,
--- a/crates/gateway/src/gateway/published_weights.rs
+++ b/crates/gateway/src/gateway/published_weights.rs
@@ -12,7 +12,8 @@
 /// A watch that was held open for this long was waiting for the change that it reports, and reports
 /// it as it happens. A response that came sooner contains what had happened before the request: the
 /// source answers within milliseconds, or some hundred when it is slow. The response to a question
-/// that the source does not hold open contains that however late it comes.
+/// that the source does not hold open contains that however late it comes. Where the source answers late, a watch
+/// waited for what it took on top of that.
 const MIN_WAITING_WATCH: Duration = Duration::from_millis(500);
 
 impl Gateway {
@@ -41,10 +42,10 @@
 
     fn earliest_publication(&self, held_since: Option<Timestamp>, now: Timestamp) -> Timestamp {
         let waited = held_since.map(|at| now.since(at)).unwrap_or_default();
-        if waited >= MIN_WAITING_WATCH {
+        let state = self.state();
+        if waited >= MIN_WAITING_WATCH + state.source_delay {
             return now;
         }
-        let state = self.state();
         let replica = state.replicas.of(ItemKind::Weights);
         let as_of = replica.freshness.confirmed_at().max(replica.read_at);
         // An earlier time would make no difference: older weights may no longer be used in any
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -245,8 +245,11 @@
 
     /// Records that the source answered a request that was sent at `asked_at` and that the source
     /// was allowed to hold open for `wait`.
-    pub(crate) fn note_response_time(&self, asked_at: Timestamp, wait: Duration) {
+    pub fn note_response_time(&self, asked_at: Timestamp, wait: Duration) {
         let response_time = self.clock().now().since(asked_at);
+        if response_time >= wait {
+            self.state_mut().source_delay = response_time - wait;
+        }
         if response_time < wait + TIMELY_RESPONSE_LIMIT {
             self.state_mut().steadiness.note(asked_at);
         }
