Prove no older configuration while the newest can't be read

An object that holds the newest configuration and can't be read was passed over. The list or the next empty answer then proved the configuration before it as current, for as long as the object stood there: keys that it took away stayed in force without a bound.

It is told as one that can't be read now, and while that is so nothing proves the older one, neither the store's answers nor other nodes: nodes go on with it as they do in an outage of the store, up to the bound for a configuration without a proof, until a configuration that can be read follows.

--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -164,7 +164,7 @@
         let sent_at = self.echoed_message_sent_at(state, message);
         if let Some(sent_at) = sent_at.filter(|_| own_version == Some(reported.version)) {
             let replica = state.replicas.of_mut(ItemKind::Configuration);
-            replica.freshness.confirm(sent_at.before(age));
+            replica.confirm(sent_at.before(age));
         }
     }
 
--- a/crates/gateway/src/gateway/replica_freshness.rs
+++ b/crates/gateway/src/gateway/replica_freshness.rs
@@ -138,7 +138,7 @@
                 state.note_peer_ahead(&message.from, now);
             } else if let Some(sent_at) = sent_at {
                 let age = Duration::from_millis(reported.age_ms);
-                replica.freshness.confirm(sent_at.before(age));
+                replica.confirm(sent_at.before(age));
             }
         }
     }
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -237,7 +237,7 @@
             if replica.behind_since <= Some(confirmed_at) {
                 replica.note_caught_up();
             }
-            replica.freshness.confirm(confirmed_at);
+            replica.confirm(confirmed_at);
         }
         drop(state);
         self.update_readiness();
@@ -271,7 +271,18 @@
     ) {
         for change in changes {
             match change {
-                ItemChange::Present(Item::Configuration(table)) => self.adopt_table(table),
+                ItemChange::Present(Item::Configuration(table)) => {
+                    let mut state = self.state_mut();
+                    state
+                        .replicas
+                        .of_mut(ItemKind::Configuration)
+                        .note_readable();
+                    drop(state);
+                    self.adopt_table(table);
+                }
+                ItemChange::Present(Item::UnreadableConfiguration) => {
+                    self.note_unreadable_configuration();
+                }
                 ItemChange::Present(Item::Engine(entry)) => self.apply_engine_entry(entry),
                 ItemChange::Present(Item::Unusable(name)) => self.handle_entry_unusable(&name),
                 ItemChange::Present(Item::Weights(named)) => {
@@ -330,6 +341,20 @@
         }
     }
 
+    /// The newest configuration can't be read, so the one in force is not proven any more.
+    fn note_unreadable_configuration(&self) {
+        let now = self.clock().now();
+        let mut state = self.state_mut();
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        if !replica.is_unreadable() {
+            let known = state.table.as_ref().map(|table| table.version());
+            warn!(self.log(), "configuration_unproven"; "reason" => "the newest can't be read",
+                "known" => known);
+        }
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        replica.note_unreadable(now);
+    }
+
     /// Version of the configuration; `None` until one is known.
     pub fn configuration_version(&self) -> Option<u64> {
         self.state().table.as_ref().map(|table| table.version())
@@ -494,7 +519,7 @@
             known.is_none_or(|known| known.entry != *entry)
         }
         Item::Unusable(name) => engines.get(name).is_some(),
-        Item::Configuration(_) | Item::Weights(_) => false,
+        Item::Configuration(_) | Item::UnreadableConfiguration | Item::Weights(_) => false,
     };
     let changed = items.iter().filter(is_changed);
     let changed = changed.cloned().map(ItemChange::Present);
@@ -506,6 +531,6 @@
     match item {
         Item::Engine(entry) => Some(&entry.name),
         Item::Unusable(name) => Some(name),
-        Item::Configuration(_) | Item::Weights(_) => None,
+        Item::Configuration(_) | Item::UnreadableConfiguration | Item::Weights(_) => None,
     }
 }
--- a/crates/gateway/src/gateway/source_sync.rs
+++ b/crates/gateway/src/gateway/source_sync.rs
@@ -345,7 +345,7 @@
             self.note_reader_ahead(&mut state, reader, mark.position);
             return;
         }
-        replica.freshness.confirm(confirmed_time(asked_at, mark));
+        replica.confirm(confirmed_time(asked_at, mark));
     }
 
     /// Confirms the replica as of the time when the reader's was confirmed, provided it has the
@@ -354,7 +354,7 @@
         let mut state = self.state_mut();
         let replica = state.replicas.of_mut(kind);
         if replica.revision >= Some(told) {
-            replica.freshness.confirm(confirmed_time(asked_at, mark));
+            replica.confirm(confirmed_time(asked_at, mark));
             replica.note_current();
         } else if kind == ItemKind::Engines {
             let known = replica.revision.map(|revision| revision.to_string());
--- a/crates/gateway/src/source/follower.rs
+++ b/crates/gateway/src/source/follower.rs
@@ -371,7 +371,7 @@
         let now = self.gateway.clock().now();
         let state = self.gateway.state();
         let replica = state.replicas.of(self.kind);
-        let proven_at = replica.freshness.confirmed_at();
+        let proven_at = replica.known_as_of();
         // A stale list proves nothing, but was not much older.
         let known_at = proven_at.or(self.listed_at);
         let is_known = known_at.is_some_and(|at| now.since(at) < patience);
--- a/crates/gateway/src/source/freshness_prober.rs
+++ b/crates/gateway/src/source/freshness_prober.rs
@@ -49,7 +49,8 @@
         return false;
     }
     let replica = state.replicas.of(ItemKind::Configuration);
-    let is_old = !replica.freshness.is_within(patience, now);
+    let known_at = replica.known_as_of();
+    let is_old = known_at.is_none_or(|at| now.since(at) >= patience);
     replica.revision.is_some() && (is_old || replica.is_behind())
 }
 
--- a/crates/gateway/src/source/item.rs
+++ b/crates/gateway/src/source/item.rs
@@ -21,6 +21,8 @@
 pub enum Item {
     /// The whole configuration.
     Configuration(Rc<RoutingTable>),
+    /// The newest configuration, which can't be read: what is known is an older one.
+    UnreadableConfiguration,
     /// One engine.
     Engine(EngineEntry),
     /// An entry of this name that can't be read: it names no engine, so one that it named before must
--- a/crates/gateway/src/source/replica.rs
+++ b/crates/gateway/src/source/replica.rs
@@ -26,6 +26,8 @@
     pub is_history_lost: bool,
     /// Since when another node is known to have a newer copy.
     pub behind_since: Option<Timestamp>,
+    /// The newest entry can't be read, as a question asked at this time has shown: the copy is an older one.
+    unreadable_as_of: Option<Timestamp>,
     /// When this copy last returned to an earlier revision.
     stepped_back_at: Option<Timestamp>,
     /// The newest revision after which, as another node told, nothing has changed.
@@ -33,6 +35,34 @@
 }
 
 impl Replica {
+    /// The copy was certainly current at `at`, unless its newest entry can't be read.
+    pub fn confirm(&mut self, at: Timestamp) {
+        match &mut self.unreadable_as_of {
+            Some(as_of) => *as_of = at.max(*as_of),
+            None => self.freshness.confirm(at),
+        }
+    }
+
+    /// The newest entry can't be read.
+    pub fn note_unreadable(&mut self, now: Timestamp) {
+        self.unreadable_as_of.get_or_insert(now);
+    }
+
+    /// The newest entry has been read.
+    pub fn note_readable(&mut self) {
+        self.unreadable_as_of = None;
+    }
+
+    /// Whether the newest entry can't be read.
+    pub fn is_unreadable(&self) -> bool {
+        self.unreadable_as_of.is_some()
+    }
+
+    /// When it was last known what the source holds, whether or not that could be read.
+    pub fn known_as_of(&self) -> Option<Timestamp> {
+        self.freshness.confirmed_at().max(self.unreadable_as_of)
+    }
+
     /// Whether another node is known to have a newer copy.
     pub fn is_behind(&self) -> bool {
         self.behind_since.is_some()
--- a/crates/gateway/tests/support/virtual_source.rs
+++ b/crates/gateway/tests/support/virtual_source.rs
@@ -280,7 +280,7 @@
 /// The name of an item in the source.
 fn name_of(item: &Item) -> String {
     match item {
-        Item::Configuration(_) => "main".to_owned(),
+        Item::Configuration(_) | Item::UnreadableConfiguration => "main".to_owned(),
         Item::Engine(entry) => entry.name.to_string(),
         Item::Unusable(name) => name.to_string(),
         Item::Weights(named) => named.model.clone(),
