Tell nodes that an engine which has gone had said that it leaves

It had heard from the others that the engine is gone, and barred it; when the bar ended, 7.2 s later, and the copy still listed the entry, it used the engine as one that is ready. Those that had seen it leave use it as one that leaves by then; what they tell of engines that have gone lacked it.

News of an engine that has gone tell that too, in a field of its own; builds that know none of it read the rest as before, and theirs reads as it did.

--- a/crates/gateway/src/engines/departures.rs
+++ b/crates/gateway/src/engines/departures.rs
@@ -100,6 +100,7 @@
         &mut self,
         name: &BackEndName,
         incarnation: Option<Incarnation>,
+        was_draining: bool,
         until: Timestamp,
         now: Timestamp,
     ) -> bool {
@@ -109,7 +110,7 @@
         let departure = Departure {
             incarnation,
             at: now,
-            was_draining: false,
+            was_draining,
         };
         let barred = Barred {
             departure,
@@ -169,9 +170,9 @@
         entries
     }
 
-    /// Engines that have gone lately or are barred, for other nodes.
-    pub fn gone(&self) -> impl Iterator<Item = (&BackEndName, Option<Incarnation>)> {
+    /// Engines that have gone lately, for other nodes, each with whether it was leaving.
+    pub fn gone(&self) -> impl Iterator<Item = (&BackEndName, Option<Incarnation>, bool)> {
         let gone = self.gone.iter();
-        gone.map(|(name, departure)| (name, departure.incarnation))
+        gone.map(|(name, departure)| (name, departure.incarnation, departure.was_draining))
     }
 }
--- a/crates/gateway/src/gateway/restored_source.rs
+++ b/crates/gateway/src/gateway/restored_source.rs
@@ -61,8 +61,12 @@
         let until = now.after(self.crashed_entry_lifetime());
         for update in &message.departures {
             let (name, incarnation) = (&update.name, update.incarnation);
+            let was_leaving = update.was_leaving;
             match update.is_gone {
-                true if state.departures.bar(name, incarnation, until, now) => {
+                true if state
+                    .departures
+                    .bar(name, incarnation, was_leaving, until, now) =>
+                {
                     self.bar_engine(state, update, now);
                 }
                 true => {}
@@ -129,17 +133,21 @@
         return Vec::new();
     }
     let gone = state.departures.gone();
-    let gone = gone.map(|(name, incarnation)| (name, incarnation, true));
+    let gone = gone.map(|(name, incarnation, was_leaving)| (name, incarnation, true, was_leaving));
     let leaving = state.engines.iter();
     let leaving = leaving.filter(|engine| engine.entry.state == EngineState::Draining);
-    let leaving = leaving.map(|engine| (&engine.entry.name, engine.entry.incarnation, false));
+    let leaving =
+        leaving.map(|engine| (&engine.entry.name, engine.entry.incarnation, false, false));
     let updates = leaving.chain(gone).take(MAX_DEPARTURES);
     updates
-        .map(|(name, incarnation, is_gone)| DepartureUpdate {
-            name: name.clone(),
-            incarnation,
-            is_gone,
-        })
+        .map(
+            |(name, incarnation, is_gone, was_leaving)| DepartureUpdate {
+                name: name.clone(),
+                incarnation,
+                is_gone,
+                was_leaving,
+            },
+        )
         .collect()
 }
 
--- a/crates/gateway/src/peers/departure_update.rs
+++ b/crates/gateway/src/peers/departure_update.rs
@@ -15,4 +15,7 @@
     /// Whether its entry has gone; otherwise it is leaving.
     #[serde(rename = "g", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_gone: bool,
+    /// Whether it had said that it leaves before its entry went.
+    #[serde(rename = "l", default, skip_serializing_if = "std::ops::Not::not")]
+    pub was_leaving: bool,
 }
