Paths: believe a probe only after its connection has lived for 0.5 s

What callers saw: at a node without links to its engines, requests that may not run twice were lost (502 may_have_run: connection closed before message completed) and engines were ejected, over and over, while the cut went on.

Cause: a probe counted as come through once its connection had lived for 50 ms. Where connections are accepted and reset later (a proxy, a load balancer, a host that stands still for a moment) every probe came through: all paths were taken for restored, idle tunnels closed, and the next requests sent directly and lost.

Now the connection must be alive at ten checks 0.05 s apart; the tunnels serve meanwhile, so that waiting costs callers some milliseconds.

cut_nodes.rs has links that reset connections after 0.3 s.

--- a/crates/gateway/src/upstream/dialer.rs
+++ b/crates/gateway/src/upstream/dialer.rs
@@ -23,8 +23,11 @@
 const MAX_PEERS_ASKED: usize = 4;
 /// An engine that so many nodes could not reach is out of reach of all.
 const MAX_UNREACHED: usize = 2;
-/// A probe succeeds when its connection lives for this time.
-const PROBE_HOLD: Duration = Duration::from_millis(50);
+/// A probe succeeds when its connection is still alive at so many checks. Whatever stands before an engine may accept
+/// connections and reset them later, and the tunnels serve meanwhile.
+const PROBE_CHECKS: usize = 10;
+/// Time before each check. A node that stands still makes one check late, not all of them.
+const PROBE_CHECK_DELAY: Duration = Duration::from_millis(50);
 /// Longest time for opening a connection, in multiples of the time for a direct one.
 const MAX_TIME_FACTOR: u32 = 2;
 
@@ -145,10 +148,11 @@
         let stream = connect(address, &self.settings).await.ok()?;
         let stream = EngineStream::Left(stream);
         let connection = Connection::new(stream, address, self.clock).await.ok()?;
-        // What resets connections lets some of them come up first.
-        sleep(PROBE_HOLD).await;
-        if connection.is_closed() {
-            return None;
+        for _ in 0..PROBE_CHECKS {
+            sleep(PROBE_CHECK_DELAY).await;
+            if connection.is_closed() {
+                return None;
+            }
         }
         let now = self.clock.now();
         self.paths.borrow_mut().note_probed(engine, now);
--- a/crates/gateway/tests/cut_nodes.rs
+++ b/crates/gateway/tests/cut_nodes.rs
@@ -37,6 +37,8 @@
     silent_all_but_one = { Link::Silent, 3, RequestKind::Unsafe },
     reset_half = { Link::Reset, 2, RequestKind::Unsafe },
     reset_all_but_one = { Link::Reset, 3, RequestKind::Safe },
+    late_reset_half = { Link::LateReset, 2, RequestKind::Unsafe },
+    late_reset_all_but_one = { Link::LateReset, 3, RequestKind::Safe },
     lingering_half = { Link::Lingering, 2, RequestKind::Unsafe },
 )]
 fn callers_of_nodes_that_reach_no_engine_are_served(link: Link, cut: usize, kind: RequestKind) {
--- a/crates/gateway/tests/support/engine_proxy.rs
+++ b/crates/gateway/tests/support/engine_proxy.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,8 +11,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 const BUFFER_BYTES: usize = 16_384;
+/// Age at which a connection is reset late.
+const LATE_RESET: Duration = Duration::from_millis(300);
 
 /// State of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -21,6 +25,8 @@
     Silent,
     /// Connections are reset.
     Reset,
+    /// Connections come up, pass nothing on, and are reset after [`LATE_RESET`].
+    LateReset,
     /// Open connections live on, and new ones never come up.
     Lingering,
 }
@@ -94,6 +100,11 @@
             reset(&node);
             return;
         }
+        if self.link.get() == Link::LateReset {
+            sleep(LATE_RESET).await;
+            reset(&node);
+            return;
+        }
         self.accepted.set(self.accepted.get() + 1);
         let Ok(engine) = TcpStream::connect(self.engine.get()).await else {
             reset(&node);
@@ -116,7 +127,7 @@
         loop {
             let changed = self.changed.notified();
             match self.link.get() {
-                Link::Reset => {
+                Link::Reset | Link::LateReset => {
                     reset(to.as_ref());
                     reset(from.as_ref());
                     return;
@@ -147,7 +158,7 @@
 
 /// Makes the end of the connection a reset.
 fn reset(stream: &TcpStream) {
-    let linger = Some(std::time::Duration::ZERO);
+    let linger = Some(Duration::ZERO);
     // A connection that has ended needs no reset.
     let _ = SockRef::from(stream).set_linger(linger);
 }
