Tunnels: prefer other nodes after a new tunnel broke without an answer

What callers saw: at a node without links to its engines, requests went on through a node that had lost its links as well and did not know it, and were lost (502 may_have_run); the engines were ejected.

Cause: a node without requests of its own never notices that its links are cut. It opens tunnels where connections come up, which are reset later. The asking node took the reset for the engine's alone and went on choosing the same node.

Now such a tunnel puts its node behind the others, as a lost one does, until a tunnel through it carries an answer. The engine is blamed as before: it may have crashed, and nothing tells the two apart.

This does not mend the tests of cut_nodes.rs at a high load.

--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -172,8 +172,8 @@
                     return Err(AttemptFailure::NotConnected { detail, is_timeout });
                 }
                 None => {
-                    if !is_kept && connection.tunnel.is_none() && !connection.has_received() {
-                        self.dialer.note_broken(engine);
+                    if !is_kept && !connection.has_received() {
+                        self.note_broken(engine, &connection);
                     }
                     if is_malformed(failure.error()) && !is_tunnel_lost {
                         return Err(AttemptFailure::NoAnswer { detail });
@@ -221,6 +221,15 @@
         }
     }
 
+    /// A new connection broke before the engine sent anything: the way may be at fault. The node of a tunnel may be cut off
+    /// itself and not know it yet.
+    fn note_broken(&self, engine: &BackEndName, connection: &Connection) {
+        match &connection.tunnel {
+            None => self.dialer.note_broken(engine),
+            Some((node, _)) => self.dialer.note_tunnel_lost(node),
+        }
+    }
+
     /// Number of engines to which a connection has been opening for longer than that takes.
     pub fn late_engines(&self, now: Timestamp) -> usize {
         self.opening.engines_before(now.before(LATE_CONNECTION))
--- a/crates/gateway/tests/cut_nodes.rs
+++ b/crates/gateway/tests/cut_nodes.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use ryerouter_gateway::catalogue::RequestKind;
@@ -60,3 +61,20 @@
         assert!(least(&shares) >= 0.99, "after the cut: {shares:?}");
     });
 }
+
+/// A node that has no requests of its own does not know that it is cut off, and opens tunnels that are reset.
+#[test]
+fn requests_do_not_go_on_through_a_node_whose_tunnels_break() {
+    run(async {
+        let table = || table(1, vec![route(RequestKind::Unsafe)]);
+        let nodes = LinkedNodes::start(NODES, ENGINES, table).await;
+        nodes.nodes[0].set_links(Link::Silent);
+        for node in &nodes.nodes[1..NODES - 1] {
+            node.set_links(Link::LateReset);
+        }
+        let asking = &nodes.nodes[0];
+        Rc::clone(asking).served_share(NOTICE).await;
+        let share = Rc::clone(asking).served_share(2 * SPAN).await;
+        assert!(share >= 0.95, "{share}");
+    });
+}
