Continuations: count calls to the store by kind

Each node counts them and logs the counts once a second where there were any since (continuation_store_calls).

--- a/crates/gateway/src/continuation/state.rs
+++ b/crates/gateway/src/continuation/state.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::continuation::{Handovers, Journal, Register, Shard, VersionHistory};
 
-use super::{HeardZones, Lookup, ShardReading, VersionTable};
+use super::{HeardZones, Lookup, ShardReading, StoreCalls, VersionTable};
 
 /// What a node remembers of streams and their versions.
 #[derive(Debug, Default)]
@@ -27,4 +27,6 @@
     pub journals: BTreeMap<Shard, Journal>,
     /// Readings of the store's records.
     pub readings: BTreeMap<Shard, ShardReading>,
+    /// Calls to the store so far.
+    pub calls: StoreCalls,
 }
--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
+use super::StoreCalls;
 use crate::gateway::Gateway;
 use crate::source::{Backoff, ContinuationStore, SourceError, StoreWrite};
 
@@ -19,6 +20,8 @@
 const COMPARE_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a node looks for records that no other node has confirmed.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a node logs how many calls it has made.
+const CALLS_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Pauses after failed calls.
 const BACKOFF: Backoff = Backoff {
     first: Duration::from_millis(100),
@@ -55,7 +58,8 @@
             sync_versions(&gateway, store.as_ref()),
             join_all(reads),
             join_all(writes),
-            hand_over_again(&gateway)
+            hand_over_again(&gateway),
+            log_calls(&gateway)
         );
     }
 }
@@ -68,6 +72,19 @@
     }
 }
 
+/// Logs the calls to the store so far, where there were any since.
+async fn log_calls(gateway: &Gateway) {
+    let mut logged = StoreCalls::default();
+    loop {
+        sleep(CALLS_LOG_INTERVAL).await;
+        let calls = gateway.store_calls();
+        if calls != logged {
+            logged = calls;
+            info!(gateway.log(), "continuation_store_calls"; "calls" => ?calls);
+        }
+    }
+}
+
 async fn sync_versions(gateway: &Gateway, store: &dyn ContinuationStore) {
     let mut failures = 0;
     while let Err(error) = read_versions(gateway, store).await {
@@ -100,6 +117,7 @@
     store: &dyn ContinuationStore,
 ) -> Result<(), SourceError> {
     let asked_at = gateway.clock().now();
+    gateway.count_version_reading();
     let listed = timeout(STORE_TIMEOUT, store.list_versions()).await;
     let listed = listed.unwrap_or(Err(SourceError::NoAnswer))?;
     gateway.apply_version_records(listed, asked_at);
@@ -117,6 +135,7 @@
     let mut failed = Ok(());
     for pool in gateway.due_version_records() {
         let (record, revision) = gateway.version_record(&pool);
+        gateway.count_store_calls(|calls| calls.versions_written += 1);
         let written = timeout(STORE_TIMEOUT, store.write_versions(&record, revision)).await;
         match written.unwrap_or(Err(SourceError::NoAnswer)) {
             Ok(StoreWrite::Written(revision)) => gateway.note_versions_written(record, revision),
@@ -136,6 +155,7 @@
             changed.await;
             continue;
         }
+        gateway.count_store_calls(|calls| calls.shards_read += 1);
         let listed = timeout(STORE_TIMEOUT, store.list_segments(shard)).await;
         match listed.unwrap_or(Err(SourceError::NoAnswer)) {
             Ok(segments) => {
@@ -207,12 +227,17 @@
     shard: Shard,
     write: SegmentWrite,
 ) -> Option<SourceError> {
+    gateway.count_store_calls(|calls| calls.segments_written += 1);
     let written = store.write_segment(shard, &write.segment, write.replaces);
     let written = timeout(STORE_TIMEOUT, written).await;
     match written.unwrap_or(Err(SourceError::NoAnswer)) {
         Ok(StoreWrite::Written(revision)) => gateway.note_segment_written(shard, &write, revision),
-        Ok(StoreWrite::Conflict(found)) => gateway.note_segment_conflict(shard, &write, found),
+        Ok(StoreWrite::Conflict(found)) => {
+            gateway.count_store_calls(|calls| calls.conflicts += 1);
+            gateway.note_segment_conflict(shard, &write, found);
+        }
         Err(error) => {
+            gateway.count_store_calls(|calls| calls.failures += 1);
             gateway.note_segment_unwritten(shard, &write);
             return Some(error);
         }
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Gateway, GatewayState};
+use crate::continuation::StoreCalls;
 use crate::peers::Peer;
 use crate::source::SourceError;
 
@@ -26,6 +27,25 @@
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Gateway {
+    /// Calls to the store of versions and streams so far.
+    pub fn store_calls(&self) -> StoreCalls {
+        self.state().continuations.calls
+    }
+
+    /// Counts a reading of the recorded versions.
+    pub(crate) fn count_version_reading(&self) {
+        let mut state = self.state_mut();
+        let is_wanted = state.continuations.versions.is_reading_wanted;
+        let calls = &mut state.continuations.calls;
+        calls.versions_read += 1;
+        calls.versions_confirmed += u32::from(is_wanted);
+    }
+
+    /// Counts calls to the store of versions and streams.
+    pub(crate) fn count_store_calls(&self, count: impl FnOnce(&mut StoreCalls)) {
+        count(&mut self.state_mut().continuations.calls);
+    }
+
     /// Whether the stored records of a shard are to be read.
     pub(crate) fn wants_shard(&self, shard: Shard) -> bool {
         let state = self.state();
@@ -102,7 +122,8 @@
         if is_finding_readers {
             return false;
         }
-        reading.is_wanted = true;
+        let is_new = !std::mem::replace(&mut reading.is_wanted, true);
+        state.continuations.calls.shards_wanted += u32::from(is_new);
         self.stream_records_due.notify_waiters();
         false
     }
