--- a/crates/core/src/order/lease_holder.rs
+++ b/crates/core/src/order/lease_holder.rs
@@ -61,11 +61,9 @@
     next_call_at: Timestamp,
     /// Era of the store.
     era: u64,
-    /// Whether nobody but this process can have held the lease when it saw the store come back from a copy. The copy may
-    /// name an earlier holder, or an earlier fencing number of this one, so the lease is taken anew rather than renewed.
+    /// Whether this process held the lease when it saw the store come back from a copy. The copy may name an earlier
+    /// holder, or an earlier fencing number of this one, so the lease is taken anew rather than renewed.
     must_retake: bool,
-    /// When the lease ran out that this process held last, unless it gave it up or another one took it.
-    run_out_at: Option<Timestamp>,
     /// When this process saw the store come back from a copy.
     restored_at: Option<Timestamp>,
 }
@@ -93,7 +91,6 @@
             next_call_at: Timestamp::ZERO,
             era: 0,
             must_retake: false,
-            run_out_at: None,
             restored_at: None,
         }
     }
@@ -145,25 +142,9 @@
         if let Some(held) = self.held {
             self.highest = self.highest.max(held.fencing_number);
         }
-        self.must_retake = self.held.is_some() || self.has_just_run_out(now);
+        self.must_retake = self.held.is_some();
         self.restored_at = Some(now);
         self.forget_history();
-        if self.must_retake {
-            self.next_call_at = now;
-        }
-    }
-
-    /// Whether the own lease ran out so lately that nobody else can have taken it yet.
-    fn has_just_run_out(&self, now: Timestamp) -> bool {
-        let free_at = self
-            .run_out_at
-            .map(|at| at.after(self.settings.takeover_margin));
-        free_at.is_some_and(|at| now < at)
-    }
-
-    /// Whether this process takes the lease before others may, after a return of the store.
-    fn may_retake(&self, now: Timestamp) -> bool {
-        self.must_retake && (self.held.is_some() || self.is_restored_lately(now))
     }
 
     /// Notes in which era the first record was written that this process has read or heard of; `None` if there is no
@@ -213,31 +194,18 @@
         if self.held.is_some_and(|held| held.fencing_number < newer) {
             self.lose(actions);
         }
-        if self.held.is_none() && self.highest < newer {
-            self.forget_own();
-        }
     }
 
     fn lapse(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
-        let Some(held) = self.held.filter(|held| !held.is_valid(now)) else {
-            return;
-        };
-        self.held = None;
-        self.highest = self.highest.max(held.fencing_number);
-        self.run_out_at = Some(held.valid_until);
-        actions.push(LeaseAction::Changed(None));
+        if self.held.is_some_and(|held| !held.is_valid(now)) {
+            self.lose(actions);
+        }
     }
 
     fn lose(&mut self, actions: &mut Vec<LeaseAction>) {
         self.held = None;
-        self.forget_own();
-        actions.push(LeaseAction::Changed(None));
-    }
-
-    /// Another process may hold the lease from now on.
-    fn forget_own(&mut self) {
         self.must_retake = false;
-        self.run_out_at = None;
+        actions.push(LeaseAction::Changed(None));
     }
 
     fn advance(&mut self, now: Timestamp, actions: &mut Vec<LeaseAction>) {
@@ -272,7 +240,7 @@
         let Some(seen) = &self.seen else {
             return false;
         };
-        if self.may_retake(now) {
+        if self.must_retake && self.held.is_some() {
             return true;
         }
         if self.is_restored_lately(now) {
@@ -365,7 +333,7 @@
                 self.note_first_record(None, now);
                 self.forget_history();
                 let is_vacant = self.held.is_none() && !self.is_restored_lately(now);
-                if self.candidate && (is_vacant || self.may_retake(now)) {
+                if self.candidate && (is_vacant || self.must_retake) {
                     self.take(now, actions);
                 }
             }
@@ -411,15 +379,7 @@
             self.forget_history();
         }
         self.reads_behind = None;
-        let is_of_another = record.holder.as_ref() != Some(&self.name);
-        if is_of_another && record.fencing_number > self.lowest_of_era() {
-            // Taken since the store came back.
-            self.forget_own();
-        }
         let known = self.seen.as_ref().map(|seen| seen.version);
-        if known.is_none() && self.must_retake {
-            self.next_call_at = now;
-        }
         if known != Some(version) {
             self.seen = Some(SeenLease {
                 record: record.clone(),
@@ -484,7 +444,7 @@
             valid_until: sent_at.after(self.settings.duration),
         };
         if is_own && held.is_valid(now) {
-            self.forget_own();
+            self.must_retake = false;
             self.held = Some(held);
             actions.push(LeaseAction::Changed(Some(held)));
         }
