--- a/crates/gateway/src/continuation/store_sync.rs
+++ b/crates/gateway/src/continuation/store_sync.rs
@@ -80,7 +80,13 @@
         let calls = gateway.store_calls();
         if calls != logged {
             logged = calls;
-            info!(gateway.log(), "continuation_store_calls"; "calls" => ?calls);
+            info!(gateway.log(), "continuation_store_calls";
+                "versions_read" => calls.versions_read,
+                "versions_confirmed" => calls.versions_confirmed,
+                "versions_written" => calls.versions_written,
+                "shards_read" => calls.shards_read, "shards_wanted" => calls.shards_wanted,
+                "segments_written" => calls.segments_written, "conflicts" => calls.conflicts,
+                "failures" => calls.failures);
         }
     }
 }
