Let a record of several versions rest on engines of each of them

After a kill of all nodes right after the engines of an older version had left together, no node believed the record {v1, v1.1}, though engines of v1.1 had served all the time: its witnesses had been chosen before those were listed for 1.5 s, so all were of v1.

Witnesses are now spread over the versions, and a record is written again as soon as a version in service has none.

record_of_two_versions_is_not_believed_after_the_older_one_has_left: before, 0 nodes of 4 believe the record and 4 don't; after, 4 and 0.

--- a/crates/gateway/src/gateway/version_witnesses.rs
+++ b/crates/gateway/src/gateway/version_witnesses.rs
@@ -1,6 +1,6 @@
 //! Engines on which the recorded versions rest; see docs/design/continuations.md.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::continuation::SETTLING_TIME;
@@ -60,8 +60,14 @@
         let possible = possible_witnesses(state, pool, &record.versions, now);
         let possible: Vec<_> = possible.collect();
         let present = possible.iter().filter(|engine| witnesses(record, engine));
+        let present: Vec<_> = present.collect();
         let wanted = possible.len().min(MAX_WITNESSES);
-        present.count() < wanted.div_ceil(2).max(wanted.min(MIN_WITNESSES))
+        let software = |engine: &&Engine| engine.entry.software.clone();
+        let of_versions: BTreeSet<_> = possible.iter().map(software).collect();
+        let present_of: BTreeSet<_> = present.iter().copied().map(software).collect();
+        // The engines of a version often leave together.
+        let lacks_version = of_versions.len() <= MAX_WITNESSES && of_versions != present_of;
+        lacks_version || present.len() < wanted.div_ceil(2).max(wanted.min(MIN_WITNESSES))
     }
 
     /// The witnesses that a record of these versions names. Those that are stored stay while this node can't tell
@@ -79,13 +85,31 @@
         }
         let possible = possible_witnesses(state, pool, versions, now);
         let mut possible: Vec<_> = possible.collect();
-        // Nodes that write the same pool choose the same ones, and those of all zones.
-        possible.sort_by_key(|engine| xxh3_64(engine.entry.name.as_str().as_bytes()));
-        let chosen = possible.into_iter().take(MAX_WITNESSES);
+        // Nodes that write the same pool choose the same ones.
+        possible.sort_by_cached_key(|engine| xxh3_64(engine.entry.name.as_str().as_bytes()));
+        let chosen = spread_over_versions(possible)
+            .into_iter()
+            .take(MAX_WITNESSES);
         chosen.map(|engine| witness_of(&engine.entry)).collect()
     }
 }
 
+/// Orders engines so that each version has one before any has a second one, and so on: the engines of a version often
+/// leave together.
+fn spread_over_versions(engines: Vec<&Engine>) -> Vec<&Engine> {
+    let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+    let mut ranked: Vec<_> = engines
+        .into_iter()
+        .map(|engine| {
+            let count = counts.entry(&engine.entry.software).or_default();
+            *count += 1;
+            (*count, engine)
+        })
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.into_iter().map(|(_, engine)| engine).collect()
+}
+
 /// Whether this node knows which versions served a pool before it was started.
 pub(super) fn knows_past(state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
     let versions = &state.continuations.versions;
--- a/crates/gateway/tests/versions_never_recorded.rs
+++ b/crates/gateway/tests/versions_never_recorded.rs
@@ -296,3 +296,23 @@
         assert_eq!(mixed, 0, "mixed streams of {STREAMS}");
     });
 }
+
+/// All engines of the older version leave at once, just before all nodes are killed.
+#[test]
+fn record_of_two_versions_is_not_believed_after_the_older_one_has_left() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1"; MANY_PAIRS]).await;
+        sleep(SETTLED).await;
+        for _ in 0..2 {
+            nodes.start_engine("v1.2").await;
+        }
+        nodes.list();
+        sleep(SETTLED * 2).await;
+        take_away(&nodes, "v1");
+        kill_all(&nodes).await;
+        sleep(SETTLED).await;
+        let proven = nodes.lines.of("version_record_proven").len();
+        let unproven = nodes.lines.of("version_record_unproven").len();
+        assert_eq!((proven, unproven), (4, 0));
+    });
+}
