Tell callers for good that the version of their stream has left, whatever is known of the past

Callers whose stream's version had left came back again and again: where a pool's past was not known, the refusal was no_engine with a Retry-After in place of version_gone.

Whether a version is in service is a matter of the list alone, which is confirmed or not; what served before the start has no part in it.

--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -119,12 +119,14 @@
 
     /// Whether engines of a version serve a pool, as far as the list tells; `None` while the list may be outdated.
     pub(crate) fn is_version_in_service(&self, pool: &PoolName, software: &str) -> Option<bool> {
-        let outlook = self.version_outlook(pool);
+        let now = self.clock().now();
+        let has_heard_others = self.uptime() >= PEER_DISCOVERY_TIME;
         let state = self.state();
         let mut engines = state.engines.of_pool(pool);
         let is_listed =
             engines.any(|engine| engine.is_in_service() && engine.entry.software == software);
-        (is_listed || outlook.is_certain).then_some(is_listed)
+        let is_certain = has_heard_others && state.is_engine_list_current(SETTLING_TIME, now);
+        (is_listed || is_certain).then_some(is_listed)
     }
 
     /// Records that the caller of a request gets events of this version now, and tells the nodes that hold the record.
--- a/crates/gateway/tests/versions_never_recorded.rs
+++ b/crates/gateway/tests/versions_never_recorded.rs
@@ -316,3 +316,33 @@
         assert_eq!((proven, unproven), (4, 0));
     });
 }
+
+/// Callers come back in vain where no engine of their stream's version will serve.
+#[test]
+fn streams_whose_version_has_left_are_told_to_come_back_where_the_past_is_not_known() {
+    run(async {
+        let nodes = VersionedNodes::start(4, &["v1", "v1.2"]).await;
+        sleep(SETTLED + BETWEEN_COMPARISONS).await;
+        let mut streams = begin(&nodes).await;
+        streams.retain(|stream| stream.versions.contains("v1"));
+        assert!(!streams.is_empty());
+        sleep(SETTLED).await;
+        take_away(&nodes, "v1");
+        take_away(&nodes, "v1.2");
+        nodes.start_engine("v1.2").await;
+        kill_all(&nodes).await;
+        sleep(SETTLED * 2).await;
+        assert!(!nodes.lines.of("version_record_unproven").is_empty());
+        for (index, stream) in streams.iter_mut().enumerate() {
+            let attempt = stream.read(&nodes.node(index), EVENTS).await;
+            let is_final = matches!(
+                attempt,
+                Attempt::Refused {
+                    retry_after: None,
+                    ..
+                }
+            );
+            assert!(is_final, "{attempt:?}");
+        }
+    });
+}
