--- a/crates/gateway/src/gateway/version_records.rs
+++ b/crates/gateway/src/gateway/version_records.rs
@@ -223,11 +223,9 @@
         }
         self.schedule_version_reading(state, &pools, now);
         for pool in pools {
-            let record = self.record_of(state, &pool, now);
-            let is_outdated = state.continuations.versions.is_outdated(&record)
-                || self.lacks_witnesses(state, &pool, now);
             let rank = self.writer_rank(state, &pool, now);
-            if record.versions.is_empty() || !is_outdated || rank >= WRITERS {
+            // Choosing witnesses takes a look at every engine.
+            if rank >= WRITERS || !self.is_record_outdated(state, &pool, now) {
                 state.continuations.versions.cancel(&pool);
                 continue;
             }
@@ -237,6 +235,14 @@
         }
     }
 
+    /// Whether the record of a pool is to be written as it should be now.
+    fn is_record_outdated(&self, state: &GatewayState, pool: &PoolName, now: Timestamp) -> bool {
+        let record = self.record_of(state, pool, now);
+        let is_outdated = state.continuations.versions.is_outdated(&record);
+        let is_wanted = is_outdated || self.lacks_witnesses(state, pool, now);
+        is_wanted && !record.versions.is_empty()
+    }
+
     /// Schedules a reading of the records if other nodes write a version that this one does not know to be recorded.
     fn schedule_version_reading(
         &self,
