Continuations: name the writer of a shard while nodes don't know each other yet

Logged by kind (trial, 89 nodes): 4,192 of 4,931 calls are writes of segments, 33 conflicts, 232 reads of shards; 80 writes a second before the first kill and 110 to 177 after each start of all nodes, since up to four nodes write one shard. Nodes of other zones are heard of slowly: 7 s after its start a node knows 51 of 88 others (median), 14 s after it 55. Each node that knows no better one writes.

A node that has not heard all others now names, in the record to the holders of a stream, the node that it hands the record to, if it hears that one itself. Who is told takes it for a candidate of the shard for 3 s.

The test in the gateway does not build without the fix and was not run on it.

--- a/crates/core/src/continuation/handovers.rs
+++ b/crates/core/src/continuation/handovers.rs
@@ -12,6 +12,10 @@
 pub const SILENCE_TIME: Duration = Duration::from_secs(10);
 /// Number of nodes that are tried in turn before a node writes itself.
 const CANDIDATES: usize = 16;
+/// How long a node that others take for a writer is one for this node too.
+pub const NAMED_TIME: Duration = Duration::from_secs(3);
+/// Number of nodes that are kept of those that others have named for a shard.
+const MAX_NAMED: usize = 4;
 /// Maximum number of records that wait.
 const MAX_WAITING: usize = 8_192;
 
@@ -24,6 +28,20 @@
     begun_at: Timestamp,
 }
 
+/// A node that another one takes for a writer.
+#[derive(Debug)]
+struct Named<T> {
+    name_hash: u64,
+    node: T,
+    told_at: Timestamp,
+}
+
+impl<T> Named<T> {
+    fn is_recent(&self, now: Timestamp) -> bool {
+        now.since(self.told_at) < NAMED_TIME
+    }
+}
+
 /// Records on their way to the node that writes them to the store, bounded in number.
 ///
 /// Nodes that know different others choose different writers. A node therefore passes records on to the one that it takes
@@ -36,6 +54,8 @@
     confirmed_at: BTreeMap<T, Timestamp>,
     /// When nodes last failed to.
     missed_at: BTreeMap<T, Timestamp>,
+    /// Nodes that others take for the writers of shards and hear themselves.
+    named: BTreeMap<Shard, Vec<Named<T>>>,
 }
 
 impl<T> Default for Handovers<T> {
@@ -44,13 +64,38 @@
             waiting: BTreeMap::new(),
             confirmed_at: BTreeMap::new(),
             missed_at: BTreeMap::new(),
+            named: BTreeMap::new(),
         }
     }
 }
 
 impl<T: Copy + Ord> Handovers<T> {
-    /// The writer of a shard by rendezvous hashing over this node, whose name has the hash `own`, and `others`. Nodes that
-    /// have not confirmed records lately are passed over. While this node `is_starting` it doesn't take itself for the
+    /// Handles that another node takes this one, whose name has the hash `name_hash`, for the writer of a shard.
+    pub fn note_named(&mut self, shard: Shard, name_hash: u64, node: T, now: Timestamp) {
+        let named = self.named.entry(shard).or_default();
+        named.retain(|named| named.node != node && named.is_recent(now));
+        let news = Named {
+            name_hash,
+            node,
+            told_at: now,
+        };
+        let known = named.drain(..).chain([news]);
+        *named = first_of_shard(
+            shard,
+            known.map(|named| (named.name_hash, named)),
+            MAX_NAMED,
+        );
+    }
+
+    /// Nodes that others have named lately for a shard, but for the one whose name has the hash `own`.
+    fn named(&self, shard: Shard, own: u64, now: Timestamp) -> impl Iterator<Item = (u64, T)> {
+        let named = self.named.get(&shard).into_iter().flatten();
+        let named = named.filter(move |named| named.name_hash != own && named.is_recent(now));
+        named.map(|named| (named.name_hash, named.node))
+    }
+
+    /// The writer of a shard by rendezvous hashing over this node, whose name has the hash `own`, `others`, and nodes that
+    /// others have named. Nodes that have not confirmed records lately are passed over. While this node `is_starting` it doesn't take itself for the
     /// writer.
     pub fn writer(
         &self,
@@ -60,10 +105,12 @@
         is_starting: bool,
         now: Timestamp,
     ) -> Writer<T> {
-        let others = others.into_iter();
+        let others = others.into_iter().chain(self.named(shard, own, now));
         let others = others.map(|(name_hash, node)| (name_hash, Some(node)));
-        let first = first_of_shard(shard, others.chain([(own, None)]), CANDIDATES);
-        let mut candidates = first.into_iter();
+        // A node may be known and named.
+        let mut first = first_of_shard(shard, others.chain([(own, None)]), 2 * CANDIDATES);
+        first.dedup();
+        let mut candidates = first.into_iter().take(CANDIDATES);
         let is_heard = |node: &Option<T>| node.is_none_or(|node| !self.is_silent(node, now));
         match candidates.find(is_heard).flatten() {
             Some(node) => Writer::Other(node),
--- a/crates/core/src/continuation/mod.rs
+++ b/crates/core/src/continuation/mod.rs
@@ -19,7 +19,7 @@
 mod writer;
 
 pub use decision::{Answers, Decision, Outlook, Unresolved, decide, decide_with_answers};
-pub use handovers::{CONFIRMATION_TIMEOUT, Handovers, SILENCE_TIME};
+pub use handovers::{CONFIRMATION_TIMEOUT, Handovers, NAMED_TIME, SILENCE_TIME};
 pub use holders::{HOLDERS, Node, holders_of};
 pub use journal::{
     Entry, Journal, MAX_SEGMENT_STREAMS, MAX_WRITES, REWRITE_DELAY, SEGMENTS, STORED_RETENTION,
--- a/crates/gateway/src/continuation/record_batches.rs
+++ b/crates/gateway/src/continuation/record_batches.rs
@@ -44,6 +44,7 @@
                     software: entry.software.clone(),
                     streams,
                     is_to_be_stored,
+                    writer: None,
                 };
                 (receiver, records)
             })
--- a/crates/gateway/src/gateway/continuations.rs
+++ b/crates/gateway/src/gateway/continuations.rs
@@ -16,7 +16,8 @@
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::stream_records::needs_stream_records;
+use super::stream_handovers::writer_to_name;
+use super::stream_records::{hash_of_name, needs_stream_records};
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::continuation::{Answer, Lookup, Question, RecordBatches, Records, ServedVersions};
 use crate::peers::{Datagram, Peer, PeerMessage};
@@ -147,6 +148,7 @@
         };
         let writer = self.store_stream(&mut state, stream, &entry, now);
         let mut holders = self.holders(&state, stream, now);
+        let named = writer.and_then(|writer| writer_to_name(&state, writer, now));
         drop(state);
         holders.retain(|holder| holder.is_some() && *holder != writer);
         for (receivers, is_to_be_stored) in [(vec![writer], true), (holders, false)] {
@@ -155,6 +157,7 @@
                 software: entry.software.clone(),
                 streams: vec![stream],
                 is_to_be_stored,
+                writer: named.clone().filter(|_| !is_to_be_stored),
             };
             let receivers: Vec<_> = receivers.into_iter().flatten().collect();
             self.send_datagram(&Datagram::StreamRecords(records), &receivers);
@@ -170,6 +173,11 @@
             let register = &mut state.continuations.register;
             register.note(*stream, pool, software, Source::Peer, now);
         }
+        if let (Some(writer), Some(stream)) = (&records.writer, records.streams.first()) {
+            let (shard, name_hash) = (stream.shard(), hash_of_name(&writer.name));
+            let handovers = &mut state.continuations.handovers;
+            handovers.note_named(shard, name_hash, writer.address, now);
+        }
         drop(state);
         if records.is_to_be_stored {
             self.take_streams(records, from);
--- a/crates/gateway/src/gateway/stream_handovers.rs
+++ b/crates/gateway/src/gateway/stream_handovers.rs
@@ -10,7 +10,7 @@
 use super::version_records::WRITER_DISCOVERY_TIME;
 use super::{Gateway, GatewayState};
 use crate::continuation::{RecordBatches, Records, Taken};
-use crate::peers::Datagram;
+use crate::peers::{Datagram, MemberAddress};
 
 impl Gateway {
     /// Takes over the record of a stream that is to be stored. Returns the node that it has to be sent to, unless this
@@ -122,3 +122,20 @@
         handovers.writer(shard, self.own_name_hash(), peers, is_starting, now)
     }
 }
+
+/// The writer that is named to other nodes, while nodes don't know each other yet. It is one that this node hears itself:
+/// what others name is not passed on, or a node that has gone would be named for good.
+pub(super) fn writer_to_name(
+    state: &GatewayState,
+    address: SocketAddr,
+    now: Timestamp,
+) -> Option<MemberAddress> {
+    if state.peers.has_heard_all_known() {
+        return None;
+    }
+    let name = &state.peers.at(address)?.identity.name;
+    state.peers.is_alive(name, now).then(|| MemberAddress {
+        name: name.clone(),
+        address,
+    })
+}
--- a/crates/gateway/src/gateway/stream_records.rs
+++ b/crates/gateway/src/gateway/stream_records.rs
@@ -8,7 +8,7 @@
     Entry, Journal, Knowledge, STORED_RETENTION, SegmentWrite, Shard, Source, StoredSegment,
     first_of_shard,
 };
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{NodeName, PoolName};
 use slog::{info, warn};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -237,13 +237,18 @@
     }
 
     pub(super) fn own_name_hash(&self) -> u64 {
-        xxh3_64(self.settings().identity.name.as_str().as_bytes())
+        hash_of_name(&self.settings().identity.name)
     }
 }
 
 /// Hash of a node's name, by which it is ranked.
 pub(super) fn name_hash(peer: &Peer) -> u64 {
-    xxh3_64(peer.identity.name.as_str().as_bytes())
+    hash_of_name(&peer.identity.name)
+}
+
+/// The same for a node of which only the name is known.
+pub(super) fn hash_of_name(name: &NodeName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
 }
 
 /// Whether the versions of a pool's streams are kept: several versions may have streams under way, or would be taken for
--- a/crates/gateway/tests/stored_streams.rs
+++ b/crates/gateway/tests/stored_streams.rs
@@ -70,6 +70,7 @@
             software: VERSIONS[0].to_owned(),
             streams: ids.map(StreamId).collect(),
             is_to_be_stored: true,
+            writer: None,
         };
         let from = "127.0.0.1:2".parse().expect("address");
         self.gateway.apply_stream_records(&records, from);
