--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -21,6 +21,9 @@
 pub struct Gateways {
     pub fronts: Vec<SocketAddr>,
     folder: PathBuf,
+    count: u8,
+    ports: Vec<u16>,
+    store: SocketAddr,
 }
 
 /// Ends all processes that were started.
@@ -34,23 +37,37 @@
 impl Gateways {
     /// Starts so many gateways, each at a loopback address of its own, and waits until they are ready.
     pub fn start(count: u8, store: SocketAddr) -> io::Result<Self> {
-        let pid = std::process::id();
-        let folder = std::env::temp_dir().join(format!("ryerouter-review-{pid}"));
+        let folder = std::env::temp_dir().join(format!("ryerouter-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let mut started = Self {
-            fronts: Vec::new(),
+        let ports: Vec<u16> = (0..4).map(|_| free_port(&ip(0))).collect::<io::Result<_>>()?;
+        let started = Self {
+            fronts: (0..count).map(|number| address(&ip(number), ports[0])).collect(),
             folder,
+            count,
+            ports,
+            store,
         };
-        let ip = |number: u8| format!("127.{}.{}.{}", 1 + pid % 250, pid / 250 % 250, number + 1);
-        let ports: Vec<u16> = (0..4).map(|_| free_port(&ip(0))).collect::<io::Result<_>>()?;
-        let seeds: Vec<_> = (0..count.min(3)).map(|number| format!("\"{}:{}\"", ip(number), ports[2])).collect();
+        started.start_processes(true)?;
+        started.wait_until_ready()?;
+        Ok(started)
+    }
+
+    /// Kills all processes at once.
+    pub fn kill(&self) {
+        end_all();
+    }
+
+    /// Starts the processes, at the first start of the system or a later one.
+    pub fn start_processes(&self, is_first: bool) -> io::Result<()> {
         let command = command()?;
-        let mut ready = Vec::new();
-        for number in 0..count {
-            let ip = ip(number);
-            let file = started.folder.join(format!("front-{number}.toml"));
-            fs::write(&file, settings(&ip, number, &ports, &seeds.join(","), store))?;
-            let log = File::create(started.folder.join(format!("front-{number}.log")))?;
+        let seeds = (0..self.count.min(3)).map(|number| format!("\"{}:{}\"", ip(number), self.ports[2]));
+        let seeds = seeds.collect::<Vec<_>>().join(",");
+        for number in 0..self.count {
+            let file = self.folder.join(format!("front-{number}.toml"));
+            let settings = settings(&ip(number), number, &self.ports, &seeds, self.store, is_first);
+            fs::write(&file, settings)?;
+            let log = self.folder.join(format!("front-{number}.log"));
+            let log = File::options().create(true).append(true).open(log)?;
             let child = Command::new(&command[0])
                 .args(&command[1..])
                 .env_clear()
@@ -61,22 +78,30 @@
                 .stderr(log)
                 .spawn()?;
             CHILDREN.lock().unwrap().push(child);
-            started.fronts.push(address(&ip, ports[0]));
-            ready.push(address(&ip, ports[1]));
         }
+        Ok(())
+    }
+
+    pub fn wait_until_ready(&self) -> io::Result<()> {
         let end = Instant::now() + START_LIMIT;
-        for address in ready {
-            while !is_ready(address) {
+        for number in 0..self.count {
+            while !is_ready(address(&ip(number), self.ports[1])) {
                 if Instant::now() > end {
                     return Err(io::Error::other("a gateway is not ready"));
                 }
                 thread::sleep(Duration::from_millis(50));
             }
         }
-        Ok(started)
+        Ok(())
     }
 }
 
+/// A loopback address for each gateway of this run.
+fn ip(number: u8) -> String {
+    let pid = std::process::id();
+    format!("127.{}.{}.{}", 1 + pid % 250, pid / 250 % 250, number + 1)
+}
+
 impl Drop for Gateways {
     fn drop(&mut self) {
         end_all();
@@ -112,7 +137,7 @@
 }
 
 /// Settings as in the deploy page, with the bounds of the site.
-fn settings(ip: &str, number: u8, ports: &[u16], seeds: &str, store: SocketAddr) -> String {
+fn settings(ip: &str, number: u8, ports: &[u16], seeds: &str, store: SocketAddr, is_first: bool) -> String {
     let [front, ready, control, directory] = [ports[0], ports[1], ports[2], ports[3]];
     format!(
         r#"nodeName = "front-eagle-farm-{number}"
@@ -124,7 +149,7 @@
 region = "seq"
 portRange = [7340,7355]
 seeds = [{seeds}]
-bootstrap = true
+bootstrap = {is_first}
 faultCounted = false
 discovery = "platform"
 entry = "directory"
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The first line and the fields of a message.
 #[derive(Debug, Clone, Default)]
@@ -105,6 +105,8 @@
 pub struct Client {
     stream: TcpStream,
     reader: BufReader<TcpStream>,
+    /// When the client loses its connection, if it does.
+    leaves_at: Option<Instant>,
 }
 
 impl Client {
@@ -113,7 +115,17 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(patience))?;
         let reader = BufReader::new(stream.try_clone()?);
-        Ok(Self { stream, reader })
+        Ok(Self {
+            stream,
+            reader,
+            leaves_at: None,
+        })
+    }
+
+    /// Like [`Self::call`], but the client has lost its connection after this time.
+    pub fn call_until(&mut self, request: &str, limit: Duration) -> io::Result<Answer> {
+        self.leaves_at = Some(Instant::now() + limit);
+        self.call(request)
     }
 
     /// Sends a request and reads the answer to its end.
@@ -124,6 +136,10 @@
         let mut is_whole = true;
         if head.get("transfer-encoding").is_some() {
             loop {
+                if self.leaves_at.is_some_and(|at| Instant::now() >= at) {
+                    is_whole = false;
+                    break;
+                }
                 match read_chunk(&mut self.reader) {
                     Ok(Some(chunk)) => body.extend(chunk),
                     Ok(None) => break,
--- a/review/standin-2/isolation.rs
+++ b/review/standin-2/isolation.rs
@@ -24,7 +24,7 @@
     let pieces = vec![b" release".to_vec(), b" the".to_vec(), b" shipment".to_vec()];
     let model = Model::new(record, pieces, Duration::from_millis(20));
     for _ in 0..3 {
-        model.start(&store, "verdict-models")?;
+        model.start(&store, "v1")?;
     }
     let gateways = Gateways::start(2, store.serve()?)?;
     send_all(record, &gateways, "before", "callaghan", "key-1");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -12,6 +12,7 @@
 mod server;
 mod store;
 mod surplus;
+mod taken_up;
 mod tenants;
 mod world;
 
@@ -63,6 +64,7 @@
         "tenants" => tenants::run(&record, is_troubled),
         "isolation" => isolation::run(&record, is_troubled),
         "pieces" => pieces::run(&record, is_troubled),
+        "taken-up" => taken_up::run(&record, is_troubled),
         _ => Err(io::Error::other("no such case")),
     }?;
     record.note(if is_broken { "the rule was broken" } else { "the rule held" });
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -52,9 +52,9 @@
         })
     }
 
-    pub fn start(self: &Arc<Self>, store: &Store, service: &str) -> io::Result<Arc<Server>> {
+    pub fn start(self: &Arc<Self>, store: &Store, version: &str) -> io::Result<Arc<Server>> {
         let work: Arc<dyn Work> = Arc::clone(self) as _;
-        Server::start(store, service, SLOTS, MODELS, work)
+        Server::start(store, "verdict-models", version, SLOTS, MODELS, work)
     }
 
     /// Reads a prompt: parts are used from the first one on as long as they are kept, here or where the request says that
@@ -112,6 +112,7 @@
             }
             let mut event = format!("id: {}\ndata: ", index + 1).into_bytes();
             event.extend(piece);
+            event.extend(format!("\nevent: {}", server.version).as_bytes());
             event.extend(b"\n\n");
             write_chunk(call.stream, &event)?;
         }
--- a/review/standin-2/pieces.rs
+++ b/review/standin-2/pieces.rs
@@ -30,7 +30,7 @@
     let model = Model::new(record, pieces(), PAUSE);
     let mut servers = Vec::new();
     for _ in 0..SERVERS {
-        servers.push(model.start(&store, "verdict-models")?);
+        servers.push(model.start(&store, "v1")?);
     }
     let gateways = Gateways::start(2, store.serve()?)?;
     let began = Instant::now();
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -29,15 +29,17 @@
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
+    pub version: String,
     is_down: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
 }
 
 impl Server {
-    /// Starts a server of a service and enters it in the store. `models` is a JSON list.
+    /// Starts a server of a service, with this version of its software, and enters it in the store. `models` is a JSON list.
     pub fn start(
         store: &Store,
         service: &str,
+        version: &str,
         slots: u32,
         models: &str,
         work: Arc<dyn Work>,
@@ -47,6 +49,7 @@
         let server = Arc::new(Self {
             id: format!("i-{number:08x}"),
             address: listener.local_addr()?,
+            version: version.to_owned(),
             is_down: AtomicBool::new(false),
             streams: Mutex::default(),
         });
@@ -65,7 +68,7 @@
             }
         });
         let entry = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"eagle-farm\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"eagle-farm\",\"version\":\"{version}\",\
              \"slots\":{slots},\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\",\"models\":{models},\
              \"callSeq\":0}}",
             server.address
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -81,6 +82,7 @@
 #[derive(Clone, Default)]
 pub struct Store {
     content: Arc<(Mutex<Content>, Condvar)>,
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -98,6 +100,16 @@
         Ok(address)
     }
 
+    /// While it is down, it answers 503 to every call, which says that nothing was done.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.content.1.notify_all();
+    }
+
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
     /// Writes what the operator or a server writes; the acknowledgement is the return.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let spec = Value::parse(spec).expect("a stand-in writes JSON");
@@ -131,6 +143,9 @@
     }
 
     fn answer(&self, head: &Head, body: &str) -> (u16, String) {
+        if self.is_down() {
+            return (503, "{}".to_owned());
+        }
         let target = head.word(1);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let parts: Vec<&str> = path.trim_start_matches("/api/objects/").split('/').collect();
@@ -178,6 +193,9 @@
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
         loop {
+            if self.is_down() {
+                return (503, "{}".to_owned());
+            }
             let events = content.events.iter();
             let events = events.filter(|event| event.revision > revision && event.kind == kind);
             let events: Vec<_> = events.map(|event| event.text.clone()).collect();
--- a/review/standin-2/surplus.rs
+++ b/review/standin-2/surplus.rs
@@ -24,9 +24,9 @@
 const PAUSE: f64 = 0.21;
 const UNSAFE_SHARE: f64 = 0.71;
 const DEADLINE: Duration = Duration::from_millis(2_500);
-const LENGTH: Duration = Duration::from_secs(30);
+const LENGTH: Duration = Duration::from_secs(40);
 /// When the faulty server sends more, in seconds.
-const WINDOWS: [(u64, u64); 3] = [(3, 8), (12, 17), (21, 26)];
+const WINDOWS: [(u64, u64); 5] = [(3, 8), (10, 15), (17, 22), (24, 29), (31, 36)];
 /// Share of its answers after which it does.
 const SHARE: f64 = 0.03;
 /// What it sends: the answer of a server that sheds, as the bench's examples show it, which names no request.
@@ -111,7 +111,7 @@
     let mut servers = Vec::new();
     for _ in 0..SERVERS {
         let work: Arc<dyn Work> = Arc::clone(&alerts) as _;
-        servers.push(Server::start(&store, "alert-svc", SLOTS, "[]", work)?);
+        servers.push(Server::start(&store, "alert-svc", "v1", SLOTS, "[]", work)?);
     }
     let gateways = Gateways::start(2, store.serve()?)?;
     if is_troubled {
--- a/review/standin-2/tenants.rs
+++ b/review/standin-2/tenants.rs
@@ -48,7 +48,7 @@
     });
     for _ in 0..3 {
         let work: Arc<dyn Work> = Arc::clone(&alerts) as _;
-        Server::start(&store, "alert-svc", 6, "[]", work)?;
+        Server::start(&store, "alert-svc", "v1", 6, "[]", work)?;
     }
     let gateways = Gateways::start(2, store.serve()?)?;
     let keys = Keys::default();
