--- a/review/standin-2/gateway.rs
+++ b/review/standin-2/gateway.rs
@@ -39,9 +39,13 @@
     pub fn start(count: u8, store: SocketAddr) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("ryerouter-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let ports: Vec<u16> = (0..4).map(|_| free_port(&ip(0))).collect::<io::Result<_>>()?;
+        let ports: Vec<u16> = (0..4)
+            .map(|_| free_port(&ip(0)))
+            .collect::<io::Result<_>>()?;
         let started = Self {
-            fronts: (0..count).map(|number| address(&ip(number), ports[0])).collect(),
+            fronts: (0..count)
+                .map(|number| address(&ip(number), ports[0]))
+                .collect(),
             folder,
             count,
             ports,
@@ -60,11 +64,19 @@
     /// Starts the processes, at the first start of the system or a later one.
     pub fn start_processes(&self, is_first: bool) -> io::Result<()> {
         let command = command()?;
-        let seeds = (0..self.count.min(3)).map(|number| format!("\"{}:{}\"", ip(number), self.ports[2]));
+        let seeds =
+            (0..self.count.min(3)).map(|number| format!("\"{}:{}\"", ip(number), self.ports[2]));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         for number in 0..self.count {
             let file = self.folder.join(format!("front-{number}.toml"));
-            let settings = settings(&ip(number), number, &self.ports, &seeds, self.store, is_first);
+            let settings = settings(
+                &ip(number),
+                number,
+                &self.ports,
+                &seeds,
+                self.store,
+                is_first,
+            );
             fs::write(&file, settings)?;
             let log = self.folder.join(format!("front-{number}.log"));
             let log = File::options().create(true).append(true).open(log)?;
@@ -126,7 +138,9 @@
 }
 
 fn address(ip: &str, port: u16) -> SocketAddr {
-    format!("{ip}:{port}").parse().expect("an address of numbers")
+    format!("{ip}:{port}")
+        .parse()
+        .expect("an address of numbers")
 }
 
 fn is_ready(address: SocketAddr) -> bool {
@@ -137,7 +151,14 @@
 }
 
 /// Settings as in the deploy page, with the bounds of the site.
-fn settings(ip: &str, number: u8, ports: &[u16], seeds: &str, store: SocketAddr, is_first: bool) -> String {
+fn settings(
+    ip: &str,
+    number: u8,
+    ports: &[u16],
+    seeds: &str,
+    store: SocketAddr,
+    is_first: bool,
+) -> String {
     let [front, ready, control, directory] = [ports[0], ports[1], ports[2], ports[3]];
     format!(
         r#"nodeName = "front-eagle-farm-{number}"
--- a/review/standin-2/isolation.rs
+++ b/review/standin-2/isolation.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use crate::gateway::Gateways;
-use crate::model::{configuration, Model, MODEL};
+use crate::model::{MODEL, Model, configuration};
 use crate::store::Store;
-use crate::world::{status, Record, Request};
+use crate::world::{Record, Request, status};
 
 const DEADLINE: Duration = Duration::from_millis(10_000);
 /// `configApplyMs`, and some time on top.
@@ -20,8 +20,16 @@
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> io::Result<bool> {
     let store = Store::default();
     store.put("config", "main", &configuration(7, 10_000, &tenants(false)));
-    store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
-    let pieces = vec![b" release".to_vec(), b" the".to_vec(), b" shipment".to_vec()];
+    store.put(
+        "versions",
+        MODEL,
+        &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"),
+    );
+    let pieces = vec![
+        b" release".to_vec(),
+        b" the".to_vec(),
+        b" shipment".to_vec(),
+    ];
     let model = Model::new(record, pieces, Duration::from_millis(20));
     for _ in 0..3 {
         model.start(&store, "v1")?;
@@ -33,14 +41,24 @@
         false => configuration(12, 9_000, &tenants(false)),
     };
     store.put("config", "main", &version);
-    record.note(&format!("version 12 is acknowledged; callaghan is {}isolated", if is_troubled { "" } else { "not " }));
+    record.note(&format!(
+        "version 12 is acknowledged; callaghan is {}isolated",
+        if is_troubled { "" } else { "not " }
+    ));
     let in_force_at = record.elapsed() + IN_FORCE_AFTER;
     thread::sleep(IN_FORCE_AFTER);
     send_all(record, &gateways, "after", "seafood", "key-2");
     let uses = model.uses.lock().unwrap();
     let mut broken = 0;
-    for used in uses.iter().filter(|used| used.at >= in_force_at && used.tenant != used.maker) {
-        if is_troubled && [&used.tenant, &used.maker].iter().any(|tenant| *tenant == "callaghan") {
+    for used in uses
+        .iter()
+        .filter(|used| used.at >= in_force_at && used.tenant != used.maker)
+    {
+        if is_troubled
+            && [&used.tenant, &used.maker]
+                .iter()
+                .any(|tenant| *tenant == "callaghan")
+        {
             broken += 1;
             record.note(&format!(
                 "WALL: {} of {} used part {} that a request of {} made",
@@ -48,7 +66,10 @@
             ));
         }
     }
-    record.note(&format!("{} uses of kept parts, {broken} of them across the wall", uses.len()));
+    record.note(&format!(
+        "{} uses of kept parts, {broken} of them across the wall",
+        uses.len()
+    ));
     Ok(broken > 0)
 }
 
@@ -71,7 +92,10 @@
         };
         record.note(&format!("{id} of {tenant} is sent"));
         let answer = request.send(gateways.fronts[round % gateways.fronts.len()]);
-        record.note(&format!("{id} of {tenant} is answered: {}", status(&answer)));
+        record.note(&format!(
+            "{id} of {tenant} is answered: {}",
+            status(&answer)
+        ));
     }
 }
 
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -16,7 +16,10 @@
 impl Value {
     pub fn parse(text: &str) -> Option<Value> {
         let bytes: Vec<char> = text.chars().collect();
-        let mut reader = Reader { chars: bytes, at: 0 };
+        let mut reader = Reader {
+            chars: bytes,
+            at: 0,
+        };
         let value = reader.value()?;
         reader.blanks();
         (reader.at == reader.chars.len()).then_some(value)
@@ -88,7 +91,11 @@
 
 impl Reader {
     fn blanks(&mut self) {
-        while self.chars.get(self.at).is_some_and(|sign| sign.is_whitespace()) {
+        while self
+            .chars
+            .get(self.at)
+            .is_some_and(|sign| sign.is_whitespace())
+        {
             self.at += 1;
         }
     }
@@ -100,7 +107,9 @@
     }
 
     fn take(&mut self, word: &str, value: Value) -> Option<Value> {
-        word.chars().all(|sign| self.next() == Some(sign)).then_some(value)
+        word.chars()
+            .all(|sign| self.next() == Some(sign))
+            .then_some(value)
     }
 
     fn value(&mut self) -> Option<Value> {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -58,7 +58,14 @@
 /// Runs a case; returns whether the rule was broken.
 fn run(case: &str, folder: &std::path::Path, is_troubled: bool) -> io::Result<bool> {
     let record = Arc::new(Record::create(folder)?);
-    record.note(&format!("case {case}, {}", if is_troubled { "with the disruption" } else { "without the disruption" }));
+    record.note(&format!(
+        "case {case}, {}",
+        if is_troubled {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        }
+    ));
     let is_broken = match case {
         "surplus" => surplus::run(&record, is_troubled),
         "tenants" => tenants::run(&record, is_troubled),
@@ -67,6 +74,10 @@
         "taken-up" => taken_up::run(&record, is_troubled),
         _ => Err(io::Error::other("no such case")),
     }?;
-    record.note(if is_broken { "the rule was broken" } else { "the rule held" });
+    record.note(if is_broken {
+        "the rule was broken"
+    } else {
+        "the rule held"
+    });
     Ok(is_broken)
 }
--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -70,7 +70,8 @@
         for part in prefix.split(',') {
             let part = part.split(':').next().unwrap_or_default().to_owned();
             let key = (salt.clone(), part.clone());
-            let of = |address: &SocketAddr| kept.get(address).and_then(|parts| parts.get(&key)).cloned();
+            let of =
+                |address: &SocketAddr| kept.get(address).and_then(|parts| parts.get(&key)).cloned();
             let maker = of(&server.address).or_else(|| of(&source?));
             is_kept_so_far &= maker.is_some();
             let maker = maker.filter(|_| is_kept_so_far);
@@ -97,8 +98,13 @@
     fn run(&self, server: &Server, call: Call<'_>) -> io::Result<()> {
         self.read_prompt(server, &call);
         let id = call.head.get("ryerouter-request-id").unwrap_or_default();
-        let last: usize = call.head.get("last-event-id").and_then(|last| last.parse().ok()).unwrap_or_default();
-        self.record.note(&format!("{} runs {id} from piece {}", server.id, last + 1));
+        let last: usize = call
+            .head
+            .get("last-event-id")
+            .and_then(|last| last.parse().ok())
+            .unwrap_or_default();
+        self.record
+            .note(&format!("{} runs {id} from piece {}", server.id, last + 1));
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRyerouter-Request-Id: {id}\r\n\
              Ryerouter-Server-Stamp: st.{}\r\nRyerouter-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/review/standin-2/pieces.rs
+++ b/review/standin-2/pieces.rs
@@ -7,9 +7,9 @@
 use std::time::{Duration, Instant};
 
 use crate::gateway::Gateways;
-use crate::model::{configuration, Model, MODEL};
+use crate::model::{MODEL, Model, configuration};
 use crate::store::Store;
-use crate::world::{status, Record, Request};
+use crate::world::{Record, Request, status};
 
 /// One crash is 0.14 of them.
 const SERVERS: usize = 7;
@@ -24,9 +24,14 @@
 
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> io::Result<bool> {
     let store = Store::default();
-    let tenants = "[{\"name\":\"callaghan\",\"apiKeys\":[\"key-1\"],\"priority\":1,\"isolated\":false}]";
+    let tenants =
+        "[{\"name\":\"callaghan\",\"apiKeys\":[\"key-1\"],\"priority\":1,\"isolated\":false}]";
     store.put("config", "main", &configuration(7, 10_000, tenants));
-    store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
+    store.put(
+        "versions",
+        MODEL,
+        &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"),
+    );
     let model = Model::new(record, pieces(), PAUSE);
     let mut servers = Vec::new();
     for _ in 0..SERVERS {
@@ -56,10 +61,20 @@
 /// Tokens of a model that reads and writes bytes: two bytes each of a text whose characters have three.
 fn pieces() -> Vec<Vec<u8>> {
     let text = "停机坪过热".repeat(PIECES);
-    text.as_bytes().chunks(2).take(PIECES).map(<[u8]>::to_vec).collect()
+    text.as_bytes()
+        .chunks(2)
+        .take(PIECES)
+        .map(<[u8]>::to_vec)
+        .collect()
 }
 
-fn send_requests(record: &Record, client: usize, fronts: &[SocketAddr], end: Instant, faults: &Mutex<usize>) {
+fn send_requests(
+    record: &Record,
+    client: usize,
+    fronts: &[SocketAddr],
+    end: Instant,
+    faults: &Mutex<usize>,
+) {
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
@@ -81,8 +96,15 @@
         };
         record.note(&format!("{id} is sent"));
         let answer = request.send(fronts[client % fronts.len()]);
-        let ids = answer.as_ref().map(|answer| ids(&answer.body)).unwrap_or_default();
-        record.note(&format!("{id} is answered: {}, {} pieces", status(&answer), ids.len()));
+        let ids = answer
+            .as_ref()
+            .map(|answer| ids(&answer.body))
+            .unwrap_or_default();
+        record.note(&format!(
+            "{id} is answered: {}, {} pieces",
+            status(&answer),
+            ids.len()
+        ));
         let is_complete = answer.is_ok_and(|answer| answer.is_whole && answer.head.status() == 200);
         let expected: Vec<usize> = (1..=ids.len()).collect();
         if ids != expected || is_complete && ids.len() != PIECES {
@@ -96,5 +118,6 @@
 fn ids(body: &[u8]) -> Vec<usize> {
     let lines = body.split(|byte| *byte == b'\n');
     let ids = lines.filter_map(|line| line.strip_prefix(b"id: "));
-    ids.filter_map(|id| std::str::from_utf8(id).ok()?.parse().ok()).collect()
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.parse().ok())
+        .collect()
 }
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::http::{read_body, read_head, write_json, Head};
+use crate::http::{Head, read_body, read_head, write_json};
 use crate::store::Store;
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -98,11 +98,18 @@
         let mut surplus = Vec::new();
         while let Some(head) = read_head(&mut reader)? {
             read_body(&mut reader, &head)?;
-            let path = head.word(1).split('?').next().unwrap_or_default().to_owned();
+            let path = head
+                .word(1)
+                .split('?')
+                .next()
+                .unwrap_or_default()
+                .to_owned();
             match path.as_str() {
                 "/health" => {
                     let id = &self.id;
-                    let answer = format!("HTTP/1.1 200 OK\r\nRyerouter-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\nRyerouter-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                    );
                     io::Write::write_all(&mut stream, answer.as_bytes())?;
                 }
                 "/api/report" => {
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{read_body, read_head, write_json, Head};
-use crate::json::{quoted, Value};
+use crate::http::{Head, read_body, read_head, write_json};
+use crate::json::{Value, quoted};
 
 #[derive(Clone)]
 struct Object {
@@ -67,7 +67,9 @@
             status: Value::Null,
         });
         change(&mut object);
-        if let Some(known) = known.filter(|known| known.spec == object.spec && known.status == object.status) {
+        if let Some(known) =
+            known.filter(|known| known.spec == object.spec && known.status == object.status)
+        {
             return known;
         }
         self.revision += 1;
@@ -114,7 +116,10 @@
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let spec = Value::parse(spec).expect("a stand-in writes JSON");
         let (content, changed) = &*self.content;
-        content.lock().unwrap().write(kind, name, |object| object.spec = spec);
+        content
+            .lock()
+            .unwrap()
+            .write(kind, name, |object| object.spec = spec);
         changed.notify_all();
     }
 
@@ -131,10 +136,14 @@
 
     fn serve_connection(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else { return };
+        let Ok(reading) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(reading);
         while let Ok(Some(head)) = read_head(&mut reader) {
-            let Ok(body) = read_body(&mut reader, &head) else { return };
+            let Ok(body) = read_body(&mut reader, &head) else {
+                return;
+            };
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
             if write_json(&mut stream, status, &text).is_err() {
                 return;
@@ -148,26 +157,40 @@
         }
         let target = head.word(1);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
-        let parts: Vec<&str> = path.trim_start_matches("/api/objects/").split('/').collect();
+        let parts: Vec<&str> = path
+            .trim_start_matches("/api/objects/")
+            .split('/')
+            .collect();
         let field = |name: &str| {
             let mut fields = query.split('&').filter_map(|field| field.split_once('='));
-            fields.find(|(known, _)| *known == name).map(|(_, value)| value.to_owned())
+            fields
+                .find(|(known, _)| *known == name)
+                .map(|(_, value)| value.to_owned())
         };
         match (head.word(0), parts.as_slice()) {
             ("GET", [kind]) => match field("watch").and_then(|revision| revision.parse().ok()) {
                 Some(revision) => {
                     let wait = field("waitMs").and_then(|wait| wait.parse().ok());
-                    self.watch(kind, revision, Duration::from_millis(wait.unwrap_or_default()))
+                    self.watch(
+                        kind,
+                        revision,
+                        Duration::from_millis(wait.unwrap_or_default()),
+                    )
                 }
                 None => self.list(kind, &field("after").unwrap_or_default()),
             },
             ("GET", [kind, name]) => {
                 let content = self.content.0.lock().unwrap();
-                let object = content.kinds.get(*kind).and_then(|objects| objects.get(*name));
+                let object = content
+                    .kinds
+                    .get(*kind)
+                    .and_then(|objects| objects.get(*name));
                 object.map_or((404, "{}".to_owned()), |object| (200, object.print()))
             }
             ("POST", [kind]) => self.make(kind, body),
-            ("PUT", [kind, name]) => self.replace(kind, name, body, |object, spec, _| object.spec = spec),
+            ("PUT", [kind, name]) => {
+                self.replace(kind, name, body, |object, spec, _| object.spec = spec)
+            }
             ("PUT", [kind, name, "status"]) => {
                 self.replace(kind, name, body, |object, _, status| object.status = status)
             }
@@ -201,7 +224,11 @@
             let events: Vec<_> = events.map(|event| event.text.clone()).collect();
             let left = end.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                let text = format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), content.revision);
+                let text = format!(
+                    "{{\"events\":[{}],\"at\":{}}}",
+                    events.join(","),
+                    content.revision
+                );
                 return (200, text);
             }
             content = changed.wait_timeout(content, left).unwrap().0;
@@ -209,12 +236,22 @@
     }
 
     fn make(&self, kind: &str, body: &str) -> (u16, String) {
-        let Some(asked) = Value::parse(body) else { return (400, "{}".to_owned()) };
-        let name = asked.get("metadata").and_then(|metadata| metadata.get("name"));
-        let Some(name) = name.and_then(Value::text) else { return (400, "{}".to_owned()) };
+        let Some(asked) = Value::parse(body) else {
+            return (400, "{}".to_owned());
+        };
+        let name = asked
+            .get("metadata")
+            .and_then(|metadata| metadata.get("name"));
+        let Some(name) = name.and_then(Value::text) else {
+            return (400, "{}".to_owned());
+        };
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
-        if let Some(known) = content.kinds.get(kind).and_then(|objects| objects.get(name)) {
+        if let Some(known) = content
+            .kinds
+            .get(kind)
+            .and_then(|objects| objects.get(name))
+        {
             return (409, known.print());
         }
         let spec = asked.get("spec").cloned().unwrap_or(Value::Null);
@@ -230,14 +267,25 @@
         body: &str,
         change: impl FnOnce(&mut Object, Value, Value),
     ) -> (u16, String) {
-        let Some(asked) = Value::parse(body) else { return (400, "{}".to_owned()) };
+        let Some(asked) = Value::parse(body) else {
+            return (400, "{}".to_owned());
+        };
         let (content, changed) = &*self.content;
         let mut content = content.lock().unwrap();
-        let Some(known) = content.kinds.get(kind).and_then(|objects| objects.get(name)) else {
+        let Some(known) = content
+            .kinds
+            .get(kind)
+            .and_then(|objects| objects.get(name))
+        else {
             return (404, "{}".to_owned());
         };
-        let revision = asked.get("metadata").and_then(|metadata| metadata.get("revision"));
-        if revision.and_then(Value::whole).is_some_and(|revision| revision != known.revision) {
+        let revision = asked
+            .get("metadata")
+            .and_then(|metadata| metadata.get("revision"));
+        if revision
+            .and_then(Value::whole)
+            .is_some_and(|revision| revision != known.revision)
+        {
             return (409, known.print());
         }
         let spec = asked.get("spec").cloned().unwrap_or(Value::Null);
--- a/review/standin-2/surplus.rs
+++ b/review/standin-2/surplus.rs
@@ -12,7 +12,7 @@
 use crate::http::{Answer, Client};
 use crate::server::{Call, Server, Work};
 use crate::store::Store;
-use crate::world::{chance, status, Record, Request};
+use crate::world::{Record, Request, chance, status};
 
 const SERVERS: usize = 3;
 const SLOTS: u32 = 6;
@@ -65,7 +65,10 @@
         let id = call.head.get("ryerouter-request-id").unwrap_or_default();
         if !call.surplus.is_empty() {
             self.surplus_sent.fetch_add(1, Ordering::SeqCst);
-            self.record.note(&format!("{} sends a surplus answer; on that connection {id} has come", server.id));
+            self.record.note(&format!(
+                "{} sends a surplus answer; on that connection {id} has come",
+                server.id
+            ));
             call.stream.write_all(&std::mem::take(call.surplus))?;
         }
         if !self.has_room(server) {
@@ -76,9 +79,19 @@
             return call.stream.write_all(shed.as_bytes());
         }
         self.record.note(&format!("{} runs {id}", server.id));
-        self.runs.lock().unwrap().entry(id.to_owned()).or_default().push(server.id.clone());
+        self.runs
+            .lock()
+            .unwrap()
+            .entry(id.to_owned())
+            .or_default()
+            .push(server.id.clone());
         thread::sleep(WORK);
-        *self.active.lock().unwrap().entry(server.id.clone()).or_default() -= 1;
+        *self
+            .active
+            .lock()
+            .unwrap()
+            .entry(server.id.clone())
+            .or_default() -= 1;
         let answer = format!(
             "HTTP/1.1 200 OK\r\nRyerouter-Request-Id: {id}\r\nRyerouter-Server-Stamp: st.{}\r\nContent-Length: 2\r\n\r\nok",
             server.id
@@ -126,9 +139,13 @@
             scope.spawn(move || send_requests(record, client, fronts, began + LENGTH, promises));
         }
         for (from, to) in WINDOWS {
-            thread::sleep((began + Duration::from_secs(from)).saturating_duration_since(Instant::now()));
+            thread::sleep(
+                (began + Duration::from_secs(from)).saturating_duration_since(Instant::now()),
+            );
             alerts.is_window_open.store(true, Ordering::SeqCst);
-            thread::sleep((began + Duration::from_secs(to)).saturating_duration_since(Instant::now()));
+            thread::sleep(
+                (began + Duration::from_secs(to)).saturating_duration_since(Instant::now()),
+            );
             alerts.is_window_open.store(false, Ordering::SeqCst);
         }
     });
@@ -140,7 +157,10 @@
     for Promise { id, status } in &promises {
         if let Some(servers) = runs.get(id) {
             broken += 1;
-            record.note(&format!("REFUSED: {id} was answered {status}, and {} ran it", servers.join(",")));
+            record.note(&format!(
+                "REFUSED: {id} was answered {status}, and {} ran it",
+                servers.join(",")
+            ));
         }
     }
     let surplus = alerts.surplus_sent.load(Ordering::SeqCst);
@@ -175,9 +195,15 @@
         if !is_unsafe || ![408, 421, 429, 503].contains(&status) {
             continue;
         }
-        promises.lock().unwrap().push(Promise { id: id.clone(), status });
+        promises.lock().unwrap().push(Promise {
+            id: id.clone(),
+            status,
+        });
         // A client tries again after a promise, as the protocol says.
-        let wait = answer.head.get("retry-after").and_then(|wait| wait.parse().ok());
+        let wait = answer
+            .head
+            .get("retry-after")
+            .and_then(|wait| wait.parse().ok());
         let wait = Duration::from_secs_f64(wait.unwrap_or_default());
         let left = DEADLINE.saturating_sub(began.elapsed());
         thread::sleep(wait.min(left / 3));
@@ -210,9 +236,16 @@
         key: Some("key-of-callaghan"),
         deadline,
         fields: "",
-        body: if is_unsafe { "pallet 7 has breached" } else { "" },
+        body: if is_unsafe {
+            "pallet 7 has breached"
+        } else {
+            ""
+        },
     };
-    record.note(&format!("{id} is sent, {}", if is_unsafe { "unsafe" } else { "safe" }));
+    record.note(&format!(
+        "{id} is sent, {}",
+        if is_unsafe { "unsafe" } else { "safe" }
+    ));
     let mut client = match kept.take() {
         Some(client) => client,
         None => Client::connect(front, deadline + Duration::from_secs(1)).ok()?,
--- a/review/standin-2/taken_up.rs
+++ b/review/standin-2/taken_up.rs
@@ -9,9 +9,9 @@
 
 use crate::gateway::Gateways;
 use crate::http::Client;
-use crate::model::{configuration, Model, MODEL};
+use crate::model::{MODEL, Model, configuration};
 use crate::store::Store;
-use crate::world::{chance, status, Record, Request};
+use crate::world::{Record, Request, chance, status};
 
 const GATEWAYS: u8 = 3;
 const SERVERS_OF_EACH_VERSION: usize = 3;
@@ -52,9 +52,14 @@
 
 pub fn run(record: &Arc<Record>, is_troubled: bool) -> io::Result<bool> {
     let store = Store::default();
-    let tenants = "[{\"name\":\"callaghan\",\"apiKeys\":[\"key-1\"],\"priority\":1,\"isolated\":false}]";
+    let tenants =
+        "[{\"name\":\"callaghan\",\"apiKeys\":[\"key-1\"],\"priority\":1,\"isolated\":false}]";
     store.put("config", "main", &configuration(7, 10_000, tenants));
-    store.put("versions", MODEL, &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"));
+    store.put(
+        "versions",
+        MODEL,
+        &format!("{{\"model\":\"{MODEL}\",\"version\":1}}"),
+    );
     let pieces = (0..PIECES).map(|index| format!(" word{index}").into_bytes());
     let model = Model::new(record, pieces.collect(), PAUSE);
     for version in ["v1", "v2"] {
@@ -72,7 +77,8 @@
         is_in_touch: AtomicBool::new(false),
         tally: Mutex::default(),
     };
-    let wait_until = |at: Duration| thread::sleep((began + at).saturating_duration_since(Instant::now()));
+    let wait_until =
+        |at: Duration| thread::sleep((began + at).saturating_duration_since(Instant::now()));
     thread::scope(|scope| -> io::Result<()> {
         for client in 0..CLIENTS {
             let world = &world;
@@ -136,7 +142,11 @@
             break;
         }
         let is_new = last == 0;
-        let id = if attempt == 0 { first.to_owned() } else { format!("{first}-{attempt}") };
+        let id = if attempt == 0 {
+            first.to_owned()
+        } else {
+            format!("{first}-{attempt}")
+        };
         let up = match is_new {
             true => String::new(),
             false => format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"),
@@ -156,20 +166,31 @@
             fields: &fields,
             body: "the history of the shipment",
         };
-        let front = world.fronts[(chance() * world.fronts.len() as f64) as usize % world.fronts.len()];
+        let front =
+            world.fronts[(chance() * world.fronts.len() as f64) as usize % world.fronts.len()];
         let counts = world.is_in_touch.load(Ordering::SeqCst);
         let kind = if is_new { "new" } else { "taken up" };
-        world.record.note(&format!("{id} is sent to {front}, {kind} after piece {last}"));
+        world.record.note(&format!(
+            "{id} is sent to {front}, {kind} after piece {last}"
+        ));
         // A client that loses its connection has read half of the stream by then.
         let limit = (loses_connection && attempt == 0).then_some(PAUSE * (PIECES / 2) as u32);
         let answer = match limit {
-            Some(limit) => Client::connect(front, limit).and_then(|mut client| client.call_until(&request.print(), limit)),
+            Some(limit) => Client::connect(front, limit)
+                .and_then(|mut client| client.call_until(&request.print(), limit)),
             None => request.send(front),
         };
-        let body = answer.as_ref().map(|answer| answer.body.clone()).unwrap_or_default();
+        let body = answer
+            .as_ref()
+            .map(|answer| answer.body.clone())
+            .unwrap_or_default();
         lines.extend(body.split(|byte| *byte == b'\n').map(<[u8]>::to_vec));
         let is_answered = ids(&lines) > last;
-        world.record.note(&format!("{id} is answered: {}, up to piece {}", status(&answer), ids(&lines)));
+        world.record.note(&format!(
+            "{id} is answered: {}, up to piece {}",
+            status(&answer),
+            ids(&lines)
+        ));
         if counts && is_new {
             let mut tally = world.tally.lock().unwrap();
             tally.new += 1;
@@ -194,5 +215,7 @@
 /// The id of the last piece that came.
 fn ids(lines: &[Vec<u8>]) -> usize {
     let ids = lines.iter().filter_map(|line| line.strip_prefix(b"id: "));
-    ids.filter_map(|id| std::str::from_utf8(id).ok()?.parse().ok()).next_back().unwrap_or_default()
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.parse().ok())
+        .next_back()
+        .unwrap_or_default()
 }
--- a/review/standin-2/tenants.rs
+++ b/review/standin-2/tenants.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Gateways;
 use crate::server::{Call, Server, Work};
 use crate::store::Store;
-use crate::world::{status, Record, Request};
+use crate::world::{Record, Request, status};
 
 /// `revokeMs`, and `configApplyMs` on top.
 const REVOKED_AFTER: Duration = Duration::from_millis(7_000);
@@ -28,8 +28,14 @@
     fn run(&self, server: &Server, call: Call<'_>) -> io::Result<()> {
         let id = call.head.get("ryerouter-request-id").unwrap_or_default();
         let tenant = call.head.get("ryerouter-tenant").unwrap_or("none");
-        self.record.note(&format!("{} runs {id}, Ryerouter-Tenant: {tenant}", server.id));
-        self.runs.lock().unwrap().push((id.to_owned(), tenant.to_owned()));
+        self.record.note(&format!(
+            "{} runs {id}, Ryerouter-Tenant: {tenant}",
+            server.id
+        ));
+        self.runs
+            .lock()
+            .unwrap()
+            .push((id.to_owned(), tenant.to_owned()));
         let answer = format!(
             "HTTP/1.1 200 OK\r\nRyerouter-Request-Id: {id}\r\nRyerouter-Server-Stamp: st.{}\r\nContent-Length: 2\r\n\r\nok",
             server.id
@@ -55,9 +61,15 @@
     send_all(record, &gateways, "before", &keys);
     thread::sleep(Duration::from_secs(1));
     let (first, second) = match is_troubled {
-        true => (configuration(12, &both[..1], 1_200), configuration(15, &[], 1_200)),
+        true => (
+            configuration(12, &both[..1], 1_200),
+            configuration(15, &[], 1_200),
+        ),
         // As many versions, which leave the tenants as they are.
-        false => (configuration(12, &both, 1_300), configuration(15, &both, 1_400)),
+        false => (
+            configuration(12, &both, 1_300),
+            configuration(15, &both, 1_400),
+        ),
     };
     store.put("config", "main", &first);
     record.note("version 12 is acknowledged");
@@ -78,15 +90,23 @@
             _ => continue,
         };
         broken += 1;
-        record.note(&format!("{rule}: {id} with key '{key}' ran, Ryerouter-Tenant: {tenant}"));
+        record.note(&format!(
+            "{rule}: {id} with key '{key}' ran, Ryerouter-Tenant: {tenant}"
+        ));
     }
-    record.note(&format!("{} requests ran, {broken} of them against a rule", runs.len()));
+    record.note(&format!(
+        "{} requests ran, {broken} of them against a rule",
+        runs.len()
+    ));
     Ok(broken > 0)
 }
 
 fn send_all(record: &Record, gateways: &Gateways, when: &str, keys: &Keys) {
     for round in 0..ROUNDS {
-        for (number, key) in ["key-1", "key-2", "key-never-held", ""].into_iter().enumerate() {
+        for (number, key) in ["key-1", "key-2", "key-never-held", ""]
+            .into_iter()
+            .enumerate()
+        {
             let id = format!("{when}-{round}-{number}");
             keys.lock().unwrap().insert(id.clone(), key);
             let request = Request {
@@ -108,7 +128,11 @@
 fn configuration(version: u32, tenants: &[(&str, &str)], timeout_ms: u32) -> String {
     let tenants = tenants.iter();
     let tenants: Vec<_> = tenants
-        .map(|(name, key)| format!("{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"],\"priority\":1,\"isolated\":false}}"))
+        .map(|(name, key)| {
+            format!(
+                "{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"],\"priority\":1,\"isolated\":false}}"
+            )
+        })
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-breach\",\"host\":\"jepu9.example\",\"pathPrefix\":\"/breach/\",\
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -4,8 +4,8 @@
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
 use crate::http::{Answer, Client};
@@ -62,7 +62,9 @@
 
 impl Request<'_> {
     pub fn print(&self) -> String {
-        let key = self.key.map(|key| format!("Authorization: Token {key}\r\n"));
+        let key = self
+            .key
+            .map(|key| format!("Authorization: Token {key}\r\n"));
         let length = match (self.method, self.body.len()) {
             ("GET", _) => String::new(),
             (_, length) => format!("Content-Length: {length}\r\n"),
