--- a/review/standin-2/model.rs
+++ b/review/standin-2/model.rs
@@ -37,6 +37,8 @@
     pause: Duration,
     /// Kept parts of each server, and whose request made them.
     kept: Mutex<HashMap<SocketAddr, HashMap<Part, String>>>,
+    /// What each server tells of the parts that it keeps.
+    told: Mutex<HashMap<SocketAddr, Vec<String>>>,
     pub uses: Mutex<Vec<Use>>,
 }
 
@@ -48,6 +50,7 @@
             pieces,
             pause,
             kept: Mutex::default(),
+            told: Mutex::default(),
             uses: Mutex::default(),
         })
     }
@@ -68,7 +71,8 @@
         let mut kept = self.kept.lock().unwrap();
         let mut is_kept_so_far = true;
         for part in prefix.split(',') {
-            let part = part.split(':').next().unwrap_or_default().to_owned();
+            let (part, tokens) = part.split_once(':').unwrap_or((part, "0"));
+            let part = part.to_owned();
             let key = (salt.clone(), part.clone());
             let of =
                 |address: &SocketAddr| kept.get(address).and_then(|parts| parts.get(&key)).cloned();
@@ -84,17 +88,27 @@
                     request: request.clone(),
                     tenant: tenant.clone(),
                     maker: maker.clone(),
-                    part,
+                    part: part.clone(),
                     at: self.record.elapsed(),
                 });
             }
             let maker = maker.unwrap_or_else(|| tenant.clone());
-            kept.entry(server.address).or_default().insert(key, maker);
+            let parts = kept.entry(server.address).or_default();
+            if parts.insert(key, maker).is_none() {
+                let event = format!("\"{salt}\",\"{part}\",{tokens},\"{MODEL}\"");
+                let mut told = self.told.lock().unwrap();
+                told.entry(server.address).or_default().push(event);
+            }
         }
     }
 }
 
 impl Work for Model {
+    fn kept(&self, server: &Server) -> Vec<String> {
+        let told = self.told.lock().unwrap();
+        told.get(&server.address).cloned().unwrap_or_default()
+    }
+
     fn run(&self, server: &Server, call: Call<'_>) -> io::Result<()> {
         self.read_prompt(server, &call);
         let id = call.head.get("ryerouter-request-id").unwrap_or_default();
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Head, read_body, read_head, write_json};
 use crate::store::Store;
@@ -23,6 +23,11 @@
 /// What a server does with requests.
 pub trait Work: Send + Sync + 'static {
     fn run(&self, server: &Server, call: Call<'_>) -> io::Result<()>;
+
+    /// The parts that the server has come to keep, in order, each as the fields of an event after its sign.
+    fn kept(&self, _server: &Server) -> Vec<String> {
+        Vec::new()
+    }
 }
 
 /// One incarnation of a server.
@@ -120,19 +125,41 @@
                     write_json(&mut stream, 200, &report)?;
                 }
                 "/api/kv-events" => {
+                    let since = head.word(1).split_once("since=");
+                    let since = since.and_then(|(_, since)| since.parse().ok());
+                    let since: usize = since.unwrap_or_default();
                     let wait = head.get("wait-ms").and_then(|wait| wait.parse().ok());
-                    thread::sleep(Duration::from_millis(wait.unwrap_or_default()));
-                    let events = "{\"bootEpoch\":1,\"nextToken\":1,\"lost\":false,\"events\":[]}";
-                    write_json(&mut stream, 200, events)?;
+                    let end = Instant::now() + Duration::from_millis(wait.unwrap_or_default());
+                    while work.kept(self).len() <= since && Instant::now() < end {
+                        thread::sleep(Duration::from_millis(10));
+                    }
+                    let kept = work.kept(self);
+                    let events = kept.iter().enumerate().skip(since);
+                    let events =
+                        events.map(|(index, part)| format!("[{},\"+\",{part}]", index + 1));
+                    let answer = format!(
+                        "{{\"bootEpoch\":1,\"nextToken\":{},\"lost\":false,\"events\":[{}]}}",
+                        kept.len(),
+                        events.collect::<Vec<_>>().join(",")
+                    );
+                    write_json(&mut stream, 200, &answer)?;
                 }
                 "/api/kv-list" => {
-                    let held = "{\"bootEpoch\":1,\"nextToken\":1,\"held\":[]}";
-                    write_json(&mut stream, 200, held)?;
+                    let kept = work.kept(self);
+                    let held: Vec<_> = kept.iter().map(|part| format!("[{part}]")).collect();
+                    let answer = format!(
+                        "{{\"bootEpoch\":1,\"nextToken\":{},\"held\":[{}]}}",
+                        kept.len(),
+                        held.join(",")
+                    );
+                    write_json(&mut stream, 200, &answer)?;
                 }
                 _ if self.is_other(&head) => {
                     let id = &self.id;
+                    let asked = head.get("ryerouter-request-id").unwrap_or_default();
                     let answer = format!(
-                        "HTTP/1.1 421 Misdirected Request\r\nRyerouter-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                        "HTTP/1.1 421 Misdirected Request\r\nRyerouter-Request-Id: {asked}\r\n\
+                         Ryerouter-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
                     );
                     io::Write::write_all(&mut stream, answer.as_bytes())?;
                 }
