Name the isolated tenants in the salt of the others' cached prefixes

Cause: the salt of tenants that share named only the version of the weights, so whatever a tenant had cached while it shared was found after it had been isolated. Requests that had been admitted before the change also kept the isolation of that configuration when they waited or were sent again.

Change: the salt of shared prefixes carries a digest of the names of the isolated tenants. It is a function of the configuration alone, so nodes agree on it, also after a restart, and a prefix under it can only stem from tenants that share now. The scope is read from the configuration in force when a request is sent. While nobody is isolated the salt is the one of former builds.

Not measured: the latency after a tenant is isolated, when the others' shared prefixes are computed again once.

--- a/crates/gateway/benches/fleet.rs
+++ b/crates/gateway/benches/fleet.rs
@@ -14,6 +14,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use ryerouter_core::identity::PoolName;
+use ryerouter_gateway::catalogue::CacheScope;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::{PlacementRequest, Prompt, PromptPart};
 use ryerouter_gateway::source::{Item, ItemKind, NamedWeights};
@@ -66,7 +67,7 @@
             id: "request-1",
             pool: &PoolName::new(POOL),
             prompt: Some(&prompt),
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_secs(1),
             body_bytes: 9_000,
             tried: &[],
--- a/crates/gateway/src/catalogue/mod.rs
+++ b/crates/gateway/src/catalogue/mod.rs
@@ -1,5 +1,6 @@
 //! The accepted configuration as traffic decisions read it.
 
+mod cache_scope;
 mod caller_limits;
 mod engine_profile;
 mod kv_store_profile;
@@ -12,6 +13,7 @@
 mod urgency_ranks;
 mod weighted_pool;
 
+pub use cache_scope::{CacheScope, IsolatedTenants};
 pub use caller_limits::CallerLimits;
 pub use engine_profile::EngineProfile;
 pub use kv_store_profile::KvStoreProfile;
--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -4,9 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ryerouter_core::identity::PoolName;
+use ryerouter_core::identity::{PoolName, TenantName};
 
-use super::{CallerLimits, KvStoreProfile, PoolProfile, Route, Tenant, UrgencyRanks};
+use super::{
+    CacheScope, CallerLimits, IsolatedTenants, KvStoreProfile, PoolProfile, Route, Tenant,
+    UrgencyRanks,
+};
 
 /// One version of the configuration, indexed for look-ups.
 #[derive(Debug, Default)]
@@ -21,6 +24,9 @@
     kv_stores: Vec<KvStoreProfile>,
     tenants: Vec<Rc<Tenant>>,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
+    /// Whether each tenant is isolated. One that is listed twice is if either entry says so.
+    isolation: HashMap<TenantName, bool>,
+    isolated_tenants: IsolatedTenants,
     limits_all_tenants: bool,
     urgency_ranks: UrgencyRanks,
     limits: CallerLimits,
@@ -61,8 +67,12 @@
             table.pools.insert(pool.name.clone(), pool);
         }
         table.limits_all_tenants = tenants.iter().all(|tenant| tenant.rate_limit.is_some());
+        let isolated = tenants.iter().filter(|tenant| tenant.is_isolated);
+        table.isolated_tenants = IsolatedTenants::new(isolated.map(|tenant| &tenant.name));
         for tenant in tenants {
             let tenant = Rc::new(tenant);
+            let is_isolated = table.isolation.entry(tenant.name.clone()).or_default();
+            *is_isolated |= tenant.is_isolated;
             for key in &tenant.keys {
                 table.tenants_by_key.insert(key.clone(), Rc::clone(&tenant));
             }
@@ -148,6 +158,23 @@
         self.tenants_by_key.get(key)
     }
 
+    /// The requests with which those of a tenant, or those without one, share cached prefixes. `tenant` may stem from
+    /// an older configuration; one that this configuration lacks shares with nobody.
+    pub fn cache_scope(&self, tenant: Option<&TenantName>) -> CacheScope {
+        let Some(name) = tenant else {
+            return CacheScope::Shared(self.isolated_tenants);
+        };
+        match self.isolation.get(name) {
+            Some(false) => CacheScope::Shared(self.isolated_tenants),
+            Some(true) | None => CacheScope::Tenant(name.clone()),
+        }
+    }
+
+    /// The tenants that share no cached prefix with others.
+    pub fn isolated_tenants(&self) -> IsolatedTenants {
+        self.isolated_tenants
+    }
+
     /// All pools.
     pub fn pools(&self) -> impl Iterator<Item = &PoolProfile> {
         self.pools.values()
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -367,7 +367,7 @@
             return;
         }
         info!(self.log(), "configuration_adopted"; "version" => table.version(),
-            "before" => known);
+            "before" => known, "isolated_tenants" => %table.isolated_tenants());
         self.metrics()
             .configuration_version
             .set(table.version() as i64);
--- a/crates/gateway/src/placement/chosen_engine.rs
+++ b/crates/gateway/src/placement/chosen_engine.rs
@@ -6,7 +6,8 @@
 use ryerouter_core::identity::{BackEndName, Incarnation};
 use ryerouter_core::release::SoftwareVersion;
 
-use super::{CandidateCost, PromptKeys};
+use super::{CandidateCost, Prompt, PromptKeys};
+use crate::catalogue::CacheScope;
 
 /// Source from which KV cache can be fetched.
 #[derive(Debug, Clone, PartialEq, Display)]
@@ -59,3 +60,20 @@
     /// Cost of the choice, by component.
     pub cost: CandidateCost,
 }
+
+impl Placement {
+    /// Places the prompt in another cache scope, in which nothing is known to be cached. Changes nothing in its own.
+    pub fn move_to_scope(&mut self, prompt: &Prompt, scope: &CacheScope) {
+        let salt = self.weights.map(|weights| scope.salt(weights));
+        if salt == self.salt {
+            return;
+        }
+        self.keys = salt
+            .as_deref()
+            .map_or_else(PromptKeys::default, |salt| prompt.keys(salt));
+        self.salt = salt;
+        self.cached_tokens = 0;
+        self.unread_tokens = prompt.prompt_tokens.max(1);
+        self.fetch = None;
+    }
+}
--- a/crates/gateway/src/placement/placement_request.rs
+++ b/crates/gateway/src/placement/placement_request.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use ryerouter_core::identity::{BackEndName, PoolName, TenantName};
+use ryerouter_core::identity::{BackEndName, PoolName};
 
 use super::Prompt;
+use crate::catalogue::CacheScope;
 
 /// The properties of a request that placement depends on.
 #[derive(Debug, Clone)]
@@ -15,8 +16,8 @@
     pub pool: &'a PoolName,
     /// The prompt; `None` for requests to plain services.
     pub prompt: Option<&'a Prompt>,
-    /// The tenant, if its cached prefixes must not be shared with other tenants.
-    pub isolated_tenant: Option<&'a TenantName>,
+    /// The requests with which it shares cached prefixes.
+    pub cache_scope: &'a CacheScope,
     /// Latency of the first token that the caller asks for.
     pub target_latency: Duration,
     /// Size of the request body.
@@ -24,14 +25,3 @@
     /// Back ends to which earlier attempts were sent.
     pub tried: &'a [BackEndName],
 }
-
-impl PlacementRequest<'_> {
-    /// The salt of the prompt's keys. Prefixes are shared only between requests with the same
-    /// weights and, for isolated tenants, the same tenant.
-    pub fn salt(&self, weights: u64) -> String {
-        match self.isolated_tenant {
-            Some(tenant) => format!("w{weights}.{tenant}"),
-            None => format!("w{weights}"),
-        }
-    }
-}
--- a/crates/gateway/src/placement/prompt_for_weights.rs
+++ b/crates/gateway/src/placement/prompt_for_weights.rs
@@ -45,7 +45,7 @@
         weights: u64,
         has_regions: bool,
     ) -> Self {
-        let salt = request.salt(weights);
+        let salt = request.cache_scope.salt(weights);
         let keys = prompt.keys(&salt);
         let rendezvous_key = keys.shared().last().or(keys.0.last());
         Self {
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -20,7 +20,7 @@
 use super::silence_cause::SilenceCause;
 use super::silence_detector::SilenceDetector;
 use super::start_deadline::StartDeadline;
-use crate::catalogue::RequestKind;
+use crate::catalogue::{CacheScope, RequestKind};
 use crate::continuation::SoftwareConstraint;
 use crate::engines::{AnswerPhase, Engine};
 use crate::gateway::Gateway;
@@ -163,7 +163,7 @@
                 return Err(self.poison_refusal(retry_after));
             }
             let is_new = self.tried.is_empty() && last_event_id.is_none();
-            let (placement, permit) = self.place_with_permit(verdict, is_new).await?;
+            let (mut placement, permit) = self.place_with_permit(verdict, is_new).await?;
             let is_prepaid = std::mem::take(&mut self.is_retry_prepaid) || self.arrivals == 0;
             if !is_prepaid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.budget_refusal());
@@ -172,6 +172,7 @@
             if is_trial && !std::mem::replace(&mut self.is_trial, true) {
                 self.gateway.begin_trial(&self.request).await;
             }
+            self.renew_cache_scope(&mut placement);
             if self.may_have_run && !self.has_answer_begun {
                 self.gateway.charge_again(&self.request);
             }
@@ -470,14 +471,31 @@
         self.place_avoiding(&avoided)
     }
 
+    /// The cache scope of the request. By the configuration now in force, not by the one that admitted the request: its
+    /// tenant may have been isolated meanwhile.
+    fn cache_scope(&self) -> CacheScope {
+        let tenant = self.request.tenant.as_ref();
+        let state = self.gateway.state();
+        let table = state.table.as_ref();
+        let scope = table.map(|table| table.cache_scope(tenant.map(|tenant| &tenant.name)));
+        scope.unwrap_or_default()
+    }
+
+    /// Updates a placement that was chosen before the request waited.
+    fn renew_cache_scope(&self, placement: &mut Placement) {
+        if let Some(prompt) = &self.request.caller.prompt {
+            placement.move_to_scope(prompt, &self.cache_scope());
+        }
+    }
+
     fn place_avoiding(&self, tried: &[BackEndName]) -> Option<Placement> {
         let request = &self.request;
-        let isolated = request.tenant.as_ref().filter(|tenant| tenant.is_isolated);
+        let cache_scope = self.cache_scope();
         let placed = PlacementRequest {
             id: &request.caller.id,
             pool: &request.pool,
             prompt: request.caller.prompt.as_ref(),
-            isolated_tenant: isolated.map(|tenant| &tenant.name),
+            cache_scope: &cache_scope,
             target_latency: request.route.target_latency,
             body_bytes: request.body.len(),
             tried,
--- a/crates/gateway/tests/dividing.rs
+++ b/crates/gateway/tests/dividing.rs
@@ -6,7 +6,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
-use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind, RoutingTable};
 use ryerouter_gateway::engines::{Engine, EngineLoad, EngineTable};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::{
@@ -158,7 +158,7 @@
             id,
             pool: &PoolName::new(POOL),
             prompt: Some(prompt),
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_millis(800),
             body_bytes: 1_000,
             tried: &[],
@@ -252,7 +252,7 @@
             id: "r1",
             pool: &PoolName::new(POOL),
             prompt: Some(&prompt_of(6_000, 9)),
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_secs(30),
             body_bytes: 1_000,
             tried: &[],
--- a/crates/gateway/tests/placing.rs
+++ b/crates/gateway/tests/placing.rs
@@ -9,7 +9,7 @@
 use ryerouter_core::Timestamp;
 use ryerouter_core::backpressure::Signal;
 use ryerouter_core::identity::{BackEndName, PoolName, TenantName, ZoneName};
-use ryerouter_gateway::catalogue::{RequestKind, RoutingTable};
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind, RoutingTable};
 use ryerouter_gateway::engines::{EngineLoad, EngineTable};
 use ryerouter_gateway::peers::KvStoreState;
 use ryerouter_gateway::placement::{
@@ -39,7 +39,7 @@
     holders: HolderTable,
     table: RoutingTable,
     deadlines: WeightsDeadlines,
-    isolated: Option<TenantName>,
+    cache_scope: CacheScope,
     kv_stores: KvStores,
     max_recent_start_delay: Duration,
     is_large: bool,
@@ -59,7 +59,7 @@
             holders: HolderTable::new(100),
             table: model_table(vec![route(RequestKind::Streaming)]),
             deadlines: WeightsDeadlines::new(Duration::from_secs(7)),
-            isolated: None,
+            cache_scope: CacheScope::default(),
             kv_stores: KvStores::default(),
             max_recent_start_delay: Duration::ZERO,
             is_large: false,
@@ -91,7 +91,7 @@
             id,
             pool: &PoolName::new(POOL),
             prompt: Some(prompt),
-            isolated_tenant: self.isolated.as_ref(),
+            cache_scope: &self.cache_scope,
             target_latency: Duration::from_millis(500),
             body_bytes: 1_000,
             tried: &[],
@@ -177,7 +177,7 @@
     let mut world = World::new(&["a", "b"]);
     world.hold(&BackEndName::new("a"), &prompt("s,x,1"), 2);
     let shared = world.choose(&prompt("s,x,2")).unwrap();
-    world.isolated = Some(TenantName::new("walled"));
+    world.cache_scope = CacheScope::Tenant(TenantName::new("walled"));
     let isolated = world.choose(&prompt("s,x,2")).unwrap();
     assert_ne!(shared.salt, isolated.salt);
     assert_eq!(isolated.cached_tokens, 0);
--- a/crates/gateway/tests/region_placing.rs
+++ b/crates/gateway/tests/region_placing.rs
@@ -7,7 +7,7 @@
 
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
-use ryerouter_gateway::catalogue::{KvStoreProfile, RequestKind, RoutingTable};
+use ryerouter_gateway::catalogue::{CacheScope, KvStoreProfile, RequestKind, RoutingTable};
 use ryerouter_gateway::engines::{EngineLoad, EngineTable};
 use ryerouter_gateway::peers::KvStoreState;
 use ryerouter_gateway::placement::{
@@ -77,7 +77,7 @@
             id,
             pool: &PoolName::new(POOL),
             prompt,
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_millis(500),
             body_bytes: 1_000,
             tried,
--- a/crates/gateway/tests/rejected_versions_of_former_orders.rs
+++ b/crates/gateway/tests/rejected_versions_of_former_orders.rs
@@ -7,7 +7,7 @@
 
 use ryerouter_core::identity::PoolName;
 use ryerouter_core::release::{Outcome, Stage};
-use ryerouter_gateway::catalogue::{CallerLimits, PoolProfile, RoutingTable};
+use ryerouter_gateway::catalogue::{CacheScope, CallerLimits, PoolProfile, RoutingTable};
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::placement::PlacementRequest;
 use support::gateway_bench::{configure, list_engines, run_paused};
@@ -40,7 +40,7 @@
             id: &format!("r{number}"),
             pool: &pool,
             prompt: None,
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_millis(500),
             body_bytes: 10,
             tried: &[],
--- a/crates/gateway/tests/releases_placement.rs
+++ b/crates/gateway/tests/releases_placement.rs
@@ -8,7 +8,7 @@
 
 use ryerouter_core::identity::BackEndName;
 use ryerouter_core::release::Stage;
-use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind};
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::PlacementRequest;
@@ -69,7 +69,7 @@
                     id: &format!("r-{prefix}-{own}"),
                     pool: &pool(),
                     prompt: Some(&prompt),
-                    isolated_tenant: None,
+                    cache_scope: &CacheScope::default(),
                     target_latency: Duration::from_millis(500),
                     body_bytes: 10,
                     tried: &[],
--- a/crates/gateway/tests/store_delay_news.rs
+++ b/crates/gateway/tests/store_delay_news.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use ryerouter_core::identity::{PoolName, ZoneName};
-use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::peers::{Datagram, NodeState, PeerMessage, ZoneUpdate};
 use ryerouter_gateway::placement::{
@@ -78,7 +78,7 @@
         id: "r1",
         pool: &PoolName::new(POOL),
         prompt: Some(&prompt("s,x,1")),
-        isolated_tenant: None,
+        cache_scope: &CacheScope::default(),
         target_latency: Duration::from_millis(500),
         body_bytes: 1_000,
         tried: &[],
--- a/crates/gateway/tests/support/releases.rs
+++ b/crates/gateway/tests/support/releases.rs
@@ -5,7 +5,7 @@
 
 use ryerouter_core::identity::{BackEndName, PoolName, ZoneName};
 use ryerouter_core::release::{Grant, Order, RejectedVersions, Settings, Stage, Window};
-use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind};
 use ryerouter_gateway::engines::EngineEntry;
 use ryerouter_gateway::gateway::{Gateway, GatewaySettings};
 use ryerouter_gateway::placement::{Placement, PlacementRequest};
@@ -123,7 +123,7 @@
         id,
         pool: &pool(),
         prompt: None,
-        isolated_tenant: None,
+        cache_scope: &CacheScope::default(),
         target_latency: Duration::from_millis(500),
         body_bytes: 10,
         tried: &tried,
--- a/crates/gateway/tests/support/scripted_engine.rs
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -25,6 +25,8 @@
     Silence,
     /// Closes the connection without a word.
     Close,
+    /// Closes the connection without a word after this time.
+    CloseAfter(Duration),
     /// Sends these events and ends the stream well.
     Events(&'static [&'static str]),
     /// Sends these bytes of a stream and breaks off.
@@ -155,6 +157,10 @@
                 }
                 Step::Foreign => write(&mut stream, &answer(200, "another", "", "no")).await,
                 Step::Close => return,
+                Step::CloseAfter(wait) => {
+                    sleep(wait).await;
+                    return;
+                }
                 Step::Silence => {
                     let mut rest = [0; 1];
                     let _ = stream.read(&mut rest).await;
--- a/crates/gateway/tests/support/test_dialect.rs
+++ b/crates/gateway/tests/support/test_dialect.rs
@@ -24,6 +24,7 @@
 pub const LEAVING: &str = "x-leaving";
 pub const LIMIT: &str = "x-limit";
 pub const FRAGILE: &str = "x-fragile";
+pub const SALT: &str = "x-salt";
 
 /// The model of every prompt.
 pub const MODEL: &str = "model";
@@ -64,6 +65,7 @@
         set(headers, ENGINE, Some(attempt.engine.to_string()));
         let tenant = attempt.tenant.as_ref();
         set(headers, TENANT, tenant.map(ToString::to_string));
+        set(headers, SALT, attempt.salt.clone());
         set(headers, AFTER, attempt.last_event_id.clone());
         headers.remove(KEY);
     }
--- a/crates/gateway/tests/unrecorded_versions.rs
+++ b/crates/gateway/tests/unrecorded_versions.rs
@@ -8,7 +8,7 @@
 use ryerouter_core::continuation::SETTLING_TIME;
 use ryerouter_core::identity::BackEndName;
 use ryerouter_core::release::Stage;
-use ryerouter_gateway::catalogue::RequestKind;
+use ryerouter_gateway::catalogue::{CacheScope, RequestKind};
 use ryerouter_gateway::continuation::{SoftwareConstraint, VersionRecord};
 use ryerouter_gateway::gateway::Gateway;
 use ryerouter_gateway::placement::PlacementRequest;
@@ -47,7 +47,7 @@
             id: &format!("r{number}"),
             pool: &pool(),
             prompt: None,
-            isolated_tenant: None,
+            cache_scope: &CacheScope::default(),
             target_latency: Duration::from_millis(500),
             body_bytes: 10,
             tried: &tried,
