Tell an empty list of tenants from an absent one

Cause: an empty and an absent list were read into the same empty list, and the checks of the key and of the configuration's age were skipped for it.

Change: the routing table keeps the difference; an empty list means that nobody has a key. Where the settings name tenants among the contracts, keys are required even if the configuration says nothing of them. Readiness follows the same rule. An empty text is no key; a key of two tenants and a list that is gone are logged.

--- a/crates/gateway/src/catalogue/mod.rs
+++ b/crates/gateway/src/catalogue/mod.rs
@@ -3,6 +3,7 @@
 mod cache_scope;
 mod caller_limits;
 mod engine_profile;
+mod key_conflict;
 mod kv_store_profile;
 mod pool_profile;
 mod rate_limit;
@@ -16,6 +17,7 @@
 pub use cache_scope::{CacheScope, IsolatedTenants};
 pub use caller_limits::CallerLimits;
 pub use engine_profile::EngineProfile;
+pub use key_conflict::KeyConflict;
 pub use kv_store_profile::KvStoreProfile;
 pub use pool_profile::PoolProfile;
 pub use rate_limit::{RateLimit, Unit};
--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -7,8 +7,8 @@
 use ryerouter_core::identity::{PoolName, TenantName};
 
 use super::{
-    CacheScope, CallerLimits, IsolatedTenants, KvStoreProfile, PoolProfile, Route, Tenant,
-    UrgencyRanks,
+    CacheScope, CallerLimits, IsolatedTenants, KeyConflict, KvStoreProfile, PoolProfile, Route,
+    Tenant, UrgencyRanks,
 };
 
 /// One version of the configuration, indexed for look-ups.
@@ -22,28 +22,33 @@
     longest_timeouts: HashMap<PoolName, Duration>,
     shortest_targets: HashMap<PoolName, Duration>,
     kv_stores: Vec<KvStoreProfile>,
+    lists_tenants: bool,
     tenants: Vec<Rc<Tenant>>,
     tenants_by_key: HashMap<String, Rc<Tenant>>,
     /// Whether each tenant is isolated. One that is listed twice is if either entry says so.
     isolation: HashMap<TenantName, bool>,
     isolated_tenants: IsolatedTenants,
+    key_conflict: Option<KeyConflict>,
     limits_all_tenants: bool,
     urgency_ranks: UrgencyRanks,
     limits: CallerLimits,
 }
 
 impl RoutingTable {
-    /// Indexes a configuration.
+    /// Indexes a configuration. `tenants` is `None` if it says nothing of tenants; if it lists none, nobody has a key.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         pools: Vec<PoolProfile>,
         kv_stores: Vec<KvStoreProfile>,
-        tenants: Vec<Tenant>,
+        tenants: Option<Vec<Tenant>>,
         limits: CallerLimits,
     ) -> Self {
+        let lists_tenants = tenants.is_some();
+        let tenants = tenants.unwrap_or_default();
         let mut table = Self {
             version,
+            lists_tenants,
             kv_stores,
             limits,
             urgency_ranks: UrgencyRanks::new(routes.iter(), &tenants),
@@ -73,8 +78,13 @@
             let tenant = Rc::new(tenant);
             let is_isolated = table.isolation.entry(tenant.name.clone()).or_default();
             *is_isolated |= tenant.is_isolated;
-            for key in &tenant.keys {
-                table.tenants_by_key.insert(key.clone(), Rc::clone(&tenant));
+            for key in tenant.keys.iter().filter(|key| !key.is_empty()) {
+                let other = table.tenants_by_key.insert(key.clone(), Rc::clone(&tenant));
+                let other = other.filter(|other| other.name != tenant.name);
+                table.key_conflict = table.key_conflict.or(other.map(|other| KeyConflict {
+                    holder: tenant.name.clone(),
+                    other: other.name.clone(),
+                }));
             }
             table.tenants.push(tenant);
         }
@@ -133,9 +143,14 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Whether requests need a key, but on public routes.
-    pub fn has_tenants(&self) -> bool {
-        !self.tenants.is_empty()
+    /// Whether the configuration lists tenants, if only none: requests then need a key, but on public routes.
+    pub fn lists_tenants(&self) -> bool {
+        self.lists_tenants
+    }
+
+    /// The first key that two tenants hold.
+    pub fn key_conflict(&self) -> Option<&KeyConflict> {
+        self.key_conflict.as_ref()
     }
 
     /// All tenants.
--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -11,6 +11,7 @@
 
 use super::caller_ring::{CallerLocation, CallerNode, CallerRing, HIGH_LOAD_SHARE, draw_addresses};
 use super::{Gateway, GatewayState};
+use crate::catalogue::RoutingTable;
 use crate::peers::NodeState;
 
 /// A node that has received nothing from other nodes for this time may be isolated. Five
@@ -29,12 +30,16 @@
         state.node_state == NodeState::Ready && !self.must_refuse_keys(&state, now)
     }
 
+    /// Whether requests need a key, but on public routes. A configuration that says nothing of tenants doesn't open a
+    /// deployment that is set up with keys.
+    pub(crate) fn requires_keys(&self, table: &RoutingTable) -> bool {
+        self.settings().requires_keys || table.lists_tenants()
+    }
+
     /// Whether the configuration has been unconfirmed for too long to trust API keys.
     fn must_refuse_keys(&self, state: &GatewayState, now: Timestamp) -> bool {
-        let needs_confirmation = state
-            .table
-            .as_ref()
-            .is_some_and(|table| table.has_tenants());
+        let table = state.table.as_ref();
+        let needs_confirmation = table.is_some_and(|table| self.requires_keys(table));
         let limit = self
             .settings()
             .max_unconfirmed_age
--- a/crates/gateway/src/gateway/gateway_settings.rs
+++ b/crates/gateway/src/gateway/gateway_settings.rs
@@ -29,6 +29,8 @@
     pub topology: Topology,
     /// Addresses where other nodes may be found.
     pub seeds: Vec<SocketAddr>,
+    /// Whether requests need an API key even if the configuration says nothing of tenants.
+    pub requires_keys: bool,
     /// Requests with an API key are refused once the configuration has not been confirmed current
     /// for this time; `None` accepts keys at any age.
     pub max_unconfirmed_age: Option<Duration>,
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -366,8 +366,7 @@
         if known.is_some_and(|known| known >= table.version()) {
             return;
         }
-        info!(self.log(), "configuration_adopted"; "version" => table.version(),
-            "before" => known, "isolated_tenants" => %table.isolated_tenants());
+        self.log_adopted(state.table.as_deref(), &table);
         self.metrics()
             .configuration_version
             .set(table.version() as i64);
@@ -378,6 +377,21 @@
         replica.note_caught_up();
     }
 
+    fn log_adopted(&self, before: Option<&RoutingTable>, table: &RoutingTable) {
+        let (version, requires_keys) = (table.version(), self.requires_keys(table));
+        info!(self.log(), "configuration_adopted"; "version" => version,
+            "before" => before.map(RoutingTable::version),
+            "isolated_tenants" => %table.isolated_tenants(), "requires_keys" => requires_keys);
+        if before.is_some_and(RoutingTable::lists_tenants) && !table.lists_tenants() {
+            warn!(self.log(), "tenants_no_longer_listed"; "version" => version,
+                "requires_keys" => requires_keys);
+        }
+        if let Some(conflict) = table.key_conflict() {
+            warn!(self.log(), "key_held_by_two_tenants"; "version" => version,
+                "holder" => %conflict.holder, "other" => %conflict.other);
+        }
+    }
+
     pub(super) fn apply_engine_entry(&self, entry: EngineEntry) {
         let mut state = self.state_mut();
         let Some(mut entry) = state.departures.hold_back(entry) else {
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -196,7 +196,7 @@
     route: &Route,
     caller: &CallerRequest,
 ) -> Result<Option<Rc<Tenant>>, Refusal> {
-    if route.is_public || !table.has_tenants() {
+    if route.is_public || !gateway.requires_keys(table) {
         return Ok(None);
     }
     let now = gateway.clock().now();
--- a/crates/gateway/tests/isolation.rs
+++ b/crates/gateway/tests/isolation.rs
@@ -27,7 +27,7 @@
         is_isolated: name.ends_with('!'),
         ..tenant()
     });
-    let tenants = tenants.collect();
+    let tenants = Some(tenants.collect());
     let limits = CallerLimits::default();
     RoutingTable::new(
         version,
--- a/crates/gateway/tests/rejected_versions_of_former_orders.rs
+++ b/crates/gateway/tests/rejected_versions_of_former_orders.rs
@@ -33,7 +33,7 @@
         engine: None,
     };
     let limits = CallerLimits::default();
-    let table = RoutingTable::new(2, Vec::new(), vec![profile], Vec::new(), Vec::new(), limits);
+    let table = RoutingTable::new(2, Vec::new(), vec![profile], Vec::new(), None, limits);
     configure(&node.gateway, table);
     let placed = (0..REQUESTS).filter_map(|number| {
         node.gateway.choose(&PlacementRequest {
--- a/crates/gateway/tests/support/fragile_nodes.rs
+++ b/crates/gateway/tests/support/fragile_nodes.rs
@@ -239,7 +239,7 @@
         vec![route],
         vec![pool],
         Vec::new(),
-        vec![tenant()],
+        Some(vec![tenant()]),
         limits,
     )
 }
--- a/crates/gateway/tests/support/gateway_bench.rs
+++ b/crates/gateway/tests/support/gateway_bench.rs
@@ -76,6 +76,7 @@
         },
         topology: Topology::default(),
         seeds: Vec::new(),
+        requires_keys: false,
         max_unconfirmed_age: Some(Duration::from_secs(3600)),
         weights_grace: Duration::from_secs(7),
         weights_propagation_time: Duration::from_secs(1),
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -55,7 +55,14 @@
 /// The same with these limits of callers.
 pub fn table_with_limits(version: u64, routes: Vec<Route>, limits: CallerLimits) -> RoutingTable {
     let pools = vec![plain_pool()];
-    RoutingTable::new(version, routes, pools, Vec::new(), vec![tenant()], limits)
+    RoutingTable::new(
+        version,
+        routes,
+        pools,
+        Vec::new(),
+        Some(vec![tenant()]),
+        limits,
+    )
 }
 
 /// A table of these routes with one pool of engines and a store of kept KV cache.
@@ -95,7 +102,7 @@
         ..plain_pool()
     };
     let limits = CallerLimits::default();
-    RoutingTable::new(1, routes, vec![pool], stores, vec![tenant()], limits)
+    RoutingTable::new(1, routes, vec![pool], stores, Some(vec![tenant()]), limits)
 }
 
 fn plain_pool() -> PoolProfile {
@@ -127,7 +134,7 @@
         vec![route],
         vec![plain_pool()],
         Vec::new(),
-        vec![tenant],
+        Some(vec![tenant]),
         limits,
     )
 }
--- a/crates/gateway/tests/support/versioned_nodes.rs
+++ b/crates/gateway/tests/support/versioned_nodes.rs
@@ -261,7 +261,8 @@
             engine: None,
         };
         let routes = vec![self.route.clone()];
-        let (tenants, limits) = (self.tenants.clone(), CallerLimits::default());
+        let tenants = (!self.tenants.is_empty()).then(|| self.tenants.clone());
+        let limits = CallerLimits::default();
         let table = RoutingTable::new(1, routes, vec![pool], Vec::new(), tenants, limits);
         let entries = self.entries();
         let store = Rc::clone(&self.store);
--- a/crates/gateway/tests/urgency.rs
+++ b/crates/gateway/tests/urgency.rs
@@ -73,7 +73,7 @@
         vec![route],
         vec![pool],
         Vec::new(),
-        vec![tenant],
+        Some(vec![tenant]),
         CallerLimits::default(),
     )
 }
