--- a/crates/gateway/src/catalogue/route.rs
+++ b/crates/gateway/src/catalogue/route.rs
@@ -46,11 +46,11 @@
         }
     }
 
-    /// The pool that serves a request, by the weights and a hash of its id.
+    /// The pool that serves a request, by the weights and a hash of its id; `None` if no pool may serve it.
     pub fn pool_of(&self, request_id: &str) -> Option<&PoolName> {
         let total: u64 = self.pools.iter().map(|part| u64::from(part.weight)).sum();
         if total == 0 {
-            return self.pools.first().map(|part| &part.pool);
+            return None;
         }
         let mut point = xxh3_64(request_id.as_bytes()) % total;
         for part in &self.pools {
