Prove a configuration only by answers that show the newest one

Change: such answers leave the configuration in force and unproven, as an unreadable one does, until it is shown again; the reason is logged.

--- a/crates/gateway/src/gateway/peer_messages.rs
+++ b/crates/gateway/src/gateway/peer_messages.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 
 use super::restored_source::departure_updates;
+use super::source_log::Proof;
 use super::{Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::engines::EngineLoad;
 use crate::peers::{
@@ -163,8 +164,10 @@
         }
         let sent_at = self.echoed_message_sent_at(state, message);
         if let Some(sent_at) = sent_at.filter(|_| own_version == Some(reported.version)) {
+            let as_of = sent_at.before(age);
+            self.log_proof(state, Proof::of_node(&message.from.name, as_of));
             let replica = state.replicas.of_mut(ItemKind::Configuration);
-            replica.confirm(sent_at.before(age));
+            replica.confirm(as_of);
         }
     }
 
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -57,6 +57,9 @@
 /// Maximum number of log lines a second about paths to engines.
 const PATH_LINES_PER_SECOND: u32 = 20;
 
+/// Maximum number of log lines a second about proofs of the configuration.
+const PROOF_LINES_PER_SECOND: u32 = 5;
+
 /// Maximum number of log lines a second about streams that callers take up again.
 const CONTINUATION_LINES_PER_SECOND: u32 = 20;
 
@@ -81,6 +84,7 @@
     doubt_sampler: LogSampler,
     path_sampler: LogSampler,
     memory_sampler: LogSampler,
+    proof_sampler: LogSampler,
     continuation_sampler: LogSampler,
     datagram_sender: RefCell<Option<DatagramSender>>,
     dialect: Rc<dyn Dialect>,
@@ -147,6 +151,7 @@
             doubt_sampler: LogSampler::new(DOUBT_LINES_PER_SECOND),
             path_sampler: LogSampler::new(PATH_LINES_PER_SECOND),
             memory_sampler: LogSampler::default(),
+            proof_sampler: LogSampler::new(PROOF_LINES_PER_SECOND),
             continuation_sampler: LogSampler::new(CONTINUATION_LINES_PER_SECOND),
             datagram_sender: RefCell::new(None),
             dialect,
@@ -231,6 +236,11 @@
         &self.path_sampler
     }
 
+    /// Limits log lines about proofs of the configuration.
+    pub(crate) fn proof_sampler(&self) -> &LogSampler {
+        &self.proof_sampler
+    }
+
     /// Limits log lines about bodies for which there is no memory.
     pub fn memory_sampler(&self) -> &LogSampler {
         &self.memory_sampler
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Display;
 use ryerouter_core::Timestamp;
 use ryerouter_core::identity::BackEndName;
 use slog::{info, warn};
 
 use super::Gateway;
+use super::source_log::{Proof, Query};
 use crate::catalogue::RoutingTable;
 use crate::engines::{EngineEntry, EngineState, EngineTable, IncarnationOrder};
 use crate::source::{
@@ -22,6 +24,17 @@
 /// Minimum number of consecutive failed requests that count as a disruption of the source.
 const MIN_DISRUPTION_FAILURES: u32 = 2;
 
+/// Why the source doesn't show the newest configuration.
+#[derive(Debug, Clone, Copy, Display)]
+enum LostConfiguration {
+    #[display("the newest can't be read")]
+    Unreadable,
+    #[display("the list has none")]
+    NotListed,
+    #[display("it is gone")]
+    Gone,
+}
+
 impl Gateway {
     /// Applies the list of all items of a kind at `revision`, read by a request sent at `asked_at`.
     pub fn apply_list(
@@ -48,6 +61,16 @@
         let confirmed_at = is_current.then_some(asked_at);
         self.record_list(kind, &list.items, list.revision);
         let mut state = self.state_mut();
+        if kind == ItemKind::Configuration && is_current {
+            let proof = Proof {
+                by: &Query::List,
+                as_of: asked_at,
+                asked_from: None,
+                answered: Some(list.revision),
+                is_whole: true,
+            };
+            self.log_proof(&state, proof);
+        }
         let has_others = state.peers.alive(now).next().is_some();
         let replica = state.replicas.of_mut(kind);
         if now.since(asked_at) >= self.late_replica_age() && has_others {
@@ -134,6 +157,19 @@
         if replica.revision > Some(batch.revision) || begins_later {
             return;
         }
+        if let Some(as_of) = asked_at.filter(|_| kind == ItemKind::Configuration) {
+            let proof = Proof {
+                by: match held_since {
+                    Some(_) => &Query::Watch,
+                    None => &Query::Probe,
+                },
+                as_of,
+                asked_from: replica.revision,
+                answered: Some(batch.revision),
+                is_whole: batch.is_whole,
+            };
+            self.log_proof(&state, proof);
+        }
         let now = self.clock().now();
         let replica = state.replicas.of_mut(kind);
         replica.advance(batch.revision, now);
@@ -172,6 +208,11 @@
 
     fn replace_all(&self, kind: ItemKind, items: Vec<Item>, confirmed_at: Option<Timestamp>) {
         self.note_engine_list_read(kind);
+        let is_configuration =
+            |item: &Item| matches!(item, Item::Configuration(_) | Item::UnreadableConfiguration);
+        if kind == ItemKind::Configuration && !items.iter().any(is_configuration) {
+            self.note_lost_configuration(LostConfiguration::NotListed);
+        }
         self.replace_known(kind, items);
         self.note_source_answer(kind, confirmed_at);
     }
@@ -281,7 +322,7 @@
                     self.adopt_table(table);
                 }
                 ItemChange::Present(Item::UnreadableConfiguration) => {
-                    self.note_unreadable_configuration();
+                    self.note_lost_configuration(LostConfiguration::Unreadable);
                 }
                 ItemChange::Present(Item::Engine(entry)) => self.apply_engine_entry(entry),
                 ItemChange::Present(Item::Unusable(name)) => self.handle_entry_unusable(&name),
@@ -291,6 +332,9 @@
                 ItemChange::Gone(name) if kind == ItemKind::Engines => {
                     self.handle_entry_removed(&BackEndName::new(name));
                 }
+                ItemChange::Gone(_) if kind == ItemKind::Configuration => {
+                    self.note_lost_configuration(LostConfiguration::Gone);
+                }
                 ItemChange::Gone(_) => {}
             }
         }
@@ -341,15 +385,14 @@
         }
     }
 
-    /// The newest configuration can't be read, so the one in force is not proven any more.
-    fn note_unreadable_configuration(&self) {
+    /// The source doesn't show the newest configuration, so the one in force is not proven any more.
+    fn note_lost_configuration(&self, why: LostConfiguration) {
         let now = self.clock().now();
         let mut state = self.state_mut();
         let replica = state.replicas.of_mut(ItemKind::Configuration);
         if !replica.is_unreadable() {
             let known = state.table.as_ref().map(|table| table.version());
-            warn!(self.log(), "configuration_unproven"; "reason" => "the newest can't be read",
-                "known" => known);
+            warn!(self.log(), "configuration_unproven"; "reason" => %why, "known" => known);
         }
         let replica = state.replicas.of_mut(ItemKind::Configuration);
         replica.note_unreadable(now);
--- a/crates/gateway/src/gateway/source_sync.rs
+++ b/crates/gateway/src/gateway/source_sync.rs
@@ -8,6 +8,7 @@
 use ryerouter_core::identity::NodeName;
 use slog::{debug, info};
 
+use super::source_log::Proof;
 use super::{Freshness, Gateway, GatewayState, PEER_DISCOVERY_TIME};
 use crate::engines::{Engine, EngineEntry};
 use crate::peers::NodeIdentity;
@@ -339,13 +340,16 @@
         let now = self.clock().now();
         let mut state = self.state_mut();
         let own = state.table.as_ref().map(|table| table.version());
-        let replica = state.replicas.of_mut(ItemKind::Configuration);
         if own < Some(mark.position) {
+            let replica = state.replicas.of_mut(ItemKind::Configuration);
             replica.note_behind(now);
             self.note_reader_ahead(&mut state, reader, mark.position);
             return;
         }
-        replica.confirm(confirmed_time(asked_at, mark));
+        let as_of = confirmed_time(asked_at, mark);
+        self.log_proof(&state, Proof::of_node(reader, as_of));
+        let replica = state.replicas.of_mut(ItemKind::Configuration);
+        replica.confirm(as_of);
     }
 
     /// Confirms the replica as of the time when the reader's was confirmed, provided it has the
