Take only statuses from 200 to 599 for answers

Callers got 101 that nobody had asked for, and 600 and 999, as the engine had sent them, and the engine went on being used. 000, 099 and texts that are no number were no answers before.

Cause: the HTTP library accepts any three digits from 100 on and hands on 101, and nothing asked whether a status ends an exchange.

Change: the upstream checks it for engines, also through tunnels, and for the node's own calls. Anything else is no answer: the connection is closed, the caller gets 502 or another engine's answer, and the engine is judged like one that sends noise.

--- a/crates/gateway/src/upstream/engine_sender.rs
+++ b/crates/gateway/src/upstream/engine_sender.rs
@@ -14,6 +14,7 @@
 use ryerouter_core::path::TunnelPeer;
 
 use super::answer_times::LEAST_PATIENCE;
+use super::final_status::check_final;
 use super::hearings::Hearings;
 use super::idle_connections::IdleConnections;
 use super::malformed::is_malformed;
@@ -142,6 +143,9 @@
             let mut failure = match sent {
                 Ok(answer) => {
                     self.note_received(&connection);
+                    if let Err(detail) = check_final(answer.status()) {
+                        return Err(AttemptFailure::NoAnswer { detail });
+                    }
                     let (head, body) = answer.into_parts();
                     return Ok(UpstreamAnswer {
                         head,
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 
+use super::final_status::check_final;
 use super::{CallAnswer, Connection};
 use crate::clock::Clock;
 
@@ -53,6 +54,7 @@
     })?;
     let heard_at = clock.now();
     connection.heard_at.set(heard_at);
+    check_final(answer.status()).map_err(ExchangeFailure::Broken)?;
     let (head, body) = answer.into_parts();
     let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|error| ExchangeFailure::Broken(error.to_string()))?;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 mod dialer;
 mod engine_sender;
 mod exchange;
+mod final_status;
 mod head_fault;
 mod head_limit;
 mod hearings;
--- a/crates/gateway/tests/final_answers.rs
+++ b/crates/gateway/tests/final_answers.rs
@@ -167,3 +167,108 @@
         }
     });
 }
+
+const NO_BODY: &str = "x-id: ID\r\nx-signed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Callers got statuses that are no final answers of HTTP.
+#[parameterized(
+    zero = { "HTTP/1.1 000 X" },
+    below_100 = { "HTTP/1.1 099 X" },
+    switching_protocols = { "HTTP/1.1 101 Switching Protocols" },
+    switching_protocols_with_upgrade = { "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: h2c" },
+    unknown_interim = { "HTTP/1.1 199 X" },
+    six_hundred = { "HTTP/1.1 600 X" },
+    nine_hundred_and_ninety_nine = { "HTTP/1.1 999 X" },
+    four_digits = { "HTTP/1.1 1000 X" },
+    letter = { "HTTP/1.1 2O0 OK" },
+    two_digits = { "HTTP/1.1 00 X" },
+    negative = { "HTTP/1.1 -20 X" },
+    empty = { "HTTP/1.1  X" },
+    without_the_mark_of_the_engine = { "HTTP/1.1 600 X\r\nx-not-executed: 1" },
+)]
+fn status_that_is_not_final_reaches_no_caller(line: &'static str) {
+    let text: &'static str = format!("{line}\r\n{NO_BODY}").leak();
+    run(async move {
+        for after in [After::Next, After::Close, After::Silence] {
+            let act = (text, after);
+            let (answer, _) = play(RequestKind::Unsafe, &[act, act]).await;
+            let ended = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+            assert!(ended.contains(&answer.status), "{after:?}: {answer:?}");
+            let (answer, arrivals) = play(RequestKind::Safe, &[act, WHOLE]).await;
+            // An interim answer that nothing follows is waited for until the end of the request.
+            let is_lost = arrivals == 1 && ended.contains(&answer.status);
+            let is_served = arrivals == 2 && answer.status == StatusCode::OK;
+            assert!(is_served || is_lost, "{after:?}: {arrivals} {answer:?}");
+            let stream = stream_text(true, &[act, act]).await;
+            let status = stream.split(' ').nth(1).unwrap_or_default();
+            assert!(["", "502", "504"].contains(&status), "{after:?}: {stream}");
+        }
+    });
+}
+
+/// An engine that answered so went on being used like a sound one.
+#[parameterized(
+    switching_protocols = { "HTTP/1.1 101 X\r\n" },
+    six_hundred = { "HTTP/1.1 600 X\r\n" },
+    nine_hundred_and_ninety_nine = { "HTTP/1.1 999 X\r\n" },
+    zero = { "HTTP/1.1 000 X\r\n" },
+)]
+fn engine_that_gives_no_final_answer_is_ejected(line: &'static str) {
+    let text: &'static str = format!("{line}{NO_BODY}").leak();
+    run(async move {
+        const REQUESTS: usize = 40;
+        const MOST_TRIES: usize = 5;
+        let (bad, [first]) = RawEngines::start(&[(text, After::Next); REQUESTS]).await;
+        let (good, [second]) = RawEngines::start(&[]).await;
+        let entries = vec![engine("e1", first, 1), engine("e2", second, 1)];
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let bench = GatewayBench::start(Some(table), entries).await;
+        for number in 0..REQUESTS {
+            let id = format!("r{number}");
+            let answer = bench.call("POST", &[(ID, &id)], "x").await;
+            assert_eq!(answer.status, StatusCode::OK, "{id}");
+        }
+        assert_eq!(good.arrivals(), REQUESTS);
+        assert!(bad.arrivals() <= MOST_TRIES, "{} tries", bad.arrivals());
+    });
+}
+
+/// Answers whose end two fields tell differently, or that have a body where HTTP allows none.
+#[parameterized(
+    two_lengths = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nok!", None },
+    the_same_length_twice = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\ncontent-length: 2\r\n\r\nok", Some("ok") },
+    length_that_is_no_number = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2a\r\n\r\nok", None },
+    length_beside_chunks = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 9\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Some("ok") },
+    interim_answers_before_the_real_one = { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok", Some("ok") },
+)]
+fn answer_of_doubtful_length_is_whole_or_none(text: &'static str, expected: Option<&str>) {
+    let expected = expected.map(str::to_owned);
+    run(async move {
+        let (answer, _) = play(RequestKind::Unsafe, &[(text, After::Close)]).await;
+        match expected {
+            Some(body) => {
+                assert_eq!(answer.status, StatusCode::OK);
+                assert_eq!(answer.body, Ok(body));
+            }
+            None => assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}"),
+        }
+    });
+}
+
+/// The bytes behind an answer without a body were taken for the answer to the next request.
+#[parameterized(
+    no_content = { "HTTP/1.1 204 No Content\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok", StatusCode::NO_CONTENT },
+    not_modified = { "HTTP/1.1 304 Not Modified\r\nx-id: ID\r\nx-signed: 1\r\n\r\nok", StatusCode::NOT_MODIFIED },
+)]
+fn body_of_an_answer_that_has_none_reaches_nobody(text: &'static str, status: StatusCode) {
+    run(async move {
+        let (_engines, [only]) = RawEngines::start(&[(text, After::Next)]).await;
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let bench = GatewayBench::start(Some(table), vec![engine("e1", only, 1)]).await;
+        let first = bench.call("POST", &[(ID, "r1")], "x").await;
+        assert_eq!((first.status, first.body), (status, Ok(String::new())));
+        let second = bench.call("POST", &[(ID, "r2")], "x").await;
+        assert_eq!(second.status, StatusCode::OK, "{second:?}");
+        assert_eq!(second.body.as_deref(), Ok("ok"));
+    });
+}
