Refuse late requests that a stopping node can't finish

Requests that came after SIGTERM, most of all those whose body followed their head late, were passed on to engines and cut without an answer when the process ended, among them requests that must not be repeated.

Cause: nothing compared the time left until the process ends with what an answer may take.

Change: before each attempt, and after each wait for a permit, a request that has not run is refused as such if its answer may not be whole by then: by its own time limit, or by twice the longest of the recent answers of its route.

Not measured: stops of real processes.

--- a/crates/gateway/src/engines/mod.rs
+++ b/crates/gateway/src/engines/mod.rs
@@ -1,5 +1,6 @@
 //! State of the engines and plain back ends, as known to this process.
 
+mod answer_durations;
 mod departures;
 mod engine;
 mod engine_entry;
@@ -13,6 +14,7 @@
 mod start_delays;
 mod time_estimate;
 
+pub use answer_durations::AnswerDurations;
 pub use departures::Departures;
 pub use engine::Engine;
 pub use engine_entry::{EngineEntry, EngineState};
--- a/crates/gateway/src/gateway/gateway_state.rs
+++ b/crates/gateway/src/gateway/gateway_state.rs
@@ -17,7 +17,9 @@
 use super::{CallerRing, Freshness, GatewaySettings, HandoverState, OrderNeed, UnmetNeed};
 use crate::catalogue::RoutingTable;
 use crate::continuation::Continuations;
-use crate::engines::{Departures, EngineTable, KnownIncarnations, PhaseTimes, StartDelays};
+use crate::engines::{
+    AnswerDurations, Departures, EngineTable, KnownIncarnations, PhaseTimes, StartDelays,
+};
 use crate::peers::{
     HolderUpdate, LeaseUpdate, MemberAddress, NodeIdentity, NodeState, PeerTable, SentTimes,
     WeightsUpdate, ZoneTraffic,
@@ -104,6 +106,8 @@
     pub start_delays: StartDelays,
     /// Durations of the phases of responses.
     pub phase_times: PhaseTimes,
+    /// How long whole answers take.
+    pub answer_durations: AnswerDurations,
     /// Prompt tokens that prefill-heavy requests bring, by pool.
     pub prefill_demand: PrefillDemand,
     /// Engines reserved for prefill-heavy requests, by pool.
@@ -209,6 +213,8 @@
     pub continuations: Continuations,
     /// Number of requests in progress.
     pub active_requests: usize,
+    /// When the process ends at the latest, once it is stopping.
+    pub stops_at: Option<Timestamp>,
     /// Number of connections whose answers the system has not taken entirely.
     pub unwritten_answers: usize,
     /// Whether callers' connections are no longer accepted.
@@ -298,6 +304,7 @@
             unusable_entries: BTreeSet::new(),
             start_delays: StartDelays::default(),
             phase_times: PhaseTimes::default(),
+            answer_durations: AnswerDurations::default(),
             prefill_demand: PrefillDemand::default(),
             prefill_splits: HashMap::new(),
             holders: HolderTable::new(settings.max_known_prefixes),
@@ -347,6 +354,7 @@
             requests: Meter::new(REQUEST_RATE_WINDOW, now),
             continuations: Continuations::default(),
             active_requests: 0,
+            stops_at: None,
             unwritten_answers: 0,
             has_stopped_accepting: false,
             open_tunnels: 0,
--- a/crates/gateway/src/gateway/shared.rs
+++ b/crates/gateway/src/gateway/shared.rs
@@ -442,6 +442,18 @@
         self.leaving.notify_waiters();
     }
 
+    /// Starts the shutdown of a process that ends at `end` whatever is in progress then.
+    pub(crate) fn leave_until(&self, end: Timestamp) {
+        self.state_mut().stops_at = Some(end);
+        self.leave();
+    }
+
+    /// Time until the process ends; `None` while it is not known to end.
+    pub(crate) fn time_until_stop(&self) -> Option<Duration> {
+        let end = self.state().stops_at?;
+        Some(end.since(self.clock.now()))
+    }
+
     /// Whether a configuration has been received.
     pub(crate) fn is_configured(&self) -> bool {
         self.state().table.is_some()
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -38,6 +38,9 @@
     /// This node has no memory for the body.
     #[display("no_memory")]
     NoMemory,
+    /// This node stops before the request could be answered.
+    #[display("stopping")]
+    Stopping,
     /// No engine accepts requests now.
     #[display("no_engine")]
     NoEngine,
@@ -115,6 +118,7 @@
             RefusalReason::NoConfiguration
             | RefusalReason::ConfigurationUnproven
             | RefusalReason::NoMemory
+            | RefusalReason::Stopping
             | RefusalReason::NoEngine
             | RefusalReason::Overloaded
             | RefusalReason::CrashesEngines
--- a/crates/gateway/src/serve/graceful_shutdown.rs
+++ b/crates/gateway/src/serve/graceful_shutdown.rs
@@ -30,7 +30,7 @@
     settings: &ShutdownSettings,
 ) {
     let began = Instant::now();
-    gateway.leave();
+    gateway.leave_until(gateway.clock().now().after(settings.grace));
     let end = began + settings.grace;
     while Instant::now() < end {
         if began.elapsed() >= settings.accept_grace {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -24,6 +24,7 @@
 mod silence_cause;
 mod silence_detector;
 mod start_deadline;
+mod stop_check;
 mod stream_relay;
 
 pub use accepted_request::AcceptedRequest;
--- a/crates/gateway/src/serve/request_forwarder.rs
+++ b/crates/gateway/src/serve/request_forwarder.rs
@@ -67,7 +67,7 @@
     /// Engine of the last attempt, if that was given up because of silence; the engine may answer over a new connection.
     silent_engine: Option<BackEndName>,
     /// Whether an engine has begun to answer.
-    has_answer_begun: bool,
+    pub(super) has_answer_begun: bool,
     /// When the last attempt started.
     attempt_started_at: Timestamp,
     /// Software versions that may take the request.
@@ -151,6 +151,7 @@
         last_event_id: Option<&str>,
     ) -> Result<LiveAnswer, Refusal> {
         loop {
+            self.check_time_until_stop()?;
             // When a request crashes engines, its caller retries it under other ids and at other nodes, where the
             // earlier attempts count neither against the maximum number of attempts nor against the retry budget. Only
             // the crash history that all nodes share prevents the request from crashing another engine.
@@ -164,6 +165,8 @@
             }
             let is_new = self.tried.is_empty() && last_event_id.is_none();
             let (mut placement, permit) = self.place_with_permit(verdict, is_new).await?;
+            // It may have waited for the permit.
+            self.check_time_until_stop()?;
             let is_prepaid = std::mem::take(&mut self.is_retry_prepaid) || self.arrivals == 0;
             if !is_prepaid && !self.gateway.spend_retry(&self.request.pool) {
                 return Err(self.budget_refusal());
@@ -431,6 +434,7 @@
 
     /// Records an attempt whose answer was received completely.
     pub(super) fn note_success(&self, placement: &Placement) {
+        self.note_duration();
         let is_same_incarnation = self.gateway.is_same_incarnation(placement);
         let mut state = self.gateway.state_mut();
         let engine = state.engines.get_mut(&placement.engine);
