Don't believe answers without an id on kept connections

Cause: the id of an answer was compared only where there was one.

Change: engines repeat the id in each answer, so on a kept connection one without an id may belong to the request before, and the request may have run. The first answer on a new connection is believed as before.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -227,7 +227,7 @@
 ) -> bool {
     let status = answer.head.status;
     let id = facts.request_id.as_ref();
-    let is_own = id.is_none_or(|id| *id == request.caller.id);
+    let is_own = id.map_or(!answer.is_kept, |id| *id == request.caller.id);
     let is_genuine = facts.has_server_stamp || !status.is_success();
     is_own && is_genuine && status != StatusCode::MISDIRECTED_REQUEST
 }
@@ -248,6 +248,14 @@
             "answer belongs to another request".to_owned(),
         ));
     }
+    // Engines repeat the id in each answer. What comes without one on a kept connection may have been sent after the
+    // answer before, late.
+    if facts.request_id.is_none() && answer.is_kept {
+        return Err(AttemptError::MayHaveRun(format!(
+            "status {} without an id on a kept connection",
+            status.as_u16()
+        )));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::Misdirected(format!("{:?}", facts.weights)));
     }
--- a/crates/gateway/tests/final_answers.rs
+++ b/crates/gateway/tests/final_answers.rs
@@ -272,3 +272,38 @@
         assert_eq!(second.body.as_deref(), Ok("ok"));
     });
 }
+
+/// An answer without an id that an engine sent late, after a whole one, was taken for the answer to the next request on
+/// that connection, which ran.
+#[parameterized(
+    refusal = { "HTTP/1.1 503 Full\r\nx-signed: 1\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" },
+    unsigned_refusal = { "HTTP/1.1 429 Full\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n" },
+    other_engine = { "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n" },
+    not_found = { "HTTP/1.1 404 Not Found\r\nx-signed: 1\r\ncontent-length: 0\r\n\r\n" },
+    error = { "HTTP/1.1 500 Error\r\nx-signed: 1\r\ncontent-length: 0\r\n\r\n" },
+)]
+fn late_answer_without_an_id_is_not_taken_for_the_next_one(surplus: &'static str) {
+    run(async move {
+        let (engines, [only]) = RawEngines::start(&[WHOLE, (surplus, After::Next)]).await;
+        let table = table(1, vec![route(RequestKind::Unsafe)]);
+        let bench = GatewayBench::start(Some(table), vec![engine("e1", only, 1)]).await;
+        let first = bench.call("POST", &[(ID, "r1")], "x").await;
+        assert_eq!(first.status, StatusCode::OK);
+        let second = bench.call("POST", &[(ID, "r2")], "x").await;
+        assert_eq!(second.status, StatusCode::BAD_GATEWAY, "{second:?}");
+        assert_eq!(engines.arrivals(), 2);
+    });
+}
+
+/// Nothing can have been sent before on a new connection, so that a refusal there is the request's own.
+#[test]
+fn refusal_without_an_id_is_believed_on_a_new_connection() {
+    const REFUSAL: Act = (
+        "HTTP/1.1 503 Full\r\nx-signed: 1\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+        After::Next,
+    );
+    run(async {
+        let (answer, arrivals) = play(RequestKind::Unsafe, &[REFUSAL, WHOLE]).await;
+        assert_eq!((answer.status, arrivals), (StatusCode::OK, 2));
+    });
+}
