Take streams up behind the last event whatever bytes it holds

Cause: the id of the last event was read from the whole batch as text, and a batch that is no text had none.

Change: ids are read line by line from the bytes. Where the last event has no id that can be named, an older one is not used in its place: the stream breaks off, and its caller takes it up. Of the same class as absent and unreadable salts: a tenant whose name no header field holds got no salt, and so shared what engines cache; its salt is a digest now.

--- a/crates/gateway/src/catalogue/cache_scope.rs
+++ b/crates/gateway/src/catalogue/cache_scope.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use ryerouter_core::identity::TenantName;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_128};
 
 /// Which requests share cached prefixes.
 ///
@@ -55,7 +55,12 @@
     /// The salt of a prompt's keys under one version of the weights.
     pub fn salt(&self, weights: u64) -> String {
         match self {
-            Self::Tenant(tenant) => format!("w{weights}.{tenant}"),
+            Self::Tenant(tenant) if is_kept_in_header(tenant.as_str()) => {
+                format!("w{weights}.{tenant}")
+            }
+            Self::Tenant(tenant) => {
+                format!("w{weights}:{:032x}", xxh3_128(tenant.as_str().as_bytes()))
+            }
             Self::Shared(IsolatedTenants(None)) => format!("w{weights}"),
             // No tenant's salt begins like this, whatever its name.
             Self::Shared(isolated) => format!("w{weights}~{isolated}"),
@@ -68,3 +73,8 @@
         Self::Shared(IsolatedTenants::default())
     }
 }
+
+/// Whether a header field that ends with this text arrives as it is: without one, engines would share what they cache.
+fn is_kept_in_header(text: &str) -> bool {
+    text.trim() == text && !text.contains(char::is_control)
+}
--- a/crates/gateway/src/relay/event_splitter.rs
+++ b/crates/gateway/src/relay/event_splitter.rs
@@ -9,17 +9,6 @@
 const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 /// Number of bytes of the end of an event that may have been received before its last byte.
 const PART_OF_END_BYTES: usize = 3;
-/// Start of the line that holds the id of an event.
-const ID_FIELD: &str = "id:";
-
-/// Complete events, ready to be forwarded.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct EventBatch {
-    /// Bytes of the events, unchanged.
-    pub bytes: Bytes,
-    /// Id of the last event that has one.
-    pub last_id: Option<String>,
-}
 
 /// Splits a stream after complete events, so that a caller never receives part of one.
 #[derive(Debug, Default)]
@@ -30,8 +19,8 @@
 }
 
 impl EventSplitter {
-    /// Appends bytes, and returns the events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, RelayFault> {
+    /// Appends bytes, and returns the events that are now complete, unchanged, if there are any.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, RelayFault> {
         self.buffer.extend_from_slice(bytes);
         let unsearched = &self.buffer[self.searched..];
         let Some(end) = last_event_end(unsearched).map(|end| self.searched + end) else {
@@ -45,11 +34,7 @@
         };
         let whole = self.buffer.split_to(end).freeze();
         self.searched = 0;
-        let last_id = last_id(&whole);
-        Ok(Some(EventBatch {
-            bytes: whole,
-            last_id,
-        }))
+        Ok(Some(whole))
     }
 
     /// Number of buffered bytes, which belong to an event whose end has not been received.
@@ -70,9 +55,3 @@
     let with_returns = memmem::rfind(bytes, b"\r\n\r\n").map(|at| at + 4);
     plain.max(with_returns)
 }
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    let line = text.lines().rev().find(|line| line.starts_with(ID_FIELD))?;
-    Some(line[ID_FIELD.len()..].trim().to_owned())
-}
--- a/crates/gateway/src/serve/stream_relay.rs
+++ b/crates/gateway/src/serve/stream_relay.rs
@@ -27,7 +27,7 @@
 use crate::engines::AnswerPhase;
 use crate::gateway::LEAST_RUN_TIME;
 use crate::placement::Placement;
-use crate::relay::{EventBatch, EventMeter, EventSplitter, RelayFault, StreamEnd};
+use crate::relay::{EventMeter, EventSplitter, RelayFault, StreamEnd, StreamPosition};
 use crate::release::AnswerEnd;
 use crate::upstream::ConnectionUse;
 
@@ -41,8 +41,8 @@
     meter: EventMeter,
     /// Whether a part of an event has come since silence was last measured from anew.
     has_data_come: bool,
-    /// Id of the last event that was forwarded to the caller.
-    last_event_id: Option<String>,
+    /// How far the caller has received the stream.
+    position: StreamPosition,
     /// Whether an event has been received from an engine.
     has_begun: bool,
     /// When the first event of the current engine came.
@@ -89,7 +89,10 @@
             awaited: AnswerPhase::FirstEvent,
             awaited_since: Timestamp::ZERO,
             head_ms: live.time_to_head.as_millis() as u64,
-            last_event_id: forwarder.request.caller.last_event_id.clone(),
+            position: match forwarder.request.caller.last_event_id.clone() {
+                Some(id) => StreamPosition::After(id),
+                None => StreamPosition::Start,
+            },
             forwarder,
             live: Some(live),
             splitter: EventSplitter::default(),
@@ -147,7 +150,7 @@
                 Received::Bytes(bytes) => match self.split(&bytes) {
                     Ok(Some(batch)) => {
                         let memory = self.forwarder.gateway.memory();
-                        return Ok(Some(memory.hold_events(batch.bytes).await));
+                        return Ok(Some(memory.hold_events(batch).await));
                     }
                     Ok(None) => {}
                     Err(fault) => self.resume(AttemptError::NoAnswer(fault.detail)).await?,
@@ -166,17 +169,17 @@
     }
 
     /// Takes received bytes, and returns what can be forwarded to the caller: events, or comments.
-    fn split(&mut self, bytes: &Bytes) -> Result<Option<EventBatch>, RelayFault> {
+    fn split(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, RelayFault> {
         let now = self.forwarder.gateway.clock().now();
         let metered = self.meter.push(bytes, now)?;
         self.has_data_come |= metered.has_data;
         let batch = self.splitter.push(bytes)?;
         if let Some(batch) = &batch {
             if metered.events > 0 {
-                self.report(|reporter| reporter.note_events(&batch.bytes));
+                self.report(|reporter| reporter.note_events(batch));
                 self.note_events();
             }
-            self.last_event_id = batch.last_id.clone().or(self.last_event_id.take());
+            self.position.advance(batch);
         }
         Ok(batch)
     }
@@ -188,7 +191,7 @@
             return Some(AttemptError::Broken(detail));
         }
         // A stream that is taken up after its last event has no others.
-        let may_be_empty = self.run_begun_at.is_some() || self.last_event_id.is_some();
+        let may_be_empty = self.run_begun_at.is_some() || self.position.last_id().is_some();
         let ends_by_close = self.live.as_ref().is_some_and(|live| live.ends_by_close);
         let is_fault = ends_by_close && !may_be_empty;
         is_fault.then(|| AttemptError::NoAnswer("connection closed without an event".to_owned()))
@@ -328,8 +331,13 @@
         if !self.forwarder.may_retry() {
             return Err(fault);
         }
+        if self.position == StreamPosition::Unknown {
+            return Err(RelayFault {
+                detail: format!("{}; the last event has no id to go on after", fault.detail),
+            });
+        }
         self.splitter = EventSplitter::default();
-        let last_event_id = self.last_event_id.clone();
+        let last_event_id = self.position.last_id().map(str::to_owned);
         let next = self.forwarder.next_answer(last_event_id.as_deref()).await;
         match next {
             Ok(live) if live.status.is_success() => {
@@ -496,7 +504,7 @@
         warn!(self.forwarder.gateway.log(), "stream_failed";
             "request" => &self.forwarder.request.caller.id, "end" => %end,
             "detail" => &fault.detail, "arrivals" => self.forwarder.arrivals,
-            "resumed" => self.resume_count, "last_event" => self.last_event_id.clone(),
+            "resumed" => self.resume_count, "last_event" => self.position.last_id(),
             "resumes" => self.forwarder.request.caller.resumes.clone(),
             "after_ms" => self.active.elapsed_ms());
         fault
--- a/crates/gateway/tests/isolation.rs
+++ b/crates/gateway/tests/isolation.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use hyper::header::HeaderValue;
 use ryerouter_core::identity::TenantName;
 use ryerouter_gateway::catalogue::{
     CacheScope, CallerLimits, PoolProfile, RequestKind, Route, RoutingTable, Tenant,
@@ -130,6 +131,26 @@
     assert_eq!(salt(&configuration(1, &["a!", "b"]), "a"), "w1.a");
 }
 
+/// A header field can't hold such a salt, and engines share what they cache without one.
+#[parameterized(
+    line_break = { "a\nb" },
+    blank_at_the_end = { "a " },
+    ascii = { "a" },
+    no_ascii = { "名" },
+)]
+fn salt_of_any_name_is_a_header_value_of_its_own(name: &str) {
+    let salt = salt(&configuration(1, &[&format!("{name}!"), "b"]), name);
+    let value = HeaderValue::from_str(&salt).expect("header value");
+    assert_eq!(value.as_bytes().trim_ascii(), salt.as_bytes());
+    let others = ["a", "a b", "b", "名"]
+        .iter()
+        .filter(|other| **other != name);
+    for other in others {
+        let scope = CacheScope::Tenant(TenantName::new(*other));
+        assert_ne!(scope.salt(WEIGHTS), salt);
+    }
+}
+
 /// One tenant listed twice shares nothing if either entry isolates it.
 #[parameterized(isolated_first = { &["a!", "a", "b"] }, isolated_last = { &["a", "a!", "b"] })]
 fn tenant_listed_twice_is_isolated_if_either_entry_says_so(names: &[&str]) {
--- a/crates/gateway/tests/small_parts.rs
+++ b/crates/gateway/tests/small_parts.rs
@@ -4,7 +4,7 @@
 
 use rustix::time::{ClockId, clock_gettime};
 use ryerouter_core::Timestamp;
-use ryerouter_gateway::relay::EventSplitter;
+use ryerouter_gateway::relay::{EventSplitter, StreamPosition};
 use ryerouter_gateway::retry::{RetrySettings, RetryWindow};
 use yare::parameterized;
 
@@ -22,18 +22,50 @@
 fn only_whole_events_come_out(chunks: &[&str], out: &str, last_id: Option<&str>, held: usize) {
     let mut splitter = EventSplitter::default();
     let mut passed = Vec::new();
-    let mut last = None;
+    let mut position = StreamPosition::Start;
     for chunk in chunks {
         if let Some(batch) = splitter.push(chunk.as_bytes()).unwrap() {
-            passed.extend_from_slice(&batch.bytes);
-            last = batch.last_id.or(last);
+            passed.extend_from_slice(&batch);
+            position.advance(&batch);
         }
     }
     assert_eq!(passed, out.as_bytes());
-    assert_eq!(last.as_deref(), last_id);
+    assert_eq!(position.last_id(), last_id);
     assert_eq!(splitter.buffered_bytes(), held);
 }
 
+fn after(id: &str) -> StreamPosition {
+    StreamPosition::After(id.to_owned())
+}
+
+/// A stream went on at an older event, or at the beginning, where the last event was not text or had no id.
+#[parameterized(
+    half_of_a_character = { b"id: 1\ndata: a\n\nid: 2\ndata: \xe7\xbd\n\n", after("2") },
+    noise_only = { b"id: 3\ndata: \xff\xfe\n\n", after("3") },
+    noise_in_another_field = { b"event: \xff\nid: 4\ndata: a\n\n", after("4") },
+    id_behind_the_data = { b"data: \xe7\nid: 5\n\n", after("5") },
+    id_twice = { b"id: 5\nid: 6\ndata: a\n\n", after("6") },
+    id_in_the_data = { b"id: 1\ndata: id: 9\n\n", after("1") },
+    id_without_data = { b"id: 7\n\n", after("7") },
+    id_that_is_no_ascii = { "id: 第7\ndata: a\n\n".as_bytes(), after("第7") },
+    another_field_that_begins_alike = { b"id: 1\ndata: a\n\nidentity: 2\n\n", after("1") },
+    comment_behind_an_event = { b"id: 1\ndata: a\n\n: still here\n\n", after("1") },
+    comment_first = { b": hello\n\n", StreamPosition::Start },
+    no_id = { b"data: a\n\n", StreamPosition::Unknown },
+    no_id_behind_one = { b"id: 1\ndata: a\n\ndata: b\n\n", StreamPosition::Unknown },
+    empty_id = { b"id: 1\ndata: a\n\nid:\ndata: b\n\n", StreamPosition::Unknown },
+    id_without_a_colon = { b"id: 1\ndata: a\n\nid\ndata: b\n\n", StreamPosition::Unknown },
+    id_that_is_no_text = { b"id: \xe7\xbd\ndata: a\n\n", StreamPosition::Unknown },
+    id_that_no_header_holds = { b"id: a\x00b\ndata: a\n\n", StreamPosition::Unknown },
+    id_again_behind_none = { b"data: a\n\nid: 8\ndata: b\n\n", after("8") },
+    carriage_returns = { b"id: 1\r\ndata: \xe7\r\n\r\n", after("1") },
+)]
+fn stream_goes_on_behind_the_last_event_or_not_at_all(events: &[u8], expected: StreamPosition) {
+    let mut position = StreamPosition::Start;
+    position.advance(events);
+    assert_eq!(position, expected);
+}
+
 #[test]
 fn endless_event_is_given_up() {
     let mut splitter = EventSplitter::default();
@@ -98,5 +130,5 @@
     assert!(elapsed < MAX_EVENT_TIME, "{elapsed:?}");
     let end = splitter.push(b"\n").and_then(|_| splitter.push(b"\n"));
     let batch = end.expect("end").expect("event");
-    assert_eq!(batch.bytes.len(), 1_000_002);
+    assert_eq!(batch.len(), 1_000_002);
 }
