Refuse for good only by a configuration that was proven lately

Cause: 404 asked for no proof that the configuration was current, and 401 for one of revokeMs, which is longer than the time in which a new configuration is in force.

Change: both need a proof no older than the propagation limit; otherwise the request is told to come back (503, configuration_unproven).

--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -53,7 +53,7 @@
         )
         .with_retry_after(CONFIGURATION_RETRY)
     })?;
-    let route = find_route(&table, &head)?;
+    let route = find_route(&table, &head).map_err(|refusal| confirmed(gateway, refusal))?;
     let tenant = find_tenant(gateway, &table, &route, &caller)?;
     // A stream goes on in the pool that began it.
     let drawn_by = match caller.first_request_id() {
@@ -199,19 +199,8 @@
     if route.is_public || !gateway.requires_keys(table) {
         return Ok(None);
     }
-    let now = gateway.clock().now();
     if let Some(limit) = gateway.settings().max_unconfirmed_age {
-        let freshness = gateway.state().freshness();
-        if !freshness.is_within(limit, now) {
-            let age = freshness.age(now).map_or(0, |age| age.as_millis());
-            let detail = format!("configuration not confirmed current for {age} ms");
-            let refusal = Refusal::new(RefusalReason::ConfigurationUnproven, detail);
-            let wait = match gateway.is_isolated() {
-                true => OTHER_NODE_RETRY,
-                false => CONFIGURATION_RETRY,
-            };
-            return Err(refusal.with_retry_after(wait));
-        }
+        check_proof(gateway, limit)?;
     }
     if gateway.starts_with_old_configuration() {
         let detail = "another node has a newer configuration";
@@ -224,6 +213,35 @@
             Some(_) => "API key is unknown",
             None => "API key is missing",
         };
-        Refusal::new(RefusalReason::UnknownKey, detail)
+        confirmed(gateway, Refusal::new(RefusalReason::UnknownKey, detail))
     })
 }
+
+/// A refusal for good, after which callers don't come back, unless the configuration that it rests on may have been
+/// replaced for longer than a new one takes to be in force: then they are told to come back.
+fn confirmed(gateway: &Gateway, refusal: Refusal) -> Refusal {
+    let limit = gateway.settings().propagation_limit;
+    match check_proof(gateway, limit) {
+        Ok(()) => refusal,
+        Err(unproven) => Refusal {
+            detail: format!("{refusal}; {}", unproven.detail),
+            ..unproven
+        },
+    }
+}
+
+/// Checks that the configuration was confirmed to be current within `limit`.
+fn check_proof(gateway: &Gateway, limit: Duration) -> Result<(), Refusal> {
+    let now = gateway.clock().now();
+    let freshness = gateway.state().freshness();
+    if freshness.is_within(limit, now) {
+        return Ok(());
+    }
+    let age = freshness.age(now).map_or(0, |age| age.as_millis());
+    let detail = format!("configuration not confirmed current for {age} ms");
+    let wait = match gateway.is_isolated() {
+        true => OTHER_NODE_RETRY,
+        false => CONFIGURATION_RETRY,
+    };
+    Err(Refusal::new(RefusalReason::ConfigurationUnproven, detail).with_retry_after(wait))
+}
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -2,15 +2,20 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use ryerouter_core::identity::TenantName;
 use ryerouter_gateway::catalogue::{CallerLimits, RequestKind, Route, RoutingTable, Tenant};
 use ryerouter_gateway::gateway::GatewaySettings;
-use support::gateway_bench::{GatewayBench, configure, gateway_with, run, run_paused, settings};
-use support::records::{engine, route, table, tenant};
+use support::gateway_bench::{
+    GatewayBench, configure, gateway_with, run, run_in_virtual_time, run_paused, settings,
+};
+use support::records::{HOST, engine, route, table, tenant};
 use support::scripted_engine::ScriptedEngine;
 use support::test_dialect::{ID, KEY, TENANT};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 use yare::parameterized;
 
@@ -143,3 +148,44 @@
         assert_eq!(arrival.header(TENANT).as_deref(), Some("t2"));
     });
 }
+
+/// A node that had missed a configuration refused for good what the newest one allows: callers don't come back after
+/// 401 and 404. Statuses of a request without a route, one with an unknown key, and one that is right by what is known.
+#[parameterized(
+    at_once = { 0, [404, 401, 200] },
+    within_the_limit = { 2_500, [404, 401, 200] },
+    beyond_the_limit = { 3_500, [503, 503, 200] },
+    long_after = { 30_000, [503, 503, 200] },
+)]
+fn refusal_for_good_rests_on_a_recent_proof(age_ms: u64, expected: [u16; 3]) {
+    run_in_virtual_time(async move {
+        let (_engine, address) = ScriptedEngine::start([]).await;
+        let engines = vec![engine("e1", address, 1)];
+        let bench = GatewayBench::start_with(keyed(false), None, engines).await;
+        configure(&bench.gateway, configuration(1, ONE));
+        sleep(Duration::from_millis(age_ms)).await;
+        let mut statuses: Vec<u16> = Vec::new();
+        for (host, key) in [("other.example", "key-1"), (HOST, "key-2"), (HOST, "key-1")] {
+            let answer = ask(bench.address, host, key).await;
+            assert_eq!(
+                answer.contains("retry-after: "),
+                answer.contains(" 503 "),
+                "{answer}"
+            );
+            statuses.push(answer[9..12].parse().expect("status"));
+        }
+        assert_eq!(statuses, expected);
+    });
+}
+
+/// The text of the answer.
+async fn ask(address: SocketAddr, host: &str, key: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connect");
+    let text = format!(
+        "GET /x HTTP/1.1\r\nhost: {host}\r\n{ID}: r1\r\n{KEY}: {key}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).await.expect("write");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("answer");
+    answer
+}
