Let fragile engines of the tests send the end of a stream at once

Cause: the stand-in writes a stream in two parts without TCP_NODELAY, so the second part waits for the machine's delayed acknowledgement of the first, up to 40 ms of real time, in which the tests' virtual clock goes on. Permits were held that much longer, the more so the faster the machine. Cases without streams never failed so.

Change: the stand-in sets the option, as engines do.

--- a/crates/gateway/tests/support/fragile_engine.rs
+++ b/crates/gateway/tests/support/fragile_engine.rs
@@ -82,6 +82,9 @@
                 () = self.falls.notified() => return,
                 accepted = listener.accept() => {
                     let (stream, _) = accepted.expect("accept");
+                    // Without it the end of a stream waits for the machine's delayed acknowledgement of its begin,
+                    // while virtual time goes on.
+                    stream.set_nodelay(true).expect("no delay");
                     connections.spawn_local(Rc::clone(&self).serve(stream));
                 }
             }
