--- a/crates/gateway/src/catalogue/cache_scope.rs
+++ b/crates/gateway/src/catalogue/cache_scope.rs
@@ -16,14 +16,14 @@
     /// Requests of one isolated tenant.
     Tenant(TenantName),
     /// Requests of all tenants that are not isolated, and requests without a tenant.
-    Shared(IsolatedTenants),
+    Shared(IsolationDigest),
 }
 
 /// Digest of the names of the isolated tenants; `None` if there are none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct IsolatedTenants(Option<u128>);
+pub struct IsolationDigest(Option<u128>);
 
-impl IsolatedTenants {
+impl IsolationDigest {
     /// Computes the digest. The order of the names and their repetitions don't matter.
     pub fn new<'a>(names: impl IntoIterator<Item = &'a TenantName>) -> Self {
         let mut names: Vec<_> = names.into_iter().map(TenantName::as_str).collect();
@@ -42,7 +42,7 @@
     }
 }
 
-impl fmt::Display for IsolatedTenants {
+impl fmt::Display for IsolationDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
             Some(digest) => write!(formatter, "{digest:032x}"),
@@ -61,7 +61,7 @@
             Self::Tenant(tenant) => {
                 format!("w{weights}:{:032x}", xxh3_128(tenant.as_str().as_bytes()))
             }
-            Self::Shared(IsolatedTenants(None)) => format!("w{weights}"),
+            Self::Shared(IsolationDigest(None)) => format!("w{weights}"),
             // No tenant's salt begins like this, whatever its name.
             Self::Shared(isolated) => format!("w{weights}~{isolated}"),
         }
@@ -70,7 +70,7 @@
 
 impl Default for CacheScope {
     fn default() -> Self {
-        Self::Shared(IsolatedTenants::default())
+        Self::Shared(IsolationDigest::default())
     }
 }
 
--- a/crates/gateway/src/catalogue/mod.rs
+++ b/crates/gateway/src/catalogue/mod.rs
@@ -14,7 +14,7 @@
 mod urgency_ranks;
 mod weighted_pool;
 
-pub use cache_scope::{CacheScope, IsolatedTenants};
+pub use cache_scope::{CacheScope, IsolationDigest};
 pub use caller_limits::CallerLimits;
 pub use engine_profile::EngineProfile;
 pub use key_conflict::KeyConflict;
--- a/crates/gateway/src/catalogue/routing_table.rs
+++ b/crates/gateway/src/catalogue/routing_table.rs
@@ -7,7 +7,7 @@
 use ryerouter_core::identity::{PoolName, TenantName};
 
 use super::{
-    CacheScope, CallerLimits, IsolatedTenants, KeyConflict, KvStoreProfile, PoolProfile, Route,
+    CacheScope, CallerLimits, IsolationDigest, KeyConflict, KvStoreProfile, PoolProfile, Route,
     Tenant, UrgencyRanks,
 };
 
@@ -27,7 +27,7 @@
     tenants_by_key: HashMap<String, Rc<Tenant>>,
     /// Whether each tenant is isolated. One that is listed twice is if either entry says so.
     isolation: HashMap<TenantName, bool>,
-    isolated_tenants: IsolatedTenants,
+    isolation_digest: IsolationDigest,
     key_conflict: Option<KeyConflict>,
     limits_all_tenants: bool,
     urgency_ranks: UrgencyRanks,
@@ -73,7 +73,7 @@
         }
         table.limits_all_tenants = tenants.iter().all(|tenant| tenant.rate_limit.is_some());
         let isolated = tenants.iter().filter(|tenant| tenant.is_isolated);
-        table.isolated_tenants = IsolatedTenants::new(isolated.map(|tenant| &tenant.name));
+        table.isolation_digest = IsolationDigest::new(isolated.map(|tenant| &tenant.name));
         for tenant in tenants {
             let tenant = Rc::new(tenant);
             let is_isolated = table.isolation.entry(tenant.name.clone()).or_default();
@@ -143,7 +143,8 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
-    /// Whether the configuration lists tenants, if only none: requests then need a key, but on public routes.
+    /// Whether the configuration has a list of tenants, which may be empty: requests then need a key, except on public
+    /// routes.
     pub fn lists_tenants(&self) -> bool {
         self.lists_tenants
     }
@@ -177,17 +178,17 @@
     /// an older configuration; one that this configuration lacks shares with nobody.
     pub fn cache_scope(&self, tenant: Option<&TenantName>) -> CacheScope {
         let Some(name) = tenant else {
-            return CacheScope::Shared(self.isolated_tenants);
+            return CacheScope::Shared(self.isolation_digest);
         };
         match self.isolation.get(name) {
-            Some(false) => CacheScope::Shared(self.isolated_tenants),
+            Some(false) => CacheScope::Shared(self.isolation_digest),
             Some(true) | None => CacheScope::Tenant(name.clone()),
         }
     }
 
-    /// The tenants that share no cached prefix with others.
-    pub fn isolated_tenants(&self) -> IsolatedTenants {
-        self.isolated_tenants
+    /// The digest of the tenants that share no cached prefix with others.
+    pub fn isolation_digest(&self) -> IsolationDigest {
+        self.isolation_digest
     }
 
     /// All pools.
--- a/crates/gateway/src/gateway/callers.rs
+++ b/crates/gateway/src/gateway/callers.rs
@@ -30,7 +30,7 @@
         state.node_state == NodeState::Ready && !self.must_refuse_keys(&state, now)
     }
 
-    /// Whether requests need a key, but on public routes. A configuration that says nothing of tenants doesn't open a
+    /// Whether requests need a key, except on public routes. A configuration that says nothing of tenants doesn't open a
     /// deployment that is set up with keys.
     pub(crate) fn requires_keys(&self, table: &RoutingTable) -> bool {
         self.settings().requires_keys || table.lists_tenants()
--- a/crates/gateway/src/gateway/source_items.rs
+++ b/crates/gateway/src/gateway/source_items.rs
@@ -424,7 +424,7 @@
         let (version, requires_keys) = (table.version(), self.requires_keys(table));
         info!(self.log(), "configuration_adopted"; "version" => version,
             "before" => before.map(RoutingTable::version),
-            "isolated_tenants" => %table.isolated_tenants(), "requires_keys" => requires_keys);
+            "isolated_tenants" => %table.isolation_digest(), "requires_keys" => requires_keys);
         if before.is_some_and(RoutingTable::lists_tenants) && !table.lists_tenants() {
             warn!(self.log(), "tenants_no_longer_listed"; "version" => version,
                 "requires_keys" => requires_keys);
--- a/crates/gateway/src/serve/accept.rs
+++ b/crates/gateway/src/serve/accept.rs
@@ -53,7 +53,7 @@
         )
         .with_retry_after(CONFIGURATION_RETRY)
     })?;
-    let route = find_route(&table, &head).map_err(|refusal| confirmed(gateway, refusal))?;
+    let route = find_route(gateway, &table, &head)?;
     let tenant = find_tenant(gateway, &table, &route, &caller)?;
     // A stream goes on in the pool that began it.
     let drawn_by = match caller.first_request_id() {
@@ -113,8 +113,8 @@
 /// The refusal of a request that has no route, or whose caller has no valid key.
 fn refusal_by_head(gateway: &Gateway, caller: &CallerRequest, head: &Parts) -> Option<Refusal> {
     let table = gateway.state().table.clone()?;
-    let tenant =
-        find_route(&table, head).and_then(|route| find_tenant(gateway, &table, &route, caller));
+    let tenant = find_route(gateway, &table, head)
+        .and_then(|route| find_tenant(gateway, &table, &route, caller));
     let by_head = [RefusalReason::NoRoute, RefusalReason::UnknownKey];
     // Other reasons may have passed once the body is there.
     tenant
@@ -159,7 +159,7 @@
     let table = gateway.state().table.clone();
     let limits = table.as_ref().map(|table| table.limits().clone());
     let limits = limits.unwrap_or_default();
-    let route = table.and_then(|table| find_route(&table, head).ok());
+    let route = table.and_then(|table| find_route(gateway, &table, head).ok());
     let (time, late_reason) = match route {
         Some(route) => (
             request_timeout(caller, &route),
@@ -180,13 +180,13 @@
     caller.timeout.unwrap_or(route.timeout).min(route.timeout)
 }
 
-fn find_route(table: &RoutingTable, head: &Parts) -> Result<Rc<Route>, Refusal> {
+fn find_route(gateway: &Gateway, table: &RoutingTable, head: &Parts) -> Result<Rc<Route>, Refusal> {
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
     let path = head.uri.path();
     table.route(host, path).cloned().ok_or_else(|| {
         let detail = format!("no route for host '{host}' and path '{path}'");
-        Refusal::new(RefusalReason::NoRoute, detail)
+        confirmed(gateway, Refusal::new(RefusalReason::NoRoute, detail))
     })
 }
 
--- a/crates/gateway/tests/keys.rs
+++ b/crates/gateway/tests/keys.rs
@@ -164,25 +164,26 @@
         let bench = GatewayBench::start_with(keyed(false), None, engines).await;
         configure(&bench.gateway, configuration(1, ONE));
         sleep(Duration::from_millis(age_ms)).await;
-        let mut statuses: Vec<u16> = Vec::new();
-        for (host, key) in [("other.example", "key-1"), (HOST, "key-2"), (HOST, "key-1")] {
-            let answer = ask(bench.address, host, key).await;
-            assert_eq!(
-                answer.contains("retry-after: "),
-                answer.contains(" 503 "),
-                "{answer}"
-            );
-            statuses.push(answer[9..12].parse().expect("status"));
+        for body in ["", "x"] {
+            let mut statuses: Vec<u16> = Vec::new();
+            for (host, key) in [("other.example", "key-1"), (HOST, "key-2"), (HOST, "key-1")] {
+                let answer = ask(bench.address, host, key, body).await;
+                let is_told = answer.contains("retry-after: ");
+                assert_eq!(is_told, answer.contains(" 503 "), "{answer}");
+                statuses.push(answer[9..12].parse().expect("status"));
+            }
+            assert_eq!(statuses, expected, "body '{body}'");
         }
-        assert_eq!(statuses, expected);
     });
 }
 
 /// The text of the answer.
-async fn ask(address: SocketAddr, host: &str, key: &str) -> String {
+async fn ask(address: SocketAddr, host: &str, key: &str, body: &str) -> String {
     let mut stream = TcpStream::connect(address).await.expect("connect");
+    let length = body.len();
     let text = format!(
-        "GET /x HTTP/1.1\r\nhost: {host}\r\n{ID}: r1\r\n{KEY}: {key}\r\nconnection: close\r\n\r\n"
+        "POST /x HTTP/1.1\r\nhost: {host}\r\n{ID}: r1\r\n{KEY}: {key}\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n{body}"
     );
     stream.write_all(text.as_bytes()).await.expect("write");
     let mut answer = String::new();
