--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -187,23 +187,51 @@
     });
 }
 
-#[test]
-fn broken_stream_goes_on_at_another_engine_after_the_last_whole_event() {
-    run(async {
-        let step = [Step::BreaksOnce(
-            &["id: 1\ndata: a\n\n", "id: 2\nda"],
-            &["id: 2\ndata: b\n\n"],
-        )];
+/// A stream was run again from an older event, or from its beginning, where the last events were no text by themselves.
+#[parameterized(
+    text = { &[b"id: 1\ndata: a\n\n", b"id: 2\nda"], &[b"id: 2\ndata: b\n\n"], "1" },
+    half_of_a_character = { &[b"id: 1\ndata: \xe7\xbd\n\n"], &[b"id: 2\ndata: \x91\n\n"], "1" },
+    half_of_a_character_behind_text = { &[b"id: 1\ndata: a\n\n", b"id: 2\ndata: \xe7\n\n"], &[b"id: 3\ndata: \xbd\x91\n\n"], "2" },
+    half_of_a_character_at_once_with_text = { &[b"id: 1\ndata: a\n\nid: 2\ndata: \xe7\n\n"], &[b"id: 3\ndata: \xbd\x91\n\n"], "2" },
+)]
+fn broken_stream_goes_on_at_another_engine_after_the_last_whole_event(
+    begin: &'static [&'static [u8]],
+    rest: &'static [&'static [u8]],
+    last_id: &'static str,
+) {
+    run(async move {
+        let step = [Step::BreaksOnce(begin, rest)];
         let (bench, engines) = bench(RequestKind::Streaming, &step, &step).await;
         let answer = bench.call("POST", ONE, "x").await;
         let body = answer.body.expect("whole");
-        assert_eq!(body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        let mut sent = begin.concat();
+        sent.truncate(memchr::memmem::rfind(&sent, b"\n\n").expect("event") + 2);
+        sent.extend(rest.concat());
+        assert_eq!(body, String::from_utf8_lossy(&sent));
         assert_eq!(engines.arrivals(), 2);
         let mut arrivals = engines.first.arrivals.borrow().clone();
         arrivals.extend(engines.second.arrivals.borrow().clone());
         let after = |arrival: &Arrival| arrival.header(AFTER);
         let resumed: Vec<_> = arrivals.iter().filter_map(after).collect();
-        assert_eq!(resumed, ["1"]);
+        assert_eq!(resumed, [last_id]);
+    });
+}
+
+/// A stream was run again from the last event that had an id, so that callers got the later ones twice.
+#[parameterized(
+    no_id = { &[b"id: 1\ndata: a\n\n", b"data: b\n\n"] },
+    empty_id = { &[b"id: 1\ndata: a\n\n", b"id:\ndata: b\n\n"] },
+    id_that_is_no_text = { &[b"id: 1\ndata: a\n\n", b"id: \xe7\ndata: b\n\n"] },
+    never_an_id = { &[b"data: a\n\n"] },
+)]
+fn broken_stream_whose_last_event_has_no_id_is_not_run_again(begin: &'static [&'static [u8]]) {
+    run(async move {
+        let step = [Step::BreaksOnce(begin, &[b"id: 2\ndata: c\n\n"])];
+        let (bench, engines) = bench(RequestKind::Streaming, &step, &step).await;
+        let answer = bench.call("POST", ONE, "x").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(answer.body.is_err(), "{answer:?}");
+        assert_eq!(engines.arrivals(), 1);
     });
 }
 
--- a/crates/gateway/tests/support/scripted_engine.rs
+++ b/crates/gateway/tests/support/scripted_engine.rs
@@ -37,8 +37,8 @@
     Late(Duration),
     /// Sends these events and ends the stream well, after this time.
     LateEvents(Duration, &'static [&'static str]),
-    /// Breaks off after the first bytes, but sends the others to a request that goes on.
-    BreaksOnce(&'static [&'static str], &'static [&'static str]),
+    /// Breaks off after the first bytes, but sends the others to a request that goes on. They need not be text.
+    BreaksOnce(&'static [&'static [u8]], &'static [&'static [u8]]),
 }
 
 /// A request as it arrived.
@@ -142,12 +142,7 @@
                 false => Step::Answer(200, "ok"),
             };
             let says = self.says.borrow().clone();
-            let step = match step.unwrap_or(default) {
-                Step::BreaksOnce(_, rest) if goes_on => Step::Events(rest),
-                Step::BreaksOnce(begin, _) => Step::BrokenEvents(begin),
-                other => other,
-            };
-            match step {
+            match step.unwrap_or(default) {
                 Step::Answer(status, body) => {
                     write(&mut stream, &answer(status, &id, &says, body)).await;
                 }
@@ -169,10 +164,7 @@
                     return;
                 }
                 Step::StallingEvents(events) => {
-                    write(&mut stream, &stream_head(&id)).await;
-                    for event in events {
-                        write(&mut stream, &chunk(event)).await;
-                    }
+                    begin_events(&mut stream, &id, events).await;
                     let mut rest = [0; 1];
                     let _ = stream.read(&mut rest).await;
                     self.abandoned.set(self.abandoned.get() + 1);
@@ -188,12 +180,12 @@
                     sleep(wait).await;
                     write_events(&mut stream, &id, events).await;
                 }
-                Step::BreaksOnce(events, _) | Step::BrokenEvents(events) => {
-                    write(&mut stream, &stream_head(&id)).await;
-                    for event in events {
-                        write(&mut stream, &chunk(event)).await;
-                    }
-                    return;
+                Step::BreaksOnce(_, rest) if goes_on => write_events(&mut stream, &id, rest).await,
+                Step::BreaksOnce(events, _) => {
+                    return begin_events(&mut stream, &id, events).await;
+                }
+                Step::BrokenEvents(events) => {
+                    return begin_events(&mut stream, &id, events).await;
                 }
             }
         }
@@ -240,17 +232,24 @@
 }
 
 /// Writes a stream of these events that ends well.
-async fn write_events(stream: &mut TcpStream, id: &str, events: &[&str]) {
+async fn write_events(stream: &mut TcpStream, id: &str, events: &[impl AsRef<[u8]>]) {
+    begin_events(stream, id, events).await;
+    write(stream, "0\r\n\r\n").await;
+}
+
+/// Writes the head of a stream and these events, a chunk each.
+async fn begin_events(stream: &mut TcpStream, id: &str, events: &[impl AsRef<[u8]>]) {
     write(stream, &stream_head(id)).await;
     for event in events {
-        write(stream, &chunk(event)).await;
+        let event = event.as_ref();
+        let length = format!("{:x}\r\n", event.len());
+        write(stream, [length.as_bytes(), event, b"\r\n"].concat()).await;
     }
-    write(stream, "0\r\n\r\n").await;
 }
 
 /// Writes at once.
-pub async fn write(stream: &mut TcpStream, text: &str) {
+pub async fn write(stream: &mut TcpStream, bytes: impl AsRef<[u8]>) {
     // A caller that has left shows in the next read.
-    let _ = stream.write_all(text.as_bytes()).await;
+    let _ = stream.write_all(bytes.as_ref()).await;
     let _ = stream.flush().await;
 }
