Give orders on connections on which nothing was sent before

An engine that sent a surplus answer after its answer to a report, late, made the node take it for the answer to an order that followed on the same connection: one that was never carried out counted as done, and was announced to all nodes.

Change: an order, of which an engine gets one for each version of its weights, goes on a new connection.

Reports and cache events stay on kept connections: what answers them must have all their fields, but a surplus report can't be told from the next one.

--- a/crates/gateway/src/upstream/call_terms.rs
+++ b/crates/gateway/src/upstream/call_terms.rs
@@ -17,6 +17,9 @@
     pub is_repeatable: bool,
     /// Maximum size of the body of its answer in bytes.
     pub max_bytes: usize,
+    /// Whether it needs a connection on which nothing was sent before. On a kept one a surplus answer to an earlier
+    /// request can't be told from the answer to this call.
+    pub needs_new_connection: bool,
 }
 
 impl CallTerms {
@@ -27,6 +30,7 @@
             hold: Duration::ZERO,
             is_repeatable: true,
             max_bytes: MAX_ANSWER_BYTES,
+            needs_new_connection: false,
         }
     }
 
@@ -37,6 +41,7 @@
             hold: Duration::ZERO,
             is_repeatable: false,
             max_bytes: MAX_ANSWER_BYTES,
+            needs_new_connection: false,
         }
     }
 
@@ -49,4 +54,12 @@
     pub const fn at_most(self, max_bytes: usize) -> Self {
         Self { max_bytes, ..self }
     }
+
+    /// The same, on a new connection.
+    pub const fn on_new_connection(self) -> Self {
+        Self {
+            needs_new_connection: true,
+            ..self
+        }
+    }
 }
--- a/crates/gateway/src/upstream/json_caller.rs
+++ b/crates/gateway/src/upstream/json_caller.rs
@@ -31,7 +31,7 @@
     pub detail: String,
 }
 
-/// Makes short calls with JSON bodies, on kept connections where possible.
+/// Makes short calls with JSON bodies, on kept connections where possible and allowed.
 ///
 /// An open connection may fall silent for good without a reset while new ones work. So a call on a
 /// kept connection must be answered within what was observed at its address
@@ -100,6 +100,9 @@
         terms: CallTerms,
         unended: &UnendedCall,
     ) -> Answer {
+        if terms.needs_new_connection {
+            return self.call_on_new(address, request, terms, unended).await;
+        }
         while let Some(connection) = self.known.take_idle(address) {
             match self.call_on_kept(connection, request, terms, unended).await {
                 Ok(answer) => return answer,
