Let more connections wait to be accepted

Connections that callers opened while a node stood still were dropped by the system behind the first 129, and callers give a new connection a second.

Traced: the node's attempts to connect timed out after 400 ms (attempt_failed, not_connected: timed out, 36 at once), while the thread of the test's engine was late; the system had counted 23,118 overflows of accept queues by then, which other tests also cause. Hypotheses: (1) the node's own thread was so late that its timers ended before it saw that the connections were up; the library looks at the connection first; (2) the queue of the engine, 128 by the library's default, was full. With nothing but a thread that doesn't accept, the 130th connection times out: the new test failed so before.

Class: a library's default bounds what a deployment needs.

--- a/crates/gateway/tests/room_for_callers.rs
+++ b/crates/gateway/tests/room_for_callers.rs
@@ -9,7 +9,7 @@
 
 use raw_engine::{Act, After, RawEngines};
 use ryerouter_gateway::catalogue::RequestKind;
-use ryerouter_gateway::connections::DescriptorShare;
+use ryerouter_gateway::connections::{DescriptorShare, listen};
 use support::gateway_bench::{GatewayBench, run};
 use support::records::{engine, route, table};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -20,6 +20,8 @@
 const MOST: usize = 3;
 /// Nobody waits for so long for what is done at once.
 const AT_ONCE: Duration = Duration::from_secs(1);
+/// Connections that callers open while a process stands still.
+const BURST: usize = 600;
 /// Long beside what the gateway would need to close a connection.
 const A_WHILE: Duration = Duration::from_millis(100);
 
@@ -189,3 +191,23 @@
     assert_eq!(DescriptorShare::Callers.part_of(limit), callers);
     assert_eq!(DescriptorShare::Questions.part_of(limit), questions);
 }
+
+/// The system dropped the attempts to connect behind the first 129 while the process stood still.
+#[test]
+fn connections_wait_while_the_process_stands_still() {
+    run(async {
+        let listener = listen(([127, 0, 0, 1], 0).into()).expect("listener");
+        let address = listener.local_addr().expect("address");
+        let allowed = std::fs::read_to_string("/proc/sys/net/core/somaxconn").expect("limit");
+        let burst = BURST.min(allowed.trim().parse().expect("number"));
+        let mut open = Vec::new();
+        for number in 0..burst {
+            // Blocks the only thread, so that nothing is accepted meanwhile.
+            let stream = std::net::TcpStream::connect_timeout(&address, AT_ONCE);
+            open.push(stream.unwrap_or_else(|error| panic!("{number}: {error}")));
+        }
+        for _ in 0..burst {
+            listener.accept().await.expect("connection");
+        }
+    });
+}
--- a/crates/node/src/traffic/running_node.rs
+++ b/crates/node/src/traffic/running_node.rs
@@ -10,6 +10,7 @@
 use ryerouter_core::identity::RequestId;
 use ryerouter_core::limit::LimitEnvelope;
 use slog::{Logger, info, o};
+use socket2::SockRef;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -25,6 +26,10 @@
     ObservationSink, RequestTrace, RoutingView, TraceRing, TrafficContext, TrafficSettings, Worker,
 };
 
+/// Maximum number of callers' connections that wait to be accepted, also while the process stands still; the system may
+/// allow fewer.
+const MAX_WAITING: i32 = 1_024;
+
 /// A running traffic side: its threads serve callers until it is stopped or dropped.
 pub struct RunningNode {
     address: SocketAddr,
@@ -201,6 +206,7 @@
 
 fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
     let bound = TcpListener::bind(address).and_then(|listener| {
+        SockRef::from(&listener).listen(MAX_WAITING)?;
         listener.set_nonblocking(true)?;
         Ok(listener)
     });
