--- a/crates/gateway/src/telemetry/metrics_server.rs
+++ b/crates/gateway/src/telemetry/metrics_server.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
 use hyper::{Request, Response, StatusCode};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 use super::Metrics;
-use crate::connections::{DescriptorShare, OpenConnections, accept_connections, serve_connection};
+use crate::connections::{
+    DescriptorShare, OpenConnections, accept_connections, question_server, serve_connection,
+};
 use crate::gateway::Gateway;
 
 /// Serves metrics as text below `path`, until dropped.
@@ -22,7 +23,7 @@
         let (gateway, path) = (Rc::clone(&gateway), Rc::clone(&path));
         spawn_local(async move {
             let answer = |request| ready(Ok(answer(&request, &path, gateway.metrics())));
-            let mut server = http1::Builder::new();
+            let mut server = question_server();
             server.keep_alive(false);
             serve_connection(connection, stream, server, pending(), pending(), answer).await;
         });
--- a/crates/gateway/tests/long_heads.rs
+++ b/crates/gateway/tests/long_heads.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use ryerouter_gateway::catalogue::{CallerLimits, RequestKind, RoutingTable};
-use support::gateway_bench::{GatewayBench, configure, run};
+use ryerouter_gateway::connections::listen;
+use ryerouter_gateway::telemetry::serve_metrics;
+use support::gateway_bench::{GatewayBench, configure, gateway, run};
 use support::records::{engine, route, table_with_limits};
 use support::scripted_engine::ScriptedEngine;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 const HEAD_BYTES: usize = 64 * 1_024;
@@ -87,3 +90,33 @@
         stop.await.expect("stop");
     });
 }
+
+async fn metrics() -> TcpStream {
+    let listener = listen(([127, 0, 0, 1], 0).into()).expect("listener");
+    let address = listener.local_addr().expect("address");
+    spawn_local(serve_metrics(gateway("node-1"), listener, "/x".into()));
+    TcpStream::connect(address).await.expect("connect")
+}
+
+/// A node kept some 400 kB of such a head on each connection, and waited for the rest.
+#[test]
+fn head_without_end_to_the_metrics_ends_the_connection() {
+    run(async {
+        let mut caller = metrics().await;
+        let field = format!("x-more: {}\r\n", "x".repeat(1_000));
+        let head = format!("GET /x HTTP/1.1\r\n{}", field.repeat(100));
+        caller.write_all(head.as_bytes()).await.expect("write");
+        let mut answer = Vec::new();
+        // What was not read makes the system reset the connection.
+        let ended = timeout(LONG, caller.read_to_end(&mut answer)).await;
+        assert!(ended.is_ok(), "the connection is open");
+    });
+}
+
+#[test]
+fn metrics_are_told_to_a_question_with_a_long_field() {
+    run(async {
+        let answer = ask(&mut metrics().await, &"x".repeat(8_000)).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    });
+}
