--- a/crates/gateway/tests/final_answers.rs
+++ b/crates/gateway/tests/final_answers.rs
@@ -258,6 +258,7 @@
 /// The bytes behind an answer without a body were taken for the answer to the next request.
 #[parameterized(
     no_content = { "HTTP/1.1 204 No Content\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok", StatusCode::NO_CONTENT },
+    reset_content = { "HTTP/1.1 205 Reset Content\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 0\r\n\r\nok", StatusCode::RESET_CONTENT },
     not_modified = { "HTTP/1.1 304 Not Modified\r\nx-id: ID\r\nx-signed: 1\r\n\r\nok", StatusCode::NOT_MODIFIED },
 )]
 fn body_of_an_answer_that_has_none_reaches_nobody(text: &'static str, status: StatusCode) {
@@ -273,6 +274,28 @@
     });
 }
 
+/// Of a HEAD request the length stands for a body that does not come; one that comes all the same is nobody's answer.
+#[parameterized(
+    without_a_body = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\n" },
+    with_a_body = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ncontent-length: 2\r\n\r\nok" },
+    in_chunks = { "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" },
+)]
+fn answer_to_head_has_no_body(text: &'static str) {
+    run(async move {
+        let (_engines, [only]) = RawEngines::start(&[(text, After::Next)]).await;
+        let table = table(1, vec![route(RequestKind::Safe)]);
+        let bench = GatewayBench::start(Some(table), vec![engine("e1", only, 1)]).await;
+        let first = bench.call("HEAD", &[(ID, "r1")], "").await;
+        assert_eq!(
+            (first.status, first.body),
+            (StatusCode::OK, Ok(String::new()))
+        );
+        let second = bench.call("POST", &[(ID, "r2")], "x").await;
+        assert_eq!(second.status, StatusCode::OK, "{second:?}");
+        assert_eq!(second.body.as_deref(), Ok("ok"));
+    });
+}
+
 /// An answer without an id that an engine sent late, after a whole one, was taken for the answer to the next request on
 /// that connection, which ran.
 #[parameterized(
